Lay the foundation: toolchain, errors, events, outside interfaces

Cause: an empty repository; parts built side by side need one frame. Ruled out: CommonJS (the libraries are ES modules) and a workspace of many packages (one build, one lock file). Before: nothing. Conclusion: modules can be written against these types.

--- /dev/null
+++ b/src/common/index.ts
@@ -0,0 +1,4 @@
+/** Errors, clocks and random numbers shared by all modules. */
+export * from "./clock.js";
+export * from "./errors.js";
+export * from "./random.js";
--- /dev/null
+++ b/src/events/catalogue.ts
@@ -0,0 +1,28 @@
+/**
+ * The catalogue of events. A number never changes its meaning; docs/EVENTS.md lists them, and a test compares
+ * the two. Ranges: 100 process, 200 configuration, 300 membership, 400 requests, 500 decisions, 600 claims and
+ * bills, 700 leases and roll-outs, 800 operators' commands and tools, 900 stand-ins.
+ */
+
+/** How urgent an event is for an operator. */
+export type EventLevel = "info" | "warning" | "error";
+
+/** One entry of the catalogue. */
+export interface EventDefinition {
+    readonly number: number;
+    readonly name: string;
+    readonly level: EventLevel;
+    /** One sentence for docs/EVENTS.md. */
+    readonly description: string;
+}
+
+function define(number: number, name: string, level: EventLevel, description: string): EventDefinition {
+    return { number, name, level, description };
+}
+
+/** Every event that a rattanlock process can write. */
+export const events = {
+    processStarted: define(100, "process-started", "info", "A process listens and is ready for work."),
+    processStopping: define(101, "process-stopping", "info", "A process was told to stop and finishes its work."),
+    processStopped: define(102, "process-stopped", "info", "A process finished its work and exits with code 0."),
+} as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/events/index.ts
@@ -0,0 +1,3 @@
+/** Numbered events, the catalogue of them and the journal that writes them. */
+export * from "./catalogue.js";
+export * from "./journal.js";
