Add the clients of engines, plain services, ratings and the VM list

Cause: the entry needs typed calls that say what is known about whether a request ran. Ruled out: treating every broken connection as "not run" (a connection may break after the upstream acted). Change: clients over undici; failures carry not-run, unknown or ran; a stream's events are checked for gaps. Before: no clients. Conclusion: only a failed connect or an explicit refusal counts as not run.

--- /dev/null
+++ b/src/upstream/engineClient.ts
@@ -0,0 +1,274 @@
+/**
+ * Client of model engines (docs/design/interfaces.md, "Model engine").
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Dispatcher, request } from "undici";
+import { Failure } from "../common/index.js";
+import type { LoadReport, Vm } from "../world/index.js";
+import { type EngineEvent, readEvents, type TokenUsage } from "./engineStream.js";
+import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
+
+/** A chat completion to be run on an engine. */
+export interface EngineRequest {
+    /** Identifies the stream on the engine, unique for each attempt. */
+    readonly streamId: string;
+    readonly version: string;
+    readonly requestClass: string;
+    readonly priority: number;
+    readonly deadlineMilliseconds: number;
+    /** The chat-completions body as the caller sent it, parsed. */
+    readonly body: Readonly<Record<string, unknown>>;
+    readonly signal: AbortSignal;
+}
+
+/** An answer that an engine has begun. */
+export interface EngineAnswer {
+    /** The version that the engine says it runs. */
+    readonly version: string;
+    /** Load of the engine, when it told. */
+    readonly load: LoadHeader | undefined;
+    readonly events: AsyncGenerator<EngineEvent>;
+}
+
+/** Load that comes along with an answer. */
+export interface LoadHeader {
+    readonly running: number;
+    readonly waiting: number;
+    readonly capacity: number;
+}
+
+/** What an engine says about a cancelled stream. */
+export interface Cancellation {
+    readonly cancelled: boolean;
+    readonly usage: TokenUsage | undefined;
+}
+
+/** Options of an engine client. */
+export interface EngineClientOptions {
+    readonly dispatcher: Dispatcher;
+    /** How long an engine may take until its response headers, in milliseconds. */
+    readonly headersTimeoutMilliseconds: number;
+}
+
+/** Calls model engines. */
+export class EngineClient {
+    readonly #dispatcher: Dispatcher;
+    readonly #headersTimeout: number;
+
+    constructor(options: EngineClientOptions) {
+        this.#dispatcher = options.dispatcher;
+        this.#headersTimeout = options.headersTimeoutMilliseconds;
+    }
+
+    /**
+     * Starts a chat completion, always streamed.
+     * @param runner - The VM of the engine.
+     * @param options - The request.
+     */
+    async complete(runner: Vm, options: EngineRequest): Promise<Result<EngineAnswer, UpstreamFailure>> {
+        try {
+            const response = await request(`${getOrigin(runner)}/v1/chat/completions`, {
+                method: "POST",
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#headersTimeout,
+                bodyTimeout: options.deadlineMilliseconds,
+                signal: options.signal,
+                headers: {
+                    "content-type": "application/json",
+                    "x-request-id": options.streamId,
+                    "x-request-class": options.requestClass,
+                    "x-priority": String(options.priority),
+                    "x-deadline": String(Math.ceil(options.deadlineMilliseconds)),
+                },
+                body: JSON.stringify({
+                    ...options.body,
+                    model: options.version,
+                    stream: true,
+                    stream_options: { include_usage: true },
+                }),
+            });
+            return await toAnswer(response, runner, 0);
+        }
+        catch (error) {
+            return err(classifyCallError(error, runner.id));
+        }
+    }
+
+    /**
+     * Resumes a stream after an event.
+     * @param runner - The VM of the engine that holds the stream.
+     * @param streamId - The stream.
+     * @param lastId - Number of the last event already seen.
+     * @param signal - Ends the reading.
+     */
+    async resume(
+        runner: Vm,
+        streamId: string,
+        lastId: number,
+        signal: AbortSignal,
+    ): Promise<Result<EngineAnswer, UpstreamFailure>> {
+        try {
+            const response = await request(`${getOrigin(runner)}/streams/${encodeURIComponent(streamId)}`, {
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#headersTimeout,
+                signal,
+                headers: { "last-event-id": String(lastId) },
+            });
+            return await toAnswer(response, runner, lastId);
+        }
+        catch (error) {
+            return err(classifyCallError(error, runner.id));
+        }
+    }
+
+    /**
+     * Cancels a stream.
+     * @param runner - The VM of the engine that holds the stream.
+     * @param streamId - The stream.
+     * @param onlyWhenIdle - Whether to leave the stream alone while somebody else reads it.
+     */
+    async cancel(
+        runner: Vm,
+        streamId: string,
+        onlyWhenIdle: boolean,
+    ): Promise<Result<Cancellation, UpstreamFailure>> {
+        try {
+            const query = onlyWhenIdle ? "?idle=true" : "";
+            const response = await request(`${getOrigin(runner)}/streams/${encodeURIComponent(streamId)}${query}`, {
+                method: "DELETE",
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#headersTimeout,
+            });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                return ok({ cancelled: false, usage: undefined });
+            }
+            const answer = await response.body.json() as { usage?: Record<string, number>; };
+            return ok({ cancelled: true, usage: toUsage(answer.usage) });
+        }
+        catch (error) {
+            return err(classifyCallError(error, runner.id));
+        }
+    }
+
+    /**
+     * Asks an upstream for its load.
+     * @param upstream - The VM of the upstream.
+     */
+    async getLoad(upstream: Vm): Promise<Result<LoadReport, UpstreamFailure>> {
+        try {
+            const response = await request(`${getOrigin(upstream)}/load`, {
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#headersTimeout,
+                bodyTimeout: this.#headersTimeout,
+            });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                return err(classifyRefusal(response.statusCode, upstream.id));
+            }
+            return ok(await response.body.json() as LoadReport);
+        }
+        catch (error) {
+            return err(classifyCallError(error, upstream.id));
+        }
+    }
+
+    /**
+     * Reads an engine's cache events.
+     * @param runner - The VM of the engine.
+     * @param from - The first sequence number wanted.
+     */
+    async getCacheEvents(runner: Vm, from: number): Promise<Result<CacheEventPage, UpstreamFailure>> {
+        try {
+            const response = await request(`${getOrigin(runner)}/cache-events?from=${from}`, {
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#headersTimeout,
+                bodyTimeout: this.#headersTimeout,
+            });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                return err(classifyRefusal(response.statusCode, runner.id));
+            }
+            return ok(await response.body.json() as CacheEventPage);
+        }
+        catch (error) {
+            return err(classifyCallError(error, runner.id));
+        }
+    }
+}
+
+/** A change of an engine's prefix cache. */
+export interface CacheEvent {
+    readonly sequence: number;
+    readonly kind: "stored" | "removed" | "cleared";
+    readonly block: string;
+}
+
+/** A part of an engine's cache events. */
+export interface CacheEventPage {
+    readonly events: readonly CacheEvent[];
+    readonly next: number;
+}
+
+/** Returns the URL under which a VM's upstream is reached. */
+export function getOrigin(upstream: Vm): string {
+    return `http://${upstream.address}:${upstream.port}`;
+}
+
+/**
+ * Reads the header in which an upstream tells its load.
+ * @param header - `running/waiting/capacity`.
+ */
+export function readLoadHeader(header: string | string[] | undefined): LoadHeader | undefined {
+    if (typeof header !== "string") {
+        return undefined;
+    }
+    const [running, waiting, capacity] = header.split("/").map(Number);
+    if (![running, waiting, capacity].every(Number.isFinite)) {
+        return undefined;
+    }
+    return { running, waiting, capacity };
+}
+
+async function toAnswer(
+    response: Dispatcher.ResponseData,
+    runner: Vm,
+    lastId: number,
+): Promise<Result<EngineAnswer, UpstreamFailure>> {
+    if (response.statusCode !== 200) {
+        await response.body.dump();
+        const retryAfter = Number(response.headers["retry-after"]);
+        return err(
+            classifyRefusal(response.statusCode, runner.id, Number.isFinite(retryAfter) ? retryAfter : undefined),
+        );
+    }
+    const version = response.headers["x-model-version"];
+    if (typeof version !== "string") {
+        response.body.destroy();
+        return err({ outcome: "ran", failure: createVersionMissingFailure(runner) });
+    }
+    return ok({
+        version,
+        load: readLoadHeader(response.headers["x-load"]),
+        events: readEvents(response.body, lastId),
+    });
+}
+
+function toUsage(usage: Record<string, number> | undefined): TokenUsage | undefined {
+    if (usage === undefined) {
+        return undefined;
+    }
+    return {
+        inputTokens: usage.prompt_tokens ?? 0,
+        cachedTokens: usage.cached_tokens ?? 0,
+        outputTokens: usage.completion_tokens ?? 0,
+    };
+}
+
+function createVersionMissingFailure(runner: Vm): Failure {
+    return new Failure({
+        kind: "protocol",
+        message: `The engine ${runner.id} does not say which version it runs.`,
+        remedy: "Configure the engine to send X-Model-Version.",
+    });
+}
--- /dev/null
+++ b/src/upstream/engineStream.ts
@@ -0,0 +1,104 @@
+/**
+ * A streamed answer of a model engine.
+ */
+import { createParser } from "eventsource-parser";
+import { Failure } from "../common/index.js";
+
+/** One server-sent event of an answer. */
+export interface EngineEvent {
+    /** Place in the stream, from 1 without gaps. */
+    readonly id: number;
+    /** JSON text of a chunk, or `[DONE]`. */
+    readonly data: string;
+}
+
+/** Tokens that an answer took. */
+export interface TokenUsage {
+    readonly inputTokens: number;
+    readonly cachedTokens: number;
+    readonly outputTokens: number;
+}
+
+/** Marks the end of a stream. */
+export const endOfStream = "[DONE]";
+
+/**
+ * Reads the events of an answer in order.
+ *
+ * Events that repeat are passed over. A gap in the numbers means that a piece of the answer is missing; it ends
+ * the reading with a failure, because a caller must never get an answer with a hole in it.
+ * @param body - Body of the engine's response.
+ * @param lastId - Number of the last event already seen; 0 at the start.
+ */
+export async function* readEvents(body: AsyncIterable<Uint8Array>, lastId: number): AsyncGenerator<EngineEvent> {
+    const ready: EngineEvent[] = [];
+    let newest = lastId;
+    const parser = createParser({
+        onEvent: event => {
+            const id = event.id === undefined ? newest + 1 : Number(event.id);
+            ready.push({ id, data: event.data });
+        },
+    });
+    const decoder = new TextDecoder();
+    for await (const bytes of body) {
+        parser.feed(decoder.decode(bytes, { stream: true }));
+        for (const event of ready.splice(0)) {
+            if (event.id <= newest) {
+                continue;
+            }
+            if (event.id !== newest + 1) {
+                throw createGapFailure(newest, event.id);
+            }
+            newest = event.id;
+            yield event;
+            if (event.data === endOfStream) {
+                return;
+            }
+        }
+    }
+    throw createCutFailure(newest);
+}
+
+/** The part of a chunk that tells the tokens used. */
+interface UsageChunk {
+    readonly usage?: {
+        readonly prompt_tokens?: number;
+        readonly completion_tokens?: number;
+        readonly prompt_tokens_details?: { readonly cached_tokens?: number; };
+    };
+}
+
+/**
+ * Returns the tokens used if a chunk tells them. Only the last chunk of an answer does.
+ * @param data - JSON text of the chunk.
+ */
+export function readUsage(data: string): TokenUsage | undefined {
+    if (!data.includes("\"usage\":{")) {
+        return undefined;
+    }
+    const usage = (JSON.parse(data) as UsageChunk).usage;
+    if (usage === undefined) {
+        return undefined;
+    }
+    return {
+        inputTokens: usage.prompt_tokens ?? 0,
+        cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
+        outputTokens: usage.completion_tokens ?? 0,
+    };
+}
+
+function createGapFailure(newest: number, found: number): Failure {
+    return new Failure({
+        kind: "protocol",
+        message: `The answer's stream jumps from event ${newest} to event ${found}.`,
+        remedy: "Resume the stream after the last event in order.",
+    });
+}
+
+function createCutFailure(newest: number): Failure {
+    return new Failure({
+        kind: "upstream-failed",
+        message: `The answer's stream ended after event ${newest} without its end mark.`,
+        remedy: "Resume the stream after that event.",
+    });
+}
--- /dev/null
+++ b/src/upstream/index.ts
@@ -0,0 +1,7 @@
+/** Clients of upstreams, the VM list and the rating service. */
+export * from "./engineClient.js";
+export * from "./engineStream.js";
+export * from "./ratingClient.js";
+export * from "./serviceClient.js";
+export * from "./upstreamFailure.js";
+export * from "./vmListClient.js";
--- /dev/null
+++ b/src/upstream/ratingClient.ts
@@ -0,0 +1,83 @@
+/**
+ * Client of the rating service (docs/design/interfaces.md, "Rating service").
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Dispatcher, request } from "undici";
+import { Failure } from "../common/index.js";
+
+/** An answer to be rated. */
+export interface RatingRequest {
+    readonly id: string;
+    readonly version: string;
+    readonly requestClass: string;
+    readonly question: string;
+    readonly answer: string;
+}
+
+/** Options of a rating client. */
+export interface RatingClientOptions {
+    readonly url: string;
+    readonly dispatcher: Dispatcher;
+    readonly timeoutMilliseconds: number;
+}
+
+/** Asks for ratings. */
+export class RatingClient {
+    readonly #url: string;
+    readonly #dispatcher: Dispatcher;
+    readonly #timeout: number;
+
+    constructor(options: RatingClientOptions) {
+        this.#url = options.url;
+        this.#dispatcher = options.dispatcher;
+        this.#timeout = options.timeoutMilliseconds;
+    }
+
+    /**
+     * Rates an answer. The score is `undefined` when the service leaves this answer unrated.
+     * @param rating - The answer.
+     * @param timeoutMilliseconds - How long to wait; by default the client's own time-out.
+     */
+    async rate(
+        rating: RatingRequest,
+        timeoutMilliseconds: number = this.#timeout,
+    ): Promise<Result<number | undefined, Failure>> {
+        try {
+            const response = await request(`${this.#url}/ratings`, {
+                method: "POST",
+                dispatcher: this.#dispatcher,
+                headersTimeout: timeoutMilliseconds,
+                bodyTimeout: timeoutMilliseconds,
+                headers: { "content-type": "application/json" },
+                body: JSON.stringify({
+                    id: rating.id,
+                    version: rating.version,
+                    class: rating.requestClass,
+                    question: rating.question,
+                    answer: rating.answer,
+                }),
+            });
+            if (response.statusCode === 204) {
+                await response.body.dump();
+                return ok(undefined);
+            }
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                return err(createFailure(`it answered with status ${response.statusCode}`));
+            }
+            const { score } = await response.body.json() as { score: number; };
+            return ok(score);
+        }
+        catch (error) {
+            return err(createFailure(error instanceof Error ? error.message : String(error)));
+        }
+    }
+}
+
+function createFailure(reason: string): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The rating service gave no rating: ${reason}.`,
+        remedy: "Go on without it; the answer counts as unrated.",
+    });
+}
--- /dev/null
+++ b/src/upstream/serviceClient.ts
@@ -0,0 +1,124 @@
+/**
+ * Client of plain services: passes calls through without looking into them.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Dispatcher, request } from "undici";
+import { Failure } from "../common/index.js";
+import type { Vm } from "../world/index.js";
+import { getOrigin, type LoadHeader, readLoadHeader } from "./engineClient.js";
+import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
+
+/** A call to a plain service. */
+export interface ServiceCall {
+    readonly requestId: string;
+    readonly method: string;
+    /** Path with its query, from `/`. */
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array | undefined;
+    readonly idempotencyKey: string | undefined;
+    readonly timeoutMilliseconds: number;
+    readonly signal: AbortSignal;
+}
+
+/** The whole answer of a plain service. */
+export interface ServiceAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+    readonly load: LoadHeader | undefined;
+}
+
+/** Headers of an answer that are passed on to the caller. */
+const passedHeaders = ["content-type", "content-language", "location", "etag", "last-modified", "cache-control"];
+
+/** Options of a service client. */
+export interface ServiceClientOptions {
+    readonly dispatcher: Dispatcher;
+    /** Largest answer that is passed on, in bytes. */
+    readonly maximumAnswerBytes: number;
+}
+
+/** Calls plain services. */
+export class ServiceClient {
+    readonly #dispatcher: Dispatcher;
+    readonly #maximumAnswerBytes: number;
+
+    constructor(options: ServiceClientOptions) {
+        this.#dispatcher = options.dispatcher;
+        this.#maximumAnswerBytes = options.maximumAnswerBytes;
+    }
+
+    /**
+     * Makes one call; never repeats it.
+     * @param service - The VM of the service.
+     * @param call - The call.
+     */
+    async call(service: Vm, call: ServiceCall): Promise<Result<ServiceAnswer, UpstreamFailure>> {
+        try {
+            const response = await request(`${getOrigin(service)}${call.path}`, {
+                method: call.method as Dispatcher.HttpMethod,
+                dispatcher: this.#dispatcher,
+                headersTimeout: call.timeoutMilliseconds,
+                bodyTimeout: call.timeoutMilliseconds,
+                signal: call.signal,
+                headers: {
+                    ...call.headers,
+                    "x-request-id": call.requestId,
+                    ...(call.idempotencyKey === undefined ? {} : { "idempotency-key": call.idempotencyKey }),
+                },
+                body: call.body,
+            });
+            const refused = response.statusCode === 503 || response.headers["x-refused"] === "leaving";
+            if (refused) {
+                await response.body.dump();
+                return err(classifyRefusal(503, service.id, Number(response.headers["retry-after"] ?? 1)));
+            }
+            return await this.#readAnswer(response, service);
+        }
+        catch (error) {
+            return err(classifyCallError(error, service.id));
+        }
+    }
+
+    async #readAnswer(
+        response: Dispatcher.ResponseData,
+        service: Vm,
+    ): Promise<Result<ServiceAnswer, UpstreamFailure>> {
+        const parts: Uint8Array[] = [];
+        let size = 0;
+        for await (const part of response.body as AsyncIterable<Uint8Array>) {
+            size += part.byteLength;
+            if (size > this.#maximumAnswerBytes) {
+                response.body.destroy();
+                return err({ outcome: "ran", failure: this.#createTooLargeFailure(service) });
+            }
+            parts.push(part);
+        }
+        return ok({
+            status: response.statusCode,
+            headers: pickHeaders(response.headers),
+            body: Buffer.concat(parts),
+            load: readLoadHeader(response.headers["x-load"]),
+        });
+    }
+
+    #createTooLargeFailure(service: Vm): Failure {
+        return new Failure({
+            kind: "upstream-failed",
+            message: `The answer of ${service.id} is larger than ${this.#maximumAnswerBytes} bytes.`,
+            remedy: "Ask the service for less, or raise the limit in the entry's settings.",
+        });
+    }
+}
+
+function pickHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
+    const picked: Record<string, string> = {};
+    for (const name of passedHeaders) {
+        const value = headers[name];
+        if (typeof value === "string") {
+            picked[name] = value;
+        }
+    }
+    return picked;
+}
--- /dev/null
+++ b/src/upstream/upstreamFailure.ts
@@ -0,0 +1,85 @@
+/**
+ * Failures of calls to upstreams, with what is known about whether the call was executed.
+ */
+import { errors } from "undici";
+import { Failure, type Outcome } from "../common/index.js";
+
+/** A failed call to an upstream. */
+export interface UpstreamFailure {
+    readonly failure: Failure;
+    /** `not-run` only when nothing was written or the upstream itself refused before any work. */
+    readonly outcome: Outcome;
+}
+
+/** Codes of the operating system that mean that no connection existed, hence nothing was written. */
+const connectFailureCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "EADDRNOTAVAIL",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/**
+ * Classifies an exception of the HTTP client.
+ *
+ * A connection that breaks after the request was written may have broken before or after the upstream acted. Only
+ * a failure to connect proves that nothing ran; everything else is `unknown`, or a caller would be told "not run"
+ * of something that ran.
+ * @param error - What the HTTP client threw.
+ * @param upstream - Name of the upstream, for the message.
+ */
+export function classifyCallError(error: unknown, upstream: string): UpstreamFailure {
+    const outcome = provesNothingWritten(error) ? "not-run" : "unknown";
+    return {
+        outcome,
+        failure: new Failure({
+            kind: "upstream-failed",
+            message: `The call to ${upstream} failed: ${describe(error)}.`,
+            remedy: outcome === "not-run" ? "Send the request again." : "Ask for its outcome before sending it again.",
+            cause: error,
+        }),
+    };
+}
+
+/**
+ * Classifies a status with which an upstream refused a request.
+ *
+ * The interfaces promise that 404 (version not loaded), 409 (leaving), 429 and 503 are sent before any work.
+ * @param status - HTTP status.
+ * @param upstream - Name of the upstream.
+ * @param retryAfterSeconds - Value of `Retry-After`, if sent.
+ */
+export function classifyRefusal(status: number, upstream: string, retryAfterSeconds?: number): UpstreamFailure {
+    const refusedBeforeWork = status === 404 || status === 409 || status === 429 || status === 503;
+    return {
+        outcome: refusedBeforeWork ? "not-run" : "unknown",
+        failure: new Failure({
+            kind: status === 429 || status === 503 ? "overloaded" : "upstream-failed",
+            message: `The upstream ${upstream} answered with status ${status}.`,
+            remedy: refusedBeforeWork
+                ? "Send the request to another upstream."
+                : "Ask for its outcome before sending it again.",
+            retryAfterMilliseconds: retryAfterSeconds === undefined ? undefined : retryAfterSeconds * 1000,
+        }),
+    };
+}
+
+function provesNothingWritten(error: unknown): boolean {
+    if (error instanceof errors.ConnectTimeoutError) {
+        return true;
+    }
+    if (error instanceof AggregateError) {
+        return error.errors.length > 0 && error.errors.every(provesNothingWritten);
+    }
+    const code = (error as { code?: unknown; } | undefined)?.code;
+    return typeof code === "string" && connectFailureCodes.has(code);
+}
+
+function describe(error: unknown): string {
+    if (error instanceof Error) {
+        const code = (error as { code?: unknown; }).code;
+        return typeof code === "string" ? `${error.message || error.name} (${code})` : error.message || error.name;
+    }
+    return String(error);
+}
--- /dev/null
+++ b/src/upstream/vmListClient.ts
@@ -0,0 +1,70 @@
+/**
+ * Client of the platform's VM list.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Dispatcher, request } from "undici";
+import { z } from "zod";
+import { Failure } from "../common/index.js";
+import type { Vm } from "../world/index.js";
+
+const vmSchema = z.object({
+    id: z.string().min(1),
+    address: z.string(),
+    port: z.number().int(),
+    role: z.enum(["entry", "runner", "service"]),
+    pool: z.string(),
+    failureDomain: z.string(),
+    region: z.string(),
+    state: z.enum(["live", "leaving"]),
+    peerPort: z.number().int().optional(),
+});
+
+const listSchema = z.object({ vms: z.array(vmSchema) });
+
+/** Options of a VM list client. */
+export interface VmListClientOptions {
+    readonly url: string;
+    readonly dispatcher: Dispatcher;
+    readonly timeoutMilliseconds: number;
+}
+
+/** Reads the VM list. */
+export class VmListClient {
+    readonly #url: string;
+    readonly #dispatcher: Dispatcher;
+    readonly #timeout: number;
+
+    constructor(options: VmListClientOptions) {
+        this.#url = options.url;
+        this.#dispatcher = options.dispatcher;
+        this.#timeout = options.timeoutMilliseconds;
+    }
+
+    /** Returns all VMs of the site, as old as the platform's lag. */
+    async getVms(): Promise<Result<readonly Vm[], Failure>> {
+        try {
+            const response = await request(`${this.#url}/vms`, {
+                dispatcher: this.#dispatcher,
+                headersTimeout: this.#timeout,
+                bodyTimeout: this.#timeout,
+            });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                return err(createFailure(`it answered with status ${response.statusCode}`));
+            }
+            const parsed = listSchema.safeParse(await response.body.json());
+            return parsed.success ? ok(parsed.data.vms) : err(createFailure(z.prettifyError(parsed.error)));
+        }
+        catch (error) {
+            return err(createFailure(error instanceof Error ? error.message : String(error)));
+        }
+    }
+}
+
+function createFailure(reason: string): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The VM list could not be read: ${reason}.`,
+        remedy: "Go on with the list that was read last.",
+    });
+}
