Add stand-ins for the platform and the upstreams

Cause: integration tests need the platform's services and the upstreams as processes whose faults a test can switch on. Ruled out: one schema for settings and another for faults; every setting is now a fault key, so there is one list to learn and to check.

--- /dev/null
+++ b/src/standins/engine/batch.ts
@@ -0,0 +1,178 @@
+/**
+ * Continuous batching: one loop of steps shares a budget of tokens among the sequences that run.
+ */
+import { type Clock, systemClock } from "../../common/index.js";
+
+/** A loop that is later than so many steps gives up on catching up. */
+const catchUpSteps = 4;
+
+/** One request inside the batch. */
+export interface Sequence {
+    /** 0 is most urgent. */
+    readonly priority: number;
+    /** KV memory that it holds while it runs, in tokens. */
+    readonly memoryTokens: number;
+    /** Returns the tokens that it produces a step. */
+    readonly getSpeed: () => number;
+    /** Called at admission; returns the prompt tokens that are left to compute. */
+    readonly begin: () => number;
+    /** Called once the whole prompt is computed. */
+    readonly finishPrefill: () => void;
+    /** Produces one token; returns whether it was the last one. */
+    readonly produce: () => boolean;
+}
+
+/** Limits of the batch; asked at each step. */
+export interface BatchLimits {
+    readonly stepMilliseconds: number;
+    readonly tokensPerStep: number;
+    readonly maximumRunning: number;
+    readonly memoryTokens: number;
+    /** Whether the loop stands still. */
+    readonly frozen: boolean;
+}
+
+interface RunningSequence {
+    readonly sequence: Sequence;
+    prefillLeft: number;
+    prefilled: boolean;
+    credit: number;
+}
+
+/** Runs sequences side by side, the most urgent ones admitted first. */
+export class Batch {
+    readonly #getLimits: () => BatchLimits;
+    readonly #clock: Clock;
+    readonly #waiting: Sequence[] = [];
+    #running: RunningSequence[] = [];
+    #usedMemory = 0;
+    #timer: NodeJS.Timeout | undefined;
+    #dueAt = 0;
+
+    constructor(getLimits: () => BatchLimits, clock: Clock = systemClock) {
+        this.#getLimits = getLimits;
+        this.#clock = clock;
+    }
+
+    /** Returns how many sequences run. */
+    getRunningCount(): number {
+        return this.#running.length;
+    }
+
+    /** Returns how many sequences wait to be admitted. */
+    getWaitingCount(): number {
+        return this.#waiting.length;
+    }
+
+    /** Adds a sequence behind all of its own priority. */
+    add(sequence: Sequence): void {
+        let place = this.#waiting.length;
+        while (place > 0 && this.#waiting[place - 1].priority > sequence.priority) {
+            place -= 1;
+        }
+        this.#waiting.splice(place, 0, sequence);
+        if (this.#timer === undefined) {
+            this.#dueAt = this.#clock.monotonic();
+            this.#schedule();
+        }
+    }
+
+    /** Takes a sequence out, wherever it is. */
+    remove(sequence: Sequence): void {
+        const place = this.#waiting.indexOf(sequence);
+        if (place >= 0) {
+            this.#waiting.splice(place, 1);
+        }
+        if (this.#running.some(member => member.sequence === sequence)) {
+            this.#release(sequence);
+        }
+    }
+
+    /** Stops the loop. */
+    stop(): void {
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+    }
+
+    /** Runs one step. */
+    step(): void {
+        const limits = this.#getLimits();
+        if (limits.frozen) {
+            return;
+        }
+        this.#admit(limits);
+        const used = this.#decode();
+        this.#prefill(Math.max(0, limits.tokensPerStep - used));
+    }
+
+    #schedule(): void {
+        const { stepMilliseconds } = this.#getLimits();
+        const now = this.#clock.monotonic();
+        this.#dueAt += stepMilliseconds;
+        if (this.#dueAt < now - catchUpSteps * stepMilliseconds) {
+            this.#dueAt = now;
+        }
+        this.#timer = setTimeout(() => this.#tick(), Math.max(0, this.#dueAt - now));
+    }
+
+    #tick(): void {
+        this.#timer = undefined;
+        this.step();
+        if (this.#running.length + this.#waiting.length > 0 && this.#timer === undefined) {
+            this.#schedule();
+        }
+    }
+
+    #admit(limits: BatchLimits): void {
+        while (this.#waiting.length > 0 && this.#running.length < limits.maximumRunning) {
+            const sequence = this.#waiting[0];
+            const fits = this.#usedMemory + sequence.memoryTokens <= limits.memoryTokens;
+            if (!fits && this.#running.length > 0) {
+                return;
+            }
+            this.#waiting.shift();
+            this.#usedMemory += sequence.memoryTokens;
+            this.#running.push({ sequence, prefillLeft: sequence.begin(), prefilled: false, credit: 0 });
+        }
+    }
+
+    #decode(): number {
+        let used = 0;
+        for (const member of [...this.#running]) {
+            if (!member.prefilled) {
+                continue;
+            }
+            member.credit += member.sequence.getSpeed();
+            while (member.credit >= 1) {
+                member.credit -= 1;
+                used += 1;
+                if (member.sequence.produce()) {
+                    this.#release(member.sequence);
+                    break;
+                }
+            }
+        }
+        return used;
+    }
+
+    #prefill(budget: number): void {
+        let left = budget;
+        for (const member of this.#running) {
+            if (member.prefilled) {
+                continue;
+            }
+            const part = Math.min(left, member.prefillLeft);
+            member.prefillLeft -= part;
+            left -= part;
+            if (member.prefillLeft <= 0) {
+                member.prefilled = true;
+                member.sequence.finishPrefill();
+            }
+        }
+    }
+
+    #release(sequence: Sequence): void {
+        this.#running = this.#running.filter(member => member.sequence !== sequence);
+        this.#usedMemory -= sequence.memoryTokens;
+    }
+}
--- /dev/null
+++ b/src/standins/engine/chat.ts
@@ -0,0 +1,96 @@
+/**
+ * The chat-completions bodies that the engine reads and writes.
+ */
+import { z } from "zod";
+
+const contentPart = z.object({ type: z.string(), text: z.string().optional() });
+
+const chatSchema = z.object({
+    model: z.string(),
+    messages: z.array(z.object({
+        role: z.string(),
+        content: z.union([z.string(), z.array(contentPart)]).nullish(),
+    })),
+    stream: z.boolean().nullish(),
+    max_tokens: z.number().int().min(1).nullish(),
+    max_completion_tokens: z.number().int().min(1).nullish(),
+});
+
+const charactersPerToken = 4;
+
+/** What the engine takes from a request's body. */
+export interface ChatRequest {
+    readonly model: string;
+    readonly prompt: string;
+    readonly stream: boolean;
+    readonly maximumTokens: number;
+}
+
+/** Token counts of an answer. */
+export interface Usage {
+    readonly promptTokens: number;
+    readonly cachedTokens: number;
+    readonly outputTokens: number;
+}
+
+/** Reads a request's body; undefined when it is none. */
+export function readChatRequest(body: unknown): ChatRequest | undefined {
+    const parsed = chatSchema.safeParse(body);
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { model, messages, stream, max_tokens: oldLimit, max_completion_tokens: limit } = parsed.data;
+    let prompt = "";
+    for (const { role, content } of messages) {
+        const text = typeof content === "string" ? content : (content ?? []).map(part => part.text ?? "").join("");
+        prompt += `${role}\n${text}\n`;
+    }
+    return { model, prompt, stream: stream === true, maximumTokens: limit ?? oldLimit ?? Number.MAX_SAFE_INTEGER };
+}
+
+/** Counts a text's tokens, at four characters each. */
+export function countTokens(text: string): number {
+    return Math.ceil(text.length / charactersPerToken);
+}
+
+/** Writes a chunk with a piece of the answer. */
+export function createChunk(id: string, model: string, delta: object, finishReason?: string): string {
+    return JSON.stringify({
+        ...createHead(id, model, "chat.completion.chunk"),
+        choices: [{ index: 0, delta, finish_reason: finishReason }],
+    });
+}
+
+/** Writes the chunk with the token counts. */
+export function createUsageChunk(id: string, model: string, usage: Usage): string {
+    const head = createHead(id, model, "chat.completion.chunk");
+    return JSON.stringify({ ...head, choices: [], usage: createUsage(usage) });
+}
+
+/** Returns a whole answer's body. */
+export function createCompletion(
+    id: string,
+    model: string,
+    content: string,
+    finishReason: string,
+    usage: Usage,
+): object {
+    return {
+        ...createHead(id, model, "chat.completion"),
+        choices: [{ index: 0, message: { role: "assistant", content }, finish_reason: finishReason }],
+        usage: createUsage(usage),
+    };
+}
+
+function createHead(id: string, model: string, object: string): object {
+    return { id, object, created: Math.floor(Date.now() / 1000), model };
+}
+
+function createUsage(usage: Usage): object {
+    return {
+        prompt_tokens: usage.promptTokens,
+        completion_tokens: usage.outputTokens,
+        total_tokens: usage.promptTokens + usage.outputTokens,
+        prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+    };
+}
--- /dev/null
+++ b/src/standins/engine/loadedVersions.ts
@@ -0,0 +1,126 @@
+/**
+ * The versions that an engine has loaded, and the orders that change them.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { z } from "zod";
+import type { EngineConditions } from "./engineConditions.js";
+
+const retryMilliseconds = 200;
+
+const orderSchema = z.object({
+    fence: z.number(),
+    versions: z.array(z.string()),
+    role: z.string().optional(),
+});
+
+/** An order: the state that the engine shall reach. */
+export type Order = z.infer<typeof orderSchema>;
+
+/** What the engine notes of an order. */
+export interface OrderNote extends Order {
+    readonly kind: "order";
+    readonly time: number;
+    readonly outcome: "followed" | "ignored" | "refused";
+}
+
+/** Reads an order; undefined when it is none. */
+export function readOrder(body: unknown): Order | undefined {
+    return orderSchema.safeParse(body).data;
+}
+
+/** Loads and unloads versions until they match the newest order. */
+export class LoadedVersions {
+    readonly #getConditions: () => EngineConditions;
+    readonly #loaded: Set<string>;
+    #desired: ReadonlySet<string>;
+    #highestFence = -1;
+    #role: string;
+
+    constructor(getConditions: () => EngineConditions) {
+        this.#getConditions = getConditions;
+        this.#loaded = new Set(getConditions().versions);
+        this.#desired = new Set(this.#loaded);
+        this.#role = getConditions().role;
+    }
+
+    /** Returns the versions that are loaded now. */
+    get(): readonly string[] {
+        return [...this.#loaded];
+    }
+
+    /** Returns whether a version is loaded now. */
+    has(version: string): boolean {
+        return this.#loaded.has(version);
+    }
+
+    /** Returns the role that the engine was given. */
+    getRole(): string {
+        return this.#role;
+    }
+
+    /** Takes an order and says what became of it. Loading goes on after the return. */
+    follow(order: Order): OrderNote["outcome"] {
+        const { checksFencing, ignoreOrders } = this.#getConditions();
+        if (checksFencing && order.fence < this.#highestFence) {
+            return "refused";
+        }
+        this.#highestFence = Math.max(this.#highestFence, order.fence);
+        if (ignoreOrders) {
+            return "ignored";
+        }
+        this.#role = order.role ?? this.#role;
+        this.#desired = new Set(order.versions);
+        for (const version of this.#loaded) {
+            if (!this.#desired.has(version)) {
+                this.#loaded.delete(version);
+            }
+        }
+        void this.#loadMissing();
+        return "followed";
+    }
+
+    async #loadMissing(): Promise<void> {
+        const desired = this.#desired;
+        for (const version of desired) {
+            if (this.#loaded.has(version)) {
+                continue;
+            }
+            await sleep(this.#getConditions().loadMilliseconds);
+            if (!await this.#fetchWeights(version, () => this.#desired === desired)) {
+                continue;
+            }
+            if (this.#desired !== desired) {
+                return;
+            }
+            this.#loaded.add(version);
+        }
+    }
+
+    /** Fetches weights, again and again while the store is away or refuses for its rate. */
+    async #fetchWeights(version: string, isWanted: () => boolean): Promise<boolean> {
+        const { weightStore } = this.#getConditions();
+        if (weightStore === "") {
+            return true;
+        }
+        while (isWanted()) {
+            const status = await getStatus(`http://${weightStore}/weights/${encodeURIComponent(version)}`);
+            if (status === 200 || status === 404) {
+                return status === 200;
+            }
+            await sleep(retryMilliseconds);
+        }
+        return false;
+    }
+}
+
+async function getStatus(url: string): Promise<number> {
+    try {
+        const { statusCode, body } = await request(url);
+        await body.dump();
+        return statusCode;
+    }
+    catch {
+        return 503;
+    }
+}
--- /dev/null
+++ b/src/standins/engine/modelEngine.ts
@@ -0,0 +1,272 @@
+/**
+ * Stand-in for a model engine: the HTTP face.
+ */
+import type Router from "@koa/router";
+import type Koa from "koa";
+import type { ServerResponse } from "node:http";
+import { z } from "zod";
+import { RandomSource, systemClock } from "../../common/index.js";
+import type { LoadReport } from "../../world/index.js";
+import type { Address } from "../address.js";
+import { Conditions } from "../conditions.js";
+import { answerProblem, readJson, StandinServer } from "../standinServer.js";
+import type { AnswerStream } from "./answerStream.js";
+import { Batch } from "./batch.js";
+import { type ChatRequest, createCompletion, readChatRequest } from "./chat.js";
+import { type EngineConditions, engineSchema, expandTurn } from "./engineConditions.js";
+import { EngineRun, type RunNote } from "./engineRun.js";
+import { LoadedVersions, type OrderNote, readOrder } from "./loadedVersions.js";
+import { BlockHasher, PrefixCache } from "./prefixCache.js";
+
+const refusalRetrySeconds = "1";
+const lowestPriority = 9;
+
+const transferSchema = z.object({ version: z.string(), blocks: z.array(z.string()).readonly() });
+
+type CacheTransfer = z.infer<typeof transferSchema>;
+
+/** An engine that batches continuously, caches prefixes, follows orders and can be made to fail. */
+export class ModelEngine {
+    readonly #conditions: Conditions<EngineConditions>;
+    readonly #server: StandinServer;
+    readonly #batch: Batch;
+    readonly #cache: PrefixCache;
+    readonly #versions: LoadedVersions;
+    readonly #runs = new Map<string, EngineRun>();
+    readonly #journal: (RunNote | OrderNote)[] = [];
+    #hasher: BlockHasher | undefined;
+    #report: LoadReport;
+
+    constructor(listen: Address, settings: object = {}) {
+        this.#conditions = new Conditions(engineSchema, settings);
+        const getConditions = (): EngineConditions => this.#conditions.get();
+        this.#batch = new Batch(getConditions);
+        this.#cache = new PrefixCache(getConditions, new RandomSource(getConditions().seed));
+        this.#versions = new LoadedVersions(getConditions);
+        this.#report = this.#measureLoad();
+        this.#server = new StandinServer({
+            listen,
+            getConditions,
+            changeConditions: change => this.#conditions.change(expandTurn(getConditions(), change)),
+            getJournal: () => this.#journal,
+            addRoutes: router => this.#addRoutes(router),
+        });
+    }
+
+    /** Listens; returns the address in use. */
+    async start(): Promise<Address> {
+        this.#hasher = await BlockHasher.create();
+        return this.#server.start();
+    }
+
+    /** Lets answers under way end within a bound and stops listening. */
+    async stop(): Promise<void> {
+        await this.#server.stop();
+        this.#batch.stop();
+    }
+
+    #addRoutes(router: Router): void {
+        router.post("/v1/chat/completions", context => this.#complete(context));
+        router.get("/streams/:request", context => this.#resume(context, context.params.request));
+        router.delete("/streams/:request", context => this.#cancel(context, context.params.request));
+        router.get("/load", context => {
+            context.body = { ...this.#getReport(), checksFencing: this.#conditions.get().checksFencing };
+        });
+        router.get("/cache-events", context => {
+            context.body = this.#cache.getEvents(Number(context.query.from ?? 0));
+        });
+        router.post("/orders", context => this.#follow(context));
+        router.get("/kv/:request", context => this.#exportCache(context, context.params.request));
+        router.put("/kv/:request", context => this.#importCache(context));
+    }
+
+    async #complete(context: Koa.Context): Promise<void> {
+        const chat = readChatRequest(await readJson(context));
+        if (chat === undefined) {
+            answerProblem(context, 400, "bad-request", "The body is no chat completion. Send model and messages.");
+            return;
+        }
+        if (this.#refuses(context, chat.model)) {
+            return;
+        }
+        const run = this.#startRun(context, chat);
+        await run.stream.waitForStart();
+        if (run.stream.getState() === "failed") {
+            answerProblem(context, 500, "engine-failed", "The engine failed on this request.");
+            return;
+        }
+        if (chat.stream) {
+            sendStream(context, run.stream, 0);
+            return;
+        }
+        await run.stream.waitForEnd();
+        if (run.stream.getState() === "cancelled") {
+            answerProblem(context, 499, "cancelled", "The request was cancelled.");
+            return;
+        }
+        const { id, ran } = run.note;
+        context.body = createCompletion(`chatcmpl-${id}`, ran, run.getText(), run.getFinishReason(), run.getUsage());
+    }
+
+    /** Answers a request that the engine won't take; nothing of it has run. */
+    #refuses(context: Koa.Context, version: string): boolean {
+        const { leaving, maximumWaiting } = this.#conditions.get();
+        if (leaving) {
+            answerProblem(context, 409, "leaving", "This engine is leaving. Use another.");
+            return true;
+        }
+        if (!this.#versions.has(version)) {
+            answerProblem(context, 404, "not-loaded", `Version ${version} is not loaded. Use another engine.`);
+            return true;
+        }
+        if (this.#batch.getWaitingCount() >= maximumWaiting) {
+            context.set("Retry-After", refusalRetrySeconds);
+            answerProblem(context, 429, "full", "The queue is full. Use another engine or come back later.");
+            return true;
+        }
+        return false;
+    }
+
+    #startRun(context: Koa.Context, chat: ChatRequest): EngineRun {
+        const request = context.get("X-Request-Id") || `unnamed-${this.#journal.length}`;
+        const version = this.#conditions.get().runsInstead[chat.model] ?? chat.model;
+        const run = new EngineRun({
+            request,
+            requestClass: context.get("X-Request-Class"),
+            priority: Number(context.get("X-Priority") || lowestPriority),
+            chat,
+            version,
+            blocks: this.#hasher?.getBlocks(chat.prompt) ?? [],
+            cache: this.#cache,
+            getConditions: () => this.#conditions.get(),
+        });
+        this.#runs.set(request, run);
+        this.#journal.push(run.note);
+        this.#batch.add(run.sequence);
+        void this.#forgetLater(request, run);
+        const load = this.#measureLoad();
+        context.set("X-Model-Version", version);
+        context.set("X-Load", `${load.running}/${load.waiting}/${load.capacity}`);
+        return run;
+    }
+
+    /** Forgets a run some time after its end; until then its stream can be taken up again. */
+    async #forgetLater(request: string, run: EngineRun): Promise<void> {
+        await run.stream.waitForEnd();
+        const timer = setTimeout(() => {
+            if (this.#runs.get(request) === run) {
+                this.#runs.delete(request);
+            }
+        }, this.#conditions.get().keepMilliseconds);
+        timer.unref();
+    }
+
+    async #resume(context: Koa.Context, request: string): Promise<void> {
+        const run = this.#runs.get(request);
+        if (run === undefined) {
+            answerProblem(context, 404, "no-stream", "No such stream is kept. Send the request again.");
+            return;
+        }
+        context.set("X-Model-Version", run.note.ran);
+        sendStream(context, run.stream, Number(context.get("Last-Event-ID") || 0));
+    }
+
+    #cancel(context: Koa.Context, request: string): void {
+        const run = this.#runs.get(request);
+        if (run !== undefined) {
+            run.cancel();
+            this.#batch.remove(run.sequence);
+        }
+        context.status = 204;
+    }
+
+    async #follow(context: Koa.Context): Promise<void> {
+        const order = readOrder(await readJson(context));
+        if (order === undefined) {
+            answerProblem(context, 400, "bad-order", "The body is no order. Send fence, versions and role.");
+            return;
+        }
+        const outcome = this.#versions.follow(order);
+        this.#journal.push({ kind: "order", time: systemClock.wall(), ...order, outcome });
+        if (outcome === "refused") {
+            answerProblem(context, 409, "old-fence", "The engine has seen a newer fencing number. Give up the lease.");
+            return;
+        }
+        context.body = { versions: this.#versions.get() };
+    }
+
+    #exportCache(context: Koa.Context, request: string): void {
+        const run = this.#runs.get(request);
+        if (run === undefined) {
+            answerProblem(context, 404, "no-cache", "No such KV cache is kept. Compute the prompt again.");
+            return;
+        }
+        context.body = { version: run.note.ran, blocks: run.blocks } satisfies CacheTransfer;
+    }
+
+    async #importCache(context: Koa.Context): Promise<void> {
+        const transfer = transferSchema.safeParse(await readJson(context));
+        if (!transfer.success) {
+            answerProblem(context, 400, "bad-cache", "The body is no exported KV cache. Send an export unchanged.");
+            return;
+        }
+        this.#cache.add(transfer.data.version, transfer.data.blocks);
+        context.status = 204;
+    }
+
+    /** Returns a load report that is up to the lag old. */
+    #getReport(): LoadReport {
+        const { loadLagMilliseconds } = this.#conditions.get();
+        if (systemClock.wall() - this.#report.measuredAt >= loadLagMilliseconds) {
+            this.#report = this.#measureLoad();
+        }
+        return this.#report;
+    }
+
+    #measureLoad(): LoadReport {
+        const { name, maximumRunning, leaving, lie } = this.#conditions.get();
+        return {
+            upstream: name,
+            measuredAt: systemClock.wall(),
+            running: lie.running ?? this.#batch.getRunningCount(),
+            waiting: lie.waiting ?? this.#batch.getWaitingCount(),
+            capacity: lie.capacity ?? maximumRunning,
+            versions: this.#versions.get(),
+            leaving,
+        };
+    }
+}
+
+/** Sends a stream's events after the one with this identifier, and goes on until the stream ends. */
+function sendStream(context: Koa.Context, stream: AnswerStream, after: number): void {
+    const { res: response } = context;
+    let sent = after;
+    context.respond = false;
+    response.statusCode = 200;
+    response.setHeader("Content-Type", "text/event-stream");
+    response.setHeader("Cache-Control", "no-store");
+    const send = (): void => {
+        const events = stream.getAfter(sent);
+        sent += events.length;
+        if (events.length > 0) {
+            response.write(events.join(""));
+        }
+        if (stream.isClosed()) {
+            endListening();
+            endStream(response, stream);
+        }
+    };
+    const endListening = stream.listen(send);
+    response.once("close", endListening);
+    response.flushHeaders();
+    send();
+}
+
+/** Ends a response: a stream that was not finished breaks off, so that no reader takes it for whole. */
+function endStream(response: ServerResponse, stream: AnswerStream): void {
+    if (stream.getState() === "finished") {
+        response.end();
+        return;
+    }
+    response.destroy();
+}
--- /dev/null
+++ b/src/standins/engine/prefixCache.ts
@@ -0,0 +1,153 @@
+/**
+ * The engine's cache of prompt prefixes, in limited memory, and the events that it publishes.
+ */
+import xxhash, { type XXHashAPI } from "xxhash-wasm";
+import { type Clock, type RandomSource, systemClock } from "../../common/index.js";
+
+/** Characters of a block. */
+const blockCharacters = 512;
+/** Tokens of a block. */
+export const blockTokens = 128;
+const keptEvents = 10_000;
+
+/** Tells that a block came into the cache or left it. */
+export interface CacheEvent {
+    readonly sequence: number;
+    readonly kind: "stored" | "removed" | "cleared";
+    /** Hash of the prompt up to the end of the block; empty for `cleared`. */
+    readonly block: string;
+    /** The version that computed the block: its cache serves no other version. */
+    readonly version: string;
+}
+
+/** Limits of the cache; asked each time. */
+export interface CacheLimits {
+    readonly cacheBlocks: number;
+    readonly cacheEventLagMilliseconds: number;
+    readonly cacheEventLossProbability: number;
+}
+
+interface DatedEvent {
+    readonly at: number;
+    readonly event: CacheEvent;
+}
+
+/** Hashes prompts into blocks. */
+export class BlockHasher {
+    readonly #api: XXHashAPI;
+
+    private constructor(api: XXHashAPI) {
+        this.#api = api;
+    }
+
+    /** Loads the hash function. */
+    static async create(): Promise<BlockHasher> {
+        return new BlockHasher(await xxhash());
+    }
+
+    /** Returns the hashes of a prompt's whole blocks, each over the prompt from its start. */
+    getBlocks(prompt: string): readonly string[] {
+        const blocks: string[] = [];
+        const hash = this.#api.create64();
+        for (let end = blockCharacters; end <= prompt.length; end += blockCharacters) {
+            hash.update(prompt.slice(end - blockCharacters, end));
+            blocks.push(hash.digest().toString(16).padStart(16, "0"));
+        }
+        return blocks;
+    }
+}
+
+/** Keeps the least recently used blocks out, and publishes events late and with gaps. */
+export class PrefixCache {
+    readonly #getLimits: () => CacheLimits;
+    readonly #random: RandomSource;
+    readonly #clock: Clock;
+    /** In the order of use, the least recent first; the value is the event's part. */
+    readonly #blocks = new Map<string, { readonly block: string; readonly version: string; }>();
+    #events: DatedEvent[] = [];
+    #nextSequence = 0;
+
+    constructor(getLimits: () => CacheLimits, random: RandomSource, clock: Clock = systemClock) {
+        this.#getLimits = getLimits;
+        this.#random = random;
+        this.#clock = clock;
+    }
+
+    /**
+     * Counts the blocks at the start of a prompt that are cached.
+     * @param version - The version that runs the prompt.
+     * @param blocks - The prompt's blocks.
+     */
+    getCachedCount(version: string, blocks: readonly string[]): number {
+        let count = 0;
+        for (const block of blocks) {
+            if (!this.#blocks.has(getKey(version, block))) {
+                break;
+            }
+            count += 1;
+        }
+        return count;
+    }
+
+    /** Stores a prompt's blocks, or marks them as used. A prompt's first block is given up last. */
+    add(version: string, blocks: readonly string[]): void {
+        for (const block of [...blocks].reverse()) {
+            const key = getKey(version, block);
+            const known = this.#blocks.delete(key);
+            this.#blocks.set(key, { block, version });
+            if (!known) {
+                this.#publish("stored", block, version);
+            }
+        }
+        this.#shrink();
+    }
+
+    /** Forgets everything. */
+    clear(): void {
+        this.#blocks.clear();
+        this.#publish("cleared", "", "");
+    }
+
+    /** Returns the events from a sequence number on that have become visible, and the number to ask for next. */
+    getEvents(from: number): { readonly events: readonly CacheEvent[]; readonly next: number; } {
+        const visibleAt = this.#clock.monotonic() - this.#getLimits().cacheEventLagMilliseconds;
+        const events: CacheEvent[] = [];
+        let next = from;
+        for (const { at, event } of this.#events) {
+            if (at > visibleAt) {
+                break;
+            }
+            if (event.sequence >= from) {
+                events.push(event);
+                next = event.sequence + 1;
+            }
+        }
+        return { events, next };
+    }
+
+    #shrink(): void {
+        for (const [key, { block, version }] of this.#blocks) {
+            if (this.#blocks.size <= this.#getLimits().cacheBlocks) {
+                return;
+            }
+            this.#blocks.delete(key);
+            this.#publish("removed", block, version);
+        }
+    }
+
+    #publish(kind: CacheEvent["kind"], block: string, version: string): void {
+        const event = { sequence: this.#nextSequence, kind, block, version };
+        this.#nextSequence += 1;
+        if (this.#random.next() < this.#getLimits().cacheEventLossProbability) {
+            return;
+        }
+        this.#events.push({ at: this.#clock.monotonic(), event });
+        if (this.#events.length > 2 * keptEvents) {
+            this.#events = this.#events.slice(-keptEvents);
+        }
+    }
+}
+
+function getKey(version: string, block: string): string {
+    return `${version} ${block}`;
+}
--- /dev/null
+++ b/src/standins/index.ts
@@ -0,0 +1,16 @@
+/** Small stand-ins for the platform and the upstreams, for tests and the demo. */
+export { type Address, formatAddress, parseAddress } from "./address.js";
+export {
+    type CacheEvent,
+    getAnswerHash,
+    getAnswerQuality,
+    ModelEngine,
+    type OrderNote,
+    type RunNote,
+} from "./engine/index.js";
+export { LogService } from "./logService.js";
+export { PlainService } from "./plainService.js";
+export { RatingService } from "./ratingService.js";
+export { createStandin, type Standin } from "./standin.js";
+export { VmList } from "./vmList.js";
+export { WeightStore } from "./weightStore.js";
--- /dev/null
+++ b/src/standins/main.ts
@@ -0,0 +1,31 @@
+/**
+ * The program that runs one stand-in.
+ */
+import { Failure, systemClock } from "../common/index.js";
+import { events, Journal } from "../events/index.js";
+import { formatAddress } from "./address.js";
+import { readCommand } from "./settings.js";
+import { createStandin } from "./standin.js";
+
+async function main(): Promise<void> {
+    const { kind, listen, settings } = readCommand(process.argv.slice(2));
+    const standin = createStandin(kind, listen, settings);
+    const address = formatAddress(await standin.start());
+    const journal = new Journal({ process: `${kind} ${address}`, clock: systemClock });
+    process.once("SIGTERM", async () => {
+        journal.write(events.processStopping);
+        await standin.stop();
+        journal.write(events.processStopped);
+        process.exit(0);
+    });
+    journal.write(events.processStarted, { address });
+    console.log(`ready ${kind} ${address}`);
+}
+
+try {
+    await main();
+}
+catch (error) {
+    console.error(error instanceof Failure ? error.message : error);
+    process.exit(1);
+}
--- /dev/null
+++ b/src/standins/plainService.ts
@@ -0,0 +1,156 @@
+/**
+ * Stand-in for a plain application service, such as one that books pickups. It counts what it ran.
+ */
+import type Koa from "koa";
+import { text } from "node:stream/consumers";
+import { setTimeout as sleep } from "node:timers/promises";
+import { z } from "zod";
+import { systemClock } from "../common/index.js";
+import type { LoadReport } from "../world/index.js";
+import type { Address } from "./address.js";
+import { amount, commonConditions, Conditions, flag } from "./conditions.js";
+import { answerProblem, dropConnection, StandinServer } from "./standinServer.js";
+
+const schema = z.strictObject({
+    ...commonConditions,
+    name: z.string().default("service"),
+    capacity: amount.default(16),
+    /** How long a call works after it took effect and before its answer. */
+    workMilliseconds: amount.default(0),
+    leaving: flag.default(false),
+    /** So many of the next calls take effect, then lose their connection. */
+    dropAfterRun: amount.default(0),
+    /** So many of the next calls lose their connection without taking effect. */
+    dropBeforeRun: amount.default(0),
+    /** So many of the next calls are neither run nor answered. */
+    hang: amount.default(0),
+    /** So many of the next calls take effect and are never answered. */
+    hangAfterRun: amount.default(0),
+});
+
+type Counter = "dropAfterRun" | "dropBeforeRun" | "hang" | "hangAfterRun";
+
+/** What the service notes of a call that took effect. */
+interface RunNote {
+    readonly run: number;
+    readonly time: number;
+    readonly method: string;
+    readonly path: string;
+    readonly request: string | undefined;
+    readonly key: string | undefined;
+    readonly body: string;
+}
+
+/** A plain service whose every call takes effect at once and is noted. */
+export class PlainService {
+    readonly #conditions: Conditions<z.infer<typeof schema>>;
+    readonly #server: StandinServer;
+    readonly #journal: RunNote[] = [];
+    #active = 0;
+
+    constructor(listen: Address, settings: object = {}) {
+        this.#conditions = new Conditions(schema, settings);
+        this.#server = new StandinServer({
+            listen,
+            getConditions: () => this.#conditions.get(),
+            changeConditions: change => this.#conditions.change(change),
+            getJournal: () => this.#journal,
+            addRoutes: router => {
+                router.get("/load", context => {
+                    context.body = this.#getLoad();
+                });
+            },
+            fallback: context => this.#serve(context),
+        });
+    }
+
+    /** Listens; returns the address in use. */
+    start(): Promise<Address> {
+        return this.#server.start();
+    }
+
+    /** Stops listening. */
+    stop(): Promise<void> {
+        return this.#server.stop();
+    }
+
+    async #serve(context: Koa.Context): Promise<void> {
+        if (this.#conditions.get().leaving) {
+            answerProblem(context, 409, "leaving", "This service is leaving. Use another.");
+            return;
+        }
+        this.#active += 1;
+        const load = this.#getLoad();
+        context.set("X-Load", `${load.running}/${load.waiting}/${load.capacity}`);
+        try {
+            await this.#run(context);
+        }
+        finally {
+            this.#active -= 1;
+        }
+    }
+
+    async #run(context: Koa.Context): Promise<void> {
+        const body = await text(context.req);
+        if (this.#takeOne("hang")) {
+            context.respond = false;
+            return;
+        }
+        if (this.#takeOne("dropBeforeRun")) {
+            dropConnection(context);
+            return;
+        }
+        const note = this.#note(context, body);
+        await sleep(this.#conditions.get().workMilliseconds);
+        if (this.#takeOne("dropAfterRun")) {
+            dropConnection(context);
+            return;
+        }
+        if (this.#takeOne("hangAfterRun")) {
+            context.respond = false;
+            return;
+        }
+        context.body = { run: note.run, request: note.request, key: note.key, service: this.#conditions.get().name };
+    }
+
+    #note(context: Koa.Context, body: string): RunNote {
+        const note = {
+            run: this.#journal.length + 1,
+            time: systemClock.wall(),
+            method: context.method,
+            path: context.url,
+            request: getHeader(context, "X-Request-Id"),
+            key: getHeader(context, "Idempotency-Key"),
+            body,
+        };
+        this.#journal.push(note);
+        return note;
+    }
+
+    #takeOne(key: Counter): boolean {
+        const left = this.#conditions.get()[key];
+        if (left < 1) {
+            return false;
+        }
+        this.#conditions.change({ [key]: left - 1 });
+        return true;
+    }
+
+    #getLoad(): LoadReport {
+        const { name, capacity, leaving } = this.#conditions.get();
+        return {
+            upstream: name,
+            measuredAt: systemClock.wall(),
+            running: Math.min(this.#active, capacity),
+            waiting: Math.max(0, this.#active - capacity),
+            capacity,
+            versions: [],
+            leaving,
+        };
+    }
+}
+
+function getHeader(context: Koa.Context, name: string): string | undefined {
+    const value = context.get(name);
+    return value === "" ? undefined : value;
+}
--- /dev/null
+++ b/src/standins/ratingService.ts
@@ -0,0 +1,86 @@
+/**
+ * Stand-in for the rating service. It reads the true quality that the engine stand-in wrote into the answer.
+ */
+import type Router from "@koa/router";
+import type Koa from "koa";
+import { z } from "zod";
+import { systemClock } from "../common/index.js";
+import type { Address } from "./address.js";
+import { amount, commonConditions, Conditions, probability } from "./conditions.js";
+import { createSeededRandom, getAnswerQuality } from "./engine/answer.js";
+import { answerProblem, readJson, StandinServer } from "./standinServer.js";
+
+const schema = z.strictObject({
+    ...commonConditions,
+    /** Standard deviation of the score around the true quality. */
+    noise: amount.default(0.05),
+    /** How often an answer is not rated. */
+    missingProbability: probability.default(0),
+});
+
+const ratingSchema = z.object({
+    id: z.string(),
+    version: z.string(),
+    class: z.string(),
+    question: z.unknown(),
+    answer: z.string(),
+});
+
+/** A rating service with noise, gaps and delay. */
+export class RatingService {
+    readonly #conditions: Conditions<z.infer<typeof schema>>;
+    readonly #server: StandinServer;
+    readonly #journal: object[] = [];
+
+    constructor(listen: Address, settings: object = {}) {
+        this.#conditions = new Conditions(schema, settings);
+        this.#server = new StandinServer({
+            listen,
+            getConditions: () => this.#conditions.get(),
+            changeConditions: change => this.#conditions.change(change),
+            getJournal: () => this.#journal,
+            addRoutes: router => this.#addRoutes(router),
+        });
+    }
+
+    /** Listens; returns the address in use. */
+    start(): Promise<Address> {
+        return this.#server.start();
+    }
+
+    /** Stops listening. */
+    stop(): Promise<void> {
+        return this.#server.stop();
+    }
+
+    #addRoutes(router: Router): void {
+        router.post("/ratings", async context => {
+            const parsed = ratingSchema.safeParse(await readJson(context));
+            if (!parsed.success) {
+                answerProblem(context, 400, "bad-rating", z.prettifyError(parsed.error));
+                return;
+            }
+            this.#rate(context, parsed.data);
+        });
+    }
+
+    #rate(context: Koa.Context, asked: z.infer<typeof ratingSchema>): void {
+        const { seed, noise, missingProbability } = this.#conditions.get();
+        const random = createSeededRandom(String(seed), asked.id, asked.version, "rating");
+        if (random.next() < missingProbability) {
+            context.status = 204;
+            return;
+        }
+        // An answer without its end is cut off and worth nothing.
+        const quality = getAnswerQuality(asked.answer) ?? 0;
+        const score = Math.min(1, Math.max(0, quality + noise * random.nextNormal()));
+        this.#journal.push({
+            id: asked.id,
+            version: asked.version,
+            class: asked.class,
+            score,
+            time: systemClock.wall(),
+        });
+        context.body = { id: asked.id, score };
+    }
+}
--- /dev/null
+++ b/src/standins/standin.ts
@@ -0,0 +1,48 @@
+/**
+ * The kinds of stand-ins.
+ */
+import { Failure } from "../common/index.js";
+import type { Address } from "./address.js";
+import { ModelEngine } from "./engine/index.js";
+import { LogService } from "./logService.js";
+import { PlainService } from "./plainService.js";
+import { RatingService } from "./ratingService.js";
+import { VmList } from "./vmList.js";
+import { WeightStore } from "./weightStore.js";
+
+/** A stand-in of any kind. */
+export interface Standin {
+    /** Listens; returns the address in use. */
+    start(): Promise<Address>;
+    /** Stops listening. */
+    stop(): Promise<void>;
+}
+
+type Constructor = new(listen: Address, settings: object) => Standin;
+
+const constructors: ReadonlyMap<string, Constructor> = new Map<string, Constructor>([
+    ["log", LogService],
+    ["vm-list", VmList],
+    ["weight-store", WeightStore],
+    ["rating", RatingService],
+    ["engine", ModelEngine],
+    ["service", PlainService],
+]);
+
+/**
+ * Makes a stand-in.
+ * @param kind - One of the kinds.
+ * @param listen - Where it will listen.
+ * @param settings - Its conditions at the start.
+ */
+export function createStandin(kind: string, listen: Address, settings: object = {}): Standin {
+    const constructor = constructors.get(kind);
+    if (constructor === undefined) {
+        throw new Failure({
+            kind: "invalid-input",
+            message: `There is no stand-in of kind "${kind}".`,
+            remedy: `Take one of ${[...constructors.keys()].join(", ")}.`,
+        });
+    }
+    return new constructor(listen, settings);
+}
--- /dev/null
+++ b/src/standins/standinServer.ts
@@ -0,0 +1,146 @@
+/**
+ * The HTTP server that all stand-ins share: test controls, outage and delay.
+ */
+import Router from "@koa/router";
+import Koa from "koa";
+import type { Result } from "neverthrow";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { json } from "node:stream/consumers";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Failure } from "../common/index.js";
+import type { Address } from "./address.js";
+import type { CommonConditions } from "./conditions.js";
+
+/** After this long a stop closes connections that are still at work. */
+const stopBoundMilliseconds = 1000;
+const idleSweepMilliseconds = 20;
+const controlPaths: readonly string[] = ["/faults", "/journal"];
+
+/** What a stand-in brings to its server. */
+export interface StandinServerOptions {
+    readonly listen: Address;
+    readonly getConditions: () => CommonConditions;
+    readonly changeConditions: (change: object) => Result<unknown, Failure>;
+    readonly getJournal: () => readonly unknown[];
+    /** Adds the stand-in's own routes. */
+    readonly addRoutes: (router: Router) => void;
+    /** Answers whatever no route matches. */
+    readonly fallback?: Koa.Middleware;
+    /** Marks paths that outage and delay pass over, such as controls of the test. */
+    readonly isControl?: (context: Koa.Context) => boolean;
+}
+
+/** Serves one stand-in over HTTP. */
+export class StandinServer {
+    readonly #options: StandinServerOptions;
+    readonly #server: Server;
+
+    constructor(options: StandinServerOptions) {
+        this.#options = options;
+        const application = new Koa();
+        application.silent = true;
+        application.use(answerFailures);
+        application.use((context, next) => this.#applyConditions(context, next));
+        const router = new Router();
+        this.#addControls(router);
+        options.addRoutes(router);
+        application.use(router.routes());
+        if (options.fallback !== undefined) {
+            application.use(options.fallback);
+        }
+        const handle = application.callback();
+        this.#server = createServer((request, response) => void handle(request, response));
+    }
+
+    /** Listens; returns the address with the port in use. */
+    start(): Promise<Address> {
+        const { host, port } = this.#options.listen;
+        return new Promise((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, host, () => {
+                resolve({ host, port: (this.#server.address() as AddressInfo).port });
+            });
+        });
+    }
+
+    /** Stops listening, lets answers under way end within a bound, and closes all connections. */
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        const sweep = setInterval(() => this.#server.closeIdleConnections(), idleSweepMilliseconds);
+        const bound = setTimeout(() => this.#server.closeAllConnections(), stopBoundMilliseconds);
+        await closed;
+        clearInterval(sweep);
+        clearTimeout(bound);
+    }
+
+    async #applyConditions(context: Koa.Context, next: Koa.Next): Promise<void> {
+        if (controlPaths.includes(context.path) || this.#options.isControl?.(context) === true) {
+            return next();
+        }
+        const { outage, delayMilliseconds } = this.#options.getConditions();
+        if (outage === "drop") {
+            dropConnection(context);
+            return;
+        }
+        if (outage === "answer") {
+            answerProblem(context, 503, "outage", "The service is away. Try again later.");
+            return;
+        }
+        if (delayMilliseconds > 0) {
+            await sleep(delayMilliseconds);
+        }
+        return next();
+    }
+
+    #addControls(router: Router): void {
+        router.get("/faults", context => {
+            context.body = this.#options.getConditions();
+        });
+        router.post("/faults", async context => {
+            const changed = this.#options.changeConditions(await readJson(context) as object);
+            if (changed.isErr()) {
+                answerProblem(context, 400, changed.error.kind, changed.error.message);
+                return;
+            }
+            context.body = this.#options.getConditions();
+        });
+        router.get("/journal", context => {
+            const from = Number(context.query.from ?? 0);
+            context.body = this.#options.getJournal().slice(from);
+        });
+    }
+}
+
+/** Reads the JSON body of a request; answers 400 to anything else. */
+export async function readJson(context: Koa.Context): Promise<unknown> {
+    try {
+        return await json(context.req);
+    }
+    catch {
+        return context.throw(400, "The body is no JSON. Send a JSON object.");
+    }
+}
+
+/** Answers with a problem document. */
+export function answerProblem(context: Koa.Context, status: number, type: string, detail: string): void {
+    context.status = status;
+    context.body = { type, status, title: type, detail };
+    context.type = "application/problem+json";
+}
+
+/** Closes the connection without an answer, as a broken network does. */
+export function dropConnection(context: Koa.Context): void {
+    context.respond = false;
+    context.req.socket.destroy();
+}
+
+async function answerFailures(context: Koa.Context, next: Koa.Next): Promise<void> {
+    try {
+        await next();
+    }
+    catch (error) {
+        const status = error instanceof Error && "status" in error ? Number(error.status) : 500;
+        answerProblem(context, status, "bad-request", error instanceof Error ? error.message : String(error));
+    }
+}
--- /dev/null
+++ b/src/standins/vmList.ts
@@ -0,0 +1,138 @@
+/**
+ * Stand-in for the platform's VM list.
+ */
+import type Router from "@koa/router";
+import type Koa from "koa";
+import { z } from "zod";
+import { systemClock } from "../common/index.js";
+import type { Vm } from "../world/index.js";
+import type { Address } from "./address.js";
+import { amount, commonConditions, Conditions } from "./conditions.js";
+import { answerProblem, readJson, StandinServer } from "./standinServer.js";
+
+const vmSchema = z.object({
+    id: z.string(),
+    address: z.string(),
+    port: z.coerce.number(),
+    role: z.enum(["entry", "runner", "service"]),
+    pool: z.string().default(""),
+    failureDomain: z.string(),
+    region: z.string().default(""),
+    state: z.enum(["live", "leaving"]).default("live"),
+    peerPort: z.coerce.number().optional(),
+});
+
+const schema = z.strictObject({
+    ...commonConditions,
+    /** How far the answers lag behind the truth. */
+    lagMilliseconds: amount.default(0),
+    /** VMs at the start, by identifier. */
+    vm: z.record(z.string(), vmSchema.omit({ id: true })).default({}),
+});
+
+interface Snapshot {
+    readonly time: number;
+    readonly vms: ReadonlyMap<string, Vm>;
+}
+
+/** A VM list whose answers lag. `PUT` and `DELETE /vms/{id}` and `POST /vms/{id}/leaving` change the truth. */
+export class VmList {
+    readonly #conditions: Conditions<z.infer<typeof schema>>;
+    readonly #server: StandinServer;
+    readonly #journal: object[] = [];
+    /** The first one counts as true for ever, so that a list is full from its start. */
+    #snapshots: Snapshot[];
+
+    constructor(listen: Address, settings: object = {}) {
+        this.#conditions = new Conditions(schema, settings);
+        const vms = new Map<string, Vm>();
+        for (const [id, vm] of Object.entries(this.#conditions.get().vm)) {
+            vms.set(id, { id, ...vm });
+        }
+        this.#snapshots = [{ time: 0, vms }];
+        this.#server = new StandinServer({
+            listen,
+            getConditions: () => this.#conditions.get(),
+            changeConditions: change => this.#conditions.change(change),
+            getJournal: () => this.#journal,
+            addRoutes: router => this.#addRoutes(router),
+            isControl: context => context.method !== "GET",
+        });
+    }
+
+    /** Listens; returns the address in use. */
+    start(): Promise<Address> {
+        return this.#server.start();
+    }
+
+    /** Stops listening. */
+    stop(): Promise<void> {
+        return this.#server.stop();
+    }
+
+    /** Adds a VM or replaces the one with its identifier. */
+    set(vm: Vm): void {
+        this.#change("set", vm.id, new Map(this.#getTruth()).set(vm.id, vm));
+    }
+
+    /** Takes a VM away. */
+    remove(id: string): void {
+        const vms = new Map(this.#getTruth());
+        vms.delete(id);
+        this.#change("remove", id, vms);
+    }
+
+    #addRoutes(router: Router): void {
+        router.get("/vms", context => {
+            const { time, vms } = this.#getVisible();
+            context.body = { time, vms: [...vms.values()] };
+        });
+        router.put("/vms/:id", context => this.#put(context, context.params.id));
+        router.delete("/vms/:id", context => {
+            this.remove(context.params.id);
+            context.status = 204;
+        });
+        router.post("/vms/:id/leaving", context => this.#markLeaving(context, context.params.id));
+    }
+
+    async #put(context: Koa.Context, id: string): Promise<void> {
+        const parsed = vmSchema.safeParse({ ...await readJson(context) as object, id });
+        if (!parsed.success) {
+            answerProblem(context, 400, "bad-vm", z.prettifyError(parsed.error));
+            return;
+        }
+        this.set(parsed.data);
+        context.status = 204;
+    }
+
+    #markLeaving(context: Koa.Context, id: string): void {
+        const vm = this.#getTruth().get(id);
+        if (vm === undefined) {
+            answerProblem(context, 404, "no-vm", `There is no VM ${id}. Add it with PUT /vms/${id}.`);
+            return;
+        }
+        this.set({ ...vm, state: "leaving" });
+        context.status = 204;
+    }
+
+    #getTruth(): ReadonlyMap<string, Vm> {
+        return this.#snapshots[this.#snapshots.length - 1].vms;
+    }
+
+    /** Returns the newest state that the lag lets through, and forgets the older ones. */
+    #getVisible(): Snapshot {
+        const visibleAt = systemClock.wall() - this.#conditions.get().lagMilliseconds;
+        let place = this.#snapshots.length - 1;
+        while (place > 0 && this.#snapshots[place].time > visibleAt) {
+            place -= 1;
+        }
+        this.#snapshots = this.#snapshots.slice(place);
+        return { time: visibleAt, vms: this.#snapshots[0].vms };
+    }
+
+    #change(change: string, id: string, vms: ReadonlyMap<string, Vm>): void {
+        const time = systemClock.wall();
+        this.#journal.push({ change, id, time });
+        this.#snapshots.push({ time, vms });
+    }
+}
