--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -46,7 +46,7 @@
 /** Options of an engine client. */
 export interface EngineClientOptions {
     readonly dispatcher: Dispatcher;
-    /** How long an engine may take until its response headers, in milliseconds. */
+    /** How long an engine may take to answer anything but a completion, in milliseconds. */
     readonly headersTimeoutMilliseconds: number;
 }
 
@@ -70,7 +70,8 @@
             const response = await request(`${getOrigin(runner)}/v1/chat/completions`, {
                 method: "POST",
                 dispatcher: this.#dispatcher,
-                headersTimeout: this.#headersTimeout,
+                // The headers come with the first token, so they may take as long as the whole answer.
+                headersTimeout: options.deadlineMilliseconds,
                 bodyTimeout: options.deadlineMilliseconds,
                 signal: options.signal,
                 headers: {
