Choose runners and let requests in: first working version

Change: RunnerChooser (own work plus late reports, prefix table, rendezvous subset, a few random choices, ejection with ramp) and AdmissionController (adaptive limit, start-time fair queueing, spread Retry-After), RetryBudget. Conclusion: usable interface; tests and measurements follow. Known: each change of versions rebuilds the whole index.

--- /dev/null
+++ b/src/decisions/limits/admissionController.ts
@@ -0,0 +1,296 @@
+/**
+ * Lets requests in up to the adaptive limit, fairly between workspaces, and refuses the rest at once.
+ *
+ * A request that will not be served gets its final answer when that is known, mostly at the door, with the time to come
+ * back. Holding it until near its deadline would keep its caller from going elsewhere and fill memory with work that is
+ * lost anyway.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, Failure, type FailureKind, type RandomSource } from "../../common/index.js";
+import { events, type Journal } from "../../events/index.js";
+import { AdaptiveLimit } from "./adaptiveLimit.js";
+import type { AdmissionRequest, Release, Schedule } from "./admission.js";
+import { AppointmentBook } from "./appointmentBook.js";
+import { CallerMemory } from "./callerMemory.js";
+import { FairQueue, type Waiting } from "./fairQueue.js";
+import { defaultLimitOptions, type LimitOptions } from "./options.js";
+import { RetryBudget } from "./retryBudget.js";
+import { Ticket } from "./ticket.js";
+import { Workspaces } from "./workspaces.js";
+
+/** Takes the decision on a request. */
+export type Settle = (result: Result<Ticket, Failure>) => void;
+
+/** Each early return in a row doubles the wait, this many times at most. */
+const mostDoublings = 4;
+
+interface Entrant extends Waiting {
+    readonly request: AdmissionRequest;
+    readonly settle: Settle;
+    stopWaiting: () => void;
+}
+
+/** Decides which requests one entry takes on. */
+export class AdmissionController {
+    readonly #clock: Clock;
+    readonly #options: LimitOptions;
+    readonly #schedule: Schedule;
+    readonly #journal: Journal | undefined;
+    readonly #limit: AdaptiveLimit;
+    readonly #queue = new FairQueue<Entrant>();
+    readonly #workspaces = new Workspaces();
+    readonly #appointments: AppointmentBook;
+    readonly #callers: CallerMemory;
+    readonly #retryBudgets = new Map<string, RetryBudget>();
+    #inFlight = 0;
+
+    constructor(options: {
+        readonly clock: Clock;
+        readonly random: RandomSource;
+        readonly options?: Partial<LimitOptions>;
+        readonly schedule?: Schedule;
+        readonly journal?: Journal;
+    }) {
+        this.#clock = options.clock;
+        this.#options = { ...defaultLimitOptions, ...options.options };
+        this.#schedule = options.schedule ?? scheduleByTimer;
+        this.#journal = options.journal;
+        this.#limit = new AdaptiveLimit(this.#options);
+        this.#appointments = new AppointmentBook(options.random, this.#options.longestRetryMilliseconds);
+        this.#callers = new CallerMemory(this.#options.rememberedCallers);
+    }
+
+    /**
+     * Sets the part of the upstreams' capacity that falls to this entry.
+     * @param requests - Requests at a time.
+     */
+    setCapacity(requests: number): void {
+        this.#limit.setCapacity(requests);
+        this.#letIn();
+    }
+
+    /** Returns the present limit, in requests at a time. */
+    getLimit(): number {
+        return this.#limit.get();
+    }
+
+    /** Returns how many requests are at work. */
+    getInFlight(): number {
+        return this.#inFlight;
+    }
+
+    /** Returns how many requests wait for a place. */
+    getQueueLength(): number {
+        return this.#queue.getSize();
+    }
+
+    /**
+     * Asks for a place.
+     * @returns A ticket to be released when the work ended, or the refusal.
+     */
+    admit(request: AdmissionRequest): Promise<Result<Ticket, Failure>> {
+        return new Promise(resolve => this.offer(request, resolve));
+    }
+
+    /**
+     * Asks for a place and calls back, at once if the decision can be made at once.
+     * @param request - The request.
+     * @param settle - Takes the decision, exactly once.
+     */
+    offer(request: AdmissionRequest, settle: Settle): void {
+        const now = this.#clock.monotonic();
+        const earlyReturns = this.#getEarlyReturns(request, now);
+        if (earlyReturns > 0) {
+            // Whoever ignores Retry-After pays for asking as if it had been served.
+            this.#queue.charge(request.workspace, request.share, request.estimatedTokens);
+        }
+        if (this.#mayEnter(request)) {
+            this.#queue.charge(request.workspace, request.share, request.estimatedTokens);
+            settle(ok(this.#createTicket(request, now, now)));
+            return;
+        }
+        const reason = this.#findRefusal(request, earlyReturns);
+        if (reason !== undefined) {
+            settle(err(this.#refuse(request, reason, earlyReturns)));
+            return;
+        }
+        this.#enqueue(request, settle, now);
+    }
+
+    #mayEnter(request: AdmissionRequest): boolean {
+        const limit = this.#limit.get();
+        const places = this.#workspaces.getPlaces(request.workspace);
+        const isBelowShare = places < this.#workspaces.getFairPlaces(request.workspace, request.share, limit);
+        if (isBelowShare) {
+            // A workspace that uses less than its part need not wait for the large ones to finish.
+            return this.#inFlight < limit * (1 + this.#options.burstShare);
+        }
+        return this.#queue.getSize() === 0 && this.#inFlight < limit * this.#getThreshold(request.priority);
+    }
+
+    #getThreshold(priority: number): number {
+        const thresholds = this.#options.priorityThresholds;
+        return thresholds[Math.min(Math.max(0, Math.floor(priority)), thresholds.length - 1)];
+    }
+
+    #findRefusal(request: AdmissionRequest, earlyReturns: number): FailureKind | undefined {
+        if (earlyReturns > 0 || this.#getThreshold(request.priority) < 1) {
+            return "overloaded";
+        }
+        const before = this.#queue.countBefore(request.workspace, request.share, request.priority);
+        const wait = (before + 1) / this.#limit.getRate();
+        if (wait + (this.#limit.getUsualFirstToken() ?? 0) > request.deadlineMilliseconds) {
+            return "deadline";
+        }
+        return before > 0 && wait > this.#options.queueMilliseconds ? "overloaded" : undefined;
+    }
+
+    #enqueue(request: AdmissionRequest, settle: Settle, now: number): void {
+        const entrant: Entrant = {
+            workspace: request.workspace,
+            share: request.share,
+            priority: request.priority,
+            tokens: request.estimatedTokens,
+            since: now,
+            request,
+            settle,
+            stopWaiting: () => {},
+        };
+        const leave = (): void => this.#giveUp(entrant);
+        const cancel = this.#schedule(this.#options.queueMilliseconds, leave);
+        request.signal?.addEventListener("abort", leave);
+        entrant.stopWaiting = () => {
+            cancel();
+            request.signal?.removeEventListener("abort", leave);
+        };
+        this.#queue.add(entrant);
+        this.#shortenQueue();
+    }
+
+    /** A newcomer may have gone before others; whoever can no longer be served in time is told now, not later. */
+    #shortenQueue(): void {
+        const longest = Math.max(1, Math.floor(this.#limit.getRate() * this.#options.queueMilliseconds));
+        while (this.#queue.getSize() > longest) {
+            const last = this.#queue.findLast();
+            if (last === undefined) {
+                return;
+            }
+            this.#giveUp(last);
+        }
+    }
+
+    #giveUp(entrant: Entrant): void {
+        if (!this.#queue.remove(entrant)) {
+            return;
+        }
+        entrant.stopWaiting();
+        entrant.settle(err(this.#refuse(entrant.request, "overloaded", 0)));
+    }
+
+    #letIn(): void {
+        while (this.#inFlight < this.#limit.get()) {
+            const entrant = this.#queue.shift();
+            if (entrant === undefined) {
+                return;
+            }
+            entrant.stopWaiting();
+            entrant.settle(ok(this.#createTicket(entrant.request, entrant.since, this.#clock.monotonic())));
+        }
+    }
+
+    #createTicket(request: AdmissionRequest, since: number, now: number): Ticket {
+        this.#inFlight += 1;
+        this.#workspaces.add(request.workspace, request.share);
+        this.#limit.addInFlight(this.#inFlight);
+        if (request.caller !== undefined) {
+            this.#callers.remove(request.caller);
+        }
+        return new Ticket(now - since, release => this.#release(request, release, now));
+    }
+
+    #release(request: AdmissionRequest, release: Release, since: number): void {
+        const now = this.#clock.monotonic();
+        this.#inFlight -= 1;
+        this.#workspaces.remove(request.workspace);
+        const unpaid = release.tokens - request.estimatedTokens;
+        if (unpaid > 0) {
+            this.#queue.charge(request.workspace, request.share, unpaid);
+        }
+        if (release.outcome !== "cancelled") {
+            this.#learn(release, now - since, now);
+        }
+        this.#letIn();
+    }
+
+    #learn(release: Release, holdMilliseconds: number, now: number): void {
+        const before = this.#limit.get();
+        const hasMoved = this.#limit.addAnswer({
+            firstTokenMilliseconds: release.firstTokenMilliseconds,
+            holdMilliseconds,
+            hasFailed: release.outcome !== "ok",
+        }, now);
+        const capacity = Math.round(this.#limit.getCapacity());
+        const limit = this.#limit.get();
+        if (!hasMoved) {
+            return;
+        }
+        if (limit < before) {
+            this.#journal?.write(events.admissionLimitLowered, { limit, capacity });
+        }
+        else if (limit >= capacity && before < capacity) {
+            this.#journal?.write(events.admissionLimitRestored, { limit, capacity });
+        }
+    }
+
+    /** Returns how many times in a row the caller came back too soon, by its name or by its workspace's budget. */
+    #getEarlyReturns(request: AdmissionRequest, now: number): number {
+        if (request.caller !== undefined) {
+            return this.#callers.getEarlyReturns(request.caller, now);
+        }
+        const budget = this.#getRetryBudget(request.workspace);
+        if (request.isRetry !== true) {
+            budget.addRequest();
+            return 0;
+        }
+        return budget.take() ? 0 : 1;
+    }
+
+    #getRetryBudget(workspace: string): RetryBudget {
+        let budget = this.#retryBudgets.get(workspace);
+        if (budget === undefined) {
+            budget = new RetryBudget({ ratio: this.#options.retryRatio });
+            this.#retryBudgets.set(workspace, budget);
+        }
+        return budget;
+    }
+
+    #refuse(request: AdmissionRequest, kind: FailureKind, earlyReturns: number): Failure {
+        const now = this.#clock.monotonic();
+        const factor = 2 ** Math.min(mostDoublings, earlyReturns);
+        const retryAfterMilliseconds = this.#appointments.add(now, {
+            leastMilliseconds: this.#options.leastRetryMilliseconds * factor,
+            perSecond: this.#limit.getRate() * 1_000 * this.#options.returnShare,
+        });
+        if (request.caller !== undefined) {
+            this.#callers.add(request.caller, { notBefore: now + retryAfterMilliseconds, earlyReturns });
+        }
+        return createRefusal(kind, retryAfterMilliseconds);
+    }
+}
+
+function scheduleByTimer(milliseconds: number, run: () => void): () => void {
+    const timer = setTimeout(run, milliseconds);
+    return () => clearTimeout(timer);
+}
+
+function createRefusal(kind: FailureKind, retryAfterMilliseconds: number): Failure {
+    const message = kind === "deadline"
+        ? "The first token can't come before the request's deadline."
+        : "More is asked of this entry than its upstreams can do.";
+    return new Failure({
+        kind,
+        message,
+        remedy: "Come back after the given time and not before: an earlier return waits longer.",
+        retryAfterMilliseconds,
+    });
+}
--- /dev/null
+++ b/src/decisions/limits/fairQueue.ts
@@ -0,0 +1,153 @@
+/**
+ * Start-time fair queueing between workspaces: each pays for its tokens in virtual time by its share, and whoever is
+ * furthest behind goes next. Within a workspace the more urgent go first.
+ */
+
+/** A request that waits for a place. */
+export interface Waiting {
+    readonly workspace: string;
+    readonly share: number;
+    readonly priority: number;
+    readonly tokens: number;
+    /** Monotonic milliseconds. */
+    readonly since: number;
+}
+
+/** Virtual times are forgotten when this many workspaces are known and none of them is ahead. */
+const rememberedWorkspaces = 1_024;
+
+/** A queue that is fair between workspaces by tokens. */
+export class FairQueue<T extends Waiting> {
+    readonly #waiting = new Map<string, T[]>();
+    /** Virtual time up to which a workspace has paid. */
+    readonly #paid = new Map<string, number>();
+    #virtualTime = 0;
+    #size = 0;
+
+    /** Returns how many wait. */
+    getSize(): number {
+        return this.#size;
+    }
+
+    /** Returns how far a workspace is ahead of the others, in tokens of a share of 1. */
+    getLead(workspace: string): number {
+        return Math.max(0, (this.#paid.get(workspace) ?? 0) - this.#virtualTime);
+    }
+
+    /**
+     * Charges a workspace.
+     * @param workspace - The workspace that pays.
+     * @param share - Its share.
+     * @param tokens - What it pays for.
+     */
+    charge(workspace: string, share: number, tokens: number): void {
+        const start = Math.max(this.#virtualTime, this.#paid.get(workspace) ?? 0);
+        this.#paid.set(workspace, start + tokens / share);
+        this.#forgetPaid();
+    }
+
+    /** Adds a request behind those of its workspace that are as urgent. */
+    add(waiting: T): void {
+        const queue = this.#waiting.get(waiting.workspace) ?? [];
+        let index = queue.length;
+        while (index > 0 && queue[index - 1].priority > waiting.priority) {
+            index -= 1;
+        }
+        queue.splice(index, 0, waiting);
+        this.#waiting.set(waiting.workspace, queue);
+        this.#size += 1;
+    }
+
+    /** Takes a request out, for instance when its caller left. */
+    remove(waiting: T): boolean {
+        const queue = this.#waiting.get(waiting.workspace);
+        const index = queue?.indexOf(waiting) ?? -1;
+        if (queue === undefined || index < 0) {
+            return false;
+        }
+        queue.splice(index, 1);
+        if (queue.length === 0) {
+            this.#waiting.delete(waiting.workspace);
+        }
+        this.#size -= 1;
+        return true;
+    }
+
+    /** Takes out the request that goes next. Its workspace is charged for it. */
+    shift(): T | undefined {
+        const next = this.#findNext();
+        if (next === undefined) {
+            return undefined;
+        }
+        this.remove(next);
+        this.#virtualTime = Math.max(this.#virtualTime, this.#paid.get(next.workspace) ?? 0);
+        this.charge(next.workspace, next.share, next.tokens);
+        return next;
+    }
+
+    /** Finds the request to give up first: the least urgent and newest one of the workspace that is furthest ahead. */
+    findLast(): T | undefined {
+        let last: T | undefined;
+        let greatest = Number.NEGATIVE_INFINITY;
+        for (const [workspace, queue] of this.#waiting) {
+            const end = this.getLead(workspace) + getCost(queue);
+            if (end > greatest) {
+                greatest = end;
+                last = queue[queue.length - 1];
+            }
+        }
+        return last;
+    }
+
+    /** Counts the waiting requests that would go before one more request of a workspace. */
+    countBefore(workspace: string, share: number, priority: number): number {
+        const own = this.#waiting.get(workspace) ?? [];
+        const ownBefore = own.filter(waiting => waiting.priority <= priority);
+        const start = this.getLead(workspace) + ownBefore.reduce((sum, waiting) => sum + waiting.tokens, 0) / share;
+        let count = ownBefore.length;
+        for (const [other, queue] of this.#waiting) {
+            let otherStart = this.getLead(other);
+            for (const waiting of other === workspace ? [] : queue) {
+                if (otherStart > start) {
+                    break;
+                }
+                count += 1;
+                otherStart += waiting.tokens / waiting.share;
+            }
+        }
+        return count;
+    }
+
+    #findNext(): T | undefined {
+        let next: T | undefined;
+        let least = Number.POSITIVE_INFINITY;
+        for (const [workspace, queue] of this.#waiting) {
+            const lead = this.getLead(workspace);
+            if (lead < least || lead === least && next !== undefined && queue[0].since < next.since) {
+                least = lead;
+                next = queue[0];
+            }
+        }
+        return next;
+    }
+
+    /** Without this, each workspace that ever asked would stay in memory. */
+    #forgetPaid(): void {
+        if (this.#paid.size <= rememberedWorkspaces) {
+            return;
+        }
+        for (const [workspace, paid] of this.#paid) {
+            if (paid <= this.#virtualTime) {
+                this.#paid.delete(workspace);
+            }
+        }
+    }
+}
+
+function getCost(queue: readonly Waiting[]): number {
+    let cost = 0;
+    for (const waiting of queue) {
+        cost += waiting.tokens / waiting.share;
+    }
+    return cost;
+}
--- /dev/null
+++ b/src/decisions/limits/index.ts
@@ -0,0 +1,6 @@
+/** Whether a request is let in at all. */
+export * from "./admission.js";
+export * from "./admissionController.js";
+export * from "./options.js";
+export * from "./retryBudget.js";
+export { Ticket } from "./ticket.js";
--- /dev/null
+++ b/src/decisions/placement/candidateSet.ts
@@ -0,0 +1,141 @@
+/**
+ * Compares a few runners for one request. One object is used again for every request, so that a choice allocates
+ * nothing that grows with the number of runners.
+ */
+import type { RandomSource } from "../../common/index.js";
+import type { PlacementOptions } from "./options.js";
+import type { Placement, PlacementReason, PlacementRequest } from "./placement.js";
+import type { PrefixMatch } from "./prefixTable.js";
+import type { Runner } from "./runner.js";
+
+/** Draws for each wanted runner before giving up on filling the set. */
+const drawsPerChoice = 4;
+
+/** The runners compared for one request, of which the best is kept. */
+export class CandidateSet {
+    readonly #random: RandomSource;
+    readonly #options: PlacementOptions;
+    #now = 0;
+    #request: PlacementRequest | undefined;
+    #matches: readonly PrefixMatch[] = [];
+    #best: Runner | undefined;
+    #bestWait = Number.POSITIVE_INFINITY;
+    #bestReason: PlacementReason = "least-wait";
+
+    constructor(options: { readonly random: RandomSource; readonly options: PlacementOptions; }) {
+        this.#random = options.random;
+        this.#options = options.options;
+    }
+
+    /** Forgets the last request and starts on another. */
+    start(now: number, request: PlacementRequest, matches: readonly PrefixMatch[]): void {
+        this.#now = now;
+        this.#request = request;
+        this.#matches = matches;
+        this.#best = undefined;
+        this.#bestWait = Number.POSITIVE_INFINITY;
+    }
+
+    /** Tells whether no runner was fit. */
+    isEmpty(): boolean {
+        return this.#best === undefined;
+    }
+
+    /** Returns the least expected wait so far. */
+    getBestWait(): number {
+        return this.#bestWait;
+    }
+
+    /** Compares one runner, if it is fit. */
+    addOne(runner: Runner, reason: PlacementReason): void {
+        if (this.#isFit(runner) && this.#serves(runner)) {
+            this.#compare(runner, reason);
+        }
+    }
+
+    /** Compares a few runners drawn at random, or all of a short list. */
+    addSome(runners: readonly Runner[], reason: PlacementReason): void {
+        if (runners.length <= this.#options.choices) {
+            for (const runner of runners) {
+                if (this.#isFit(runner)) {
+                    this.#compare(runner, reason);
+                }
+            }
+            return;
+        }
+        let found = 0;
+        for (let draw = 0; draw < this.#options.choices * drawsPerChoice; draw += 1) {
+            const runner = runners[this.#random.nextInteger(runners.length)];
+            if (this.#isFit(runner) && this.#isDrawn(runner)) {
+                this.#compare(runner, reason);
+                found += 1;
+            }
+            if (found >= this.#options.choices) {
+                return;
+            }
+        }
+    }
+
+    /** Compares a few runners whether ejected or not. */
+    addAny(runners: readonly Runner[]): void {
+        const start = runners.length === 0 ? 0 : this.#random.nextInteger(runners.length);
+        let found = 0;
+        for (let step = 0; step < runners.length && found < this.#options.choices; step += 1) {
+            const runner = runners[(start + step) % runners.length];
+            if (this.#request?.exclude.has(runner.vm.id) === false) {
+                this.#compare(runner, "panic");
+                found += 1;
+            }
+        }
+    }
+
+    /** Returns the best of the compared runners. */
+    getBest(): Placement | undefined {
+        if (this.#best === undefined || this.#request === undefined) {
+            return undefined;
+        }
+        return {
+            upstream: this.#best.vm,
+            expectedWaitMilliseconds: this.#bestWait,
+            cachedBlocks: this.#getCachedBlocks(this.#best),
+            reason: this.#bestReason,
+            blocks: this.#request.blocks,
+        };
+    }
+
+    #isFit(runner: Runner): boolean {
+        return !runner.isLeaving && !runner.health.isEjected(this.#now)
+            && this.#request?.exclude.has(runner.vm.id) === false;
+    }
+
+    #serves(runner: Runner): boolean {
+        const { version, pool } = this.#request ?? {};
+        return (version === undefined || runner.versions?.includes(version) === true)
+            && (pool === undefined || runner.vm.pool === pool);
+    }
+
+    /** A returning runner is passed over at first, more and more seldom, so that its cache and threads warm up. */
+    #isDrawn(runner: Runner): boolean {
+        const ramp = runner.health.getRamp(this.#now);
+        return ramp >= 1 || this.#random.next() < ramp;
+    }
+
+    #compare(runner: Runner, reason: PlacementReason): void {
+        const blocks = this.#request?.blocks.length ?? 0;
+        const wait = runner.getExpectedWait(this.#now, blocks - this.#getCachedBlocks(runner));
+        if (wait < this.#bestWait) {
+            this.#best = runner;
+            this.#bestWait = wait;
+            this.#bestReason = reason;
+        }
+    }
+
+    #getCachedBlocks(runner: Runner): number {
+        for (const match of this.#matches) {
+            if (match.upstream === runner.vm.id) {
+                return Math.floor(match.blocks * match.confidence);
+            }
+        }
+        return 0;
+    }
+}
--- /dev/null
+++ b/src/decisions/placement/index.ts
@@ -0,0 +1,5 @@
+/** Which runner gets a request. */
+export * from "./options.js";
+export * from "./placement.js";
+export * from "./runnerChooser.js";
+export { Work } from "./work.js";
--- /dev/null
+++ b/src/decisions/placement/loadEstimate.ts
@@ -0,0 +1,118 @@
+/**
+ * What an entry believes of one runner's load: its own work, which it knows exactly, and the work of others, which
+ * it knows from reports that are late.
+ */
+import type { LoadReport } from "../../world/index.js";
+
+const historyLength = 32;
+/** A report that looks older than the last one is still taken when none came for this long: the clock was set back. */
+const clockResetMilliseconds = 10_000;
+/** How fast the estimate of the clocks' difference forgets its smallest value, so that drift is followed. */
+const clockDriftShare = 0.001;
+
+/** Load of one runner as one entry sees it. */
+export class LoadEstimate {
+    readonly #times = new Float64Array(historyLength);
+    readonly #counts = new Float64Array(historyLength);
+    #historyNext = 0;
+    #own = 0;
+    #othersAtMeasurement = 0;
+    #measuredAt = Number.NEGATIVE_INFINITY;
+    #reportedAt = Number.NEGATIVE_INFINITY;
+    #acceptedAt = Number.NEGATIVE_INFINITY;
+    #clockOffset = Number.POSITIVE_INFINITY;
+    #capacity: number;
+
+    /** @param capacity - The capacity to assume until a report comes. */
+    constructor(capacity: number) {
+        this.#capacity = capacity;
+    }
+
+    /** Returns how many requests the runner can work on at once. */
+    getCapacity(): number {
+        return this.#capacity;
+    }
+
+    /** Returns how many requests this entry has on the runner. */
+    getOwn(): number {
+        return this.#own;
+    }
+
+    /** Tells whether the runner has ever reported. */
+    isReported(): boolean {
+        return this.#acceptedAt !== Number.NEGATIVE_INFINITY;
+    }
+
+    /**
+     * Counts one request more or less of this entry.
+     * @param change - 1 or -1.
+     * @param now - Monotonic milliseconds.
+     */
+    addOwn(change: 1 | -1, now: number): void {
+        this.#own += change;
+        this.#times[this.#historyNext % historyLength] = now;
+        this.#counts[this.#historyNext % historyLength] = this.#own;
+        this.#historyNext += 1;
+    }
+
+    /**
+     * Takes in a report that may be late or out of order.
+     *
+     * The runner's clock differs from ours by an unknown amount. The smallest difference seen between arrival and
+     * measurement stands for it; a report that took longer is dated back by what it took longer.
+     * @returns Whether it was newer than what was known.
+     */
+    addReport(report: LoadReport, now: number): boolean {
+        const isClockReset = now - this.#acceptedAt > clockResetMilliseconds;
+        if (report.measuredAt <= this.#reportedAt && !isClockReset) {
+            return false;
+        }
+        const drift = isClockReset ? Number.POSITIVE_INFINITY : (now - this.#acceptedAt) * clockDriftShare;
+        this.#clockOffset = Math.min(this.#clockOffset + drift, now - report.measuredAt);
+        const measuredAt = report.measuredAt + this.#clockOffset;
+        this.#reportedAt = report.measuredAt;
+        this.#acceptedAt = now;
+        if (measuredAt > this.#measuredAt) {
+            this.#set(report.running + report.waiting, report.capacity, measuredAt);
+        }
+        return true;
+    }
+
+    /** Takes in load that came with an answer just now. */
+    addFresh(load: number, capacity: number, now: number): void {
+        this.#set(load, capacity, now);
+    }
+
+    /** Returns the work of others at the time of the measurement. */
+    getOthersAtMeasurement(): number {
+        return this.#othersAtMeasurement;
+    }
+
+    /**
+     * Estimates the work of others now. A fresh report is believed; an old one fades into what is usual in the pool,
+     * since others decide by the same late reports and all correct the same way.
+     * @param now - Monotonic milliseconds.
+     * @param usual - The usual work of others on a runner of this capacity.
+     * @param lifetime - Time constant of the fading, in milliseconds.
+     */
+    getOthers(now: number, usual: number, lifetime: number): number {
+        const trust = Math.exp(-(now - this.#measuredAt) / lifetime);
+        return trust * this.#othersAtMeasurement + (1 - trust) * usual;
+    }
+
+    #set(load: number, capacity: number, measuredAt: number): void {
+        this.#othersAtMeasurement = Math.max(0, load - this.#getOwnAt(measuredAt));
+        this.#measuredAt = measuredAt;
+        this.#capacity = Math.max(1, capacity);
+    }
+
+    #getOwnAt(time: number): number {
+        const oldest = Math.max(0, this.#historyNext - historyLength);
+        for (let index = this.#historyNext - 1; index >= oldest; index -= 1) {
+            if (this.#times[index % historyLength] <= time) {
+                return this.#counts[index % historyLength];
+            }
+        }
+        return oldest === 0 ? 0 : this.#counts[oldest % historyLength];
+    }
+}
--- /dev/null
+++ b/src/decisions/placement/options.ts
@@ -0,0 +1,61 @@
+/**
+ * Settings of the choice of a runner, with the defaults that the measurements were made with.
+ */
+
+/** Settings of the choice of a runner. */
+export interface PlacementOptions {
+    /** Runners of a version in the entry's region that it talks to. */
+    readonly nearSubsetSize: number;
+    /** Runners of a version in other regions that it keeps for spill-over. */
+    readonly farSubsetSize: number;
+    /** How many runners are compared for a request. */
+    readonly choices: number;
+    /** How many runners with a cached prefix are compared besides. */
+    readonly cachedChoices: number;
+    /** Time constant after which a load report counts for little. */
+    readonly reportLifetimeMilliseconds: number;
+    /** Network cost of a runner in another failure domain of the region. */
+    readonly otherDomainMilliseconds: number;
+    /** Network cost of a runner in another region. */
+    readonly otherRegionMilliseconds: number;
+    /** Expected wait in the region above which other regions are considered. */
+    readonly spillOverMilliseconds: number;
+    /** Failures in a row after which a runner is ejected. */
+    readonly ejectAfterFailures: number;
+    /** First ejection; each further one in a row is twice as long. */
+    readonly ejectionMilliseconds: number;
+    readonly longestEjectionMilliseconds: number;
+    /** Time over which a returning runner goes from little work to its full part. */
+    readonly rampMilliseconds: number;
+    /** Greatest part of a pool that may be ejected at a time. */
+    readonly mostEjectedShare: number;
+    /** How many times slower than its pool a runner must be, again and again, to be ejected. */
+    readonly outlierFactor: number;
+    /** Slow answers in a row that make an outlier. */
+    readonly outlierAnswers: number;
+    /** Blocks that the table of prefixes keeps. */
+    readonly prefixTableSize: number;
+    /** Capacity of a runner that has not reported yet, in requests. */
+    readonly unknownCapacity: number;
+}
+
+/** The defaults. */
+export const defaultPlacementOptions: PlacementOptions = {
+    nearSubsetSize: 24,
+    farSubsetSize: 6,
+    choices: 3,
+    cachedChoices: 3,
+    reportLifetimeMilliseconds: 3_000,
+    otherDomainMilliseconds: 2,
+    otherRegionMilliseconds: 80,
+    spillOverMilliseconds: 400,
+    ejectAfterFailures: 3,
+    ejectionMilliseconds: 5_000,
+    longestEjectionMilliseconds: 60_000,
+    rampMilliseconds: 10_000,
+    mostEjectedShare: 0.5,
+    outlierFactor: 6,
+    outlierAnswers: 8,
+    prefixTableSize: 65_536,
+    unknownCapacity: 8,
+};
--- /dev/null
+++ b/src/decisions/placement/prefixTable.ts
@@ -0,0 +1,131 @@
+/**
+ * Which runners hold which prompt prefixes, learned from cache events that come late and with gaps.
+ *
+ * The table is bounded: the prefix that was used longest ago is forgotten first. What it says is a hint for speed;
+ * a wrong hint costs the time to read the prompt again, never the answer.
+ */
+
+const holdersPerBlock = 4;
+/** Weight of a hint that came before a gap: the runner may have dropped the block since. */
+const doubtfulWeight = 0.5;
+
+interface Holder {
+    readonly upstream: string;
+    /** The runner's generation when the hint came. */
+    generation: number;
+}
+
+/** A runner that is believed to hold a prefix. */
+export interface PrefixMatch {
+    readonly upstream: string;
+    readonly blocks: number;
+    /** From 0 to 1. */
+    readonly confidence: number;
+}
+
+/** Table of prompt prefixes and their holders. */
+export class PrefixTable {
+    readonly #size: number;
+    readonly #holders = new Map<string, Holder[]>();
+    /** Counts the gaps of each runner; hints of an earlier generation are in doubt. */
+    readonly #generations = new Map<string, number>();
+    /** The generation from which hints count at all, for runners that cleared their cache. */
+    readonly #clearedBefore = new Map<string, number>();
+
+    /** @param size - How many blocks are kept. */
+    constructor(size: number) {
+        this.#size = size;
+    }
+
+    /** Returns how many blocks are known. */
+    getSize(): number {
+        return this.#holders.size;
+    }
+
+    /** Notes that a runner holds a block. */
+    add(upstream: string, block: string): void {
+        const generation = this.#getGeneration(upstream);
+        const holders = this.#holders.get(block) ?? [];
+        // Deleting and setting again moves the block to the young end of the map, which is the bound's order.
+        this.#holders.delete(block);
+        this.#holders.set(block, holders);
+        const known = holders.find(holder => holder.upstream === upstream);
+        if (known !== undefined) {
+            known.generation = generation;
+            return;
+        }
+        if (holders.length >= holdersPerBlock) {
+            holders.shift();
+        }
+        holders.push({ upstream, generation });
+        this.#removeOldest();
+    }
+
+    /** Notes that a runner dropped a block. */
+    remove(upstream: string, block: string): void {
+        const holders = this.#holders.get(block);
+        const index = holders?.findIndex(holder => holder.upstream === upstream) ?? -1;
+        if (holders === undefined || index < 0) {
+            return;
+        }
+        holders.splice(index, 1);
+        if (holders.length === 0) {
+            this.#holders.delete(block);
+        }
+    }
+
+    /** Notes that a runner dropped everything. */
+    clear(upstream: string): void {
+        this.addGap(upstream);
+        this.#clearedBefore.set(upstream, this.#getGeneration(upstream));
+    }
+
+    /** Notes that events of a runner were lost: removals may be among them. */
+    addGap(upstream: string): void {
+        this.#generations.set(upstream, this.#getGeneration(upstream) + 1);
+    }
+
+    /** Forgets a runner that left the site. */
+    forget(upstream: string): void {
+        this.clear(upstream);
+    }
+
+    /**
+     * Finds the holders of the longest prefixes.
+     * @param blocks - Shortest prefix first.
+     * @param limit - How many runners to return at most.
+     */
+    getMatches(blocks: readonly string[], limit: number): readonly PrefixMatch[] {
+        const matches: PrefixMatch[] = [];
+        for (let index = blocks.length - 1; index >= 0 && matches.length < limit; index -= 1) {
+            for (const holder of this.#holders.get(blocks[index]) ?? []) {
+                const confidence = this.#getConfidence(holder);
+                if (confidence > 0 && !matches.some(match => match.upstream === holder.upstream)) {
+                    matches.push({ upstream: holder.upstream, blocks: index + 1, confidence });
+                }
+            }
+        }
+        return matches;
+    }
+
+    #getGeneration(upstream: string): number {
+        return this.#generations.get(upstream) ?? 0;
+    }
+
+    #getConfidence(holder: Holder): number {
+        if (holder.generation < (this.#clearedBefore.get(holder.upstream) ?? 0)) {
+            return 0;
+        }
+        return doubtfulWeight ** Math.min(4, this.#getGeneration(holder.upstream) - holder.generation);
+    }
+
+    #removeOldest(): void {
+        if (this.#holders.size <= this.#size) {
+            return;
+        }
+        for (const block of this.#holders.keys()) {
+            this.#holders.delete(block);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/decisions/placement/rendezvous.ts
@@ -0,0 +1,16 @@
+/**
+ * Rendezvous hashing: each entry ranks all runners by a hash of both names, so that a change of one runner moves
+ * one place in a subset and leaves the rest alone.
+ */
+import { createHash } from "node:crypto";
+
+const rankBytes = 6;
+
+/**
+ * Ranks a candidate for a chooser; the greatest ranks win.
+ * @param chooser - Key of the one that chooses.
+ * @param candidate - Key of the one to be chosen.
+ */
+export function getRank(chooser: string, candidate: string): number {
+    return createHash("md5").update(chooser).update("\n").update(candidate).digest().readUIntBE(0, rankBytes);
+}
--- /dev/null
+++ b/src/decisions/placement/runnerChooser.ts
@@ -0,0 +1,366 @@
+/**
+ * The choice of a runner for a request: the least expected time to the first token among a few random runners of the
+ * entry's subset and the runners that are believed to hold the prompt's prefix.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, Failure, type RandomSource } from "../../common/index.js";
+import { events, type Journal } from "../../events/index.js";
+import type { LoadReport, Vm } from "../../world/index.js";
+import { CandidateSet } from "./candidateSet.js";
+import { defaultPlacementOptions, type PlacementOptions } from "./options.js";
+import type { CacheEvent, EntryLocation, Placement, PlacementRequest, WorkEnd } from "./placement.js";
+import { PoolStatistics } from "./poolStatistics.js";
+import { PrefixTable } from "./prefixTable.js";
+import { getRank } from "./rendezvous.js";
+import { getReadingTokens, Runner } from "./runner.js";
+import { type CandidateList, RunnerIndex } from "./runnerIndex.js";
+import { Work } from "./work.js";
+
+/** A refused caller comes back no sooner than this. */
+const leastRetryMilliseconds = 1_000;
+const ownDomainMilliseconds = 0;
+
+/** Chooses runners for one entry and keeps what it learns of them. */
+export class RunnerChooser {
+    readonly #self: EntryLocation;
+    readonly #clock: Clock;
+    readonly #random: RandomSource;
+    readonly #options: PlacementOptions;
+    readonly #journal: Journal | undefined;
+    readonly #runners = new Map<string, Runner>();
+    readonly #pools = new Map<string, PoolStatistics>();
+    readonly #index: RunnerIndex;
+    readonly #prefixes: PrefixTable;
+    readonly #candidates: CandidateSet;
+
+    constructor(options: {
+        readonly self: EntryLocation;
+        readonly clock: Clock;
+        readonly random: RandomSource;
+        readonly options?: Partial<PlacementOptions>;
+        readonly journal?: Journal;
+    }) {
+        this.#self = options.self;
+        this.#clock = options.clock;
+        this.#random = options.random;
+        this.#options = { ...defaultPlacementOptions, ...options.options };
+        this.#journal = options.journal;
+        this.#index = new RunnerIndex(options.self.failureDomain, this.#options);
+        this.#prefixes = new PrefixTable(this.#options.prefixTableSize);
+        this.#candidates = new CandidateSet({ random: options.random, options: this.#options });
+    }
+
+    /**
+     * Takes in the VM list. Runners that stay keep what was learned of them; those that are leaving or gone get
+     * nothing new from now on.
+     * @param vms - All VMs; entries among them are passed over.
+     */
+    setUpstreams(vms: readonly Vm[]): void {
+        const listed = new Set<string>();
+        for (const vm of vms) {
+            if (vm.role === "entry") {
+                continue;
+            }
+            listed.add(vm.id);
+            this.#setUpstream(vm);
+        }
+        for (const id of this.#runners.keys()) {
+            if (!listed.has(id)) {
+                this.#runners.delete(id);
+                this.#prefixes.forget(id);
+            }
+        }
+        this.#index.rebuild(this.#runners.values());
+    }
+
+    /** Returns the upstreams that this entry talks to: the ones whose load it has to follow. */
+    getSubset(): readonly Vm[] {
+        return Array.from(this.#index.getSubset(), runner => runner.vm);
+    }
+
+    /**
+     * Takes in which versions an upstream has loaded, where that is known without a load report.
+     * @param upstream - Identifier of the upstream.
+     * @param versions - Identifiers of its versions.
+     */
+    setVersions(upstream: string, versions: readonly string[]): void {
+        const runner = this.#runners.get(upstream);
+        if (runner !== undefined && !isSame(runner.versions, versions)) {
+            runner.versions = versions;
+            this.#index.rebuild(this.#runners.values());
+        }
+    }
+
+    /** Takes in a load report, which may be late or out of order. */
+    addLoadReport(report: LoadReport): void {
+        const runner = this.#runners.get(report.upstream);
+        if (runner === undefined) {
+            return;
+        }
+        if (report.leaving) {
+            this.markLeaving(report.upstream);
+        }
+        if (!runner.load.addReport(report, this.#clock.monotonic())) {
+            return;
+        }
+        this.setVersions(report.upstream, report.versions);
+        runner.pool.addOthers(runner.load.getOthersAtMeasurement(), runner.load.getCapacity());
+    }
+
+    /**
+     * Takes in changes of an upstream's prefix cache.
+     * @param upstream - Identifier of the upstream.
+     * @param cacheEvents - The changes, in order.
+     * @param gap - Whether events before these were lost.
+     */
+    addCacheEvents(upstream: string, cacheEvents: readonly CacheEvent[], gap: boolean): void {
+        if (!this.#runners.has(upstream)) {
+            return;
+        }
+        if (gap) {
+            this.#prefixes.addGap(upstream);
+        }
+        for (const event of cacheEvents) {
+            if (event.kind === "stored") {
+                this.#prefixes.add(upstream, event.block);
+            }
+            else if (event.kind === "removed") {
+                this.#prefixes.remove(upstream, event.block);
+            }
+            else {
+                this.#prefixes.clear(upstream);
+            }
+        }
+    }
+
+    /** Gives an upstream nothing new from now on. It stays so until the VM list no longer shows it. */
+    markLeaving(id: string): void {
+        const runner = this.#runners.get(id);
+        if (runner === undefined || runner.isLeaving) {
+            return;
+        }
+        runner.isLeaving = true;
+        this.#index.rebuild(this.#runners.values());
+    }
+
+    /**
+     * Gives an upstream nothing new for a while, unless too many of its pool are ejected already.
+     * @param id - Identifier of the upstream.
+     * @param reason - For the event.
+     * @returns Whether it was ejected.
+     */
+    eject(id: string, reason: string): boolean {
+        const runner = this.#runners.get(id);
+        const now = this.#clock.monotonic();
+        if (runner === undefined || runner.health.isEjected(now) || !this.#mayEject(runner.vm.pool, now)) {
+            return false;
+        }
+        const milliseconds = Math.round(runner.health.eject(now, this.#random.next()));
+        this.#journal?.write(events.upstreamEjected, { upstream: id, reason, milliseconds });
+        return true;
+    }
+
+    /**
+     * Chooses a runner.
+     * @returns The runner, or `unavailable` when none has the version, or `overloaded` when none can give the first
+     * token before the deadline.
+     */
+    choose(request: PlacementRequest): Result<Placement, Failure> {
+        const now = this.#clock.monotonic();
+        const list = this.#index.get(request.version, request.pool);
+        const matches = this.#prefixes.getMatches(request.blocks, this.#options.cachedChoices);
+        this.#candidates.start(now, request, matches);
+        this.#addNamed(request, matches);
+        this.#candidates.addSome(list.near, "least-wait");
+        if (this.#candidates.getBestWait() > this.#options.spillOverMilliseconds) {
+            this.#candidates.addSome(list.far, "spill-over");
+        }
+        if (this.#candidates.isEmpty()) {
+            this.#candidates.addAny(getLastResort(list));
+        }
+        const placement = this.#candidates.getBest();
+        if (placement === undefined) {
+            return err(createUnavailable(request, this.#getRetryAfter(0)));
+        }
+        const excess = placement.expectedWaitMilliseconds - request.deadlineMilliseconds;
+        if (excess > 0) {
+            return err(createOverloaded(placement, this.#getRetryAfter(excess)));
+        }
+        return ok(placement);
+    }
+
+    /**
+     * Counts a request that is sent to the chosen runner.
+     * @param placement - What `choose` returned.
+     * @param size - The estimated tokens of the request.
+     */
+    begin(placement: Placement, size: { readonly tokens: number; }): Work {
+        const id = placement.upstream.id;
+        const runner = this.#runners.get(id);
+        if (runner === undefined) {
+            return new Work({ firstToken: () => {}, load: () => {}, finish: () => {} });
+        }
+        return this.#createWork(runner, placement, size.tokens);
+    }
+
+    #createWork(runner: Runner, placement: Placement, tokens: number): Work {
+        const now = this.#clock.monotonic();
+        const uncached = placement.blocks.length - placement.cachedBlocks;
+        const modelled = runner.getModelledWait(now, uncached);
+        const isIdle = runner.getLoad(now) < runner.load.getCapacity() / 2;
+        runner.load.addOwn(1, now);
+        for (const block of placement.blocks) {
+            this.#prefixes.add(runner.vm.id, block);
+        }
+        const work: Work = new Work({
+            firstToken: milliseconds => {
+                runner.removeWaiting(work);
+                if (isIdle) {
+                    runner.pool.addToken(milliseconds / getReadingTokens(uncached));
+                }
+                this.#learnPace(runner, milliseconds, modelled);
+            },
+            load: header => this.#addHeader(runner, header),
+            finish: end => {
+                runner.removeWaiting(work);
+                runner.load.addOwn(-1, this.#clock.monotonic());
+                this.#learnEnd(runner, end);
+            },
+        });
+        runner.addWaiting(work, now);
+        void tokens;
+        return work;
+    }
+
+    #setUpstream(vm: Vm): void {
+        const known = this.#runners.get(vm.id);
+        if (known !== undefined) {
+            known.vm = vm;
+            known.isLeaving ||= vm.state === "leaving";
+            return;
+        }
+        const runner = new Runner({
+            vm,
+            pool: this.#getPool(vm.pool),
+            rank: getRank(this.#self.subsetKey, vm.id),
+            distanceMilliseconds: this.#getDistance(vm),
+            isNear: vm.region === this.#self.region,
+            options: this.#options,
+        });
+        runner.isLeaving = vm.state === "leaving";
+        this.#runners.set(vm.id, runner);
+    }
+
+    #getDistance(vm: Vm): number {
+        if (vm.region !== this.#self.region) {
+            return this.#options.otherRegionMilliseconds;
+        }
+        return vm.failureDomain === this.#self.failureDomain
+            ? ownDomainMilliseconds
+            : this.#options.otherDomainMilliseconds;
+    }
+
+    #getPool(name: string): PoolStatistics {
+        let pool = this.#pools.get(name);
+        if (pool === undefined) {
+            pool = new PoolStatistics();
+            this.#pools.set(name, pool);
+        }
+        return pool;
+    }
+
+    #addNamed(request: PlacementRequest, matches: readonly { readonly upstream: string; }[]): void {
+        const preferred = request.preferred === undefined ? undefined : this.#runners.get(request.preferred);
+        if (preferred !== undefined) {
+            this.#candidates.addOne(preferred, "session");
+        }
+        for (const match of matches) {
+            const runner = this.#runners.get(match.upstream);
+            if (runner !== undefined) {
+                this.#candidates.addOne(runner, "cached-prefix");
+            }
+        }
+    }
+
+    /**
+     * Ejecting runners moves their work to the rest. Past a part of the pool that would bring down the rest too, so
+     * from there on failing runners stay in and share the work.
+     */
+    #mayEject(pool: string, now: number): boolean {
+        let total = 0;
+        let ejected = 0;
+        for (const runner of this.#runners.values()) {
+            if (runner.vm.pool !== pool || runner.isLeaving) {
+                continue;
+            }
+            total += 1;
+            ejected += runner.health.isEjected(now) ? 1 : 0;
+        }
+        return ejected + 1 <= total * this.#options.mostEjectedShare;
+    }
+
+    #learnPace(runner: Runner, milliseconds: number, modelled: number): void {
+        const now = this.#clock.monotonic();
+        const ratio = runner.addFirstToken(milliseconds, modelled, now);
+        const isSlow = ratio > this.#options.outlierFactor * Math.max(1, runner.pool.getPace());
+        if (runner.health.addPace(isSlow) >= this.#options.outlierAnswers) {
+            this.eject(runner.vm.id, "slow");
+        }
+    }
+
+    #learnEnd(runner: Runner, end: WorkEnd): void {
+        if (end.loadHeader !== undefined) {
+            this.#addHeader(runner, end.loadHeader);
+        }
+        if (end.outcome === "ok") {
+            runner.health.addSuccess(this.#clock.monotonic());
+            runner.pool.addService(end.milliseconds);
+        }
+        else if (end.outcome === "failed" && runner.health.addFailure() >= this.#options.ejectAfterFailures) {
+            this.eject(runner.vm.id, "failures");
+        }
+    }
+
+    #addHeader(runner: Runner, header: string): void {
+        const numbers = header.split("/").map(Number);
+        if (numbers.length !== 3 || !numbers.every(number => Number.isFinite(number) && number >= 0)) {
+            return;
+        }
+        const [running, waiting, capacity] = numbers;
+        runner.load.addFresh(running + waiting, capacity, this.#clock.monotonic());
+    }
+
+    #getRetryAfter(excessMilliseconds: number): number {
+        return Math.round((leastRetryMilliseconds + excessMilliseconds) * (0.75 + this.#random.next() / 2));
+    }
+}
+
+/** When the subset has nobody left, any runner of the list will do, ejected or not: trying beats refusing. */
+function getLastResort(list: CandidateList): readonly Runner[] {
+    return list.all;
+}
+
+function isSame(known: readonly string[] | undefined, versions: readonly string[]): boolean {
+    return known !== undefined && known.length === versions.length
+        && versions.every((version, index) => version === known[index]);
+}
+
+function createUnavailable(request: PlacementRequest, retryAfterMilliseconds: number): Failure {
+    const wanted = request.version ?? request.pool ?? "any version";
+    return new Failure({
+        kind: "unavailable",
+        message: `No upstream serves ${wanted} now.`,
+        remedy: "Come back after the given time; if it lasts, load the version on a runner or add upstreams.",
+        retryAfterMilliseconds,
+    });
+}
+
+function createOverloaded(placement: Placement, retryAfterMilliseconds: number): Failure {
+    const wait = Math.round(placement.expectedWaitMilliseconds);
+    return new Failure({
+        kind: "overloaded",
+        message: `The best upstream would give the first token after ${wait} ms, past the deadline.`,
+        remedy: "Come back after the given time, allow a longer deadline, or add upstreams.",
+        retryAfterMilliseconds,
+    });
+}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -25,4 +25,22 @@
     processStarted: define(100, "process-started", "info", "A process listens and is ready for work."),
     processStopping: define(101, "process-stopping", "info", "A process was told to stop and finishes its work."),
     processStopped: define(102, "process-stopped", "info", "A process finished its work and exits with code 0."),
+    upstreamEjected: define(
+        550,
+        "upstream-ejected",
+        "warning",
+        "An upstream failed or was far too slow and gets nothing new for a while.",
+    ),
+    admissionLimitLowered: define(
+        560,
+        "admission-limit-lowered",
+        "warning",
+        "Answers slowed down or failed, so fewer requests are let in at a time.",
+    ),
+    admissionLimitRestored: define(
+        561,
+        "admission-limit-restored",
+        "info",
+        "The limit of requests at a time is back at the upstreams' capacity.",
+    ),
 } as const satisfies Record<string, EventDefinition>;
