--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -2,3 +2,4 @@
 export * from "./clock.js";
 export * from "./errors.js";
 export * from "./random.js";
+export * from "./repeatedTask.js";
--- /dev/null
+++ b/src/common/repeatedTask.ts
@@ -0,0 +1,45 @@
+/**
+ * Work that is done again and again with a pause in between.
+ */
+
+/** Options of a repeated task. */
+export interface RepeatedTaskOptions {
+    /** The work. It must not throw. */
+    readonly run: () => Promise<void> | void;
+    /** Pause between two runs, in milliseconds. */
+    readonly pauseMilliseconds: number;
+}
+
+/** Repeats work without ever running it twice at a time. */
+export class RepeatedTask {
+    readonly #options: RepeatedTaskOptions;
+    #timer: NodeJS.Timeout | undefined;
+    #running: Promise<void> | undefined;
+    #stopped = true;
+
+    constructor(options: RepeatedTaskOptions) {
+        this.#options = options;
+    }
+
+    /** Runs the work now and from then on. */
+    start(): void {
+        this.#stopped = false;
+        this.#runOnce();
+    }
+
+    /** Ends the repetition, and resolves when a run that is under way has ended. */
+    async stop(): Promise<void> {
+        this.#stopped = true;
+        clearTimeout(this.#timer);
+        await this.#running;
+    }
+
+    #runOnce(): void {
+        this.#running = Promise.resolve(this.#options.run()).finally(() => {
+            this.#running = undefined;
+            if (!this.#stopped) {
+                this.#timer = setTimeout(() => this.#runOnce(), this.#options.pauseMilliseconds);
+            }
+        });
+    }
+}
--- a/src/events/index.ts
+++ b/src/events/index.ts
@@ -1,3 +1,4 @@
 /** Numbered events, the catalogue of them and the journal that writes them. */
 export * from "./catalogue.js";
+export * from "./eventBuffer.js";
 export * from "./journal.js";
--- a/src/events/journal.ts
+++ b/src/events/journal.ts
@@ -78,7 +78,8 @@
     }
 }
 
-function createDebugWriter(): (line: EventLine) => void {
+/** Creates a function that writes events through `debug`, under `rattanlock:<level>`. */
+export function createDebugWriter(): (line: EventLine) => void {
     const writers = new Map<string, debug.Debugger>();
     return line => {
         let writer = writers.get(line.level);
