Add the model chooser, the roll-out fold and the exposure decisions

Cause: the entry needs the public API of both decisions to build against. Ruled out: raw rating records between nodes (traffic grows with requests); a budget split anew by each entry from what it knows of the others (the sum exceeds the budget while gossip lags), hence grants through the log.

--- /dev/null
+++ b/src/control/rolloutFold.ts
@@ -0,0 +1,376 @@
+/**
+ * Folds the records about roll-outs into their present state. Every node folds the same records in the same order and
+ * so agrees with every other, which is what lets any VM carry on an interrupted roll-out.
+ */
+import type { LogEntry } from "../log/index.js";
+import {
+    type Halt,
+    haltBody,
+    liftBody,
+    type Rollout,
+    rolloutAbortBody,
+    rolloutAdvanceBody,
+    rolloutFinishBody,
+    rolloutGrantBody,
+    rolloutRecordKinds,
+    rolloutStartBody,
+} from "./rollout.js";
+import { RolloutHalts } from "./rolloutHalts.js";
+
+/** Settled versions of a model that are remembered as fallbacks. */
+const rememberedVersions = 16;
+/** Ended roll-outs that are remembered. */
+const rememberedRollouts = 64;
+
+/** What the fold has taken in, as a snapshot keeps it; plain JSON. */
+export interface RolloutSnapshot {
+    readonly offset: number;
+    readonly rollouts: readonly Rollout[];
+    readonly halts: readonly Halt[];
+    readonly lifted: readonly string[];
+    readonly liftedAt: Readonly<Record<string, number>>;
+    readonly settled: Readonly<Record<string, readonly string[]>>;
+}
+
+/** Options of `RolloutFold`. */
+export interface RolloutFoldOptions {
+    /** Tells whether a fence is that of the lease in force at this point of the stream. */
+    readonly isCurrentFence: (fence: number) => boolean;
+}
+
+/** Whether a record took effect, and if not, why. */
+export interface RolloutDecision {
+    readonly accepted: boolean;
+    readonly reason: string;
+}
+
+/** The state of all roll-outs and halts. */
+export class RolloutFold {
+    readonly #isCurrentFence: (fence: number) => boolean;
+    readonly #rollouts = new Map<string, Rollout>();
+    readonly #halts = new RolloutHalts();
+    /** For each model, the versions that were fully rolled out, the newest last. */
+    readonly #settled = new Map<string, string[]>();
+    #offset = -1;
+
+    constructor(options: RolloutFoldOptions) {
+        this.#isCurrentFence = options.isCurrentFence;
+    }
+
+    /** The offset of the newest entry taken in; -1 before the first. */
+    get offset(): number {
+        return this.#offset;
+    }
+
+    /**
+     * Takes in the next entry of the `control` stream. Entries of other kinds and entries already taken in do nothing.
+     * @returns Whether it took effect; `undefined` for an entry that isn't about roll-outs or isn't new.
+     */
+    apply(entry: LogEntry): RolloutDecision | undefined {
+        if (entry.offset <= this.#offset) {
+            return undefined;
+        }
+        this.#offset = entry.offset;
+        switch (entry.record.kind) {
+            case rolloutRecordKinds.start:
+                return this.#applyStart(entry);
+            case rolloutRecordKinds.grant:
+                return this.#applyGrant(entry);
+            case rolloutRecordKinds.advance:
+                return this.#applyAdvance(entry);
+            case rolloutRecordKinds.finish:
+                return this.#applyFinish(entry);
+            case rolloutRecordKinds.abort:
+                return this.#applyAbort(entry);
+            case rolloutRecordKinds.halt:
+                return this.#applyHalt(entry);
+            case rolloutRecordKinds.lift:
+                return this.#applyLift(entry);
+            default:
+                return undefined;
+        }
+    }
+
+    /**
+     * Takes in a halt that came by gossip, or that this node raises itself. It holds at once, log or no log.
+     * @returns Whether it was new.
+     */
+    addHalt(halt: Halt): boolean {
+        return this.#halts.addFromGossip(halt);
+    }
+
+    /** Gets the halts in force, to be passed on by gossip and named in a `lift`. */
+    getHalts(): readonly Halt[] {
+        return this.#halts.getAll();
+    }
+
+    /** Checks whether a version is halted. */
+    isHalted(version: string): boolean {
+        return this.#halts.has(version);
+    }
+
+    /** Gets when an operator last lifted a halt of a version, in the log's wall-clock milliseconds, or `undefined`. */
+    getLiftedAt(version: string): number | undefined {
+        return this.#halts.getLiftedAt(version);
+    }
+
+    /** Gets all roll-outs, in the order of their start. */
+    getRollouts(): readonly Rollout[] {
+        return [...this.#rollouts.values()];
+    }
+
+    /** Gets a roll-out, or `undefined`. */
+    getRollout(id: string): Rollout | undefined {
+        return this.#rollouts.get(id);
+    }
+
+    /** Gets the active roll-outs of a model. */
+    getActiveRollouts(model: string): readonly Rollout[] {
+        return this.getRollouts().filter(rollout => rollout.model === model && rollout.state === "active");
+    }
+
+    /** Gets the share of callers that a roll-out exposes now, from 0 to 1. */
+    getShare(id: string): number {
+        const rollout = this.#rollouts.get(id);
+        if (rollout === undefined || this.isHalted(rollout.candidate)) {
+            return 0;
+        }
+        if (rollout.state === "finished") {
+            return 1;
+        }
+        return rollout.state === "active" ? rollout.stages[rollout.stage] : 0;
+    }
+
+    /** Gets the newest version of a model that was fully rolled out and isn't halted, or `undefined`. */
+    getSettled(model: string): string | undefined {
+        return this.#settled.get(model)?.findLast(version => !this.isHalted(version));
+    }
+
+    /**
+     * Gets the version that takes over the traffic of a halted one: the newest that was settled before it.
+     * @param version - The halted version.
+     * @param isAllowed - Tells whether a version may be used; any by default.
+     */
+    getFallback(version: string, isAllowed: (version: string) => boolean = () => true): string | undefined {
+        for (const versions of this.#settled.values()) {
+            const index = versions.lastIndexOf(version);
+            const before = index === -1 ? [] : versions.slice(0, index);
+            const usable = before.findLast(other => !this.isHalted(other) && isAllowed(other));
+            if (usable !== undefined) {
+                return usable;
+            }
+        }
+        const rollout = this.getRollouts().findLast(({ candidate }) => candidate === version);
+        if (rollout === undefined || rollout.baseline === version) {
+            return undefined;
+        }
+        const usable = !this.isHalted(rollout.baseline) && isAllowed(rollout.baseline);
+        return usable ? rollout.baseline : this.getFallback(rollout.baseline, isAllowed);
+    }
+
+    /** Returns the state for a snapshot or for a node that can't read the log. */
+    exportState(): RolloutSnapshot {
+        return {
+            offset: this.#offset,
+            rollouts: this.getRollouts(),
+            halts: this.#halts.getFromLog(),
+            lifted: this.#halts.getLifted(),
+            liftedAt: this.#halts.getLiftTimes(),
+            settled: Object.fromEntries(this.#settled),
+        };
+    }
+
+    /**
+     * Takes over a snapshot if it is newer. Halts from gossip stay in force, unless the snapshot says they were lifted.
+     * @returns Whether it was newer.
+     */
+    importState(snapshot: RolloutSnapshot): boolean {
+        if (snapshot.offset <= this.#offset) {
+            return false;
+        }
+        this.#offset = snapshot.offset;
+        this.#rollouts.clear();
+        for (const rollout of snapshot.rollouts) {
+            this.#rollouts.set(rollout.id, rollout);
+        }
+        this.#halts.replaceLog(snapshot.halts, snapshot.lifted, snapshot.liftedAt);
+        this.#settled.clear();
+        for (const [model, versions] of Object.entries(snapshot.settled)) {
+            this.#settled.set(model, [...versions]);
+        }
+        return true;
+    }
+
+    #applyStart(entry: LogEntry): RolloutDecision {
+        const parsed = rolloutStartBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        const { rollout: id, budget, ...body } = parsed.data;
+        if (this.#rollouts.has(id)) {
+            return reject("A roll-out with this identifier exists.");
+        }
+        if (body.candidate === body.baseline) {
+            return reject("Candidate and baseline are the same version.");
+        }
+        if (this.#halts.hasInLog(body.candidate)) {
+            return reject("The candidate is halted; lift the halt first.");
+        }
+        if (this.getActiveRollouts(body.model).some(other => other.candidate === body.candidate)) {
+            return reject("The candidate is being rolled out already.");
+        }
+        const budgets = body.stages.map((...[, stage]) => typeof budget === "number" ? budget : budget.at(stage));
+        this.#addSettled(body.model, body.baseline);
+        this.#rollouts.set(id, {
+            ...body,
+            id,
+            budgets,
+            startedAt: entry.time,
+            stage: 0,
+            stageSince: entry.time,
+            state: "active",
+            grants: {},
+        });
+        this.#dropOldRollouts();
+        return accept();
+    }
+
+    #applyGrant(entry: LogEntry): RolloutDecision {
+        const parsed = rolloutGrantBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        const rollout = this.#getActiveUnder(parsed.data);
+        if (typeof rollout === "string") {
+            return reject(rollout);
+        }
+        const grants: Record<string, number> = { ...rollout.grants };
+        for (const [name, granted] of Object.entries(parsed.data.grants)) {
+            grants[name] = Math.max(granted, grants[name] ?? 0);
+        }
+        const budget = rollout.budgets[rollout.stage];
+        if (budget !== undefined && sum(Object.values(grants)) > budget) {
+            return reject("The grants exceed the budget of the stage.");
+        }
+        this.#rollouts.set(rollout.id, { ...rollout, grants });
+        return accept();
+    }
+
+    #applyAdvance(entry: LogEntry): RolloutDecision {
+        const parsed = rolloutAdvanceBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        const rollout = this.#getActiveUnder(parsed.data);
+        if (typeof rollout === "string") {
+            return reject(rollout);
+        }
+        const { stage } = parsed.data;
+        if (stage !== rollout.stage + 1 || stage >= rollout.stages.length) {
+            return reject("The stage isn't the next one.");
+        }
+        this.#rollouts.set(rollout.id, { ...rollout, stage, stageSince: entry.time });
+        return accept();
+    }
+
+    #applyFinish(entry: LogEntry): RolloutDecision {
+        const parsed = rolloutFinishBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        const rollout = this.#getActiveUnder(parsed.data);
+        if (typeof rollout === "string") {
+            return reject(rollout);
+        }
+        if (rollout.stage !== rollout.stages.length - 1) {
+            return reject("The roll-out isn't at its last stage.");
+        }
+        this.#rollouts.set(rollout.id, { ...rollout, state: "finished" });
+        this.#addSettled(rollout.model, rollout.candidate);
+        return accept();
+    }
+
+    #applyAbort(entry: LogEntry): RolloutDecision {
+        const parsed = rolloutAbortBody.safeParse(entry.record.body);
+        const rollout = parsed.success ? this.#rollouts.get(parsed.data.rollout) : undefined;
+        if (rollout?.state !== "active") {
+            return reject("The roll-out isn't active.");
+        }
+        this.#rollouts.set(rollout.id, { ...rollout, state: "aborted" });
+        return accept();
+    }
+
+    #applyHalt(entry: LogEntry): RolloutDecision {
+        const parsed = haltBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        const { version, reason } = parsed.data;
+        const id = parsed.data.id ?? entry.record.id;
+        if (!this.#halts.addFromLog({ id, version, reason, at: entry.time })) {
+            return reject("The halt was lifted.");
+        }
+        for (const rollout of this.#rollouts.values()) {
+            if (rollout.candidate === version && rollout.state === "active") {
+                this.#rollouts.set(rollout.id, { ...rollout, state: "halted" });
+            }
+        }
+        return accept();
+    }
+
+    #applyLift(entry: LogEntry): RolloutDecision {
+        const parsed = liftBody.safeParse(entry.record.body);
+        if (!parsed.success) {
+            return reject("The body is malformed.");
+        }
+        this.#halts.lift(parsed.data.version, parsed.data.halts, entry.time);
+        return accept();
+    }
+
+    /** Gets the active roll-out that a leased record is about, or the reason why it is refused. */
+    #getActiveUnder(body: { readonly rollout: string; readonly fence: number; }): Rollout | string {
+        // A node that was paused while its lease lapsed may still write; its fence is then no longer the current one.
+        // Without this check two holders could each advance the same roll-out.
+        if (!this.#isCurrentFence(body.fence)) {
+            return "The fence isn't that of the lease in force.";
+        }
+        const rollout = this.#rollouts.get(body.rollout);
+        return rollout?.state === "active" ? rollout : "The roll-out isn't active.";
+    }
+
+    #addSettled(model: string, version: string): void {
+        const versions = this.#settled.get(model) ?? [];
+        if (versions.at(-1) === version) {
+            return;
+        }
+        const others = versions.filter(other => other !== version);
+        this.#settled.set(model, [...others, version].slice(-rememberedVersions));
+    }
+
+    #dropOldRollouts(): void {
+        for (const rollout of this.getRollouts()) {
+            if (this.#rollouts.size <= rememberedRollouts) {
+                return;
+            }
+            if (rollout.state !== "active") {
+                this.#rollouts.delete(rollout.id);
+            }
+        }
+    }
+}
+
+function accept(): RolloutDecision {
+    return { accepted: true, reason: "" };
+}
+
+function reject(reason: string): RolloutDecision {
+    return { accepted: false, reason };
+}
+
+function sum(numbers: readonly number[]): number {
+    let total = 0;
+    for (const number of numbers) {
+        total += number;
+    }
+    return total;
+}
--- /dev/null
+++ b/src/decisions/exposure/grants.ts
@@ -0,0 +1,80 @@
+/**
+ * Splits a roll-out's exposure budget over the entries, a part at a time.
+ *
+ * Ratings come late: a stage that let its whole share of callers through at once would expose hundreds before the first
+ * rating is in. So callers are released as earlier ones have been judged, at first a handful and then ever more.
+ */
+
+/** What the split depends on. */
+export interface GrantInput {
+    /** Granted so far, for each entry altogether. */
+    readonly grants: Readonly<Record<string, number>>;
+    /** Entries that take callers now. */
+    readonly entries: readonly string[];
+    /** Callers that may be exposed in the whole system. */
+    readonly budget: number;
+    /** Exposed callers about whom all is known that will be. */
+    readonly settled: number;
+    /** Callers that may be exposed before the first one is judged. */
+    readonly firstCallers: number;
+    /** Gets how many callers an entry has exposed. */
+    readonly getSpent: (entry: string) => number;
+}
+
+/** For each judged caller, so many may be waiting for judgement. */
+const unjudgedPerJudged = 1;
+/** A new split is worth a record if it adds this part of what may be waiting. */
+const worthwhilePart = 0.25;
+
+/**
+ * Plans the next grants.
+ * @returns The grants of all entries altogether; `undefined` if nothing should be added yet.
+ */
+export function planGrants(input: GrantInput): Readonly<Record<string, number>> | undefined {
+    const granted = sumValues(input.grants);
+    const waiting = Math.max(input.firstCallers, unjudgedPerJudged * input.settled);
+    const wanted = Math.floor(input.settled + waiting + countLost(input));
+    const added = Math.min(input.budget, wanted) - granted;
+    if (input.entries.length === 0 || added < Math.max(1, Math.min(input.budget - granted, worthwhilePart * waiting))) {
+        return undefined;
+    }
+    const grants = { ...input.grants };
+    for (let count = 0; count < added; count += 1) {
+        const entry = getNeediest(input, grants);
+        grants[entry] = (grants[entry] ?? 0) + 1;
+    }
+    return grants;
+}
+
+/** Counts what was granted to entries that have gone; it stays within the budget, but nobody waits for it. */
+function countLost(input: GrantInput): number {
+    let lost = 0;
+    for (const [entry, granted] of Object.entries(input.grants)) {
+        if (!input.entries.includes(entry)) {
+            lost += Math.max(0, granted - input.getSpent(entry));
+        }
+    }
+    return lost;
+}
+
+/** Gets the entry with the least left to spend. */
+function getNeediest(input: GrantInput, grants: Readonly<Record<string, number>>): string {
+    let neediest = input.entries[0];
+    let least = Infinity;
+    for (const entry of input.entries) {
+        const left = (grants[entry] ?? 0) - input.getSpent(entry);
+        if (left < least) {
+            least = left;
+            neediest = entry;
+        }
+    }
+    return neediest;
+}
+
+function sumValues(values: Readonly<Record<string, number>>): number {
+    let sum = 0;
+    for (const value of Object.values(values)) {
+        sum += value;
+    }
+    return sum;
+}
--- /dev/null
+++ b/src/decisions/exposure/metric.ts
@@ -0,0 +1,82 @@
+/**
+ * What a version is judged by. Each metric maps a tally to counts of values from 0 (worst) to 1 (best), so that one
+ * test serves them all: the mean must not be lower than that of the reference.
+ */
+import { scoreSteps, type Tally } from "../model/index.js";
+
+/** Names of the metrics. */
+export type MetricName = "rating" | "errors" | "latency" | "coverage";
+
+/** One thing that a version is judged by. */
+export interface Metric {
+    readonly name: MetricName;
+    /** Its part of the false alarm budget. */
+    readonly weight: number;
+    /** How much worse than the reference is still as good. */
+    readonly margin: number;
+    /** The values that one observation can take. */
+    readonly values: readonly number[];
+    /**
+     * Counts the observations.
+     * @returns For each of `values`, how often it was seen.
+     */
+    readonly count: (tally: Tally) => readonly number[];
+}
+
+const scoreValues = Array.from({ length: scoreSteps + 1 }, (...[, bin]) => bin / scoreSteps);
+const binaryValues = [0, 1];
+
+/** The metrics by which a candidate is judged. */
+export const metrics: readonly Metric[] = [
+    {
+        name: "rating",
+        weight: 0.6,
+        margin: 0.02,
+        values: scoreValues,
+        count: tally => scoreValues.map((...[, bin]) => tally.getBin(bin)),
+    },
+    {
+        name: "errors",
+        weight: 0.25,
+        margin: 0.01,
+        values: binaryValues,
+        count: tally => [tally.failed, tally.answers - tally.failed],
+    },
+    {
+        name: "latency",
+        weight: 0.15,
+        margin: 0.05,
+        values: binaryValues,
+        count: tally => [tally.slow, tally.answers - tally.slow],
+    },
+];
+
+/** Mean and standard error of a metric in a reference. */
+export interface Reference {
+    readonly count: number;
+    readonly mean: number;
+    readonly error: number;
+}
+
+/** Variance of one observation that is assumed before any was seen, and how many observations that weighs. */
+const priorVariance = 0.04;
+const priorWeight = 2;
+
+/** Gets the mean of a metric in a tally, with its standard error. */
+export function getReference(metric: Metric, tally: Tally): Reference {
+    const counts = metric.count(tally);
+    let count = 0;
+    let sum = 0;
+    let squares = 0;
+    for (const [index, value] of metric.values.entries()) {
+        count += counts[index];
+        sum += counts[index] * value;
+        squares += counts[index] * value * value;
+    }
+    if (count <= 0) {
+        return { count: 0, mean: 0, error: Infinity };
+    }
+    const spread = Math.max(0, squares - sum * sum / count);
+    const variance = (spread + priorWeight * priorVariance) / (count + priorWeight);
+    return { count, mean: sum / count, error: Math.sqrt(variance / count) };
+}
--- /dev/null
+++ b/src/decisions/exposure/rolloutRouter.ts
@@ -0,0 +1,112 @@
+/**
+ * Decides for each caller whether a roll-out exposes it to the candidate.
+ *
+ * Two bounds hold at once. A stable hash of the caller keeps the same callers exposed at every entry and lets the set
+ * only grow from stage to stage. And each entry exposes no more callers than the roll-out's record grants it, so that
+ * the sum over all entries stays within the budget whatever each knows of the others.
+ */
+import type { Rollout, RolloutFold } from "../../control/index.js";
+import type { CallerHash } from "./callerHash.js";
+import type { Exposures } from "./exposures.js";
+
+/** Callers remembered in each roll-out; beyond it the stage has no budget and the hash alone decides. */
+const rememberedCallers = 200_000;
+
+/** Options of `RolloutRouter`. */
+export interface RolloutRouterOptions {
+    /** Name of this entry, as grants name it. */
+    readonly entry: string;
+    readonly fold: RolloutFold;
+    readonly exposures: Exposures;
+    readonly hash: CallerHash;
+}
+
+/** Picks versions for callers. */
+export class RolloutRouter {
+    readonly #entry: string;
+    readonly #fold: RolloutFold;
+    readonly #exposures: Exposures;
+    readonly #hash: CallerHash;
+    readonly #callers = new Map<string, Set<number>>();
+
+    constructor(options: RolloutRouterOptions) {
+        this.#entry = options.entry;
+        this.#fold = options.fold;
+        this.#exposures = options.exposures;
+        this.#hash = options.hash;
+    }
+
+    /**
+     * Picks the version for a caller.
+     * @param choice - The roll-out's identifier and the caller: workspace and session, or the key of the request.
+     * @returns The candidate or the baseline; if that one is halted, its fallback; `undefined` if there is none.
+     */
+    pick(choice: { readonly rollout: string; readonly caller: string; }): string | undefined {
+        const rollout = this.#fold.getRollout(choice.rollout);
+        if (rollout === undefined) {
+            return undefined;
+        }
+        if (this.#isExposed(rollout, choice.caller)) {
+            return rollout.candidate;
+        }
+        return this.#fold.isHalted(rollout.baseline) ? this.#fold.getFallback(rollout.baseline) : rollout.baseline;
+    }
+
+    /**
+     * Picks the version of a model for a caller, over all its roll-outs.
+     * @returns The candidate of the first active roll-out that exposes the caller, else the settled version;
+     * `undefined` if the model was never rolled out or all its versions are halted.
+     */
+    pickOfModel(choice: { readonly model: string; readonly caller: string; }): string | undefined {
+        for (const rollout of this.#fold.getActiveRollouts(choice.model)) {
+            if (this.#isExposed(rollout, choice.caller)) {
+                return rollout.candidate;
+            }
+        }
+        return this.#fold.getSettled(choice.model);
+    }
+
+    /** Drops what is remembered of roll-outs that have ended. */
+    removeEnded(): void {
+        for (const id of this.#callers.keys()) {
+            if (this.#fold.getRollout(id)?.state !== "active") {
+                this.#callers.delete(id);
+            }
+        }
+    }
+
+    #isExposed(rollout: Rollout, caller: string): boolean {
+        const share = this.#fold.getShare(rollout.id);
+        if (share === 0 || share === 1 && rollout.state === "finished") {
+            return share === 1;
+        }
+        const point = this.#hash(`${rollout.id}/${caller}`);
+        return point < share && this.#spend(rollout, point);
+    }
+
+    /** Checks whether a caller is exposed already or may be from now on. */
+    #spend(rollout: Rollout, point: number): boolean {
+        const callers = this.#getCallers(rollout.id);
+        if (callers.has(point)) {
+            return true;
+        }
+        const bounded = rollout.budgets[rollout.stage] !== undefined;
+        if (bounded && this.#exposures.getOwn(rollout.id) >= (rollout.grants[this.#entry] ?? 0)) {
+            return false;
+        }
+        if (callers.size < rememberedCallers) {
+            callers.add(point);
+            this.#exposures.add(rollout.id);
+        }
+        return true;
+    }
+
+    #getCallers(rollout: string): Set<number> {
+        let callers = this.#callers.get(rollout);
+        if (callers === undefined) {
+            callers = new Set();
+            this.#callers.set(rollout, callers);
+        }
+        return callers;
+    }
+}
--- /dev/null
+++ b/src/decisions/model/index.ts
@@ -0,0 +1,6 @@
+/** Which model: the cheapest version or cascade that meets a quality target, learned from shared counts. */
+export * from "./bucketSeries.js";
+export * from "./evidence.js";
+export * from "./modelChooser.js";
+export type { Plan, PlanStep } from "./plan.js";
+export * from "./tally.js";
