Let clients hand on load headers; add events of roll-outs

Cause: the runner chooser reads the load header itself; the clients parsed it a second time. Ruled out: parsing in both places. Change: clients pass the header on as text; one public face for all decisions; events 440 and 441. Conclusion: one reader of the header.

--- /dev/null
+++ b/src/decisions/index.ts
@@ -0,0 +1,5 @@
+/** The decisions: which model, which version, which runner, and whether at all. */
+export * from "./exposure/index.js";
+export * from "./limits/index.js";
+export * from "./model/index.js";
+export * from "./placement/index.js";
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -63,4 +63,11 @@
     ),
     claimHeldElsewhere: define(408, "claim-held-elsewhere", "info", "An idempotency key belongs to another request."),
     upstreamLeaving: define(409, "upstream-leaving", "info", "An upstream announced that it is leaving."),
+    rolloutMoved: define(
+        440,
+        "rollout-moved",
+        "info",
+        "The holder of the roll-out lease advanced, granted or finished.",
+    ),
+    versionHalted: define(441, "version-halted", "warning", "A version is halted: it takes no new work."),
 } as const satisfies Record<string, EventDefinition>;
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -25,18 +25,11 @@
 export interface EngineAnswer {
     /** The version that the engine says it runs. */
     readonly version: string;
-    /** Load of the engine, when it told. */
-    readonly load: LoadHeader | undefined;
+    /** The engine's load as it told it: `running/waiting/capacity`. */
+    readonly loadHeader: string | undefined;
     readonly events: AsyncGenerator<EngineEvent>;
 }
 
-/** Load that comes along with an answer. */
-export interface LoadHeader {
-    readonly running: number;
-    readonly waiting: number;
-    readonly capacity: number;
-}
-
 /** What an engine says about a cancelled stream. */
 export interface Cancellation {
     readonly cancelled: boolean;
@@ -217,18 +210,11 @@
 }
 
 /**
- * Reads the header in which an upstream tells its load.
- * @param header - `running/waiting/capacity`.
+ * Returns a header that was sent once.
+ * @param header - The header as the HTTP client shows it.
  */
-export function readLoadHeader(header: string | string[] | undefined): LoadHeader | undefined {
-    if (typeof header !== "string") {
-        return undefined;
-    }
-    const [running, waiting, capacity] = header.split("/").map(Number);
-    if (![running, waiting, capacity].every(Number.isFinite)) {
-        return undefined;
-    }
-    return { running, waiting, capacity };
+export function getSingle(header: string | string[] | undefined): string | undefined {
+    return typeof header === "string" ? header : undefined;
 }
 
 async function toAnswer(
@@ -250,7 +236,7 @@
     }
     return ok({
         version,
-        load: readLoadHeader(response.headers["x-load"]),
+        loadHeader: getSingle(response.headers["x-load"]),
         events: readEvents(response.body, lastId),
     });
 }
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -5,7 +5,7 @@
 import { type Dispatcher, request } from "undici";
 import { Failure } from "../common/index.js";
 import type { Vm } from "../world/index.js";
-import { getOrigin, type LoadHeader, readLoadHeader } from "./engineClient.js";
+import { getOrigin, getSingle } from "./engineClient.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
 /** A call to a plain service. */
@@ -26,7 +26,8 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
-    readonly load: LoadHeader | undefined;
+    /** The service's load as it told it: `running/waiting/capacity`. */
+    readonly loadHeader: string | undefined;
 }
 
 /** Headers of an answer that are passed on to the caller. */
@@ -99,7 +100,7 @@
             status: response.statusCode,
             headers: pickHeaders(response.headers),
             body: Buffer.concat(parts),
-            load: readLoadHeader(response.headers["x-load"]),
+            loadHeader: getSingle(response.headers["x-load"]),
         });
     }
 
