--- /dev/null
+++ b/src/configuration/checkTree.ts
@@ -0,0 +1,144 @@
+/**
+ * Checks of the configuration tree: single values against the schema, and sections against each other.
+ */
+import { describeUnknownKey, findNearest, findSectionSchema } from "../settings/index.js";
+import { getModel, getPatterns, isVersionAllowed, scopeLineage } from "./allowance.js";
+import { type Change, type Tree, wholeSection } from "./tree.js";
+import { treeSchema, versionKeys } from "./treeSchema.js";
+
+/** A mistake in the tree; the file and line are added where there is a file. */
+export interface TreeMistake {
+    readonly section: string;
+    readonly key: string;
+    readonly message: string;
+    readonly remedy: string;
+}
+
+const versionPrefix = "version.";
+
+/** Checks that a change names a known section and key and that its value can be read. */
+export function checkChange(change: Change): TreeMistake | undefined {
+    const place = { section: change.section, key: change.key };
+    const schema = findSectionSchema(treeSchema, change.section);
+    if (schema === undefined) {
+        return { ...place, message: "The section is not known.", remedy: "See docs/SETTINGS.md for the sections." };
+    }
+    if (change.key === wholeSection) {
+        return change.value === undefined
+            ? undefined
+            : { ...place, message: "A whole section has no value.", remedy: "Leave the value out to remove it." };
+    }
+    const key = schema.keys[change.key];
+    if (!Object.hasOwn(schema.keys, change.key) || key === undefined) {
+        return { ...place, ...describeUnknownKey(change.key, schema) };
+    }
+    if (change.value === undefined) {
+        return undefined;
+    }
+    const parsed = key.parse(change.value);
+    return parsed.isOk()
+        ? undefined
+        : { ...place, message: `"${change.value}" cannot be used.`, remedy: parsed.error };
+}
+
+/** Checks the sections of a tree against each other. Every value has to have passed `checkChange`. */
+export function checkTree(tree: Tree): readonly TreeMistake[] {
+    const versions = [...tree.keys()]
+        .filter(section => section.startsWith(versionPrefix))
+        .map(section => section.slice(versionPrefix.length));
+    return [
+        ...checkPrices(tree, versions),
+        ...checkParents(tree),
+        ...checkAllowed(tree, versions),
+        ...checkKeys(tree),
+    ];
+}
+
+function checkPrices(tree: Tree, versions: readonly string[]): TreeMistake[] {
+    const mistakes: TreeMistake[] = [];
+    for (const version of versions) {
+        const section = `${versionPrefix}${version}`;
+        const keys = tree.get(section);
+        if (keys?.get("status") === "withdrawn") {
+            continue;
+        }
+        for (const key of ["input_price", "output_price"] as const) {
+            if (keys?.has(key) !== true) {
+                mistakes.push({
+                    section,
+                    key,
+                    message: "A version that can take work needs a price.",
+                    remedy: `Write, for instance, ${key} = ${versionKeys[key].example}.`,
+                });
+            }
+        }
+    }
+    return mistakes;
+}
+
+function checkParents(tree: Tree): TreeMistake[] {
+    const mistakes: TreeMistake[] = [];
+    for (const section of tree.keys()) {
+        const match = /^(workspace\.[^.]+)\.application\./.exec(section);
+        if (match && !tree.has(match[1])) {
+            mistakes.push({
+                section,
+                key: "",
+                message: `Its workspace [${match[1]}] does not exist.`,
+                remedy: `Add [${match[1]}] with its keys, or remove this section.`,
+            });
+        }
+    }
+    return mistakes;
+}
+
+function checkAllowed(tree: Tree, versions: readonly string[]): TreeMistake[] {
+    const mistakes: TreeMistake[] = [];
+    const known = new Set([...versions, ...versions.map(getModel)]);
+    for (const section of tree.keys()) {
+        const patterns = getPatterns(tree, section, "allowed");
+        if (patterns === undefined) {
+            continue;
+        }
+        const place = { section, key: "allowed" };
+        const unknown = patterns.filter(pattern => pattern !== "*" && !known.has(pattern));
+        for (const pattern of unknown) {
+            const nearest = findNearest(pattern, known);
+            mistakes.push({
+                ...place,
+                message: `"${pattern}" is no model or version of this tree.`,
+                remedy: nearest === undefined ? "Add a [version.MODEL@VERSION] for it." : `Did you mean ${nearest}?`,
+            });
+        }
+        const lineage = scopeLineage(section);
+        const remaining = versions.some(version => isVersionAllowed(tree, lineage, version));
+        if (patterns.length > 0 && unknown.length === 0 && versions.length > 0 && !remaining) {
+            mistakes.push({
+                ...place,
+                message: "No version remains, because the lists of its ancestors allow none of these.",
+                remedy: `Choose from what ${lineage.slice(1).map(ancestor => `[${ancestor}]`).join(", ")} allow.`,
+            });
+        }
+    }
+    return mistakes;
+}
+
+function checkKeys(tree: Tree): TreeMistake[] {
+    const mistakes: TreeMistake[] = [];
+    const owners = new Map<string, string>();
+    for (const section of tree.keys()) {
+        for (const hash of getPatterns(tree, section, "keys") ?? []) {
+            const owner = owners.get(hash);
+            if (owner !== undefined) {
+                mistakes.push({
+                    section,
+                    key: "keys",
+                    message: `The key ${hash.slice(0, 8)}... belongs to [${owner}] already.`,
+                    remedy: "Make a key of its own with `rattanlock key`.",
+                });
+            }
+            owners.set(hash, section);
+        }
+    }
+    return mistakes;
+}
--- /dev/null
+++ b/src/configuration/configuration.ts
@@ -0,0 +1,204 @@
+/**
+ * The configuration in force: the root from which versions, workspaces and settings are reached.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import { getPropertyName, type SettingValues } from "../settings/index.js";
+import type { ModelVersion, VersionStatus, Workspace, WorkspaceApplication } from "../world/index.js";
+import { getModel, getPatterns, scopeLineage } from "./allowance.js";
+import { EffectiveSettings } from "./effectiveSettings.js";
+import type { Tree } from "./tree.js";
+import { rolloutKeys, versionKeys } from "./treeSchema.js";
+
+/** Settings of roll-outs. */
+export type RolloutSettings = SettingValues<typeof rolloutKeys>;
+
+/** Names whose settings are asked for. */
+export interface SettingsPath {
+    readonly workspace: string;
+    readonly application?: string;
+    /** A class of sessions. */
+    readonly session?: string;
+}
+
+const versionPrefix = "version.";
+
+/** An immutable configuration. A change makes a new one. */
+export class Configuration {
+    readonly #tree: Tree;
+    readonly #offset: number;
+    readonly #versions: ReadonlyMap<string, ModelVersion>;
+    readonly #workspaces: ReadonlyMap<string, Workspace>;
+    readonly #workspacesByKey: ReadonlyMap<string, Workspace>;
+    // Filled as paths are asked for, because a request may cost microseconds only. Paths without a section share
+    // their parent's entry, so that callers who make up names cannot make this grow.
+    readonly #effective = new Map<string, EffectiveSettings>();
+
+    /** @internal */
+    constructor(tree: Tree, offset: number) {
+        this.#tree = tree;
+        this.#offset = offset;
+        this.#versions = readVersions(tree);
+        this.#workspaces = readWorkspaces(tree);
+        this.#workspacesByKey = indexByKey(this.#workspaces.values());
+    }
+
+    /** Returns the offset after the newest change that this configuration holds. */
+    getOffset(): number {
+        return this.#offset;
+    }
+
+    /** Returns the tree as operators wrote it. */
+    getTree(): Tree {
+        return this.#tree;
+    }
+
+    /** Returns every version, withdrawn ones included. */
+    getVersions(): readonly ModelVersion[] {
+        return [...this.#versions.values()];
+    }
+
+    /** Returns a version, or undefined when there is none of that identifier. */
+    getVersion(id: string): ModelVersion | undefined {
+        return this.#versions.get(id);
+    }
+
+    /** Returns a version, and throws when there is none of that identifier. */
+    getVersionOrThrow(id: string): ModelVersion {
+        const version = this.#versions.get(id);
+        if (version === undefined) {
+            throw new Error(`There is no version ${id}. Look it up with getVersion when it may be missing.`);
+        }
+        return version;
+    }
+
+    /** Returns every workspace. */
+    getWorkspaces(): readonly Workspace[] {
+        return [...this.#workspaces.values()];
+    }
+
+    /** Returns a workspace, or undefined when there is none of that name. */
+    getWorkspace(name: string): Workspace | undefined {
+        return this.#workspaces.get(name);
+    }
+
+    /**
+     * Returns the workspace that owns an API key.
+     * @param keyHash - The SHA-256 hash of the key, as hexadecimal text.
+     */
+    getWorkspaceByKey(keyHash: string): Workspace | undefined {
+        return this.#workspacesByKey.get(keyHash);
+    }
+
+    /**
+     * Returns the settings of a workspace, application and session class. An application or class without a section
+     * has its parent's settings.
+     */
+    getEffective(path: SettingsPath): Result<EffectiveSettings, Failure> {
+        const section = this.#findScope(path);
+        if (section === undefined) {
+            return err(
+                new Failure({
+                    kind: "not-allowed",
+                    message: `There is no workspace ${path.workspace}.`,
+                    remedy: "Use the API key of a workspace in the configuration.",
+                }),
+            );
+        }
+        let effective = this.#effective.get(section);
+        if (effective === undefined) {
+            effective = new EffectiveSettings(this.#tree, scopeLineage(section), this.getVersions());
+            this.#effective.set(section, effective);
+        }
+        return ok(effective);
+    }
+
+    /**
+     * Returns how candidates of a model are rolled out.
+     * @param model - The model's name.
+     */
+    getRollout(model: string): RolloutSettings {
+        const own = this.#tree.get(`rollout.${model}`);
+        const shared = this.#tree.get("rollout");
+        const values: Record<string, unknown> = {};
+        for (const [name, key] of Object.entries(rolloutKeys)) {
+            const written = own?.get(name) ?? shared?.get(name) ?? key.defaultText ?? "";
+            values[getPropertyName(name)] = key.parse(written).unwrapOr(undefined as never);
+        }
+        return values as RolloutSettings;
+    }
+
+    #findScope(path: SettingsPath): string | undefined {
+        const workspace = `workspace.${path.workspace}`;
+        if (!this.#workspaces.has(path.workspace)) {
+            return undefined;
+        }
+        if (path.application === undefined) {
+            return workspace;
+        }
+        const application = `${workspace}.application.${path.application}`;
+        const session = path.session === undefined ? undefined : `${application}.session.${path.session}`;
+        if (session !== undefined && this.#tree.has(session)) {
+            return session;
+        }
+        return this.#tree.has(application) ? application : workspace;
+    }
+}
+
+function readVersions(tree: Tree): ReadonlyMap<string, ModelVersion> {
+    const versions = new Map<string, ModelVersion>();
+    for (const [section, keys] of tree) {
+        if (!section.startsWith(versionPrefix)) {
+            continue;
+        }
+        const id = section.slice(versionPrefix.length);
+        versions.set(id, {
+            id,
+            model: getModel(id),
+            status: (keys.get("status") ?? versionKeys.status.defaultText) as VersionStatus,
+            inputPrice: Number(keys.get("input_price") ?? 0),
+            outputPrice: Number(keys.get("output_price") ?? 0),
+            expectedQuality: Number(keys.get("expected_quality") ?? versionKeys.expected_quality.defaultText),
+        });
+    }
+    return versions;
+}
+
+function readWorkspaces(tree: Tree): ReadonlyMap<string, Workspace> {
+    const applications = new Map<string, Map<string, string[]>>();
+    for (const section of tree.keys()) {
+        const [kind, workspace, , application, , sessionClass] = section.split(".");
+        if (kind !== "workspace") {
+            continue;
+        }
+        const ofWorkspace = applications.get(workspace) ?? new Map<string, string[]>();
+        applications.set(workspace, ofWorkspace);
+        if (application !== undefined) {
+            const classes = ofWorkspace.get(application) ?? [];
+            ofWorkspace.set(application, sessionClass === undefined ? classes : [...classes, sessionClass]);
+        }
+    }
+    const workspaces = new Map<string, Workspace>();
+    for (const [name, ofWorkspace] of applications) {
+        workspaces.set(name, {
+            name,
+            keyHashes: getPatterns(tree, `workspace.${name}`, "keys") ?? [],
+            applications: [...ofWorkspace].map(createApplication),
+        });
+    }
+    return workspaces;
+}
+
+function createApplication([name, sessionClasses]: readonly [string, readonly string[]]): WorkspaceApplication {
+    return { name, sessionClasses };
+}
+
+function indexByKey(workspaces: Iterable<Workspace>): ReadonlyMap<string, Workspace> {
+    const byKey = new Map<string, Workspace>();
+    for (const workspace of workspaces) {
+        for (const hash of workspace.keyHashes) {
+            byKey.set(hash, workspace);
+        }
+    }
+    return byKey;
+}
--- /dev/null
+++ b/src/configuration/configurationFile.ts
@@ -0,0 +1,56 @@
+/**
+ * Configuration files of operators.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { checkSettings, type Mistake, type SettingDocument } from "../settings/index.js";
+import { checkTree, type TreeMistake } from "./checkTree.js";
+import type { Tree } from "./tree.js";
+import { treeSchema } from "./treeSchema.js";
+
+/**
+ * Reads a configuration file and reports every mistake in it.
+ * @param content - The text of the file.
+ * @param file - The file's name, for messages.
+ */
+export function parseConfigurationFile(content: string, file: string): Result<Tree, readonly Mistake[]> {
+    return checkSettings(content, file, treeSchema).andThen(document => {
+        const tree = readTree(document);
+        const empty = [...document.sections.values()].filter(section => section.lines.size === 0);
+        const mistakes = [
+            ...empty.map(section => ({
+                section: section.name,
+                key: "",
+                message: "The section has no keys.",
+                remedy: "Give it a key, or remove it: what has no section inherits everything.",
+            })),
+            ...checkTree(tree),
+        ].map(mistake => addPlace(mistake, document));
+        return mistakes.length === 0 ? ok(tree) : err(mistakes);
+    });
+}
+
+/** Shows a tree as the text of a configuration file. */
+export function formatTree(tree: Tree): string {
+    const parts: string[] = [];
+    for (const [section, keys] of tree) {
+        const lines = [...keys].map(([key, value]) => `${key} = ${value}`);
+        parts.push([`[${section}]`, ...lines].join("\n"));
+    }
+    return `${parts.join("\n\n")}\n`;
+}
+
+function readTree(document: SettingDocument): Tree {
+    const tree = new Map<string, ReadonlyMap<string, string>>();
+    for (const section of document.sections.values()) {
+        if (section.lines.size > 0) {
+            tree.set(section.name, new Map([...section.lines].map(([key, line]) => [key, line.value])));
+        }
+    }
+    return tree;
+}
+
+function addPlace(mistake: TreeMistake, document: SettingDocument): Mistake {
+    const section = document.sections.get(mistake.section);
+    const line = section?.lines.get(mistake.key)?.line ?? section?.line ?? 0;
+    return { file: document.file, line, ...mistake };
+}
--- /dev/null
+++ b/src/configuration/configurationFold.ts
@@ -0,0 +1,233 @@
+/**
+ * Folds the `config` stream into the configuration. The same records give the same state on every reader.
+ */
+import type { Result } from "neverthrow";
+import type { Failure } from "../common/index.js";
+import type { LogEntry } from "../log/index.js";
+import { checkChange, checkTree, type TreeMistake } from "./checkTree.js";
+import { Configuration } from "./configuration.js";
+import { type ConfigurationSnapshot, parseSnapshot } from "./configurationSnapshot.js";
+import { type Publication, publicationSchema } from "./publication.js";
+import { TouchedKeys } from "./touchedKeys.js";
+import { type Change, changeTree, type Tree } from "./tree.js";
+import { treeFormat } from "./treeSchema.js";
+import type { Verdict, VerdictOutcome } from "./verdict.js";
+
+/** Identifiers that are remembered. An older repeat is beaten by the record's own first acceptance. */
+const seenLimit = 1_024;
+/** Verdicts that are remembered. */
+const historyLimit = 100;
+/** How many records old the state may be that a publication is based on. */
+export const basedOnWindow = 2_048;
+/** Old touches are dropped whenever an offset is a multiple of this. */
+const pruneInterval = 64;
+
+/** The state that records have built up. */
+export class ConfigurationFold {
+    #offset = 0;
+    #configuration = new Configuration(new Map(), 0);
+    #touched = new TouchedKeys();
+    #seen = new Set<string>();
+    #history: readonly Verdict[] = [];
+    #isStopped = false;
+
+    /**
+     * Takes over a state that `toSnapshot` made.
+     * @param snapshot - The state, as it came from the log or from a peer.
+     */
+    static fromSnapshot(snapshot: unknown): Result<ConfigurationFold, Failure> {
+        return parseSnapshot(snapshot).map(state => {
+            const fold = new ConfigurationFold();
+            fold.#offset = state.offset;
+            fold.#configuration = new Configuration(readTree(state), state.changedAt);
+            fold.#touched = new TouchedKeys(state.touched);
+            fold.#seen = new Set(state.seen);
+            fold.#history = state.history;
+            return fold;
+        });
+    }
+
+    /** Returns the configuration in force. It is the same object until a change is accepted. */
+    getConfiguration(): Configuration {
+        return this.#configuration;
+    }
+
+    /** Returns the offset to fold next. */
+    getOffset(): number {
+        return this.#offset;
+    }
+
+    /** Returns the latest verdicts about publications, the oldest first. */
+    getHistory(): readonly Verdict[] {
+        return this.#history;
+    }
+
+    /** Tells whether the fold met a record that this release cannot read. */
+    isStopped(): boolean {
+        return this.#isStopped;
+    }
+
+    /** Returns the state for a snapshot. */
+    toSnapshot(): ConfigurationSnapshot {
+        return {
+            format: treeFormat,
+            offset: this.#offset,
+            changedAt: this.#configuration.getOffset(),
+            tree: [...this.#configuration.getTree()].map(([section, keys]) => [section, [...keys]]),
+            touched: [...this.#touched.list()],
+            seen: [...this.#seen],
+            history: this.#history.map(verdict => ({
+                ...verdict,
+                mistakes: [...verdict.mistakes],
+                withdrawn: [...verdict.withdrawn],
+            })),
+        };
+    }
+
+    /**
+     * Folds a record.
+     * @param entry - The record with its place.
+     * @returns What became of it.
+     */
+    apply(entry: LogEntry): Verdict {
+        if (entry.offset < this.#offset) {
+            return createVerdict(entry, "repeated");
+        }
+        if (entry.offset > this.#offset) {
+            // Folding on after a hole would let a reader with the hole differ from one without, and nobody would see it.
+            return createVerdict(entry, this.#isStopped ? "unreadable" : "gap");
+        }
+        if (entry.record.kind === "publish" && entry.record.format > treeFormat) {
+            // Passing over it would leave this reader with another tree than its peers, and it would call itself current.
+            this.#isStopped = true;
+            return createVerdict(entry, "unreadable");
+        }
+        const verdict = this.#decide(entry);
+        this.#offset = entry.offset + 1;
+        this.#remember(verdict);
+        return verdict;
+    }
+
+    #decide(entry: LogEntry): Verdict {
+        if (entry.record.kind !== "publish") {
+            return createVerdict(entry, "ignored");
+        }
+        if (this.#seen.has(entry.record.id)) {
+            return createVerdict(entry, "repeated");
+        }
+        const parsed = publicationSchema.safeParse(entry.record.body);
+        if (!parsed.success) {
+            const mistake = { section: "", key: "", message: "The record has no valid body.", remedy: "Publish anew." };
+            return createVerdict(entry, "rejected", { mistakes: [mistake] });
+        }
+        return this.#decidePublication(entry, parsed.data);
+    }
+
+    #decidePublication(entry: LogEntry, publication: Publication): Verdict {
+        const about = {
+            author: publication.author,
+            reason: publication.reason,
+            changes: publication.changes.length,
+            withdrawn: this.#withdraw(entry, publication),
+        };
+        const rest = publication.changes.filter(change => !isWithdrawal(change));
+        const mistakes = checkBasis(entry, publication, rest);
+        mistakes.push(...rest.map(checkChange).filter(mistake => mistake !== undefined));
+        for (const change of rest) {
+            const beatenBy = this.#touched.findBeating(change, publication.basedOn);
+            if (beatenBy !== undefined) {
+                return createVerdict(entry, "rejected", { ...about, beatenBy, mistakes });
+            }
+        }
+        if (mistakes.length > 0) {
+            return createVerdict(entry, "rejected", { ...about, mistakes });
+        }
+        const tree = changeTree(this.#configuration.getTree(), rest);
+        const conflicts = rest.length === 0 ? [] : checkTree(tree);
+        if (conflicts.length > 0) {
+            return createVerdict(entry, "rejected", { ...about, mistakes: conflicts });
+        }
+        this.#putInForce(entry, publication.author, rest, tree);
+        return createVerdict(entry, "accepted", about);
+    }
+
+    /**
+     * Puts the withdrawals of a publication in force before anything else is decided.
+     *
+     * An operator who withdraws a bad version must not lose to somebody who edits its price at the same time: callers
+     * would go on getting its answers until the operator notices the rejection. So withdrawals are neither beaten nor
+     * undone by the fate of the record's other changes, and they need no existing section. They count as a touch, so
+     * that whoever wants to lift one must have seen it.
+     */
+    #withdraw(entry: LogEntry, publication: Publication): readonly string[] {
+        const withdrawals = publication.changes.filter(isWithdrawal).filter(change =>
+            checkChange(change) === undefined
+        );
+        if (withdrawals.length > 0) {
+            const tree = changeTree(this.#configuration.getTree(), withdrawals);
+            this.#putInForce(entry, publication.author, withdrawals, tree);
+        }
+        return withdrawals.map(change => change.section.slice("version.".length));
+    }
+
+    #putInForce(entry: LogEntry, author: string, changes: readonly Change[], tree: Tree): void {
+        for (const change of changes) {
+            this.#touched.add(change, entry.offset, author);
+        }
+        this.#configuration = new Configuration(tree, entry.offset + 1);
+    }
+
+    #remember(verdict: Verdict): void {
+        if (verdict.outcome === "accepted" || verdict.outcome === "rejected") {
+            this.#history = [...this.#history, verdict].slice(-historyLimit);
+            this.#seen.add(verdict.id);
+        }
+        for (const id of this.#seen) {
+            if (this.#seen.size <= seenLimit) {
+                break;
+            }
+            this.#seen.delete(id);
+        }
+        if (verdict.offset % pruneInterval === 0) {
+            this.#touched.removeBefore(verdict.offset - basedOnWindow);
+        }
+    }
+}
+
+/** Tells whether a change withdraws a version. */
+export function isWithdrawal(change: Change): boolean {
+    return change.section.startsWith("version.") && change.key === "status" && change.value === "withdrawn";
+}
+
+function checkBasis(entry: LogEntry, publication: Publication, changes: readonly Change[]): TreeMistake[] {
+    const place = { section: "", key: "" };
+    if (publication.basedOn > entry.offset) {
+        const message = `It names the offset ${publication.basedOn}, which came after it.`;
+        return [{ ...place, message, remedy: "Publish anew from the tree in force." }];
+    }
+    // Touches are forgotten after the window, so that an older change could no longer be judged.
+    if (changes.length > 0 && publication.basedOn < entry.offset - basedOnWindow) {
+        const message = `It is based on a tree that is more than ${basedOnWindow} records old.`;
+        return [{ ...place, message, remedy: "Compare with the tree in force and publish anew." }];
+    }
+    return [];
+}
+
+function readTree(state: ConfigurationSnapshot): Tree {
+    return new Map(state.tree.map(([section, keys]) => [section, new Map(keys)]));
+}
+
+function createVerdict(entry: LogEntry, outcome: VerdictOutcome, about: Partial<Verdict> = {}): Verdict {
+    return {
+        outcome,
+        offset: entry.offset,
+        time: entry.time,
+        id: entry.record.id,
+        author: entry.record.writer,
+        reason: "",
+        changes: 0,
+        mistakes: [],
+        withdrawn: [],
+        ...about,
+    };
+}
--- /dev/null
+++ b/src/configuration/configurationReader.ts
@@ -0,0 +1,249 @@
+/**
+ * Keeps a process's configuration current: from the log, from snapshots in it, and from peers while it is away.
+ */
+import type { Clock } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import { type LogClient, type LogEntry, LogFollower } from "../log/index.js";
+import type { Configuration } from "./configuration.js";
+import { ConfigurationFold } from "./configurationFold.js";
+import { snapshotBodySchema } from "./publication.js";
+import type { Verdict } from "./verdict.js";
+
+/** Records kept while a snapshot is awaited; a snapshot is written every few hundred. */
+const pendingLimit = 4_096;
+
+/** Options of a reader. */
+export interface ConfigurationReaderOptions {
+    readonly client: LogClient;
+    readonly clock: Clock;
+    readonly journal?: Journal;
+    /** Told whenever another configuration is in force. */
+    readonly onChange?: (configuration: Configuration) => void;
+    /** Told about every record that was folded. */
+    readonly onVerdict?: (verdict: Verdict) => void;
+    /** How long a long poll of the log may wait. */
+    readonly waitMilliseconds?: number;
+}
+
+/** A folded state with the offset up to which it goes. */
+export interface ConfigurationState {
+    readonly offset: number;
+    readonly state: unknown;
+}
+
+/** Follows the `config` stream. Its offset only ever grows. */
+export class ConfigurationReader {
+    readonly #options: ConfigurationReaderOptions;
+    readonly #follower: LogFollower;
+    #fold = new ConfigurationFold();
+    // Records that came after a hole. They are folded once a snapshot covers the hole.
+    #pending: LogEntry[] = [];
+    #isIncompleteReported = false;
+    #isUnreadableReported = false;
+    #isAheadReported = false;
+    #confirmedAt = -Infinity;
+    #snapshotCovers = 0;
+
+    constructor(options: ConfigurationReaderOptions) {
+        this.#options = options;
+        this.#follower = new LogFollower({
+            client: options.client,
+            stream: "config",
+            from: 0,
+            clock: options.clock,
+            journal: options.journal,
+            waitMilliseconds: options.waitMilliseconds,
+            onEntry: entry => this.#handleEntry(entry),
+            onGap: earliest => this.#handleGap(earliest),
+            onCaughtUp: askedAt => this.#handleCaughtUp(askedAt),
+        });
+    }
+
+    /** Begins to follow the log. */
+    start(): void {
+        this.#follower.start();
+    }
+
+    /** Ends following the log. */
+    async stop(): Promise<void> {
+        await this.#follower.stop();
+    }
+
+    /** Returns the configuration in force. */
+    getConfiguration(): Configuration {
+        return this.#fold.getConfiguration();
+    }
+
+    /** Returns the offset to fold next. */
+    getOffset(): number {
+        return this.#fold.getOffset();
+    }
+
+    /** Returns the latest verdicts, the oldest first. */
+    getHistory(): readonly Verdict[] {
+        return this.#fold.getHistory();
+    }
+
+    /** Returns the milliseconds since the log last answered. */
+    getContactAge(): number {
+        return this.#follower.getContactAge();
+    }
+
+    /** Returns the milliseconds since the configuration was last confirmed as fresh; infinite before the first time. */
+    getAge(): number {
+        return this.#options.clock.monotonic() - this.#confirmedAt;
+    }
+
+    /** Returns how many records lie after the newest snapshot in the log. */
+    getRecordsSinceSnapshot(): number {
+        return this.#fold.getOffset() - this.#snapshotCovers;
+    }
+
+    /** Tells whether records are missing or unreadable, so that the configuration cannot be confirmed from the log. */
+    isIncomplete(): boolean {
+        return this.#pending.length > 0 || this.#fold.isStopped() || this.#follower.getOffset() > this.getOffset();
+    }
+
+    /**
+     * Notes that the configuration was fresh at a moment, by the word of a peer that was at the same offset.
+     * @param monotonic - This process's monotonic time before the peer was asked.
+     */
+    confirm(monotonic: number): void {
+        this.#confirmedAt = Math.max(this.#confirmedAt, monotonic);
+    }
+
+    /** Returns the state, to be handed to a peer. */
+    exportState(): ConfigurationState {
+        return { offset: this.#fold.getOffset(), state: this.#fold.toSnapshot() };
+    }
+
+    /**
+     * Takes over a peer's state if it is newer than this one.
+     *
+     * The offset is read from the state itself: a state that is older than its label says would revert a change that is
+     * in force here, which an operator would notice as a withdrawn version that answers again.
+     * @param state - The peer's state.
+     * @param offset - The offset that it is said to go up to.
+     * @returns Whether it was taken over.
+     */
+    offer(state: unknown, offset: number): boolean {
+        if (offset <= this.getOffset()) {
+            return false;
+        }
+        const fold = ConfigurationFold.fromSnapshot(state);
+        if (fold.isErr()) {
+            this.#options.journal?.write(events.configurationOfferRefused, { offset, cause: fold.error.message });
+            return false;
+        }
+        if (!this.#adopt(fold.value)) {
+            return false;
+        }
+        this.#options.journal?.write(events.configurationOffered, { offset: this.getOffset() });
+        return true;
+    }
+
+    #handleEntry(entry: LogEntry): void {
+        if (entry.record.kind === "snapshot") {
+            this.#handleSnapshot(entry);
+        }
+        const before = this.#fold.getConfiguration();
+        const verdict = this.#fold.apply(entry);
+        if (verdict.outcome === "gap") {
+            this.#pending.push(entry);
+            // Only the newest are of use, because a snapshot covers what was before it.
+            this.#pending = this.#pending.slice(-pendingLimit);
+            return;
+        }
+        this.#report(verdict);
+        this.#notify(before);
+    }
+
+    #handleSnapshot(entry: LogEntry): void {
+        const body = snapshotBodySchema.safeParse(entry.record.body);
+        if (!body.success || body.data.covers > entry.offset) {
+            return;
+        }
+        this.#snapshotCovers = Math.max(this.#snapshotCovers, body.data.covers);
+        // A slow writer's snapshot may cover less than this reader has; it must never take the reader back.
+        if (body.data.covers <= this.getOffset()) {
+            return;
+        }
+        const fold = ConfigurationFold.fromSnapshot(body.data.state);
+        const first = this.#pending[0]?.offset ?? entry.offset;
+        if (fold.isOk() && fold.value.getOffset() >= first && this.#adopt(fold.value)) {
+            this.#options.journal?.write(events.configurationRecovered, { offset: this.getOffset() });
+        }
+    }
+
+    /** Puts a newer state in force and folds what came after it. */
+    #adopt(fold: ConfigurationFold): boolean {
+        if (fold.getOffset() <= this.getOffset()) {
+            return false;
+        }
+        const before = this.#fold.getConfiguration();
+        this.#fold = fold;
+        this.#isIncompleteReported = false;
+        this.#isUnreadableReported = false;
+        const pending = this.#pending;
+        this.#pending = [];
+        for (const entry of pending) {
+            const verdict = fold.apply(entry);
+            if (verdict.outcome === "gap") {
+                this.#pending.push(entry);
+            }
+        }
+        this.#notify(before);
+        return true;
+    }
+
+    #handleGap(earliest: number): void {
+        this.#options.journal?.write(events.configurationGap, { expected: this.getOffset(), earliest });
+    }
+
+    #handleCaughtUp(askedAt: number): void {
+        if (this.#follower.getOffset() < this.getOffset()) {
+            // The state came from a peer, and the log that was read to its end does not reach that far: it lost records
+            // or is another log. Confirming here would call a configuration fresh that this log knows nothing about.
+            this.#reportAhead();
+            return;
+        }
+        if (!this.isIncomplete()) {
+            this.confirm(askedAt);
+            return;
+        }
+        if (!this.#isIncompleteReported && !this.#fold.isStopped()) {
+            this.#isIncompleteReported = true;
+            this.#options.journal?.write(events.configurationIncomplete, { offset: this.getOffset() });
+        }
+    }
+
+    #reportAhead(): void {
+        if (!this.#isAheadReported) {
+            this.#isAheadReported = true;
+            const fields = { offset: this.getOffset(), end: this.#follower.getOffset() };
+            this.#options.journal?.write(events.configurationAhead, fields);
+        }
+    }
+
+    #report(verdict: Verdict): void {
+        const fields = { offset: verdict.offset, author: verdict.author, reason: verdict.reason };
+        if (verdict.outcome === "accepted") {
+            this.#options.journal?.write(events.configurationAccepted, fields);
+        }
+        else if (verdict.outcome === "rejected") {
+            const beatenBy = verdict.beatenBy?.offset;
+            this.#options.journal?.write(events.configurationRejected, { ...fields, beatenBy });
+        }
+        else if (verdict.outcome === "unreadable" && !this.#isUnreadableReported) {
+            this.#isUnreadableReported = true;
+            this.#options.journal?.write(events.configurationUnreadable, { offset: verdict.offset });
+        }
+        this.#options.onVerdict?.(verdict);
+    }
+
+    #notify(before: Configuration): void {
+        if (this.#fold.getConfiguration() !== before) {
+            this.#options.onChange?.(this.#fold.getConfiguration());
+        }
+    }
+}
--- /dev/null
+++ b/src/configuration/effectiveSettings.ts
@@ -0,0 +1,102 @@
+/**
+ * What applies to a request of a workspace, application and session class.
+ */
+import { getPropertyName, type SettingValues } from "../settings/index.js";
+import type { ModelVersion } from "../world/index.js";
+import { getAllowedServices, isVersionAllowed } from "./allowance.js";
+import type { Tree } from "./tree.js";
+import { scopeKeys } from "./treeSchema.js";
+
+/** A key that scopes inherit. */
+export type ScopeKey = keyof typeof scopeKeys;
+
+/** The settings in force for one scope, and where each came from. */
+export class EffectiveSettings {
+    readonly #origins: ReadonlyMap<ScopeKey, string>;
+    /** Versions that are allowed and not withdrawn; their status tells candidates and draining ones apart. */
+    readonly allowedVersions: readonly ModelVersion[];
+    /** Pools of plain services that may be called. */
+    readonly services: readonly string[];
+    readonly targetQuality: number;
+    readonly confidence: number;
+    readonly requestClass: string;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+    /** Weight of the fair share. */
+    readonly share: number;
+    readonly maximumTokens: number;
+    readonly deadlineMilliseconds: number;
+    readonly firstTokenMilliseconds: number;
+    /** Whether a session keeps its version. */
+    readonly stickySession: boolean;
+    readonly maximumConfigurationAgeMilliseconds: number;
+    readonly #allowed: ReadonlySet<string>;
+
+    /** @internal */
+    constructor(tree: Tree, lineage: readonly string[], versions: readonly ModelVersion[]) {
+        const { values, origins } = inherit(tree, lineage);
+        this.#origins = origins;
+        this.allowedVersions = versions.filter(version =>
+            version.status !== "withdrawn"
+            && isVersionAllowed(tree, lineage, version.id)
+            && version.inputPrice <= getCeiling(tree, lineage, "max_input_price")
+            && version.outputPrice <= getCeiling(tree, lineage, "max_output_price")
+        );
+        this.#allowed = new Set(this.allowedVersions.map(version => version.id));
+        this.services = getAllowedServices(tree, lineage);
+        this.targetQuality = values.targetQuality;
+        this.confidence = values.confidence;
+        this.requestClass = values.requestClass;
+        this.priority = values.priority;
+        this.share = values.share;
+        this.maximumTokens = values.maxTokens;
+        this.deadlineMilliseconds = values.deadlineMilliseconds;
+        this.firstTokenMilliseconds = values.firstTokenMilliseconds;
+        this.stickySession = values.stickySession;
+        this.maximumConfigurationAgeMilliseconds = values.maxConfigurationAgeSeconds * 1_000;
+    }
+
+    /** Tells whether a request may run on a version. */
+    isAllowed(version: string): boolean {
+        return this.#allowed.has(version);
+    }
+
+    /**
+     * Returns the section that a key's value came from, or `default`. For a key that narrows it is the nearest section
+     * that narrows it.
+     */
+    getOrigin(key: ScopeKey): string {
+        return this.#origins.get(key) ?? "default";
+    }
+}
+
+interface Inherited {
+    readonly values: SettingValues<typeof scopeKeys>;
+    readonly origins: ReadonlyMap<ScopeKey, string>;
+}
+
+function inherit(tree: Tree, lineage: readonly string[]): Inherited {
+    const values: Record<string, unknown> = {};
+    const origins = new Map<ScopeKey, string>();
+    for (const name of Object.keys(scopeKeys) as ScopeKey[]) {
+        const key = scopeKeys[name];
+        const origin = lineage.find(section => tree.get(section)?.has(name) === true);
+        const written = origin === undefined ? key.defaultText : tree.get(origin)?.get(name);
+        if (origin !== undefined) {
+            origins.set(name, origin);
+        }
+        values[getPropertyName(name)] = written === undefined ? undefined : key.parse(written).unwrapOr(undefined);
+    }
+    return { values: values as SettingValues<typeof scopeKeys>, origins };
+}
+
+function getCeiling(tree: Tree, lineage: readonly string[], key: "max_input_price" | "max_output_price"): number {
+    let ceiling = Infinity;
+    for (const section of lineage) {
+        const written = tree.get(section)?.get(key);
+        if (written !== undefined) {
+            ceiling = Math.min(ceiling, Number(written));
+        }
+    }
+    return ceiling;
+}
--- /dev/null
+++ b/src/configuration/publication.ts
@@ -0,0 +1,56 @@
+/**
+ * The records of the `config` stream.
+ */
+import { randomUUID } from "node:crypto";
+import { z } from "zod";
+import type { LogRecord } from "../log/index.js";
+import type { Change } from "./tree.js";
+import { treeFormat } from "./treeSchema.js";
+
+/** The kinds of records that a configuration is folded from. */
+export type ConfigurationRecordKind = "publish" | "snapshot";
+
+const maximumChanges = 1_000;
+const maximumTextLength = 16_384;
+const shortText = z.string().max(maximumTextLength);
+
+/** The body of a `publish` record, as readers of format 1 check it. */
+export const publicationSchema = z.object({
+    author: shortText.min(1),
+    reason: shortText,
+    basedOn: z.number().int().nonnegative(),
+    changes: z.array(z.object({ section: shortText, key: shortText, value: shortText.optional() }))
+        .min(1)
+        .max(maximumChanges),
+});
+
+/** What an operator publishes. */
+export interface Publication {
+    readonly author: string;
+    readonly reason: string;
+    /** The offset up to which the author had read the stream: the first one that the author had not seen. */
+    readonly basedOn: number;
+    readonly changes: readonly Change[];
+}
+
+/**
+ * Makes the record of a publication.
+ * @param publication - What is published.
+ * @param writer - Name of the process that appends it.
+ */
+export function createPublishRecord(publication: Publication, writer: string): LogRecord {
+    return { id: randomUUID(), kind: "publish", format: treeFormat, writer, body: publication };
+}
+
+/**
+ * Makes a snapshot record.
+ * @param covers - The offset up to which the state is folded.
+ * @param state - The folded state.
+ * @param writer - Name of the process that appends it.
+ */
+export function createSnapshotRecord(covers: number, state: unknown, writer: string): LogRecord {
+    return { id: randomUUID(), kind: "snapshot", format: treeFormat, writer, body: { covers, state } };
+}
+
+/** The body of a `snapshot` record. */
+export const snapshotBodySchema = z.object({ covers: z.number().int().nonnegative(), state: z.unknown() });
--- /dev/null
+++ b/src/configuration/treeSchema.ts
@@ -0,0 +1,292 @@
+/**
+ * The schema of the configuration tree.
+ *
+ * Every reader of the log has to judge a record alike, whatever its release. The schema therefore belongs to a
+ * format: a key, a range or a default that changes makes a new format (see docs/design/configuration.md), and a
+ * published format is never changed.
+ */
+import { err, ok } from "neverthrow";
+import {
+    choice,
+    decimal,
+    integer,
+    list,
+    name,
+    optional,
+    type SectionSchema,
+    type SettingKey,
+    type SettingSchema,
+    toggle,
+} from "../settings/index.js";
+import type { VersionStatus } from "../world/index.js";
+
+/** The newest format of records that this release reads and writes. */
+export const treeFormat = 1;
+
+const namePattern = "[A-Za-z0-9][A-Za-z0-9_-]*";
+const versionPattern = "[A-Za-z0-9][A-Za-z0-9._-]*@[A-Za-z0-9][A-Za-z0-9._-]*";
+const statuses: readonly VersionStatus[] = ["candidate", "serving", "draining", "withdrawn"];
+const maximumPrice = 1_000_000;
+
+function price(description: string, example: string) {
+    return optional(decimal({ description, example, minimum: 0, maximum: maximumPrice }));
+}
+
+/** Keys of a version. */
+export const versionKeys = {
+    status: choice(statuses, {
+        description: "Where the version stands: a candidate takes new work only as far as a roll-out exposes it, a "
+            + "draining version takes no new sessions, a withdrawn one nothing new.",
+        defaultText: "candidate",
+        example: "serving",
+    }),
+    input_price: price("Price of a million input tokens, in the site's currency. Needed unless withdrawn.", "0.40"),
+    output_price: price("Price of a million output tokens, in the site's currency. Needed unless withdrawn.", "1.60"),
+    expected_quality: decimal({
+        description: "Quality that is expected before any rating came in.",
+        defaultText: "0.5",
+        example: "0.85",
+        minimum: 0,
+        maximum: 1,
+    }),
+};
+
+/** Keys that a child inherits from its parent. */
+export const scopeKeys = {
+    allowed: list({
+        description:
+            "Models (`plan-large`) and versions (`plan-large@3`) that requests may run on; `*` is every one. A "
+            + "child only narrows: what counts is on the list of every ancestor that has one.",
+        defaultText: "*",
+        example: "plan-large, plan-small@2",
+        pattern: new RegExp(`^(\\*|[A-Za-z0-9][A-Za-z0-9._-]*|${versionPattern})$`),
+        item: "model or version",
+    }),
+    services: list({
+        description: "Pools of plain services that may be called. A child only narrows.",
+        defaultText: "",
+        example: "sportello-app",
+        pattern: new RegExp(`^${namePattern}$`),
+        item: "pool",
+    }),
+    target_quality: decimal({
+        description: "Mean quality that answers have to reach.",
+        defaultText: "0.8",
+        example: "0.9",
+        minimum: 0,
+        maximum: 1,
+    }),
+    confidence: decimal({
+        description: "How sure the router has to be that the target is met.",
+        defaultText: "0.9",
+        example: "0.95",
+        minimum: 0.5,
+        maximum: 0.999,
+    }),
+    request_class: name({
+        description: "Class under which ratings are gathered; requests alike share a class.",
+        defaultText: "general",
+        example: "wear-tag",
+    }),
+    priority: integer({
+        description: "0 is the most urgent; the least urgent is refused first under overload.",
+        defaultText: "5",
+        example: "2",
+        minimum: 0,
+        maximum: 9,
+    }),
+    share: decimal({
+        description: "Weight of the workspace's fair share under overload.",
+        defaultText: "1",
+        example: "3",
+        minimum: 0.01,
+        maximum: 1_000,
+    }),
+    max_tokens: integer({
+        description: "The most tokens that an answer may have.",
+        defaultText: "2048",
+        example: "4096",
+        minimum: 1,
+        maximum: 1_000_000,
+        unit: "tokens",
+    }),
+    deadline_ms: integer({
+        description: "How long a request may take as a whole.",
+        defaultText: "60000",
+        example: "30000",
+        minimum: 10,
+        maximum: 3_600_000,
+        unit: "milliseconds",
+    }),
+    first_token_ms: integer({
+        description: "How long a caller should wait for the first token at most.",
+        defaultText: "900",
+        example: "600",
+        minimum: 1,
+        maximum: 600_000,
+        unit: "milliseconds",
+    }),
+    sticky_session: toggle({
+        description: "Whether a session keeps its version throughout.",
+        defaultText: "true",
+        example: "true",
+    }),
+    max_configuration_age_s: integer({
+        description: "New work is refused by an entry whose configuration was not confirmed for this long.",
+        defaultText: "300",
+        example: "60",
+        minimum: 1,
+        maximum: 604_800,
+        unit: "seconds",
+    }),
+    max_input_price: price("Versions above this input price are not used. A child only lowers it.", "2.00"),
+    max_output_price: price("Versions above this output price are not used. A child only lowers it.", "8.00"),
+};
+
+/** Keys that only a workspace has. */
+export const workspaceOnlyKeys = {
+    keys: list({
+        description: "SHA-256 hashes of the workspace's API keys. Two during a rotation leave no gap; `rattanlock key` "
+            + "makes a key and its hash.",
+        defaultText: "",
+        example: "5d1c...64 hexadecimal digits",
+        pattern: /^[0-9a-f]{64}$/,
+        item: "SHA-256 hash",
+    }),
+};
+
+const stageList = list({
+    description: "Parts of new work that a candidate takes, in percent, stage by stage.",
+    defaultText: "1, 5, 25, 100",
+    example: "1, 10, 50, 100",
+    pattern: /^\d+(\.\d+)?$/,
+    item: "percentage",
+});
+
+const stages: SettingKey<readonly number[]> = {
+    ...stageList,
+    type: "rising list of percentages, the last one 100",
+    parse: value =>
+        stageList.parse(value).andThen(items => {
+            const parts = items.map(Number);
+            return isRising(parts) && parts.at(-1) === 100
+                ? ok(parts)
+                : err("Write rising percentages that end with 100, such as 1, 10, 50, 100.");
+        }),
+};
+
+/** Keys of a roll-out. */
+export const rolloutKeys = {
+    stages,
+    stage_minimum_s: integer({
+        description: "The least time that a stage lasts.",
+        defaultText: "60",
+        example: "300",
+        minimum: 1,
+        maximum: 604_800,
+        unit: "seconds",
+    }),
+    exposure_budget: integer({
+        description:
+            "Answers that callers may get of a candidate before the ratings have cleared it, over all entries.",
+        defaultText: "200",
+        example: "50",
+        minimum: 1,
+        maximum: 1_000_000,
+        unit: "answers",
+    }),
+    quality_margin: decimal({
+        description: "How far a candidate may lie below the settled version; beyond it, it counts as bad.",
+        defaultText: "0.05",
+        example: "0.02",
+        minimum: 0.001,
+        maximum: 1,
+    }),
+    false_halt_rate: decimal({
+        description: "Part of good roll-outs that may be halted wrongly.",
+        defaultText: "0.01",
+        example: "0.01",
+        minimum: 0.0001,
+        maximum: 0.5,
+    }),
+    missed_rate: decimal({
+        description: "Part of bad roll-outs that the test may clear wrongly.",
+        defaultText: "0.01",
+        example: "0.001",
+        minimum: 0.0001,
+        maximum: 0.5,
+    }),
+};
+
+const workspaceTitle = `workspace\\.${namePattern}`;
+
+/** The section at the top of the tree. */
+export const rootSection = {
+    title: "root",
+    description: "What every workspace inherits.",
+    pattern: /^root$/,
+    isRequired: false,
+    keys: scopeKeys,
+} satisfies SectionSchema;
+
+/** A version of a model. */
+export const versionSection = {
+    title: "version.MODEL@VERSION",
+    description: "A version of a model.",
+    pattern: new RegExp(`^version\\.${versionPattern}$`),
+    isRequired: false,
+    keys: versionKeys,
+} satisfies SectionSchema;
+
+/** How versions are rolled out. */
+export const rolloutSection = {
+    title: "rollout",
+    description: "How candidates are rolled out; `[rollout.MODEL]` overrides it for a model.",
+    pattern: /^rollout(\.[A-Za-z0-9][A-Za-z0-9._-]*)?$/,
+    isRequired: false,
+    keys: rolloutKeys,
+} satisfies SectionSchema;
+
+/** A workspace. */
+export const workspaceSection = {
+    title: "workspace.NAME",
+    description: "A workspace; it inherits from `[root]`.",
+    pattern: new RegExp(`^${workspaceTitle}$`),
+    isRequired: false,
+    keys: { ...workspaceOnlyKeys, ...scopeKeys },
+} satisfies SectionSchema;
+
+const applicationSection = {
+    title: "workspace.NAME.application.APP",
+    description: "An application; it inherits from its workspace. An application without a section has its "
+        + "workspace's settings.",
+    pattern: new RegExp(`^${workspaceTitle}\\.application\\.${namePattern}$`),
+    isRequired: false,
+    keys: scopeKeys,
+} satisfies SectionSchema;
+
+const sessionSection = {
+    title: "workspace.NAME.application.APP.session.CLASS",
+    description: "A class of sessions; it inherits from its application.",
+    pattern: new RegExp(`^${workspaceTitle}\\.application\\.${namePattern}\\.session\\.${namePattern}$`),
+    isRequired: false,
+    keys: scopeKeys,
+} satisfies SectionSchema;
+
+/** What a configuration file may hold. */
+export const treeSchema: SettingSchema = {
+    title: "Configuration tree",
+    description: "Published by operators with `rattanlock publish`.",
+    sections: [
+        rootSection,
+        versionSection,
+        rolloutSection,
+        workspaceSection,
+        applicationSection,
+        sessionSection,
+    ],
+};
+
+function isRising(parts: readonly number[]): boolean {
+    return parts.every((part, index) => part > (parts[index - 1] ?? 0) && part <= 100);
+}
--- /dev/null
+++ b/src/settings/settingKey.ts
@@ -0,0 +1,179 @@
+/**
+ * Typed keys of settings. A key is the single source of its default, unit, documentation and check.
+ */
+import { err, ok, type Result } from "neverthrow";
+
+/** One key of a settings section. */
+export interface SettingKey<T> {
+    /** The kind of value, for the reference page. */
+    readonly type: string;
+    readonly description: string;
+    /** The text that applies when the key is absent; undefined when there is none. */
+    readonly defaultText: string | undefined;
+    /** Whether the key has to be given. */
+    readonly isRequired: boolean;
+    /** A value to show in messages and in the reference page. */
+    readonly example: string;
+    /** Reads a value; the error says what to write instead. */
+    readonly parse: (text: string) => Result<T, string>;
+}
+
+/** The keys of a section by name. */
+export type SettingKeys = Readonly<Record<string, SettingKey<unknown>>>;
+
+/** A key's name in code: `drain_timeout_ms` becomes `drainTimeoutMilliseconds`. */
+export type PropertyName<Name extends string> = Name extends `${infer Head}_ms` ? `${PropertyName<Head>}Milliseconds`
+    : Name extends `${infer Head}_s` ? `${PropertyName<Head>}Seconds`
+    : Name extends `${infer Head}_${infer Tail}` ? `${Head}${Capitalize<PropertyName<Tail>>}`
+    : Name;
+
+/** The values of a section, by the keys' names in code. */
+export type SettingValues<Keys extends SettingKeys> = {
+    readonly [Name in keyof Keys & string as PropertyName<Name>]: Keys[Name] extends SettingKey<infer T> ? T : never;
+};
+
+/** Turns a key's name into its name in code. */
+export function getPropertyName(key: string): string {
+    return key
+        .replace(/_ms$/, "_milliseconds")
+        .replace(/_s$/, "_seconds")
+        .replace(/_(\w)/g, (...[, letter]) => String(letter).toUpperCase());
+}
+
+/** What a key's definition holds besides its type. */
+export interface KeyOptions {
+    readonly description: string;
+    readonly example: string;
+    readonly defaultText?: string;
+}
+
+interface RangeOptions extends KeyOptions {
+    readonly minimum: number;
+    readonly maximum: number;
+    readonly unit?: string;
+}
+
+/** An IP number and a port. */
+export interface SocketAddress {
+    readonly host: string;
+    readonly port: number;
+}
+
+function createKey<T>(
+    type: string,
+    options: KeyOptions,
+    parse: (text: string) => Result<T, string>,
+): SettingKey<T> {
+    return {
+        type,
+        description: options.description,
+        defaultText: options.defaultText,
+        isRequired: options.defaultText === undefined,
+        example: options.example,
+        parse,
+    };
+}
+
+/** Makes a key that may be left out and then has no value. */
+export function optional<T>(key: SettingKey<T>): SettingKey<T | undefined> {
+    return { ...key, isRequired: false, defaultText: undefined };
+}
+
+/** Makes a key with a text that is not empty. */
+export function text(options: KeyOptions): SettingKey<string> {
+    return createKey("text", options, value => {
+        return value === "" ? err(`Write a text, such as ${options.example}.`) : ok(value);
+    });
+}
+
+/** Makes a key with a name of letters, digits, dots, hyphens and underscores. */
+export function name(options: KeyOptions): SettingKey<string> {
+    return createKey("name", options, value => {
+        return /^[A-Za-z0-9][A-Za-z0-9._-]*$/.test(value)
+            ? ok(value)
+            : err(`Write a name of letters, digits, dots, hyphens and underscores, such as ${options.example}.`);
+    });
+}
+
+/** Makes a key with a whole number. */
+export function integer(options: RangeOptions): SettingKey<number> {
+    return createKey(describeRange("whole number", options), options, value => {
+        return /^-?\d+$/.test(value) && isWithin(Number(value), options)
+            ? ok(Number(value))
+            : err(`Write ${describeRange("a whole number", options)}, such as ${options.example}.`);
+    });
+}
+
+/** Makes a key with a number. */
+export function decimal(options: RangeOptions): SettingKey<number> {
+    return createKey(describeRange("number", options), options, value => {
+        return /^-?\d+(\.\d+)?$/.test(value) && isWithin(Number(value), options)
+            ? ok(Number(value))
+            : err(`Write ${describeRange("a number", options)}, such as ${options.example}.`);
+    });
+}
+
+/** Makes a key that is on or off. */
+export function toggle(options: KeyOptions): SettingKey<boolean> {
+    return createKey("true or false", options, value => {
+        return value === "true" || value === "false" ? ok(value === "true") : err("Write true or false.");
+    });
+}
+
+/** Makes a key with one of a few words. */
+export function choice<T extends string>(words: readonly T[], options: KeyOptions): SettingKey<T> {
+    return createKey(words.join(", "), options, value => {
+        const word = words.find(candidate => candidate === value);
+        return word === undefined ? err(`Write one of ${words.join(", ")}.`) : ok(word);
+    });
+}
+
+/** Makes a key with an IP number and a port. */
+export function address(options: KeyOptions): SettingKey<SocketAddress> {
+    return createKey("IP:PORT", options, value => {
+        const match = /^(\d{1,3}(?:\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):(\d{1,5})$/.exec(value);
+        if (!match || !isPort(Number(match[2])) || !isAddress(match[1])) {
+            return err(`Write an IP number and a port, such as ${options.example}; host names are not looked up.`);
+        }
+        return ok({ host: match[1].replace(/[[\]]/g, ""), port: Number(match[2]) });
+    });
+}
+
+/** Makes a key with an HTTP URL. */
+export function httpUrl(options: KeyOptions): SettingKey<string> {
+    return createKey("URL", options, value => {
+        return URL.canParse(value) && /^https?:$/.test(new URL(value).protocol)
+            ? ok(value)
+            : err(`Write an http or https URL, such as ${options.example}.`);
+    });
+}
+
+/** Makes a key with a comma-separated list; an empty value is an empty list. */
+export function list(
+    options: KeyOptions & { readonly pattern: RegExp; readonly item: string; },
+): SettingKey<readonly string[]> {
+    return createKey(`list of ${options.item}s`, options, value => {
+        const items = value === "" ? [] : value.split(",").map(item => item.trim());
+        const wrong = items.find(item => !options.pattern.test(item));
+        return wrong === undefined
+            ? ok(items)
+            : err(`"${wrong}" is not a ${options.item}; write a comma-separated list such as ${options.example}.`);
+    });
+}
+
+function isWithin(value: number, options: RangeOptions): boolean {
+    return value >= options.minimum && value <= options.maximum;
+}
+
+function describeRange(kind: string, options: RangeOptions): string {
+    const unit = options.unit === undefined ? "" : ` of ${options.unit}`;
+    return `${kind}${unit} from ${options.minimum} to ${options.maximum}`;
+}
+
+function isPort(port: number): boolean {
+    return port > 0 && port < 65_536;
+}
+
+function isAddress(host: string): boolean {
+    return host.startsWith("[") || host.split(".").every(part => Number(part) < 256);
+}
--- /dev/null
+++ b/src/settings/settingSchema.ts
@@ -0,0 +1,152 @@
+/**
+ * Schemas of settings files, and the check that reports every mistake of a file in one go.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { findNearest, type Mistake } from "./mistake.js";
+import { parseDocument, type SettingDocument, type SettingSection } from "./settingDocument.js";
+import { getPropertyName, type SettingKeys, type SettingValues } from "./settingKey.js";
+
+/** One kind of section. */
+export interface SectionSchema<Keys extends SettingKeys = SettingKeys> {
+    /** The section's name as the reference page shows it, with variable parts in capitals. */
+    readonly title: string;
+    readonly description: string;
+    /** Matches the names of sections of this kind. */
+    readonly pattern: RegExp;
+    /** Whether a file without such a section is still checked for the keys that it must have. */
+    readonly isRequired: boolean;
+    readonly keys: Keys;
+}
+
+/** A kind of settings file. */
+export interface SettingSchema {
+    readonly title: string;
+    readonly description: string;
+    readonly sections: readonly SectionSchema[];
+}
+
+/**
+ * Makes a kind of section with a fixed name.
+ * @param title - The name.
+ * @param description - One sentence for the reference page.
+ * @param keys - The keys.
+ * @param isRequired - Whether a file without the section is checked for required keys.
+ */
+export function defineSection<Keys extends SettingKeys>(
+    title: string,
+    description: string,
+    keys: Keys,
+    isRequired = true,
+): SectionSchema<Keys> {
+    return { title, description, pattern: new RegExp(`^${title}$`), isRequired, keys };
+}
+
+/**
+ * Checks a settings file and reports every mistake.
+ * @param content - The text of the file.
+ * @param file - The file's name, for messages.
+ * @param schema - What the file may hold.
+ */
+export function checkSettings(
+    content: string,
+    file: string,
+    schema: SettingSchema,
+): Result<SettingDocument, readonly Mistake[]> {
+    const document = parseDocument(content, file);
+    const mistakes = [...document.mistakes];
+    for (const section of document.sections.values()) {
+        const sectionSchema = findSectionSchema(schema, section.name);
+        if (sectionSchema === undefined) {
+            mistakes.push(createUnknownSection(file, section, schema));
+            continue;
+        }
+        mistakes.push(...checkSection(file, section, sectionSchema));
+    }
+    for (const sectionSchema of schema.sections) {
+        const isAbsent = ![...document.sections.keys()].some(name => sectionSchema.pattern.test(name));
+        if (sectionSchema.isRequired && isAbsent) {
+            const empty = { name: sectionSchema.title, line: 0, lines: new Map() };
+            mistakes.push(...checkSection(file, empty, sectionSchema));
+        }
+    }
+    mistakes.sort((left, right) => left.line - right.line);
+    return mistakes.length === 0 ? ok(document) : err(mistakes);
+}
+
+/** Finds the kind of section that a name belongs to. */
+export function findSectionSchema(schema: SettingSchema, name: string): SectionSchema | undefined {
+    return schema.sections.find(section => section.pattern.test(name));
+}
+
+/**
+ * Returns the values of a section of a checked file, with defaults filled in.
+ * @param document - A file that `checkSettings` found free of mistakes.
+ * @param name - The section's name.
+ * @param schema - The kind of section.
+ */
+export function getValues<Keys extends SettingKeys>(
+    document: SettingDocument,
+    name: string,
+    schema: SectionSchema<Keys>,
+): SettingValues<Keys> {
+    const lines = document.sections.get(name)?.lines;
+    const values: Record<string, unknown> = {};
+    for (const [keyName, key] of Object.entries(schema.keys)) {
+        const written = lines?.get(keyName)?.value ?? key.defaultText;
+        values[getPropertyName(keyName)] = written === undefined ? undefined : key.parse(written).unwrapOr(undefined);
+    }
+    return values as SettingValues<Keys>;
+}
+
+/** Says that a key is not known in a section, and which one may have been meant. */
+export function describeUnknownKey(key: string, schema: SectionSchema): Pick<Mistake, "message" | "remedy"> {
+    const nearest = findNearest(key, Object.keys(schema.keys));
+    return {
+        message: "The key is not known here.",
+        remedy: nearest === undefined
+            ? `Use one of ${Object.keys(schema.keys).join(", ")}.`
+            : `Did you mean ${nearest}?`,
+    };
+}
+
+function checkSection(file: string, section: SettingSection, schema: SectionSchema): Mistake[] {
+    const mistakes: Mistake[] = [];
+    const place = { file, section: section.name };
+    for (const setting of section.lines.values()) {
+        const key = schema.keys[setting.key];
+        if (key === undefined) {
+            mistakes.push({
+                ...place,
+                line: setting.line,
+                key: setting.key,
+                ...describeUnknownKey(setting.key, schema),
+            });
+            continue;
+        }
+        const parsed = key.parse(setting.value);
+        if (parsed.isErr()) {
+            const message = `"${setting.value}" cannot be used.`;
+            mistakes.push({ ...place, line: setting.line, key: setting.key, message, remedy: parsed.error });
+        }
+    }
+    for (const [name, key] of Object.entries(schema.keys)) {
+        if (key.isRequired && !section.lines.has(name)) {
+            const remedy = `Write, for instance, ${name} = ${key.example}.`;
+            mistakes.push({ ...place, line: section.line, key: name, message: "The key is missing.", remedy });
+        }
+    }
+    return mistakes;
+}
+
+function createUnknownSection(file: string, section: SettingSection, schema: SettingSchema): Mistake {
+    const titles = schema.sections.map(known => known.title);
+    const nearest = findNearest(section.name, titles);
+    return {
+        file,
+        line: section.line,
+        section: section.name,
+        key: "",
+        message: "The section is not known.",
+        remedy: nearest === undefined ? `Use one of ${titles.join(", ")}.` : `Did you mean [${nearest}]?`,
+    };
+}
--- a/src/world/index.ts
+++ b/src/world/index.ts
@@ -2,3 +2,4 @@
 export * from "./upstream.js";
 export * from "./version.js";
 export * from "./vm.js";
+export * from "./workspace.js";
