--- /dev/null
+++ b/src/bills/billAppender.ts
@@ -0,0 +1,62 @@
+/**
+ * Appends bills to the log in batches, and goes on until they stand there.
+ */
+import { randomUUID } from "node:crypto";
+import { type AppendRecord } from "../log/logAccess.js";
+import type { LogRecord } from "../log/record.js";
+import { type Bill, billsFormat, billsKind, billsStream } from "./bill.js";
+
+const charactersInRecord = 200_000;
+
+/** Appends batches of bills. */
+export class BillAppender {
+    readonly #append: AppendRecord;
+    readonly #writer: string;
+    readonly #createId: () => string;
+    /** The record that was sent last and not confirmed; it is sent again unchanged. */
+    #unconfirmed: { readonly record: LogRecord; readonly bills: readonly Bill[]; } | undefined;
+
+    constructor(
+        options: { readonly append: AppendRecord; readonly writer: string; readonly createId?: () => string; },
+    ) {
+        this.#append = options.append;
+        this.#writer = options.writer;
+        this.#createId = options.createId ?? randomUUID;
+    }
+
+    /**
+     * Appends as many bills as fit into one record.
+     * @param bills - The bills that wait, oldest first.
+     * @returns The bills that now stand in the log; none if the log did not confirm.
+     */
+    async appendSome(bills: Iterable<Bill>): Promise<readonly Bill[]> {
+        this.#unconfirmed ??= this.#createBatch(bills);
+        const batch = this.#unconfirmed;
+        if (batch.bills.length === 0) {
+            this.#unconfirmed = undefined;
+            return [];
+        }
+        const appended = await this.#append(billsStream, batch.record);
+        if (appended.isErr()) {
+            // A record that may stand in the log already is kept as it is. Bills cut into other batches would be just
+            // as safe, for the ledger removes repeats, but each retry of a long outage would add to the stream.
+            return [];
+        }
+        this.#unconfirmed = undefined;
+        return batch.bills;
+    }
+
+    #createBatch(waiting: Iterable<Bill>): { readonly record: LogRecord; readonly bills: readonly Bill[]; } {
+        const bills: Bill[] = [];
+        let characters = 0;
+        for (const bill of waiting) {
+            characters += JSON.stringify(bill).length;
+            if (bills.length > 0 && characters > charactersInRecord) {
+                break;
+            }
+            bills.push(bill);
+        }
+        const id = this.#createId();
+        return { bills, record: { id, kind: billsKind, format: billsFormat, writer: this.#writer, body: { bills } } };
+    }
+}
--- /dev/null
+++ b/src/bills/billKeeper.ts
@@ -0,0 +1,138 @@
+/**
+ * Keeps copies of other entries' bills, and appends them when their origin can't.
+ *
+ * A copy is dropped only after its origin, or this keeper's own append, has put the bill into the log. Dropping it when
+ * the origin merely seems alive would lose the bill if the origin died a moment later. Appending one too often is
+ * harmless: the ledger counts one bill for each request.
+ */
+import type { Clock } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { AppendRecord } from "../log/logAccess.js";
+import { type Bill, parseBill } from "./bill.js";
+import { BillAppender } from "./billAppender.js";
+
+const checkMilliseconds = 1_000;
+const defaultConfirmMilliseconds = 120_000;
+const defaultMaximumBills = 40_000;
+const flushPauseMilliseconds = 100;
+
+/** Options of a keeper. */
+export interface BillKeeperOptions {
+    readonly append: AppendRecord;
+    readonly clock: Clock;
+    readonly journal: Journal;
+    /** Name of this entry. */
+    readonly writer: string;
+    /** Tells whether an origin is gone, so that its bills are now this keeper's to append. */
+    readonly isGone: (origin: string) => boolean;
+    /** How long an origin that is alive may leave a bill unconfirmed. Longer than its time between appends. */
+    readonly confirmMilliseconds?: number;
+    readonly maximumBills?: number;
+}
+
+interface KeptBill {
+    readonly bill: Bill;
+    readonly origin: string;
+    readonly keptAt: number;
+}
+
+/** Keeps copies of bills. */
+export class BillKeeper {
+    readonly #options: BillKeeperOptions;
+    readonly #appender: BillAppender;
+    readonly #kept = new Map<string, KeptBill>();
+    #timer: NodeJS.Timeout | undefined;
+    #isAppending = false;
+
+    constructor(options: BillKeeperOptions) {
+        this.#options = options;
+        this.#appender = new BillAppender({ append: options.append, writer: options.writer });
+    }
+
+    /** Begins to look for bills whose origin is gone. */
+    start(): void {
+        this.#timer ??= setInterval(() => void this.appendDue(), checkMilliseconds);
+        this.#timer.unref();
+    }
+
+    /** Ends looking. */
+    stop(): void {
+        clearInterval(this.#timer);
+        this.#timer = undefined;
+    }
+
+    /** Returns how many copies are kept. */
+    getSize(): number {
+        return this.#kept.size;
+    }
+
+    /**
+     * Keeps copies, and drops those that the origin has appended. Answers a peer's call.
+     * @param origin - The entry that sends them.
+     * @param bills - Bills as JSON.
+     * @param appended - Request identifiers that stand in the log.
+     * @returns The request identifiers that are kept from now on. A bill that cannot be read, or finds no room, is not.
+     */
+    keep(origin: string, bills: readonly string[], appended: readonly string[]): readonly string[] {
+        for (const requestId of appended) {
+            this.#kept.delete(requestId);
+        }
+        const kept: string[] = [];
+        for (const text of bills) {
+            const bill = parseBill(text);
+            const hasRoom = this.#kept.size < (this.#options.maximumBills ?? defaultMaximumBills);
+            if (bill === undefined || !hasRoom) {
+                continue;
+            }
+            this.#kept.set(bill.requestId, { bill, origin, keptAt: this.#options.clock.monotonic() });
+            kept.push(bill.requestId);
+        }
+        return kept;
+    }
+
+    /** Appends the bills whose origin is gone or has not confirmed them in time, as many as one record holds. */
+    async appendDue(): Promise<void> {
+        await this.#appendWhere(kept => this.#isDue(kept));
+    }
+
+    /**
+     * Appends every copy, for a shutdown of this entry.
+     * @param milliseconds - How long to try.
+     * @returns The copies that are still kept; they need another keeper.
+     */
+    async flush(milliseconds: number): Promise<readonly { readonly origin: string; readonly bill: Bill; }[]> {
+        const deadline = this.#options.clock.monotonic() + milliseconds;
+        while (this.#kept.size > 0 && this.#options.clock.monotonic() < deadline) {
+            const before = this.#kept.size;
+            await this.#appendWhere(() => true);
+            if (this.#kept.size === before) {
+                await new Promise(resolve => setTimeout(resolve, flushPauseMilliseconds));
+            }
+        }
+        return [...this.#kept.values()];
+    }
+
+    #isDue({ origin, keptAt }: KeptBill): boolean {
+        const age = this.#options.clock.monotonic() - keptAt;
+        return this.#options.isGone(origin) || age > (this.#options.confirmMilliseconds ?? defaultConfirmMilliseconds);
+    }
+
+    async #appendWhere(isWanted: (kept: KeptBill) => boolean): Promise<void> {
+        if (this.#isAppending) {
+            return;
+        }
+        const due = [...this.#kept.values()].filter(isWanted).map(kept => kept.bill);
+        if (due.length === 0) {
+            return;
+        }
+        this.#isAppending = true;
+        const appended = await this.#appender.appendSome(due);
+        this.#isAppending = false;
+        for (const { requestId } of appended) {
+            this.#kept.delete(requestId);
+        }
+        if (appended.length > 0) {
+            this.#options.journal.write(events.billsTakenOver, { bills: appended.length });
+        }
+    }
+}
--- /dev/null
+++ b/src/bills/billWriter.ts
@@ -0,0 +1,239 @@
+/**
+ * Keeps this entry's bills until the log holds them.
+ *
+ * A bill in one process's memory dies with it, and the log is too slow and too rare to be asked once a request. So the
+ * last byte of an answer waits only until a second VM, in another failure domain, holds a copy; the append follows in
+ * a batch. If this entry dies first, the copy's keeper appends it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, Failure } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { AppendRecord } from "../log/logAccess.js";
+import type { Bill } from "./bill.js";
+import { BillAppender } from "./billAppender.js";
+
+const defaultIntervalMilliseconds = 1_000;
+const defaultMaximumBills = 20_000;
+/** The share of the buffer at which new work is refused; the rest is for what is being answered already. */
+const fullShare = 0.8;
+const copyBatchMilliseconds = 2;
+const copyBillsInCall = 500;
+const defaultCopyMilliseconds = 10_000;
+const flushPauseMilliseconds = 100;
+
+/** A peer that can keep copies. */
+export interface BillCopyTarget {
+    readonly id: string;
+    /**
+     * Asks the peer to keep bills, and tells it which were appended.
+     * @returns The request identifiers that it keeps, or undefined when it did not answer.
+     */
+    readonly copy: (bills: readonly Bill[], appended: readonly string[]) => Promise<readonly string[] | undefined>;
+}
+
+/** Options of a writer of bills. */
+export interface BillWriterOptions {
+    readonly append: AppendRecord;
+    /** The peers to ask for a copy, best first: alive, and in another failure domain than this entry. */
+    readonly getCopyTargets: () => readonly BillCopyTarget[];
+    readonly clock: Clock;
+    readonly journal: Journal;
+    /** Name of this entry. */
+    readonly writer: string;
+    /** Time between two appends. It grows with the number of entries, so that all together stay below the log's rate. */
+    readonly getIntervalMilliseconds?: () => number;
+    readonly maximumBills?: number;
+    /** How long a bill may wait for its copy or its append before `add` fails. */
+    readonly copyMilliseconds?: number;
+}
+
+interface WaitingBill {
+    readonly bill: Bill;
+    /** The peers that keep a copy. */
+    readonly keepers: Set<BillCopyTarget>;
+    /** Tells those who wait for the bill. */
+    readonly settlers: ((result: Result<void, Failure>) => void)[];
+}
+
+/** Writes this entry's bills. */
+export class BillWriter {
+    readonly #options: BillWriterOptions;
+    readonly #appender: BillAppender;
+    readonly #waiting = new Map<string, WaitingBill>();
+    readonly #toCopy: WaitingBill[] = [];
+    #copyTimer: NodeJS.Timeout | undefined;
+    #appendTimer: NodeJS.Timeout | undefined;
+    #appending: Promise<void> | undefined;
+    #isStarted = false;
+
+    constructor(options: BillWriterOptions) {
+        this.#options = options;
+        this.#appender = new BillAppender({ append: options.append, writer: options.writer });
+    }
+
+    /** Begins to append. */
+    start(): void {
+        this.#isStarted = true;
+        this.#scheduleAppend();
+    }
+
+    /** Ends appending. Bills that the log does not hold yet are lost unless `flush` succeeded or a peer keeps them. */
+    stop(): void {
+        this.#isStarted = false;
+        clearTimeout(this.#appendTimer);
+        clearTimeout(this.#copyTimer);
+    }
+
+    /** Returns how many bills the log does not hold yet. */
+    getSize(): number {
+        return this.#waiting.size;
+    }
+
+    /** Tells whether new billable work must be refused, because its bill might find no room. */
+    isFull(): boolean {
+        return this.#waiting.size >= (this.#options.maximumBills ?? defaultMaximumBills) * fullShare;
+    }
+
+    /**
+     * Takes a bill in.
+     *
+     * Fails when neither a second VM nor the log has the bill in time. The bill is kept and appended all the same; the
+     * failure tells the caller of this method that it is not yet safe from this VM's death. Beyond the bound a bill is
+     * still taken in: its work is done, and `isFull` has refused new work long before.
+     * @param bill - The bill. A second one for the same request is the same bill.
+     */
+    add(bill: Bill): Promise<Result<void, Failure>> {
+        return new Promise(resolve => {
+            const timer = setTimeout(
+                () => resolve(err(createNotCopiedFailure())),
+                this.#options.copyMilliseconds ?? defaultCopyMilliseconds,
+            );
+            const settler = (result: Result<void, Failure>) => {
+                clearTimeout(timer);
+                resolve(result);
+            };
+            const known = this.#waiting.get(bill.requestId);
+            if (known !== undefined && known.keepers.size > 0) {
+                settler(ok(undefined));
+                return;
+            }
+            if (known !== undefined) {
+                known.settlers.push(settler);
+                return;
+            }
+            const waiting = { bill, keepers: new Set<BillCopyTarget>(), settlers: [settler] };
+            this.#waiting.set(bill.requestId, waiting);
+            this.#toCopy.push(waiting);
+            this.#copyTimer ??= setTimeout(() => void this.#copy(), copyBatchMilliseconds);
+        });
+    }
+
+    /**
+     * Appends everything that waits, for a shutdown.
+     *
+     * When the log does not answer in time, bills that a peer keeps are left to that peer, which appends them once
+     * this entry is gone.
+     * @param milliseconds - How long to try.
+     * @returns A failure if a bill is neither in the log nor with a peer.
+     */
+    async flush(milliseconds: number): Promise<Result<void, Failure>> {
+        const deadline = this.#options.clock.monotonic() + milliseconds;
+        while (this.#waiting.size > 0 && this.#options.clock.monotonic() < deadline) {
+            const before = this.#waiting.size;
+            await this.#appendOnce();
+            if (this.#waiting.size === before) {
+                await new Promise(resolve => setTimeout(resolve, flushPauseMilliseconds));
+            }
+        }
+        const alone = [...this.#waiting.values()].filter(waiting => waiting.keepers.size === 0);
+        if (alone.length === 0) {
+            return ok(undefined);
+        }
+        this.#options.journal.write(events.billsUnsafe, { bills: alone.length });
+        return err(createNotCopiedFailure());
+    }
+
+    async #copy(): Promise<void> {
+        this.#copyTimer = undefined;
+        const batch = this.#toCopy.splice(0, copyBillsInCall);
+        if (this.#toCopy.length > 0) {
+            this.#copyTimer = setTimeout(() => void this.#copy(), 0);
+        }
+        let left = batch;
+        for (const target of this.#options.getCopyTargets()) {
+            const kept = new Set(await target.copy(left.map(waiting => waiting.bill), []) ?? []);
+            for (const waiting of left) {
+                if (kept.has(waiting.bill.requestId)) {
+                    await this.#handleCopied(waiting, target);
+                }
+            }
+            left = left.filter(waiting => !kept.has(waiting.bill.requestId));
+            if (left.length === 0) {
+                return;
+            }
+        }
+        // No second VM took them: they are safe only once the log has them, so the append does not wait for its turn.
+        this.#options.journal.write(events.billsNotCopied, { bills: left.length });
+        void this.#appendOnce();
+    }
+
+    async #handleCopied(waiting: WaitingBill, target: BillCopyTarget): Promise<void> {
+        waiting.keepers.add(target);
+        settleAll(waiting);
+        // The append may have overtaken the copy; its keeper would then never be told and append once more.
+        if (this.#waiting.get(waiting.bill.requestId) !== waiting) {
+            await target.copy([], [waiting.bill.requestId]);
+        }
+    }
+
+    #scheduleAppend(): void {
+        if (!this.#isStarted) {
+            return;
+        }
+        const milliseconds = this.#options.getIntervalMilliseconds?.() ?? defaultIntervalMilliseconds;
+        this.#appendTimer = setTimeout(async () => {
+            await this.#appendOnce();
+            this.#scheduleAppend();
+        }, milliseconds);
+    }
+
+    async #appendOnce(): Promise<void> {
+        this.#appending ??= this.#appendBatch().finally(() => this.#appending = undefined);
+        await this.#appending;
+    }
+
+    async #appendBatch(): Promise<void> {
+        const bills = [...this.#waiting.values()].map(waiting => waiting.bill);
+        const appended = await this.#appender.appendSome(bills);
+        const told = new Map<BillCopyTarget, string[]>();
+        for (const { requestId } of appended) {
+            const waiting = this.#waiting.get(requestId);
+            this.#waiting.delete(requestId);
+            if (waiting === undefined) {
+                continue;
+            }
+            settleAll(waiting);
+            for (const keeper of waiting.keepers) {
+                told.set(keeper, [...told.get(keeper) ?? [], requestId]);
+            }
+        }
+        for (const [keeper, requestIds] of told) {
+            // Unheard, the keeper appends them once more, which the ledger removes.
+            void keeper.copy([], requestIds);
+        }
+    }
+}
+
+function settleAll(waiting: WaitingBill): void {
+    for (const settler of waiting.settlers.splice(0)) {
+        settler(ok(undefined));
+    }
+}
+
+function createNotCopiedFailure(): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: "A bill is neither in the log nor copied to another VM yet.",
+        remedy: "Keep this entry running until the log answers; it goes on trying.",
+    });
+}
--- /dev/null
+++ b/src/bills/peerBills.ts
@@ -0,0 +1,77 @@
+/**
+ * Carries copies of bills between entries.
+ */
+import type { CopyBillsReply, CopyBillsRequest } from "../generated/peer.js";
+import type { Member, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
+import type { BillKeeper } from "./billKeeper.js";
+import type { BillCopyTarget } from "./billWriter.js";
+
+const callMilliseconds = 500;
+/** After so many peers that do not answer, waiting for the log is the quicker way. */
+const maximumTargets = 3;
+
+/** Options of asking peers to keep copies. */
+export interface PeerBillsOptions {
+    readonly self: NodeIdentity;
+    readonly membership: Pick<Membership, "getAlive">;
+    readonly client: Pick<PeerClient, "copyBills">;
+    /** Gives this node's Lamport counter. */
+    readonly getCounter: () => number;
+}
+
+/**
+ * Returns the peers to ask for a copy: alive, in another failure domain, those of the same region first.
+ *
+ * A copy in the same failure domain would be lost with the original when its power or switch fails.
+ * @param options - How to reach them.
+ */
+export function getBillCopyTargets(options: PeerBillsOptions): readonly BillCopyTarget[] {
+    const { self, membership } = options;
+    const others = membership.getAlive()
+        .filter(member => member.id !== self.id && member.failureDomain !== self.failureDomain)
+        .sort((left, right) => rank(left, self) - rank(right, self) || compareFrom(self.id, left.id, right.id));
+    return others.slice(0, maximumTargets).map(member => createTarget(options, member));
+}
+
+/**
+ * Answers a peer's call.
+ * @param keeper - This node's keeper.
+ * @param request - The call.
+ * @param getCounter - Gives this node's Lamport counter.
+ */
+export function handleCopyBills(
+    keeper: BillKeeper,
+    request: CopyBillsRequest,
+    getCounter: () => number,
+): CopyBillsReply {
+    const kept = keeper.keep(request.origin, request.bills, request.appended);
+    return { kept: [...kept], counter: getCounter() };
+}
+
+function createTarget({ self, client, getCounter }: PeerBillsOptions, member: Member): BillCopyTarget {
+    return {
+        id: member.id,
+        copy: async (bills, appended) => {
+            const request: CopyBillsRequest = {
+                origin: self.id,
+                bills: bills.map(bill => JSON.stringify(bill)),
+                appended: [...appended],
+                counter: getCounter(),
+            };
+            const reply = await client.copyBills(member, request, callMilliseconds);
+            return reply.match(({ kept }) => kept, () => undefined);
+        },
+    };
+}
+
+function rank(member: Member, self: NodeIdentity): number {
+    return member.region === self.region ? 0 : 1;
+}
+
+/** Orders identifiers in a ring that begins after this node's, so that not all nodes ask the same peer. */
+function compareFrom(start: string, left: string, right: string): number {
+    if ((left > start) !== (right > start)) {
+        return left > start ? -1 : 1;
+    }
+    return left < right ? -1 : 1;
+}
--- /dev/null
+++ b/src/claims/claimClient.ts
@@ -0,0 +1,238 @@
+/**
+ * Claims keys for the requests of this node.
+ *
+ * What can go wrong, and why a key still runs at most once:
+ *
+ * - The same key comes in at two entries. Both claims reach the log; the first in its order wins, and the other entry
+ *   reads the winner. Each call of `claim` carries an identifier of its own, so a repeated request identifier does
+ *   not make two entries the same claimant.
+ * - The entry dies before the write: nothing stands in the log, the caller's next attempt is granted. It dies after
+ *   the write, or after the dispatch: the claim stands without an outcome and nobody can know whether it ran, so
+ *   others read `held` until the key expires. That is "unknown" to the caller, never "not run".
+ * - The claimant is paused after it was granted the key. Nobody takes a key over from a holder, so it may go on when it
+ *   wakes, except when it slept for so long that the key expired and ran elsewhere. `isStillValid` lapses long before
+ *   that, on the monotonic clock, counted from before the claim was written; `confirm` then asks the log again.
+ * - The answer to the write is lost, or the collector is cut off. The same identifier is written again through another
+ *   collector: a second record of it counts for nothing. If no answer comes in time the claimant gives up, does not
+ *   dispatch, and writes a release. The release holds even if the claim reaches the log after it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { createHash, randomUUID } from "node:crypto";
+import type { Clock, Failure } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import { ClaimFailure } from "./claimFailure.js";
+import { type ClaimDecision, type ClaimOperation, getPurpose } from "./claimOperation.js";
+import type { PoolDecision } from "./collectorPool.js";
+
+const defaultValidityMilliseconds = 20_000;
+const defaultReleaseMilliseconds = 10 * 60_000;
+const firstReleasePauseMilliseconds = 500;
+const maximumReleasePauseMilliseconds = 30_000;
+/** Longest outcome that is kept; a longer one is kept as "completed" without its text. */
+export const maximumOutcomeCharacters = 16_384;
+
+/** What is wanted. */
+export interface ClaimRequest {
+    readonly key: string;
+    /** What to claim the key for. */
+    readonly value: string;
+    readonly requestId: string;
+}
+
+/** The key belongs to this call. */
+export interface GrantedClaim {
+    readonly kind: "granted";
+    readonly key: string;
+    readonly value: string;
+    /** Names the claim in `complete`, `release` and `confirm`. */
+    readonly claimId: string;
+    /** Tells whether the request may still be dispatched without asking the log again by `confirm`. */
+    readonly isStillValid: () => boolean;
+}
+
+/** The key belongs to another claim. */
+export interface LostClaim {
+    /** `held`: the other has no outcome yet, and perhaps never will. `completed`: it has. */
+    readonly kind: "held" | "completed";
+    /** What the key is claimed for. */
+    readonly value: string;
+    /** The outcome that the other left; empty when it was too long to keep. */
+    readonly outcome?: string;
+}
+
+/** How a claim ended. */
+export type ClaimVerdict = GrantedClaim | LostClaim;
+
+/** Asks a partition's collector, wherever it runs. Undefined when it cannot be reached. */
+export type AskCollector = (
+    partition: number,
+    operation: ClaimOperation,
+) => Promise<PoolDecision | undefined>;
+
+/** Options of a claim client. */
+export interface ClaimClientOptions {
+    /** How many partitions there are; the same on all nodes, for ever. */
+    readonly partitions: number;
+    readonly clock: Clock;
+    readonly journal: Journal;
+    /** Asks the partition's own collector on another node; undefined when that is this node or it is out of reach. */
+    readonly askPeer: AskCollector;
+    /** Decides on this node. */
+    readonly decideHere: (partition: number, operations: readonly ClaimOperation[]) => Promise<readonly PoolDecision[]>;
+    /** How long a grant may be used without asking again. Must be far below the lifetime of a run's key. */
+    readonly validityMilliseconds?: number;
+    /** How long to go on trying to release a claim that was given up. */
+    readonly releaseMilliseconds?: number;
+    readonly createId?: () => string;
+}
+
+/** Claims, completes and releases keys. */
+export class ClaimClient {
+    readonly #options: ClaimClientOptions;
+    readonly #createId: () => string;
+    readonly #releases = new Set<NodeJS.Timeout>();
+
+    constructor(options: ClaimClientOptions) {
+        this.#options = options;
+        this.#createId = options.createId ?? randomUUID;
+    }
+
+    /** Gives up the releases that still wait for the log. */
+    stop(): void {
+        for (const timer of this.#releases) {
+            clearTimeout(timer);
+        }
+        this.#releases.clear();
+    }
+
+    /**
+     * Claims a key. Only a granted claim may be dispatched. After a failure this node must not dispatch; its own
+     * caller may be told "not run", and whoever else asks for the key is told what the log says.
+     * @param request - What is wanted.
+     */
+    async claim(request: ClaimRequest): Promise<Result<ClaimVerdict, ClaimFailure>> {
+        const startedAt = this.#options.clock.monotonic();
+        const { key, value } = request;
+        const operation: ClaimOperation = { kind: "claim", id: `${request.requestId}/${this.#createId()}`, key, value };
+        const decided = await this.#decide(operation);
+        if (decided.isErr()) {
+            if (decided.error.mayHaveTakenEffect && getPurpose(key) === "run") {
+                this.#options.journal.write(events.claimAbandoned, { request: request.requestId, claim: operation.id });
+                this.#releaseLater(
+                    operation,
+                    startedAt + this.#getReleaseMilliseconds(),
+                    firstReleasePauseMilliseconds,
+                );
+            }
+            return err(decided.error);
+        }
+        return this.#createVerdict(operation, decided.value, startedAt);
+    }
+
+    /**
+     * Asks the log again whether a granted claim still stands, for a claimant whose grant has lapsed.
+     * @param grant - The grant.
+     * @returns A fresh grant, or what the key belongs to now.
+     */
+    async confirm(grant: GrantedClaim): Promise<Result<ClaimVerdict, ClaimFailure>> {
+        const startedAt = this.#options.clock.monotonic();
+        const operation: ClaimOperation = { kind: "claim", id: grant.claimId, key: grant.key, value: grant.value };
+        const decided = await this.#decide(operation);
+        return decided.andThen(decision => this.#createVerdict(operation, decision, startedAt));
+    }
+
+    /**
+     * Writes the outcome of a run, for whoever asks for the key again.
+     * @param options - The granted claim and its outcome.
+     */
+    async complete(
+        options: { readonly key: string; readonly claimId: string; readonly value: string; readonly outcome: string; },
+    ): Promise<Result<void, Failure>> {
+        const outcome = options.outcome.length > maximumOutcomeCharacters ? "" : options.outcome;
+        const operation: ClaimOperation = {
+            kind: "complete",
+            id: options.claimId,
+            key: options.key,
+            value: options.value,
+            outcome,
+        };
+        return (await this.#decide(operation)).map(() => undefined);
+    }
+
+    /**
+     * Gives a key back that was not dispatched. Only when this succeeds may others be told that the key did not run.
+     * @param options - The granted claim.
+     */
+    async release(
+        options: { readonly key: string; readonly claimId: string; readonly value: string; },
+    ): Promise<Result<void, Failure>> {
+        const operation = { kind: "release", id: options.claimId, key: options.key, value: options.value } as const;
+        const startedAt = this.#options.clock.monotonic();
+        const decided = await this.#decide(operation);
+        if (decided.isErr()) {
+            this.#releaseLater(operation, startedAt + this.#getReleaseMilliseconds(), firstReleasePauseMilliseconds);
+        }
+        return decided.map(() => undefined);
+    }
+
+    #getReleaseMilliseconds(): number {
+        return this.#options.releaseMilliseconds ?? defaultReleaseMilliseconds;
+    }
+
+    #createVerdict(
+        operation: ClaimOperation,
+        decision: ClaimDecision,
+        startedAt: number,
+    ): Result<ClaimVerdict, ClaimFailure> {
+        switch (decision.verdict) {
+            case "granted":
+                return ok(this.#createGrant(operation, startedAt));
+            case "held":
+            case "completed":
+                return ok({ kind: decision.verdict, value: decision.value, outcome: decision.outcome });
+            case "released":
+                return err(new ClaimFailure(false));
+        }
+    }
+
+    #createGrant({ id, key, value }: ClaimOperation, startedAt: number): GrantedClaim {
+        const validity = this.#options.validityMilliseconds ?? defaultValidityMilliseconds;
+        const isStillValid = () => this.#options.clock.monotonic() - startedAt < validity;
+        return { kind: "granted", key, value, claimId: id, isStillValid };
+    }
+
+    async #decide(operation: ClaimOperation): Promise<Result<ClaimDecision, ClaimFailure>> {
+        const partition = getPartition(operation.key, this.#options.partitions);
+        const remote = await this.#options.askPeer(partition, operation);
+        if (remote?.decision !== undefined) {
+            return ok(remote.decision);
+        }
+        const [local] = await this.#options.decideHere(partition, [operation]);
+        if (local.decision !== undefined) {
+            return ok(local.decision);
+        }
+        return err(new ClaimFailure(local.mayHaveTakenEffect || (remote?.mayHaveTakenEffect ?? false)));
+    }
+
+    #releaseLater(operation: ClaimOperation, until: number, pauseMilliseconds: number): void {
+        const timer = setTimeout(async () => {
+            this.#releases.delete(timer);
+            const decided = await this.#decide({ ...operation, kind: "release" });
+            if (decided.isErr() && this.#options.clock.monotonic() < until) {
+                const longer = Math.min(pauseMilliseconds * 2, maximumReleasePauseMilliseconds);
+                this.#releaseLater(operation, until, longer);
+            }
+        }, pauseMilliseconds);
+        timer.unref();
+        this.#releases.add(timer);
+    }
+}
+
+/**
+ * Gives the partition of a key.
+ * @param key - The key.
+ * @param partitions - How many partitions there are.
+ */
+export function getPartition(key: string, partitions: number): number {
+    return createHash("sha1").update(key).digest().readUInt32BE(0) % partitions;
+}
--- /dev/null
+++ b/src/claims/partitionReader.ts
@@ -0,0 +1,148 @@
+/**
+ * Keeps the fold of one partition up to date from the log, over retention gaps.
+ *
+ * A reader that starts after the first records have expired knows only a part of the claims, and would grant a key
+ * that an expired record already gave away. It therefore counts as complete only once it has taken in a snapshot that
+ * reaches up to the records that it can read, or once every claim that it could have missed has outlived its key.
+ */
+import type { Clock } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { FollowStream, StreamReader } from "../log/logAccess.js";
+import type { LogEntry, StreamName } from "../log/record.js";
+import { ClaimFold, type ClaimLifetimes } from "./claimFold.js";
+import {
+    type ClaimDecision,
+    claimsSnapshotKind,
+    type ClaimsSnapshotPart,
+    claimsSnapshotSchema,
+} from "./claimOperation.js";
+
+/** Options of a partition's reader. */
+export interface PartitionReaderOptions {
+    readonly partition: number;
+    readonly follow: FollowStream;
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly lifetimes: ClaimLifetimes;
+    /** Takes how the operations of an entry ended. Called only while the fold is complete. */
+    readonly onDecisions: (decisions: readonly ClaimDecision[], recordId: string) => void;
+}
+
+/** Gives the stream of a partition. */
+export function getClaimsStream(partition: number): StreamName {
+    return `claims-${partition}`;
+}
+
+/** Follows one partition. */
+export class PartitionReader {
+    readonly #options: PartitionReaderOptions;
+    #reader: StreamReader;
+    #fold: ClaimFold;
+    /** Undefined while the fold is complete; else the first offset that could be read. */
+    #gapEnd: number | undefined;
+    /** Log time of the first entry after the gap: whatever is missing is older. */
+    #missingBefore: number | undefined;
+    #parts = new Map<string, ClaimsSnapshotPart[]>();
+    #snapshotSeenAt: number;
+    #isStopped = false;
+
+    constructor(options: PartitionReaderOptions) {
+        this.#options = options;
+        this.#fold = new ClaimFold(options.lifetimes);
+        this.#snapshotSeenAt = options.clock.monotonic();
+        this.#reader = this.#createReader(0);
+    }
+
+    /** Begins to read. */
+    start(): void {
+        this.#reader.start();
+    }
+
+    /** Ends reading. */
+    async stop(): Promise<void> {
+        this.#isStopped = true;
+        await this.#reader.stop();
+    }
+
+    /** Returns the fold, or undefined while it is not complete. */
+    getFold(): ClaimFold | undefined {
+        return this.#gapEnd === undefined ? this.#fold : undefined;
+    }
+
+    /** Returns the milliseconds since a whole snapshot of the partition was last read, or since the start. */
+    getSnapshotAge(): number {
+        return this.#options.clock.monotonic() - this.#snapshotSeenAt;
+    }
+
+    #createReader(from: number): StreamReader {
+        return this.#options.follow({
+            stream: getClaimsStream(this.#options.partition),
+            from,
+            onEntry: entry => this.#handleEntry(entry),
+            onGap: earliest => this.#handleGap(earliest),
+        });
+    }
+
+    #handleGap(earliest: number): void {
+        this.#options.journal.write(events.claimsGap, { partition: this.#options.partition, earliest });
+        this.#fold = new ClaimFold(this.#options.lifetimes);
+        this.#gapEnd = earliest;
+        this.#missingBefore = undefined;
+        this.#parts.clear();
+    }
+
+    #handleEntry(entry: LogEntry): void {
+        const decisions = this.#fold.apply(entry);
+        if (this.#gapEnd === undefined) {
+            this.#options.onDecisions(decisions, entry.record.id);
+        }
+        else {
+            this.#missingBefore ??= entry.time;
+            this.#completeByAge();
+        }
+        if (entry.record.kind === claimsSnapshotKind) {
+            this.#handleSnapshotPart(entry.record.body);
+        }
+    }
+
+    #completeByAge(): void {
+        const { runMilliseconds, pinMilliseconds } = this.#options.lifetimes;
+        const age = this.#fold.getLogTime() - (this.#missingBefore ?? this.#fold.getLogTime());
+        if (age > Math.max(runMilliseconds, pinMilliseconds)) {
+            this.#gapEnd = undefined;
+        }
+    }
+
+    #handleSnapshotPart(body: unknown): void {
+        const parsed = claimsSnapshotSchema.safeParse(body);
+        if (!parsed.success) {
+            return;
+        }
+        const parts = this.#parts.get(parsed.data.snapshot) ?? [];
+        if (parts.some(part => part.part === parsed.data.part)) {
+            return;
+        }
+        parts.push(parsed.data);
+        this.#parts.set(parsed.data.snapshot, parts);
+        if (parts.length === parsed.data.parts) {
+            this.#parts.clear();
+            this.#handleSnapshot(parts);
+        }
+    }
+
+    #handleSnapshot(parts: readonly ClaimsSnapshotPart[]): void {
+        this.#snapshotSeenAt = this.#options.clock.monotonic();
+        const covers = parts[0].covers;
+        // A complete fold is never replaced: a snapshot by a slow writer is older than it and would move it back.
+        if (this.#gapEnd === undefined || covers < this.#gapEnd - 1 || this.#isStopped) {
+            return;
+        }
+        this.#fold = ClaimFold.fromSnapshot(parts, this.#options.lifetimes);
+        this.#gapEnd = undefined;
+        this.#options.journal.write(events.claimsRestored, { partition: this.#options.partition, covers });
+        const finished = this.#reader;
+        this.#reader = this.#createReader(covers + 1);
+        this.#reader.start();
+        void finished.stop();
+    }
+}
--- /dev/null
+++ b/src/control/index.ts
@@ -0,0 +1,4 @@
+/** Leases over the log's stream `control`, and orders to engines under them. */
+export * from "./leaseFold.js";
+export * from "./leaseHolder.js";
+export * from "./orderChannel.js";
--- /dev/null
+++ b/src/control/leaseFold.ts
@@ -0,0 +1,141 @@
+/**
+ * Who holds which lease, by the order of the log.
+ *
+ * The log has no conditional append, so a take names the record that it supersedes, and only the first that names the
+ * newest record counts. A renewal is a newer record: a take that was decided on before it, and arrives after it, names
+ * the wrong one and fails. The offset of the accepted take is the fencing number, which therefore only grows.
+ */
+import type { LogEntry } from "../log/record.js";
+import { leaseReleaseKind, leaseRenewKind, leaseRenewSchema, leaseTakeKind, leaseTakeSchema } from "./leaseRecord.js";
+
+/** A lease as the fold knows it. */
+export interface LeaseState {
+    readonly lease: string;
+    readonly holder: string;
+    /** Offset of the accepted take: the fencing number. */
+    readonly fence: number;
+    /** Offset of the newest accepted record about the lease. */
+    readonly lastOffset: number;
+    /** Identifier of that record. */
+    readonly lastRecordId: string;
+    readonly termMilliseconds: number;
+    readonly isReleased: boolean;
+}
+
+/** Takes a lease that has changed. */
+export type LeaseListener = (state: LeaseState) => void;
+
+/** Folds the records about leases. */
+export class LeaseFold {
+    readonly #leases = new Map<string, LeaseState>();
+    readonly #listeners: LeaseListener[] = [];
+    #offset = -1;
+
+    /** Returns the last offset that is folded in, or -1. */
+    getOffset(): number {
+        return this.#offset;
+    }
+
+    /**
+     * Adds a listener for changes.
+     * @param listener - Called after each accepted record.
+     */
+    onChange(listener: LeaseListener): void {
+        this.#listeners.push(listener);
+    }
+
+    /**
+     * Returns a lease.
+     * @param lease - Its name.
+     */
+    get(lease: string): LeaseState | undefined {
+        return this.#leases.get(lease);
+    }
+
+    /**
+     * Tells whether a fencing number is the newest of its lease. Orders under an older one come from a former holder.
+     * @param lease - The lease's name.
+     * @param fence - The fencing number.
+     */
+    isCurrentFence(lease: string, fence: number): boolean {
+        return this.#leases.get(lease)?.fence === fence;
+    }
+
+    /**
+     * Folds an entry in. Entries of other kinds, and those at or before the folded offset, are passed over.
+     * @param entry - The next entry of the stream.
+     */
+    apply(entry: LogEntry): void {
+        if (entry.offset <= this.#offset) {
+            return;
+        }
+        this.#offset = entry.offset;
+        const changed = this.#fold(entry);
+        if (changed === undefined) {
+            return;
+        }
+        this.#leases.set(changed.lease, changed);
+        for (const listener of this.#listeners) {
+            listener(changed);
+        }
+    }
+
+    /** Returns all leases, for a snapshot of the stream. */
+    getSnapshot(): readonly LeaseState[] {
+        return [...this.#leases.values()];
+    }
+
+    /**
+     * Takes the leases of a snapshot in. It never moves the fold back.
+     * @param offset - The offset that the snapshot covers.
+     * @param leases - The leases.
+     */
+    restore(offset: number, leases: readonly LeaseState[]): void {
+        if (offset <= this.#offset) {
+            return;
+        }
+        this.#offset = offset;
+        for (const lease of leases) {
+            this.#leases.set(lease.lease, lease);
+        }
+    }
+
+    #fold(entry: LogEntry): LeaseState | undefined {
+        switch (entry.record.kind) {
+            case leaseTakeKind:
+                return this.#take(entry);
+            case leaseRenewKind:
+                return this.#renew(entry, false);
+            case leaseReleaseKind:
+                return this.#renew(entry, true);
+            default:
+                return undefined;
+        }
+    }
+
+    #take({ offset, record }: LogEntry): LeaseState | undefined {
+        const take = leaseTakeSchema.safeParse(record.body);
+        if (!take.success || take.data.supersedes !== this.#leases.get(take.data.lease)?.lastOffset) {
+            return undefined;
+        }
+        const { lease, holder, termMilliseconds } = take.data;
+        return {
+            lease,
+            holder,
+            fence: offset,
+            lastOffset: offset,
+            lastRecordId: record.id,
+            termMilliseconds,
+            isReleased: false,
+        };
+    }
+
+    #renew({ offset, record }: LogEntry, isReleased: boolean): LeaseState | undefined {
+        const renewal = leaseRenewSchema.safeParse(record.body);
+        const state = renewal.success ? this.#leases.get(renewal.data.lease) : undefined;
+        if (!renewal.success || state === undefined || state.fence !== renewal.data.fence || state.isReleased) {
+            return undefined;
+        }
+        return { ...state, lastOffset: offset, lastRecordId: record.id, isReleased };
+    }
+}
--- /dev/null
+++ b/src/membership/gossipState.ts
@@ -0,0 +1,229 @@
+/**
+ * What a node knows of the values that all nodes publish about themselves, and how two nodes bring each other up to
+ * date (scuttlebutt reconciliation).
+ *
+ * Each origin numbers its changes. A node knows an origin *up to* a version when it has every value at or below it, so
+ * one number for each origin tells a peer exactly what is missing.
+ */
+import { createHash } from "node:crypto";
+import type { Item } from "../generated/peer.js";
+
+/** Key under which each origin publishes the first version of its present run. */
+export const incarnationKey = "incarnation";
+
+const itemOverheadBytes = 16;
+
+/** A value of an origin. */
+export interface GossipValue {
+    readonly version: number;
+    readonly value: Buffer;
+    readonly removed: boolean;
+}
+
+interface OriginState {
+    readonly values: Map<string, GossipValue>;
+    /** Every value at or below this version is known. */
+    version: number;
+    heartbeat: number;
+    /** Monotonic time at which the heartbeat last grew here. */
+    heartbeatAt: number;
+}
+
+/** A digest line: how far an origin is known. */
+export interface DigestLine {
+    readonly origin: string;
+    readonly heartbeat: number;
+    readonly version: number;
+}
+
+/** Holds the values of all origins. */
+export class GossipState {
+    readonly #origins = new Map<string, OriginState>();
+    /** More than one origin under a hash is a collision; those are sent by their full identifiers. */
+    readonly #hashes = new Map<number, Set<string>>();
+
+    /** Returns the origins that are known. */
+    getOrigins(): Iterable<string> {
+        return this.#origins.keys();
+    }
+
+    /**
+     * Adds an origin of which nothing is known yet.
+     * @param origin - Its identifier.
+     * @param now - Monotonic time.
+     */
+    add(origin: string, now: number): void {
+        if (this.#origins.has(origin)) {
+            return;
+        }
+        this.#origins.set(origin, { values: new Map(), version: 0, heartbeat: 0, heartbeatAt: now });
+        const hash = hashOrigin(origin);
+        this.#hashes.set(hash, (this.#hashes.get(hash) ?? new Set()).add(origin));
+    }
+
+    /**
+     * Forgets an origin.
+     * @param origin - Its identifier.
+     */
+    remove(origin: string): void {
+        this.#origins.delete(origin);
+        this.#hashes.get(hashOrigin(origin))?.delete(origin);
+    }
+
+    /**
+     * Returns the origin with a hash, or undefined when there is none or more than one.
+     * @param hash - The hash.
+     */
+    getByHash(hash: number): string | undefined {
+        const origins = this.#hashes.get(hash);
+        return origins?.size === 1 ? [...origins][0] : undefined;
+    }
+
+    /**
+     * Returns a value that is not removed.
+     * @param origin - The origin.
+     * @param key - The key.
+     */
+    get(origin: string, key: string): Buffer | undefined {
+        const value = this.#origins.get(origin)?.values.get(key);
+        return value === undefined || value.removed ? undefined : value.value;
+    }
+
+    /**
+     * Returns how far an origin is known.
+     * @param origin - The origin.
+     */
+    getLine(origin: string): DigestLine {
+        const state = this.#origins.get(origin);
+        return { origin, heartbeat: state?.heartbeat ?? 0, version: state?.version ?? 0 };
+    }
+
+    /**
+     * Returns the monotonic time at which an origin was last known to have lived.
+     * @param origin - The origin.
+     */
+    getHeartbeatTime(origin: string): number | undefined {
+        const state = this.#origins.get(origin);
+        return state === undefined || state.heartbeat === 0 ? undefined : state.heartbeatAt;
+    }
+
+    /**
+     * Takes in a heartbeat counter. It counts whoever delivers it: a node that this one cannot reach, or that cannot
+     * reach this one, is still known to live as long as anybody hears it.
+     * @param origin - The origin.
+     * @param heartbeat - The counter.
+     * @param now - Monotonic time.
+     */
+    setHeartbeat(origin: string, heartbeat: number, now: number): void {
+        const state = this.#origins.get(origin);
+        if (state !== undefined && heartbeat > state.heartbeat) {
+            state.heartbeat = heartbeat;
+            state.heartbeatAt = now;
+        }
+    }
+
+    /**
+     * Takes a value in if it is newer than the known one.
+     * @param item - The value.
+     * @returns Whether it was newer.
+     */
+    setItem(item: Item): boolean {
+        const state = this.#origins.get(item.origin);
+        const known = state?.values.get(item.key);
+        if (state === undefined || (known !== undefined && known.version >= item.version)) {
+            return false;
+        }
+        if (item.key === incarnationKey) {
+            removeOlder(state, Number(item.value.toString()));
+        }
+        state.values.set(item.key, { version: item.version, value: item.value, removed: item.removed });
+        return true;
+    }
+
+    /**
+     * Notes that an origin is known up to a version.
+     * @param origin - The origin.
+     * @param base - The version from which on values were sent without gaps.
+     * @param version - The last of them.
+     */
+    setVersion(origin: string, base: number, version: number): void {
+        const state = this.#origins.get(origin);
+        // Below its base something is missing, when the origin was forgotten and added again in between.
+        if (state !== undefined && state.version >= base) {
+            state.version = Math.max(state.version, version);
+        }
+    }
+
+    /**
+     * Collects the values that a peer lacks, in the order of versions for each origin, within a number of bytes.
+     * @param wants - How far the peer knows each origin.
+     * @param maximumBytes - The bytes that all together may take. The first value is sent even if it is larger.
+     */
+    collect(wants: readonly DigestLine[], maximumBytes: number): Item[] {
+        const items: Item[] = [];
+        let bytes = 0;
+        for (const { origin, version } of wants) {
+            for (const item of this.#getNewer(origin, version)) {
+                bytes += item.origin.length + item.key.length + item.value.length + itemOverheadBytes;
+                if (bytes > maximumBytes && items.length > 0) {
+                    return items;
+                }
+                items.push(item);
+            }
+        }
+        return items;
+    }
+
+    /**
+     * Returns the values of all origins under a key.
+     * @param key - The key.
+     */
+    *getAll(key: string): Iterable<{ readonly origin: string; readonly value: Buffer; }> {
+        for (const [origin, state] of this.#origins) {
+            const value = state.values.get(key);
+            if (value !== undefined && !value.removed) {
+                yield { origin, value: value.value };
+            }
+        }
+    }
+
+    /**
+     * Returns the keys of an origin, with those that were removed.
+     * @param origin - The origin.
+     */
+    getValues(origin: string): ReadonlyMap<string, GossipValue> {
+        return this.#origins.get(origin)?.values ?? new Map();
+    }
+
+    #getNewer(origin: string, version: number): Item[] {
+        const state = this.#origins.get(origin);
+        if (state === undefined || state.version <= version) {
+            return [];
+        }
+        const newer: Item[] = [];
+        for (const [key, value] of state.values) {
+            // A value that was pushed ahead of its turn lies above the known version and is left for later.
+            if (value.version > version && value.version <= state.version) {
+                newer.push({ origin, key, ...value });
+            }
+        }
+        return newer.sort((left, right) => left.version - right.version);
+    }
+}
+
+/**
+ * Gives the short name of an origin in a digest.
+ * @param origin - Its identifier.
+ */
+export function hashOrigin(origin: string): number {
+    return createHash("sha1").update(origin).digest().readUInt32BE(0);
+}
+
+/** Removes what an origin published before it was restarted; its new run does not know those keys. */
+function removeOlder(state: OriginState, firstVersion: number): void {
+    for (const [key, value] of state.values) {
+        if (value.version < firstVersion) {
+            state.values.delete(key);
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,264 @@
+/**
+ * Who takes part: the VM list says who may exist, gossip says who answers and what they say of themselves.
+ */
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import type { Clock } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { Vm } from "../world/index.js";
+import type { Gossip, NodeIdentity } from "./gossip.js";
+import { newestProtocol, oldestProtocol, type ProtocolRange } from "./protocol.js";
+
+const nodeKey = "node";
+const leavingKey = "leaving";
+const offsetKey = "configuration-offset";
+/** A member counts as dead after so many times the time after which it is suspected. */
+const deadFactor = 3;
+/** A silent member's protocol still binds for so long: it may only be cut off. */
+const defaultRecentMilliseconds = 10 * 60_000;
+const majority = 0.5;
+/** The list of members is worked out anew after so long; it is asked for with every claim. */
+const cacheMilliseconds = 100;
+
+const nodeSchema = z.object({
+    address: z.string(),
+    peerPort: z.number(),
+    failureDomain: z.string(),
+    region: z.string(),
+    oldest: z.number(),
+    newest: z.number(),
+});
+
+/** What is known of whether a member answers. */
+export type MemberState = "alive" | "suspect" | "leaving" | "dead";
+
+/** A member, this node among them. */
+export interface Member extends NodeIdentity {
+    readonly state: MemberState;
+    readonly protocol: ProtocolRange;
+    /** The newest configuration that the member has in force, or -1. */
+    readonly configurationOffset: number;
+    /** Milliseconds since it was last known to live. */
+    readonly heartbeatAge: number;
+}
+
+/** Options of membership. */
+export interface MembershipOptions {
+    readonly self: NodeIdentity;
+    readonly gossip: Gossip;
+    readonly clock: Clock;
+    readonly journal: Journal;
+    /** The protocol versions that this program reads; tests give others. */
+    readonly protocol?: ProtocolRange;
+    /** How long a silent member's protocol still binds. */
+    readonly recentMilliseconds?: number;
+}
+
+/** Knows the members. */
+export class Membership {
+    readonly #options: MembershipOptions;
+    readonly #protocol: ProtocolRange;
+    /** By identifier: when each VM was first listed here. */
+    readonly #listedAt = new Map<string, number>();
+    readonly #states = new Map<string, MemberState>();
+    #vms: readonly Vm[] = [];
+    #isLeaving = false;
+    #configurationOffset = -1;
+    #cache: { readonly at: number; readonly members: readonly Member[]; } | undefined;
+    readonly #collectors = new Map<string, Member>();
+
+    constructor(options: MembershipOptions) {
+        this.#options = options;
+        this.#protocol = options.protocol ?? { oldest: oldestProtocol, newest: newestProtocol };
+        const { address, peerPort, failureDomain, region } = options.self;
+        const node = { address, peerPort, failureDomain, region, ...this.#protocol };
+        options.gossip.set(nodeKey, Buffer.from(JSON.stringify(node)));
+        options.gossip.onUpdate(() => this.#cache = undefined);
+    }
+
+    /**
+     * Takes the VM list in, and hands it on to gossip.
+     * @param vms - All VMs.
+     */
+    setVms(vms: readonly Vm[]): void {
+        this.#vms = vms.filter(vm => vm.role === "entry" && vm.peerPort !== undefined);
+        const now = this.#options.clock.monotonic();
+        const listed = new Set(this.#vms.map(vm => vm.id));
+        for (const id of listed) {
+            this.#listedAt.set(id, this.#listedAt.get(id) ?? now);
+        }
+        for (const id of this.#listedAt.keys()) {
+            if (!listed.has(id)) {
+                this.#listedAt.delete(id);
+                this.#states.delete(id);
+            }
+        }
+        this.#cache = undefined;
+        this.#options.gossip.setPeers(this.#vms);
+    }
+
+    /** Returns all members: this node and every entry of the VM list. */
+    getMembers(): readonly Member[] {
+        const now = this.#options.clock.monotonic();
+        if (this.#cache !== undefined && now - this.#cache.at < cacheMilliseconds) {
+            return this.#cache.members;
+        }
+        const members = [this.#createSelf()];
+        for (const vm of this.#vms) {
+            if (vm.id !== this.#options.self.id) {
+                members.push(this.#createMember(vm));
+            }
+        }
+        this.#cache = { at: now, members };
+        this.#collectors.clear();
+        return members;
+    }
+
+    /** Returns the members that answer and are not leaving, this node among them unless it is leaving. */
+    getAlive(): readonly Member[] {
+        return this.getMembers().filter(member => member.state === "alive");
+    }
+
+    /**
+     * Returns a member.
+     * @param id - Its identifier.
+     */
+    get(id: string): Member | undefined {
+        return this.getMembers().find(member => member.id === id);
+    }
+
+    /**
+     * Returns the newest protocol version that all members read: records and messages are written in no newer one.
+     *
+     * A member that was alive a while ago may only be cut off, so it still counts. A listed VM that was never heard
+     * may be of the oldest kind that this program still speaks with, and counts as such until it had time to answer.
+     */
+    getCommonProtocol(): number {
+        let common = this.#protocol.newest;
+        const recent = this.#options.recentMilliseconds ?? defaultRecentMilliseconds;
+        for (const member of this.getMembers()) {
+            if (member.heartbeatAge <= recent) {
+                common = Math.min(common, member.protocol.newest);
+            }
+        }
+        return common;
+    }
+
+    /**
+     * Returns the member that collects for a partition, by rendezvous hashing over the members that are alive. Nodes
+     * that see other members may disagree for a while; that costs speed and never safety.
+     * @param partition - The partition, such as `claims-3`.
+     */
+    getCollector(partition: string): Member | undefined {
+        const alive = this.getAlive();
+        const known = this.#collectors.get(partition);
+        if (known !== undefined) {
+            return known;
+        }
+        let best: Member | undefined;
+        let bestWeight = "";
+        for (const member of alive) {
+            const weight = createHash("sha1").update(`${partition} ${member.id}`).digest("hex");
+            if (best === undefined || weight > bestWeight) {
+                best = member;
+                bestWeight = weight;
+            }
+        }
+        if (best !== undefined) {
+            this.#collectors.set(partition, best);
+        }
+        return best;
+    }
+
+    /** Returns the share of listed entries that is known to live, this node among them. */
+    getReachableShare(): number {
+        const members = this.getMembers();
+        const reachable = members.filter(member => member.state === "alive" || member.state === "leaving");
+        return reachable.length / members.length;
+    }
+
+    /** Tells whether at most half of the listed entries is known to live: this side of a cut is not the greater one. */
+    isMajorityAway(): boolean {
+        return this.getReachableShare() <= majority;
+    }
+
+    /** Tells all members that this one is leaving. */
+    announceLeaving(): void {
+        this.#isLeaving = true;
+        this.#cache = undefined;
+        this.#options.gossip.set(leavingKey, Buffer.from("1"), { urgent: true });
+    }
+
+    /**
+     * Publishes the newest configuration that this node has in force.
+     * @param offset - Its offset.
+     */
+    setConfigurationOffset(offset: number): void {
+        if (offset !== this.#configurationOffset) {
+            this.#configurationOffset = offset;
+            this.#cache = undefined;
+            this.#options.gossip.set(offsetKey, Buffer.from(String(offset)));
+        }
+    }
+
+    #createSelf(): Member {
+        return {
+            ...this.#options.self,
+            state: this.#isLeaving ? "leaving" : "alive",
+            protocol: this.#protocol,
+            configurationOffset: this.#configurationOffset,
+            heartbeatAge: 0,
+        };
+    }
+
+    #createMember(vm: Vm): Member {
+        const { gossip } = this.#options;
+        const node = parseNode(gossip.get(vm.id, nodeKey));
+        const listedAge = this.#options.clock.monotonic() - (this.#listedAt.get(vm.id) ?? 0);
+        const offset = gossip.get(vm.id, offsetKey);
+        const age = gossip.getHeartbeatAge(vm.id);
+        const isLeaving = vm.state === "leaving" || gossip.get(vm.id, leavingKey) !== undefined;
+        const state = this.#judge(age, isLeaving);
+        this.#noteState(vm.id, state);
+        return {
+            id: vm.id,
+            address: vm.address,
+            peerPort: vm.peerPort ?? 0,
+            failureDomain: vm.failureDomain,
+            region: vm.region,
+            state,
+            protocol: node === undefined
+                ? { oldest: this.#protocol.oldest, newest: this.#protocol.oldest }
+                : { oldest: node.oldest, newest: node.newest },
+            configurationOffset: offset === undefined ? -1 : Number(offset.toString()),
+            heartbeatAge: age ?? listedAge,
+        };
+    }
+
+    #judge(age: number | undefined, isLeaving: boolean): MemberState {
+        const suspect = this.#options.gossip.getSuspectMilliseconds();
+        if (age === undefined || age > suspect * deadFactor) {
+            return "dead";
+        }
+        if (isLeaving) {
+            return "leaving";
+        }
+        return age > suspect ? "suspect" : "alive";
+    }
+
+    #noteState(id: string, state: MemberState): void {
+        const before = this.#states.get(id);
+        if (before !== state) {
+            this.#states.set(id, state);
+            this.#options.journal.write(events.memberChanged, { member: id, state, before });
+        }
+    }
+}
+
+function parseNode(value: Buffer | undefined): z.infer<typeof nodeSchema> | undefined {
+    if (value === undefined) {
+        return undefined;
+    }
+    const parsed = nodeSchema.safeParse(JSON.parse(value.toString()));
+    return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/src/membership/peerClient.ts
@@ -0,0 +1,197 @@
+/**
+ * Calls peers by gRPC. Each call has a deadline, is made once, and names its peer by IP number: which peer to ask, and
+ * whether to ask again, is for the caller to decide, so the library's own retries and name resolution are off.
+ */
+import { type ChannelCredentials, type ClientOptions, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import {
+    type CopyBillsReply,
+    type CopyBillsRequest,
+    type DecideClaimsReply,
+    type DecideClaimsRequest,
+    type ExchangeReply,
+    type ExchangeRequest,
+    type FetchStateReply,
+    type FetchStateRequest,
+    PeerClient as GeneratedClient,
+    type PushReply,
+    type PushRequest,
+} from "../generated/peer.js";
+import type { GossipTransport, PeerAddress } from "./gossip.js";
+import type { PeerCredentials } from "./peerCredentials.js";
+
+const defaultDeadlineMilliseconds = 1_000;
+/** A connection without calls is closed after so long; gossip would otherwise hold one to each of 350 nodes. */
+const idleMilliseconds = 60_000;
+const firstBackoffMilliseconds = 200;
+const maximumBackoffMilliseconds = 2_000;
+/** Finds connections whose far side vanished without closing them, such as behind a cut. */
+const keepaliveMilliseconds = 5_000;
+const keepaliveTimeoutMilliseconds = 2_000;
+
+type UnaryCall<Request, Reply> = (
+    request: Request,
+    metadata: Metadata,
+    options: { deadline: number; },
+    callback: (error: ServiceError | null, reply: Reply) => void,
+) => unknown;
+
+/** Options of a client. */
+export interface PeerClientOptions {
+    /** For mutual TLS; without it connections are plain. */
+    readonly credentials?: PeerCredentials;
+    /** How long a call may take when it names no time of its own. */
+    readonly deadlineMilliseconds?: number;
+}
+
+/** Calls peers. */
+export class PeerClient {
+    readonly #deadlineMilliseconds: number;
+    readonly #clients = new Map<string, GeneratedClient>();
+    #credentials: PeerCredentials | undefined;
+
+    constructor(options: PeerClientOptions = {}) {
+        this.#credentials = options.credentials;
+        this.#deadlineMilliseconds = options.deadlineMilliseconds ?? defaultDeadlineMilliseconds;
+    }
+
+    /**
+     * Uses other credentials for the connections that are opened from now on. Calls under way finish on the old ones.
+     * @param peerCredentials - The renewed credentials.
+     */
+    setCredentials(peerCredentials: PeerCredentials): void {
+        this.#credentials = peerCredentials;
+        this.close();
+    }
+
+    /** Closes all connections. */
+    close(): void {
+        for (const client of this.#clients.values()) {
+            client.close();
+        }
+        this.#clients.clear();
+    }
+
+    /**
+     * Closes the connections to all but some peers.
+     * @param peers - The peers that may still be called.
+     */
+    retain(peers: Iterable<PeerAddress>): void {
+        const targets = new Set([...peers].map(getTarget));
+        for (const [target, client] of this.#clients) {
+            if (!targets.has(target)) {
+                client.close();
+                this.#clients.delete(target);
+            }
+        }
+    }
+
+    /** Returns a transport for gossip over this client. */
+    createGossipTransport(): GossipTransport {
+        return {
+            exchange: async (peer, request) => (await this.exchange(peer, request)).unwrapOr(undefined),
+            push: async (peer, request) => (await this.push(peer, request)).isOk(),
+        };
+    }
+
+    /** Exchanges state. */
+    exchange(peer: PeerAddress, request: ExchangeRequest): Promise<Result<ExchangeReply, Failure>> {
+        const client = this.#getClient(peer);
+        return this.#call(client.exchange.bind(client), request);
+    }
+
+    /** Delivers urgent state. */
+    push(peer: PeerAddress, request: PushRequest): Promise<Result<PushReply, Failure>> {
+        const client = this.#getClient(peer);
+        return this.#call(client.push.bind(client), request);
+    }
+
+    /** Asks a peer to keep copies of bills. */
+    copyBills(
+        peer: PeerAddress,
+        request: CopyBillsRequest,
+        milliseconds?: number,
+    ): Promise<Result<CopyBillsReply, Failure>> {
+        const client = this.#getClient(peer);
+        return this.#call(client.copyBills.bind(client), request, milliseconds);
+    }
+
+    /** Asks a collector to decide claims. */
+    decideClaims(
+        peer: PeerAddress,
+        request: DecideClaimsRequest,
+        milliseconds?: number,
+    ): Promise<Result<DecideClaimsReply, Failure>> {
+        const client = this.#getClient(peer);
+        return this.#call(client.decideClaims.bind(client), request, milliseconds);
+    }
+
+    /** Asks for folded state. */
+    fetchState(
+        peer: PeerAddress,
+        request: FetchStateRequest,
+        milliseconds?: number,
+    ): Promise<Result<FetchStateReply, Failure>> {
+        const client = this.#getClient(peer);
+        return this.#call(client.fetchState.bind(client), request, milliseconds);
+    }
+
+    #getClient(peer: PeerAddress): GeneratedClient {
+        const target = getTarget(peer);
+        let client = this.#clients.get(target);
+        if (client === undefined) {
+            client = new GeneratedClient(target, this.#createCredentials(), this.#createOptions());
+            this.#clients.set(target, client);
+        }
+        return client;
+    }
+
+    #createCredentials(): ChannelCredentials {
+        if (this.#credentials === undefined) {
+            return credentials.createInsecure();
+        }
+        const { authority, key, certificate } = this.#credentials;
+        return credentials.createSsl(authority, key, certificate);
+    }
+
+    #createOptions(): ClientOptions {
+        const serverName = this.#credentials?.serverName;
+        return {
+            "grpc.service_config_disable_resolution": 1,
+            "grpc.enable_retries": 0,
+            "grpc.enable_http_proxy": 0,
+            "grpc.client_idle_timeout_ms": idleMilliseconds,
+            "grpc.initial_reconnect_backoff_ms": firstBackoffMilliseconds,
+            "grpc.max_reconnect_backoff_ms": maximumBackoffMilliseconds,
+            "grpc.keepalive_time_ms": keepaliveMilliseconds,
+            "grpc.keepalive_timeout_ms": keepaliveTimeoutMilliseconds,
+            ...serverName === undefined ? {} : { "grpc.ssl_target_name_override": serverName },
+        };
+    }
+
+    #call<Request, Reply>(
+        call: UnaryCall<Request, Reply>,
+        request: Request,
+        milliseconds = this.#deadlineMilliseconds,
+    ): Promise<Result<Reply, Failure>> {
+        return new Promise(resolve => {
+            call(request, new Metadata(), { deadline: Date.now() + milliseconds }, (error, reply) => {
+                resolve(error ? err(createCallFailure(error)) : ok(reply));
+            });
+        });
+    }
+}
+
+function getTarget(peer: PeerAddress): string {
+    return `ipv4:${peer.address}:${peer.peerPort}`;
+}
+
+function createCallFailure(cause: ServiceError): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `A peer did not answer: ${cause.details}.`,
+        remedy: "Ask another peer, or try again.",
+        cause,
+    });
+}
--- /dev/null
+++ b/src/membership/peerServer.ts
@@ -0,0 +1,126 @@
+/**
+ * Answers the calls of peers.
+ */
+import { type handleUnaryCall, Server, ServerCredentials, status } from "@grpc/grpc-js";
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import { events, type Journal } from "../events/index.js";
+import {
+    type CopyBillsReply,
+    type CopyBillsRequest,
+    type DecideClaimsReply,
+    type DecideClaimsRequest,
+    type ExchangeReply,
+    type ExchangeRequest,
+    type FetchStateReply,
+    type FetchStateRequest,
+    PeerService,
+    type PushReply,
+    type PushRequest,
+} from "../generated/peer.js";
+import { CredentialSource, type PeerCredentials } from "./peerCredentials.js";
+
+const stopMilliseconds = 2_000;
+
+/** Answers one kind of call. */
+export type PeerHandler<Request, Reply> = (request: Request) => Reply | Promise<Reply>;
+
+/** What answers the calls of peers. */
+export interface PeerHandlers {
+    readonly exchange: PeerHandler<ExchangeRequest, ExchangeReply>;
+    readonly push: PeerHandler<PushRequest, PushReply>;
+    readonly copyBills: PeerHandler<CopyBillsRequest, CopyBillsReply>;
+    readonly decideClaims: PeerHandler<DecideClaimsRequest, DecideClaimsReply>;
+    readonly fetchState: PeerHandler<FetchStateRequest, FetchStateReply>;
+}
+
+/** Options of a server. */
+export interface PeerServerOptions {
+    readonly address: string;
+    /** 0 picks a free port. */
+    readonly port: number;
+    readonly handlers: PeerHandlers;
+    readonly journal: Journal;
+    /** For mutual TLS; without it connections are plain. */
+    readonly credentials?: PeerCredentials;
+}
+
+/** Listens for peers. */
+export class PeerServer {
+    readonly #options: PeerServerOptions;
+    readonly #server = new Server();
+    readonly #source: CredentialSource | undefined;
+
+    constructor(options: PeerServerOptions) {
+        this.#options = options;
+        this.#source = options.credentials === undefined ? undefined : new CredentialSource(options.credentials);
+        const { handlers } = options;
+        this.#server.addService(PeerService, {
+            exchange: this.#adapt(handlers.exchange),
+            push: this.#adapt(handlers.push),
+            copyBills: this.#adapt(handlers.copyBills),
+            decideClaims: this.#adapt(handlers.decideClaims),
+            fetchState: this.#adapt(handlers.fetchState),
+        });
+    }
+
+    /**
+     * Begins to listen.
+     * @returns The port.
+     */
+    start(): Promise<Result<number, Failure>> {
+        const { address, port } = this.#options;
+        const serverCredentials = this.#source?.createServerCredentials() ?? ServerCredentials.createInsecure();
+        return new Promise(resolve => {
+            this.#server.bindAsync(`${address}:${port}`, serverCredentials, (error, bound) => {
+                resolve(error ? err(createBindFailure(address, port, error)) : ok(bound));
+            });
+        });
+    }
+
+    /** Finishes the calls under way, for a short while, and stops listening. */
+    async stop(): Promise<void> {
+        await new Promise<void>(resolve => {
+            const timer = setTimeout(() => {
+                this.#server.forceShutdown();
+                resolve();
+            }, stopMilliseconds);
+            this.#server.tryShutdown(() => {
+                clearTimeout(timer);
+                resolve();
+            });
+        });
+    }
+
+    /**
+     * Renews the credentials without a restart.
+     * @param credentials - The renewed credentials.
+     */
+    setCredentials(credentials: PeerCredentials): void {
+        this.#source?.set(credentials);
+    }
+
+    #adapt<Request, Reply>(handler: PeerHandler<Request, Reply>): handleUnaryCall<Request, Reply> {
+        return async (call, callback) => {
+            try {
+                const reply = await handler(call.request);
+                // eslint-disable-next-line no-restricted-syntax -- The library takes no undefined here.
+                callback(null, reply);
+            }
+            catch (error) {
+                // A message that a handler cannot digest must fail its call, not end the process.
+                this.#options.journal.write(events.peerCallFailed, { cause: String(error) });
+                callback({ code: status.INTERNAL, details: "the handler failed" });
+            }
+        };
+    }
+}
+
+function createBindFailure(address: string, port: number, cause: Error): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The port ${port} for peers on ${address} could not be opened.`,
+        remedy: "Check the address and port in the settings, and that no other process uses them.",
+        cause,
+    });
+}
--- /dev/null
+++ b/src/membership/protocol.ts
@@ -0,0 +1,14 @@
+/**
+ * Versions of the protocol between entries and of the record formats that they read.
+ */
+
+/** The oldest version that this program reads. */
+export const oldestProtocol = 1;
+/** The newest version that this program reads. */
+export const newestProtocol = 1;
+
+/** A range of versions that a node reads. */
+export interface ProtocolRange {
+    readonly oldest: number;
+    readonly newest: number;
+}
