Add the fault-injecting proxy, the process starter and tests of each fault

Cause: faults of the network and of processes have to be caused by a test, and nothing that a test starts may outlive it. Ruled out: a ready-made proxy (not allowed), and dropping bytes silently on a connection that goes on afterwards: no real network delivers a text with a hole, so a connection that lost bytes breaks once the fault is lifted. Change: FaultProxy with routes; src/testbench with ProcessGroup, waitUntil and calls; a test for each fault of each stand-in.

--- a/src/standins/index.ts
+++ b/src/standins/index.ts
@@ -10,6 +10,7 @@
 } from "./engine/index.js";
 export { LogService } from "./logService.js";
 export { PlainService } from "./plainService.js";
+export { FaultProxy, type RouteFaults } from "./proxy/index.js";
 export { RatingService } from "./ratingService.js";
 export { createStandin, type Standin } from "./standin.js";
 export { VmList } from "./vmList.js";
--- /dev/null
+++ b/src/standins/proxy/proxyRoute.ts
@@ -0,0 +1,154 @@
+/**
+ * One route through the proxy: a listener that leads to a target.
+ */
+import type { Result } from "neverthrow";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { type Failure, systemClock } from "../../common/index.js";
+import type { Address } from "../address.js";
+import { Conditions } from "../conditions.js";
+import { Pump } from "./pump.js";
+import { type RouteFaults, routeFaultSchema } from "./routeFaults.js";
+
+/** What the proxy notes of a connection. */
+export interface ConnectionNote {
+    readonly route: string;
+    readonly openedAt: number;
+    closedAt?: number;
+    toTarget: number;
+    fromTarget: number;
+}
+
+/** What a route is made from. */
+export interface ProxyRouteOptions {
+    readonly name: string;
+    readonly listen: Address;
+    readonly target: Address;
+    readonly faults?: object;
+    /** Takes the note of each connection as it opens. */
+    readonly note: (note: ConnectionNote) => void;
+}
+
+interface Connection {
+    readonly sockets: readonly Socket[];
+    readonly pumps: readonly Pump[];
+}
+
+/** Leads connections to a target and applies faults to them. */
+export class ProxyRoute {
+    readonly #options: ProxyRouteOptions;
+    readonly #faults: Conditions<RouteFaults>;
+    readonly #connections = new Set<Connection>();
+    #address: Address;
+    #server: Server | undefined;
+
+    constructor(options: ProxyRouteOptions) {
+        this.#options = options;
+        this.#address = options.listen;
+        this.#faults = new Conditions(routeFaultSchema, options.faults ?? {});
+    }
+
+    /** Returns the faults in force. */
+    getFaults(): RouteFaults {
+        return this.#faults.get();
+    }
+
+    /** Returns where the route listens. */
+    getAddress(): Address {
+        return this.#address;
+    }
+
+    /** Listens; returns the address in use. */
+    async start(): Promise<Address> {
+        const server = createServer({ allowHalfOpen: true }, socket => this.#accept(socket));
+        const { host, port } = this.#address;
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(port, host, resolve);
+        });
+        this.#server = server;
+        this.#address = { host, port: (server.address() as AddressInfo).port };
+        return this.#address;
+    }
+
+    /** Breaks all connections and stops listening. */
+    async stop(): Promise<void> {
+        const server = this.#server;
+        this.#server = undefined;
+        this.#breakAll(() => true);
+        if (server !== undefined) {
+            await new Promise<void>(resolve => server.close(() => resolve()));
+        }
+    }
+
+    /**
+     * Changes some faults and leaves the others.
+     * @param change - Keys with their new values.
+     */
+    async changeFaults(change: object): Promise<Result<unknown, Failure>> {
+        const changed = this.#faults.change(change);
+        if (changed.isErr()) {
+            return changed;
+        }
+        const { cut, halfOpen, oneWay } = changed.value;
+        if (cut) {
+            await this.stop();
+        }
+        else if (this.#server === undefined) {
+            await this.start();
+        }
+        if (!halfOpen && oneWay === "none") {
+            // A connection that lost bytes would deliver a text with a hole in it, which no real network does.
+            this.#breakAll(connection => connection.pumps.some(pump => pump.hasLost()));
+        }
+        for (const connection of this.#connections) {
+            for (const pump of connection.pumps) {
+                pump.deliver();
+            }
+        }
+        return changed;
+    }
+
+    #accept(near: Socket): void {
+        const { host, port } = this.#options.target;
+        const far = connect({ host, port, allowHalfOpen: true, noDelay: true });
+        near.setNoDelay(true);
+        const sockets = [near, far];
+        const breakConnection = (): void => breakSockets(sockets);
+        const getFaults = (): RouteFaults => this.#faults.get();
+        const toTarget = new Pump({ direction: "to-target", from: near, to: far, getFaults, breakConnection });
+        const fromTarget = new Pump({ direction: "from-target", from: far, to: near, getFaults, breakConnection });
+        const connection = { sockets, pumps: [toTarget, fromTarget] };
+        const note: ConnectionNote = {
+            route: this.#options.name,
+            openedAt: systemClock.wall(),
+            toTarget: 0,
+            fromTarget: 0,
+        };
+        this.#options.note(note);
+        this.#connections.add(connection);
+        for (const socket of sockets) {
+            socket.once("close", () => {
+                note.closedAt = systemClock.wall();
+                note.toTarget = toTarget.getDelivered();
+                note.fromTarget = fromTarget.getDelivered();
+                if (near.closed && far.closed) {
+                    this.#connections.delete(connection);
+                }
+            });
+        }
+    }
+
+    #breakAll(isBroken: (connection: Connection) => boolean): void {
+        for (const connection of this.#connections) {
+            if (isBroken(connection)) {
+                breakSockets(connection.sockets);
+            }
+        }
+    }
+}
+
+function breakSockets(sockets: readonly Socket[]): void {
+    for (const socket of sockets) {
+        socket.resetAndDestroy();
+    }
+}
--- a/src/standins/standin.ts
+++ b/src/standins/standin.ts
@@ -6,6 +6,7 @@
 import { ModelEngine } from "./engine/index.js";
 import { LogService } from "./logService.js";
 import { PlainService } from "./plainService.js";
+import { FaultProxy } from "./proxy/index.js";
 import { RatingService } from "./ratingService.js";
 import { VmList } from "./vmList.js";
 import { WeightStore } from "./weightStore.js";
@@ -27,6 +28,7 @@
     ["rating", RatingService],
     ["engine", ModelEngine],
     ["service", PlainService],
+    ["proxy", FaultProxy],
 ]);
 
 /**
--- a/src/standins/standinServer.ts
+++ b/src/standins/standinServer.ts
@@ -21,7 +21,7 @@
 export interface StandinServerOptions {
     readonly listen: Address;
     readonly getConditions: () => CommonConditions;
-    readonly changeConditions: (change: object) => Result<unknown, Failure>;
+    readonly changeConditions: (change: object) => Result<unknown, Failure> | Promise<Result<unknown, Failure>>;
     readonly getJournal: () => readonly unknown[];
     /** Adds the stand-in's own routes. */
     readonly addRoutes: (router: Router) => void;
@@ -98,7 +98,7 @@
             context.body = this.#options.getConditions();
         });
         router.post("/faults", async context => {
-            const changed = this.#options.changeConditions(await readJson(context) as object);
+            const changed = await this.#options.changeConditions(await readJson(context) as object);
             if (changed.isErr()) {
                 answerProblem(context, 400, changed.error.kind, changed.error.message);
                 return;
--- /dev/null
+++ b/src/testbench/addressBlock.ts
@@ -0,0 +1,24 @@
+/**
+ * Addresses for the processes of one test file.
+ */
+
+const firstPort = 10_000;
+const portCount = 20_000;
+
+/** Hands out addresses of a loopback block; the port differs by test process, so that two runs can go side by side. */
+export class AddressBlock {
+    readonly #prefix: string;
+    readonly #port = firstPort + process.pid % portCount;
+    #last = 0;
+
+    /** @param prefix - The first three bytes, such as `127.10.3`. */
+    constructor(prefix: string) {
+        this.#prefix = prefix;
+    }
+
+    /** Returns the next address as `HOST:PORT`. */
+    next(): string {
+        this.#last += 1;
+        return `${this.#prefix}.${this.#last}:${this.#port}`;
+    }
+}
--- /dev/null
+++ b/src/testbench/index.ts
@@ -0,0 +1,6 @@
+/** Tools that start real processes and wait for conditions, for tests, scenarios and the demo. */
+export * from "./addressBlock.js";
+export * from "./call.js";
+export * from "./processGroup.js";
+export * from "./runningProcess.js";
+export * from "./waitUntil.js";
--- /dev/null
+++ b/test/standins/plainService.test.ts
@@ -0,0 +1,49 @@
+import { expect } from "earl";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { formatAddress, PlainService } from "../../src/standins/index.js";
+import { call, getJournal, type Reply, setFaults } from "../../src/testbench/index.js";
+
+describe("PlainService", () => {
+    let service: PlainService;
+    let address: string;
+
+    beforeEach(async () => {
+        service = new PlainService({ host: "127.10.2.1", port: 0 });
+        address = formatAddress(await service.start());
+    });
+
+    afterEach(() => service.stop());
+
+    function book(key: string): Promise<Reply> {
+        const headers = { "Idempotency-Key": key, "X-Request-Id": `request-${key}` };
+        return call({ address, path: "/bookings", method: "POST", headers, body: {}, boundMilliseconds: 300 });
+    }
+
+    async function getKeys(): Promise<readonly unknown[]> {
+        const notes = await getJournal<{ readonly key: string; readonly request: string; }>(address);
+        return notes.map(note => [note.key, note.request]);
+    }
+
+    // The booking is made or not made, and in each case the caller sees nothing but a failed call.
+    const cases = [
+        { fault: "dropAfterRun", ran: true },
+        { fault: "hangAfterRun", ran: true },
+        { fault: "dropBeforeRun", ran: false },
+        { fault: "hang", ran: false },
+    ];
+    for (const { fault, ran } of cases) {
+        it(`notes what took effect under ${fault}`, async () => {
+            await setFaults(address, { [fault]: 1 });
+            await expect(book("a")).toBeRejected();
+            expect((await book("b")).status).toEqual(200);
+            const second = ["b", "request-b"];
+            expect(await getKeys()).toEqual(ran ? [["a", "request-a"], second] : [second]);
+        });
+    }
+
+    it("refuses calls while it is leaving", async () => {
+        await setFaults(address, { leaving: true });
+        expect((await book("a")).status).toEqual(409);
+        expect(await getKeys()).toEqual([]);
+    });
+});
--- /dev/null
+++ b/test/testbench/processGroup.test.ts
@@ -0,0 +1,68 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    AddressBlock,
+    call,
+    type RunningProcess,
+    setFaults,
+    waitUntil,
+    withProcesses,
+} from "../../src/testbench/index.js";
+
+const addresses = new AddressBlock("127.10.6");
+
+describe("withProcesses", () => {
+    const kinds = ["log", "vm-list", "weight-store", "rating", "engine", "service", "proxy"];
+    for (const kind of kinds) {
+        it(`starts a ${kind} stand-in that stops with exit code 0`, async () => {
+            await withProcesses(async group => {
+                const standin = await group.startStandin(kind, addresses.next());
+                expect((await call({ address: standin.getAddress(), path: "/faults" })).status).toEqual(200);
+                expect(await standin.stop()).toEqual(0);
+                expect(standin.getEvents().map(line => line.name)).toEqual([
+                    "process-started",
+                    "process-stopping",
+                    "process-stopped",
+                ]);
+            });
+        });
+    }
+
+    it("ends its processes when the work fails", async () => {
+        let left: RunningProcess | undefined;
+        const failing = withProcesses(async group => {
+            left = await group.startStandin("log", addresses.next());
+            left.freeze();
+            throw new Error("the work failed");
+        });
+        await expect(failing).toBeRejectedWith("the work failed");
+        expect(left?.hasExited()).toEqual(true);
+    });
+
+    it("says what a process wrote that does not become ready", async () => {
+        await withProcesses(async group => {
+            await expect(group.startStandin("nothing", addresses.next())).toBeRejectedWith("Take one of log");
+        });
+    });
+
+    // The VM stalls: its process holds its connections and answers nothing until it goes on.
+    it("freezes and wakes a process", async () => {
+        await withProcesses(async group => {
+            const standin = await group.startStandin("log", addresses.next());
+            const address = standin.getAddress();
+            standin.freeze();
+            await expect(call({ address, path: "/faults", boundMilliseconds: 200 })).toBeRejected();
+            standin.wake();
+            await waitUntil(() => setFaults(address, {}).then(() => true, () => false), {
+                what: "the process to go on",
+            });
+        });
+    });
+});
+
+describe("waitUntil", () => {
+    it("names what it waited for in vain", async () => {
+        const waiting = waitUntil(() => false, { what: "the tide", boundMilliseconds: 30 });
+        await expect(waiting).toBeRejectedWith("for the tide");
+    });
+});
