--- a/src/configuration/checkTree.ts
+++ b/src/configuration/checkTree.ts
@@ -1,7 +1,7 @@
 /**
  * Checks of the configuration tree: single values against the schema, and sections against each other.
  */
-import { describeUnknownKey, findNearest, findSectionSchema } from "../settings/index.js";
+import { describeUnknownKey, findNearest, findSectionSchema, getKey } from "../settings/index.js";
 import { getModel, getPatterns, isVersionAllowed, scopeLineage } from "./allowance.js";
 import { type Change, type Tree, wholeSection } from "./tree.js";
 import { treeSchema, versionKeys } from "./treeSchema.js";
@@ -28,8 +28,8 @@
             ? undefined
             : { ...place, message: "A whole section has no value.", remedy: "Leave the value out to remove it." };
     }
-    const key = schema.keys[change.key];
-    if (!Object.hasOwn(schema.keys, change.key) || key === undefined) {
+    const key = getKey(schema, change.key);
+    if (key === undefined) {
         return { ...place, ...describeUnknownKey(change.key, schema) };
     }
     if (change.value === undefined) {
--- a/src/configuration/configurationFile.ts
+++ b/src/configuration/configurationFile.ts
@@ -24,7 +24,9 @@
                 remedy: "Give it a key, or remove it: what has no section inherits everything.",
             })),
             ...checkTree(tree),
-        ].map(mistake => addPlace(mistake, document));
+        ]
+            .map(mistake => addPlace(mistake, document))
+            .sort((left, right) => left.line - right.line);
         return mistakes.length === 0 ? ok(tree) : err(mistakes);
     });
 }
--- /dev/null
+++ b/src/settings/reference.ts
@@ -0,0 +1,45 @@
+/**
+ * Shows schemas as the settings reference, docs/SETTINGS.md.
+ */
+import type { SettingKey } from "./settingKey.js";
+import type { SectionSchema, SettingSchema } from "./settingSchema.js";
+
+/**
+ * Shows schemas as Markdown.
+ * @param schemas - The kinds of settings files, in the order of the page.
+ */
+export function formatReference(schemas: readonly SettingSchema[]): string {
+    const parts = [
+        "# Settings reference",
+        "Made from the schemas by `npm run build && node scripts/generateSettings.mjs`; a test compares it with them. "
+        + "Do not edit it by hand.",
+    ];
+    for (const schema of schemas) {
+        parts.push(`## ${schema.title}`, schema.description);
+        for (const section of schema.sections) {
+            parts.push(...formatSection(section));
+        }
+    }
+    return `${parts.join("\n\n")}\n`;
+}
+
+function formatSection(section: SectionSchema): readonly string[] {
+    const rows = Object.entries(section.keys).map(([name, key]) => formatRow(name, key));
+    const head = ["| key | value | default | meaning |", "| --- | --- | --- | --- |"];
+    return [`### \`[${section.title}]\``, section.description, [...head, ...rows].join("\n")];
+}
+
+function formatRow(name: string, key: SettingKey<unknown>): string {
+    const description = `${key.description} Example: \`${key.example}\``;
+    return `| \`${name}\` | ${key.type} | ${formatDefault(key)} | ${description.replaceAll("|", "\\|")} |`;
+}
+
+function formatDefault(key: SettingKey<unknown>): string {
+    if (key.isRequired) {
+        return "must be given";
+    }
+    if (key.defaultText === undefined) {
+        return "none";
+    }
+    return key.defaultText === "" ? "empty" : `\`${key.defaultText}\``;
+}
--- a/src/settings/settingSchema.ts
+++ b/src/settings/settingSchema.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { findNearest, type Mistake } from "./mistake.js";
 import { parseDocument, type SettingDocument, type SettingSection } from "./settingDocument.js";
-import { getPropertyName, type SettingKeys, type SettingValues } from "./settingKey.js";
+import { getPropertyName, type SettingKey, type SettingKeys, type SettingValues } from "./settingKey.js";
 
 /** One kind of section. */
 export interface SectionSchema<Keys extends SettingKeys = SettingKeys> {
@@ -78,6 +78,12 @@
     return schema.sections.find(section => section.pattern.test(name));
 }
 
+/** Returns a section's key, or undefined when it has none of that name. */
+export function getKey(schema: SectionSchema, name: string): SettingKey<unknown> | undefined {
+    // An object's own properties only: `constructor` in a file would otherwise pass for a key and stop the check.
+    return Object.hasOwn(schema.keys, name) ? schema.keys[name] : undefined;
+}
+
 /**
  * Returns the values of a section of a checked file, with defaults filled in.
  * @param document - A file that `checkSettings` found free of mistakes.
@@ -113,7 +119,7 @@
     const mistakes: Mistake[] = [];
     const place = { file, section: section.name };
     for (const setting of section.lines.values()) {
-        const key = schema.keys[setting.key];
+        const key = getKey(schema, setting.key);
         if (key === undefined) {
             mistakes.push({
                 ...place,
--- /dev/null
+++ b/test/settings/entrySettings.test.ts
@@ -0,0 +1,77 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { formatMistake, parseEntrySettings, parseLedgerSettings } from "../../src/settings/index.js";
+
+const validEntry = `
+; An entry in hall-mole
+[process]
+name = entry-1
+failure_domain = hall-mole
+region = catania
+[listen]
+callers = 127.20.2.1:8080 ; towards callers
+peers = 127.20.2.1:8081
+operators = [::1]:8082
+[platform]
+log_url = http://127.20.2.2:7000
+vm_list_url = http://127.20.2.2:7001
+rating_url = http://127.20.2.2:7002
+weight_store_url = http://127.20.2.2:7003
+[timing]
+lease_term_ms = 8000
+[session]
+signing_key = 0123456789abcdef0123456789abcdef
+`;
+
+function getMistakes(content: string): readonly string[] {
+    return parseEntrySettings(content, "entry.ini")._unsafeUnwrapErr().map(formatMistake);
+}
+
+describe("parseEntrySettings", () => {
+    it("reads values and fills in defaults", () => {
+        const settings = parseEntrySettings(validEntry, "entry.ini")._unsafeUnwrap();
+        expect(settings.process.failureDomain).toEqual("hall-mole");
+        expect(settings.listen.callers).toEqual({ host: "127.20.2.1", port: 8080 });
+        expect(settings.listen.operators).toEqual({ host: "::1", port: 8082 });
+        expect(settings.timing.leaseTermMilliseconds).toEqual(8_000);
+        expect(settings.timing.logWaitMilliseconds).toEqual(2_000);
+        expect(settings.tls.certificate).toEqual(undefined);
+    });
+
+    // A file with several mistakes is tried again and again when only the first is named.
+    it("reports every mistake with its line, its key and what to write instead", () => {
+        const content = validEntry
+            .replace("callers = 127.20.2.1:8080 ; towards callers", "callers = entry.example:8080")
+            .replace("lease_term_ms = 8000", "lease_tern_ms = 8000\nlog_wait_ms = 2s\nlog_wait_ms = 5")
+            .replace("[session]", "[sesion]")
+            .replace("name = entry-1", "name entry-1");
+        expect(getMistakes(content)).toEqual([
+            "entry.ini:0: [session] signing_key: The key is missing. Write, for instance, signing_key = "
+            + "replace-me-with-32-random-characters.",
+            "entry.ini:3: [process] name: The key is missing. Write, for instance, name = entry-1.",
+            "entry.ini:4: [process] The line is no section, key or comment. Write key = value, [section] or ; comment.",
+            "entry.ini:8: [listen] callers: \"entry.example:8080\" cannot be used. Write an IP number and a port, such as "
+            + "10.0.1.11:8080; host names are not looked up.",
+            "entry.ini:17: [timing] lease_tern_ms: The key is not known here. Did you mean lease_term_ms?",
+            "entry.ini:18: [timing] log_wait_ms: \"2s\" cannot be used. Write a whole number of milliseconds from 1 to 600000, "
+            + "such as 2000.",
+            "entry.ini:19: [timing] log_wait_ms: The key already stands on line 18. Keep one of the two.",
+            "entry.ini:20: [sesion] The section is not known. Did you mean [session]?",
+        ]);
+    });
+
+    it("takes names of objects' own properties for unknown keys", () => {
+        const mistakes = getMistakes(validEntry.replace("[timing]", "[timing]\nconstructor = 1\n__proto__ = 2"));
+        expect(mistakes.map(mistake => mistake.includes("not known") || mistake.includes("no section")))
+            .toEqual([true, true]);
+    });
+});
+
+describe("parseLedgerSettings", () => {
+    it("reads values", () => {
+        const content = "[process]\nname = ledger\nfailure_domain = a\nregion = b\n[platform]\n"
+            + "log_url = http://127.20.2.2:7000\n[ledger]\noutput = -\n";
+        const settings = parseLedgerSettings(content, "ledger.ini")._unsafeUnwrap();
+        expect(settings.ledger).toEqual({ output: "-", follow: true });
+    });
+});
--- /dev/null
+++ b/test/settings/reference.test.ts
@@ -0,0 +1,27 @@
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { describe, it } from "node:test";
+import { treeSchema } from "../../src/configuration/index.js";
+import { entrySchema, formatReference, ledgerSchema } from "../../src/settings/index.js";
+
+const schemas = [treeSchema, entrySchema, ledgerSchema];
+
+describe("formatReference", () => {
+    it("gives what docs/SETTINGS.md holds", () => {
+        expect(readFileSync("docs/SETTINGS.md", "utf8")).toEqual(formatReference(schemas));
+    });
+
+    it("shows examples and defaults that pass their own checks", () => {
+        for (const schema of schemas) {
+            for (const section of schema.sections) {
+                for (const [name, key] of Object.entries(section.keys)) {
+                    const texts = name === "keys" ? [key.defaultText] : [key.defaultText, key.example];
+                    for (const written of texts) {
+                        expect([name, written, written === undefined || key.parse(written).isOk()])
+                            .toEqual([name, written, true]);
+                    }
+                }
+            }
+        }
+    });
+});
