Measure the choice of a runner against simple ways and against perfect knowledge

Cause: the choice had no figures. Change: a small seeded model of runners (batching, prefix cache, late reports and cache events with gaps), eight entries that decide independently, seven scenarios, and the cost of a choice at 13, 210 and 2,100 runners.

--- a/src/decisions/placement/loadEstimate.ts
+++ b/src/decisions/placement/loadEstimate.ts
@@ -12,8 +12,9 @@
 
 /** Load of one runner as one entry sees it. */
 export class LoadEstimate {
-    readonly #times = new Float64Array(historyLength);
-    readonly #counts = new Float64Array(historyLength);
+    /** Both grow with use: of 2,100 runners an entry uses few. */
+    readonly #times: number[] = [];
+    readonly #counts: number[] = [];
     #historyNext = 0;
     #own = 0;
     #othersAtMeasurement = 0;
--- a/src/decisions/placement/prefixTable.ts
+++ b/src/decisions/placement/prefixTable.ts
@@ -45,6 +45,7 @@
     /** Notes that a runner holds a block. */
     add(upstream: string, block: string): void {
         const generation = this.#getGeneration(upstream);
+        this.#generations.set(upstream, generation);
         const holders = this.#holders.get(block) ?? [];
         // Deleting and setting again moves the block to the young end of the map, which is the bound's order.
         this.#holders.delete(block);
@@ -80,16 +81,17 @@
         this.#clearedBefore.set(upstream, this.#getGeneration(upstream));
     }
 
+    /** Forgets a runner that is gone for good; what is left of it in the table no longer counts. */
+    forget(upstream: string): void {
+        this.#generations.delete(upstream);
+        this.#clearedBefore.delete(upstream);
+    }
+
     /** Notes that events of a runner were lost: removals may be among them. */
     addGap(upstream: string): void {
         this.#generations.set(upstream, this.#getGeneration(upstream) + 1);
     }
 
-    /** Forgets a runner that left the site. */
-    forget(upstream: string): void {
-        this.clear(upstream);
-    }
-
     /**
      * Finds the holders of the longest prefixes.
      * @param blocks - Shortest prefix first.
@@ -113,10 +115,11 @@
     }
 
     #getConfidence(holder: Holder): number {
-        if (holder.generation < (this.#clearedBefore.get(holder.upstream) ?? 0)) {
+        const generation = this.#generations.get(holder.upstream);
+        if (generation === undefined || holder.generation < (this.#clearedBefore.get(holder.upstream) ?? 0)) {
             return 0;
         }
-        return doubtfulWeight ** Math.min(4, this.#getGeneration(holder.upstream) - holder.generation);
+        return doubtfulWeight ** (generation - holder.generation);
     }
 
     #removeOldest(): void {
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -64,13 +64,13 @@
             listed.add(vm.id);
             this.#setUpstream(vm);
         }
-        for (const id of this.#runners.keys()) {
+        for (const [id, runner] of this.#runners) {
             if (!listed.has(id)) {
                 this.#runners.delete(id);
+                this.#index.remove(runner);
                 this.#prefixes.forget(id);
             }
         }
-        this.#index.rebuild(this.#runners.values());
     }
 
     /** Returns the upstreams that this entry talks to: the ones whose load it has to follow. */
@@ -85,9 +85,13 @@
      */
     setVersions(upstream: string, versions: readonly string[]): void {
         const runner = this.#runners.get(upstream);
-        if (runner !== undefined && !isSame(runner.versions, versions)) {
-            runner.versions = versions;
-            this.#index.rebuild(this.#runners.values());
+        if (runner === undefined || isSame(runner.versions, versions)) {
+            return;
+        }
+        this.#index.remove(runner);
+        runner.versions = versions;
+        if (!runner.isLeaving) {
+            this.#index.add(runner);
         }
     }
 
@@ -140,7 +144,7 @@
             return;
         }
         runner.isLeaving = true;
-        this.#index.rebuild(this.#runners.values());
+        this.#index.remove(runner);
     }
 
     /**
@@ -236,7 +240,9 @@
         const known = this.#runners.get(vm.id);
         if (known !== undefined) {
             known.vm = vm;
-            known.isLeaving ||= vm.state === "leaving";
+            if (vm.state === "leaving") {
+                this.markLeaving(vm.id);
+            }
             return;
         }
         const runner = new Runner({
@@ -249,6 +255,9 @@
         });
         runner.isLeaving = vm.state === "leaving";
         this.#runners.set(vm.id, runner);
+        if (!runner.isLeaving) {
+            this.#index.add(runner);
+        }
     }
 
     #getDistance(vm: Vm): number {
--- a/src/decisions/placement/runnerIndex.ts
+++ b/src/decisions/placement/runnerIndex.ts
@@ -18,13 +18,20 @@
     readonly all: readonly Runner[];
 }
 
+interface Group {
+    /** By rank, the greatest first. */
+    readonly runners: Runner[];
+    /** Absent after a change, until somebody asks. */
+    list: CandidateList | undefined;
+}
+
 const emptyList: CandidateList = { near: [], far: [], all: [] };
 
 /** Index of runners by version and by pool. */
 export class RunnerIndex {
     readonly #options: PlacementOptions;
     readonly #ownDomain: string;
-    #lists = new Map<string, CandidateList>();
+    readonly #groups = new Map<string, Group>();
 
     constructor(ownDomain: string, options: PlacementOptions) {
         this.#ownDomain = ownDomain;
@@ -33,52 +40,69 @@
 
     /** Returns the runners of a version, of a pool, or of a version within a pool. */
     get(version: string | undefined, pool: string | undefined): CandidateList {
-        return this.#lists.get(getKey(version, pool)) ?? emptyList;
+        const group = this.#groups.get(getKey(version, pool));
+        return group === undefined ? emptyList : this.#getList(group);
     }
 
     /** Returns all lists' near and far runners, each once. */
     getSubset(): ReadonlySet<Runner> {
         const subset = new Set<Runner>();
-        for (const list of this.#lists.values()) {
-            for (const runner of list.near) {
-                subset.add(runner);
-            }
-            for (const runner of list.far) {
+        for (const group of this.#groups.values()) {
+            const list = this.#getList(group);
+            for (const runner of [...list.near, ...list.far]) {
                 subset.add(runner);
             }
         }
         return subset;
     }
 
-    /** Builds the index anew; called when a runner comes, leaves, or loads another version. */
-    rebuild(runners: Iterable<Runner>): void {
-        const groups = new Map<string, Runner[]>();
-        for (const runner of runners) {
-            if (runner.isLeaving) {
-                continue;
-            }
-            for (const key of getKeys(runner)) {
-                const group = groups.get(key);
-                if (group === undefined) {
-                    groups.set(key, [runner]);
-                }
-                else {
-                    group.push(runner);
-                }
-            }
+    /** Adds a runner under its pool and versions. */
+    add(runner: Runner): void {
+        for (const key of getKeys(runner)) {
+            this.#addTo(key, runner);
+        }
+    }
+
+    /** Removes a runner. Call it before the runner's pool or versions change, and `add` after. */
+    remove(runner: Runner): void {
+        for (const key of getKeys(runner)) {
+            this.#removeFrom(key, runner);
+        }
+    }
+
+    #addTo(key: string, runner: Runner): void {
+        const group = this.#groups.get(key) ?? { runners: [], list: undefined };
+        this.#groups.set(key, group);
+        const place = findPlace(group.runners, runner.rank);
+        if (group.runners[place] === runner) {
+            return;
+        }
+        group.runners.splice(place, 0, runner);
+        group.list = undefined;
+    }
+
+    #removeFrom(key: string, runner: Runner): void {
+        const group = this.#groups.get(key);
+        const place = group?.runners.indexOf(runner) ?? -1;
+        if (group === undefined || place < 0) {
+            return;
         }
-        const lists = new Map<string, CandidateList>();
-        for (const [key, group] of groups) {
-            lists.set(key, this.#createList(group));
+        group.runners.splice(place, 1);
+        group.list = undefined;
+        if (group.runners.length === 0) {
+            this.#groups.delete(key);
         }
-        this.#lists = lists;
     }
 
-    #createList(group: Runner[]): CandidateList {
-        group.sort((left, right) => right.rank - left.rank);
-        const near = group.filter(runner => runner.isNear);
-        const far = group.filter(runner => !runner.isNear);
-        return { near: this.#pickNear(near), far: far.slice(0, this.#options.farSubsetSize), all: group };
+    #getList(group: Group): CandidateList {
+        group.list ??= this.#createList(group.runners);
+        return group.list;
+    }
+
+    #createList(all: readonly Runner[]): CandidateList {
+        const near = all.filter(runner => runner.isNear);
+        const far = all.filter(runner => !runner.isNear);
+        return { near: this.#pickNear(near), far: far.slice(0, this.#options.farSubsetSize), all };
     }
 
     #pickNear(near: readonly Runner[]): readonly Runner[] {
@@ -92,6 +116,22 @@
     }
 }
 
+/** Finds the first place whose rank is not greater, by halving. */
+function findPlace(runners: readonly Runner[], rank: number): number {
+    let low = 0;
+    let high = runners.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (runners[middle].rank > rank) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
 function getKey(version: string | undefined, pool: string | undefined): string {
     return `${version ?? ""}\n${pool ?? ""}`;
 }
--- /dev/null
+++ b/src/measure/decisionCost.ts
@@ -0,0 +1,125 @@
+/**
+ * What one choice of a runner costs the entry: time and memory, at today's and at the target's size.
+ */
+import { performance } from "node:perf_hooks";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import { RandomSource, systemClock } from "../common/index.js";
+import { RunnerChooser } from "../decisions/placement/index.js";
+import type { Vm } from "../world/index.js";
+import { getQuantile, getRange } from "./statistics.js";
+
+const regions = 8;
+const domains = 17;
+const versions = 11;
+const blocksPerRequest = 32;
+const warmUpChoices = 20_000;
+const timedChoices = 20_000;
+const choicesPerHeapSample = 200;
+const heapSamples = 21;
+
+/** Cost of a choice with a number of runners. */
+export interface DecisionCost {
+    readonly runners: number;
+    readonly medianMicroseconds: number;
+    readonly microseconds99: number;
+    /** Bytes allocated for one choice, the request's end included. */
+    readonly bytes: number;
+    /** Bytes that the chooser keeps. */
+    readonly keptBytes: number;
+}
+
+/** Measures the cost of a choice, from `choose` to `finish`. */
+export function measureDecisionCost(runners: number, seed: number): DecisionCost {
+    const collect = getCollector();
+    const vms = createVms(runners);
+    collect();
+    const before = process.memoryUsage().heapUsed;
+    const chooser = createChooser(vms, seed);
+    collect();
+    const keptBytes = process.memoryUsage().heapUsed - before;
+    const requests = createRequests(seed);
+    for (const index of getRange(warmUpChoices)) {
+        choose(chooser, requests[index % requests.length]);
+    }
+    const times = getRange(timedChoices).map(index => {
+        const since = performance.now();
+        choose(chooser, requests[index % requests.length]);
+        return (performance.now() - since) * 1_000;
+    });
+    const heap = getRange(heapSamples).map(() => {
+        collect();
+        const used = process.memoryUsage().heapUsed;
+        for (let index = 0; index < choicesPerHeapSample; index += 1) {
+            choose(chooser, requests[index % requests.length]);
+        }
+        return (process.memoryUsage().heapUsed - used) / choicesPerHeapSample;
+    });
+    return {
+        runners,
+        medianMicroseconds: getQuantile(times, 0.5),
+        microseconds99: getQuantile(times, 0.99),
+        bytes: getQuantile(heap, 0.5),
+        keptBytes,
+    };
+}
+
+interface CostRequest {
+    readonly version: string;
+    readonly blocks: readonly string[];
+    readonly exclude: ReadonlySet<string>;
+    readonly deadlineMilliseconds: number;
+    readonly estimatedTokens: number;
+}
+
+function choose(chooser: RunnerChooser, request: CostRequest): void {
+    const placement = chooser.choose(request)._unsafeUnwrap();
+    const work = chooser.begin(placement, { tokens: request.estimatedTokens });
+    work.firstToken(50);
+    work.finish({ outcome: "ok", milliseconds: 500 });
+}
+
+function createVms(count: number): readonly Vm[] {
+    return getRange(count).map(index => ({
+        id: `runner-${index}`,
+        address: "",
+        port: 0,
+        role: "runner",
+        pool: "pool",
+        failureDomain: `domain-${index % domains}`,
+        region: `region-${index % domains % regions}`,
+        state: "live",
+    }));
+}
+
+function createChooser(vms: readonly Vm[], seed: number): RunnerChooser {
+    const chooser = new RunnerChooser({
+        self: { failureDomain: "domain-0", region: "region-0", subsetKey: "entry-0" },
+        clock: systemClock,
+        random: new RandomSource(seed),
+    });
+    chooser.setUpstreams(vms);
+    for (const [index, vm] of vms.entries()) {
+        const measured = { measuredAt: 1, running: index % 7, waiting: 0, capacity: 8, leaving: false };
+        chooser.addLoadReport({ ...measured, upstream: vm.id, versions: [`model@${index % versions}`] });
+    }
+    return chooser;
+}
+
+/** Requests whose prompts the runners hold in part, so that the table of prefixes is searched to the end. */
+function createRequests(seed: number): readonly CostRequest[] {
+    const random = new RandomSource(seed);
+    return getRange(500).map(index => ({
+        version: `model@${index % versions}`,
+        blocks: getRange(blocksPerRequest).map(block => `block-${random.nextInteger(2_000)}-${block}`),
+        exclude: new Set<string>(),
+        deadlineMilliseconds: 1_000_000,
+        estimatedTokens: 4_000,
+    }));
+}
+
+/** Node gives out its garbage collector only under this flag. */
+function getCollector(): () => void {
+    setFlagsFromString("--expose-gc");
+    return runInNewContext("gc") as () => void;
+}
--- /dev/null
+++ b/src/measure/load.ts
@@ -0,0 +1,104 @@
+/**
+ * The measurement `load`: which runner gets a request, against random, round robin and least in-flight.
+ */
+import { type DecisionCost, measureDecisionCost } from "./decisionCost.js";
+import { type LoadFigures, type LoadScenario, LoadTrial } from "./loadTrial.js";
+import { type PolicyName, policyNames } from "./placementPolicies.js";
+import { formatSpread, formatTable, getSpread, type Spread } from "./statistics.js";
+
+const seedsPerRun = 10;
+
+/** Seeds below this are for tuning; seeds for reporting start here unless given. */
+export const firstReportingSeed = 1_000;
+
+const unequalShapes = [
+    { capacity: 4, slowness: 1.5 },
+    { capacity: 8, slowness: 1 },
+    { capacity: 16, slowness: 0.7 },
+];
+
+/** The scenarios, in the order of the table. */
+export const loadScenarios: readonly LoadScenario[] = [
+    { name: "0.5 of capacity", load: 0.5 },
+    { name: "0.9 of capacity", load: 0.9 },
+    { name: "2 times capacity", load: 2 },
+    { name: "unequal runners, 0.9", load: 0.9, getShape: index => unequalShapes[index % unequalShapes.length] },
+    {
+        name: "slow runner that reports no load, 0.8",
+        load: 0.8,
+        liar: 3,
+        getShape: index => ({ capacity: 8, slowness: index === 3 ? 4 : 1 }),
+    },
+    { name: "half a failure domain crashes, 0.7", load: 0.7, lost: { runners: [0, 4], fault: "crashed" } },
+    { name: "half a failure domain falls silent, 0.7", load: 0.7, lost: { runners: [0, 4], fault: "silent" } },
+];
+
+/** One line of the result. */
+export interface LoadResult {
+    readonly scenario: string;
+    readonly policy: PolicyName;
+    readonly figures: Readonly<Record<keyof LoadFigures, Spread>>;
+}
+
+/** Runs all scenarios with all ways to choose. */
+export function measureLoad(firstSeed: number, seeds = seedsPerRun): readonly LoadResult[] {
+    const results: LoadResult[] = [];
+    for (const scenario of loadScenarios) {
+        for (const policy of policyNames) {
+            const runs: LoadFigures[] = [];
+            for (let seed = firstSeed; seed < firstSeed + seeds; seed += 1) {
+                runs.push(new LoadTrial({ scenario, policy, seed }).run());
+            }
+            results.push({ scenario: scenario.name, policy, figures: summarize(runs) });
+        }
+    }
+    return results;
+}
+
+/** Measures what a choice costs at today's size, at the target's, and between. */
+export function measureCosts(seed: number): readonly DecisionCost[] {
+    return [13, 210, 2_100].map(runners => measureDecisionCost(runners, seed));
+}
+
+/** Writes what a choice costs as a table. */
+export function formatCosts(costs: readonly DecisionCost[]): string {
+    const header = ["runners", "median microseconds", "99% microseconds", "bytes a choice", "kept KiB"];
+    const rows = costs.map(cost => [
+        `${cost.runners}`,
+        cost.medianMicroseconds.toFixed(1),
+        cost.microseconds99.toFixed(1),
+        cost.bytes.toFixed(0),
+        (cost.keptBytes / 1_024).toFixed(0),
+    ]);
+    return formatTable(header, rows);
+}
+
+/** Writes the result as a table. */
+export function formatLoad(results: readonly LoadResult[]): string {
+    const header = ["scenario", "way", "first token median ms", "95% ms", "99% ms", "between tokens 95% ms"];
+    const rows = results.map(({ scenario, policy, figures }) => [
+        scenario,
+        policy,
+        formatSpread(figures.firstTokenMedian, 0),
+        formatSpread(figures.firstToken95, 0),
+        formatSpread(figures.firstToken99, 0),
+        formatSpread(figures.betweenTokens95, 1),
+        formatSpread(figures.goodput, 2),
+        formatSpread(figures.lost, 3),
+        formatSpread(figures.cachedShare, 2),
+    ]);
+    return formatTable([...header, "goodput / capacity", "lost", "cached"], rows);
+}
+
+function summarize(runs: readonly LoadFigures[]): Readonly<Record<keyof LoadFigures, Spread>> {
+    const get = (key: keyof LoadFigures): Spread => getSpread(runs.map(run => run[key]));
+    return {
+        firstTokenMedian: get("firstTokenMedian"),
+        firstToken95: get("firstToken95"),
+        firstToken99: get("firstToken99"),
+        betweenTokens95: get("betweenTokens95"),
+        goodput: get("goodput"),
+        lost: get("lost"),
+        cachedShare: get("cachedShare"),
+    };
+}
--- /dev/null
+++ b/src/measure/loadTrial.ts
@@ -0,0 +1,288 @@
+/**
+ * One seeded run of entries that choose runners, for the measurement `load`.
+ */
+import { RandomSource } from "../common/index.js";
+import type { PlacementOptions } from "../decisions/placement/index.js";
+import type { Vm } from "../world/index.js";
+import { EventQueue } from "./eventQueue.js";
+import { createPolicy, type Policy, type PolicyName } from "./placementPolicies.js";
+import { getFullHold, type RunnerFault, SimulatedRunner } from "./simulatedRunner.js";
+import { getQuantile, getRange } from "./statistics.js";
+import { type DrawnRequest, Workload } from "./workload.js";
+
+const entries = 8;
+const domains = 4;
+const warmUpMilliseconds = 15_000;
+const measuredMilliseconds = 60_000;
+const reportEveryMilliseconds = 500;
+const cacheEventsEveryMilliseconds = 400;
+const cacheEventLossShare = 0.1;
+const listLagMilliseconds = 5_000;
+const attempts = 3;
+const deadlineMilliseconds = 8_000;
+const meanOutputTokens = 60;
+/** Blocks of the mean request of the workload, for the capacity. */
+const meanBlocks = 32;
+const sessionShare = 0.6;
+
+/** What happens in a scenario. */
+export interface LoadScenario {
+    readonly name: string;
+    /** Arrivals as a part of the nominal capacity. */
+    readonly load: number;
+    readonly runners?: number;
+    /** Capacity and slowness of each runner. */
+    readonly getShape?: (index: number) => { readonly capacity: number; readonly slowness: number; };
+    readonly liar?: number;
+    /** Runners that fail in the middle of the measured time. */
+    readonly lost?: { readonly runners: readonly number[]; readonly fault: RunnerFault; };
+}
+
+/** What one run gave. */
+export interface LoadFigures {
+    readonly firstTokenMedian: number;
+    readonly firstToken95: number;
+    readonly firstToken99: number;
+    readonly betweenTokens95: number;
+    /** Answers whose first token came before the deadline, as a part of the nominal capacity. */
+    readonly goodput: number;
+    /** Part of the requests that failed, were refused, or whose first token came too late. */
+    readonly lost: number;
+    readonly cachedShare: number;
+}
+
+/** Runs one scenario with one way to choose. */
+export class LoadTrial {
+    readonly #scenario: LoadScenario;
+    readonly #queue = new EventQueue();
+    readonly #random: RandomSource;
+    readonly #runners: readonly SimulatedRunner[];
+    readonly #policies: readonly Policy[];
+    readonly #firstTokens: number[] = [];
+    readonly #betweenTokens: number[] = [];
+    #asked = 0;
+    #good = 0;
+    #blocks = 0;
+    #cachedBlocks = 0;
+
+    constructor(options: {
+        readonly scenario: LoadScenario;
+        readonly policy: PolicyName;
+        readonly seed: number;
+        readonly placement?: Partial<PlacementOptions>;
+    }) {
+        this.#scenario = options.scenario;
+        this.#random = new RandomSource(options.seed);
+        this.#runners = this.#createRunners();
+        this.#policies = getRange(entries).map(entry =>
+            createPolicy(options.policy, {
+                runners: this.#runners,
+                entry,
+                clock: this.#queue.clock,
+                random: new RandomSource(options.seed * 1_000 + entry),
+                placement: options.placement,
+            })
+        );
+    }
+
+    /** Runs it and returns the figures. */
+    run(): LoadFigures {
+        this.#scheduleReports();
+        this.#scheduleLoss();
+        const end = warmUpMilliseconds + measuredMilliseconds;
+        this.#scheduleArrivals(end);
+        this.#queue.runUntil(end + 2 * deadlineMilliseconds);
+        const capacity = this.#getCapacityPerMillisecond() * measuredMilliseconds;
+        return {
+            firstTokenMedian: getQuantile(this.#firstTokens, 0.5),
+            firstToken95: getQuantile(this.#firstTokens, 0.95),
+            firstToken99: getQuantile(this.#firstTokens, 0.99),
+            betweenTokens95: getQuantile(this.#betweenTokens, 0.95),
+            goodput: this.#good / capacity,
+            lost: 1 - this.#good / this.#asked,
+            cachedShare: this.#cachedBlocks / Math.max(1, this.#blocks),
+        };
+    }
+
+    #createRunners(): readonly SimulatedRunner[] {
+        const getShape = this.#scenario.getShape ?? (() => ({ capacity: 8, slowness: 1 }));
+        return getRange(this.#scenario.runners ?? 13).map(index => {
+            const vm: Vm = {
+                id: `runner-${index}`,
+                address: "",
+                port: 0,
+                role: "runner",
+                pool: "pool",
+                failureDomain: `domain-${index % domains}`,
+                region: "region",
+                state: "live",
+            };
+            return new SimulatedRunner({
+                vm,
+                queue: this.#queue,
+                version: "model@1",
+                ...getShape(index),
+                isLying: index === this.#scenario.liar,
+                cacheBlocks: 1_500,
+                tokenReadMilliseconds: 0.1,
+                tokenWriteMilliseconds: 20,
+            });
+        });
+    }
+
+    #getCapacityPerMillisecond(): number {
+        let sum = 0;
+        for (const runner of this.#runners) {
+            sum += runner.options.capacity / getFullHold(runner.options, meanBlocks, meanOutputTokens);
+        }
+        return sum;
+    }
+
+    #scheduleArrivals(end: number): void {
+        const workload = new Workload(this.#random, { entries, sessionShare, meanOutputTokens });
+        const mean = 1 / (this.#scenario.load * this.#getCapacityPerMillisecond());
+        const arrive = (): void => {
+            if (this.#queue.now() >= end) {
+                return;
+            }
+            this.#ask(workload.draw());
+            this.#queue.schedule(this.#random.nextExponential(mean), arrive);
+        };
+        arrive();
+    }
+
+    #ask(request: DrawnRequest): void {
+        const isMeasured = this.#queue.now() >= warmUpMilliseconds;
+        this.#asked += isMeasured ? 1 : 0;
+        this.#attempt({ request, since: this.#queue.now(), exclude: new Set(), isMeasured });
+    }
+
+    #attempt(
+        ask: {
+            readonly request: DrawnRequest;
+            readonly since: number;
+            readonly exclude: Set<string>;
+            readonly isMeasured: boolean;
+        },
+    ): void {
+        const { request, since, exclude, isMeasured } = ask;
+        const sent = this.#queue.now();
+        const choice = this.#policies[request.entry].choose({
+            blocks: request.blocks,
+            exclude,
+            deadlineMilliseconds: deadlineMilliseconds - (sent - since),
+            tokens: request.blocks.length * 128 + request.outputTokens,
+        });
+        if (choice === undefined) {
+            return;
+        }
+        const runner = this.#runners[choice.runner];
+        if (isMeasured) {
+            this.#blocks += request.blocks.length;
+            this.#cachedBlocks += runner.getCachedBlocks(request.blocks);
+        }
+        let firstAt: number | undefined;
+        let isOver = false;
+        const end = (outcome: "ok" | "failed" | "refused"): void => {
+            if (isOver) {
+                return;
+            }
+            isOver = true;
+            cancelTimeout();
+            const now = this.#queue.now();
+            choice.end({ outcome, milliseconds: now - sent });
+            if (outcome === "ok" && firstAt !== undefined) {
+                this.#addAnswer({ since, firstAt, now, request, isMeasured });
+                return;
+            }
+            exclude.add(runner.options.vm.id);
+            if (exclude.size < attempts && firstAt === undefined) {
+                this.#attempt(ask);
+            }
+        };
+        const cancelTimeout = this.#queue.schedule(deadlineMilliseconds, () => {
+            if (firstAt === undefined) {
+                exclude.add("").add(" ").add("  ");
+                end("failed");
+            }
+        });
+        runner.start({ ...request, priority: 1 }, {
+            firstToken: header => {
+                firstAt = this.#queue.now();
+                choice.firstToken(firstAt - sent, header);
+            },
+            end,
+        });
+    }
+
+    #addAnswer(
+        answer: {
+            readonly since: number;
+            readonly firstAt: number;
+            readonly now: number;
+            readonly request: DrawnRequest;
+            readonly isMeasured: boolean;
+        },
+    ): void {
+        if (!answer.isMeasured) {
+            return;
+        }
+        const wait = answer.firstAt - answer.since;
+        this.#firstTokens.push(wait);
+        this.#betweenTokens.push((answer.now - answer.firstAt) / answer.request.outputTokens);
+        this.#good += wait <= deadlineMilliseconds ? 1 : 0;
+    }
+
+    /** Each report takes 50 to 450 ms to each entry, so entries see different and out-of-order pictures. */
+    #scheduleReports(): void {
+        for (const runner of this.#runners) {
+            this.#repeat(reportEveryMilliseconds, () => {
+                const report = runner.getReport();
+                for (const policy of report === undefined ? [] : this.#policies) {
+                    this.#queue.schedule(50 + this.#random.next() * 400, () => policy.addReport(report!));
+                }
+            });
+            this.#repeat(cacheEventsEveryMilliseconds, () => {
+                const events = runner.takeCacheEvents();
+                for (const policy of this.#policies) {
+                    const isLost = this.#random.next() < cacheEventLossShare;
+                    this.#queue.schedule(100 + this.#random.next() * 900, () => {
+                        policy.addCacheEvents(runner.options.vm.id, isLost ? [] : events, isLost);
+                    });
+                }
+            });
+        }
+    }
+
+    #repeat(every: number, run: () => void): void {
+        const again = (): void => {
+            run();
+            if (this.#queue.now() < warmUpMilliseconds + measuredMilliseconds) {
+                this.#queue.schedule(every, again);
+            }
+        };
+        this.#queue.schedule(this.#random.next() * every, again);
+    }
+
+    #scheduleLoss(): void {
+        const { lost } = this.#scenario;
+        if (lost === undefined) {
+            return;
+        }
+        const at = warmUpMilliseconds + measuredMilliseconds / 3;
+        this.#queue.schedule(at, () => {
+            for (const index of lost.runners) {
+                this.#runners[index].setFault(lost.fault);
+            }
+        });
+        this.#queue.schedule(at + listLagMilliseconds, () => {
+            const vms = this.#runners.map(runner => runner.options.vm);
+            for (const index of lost.runners) {
+                vms[index] = { ...vms[index], state: "leaving" };
+            }
+            for (const policy of this.#policies) {
+                policy.setListed(vms.filter(vm => vm.state === "live"));
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/measure/main.ts
@@ -0,0 +1,33 @@
+/**
+ * `npm run measure -- NAME [--seed N] [--json]`: runs one measurement of the decisions.
+ */
+import { parseArgs } from "node:util";
+import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
+
+interface Measurement {
+    readonly run: (seed: number) => { readonly results: unknown; readonly text: string; };
+}
+
+const measurements: ReadonlyMap<string, Measurement> = new Map([
+    ["load", {
+        run: (seed: number) => {
+            const costs = measureCosts(seed);
+            const results = measureLoad(seed);
+            return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
+        },
+    }],
+]);
+
+const { values, positionals } = parseArgs({
+    allowPositionals: true,
+    options: { seed: { type: "string" }, json: { type: "boolean" } },
+});
+const measurement = measurements.get(positionals[0] ?? "");
+if (measurement === undefined) {
+    console.error(`Name a measurement: ${[...measurements.keys()].join(", ")}.`);
+    process.exitCode = 1;
+}
+else {
+    const { results, text } = measurement.run(Number(values.seed ?? firstReportingSeed));
+    console.log(values.json === true ? JSON.stringify(results, undefined, 2) : text);
+}
--- /dev/null
+++ b/src/measure/placementPolicies.ts
@@ -0,0 +1,189 @@
+/**
+ * Ways to choose a runner that are measured side by side: the product's and the simple ones.
+ */
+import type { Clock, RandomSource } from "../common/index.js";
+import { type PlacementOptions, RunnerChooser, type WorkEnd } from "../decisions/placement/index.js";
+import type { LoadReport, Vm } from "../world/index.js";
+import type { SimulatedRunner } from "./simulatedRunner.js";
+
+/** Names of the ways. `perfect` sees the true load and cache of all runners at every moment: nobody can. */
+export type PolicyName = "random" | "round robin" | "least in-flight" | "rattanlock" | "perfect";
+
+/** All ways, in the order of the tables. */
+export const policyNames: readonly PolicyName[] = [
+    "random",
+    "round robin",
+    "least in-flight",
+    "rattanlock",
+    "perfect",
+];
+
+/** What a request tells the way. */
+export interface PolicyRequest {
+    readonly blocks: readonly string[];
+    readonly exclude: ReadonlySet<string>;
+    readonly deadlineMilliseconds: number;
+    readonly tokens: number;
+}
+
+/** A chosen runner and where to report how it went. */
+export interface PolicyChoice {
+    readonly runner: number;
+    readonly firstToken: (milliseconds: number, loadHeader: string) => void;
+    readonly end: (end: WorkEnd) => void;
+}
+
+/** One entry's way to choose. */
+export interface Policy {
+    /** Returns nothing when it refuses the request. */
+    readonly choose: (request: PolicyRequest) => PolicyChoice | undefined;
+    readonly setListed: (vms: readonly Vm[]) => void;
+    readonly addReport: (report: LoadReport) => void;
+    readonly addCacheEvents: (
+        upstream: string,
+        events: readonly { readonly kind: "stored" | "removed"; readonly block: string; }[],
+        gap: boolean,
+    ) => void;
+}
+
+/** What a way is made from. */
+export interface PolicyOptions {
+    readonly runners: readonly SimulatedRunner[];
+    readonly entry: number;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly placement?: Partial<PlacementOptions>;
+}
+
+/** Makes one entry's way to choose. */
+export function createPolicy(name: PolicyName, options: PolicyOptions): Policy {
+    switch (name) {
+        case "random":
+            return createSimplePolicy(options, allowed => allowed[options.random.nextInteger(allowed.length)]);
+        case "round robin":
+            return createRoundRobin(options);
+        case "least in-flight":
+            return createLeastInFlight(options);
+        case "perfect":
+            return createPerfect(options);
+        case "rattanlock":
+            return createChooserPolicy(options);
+    }
+}
+
+/** Makes a way that only picks among the runners that are listed and were not tried. */
+function createSimplePolicy(
+    options: PolicyOptions,
+    pick: (allowed: readonly number[], request: PolicyRequest) => number,
+    count: (runner: number, change: 1 | -1) => void = () => {},
+): Policy {
+    let listed = new Set(options.runners.map(runner => runner.options.vm.id));
+    return {
+        choose: request => {
+            const allowed: number[] = [];
+            for (const [index, runner] of options.runners.entries()) {
+                if (listed.has(runner.options.vm.id) && !request.exclude.has(runner.options.vm.id)) {
+                    allowed.push(index);
+                }
+            }
+            if (allowed.length === 0) {
+                return undefined;
+            }
+            const runner = pick(allowed, request);
+            count(runner, 1);
+            return { runner, firstToken: () => {}, end: () => count(runner, -1) };
+        },
+        setListed: vms => {
+            listed = new Set(vms.map(vm => vm.id));
+        },
+        addReport: () => {},
+        addCacheEvents: () => {},
+    };
+}
+
+function createRoundRobin(options: PolicyOptions): Policy {
+    let next = options.random.nextInteger(options.runners.length);
+    return createSimplePolicy(options, allowed => {
+        next += 1;
+        return allowed[next % allowed.length];
+    });
+}
+
+function createLeastInFlight(options: PolicyOptions): Policy {
+    const inFlight = options.runners.map(() => 0);
+    return createSimplePolicy(
+        options,
+        allowed => {
+            const least = Math.min(...allowed.map(runner => inFlight[runner]));
+            const best = allowed.filter(runner => inFlight[runner] === least);
+            return best[options.random.nextInteger(best.length)];
+        },
+        (runner, change) => {
+            inFlight[runner] += change;
+        },
+    );
+}
+
+function createPerfect(options: PolicyOptions): Policy {
+    const expect = (index: number, request: PolicyRequest): number => {
+        const runner = options.runners[index];
+        const { capacity, slowness, tokenReadMilliseconds } = runner.options;
+        if (runner.getReport() === undefined) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const uncached = request.blocks.length - runner.getCachedBlocks(request.blocks);
+        const queue = Math.max(0, runner.getLoad() - capacity + 1) * 2_000 / capacity;
+        const fullness = Math.min(1, runner.getLoad() / capacity);
+        return slowness * (queue + (64 + uncached * 128) * tokenReadMilliseconds * (1 + fullness / 2) + 20 * fullness);
+    };
+    return createSimplePolicy(options, (allowed, request) => {
+        let best = allowed[0];
+        for (const index of allowed) {
+            if (expect(index, request) < expect(best, request)) {
+                best = index;
+            }
+        }
+        return best;
+    });
+}
+
+function createChooserPolicy(options: PolicyOptions): Policy {
+    const chooser = new RunnerChooser({
+        self: { failureDomain: `domain-${options.entry % 4}`, region: "region", subsetKey: `entry-${options.entry}` },
+        clock: options.clock,
+        random: options.random,
+        options: options.placement,
+    });
+    const indexes = new Map(options.runners.map((runner, index) => [runner.options.vm.id, index]));
+    chooser.setUpstreams(options.runners.map(runner => runner.options.vm));
+    for (const runner of options.runners) {
+        chooser.setVersions(runner.options.vm.id, [runner.options.version]);
+    }
+    const { version } = options.runners[0].options;
+    return {
+        choose: request => {
+            const chosen = chooser.choose({
+                version,
+                blocks: request.blocks,
+                exclude: request.exclude,
+                deadlineMilliseconds: request.deadlineMilliseconds,
+                estimatedTokens: request.tokens,
+            });
+            if (chosen.isErr()) {
+                return undefined;
+            }
+            const work = chooser.begin(chosen.value, { tokens: request.tokens });
+            return {
+                runner: indexes.get(chosen.value.upstream.id) ?? 0,
+                firstToken: (milliseconds, header) => {
+                    work.addLoad(header);
+                    work.firstToken(milliseconds);
+                },
+                end: end => work.finish(end),
+            };
+        },
+        setListed: vms => chooser.setUpstreams(vms),
+        addReport: report => chooser.addLoadReport(report),
+        addCacheEvents: (upstream, events, gap) => chooser.addCacheEvents(upstream, events, gap),
+    };
+}
--- /dev/null
+++ b/src/measure/workload.ts
@@ -0,0 +1,94 @@
+/**
+ * Seeded requests for the measurements: short questions, and sessions whose history grows from turn to turn.
+ */
+import type { RandomSource } from "../common/index.js";
+import { getRange } from "./statistics.js";
+
+/** One drawn request. */
+export interface DrawnRequest {
+    readonly blocks: readonly string[];
+    readonly outputTokens: number;
+    readonly entry: number;
+}
+
+/** Shape of the requests. */
+export interface WorkloadOptions {
+    readonly entries: number;
+    /** Part of the requests that belong to sessions. */
+    readonly sessionShare: number;
+    readonly meanOutputTokens: number;
+}
+
+const sessionsAtATime = 60;
+const turnsPerSession = 8;
+/** Callers keep an entry's address for a while; this part of the turns come to another. */
+const strayShare = 0.2;
+const workspaces = 10;
+const commonBlocks = 4;
+const firstHistoryBlocks = 24;
+const turnBlocks = 4;
+
+interface Session {
+    readonly entry: number;
+    readonly blocks: string[];
+    turns: number;
+}
+
+/** Draws requests. */
+export class Workload {
+    readonly #random: RandomSource;
+    readonly #options: WorkloadOptions;
+    readonly #sessions: Session[] = [];
+    #nextBlock = 0;
+
+    constructor(random: RandomSource, options: WorkloadOptions) {
+        this.#random = random;
+        this.#options = options;
+        for (let index = 0; index < sessionsAtATime; index += 1) {
+            const session = this.#createSession();
+            session.turns = random.nextInteger(turnsPerSession);
+            this.#sessions.push(session);
+        }
+    }
+
+    /** Draws the next request. */
+    draw(): DrawnRequest {
+        const outputTokens = 1 + Math.floor(this.#random.nextExponential(this.#options.meanOutputTokens));
+        if (this.#random.next() >= this.#options.sessionShare) {
+            return { blocks: this.#drawCommonBlocks(), outputTokens, entry: this.#drawEntry() };
+        }
+        const place = this.#random.nextInteger(this.#sessions.length);
+        const session = this.#sessions[place];
+        const blocks = [...session.blocks];
+        this.#addBlocks(session.blocks, turnBlocks);
+        session.turns += 1;
+        if (session.turns >= turnsPerSession) {
+            this.#sessions[place] = this.#createSession();
+        }
+        const entry = this.#random.next() < strayShare ? this.#drawEntry() : session.entry;
+        return { blocks, outputTokens, entry };
+    }
+
+    #createSession(): Session {
+        const blocks = this.#drawCommonBlocks();
+        this.#addBlocks(blocks, 1 + this.#random.nextInteger(2 * firstHistoryBlocks));
+        return { entry: this.#drawEntry(), blocks, turns: 0 };
+    }
+
+    #drawEntry(): number {
+        return this.#random.nextInteger(this.#options.entries);
+    }
+
+    /** The instructions that all requests of a workspace begin with. */
+    #drawCommonBlocks(): string[] {
+        const workspace = this.#random.nextInteger(workspaces);
+        return getRange(commonBlocks).map(index => `common-${workspace}-${index}`);
+    }
+
+    #addBlocks(blocks: string[], count: number): void {
+        for (let index = 0; index < count; index += 1) {
+            blocks.push(`block-${this.#nextBlock}`);
+            this.#nextBlock += 1;
+        }
+    }
+}
