--- /dev/null
+++ b/src/control/controlReader.ts
@@ -0,0 +1,127 @@
+/**
+ * Follows the `control` stream and keeps the folds of leases and roll-outs, through retention and outages.
+ */
+import { z } from "zod";
+import type { LogEntry } from "../log/index.js";
+import type { FollowStream, StreamReader } from "../log/logAccess.js";
+import type { LeaseFold, LeaseState } from "./leaseFold.js";
+import type { RolloutFold, RolloutSnapshot } from "./rolloutFold.js";
+
+/** Kind of the record that holds a snapshot of the control stream's folds. */
+export const controlSnapshotKind = "control-snapshot";
+
+/** Records kept while a snapshot is awaited, at most. */
+const pendingLimit = 4096;
+
+const snapshotSchema = z.object({
+    covers: z.number().int(),
+    leases: z.array(z.custom<LeaseState>(value => typeof value === "object")),
+    rollouts: z.custom<RolloutSnapshot>(value => typeof value === "object"),
+});
+
+/** The folds of the control stream at an offset. */
+export type ControlState = z.infer<typeof snapshotSchema>;
+
+/** Options of a reader. */
+export interface ControlReaderOptions {
+    readonly follow: FollowStream;
+    readonly leases: LeaseFold;
+    readonly rollouts: RolloutFold;
+}
+
+/** Keeps the folds of leases and roll-outs current. */
+export class ControlReader {
+    readonly #leases: LeaseFold;
+    readonly #rollouts: RolloutFold;
+    readonly #stream: StreamReader;
+    /** Records after a hole; they are folded once a snapshot covers the hole. */
+    #pending: LogEntry[] = [];
+    #hasHole = false;
+    #next = 0;
+
+    constructor(options: ControlReaderOptions) {
+        this.#leases = options.leases;
+        this.#rollouts = options.rollouts;
+        this.#stream = options.follow({
+            stream: "control",
+            from: 0,
+            onEntry: entry => this.#take(entry),
+            onGap: () => {
+                this.#hasHole = true;
+            },
+        });
+    }
+
+    /** Begins to follow the log. */
+    start(): void {
+        this.#stream.start();
+    }
+
+    /** Ends following the log. */
+    stop(): Promise<void> {
+        return this.#stream.stop();
+    }
+
+    /** Returns the offset to fold next. */
+    getOffset(): number {
+        return this.#next;
+    }
+
+    /** Returns the state, for a snapshot or a peer. */
+    exportState(): ControlState {
+        return {
+            covers: this.#next,
+            leases: [...this.#leases.getSnapshot()],
+            rollouts: this.#rollouts.exportState(),
+        };
+    }
+
+    /**
+     * Takes over a state if it is newer than this one. A state that is not newer changes nothing: a slow writer's
+     * snapshot must not bring back a roll-out that was halted since.
+     * @param state - The state, from a snapshot or a peer.
+     * @returns Whether it was taken over.
+     */
+    offer(state: unknown): boolean {
+        const parsed = snapshotSchema.safeParse(state);
+        if (!parsed.success || parsed.data.covers <= this.#next) {
+            return false;
+        }
+        const { covers, leases, rollouts } = parsed.data;
+        this.#leases.restore(covers - 1, leases);
+        this.#rollouts.importState(rollouts);
+        this.#next = covers;
+        this.#hasHole = false;
+        const pending = this.#pending;
+        this.#pending = [];
+        for (const entry of pending) {
+            this.#take(entry);
+        }
+        return true;
+    }
+
+    #take(entry: LogEntry): void {
+        if (entry.record.kind === controlSnapshotKind) {
+            this.offer(entry.record.body);
+        }
+        if (entry.offset < this.#next) {
+            return;
+        }
+        if (this.#hasHole || entry.offset > this.#next) {
+            this.#hasHole = true;
+            this.#hold(entry);
+            return;
+        }
+        // Leases first: whether a roll-out's record counts depends on the fence in force at its place.
+        this.#leases.apply(entry);
+        this.#rollouts.apply(entry);
+        this.#next = entry.offset + 1;
+    }
+
+    #hold(entry: LogEntry): void {
+        this.#pending.push(entry);
+        if (this.#pending.length > pendingLimit) {
+            this.#pending.shift();
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/addressBook.ts
@@ -0,0 +1,76 @@
+/**
+ * Which addresses callers should use.
+ */
+import type { Member } from "../membership/index.js";
+
+/** What the address document is made from. */
+export interface AddressBook {
+    /** How long a caller may keep the answer, in seconds. */
+    readonly keepSeconds: number;
+    readonly getMembers: () => readonly Member[];
+    /** Port on which entries serve callers, by entry. */
+    readonly getCallerPort: (member: Member) => number;
+}
+
+/** One address for callers. */
+export interface CallerAddress {
+    readonly url: string;
+    readonly failureDomain: string;
+}
+
+/** The answer to "which addresses". */
+export interface AddressDocument {
+    /** Addresses in the order in which a caller should try them. */
+    readonly addresses: readonly CallerAddress[];
+    readonly keepSeconds: number;
+}
+
+/**
+ * Creates the document for one caller. The order is drawn anew for each, so that callers spread over the entries;
+ * neighbours in the order stand in different failure domains, so that a caller whose first address is lost with its
+ * failure domain does not try another one there next.
+ * @param book - What it is made from.
+ */
+export function createAddressDocument(book: AddressBook): AddressDocument {
+    const usable = book.getMembers().filter(member => member.state === "alive");
+    const addresses: CallerAddress[] = [];
+    for (const member of spreadOverDomains(shuffle(usable))) {
+        addresses.push({
+            url: `http://${member.address}:${book.getCallerPort(member)}`,
+            failureDomain: member.failureDomain,
+        });
+    }
+    return { addresses, keepSeconds: book.keepSeconds };
+}
+
+function spreadOverDomains(members: readonly Member[]): readonly Member[] {
+    const domains = new Map<string, Member[]>();
+    for (const member of members) {
+        const list = domains.get(member.failureDomain);
+        if (list === undefined) {
+            domains.set(member.failureDomain, [member]);
+        }
+        else {
+            list.push(member);
+        }
+    }
+    const ordered: Member[] = [];
+    while (ordered.length < members.length) {
+        for (const list of domains.values()) {
+            const member = list.shift();
+            if (member !== undefined) {
+                ordered.push(member);
+            }
+        }
+    }
+    return ordered;
+}
+
+function shuffle(members: readonly Member[]): readonly Member[] {
+    const shuffled = [...members];
+    for (let index = shuffled.length - 1; index > 0; index -= 1) {
+        const other = Math.floor(Math.random() * (index + 1));
+        [shuffled[index], shuffled[other]] = [shuffled[other], shuffled[index]];
+    }
+    return shuffled;
+}
--- /dev/null
+++ b/src/entry/answerRelay.ts
@@ -0,0 +1,133 @@
+/**
+ * Relays one engine's answer to a sink, resuming it when the connection to the engine breaks.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import {
+    classifyCallError,
+    endOfStream,
+    type EngineAnswer,
+    type EngineClient,
+    type EngineEvent,
+    readUsage,
+    type TokenUsage,
+    type UpstreamFailure,
+} from "../upstream/index.js";
+import type { Vm } from "../world/index.js";
+
+/** How often a broken stream is resumed before the answer is given up. */
+const maximumResumptions = 3;
+
+/** What a relay needs. */
+export interface RelayOptions {
+    readonly engines: EngineClient;
+    readonly runner: Vm;
+    readonly streamId: string;
+    readonly answer: EngineAnswer;
+    /** Number of the last event that the caller has already. */
+    readonly lastId: number;
+    /** Ends the relay. */
+    readonly signal: AbortSignal;
+    /** Takes each event in order. */
+    readonly write: (event: EngineEvent) => Promise<void>;
+    /** Is called at the first event. */
+    readonly onFirstEvent: () => void;
+    /**
+     * Is called with the tokens used, before the event that tells them goes on: the bill must be safe on a second
+     * VM before the end of the answer leaves, or an entry that dies right after it loses the bill.
+     */
+    readonly beforeEnd: (usage: TokenUsage) => Promise<Result<void, Failure>>;
+}
+
+/**
+ * Relays an answer to its end.
+ * @param options - The answer and where it goes.
+ */
+export async function relayAnswer(options: RelayOptions): Promise<Result<TokenUsage, UpstreamFailure>> {
+    const relay = new Relay(options);
+    let answer = options.answer;
+    for (let resumption = 0;; resumption += 1) {
+        const failure = await relay.run(answer);
+        if (failure === undefined) {
+            return ok(relay.getUsage());
+        }
+        const mayResume = resumption < maximumResumptions && !options.signal.aborted && !relay.isBillFailed();
+        if (!mayResume) {
+            return err(failure);
+        }
+        const resumed = await options.engines.resume(
+            options.runner,
+            options.streamId,
+            relay.getLastId(),
+            options.signal,
+        );
+        if (resumed.isErr()) {
+            return err({ ...resumed.error, outcome: failure.outcome });
+        }
+        answer = resumed.value;
+    }
+}
+
+class Relay {
+    readonly #options: RelayOptions;
+    #lastId: number;
+    #usage: TokenUsage = { inputTokens: 0, cachedTokens: 0, outputTokens: 0 };
+    #begun = false;
+    #billFailed = false;
+
+    constructor(options: RelayOptions) {
+        this.#options = options;
+        this.#lastId = options.lastId;
+    }
+
+    getLastId(): number {
+        return this.#lastId;
+    }
+
+    getUsage(): TokenUsage {
+        return this.#usage;
+    }
+
+    isBillFailed(): boolean {
+        return this.#billFailed;
+    }
+
+    async run(answer: EngineAnswer): Promise<UpstreamFailure | undefined> {
+        try {
+            for await (const event of answer.events) {
+                const failure = await this.#take(event);
+                if (failure !== undefined) {
+                    return failure;
+                }
+            }
+            return undefined;
+        }
+        catch (error) {
+            return this.#classify(error);
+        }
+    }
+
+    async #take(event: EngineEvent): Promise<UpstreamFailure | undefined> {
+        if (!this.#begun) {
+            this.#begun = true;
+            this.#options.onFirstEvent();
+        }
+        const usage = event.data === endOfStream ? undefined : readUsage(event.data);
+        if (usage !== undefined) {
+            this.#usage = usage;
+            const billed = await this.#options.beforeEnd(usage);
+            if (billed.isErr()) {
+                this.#billFailed = true;
+                return { failure: billed.error, outcome: "ran" };
+            }
+        }
+        await this.#options.write(event);
+        this.#lastId = event.id;
+        return undefined;
+    }
+
+    #classify(error: unknown): UpstreamFailure {
+        const failure = error instanceof Failure ? error : classifyCallError(error, this.#options.runner.id).failure;
+        return { failure, outcome: "unknown" };
+    }
+}
--- /dev/null
+++ b/src/entry/answerSink.ts
@@ -0,0 +1,162 @@
+/**
+ * Where an answer goes: to a caller as server-sent events or as one document.
+ */
+import type { ServerResponse } from "node:http";
+import { endOfStream, type EngineEvent, readUsage, type TokenUsage } from "../upstream/index.js";
+import { AnswerText } from "./answerText.js";
+import { createProblem, getProblemHeaders, type Refusal } from "./problem.js";
+
+/** Takes an answer for a caller. */
+export interface AnswerSink {
+    /** Whether a byte of the answer has gone out. */
+    readonly begun: boolean;
+    /**
+     * Writes the head of the response.
+     * @param headers - Headers besides the content type.
+     */
+    begin(headers: Readonly<Record<string, string>>): void;
+    /**
+     * Takes an event. Waits while the caller reads more slowly than the engine writes.
+     * @param event - The event.
+     */
+    write(event: EngineEvent): Promise<void>;
+    /**
+     * Ends a response that cannot be completed.
+     * @param refusal - Why.
+     */
+    fail(refusal: Refusal): void;
+}
+
+/** Streams an answer as server-sent events. */
+export class EventStreamSink implements AnswerSink {
+    readonly #response: ServerResponse;
+    readonly #requestId: string;
+    #begun = false;
+
+    constructor(response: ServerResponse, requestId: string) {
+        this.#response = response;
+        this.#requestId = requestId;
+    }
+
+    get begun(): boolean {
+        return this.#begun;
+    }
+
+    begin(headers: Readonly<Record<string, string>>): void {
+        this.#begun = true;
+        this.#response.writeHead(200, {
+            "content-type": "text/event-stream; charset=utf-8",
+            "cache-control": "no-cache",
+            ...headers,
+        });
+        this.#response.flushHeaders();
+    }
+
+    async write(event: EngineEvent): Promise<void> {
+        const accepted = this.#response.write(`id: ${event.id}\ndata: ${event.data}\n\n`);
+        if (event.data === endOfStream) {
+            this.#response.end();
+            return;
+        }
+        if (!accepted && !this.#response.destroyed) {
+            await waitForDrain(this.#response);
+        }
+    }
+
+    fail(refusal: Refusal): void {
+        const problem = createProblem(refusal, this.#requestId);
+        if (!this.#begun) {
+            sendProblem(this.#response, refusal, this.#requestId);
+            return;
+        }
+        // The status has gone out already. The public client raises an error for a chunk that holds `error`.
+        this.#response.end(`data: ${JSON.stringify(problem)}\n\n`);
+    }
+}
+
+/** Sends an answer as one document. */
+export class DocumentSink implements AnswerSink {
+    readonly #response: ServerResponse;
+    readonly #requestId: string;
+    #text = new AnswerText();
+    #headers: Readonly<Record<string, string>> = {};
+    #usage: TokenUsage | undefined;
+
+    constructor(response: ServerResponse, requestId: string) {
+        this.#response = response;
+        this.#requestId = requestId;
+    }
+
+    /** Nothing goes out before the whole answer is there, so it is never begun and can always be run again. */
+    get begun(): boolean {
+        return false;
+    }
+
+    begin(headers: Readonly<Record<string, string>>): void {
+        this.#headers = headers;
+        this.#text = new AnswerText();
+    }
+
+    async write(event: EngineEvent): Promise<void> {
+        if (event.data === endOfStream) {
+            this.#send();
+            return;
+        }
+        this.#usage = readUsage(event.data) ?? this.#usage;
+        this.#text.add(event.data);
+    }
+
+    fail(refusal: Refusal): void {
+        sendProblem(this.#response, refusal, this.#requestId);
+    }
+
+    #send(): void {
+        const usage = this.#usage ?? { inputTokens: 0, cachedTokens: 0, outputTokens: 0 };
+        this.#response.writeHead(200, { "content-type": "application/json", ...this.#headers });
+        this.#response.end(JSON.stringify({
+            id: `chatcmpl-${this.#requestId}`,
+            object: "chat.completion",
+            created: Math.floor(Date.now() / 1000),
+            model: this.#headers["x-rattanlock-version"] ?? "",
+            choices: [{
+                index: 0,
+                message: { role: "assistant", content: this.#text.getText() },
+                finish_reason: this.#text.getFinishReason(),
+            }],
+            usage: {
+                prompt_tokens: usage.inputTokens,
+                completion_tokens: usage.outputTokens,
+                total_tokens: usage.inputTokens + usage.outputTokens,
+                prompt_tokens_details: { cached_tokens: usage.cachedTokens },
+            },
+        }));
+    }
+}
+
+/**
+ * Sends a refusal as the whole response.
+ * @param response - The response, of which nothing has gone out.
+ * @param refusal - The refusal.
+ * @param requestId - Identifies the request.
+ */
+export function sendProblem(response: ServerResponse, refusal: Refusal, requestId: string): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const problem = createProblem(refusal, requestId);
+    response.writeHead(problem.status, { ...getProblemHeaders(problem), "x-request-id": requestId });
+    response.end(JSON.stringify(problem));
+}
+
+function waitForDrain(response: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const finish = () => {
+            response.off("drain", finish);
+            response.off("close", finish);
+            resolve();
+        };
+        response.on("drain", finish);
+        response.on("close", finish);
+    });
+}
--- /dev/null
+++ b/src/entry/answerText.ts
@@ -0,0 +1,42 @@
+/**
+ * Puts the pieces of a streamed answer together.
+ */
+
+interface ChatChunk {
+    readonly created?: number;
+    readonly choices?: readonly {
+        readonly delta?: { readonly content?: string; };
+        readonly finish_reason?: string;
+    }[];
+}
+
+/** Collects the text of an answer from its chunks. */
+export class AnswerText {
+    readonly #pieces: string[] = [];
+    #finishReason = "stop";
+
+    /**
+     * Adds a chunk.
+     * @param data - JSON text of the chunk.
+     */
+    add(data: string): void {
+        const chunk = JSON.parse(data) as ChatChunk;
+        const choice = chunk.choices?.[0];
+        if (choice?.delta?.content !== undefined) {
+            this.#pieces.push(choice.delta.content);
+        }
+        if (typeof choice?.finish_reason === "string") {
+            this.#finishReason = choice.finish_reason;
+        }
+    }
+
+    /** Returns the text so far. */
+    getText(): string {
+        return this.#pieces.join("");
+    }
+
+    /** Returns why the answer ended, as the engine said. */
+    getFinishReason(): string {
+        return this.#finishReason;
+    }
+}
--- /dev/null
+++ b/src/entry/attemptRunner.ts
@@ -0,0 +1,354 @@
+/**
+ * Runs one version's answer on a runner, and on another one when the first fails before the caller saw anything.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { BillLine } from "../bills/index.js";
+import { type Clock, Failure, type Outcome } from "../common/index.js";
+import type { Configuration } from "../configuration/index.js";
+import type { Placement, RetryBudget, RunnerChooser, Work } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { EngineAnswer, EngineClient, EngineEvent, TokenUsage } from "../upstream/index.js";
+import type { ModelVersion, Vm } from "../world/index.js";
+import { relayAnswer } from "./answerRelay.js";
+import { createAttemptSignal } from "./attemptSignal.js";
+import { type ChatCall, getTimeLeft } from "./chatCall.js";
+import type { Explanations } from "./explanations.js";
+import type { Metrics } from "./metrics.js";
+import { type Refusal, refuseNotRun } from "./problem.js";
+import { getBlocks } from "./promptBlocks.js";
+import { createResumeToken } from "./resumeToken.js";
+
+/** Runners that are tried for one answer, at most. */
+const maximumAttempts = 3;
+
+/** What an attempt runner works with. */
+export interface AttemptRunnerOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly metrics: Metrics;
+    readonly engines: EngineClient;
+    readonly runners: RunnerChooser;
+    readonly retries: RetryBudget;
+    readonly explanations: Explanations;
+    readonly getConfiguration: () => Configuration;
+    readonly isHalted: (version: string) => boolean;
+    readonly createSessionToken: (call: ChatCall, version: string) => string | undefined;
+    readonly signingKey: string;
+    /** How long a stream without its caller is kept for a resumption, in milliseconds. */
+    readonly resumeGraceMilliseconds: number;
+}
+
+/** One version's answer to be had. */
+export interface AttemptOptions {
+    readonly call: ChatCall;
+    readonly version: ModelVersion;
+    /** Place of the version in the plan. */
+    readonly step: number;
+    readonly earlierLines: readonly BillLine[];
+    /** Whether events go to the caller as they come. */
+    readonly direct: boolean;
+    /** Is called before the answer starts again on another runner. */
+    readonly restart: () => void;
+    readonly write: (event: EngineEvent) => Promise<void>;
+    readonly writeEnd: (event: EngineEvent) => Promise<void>;
+    readonly beforeEnd: (usage: TokenUsage) => Promise<Result<void, Failure>>;
+}
+
+/** An answer that was had. */
+export interface Attempt {
+    readonly usage: TokenUsage;
+    readonly firstTokenMilliseconds: number;
+    /** Headers for the caller. */
+    readonly headers: Readonly<Record<string, string>>;
+}
+
+/** Runs answers on runners. */
+export class AttemptRunner {
+    readonly #options: AttemptRunnerOptions;
+
+    constructor(options: AttemptRunnerOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Gets one version's answer.
+     * @param options - The answer to be had.
+     */
+    async run(options: AttemptOptions): Promise<Result<Attempt, Refusal>> {
+        const excluded = new Set<string>();
+        let worst: Outcome = "not-run";
+        for (let attempt = 0;; attempt += 1) {
+            const result = await this.#try(options, attempt, excluded);
+            if (result.isOk()) {
+                return ok(result.value);
+            }
+            worst = getWorse(worst, result.error.outcome);
+            if (!this.#mayRetry(options, attempt, result.error)) {
+                return err({ failure: result.error.failure, outcome: worst });
+            }
+            options.restart();
+        }
+    }
+
+    #mayRetry(options: AttemptOptions, attempt: number, refusal: AttemptRefusal): boolean {
+        const { call } = options;
+        if (!refusal.retriable || attempt + 1 >= maximumAttempts) {
+            return false;
+        }
+        if (call.sink.begun || call.gone.aborted || call.deadline.aborted) {
+            return false;
+        }
+        return this.#options.retries.take();
+    }
+
+    async #try(
+        options: AttemptOptions,
+        attempt: number,
+        excluded: Set<string>,
+    ): Promise<Result<Attempt, AttemptRefusal>> {
+        const { call, version } = options;
+        const allowed = this.#checkAllowed(call, version);
+        if (allowed.isErr()) {
+            return err(refuseFinally(allowed.error));
+        }
+        const placed = this.#options.runners.choose({
+            version: version.id,
+            blocks: getBlocks(call.request.promptText),
+            exclude: excluded,
+            deadlineMilliseconds: getTimeLeft(call, this.#options.clock.monotonic()),
+            estimatedTokens: call.request.estimatedInputTokens + call.request.estimatedOutputTokens,
+        });
+        if (placed.isErr()) {
+            return err(refuseFinally(placed.error));
+        }
+        const runner = placed.value.upstream;
+        excluded.add(runner.id);
+        const streamId = `${call.requestId}.${options.step}.${attempt}`;
+        this.#options.explanations.addPlacement(call.requestId, version.id, placed.value);
+        this.#options.journal.write(events.requestDispatched, {
+            request: call.requestId,
+            version: version.id,
+            upstream: runner.id,
+            stream: streamId,
+            reason: placed.value.reason,
+        });
+        return this.#dispatch(options, placed.value, streamId);
+    }
+
+    /**
+     * Checks once more, at the last moment, that the version may take this request: the configuration may have
+     * changed while the request waited, and a withdrawn version receives nothing new.
+     */
+    #checkAllowed(call: ChatCall, version: ModelVersion): Result<void, Failure> {
+        const effective = this.#options.getConfiguration().getEffective({
+            workspace: call.workspace,
+            application: call.application,
+            session: call.requestClass,
+        });
+        const allowed = effective.isOk()
+            && effective.value.allowedVersions.some(candidate => candidate.id === version.id);
+        if (allowed && !this.#options.isHalted(version.id)) {
+            return ok(undefined);
+        }
+        return err(
+            new Failure({
+                kind: "unavailable",
+                message: `The version ${version.id} stopped taking work while the request waited.`,
+                remedy: "Send the request again.",
+                retryAfterMilliseconds: 200,
+            }),
+        );
+    }
+
+    async #dispatch(
+        options: AttemptOptions,
+        placement: Placement,
+        streamId: string,
+    ): Promise<Result<Attempt, AttemptRefusal>> {
+        const { call, version } = options;
+        const runner = placement.upstream;
+        const grace = options.direct && call.request.streamed ? this.#options.resumeGraceMilliseconds : 0;
+        const ending = createAttemptSignal(call.gone, call.deadline, grace);
+        const startedAt = this.#options.clock.monotonic();
+        const work = this.#options.runners.begin(placement, { tokens: call.request.estimatedOutputTokens });
+        try {
+            const answered = await this.#options.engines.complete(runner, {
+                streamId,
+                version: version.id,
+                requestClass: call.requestClass,
+                priority: call.settings.priority,
+                deadlineMilliseconds: Math.max(1, getTimeLeft(call, startedAt)),
+                body: call.request.body,
+                signal: ending.signal,
+            });
+            if (answered.isErr()) {
+                const refused = answered.error.outcome === "not-run";
+                finishWork(work, refused ? "refused" : "failed", this.#options.clock.monotonic() - startedAt);
+                return err({ ...this.#atDeadline(call, answered.error), retriable: true });
+            }
+            const answer = answered.value;
+            if (answer.version !== version.id) {
+                finishWork(work, "failed", this.#options.clock.monotonic() - startedAt);
+                return err(this.#refuseVersion(runner, streamId, version, answer));
+            }
+            return await this.#relay({ options, runner, streamId, answer, work, startedAt, signal: ending.signal });
+        }
+        finally {
+            ending.dispose();
+        }
+    }
+
+    async #relay(running: RunningAttempt): Promise<Result<Attempt, AttemptRefusal>> {
+        const { options, runner, streamId, answer, work, startedAt, signal } = running;
+        const { call } = options;
+        const headers = this.#createHeaders(options, runner, streamId);
+        const { clock, metrics } = this.#options;
+        let firstTokenMilliseconds = 0;
+        let lastEventAt = startedAt;
+        const relayed = await relayAnswer({
+            engines: this.#options.engines,
+            runner,
+            streamId,
+            answer,
+            lastId: 0,
+            signal,
+            onFirstEvent: () => {
+                const now = clock.monotonic();
+                firstTokenMilliseconds = now - call.arrivedAt;
+                lastEventAt = now;
+                work.firstToken(now - startedAt);
+                metrics.firstToken.observe({ class: call.requestClass }, firstTokenMilliseconds / 1000);
+                if (options.direct) {
+                    call.sink.begin(headers);
+                }
+            },
+            write: async event => {
+                const now = clock.monotonic();
+                if (lastEventAt !== now && event.id > 1) {
+                    metrics.tokenGap.observe((now - lastEventAt) / 1000);
+                }
+                lastEventAt = now;
+                await (event.data === "[DONE]" ? options.writeEnd(event) : options.write(event));
+            },
+            beforeEnd: usage => options.beforeEnd(usage),
+        });
+        const milliseconds = clock.monotonic() - startedAt;
+        if (relayed.isOk()) {
+            finishWork(work, "ok", milliseconds, answer);
+            return ok({ usage: relayed.value, firstTokenMilliseconds, headers });
+        }
+        finishWork(work, signal.aborted ? "cancelled" : "failed", milliseconds, answer);
+        await this.#cancel(options, runner, streamId);
+        return err({ ...this.#atDeadline(call, relayed.error), retriable: true });
+    }
+
+    /**
+     * Stops an answer that nobody waits for, and bills what was made of it. When another entry reads the stream by
+     * now, it is left alone and billed there.
+     */
+    async #cancel(options: AttemptOptions, runner: Vm, streamId: string): Promise<void> {
+        const cancelled = await this.#options.engines.cancel(runner, streamId, true);
+        const usage = cancelled.isOk() ? cancelled.value.usage : undefined;
+        if (usage !== undefined && options.direct && options.call.gone.aborted) {
+            await options.beforeEnd(usage);
+        }
+    }
+
+    #refuseVersion(runner: Vm, streamId: string, version: ModelVersion, answer: EngineAnswer): AttemptRefusal {
+        void answer.events.return(undefined);
+        void this.#options.engines.cancel(runner, streamId, false);
+        this.#options.journal.write(events.versionMismatch, {
+            upstream: runner.id,
+            version: version.id,
+            found: answer.version,
+        });
+        return {
+            retriable: true,
+            outcome: "ran",
+            failure: new Failure({
+                kind: "upstream-failed",
+                message: `The engine ${runner.id} ran ${answer.version} in place of ${version.id}.`,
+                remedy: "Send the request again; the engine's answer was thrown away.",
+                retryAfterMilliseconds: 1000,
+            }),
+        };
+    }
+
+    #createHeaders(options: AttemptOptions, runner: Vm, streamId: string): Readonly<Record<string, string>> {
+        const { call, version } = options;
+        const headers: Record<string, string> = {
+            "x-request-id": call.requestId,
+            "x-rattanlock-version": version.id,
+        };
+        const sessionToken = this.#options.createSessionToken(call, version.id);
+        if (sessionToken !== undefined) {
+            headers["x-rattanlock-session-token"] = sessionToken;
+        }
+        if (options.direct && call.request.streamed) {
+            headers["x-rattanlock-resume"] = createResumeToken({
+                requestId: call.requestId,
+                streamId,
+                runner: runner.id,
+                version: version.id,
+                workspace: call.workspace,
+                application: call.application,
+                requestClass: call.requestClass,
+                session: call.session,
+                earlierLines: [...options.earlierLines],
+            }, this.#options.signingKey);
+        }
+        return headers;
+    }
+
+    #atDeadline(call: ChatCall, refusal: Refusal): Refusal {
+        if (!call.deadline.aborted) {
+            return refusal;
+        }
+        return {
+            outcome: refusal.outcome,
+            failure: new Failure({
+                kind: "deadline",
+                message: `The answer was not complete within ${call.settings.deadlineMilliseconds} ms.`,
+                remedy: "Ask for a shorter answer or have the workspace's deadline_ms raised.",
+            }),
+        };
+    }
+}
+
+interface RunningAttempt {
+    readonly options: AttemptOptions;
+    readonly runner: Vm;
+    readonly streamId: string;
+    readonly answer: EngineAnswer;
+    readonly work: Work;
+    readonly startedAt: number;
+    readonly signal: AbortSignal;
+}
+
+interface AttemptRefusal extends Refusal {
+    /** Whether another runner may do better. */
+    readonly retriable: boolean;
+}
+
+function refuseFinally(failure: Failure): AttemptRefusal {
+    return { ...refuseNotRun(failure), retriable: false };
+}
+
+function finishWork(
+    work: Work,
+    outcome: "ok" | "failed" | "refused" | "cancelled",
+    milliseconds: number,
+    answer?: EngineAnswer,
+): void {
+    work.finish({ outcome, milliseconds, loadHeader: answer?.loadHeader });
+}
+
+const outcomeOrder: readonly Outcome[] = ["not-run", "unknown", "ran"];
+
+/**
+ * Returns the outcome that promises less. A request of which one attempt may have run must not be called "not run"
+ * because a later attempt was refused.
+ */
+export function getWorse(first: Outcome, second: Outcome): Outcome {
+    return outcomeOrder.indexOf(first) >= outcomeOrder.indexOf(second) ? first : second;
+}
--- /dev/null
+++ b/src/entry/callerServer.ts
@@ -0,0 +1,366 @@
+/**
+ * The HTTP face towards callers.
+ */
+import Router from "@koa/router";
+import Koa from "koa";
+import { err, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Clock, Failure } from "../common/index.js";
+import type { Configuration } from "../configuration/index.js";
+import { events, type Journal } from "../events/index.js";
+import { type AddressBook, createAddressDocument } from "./addressBook.js";
+import { DocumentSink, EventStreamSink, sendProblem } from "./answerSink.js";
+import { type CallerIdentity, identifyCaller } from "./callerIdentity.js";
+import type { ChatPipeline } from "./chatPipeline.js";
+import { automaticModel, parseChatRequest } from "./chatRequest.js";
+import type { Metrics } from "./metrics.js";
+import { type Refusal, refuseNotRun } from "./problem.js";
+import { readBody } from "./requestBody.js";
+import type { ResumePipeline } from "./resumePipeline.js";
+import type { ServicePipeline, ServiceReply } from "./servicePipeline.js";
+
+/** Largest headers that a caller may send, in bytes. */
+const maximumHeaderBytes = 16 * 1024;
+/** How long a caller may take to send its headers, in milliseconds. */
+const headersTimeoutMilliseconds = 10_000;
+/** Headers of a caller that plain services get to see. */
+const servicePassedHeaders = ["content-type", "accept", "accept-language", "if-match", "if-none-match"];
+
+/** What the server works with. */
+export interface CallerServerOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly metrics: Metrics;
+    readonly getConfiguration: () => Configuration;
+    readonly chats: ChatPipeline;
+    readonly resumptions: ResumePipeline;
+    readonly services: ServicePipeline;
+    readonly addresses: AddressBook;
+    readonly maximumBodyBytes: number;
+    readonly bodyTimeoutMilliseconds: number;
+    readonly maximumConnections: number;
+    /** Whether the entry serves; until it has a configuration it refuses. */
+    readonly isReady: () => boolean;
+}
+
+/** Serves callers. */
+export class CallerServer {
+    readonly #options: CallerServerOptions;
+    readonly #server: Server;
+    readonly #running = new Set<ServerResponse>();
+    #leaving = false;
+
+    constructor(options: CallerServerOptions) {
+        this.#options = options;
+        const koa = new Koa();
+        koa.silent = true;
+        const router = this.#createRouter();
+        koa.use(router.routes());
+        koa.use(router.allowedMethods());
+        this.#server = createServer({
+            maxHeaderSize: maximumHeaderBytes,
+            headersTimeout: headersTimeoutMilliseconds,
+            requestTimeout: options.bodyTimeoutMilliseconds + headersTimeoutMilliseconds,
+            keepAliveTimeout: 30_000,
+        }, koa.callback());
+        this.#server.maxConnections = options.maximumConnections;
+    }
+
+    /**
+     * Listens.
+     * @param port - The port.
+     * @param address - The IP number.
+     */
+    listen(port: number, address: string): Promise<void> {
+        return new Promise((resolve, reject) => {
+            this.#server.once("error", reject);
+            this.#server.listen(port, address, resolve);
+        });
+    }
+
+    /** Returns how many requests are being worked on. */
+    getRunningCount(): number {
+        return this.#running.size;
+    }
+
+    /** Tells callers with each answer to open their next connection elsewhere. */
+    announceLeaving(): void {
+        this.#leaving = true;
+    }
+
+    /** Stops accepting, and resolves when every request that was accepted has its answer. */
+    close(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
+        this.#server.closeIdleConnections();
+        return closed;
+    }
+
+    /** Ends every connection, also those with unfinished answers. */
+    abort(): void {
+        this.#server.closeAllConnections();
+    }
+
+    #createRouter(): Router {
+        const router = new Router();
+        router.get("/health", context => {
+            context.status = this.#options.isReady() ? 200 : 503;
+            context.body = { ready: this.#options.isReady(), leaving: this.#leaving };
+        });
+        router.get("/v1/addresses", context => {
+            context.body = createAddressDocument(this.#options.addresses);
+        });
+        router.get(
+            "/v1/models",
+            context => this.#handle(context, (call, response) => this.#listModels(call, response)),
+        );
+        router.post(
+            "/v1/chat/completions",
+            context => this.#handle(context, (call, response) => this.#serveChat(call, context.req, response)),
+        );
+        router.get(
+            "/v1/streams/current",
+            context => this.#handle(context, (call, response) => this.#serveResumption(call, context.req, response)),
+        );
+        router.all(/^\/services\/([^/]+)(\/.*)$/, context =>
+            this.#handle(context, (call, response) => {
+                const [pool, path] = [context.captures?.[0] ?? "", context.captures?.[1] ?? "/"];
+                return this.#serveService(call, context.req, response, pool, `${path}${context.search}`);
+            }));
+        return router;
+    }
+
+    async #handle(
+        context: Koa.Context,
+        serve: (call: IncomingCall, response: ServerResponse) => Promise<Refusal | undefined>,
+    ): Promise<void> {
+        context.respond = false;
+        const response = context.res;
+        const requestId = randomUUID();
+        if (this.#leaving) {
+            response.setHeader("connection", "close");
+        }
+        const identity = this.#identify(context.req);
+        if (identity.isErr()) {
+            this.#refuse(response, requestId, "unknown", refuseNotRun(identity.error));
+            context.req.resume();
+            return;
+        }
+        const call = { requestId, identity: identity.value, gone: watchCaller(response), arrivedAt: this.#now() };
+        this.#running.add(response);
+        this.#options.metrics.running.set(this.#running.size);
+        try {
+            const refusal = await serve(call, response);
+            this.#report(call, response, refusal);
+        }
+        catch (error) {
+            this.#reportCrash(call, response, error);
+        }
+        finally {
+            this.#running.delete(response);
+            this.#options.metrics.running.set(this.#running.size);
+        }
+    }
+
+    #identify(request: IncomingMessage): Result<CallerIdentity, Failure> {
+        if (!this.#options.isReady()) {
+            return identifyNobody();
+        }
+        return identifyCaller(request.headers, this.#options.getConfiguration());
+    }
+
+    async #serveChat(
+        call: IncomingCall,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<Refusal | undefined> {
+        const body = await readBody(request, this.#options.maximumBodyBytes, this.#options.bodyTimeoutMilliseconds);
+        if (body.isErr()) {
+            return refuseAndClose(response, body.error);
+        }
+        const { identity } = call;
+        const parsed = parseChatRequest(body.value.toString("utf8"), identity.settings.maximumTokens);
+        if (parsed.isErr()) {
+            return refuseNotRun(parsed.error);
+        }
+        const deadline = AbortSignal.timeout(identity.settings.deadlineMilliseconds);
+        const sink = parsed.value.streamed
+            ? new EventStreamSink(response, call.requestId)
+            : new DocumentSink(response, call.requestId);
+        const result = await this.#options.chats.run({
+            ...call,
+            ...identity,
+            sessionToken: readSingle(request.headers["x-rattanlock-session-token"]),
+            request: parsed.value,
+            sink,
+            deadline,
+        });
+        if (result.isErr() && sink.begun) {
+            sink.fail(result.error);
+        }
+        return result.isErr() ? result.error : undefined;
+    }
+
+    async #serveResumption(
+        call: IncomingCall,
+        request: IncomingMessage,
+        response: ServerResponse,
+    ): Promise<Refusal | undefined> {
+        const sink = new EventStreamSink(response, call.requestId);
+        const result = await this.#options.resumptions.run({
+            token: readSingle(request.headers["x-rattanlock-resume"]) ?? "",
+            lastId: Number(readSingle(request.headers["last-event-id"]) ?? 0),
+            identity: call.identity,
+            sink,
+            gone: call.gone,
+        });
+        if (result.isErr() && sink.begun) {
+            sink.fail(result.error);
+        }
+        return result.isErr() ? result.error : undefined;
+    }
+
+    async #serveService(
+        call: IncomingCall,
+        request: IncomingMessage,
+        response: ServerResponse,
+        pool: string,
+        path: string,
+    ): Promise<Refusal | undefined> {
+        const body = await readBody(request, this.#options.maximumBodyBytes, this.#options.bodyTimeoutMilliseconds);
+        if (body.isErr()) {
+            return refuseAndClose(response, body.error);
+        }
+        const result = await this.#options.services.run({
+            ...call,
+            ...call.identity,
+            pool,
+            path,
+            method: request.method ?? "GET",
+            headers: pickHeaders(request),
+            body: body.value.byteLength === 0 ? undefined : body.value,
+            idempotencyKey: readSingle(request.headers["idempotency-key"]),
+        });
+        if (result.isErr()) {
+            return result.error;
+        }
+        sendReply(response, call.requestId, result.value);
+        return undefined;
+    }
+
+    async #listModels(call: IncomingCall, response: ServerResponse): Promise<undefined> {
+        const data = [{ id: automaticModel, object: "model", created: 0, owned_by: "rattanlock" }];
+        for (const version of call.identity.settings.allowedVersions) {
+            data.push({ id: version.id, object: "model", created: 0, owned_by: version.model });
+        }
+        response.writeHead(200, { "content-type": "application/json" });
+        response.end(JSON.stringify({ object: "list", data }));
+        return undefined;
+    }
+
+    #report(call: IncomingCall, response: ServerResponse, refusal: Refusal | undefined): void {
+        const { workspace } = call.identity;
+        if (refusal !== undefined) {
+            this.#refuse(response, call.requestId, workspace, refusal);
+            return;
+        }
+        this.#options.metrics.requests.inc({ workspace, result: "answered", outcome: "ran" });
+        this.#options.journal.write(events.requestAnswered, {
+            request: call.requestId,
+            workspace,
+            milliseconds: Math.round(this.#now() - call.arrivedAt),
+        });
+    }
+
+    #refuse(response: ServerResponse, requestId: string, workspace: string, refusal: Refusal): void {
+        const { failure, outcome } = refusal;
+        this.#options.metrics.requests.inc({ workspace, result: failure.kind, outcome });
+        this.#options.journal.write(events.requestRefused, {
+            request: requestId,
+            workspace,
+            kind: failure.kind,
+            outcome,
+            message: failure.message,
+        });
+        if (!response.writableEnded) {
+            sendProblem(response, refusal, requestId);
+        }
+    }
+
+    #reportCrash(call: IncomingCall, response: ServerResponse, error: unknown): void {
+        this.#options.journal.write(events.requestCrashed, {
+            request: call.requestId,
+            message: error instanceof Error ? error.stack ?? error.message : String(error),
+        });
+        const failure = new Failure({
+            kind: "unavailable",
+            message: "The entry failed on this request.",
+            remedy: "Ask for its outcome before sending it again, and report the request identifier.",
+            cause: error,
+        });
+        this.#refuse(response, call.requestId, call.identity.workspace, { failure, outcome: "unknown" });
+    }
+
+    #now(): number {
+        return this.#options.clock.monotonic();
+    }
+}
+
+interface IncomingCall {
+    readonly requestId: string;
+    readonly identity: CallerIdentity;
+    readonly gone: AbortSignal;
+    readonly arrivedAt: number;
+}
+
+function watchCaller(response: ServerResponse): AbortSignal {
+    const controller = new AbortController();
+    response.on("close", () => {
+        if (!response.writableFinished) {
+            controller.abort();
+        }
+    });
+    return controller.signal;
+}
+
+/** Refuses a body and drops the connection, because the rest of the body is still on its way. */
+function refuseAndClose(response: ServerResponse, failure: Failure): Refusal {
+    response.setHeader("connection", "close");
+    response.once("finish", () => response.req.destroy());
+    return refuseNotRun(failure);
+}
+
+function readSingle(header: string | string[] | undefined): string | undefined {
+    return typeof header === "string" ? header : undefined;
+}
+
+function pickHeaders(request: IncomingMessage): Readonly<Record<string, string>> {
+    const picked: Record<string, string> = {};
+    for (const name of servicePassedHeaders) {
+        const value = request.headers[name];
+        if (typeof value === "string") {
+            picked[name] = value;
+        }
+    }
+    return picked;
+}
+
+function sendReply(response: ServerResponse, requestId: string, reply: ServiceReply): void {
+    response.writeHead(reply.answer.status, {
+        ...reply.answer.headers,
+        "x-request-id": requestId,
+        ...(reply.replayed ? { "idempotent-replayed": "true" } : {}),
+    });
+    response.end(reply.answer.body);
+}
+
+function identifyNobody(): Result<CallerIdentity, Failure> {
+    return err(
+        new Failure({
+            kind: "unavailable",
+            message: "This entry has no configuration yet: neither the log nor a peer has answered.",
+            remedy: "Send the request to another address of GET /v1/addresses.",
+            retryAfterMilliseconds: 2000,
+        }),
+    );
+}
--- /dev/null
+++ b/src/entry/chatPipeline.ts
@@ -0,0 +1,214 @@
+/**
+ * The way of a chat completion: freshness, admission, session, plan, and the plan's steps.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, Failure } from "../common/index.js";
+import type { EffectiveSettings } from "../configuration/index.js";
+import type { AdmissionController, ModelChooser, Plan } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { ModelVersion } from "../world/index.js";
+import { type ChatCall, getExposureKey } from "./chatCall.js";
+import type { Explanations } from "./explanations.js";
+import type { PlanRunner } from "./planRunner.js";
+import { type Refusal, refuseNotRun } from "./problem.js";
+import type { Sessions } from "./sessions.js";
+import type { VersionPolicy } from "./versionPolicy.js";
+import { selectPinnedVersion, selectVersions } from "./versionSelection.js";
+
+/** What the pipeline works with. */
+export interface ChatPipelineOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    /** Milliseconds since the configuration was last confirmed as the newest. */
+    readonly getConfigurationAge: () => number;
+    readonly admission: AdmissionController;
+    readonly chooser: ModelChooser;
+    readonly versions: VersionPolicy;
+    readonly sessions: Sessions;
+    readonly planRunner: PlanRunner;
+    readonly explanations: Explanations;
+    /** Whether bills can still be kept; without that nothing billable may start. */
+    readonly canBill: () => boolean;
+}
+
+/** Takes chat completions from their arrival to their answer. */
+export class ChatPipeline {
+    readonly #options: ChatPipelineOptions;
+
+    constructor(options: ChatPipelineOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Answers a call or refuses it.
+     * @param call - The call.
+     */
+    async run(call: ChatCall): Promise<Result<void, Refusal>> {
+        const ready = checkFreshness(call.settings, this.#options.getConfigurationAge());
+        if (ready.isErr()) {
+            return err(refuseNotRun(ready.error));
+        }
+        if (!this.#options.canBill()) {
+            return err(refuseNotRun(createBillsFullFailure()));
+        }
+        const admitted = await this.#options.admission.admit({
+            workspace: call.workspace,
+            share: call.settings.share,
+            priority: call.settings.priority,
+            deadlineMilliseconds: call.settings.firstTokenMilliseconds,
+            estimatedTokens: call.request.estimatedInputTokens + call.request.estimatedOutputTokens,
+            caller: call.session,
+            signal: call.gone,
+        });
+        if (admitted.isErr()) {
+            return err(refuseNotRun(admitted.error));
+        }
+        const ticket = admitted.value;
+        if (call.gone.aborted) {
+            ticket.release({ outcome: "cancelled", tokens: 0 });
+            return err(refuseNotRun(createCallerGoneFailure()));
+        }
+        const result = await this.#serve(call);
+        ticket.release(result.isOk() ? result.value : { outcome: toTicketOutcome(result.error), tokens: 0 });
+        return result.map(() => undefined);
+    }
+
+    async #serve(call: ChatCall): Promise<Result<ServedWork, Refusal>> {
+        const plan = await this.#plan(call);
+        if (plan.isErr()) {
+            return err(refuseNotRun(plan.error));
+        }
+        this.#options.explanations.addPlan(call.requestId, plan.value);
+        this.#options.journal.write(events.requestPlanned, {
+            request: call.requestId,
+            workspace: call.workspace,
+            class: call.requestClass,
+            versions: plan.value.steps.map(step => step.version.id).join(","),
+            reason: plan.value.reason,
+        });
+        return this.#options.planRunner.run(call, plan.value);
+    }
+
+    async #plan(call: ChatCall): Promise<Result<Plan, Failure>> {
+        if (call.session !== undefined && call.settings.stickySession) {
+            return this.#planSession(call, call.session);
+        }
+        return this.#planFree(call).map(plan => this.#options.versions.expose(plan, call, getExposureKey(call)));
+    }
+
+    #planFree(call: ChatCall): Result<Plan, Failure> {
+        const selected = selectVersions(this.#createSelection(call));
+        return selected.map(candidates => this.#choose(call, candidates));
+    }
+
+    /**
+     * A session runs on one version from its first request on, so its plan is a single step. Two first requests at
+     * two entries may propose two versions; the log's order decides, and both take what it says.
+     */
+    async #planSession(call: ChatCall, session: string): Promise<Result<Plan, Failure>> {
+        const { sessions } = this.#options;
+        const known = sessions.readVersion(call);
+        if (known !== undefined) {
+            return this.#planPinned(call, known);
+        }
+        const proposal = this.#planFree(call)
+            .map(plan => this.#options.versions.expose(toSingle(plan), call, getExposureKey(call)));
+        if (proposal.isErr()) {
+            return err(proposal.error);
+        }
+        const pinned = await sessions.pin(call, session, proposal.value.steps[0].version.id);
+        if (pinned.isErr()) {
+            return err(pinned.error);
+        }
+        return this.#planPinned(call, pinned.value);
+    }
+
+    #planPinned(call: ChatCall, id: string): Result<Plan, Failure> {
+        return selectPinnedVersion(id, this.#createSelection(call)).map(version => ({
+            steps: [{ version, acceptScore: undefined }],
+            expectedCost: 0,
+            expectedQuality: 0,
+            exploring: false,
+            reason: "session",
+        }));
+    }
+
+    #choose(call: ChatCall, candidates: readonly ModelVersion[]): Plan {
+        return this.#options.chooser.choose({
+            requestClass: call.requestClass,
+            candidates,
+            targetQuality: call.settings.targetQuality,
+            confidence: call.settings.confidence,
+            inputTokens: call.request.estimatedInputTokens,
+            outputTokens: call.request.estimatedOutputTokens,
+        });
+    }
+
+    #createSelection(call: ChatCall) {
+        return {
+            allowed: call.settings.allowedVersions,
+            model: call.request.model,
+            isHalted: (version: string) => this.#options.versions.isHalted(version),
+        };
+    }
+}
+
+/** What a served request tells the admission controller. */
+export interface ServedWork {
+    readonly outcome: "ok";
+    readonly firstTokenMilliseconds: number;
+    readonly tokens: number;
+}
+
+/**
+ * Refuses work when the configuration is older than the workspace permits.
+ *
+ * An entry that is cut off from the log and from its peers cannot know of a withdrawal. Without this check it would
+ * go on sending work to a version that was withdrawn everywhere else.
+ * @param settings - The workspace's settings.
+ * @param ageMilliseconds - Time since the configuration was last confirmed.
+ */
+export function checkFreshness(settings: EffectiveSettings, ageMilliseconds: number): Result<void, Failure> {
+    if (ageMilliseconds <= settings.maximumConfigurationAgeMilliseconds) {
+        return ok(undefined);
+    }
+    return err(
+        new Failure({
+            kind: "stale",
+            message: "This entry has not been able to confirm its configuration for "
+                + `${Math.round(ageMilliseconds / 1000)} s.`,
+            remedy: "Send the request to another address of GET /v1/addresses.",
+            retryAfterMilliseconds: 2000,
+        }),
+    );
+}
+
+/** Takes the last, hence best, step of a plan. */
+function toSingle(plan: Plan): Plan {
+    const last = plan.steps[plan.steps.length - 1];
+    return { ...plan, steps: [{ version: last.version, acceptScore: undefined }] };
+}
+
+function toTicketOutcome(refusal: Refusal): "refused" | "failed" | "cancelled" {
+    if (refusal.failure.kind === "deadline" || refusal.failure.kind === "upstream-failed") {
+        return "failed";
+    }
+    return refusal.outcome === "not-run" ? "refused" : "failed";
+}
+
+function createBillsFullFailure(): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: "Bills cannot be kept: the log has been away for so long that their buffer is full.",
+        remedy: "Come back later.",
+        retryAfterMilliseconds: 15_000,
+    });
+}
+
+function createCallerGoneFailure(): Failure {
+    return new Failure({
+        kind: "gone",
+        message: "The caller closed its connection before the request started.",
+        remedy: "Send the request again.",
+    });
+}
--- /dev/null
+++ b/src/entry/container.ts
@@ -0,0 +1,35 @@
+/**
+ * Puts an entry together.
+ */
+import { asFunction, asValue, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
+import { RandomSource, systemClock } from "../common/index.js";
+import { createCallerHash } from "../decisions/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import type { Cradle } from "./cradle.js";
+import { callerParts } from "./parts/callerParts.js";
+import { decisionParts } from "./parts/decisionParts.js";
+import { peerParts } from "./parts/peerParts.js";
+import { platformParts } from "./parts/platformParts.js";
+
+/** Makes each part of an entry from other parts. */
+export type Parts = { readonly [Name in keyof Cradle]?: (cradle: Cradle) => Cradle[Name]; };
+
+/**
+ * Creates the container of an entry. Each part is made once, when it is first asked for.
+ * @param settings - The entry's checked settings.
+ */
+export async function createEntryContainer(settings: EntrySettings): Promise<AwilixContainer<Cradle>> {
+    const container = createContainer<Cradle>({ injectionMode: InjectionMode.PROXY, strict: true });
+    container.register({
+        settings: asValue(settings),
+        clock: asValue(systemClock),
+        random: asValue(new RandomSource(Math.floor(Math.random() * 2 ** 31))),
+        callerHash: asValue(await createCallerHash()),
+    });
+    for (const parts of [platformParts, peerParts, decisionParts, callerParts]) {
+        for (const [name, make] of Object.entries(parts)) {
+            container.register(name, asFunction(make as (cradle: Cradle) => unknown, { lifetime: Lifetime.SINGLETON }));
+        }
+    }
+    return container;
+}
--- /dev/null
+++ b/src/entry/cradle.ts
@@ -0,0 +1,102 @@
+/**
+ * What the parts of an entry can ask the container for.
+ */
+import type { Agent } from "undici";
+import type { BillKeeper, BillWriter } from "../bills/index.js";
+import type { ClaimClient, CollectorPool } from "../claims/index.js";
+import type { Clock, RandomSource } from "../common/index.js";
+import type { ConfigurationReader, SnapshotWriter } from "../configuration/index.js";
+import type { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../control/index.js";
+import type {
+    AdmissionController,
+    CallerHash,
+    Evidence,
+    Exposures,
+    ModelChooser,
+    RetryBudget,
+    RolloutJudge,
+    RolloutRouter,
+    RunnerChooser,
+} from "../decisions/index.js";
+import type { EventBuffer, Journal } from "../events/index.js";
+import type { LogClient } from "../log/index.js";
+import type { FollowStream } from "../log/logAccess.js";
+import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import type { EngineClient, RatingClient, ServiceClient } from "../upstream/index.js";
+import type { AttemptRunner } from "./attemptRunner.js";
+import type { CallerServer } from "./callerServer.js";
+import type { ChatPipeline } from "./chatPipeline.js";
+import type { ControlSnapshots } from "./controlSnapshots.js";
+import type { EntryState } from "./entryState.js";
+import type { Explanations } from "./explanations.js";
+import type { LoadPoller } from "./loadPoller.js";
+import type { Metrics } from "./metrics.js";
+import type { OperatorServer } from "./operatorServer.js";
+import type { PlanRunner } from "./planRunner.js";
+import type { ResumePipeline } from "./resumePipeline.js";
+import type { RolloutDriver } from "./rolloutDriver.js";
+import type { ServicePipeline } from "./servicePipeline.js";
+import type { Sessions } from "./sessions.js";
+import type { SharedState } from "./sharedState.js";
+import type { StateFetcher } from "./stateFetcher.js";
+import type { VersionPolicy } from "./versionPolicy.js";
+import type { VmWatcher } from "./vmWatcher.js";
+
+/** Everything that an entry is made of. */
+export interface Cradle {
+    readonly settings: EntrySettings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly callerHash: CallerHash;
+    readonly self: NodeIdentity;
+    readonly eventBuffer: EventBuffer;
+    readonly journal: Journal;
+    readonly metrics: Metrics;
+    readonly upstreamAgent: Agent;
+    readonly platformAgent: Agent;
+    readonly log: LogClient;
+    readonly follow: FollowStream;
+    readonly configuration: ConfigurationReader;
+    readonly snapshots: SnapshotWriter;
+    readonly leases: LeaseFold;
+    readonly rollouts: RolloutFold;
+    readonly control: ControlReader;
+    readonly controlSnapshots: ControlSnapshots;
+    readonly lease: LeaseHolder;
+    readonly peerClient: PeerClient;
+    readonly peerServer: PeerServer;
+    readonly gossip: Gossip;
+    readonly membership: Membership;
+    readonly collectors: CollectorPool;
+    readonly claims: ClaimClient;
+    readonly sessions: Sessions;
+    readonly bills: BillWriter;
+    readonly billKeeper: BillKeeper;
+    readonly evidence: Evidence;
+    readonly exposures: Exposures;
+    readonly chooser: ModelChooser;
+    readonly judge: RolloutJudge;
+    readonly router: RolloutRouter;
+    readonly driver: RolloutDriver;
+    readonly runners: RunnerChooser;
+    readonly admission: AdmissionController;
+    readonly retries: RetryBudget;
+    readonly engines: EngineClient;
+    readonly services: ServiceClient;
+    readonly ratings: RatingClient;
+    readonly watcher: VmWatcher;
+    readonly poller: LoadPoller;
+    readonly shared: SharedState;
+    readonly fetcher: StateFetcher;
+    readonly state: EntryState;
+    readonly explanations: Explanations;
+    readonly versions: VersionPolicy;
+    readonly attempts: AttemptRunner;
+    readonly planRunner: PlanRunner;
+    readonly chats: ChatPipeline;
+    readonly resumptions: ResumePipeline;
+    readonly servicePipeline: ServicePipeline;
+    readonly callerServer: CallerServer;
+    readonly operatorServer: OperatorServer;
+}
--- /dev/null
+++ b/src/entry/entry.ts
@@ -0,0 +1,123 @@
+/**
+ * An entry: the process to which callers connect. The root from which its parts are reached.
+ */
+import type { AwilixContainer } from "awilix";
+import { events } from "../events/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { createEntryContainer } from "./container.js";
+import type { Cradle } from "./cradle.js";
+
+/** How long a graceful shutdown waits for the log to take the last bills, in milliseconds. */
+const flushMilliseconds = 60_000;
+
+/** Runs an entry from its start to its graceful shutdown. */
+export class Entry {
+    readonly #container: AwilixContainer<Cradle>;
+    #stopping: Promise<void> | undefined;
+
+    private constructor(container: AwilixContainer<Cradle>) {
+        this.#container = container;
+    }
+
+    /**
+     * Creates an entry without starting it.
+     * @param settings - Its checked settings.
+     */
+    static async create(settings: EntrySettings): Promise<Entry> {
+        return new Entry(await createEntryContainer(settings));
+    }
+
+    /** Returns the entry's parts. */
+    getParts(): Cradle {
+        return this.#container.cradle;
+    }
+
+    /** Starts to follow the platform, to talk to peers and to serve. */
+    async start(): Promise<void> {
+        const parts = this.getParts();
+        const { settings } = parts;
+        (await parts.peerServer.start()).match(() => undefined, failure => {
+            throw failure;
+        });
+        parts.shared.start();
+        parts.gossip.start();
+        parts.watcher.start();
+        parts.configuration.start();
+        parts.control.start();
+        parts.fetcher.start();
+        parts.collectors.start();
+        parts.bills.start();
+        parts.billKeeper.start();
+        parts.lease.start();
+        parts.controlSnapshots.start();
+        parts.poller.start();
+        parts.driver.start();
+        await parts.operatorServer.listen(settings.listen.operators.port, settings.listen.operators.host);
+        await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
+        parts.journal.write(events.processStarted, { address: settings.listen.callers.host });
+    }
+
+    /** Shuts down gracefully. A second call waits for the first. */
+    stop(): Promise<void> {
+        this.#stopping ??= this.#stop();
+        return this.#stopping;
+    }
+
+    /**
+     * Leaves the addresses first and goes on accepting for as long as callers may keep the old answer; then finishes
+     * what runs, gives bills to the log, and only then stops talking to peers and the platform.
+     */
+    async #stop(): Promise<void> {
+        const parts = this.getParts();
+        const { timing } = parts.settings;
+        parts.journal.write(events.processStopping);
+        parts.membership.announceLeaving();
+        parts.callerServer.announceLeaving();
+        await parts.lease.stop();
+        await parts.driver.stop();
+        await pause(timing.addressesKeepMilliseconds);
+        await this.#drain();
+        const flushed = await parts.bills.flush(flushMilliseconds);
+        if (flushed.isErr()) {
+            parts.journal.write(events.billsLeftBehind, { count: parts.bills.getSize() });
+        }
+        await parts.billKeeper.flush(flushMilliseconds);
+        await this.#stopBackground();
+        parts.journal.write(events.processStopped);
+    }
+
+    async #drain(): Promise<void> {
+        const { callerServer, settings } = this.getParts();
+        const closed = callerServer.close();
+        const timer = setTimeout(() => callerServer.abort(), settings.timing.drainTimeoutMilliseconds);
+        await closed;
+        clearTimeout(timer);
+    }
+
+    async #stopBackground(): Promise<void> {
+        const parts = this.getParts();
+        parts.gossip.stop();
+        parts.bills.stop();
+        parts.billKeeper.stop();
+        parts.claims.stop();
+        await Promise.all([
+            parts.shared.stop(),
+            parts.poller.stop(),
+            parts.watcher.stop(),
+            parts.fetcher.stop(),
+            parts.controlSnapshots.stop(),
+            parts.collectors.stop(),
+            parts.configuration.stop(),
+            parts.control.stop(),
+        ]);
+        await parts.peerServer.stop();
+        parts.peerClient.close();
+        await parts.operatorServer.close();
+        await parts.upstreamAgent.close();
+        await parts.platformAgent.close();
+    }
+}
+
+function pause(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/entry/explanations.ts
@@ -0,0 +1,78 @@
+/**
+ * Remembers why the latest requests went where they went, for `rattanlock explain`.
+ */
+import type { Placement, Plan } from "../decisions/index.js";
+
+/** Requests that are remembered. */
+const capacity = 2000;
+
+/** Why one request went where it went. */
+export interface Explanation {
+    readonly request: string;
+    readonly lines: readonly string[];
+}
+
+/** Keeps the explanations of the latest requests. */
+export class Explanations {
+    readonly #lines = new Map<string, string[]>();
+
+    /**
+     * Adds the plan of a request.
+     * @param request - Identifies the request.
+     * @param plan - The plan.
+     */
+    addPlan(request: string, plan: Plan): void {
+        for (const step of plan.steps) {
+            const threshold = step.acceptScore === undefined ? "final" : `final at a rating of ${step.acceptScore}`;
+            this.#add(request, `plan: ${step.version.id} (${threshold}); ${plan.reason}`);
+        }
+    }
+
+    /**
+     * Adds a choice of a runner.
+     * @param request - Identifies the request.
+     * @param version - The version.
+     * @param placement - The choice.
+     */
+    addPlacement(request: string, version: string, placement: Placement): void {
+        this.#add(
+            request,
+            `runner: ${placement.upstream.id} in ${placement.upstream.failureDomain} for ${version}, expected wait `
+                + `${Math.round(placement.expectedWaitMilliseconds)} ms, ${placement.cachedBlocks} cached blocks; `
+                + placement.reason,
+        );
+    }
+
+    /**
+     * Adds the rating of a cascade's step.
+     * @param request - Identifies the request.
+     * @param version - The version that was rated.
+     * @param score - The rating, if one came in time.
+     * @param accepted - Whether the answer was final.
+     */
+    addRating(request: string, version: string, score: number | undefined, accepted: boolean): void {
+        this.#add(request, `rating: ${version} ${score ?? "unrated"}, ${accepted ? "accepted" : "escalated"}`);
+    }
+
+    /**
+     * Returns the explanation of a request, or `undefined` when it is not remembered.
+     * @param request - Identifies the request.
+     */
+    get(request: string): Explanation | undefined {
+        const lines = this.#lines.get(request);
+        return lines === undefined ? undefined : { request, lines };
+    }
+
+    #add(request: string, line: string): void {
+        const lines = this.#lines.get(request);
+        if (lines !== undefined) {
+            lines.push(line);
+            return;
+        }
+        this.#lines.set(request, [line]);
+        if (this.#lines.size > capacity) {
+            const oldest = this.#lines.keys().next();
+            this.#lines.delete(oldest.value as string);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/freshness.ts
@@ -0,0 +1,37 @@
+/**
+ * How old an entry's configuration may be taken to be.
+ *
+ * An entry that is cut off from the log cannot see a withdrawal. While others can, it must learn from them or stop
+ * taking new work; but an outage of the log for everybody must not stop a site, since nothing can be withdrawn then.
+ */
+
+/** What one entry knows about itself and the others. */
+export interface FreshnessView {
+    /** Milliseconds since this entry last confirmed its configuration. */
+    readonly ownAgeMilliseconds: number;
+    /** Whether at most half of the listed entries is known to live. */
+    readonly isMajorityAway: boolean;
+    /** What each reachable other entry says: whether it has confirmed its configuration lately, and its offset. */
+    readonly others: Iterable<{ readonly isFresh: boolean; readonly configurationOffset: number; }>;
+    readonly ownOffset: number;
+}
+
+/** An entry calls its configuration fresh while it was confirmed this long ago, in milliseconds. */
+export const freshMilliseconds = 5000;
+
+/**
+ * Returns the age that counts for refusing work, in milliseconds: 0 when nobody on the greater side of a cut has any
+ * newer word from the log.
+ * @param view - What the entry knows.
+ */
+export function getEffectiveAge(view: FreshnessView): number {
+    if (view.ownAgeMilliseconds <= freshMilliseconds || view.isMajorityAway) {
+        return view.ownAgeMilliseconds;
+    }
+    for (const other of view.others) {
+        if (other.isFresh || other.configurationOffset > view.ownOffset) {
+            return view.ownAgeMilliseconds;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/entry/loadPoller.ts
@@ -0,0 +1,115 @@
+/**
+ * Asks the upstreams of this entry's subset for their load and their cache events.
+ */
+import { RepeatedTask } from "../common/index.js";
+import type { RunnerChooser } from "../decisions/index.js";
+import type { EngineClient } from "../upstream/index.js";
+import type { Vm } from "../world/index.js";
+
+/** Options of a poller. */
+export interface LoadPollerOptions {
+    readonly engines: EngineClient;
+    readonly runners: RunnerChooser;
+    readonly intervalMilliseconds: number;
+    /** Is called after each round, with the capacity of the subset in requests at a time. */
+    readonly onRound: (capacity: number) => void;
+    /** Is called when an upstream says of itself that it is leaving. */
+    readonly onLeaving: (upstream: Vm) => void;
+}
+
+/** Polls upstreams. */
+export class LoadPoller {
+    readonly #options: LoadPollerOptions;
+    readonly #task: RepeatedTask;
+    readonly #nextSequence = new Map<string, number>();
+    readonly #capacities = new Map<string, number>();
+    readonly #pending = new Set<string>();
+
+    constructor(options: LoadPollerOptions) {
+        this.#options = options;
+        this.#task = new RepeatedTask({
+            run: () => this.#poll(),
+            pauseMilliseconds: options.intervalMilliseconds,
+        });
+    }
+
+    /** Starts to poll. */
+    start(): void {
+        this.#task.start();
+    }
+
+    /** Stops polling. */
+    stop(): Promise<void> {
+        return this.#task.stop();
+    }
+
+    /**
+     * Asks every upstream once without waiting for the answers: one that is frozen would hold up the others' news.
+     * An upstream that has not answered yet is passed over.
+     */
+    #poll(): void {
+        const subset = this.#options.runners.getSubset();
+        const listed = new Set(subset.map(vm => vm.id));
+        for (const id of this.#capacities.keys()) {
+            if (!listed.has(id)) {
+                this.#capacities.delete(id);
+                this.#nextSequence.delete(id);
+            }
+        }
+        for (const upstream of subset) {
+            if (!this.#pending.has(upstream.id)) {
+                this.#pending.add(upstream.id);
+                void this.#ask(upstream).finally(() => this.#pending.delete(upstream.id));
+            }
+        }
+        this.#options.onRound(sum(this.#capacities.values()));
+    }
+
+    async #ask(upstream: Vm): Promise<void> {
+        const load = await this.#options.engines.getLoad(upstream);
+        if (load.isErr()) {
+            this.#capacities.delete(upstream.id);
+            return;
+        }
+        // Upstreams name themselves freely; the VM list's identifier is the one that is known here.
+        this.#options.runners.addLoadReport({ ...load.value, upstream: upstream.id });
+        this.#capacities.set(upstream.id, load.value.leaving ? 0 : load.value.capacity);
+        if (load.value.leaving) {
+            this.#options.onLeaving(upstream);
+        }
+        if (upstream.role === "runner") {
+            await this.#readCacheEvents(upstream);
+        }
+    }
+
+    async #readCacheEvents(runner: Vm): Promise<void> {
+        const from = this.#nextSequence.get(runner.id) ?? 0;
+        const page = await this.#options.engines.getCacheEvents(runner, from);
+        if (page.isErr()) {
+            return;
+        }
+        const { events: cacheEvents, next } = page.value;
+        const hasGap = hasMissing(cacheEvents.map(event => event.sequence), from);
+        this.#options.runners.addCacheEvents(runner.id, cacheEvents, hasGap);
+        this.#nextSequence.set(runner.id, next);
+    }
+}
+
+function hasMissing(sequences: readonly number[], from: number): boolean {
+    let expected = from;
+    for (const sequence of sequences) {
+        if (sequence !== expected) {
+            return true;
+        }
+        expected += 1;
+    }
+    return false;
+}
+
+function sum(values: Iterable<number>): number {
+    let total = 0;
+    for (const value of values) {
+        total += value;
+    }
+    return total;
+}
--- /dev/null
+++ b/src/entry/main.ts
@@ -0,0 +1,45 @@
+#!/usr/bin/env node
+/**
+ * The program `rattanlock-entry`.
+ */
+import { readFileSync } from "node:fs";
+import { parseArgs } from "node:util";
+import { formatMistake, type Mistake, parseEntrySettings } from "../settings/index.js";
+import { Entry } from "./entry.js";
+
+const exitCodes = { badInput: 2, failed: 1 } as const;
+
+async function main(): Promise<void> {
+    const { values } = parseArgs({ options: { settings: { type: "string" } } });
+    if (values.settings === undefined) {
+        console.error("Usage: rattanlock-entry --settings FILE");
+        process.exit(exitCodes.badInput);
+    }
+    const parsed = parseEntrySettings(readFileSync(values.settings, "utf8"), values.settings);
+    if (parsed.isErr()) {
+        report(parsed.error);
+        process.exit(exitCodes.badInput);
+    }
+    const settings = parsed.value;
+    const entry = await Entry.create(settings);
+    await entry.start();
+    console.log(`ready entry ${settings.listen.callers.host}:${settings.listen.callers.port}`);
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        // A second signal finds the shutdown under way and waits for it like the first.
+        process.on(signal, () => void entry.stop().then(() => process.exit(0)));
+    }
+}
+
+function report(mistakes: readonly Mistake[]): void {
+    for (const mistake of mistakes) {
+        console.error(formatMistake(mistake));
+    }
+}
+
+try {
+    await main();
+}
+catch (error) {
+    console.error(error instanceof Error ? error.message : error);
+    process.exit(exitCodes.failed);
+}
--- /dev/null
+++ b/src/entry/parts/callerParts.ts
@@ -0,0 +1,128 @@
+/**
+ * The parts that face callers and operators.
+ */
+import { AttemptRunner } from "../attemptRunner.js";
+import { CallerServer } from "../callerServer.js";
+import { ChatPipeline } from "../chatPipeline.js";
+import type { Parts } from "../container.js";
+import type { Cradle } from "../cradle.js";
+import { Explanations } from "../explanations.js";
+import { OperatorServer } from "../operatorServer.js";
+import { PlanRunner } from "../planRunner.js";
+import { RatingSampler } from "../ratingSampler.js";
+import { ResumePipeline } from "../resumePipeline.js";
+import { ServicePipeline } from "../servicePipeline.js";
+import { createStatus, refreshGauges } from "../status.js";
+
+const millisecondsPerSecond = 1000;
+/** Finished answers that this entry has rated, at most, in a second. */
+const ratingsPerSecond = 20;
+/** How long a stream without its caller is kept for a resumption, in milliseconds. */
+const resumeGraceMilliseconds = 3000;
+/** How long a caller may take to send its body, in milliseconds. */
+const bodyTimeoutMilliseconds = 15_000;
+
+/** Makes the parts that face callers and operators. */
+export const callerParts: Parts = {
+    explanations: () => new Explanations(),
+    attempts: cradle =>
+        new AttemptRunner({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            metrics: cradle.metrics,
+            engines: cradle.engines,
+            runners: cradle.runners,
+            retries: cradle.retries,
+            explanations: cradle.explanations,
+            getConfiguration: () => cradle.configuration.getConfiguration(),
+            isHalted: version => cradle.versions.isHalted(version),
+            createSessionToken: (call, version) => cradle.sessions.createToken(call, version),
+            signingKey: cradle.settings.session.signingKey,
+            resumeGraceMilliseconds,
+        }),
+    planRunner: cradle => {
+        const sampler = new RatingSampler(cradle.clock, ratingsPerSecond);
+        return new PlanRunner({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            metrics: cradle.metrics,
+            attempts: cradle.attempts,
+            ratings: cradle.ratings,
+            evidence: cradle.evidence,
+            bills: cradle.bills,
+            explanations: cradle.explanations,
+            entry: cradle.self.id,
+            isSampled: () => sampler.take(),
+        });
+    },
+    chats: cradle =>
+        new ChatPipeline({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            getConfigurationAge: () => cradle.state.getConfigurationAge(),
+            admission: cradle.admission,
+            chooser: cradle.chooser,
+            versions: cradle.versions,
+            sessions: cradle.sessions,
+            planRunner: cradle.planRunner,
+            explanations: cradle.explanations,
+            canBill: () => !cradle.bills.isFull(),
+        }),
+    resumptions: cradle =>
+        new ResumePipeline({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            engines: cradle.engines,
+            bills: cradle.bills,
+            getConfiguration: () => cradle.configuration.getConfiguration(),
+            getUpstream: id => cradle.watcher.getVm(id),
+            signingKey: cradle.settings.session.signingKey,
+            entry: cradle.self.id,
+        }),
+    servicePipeline: cradle =>
+        new ServicePipeline({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            getConfigurationAge: () => cradle.state.getConfigurationAge(),
+            admission: cradle.admission,
+            runners: cradle.runners,
+            services: cradle.services,
+            claims: cradle.claims,
+            retries: cradle.retries,
+            bills: cradle.bills,
+            canBill: () => !cradle.bills.isFull(),
+            entry: cradle.self.id,
+        }),
+    callerServer: cradle =>
+        new CallerServer({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            metrics: cradle.metrics,
+            getConfiguration: () => cradle.configuration.getConfiguration(),
+            chats: cradle.chats,
+            resumptions: cradle.resumptions,
+            services: cradle.servicePipeline,
+            addresses: createAddressBook(cradle),
+            maximumBodyBytes: cradle.settings.limits.bodyBytes,
+            bodyTimeoutMilliseconds,
+            maximumConnections: cradle.settings.limits.openRequests,
+            isReady: () => cradle.state.isReady(),
+        }),
+    operatorServer: cradle =>
+        new OperatorServer({
+            metrics: cradle.metrics,
+            refreshMetrics: () => refreshGauges(cradle),
+            getStatus: () => createStatus(cradle),
+            explanations: cradle.explanations,
+            getEvents: () => cradle.eventBuffer.getLines(),
+        }),
+};
+
+function createAddressBook({ settings, membership, watcher }: Cradle) {
+    const ownPort = settings.listen.callers.port;
+    return {
+        keepSeconds: settings.timing.addressesKeepMilliseconds / millisecondsPerSecond,
+        getMembers: () => membership.getMembers(),
+        getCallerPort: (member: { readonly id: string; }) => watcher.getVm(member.id)?.port ?? ownPort,
+    };
+}
--- /dev/null
+++ b/src/entry/parts/decisionParts.ts
@@ -0,0 +1,86 @@
+/**
+ * The parts that decide: models, versions, runners, limits.
+ */
+import {
+    AdmissionController,
+    Evidence,
+    Exposures,
+    ModelChooser,
+    RetryBudget,
+    RolloutJudge,
+    RolloutRouter,
+    RunnerChooser,
+} from "../../decisions/index.js";
+import { events } from "../../events/index.js";
+import { EngineClient, ServiceClient } from "../../upstream/index.js";
+import type { Parts } from "../container.js";
+import type { Cradle } from "../cradle.js";
+import { LoadPoller } from "../loadPoller.js";
+import { RolloutDriver } from "../rolloutDriver.js";
+import { VersionPolicy } from "../versionPolicy.js";
+
+const percent = 100;
+/** Requests that an entry may have at work beyond the upstreams' present capacity, so that a growing one is used. */
+const leastCapacity = 4;
+
+/** Makes the parts that decide. */
+export const decisionParts: Parts = {
+    evidence: ({ clock }) => new Evidence({ clock }),
+    exposures: () => new Exposures(),
+    chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
+    judge: ({ rollouts, evidence, exposures, clock }) =>
+        new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
+    router: ({ self, rollouts, exposures, callerHash }) =>
+        new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
+    driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
+        new RolloutDriver({
+            entry: self.id,
+            clock,
+            journal,
+            rollouts,
+            judge,
+            lease,
+            getEntries: () => membership.getAlive().map(member => member.id),
+            getSettledVersions: () =>
+                configuration.getConfiguration().getVersions()
+                    .filter(version => version.status === "serving")
+                    .map(version => version.id),
+            append: async record => (await log.append("control", record)).isOk(),
+            spreadHalt: halt => shared.spreadHalt(halt),
+        }),
+    versions: ({ rollouts, router }) => new VersionPolicy({ rollouts, router }),
+    runners: ({ self, clock, random, journal, settings }) =>
+        new RunnerChooser({
+            self: { failureDomain: self.failureDomain, region: self.region, subsetKey: self.id },
+            clock,
+            random,
+            journal,
+            options: { nearSubsetSize: settings.limits.subset },
+        }),
+    admission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
+    retries: ({ settings }) => new RetryBudget({ ratio: settings.limits.retryPercent / percent }),
+    engines: ({ upstreamAgent, settings }) =>
+        new EngineClient({
+            dispatcher: upstreamAgent,
+            headersTimeoutMilliseconds: settings.timing.upstreamConnectTimeoutMilliseconds,
+        }),
+    services: ({ upstreamAgent, settings }) =>
+        new ServiceClient({ dispatcher: upstreamAgent, maximumAnswerBytes: settings.limits.bodyBytes }),
+    poller: cradle =>
+        new LoadPoller({
+            engines: cradle.engines,
+            runners: cradle.runners,
+            intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
+            onRound: capacity => cradle.admission.setCapacity(getOwnCapacity(cradle, capacity)),
+            onLeaving: upstream => {
+                cradle.runners.markLeaving(upstream.id);
+                cradle.journal.write(events.upstreamLeaving, { upstream: upstream.id });
+                cradle.shared.spreadLeaving(upstream.id);
+            },
+        }),
+};
+
+/** Returns the part of the upstreams' capacity that falls to this entry while all entries serve alike. */
+function getOwnCapacity({ membership }: Cradle, capacity: number): number {
+    return Math.max(leastCapacity, capacity / Math.max(1, membership.getAlive().length));
+}
--- /dev/null
+++ b/src/entry/parts/peerParts.ts
@@ -0,0 +1,162 @@
+/**
+ * The parts that face the other entries: gossip, membership, claims and bills.
+ */
+import { BillKeeper, BillWriter, getBillCopyTargets, handleCopyBills } from "../../bills/index.js";
+import {
+    ClaimClient,
+    Collector,
+    CollectorPool,
+    createAskCollector,
+    getPartitionName,
+    handleDecideClaims,
+    SessionPins,
+} from "../../claims/index.js";
+import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
+import type { Parts } from "../container.js";
+import type { Cradle } from "../cradle.js";
+import { EntryState } from "../entryState.js";
+import { Sessions } from "../sessions.js";
+import { SharedState } from "../sharedState.js";
+import { StateFetcher } from "../stateFetcher.js";
+import { readCredentials } from "./platformParts.js";
+
+/** Partitions of the claims; the same on all nodes, for ever. */
+const claimPartitions = 8;
+/** Bytes of values in one exchange of gossip, at most. */
+const gossipBytes = 64 * 1024;
+/** Pause between two appends of bills for each entry of the site, so that all together spare the log. */
+const billPauseMillisecondsByEntry = 20;
+
+/** Makes the parts that face the other entries. */
+export const peerParts: Parts = {
+    peerClient: ({ settings }) => new PeerClient({ credentials: readCredentials(settings) }),
+    peerServer: cradle =>
+        new PeerServer({
+            address: cradle.settings.listen.peers.host,
+            port: cradle.settings.listen.peers.port,
+            journal: cradle.journal,
+            credentials: readCredentials(cradle.settings),
+            handlers: createHandlers(cradle),
+        }),
+    gossip: ({ self, clock, random, journal, peerClient, settings }) =>
+        new Gossip({
+            self,
+            clock,
+            random,
+            journal,
+            transport: peerClient.createGossipTransport(),
+            periodMilliseconds: settings.timing.gossipIntervalMilliseconds,
+            bytesPerExchange: gossipBytes,
+        }),
+    membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
+    collectors: ({ self, clock, journal, membership, log, follow, settings }) =>
+        new CollectorPool({
+            partitions: claimPartitions,
+            clock,
+            isDesignated: partition => isCollector(membership, self.id, partition),
+            createCollector: partition =>
+                new Collector({
+                    partition,
+                    append: (stream, record) => log.append(stream, record),
+                    follow,
+                    clock,
+                    journal,
+                    writer: self.id,
+                    batchMilliseconds: settings.timing.claimBatchMilliseconds,
+                    snapshotMilliseconds: settings.timing.snapshotIntervalMilliseconds,
+                    isDesignated: () => isCollector(membership, self.id, partition),
+                }),
+        }),
+    claims: ({ clock, journal, self, membership, peerClient, collectors }) =>
+        new ClaimClient({
+            partitions: claimPartitions,
+            clock,
+            journal,
+            askPeer: createAskCollector({
+                self: self.id,
+                membership,
+                client: peerClient,
+                getCounter: () => journal.getCounter(),
+            }),
+            decideHere: (partition, operations) => collectors.decide(partition, operations),
+        }),
+    sessions: ({ claims, clock, settings }) =>
+        new Sessions({
+            pins: new SessionPins(claims),
+            clock,
+            signingKey: settings.session.signingKey,
+            previousSigningKey: settings.session.previousSigningKey,
+        }),
+    bills: ({ log, clock, journal, self, membership, peerClient, settings }) =>
+        new BillWriter({
+            append: (stream, record) => log.append(stream, record),
+            getCopyTargets: () =>
+                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
+            clock,
+            journal,
+            writer: self.id,
+            maximumBills: settings.limits.keptBills,
+            getIntervalMilliseconds: () =>
+                Math.max(
+                    settings.timing.billFlushMilliseconds,
+                    billPauseMillisecondsByEntry * membership.getMembers().length,
+                ),
+        }),
+    billKeeper: ({ log, clock, journal, self, membership, settings }) =>
+        new BillKeeper({
+            append: (stream, record) => log.append(stream, record),
+            clock,
+            journal,
+            writer: self.id,
+            maximumBills: settings.limits.keptBills,
+            isGone: origin => isGone(membership, origin),
+        }),
+    shared: ({ gossip, evidence, exposures, rollouts, runners, configuration }) =>
+        new SharedState({
+            gossip,
+            evidence,
+            exposures,
+            rollouts,
+            runners,
+            getConfigurationAge: () => configuration.getAge(),
+        }),
+    fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random }) =>
+        new StateFetcher({
+            clock,
+            configuration,
+            control,
+            membership,
+            client: peerClient,
+            self: self.id,
+            getCounter: () => journal.getCounter(),
+            draw: bound => random.nextInteger(bound),
+        }),
+    state: ({ configuration, membership, self, shared }) =>
+        new EntryState({
+            configuration,
+            membership,
+            self: self.id,
+            isOtherFresh: origin => shared.isOtherFresh(origin),
+        }),
+};
+
+function createHandlers({ gossip, journal, billKeeper, collectors, fetcher }: Cradle) {
+    const getCounter = () => journal.getCounter();
+    return {
+        exchange: gossip.handleExchange.bind(gossip),
+        push: (request: Parameters<typeof gossip.handlePush>[0]) => ({ counter: gossip.handlePush(request) }),
+        copyBills: (request: Parameters<typeof handleCopyBills>[1]) => handleCopyBills(billKeeper, request, getCounter),
+        decideClaims: (request: Parameters<typeof handleDecideClaims>[1]) =>
+            handleDecideClaims(collectors, request, getCounter),
+        fetchState: fetcher.handle.bind(fetcher),
+    };
+}
+
+function isCollector(membership: Membership, self: string, partition: number): boolean {
+    return membership.getCollector(getPartitionName(partition))?.id === self;
+}
+
+function isGone(membership: Membership, origin: string): boolean {
+    const member = membership.get(origin);
+    return member === undefined || member.state === "dead";
+}
--- /dev/null
+++ b/src/entry/parts/platformParts.ts
@@ -0,0 +1,140 @@
+/**
+ * The parts that face the platform: log, configuration, control stream, VM list.
+ */
+import { readFileSync } from "node:fs";
+import { Agent } from "undici";
+import { ConfigurationReader, SnapshotWriter } from "../../configuration/index.js";
+import { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../../control/index.js";
+import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
+import { LogClient, LogFollower } from "../../log/index.js";
+import type { PeerCredentials } from "../../membership/index.js";
+import type { EntrySettings } from "../../settings/index.js";
+import { RatingClient, VmListClient } from "../../upstream/index.js";
+import type { Parts } from "../container.js";
+import { ControlSnapshots } from "../controlSnapshots.js";
+import { createMetrics } from "../metrics.js";
+import { VmWatcher } from "../vmWatcher.js";
+
+/** Events that an entry keeps for time lines. */
+const keptEvents = 20_000;
+/** Name of the lease under which roll-outs move and snapshots are written. */
+export const controlLease = "control";
+
+/** Makes the parts that face the platform. */
+export const platformParts: Parts = {
+    self: ({ settings }) => ({
+        id: settings.process.name,
+        address: settings.listen.peers.host,
+        peerPort: settings.listen.peers.port,
+        failureDomain: settings.process.failureDomain,
+        region: settings.process.region,
+    }),
+    eventBuffer: () => new EventBuffer(keptEvents),
+    journal: ({ settings, clock, eventBuffer }) => {
+        const writeDebug = createDebugWriter();
+        return new Journal({
+            process: settings.process.name,
+            clock,
+            write: line => {
+                eventBuffer.add(line);
+                writeDebug(line);
+            },
+        });
+    },
+    metrics: () => createMetrics(),
+    platformAgent: ({ settings }) =>
+        new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+    upstreamAgent: ({ settings }) =>
+        new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+    log: ({ settings, clock }) =>
+        new LogClient({
+            url: settings.platform.logUrl,
+            clock,
+            timeoutMilliseconds: settings.timing.logTimeoutMilliseconds,
+        }),
+    follow: ({ settings, log, clock, journal }) => options =>
+        new LogFollower({
+            ...options,
+            client: log,
+            clock,
+            journal,
+            waitMilliseconds: settings.timing.logWaitMilliseconds,
+        }),
+    configuration: ({ settings, log, clock, journal, membership }) =>
+        new ConfigurationReader({
+            client: log,
+            clock,
+            journal,
+            waitMilliseconds: settings.timing.logWaitMilliseconds,
+            onChange: configuration => membership.setConfigurationOffset(configuration.getOffset()),
+        }),
+    snapshots: ({ settings, log, configuration, clock, journal }) =>
+        new SnapshotWriter({
+            client: log,
+            reader: configuration,
+            clock,
+            writer: settings.process.name,
+            intervalMilliseconds: settings.timing.snapshotIntervalMilliseconds,
+            journal,
+        }),
+    leases: () => new LeaseFold(),
+    rollouts: ({ leases }) => new RolloutFold({ isCurrentFence: fence => leases.isCurrentFence(controlLease, fence) }),
+    control: ({ follow, leases, rollouts }) => new ControlReader({ follow, leases, rollouts }),
+    lease: ({ settings, log, leases, clock, journal, membership }) =>
+        new LeaseHolder({
+            name: controlLease,
+            holder: settings.process.name,
+            append: (stream, record) => log.append(stream, record),
+            fold: leases,
+            clock,
+            journal,
+            termMilliseconds: settings.timing.leaseTermMilliseconds,
+            driftMilliseconds: settings.timing.leaseDriftMilliseconds,
+            isCandidate: () => membership.get(settings.process.name)?.state === "alive",
+        }),
+    controlSnapshots: ({ settings, clock, control, snapshots, lease, log }) =>
+        new ControlSnapshots({
+            clock,
+            control,
+            configurationSnapshots: snapshots,
+            lease,
+            append: (stream, record) => log.append(stream, record),
+            writer: settings.process.name,
+            intervalMilliseconds: settings.timing.snapshotIntervalMilliseconds,
+        }),
+    ratings: ({ settings, platformAgent }) =>
+        new RatingClient({
+            url: settings.platform.ratingUrl,
+            dispatcher: platformAgent,
+            timeoutMilliseconds: settings.timing.upstreamIdleTimeoutMilliseconds,
+        }),
+    watcher: ({ settings, platformAgent, membership, runners }) =>
+        new VmWatcher({
+            client: new VmListClient({
+                url: settings.platform.vmListUrl,
+                dispatcher: platformAgent,
+                timeoutMilliseconds: settings.timing.logTimeoutMilliseconds,
+            }),
+            intervalMilliseconds: settings.timing.vmListIntervalMilliseconds,
+            onList: vms => {
+                membership.setVms(vms);
+                runners.setUpstreams(vms);
+            },
+        }),
+};
+
+/**
+ * Reads the certificates that the settings name, or returns `undefined` when they name none.
+ * @param settings - The entry's settings.
+ */
+export function readCredentials(settings: EntrySettings): PeerCredentials | undefined {
+    const { certificate, key, authority } = settings.tls;
+    if (certificate === undefined || key === undefined || authority === undefined) {
+        return undefined;
+    }
+    return {
+        certificate: readFileSync(certificate),
+        key: readFileSync(key),
+        authority: readFileSync(authority),
+    };
+}
--- /dev/null
+++ b/src/entry/planRunner.ts
@@ -0,0 +1,303 @@
+/**
+ * Runs a plan: one version, or a cascade in which each cheaper answer is rated before it is accepted.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Bill, BillLine, BillWriter } from "../bills/index.js";
+import { type Clock, type Failure, type Outcome } from "../common/index.js";
+import type { Evidence, Plan, PlanStep } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { EngineEvent, RatingClient, TokenUsage } from "../upstream/index.js";
+import { getPrice, type ModelVersion } from "../world/index.js";
+import { AnswerText } from "./answerText.js";
+import { type Attempt, type AttemptRunner, getWorse } from "./attemptRunner.js";
+import { type ChatCall, getTimeLeft } from "./chatCall.js";
+import type { ServedWork } from "./chatPipeline.js";
+import type { Explanations } from "./explanations.js";
+import type { Metrics } from "./metrics.js";
+import type { Refusal } from "./problem.js";
+
+/** Part of the remaining time that a rating inside a cascade may take. */
+const ratingTimeShare = 0.25;
+/** Longest that a rating inside a cascade may take, in milliseconds. */
+const maximumRatingMilliseconds = 1000;
+
+/** What a plan runner works with. */
+export interface PlanRunnerOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly metrics: Metrics;
+    readonly attempts: AttemptRunner;
+    readonly ratings: RatingClient;
+    readonly evidence: Evidence;
+    readonly bills: BillWriter;
+    readonly explanations: Explanations;
+    /** Name of this entry. */
+    readonly entry: string;
+    /** Tells whether a finished answer is sent to the rating service as a sample. */
+    readonly isSampled: (requestClass: string) => boolean;
+}
+
+/** How far a plan has come. */
+interface Progress {
+    /** Lines of answers that were rated and not accepted. */
+    readonly earlierLines: BillLine[];
+    /** What is known of the earlier steps together: once one ran, the request is no longer "not run". */
+    outcome: Outcome;
+    /** The rated answer in whose place the next one comes. */
+    escalatedFrom: RatedStep | undefined;
+}
+
+interface RatedStep {
+    readonly version: string;
+    readonly score: number;
+}
+
+/** Runs plans. */
+export class PlanRunner {
+    readonly #options: PlanRunnerOptions;
+
+    constructor(options: PlanRunnerOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Runs a plan's steps until an answer is accepted.
+     * @param call - The call.
+     * @param plan - The plan.
+     */
+    async run(call: ChatCall, plan: Plan): Promise<Result<ServedWork, Refusal>> {
+        const progress: Progress = { earlierLines: [], outcome: "not-run", escalatedFrom: undefined };
+        for (let index = 0; index < plan.steps.length; index += 1) {
+            const step = plan.steps[index];
+            const isLast = index === plan.steps.length - 1;
+            const work = isLast
+                ? await this.#runDirect(call, step, index, progress)
+                : await this.#runRated(call, step, index, progress);
+            if (work.isErr()) {
+                return err({ ...work.error, outcome: getWorse(progress.outcome, work.error.outcome) });
+            }
+            if (work.value !== undefined) {
+                return ok(work.value);
+            }
+        }
+        throw new Error("A plan has at least one step, and its last step answers or fails.");
+    }
+
+    /** Streams the answer to the caller as it comes. */
+    async #runDirect(
+        call: ChatCall,
+        step: PlanStep,
+        index: number,
+        progress: Progress,
+    ): Promise<Result<ServedWork, Refusal>> {
+        const { version } = step;
+        const { earlierLines, escalatedFrom } = progress;
+        const isSampled = escalatedFrom !== undefined || this.#options.isSampled(call.requestClass);
+        const text = isSampled ? new AnswerText() : undefined;
+        const result = await this.#options.attempts.run({
+            call,
+            version,
+            step: index,
+            earlierLines,
+            direct: true,
+            restart: () => undefined,
+            write: async event => {
+                text?.add(event.data);
+                await call.sink.write(event);
+            },
+            writeEnd: event => call.sink.write(event),
+            beforeEnd: usage => this.#addBill(call, [...earlierLines, createLine(version, usage)]),
+        });
+        this.#count(call, version, result);
+        if (result.isErr()) {
+            return err(result.error);
+        }
+        if (text !== undefined) {
+            void this.#rateLater(call, version, text.getText(), escalatedFrom);
+        }
+        return ok(toServedWork(result.value));
+    }
+
+    /**
+     * Holds an answer back until its rating is known. Accepted, it goes to the caller and this returns the work;
+     * otherwise it is billed as a line of the request, and the next step runs.
+     */
+    async #runRated(
+        call: ChatCall,
+        step: PlanStep,
+        index: number,
+        progress: Progress,
+    ): Promise<Result<ServedWork | undefined, Refusal>> {
+        const { version } = step;
+        const { earlierLines } = progress;
+        const held: EngineEvent[] = [];
+        let text = new AnswerText();
+        let usage: TokenUsage = { inputTokens: 0, cachedTokens: 0, outputTokens: 0 };
+        const result = await this.#options.attempts.run({
+            call,
+            version,
+            step: index,
+            earlierLines,
+            direct: false,
+            restart: () => {
+                held.length = 0;
+                text = new AnswerText();
+            },
+            write: async event => {
+                text.add(event.data);
+                held.push(event);
+            },
+            writeEnd: async event => {
+                held.push(event);
+            },
+            beforeEnd: async found => {
+                usage = found;
+                return ok(undefined);
+            },
+        });
+        this.#count(call, version, result);
+        if (result.isErr()) {
+            progress.outcome = getWorse(progress.outcome, result.error.outcome);
+            // The next step may still answer; this one gave nothing that can be billed.
+            return call.gone.aborted || call.deadline.aborted ? err(result.error) : ok(undefined);
+        }
+        progress.outcome = "ran";
+        const line = createLine(version, usage);
+        const score = await this.#rateNow(call, version, text.getText());
+        const accepted = score !== undefined && step.acceptScore !== undefined && score >= step.acceptScore;
+        this.#options.explanations.addRating(call.requestId, version.id, score, accepted);
+        if (!accepted) {
+            progress.escalatedFrom = score === undefined ? undefined : { version: version.id, score };
+            earlierLines.push(line);
+            return ok(undefined);
+        }
+        const billed = await this.#addBill(call, [...earlierLines, line]);
+        if (billed.isErr()) {
+            return err({ failure: billed.error, outcome: "ran" });
+        }
+        call.sink.begin(result.value.headers);
+        for (const event of held) {
+            await call.sink.write(event);
+        }
+        return ok(toServedWork(result.value));
+    }
+
+    async #rateNow(call: ChatCall, version: ModelVersion, answer: string): Promise<number | undefined> {
+        const timeLeft = getTimeLeft(call, this.#options.clock.monotonic());
+        const timeout = Math.max(1, Math.min(maximumRatingMilliseconds, timeLeft * ratingTimeShare));
+        return this.#rate(call, version, answer, timeout);
+    }
+
+    /** Rates an answer that the caller has already, to learn from it. */
+    async #rateLater(
+        call: ChatCall,
+        version: ModelVersion,
+        answer: string,
+        escalatedFrom: RatedStep | undefined,
+    ): Promise<void> {
+        const score = await this.#rate(call, version, answer);
+        if (score !== undefined && escalatedFrom !== undefined) {
+            this.#options.evidence.addEscalation({
+                first: escalatedFrom.version,
+                second: version.id,
+                requestClass: call.requestClass,
+                firstScore: escalatedFrom.score,
+                secondScore: score,
+            });
+        }
+    }
+
+    async #rate(
+        call: ChatCall,
+        version: ModelVersion,
+        answer: string,
+        timeoutMilliseconds?: number,
+    ): Promise<number | undefined> {
+        const rated = await this.#options.ratings.rate({
+            id: call.requestId,
+            version: version.id,
+            requestClass: call.requestClass,
+            question: call.request.promptText,
+            answer,
+        }, timeoutMilliseconds);
+        const score = rated.unwrapOr(undefined);
+        if (score === undefined) {
+            return undefined;
+        }
+        const labels = { version: version.id, class: call.requestClass };
+        this.#options.evidence.addRating({ version: version.id, requestClass: call.requestClass, score });
+        this.#options.metrics.ratings.inc(labels, score);
+        this.#options.metrics.ratingCount.inc(labels);
+        return score;
+    }
+
+    #count(call: ChatCall, version: ModelVersion, result: Result<Attempt, Refusal>): void {
+        if (result.isErr() && (call.gone.aborted || result.error.outcome === "not-run")) {
+            // The version had no part in a caller's leaving or in a full pool.
+            return;
+        }
+        this.#options.evidence.addAnswer({
+            version: version.id,
+            requestClass: call.requestClass,
+            failed: result.isErr(),
+            slow: result.isOk() && result.value.firstTokenMilliseconds > call.settings.firstTokenMilliseconds,
+        });
+        if (result.isOk()) {
+            this.#options.metrics.answers.inc({ version: version.id, class: call.requestClass });
+        }
+    }
+
+    async #addBill(call: ChatCall, lines: readonly BillLine[]): Promise<Result<void, Failure>> {
+        const bill = createBill(call, lines, this.#options.entry, this.#options.clock.wall());
+        const added = await this.#options.bills.add(bill);
+        if (added.isErr()) {
+            return err(added.error);
+        }
+        this.#options.metrics.cost.inc({ workspace: call.workspace, class: call.requestClass }, bill.total);
+        this.#options.journal.write(events.requestBilled, { request: call.requestId, total: bill.total });
+        return ok(undefined);
+    }
+}
+
+/** Creates the bill of an answered call. */
+export function createBill(
+    call: Pick<ChatCall, "requestId" | "workspace" | "application" | "requestClass" | "session">,
+    lines: readonly BillLine[],
+    entry: string,
+    answeredAt: number,
+): Bill {
+    let total = 0;
+    for (const line of lines) {
+        total += line.cost;
+    }
+    return {
+        requestId: call.requestId,
+        workspace: call.workspace,
+        application: call.application,
+        requestClass: call.requestClass,
+        session: call.session,
+        lines,
+        total,
+        answeredAt,
+        entry,
+    };
+}
+
+/** Creates the line of one model's answer. */
+export function createLine(version: ModelVersion, usage: TokenUsage): BillLine {
+    return {
+        version: version.id,
+        inputTokens: usage.inputTokens,
+        cachedTokens: usage.cachedTokens,
+        outputTokens: usage.outputTokens,
+        cost: getPrice(version, usage.inputTokens, usage.outputTokens),
+    };
+}
+
+function toServedWork(attempt: { readonly firstTokenMilliseconds: number; readonly usage: TokenUsage; }): ServedWork {
+    return {
+        outcome: "ok",
+        firstTokenMilliseconds: attempt.firstTokenMilliseconds,
+        tokens: attempt.usage.inputTokens + attempt.usage.outputTokens,
+    };
+}
--- /dev/null
+++ b/src/entry/resumePipeline.ts
@@ -0,0 +1,130 @@
+/**
+ * Goes on with a stream that broke between a caller and another entry.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { BillWriter } from "../bills/index.js";
+import { type Clock, Failure } from "../common/index.js";
+import type { Configuration } from "../configuration/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { EngineClient } from "../upstream/index.js";
+import type { Vm } from "../world/index.js";
+import { relayAnswer } from "./answerRelay.js";
+import type { AnswerSink } from "./answerSink.js";
+import type { CallerIdentity } from "./callerIdentity.js";
+import { createBill, createLine } from "./planRunner.js";
+import type { Refusal } from "./problem.js";
+import { readResumeToken, type ResumePoint } from "./resumeToken.js";
+
+/** What the pipeline works with. */
+export interface ResumePipelineOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly engines: EngineClient;
+    readonly bills: BillWriter;
+    readonly getConfiguration: () => Configuration;
+    readonly getUpstream: (id: string) => Vm | undefined;
+    readonly signingKey: string;
+    /** Name of this entry. */
+    readonly entry: string;
+}
+
+/** A caller that wants the rest of its answer. */
+export interface Resumption {
+    readonly token: string;
+    /** Number of the last event that the caller has. */
+    readonly lastId: number;
+    readonly identity: CallerIdentity;
+    readonly sink: AnswerSink;
+    readonly gone: AbortSignal;
+}
+
+/** Resumes streams. */
+export class ResumePipeline {
+    readonly #options: ResumePipelineOptions;
+
+    constructor(options: ResumePipelineOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Sends the rest of an answer.
+     * @param resumption - Who wants it, and from where.
+     */
+    async run(resumption: Resumption): Promise<Result<void, Refusal>> {
+        const point = readResumeToken(resumption.token, this.#options.signingKey);
+        if (point === undefined || point.workspace !== resumption.identity.workspace) {
+            return err({ failure: createTokenFailure(), outcome: "unknown" });
+        }
+        if (!Number.isSafeInteger(resumption.lastId) || resumption.lastId < 0) {
+            return err({ failure: createPlaceFailure(), outcome: "unknown" });
+        }
+        const runner = this.#options.getUpstream(point.runner);
+        if (runner === undefined) {
+            return err({ failure: createGoneFailure(), outcome: "unknown" });
+        }
+        return this.#relay(resumption, point, runner);
+    }
+
+    async #relay(resumption: Resumption, point: ResumePoint, runner: Vm): Promise<Result<void, Refusal>> {
+        const { engines, journal } = this.#options;
+        const answered = await engines.resume(runner, point.streamId, resumption.lastId, resumption.gone);
+        if (answered.isErr()) {
+            return err({ failure: createGoneFailure(), outcome: "unknown" });
+        }
+        journal.write(events.streamResumed, { request: point.requestId, from: resumption.lastId });
+        resumption.sink.begin({ "x-request-id": point.requestId, "x-rattanlock-version": point.version });
+        const relayed = await relayAnswer({
+            engines,
+            runner,
+            streamId: point.streamId,
+            answer: answered.value,
+            lastId: resumption.lastId,
+            signal: resumption.gone,
+            onFirstEvent: () => undefined,
+            write: event => resumption.sink.write(event),
+            beforeEnd: usage => this.#bill(point, usage),
+        });
+        return relayed.map(() => undefined);
+    }
+
+    /** Bills like the entry that the caller lost. When both do, the ledger keeps one: the request is the same. */
+    async #bill(point: ResumePoint, usage: Parameters<typeof createLine>[1]): Promise<Result<void, Failure>> {
+        const version = this.#options.getConfiguration().getVersion(point.version);
+        if (version === undefined) {
+            return err(createGoneFailure());
+        }
+        const lines = [...point.earlierLines, createLine(version, usage)];
+        const bill = createBill(
+            { ...point, session: point.session },
+            lines,
+            this.#options.entry,
+            this.#options.clock.wall(),
+        );
+        const added = await this.#options.bills.add(bill);
+        return added.isErr() ? err(added.error) : ok(undefined);
+    }
+}
+
+function createTokenFailure(): Failure {
+    return new Failure({
+        kind: "not-allowed",
+        message: "The resume token is not one of this workspace.",
+        remedy: "Send the X-Rattanlock-Resume header of the answer that broke, with the same API key.",
+    });
+}
+
+function createPlaceFailure(): Failure {
+    return new Failure({
+        kind: "invalid-input",
+        message: "Last-Event-ID is not the number of an event.",
+        remedy: "Send the id of the last event that arrived whole, or 0.",
+    });
+}
+
+function createGoneFailure(): Failure {
+    return new Failure({
+        kind: "gone",
+        message: "The rest of the answer is no longer kept.",
+        remedy: "Send the request again.",
+    });
+}
--- /dev/null
+++ b/src/entry/resumeToken.ts
@@ -0,0 +1,64 @@
+/**
+ * Signed tokens with which a caller resumes a stream through any entry.
+ *
+ * An entry that dies in the middle of an answer takes everything that it knew along. The token tells the next entry
+ * where the answer is and how to bill it; the signature keeps a caller from reaching another workspace's answer.
+ */
+import { createHmac, timingSafeEqual } from "node:crypto";
+import { z } from "zod";
+
+const billLineSchema = z.object({
+    version: z.string(),
+    inputTokens: z.number(),
+    cachedTokens: z.number(),
+    outputTokens: z.number(),
+    cost: z.number(),
+});
+
+const resumeSchema = z.object({
+    requestId: z.string(),
+    streamId: z.string(),
+    runner: z.string(),
+    version: z.string(),
+    workspace: z.string(),
+    application: z.string(),
+    requestClass: z.string(),
+    session: z.string().optional(),
+    earlierLines: z.array(billLineSchema),
+});
+
+/** What an entry needs to go on with an answer. */
+export type ResumePoint = z.infer<typeof resumeSchema>;
+
+/**
+ * Signs a resume point.
+ * @param point - Where the answer is.
+ * @param key - The site's signing key.
+ */
+export function createResumeToken(point: ResumePoint, key: string): string {
+    const payload = Buffer.from(JSON.stringify(point)).toString("base64url");
+    return `${payload}.${sign(payload, key)}`;
+}
+
+/**
+ * Returns the resume point of a token, or `undefined` when the token was not signed with the key.
+ * @param token - The token.
+ * @param key - The site's signing key.
+ */
+export function readResumeToken(token: string, key: string): ResumePoint | undefined {
+    const [payload, signature] = token.split(".");
+    if (payload === undefined || signature === undefined) {
+        return undefined;
+    }
+    const expected = Buffer.from(sign(payload, key));
+    const given = Buffer.from(signature);
+    if (expected.length !== given.length || !timingSafeEqual(expected, given)) {
+        return undefined;
+    }
+    const parsed = resumeSchema.safeParse(JSON.parse(Buffer.from(payload, "base64url").toString()));
+    return parsed.success ? parsed.data : undefined;
+}
+
+function sign(payload: string, key: string): string {
+    return createHmac("sha256", key).update(payload).digest("base64url");
+}
--- /dev/null
+++ b/src/entry/servicePipeline.ts
@@ -0,0 +1,278 @@
+/**
+ * The way of a call to a plain service. A call that may not be repeated runs at most once.
+ */
+import { err, ok, type Result } from "neverthrow";
+import type { Bill, BillWriter } from "../bills/index.js";
+import { type ClaimClient, createRunKey, type GrantedClaim, type LostClaim } from "../claims/index.js";
+import { type Clock, Failure, type Outcome } from "../common/index.js";
+import type { EffectiveSettings } from "../configuration/index.js";
+import type { AdmissionController, RetryBudget, RunnerChooser } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
+import { getWorse } from "./attemptRunner.js";
+import { checkFreshness } from "./chatPipeline.js";
+import { type Refusal, refuseNotRun } from "./problem.js";
+import { packAnswer, unpackAnswer } from "./storedAnswer.js";
+
+/** Instances that are tried for one call, at most. */
+const maximumAttempts = 3;
+/** Tokens that a call to a plain service counts for in admission. */
+const tokensOfCall = 100;
+/** Methods that HTTP defines as idempotent: a repeat does no harm. */
+const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
+
+/** A call that has been authenticated. */
+export interface ServiceRequest {
+    readonly requestId: string;
+    readonly workspace: string;
+    readonly application: string;
+    readonly settings: EffectiveSettings;
+    readonly pool: string;
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array | undefined;
+    readonly idempotencyKey: string | undefined;
+    readonly gone: AbortSignal;
+    /** Monotonic milliseconds of the arrival. */
+    readonly arrivedAt: number;
+}
+
+/** An answer for the caller. */
+export interface ServiceReply {
+    readonly answer: ServiceAnswer;
+    /** Whether the answer is that of an earlier call with the same key. */
+    readonly replayed: boolean;
+}
+
+/** What the pipeline works with. */
+export interface ServicePipelineOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly getConfigurationAge: () => number;
+    readonly admission: AdmissionController;
+    readonly runners: RunnerChooser;
+    readonly services: ServiceClient;
+    readonly claims: ClaimClient;
+    readonly retries: RetryBudget;
+    readonly bills: BillWriter;
+    readonly canBill: () => boolean;
+    /** Name of this entry. */
+    readonly entry: string;
+}
+
+/** Takes calls to plain services from their arrival to their answer. */
+export class ServicePipeline {
+    readonly #options: ServicePipelineOptions;
+
+    constructor(options: ServicePipelineOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Answers a call or refuses it.
+     * @param request - The call.
+     */
+    async run(request: ServiceRequest): Promise<Result<ServiceReply, Refusal>> {
+        const ready = this.#checkReady(request);
+        if (ready.isErr()) {
+            return err(refuseNotRun(ready.error));
+        }
+        const admitted = await this.#options.admission.admit({
+            workspace: request.workspace,
+            share: request.settings.share,
+            priority: request.settings.priority,
+            deadlineMilliseconds: request.settings.firstTokenMilliseconds,
+            estimatedTokens: tokensOfCall,
+            signal: request.gone,
+        });
+        if (admitted.isErr()) {
+            return err(refuseNotRun(admitted.error));
+        }
+        const result = request.idempotencyKey === undefined
+            ? await this.#callAndBill(request)
+            : await this.#callClaimed(request, request.idempotencyKey);
+        admitted.value.release({
+            outcome: result.isOk() ? "ok" : result.error.outcome === "not-run" ? "refused" : "failed",
+            firstTokenMilliseconds: this.#options.clock.monotonic() - request.arrivedAt,
+            tokens: tokensOfCall,
+        });
+        return result;
+    }
+
+    #checkReady(request: ServiceRequest): Result<void, Failure> {
+        if (!request.settings.services.includes(request.pool)) {
+            return err(createPoolFailure(request.pool));
+        }
+        if (!this.#options.canBill()) {
+            return err(createBillsFailure());
+        }
+        return checkFreshness(request.settings, this.#options.getConfigurationAge());
+    }
+
+    /**
+     * Runs a call under its idempotency key. The claim is in the log before anything is written to the service; the
+     * first claim in the log's order wins, and a claim is never taken over. So a claimant that was frozen past every
+     * time-out and wakes up again may still run the call: nobody else has.
+     */
+    async #callClaimed(request: ServiceRequest, idempotencyKey: string): Promise<Result<ServiceReply, Refusal>> {
+        const key = createRunKey(request.workspace, `${request.pool}/${idempotencyKey}`);
+        const { claims } = this.#options;
+        const claimed = await claims.claim({ key, value: request.requestId, requestId: request.requestId });
+        if (claimed.isErr()) {
+            return err(refuseNotRun(claimed.error));
+        }
+        const verdict = claimed.value;
+        if (verdict.kind !== "granted") {
+            return this.#answerForeignClaim(verdict);
+        }
+        if (request.gone.aborted || !verdict.isStillValid()) {
+            await claims.release(verdict);
+            return err(refuseNotRun(createLateFailure()));
+        }
+        const result = await this.#callAndBill(request);
+        await this.#settleClaim(verdict, result);
+        return result;
+    }
+
+    /**
+     * Writes down how a claimed call ended. Only a call of which nothing was written to a service gives its key
+     * back; the release is in the log before the caller reads "not run", or its next try would meet its own claim.
+     */
+    async #settleClaim(grant: GrantedClaim, result: Result<ServiceReply, Refusal>): Promise<void> {
+        const { claims } = this.#options;
+        if (result.isOk()) {
+            await claims.complete({ ...grant, outcome: packAnswer(result.value.answer) });
+            return;
+        }
+        if (result.error.outcome === "not-run") {
+            await claims.release(grant);
+        }
+    }
+
+    #answerForeignClaim(verdict: LostClaim): Result<ServiceReply, Refusal> {
+        this.#options.journal.write(events.claimHeldElsewhere, { request: verdict.value });
+        if (verdict.kind === "completed" && verdict.outcome !== undefined) {
+            return unpackAnswer(verdict.outcome)
+                .map(answer => ({ answer, replayed: true }))
+                .mapErr(failure => ({ failure, outcome: "ran" as Outcome }));
+        }
+        return err({
+            outcome: "unknown",
+            failure: new Failure({
+                kind: "in-progress",
+                message: `The same key is held by request ${verdict.value}, which runs or ended in an unknown way.`,
+                remedy: "Ask again with the same key for its answer; do not send the work under another key.",
+                retryAfterMilliseconds: 1000,
+            }),
+        });
+    }
+
+    async #callAndBill(request: ServiceRequest): Promise<Result<ServiceReply, Refusal>> {
+        const called = await this.#callAnywhere(request);
+        if (called.isErr()) {
+            return err(called.error);
+        }
+        const billed = await this.#options.bills.add(this.#createBill(request));
+        if (billed.isErr()) {
+            return err({ failure: billed.error, outcome: "ran" });
+        }
+        return ok({ answer: called.value, replayed: false });
+    }
+
+    async #callAnywhere(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
+        const excluded = new Set<string>();
+        let worst: Outcome = "not-run";
+        for (let attempt = 0;; attempt += 1) {
+            const called = await this.#callOnce(request, excluded);
+            if (called.isOk()) {
+                return ok(called.value);
+            }
+            worst = getWorse(worst, called.error.outcome);
+            const repeatable = idempotentMethods.has(request.method) && request.idempotencyKey === undefined;
+            const mayRetry = called.error.retriable && (repeatable || worst === "not-run");
+            if (!mayRetry || attempt + 1 >= maximumAttempts || !this.#options.retries.take()) {
+                return err({ failure: called.error.failure, outcome: worst });
+            }
+        }
+    }
+
+    async #callOnce(
+        request: ServiceRequest,
+        excluded: Set<string>,
+    ): Promise<Result<ServiceAnswer, UpstreamFailure & { readonly retriable: boolean; }>> {
+        const { clock, runners, services, journal } = this.#options;
+        const timeLeft = request.settings.deadlineMilliseconds - (clock.monotonic() - request.arrivedAt);
+        const placed = runners.choose({
+            pool: request.pool,
+            blocks: [],
+            exclude: excluded,
+            deadlineMilliseconds: timeLeft,
+            estimatedTokens: tokensOfCall,
+        });
+        if (placed.isErr()) {
+            return err({ failure: placed.error, outcome: "not-run", retriable: false });
+        }
+        const service = placed.value.upstream;
+        excluded.add(service.id);
+        journal.write(events.requestDispatched, { request: request.requestId, upstream: service.id });
+        const startedAt = clock.monotonic();
+        const work = runners.begin(placed.value, { tokens: tokensOfCall });
+        const called = await services.call(service, {
+            requestId: request.requestId,
+            method: request.method,
+            path: request.path,
+            headers: request.headers,
+            body: request.body,
+            idempotencyKey: request.idempotencyKey,
+            timeoutMilliseconds: Math.max(1, timeLeft),
+            signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeLeft))),
+        });
+        work.finish({
+            outcome: called.isOk() ? "ok" : called.error.outcome === "not-run" ? "refused" : "failed",
+            milliseconds: clock.monotonic() - startedAt,
+            loadHeader: called.isOk() ? called.value.loadHeader : undefined,
+        });
+        return called.mapErr(failure => ({ ...failure, retriable: true }));
+    }
+
+    #createBill(request: ServiceRequest): Bill {
+        return {
+            requestId: request.requestId,
+            workspace: request.workspace,
+            application: request.application,
+            requestClass: request.settings.requestClass,
+            session: undefined,
+            lines: [{ version: request.pool, inputTokens: 0, cachedTokens: 0, outputTokens: 0, cost: 0 }],
+            total: 0,
+            answeredAt: this.#options.clock.wall(),
+            entry: this.#options.entry,
+        };
+    }
+}
+
+function createPoolFailure(pool: string): Failure {
+    return new Failure({
+        kind: "not-allowed",
+        message: `The workspace does not allow the service ${JSON.stringify(pool)}.`,
+        remedy: "Ask an operator to add it to the workspace's services.",
+    });
+}
+
+function createBillsFailure(): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: "Bills cannot be kept: the log has been away for so long that their buffer is full.",
+        remedy: "Come back later.",
+        retryAfterMilliseconds: 15_000,
+    });
+}
+
+function createLateFailure(): Failure {
+    return new Failure({
+        kind: "deadline",
+        message: "The claim on the key came too late to start the call.",
+        remedy: "Send the request again with the same key.",
+        retryAfterMilliseconds: 500,
+    });
+}
--- /dev/null
+++ b/src/entry/stateFetcher.ts
@@ -0,0 +1,136 @@
+/**
+ * Takes folded state from peers while the log cannot be read here.
+ */
+import { type Clock, RepeatedTask } from "../common/index.js";
+import type { ConfigurationReader } from "../configuration/index.js";
+import type { ControlReader } from "../control/index.js";
+import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
+import type { Member, Membership, PeerClient } from "../membership/index.js";
+
+const pauseMilliseconds = 500;
+const configurationStream = "config";
+const controlStream = "control";
+
+/** A configuration that was confirmed this long ago needs no peer's word yet, in milliseconds. */
+const currentMilliseconds = 3000;
+/** Peers that are asked in one round, at most. */
+const askedPeers = 3;
+
+/** What a fetcher works with. */
+export interface StateFetcherOptions {
+    readonly clock: Clock;
+    readonly configuration: ConfigurationReader;
+    readonly control: ControlReader;
+    readonly membership: Membership;
+    readonly client: PeerClient;
+    /** Name of this entry. */
+    readonly self: string;
+    readonly getCounter: () => number;
+    /** Draws one of a number of peers. */
+    readonly draw: (bound: number) => number;
+}
+
+/** Fetches state from peers, and hands it to them. */
+export class StateFetcher {
+    readonly #options: StateFetcherOptions;
+    readonly #task: RepeatedTask;
+
+    constructor(options: StateFetcherOptions) {
+        this.#options = options;
+        this.#task = new RepeatedTask({ run: () => this.#fetch(), pauseMilliseconds });
+    }
+
+    /** Starts to look for newer state. */
+    start(): void {
+        this.#task.start();
+    }
+
+    /** Stops looking. */
+    stop(): Promise<void> {
+        return this.#task.stop();
+    }
+
+    /**
+     * Answers a peer that asks for state.
+     * @param request - What it asks for.
+     */
+    handle(request: FetchStateRequest): FetchStateReply {
+        const { configuration, control } = this.#options;
+        const isControl = request.stream === controlStream;
+        const offset = isControl ? control.getOffset() : configuration.getOffset();
+        const newer = offset > request.knownOffset;
+        return {
+            newer,
+            offset,
+            state: newer ? encode(isControl ? control.exportState() : configuration.exportState()) : Buffer.alloc(0),
+            counter: this.#options.getCounter(),
+            ageMilliseconds: Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(configuration.getAge())),
+        };
+    }
+
+    async #fetch(): Promise<void> {
+        const { configuration } = this.#options;
+        if (configuration.getAge() < currentMilliseconds) {
+            return;
+        }
+        for (const peer of this.#pickPeers()) {
+            await this.#fetchConfiguration(peer);
+            await this.#fetchControl(peer);
+        }
+    }
+
+    #pickPeers(): readonly Member[] {
+        const { membership, self, draw } = this.#options;
+        const others = membership.getMembers().filter(member => member.id !== self && member.state === "alive");
+        const picked: Member[] = [];
+        while (picked.length < askedPeers && others.length > 0) {
+            picked.push(...others.splice(draw(others.length), 1));
+        }
+        return picked;
+    }
+
+    /**
+     * Takes a peer's configuration if it is newer. A peer that is at the same place, and confirmed it with the log,
+     * confirms this entry's configuration too, as of the moment at which the peer did.
+     */
+    async #fetchConfiguration(peer: Member): Promise<void> {
+        const { configuration, clock } = this.#options;
+        const askedAt = clock.monotonic();
+        const reply = await this.#ask(peer, configurationStream, configuration.getOffset());
+        if (reply === undefined) {
+            return;
+        }
+        if (reply.newer) {
+            const { state } = decode(reply.state) as { state: unknown; };
+            configuration.offer(state, reply.offset);
+        }
+        if (reply.offset === configuration.getOffset()) {
+            configuration.confirm(askedAt - reply.ageMilliseconds);
+        }
+    }
+
+    async #fetchControl(peer: Member): Promise<void> {
+        const { control } = this.#options;
+        const reply = await this.#ask(peer, controlStream, control.getOffset());
+        if (reply?.newer === true) {
+            control.offer(decode(reply.state));
+        }
+    }
+
+    async #ask(peer: Member, stream: string, knownOffset: number): Promise<FetchStateReply | undefined> {
+        const reply = await this.#options.client.fetchState(peer, {
+            stream,
+            knownOffset,
+            counter: this.#options.getCounter(),
+        });
+        return reply.unwrapOr(undefined);
+    }
+}
+
+function encode(state: unknown): Buffer {
+    return Buffer.from(JSON.stringify(state));
+}
+
+function decode(state: Uint8Array): unknown {
+    return JSON.parse(Buffer.from(state).toString());
+}
--- /dev/null
+++ b/src/entry/status.ts
@@ -0,0 +1,65 @@
+/**
+ * What an entry tells operators about itself.
+ */
+import type { Cradle } from "./cradle.js";
+import { controlLease } from "./parts/platformParts.js";
+
+const millisecondsPerSecond = 1000;
+
+/**
+ * Creates the answer to `GET /status`.
+ * @param cradle - The entry's parts.
+ */
+export function createStatus(cradle: Cradle): object {
+    const { configuration, control, membership, rollouts, leases, lease, admission, bills, billKeeper } = cradle;
+    return {
+        entry: cradle.self.id,
+        failureDomain: cradle.self.failureDomain,
+        ready: cradle.state.isReady(),
+        configurationOffset: configuration.getOffset(),
+        configurationAgeMilliseconds: toFinite(configuration.getAge()),
+        controlOffset: control.getOffset(),
+        members: membership.getMembers().map(({ id, state, configurationOffset, failureDomain }) => ({
+            id,
+            state,
+            configurationOffset,
+            failureDomain,
+        })),
+        lease: { holder: leases.get(controlLease)?.holder, fence: leases.get(controlLease)?.fence },
+        holdsLease: lease.getFence() !== undefined,
+        versions: configuration.getConfiguration().getVersions().map(version => ({
+            id: version.id,
+            status: version.status,
+            halted: rollouts.isHalted(version.id),
+        })),
+        rollouts: rollouts.getRollouts(),
+        halts: rollouts.getHalts(),
+        limits: {
+            running: admission.getInFlight(),
+            waiting: admission.getQueueLength(),
+            limit: admission.getLimit(),
+        },
+        bills: { waiting: bills.getSize(), kept: billKeeper.getSize(), full: bills.isFull() },
+        upstreams: cradle.runners.getSubset().map(({ id, pool, failureDomain }) => ({ id, pool, failureDomain })),
+        memory: process.memoryUsage(),
+        processor: process.cpuUsage(),
+    };
+}
+
+/**
+ * Sets the gauges from the entry's present state.
+ * @param cradle - The entry's parts.
+ */
+export function refreshGauges(cradle: Cradle): void {
+    const { metrics, configuration, membership, bills } = cradle;
+    metrics.configurationOffset.set(configuration.getOffset());
+    metrics.configurationAge.set(toFinite(configuration.getAge()) / millisecondsPerSecond);
+    metrics.unappendedBills.set(bills.getSize());
+    for (const state of ["alive", "suspect", "leaving", "dead"] as const) {
+        metrics.members.set({ state }, membership.getMembers().filter(member => member.state === state).length);
+    }
+}
+
+function toFinite(value: number): number {
+    return Number.isFinite(value) ? Math.round(value) : Number.MAX_SAFE_INTEGER;
+}
--- /dev/null
+++ b/src/entry/storedAnswer.ts
@@ -0,0 +1,50 @@
+/**
+ * Answers of plain services as they are stored in the log under their idempotency key.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { Failure } from "../common/index.js";
+import type { ServiceAnswer } from "../upstream/index.js";
+
+/** Largest body that is stored, in bytes. A larger one is replaced by its absence; the status is kept. */
+const maximumStoredBytes = 16 * 1024;
+
+const storedSchema = z.object({
+    status: z.number().int(),
+    headers: z.record(z.string(), z.string()),
+    body: z.string().optional(),
+});
+
+/**
+ * Packs an answer into JSON text.
+ * @param answer - The answer.
+ */
+export function packAnswer(answer: ServiceAnswer): string {
+    const body = answer.body.byteLength <= maximumStoredBytes
+        ? Buffer.from(answer.body).toString("base64")
+        : undefined;
+    return JSON.stringify({ status: answer.status, headers: answer.headers, body });
+}
+
+/**
+ * Unpacks a stored answer. Fails when its body was too large to be stored.
+ * @param text - JSON text.
+ */
+export function unpackAnswer(text: string): Result<ServiceAnswer, Failure> {
+    const stored = storedSchema.parse(JSON.parse(text));
+    if (stored.body === undefined) {
+        return err(
+            new Failure({
+                kind: "gone",
+                message: `The call ran and was answered with status ${stored.status}; its body was too large to keep.`,
+                remedy: "Ask the service for the result; do not send the call again.",
+            }),
+        );
+    }
+    return ok({
+        status: stored.status,
+        headers: stored.headers,
+        body: Buffer.from(stored.body, "base64"),
+        loadHeader: undefined,
+    });
+}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -236,4 +236,10 @@
         "warning",
         "An engine does not report what it was ordered to run.",
     ),
+    billsLeftBehind: define(
+        410,
+        "bills-left-behind",
+        "error",
+        "A process stopped before the log took its last bills; their copies on other VMs will be appended.",
+    ),
 } as const satisfies Record<string, EventDefinition>;
