Add the scenario language

Cause: the users want scripted scenarios in a small test language, run against real processes. Ruled out: YAML and plain scripts (docs/design/scenarios.md). A first count of bytes in cutAfterBytes ran from the start of the connection: a scenario that had used the link before broke before the header; it now counts from the change of faults, and the proxy's test covers a connection in use. Change: reader, verb table, subjects, runner, and a site of stand-ins alone; calls can keep the part of a body that broke off. The runner drives anything that implements ScenarioSite; entries come in by that interface. Conclusion: runs without entries; no scenario with an entry has run yet.

--- /dev/null
+++ b/src/scenario/index.ts
@@ -0,0 +1,7 @@
+/** The scenario language: scripted runs of a site with faults. */
+export * from "./readScenario.js";
+export * from "./runScenario.js";
+export * from "./scenarioSite.js";
+export * from "./standinSite.js";
+export * from "./step.js";
+export { verbs } from "./verbs.js";
--- /dev/null
+++ b/src/scenario/readScenario.ts
@@ -0,0 +1,90 @@
+/**
+ * Reads scenarios: one step a line, words split at blanks, `key=value` options, comments from `#` on.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import type { Step, StepShape } from "./step.js";
+
+const commentPattern = /(^|\s)#.*$/;
+const optionPattern = /^([A-Za-z][\w.@-]*)=(.*)$/;
+
+/**
+ * Reads a scenario and checks the form of every line.
+ * @param text - The scenario.
+ * @param shapes - The verbs and the form of their lines.
+ * @returns The steps, or a failure that names the first wrong line.
+ */
+export function readScenario(
+    text: string,
+    shapes: ReadonlyMap<string, StepShape>,
+): Result<readonly Step[], Failure> {
+    const steps: Step[] = [];
+    for (const [index, line] of text.split("\n").entries()) {
+        const step = readStep(line.replace(commentPattern, "").trim(), index + 1);
+        if (step === undefined) {
+            continue;
+        }
+        const mistake = findMistake(step, shapes);
+        if (mistake !== undefined) {
+            return err(mistake);
+        }
+        steps.push(step);
+    }
+    return ok(steps);
+}
+
+/**
+ * Makes the failure of a step.
+ * @param step - The step.
+ * @param message - What is wrong, as a full sentence.
+ * @param remedy - What to write or do instead.
+ */
+export function createStepFailure(step: Step, message: string, remedy: string): Failure {
+    return new Failure({
+        kind: "invalid-input",
+        message: `Line ${step.line}, "${step.text}": ${message}`,
+        remedy,
+    });
+}
+
+function readStep(text: string, line: number): Step | undefined {
+    if (text === "") {
+        return undefined;
+    }
+    const [verb, ...parts] = text.split(/\s+/);
+    const words: string[] = [];
+    const options = new Map<string, string>();
+    for (const part of parts) {
+        const match = optionPattern.exec(part);
+        if (match) {
+            options.set(match[1], match[2]);
+            continue;
+        }
+        words.push(part);
+    }
+    return { line, text, verb, words, options };
+}
+
+function findMistake(step: Step, shapes: ReadonlyMap<string, StepShape>): Failure | undefined {
+    const shape = shapes.get(step.verb);
+    if (shape === undefined) {
+        const verbs = [...shapes.keys()].join(", ");
+        return createStepFailure(step, `There is no verb "${step.verb}".`, `Begin the line with one of ${verbs}.`);
+    }
+    const remedy = `Write: ${shape.usage}`;
+    const count = step.words.length;
+    if (count < shape.minimumWords || count > shape.maximumWords) {
+        return createStepFailure(step, `${count} words after the verb are too few or too many.`, remedy);
+    }
+    for (const key of step.options.keys()) {
+        if (shape.options !== "any" && !shape.options.includes(key)) {
+            return createStepFailure(step, `The option "${key}" is unknown here.`, remedy);
+        }
+    }
+    for (const key of shape.required ?? []) {
+        if (!step.options.has(key)) {
+            return createStepFailure(step, `The option "${key}" is missing.`, remedy);
+        }
+    }
+    return undefined;
+}
--- /dev/null
+++ b/src/scenario/runScenario.ts
@@ -0,0 +1,60 @@
+/**
+ * Runs scenarios against a site.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import { createStepFailure, readScenario } from "./readScenario.js";
+import type { ScenarioSite } from "./scenarioSite.js";
+import { ScenarioState } from "./scenarioState.js";
+import type { Step } from "./step.js";
+import { verbs } from "./verbs.js";
+
+/**
+ * Runs a scenario, step by step.
+ * @param text - The scenario.
+ * @param site - The site that it drives.
+ * @param write - Takes each step's line before it runs.
+ * @returns How many steps ran, or the failure of the first step that did not succeed.
+ */
+export async function runScenario(
+    text: string,
+    site: ScenarioSite,
+    write: (line: string) => void = () => undefined,
+): Promise<Result<number, Failure>> {
+    const steps = readScenario(text, verbs);
+    if (steps.isErr()) {
+        return err(steps.error);
+    }
+    const state = new ScenarioState(site);
+    for (const step of steps.value) {
+        write(`${step.line}: ${step.text}`);
+        const failure = await runStep(state, step);
+        if (failure !== undefined) {
+            return err(failure);
+        }
+    }
+    await state.waitForReplies();
+    return ok(steps.value.length);
+}
+
+async function runStep(state: ScenarioState, step: Step): Promise<Failure | undefined> {
+    try {
+        await verbs.get(step.verb)?.run(state, expandStep(state, step));
+        return undefined;
+    }
+    catch (error) {
+        if (error instanceof Failure) {
+            return error;
+        }
+        const message = error instanceof Error ? error.message : String(error);
+        return createStepFailure(step, message, "Correct the step, or the step before that it builds on.");
+    }
+}
+
+function expandStep(state: ScenarioState, step: Step): Step {
+    const options = new Map<string, string>();
+    for (const [key, value] of step.options) {
+        options.set(key, state.expand(value));
+    }
+    return { ...step, words: step.words.map(word => state.expand(word)), options };
+}
--- /dev/null
+++ b/src/scenario/verbs.ts
@@ -0,0 +1,177 @@
+/**
+ * The verbs of the scenario language.
+ */
+import { setFaults } from "../testbench/index.js";
+import { createCall } from "./createCall.js";
+import { sendRequest } from "./reply.js";
+import { callerName } from "./scenarioSite.js";
+import type { ScenarioState } from "./scenarioState.js";
+import type { Step, StepShape } from "./step.js";
+import { checkSubject, waitForSubject } from "./subjectSteps.js";
+
+/** A verb: the form of its line, and what it does. Throws when it fails. */
+export interface Verb extends StepShape {
+    readonly run: (state: ScenarioState, step: Step) => Promise<void>;
+}
+
+const sendOptions = [
+    "to",
+    "model",
+    "content",
+    "tokens",
+    "stream",
+    "class",
+    "workspace",
+    "session",
+    "path",
+    "method",
+    "body",
+    "key",
+    "within",
+];
+
+/** All verbs by name. */
+export const verbs: ReadonlyMap<string, Verb> = new Map<string, Verb>([
+    ["set", { usage: "set NAME VALUE", minimumWords: 2, maximumWords: 2, options: [], run: setVariable }],
+    ["start", {
+        usage: "start KIND NAME [KEY=VALUE ...], or start NAME for one that ended",
+        minimumWords: 1,
+        maximumWords: 2,
+        options: "any",
+        run: start,
+    }],
+    ["send", {
+        usage: "send NAME to=PROCESS model=VERSION [content= tokens= stream=yes class= workspace= session=], "
+            + "or send NAME to=PROCESS path=/PATH [method= body= key= workspace=]; within=MILLISECONDS bounds it",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: sendOptions,
+        required: ["to"],
+        run: send,
+    }],
+    ["expect", {
+        usage: "expect SUBJECT NAME [KEY=VALUE ...] with SUBJECT reply, journal, event, exit or status",
+        minimumWords: 1,
+        maximumWords: 2,
+        options: "any",
+        run: checkSubject,
+    }],
+    ["wait-until", {
+        usage: "wait-until SUBJECT NAME [KEY=VALUE ...] [within=MILLISECONDS], or wait-until in-force",
+        minimumWords: 1,
+        maximumWords: 2,
+        options: "any",
+        run: waitForSubject,
+    }],
+    ["cut", {
+        usage: "cut FROM>TO, or cut NAME for the link from the caller; after=BYTES breaks each answer there instead",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: ["after"],
+        run: cut,
+    }],
+    ["delay", {
+        usage: "delay FROM>TO milliseconds=N, or delay NAME milliseconds=N for the link from the caller",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: ["milliseconds"],
+        required: ["milliseconds"],
+        run: delay,
+    }],
+    ["freeze", createProcessVerb("freeze", (state, name) => state.site.getProcess(name).freeze())],
+    ["wake", createProcessVerb("wake", (state, name) => state.site.getProcess(name).wake())],
+    ["kill", createProcessVerb("kill", (state, name) => state.site.getProcess(name).kill())],
+    [
+        "stop",
+        createProcessVerb("stop", async (state, name) => {
+            await state.site.getProcess(name).stop();
+        }),
+    ],
+    ["outage", createProcessVerb("outage", (state, name) => setOutage(state, name, "answer"))],
+    ["restore", {
+        usage: "restore NAME to end an outage, or restore FROM>TO to mend a link",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: [],
+        run: restore,
+    }],
+    ["fault", {
+        usage: "fault NAME KEY=VALUE ... with the keys of the stand-in's /faults",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: "any",
+        run: (state, step) => setFaults(state.site.getControl(step.words[0]), Object.fromEntries(step.options)),
+    }],
+    ["publish", {
+        usage: "publish SECTION KEY=VALUE ..., such as publish version.plan@2 status=withdrawn",
+        minimumWords: 1,
+        maximumWords: 1,
+        options: "any",
+        run: publish,
+    }],
+]);
+
+async function setVariable(state: ScenarioState, step: Step): Promise<void> {
+    state.setVariable(step.words[0], step.words[1]);
+}
+
+async function start(state: ScenarioState, step: Step): Promise<void> {
+    const [first, name] = step.words;
+    if (name === undefined) {
+        await state.site.startAgain(first);
+        return;
+    }
+    await state.site.start(first, name, Object.fromEntries(step.options));
+}
+
+async function send(state: ScenarioState, step: Step): Promise<void> {
+    const [name] = step.words;
+    state.setReply(name, sendRequest(createCall(name, state.site, step.options)));
+}
+
+async function publish(state: ScenarioState, step: Step): Promise<void> {
+    const [section] = step.words;
+    const changes = [...step.options].map(([key, value]) => ({ section, key, value }));
+    state.lastOffset = await state.site.publish(changes);
+}
+
+async function restore(state: ScenarioState, step: Step): Promise<void> {
+    const [name] = step.words;
+    if (name.includes(">")) {
+        const faults = { cut: false, delayMilliseconds: 0, freeze: false, halfOpen: false, oneWay: "none" };
+        await setLink(state, name, { ...faults, cutAfterBytes: 0 });
+        return;
+    }
+    await setOutage(state, name, "none");
+}
+
+function setOutage(state: ScenarioState, name: string, outage: "answer" | "none"): Promise<void> {
+    return setFaults(state.site.getControl(name), { outage });
+}
+
+function setLink(state: ScenarioState, name: string, faults: object): Promise<void> {
+    const [from, to] = name.includes(">") ? name.split(">") : [callerName, name];
+    return state.site.setLink(from, to, faults);
+}
+
+function cut(state: ScenarioState, step: Step): Promise<void> {
+    const after = step.options.get("after");
+    return setLink(state, step.words[0], after === undefined ? { cut: true } : { cutAfterBytes: after });
+}
+
+function delay(state: ScenarioState, step: Step): Promise<void> {
+    return setLink(state, step.words[0], { delayMilliseconds: step.options.get("milliseconds") });
+}
+
+function createProcessVerb(
+    verb: string,
+    act: (state: ScenarioState, name: string) => void | Promise<void>,
+): Verb {
+    return {
+        usage: `${verb} NAME`,
+        minimumWords: 1,
+        maximumWords: 1,
+        options: [],
+        run: async (state, step) => act(state, step.words[0]),
+    };
+}
--- a/src/standins/proxy/proxyRoute.ts
+++ b/src/standins/proxy/proxyRoute.ts
@@ -102,7 +102,7 @@
         }
         for (const connection of this.#connections) {
             for (const pump of connection.pumps) {
-                pump.deliver();
+                pump.applyFaults();
             }
         }
         return changed;
--- a/src/standins/proxy/pump.ts
+++ b/src/standins/proxy/pump.ts
@@ -31,6 +31,8 @@
     #queue: Parcel[] = [];
     #queuedBytes = 0;
     #delivered = 0;
+    /** What had arrived when faults last changed; the bytes after which to break are counted from there. */
+    #deliveredBefore = 0;
     #lost = false;
     #timer: NodeJS.Timeout | undefined;
 
@@ -54,7 +56,13 @@
         return this.#lost;
     }
 
-    /** Delivers what is due; called again whenever faults change. */
+    /** Takes up changed faults. */
+    applyFaults(): void {
+        this.#deliveredBefore = this.#delivered;
+        this.deliver();
+    }
+
+    /** Delivers what is due. */
     deliver(): void {
         clearTimeout(this.#timer);
         const { to, from, getFaults } = this.#options;
@@ -115,6 +123,6 @@
         if (cutAfterBytes === 0 || this.#options.direction === "to-target") {
             return Number.MAX_SAFE_INTEGER;
         }
-        return Math.max(0, cutAfterBytes - this.#delivered);
+        return Math.max(0, cutAfterBytes - (this.#delivered - this.#deliveredBefore));
     }
 }
--- a/src/standins/proxy/routeFaults.ts
+++ b/src/standins/proxy/routeFaults.ts
@@ -16,7 +16,7 @@
     freeze: flag.default(false),
     /** The direction whose bytes are dropped. */
     oneWay: z.enum(["none", "to-target", "from-target"]).default("none"),
-    /** Breaks each connection after so many bytes from its target; 0 never does. */
+    /** Breaks each connection after so many bytes from its target, counted from the change of faults; 0 never does. */
     cutAfterBytes: amount.default(0),
 });
 
--- a/src/testbench/call.ts
+++ b/src/testbench/call.ts
@@ -15,6 +15,8 @@
     /** Sent as JSON. */
     readonly body?: object;
     readonly boundMilliseconds?: number;
+    /** Whether a body that breaks off is returned as far as it came, in place of an error. */
+    readonly keepsPart?: boolean;
 }
 
 /** What came back. */
@@ -22,6 +24,8 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly text: string;
+    /** Whether the body broke off. */
+    readonly broken: boolean;
 }
 
 /** Makes a call; throws when the connection fails or the bound is over. */
@@ -33,7 +37,25 @@
         body: body === undefined ? undefined : JSON.stringify(body),
         signal: AbortSignal.timeout(boundMilliseconds),
     });
-    return { status: reply.statusCode, headers: reply.headers, text: await reply.body.text() };
+    const { text, error } = await readText(reply.body);
+    if (error !== undefined && options.keepsPart !== true) {
+        throw error;
+    }
+    return { status: reply.statusCode, headers: reply.headers, text, broken: error !== undefined };
+}
+
+/** Reads a body to its end, or as far as it comes. */
+async function readText(body: AsyncIterable<Buffer>): Promise<{ readonly text: string; readonly error?: unknown; }> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of body) {
+            chunks.push(chunk);
+        }
+        return { text: Buffer.concat(chunks).toString() };
+    }
+    catch (error) {
+        return { text: Buffer.concat(chunks).toString(), error };
+    }
 }
 
 /** Makes a call and returns the JSON that came back; throws at any status from 400 on. */
--- a/test/standins/proxy/faultProxy.test.ts
+++ b/test/standins/proxy/faultProxy.test.ts
@@ -122,11 +122,14 @@
 
     // The connection breaks in the middle of an answer: the caller holds a part of it.
     it("breaks a connection after so many bytes", async () => {
+        const known = open();
+        await exchange(known, "before");
         await setFaults(control, { route: "echo", cutAfterBytes: 3 });
-        const client = open();
-        client.socket.write("hello");
-        await waitUntil(client.isClosed, { what: "the connection to break" });
-        expect(client.getReceived()).toEqual("hel");
+        for (const client of [known, open()]) {
+            client.socket.write("hello");
+            await waitUntil(client.isClosed, { what: "the connection to break" });
+            expect(client.getReceived().replace("before", "")).toEqual("hel");
+        }
     });
 
     it("names its routes when one is unknown", async () => {
