Run a whole site of real processes: platform, upstreams, eight entries

Cause: the entry built but had never served. Ruled out: entries in the test's own process (a kill or a freeze would not be one). Change: Site starts Metro Manila from stand-ins and entries; with links each directed connection of an entry goes through a route of the fault-injecting proxy.

--- /dev/null
+++ b/src/testbench/site/index.ts
@@ -0,0 +1,4 @@
+/** Sites of real processes for tests, scenarios and the demo. */
+export * from "./metroManila.js";
+export * from "./site.js";
+export * from "./siteDescription.js";
--- /dev/null
+++ b/src/testbench/site/siteFiles.ts
@@ -0,0 +1,132 @@
+/**
+ * The settings that a site's processes start from.
+ */
+import { stringify } from "ini";
+import { createHash } from "node:crypto";
+import { mkdtempSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Change } from "../../configuration/index.js";
+import type { StandinSettings } from "../processGroup.js";
+import { getApiKey, type SiteDescription } from "./siteDescription.js";
+
+/** Addresses that an entry's settings name, each as `HOST:PORT`. */
+export interface EntryAddresses {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly callers: string;
+    readonly peers: string;
+    readonly operators: string;
+    readonly log: string;
+    readonly vmList: string;
+    readonly rating: string;
+    readonly weightStore: string;
+}
+
+/** Short times, so that tests and the demo need not wait. */
+const testTiming = {
+    gossip_interval_ms: "100",
+    lease_term_ms: "1500",
+    lease_drift_ms: "200",
+    vm_list_interval_ms: "200",
+    load_interval_ms: "200",
+    log_timeout_ms: "1000",
+    log_wait_ms: "500",
+    upstream_connect_timeout_ms: "500",
+    addresses_keep_ms: "500",
+    drain_timeout_ms: "10000",
+    bill_flush_ms: "200",
+    claim_batch_ms: "5",
+};
+
+/**
+ * Writes the settings file of an entry and returns its path.
+ * @param addresses - Where the entry and what it talks to listen.
+ * @param changes - Sections that differ from the defaults.
+ */
+export function writeEntrySettings(
+    addresses: EntryAddresses,
+    changes: SiteDescription["entrySettings"] = {},
+): string {
+    const folder = mkdtempSync(join(tmpdir(), "rattanlock-site-"));
+    const path = join(folder, `${addresses.name}.ini`);
+    const sections = {
+        process: {
+            name: addresses.name,
+            failure_domain: addresses.failureDomain,
+            region: addresses.region,
+        },
+        listen: { callers: addresses.callers, peers: addresses.peers, operators: addresses.operators },
+        platform: {
+            log_url: `http://${addresses.log}`,
+            vm_list_url: `http://${addresses.vmList}`,
+            rating_url: `http://${addresses.rating}`,
+            weight_store_url: `http://${addresses.weightStore}`,
+        },
+        timing: { ...testTiming, ...changes.timing },
+        session: { signing_key: "a-signing-key-for-tests-and-demos-only", ...changes.session },
+        ...pickOthers(changes),
+    };
+    writeFileSync(path, stringify(sections));
+    return path;
+}
+
+/**
+ * Returns the changes that make a site's tree out of an empty one.
+ * @param description - The site.
+ */
+export function createTreeChanges(description: SiteDescription): readonly Change[] {
+    const changes: Change[] = [];
+    const add = (section: string, keys: Readonly<Record<string, string>>): void => {
+        for (const [key, value] of Object.entries(keys)) {
+            changes.push({ section, key, value });
+        }
+    };
+    for (const version of description.versions) {
+        add(`version.${version.id}`, {
+            status: version.status,
+            input_price: String(version.inputPrice),
+            output_price: String(version.outputPrice),
+            expected_quality: String(version.expectedQuality),
+        });
+    }
+    for (const workspace of description.workspaces) {
+        const hash = createHash("sha256").update(getApiKey(workspace.name)).digest("hex");
+        add(`workspace.${workspace.name}`, { keys: hash, ...workspace.settings });
+    }
+    for (const [section, keys] of Object.entries(description.sections ?? {})) {
+        add(section, keys);
+    }
+    return changes;
+}
+
+/**
+ * Returns the conditions that a runner of a site starts with.
+ * @param description - The site.
+ * @param name - Name of the runner.
+ */
+export function createRunnerSettings(description: SiteDescription, name: string): StandinSettings {
+    const settings: Record<string, string | number | boolean> = {
+        name,
+        versions: description.versions.map(version => version.id).join(","),
+        ...description.runners.settings,
+    };
+    for (const version of description.versions) {
+        settings[`version.${version.id}.quality`] = version.quality;
+        for (const [requestClass, quality] of Object.entries(version.classQualities ?? {})) {
+            settings[`version.${version.id}.quality.${requestClass}`] = quality;
+        }
+    }
+    return settings;
+}
+
+function pickOthers(changes: NonNullable<SiteDescription["entrySettings"]>) {
+    const others: Record<string, Readonly<Record<string, string>>> = {};
+    for (const [section, keys] of Object.entries(changes)) {
+        if (section !== "timing" && section !== "session") {
+            others[section] = keys;
+        }
+    }
+    return others;
+}
