Refuse hostile input, cancel what nobody reads, and serve only once upstreams are known

Cause: (1) a fresh entry refused its first callers with "no upstream serves ..." because it had a configuration but no load report yet: a single-entry site answered 503 to six of six requests. (2) A vanished caller's answer ran to its end: the engine took the DELETE before it noticed that this entry's own reading had ended, and refused it as still read. Ruled out: for (1) a fixed wait after the start; for (2) cancelling without idle=true, which would kill an answer that another entry has resumed. Conclusion: both were real faults that a caller would have met.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -358,7 +358,8 @@
     return err(
         new Failure({
             kind: "unavailable",
-            message: "This entry has no configuration yet: neither the log nor a peer has answered.",
+            message:
+                "This entry has only just started: it has no configuration yet, or has not heard of the upstreams.",
             remedy: "Send the request to another address of GET /v1/addresses.",
             retryAfterMilliseconds: 2000,
         }),
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -2,6 +2,7 @@
  * An entry: the process to which callers connect. The root from which its parts are reached.
  */
 import type { AwilixContainer } from "awilix";
+import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { createEntryContainer } from "./container.js";
@@ -75,7 +76,7 @@
         parts.callerServer.announceLeaving();
         await parts.lease.stop();
         await parts.driver.stop();
-        await pause(timing.addressesKeepMilliseconds);
+        await sleep(timing.addressesKeepMilliseconds);
         await this.#drain();
         const flushed = await parts.bills.flush(flushMilliseconds);
         if (flushed.isErr()) {
@@ -117,7 +118,3 @@
         await parts.platformAgent.close();
     }
 }
-
-function pause(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/entry/entryState.ts
+++ b/src/entry/entryState.ts
@@ -12,6 +12,8 @@
     /** Name of this entry. */
     readonly self: string;
     readonly isOtherFresh: (origin: string) => boolean;
+    /** Whether the upstreams have been asked what they have loaded. */
+    readonly hasAskedUpstreams: () => boolean;
 }
 
 /** Knows whether the entry may serve, and how current its configuration is. */
@@ -22,9 +24,9 @@
         this.#options = options;
     }
 
-    /** Tells whether there is a configuration to serve by. */
+    /** Tells whether there is a configuration to serve by, and the upstreams are known. */
     isReady(): boolean {
-        return this.#options.configuration.getOffset() > 0;
+        return this.#options.configuration.getOffset() > 0 && this.#options.hasAskedUpstreams();
     }
 
     /** Returns the age of the configuration that counts for refusing work, in milliseconds. */
--- a/src/entry/loadPoller.ts
+++ b/src/entry/loadPoller.ts
@@ -24,6 +24,7 @@
     readonly #nextSequence = new Map<string, number>();
     readonly #capacities = new Map<string, number>();
     readonly #pending = new Set<string>();
+    #hasAskedAll = false;
 
     constructor(options: LoadPollerOptions) {
         this.#options = options;
@@ -43,6 +44,14 @@
         return this.#task.stop();
     }
 
+    /**
+     * Tells whether every upstream has been asked once. Before that the entry does not know which versions they have
+     * loaded: it would refuse its first callers although there is room for them.
+     */
+    hasAskedAll(): boolean {
+        return this.#hasAskedAll;
+    }
+
     /**
      * Asks every upstream once without waiting for the answers: one that is frozen would hold up the others' news.
      * An upstream that has not answered yet is passed over.
@@ -56,12 +65,18 @@
                 this.#nextSequence.delete(id);
             }
         }
+        const asked: Promise<void>[] = [];
         for (const upstream of subset) {
             if (!this.#pending.has(upstream.id)) {
                 this.#pending.add(upstream.id);
-                void this.#ask(upstream).finally(() => this.#pending.delete(upstream.id));
+                asked.push(this.#ask(upstream).finally(() => this.#pending.delete(upstream.id)));
             }
         }
+        if (!this.#hasAskedAll && asked.length > 0) {
+            void Promise.all(asked).then(() => {
+                this.#hasAskedAll = true;
+            });
+        }
         this.#options.onRound(sum(this.#capacities.values()));
     }
 
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -17,8 +17,6 @@
 const millisecondsPerSecond = 1000;
 /** Finished answers that this entry has rated, at most, in a second. */
 const ratingsPerSecond = 20;
-/** How long a stream without its caller is kept for a resumption, in milliseconds. */
-const resumeGraceMilliseconds = 3000;
 /** How long a caller may take to send its body, in milliseconds. */
 const bodyTimeoutMilliseconds = 15_000;
 
@@ -38,7 +36,7 @@
             isHalted: version => cradle.versions.isHalted(version),
             createSessionToken: (call, version) => cradle.sessions.createToken(call, version),
             signingKey: cradle.settings.session.signingKey,
-            resumeGraceMilliseconds,
+            resumeGraceMilliseconds: cradle.settings.timing.resumeGraceMilliseconds,
         }),
     planRunner: cradle => {
         const sampler = new RatingSampler(cradle.clock, ratingsPerSecond);
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -131,12 +131,13 @@
             getCounter: () => journal.getCounter(),
             draw: bound => random.nextInteger(bound),
         }),
-    state: ({ configuration, membership, self, shared }) =>
+    state: ({ configuration, membership, self, shared, poller }) =>
         new EntryState({
             configuration,
             membership,
             self: self.id,
             isOtherFresh: origin => shared.isOtherFresh(origin),
+            hasAskedUpstreams: () => poller.hasAskedAll(),
         }),
 };
 
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -57,6 +57,10 @@
         30 * second,
     ),
     addresses_keep_ms: milliseconds("How long callers may keep the answer about addresses.", 10 * second),
+    resume_grace_ms: milliseconds(
+        "How long an answer goes on whose caller vanished, so that it can be resumed.",
+        3_000,
+    ),
     drain_timeout_ms: milliseconds("How long a graceful shutdown waits for open streams.", 2 * minute),
     bill_flush_ms: milliseconds("Pause between two appends of bills.", second),
     claim_batch_ms: milliseconds("How long a collector gathers claims before it appends them.", 10),
--- a/src/testbench/index.ts
+++ b/src/testbench/index.ts
@@ -1,6 +1,8 @@
 /** Tools that start real processes and wait for conditions, for tests, scenarios and the demo. */
 export * from "./addressBlock.js";
 export * from "./call.js";
+export * from "./caller.js";
 export * from "./processGroup.js";
 export * from "./runningProcess.js";
+export * from "./site/index.js";
 export * from "./waitUntil.js";
--- a/src/testbench/runningProcess.ts
+++ b/src/testbench/runningProcess.ts
@@ -9,6 +9,15 @@
 const stopBoundMilliseconds = 30_000;
 const keptLines = 5000;
 
+/** Children that must not outlive this process. */
+const endWithParent = new Set<ChildProcess>();
+
+process.once("exit", () => {
+    for (const child of endWithParent) {
+        child.kill("SIGKILL");
+    }
+});
+
 /** What a process is started from. */
 export interface ProcessOptions {
     /** Path of the compiled program. */
@@ -50,9 +59,8 @@
      */
     static async start(options: ProcessOptions): Promise<RunningProcess> {
         const running = new RunningProcess(options);
-        const endWithParent = (): void => void running.#child.kill("SIGKILL");
-        process.once("exit", endWithParent);
-        void running.#exited.then(() => process.off("exit", endWithParent));
+        endWithParent.add(running.#child);
+        void running.#exited.then(() => endWithParent.delete(running.#child));
         await running.#waitForReady();
         return running;
     }
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -32,7 +32,8 @@
 
 /** What an engine says about a cancelled stream. */
 export interface Cancellation {
-    readonly cancelled: boolean;
+    /** `read`: somebody else reads the stream, so it goes on. `over`: there is nothing to cancel. */
+    readonly kind: "cancelled" | "read" | "over";
     readonly usage: TokenUsage | undefined;
 }
 
@@ -135,10 +136,10 @@
             });
             if (response.statusCode !== 200) {
                 await response.body.dump();
-                return ok({ cancelled: false, usage: undefined });
+                return ok({ kind: response.statusCode === 409 ? "read" : "over", usage: undefined });
             }
             const answer = await response.body.json() as { usage?: Record<string, number>; };
-            return ok({ cancelled: true, usage: toUsage(answer.usage) });
+            return ok({ kind: "cancelled", usage: toUsage(answer.usage) });
         }
         catch (error) {
             return err(classifyCallError(error, runner.id));
--- /dev/null
+++ b/test/entry/hostileInput.test.ts
@@ -0,0 +1,142 @@
+import { expect } from "earl";
+import { connect, type Socket } from "node:net";
+import { after, before, describe, it } from "node:test";
+import {
+    call,
+    Caller,
+    getApiKey,
+    getJournal,
+    metroManila,
+    ProcessGroup,
+    Site,
+    type SiteDescription,
+    waitUntil,
+} from "../../src/testbench/index.js";
+
+const description: SiteDescription = {
+    ...metroManila,
+    prefix: "127.60.2",
+    entryCount: 1,
+    runners: { name: "lm-pool", count: 2, settings: { stepMilliseconds: 20 } },
+    entrySettings: { limits: { body_bytes: "65536" }, timing: { resume_grace_ms: "50" } },
+};
+
+// A caller sends what no well-meaning client sends, by mistake or on purpose. It must get a clear refusal that says
+// that nothing ran, and the requests of others must go on as if it were not there.
+describe("CallerServer under hostile input", () => {
+    const group = new ProcessGroup();
+    const caller = new Caller();
+    const key = getApiKey("commissary");
+    let entry: string;
+    let site: Site;
+
+    before(async () => {
+        site = await Site.start(group, description);
+        entry = site.getEntries()[0].callers;
+    });
+
+    after(async () => {
+        await caller.close();
+        await group.killAll();
+    });
+
+    async function expectHealthy(): Promise<void> {
+        const record = await caller.chat({ entry, key, text: "Does the soy glaze hold sesame?" });
+        expect(record.isWhole).toEqual(true);
+    }
+
+    function post(headers: Readonly<Record<string, string>>, body: object) {
+        return call({
+            address: entry,
+            path: "/v1/chat/completions",
+            method: "POST",
+            headers: { authorization: `Bearer ${key}`, ...headers },
+            body,
+        });
+    }
+
+    it("refuses bodies that are no chat completions", async () => {
+        const bodies = [
+            {},
+            { model: "auto" },
+            { model: "auto", messages: [] },
+            { model: "auto", messages: [{ role: "emperor", content: "x" }] },
+            { model: "auto", messages: [{ role: "user", content: "x" }], max_tokens: -1 },
+            { model: "auto", messages: [{ role: "user", content: "x" }], n: 2 },
+        ];
+        for (const body of bodies) {
+            const reply = await post({}, body);
+            expect(reply.status).toEqual(400);
+            expect(reply.headers["x-rattanlock-outcome"]).toEqual("not-run");
+            expect(reply.headers["content-type"]).toEqual("application/problem+json");
+        }
+        await expectHealthy();
+    });
+
+    it("refuses text that is not JSON", async () => {
+        const reply = await fetch(`http://${entry}/v1/chat/completions`, {
+            method: "POST",
+            headers: { "authorization": `Bearer ${key}`, "content-type": "application/json" },
+            body: "{\"model\": \"auto\", ",
+        });
+        expect(reply.status).toEqual(400);
+        expect((await reply.json() as { outcome: string; }).outcome).toEqual("not-run");
+        await expectHealthy();
+    });
+
+    it("refuses a body above the limit", async () => {
+        const reply = await post({}, { model: "auto", messages: [{ role: "user", content: "x".repeat(100_000) }] });
+        expect(reply.status).toEqual(400);
+        expect(reply.text).toEqual(expect.includes("larger than 65536 bytes"));
+        await expectHealthy();
+    });
+
+    it("refuses names that are no names", async () => {
+        for (const name of ["x-rattanlock-application", "x-rattanlock-session", "x-rattanlock-class"]) {
+            const reply = await post({ [name]: "a b" }, { model: "auto", messages: [{ role: "user", content: "x" }] });
+            expect(reply.status).toEqual(400);
+        }
+        await expectHealthy();
+    });
+
+    it("goes on while callers vanish in the middle of their bodies", async () => {
+        for (let count = 0; count < 50; count += 1) {
+            const socket = await open(entry);
+            socket.write(`POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${key}\r\n`);
+            socket.write("content-length: 1000\r\n\r\n{\"model\":");
+            socket.destroy();
+        }
+        await expectHealthy();
+    });
+
+    it("cancels at the engine when the caller vanishes in the middle of its answer", async () => {
+        const record = await caller.chat({
+            entry,
+            key,
+            text: "List every allergen of the buffet.",
+            streamed: true,
+            leaveAfterEvents: 1,
+        });
+        expect(record.status).toEqual(200);
+        await waitUntil(async () => {
+            const outcomes: string[] = [];
+            for (const runner of site.getUpstreams().values()) {
+                const notes = await getJournal<{ id: string; outcome: string; }>(runner.getAddress());
+                outcomes.push(
+                    ...notes.filter(note => note.id?.startsWith(record.requestId ?? "-"))
+                        .map(note => note.outcome),
+                );
+            }
+            return outcomes.length === 1 && outcomes[0] === "cancelled";
+        }, { what: "the engine to have cancelled the answer" });
+        await expectHealthy();
+    });
+});
+
+function open(address: string): Promise<Socket> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve, reject) => {
+        const socket = connect(Number(port), host, () => resolve(socket));
+        socket.on("error", reject);
+    });
+}
