Check the guards of claims by switching each off

Cause: a test that passes shows nothing until it fails with its guard switched off.

Conclusion: each guard has a test that needs it.

--- a/src/claims/partitionReader.ts
+++ b/src/claims/partitionReader.ts
@@ -133,7 +133,8 @@
     #handleSnapshot(parts: readonly ClaimsSnapshotPart[]): void {
         this.#snapshotSeenAt = this.#options.clock.monotonic();
         const covers = parts[0].covers;
-        // A complete fold is never replaced: a snapshot by a slow writer is older than it and would move it back.
+        // A complete fold is never replaced: a snapshot by a slow writer is older than it and would move it back. One
+        // that leaves out records between what it covers and what can be read would only lead to the same gap again.
         if (this.#gapEnd === undefined || covers < this.#gapEnd - 1 || this.#isStopped) {
             return;
         }
--- a/test/claims/claimClient.test.ts
+++ b/test/claims/claimClient.test.ts
@@ -64,6 +64,16 @@
             expect((await claim(createNode({ log }), "r1"))?.kind).toEqual("granted");
         });
 
+        // The request that carried the claim was lost, not its answer. The claimant must ask again, or its caller is
+        // refused although the log is there.
+        it("appends its claim again when the first append was lost on the way", async () => {
+            const log = new MemoryLog();
+            const fates = ["dropped", "overloaded"] as const;
+            let appends = 0;
+            log.fate = () => fates[appends++] ?? "taken";
+            expect((await claim(createNode({ log }), "r1"))?.kind).toEqual("granted");
+        });
+
         // The collector decides, but its answer does not arrive. The claimant asks again through its own collector; the
         // caller notices nothing but the time.
         it("gets its grant through its own collector when the other's answer was lost", async () => {
--- a/test/claims/claimFold.test.ts
+++ b/test/claims/claimFold.test.ts
@@ -88,6 +88,15 @@
             expect(result.get(runKey)?.id).toEqual("d");
         });
 
+        // The log service's clock is set back. A key that is claimed then must still be kept for its whole lifetime.
+        it("keeps a key for its lifetime when the log's clock went back", () => {
+            const result = new ClaimFold(lifetimes);
+            result.apply(createEntry(0, 900, []));
+            result.apply(createEntry(1, 100, [claim("a")]));
+            result.apply(createEntry(2, 1_200, [claim("b")]));
+            expect(result.get(runKey)?.id).toEqual("a");
+        });
+
         it("renews a pin with each claim on it", () => {
             const result = fold([
                 [0, claim("a", pinKey, "m@1")],
--- a/test/claims/collector.test.ts
+++ b/test/claims/collector.test.ts
@@ -64,6 +64,19 @@
             expect(claimed.isErr()).toEqual(true);
         });
 
+        // A VM that knows only a part of the claims must not write a snapshot: other VMs would take the part for the
+        // whole, and grant again what is missing from it.
+        it("writes no snapshot while claims may be missing", async () => {
+            const log = new MemoryLog();
+            await claim(createNode(log, { name: "old" }), "r1");
+            log.put(stream, { id: "x", kind: "other", format: 1, writer: "test", body: {} });
+            log.expire(stream, 1);
+            const fresh = createNode(log, { name: "fresh", snapshotMilliseconds: 20 });
+            fresh.clock.advance(1_000);
+            expect((await claim(fresh, "r2")).isErr()).toEqual(true);
+            expect(countRecords(log, "claims-snapshot")).toEqual(0);
+        });
+
         it("goes on from a snapshot that was written before the expiry", async () => {
             const log = new MemoryLog();
             const old = createNode(log, { name: "old", snapshotMilliseconds: 20 });
@@ -76,7 +89,7 @@
         });
 
         // A snapshot writer was paused and its snapshot arrives late: records between what it covers and what can still
-        // be read are gone. Taking it in would forget the claims in between.
+        // be read are gone. Taken in, it would lead to the same gap again, and the VM would read the stream in a circle.
         it("does not take a snapshot that leaves records out", async () => {
             const log = new MemoryLog();
             const writer = createNode(log, { name: "old", snapshotMilliseconds: 20 });
@@ -87,8 +100,9 @@
             await claim(createNode(log, { name: "claimant" }), "r1");
             log.put(stream, { ...stale, id: "late" });
             log.expire(stream, 2);
-            const claimed = await claim(createNode(log, { name: "fresh" }), "r2");
-            expect(claimed.isErr()).toEqual(true);
+            const fresh = createNode(log, { name: "fresh" });
+            expect((await claim(fresh, "r2")).isErr()).toEqual(true);
+            expect(fresh.lines.filter(line => line.name === "claims-restored")).toEqual([]);
         });
     });
 });
