Measure which requests are let in, against no limit and a fixed limit with a line

Cause: admission had no figures. Change: the seeded model with workspaces of unequal size, callers that come back, some of them when it suits them, and a brown-out of thirty seconds.

--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -2,6 +2,7 @@
  * `npm run measure -- NAME [--seed N] [--json]`: runs one measurement of the decisions.
  */
 import { parseArgs } from "node:util";
+import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
 
 interface Measurement {
@@ -16,6 +17,12 @@
             return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
         },
     }],
+    ["limits", {
+        run: (seed: number) => {
+            const results = measureLimits(seed);
+            return { results, text: formatLimits(results) };
+        },
+    }],
 ]);
 
 const { values, positionals } = parseArgs({
