Add the demo: a whole site under work, a change, a bad roll-out, a withdrawal

Cause: a newcomer has nothing to run in one command. Ruled out: a recorded demo; in-process entries. Before: none.

--- /dev/null
+++ b/src/demo/demo.ts
@@ -0,0 +1,145 @@
+/**
+ * The demo: work through a whole site, a change, a roll-out of a bad version, a withdrawal, and a summary.
+ */
+import { randomUUID } from "node:crypto";
+import { rolloutRecordKinds } from "../control/index.js";
+import { getJournal, type Site, waitUntil } from "../testbench/index.js";
+import type { DemoPlan } from "./demoPlan.js";
+import { createSummary, type DemoFacts } from "./summary.js";
+import { Workload } from "./workload.js";
+
+const firstRequests = 120;
+const requestsAfterWithdrawal = 60;
+const rolloutBoundMilliseconds = 60_000;
+/** Format of the records that the demo writes as an operator. */
+const recordFormat = 1;
+
+/** Runs the demo at a site. */
+export class Demo {
+    readonly #site: Site;
+    readonly #plan: DemoPlan;
+    readonly #say: (line: string) => void;
+
+    constructor(site: Site, plan: DemoPlan, say: (line: string) => void) {
+        this.#site = site;
+        this.#plan = plan;
+        this.#say = say;
+    }
+
+    /** Runs the demo and returns its summary. */
+    async run(): Promise<readonly string[]> {
+        const workload = new Workload(this.#site, this.#plan);
+        workload.start();
+        this.#say("Callers send chat completions, conversations and calls that must not run twice ...");
+        await waitForRequests(workload, firstRequests);
+        const changeMilliseconds = await this.#publishChange();
+        const rolloutMilliseconds = await this.#runRollout(workload);
+        const withdrawal = await this.#withdraw();
+        await waitForRequests(workload, workload.getChats().length + requestsAfterWithdrawal);
+        await workload.stop();
+        const facts: DemoFacts = {
+            plan: this.#plan,
+            chats: workload.getChats(),
+            prints: workload.getPrints(),
+            runs: await this.#readRuns(),
+            bills: await this.#waitForBills(workload),
+            changeMilliseconds,
+            rolloutMilliseconds,
+            withdrawnAt: withdrawal.inForceAt,
+            withdrawalMilliseconds: withdrawal.milliseconds,
+            engineStarts: await this.#readStarts(),
+        };
+        return createSummary(facts);
+    }
+
+    async #publishChange(): Promise<number> {
+        const { section, key, value } = this.#plan.change;
+        this.#say(`An operator publishes ${key} = ${value} for ${section} ...`);
+        const startedAt = performance.now();
+        await this.#site.waitInForce(await this.#site.publish([this.#plan.change]));
+        return performance.now() - startedAt;
+    }
+
+    async #runRollout(workload: Workload): Promise<number> {
+        const { model, candidate, baseline } = this.#plan.rollout;
+        this.#say(`A roll-out of ${candidate} in place of ${baseline} starts; the candidate is bad in truth ...`);
+        const startedAt = performance.now();
+        const rollout = randomUUID();
+        await this.#site.append("control", {
+            id: randomUUID(),
+            kind: rolloutRecordKinds.start,
+            format: recordFormat,
+            writer: "operator",
+            body: { rollout, model, candidate, baseline, stages: [0.2, 0.5, 1], budget: 100, startedBy: "operator" },
+        });
+        const [first] = this.#site.getEntries();
+        await waitUntil(async () => {
+            const status = await this.#site.getStatus(first.name);
+            return status.halts.some(halt => halt.version === candidate);
+        }, { what: `${candidate} to be halted`, boundMilliseconds: rolloutBoundMilliseconds });
+        const met = workload.getChats().filter(({ chat }) => chat.version === candidate).length;
+        this.#say(`It is halted after ${met} answers.`);
+        return performance.now() - startedAt;
+    }
+
+    async #withdraw(): Promise<{ readonly milliseconds: number; readonly inForceAt: number; }> {
+        this.#say(`An operator withdraws ${this.#plan.withdrawn} ...`);
+        const startedAt = performance.now();
+        const offset = await this.#site.publish([
+            { section: `version.${this.#plan.withdrawn}`, key: "status", value: "withdrawn" },
+        ]);
+        await this.#site.waitInForce(offset);
+        return { milliseconds: performance.now() - startedAt, inForceAt: Date.now() };
+    }
+
+    /** Returns how often each key ran, as the services themselves counted. */
+    async #readRuns(): Promise<ReadonlyMap<string, number>> {
+        const runs = new Map<string, number>();
+        for (const [name, upstream] of this.#site.getUpstreams()) {
+            if (!name.startsWith("service")) {
+                continue;
+            }
+            for (const { key } of await getJournal<{ readonly key?: string; }>(upstream.getAddress())) {
+                if (key !== undefined) {
+                    runs.set(key, (runs.get(key) ?? 0) + 1);
+                }
+            }
+        }
+        return runs;
+    }
+
+    /** Returns when engines started work on each version, by their own word. */
+    async #readStarts(): Promise<readonly { readonly version: string; readonly at: number; }[]> {
+        const starts: { version: string; at: number; }[] = [];
+        for (const [name, upstream] of this.#site.getUpstreams()) {
+            if (!name.startsWith("runner")) {
+                continue;
+            }
+            const notes = await getJournal<{ readonly ran?: string; readonly arrivedAt?: number; }>(
+                upstream.getAddress(),
+            );
+            for (const { ran, arrivedAt } of notes) {
+                if (ran !== undefined && arrivedAt !== undefined) {
+                    starts.push({ version: ran, at: arrivedAt });
+                }
+            }
+        }
+        return starts;
+    }
+
+    /** Waits until the log holds a bill for every answer; whatever is missing after that is missing for good. */
+    async #waitForBills(workload: Workload) {
+        const answered = workload.getChats().filter(({ chat }) => chat.isWhole);
+        return waitUntil(async () => {
+            const bills = await this.#site.readBills();
+            return answered.every(({ chat }) => bills.has(chat.requestId ?? "")) ? bills : undefined;
+        }, { what: "a bill for every answer" });
+    }
+}
+
+async function waitForRequests(workload: Workload, count: number): Promise<void> {
+    await waitUntil(() => workload.getChats().length >= count, {
+        what: `${count} chat completions`,
+        boundMilliseconds: rolloutBoundMilliseconds,
+    });
+}
--- a/src/testbench/site/metroManila.ts
+++ b/src/testbench/site/metroManila.ts
@@ -30,6 +30,14 @@
         quality: 0.7,
         classQualities: { "kitchen-query": 0.86, "allergen": 0.6 },
     },
+    {
+        id: "label-small@6",
+        status: "candidate",
+        inputPrice: 0.1,
+        outputPrice: 0.4,
+        expectedQuality: 0.7,
+        quality: 0.25,
+    },
 ];
 
 const workspaces: readonly SiteWorkspace[] = [
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -6,8 +6,11 @@
  * others at their routes.
  */
 import { fileURLToPath } from "node:url";
+import { type Bill, Ledger } from "../../bills/index.js";
+import { systemClock } from "../../common/index.js";
 import { type Change, createPublishRecord } from "../../configuration/index.js";
-import type { LogRecord, StreamName } from "../../log/index.js";
+import { Journal } from "../../events/index.js";
+import type { LogEntry, LogPage, LogRecord, StreamName } from "../../log/index.js";
 import type { Vm } from "../../world/index.js";
 import { callJson, setFaults } from "../call.js";
 import type { ProcessGroup } from "../processGroup.js";
@@ -224,6 +227,37 @@
         }
     }
 
+    /**
+     * Reads all that a stream holds.
+     * @param stream - The stream.
+     */
+    async readStream(stream: StreamName): Promise<readonly LogEntry[]> {
+        const entries: LogEntry[] = [];
+        for (let from = 0;;) {
+            const page = await callJson<LogPage>({
+                address: this.getPlatform("log"),
+                path: `/streams/${stream}?from=${from}&limit=500`,
+            });
+            entries.push(...page.entries);
+            if (page.entries.length === 0) {
+                return entries;
+            }
+            from = page.next;
+        }
+    }
+
+    /** Folds the stream of bills as the ledger does: one bill for each request. */
+    async readBills(): Promise<ReadonlyMap<string, Bill>> {
+        const ledger = new Ledger(new Journal({ process: "judge", clock: systemClock, write: () => undefined }));
+        const bills = new Map<string, Bill>();
+        for (const entry of await this.readStream("bills")) {
+            for (const bill of ledger.apply(entry)) {
+                bills.set(bill.requestId, bill);
+            }
+        }
+        return bills;
+    }
+
     async #getEnd(stream: StreamName): Promise<number> {
         const page = await callJson<{ next: number; }>({
             address: this.getPlatform("log"),
