--- a/src/decisions/limits/admissionController.ts
+++ b/src/decisions/limits/admissionController.ts
@@ -105,7 +105,7 @@
             this.#queue.charge(request.workspace, request.share, request.estimatedTokens);
         }
         if (this.#mayEnter(request)) {
-            this.#queue.charge(request.workspace, request.share, request.estimatedTokens);
+            this.#queue.start(request.workspace, request.share, request.estimatedTokens);
             settle(ok(this.#createTicket(request, now, now)));
             return;
         }
@@ -119,9 +119,7 @@
 
     #mayEnter(request: AdmissionRequest): boolean {
         const limit = this.#limit.get();
-        const places = this.#workspaces.getPlaces(request.workspace);
-        const isBelowShare = places < this.#workspaces.getFairPlaces(request.workspace, request.share, limit);
-        if (isBelowShare) {
+        if (this.#workspaces.isBelowShare(request.workspace, request.share, limit)) {
             // A workspace that uses less than its part need not wait for the large ones to finish.
             return this.#inFlight < limit * (1 + this.#options.burstShare);
         }
--- a/src/decisions/limits/fairQueue.ts
+++ b/src/decisions/limits/fairQueue.ts
@@ -35,7 +35,16 @@
     }
 
     /**
-     * Charges a workspace.
+     * Starts work of a workspace: virtual time moves on to where the workspace is, and the workspace pays. Without
+     * moving on, work done while nobody waited would be held against a workspace for good.
+     */
+    start(workspace: string, share: number, tokens: number): void {
+        this.#virtualTime = Math.max(this.#virtualTime, this.#paid.get(workspace) ?? 0);
+        this.charge(workspace, share, tokens);
+    }
+
+    /**
+     * Charges a workspace for more than it was started with.
      * @param workspace - The workspace that pays.
      * @param share - Its share.
      * @param tokens - What it pays for.
@@ -80,8 +89,7 @@
             return undefined;
         }
         this.remove(next);
-        this.#virtualTime = Math.max(this.#virtualTime, this.#paid.get(next.workspace) ?? 0);
-        this.charge(next.workspace, next.share, next.tokens);
+        this.start(next.workspace, next.share, next.tokens);
         return next;
     }
 
--- a/src/decisions/limits/workspaces.ts
+++ b/src/decisions/limits/workspaces.ts
@@ -12,20 +12,20 @@
     readonly #holdings = new Map<string, Holding>();
     #sharesAtWork = 0;
 
-    /** Returns how many places a workspace holds. */
-    getPlaces(workspace: string): number {
-        return this.#holdings.get(workspace)?.places ?? 0;
-    }
-
     /**
-     * Returns the part of the limit that is a workspace's by its share among those at work.
+     * Tells whether a workspace holds less than its part of the limit, by its share among those at work. The part is
+     * rounded to whole places; each workspace has one at least.
      * @param workspace - The workspace.
      * @param share - Its share.
      * @param limit - Places in all.
      */
-    getFairPlaces(workspace: string, share: number, limit: number): number {
-        const own = this.#holdings.get(workspace)?.share ?? 0;
-        return limit * share / (this.#sharesAtWork - own + share);
+    isBelowShare(workspace: string, share: number, limit: number): boolean {
+        const holding = this.#holdings.get(workspace);
+        if (holding === undefined) {
+            return true;
+        }
+        const fair = limit * share / (this.#sharesAtWork - holding.share + share);
+        return holding.places < Math.round(fair);
     }
 
     /** Notes a place taken. */
--- a/src/decisions/placement/prefixTable.ts
+++ b/src/decisions/placement/prefixTable.ts
@@ -6,8 +6,11 @@
  */
 
 const holdersPerBlock = 4;
-/** Weight of a hint that came before a gap: the runner may have dropped the block since. */
-const doubtfulWeight = 0.5;
+/**
+ * Weight of a hint for each gap since: the runner may have dropped the block. Measured: doubting more (0.5) costs far
+ * more hits than it avoids, also with small caches.
+ */
+const doubtfulWeight = 0.97;
 
 interface Holder {
     readonly upstream: string;
--- a/src/decisions/placement/runner.ts
+++ b/src/decisions/placement/runner.ts
@@ -11,7 +11,13 @@
 const tokensPerBlock = 128;
 /** Fixed cost of a request, as if it had this many more tokens of prompt. */
 const fixedTokens = 64;
-const paceSmoothing = 0.15;
+/** One answer says little: queues and wrong hints come and go. Several in a row that all say the same say much. */
+const paceSmoothing = 0.03;
+const persistentPaceSmoothing = 0.3;
+const persistentAnswers = 3;
+const persistentLogRatio = Math.log(2);
+/** Keeps the exponential finite; no queue is that long. */
+const mostExcess = 500;
 const paceLifetimeMilliseconds = 30_000;
 const leastRatio = 0.1;
 const greatestRatio = 50;
@@ -34,6 +40,8 @@
     readonly #waiting = new Map<object, number>();
     #logPace = 0;
     #pacedAt = 0;
+    /** Answers in a row that were far slower (positive) or far faster (negative) than this runner's pace. */
+    #persistence = 0;
 
     constructor(options: {
         readonly vm: Vm;
@@ -82,7 +90,8 @@
     getModelledWait(now: number, uncachedBlocks: number): number {
         const capacity = this.load.getCapacity();
         const load = this.getLoad(now);
-        const excess = Math.max(0, load - capacity + 1);
+        // Load is known within about a request. A runner that seems to have one place left has a queue half of the time.
+        const excess = Math.log(1 + Math.exp(Math.min(mostExcess, load - capacity + 1)));
         const queue = excess * this.pool.getServiceMilliseconds() / capacity;
         const reading = (fixedTokens + uncachedBlocks * tokensPerBlock) * this.pool.getTokenMilliseconds();
         return queue + reading * (1 + Math.min(1, load / capacity));
@@ -108,12 +117,22 @@
     addFirstToken(milliseconds: number, modelled: number, now: number): number {
         const ratio = Math.min(greatestRatio, Math.max(leastRatio, milliseconds / Math.max(1, modelled)));
         const faded = Math.log(this.getPace(now));
-        this.#logPace = faded + paceSmoothing * (Math.log(ratio) - faded);
+        this.#logPace = faded + this.#getPaceSmoothing(Math.log(ratio) - faded) * (Math.log(ratio) - faded);
         this.#pacedAt = now;
         this.pool.addPace(ratio);
         return ratio;
     }
 
+    #getPaceSmoothing(difference: number): number {
+        if (Math.abs(difference) < persistentLogRatio) {
+            this.#persistence = 0;
+            return paceSmoothing;
+        }
+        const sign = Math.sign(difference);
+        this.#persistence = Math.sign(this.#persistence) === sign ? this.#persistence + sign : sign;
+        return Math.abs(this.#persistence) >= persistentAnswers ? persistentPaceSmoothing : paceSmoothing;
+    }
+
     /**
      * A runner that hangs gives no failure, only silence. The oldest request that still waits shows it: whoever comes
      * next must expect to wait at least as long.
--- a/src/measure/loadTrial.ts
+++ b/src/measure/loadTrial.ts
@@ -24,6 +24,7 @@
 /** Blocks of the mean request of the workload, for the capacity. */
 const meanBlocks = 32;
 const sessionShare = 0.6;
+const usualCacheBlocks = 1_500;
 
 /** What happens in a scenario. */
 export interface LoadScenario {
@@ -34,6 +35,8 @@
     /** Capacity and slowness of each runner. */
     readonly getShape?: (index: number) => { readonly capacity: number; readonly slowness: number; };
     readonly liar?: number;
+    /** Blocks that each runner's prefix cache holds. */
+    readonly cacheBlocks?: number;
     /** Runners that fail in the middle of the measured time. */
     readonly lost?: { readonly runners: readonly number[]; readonly fault: RunnerFault; };
 }
@@ -123,7 +126,7 @@
                 version: "model@1",
                 ...getShape(index),
                 isLying: index === this.#scenario.liar,
-                cacheBlocks: 1_500,
+                cacheBlocks: this.#scenario.cacheBlocks ?? usualCacheBlocks,
                 tokenReadMilliseconds: 0.1,
                 tokenWriteMilliseconds: 20,
             });
