Add the ledger program; hand bills on when an entry leaves while the log is away; test bills

Cause: a bill was left with one keeper when its entry stopped during an outage, and a keeper that stopped then dropped its copies: the next death lost the bill. An outcome that the log did not take was never written again. Ruled out: a ledger state file beside the output (two files can disagree after a kill); the output is the state. Conclusion: holds against the log in memory; the real program against the stand-in log is for the integration tests.

--- a/src/bills/billKeeper.ts
+++ b/src/bills/billKeeper.ts
@@ -10,6 +10,7 @@
 import type { AppendRecord } from "../log/logAccess.js";
 import { type Bill, parseBill } from "./bill.js";
 import { BillAppender } from "./billAppender.js";
+import type { BillCopyTarget } from "./billWriter.js";
 
 const checkMilliseconds = 1_000;
 const defaultConfirmMilliseconds = 120_000;
@@ -28,6 +29,8 @@
     /** How long an origin that is alive may leave a bill unconfirmed. Longer than its time between appends. */
     readonly confirmMilliseconds?: number;
     readonly maximumBills?: number;
+    /** The peers to hand copies to when this entry leaves while the log is away. */
+    readonly getCopyTargets?: () => readonly BillCopyTarget[];
 }
 
 interface KeptBill {
@@ -96,11 +99,12 @@
     }
 
     /**
-     * Appends every copy, for a shutdown of this entry.
+     * Appends every copy, for a shutdown of this entry. What the log does not take in time is handed to a peer: its
+     * origin may be dead already, and this copy the last.
      * @param milliseconds - How long to try.
-     * @returns The copies that are still kept; they need another keeper.
+     * @returns How many copies no one took.
      */
-    async flush(milliseconds: number): Promise<readonly { readonly origin: string; readonly bill: Bill; }[]> {
+    async flush(milliseconds: number): Promise<number> {
         const deadline = this.#options.clock.monotonic() + milliseconds;
         while (this.#kept.size > 0 && this.#options.clock.monotonic() < deadline) {
             const before = this.#kept.size;
@@ -109,7 +113,28 @@
                 await new Promise(resolve => setTimeout(resolve, flushPauseMilliseconds));
             }
         }
-        return [...this.#kept.values()];
+        await this.#handOver();
+        return this.#kept.size;
+    }
+
+    async #handOver(): Promise<void> {
+        for (const target of this.#options.getCopyTargets?.() ?? []) {
+            for (const [origin, bills] of this.#getByOrigin()) {
+                // The origin itself keeps its own bills while it lives.
+                const kept = target.id === origin ? [] : await target.copy(bills, [], origin) ?? [];
+                for (const requestId of kept) {
+                    this.#kept.delete(requestId);
+                }
+            }
+        }
+    }
+
+    #getByOrigin(): ReadonlyMap<string, readonly Bill[]> {
+        const byOrigin = new Map<string, Bill[]>();
+        for (const { origin, bill } of this.#kept.values()) {
+            byOrigin.set(origin, [...byOrigin.get(origin) ?? [], bill]);
+        }
+        return byOrigin;
     }
 
     #isDue({ origin, keptAt }: KeptBill): boolean {
--- a/src/bills/billWriter.ts
+++ b/src/bills/billWriter.ts
@@ -20,15 +20,22 @@
 const copyBillsInCall = 500;
 const defaultCopyMilliseconds = 10_000;
 const flushPauseMilliseconds = 100;
+/** How many peers keep a bill that an entry leaves behind while the log is away. */
+const keepersAtLeaving = 2;
 
 /** A peer that can keep copies. */
 export interface BillCopyTarget {
     readonly id: string;
     /**
-     * Asks the peer to keep bills, and tells it which were appended.
+     * Asks the peer to keep bills, and tells it which were appended. `origin` is the entry that answered the requests;
+     * by default this one.
      * @returns The request identifiers that it keeps, or undefined when it did not answer.
      */
-    readonly copy: (bills: readonly Bill[], appended: readonly string[]) => Promise<readonly string[] | undefined>;
+    readonly copy: (
+        bills: readonly Bill[],
+        appended: readonly string[],
+        origin?: string,
+    ) => Promise<readonly string[] | undefined>;
 }
 
 /** Options of a writer of bills. */
@@ -131,8 +138,8 @@
     /**
      * Appends everything that waits, for a shutdown.
      *
-     * When the log does not answer in time, bills that a peer keeps are left to that peer, which appends them once
-     * this entry is gone.
+     * When the log does not answer in time, the bills are left to two peers, which append them once this entry is
+     * gone. One would not do: for as long as the log stays away, that peer's death would lose them.
      * @param milliseconds - How long to try.
      * @returns A failure if a bill is neither in the log nor with a peer.
      */
@@ -145,6 +152,7 @@
                 await new Promise(resolve => setTimeout(resolve, flushPauseMilliseconds));
             }
         }
+        await this.#copyToSecondPeer();
         const alone = [...this.#waiting.values()].filter(waiting => waiting.keepers.size === 0);
         if (alone.length === 0) {
             return ok(undefined);
@@ -177,6 +185,21 @@
         void this.#appendOnce();
     }
 
+    async #copyToSecondPeer(): Promise<void> {
+        for (const target of this.#options.getCopyTargets()) {
+            const left = [...this.#waiting.values()].filter(({ keepers }) =>
+                keepers.size < keepersAtLeaving && ![...keepers].some(keeper => keeper.id === target.id)
+            );
+            for (let start = 0; start < left.length; start += copyBillsInCall) {
+                const batch = left.slice(start, start + copyBillsInCall);
+                const kept = new Set(await target.copy(batch.map(waiting => waiting.bill), []) ?? []);
+                for (const waiting of batch.filter(({ bill }) => kept.has(bill.requestId))) {
+                    waiting.keepers.add(target);
+                }
+            }
+        }
+    }
+
     async #handleCopied(waiting: WaitingBill, target: BillCopyTarget): Promise<void> {
         waiting.keepers.add(target);
         settleAll(waiting);
--- a/src/bills/index.ts
+++ b/src/bills/index.ts
@@ -3,4 +3,6 @@
 export * from "./billKeeper.js";
 export * from "./billWriter.js";
 export * from "./ledger.js";
+export * from "./ledgerFile.js";
+export * from "./ledgerProgram.js";
 export * from "./peerBills.js";
--- /dev/null
+++ b/src/bills/ledgerFile.ts
@@ -0,0 +1,63 @@
+/**
+ * The ledger's output file: one JSON line for each billed request.
+ *
+ * The file is all that a ledger remembers. A run that was killed leaves at worst a last line without its end; it is cut
+ * off, and the record that it came from is read again.
+ */
+import { closeSync, fstatSync, ftruncateSync, openSync, readSync, writeSync } from "node:fs";
+import type { LedgerLine } from "./ledger.js";
+
+const chunkBytes = 64 * 1024;
+const newline = 0x0a;
+
+/** Appends lines to the file, and reads what an earlier run wrote. */
+export class LedgerFile {
+    readonly #descriptor: number;
+
+    /** @param path - The file; it is created if need be. */
+    constructor(path: string) {
+        this.#descriptor = openSync(path, "a+");
+    }
+
+    /**
+     * Reads the lines of earlier runs, and cuts off a last line that has no end.
+     * @param take - Takes each line in order.
+     */
+    restore(take: (line: LedgerLine) => void): void {
+        const size = fstatSync(this.#descriptor).size;
+        let position = 0;
+        let rest: Buffer = Buffer.alloc(0);
+        while (position < size) {
+            const chunk = Buffer.alloc(Math.min(chunkBytes, size - position));
+            position += readSync(this.#descriptor, chunk, 0, chunk.length, position);
+            rest = takeLines(Buffer.concat([rest, chunk]), take);
+        }
+        if (rest.length > 0) {
+            ftruncateSync(this.#descriptor, size - rest.length);
+        }
+    }
+
+    /**
+     * Appends lines.
+     * @param lines - The lines.
+     */
+    write(lines: readonly LedgerLine[]): void {
+        if (lines.length > 0) {
+            writeSync(this.#descriptor, lines.map(line => `${JSON.stringify(line)}\n`).join(""));
+        }
+    }
+
+    /** Closes the file. */
+    close(): void {
+        closeSync(this.#descriptor);
+    }
+}
+
+function takeLines(bytes: Buffer, take: (line: LedgerLine) => void): Buffer {
+    let start = 0;
+    for (let end = bytes.indexOf(newline); end >= 0; end = bytes.indexOf(newline, start)) {
+        take(JSON.parse(bytes.toString("utf8", start, end)) as LedgerLine);
+        start = end + 1;
+    }
+    return bytes.subarray(start);
+}
--- /dev/null
+++ b/src/bills/ledgerProgram.ts
@@ -0,0 +1,118 @@
+/**
+ * Runs a ledger: follows the stream of bills, keeps the ledger, writes it to a file and answers HTTP.
+ */
+import Koa from "koa";
+import type { Server } from "node:http";
+import type { Journal } from "../events/index.js";
+import type { FollowStream, StreamReader } from "../log/index.js";
+import type { Bill } from "./bill.js";
+import { billsStream } from "./bill.js";
+import { Ledger, type LedgerLine, type WorkspaceTotal } from "./ledger.js";
+import { LedgerFile } from "./ledgerFile.js";
+
+/** Options of a ledger's program. */
+export interface LedgerProgramOptions {
+    readonly follow: FollowStream;
+    readonly journal: Journal;
+    /** File to write bills to, and to go on from after a restart. */
+    readonly out?: string;
+    /** Where to answer `GET /bills` and `GET /totals`. */
+    readonly listen?: { readonly host: string; readonly port: number; };
+}
+
+/** What `GET /totals` answers. */
+export interface LedgerReport {
+    /** The offset of the stream up to which the ledger goes. */
+    readonly next: number;
+    readonly requests: number;
+    readonly repeats: number;
+    readonly conflicts: number;
+    /** How often bills expired from the log before the ledger read them. Above 0 the ledger is not whole. */
+    readonly gaps: number;
+    readonly workspaces: readonly WorkspaceTotal[];
+}
+
+/** A ledger that runs. */
+export class LedgerProgram {
+    readonly #options: LedgerProgramOptions;
+    readonly #ledger: Ledger;
+    readonly #file: LedgerFile | undefined;
+    /** Kept only to be shown by `GET /bills`. */
+    readonly #bills: Bill[] = [];
+    readonly #reader: StreamReader;
+    #server: Server | undefined;
+
+    constructor(options: LedgerProgramOptions) {
+        this.#options = options;
+        this.#ledger = new Ledger(options.journal);
+        this.#file = options.out === undefined ? undefined : new LedgerFile(options.out);
+        this.#file?.restore(line => {
+            this.#ledger.restore(line);
+            this.#show([line.bill]);
+        });
+        this.#reader = options.follow({
+            stream: billsStream,
+            from: this.#ledger.getNextOffset(),
+            onEntry: entry => {
+                const bills = this.#ledger.apply(entry);
+                this.#file?.write(bills.map((bill): LedgerLine => ({ offset: entry.offset, bill })));
+                this.#show(bills);
+            },
+            onGap: earliest => this.#ledger.handleGap(earliest),
+        });
+    }
+
+    /** Begins to read, and to answer HTTP if wanted. */
+    async start(): Promise<void> {
+        this.#reader.start();
+        const { listen } = this.#options;
+        if (listen !== undefined) {
+            await new Promise<void>((resolve, reject) => {
+                this.#server = this.#createApplication().listen(listen.port, listen.host, resolve);
+                this.#server.once("error", reject);
+            });
+        }
+    }
+
+    /** Ends reading, and closes the file and the server. */
+    async stop(): Promise<void> {
+        await this.#reader.stop();
+        this.#file?.close();
+        this.#server?.closeAllConnections();
+        await new Promise<void>(resolve =>
+            this.#server === undefined ? resolve() : this.#server.close(() => resolve())
+        );
+    }
+
+    /** Returns the totals. */
+    getReport(): LedgerReport {
+        return {
+            next: this.#ledger.getNextOffset(),
+            requests: this.#ledger.getSize(),
+            ...this.#ledger.getCounts(),
+            workspaces: this.#ledger.getTotals(),
+        };
+    }
+
+    #show(bills: readonly Bill[]): void {
+        if (this.#options.listen !== undefined) {
+            this.#bills.push(...bills);
+        }
+    }
+
+    #createApplication(): Koa {
+        const application = new Koa();
+        application.use(context => {
+            if (context.method === "GET" && context.path === "/bills") {
+                context.body = { ...this.getReport(), bills: this.#bills };
+            }
+            else if (context.method === "GET" && context.path === "/totals") {
+                context.body = this.getReport();
+            }
+            else if (context.method === "GET" && context.path === "/health") {
+                context.body = { ready: true };
+            }
+        });
+        return application;
+    }
+}
--- a/src/bills/peerBills.ts
+++ b/src/bills/peerBills.ts
@@ -51,9 +51,9 @@
 function createTarget({ self, client, getCounter }: PeerBillsOptions, member: Member): BillCopyTarget {
     return {
         id: member.id,
-        copy: async (bills, appended) => {
+        copy: async (bills, appended, origin = self.id) => {
             const request: CopyBillsRequest = {
-                origin: self.id,
+                origin,
                 bills: bills.map(bill => JSON.stringify(bill)),
                 appended: [...appended],
                 counter: getCounter(),
--- a/src/claims/claimClient.ts
+++ b/src/claims/claimClient.ts
@@ -25,9 +25,9 @@
 import type { PoolDecision } from "./collectorPool.js";
 
 const defaultValidityMilliseconds = 20_000;
-const defaultReleaseMilliseconds = 10 * 60_000;
-const firstReleasePauseMilliseconds = 500;
-const maximumReleasePauseMilliseconds = 30_000;
+const defaultRepeatMilliseconds = 10 * 60_000;
+const firstRepeatPauseMilliseconds = 500;
+const maximumRepeatPauseMilliseconds = 30_000;
 /** Longest outcome that is kept; a longer one is kept as "completed" without its text. */
 export const maximumOutcomeCharacters = 16_384;
 
@@ -81,8 +81,8 @@
     readonly decideHere: (partition: number, operations: readonly ClaimOperation[]) => Promise<readonly PoolDecision[]>;
     /** How long a grant may be used without asking again. Must be far below the lifetime of a run's key. */
     readonly validityMilliseconds?: number;
-    /** How long to go on trying to release a claim that was given up. */
-    readonly releaseMilliseconds?: number;
+    /** How long to go on writing a release or an outcome that the log did not confirm. */
+    readonly repeatMilliseconds?: number;
     readonly createId?: () => string;
 }
 
@@ -90,19 +90,19 @@
 export class ClaimClient {
     readonly #options: ClaimClientOptions;
     readonly #createId: () => string;
-    readonly #releases = new Set<NodeJS.Timeout>();
+    readonly #repeats = new Set<NodeJS.Timeout>();
 
     constructor(options: ClaimClientOptions) {
         this.#options = options;
         this.#createId = options.createId ?? randomUUID;
     }
 
-    /** Gives up the releases that still wait for the log. */
+    /** Gives up the releases and outcomes that still wait for the log. */
     stop(): void {
-        for (const timer of this.#releases) {
+        for (const timer of this.#repeats) {
             clearTimeout(timer);
         }
-        this.#releases.clear();
+        this.#repeats.clear();
     }
 
     /**
@@ -118,11 +118,7 @@
         if (decided.isErr()) {
             if (decided.error.mayHaveTakenEffect && getPurpose(key) === "run") {
                 this.#options.journal.write(events.claimAbandoned, { request: request.requestId, claim: operation.id });
-                this.#releaseLater(
-                    operation,
-                    startedAt + this.#getReleaseMilliseconds(),
-                    firstReleasePauseMilliseconds,
-                );
+                this.#repeatLater({ ...operation, kind: "release" }, startedAt);
             }
             return err(decided.error);
         }
@@ -156,7 +152,12 @@
             value: options.value,
             outcome,
         };
-        return (await this.#decide(operation)).map(() => undefined);
+        const startedAt = this.#options.clock.monotonic();
+        const decided = await this.#decide(operation);
+        if (decided.isErr()) {
+            this.#repeatLater(operation, startedAt);
+        }
+        return decided.map(() => undefined);
     }
 
     /**
@@ -170,15 +171,11 @@
         const startedAt = this.#options.clock.monotonic();
         const decided = await this.#decide(operation);
         if (decided.isErr()) {
-            this.#releaseLater(operation, startedAt + this.#getReleaseMilliseconds(), firstReleasePauseMilliseconds);
+            this.#repeatLater(operation, startedAt);
         }
         return decided.map(() => undefined);
     }
 
-    #getReleaseMilliseconds(): number {
-        return this.#options.releaseMilliseconds ?? defaultReleaseMilliseconds;
-    }
-
     #createVerdict(
         operation: ClaimOperation,
         decision: ClaimDecision,
@@ -214,17 +211,19 @@
         return err(new ClaimFailure(local.mayHaveTakenEffect || (remote?.mayHaveTakenEffect ?? false)));
     }
 
-    #releaseLater(operation: ClaimOperation, until: number, pauseMilliseconds: number): void {
+    /** Goes on writing a release or an outcome that the log did not confirm, until it does or the time is over. */
+    #repeatLater(operation: ClaimOperation, startedAt: number, pauseMilliseconds = firstRepeatPauseMilliseconds): void {
         const timer = setTimeout(async () => {
-            this.#releases.delete(timer);
-            const decided = await this.#decide({ ...operation, kind: "release" });
-            if (decided.isErr() && this.#options.clock.monotonic() < until) {
-                const longer = Math.min(pauseMilliseconds * 2, maximumReleasePauseMilliseconds);
-                this.#releaseLater(operation, until, longer);
+            this.#repeats.delete(timer);
+            const decided = await this.#decide(operation);
+            const age = this.#options.clock.monotonic() - startedAt;
+            if (decided.isErr() && age < (this.#options.repeatMilliseconds ?? defaultRepeatMilliseconds)) {
+                const longer = Math.min(pauseMilliseconds * 2, maximumRepeatPauseMilliseconds);
+                this.#repeatLater(operation, startedAt, longer);
             }
         }, pauseMilliseconds);
         timer.unref();
-        this.#releases.add(timer);
+        this.#repeats.add(timer);
     }
 }
 
--- /dev/null
+++ b/test/bills/ledger.test.ts
@@ -0,0 +1,144 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { mkdtempSync, readFileSync, rmSync, truncateSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { type Bill, Ledger, LedgerProgram, type LedgerReport } from "../../src/bills/index.js";
+import type { LogEntry } from "../../src/log/record.js";
+import { createBill } from "../fixtures/bills.js";
+import { createJournal } from "../fixtures/journals.js";
+import { MemoryLog } from "../fixtures/memoryLog.js";
+import { waitUntil } from "../fixtures/waiting.js";
+
+const folder = mkdtempSync(join(tmpdir(), "ledger-test-"));
+const host = "127.50.3.1";
+let files = 0;
+
+function createPath(): string {
+    files += 1;
+    return join(folder, `ledger-${files}.jsonl`);
+}
+
+function createRecord(id: string, bills: readonly Bill[]) {
+    return { id, kind: "bills", format: 1, writer: "test", body: { bills } };
+}
+
+function createEntry(offset: number, bills: readonly Bill[]): LogEntry {
+    return { offset, time: 0, record: createRecord(`record-${offset}`, bills) };
+}
+
+function createProgram(log: MemoryLog, out?: string): LedgerProgram {
+    return new LedgerProgram({ follow: log.follow, journal: createJournal().journal, out });
+}
+
+/** Runs a ledger over all that the log holds, and ends it. */
+async function run(log: MemoryLog, out: string): Promise<LedgerReport> {
+    const program = createProgram(log, out);
+    await program.start();
+    await waitUntil(() => program.getReport().next === log.getEntries("bills").length, "the stream is read");
+    await program.stop();
+    return program.getReport();
+}
+
+describe("Ledger", () => {
+    describe("apply", () => {
+        it("counts the first bill of a request and reports those that differ", () => {
+            const { journal, lines } = createJournal();
+            const ledger = new Ledger(journal);
+            ledger.apply(createEntry(0, [createBill("r1"), createBill("r2", { workspace: "dalisay", total: 2 })]));
+            ledger.apply(createEntry(1, [createBill("r1"), createBill("r1", { total: 9 })]));
+            expect(ledger.getTotals().map(({ workspace, total }) => [workspace, total])).toEqual([
+                ["agenzia", 0.5],
+                ["dalisay", 2],
+            ]);
+            expect(ledger.getCounts()).toEqual({ repeats: 2, conflicts: 1, gaps: 0 });
+            expect(lines.map(line => line.name)).toEqual(["bill-conflict"]);
+        });
+
+        it("gives one bill for each request under any repeats and cuts into records", () => {
+            const records = fc.array(fc.array(fc.nat(20), { maxLength: 6 }), { maxLength: 20 });
+            fc.assert(fc.property(records, all => {
+                const ledger = new Ledger(createJournal().journal);
+                const written: string[] = [];
+                for (const [offset, ids] of all.entries()) {
+                    const entry = createEntry(offset, ids.map(id => createBill(`r${id}`)));
+                    written.push(...ledger.apply(entry).map(bill => bill.requestId));
+                    written.push(...ledger.apply(entry).map(bill => bill.requestId));
+                }
+                const wanted = new Set(all.flat().map(id => `r${id}`));
+                expect(written.length).toEqual(wanted.size);
+                expect(new Set(written)).toEqual(wanted);
+                expect(ledger.getTotals().map(total => total.requests)).toEqual(wanted.size === 0 ? [] : [wanted.size]);
+            }));
+        });
+    });
+
+    describe("handleGap", () => {
+        // The ledger was down for longer than the log keeps records. Its totals are too low, and whoever reads them must
+        // learn that.
+        it("says that bills are missing", async () => {
+            const log = new MemoryLog();
+            log.put("bills", createRecord("a", [createBill("r1")]));
+            log.put("bills", createRecord("b", [createBill("r2")]));
+            log.expire("bills", 1);
+            const report = await run(log, createPath());
+            expect([report.requests, report.gaps]).toEqual([1, 1]);
+        });
+    });
+});
+
+describe("LedgerProgram", () => {
+    after(() => rmSync(folder, { recursive: true, force: true }));
+
+    describe("start", () => {
+        // The ledger is killed at any byte of its output, between two bills of one record or within a line, and started
+        // again. A bill left out is never asked for; a bill written twice is asked for twice.
+        it("writes the same file when it was killed anywhere and started again", async () => {
+            const log = new MemoryLog();
+            for (let index = 0; index < 6; index += 1) {
+                const ids = [index, index + 1, index + 2];
+                log.put("bills", createRecord(`record-${index}`, ids.map(id => createBill(`r${id}`))));
+            }
+            const whole = createPath();
+            const report = await run(log, whole);
+            const expected = readFileSync(whole);
+            for (let length = 0; length <= expected.length; length += 97) {
+                const path = createPath();
+                writeFileSync(path, expected);
+                truncateSync(path, length);
+                const again = await run(log, path);
+                expect(readFileSync(path).toString()).toEqual(expected.toString());
+                expect(again.workspaces).toEqual(report.workspaces);
+            }
+        });
+
+        it("goes on from its file when the records before are gone", async () => {
+            const log = new MemoryLog();
+            const path = createPath();
+            log.put("bills", createRecord("a", [createBill("r1")]));
+            await run(log, path);
+            log.put("bills", createRecord("b", [createBill("r1"), createBill("r2")]));
+            log.expire("bills", 1);
+            const report = await run(log, path);
+            expect(report.requests).toEqual(2);
+            expect(readFileSync(path).toString().trim().split("\n").length).toEqual(2);
+        });
+
+        it("answers with the bills over HTTP", async () => {
+            const log = new MemoryLog();
+            log.put("bills", createRecord("a", [createBill("r1"), createBill("r1")]));
+            const port = 18_400;
+            const program = new LedgerProgram({
+                follow: log.follow,
+                journal: createJournal().journal,
+                listen: { host, port },
+            });
+            await program.start();
+            await waitUntil(() => program.getReport().requests === 1, "the stream is read");
+            const answer = await (await fetch(`http://${host}:${port}/bills`)).json() as { bills: Bill[]; };
+            expect(answer.bills.map(bill => bill.requestId)).toEqual(["r1"]);
+            await program.stop();
+        });
+    });
+});
