Prove that a call which must not be repeated runs at most once, and that the proofs can fail

Ruled out: judging by the entries' own word; the plain service's count and the callers' records judge. Change: six proofs (same key at three entries at once, lost acknowledgements, log away, answer lost after the run, claimant frozen past its caller's time-out and woken, entries killed at any moment); scripts/guards.mjs switches one guard off at a time on a scratch copy and runs the proof, which must fail then.

--- /dev/null
+++ b/scripts/guards.mjs
@@ -0,0 +1,74 @@
+// Shows that the proofs can fail: switches off one guarding mechanism at a time on a scratch copy and runs its test,
+// which must fail then. Usage: node scripts/guards.mjs [PART_OF_A_NAME]. Not a part of CI, since it builds each time.
+import { spawnSync } from "node:child_process";
+import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join, resolve } from "node:path";
+
+const copied = ["src", "test", "scripts", "dist", "docs", "package.json", "tsconfig.json", "KNOWN-RED.txt"];
+const shownFailures = 4;
+
+function copyTree() {
+    const folder = mkdtempSync(join(tmpdir(), "rattanlock-guards-"));
+    for (const name of copied) {
+        cpSync(name, join(folder, name), { recursive: true, force: true });
+    }
+    symlinkSync(resolve("node_modules"), join(folder, "node_modules"));
+    return folder;
+}
+
+function run(folder, program, args) {
+    return spawnSync(program, args, { cwd: folder, encoding: "utf8", maxBuffer: 2 ** 28 });
+}
+
+/** Switches a guard off, runs its test and returns the names of the tests that failed. */
+function tryWithout(folder, guard) {
+    const path = join(folder, guard.file);
+    const original = readFileSync(path, "utf8");
+    if (original.split(guard.find).length !== 2) {
+        throw new Error(`${guard.name}: the text to replace stands not exactly once in ${guard.file}.`);
+    }
+    writeFileSync(path, original.replace(guard.find, () => guard.replace));
+    const built = run(folder, "node_modules/.bin/tsc", [
+        "-p",
+        ".",
+        "--noUnusedLocals",
+        "false",
+        "--noUnusedParameters",
+        "false",
+    ]);
+    const tested = run(folder, process.execPath, ["scripts/runTests.mjs", guard.test]);
+    writeFileSync(path, original);
+    if (built.status !== 0) {
+        throw new Error(`${guard.name}: does not build without its guard:\n${built.stdout}`);
+    }
+    const failures = [];
+    for (const line of tested.stdout.split("\n")) {
+        const match = /^ +not ok \d+ - (.*)$/.exec(line);
+        if (match) {
+            failures.push(match[1]);
+        }
+    }
+    return failures;
+}
+
+const wanted = process.argv[2] ?? "";
+const guards = JSON.parse(readFileSync("test/guards.json", "utf8"))
+    .filter(guard => guard.name.includes(wanted) || guard.test.includes(wanted));
+const folder = copyTree();
+let unproved = 0;
+try {
+    for (const guard of guards) {
+        const failures = tryWithout(folder, guard);
+        unproved += failures.length === 0 ? 1 : 0;
+        console.log(`${failures.length === 0 ? "NOT PROVED" : "proved"}: ${guard.name}`);
+        for (const failure of failures.slice(0, shownFailures)) {
+            console.log(`    without it fails: ${failure}`);
+        }
+    }
+}
+finally {
+    rmSync(folder, { recursive: true, force: true });
+}
+console.log(`${guards.length - unproved} proved, ${unproved} not proved`);
+process.exit(unproved === 0 ? 0 : 1);
--- a/src/testbench/index.ts
+++ b/src/testbench/index.ts
@@ -2,6 +2,7 @@
 export * from "./addressBlock.js";
 export * from "./call.js";
 export * from "./caller.js";
+export * from "./judge.js";
 export * from "./processGroup.js";
 export * from "./runningProcess.js";
 export * from "./site/index.js";
--- /dev/null
+++ b/test/proofs/atMostOnce.test.ts
@@ -0,0 +1,170 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    callJson,
+    findRunFaults,
+    type KeyedCall,
+    readServiceRuns,
+    setFaults,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import { print, printUntilFinal, type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+
+describe("A call that must not be repeated", () => {
+    const getProof = useProofSite("127.61.1");
+
+    async function expectNoFaults(proof: ProofSite, calls: readonly KeyedCall[]): Promise<void> {
+        expect(findRunFaults(await readServiceRuns(proof.site), calls)).toEqual([]);
+    }
+
+    // A clerk presses the button twice, or a client gives up and asks the next address while the first entry still
+    // works. Without claims two entries would each print a label, and the two may differ.
+    it("runs once when the same key comes in at all entries at the same time", async () => {
+        const proof = getProof();
+        const calls: KeyedCall[] = [];
+        for (let round = 0; round < 20; round += 1) {
+            calls.push(...await Promise.all(entries.map(entry => print(proof, entry, `same-${round}`))));
+        }
+        for (let round = 0; round < 20; round += 1) {
+            const final = await printUntilFinal(proof, entries[round % 3], `same-${round}`);
+            expect(final.record.isReplayed).toEqual(true);
+            calls.push(final);
+        }
+        await expectNoFaults(proof, calls);
+    });
+
+    // The log takes a claim and its acknowledgement gets lost on the way back. The entry does not know whether it
+    // holds the key. If it guessed "no", nobody would ever run the call; if it claimed anew under another name, it
+    // would find the key held by itself and the caller would never get an answer.
+    it("runs once and is answered when acknowledgements of claims are lost", async () => {
+        const proof = getProof();
+        const calls: KeyedCall[] = [];
+        for (let round = 0; round < 12; round += 1) {
+            await setFaults(proof.site.getPlatform("log"), { lostAcknowledgements: 3 });
+            calls.push(await printUntilFinal(proof, entries[round % 3], `lost-${round}`));
+        }
+        await setFaults(proof.site.getPlatform("log"), { lostAcknowledgements: 0 });
+        await expectNoFaults(proof, calls);
+    });
+
+    // The log is away. Nobody can know whether another entry has claimed a key, so nothing may run. The caller is
+    // told at once that nothing ran, and when to come back; after the outage its call runs once.
+    it("is refused truthfully while the log is away and runs once afterwards", async () => {
+        const proof = getProof();
+        const log = proof.site.getPlatform("log");
+        await setFaults(log, { outage: "drop" });
+        const calls: KeyedCall[] = [];
+        try {
+            for (const entry of entries) {
+                const call = await print(proof, entry, `away-${entry}`);
+                expect([call.record.status, call.record.outcome]).toEqual([503, "not-run"]);
+                expect(call.record.retryAfterSeconds).not.toEqual(undefined);
+                calls.push(call);
+            }
+        }
+        finally {
+            await setFaults(log, { outage: "none" });
+        }
+        for (const entry of entries) {
+            calls.push(await printUntilFinal(proof, entry, `away-${entry}`));
+        }
+        await expectNoFaults(proof, calls);
+    });
+
+    // The service runs the call, and the connection breaks before its answer arrives. The entry cannot know whether
+    // the label was printed. It must say "unknown" and never send the call again, to this instance or to another.
+    it("is not sent again when the service's answer is lost", async () => {
+        const proof = getProof();
+        const calls: KeyedCall[] = [];
+        for (let round = 0; round < 6; round += 1) {
+            for (const [name, upstream] of proof.site.getUpstreams()) {
+                if (name.startsWith("service")) {
+                    await setFaults(upstream.getAddress(), { dropAfterRun: 1 });
+                }
+            }
+            const call = await print(proof, entries[round % 3], `dropped-${round}`);
+            expect(call.record.outcome).toEqual("unknown");
+            calls.push(call);
+            calls.push(await print(proof, entries[(round + 1) % 3], `dropped-${round}`));
+        }
+        for (const [name, upstream] of proof.site.getUpstreams()) {
+            if (name.startsWith("service")) {
+                await setFaults(upstream.getAddress(), { dropAfterRun: 0 });
+            }
+        }
+        await expectNoFaults(proof, calls);
+    });
+
+    // An entry claims a key and its VM stalls before the call goes out, for longer than its caller waits. The caller
+    // asks another entry. When the first VM wakes up it goes on where it was and sends the call. If the second entry
+    // had taken the key over, two labels would be printed.
+    it("runs at most once when the claimant is frozen after its claim and wakes up later", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const claimant = site.getEntryOrThrow("entry-1");
+        const calls: KeyedCall[] = [];
+        await setServiceLinks(proof, "entry-1", { freeze: true });
+        try {
+            const first = print(proof, "entry-1", "frozen", 1500);
+            await waitUntil(async () => hasClaim(proof, "frozen"), { what: "the claim to be in the log" });
+            claimant.process.freeze();
+            calls.push(await first);
+            const second = await print(proof, "entry-2", "frozen");
+            expect([second.record.status, second.record.outcome]).toEqual([409, "unknown"]);
+            calls.push(second);
+        }
+        finally {
+            await setServiceLinks(proof, "entry-1", { freeze: false });
+            claimant.process.wake();
+            await site.waitUntilReady();
+        }
+        calls.push(await printUntilFinal(proof, "entry-3", "frozen"));
+        await expectNoFaults(proof, calls);
+    });
+
+    // An entry dies at any moment of its calls: before a claim is written, after it, while the service works, or
+    // before the answer goes out. Its callers ask the other entries with the same keys.
+    it("runs at most once when entries are killed at any moment", async () => {
+        const proof = getProof();
+        const calls: KeyedCall[] = [];
+        for (let round = 0; round < 4; round += 1) {
+            const pending: Promise<KeyedCall>[] = [];
+            for (let count = 0; count < 12; count += 1) {
+                pending.push(print(proof, "entry-3", `killed-${round}-${count}`, 3000));
+            }
+            await waitUntil(async () => hasClaim(proof, `killed-${round}-`), { what: "a first claim of the round" });
+            await proof.site.getEntryOrThrow("entry-3").process.kill();
+            calls.push(...await Promise.all(pending));
+            for (let count = 0; count < 12; count += 1) {
+                calls.push(await print(proof, entries[count % 2], `killed-${round}-${count}`));
+            }
+            await proof.site.startEntry("entry-3");
+            await proof.site.waitUntilReady();
+        }
+        await expectNoFaults(proof, calls);
+        expect(calls.some(call => call.record.status === 200)).toEqual(true);
+    });
+});
+
+async function setServiceLinks(proof: ProofSite, entry: string, faults: object): Promise<void> {
+    for (const name of proof.site.getUpstreams().keys()) {
+        if (name.startsWith("service")) {
+            await proof.site.setLink(entry, name, faults);
+        }
+    }
+}
+
+async function hasClaim(proof: ProofSite, key: string): Promise<boolean> {
+    for (let partition = 0; partition < 8; partition += 1) {
+        const page = await callJson<{ entries: readonly object[]; }>({
+            address: proof.site.getPlatform("log"),
+            path: `/streams/claims-${partition}?from=0&limit=500`,
+        });
+        if (JSON.stringify(page.entries).includes(`/${key}`)) {
+            return true;
+        }
+    }
+    return false;
+}
