--- a/test/configuration/configurationFold.test.ts
+++ b/test/configuration/configurationFold.test.ts
@@ -61,6 +61,14 @@
                 .toEqual("rejected");
             expect(getOutcomes([base, createPublication([edit], late), createPublication([removal], late)]).at(-1))
                 .toEqual("rejected");
+            // The workspace was added again, so that only the removal tells that the edit is out of date.
+            const again = createPublication([{ section: "workspace.bench", key: "priority", value: "4" }], {
+                basedOn: 2,
+            });
+            expect(
+                getOutcomes([base, createPublication([removal], late), again, createPublication([edit], late)]).at(-1),
+            )
+                .toEqual("rejected");
         });
 
         // Somebody edits the version's status while somebody else withdraws it because its answers are wrong. If the
--- a/test/log/logFollower.test.ts
+++ b/test/log/logFollower.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { describe, it } from "node:test";
+import { afterEach, describe, it } from "node:test";
 import { RandomSource, systemClock } from "../../src/common/index.js";
 import { Journal } from "../../src/events/index.js";
 import { LogClient, LogFollower } from "../../src/log/index.js";
@@ -11,6 +11,15 @@
     }
 }
 
+const started: LogFollower[] = [];
+
+// A follower that a failed test left running would keep the test process from ending.
+afterEach(async () => {
+    for (const follower of started.splice(0)) {
+        await follower.stop();
+    }
+});
+
 function createFollower(log: MemoryLog, from: number) {
     const offsets: number[] = [];
     const gaps: number[] = [];
@@ -26,6 +35,7 @@
         onEntry: entry => offsets.push(entry.offset),
         onGap: earliest => gaps.push(earliest),
     });
+    started.push(follower);
     return { follower, offsets, gaps, names };
 }
 
