--- /dev/null
+++ b/src/decisions/placement/runnerIndex.ts
@@ -0,0 +1,145 @@
+/**
+ * The runners of each version and pool, and the subset of them that this entry talks to.
+ *
+ * 350 entries that all talked to all 2,100 runners would hold 735,000 connections and spread each entry's knowledge
+ * too thin to be of use. Each entry therefore keeps to the first few by rendezvous rank, with the runners of its own
+ * failure domain no more than half, so that losing the domain leaves the entry its other half.
+ */
+import type { PlacementOptions } from "./options.js";
+import type { Runner } from "./runner.js";
+
+/** Runners that can take a kind of request. */
+export interface CandidateList {
+    /** The entry's subset in its region. */
+    readonly near: readonly Runner[];
+    /** The entry's subset in other regions. */
+    readonly far: readonly Runner[];
+    /** Every runner, for when the subsets have none left. */
+    readonly all: readonly Runner[];
+}
+
+interface Group {
+    /** By rank, the greatest first. */
+    readonly runners: Runner[];
+    /** Absent after a change, until somebody asks. */
+    list: CandidateList | undefined;
+}
+
+const emptyList: CandidateList = { near: [], far: [], all: [] };
+
+/** Index of runners by version and by pool. */
+export class RunnerIndex {
+    readonly #options: PlacementOptions;
+    readonly #ownDomain: string;
+    readonly #groups = new Map<string, Group>();
+
+    constructor(ownDomain: string, options: PlacementOptions) {
+        this.#ownDomain = ownDomain;
+        this.#options = options;
+    }
+
+    /** Returns the runners of a version, of a pool, or of a version within a pool. */
+    get(version: string | undefined, pool: string | undefined): CandidateList {
+        const group = this.#groups.get(getKey(version, pool));
+        return group === undefined ? emptyList : this.#getList(group);
+    }
+
+    /** Returns all lists' near and far runners, each once. */
+    getSubset(): ReadonlySet<Runner> {
+        const subset = new Set<Runner>();
+        for (const group of this.#groups.values()) {
+            const list = this.#getList(group);
+            for (const runner of [...list.near, ...list.far]) {
+                subset.add(runner);
+            }
+        }
+        return subset;
+    }
+
+    /** Adds a runner under its pool and versions. */
+    add(runner: Runner): void {
+        for (const key of getKeys(runner)) {
+            this.#addTo(key, runner);
+        }
+    }
+
+    /** Removes a runner. Call it before the runner's pool or versions change, and `add` after. */
+    remove(runner: Runner): void {
+        for (const key of getKeys(runner)) {
+            this.#removeFrom(key, runner);
+        }
+    }
+
+    #addTo(key: string, runner: Runner): void {
+        const group = this.#groups.get(key) ?? { runners: [], list: undefined };
+        this.#groups.set(key, group);
+        const place = findPlace(group.runners, runner.rank);
+        if (group.runners[place] === runner) {
+            return;
+        }
+        group.runners.splice(place, 0, runner);
+        group.list = undefined;
+    }
+
+    #removeFrom(key: string, runner: Runner): void {
+        const group = this.#groups.get(key);
+        const place = group?.runners.indexOf(runner) ?? -1;
+        if (group === undefined || place < 0) {
+            return;
+        }
+        group.runners.splice(place, 1);
+        group.list = undefined;
+        if (group.runners.length === 0) {
+            this.#groups.delete(key);
+        }
+    }
+
+    #getList(group: Group): CandidateList {
+        group.list ??= this.#createList(group.runners);
+        return group.list;
+    }
+
+    #createList(all: readonly Runner[]): CandidateList {
+        const near = all.filter(runner => runner.isNear);
+        const far = all.filter(runner => !runner.isNear);
+        return { near: this.#pickNear(near), far: far.slice(0, this.#options.farSubsetSize), all };
+    }
+
+    #pickNear(near: readonly Runner[]): readonly Runner[] {
+        const size = this.#options.nearSubsetSize;
+        if (near.length <= size) {
+            return near;
+        }
+        const own = near.filter(runner => runner.vm.failureDomain === this.#ownDomain).slice(0, size / 2);
+        const others = near.filter(runner => runner.vm.failureDomain !== this.#ownDomain);
+        return [...own, ...others.slice(0, size - own.length)];
+    }
+}
+
+/** Finds the first place whose rank is not greater, by halving. */
+function findPlace(runners: readonly Runner[], rank: number): number {
+    let low = 0;
+    let high = runners.length;
+    while (low < high) {
+        const middle = (low + high) >> 1;
+        if (runners[middle].rank > rank) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+function getKey(version: string | undefined, pool: string | undefined): string {
+    return `${version ?? ""}\n${pool ?? ""}`;
+}
+
+function getKeys(runner: Runner): readonly string[] {
+    const keys = [getKey(undefined, runner.vm.pool)];
+    for (const version of runner.versions ?? []) {
+        keys.push(getKey(version, undefined), getKey(version, runner.vm.pool));
+    }
+    return keys;
+}
--- /dev/null
+++ b/src/testbench/call.ts
@@ -0,0 +1,78 @@
+/**
+ * Calls of a test to stand-ins and entries.
+ */
+import { request } from "undici";
+
+const callBoundMilliseconds = 10_000;
+
+/** A call over HTTP. */
+export interface Call {
+    /** `HOST:PORT`. */
+    readonly address: string;
+    readonly path: string;
+    readonly method?: "GET" | "POST" | "PUT" | "DELETE";
+    readonly headers?: Readonly<Record<string, string>>;
+    /** Sent as JSON. */
+    readonly body?: object;
+    readonly boundMilliseconds?: number;
+    /** Whether a body that breaks off is returned as far as it came, in place of an error. */
+    readonly keepsPart?: boolean;
+}
+
+/** What came back. */
+export interface Reply {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly text: string;
+    /** Whether the body broke off. */
+    readonly broken: boolean;
+}
+
+/** Makes a call; throws when the connection fails or the bound is over. */
+export async function call(options: Call): Promise<Reply> {
+    const { address, path, method = "GET", headers, body, boundMilliseconds = callBoundMilliseconds } = options;
+    const reply = await request(`http://${address}${path}`, {
+        method,
+        headers: { ...body === undefined ? {} : { "content-type": "application/json" }, ...headers },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(boundMilliseconds),
+    });
+    const { text, error } = await readText(reply.body);
+    if (error !== undefined && options.keepsPart !== true) {
+        throw error;
+    }
+    return { status: reply.statusCode, headers: reply.headers, text, broken: error !== undefined };
+}
+
+/** Reads a body to its end, or as far as it comes. */
+async function readText(body: AsyncIterable<Buffer>): Promise<{ readonly text: string; readonly error?: unknown; }> {
+    const chunks: Buffer[] = [];
+    try {
+        for await (const chunk of body) {
+            chunks.push(chunk);
+        }
+        return { text: Buffer.concat(chunks).toString() };
+    }
+    catch (error) {
+        return { text: Buffer.concat(chunks).toString(), error };
+    }
+}
+
+/** Makes a call and returns the JSON that came back; throws at any status from 400 on. */
+export async function callJson<Body>(options: Call): Promise<Body> {
+    const reply = await call(options);
+    if (reply.status >= 400) {
+        throw new Error(`${options.address}${options.path} answered ${reply.status}: ${reply.text}`);
+    }
+    return (reply.text === "" ? undefined : JSON.parse(reply.text)) as Body;
+}
+
+/** Switches faults of a stand-in. */
+export async function setFaults(address: string, faults: object): Promise<void> {
+    await callJson({ address, path: "/faults", method: "POST", body: faults });
+}
+
+/** Returns a stand-in's journal, from a note on. */
+export function getJournal<Note>(address: string, from = 0): Promise<readonly Note[]> {
+    return callJson<readonly Note[]>({ address, path: `/journal?from=${from}` });
+}
