Add the operators' program and the trees of both sites

Cause: operators need to check, publish and follow changes without writing records by hand. Ruled out: taking the basis of a change when it is appended; a session that had read another operator's change by then would claim to have seen it and revert it. The basis is taken with the comparison, and a test publishes in between. Change: check, diff, publish, withdraw, drain, show, history, status and key over oclif with explicit discovery; site files; examples/catania.ini and examples/metro-manila.ini.

--- /dev/null
+++ b/src/command/check.ts
@@ -0,0 +1,17 @@
+/** `rattanlock check FILE` */
+import { Args } from "@oclif/core";
+import { OperatorCommand } from "./operatorCommand.js";
+
+/** Checks a configuration file without a site. */
+export class CheckCommand extends OperatorCommand {
+    static override summary = "Checks a configuration file and reports every mistake.";
+    static override examples = ["<%= config.bin %> check examples/catania.ini"];
+    static override args = { file: Args.string({ required: true, description: "Configuration file." }) };
+
+    async run(): Promise<object> {
+        const { args } = await this.parse(CheckCommand);
+        const tree = this.readTree(args.file);
+        this.log(`${args.file}: ${tree.size} sections, no mistakes.`);
+        return { file: args.file, sections: tree.size };
+    }
+}
--- /dev/null
+++ b/src/command/history.ts
@@ -0,0 +1,34 @@
+/** `rattanlock history` */
+import { Flags } from "@oclif/core";
+import type { Verdict } from "../configuration/index.js";
+import { OperatorCommand } from "./operatorCommand.js";
+import { formatTable } from "./table.js";
+
+/** Lists publications and what became of them. */
+export class HistoryCommand extends OperatorCommand {
+    static override summary = "Lists the latest publications, and who was beaten by whom.";
+    static override examples = ["<%= config.bin %> history --site site.ini --last 5"];
+    static override flags = { last: Flags.integer({ description: "How many.", default: 20, min: 1, max: 100 }) };
+
+    async run(): Promise<object> {
+        const { flags } = await this.parse(HistoryCommand);
+        const history = (await this.readConfiguration(flags)).getHistory().slice(-flags.last);
+        const rows = history.map(verdict => [
+            String(verdict.offset),
+            new Date(verdict.time).toISOString(),
+            verdict.author,
+            verdict.outcome,
+            String(verdict.changes),
+            describe(verdict),
+        ]);
+        this.log(formatTable(["OFFSET", "TIME", "AUTHOR", "OUTCOME", "CHANGES", "REASON"], rows));
+        return { history };
+    }
+}
+
+function describe(verdict: Verdict): string {
+    if (verdict.beatenBy !== undefined) {
+        return `${verdict.reason} (beaten by ${verdict.beatenBy.author} at ${verdict.beatenBy.offset})`;
+    }
+    return verdict.mistakes.length > 0 ? `${verdict.reason} (${verdict.mistakes[0].message})` : verdict.reason;
+}
--- /dev/null
+++ b/src/command/operatorCommand.ts
@@ -0,0 +1,197 @@
+/**
+ * What operators' commands have in common: where the site is, exit codes, and how failures are shown.
+ */
+import { Command, Flags } from "@oclif/core";
+import { readFileSync } from "node:fs";
+import { userInfo } from "node:os";
+import { type Failure, systemClock } from "../common/index.js";
+import {
+    type Change,
+    type ConfigurationReader,
+    parseConfigurationFile,
+    type Tree,
+    type Verdict,
+} from "../configuration/index.js";
+import { formatMistake, type Mistake, parseSiteSettings } from "../settings/index.js";
+import { exitCodes } from "./exitCodes.js";
+import { getNodeStatuses } from "./nodeStatus.js";
+import { OperatorSession } from "./operatorSession.js";
+
+const millisecondsPerSecond = 1_000;
+const progressPauseMilliseconds = 200;
+
+/** Flags that say where a site is. */
+export interface SiteFlags {
+    readonly log?: string;
+    readonly "vm-list"?: string;
+    readonly site?: string;
+    readonly timeout: number;
+    readonly author: string;
+    readonly "operator-port"?: number;
+}
+
+/** Flags of commands that publish. */
+export interface PublishFlags extends SiteFlags {
+    readonly reason: string;
+    readonly wait: string;
+}
+
+/** Flags of commands that publish, for oclif. */
+export const publishFlags = {
+    reason: Flags.string({ char: "r", description: "Why, for the history.", default: "" }),
+    wait: Flags.string({
+        description: "Until when to wait: accepted by the log, or in force on every live entry.",
+        options: ["accepted", "in-force"],
+        default: "accepted",
+    }),
+};
+
+/** A command of an operator. Exit codes: 0 done, 1 refused or beaten, 2 bad input, 3 platform away. */
+export abstract class OperatorCommand extends Command {
+    static override enableJsonFlag = true;
+
+    static override baseFlags = {
+        log: Flags.string({ description: "URL of the platform's log.", env: "RATTANLOCK_LOG" }),
+        "vm-list": Flags.string({ description: "URL of the platform's VM list.", env: "RATTANLOCK_VM_LIST" }),
+        site: Flags.string({ description: "INI file that holds both URLs.", env: "RATTANLOCK_SITE" }),
+        timeout: Flags.integer({ description: "Seconds to wait for the platform.", default: 15, min: 1 }),
+        author: Flags.string({ description: "Who publishes.", default: async () => userInfo().username }),
+        "operator-port": Flags.integer({ description: "Entries' port for operators, if the VM list has none." }),
+    };
+
+    /** Reads a file that the operator named, relative to the working directory. */
+    protected readTree(file: string): Tree {
+        const tree = parseConfigurationFile(this.readFile(file), file);
+        return tree.isOk() ? tree.value : this.failWithMistakes(tree.error);
+    }
+
+    /** Opens the site's configuration, does a piece of work with it, and closes it. */
+    protected async withSession<T>(flags: SiteFlags, work: (session: OperatorSession) => Promise<T>): Promise<T> {
+        const session = new OperatorSession({
+            logUrl: this.#getUrl(flags, "log"),
+            clock: systemClock,
+            timeoutMilliseconds: flags.timeout * millisecondsPerSecond,
+            author: flags.author,
+        });
+        try {
+            const opened = await session.open();
+            return opened.isErr() ? this.failWith(opened.error) : await work(session);
+        }
+        finally {
+            await session.close();
+        }
+    }
+
+    /** Reads the configuration once. */
+    protected readConfiguration(flags: SiteFlags): Promise<ConfigurationReader> {
+        return this.withSession(flags, async session => session.reader);
+    }
+
+    /** Publishes changes, waits as the flags say, and fails with the reason when they were not accepted. */
+    protected async publishChanges(
+        session: OperatorSession,
+        changes: readonly Change[],
+        basedOn: number,
+        flags: PublishFlags,
+    ): Promise<Verdict> {
+        // Checked first, so that a missing URL does not show after the change is already in force.
+        const vmListUrl = flags.wait === "in-force" ? this.#getUrl(flags, "vm-list") : undefined;
+        const published = await session.publish(changes, basedOn, flags.reason);
+        if (published.isErr()) {
+            return this.failWith(published.error);
+        }
+        const verdict = published.value;
+        if (verdict.outcome !== "accepted") {
+            this.failWithVerdict(verdict);
+        }
+        this.log(`Accepted at offset ${verdict.offset}: ${changes.length} change(s).`);
+        if (vmListUrl !== undefined) {
+            await this.#waitInForce(vmListUrl, verdict.offset, flags);
+        }
+        return verdict;
+    }
+
+    /** Asks every entry for its status. */
+    protected async getStatuses(flags: SiteFlags) {
+        const statuses = await getNodeStatuses(this.#getUrl(flags, "vm-list"), flags["operator-port"]);
+        return statuses.isOk() ? statuses.value : this.failWith(statuses.error);
+    }
+
+    /** Ends the command with every mistake of a file. */
+    protected failWithMistakes(mistakes: readonly Mistake[]): never {
+        return this.error(mistakes.map(formatMistake).join("\n"), { exit: exitCodes.badInput });
+    }
+
+    /** Ends the command with a failure. */
+    protected failWith(failure: Failure): never {
+        const isInput = failure.kind === "invalid-input";
+        return this.error(failure.message, { exit: isInput ? exitCodes.badInput : exitCodes.platformAway });
+    }
+
+    /** Ends the command with what the fold decided. */
+    protected failWithVerdict(verdict: Verdict): never {
+        const lines = [`Rejected at offset ${verdict.offset}.`];
+        if (verdict.beatenBy !== undefined) {
+            const { author, offset, section, key } = verdict.beatenBy;
+            lines.push(
+                `${author} changed [${section}] ${key} first, at offset ${offset}. Compare again and publish anew.`,
+            );
+        }
+        for (const { section, key, message, remedy } of verdict.mistakes) {
+            lines.push(`[${section}] ${key}: ${message} ${remedy}`);
+        }
+        if (verdict.withdrawn.length > 0) {
+            lines.push(`Withdrawn all the same: ${verdict.withdrawn.join(", ")}.`);
+        }
+        return this.error(lines.join("\n"), { exit: exitCodes.refused });
+    }
+
+    async #waitInForce(vmListUrl: string, offset: number, flags: PublishFlags): Promise<void> {
+        const deadline = systemClock.monotonic() + flags.timeout * millisecondsPerSecond;
+        for (;;) {
+            const statuses = await getNodeStatuses(vmListUrl, flags["operator-port"]);
+            const live = statuses.unwrapOr([]).filter(node => node.state === "live");
+            const late = live.filter(node => (node.configurationOffset ?? -1) <= offset);
+            process.stderr.write(`in force on ${live.length - late.length} of ${live.length} entries\n`);
+            if (live.length > 0 && late.length === 0) {
+                return;
+            }
+            if (systemClock.monotonic() > deadline) {
+                const names = late.map(node => node.id).join(", ");
+                const message = `The change is accepted, but not known to be in force on: ${names || "any entry"}.`;
+                this.error(`${message} See \`rattanlock status\`.`, { exit: exitCodes.platformAway });
+            }
+            await new Promise(resolve => setTimeout(resolve, progressPauseMilliseconds));
+        }
+    }
+
+    #getUrl(flags: SiteFlags, name: "log" | "vm-list"): string {
+        const url = flags[name] ?? this.#readSite(flags, name);
+        if (url === undefined || !URL.canParse(url)) {
+            const message = `No usable URL for the ${name} is known. Give --${name} URL or --site FILE.`;
+            return this.error(message, { exit: exitCodes.badInput });
+        }
+        return url;
+    }
+
+    #readSite(flags: SiteFlags, name: "log" | "vm-list"): string | undefined {
+        if (flags.site === undefined) {
+            return undefined;
+        }
+        const site = parseSiteSettings(this.readFile(flags.site), flags.site);
+        if (site.isErr()) {
+            return this.failWithMistakes(site.error);
+        }
+        return name === "log" ? site.value.logUrl : site.value.vmListUrl;
+    }
+
+    /** Reads a file, and ends the command when it cannot be read. */
+    protected readFile(file: string): string {
+        try {
+            return readFileSync(file, "utf8");
+        }
+        catch {
+            return this.error(`${file} cannot be read. Check its name and rights.`, { exit: exitCodes.badInput });
+        }
+    }
+}
--- /dev/null
+++ b/src/command/operatorSession.ts
@@ -0,0 +1,123 @@
+/**
+ * An operator's view of a site: the configuration read from the log, and changes published to it.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { type Clock, Failure } from "../common/index.js";
+import { type Change, ConfigurationReader, createPublishRecord, type Verdict } from "../configuration/index.js";
+import { LogClient, type LogTransport } from "../log/index.js";
+
+const pollMilliseconds = 10;
+const logWaitMilliseconds = 500;
+
+/** Options of a session. */
+export interface OperatorSessionOptions {
+    readonly logUrl: string;
+    readonly clock: Clock;
+    /** How long to wait for the platform. */
+    readonly timeoutMilliseconds: number;
+    /** Who publishes. */
+    readonly author: string;
+    /** Carries requests to the log; by default undici. */
+    readonly send?: LogTransport;
+}
+
+/** Reads the configuration and publishes changes. */
+export class OperatorSession {
+    readonly #options: OperatorSessionOptions;
+    readonly #client: LogClient;
+    readonly #verdicts = new Map<string, Verdict>();
+    readonly reader: ConfigurationReader;
+
+    constructor(options: OperatorSessionOptions) {
+        const { logUrl: url, clock, send } = options;
+        this.#options = options;
+        this.#client = new LogClient({ url, clock, send });
+        this.reader = new ConfigurationReader({
+            client: this.#client,
+            clock,
+            waitMilliseconds: logWaitMilliseconds,
+            onVerdict: verdict => this.#handleVerdict(verdict),
+        });
+    }
+
+    /** Reads the stream to its end. */
+    async open(): Promise<Result<ConfigurationReader, Failure>> {
+        this.reader.start();
+        const isRead = await this.#waitUntil(() => Number.isFinite(this.reader.getAge()) || this.reader.isIncomplete());
+        if (!isRead) {
+            return err(createAwayFailure(this.#options.logUrl));
+        }
+        // A tree with a hole would make a difference that reverts what others changed.
+        return await this.#waitUntil(() => !this.reader.isIncomplete()) ? ok(this.reader) : err(createHoleFailure());
+    }
+
+    /** Ends reading. */
+    async close(): Promise<void> {
+        await this.reader.stop();
+    }
+
+    /**
+     * Publishes changes and reads back what became of them.
+     * @param changes - The changes.
+     * @param basedOn - The reader's offset when the changes were made. Taken later, it would claim that the author had
+     * seen what another operator published in between, and that change would be reverted without a word.
+     * @param reason - Why.
+     */
+    async publish(
+        changes: readonly Change[],
+        basedOn: number,
+        reason: string,
+    ): Promise<Result<Verdict, Failure>> {
+        const { author, timeoutMilliseconds } = this.#options;
+        const record = createPublishRecord({ author, reason, basedOn, changes }, `rattanlock/${author}`);
+        const appended = await this.#client.appendSettled("config", record, basedOn, timeoutMilliseconds);
+        if (appended.isErr()) {
+            return err(appended.error);
+        }
+        await this.#waitUntil(() => this.#verdicts.has(record.id));
+        const verdict = this.#verdicts.get(record.id);
+        return verdict === undefined ? err(createUnreadFailure(record.id)) : ok(verdict);
+    }
+
+    #handleVerdict(verdict: Verdict): void {
+        // A repeat of this session's own record must not hide what became of the first.
+        if (verdict.outcome !== "repeated") {
+            this.#verdicts.set(verdict.id, verdict);
+        }
+    }
+
+    async #waitUntil(condition: () => boolean): Promise<boolean> {
+        const deadline = this.#options.clock.monotonic() + this.#options.timeoutMilliseconds;
+        while (!condition()) {
+            if (this.#options.clock.monotonic() > deadline) {
+                return false;
+            }
+            await new Promise(resolve => setTimeout(resolve, pollMilliseconds));
+        }
+        return true;
+    }
+}
+
+function createAwayFailure(url: string): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The log at ${url} does not answer.`,
+        remedy: "Check --log or the site file, or try again when the log is back; nothing was published.",
+    });
+}
+
+function createHoleFailure(): Failure {
+    return new Failure({
+        kind: "gone",
+        message: "The configuration in the log has a hole that no snapshot covers, or a format of a newer release.",
+        remedy: "Upgrade this program, or wait until an entry has written a snapshot.",
+    });
+}
+
+function createUnreadFailure(id: string): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The change was appended as ${id}, but could not be read back in time.`,
+        remedy: "Look for it with `rattanlock history` before publishing anew.",
+    });
+}
--- /dev/null
+++ b/src/command/status.ts
@@ -0,0 +1,24 @@
+/** `rattanlock status` */
+import { OperatorCommand } from "./operatorCommand.js";
+import { formatTable } from "./table.js";
+
+/** Shows which configuration each entry has in force. */
+export class StatusCommand extends OperatorCommand {
+    static override summary = "Asks every entry on the VM list which configuration it has in force.";
+    static override examples = ["<%= config.bin %> status --site site.ini"];
+
+    async run(): Promise<object> {
+        const { flags } = await this.parse(StatusCommand);
+        const nodes = await this.getStatuses(flags);
+        const rows = nodes.map(node => [
+            node.id,
+            node.failureDomain,
+            node.state,
+            node.configurationOffset === undefined ? "no answer" : node.ready ? "ready" : "not ready",
+            String(node.configurationOffset ?? "-"),
+            String(node.configurationAgeMilliseconds ?? "-"),
+        ]);
+        this.log(formatTable(["ENTRY", "FAILURE DOMAIN", "VM", "STATE", "OFFSET", "AGE (MS)"], rows));
+        return { nodes };
+    }
+}
--- /dev/null
+++ b/src/command/versionChange.ts
@@ -0,0 +1,27 @@
+/**
+ * Changes of a version's status.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import type { Change, Configuration } from "../configuration/index.js";
+import { findNearest } from "../settings/index.js";
+import type { VersionStatus } from "../world/index.js";
+
+/** Makes the change that sets a version's status, if there is such a version. */
+export function setStatus(
+    configuration: Configuration,
+    version: string,
+    status: VersionStatus,
+): Result<Change, Failure> {
+    if (configuration.getVersion(version) === undefined) {
+        const nearest = findNearest(version, configuration.getVersions().map(known => known.id));
+        return err(
+            new Failure({
+                kind: "invalid-input",
+                message: `There is no version ${version}.`,
+                remedy: nearest === undefined ? "See `rattanlock show versions`." : `Did you mean ${nearest}?`,
+            }),
+        );
+    }
+    return ok({ section: `version.${version}`, key: "status", value: status });
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -5,3 +5,4 @@
 export * from "./settingDocument.js";
 export * from "./settingKey.js";
 export * from "./settingSchema.js";
+export * from "./siteSettings.js";
--- /dev/null
+++ b/test/command/operatorSession.test.ts
@@ -0,0 +1,76 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { OperatorSession } from "../../src/command/operatorSession.js";
+import { systemClock } from "../../src/common/index.js";
+import { createPublication, smallTree } from "../configuration/records.js";
+import { MemoryLog } from "../log/memoryLog.js";
+
+async function withSession(log: MemoryLog, work: (session: OperatorSession) => Promise<void>): Promise<void> {
+    const session = new OperatorSession({
+        logUrl: "http://127.20.11.1:1",
+        clock: systemClock,
+        timeoutMilliseconds: 2_000,
+        author: "anna",
+        send: log.send,
+    });
+    try {
+        (await session.open())._unsafeUnwrap();
+        await work(session);
+    }
+    finally {
+        await session.close();
+    }
+}
+
+const change = { section: "workspace.bench", key: "priority", value: "1" };
+
+describe("OperatorSession", () => {
+    describe("publish", () => {
+        // Another operator's change of the same key arrives after this one was made and before it is appended. The
+        // operator must be told by whom the change was beaten, also when the session has read that change by then.
+        it("is beaten by a change that came after the changes were made", async () => {
+            const log = new MemoryLog();
+            log.append(createPublication(smallTree));
+            await withSession(log, async session => {
+                const basedOn = session.reader.getOffset();
+                log.append(createPublication([{ ...change, value: "7" }], { basedOn, author: "bruno" }));
+                while (session.reader.getOffset() === basedOn) {
+                    await new Promise(resolve => setTimeout(resolve, 1));
+                }
+                const verdict = (await session.publish([change], basedOn, ""))._unsafeUnwrap();
+                expect([verdict.outcome, verdict.beatenBy?.author]).toEqual(["rejected", "bruno"]);
+            });
+        });
+
+        // The append is repeated after a lost acknowledgement, so that the record stands in the log twice.
+        it("reports the first record when the append was repeated", async () => {
+            const log = new MemoryLog();
+            log.append(createPublication(smallTree));
+            await withSession(log, async session => {
+                log.failAppends("lost-record", "lost-acknowledgement");
+                const verdict = (await session.publish([change], session.reader.getOffset(), ""))._unsafeUnwrap();
+                expect([verdict.outcome, verdict.offset]).toEqual(["accepted", 1]);
+            });
+        });
+    });
+
+    describe("open", () => {
+        // Records have expired and nobody wrote a snapshot. A difference against half a tree would revert the rest.
+        it("refuses to work on a configuration with a hole", async () => {
+            const log = new MemoryLog();
+            log.append(createPublication(smallTree));
+            log.append(createPublication([change], { basedOn: 1 }));
+            log.expireBefore(1);
+            const session = new OperatorSession({
+                logUrl: "http://127.20.11.1:1",
+                clock: systemClock,
+                timeoutMilliseconds: 200,
+                author: "anna",
+                send: log.send,
+            });
+            const opened = await session.open();
+            await session.close();
+            expect(opened._unsafeUnwrapErr().kind).toEqual("gone");
+        });
+    });
+});
--- a/test/settings/reference.test.ts
+++ b/test/settings/reference.test.ts
@@ -2,9 +2,9 @@
 import { readFileSync } from "node:fs";
 import { describe, it } from "node:test";
 import { treeSchema } from "../../src/configuration/index.js";
-import { entrySchema, formatReference, ledgerSchema } from "../../src/settings/index.js";
+import { entrySchema, formatReference, ledgerSchema, siteSchema } from "../../src/settings/index.js";
 
-const schemas = [treeSchema, entrySchema, ledgerSchema];
+const schemas = [treeSchema, entrySchema, ledgerSchema, siteSchema];
 
 describe("formatReference", () => {
     it("gives what docs/SETTINGS.md holds", () => {
