--- a/test/command/command.test.ts
+++ b/test/command/command.test.ts
@@ -118,6 +118,23 @@
             });
         });
 
+        // Two operators publish different values of one key at the same moment. Were both told "accepted", one of them would
+        // believe in a setting that is not in force.
+        it("accepts exactly one of two operators who race from the same tree", async () => {
+            await withPublished(async (...[, flags]) => {
+                const files = ["650", "700"].map(value =>
+                    writeVariant("first_token_ms = 600", `first_token_ms = ${value}`)
+                );
+                const runs = await Promise.all(
+                    files.map(file => runCommand("publish", file, ...flags, "--based-on", "1")),
+                );
+                expect(runs.map(run => run.code).sort()).toEqual([0, 1]);
+                const winner = runs[0].code === 0 ? "650" : "700";
+                const shown = await runCommand("show", ...flags);
+                expect(shown.stdout.includes(`first_token_ms = ${winner}`)).toEqual(true);
+            });
+        });
+
         it("exits with 3 when the log is away", async () => {
             const url = `http://${addresses.next()}`;
             const run = await runCommand("publish", example, "--log", url, "--timeout", "1");
--- /dev/null
+++ b/test/command/inForce.test.ts
@@ -0,0 +1,28 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { metroManila, Site, withProcesses } from "../../src/testbench/index.js";
+import { runCommand } from "./runCommand.js";
+
+describe("rattanlock withdraw", () => {
+    // A version answers wrongly and the operator takes it out of service. "In force" has to be what the entries say of
+    // themselves, not what the log took.
+    it("ends only when every running entry has the withdrawal in force", async () => {
+        await withProcesses(async group => {
+            const site = await Site.start(group, { ...metroManila, prefix: "127.20.12", entryCount: 3 });
+            const urls = [
+                "--log",
+                `http://${site.getPlatform("log")}`,
+                "--vm-list",
+                `http://${site.getPlatform("vm-list")}`,
+            ];
+            const run = await runCommand("withdraw", "label-small@5", ...urls, "--wait", "in-force");
+            expect([run.code, run.stderr.trim().split("\n").at(-1)]).toEqual([0, "in force on 3 of 3 entries"]);
+            for (const entry of site.getEntries()) {
+                const { versions } = await site.getStatus(entry.name) as unknown as {
+                    readonly versions: readonly { readonly id: string; readonly status: string; }[];
+                };
+                expect(versions.find(version => version.id === "label-small@5")?.status).toEqual("withdrawn");
+            }
+        });
+    });
+});
