Weigh cascades by the hardness of a class, use doubtful plans as far as surplus covers them, add the cost measurement

Ruled out: a smaller prior for each pair (promises too much for hard requests). Change: one slope of hardness for each class over all pairs; counts from before a detected change are left out; plans that probably meet the target are used while saved surplus covers the doubt; counts travel as changed cells only.

--- a/src/decisions/model/escalations.ts
+++ b/src/decisions/model/escalations.ts
@@ -4,7 +4,8 @@
  */
 import { scoreSteps } from "./tally.js";
 
-const sumUnit = 1000;
+/** Scores are summed in this unit, so that sums stay integers. */
+export const escalationSumUnit = 1000;
 
 /** Counts of one pair of versions in one class as they travel; `values` are bin, count and sum in turn. */
 export interface EncodedEscalation {
@@ -14,17 +15,25 @@
     readonly values: readonly number[];
 }
 
-interface PairCounts {
+/** Counts of one pair of versions in one class. */
+export interface EscalationCounts {
     readonly first: string;
     readonly second: string;
     readonly requestClass: string;
+    /** Escalations for each bin of the first score. */
+    readonly counts: readonly number[];
+    /** Sum of the second scores in thousandths for each bin of the first score. */
+    readonly sums: readonly number[];
+}
+
+interface PairCounts extends EscalationCounts {
     readonly counts: number[];
     readonly sums: number[];
 }
 
 /** Counts escalations by pair of versions, class and bin of the first score. */
 export class Escalations {
-    readonly #pairs = new Map<string, PairCounts>();
+    readonly #classes = new Map<string, Map<string, PairCounts>>();
 
     /** Reads the counts back from what `encode` returned. */
     static decode(encoded: readonly EncodedEscalation[]): Escalations {
@@ -46,32 +55,29 @@
         const pair = this.#getPair(input.first, input.second, input.requestClass);
         const bin = Math.round(Math.min(1, Math.max(0, input.firstScore)) * scoreSteps);
         pair.counts[bin] += 1;
-        pair.sums[bin] += Math.round(Math.min(1, Math.max(0, input.secondScore)) * sumUnit);
+        pair.sums[bin] += Math.round(Math.min(1, Math.max(0, input.secondScore)) * escalationSumUnit);
     }
 
-    /** Adds another node's counts of one pair and class. */
-    merge(other: Escalations, first: string, second: string, requestClass: string): void {
-        const theirs = other.#pairs.get(getKey(first, second, requestClass));
-        if (theirs === undefined) {
-            return;
-        }
-        const pair = this.#getPair(first, second, requestClass);
-        for (let bin = 0; bin <= scoreSteps; bin += 1) {
-            pair.counts[bin] += theirs.counts[bin];
-            pair.sums[bin] += theirs.sums[bin];
+    /** Adds another node's counts of one class. */
+    merge(other: Escalations, requestClass: string): void {
+        for (const theirs of other.#classes.get(requestClass)?.values() ?? []) {
+            const pair = this.#getPair(theirs.first, theirs.second, requestClass);
+            for (let bin = 0; bin <= scoreSteps; bin += 1) {
+                pair.counts[bin] += theirs.counts[bin];
+                pair.sums[bin] += theirs.sums[bin];
+            }
         }
     }
 
-    /** Gets, for each bin of the first score, the count and the sum of the second scores; empty for an unseen pair. */
-    get(first: string, second: string, requestClass: string): readonly { count: number; sum: number; }[] {
-        const pair = this.#pairs.get(getKey(first, second, requestClass));
-        return pair === undefined ? [] : pair.counts.map((count, bin) => ({ count, sum: pair.sums[bin] / sumUnit }));
+    /** Gets the counts of a class by pair of versions. */
+    get(requestClass: string): readonly EscalationCounts[] {
+        return [...this.#classes.get(requestClass)?.values() ?? []];
     }
 
     /** Returns the counts in a compact form. */
     encode(): readonly EncodedEscalation[] {
         const encoded: EncodedEscalation[] = [];
-        for (const { first, second, requestClass, counts, sums } of this.#pairs.values()) {
+        for (const { first, second, requestClass, counts, sums } of this.#getAll()) {
             const values: number[] = [];
             for (let bin = 0; bin <= scoreSteps; bin += 1) {
                 if (counts[bin] > 0) {
@@ -83,18 +89,25 @@
         return encoded;
     }
 
+    *#getAll(): Iterable<PairCounts> {
+        for (const pairs of this.#classes.values()) {
+            yield* pairs.values();
+        }
+    }
+
     #getPair(first: string, second: string, requestClass: string): PairCounts {
-        const key = getKey(first, second, requestClass);
-        let pair = this.#pairs.get(key);
+        let pairs = this.#classes.get(requestClass);
+        if (pairs === undefined) {
+            pairs = new Map();
+            this.#classes.set(requestClass, pairs);
+        }
+        const key = `${first}>${second}`;
+        let pair = pairs.get(key);
         if (pair === undefined) {
             const zeros = () => new Array<number>(scoreSteps + 1).fill(0);
             pair = { first, second, requestClass, counts: zeros(), sums: zeros() };
-            this.#pairs.set(key, pair);
+            pairs.set(key, pair);
         }
         return pair;
     }
 }
-
-function getKey(first: string, second: string, requestClass: string): string {
-    return `${first}>${second}/${requestClass}`;
-}
--- a/src/decisions/model/estimate.ts
+++ b/src/decisions/model/estimate.ts
@@ -2,14 +2,20 @@
  * The posterior of a version's rated quality in one class of request.
  */
 import type { ModelVersion } from "../../world/index.js";
+import type { Bucket } from "./bucketSeries.js";
 import type { Evidence } from "./evidence.js";
-import { scoreSteps, type Tally } from "./tally.js";
+import { scoreSteps, Tally } from "./tally.js";
 
 /** Standard deviation of how far a class's quality lies from what is expected of the version. */
 const priorDeviation = 0.15;
 /** Variance of single scores that is assumed before any came in, and how many scores that assumption weighs. */
 const priorScoreVariance = 0.04;
 const priorScoreWeight = 4;
+/** Ratings after a supposed change that are needed to believe in it. */
+const minimumChangeRatings = 12;
+/** Standard errors by which older scores must differ from newer ones to be left out: more, if the change is welcome. */
+const worseErrors = 3;
+const betterErrors = 4;
 
 /** What is known of a version in a class. */
 export interface Estimate {
@@ -32,7 +38,7 @@
  * @param requestClass - The class.
  */
 export function getEstimate(evidence: Evidence, version: ModelVersion, requestClass: string): Estimate {
-    const tally = evidence.getRecent(version.id, requestClass);
+    const tally = getValidTally(evidence, version.id, requestClass);
     const count = tally.ratings;
     const scoreMean = count > 0 ? tally.scoreSum / count : version.expectedQuality;
     const scoreVariance = getScoreVariance(tally);
@@ -49,6 +55,41 @@
     };
 }
 
+/**
+ * Sums up the counts since the version last changed. Counts from before a change would hide for a long time that a
+ * version has become worse: its old good ratings outweigh the new bad ones, and callers go on getting bad answers.
+ */
+function getValidTally(evidence: Evidence, version: string, requestClass: string): Tally {
+    const buckets = [...evidence.getBuckets(version, requestClass)].sort((left, right) => right.start - left.start);
+    const older = new Tally();
+    for (const bucket of buckets) {
+        older.add(bucket.tally, evidence.getWeight(bucket));
+    }
+    const newer = new Tally();
+    for (const bucket of buckets) {
+        if (isChanged(newer, older)) {
+            return newer;
+        }
+        addWeighted(newer, older, bucket, evidence.getWeight(bucket));
+    }
+    return newer;
+}
+
+function addWeighted(newer: Tally, older: Tally, bucket: Bucket, weight: number): void {
+    newer.add(bucket.tally, weight);
+    older.add(bucket.tally, -weight);
+}
+
+function isChanged(newer: Tally, older: Tally): boolean {
+    if (newer.ratings < minimumChangeRatings || older.ratings < minimumChangeRatings) {
+        return false;
+    }
+    const difference = newer.scoreSum / newer.ratings - older.scoreSum / older.ratings;
+    const variance = getScoreVariance(newer) / newer.ratings + getScoreVariance(older) / older.ratings;
+    const errors = difference / Math.sqrt(variance);
+    return errors < -worseErrors || errors > betterErrors;
+}
+
 /** Gets the variance of single scores, drawn towards what is assumed while there are few. */
 function getScoreVariance(tally: Tally): number {
     if (tally.ratings === 0) {
--- a/src/decisions/model/evidence.ts
+++ b/src/decisions/model/evidence.ts
@@ -7,7 +7,7 @@
  */
 import type { Clock } from "../../common/index.js";
 import { type Bucket, BucketSeries, type EncodedBucket } from "./bucketSeries.js";
-import { type EncodedEscalation, Escalations } from "./escalations.js";
+import { type EncodedEscalation, type EscalationCounts, Escalations } from "./escalations.js";
 import { Tally } from "./tally.js";
 
 const defaultEpochMilliseconds = 1000;
@@ -17,6 +17,8 @@
 
 /** Counts of one version in one class as they travel. */
 export interface EncodedSeries {
+    /** The node's sequence when these counts last changed; the greater one replaces the smaller one. */
+    readonly sequence: number;
     readonly version: string;
     readonly requestClass: string;
     readonly buckets: readonly EncodedBucket[];
@@ -24,7 +26,7 @@
 
 /** All counts of one node as they travel; plain JSON. */
 export interface EvidenceCounts {
-    /** Grows with each change; the greater one replaces the smaller one. */
+    /** Grows with each change of any count. */
     readonly sequence: number;
     readonly series: readonly EncodedSeries[];
     readonly escalations: readonly EncodedEscalation[];
@@ -68,10 +70,16 @@
     readonly secondScore: number;
 }
 
+interface Cell {
+    sequence: number;
+    readonly series: BucketSeries;
+}
+
 interface NodeCounts {
     sequence: number;
     departed: boolean;
-    series: Map<string, Map<string, BucketSeries>>;
+    /** By version, then by class. */
+    readonly cells: Map<string, Map<string, Cell>>;
     escalations: Escalations;
 }
 
@@ -129,12 +137,17 @@
         this.#touchOwn();
     }
 
-    /** Returns all counts of this node, to be published to the others. */
-    exportOwn(): EvidenceCounts {
+    /**
+     * Returns counts of this node, to be published to the others.
+     * @param since - A sequence that the receiver has: only counts that changed after it are returned. All by default.
+     */
+    exportOwn(since = 0): EvidenceCounts {
         const series: EncodedSeries[] = [];
-        for (const [version, classes] of this.#own.series) {
-            for (const [requestClass, buckets] of classes) {
-                series.push({ version, requestClass, buckets: buckets.encode() });
+        for (const [version, classes] of this.#own.cells) {
+            for (const [requestClass, cell] of classes) {
+                if (cell.sequence > since) {
+                    series.push({ sequence: cell.sequence, version, requestClass, buckets: cell.series.encode() });
+                }
             }
         }
         return { sequence: this.#own.sequence, series, escalations: this.#own.escalations.encode() };
@@ -146,18 +159,19 @@
      * @param counts - What its `exportOwn` returned.
      */
     merge(origin: string, counts: EvidenceCounts): void {
-        const known = this.#others.get(origin);
-        if (known !== undefined && known.sequence >= counts.sequence) {
-            return;
+        const node = getOrInsert(this.#others, origin, createNodeCounts);
+        for (const { sequence, version, requestClass, buckets } of counts.series) {
+            const classes = getOrInsert(node.cells, version, () => new Map<string, Cell>());
+            if (sequence > (classes.get(requestClass)?.sequence ?? -1)) {
+                classes.set(requestClass, { sequence, series: BucketSeries.decode(buckets) });
+                this.#revision += 1;
+            }
         }
-        const merged = createNodeCounts();
-        merged.sequence = counts.sequence;
-        for (const { version, requestClass, buckets } of counts.series) {
-            getOrInsert(merged.series, version, () => new Map()).set(requestClass, BucketSeries.decode(buckets));
+        if (counts.sequence > node.sequence) {
+            node.sequence = counts.sequence;
+            node.escalations = Escalations.decode(counts.escalations);
+            this.#revision += 1;
         }
-        merged.escalations = Escalations.decode(counts.escalations);
-        this.#others.set(origin, merged);
-        this.#revision += 1;
     }
 
     /**
@@ -176,7 +190,7 @@
     getClasses(version: string): ReadonlySet<string> {
         const classes = new Set<string>();
         for (const node of this.#getNodes()) {
-            for (const requestClass of node.series.get(version)?.keys() ?? []) {
+            for (const requestClass of node.cells.get(version)?.keys() ?? []) {
                 classes.add(requestClass);
             }
         }
@@ -187,39 +201,45 @@
     getBuckets(version: string, requestClass: string): readonly Bucket[] {
         const buckets: Bucket[] = [];
         for (const node of this.#getNodes()) {
-            buckets.push(...node.series.get(version)?.get(requestClass)?.getBuckets() ?? []);
+            const cell = node.cells.get(version)?.get(requestClass);
+            if (cell !== undefined) {
+                buckets.push(...cell.series.getBuckets());
+            }
         }
         return buckets;
     }
 
     /** Gets the merged counts of a version and class with old ones weighing less. */
     getRecent(version: string, requestClass: string): Tally {
-        const now = this.getEpoch(this.#clock.wall());
         const total = new Tally();
         for (const bucket of this.getBuckets(version, requestClass)) {
-            const age = Math.max(0, now - bucket.start - 2 ** bucket.level / 2);
-            total.add(bucket.tally, 2 ** (-age / this.#halfLifeEpochs));
+            total.add(bucket.tally, this.getWeight(bucket));
         }
         return total;
     }
 
-    /**
-     * Gets the merged counts of escalations from one version to another in a class.
-     * @returns For each bin of the first score: how many, and the sum of the second scores.
-     */
-    getEscalations(first: string, second: string, requestClass: string): readonly { count: number; sum: number; }[] {
+    /** Gets how much a bucket weighs at its age: 1 when new, half of it after each half-life. */
+    getWeight(bucket: Bucket): number {
+        const now = this.getEpoch(this.#clock.wall());
+        const age = Math.max(0, now - bucket.start - 2 ** bucket.level / 2);
+        return 2 ** (-age / this.#halfLifeEpochs);
+    }
+
+    /** Gets the merged counts of escalations in a class, by pair of versions. */
+    getEscalations(requestClass: string): readonly EscalationCounts[] {
         const total = new Escalations();
         for (const node of this.#getNodes()) {
-            total.merge(node.escalations, first, second, requestClass);
+            total.merge(node.escalations, requestClass);
         }
-        return total.get(first, second, requestClass);
+        return total.get(requestClass);
     }
 
     #getOwnTally(input: { version: string; requestClass: string; answeredAt?: number; }): Tally {
         this.#touchOwn();
-        const classes = getOrInsert(this.#own.series, input.version, () => new Map());
-        const series = getOrInsert(classes, input.requestClass, () => new BucketSeries());
-        return series.getTally(this.getEpoch(input.answeredAt ?? this.#clock.wall()));
+        const classes = getOrInsert(this.#own.cells, input.version, () => new Map<string, Cell>());
+        const cell = getOrInsert(classes, input.requestClass, () => ({ sequence: 0, series: new BucketSeries() }));
+        cell.sequence = this.#own.sequence;
+        return cell.series.getTally(this.getEpoch(input.answeredAt ?? this.#clock.wall()));
     }
 
     #touchOwn(): void {
@@ -244,13 +264,13 @@
 }
 
 function createNodeCounts(): NodeCounts {
-    return { sequence: 0, departed: false, series: new Map(), escalations: new Escalations() };
+    return { sequence: 0, departed: false, cells: new Map(), escalations: new Escalations() };
 }
 
 function getNewestEpoch(node: NodeCounts): number {
     let newest = -Infinity;
-    for (const classes of node.series.values()) {
-        for (const series of classes.values()) {
+    for (const classes of node.cells.values()) {
+        for (const { series } of classes.values()) {
             newest = Math.max(newest, series.getBuckets().at(-1)?.start ?? -Infinity);
         }
     }
--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -7,14 +7,16 @@
 import type { Evidence } from "./evidence.js";
 import { getNormalQuantile } from "./normal.js";
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
-import { getCascadeOptions, getSingleOption, type PlanSettings } from "./planOptions.js";
+import { getCascadeOptions, getHardness, getSingleOption, type PlanSettings } from "./planOptions.js";
 
 /** Evidence changes with every rating; plans needn't. */
-const refreshMilliseconds = 1000;
+const refreshMilliseconds = 3000;
 /** At most this share of a class's requests explores. */
 const maximumExploringShare = 0.2;
 /** Surplus quality that can be saved up, so that a good day doesn't pay for a burst of bad answers. */
-const maximumCredit = 3;
+const maximumCredit = 5;
+/** Surplus quality that is advanced to a class never seen before, to be earned back. */
+const startingCredit = 1;
 /** A version with fewer recent ratings is tried as the first step of a cascade. */
 const wellKnownRatings = 40;
 /** Quality that a try as the first step of a cascade is taken to cost. */
@@ -53,6 +55,8 @@
     /** Plans that meet the target with confidence, dominated ones left out. */
     singles: readonly PlanOption[];
     all: readonly PlanOption[];
+    /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
+    probable: readonly PlanOption[];
     /** The surest plan, for when none meets the target. */
     surest: PlanOption;
     /** Plans that may turn out to meet the target for less. */
@@ -104,10 +108,28 @@
                 return createPlan(tried, request, true, "explores with saved surplus quality");
             }
         }
+        const probable = ratings ? this.#chooseProbable(state, best, request) : undefined;
+        if (probable !== undefined) {
+            return createPlan(probable, request, false, "cheaper plan, its doubt covered by saved surplus quality");
+        }
         state.credit = Math.min(maximumCredit, state.credit + Math.max(0, margin));
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
+    /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
+    #chooseProbable(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
+        const option = getCheapest(state.probable, request);
+        if (option === undefined || option === best || !isCheaperPlan(option, best, request)) {
+            return undefined;
+        }
+        const debit = request.targetQuality - getLowerBound(option, request.confidence);
+        if (debit > state.credit) {
+            return undefined;
+        }
+        state.credit -= debit;
+        return option;
+    }
+
     #chooseTry(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
         if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
             return undefined;
@@ -130,7 +152,7 @@
         if (known !== undefined && this.#isFresh(known, request)) {
             return known;
         }
-        const state = this.#formState(request, known?.credit ?? 0);
+        const state = this.#formState(request, known?.credit ?? startingCredit);
         this.#states.set(key, state);
         return state;
     }
@@ -144,22 +166,28 @@
         }
         const age = this.#clock.monotonic() - state.formedAt;
         return age < refreshMilliseconds
-            || state.revision === this.#evidence.revision && age < 10 * refreshMilliseconds;
+            || state.revision === this.#evidence.revision && age < 5 * refreshMilliseconds;
     }
 
     #formState(request: ModelRequest, credit: number): ClassState {
         const { candidates, requestClass, targetQuality, confidence } = request;
         const estimates = candidates.map(version => getEstimate(this.#evidence, version, requestClass));
         const singles = estimates.map(getSingleOption);
+        const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
+        const sufficient = singles.filter(meets);
         const cascades: PlanOption[] = [];
+        const hardness = getHardness(this.#evidence, requestClass, estimates);
         for (const first of estimates) {
+            // A cascade costs more than its first step, so it can't undercut a single version that is cheaper than that.
+            if (sufficient.some(option => !isCheaper(first.version, option.steps[0].version))) {
+                continue;
+            }
             for (const second of estimates) {
                 if (isCheaper(first.version, second.version)) {
-                    cascades.push(...getCascadeOptions(this.#evidence, requestClass, first, second, this.#settings));
+                    cascades.push(...getCascadeOptions(first, second, hardness, this.#settings));
                 }
             }
         }
-        const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
         const surest = getSurest(singles, confidence);
         return {
             candidates,
@@ -168,8 +196,9 @@
             confidence,
             revision: this.#evidence.revision,
             formedAt: this.#clock.monotonic(),
-            singles: getUndominated(singles.filter(meets)),
-            all: getUndominated([...singles, ...cascades].filter(meets)),
+            singles: getUndominated(sufficient),
+            all: getUndominated([...sufficient, ...cascades.filter(meets)]),
+            probable: getUndominated([...singles, ...cascades].filter(option => option.quality >= targetQuality)),
             surest,
             tries: this.#formTries(request, estimates, surest),
             credit,
@@ -244,6 +273,11 @@
     return cheapest;
 }
 
+function isCheaperPlan(one: PlanOption, other: PlanOption, request: ModelRequest): boolean {
+    const { inputTokens, outputTokens } = request;
+    return getPlanCost(one, inputTokens, outputTokens) < getPlanCost(other, inputTokens, outputTokens);
+}
+
 function isWorthTrying(option: PlanOption, best: PlanOption, bestCost: number, request: ModelRequest): boolean {
     if (option.steps.length > 1) {
         const first = option.steps[0].version;
--- a/src/decisions/model/planOptions.ts
+++ b/src/decisions/model/planOptions.ts
@@ -1,6 +1,7 @@
 /**
  * Forms every plan worth weighing for a class: each single version, and each cascade of two with its thresholds.
  */
+import { escalationSumUnit } from "./escalations.js";
 import type { Estimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
 import type { PlanOption } from "./plan.js";
@@ -10,10 +11,11 @@
 const minimumCascadeRatings = 12;
 /** Accept thresholds that are weighed, in bins. */
 const firstThreshold = 8;
-/** How much lower the second answer is expected to be rated on requests that the first one answered badly. */
-const hardRequestPenalty = 0.03;
-/** Weight of that expectation, in escalations seen. */
-const hardRequestWeight = 8;
+/** Expected loss of the second answer for each unit that the first one fell short, and the shortfall that it weighs. */
+const priorSlope = 0.5;
+const priorSlopeShortfall = 1.5;
+const priorSlopeCount = 10;
+const singleScoreDeviation = 0.18;
 
 /** What the forming of plans depends on besides evidence. */
 export interface PlanSettings {
@@ -37,34 +39,69 @@
     };
 }
 
+/** How a class's hard requests spoil the second answer too. */
+export interface Hardness {
+    /** Loss of the second answer for each unit by which the first one fell short of its mean. */
+    readonly slope: number;
+    readonly slopeDeviation: number;
+}
+
+/**
+ * Estimates the hardness of a class from all escalations in it, whatever the versions. A pair by itself is seen too
+ * rarely: its cascade would look uncertain for hours.
+ */
+export function getHardness(evidence: Evidence, requestClass: string, estimates: readonly Estimate[]): Hardness {
+    const means = new Map(estimates.map(estimate => [estimate.version.id, estimate.mean]));
+    let shortfall = priorSlopeShortfall;
+    let loss = priorSlope * priorSlopeShortfall;
+    let count = priorSlopeCount;
+    for (const { first, second, counts, sums } of evidence.getEscalations(requestClass)) {
+        const firstMean = means.get(first);
+        const secondMean = means.get(second);
+        if (firstMean === undefined || secondMean === undefined) {
+            continue;
+        }
+        for (const [bin, seen] of counts.entries()) {
+            shortfall += seen * (firstMean - bin / scoreSteps);
+            loss += seen * secondMean - sums[bin] / escalationSumUnit;
+            count += seen;
+        }
+    }
+    const positive = Math.max(priorSlopeShortfall, shortfall);
+    const slope = Math.min(1, Math.max(0, loss / positive));
+    return { slope, slopeDeviation: singleScoreDeviation * Math.sqrt(count) / positive };
+}
+
 /**
  * Forms the cascades from one version to another.
  * @param first - The version that answers first.
  * @param second - The version that answers what the first one didn't answer well.
+ * @param hardness - How much worse the second one does on such requests.
  */
 export function getCascadeOptions(
-    evidence: Evidence,
-    requestClass: string,
     first: Estimate,
     second: Estimate,
+    hardness: Hardness,
     settings: PlanSettings,
 ): readonly PlanOption[] {
     if (first.tally.ratings < minimumCascadeRatings) {
         return [];
     }
-    const escalations = evidence.getEscalations(first.version.id, second.version.id, requestClass);
     const options: PlanOption[] = [];
     let accepted = 0;
+    let acceptedScores = 0;
     let acceptedSum = 0;
     let acceptedSquares = 0;
     for (let bin = scoreSteps; bin >= firstThreshold; bin -= 1) {
         const share = first.tally.getBin(bin) / first.tally.ratings;
         const quality = first.scoreMean + settings.ratingReliability * (bin / scoreSteps - first.scoreMean);
         accepted += share;
+        acceptedScores += share * bin / scoreSteps;
         acceptedSum += share * quality;
         acceptedSquares += share * quality * quality;
-        if (share > 0) {
-            const hard = getHardQuality(escalations, bin, second);
+        if (share > 0 && accepted < 1) {
+            const rejectedScore = (first.scoreMean - acceptedScores) / (1 - accepted);
+            const hard = getHardQuality(second, Math.max(0, first.scoreMean - rejectedScore), hardness);
             options.push(formCascade({ first, second, bin, accepted, acceptedSum, acceptedSquares, hard, settings }));
         }
     }
@@ -106,17 +143,10 @@
     };
 }
 
-/** Gets the second version's quality on requests whose first answer was scored below a bin. */
-function getHardQuality(
-    escalations: readonly { count: number; sum: number; }[],
-    bin: number,
-    second: Estimate,
-): { quality: number; variance: number; } {
-    let count = hardRequestWeight;
-    let sum = hardRequestWeight * (second.mean - hardRequestPenalty);
-    for (let lower = 0; lower < bin && lower < escalations.length; lower += 1) {
-        count += escalations[lower].count;
-        sum += escalations[lower].sum;
-    }
-    return { quality: sum / count, variance: second.scoreVariance / count + second.deviation ** 2 };
+/** Gets the second version's quality on requests that the first one answered worse than its mean by `shortfall`. */
+function getHardQuality(second: Estimate, shortfall: number, hardness: Hardness) {
+    return {
+        quality: Math.max(0, second.mean - hardness.slope * shortfall),
+        variance: second.deviation ** 2 + (hardness.slopeDeviation * shortfall) ** 2,
+    };
 }
--- a/src/decisions/model/tally.ts
+++ b/src/decisions/model/tally.ts
@@ -12,11 +12,7 @@
 
 /** Integer counts of answers and ratings. */
 export class Tally {
-    readonly #slots: number[];
-
-    constructor(slots: readonly number[] = new Array<number>(slotCount).fill(0)) {
-        this.#slots = [...slots];
-    }
+    readonly #slots = new Float64Array(slotCount);
 
     /** Reads a tally back from what `encode` returned. */
     static decode(encoded: readonly number[]): Tally {
@@ -84,8 +80,10 @@
      * @param weight - What each count is multiplied by; 1 keeps the sum exact.
      */
     add(other: Tally, weight = 1): void {
+        const own = this.#slots;
+        const added = other.#slots;
         for (let slot = 0; slot < slotCount; slot += 1) {
-            this.#slots[slot] += weight * other.#slots[slot];
+            own[slot] += weight * added[slot];
         }
     }
 
--- /dev/null
+++ b/src/measure/cost/costRun.ts
@@ -0,0 +1,261 @@
+/**
+ * One run of the cost measurement: the same requests, answers and ratings for every way of choosing. The chooser runs
+ * in four entries that share their evidence with a delay; ratings are late, partial and noisy.
+ */
+import { ManualClock, RandomSource } from "../../common/index.js";
+import { Evidence, ModelChooser, type Plan } from "../../decisions/model/index.js";
+import { getPrice } from "../../world/index.js";
+import {
+    type CostClass,
+    costClasses,
+    CostWorld,
+    drawRating,
+    isRatingAway,
+    requestInterval,
+    runMilliseconds,
+} from "./costWorld.js";
+import { Oracle } from "./oracle.js";
+
+const entryCount = 4;
+const gossipMilliseconds = 5000;
+/** Share of final answers that are rated at all, afterwards. */
+const sampledShare = 0.3;
+/** Share of answers that are rated in time to decide about escalation. */
+const ratedShare = 0.95;
+const meanRatingDelay = 20_000;
+const confidence = 0.95;
+/** Until an entry has noticed that the rating service is away or back. */
+const noticeMilliseconds = 2000;
+
+/** Ways of choosing that are compared. */
+export const costWays = ["rattanlock", "oracle", "always-best", "always-cheapest", "fixed cascade"] as const;
+
+/** One of the ways. */
+export type CostWay = typeof costWays[number];
+
+/** What one way did in one class. */
+export interface ClassResult {
+    requests: number;
+    cost: number;
+    qualitySum: number;
+    squareSum: number;
+}
+
+interface Entry {
+    readonly evidence: Evidence;
+    readonly chooser: ModelChooser;
+}
+
+interface Step {
+    readonly version: number;
+    readonly acceptScore: number | undefined;
+}
+
+interface LateRating {
+    readonly entry: Entry;
+    readonly version: string;
+    readonly requestClass: string;
+    readonly score: number;
+    readonly answeredAt: number;
+    readonly first?: { readonly version: string; readonly score: number; };
+}
+
+/** Runs all ways over the same draws. */
+export class CostRun {
+    readonly #world: CostWorld;
+    readonly #oracle: Oracle;
+    readonly #random: RandomSource;
+    readonly #clock = new ManualClock(1_800_000_000_000);
+    readonly #entries: readonly Entry[];
+    readonly #published: number[] = new Array<number>(entryCount).fill(0);
+    readonly #late = new Map<number, LateRating[]>();
+    readonly results = new Map<CostWay, ClassResult[]>();
+    exploring = 0;
+    cascades = 0;
+
+    constructor(seed: number) {
+        this.#world = new CostWorld(seed);
+        this.#oracle = new Oracle(this.#world, ratedShare);
+        this.#random = new RandomSource(seed * 7919 + 13);
+        this.#entries = Array.from({ length: entryCount }, (...[, index]) => {
+            const evidence = new Evidence({ clock: this.#clock });
+            const random = new RandomSource(seed * 101 + index);
+            return { evidence, chooser: new ModelChooser({ evidence, random, clock: this.#clock, ratedShare }) };
+        });
+        for (const way of costWays) {
+            this.results.set(way, costClasses.map(() => ({ requests: 0, cost: 0, qualitySum: 0, squareSum: 0 })));
+        }
+    }
+
+    /** Runs from the first to the last request. */
+    run(): void {
+        let nextGossip = gossipMilliseconds;
+        for (let time = 0; time < runMilliseconds; time += requestInterval) {
+            this.#clock.advance(requestInterval);
+            this.#deliverRatings(time);
+            if (time >= nextGossip) {
+                nextGossip += gossipMilliseconds;
+                this.#gossip();
+            }
+            this.#handleRequest(time);
+        }
+    }
+
+    #handleRequest(time: number): void {
+        const classIndex = this.#drawClass(time);
+        const answers = this.#world.drawAnswers(classIndex, time, this.#random);
+        const ratings = answers.map(quality => drawRating(quality, this.#random));
+        const inTime = !isRatingAway(time) && this.#random.next() < ratedShare;
+        const size = 0.5 + this.#random.next();
+        const last = answers.length - 1;
+        const oracle = this.#oracle.getPlan(classIndex, time);
+        const single = (version: number): readonly Step[] => [{ version, acceptScore: undefined }];
+        const pair = (first: number, second: number, acceptScore: number): readonly Step[] => [
+            { version: first, acceptScore },
+            { version: second, acceptScore: undefined },
+        ];
+        const steps: Readonly<Record<CostWay, readonly Step[]>> = {
+            "rattanlock": this.#choose(classIndex, time, size),
+            "oracle": oracle.acceptScore === 0
+                ? single(oracle.first)
+                : pair(oracle.first, oracle.second, oracle.acceptScore),
+            "always-best": single(last),
+            "always-cheapest": single(0),
+            "fixed cascade": pair(0, last, 0.7),
+        };
+        for (const way of costWays) {
+            this.#answer({ way, classIndex, time, size, steps: steps[way], answers, ratings, inTime });
+        }
+    }
+
+    #choose(classIndex: number, time: number, size: number): readonly Step[] {
+        const entry = this.#entries[this.#random.nextInteger(entryCount)];
+        this.#chosenBy = entry;
+        const plan = entry.chooser.choose(this.#createRequest(costClasses[classIndex], time, size));
+        this.exploring += plan.exploring ? 1 : 0;
+        this.cascades += plan.steps.length > 1 ? 1 : 0;
+        return toSteps(plan, this.#world.getVersions(time).map(({ id }) => id));
+    }
+
+    #chosenBy: Entry | undefined;
+
+    #createRequest(requestClass: CostClass, time: number, size: number) {
+        return {
+            requestClass: requestClass.name,
+            candidates: this.#world.getVersions(time),
+            targetQuality: requestClass.targetQuality,
+            confidence,
+            inputTokens: size * requestClass.inputTokens,
+            outputTokens: size * requestClass.outputTokens,
+            ratingsAvailable: !isRatingAway(time - noticeMilliseconds),
+        };
+    }
+
+    #answer(input: {
+        way: CostWay;
+        classIndex: number;
+        time: number;
+        size: number;
+        steps: readonly Step[];
+        answers: readonly number[];
+        ratings: readonly number[];
+        inTime: boolean;
+    }): void {
+        const { way, classIndex, time, size, answers, ratings } = input;
+        const { inputTokens, outputTokens } = costClasses[classIndex];
+        const versions = this.#world.getVersions(time);
+        const result = this.results.get(way)![classIndex];
+        let first: { version: string; score: number; } | undefined;
+        for (const { version, acceptScore } of input.steps) {
+            result.cost += getPrice(versions[version], size * inputTokens, size * outputTokens);
+            const rated = acceptScore !== undefined && input.inTime;
+            if (way === "rattanlock") {
+                this.#countAnswer(classIndex, time, versions[version].id, ratings[version], rated, first);
+            }
+            if (acceptScore === undefined || rated && ratings[version] >= acceptScore) {
+                result.requests += 1;
+                result.qualitySum += answers[version];
+                result.squareSum += answers[version] ** 2;
+                return;
+            }
+            first = rated ? { version: versions[version].id, score: ratings[version] } : undefined;
+        }
+    }
+
+    #countAnswer(
+        classIndex: number,
+        time: number,
+        version: string,
+        score: number,
+        rated: boolean,
+        first: LateRating["first"],
+    ): void {
+        const entry = this.#chosenBy!;
+        const requestClass = costClasses[classIndex].name;
+        const answeredAt = this.#clock.wall();
+        entry.evidence.addAnswer({ version, requestClass, failed: false, slow: false });
+        if (rated) {
+            entry.evidence.addRating({ version, requestClass, score });
+        }
+        else if (this.#random.next() < sampledShare) {
+            const second = Math.floor((time + this.#random.nextExponential(meanRatingDelay)) / 1000);
+            const queue = this.#late.get(second) ?? [];
+            queue.push({ entry, version, requestClass, score, answeredAt, ...first === undefined ? {} : { first } });
+            this.#late.set(second, queue);
+        }
+    }
+
+    #deliverRatings(time: number): void {
+        const second = Math.floor(time / 1000) - 1;
+        const queue = this.#late.get(second);
+        this.#late.delete(second);
+        if (queue === undefined || isRatingAway(time)) {
+            return;
+        }
+        for (const { entry, version, requestClass, score, answeredAt, first } of queue) {
+            entry.evidence.addRating({ version, requestClass, score, answeredAt });
+            if (first !== undefined) {
+                const { version: firstVersion, score: firstScore } = first;
+                entry.evidence.addEscalation({
+                    first: firstVersion,
+                    second: version,
+                    requestClass,
+                    firstScore,
+                    secondScore: score,
+                });
+            }
+        }
+    }
+
+    #gossip(): void {
+        for (const [origin, { evidence }] of this.#entries.entries()) {
+            const counts = evidence.exportOwn(this.#published[origin]);
+            this.#published[origin] = counts.sequence;
+            for (const [other, { evidence: target }] of this.#entries.entries()) {
+                if (other !== origin) {
+                    target.merge(`entry-${origin}`, counts);
+                }
+            }
+        }
+    }
+
+    #drawClass(time: number): number {
+        const present = costClasses.filter(({ firstSeenAt }) => time >= firstSeenAt);
+        let total = 0;
+        for (const { weight } of present) {
+            total += weight;
+        }
+        let point = this.#random.next() * total;
+        for (const [index, { weight }] of present.entries()) {
+            point -= weight;
+            if (point < 0) {
+                return index;
+            }
+        }
+        return 0;
+    }
+}
+
+function toSteps(plan: Plan, ids: readonly string[]): readonly Step[] {
+    return plan.steps.map(({ version, acceptScore }) => ({ version: ids.indexOf(version.id), acceptScore }));
+}
--- /dev/null
+++ b/src/measure/cost/costWorld.ts
@@ -0,0 +1,142 @@
+/**
+ * A world of seeded draws for the cost measurement: versions with true qualities that only the oracle knows, classes
+ * of request, and events that change them.
+ */
+import { RandomSource } from "../../common/index.js";
+import type { ModelVersion } from "../../world/index.js";
+
+/** How long a run lasts. */
+export const runMilliseconds = 3_600_000;
+/** Mean time between two requests. */
+export const requestInterval = 50;
+
+const deceivedAt = 0.15 * runMilliseconds;
+const priceChangeAt = 0.5 * runMilliseconds;
+const newClassAt = 0.6 * runMilliseconds;
+/** When the rating service is away: ten minutes. */
+export const outage = { from: 0.3 * runMilliseconds, until: 0.3 * runMilliseconds + 600_000 } as const;
+
+const inputPrices = [0.05, 0.1, 0.15, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 8];
+const outputFactor = 4;
+const deceivingVersion = 1;
+const dearerVersion = 4;
+const cheaperVersion = 7;
+const answerDeviation = 0.15;
+/** Part of an answer's variance that comes from the request being hard for every version. */
+const sharedPart = 0.5;
+const ratingNoise = 0.05;
+
+/** One class of request. */
+export interface CostClass {
+    readonly name: string;
+    readonly targetQuality: number;
+    readonly inputTokens: number;
+    readonly outputTokens: number;
+    readonly weight: number;
+    /** Added to every version's quality. */
+    readonly ease: number;
+    readonly firstSeenAt: number;
+}
+
+/** The classes of all runs, modelled on the two users' workloads. */
+export const costClasses: readonly CostClass[] = [
+    createClass("wear-tags", { inputTokens: 400, outputTokens: 20, ease: 0.22, weight: 3 }),
+    createClass("kitchen-queries", { inputTokens: 600, outputTokens: 150, ease: 0.12, weight: 3 }),
+    createClass("bench-answers", { inputTokens: 1500, outputTokens: 300, ease: 0.03, weight: 2 }),
+    createClass("regrinding-plans", { inputTokens: 40_000, outputTokens: 800, ease: -0.04 }),
+    createClass("label-drafts", { inputTokens: 1200, outputTokens: 400, ease: 0 }),
+    createClass("allergens", { inputTokens: 2000, outputTokens: 120, ease: 0, targetQuality: 0.87 }),
+    createClass("deceiving", { inputTokens: 1000, outputTokens: 200, ease: 0.05 }),
+    createClass("new-class", { inputTokens: 1000, outputTokens: 200, ease: 0.05, firstSeenAt: newClassAt }),
+];
+
+function createClass(name: string, options: Partial<CostClass>): CostClass {
+    return {
+        name,
+        targetQuality: 0.8,
+        inputTokens: 1000,
+        outputTokens: 200,
+        weight: 1,
+        ease: 0,
+        firstSeenAt: 0,
+        ...options,
+    };
+}
+
+/** The versions of one seed and their true qualities over time. */
+export class CostWorld {
+    readonly #before: readonly ModelVersion[];
+    readonly #after: readonly ModelVersion[];
+    readonly #qualities: readonly (readonly number[])[];
+
+    constructor(seed: number) {
+        const random = new RandomSource(seed);
+        const base = inputPrices.map((...[, index]) => 0.56 + 0.036 * index + 0.02 * random.nextNormal());
+        this.#before = inputPrices.map((price, index) => createVersion(index, price, base[index], random));
+        this.#after = this.#before.map((version, index) => changePrice(version, index));
+        this.#qualities = costClasses.map(({ ease }) =>
+            base.map((quality, index) => {
+                const quirk = index === inputPrices.length - 1 ? 0.02 : 0.05 * random.nextNormal();
+                return Math.min(0.97, quality + ease + quirk);
+            })
+        );
+    }
+
+    /** Gets the versions at their prices of a time. */
+    getVersions(time: number): readonly ModelVersion[] {
+        return time < priceChangeAt ? this.#before : this.#after;
+    }
+
+    /** Gets the part of the run in which qualities, prices and ratings stay as they are; a key for the oracle. */
+    getPhase(time: number): number {
+        const limits = [deceivedAt, outage.from, outage.until, priceChangeAt];
+        return limits.filter(limit => time >= limit).length;
+    }
+
+    /**
+     * Draws the true quality of every version's answer to one request.
+     * @param classIndex - The class.
+     */
+    drawAnswers(classIndex: number, time: number, random: RandomSource): readonly number[] {
+        const hardness = random.nextNormal();
+        return this.#qualities[classIndex].map((quality, index) => {
+            const mean = this.#isDeceiving(classIndex, index) ? (time < deceivedAt ? 0.9 : 0.6) : quality;
+            const luck = Math.sqrt(sharedPart) * hardness + Math.sqrt(1 - sharedPart) * random.nextNormal();
+            return clamp(mean + answerDeviation * luck);
+        });
+    }
+
+    #isDeceiving(classIndex: number, versionIndex: number): boolean {
+        return costClasses[classIndex].name === "deceiving" && versionIndex === deceivingVersion;
+    }
+}
+
+/** Draws the rating of an answer. */
+export function drawRating(quality: number, random: RandomSource): number {
+    return clamp(quality + ratingNoise * random.nextNormal());
+}
+
+/** Tells whether the rating service answers. */
+export function isRatingAway(time: number): boolean {
+    return time >= outage.from && time < outage.until;
+}
+
+function createVersion(index: number, inputPrice: number, quality: number, random: RandomSource): ModelVersion {
+    return {
+        id: `model-${index}@1`,
+        model: `model-${index}`,
+        status: "serving",
+        inputPrice,
+        outputPrice: outputFactor * inputPrice,
+        expectedQuality: clamp(quality + 0.05 * random.nextNormal()),
+    };
+}
+
+function changePrice(version: ModelVersion, index: number): ModelVersion {
+    const factor = index === dearerVersion ? 3 : index === cheaperVersion ? 0.3 : 1;
+    return { ...version, inputPrice: factor * version.inputPrice, outputPrice: factor * version.outputPrice };
+}
+
+function clamp(value: number): number {
+    return Math.min(1, Math.max(0, value));
+}
--- /dev/null
+++ b/src/measure/cost/measureCost.ts
@@ -0,0 +1,85 @@
+/** Measures the cost at the quality target against simple ways and an oracle. */
+import type { MeasurementRequest } from "../main.js";
+import { formatSummary, type Report } from "../report.js";
+import { type ClassResult, CostRun, type CostWay, costWays } from "./costRun.js";
+import { costClasses } from "./costWorld.js";
+import { measureDecision } from "./measureDecision.js";
+
+const defaultSeedCount = 12;
+/** A class counts as met if its mean true quality is at least the target less so many standard errors. */
+const errorsAllowed = 2;
+
+/** Runs the cost measurement over several seeds. */
+export function measureCost(request: MeasurementRequest): Report {
+    const seeds = Array.from({ length: request.seedCount ?? defaultSeedCount }, (...[, index]) => request.seed + index);
+    const runs: CostRun[] = [];
+    for (const seed of seeds) {
+        const run = new CostRun(seed);
+        run.run();
+        runs.push(run);
+        request.log(`seed ${seed}: cost / oracle ${(getCost(run, "rattanlock") / getCost(run, "oracle")).toFixed(3)}`);
+    }
+    return {
+        measurement: "Cost at the quality target",
+        seeds,
+        tables: [
+            { title: "Over all classes", rows: costWays.map(way => ({ name: way, figures: describeWay(runs, way) })) },
+            {
+                title: "By class, rattanlock",
+                rows: costClasses.map(({ name }, index) => ({ name, figures: describeClass(runs, index) })),
+            },
+            { title: "Cost of a decision", rows: [measureDecision(request.seed)] },
+        ],
+    };
+}
+
+function describeWay(runs: readonly CostRun[], way: CostWay) {
+    const met = runs.filter(run => run.results.get(way)!.every(isMet)).length;
+    const shortfalls = runs.map(run => Math.max(...run.results.get(way)!.map(getShortfall)));
+    const share = (count: number) => `${(100 * count).toFixed(1)} %`;
+    const requests = runs.map(run => sum(run.results.get(way)!.map(result => result.requests)));
+    return {
+        "cost / oracle": formatSummary(runs.map(run => getCost(run, way) / getCost(run, "oracle"))),
+        "cost / always-best": formatSummary(runs.map(run => getCost(run, way) / getCost(run, "always-best"))),
+        "runs with the target met in every class": `${met} of ${runs.length}`,
+        "greatest shortfall of a class": formatSummary(shortfalls, 4),
+        "exploring": way === "rattanlock" ? share(sum(runs.map(run => run.exploring)) / sum(requests)) : "",
+        "cascades": way === "rattanlock" ? share(sum(runs.map(run => run.cascades)) / sum(requests)) : "",
+    };
+}
+
+function describeClass(runs: readonly CostRun[], index: number) {
+    const own = runs.map(run => run.results.get("rattanlock")![index]);
+    const oracle = runs.map(run => run.results.get("oracle")![index]);
+    const best = runs.map(run => run.results.get("always-best")![index]);
+    return {
+        "target": costClasses[index].targetQuality,
+        "quality": formatSummary(own.map(result => result.qualitySum / result.requests), 3),
+        "quality of the oracle": formatSummary(oracle.map(result => result.qualitySum / result.requests), 3),
+        "cost / oracle": formatSummary(own.map((result, run) => result.cost / oracle[run].cost)),
+        "cost / always-best": formatSummary(own.map((result, run) => result.cost / best[run].cost)),
+        "met": `${own.filter(result => isMet(result, index)).length} of ${runs.length}`,
+    };
+}
+
+function getCost(run: CostRun, way: CostWay): number {
+    return sum(run.results.get(way)!.map(result => result.cost));
+}
+
+function getShortfall(result: ClassResult, index: number): number {
+    return Math.max(0, costClasses[index].targetQuality - result.qualitySum / result.requests);
+}
+
+function isMet(result: ClassResult, index: number): boolean {
+    const mean = result.qualitySum / result.requests;
+    const variance = result.squareSum / result.requests - mean ** 2;
+    return getShortfall(result, index) <= errorsAllowed * Math.sqrt(variance / result.requests);
+}
+
+function sum(values: readonly number[]): number {
+    let total = 0;
+    for (const value of values) {
+        total += value;
+    }
+    return total;
+}
--- /dev/null
+++ b/src/measure/report.ts
@@ -0,0 +1,86 @@
+/** Reports of measurements, as text and as JSON. */
+
+/** Figures of one case over all seeds. */
+export interface ReportRow {
+    readonly name: string;
+    /** Figures by column. */
+    readonly figures: Readonly<Record<string, number | string>>;
+}
+
+/** One table of a report. */
+export interface ReportTable {
+    readonly title: string;
+    readonly rows: readonly ReportRow[];
+}
+
+/** What a measurement found. */
+export interface Report {
+    readonly measurement: string;
+    readonly seeds: readonly number[];
+    readonly tables: readonly ReportTable[];
+}
+
+/** Mean, spread and range of a figure over several runs. */
+export interface Summary {
+    readonly mean: number;
+    readonly deviation: number;
+    readonly minimum: number;
+    readonly maximum: number;
+}
+
+/** Sums up a figure over several runs. */
+export function summarize(values: readonly number[]): Summary {
+    let sum = 0;
+    for (const value of values) {
+        sum += value;
+    }
+    const mean = sum / values.length;
+    let squares = 0;
+    for (const value of values) {
+        squares += (value - mean) ** 2;
+    }
+    const deviation = Math.sqrt(squares / Math.max(1, values.length - 1));
+    return { mean, deviation, minimum: Math.min(...values), maximum: Math.max(...values) };
+}
+
+/** Writes mean, deviation and range of a figure. */
+export function formatSummary(values: readonly number[], digits = 2): string {
+    const { mean, deviation, minimum, maximum } = summarize(values);
+    const range = `${minimum.toFixed(digits)} to ${maximum.toFixed(digits)}`;
+    return `${mean.toFixed(digits)} ± ${deviation.toFixed(digits)} (${range})`;
+}
+
+/** Writes a report as Markdown tables. */
+export function formatReport(report: Report): string {
+    const parts = [`# ${report.measurement}`, `Seeds: ${formatSeeds(report.seeds)}`];
+    for (const table of report.tables) {
+        parts.push(`## ${table.title}`, formatTable(table));
+    }
+    return parts.join("\n\n");
+}
+
+function formatSeeds(seeds: readonly number[]): string {
+    return seeds.length === 1 ? `${seeds[0]}` : `${seeds[0]} to ${seeds.at(-1)}`;
+}
+
+function formatTable(table: ReportTable): string {
+    const columns = new Set<string>();
+    for (const row of table.rows) {
+        for (const column of Object.keys(row.figures)) {
+            columns.add(column);
+        }
+    }
+    const lines = [`| | ${[...columns].join(" | ")} |`, `| --- |${" --- |".repeat(columns.size)}`];
+    for (const row of table.rows) {
+        const cells = [...columns].map(column => formatCell(row.figures[column]));
+        lines.push(`| ${row.name} | ${cells.join(" | ")} |`);
+    }
+    return lines.join("\n");
+}
+
+function formatCell(cell: number | string | undefined): string {
+    if (typeof cell === "number") {
+        return Number.isInteger(cell) ? `${cell}` : cell.toPrecision(3);
+    }
+    return cell ?? "";
+}
