--- a/src/decisions/limits/admissionController.ts
+++ b/src/decisions/limits/admissionController.ts
@@ -122,11 +122,16 @@
     #mayEnter(request: AdmissionRequest): boolean {
         const limit = this.#limit.get();
         const threshold = this.#getThreshold(request.priority);
+        if (threshold < 1) {
+            // Low priorities leave the last places to the others; one of each workspace may use them nonetheless.
+            const isFirst = !this.#workspaces.isAtWork(request.workspace);
+            return this.#inFlight < limit * (isFirst ? 1 : threshold);
+        }
         if (this.#isBelowShare(request)) {
             // A workspace that uses less than its part need not wait for the large ones to finish.
-            return this.#inFlight < limit * (threshold < 1 ? 1 : 1 + this.#options.burstShare);
+            return this.#inFlight < limit * (1 + this.#options.burstShare);
         }
-        return this.#queue.getSize() === 0 && this.#inFlight < limit * threshold;
+        return this.#queue.getSize() === 0 && this.#inFlight < limit;
     }
 
     /** Places tell it of the moment; what the workspace has paid tells it of the last while. */
--- a/src/decisions/limits/options.ts
+++ b/src/decisions/limits/options.ts
@@ -42,7 +42,7 @@
 export const defaultLimitOptions: LimitOptions = {
     queueMilliseconds: 40,
     burstShare: 0.2,
-    priorityThresholds: [1, 1, 0.9, 0.8],
+    priorityThresholds: [1, 1, 0.95, 0.9],
     leastLimitShare: 0.4,
     greatestLimitShare: 1.1,
     windowMilliseconds: 1_000,
--- a/src/decisions/limits/workspaces.ts
+++ b/src/decisions/limits/workspaces.ts
@@ -28,6 +28,11 @@
         return holding.places < Math.round(fair);
     }
 
+    /** Tells whether a workspace holds a place. */
+    isAtWork(workspace: string): boolean {
+        return this.#holdings.has(workspace);
+    }
+
     /** Notes a place taken. */
     add(workspace: string, share: number): void {
         const holding = this.#holdings.get(workspace) ?? { places: 0, share: 0 };
--- a/src/decisions/placement/candidateSet.ts
+++ b/src/decisions/placement/candidateSet.ts
@@ -56,11 +56,7 @@
     /** Compares a few runners drawn at random, or all of a short list. */
     addSome(runners: readonly Runner[], reason: PlacementReason): void {
         if (runners.length <= this.#options.choices) {
-            for (const runner of runners) {
-                if (this.#isFit(runner)) {
-                    this.#compare(runner, reason);
-                }
-            }
+            this.#addAll(runners, reason);
             return;
         }
         let found = 0;
@@ -76,6 +72,17 @@
         }
     }
 
+    /** Begins anywhere: of equals the first wins, and it must not be the same one each time. */
+    #addAll(runners: readonly Runner[], reason: PlacementReason): void {
+        const start = runners.length === 0 ? 0 : this.#random.nextInteger(runners.length);
+        for (let step = 0; step < runners.length; step += 1) {
+            const runner = runners[(start + step) % runners.length];
+            if (this.#isFit(runner) && this.#isDrawn(runner)) {
+                this.#compare(runner, reason);
+            }
+        }
+    }
+
     /** Compares a few runners whether ejected or not. */
     addAny(runners: readonly Runner[]): void {
         const start = runners.length === 0 ? 0 : this.#random.nextInteger(runners.length);
--- a/src/decisions/placement/runnerIndex.ts
+++ b/src/decisions/placement/runnerIndex.ts
@@ -3,7 +3,7 @@
  *
  * 350 entries that all talked to all 2,100 runners would hold 735,000 connections and spread each entry's knowledge
  * too thin to be of use. Each entry therefore keeps to the first few by rendezvous rank, with the runners of its own
- * failure domain no more than half, so that losing the domain leaves the entry its other half.
+ * failure domain no more than half while others suffice, so that losing the domain leaves the entry its other half.
  */
 import type { PlacementOptions } from "./options.js";
 import type { Runner } from "./runner.js";
@@ -110,9 +110,11 @@
         if (near.length <= size) {
             return near;
         }
-        const own = near.filter(runner => runner.vm.failureDomain === this.#ownDomain).slice(0, size / 2);
+        const own = near.filter(runner => runner.vm.failureDomain === this.#ownDomain);
         const others = near.filter(runner => runner.vm.failureDomain !== this.#ownDomain);
-        return [...own, ...others.slice(0, size - own.length)];
+        const ownCount = Math.max(Math.floor(size / 2), size - others.length);
+        const picked = own.slice(0, ownCount);
+        return [...picked, ...others.slice(0, size - picked.length)];
     }
 }
 
--- /dev/null
+++ b/test/decisions/placement/runnerChooser.test.ts
@@ -0,0 +1,273 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { RunnerChooser } from "../../../src/decisions/placement/index.js";
+import {
+    countChoices,
+    createChooser,
+    createPlacement,
+    createReport,
+    createRequest,
+    createVm,
+    createVms,
+    failTimes,
+    version,
+} from "./fixtures.js";
+
+function getSubsetIds(chooser: RunnerChooser): readonly string[] {
+    return chooser.getSubset().map(vm => vm.id);
+}
+
+describe("RunnerChooser", () => {
+    describe("choose", () => {
+        it("chooses only runners that have the version and belong to the pool", () => {
+            const vms = [...createVms(4), createVm("other", { pool: "label-app" }), createVm("unknown")];
+            const { chooser } = createChooser(vms);
+            chooser.setVersions("runner-0", ["wear-small@1"]);
+            chooser.setVersions("unknown", []);
+            const counts = countChoices(chooser, createRequest({ pool: "lm-pool" }));
+            expect([...counts.keys()].sort()).toEqual(["runner-1", "runner-2", "runner-3"]);
+        });
+
+        it("passes over runners that were tried", () => {
+            const { chooser } = createChooser(createVms(3));
+            const counts = countChoices(chooser, createRequest({ exclude: new Set(["runner-0", "runner-2"]) }));
+            expect([...counts.keys()]).toEqual(["runner-1"]);
+        });
+
+        it("says unavailable, with when to come back, when nobody has the version", () => {
+            const { chooser } = createChooser(createVms(3));
+            const failure = chooser.choose(createRequest({ version: "plan-large@4" }))._unsafeUnwrapErr();
+            expect(failure.kind).toEqual("unavailable");
+            expect(failure.retryAfterMilliseconds! >= 750).toEqual(true);
+        });
+
+        // All runners have long lines. A caller with two seconds left would wait in vain, so it is told at once; one
+        // with a minute is served.
+        it("refuses what no runner can answer before its deadline", () => {
+            const { chooser } = createChooser(createVms(3));
+            for (const index of [0, 1, 2]) {
+                chooser.addLoadReport(createReport(`runner-${index}`, { running: 8, waiting: 40 }));
+            }
+            const refused = chooser.choose(createRequest({ deadlineMilliseconds: 2_000 }))._unsafeUnwrapErr();
+            expect(refused.kind).toEqual("overloaded");
+            expect(refused.retryAfterMilliseconds! > 2_000).toEqual(true);
+            expect(chooser.choose(createRequest()).isOk()).toEqual(true);
+        });
+
+        it("prefers the runner with less load", () => {
+            const { chooser } = createChooser(createVms(2));
+            chooser.addLoadReport(createReport("runner-0", { running: 8, waiting: 6 }));
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+
+        it("prefers the runner that holds the prefix, until its line is long", () => {
+            const blocks = [...Array(40).keys()].map(String);
+            const { chooser } = createChooser(createVms(30, { failureDomain: "pasig-a" }));
+            chooser.addCacheEvents("runner-7", blocks.map(block => ({ kind: "stored", block })), false);
+            const cached = chooser.choose(createRequest({ blocks }))._unsafeUnwrap();
+            expect([cached.upstream.id, cached.cachedBlocks, cached.reason]).toEqual([
+                "runner-7",
+                40,
+                "cached-prefix",
+            ]);
+            chooser.addLoadReport(createReport("runner-7", { running: 8, waiting: 30 }));
+            expect(chooser.choose(createRequest({ blocks }))._unsafeUnwrap().upstream.id === "runner-7").toEqual(false);
+        });
+
+        it("treats the runner of the session as a preference only", () => {
+            const { chooser } = createChooser(createVms(30));
+            const request = createRequest({ preferred: "runner-3" });
+            expect(countChoices(chooser, request).get("runner-3")! > countChoices(chooser).get("runner-3")!)
+                .toEqual(true);
+            chooser.markLeaving("runner-3");
+            expect(countChoices(chooser, request).has("runner-3")).toEqual(false);
+        });
+
+        it("goes to another region only when the own one is full", () => {
+            const far = createVm("far", { region: "catania", failureDomain: "hall-mole" });
+            const { chooser } = createChooser([...createVms(2), far]);
+            expect(countChoices(chooser).has("far")).toEqual(false);
+            for (const id of ["runner-0", "runner-1"]) {
+                chooser.addLoadReport(createReport(id, { running: 8, waiting: 30 }));
+            }
+            expect(chooser.choose(createRequest())._unsafeUnwrap().reason).toEqual("spill-over");
+        });
+    });
+
+    describe("getSubset", () => {
+        it("keeps to a part of many runners, half of them at most in the own failure domain", () => {
+            const vms = createVms(200).map((vm, index) => ({
+                ...vm,
+                failureDomain: index % 2 === 0 ? "pasig-a" : "makati",
+            }));
+            const { chooser } = createChooser(vms, { nearSubsetSize: 10 });
+            const subset = getSubsetIds(chooser);
+            const own = vms.filter(vm => vm.failureDomain === "pasig-a" && subset.includes(vm.id));
+            expect([subset.length, own.length]).toEqual([10, 5]);
+        });
+
+        it("changes by one runner when one leaves", () => {
+            const { chooser } = createChooser(createVms(200), { nearSubsetSize: 10 });
+            const before = getSubsetIds(chooser);
+            chooser.markLeaving(before[0]);
+            const after = getSubsetIds(chooser);
+            expect([after.length, after.filter(id => before.includes(id)).length]).toEqual([10, 9]);
+        });
+    });
+
+    describe("setUpstreams", () => {
+        // The platform is about to take a VM away. Work sent to it now would be cut off in the middle of an answer.
+        it("gives a leaving runner nothing new, also when an older list still calls it live", () => {
+            const vms = createVms(3);
+            const { chooser } = createChooser(vms);
+            chooser.addLoadReport(createReport("runner-1", { leaving: true }));
+            chooser.setUpstreams(vms);
+            expect(countChoices(chooser).has("runner-1")).toEqual(false);
+            chooser.setUpstreams([{ ...vms[0], state: "leaving" }, vms[1], vms[2]]);
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-2"]);
+        });
+
+        it("keeps what was learned of those that stay", () => {
+            const vms = createVms(4);
+            const { chooser } = createChooser(vms);
+            chooser.addLoadReport(createReport("runner-0", { running: 8, waiting: 30 }));
+            chooser.setUpstreams(vms.slice(0, 2));
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+    });
+
+    describe("addLoadReport", () => {
+        // Reports overtake each other on the way. Taking the older one for the newer would send a burst to a runner
+        // that was idle a second ago and is full now.
+        it("ignores a report that was measured before the last one", () => {
+            const { chooser } = createChooser(createVms(2));
+            chooser.addLoadReport(createReport("runner-0", { measuredAt: 900, running: 8, waiting: 20 }));
+            chooser.addLoadReport(createReport("runner-0", { measuredAt: 500 }));
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+
+        it("does not count this entry's own work twice", () => {
+            const vms = createVms(2);
+            const { chooser, clock } = createChooser(vms);
+            for (let index = 0; index < 4; index += 1) {
+                chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+            }
+            clock.advance(10);
+            chooser.addLoadReport(createReport("runner-0", { measuredAt: clock.wall(), running: 4 }));
+            chooser.addLoadReport(createReport("runner-1", { measuredAt: clock.wall(), running: 6 }));
+            // Counted twice, runner-0 would have 8 beside 6.
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-0"]);
+        });
+    });
+
+    describe("begin", () => {
+        it("counts work that the runner has not reported yet", () => {
+            const vms = createVms(2);
+            const { chooser } = createChooser(vms);
+            for (let index = 0; index < 12; index += 1) {
+                chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+            }
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+
+        it("counts the end of work once", () => {
+            const vms = createVms(2);
+            const { chooser } = createChooser(vms);
+            const work = [1, 2, 3].map(() => chooser.begin(createPlacement(vms[0]), { tokens: 100 }));
+            for (let index = 0; index < 3; index += 1) {
+                work[0].finish({ outcome: "cancelled", milliseconds: 5 });
+            }
+            chooser.begin(createPlacement(vms[1]), { tokens: 100 });
+            // Runner 0 has two left, not none.
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+
+        // A runner that hangs breaks no connection and reports no load. Callers would see their first token never come.
+        it("turns away from a runner that stays silent", () => {
+            const vms = createVms(2);
+            const { chooser, clock } = createChooser(vms);
+            chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+            clock.advance(4_000);
+            expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
+        });
+
+        // A runner reports that it has nothing to do and takes seconds. Whoever believes the report sends it everything.
+        it("turns away from a runner that answers slower than its reports promise", () => {
+            const vms = createVms(3);
+            const { chooser, clock } = createChooser(vms);
+            for (let index = 0; index < 6; index += 1) {
+                for (const vm of vms) {
+                    const work = chooser.begin(createPlacement(vm), { tokens: 100 });
+                    work.firstToken(vm.id === "runner-0" ? 400 : 60);
+                    work.finish({ outcome: "ok", milliseconds: 500, loadHeader: "0/0/8" });
+                }
+                clock.advance(100);
+            }
+            expect(countChoices(chooser).has("runner-0")).toEqual(false);
+        });
+    });
+
+    describe("eject", () => {
+        // Connections to a runner break again and again. Until it is ejected, each request tried there loses time.
+        it("ejects after failures in a row and lets the runner back little by little", () => {
+            const vms = createVms(4);
+            const { chooser, clock, lines } = createChooser(vms);
+            failTimes(chooser, vms[0], 3);
+            expect(lines.map(line => line.name)).toEqual(["upstream-ejected"]);
+            expect(countChoices(chooser).has("runner-0")).toEqual(false);
+            clock.advance(6_300);
+            const returning = countChoices(chooser, createRequest(), 2_000).get("runner-0") ?? 0;
+            clock.advance(20_000);
+            const returned = countChoices(chooser, createRequest(), 2_000).get("runner-0") ?? 0;
+            expect(returning > 0 && returning < 0.7 * returned).toEqual(true);
+        });
+
+        it("does not eject for cancelled or refused work, or for failures that are not in a row", () => {
+            const vms = createVms(4);
+            const { chooser } = createChooser(vms);
+            for (const outcome of ["failed", "failed", "ok", "failed", "refused", "cancelled", "failed"] as const) {
+                chooser.begin(createPlacement(vms[0]), { tokens: 100 }).finish({ outcome, milliseconds: 60 });
+            }
+            expect(countChoices(chooser).has("runner-0")).toEqual(true);
+        });
+
+        // A fault on our own side makes all runners look dead. Ejecting them all would turn it into an outage.
+        it("ejects no more than half of a pool", () => {
+            const vms = createVms(4);
+            const { chooser } = createChooser(vms);
+            for (const vm of vms) {
+                failTimes(chooser, vm, 3);
+            }
+            expect([...countChoices(chooser).keys()].sort()).toEqual(["runner-2", "runner-3"]);
+        });
+
+        it("tries an ejected runner rather than refuse when nobody else is left", () => {
+            const vms = createVms(2);
+            const { chooser } = createChooser(vms);
+            expect(chooser.eject("runner-0", "test")).toEqual(true);
+            const placement = chooser.choose(createRequest({ exclude: new Set(["runner-1"]) }))._unsafeUnwrap();
+            expect([placement.upstream.id, placement.reason]).toEqual(["runner-0", "panic"]);
+        });
+    });
+
+    describe("addCacheEvents", () => {
+        const blocks = [...Array(40).keys()].map(String);
+        const stored = blocks.map(block => ({ kind: "stored" as const, block }));
+
+        function getCached(prepare: (chooser: ReturnType<typeof createChooser>["chooser"]) => void): number {
+            const { chooser } = createChooser([createVm("runner-0")]);
+            chooser.addCacheEvents("runner-0", stored, false);
+            prepare(chooser);
+            return chooser.choose(createRequest({ version, blocks }))._unsafeUnwrap().cachedBlocks;
+        }
+
+        it("forgets removed and cleared blocks, and doubts the rest after a gap", () => {
+            expect(getCached(chooser => chooser.addCacheEvents("runner-0", [{ kind: "removed", block: "39" }], false)))
+                .toEqual(39);
+            expect(getCached(chooser => chooser.addCacheEvents("runner-0", [{ kind: "cleared", block: "" }], false)))
+                .toEqual(0);
+            const afterGap = getCached(chooser => chooser.addCacheEvents("runner-0", [], true));
+            expect(afterGap > 30 && afterGap < 40).toEqual(true);
+        });
+    });
+});
