Test gossip, membership, peer calls and leases; let the gossip period grow with the site

Cause: membership and leases were unproved; an origin that left was only forgotten by the timer; the digest hashed every identifier anew in each exchange. Ruled out: heartbeats as gossiped values (12 KB of items an exchange at 350 nodes); the digest carries them for nothing. Change: tests over a network in memory with one-way cuts, over real gRPC servers on loopback with and without mutual TLS, and of leases under pauses and cuts; period at least 6 ms a peer; hashes kept.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -15,6 +15,8 @@
 
 /** Versions and heartbeats start from the seconds since then, so that a restarted node goes on above its last run. */
 const versionEpochMilliseconds = Date.UTC(2025, 0, 1);
+/** The period grows with the site, for every node's digest does: 350 nodes exchange every 2.1 seconds. */
+const periodMillisecondsByPeer = 6;
 const pushFanOut = 4;
 const pushHops = 5;
 /** One exchange in so many goes to a peer that seems dead, so that two halves find each other again after a cut. */
@@ -170,6 +172,7 @@
 
     /** Exchanges with one random peer now. */
     async exchangeOnce(): Promise<void> {
+        this.#forgetGone();
         this.#heartbeat += 1;
         this.#state.setHeartbeat(this.#options.self.id, this.#heartbeat, this.#options.clock.monotonic());
         const peer = this.#pickPeer();
@@ -232,9 +235,8 @@
         const jitter = 0.9 + this.#options.random.next() * 0.2;
         this.#timer = setTimeout(() => {
             this.#schedule();
-            this.#forgetGone();
             void this.exchangeOnce();
-        }, this.#options.periodMilliseconds * jitter);
+        }, this.getPeriodMilliseconds() * jitter);
     }
 
     #handleReply(peer: PeerAddress, reply: ExchangeReply, sent: ReadonlyMap<string, number>): void {
@@ -348,7 +350,12 @@
      */
     getSuspectMilliseconds(): number {
         const spread = Math.log2(this.#peers.size + 2);
-        return this.#options.periodMilliseconds * (6 + 2 * spread);
+        return this.getPeriodMilliseconds() * (6 + 2 * spread);
+    }
+
+    /** Returns the time between two exchanges that this node begins. */
+    getPeriodMilliseconds(): number {
+        return Math.max(this.#options.periodMilliseconds, this.#peers.size * periodMillisecondsByPeer);
     }
 
     #forgetGone(): void {
--- a/src/membership/gossipMessages.ts
+++ b/src/membership/gossipMessages.ts
@@ -5,7 +5,7 @@
  * origins that share one are sent by name.
  */
 import type { DigestEntry } from "../generated/peer.js";
-import { type DigestLine, type GossipState, hashOrigin } from "./gossipState.js";
+import type { DigestLine, GossipState } from "./gossipState.js";
 
 /** A digest as it stands in a message. */
 export interface DigestMessage {
@@ -23,8 +23,8 @@
 export function writeDigest(state: GossipState, lines: Iterable<DigestLine>): DigestMessage {
     const message: DigestMessage = { digest: [], origins: [], heartbeats: [], versions: [] };
     for (const line of lines) {
-        const hash = hashOrigin(line.origin);
-        if (state.getByHash(hash) !== line.origin) {
+        const hash = state.getHash(line.origin);
+        if (hash === undefined) {
             message.digest.push({ ...line });
             continue;
         }
--- a/src/membership/gossipState.ts
+++ b/src/membership/gossipState.ts
@@ -21,6 +21,7 @@
 }
 
 interface OriginState {
+    readonly hash: number;
     readonly values: Map<string, GossipValue>;
     /** Every value at or below this version is known. */
     version: number;
@@ -56,8 +57,8 @@
         if (this.#origins.has(origin)) {
             return;
         }
-        this.#origins.set(origin, { values: new Map(), version: 0, heartbeat: 0, heartbeatAt: now });
         const hash = hashOrigin(origin);
+        this.#origins.set(origin, { hash, values: new Map(), version: 0, heartbeat: 0, heartbeatAt: now });
         this.#hashes.set(hash, (this.#hashes.get(hash) ?? new Set()).add(origin));
     }
 
@@ -70,6 +71,15 @@
         this.#hashes.get(hashOrigin(origin))?.delete(origin);
     }
 
+    /**
+     * Returns the hash of an origin, or undefined when another has the same or the origin is not known.
+     * @param origin - The origin.
+     */
+    getHash(origin: string): number | undefined {
+        const hash = this.#origins.get(origin)?.hash;
+        return hash === undefined || this.#hashes.get(hash)?.size !== 1 ? undefined : hash;
+    }
+
     /**
      * Returns the origin with a hash, or undefined when there is none or more than one.
      * @param hash - The hash.
@@ -211,11 +221,8 @@
     }
 }
 
-/**
- * Gives the short name of an origin in a digest.
- * @param origin - Its identifier.
- */
-export function hashOrigin(origin: string): number {
+/** Gives the short name of an origin in a digest. */
+function hashOrigin(origin: string): number {
     return createHash("sha1").update(origin).digest().readUInt32BE(0);
 }
 
--- /dev/null
+++ b/test/control/leaseHolder.test.ts
@@ -0,0 +1,202 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock, RandomSource } from "../../src/common/index.js";
+import { LeaseFold, LeaseHolder } from "../../src/control/index.js";
+import { createJournal } from "../fixtures/journals.js";
+import { MemoryLog } from "../fixtures/memoryLog.js";
+
+const term = 1_000;
+const drift = 100;
+const name = "control";
+
+interface Candidate {
+    readonly holder: LeaseHolder;
+    readonly fold: LeaseFold;
+    readonly clock: ManualClock;
+    isCut: boolean;
+}
+
+/** Creates a node that wants the lease. It starts watching at once; `check` is called by the test. */
+function createCandidate(log: MemoryLog, id: string): Candidate {
+    const clock = new ManualClock();
+    const fold = new LeaseFold();
+    const candidate: Candidate = {
+        clock,
+        fold,
+        isCut: false,
+        holder: new LeaseHolder({
+            name,
+            holder: id,
+            append: (stream, record) => log.append(stream, record),
+            fold,
+            clock,
+            journal: createJournal(id).journal,
+            termMilliseconds: term,
+            driftMilliseconds: drift,
+        }),
+    };
+    return candidate;
+}
+
+/** Lets a node read what the log holds. */
+function read(log: MemoryLog, ...candidates: Candidate[]): void {
+    for (const { fold } of candidates) {
+        for (const entry of log.getEntries(name)) {
+            fold.apply(entry);
+        }
+    }
+}
+
+async function check(log: MemoryLog, candidate: Candidate): Promise<void> {
+    await candidate.holder.check();
+    read(log, candidate);
+}
+
+async function createHeld(): Promise<{ log: MemoryLog; first: Candidate; second: Candidate; }> {
+    const log = new MemoryLog();
+    const [first, second] = ["a", "b"].map(id => createCandidate(log, id));
+    await check(log, first);
+    read(log, second);
+    return { log, first, second };
+}
+
+function advance(milliseconds: number, ...candidates: Candidate[]): void {
+    for (const { clock } of candidates) {
+        clock.advance(milliseconds);
+    }
+}
+
+describe("LeaseHolder", () => {
+    describe("check", () => {
+        it("takes a free lease and renews it before its term ends", async () => {
+            const { log, first } = await createHeld();
+            expect(first.holder.getFence()).toEqual(0);
+            for (let step = 0; step < 10; step += 1) {
+                advance(term / 2, first);
+                await check(log, first);
+                expect(first.holder.getFence()).toEqual(0);
+            }
+        });
+
+        it("lets one of two racing takers hold it", async () => {
+            const log = new MemoryLog();
+            const candidates = ["a", "b"].map(id => createCandidate(log, id));
+            await Promise.all(candidates.map(({ holder }) => holder.check()));
+            read(log, ...candidates);
+            expect(candidates.map(({ holder }) => holder.getFence()).filter(fence => fence !== undefined)).toEqual([0]);
+        });
+
+        it("waits for the term and the drift before it takes another's lease", async () => {
+            const { log, first, second } = await createHeld();
+            advance(term + drift, first, second);
+            await check(log, second);
+            expect(second.holder.getFence()).toEqual(undefined);
+            advance(1, first, second);
+            await check(log, second);
+            expect(second.holder.getFence()).toEqual(1);
+        });
+
+        it("takes a lease that only a snapshot told of, after watching it", async () => {
+            const { log, first } = await createHeld();
+            const fresh = createCandidate(log, "fresh");
+            fresh.fold.restore(first.fold.getOffset(), first.fold.getSnapshot());
+            await check(log, fresh);
+            advance(term + drift + 1, fresh);
+            await check(log, fresh);
+            expect(fresh.holder.getFence()).toEqual(1);
+        });
+
+        // The renewal was written, but its acknowledgement was lost. The holder reads it back and goes on; the other
+        // one reads it too and waits.
+        it("goes on when the acknowledgement of its renewal was lost", async () => {
+            const { log, first, second } = await createHeld();
+            log.fate = () => "lost";
+            advance(term / 2, first, second);
+            await check(log, first);
+            read(log, second);
+            advance(term * 0.9, first, second);
+            await second.holder.check();
+            expect(first.holder.getFence()).toEqual(0);
+            expect(log.getEntries(name).length).toEqual(2);
+        });
+    });
+
+    describe("getFence", () => {
+        // The holder is paused past its term while another takes the lease. At its first look after waking it must not
+        // believe that it still holds it, before it has read anything.
+        it("is undefined for a holder that was paused past its term", async () => {
+            const { log, first, second } = await createHeld();
+            advance(term + drift + 1, first, second);
+            expect(first.holder.getFence()).toEqual(undefined);
+            await check(log, second);
+            expect(second.holder.getFence()).toEqual(1);
+            await check(log, first);
+            expect(first.holder.getFence()).toEqual(undefined);
+        });
+
+        // The append takes longer than the term, or the holder is paused between sending it and reading it back. The
+        // time since it was sent is gone: others have been waiting since they read it.
+        it("counts from before the append", async () => {
+            const { log, first } = await createHeld();
+            log.onAppended = () => first.clock.advance(term * 0.6);
+            advance(term * 0.5, first);
+            await check(log, first);
+            expect(first.holder.getFence()).toEqual(0);
+            advance(term * 0.4, first);
+            expect(first.holder.getFence()).toEqual(undefined);
+        });
+
+        it("is undefined for everybody while the log is away, and one holds it afterwards", async () => {
+            const { log, first, second } = await createHeld();
+            log.fate = () => "dropped";
+            for (let step = 0; step < 40; step += 1) {
+                advance(term / 10, first, second);
+                await check(log, first);
+                await check(log, second);
+            }
+            expect([first, second].map(({ holder }) => holder.getFence())).toEqual([undefined, undefined]);
+            log.fate = () => "taken";
+            await check(log, first);
+            await check(log, second);
+            const held = [first, second].filter(({ holder }) => holder.getFence() !== undefined);
+            expect(held.length).toEqual(1);
+        });
+    });
+
+    describe("stop", () => {
+        it("frees the lease for the next at once", async () => {
+            const { log, first, second } = await createHeld();
+            await first.holder.stop();
+            read(log, second);
+            await check(log, second);
+            expect([first.holder.getFence(), second.holder.getFence()]).toEqual([undefined, 2]);
+        });
+    });
+
+    describe("under random pauses and cuts", () => {
+        // Three nodes whose clocks run the same but who stand still, are cut from reading or lose appends at random.
+        // Whatever happens, no two of them may hold the lease at the same moment, and somebody holds it now and then.
+        it("never has two holders", async () => {
+            for (let seed = 1; seed <= 60; seed += 1) {
+                const random = new RandomSource(seed);
+                const log = new MemoryLog();
+                const fates = ["taken", "taken", "taken", "lost", "dropped"] as const;
+                log.fate = () => fates[random.nextInteger(fates.length)];
+                const candidates = ["a", "b", "c"].map(id => createCandidate(log, id));
+                log.onAppended = () => advance(random.nextInteger(300), ...candidates);
+                let held = 0;
+                for (let step = 0; step < 150; step += 1) {
+                    advance(random.nextInteger(200), ...candidates);
+                    const candidate = candidates[random.nextInteger(candidates.length)];
+                    candidate.isCut = random.next() < 0.3;
+                    await candidate.holder.check();
+                    read(log, ...candidates.filter(({ isCut }) => !isCut));
+                    const holders = candidates.filter(({ holder }) => holder.getFence() !== undefined);
+                    expect(holders.length <= 1).toEqual(true);
+                    held += holders.length;
+                }
+                expect(held > 0).toEqual(true);
+            }
+        });
+    });
+});
--- /dev/null
+++ b/test/membership/gossip.test.ts
@@ -0,0 +1,136 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createGossipSite, type GossipSite } from "../fixtures/gossipSite.js";
+
+const size = 8;
+const periodsToSpread = 12;
+
+function readAll(site: GossipSite, origin: string, key: string): (string | undefined)[] {
+    const others = site.nodes.filter(node => !node.isDown);
+    return others.map(node => node.gossip.get(origin, key)?.toString());
+}
+
+function isKnownToAll(site: GossipSite, origin: string, key: string, value: string): boolean {
+    return readAll(site, origin, key).every(known => known === value);
+}
+
+describe("Gossip", () => {
+    describe("set", () => {
+        it("brings a value, and then its newer one, to all nodes", async () => {
+            const site = createGossipSite(size);
+            for (const value of ["first", "second"]) {
+                site.nodes[0].gossip.set("load", Buffer.from(value));
+                await site.run(periodsToSpread);
+                expect(isKnownToAll(site, "entry-0", "load", value)).toEqual(true);
+            }
+        });
+
+        it("pushes an urgent value to nearly all nodes without waiting for an exchange", async () => {
+            const site = createGossipSite(40);
+            site.nodes[0].gossip.set("halt", Buffer.from("plan@3"), { urgent: true });
+            await site.settle();
+            const known = readAll(site, "entry-0", "halt").filter(value => value === "plan@3").length;
+            expect(known >= 36).toEqual(true);
+        });
+
+        it("never moves a node back when an older message arrives late", async () => {
+            const site = createGossipSite(2);
+            const [first, second] = site.nodes;
+            first.gossip.set("load", Buffer.from("old"));
+            const late = { origin: "entry-0", key: "load", version: 1, value: Buffer.from("old"), removed: false };
+            first.gossip.set("load", Buffer.from("new"));
+            await site.run(4);
+            second.gossip.handlePush({ sender: "entry-0", items: [late], counter: 0, hops: 0, bases: [] });
+            expect(second.gossip.get("entry-0", "load")?.toString()).toEqual("new");
+        });
+
+        it("calls listeners once for each newer value", async () => {
+            const site = createGossipSite(4);
+            const heard: (string | undefined)[] = [];
+            site.nodes[3].gossip.onUpdate((...[, key, value]) => {
+                if (key === "load") {
+                    heard.push(value?.toString());
+                }
+            });
+            site.nodes[0].gossip.set("load", Buffer.from("a"));
+            await site.run(periodsToSpread);
+            site.nodes[0].gossip.remove("load");
+            await site.run(periodsToSpread);
+            expect(heard).toEqual(["a", undefined]);
+        });
+    });
+
+    describe("remove", () => {
+        it("removes a key from all nodes", async () => {
+            const site = createGossipSite(size);
+            site.nodes[0].gossip.set("load", Buffer.from("a"));
+            await site.run(periodsToSpread);
+            site.nodes[0].gossip.remove("load");
+            await site.run(periodsToSpread);
+            expect(readAll(site, "entry-0", "load")).toEqual(Array.from({ length: size }, () => undefined));
+        });
+    });
+
+    describe("exchangeOnce", () => {
+        // Values do not fit into one message. Cut anywhere, the rest must follow by later exchanges without a hole.
+        it("brings everything within the bound of bytes, a part at a time", async () => {
+            const site = createGossipSite(4, { bytesPerExchange: 300 });
+            for (let index = 0; index < 40; index += 1) {
+                site.nodes[0].gossip.set(`key-${index}`, Buffer.alloc(50, index));
+            }
+            await site.run(80);
+            for (const node of site.nodes) {
+                for (let index = 0; index < 40; index += 1) {
+                    expect(node.gossip.get("entry-0", `key-${index}`)).toEqual(Buffer.alloc(50, index));
+                }
+            }
+        });
+
+        // A value is pushed ahead of older ones that were not exchanged yet. The receiver must still get the older ones.
+        it("does not take an urgent value for a sign that it has the earlier ones", async () => {
+            const site = createGossipSite(3);
+            const { gossip } = site.nodes[0];
+            gossip.set("earlier", Buffer.from("e"));
+            gossip.set("halt", Buffer.from("h"), { urgent: true });
+            await site.settle();
+            expect(site.nodes[1].gossip.get("entry-0", "halt")?.toString()).toEqual("h");
+            await site.run(periodsToSpread);
+            expect(isKnownToAll(site, "entry-0", "earlier", "e")).toEqual(true);
+        });
+
+        // A process restarts on its VM with an empty state, and its wall clock has gone back. Its peers remember higher
+        // numbers than it starts from and would pass over all that it says, or show keys that it no longer has.
+        it("is heard after a restart, even with a clock that went back", async () => {
+            const site = createGossipSite(5);
+            site.nodes[0].gossip.set("load", Buffer.from("before"));
+            site.nodes[0].gossip.set("stale", Buffer.from("before"));
+            await site.run(periodsToSpread);
+            site.nodes[0].isDown = true;
+            await site.run(3);
+            const month = 30 * 86_400_000;
+            const { address } = site.nodes[0].vm;
+            const restarted = site.add("entry-0", { address, clockOffsetMilliseconds: -month });
+            restarted.gossip.set("load", Buffer.from("after"));
+            site.listAll(site.nodes.slice(1).map(node => node.vm));
+            await site.run(periodsToSpread * 2);
+            const others = site.nodes.slice(1, 5);
+            expect(others.map(node => node.gossip.get("entry-0", "load")?.toString())).toEqual(
+                others.map(() => "after"),
+            );
+            expect(others.map(node => node.gossip.get("entry-0", "stale"))).toEqual(others.map(() => undefined));
+        });
+    });
+
+    describe("handleExchange", () => {
+        it("takes nothing in from an origin that is not in the VM list", async () => {
+            const site = createGossipSite(3);
+            const stranger = site.add("stranger");
+            stranger.membership.setVms(site.nodes.map(node => node.vm));
+            await site.run(periodsToSpread);
+            expect(site.nodes[0].gossip.get("stranger", "node")).toEqual(undefined);
+            site.listAll();
+            await site.run(periodsToSpread);
+            expect(site.nodes[0].gossip.get("stranger", "node") === undefined).toEqual(false);
+        });
+    });
+});
--- /dev/null
+++ b/test/membership/peerCalls.test.ts
@@ -0,0 +1,261 @@
+import { expect } from "earl";
+import { createServer, type Server as TcpServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { BillKeeper, BillWriter, getBillCopyTargets, handleCopyBills } from "../../src/bills/index.js";
+import { createAskCollector, handleDecideClaims } from "../../src/claims/index.js";
+import { RandomSource, systemClock } from "../../src/common/index.js";
+import {
+    Gossip,
+    type Member,
+    Membership,
+    type NodeIdentity,
+    PeerClient,
+    type PeerCredentials,
+    type PeerHandlers,
+    PeerServer,
+} from "../../src/membership/index.js";
+import type { Vm } from "../../src/world/index.js";
+import { createBill } from "../fixtures/bills.js";
+import { readTestCredentials } from "../fixtures/certificates.js";
+import { createClaimNode } from "../fixtures/claimNodes.js";
+import { createJournal } from "../fixtures/journals.js";
+import { MemoryLog } from "../fixtures/memoryLog.js";
+import { waitUntil } from "../fixtures/waiting.js";
+
+const network = "127.50.5";
+const emptyPush = { sender: "b", items: [], counter: 0, hops: 0, bases: [] };
+const finishers: (() => Promise<unknown> | unknown)[] = [];
+
+function createIdentity(id: string, host: number, peerPort: number): NodeIdentity {
+    return { id, address: `${network}.${host}`, peerPort, failureDomain: `domain-${host}`, region: "manila" };
+}
+
+function createHandlers(changes: Partial<PeerHandlers> = {}): PeerHandlers {
+    return {
+        exchange: () => {
+            throw new Error("not wanted");
+        },
+        push: () => ({ counter: 7 }),
+        copyBills: () => ({ kept: [], counter: 0 }),
+        decideClaims: () => ({ decisions: [], counter: 0 }),
+        fetchState: () => ({ newer: false, offset: 0, state: Buffer.alloc(0), counter: 0, ageMilliseconds: 0 }),
+        ...changes,
+    };
+}
+
+async function startServer(
+    host: number,
+    handlers: PeerHandlers,
+    credentials?: PeerCredentials,
+): Promise<{ server: PeerServer; identity: NodeIdentity; }> {
+    const address = `${network}.${host}`;
+    const server = new PeerServer({ address, port: 0, handlers, journal: createJournal().journal, credentials });
+    const port = (await server.start())._unsafeUnwrap();
+    finishers.push(() => server.stop());
+    return { server, identity: createIdentity(`entry-${host}`, host, port) };
+}
+
+function createClient(credentials?: PeerCredentials, deadlineMilliseconds?: number): PeerClient {
+    const client = new PeerClient({ credentials, deadlineMilliseconds });
+    finishers.push(() => client.close());
+    return client;
+}
+
+describe("PeerClient", () => {
+    afterEach(async () => {
+        for (const finish of finishers.splice(0).reverse()) {
+            await finish();
+        }
+    });
+
+    describe("push", () => {
+        it("brings the peer's reply", async () => {
+            const { identity } = await startServer(1, createHandlers());
+            expect((await createClient().push(identity, emptyPush))._unsafeUnwrap()).toEqual({ counter: 7 });
+        });
+
+        it("fails when the peer's handler fails, and the peer goes on", async () => {
+            const { identity } = await startServer(1, createHandlers());
+            const client = createClient();
+            const exchanged = await client.exchange(identity, {
+                sender: "b",
+                oldestProtocol: 1,
+                newestProtocol: 1,
+                digest: [],
+                items: [],
+                counter: 0,
+                origins: [],
+                heartbeats: [],
+                versions: [],
+            });
+            expect(exchanged.isErr()).toEqual(true);
+            expect((await client.push(identity, emptyPush)).isOk()).toEqual(true);
+        });
+
+        // A peer is frozen, or a switch swallows its packets: connections open and nothing ever comes back. Without a
+        // deadline the caller would hang for as long as the peer does.
+        it("ends at its deadline when the peer never answers", async () => {
+            const sockets = new Set<Socket>();
+            const silent: TcpServer = createServer(socket => sockets.add(socket));
+            await new Promise<void>(resolve => silent.listen(0, `${network}.2`, resolve));
+            finishers.push(() => {
+                for (const socket of sockets) {
+                    socket.destroy();
+                }
+                silent.close();
+            });
+            const address = silent.address();
+            const port = typeof address === "object" ? address?.port ?? 0 : 0;
+            const pushed = await createClient(undefined, 150).push(createIdentity("x", 2, port), emptyPush);
+            expect(pushed._unsafeUnwrapErr().kind).toEqual("unavailable");
+        });
+
+        // A peer is replaced on its address and port. The client must find the new process, without a long backoff.
+        it("reaches a peer that was restarted on the same port", async () => {
+            const first = await startServer(3, createHandlers());
+            const client = createClient();
+            expect((await client.push(first.identity, emptyPush)).isOk()).toEqual(true);
+            await first.server.stop();
+            expect((await client.push(first.identity, emptyPush)).isOk()).toEqual(false);
+            const { address, peerPort } = first.identity;
+            const second = new PeerServer({
+                address,
+                port: peerPort,
+                handlers: createHandlers(),
+                journal: createJournal().journal,
+            });
+            expect((await second.start()).isOk()).toEqual(true);
+            finishers.push(() => second.stop());
+            await waitUntil(async () => (await client.push(first.identity, emptyPush)).isOk(), "the peer answers");
+        });
+    });
+
+    describe("setCredentials", () => {
+        it("lets peers of the same authority in and others out", async () => {
+            const { identity } = await startServer(1, createHandlers(), readTestCredentials("site-first"));
+            const cases: [PeerCredentials | undefined, boolean][] = [
+                [readTestCredentials("site-second"), true],
+                [readTestCredentials("other-first"), false],
+                // Trusts this site, and shows a certificate of another.
+                [
+                    { ...readTestCredentials("other-first"), authority: readTestCredentials("site-first").authority },
+                    false,
+                ],
+                [undefined, false],
+            ];
+            for (const [credentials, isLetIn] of cases) {
+                const pushed = await createClient(credentials, 1_000).push(identity, emptyPush);
+                expect(pushed.isOk()).toEqual(isLetIn);
+            }
+        });
+
+        // Certificates end every few weeks. Both sides must take renewed ones while they run; here even the authority
+        // changes, so that a connection made with the old ones would be refused.
+        it("renews the credentials of both sides without a restart", async () => {
+            const { server, identity } = await startServer(1, createHandlers(), readTestCredentials("site-first"));
+            const client = createClient(readTestCredentials("site-second"));
+            expect((await client.push(identity, emptyPush)).isOk()).toEqual(true);
+            server.setCredentials(readTestCredentials("other-first"));
+            client.setCredentials(readTestCredentials("other-first"));
+            await waitUntil(async () => (await client.push(identity, emptyPush)).isOk(), "the renewed ones are used");
+            const old = await createClient(readTestCredentials("site-second"), 1_000).push(identity, emptyPush);
+            expect(old.isOk()).toEqual(false);
+        });
+    });
+});
+
+describe("peer calls between entries", () => {
+    afterEach(async () => {
+        for (const finish of finishers.splice(0).reverse()) {
+            await finish();
+        }
+    });
+
+    it("carry gossip, so that members find each other", async () => {
+        const vms: Vm[] = [];
+        const memberships: Membership[] = [];
+        for (const host of [11, 12, 13]) {
+            const gossips: Gossip[] = [];
+            const { identity } = await startServer(
+                host,
+                createHandlers({
+                    exchange: request => gossips[0].handleExchange(request),
+                    push: request => ({ counter: gossips[0].handlePush(request) }),
+                }),
+            );
+            const { journal } = createJournal(identity.id);
+            const gossip = new Gossip({
+                self: identity,
+                clock: systemClock,
+                random: new RandomSource(host),
+                journal,
+                transport: createClient().createGossipTransport(),
+                periodMilliseconds: 20,
+                bytesPerExchange: 8_000,
+            });
+            gossips.push(gossip);
+            memberships.push(new Membership({ self: identity, gossip, clock: systemClock, journal }));
+            vms.push({ ...identity, port: 1, role: "entry", pool: "", state: "live" });
+            finishers.push(() => gossip.stop());
+            gossip.start();
+        }
+        for (const membership of memberships) {
+            membership.setVms(vms);
+        }
+        const isSettled = () => memberships.every(membership => membership.getAlive().length === vms.length);
+        await waitUntil(isSettled, "all members see each other");
+        memberships[0].announceLeaving();
+        const isLeaving = () => memberships.every(membership => membership.get("entry-11")?.state === "leaving");
+        await waitUntil(isLeaving, "all members see that one is leaving");
+    });
+
+    it("carry claims to the collector, and its verdict back", async () => {
+        const log = new MemoryLog();
+        const collector = createClaimNode({ log, name: "collector" });
+        finishers.push(() => collector.stop());
+        const { identity } = await startServer(
+            21,
+            createHandlers({ decideClaims: request => handleDecideClaims(collector.pool, request, () => 0) }),
+        );
+        const ask = createAskCollector({
+            self: "asker",
+            membership: { getCollector: () => identity as Member },
+            client: createClient(),
+            getCounter: () => 0,
+        });
+        const operation = { kind: "claim", id: "c1", key: "run:w/k", value: "r1" } as const;
+        const verdicts = [];
+        for (const id of ["c1", "c2"]) {
+            verdicts.push((await ask(0, { ...operation, id, value: id }))?.decision?.verdict);
+        }
+        await ask(0, { ...operation, kind: "complete", outcome: "printed" });
+        const last = await ask(0, { ...operation, id: "c3" });
+        expect(verdicts).toEqual(["granted", "held"]);
+        expect(last?.decision?.outcome).toEqual("printed");
+        expect(await ask(99, operation)).toEqual({ id: "c1", mayHaveTakenEffect: false });
+    });
+
+    it("carry copies of bills to a peer in another failure domain", async () => {
+        const log = new MemoryLog();
+        const { journal } = createJournal();
+        const base = { append: log.append, clock: systemClock, journal };
+        const keeper = new BillKeeper({ ...base, writer: "keeper", isGone: () => false });
+        const handlers = createHandlers({ copyBills: request => handleCopyBills(keeper, request, () => 0) });
+        const { identity } = await startServer(31, handlers);
+        const self = createIdentity("entry-a", 32, 1);
+        const near = { ...createIdentity("near", 33, 1), failureDomain: self.failureDomain };
+        const members = [self, near, identity].map(node => node as Member);
+        const client = createClient();
+        const options = { self, membership: { getAlive: () => members }, client, getCounter: () => 0 };
+        expect(getBillCopyTargets(options).map(target => target.id)).toEqual([identity.id]);
+        const writer = new BillWriter({
+            ...base,
+            writer: "entry-a",
+            getCopyTargets: () => getBillCopyTargets(options),
+        });
+        expect((await writer.add(createBill("r1"))).isOk()).toEqual(true);
+        expect(keeper.getSize()).toEqual(1);
+        expect((await writer.flush(1_000)).isOk()).toEqual(true);
+        await waitUntil(() => keeper.getSize() === 0, "the keeper was told");
+    });
+});
