Count repeats exactly in the ledger's property test; end what a failed test leaves running

Cause: with the removal of repeats switched off the HTTP test failed and left its server open, so the run hung. Change: servers are ended in a hook; the property counts repeats.

--- a/test/bills/ledger.test.ts
+++ b/test/bills/ledger.test.ts
@@ -68,6 +68,7 @@
                 }
                 const wanted = new Set(all.flat().map(id => `r${id}`));
                 expect(written.length).toEqual(wanted.size);
+                expect(ledger.getCounts().repeats).toEqual(all.flat().length - wanted.size);
                 expect(new Set(written)).toEqual(wanted);
                 expect(ledger.getTotals().map(total => total.requests)).toEqual(wanted.size === 0 ? [] : [wanted.size]);
             }));
@@ -89,7 +90,12 @@
 });
 
 describe("LedgerProgram", () => {
-    after(() => rmSync(folder, { recursive: true, force: true }));
+    const running: LedgerProgram[] = [];
+
+    after(async () => {
+        await Promise.all(running.map(program => program.stop()));
+        rmSync(folder, { recursive: true, force: true });
+    });
 
     describe("start", () => {
         // The ledger is killed at any byte of its output, between two bills of one record or within a line, and started
@@ -134,11 +140,11 @@
                 journal: createJournal().journal,
                 listen: { host, port },
             });
+            running.push(program);
             await program.start();
             await waitUntil(() => program.getReport().requests === 1, "the stream is read");
             const answer = await (await fetch(`http://${host}:${port}/bills`)).json() as { bills: Bill[]; };
             expect(answer.bills.map(bill => bill.requestId)).toEqual(["r1"]);
-            await program.stop();
         });
     });
 });
