--- a/src/bills/billAppender.ts
+++ b/src/bills/billAppender.ts
@@ -6,7 +6,7 @@
 import type { LogRecord } from "../log/record.js";
 import { type Bill, billsFormat, billsKind, billsStream } from "./bill.js";
 
-const charactersInRecord = 200_000;
+const bytesInRecord = 200_000;
 
 /** Appends batches of bills. */
 export class BillAppender {
@@ -48,10 +48,10 @@
 
     #createBatch(waiting: Iterable<Bill>): { readonly record: LogRecord; readonly bills: readonly Bill[]; } {
         const bills: Bill[] = [];
-        let characters = 0;
+        let bytes = 0;
         for (const bill of waiting) {
-            characters += JSON.stringify(bill).length;
-            if (bills.length > 0 && characters > charactersInRecord) {
+            bytes += Buffer.byteLength(JSON.stringify(bill));
+            if (bills.length > 0 && bytes > bytesInRecord) {
                 break;
             }
             bills.push(bill);
--- a/src/claims/claimFold.ts
+++ b/src/claims/claimFold.ts
@@ -145,7 +145,7 @@
      * Returns the state as parts of a snapshot that each fit into a record.
      * @param snapshot - Identifier of the snapshot.
      * @param itemsInPart - The most holdings, or remembered identifiers, in a part.
-     * @param bytesInPart - The most characters of holdings in a part.
+     * @param bytesInPart - The most bytes of holdings in a part.
      */
     createSnapshot(snapshot: string, itemsInPart: number, bytesInPart: number): readonly ClaimsSnapshotPart[] {
         const chunks = [
@@ -296,7 +296,7 @@
     let chunk: (Holding & { key: string; })[] = [];
     let bytes = 0;
     for (const [key, holding] of holdings) {
-        const size = JSON.stringify(holding).length + key.length;
+        const size = Buffer.byteLength(JSON.stringify({ key, ...holding }));
         if (chunk.length > 0 && (chunk.length >= itemsInPart || bytes + size > bytesInPart)) {
             chunks.push(chunk);
             chunk = [];
--- a/src/claims/collector.ts
+++ b/src/claims/collector.ts
@@ -28,9 +28,9 @@
 const defaultDecideMilliseconds = 2_000;
 const retryMilliseconds = 100;
 const operationsInRecord = 500;
-const charactersInRecord = 200_000;
+const bytesInRecord = 200_000;
 const snapshotItemsInPart = 1_000;
-const snapshotCharactersInPart = 150_000;
+const snapshotBytesInPart = 150_000;
 const defaultSnapshotMilliseconds = 15 * 60_000;
 
 /** Options of a collector. */
@@ -216,16 +216,16 @@
 
     #takeBatch(): readonly Pending[] {
         const batch: Pending[] = [];
-        let characters = 0;
+        let bytes = 0;
         while (this.#queue.length > 0 && batch.length < operationsInRecord) {
-            const size = JSON.stringify(this.#queue[0].operation).length;
-            if (batch.length > 0 && characters + size > charactersInRecord) {
+            const size = Buffer.byteLength(JSON.stringify(this.#queue[0].operation));
+            if (batch.length > 0 && bytes + size > bytesInRecord) {
                 break;
             }
             const pending = this.#queue.shift();
             if (pending !== undefined && !this.#isOver(pending)) {
                 batch.push(pending);
-                characters += size;
+                bytes += size;
             }
         }
         return batch;
@@ -276,7 +276,7 @@
         if (fold === undefined || !isDesignated || this.#reader.getSnapshotAge() < interval) {
             return;
         }
-        const parts = fold.createSnapshot(this.#createId(), snapshotItemsInPart, snapshotCharactersInPart);
+        const parts = fold.createSnapshot(this.#createId(), snapshotItemsInPart, snapshotBytesInPart);
         for (const part of parts) {
             const record = this.#createRecord(claimsSnapshotKind, part);
             const appended = await this.#options.append(getClaimsStream(this.#options.partition), record);
--- a/test/bills/billWriter.test.ts
+++ b/test/bills/billWriter.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from "node:test";
 import { type BillCopyTarget, BillKeeper, BillWriter, Ledger } from "../../src/bills/index.js";
 import { RandomSource, systemClock } from "../../src/common/index.js";
+import { maximumRecordBytes } from "../../src/log/index.js";
 import { createBill, createCopyTarget } from "../fixtures/bills.js";
 import { createJournal } from "../fixtures/journals.js";
 import { MemoryLog } from "../fixtures/memoryLog.js";
@@ -117,6 +118,21 @@
             expect(readLedger(log).getSize()).toEqual(300);
         });
 
+        // Names in other scripts take three bytes a character; a record past the log's bound would be refused for ever.
+        it("keeps records below the log's bound, in bytes", async () => {
+            const log = new MemoryLog();
+            const writer = createWriter(log, [createCopyTarget("b", createKeeper(log))]);
+            const application = "\u6d88".repeat(3_000);
+            for (let index = 0; index < 60; index += 1) {
+                await writer.add(createBill(`r${index}`, { application }));
+            }
+            expect((await writer.flush(1_000)).isOk()).toEqual(true);
+            for (const { record } of log.getEntries("bills")) {
+                expect(Buffer.byteLength(JSON.stringify(record)) <= maximumRecordBytes).toEqual(true);
+            }
+            expect(readLedger(log).getSize()).toEqual(60);
+        });
+
         // The log is away for a while, loses answers and refuses. Bills wait, and each must be there once at the end.
         it("keeps bills over outages and lost acknowledgements", async () => {
             for (let seed = 1; seed <= 10; seed += 1) {
--- a/test/claims/collector.test.ts
+++ b/test/claims/collector.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
 import { createRunKey, getPartition } from "../../src/claims/index.js";
+import { maximumRecordBytes } from "../../src/log/index.js";
 import { type ClaimNode, createClaimNode } from "../fixtures/claimNodes.js";
 import { MemoryLog } from "../fixtures/memoryLog.js";
 import { waitUntil } from "../fixtures/waiting.js";
@@ -42,6 +43,23 @@
             expect(records).toEqual(partitions);
         });
 
+        // Outcomes in other scripts take three bytes a character. Counted in characters, a record grows past what the log
+        // takes, is refused for ever, and no claim of the partition is decided any more.
+        it("keeps records below the log's bound, in bytes", async () => {
+            const log = new MemoryLog();
+            const node = createNode(log, { name: "a" });
+            const attempts = [];
+            for (let index = 0; index < 30; index += 1) {
+                const value = "\u6d88".repeat(5_000);
+                attempts.push(node.client.claim({ key: createRunKey("w", `${index}`), value, requestId: "r" }));
+            }
+            const claimed = await Promise.all(attempts);
+            expect(claimed.every(result => result.isOk())).toEqual(true);
+            for (const entry of [...log.getEntries("claims-0"), ...log.getEntries("claims-1")]) {
+                expect(Buffer.byteLength(JSON.stringify(entry.record)) <= maximumRecordBytes).toEqual(true);
+            }
+        });
+
         it("writes nothing for a key that is held", async () => {
             const log = new MemoryLog();
             const node = createNode(log, { name: "a" });
