Never grant from a collector's own state; let sessions go on with their pins while the log is away

Cause: a claimant that was paused together with its collector for longer than a key is kept asked that collector and was granted the key again from a state as old as the pause. And a pin past half its life could not be used while the log was away, because its renewal had to be written first. Ruled out: measuring the reader's age for run keys (an idle partition looks the same as a cut one). Change: only held and completed are answered without a record; a pin that cannot be renewed is trusted up to three quarters of its life.

--- a/src/claims/claimFold.ts
+++ b/src/claims/claimFold.ts
@@ -133,12 +133,14 @@
     }
 
     /**
-     * Tells whether a pin is so old that its next use must be written to the log to renew it.
+     * Returns the share of its lifetime that a pin has spent since its last use in the log.
      * @param key - The pin's key.
+     * @param waitedMilliseconds - Time that has passed since the last folded entry.
      */
-    needsRenewal(key: string): boolean {
+    getPinAge(key: string, waitedMilliseconds: number): number {
         const holding = this.#pins.get(key);
-        return holding !== undefined && this.#logTime - holding.time > this.#lifetimes.pinMilliseconds / 2;
+        const age = this.#logTime + waitedMilliseconds - (holding?.time ?? Number.NEGATIVE_INFINITY);
+        return age / this.#lifetimes.pinMilliseconds;
     }
 
     /**
--- a/src/claims/collector.ts
+++ b/src/claims/collector.ts
@@ -27,6 +27,11 @@
 const defaultIntervalMilliseconds = 40;
 const defaultDecideMilliseconds = 2_000;
 const retryMilliseconds = 100;
+/** A pin that has spent this share of its lifetime is renewed in the log by its next use. */
+const pinRenewalAge = 0.5;
+/** A pin that could not be renewed is still trusted up to this share. */
+const pinTrustAge = 0.75;
+const snapshotAttempts = 5;
 const operationsInRecord = 500;
 const bytesInRecord = 200_000;
 const snapshotItemsInPart = 1_000;
@@ -143,27 +148,44 @@
             };
             const name = getPendingName(operation.kind, operation.id);
             this.#pending.set(name, [...this.#pending.get(name) ?? [], pending]);
-            pending.timer = setTimeout(() => {
-                this.#finish(pending, err(new ClaimFailure(pending.mayHaveTakenEffect)));
-            }, milliseconds);
+            pending.timer = setTimeout(() => this.#giveUp(pending), milliseconds);
             this.#queue.push(pending);
             this.#schedule(this.#options.batchMilliseconds ?? defaultBatchMilliseconds);
         });
     }
 
     /**
-     * Answers what needs no record. A completed run stays completed, and a key read as held at an older offset may at
-     * worst have become free since: its caller is told "in progress" a little too long, which is safe.
+     * Answers what needs no record.
+     *
+     * What another claim holds or has completed is answered from the fold: if the fold is behind, the caller is told
+     * "in progress" a little too long, and nothing runs. A grant never is. A claimant that was paused for days would
+     * find its own claim in a fold that is as old as its pause, while the key has expired and run elsewhere since.
      */
     #decideFromFold(operation: ClaimOperation): ClaimDecision | undefined {
         const fold = this.#reader.getFold();
         if (fold === undefined || operation.kind !== "claim" || fold.get(operation.key) === undefined) {
             return undefined;
         }
-        if (getPurpose(operation.key) === "pin" && fold.needsRenewal(operation.key)) {
-            return undefined;
+        if (getPurpose(operation.key) === "pin") {
+            return this.#readPin(operation, pinRenewalAge);
         }
-        return fold.decide(operation);
+        const decision = fold.decide(operation);
+        return decision.verdict === "granted" ? undefined : decision;
+    }
+
+    /** Answers from a pin that is younger than a share of its lifetime, so that it cannot have expired unseen. */
+    #readPin(operation: ClaimOperation, maximumAge: number): ClaimDecision | undefined {
+        const fold = this.#reader.getFold();
+        const age = fold?.getPinAge(operation.key, this.#reader.getEntryAge());
+        return age !== undefined && age < maximumAge ? fold?.decide(operation) : undefined;
+    }
+
+    /** Answers when the time is over: sessions go on with the pins that they have while the log is away. */
+    #giveUp(pending: Pending): void {
+        const { operation, mayHaveTakenEffect } = pending;
+        const isPin = operation.kind === "claim" && getPurpose(operation.key) === "pin";
+        const known = isPin ? this.#readPin(operation, pinTrustAge) : undefined;
+        this.#finish(pending, known === undefined ? err(new ClaimFailure(mayHaveTakenEffect)) : ok(known));
     }
 
     #settle(decisions: readonly ClaimDecision[]): void {
@@ -278,15 +300,24 @@
         }
         const parts = fold.createSnapshot(this.#createId(), snapshotItemsInPart, snapshotBytesInPart);
         for (const part of parts) {
-            const record = this.#createRecord(claimsSnapshotKind, part);
-            const appended = await this.#options.append(getClaimsStream(this.#options.partition), record);
-            if (appended.isErr()) {
+            if (!await this.#appendPart(this.#createRecord(claimsSnapshotKind, part))) {
                 // The next round writes a whole new snapshot; readers ignore one with parts missing.
                 return;
             }
         }
     }
 
+    async #appendPart(record: LogRecord): Promise<boolean> {
+        for (let attempt = 0; attempt < snapshotAttempts && !this.#isStopped; attempt += 1) {
+            const appended = await this.#options.append(getClaimsStream(this.#options.partition), record);
+            if (appended.isOk()) {
+                return true;
+            }
+            await this.#pause(appended.error);
+        }
+        return false;
+    }
+
     #createRecord(kind: string, body: unknown): LogRecord {
         return { id: this.#createId(), kind, format: claimsFormat, writer: this.#options.writer, body };
     }
--- a/src/claims/partitionReader.ts
+++ b/src/claims/partitionReader.ts
@@ -44,12 +44,14 @@
     #missingBefore: number | undefined;
     #parts = new Map<string, ClaimsSnapshotPart[]>();
     #snapshotSeenAt: number;
+    #entryAt: number;
     #isStopped = false;
 
     constructor(options: PartitionReaderOptions) {
         this.#options = options;
         this.#fold = new ClaimFold(options.lifetimes);
         this.#snapshotSeenAt = options.clock.monotonic();
+        this.#entryAt = options.clock.monotonic();
         this.#reader = this.#createReader(0);
     }
 
@@ -74,6 +76,11 @@
         return this.#options.clock.monotonic() - this.#snapshotSeenAt;
     }
 
+    /** Returns the milliseconds since an entry was last read. */
+    getEntryAge(): number {
+        return this.#options.clock.monotonic() - this.#entryAt;
+    }
+
     #createReader(from: number): StreamReader {
         return this.#options.follow({
             stream: getClaimsStream(this.#options.partition),
@@ -92,6 +99,7 @@
     }
 
     #handleEntry(entry: LogEntry): void {
+        this.#entryAt = this.#options.clock.monotonic();
         const decisions = this.#fold.apply(entry);
         if (this.#gapEnd === undefined) {
             this.#options.onDecisions(decisions, entry.record.id);
--- a/test/claims/claimClient.test.ts
+++ b/test/claims/claimClient.test.ts
@@ -2,6 +2,7 @@
 import { afterEach, describe, it } from "node:test";
 import { type ClaimVerdict, createRunKey, defaultLifetimes, SessionPins } from "../../src/claims/index.js";
 import { RandomSource } from "../../src/common/index.js";
+import type { LogEntry } from "../../src/log/index.js";
 import { type ClaimNode, type ClaimNodeOptions, createClaimNode } from "../fixtures/claimNodes.js";
 import { MemoryLog } from "../fixtures/memoryLog.js";
 import { waitUntil } from "../fixtures/waiting.js";
@@ -177,6 +178,47 @@
         });
     });
 
+    describe("confirm after a pause of the whole process", () => {
+        // The claimant and its reader stood still together for longer than the key is kept, and the key ran elsewhere.
+        // Its own state still shows its claim; believing that, it would run the key a second time.
+        it("does not believe its own old state", async () => {
+            const log = new MemoryLog();
+            const held: (() => void)[] = [];
+            let isPaused = false;
+            const paused = createNode({
+                name: "paused",
+                log: {
+                    append: log.append,
+                    follow: options => {
+                        const onEntry = (entry: LogEntry) =>
+                            isPaused ? void held.push(() => options.onEntry(entry)) : options.onEntry(entry);
+                        return log.follow({ ...options, onEntry });
+                    },
+                },
+            });
+            const grant = await claimOrThrow(paused, "r1");
+            isPaused = true;
+            log.time = defaultLifetimes.runMilliseconds + 1;
+            const other = createNode({ log, name: "other" });
+            // The other entry reads the key as held until a record moves the log's time on.
+            for (const stream of ["claims-0", "claims-1"]) {
+                log.put(stream, { id: `tick-${stream}`, kind: "tick", format: 1, writer: "test", body: {} });
+            }
+            await waitUntil(async () => {
+                const verdict = await claim(other, "r2");
+                return verdict?.kind === "granted"
+                    && (await other.client.complete({ ...verdict, outcome: "p" })).isOk();
+            }, "the key ran elsewhere");
+            const confirming = paused.client.confirm(grant);
+            await new Promise(resolve => setImmediate(resolve));
+            isPaused = false;
+            for (const release of held.splice(0)) {
+                release();
+            }
+            expect((await confirming)._unsafeUnwrap()).toEqual({ kind: "completed", value: "r2", outcome: "p" });
+        });
+    });
+
     describe("release", () => {
         it("lets the next claim have the key", async () => {
             const log = new MemoryLog();
@@ -247,5 +289,23 @@
             expect(versions[0]._unsafeUnwrap()).toEqual(versions[1]._unsafeUnwrap());
             await Promise.all(nodes.splice(0).map(node => node.stop()));
         });
+
+        // The log is away while a session goes on, and its pin is so old that its next use would renew it. The session
+        // must go on with its version, but not with a pin that may have expired unseen.
+        it("goes on with a known pin while the log is away, as long as the pin cannot have expired", async () => {
+            const hour = 3_600_000;
+            for (const [age, isKnown] of [[10 * hour, true], [40 * hour, true], [60 * hour, false]] as const) {
+                const log = new MemoryLog();
+                const node = createNode({ log, decideMilliseconds: 50 });
+                const pins = new SessionPins(node.client);
+                const request = { workspace: "agenzia", session: "bench-1", requestId: "r" };
+                await pins.pin({ ...request, proposal: "plan@1" });
+                log.fate = () => "dropped";
+                node.clock.advance(age);
+                const pinned = await pins.pin({ ...request, proposal: "plan@2" });
+                expect(pinned.unwrapOr("unavailable")).toEqual(isKnown ? "plan@1" : "unavailable");
+                await Promise.all(nodes.splice(0).map(stopped => stopped.stop()));
+            }
+        });
     });
 });
