--- a/src/claims/claimFold.ts
+++ b/src/claims/claimFold.ts
@@ -133,19 +133,21 @@
     }
 
     /**
-     * Tells whether a pin is so old that its next use must be written to the log to renew it.
+     * Returns the share of its lifetime that a pin has spent since its last use in the log.
      * @param key - The pin's key.
+     * @param waitedMilliseconds - Time that has passed since the last folded entry.
      */
-    needsRenewal(key: string): boolean {
+    getPinAge(key: string, waitedMilliseconds: number): number {
         const holding = this.#pins.get(key);
-        return holding !== undefined && this.#logTime - holding.time > this.#lifetimes.pinMilliseconds / 2;
+        const age = this.#logTime + waitedMilliseconds - (holding?.time ?? Number.NEGATIVE_INFINITY);
+        return age / this.#lifetimes.pinMilliseconds;
     }
 
     /**
      * Returns the state as parts of a snapshot that each fit into a record.
      * @param snapshot - Identifier of the snapshot.
      * @param itemsInPart - The most holdings, or remembered identifiers, in a part.
-     * @param bytesInPart - The most characters of holdings in a part.
+     * @param bytesInPart - The most bytes of holdings in a part.
      */
     createSnapshot(snapshot: string, itemsInPart: number, bytesInPart: number): readonly ClaimsSnapshotPart[] {
         const chunks = [
@@ -296,7 +298,7 @@
     let chunk: (Holding & { key: string; })[] = [];
     let bytes = 0;
     for (const [key, holding] of holdings) {
-        const size = JSON.stringify(holding).length + key.length;
+        const size = Buffer.byteLength(JSON.stringify({ key, ...holding }));
         if (chunk.length > 0 && (chunk.length >= itemsInPart || bytes + size > bytesInPart)) {
             chunks.push(chunk);
             chunk = [];
