Run scenarios with real entries

Cause: the scenario language could only drive stand-ins. A stop that waits for the exit: a scenario could then do nothing while the entry drains, so stop only signals now.

--- /dev/null
+++ b/src/scenario/entrySite.ts
@@ -0,0 +1,114 @@
+/**
+ * A site with entries, as a scenario drives it. The site needs links; the caller reaches each entry through one too.
+ */
+import type { Change } from "../configuration/index.js";
+import { callJson, getApiKey, type PlatformPart, type RunningProcess, setFaults, Site } from "../testbench/index.js";
+import type { ProcessGroup, SiteDescription } from "../testbench/index.js";
+import { callerName, type ScenarioSite, type VmChange } from "./scenarioSite.js";
+
+/** Stands for every entry at the beginning of a link. */
+const everyEntry = "*";
+const callerLastByte = 190;
+const platformParts: readonly string[] = ["log", "vm-list", "rating", "weight-store", "proxy"] satisfies PlatformPart[];
+
+/** Drives a running site. */
+export class EntrySite implements ScenarioSite {
+    readonly #site: Site;
+    /** Where the caller reaches each entry. */
+    readonly #routes: ReadonlyMap<string, string>;
+
+    private constructor(site: Site, routes: ReadonlyMap<string, string>) {
+        this.#site = site;
+        this.#routes = routes;
+    }
+
+    /**
+     * Starts a site with links.
+     * @param group - Takes the processes.
+     * @param description - The site.
+     */
+    static async start(group: ProcessGroup, description: SiteDescription): Promise<EntrySite> {
+        const site = await Site.start(group, { ...description, hasLinks: true });
+        const routes = new Map<string, string>();
+        for (const { name, callers } of site.getEntries()) {
+            const { listen } = await callJson<{ readonly listen: string; }>({
+                address: site.getPlatform("proxy"),
+                path: `/routes/${encodeURIComponent(`${callerName}>${name}`)}`,
+                method: "PUT",
+                body: { listen: `${description.prefix}.${callerLastByte}:0`, target: callers },
+            });
+            routes.set(name, listen);
+        }
+        return new EntrySite(site, routes);
+    }
+
+    /** Refuses: the site has started its processes. */
+    start(kind: string, name: string): Promise<void> {
+        return Promise.reject(
+            new Error(`This site starts its own processes. Leave out "start ${kind} ${name}" or use start NAME.`),
+        );
+    }
+
+    async startAgain(name: string): Promise<void> {
+        if (!this.getProcess(name).hasExited()) {
+            throw new Error(`${name} still runs. Stop or kill it first.`);
+        }
+        await this.#site.startEntry(name);
+    }
+
+    getProcess(name: string): RunningProcess {
+        if (platformParts.includes(name)) {
+            throw new Error(`${name} can't be stopped here. Use outage, fault or cut *>${name}.`);
+        }
+        return this.#isEntry(name) ? this.#site.getEntryOrThrow(name).process : this.#site.getUpstreamOrThrow(name);
+    }
+
+    getAddress(name: string): string {
+        return this.#routes.get(name) ?? this.getControl(name);
+    }
+
+    getControl(name: string): string {
+        return platformParts.includes(name)
+            ? this.#site.getPlatform(name as PlatformPart)
+            : this.getProcess(name).getAddress();
+    }
+
+    getApiKey(workspace: string): string {
+        return getApiKey(workspace);
+    }
+
+    async getStatus(name: string): Promise<Readonly<Record<string, unknown>>> {
+        if (this.#isEntry(name)) {
+            return { ...await this.#site.getStatus(name) };
+        }
+        return callJson({ address: this.getControl(name), path: "/faults" });
+    }
+
+    async setLink(from: string, to: string, faults: object): Promise<void> {
+        if (from === callerName) {
+            await setFaults(this.#site.getPlatform("proxy"), { route: `${from}>${to}`, ...faults });
+            return;
+        }
+        for (const { name } of this.#site.getEntries()) {
+            if (name !== to && (from === everyEntry || from === name)) {
+                await this.#site.setLink(name, to, faults);
+            }
+        }
+    }
+
+    async setVmState(name: string, state: VmChange): Promise<void> {
+        await this.#site.setVmState(name, state);
+    }
+
+    publish(changes: readonly Change[]): Promise<number> {
+        return this.#site.publish(changes, "scenario");
+    }
+
+    async waitInForce(offset: number): Promise<void> {
+        await this.#site.waitInForce(offset);
+    }
+
+    #isEntry(name: string): boolean {
+        return this.#site.getEntries().some(entry => entry.name === name);
+    }
+}
--- a/src/scenario/index.ts
+++ b/src/scenario/index.ts
@@ -1,4 +1,5 @@
 /** The scenario language: scripted runs of a site with faults. */
+export * from "./entrySite.js";
 export * from "./readScenario.js";
 export * from "./runScenario.js";
 export * from "./scenarioSite.js";
--- a/src/scenario/scenarioSite.ts
+++ b/src/scenario/scenarioSite.ts
@@ -7,6 +7,9 @@
 /** Who sends a scenario's requests, as the name of a link's beginning. */
 export const callerName = "caller";
 
+/** What a VM list can be made to say of a VM. */
+export type VmChange = "live" | "leaving" | "gone";
+
 /** What a scenario needs of a site. */
 export interface ScenarioSite {
     /** Starts a process of a kind under a name. */
@@ -25,6 +28,8 @@
     getStatus(name: string): Promise<Readonly<Record<string, unknown>>>;
     /** Switches faults of the directed link between two processes, or from the caller to one. */
     setLink(from: string, to: string, faults: object): Promise<void>;
+    /** Changes what the VM list says of a VM. */
+    setVmState(name: string, state: VmChange): Promise<void>;
     /** Publishes changes of the configuration; returns the offset. */
     publish(changes: readonly Change[]): Promise<number>;
     /** Waits until the configuration up to an offset is in force at every running entry. */
--- a/src/scenario/standinSite.ts
+++ b/src/scenario/standinSite.ts
@@ -74,6 +74,11 @@
         await setFaults(this.#proxy?.getAddress() ?? "", { route: to, ...faults });
     }
 
+    /** Refuses: stand-ins alone are on no VM list. */
+    setVmState(name: string): Promise<void> {
+        return Promise.reject(new Error(`${name} is on no VM list here. Use a site with entries.`));
+    }
+
     async publish(changes: readonly Change[]): Promise<number> {
         const address = this.getControl("log");
         const { next } = await callJson<{ readonly next: number; }>({ address, path: "/streams/config?from=latest" });
--- a/src/scenario/subjects.ts
+++ b/src/scenario/subjects.ts
@@ -70,7 +70,10 @@
     name: string,
     options: ReadonlyMap<string, string>,
 ): Promise<string | undefined> {
-    const notes = await getJournal<Readonly<Record<string, unknown>>>(state.site.getControl(name));
+    const notes: Readonly<Record<string, unknown>>[] = [];
+    for (const member of name.split(",")) {
+        notes.push(...await getJournal<Readonly<Record<string, unknown>>>(state.site.getControl(member)));
+    }
     return checkCount(notes, options);
 }
 
@@ -103,13 +106,23 @@
 ): Promise<string | undefined> {
     const status = await state.site.getStatus(name);
     for (const [key, wanted] of options) {
-        if (String(status[key]) !== wanted) {
-            return `${key} of ${name} is ${String(status[key])}, not ${wanted}.`;
+        const found = String(getField(status, key));
+        if (found !== wanted) {
+            return `${key} of ${name} is ${found}, not ${wanted}.`;
         }
     }
     return undefined;
 }
 
+/** Returns the field at a path such as `upstreams.length`. */
+function getField(value: unknown, path: string): unknown {
+    let field = value;
+    for (const part of path.split(".")) {
+        field = (field as Readonly<Record<string, unknown>> | undefined)?.[part];
+    }
+    return field;
+}
+
 async function checkInForce(state: ScenarioState): Promise<string | undefined> {
     await state.site.waitInForce(state.lastOffset);
     return undefined;
--- a/src/scenario/verbs.ts
+++ b/src/scenario/verbs.ts
@@ -3,8 +3,9 @@
  */
 import { setFaults } from "../testbench/index.js";
 import { createCall } from "./createCall.js";
+import { createStepFailure } from "./readScenario.js";
 import { sendRequest } from "./reply.js";
-import { callerName } from "./scenarioSite.js";
+import { callerName, type VmChange } from "./scenarioSite.js";
 import type { ScenarioState } from "./scenarioState.js";
 import type { Step, StepShape } from "./step.js";
 import { checkSubject, waitForSubject } from "./subjectSteps.js";
@@ -14,6 +15,7 @@
     readonly run: (state: ScenarioState, step: Step) => Promise<void>;
 }
 
+const vmChanges: readonly VmChange[] = ["live", "leaving", "gone"];
 const sendOptions = [
     "to",
     "model",
@@ -81,12 +83,7 @@
     ["freeze", createProcessVerb("freeze", (state, name) => state.site.getProcess(name).freeze())],
     ["wake", createProcessVerb("wake", (state, name) => state.site.getProcess(name).wake())],
     ["kill", createProcessVerb("kill", (state, name) => state.site.getProcess(name).kill())],
-    [
-        "stop",
-        createProcessVerb("stop", async (state, name) => {
-            await state.site.getProcess(name).stop();
-        }),
-    ],
+    ["stop", createProcessVerb("stop", (state, name) => state.site.getProcess(name).signal("SIGTERM"))],
     ["outage", createProcessVerb("outage", (state, name) => setOutage(state, name, "answer"))],
     ["restore", {
         usage: "restore NAME to end an outage, or restore FROM>TO to mend a link",
@@ -102,6 +99,13 @@
         options: "any",
         run: (state, step) => setFaults(state.site.getControl(step.words[0]), Object.fromEntries(step.options)),
     }],
+    ["vm", {
+        usage: "vm NAME STATE with STATE live, leaving or gone",
+        minimumWords: 2,
+        maximumWords: 2,
+        options: [],
+        run: setVmState,
+    }],
     ["publish", {
         usage: "publish SECTION KEY=VALUE ..., such as publish version.plan@2 status=withdrawn",
         minimumWords: 1,
@@ -129,6 +133,15 @@
     state.setReply(name, sendRequest(createCall(name, state.site, step.options)));
 }
 
+async function setVmState(state: ScenarioState, step: Step): Promise<void> {
+    const [name, wanted] = step.words;
+    const change = vmChanges.find(known => known === wanted);
+    if (change === undefined) {
+        throw createStepFailure(step, `"${wanted}" is no state of a VM.`, `Write one of ${vmChanges.join(", ")}.`);
+    }
+    await state.site.setVmState(name, change);
+}
+
 async function publish(state: ScenarioState, step: Step): Promise<void> {
     const [section] = step.words;
     const changes = [...step.options].map(([key, value]) => ({ section, key, value }));
