Route around a plain service that is leaving; pass other errors of services on

The client also took every 503 of a plain service as refused before any work: a service that ran a call and then answered 503 would have been reported as not run, its key released, and the call could have run again. Ruled out: teaching the stand-in the header (services answer as they please; only a stated refusal proves anything). Change: the client reads the problem type; any other status is the service's answer. Conclusion: only a refusal that says so is "not run".

--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -3,6 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
+import { z } from "zod";
 import { Failure } from "../common/index.js";
 import type { Vm } from "../world/index.js";
 import { getOrigin, getSingle } from "./engineClient.js";
@@ -33,6 +34,10 @@
 /** Headers of an answer that are passed on to the caller. */
 const passedHeaders = ["content-type", "content-language", "location", "etag", "last-modified", "cache-control"];
 
+const leavingStatus = 409;
+const leavingType = "leaving";
+const problemSchema = z.object({ type: z.string() });
+
 /** Options of a service client. */
 export interface ServiceClientOptions {
     readonly dispatcher: Dispatcher;
@@ -70,12 +75,11 @@
                 },
                 body: call.body,
             });
-            const refused = response.statusCode === 503 || response.headers["x-refused"] === "leaving";
-            if (refused) {
-                await response.body.dump();
-                return err(classifyRefusal(503, service.id, Number(response.headers["retry-after"] ?? 1)));
+            const answer = await this.#readAnswer(response, service);
+            if (answer.isOk() && isLeavingRefusal(answer.value)) {
+                return err(classifyRefusal(answer.value.status, service.id));
             }
-            return await this.#readAnswer(response, service);
+            return answer;
         }
         catch (error) {
             return err(classifyCallError(error, service.id));
@@ -113,6 +117,19 @@
     }
 }
 
+/**
+ * Tells whether an answer is the refusal of a service that is leaving, which it sends before any work. No other answer
+ * proves that nothing ran: a service may well have printed a label before it answered with an error.
+ */
+function isLeavingRefusal(answer: ServiceAnswer): boolean {
+    const isProblem = answer.headers["content-type"]?.startsWith("application/problem+json") === true;
+    if (answer.status !== leavingStatus || !isProblem) {
+        return false;
+    }
+    const problem = problemSchema.safeParse(JSON.parse(Buffer.from(answer.body).toString()));
+    return problem.success && problem.data.type === leavingType;
+}
+
 function pickHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
     const picked: Record<string, string> = {};
     for (const name of passedHeaders) {
