Refuse short signing keys and half a [tls] section; test repeats of rejected records

Cause: the reference asked for 32 characters and nothing checked it; half a [tls] section left peers in the clear without a word. Ruled out: leaving the repeat to the conflict rule; a rejected record could come into force when it is repeated later. Change: a key type for secrets, a check of [tls], tests of both and of the repeat.

--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -1,14 +1,16 @@
 /**
  * Settings of the processes: entries and the ledger.
  */
-import type { Result } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import type { Mistake } from "./mistake.js";
 import type { SettingDocument } from "./settingDocument.js";
-import { address, httpUrl, integer, name, optional, type SettingValues, text, toggle } from "./settingKey.js";
+import { address, httpUrl, integer, name, optional, secret, type SettingValues, text, toggle } from "./settingKey.js";
 import { checkSettings, defineSection, getValues, type SettingSchema } from "./settingSchema.js";
 
 const second = 1_000;
 const minute = 60 * second;
+/** A shorter secret could be guessed, and with it the version that a session is pinned to could be chosen by callers. */
+const signingKeyLength = 32;
 
 function milliseconds(description: string, defaultMilliseconds: number, maximum = 10 * minute) {
     const defaultText = String(defaultMilliseconds);
@@ -95,11 +97,13 @@
 }, false);
 
 const sessionSection = defineSection("session", "Session tokens.", {
-    signing_key: text({
-        description: "Secret that signs session tokens, 32 characters or more, the same on every entry of the site.",
+    signing_key: secret({
+        minimumLength: signingKeyLength,
+        description: "Secret that signs session tokens, the same on every entry of the site.",
         example: "replace-me-with-32-random-characters",
     }),
-    previous_signing_key: optional(text({
+    previous_signing_key: optional(secret({
+        minimumLength: signingKeyLength,
         description: "Secret that is still accepted while the site changes to a new one.",
         example: "the-one-used-until-yesterday-32-characters",
     })),
@@ -164,7 +168,10 @@
  * @param file - The file's name, for messages.
  */
 export function parseEntrySettings(content: string, file: string): Result<EntrySettings, readonly Mistake[]> {
-    return checkSettings(content, file, entrySchema).map(readEntry);
+    return checkSettings(content, file, entrySchema).andThen(document => {
+        const mistakes = checkCertificates(document);
+        return mistakes.length === 0 ? ok(readEntry(document)) : err(mistakes);
+    });
 }
 
 /**
@@ -180,6 +187,23 @@
     }));
 }
 
+/** Checks that the [tls] section is whole: with a part of it missing, peers would talk in the clear or not at all. */
+function checkCertificates(document: SettingDocument): readonly Mistake[] {
+    const section = document.sections.get(tlsSection.title);
+    if (section === undefined) {
+        return [];
+    }
+    const missing = Object.keys(tlsSection.keys).filter(key => !section.lines.has(key));
+    return missing.map(key => ({
+        file: document.file,
+        line: section.line,
+        section: section.name,
+        key,
+        message: "The key is missing beside the others of this section.",
+        remedy: "Give certificate, key and authority, or remove the section.",
+    }));
+}
+
 function readEntry(document: SettingDocument): EntrySettings {
     return {
         process: getValues(document, "process", processSection),
--- a/src/settings/settingKey.ts
+++ b/src/settings/settingKey.ts
@@ -86,6 +86,14 @@
     });
 }
 
+/** Makes a key with a secret of a least length. */
+export function secret(options: KeyOptions & { readonly minimumLength: number; }): SettingKey<string> {
+    const length = `${options.minimumLength} characters or more`;
+    return createKey(`text of ${length}`, options, value => {
+        return value.length < options.minimumLength ? err(`Write a secret of ${length}.`) : ok(value);
+    });
+}
+
 /** Makes a key with a name of letters, digits, dots, hyphens and underscores. */
 export function name(options: KeyOptions): SettingKey<string> {
     return createKey("name", options, value => {
--- a/test/configuration/configurationFold.test.ts
+++ b/test/configuration/configurationFold.test.ts
@@ -120,6 +120,25 @@
             expect(fold.getConfiguration().getVersionOrThrow("plan@1").status).toEqual("serving");
         });
 
+        // A publication was rejected because its version did not exist yet, and its repeat arrives after somebody added the
+        // version. Its author was told that it was rejected, so it must not come into force behind the author's back.
+        it("ignores the repeat of a rejected record that would be valid by now", () => {
+            const early = createPublication([{ section: "workspace.bench", key: "allowed", value: "new@1" }], {
+                basedOn: 1,
+            });
+            const { fold, verdicts } = foldAll([
+                createPublication(smallTree),
+                early,
+                createPublication([
+                    { section: "version.new@1", key: "input_price", value: "1" },
+                    { section: "version.new@1", key: "output_price", value: "1" },
+                ], { basedOn: 2 }),
+                early,
+            ]);
+            expect(verdicts.map(verdict => verdict.outcome)).toEqual(["accepted", "rejected", "accepted", "repeated"]);
+            expect(fold.getConfiguration().getTree().get("workspace.bench")?.has("allowed")).toEqual(false);
+        });
+
         it("rejects a record with any mistake as a whole", () => {
             const wrong: readonly Change[] = [
                 { section: "workspace.bench", key: "priorty", value: "1" },
--- a/test/settings/entrySettings.test.ts
+++ b/test/settings/entrySettings.test.ts
@@ -60,6 +60,17 @@
         ]);
     });
 
+    // A certificate without its key: peers would refuse each other, or a reader of the code would fall back to no TLS.
+    it("refuses half a [tls] section and a short signing key", () => {
+        const half = getMistakes(`${validEntry}[tls]\ncertificate = a.pem\nkey = a.key\n`);
+        expect(half).toEqual([
+            "entry.ini:20: [tls] authority: The key is missing beside the others of this section. Give certificate, key and "
+            + "authority, or remove the section.",
+        ]);
+        const short = getMistakes(validEntry.replace("0123456789abcdef0123456789abcdef", "short"));
+        expect(short.length).toEqual(1);
+    });
+
     it("takes names of objects' own properties for unknown keys", () => {
         const mistakes = getMistakes(validEntry.replace("[timing]", "[timing]\nconstructor = 1\n__proto__ = 2"));
         expect(mistakes.map(mistake => mistake.includes("not known") || mistake.includes("no section")))
