Judge bad ratings apart from the mean rating, add the exposure measurement

Ruled out: a parametric likelihood of scores (needs a model of the rating service). Change: the share of bad ratings is a metric of its own; three sizes of bets instead of four; while evidence against a candidate grows, callers are let through a handful at a time instead of none.

--- a/src/decisions/exposure/grants.ts
+++ b/src/decisions/exposure/grants.ts
@@ -17,12 +17,12 @@
     readonly settled: number;
     /** Callers that may be exposed before the first one is judged. */
     readonly firstCallers: number;
+    /** For each judged caller, so many more may be exposed and not judged. */
+    readonly unjudgedPerJudged: number;
     /** Gets how many callers an entry has exposed. */
     readonly getSpent: (entry: string) => number;
 }
 
-/** For each judged caller, so many may be waiting for judgement. */
-const unjudgedPerJudged = 1;
 /** A new split is worth a record if it adds this part of what may be waiting. */
 const worthwhilePart = 0.25;
 
@@ -32,7 +32,7 @@
  */
 export function planGrants(input: GrantInput): Readonly<Record<string, number>> | undefined {
     const granted = sumValues(input.grants);
-    const waiting = Math.max(input.firstCallers, unjudgedPerJudged * input.settled);
+    const waiting = Math.max(input.firstCallers, input.unjudgedPerJudged * input.settled);
     const wanted = Math.floor(input.settled + waiting + countLost(input));
     const added = Math.min(input.budget, wanted) - granted;
     if (input.entries.length === 0 || added < Math.max(1, Math.min(input.budget - granted, worthwhilePart * waiting))) {
--- a/src/decisions/exposure/metric.ts
+++ b/src/decisions/exposure/metric.ts
@@ -5,7 +5,7 @@
 import { scoreSteps, type Tally } from "../model/index.js";
 
 /** Names of the metrics. */
-export type MetricName = "rating" | "errors" | "latency" | "coverage";
+export type MetricName = "bad ratings" | "mean rating" | "errors" | "latency";
 
 /** One thing that a version is judged by. */
 export interface Metric {
@@ -26,18 +26,40 @@
 const scoreValues = Array.from({ length: scoreSteps + 1 }, (...[, bin]) => bin / scoreSteps);
 const binaryValues = [0, 1];
 
+/** Scores up to this bin are bad answers. */
+const badBin = scoreSteps / 2;
+
+function countBad(tally: Tally): number {
+    let count = 0;
+    for (let bin = 0; bin <= badBin; bin += 1) {
+        count += tally.getBin(bin);
+    }
+    return count;
+}
+
 /** The metrics by which a candidate is judged. */
 export const metrics: readonly Metric[] = [
     {
-        name: "rating",
-        weight: 0.6,
+        // A version that answers well as a rule and badly now and then shows here much sooner than in its mean.
+        name: "bad ratings",
+        weight: 0.45,
+        margin: 0.01,
+        values: binaryValues,
+        count: tally => {
+            const bad = countBad(tally);
+            return [bad, tally.ratings - bad];
+        },
+    },
+    {
+        name: "mean rating",
+        weight: 0.2,
         margin: 0.02,
         values: scoreValues,
         count: tally => scoreValues.map((...[, bin]) => tally.getBin(bin)),
     },
     {
         name: "errors",
-        weight: 0.25,
+        weight: 0.2,
         margin: 0.01,
         values: binaryValues,
         count: tally => [tally.failed, tally.answers - tally.failed],
--- a/src/decisions/exposure/rolloutJudge.ts
+++ b/src/decisions/exposure/rolloutJudge.ts
@@ -9,6 +9,7 @@
 import { type Bucket, type Evidence, Tally } from "../model/index.js";
 import type { Exposures } from "./exposures.js";
 import { planGrants } from "./grants.js";
+import type { MetricName } from "./metric.js";
 import { SequentialTest, type Stratum, type TestResult } from "./sequentialTest.js";
 
 /** What should happen next. */
@@ -21,7 +22,7 @@
 
 /** How roll-outs are judged. */
 export interface RolloutPolicy {
-    /** Probability that a good version is halted during its roll-out. */
+    /** Upper bound of the probability that a good version is halted during its roll-out; the measured share is lower. */
     readonly falseHaltProbability: number;
     /** Expected time between false halts of a settled version, in milliseconds. */
     readonly falseHaltMilliseconds: number;
@@ -39,7 +40,7 @@
 
 /** The policy unless the configuration says otherwise. */
 export const defaultRolloutPolicy: RolloutPolicy = {
-    falseHaltProbability: 0.01,
+    falseHaltProbability: 0.02,
     falseHaltMilliseconds: 30 * 86_400_000,
     ratingWaitMilliseconds: 90_000,
     firstCallers: 8,
@@ -48,13 +49,20 @@
     changeWindowMilliseconds: 600_000,
 };
 
+const referenceMilliseconds = 5000;
 /** Starts of a change that share the part of the capital that isn't bet on the first one. */
 const changeStarts = 200;
-/** Strength of evidence against the candidate at which nothing is widened any more, whatever the budget. */
+/** The part that is bet on the candidate having been bad from the start. */
+const firstStartPart = 0.6;
+/** For each judged caller, so many may be waiting for judgement. */
+const unjudgedPerJudged = 1;
+/** Strength of evidence against the candidate at which callers are let through only a handful at a time. */
 const suspiciousStrength = 0.03;
 /** Part of the baseline's share of rated answers that the candidate must reach for its exposure to grow. */
 const neededCoverage = 0.5;
 const matureAnswersNeeded = 10;
+/** Epochs between two moments at which a settled version is supposed to have changed. */
+const settledStartStep = 5;
 
 /** Options of `RolloutJudge`. */
 export interface RolloutJudgeOptions {
@@ -74,6 +82,7 @@
     readonly #policy: RolloutPolicy;
     readonly #rolloutTest: SequentialTest;
     readonly #settledTest: SequentialTest;
+    readonly #references = new Map<string, { readonly formedAt: number; readonly tally: Tally; }>();
 
     constructor(options: RolloutJudgeOptions) {
         this.#fold = options.fold;
@@ -83,14 +92,15 @@
         this.#policy = { ...defaultRolloutPolicy, ...options.policy };
         this.#rolloutTest = new SequentialTest({
             threshold: 1 / this.#policy.falseHaltProbability,
-            firstStartPart: 0.5,
-            laterStartPart: 0.5 / changeStarts,
+            firstStartPart,
+            laterStartPart: (1 - firstStartPart) / changeStarts,
         });
         const epoch = this.#evidence.epochMilliseconds;
         this.#settledTest = new SequentialTest({
-            threshold: this.#policy.falseHaltMilliseconds / epoch,
+            threshold: this.#policy.falseHaltMilliseconds / (settledStartStep * epoch),
             firstStartPart: 1,
             laterStartPart: 1,
+            startStep: settledStartStep,
         });
     }
 
@@ -111,9 +121,6 @@
             const { candidate: version, baseline } = rollout;
             return { action: "halt", version, reason: describe(result, baseline), strength: result.strength };
         }
-        if (result.strength >= suspiciousStrength) {
-            return { action: "wait", reason: "The evidence against the candidate grows.", strength: result.strength };
-        }
         return this.#judgeProgress(rollout, entries, self, strata, result.strength);
     }
 
@@ -163,7 +170,8 @@
         const spent = budget !== undefined && exposed >= 0.9 * budget && seen.settled >= 0.8 * budget;
         const longEnough = this.#clock.wall() - rollout.stageSince >= this.#policy.stageMilliseconds;
         const neededRatings = this.#policy.stageRatings * (rollout.stage + 1);
-        if (longEnough && (spent || seen.ratings >= neededRatings)) {
+        const suspicious = strength >= suspiciousStrength;
+        if (!suspicious && longEnough && (spent || seen.ratings >= neededRatings)) {
             const reason = spent ? "The budget is spent without a finding." : "The ratings suffice.";
             if (rollout.stage === rollout.stages.length - 1) {
                 return { action: "finish", reason };
@@ -176,13 +184,15 @@
             budget,
             settled: Math.min(seen.settled, exposed),
             firstCallers: this.#policy.firstCallers,
+            unjudgedPerJudged: suspicious ? 0 : unjudgedPerJudged,
             getSpent: entry =>
                 entry === self ? this.#exposures.getOwn(rollout.id) : this.#exposures.getOf(entry, rollout.id),
         });
         if (grants !== undefined) {
             return { action: "grant", grants, reason: "Earlier callers are judged." };
         }
-        return { action: "wait", reason: "More ratings are needed.", strength };
+        const reason = suspicious ? "The evidence against the candidate grows." : "More ratings are needed.";
+        return { action: "wait", reason, strength };
     }
 
     /** Counts the candidate's answers about which all is known that will be. */
@@ -219,12 +229,25 @@
                 buckets: this.#evidence.getBuckets(rollout.candidate, requestClass).filter(({ start }) =>
                     start >= since
                 ),
-                reference: this.#evidence.getRecent(rollout.baseline, requestClass),
+                reference: this.#getReference(rollout.baseline, requestClass),
             });
         }
         return strata;
     }
 
+    /** Gets the recent counts of a baseline. They change slowly and are asked for often. */
+    #getReference(version: string, requestClass: string): Tally {
+        const key = `${version}/${requestClass}`;
+        const now = this.#clock.monotonic();
+        const known = this.#references.get(key);
+        if (known !== undefined && now - known.formedAt < referenceMilliseconds) {
+            return known.tally;
+        }
+        const tally = this.#evidence.getRecent(version, requestClass);
+        this.#references.set(key, { formedAt: now, tally });
+        return tally;
+    }
+
     #getSettledStrata(version: string): readonly Stratum[] {
         const now = this.#evidence.getEpoch(this.#clock.wall());
         const liftedEpoch = this.#evidence.getEpoch(this.#fold.getLiftedAt(version) ?? 0);
@@ -251,6 +274,12 @@
 
 function describe(result: TestResult, reference: string): string {
     const where = result.requestClass === undefined ? "over all classes" : `in class ${result.requestClass}`;
-    const what = { rating: "rated worse", errors: "fails more", latency: "slower", coverage: "rated less often" };
-    return `It is ${what[result.metric]} than ${reference} ${where}.`.replace("is fails", "fails");
+    return `It ${findings[result.metric]} than ${reference} ${where}.`;
 }
+
+const findings: Readonly<Record<MetricName, string>> = {
+    "bad ratings": "has more answers rated bad",
+    "mean rating": "is rated lower",
+    "errors": "fails more often",
+    "latency": "is slow more often",
+};
--- a/src/decisions/exposure/sequentialTest.ts
+++ b/src/decisions/exposure/sequentialTest.ts
@@ -12,9 +12,9 @@
 import { getReference, type Metric, type MetricName, metrics as allMetrics } from "./metric.js";
 
 /** Sizes of bets, as parts of the greatest bet that can't lose more than the capital. */
-const betParts: readonly number[] = [0.06, 0.15, 0.35, 0.7];
+const betParts: readonly number[] = [0.08, 0.25, 0.6];
 /** Part of the capital of a metric that is bet on all classes together; the rest is split over single classes. */
-const pooledPart = 0.65;
+const pooledPart = 0.7;
 /** Reference observations below which a class isn't judged. */
 const minimumReferenceCount = 20;
 /** Standard errors by which the reference is lowered, since it is itself an estimate. */
@@ -77,7 +77,7 @@
         const series = collectSeries(strata);
         let total = 0;
         let greatest = -1;
-        let metricName: MetricName = "rating";
+        let metricName: MetricName = "bad ratings";
         let requestClass: string | undefined;
         for (const metric of this.#options.metrics ?? allMetrics) {
             const capital = this.#evaluateMetric(metric, strata, series);
--- a/src/decisions/model/tally.ts
+++ b/src/decisions/model/tally.ts
@@ -10,9 +10,11 @@
 const binOffset = 5;
 const slotCount = binOffset + scoreSteps + 1;
 
+const emptySlots: readonly number[] = new Array<number>(slotCount).fill(0);
+
 /** Integer counts of answers and ratings. */
 export class Tally {
-    readonly #slots = new Float64Array(slotCount);
+    readonly #slots: number[] = emptySlots.slice();
 
     /** Reads a tally back from what `encode` returned. */
     static decode(encoded: readonly number[]): Tally {
--- a/src/measure/cost/costRun.ts
+++ b/src/measure/cost/costRun.ts
@@ -24,6 +24,8 @@
 const ratedShare = 0.95;
 const meanRatingDelay = 20_000;
 const confidence = 0.95;
+/** Parts of a run that are reported one by one, to tell learning from what follows. */
+export const periodCount = 6;
 /** Until an entry has noticed that the rating service is away or back. */
 const noticeMilliseconds = 2000;
 
@@ -70,6 +72,8 @@
     readonly #published: number[] = new Array<number>(entryCount).fill(0);
     readonly #late = new Map<number, LateRating[]>();
     readonly results = new Map<CostWay, ClassResult[]>();
+    /** The same by period, all classes together. */
+    readonly periods = new Map<CostWay, ClassResult[]>();
     exploring = 0;
     cascades = 0;
 
@@ -83,7 +87,8 @@
             return { evidence, chooser: new ModelChooser({ evidence, random, clock: this.#clock, ratedShare }) };
         });
         for (const way of costWays) {
-            this.results.set(way, costClasses.map(() => ({ requests: 0, cost: 0, qualitySum: 0, squareSum: 0 })));
+            this.periods.set(way, Array.from({ length: periodCount }, createResult));
+            this.results.set(way, costClasses.map(createResult));
         }
     }
 
@@ -164,18 +169,18 @@
         const { way, classIndex, time, size, answers, ratings } = input;
         const { inputTokens, outputTokens } = costClasses[classIndex];
         const versions = this.#world.getVersions(time);
-        const result = this.results.get(way)![classIndex];
+        let cost = 0;
         let first: { version: string; score: number; } | undefined;
         for (const { version, acceptScore } of input.steps) {
-            result.cost += getPrice(versions[version], size * inputTokens, size * outputTokens);
+            cost += getPrice(versions[version], size * inputTokens, size * outputTokens);
             const rated = acceptScore !== undefined && input.inTime;
             if (way === "rattanlock") {
                 this.#countAnswer(classIndex, time, versions[version].id, ratings[version], rated, first);
             }
             if (acceptScore === undefined || rated && ratings[version] >= acceptScore) {
-                result.requests += 1;
-                result.qualitySum += answers[version];
-                result.squareSum += answers[version] ** 2;
+                addResult(this.results.get(way)![classIndex], cost, answers[version]);
+                const period = Math.floor(time / runMilliseconds * periodCount);
+                addResult(this.periods.get(way)![period], cost, answers[version]);
                 return;
             }
             first = rated ? { version: versions[version].id, score: ratings[version] } : undefined;
@@ -256,6 +261,17 @@
     }
 }
 
+function createResult(): ClassResult {
+    return { requests: 0, cost: 0, qualitySum: 0, squareSum: 0 };
+}
+
+function addResult(result: ClassResult, cost: number, quality: number): void {
+    result.requests += 1;
+    result.cost += cost;
+    result.qualitySum += quality;
+    result.squareSum += quality ** 2;
+}
+
 function toSteps(plan: Plan, ids: readonly string[]): readonly Step[] {
     return plan.steps.map(({ version, acceptScore }) => ({ version: ids.indexOf(version.id), acceptScore }));
 }
--- a/src/measure/cost/measureCost.ts
+++ b/src/measure/cost/measureCost.ts
@@ -1,7 +1,7 @@
 /** Measures the cost at the quality target against simple ways and an oracle. */
 import type { MeasurementRequest } from "../main.js";
 import { formatSummary, type Report } from "../report.js";
-import { type ClassResult, CostRun, type CostWay, costWays } from "./costRun.js";
+import { type ClassResult, CostRun, type CostWay, costWays, periodCount } from "./costRun.js";
 import { costClasses } from "./costWorld.js";
 import { measureDecision } from "./measureDecision.js";
 
@@ -28,6 +28,10 @@
                 title: "By class, rattanlock",
                 rows: costClasses.map(({ name }, index) => ({ name, figures: describeClass(runs, index) })),
             },
+            {
+                title: "By ten minutes, rattanlock",
+                rows: Array.from({ length: periodCount }, (...[, period]) => describePeriod(runs, period)),
+            },
             { title: "Cost of a decision", rows: [measureDecision(request.seed)] },
         ],
     };
@@ -62,6 +66,13 @@
     };
 }
 
+function describePeriod(runs: readonly CostRun[], period: number) {
+    const ratios = runs.map(run =>
+        run.periods.get("rattanlock")![period].cost / run.periods.get("oracle")![period].cost
+    );
+    return { name: `from minute ${10 * period}`, figures: { "cost / oracle": formatSummary(ratios) } };
+}
+
 function getCost(run: CostRun, way: CostWay): number {
     return sum(run.results.get(way)!.map(result => result.cost));
 }
--- /dev/null
+++ b/src/measure/exposure/exposureCase.ts
@@ -0,0 +1,68 @@
+/** The cases of the exposure measurement: how a version turns bad, and how ratings arrive. */
+
+/** Chances of an answer, by what it may suffer from. */
+export interface AnswerChances {
+    readonly bad: number;
+    readonly failed: number;
+    readonly slow: number;
+}
+
+/** Answers of a version that is as it should be. */
+export const goodChances: AnswerChances = { bad: 0.03, failed: 0.005, slow: 0.05 };
+
+/** Where a roll-out stands when the candidate turns bad. */
+export type Moment = "first stage" | "mid roll-out" | "after full roll-out";
+
+/** One case. */
+export interface ExposureCase {
+    readonly name: string;
+    readonly moment: Moment;
+    /** Answers of the candidate once it is bad. */
+    readonly chances: AnswerChances;
+    /** The only class in which it turns bad; `undefined`: in all. */
+    readonly onlyClass?: string;
+    /** How long after the start of the run it turns bad, in milliseconds. */
+    readonly turnsBadAt: number;
+    readonly meanRatingDelay: number;
+    /** Share of good and of bad answers that are rated. */
+    readonly ratedShare: number;
+    readonly ratedShareOfBad: number;
+}
+
+const badRatings: AnswerChances = { ...goodChances, bad: 0.3 };
+
+/** All cases with a bad candidate. */
+export const exposureCases: readonly ExposureCase[] = [
+    createCase("first stage", { moment: "first stage" }),
+    createCase("mid roll-out", { moment: "mid roll-out", turnsBadAt: 30_000 }),
+    createCase("after full roll-out", { moment: "after full roll-out", turnsBadAt: 30_000 }),
+    createCase("first stage, bad in one class only", {
+        onlyClass: "allergens",
+        chances: { ...goodChances, bad: 0.5 },
+    }),
+    createCase("first stage, errors only", { chances: { ...goodChances, failed: 0.3 } }),
+    createCase("first stage, slow but right", { chances: { ...goodChances, slow: 0.5 } }),
+    createCase("first stage, ratings a minute late", { meanRatingDelay: 60_000 }),
+    createCase("first stage, bad answers rated less often", { ratedShareOfBad: 0.1 }),
+    createCase("after full roll-out, ratings a minute late", {
+        moment: "after full roll-out",
+        turnsBadAt: 30_000,
+        meanRatingDelay: 60_000,
+    }),
+];
+
+/** A candidate that is as good as the baseline. */
+export const goodCase: ExposureCase = createCase("good", { chances: goodChances });
+
+function createCase(name: string, options: Partial<ExposureCase>): ExposureCase {
+    return {
+        name,
+        moment: "first stage",
+        chances: badRatings,
+        turnsBadAt: 0,
+        meanRatingDelay: 5000,
+        ratedShare: 0.5,
+        ratedShareOfBad: 0.5,
+        ...options,
+    };
+}
--- /dev/null
+++ b/src/measure/exposure/exposureRun.ts
@@ -0,0 +1,195 @@
+/** One run of the exposure measurement. */
+import type { CallerHash, RolloutPolicy } from "../../decisions/exposure/index.js";
+import { type AnswerChances, type ExposureCase, goodChances } from "./exposureCase.js";
+import {
+    baseline,
+    candidate,
+    classes,
+    entryCount,
+    type ExposureEntry,
+    ExposureSite,
+    rolloutId,
+    stages,
+} from "./exposureSite.js";
+
+/** Mean time between two requests of the whole site. */
+export const requestInterval = 50;
+const judgeInterval = 1000;
+/** Answers of the baseline and, where it has been exposed before, of the candidate, before the run begins. */
+const historyMilliseconds = 1_800_000;
+const historyAnswers = 18_000;
+const midHistoryAnswers = 800;
+const goodScore = 0.85;
+const badScore = 0.25;
+const scoreDeviation = 0.08;
+
+/** Ways of rolling out that are compared. */
+export type ExposureWay = "shared" | "each entry alone";
+
+/** What a run did. */
+export interface ExposureResult {
+    /** Callers given a bad, failed or slow answer beyond what they would have been given by the baseline's chances. */
+    readonly harmed: number;
+    /** Callers that the candidate answered after it turned bad. */
+    readonly exposed: number;
+    /** Milliseconds from turning bad until the last answer of the candidate; `undefined` if it wasn't halted. */
+    readonly detectedAfter: number | undefined;
+    readonly halted: boolean;
+    readonly finished: boolean;
+}
+
+/** Options of a run. */
+export interface ExposureRunOptions {
+    readonly seed: number;
+    readonly hash: CallerHash;
+    readonly exposureCase: ExposureCase;
+    readonly way: ExposureWay;
+    readonly durationMilliseconds: number;
+    readonly policy?: Partial<RolloutPolicy>;
+    /** Whether the run ends at the first halt everywhere. */
+    readonly endsAtHalt: boolean;
+}
+
+interface LateRating {
+    readonly at: number;
+    readonly entry: ExposureEntry;
+    readonly version: string;
+    readonly requestClass: string;
+    readonly score: number;
+    readonly answeredAt: number;
+}
+
+/** Simulates a roll-out over eight entries. */
+export class ExposureRun {
+    readonly #options: ExposureRunOptions;
+    readonly #site: ExposureSite;
+    readonly #late = new Map<number, LateRating[]>();
+    #harmed = 0;
+    #exposed = 0;
+    #lastExposure = 0;
+
+    constructor(options: ExposureRunOptions) {
+        this.#options = options;
+        const { seed, hash, policy } = options;
+        const sharing = options.way === "shared";
+        this.#site = new ExposureSite({ seed, hash, sharing, ...policy === undefined ? {} : { policy } });
+    }
+
+    /** Runs to the end. */
+    run(): ExposureResult {
+        const site = this.#site;
+        const { moment, turnsBadAt } = this.#options.exposureCase;
+        this.#prepare();
+        site.startRollout(moment === "first stage" ? 0 : moment === "mid roll-out" ? 2 : "finished");
+        this.#addHistory(baseline, historyAnswers);
+        if (moment !== "first stage") {
+            this.#addHistory(candidate, moment === "mid roll-out" ? midHistoryAnswers : historyAnswers);
+        }
+        let halted = false;
+        let time = 0;
+        for (; time < this.#options.durationMilliseconds; time += requestInterval) {
+            site.clock.advance(requestInterval);
+            site.deliver();
+            this.#deliverRatings();
+            if (time % judgeInterval === 0) {
+                site.gossip();
+                site.judge();
+                halted = site.entries.every(({ fold }) => fold.isHalted(candidate));
+                if (halted && this.#options.endsAtHalt) {
+                    break;
+                }
+            }
+            this.#handleRequest(time, time >= turnsBadAt);
+        }
+        const finished = site.entries[0].fold.getRollout(rolloutId)?.state === "finished";
+        const detectedAfter = halted ? this.#lastExposure - turnsBadAt : undefined;
+        return { harmed: this.#harmed, exposed: this.#exposed, detectedAfter, halted, finished };
+    }
+
+    /** Moves the clock ahead of the history, so that its times aren't negative. */
+    #prepare(): void {
+        this.#site.clock.advance(historyMilliseconds);
+    }
+
+    #addHistory(version: string, answers: number): void {
+        const { clock, random, entries } = this.#site;
+        const begin = clock.wall() - (answers < historyAnswers ? 120_000 : historyMilliseconds);
+        const length = clock.wall() - begin - 10_000;
+        for (let answer = 0; answer < answers; answer += 1) {
+            const answeredAt = begin + length * answer / answers;
+            const entry = entries[random.nextInteger(entryCount)];
+            this.#answer({ entry, version, chances: goodChances, answeredAt, late: false });
+        }
+        this.#site.gossip();
+    }
+
+    #handleRequest(time: number, bad: boolean): void {
+        const { random, entries, clock } = this.#site;
+        const entry = entries[random.nextInteger(entryCount)];
+        const caller = `caller-${time}`;
+        const version = this.#pick(entry, caller);
+        const { exposureCase } = this.#options;
+        const isCandidate = version === candidate;
+        const chances = isCandidate && bad ? exposureCase.chances : goodChances;
+        const harmed = this.#answer({ entry, version, chances, answeredAt: clock.wall(), late: true });
+        if (isCandidate && bad) {
+            this.#exposed += 1;
+            this.#harmed += harmed ? 1 : 0;
+            this.#lastExposure = time;
+        }
+    }
+
+    #pick(entry: ExposureEntry, caller: string): string {
+        if (this.#options.way === "shared") {
+            return entry.router.pick({ rollout: rolloutId, caller }) ?? baseline;
+        }
+        const share = entry.fold.getShare(rolloutId);
+        return this.#site.random.next() < share && stages.length > 0 ? candidate : baseline;
+    }
+
+    /** Draws an answer and its rating, and counts them. */
+    #answer(input: {
+        entry: ExposureEntry;
+        version: string;
+        chances: AnswerChances;
+        answeredAt: number;
+        late: boolean;
+    }): boolean {
+        const { entry, version, answeredAt } = input;
+        const { random } = this.#site;
+        const { exposureCase } = this.#options;
+        const requestClass = classes[random.nextInteger(classes.length)];
+        const spared = exposureCase.onlyClass !== undefined && exposureCase.onlyClass !== requestClass;
+        const chances = spared ? goodChances : input.chances;
+        const bad = random.next() < chances.bad;
+        const failed = random.next() < chances.failed;
+        const slow = random.next() < chances.slow;
+        entry.evidence.addAnswer({ version, requestClass, failed, slow, answeredAt });
+        const ratedShare = bad ? exposureCase.ratedShareOfBad : exposureCase.ratedShare;
+        if (!failed && random.next() < ratedShare) {
+            const score = (bad ? badScore : goodScore) + scoreDeviation * random.nextNormal();
+            const delay = input.late ? random.nextExponential(exposureCase.meanRatingDelay) : 0;
+            this.#schedule({ at: this.#site.clock.wall() + delay, entry, version, requestClass, score, answeredAt });
+        }
+        return bad || failed || slow && exposureCase.chances.slow > goodChances.slow;
+    }
+
+    #schedule(rating: LateRating): void {
+        if (rating.at <= this.#site.clock.wall()) {
+            rating.entry.evidence.addRating(rating);
+            return;
+        }
+        const tick = Math.ceil(rating.at / requestInterval);
+        const queue = this.#late.get(tick) ?? [];
+        queue.push(rating);
+        this.#late.set(tick, queue);
+    }
+
+    #deliverRatings(): void {
+        const tick = Math.floor(this.#site.clock.wall() / requestInterval);
+        for (const rating of this.#late.get(tick) ?? []) {
+            rating.entry.evidence.addRating(rating);
+        }
+        this.#late.delete(tick);
+    }
+}
--- /dev/null
+++ b/src/measure/exposure/knownRatesTest.ts
@@ -0,0 +1,24 @@
+/** A sequential probability ratio test that knows both rates: the least that any test needs. */
+import type { RandomSource } from "../../common/index.js";
+
+/**
+ * Draws the number of samples until the test says bad.
+ * @param good - Rate of bad answers of a good version.
+ * @param bad - Rate of bad answers of the bad version, which is the one that is drawn.
+ * @param falseAlarmProbability - The test's error for good versions.
+ */
+export function drawSampleNumber(
+    good: number,
+    bad: number,
+    falseAlarmProbability: number,
+    random: RandomSource,
+): number {
+    const threshold = Math.log(1 / falseAlarmProbability);
+    let logRatio = 0;
+    let samples = 0;
+    while (logRatio < threshold) {
+        samples += 1;
+        logRatio += random.next() < bad ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good));
+    }
+    return samples;
+}
