--- /dev/null
+++ b/test/decisions/model/modelChooser.test.ts
@@ -0,0 +1,156 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock, RandomSource } from "../../../src/common/index.js";
+import { Evidence, ModelChooser } from "../../../src/decisions/model/index.js";
+import type { ModelVersion } from "../../../src/world/index.js";
+
+const requestClass = "plans";
+const small = createVersion("small@1", 0.1, 0.6);
+const medium = createVersion("medium@1", 1, 0.8);
+const large = createVersion("large@1", 8, 0.93);
+const candidates = [small, medium, large];
+
+describe("ModelChooser", () => {
+    describe("choose", () => {
+        it("takes the surest version for a class never seen before", () => {
+            const { choose } = createFixture();
+            const plan = choose({ ratingsAvailable: false });
+            expect(plan.steps.map(step => step.version.id)).toEqual([large.id]);
+        });
+
+        it("takes the cheapest single version that is known to meet the target", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(small, 400, 0.6, 0.02);
+            addRatings(medium, 400, 0.88, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            expect(choose({ ratingsAvailable: false }).steps.map(step => step.version.id)).toEqual([medium.id]);
+        });
+
+        it("cascades where the cheap version is often good and its ratings tell when", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(small, 300, 0.95, 0.02);
+            addRatings(small, 200, 0.3, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            addRatings(medium, 400, 0.7, 0.02);
+            const plan = choose({});
+            expect(plan.steps.map(step => step.version.id)).toEqual([small.id, large.id]);
+            const acceptScore = plan.steps[0].acceptScore ?? 0;
+            expect(acceptScore > 0.4 && acceptScore < 0.95).toEqual(true);
+            expect(plan.steps[1].acceptScore).toEqual(undefined);
+        });
+
+        it("counts what a long history costs on both steps of a cascade", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(small, 300, 0.95, 0.02);
+            addRatings(small, 200, 0.3, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            const short = choose({ inputTokens: 100, outputTokens: 100 });
+            const long = choose({ inputTokens: 100_000, outputTokens: 100 });
+            expect(long.expectedCost > 200 * short.expectedCost).toEqual(true);
+        });
+
+        // The rating service is away: nobody can tell whether a cheap answer will do. A cascade would then escalate
+        // every request, and callers would wait and pay for two answers.
+        it("chooses no cascade and tries nothing while ratings are away", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(small, 300, 0.95, 0.02);
+            addRatings(small, 200, 0.3, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            for (let request = 0; request < 200; request += 1) {
+                const plan = choose({ ratingsAvailable: false });
+                expect(plan.steps.length).toEqual(1);
+                expect(plan.exploring).toEqual(false);
+            }
+        });
+
+        it("notices a price change at once", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(medium, 400, 0.88, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(medium.id);
+            const dearer = { ...medium, inputPrice: 20, outputPrice: 80 };
+            const plan = choose({ ratingsAvailable: false, candidates: [small, dearer, large] });
+            expect(plan.steps[0].version.id).toEqual(large.id);
+        });
+
+        // A cheap version was good for an hour and then turns bad. Its many good ratings would outweigh the new bad
+        // ones for long, and callers would go on getting bad answers.
+        it("leaves a version soon after it turned bad", () => {
+            const { addRatings, choose, clock } = createFixture();
+            addRatings(large, 400, 0.95, 0.02);
+            for (let minute = 0; minute < 60; minute += 1) {
+                clock.advance(60_000);
+                addRatings(medium, 50, 0.88, 0.05);
+            }
+            expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(medium.id);
+            clock.advance(60_000);
+            addRatings(medium, 30, 0.6, 0.05);
+            clock.advance(60_000);
+            expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(large.id);
+        });
+
+        it("says so if there is no candidate", () => {
+            const { choose } = createFixture();
+            expect(choose({ candidates: [] }).steps).toEqual([]);
+        });
+
+        it("keeps the mean quality at the target while it learns", () => {
+            const { evidence, choose, clock, random } = createFixture();
+            const qualities = new Map([[small.id, 0.55], [medium.id, 0.86], [large.id, 0.94]]);
+            let sum = 0;
+            let tries = 0;
+            const count = 5000;
+            for (let request = 0; request < count; request += 1) {
+                clock.advance(100);
+                const plan = choose({});
+                tries += plan.exploring ? 1 : 0;
+                for (const { version, acceptScore } of plan.steps) {
+                    const score = clamp(qualities.get(version.id)! + 0.15 * random.nextNormal());
+                    evidence.addRating({ version: version.id, requestClass, score });
+                    if (acceptScore === undefined || score >= acceptScore) {
+                        sum += score;
+                        break;
+                    }
+                }
+            }
+            expect(tries > 0).toEqual(true);
+            expect(sum / count >= 0.8).toEqual(true);
+        });
+    });
+});
+
+function createFixture() {
+    const clock = new ManualClock(1_800_000_000_000);
+    const random = new RandomSource(11);
+    const evidence = new Evidence({ clock });
+    const chooser = new ModelChooser({ evidence, random, clock });
+    const request = {
+        requestClass,
+        candidates,
+        targetQuality: 0.8,
+        confidence: 0.95,
+        inputTokens: 1000,
+        outputTokens: 200,
+    };
+    return {
+        clock,
+        random,
+        evidence,
+        choose: (changes: Partial<Parameters<ModelChooser["choose"]>[0]>) => chooser.choose({ ...request, ...changes }),
+        addRatings: (version: ModelVersion, count: number, mean: number, deviation: number) => {
+            for (let rating = 0; rating < count; rating += 1) {
+                const score = clamp(mean + deviation * random.nextNormal());
+                evidence.addRating({ version: version.id, requestClass, score });
+            }
+        },
+    };
+}
+
+function createVersion(id: string, inputPrice: number, expectedQuality: number): ModelVersion {
+    const model = id.split("@")[0];
+    return { id, model, status: "serving", inputPrice, outputPrice: 4 * inputPrice, expectedQuality };
+}
+
+function clamp(value: number): number {
+    return Math.min(1, Math.max(0, value));
+}
