Test the sequential test, the roll-out router and the judge

Cause: these had no tests yet. Change: tests by case: one class only, late turn, slow but right, errors only, two roll-outs at once, missing ratings, a fresh start after a lift.

--- /dev/null
+++ b/test/decisions/exposure/rolloutJudge.test.ts
@@ -0,0 +1,130 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock, RandomSource } from "../../../src/common/index.js";
+import { RolloutFold } from "../../../src/control/index.js";
+import { Exposures, RolloutJudge, type Verdict } from "../../../src/decisions/exposure/index.js";
+import { Evidence } from "../../../src/decisions/model/index.js";
+
+const rollout = "rollout-1";
+const entries = ["a", "b"];
+const fence = 1;
+const requestClass = "allergens";
+
+describe("RolloutJudge", () => {
+    describe("judge", () => {
+        it("grants a handful of callers first and splits them over the entries", () => {
+            const { judge } = createFixture();
+            const verdict = judge();
+            expect(verdict.action === "grant" && verdict.grants).toEqual({ a: 4, b: 4 });
+        });
+
+        it("releases no more callers until the first ones are judged", () => {
+            const { judge, append, expose } = createFixture();
+            append("rollout-grant", { rollout, fence, grants: { a: 4, b: 4 } });
+            expose(8);
+            expect(judge().action).toEqual("wait");
+        });
+
+        it("advances once the ratings suffice and finishes after the last stage", () => {
+            const { judge, append, expose, answer, clock } = createFixture();
+            expose(60);
+            answer("label@2", 300, 0.03, 1);
+            clock.advance(70_000);
+            expect(judge().action).toEqual("advance");
+            append("rollout-advance", { rollout, stage: 1, fence });
+            clock.advance(70_000);
+            expect(judge().action).toEqual("finish");
+        });
+
+        it("halts a bad candidate", () => {
+            const { judge, expose, answer } = createFixture();
+            expose(60);
+            answer("label@2", 60, 0.4, 1);
+            const verdict = judge();
+            expect(verdict.action).toEqual("halt");
+            expect(verdict.reason.length > 0).toEqual(true);
+        });
+
+        // The rating service fails for the candidate's answers only. Without ratings nothing speaks against it, and a
+        // roll-out that went on would expose everybody to a version that nobody has judged.
+        it("widens nothing while ratings of the candidate are missing", () => {
+            const { judge, expose, answer, clock } = createFixture();
+            expose(30);
+            answer("label@2", 30, 0.03, 0);
+            clock.advance(200_000);
+            const verdict = judge();
+            expect(verdict.action).toEqual("wait");
+            expect(verdict.reason.includes("missing")).toEqual(true);
+        });
+
+        // An operator lifts a halt. The old evidence still stands; without a fresh start the next look would halt the
+        // version again at once.
+        it("starts afresh after a lift", () => {
+            const { judge, append, answer, clock } = createFixture();
+            answer("label@2", 60, 0.4, 1);
+            append("lift", { version: "label@2", halts: [], by: "operator" }, clock.wall() + 20_000);
+            clock.advance(30_000);
+            expect(judge().action === "halt").toEqual(false);
+        });
+    });
+
+    describe("judgeSettled", () => {
+        it("halts a settled version that turned bad and leaves a good one alone", () => {
+            const { judgeSettled, answer, clock } = createFixture();
+            for (let minute = 0; minute < 40; minute += 1) {
+                clock.advance(60_000);
+                answer("label@1", 60, 0.03, 1);
+                expect(judgeSettled("label@1").action).toEqual("wait");
+            }
+            clock.advance(10_000);
+            answer("label@1", 100, 0.4, 1);
+            expect(judgeSettled("label@1").action).toEqual("halt");
+        });
+    });
+});
+
+function createFixture() {
+    const clock = new ManualClock(1_800_000_000_000);
+    const random = new RandomSource(5);
+    const fold = new RolloutFold({ isCurrentFence: given => given === fence });
+    const evidence = new Evidence({ clock });
+    const exposures = new Exposures();
+    const judge = new RolloutJudge({ fold, evidence, exposures, clock });
+    let offset = 0;
+    const append = (kind: string, body: unknown, time = clock.wall()) => {
+        fold.apply({ offset, time, record: { id: `${offset}`, kind, format: 1, writer: "test", body } });
+        offset += 1;
+    };
+    const answer = (version: string, count: number, bad: number, ratedShare: number) => {
+        for (let index = 0; index < count; index += 1) {
+            evidence.addAnswer({ version, requestClass, failed: false, slow: false });
+            if (random.next() < ratedShare) {
+                const score = (random.next() < bad ? 0.25 : 0.85) + 0.08 * random.nextNormal();
+                evidence.addRating({ version, requestClass, score });
+            }
+        }
+    };
+    answer("label@1", 3000, 0.03, 1);
+    clock.advance(60_000);
+    append("rollout-start", {
+        rollout,
+        model: "label",
+        candidate: "label@2",
+        baseline: "label@1",
+        stages: [0.1, 1],
+        budget: [60, 1000],
+        startedBy: "operator",
+    });
+    return {
+        clock,
+        append,
+        answer,
+        judge: (): Verdict => judge.judge(rollout, entries, "a"),
+        judgeSettled: (version: string): Verdict => judge.judgeSettled(version),
+        expose: (count: number) => {
+            for (let index = 0; index < count; index += 1) {
+                exposures.add(rollout);
+            }
+        },
+    };
+}
--- /dev/null
+++ b/test/decisions/exposure/rolloutRouter.test.ts
@@ -0,0 +1,103 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { RolloutFold } from "../../../src/control/index.js";
+import { createCallerHash, Exposures, RolloutRouter } from "../../../src/decisions/exposure/index.js";
+
+const rollout = "rollout-1";
+const fence = 1;
+const entries = ["a", "b", "c"];
+
+describe("RolloutRouter", () => {
+    describe("pick", () => {
+        it("exposes nobody before the first grant", async () => {
+            const { pickMany } = await createFixture();
+            expect(pickMany("a", 2000)).toEqual(0);
+        });
+
+        // Entries learn of each other's callers with a delay. If each spent what it believed to be left, eight entries
+        // together would expose several times the budget to what may be a bad version.
+        it("keeps the callers of all entries within the budget though they know nothing of each other", async () => {
+            const { append, pickMany } = await createFixture();
+            append("rollout-grant", { rollout, fence, grants: { a: 10, b: 10, c: 10 } });
+            let exposed = 0;
+            for (const entry of entries) {
+                exposed += pickMany(entry, 2000);
+            }
+            expect(exposed).toEqual(30);
+        });
+
+        it("keeps an exposed caller exposed as stages advance", async () => {
+            const { append, routers } = await createFixture();
+            append("rollout-grant", { rollout, fence, grants: { a: 30 } });
+            const router = routers.get("a")!;
+            const callers = Array.from({ length: 300 }, (...[, index]) => `caller-${index}`);
+            const early = callers.filter(caller => router.pick({ rollout, caller }) === "label@2");
+            append("rollout-advance", { rollout, stage: 1, fence });
+            append("rollout-grant", { rollout, fence, grants: { a: 100 } });
+            expect(early.length).toEqual(30);
+            expect(early.every(caller => router.pick({ rollout, caller }) === "label@2")).toEqual(true);
+        });
+
+        it("exposes nobody to a halted candidate and falls back from a halted baseline", async () => {
+            const { fold, append, pickMany, routers } = await createFixture();
+            append("rollout-grant", { rollout, fence, grants: { a: 30 } });
+            fold.addHalt({ id: "h1", version: "label@2", reason: "bad", at: 1 });
+            expect(pickMany("a", 500)).toEqual(0);
+            fold.addHalt({ id: "h2", version: "label@1", reason: "bad", at: 1 });
+            expect(routers.get("a")!.pick({ rollout, caller: "x" })).toEqual(undefined);
+        });
+    });
+
+    describe("pickOfModel", () => {
+        it("serves two roll-outs of one model at once, each caller by at most one", async () => {
+            const { fold, append, routers } = await createFixture();
+            const second = "rollout-2";
+            append("rollout-start", createStart(second, "label@3"));
+            append("rollout-grant", { rollout, fence, grants: { a: 20 } });
+            append("rollout-grant", { rollout: second, fence, grants: { a: 20 } });
+            const router = routers.get("a")!;
+            const picked = new Map<string, number>();
+            for (let index = 0; index < 500; index += 1) {
+                const version = router.pickOfModel({ model: "label", caller: `caller-${index}` })!;
+                picked.set(version, (picked.get(version) ?? 0) + 1);
+            }
+            expect(picked.get("label@2")).toEqual(20);
+            expect(picked.get("label@3")).toEqual(20);
+            fold.addHalt({ id: "h1", version: "label@3", reason: "bad", at: 1 });
+            expect(router.pickOfModel({ model: "label", caller: "caller-new" })).toEqual("label@1");
+        });
+    });
+});
+
+function createStart(id: string, candidate: string) {
+    const stages = [0.5, 1];
+    return { rollout: id, model: "label", candidate, baseline: "label@1", stages, budget: [30, 100], startedBy: "x" };
+}
+
+async function createFixture() {
+    const fold = new RolloutFold({ isCurrentFence: given => given === fence });
+    const hash = await createCallerHash();
+    const routers = new Map(
+        entries.map(entry => [entry, new RolloutRouter({ entry, fold, exposures: new Exposures(), hash })] as const),
+    );
+    let offset = 0;
+    const append = (kind: string, body: unknown) => {
+        fold.apply({ offset, time: 1000, record: { id: `${offset}`, kind, format: 1, writer: "test", body } });
+        offset += 1;
+    };
+    append("rollout-start", createStart(rollout, "label@2"));
+    return {
+        fold,
+        append,
+        routers,
+        /** Returns how many of new callers at an entry are exposed. */
+        pickMany: (entry: string, count: number) => {
+            let exposed = 0;
+            for (let index = 0; index < count; index += 1) {
+                const version = routers.get(entry)!.pick({ rollout, caller: `${entry}-${index}` });
+                exposed += version === "label@2" ? 1 : 0;
+            }
+            return exposed;
+        },
+    };
+}
--- /dev/null
+++ b/test/decisions/exposure/sequentialTest.test.ts
@@ -0,0 +1,115 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { RandomSource } from "../../../src/common/index.js";
+import { SequentialTest, type Stratum } from "../../../src/decisions/exposure/index.js";
+import { Tally } from "../../../src/decisions/model/index.js";
+
+describe("SequentialTest", () => {
+    describe("evaluate", () => {
+        it("judges a version that gives more bad answers", () => {
+            expect(runUntilBad({ bad: 0.3, failed: 0, slow: 0 }).metric).toEqual("bad ratings");
+        });
+
+        it("judges a version that fails more often", () => {
+            expect(runUntilBad({ bad: 0.03, failed: 0.3, slow: 0 }).metric).toEqual("errors");
+        });
+
+        it("judges a version that is slow but right", () => {
+            expect(runUntilBad({ bad: 0.03, failed: 0, slow: 0.5 }).metric).toEqual("latency");
+        });
+
+        it("names the only class in which a version is bad", () => {
+            const result = runUntilBad({ bad: 0.5, failed: 0, slow: 0 }, ["allergens"]);
+            expect(result.requestClass).toEqual("allergens");
+        });
+
+        // A version was good for an hour and then turns bad. Summed over the whole hour its answers would still look
+        // good, and callers would be harmed for as long again.
+        it("judges a version that turns bad after a long good time", () => {
+            const fixture = createFixture();
+            for (let epoch = 0; epoch < 200; epoch += 1) {
+                fixture.add(epoch, 20, { bad: 0.03, failed: 0, slow: 0 });
+            }
+            expect(fixture.evaluate().bad).toEqual(false);
+            let epochs = 0;
+            while (!fixture.evaluate().bad && epochs < 30) {
+                fixture.add(200 + epochs, 10, { bad: 0.4, failed: 0, slow: 0 });
+                epochs += 1;
+            }
+            expect(epochs < 10).toEqual(true);
+        });
+
+        // The test is looked at after every few answers. One that allowed for a single look only would sooner or later
+        // halt nearly every good version.
+        it("halts at most a few of many good versions, however often it is looked at", () => {
+            let halted = 0;
+            for (let seed = 1; seed <= 100; seed += 1) {
+                const fixture = createFixture(seed);
+                for (let epoch = 0; epoch < 50; epoch += 1) {
+                    fixture.add(epoch, 12, { bad: 0.03, failed: 0.005, slow: 0.05 });
+                    if (fixture.evaluate().bad) {
+                        halted += 1;
+                        break;
+                    }
+                }
+            }
+            expect(halted <= 2).toEqual(true);
+        });
+
+        it("says nothing without a reference", () => {
+            const fixture = createFixture(1, 0);
+            fixture.add(0, 100, { bad: 1, failed: 1, slow: 1 });
+            expect(fixture.evaluate().bad).toEqual(false);
+        });
+    });
+});
+
+interface Chances {
+    readonly bad: number;
+    readonly failed: number;
+    readonly slow: number;
+}
+
+const classes = ["allergens", "label-drafts"];
+
+function runUntilBad(chances: Chances, badClasses: readonly string[] = classes) {
+    const fixture = createFixture();
+    for (let epoch = 0; epoch < 100; epoch += 1) {
+        fixture.add(epoch, 4, chances, badClasses);
+        const result = fixture.evaluate();
+        if (result.bad) {
+            return result;
+        }
+    }
+    throw new Error("The version was not judged bad.");
+}
+
+function createFixture(seed = 1, referenceAnswers = 3000) {
+    const random = new RandomSource(seed);
+    const good: Chances = { bad: 0.03, failed: 0.005, slow: 0.05 };
+    const test = new SequentialTest({ threshold: 100, firstStartPart: 0.6, laterStartPart: 0.4 / 200 });
+    const strata = classes.map(requestClass => ({
+        requestClass,
+        buckets: [] as { start: number; level: number; tally: Tally; }[],
+        reference: drawTally(random, referenceAnswers, good),
+    }));
+    return {
+        add: (epoch: number, answers: number, chances: Chances, badClasses: readonly string[] = classes) => {
+            for (const { requestClass, buckets } of strata) {
+                const drawn = badClasses.includes(requestClass) ? chances : good;
+                buckets.push({ start: epoch, level: 0, tally: drawTally(random, answers, drawn) });
+            }
+        },
+        evaluate: () => test.evaluate(strata as readonly Stratum[]),
+    };
+}
+
+function drawTally(random: RandomSource, answers: number, chances: Chances): Tally {
+    const tally = new Tally();
+    for (let answer = 0; answer < answers; answer += 1) {
+        tally.addAnswer(random.next() < chances.failed, random.next() < chances.slow);
+        const mean = random.next() < chances.bad ? 0.25 : 0.85;
+        tally.addRating(mean + 0.08 * random.nextNormal());
+    }
+    return tally;
+}
