--- a/src/bills/ledger.ts
+++ b/src/bills/ledger.ts
@@ -19,22 +19,41 @@
 /** A bill with its place in the stream. */
 export interface LedgerLine {
     readonly offset: number;
+    /** Log time of the record that it came in. */
+    readonly time: number;
     readonly bill: Bill;
 }
 
+/** Options of a ledger. */
+export interface LedgerOptions {
+    readonly journal: Journal;
+    /** How long, by the log's time, the ledger remembers the requests that it has billed. By default for ever. */
+    readonly windowMilliseconds?: number;
+    /** Finds the totals of requests that were billed longer ago than that. Needed with a window. */
+    readonly findOlder?: (requestIds: ReadonlySet<string>) => ReadonlyMap<string, number>;
+}
+
+interface BilledRequest {
+    readonly total: number;
+    /** Log time of its bill. */
+    readonly time: number;
+}
+
 /** Folds the stream of bills. */
 export class Ledger {
-    readonly #journal: Journal;
-    /** The bill of each request. */
-    readonly #totals = new Map<string, number>();
+    readonly #options: LedgerOptions;
+    /** In the order of log time, so that forgetting only looks at the front. */
+    readonly #billed = new Map<string, BilledRequest>();
     readonly #workspaces = new Map<string, WorkspaceTotal>();
     #offset = -1;
+    #logTime = 0;
+    #requests = 0;
     #repeats = 0;
     #conflicts = 0;
     #gaps = 0;
 
-    constructor(journal: Journal) {
-        this.#journal = journal;
+    constructor(options: LedgerOptions) {
+        this.#options = options;
     }
 
     /** Returns the offset to read next. */
@@ -44,7 +63,7 @@
 
     /** Returns how many requests are billed. */
     getSize(): number {
-        return this.#totals.size;
+        return this.#requests;
     }
 
     /** Returns how many repeats were removed, how many of them differed, and how often bills expired unread. */
@@ -61,12 +80,12 @@
      * Takes in a line that an earlier run of the ledger wrote.
      * @param line - The line.
      */
-    restore({ offset, bill }: LedgerLine): void {
+    restore({ offset, time, bill }: LedgerLine): void {
         // The run may have ended within a record, so that record is read again and its written bills are repeats.
         this.#offset = Math.max(this.#offset, offset - 1);
-        if (!this.#totals.has(bill.requestId)) {
-            this.#count(bill);
-        }
+        this.#logTime = Math.max(this.#logTime, time);
+        this.#forget();
+        this.#count(bill);
     }
 
     /**
@@ -79,13 +98,16 @@
             return [];
         }
         this.#offset = entry.offset;
+        this.#logTime = Math.max(this.#logTime, entry.time);
+        this.#forget();
         const body = billsBodySchema.safeParse(entry.record.body);
         if (entry.record.kind !== billsKind || !body.success) {
             return [];
         }
         const first: Bill[] = [];
+        const older = this.#findOlder(body.data.bills);
         for (const bill of body.data.bills) {
-            const total = this.#totals.get(bill.requestId);
+            const total = this.#billed.get(bill.requestId)?.total ?? older.get(bill.requestId);
             if (total === undefined) {
                 this.#count(bill);
                 first.push(bill);
@@ -103,7 +125,7 @@
      */
     handleGap(earliest: number): void {
         this.#gaps += 1;
-        this.#journal.write(events.ledgerGap, { expected: this.getNextOffset(), earliest });
+        this.#options.journal.write(events.ledgerGap, { expected: this.getNextOffset(), earliest });
         this.#offset = Math.max(this.#offset, earliest - 1);
     }
 
@@ -111,12 +133,42 @@
         this.#repeats += 1;
         if (bill.total !== total) {
             this.#conflicts += 1;
-            this.#journal.write(events.billConflict, { request: bill.requestId, counted: total, ignored: bill.total });
+            this.#options.journal.write(events.billConflict, {
+                request: bill.requestId,
+                counted: total,
+                ignored: bill.total,
+            });
+        }
+    }
+
+    /**
+     * Looks up bills so old that their requests may have been forgotten. An entry that was paused for days appends its
+     * bills when it wakes, long after their keepers did. Half the window is left for clocks of entries that differ
+     * from the log's.
+     */
+    #findOlder(bills: readonly Bill[]): ReadonlyMap<string, number> {
+        const { windowMilliseconds, findOlder } = this.#options;
+        if (windowMilliseconds === undefined || findOlder === undefined) {
+            return new Map();
+        }
+        const before = this.#logTime - windowMilliseconds / 2;
+        const old = bills.filter(bill => bill.answeredAt < before && !this.#billed.has(bill.requestId));
+        return old.length === 0 ? new Map() : findOlder(new Set(old.map(bill => bill.requestId)));
+    }
+
+    #forget(): void {
+        const before = this.#logTime - (this.#options.windowMilliseconds ?? Number.POSITIVE_INFINITY);
+        for (const [requestId, { time }] of this.#billed) {
+            if (time >= before) {
+                return;
+            }
+            this.#billed.delete(requestId);
         }
     }
 
     #count(bill: Bill): void {
-        this.#totals.set(bill.requestId, bill.total);
+        this.#requests += 1;
+        this.#billed.set(bill.requestId, { total: bill.total, time: this.#logTime });
         const before = this.#workspaces.get(bill.workspace);
         let inputTokens = before?.inputTokens ?? 0;
         let outputTokens = before?.outputTokens ?? 0;
--- a/src/bills/ledgerFile.ts
+++ b/src/bills/ledgerFile.ts
@@ -24,19 +24,26 @@
      * @param take - Takes each line in order.
      */
     restore(take: (line: LedgerLine) => void): void {
-        const size = fstatSync(this.#descriptor).size;
-        let position = 0;
-        let rest: Buffer = Buffer.alloc(0);
-        while (position < size) {
-            const chunk = Buffer.alloc(Math.min(chunkBytes, size - position));
-            position += readSync(this.#descriptor, chunk, 0, chunk.length, position);
-            rest = takeLines(Buffer.concat([rest, chunk]), take);
-        }
-        if (rest.length > 0) {
-            ftruncateSync(this.#descriptor, size - rest.length);
+        const rest = this.#read(take);
+        if (rest > 0) {
+            ftruncateSync(this.#descriptor, fstatSync(this.#descriptor).size - rest);
         }
     }
 
+    /**
+     * Finds the totals of requests by reading the whole file. Meant for the few bills that come days late.
+     * @param requestIds - The requests.
+     */
+    find(requestIds: ReadonlySet<string>): ReadonlyMap<string, number> {
+        const found = new Map<string, number>();
+        this.#read(({ bill }) => {
+            if (requestIds.has(bill.requestId)) {
+                found.set(bill.requestId, bill.total);
+            }
+        });
+        return found;
+    }
+
     /**
      * Appends lines.
      * @param lines - The lines.
@@ -47,6 +54,19 @@
         }
     }
 
+    /** Reads all lines, and returns how many bytes at the end belong to a line without an end. */
+    #read(take: (line: LedgerLine) => void): number {
+        const size = fstatSync(this.#descriptor).size;
+        let position = 0;
+        let rest: Buffer = Buffer.alloc(0);
+        while (position < size) {
+            const chunk = Buffer.alloc(Math.min(chunkBytes, size - position));
+            position += readSync(this.#descriptor, chunk, 0, chunk.length, position);
+            rest = takeLines(Buffer.concat([rest, chunk]), take);
+        }
+        return rest.length;
+    }
+
     /** Closes the file. */
     close(): void {
         closeSync(this.#descriptor);
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -1,52 +1,58 @@
 /**
- * `npm run measure -- NAME [--seed N] [--json]`: runs one measurement of the decisions.
+ * Runs a measurement: `npm run measure -- NAME [--seed N] [--seeds COUNT] [--json]`.
  */
 import { parseArgs } from "node:util";
+import { measureCost } from "./cost/measureCost.js";
+import { measureExposure } from "./exposure/measureExposure.js";
 import { formatGossip, measureGossip } from "./gossipTraffic.js";
 import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
+import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
+import { formatReport, type Report } from "./report.js";
 
-interface MeasurementReport {
-    readonly results: unknown;
-    readonly text: string;
+/** Measurements by name; add a line here for each new one. */
+const measurements: Readonly<Record<string, Measurement>> = {
+    cost: async request => toFinding(await measureCost(withSeed(request))),
+    exposure: async request => toFinding(await measureExposure(withSeed(request))),
+    load: ({ seed = firstReportingSeed }) => {
+        const costs = measureCosts(seed);
+        const results = measureLoad(seed);
+        return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
+    },
+    gossip: async ({ seed = firstReportingSeed }) => {
+        const results = await measureGossip(seed);
+        return { results, text: formatGossip(results) };
+    },
+    limits: ({ seed = firstReportingSeed }) => {
+        const results = measureLimits(seed);
+        return { results, text: formatLimits(results) };
+    },
+};
+
+function withSeed(request: MeasurementRequest): SeededRequest {
+    return { ...request, seed: request.seed ?? 1 };
 }
 
-interface Measurement {
-    readonly run: (seed: number) => MeasurementReport | Promise<MeasurementReport>;
+function toFinding(report: Report): Finding {
+    return { results: report, text: formatReport(report) };
 }
 
-const measurements: ReadonlyMap<string, Measurement> = new Map<string, Measurement>([
-    ["load", {
-        run: (seed: number) => {
-            const costs = measureCosts(seed);
-            const results = measureLoad(seed);
-            return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
-        },
-    }],
-    ["limits", {
-        run: (seed: number) => {
-            const results = measureLimits(seed);
-            return { results, text: formatLimits(results) };
-        },
-    }],
-    ["gossip", {
-        run: async (seed: number) => {
-            const results = await measureGossip(seed);
-            return { results, text: formatGossip(results) };
-        },
-    }],
-]);
+function toNumber(text: string | undefined): number | undefined {
+    return text === undefined ? undefined : Number(text);
+}
 
 const { values, positionals } = parseArgs({
     allowPositionals: true,
-    options: { seed: { type: "string" }, json: { type: "boolean" } },
+    options: { seed: { type: "string" }, seeds: { type: "string" }, json: { type: "boolean" } },
 });
-const measurement = measurements.get(positionals[0] ?? "");
+const measurement = measurements[positionals[0] ?? ""];
 if (measurement === undefined) {
-    console.error(`Name a measurement: ${[...measurements.keys()].join(", ")}.`);
-    process.exitCode = 1;
-}
-else {
-    const { results, text } = await measurement.run(Number(values.seed ?? firstReportingSeed));
-    console.log(values.json === true ? JSON.stringify(results, undefined, 2) : text);
+    console.error(`Give the name of a measurement: ${Object.keys(measurements).join(", ")}.`);
+    process.exit(1);
 }
+const { results, text } = await measurement({
+    seed: toNumber(values.seed),
+    seedCount: toNumber(values.seeds),
+    log: line => console.error(line),
+});
+console.log(values.json === true ? JSON.stringify(results, undefined, 4) : text);
--- a/test/bills/billKeeper.test.ts
+++ b/test/bills/billKeeper.test.ts
@@ -67,7 +67,7 @@
             killed.stop();
             gone.add("entry-a");
             await keeper.appendDue();
-            const ledger = new Ledger(createJournal().journal);
+            const ledger = new Ledger({ journal: createJournal().journal });
             for (const entry of log.getEntries("bills")) {
                 ledger.apply(entry);
             }
--- a/test/bills/billWriter.test.ts
+++ b/test/bills/billWriter.test.ts
@@ -35,7 +35,7 @@
 }
 
 function readLedger(log: MemoryLog): Ledger {
-    const ledger = new Ledger(createJournal("ledger").journal);
+    const ledger = new Ledger({ journal: createJournal("ledger").journal });
     for (const entry of log.getEntries("bills")) {
         ledger.apply(entry);
     }
