--- a/src/bills/ledgerProgram.ts
+++ b/src/bills/ledgerProgram.ts
@@ -10,12 +10,17 @@
 import { Ledger, type LedgerLine, type WorkspaceTotal } from "./ledger.js";
 import { LedgerFile } from "./ledgerFile.js";
 
+/** Request identifiers stay in memory for so long, by the log's time; older ones are looked up in the file. */
+const defaultWindowMilliseconds = 24 * 3_600_000;
+
 /** Options of a ledger's program. */
 export interface LedgerProgramOptions {
     readonly follow: FollowStream;
     readonly journal: Journal;
     /** File to write bills to, and to go on from after a restart. */
     readonly out?: string;
+    /** How long, by the log's time, billed requests are remembered outside the file. */
+    readonly windowMilliseconds?: number;
     /** Where to answer `GET /bills` and `GET /totals`. */
     readonly listen?: { readonly host: string; readonly port: number; };
 }
@@ -44,8 +49,15 @@
 
     constructor(options: LedgerProgramOptions) {
         this.#options = options;
-        this.#ledger = new Ledger(options.journal);
-        this.#file = options.out === undefined ? undefined : new LedgerFile(options.out);
+        const file = options.out === undefined ? undefined : new LedgerFile(options.out);
+        this.#file = file;
+        this.#ledger = new Ledger({
+            journal: options.journal,
+            windowMilliseconds: file === undefined
+                ? undefined
+                : options.windowMilliseconds ?? defaultWindowMilliseconds,
+            findOlder: file === undefined ? undefined : requestIds => file.find(requestIds),
+        });
         this.#file?.restore(line => {
             this.#ledger.restore(line);
             this.#show([line.bill]);
@@ -55,7 +67,7 @@
             from: this.#ledger.getNextOffset(),
             onEntry: entry => {
                 const bills = this.#ledger.apply(entry);
-                this.#file?.write(bills.map((bill): LedgerLine => ({ offset: entry.offset, bill })));
+                this.#file?.write(bills.map((bill): LedgerLine => ({ offset: entry.offset, time: entry.time, bill })));
                 this.#show(bills);
             },
             onGap: earliest => this.#ledger.handleGap(earliest),
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -248,7 +248,8 @@
 
     /** Folds the stream of bills as the ledger does: one bill for each request. */
     async readBills(): Promise<ReadonlyMap<string, Bill>> {
-        const ledger = new Ledger(new Journal({ process: "judge", clock: systemClock, write: () => undefined }));
+        const journal = new Journal({ process: "judge", clock: systemClock, write: () => undefined });
+        const ledger = new Ledger({ journal });
         const bills = new Map<string, Bill>();
         for (const entry of await this.readStream("bills")) {
             for (const bill of ledger.apply(entry)) {
--- a/test/bills/ledger.test.ts
+++ b/test/bills/ledger.test.ts
@@ -45,7 +45,7 @@
     describe("apply", () => {
         it("counts the first bill of a request and reports those that differ", () => {
             const { journal, lines } = createJournal();
-            const ledger = new Ledger(journal);
+            const ledger = new Ledger({ journal });
             ledger.apply(createEntry(0, [createBill("r1"), createBill("r2", { workspace: "dalisay", total: 2 })]));
             ledger.apply(createEntry(1, [createBill("r1"), createBill("r1", { total: 9 })]));
             expect(ledger.getTotals().map(({ workspace, total }) => [workspace, total])).toEqual([
@@ -59,7 +59,7 @@
         it("gives one bill for each request under any repeats and cuts into records", () => {
             const records = fc.array(fc.array(fc.nat(20), { maxLength: 6 }), { maxLength: 20 });
             fc.assert(fc.property(records, all => {
-                const ledger = new Ledger(createJournal().journal);
+                const ledger = new Ledger({ journal: createJournal().journal });
                 const written: string[] = [];
                 for (const [offset, ids] of all.entries()) {
                     const entry = createEntry(offset, ids.map(id => createBill(`r${id}`)));
@@ -131,6 +131,21 @@
             expect(readFileSync(path).toString().trim().split("\n").length).toEqual(2);
         });
 
+        // An entry is paused for two days and then appends the bills that its keeper appended long ago. The ledger has
+        // forgotten those requests, and must not bill them again.
+        it("does not bill a request again that it has forgotten", async () => {
+            const day = 86_400_000;
+            const log = new MemoryLog();
+            const path = createPath();
+            log.put("bills", createRecord("a", [createBill("r1")]));
+            log.time = 2 * day;
+            log.put("bills", createRecord("b", [createBill("r2", { answeredAt: 2 * day })]));
+            log.put("bills", createRecord("c", [createBill("r1"), createBill("late")]));
+            const report = await run(log, path);
+            expect([report.requests, report.repeats]).toEqual([3, 1]);
+            expect((await run(log, path)).requests).toEqual(3);
+        });
+
         it("answers with the bills over HTTP", async () => {
             const log = new MemoryLog();
             log.put("bills", createRecord("a", [createBill("r1"), createBill("r1")]));
