Measure the slopes of control's state and work

Ruled out: guessing from field counts. Change: `npm run measure -- capacity` fits a line with its standard error to heap kept and processor time for each kind of state and work. Before: no figures.

--- /dev/null
+++ b/src/measure/capacity/heap.ts
@@ -0,0 +1,71 @@
+/**
+ * Measures what objects keep of the heap and how long work takes.
+ */
+import { performance } from "node:perf_hooks";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+import type { Point } from "./slope.js";
+
+setFlagsFromString("--expose-gc");
+const collectGarbage = runInNewContext("gc") as () => void;
+const collections = 3;
+
+function getSettledHeap(): number {
+    for (let count = 0; count < collections; count += 1) {
+        collectGarbage();
+    }
+    const { heapUsed, external, arrayBuffers } = process.memoryUsage();
+    return heapUsed + external + arrayBuffers;
+}
+
+/**
+ * Measures the bytes that an object of each size keeps.
+ * @param sizes - The sizes.
+ * @param build - Builds the object.
+ */
+export function measureHeap(sizes: readonly number[], build: (size: number) => unknown): readonly Point[] {
+    const points: Point[] = [];
+    // The first object of a kind pays for compiled code and shapes that the later ones share.
+    build(sizes[0]);
+    for (const size of sizes) {
+        const before = getSettledHeap();
+        const kept = build(size);
+        const value = getSettledHeap() - before;
+        points.push({ size, value });
+        touch(kept);
+    }
+    return points;
+}
+
+/**
+ * Measures the milliseconds of processor time that a piece of work takes at each size.
+ * @param sizes - The sizes.
+ * @param prepare - Makes the work ready, and returns it as a function that does it once.
+ * @param repeats - How often it is done for one figure.
+ */
+export function measureTime(
+    sizes: readonly number[],
+    prepare: (size: number) => () => void,
+    repeats: number,
+): readonly Point[] {
+    const points: Point[] = [];
+    for (const size of sizes) {
+        const work = prepare(size);
+        for (let count = 0; count < repeats; count += 1) {
+            work();
+        }
+        const startedAt = performance.now();
+        for (let count = 0; count < repeats; count += 1) {
+            work();
+        }
+        points.push({ size, value: (performance.now() - startedAt) / repeats });
+    }
+    return points;
+}
+
+/** Keeps an object alive up to this place. */
+function touch(kept: unknown): void {
+    if (kept === undefined) {
+        throw new Error("A measured object must be kept.");
+    }
+}
--- /dev/null
+++ b/src/measure/capacity/measureCapacity.ts
@@ -0,0 +1,32 @@
+/**
+ * Measures the slopes from which docs/CAPACITY.md is worked out.
+ */
+import type { Report } from "../report.js";
+import { fitSlope } from "./slope.js";
+import { subjects } from "./subjects.js";
+
+/**
+ * Measures all slopes in this process.
+ * @param log - Writes progress.
+ */
+export function measureCapacity(log: (line: string) => void): Report {
+    const rows = subjects.map(({ name, per, unit, measure }) => {
+        log(`${name} ...`);
+        const points = measure();
+        const { intercept, slope, standardError } = fitSlope(points);
+        const scale = unit === "milliseconds" ? 1000 : 1;
+        const shown = unit === "milliseconds" ? "µs" : "bytes";
+        return {
+            name,
+            figures: {
+                "per": per,
+                "unit": shown,
+                "slope": (slope * scale).toPrecision(3),
+                "standard error": (standardError * scale).toPrecision(2),
+                "at no size": (intercept * scale).toPrecision(3),
+                "measured at": points.map(point => `${point.size}: ${(point.value * scale).toPrecision(4)}`).join(", "),
+            },
+        };
+    });
+    return { measurement: "capacity", seeds: [], tables: [{ title: "Slopes of state and work", rows }] };
+}
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -2,6 +2,7 @@
  * Runs a measurement: `npm run measure -- NAME [--seed N] [--seeds COUNT] [--json]`.
  */
 import { parseArgs } from "node:util";
+import { measureCapacity } from "./capacity/measureCapacity.js";
 import { measureCost } from "./cost/measureCost.js";
 import { measureExposure } from "./exposure/measureExposure.js";
 import { formatGossip, measureGossip } from "./gossipTraffic.js";
@@ -12,6 +13,7 @@
 
 /** Measurements by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, Measurement>> = {
+    capacity: ({ log }) => toFinding(measureCapacity(log)),
     cost: async request => toFinding(await measureCost(withSeed(request))),
     exposure: async request => toFinding(await measureExposure(withSeed(request))),
     load: ({ seed = firstReportingSeed }) => {
