--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -4,6 +4,7 @@
 import { parseArgs } from "node:util";
 import { measureCost } from "./cost/measureCost.js";
 import { measureExposure } from "./exposure/measureExposure.js";
+import { formatGossip, measureGossip } from "./gossipTraffic.js";
 import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
 import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
@@ -18,6 +19,10 @@
         const results = measureLoad(seed);
         return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
     },
+    gossip: async ({ seed = firstReportingSeed }) => {
+        const results = await measureGossip(seed);
+        return { results, text: formatGossip(results) };
+    },
     limits: ({ seed = firstReportingSeed }) => {
         const results = measureLimits(seed);
         return { results, text: formatLimits(results) };
