--- a/src/configuration/configurationReader.ts
+++ b/src/configuration/configurationReader.ts
@@ -127,6 +127,7 @@
      * @returns Whether it was taken over.
      */
     offer(state: unknown, offset: number): boolean {
+        // Spares the reading of a state that is said to be no newer; the guard is in `#adopt`.
         if (offset <= this.getOffset()) {
             return false;
         }
