Measure one entry: what it adds, what it can carry; write no JSON for events nobody reads

Nothing measured an entry yet. Ruled out: dropping events (time lines need them in memory). Change: stringify only while the level is enabled; npm run measure -- entry.

--- a/src/events/journal.ts
+++ b/src/events/journal.ts
@@ -87,6 +87,8 @@
             writer = debug(`rattanlock:${line.level}`);
             writers.set(line.level, writer);
         }
-        writer(JSON.stringify(line));
+        if (writer.enabled) {
+            writer(JSON.stringify(line));
+        }
     };
 }
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -4,6 +4,7 @@
 import { parseArgs } from "node:util";
 import { measureCapacity } from "./capacity/measureCapacity.js";
 import { measureCost } from "./cost/measureCost.js";
+import { measureEntry } from "./entry/measureEntry.js";
 import { measureExposure } from "./exposure/measureExposure.js";
 import { formatGossip, measureGossip } from "./gossipTraffic.js";
 import { formatLimits, measureLimits } from "./limits.js";
@@ -15,6 +16,7 @@
 const measurements: Readonly<Record<string, Measurement>> = {
     capacity: ({ log }) => toFinding(measureCapacity(log)),
     cost: async request => toFinding(await measureCost(withSeed(request))),
+    entry: async ({ log }) => toFinding(await measureEntry(log)),
     exposure: async request => toFinding(await measureExposure(withSeed(request))),
     load: ({ seed = firstReportingSeed }) => {
         const costs = measureCosts(seed);
--- a/src/measure/report.ts
+++ b/src/measure/report.ts
@@ -52,7 +52,10 @@
 
 /** Writes a report as Markdown tables. */
 export function formatReport(report: Report): string {
-    const parts = [`# ${report.measurement}`, `Seeds: ${formatSeeds(report.seeds)}`];
+    const parts = [`# ${report.measurement}`];
+    if (report.seeds.length > 0) {
+        parts.push(`Seeds: ${formatSeeds(report.seeds)}`);
+    }
     for (const table of report.tables) {
         parts.push(`## ${table.title}`, formatTable(table));
     }
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -122,7 +122,11 @@
             throw new Error(`There is no VM ${name}.`);
         }
         const settings = await this.#writeSettings(vm);
-        const started = await this.#group.start({ program: entryProgram, args: ["--settings", settings] });
+        const started = await this.#group.start({
+            program: entryProgram,
+            args: ["--settings", settings],
+            env: this.#description.entryEnvironment,
+        });
         const entry = {
             name,
             failureDomain: vm.failureDomain,
--- a/src/testbench/site/siteDescription.ts
+++ b/src/testbench/site/siteDescription.ts
@@ -51,6 +51,8 @@
     readonly logSettings?: Readonly<Record<string, string | number | boolean>>;
     /** Conditions of the rating service at the start. */
     readonly ratingSettings?: Readonly<Record<string, string | number | boolean>>;
+    /** Variables of the entries' environment that differ; `DEBUG` shows which events they write. */
+    readonly entryEnvironment?: Readonly<Record<string, string>>;
     /** Whether each directed link of an entry goes through the fault-injecting proxy. */
     readonly hasLinks?: boolean;
 }
