Let operators start, watch and end roll-outs, halt, explain, and draw time lines

Cause: roll-outs and halts could only be written by hand into the log; nothing showed why a request went where it went. Ruled out: an operators' call on the entries that writes (an entry may die or be cut off; the log is what decides).

--- /dev/null
+++ b/src/command/lift.ts
@@ -0,0 +1,30 @@
+/** `rattanlock lift VERSION` */
+import { Args } from "@oclif/core";
+import { rolloutRecordKinds } from "../control/index.js";
+import { OperatorCommand } from "./operatorCommand.js";
+
+/** Lifts the halts of a version that stand now; one that is raised later stays. */
+export class LiftCommand extends OperatorCommand {
+    static override summary = "Lifts the halts of a version, so that it may take work again.";
+    static override examples = ["<%= config.bin %> lift plan-large@4 --site site.ini"];
+    static override args = { version: Args.string({ required: true, description: "MODEL@VERSION." }) };
+
+    async run(): Promise<object> {
+        const { args, flags } = await this.parse(LiftCommand);
+        return this.withControl(flags, async session => {
+            const standing = session.rollouts.getHalts().filter(halt => halt.version === args.version);
+            if (standing.length === 0) {
+                return this.failRefused(`${args.version} is not halted. See \`rattanlock rollout status\`.`);
+            }
+            for (const halt of standing) {
+                this.log(`Lifting the halt of ${new Date(halt.at).toISOString()}: ${halt.reason}`);
+            }
+            const body = { version: args.version, halts: standing.map(halt => halt.id), by: flags.author };
+            const appended = await session.append(rolloutRecordKinds.lift, body);
+            if (appended.isErr()) {
+                return this.failWith(appended.error);
+            }
+            return { offset: appended.value, version: args.version, lifted: body.halts };
+        });
+    }
+}
--- a/src/command/nodeStatus.ts
+++ b/src/command/nodeStatus.ts
@@ -75,6 +75,25 @@
     }
 }
 
+/**
+ * Asks every entry that answers for something else than its status.
+ * @param nodes - The entries.
+ * @param path - The path, from `/`.
+ * @returns The answers of those that gave one, by entry.
+ */
+export async function askNodes(nodes: readonly NodeStatus[], path: string): Promise<ReadonlyMap<string, unknown>> {
+    const answers = new Map<string, unknown>();
+    await Promise.all(nodes.map(async node => {
+        try {
+            answers.set(node.id, await getJson(`http://${node.address}${path}`));
+        }
+        catch {
+            // An entry that does not answer has no part in the result; `rattanlock status` shows it.
+        }
+    }));
+    return answers;
+}
+
 async function getJson(url: string): Promise<unknown> {
     const response = await request(url, { headersTimeout: timeoutMilliseconds, bodyTimeout: timeoutMilliseconds });
     if (response.statusCode !== 200) {
--- a/src/command/operatorCommand.ts
+++ b/src/command/operatorCommand.ts
@@ -13,6 +13,7 @@
     type Verdict,
 } from "../configuration/index.js";
 import { formatMistake, type Mistake, parseSiteSettings } from "../settings/index.js";
+import { ControlSession } from "./controlSession.js";
 import { exitCodes } from "./exitCodes.js";
 import { getNodeStatuses } from "./nodeStatus.js";
 import { OperatorSession } from "./operatorSession.js";
@@ -82,6 +83,28 @@
         }
     }
 
+    /** Opens the site's control stream, does a piece of work with it, and closes it. */
+    protected async withControl<T>(flags: SiteFlags, work: (session: ControlSession) => Promise<T>): Promise<T> {
+        const session = new ControlSession({
+            logUrl: this.#getUrl(flags, "log"),
+            clock: systemClock,
+            timeoutMilliseconds: flags.timeout * millisecondsPerSecond,
+            author: flags.author,
+        });
+        try {
+            const opened = await session.open();
+            return opened.isErr() ? this.failWith(opened.error) : await work(session);
+        }
+        finally {
+            await session.close();
+        }
+    }
+
+    /** Ends the command because what was asked for was refused. */
+    protected failRefused(message: string): never {
+        return this.error(message, { exit: exitCodes.refused });
+    }
+
     /** Reads the configuration once. */
     protected readConfiguration(flags: SiteFlags): Promise<ConfigurationReader> {
         return this.withSession(flags, async session => session.reader);
--- /dev/null
+++ b/src/command/rolloutStatus.ts
@@ -0,0 +1,37 @@
+/** `rattanlock rollout status` */
+import { OperatorCommand } from "./operatorCommand.js";
+import { formatTable } from "./table.js";
+
+const percent = 100;
+
+/** Shows roll-outs, halts and who holds the lease. */
+export class RolloutStatusCommand extends OperatorCommand {
+    static override summary = "Shows roll-outs with their stages, halted versions, and who drives roll-outs.";
+    static override examples = ["<%= config.bin %> rollout status --site site.ini"];
+
+    async run(): Promise<object> {
+        const { flags } = await this.parse(RolloutStatusCommand);
+        return this.withControl(flags, async session => {
+            const rollouts = session.rollouts.getRollouts();
+            const halts = session.rollouts.getHalts();
+            const lease = session.leases.get("control");
+            const rows = rollouts.map(rollout => [
+                rollout.id,
+                rollout.candidate,
+                rollout.baseline,
+                rollout.state,
+                `${rollout.stage + 1} of ${rollout.stages.length} (${rollout.stages[rollout.stage] * percent}%)`,
+            ]);
+            this.log(formatTable(["ROLL-OUT", "CANDIDATE", "BASELINE", "STATE", "STAGE"], rows));
+            for (const halt of halts) {
+                this.log(`halted: ${halt.version} since ${new Date(halt.at).toISOString()}: ${halt.reason}`);
+            }
+            this.log(
+                lease === undefined || lease.isReleased
+                    ? "Nobody holds the lease; roll-outs stand still."
+                    : `${lease.holder} drives roll-outs under the fencing number ${lease.fence}.`,
+            );
+            return { rollouts, halts, lease };
+        });
+    }
+}
--- a/src/entry/answerSink.ts
+++ b/src/entry/answerSink.ts
@@ -49,7 +49,6 @@
             "cache-control": "no-cache",
             ...headers,
         });
-        this.#response.flushHeaders();
     }
 
     async write(event: EngineEvent): Promise<void> {
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -11,6 +11,7 @@
     handleDecideClaims,
     SessionPins,
 } from "../../claims/index.js";
+import type { CopyBillsRequest, DecideClaimsRequest, FetchStateRequest, PushRequest } from "../../generated/peer.js";
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
 import type { Parts } from "../container.js";
 import type { Cradle } from "../cradle.js";
@@ -143,13 +144,19 @@
 
 function createHandlers({ gossip, journal, billKeeper, collectors, fetcher }: Cradle) {
     const getCounter = () => journal.getCounter();
+    /** Takes over the caller's counter, so that what this entry notes of the call sorts after its cause. */
+    const observed =
+        <Request extends { readonly counter: number; }, Reply>(handle: (request: Request) => Reply) =>
+        (request: Request) => {
+            journal.observe(request.counter);
+            return handle(request);
+        };
     return {
         exchange: gossip.handleExchange.bind(gossip),
-        push: (request: Parameters<typeof gossip.handlePush>[0]) => ({ counter: gossip.handlePush(request) }),
-        copyBills: (request: Parameters<typeof handleCopyBills>[1]) => handleCopyBills(billKeeper, request, getCounter),
-        decideClaims: (request: Parameters<typeof handleDecideClaims>[1]) =>
-            handleDecideClaims(collectors, request, getCounter),
-        fetchState: fetcher.handle.bind(fetcher),
+        push: (request: PushRequest) => ({ counter: gossip.handlePush(request) }),
+        copyBills: observed((request: CopyBillsRequest) => handleCopyBills(billKeeper, request, getCounter)),
+        decideClaims: observed((request: DecideClaimsRequest) => handleDecideClaims(collectors, request, getCounter)),
+        fetchState: observed((request: FetchStateRequest) => fetcher.handle(request)),
     };
 }
 
--- /dev/null
+++ b/src/timeline/timeLine.ts
@@ -0,0 +1,86 @@
+/**
+ * Puts the events of many processes in one order, in which a cause stands before its effect.
+ *
+ * The processes' clocks differ, so wall-clock times alone may show an answer before its question. Each process counts
+ * its events and takes over the counter of every message that it receives (a Lamport clock), so the counters order
+ * cause and effect. Between events that have nothing to do with each other the wall clock decides as far as it can.
+ */
+import type { EventLine } from "../events/index.js";
+
+/** An event in its place on a time line. */
+export interface TimeLineEvent {
+    readonly line: EventLine;
+    /** Milliseconds since the first event, never less than that of an earlier event on the line. */
+    readonly shownMilliseconds: number;
+}
+
+/**
+ * Merges events into one time line.
+ * @param lines - Events of any processes in any order; repeats are dropped.
+ */
+export function mergeEvents(lines: Iterable<EventLine>): readonly TimeLineEvent[] {
+    const ordered = removeRepeats(lines).sort(compareEvents);
+    const merged: TimeLineEvent[] = [];
+    const start = ordered[0]?.time ?? 0;
+    let shownMilliseconds = 0;
+    for (const line of ordered) {
+        shownMilliseconds = Math.max(shownMilliseconds, line.time - start);
+        merged.push({ line, shownMilliseconds });
+    }
+    return merged;
+}
+
+/**
+ * Writes a time line as text, one event a line.
+ * @param events - The time line.
+ */
+export function formatTimeLine(events: readonly TimeLineEvent[]): string {
+    const width = getGreatestLength(events.map(({ line }) => line.process));
+    const rows: string[] = [];
+    for (const { line, shownMilliseconds } of events) {
+        const time = `+${shownMilliseconds.toFixed(0)} ms`.padStart(10);
+        rows.push(
+            `${time}  ${line.process.padEnd(width)}  ${line.event} ${line.name}  ${formatFields(line)}`.trimEnd(),
+        );
+    }
+    return rows.join("\n");
+}
+
+/**
+ * Writes the facts of an event as `key=value`.
+ * @param line - The event.
+ */
+export function formatFields(line: EventLine): string {
+    const fields: string[] = [];
+    for (const [key, value] of Object.entries(line)) {
+        if (!commonFields.has(key) && value !== undefined) {
+            fields.push(`${key}=${String(value)}`);
+        }
+    }
+    return fields.join(" ");
+}
+
+const commonFields: ReadonlySet<string> = new Set(["event", "name", "level", "process", "time", "counter"]);
+
+function removeRepeats(lines: Iterable<EventLine>): EventLine[] {
+    const known = new Map<string, EventLine>();
+    for (const line of lines) {
+        known.set(`${line.process}/${line.counter}/${line.event}`, line);
+    }
+    return [...known.values()];
+}
+
+function compareEvents(left: EventLine, right: EventLine): number {
+    if (left.counter !== right.counter) {
+        return left.counter - right.counter;
+    }
+    return left.time - right.time || (left.process < right.process ? -1 : 1);
+}
+
+function getGreatestLength(texts: readonly string[]): number {
+    let greatest = 0;
+    for (const text of texts) {
+        greatest = Math.max(greatest, text.length);
+    }
+    return greatest;
+}
--- /dev/null
+++ b/src/timeline/timeLinePage.ts
@@ -0,0 +1,96 @@
+/**
+ * A time line as one self-contained HTML page: a lane for each process, an event on each row.
+ */
+import { formatFields, type TimeLineEvent } from "./timeLine.js";
+
+const laneWidth = 130;
+const rowHeight = 30;
+const headHeight = 46;
+const timeWidth = 90;
+const noteWidth = 560;
+const dotRadius = 5;
+
+const style = `
+    :root { color-scheme: light dark; --line: #8884; --text: #222; --back: #fff; --info: #2a6fb0;
+        --warning: #b26a00; --error: #b3261e; }
+    @media (prefers-color-scheme: dark) { :root { --text: #e6e6e6; --back: #17181a; --info: #7db7ee;
+        --warning: #f0b35a; --error: #ff8a80; } }
+    body { margin: 24px; background: var(--back); color: var(--text); font: 14px system-ui, sans-serif; }
+    h1 { font-size: 18px; font-weight: 600; }
+    .frame { overflow-x: auto; }
+    svg text { fill: var(--text); font-size: 12px; }
+    svg .lane { stroke: var(--line); }
+    svg .process { font-weight: 600; }
+    svg .time { text-anchor: end; opacity: 0.7; }
+    svg .info { fill: var(--info); }
+    svg .warning { fill: var(--warning); }
+    svg .error { fill: var(--error); }
+    svg .fields { opacity: 0.75; }
+    svg .link { stroke: var(--line); stroke-dasharray: 2 3; }
+`;
+
+/**
+ * Draws a time line.
+ * @param title - What it shows.
+ * @param events - The time line.
+ */
+export function createTimeLinePage(title: string, events: readonly TimeLineEvent[]): string {
+    const processes = [...new Set(events.map(({ line }) => line.process))].sort();
+    const width = timeWidth + processes.length * laneWidth + noteWidth;
+    const height = headHeight + events.length * rowHeight + rowHeight;
+    const parts = [
+        ...processes.map((process, index) => drawLane(process, index, height)),
+        ...events.map((event, index) => drawEvent(event, index, processes)),
+    ];
+    return `<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta name="viewport" content="width=device-width">
+<title>${escapeText(title)}</title>
+<style>${style}</style>
+</head>
+<body>
+<h1>${escapeText(title)}</h1>
+<p>${events.length} events of ${processes.length} processes, each cause before its effect.</p>
+<div class="frame">
+<svg width="${width}" height="${height}" role="img" aria-label="${escapeText(title)}">
+${parts.join("\n")}
+</svg>
+</div>
+</body>
+</html>
+`;
+}
+
+function drawLane(process: string, index: number, height: number): string {
+    const x = getLane(index);
+    return `<line class="lane" x1="${x}" y1="${headHeight - 10}" x2="${x}" y2="${height}"/>`
+        + `<text class="process" x="${x}" y="${headHeight - 20}" text-anchor="middle">${escapeText(process)}</text>`;
+}
+
+function drawEvent({ line, shownMilliseconds }: TimeLineEvent, index: number, processes: readonly string[]): string {
+    const x = getLane(processes.indexOf(line.process));
+    const y = headHeight + index * rowHeight + rowHeight / 2;
+    const noteX = timeWidth + processes.length * laneWidth;
+    const fields = formatFields(line);
+    return `<g><title>${escapeText(`${line.event} ${line.name} ${fields}`)}</title>`
+        + `<text class="time" x="${timeWidth - 14}" y="${y + 4}">+${shownMilliseconds.toFixed(0)} ms</text>`
+        + `<line class="link" x1="${x}" y1="${y}" x2="${noteX - 8}" y2="${y}"/>`
+        + `<circle class="${line.level}" cx="${x}" cy="${y}" r="${dotRadius}"/>`
+        + `<text x="${noteX}" y="${y + 4}"><tspan class="${line.level}">${line.event} ${escapeText(line.name)}</tspan>`
+        + ` <tspan class="fields">${escapeText(shorten(fields))}</tspan></text></g>`;
+}
+
+function getLane(index: number): number {
+    return timeWidth + index * laneWidth + laneWidth / 2;
+}
+
+function shorten(text: string): string {
+    const longest = 78;
+    return text.length > longest ? `${text.slice(0, longest - 1)}…` : text;
+}
+
+function escapeText(text: string): string {
+    return text.replaceAll("&", "&amp;").replaceAll("<", "&lt;").replaceAll(">", "&gt;").replaceAll("\"", "&quot;");
+}
--- /dev/null
+++ b/test/command/operations.test.ts
@@ -0,0 +1,112 @@
+import { expect } from "earl";
+import { mkdtempSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { Caller, getApiKey, metroManila, ProcessGroup, Site, waitUntil } from "../../src/testbench/index.js";
+import { type CommandRun, runCommand } from "./runCommand.js";
+
+describe("rattanlock on a running site", () => {
+    const group = new ProcessGroup();
+    const caller = new Caller();
+    let site: Site;
+
+    before(async () => {
+        site = await Site.start(group, { ...metroManila, prefix: "127.20.13", entryCount: 2 });
+    });
+
+    after(async () => {
+        await caller.close();
+        await group.killAll();
+    });
+
+    function run(...args: readonly string[]): Promise<CommandRun> {
+        const urls = [
+            "--log",
+            `http://${site.getPlatform("log")}`,
+            "--vm-list",
+            `http://${site.getPlatform("vm-list")}`,
+        ];
+        return runCommand(...args, ...urls);
+    }
+
+    async function isHalted(version: string): Promise<boolean> {
+        for (const entry of site.getEntries()) {
+            const { versions } = await site.getStatus(entry.name);
+            if (versions.find(({ id }) => id === version)?.halted !== true) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    function ask() {
+        return caller.chat({
+            entry: site.getEntryOrThrow("entry-1").callers,
+            key: getApiKey("banquet"),
+            model: "label-small",
+            text: "Draft a label.",
+        });
+    }
+
+    describe("rollout start", () => {
+        it("starts a roll-out that status shows, and abort ends it", async () => {
+            const started = await run("rollout", "start", "label-small@6", "label-small@5", "--name", "first");
+            expect([started.code, started.stderr]).toEqual([0, ""]);
+            const status = await run("rollout", "status", "--json");
+            const { rollouts } = JSON.parse(status.stdout) as { rollouts: { id: string; state: string; }[]; };
+            expect(rollouts.map(({ id, state }) => [id, state])).toEqual([["first", "active"]]);
+            expect((await run("rollout", "abort", "first")).code).toEqual(0);
+            expect((await run("rollout", "abort", "first")).code).toEqual(1);
+        });
+
+        it("refuses versions of different models and unknown ones", async () => {
+            expect((await run("rollout", "start", "label-small@6", "label-large@3")).code).toEqual(1);
+            expect((await run("rollout", "start", "label-small@9", "label-small@5")).code).toEqual(1);
+        });
+    });
+
+    describe("halt", () => {
+        it("stops a version on every entry until it is lifted", async () => {
+            expect((await run("halt", "label-small@5", "--reason", "wrong labels")).code).toEqual(0);
+            await waitUntil(() => isHalted("label-small@5"), { what: "the halt on both entries" });
+            expect((await ask()).status).toEqual(503);
+            expect((await run("lift", "label-small@5")).code).toEqual(0);
+            await waitUntil(async () => (await ask()).isWhole, { what: "an answer after the lift" });
+            expect((await run("lift", "label-small@5")).code).toEqual(1);
+        });
+    });
+
+    describe("explain and timeline", () => {
+        it("show where a request went", async () => {
+            const { requestId = "" } = await ask();
+            const explained = await run("explain", requestId);
+            expect(explained.stdout).toEqual(expect.includes("plan: label-small@5"));
+            expect(explained.stdout).toEqual(expect.includes("runner: runner-"));
+            const shown = await run("timeline", requestId);
+            expect(shown.stdout).toEqual(expect.includes("400 request-planned"));
+            expect(shown.stdout).toEqual(expect.includes("403 request-answered"));
+        });
+
+        it("write a page that holds the events", async () => {
+            const { requestId = "" } = await ask();
+            const page = join(mkdtempSync(join(tmpdir(), "rattanlock-page-")), "request.html");
+            expect((await run("timeline", requestId, "--html", page)).code).toEqual(0);
+            expect(readFileSync(page, "utf8")).toEqual(expect.includes("request-dispatched"));
+        });
+
+        it("say so when nobody remembers the request", async () => {
+            expect((await run("explain", "no-such-request")).code).toEqual(1);
+            expect((await run("timeline", "no-such-request")).code).toEqual(1);
+        });
+    });
+
+    describe("upstreams", () => {
+        it("shows every upstream with the entries that talk to it", async () => {
+            const shown = await run("upstreams", "--json");
+            const { upstreams } = JSON.parse(shown.stdout) as { upstreams: Record<string, { entries: number; }>; };
+            expect(Object.keys(upstreams).length).toEqual(10);
+            expect(upstreams["runner-1"].entries).toEqual(2);
+        });
+    });
+});
