Explore by what a try may save and is expected to cost

Counts from before supposed changes were dropped too readily, ratings of escalated answers made second versions look worse than they are, and a try was charged its lower bound. Ruled out: a fixed share of exploration (spends the most where it is least of use). Change: a change needs stronger evidence; a second rating counts as an escalation only; tries are drawn by what they may save, and charged the expected shortfall; with nothing known to meet the target the best expected version is used.

--- a/src/decisions/model/estimate.ts
+++ b/src/decisions/model/estimate.ts
@@ -12,10 +12,10 @@
 const priorScoreVariance = 0.04;
 const priorScoreWeight = 4;
 /** Ratings after a supposed change that are needed to believe in it. */
-const minimumChangeRatings = 12;
+const minimumChangeRatings = 20;
 /** Standard errors by which older scores must differ from newer ones to be left out: more, if the change is welcome. */
-const worseErrors = 3;
-const betterErrors = 4;
+const worseErrors = 4;
+const betterErrors = 5;
 
 /** What is known of a version in a class. */
 export interface Estimate {
--- a/src/decisions/model/evidence.ts
+++ b/src/decisions/model/evidence.ts
@@ -131,7 +131,10 @@
         this.#lastRatingAt = this.#clock.wall();
     }
 
-    /** Counts an escalation of this node. The two ratings are counted by `addRating` as well. */
+    /**
+     * Counts an escalation of this node. The second rating is counted here only, never by `addRating`: it belongs to a
+     * request that was hard for the first version, and would make the second one look worse than it is.
+     */
     addEscalation(escalation: EscalationInput): void {
         this.#own.escalations.add(escalation);
         this.#touchOwn();
--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -2,10 +2,10 @@
  * Chooses the cheapest plan whose expected quality meets the target with the stated confidence.
  */
 import type { Clock, RandomSource } from "../../common/index.js";
-import type { ModelVersion } from "../../world/index.js";
+import { getPrice, type ModelVersion } from "../../world/index.js";
 import { type Estimate, getEstimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
-import { getNormalQuantile } from "./normal.js";
+import { getNormalProbability, getNormalQuantile } from "./normal.js";
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
 import { getCascadeOptions, getHardness, getSingleOption, type PlanSettings } from "./planOptions.js";
 
@@ -19,6 +19,8 @@
 const startingCredit = 1;
 /** A version with fewer recent ratings is tried as the first step of a cascade. */
 const wellKnownRatings = 40;
+/** Probability that a little known version proves of use as the first step of a cascade. */
+const cascadeProbability = 0.3;
 /** Quality that a try as the first step of a cascade is taken to cost. */
 const cascadeTryDebit = 0.02;
 
@@ -67,7 +69,11 @@
 
 interface Try {
     readonly option: PlanOption;
-    /** Quality that it may cost. */
+    /** The version that is tried; its price decides what may be saved. */
+    readonly price: ModelVersion;
+    /** Probability that it turns out to be of use. */
+    readonly probability: number;
+    /** Quality that it is expected to cost. */
     readonly debit: number;
 }
 
@@ -134,16 +140,22 @@
         if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
             return undefined;
         }
-        const cost = getPlanCost(best, request.inputTokens, request.outputTokens);
-        const affordable = state.tries.filter(({ option, debit }) =>
-            debit <= state.credit && isWorthTrying(option, best, cost, request)
-        );
-        if (affordable.length === 0) {
-            return undefined;
+        const weights: number[] = [];
+        let total = 0;
+        for (const candidate of state.tries) {
+            const weight = candidate.debit <= state.credit ? getTryWeight(candidate, best, request) : 0;
+            weights.push(weight);
+            total += weight;
+        }
+        let point = this.#random.next() * total;
+        for (const [index, { option, debit }] of state.tries.entries()) {
+            point -= weights[index];
+            if (weights[index] > 0 && point < 0) {
+                state.credit -= debit;
+                return option;
+            }
         }
-        const chosen = affordable[this.#random.nextInteger(affordable.length)];
-        state.credit -= chosen.debit;
-        return chosen.option;
+        return undefined;
     }
 
     #getState(request: ModelRequest): ClassState {
@@ -188,7 +200,7 @@
                 }
             }
         }
-        const surest = getSurest(singles, confidence);
+        const surest = getSurest(singles);
         return {
             candidates,
             signature: getSignature(candidates),
@@ -200,31 +212,38 @@
             all: getUndominated([...sufficient, ...cascades.filter(meets)]),
             probable: getUndominated([...singles, ...cascades].filter(option => option.quality >= targetQuality)),
             surest,
-            tries: this.#formTries(request, estimates, surest),
+            tries: this.#formTries(request, estimates, getCheapest(sufficient, request) ?? surest),
             credit,
         };
     }
 
-    #formTries(request: ModelRequest, estimates: readonly Estimate[], surest: PlanOption): readonly Try[] {
+    #formTries(request: ModelRequest, estimates: readonly Estimate[], last: PlanOption): readonly Try[] {
         const tries: Try[] = [];
-        const last = surest.steps[0].version;
         for (const estimate of estimates) {
             const single = getSingleOption(estimate);
             const lower = getLowerBound(single, request.confidence);
             const upper = 2 * single.quality - lower;
+            const expectation = getExpectation(single, request.targetQuality);
             if (upper >= request.targetQuality && lower < request.targetQuality) {
-                tries.push({ option: single, debit: Math.max(0, request.targetQuality - lower) });
+                const { probability, shortfall } = expectation;
+                tries.push({ option: single, price: estimate.version, probability, debit: shortfall });
             }
-            else if (estimate.tally.ratings < wellKnownRatings && isCheaper(estimate.version, last)) {
-                tries.push({ option: this.#formCascadeTry(estimate, surest, request), debit: cascadeTryDebit });
+            if (estimate.tally.ratings < wellKnownRatings && isCheaper(estimate.version, last.steps[0].version)) {
+                const option = this.#formCascadeTry(estimate, last, request);
+                tries.push({
+                    option,
+                    price: estimate.version,
+                    probability: cascadeProbability,
+                    debit: cascadeTryDebit,
+                });
             }
         }
         return tries;
     }
 
     /** Forms a cascade whose first step is little known; only an answer rated at the target is taken from it. */
-    #formCascadeTry(estimate: Estimate, surest: PlanOption, request: ModelRequest): PlanOption {
-        const last = surest.steps[0].version;
+    #formCascadeTry(estimate: Estimate, single: PlanOption, request: ModelRequest): PlanOption {
+        const last = single.steps[0].version;
         return {
             steps: [
                 { version: estimate.version, acceptScore: request.targetQuality },
@@ -234,7 +253,7 @@
             outputPrice: estimate.version.outputPrice + last.outputPrice,
             fixedPrice: this.#settings.ratingPrice,
             quality: request.targetQuality,
-            deviation: surest.deviation,
+            deviation: single.deviation,
         };
     }
 }
@@ -250,10 +269,14 @@
     return option.quality - quantile * option.deviation;
 }
 
-function getSurest(options: readonly PlanOption[], confidence: number): PlanOption {
+/**
+ * Gets the option with the highest expected quality. The lower bound would not do here: it favours a version that is
+ * well known to miss the target over one that nobody has tried yet.
+ */
+function getSurest(options: readonly PlanOption[]): PlanOption {
     let surest = options[0];
     for (const option of options) {
-        if (getLowerBound(option, confidence) > getLowerBound(surest, confidence)) {
+        if (option.quality > surest.quality) {
             surest = option;
         }
     }
@@ -278,15 +301,23 @@
     return getPlanCost(one, inputTokens, outputTokens) < getPlanCost(other, inputTokens, outputTokens);
 }
 
-function isWorthTrying(option: PlanOption, best: PlanOption, bestCost: number, request: ModelRequest): boolean {
-    if (option.steps.length > 1) {
-        const first = option.steps[0].version;
-        const firstCost = (first.inputPrice * request.inputTokens + first.outputPrice * request.outputTokens)
-            / 1_000_000;
-        return firstCost < bestCost / 2;
+/** Gets what a try is worth: what it may save, by the probability that it turns out to be of use. */
+function getTryWeight(candidate: Try, best: PlanOption, request: ModelRequest): number {
+    const { inputTokens, outputTokens, targetQuality } = request;
+    const cost = getPrice(candidate.price, inputTokens, outputTokens);
+    const bestCost = getPlanCost(best, inputTokens, outputTokens);
+    if (best.quality < targetQuality && candidate.option.steps.length === 1) {
+        return candidate.probability * Math.max(bestCost, cost);
     }
-    const cheaper = getPlanCost(option, request.inputTokens, request.outputTokens) < bestCost;
-    return cheaper || best.quality < request.targetQuality;
+    return candidate.probability * Math.max(0, bestCost - cost);
+}
+
+/** Gets how likely an option meets the target, and how much it is expected to fall short of it. */
+function getExpectation(option: PlanOption, target: number): { probability: number; shortfall: number; } {
+    const distance = (target - option.quality) / option.deviation;
+    const below = getNormalProbability(distance);
+    const density = Math.exp(-distance * distance / 2) / Math.sqrt(2 * Math.PI);
+    return { probability: 1 - below, shortfall: option.deviation * (distance * below + density) };
 }
 
 function isCheaper(one: ModelVersion, other: ModelVersion): boolean {
--- a/src/decisions/model/plan.ts
+++ b/src/decisions/model/plan.ts
@@ -17,7 +17,7 @@
     readonly steps: readonly PlanStep[];
     readonly expectedCost: number;
     readonly expectedQuality: number;
-    /** Whether the plan was chosen to learn, paid for by surplus quality. */
+    /** Whether the plan was chosen to learn, paid for by surplus quality. Its answers should all be sent to be rated. */
     readonly exploring: boolean;
     /** For logs and `rattanlock status`. */
     readonly reason: string;
--- a/src/decisions/model/planOptions.ts
+++ b/src/decisions/model/planOptions.ts
@@ -1,7 +1,7 @@
 /**
  * Forms every plan worth weighing for a class: each single version, and each cascade of two with its thresholds.
  */
-import { escalationSumUnit } from "./escalations.js";
+import { type EscalationCounts, escalationSumUnit } from "./escalations.js";
 import type { Estimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
 import type { PlanOption } from "./plan.js";
@@ -44,6 +44,8 @@
     /** Loss of the second answer for each unit by which the first one fell short of its mean. */
     readonly slope: number;
     readonly slopeDeviation: number;
+    /** What it was estimated from. */
+    readonly pairs: readonly EscalationCounts[];
 }
 
 /**
@@ -55,7 +57,8 @@
     let shortfall = priorSlopeShortfall;
     let loss = priorSlope * priorSlopeShortfall;
     let count = priorSlopeCount;
-    for (const { first, second, counts, sums } of evidence.getEscalations(requestClass)) {
+    const pairs = evidence.getEscalations(requestClass);
+    for (const { first, second, counts, sums } of pairs) {
         const firstMean = means.get(first);
         const secondMean = means.get(second);
         if (firstMean === undefined || secondMean === undefined) {
@@ -69,7 +72,7 @@
     }
     const positive = Math.max(priorSlopeShortfall, shortfall);
     const slope = Math.min(1, Math.max(0, loss / positive));
-    return { slope, slopeDeviation: singleScoreDeviation * Math.sqrt(count) / positive };
+    return { slope, slopeDeviation: singleScoreDeviation * Math.sqrt(count) / positive, pairs };
 }
 
 /**
@@ -87,6 +90,9 @@
     if (first.tally.ratings < minimumCascadeRatings) {
         return [];
     }
+    const pair = hardness.pairs.find(({ first: one, second: other }) =>
+        one === first.version.id && other === second.version.id
+    );
     const options: PlanOption[] = [];
     let accepted = 0;
     let acceptedScores = 0;
@@ -101,7 +107,12 @@
         acceptedSquares += share * quality * quality;
         if (share > 0 && accepted < 1) {
             const rejectedScore = (first.scoreMean - acceptedScores) / (1 - accepted);
-            const hard = getHardQuality(second, Math.max(0, first.scoreMean - rejectedScore), hardness);
+            const hard = getHardQuality(
+                second,
+                Math.max(0, first.scoreMean - rejectedScore),
+                hardness,
+                getSeenBelow(pair, bin),
+            );
             options.push(formCascade({ first, second, bin, accepted, acceptedSum, acceptedSquares, hard, settings }));
         }
     }
@@ -143,10 +154,34 @@
     };
 }
 
-/** Gets the second version's quality on requests that the first one answered worse than its mean by `shortfall`. */
-function getHardQuality(second: Estimate, shortfall: number, hardness: Hardness) {
+/**
+ * Gets the second version's quality on requests that the first one answered worse than its mean by `shortfall`: what
+ * the hardness of the class lets expect, corrected by what this pair of versions has shown.
+ */
+function getHardQuality(second: Estimate, shortfall: number, hardness: Hardness, seen: SeenEscalations) {
+    const expected = Math.max(0, second.mean - hardness.slope * shortfall);
+    const expectedPrecision = 1 / (second.deviation ** 2 + (hardness.slopeDeviation * shortfall) ** 2);
+    const seenPrecision = seen.count / singleScoreDeviation ** 2;
+    const precision = expectedPrecision + seenPrecision;
+    const seenMean = seen.count === 0 ? 0 : seen.sum / seen.count;
     return {
-        quality: Math.max(0, second.mean - hardness.slope * shortfall),
-        variance: second.deviation ** 2 + (hardness.slopeDeviation * shortfall) ** 2,
+        quality: (expectedPrecision * expected + seenPrecision * seenMean) / precision,
+        variance: 1 / precision,
     };
 }
+
+/** Escalations of one pair whose first score was below a bin. */
+interface SeenEscalations {
+    readonly count: number;
+    readonly sum: number;
+}
+
+function getSeenBelow(pair: EscalationCounts | undefined, bin: number): SeenEscalations {
+    let count = 0;
+    let sum = 0;
+    for (let lower = 0; lower < bin && pair !== undefined; lower += 1) {
+        count += pair.counts[lower];
+        sum += pair.sums[lower] / escalationSumUnit;
+    }
+    return { count, sum };
+}
--- a/src/measure/cost/costRun.ts
+++ b/src/measure/cost/costRun.ts
@@ -137,12 +137,15 @@
         const entry = this.#entries[this.#random.nextInteger(entryCount)];
         this.#chosenBy = entry;
         const plan = entry.chooser.choose(this.#createRequest(costClasses[classIndex], time, size));
+        this.#tried = plan.exploring;
         this.exploring += plan.exploring ? 1 : 0;
         this.cascades += plan.steps.length > 1 ? 1 : 0;
         return toSteps(plan, this.#world.getVersions(time).map(({ id }) => id));
     }
 
     #chosenBy: Entry | undefined;
+    /** Whether the plan was chosen to learn; its answers are then all sent to be rated. */
+    #tried = false;
 
     #createRequest(requestClass: CostClass, time: number, size: number) {
         return {
@@ -202,7 +205,7 @@
         if (rated) {
             entry.evidence.addRating({ version, requestClass, score });
         }
-        else if (this.#random.next() < sampledShare) {
+        else if (this.#random.next() < (this.#tried ? ratedShare : sampledShare)) {
             const second = Math.floor((time + this.#random.nextExponential(meanRatingDelay)) / 1000);
             const queue = this.#late.get(second) ?? [];
             queue.push({ entry, version, requestClass, score, answeredAt, ...first === undefined ? {} : { first } });
@@ -218,8 +221,10 @@
             return;
         }
         for (const { entry, version, requestClass, score, answeredAt, first } of queue) {
-            entry.evidence.addRating({ version, requestClass, score, answeredAt });
-            if (first !== undefined) {
+            if (first === undefined) {
+                entry.evidence.addRating({ version, requestClass, score, answeredAt });
+            }
+            else {
                 const { version: firstVersion, score: firstScore } = first;
                 entry.evidence.addEscalation({
                     first: firstVersion,
--- a/src/measure/exposure/measureExposure.ts
+++ b/src/measure/exposure/measureExposure.ts
@@ -10,7 +10,7 @@
 
 const defaultSeedCount = 30;
 const goodRollouts = 300;
-const goodDuration = 900_000;
+const goodDuration = 1_200_000;
 const badDuration = 900_000;
 const knownRatesDraws = 4000;
 const falseHaltProbability = 0.01;
@@ -27,14 +27,10 @@
         rows.push(describeCase(exposureCase, seeds, hash));
         request.log(`${exposureCase.name}: ${JSON.stringify(rows.at(-1)?.figures)}`);
     }
-    const good = describeGood(request, hash, Math.round(goodRollouts * Math.min(1, count / defaultSeedCount)));
     return {
         measurement: "Exposure to bad versions",
         seeds,
-        tables: [
-            { title: "Callers given a bad answer by a bad version", rows },
-            { title: "Good versions", rows: [good] },
-        ],
+        tables: [{ title: "Callers given a bad answer by a bad version", rows }],
     };
 }
 
@@ -84,23 +80,22 @@
     return share * operatorNotices / requestInterval * harm;
 }
 
-function describeGood(request: MeasurementRequest, hash: CallerHash, count: number): ReportRow {
+/** Counts the halts of good versions; apart from the cases, since it takes long. */
+export async function measureFalseHalts(request: MeasurementRequest): Promise<Report> {
+    const hash = await createCallerHash();
+    const count = request.seedCount ?? goodRollouts;
+    const seeds = Array.from({ length: count }, (...[, index]) => request.seed + index);
     let halted = 0;
     let finished = 0;
-    for (let index = 0; index < count; index += 1) {
-        const result = new ExposureRun({
-            exposureCase: goodCase,
-            way: "shared",
-            seed: request.seed + 10_000 + index,
-            hash,
-            durationMilliseconds: goodDuration,
-            endsAtHalt: true,
-        }).run();
+    for (const [index, seed] of seeds.entries()) {
+        const options = { exposureCase: goodCase, way: "shared", seed, hash, endsAtHalt: true } as const;
+        const result = new ExposureRun({ ...options, durationMilliseconds: goodDuration }).run();
         halted += result.halted ? 1 : 0;
         finished += result.finished ? 1 : 0;
         if (index % 20 === 19) {
             request.log(`good roll-outs: ${index + 1}, halted ${halted}, finished ${finished}`);
         }
     }
-    return { name: "good roll-outs", figures: { "roll-outs": count, "halted falsely": halted, "finished": finished } };
+    const figures = { "roll-outs": count, "halted falsely": halted, "finished": finished };
+    return { measurement: "Good versions", seeds, tables: [{ title: "Halts", rows: [{ name: "good", figures }] }] };
 }
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -3,7 +3,7 @@
  */
 import { parseArgs } from "node:util";
 import { measureCost } from "./cost/measureCost.js";
-import { measureExposure } from "./exposure/measureExposure.js";
+import { measureExposure, measureFalseHalts } from "./exposure/measureExposure.js";
 import { formatReport, type Report } from "./report.js";
 
 /** What a measurement is asked for. */
@@ -18,8 +18,9 @@
 
 /** A measurement by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, (request: MeasurementRequest) => Report | Promise<Report>>> = {
-    cost: measureCost,
-    exposure: measureExposure,
+    "cost": measureCost,
+    "exposure": measureExposure,
+    "false-halts": measureFalseHalts,
 };
 
 const { values, positionals } = parseArgs({
