Try untried versions freely while none meets the target

Ruled out: choosing by an upper bound (spends on dear versions without end). Change: while no version meets the target, tries need no credit; without ratings, plans that probably meet the target are used as far as earned credit covers them. The advance of credit is for tries alone: a test showed that it was spent on a class never seen before.

--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -59,6 +59,7 @@
     all: readonly PlanOption[];
     /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
     probable: readonly PlanOption[];
+    probableSingles: readonly PlanOption[];
     /** The surest plan, for when none meets the target. */
     surest: PlanOption;
     /** Plans that may turn out to meet the target for less. */
@@ -114,7 +115,7 @@
                 return createPlan(tried, request, true, "explores with saved surplus quality");
             }
         }
-        const probable = ratings ? this.#chooseProbable(state, best, request) : undefined;
+        const probable = this.#chooseProbable(ratings ? state.probable : state.probableSingles, best, state, request);
         if (probable !== undefined) {
             return createPlan(probable, request, false, "cheaper plan, its doubt covered by saved surplus quality");
         }
@@ -123,13 +124,20 @@
     }
 
     /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
-    #chooseProbable(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
-        const option = getCheapest(state.probable, request);
+    #chooseProbable(
+        options: readonly PlanOption[],
+        best: PlanOption,
+        state: ClassState,
+        request: ModelRequest,
+    ): PlanOption | undefined {
+        const option = getCheapest(options, request);
         if (option === undefined || option === best || !isCheaperPlan(option, best, request)) {
             return undefined;
         }
         const debit = request.targetQuality - getLowerBound(option, request.confidence);
-        if (debit > state.credit) {
+        // The advance is for tries alone: spent here, it would give a class never seen before to a version that only
+        // the operator's expectation speaks for.
+        if (debit > state.credit - startingCredit) {
             return undefined;
         }
         state.credit -= debit;
@@ -140,10 +148,14 @@
         if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
             return undefined;
         }
+        // Nothing earns credit while no version meets the target. A version that had a few unlucky ratings would then
+        // never be tried again, and the class would stay below its target for good.
+        const needy = best.quality < request.targetQuality;
         const weights: number[] = [];
         let total = 0;
         for (const candidate of state.tries) {
-            const weight = candidate.debit <= state.credit ? getTryWeight(candidate, best, request) : 0;
+            const affordable = needy || candidate.debit <= state.credit;
+            const weight = affordable ? getTryWeight(candidate, best, request) : 0;
             weights.push(weight);
             total += weight;
         }
@@ -151,7 +163,7 @@
         for (const [index, { option, debit }] of state.tries.entries()) {
             point -= weights[index];
             if (weights[index] > 0 && point < 0) {
-                state.credit -= debit;
+                state.credit = needy ? state.credit : state.credit - debit;
                 return option;
             }
         }
@@ -186,6 +198,7 @@
         const estimates = candidates.map(version => getEstimate(this.#evidence, version, requestClass));
         const singles = estimates.map(getSingleOption);
         const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
+        const isProbable = (option: PlanOption) => option.quality >= targetQuality;
         const sufficient = singles.filter(meets);
         const cascades: PlanOption[] = [];
         const hardness = getHardness(this.#evidence, requestClass, estimates);
@@ -210,7 +223,8 @@
             formedAt: this.#clock.monotonic(),
             singles: getUndominated(sufficient),
             all: getUndominated([...sufficient, ...cascades.filter(meets)]),
-            probable: getUndominated([...singles, ...cascades].filter(option => option.quality >= targetQuality)),
+            probable: getUndominated([...singles, ...cascades].filter(isProbable)),
+            probableSingles: getUndominated(singles.filter(isProbable)),
             surest,
             tries: this.#formTries(request, estimates, getCheapest(sufficient, request) ?? surest),
             credit,
