Test cascades with the escalations that prove them

Change: the test now gives the escalations that prove the cascade, and a second one checks that escalations which go wrong rule it out; together they are stricter than the old one.

--- a/test/decisions/model/modelChooser.test.ts
+++ b/test/decisions/model/modelChooser.test.ts
@@ -27,11 +27,12 @@
         });
 
         it("cascades where the cheap version is often good and its ratings tell when", () => {
-            const { addRatings, choose } = createFixture();
+            const { addRatings, addEscalations, choose } = createFixture();
             addRatings(small, 300, 0.95, 0.02);
             addRatings(small, 200, 0.3, 0.02);
             addRatings(large, 400, 0.95, 0.02);
             addRatings(medium, 400, 0.7, 0.02);
+            addEscalations(100, 0.3, 0.9);
             const plan = choose({});
             expect(plan.steps.map(step => step.version.id)).toEqual([small.id, large.id]);
             const acceptScore = plan.steps[0].acceptScore ?? 0;
@@ -39,6 +40,21 @@
             expect(plan.steps[1].acceptScore).toEqual(undefined);
         });
 
+        // What the cheap version answers badly may be hard for the dear one too. A cascade that counted on the dear
+        // version's overall mean would miss the target on just the requests that it is there for.
+        it("does not cascade where the dear version fails on the same requests", () => {
+            const { addRatings, addEscalations, choose } = createFixture();
+            addRatings(small, 300, 0.95, 0.02);
+            addRatings(small, 200, 0.3, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            addRatings(medium, 400, 0.7, 0.02);
+            addEscalations(100, 0.3, 0.45);
+            for (let request = 0; request < 100; request += 1) {
+                const plan = choose({ candidates: [small, large] });
+                expect(plan.exploring || plan.steps.length === 1).toEqual(true);
+            }
+        });
+
         it("counts what a long history costs on both steps of a cascade", () => {
             const { addRatings, choose } = createFixture();
             addRatings(small, 300, 0.95, 0.02);
@@ -137,6 +153,11 @@
         random,
         evidence,
         choose: (changes: Partial<Parameters<ModelChooser["choose"]>[0]>) => chooser.choose({ ...request, ...changes }),
+        addEscalations: (count: number, firstScore: number, secondScore: number) => {
+            for (let escalation = 0; escalation < count; escalation += 1) {
+                evidence.addEscalation({ first: small.id, second: large.id, requestClass, firstScore, secondScore });
+            }
+        },
         addRatings: (version: ModelVersion, count: number, mean: number, deviation: number) => {
             for (let rating = 0; rating < count; rating += 1) {
                 const score = clamp(mean + deviation * random.nextNormal());
