Set the sequential test's threshold by what a good version meets

Cause: the bound of the theory holds for a version that is worse by just the margins. Ruled out: smaller margins (a version that is as good then drifts up to the threshold).

--- a/src/decisions/exposure/rolloutJudge.ts
+++ b/src/decisions/exposure/rolloutJudge.ts
@@ -22,9 +22,13 @@
 
 /** How roll-outs are judged. */
 export interface RolloutPolicy {
-    /** Upper bound of the probability that a good version is halted during its roll-out; the measured share is lower. */
+    /**
+     * Upper bound of the probability that a version is halted during its roll-out that is worse than the baseline by
+     * just the margins of the metrics. One that is as good as the baseline is halted far less often, see the
+     * measurements.
+     */
     readonly falseHaltProbability: number;
-    /** Expected time between false halts of a settled version, in milliseconds. */
+    /** Expected time between false halts of a settled version, for one that is worse than its past by the margins. */
     readonly falseHaltMilliseconds: number;
     /** How long a rating may take before it is taken to be missing. */
     readonly ratingWaitMilliseconds: number;
@@ -40,8 +44,8 @@
 
 /** The policy unless the configuration says otherwise. */
 export const defaultRolloutPolicy: RolloutPolicy = {
-    falseHaltProbability: 0.02,
-    falseHaltMilliseconds: 30 * 86_400_000,
+    falseHaltProbability: 0.1,
+    falseHaltMilliseconds: 3 * 86_400_000,
     ratingWaitMilliseconds: 90_000,
     firstCallers: 8,
     stageRatings: 60,
@@ -57,7 +61,7 @@
 /** For each judged caller, so many may be waiting for judgement. */
 const unjudgedPerJudged = 1;
 /** Strength of evidence against the candidate at which callers are let through only a handful at a time. */
-const suspiciousStrength = 0.03;
+const suspiciousStrength = 0.2;
 /** Part of the baseline's share of rated answers that the candidate must reach for its exposure to grow. */
 const neededCoverage = 0.5;
 const matureAnswersNeeded = 10;
--- a/src/measure/exposure/exposureRun.ts
+++ b/src/measure/exposure/exposureRun.ts
@@ -46,6 +46,8 @@
     readonly way: ExposureWay;
     readonly durationMilliseconds: number;
     readonly policy?: Partial<RolloutPolicy>;
+    /** Time between two exchanges of counts, in milliseconds; a second by default. */
+    readonly gossipInterval?: number;
     /** Whether the run ends at the first halt everywhere. */
     readonly endsAtHalt: boolean;
 }
@@ -91,8 +93,10 @@
             site.clock.advance(requestInterval);
             site.deliver();
             this.#deliverRatings();
-            if (time % judgeInterval === 0) {
+            if (time % (this.#options.gossipInterval ?? judgeInterval) === 0) {
                 site.gossip();
+            }
+            if (time % judgeInterval === 0) {
                 site.judge();
                 halted = site.entries.every(({ fold }) => fold.isHalted(candidate));
                 if (halted && this.#options.endsAtHalt) {
