--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -5,7 +5,7 @@
 import { measureCapacity } from "./capacity/measureCapacity.js";
 import { measureCost } from "./cost/measureCost.js";
 import { measureEntry } from "./entry/measureEntry.js";
-import { measureExposure } from "./exposure/measureExposure.js";
+import { measureExposure, measureFalseHalts } from "./exposure/measureExposure.js";
 import { formatGossip, measureGossip } from "./gossipTraffic.js";
 import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
@@ -18,6 +18,7 @@
     cost: async request => toFinding(await measureCost(withSeed(request))),
     entry: async ({ log }) => toFinding(await measureEntry(log)),
     exposure: async request => toFinding(await measureExposure(withSeed(request))),
+    "false-halts": async request => toFinding(await measureFalseHalts(withSeed(request))),
     load: ({ seed = firstReportingSeed }) => {
         const costs = measureCosts(seed);
         const results = measureLoad(seed);
