Grow subsets when entries are few; drop what begin and choose did not use; a cheaper table of prefixes

Change: an entry keeps at least twelve entries a runner in the mean, by the number of entries in the VM list; a known holder's block is not moved in the table; begin and the request lose the tokens, which nothing used.

--- a/src/decisions/placement/options.ts
+++ b/src/decisions/placement/options.ts
@@ -4,8 +4,10 @@
 
 /** Settings of the choice of a runner. */
 export interface PlacementOptions {
-    /** Runners of a version in the entry's region that it talks to. */
+    /** Runners of a version in the entry's region that it talks to, at least. */
     readonly nearSubsetSize: number;
+    /** Entries that each runner is to be talked to by, in the mean: with few entries, subsets grow. */
+    readonly entriesPerRunner: number;
     /** Runners of a version in other regions that it keeps for spill-over. */
     readonly farSubsetSize: number;
     /** How many runners are compared for a request. */
@@ -42,6 +44,7 @@
 /** The defaults. */
 export const defaultPlacementOptions: PlacementOptions = {
     nearSubsetSize: 24,
+    entriesPerRunner: 12,
     farSubsetSize: 6,
     choices: 6,
     cachedChoices: 3,
--- a/src/decisions/placement/placement.ts
+++ b/src/decisions/placement/placement.ts
@@ -25,8 +25,6 @@
     readonly preferred?: string;
     /** Milliseconds that are left until the caller wants the first token. */
     readonly deadlineMilliseconds: number;
-    /** Tokens to be read and written, by estimate. */
-    readonly estimatedTokens: number;
 }
 
 /** Why a runner was chosen; for events and tests. */
--- a/src/decisions/placement/prefixTable.ts
+++ b/src/decisions/placement/prefixTable.ts
@@ -1,7 +1,7 @@
 /**
  * Which runners hold which prompt prefixes, learned from cache events that come late and with gaps.
  *
- * The table is bounded: the prefix that was used longest ago is forgotten first. What it says is a hint for speed;
+ * The table is bounded: the prefix whose last new holder came longest ago is forgotten first. What it says is a hint for speed;
  * a wrong hint costs the time to read the prompt again, never the answer.
  */
 
@@ -48,20 +48,17 @@
     /** Notes that a runner holds a block. */
     add(upstream: string, block: string): void {
         const generation = this.#getGeneration(upstream);
-        this.#generations.set(upstream, generation);
-        const holders = this.#holders.get(block) ?? [];
-        // Deleting and setting again moves the block to the young end of the map, which is the bound's order.
-        this.#holders.delete(block);
-        this.#holders.set(block, holders);
-        const known = holders.find(holder => holder.upstream === upstream);
+        const holders = this.#holders.get(block);
+        const known = holders?.find(holder => holder.upstream === upstream);
         if (known !== undefined) {
             known.generation = generation;
             return;
         }
-        if (holders.length >= holdersPerBlock) {
-            holders.shift();
-        }
-        holders.push({ upstream, generation });
+        this.#generations.set(upstream, generation);
+        const kept = holders?.slice(1 - holdersPerBlock) ?? [];
+        // Deleting and setting again moves the block to the young end of the map, which is the bound's order.
+        this.#holders.delete(block);
+        this.#holders.set(block, [...kept, { upstream, generation }]);
         this.#removeOldest();
     }
 
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -3,17 +3,19 @@
  * entry's subset and the runners that are believed to hold the prompt's prefix.
  */
 import { err, ok, type Result } from "neverthrow";
-import { type Clock, Failure, type RandomSource } from "../../common/index.js";
+import type { Clock, Failure, RandomSource } from "../../common/index.js";
 import { events, type Journal } from "../../events/index.js";
 import type { LoadReport, Vm } from "../../world/index.js";
 import { CandidateSet } from "./candidateSet.js";
+import { createOverloaded, createUnavailable } from "./failures.js";
+import { parseLoadHeader } from "./loadHeader.js";
 import { defaultPlacementOptions, type PlacementOptions } from "./options.js";
 import type { CacheEvent, EntryLocation, Placement, PlacementRequest, WorkEnd } from "./placement.js";
 import { PoolStatistics } from "./poolStatistics.js";
 import { PrefixTable } from "./prefixTable.js";
 import { getRank } from "./rendezvous.js";
 import { getReadingTokens, Runner } from "./runner.js";
-import { type CandidateList, RunnerIndex } from "./runnerIndex.js";
+import { RunnerIndex } from "./runnerIndex.js";
 import { Work } from "./work.js";
 
 /** A refused caller comes back no sooner than this. */
@@ -53,12 +55,14 @@
     /**
      * Takes in the VM list. Runners that stay keep what was learned of them; those that are leaving or gone get
      * nothing new from now on.
-     * @param vms - All VMs; entries among them are passed over.
+     * @param vms - All VMs; the entries among them tell how many share the runners.
      */
     setUpstreams(vms: readonly Vm[]): void {
         const listed = new Set<string>();
+        let entries = 0;
         for (const vm of vms) {
             if (vm.role === "entry") {
+                entries += vm.region === this.#self.region ? 1 : 0;
                 continue;
             }
             listed.add(vm.id);
@@ -71,6 +75,7 @@
                 this.#prefixes.forget(id);
             }
         }
+        this.#index.setEntries(entries);
     }
 
     /** Returns the upstreams that this entry talks to: the ones whose load it has to follow. */
@@ -180,7 +185,8 @@
             this.#candidates.addSome(list.far, "spill-over");
         }
         if (this.#candidates.isEmpty()) {
-            this.#candidates.addAny(getLastResort(list));
+            // When the subset has nobody left, any runner will do, ejected or not: trying beats refusing.
+            this.#candidates.addAny(list.all);
         }
         const placement = this.#candidates.getBest();
         if (placement === undefined) {
@@ -196,18 +202,15 @@
     /**
      * Counts a request that is sent to the chosen runner.
      * @param placement - What `choose` returned.
-     * @param size - The estimated tokens of the request.
      */
-    begin(placement: Placement, size: { readonly tokens: number; }): Work {
-        const id = placement.upstream.id;
-        const runner = this.#runners.get(id);
-        if (runner === undefined) {
-            return new Work({ firstToken: () => {}, load: () => {}, finish: () => {} });
-        }
-        return this.#createWork(runner, placement, size.tokens);
+    begin(placement: Placement): Work {
+        const runner = this.#runners.get(placement.upstream.id);
+        return runner === undefined
+            ? new Work({ firstToken: () => {}, load: () => {}, finish: () => {} })
+            : this.#createWork(runner, placement);
     }
 
-    #createWork(runner: Runner, placement: Placement, tokens: number): Work {
+    #createWork(runner: Runner, placement: Placement): Work {
         const now = this.#clock.monotonic();
         const uncached = placement.blocks.length - placement.cachedBlocks;
         const modelled = runner.getModelledWait(now, uncached);
@@ -232,7 +235,6 @@
             },
         });
         runner.addWaiting(work, now);
-        void tokens;
         return work;
     }
 
@@ -331,12 +333,10 @@
     }
 
     #addHeader(runner: Runner, header: string): void {
-        const numbers = header.split("/").map(Number);
-        if (numbers.length !== 3 || !numbers.every(number => Number.isFinite(number) && number >= 0)) {
-            return;
+        const load = parseLoadHeader(header);
+        if (load !== undefined) {
+            runner.load.addFresh(load.requests, load.capacity, this.#clock.monotonic());
         }
-        const [running, waiting, capacity] = numbers;
-        runner.load.addFresh(running + waiting, capacity, this.#clock.monotonic());
     }
 
     #getRetryAfter(excessMilliseconds: number): number {
@@ -344,32 +344,7 @@
     }
 }
 
-/** When the subset has nobody left, any runner of the list will do, ejected or not: trying beats refusing. */
-function getLastResort(list: CandidateList): readonly Runner[] {
-    return list.all;
-}
-
 function isSame(known: readonly string[] | undefined, versions: readonly string[]): boolean {
     return known !== undefined && known.length === versions.length
         && versions.every((version, index) => version === known[index]);
 }
-
-function createUnavailable(request: PlacementRequest, retryAfterMilliseconds: number): Failure {
-    const wanted = request.version ?? request.pool ?? "any version";
-    return new Failure({
-        kind: "unavailable",
-        message: `No upstream serves ${wanted} now.`,
-        remedy: "Come back after the given time; if it lasts, load the version on a runner or add upstreams.",
-        retryAfterMilliseconds,
-    });
-}
-
-function createOverloaded(placement: Placement, retryAfterMilliseconds: number): Failure {
-    const wait = Math.round(placement.expectedWaitMilliseconds);
-    return new Failure({
-        kind: "overloaded",
-        message: `The best upstream would give the first token after ${wait} ms, past the deadline.`,
-        remedy: "Come back after the given time, allow a longer deadline, or add upstreams.",
-        retryAfterMilliseconds,
-    });
-}
--- a/src/decisions/placement/runnerIndex.ts
+++ b/src/decisions/placement/runnerIndex.ts
@@ -32,12 +32,27 @@
     readonly #options: PlacementOptions;
     readonly #ownDomain: string;
     readonly #groups = new Map<string, Group>();
+    #entries = 1;
 
     constructor(ownDomain: string, options: PlacementOptions) {
         this.#ownDomain = ownDomain;
         this.#options = options;
     }
 
+    /**
+     * Sets how many entries share the runners of the region. Small subsets of few entries would leave some runners
+     * without anybody and load others twice.
+     */
+    setEntries(entries: number): void {
+        if (entries === this.#entries) {
+            return;
+        }
+        this.#entries = Math.max(1, entries);
+        for (const group of this.#groups.values()) {
+            group.list = undefined;
+        }
+    }
+
     /** Returns the runners of a version, of a pool, or of a version within a pool. */
     get(version: string | undefined, pool: string | undefined): CandidateList {
         const group = this.#groups.get(getKey(version, pool));
@@ -106,7 +121,8 @@
     }
 
     #pickNear(near: readonly Runner[]): readonly Runner[] {
-        const size = this.#options.nearSubsetSize;
+        const { nearSubsetSize, entriesPerRunner } = this.#options;
+        const size = Math.max(nearSubsetSize, Math.ceil(entriesPerRunner * near.length / this.#entries));
         if (near.length <= size) {
             return near;
         }
--- a/src/measure/decisionCost.ts
+++ b/src/measure/decisionCost.ts
@@ -69,12 +69,11 @@
     readonly blocks: readonly string[];
     readonly exclude: ReadonlySet<string>;
     readonly deadlineMilliseconds: number;
-    readonly estimatedTokens: number;
 }
 
 function choose(chooser: RunnerChooser, request: CostRequest): void {
     const placement = chooser.choose(request)._unsafeUnwrap();
-    const work = chooser.begin(placement, { tokens: request.estimatedTokens });
+    const work = chooser.begin(placement);
     work.firstToken(50);
     work.finish({ outcome: "ok", milliseconds: 500 });
 }
@@ -92,13 +91,18 @@
     }));
 }
 
+/** As many entries as the target has for this many runners. */
+function createEntries(count: number): readonly Vm[] {
+    return createVms(count).map((vm, index) => ({ ...vm, id: `entry-${index}`, role: "entry" }));
+}
+
 function createChooser(vms: readonly Vm[], seed: number): RunnerChooser {
     const chooser = new RunnerChooser({
         self: { failureDomain: "domain-0", region: "region-0", subsetKey: "entry-0" },
         clock: systemClock,
         random: new RandomSource(seed),
     });
-    chooser.setUpstreams(vms);
+    chooser.setUpstreams([...vms, ...createEntries(Math.ceil(vms.length / 6))]);
     for (const [index, vm] of vms.entries()) {
         const measured = { measuredAt: 1, running: index % 7, waiting: 0, capacity: 8, leaving: false };
         chooser.addLoadReport({ ...measured, upstream: vm.id, versions: [`model@${index % versions}`] });
@@ -114,7 +118,6 @@
         blocks: getRange(blocksPerRequest).map(block => `block-${random.nextInteger(2_000)}-${block}`),
         exclude: new Set<string>(),
         deadlineMilliseconds: 1_000_000,
-        estimatedTokens: 4_000,
     }));
 }
 
--- a/src/measure/limitsTrial.ts
+++ b/src/measure/limitsTrial.ts
@@ -77,7 +77,12 @@
         this.#runners = getRange(runners).map(index => this.#createRunner(index));
         const shared = { runners: this.#runners, clock: this.#queue.clock };
         this.#policies = getRange(entries).map(entry =>
-            createPolicy("rattanlock", { ...shared, entry, random: new RandomSource(options.seed * 1_000 + entry) })
+            createPolicy("rattanlock", {
+                ...shared,
+                entry,
+                entries,
+                random: new RandomSource(options.seed * 1_000 + entry),
+            })
         );
         this.#admissions = getRange(entries).map(entry =>
             createAdmission(options.admission, {
@@ -205,7 +210,6 @@
             blocks: [],
             exclude: tried,
             deadlineMilliseconds: deadlineMilliseconds - (sent - since),
-            tokens: ask.outputTokens,
         });
         if (choice === undefined) {
             ticket.release({ outcome: "refused", tokens: 0 });
--- a/src/measure/load.ts
+++ b/src/measure/load.ts
@@ -23,6 +23,7 @@
     { name: "0.9 of capacity", load: 0.9 },
     { name: "2 times capacity", load: 2 },
     { name: "unequal runners, 0.9", load: 0.9, getShape: index => unequalShapes[index % unequalShapes.length] },
+    { name: "52 runners, 0.9", load: 0.9, runners: 52, sessions: 240 },
     { name: "small prefix caches, 0.9", load: 0.9, cacheBlocks: 250 },
     {
         name: "slow runner that reports no load, 0.8",
--- a/src/measure/loadTrial.ts
+++ b/src/measure/loadTrial.ts
@@ -24,6 +24,7 @@
 /** Blocks of the mean request of the workload, for the capacity. */
 const meanBlocks = 32;
 const sessionShare = 0.6;
+const usualSessions = 60;
 const usualCacheBlocks = 1_500;
 
 /** What happens in a scenario. */
@@ -32,6 +33,8 @@
     /** Arrivals as a part of the nominal capacity. */
     readonly load: number;
     readonly runners?: number;
+    /** Sessions at a time. */
+    readonly sessions?: number;
     /** Capacity and slowness of each runner. */
     readonly getShape?: (index: number) => { readonly capacity: number; readonly slowness: number; };
     readonly liar?: number;
@@ -81,6 +84,7 @@
             createPolicy(options.policy, {
                 runners: this.#runners,
                 entry,
+                entries,
                 clock: this.#queue.clock,
                 random: new RandomSource(options.seed * 1_000 + entry),
                 placement: options.placement,
@@ -142,7 +146,12 @@
     }
 
     #scheduleArrivals(end: number): void {
-        const workload = new Workload(this.#random, { entries, sessionShare, meanOutputTokens });
+        const workload = new Workload(this.#random, {
+            entries,
+            sessions: this.#scenario.sessions ?? usualSessions,
+            sessionShare,
+            meanOutputTokens,
+        });
         const mean = 1 / (this.#scenario.load * this.#getCapacityPerMillisecond());
         const arrive = (): void => {
             if (this.#queue.now() >= end) {
@@ -174,7 +183,6 @@
             blocks: request.blocks,
             exclude,
             deadlineMilliseconds: deadlineMilliseconds - (sent - since),
-            tokens: request.blocks.length * 128 + request.outputTokens,
         });
         if (choice === undefined) {
             return;
--- a/src/measure/placementPolicies.ts
+++ b/src/measure/placementPolicies.ts
@@ -5,6 +5,7 @@
 import { type PlacementOptions, RunnerChooser, type WorkEnd } from "../decisions/placement/index.js";
 import type { LoadReport, Vm } from "../world/index.js";
 import type { SimulatedRunner } from "./simulatedRunner.js";
+import { getRange } from "./statistics.js";
 
 /** Names of the ways. `perfect` sees the true load and cache of all runners at every moment: nobody can. */
 export type PolicyName = "random" | "round robin" | "least in-flight" | "rattanlock" | "perfect";
@@ -23,7 +24,6 @@
     readonly blocks: readonly string[];
     readonly exclude: ReadonlySet<string>;
     readonly deadlineMilliseconds: number;
-    readonly tokens: number;
 }
 
 /** A chosen runner and where to report how it went. */
@@ -50,6 +50,8 @@
 export interface PolicyOptions {
     readonly runners: readonly SimulatedRunner[];
     readonly entry: number;
+    /** How many entries there are. */
+    readonly entries: number;
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly placement?: Partial<PlacementOptions>;
@@ -155,7 +157,8 @@
         options: options.placement,
     });
     const indexes = new Map(options.runners.map((runner, index) => [runner.options.vm.id, index]));
-    chooser.setUpstreams(options.runners.map(runner => runner.options.vm));
+    const entries = getRange(options.entries).map(createEntry);
+    chooser.setUpstreams([...options.runners.map(runner => runner.options.vm), ...entries]);
     for (const runner of options.runners) {
         chooser.setVersions(runner.options.vm.id, [runner.options.version]);
     }
@@ -167,12 +170,11 @@
                 blocks: request.blocks,
                 exclude: request.exclude,
                 deadlineMilliseconds: request.deadlineMilliseconds,
-                estimatedTokens: request.tokens,
             });
             if (chosen.isErr()) {
                 return undefined;
             }
-            const work = chooser.begin(chosen.value, { tokens: request.tokens });
+            const work = chooser.begin(chosen.value);
             return {
                 runner: indexes.get(chosen.value.upstream.id) ?? 0,
                 firstToken: (milliseconds, header) => {
@@ -182,8 +184,21 @@
                 end: end => work.finish(end),
             };
         },
-        setListed: vms => chooser.setUpstreams(vms),
+        setListed: vms => chooser.setUpstreams([...vms, ...entries]),
         addReport: report => chooser.addLoadReport(report),
         addCacheEvents: (upstream, events, gap) => chooser.addCacheEvents(upstream, events, gap),
     };
 }
+
+function createEntry(index: number): Vm {
+    return {
+        id: `entry-${index}`,
+        address: "",
+        port: 0,
+        role: "entry",
+        pool: "",
+        failureDomain: `domain-${index % 4}`,
+        region: "region",
+        state: "live",
+    };
+}
--- a/src/measure/workload.ts
+++ b/src/measure/workload.ts
@@ -14,12 +14,13 @@
 /** Shape of the requests. */
 export interface WorkloadOptions {
     readonly entries: number;
+    /** Sessions at a time. */
+    readonly sessions: number;
     /** Part of the requests that belong to sessions. */
     readonly sessionShare: number;
     readonly meanOutputTokens: number;
 }
 
-const sessionsAtATime = 60;
 const turnsPerSession = 8;
 /** Callers keep an entry's address for a while; this part of the turns come to another. */
 const strayShare = 0.2;
@@ -44,7 +45,7 @@
     constructor(random: RandomSource, options: WorkloadOptions) {
         this.#random = random;
         this.#options = options;
-        for (let index = 0; index < sessionsAtATime; index += 1) {
+        for (let index = 0; index < options.sessions; index += 1) {
             const session = this.#createSession();
             session.turns = random.nextInteger(turnsPerSession);
             this.#sessions.push(session);
--- a/test/decisions/placement/runnerChooser.test.ts
+++ b/test/decisions/placement/runnerChooser.test.ts
@@ -103,19 +103,27 @@
     });
 
     describe("getSubset", () => {
+        // Eight entries with 24 of 130 runners each would leave a fifth of the runners without anybody.
+        it("leaves no runner out when there are few entries", () => {
+            const entries = [1, 2, 3].map(index => createVm(`entry-${index}`, { role: "entry", pool: "" }));
+            const { chooser } = createChooser(createVms(130));
+            chooser.setUpstreams([...createVms(130), ...entries]);
+            expect(getSubsetIds(chooser).length).toEqual(130);
+        });
+
         it("keeps to a part of many runners, half of them at most in the own failure domain", () => {
             const vms = createVms(200).map((vm, index) => ({
                 ...vm,
                 failureDomain: index % 2 === 0 ? "pasig-a" : "makati",
             }));
-            const { chooser } = createChooser(vms, { nearSubsetSize: 10 });
+            const { chooser } = createChooser(vms, { nearSubsetSize: 10, entriesPerRunner: 0 });
             const subset = getSubsetIds(chooser);
             const own = vms.filter(vm => vm.failureDomain === "pasig-a" && subset.includes(vm.id));
             expect([subset.length, own.length]).toEqual([10, 5]);
         });
 
         it("changes by one runner when one leaves", () => {
-            const { chooser } = createChooser(createVms(200), { nearSubsetSize: 10 });
+            const { chooser } = createChooser(createVms(200), { nearSubsetSize: 10, entriesPerRunner: 0 });
             const before = getSubsetIds(chooser);
             chooser.markLeaving(before[0]);
             const after = getSubsetIds(chooser);
@@ -167,7 +175,7 @@
             chooser.addLoadReport(createReport("runner-0", { measuredAt: 900 }));
             chooser.addLoadReport(createReport("runner-1", { measuredAt: 900, running: 4 }));
             clock.advance(200);
-            const work = chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+            const work = chooser.begin(createPlacement(vms[0]));
             work.finish({ outcome: "ok", milliseconds: 0, loadHeader: "8/20/8" });
             chooser.addLoadReport(createReport("runner-0", { measuredAt: 950 }));
             expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
@@ -177,7 +185,7 @@
             const vms = createVms(2);
             const { chooser, clock } = createChooser(vms);
             for (let index = 0; index < 4; index += 1) {
-                chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+                chooser.begin(createPlacement(vms[0]));
             }
             clock.advance(10);
             chooser.addLoadReport(createReport("runner-0", { measuredAt: clock.wall(), running: 4 }));
@@ -192,7 +200,7 @@
             const vms = createVms(2);
             const { chooser } = createChooser(vms);
             for (let index = 0; index < 12; index += 1) {
-                chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+                chooser.begin(createPlacement(vms[0]));
             }
             expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
         });
@@ -200,11 +208,11 @@
         it("counts the end of work once", () => {
             const vms = createVms(2);
             const { chooser } = createChooser(vms);
-            const work = [1, 2, 3].map(() => chooser.begin(createPlacement(vms[0]), { tokens: 100 }));
+            const work = [1, 2, 3].map(() => chooser.begin(createPlacement(vms[0])));
             for (let index = 0; index < 3; index += 1) {
                 work[0].finish({ outcome: "cancelled", milliseconds: 5 });
             }
-            chooser.begin(createPlacement(vms[1]), { tokens: 100 });
+            chooser.begin(createPlacement(vms[1]));
             // Runner 0 has two left, not none.
             expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
         });
@@ -213,7 +221,7 @@
         it("turns away from a runner that stays silent", () => {
             const vms = createVms(2);
             const { chooser, clock } = createChooser(vms);
-            chooser.begin(createPlacement(vms[0]), { tokens: 100 });
+            chooser.begin(createPlacement(vms[0]));
             clock.advance(4_000);
             chooser.addLoadReport(createReport("runner-1", { measuredAt: clock.wall(), running: 5 }));
             expect([...countChoices(chooser).keys()]).toEqual(["runner-1"]);
@@ -225,7 +233,7 @@
             const { chooser, clock } = createChooser(vms);
             for (let index = 0; index < 6; index += 1) {
                 for (const vm of vms) {
-                    const work = chooser.begin(createPlacement(vm), { tokens: 100 });
+                    const work = chooser.begin(createPlacement(vm));
                     work.firstToken(vm.id === "runner-0" ? 400 : 60);
                     work.finish({ outcome: "ok", milliseconds: 500, loadHeader: "0/0/8" });
                 }
@@ -254,7 +262,7 @@
             const vms = createVms(4);
             const { chooser } = createChooser(vms);
             for (const outcome of ["failed", "failed", "ok", "failed", "refused", "cancelled", "failed"] as const) {
-                chooser.begin(createPlacement(vms[0]), { tokens: 100 }).finish({ outcome, milliseconds: 60 });
+                chooser.begin(createPlacement(vms[0])).finish({ outcome, milliseconds: 60 });
             }
             expect(countChoices(chooser).has("runner-0")).toEqual(true);
         });
