Prove that each request is billed once and answers are whole

Cause: nothing proved with real processes that bills and answers survive killed entries, broken connections and outages of the log. Change: a judge that compares callers' texts (by hash), engines' journals and every bill in the log, and seven failure tests behind the proxy. Ruled out: a judge by token counts alone, which two answers of one length would pass.

--- a/src/testbench/index.ts
+++ b/src/testbench/index.ts
@@ -1,5 +1,6 @@
 /** Tools that start real processes and wait for conditions, for tests, scenarios and the demo. */
 export * from "./addressBlock.js";
+export * from "./billJudge.js";
 export * from "./call.js";
 export * from "./caller.js";
 export * from "./judge.js";
--- a/src/testbench/judge.ts
+++ b/src/testbench/judge.ts
@@ -27,6 +27,8 @@
     readonly arrivedAt: number;
     readonly outcome: string;
     readonly outputTokens: number;
+    /** Hash of the text, once the run has ended. */
+    readonly answerHash?: string;
 }
 
 /** Returns every run that the site's plain services counted. */
--- /dev/null
+++ b/test/proofs/billing.test.ts
@@ -0,0 +1,152 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type ChatRecord, readEngineRuns, setFaults, waitUntil } from "../../src/testbench/index.js";
+import { chat, expectBilledOnce, setRunnerLinks, waitForBills } from "./billingFixtures.js";
+import { print, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const noFaults = { cut: false, delayMilliseconds: 0, cutAfterBytes: 0 };
+
+describe("Bills and whole answers", () => {
+    const getProof = useProofSite("127.62.1", {
+        entrySettings: { timing: { bill_flush_ms: "1500", peer_timeout_ms: "400" } },
+    });
+
+    // An entry sends the last byte of an answer and dies before its bills went to the log. Without a copy on another
+    // VM the work would never be billed, and nobody would notice but the ledger's reader.
+    it("keeps the bills of an entry that is killed between the last byte and the append", async () => {
+        const proof = getProof();
+        const asked = Array.from(
+            { length: 12 },
+            (...[, index]) => chat(proof, "entry-1", { streamed: index % 2 === 0 }),
+        );
+        const chats = await Promise.all(asked);
+        await proof.site.getEntryOrThrow("entry-1").process.kill();
+        expect(chats.every(record => record.isWhole)).toEqual(true);
+        const inLog = await proof.site.readBills();
+        expect(chats.some(record => !inLog.has(record.requestId ?? ""))).toEqual(true);
+        await expectBilledOnce(proof, chats);
+        await proof.site.startEntry("entry-1");
+        await proof.site.waitUntilReady();
+    });
+
+    // An entry dies in the middle of an answer. Its caller shows the resume token to another entry; it must get the
+    // rest of this very answer, and the request must be billed although the entry that took it is gone.
+    it("lets a caller go on at another entry after the first one was killed in the middle", async () => {
+        const proof = getProof();
+        const asked = Array.from({ length: 8 }, () => chat(proof, "entry-1", { model: "label-large@3" }));
+        await waitUntil(async () => {
+            const runs = await readEngineRuns(proof.site);
+            return runs.some(run => run.outcome === "running" && run.outputTokens >= 3);
+        }, { what: "an answer that has begun" });
+        await proof.site.getEntryOrThrow("entry-1").process.kill();
+        const broken = await Promise.all(asked);
+        expect(broken.some(record => !record.isWhole && record.resumeToken !== undefined)).toEqual(true);
+        const chats = await Promise.all(
+            broken.map((record, index) => resumeIfBroken(record, entries[1 + index % 2])),
+        );
+        expect(chats.filter(record => record.resumeToken !== undefined).every(record => record.isWhole)).toEqual(true);
+        await expectBilledOnce(proof, chats);
+        await proof.site.startEntry("entry-1");
+        await proof.site.waitUntilReady();
+    });
+
+    // The connection between caller and entry breaks, and the entry still works on the answer when the caller asks
+    // another one for the rest. Both entries know the usage then; the request must still be billed once.
+    it("bills a stream once that is resumed elsewhere while the first entry still reads it", async () => {
+        const proof = getProof();
+        const chats = await Promise.all(Array.from({ length: 12 }, async (...[, index]) => {
+            const broken = await chat(proof, entries[index % 3], { leaveAfterEvents: 1 + index });
+            expect(broken.isWhole).toEqual(false);
+            return proof.caller.resume(
+                proof.site.getEntryOrThrow(entries[(index + 1) % 3]).callers,
+                proof.key,
+                broken,
+            );
+        }));
+        expect(chats.map(record => record.isWhole)).toEqual(chats.map(() => true));
+        await expectBilledOnce(proof, chats);
+    });
+
+    // The connection between an entry and a runner breaks in the middle of answers. The caller must not notice: the
+    // entry takes the stream up where it was.
+    it("resumes streams whose connection to the runner breaks, so that callers notice nothing", async () => {
+        const proof = getProof();
+        await setRunnerLinks(proof, "entry-1", { cutAfterBytes: 4000 });
+        const chats: ChatRecord[] = [];
+        try {
+            for (let round = 0; round < 10; round += 1) {
+                chats.push(await chat(proof, "entry-1", { streamed: round % 2 === 0 }));
+            }
+        }
+        finally {
+            await setRunnerLinks(proof, "entry-1", noFaults);
+        }
+        expect(chats.filter(record => record.isWhole).length >= 8).toEqual(true);
+        await expectBilledOnce(proof, chats);
+    });
+
+    // Runners answer late, each link by another time, so that pieces of many answers come in mixed. A caller that got
+    // a piece of another's answer would read another kitchen's allergens.
+    it("never mixes answers that come late and at the same time", async () => {
+        const proof = getProof();
+        for (const [index, entry] of entries.entries()) {
+            await setRunnerLinks(proof, entry, { delayMilliseconds: 40 * index });
+        }
+        try {
+            const chats = await Promise.all(
+                Array.from({ length: 60 }, (...[, index]) =>
+                    chat(proof, entries[index % 3], {
+                        streamed: index % 4 !== 0,
+                        model: index % 2 === 0 ? "auto" : undefined,
+                    })),
+            );
+            expect(chats.filter(record => record.isWhole).length > 30).toEqual(true);
+            await expectBilledOnce(proof, chats);
+        }
+        finally {
+            for (const entry of entries) {
+                await setRunnerLinks(proof, entry, noFaults);
+            }
+        }
+    });
+
+    // A caller leaves and does not come back. The engine is told to stop and says what it has spent until then; that
+    // is billed, no more and no less.
+    it("bills a cancelled answer for what the engine says that it took", async () => {
+        const proof = getProof();
+        const left = await Promise.all(
+            entries.map(entry => chat(proof, entry, { leaveAfterEvents: 2, model: "label-large@3" })),
+        );
+        await waitForBills(proof, left.map(record => ({ ...record, isWhole: true })));
+        await expectBilledOnce(proof, left);
+    });
+
+    // The log is away for longer than the age at which a configuration counts as old, while callers go on. Bills wait
+    // on two VMs each and must all be there once, when the log is back.
+    it("bills everything once after the log was away for a good while under load", async () => {
+        const proof = getProof();
+        const log = proof.site.getPlatform("log");
+        const chats: ChatRecord[] = [];
+        await setFaults(log, { outage: "drop" });
+        try {
+            await waitUntil(async () => {
+                chats.push(...await Promise.all(entries.map(entry => chat(proof, entry))));
+                return (await proof.site.getStatus("entry-1")).configurationAgeMilliseconds > 12_000;
+            }, { what: "an outage that is longer than a configuration may be old", boundMilliseconds: 40_000 });
+        }
+        finally {
+            await setFaults(log, { outage: "none" });
+        }
+        expect(chats.filter(record => record.isWhole).length > chats.length / 2).toEqual(true);
+        const calls = [(await print(proof, "entry-2", "after-outage")).record];
+        await expectBilledOnce(proof, chats, calls);
+    });
+
+    async function resumeIfBroken(record: ChatRecord, entry: string): Promise<ChatRecord> {
+        if (record.isWhole || record.resumeToken === undefined) {
+            return record;
+        }
+        return getProof().caller.resume(getProof().site.getEntryOrThrow(entry).callers, getProof().key, record);
+    }
+});
--- /dev/null
+++ b/test/proofs/billingFixtures.ts
@@ -0,0 +1,76 @@
+import { expect } from "earl";
+import { type Bill, billsKind } from "../../src/bills/index.js";
+import {
+    type BillEvidence,
+    type ChatAsk,
+    type ChatRecord,
+    findBillingFaults,
+    findUnlikeBills,
+    getApiKey,
+    readEngineRuns,
+    readServiceRuns,
+    type ServiceRecord,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import type { ProofSite } from "./fixtures.js";
+
+/** Asks for a chat completion at an entry, as the commissary. */
+export function chat(proof: ProofSite, entry: string, ask: Partial<ChatAsk> = {}): Promise<ChatRecord> {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: proof.key,
+        model: "label-medium@2",
+        text: "Does the tray hold nuts?",
+        streamed: true,
+        ...ask,
+    });
+}
+
+/** Sets faults of an entry's links to all runners. */
+export async function setRunnerLinks(proof: ProofSite, entry: string, faults: object): Promise<void> {
+    for (const name of proof.site.getUpstreams().keys()) {
+        if (name.startsWith("runner")) {
+            await proof.site.setLink(entry, name, faults);
+        }
+    }
+}
+
+/** Returns every bill in the log, repeats among them. */
+export async function readAllBills(proof: ProofSite): Promise<readonly Bill[]> {
+    const bills: Bill[] = [];
+    for (const { record } of await proof.site.readStream("bills")) {
+        if (record.kind === billsKind) {
+            bills.push(...(record.body as { readonly bills: readonly Bill[]; }).bills);
+        }
+    }
+    return bills;
+}
+
+/** Waits until each whole answer has a bill in the log; what is missing at the bound is missing for good. */
+export async function waitForBills(proof: ProofSite, chats: readonly ChatRecord[]): Promise<void> {
+    await waitUntil(async () => {
+        const bills = await proof.site.readBills();
+        return chats.every(({ isWhole, requestId }) => !isWhole || bills.has(requestId ?? ""));
+    }, { what: "a bill for every whole answer", boundMilliseconds: 30_000 });
+}
+
+/** Expects that every promise about bills and answers held at a site. */
+export async function expectBilledOnce(
+    proof: ProofSite,
+    chats: readonly ChatRecord[],
+    calls: readonly ServiceRecord[] = [],
+): Promise<void> {
+    await waitForBills(proof, chats);
+    const evidence: BillEvidence = {
+        bills: await proof.site.readBills(),
+        engineRuns: await readEngineRuns(proof.site),
+        serviceRuns: await readServiceRuns(proof.site),
+        chats,
+        calls,
+    };
+    expect(findBillingFaults(evidence)).toEqual([]);
+    expect(findUnlikeBills(await readAllBills(proof))).toEqual([]);
+}
+
+/** API key of the workspace that is steered by ratings. */
+export const complianceKey = getApiKey("compliance");
