Prove bills of escalated cascades, a restarted ledger and a full buffer

Cause: cascades, restarts of the ledger and the bound of the buffer had no proof with real processes. Ruled out on the way: a failed try judged a plain call's bill right after its answer; bills go to the log in batches, so the judge waits for the bill of each answered call with a bound.

--- a/test/proofs/billing.test.ts
+++ b/test/proofs/billing.test.ts
@@ -1,15 +1,38 @@
 import { expect } from "earl";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { describe, it } from "node:test";
-import { type ChatRecord, readEngineRuns, setFaults, waitUntil } from "../../src/testbench/index.js";
-import { chat, expectBilledOnce, setRunnerLinks, waitForBills } from "./billingFixtures.js";
+import { fileURLToPath } from "node:url";
+import type { LedgerReport } from "../../src/bills/index.js";
+import {
+    callJson,
+    type ChatRecord,
+    readEngineRuns,
+    setFaults,
+    waitUntil,
+    withProcesses,
+} from "../../src/testbench/index.js";
+import {
+    chat,
+    complianceKey,
+    expectBilledOnce,
+    setRunnerLinks,
+    setRunnerPace,
+    waitForBills,
+} from "./billingFixtures.js";
 import { print, useProofSite } from "./fixtures.js";
 
 const entries = ["entry-1", "entry-2", "entry-3"];
+const ledgerProgram = fileURLToPath(new URL("../../src/bills/ledgerMain.js", import.meta.url));
+const ledgerAddress = `127.62.1.250:${10_000 + process.pid % 20_000}`;
+const stepMilliseconds = 5;
+const slowStepMilliseconds = 25;
 const noFaults = { cut: false, delayMilliseconds: 0, cutAfterBytes: 0 };
 
 describe("Bills and whole answers", () => {
     const getProof = useProofSite("127.62.1", {
-        entrySettings: { timing: { bill_flush_ms: "1500", peer_timeout_ms: "400" } },
+        entrySettings: { timing: { bill_flush_ms: "1500", peer_timeout_ms: "400", resume_grace_ms: "300" } },
     });
 
     // An entry sends the last byte of an answer and dies before its bills went to the log. Without a copy on another
@@ -34,6 +57,7 @@
     // rest of this very answer, and the request must be billed although the entry that took it is gone.
     it("lets a caller go on at another entry after the first one was killed in the middle", async () => {
         const proof = getProof();
+        await setRunnerPace(proof, slowStepMilliseconds);
         const asked = Array.from({ length: 8 }, () => chat(proof, "entry-1", { model: "label-large@3" }));
         await waitUntil(async () => {
             const runs = await readEngineRuns(proof.site);
@@ -46,15 +70,18 @@
             broken.map((record, index) => resumeIfBroken(record, entries[1 + index % 2])),
         );
         expect(chats.filter(record => record.resumeToken !== undefined).every(record => record.isWhole)).toEqual(true);
+        await setRunnerPace(proof, stepMilliseconds);
         await expectBilledOnce(proof, chats);
         await proof.site.startEntry("entry-1");
         await proof.site.waitUntilReady();
     });
 
     // The connection between caller and entry breaks, and the entry still works on the answer when the caller asks
-    // another one for the rest. Both entries know the usage then; the request must still be billed once.
+    // another one for the rest. The first one gives the caller up a little later and must not cancel the answer under
+    // the second one's hands. Both may know the usage then; the request must still be billed once.
     it("bills a stream once that is resumed elsewhere while the first entry still reads it", async () => {
         const proof = getProof();
+        await setRunnerPace(proof, slowStepMilliseconds);
         const chats = await Promise.all(Array.from({ length: 12 }, async (...[, index]) => {
             const broken = await chat(proof, entries[index % 3], { leaveAfterEvents: 1 + index });
             expect(broken.isWhole).toEqual(false);
@@ -64,6 +91,7 @@
                 broken,
             );
         }));
+        await setRunnerPace(proof, stepMilliseconds);
         expect(chats.map(record => record.isWhole)).toEqual(chats.map(() => true));
         await expectBilledOnce(proof, chats);
     });
@@ -82,10 +110,76 @@
         finally {
             await setRunnerLinks(proof, "entry-1", noFaults);
         }
-        expect(chats.filter(record => record.isWhole).length >= 8).toEqual(true);
+        expect(chats.map(record => record.isWhole)).toEqual(chats.map(() => true));
         await expectBilledOnce(proof, chats);
     });
 
+    // A cheap answer is rated, found wanting and thrown away, and a dearer model answers. Both did work, so one bill
+    // has a line for each; a caller never pays for an answer that no engine made.
+    it("bills an escalated cascade with a line for each answer that was made", async () => {
+        const proof = getProof();
+        const chats: ChatRecord[] = [];
+        await waitUntil(async () => {
+            chats.push(
+                ...await Promise.all(
+                    entries.flatMap(entry =>
+                        Array.from({ length: 8 }, (...[, index]) =>
+                            chat(proof, entry, {
+                                key: complianceKey,
+                                model: "auto",
+                                requestClass: "allergen",
+                                streamed: index % 2 === 0,
+                            }))
+                    ),
+                ),
+            );
+            const bills = [...(await proof.site.readBills()).values()];
+            return bills.filter(bill => bill.lines.length > 1).length >= 5;
+        }, { what: "five escalated answers", boundMilliseconds: 30_000 });
+        await expectBilledOnce(proof, chats);
+        const runs = (await readEngineRuns(proof.site)).filter(run => run.outcome === "finished");
+        const bills = await proof.site.readBills();
+        for (const record of chats.filter(({ isWhole }) => isWhole)) {
+            const ran = runs.filter(run => run.id.startsWith(record.requestId ?? "")).map(run => run.ran);
+            expect(bills.get(record.requestId ?? "")?.lines.map(line => line.version).sort()).toEqual(ran.sort());
+        }
+    });
+
+    // The ledger's process dies while bills come in and starts again from its file. A bill that it counted twice, or
+    // passed over, would show in a depot's invoice.
+    it("gives the same totals after the ledger was killed and started again under load", async () => {
+        const proof = getProof();
+        await withProcesses(async group => {
+            const folder = mkdtempSync(join(tmpdir(), "rattanlock-ledger-"));
+            const args = ["--log", `http://${proof.site.getPlatform("log")}`, "--out", join(folder, "bills.jsonl")];
+            const startLedger = () =>
+                group.start({ program: ledgerProgram, args: [...args, "--listen", ledgerAddress] });
+            let ledger = await startLedger();
+            const chats: ChatRecord[] = [];
+            for (let round = 0; round < 6; round += 1) {
+                const asked = Promise.all(entries.map(entry => chat(proof, entry)));
+                chats.push(await leaveAndResume(entries[round % 3], entries[(round + 1) % 3]));
+                await ledger.kill();
+                ledger = await startLedger();
+                chats.push(...await asked);
+            }
+            await expectBilledOnce(proof, chats);
+            const bills = await proof.site.readBills();
+            const read = () => callJson<LedgerReport>({ address: ledgerAddress, path: "/totals" });
+            await waitUntil(async () => (await read()).requests === bills.size, { what: "all bills in the ledger" });
+            let total = 0;
+            for (const bill of bills.values()) {
+                total += bill.total;
+            }
+            const report = await read();
+            expect([report.conflicts, report.gaps, report.repeats > 0]).toEqual([0, 0, true]);
+            const counted = report.workspaces.map(workspace => workspace.total).reduce((sum, next) => sum + next, 0);
+            expect(Math.abs(counted - total) < 1e-9).toEqual(true);
+            expect(await ledger.stop()).toEqual(0);
+            rmSync(folder, { recursive: true });
+        });
+    });
+
     // Runners answer late, each link by another time, so that pieces of many answers come in mixed. A caller that got
     // a piece of another's answer would read another kitchen's allergens.
     it("never mixes answers that come late and at the same time", async () => {
@@ -143,6 +237,13 @@
         await expectBilledOnce(proof, chats, calls);
     });
 
+    /** Leaves an answer and takes it up elsewhere, so that both entries write its bill. */
+    async function leaveAndResume(first: string, second: string): Promise<ChatRecord> {
+        const proof = getProof();
+        const broken = await chat(proof, first, { leaveAfterEvents: 2 });
+        return proof.caller.resume(proof.site.getEntryOrThrow(second).callers, proof.key, broken);
+    }
+
     async function resumeIfBroken(record: ChatRecord, entry: string): Promise<ChatRecord> {
         if (record.isWhole || record.resumeToken === undefined) {
             return record;
@@ -150,3 +251,35 @@
         return getProof().caller.resume(getProof().site.getEntryOrThrow(entry).callers, getProof().key, record);
     }
 });
+
+describe("The buffer of bills", () => {
+    const getProof = useProofSite("127.62.3", { entrySettings: { limits: { kept_bills: "20" } } });
+
+    // The log stays away until the buffer of bills is full. Going on would mean work that is never billed, so new
+    // requests are refused before anything runs, and the callers are told that nothing ran and when to come back.
+    it("refuses new work truthfully at its bound and takes it again afterwards", async () => {
+        const proof = getProof();
+        const log = proof.site.getPlatform("log");
+        const chats: ChatRecord[] = [];
+        await setFaults(log, { outage: "drop" });
+        try {
+            const refused = await waitUntil(async () => {
+                const record = await chat(proof, "entry-1");
+                chats.push(record);
+                return record.status === 200 ? undefined : record;
+            }, { what: "a refusal" });
+            expect([refused.status, refused.outcome]).toEqual([503, "not-run"]);
+            expect(refused.retryAfterSeconds).not.toEqual(undefined);
+            expect((await proof.site.getStatus("entry-1")).bills.waiting).toEqual(16);
+        }
+        finally {
+            await setFaults(log, { outage: "none" });
+        }
+        await waitUntil(async () => {
+            const record = await chat(proof, "entry-1");
+            chats.push(record);
+            return record.isWhole;
+        }, { what: "work to be taken again" });
+        await expectBilledOnce(proof, chats);
+    });
+});
--- a/test/proofs/billingFixtures.ts
+++ b/test/proofs/billingFixtures.ts
@@ -10,6 +10,7 @@
     readEngineRuns,
     readServiceRuns,
     type ServiceRecord,
+    setFaults,
     waitUntil,
 } from "../../src/testbench/index.js";
 import type { ProofSite } from "./fixtures.js";
@@ -35,6 +36,15 @@
     }
 }
 
+/** Sets how long runners take for a token, so that a test can act in the middle of answers. */
+export async function setRunnerPace(proof: ProofSite, stepMilliseconds: number): Promise<void> {
+    for (const [name, upstream] of proof.site.getUpstreams()) {
+        if (name.startsWith("runner")) {
+            await setFaults(upstream.getAddress(), { stepMilliseconds });
+        }
+    }
+}
+
 /** Returns every bill in the log, repeats among them. */
 export async function readAllBills(proof: ProofSite): Promise<readonly Bill[]> {
     const bills: Bill[] = [];
@@ -47,10 +57,18 @@
 }
 
 /** Waits until each whole answer has a bill in the log; what is missing at the bound is missing for good. */
-export async function waitForBills(proof: ProofSite, chats: readonly ChatRecord[]): Promise<void> {
+export async function waitForBills(
+    proof: ProofSite,
+    chats: readonly Pick<ChatRecord, "isWhole" | "requestId">[],
+    calls: readonly ServiceRecord[] = [],
+): Promise<void> {
+    const answered = [
+        ...chats.filter(({ isWhole }) => isWhole),
+        ...calls.filter(({ status, isReplayed }) => status === 200 && !isReplayed),
+    ];
     await waitUntil(async () => {
         const bills = await proof.site.readBills();
-        return chats.every(({ isWhole, requestId }) => !isWhole || bills.has(requestId ?? ""));
+        return answered.every(({ requestId }) => bills.has(requestId ?? ""));
     }, { what: "a bill for every whole answer", boundMilliseconds: 30_000 });
 }
 
@@ -60,7 +78,7 @@
     chats: readonly ChatRecord[],
     calls: readonly ServiceRecord[] = [],
 ): Promise<void> {
-    await waitForBills(proof, chats);
+    await waitForBills(proof, chats, calls);
     const evidence: BillEvidence = {
         bills: await proof.site.readBills(),
         engineRuns: await readEngineRuns(proof.site),
