--- a/src/testbench/caller.ts
+++ b/src/testbench/caller.ts
@@ -20,6 +20,8 @@
     readonly sessionToken?: string;
     readonly maximumTokens?: number;
     readonly boundMilliseconds?: number;
+    /** Is called after each piece of the answer, with the number of events so far. */
+    readonly onProgress?: (eventCount: number) => void;
     /** Leaves the answer after so many events, as a caller does whose connection breaks. */
     readonly leaveAfterEvents?: number;
 }
@@ -99,7 +101,7 @@
                 }),
             });
             collector.begin(response.statusCode, response.headers);
-            await this.#collect(response.body, collector, ask.leaveAfterEvents, abort);
+            await this.#collect(response.body, collector, ask, abort);
         }
         catch {
             // The record tells how far the answer came; a broken connection is what many tests cause on purpose.
@@ -126,7 +128,7 @@
                 },
             });
             collector.begin(response.statusCode, response.headers);
-            await this.#collect(response.body, collector, undefined, new AbortController());
+            await this.#collect(response.body, collector, {}, new AbortController());
         }
         catch {
             // As above.
@@ -175,11 +177,12 @@
     async #collect(
         body: AsyncIterable<Uint8Array>,
         collector: AnswerCollector,
-        leaveAfterEvents: number | undefined,
+        { leaveAfterEvents, onProgress }: Pick<ChatAsk, "leaveAfterEvents" | "onProgress">,
         abort: AbortController,
     ): Promise<void> {
         for await (const bytes of body) {
             collector.add(bytes);
+            onProgress?.(collector.getEventCount());
             if (leaveAfterEvents !== undefined && collector.getEventCount() >= leaveAfterEvents) {
                 abort.abort();
                 return;
--- a/test/proofs/billing.test.ts
+++ b/test/proofs/billing.test.ts
@@ -58,11 +58,13 @@
     it("lets a caller go on at another entry after the first one was killed in the middle", async () => {
         const proof = getProof();
         await setRunnerPace(proof, slowStepMilliseconds);
-        const asked = Array.from({ length: 8 }, () => chat(proof, "entry-1", { model: "label-large@3" }));
-        await waitUntil(async () => {
-            const runs = await readEngineRuns(proof.site);
-            return runs.some(run => run.outcome === "running" && run.outputTokens >= 3);
-        }, { what: "an answer that has begun" });
+        let furthest = 0;
+        const onProgress = (eventCount: number): void => {
+            furthest = Math.max(furthest, eventCount);
+        };
+        const ask = () => chat(proof, "entry-1", { model: "label-large@3", onProgress });
+        const asked = Array.from({ length: 8 }, ask);
+        await waitUntil(() => furthest >= 3, { what: "a caller with a part of its answer" });
         await proof.site.getEntryOrThrow("entry-1").process.kill();
         const broken = await Promise.all(asked);
         expect(broken.some(record => !record.isWhole && record.resumeToken !== undefined)).toEqual(true);
