Number a restarted node's gossip above its last run

Cause: versions started at the seconds since 2025 and grew by one for each published value. An entry that published more than one value a second before it was stopped and started again on its VM began below its last run; its first values went out under numbers that peers had seen, so peers kept the old run's "leaving" for ever and sent the restarted entry neither callers' addresses nor claims. Ruled out: a late gossip round (20 s passed), a wrong VM list. Change: numbers start from the time in steps of 20 ms, 50 a second. Before: the rolling restart, the second signal and the kill while draining each waited 20 s in vain for an entry to be seen alive. After: all three passed in one run. Not proved: a wall clock that goes back over a restart and is overtaken before the first digest.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -15,8 +15,14 @@
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol } from "./protocol.js";
 
-/** Versions and heartbeats start from the seconds since then, so that a restarted node goes on above its last run. */
+/** Versions and heartbeats start from the time since then, so that a restarted node goes on above its last run. */
 const versionEpochMilliseconds = Date.UTC(2025, 0, 1);
+/**
+ * Time that a node's run gains on by one published value. A run that published faster than this over its whole life
+ * would end above the start of the next one on the same VM. Peers would then keep the old run's values that the new
+ * one has not overwritten, a "leaving" above all, and never send the restarted entry any work.
+ */
+const millisecondsPerVersion = 20;
 const pushFanOut = 4;
 const pushHops = 5;
 /** One exchange in so many goes to a peer that seems dead, so that two halves find each other again after a cut. */
@@ -51,8 +57,8 @@
 
     constructor(options: GossipOptions) {
         this.#options = options;
-        const seconds = Math.floor((options.clock.wall() - versionEpochMilliseconds) / 1_000);
-        this.#version = Math.max(1, seconds);
+        const elapsedMilliseconds = options.clock.wall() - versionEpochMilliseconds;
+        this.#version = Math.max(1, Math.floor(elapsedMilliseconds / millisecondsPerVersion));
         this.#heartbeat = this.#version;
         this.#state.add(options.self.id, options.clock.monotonic());
         this.#publishIncarnation();
