Take a second signal for the first, listen before being announced, hand copies over

Cause: ledger and stand-ins took signals once, so a second one ended them at once, and the ledger broke off whoever was reading its bills; an entry gossiped before it listened, and stopped listening at the very end of the keep time of addresses, which a peer that had not heard of the leaving could still hand out; the keeper of bill copies had no peers to hand them to at its shutdown, though its code expects them. Change: one shutdown for any number of signals, a bounded close of the ledger's server, listening first, the time that gossip takes added to the wait, the keeper wired. Ruled out: waiting for acknowledgements of the leaving from all members, which a cut member would hold up. Before and after: found by reading; the shutdown proof passes with it, and its guards are run apart.

--- a/src/bills/ledgerMain.ts
+++ b/src/bills/ledgerMain.ts
@@ -41,8 +41,10 @@
     await ledger.start();
     journal.write(events.processStarted);
     console.log(`ready ledger ${values.listen ?? values.out}`);
+    let stopping: Promise<void> | undefined;
     for (const signal of ["SIGTERM", "SIGINT"] as const) {
-        process.once(signal, () => void stop(ledger, journal, values.json));
+        // Without a listener a second signal would end the process at once, in the middle of writing its file.
+        process.on(signal, () => void (stopping ??= stop(ledger, journal, values.json)));
     }
 }
 
--- a/src/bills/ledgerProgram.ts
+++ b/src/bills/ledgerProgram.ts
@@ -10,6 +10,9 @@
 import { Ledger, type LedgerLine, type WorkspaceTotal } from "./ledger.js";
 import { LedgerFile } from "./ledgerFile.js";
 
+/** After this long a stop closes connections that are still at work. */
+const closeBoundMilliseconds = 1_000;
+
 /** Options of a ledger's program. */
 export interface LedgerProgramOptions {
     readonly follow: FollowStream;
@@ -78,10 +81,19 @@
     async stop(): Promise<void> {
         await this.#reader.stop();
         this.#file?.close();
-        this.#server?.closeAllConnections();
-        await new Promise<void>(resolve =>
-            this.#server === undefined ? resolve() : this.#server.close(() => resolve())
-        );
+        await this.#closeServer();
+    }
+
+    /** Lets answers under way end within a bound, so that whoever asks at that moment gets a whole list of bills. */
+    async #closeServer(): Promise<void> {
+        const server = this.#server;
+        if (server === undefined) {
+            return;
+        }
+        const closed = new Promise<void>(resolve => server.close(() => resolve()));
+        const bound = setTimeout(() => server.closeAllConnections(), closeBoundMilliseconds);
+        await closed;
+        clearTimeout(bound);
     }
 
     /** Returns the totals. */
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -40,6 +40,9 @@
         (await parts.peerServer.start()).match(() => undefined, failure => {
             throw failure;
         });
+        // Peers hand this entry's address to callers as soon as they hear of it, so it listens first. Until it has a
+        // configuration it refuses, which callers can act upon; a connection that is refused tells them nothing.
+        await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
         parts.shared.start();
         parts.gossip.start();
         parts.watcher.start();
@@ -54,7 +57,6 @@
         parts.poller.start();
         parts.driver.start();
         await parts.operatorServer.listen(settings.listen.operators.port, settings.listen.operators.host);
-        await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
         parts.journal.write(events.processStarted, { address: settings.listen.callers.host });
     }
 
@@ -76,7 +78,8 @@
         parts.callerServer.announceLeaving();
         await parts.lease.stop();
         await parts.driver.stop();
-        await sleep(timing.addressesKeepMilliseconds);
+        // An entry that has not heard the news yet may still hand out this one's address, for callers to keep.
+        await sleep(timing.addressesKeepMilliseconds + parts.gossip.getSuspectMilliseconds());
         await this.#drain();
         const flushed = await parts.bills.flush(flushMilliseconds);
         if (flushed.isErr()) {
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -102,9 +102,11 @@
                     billPauseMillisecondsByEntry * membership.getMembers().length,
                 ),
         }),
-    billKeeper: ({ log, clock, journal, self, membership, settings }) =>
+    billKeeper: ({ log, clock, journal, self, membership, peerClient, settings }) =>
         new BillKeeper({
             append: (stream, record) => log.append(stream, record),
+            getCopyTargets: () =>
+                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
             clock,
             journal,
             writer: self.id,
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -5,23 +5,29 @@
 import { events, Journal } from "../events/index.js";
 import { formatAddress } from "./address.js";
 import { readCommand } from "./settings.js";
-import { createStandin } from "./standin.js";
+import { createStandin, type Standin } from "./standin.js";
 
 async function main(): Promise<void> {
     const { kind, listen, settings } = readCommand(process.argv.slice(2));
     const standin = createStandin(kind, listen, settings);
     const address = formatAddress(await standin.start());
     const journal = new Journal({ process: `${kind} ${address}`, clock: systemClock });
-    process.once("SIGTERM", async () => {
-        journal.write(events.processStopping);
-        await standin.stop();
-        journal.write(events.processStopped);
-        process.exit(0);
-    });
+    let stopping: Promise<void> | undefined;
+    for (const signal of ["SIGTERM", "SIGINT"] as const) {
+        // A second signal finds the shutdown under way; without a listener it would cut answers off.
+        process.on(signal, () => void (stopping ??= stop(standin, journal)));
+    }
     journal.write(events.processStarted, { address });
     console.log(`ready ${kind} ${address}`);
 }
 
+async function stop(standin: Standin, journal: Journal): Promise<void> {
+    journal.write(events.processStopping);
+    await standin.stop();
+    journal.write(events.processStopped);
+    process.exit(0);
+}
+
 try {
     await main();
 }
