Prove graceful shutdown of every kind of process under load

Change: a caller that follows GET /v1/addresses, traffic of many callers with their own records, and six tests: rolling restart of all entries, second signals, a kill while draining, ledger, leaving upstreams, the platform's services. Not run yet: all six in one run.

--- /dev/null
+++ b/src/testbench/addressFollower.ts
@@ -0,0 +1,63 @@
+/**
+ * A caller's view of which entries to use: it asks the site, keeps the answer for as long as it was told, and asks again.
+ */
+import { z } from "zod";
+import { callJson } from "./call.js";
+
+const millisecondsPerSecond = 1000;
+const askBoundMilliseconds = 2000;
+
+const documentSchema = z.object({
+    addresses: z.array(z.object({ url: z.string() })),
+    keepSeconds: z.number(),
+});
+
+/** Follows the site's addresses. */
+export class AddressFollower {
+    /** Where to ask as long as nothing else is known. */
+    readonly #seeds: readonly string[];
+    #addresses: readonly string[] = [];
+    #keptUntil = 0;
+    #turn = 0;
+    #asking: Promise<void> | undefined;
+
+    /** @param seeds - `HOST:PORT` of some entries. */
+    constructor(seeds: readonly string[]) {
+        this.#seeds = seeds;
+    }
+
+    /** Returns the address for the next request as `HOST:PORT`, each address of the kept answer in turn. */
+    async getAddress(): Promise<string> {
+        if (performance.now() >= this.#keptUntil) {
+            this.#asking ??= this.#ask().finally(() => this.#asking = undefined);
+            await this.#asking;
+        }
+        this.#turn += 1;
+        return this.#addresses[this.#turn % this.#addresses.length];
+    }
+
+    async #ask(): Promise<void> {
+        for (const address of [...this.#addresses, ...this.#seeds]) {
+            const document = await readDocument(address);
+            if (document === undefined || document.addresses.length === 0) {
+                continue;
+            }
+            this.#addresses = document.addresses.map(({ url }) => new URL(url).host);
+            this.#keptUntil = performance.now() + document.keepSeconds * millisecondsPerSecond;
+            return;
+        }
+        throw new Error("No entry tells the addresses to use.");
+    }
+}
+
+/** Asks one entry; one that does not answer is passed over, since no request depends on it yet. */
+async function readDocument(address: string): Promise<z.infer<typeof documentSchema> | undefined> {
+    try {
+        return documentSchema.parse(
+            await callJson<unknown>({ address, path: "/v1/addresses", boundMilliseconds: askBoundMilliseconds }),
+        );
+    }
+    catch {
+        return undefined;
+    }
+}
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -45,6 +45,7 @@
     readonly #description: SiteDescription;
     readonly #port = firstPort + process.pid % portCount;
     readonly #platform = new Map<PlatformPart, string>();
+    readonly #platformProcesses = new Map<PlatformPart, RunningProcess>();
     readonly #upstreams = new Map<string, RunningProcess>();
     readonly #entries = new Map<string, SiteEntry>();
     readonly #vms = new Map<string, Vm>();
@@ -84,6 +85,15 @@
         return address;
     }
 
+    /** Returns the process of a part of the platform. */
+    getPlatformProcess(part: PlatformPart): RunningProcess {
+        const process = this.#platformProcesses.get(part);
+        if (process === undefined) {
+            throw new Error(`The site has no ${part}.`);
+        }
+        return process;
+    }
+
     /** Returns the entries that were started, in the order of their names. */
     getEntries(): readonly SiteEntry[] {
         return [...this.#entries.values()];
@@ -280,6 +290,7 @@
         for (const [index, [kind, settings]] of kinds.entries()) {
             const started = await this.#group.startStandin(kind, this.#at(lastBytes.platform + index), settings);
             this.#platform.set(kind, started.getAddress());
+            this.#platformProcesses.set(kind, started);
         }
     }
 
--- /dev/null
+++ b/src/testbench/traffic.ts
@@ -0,0 +1,165 @@
+/**
+ * Load of many callers at once, each of which keeps its own record.
+ */
+import { randomUUID } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import { type Caller, type ChatRecord, type ServiceRecord } from "./caller.js";
+import type { KeyedCall } from "./judge.js";
+
+const pauseMilliseconds = 10;
+/** A caller that is told to come back later waits this long at most, so that load goes on. */
+const longestWaitMilliseconds = 500;
+const sessionTurns = 3;
+const maximumResumptions = 20;
+const resumptionPauseMilliseconds = 250;
+const maximumPrintTries = 4;
+
+/** What the callers do. */
+export interface TrafficOptions {
+    readonly caller: Caller;
+    readonly key: string;
+    readonly model?: string;
+    /** The pool of the plain service. */
+    readonly pool: string;
+    readonly chatters: number;
+    readonly printers: number;
+    /** Gives `HOST:PORT` for the next request. */
+    readonly getEntry: () => Promise<string>;
+    /** Whether broken answers are taken up at the next entry. */
+    readonly resumes: boolean;
+}
+
+/** A chat completion with its circumstances. */
+export interface TrafficChat {
+    readonly record: ChatRecord;
+    readonly entry: string;
+    readonly session: string | undefined;
+    /** Wall-clock milliseconds. */
+    readonly startedAt: number;
+    readonly endedAt: number;
+}
+
+/** Sends work until it is stopped. */
+export class Traffic {
+    readonly #options: TrafficOptions;
+    readonly #chats: TrafficChat[] = [];
+    readonly #prints: KeyedCall[] = [];
+    readonly #loops: Promise<void>[] = [];
+    #isStopped = false;
+
+    constructor(options: TrafficOptions) {
+        this.#options = options;
+    }
+
+    /** Starts the callers. */
+    start(): void {
+        for (let index = 0; index < this.#options.chatters; index += 1) {
+            this.#loops.push(this.#runChatter(index));
+        }
+        for (let index = 0; index < this.#options.printers; index += 1) {
+            this.#loops.push(this.#runPrinter());
+        }
+    }
+
+    /** Lets every caller finish its request. */
+    async stop(): Promise<void> {
+        this.#isStopped = true;
+        await Promise.all(this.#loops);
+    }
+
+    /** Returns the chat completions so far. */
+    getChats(): readonly TrafficChat[] {
+        return this.#chats;
+    }
+
+    /** Returns the calls to plain services so far. */
+    getPrints(): readonly KeyedCall[] {
+        return this.#prints;
+    }
+
+    /** Every third caller holds conversations, half of which show the session token of the answer before. */
+    async #runChatter(index: number): Promise<void> {
+        const holdsSessions = index % 3 === 2;
+        while (!this.#isStopped) {
+            const session = holdsSessions ? randomUUID() : undefined;
+            let sessionToken: string | undefined;
+            for (let turn = 0; turn < (holdsSessions ? sessionTurns : 1); turn += 1) {
+                const record = await this.#chat(index % 2 === 0, session, sessionToken);
+                sessionToken = index % 2 === 0 ? record.sessionToken : undefined;
+                await pause(record.retryAfterSeconds);
+            }
+        }
+    }
+
+    async #chat(streamed: boolean, session?: string, sessionToken?: string): Promise<ChatRecord> {
+        const { caller, key, model, getEntry } = this.#options;
+        const entry = await getEntry();
+        const startedAt = Date.now();
+        const ask = { entry, key, model, text: "Does the tray hold nuts?", streamed, session, sessionToken };
+        const record = await this.#resume(await caller.chat(ask));
+        this.#chats.push({ record, entry, session, startedAt, endedAt: Date.now() });
+        return record;
+    }
+
+    async #resume(broken: ChatRecord): Promise<ChatRecord> {
+        let record = broken;
+        for (let count = 0; count < maximumResumptions; count += 1) {
+            if (!this.#options.resumes || record.isWhole || record.resumeToken === undefined) {
+                return record;
+            }
+            await sleep(resumptionPauseMilliseconds);
+            const { caller, key, getEntry } = this.#options;
+            const resumed = await caller.resume(await getEntry(), key, record);
+            record = { ...resumed, version: resumed.version ?? record.version };
+        }
+        return record;
+    }
+
+    async #runPrinter(): Promise<void> {
+        while (!this.#isStopped) {
+            const key = randomUUID();
+            for (let attempt = 0; attempt < maximumPrintTries; attempt += 1) {
+                const record = await this.#print(key);
+                this.#prints.push({ key, record });
+                await pause(record.retryAfterSeconds);
+                if (record.status === 200) {
+                    break;
+                }
+            }
+        }
+    }
+
+    async #print(idempotencyKey: string): Promise<ServiceRecord> {
+        const { caller, key, pool, getEntry } = this.#options;
+        const entry = await getEntry();
+        return caller.callService({ entry, key, pool, path: "/print", idempotencyKey, body: idempotencyKey });
+    }
+}
+
+/**
+ * Returns what callers met without having been told: connections that failed, answers that broke off, and outcomes
+ * that nobody knows. A refusal that says "not run" and when to come back is no fault.
+ * @param chats - The chat completions.
+ * @param prints - The calls to plain services.
+ */
+export function findUntoldErrors(chats: readonly TrafficChat[], prints: readonly KeyedCall[]): readonly string[] {
+    const faults: string[] = [];
+    for (const { record, entry, startedAt } of chats) {
+        const isTold = record.outcome === "not-run" && record.retryAfterSeconds !== undefined;
+        if (!record.isWhole && !isTold) {
+            faults.push(`A chat at ${entry} (began at ${startedAt}) ended with ${record.status} ${record.problem}.`);
+        }
+    }
+    for (const { key, record } of prints) {
+        const isTold = record.outcome === "not-run" && record.retryAfterSeconds !== undefined;
+        if (record.status !== 200 && !isTold) {
+            faults.push(`The print ${key} ended with ${record.status} ${record.outcome} ${record.text.slice(0, 120)}.`);
+        }
+    }
+    return faults;
+}
+
+async function pause(retryAfterSeconds: number | undefined): Promise<void> {
+    const wanted = retryAfterSeconds === undefined ? pauseMilliseconds : retryAfterSeconds * 1000;
+    await sleep(Math.min(longestWaitMilliseconds, Math.max(pauseMilliseconds, wanted)));
+}
--- a/test/proofs/billingFixtures.ts
+++ b/test/proofs/billingFixtures.ts
@@ -72,17 +72,21 @@
     }, { what: "a bill for every whole answer", boundMilliseconds: 30_000 });
 }
 
+/** What upstreams ran that have been stopped since. */
+export type Gone = Pick<BillEvidence, "engineRuns" | "serviceRuns">;
+
 /** Expects that every promise about bills and answers held at a site. */
 export async function expectBilledOnce(
     proof: ProofSite,
     chats: readonly ChatRecord[],
     calls: readonly ServiceRecord[] = [],
+    gone: Gone = { engineRuns: [], serviceRuns: [] },
 ): Promise<void> {
     await waitForBills(proof, chats, calls);
     const evidence: BillEvidence = {
         bills: await proof.site.readBills(),
-        engineRuns: await readEngineRuns(proof.site),
-        serviceRuns: await readServiceRuns(proof.site),
+        engineRuns: [...gone.engineRuns, ...await readEngineRuns(proof.site)],
+        serviceRuns: [...gone.serviceRuns, ...await readServiceRuns(proof.site)],
         chats,
         calls,
     };
--- /dev/null
+++ b/test/proofs/shutdown.test.ts
@@ -0,0 +1,216 @@
+import { expect } from "earl";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import type { LedgerReport } from "../../src/bills/index.js";
+import {
+    AddressFollower,
+    callJson,
+    type EngineRun,
+    findUntoldErrors,
+    getJournal,
+    type ProcessGroup,
+    type RunningProcess,
+    type ServiceRun,
+    type Site,
+    Traffic,
+    waitUntil,
+    withProcesses,
+} from "../../src/testbench/index.js";
+import { expectBilledOnce, type Gone } from "./billingFixtures.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const ledgerProgram = fileURLToPath(new URL("../../src/bills/ledgerMain.js", import.meta.url));
+const ledgerAddress = `127.62.2.250:${10_000 + process.pid % 20_000}`;
+const enoughChats = 40;
+
+describe("A graceful shutdown under load", () => {
+    const getProof = useProofSite("127.62.2", {
+        hasLinks: false,
+        entrySettings: { timing: { peer_timeout_ms: "400", bill_flush_ms: "700" } },
+    });
+
+    function createTraffic(proof: ProofSite): Traffic {
+        const follower = new AddressFollower(proof.site.getEntries().map(entry => entry.callers));
+        return new Traffic({
+            caller: proof.caller,
+            key: proof.key,
+            pool: "label-app",
+            chatters: 9,
+            printers: 2,
+            getEntry: () => follower.getAddress(),
+            resumes: false,
+        });
+    }
+
+    /** Does something while callers work, and judges what they met. */
+    async function underLoad(work: (proof: ProofSite) => Promise<Gone | void>): Promise<void> {
+        const proof = getProof();
+        const traffic = createTraffic(proof);
+        traffic.start();
+        await waitForChats(traffic);
+        let gone: Gone | void;
+        try {
+            gone = await work(proof);
+            await waitForChats(traffic);
+        }
+        finally {
+            await traffic.stop();
+        }
+        expect(findUntoldErrors(traffic.getChats(), traffic.getPrints())).toEqual([]);
+        await expectBilledOnce(
+            proof,
+            traffic.getChats().map(({ record }) => record),
+            traffic.getPrints().map(({ record }) => record),
+            gone ?? undefined,
+        );
+    }
+
+    // Operators replace all entries one after another while callers work. Callers keep the addresses that they were
+    // told for a while, so an entry that stopped listening too early would refuse their connections, and one that
+    // was announced before it listens would do so too.
+    it("lets callers who follow the addresses see nothing of a rolling restart of all entries", async () => {
+        await underLoad(async ({ site }) => {
+            for (const name of entries) {
+                expect(await site.getEntryOrThrow(name).process.stop()).toEqual(0);
+                await site.startEntry(name);
+                await site.waitUntilReady();
+            }
+        });
+    });
+
+    // An operator, or the platform, loses patience and signals a second time while an entry drains. Ending there
+    // would break the answers under way and lose the bills that wait.
+    it("goes on draining at a second and a third signal", async () => {
+        await underLoad(async ({ site }) => {
+            const { process } = site.getEntryOrThrow("entry-2");
+            process.signal("SIGTERM");
+            await waitForEvent(process, "process-stopping");
+            process.signal("SIGINT");
+            process.signal("SIGTERM");
+            expect(await process.stop()).toEqual(0);
+            await site.startEntry("entry-2");
+            await site.waitUntilReady();
+        });
+    });
+
+    // The platform takes a VM away before its entry has drained. Callers with answers under way lose them, but what
+    // was answered before must be billed.
+    it("loses no bill when the process is killed while it drains", async () => {
+        const proof = getProof();
+        const traffic = createTraffic(proof);
+        traffic.start();
+        await waitForChats(traffic);
+        const { process } = proof.site.getEntryOrThrow("entry-3");
+        process.signal("SIGTERM");
+        await waitForEvent(process, "process-stopping");
+        await waitForChats(traffic);
+        await process.kill();
+        await waitForChats(traffic);
+        await traffic.stop();
+        await expectBilledOnce(proof, traffic.getChats().map(({ record }) => record));
+        await proof.site.startEntry("entry-3");
+        await proof.site.waitUntilReady();
+    });
+
+    // The ledger is stopped in the middle of reading bills and answering questions. Whoever asks it meanwhile gets
+    // a whole answer or finds it gone; after its restart it counts what it would have counted anyway.
+    it("ends a ledger with code 0 at two signals, and it goes on where it was", async () => {
+        const folder = mkdtempSync(join(tmpdir(), "rattanlock-ledger-"));
+        await withProcesses(async group => {
+            await underLoad(async ({ site }) => {
+                const start = () => startLedger(group, site.getPlatform("log"), join(folder, "bills.jsonl"));
+                for (let round = 0; round < 3; round += 1) {
+                    const ledger = await start();
+                    await waitUntil(async () => (await readTotals()).requests > 0, { what: "bills in the ledger" });
+                    ledger.signal("SIGTERM");
+                    ledger.signal("SIGINT");
+                    expect(await ledger.stop()).toEqual(0);
+                }
+                await start();
+            });
+            const bills = await getProof().site.readBills();
+            await waitUntil(async () => (await readTotals()).requests === bills.size, { what: "all bills" });
+            expect((await readTotals()).conflicts).toEqual(0);
+        });
+        rmSync(folder, { recursive: true });
+    });
+
+    // Operators take upstreams away: the VM list says so first, then they are signalled, twice. Callers must notice
+    // nothing, and the upstreams must end in order.
+    it("ends a leaving runner and a leaving service with code 0 while callers notice nothing", async () => {
+        await underLoad(async ({ site }) => {
+            const runner = await stopLeaving(site, "runner-3");
+            const service = await stopLeaving(site, "service-2");
+            return {
+                engineRuns: runner.map(run => ({ ...run, runner: "runner-3" })),
+                serviceRuns: service,
+            };
+        });
+    });
+
+    // The platform's own services are restarted in order while callers work. Ratings, weights and the VM list are not
+    // needed to answer; without the log only what needs it is refused, and that refusal is true.
+    it("ends the platform's services with code 0 at two signals while callers are told of all that is refused", async () => {
+        const proof = getProof();
+        const traffic = createTraffic(proof);
+        traffic.start();
+        await waitForChats(traffic);
+        for (const part of ["rating", "weight-store", "vm-list", "log"] as const) {
+            const process = proof.site.getPlatformProcess(part);
+            process.signal("SIGTERM");
+            process.signal("SIGINT");
+            expect(await process.stop()).toEqual(0);
+            await waitForChats(traffic);
+        }
+        await traffic.stop();
+        expect(findUntoldErrors(traffic.getChats(), traffic.getPrints())).toEqual([]);
+    });
+});
+
+/** Marks an upstream as leaving, stops it by two signals once it gets nothing new, and returns what it ran. */
+async function stopLeaving(site: Site, name: string) {
+    const upstream = site.getUpstreamOrThrow(name);
+    await site.setVmState(name, "leaving");
+    await waitUntilIdle(upstream, name);
+    const runs = await getJournal<Omit<EngineRun, "runner"> & ServiceRun>(upstream.getAddress());
+    upstream.signal("SIGTERM");
+    upstream.signal("SIGINT");
+    expect(await upstream.stop()).toEqual(0);
+    return runs;
+}
+
+function startLedger(group: ProcessGroup, log: string, out: string): Promise<RunningProcess> {
+    return group.start({
+        program: ledgerProgram,
+        args: ["--log", `http://${log}`, "--out", out, "--listen", ledgerAddress],
+    });
+}
+
+function readTotals(): Promise<LedgerReport> {
+    return callJson<LedgerReport>({ address: ledgerAddress, path: "/totals" });
+}
+
+async function waitForChats(traffic: Traffic): Promise<void> {
+    const wanted = traffic.getChats().length + enoughChats;
+    await waitUntil(() => traffic.getChats().length >= wanted, { what: `${enoughChats} more chats` });
+}
+
+async function waitForEvent(process: RunningProcess, name: string): Promise<void> {
+    await waitUntil(() => process.getEvents().some(event => event.name === name), { what: `the event ${name}` });
+}
+
+/** Waits until an upstream has had nothing new between two looks while others did. */
+async function waitUntilIdle(upstream: RunningProcess, name: string): Promise<void> {
+    let seen = -1;
+    let quietLooks = 0;
+    await waitUntil(async () => {
+        const { length } = await callJson<readonly object[]>({ address: upstream.getAddress(), path: "/journal" });
+        quietLooks = length === seen ? quietLooks + 1 : 0;
+        seen = length;
+        return quietLooks > 30;
+    }, { what: `${name} to get nothing new` });
+}
