--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -132,7 +132,11 @@
             throw new Error(`There is no VM ${name}.`);
         }
         const settings = await this.#writeSettings(vm);
-        const started = await this.#group.start({ program: entryProgram, args: ["--settings", settings] });
+        const started = await this.#group.start({
+            program: entryProgram,
+            args: ["--settings", settings],
+            env: this.#description.entryEnvironment,
+        });
         const entry = {
             name,
             failureDomain: vm.failureDomain,
@@ -258,7 +262,8 @@
 
     /** Folds the stream of bills as the ledger does: one bill for each request. */
     async readBills(): Promise<ReadonlyMap<string, Bill>> {
-        const ledger = new Ledger(new Journal({ process: "judge", clock: systemClock, write: () => undefined }));
+        const journal = new Journal({ process: "judge", clock: systemClock, write: () => undefined });
+        const ledger = new Ledger({ journal });
         const bills = new Map<string, Bill>();
         for (const entry of await this.readStream("bills")) {
             for (const bill of ledger.apply(entry)) {
