Append a bill's copy once its origin runs anew, and draw faults for a soak

Cause: an entry that is killed and started again on its VM before anybody counts it as dead left its bills with their keeper for the 120 s of confirmation, though its new run knows nothing of them. Ruled out: a shorter confirmation, which would repeat all bills after each short outage.

--- a/src/bills/billKeeper.ts
+++ b/src/bills/billKeeper.ts
@@ -26,6 +26,11 @@
     readonly writer: string;
     /** Tells whether an origin is gone, so that its bills are now this keeper's to append. */
     readonly isGone: (origin: string) => boolean;
+    /**
+     * Gives the run of an origin. A process that is killed and started again on its VM within seconds is never seen as
+     * gone, and its new run knows nothing of the bills of the old one; they would wait for the time of confirmation.
+     */
+    readonly getIncarnation?: (origin: string) => string | undefined;
     /** How long an origin that is alive may leave a bill unconfirmed. Longer than its time between appends. */
     readonly confirmMilliseconds?: number;
     readonly maximumBills?: number;
@@ -36,6 +41,7 @@
 interface KeptBill {
     readonly bill: Bill;
     readonly origin: string;
+    readonly incarnation: string | undefined;
     readonly keptAt: number;
 }
 
@@ -87,7 +93,8 @@
             if (bill === undefined || !hasRoom) {
                 continue;
             }
-            this.#kept.set(bill.requestId, { bill, origin, keptAt: this.#options.clock.monotonic() });
+            const incarnation = this.#options.getIncarnation?.(origin);
+            this.#kept.set(bill.requestId, { bill, origin, incarnation, keptAt: this.#options.clock.monotonic() });
             kept.push(bill.requestId);
         }
         return kept;
@@ -137,7 +144,10 @@
         return byOrigin;
     }
 
-    #isDue({ origin, keptAt }: KeptBill): boolean {
+    #isDue({ origin, incarnation, keptAt }: KeptBill): boolean {
+        if (this.#options.getIncarnation?.(origin) !== incarnation) {
+            return true;
+        }
         const age = this.#options.clock.monotonic() - keptAt;
         return this.#options.isGone(origin) || age > (this.#options.confirmMilliseconds ?? defaultConfirmMilliseconds);
     }
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -113,6 +113,7 @@
             writer: self.id,
             maximumBills: settings.limits.keptBills,
             isGone: origin => isGone(membership, origin),
+            getIncarnation: origin => membership.getIncarnation(origin),
         }),
     shared: ({ gossip, evidence, exposures, rollouts, runners, configuration }) =>
         new SharedState({
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -7,6 +7,7 @@
 import { events, type Journal } from "../events/index.js";
 import type { Vm } from "../world/index.js";
 import type { Gossip } from "./gossip.js";
+import { incarnationKey } from "./gossipState.js";
 import type { NodeIdentity } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol, type ProtocolRange } from "./protocol.js";
 
@@ -128,6 +129,14 @@
         return this.getMembers().find(member => member.id === id);
     }
 
+    /**
+     * Returns what tells one run of a member's process from the next on the same VM.
+     * @param id - The member's identifier.
+     */
+    getIncarnation(id: string): string | undefined {
+        return this.#options.gossip.get(id, incarnationKey)?.toString();
+    }
+
     /**
      * Returns the newest protocol version that all members read: records and messages are written in no newer one.
      *
--- /dev/null
+++ b/src/soak/soakFault.ts
@@ -0,0 +1,68 @@
+/**
+ * The faults that a soak draws from its seed.
+ */
+import type { RandomSource } from "../common/index.js";
+
+/** Something that happens to a site for a while. */
+export interface SoakFault {
+    readonly kind: FaultKind;
+    /** The process or link that it happens to. */
+    readonly target: string;
+    readonly holdMilliseconds: number;
+}
+
+const processKinds = ["kill", "stop", "freeze", "freeze-upstream", "none"] as const;
+const worldKinds = [
+    "cut",
+    "cut-to",
+    "cut-from",
+    "slow-link",
+    "log-outage",
+    "log-slow",
+    "lost-acknowledgements",
+    "rating-outage",
+    "operators-race",
+    "withdraw",
+] as const;
+
+/** Kinds of faults. */
+export type FaultKind = typeof processKinds[number] | typeof worldKinds[number];
+
+const shortestHoldMilliseconds = 300;
+const longestHoldMilliseconds = 3500;
+/** A withdrawal has to come into force before it can be judged. */
+const withdrawalMilliseconds = 7000;
+const versions = ["label-large@3", "label-medium@2", "label-small@5"] as const;
+
+/** What faults can happen to. */
+export interface FaultTargets {
+    readonly entries: readonly string[];
+    readonly upstreams: readonly string[];
+}
+
+/** Draws a fault of a process. */
+export function drawProcessFault(random: RandomSource, targets: FaultTargets): SoakFault {
+    const kind = pick(random, processKinds);
+    const target = pick(random, kind === "freeze-upstream" ? targets.upstreams : targets.entries);
+    return { kind, target, holdMilliseconds: drawHold(random) };
+}
+
+/** Draws a fault of the network or the platform, or something that operators do. */
+export function drawWorldFault(random: RandomSource, targets: FaultTargets): SoakFault {
+    const kind = pick(random, worldKinds);
+    const holdMilliseconds = kind === "withdraw" ? withdrawalMilliseconds : drawHold(random);
+    const entry = pick(random, targets.entries);
+    const others = [...targets.upstreams, ...targets.entries.filter(name => name !== entry), "log", "log", "rating"];
+    const link = `${entry}>${pick(random, others)}`;
+    const version = pick(random, versions);
+    return { kind, target: kind === "withdraw" ? version : link, holdMilliseconds };
+}
+
+/** Draws one of several values. */
+export function pick<Value>(random: RandomSource, values: readonly Value[]): Value {
+    return values[random.nextInteger(values.length)];
+}
+
+function drawHold(random: RandomSource): number {
+    return shortestHoldMilliseconds + random.nextInteger(longestHoldMilliseconds - shortestHoldMilliseconds);
+}
