--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -103,14 +103,17 @@
                     billPauseMillisecondsByEntry * membership.getMembers().length,
                 ),
         }),
-    billKeeper: ({ log, clock, journal, self, membership, settings }) =>
+    billKeeper: ({ log, clock, journal, self, membership, peerClient, settings }) =>
         new BillKeeper({
             append: (stream, record) => log.append(stream, record),
+            getCopyTargets: () =>
+                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
             clock,
             journal,
             writer: self.id,
             maximumBills: settings.limits.keptBills,
             isGone: origin => isGone(membership, origin),
+            getIncarnation: origin => membership.getIncarnation(origin),
         }),
     shared: ({ gossip, evidence, exposures, rollouts, runners, configuration }) =>
         new SharedState({
