Write docs/EVENTS.md from the catalogue, compared by a test

Cause: operators need the catalogue; a page kept by hand goes stale. Ruled out: none else. Change: formatCatalogue, the script that writes the page, and the test. Before: no page. Conclusion: the page cannot differ from the code.

--- /dev/null
+++ b/scripts/generateEvents.mjs
@@ -0,0 +1,5 @@
+// Writes docs/EVENTS.md from the compiled catalogue.
+import { writeFileSync } from "node:fs";
+import { formatCatalogue } from "../dist/src/events/index.js";
+
+writeFileSync(new URL("../docs/EVENTS.md", import.meta.url), formatCatalogue());
--- /dev/null
+++ b/src/events/formatCatalogue.ts
@@ -0,0 +1,28 @@
+/**
+ * Writes docs/EVENTS.md from the catalogue.
+ */
+import { type EventDefinition, events } from "./catalogue.js";
+
+const head = `# Events
+
+Every event that a rattanlock process can write. \`DEBUG=rattanlock:*\` shows all of them, one JSON line each, on the
+standard error; \`DEBUG=rattanlock:warning,rattanlock:error\` shows those that an operator should look at. Each line holds
+\`event\`, \`name\`, \`level\`, \`process\`, \`time\` (wall-clock milliseconds), \`counter\` (a Lamport counter) and the facts of the
+event. \`rattanlock timeline\` puts the events of all entries about one request or roll-out in order.
+
+This page is made from src/events/catalogue.ts by \`node scripts/generateEvents.mjs\`; a test compares the two.
+
+| number | name | level | meaning |
+| ---: | --- | --- | --- |
+`;
+
+/** Returns the text of docs/EVENTS.md. */
+export function formatCatalogue(): string {
+    const definitions: EventDefinition[] = Object.values(events);
+    definitions.sort((left, right) => left.number - right.number);
+    let text = head;
+    for (const { number, name, level, description } of definitions) {
+        text += `| ${number} | ${name} | ${level} | ${description} |\n`;
+    }
+    return text;
+}
--- a/src/events/index.ts
+++ b/src/events/index.ts
@@ -1,4 +1,5 @@
 /** Numbered events, the catalogue of them and the journal that writes them. */
 export * from "./catalogue.js";
 export * from "./eventBuffer.js";
+export * from "./formatCatalogue.js";
 export * from "./journal.js";
--- /dev/null
+++ b/test/events/formatCatalogue.test.ts
@@ -0,0 +1,16 @@
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { describe, it } from "node:test";
+import { type EventDefinition, events, formatCatalogue } from "../../src/events/index.js";
+
+describe("formatCatalogue", () => {
+    it("gives what docs/EVENTS.md holds", () => {
+        expect(readFileSync("docs/EVENTS.md", "utf8")).toEqual(formatCatalogue());
+    });
+
+    it("gives each number and each name to one event", () => {
+        const definitions: EventDefinition[] = Object.values(events);
+        expect(new Set(definitions.map(({ number }) => number)).size).toEqual(definitions.length);
+        expect(new Set(definitions.map(({ name }) => name)).size).toEqual(definitions.length);
+    });
+});
