Test the sequential test at the margin

Cause: the old test of false halts passed with a third of the threshold. Ruled out: more versions as good as the baseline (they come nowhere near the threshold). Change: 200 versions worse by just the margins, 60 looks each; at most 10 are halted at a threshold of 20. Before and after: with the threshold off (1.5) and with the margin off the test fails; a third of the threshold (7) still passes, so it guards the correction for many looks, not the exact level.

--- a/test/decisions/exposure/sequentialTest.test.ts
+++ b/test/decisions/exposure/sequentialTest.test.ts
@@ -40,20 +40,20 @@
         });
 
         // The test is looked at after every few answers. One that allowed for a single look only would sooner or later
-        // halt nearly every good version.
-        it("halts at most a few of many good versions, however often it is looked at", () => {
+        // halt most good versions. The versions here are worse by just the margin, the hardest case that is still good.
+        it("halts few of many versions at the margin, however often it is looked at", () => {
             let halted = 0;
-            for (let seed = 1; seed <= 100; seed += 1) {
+            for (let seed = 1; seed <= 200; seed += 1) {
                 const fixture = createFixture(seed);
-                for (let epoch = 0; epoch < 50; epoch += 1) {
-                    fixture.add(epoch, 12, { bad: 0.03, failed: 0.005, slow: 0.05 });
+                for (let epoch = 0; epoch < 60; epoch += 1) {
+                    fixture.add(epoch, 8, { bad: 0.04, failed: 0.015, slow: 0.1 });
                     if (fixture.evaluate().bad) {
                         halted += 1;
                         break;
                     }
                 }
             }
-            expect(halted <= 2).toEqual(true);
+            expect(halted <= 10).toEqual(true);
         });
 
         it("says nothing without a reference", () => {
@@ -84,10 +84,10 @@
     throw new Error("The version was not judged bad.");
 }
 
-function createFixture(seed = 1, referenceAnswers = 3000) {
+function createFixture(seed = 1, referenceAnswers = 20_000) {
     const random = new RandomSource(seed);
     const good: Chances = { bad: 0.03, failed: 0.005, slow: 0.05 };
-    const test = new SequentialTest({ threshold: 100, firstStartPart: 0.6, laterStartPart: 0.4 / 200 });
+    const test = new SequentialTest({ threshold: 20, firstStartPart: 0.6, laterStartPart: 0.4 / 200 });
     const strata = classes.map(requestClass => ({
         requestClass,
         buckets: [] as { start: number; level: number; tally: Tally; }[],
