--- a/src/measure/cost/measureCost.ts
+++ b/src/measure/cost/measureCost.ts
@@ -1,5 +1,5 @@
 /** Measures the cost at the quality target against simple ways and an oracle. */
-import type { MeasurementRequest } from "../main.js";
+import type { SeededRequest } from "../measurement.js";
 import { formatSummary, type Report } from "../report.js";
 import { type ClassResult, CostRun, type CostWay, costWays, periodCount } from "./costRun.js";
 import { costClasses } from "./costWorld.js";
@@ -10,7 +10,7 @@
 const errorsAllowed = 2;
 
 /** Runs the cost measurement over several seeds. */
-export function measureCost(request: MeasurementRequest): Report {
+export function measureCost(request: SeededRequest): Report {
     const seeds = Array.from({ length: request.seedCount ?? defaultSeedCount }, (...[, index]) => request.seed + index);
     const runs: CostRun[] = [];
     for (const seed of seeds) {
--- a/src/measure/exposure/measureExposure.ts
+++ b/src/measure/exposure/measureExposure.ts
@@ -1,7 +1,7 @@
 /** Measures how many callers get a bad answer from a bad version, and how often a good version is halted. */
 import { RandomSource } from "../../common/index.js";
 import { type CallerHash, createCallerHash } from "../../decisions/exposure/index.js";
-import type { MeasurementRequest } from "../main.js";
+import type { SeededRequest } from "../measurement.js";
 import { formatSummary, type Report, type ReportRow, summarize } from "../report.js";
 import { type ExposureCase, exposureCases, goodCase, goodChances } from "./exposureCase.js";
 import { type ExposureResult, ExposureRun, type ExposureWay, requestInterval } from "./exposureRun.js";
@@ -21,7 +21,7 @@
 const operatorNotices = 600_000;
 
 /** Runs the exposure measurement. */
-export async function measureExposure(request: MeasurementRequest): Promise<Report> {
+export async function measureExposure(request: SeededRequest): Promise<Report> {
     const hash = await createCallerHash();
     const count = request.seedCount ?? defaultSeedCount;
     const seeds = Array.from({ length: count }, (...[, index]) => request.seed + index);
@@ -120,7 +120,7 @@
 }
 
 /** Counts the halts of good versions; apart from the cases, since it takes long. */
-export async function measureFalseHalts(request: MeasurementRequest): Promise<Report> {
+export async function measureFalseHalts(request: SeededRequest): Promise<Report> {
     const hash = await createCallerHash();
     const count = request.seedCount ?? goodRollouts;
     const seeds = Array.from({ length: count }, (...[, index]) => request.seed + index);
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -2,39 +2,62 @@
  * Runs a measurement: `npm run measure -- NAME [--seed N] [--seeds COUNT] [--json]`.
  */
 import { parseArgs } from "node:util";
+import { measureCapacity } from "./capacity/measureCapacity.js";
 import { measureCost } from "./cost/measureCost.js";
+import { measureEntry } from "./entry/measureEntry.js";
 import { measureExposure, measureFalseHalts } from "./exposure/measureExposure.js";
+import { formatGossip, measureGossip } from "./gossipTraffic.js";
+import { formatLimits, measureLimits } from "./limits.js";
+import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
+import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
 import { formatReport, type Report } from "./report.js";
 
-/** What a measurement is asked for. */
-export interface MeasurementRequest {
-    /** The first seed. */
-    readonly seed: number;
-    /** How many seeds, or `undefined` for the measurement's own number. */
-    readonly seedCount: number | undefined;
-    /** Writes progress. */
-    readonly log: (line: string) => void;
+/** Measurements by name; add a line here for each new one. */
+const measurements: Readonly<Record<string, Measurement>> = {
+    capacity: ({ log }) => toFinding(measureCapacity(log)),
+    cost: async request => toFinding(await measureCost(withSeed(request))),
+    entry: async ({ log }) => toFinding(await measureEntry(log)),
+    exposure: async request => toFinding(await measureExposure(withSeed(request))),
+    "false-halts": async request => toFinding(await measureFalseHalts(withSeed(request))),
+    load: ({ seed = firstReportingSeed }) => {
+        const costs = measureCosts(seed);
+        const results = measureLoad(seed);
+        return { results: { costs, results }, text: `${formatCosts(costs)}\n\n${formatLoad(results)}` };
+    },
+    gossip: async ({ seed = firstReportingSeed }) => {
+        const results = await measureGossip(seed);
+        return { results, text: formatGossip(results) };
+    },
+    limits: ({ seed = firstReportingSeed }) => {
+        const results = measureLimits(seed);
+        return { results, text: formatLimits(results) };
+    },
+};
+
+function withSeed(request: MeasurementRequest): SeededRequest {
+    return { ...request, seed: request.seed ?? 1 };
 }
 
-/** A measurement by name; add a line here for each new one. */
-const measurements: Readonly<Record<string, (request: MeasurementRequest) => Report | Promise<Report>>> = {
-    "cost": measureCost,
-    "exposure": measureExposure,
-    "false-halts": measureFalseHalts,
-};
+function toFinding(report: Report): Finding {
+    return { results: report, text: formatReport(report) };
+}
+
+function toNumber(text: string | undefined): number | undefined {
+    return text === undefined ? undefined : Number(text);
+}
 
 const { values, positionals } = parseArgs({
     allowPositionals: true,
     options: { seed: { type: "string" }, seeds: { type: "string" }, json: { type: "boolean" } },
 });
-const measure = measurements[positionals[0] ?? ""];
-if (measure === undefined) {
+const measurement = measurements[positionals[0] ?? ""];
+if (measurement === undefined) {
     console.error(`Give the name of a measurement: ${Object.keys(measurements).join(", ")}.`);
     process.exit(1);
 }
-const report = await measure({
-    seed: Number(values.seed ?? 1),
-    seedCount: values.seeds === undefined ? undefined : Number(values.seeds),
+const { results, text } = await measurement({
+    seed: toNumber(values.seed),
+    seedCount: toNumber(values.seeds),
     log: line => console.error(line),
 });
-console.log(values.json === true ? JSON.stringify(report, undefined, 4) : formatReport(report));
+console.log(values.json === true ? JSON.stringify(results, undefined, 4) : text);
--- /dev/null
+++ b/test/claims/collector.test.ts
@@ -0,0 +1,131 @@
+import { expect } from "earl";
+import { afterEach, describe, it } from "node:test";
+import { createRunKey, getPartition } from "../../src/claims/index.js";
+import { maximumRecordBytes } from "../../src/log/index.js";
+import { type ClaimNode, createClaimNode } from "../fixtures/claimNodes.js";
+import { MemoryLog } from "../fixtures/memoryLog.js";
+import { waitUntil } from "../fixtures/waiting.js";
+
+const partitions = 2;
+const key = createRunKey("dalisay", "label-1");
+const stream = `claims-${getPartition(key, partitions)}`;
+/** How long a claim may take that is expected to fail. */
+const decideMilliseconds = 200;
+const nodes: ClaimNode[] = [];
+
+function createNode(
+    log: MemoryLog,
+    options: { name: string; snapshotMilliseconds?: number; decideMilliseconds?: number; },
+): ClaimNode {
+    const node = createClaimNode({ log, ...options });
+    nodes.push(node);
+    return node;
+}
+
+function claim(node: ClaimNode, requestId: string) {
+    return node.client.claim({ key, value: requestId, requestId });
+}
+
+function countRecords(log: MemoryLog, kind: string): number {
+    return log.getEntries(stream).filter(entry => entry.record.kind === kind).length;
+}
+
+describe("Collector", () => {
+    afterEach(async () => {
+        await Promise.all(nodes.splice(0).map(node => node.stop()));
+    });
+
+    describe("decide", () => {
+        it("puts claims that arrive together into one record", async () => {
+            const log = new MemoryLog();
+            const node = createNode(log, { name: "a" });
+            const attempts = [];
+            for (let index = 0; index < 50; index += 1) {
+                attempts.push(node.client.claim({ key: createRunKey("w", `${index}`), value: "v", requestId: "r" }));
+            }
+            await Promise.all(attempts);
+            const records = log.getEntries("claims-0").length + log.getEntries("claims-1").length;
+            expect(records).toEqual(partitions);
+        });
+
+        // Outcomes in other scripts take three bytes a character. Counted in characters, a record grows past what the log
+        // takes, is refused for ever, and no claim of the partition is decided any more.
+        it("keeps records below the log's bound, in bytes", async () => {
+            const log = new MemoryLog();
+            const node = createNode(log, { name: "a" });
+            const attempts = [];
+            for (let index = 0; index < 30; index += 1) {
+                const value = "\u6d88".repeat(5_000);
+                attempts.push(node.client.claim({ key: createRunKey("w", `${index}`), value, requestId: "r" }));
+            }
+            const claimed = await Promise.all(attempts);
+            expect(claimed.every(result => result.isOk())).toEqual(true);
+            for (const entry of [...log.getEntries("claims-0"), ...log.getEntries("claims-1")]) {
+                expect(Buffer.byteLength(JSON.stringify(entry.record)) <= maximumRecordBytes).toEqual(true);
+            }
+        });
+
+        it("writes nothing for a key that is held", async () => {
+            const log = new MemoryLog();
+            const node = createNode(log, { name: "a" });
+            await claim(node, "r1");
+            const before = log.getEntries(stream).length;
+            expect((await claim(node, "r2"))._unsafeUnwrap().kind).toEqual("held");
+            expect(log.getEntries(stream).length).toEqual(before);
+        });
+    });
+
+    describe("after a gap", () => {
+        // The record of a claim has expired from the log before a fresh VM could read it. Granting the key again would
+        // run the request twice, so the VM must refuse until it has the whole state.
+        it("decides nothing while claims may be missing", async () => {
+            const log = new MemoryLog();
+            await claim(createNode(log, { name: "old" }), "r1");
+            log.put(stream, { id: "x", kind: "other", format: 1, writer: "test", body: {} });
+            log.expire(stream, 1);
+            const claimed = await claim(createNode(log, { name: "fresh", decideMilliseconds }), "r2");
+            expect(claimed.isErr()).toEqual(true);
+        });
+
+        // A VM that knows only a part of the claims must not write a snapshot: other VMs would take the part for the
+        // whole, and grant again what is missing from it.
+        it("writes no snapshot while claims may be missing", async () => {
+            const log = new MemoryLog();
+            await claim(createNode(log, { name: "old" }), "r1");
+            log.put(stream, { id: "x", kind: "other", format: 1, writer: "test", body: {} });
+            log.expire(stream, 1);
+            const fresh = createNode(log, { name: "fresh", decideMilliseconds, snapshotMilliseconds: 20 });
+            fresh.clock.advance(1_000);
+            expect((await claim(fresh, "r2")).isErr()).toEqual(true);
+            expect(countRecords(log, "claims-snapshot")).toEqual(0);
+        });
+
+        it("goes on from a snapshot that was written before the expiry", async () => {
+            const log = new MemoryLog();
+            const old = createNode(log, { name: "old", snapshotMilliseconds: 20 });
+            await claim(old, "r1");
+            old.clock.advance(1_000);
+            await waitUntil(() => countRecords(log, "claims-snapshot") > 0, "a snapshot was written");
+            log.expire(stream, 1);
+            const claimed = await claim(createNode(log, { name: "fresh" }), "r2");
+            expect(claimed._unsafeUnwrap().kind).toEqual("held");
+        });
+
+        // A snapshot writer was paused and its snapshot arrives late: records between what it covers and what can still
+        // be read are gone. Taken in, it would lead to the same gap again, and the VM would read the stream in a circle.
+        it("does not take a snapshot that leaves records out", async () => {
+            const log = new MemoryLog();
+            const writer = createNode(log, { name: "old", snapshotMilliseconds: 20 });
+            writer.clock.advance(1_000);
+            await waitUntil(() => countRecords(log, "claims-snapshot") > 0, "an empty snapshot was written");
+            await writer.stop();
+            const stale = log.getEntries(stream)[0].record;
+            await claim(createNode(log, { name: "claimant" }), "r1");
+            log.put(stream, { ...stale, id: "late" });
+            log.expire(stream, 2);
+            const fresh = createNode(log, { name: "fresh", decideMilliseconds });
+            expect((await claim(fresh, "r2")).isErr()).toEqual(true);
+            expect(fresh.lines.filter(line => line.name === "claims-restored")).toEqual([]);
+        });
+    });
+});
