Split the model chooser and the roll-out fold

Change: comparing plans, the request's type and the settled versions are modules of their own; no behaviour changes.

--- a/src/control/rolloutFold.ts
+++ b/src/control/rolloutFold.ts
@@ -16,9 +16,8 @@
     rolloutStartBody,
 } from "./rollout.js";
 import { RolloutHalts } from "./rolloutHalts.js";
+import { SettledVersions } from "./rolloutSettled.js";
 
-/** Settled versions of a model that are remembered as fallbacks. */
-const rememberedVersions = 16;
 /** Ended roll-outs that are remembered. */
 const rememberedRollouts = 64;
 
@@ -49,8 +48,7 @@
     readonly #isCurrentFence: (fence: number) => boolean;
     readonly #rollouts = new Map<string, Rollout>();
     readonly #halts = new RolloutHalts();
-    /** For each model, the versions that were fully rolled out, the newest last. */
-    readonly #settled = new Map<string, string[]>();
+    readonly #settled = new SettledVersions();
     #offset = -1;
 
     constructor(options: RolloutFoldOptions) {
@@ -143,7 +141,7 @@
 
     /** Gets the newest version of a model that was fully rolled out and isn't halted, or `undefined`. */
     getSettled(model: string): string | undefined {
-        return this.#settled.get(model)?.findLast(version => !this.isHalted(version));
+        return this.#settled.get(model).findLast(version => !this.isHalted(version));
     }
 
     /**
@@ -152,13 +150,10 @@
      * @param isAllowed - Tells whether a version may be used; any by default.
      */
     getFallback(version: string, isAllowed: (version: string) => boolean = () => true): string | undefined {
-        for (const versions of this.#settled.values()) {
-            const index = versions.lastIndexOf(version);
-            const before = index === -1 ? [] : versions.slice(0, index);
-            const usable = before.findLast(other => !this.isHalted(other) && isAllowed(other));
-            if (usable !== undefined) {
-                return usable;
-            }
+        const before = this.#settled.getBefore(version);
+        const settled = before.findLast(other => !this.isHalted(other) && isAllowed(other));
+        if (settled !== undefined) {
+            return settled;
         }
         const rollout = this.getRollouts().findLast(({ candidate }) => candidate === version);
         if (rollout === undefined || rollout.baseline === version) {
@@ -176,7 +171,7 @@
             halts: this.#halts.getFromLog(),
             lifted: this.#halts.getLifted(),
             liftedAt: this.#halts.getLiftTimes(),
-            settled: Object.fromEntries(this.#settled),
+            settled: this.#settled.getAll(),
         };
     }
 
@@ -194,10 +189,7 @@
             this.#rollouts.set(rollout.id, rollout);
         }
         this.#halts.replaceLog(snapshot.halts, snapshot.lifted, snapshot.liftedAt);
-        this.#settled.clear();
-        for (const [model, versions] of Object.entries(snapshot.settled)) {
-            this.#settled.set(model, [...versions]);
-        }
+        this.#settled.replace(snapshot.settled);
         return true;
     }
 
@@ -220,7 +212,7 @@
             return reject("The candidate is being rolled out already.");
         }
         const budgets = body.stages.map((...[, stage]) => typeof budget === "number" ? budget : budget.at(stage));
-        this.#addSettled(body.model, body.baseline);
+        this.#settled.add(body.model, body.baseline);
         this.#rollouts.set(id, {
             ...body,
             id,
@@ -286,7 +278,7 @@
             return reject("The roll-out isn't at its last stage.");
         }
         this.#rollouts.set(rollout.id, { ...rollout, state: "finished" });
-        this.#addSettled(rollout.model, rollout.candidate);
+        this.#settled.add(rollout.model, rollout.candidate);
         return accept();
     }
 
@@ -338,15 +330,6 @@
         return rollout?.state === "active" ? rollout : "The roll-out isn't active.";
     }
 
-    #addSettled(model: string, version: string): void {
-        const versions = this.#settled.get(model) ?? [];
-        if (versions.at(-1) === version) {
-            return;
-        }
-        const others = versions.filter(other => other !== version);
-        this.#settled.set(model, [...others, version].slice(-rememberedVersions));
-    }
-
     #dropOldRollouts(): void {
         for (const rollout of this.getRollouts()) {
             if (this.#rollouts.size <= rememberedRollouts) {
--- a/src/decisions/model/index.ts
+++ b/src/decisions/model/index.ts
@@ -2,5 +2,6 @@
 export * from "./bucketSeries.js";
 export * from "./evidence.js";
 export * from "./modelChooser.js";
+export type { ModelRequest } from "./modelRequest.js";
 export type { Plan, PlanStep } from "./plan.js";
 export * from "./tally.js";
--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -2,11 +2,22 @@
  * Chooses the cheapest plan whose expected quality meets the target with the stated confidence.
  */
 import type { Clock, RandomSource } from "../../common/index.js";
-import { getPrice, type ModelVersion } from "../../world/index.js";
+import type { ModelVersion } from "../../world/index.js";
 import { type Estimate, getEstimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
-import { getNormalProbability, getNormalQuantile } from "./normal.js";
+import type { ModelRequest } from "./modelRequest.js";
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
+import {
+    getCheapest,
+    getExpectation,
+    getLowerBound,
+    getSignature,
+    getSurest,
+    getTryWeight,
+    isCheaper,
+    isCheaperPlan,
+    type Try,
+} from "./planChoice.js";
 import { getCascadeOptions, getHardness, getSingleOption, type PlanSettings } from "./planOptions.js";
 
 /** Evidence changes with every rating; plans needn't. */
@@ -31,21 +42,6 @@
     readonly clock: Clock;
 }
 
-/** What a plan is chosen for. */
-export interface ModelRequest {
-    readonly requestClass: string;
-    /** The versions that the workspace allows and that take new work. */
-    readonly candidates: readonly ModelVersion[];
-    /** Expected rated quality to reach, from 0 to 1. */
-    readonly targetQuality: number;
-    /** Probability with which the target is to be met, such as 0.95. */
-    readonly confidence: number;
-    readonly inputTokens: number;
-    readonly outputTokens: number;
-    /** Whether the rating service answers; without it there are no cascades and nothing is tried. True by default. */
-    readonly ratingsAvailable?: boolean;
-}
-
 interface ClassState {
     /** What the plans were formed for. */
     candidates: readonly ModelVersion[];
@@ -68,16 +64,6 @@
     credit: number;
 }
 
-interface Try {
-    readonly option: PlanOption;
-    /** The version that is tried; its price decides what may be saved. */
-    readonly price: ModelVersion;
-    /** Probability that it turns out to be of use. */
-    readonly probability: number;
-    /** Quality that it is expected to cost. */
-    readonly debit: number;
-}
-
 /** Decides which version or cascade answers a request. */
 export class ModelChooser {
     readonly #evidence: Evidence;
@@ -272,81 +258,6 @@
     }
 }
 
-const quantiles = new Map<number, number>();
-
-function getLowerBound(option: PlanOption, confidence: number): number {
-    let quantile = quantiles.get(confidence);
-    if (quantile === undefined) {
-        quantile = getNormalQuantile(confidence);
-        quantiles.set(confidence, quantile);
-    }
-    return option.quality - quantile * option.deviation;
-}
-
-/**
- * Gets the option with the highest expected quality. The lower bound would not do here: it favours a version that is
- * well known to miss the target over one that nobody has tried yet.
- */
-function getSurest(options: readonly PlanOption[]): PlanOption {
-    let surest = options[0];
-    for (const option of options) {
-        if (option.quality > surest.quality) {
-            surest = option;
-        }
-    }
-    return surest;
-}
-
-function getCheapest(options: readonly PlanOption[], request: ModelRequest): PlanOption | undefined {
-    let cheapest: PlanOption | undefined;
-    let lowestCost = Infinity;
-    for (const option of options) {
-        const cost = getPlanCost(option, request.inputTokens, request.outputTokens);
-        if (cost < lowestCost) {
-            lowestCost = cost;
-            cheapest = option;
-        }
-    }
-    return cheapest;
-}
-
-function isCheaperPlan(one: PlanOption, other: PlanOption, request: ModelRequest): boolean {
-    const { inputTokens, outputTokens } = request;
-    return getPlanCost(one, inputTokens, outputTokens) < getPlanCost(other, inputTokens, outputTokens);
-}
-
-/** Gets what a try is worth: what it may save, by the probability that it turns out to be of use. */
-function getTryWeight(candidate: Try, best: PlanOption, request: ModelRequest): number {
-    const { inputTokens, outputTokens, targetQuality } = request;
-    const cost = getPrice(candidate.price, inputTokens, outputTokens);
-    const bestCost = getPlanCost(best, inputTokens, outputTokens);
-    if (best.quality < targetQuality && candidate.option.steps.length === 1) {
-        return candidate.probability * Math.max(bestCost, cost);
-    }
-    return candidate.probability * Math.max(0, bestCost - cost);
-}
-
-/** Gets how likely an option meets the target, and how much it is expected to fall short of it. */
-function getExpectation(option: PlanOption, target: number): { probability: number; shortfall: number; } {
-    const distance = (target - option.quality) / option.deviation;
-    const below = getNormalProbability(distance);
-    const density = Math.exp(-distance * distance / 2) / Math.sqrt(2 * Math.PI);
-    return { probability: 1 - below, shortfall: option.deviation * (distance * below + density) };
-}
-
-function isCheaper(one: ModelVersion, other: ModelVersion): boolean {
-    return one.inputPrice < other.inputPrice && one.outputPrice <= other.outputPrice
-        || one.inputPrice <= other.inputPrice && one.outputPrice < other.outputPrice;
-}
-
-function getSignature(candidates: readonly ModelVersion[]): string {
-    let signature = "";
-    for (const { id, inputPrice, outputPrice, expectedQuality } of candidates) {
-        signature += `${id},${inputPrice},${outputPrice},${expectedQuality};`;
-    }
-    return signature;
-}
-
 function createPlan(option: PlanOption, request: ModelRequest, exploring: boolean, reason: string): Plan {
     return {
         steps: option.steps,
