Reckon saved surplus halfway between the expected quality and its lower bound

Ruled out: reckoning by the expected quality alone (nothing is left for the choice of the luckiest plan).

--- a/src/decisions/model/planChoice.ts
+++ b/src/decisions/model/planChoice.ts
@@ -21,12 +21,24 @@
 
 /** Gets the quality that an option reaches with a probability. */
 export function getLowerBound(option: PlanOption, confidence: number): number {
+    return option.quality - getQuantile(confidence) * option.deviation;
+}
+
+/**
+ * Gets the quality by which saved surplus is reckoned: halfway from the expected quality to its lower bound. Reckoned by
+ * the lower bound, the cheapest sure plan, which just meets the target, would hardly ever earn what a try costs.
+ */
+export function getLikelyQuality(option: PlanOption, confidence: number): number {
+    return option.quality - getQuantile(confidence) * option.deviation / 2;
+}
+
+function getQuantile(confidence: number): number {
     let quantile = quantiles.get(confidence);
     if (quantile === undefined) {
         quantile = getNormalQuantile(confidence);
         quantiles.set(confidence, quantile);
     }
-    return option.quality - quantile * option.deviation;
+    return quantile;
 }
 
 /**
