Test that untried versions are tried on while none meets the target

Cause: with that guard off, all tests passed. Change: a test of it; the sequential test's reference is drawn once. Before and after: with the guard off the new test fails.

--- a/test/decisions/exposure/sequentialTest.test.ts
+++ b/test/decisions/exposure/sequentialTest.test.ts
@@ -91,7 +91,7 @@
     const strata = classes.map(requestClass => ({
         requestClass,
         buckets: [] as { start: number; level: number; tally: Tally; }[],
-        reference: drawTally(random, referenceAnswers, good),
+        reference: getReference(referenceAnswers, good),
     }));
     return {
         add: (epoch: number, answers: number, chances: Chances, badClasses: readonly string[] = classes) => {
@@ -104,6 +104,18 @@
     };
 }
 
+const references = new Map<number, Tally>();
+
+/** Draws the reference once for all fixtures, since it is large. */
+function getReference(answers: number, chances: Chances): Tally {
+    let reference = references.get(answers);
+    if (reference === undefined) {
+        reference = drawTally(new RandomSource(99), answers, chances);
+        references.set(answers, reference);
+    }
+    return reference;
+}
+
 function drawTally(random: RandomSource, answers: number, chances: Chances): Tally {
     const tally = new Tally();
     for (let answer = 0; answer < answers; answer += 1) {
--- a/test/decisions/model/modelChooser.test.ts
+++ b/test/decisions/model/modelChooser.test.ts
@@ -111,6 +111,20 @@
             expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(large.id);
         });
 
+        // A good version had three unlucky ratings. If it were never tried again, the class would stay with a version that
+        // is known to miss the target, although a better one stands by.
+        it("goes on trying a version that may meet the target while none is known to", () => {
+            const { addRatings, choose } = createFixture();
+            addRatings(medium, 500, 0.7, 0.02);
+            addRatings(large, 3, 0.6, 0.02);
+            let lateTries = 0;
+            for (let request = 0; request < 2000; request += 1) {
+                const tried = choose({ candidates: [medium, large] }).steps[0].version === large;
+                lateTries += tried && request >= 1000 ? 1 : 0;
+            }
+            expect(lateTries > 0).toEqual(true);
+        });
+
         it("says so if there is no candidate", () => {
             const { choose } = createFixture();
             expect(choose({ candidates: [] }).steps).toEqual([]);
