Reckon with short references

A settled version's own past or a young baseline may hold few answers without a single bad one; the reference then promised that there are none. Change: a reference needs 100 observations, and counts one worst observation on top. Ruled out so far: nothing else looked at; where the halts occurred is being looked up.

--- a/src/decisions/exposure/metric.ts
+++ b/src/decisions/exposure/metric.ts
@@ -100,5 +100,7 @@
     }
     const spread = Math.max(0, squares - sum * sum / count);
     const variance = (spread + priorWeight * priorVariance) / (count + priorWeight);
-    return { count, mean: sum / count, error: Math.sqrt(variance / count) };
+    // One worst observation is added: a short reference without a single bad answer would otherwise promise that there are
+    // none, and the first bad answers of a good version would halt it.
+    return { count, mean: sum / (count + 1), error: Math.sqrt(variance / count) };
 }
--- a/src/decisions/exposure/sequentialTest.ts
+++ b/src/decisions/exposure/sequentialTest.ts
@@ -16,7 +16,7 @@
 /** Part of the capital of a metric that is bet on all classes together; the rest is split over single classes. */
 const pooledPart = 0.7;
 /** Reference observations below which a class isn't judged. */
-const minimumReferenceCount = 20;
+const minimumReferenceCount = 100;
 /** Standard errors by which the reference is lowered, since it is itself an estimate. */
 const referenceErrors = 1.5;
 /** Keeps `Math.exp` finite. */
