--- /dev/null
+++ b/src/bills/ledger.ts
@@ -0,0 +1,187 @@
+/**
+ * The ledger: one bill for each request, from a stream that may hold a bill several times.
+ *
+ * The first bill of a request in the log's order counts, so every ledger and every restart agrees.
+ */
+import { events, type Journal } from "../events/index.js";
+import type { LogEntry } from "../log/record.js";
+import { type Bill, billsBodySchema, billsKind } from "./bill.js";
+
+/** What a workspace owes. */
+export interface WorkspaceTotal {
+    readonly workspace: string;
+    readonly requests: number;
+    readonly inputTokens: number;
+    readonly outputTokens: number;
+    readonly total: number;
+}
+
+/** A bill with its place in the stream. */
+export interface LedgerLine {
+    readonly offset: number;
+    /** Log time of the record that it came in. */
+    readonly time: number;
+    readonly bill: Bill;
+}
+
+/** Options of a ledger. */
+export interface LedgerOptions {
+    readonly journal: Journal;
+    /** How long, by the log's time, the ledger remembers the requests that it has billed. By default for ever. */
+    readonly windowMilliseconds?: number;
+    /** Finds the totals of requests that were billed longer ago than that. Needed with a window. */
+    readonly findOlder?: (requestIds: ReadonlySet<string>) => ReadonlyMap<string, number>;
+}
+
+interface BilledRequest {
+    readonly total: number;
+    /** Log time of its bill. */
+    readonly time: number;
+}
+
+/** Folds the stream of bills. */
+export class Ledger {
+    readonly #options: LedgerOptions;
+    /** In the order of log time, so that forgetting only looks at the front. */
+    readonly #billed = new Map<string, BilledRequest>();
+    readonly #workspaces = new Map<string, WorkspaceTotal>();
+    #offset = -1;
+    #logTime = 0;
+    #requests = 0;
+    #repeats = 0;
+    #conflicts = 0;
+    #gaps = 0;
+
+    constructor(options: LedgerOptions) {
+        this.#options = options;
+    }
+
+    /** Returns the offset to read next. */
+    getNextOffset(): number {
+        return this.#offset + 1;
+    }
+
+    /** Returns how many requests are billed. */
+    getSize(): number {
+        return this.#requests;
+    }
+
+    /** Returns how many repeats were removed, how many of them differed, and how often bills expired unread. */
+    getCounts(): { readonly repeats: number; readonly conflicts: number; readonly gaps: number; } {
+        return { repeats: this.#repeats, conflicts: this.#conflicts, gaps: this.#gaps };
+    }
+
+    /** Returns the totals of all workspaces, by name. */
+    getTotals(): readonly WorkspaceTotal[] {
+        return [...this.#workspaces.values()].sort((left, right) => left.workspace < right.workspace ? -1 : 1);
+    }
+
+    /**
+     * Takes in a line that an earlier run of the ledger wrote.
+     * @param line - The line.
+     */
+    restore({ offset, time, bill }: LedgerLine): void {
+        // The run may have ended within a record, so that record is read again and its written bills are repeats.
+        this.#offset = Math.max(this.#offset, offset - 1);
+        this.#logTime = Math.max(this.#logTime, time);
+        this.#forget();
+        this.#count(bill);
+    }
+
+    /**
+     * Folds an entry in.
+     * @param entry - The next entry of the stream.
+     * @returns The bills in it that are the first of their request.
+     */
+    apply(entry: LogEntry): readonly Bill[] {
+        if (entry.offset <= this.#offset) {
+            return [];
+        }
+        this.#offset = entry.offset;
+        this.#logTime = Math.max(this.#logTime, entry.time);
+        this.#forget();
+        const body = billsBodySchema.safeParse(entry.record.body);
+        if (entry.record.kind !== billsKind || !body.success) {
+            return [];
+        }
+        const first: Bill[] = [];
+        const older = this.#findOlder(body.data.bills);
+        for (const bill of body.data.bills) {
+            const total = this.#billed.get(bill.requestId)?.total ?? older.get(bill.requestId);
+            if (total === undefined) {
+                this.#count(bill);
+                first.push(bill);
+            }
+            else {
+                this.#handleRepeat(bill, total);
+            }
+        }
+        return first;
+    }
+
+    /**
+     * Notes that entries expired before they were read: their bills are missing, and the ledger must say so.
+     * @param earliest - The first offset that can still be read.
+     */
+    handleGap(earliest: number): void {
+        this.#gaps += 1;
+        this.#options.journal.write(events.ledgerGap, { expected: this.getNextOffset(), earliest });
+        this.#offset = Math.max(this.#offset, earliest - 1);
+    }
+
+    #handleRepeat(bill: Bill, total: number): void {
+        this.#repeats += 1;
+        if (bill.total !== total) {
+            this.#conflicts += 1;
+            this.#options.journal.write(events.billConflict, {
+                request: bill.requestId,
+                counted: total,
+                ignored: bill.total,
+            });
+        }
+    }
+
+    /**
+     * Looks up bills so old that their requests may have been forgotten. An entry that was paused for days appends its
+     * bills when it wakes, long after their keepers did. Half the window is left for clocks of entries that differ
+     * from the log's.
+     */
+    #findOlder(bills: readonly Bill[]): ReadonlyMap<string, number> {
+        const { windowMilliseconds, findOlder } = this.#options;
+        if (windowMilliseconds === undefined || findOlder === undefined) {
+            return new Map();
+        }
+        const before = this.#logTime - windowMilliseconds / 2;
+        const old = bills.filter(bill => bill.answeredAt < before && !this.#billed.has(bill.requestId));
+        return old.length === 0 ? new Map() : findOlder(new Set(old.map(bill => bill.requestId)));
+    }
+
+    #forget(): void {
+        const before = this.#logTime - (this.#options.windowMilliseconds ?? Number.POSITIVE_INFINITY);
+        for (const [requestId, { time }] of this.#billed) {
+            if (time >= before) {
+                return;
+            }
+            this.#billed.delete(requestId);
+        }
+    }
+
+    #count(bill: Bill): void {
+        this.#requests += 1;
+        this.#billed.set(bill.requestId, { total: bill.total, time: this.#logTime });
+        const before = this.#workspaces.get(bill.workspace);
+        let inputTokens = before?.inputTokens ?? 0;
+        let outputTokens = before?.outputTokens ?? 0;
+        for (const line of bill.lines) {
+            inputTokens += line.inputTokens;
+            outputTokens += line.outputTokens;
+        }
+        this.#workspaces.set(bill.workspace, {
+            workspace: bill.workspace,
+            requests: (before?.requests ?? 0) + 1,
+            inputTokens,
+            outputTokens,
+            total: (before?.total ?? 0) + bill.total,
+        });
+    }
+}
--- /dev/null
+++ b/src/bills/ledgerFile.ts
@@ -0,0 +1,83 @@
+/**
+ * The ledger's output file: one JSON line for each billed request.
+ *
+ * The file is all that a ledger remembers. A run that was killed leaves at worst a last line without its end; it is cut
+ * off, and the record that it came from is read again.
+ */
+import { closeSync, fstatSync, ftruncateSync, openSync, readSync, writeSync } from "node:fs";
+import type { LedgerLine } from "./ledger.js";
+
+const chunkBytes = 64 * 1024;
+const newline = 0x0a;
+
+/** Appends lines to the file, and reads what an earlier run wrote. */
+export class LedgerFile {
+    readonly #descriptor: number;
+
+    /** @param path - The file; it is created if need be. */
+    constructor(path: string) {
+        this.#descriptor = openSync(path, "a+");
+    }
+
+    /**
+     * Reads the lines of earlier runs, and cuts off a last line that has no end.
+     * @param take - Takes each line in order.
+     */
+    restore(take: (line: LedgerLine) => void): void {
+        const rest = this.#read(take);
+        if (rest > 0) {
+            ftruncateSync(this.#descriptor, fstatSync(this.#descriptor).size - rest);
+        }
+    }
+
+    /**
+     * Finds the totals of requests by reading the whole file. Meant for the few bills that come days late.
+     * @param requestIds - The requests.
+     */
+    find(requestIds: ReadonlySet<string>): ReadonlyMap<string, number> {
+        const found = new Map<string, number>();
+        this.#read(({ bill }) => {
+            if (requestIds.has(bill.requestId)) {
+                found.set(bill.requestId, bill.total);
+            }
+        });
+        return found;
+    }
+
+    /**
+     * Appends lines.
+     * @param lines - The lines.
+     */
+    write(lines: readonly LedgerLine[]): void {
+        if (lines.length > 0) {
+            writeSync(this.#descriptor, lines.map(line => `${JSON.stringify(line)}\n`).join(""));
+        }
+    }
+
+    /** Reads all lines, and returns how many bytes at the end belong to a line without an end. */
+    #read(take: (line: LedgerLine) => void): number {
+        const size = fstatSync(this.#descriptor).size;
+        let position = 0;
+        let rest: Buffer = Buffer.alloc(0);
+        while (position < size) {
+            const chunk = Buffer.alloc(Math.min(chunkBytes, size - position));
+            position += readSync(this.#descriptor, chunk, 0, chunk.length, position);
+            rest = takeLines(Buffer.concat([rest, chunk]), take);
+        }
+        return rest.length;
+    }
+
+    /** Closes the file. */
+    close(): void {
+        closeSync(this.#descriptor);
+    }
+}
+
+function takeLines(bytes: Buffer, take: (line: LedgerLine) => void): Buffer {
+    let start = 0;
+    for (let end = bytes.indexOf(newline); end >= 0; end = bytes.indexOf(newline, start)) {
+        take(JSON.parse(bytes.toString("utf8", start, end)) as LedgerLine);
+        start = end + 1;
+    }
+    return bytes.subarray(start);
+}
--- /dev/null
+++ b/src/decisions/model/escalations.ts
@@ -0,0 +1,113 @@
+/**
+ * Joint counts of a low first score and the score of the answer that followed. A request that a cheap version answers
+ * badly is often hard for the dear one too, so the dear version's overall mean would promise too much.
+ */
+import { scoreSteps } from "./tally.js";
+
+/** Scores are summed in this unit, so that sums stay integers. */
+export const escalationSumUnit = 1000;
+
+/** Counts of one pair of versions in one class as they travel; `values` are bin, count and sum in turn. */
+export interface EncodedEscalation {
+    readonly first: string;
+    readonly second: string;
+    readonly requestClass: string;
+    readonly values: readonly number[];
+}
+
+/** Counts of one pair of versions in one class. */
+export interface EscalationCounts {
+    readonly first: string;
+    readonly second: string;
+    readonly requestClass: string;
+    /** Escalations for each bin of the first score. */
+    readonly counts: readonly number[];
+    /** Sum of the second scores in thousandths for each bin of the first score. */
+    readonly sums: readonly number[];
+}
+
+interface PairCounts extends EscalationCounts {
+    readonly counts: number[];
+    readonly sums: number[];
+}
+
+/** Counts escalations by pair of versions, class and bin of the first score. */
+export class Escalations {
+    readonly #classes = new Map<string, Map<string, PairCounts>>();
+
+    /** Reads the counts back from what `encode` returned. */
+    static decode(encoded: readonly EncodedEscalation[]): Escalations {
+        const escalations = new Escalations();
+        for (const { first, second, requestClass, values } of encoded) {
+            const pair = escalations.#getPair(first, second, requestClass);
+            for (let index = 0; index + 2 < values.length; index += 3) {
+                pair.counts[values[index]] = values[index + 1];
+                pair.sums[values[index]] = values[index + 2];
+            }
+        }
+        return escalations;
+    }
+
+    /** Counts one escalation. */
+    add(
+        input: { first: string; second: string; requestClass: string; firstScore: number; secondScore: number; },
+    ): void {
+        const pair = this.#getPair(input.first, input.second, input.requestClass);
+        const bin = Math.round(Math.min(1, Math.max(0, input.firstScore)) * scoreSteps);
+        pair.counts[bin] += 1;
+        pair.sums[bin] += Math.round(Math.min(1, Math.max(0, input.secondScore)) * escalationSumUnit);
+    }
+
+    /** Adds another node's counts of one class. */
+    merge(other: Escalations, requestClass: string): void {
+        for (const theirs of other.#classes.get(requestClass)?.values() ?? []) {
+            const pair = this.#getPair(theirs.first, theirs.second, requestClass);
+            for (let bin = 0; bin <= scoreSteps; bin += 1) {
+                pair.counts[bin] += theirs.counts[bin];
+                pair.sums[bin] += theirs.sums[bin];
+            }
+        }
+    }
+
+    /** Gets the counts of a class by pair of versions. */
+    get(requestClass: string): readonly EscalationCounts[] {
+        return [...this.#classes.get(requestClass)?.values() ?? []];
+    }
+
+    /** Returns the counts in a compact form. */
+    encode(): readonly EncodedEscalation[] {
+        const encoded: EncodedEscalation[] = [];
+        for (const { first, second, requestClass, counts, sums } of this.#getAll()) {
+            const values: number[] = [];
+            for (let bin = 0; bin <= scoreSteps; bin += 1) {
+                if (counts[bin] > 0) {
+                    values.push(bin, counts[bin], sums[bin]);
+                }
+            }
+            encoded.push({ first, second, requestClass, values });
+        }
+        return encoded;
+    }
+
+    *#getAll(): Iterable<PairCounts> {
+        for (const pairs of this.#classes.values()) {
+            yield* pairs.values();
+        }
+    }
+
+    #getPair(first: string, second: string, requestClass: string): PairCounts {
+        let pairs = this.#classes.get(requestClass);
+        if (pairs === undefined) {
+            pairs = new Map();
+            this.#classes.set(requestClass, pairs);
+        }
+        const key = `${first}>${second}`;
+        let pair = pairs.get(key);
+        if (pair === undefined) {
+            const zeros = () => new Array<number>(scoreSteps + 1).fill(0);
+            pair = { first, second, requestClass, counts: zeros(), sums: zeros() };
+            pairs.set(key, pair);
+        }
+        return pair;
+    }
+}
