--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -120,7 +120,6 @@
             blocks: getBlocks(call.request.promptText),
             exclude: excluded,
             deadlineMilliseconds: getTimeLeft(call, this.#options.clock.monotonic()),
-            estimatedTokens: call.request.estimatedInputTokens + call.request.estimatedOutputTokens,
         });
         if (placed.isErr()) {
             return err(refuseFinally(placed.error));
@@ -174,7 +173,7 @@
         const grace = options.direct && call.request.streamed ? this.#options.resumeGraceMilliseconds : 0;
         const ending = createAttemptSignal(call.gone, call.deadline, grace);
         const startedAt = this.#options.clock.monotonic();
-        const work = this.#options.runners.begin(placement, { tokens: call.request.estimatedOutputTokens });
+        const work = this.#options.runners.begin(placement);
         try {
             const answered = await this.#options.engines.complete(runner, {
                 streamId,
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -208,7 +208,6 @@
             blocks: [],
             exclude: excluded,
             deadlineMilliseconds: timeLeft,
-            estimatedTokens: tokensOfCall,
         });
         if (placed.isErr()) {
             return err({ failure: placed.error, outcome: "not-run", retriable: false });
@@ -217,7 +216,7 @@
         excluded.add(service.id);
         journal.write(events.requestDispatched, { request: request.requestId, upstream: service.id });
         const startedAt = clock.monotonic();
-        const work = runners.begin(placed.value, { tokens: tokensOfCall });
+        const work = runners.begin(placed.value);
         const called = await services.call(service, {
             requestId: request.requestId,
             method: request.method,
