--- /dev/null
+++ b/src/decisions/placement/capacity.ts
@@ -0,0 +1,29 @@
+/**
+ * How much the upstreams of the entry's region can do.
+ */
+import type { Runner } from "./runner.js";
+
+/**
+ * Sums up the capacity of the live upstreams of the region, in requests at a time. Those that have not reported to this
+ * entry are taken to be like the mean of the pool's others; a pool of which none has reported counts for nothing.
+ */
+export function getCapacity(runners: Iterable<Runner>): number {
+    const pools = new Map<string, { live: number; reported: number; capacity: number; }>();
+    for (const runner of runners) {
+        if (runner.isLeaving || !runner.isNear) {
+            continue;
+        }
+        const pool = pools.get(runner.vm.pool) ?? { live: 0, reported: 0, capacity: 0 };
+        pools.set(runner.vm.pool, pool);
+        pool.live += 1;
+        if (runner.load.isReported()) {
+            pool.reported += 1;
+            pool.capacity += runner.load.getCapacity();
+        }
+    }
+    let sum = 0;
+    for (const { live, reported, capacity } of pools.values()) {
+        sum += reported === 0 ? 0 : capacity / reported * live;
+    }
+    return sum;
+}
--- a/src/decisions/placement/health.ts
+++ b/src/decisions/placement/health.ts
@@ -33,11 +33,6 @@
         return Math.min(1, leastRamp + (1 - leastRamp) * since / this.#options.rampMilliseconds);
     }
 
-    /** Returns how many answers in a row failed. */
-    getFailures(): number {
-        return this.#failures;
-    }
-
     /** Notes a good answer. */
     addSuccess(now: number): void {
         this.#failures = 0;
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -7,6 +7,8 @@
 import { events, type Journal } from "../../events/index.js";
 import type { LoadReport, Vm } from "../../world/index.js";
 import { CandidateSet } from "./candidateSet.js";
+import { getCapacity } from "./capacity.js";
+import { getEjectedShareWith } from "./ejection.js";
 import { createOverloaded, createUnavailable } from "./failures.js";
 import { parseLoadHeader } from "./loadHeader.js";
 import { defaultPlacementOptions, type PlacementOptions } from "./options.js";
@@ -83,6 +85,15 @@
         return Array.from(this.#index.getSubset(), runner => runner.vm);
     }
 
+    /**
+     * Returns the part of the region's capacity that falls to this entry, in requests at a time. Upstreams outside the
+     * subset are taken to be like those within: the subset alone, shared out among all entries, would be far too little.
+     * @param entries - How many entries share the region's upstreams.
+     */
+    getOwnCapacity(entries: number): number {
+        return getCapacity(this.#runners.values()) / Math.max(1, entries);
+    }
+
     /**
      * Takes in which versions an upstream has loaded, where that is known without a load report.
      * @param upstream - Identifier of the upstream.
@@ -161,7 +172,11 @@
     eject(id: string, reason: string): boolean {
         const runner = this.#runners.get(id);
         const now = this.#clock.monotonic();
-        if (runner === undefined || runner.health.isEjected(now) || !this.#mayEject(runner.vm.pool, now)) {
+        if (runner === undefined || runner.health.isEjected(now)) {
+            return false;
+        }
+        const ejectedShare = getEjectedShareWith(runner, this.#runners.values(), now);
+        if (ejectedShare > this.#options.mostEjectedShare) {
             return false;
         }
         const milliseconds = Math.round(runner.health.eject(now, this.#random.next()));
@@ -293,23 +308,6 @@
         }
     }
 
-    /**
-     * Ejecting runners moves their work to the rest. Past a part of the pool that would bring down the rest too, so
-     * from there on failing runners stay in and share the work.
-     */
-    #mayEject(pool: string, now: number): boolean {
-        let total = 0;
-        let ejected = 0;
-        for (const runner of this.#runners.values()) {
-            if (runner.vm.pool !== pool || runner.isLeaving) {
-                continue;
-            }
-            total += 1;
-            ejected += runner.health.isEjected(now) ? 1 : 0;
-        }
-        return ejected + 1 <= total * this.#options.mostEjectedShare;
-    }
-
     #learnPace(runner: Runner, milliseconds: number, modelled: number): void {
         const now = this.#clock.monotonic();
         const ratio = runner.addFirstToken(milliseconds, modelled, now);
--- a/src/measure/admissionPolicies.ts
+++ b/src/measure/admissionPolicies.ts
@@ -29,7 +29,6 @@
 /** One entry's way to let requests in. */
 export interface Admission {
     readonly offer: (request: AdmissionRequest, verdict: AdmissionVerdict) => void;
-    readonly getLimit: () => number;
 }
 
 /** What a way is made from. */
@@ -47,7 +46,6 @@
         case "no limit":
             return {
                 offer: (request, verdict) => verdict.enter({ priority: request.priority, release: () => {} }),
-                getLimit: () => Number.POSITIVE_INFINITY,
             };
         case "fixed limit":
             return createFixedLimit(options);
@@ -83,7 +81,6 @@
                 }
             });
         },
-        getLimit: () => options.capacity,
     };
 }
 
@@ -102,6 +99,5 @@
                     ticket => verdict.enter(ticket),
                     failure => verdict.refuse(failure.retryAfterMilliseconds),
                 )),
-        getLimit: () => controller.getLimit(),
     };
 }
--- a/test/decisions/placement/runnerChooser.test.ts
+++ b/test/decisions/placement/runnerChooser.test.ts
@@ -131,6 +131,23 @@
         });
     });
 
+    describe("getOwnCapacity", () => {
+        it("shares out the region's capacity, upstreams that this entry does not follow included", () => {
+            const vms = [
+                ...createVms(10),
+                createVm("far", { region: "catania" }),
+                createVm("new", { pool: "label-app" }),
+            ];
+            const { chooser } = createChooser(vms);
+            chooser.addLoadReport(createReport("runner-0", { capacity: 4 }));
+            chooser.addLoadReport(createReport("runner-1", { capacity: 12 }));
+            chooser.addLoadReport(createReport("far", { capacity: 100 }));
+            expect(chooser.getOwnCapacity(4)).toEqual(20);
+            chooser.markLeaving("runner-2");
+            expect(chooser.getOwnCapacity(4)).toEqual(18);
+        });
+    });
+
     describe("setUpstreams", () => {
         // The platform is about to take a VM away. Work sent to it now would be cut off in the middle of an answer.
         it("gives a leaving runner nothing new, also when an older list still calls it live", () => {
