--- a/src/claims/collector.ts
+++ b/src/claims/collector.ts
@@ -295,7 +295,7 @@
         const fold = this.#reader.getFold();
         const interval = this.#options.snapshotMilliseconds ?? defaultSnapshotMilliseconds;
         const isDesignated = this.#options.isDesignated?.() ?? true;
-        if (fold === undefined || !isDesignated || this.#reader.getSnapshotAge() < interval) {
+        if (fold === undefined || fold.getOffset() < 0 || !isDesignated || this.#reader.getSnapshotAge() < interval) {
             return;
         }
         const parts = fold.createSnapshot(this.#createId(), snapshotItemsInPart, snapshotBytesInPart);
