--- a/test/claims/collector.test.ts
+++ b/test/claims/collector.test.ts
@@ -104,8 +104,10 @@
             const log = new MemoryLog();
             const old = createNode(log, { name: "old", snapshotMilliseconds: 20 });
             await claim(old, "r1");
-            old.clock.advance(1_000);
-            await waitUntil(() => countRecords(log, "claims-snapshot") > 0, "a snapshot was written");
+            await waitUntil(() => {
+                old.clock.advance(1_000);
+                return countRecords(log, "claims-snapshot") > 0;
+            }, "a snapshot was written");
             log.expire(stream, 1);
             const claimed = await claim(createNode(log, { name: "fresh" }), "r2");
             expect(claimed._unsafeUnwrap().kind).toEqual("held");
@@ -115,14 +117,17 @@
         // be read are gone. Taken in, it would lead to the same gap again, and the VM would read the stream in a circle.
         it("does not take a snapshot that leaves records out", async () => {
             const log = new MemoryLog();
+            log.put(stream, { id: "x", kind: "other", format: 1, writer: "test", body: {} });
             const writer = createNode(log, { name: "old", snapshotMilliseconds: 20 });
-            writer.clock.advance(1_000);
-            await waitUntil(() => countRecords(log, "claims-snapshot") > 0, "an empty snapshot was written");
+            await waitUntil(() => {
+                writer.clock.advance(1_000);
+                return countRecords(log, "claims-snapshot") > 0;
+            }, "a snapshot without the claim was written");
             await writer.stop();
-            const stale = log.getEntries(stream)[0].record;
+            const snapshots = log.getEntries(stream).filter(entry => entry.record.kind === "claims-snapshot");
             await claim(createNode(log, { name: "claimant" }), "r1");
-            log.put(stream, { ...stale, id: "late" });
-            log.expire(stream, 2);
+            const late = log.put(stream, { ...snapshots[0].record, id: "late" });
+            log.expire(stream, late.offset);
             const fresh = createNode(log, { name: "fresh", decideMilliseconds });
             expect((await claim(fresh, "r2")).isErr()).toEqual(true);
             expect(fresh.lines.filter(line => line.name === "claims-restored")).toEqual([]);
