Hand a leaving entry's kept copies to a peer

Cause: the keeper could hand copies on, but the entry gave it no peers to hand them to. Change: the entry passes the copy targets. Before and after: 128 of 128 tests of bills, claims, membership and control pass. Conclusion: a leaving entry's copies survive an outage of the log; not tried with whole processes.

--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -103,7 +103,7 @@
                     billPauseMillisecondsByEntry * membership.getMembers().length,
                 ),
         }),
-    billKeeper: ({ log, clock, journal, self, membership, settings }) =>
+    billKeeper: ({ log, clock, journal, self, membership, peerClient, settings }) =>
         new BillKeeper({
             append: (stream, record) => log.append(stream, record),
             clock,
@@ -111,6 +111,8 @@
             writer: self.id,
             maximumBills: settings.limits.keptBills,
             isGone: origin => isGone(membership, origin),
+            getCopyTargets: () =>
+                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
         }),
     shared: ({ gossip, evidence, exposures, rollouts, runners, configuration }) =>
         new SharedState({
