Refill the retry budget, send the fair priority to engines, answer before the outcome is written

Cause: (1) nobody called RetryBudget.addRequest, so an entry stopped retrying for good after its first ten retries; found by reading. Ruled out: an unbounded budget; a shorter wait for the outcome. Change: first attempts pay; ticket.priority goes to the engine; getOwnCapacity; outcomes are written behind the answer and awaited at shutdown; tokens live 12 h; the client's own retry count is told to admission.

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -79,6 +79,7 @@
      * @param options - The answer to be had.
      */
     async run(options: AttemptOptions): Promise<Result<Attempt, Refusal>> {
+        this.#options.retries.addRequest();
         const excluded = new Set<string>();
         let worst: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
@@ -179,7 +180,7 @@
                 streamId,
                 version: version.id,
                 requestClass: call.requestClass,
-                priority: call.settings.priority,
+                priority: call.priority,
                 deadlineMilliseconds: Math.max(1, getTimeLeft(call, startedAt)),
                 body: call.request.body,
                 signal: ending.signal,
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -24,6 +24,8 @@
 const maximumHeaderBytes = 16 * 1024;
 /** How long a caller may take to send its headers, in milliseconds. */
 const headersTimeoutMilliseconds = 10_000;
+/** Header in which the public client says how often it has asked before. */
+const retryCountHeader = "x-stainless-retry-count";
 /** Headers of a caller that plain services get to see. */
 const servicePassedHeaders = ["content-type", "accept", "accept-language", "if-match", "if-none-match"];
 
@@ -190,6 +192,8 @@
         const result = await this.#options.chats.run({
             ...call,
             ...identity,
+            priority: identity.settings.priority,
+            isRetry: Number(readSingle(request.headers[retryCountHeader]) ?? 0) > 0,
             sessionToken: readSingle(request.headers["x-rattanlock-session-token"]),
             request: parsed.value,
             sink,
--- a/src/entry/chatCall.ts
+++ b/src/entry/chatCall.ts
@@ -11,6 +11,10 @@
     readonly workspace: string;
     readonly application: string;
     readonly requestClass: string;
+    /** Priority at the engine: the workspace's until admission has decided. */
+    readonly priority: number;
+    /** Whether the client says that it asks again. */
+    readonly isRetry: boolean;
     /** The caller's name for a conversation that stays on one version. */
     readonly session: string | undefined;
     readonly sessionToken: string | undefined;
--- a/src/entry/chatPipeline.ts
+++ b/src/entry/chatPipeline.ts
@@ -58,6 +58,7 @@
             deadlineMilliseconds: call.settings.firstTokenMilliseconds,
             estimatedTokens: call.request.estimatedInputTokens + call.request.estimatedOutputTokens,
             caller: call.session,
+            isRetry: call.isRetry,
             signal: call.gone,
         });
         if (admitted.isErr()) {
@@ -68,7 +69,7 @@
             ticket.release({ outcome: "cancelled", tokens: 0 });
             return err(refuseNotRun(createCallerGoneFailure()));
         }
-        const result = await this.#serve(call);
+        const result = await this.#serve({ ...call, priority: ticket.priority });
         ticket.release(result.isOk() ? result.value : { outcome: toTicketOutcome(result.error), tokens: 0 });
         return result.map(() => undefined);
     }
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -81,6 +81,7 @@
         // An entry that has not heard the news yet may still hand out this one's address, for callers to keep.
         await sleep(timing.addressesKeepMilliseconds + parts.gossip.getSuspectMilliseconds());
         await this.#drain();
+        await parts.servicePipeline.settle();
         const flushed = await parts.bills.flush(flushMilliseconds);
         if (flushed.isErr()) {
             parts.journal.write(events.billsLeftBehind, { count: parts.bills.getSize() });
--- a/src/entry/loadPoller.ts
+++ b/src/entry/loadPoller.ts
@@ -11,8 +11,8 @@
     readonly engines: EngineClient;
     readonly runners: RunnerChooser;
     readonly intervalMilliseconds: number;
-    /** Is called after each round, with the capacity of the subset in requests at a time. */
-    readonly onRound: (capacity: number) => void;
+    /** Is called at the end of each round. */
+    readonly onRound: () => void;
     /** Is called when an upstream says of itself that it is leaving. */
     readonly onLeaving: (upstream: Vm) => void;
 }
@@ -22,7 +22,6 @@
     readonly #options: LoadPollerOptions;
     readonly #task: RepeatedTask;
     readonly #nextSequence = new Map<string, number>();
-    readonly #capacities = new Map<string, number>();
     readonly #pending = new Set<string>();
     #hasAskedAll = false;
 
@@ -59,9 +58,8 @@
     #poll(): void {
         const subset = this.#options.runners.getSubset();
         const listed = new Set(subset.map(vm => vm.id));
-        for (const id of this.#capacities.keys()) {
+        for (const id of this.#nextSequence.keys()) {
             if (!listed.has(id)) {
-                this.#capacities.delete(id);
                 this.#nextSequence.delete(id);
             }
         }
@@ -77,18 +75,16 @@
                 this.#hasAskedAll = true;
             });
         }
-        this.#options.onRound(sum(this.#capacities.values()));
+        this.#options.onRound();
     }
 
     async #ask(upstream: Vm): Promise<void> {
         const load = await this.#options.engines.getLoad(upstream);
         if (load.isErr()) {
-            this.#capacities.delete(upstream.id);
             return;
         }
         // Upstreams name themselves freely; the VM list's identifier is the one that is known here.
         this.#options.runners.addLoadReport({ ...load.value, upstream: upstream.id });
-        this.#capacities.set(upstream.id, load.value.leaving ? 0 : load.value.capacity);
         if (load.value.leaving) {
             this.#options.onLeaving(upstream);
         }
@@ -120,11 +116,3 @@
     }
     return false;
 }
-
-function sum(values: Iterable<number>): number {
-    let total = 0;
-    for (const value of values) {
-        total += value;
-    }
-    return total;
-}
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -14,7 +14,6 @@
 import { events } from "../../events/index.js";
 import { EngineClient, ServiceClient } from "../../upstream/index.js";
 import type { Parts } from "../container.js";
-import type { Cradle } from "../cradle.js";
 import { LoadPoller } from "../loadPoller.js";
 import { RolloutDriver } from "../rolloutDriver.js";
 import { VersionPolicy } from "../versionPolicy.js";
@@ -71,7 +70,10 @@
             engines: cradle.engines,
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
-            onRound: capacity => cradle.admission.setCapacity(getOwnCapacity(cradle, capacity)),
+            onRound: () => {
+                const entries = Math.max(1, cradle.membership.getAlive().length);
+                cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
+            },
             onLeaving: upstream => {
                 cradle.runners.markLeaving(upstream.id);
                 cradle.journal.write(events.upstreamLeaving, { upstream: upstream.id });
@@ -79,8 +81,3 @@
             },
         }),
 };
-
-/** Returns the part of the upstreams' capacity that falls to this entry while all entries serve alike. */
-function getOwnCapacity({ membership }: Cradle, capacity: number): number {
-    return Math.max(leastCapacity, capacity / Math.max(1, membership.getAlive().length));
-}
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -64,6 +64,8 @@
 /** Takes calls to plain services from their arrival to their answer. */
 export class ServicePipeline {
     readonly #options: ServicePipelineOptions;
+    /** Outcomes that are being written. */
+    readonly #completions = new Set<Promise<void>>();
 
     constructor(options: ServicePipelineOptions) {
         this.#options = options;
@@ -135,14 +137,24 @@
         return result;
     }
 
+    /** Waits until the outcomes of answered calls are in the log, or were given up. */
+    async settle(): Promise<void> {
+        await Promise.all(this.#completions);
+    }
+
     /**
      * Writes down how a claimed call ended. Only a call of which nothing was written to a service gives its key
      * back; the release is in the log before the caller reads "not run", or its next try would meet its own claim.
+     * The outcome of an answered call is written behind its answer: with the log away the caller would wait for seconds
+     * for something that only a later call with the same key needs.
      */
     async #settleClaim(grant: GrantedClaim, result: Result<ServiceReply, Refusal>): Promise<void> {
         const { claims } = this.#options;
         if (result.isOk()) {
-            await claims.complete({ ...grant, outcome: packAnswer(result.value.answer) });
+            const completion = claims.complete({ ...grant, outcome: packAnswer(result.value.answer) })
+                .then(() => undefined)
+                .finally(() => this.#completions.delete(completion));
+            this.#completions.add(completion);
             return;
         }
         if (result.error.outcome === "not-run") {
@@ -181,6 +193,7 @@
     }
 
     async #callAnywhere(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
+        this.#options.retries.addRequest();
         const excluded = new Set<string>();
         let worst: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
--- a/src/entry/sessions.ts
+++ b/src/entry/sessions.ts
@@ -6,8 +6,11 @@
 import type { Clock, Failure } from "../common/index.js";
 import type { ChatCall } from "./chatCall.js";
 
-/** How long a token is good for; it is renewed with every answer. */
-const tokenMilliseconds = 24 * 3600 * 1000;
+/**
+ * How long a token is good for; it is renewed with every answer. It must be well below the time for which a pin stays
+ * in the log, or a token could outlive its pin, and the session be pinned anew to another version elsewhere.
+ */
+const tokenMilliseconds = 12 * 3600 * 1000;
 
 /** What sessions are kept with. */
 export interface SessionsOptions {
