Renew certificates of a running entry, and let them name the site

Ruled out: a signal for the renewal (one more thing for operators to remember); watching by the file system's events (lost when a file is replaced). Change: the entry looks at its files every two seconds, checks that certificate and key belong together, and uses them; [tls] server_name. Before: no test.

--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -28,6 +28,7 @@
 import type { CallerServer } from "./callerServer.js";
 import type { ChatPipeline } from "./chatPipeline.js";
 import type { ControlSnapshots } from "./controlSnapshots.js";
+import type { CredentialFiles } from "./credentialFiles.js";
 import type { EntryState } from "./entryState.js";
 import type { Explanations } from "./explanations.js";
 import type { LoadPoller } from "./loadPoller.js";
@@ -66,6 +67,7 @@
     readonly lease: LeaseHolder;
     readonly peerClient: PeerClient;
     readonly peerServer: PeerServer;
+    readonly credentialFiles: CredentialFiles;
     readonly gossip: Gossip;
     readonly membership: Membership;
     readonly collectors: CollectorPool;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -43,6 +43,7 @@
         // Peers hand this entry's address to callers as soon as they hear of it, so it listens first. Until it has a
         // configuration it refuses, which callers can act upon; a connection that is refused tells them nothing.
         await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
+        parts.credentialFiles.start();
         parts.shared.start();
         parts.gossip.start();
         parts.watcher.start();
@@ -106,6 +107,7 @@
         parts.billKeeper.stop();
         parts.claims.stop();
         await Promise.all([
+            parts.credentialFiles.stop(),
             parts.shared.stop(),
             parts.poller.stop(),
             parts.watcher.stop(),
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -15,11 +15,11 @@
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
 import type { Parts } from "../container.js";
 import type { Cradle } from "../cradle.js";
+import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { EntryState } from "../entryState.js";
 import { Sessions } from "../sessions.js";
 import { SharedState } from "../sharedState.js";
 import { StateFetcher } from "../stateFetcher.js";
-import { readCredentials } from "./platformParts.js";
 
 /** Partitions of the claims; the same on all nodes, for ever. */
 const claimPartitions = 8;
@@ -39,6 +39,15 @@
             credentials: readCredentials(cradle.settings),
             handlers: createHandlers(cradle),
         }),
+    credentialFiles: ({ settings, peerClient, peerServer, journal }) =>
+        new CredentialFiles({
+            settings,
+            journal,
+            onChange: credentials => {
+                peerClient.setCredentials(credentials);
+                peerServer.setCredentials(credentials);
+            },
+        }),
     gossip: ({ self, clock, random, journal, peerClient, settings }) =>
         new Gossip({
             self,
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -1,14 +1,11 @@
 /**
  * The parts that face the platform: log, configuration, control stream, VM list.
  */
-import { readFileSync } from "node:fs";
 import { Agent } from "undici";
 import { ConfigurationReader, SnapshotWriter } from "../../configuration/index.js";
 import { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../../control/index.js";
 import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
 import { LogClient, LogFollower } from "../../log/index.js";
-import type { PeerCredentials } from "../../membership/index.js";
-import type { EntrySettings } from "../../settings/index.js";
 import { RatingClient, VmListClient } from "../../upstream/index.js";
 import type { Parts } from "../container.js";
 import { ControlSnapshots } from "../controlSnapshots.js";
@@ -122,19 +119,3 @@
             },
         }),
 };
-
-/**
- * Reads the certificates that the settings name, or returns `undefined` when they name none.
- * @param settings - The entry's settings.
- */
-export function readCredentials(settings: EntrySettings): PeerCredentials | undefined {
-    const { certificate, key, authority } = settings.tls;
-    if (certificate === undefined || key === undefined || authority === undefined) {
-        return undefined;
-    }
-    return {
-        certificate: readFileSync(certificate),
-        key: readFileSync(key),
-        authority: readFileSync(authority),
-    };
-}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -242,4 +242,16 @@
         "error",
         "A process stopped before the log took its last bills; their copies on other VMs will be appended.",
     ),
+    credentialsRenewed: define(
+        103,
+        "credentials-renewed",
+        "info",
+        "Renewed certificates are in use for new connections.",
+    ),
+    credentialsUnreadable: define(
+        104,
+        "credentials-unreadable",
+        "warning",
+        "Renewed certificates cannot be read; the old ones stay in use.",
+    ),
 } as const satisfies Record<string, EventDefinition>;
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -94,6 +94,10 @@
     certificate: optional(text({ description: "PEM file of the certificate.", example: "/etc/rattanlock/entry.pem" })),
     key: optional(text({ description: "PEM file of its key.", example: "/etc/rattanlock/entry.key" })),
     authority: optional(text({ description: "PEM file of the authority.", example: "/etc/rattanlock/authority.pem" })),
+    server_name: optional(text({
+        description: "Name in the entries' certificates, when they name the site and not each VM's IP number.",
+        example: "entries.catania.example",
+    })),
 }, false);
 
 const sessionSection = defineSection("session", "Session tokens.", {
@@ -187,13 +191,16 @@
     }));
 }
 
+/** Keys that the [tls] section needs together; the server name is not always one. */
+const neededTlsKeys = ["certificate", "key", "authority"];
+
 /** Checks that the [tls] section is whole: with a part of it missing, peers would talk in the clear or not at all. */
 function checkCertificates(document: SettingDocument): readonly Mistake[] {
     const section = document.sections.get(tlsSection.title);
     if (section === undefined) {
         return [];
     }
-    const missing = Object.keys(tlsSection.keys).filter(key => !section.lines.has(key));
+    const missing = neededTlsKeys.filter(key => !section.lines.has(key));
     return missing.map(key => ({
         file: document.file,
         line: section.line,
--- /dev/null
+++ b/test/entry/mutualTls.test.ts
@@ -0,0 +1,71 @@
+import { expect } from "earl";
+import { copyFileSync, mkdtempSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { PeerClient } from "../../src/membership/index.js";
+import { metroManila, ProcessGroup, Site, waitUntil } from "../../src/testbench/index.js";
+import { readTestCredentials } from "../fixtures/certificates.js";
+
+const certificates = join("test", "fixtures", "certificates");
+
+describe("mutual TLS between entries", () => {
+    const group = new ProcessGroup();
+    const folder = mkdtempSync(join(tmpdir(), "rattanlock-tls-"));
+    let site: Site;
+
+    function install(name: "site-first" | "site-second"): void {
+        copyFileSync(join(certificates, `${name}.pem`), join(folder, "entry.pem"));
+        copyFileSync(join(certificates, `${name}-key.pem`), join(folder, "entry.key"));
+        copyFileSync(join(certificates, "site-authority.pem"), join(folder, "authority.pem"));
+    }
+
+    before(async () => {
+        install("site-first");
+        site = await Site.start(group, {
+            ...metroManila,
+            prefix: "127.60.4",
+            entryCount: 2,
+            entrySettings: {
+                tls: {
+                    certificate: join(folder, "entry.pem"),
+                    key: join(folder, "entry.key"),
+                    authority: join(folder, "authority.pem"),
+                    server_name: "rattanlock.test",
+                },
+            },
+        });
+    });
+
+    after(() => group.killAll());
+
+    async function isAnswered(client: PeerClient): Promise<boolean> {
+        const [address, port] = site.getEntryOrThrow("entry-1").callers.split(":");
+        const peer = { id: "entry-1", address, peerPort: Number(port) + 1 };
+        const reply = await client.fetchState(peer, { stream: "config", knownOffset: 0, counter: 0 });
+        client.close();
+        return reply.isOk();
+    }
+
+    // Somebody on the network calls an entry's port for peers, without a certificate or with one of another authority.
+    // It could read every workspace's settings and spread halts; it must not get an answer.
+    it("answers only those whom the site's authority has signed", async () => {
+        expect(await isAnswered(new PeerClient({ credentials: readTestCredentials("site-second") }))).toEqual(true);
+        expect(await isAnswered(new PeerClient({ credentials: readTestCredentials("other-first") }))).toEqual(false);
+        expect(await isAnswered(new PeerClient())).toEqual(false);
+    });
+
+    // Certificates run out and are renewed on the running VMs. An entry that has to be restarted for it would drop its
+    // callers; one that went on with the old certificate would be shut out by the others on the day it ends.
+    it("takes renewed certificates into use without a restart", async () => {
+        install("site-second");
+        for (const entry of site.getEntries()) {
+            await waitUntil(() => entry.process.getEvents().some(line => line.name === "credentials-renewed"), {
+                what: `${entry.name} to use the renewed certificate`,
+            });
+        }
+        await site.getEntryOrThrow("entry-2").process.kill();
+        await site.startEntry("entry-2");
+        await site.waitUntilReady();
+    });
+});
