--- a/scripts/guards.mjs
+++ b/scripts/guards.mjs
@@ -21,6 +21,13 @@
     return spawnSync(program, args, { cwd: folder, encoding: "utf8", maxBuffer: 2 ** 28 });
 }
 
+/** Runs the whole file, or of a long file only the tests that the guard names. */
+function createTestArguments({ test, only }) {
+    return only === undefined
+        ? ["scripts/runTests.mjs", test]
+        : ["--test", `--test-name-pattern=${only}`, join("dist", "test", `${test}.test.js`)];
+}
+
 /** Switches a guard off, runs its test and returns the names of the tests that failed. */
 function tryWithout(folder, guard) {
     const path = join(folder, guard.file);
@@ -37,7 +44,7 @@
         "--noUnusedParameters",
         "false",
     ]);
-    const tested = run(folder, process.execPath, ["scripts/runTests.mjs", guard.test]);
+    const tested = run(folder, process.execPath, createTestArguments(guard));
     writeFileSync(path, original);
     if (built.status !== 0) {
         throw new Error(`${guard.name}: does not build without its guard:\n${built.stdout}`);
@@ -45,7 +52,8 @@
     const failures = [];
     for (const line of tested.stdout.split("\n")) {
         const match = /^ +not ok \d+ - (.*)$/.exec(line);
-        if (match) {
+        // A test that was passed over, or whose site did not start, says nothing about the guard.
+        if (match && !match[1].includes("# SKIP")) {
             failures.push(match[1]);
         }
     }
