Cancel an answer whose caller leaves before its first token

Cause: when a caller left or its deadline passed before the engine's first token, the entry dropped the call and told the engine nothing; the engine worked on for nobody and nobody was billed. Found by reading for the test of cancelled answers. Change: the stream is cancelled as after the first token, and billed for what the engine says. Ruled out: cancelling without asking whether somebody reads the stream.

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -187,6 +187,11 @@
             if (answered.isErr()) {
                 const refused = answered.error.outcome === "not-run";
                 finishWork(work, refused ? "refused" : "failed", this.#options.clock.monotonic() - startedAt);
+                if (ending.signal.aborted) {
+                    // The engine may be at work on the prompt. Left alone it would finish an answer that nobody reads
+                    // and nobody is billed for; its load would show it and the bills would not.
+                    await this.#cancel(options, runner, streamId);
+                }
                 return err({ ...this.#atDeadline(call, answered.error), retriable: true });
             }
             const answer = answered.value;
--- a/test/proofs/billing.test.ts
+++ b/test/proofs/billing.test.ts
@@ -8,19 +8,13 @@
 import {
     callJson,
     type ChatRecord,
+    type EngineRun,
     readEngineRuns,
     setFaults,
     waitUntil,
     withProcesses,
 } from "../../src/testbench/index.js";
-import {
-    chat,
-    complianceKey,
-    expectBilledOnce,
-    setRunnerLinks,
-    setRunnerPace,
-    waitForBills,
-} from "./billingFixtures.js";
+import { chat, complianceKey, expectBilledOnce, setRunnerLinks, setRunners, waitForBills } from "./billingFixtures.js";
 import { print, useProofSite } from "./fixtures.js";
 
 const entries = ["entry-1", "entry-2", "entry-3"];
@@ -57,7 +51,7 @@
     // rest of this very answer, and the request must be billed although the entry that took it is gone.
     it("lets a caller go on at another entry after the first one was killed in the middle", async () => {
         const proof = getProof();
-        await setRunnerPace(proof, slowStepMilliseconds);
+        await setRunners(proof, { stepMilliseconds: slowStepMilliseconds });
         const asked = Array.from({ length: 8 }, () => chat(proof, "entry-1", { model: "label-large@3" }));
         await waitUntil(async () => {
             const runs = await readEngineRuns(proof.site);
@@ -70,7 +64,7 @@
             broken.map((record, index) => resumeIfBroken(record, entries[1 + index % 2])),
         );
         expect(chats.filter(record => record.resumeToken !== undefined).every(record => record.isWhole)).toEqual(true);
-        await setRunnerPace(proof, stepMilliseconds);
+        await setRunners(proof, { stepMilliseconds });
         await expectBilledOnce(proof, chats);
         await proof.site.startEntry("entry-1");
         await proof.site.waitUntilReady();
@@ -81,7 +75,7 @@
     // the second one's hands. Both may know the usage then; the request must still be billed once.
     it("bills a stream once that is resumed elsewhere while the first entry still reads it", async () => {
         const proof = getProof();
-        await setRunnerPace(proof, slowStepMilliseconds);
+        await setRunners(proof, { stepMilliseconds: slowStepMilliseconds });
         const chats = await Promise.all(Array.from({ length: 12 }, async (...[, index]) => {
             const broken = await chat(proof, entries[index % 3], { leaveAfterEvents: 1 + index });
             expect(broken.isWhole).toEqual(false);
@@ -91,7 +85,7 @@
                 broken,
             );
         }));
-        await setRunnerPace(proof, stepMilliseconds);
+        await setRunners(proof, { stepMilliseconds });
         expect(chats.map(record => record.isWhole)).toEqual(chats.map(() => true));
         await expectBilledOnce(proof, chats);
     });
@@ -216,6 +210,25 @@
         await expectBilledOnce(proof, left);
     });
 
+    // A caller gives up before the first token. The engine does not notice by itself and would work on for nobody.
+    it("cancels and bills an answer whose caller leaves before its first token", async () => {
+        const proof = getProof();
+        const isLeft = (run: EngineRun) => run.outcome === "cancelled" && run.outputTokens === 0;
+        await setRunners(proof, { frozen: true });
+        try {
+            await Promise.all(entries.map(entry => chat(proof, entry, { streamed: false, boundMilliseconds: 300 })));
+            await waitUntil(async () => (await readEngineRuns(proof.site)).filter(isLeft).length === entries.length, {
+                what: "cancelled answers",
+            });
+        }
+        finally {
+            await setRunners(proof, { frozen: false });
+        }
+        const left = (await readEngineRuns(proof.site)).filter(isLeft).map(run => run.id.split(".")[0]);
+        await waitForBills(proof, left.map(requestId => ({ requestId, isWhole: true })));
+        await expectBilledOnce(proof, []);
+    });
+
     // The log is away for longer than the age at which a configuration counts as old, while callers go on. Bills wait
     // on two VMs each and must all be there once, when the log is back.
     it("bills everything once after the log was away for a good while under load", async () => {
--- a/test/proofs/billingFixtures.ts
+++ b/test/proofs/billingFixtures.ts
@@ -36,11 +36,11 @@
     }
 }
 
-/** Sets how long runners take for a token, so that a test can act in the middle of answers. */
-export async function setRunnerPace(proof: ProofSite, stepMilliseconds: number): Promise<void> {
+/** Sets conditions of all runners, such as a slower pace, so that a test can act in the middle of answers. */
+export async function setRunners(proof: ProofSite, conditions: object): Promise<void> {
     for (const [name, upstream] of proof.site.getUpstreams()) {
         if (name.startsWith("runner")) {
-            await setFaults(upstream.getAddress(), { stepMilliseconds });
+            await setFaults(upstream.getAddress(), conditions);
         }
     }
 }
