Prove configuration and versions under faults; serve nothing before the stream's end was seen

Cause: nothing showed with real processes that an accepted configuration never reverts and that a withdrawn version gets no new work. Reading freshness.ts showed a fault: when all entries start at once and the log is slow, each is without a confirmation, none is called fresh and none is ahead, so the age counted as 0 and they would serve by the first page of the stream.

Ruled out: taking any entry that was never confirmed for not ready, since an entry that starts during an outage must serve by the state of its peers; so the age of a state that nobody ever confirmed is passed on as such.

Change: freshness.ts refuses when the configuration was never confirmed, by the log or by a peer that was.

Before: the entries' tests did not cover any of this.

--- a/src/entry/freshness.ts
+++ b/src/entry/freshness.ts
@@ -19,6 +19,12 @@
 /** An entry calls its configuration fresh while it was confirmed this long ago, in milliseconds. */
 export const freshMilliseconds = 5000;
 
+/**
+ * An age above this was never counted from a confirmation: neither the log's end nor a peer that saw it. Peers pass
+ * such ages on as a great number.
+ */
+const neverConfirmedMilliseconds = Number.MAX_SAFE_INTEGER / 2;
+
 /**
  * Returns the age that counts for refusing work, in milliseconds: 0 when nobody on the greater side of a cut has any
  * newer word from the log.
@@ -28,6 +34,11 @@
     if (view.ownAgeMilliseconds <= freshMilliseconds || view.isMajorityAway) {
         return view.ownAgeMilliseconds;
     }
+    if (view.ownAgeMilliseconds > neverConfirmedMilliseconds) {
+        // Entries that all start while the log is slow are all without its newest word for a while. Taken for an outage,
+        // this would have them serve by the first page of the stream, and a version withdrawn since would answer.
+        return view.ownAgeMilliseconds;
+    }
     for (const other of view.others) {
         if (other.isFresh || other.configurationOffset > view.ownOffset) {
             return view.ownAgeMilliseconds;
--- /dev/null
+++ b/test/proofs/configuration.test.ts
@@ -0,0 +1,190 @@
+import { expect } from "earl";
+import { after, describe, it } from "node:test";
+import { OperatorSession } from "../../src/command/operatorSession.js";
+import { systemClock } from "../../src/common/index.js";
+import { type Change, ConfigurationFold, createSnapshotRecord } from "../../src/configuration/index.js";
+import type { EventLine } from "../../src/events/index.js";
+import type { LogPage } from "../../src/log/index.js";
+import { callJson, setFaults, waitUntil } from "../../src/testbench/index.js";
+import { ConfigurationWatch } from "./configurationWatch.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const versions = ["label-large@3", "label-medium@2", "label-small@5"];
+
+describe("A configuration that was accepted", () => {
+    const getProof = useProofSite("127.63.1", {
+        entrySettings: { timing: { snapshot_interval_ms: "1000" } },
+    });
+
+    after(() => Promise.all(operators.map(operator => operator.close())));
+
+    // Two operators change the same price at the same moment, each from the tree that it sees. If both were taken, one
+    // change would be reverted without a word; if entries differed, callers would be billed by two prices.
+    it("is the first of two that race; the other author is told, on every entry alike", async () => {
+        const proof = getProof();
+        const first = await openOperator(proof, "first");
+        const second = await openOperator(proof, "second");
+        for (let round = 0; round < 5; round += 1) {
+            const basedOn = Math.min(first.reader.getOffset(), second.reader.getOffset());
+            const verdicts = await Promise.all([
+                first.publish([createPrice(`1.${round}`)], basedOn, "race"),
+                second.publish([createPrice(`2.${round}`)], basedOn, "race"),
+            ]);
+            const [left, right] = verdicts.map(verdict => verdict._unsafeUnwrap());
+            const [winner, loser] = left.outcome === "accepted" ? [left, right] : [right, left];
+            expect([winner.outcome, loser.outcome]).toEqual(["accepted", "rejected"]);
+            expect(loser.beatenBy?.author).toEqual(winner.author);
+            await proof.site.waitInForce(Math.max(left.offset, right.offset));
+            for (const entry of entries) {
+                expect(await getNumbered(proof, entry, 200, [left.offset, right.offset])).toEqual([winner.offset]);
+                expect(await getNumbered(proof, entry, 201, [left.offset, right.offset])).toEqual([loser.offset]);
+            }
+        }
+    });
+
+    // The log takes a publication and the acknowledgement gets lost. An operator's tool that took this for a failure
+    // would say "refused" of a change in force; one that published anew would see its own change beat it.
+    it("is accepted once when the acknowledgement of its publication is lost", async () => {
+        const proof = getProof();
+        const operator = await openOperator(proof, "unlucky");
+        const offsets: number[] = [];
+        for (let round = 0; round < 3; round += 1) {
+            await setFaults(proof.site.getPlatform("log"), { lostAcknowledgements: 2 });
+            const verdict = await operator.publish([createPrice(`3.${round}`)], operator.reader.getOffset(), "lost");
+            expect(verdict._unsafeUnwrap().outcome).toEqual("accepted");
+            offsets.push(verdict._unsafeUnwrap().offset);
+        }
+        await setFaults(proof.site.getPlatform("log"), { lostAcknowledgements: 0 });
+        await proof.site.waitInForce(Math.max(...offsets));
+        for (const entry of entries) {
+            const end = offsets[offsets.length - 1] + 1;
+            const all = Array.from({ length: end - offsets[0] }, (_, index) => offsets[0] + index);
+            expect(await getNumbered(proof, entry, 200, all)).toEqual(offsets);
+        }
+    });
+
+    // A writer of snapshots was paused and appends an old state late; then the records before it expire. An entry that
+    // starts now finds nothing but the old state, and a withdrawn version would answer again.
+    it("is not taken back by a late snapshot, not even when the records have expired", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const withdrawal = { section: "version.label-small@5", key: "status", value: "withdrawn" };
+        await site.waitInForce(await site.publish([withdrawal]));
+        const watch = new ConfigurationWatch(site, entries);
+        const fold = new ConfigurationFold();
+        for (const entry of (await site.readStream("config")).slice(0, 2)) {
+            fold.apply(entry);
+        }
+        const late = await site.append(
+            "config",
+            createSnapshotRecord(fold.getOffset(), fold.toSnapshot(), "slow-writer"),
+        );
+        await site.waitInForce(late);
+        await setFaults(site.getPlatform("log"), { expireBefore: { stream: "config", offset: late } });
+        await restart(proof, "entry-1");
+        await site.waitInForce(late);
+        expect(await readStatuses(proof, "entry-1")).toEqual(await readStatuses(proof, "entry-2"));
+        expect((await ask(proof, "entry-1", "label-small")).status).not.toEqual(200);
+        expect(await watch.end()).toEqual([]);
+    });
+
+    // VMs are replaced at any time and keep nothing. The state has to come back from the snapshot and the records
+    // after it, whether entries go one by one or all at the same moment, and from peers while the log is away.
+    it("is the same after all entries were replaced, one by one and all at once", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const watch = new ConfigurationWatch(site, entries);
+        const statuses = await readStatuses(proof, "entry-1");
+        const changed = await site.publish([createPrice("5.1")]);
+        await site.waitInForce(changed);
+        await waitForSnapshotAfter(proof, changed);
+        await site.publish([createPrice("5.2")]);
+        for (const entry of entries) {
+            await restart(proof, entry);
+        }
+        const before = (await site.getStatus("entry-1")).configurationOffset;
+        const covered = await waitForSnapshotAfter(proof, before);
+        await setFaults(site.getPlatform("log"), { expireBefore: { stream: "config", offset: covered } });
+        const last = await site.publish([createPrice("5.3")]);
+        await Promise.all(entries.map(entry => site.getEntryOrThrow(entry).process.kill()));
+        await Promise.all(entries.map(entry => site.startEntry(entry)));
+        await site.waitUntilReady();
+        await site.waitInForce(last);
+        for (const entry of entries) {
+            expect(await readStatuses(proof, entry)).toEqual(statuses);
+            expect((await ask(proof, entry)).status).toEqual(200);
+        }
+        await site.setLink("entry-1", "log", { cut: true });
+        await restart(proof, "entry-1");
+        expect(await readStatuses(proof, "entry-1")).toEqual(statuses);
+        expect((await ask(proof, "entry-1")).status).toEqual(200);
+        await site.setLink("entry-1", "log", { cut: false });
+        expect(await watch.end()).toEqual([]);
+    });
+});
+
+const operators: OperatorSession[] = [];
+
+async function openOperator(proof: ProofSite, author: string): Promise<OperatorSession> {
+    const logUrl = `http://${proof.site.getPlatform("log")}`;
+    const operator = new OperatorSession({ logUrl, clock: systemClock, timeoutMilliseconds: 10_000, author });
+    operators.push(operator);
+    (await operator.open())._unsafeUnwrap();
+    return operator;
+}
+
+function createPrice(price: string): Change {
+    return { section: "version.label-large@3", key: "input_price", value: price };
+}
+
+/** Returns the offsets, among the given ones, that an entry wrote an event about. */
+async function getNumbered(
+    proof: ProofSite,
+    entry: string,
+    event: number,
+    offsets: readonly number[],
+): Promise<readonly unknown[]> {
+    const address = proof.site.getEntryOrThrow(entry).operators;
+    const lines = await callJson<readonly EventLine[]>({ address, path: "/events" });
+    return lines.filter(line => line.event === event && offsets.includes(line.offset as number))
+        .map(line => line.offset);
+}
+
+function ask(proof: ProofSite, entry: string, model = "auto") {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: proof.key,
+        model,
+        text: "Which trays are ready?",
+        maximumTokens: 8,
+        boundMilliseconds: 5000,
+    });
+}
+
+async function restart(proof: ProofSite, entry: string): Promise<void> {
+    await proof.site.getEntryOrThrow(entry).process.kill();
+    await proof.site.startEntry(entry);
+    await proof.site.waitUntilReady();
+}
+
+async function readStatuses(proof: ProofSite, entry: string): Promise<readonly string[]> {
+    const status = await proof.site.getStatus(entry);
+    return status.versions.filter(version => versions.includes(version.id)).map(version =>
+        `${version.id} ${version.status}`
+    );
+}
+
+/** Waits until the log holds a snapshot that covers an offset, and returns the snapshot's own offset. */
+async function waitForSnapshotAfter(proof: ProofSite, offset: number): Promise<number> {
+    return waitUntil(async () => {
+        const { entries: records } = await callJson<LogPage>({
+            address: proof.site.getPlatform("log"),
+            path: `/streams/config?from=${offset}&limit=500`,
+        });
+        const found = records.find(({ record }) =>
+            record.kind === "snapshot" && (record.body as { covers: number; }).covers > offset
+        );
+        return found?.offset;
+    }, { what: `a snapshot that covers ${offset}` });
+}
--- /dev/null
+++ b/test/proofs/configurationStart.test.ts
@@ -0,0 +1,74 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { type Change, createPublishRecord } from "../../src/configuration/index.js";
+import { waitUntil } from "../../src/testbench/index.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+
+describe("Entries that all start at once while the log is slow", () => {
+    const getProof = useProofSite("127.63.4");
+
+    // The whole site restarts, and the log hands out its records page by page, slowly. None of the entries has seen the
+    // end of the stream, so none can tell that another knows more. If they took this for an outage of the log, they
+    // would serve by the tree of the first page, and a version that was withdrawn since would answer callers.
+    it("take no work before one has seen the end of the stream", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const withdrawal = { section: "version.label-small@5", key: "status", value: "withdrawn" };
+        for (let count = 0; count < 600; count += 1) {
+            const publication = {
+                author: "many",
+                reason: "test",
+                basedOn: count,
+                changes: [createPrice(`6.${count}`)],
+            };
+            await appendPatiently(proof, publication);
+        }
+        const withdrawn = await site.publish([withdrawal]);
+        await site.waitInForce(withdrawn);
+        await Promise.all(entries.map(entry => site.getEntryOrThrow(entry).process.kill()));
+        for (const entry of entries) {
+            await site.setLink(entry, "log", { delayMilliseconds: 400 });
+        }
+        await Promise.all(entries.map(entry => site.startEntry(entry)));
+        const answered: (string | undefined)[] = [];
+        await waitUntil(async () => {
+            const replies = await Promise.all(entries.map(entry => ask(proof, entry, "label-small")));
+            answered.push(...replies.map(reply => reply.version));
+            const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+            return states.every(state => state.configurationOffset > withdrawn);
+        }, { what: "all entries to have read the stream" });
+        expect(answered.filter(version => version === "label-small@5")).toEqual([]);
+    });
+});
+
+async function appendPatiently(
+    proof: ProofSite,
+    publication: Parameters<typeof createPublishRecord>[0],
+): Promise<void> {
+    const record = createPublishRecord(publication, "many");
+    await waitUntil(async () => {
+        try {
+            return await proof.site.append("config", record) >= 0;
+        }
+        catch {
+            return false;
+        }
+    }, { what: "the log to take a record" });
+}
+
+function createPrice(price: string): Change {
+    return { section: "version.label-large@3", key: "input_price", value: price };
+}
+
+function ask(proof: ProofSite, entry: string, model = "auto") {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: proof.key,
+        model,
+        text: "Which trays are ready?",
+        maximumTokens: 8,
+        boundMilliseconds: 5000,
+    });
+}
--- /dev/null
+++ b/test/proofs/versions.test.ts
@@ -0,0 +1,221 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import {
+    callJson,
+    type ChatRecord,
+    type EngineRun,
+    getApiKey,
+    readEngineRuns,
+    setFaults,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const small = "label-small@5";
+
+describe("A version", () => {
+    const getProof = useProofSite("127.63.2");
+
+    // An engine loaded something else after a stale order, or by mistake, and answers with it. The caller asked within
+    // what its workspace allows and would get text from a version that nobody allowed it.
+    it("that was not asked for never answers a caller", async () => {
+        const proof = getProof();
+        const runners = getRunners(proof);
+        const asks: Promise<ChatRecord>[] = [];
+        await setFaults(runners[0], { runsInstead: { [small]: "label-small@6" } });
+        for (let index = 0; index < 12; index += 1) {
+            asks.push(ask(proof, { entry: entries[index % 3], model: small, streamed: index % 2 === 0 }));
+        }
+        const some = await Promise.all(asks);
+        for (const runner of runners) {
+            await setFaults(runner, { runsInstead: { [small]: "label-small@6" } });
+        }
+        const none = await Promise.all(entries.map(entry => ask(proof, { entry, model: small, streamed: true })));
+        for (const runner of runners) {
+            await setFaults(runner, { runsInstead: {} });
+        }
+        const wrongRuns = (await readEngineRuns(proof.site)).filter(run => run.ran === "label-small@6");
+        expect(wrongRuns.length > 0).toEqual(true);
+        expect([...some, ...none].filter(record => record.text.includes("label-small@6"))).toEqual([]);
+        expect(none.map(record => [record.text, record.status === 200])).toEqual(entries.map(() => ["", false]));
+        expect(none.some(record => record.outcome === "not-run")).toEqual(false);
+    });
+
+    // Two entries get the first requests of one session at the same moment and would each choose a version. A cook who
+    // talks to both would get answers of two versions in one conversation.
+    it("is the same for a session whose first requests come in at several entries", async () => {
+        const proof = getProof();
+        const models = ["label-large", "label-medium", "label-small"];
+        for (let round = 0; round < 8; round += 1) {
+            const session = `race-${round}`;
+            const records = await Promise.all(
+                entries.map((entry, index) => ask(proof, { entry, session, model: models[(index + round) % 3] })),
+            );
+            const found = new Set(records.filter(record => record.status === 200).map(record => record.version));
+            expect([records.every(record => record.status === 200), found.size]).toEqual([true, 1]);
+        }
+    });
+
+    // An entry pins a session and dies before its answer goes out. The caller asks the next entry, which would choose
+    // another version, had the pin been in the dead one's memory only.
+    it("stays with a session whose entry dies between the pin and the answer", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await setRunnerLinks(proof, "entry-1", { freeze: true });
+        const first = ask(proof, { entry: "entry-1", session: "orphan", model: "label-medium" });
+        await waitUntil(() => hasPin(proof, "orphan"), { what: "the pin to be in the log" });
+        await site.getEntryOrThrow("entry-1").process.kill();
+        expect((await first).status).toEqual(0);
+        const second = await waitUntil(async () => {
+            const record = await ask(proof, { entry: "entry-2", session: "orphan", model: "label-large" });
+            return record.status === 200 ? record : undefined;
+        }, { what: "an answer from entry-2" });
+        expect(second.version).toEqual("label-medium@2");
+        await setRunnerLinks(proof, "entry-1", { freeze: false });
+        await site.startEntry("entry-1");
+        await site.waitUntilReady();
+    });
+
+    // A version is drained: bench conversations under way end on it, new ones go elsewhere. Moving a conversation would
+    // change its tone and its facts in the middle; putting new ones on it would keep it from ever being empty.
+    it("that is draining keeps its sessions and takes no new ones", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const session = "before-draining";
+        const first = await ask(proof, { entry: "entry-1", session, model: "label-medium" });
+        const offset = await site.publish([{ section: "version.label-medium@2", key: "status", value: "draining" }]);
+        await site.waitInForce(offset);
+        for (const entry of entries) {
+            const byPin = await ask(proof, { entry, session, model: "auto" });
+            const byToken = await ask(proof, { entry, session, model: "auto", sessionToken: first.sessionToken });
+            expect([byPin.version, byToken.version]).toEqual(["label-medium@2", "label-medium@2"]);
+            const other = await ask(proof, { entry, session: `new-${entry}`, model: "auto" });
+            expect([other.status, other.version === "label-medium@2"]).toEqual([200, false]);
+            const named = await ask(proof, { entry, session: `named-${entry}`, model: "label-medium" });
+            expect([named.status, named.outcome]).toEqual([503, "not-run"]);
+        }
+        const back = await site.publish([{ section: "version.label-medium@2", key: "status", value: "serving" }]);
+        await site.waitInForce(back);
+    });
+
+    // A version turns bad and is withdrawn while callers keep on asking, one entry cannot see the log, and requests
+    // wait in an entry's queue across the change. Every answer after that may harm a guest.
+    it("that is withdrawn gets no new work once entries know, and its sessions end with a refusal", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const pinned = await ask(proof, { entry: "entry-1", session: "bound", model: "label-small" });
+        expect(pinned.version).toEqual(small);
+        await site.setLink("entry-3", "log", { cut: true });
+        const load = startLoad(proof);
+        await waitUntil(async () => (await countRuns(proof)) >= 10, { what: "work on the version" });
+        const startedAt = Date.now();
+        const offset = await site.publish([{ section: `version.${small}`, key: "status", value: "withdrawn" }]);
+        await site.waitInForce(offset);
+        const inForceAt = Date.now();
+        for (const entry of entries) {
+            const byPin = await ask(proof, { entry, session: "bound" });
+            const byToken = await ask(proof, { entry, session: "bound", sessionToken: pinned.sessionToken });
+            expect([byPin.status, byPin.outcome, byPin.text]).toEqual([410, "not-run", ""]);
+            expect([byToken.status, byToken.outcome, byToken.text]).toEqual([410, "not-run", ""]);
+        }
+        const records = await load.end();
+        await site.setLink("entry-3", "log", { cut: false });
+        const runs = (await readEngineRuns(site)).filter(run => run.ran === small);
+        const last = Math.max(...runs.map(run => run.arrivedAt));
+        console.log(
+            `last new work on a withdrawn version ${last - startedAt} ms after the change, in force everywhere after ${
+                inForceAt - startedAt
+            } ms, one of three entries without the log, ${records.length} requests`,
+        );
+        expect(runs.filter(run => run.arrivedAt > inForceAt)).toEqual([]);
+        expect(findFalseRefusals(records, await readEngineRuns(site))).toEqual([]);
+    });
+});
+
+interface Question {
+    readonly entry: string;
+    readonly model?: string;
+    readonly session?: string;
+    readonly sessionToken?: string;
+    readonly streamed?: boolean;
+}
+
+function ask(proof: ProofSite, question: Question): Promise<ChatRecord> {
+    return proof.caller.chat({
+        ...question,
+        entry: proof.site.getEntryOrThrow(question.entry).callers,
+        key: getApiKey("commissary"),
+        text: "Does the pastry hold sesame?",
+        maximumTokens: 20,
+        boundMilliseconds: 8000,
+    });
+}
+
+function getRunners(proof: ProofSite): readonly string[] {
+    return [...proof.site.getUpstreams()].filter(([name]) => name.startsWith("runner")).map(([, runner]) =>
+        runner.getAddress()
+    );
+}
+
+async function setRunnerLinks(proof: ProofSite, entry: string, faults: object): Promise<void> {
+    for (const name of proof.site.getUpstreams().keys()) {
+        if (name.startsWith("runner")) {
+            await proof.site.setLink(entry, name, faults);
+        }
+    }
+}
+
+async function hasPin(proof: ProofSite, session: string): Promise<boolean> {
+    for (let partition = 0; partition < 8; partition += 1) {
+        const page = await callJson<object>({
+            address: proof.site.getPlatform("log"),
+            path: `/streams/claims-${partition}?from=0&limit=500`,
+        });
+        if (JSON.stringify(page).includes(`/${session}"`)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+async function countRuns(proof: ProofSite): Promise<number> {
+    return (await readEngineRuns(proof.site)).filter(run => run.ran === small).length;
+}
+
+/** Asks for the version at all entries, with more requests at a time than run at once, until it is ended. */
+function startLoad(proof: ProofSite): { readonly end: () => Promise<readonly ChatRecord[]>; } {
+    const records: ChatRecord[] = [];
+    let isOver = false;
+    const loops: Promise<void>[] = [];
+    for (let index = 0; index < 90; index += 1) {
+        loops.push((async () => {
+            while (!isOver) {
+                const record = await ask(proof, { entry: entries[index % 3], model: small });
+                records.push(record);
+                if (record.status !== 200) {
+                    await new Promise(resolve => setTimeout(resolve, 100));
+                }
+            }
+        })());
+    }
+    return {
+        end: async () => {
+            isOver = true;
+            await Promise.all(loops);
+            return records;
+        },
+    };
+}
+
+/** Finds requests that were called "not run" and ran. */
+function findFalseRefusals(records: readonly ChatRecord[], runs: readonly EngineRun[]): readonly string[] {
+    const ran = new Set(runs.map(run => run.id.split(".")[0]));
+    const faults: string[] = [];
+    for (const { outcome, requestId } of records) {
+        if (outcome === "not-run" && requestId !== undefined && ran.has(requestId)) {
+            faults.push(requestId);
+        }
+    }
+    return faults;
+}
