--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -5,8 +5,20 @@
 import type { ModelVersion } from "../../world/index.js";
 import { type Estimate, getEstimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
-import { getNormalQuantile } from "./normal.js";
+import type { ModelRequest } from "./modelRequest.js";
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
+import {
+    getCheapest,
+    getExpectation,
+    getLikelyQuality,
+    getLowerBound,
+    getSignature,
+    getSurest,
+    getTryWeight,
+    isCheaper,
+    isCheaperPlan,
+    type Try,
+} from "./planChoice.js";
 import { getCascadeOptions, getHardness, getSingleOption, type PlanSettings } from "./planOptions.js";
 
 /** Evidence changes with every rating; plans needn't. */
@@ -19,8 +31,10 @@
 const startingCredit = 1;
 /** A version with fewer recent ratings is tried as the first step of a cascade. */
 const wellKnownRatings = 40;
+/** Probability that a little known version proves of use as the first step of a cascade. */
+const cascadeProbability = 0.3;
 /** Quality that a try as the first step of a cascade is taken to cost. */
-const cascadeTryDebit = 0.02;
+const cascadeTryDebit = 0.01;
 
 /** Options of `ModelChooser`. */
 export interface ModelChooserOptions extends Partial<PlanSettings> {
@@ -29,21 +43,6 @@
     readonly clock: Clock;
 }
 
-/** What a plan is chosen for. */
-export interface ModelRequest {
-    readonly requestClass: string;
-    /** The versions that the workspace allows and that take new work. */
-    readonly candidates: readonly ModelVersion[];
-    /** Expected rated quality to reach, from 0 to 1. */
-    readonly targetQuality: number;
-    /** Probability with which the target is to be met, such as 0.95. */
-    readonly confidence: number;
-    readonly inputTokens: number;
-    readonly outputTokens: number;
-    /** Whether the rating service answers; without it there are no cascades and nothing is tried. True by default. */
-    readonly ratingsAvailable?: boolean;
-}
-
 interface ClassState {
     /** What the plans were formed for. */
     candidates: readonly ModelVersion[];
@@ -57,6 +56,7 @@
     all: readonly PlanOption[];
     /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
     probable: readonly PlanOption[];
+    probableSingles: readonly PlanOption[];
     /** The surest plan, for when none meets the target. */
     surest: PlanOption;
     /** Plans that may turn out to meet the target for less. */
@@ -65,12 +65,6 @@
     credit: number;
 }
 
-interface Try {
-    readonly option: PlanOption;
-    /** Quality that it may cost. */
-    readonly debit: number;
-}
-
 /** Decides which version or cascade answers a request. */
 export class ModelChooser {
     readonly #evidence: Evidence;
@@ -102,28 +96,36 @@
         const state = this.#getState(request);
         const best = getCheapest(ratings ? state.all : state.singles, request) ?? state.surest;
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
+        const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
             const tried = this.#chooseTry(state, best, request);
             if (tried !== undefined) {
                 return createPlan(tried, request, true, "explores with saved surplus quality");
             }
         }
-        const probable = ratings ? this.#chooseProbable(state, best, request) : undefined;
+        const probable = this.#chooseProbable(ratings ? state.probable : state.probableSingles, best, state, request);
         if (probable !== undefined) {
             return createPlan(probable, request, false, "cheaper plan, its doubt covered by saved surplus quality");
         }
-        state.credit = Math.min(maximumCredit, state.credit + Math.max(0, margin));
+        state.credit = Math.min(maximumCredit, state.credit + Math.max(0, surplus));
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
     /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
-    #chooseProbable(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
-        const option = getCheapest(state.probable, request);
+    #chooseProbable(
+        options: readonly PlanOption[],
+        best: PlanOption,
+        state: ClassState,
+        request: ModelRequest,
+    ): PlanOption | undefined {
+        const option = getCheapest(options, request);
         if (option === undefined || option === best || !isCheaperPlan(option, best, request)) {
             return undefined;
         }
-        const debit = request.targetQuality - getLowerBound(option, request.confidence);
-        if (debit > state.credit) {
+        const debit = request.targetQuality - getLikelyQuality(option, request.confidence);
+        // The advance is for tries alone: spent here, it would give a class never seen before to a version that only
+        // the operator's expectation speaks for.
+        if (debit > state.credit - startingCredit) {
             return undefined;
         }
         state.credit -= debit;
@@ -134,16 +136,26 @@
         if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
             return undefined;
         }
-        const cost = getPlanCost(best, request.inputTokens, request.outputTokens);
-        const affordable = state.tries.filter(({ option, debit }) =>
-            debit <= state.credit && isWorthTrying(option, best, cost, request)
-        );
-        if (affordable.length === 0) {
-            return undefined;
+        // Nothing earns credit while no version meets the target. A version that had a few unlucky ratings would then
+        // never be tried again, and the class would stay below its target for good.
+        const needy = best.quality < request.targetQuality;
+        const weights: number[] = [];
+        let total = 0;
+        for (const candidate of state.tries) {
+            const affordable = needy || candidate.debit <= state.credit;
+            const weight = affordable ? getTryWeight(candidate, best, request) : 0;
+            weights.push(weight);
+            total += weight;
+        }
+        let point = this.#random.next() * total;
+        for (const [index, { option, debit }] of state.tries.entries()) {
+            point -= weights[index];
+            if (weights[index] > 0 && point < 0) {
+                state.credit = needy ? state.credit : state.credit - debit;
+                return option;
+            }
         }
-        const chosen = affordable[this.#random.nextInteger(affordable.length)];
-        state.credit -= chosen.debit;
-        return chosen.option;
+        return undefined;
     }
 
     #getState(request: ModelRequest): ClassState {
@@ -174,6 +186,7 @@
         const estimates = candidates.map(version => getEstimate(this.#evidence, version, requestClass));
         const singles = estimates.map(getSingleOption);
         const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
+        const isProbable = (option: PlanOption) => option.quality >= targetQuality;
         const sufficient = singles.filter(meets);
         const cascades: PlanOption[] = [];
         const hardness = getHardness(this.#evidence, requestClass, estimates);
@@ -188,7 +201,7 @@
                 }
             }
         }
-        const surest = getSurest(singles, confidence);
+        const surest = getSurest(singles);
         return {
             candidates,
             signature: getSignature(candidates),
@@ -198,33 +211,41 @@
             formedAt: this.#clock.monotonic(),
             singles: getUndominated(sufficient),
             all: getUndominated([...sufficient, ...cascades.filter(meets)]),
-            probable: getUndominated([...singles, ...cascades].filter(option => option.quality >= targetQuality)),
+            probable: getUndominated([...singles, ...cascades].filter(isProbable)),
+            probableSingles: getUndominated(singles.filter(isProbable)),
             surest,
-            tries: this.#formTries(request, estimates, surest),
+            tries: this.#formTries(request, estimates, getCheapest(sufficient, request) ?? surest),
             credit,
         };
     }
 
-    #formTries(request: ModelRequest, estimates: readonly Estimate[], surest: PlanOption): readonly Try[] {
+    #formTries(request: ModelRequest, estimates: readonly Estimate[], last: PlanOption): readonly Try[] {
         const tries: Try[] = [];
-        const last = surest.steps[0].version;
         for (const estimate of estimates) {
             const single = getSingleOption(estimate);
             const lower = getLowerBound(single, request.confidence);
             const upper = 2 * single.quality - lower;
+            const expectation = getExpectation(single, request.targetQuality);
             if (upper >= request.targetQuality && lower < request.targetQuality) {
-                tries.push({ option: single, debit: Math.max(0, request.targetQuality - lower) });
+                const { probability, shortfall } = expectation;
+                tries.push({ option: single, price: estimate.version, probability, debit: shortfall });
             }
-            else if (estimate.tally.ratings < wellKnownRatings && isCheaper(estimate.version, last)) {
-                tries.push({ option: this.#formCascadeTry(estimate, surest, request), debit: cascadeTryDebit });
+            if (estimate.tally.ratings < wellKnownRatings && isCheaper(estimate.version, last.steps[0].version)) {
+                const option = this.#formCascadeTry(estimate, last, request);
+                tries.push({
+                    option,
+                    price: estimate.version,
+                    probability: cascadeProbability,
+                    debit: cascadeTryDebit,
+                });
             }
         }
         return tries;
     }
 
     /** Forms a cascade whose first step is little known; only an answer rated at the target is taken from it. */
-    #formCascadeTry(estimate: Estimate, surest: PlanOption, request: ModelRequest): PlanOption {
-        const last = surest.steps[0].version;
+    #formCascadeTry(estimate: Estimate, single: PlanOption, request: ModelRequest): PlanOption {
+        const last = single.steps[0].version;
         return {
             steps: [
                 { version: estimate.version, acceptScore: request.targetQuality },
@@ -234,74 +255,11 @@
             outputPrice: estimate.version.outputPrice + last.outputPrice,
             fixedPrice: this.#settings.ratingPrice,
             quality: request.targetQuality,
-            deviation: surest.deviation,
+            deviation: single.deviation,
         };
     }
 }
 
-const quantiles = new Map<number, number>();
-
-function getLowerBound(option: PlanOption, confidence: number): number {
-    let quantile = quantiles.get(confidence);
-    if (quantile === undefined) {
-        quantile = getNormalQuantile(confidence);
-        quantiles.set(confidence, quantile);
-    }
-    return option.quality - quantile * option.deviation;
-}
-
-function getSurest(options: readonly PlanOption[], confidence: number): PlanOption {
-    let surest = options[0];
-    for (const option of options) {
-        if (getLowerBound(option, confidence) > getLowerBound(surest, confidence)) {
-            surest = option;
-        }
-    }
-    return surest;
-}
-
-function getCheapest(options: readonly PlanOption[], request: ModelRequest): PlanOption | undefined {
-    let cheapest: PlanOption | undefined;
-    let lowestCost = Infinity;
-    for (const option of options) {
-        const cost = getPlanCost(option, request.inputTokens, request.outputTokens);
-        if (cost < lowestCost) {
-            lowestCost = cost;
-            cheapest = option;
-        }
-    }
-    return cheapest;
-}
-
-function isCheaperPlan(one: PlanOption, other: PlanOption, request: ModelRequest): boolean {
-    const { inputTokens, outputTokens } = request;
-    return getPlanCost(one, inputTokens, outputTokens) < getPlanCost(other, inputTokens, outputTokens);
-}
-
-function isWorthTrying(option: PlanOption, best: PlanOption, bestCost: number, request: ModelRequest): boolean {
-    if (option.steps.length > 1) {
-        const first = option.steps[0].version;
-        const firstCost = (first.inputPrice * request.inputTokens + first.outputPrice * request.outputTokens)
-            / 1_000_000;
-        return firstCost < bestCost / 2;
-    }
-    const cheaper = getPlanCost(option, request.inputTokens, request.outputTokens) < bestCost;
-    return cheaper || best.quality < request.targetQuality;
-}
-
-function isCheaper(one: ModelVersion, other: ModelVersion): boolean {
-    return one.inputPrice < other.inputPrice && one.outputPrice <= other.outputPrice
-        || one.inputPrice <= other.inputPrice && one.outputPrice < other.outputPrice;
-}
-
-function getSignature(candidates: readonly ModelVersion[]): string {
-    let signature = "";
-    for (const { id, inputPrice, outputPrice, expectedQuality } of candidates) {
-        signature += `${id},${inputPrice},${outputPrice},${expectedQuality};`;
-    }
-    return signature;
-}
-
 function createPlan(option: PlanOption, request: ModelRequest, exploring: boolean, reason: string): Plan {
     return {
         steps: option.steps,
