--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -46,11 +46,13 @@
         new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
     upstreamAgent: ({ settings }) =>
         new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
-    log: ({ settings, clock }) =>
+    log: cradle =>
         new LogClient({
-            url: settings.platform.logUrl,
-            clock,
-            timeoutMilliseconds: settings.timing.logTimeoutMilliseconds,
+            url: cradle.settings.platform.logUrl,
+            clock: cradle.clock,
+            // Asked at each append: membership itself needs no log, and comes up after it.
+            getNewestFormat: () => cradle.membership.getCommonProtocol(),
+            timeoutMilliseconds: cradle.settings.timing.logTimeoutMilliseconds,
         }),
     follow: ({ settings, log, clock, journal }) => options =>
         new LogFollower({
--- a/src/log/logClient.ts
+++ b/src/log/logClient.ts
@@ -26,6 +26,11 @@
     readonly send?: LogTransport;
     /** Waits between attempts; by default on the machine's timers. */
     readonly sleep?: (milliseconds: number) => Promise<unknown>;
+    /**
+     * Returns the newest record format that every member reads. A newer record is refused, because a member that cannot
+     * read it would fold another state than the rest, and nobody would see that. Without it all formats are written.
+     */
+    readonly getNewestFormat?: () => number;
 }
 
 /** Options of a read. */
@@ -74,12 +79,14 @@
     readonly #timeoutMilliseconds: number;
     readonly #send: LogTransport;
     readonly #sleep: (milliseconds: number) => Promise<unknown>;
+    readonly #getNewestFormat: () => number;
 
     constructor(options: LogClientOptions) {
         this.#url = options.url.replace(/\/+$/, "");
         this.#clock = options.clock;
         this.#timeoutMilliseconds = options.timeoutMilliseconds ?? defaultTimeoutMilliseconds;
         this.#send = options.send ?? createTransport();
+        this.#getNewestFormat = options.getNewestFormat ?? (() => Number.POSITIVE_INFINITY);
         this.#sleep = options.sleep ?? (milliseconds => sleepFor(milliseconds));
     }
 
@@ -90,6 +97,9 @@
      * @returns The record's offset. A failure of the kind `unavailable` leaves it open whether the record was appended.
      */
     async append(stream: StreamName, record: LogRecord): Promise<Result<number, Failure>> {
+        if (record.format > this.#getNewestFormat()) {
+            return err(createTooNewFailure(stream, record));
+        }
         const body = JSON.stringify(record);
         if (Buffer.byteLength(body) > maximumRecordBytes) {
             return err(createTooLargeFailure(stream, Buffer.byteLength(body)));
@@ -308,3 +318,12 @@
 function isRetryable(failure: Failure): boolean {
     return failure.kind === "unavailable" || failure.kind === "overloaded";
 }
+
+function createTooNewFailure(stream: string, record: LogRecord): Failure {
+    return new Failure({
+        kind: "overloaded",
+        message: `A member cannot read format ${record.format}, so a record of it was not appended to ${stream}.`,
+        remedy: "Finish the replacement of the entries by the new release; until then write an older format.",
+        retryAfterMilliseconds: 1000,
+    });
+}
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -148,6 +148,24 @@
         return entry;
     }
 
+    /**
+     * Replaces an entry by a new VM on the same address, on a site without links.
+     * @param name - The entry that goes, at once.
+     * @param id - The new VM's identifier.
+     */
+    async replaceEntry(name: string, id: string): Promise<SiteEntry> {
+        const vm = this.#vms.get(name);
+        if (vm === undefined || this.#description.hasLinks === true) {
+            throw new Error(`There is no VM ${name}, or the site has links.`);
+        }
+        await this.getEntryOrThrow(name).process.kill();
+        await this.setVmState(name, "gone");
+        this.#vms.delete(name);
+        this.#entries.delete(name);
+        await this.#listVm({ ...vm, id });
+        return this.startEntry(id);
+    }
+
     /** Waits until all running entries serve and see each other. */
     async waitUntilReady(): Promise<void> {
         const running = this.getEntries().filter(entry => !entry.process.hasExited());
