Prove that members of older protocols get no newer records, and a replaced VM is a new member

Cause: the bound of record formats and a VM that replaces another on its address were tested nowhere with real processes. Ruled out: a build of an older release in the test; a member that gossips protocol 0 meets the same guard and needs no second program. Before: not tested. Conclusion: a record of a newer format waits; not proved is a real older release, since there is only one.

--- /dev/null
+++ b/test/proofs/membershipChanges.test.ts
@@ -0,0 +1,147 @@
+import { expect } from "earl";
+import { after, describe, it } from "node:test";
+import { RandomSource, systemClock } from "../../src/common/index.js";
+import { Journal } from "../../src/events/index.js";
+import { Gossip, Membership, PeerClient, PeerServer } from "../../src/membership/index.js";
+import { callJson, getApiKey, type Site, waitUntil } from "../../src/testbench/index.js";
+import type { Vm } from "../../src/world/index.js";
+import { print, type ProofSite, useProofSite } from "./fixtures.js";
+
+const network = "127.63.6";
+const oldPeerPort = 9_700;
+
+describe("Membership", () => {
+    const getProof = useProofSite(network, { hasLinks: false });
+    const finishers: (() => unknown)[] = [];
+    after(async () => {
+        for (const finish of finishers) {
+            await finish();
+        }
+    });
+
+    // A VM is replaced by another one on the same address. What the others know of the old one must not be taken for
+    // the new one's word: its configuration would look older or newer than it is, and its bills would be given up.
+    it("takes a VM that replaces another on its address for a new member", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const old = site.getEntryOrThrow("entry-3");
+        const replaced = await site.replaceEntry("entry-3", "entry-4");
+        expect(replaced.callers).toEqual(old.callers);
+        await site.waitUntilReady();
+        const offset = await site.publish([{ section: "version.label-large@3", key: "input_price", value: "9" }]);
+        await site.waitInForce(offset);
+        for (const entry of ["entry-1", "entry-2", "entry-4"]) {
+            const { members } = await site.getStatus(entry);
+            expect(members.map(member => `${member.id} ${member.state}`).sort()).toEqual([
+                "entry-1 alive",
+                "entry-2 alive",
+                "entry-4 alive",
+            ]);
+            const record = await print(proof, entry, `replaced-${entry}`);
+            expect(record.record.status).toEqual(200);
+        }
+    });
+
+    // Entries are replaced by a new release one after another. If a new one wrote a record that an old one cannot read,
+    // the old one would pass over it or stop, and the two would disagree about who holds a key or a lease.
+    it("keeps records out of the log that a member of an older protocol cannot read", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const entries = site.getEntries().map(entry => entry.name);
+        const vm = createOldVm();
+        finishers.push(...await startOldMember(site, vm));
+        const list = site.getPlatform("vm-list");
+        await callJson({ address: list, path: `/vms/${vm.id}`, method: "PUT", body: vm });
+        await waitUntil(async () => {
+            const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+            return states.every(({ members }) =>
+                members.some(member => member.id === vm.id && member.state === "alive")
+            );
+        }, { what: "all entries to know the old member" });
+        await waitUntil(async () => {
+            const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+            return states.every(state => !state.holdsLease);
+        }, { what: "leases to lapse, since they cannot be renewed" });
+        const before = await countRecords(site);
+        for (const entry of entries) {
+            const refused = await print(proof, entry, `mixed-${entry}`);
+            expect([refused.record.status, refused.record.outcome]).toEqual([503, "not-run"]);
+            expect((await ask(proof, entry)).status).toEqual(200);
+        }
+        expect(await countRecords(site)).toEqual(before);
+        await callJson({ address: list, path: `/vms/${vm.id}`, method: "DELETE" });
+        for (const entry of entries) {
+            await waitUntil(async () => (await print(proof, entry, `mixed-${entry}`)).record.status === 200, {
+                what: `${entry} to write again`,
+            });
+        }
+        await waitUntil(async () => (await site.readBills()).size >= entries.length, {
+            what: "the bills to be written",
+        });
+    });
+});
+
+function createOldVm(): Vm {
+    return {
+        id: "entry-old",
+        address: `${network}.150`,
+        port: oldPeerPort + 1,
+        peerPort: oldPeerPort,
+        role: "entry",
+        pool: "",
+        failureDomain: "taguig",
+        region: "metro-manila",
+        state: "live",
+    };
+}
+
+/** Starts a member that gossips and reads nothing newer than protocol 0. */
+async function startOldMember(site: Site, vm: Vm): Promise<readonly (() => unknown)[]> {
+    const self = { ...vm, peerPort: oldPeerPort };
+    const journal = new Journal({ process: vm.id, clock: systemClock, write: () => undefined });
+    const client = new PeerClient({});
+    const gossip = new Gossip({
+        self,
+        clock: systemClock,
+        random: new RandomSource(1),
+        journal,
+        transport: client.createGossipTransport(),
+        periodMilliseconds: 100,
+        bytesPerExchange: 65_536,
+    });
+    const protocol = { oldest: 0, newest: 0 };
+    const membership = new Membership({ self, gossip, clock: systemClock, journal, protocol });
+    const { vms } = await callJson<{ vms: readonly Vm[]; }>({ address: site.getPlatform("vm-list"), path: "/vms" });
+    membership.setVms([...vms, vm]);
+    const server = new PeerServer({
+        address: self.address,
+        port: self.peerPort,
+        journal,
+        handlers: {
+            exchange: gossip.handleExchange.bind(gossip),
+            push: request => ({ counter: gossip.handlePush(request) }),
+            copyBills: () => ({ kept: [], counter: 0 }),
+            decideClaims: () => ({ decisions: [], counter: 0 }),
+            fetchState: () => ({ newer: false, offset: 0, state: Buffer.alloc(0), counter: 0, ageMilliseconds: 0 }),
+        },
+    });
+    (await server.start())._unsafeUnwrap();
+    gossip.start();
+    return [() => gossip.stop(), () => client.close(), () => server.stop()];
+}
+
+/** Counts the records that entries wrote into all streams. */
+async function countRecords(site: Site): Promise<number> {
+    const journal = await callJson<readonly object[]>({ address: site.getPlatform("log"), path: "/journal?from=0" });
+    return journal.length;
+}
+
+function ask(proof: ProofSite, entry: string) {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: getApiKey("commissary"),
+        text: "Which trays are ready?",
+        maximumTokens: 8,
+        boundMilliseconds: 5000,
+    });
+}
