Send load in an open loop with a schedule that is fixed in advance

Cause: the callers of the test bench send their next request when the last one is done. They send less while the site is slow, so their percentiles leave out the requests that would have waited (coordinated omission). Ruled out: correcting a closed loop's histogram afterwards, since the missing requests' waits are then guessed. Change: src/load draws all arrival times from a seed (Poisson), then the mix; the loop never waits for an answer and every time counts from the intended arrival. Profiles are INI, checked like settings files. Before: no open-loop load. With the loop awaiting each answer the first loop test fails; with times counted from sending the second one fails. Conclusion: the loop does what it should before a fake site; a real one comes with the program.

--- /dev/null
+++ b/src/load/profile.ts
@@ -0,0 +1,214 @@
+/**
+ * Load profiles: which work arrives, from which workspaces and in which shares.
+ */
+import { err, ok, type Result } from "neverthrow";
+import {
+    checkSettings,
+    choice,
+    decimal,
+    defineSection,
+    getValues,
+    integer,
+    type Mistake,
+    name,
+    optional,
+    type SectionSchema,
+    type SettingDocument,
+    type SettingKeys,
+    type SettingSchema,
+    type SettingValues,
+    text,
+    toggle,
+} from "../settings/index.js";
+
+const loadSection = defineSection("load", "How much load there is and what counts as a good answer.", {
+    rate: decimal({
+        description: "Requests that arrive per second on average; `--rate` goes before it.",
+        example: "20",
+        defaultText: "10",
+        minimum: 0.01,
+        maximum: 100_000,
+    }),
+    seconds: decimal({
+        description: "How long requests arrive; `--seconds` goes before it.",
+        example: "60",
+        defaultText: "30",
+        minimum: 0.1,
+        maximum: 86_400,
+    }),
+    seed: integer({
+        description: "Seed of the arrivals and the mix; `--seed` goes before it.",
+        example: "7",
+        defaultText: "1",
+        minimum: 0,
+        maximum: 2_147_483_647,
+    }),
+    first_token_ms: integer({
+        description: "A chat completion is good when its first token comes this soon after its intended arrival.",
+        example: "900",
+        defaultText: "900",
+        minimum: 1,
+        maximum: 600_000,
+    }),
+    bound_ms: integer({
+        description: "How long a caller waits for one try.",
+        example: "30000",
+        defaultText: "30000",
+        minimum: 1,
+        maximum: 600_000,
+    }),
+    tries: integer({
+        description:
+            "How often a caller sends a request at most, when it is told to come back or its connection fails.",
+        example: "3",
+        defaultText: "3",
+        minimum: 1,
+        maximum: 100,
+    }),
+}, false);
+
+const workspaceKeys = {
+    key: text({ description: "The API key of the workspace.", example: "example key of makati-commissary" }),
+};
+
+const workKeys = {
+    kind: choice(["chat", "conversation", "service"], {
+        description: "A chat completion, a chat completion of a session, or a call to a plain service.",
+        example: "chat",
+    }),
+    workspace: name({ description: "The workspace that asks.", example: "makati-commissary" }),
+    share: decimal({
+        description: "Part of all requests, relative to the other sections.",
+        example: "3",
+        defaultText: "1",
+        minimum: 0,
+        maximum: 1_000_000,
+    }),
+    model: text({ description: "The model to ask for.", example: "auto", defaultText: "auto" }),
+    application: optional(name({ description: "The application within the workspace.", example: "declarations" })),
+    request_class: optional(name({ description: "The class of the requests.", example: "wear-tag" })),
+    streamed: toggle({ description: "Whether answers are streamed.", example: "true", defaultText: "true" }),
+    prompt_characters: integer({
+        description: "Length of the history that stands before each question.",
+        example: "12000",
+        defaultText: "200",
+        minimum: 0,
+        maximum: 1_000_000,
+    }),
+    histories: integer({
+        description: "How many different histories there are; requests over one history share a prompt prefix.",
+        example: "20",
+        defaultText: "20",
+        minimum: 1,
+        maximum: 1_000_000,
+    }),
+    maximum_tokens: optional(integer({
+        description: "Most tokens of an answer.",
+        example: "256",
+        minimum: 1,
+        maximum: 1_000_000,
+    })),
+    open_sessions: integer({
+        description: "How many sessions of a conversation are open at a time.",
+        example: "8",
+        defaultText: "8",
+        minimum: 1,
+        maximum: 100_000,
+    }),
+    turns: integer({
+        description: "Questions in a session before a new one takes its place.",
+        example: "4",
+        defaultText: "4",
+        minimum: 1,
+        maximum: 10_000,
+    }),
+    pool: optional(name({ description: "The pool of a plain service.", example: "label-app" })),
+    path: text({ description: "The path of the service's calls.", example: "/print", defaultText: "/" }),
+};
+
+const workspaceSection = defineNamed("workspace", "A workspace that asks.", workspaceKeys);
+const workSection = defineNamed("work", "One kind of work.", workKeys);
+
+/** What a load profile may hold. */
+export const profileSchema: SettingSchema = {
+    title: "Load profile",
+    description: "Read by `rattanlock-load --profile FILE`.",
+    sections: [loadSection, workspaceSection, workSection],
+};
+
+/** How much load there is and what counts as a good answer. */
+export type LoadSettings = SettingValues<typeof loadSection.keys>;
+
+/** One kind of work. */
+export interface LoadWork extends Omit<SettingValues<typeof workKeys>, "workspace"> {
+    readonly name: string;
+    readonly workspace: string;
+    readonly key: string;
+}
+
+/** A load profile. */
+export interface LoadProfile {
+    readonly load: LoadSettings;
+    readonly works: readonly LoadWork[];
+}
+
+/**
+ * Reads a load profile and reports every mistake in it.
+ * @param content - The text of the file.
+ * @param file - The file's name, for messages.
+ */
+export function parseLoadProfile(content: string, file: string): Result<LoadProfile, readonly Mistake[]> {
+    return checkSettings(content, file, profileSchema).andThen(document => {
+        const mistakes = checkWorks(document);
+        if (mistakes.length > 0) {
+            return err(mistakes);
+        }
+        const works = getNames(document, "work").map(section => readWork(document, section));
+        return ok({ load: getValues(document, "load", loadSection), works });
+    });
+}
+
+function defineNamed<Keys extends SettingKeys>(kind: string, description: string, keys: Keys): SectionSchema<Keys> {
+    const pattern = new RegExp(`^${kind}\\.[A-Za-z0-9][A-Za-z0-9_-]*$`);
+    return { title: `${kind}.NAME`, description, pattern, isRequired: false, keys };
+}
+
+function getNames(document: SettingDocument, kind: string): readonly string[] {
+    return [...document.sections.keys()].filter(section => section.startsWith(`${kind}.`));
+}
+
+function readWork(document: SettingDocument, section: string): LoadWork {
+    const values = getValues(document, section, workSection);
+    const { key } = getValues(document, `workspace.${values.workspace}`, workspaceSection);
+    return { ...values, key, name: section.slice("work.".length) };
+}
+
+function checkWorks(document: SettingDocument): readonly Mistake[] {
+    const mistakes: Mistake[] = [];
+    let shares = 0;
+    for (const section of getNames(document, "work")) {
+        const { workspace, kind, pool, share } = getValues(document, section, workSection);
+        const { lines, line } = document.sections.get(section) ?? { lines: new Map(), line: 0 };
+        const place = { file: document.file, section };
+        shares += share;
+        if (!document.sections.has(`workspace.${workspace}`)) {
+            mistakes.push({
+                ...place,
+                key: "workspace",
+                line: lines.get("workspace")?.line ?? line,
+                message: `There is no [workspace.${workspace}].`,
+                remedy: "Add the section with the workspace's key.",
+            });
+        }
+        if (kind === "service" && pool === undefined) {
+            const remedy = "Write, for instance, pool = label-app.";
+            mistakes.push({ ...place, key: "pool", line, message: "A service needs its pool.", remedy });
+        }
+    }
+    if (shares === 0) {
+        const message = "No work has a share above 0.";
+        const remedy = "Add a [work.NAME] section with kind, workspace and share.";
+        mistakes.push({ file: document.file, section: "", key: "", line: 0, message, remedy });
+    }
+    return mistakes;
+}
--- /dev/null
+++ b/src/load/prompt.ts
@@ -0,0 +1,29 @@
+/**
+ * Texts of questions. Questions over one history begin alike, so that they can share a cached prompt prefix.
+ */
+import type { Arrival } from "./schedule.js";
+
+/**
+ * Returns the text of a request's question.
+ * @param arrival - The request.
+ */
+export function createPrompt(arrival: Arrival): string {
+    const { work, history, turn, number } = arrival;
+    const lines = [createHistory(`${work.name} history ${history}`, work.promptCharacters)];
+    for (let earlier = 0; earlier < turn; earlier += 1) {
+        lines.push(`Question ${earlier + 1} of ${arrival.session}`);
+    }
+    lines.push(`Question ${turn + 1} of ${arrival.session ?? number}: what is to be done next?`);
+    return lines.join("\n");
+}
+
+function createHistory(title: string, characters: number): string {
+    const lines: string[] = [];
+    let length = 0;
+    for (let job = 1; length < characters; job += 1) {
+        const line = `${title}, job ${job}: received, checked, worked on and returned.`;
+        lines.push(line);
+        length += line.length + 1;
+    }
+    return lines.join("\n").slice(0, characters);
+}
--- /dev/null
+++ b/src/load/recorder.ts
@@ -0,0 +1,174 @@
+/**
+ * Sums up the records of a run in histograms and counts.
+ */
+import { build, type Histogram } from "hdr-histogram-js";
+import type { LoadRecord } from "./loadClient.js";
+import { type Distribution, type LoadResult, loadResultFormat, type LoadSecond } from "./loadResult.js";
+
+const microsecondsPerMillisecond = 1000;
+const millisecondsPerSecond = 1000;
+const significantDigits = 3;
+/** Percentiles of the curve, closer to each other towards the slowest. */
+const curvePercentiles: readonly number[] = [0, 10, 25, 50, 75, 90, 95, 97.5, 99, 99.5, 99.9, 99.99, 100];
+
+/** What a run was. */
+export interface RunDescription {
+    readonly title: string;
+    readonly startedAt: Date;
+    readonly ratePerSecond: number;
+    readonly seconds: number;
+    readonly seed: number;
+    /** A chat completion is good when its first token comes this soon after its intended arrival. */
+    readonly goodFirstTokenMilliseconds: number;
+}
+
+/** Takes the records of a run. */
+export class Recorder {
+    readonly #description: RunDescription;
+    readonly #firstToken = createHistogram();
+    readonly #gap = createHistogram();
+    readonly #answer = createHistogram();
+    readonly #refusal = createHistogram();
+    readonly #late = createHistogram();
+    readonly #ends = new Map<string, number>();
+    readonly #outcomes = new Map<string, number>();
+    readonly #statuses = new Map<string, number>();
+    readonly #versions = new Map<string, number>();
+    readonly #workspaces = new Map<string, number>();
+    readonly #works = new Map<string, number>();
+    readonly #timeLine: { -readonly [Key in keyof LoadSecond]: number; }[] = [];
+    #requests = 0;
+    #tries = 0;
+    #good = 0;
+
+    constructor(description: RunDescription) {
+        this.#description = description;
+    }
+
+    /**
+     * Takes a record.
+     * @param record - What became of a request.
+     */
+    add(record: LoadRecord): void {
+        const { arrival } = record;
+        this.#requests += 1;
+        this.#tries += record.tries;
+        recordTime(this.#late, record.lateMilliseconds);
+        if (record.firstTokenMilliseconds !== undefined) {
+            recordTime(this.#firstToken, record.firstTokenMilliseconds);
+        }
+        for (const gap of record.gaps) {
+            recordTime(this.#gap, gap);
+        }
+        for (const refusal of record.refusals) {
+            recordTime(this.#refusal, refusal);
+        }
+        if (record.end === "answered") {
+            recordTime(this.#answer, record.milliseconds);
+        }
+        increase(this.#ends, record.end);
+        increase(this.#outcomes, record.outcome ?? "none told");
+        increase(this.#statuses, String(record.status));
+        increase(this.#workspaces, arrival.work.workspace);
+        increase(this.#works, arrival.work.name);
+        if (record.version !== undefined) {
+            increase(this.#versions, record.version);
+        }
+        this.#addToTimeLine(record);
+    }
+
+    /** Returns the result so far. */
+    getResult(): LoadResult {
+        const { title, startedAt, ratePerSecond, seconds, seed } = this.#description;
+        return {
+            format: loadResultFormat,
+            title,
+            startedAt: startedAt.toISOString(),
+            ratePerSecond,
+            seconds,
+            seed,
+            requests: this.#requests,
+            tries: this.#tries,
+            goodPerSecond: this.#good / seconds,
+            distributions: {
+                firstToken: summarize(this.#firstToken),
+                gap: summarize(this.#gap),
+                answer: summarize(this.#answer),
+                refusal: summarize(this.#refusal),
+                late: summarize(this.#late),
+            },
+            ends: toObject(this.#ends),
+            outcomes: toObject(this.#outcomes),
+            statuses: toObject(this.#statuses),
+            versions: toObject(this.#versions),
+            workspaces: toObject(this.#workspaces),
+            works: toObject(this.#works),
+            timeLine: this.#timeLine.map(second => ({ ...second })),
+        };
+    }
+
+    #addToTimeLine(record: LoadRecord): void {
+        this.#getSecond(record.arrival.at).arrived += 1;
+        const second = this.#getSecond(record.arrival.at + record.milliseconds);
+        if (record.end === "refused") {
+            second.refused += 1;
+        }
+        else if (record.end !== "answered") {
+            second.failed += 1;
+        }
+        else if (this.#isGood(record)) {
+            second.good += 1;
+            this.#good += 1;
+        }
+    }
+
+    #isGood({ arrival, firstTokenMilliseconds, milliseconds }: LoadRecord): boolean {
+        const { goodFirstTokenMilliseconds } = this.#description;
+        if (arrival.work.kind === "service") {
+            return milliseconds <= goodFirstTokenMilliseconds;
+        }
+        return firstTokenMilliseconds !== undefined && firstTokenMilliseconds <= goodFirstTokenMilliseconds;
+    }
+
+    #getSecond(milliseconds: number) {
+        const index = Math.floor(milliseconds / millisecondsPerSecond);
+        while (this.#timeLine.length <= index) {
+            this.#timeLine.push({ arrived: 0, good: 0, refused: 0, failed: 0 });
+        }
+        return this.#timeLine[index];
+    }
+}
+
+function createHistogram(): Histogram {
+    return build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: significantDigits });
+}
+
+function recordTime(histogram: Histogram, milliseconds: number): void {
+    histogram.recordValue(Math.max(0, Math.round(milliseconds * microsecondsPerMillisecond)));
+}
+
+function summarize(histogram: Histogram): Distribution {
+    const at = (percentile: number): number => {
+        return histogram.totalCount === 0
+            ? 0
+            : histogram.getValueAtPercentile(percentile) / microsecondsPerMillisecond;
+    };
+    return {
+        count: histogram.totalCount,
+        mean: histogram.totalCount === 0 ? 0 : histogram.mean / microsecondsPerMillisecond,
+        p50: at(50),
+        p90: at(90),
+        p95: at(95),
+        p99: at(99),
+        maximum: at(100),
+        curve: histogram.totalCount === 0 ? [] : curvePercentiles.map(percentile => [percentile, at(percentile)]),
+    };
+}
+
+function increase(counts: Map<string, number>, name: string): void {
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+}
+
+function toObject(counts: ReadonlyMap<string, number>): Readonly<Record<string, number>> {
+    return Object.fromEntries([...counts].sort(([left], [right]) => left.localeCompare(right)));
+}
--- /dev/null
+++ b/test/load/openLoop.test.ts
@@ -0,0 +1,93 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../src/common/index.js";
+import { type Arrival, type Channel, createSchedule, LoadClient, runOpenLoop } from "../../src/load/index.js";
+import { type ChatRecord, waitUntil } from "../../src/testbench/index.js";
+import { createAnswer, createChannel } from "../fixtures/loadChannels.js";
+import { createProfile } from "../fixtures/loadProfiles.js";
+
+const { works } = createProfile("[work.tag]\nkind = chat\nworkspace = commissary\n");
+const schedule = createSchedule({ works, ratePerSecond: 20, seconds: 2, seed: 4 });
+const bound = 1e-6;
+
+function createRun(clock: ManualClock, channel: Partial<Channel>) {
+    const client = new LoadClient({
+        channel: createChannel(channel),
+        clock,
+        settings: { boundMilliseconds: 1000, tries: 1 },
+        run: "run",
+    });
+    // Lets what was sent reach the channel before the time moves on.
+    const sleep = async (milliseconds: number): Promise<void> => {
+        await new Promise(resolve => setImmediate(resolve));
+        clock.advance(milliseconds);
+    };
+    return { client, sleep };
+}
+
+describe("runOpenLoop", () => {
+    // The site stops answering. Callers go on arriving, as real ones do, and each of them waits; a generator that waited
+    // for answers before it sent more would show the operator one slow request and hide all the others.
+    it("sends each request at its time though none before it was answered", async () => {
+        const clock = new ManualClock(500);
+        const sentAt: number[] = [];
+        const answers: (() => void)[] = [];
+        const { client, sleep } = createRun(clock, {
+            chat: () => {
+                sentAt.push(clock.monotonic());
+                return new Promise<ChatRecord>(resolve => answers.push(() => resolve(createAnswer())));
+            },
+        });
+        const latencies: number[] = [];
+        const send = async (arrival: Arrival, intendedAt: number): Promise<void> => {
+            latencies.push((await client.send(arrival, intendedAt)).milliseconds);
+        };
+        let isOver = false;
+        const running = runOpenLoop({ schedule, clock, send, sleep }).then(() => isOver = true);
+        await waitUntil(() => sentAt.length >= schedule.length, { what: "all requests to be sent" });
+        expect(schedule.length > 20).toEqual(true);
+        expect(sentAt.length).toEqual(schedule.length);
+        for (const [index, { at }] of schedule.entries()) {
+            expect(Math.abs(sentAt[index] - 500 - at) < bound).toEqual(true);
+        }
+        expect(isOver).toEqual(false);
+        clock.advance(3000);
+        const end = clock.monotonic();
+        for (const answer of answers) {
+            answer();
+        }
+        await running;
+        for (const [index, { at }] of schedule.entries()) {
+            expect(Math.abs(latencies[index] - (end - 500 - at)) < bound).toEqual(true);
+        }
+    });
+
+    // The machine that generates the load is held up for a second, so requests leave late. A caller would have waited that
+    // second too; counted from the moment of sending, the wait would be missing from the percentiles.
+    it("counts from the intended arrival when a request is sent late", async () => {
+        const clock = new ManualClock();
+        const { client, sleep } = createRun(clock, {
+            chat: async ask => {
+                ask.onProgress?.(1);
+                return createAnswer();
+            },
+        });
+        let count = 0;
+        const records: { late: number; firstToken: number | undefined; }[] = [];
+        const send = async (arrival: Arrival, intendedAt: number): Promise<void> => {
+            count += 1;
+            if (count === 5) {
+                clock.advance(1000);
+            }
+            const record = await client.send(arrival, intendedAt);
+            records.push({ late: record.lateMilliseconds, firstToken: record.firstTokenMilliseconds });
+        };
+        await runOpenLoop({ schedule, clock, send, sleep });
+        const heldUp = schedule[4].at + 1000;
+        for (const [index, { at }] of schedule.entries()) {
+            const expected = index < 4 ? 0 : Math.max(0, heldUp - at);
+            expect(Math.abs(records[index].late - expected) < bound).toEqual(true);
+            expect((records[index].firstToken ?? -1) >= records[index].late).toEqual(true);
+        }
+    });
+});
