Count escalated answers apart, date ratings by their answers, and share evidence in parts

Ruled out: larger exchanges (27 KB/s a node is the bound). Change: escalated answers go to addEscalation only; answeredAt; exploring plans are rated; a key for each version and class, only what changed; runs of an entry are told apart by incarnation; plans without cascades while ratings are away. Conclusion: the entry now feeds the decisions as their measurements assume.

--- a/src/entry/chatPipeline.ts
+++ b/src/entry/chatPipeline.ts
@@ -21,6 +21,8 @@
     readonly journal: Journal;
     /** Milliseconds since the configuration was last confirmed as the newest. */
     readonly getConfigurationAge: () => number;
+    /** Whether ratings come; without them a cascade would escalate every answer. */
+    readonly areRatingsAvailable: () => boolean;
     readonly admission: AdmissionController;
     readonly chooser: ModelChooser;
     readonly versions: VersionPolicy;
@@ -142,6 +144,7 @@
             confidence: call.settings.confidence,
             inputTokens: call.request.estimatedInputTokens,
             outputTokens: call.request.estimatedOutputTokens,
+            ratingsAvailable: this.#options.areRatingsAvailable(),
         });
     }
 
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -58,6 +58,7 @@
             clock: cradle.clock,
             journal: cradle.journal,
             getConfigurationAge: () => cradle.state.getConfigurationAge(),
+            areRatingsAvailable: () => cradle.ratings.isAvailable(),
             admission: cradle.admission,
             chooser: cradle.chooser,
             versions: cradle.versions,
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -124,13 +124,14 @@
             isGone: origin => isGone(membership, origin),
             getIncarnation: origin => membership.getIncarnation(origin),
         }),
-    shared: ({ gossip, evidence, exposures, rollouts, runners, configuration }) =>
+    shared: ({ gossip, evidence, exposures, rollouts, runners, configuration, membership }) =>
         new SharedState({
             gossip,
             evidence,
             exposures,
             rollouts,
             runners,
+            getIncarnation: origin => membership.getIncarnation(origin),
             getConfigurationAge: () => configuration.getAge(),
         }),
     fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random }) =>
--- a/src/entry/planRunner.ts
+++ b/src/entry/planRunner.ts
@@ -43,6 +43,8 @@
     readonly earlierLines: BillLine[];
     /** What is known of the earlier steps together: once one ran, the request is no longer "not run". */
     outcome: Outcome;
+    /** Whether the plan was chosen to learn. */
+    readonly exploring: boolean;
     /** The rated answer in whose place the next one comes. */
     escalatedFrom: RatedStep | undefined;
 }
@@ -66,7 +68,12 @@
      * @param plan - The plan.
      */
     async run(call: ChatCall, plan: Plan): Promise<Result<ServedWork, Refusal>> {
-        const progress: Progress = { earlierLines: [], outcome: "not-run", escalatedFrom: undefined };
+        const progress: Progress = {
+            earlierLines: [],
+            outcome: "not-run",
+            escalatedFrom: undefined,
+            exploring: plan.exploring,
+        };
         for (let index = 0; index < plan.steps.length; index += 1) {
             const step = plan.steps[index];
             const isLast = index === plan.steps.length - 1;
@@ -91,8 +98,9 @@
         progress: Progress,
     ): Promise<Result<ServedWork, Refusal>> {
         const { version } = step;
-        const { earlierLines, escalatedFrom } = progress;
-        const isSampled = escalatedFrom !== undefined || this.#options.isSampled(call.requestClass);
+        const { earlierLines, escalatedFrom, exploring } = progress;
+        // A plan that explores is paid for to learn; without its rating the price is lost.
+        const isSampled = escalatedFrom !== undefined || exploring || this.#options.isSampled(call.requestClass);
         const text = isSampled ? new AnswerText() : undefined;
         const result = await this.#options.attempts.run({
             call,
@@ -185,18 +193,28 @@
     async #rateNow(call: ChatCall, version: ModelVersion, answer: string): Promise<number | undefined> {
         const timeLeft = getTimeLeft(call, this.#options.clock.monotonic());
         const timeout = Math.max(1, Math.min(maximumRatingMilliseconds, timeLeft * ratingTimeShare));
-        return this.#rate(call, version, answer, timeout);
+        const score = await this.#rate(call, version, answer, timeout);
+        this.#addRating(call, version, score, this.#options.clock.wall());
+        return score;
     }
 
-    /** Rates an answer that the caller has already, to learn from it. */
+    /**
+     * Rates an answer that the caller has already, to learn from it. An answer that came in place of a rejected one was
+     * given to a harder request than most, so it counts among escalations only: among the others it would make the
+     * second version look worse than it is.
+     */
     async #rateLater(
         call: ChatCall,
         version: ModelVersion,
         answer: string,
         escalatedFrom: RatedStep | undefined,
     ): Promise<void> {
+        const answeredAt = this.#options.clock.wall();
         const score = await this.#rate(call, version, answer);
-        if (score !== undefined && escalatedFrom !== undefined) {
+        if (escalatedFrom === undefined) {
+            this.#addRating(call, version, score, answeredAt);
+        }
+        else if (score !== undefined) {
             this.#options.evidence.addEscalation({
                 first: escalatedFrom.version,
                 second: version.id,
@@ -207,6 +225,14 @@
         }
     }
 
+    /** Counts a rating at the time of its answer, since a change of a version is dated by answers. */
+    #addRating(call: ChatCall, version: ModelVersion, score: number | undefined, answeredAt: number): void {
+        if (score !== undefined) {
+            const { requestClass } = call;
+            this.#options.evidence.addRating({ version: version.id, requestClass, score, answeredAt });
+        }
+    }
+
     async #rate(
         call: ChatCall,
         version: ModelVersion,
@@ -221,13 +247,11 @@
             answer,
         }, timeoutMilliseconds);
         const score = rated.unwrapOr(undefined);
-        if (score === undefined) {
-            return undefined;
+        if (score !== undefined) {
+            const labels = { version: version.id, class: call.requestClass };
+            this.#options.metrics.ratings.inc(labels, score);
+            this.#options.metrics.ratingCount.inc(labels);
         }
-        const labels = { version: version.id, class: call.requestClass };
-        this.#options.evidence.addRating({ version: version.id, requestClass: call.requestClass, score });
-        this.#options.metrics.ratings.inc(labels, score);
-        this.#options.metrics.ratingCount.inc(labels);
         return score;
     }
 
--- a/src/entry/sharedState.ts
+++ b/src/entry/sharedState.ts
@@ -11,7 +11,8 @@
 /** Pause between two publications, in milliseconds. */
 const publicationPauseMilliseconds = 1000;
 
-const evidenceKey = "evidence";
+const evidencePrefix = "evidence/";
+const noSequence = -1;
 const exposuresKey = "exposures";
 const freshKey = "fresh";
 const haltPrefix = "halt/";
@@ -26,6 +27,8 @@
     readonly exposures: Exposures;
     readonly rollouts: RolloutFold;
     readonly runners: RunnerChooser;
+    /** Tells the runs of an entry apart. */
+    readonly getIncarnation: (origin: string) => string | number | undefined;
     /** Milliseconds since this entry confirmed its configuration. */
     readonly getConfigurationAge: () => number;
 }
@@ -34,7 +37,7 @@
 export class SharedState {
     readonly #options: SharedStateOptions;
     readonly #task: RepeatedTask;
-    #evidenceSequence = -1;
+    #evidenceSequence = 0;
     #exposuresSequence = -1;
     #publishedFresh: boolean | undefined;
 
@@ -82,11 +85,7 @@
     }
 
     #publish(): void {
-        const evidence = this.#options.evidence.exportOwn();
-        if (evidence.sequence !== this.#evidenceSequence) {
-            this.#evidenceSequence = evidence.sequence;
-            this.#set(evidenceKey, evidence, false);
-        }
+        this.#publishEvidence();
         const exposures = this.#options.exposures.exportOwn();
         if (exposures.sequence !== this.#exposuresSequence) {
             this.#exposuresSequence = exposures.sequence;
@@ -99,6 +98,24 @@
         }
     }
 
+    /**
+     * Publishes what changed since the last time, each version's counts in a class under a key of their own: together
+     * they may be larger than an exchange carries.
+     */
+    #publishEvidence(): void {
+        const { sequence, series, escalations } = this.#options.evidence.exportOwn(this.#evidenceSequence);
+        if (sequence === this.#evidenceSequence) {
+            return;
+        }
+        this.#evidenceSequence = sequence;
+        for (const counts of series) {
+            // Without a sequence of its own this part leaves the escalations, which it does not hold, as they are.
+            const part: EvidenceCounts = { sequence: noSequence, series: [counts], escalations: [] };
+            this.#set(`${evidencePrefix}${counts.version}/${counts.requestClass}`, part, false);
+        }
+        this.#set(`${evidencePrefix}escalations`, { sequence, series: [], escalations }, false);
+    }
+
     #set(key: string, value: unknown, urgent: boolean): void {
         this.#options.gossip.set(key, Buffer.from(JSON.stringify(value)), { urgent });
     }
@@ -107,8 +124,10 @@
         if (value === undefined) {
             return;
         }
-        if (key === evidenceKey) {
-            this.#options.evidence.merge(origin, JSON.parse(value.toString()) as EvidenceCounts);
+        if (key.startsWith(evidencePrefix)) {
+            const counts = JSON.parse(value.toString()) as EvidenceCounts;
+            // A restarted entry counts from zero, so its runs must not be taken for one another.
+            this.#options.evidence.merge(`${origin}/${this.#options.getIncarnation(origin)}`, counts);
         }
         else if (key === exposuresKey) {
             this.#options.exposures.merge(origin, JSON.parse(value.toString()) as ExposureCounts);
--- a/src/upstream/ratingClient.ts
+++ b/src/upstream/ratingClient.ts
@@ -21,11 +21,15 @@
     readonly timeoutMilliseconds: number;
 }
 
+/** Failures in a row after which the service counts as away. Sampled answers go on asking, so its return shows. */
+const unavailableAfterFailures = 3;
+
 /** Asks for ratings. */
 export class RatingClient {
     readonly #url: string;
     readonly #dispatcher: Dispatcher;
     readonly #timeout: number;
+    #failuresInRow = 0;
 
     constructor(options: RatingClientOptions) {
         this.#url = options.url;
@@ -33,6 +37,11 @@
         this.#timeout = options.timeoutMilliseconds;
     }
 
+    /** Tells whether ratings come, so that plans may build on them. */
+    isAvailable(): boolean {
+        return this.#failuresInRow < unavailableAfterFailures;
+    }
+
     /**
      * Rates an answer. The score is `undefined` when the service leaves this answer unrated.
      * @param rating - The answer.
@@ -42,6 +51,12 @@
         rating: RatingRequest,
         timeoutMilliseconds: number = this.#timeout,
     ): Promise<Result<number | undefined, Failure>> {
+        const rated = await this.#ask(rating, timeoutMilliseconds);
+        this.#failuresInRow = rated.isOk() ? 0 : this.#failuresInRow + 1;
+        return rated;
+    }
+
+    async #ask(rating: RatingRequest, timeoutMilliseconds: number): Promise<Result<number | undefined, Failure>> {
         try {
             const response = await request(`${this.#url}/ratings`, {
                 method: "POST",
