Signal a ledger again while it is stopping

Cause: the guard that takes a second signal for the first was switched off and the test still passed: the ledger ended before the second signal came, and another kind of signal ran the shutdown twice without harm. Change: a request that is never finished holds the ledger's end up, and the second signal is sent after the first one's event.

--- a/test/proofs/shutdown.test.ts
+++ b/test/proofs/shutdown.test.ts
@@ -1,5 +1,7 @@
 import { expect } from "earl";
+import { once } from "node:events";
 import { mkdtempSync, rmSync } from "node:fs";
+import { connect, type Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, it } from "node:test";
@@ -126,9 +128,12 @@
                 for (let round = 0; round < 3; round += 1) {
                     const ledger = await start();
                     await waitUntil(async () => (await readTotals()).requests > 0, { what: "bills in the ledger" });
+                    const unfinished = await beginRequest();
+                    ledger.signal("SIGTERM");
+                    await waitForEvent(ledger, "process-stopping");
                     ledger.signal("SIGTERM");
-                    ledger.signal("SIGINT");
                     expect(await ledger.stop()).toEqual(0);
+                    unfinished.destroy();
                 }
                 await start();
             });
@@ -190,6 +195,16 @@
     });
 }
 
+/** Begins a request to the ledger and does not finish it, so that the ledger's end takes a while. */
+async function beginRequest(): Promise<Socket> {
+    const [host, port] = ledgerAddress.split(":");
+    const socket = connect({ host, port: Number(port) });
+    socket.on("error", () => undefined);
+    await once(socket, "connect");
+    socket.write("GET /totals HTTP/1.1\r\n");
+    return socket;
+}
+
 function readTotals(): Promise<LedgerReport> {
     return callJson<LedgerReport>({ address: ledgerAddress, path: "/totals" });
 }
