Give a stream up only when resuming it brings nothing

Change: the count starts again with every event that arrives. Ruled out: a higher bound, which a longer answer would pass as well. Also: the proof of cancelled answers passed with billing at cancellation switched off, because the answers ended before they were cancelled; it now slows the engines down and waits until they say cancelled.

--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -15,7 +15,7 @@
 } from "../upstream/index.js";
 import type { Vm } from "../world/index.js";
 
-/** How often a broken stream is resumed before the answer is given up. */
+/** How often in a row a broken stream is resumed in vain before the answer is given up. */
 const maximumResumptions = 3;
 
 /** What a relay needs. */
@@ -47,10 +47,15 @@
     const relay = new Relay(options);
     let answer = options.answer;
     for (let resumption = 0;; resumption += 1) {
+        const lastId = relay.getLastId();
         const failure = await relay.run(answer);
         if (failure === undefined) {
             return ok(relay.getUsage());
         }
+        if (relay.getLastId() > lastId) {
+            // A link that breaks often still carries a long answer to its end; only a standstill is given up.
+            resumption = 0;
+        }
         const mayResume = resumption < maximumResumptions && !options.signal.aborted && !relay.isBillFailed();
         if (!mayResume) {
             return err(failure);
--- a/test/proofs/billing.test.ts
+++ b/test/proofs/billing.test.ts
@@ -22,6 +22,8 @@
 const ledgerAddress = `127.62.1.250:${10_000 + process.pid % 20_000}`;
 const stepMilliseconds = 5;
 const slowStepMilliseconds = 25;
+/** The shortest answers take longer at this pace than the time for which an entry waits for its caller. */
+const verySlowStepMilliseconds = 100;
 const noFaults = { cut: false, delayMilliseconds: 0, cutAfterBytes: 0 };
 
 describe("Bills and whole answers", () => {
@@ -110,7 +112,7 @@
         finally {
             await setRunnerLinks(proof, "entry-1", noFaults);
         }
-        expect(chats.map(record => record.isWhole)).toEqual(chats.map(() => true));
+        expect(chats.map(record => record.problem ?? record.isWhole)).toEqual(chats.map(() => true));
         await expectBilledOnce(proof, chats);
     });
 
@@ -209,9 +211,16 @@
     // is billed, no more and no less.
     it("bills a cancelled answer for what the engine says that it took", async () => {
         const proof = getProof();
+        await setRunners(proof, { stepMilliseconds: verySlowStepMilliseconds });
         const left = await Promise.all(
             entries.map(entry => chat(proof, entry, { leaveAfterEvents: 2, model: "label-large@3" })),
         );
+        const isLeft = (run: EngineRun) => left.some(({ requestId }) => run.id.startsWith(requestId ?? "none"));
+        await waitUntil(async () => {
+            const runs = (await readEngineRuns(proof.site)).filter(isLeft);
+            return runs.length === entries.length && runs.every(run => run.outcome === "cancelled");
+        }, { what: "cancelled answers" });
+        await setRunners(proof, { stepMilliseconds });
         await waitForBills(proof, left.map(record => ({ ...record, isWhole: true })));
         await expectBilledOnce(proof, left);
     });
