Prove that halts and leaving upstreams stop new work; let a failed test end its process

Cause: a failing test left its watch of the entries running, so that the guards' run hung for four minutes on it. Ruled out: ending it in each test's finally; a timer that does not keep the process alive needs no care. Change: proofs/upstreamsAndHalts, and the watch's timer. Before: the run hung.

--- a/test/proofs/configurationWatch.ts
+++ b/test/proofs/configurationWatch.ts
@@ -29,7 +29,8 @@
             for (const entry of entries) {
                 await this.#look(entry);
             }
-            await sleep(pauseMilliseconds);
+            // A test that fails never ends its watch; that must not keep the process alive.
+            await sleep(pauseMilliseconds, undefined, { ref: false });
         }
     }
 
--- /dev/null
+++ b/test/proofs/upstreamsAndHalts.test.ts
@@ -0,0 +1,145 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { rolloutRecordKinds } from "../../src/control/index.js";
+import type { EventLine } from "../../src/events/index.js";
+import {
+    callJson,
+    type ChatRecord,
+    getApiKey,
+    readEngineRuns,
+    setFaults,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const candidate = "label-small@6";
+
+describe("New work", () => {
+    const getProof = useProofSite("127.63.7");
+
+    // A version turns bad in the middle of its roll-out while the log is away. Nobody can write the halt down, but
+    // callers must not meet the version any longer for that, at any entry; they get the settled one.
+    it("stops on a version that turns bad, at all entries, while the log is away", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await Promise.all(Array.from({ length: 60 }, (_, index) => ask(proof, entries[index % 3], "label-small")));
+        await site.append("control", {
+            id: "start-bad",
+            kind: rolloutRecordKinds.start,
+            format: 1,
+            writer: "test",
+            body: {
+                rollout: "bad",
+                model: "label-small",
+                candidate,
+                baseline: "label-small@5",
+                stages: [1],
+                budget: [300],
+                startedBy: "test",
+            },
+        });
+        for (const [name, runner] of site.getUpstreams()) {
+            if (name.startsWith("runner")) {
+                await setFaults(runner.getAddress(), { version: candidate, errorRate: 1 });
+            }
+        }
+        await waitUntil(
+            async () => (await site.readStream("control")).some(({ record }) => record.kind === "rollout-grant"),
+            {
+                what: "a first grant",
+            },
+        );
+        await setFaults(site.getPlatform("log"), { outage: "drop" });
+        try {
+            await waitUntil(async () => {
+                await Promise.all(entries.map(entry => ask(proof, entry, "label-small")));
+                const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+                return states.every(({ versions }) => versions.some(({ id, halted }) => id === candidate && halted));
+            }, { what: "the halt to be known everywhere" });
+            const haltedAt = Date.now();
+            for (const entry of entries) {
+                const record = await ask(proof, entry, "label-small");
+                expect([record.status, record.version]).toEqual([200, "label-small@5"]);
+                expect((await ask(proof, entry, candidate)).outcome).toEqual("not-run");
+            }
+            const late = (await readEngineRuns(site)).filter(run =>
+                run.asked === candidate && run.arrivedAt > haltedAt
+            );
+            expect(late).toEqual([]);
+        }
+        finally {
+            await setFaults(site.getPlatform("log"), { outage: "none" });
+        }
+        await waitUntil(async () => (await site.readStream("control")).some(({ record }) => record.kind === "halt"), {
+            what: "the halt to be written once the log is back",
+        });
+    });
+
+    // A runner is to be taken away, and only the VM list says so. What is sent to it after that is lost with it.
+    it("stops on an upstream that the VM list calls leaving", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const startedAt = Date.now();
+        await site.setVmState("runner-1", "leaving");
+        await waitUntilGone(proof, "runner-1");
+        const knownAt = Date.now();
+        for (let round = 0; round < 10; round += 1) {
+            const records = await Promise.all(entries.map(entry => ask(proof, entry, "auto")));
+            expect(records.map(record => record.status)).toEqual([200, 200, 200]);
+        }
+        const runs = (await readEngineRuns(site)).filter(run => run.runner === "runner-1");
+        expect(runs.filter(run => run.arrivedAt > knownAt)).toEqual([]);
+        console.log(`leaving by the VM list: known to 3 entries ${knownAt - startedAt} ms after the change`);
+    });
+
+    // A runner says of itself that it leaves, before the VM list does. An entry that has no answer from it hears so from
+    // the others; without that it would send work there as soon as its own link is mended.
+    it("stops on an upstream that says so itself, also at an entry that hears of it by gossip only", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await site.setLink("entry-3", "runner-2", { freeze: true });
+        const startedAt = Date.now();
+        await setFaults(site.getUpstreamOrThrow("runner-2").getAddress(), { leaving: true });
+        await waitUntilGone(proof, "runner-2");
+        console.log(`leaving by its own report and gossip: known to 3 entries after ${Date.now() - startedAt} ms`);
+        const before = await readDispatches(proof, "runner-2");
+        await site.setLink("entry-3", "runner-2", { freeze: false });
+        for (let round = 0; round < 10; round += 1) {
+            const records = await Promise.all(entries.map(entry => ask(proof, entry, "auto")));
+            expect(records.map(record => record.status)).toEqual([200, 200, 200]);
+        }
+        expect(await readDispatches(proof, "runner-2")).toEqual(before);
+    });
+});
+
+function ask(proof: ProofSite, entry: string, model: string): Promise<ChatRecord> {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: getApiKey("commissary"),
+        model,
+        text: "Does the pastry hold sesame?",
+        maximumTokens: 8,
+        boundMilliseconds: 8000,
+    });
+}
+
+async function waitUntilGone(proof: ProofSite, runner: string): Promise<void> {
+    await waitUntil(async () => {
+        const states = await Promise.all(entries.map(entry => proof.site.getStatus(entry)));
+        return states.every(({ upstreams }) => upstreams.every(({ id }) => id !== runner));
+    }, { what: `all entries to know that ${runner} leaves` });
+}
+
+/** Counts how often entries sent work to a runner. */
+async function readDispatches(proof: ProofSite, runner: string): Promise<number> {
+    let count = 0;
+    for (const entry of entries) {
+        const lines = await callJson<readonly EventLine[]>({
+            address: proof.site.getEntryOrThrow(entry).operators,
+            path: "/events",
+        });
+        count += lines.filter(line => line.name === "request-dispatched" && line.upstream === runner).length;
+    }
+    return count;
+}
