--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -79,6 +79,7 @@
      * @param options - The answer to be had.
      */
     async run(options: AttemptOptions): Promise<Result<Attempt, Refusal>> {
+        this.#options.retries.addRequest();
         const excluded = new Set<string>();
         let worst: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
@@ -179,7 +180,7 @@
                 streamId,
                 version: version.id,
                 requestClass: call.requestClass,
-                priority: call.settings.priority,
+                priority: call.priority,
                 deadlineMilliseconds: Math.max(1, getTimeLeft(call, startedAt)),
                 body: call.request.body,
                 signal: ending.signal,
@@ -187,6 +188,11 @@
             if (answered.isErr()) {
                 const refused = answered.error.outcome === "not-run";
                 finishWork(work, refused ? "refused" : "failed", this.#options.clock.monotonic() - startedAt);
+                if (ending.signal.aborted) {
+                    // The engine may be at work on the prompt. Left alone it would finish an answer that nobody reads
+                    // and nobody is billed for; its load would show it and the bills would not.
+                    await this.#cancel(options, runner, streamId);
+                }
                 return err({ ...this.#atDeadline(call, answered.error), retriable: true });
             }
             const answer = answered.value;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -43,6 +43,7 @@
         // Peers hand this entry's address to callers as soon as they hear of it, so it listens first. Until it has a
         // configuration it refuses, which callers can act upon; a connection that is refused tells them nothing.
         await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
+        parts.credentialFiles.start();
         parts.shared.start();
         parts.gossip.start();
         parts.watcher.start();
@@ -81,6 +82,7 @@
         // An entry that has not heard the news yet may still hand out this one's address, for callers to keep.
         await sleep(timing.addressesKeepMilliseconds + parts.gossip.getSuspectMilliseconds());
         await this.#drain();
+        await parts.servicePipeline.settle();
         const flushed = await parts.bills.flush(flushMilliseconds);
         if (flushed.isErr()) {
             parts.journal.write(events.billsLeftBehind, { count: parts.bills.getSize() });
@@ -105,6 +107,7 @@
         parts.billKeeper.stop();
         parts.claims.stop();
         await Promise.all([
+            parts.credentialFiles.stop(),
             parts.shared.stop(),
             parts.poller.stop(),
             parts.watcher.stop(),
