Keep callers on the candidate of a finished roll-out, and off a draining one

Cause: the version policy looked at active roll-outs only, so a candidate lost all its callers at the moment its roll-out finished; and it did not look at the candidate's status, so a draining candidate took new sessions. A finished candidate was not watched for turning bad either, unless an operator had made it serving. Ruled out: changing the status by the fold of roll-outs; only operators write the configuration. Change: versionPolicy follows active and finished roll-outs in the order of their start and passes over draining candidates; the driver judges finished candidates as settled.

--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -40,10 +40,15 @@
             judge,
             lease,
             getEntries: () => membership.getAlive().map(member => member.id),
-            getSettledVersions: () =>
-                configuration.getConfiguration().getVersions()
+            getSettledVersions: () => {
+                const serving = configuration.getConfiguration().getVersions()
                     .filter(version => version.status === "serving")
-                    .map(version => version.id),
+                    .map(version => version.id);
+                const finished = rollouts.getRollouts()
+                    .filter(rollout => rollout.state === "finished")
+                    .map(rollout => rollout.candidate);
+                return [...new Set([...serving, ...finished])];
+            },
             append: async record => (await log.append("control", record)).isOk(),
             spreadHalt: halt => shared.spreadHalt(halt),
         }),
--- a/src/entry/versionPolicy.ts
+++ b/src/entry/versionPolicy.ts
@@ -45,22 +45,29 @@
         return { ...plan, steps };
     }
 
+    /**
+     * Follows the roll-outs that start from a version, in the order of their start: the candidate of a finished one is
+     * where the next one starts from. Without the finished ones a candidate would lose all its callers at the moment
+     * at which it has passed, until an operator changes its status.
+     */
     #pick(settled: ModelVersion, call: ChatCall, caller: string): ModelVersion | undefined {
         if (call.request.model === settled.id) {
             return undefined;
         }
-        for (const rollout of this.#rollouts.getActiveRollouts(settled.model)) {
-            if (rollout.baseline !== settled.id) {
+        let picked: ModelVersion | undefined;
+        for (const rollout of this.#rollouts.getRollouts()) {
+            const isUnderWay = rollout.state === "active" || rollout.state === "finished";
+            if (!isUnderWay || rollout.baseline !== (picked ?? settled).id) {
                 continue;
             }
             const candidate = call.settings.allowedVersions.find(version => version.id === rollout.candidate);
-            if (candidate === undefined || this.isHalted(candidate.id)) {
+            if (candidate === undefined || candidate.status === "draining" || this.isHalted(candidate.id)) {
                 continue;
             }
             if (this.#router.pick({ rollout: rollout.id, caller }) === candidate.id) {
-                return candidate;
+                picked = candidate;
             }
         }
-        return undefined;
+        return picked;
     }
 }
--- a/test/proofs/upstreamsAndHalts.test.ts
+++ b/test/proofs/upstreamsAndHalts.test.ts
@@ -6,6 +6,7 @@
     callJson,
     type ChatRecord,
     getApiKey,
+    metroManila,
     readEngineRuns,
     setFaults,
     waitUntil,
@@ -16,7 +17,43 @@
 const candidate = "label-small@6";
 
 describe("New work", () => {
-    const getProof = useProofSite("127.63.7");
+    const getProof = useProofSite("127.63.7", {
+        versions: [...metroManila.versions, { ...metroManila.versions[1], id: "label-medium@9", status: "candidate" }],
+    });
+
+    // A roll-out has finished, and no operator has changed the candidate's status yet. If its callers fell back to the
+    // old version at that moment, everybody would change versions twice; and a draining one must take nobody new.
+    it("stays with a candidate whose roll-out has finished, until it drains", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const id = "finished";
+        await append(proof, rolloutRecordKinds.start, {
+            rollout: id,
+            model: "label-medium",
+            candidate: "label-medium@9",
+            baseline: "label-medium@2",
+            stages: [1],
+            budget: [300],
+            startedBy: "test",
+        });
+        await waitUntil(async () => {
+            const control = await site.readStream("control");
+            const fence = control.findLast(({ record }) => record.kind === "lease-take")?.offset;
+            await append(proof, rolloutRecordKinds.finish, { rollout: id, fence });
+            const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+            return states.every(({ rollouts }) =>
+                rollouts.some(other => other.id === id && other.state === "finished")
+            );
+        }, { what: "the roll-out to be finished everywhere" });
+        for (const entry of entries) {
+            expect((await ask(proof, entry, "label-medium")).version).toEqual("label-medium@9");
+        }
+        const draining = [{ section: "version.label-medium@9", key: "status", value: "draining" }];
+        await site.waitInForce(await site.publish(draining));
+        for (const entry of entries) {
+            expect((await ask(proof, entry, "label-medium")).version).toEqual("label-medium@2");
+        }
+    });
 
     // A version turns bad in the middle of its roll-out while the log is away. Nobody can write the halt down, but
     // callers must not meet the version any longer for that, at any entry; they get the settled one.
@@ -24,20 +61,14 @@
         const proof = getProof();
         const { site } = proof;
         await Promise.all(Array.from({ length: 60 }, (_, index) => ask(proof, entries[index % 3], "label-small")));
-        await site.append("control", {
-            id: "start-bad",
-            kind: rolloutRecordKinds.start,
-            format: 1,
-            writer: "test",
-            body: {
-                rollout: "bad",
-                model: "label-small",
-                candidate,
-                baseline: "label-small@5",
-                stages: [1],
-                budget: [300],
-                startedBy: "test",
-            },
+        await append(proof, rolloutRecordKinds.start, {
+            rollout: "bad",
+            model: "label-small",
+            candidate,
+            baseline: "label-small@5",
+            stages: [1],
+            budget: [300],
+            startedBy: "test",
         });
         for (const [name, runner] of site.getUpstreams()) {
             if (name.startsWith("runner")) {
@@ -45,7 +76,10 @@
             }
         }
         await waitUntil(
-            async () => (await site.readStream("control")).some(({ record }) => record.kind === "rollout-grant"),
+            async () =>
+                (await site.readStream("control")).some(({ record }) =>
+                    record.kind === "rollout-grant" && (record.body as { rollout: string; }).rollout === "bad"
+                ),
             {
                 what: "a first grant",
             },
@@ -113,6 +147,10 @@
     });
 });
 
+async function append(proof: ProofSite, kind: string, body: object): Promise<void> {
+    await proof.site.append("control", { id: `${kind}-${Math.random()}`, kind, format: 1, writer: "test", body });
+}
+
 function ask(proof: ProofSite, entry: string, model: string): Promise<ChatRecord> {
     return proof.caller.chat({
         entry: proof.site.getEntryOrThrow(entry).callers,
