End the load of a failed test, and draw the old member's port by process

Cause: with a guard switched off a failing test left its load running, and the guards' run hung; a fixed port met itself when two runs went side by side. Ruled out: a longer bound of the run. Before: hung for 140 s and was ended.

--- a/test/proofs/membershipChanges.test.ts
+++ b/test/proofs/membershipChanges.test.ts
@@ -8,7 +8,8 @@
 import { print, type ProofSite, useProofSite } from "./fixtures.js";
 
 const network = "127.63.6";
-const oldPeerPort = 9_700;
+// Differs by process, as the ports of the site do, so that two runs can go side by side.
+const oldPeerPort = 10_000 + process.pid % 20_000;
 
 describe("Membership", () => {
     const getProof = useProofSite(network, { hasLinks: false });
--- a/test/proofs/versions.test.ts
+++ b/test/proofs/versions.test.ts
@@ -13,6 +13,7 @@
 
 const entries = ["entry-1", "entry-2", "entry-3"];
 const small = "label-small@5";
+const longestLoadMilliseconds = 20_000;
 
 describe("A version", () => {
     const getProof = useProofSite("127.63.2");
@@ -187,6 +188,8 @@
 function startLoad(proof: ProofSite): { readonly end: () => Promise<readonly ChatRecord[]>; } {
     const records: ChatRecord[] = [];
     let isOver = false;
+    // A test that fails before it ends the load must not keep the process busy for ever.
+    setTimeout(() => isOver = true, longestLoadMilliseconds).unref();
     const loops: Promise<void>[] = [];
     for (let index = 0; index < 90; index += 1) {
         loops.push((async () => {
