Send load through a whole site, and measure it from its callers' records

Ruled out: first tokens of answers that aren't streamed (a first trial mixed them in and its first-token p95 told of answers' length instead), so each work has its own 'first use'; emptying the output files before the run (would lose the result that a failed run was to be compared with). Before: no figure. Compare runs only on a quiet machine.

--- a/src/load/compare.ts
+++ b/src/load/compare.ts
@@ -33,6 +33,15 @@
             });
         }
     }
+    for (const work of new Set([...Object.keys(before.firstUse), ...Object.keys(after.firstUse)])) {
+        for (const figure of comparedFigures) {
+            differences.push({
+                name: `first use of ${work} ${figure}, ms`,
+                before: before.firstUse[work]?.[figure] ?? 0,
+                after: after.firstUse[work]?.[figure] ?? 0,
+            });
+        }
+    }
     for (const [key, title] of Object.entries(countTitles)) {
         const name = key as keyof typeof countTitles;
         for (const entry of new Set([...Object.keys(before[name]), ...Object.keys(after[name])])) {
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -43,7 +43,7 @@
     readonly tries: number;
     /** How much later than intended the first try was sent. */
     readonly lateMilliseconds: number;
-    /** Undefined when no token came. */
+    /** Undefined when no token came, and for answers that are not streamed. */
     readonly firstTokenMilliseconds: number | undefined;
     readonly milliseconds: number;
     /** Times between pieces of the answer that brought tokens. */
@@ -170,7 +170,7 @@
         if (session !== undefined && record.sessionToken !== undefined) {
             this.#sessionTokens.set(session, record.sessionToken);
         }
-        if (record.isWhole) {
+        if (record.isWhole && work.streamed) {
             firstTokenAt ??= clock.monotonic();
         }
         return { ...pickTry(record), isWhole: record.isWhole, version: record.version, firstTokenAt, gaps };
--- a/src/load/loadCommand.ts
+++ b/src/load/loadCommand.ts
@@ -50,7 +50,7 @@
     const outputs = [json, html].filter(file => file !== undefined);
     // A file that cannot be written is reported now rather than after a long run whose result would be lost.
     for (const file of outputs) {
-        const written = writeText(file, "");
+        const written = checkWritable(file);
         if (written.isErr()) {
             return written;
         }
@@ -173,9 +173,10 @@
     return read();
 }
 
-function writeText(file: string, text: string): Result<void, Failure> {
+/** Opens a file for appending, which leaves an earlier result in it as it is until there is a new one. */
+function checkWritable(file: string): Result<void, Failure> {
     const write = Result.fromThrowable(
-        () => writeFileSync(file, text),
+        () => writeFileSync(file, "", { flag: "a" }),
         error =>
             createRefusal(`${file} cannot be written: ${getMessage(error)}.`, "Give a file in a folder that exists."),
     );
--- a/src/load/loadResult.ts
+++ b/src/load/loadResult.ts
@@ -47,6 +47,8 @@
         refusal: distribution,
         late: distribution,
     }),
+    /** By work, how long until a caller had something to use: a streamed answer's first token, or a whole answer. */
+    firstUse: z.record(z.string(), distribution),
     ends: counts,
     outcomes: counts,
     statuses: counts,
--- a/src/load/profile.ts
+++ b/src/load/profile.ts
@@ -44,7 +44,8 @@
         maximum: 2_147_483_647,
     }),
     first_token_ms: integer({
-        description: "A chat completion is good when its first token comes this soon after its intended arrival.",
+        description:
+            "An answer is good when its first token, or else the whole of it, comes this soon after its intended arrival.",
         example: "900",
         defaultText: "900",
         minimum: 1,
--- a/src/load/recorder.ts
+++ b/src/load/recorder.ts
@@ -18,7 +18,7 @@
     readonly ratePerSecond: number;
     readonly seconds: number;
     readonly seed: number;
-    /** A chat completion is good when its first token comes this soon after its intended arrival. */
+    /** An answer is good when its first token, or else the whole of it, comes this soon after its intended arrival. */
     readonly goodFirstTokenMilliseconds: number;
 }
 
@@ -30,6 +30,7 @@
     readonly #answer = createHistogram();
     readonly #refusal = createHistogram();
     readonly #late = createHistogram();
+    readonly #firstUse = new Map<string, Histogram>();
     readonly #ends = new Map<string, number>();
     readonly #outcomes = new Map<string, number>();
     readonly #statuses = new Map<string, number>();
@@ -66,6 +67,7 @@
         if (record.end === "answered") {
             recordTime(this.#answer, record.milliseconds);
         }
+        this.#addFirstUse(record);
         increase(this.#ends, record.end);
         increase(this.#outcomes, record.outcome ?? "none told");
         increase(this.#statuses, String(record.status));
@@ -97,6 +99,7 @@
                 refusal: summarize(this.#refusal),
                 late: summarize(this.#late),
             },
+            firstUse: Object.fromEntries([...this.#firstUse].map(([name, times]) => [name, summarize(times)])),
             ends: toObject(this.#ends),
             outcomes: toObject(this.#outcomes),
             statuses: toObject(this.#statuses),
@@ -107,6 +110,16 @@
         };
     }
 
+    #addFirstUse(record: LoadRecord): void {
+        if (record.end !== "answered") {
+            return;
+        }
+        const { name } = record.arrival.work;
+        const histogram = this.#firstUse.get(name) ?? createHistogram();
+        this.#firstUse.set(name, histogram);
+        recordTime(histogram, getFirstUse(record));
+    }
+
     #addToTimeLine(record: LoadRecord): void {
         this.#getSecond(record.arrival.at).arrived += 1;
         const second = this.#getSecond(record.arrival.at + record.milliseconds);
@@ -116,20 +129,12 @@
         else if (record.end !== "answered") {
             second.failed += 1;
         }
-        else if (this.#isGood(record)) {
+        else if (getFirstUse(record) <= this.#description.goodFirstTokenMilliseconds) {
             second.good += 1;
             this.#good += 1;
         }
     }
 
-    #isGood({ arrival, firstTokenMilliseconds, milliseconds }: LoadRecord): boolean {
-        const { goodFirstTokenMilliseconds } = this.#description;
-        if (arrival.work.kind === "service") {
-            return milliseconds <= goodFirstTokenMilliseconds;
-        }
-        return firstTokenMilliseconds !== undefined && firstTokenMilliseconds <= goodFirstTokenMilliseconds;
-    }
-
     #getSecond(milliseconds: number) {
         const index = Math.floor(milliseconds / millisecondsPerSecond);
         while (this.#timeLine.length <= index) {
@@ -139,6 +144,11 @@
     }
 }
 
+/** Returns how long until the caller had something to use. */
+function getFirstUse({ firstTokenMilliseconds, milliseconds }: LoadRecord): number {
+    return firstTokenMilliseconds ?? milliseconds;
+}
+
 function createHistogram(): Histogram {
     return build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: significantDigits });
 }
--- a/src/load/reportPage.ts
+++ b/src/load/reportPage.ts
@@ -47,6 +47,8 @@
         `<p>${escapeText(describeRun(result))}</p>`,
         "<h2>Times in milliseconds</h2>",
         createTimeTable(result),
+        "<h2>Time until something can be used, by work</h2>",
+        createDistributionTable(Object.entries(result.firstUse)),
         drawPercentiles(result),
         drawTimeLine(result),
         "<h2>Counts</h2>",
@@ -67,9 +69,17 @@
 }
 
 function createTimeTable({ distributions }: LoadResult): string {
+    return createDistributionTable(
+        Object.entries(distributionTitles).map(([key, title]) => [
+            title,
+            distributions[key as keyof typeof distributions],
+        ]),
+    );
+}
+
+function createDistributionTable(entries: readonly (readonly [title: string, Distribution])[]): string {
     const header = ["", "count", "mean", "p50", "p90", "p95", "p99", "maximum"];
-    const rows = Object.entries(distributionTitles).map(([key, title]) => {
-        const { count, mean, p50, p90, p95, p99, maximum } = distributions[key as keyof typeof distributions];
+    const rows = entries.map(([title, { count, mean, p50, p90, p95, p99, maximum }]) => {
         return [title, String(count), ...[mean, p50, p90, p95, p99, maximum].map(value => value.toFixed(2))];
     });
     return createTable(header, rows);
--- a/src/load/resultText.ts
+++ b/src/load/resultText.ts
@@ -1,7 +1,7 @@
 /**
  * The result of a run as text for a terminal.
  */
-import { countTitles, distributionTitles, type LoadResult } from "./loadResult.js";
+import { countTitles, type Distribution, distributionTitles, type LoadResult } from "./loadResult.js";
 import { describeRun } from "./reportPage.js";
 
 /**
@@ -11,9 +11,10 @@
 export function formatResult(result: LoadResult): string {
     const lines = [describeRun(result)];
     for (const [key, title] of Object.entries(distributionTitles)) {
-        const { count, p50, p95, p99, maximum } = result.distributions[key as keyof LoadResult["distributions"]];
-        const [median, most, nearlyAll, slowest] = [p50, p95, p99, maximum].map(value => value.toFixed(2));
-        lines.push(`${title}: median ${median}, p95 ${most}, p99 ${nearlyAll}, maximum ${slowest} ms (${count} times)`);
+        lines.push(formatDistribution(title, result.distributions[key as keyof LoadResult["distributions"]]));
+    }
+    for (const [work, distribution] of Object.entries(result.firstUse)) {
+        lines.push(formatDistribution(`first use of ${work}`, distribution));
     }
     for (const [key, title] of Object.entries(countTitles)) {
         const counts = Object.entries(result[key as keyof typeof countTitles]);
@@ -21,3 +22,8 @@
     }
     return lines.join("\n");
 }
+
+function formatDistribution(title: string, { count, p50, p95, p99, maximum }: Distribution): string {
+    const [median, most, nearlyAll, slowest] = [p50, p95, p99, maximum].map(value => value.toFixed(2));
+    return `${title}: median ${median}, p95 ${most}, p99 ${nearlyAll}, maximum ${slowest} ms (${count} times)`;
+}
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -11,6 +11,7 @@
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
 import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
 import { formatReport, type Report } from "./report.js";
+import { measureSite } from "./site/measureSite.js";
 
 /** Measurements by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, Measurement>> = {
@@ -32,6 +33,7 @@
         const results = measureLimits(seed);
         return { results, text: formatLimits(results) };
     },
+    site: async request => toFinding(await measureSite(withSeed(request))),
 };
 
 function withSeed(request: MeasurementRequest): SeededRequest {
--- /dev/null
+++ b/src/measure/site/measureSite.ts
@@ -0,0 +1,126 @@
+/**
+ * Measures a whole site from outside: real entries before stand-ins, judged by the callers' own records alone.
+ */
+import { availableParallelism, loadavg } from "node:os";
+import { type LoadResult, type LoadRunOptions, runClosedLoop, runLoad } from "../../load/index.js";
+import { metroManila, ProcessGroup, Site } from "../../testbench/index.js";
+import type { SeededRequest } from "../measurement.js";
+import type { Report, ReportRow } from "../report.js";
+import { createSiteProfile } from "./siteProfile.js";
+
+const prefix = "127.64.200";
+/** Runners slow enough that they, and not this machine's processors, bound what the site can carry. */
+const runnerSettings = { stepMilliseconds: 30, maximumRunning: 8, maximumWaiting: 32 } as const;
+/** A third more callers than the runners' batches hold. */
+const capacityCallers = 64;
+/** More requests than the site answers, so that the closed loop never runs out of them. */
+const capacityRequestsPerSecond = 500;
+const runSeconds = 8;
+/** Seconds at the start of the closed loop that are left out, while connections open and estimates form. */
+const warmupSeconds = 2;
+const loads: readonly number[] = [0.5, 0.9, 2];
+/** Longer than any answer takes, so that every whole answer counts. */
+const unlimitedFirstTokenMilliseconds = 600_000;
+
+/**
+ * Starts the Metro Manila site, finds its capacity, and sends shares and multiples of it.
+ * @param request - The seed, and where to write progress.
+ */
+export async function measureSite({ seed, log }: SeededRequest): Promise<Report> {
+    const group = new ProcessGroup();
+    try {
+        const site = await Site.start(group, {
+            ...metroManila,
+            prefix,
+            entryEnvironment: { DEBUG: "" },
+            runners: { ...metroManila.runners, settings: runnerSettings },
+        });
+        const options = {
+            title: "site",
+            addresses: [site.getEntries()[0].callers],
+            profile: createSiteProfile(),
+            seconds: runSeconds,
+            seed,
+        };
+        log("capacity ...");
+        const capacity = await findCapacity(options);
+        log(`${capacity.toFixed(1)} answers a second`);
+        const rows: ReportRow[] = [];
+        const works: ReportRow[] = [];
+        for (const load of loads) {
+            log(`${load} times capacity ...`);
+            const result = await runLoad({ ...options, ratePerSecond: load * capacity });
+            rows.push(createRow(`${load} times capacity`, result, capacity));
+            works.push(createWorkRow(`${load} times capacity`, result));
+        }
+        return {
+            measurement: "site",
+            seeds: [seed],
+            tables: [
+                { title: "What callers met, in milliseconds from the intended arrival", rows },
+                {
+                    title: "Time until callers could use something, by work: median and p95 in milliseconds",
+                    rows: works,
+                },
+                { title: "Circumstances", rows: [createCircumstances(capacity)] },
+            ],
+        };
+    }
+    finally {
+        await group.killAll();
+    }
+}
+
+/** Returns the whole answers a second that a closed loop gets, whenever they come. */
+async function findCapacity(options: Omit<LoadRunOptions, "ratePerSecond">): Promise<number> {
+    const { profile } = options;
+    const result = await runClosedLoop({
+        ...options,
+        profile: { ...profile, load: { ...profile.load, firstTokenMilliseconds: unlimitedFirstTokenMilliseconds } },
+        ratePerSecond: capacityRequestsPerSecond,
+        callers: capacityCallers,
+    });
+    let answers = 0;
+    for (const { good } of result.timeLine.slice(warmupSeconds, runSeconds)) {
+        answers += good;
+    }
+    return answers / (runSeconds - warmupSeconds);
+}
+
+function createRow(name: string, result: LoadResult, capacity: number): ReportRow {
+    const { firstToken, gap, refusal, late } = result.distributions;
+    return {
+        name,
+        figures: {
+            "requests": result.requests,
+            "first token median": firstToken.p50,
+            "first token p95": firstToken.p95,
+            "gap p95": gap.p95,
+            "goodput, share of capacity": result.goodPerSecond / capacity,
+            "refusals": refusal.count,
+            "refusal p95": refusal.p95,
+            "ends": Object.entries(result.ends).map(([end, count]) => `${end} ${count}`).join(", "),
+            "sent late p95": late.p95,
+        },
+    };
+}
+
+function createWorkRow(name: string, { firstUse }: LoadResult): ReportRow {
+    const figures: Record<string, string> = {};
+    for (const [work, { p50, p95 }] of Object.entries(firstUse)) {
+        figures[work] = `${p50.toFixed(0)}, ${p95.toFixed(0)}`;
+    }
+    return { name, figures };
+}
+
+/** Says how busy the machine was: figures from a machine that others use are higher than the site's own. */
+function createCircumstances(capacity: number): ReportRow {
+    return {
+        name: "this run",
+        figures: {
+            "capacity, answers/s": capacity,
+            "processors": availableParallelism(),
+            "machine's load over a minute": loadavg()[0],
+        },
+    };
+}
--- a/test/load/loadClient.test.ts
+++ b/test/load/loadClient.test.ts
@@ -59,6 +59,18 @@
         }));
     });
 
+    it("has no first token for an answer that is not streamed", async () => {
+        const { clock, send } = createClient({
+            chat: async () => {
+                clock.advance(40);
+                return createAnswer();
+            },
+        });
+        expect(await send(createArrival({ work: { ...plan, streamed: false } }))).toEqual(
+            expect.subset({ firstTokenMilliseconds: undefined, milliseconds: 40 }),
+        );
+    });
+
     it("gives up after as many tries as it may make", async () => {
         const { send } = createClient({ chat: async () => createRefusal(1) }, 2);
         expect(await send(createArrival())).toEqual(expect.subset({ end: "refused", tries: 2, outcome: "not-run" }));
--- /dev/null
+++ b/test/load/loadCommand.test.ts
@@ -0,0 +1,158 @@
+import { expect } from "earl";
+import { execFile } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+import { type LoadResult, type LoadRunOptions, parseLoadResult, runLoadCommand } from "../../src/load/index.js";
+import { getApiKey, metroManila, Site, withProcesses } from "../../src/testbench/index.js";
+import { createEmptyResult } from "../fixtures/loadProfiles.js";
+
+const program = fileURLToPath(new URL("../../src/load/main.js", import.meta.url));
+const folder = mkdtempSync(join(tmpdir(), "load-test-"));
+const profile = write(
+    "profile.ini",
+    [
+        "[load]",
+        "rate = 3",
+        "seed = 5",
+        "[workspace.commissary]",
+        `key = ${getApiKey("commissary")}`,
+        "[work.kitchen]",
+        "kind = conversation",
+        "workspace = commissary",
+        "maximum_tokens = 4",
+        "[work.print]",
+        "kind = service",
+        "workspace = commissary",
+        "pool = label-app",
+        "path = /print",
+    ].join("\n"),
+);
+
+after(() => rmSync(folder, { recursive: true }));
+
+function write(name: string, content: string): string {
+    const path = join(folder, name);
+    writeFileSync(path, content);
+    return path;
+}
+
+/** Runs the program to its end. */
+function runProgram(words: readonly string[]) {
+    return new Promise<{ readonly code: number; readonly errors: string; }>(resolve => {
+        execFile(process.execPath, [program, ...words], (error, ...[, errors]) => {
+            resolve({ code: Number(error?.code ?? 0), errors });
+        });
+    });
+}
+
+async function runCommand(words: readonly string[]) {
+    const lines: string[] = [];
+    const runs: LoadRunOptions[] = [];
+    const done = await runLoadCommand(words, {
+        print: line => lines.push(line),
+        run: async (options): Promise<LoadResult> => {
+            runs.push(options);
+            return createEmptyResult(options.title);
+        },
+    });
+    return { done, lines, runs };
+}
+
+describe("runLoadCommand", () => {
+    const usual = ["--address", "127.64.1.1:80", "--profile", profile];
+
+    it("takes rate, time and seed from the profile and lets arguments go before it", async () => {
+        const { runs } = await runCommand([...usual, "--rate", "7.5", "--address", "127.64.1.2:80"]);
+        expect(runs.length).toEqual(1);
+        expect(runs[0]).toEqual(expect.subset({
+            addresses: ["127.64.1.1:80", "127.64.1.2:80"],
+            ratePerSecond: 7.5,
+            seconds: 30,
+            seed: 5,
+        }));
+    });
+
+    it("writes the result and the page, and compares results", async () => {
+        const [json, html] = [join(folder, "a.json"), join(folder, "a.html")];
+        const { done } = await runCommand([...usual, "--json", json, "--html", html]);
+        expect(done.isOk()).toEqual(true);
+        expect(parseLoadResult(readFileSync(json, "utf8"), json).isOk()).toEqual(true);
+        expect(readFileSync(html, "utf8")).toEqual(expect.includes("<svg"));
+        const { lines } = await runCommand(["compare", json, json]);
+        expect(lines.join("\n")).toEqual(expect.includes("first token p95, ms"));
+    });
+
+    // A run against a site that is down ends in an error. The operator still wants the result of the run before, to compare.
+    it("keeps an earlier result when the run fails", async () => {
+        const json = write("earlier.json", "earlier");
+        const running = runLoadCommand([...usual, "--json", json], {
+            print: () => undefined,
+            run: () => Promise.reject(new Error("the run failed")),
+        });
+        await expect(running).toBeRejectedWith("the run failed");
+        expect(readFileSync(json, "utf8")).toEqual("earlier");
+    });
+
+    function checkRefused(name: string, words: readonly string[], message: string): void {
+        it(`refuses ${name} before anything is sent`, async () => {
+            const { done, runs } = await runCommand(words);
+            expect(done._unsafeUnwrapErr().message).toEqual(expect.includes(message));
+            expect(runs).toEqual([]);
+        });
+    }
+    checkRefused("no arguments", [], "--address or --profile is missing.");
+    checkRefused("an unknown argument", [...usual, "--speed", "3"], "--speed");
+    checkRefused("a wrong address", ["--address", "entry", "--profile", profile], "--address entry is no address.");
+    checkRefused("a rate of 0", [...usual, "--rate", "0"], "Write a number above 0");
+    checkRefused("a rate that is no number", [...usual, "--rate", "many"], "--rate many cannot be used.");
+    checkRefused("an empty time", [...usual, "--seconds", ""], "Write a number above 0");
+    checkRefused("a seed with a fraction", [...usual, "--seed", "1.5"], "Write a whole number");
+    checkRefused("a profile that is missing", ["--address", "a:1", "--profile", "none.ini"], "none.ini cannot be read");
+    checkRefused(
+        "a profile with a mistake",
+        ["--address", "a:1", "--profile", write("wrong.ini", "[load]\nrait = 3\n")],
+        "[load] rait: The key is not known here. Did you mean rate?",
+    );
+    checkRefused(
+        "an output file that cannot be written",
+        [...usual, "--json", join(folder, "none", "a.json")],
+        "cannot be written",
+    );
+    checkRefused("a comparison with one file", ["compare", "a.json"], "A comparison needs two results.");
+    checkRefused("a comparison of other files", ["compare", profile, profile], "It is not JSON.");
+});
+
+describe("rattanlock-load", () => {
+    it("ends with code 2 and the usage at bad input", async () => {
+        const { code, errors } = await runProgram(["--rate", "3"]);
+        expect(code).toEqual(2);
+        expect(errors).toEqual(expect.includes("Usage: rattanlock-load"));
+    });
+
+    it("sends its work through real entries", async () => {
+        await withProcesses(async group => {
+            const site = await Site.start(group, {
+                ...metroManila,
+                prefix: "127.64.1",
+                entryCount: 2,
+                entryEnvironment: { DEBUG: "" },
+                runners: { ...metroManila.runners, count: 2 },
+                services: { ...metroManila.services, count: 1 },
+            });
+            const json = join(folder, "site.json");
+            const address = site.getEntries()[0].callers;
+            const { code } = await runProgram(
+                ["--address", address, "--profile", profile, "--rate", "15", "--seconds", "2", "--json", json],
+            );
+            expect(code).toEqual(0);
+            const result = parseLoadResult(readFileSync(json, "utf8"), json)._unsafeUnwrap();
+            expect(result.requests > 10).toEqual(true);
+            expect(result.ends).toEqual({ answered: result.requests });
+            expect(Object.keys(result.works)).toEqual(["kitchen", "print"]);
+            expect(result.distributions.firstToken.count).toEqual(result.works.kitchen);
+        });
+    });
+});
--- a/test/load/report.test.ts
+++ b/test/load/report.test.ts
@@ -85,6 +85,13 @@
         expect(mixed.goodPerSecond).toEqual(1);
     });
 
+    it("tells by work how long callers waited for something to use", () => {
+        const { plan: plans, print: prints } = mixed.firstUse;
+        expect([plans.count, prints.count]).toEqual([2, 1]);
+        expect(Math.abs(plans.p95 - 901) < 0.9).toEqual(true);
+        expect(Math.abs(prints.p50 - 400) < 0.4).toEqual(true);
+    });
+
     it("puts arrivals into the second in which they were intended and ends into that in which they came", () => {
         expect(mixed.timeLine).toEqual([
             { arrived: 4, good: 2, refused: 1, failed: 1 },
@@ -148,9 +155,12 @@
     // A version's or workspace's name comes from a file that somebody else may have written. Put into the page as it is, it
     // would run as a script in the browser of whoever opens the report.
     it("escapes every name", () => {
+        const work = { ...plan, name: "<script>work</script>" };
         const name = "<script>alert(\"1\")</script>&'";
         const hostile = createReportPage({
-            ...createResult([createRecord({ version: name, outcome: name })], name),
+            ...createResult([
+                createRecord({ version: name, outcome: name, arrival: { ...createRecord().arrival, work } }),
+            ], name),
             startedAt: name,
         });
         expect(hostile).not.toEqual(expect.includes("<script"));
