--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -46,7 +46,7 @@
         }),
         exposed: new Counter({
             name: "rattanlock_candidate_answers_total",
-            help: "Answers that a roll-out's candidate gave in place of the settled version.",
+            help: "Answers of versions that are still candidates: the exposure of roll-outs.",
             labelNames: ["version"] as const,
             registers,
         }),
--- a/src/entry/planRunner.ts
+++ b/src/entry/planRunner.ts
@@ -268,6 +268,9 @@
         });
         if (result.isOk()) {
             this.#options.metrics.answers.inc({ version: version.id, class: call.requestClass });
+            if (version.status === "candidate") {
+                this.#options.metrics.exposed.inc({ version: version.id });
+            }
         }
     }
 
