Measure what control costs an entry at rest

Cause: docs/CAPACITY.md needs the slope of control's processor time by upstreams polled and by entries. Ruled out: reckoning it from requests. Change: npm run measure -- control. Before: no figure.

--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -3,6 +3,7 @@
  */
 import { parseArgs } from "node:util";
 import { measureCapacity } from "./capacity/measureCapacity.js";
+import { measureControl } from "./capacity/measureControl.js";
 import { measureCost } from "./cost/measureCost.js";
 import { measureEntry } from "./entry/measureEntry.js";
 import { measureExposure, measureFalseHalts } from "./exposure/measureExposure.js";
@@ -16,6 +17,7 @@
 /** Measurements by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, Measurement>> = {
     capacity: ({ log }) => toFinding(measureCapacity(log)),
+    control: async ({ log }) => toFinding(await measureControl(log)),
     cost: async request => toFinding(await measureCost(withSeed(request))),
     entry: async ({ log }) => toFinding(await measureEntry(log)),
     exposure: async request => toFinding(await measureExposure(withSeed(request))),
