Move the caller out of the test bench; write shared logic once

Cause: the shipped load tool depended on the test bench; opening a session and naming the keepers of bills stood twice. Ruled out: a second caller for the load tool. Change: src/caller (caller, addresses, calls); stand-ins' test controls stay in the test bench; #useSession and createCopyTargets. Conclusion: no behaviour changed.

--- a/src/testbench/call.ts
+++ b/src/caller/call.ts
@@ -66,13 +66,3 @@
     }
     return (reply.text === "" ? undefined : JSON.parse(reply.text)) as Body;
 }
-
-/** Switches faults of a stand-in. */
-export async function setFaults(address: string, faults: object): Promise<void> {
-    await callJson({ address, path: "/faults", method: "POST", body: faults });
-}
-
-/** Returns a stand-in's journal, from a note on. */
-export function getJournal<Note>(address: string, from = 0): Promise<readonly Note[]> {
-    return callJson<readonly Note[]>({ address, path: `/journal?from=${from}` });
-}
--- a/src/command/operatorCommand.ts
+++ b/src/command/operatorCommand.ts
@@ -2,6 +2,7 @@
  * What operators' commands have in common: where the site is, exit codes, and how failures are shown.
  */
 import { Command, Flags } from "@oclif/core";
+import type { Result } from "neverthrow";
 import { readFileSync } from "node:fs";
 import { userInfo } from "node:os";
 import { type Failure, systemClock } from "../common/index.js";
@@ -31,6 +32,12 @@
     readonly "operator-port"?: number;
 }
 
+/** A view of a stream that is opened before it is used. */
+interface OpenableSession {
+    open(): Promise<Result<unknown, Failure>>;
+    close(): Promise<void>;
+}
+
 /** Flags of commands that publish. */
 export interface PublishFlags extends SiteFlags {
     readonly reason: string;
@@ -74,13 +81,7 @@
             timeoutMilliseconds: flags.timeout * millisecondsPerSecond,
             author: flags.author,
         });
-        try {
-            const opened = await session.open();
-            return opened.isErr() ? this.failWith(opened.error) : await work(session);
-        }
-        finally {
-            await session.close();
-        }
+        return this.#useSession(session, work);
     }
 
     /** Opens the site's control stream, does a piece of work with it, and closes it. */
@@ -91,6 +92,13 @@
             timeoutMilliseconds: flags.timeout * millisecondsPerSecond,
             author: flags.author,
         });
+        return this.#useSession(session, work);
+    }
+
+    async #useSession<Session extends OpenableSession, T>(
+        session: Session,
+        work: (session: Session) => Promise<T>,
+    ): Promise<T> {
         try {
             const opened = await session.open();
             return opened.isErr() ? this.failWith(opened.error) : await work(session);
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -100,8 +100,7 @@
     bills: ({ log, clock, journal, self, membership, peerClient, settings }) =>
         new BillWriter({
             append: (stream, record) => log.append(stream, record),
-            getCopyTargets: () =>
-                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
+            getCopyTargets: createCopyTargets({ self, membership, peerClient, journal }),
             clock,
             journal,
             writer: self.id,
@@ -115,8 +114,7 @@
     billKeeper: ({ log, clock, journal, self, membership, peerClient, settings }) =>
         new BillKeeper({
             append: (stream, record) => log.append(stream, record),
-            getCopyTargets: () =>
-                getBillCopyTargets({ self, membership, client: peerClient, getCounter: () => journal.getCounter() }),
+            getCopyTargets: createCopyTargets({ self, membership, peerClient, journal }),
             clock,
             journal,
             writer: self.id,
@@ -155,6 +153,14 @@
         }),
 };
 
+/** Creates the function that names the peers which keep copies of this entry's bills. */
+function createCopyTargets(
+    { self, membership, peerClient, journal }: Pick<Cradle, "self" | "membership" | "peerClient" | "journal">,
+) {
+    const getCounter = () => journal.getCounter();
+    return () => getBillCopyTargets({ self, membership, client: peerClient, getCounter });
+}
+
 function createHandlers({ gossip, journal, billKeeper, collectors, fetcher }: Cradle) {
     const getCounter = () => journal.getCounter();
     /** Takes over the caller's counter, so that what this entry notes of the call sorts after its cause. */
--- a/src/load/loadClient.ts
+++ b/src/load/loadClient.ts
@@ -2,8 +2,8 @@
  * The callers of a run: they follow the site's addresses, come back when they are told to, and keep a record.
  */
 import { setTimeout as wait } from "node:timers/promises";
+import type { ChatAsk, ChatRecord, ServiceAsk, ServiceRecord } from "../caller/index.js";
 import type { Clock } from "../common/index.js";
-import type { ChatAsk, ChatRecord, ServiceAsk, ServiceRecord } from "../testbench/caller.js";
 import type { LoadSettings } from "./profile.js";
 import { createPrompt } from "./prompt.js";
 import type { Arrival } from "./schedule.js";
--- a/src/load/loadRun.ts
+++ b/src/load/loadRun.ts
@@ -2,9 +2,8 @@
  * A run of load against a site.
  */
 import { randomUUID } from "node:crypto";
+import { AddressFollower, Caller } from "../caller/index.js";
 import { systemClock } from "../common/index.js";
-import { AddressFollower } from "../testbench/addressFollower.js";
-import { Caller } from "../testbench/caller.js";
 import { LoadClient } from "./loadClient.js";
 import type { LoadResult } from "./loadResult.js";
 import { runOpenLoop } from "./openLoop.js";
--- a/src/testbench/billJudge.ts
+++ b/src/testbench/billJudge.ts
@@ -3,8 +3,8 @@
  * upstreams ran, and what stands in the log.
  */
 import type { Bill, BillLine } from "../bills/index.js";
+import type { ChatRecord, ServiceRecord } from "../caller/index.js";
 import { getAnswerHash } from "../standins/index.js";
-import type { ChatRecord, ServiceRecord } from "./caller.js";
 import type { EngineRun, ServiceRun } from "./judge.js";
 
 const costTolerance = 1e-9;
--- a/src/testbench/index.ts
+++ b/src/testbench/index.ts
@@ -1,12 +1,11 @@
 /** Tools that start real processes and wait for conditions, for tests, scenarios and the demo. */
+export * from "../caller/index.js";
 export * from "./addressBlock.js";
-export * from "./addressFollower.js";
 export * from "./billJudge.js";
-export * from "./call.js";
-export * from "./caller.js";
 export * from "./judge.js";
 export * from "./processGroup.js";
 export * from "./runningProcess.js";
 export * from "./site/index.js";
+export * from "./standinControl.js";
 export * from "./traffic.js";
 export * from "./waitUntil.js";
--- a/src/testbench/judge.ts
+++ b/src/testbench/judge.ts
@@ -1,9 +1,9 @@
 /**
  * Judges a site from the records of those who cannot be mistaken: the callers, the upstreams and the ledger.
  */
-import { getJournal } from "./call.js";
-import type { ChatRecord, ServiceRecord } from "./caller.js";
+import type { ChatRecord, ServiceRecord } from "../caller/index.js";
 import type { Site } from "./site/index.js";
+import { getJournal } from "./standinControl.js";
 
 /** A call under an idempotency key, with what its caller was told. */
 export interface KeyedCall {
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -7,14 +7,15 @@
  */
 import { fileURLToPath } from "node:url";
 import { type Bill, Ledger } from "../../bills/index.js";
+import { callJson } from "../../caller/index.js";
 import { systemClock } from "../../common/index.js";
 import { type Change, createPublishRecord } from "../../configuration/index.js";
 import { Journal } from "../../events/index.js";
 import type { LogEntry, LogPage, LogRecord, StreamName } from "../../log/index.js";
 import type { Vm } from "../../world/index.js";
-import { callJson, setFaults } from "../call.js";
 import type { ProcessGroup } from "../processGroup.js";
 import type { RunningProcess } from "../runningProcess.js";
+import { setFaults } from "../standinControl.js";
 import { waitUntil } from "../waitUntil.js";
 import type { SiteDescription } from "./siteDescription.js";
 import { createRunnerSettings, createTreeChanges, writeEntrySettings } from "./siteFiles.js";
--- /dev/null
+++ b/src/testbench/standinControl.ts
@@ -0,0 +1,14 @@
+/**
+ * The test controls that every stand-in has.
+ */
+import { callJson } from "../caller/index.js";
+
+/** Switches faults of a stand-in. */
+export async function setFaults(address: string, faults: object): Promise<void> {
+    await callJson({ address, path: "/faults", method: "POST", body: faults });
+}
+
+/** Returns a stand-in's journal, from a note on. */
+export function getJournal<Note>(address: string, from = 0): Promise<readonly Note[]> {
+    return callJson<readonly Note[]>({ address, path: `/journal?from=${from}` });
+}
--- a/src/testbench/traffic.ts
+++ b/src/testbench/traffic.ts
@@ -3,7 +3,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type Caller, type ChatRecord, type ServiceRecord } from "./caller.js";
+import { type Caller, type ChatRecord, type ServiceRecord } from "../caller/index.js";
 import type { KeyedCall } from "./judge.js";
 
 const pauseMilliseconds = 10;
