Split the test site's log access and status type out of a long file

Ruled out: moving the links out as well (they share the VM lists with everything else there). Conclusion: no behaviour changed.

--- /dev/null
+++ b/src/testbench/site/entryStatus.ts
@@ -0,0 +1,18 @@
+/**
+ * What an entry tells operators, as far as tests look at it.
+ */
+
+/** The parts of an entry's status that tests look at. */
+export interface EntryStatus {
+    readonly ready: boolean;
+    readonly configurationOffset: number;
+    readonly configurationAgeMilliseconds: number;
+    readonly holdsLease: boolean;
+    readonly members: readonly { readonly id: string; readonly state: string; }[];
+    readonly upstreams: readonly { readonly id: string; }[];
+    readonly versions: readonly { readonly id: string; readonly status: string; readonly halted: boolean; }[];
+    readonly rollouts: readonly { readonly id: string; readonly state: string; readonly stage: number; }[];
+    readonly halts: readonly { readonly version: string; readonly reason: string; }[];
+    readonly bills: { readonly waiting: number; readonly kept: number; };
+    readonly memory: { readonly rss: number; readonly heapUsed: number; };
+}
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -6,19 +6,19 @@
  * others at their routes.
  */
 import { fileURLToPath } from "node:url";
-import { type Bill, Ledger } from "../../bills/index.js";
+import type { Bill } from "../../bills/index.js";
 import { callJson } from "../../caller/index.js";
-import { systemClock } from "../../common/index.js";
 import { type Change, createPublishRecord } from "../../configuration/index.js";
-import { Journal } from "../../events/index.js";
-import type { LogEntry, LogPage, LogRecord, StreamName } from "../../log/index.js";
+import type { LogEntry, LogRecord, StreamName } from "../../log/index.js";
 import type { Vm } from "../../world/index.js";
 import type { ProcessGroup } from "../processGroup.js";
 import type { RunningProcess } from "../runningProcess.js";
 import { setFaults } from "../standinControl.js";
 import { waitUntil } from "../waitUntil.js";
+import type { EntryStatus } from "./entryStatus.js";
 import type { SiteDescription } from "./siteDescription.js";
 import { createRunnerSettings, createTreeChanges, writeEntrySettings } from "./siteFiles.js";
+import { SiteLog } from "./siteLog.js";
 
 const entryProgram = fileURLToPath(new URL("../../entry/main.js", import.meta.url));
 /** Last bytes of the addresses of each kind of process. */
@@ -46,6 +46,7 @@
     readonly #description: SiteDescription;
     readonly #port = firstPort + process.pid % portCount;
     readonly #platform = new Map<PlatformPart, string>();
+    readonly #log = new SiteLog(() => this.getPlatform("log"));
     readonly #platformProcesses = new Map<PlatformPart, RunningProcess>();
     readonly #upstreams = new Map<string, RunningProcess>();
     readonly #entries = new Map<string, SiteEntry>();
@@ -192,7 +193,7 @@
      * @returns The record's offset.
      */
     async publish(changes: readonly Change[], author = "operator", basedOn?: number): Promise<number> {
-        const known = basedOn ?? await this.#getEnd("config");
+        const known = basedOn ?? await this.#log.getEnd("config");
         const publication = { author, reason: "test", basedOn: known, changes };
         return this.append("config", createPublishRecord(publication, author));
     }
@@ -203,14 +204,21 @@
      * @param record - The record.
      * @returns Its offset.
      */
-    async append(stream: StreamName, record: LogRecord): Promise<number> {
-        const { offset } = await callJson<{ offset: number; }>({
-            address: this.getPlatform("log"),
-            path: `/streams/${stream}`,
-            method: "POST",
-            body: record,
-        });
-        return offset;
+    append(stream: StreamName, record: LogRecord): Promise<number> {
+        return this.#log.append(stream, record);
+    }
+
+    /**
+     * Reads all that a stream holds.
+     * @param stream - The stream.
+     */
+    readStream(stream: StreamName): Promise<readonly LogEntry[]> {
+        return this.#log.readStream(stream);
+    }
+
+    /** Folds the stream of bills as the ledger does: one bill for each request. */
+    readBills(): Promise<ReadonlyMap<string, Bill>> {
+        return this.#log.readBills();
     }
 
     /**
@@ -260,46 +268,6 @@
         }
     }
 
-    /**
-     * Reads all that a stream holds.
-     * @param stream - The stream.
-     */
-    async readStream(stream: StreamName): Promise<readonly LogEntry[]> {
-        const entries: LogEntry[] = [];
-        for (let from = 0;;) {
-            const page = await callJson<LogPage>({
-                address: this.getPlatform("log"),
-                path: `/streams/${stream}?from=${from}&limit=500`,
-            });
-            entries.push(...page.entries);
-            if (page.entries.length === 0) {
-                return entries;
-            }
-            from = page.next;
-        }
-    }
-
-    /** Folds the stream of bills as the ledger does: one bill for each request. */
-    async readBills(): Promise<ReadonlyMap<string, Bill>> {
-        const journal = new Journal({ process: "judge", clock: systemClock, write: () => undefined });
-        const ledger = new Ledger({ journal });
-        const bills = new Map<string, Bill>();
-        for (const entry of await this.readStream("bills")) {
-            for (const bill of ledger.apply(entry)) {
-                bills.set(bill.requestId, bill);
-            }
-        }
-        return bills;
-    }
-
-    async #getEnd(stream: StreamName): Promise<number> {
-        const page = await callJson<{ next: number; }>({
-            address: this.getPlatform("log"),
-            path: `/streams/${stream}?from=latest`,
-        });
-        return page.next;
-    }
-
     async #startPlatform(): Promise<void> {
         const { logSettings, ratingSettings, hasLinks } = this.#description;
         const kinds: [PlatformPart, Readonly<Record<string, string | number | boolean>>][] = [
@@ -452,21 +420,6 @@
     }
 }
 
-/** The parts of an entry's status that tests look at. */
-export interface EntryStatus {
-    readonly ready: boolean;
-    readonly configurationOffset: number;
-    readonly configurationAgeMilliseconds: number;
-    readonly holdsLease: boolean;
-    readonly members: readonly { readonly id: string; readonly state: string; }[];
-    readonly upstreams: readonly { readonly id: string; }[];
-    readonly versions: readonly { readonly id: string; readonly status: string; readonly halted: boolean; }[];
-    readonly rollouts: readonly { readonly id: string; readonly state: string; readonly stage: number; }[];
-    readonly halts: readonly { readonly version: string; readonly reason: string; }[];
-    readonly bills: { readonly waiting: number; readonly kept: number; };
-    readonly memory: { readonly rss: number; readonly heapUsed: number; };
-}
-
 interface UpstreamStart {
     readonly name: string;
     readonly kind: "engine" | "service";
