Test that a slow sender is refused

Ruled out: a test that waits for the entry's fifteen seconds. Change: readBody with a short bound, a body above its bound, and one in pieces. Before: no test.

--- /dev/null
+++ b/test/entry/requestBody.test.ts
@@ -0,0 +1,38 @@
+import { expect } from "earl";
+import type { IncomingMessage } from "node:http";
+import { PassThrough } from "node:stream";
+import { describe, it } from "node:test";
+import { readBody } from "../../src/entry/requestBody.js";
+
+const maximumBytes = 100;
+const longMilliseconds = 10_000;
+
+function createRequest(): PassThrough & IncomingMessage {
+    return Object.assign(new PassThrough(), { headers: {} }) as unknown as PassThrough & IncomingMessage;
+}
+
+describe("readBody", () => {
+    it("reads a body that comes in pieces", async () => {
+        const request = createRequest();
+        const body = readBody(request, maximumBytes, longMilliseconds);
+        request.write("one ");
+        request.end("two");
+        expect((await body)._unsafeUnwrap().toString()).toEqual("one two");
+    });
+
+    // A caller sends a part of its body and then nothing more. Without a bound in time each such caller would hold a
+    // connection and memory for as long as it likes.
+    it("refuses a sender that stops in the middle", async () => {
+        const request = createRequest();
+        request.write("one ");
+        const body = await readBody(request, maximumBytes, 20);
+        expect(body._unsafeUnwrapErr().kind).toEqual("deadline");
+    });
+
+    it("refuses a body above the bound", async () => {
+        const request = createRequest();
+        const body = readBody(request, maximumBytes, longMilliseconds);
+        request.end("x".repeat(maximumBytes + 1));
+        expect((await body)._unsafeUnwrapErr().kind).toEqual("invalid-input");
+    });
+});
