Give chats and calls to plain services a limit each

An entry's one limit counted the places of plain services in, so that 112 places stood for 48 of engines; placement expected waits of 2 to 10 s and the limit, at 0.4 of the capacity at the lowest, came down to the engines' number only at its floor.

Ruled out: the session pin (below 50 ms in the slow requests but for one), the entries' processors (12 to 20% busy each).

Change: the capacity is counted by role; chats are let in by the engines', calls to plain services by the services' capacity. `GET /status` shows the second limit as `serviceLimits`.

Tests: runnerChooser.test.ts (new test; two calls of the old one name the role now); test/entry, proofs/atMostOnce, proofs/billing and decisions/limits green.

--- a/src/decisions/placement/capacity.ts
+++ b/src/decisions/placement/capacity.ts
@@ -1,16 +1,17 @@
 /**
  * How much the upstreams of the entry's region can do.
  */
+import type { VmRole } from "../../world/index.js";
 import type { Runner } from "./runner.js";
 
 /**
- * Sums up the capacity of the live upstreams of the region, in requests at a time. Those that have not reported to this
+ * Sums up the capacity of the region's live upstreams of a role, in requests at a time. Those that have not reported to this
  * entry are taken to be like the mean of the pool's others; a pool of which none has reported counts for nothing.
  */
-export function getCapacity(runners: Iterable<Runner>): number {
+export function getCapacity(runners: Iterable<Runner>, role: VmRole): number {
     const pools = new Map<string, { live: number; reported: number; capacity: number; }>();
     for (const runner of runners) {
-        if (runner.isLeaving || !runner.isNear) {
+        if (runner.isLeaving || !runner.isNear || runner.vm.role !== role) {
             continue;
         }
         const pool = pools.get(runner.vm.pool) ?? { live: 0, reported: 0, capacity: 0 };
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Clock, Failure, RandomSource } from "../../common/index.js";
 import { events, type Journal } from "../../events/index.js";
-import type { LoadReport, Vm } from "../../world/index.js";
+import type { LoadReport, Vm, VmRole } from "../../world/index.js";
 import { CandidateSet } from "./candidateSet.js";
 import { getCapacity } from "./capacity.js";
 import { getEjectedShareWith } from "./ejection.js";
@@ -89,9 +89,10 @@
      * Returns the part of the region's capacity that falls to this entry, in requests at a time. Upstreams outside the
      * subset are taken to be like those within: the subset alone, shared out among all entries, would be far too little.
      * @param entries - How many entries share the region's upstreams.
+     * @param role - Engines or plain services: the places of the one are of no use to the other's requests.
      */
-    getOwnCapacity(entries: number): number {
-        return getCapacity(this.#runners.values()) / Math.max(1, entries);
+    getOwnCapacity(entries: number, role: VmRole): number {
+        return getCapacity(this.#runners.values(), role) / Math.max(1, entries);
     }
 
     /**
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -84,7 +84,10 @@
     readonly router: RolloutRouter;
     readonly driver: RolloutDriver;
     readonly runners: RunnerChooser;
+    /** Lets chats in, by the engines' capacity. */
     readonly admission: AdmissionController;
+    /** Lets calls to plain services in, by the services' capacity. */
+    readonly serviceAdmission: AdmissionController;
     readonly retries: RetryBudget;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -85,7 +85,7 @@
             clock: cradle.clock,
             journal: cradle.journal,
             getConfigurationAge: () => cradle.state.getConfigurationAge(),
-            admission: cradle.admission,
+            admission: cradle.serviceAdmission,
             runners: cradle.runners,
             services: cradle.services,
             claims: cradle.claims,
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -14,7 +14,9 @@
 } from "../../decisions/index.js";
 import { events } from "../../events/index.js";
 import { EngineClient, ServiceClient } from "../../upstream/index.js";
+import type { VmRole } from "../../world/index.js";
 import type { Parts } from "../container.js";
+import type { Cradle } from "../cradle.js";
 import { LoadPoller } from "../loadPoller.js";
 import { RolloutDriver } from "../rolloutDriver.js";
 import { VersionPolicy } from "../versionPolicy.js";
@@ -64,6 +66,7 @@
             options: { nearSubsetSize: settings.limits.subset },
         }),
     admission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
+    serviceAdmission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     retries: ({ settings }) => new RetryBudget({ ratio: settings.limits.retryPercent / percent }),
     engines: ({ upstreamAgent, settings }) =>
         new EngineClient({
@@ -78,8 +81,10 @@
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
             onRound: () => {
-                const entries = Math.max(1, cradle.membership.getAlive().length);
-                cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
+                // Under one limit the places of idle services let chats in that no engine has a place for: they wait
+                // there, past the time to the first token, and keep more urgent ones waiting.
+                cradle.admission.setCapacity(getOwnCapacity(cradle, "runner"));
+                cradle.serviceAdmission.setCapacity(getOwnCapacity(cradle, "service"));
             },
             onLeaving: upstream => {
                 cradle.runners.markLeaving(upstream.id);
@@ -88,3 +93,8 @@
             },
         }),
 };
+
+function getOwnCapacity({ membership, runners }: Cradle, role: VmRole): number {
+    const entries = Math.max(1, membership.getAlive().length);
+    return Math.max(leastCapacity, runners.getOwnCapacity(entries, role));
+}
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -1,6 +1,7 @@
 /**
  * What an entry tells operators about itself.
  */
+import type { AdmissionController } from "../decisions/index.js";
 import type { Cradle } from "./cradle.js";
 import { controlLease } from "./parts/platformParts.js";
 
@@ -11,7 +12,7 @@
  * @param cradle - The entry's parts.
  */
 export function createStatus(cradle: Cradle): object {
-    const { configuration, control, membership, rollouts, leases, lease, admission, bills, billKeeper } = cradle;
+    const { configuration, control, membership, rollouts, leases, lease, bills, billKeeper } = cradle;
     return {
         entry: cradle.self.id,
         failureDomain: cradle.self.failureDomain,
@@ -34,11 +35,8 @@
         })),
         rollouts: rollouts.getRollouts(),
         halts: rollouts.getHalts(),
-        limits: {
-            running: admission.getInFlight(),
-            waiting: admission.getQueueLength(),
-            limit: admission.getLimit(),
-        },
+        limits: createLimits(cradle.admission),
+        serviceLimits: createLimits(cradle.serviceAdmission),
         bills: { waiting: bills.getSize(), kept: billKeeper.getSize(), full: bills.isFull() },
         upstreams: cradle.runners.getSubset().map(({ id, pool, failureDomain }) => ({ id, pool, failureDomain })),
         memory: process.memoryUsage(),
@@ -63,3 +61,7 @@
 function toFinite(value: number): number {
     return Number.isFinite(value) ? Math.round(value) : Number.MAX_SAFE_INTEGER;
 }
+
+function createLimits(admission: AdmissionController) {
+    return { running: admission.getInFlight(), waiting: admission.getQueueLength(), limit: admission.getLimit() };
+}
--- a/test/decisions/placement/runnerChooser.test.ts
+++ b/test/decisions/placement/runnerChooser.test.ts
@@ -142,9 +142,21 @@
             chooser.addLoadReport(createReport("runner-0", { capacity: 4 }));
             chooser.addLoadReport(createReport("runner-1", { capacity: 12 }));
             chooser.addLoadReport(createReport("far", { capacity: 100 }));
-            expect(chooser.getOwnCapacity(4)).toEqual(20);
+            expect(chooser.getOwnCapacity(4, "runner")).toEqual(20);
             chooser.markLeaving("runner-2");
-            expect(chooser.getOwnCapacity(4)).toEqual(18);
+            expect(chooser.getOwnCapacity(4, "runner")).toEqual(18);
+        });
+
+        // Engines are full and plain services idle. Counted together, the services' places let chats in that wait inside
+        // the engines until their first token is too late.
+        it("counts engines and plain services apart", () => {
+            const { chooser } = createChooser([
+                createVm("runner-0", {}),
+                createVm("app-0", { pool: "label-app", role: "service" }),
+            ]);
+            chooser.addLoadReport(createReport("runner-0", { capacity: 8 }));
+            chooser.addLoadReport(createReport("app-0", { capacity: 16 }));
+            expect([chooser.getOwnCapacity(1, "runner"), chooser.getOwnCapacity(1, "service")]).toEqual([8, 16]);
         });
     });
 
