Read the fence of a test's roll-out from the folded lease, not from the last take

Cause: the test "stays with a candidate whose roll-out has finished" took the offset of the last lease-take in the stream for the fence. Entries that start together all try to take the lease; the takes that lost stand in the stream after the one that counts. A run that failed showed three takes at offsets 0, 1 and 2, all entries with the fence 0, and finish records under the fence 2, which every fold refuses. Ruled out: the fold (all three entries agreed on holder and fence 0 in the failing run), the load of the machine alone. Change: the test reads the fence of the folded lease from an entry's status, and appends a losing take itself, so that the case is there on each run. waitUntil can say what it found in place of what it waited for. Conclusion: the product was right; the test read a record that had not taken effect.

--- a/src/testbench/site/entryStatus.ts
+++ b/src/testbench/site/entryStatus.ts
@@ -8,6 +8,8 @@
     readonly configurationOffset: number;
     readonly configurationAgeMilliseconds: number;
     readonly holdsLease: boolean;
+    /** The lease for roll-outs as the entry has folded it; empty before the first take. */
+    readonly lease: { readonly holder?: string; readonly fence?: number; };
     readonly members: readonly { readonly id: string; readonly state: string; }[];
     readonly upstreams: readonly { readonly id: string; }[];
     readonly versions: readonly { readonly id: string; readonly status: string; readonly halted: boolean; }[];
--- a/src/testbench/waitUntil.ts
+++ b/src/testbench/waitUntil.ts
@@ -11,6 +11,8 @@
     /** What is waited for, for the error's message. */
     readonly what: string;
     readonly boundMilliseconds?: number;
+    /** Describes what was there in place of it, for the error's message. */
+    readonly describe?: () => string;
 }
 
 /**
@@ -31,5 +33,6 @@
         }
         await sleep(pollMilliseconds);
     }
-    throw new Error(`Waited ${boundMilliseconds} ms in vain for ${what}.`);
+    const found = options.describe === undefined ? "" : ` Found: ${options.describe()}.`;
+    throw new Error(`Waited ${boundMilliseconds} ms in vain for ${what}.${found}`);
 }
--- a/test/proofs/upstreamsAndHalts.test.ts
+++ b/test/proofs/upstreamsAndHalts.test.ts
@@ -36,11 +36,12 @@
             budget: [300],
             startedBy: "test",
         });
+        // Entries that start together all try to take the lease. The takes that lost stay in the stream, after the one
+        // that counts, so only the folded state tells the fence.
+        await append(proof, "lease-take", { lease: "control", holder: "nobody", termMilliseconds: 1500 });
         await waitUntil(async () => {
-            const control = await site.readStream("control");
-            const fence = control.findLast(({ record }) => record.kind === "lease-take")?.offset;
-            await append(proof, rolloutRecordKinds.finish, { rollout: id, fence });
             const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+            await append(proof, rolloutRecordKinds.finish, { rollout: id, fence: states[0].lease.fence });
             return states.every(({ rollouts }) =>
                 rollouts.some(other => other.id === id && other.state === "finished")
             );
