Give final answers without waiting for a cancellation, and cancel at busy engines too

Two things: answers of the test are 0.4 to 1.2 s long, so on a slow machine they may end by themselves; and an entry gave the cancellation up after 300 ms while the engine took its own lost connection for a reader. Reading on showed two more faults: the final answer at a deadline, and the next try after a broken stream, waited until the old engine had confirmed the cancellation; and a caller that left counted as a failed upstream, which lowers the admission limit. Ruled out: a second run of the request (the engines noted one). Change: cancellations are tried for 3.8 s; they are waited for only when the caller has left; a caller that left is "cancelled" for the limit; the HTTP client's own time-outs lie 2 s behind the deadline. The stand-in engine can notice lost readers late. The test makes answers of a minute and more, so that only a cancellation ends them. Conclusion: two faults of the product and one of the test.

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -22,8 +22,11 @@
 /** Runners that are tried for one answer, at most. */
 const maximumAttempts = 3;
 
-/** Pauses before each try to cancel a stream, in milliseconds. */
-const cancellationPauses = [0, 20, 80, 200];
+/**
+ * Pauses before each try to cancel a stream, in milliseconds. A busy engine takes a second or more to learn that a
+ * reader has gone; given up earlier, the answer would go on to its end with nobody to read it.
+ */
+const cancellationPauses = [0, 20, 80, 200, 500, 1000, 2000];
 
 /** What an attempt runner works with. */
 export interface AttemptRunnerOptions {
@@ -191,7 +194,7 @@
                 if (ending.signal.aborted) {
                     // The engine may be at work on the prompt. Left alone it would finish an answer that nobody reads
                     // and nobody is billed for; its load would show it and the bills would not.
-                    await this.#cancel(options, runner, streamId);
+                    await this.#abandon(options, runner, streamId);
                 }
                 return err({ ...this.#atDeadline(call, answered.error), retriable: true });
             }
@@ -247,10 +250,21 @@
             return ok({ usage: relayed.value, firstTokenMilliseconds, headers });
         }
         finishWork(work, signal.aborted ? "cancelled" : "failed", milliseconds, answer);
-        await this.#cancel(options, runner, streamId);
+        await this.#abandon(options, runner, streamId);
         return err({ ...this.#atDeadline(call, relayed.error), retriable: true });
     }
 
+    /**
+     * Gives an answer up. While the caller is there, its final answer or its next try must not wait for an engine that
+     * may be frozen, so the cancellation goes on by itself.
+     */
+    async #abandon(options: AttemptOptions, runner: Vm, streamId: string): Promise<void> {
+        const cancelled = this.#cancel(options, runner, streamId);
+        if (options.call.gone.aborted) {
+            await cancelled;
+        }
+    }
+
     /**
      * Stops an answer that nobody waits for, and bills what was made of it. When another entry reads the stream by
      * now, it is left alone and billed there.
--- a/src/entry/chatPipeline.ts
+++ b/src/entry/chatPipeline.ts
@@ -12,6 +12,7 @@
 import type { PlanRunner } from "./planRunner.js";
 import { type Refusal, refuseNotRun } from "./problem.js";
 import type { Sessions } from "./sessions.js";
+import { getTicketOutcome } from "./ticketOutcome.js";
 import type { VersionPolicy } from "./versionPolicy.js";
 import { selectPinnedVersion, selectVersions } from "./versionSelection.js";
 
@@ -72,7 +73,9 @@
             return err(refuseNotRun(createCallerGoneFailure()));
         }
         const result = await this.#serve({ ...call, priority: ticket.priority });
-        ticket.release(result.isOk() ? result.value : { outcome: toTicketOutcome(result.error), tokens: 0 });
+        ticket.release(
+            result.isOk() ? result.value : { outcome: getTicketOutcome(result.error, call.gone.aborted), tokens: 0 },
+        );
         return result.map(() => undefined);
     }
 
@@ -193,13 +196,6 @@
     return { ...plan, steps: [{ version: last.version, acceptScore: undefined }] };
 }
 
-function toTicketOutcome(refusal: Refusal): "refused" | "failed" | "cancelled" {
-    if (refusal.failure.kind === "deadline" || refusal.failure.kind === "upstream-failed") {
-        return "failed";
-    }
-    return refusal.outcome === "not-run" ? "refused" : "failed";
-}
-
 function createBillsFullFailure(): Failure {
     return new Failure({
         kind: "unavailable",
--- a/src/standins/engine/engineConditions.ts
+++ b/src/standins/engine/engineConditions.ts
@@ -45,6 +45,8 @@
     /** Answers orders as if all were well and does nothing. */
     ignoreOrders: flag.default(false),
     leaving: flag.default(false),
+    /** How long the engine takes a reader for present whose connection is gone. */
+    readerLagMilliseconds: amount.default(0),
     /** Produces nothing while it is on. */
     frozen: flag.default(false),
     /** Version that runs in truth for one that is asked for. */
--- a/src/standins/engine/modelEngine.ts
+++ b/src/standins/engine/modelEngine.ts
@@ -96,7 +96,7 @@
             return;
         }
         if (chat.stream) {
-            sendStream(context, run.stream, 0);
+            this.#sendStream(context, run.stream, 0);
             return;
         }
         await run.stream.waitForEnd();
@@ -168,7 +168,11 @@
             return;
         }
         context.set("X-Model-Version", run.note.ran);
-        sendStream(context, run.stream, Number(context.get("Last-Event-ID") || 0));
+        this.#sendStream(context, run.stream, Number(context.get("Last-Event-ID") || 0));
+    }
+
+    #sendStream(context: Koa.Context, stream: AnswerStream, after: number): void {
+        sendStream(context, stream, { after, readerLagMilliseconds: this.#conditions.get().readerLagMilliseconds });
     }
 
     #cancel(context: Koa.Context, request: string): void {
@@ -250,10 +254,17 @@
     }
 }
 
-/** Sends a stream's events after the one with this identifier, and goes on until the stream ends. */
-function sendStream(context: Koa.Context, stream: AnswerStream, after: number): void {
+/** How a stream is sent. */
+interface StreamSending {
+    /** Identifier of the event after which it starts. */
+    readonly after: number;
+    readonly readerLagMilliseconds: number;
+}
+
+/** Sends a stream's events after one, and goes on until the stream ends. */
+function sendStream(context: Koa.Context, stream: AnswerStream, sending: StreamSending): void {
     const { res: response } = context;
-    let sent = after;
+    let sent = sending.after;
     context.respond = false;
     response.statusCode = 200;
     response.setHeader("Content-Type", "text/event-stream");
@@ -270,7 +281,7 @@
         }
     };
     const endListening = stream.read(send);
-    response.once("close", endListening);
+    response.once("close", () => setTimeout(endListening, sending.readerLagMilliseconds).unref());
     response.flushHeaders();
     send();
 }
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -8,6 +8,9 @@
 import { type EngineEvent, readEvents, type TokenUsage } from "./engineStream.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
+/** How much later than the deadline the HTTP client itself gives up. */
+const timeoutSlackMilliseconds = 2000;
+
 /** A chat completion to be run on an engine. */
 export interface EngineRequest {
     /** Identifies the stream on the engine, unique for each attempt. */
@@ -64,9 +67,11 @@
             const response = await request(`${getOrigin(runner)}/v1/chat/completions`, {
                 method: "POST",
                 dispatcher: this.#dispatcher,
-                // The headers come with the first token, so they may take as long as the whole answer.
-                headersTimeout: options.deadlineMilliseconds,
-                bodyTimeout: options.deadlineMilliseconds,
+                // The headers come with the first token, so they may take as long as the whole answer. The signal ends
+                // the request at its deadline; a coarse timer that fires a little before it would look like a broken
+                // connection, and the caller would be told of a missing upstream in place of its deadline.
+                headersTimeout: options.deadlineMilliseconds + timeoutSlackMilliseconds,
+                bodyTimeout: options.deadlineMilliseconds + timeoutSlackMilliseconds,
                 signal: options.signal,
                 headers: {
                     "content-type": "application/json",
--- /dev/null
+++ b/test/entry/deadline.test.ts
@@ -0,0 +1,50 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { Caller, getApiKey, metroManila, ProcessGroup, Site, waitUntil } from "../../src/testbench/index.js";
+
+const callerBoundMilliseconds = 10_000;
+
+describe("AttemptRunner at a deadline", () => {
+    const group = new ProcessGroup();
+    const caller = new Caller();
+    let site: Site;
+
+    before(async () => {
+        site = await Site.start(group, {
+            ...metroManila,
+            prefix: "127.60.9",
+            entryCount: 1,
+            runners: { name: "lm-pool", count: 1, settings: { stepMilliseconds: 5 } },
+            hasLinks: true,
+            // Longer than the caller waits: only an entry that doesn't wait for the engine answers in time.
+            entrySettings: { timing: { upstream_connect_timeout_ms: "30000" } },
+        });
+    });
+
+    after(async () => {
+        await caller.close();
+        await group.killAll();
+    });
+
+    // The way to an engine goes dead in the middle of a request. At the deadline the entry knows that there will be no
+    // answer; a caller that is kept until the engine has confirmed the cancellation waits for nothing.
+    it("gives the final answer without waiting for the cancellation", async () => {
+        const [{ name, callers: entry }] = site.getEntries();
+        const key = getApiKey("commissary");
+        const changes = [{ section: "workspace.commissary", key: "deadline_ms", value: "1500" }];
+        await site.waitInForce(await site.publish(changes));
+        const ask = () =>
+            caller.chat({
+                entry,
+                key,
+                text: "Does the pastry hold sesame?",
+                boundMilliseconds: callerBoundMilliseconds,
+            });
+        await waitUntil(async () => (await ask()).isWhole, { what: "a first answer" });
+        await site.setLink(name, "runner-1", { freeze: true });
+        const record = await ask();
+        expect([record.status, record.outcome]).toEqual([504, "unknown"]);
+        await site.setLink(name, "runner-1", { freeze: false });
+        await waitUntil(async () => (await ask()).isWhole, { what: "an answer after the link is back" });
+    });
+});
--- a/test/entry/hostileInput.test.ts
+++ b/test/entry/hostileInput.test.ts
@@ -4,15 +4,19 @@
 import {
     call,
     Caller,
+    type ChatRecord,
     getApiKey,
     getJournal,
     metroManila,
     ProcessGroup,
+    setFaults,
     Site,
     type SiteDescription,
     waitUntil,
 } from "../../src/testbench/index.js";
 
+const version = "label-medium@2";
+
 const description: SiteDescription = {
     ...metroManila,
     prefix: "127.60.2",
@@ -109,28 +113,59 @@
         await expectHealthy();
     });
 
+    // A caller loses interest after the first words. Nobody reads the rest, which would take a minute to make; an engine
+    // that goes on with it is slower for everybody else.
     it("cancels at the engine when the caller vanishes in the middle of its answer", async () => {
-        const record = await caller.chat({
-            entry,
-            key,
-            text: "List every allergen of the buffet.",
-            streamed: true,
-            leaveAfterEvents: 1,
-        });
+        await makeAnswersLong();
+        const record = await vanish();
         expect(record.status).toEqual(200);
-        await waitUntil(async () => {
-            const outcomes: string[] = [];
-            for (const runner of site.getUpstreams().values()) {
-                const notes = await getJournal<{ id: string; outcome: string; }>(runner.getAddress());
-                outcomes.push(
-                    ...notes.filter(note => note.id?.startsWith(record.requestId ?? "-"))
-                        .map(note => note.outcome),
-                );
-            }
-            return outcomes.length === 1 && outcomes[0] === "cancelled";
-        }, { what: "the engine to have cancelled the answer" });
+        await waitUntilOutcome(record, "cancelled");
+        await makeAnswersShort();
         await expectHealthy();
     });
+
+    // A busy engine notices late that a reader has gone, and refuses to cancel what it takes for being read. An entry that
+    // believes it at once leaves the engine at work for nobody.
+    it("cancels at an engine that learns late of its reader's end", async () => {
+        await makeAnswersLong();
+        await Promise.all(getRunners().map(runner => setFaults(runner, { readerLagMilliseconds: 900 })));
+        const record = await vanish();
+        await waitUntilOutcome(record, "cancelled");
+        await Promise.all(getRunners().map(runner => setFaults(runner, { readerLagMilliseconds: 0 })));
+        await makeAnswersShort();
+    });
+
+    async function makeAnswersLong(): Promise<void> {
+        await Promise.all(getRunners().map(runner => setFaults(runner, { version, outputTokens: 5000 })));
+    }
+
+    async function makeAnswersShort(): Promise<void> {
+        await Promise.all(getRunners().map(runner => setFaults(runner, { version, outputTokens: 20 })));
+    }
+
+    function vanish(): Promise<ChatRecord> {
+        const text = "List every allergen of the buffet.";
+        return caller.chat({ entry, key, model: version, text, streamed: true, leaveAfterEvents: 1 });
+    }
+
+    /** Waits until the engines' own notes tell of one run for the request, and this outcome. */
+    async function waitUntilOutcome(record: ChatRecord, wanted: string): Promise<void> {
+        let outcomes: string[] = [];
+        await waitUntil(async () => {
+            outcomes = [];
+            for (const runner of getRunners()) {
+                const notes = await getJournal<{ id?: string; outcome: string; }>(runner);
+                const own = notes.filter(({ id }) => id?.startsWith(record.requestId ?? "-"));
+                outcomes.push(...own.map(note => note.outcome));
+            }
+            return outcomes.length === 1 && outcomes[0] === wanted;
+        }, { what: `the engines to note ${wanted}`, describe: () => outcomes.join() });
+    }
+
+    function getRunners(): readonly string[] {
+        return [...site.getUpstreams()].filter(([name]) => name.startsWith("runner"))
+            .map(([, runner]) => runner.getAddress());
+    }
 });
 
 function open(address: string): Promise<Socket> {
