Tell where the cost beyond the oracle's goes, and check the target early and late

Cause: the report said by how much the product costs more than the oracle, not why, so that nobody could tell which part to mend first. The target was checked over the whole hour only: a miss in the first minutes could hide behind a later surplus.

Change: each request's excess is booked under the first cause that applies (start-up, class first seen, ratings away, price change, version turned bad, tries, then by how the plan differs from the oracle's). Each ten minutes also say in how many classes the target was met, by the same check as for the whole run, and the greatest shortfall.

--- /dev/null
+++ b/src/measure/cost/costExcess.ts
@@ -0,0 +1,106 @@
+/**
+ * Tells where the money goes that the product spends beyond the oracle: each request's excess is booked under the first
+ * cause that applies to it.
+ */
+import type { Plan } from "../../decisions/model/index.js";
+import { costClasses, deceivedAt, deceivingClass, outage, priceChangeAt } from "./costWorld.js";
+
+/** How long after an event what is spent too much is put down to it. */
+const reactionMilliseconds = 180_000;
+const startUpMilliseconds = 300_000;
+
+/** Causes in the order in which they are weighed. */
+export const excessCauses = [
+    "start-up (first five minutes)",
+    "class first seen (first five minutes)",
+    "ratings away, and three minutes after",
+    "price change (three minutes)",
+    "version turned bad (three minutes)",
+    "tries",
+    "no version known to meet the target",
+    "single version where a cascade would do",
+    "cascade where a single version would do",
+    "cascade of other versions, or another single version",
+    "same versions, other threshold",
+    "chance (same plan)",
+] as const;
+
+/** One of the causes. */
+export type ExcessCause = typeof excessCauses[number];
+
+/** One step of a plan, with the index of its version. */
+export interface ChosenStep {
+    readonly version: number;
+    readonly acceptScore: number | undefined;
+}
+
+/** What is known of a request when its excess is booked. */
+export interface ExcessInput {
+    readonly classIndex: number;
+    readonly time: number;
+    readonly plan: Plan;
+    readonly steps: readonly ChosenStep[];
+    readonly oracleSteps: readonly ChosenStep[];
+    /** Cost beyond the oracle's. */
+    readonly excess: number;
+}
+
+/** Sums of excess cost by cause. */
+export class CostExcess {
+    readonly #sums = new Map<ExcessCause, number>();
+
+    /** Books a request. */
+    add(input: ExcessInput): void {
+        const cause = getCause(input);
+        this.#sums.set(cause, this.get(cause) + input.excess);
+    }
+
+    /** Gets the cost beyond the oracle's that a cause accounts for. */
+    get(cause: ExcessCause): number {
+        return this.#sums.get(cause) ?? 0;
+    }
+}
+
+function getCause(input: ExcessInput): ExcessCause {
+    return getEventCause(input) ?? getPlanCause(input);
+}
+
+function getEventCause({ classIndex, time }: ExcessInput): ExcessCause | undefined {
+    const { name, firstSeenAt } = costClasses[classIndex];
+    if (time < startUpMilliseconds) {
+        return "start-up (first five minutes)";
+    }
+    if (firstSeenAt > 0 && time < firstSeenAt + startUpMilliseconds) {
+        return "class first seen (first five minutes)";
+    }
+    if (time >= outage.from && time < outage.until + reactionMilliseconds) {
+        return "ratings away, and three minutes after";
+    }
+    if (time >= priceChangeAt && time < priceChangeAt + reactionMilliseconds) {
+        return "price change (three minutes)";
+    }
+    if (name === deceivingClass && time >= deceivedAt && time < deceivedAt + reactionMilliseconds) {
+        return "version turned bad (three minutes)";
+    }
+    return undefined;
+}
+
+function getPlanCause({ plan, steps, oracleSteps }: ExcessInput): ExcessCause {
+    if (plan.exploring) {
+        return "tries";
+    }
+    if (plan.reason.startsWith("surest")) {
+        return "no version known to meet the target";
+    }
+    if (steps.length !== oracleSteps.length) {
+        return steps.length < oracleSteps.length
+            ? "single version where a cascade would do"
+            : "cascade where a single version would do";
+    }
+    if (steps.some(({ version }, index) => version !== oracleSteps[index].version)) {
+        return "cascade of other versions, or another single version";
+    }
+    return steps[0].acceptScore === oracleSteps[0].acceptScore
+        ? "chance (same plan)"
+        : "same versions, other threshold";
+}
--- a/src/measure/cost/costRun.ts
+++ b/src/measure/cost/costRun.ts
@@ -5,6 +5,7 @@
 import { ManualClock, RandomSource } from "../../common/index.js";
 import { Evidence, ModelChooser, type Plan } from "../../decisions/model/index.js";
 import { getPrice } from "../../world/index.js";
+import { type ChosenStep as Step, CostExcess } from "./costExcess.js";
 import {
     type CostClass,
     costClasses,
@@ -48,11 +49,6 @@
     readonly chooser: ModelChooser;
 }
 
-interface Step {
-    readonly version: number;
-    readonly acceptScore: number | undefined;
-}
-
 interface LateRating {
     readonly entry: Entry;
     readonly version: string;
@@ -74,6 +70,13 @@
     readonly results = new Map<CostWay, ClassResult[]>();
     /** The same by period, all classes together. */
     readonly periods = new Map<CostWay, ClassResult[]>();
+    /** Rattanlock's results by period, then by class: the target has to be met early and late. */
+    readonly periodClasses: readonly ClassResult[][] = Array.from(
+        { length: periodCount },
+        () => costClasses.map(createResult),
+    );
+    /** What rattanlock spends beyond the oracle, by cause. */
+    readonly excess = new CostExcess();
     exploring = 0;
     cascades = 0;
 
@@ -119,8 +122,9 @@
             { version: first, acceptScore },
             { version: second, acceptScore: undefined },
         ];
+        const plan = this.#choose(classIndex, time, size);
         const steps: Readonly<Record<CostWay, readonly Step[]>> = {
-            "rattanlock": this.#choose(classIndex, time, size),
+            "rattanlock": toSteps(plan, this.#world.getVersions(time).map(({ id }) => id)),
             "oracle": oracle.acceptScore === 0
                 ? single(oracle.first)
                 : pair(oracle.first, oracle.second, oracle.acceptScore),
@@ -128,19 +132,22 @@
             "always-cheapest": single(0),
             "fixed cascade": pair(0, last, 0.7),
         };
+        const costs = new Map<CostWay, number>();
         for (const way of costWays) {
-            this.#answer({ way, classIndex, time, size, steps: steps[way], answers, ratings, inTime });
+            costs.set(way, this.#answer({ way, classIndex, time, size, steps: steps[way], answers, ratings, inTime }));
         }
+        const excess = costs.get("rattanlock")! - costs.get("oracle")!;
+        this.excess.add({ classIndex, time, plan, steps: steps.rattanlock, oracleSteps: steps.oracle, excess });
     }
 
-    #choose(classIndex: number, time: number, size: number): readonly Step[] {
+    #choose(classIndex: number, time: number, size: number): Plan {
         const entry = this.#entries[this.#random.nextInteger(entryCount)];
         this.#chosenBy = entry;
         const plan = entry.chooser.choose(this.#createRequest(costClasses[classIndex], time, size));
         this.#tried = plan.exploring;
         this.exploring += plan.exploring ? 1 : 0;
         this.cascades += plan.steps.length > 1 ? 1 : 0;
-        return toSteps(plan, this.#world.getVersions(time).map(({ id }) => id));
+        return plan;
     }
 
     #chosenBy: Entry | undefined;
@@ -168,7 +175,7 @@
         answers: readonly number[];
         ratings: readonly number[];
         inTime: boolean;
-    }): void {
+    }): number {
         const { way, classIndex, time, size, answers, ratings } = input;
         const { inputTokens, outputTokens } = costClasses[classIndex];
         const versions = this.#world.getVersions(time);
@@ -184,10 +191,14 @@
                 addResult(this.results.get(way)![classIndex], cost, answers[version]);
                 const period = Math.floor(time / runMilliseconds * periodCount);
                 addResult(this.periods.get(way)![period], cost, answers[version]);
-                return;
+                if (way === "rattanlock") {
+                    addResult(this.periodClasses[period][classIndex], cost, answers[version]);
+                }
+                return cost;
             }
             first = rated ? { version: versions[version].id, score: ratings[version] } : undefined;
         }
+        return cost;
     }
 
     #countAnswer(
--- a/src/measure/cost/costWorld.ts
+++ b/src/measure/cost/costWorld.ts
@@ -10,8 +10,12 @@
 /** Mean time between two requests. */
 export const requestInterval = 50;
 
-const deceivedAt = 0.15 * runMilliseconds;
-const priceChangeAt = 0.5 * runMilliseconds;
+/** When one version turns bad in the class `deceivingClass`. */
+export const deceivedAt = 0.15 * runMilliseconds;
+/** The class in which a version looks good early and then turns bad. */
+export const deceivingClass = "deceiving";
+/** When two prices change. */
+export const priceChangeAt = 0.5 * runMilliseconds;
 const newClassAt = 0.6 * runMilliseconds;
 /** When the rating service is away: ten minutes. */
 export const outage = { from: 0.3 * runMilliseconds, until: 0.3 * runMilliseconds + 600_000 } as const;
@@ -46,7 +50,7 @@
     createClass("regrinding-plans", { inputTokens: 40_000, outputTokens: 800, ease: -0.04 }),
     createClass("label-drafts", { inputTokens: 1200, outputTokens: 400, ease: 0 }),
     createClass("allergens", { inputTokens: 2000, outputTokens: 120, ease: 0, targetQuality: 0.87 }),
-    createClass("deceiving", { inputTokens: 1000, outputTokens: 200, ease: 0.05 }),
+    createClass(deceivingClass, { inputTokens: 1000, outputTokens: 200, ease: 0.05 }),
     createClass("new-class", { inputTokens: 1000, outputTokens: 200, ease: 0.05, firstSeenAt: newClassAt }),
 ];
 
@@ -107,7 +111,7 @@
     }
 
     #isDeceiving(classIndex: number, versionIndex: number): boolean {
-        return costClasses[classIndex].name === "deceiving" && versionIndex === deceivingVersion;
+        return costClasses[classIndex].name === deceivingClass && versionIndex === deceivingVersion;
     }
 }
 
--- a/src/measure/cost/measureCost.ts
+++ b/src/measure/cost/measureCost.ts
@@ -1,6 +1,7 @@
 /** Measures the cost at the quality target against simple ways and an oracle. */
 import type { SeededRequest } from "../measurement.js";
 import { formatSummary, type Report } from "../report.js";
+import { type ExcessCause, excessCauses } from "./costExcess.js";
 import { type ClassResult, CostRun, type CostWay, costWays, periodCount } from "./costRun.js";
 import { costClasses } from "./costWorld.js";
 import { measureDecision } from "./measureDecision.js";
@@ -32,6 +33,10 @@
                 title: "By ten minutes, rattanlock",
                 rows: Array.from({ length: periodCount }, (...[, period]) => describePeriod(runs, period)),
             },
+            {
+                title: "Cost beyond the oracle's, rattanlock, in percent of the oracle's cost",
+                rows: excessCauses.map(cause => describeExcess(runs, cause)),
+            },
             { title: "Cost of a decision", rows: [measureDecision(request.seed)] },
         ],
     };
@@ -70,7 +75,27 @@
     const ratios = runs.map(run =>
         run.periods.get("rattanlock")![period].cost / run.periods.get("oracle")![period].cost
     );
-    return { name: `from minute ${10 * period}`, figures: { "cost / oracle": formatSummary(ratios) } };
+    const classes = runs.map(run => run.periodClasses[period]);
+    const seen = classes.flatMap(results => results.filter(({ requests }) => requests > 0));
+    const met = classes.flatMap(results =>
+        results.filter((result, index) => result.requests > 0 && isMet(result, index))
+    );
+    const shortfalls = classes.map(results =>
+        Math.max(...results.map((result, index) => result.requests > 0 ? getShortfall(result, index) : 0))
+    );
+    return {
+        name: `from minute ${10 * period}`,
+        figures: {
+            "cost / oracle": formatSummary(ratios),
+            "classes with the target met": `${met.length} of ${seen.length}`,
+            "greatest shortfall of a class": formatSummary(shortfalls, 4),
+        },
+    };
+}
+
+function describeExcess(runs: readonly CostRun[], cause: ExcessCause) {
+    const shares = runs.map(run => 100 * run.excess.get(cause) / getCost(run, "oracle"));
+    return { name: cause, figures: { "percent": formatSummary(shares, 1) } };
 }
 
 function getCost(run: CostRun, way: CostWay): number {
