Share what is known of versions between classes, and try only what may pay

Each class learned every version from nothing: the dear versions, which answer second, were hardly known by themselves, so that the dearest was taken when cascades were not to be had, and in the first minutes. A try of a cheap version put the dearest sure single version behind it, at several times the usual cost.

Change: a version's quality is the expectation, an effect of the class, an effect of the version and a rest, each learned; ratings of escalated answers, corrected for the hardness of those requests, tell about the second version too; the shape of a hardly tried version's scores is assumed normal, so that it can stand first in a cascade at once; a try puts a version before the one that answers last now, and only if the version, were it better by 1.3 deviations, would lower the cost; while no plan is known to meet the target, the cheapest plan no less sure than the surest version is taken. A version is tried by itself while it meets the target with a probability of 0.01, since the narrower bound gave up a version after three unlucky ratings now that other versions' ratings speak against it, too. Counts are read a few versions at a time, and a change is searched for over sums in place of histograms.

--- a/src/decisions/model/evidence.ts
+++ b/src/decisions/model/evidence.ts
@@ -70,8 +70,19 @@
     readonly secondScore: number;
 }
 
+/** Counts with what they weigh at their age. */
+export interface WeightedBucket {
+    /** The first epoch. */
+    readonly start: number;
+    readonly tally: Tally;
+    readonly weight: number;
+}
+
 interface Cell {
+    /** The node's sequence. */
     sequence: number;
+    /** The revision here when the cell last changed. */
+    revision: number;
     readonly series: BucketSeries;
 }
 
@@ -91,6 +102,8 @@
     readonly #own: NodeCounts = createNodeCounts();
     readonly #others = new Map<string, NodeCounts>();
     #revision = 0;
+    /** The revision when a node's counts were last dropped. */
+    #dropped = 0;
     #lastRatingAt: number | undefined;
 
     constructor(options: EvidenceOptions) {
@@ -166,8 +179,9 @@
         for (const { sequence, version, requestClass, buckets } of counts.series) {
             const classes = getOrInsert(node.cells, version, () => new Map<string, Cell>());
             if (sequence > (classes.get(requestClass)?.sequence ?? -1)) {
-                classes.set(requestClass, { sequence, series: BucketSeries.decode(buckets) });
                 this.#revision += 1;
+                const series = BucketSeries.decode(buckets);
+                classes.set(requestClass, { sequence, revision: this.#revision, series });
             }
         }
         if (counts.sequence > node.sequence) {
@@ -200,6 +214,15 @@
         return classes;
     }
 
+    /** Gets a number that changes with the counts of a version and class. */
+    getRevision(version: string, requestClass: string): number {
+        let revision = 0;
+        for (const node of this.#getNodes()) {
+            revision += node.cells.get(version)?.get(requestClass)?.revision ?? 0;
+        }
+        return revision + this.#dropped;
+    }
+
     /** Gets the buckets of all nodes for a version and class, in no particular order. */
     getBuckets(version: string, requestClass: string): readonly Bucket[] {
         const buckets: Bucket[] = [];
@@ -212,6 +235,18 @@
         return buckets;
     }
 
+    /** Gets the buckets of all nodes for a version and class with what each weighs now, in no particular order. */
+    getWeightedBuckets(version: string, requestClass: string): WeightedBucket[] {
+        const now = this.getEpoch(this.#clock.wall());
+        const buckets: WeightedBucket[] = [];
+        for (const node of this.#getNodes()) {
+            for (const bucket of node.cells.get(version)?.get(requestClass)?.series.getBuckets() ?? []) {
+                buckets.push({ start: bucket.start, tally: bucket.tally, weight: this.#getWeightAt(bucket, now) });
+            }
+        }
+        return buckets;
+    }
+
     /** Gets the merged counts of a version and class with old ones weighing less. */
     getRecent(version: string, requestClass: string): Tally {
         const total = new Tally();
@@ -223,9 +258,7 @@
 
     /** Gets how much a bucket weighs at its age: 1 when new, half of it after each half-life. */
     getWeight(bucket: Bucket): number {
-        const now = this.getEpoch(this.#clock.wall());
-        const age = Math.max(0, now - bucket.start - 2 ** bucket.level / 2);
-        return 2 ** (-age / this.#halfLifeEpochs);
+        return this.#getWeightAt(bucket, this.getEpoch(this.#clock.wall()));
     }
 
     /** Gets the merged counts of escalations in a class, by pair of versions. */
@@ -237,11 +270,17 @@
         return total.get(requestClass);
     }
 
+    #getWeightAt(bucket: Bucket, now: number): number {
+        const age = Math.max(0, now - bucket.start - (1 << bucket.level) / 2);
+        return Math.exp(-Math.LN2 * age / this.#halfLifeEpochs);
+    }
+
     #getOwnTally(input: { version: string; requestClass: string; answeredAt?: number; }): Tally {
         this.#touchOwn();
         const classes = getOrInsert(this.#own.cells, input.version, () => new Map<string, Cell>());
-        const cell = getOrInsert(classes, input.requestClass, () => ({ sequence: 0, series: new BucketSeries() }));
+        const cell = getOrInsert(classes, input.requestClass, createCell);
         cell.sequence = this.#own.sequence;
+        cell.revision = this.#revision;
         return cell.series.getTally(this.getEpoch(input.answeredAt ?? this.#clock.wall()));
     }
 
@@ -261,11 +300,16 @@
             if (node.departed && getNewestEpoch(node) < oldest) {
                 this.#others.delete(origin);
                 this.#revision += 1;
+                this.#dropped = this.#revision;
             }
         }
     }
 }
 
+function createCell(): Cell {
+    return { sequence: 0, revision: 0, series: new BucketSeries() };
+}
+
 function createNodeCounts(): NodeCounts {
     return { sequence: 0, departed: false, cells: new Map(), escalations: new Escalations() };
 }
--- /dev/null
+++ b/src/decisions/model/hardness.ts
@@ -0,0 +1,117 @@
+/**
+ * How hard requests spoil the second answer too, learned from escalations: where the first answer was rated low, the
+ * second one tends to be worse than its mean.
+ */
+import { type EscalationCounts, escalationSumUnit } from "./escalations.js";
+import { scoreSteps } from "./tally.js";
+
+/** Slope that is assumed at first, with its standard deviation. */
+const priorSlope = 0.5;
+const priorSlopeDeviation = 0.15;
+/** Standard deviation of a second score about what the first one lets expect. */
+export const secondScoreDeviation = 0.16;
+/** How far a pair's second scores may lie from the common line, as a standard deviation. */
+const pairDeviation = 0.015;
+
+/** Sums of a regression of second scores on first scores within pairs. */
+export interface SlopeSums {
+    readonly squares: number;
+    readonly products: number;
+}
+
+/** How a class's hard requests spoil the second answer. */
+export interface Hardness {
+    /** Loss of the second answer for each unit by which the first one fell short of its mean. */
+    readonly slope: number;
+    readonly slopeDeviation: number;
+    /** The escalations of the class. */
+    readonly pairs: readonly EscalationCounts[];
+}
+
+/** What escalations tell about a version's mean over all requests. */
+export interface PairedMean {
+    readonly mean: number;
+    readonly precision: number;
+}
+
+/**
+ * Gets the sums that a slope is estimated from. Only differences within a pair of versions count, so that the slope
+ * doesn't depend on how well the versions' means are known.
+ */
+export function getSlopeSums(pairs: readonly EscalationCounts[]): SlopeSums {
+    let squares = 0;
+    let products = 0;
+    for (const { counts, sums } of pairs) {
+        const { count, firstSum, secondSum } = sumPair(counts, sums);
+        if (count < 2) {
+            continue;
+        }
+        const firstMean = firstSum / count;
+        const secondMean = secondSum / count;
+        for (const [bin, seen] of counts.entries()) {
+            const distance = bin / scoreSteps - firstMean;
+            squares += seen * distance * distance;
+            products += distance * (sums[bin] / escalationSumUnit - seen * secondMean);
+        }
+    }
+    return { squares, products };
+}
+
+/** Estimates the slope from the sums of all classes. */
+export function getHardness(all: Iterable<SlopeSums>, pairs: readonly EscalationCounts[]): Hardness {
+    const priorSquares = (secondScoreDeviation / priorSlopeDeviation) ** 2;
+    let squares = priorSquares;
+    let products = priorSquares * priorSlope;
+    for (const sums of all) {
+        squares += sums.squares;
+        products += sums.products;
+    }
+    const slope = Math.min(1, Math.max(0, products / squares));
+    return { slope, slopeDeviation: secondScoreDeviation / Math.sqrt(squares), pairs };
+}
+
+/**
+ * Gets what escalations tell about the means of the versions that answered second. Their ratings alone would make them
+ * look worse than they are; corrected for the hardness of those requests they spare trying a dear version by itself.
+ * @param getFirstMean - The mean of a version that answered first, `undefined` if it isn't known.
+ */
+export function getPairedMeans(
+    hardness: Hardness,
+    getFirstMean: (version: string) => number | undefined,
+): ReadonlyMap<string, PairedMean> {
+    const means = new Map<string, PairedMean>();
+    for (const { first, second, counts, sums } of hardness.pairs) {
+        const firstMean = getFirstMean(first);
+        const { count, firstSum, secondSum } = sumPair(counts, sums);
+        if (firstMean === undefined || count === 0) {
+            continue;
+        }
+        const shortfall = firstMean - firstSum / count;
+        const mean = secondSum / count + hardness.slope * shortfall;
+        const variance = secondScoreDeviation ** 2 / count + (hardness.slopeDeviation * shortfall) ** 2
+            + pairDeviation ** 2;
+        means.set(second, combine(means.get(second), { mean, precision: 1 / variance }));
+    }
+    return means;
+}
+
+/** Combines two means by their precisions. */
+export function combine(one: PairedMean | undefined, other: PairedMean): PairedMean {
+    if (one === undefined || one.precision === 0) {
+        return other;
+    }
+    const precision = one.precision + other.precision;
+    return { mean: (one.precision * one.mean + other.precision * other.mean) / precision, precision };
+}
+
+function sumPair(counts: readonly number[], sums: readonly number[]) {
+    let count = 0;
+    let firstSum = 0;
+    let secondSum = 0;
+    for (const [bin, seen] of counts.entries()) {
+        count += seen;
+        firstSum += seen * bin / scoreSteps;
+        secondSum += sums[bin] / escalationSumUnit;
+    }
+    return { count, firstSum, secondSum };
+}
--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -3,8 +3,9 @@
  */
 import type { Clock, RandomSource } from "../../common/index.js";
 import type { ModelVersion } from "../../world/index.js";
-import { type Estimate, getEstimate } from "./estimate.js";
+import type { Estimate } from "./estimate.js";
 import type { Evidence } from "./evidence.js";
+import type { Hardness } from "./hardness.js";
 import type { ModelRequest } from "./modelRequest.js";
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
 import {
@@ -12,6 +13,7 @@
     getExpectation,
     getLikelyQuality,
     getLowerBound,
+    getNoLessSure,
     getSignature,
     getSurest,
     getTryWeight,
@@ -19,10 +21,13 @@
     isCheaperPlan,
     type Try,
 } from "./planChoice.js";
-import { getCascadeOptions, getHardness, getSingleOption, type PlanSettings } from "./planOptions.js";
+import { getCascadeOptions, getSingleOption, type PlanSettings } from "./planOptions.js";
+import { QualityModel } from "./qualityModel.js";
 
 /** Evidence changes with every rating; plans needn't. */
 const refreshMilliseconds = 3000;
+/** Reading the counts of one version takes about a tenth of a millisecond. */
+const readsPerDecision = 3;
 /** At most this share of a class's requests explores. */
 const maximumExploringShare = 0.2;
 /** Surplus quality that can be saved up, so that a good day doesn't pay for a burst of bad answers. */
@@ -31,10 +36,12 @@
 const startingCredit = 1;
 /** A version with fewer recent ratings is tried as the first step of a cascade. */
 const wellKnownRatings = 40;
+/** A version that meets the target with a lower probability isn't tried by itself. */
+const minimumTryProbability = 0.01;
 /** Probability that a little known version proves of use as the first step of a cascade. */
 const cascadeProbability = 0.3;
-/** Quality that a try as the first step of a cascade is taken to cost. */
-const cascadeTryDebit = 0.01;
+/** Standard deviations by which a little known version is hoped to be better than expected. */
+const luckyDeviations = 1.3;
 
 /** Options of `ModelChooser`. */
 export interface ModelChooserOptions extends Partial<PlanSettings> {
@@ -49,16 +56,19 @@
     signature: string;
     targetQuality: number;
     confidence: number;
-    revision: number;
     formedAt: number;
+    /** Index of the candidate whose counts are read next. */
+    nextRead: number;
     /** Plans that meet the target with confidence, dominated ones left out. */
     singles: readonly PlanOption[];
     all: readonly PlanOption[];
     /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
     probable: readonly PlanOption[];
     probableSingles: readonly PlanOption[];
-    /** The surest plan, for when none meets the target. */
+    /** The surest version, for when nothing is known to meet the target. */
     surest: PlanOption;
+    /** Plans that are no less sure than that version; a cascade that ends with it often is, for less. */
+    fallbacks: readonly PlanOption[];
     /** Plans that may turn out to meet the target for less. */
     tries: readonly Try[];
     /** Surplus quality saved up in this class, in answers times quality. */
@@ -67,14 +77,14 @@
 
 /** Decides which version or cascade answers a request. */
 export class ModelChooser {
-    readonly #evidence: Evidence;
+    readonly #qualities: QualityModel;
     readonly #random: RandomSource;
     readonly #clock: Clock;
     readonly #settings: PlanSettings;
     readonly #states = new Map<string, ClassState>();
 
     constructor(options: ModelChooserOptions) {
-        this.#evidence = options.evidence;
+        this.#qualities = new QualityModel(options.evidence, options.clock);
         this.#random = options.random;
         this.#clock = options.clock;
         this.#settings = {
@@ -94,7 +104,8 @@
         }
         const ratings = request.ratingsAvailable ?? true;
         const state = this.#getState(request);
-        const best = getCheapest(ratings ? state.all : state.singles, request) ?? state.surest;
+        const best = getCheapest(ratings ? state.all : state.singles, request)
+            ?? (ratings ? getCheapest(state.fallbacks, request) : undefined) ?? state.surest;
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
         const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
@@ -158,38 +169,52 @@
         return undefined;
     }
 
+    /**
+     * Gets the plans of a class. Counts that changed are read a few versions at a time, so that no decision holds up the
+     * tokens that the same loop carries; the plans are formed anew once all were read.
+     */
     #getState(request: ModelRequest): ClassState {
-        const key = request.requestClass;
-        const known = this.#states.get(key);
-        if (known !== undefined && this.#isFresh(known, request)) {
+        const { requestClass, candidates } = request;
+        const known = this.#states.get(requestClass);
+        if (known === undefined || !isFor(known, request)) {
+            for (const version of candidates) {
+                this.#qualities.ensure(version, requestClass);
+            }
+            return this.#formState(request, known?.credit ?? startingCredit);
+        }
+        const isDue = this.#clock.monotonic() - known.formedAt >= refreshMilliseconds;
+        if (!isDue || !this.#readChanged(known, requestClass)) {
             return known;
         }
-        const state = this.#formState(request, known?.credit ?? startingCredit);
-        this.#states.set(key, state);
-        return state;
+        return this.#formState(request, known.credit);
     }
 
-    #isFresh(state: ClassState, request: ModelRequest): boolean {
-        if (state.targetQuality !== request.targetQuality || state.confidence !== request.confidence) {
-            return false;
-        }
-        if (state.candidates !== request.candidates && state.signature !== getSignature(request.candidates)) {
-            return false;
+    /** @returns Whether the counts of all candidates were read since the plans were formed. */
+    #readChanged(state: ClassState, requestClass: string): boolean {
+        let reads = 0;
+        while (state.nextRead < state.candidates.length && reads < readsPerDecision) {
+            reads += this.#qualities.refresh(state.candidates[state.nextRead], requestClass) ? 1 : 0;
+            state.nextRead += 1;
         }
-        const age = this.#clock.monotonic() - state.formedAt;
-        return age < refreshMilliseconds
-            || state.revision === this.#evidence.revision && age < 5 * refreshMilliseconds;
+        return state.nextRead >= state.candidates.length;
     }
 
     #formState(request: ModelRequest, credit: number): ClassState {
+        const state = this.#formPlans(request, credit);
+        this.#states.set(request.requestClass, state);
+        return state;
+    }
+
+    #formPlans(request: ModelRequest, credit: number): ClassState {
         const { candidates, requestClass, targetQuality, confidence } = request;
-        const estimates = candidates.map(version => getEstimate(this.#evidence, version, requestClass));
+        this.#qualities.fit(requestClass, candidates);
+        const estimates = candidates.map(version => this.#qualities.getEstimate(version, requestClass));
         const singles = estimates.map(getSingleOption);
         const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
         const isProbable = (option: PlanOption) => option.quality >= targetQuality;
         const sufficient = singles.filter(meets);
         const cascades: PlanOption[] = [];
-        const hardness = getHardness(this.#evidence, requestClass, estimates);
+        const hardness = this.#qualities.getHardness(requestClass);
         for (const first of estimates) {
             // A cascade costs more than its first step, so it can't undercut a single version that is cheaper than that.
             if (sufficient.some(option => !isCheaper(first.version, option.steps[0].version))) {
@@ -201,63 +226,85 @@
                 }
             }
         }
+        const all = getUndominated([...sufficient, ...cascades.filter(meets)]);
         const surest = getSurest(singles);
+        const fallbacks = all.length > 0
+            ? []
+            : getUndominated(getNoLessSure([...singles, ...cascades], surest, request));
+        const best = getCheapest(all, request) ?? getCheapest(fallbacks, request) ?? surest;
         return {
             candidates,
             signature: getSignature(candidates),
             targetQuality,
             confidence,
-            revision: this.#evidence.revision,
+            nextRead: 0,
             formedAt: this.#clock.monotonic(),
             singles: getUndominated(sufficient),
-            all: getUndominated([...sufficient, ...cascades.filter(meets)]),
+            all,
             probable: getUndominated([...singles, ...cascades].filter(isProbable)),
             probableSingles: getUndominated(singles.filter(isProbable)),
             surest,
-            tries: this.#formTries(request, estimates, getCheapest(sufficient, request) ?? surest),
+            fallbacks,
+            tries: this.#formTries(request, estimates, hardness, best),
             credit,
         };
     }
 
-    #formTries(request: ModelRequest, estimates: readonly Estimate[], last: PlanOption): readonly Try[] {
+    #formTries(
+        request: ModelRequest,
+        estimates: readonly Estimate[],
+        hardness: Hardness,
+        best: PlanOption,
+    ): readonly Try[] {
         const tries: Try[] = [];
+        const last = best.steps[best.steps.length - 1].version;
+        const second = estimates.find(({ version }) => version === last)!;
         for (const estimate of estimates) {
             const single = getSingleOption(estimate);
             const lower = getLowerBound(single, request.confidence);
-            const upper = 2 * single.quality - lower;
-            const expectation = getExpectation(single, request.targetQuality);
-            if (upper >= request.targetQuality && lower < request.targetQuality) {
-                const { probability, shortfall } = expectation;
-                tries.push({ option: single, price: estimate.version, probability, debit: shortfall });
+            const { probability, shortfall } = getExpectation(single, request.targetQuality);
+            if (probability >= minimumTryProbability && lower < request.targetQuality) {
+                tries.push({ option: single, hoped: single, probability, debit: shortfall });
             }
-            if (estimate.tally.ratings < wellKnownRatings && isCheaper(estimate.version, last.steps[0].version)) {
-                const option = this.#formCascadeTry(estimate, last, request);
-                tries.push({
-                    option,
-                    price: estimate.version,
-                    probability: cascadeProbability,
-                    debit: cascadeTryDebit,
-                });
+            if (estimate.scores.ratings < wellKnownRatings && isCheaper(estimate.version, last)) {
+                const cascade = this.#formCascadeTry(estimate, second, hardness, request, best);
+                if (cascade !== undefined) {
+                    tries.push(cascade);
+                }
             }
         }
         return tries;
     }
 
-    /** Forms a cascade whose first step is little known; only an answer rated at the target is taken from it. */
-    #formCascadeTry(estimate: Estimate, single: PlanOption, request: ModelRequest): PlanOption {
-        const last = single.steps[0].version;
-        return {
-            steps: [
-                { version: estimate.version, acceptScore: request.targetQuality },
-                { version: last, acceptScore: undefined },
-            ],
-            inputPrice: estimate.version.inputPrice + last.inputPrice,
-            outputPrice: estimate.version.outputPrice + last.outputPrice,
-            fixedPrice: this.#settings.ratingPrice,
-            quality: request.targetQuality,
-            deviation: single.deviation,
-        };
+    /** Forms a try of a little known version before the one that answers last now, if it may turn out to cost less. */
+    #formCascadeTry(
+        first: Estimate,
+        second: Estimate,
+        hardness: Hardness,
+        request: ModelRequest,
+        best: PlanOption,
+    ): Try | undefined {
+        const meets = ({ quality }: PlanOption) => quality >= request.targetQuality;
+        const luckyMean = Math.min(1, first.mean + luckyDeviations * first.deviation);
+        const lucky = { ...first, mean: luckyMean, deviation: first.deviation / 2 };
+        const luckyOptions = getCascadeOptions(lucky, second, hardness, this.#settings);
+        const hoped = getCheapest(luckyOptions.filter(meets), request);
+        if (hoped === undefined || !isCheaperPlan(hoped, best, request)) {
+            return undefined;
+        }
+        const options = getCascadeOptions(first, second, hardness, this.#settings);
+        const option = getCheapest(options.filter(meets), request) ?? getSurest(options);
+        const debit = Math.max(0, request.targetQuality - getLikelyQuality(option, request.confidence));
+        return { option, hoped, probability: cascadeProbability, debit };
+    }
+}
+
+/** Checks whether plans were formed for the candidates, prices and target of a request. */
+function isFor(state: ClassState, request: ModelRequest): boolean {
+    if (state.targetQuality !== request.targetQuality || state.confidence !== request.confidence) {
+        return false;
     }
+    return state.candidates === request.candidates || state.signature === getSignature(request.candidates);
 }
 
 function createPlan(option: PlanOption, request: ModelRequest, exploring: boolean, reason: string): Plan {
@@ -272,7 +319,7 @@
 
 function getReason(option: PlanOption, margin: number, ratings: boolean): string {
     if (margin < 0) {
-        return "surest version, since nothing is known to meet the target";
+        return `surest ${option.steps.length > 1 ? "cascade" : "version"}, since nothing is known to meet the target`;
     }
     const kind = option.steps.length > 1 ? "cheapest cascade" : "cheapest version";
     return ratings ? `${kind} that meets the target` : `${kind} that meets the target, without ratings`;
--- a/src/decisions/model/planChoice.ts
+++ b/src/decisions/model/planChoice.ts
@@ -1,7 +1,7 @@
 /**
  * Compares plans for a request: by cost, by the quality that is sure, and by what trying them is worth.
  */
-import { getPrice, type ModelVersion } from "../../world/index.js";
+import type { ModelVersion } from "../../world/index.js";
 import type { ModelRequest } from "./modelRequest.js";
 import { getNormalProbability, getNormalQuantile } from "./normal.js";
 import { getPlanCost, type PlanOption } from "./plan.js";
@@ -9,8 +9,8 @@
 /** A plan that may turn out to meet the target for less. */
 export interface Try {
     readonly option: PlanOption;
-    /** The version that is tried; its price decides what may be saved. */
-    readonly price: ModelVersion;
+    /** The plan that it may turn out to allow; its cost decides what may be saved. */
+    readonly hoped: PlanOption;
     /** Probability that it turns out to be of use. */
     readonly probability: number;
     /** Quality that it is expected to cost. */
@@ -55,6 +55,17 @@
     return surest;
 }
 
+/** Gets the options that are no less sure than one, as far as the target asks for it. */
+export function getNoLessSure(
+    options: readonly PlanOption[],
+    surest: PlanOption,
+    { targetQuality, confidence }: ModelRequest,
+): readonly PlanOption[] {
+    const lower = Math.min(targetQuality, getLowerBound(surest, confidence));
+    const mean = Math.min(targetQuality, surest.quality);
+    return options.filter(option => option.quality >= mean && getLowerBound(option, confidence) >= lower);
+}
+
 /** Gets the cheapest option for a request, or `undefined`. */
 export function getCheapest(options: readonly PlanOption[], request: ModelRequest): PlanOption | undefined {
     let cheapest: PlanOption | undefined;
@@ -78,7 +89,7 @@
 /** Gets what a try is worth: what it may save, by the probability that it turns out to be of use. */
 export function getTryWeight(candidate: Try, best: PlanOption, request: ModelRequest): number {
     const { inputTokens, outputTokens, targetQuality } = request;
-    const cost = getPrice(candidate.price, inputTokens, outputTokens);
+    const cost = getPlanCost(candidate.hoped, inputTokens, outputTokens);
     const bestCost = getPlanCost(best, inputTokens, outputTokens);
     if (best.quality < targetQuality && candidate.option.steps.length === 1) {
         return candidate.probability * Math.max(bestCost, cost);
--- a/src/decisions/model/planOptions.ts
+++ b/src/decisions/model/planOptions.ts
@@ -3,20 +3,15 @@
  */
 import { type EscalationCounts, escalationSumUnit } from "./escalations.js";
 import type { Estimate } from "./estimate.js";
-import type { Evidence } from "./evidence.js";
+import { type Hardness, secondScoreDeviation } from "./hardness.js";
 import type { PlanOption } from "./plan.js";
+import { getScoreShape, shapeWeight } from "./scoreShape.js";
 import { scoreSteps } from "./tally.js";
 
-/** Without so many ratings of the first version the shape of its scores is unknown, and with it a cascade's cost. */
-const minimumCascadeRatings = 12;
+/** A threshold at a bin with a smaller share of the scores is as good as the next one. */
+const minimumShare = 0.001;
 /** Accept thresholds that are weighed, in bins. */
 const firstThreshold = 8;
-/** Expected loss of the second answer for each unit that the first one fell short, and the shortfall that it weighs. */
-const priorSlope = 0.5;
-const priorSlopeShortfall = 1.5;
-const priorSlopeCount = 10;
-const singleScoreDeviation = 0.18;
-
 /** What the forming of plans depends on besides evidence. */
 export interface PlanSettings {
     /** Share of a single score's distance from the mean that is the answer's and not the rating's noise. */
@@ -39,42 +34,6 @@
     };
 }
 
-/** How a class's hard requests spoil the second answer too. */
-export interface Hardness {
-    /** Loss of the second answer for each unit by which the first one fell short of its mean. */
-    readonly slope: number;
-    readonly slopeDeviation: number;
-    /** What it was estimated from. */
-    readonly pairs: readonly EscalationCounts[];
-}
-
-/**
- * Estimates the hardness of a class from all escalations in it, whatever the versions. A pair by itself is seen too
- * rarely: its cascade would look uncertain for hours.
- */
-export function getHardness(evidence: Evidence, requestClass: string, estimates: readonly Estimate[]): Hardness {
-    const means = new Map(estimates.map(estimate => [estimate.version.id, estimate.mean]));
-    let shortfall = priorSlopeShortfall;
-    let loss = priorSlope * priorSlopeShortfall;
-    let count = priorSlopeCount;
-    const pairs = evidence.getEscalations(requestClass);
-    for (const { first, second, counts, sums } of pairs) {
-        const firstMean = means.get(first);
-        const secondMean = means.get(second);
-        if (firstMean === undefined || secondMean === undefined) {
-            continue;
-        }
-        for (const [bin, seen] of counts.entries()) {
-            shortfall += seen * (firstMean - bin / scoreSteps);
-            loss += seen * secondMean - sums[bin] / escalationSumUnit;
-            count += seen;
-        }
-    }
-    const positive = Math.max(priorSlopeShortfall, shortfall);
-    const slope = Math.min(1, Math.max(0, loss / positive));
-    return { slope, slopeDeviation: singleScoreDeviation * Math.sqrt(count) / positive, pairs };
-}
-
 /**
  * Forms the cascades from one version to another.
  * @param first - The version that answers first.
@@ -87,29 +46,27 @@
     hardness: Hardness,
     settings: PlanSettings,
 ): readonly PlanOption[] {
-    if (first.tally.ratings < minimumCascadeRatings) {
-        return [];
-    }
     const pair = hardness.pairs.find(({ first: one, second: other }) =>
         one === first.version.id && other === second.version.id
     );
     const options: PlanOption[] = [];
+    const { shares, mean } = getScoreShape(first);
     let accepted = 0;
     let acceptedScores = 0;
     let acceptedSum = 0;
     let acceptedSquares = 0;
     for (let bin = scoreSteps; bin >= firstThreshold; bin -= 1) {
-        const share = first.tally.getBin(bin) / first.tally.ratings;
-        const quality = first.scoreMean + settings.ratingReliability * (bin / scoreSteps - first.scoreMean);
+        const share = shares[bin];
+        const quality = mean + settings.ratingReliability * (bin / scoreSteps - mean);
         accepted += share;
         acceptedScores += share * bin / scoreSteps;
         acceptedSum += share * quality;
         acceptedSquares += share * quality * quality;
-        if (share > 0 && accepted < 1) {
-            const rejectedScore = (first.scoreMean - acceptedScores) / (1 - accepted);
+        if (share > minimumShare && accepted < 1) {
+            const rejectedScore = (mean - acceptedScores) / (1 - accepted);
             const hard = getHardQuality(
                 second,
-                Math.max(0, first.scoreMean - rejectedScore),
+                Math.max(0, mean - rejectedScore),
                 hardness,
                 getSeenBelow(pair, bin),
             );
@@ -126,7 +83,7 @@
     readonly accepted: number;
     readonly acceptedSum: number;
     readonly acceptedSquares: number;
-    readonly hard: { readonly quality: number; readonly variance: number; };
+    readonly hard: HardQuality;
     readonly settings: PlanSettings;
 }
 
@@ -137,7 +94,7 @@
     const rejected = 1 - accepted;
     const ratedQuality = acceptedSum + rejected * hard.quality;
     const spread = Math.max(0, acceptedSquares + rejected * hard.quality ** 2 - ratedQuality ** 2);
-    const count = first.tally.ratings;
+    const count = first.scores.ratings + shapeWeight;
     const variance = rated ** 2 * (spread + first.scoreVariance / count) / count
         + rejected ** 2 * hard.variance + (1 - rated) ** 2 * second.deviation ** 2;
     return {
@@ -156,18 +113,30 @@
 
 /**
  * Gets the second version's quality on requests that the first one answered worse than its mean by `shortfall`: what
- * the hardness of the class lets expect, corrected by what this pair of versions has shown.
+ * the hardness of the class lets expect, or that corrected by what this pair of versions has shown, whichever is surer.
+ * What all escalations tell about the second version has this pair's in it, so that both together would count them twice.
  */
-function getHardQuality(second: Estimate, shortfall: number, hardness: Hardness, seen: SeenEscalations) {
-    const expected = Math.max(0, second.mean - hardness.slope * shortfall);
-    const expectedPrecision = 1 / (second.deviation ** 2 + (hardness.slopeDeviation * shortfall) ** 2);
-    const seenPrecision = seen.count / singleScoreDeviation ** 2;
-    const precision = expectedPrecision + seenPrecision;
-    const seenMean = seen.count === 0 ? 0 : seen.sum / seen.count;
-    return {
-        quality: (expectedPrecision * expected + seenPrecision * seenMean) / precision,
+function getHardQuality(second: Estimate, shortfall: number, hardness: Hardness, seen: SeenEscalations): HardQuality {
+    const lineVariance = (hardness.slopeDeviation * shortfall) ** 2;
+    const loss = hardness.slope * shortfall;
+    const expected = { quality: Math.max(0, second.mean - loss), variance: second.deviation ** 2 + lineVariance };
+    if (seen.count === 0) {
+        return expected;
+    }
+    const directPrecision = 1 / (second.directDeviation ** 2 + lineVariance);
+    const seenPrecision = seen.count / secondScoreDeviation ** 2;
+    const precision = directPrecision + seenPrecision;
+    const direct = Math.max(0, second.directMean - loss);
+    const corrected = {
+        quality: (directPrecision * direct + seenPrecision * seen.sum / seen.count) / precision,
         variance: 1 / precision,
     };
+    return corrected.variance < expected.variance ? corrected : expected;
+}
+
+interface HardQuality {
+    readonly quality: number;
+    readonly variance: number;
 }
 
 /** Escalations of one pair whose first score was below a bin. */
--- /dev/null
+++ b/src/decisions/model/qualityModel.ts
@@ -0,0 +1,229 @@
+/**
+ * The posterior of each version's rated quality in each class, with what is known shared between classes and versions.
+ *
+ * A quality is taken to be the operator's expectation, plus an effect of the class, plus an effect of the version, plus
+ * a rest that belongs to the pair alone. A few ratings of any version tell how easy a class is for all of them, and
+ * ratings in any class tell by how much the operator misjudged a version. Without that a class seen for the first time
+ * begins from nothing, and its callers pay for the dearest version meanwhile.
+ */
+import type { Clock } from "../../common/index.js";
+import type { ModelVersion } from "../../world/index.js";
+import { type CellCounts, readCell } from "./cellCounts.js";
+import type { Estimate } from "./estimate.js";
+import type { Evidence } from "./evidence.js";
+import {
+    combine,
+    getHardness,
+    getPairedMeans,
+    getSlopeSums,
+    type Hardness,
+    type PairedMean,
+    type SlopeSums,
+} from "./hardness.js";
+
+/** Standard deviation of how easy classes are, and of how far the operator misjudges versions. */
+const classDeviation = 0.15;
+const versionDeviation = 0.08;
+/** Standard deviation of the rest that is assumed at first, and how many pairs that assumption weighs. */
+const restDeviation = 0.08;
+const restWeight = 12;
+const minimumRestDeviation = 0.04;
+const maximumRestDeviation = 0.15;
+/** A rest beyond so many standard deviations tells nothing about other classes: that version is odd in this class. */
+const outlierDeviations = 2;
+
+/** Counts weigh less with age; unchanged ones are read again after this time. */
+const rereadMilliseconds = 60_000;
+
+interface Effect {
+    readonly mean: number;
+    readonly variance: number;
+}
+
+/** What is known of one pair, and the effects that are worked out from it. */
+interface Cell {
+    readonly expected: number;
+    readonly counts: CellCounts;
+    /** Mean and precision of its scores, those of escalated requests corrected for their hardness. */
+    observed: PairedMean;
+    /** Monotonic milliseconds. */
+    readonly readAt: number;
+}
+
+/** Keeps the counts last read of every version and class, and gets posteriors from them. */
+export class QualityModel {
+    readonly #evidence: Evidence;
+    readonly #clock: Clock;
+    /** By class, then by version. */
+    readonly #classes = new Map<string, Map<string, Cell>>();
+    readonly #classEffects = new Map<string, Effect>();
+    readonly #versionEffects = new Map<string, Effect>();
+    readonly #slopes = new Map<string, SlopeSums>();
+    readonly #hardness = new Map<string, Hardness>();
+    #restVariance = restDeviation ** 2;
+
+    constructor(evidence: Evidence, clock: Clock) {
+        this.#evidence = evidence;
+        this.#clock = clock;
+    }
+
+    /**
+     * Reads the counts of a version in a class, if they changed or grew older since they were last read.
+     * @returns Whether they were read.
+     */
+    refresh(version: ModelVersion, requestClass: string): boolean {
+        const known = this.#classes.get(requestClass)?.get(version.id);
+        const now = this.#clock.monotonic();
+        const isRecent = known !== undefined && now - known.readAt < rereadMilliseconds;
+        if (isRecent && known.counts.revision === this.#evidence.getRevision(version.id, requestClass)) {
+            return false;
+        }
+        const counts = readCell(this.#evidence, version.id, requestClass);
+        this.#setCell(version, requestClass, { counts, observed: counts, readAt: now });
+        return true;
+    }
+
+    /** Takes up a version's expected quality, and reads its counts if they never were. */
+    ensure(version: ModelVersion, requestClass: string): void {
+        const known = this.#classes.get(requestClass)?.get(version.id);
+        if (known === undefined) {
+            this.refresh(version, requestClass);
+        }
+        else {
+            this.#setCell(version, requestClass, known);
+        }
+    }
+
+    #setCell(version: ModelVersion, requestClass: string, cell: Omit<Cell, "expected">): void {
+        let cells = this.#classes.get(requestClass);
+        if (cells === undefined) {
+            cells = new Map();
+            this.#classes.set(requestClass, cells);
+        }
+        cells.set(version.id, { ...cell, expected: version.expectedQuality });
+    }
+
+    /** Works out the effects of a class and its versions anew, after counts were read. */
+    fit(requestClass: string, versions: readonly ModelVersion[]): void {
+        this.#takeEscalations(requestClass);
+        this.#restVariance = this.#getRestVariance();
+        this.#classEffects.set(requestClass, this.#getClassEffect(requestClass, undefined));
+        for (const { id } of versions) {
+            this.#versionEffects.set(id, this.#getVersionEffect(id, undefined));
+        }
+    }
+
+    /** Gets the posterior of a version in a class, whose counts were read before. */
+    getEstimate(version: ModelVersion, requestClass: string): Estimate {
+        const { counts, expected, observed } = this.#classes.get(requestClass)!.get(version.id)!;
+        const classEffect = this.#getClassEffect(requestClass, version.id);
+        const versionEffect = this.#getVersionEffect(version.id, requestClass);
+        const priorMean = Math.min(1, Math.max(0, expected + classEffect.mean + versionEffect.mean));
+        const priorPrecision = 1 / (classEffect.variance + versionEffect.variance + this.#restVariance);
+        const precision = priorPrecision + observed.precision;
+        const directPrecision = priorPrecision + counts.precision;
+        return {
+            version,
+            scores: counts.scores,
+            mean: (priorPrecision * priorMean + observed.precision * observed.mean) / precision,
+            deviation: Math.sqrt(1 / precision),
+            directMean: (priorPrecision * priorMean + counts.precision * counts.mean) / directPrecision,
+            directDeviation: Math.sqrt(1 / directPrecision),
+            scoreVariance: counts.variance,
+        };
+    }
+
+    /** Gets how the hard requests of a class spoil the second answer. */
+    getHardness(requestClass: string): Hardness {
+        return this.#hardness.get(requestClass)!;
+    }
+
+    #takeEscalations(requestClass: string): void {
+        const pairs = this.#evidence.getEscalations(requestClass);
+        this.#slopes.set(requestClass, getSlopeSums(pairs));
+        const hardness = getHardness(this.#slopes.values(), pairs);
+        this.#hardness.set(requestClass, hardness);
+        const cells = this.#classes.get(requestClass);
+        const paired = getPairedMeans(hardness, version => {
+            const counts = cells?.get(version)?.counts;
+            return counts !== undefined && counts.precision > 0 ? counts.mean : undefined;
+        });
+        for (const [version, cell] of cells ?? []) {
+            const own = paired.get(version);
+            cell.observed = own === undefined ? cell.counts : combine(cell.counts, own);
+        }
+    }
+
+    /** @param leftOut - A version whose own counts are not to be used. */
+    #getClassEffect(requestClass: string, leftOut: string | undefined): Effect {
+        const sum = new EffectSum(classDeviation, this.#restVariance);
+        for (const [version, { expected, observed }] of this.#classes.get(requestClass) ?? []) {
+            if (version !== leftOut && observed.precision > 0) {
+                const other = this.#versionEffects.get(version);
+                sum.add(observed.mean - expected - (other?.mean ?? 0), observed.precision, other?.variance);
+            }
+        }
+        return sum.getEffect();
+    }
+
+    /** @param leftOut - A class whose own counts are not to be used. */
+    #getVersionEffect(version: string, leftOut: string | undefined): Effect {
+        const sum = new EffectSum(versionDeviation, this.#restVariance);
+        for (const [requestClass, cells] of this.#classes) {
+            const cell = cells.get(version);
+            if (cell !== undefined && requestClass !== leftOut && cell.observed.precision > 0) {
+                const { mean, precision } = cell.observed;
+                const other = this.#classEffects.get(requestClass);
+                sum.add(mean - cell.expected - (other?.mean ?? 0), precision, other?.variance);
+            }
+        }
+        return sum.getEffect();
+    }
+
+    /** Estimates the variance of the rest from the pairs that are known well. */
+    #getRestVariance(): number {
+        let squares = restWeight * restDeviation ** 2;
+        let weight = restWeight;
+        for (const [name, cells] of this.#classes) {
+            const classEffect = this.#classEffects.get(name);
+            for (const [version, { expected, observed }] of cells) {
+                const versionEffect = this.#versionEffects.get(version);
+                if (classEffect === undefined || versionEffect === undefined || observed.precision === 0) {
+                    continue;
+                }
+                const noise = 1 / observed.precision;
+                const rest = observed.mean - expected - classEffect.mean - versionEffect.mean;
+                const share = this.#restVariance / (this.#restVariance + noise);
+                const bounded = Math.min(rest ** 2, maximumRestDeviation ** 2);
+                squares += share * Math.max(0, bounded - noise);
+                weight += share;
+            }
+        }
+        const variance = squares / weight;
+        return Math.min(maximumRestDeviation ** 2, Math.max(minimumRestDeviation ** 2, variance));
+    }
+}
+
+/** Adds up what pairs tell about an effect that they share. */
+class EffectSum {
+    readonly #restVariance: number;
+    #precision: number;
+    #sum = 0;
+
+    constructor(deviation: number, restVariance: number) {
+        this.#restVariance = restVariance;
+        this.#precision = 1 / deviation ** 2;
+    }
+
+    add(difference: number, precision: number, otherVariance = 0): void {
+        const variance = this.#restVariance + 1 / precision + otherVariance;
+        const excess = Math.abs(difference - this.#sum / this.#precision) / Math.sqrt(variance + 1 / this.#precision);
+        const weight = Math.min(1, outlierDeviations / Math.max(excess, 1e-9)) / variance;
+        this.#sum += weight * difference;
+        this.#precision += weight;
+    }
+
+    getEffect(): Effect {
+        return { mean: this.#sum / this.#precision, variance: 1 / this.#precision };
+    }
+}
--- a/src/decisions/model/tally.ts
+++ b/src/decisions/model/tally.ts
@@ -15,6 +15,9 @@
 /** Integer counts of answers and ratings. */
 export class Tally {
     readonly #slots: number[] = emptySlots.slice();
+    /** Sums over the scores' bins, kept so that mean and variance need no walk over the histogram. */
+    #binSum = 0;
+    #binSquareSum = 0;
 
     /** Reads a tally back from what `encode` returned. */
     static decode(encoded: readonly number[]): Tally {
@@ -24,6 +27,9 @@
             if (slot >= 0 && slot < slotCount) {
                 tally.#slots[slot] = encoded[index + 1];
             }
+            if (slot >= binOffset && slot < slotCount) {
+                tally.#countBin(slot - binOffset, encoded[index + 1]);
+            }
         }
         return tally;
     }
@@ -53,6 +59,16 @@
         return this.#slots[4] / sumUnit;
     }
 
+    /** Sum of the scores, each rounded to its bin and counted in bins. */
+    get binSum(): number {
+        return this.#binSum;
+    }
+
+    /** Sum of the squares of the scores, each rounded to its bin and counted in bins. */
+    get binSquareSum(): number {
+        return this.#binSquareSum;
+    }
+
     /**
      * Gets the number of scores in a bin.
      * @param bin - From 0 to `scoreSteps`.
@@ -73,7 +89,9 @@
         const bounded = Math.min(1, Math.max(0, score));
         this.#slots[3] += 1;
         this.#slots[4] += Math.round(bounded * sumUnit);
-        this.#slots[binOffset + Math.round(bounded * scoreSteps)] += 1;
+        const bin = Math.round(bounded * scoreSteps);
+        this.#slots[binOffset + bin] += 1;
+        this.#countBin(bin, 1);
     }
 
     /**
@@ -87,6 +105,15 @@
         for (let slot = 0; slot < slotCount; slot += 1) {
             own[slot] += weight * added[slot];
         }
+        this.#binSum += weight * other.#binSum;
+        this.#binSquareSum += weight * other.#binSquareSum;
+    }
+
+    /** Adds the numbers of scores in each bin to others, each weighing as told. */
+    addBinsTo(bins: Float64Array, weight: number): void {
+        for (let bin = 0; bin <= scoreSteps; bin += 1) {
+            bins[bin] += weight * this.#slots[binOffset + bin];
+        }
     }
 
     /** Returns the non-zero counts as pairs of slot and count, for a compact message. */
@@ -99,4 +126,9 @@
         }
         return encoded;
     }
+
+    #countBin(bin: number, count: number): void {
+        this.#binSum += count * bin;
+        this.#binSquareSum += count * bin * bin;
+    }
 }
--- a/src/measure/cost/measureCost.ts
+++ b/src/measure/cost/measureCost.ts
@@ -5,6 +5,7 @@
 import { type ClassResult, CostRun, type CostWay, costWays, periodCount } from "./costRun.js";
 import { costClasses } from "./costWorld.js";
 import { measureDecision } from "./measureDecision.js";
+import { measureForming } from "./measureForming.js";
 
 const defaultSeedCount = 12;
 /** A class counts as met if its mean true quality is at least the target less so many standard errors. */
@@ -38,6 +39,7 @@
                 rows: excessCauses.map(cause => describeExcess(runs, cause)),
             },
             { title: "Cost of a decision", rows: [measureDecision(request.seed)] },
+            { title: "Forming of plans", rows: measureForming(request.seed) },
         ],
     };
 }
