--- a/src/decisions/exposure/index.ts
+++ b/src/decisions/exposure/index.ts
@@ -2,5 +2,6 @@
 export * from "./callerHash.js";
 export * from "./exposures.js";
 export * from "./rolloutJudge.js";
+export * from "./rolloutPolicy.js";
 export * from "./rolloutRouter.js";
 export * from "./sequentialTest.js";
--- a/src/decisions/exposure/metric.ts
+++ b/src/decisions/exposure/metric.ts
@@ -37,41 +37,54 @@
     return count;
 }
 
-/** The metrics by which a candidate is judged. */
-export const metrics: readonly Metric[] = [
-    {
-        // A version that answers well as a rule and badly now and then shows here much sooner than in its mean.
-        name: "bad ratings",
-        weight: 0.45,
-        margin: 0.01,
-        values: binaryValues,
-        count: tally => {
-            const bad = countBad(tally);
-            return [bad, tally.ratings - bad];
+/** How far a version's mean rating may lie below its reference's, unless the configuration says otherwise. */
+const defaultQualityMargin = 0.05;
+/**
+ * The margin for bad answers, as a part of that for the mean rating. A single bad answer can do harm that no number of
+ * good ones makes up for, so less of them is taken as still as good.
+ */
+const badMarginPart = 0.2;
+
+/**
+ * Makes the metrics by which a version is judged.
+ * @param qualityMargin - How far its mean rating may lie below that of its reference.
+ */
+export function createMetrics(qualityMargin: number = defaultQualityMargin): readonly Metric[] {
+    return [
+        {
+            // A version that answers well as a rule and badly now and then shows here much sooner than in its mean.
+            name: "bad ratings",
+            weight: 0.45,
+            margin: badMarginPart * qualityMargin,
+            values: binaryValues,
+            count: tally => {
+                const bad = countBad(tally);
+                return [bad, tally.ratings - bad];
+            },
         },
-    },
-    {
-        name: "mean rating",
-        weight: 0.2,
-        margin: 0.02,
-        values: scoreValues,
-        count: tally => scoreValues.map((...[, bin]) => tally.getBin(bin)),
-    },
-    {
-        name: "errors",
-        weight: 0.2,
-        margin: 0.01,
-        values: binaryValues,
-        count: tally => [tally.failed, tally.answers - tally.failed],
-    },
-    {
-        name: "latency",
-        weight: 0.15,
-        margin: 0.05,
-        values: binaryValues,
-        count: tally => [tally.slow, tally.answers - tally.slow],
-    },
-];
+        {
+            name: "mean rating",
+            weight: 0.2,
+            margin: qualityMargin,
+            values: scoreValues,
+            count: tally => scoreValues.map((...[, bin]) => tally.getBin(bin)),
+        },
+        {
+            name: "errors",
+            weight: 0.2,
+            margin: 0.01,
+            values: binaryValues,
+            count: tally => [tally.failed, tally.answers - tally.failed],
+        },
+        {
+            name: "latency",
+            weight: 0.15,
+            margin: 0.05,
+            values: binaryValues,
+            count: tally => [tally.slow, tally.answers - tally.slow],
+        },
+    ];
+}
 
 /** Mean and standard error of a metric in a reference. */
 export interface Reference {
--- a/src/decisions/exposure/rolloutJudge.ts
+++ b/src/decisions/exposure/rolloutJudge.ts
@@ -5,11 +5,13 @@
  * fold refuses them under an old fence.
  */
 import type { Clock } from "../../common/index.js";
+import { getModel } from "../../configuration/allowance.js";
 import { type Rollout, type RolloutFold, rolloutRecordKinds } from "../../control/index.js";
 import { type Bucket, type Evidence, Tally } from "../model/index.js";
 import type { Exposures } from "./exposures.js";
 import { planGrants } from "./grants.js";
-import type { MetricName } from "./metric.js";
+import { createMetrics, type MetricName } from "./metric.js";
+import { defaultRolloutPolicy, type RolloutPolicy } from "./rolloutPolicy.js";
 import { SequentialTest, type Stratum, type TestResult } from "./sequentialTest.js";
 
 /** What should happen next. */
@@ -20,39 +22,6 @@
     | { readonly action: "finish"; readonly reason: string; }
     | { readonly action: "grant"; readonly grants: Readonly<Record<string, number>>; readonly reason: string; };
 
-/** How roll-outs are judged. */
-export interface RolloutPolicy {
-    /**
-     * Upper bound of the probability that a version is halted during its roll-out that is worse than the baseline by
-     * just the margins of the metrics. One that is as good as the baseline is halted far less often, see the
-     * measurements.
-     */
-    readonly falseHaltProbability: number;
-    /** Expected time between false halts of a settled version, for one that is worse than its past by the margins. */
-    readonly falseHaltMilliseconds: number;
-    /** How long a rating may take before it is taken to be missing. */
-    readonly ratingWaitMilliseconds: number;
-    /** Callers exposed before the first rating is in, in the whole system. */
-    readonly firstCallers: number;
-    /** Ratings needed before a stage is left, unless its budget is spent. */
-    readonly stageRatings: number;
-    /** How long a stage lasts at least. */
-    readonly stageMilliseconds: number;
-    /** How far back a change of a settled version is looked for. */
-    readonly changeWindowMilliseconds: number;
-}
-
-/** The policy unless the configuration says otherwise. */
-export const defaultRolloutPolicy: RolloutPolicy = {
-    falseHaltProbability: 0.1,
-    falseHaltMilliseconds: 3 * 86_400_000,
-    ratingWaitMilliseconds: 90_000,
-    firstCallers: 8,
-    stageRatings: 60,
-    stageMilliseconds: 60_000,
-    changeWindowMilliseconds: 600_000,
-};
-
 const referenceMilliseconds = 5000;
 /** Starts of a change that share the part of the capital that isn't bet on the first one. */
 const changeStarts = 200;
@@ -74,7 +43,20 @@
     readonly evidence: Evidence;
     readonly exposures: Exposures;
     readonly clock: Clock;
-    readonly policy?: Partial<RolloutPolicy>;
+    /**
+     * Gets the policy for a model. It is asked for at every judgement, so that a change holds from the next one on, also
+     * for roll-outs under way. The default policy by default.
+     */
+    readonly getPolicy?: (model: string) => RolloutPolicy;
+}
+
+interface ProgressInput {
+    readonly rollout: Rollout;
+    readonly policy: RolloutPolicy;
+    readonly entries: readonly string[];
+    readonly self: string;
+    readonly strata: readonly Stratum[];
+    readonly strength: number;
 }
 
 /** Judges roll-outs and settled versions. */
@@ -83,9 +65,7 @@
     readonly #evidence: Evidence;
     readonly #exposures: Exposures;
     readonly #clock: Clock;
-    readonly #policy: RolloutPolicy;
-    readonly #rolloutTest: SequentialTest;
-    readonly #settledTest: SequentialTest;
+    readonly #getPolicy: (model: string) => RolloutPolicy;
     readonly #references = new Map<string, { readonly formedAt: number; readonly tally: Tally; }>();
 
     constructor(options: RolloutJudgeOptions) {
@@ -93,19 +73,7 @@
         this.#evidence = options.evidence;
         this.#exposures = options.exposures;
         this.#clock = options.clock;
-        this.#policy = { ...defaultRolloutPolicy, ...options.policy };
-        this.#rolloutTest = new SequentialTest({
-            threshold: 1 / this.#policy.falseHaltProbability,
-            firstStartPart,
-            laterStartPart: (1 - firstStartPart) / changeStarts,
-        });
-        const epoch = this.#evidence.epochMilliseconds;
-        this.#settledTest = new SequentialTest({
-            threshold: this.#policy.falseHaltMilliseconds / (settledStartStep * epoch),
-            firstStartPart: 1,
-            laterStartPart: 1,
-            startStep: settledStartStep,
-        });
+        this.#getPolicy = options.getPolicy ?? (() => defaultRolloutPolicy);
     }
 
     /**
@@ -120,12 +88,13 @@
             return { action: "wait", reason: "The roll-out isn't active.", strength: 0 };
         }
         const strata = this.#getRolloutStrata(rollout);
-        const result = this.#rolloutTest.evaluate(strata);
+        const policy = this.#getPolicy(rollout.model);
+        const result = createRolloutTest(policy).evaluate(strata);
         if (result.bad) {
             const { candidate: version, baseline } = rollout;
             return { action: "halt", version, reason: describe(result, baseline), strength: result.strength };
         }
-        return this.#judgeProgress(rollout, entries, self, strata, result.strength);
+        return this.#judgeProgress({ rollout, policy, entries, self, strata, strength: result.strength });
     }
 
     /**
@@ -133,8 +102,9 @@
      * @param version - The version.
      */
     judgeSettled(version: string): Verdict {
-        const strata = this.#getSettledStrata(version);
-        const result = this.#settledTest.evaluate(strata);
+        const policy = this.#getPolicy(getModel(version));
+        const strata = this.#getSettledStrata(version, policy);
+        const result = createSettledTest(policy, this.#evidence.epochMilliseconds).evaluate(strata);
         if (result.bad) {
             return { action: "halt", version, reason: describe(result, "its own past"), strength: result.strength };
         }
@@ -158,22 +128,17 @@
         }
     }
 
-    #judgeProgress(
-        rollout: Rollout,
-        entries: readonly string[],
-        self: string,
-        strata: readonly Stratum[],
-        strength: number,
-    ): Verdict {
-        const seen = this.#countCandidate(strata);
+    #judgeProgress(input: ProgressInput): Verdict {
+        const { rollout, policy, entries, self, strata, strength } = input;
+        const seen = this.#countCandidate(strata, policy);
         if (!seen.ratingsArrive) {
             return { action: "wait", reason: "Ratings of the candidate are missing.", strength };
         }
         const budget = rollout.budgets[rollout.stage];
         const exposed = this.#exposures.getTotal(rollout.id);
         const spent = budget !== undefined && exposed >= 0.9 * budget && seen.settled >= 0.8 * budget;
-        const longEnough = this.#clock.wall() - rollout.stageSince >= this.#policy.stageMilliseconds;
-        const neededRatings = this.#policy.stageRatings * (rollout.stage + 1);
+        const longEnough = this.#clock.wall() - rollout.stageSince >= policy.stageMilliseconds;
+        const neededRatings = policy.stageRatings * (rollout.stage + 1);
         const suspicious = strength >= suspiciousStrength;
         if (!suspicious && longEnough && (spent || seen.ratings >= neededRatings)) {
             const reason = spent ? "The budget is spent without a finding." : "The ratings suffice.";
@@ -187,7 +152,7 @@
             entries,
             budget,
             settled: Math.min(seen.settled, exposed),
-            firstCallers: this.#policy.firstCallers,
+            firstCallers: policy.firstCallers,
             unjudgedPerJudged: suspicious ? 0 : unjudgedPerJudged,
             getSpent: entry =>
                 entry === self ? this.#exposures.getOwn(rollout.id) : this.#exposures.getOf(entry, rollout.id),
@@ -200,11 +165,11 @@
     }
 
     /** Counts the candidate's answers about which all is known that will be. */
-    #countCandidate(strata: readonly Stratum[]) {
+    #countCandidate(strata: readonly Stratum[], policy: RolloutPolicy) {
         const mature = new Tally();
         const total = new Tally();
         const reference = new Tally();
-        const matureBefore = this.#evidence.getEpoch(this.#clock.wall() - this.#policy.ratingWaitMilliseconds);
+        const matureBefore = this.#evidence.getEpoch(this.#clock.wall() - policy.ratingWaitMilliseconds);
         for (const stratum of strata) {
             reference.add(stratum.reference);
             for (const bucket of stratum.buckets) {
@@ -252,10 +217,10 @@
         return tally;
     }
 
-    #getSettledStrata(version: string): readonly Stratum[] {
+    #getSettledStrata(version: string, policy: RolloutPolicy): readonly Stratum[] {
         const now = this.#evidence.getEpoch(this.#clock.wall());
         const liftedEpoch = this.#evidence.getEpoch(this.#fold.getLiftedAt(version) ?? 0);
-        const window = this.#policy.changeWindowMilliseconds / this.#evidence.epochMilliseconds;
+        const window = policy.changeWindowMilliseconds / this.#evidence.epochMilliseconds;
         const from = Math.max(now - window, liftedEpoch);
         const strata: Stratum[] = [];
         for (const requestClass of this.#evidence.getClasses(version)) {
@@ -268,6 +233,25 @@
     }
 }
 
+function createRolloutTest(policy: RolloutPolicy): SequentialTest {
+    return new SequentialTest({
+        threshold: 1 / policy.falseHaltProbability,
+        firstStartPart,
+        laterStartPart: (1 - firstStartPart) / changeStarts,
+        metrics: createMetrics(policy.qualityMargin),
+    });
+}
+
+function createSettledTest(policy: RolloutPolicy, epochMilliseconds: number): SequentialTest {
+    return new SequentialTest({
+        threshold: policy.falseHaltMilliseconds / (settledStartStep * epochMilliseconds),
+        firstStartPart: 1,
+        laterStartPart: 1,
+        startStep: settledStartStep,
+        metrics: createMetrics(policy.qualityMargin),
+    });
+}
+
 function addUp(buckets: readonly Bucket[]): Tally {
     const total = new Tally();
     for (const bucket of buckets) {
--- a/src/decisions/exposure/sequentialTest.ts
+++ b/src/decisions/exposure/sequentialTest.ts
@@ -9,7 +9,7 @@
  * corrects for the many looks. The capital depends on counts alone, so that merged counts serve as well as raw data.
  */
 import type { Bucket, Tally } from "../model/index.js";
-import { getReference, type Metric, type MetricName, metrics as allMetrics } from "./metric.js";
+import { createMetrics, getReference, type Metric, type MetricName } from "./metric.js";
 
 /** Sizes of bets, as parts of the greatest bet that can't lose more than the capital. */
 const betParts: readonly number[] = [0.08, 0.25, 0.6];
@@ -79,7 +79,7 @@
         let greatest = -1;
         let metricName: MetricName = "bad ratings";
         let requestClass: string | undefined;
-        for (const metric of this.#options.metrics ?? allMetrics) {
+        for (const metric of this.#options.metrics ?? createMetrics()) {
             const capital = this.#evaluateMetric(metric, strata, series);
             const contributions = [pooledPart * capital.pooled];
             for (const single of capital.single) {
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -3,6 +3,7 @@
  */
 import {
     AdmissionController,
+    createRolloutPolicy,
     Evidence,
     Exposures,
     ModelChooser,
@@ -27,8 +28,17 @@
     evidence: ({ clock }) => new Evidence({ clock }),
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
-    judge: ({ rollouts, evidence, exposures, clock }) =>
-        new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
+    judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
+        new RolloutJudge({
+            fold: rollouts,
+            evidence,
+            exposures,
+            clock,
+            getPolicy: model =>
+                createRolloutPolicy(configuration.getConfiguration().getRollout(model), {
+                    changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
+                }),
+        }),
     router: ({ self, rollouts, exposures, callerHash }) =>
         new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
     driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
--- a/src/measure/exposure/exposureSite.ts
+++ b/src/measure/exposure/exposureSite.ts
@@ -6,6 +6,7 @@
 import { RolloutFold, rolloutRecordKinds } from "../../control/index.js";
 import {
     type CallerHash,
+    defaultRolloutPolicy,
     Exposures,
     RolloutJudge,
     type RolloutPolicy,
@@ -184,7 +185,8 @@
         const exposures = new Exposures();
         const fold = new RolloutFold({ isCurrentFence: given => given === fence });
         const router = new RolloutRouter({ entry: name, fold, exposures, hash: options.hash });
-        const judge = new RolloutJudge({ fold, evidence, exposures, clock, policy: options.policy ?? {} });
+        const policy = { ...defaultRolloutPolicy, ...options.policy };
+        const judge = new RolloutJudge({ fold, evidence, exposures, clock, getPolicy: () => policy });
         return { name, evidence, exposures, fold, router, judge, published: 0 };
     }
 }
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -12,6 +12,9 @@
 /** A shorter secret could be guessed, and with it the version that a session is pinned to could be chosen by callers. */
 const signingKeyLength = 32;
 
+/** Within less time hardly a rating comes in, and a version would be compared with its own first bad answers. */
+const leastWindowSeconds = 10;
+
 function milliseconds(description: string, defaultMilliseconds: number, maximum = 10 * minute) {
     const defaultText = String(defaultMilliseconds);
     return integer({ description, defaultText, example: defaultText, minimum: 1, maximum, unit: "milliseconds" });
@@ -58,6 +61,16 @@
         "How long an upstream may send nothing before it counts as lost.",
         30 * second,
     ),
+    settled_window_s: integer({
+        description:
+            "How far back a change of a settled version to the worse is looked for. It is compared with what is "
+            + "older. Set it alike at all entries.",
+        defaultText: "600",
+        example: "600",
+        minimum: leastWindowSeconds,
+        maximum: 86_400,
+        unit: "seconds",
+    }),
     addresses_keep_ms: milliseconds("How long callers may keep the answer about addresses.", 10 * second),
     resume_grace_ms: milliseconds(
         "How long an answer goes on whose caller vanished, so that it can be resumed.",
