Count missing ratings as evidence, hold a version back soon after its roll-out

Ruled out: asking the rating service again (it answers the same for the same answer); the share of rated answers alone (less telling than that of answers rated good); a lower threshold for all settled versions (false halts for good).

Change: bets on the share of answers that a rating confirmed as good, against the baseline's at the same time, so that an outage of the rating service says nothing; from a capital of 2 on, three callers at a time. For an hour after a roll-out the threshold is lower, and before it a tenth of new callers stays with the version (events 442, 443). Two proofs with real processes: a settled version that turns bad, and a halt that comes by gossip alone; and that published rules hold for a roll-out under way.

--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -89,6 +89,8 @@
     /** Wall-clock milliseconds of the log when the stage began. */
     readonly stageSince: number;
     readonly state: RolloutState;
+    /** Wall-clock milliseconds of the log when it finished; absent before, and in snapshots of older releases. */
+    readonly finishedAt?: number;
     /** For each entry, how many callers it may have exposed altogether. */
     readonly grants: Readonly<Record<string, number>>;
 }
--- a/src/control/rolloutFold.ts
+++ b/src/control/rolloutFold.ts
@@ -139,6 +139,14 @@
         return rollout.state === "active" ? rollout.stages[rollout.stage] : 0;
     }
 
+    /** Gets when a version was last fully rolled out, in the log's wall-clock milliseconds, or `undefined`. */
+    getFinishedAt(version: string): number | undefined {
+        const finished = this.getRollouts().findLast(({ candidate, state }) =>
+            candidate === version && state === "finished"
+        );
+        return finished?.finishedAt;
+    }
+
     /** Gets the newest version of a model that was fully rolled out and isn't halted, or `undefined`. */
     getSettled(model: string): string | undefined {
         return this.#settled.get(model).findLast(version => !this.isHalted(version));
@@ -277,7 +285,7 @@
         if (rollout.stage !== rollout.stages.length - 1) {
             return reject("The roll-out isn't at its last stage.");
         }
-        this.#rollouts.set(rollout.id, { ...rollout, state: "finished" });
+        this.#rollouts.set(rollout.id, { ...rollout, state: "finished", finishedAt: entry.time });
         this.#settled.add(rollout.model, rollout.candidate);
         return accept();
     }
--- /dev/null
+++ b/src/decisions/exposure/confirmation.ts
@@ -0,0 +1,129 @@
+/**
+ * Missing ratings as evidence: compares how many of a candidate's answers a rating confirmed as good with how many of
+ * the baseline's at the same time.
+ *
+ * Where bad answers are rated less often than good ones, the ratings that do come in look nearly as good as ever. The
+ * share of answers that were rated good still falls by every bad answer, rated or not. An outage of the rating service
+ * lowers it for both versions alike, which is why the baseline's answers of the same minute are the reference.
+ */
+import type { Bucket, Tally } from "../model/index.js";
+import { countBadRatings } from "./metric.js";
+
+/** Epochs of a slot, within which the two versions are compared. */
+const slotEpochs = 64;
+/** How much lower the candidate's share may be, as a part of the baseline's, and still count as good. */
+const shareMargin = 0.01;
+/** Standard errors by which the baseline's share is lowered, since it is itself an estimate. */
+const referenceErrors = 1;
+/** Answers of the baseline below which nothing is judged. */
+const minimumReferenceAnswers = 100;
+/** Sizes of bets, as parts of the greatest bet that can't lose more than the capital. */
+const betParts: readonly number[] = [0.08, 0.25, 0.6];
+const maximumLog = 600;
+
+/** Answers of a class about which all is known that will be. */
+export interface ConfirmationInput {
+    readonly candidate: readonly Bucket[];
+    /** Answers of the baseline since the roll-out began. */
+    readonly baseline: readonly Bucket[];
+}
+
+interface Answers {
+    answered: number;
+    confirmed: number;
+}
+
+/**
+ * Bets that the candidate's share of confirmed answers is as high as the baseline's.
+ * @param classes - The counts by class.
+ * @returns The capital that the bets have reached. It starts at 1, and is expected not to grow for a good candidate.
+ */
+export function getConfirmationCapital(classes: readonly ConfirmationInput[]): number {
+    const logs = betParts.map(() => 0);
+    for (const { candidate, baseline } of classes) {
+        addClass(logs, candidate, baseline);
+    }
+    let sum = 0;
+    for (const log of logs) {
+        sum += Math.exp(Math.min(maximumLog, log));
+    }
+    return sum / logs.length;
+}
+
+function addClass(logs: number[], candidate: readonly Bucket[], baseline: readonly Bucket[]): void {
+    const reference = collectSlots(baseline);
+    const shares: { share: number; confirmed: number; unconfirmed: number; }[] = [];
+    const used = new Set<number>();
+    for (const bucket of candidate) {
+        const { answered, confirmed } = countAnswers(bucket.tally);
+        const share = getShare(reference, bucket, used);
+        if (share !== undefined) {
+            shares.push({ share, confirmed, unconfirmed: Math.max(0, answered - confirmed) });
+        }
+    }
+    const errors = referenceErrors * getError(reference, used);
+    for (const { share, confirmed, unconfirmed } of shares) {
+        const least = share * (1 - shareMargin) - errors;
+        if (least <= 0) {
+            continue;
+        }
+        for (const [index, part] of betParts.entries()) {
+            logs[index] += confirmed * Math.log(1 - part) + unconfirmed * Math.log(1 + part * least / (1 - least));
+        }
+    }
+}
+
+/** Counts answers in slots of time. A coarse bucket is spread evenly over the slots that it covers. */
+function collectSlots(buckets: readonly Bucket[]): ReadonlyMap<number, Answers> {
+    const slots = new Map<number, Answers>();
+    for (const bucket of buckets) {
+        const { answered, confirmed } = countAnswers(bucket.tally);
+        const covered = getSlots(bucket);
+        for (const slot of covered) {
+            const known = slots.get(slot) ?? { answered: 0, confirmed: 0 };
+            known.answered += answered / covered.length;
+            known.confirmed += confirmed / covered.length;
+            slots.set(slot, known);
+        }
+    }
+    return slots;
+}
+
+function getSlots({ start, level }: Bucket): readonly number[] {
+    const first = Math.floor(start / slotEpochs);
+    return Array.from({ length: Math.max(1, 2 ** level / slotEpochs) }, (...[, index]) => first + index);
+}
+
+/** Gets the baseline's share of confirmed answers in the time of a bucket, or `undefined` if it gave none. */
+function getShare(reference: ReadonlyMap<number, Answers>, bucket: Bucket, used: Set<number>): number | undefined {
+    let answered = 0;
+    let confirmed = 0;
+    for (const slot of getSlots(bucket)) {
+        const known = reference.get(slot);
+        if (known !== undefined) {
+            answered += known.answered;
+            confirmed += known.confirmed;
+            used.add(slot);
+        }
+    }
+    return answered < 1 ? undefined : Math.min(1, confirmed / answered);
+}
+
+/** Gets the standard error of the baseline's share over the slots that were used. */
+function getError(reference: ReadonlyMap<number, Answers>, used: ReadonlySet<number>): number {
+    let answered = 0;
+    let confirmed = 0;
+    for (const slot of used) {
+        answered += reference.get(slot)!.answered;
+        confirmed += reference.get(slot)!.confirmed;
+    }
+    if (answered < minimumReferenceAnswers) {
+        return Infinity;
+    }
+    const share = Math.min(1, confirmed / answered);
+    return Math.sqrt(share * (1 - share) / answered);
+}
+
+function countAnswers(tally: Tally): Readonly<Answers> {
+    return { answered: tally.answers - tally.failed, confirmed: tally.ratings - countBadRatings(tally) };
+}
--- a/src/decisions/exposure/metric.ts
+++ b/src/decisions/exposure/metric.ts
@@ -29,7 +29,8 @@
 /** Scores up to this bin are bad answers. */
 const badBin = scoreSteps / 2;
 
-function countBad(tally: Tally): number {
+/** Counts the ratings of a tally that call an answer bad. */
+export function countBadRatings(tally: Tally): number {
     let count = 0;
     for (let bin = 0; bin <= badBin; bin += 1) {
         count += tally.getBin(bin);
@@ -58,7 +59,7 @@
             margin: badMarginPart * qualityMargin,
             values: binaryValues,
             count: tally => {
-                const bad = countBad(tally);
+                const bad = countBadRatings(tally);
                 return [bad, tally.ratings - bad];
             },
         },
--- a/src/decisions/exposure/rolloutJudge.ts
+++ b/src/decisions/exposure/rolloutJudge.ts
@@ -8,6 +8,7 @@
 import { getModel } from "../../configuration/allowance.js";
 import { type Rollout, type RolloutFold, rolloutRecordKinds } from "../../control/index.js";
 import { type Bucket, type Evidence, Tally } from "../model/index.js";
+import { type ConfirmationInput, getConfirmationCapital } from "./confirmation.js";
 import type { Exposures } from "./exposures.js";
 import { planGrants } from "./grants.js";
 import { createMetrics, type MetricName } from "./metric.js";
@@ -34,8 +35,19 @@
 /** Part of the baseline's share of rated answers that the candidate must reach for its exposure to grow. */
 const neededCoverage = 0.5;
 const matureAnswersNeeded = 10;
+/** Part of the capital that is bet on missing ratings. */
+const confirmationPart = 0.15;
+/**
+ * Capital of the bets on missing ratings from which on few callers are let through at a time. Waiting is cheap and is
+ * taken back by itself, so it needs far less than a halt.
+ */
+const unconfirmedCapital = 2;
+/** Callers that may be unjudged then, in the whole system. */
+const unconfirmedCallers = 3;
 /** Epochs between two moments at which a settled version is supposed to have changed. */
 const settledStartStep = 5;
+/** Part of the evidence needed to hold a version back, below which it is held back no longer. */
+const releasedStrength = 0.25;
 
 /** Options of `RolloutJudge`. */
 export interface RolloutJudgeOptions {
@@ -57,6 +69,7 @@
     readonly self: string;
     readonly strata: readonly Stratum[];
     readonly strength: number;
+    readonly confirmation: number;
 }
 
 /** Judges roll-outs and settled versions. */
@@ -66,6 +79,7 @@
     readonly #exposures: Exposures;
     readonly #clock: Clock;
     readonly #getPolicy: (model: string) => RolloutPolicy;
+    readonly #held = new Set<string>();
     readonly #references = new Map<string, { readonly formedAt: number; readonly tally: Tally; }>();
 
     constructor(options: RolloutJudgeOptions) {
@@ -90,11 +104,17 @@
         const strata = this.#getRolloutStrata(rollout);
         const policy = this.#getPolicy(rollout.model);
         const result = createRolloutTest(policy).evaluate(strata);
-        if (result.bad) {
+        const confirmation = getConfirmationCapital(this.#getConfirmations(rollout, strata, policy));
+        const missing = confirmationPart * confirmation * policy.falseHaltProbability;
+        const strength = (1 - confirmationPart) * result.strength + missing;
+        if (strength >= 1) {
             const { candidate: version, baseline } = rollout;
-            return { action: "halt", version, reason: describe(result, baseline), strength: result.strength };
+            const reason = missing >= strength / 2
+                ? `Fewer of its answers are rated good than of those of ${baseline} at the same time.`
+                : describe(result, baseline);
+            return { action: "halt", version, reason, strength };
         }
-        return this.#judgeProgress({ rollout, policy, entries, self, strata, strength: result.strength });
+        return this.#judgeProgress({ rollout, policy, entries, self, strata, strength, confirmation });
     }
 
     /**
@@ -103,12 +123,24 @@
      */
     judgeSettled(version: string): Verdict {
         const policy = this.#getPolicy(getModel(version));
-        const strata = this.#getSettledStrata(version, policy);
-        const result = createSettledTest(policy, this.#evidence.epochMilliseconds).evaluate(strata);
+        const isGuarded = this.#isGuarded(version, policy);
+        const falseHalts = isGuarded ? policy.guardFalseHaltMilliseconds : policy.falseHaltMilliseconds;
+        const test = createSettledTest(policy, falseHalts, this.#evidence.epochMilliseconds);
+        const result = test.evaluate(this.#getSettledStrata(version, policy));
+        this.#holdBack(version, isGuarded ? result.strength * falseHalts / policy.falseHoldMilliseconds : 0);
         if (result.bad) {
             return { action: "halt", version, reason: describe(result, "its own past"), strength: result.strength };
         }
-        return { action: "wait", reason: "The version is as it was.", strength: result.strength };
+        const reason = this.isHeld(version) ? "It looks worse than its own past." : "The version is as it was.";
+        return { action: "wait", reason, strength: result.strength };
+    }
+
+    /**
+     * Tells whether a version that was rolled out lately is held back: the evidence against it does not suffice for a
+     * halt yet, but for sending most new callers to the version before it until more is known.
+     */
+    isHeld(version: string): boolean {
+        return this.#held.has(version);
     }
 
     /**
@@ -128,8 +160,23 @@
         }
     }
 
+    /** Checks whether the roll-out of a version ended so lately that it is watched more closely. */
+    #isGuarded(version: string, policy: RolloutPolicy): boolean {
+        const finishedAt = this.#fold.getFinishedAt(version);
+        return finishedAt !== undefined && this.#clock.wall() - finishedAt < policy.guardMilliseconds;
+    }
+
+    #holdBack(version: string, strength: number): void {
+        if (strength >= 1) {
+            this.#held.add(version);
+        }
+        else if (strength < releasedStrength) {
+            this.#held.delete(version);
+        }
+    }
+
     #judgeProgress(input: ProgressInput): Verdict {
-        const { rollout, policy, entries, self, strata, strength } = input;
+        const { rollout, policy, entries, self, strata, strength, confirmation } = input;
         const seen = this.#countCandidate(strata, policy);
         if (!seen.ratingsArrive) {
             return { action: "wait", reason: "Ratings of the candidate are missing.", strength };
@@ -139,7 +186,8 @@
         const spent = budget !== undefined && exposed >= 0.9 * budget && seen.settled >= 0.8 * budget;
         const longEnough = this.#clock.wall() - rollout.stageSince >= policy.stageMilliseconds;
         const neededRatings = policy.stageRatings * (rollout.stage + 1);
-        const suspicious = strength >= suspiciousStrength;
+        const unconfirmed = confirmation >= unconfirmedCapital;
+        const suspicious = unconfirmed || strength >= suspiciousStrength;
         if (!suspicious && longEnough && (spent || seen.ratings >= neededRatings)) {
             const reason = spent ? "The budget is spent without a finding." : "The ratings suffice.";
             if (rollout.stage === rollout.stages.length - 1) {
@@ -152,7 +200,7 @@
             entries,
             budget,
             settled: Math.min(seen.settled, exposed),
-            firstCallers: policy.firstCallers,
+            firstCallers: unconfirmed ? unconfirmedCallers : policy.firstCallers,
             unjudgedPerJudged: suspicious ? 0 : unjudgedPerJudged,
             getSpent: entry =>
                 entry === self ? this.#exposures.getOwn(rollout.id) : this.#exposures.getOf(entry, rollout.id),
@@ -204,6 +252,21 @@
         return strata;
     }
 
+    /** Gets the answers of both versions since the start about which all is known that will be. */
+    #getConfirmations(
+        rollout: Rollout,
+        strata: readonly Stratum[],
+        policy: RolloutPolicy,
+    ): readonly ConfirmationInput[] {
+        const since = this.#evidence.getEpoch(rollout.startedAt);
+        const before = this.#evidence.getEpoch(this.#clock.wall() - policy.ratingWaitMilliseconds);
+        const isMature = ({ start, level }: Bucket): boolean => start >= since && start + 2 ** level <= before;
+        return strata.map(({ requestClass, buckets }) => ({
+            candidate: buckets.filter(isMature),
+            baseline: this.#evidence.getBuckets(rollout.baseline, requestClass).filter(isMature),
+        }));
+    }
+
     /** Gets the recent counts of a baseline. They change slowly and are asked for often. */
     #getReference(version: string, requestClass: string): Tally {
         const key = `${version}/${requestClass}`;
@@ -242,9 +305,13 @@
     });
 }
 
-function createSettledTest(policy: RolloutPolicy, epochMilliseconds: number): SequentialTest {
+function createSettledTest(
+    policy: RolloutPolicy,
+    falseHaltMilliseconds: number,
+    epochMilliseconds: number,
+): SequentialTest {
     return new SequentialTest({
-        threshold: policy.falseHaltMilliseconds / (settledStartStep * epochMilliseconds),
+        threshold: falseHaltMilliseconds / (settledStartStep * epochMilliseconds),
         firstStartPart: 1,
         laterStartPart: 1,
         startStep: settledStartStep,
--- a/src/decisions/exposure/rolloutPolicy.ts
+++ b/src/decisions/exposure/rolloutPolicy.ts
@@ -14,6 +14,12 @@
     readonly falseHaltProbability: number;
     /** Expected time between false halts of a settled version, for one that is worse than its past by the margins. */
     readonly falseHaltMilliseconds: number;
+    /** How long after the end of its roll-out a version is watched more closely. Most trouble shows soon after a change. */
+    readonly guardMilliseconds: number;
+    /** Expected time between false halts within that time, as `falseHaltMilliseconds`. */
+    readonly guardFalseHaltMilliseconds: number;
+    /** Expected time between two times within it at which a version as above is held back without need. */
+    readonly falseHoldMilliseconds: number;
     /** How long a rating may take before it is taken to be missing. */
     readonly ratingWaitMilliseconds: number;
     /** Callers exposed before the first rating is in, in the whole system. */
@@ -31,6 +37,9 @@
     qualityMargin: 0.05,
     falseHaltProbability: 0.1,
     falseHaltMilliseconds: 3 * 86_400_000,
+    guardMilliseconds: 3_600_000,
+    guardFalseHaltMilliseconds: 12 * 3_600_000,
+    falseHoldMilliseconds: 300_000,
     ratingWaitMilliseconds: 90_000,
     firstCallers: 8,
     stageRatings: 60,
--- a/src/decisions/exposure/rolloutRouter.ts
+++ b/src/decisions/exposure/rolloutRouter.ts
@@ -19,14 +19,20 @@
     readonly fold: RolloutFold;
     readonly exposures: Exposures;
     readonly hash: CallerHash;
+    /** Tells whether the candidate of a finished roll-out is held back for now; never by default. */
+    readonly isHeld?: (rollout: Rollout) => boolean;
 }
 
+/** Share of callers that go on meeting a version that is held back, so that the evidence goes on growing. */
+const heldShare = 0.1;
+
 /** Picks versions for callers. */
 export class RolloutRouter {
     readonly #entry: string;
     readonly #fold: RolloutFold;
     readonly #exposures: Exposures;
     readonly #hash: CallerHash;
+    readonly #isHeld: (rollout: Rollout) => boolean;
     readonly #callers = new Map<string, Set<number>>();
 
     constructor(options: RolloutRouterOptions) {
@@ -34,6 +40,7 @@
         this.#fold = options.fold;
         this.#exposures = options.exposures;
         this.#hash = options.hash;
+        this.#isHeld = options.isHeld ?? (() => false);
     }
 
     /**
@@ -77,10 +84,13 @@
 
     #isExposed(rollout: Rollout, caller: string): boolean {
         const share = this.#fold.getShare(rollout.id);
-        if (share === 0 || share === 1 && rollout.state === "finished") {
-            return share === 1;
+        if (share === 0) {
+            return false;
         }
         const point = this.#hash(`${rollout.id}/${caller}`);
+        if (rollout.state === "finished") {
+            return point < heldShare || !this.#isHeld(rollout);
+        }
         return point < share && this.#spend(rollout, point);
     }
 
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -94,6 +94,11 @@
         return getCapacity(this.#runners.values()) / Math.max(1, entries);
     }
 
+    /** Tells whether any runner that takes work has a version loaded. */
+    hasVersion(version: string): boolean {
+        return this.#index.get(version, undefined).all.length > 0;
+    }
+
     /**
      * Takes in which versions an upstream has loaded, where that is known without a load report.
      * @param upstream - Identifier of the upstream.
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -39,8 +39,15 @@
                     changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
                 }),
         }),
-    router: ({ self, rollouts, exposures, callerHash }) =>
-        new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
+    router: ({ self, rollouts, exposures, callerHash, judge, runners }) =>
+        new RolloutRouter({
+            entry: self.id,
+            fold: rollouts,
+            exposures,
+            hash: callerHash,
+            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
+            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+        }),
     driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
         new RolloutDriver({
             entry: self.id,
--- a/src/entry/rolloutDriver.ts
+++ b/src/entry/rolloutDriver.ts
@@ -69,7 +69,7 @@
         }
         for (const version of this.#options.getSettledVersions()) {
             if (!this.#options.rollouts.isHalted(version)) {
-                this.#act(undefined, this.#options.judge.judgeSettled(version));
+                this.#judgeSettled(version);
             }
         }
         await this.#writeHalts();
@@ -98,6 +98,17 @@
         }
     }
 
+    #judgeSettled(version: string): void {
+        const { judge, journal } = this.#options;
+        const wasHeld = judge.isHeld(version);
+        const verdict = judge.judgeSettled(version);
+        const isHeld = judge.isHeld(version);
+        if (isHeld !== wasHeld) {
+            journal.write(isHeld ? events.versionHeld : events.versionReleased, { version, reason: verdict.reason });
+        }
+        this.#act(undefined, verdict);
+    }
+
     #act(rollout: Rollout | undefined, verdict: Verdict): void {
         if (verdict.action !== "halt") {
             return;
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -70,6 +70,13 @@
         "The holder of the roll-out lease advanced, granted or finished.",
     ),
     versionHalted: define(441, "version-halted", "warning", "A version is halted: it takes no new work."),
+    versionHeld: define(
+        442,
+        "version-held",
+        "warning",
+        "A version that was rolled out lately looks worse: this node gives most new callers the version before it.",
+    ),
+    versionReleased: define(443, "version-released", "info", "A version is held back no longer by this node."),
     configurationAccepted: define(
         200,
         "configuration-accepted",
--- a/src/measure/exposure/exposureSite.ts
+++ b/src/measure/exposure/exposureSite.ts
@@ -184,9 +184,10 @@
         const evidence = new Evidence({ clock });
         const exposures = new Exposures();
         const fold = new RolloutFold({ isCurrentFence: given => given === fence });
-        const router = new RolloutRouter({ entry: name, fold, exposures, hash: options.hash });
         const policy = { ...defaultRolloutPolicy, ...options.policy };
         const judge = new RolloutJudge({ fold, evidence, exposures, clock, getPolicy: () => policy });
+        const isHeld = (): boolean => judge.isHeld(candidate);
+        const router = new RolloutRouter({ entry: name, fold, exposures, hash: options.hash, isHeld });
         return { name, evidence, exposures, fold, router, judge, published: 0 };
     }
 }
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -412,7 +412,7 @@
             vmList: this.#ownLists.get(vm.id) ?? this.getPlatform("vm-list"),
             rating: await reach("rating"),
             weightStore: this.getPlatform("weight-store"),
-        }, this.#description.entrySettings);
+        }, { ...this.#description.entrySettings, ...this.#description.singleEntrySettings?.[vm.id] });
     }
 
     #at(lastByte: number): string {
--- a/src/testbench/site/siteDescription.ts
+++ b/src/testbench/site/siteDescription.ts
@@ -47,6 +47,8 @@
     readonly sections?: Readonly<Record<string, Readonly<Record<string, string>>>>;
     /** Sections of the entries' settings that differ from the defaults. */
     readonly entrySettings?: Readonly<Record<string, Readonly<Record<string, string>>>>;
+    /** The same for single entries, by name; what stands here goes before `entrySettings`. */
+    readonly singleEntrySettings?: Readonly<Record<string, SiteDescription["entrySettings"]>>;
     /** Conditions of the log at the start. */
     readonly logSettings?: Readonly<Record<string, string | number | boolean>>;
     /** Conditions of the rating service at the start. */
--- a/test/decisions/exposure/rolloutJudge.test.ts
+++ b/test/decisions/exposure/rolloutJudge.test.ts
@@ -63,6 +63,34 @@
             expect(verdict.reason.includes("missing")).toEqual(true);
         });
 
+        // Answers rated bad are rated less often than others, so those that are rated look nearly as good as ever. A roll-out
+        // that goes by them alone widens, and callers meet bad answers that nobody has told of.
+        it("lets few callers through and then halts where fewer answers are confirmed than of the baseline", () => {
+            const { judge, answerByTurns, expose, clock } = createFixture();
+            expose(20);
+            answerByTurns(20, 0.3);
+            clock.advance(200_000);
+            const early = judge();
+            expect(early.action === "grant" && early.grants).toEqual({ a: 22, b: 1 });
+            answerByTurns(200, 0.3);
+            clock.advance(200_000);
+            const verdict = judge();
+            expect([verdict.action, verdict.reason.includes("rated good")]).toEqual(["halt", true]);
+        });
+
+        // The rating service is away for a while. Neither version is rated then, which says nothing of the candidate.
+        it("takes an outage of the rating service for what it is", () => {
+            const { judge, answer, answerByTurns, expose, clock } = createFixture();
+            expose(50);
+            answer("label@1", 2000, 0.03, 0.5);
+            answer("label@2", 100, 0.03, 0.5);
+            clock.advance(100_000);
+            answerByTurns(20, 0, 0);
+            clock.advance(200_000);
+            expect(judge().action === "halt").toEqual(false);
+            expect(judge().reason === "The evidence against the candidate grows.").toEqual(false);
+        });
+
         // An operator lifts a halt. The old evidence still stands; without a fresh start the next look would halt the
         // version again at once.
         it("starts afresh after a lift", () => {
@@ -115,6 +143,42 @@
             answer("label@1", 100, 0.4, 1);
             expect(judgeSettled("label@1").action).toEqual("halt");
         });
+
+        // A version turns bad soon after its roll-out. Until the evidence suffices for a halt it has harmed everybody who
+        // called meanwhile, so most new callers get the version before it as soon as there is a good reason to doubt.
+        it("holds a version back soon after its roll-out, and releases it when it proves good", () => {
+            const { judgeSettled, isHeld, append, answer, clock } = createFixture();
+            append("rollout-advance", { rollout, stage: 1, fence });
+            append("rollout-finish", { rollout, fence });
+            answer("label@2", 500, 0.03, 1);
+            clock.advance(700_000);
+            answer("label@2", 100, 0.03, 1);
+            expect(judgeSettled("label@2").action).toEqual("wait");
+            expect(isHeld("label@2")).toEqual(false);
+            for (let answers = 0; !isHeld("label@2") && answers < 50; answers += 1) {
+                answer("label@2", 1, 0.5, 1);
+                expect(judgeSettled("label@2").action).toEqual("wait");
+            }
+            expect(isHeld("label@2")).toEqual(true);
+            clock.advance(10_000);
+            answer("label@2", 100, 0, 1);
+            judgeSettled("label@2");
+            expect(isHeld("label@2")).toEqual(false);
+        });
+
+        it("holds no version back long after its roll-out", () => {
+            const { judgeSettled, isHeld, append, answer, clock } = createFixture();
+            append("rollout-advance", { rollout, stage: 1, fence });
+            append("rollout-finish", { rollout, fence });
+            clock.advance(4_000_000);
+            answer("label@2", 500, 0.03, 1);
+            clock.advance(700_000);
+            for (let answers = 0; judgeSettled("label@2").action !== "halt" && answers < 100; answers += 1) {
+                answer("label@2", 1, 0.5, 1);
+                expect(isHeld("label@2")).toEqual(false);
+            }
+            expect(judgeSettled("label@2").action).toEqual("halt");
+        });
     });
 });
 
@@ -150,6 +214,11 @@
             }
         }
     };
+    /** Answers as both versions do at the same time, where a part of the candidate's ratings stays away. */
+    const answerByTurns = (count: number, lost: number, ratedShare = 0.9) => {
+        answer("label@2", count, 0.01, ratedShare - lost);
+        answer("label@1", 10 * count, 0.01, ratedShare);
+    };
     answer("label@1", 3000, 0.03, 1);
     clock.advance(60_000);
     append("rollout-start", {
@@ -165,11 +234,13 @@
         clock,
         append,
         answer,
+        answerByTurns,
         setRules: (changes: Partial<RolloutRules>) => {
             rules = { ...defaults, ...changes };
         },
         judge: (): Verdict => judge.judge(rollout, entries, "a"),
         judgeSettled: (version: string): Verdict => judge.judgeSettled(version),
+        isHeld: (version: string): boolean => judge.isHeld(version),
         expose: (count: number) => {
             for (let index = 0; index < count; index += 1) {
                 exposures.add(rollout);
--- a/test/decisions/exposure/rolloutRouter.test.ts
+++ b/test/decisions/exposure/rolloutRouter.test.ts
@@ -48,6 +48,21 @@
         });
     });
 
+    // A version looks bad soon after its roll-out. If everybody still got it until that is certain, as many callers more
+    // would be harmed; if nobody got it, it would never become certain.
+    describe("isHeld", () => {
+        it("leaves few callers, always the same, with a finished candidate that is held back", async () => {
+            const { append, pickMany, held } = await createFixture();
+            append("rollout-advance", { rollout, stage: 1, fence });
+            append("rollout-finish", { rollout, fence });
+            expect(pickMany("a", 1000)).toEqual(1000);
+            held.add(rollout);
+            const exposed = pickMany("a", 1000);
+            expect(exposed > 50 && exposed < 150).toEqual(true);
+            expect(pickMany("a", 1000)).toEqual(exposed);
+        });
+    });
+
     describe("pickOfModel", () => {
         it("serves two roll-outs of one model at once, each caller by at most one", async () => {
             const { fold, append, routers } = await createFixture();
@@ -77,8 +92,12 @@
 async function createFixture() {
     const fold = new RolloutFold({ isCurrentFence: given => given === fence });
     const hash = await createCallerHash();
+    const held = new Set<string>();
+    const isHeld = ({ id }: { readonly id: string; }): boolean => held.has(id);
     const routers = new Map(
-        entries.map(entry => [entry, new RolloutRouter({ entry, fold, exposures: new Exposures(), hash })] as const),
+        entries.map(entry =>
+            [entry, new RolloutRouter({ entry, fold, exposures: new Exposures(), hash, isHeld })] as const
+        ),
     );
     let offset = 0;
     const append = (kind: string, body: unknown) => {
@@ -89,6 +108,7 @@
     return {
         fold,
         append,
+        held,
         routers,
         /** Returns how many of new callers at an entry are exposed. */
         pickMany: (entry: string, count: number) => {
--- /dev/null
+++ b/test/proofs/settledVersions.test.ts
@@ -0,0 +1,196 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { rolloutRecordKinds } from "../../src/control/index.js";
+import type { EventLine } from "../../src/events/index.js";
+import {
+    callJson,
+    type ChatRecord,
+    getApiKey,
+    getJournal,
+    metroManila,
+    readEngineRuns,
+    setFaults,
+    type SiteVersion,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+/** The entry that has nothing to compare a settled version with, and so cannot judge one. */
+const blindEntry = "entry-3";
+const windowSeconds = 10;
+/** Ratings older than the window before a version turns bad; the test of versions needs a hundred. */
+const neededRatings = 130;
+const concurrentCalls = 6;
+
+const medium = metroManila.versions[1];
+const small = metroManila.versions[2];
+const versions: readonly SiteVersion[] = [
+    ...metroManila.versions.slice(0, 3),
+    { ...medium, id: "label-medium@8", status: "candidate" },
+    { ...medium, id: "label-medium@9", status: "candidate" },
+    { ...metroManila.versions[0], id: "label-large@4", status: "candidate" },
+    { ...small, id: "label-small@7", status: "candidate", quality: 0.9, classQualities: {} },
+];
+
+describe("A version that is judged", () => {
+    const getProof = useProofSite("127.63.8", {
+        versions,
+        // On a busy machine answers are late now and then, which must not halt a version that is as it should be.
+        workspaces: [
+            createWorkspace("commissary", "*"),
+            createWorkspace("banquet", "label-medium@2, label-medium@9, label-small"),
+        ],
+        entrySettings: { timing: { settled_window_s: String(windowSeconds) } },
+        singleEntrySettings: { [blindEntry]: { timing: { settled_window_s: "86400" } } },
+    });
+
+    // An operator shortens the stages of a roll-out that is under way. If entries kept the rules of its start, callers would
+    // wait for the better version as if nothing had been published; and a rule made stricter would protect nobody.
+    it("is judged by the rules of the newest configuration, also in a roll-out under way", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const rollout = "label-large@4";
+        await startRollout(proof, rollout, "label-large@3", [0.5, 1]);
+        const section = "rollout.label-large";
+        const rules = [{ section, key: "stage_minimum_s", value: "1" }, { section, key: "missed_rate", value: "0.5" }];
+        await site.waitInForce(await site.publish(rules));
+        await waitUntil(async () => {
+            await askEverywhere(proof, "label-large");
+            const { rollouts } = await site.getStatus("entry-1");
+            return rollouts.some(({ id, stage }) => id === rollout && stage === 1);
+        }, { what: "the second stage, sooner than the default of a minute allows" });
+    });
+
+    // A version was rolled out to everybody and served well. Then its answers turn bad, and kitchen staff read wrong
+    // declarations until somebody notices. No entry may give it new work after that; callers get the newest version
+    // before it that their workspace allows.
+    it("is halted at all entries, and callers get the last good version that they may use", async () => {
+        const proof = getProof();
+        await finishRollout(proof, "label-medium@8", "label-medium@2");
+        await finishRollout(proof, "label-medium@9", "label-medium@8");
+        await serveWell(proof, "label-medium", "label-medium@9");
+        await turnBad(proof, "label-medium@9");
+        await askUntilHalted(proof, "label-medium", "label-medium@9");
+        const haltedAt = Date.now();
+        for (const entry of entries) {
+            expect((await ask(proof, entry, "label-medium")).version).toEqual("label-medium@8");
+            expect((await ask(proof, entry, "label-medium", "banquet")).version).toEqual("label-medium@2");
+        }
+        expect(await readLateRuns(proof, "label-medium@9", haltedAt)).toEqual([]);
+    });
+
+    // The log is away, and one entry has started too lately to know how the version used to be. It would give callers
+    // the bad version for as long as it cannot judge by itself; the halt of another entry has to reach it by gossip.
+    it("is halted at an entry that cannot judge it, by gossip alone", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await finishRollout(proof, "label-small@7", "label-small@5");
+        await serveWell(proof, "label-small", "label-small@7");
+        await setFaults(site.getPlatform("log"), { outage: "drop" });
+        try {
+            await turnBad(proof, "label-small@7");
+            await askUntilHalted(proof, "label-small", "label-small@7");
+            const haltedAt = Date.now();
+            expect((await ask(proof, blindEntry, "label-small")).version).toEqual("label-small@5");
+            expect(await readLateRuns(proof, "label-small@7", haltedAt)).toEqual([]);
+            expect(await readOwnHalts(proof, blindEntry)).toEqual([]);
+            const others = await Promise.all(["entry-1", "entry-2"].map(entry => readOwnHalts(proof, entry)));
+            expect(others.flat().some(halt => halt.version === "label-small@7")).toEqual(true);
+        }
+        finally {
+            await setFaults(site.getPlatform("log"), { outage: "none" });
+        }
+    });
+});
+
+function createWorkspace(name: string, allowed: string) {
+    const settings = { allowed, target_quality: "0.6", request_class: "kitchen-query", first_token_ms: "60000" };
+    return { name, settings };
+}
+
+async function append({ site }: ProofSite, kind: string, body: object): Promise<void> {
+    await site.append("control", { id: `${kind}-${Math.random()}`, kind, format: 1, writer: "test", body });
+}
+
+async function startRollout(
+    proof: ProofSite,
+    candidate: string,
+    baseline: string,
+    stages: readonly number[],
+): Promise<void> {
+    const model = candidate.slice(0, candidate.indexOf("@"));
+    const body = { rollout: candidate, model, candidate, baseline, stages, budget: 300, startedBy: "test" };
+    await append(proof, rolloutRecordKinds.start, body);
+}
+
+/** Rolls a version out to everybody at once, as an operator in a hurry does. */
+async function finishRollout(proof: ProofSite, candidate: string, baseline: string): Promise<void> {
+    const { site } = proof;
+    await startRollout(proof, candidate, baseline, [1]);
+    await waitUntil(async () => {
+        // Where two entries take the lease at once the fold accepts the first; a finish under the other fence does nothing.
+        const takes = (await site.readStream("control")).filter(({ record }) => record.kind === "lease-take");
+        for (const { offset: fence } of takes) {
+            await append(proof, rolloutRecordKinds.finish, { rollout: candidate, fence });
+        }
+        const states = await Promise.all(entries.map(entry => site.getStatus(entry)));
+        return states.every(({ rollouts }) =>
+            rollouts.some(({ id, state }) => id === candidate && state === "finished")
+        );
+    }, { what: `the roll-out of ${candidate} to be finished everywhere` });
+}
+
+/** Asks until the version has enough ratings that are older than the window. */
+async function serveWell(proof: ProofSite, model: string, version: string): Promise<void> {
+    await waitUntil(async () => {
+        await askEverywhere(proof, model);
+        const ratings = await getJournal<{ readonly version: string; readonly time: number; }>(
+            proof.site.getPlatform("rating"),
+        );
+        const since = Date.now() - 1.2 * windowSeconds * 1000;
+        return ratings.filter(rating => rating.version === version && rating.time < since).length >= neededRatings;
+    }, { what: `${version} to have been rated for a while`, boundMilliseconds: 60_000 });
+}
+
+async function turnBad({ site }: ProofSite, version: string): Promise<void> {
+    for (const [name, runner] of site.getUpstreams()) {
+        if (name.startsWith("runner")) {
+            await setFaults(runner.getAddress(), { version, "quality": 0.1, "class": "kitchen-query" });
+        }
+    }
+}
+
+async function askUntilHalted(proof: ProofSite, model: string, version: string): Promise<void> {
+    await waitUntil(async () => {
+        await askEverywhere(proof, model);
+        const states = await Promise.all(entries.map(entry => proof.site.getStatus(entry)));
+        return states.every(({ versions }) => versions.some(({ id, halted }) => id === version && halted));
+    }, { what: `the halt of ${version} to be known everywhere`, boundMilliseconds: 60_000 });
+}
+
+async function askEverywhere(proof: ProofSite, model: string): Promise<void> {
+    const calls = Array.from({ length: concurrentCalls }, (...[, index]) => ask(proof, entries[index % 3], model));
+    await Promise.all(calls);
+}
+
+function ask(proof: ProofSite, entry: string, model: string, workspace = "commissary"): Promise<ChatRecord> {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: getApiKey(workspace),
+        model,
+        text: "Does the pastry hold sesame?",
+        maximumTokens: 8,
+        boundMilliseconds: 8000,
+    });
+}
+
+async function readLateRuns({ site }: ProofSite, version: string, since: number): Promise<readonly unknown[]> {
+    return (await readEngineRuns(site)).filter(run => run.asked === version && run.arrivedAt > since);
+}
+
+/** Returns the halts that an entry has raised by its own judgement. */
+function readOwnHalts({ site }: ProofSite, entry: string): Promise<readonly EventLine[]> {
+    return callJson<readonly EventLine[]>({ address: site.getEntryOrThrow(entry).operators, path: "/events" })
+        .then(lines => lines.filter(line => line.name === "version-halted"));
+}
