--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -3,6 +3,7 @@
  */
 import {
     AdmissionController,
+    createRolloutPolicy,
     Evidence,
     Exposures,
     ModelChooser,
@@ -27,10 +28,26 @@
     evidence: ({ clock }) => new Evidence({ clock }),
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
-    judge: ({ rollouts, evidence, exposures, clock }) =>
-        new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
-    router: ({ self, rollouts, exposures, callerHash }) =>
-        new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
+    judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
+        new RolloutJudge({
+            fold: rollouts,
+            evidence,
+            exposures,
+            clock,
+            getPolicy: model =>
+                createRolloutPolicy(configuration.getConfiguration().getRollout(model), {
+                    changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
+                }),
+        }),
+    router: ({ self, rollouts, exposures, callerHash, judge, runners }) =>
+        new RolloutRouter({
+            entry: self.id,
+            fold: rollouts,
+            exposures,
+            hash: callerHash,
+            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
+            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+        }),
     driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
         new RolloutDriver({
             entry: self.id,
