Bound the questions for load that a node asks in a second

Cause: each upstream of the subset was asked for its load and its cache events twice a second, 0.219 % of a core a runner, so the cost grew with the subset. At the target the subset is 72 by the rule of twelve entries a runner, not 30.

Change: PollSchedule asks those unheard longest, 16 a second at most by the setting load_polls; load that came with an answer counts as heard for two seconds; those never asked are asked at once; cache events are read with each fourth question. The measurement load asks by the same schedule.

--- a/src/decisions/placement/index.ts
+++ b/src/decisions/placement/index.ts
@@ -1,5 +1,6 @@
 /** Which runner gets a request. */
 export * from "./options.js";
 export * from "./placement.js";
+export * from "./pollSchedule.js";
 export * from "./runnerChooser.js";
 export { Work } from "./work.js";
--- a/src/decisions/placement/loadEstimate.ts
+++ b/src/decisions/placement/loadEstimate.ts
@@ -21,6 +21,7 @@
     #measuredAt = Number.NEGATIVE_INFINITY;
     #reportedAt = Number.NEGATIVE_INFINITY;
     #acceptedAt = Number.NEGATIVE_INFINITY;
+    #answeredAt: number | undefined;
     #clockOffset = Number.POSITIVE_INFINITY;
     #capacity: number;
 
@@ -81,9 +82,15 @@
 
     /** Takes in load that came with an answer just now. */
     addFresh(load: number, capacity: number, now: number): void {
+        this.#answeredAt = now;
         this.#set(load, capacity, now);
     }
 
+    /** Returns when load last came with an answer, in monotonic milliseconds. */
+    getAnsweredAt(): number | undefined {
+        return this.#answeredAt;
+    }
+
     /** Returns the work of others at the time of the measurement. */
     getOthersAtMeasurement(): number {
         return this.#othersAtMeasurement;
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -85,6 +85,14 @@
         return Array.from(this.#index.getSubset(), runner => runner.vm);
     }
 
+    /**
+     * Returns when an upstream's load last came with an answer, in monotonic milliseconds.
+     * @param id - Identifier of the upstream.
+     */
+    getAnsweredAt(id: string): number | undefined {
+        return this.#runners.get(id)?.load.getAnsweredAt();
+    }
+
     /**
      * Returns the part of the region's capacity that falls to this entry, in requests at a time. Upstreams outside the
      * subset are taken to be like those within: the subset alone, shared out among all entries, would be far too little.
--- a/src/entry/loadPoller.ts
+++ b/src/entry/loadPoller.ts
@@ -1,16 +1,19 @@
 /**
  * Asks the upstreams of this entry's subset for their load and their cache events.
  */
-import { RepeatedTask } from "../common/index.js";
-import type { RunnerChooser } from "../decisions/index.js";
+import { type Clock, RepeatedTask } from "../common/index.js";
+import { PollSchedule, type RunnerChooser } from "../decisions/index.js";
 import type { EngineClient } from "../upstream/index.js";
 import type { Vm } from "../world/index.js";
 
 /** Options of a poller. */
 export interface LoadPollerOptions {
+    readonly clock: Clock;
     readonly engines: EngineClient;
     readonly runners: RunnerChooser;
     readonly intervalMilliseconds: number;
+    /** Bound on the upstreams that are asked in a second. */
+    readonly pollsPerSecond: number;
     /** Is called at the end of each round. */
     readonly onRound: () => void;
     /** Is called when an upstream says of itself that it is leaving. */
@@ -20,6 +23,7 @@
 /** Polls upstreams. */
 export class LoadPoller {
     readonly #options: LoadPollerOptions;
+    readonly #schedule: PollSchedule;
     readonly #task: RepeatedTask;
     readonly #nextSequence = new Map<string, number>();
     readonly #pending = new Set<string>();
@@ -27,6 +31,7 @@
 
     constructor(options: LoadPollerOptions) {
         this.#options = options;
+        this.#schedule = new PollSchedule(options);
         this.#task = new RepeatedTask({
             run: () => this.#poll(),
             pauseMilliseconds: options.intervalMilliseconds,
@@ -52,23 +57,22 @@
     }
 
     /**
-     * Asks every upstream once without waiting for the answers: one that is frozen would hold up the others' news.
-     * An upstream that has not answered yet is passed over.
+     * Asks the upstreams whose turn it is without waiting for the answers: one that is frozen would hold up the others'
+     * news. An upstream that has not answered yet is passed over.
      */
     #poll(): void {
-        const subset = this.#options.runners.getSubset();
-        const listed = new Set(subset.map(vm => vm.id));
-        for (const id of this.#nextSequence.keys()) {
-            if (!listed.has(id)) {
-                this.#nextSequence.delete(id);
-            }
-        }
+        const { runners, clock } = this.#options;
+        const subset = new Map(runners.getSubset().map(vm => [vm.id, vm]));
+        this.#forget(subset);
+        const candidates = Array.from(subset.keys(), id => ({
+            id,
+            answeredAt: runners.getAnsweredAt(id),
+            isPending: this.#pending.has(id),
+        }));
         const asked: Promise<void>[] = [];
-        for (const upstream of subset) {
-            if (!this.#pending.has(upstream.id)) {
-                this.#pending.add(upstream.id);
-                asked.push(this.#ask(upstream).finally(() => this.#pending.delete(upstream.id)));
-            }
+        for (const { id, hasCacheEvents } of this.#schedule.take(candidates, clock.monotonic())) {
+            this.#pending.add(id);
+            asked.push(this.#ask(subset.get(id)!, hasCacheEvents).finally(() => this.#pending.delete(id)));
         }
         if (!this.#hasAskedAll && asked.length > 0) {
             void Promise.all(asked).then(() => {
@@ -78,7 +82,15 @@
         this.#options.onRound();
     }
 
-    async #ask(upstream: Vm): Promise<void> {
+    #forget(subset: ReadonlyMap<string, Vm>): void {
+        for (const id of this.#nextSequence.keys()) {
+            if (!subset.has(id)) {
+                this.#nextSequence.delete(id);
+            }
+        }
+    }
+
+    async #ask(upstream: Vm, hasCacheEvents: boolean): Promise<void> {
         const load = await this.#options.engines.getLoad(upstream);
         if (load.isErr()) {
             return;
@@ -88,7 +100,7 @@
         if (load.value.leaving) {
             this.#options.onLeaving(upstream);
         }
-        if (upstream.role === "runner") {
+        if (hasCacheEvents && upstream.role === "runner") {
             await this.#readCacheEvents(upstream);
         }
     }
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -72,9 +72,11 @@
         new ServiceClient({ dispatcher: upstreamAgent, maximumAnswerBytes: settings.limits.bodyBytes }),
     poller: cradle =>
         new LoadPoller({
+            clock: cradle.clock,
             engines: cradle.engines,
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
+            pollsPerSecond: cradle.settings.limits.loadPolls,
             onRound: () => {
                 const entries = Math.max(1, cradle.membership.getAlive().length);
                 cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
--- a/src/measure/load.ts
+++ b/src/measure/load.ts
@@ -11,6 +11,8 @@
 /** Seeds below this are for tuning; seeds for reporting start here unless given. */
 export const firstReportingSeed = 1_000;
 
+/** More questions a second than any subset asks for: each runner is asked in each round. */
+const unbounded = 1_000;
 const unequalShapes = [
     { capacity: 4, slowness: 1.5 },
     { capacity: 8, slowness: 1 },
@@ -23,7 +25,16 @@
     { name: "0.9 of capacity", load: 0.9 },
     { name: "2 times capacity", load: 2 },
     { name: "unequal runners, 0.9", load: 0.9, getShape: index => unequalShapes[index % unequalShapes.length] },
+    { name: "0.9, asked without a bound", load: 0.9, pollsPerSecond: unbounded },
+    { name: "0.9, 4 questions a second", load: 0.9, pollsPerSecond: 4 },
     { name: "52 runners, 0.9", load: 0.9, runners: 52, sessions: 240 },
+    {
+        name: "52 runners, 0.9, asked without a bound",
+        load: 0.9,
+        runners: 52,
+        sessions: 240,
+        pollsPerSecond: unbounded,
+    },
     { name: "small prefix caches, 0.9", load: 0.9, cacheBlocks: 250 },
     {
         name: "slow runner that reports no load, 0.8",
--- a/src/measure/loadTrial.ts
+++ b/src/measure/loadTrial.ts
@@ -5,7 +5,7 @@
 import type { PlacementOptions } from "../decisions/placement/index.js";
 import type { Vm } from "../world/index.js";
 import { EventQueue } from "./eventQueue.js";
-import { createPolicy, type Policy, type PolicyName } from "./placementPolicies.js";
+import { createPolicy, type Policy, type PolicyName, pollRoundMilliseconds } from "./placementPolicies.js";
 import { getFullHold, type RunnerFault, SimulatedRunner } from "./simulatedRunner.js";
 import { getQuantile, getRange } from "./statistics.js";
 import { type DrawnRequest, Workload } from "./workload.js";
@@ -14,7 +14,6 @@
 const domains = 4;
 const warmUpMilliseconds = 15_000;
 const measuredMilliseconds = 60_000;
-const reportEveryMilliseconds = 500;
 const cacheEventsEveryMilliseconds = 400;
 const cacheEventLossShare = 0.1;
 const listLagMilliseconds = 5_000;
@@ -27,6 +26,8 @@
 const usualSessions = 60;
 const usualCacheBlocks = 1_500;
 
+type CacheEvents = ReturnType<SimulatedRunner["takeCacheEvents"]>;
+
 /** What happens in a scenario. */
 export interface LoadScenario {
     readonly name: string;
@@ -38,6 +39,8 @@
     /** Capacity and slowness of each runner. */
     readonly getShape?: (index: number) => { readonly capacity: number; readonly slowness: number; };
     readonly liar?: number;
+    /** Bound on an entry's questions a second, over all runners. */
+    readonly pollsPerSecond?: number;
     /** Blocks that each runner's prefix cache holds. */
     readonly cacheBlocks?: number;
     /** Runners that fail in the middle of the measured time. */
@@ -62,8 +65,12 @@
     readonly #scenario: LoadScenario;
     readonly #queue = new EventQueue();
     readonly #random: RandomSource;
+    /** Of its own, so that a way that asks more often does not see another workload. */
+    readonly #pollRandom: RandomSource;
     readonly #runners: readonly SimulatedRunner[];
     readonly #policies: readonly Policy[];
+    /** Batches of cache events of each runner, in their order. */
+    readonly #cacheEvents: CacheEvents[][];
     readonly #firstTokens: number[] = [];
     readonly #betweenTokens: number[] = [];
     #asked = 0;
@@ -79,7 +86,9 @@
     }) {
         this.#scenario = options.scenario;
         this.#random = new RandomSource(options.seed);
+        this.#pollRandom = new RandomSource(options.seed * 1_000 + entries);
         this.#runners = this.#createRunners();
+        this.#cacheEvents = this.#runners.map(() => []);
         this.#policies = getRange(entries).map(entry =>
             createPolicy(options.policy, {
                 runners: this.#runners,
@@ -87,6 +96,7 @@
                 entries,
                 clock: this.#queue.clock,
                 random: new RandomSource(options.seed * 1_000 + entry),
+                pollsPerSecond: options.scenario.pollsPerSecond,
                 placement: options.placement,
             })
         );
@@ -94,7 +104,7 @@
 
     /** Runs it and returns the figures. */
     run(): LoadFigures {
-        this.#scheduleReports();
+        this.#schedulePolls();
         this.#scheduleLoss();
         const end = warmUpMilliseconds + measuredMilliseconds;
         this.#scheduleArrivals(end);
@@ -244,23 +254,40 @@
         this.#good += wait <= deadlineMilliseconds ? 1 : 0;
     }
 
-    /** Each report takes 50 to 450 ms to each entry, so entries see different and out-of-order pictures. */
-    #scheduleReports(): void {
-        for (const runner of this.#runners) {
-            this.#repeat(reportEveryMilliseconds, () => {
-                const report = runner.getReport();
-                for (const policy of report === undefined ? [] : this.#policies) {
-                    this.#queue.schedule(50 + this.#random.next() * 400, () => policy.addReport(report!));
+    #schedulePolls(): void {
+        for (const [index, runner] of this.#runners.entries()) {
+            this.#repeat(cacheEventsEveryMilliseconds, () => this.#cacheEvents[index].push(runner.takeCacheEvents()));
+        }
+        const indexes = new Map(this.#runners.map((runner, index) => [runner.options.vm.id, index]));
+        for (const policy of this.#policies) {
+            const nextBatches = this.#runners.map(() => 0);
+            this.#repeat(pollRoundMilliseconds, () => {
+                for (const { id, hasCacheEvents } of policy.takePolls()) {
+                    this.#askForLoad(policy, indexes.get(id) ?? 0);
+                    if (hasCacheEvents) {
+                        this.#askForCacheEvents(policy, indexes.get(id) ?? 0, nextBatches);
+                    }
                 }
             });
-            this.#repeat(cacheEventsEveryMilliseconds, () => {
-                const events = runner.takeCacheEvents();
-                for (const policy of this.#policies) {
-                    const isLost = this.#random.next() < cacheEventLossShare;
-                    this.#queue.schedule(100 + this.#random.next() * 900, () => {
-                        policy.addCacheEvents(runner.options.vm.id, isLost ? [] : events, isLost);
-                    });
-                }
+        }
+    }
+
+    /** Each report takes 50 to 450 ms, so entries see different and out-of-order pictures. */
+    #askForLoad(policy: Policy, index: number): void {
+        const report = this.#runners[index].getReport();
+        if (report !== undefined) {
+            this.#queue.schedule(50 + this.#pollRandom.next() * 400, () => policy.addReport(report));
+        }
+    }
+
+    #askForCacheEvents(policy: Policy, index: number, nextBatches: number[]): void {
+        const { id } = this.#runners[index].options.vm;
+        const batches = this.#cacheEvents[index].slice(nextBatches[index]);
+        nextBatches[index] += batches.length;
+        for (const batch of batches) {
+            const isLost = this.#pollRandom.next() < cacheEventLossShare;
+            this.#queue.schedule(100 + this.#pollRandom.next() * 900, () => {
+                policy.addCacheEvents(id, isLost ? [] : batch, isLost);
             });
         }
     }
@@ -272,7 +299,7 @@
                 this.#queue.schedule(every, again);
             }
         };
-        this.#queue.schedule(this.#random.next() * every, again);
+        this.#queue.schedule(this.#pollRandom.next() * every, again);
     }
 
     #scheduleLoss(): void {
--- a/src/measure/placementPolicies.ts
+++ b/src/measure/placementPolicies.ts
@@ -2,11 +2,22 @@
  * Ways to choose a runner that are measured side by side: the product's and the simple ones.
  */
 import type { Clock, RandomSource } from "../common/index.js";
-import { type PlacementOptions, RunnerChooser, type WorkEnd } from "../decisions/placement/index.js";
+import {
+    type PlacementOptions,
+    type Poll,
+    PollSchedule,
+    RunnerChooser,
+    type WorkEnd,
+} from "../decisions/placement/index.js";
 import type { LoadReport, Vm } from "../world/index.js";
 import type { SimulatedRunner } from "./simulatedRunner.js";
 import { getRange } from "./statistics.js";
 
+/** As the settings' default has it. */
+const usualPollsPerSecond = 16;
+/** Time between two rounds of an entry that asks for load. */
+export const pollRoundMilliseconds = 500;
+
 /** Names of the ways. `perfect` sees the true load and cache of all runners at every moment: nobody can. */
 export type PolicyName = "random" | "round robin" | "least in-flight" | "rattanlock" | "perfect";
 
@@ -37,6 +48,8 @@
 export interface Policy {
     /** Returns nothing when it refuses the request. */
     readonly choose: (request: PolicyRequest) => PolicyChoice | undefined;
+    /** The runners that it asks for their load and cache events now. */
+    readonly takePolls: () => readonly Poll[];
     readonly setListed: (vms: readonly Vm[]) => void;
     readonly addReport: (report: LoadReport) => void;
     readonly addCacheEvents: (
@@ -54,6 +67,8 @@
     readonly entries: number;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Bound on the entry's questions for load a second; the settings' default unless given. */
+    readonly pollsPerSecond?: number;
     readonly placement?: Partial<PlacementOptions>;
 }
 
@@ -98,6 +113,7 @@
         setListed: vms => {
             listed = new Set(vms.map(vm => vm.id));
         },
+        takePolls: () => [],
         addReport: () => {},
         addCacheEvents: () => {},
     };
@@ -163,6 +179,10 @@
         chooser.setVersions(runner.options.vm.id, [runner.options.version]);
     }
     const { version } = options.runners[0].options;
+    const polls = new PollSchedule({
+        pollsPerSecond: options.pollsPerSecond ?? usualPollsPerSecond,
+        intervalMilliseconds: pollRoundMilliseconds,
+    });
     return {
         choose: request => {
             const chosen = chooser.choose({
@@ -184,6 +204,12 @@
                 end: end => work.finish(end),
             };
         },
+        takePolls: () => {
+            const candidates = chooser.getSubset().map(({ id }) => {
+                return { id, answeredAt: chooser.getAnsweredAt(id), isPending: false };
+            });
+            return polls.take(candidates, options.clock.monotonic());
+        },
         setListed: vms => chooser.setUpstreams([...vms, ...entries]),
         addReport: report => chooser.addLoadReport(report),
         addCacheEvents: (upstream, events, gap) => chooser.addCacheEvents(upstream, events, gap),
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -50,7 +50,7 @@
     lease_term_ms: milliseconds("Term of a lease.", 10 * second),
     lease_drift_ms: milliseconds("Allowance for clocks that run at different rates.", second),
     vm_list_interval_ms: milliseconds("Pause between two reads of the VM list.", second),
-    load_interval_ms: milliseconds("Pause between two reads of an upstream's load.", 500),
+    load_interval_ms: milliseconds("Shortest pause between two reads of an upstream's load.", 500),
     log_timeout_ms: milliseconds("How long to wait for an answer of the log.", 5 * second),
     log_wait_ms: milliseconds("How long a long poll of the log waits.", 2 * second),
     upstream_connect_timeout_ms: milliseconds("How long to wait for a connection to an upstream.", second),
@@ -87,6 +87,7 @@
         maximum: 100,
         unit: "percent",
     }),
+    load_polls: count("Upstreams that the process asks for their load in a second; longest unheard first.", 16),
     subset: count("Upstreams of a pool that the process probes for load.", 32),
 }, false);
 
