Measure kept memory without the object before

Cause: in a loop, the frame still held the object of the size before when the heap was looked at, and let it go while the next one was built. Each figure was too small by the one before; with sizes that double, all memory slopes of docs/CAPACITY.md came out at half.

Ruled out: garbage that was not collected (three collections a look gave the same figures); noise (10, 50, 100, 200 entries gave 913 kB for each entry more than the size before, to 0.1 %).

Change: each size is built and measured in a function of its own. Bills are measured with their copy made, as they wait in an outage: before, the timers of callers that wait for a copy were counted. Copies that a keeper holds are measured too.

--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -132,7 +132,7 @@
             getIncarnation: origin => membership.getIncarnation(origin),
             getConfigurationAge: () => configuration.getAge(),
         }),
-    fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random }) =>
+    fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random, settings }) =>
         new StateFetcher({
             clock,
             configuration,
@@ -142,6 +142,7 @@
             self: self.id,
             getCounter: () => journal.getCounter(),
             draw: bound => random.nextInteger(bound),
+            logWaitMilliseconds: settings.timing.logWaitMilliseconds,
         }),
     state: ({ configuration, membership, self, shared, poller }) =>
         new EntryState({
--- a/src/entry/stateFetcher.ts
+++ b/src/entry/stateFetcher.ts
@@ -12,7 +12,9 @@
 const controlStream = "control";
 
 /** A configuration that was confirmed this long ago needs no peer's word yet, in milliseconds. */
-const currentMilliseconds = 3000;
+const leastCurrentMilliseconds = 3000;
+/** What an answer of the log may take beyond the wait of a long poll. */
+const slackMilliseconds = 500;
 /** Peers that are asked in one round, at most. */
 const askedPeers = 3;
 
@@ -28,14 +30,21 @@
     readonly getCounter: () => number;
     /** Draws one of a number of peers. */
     readonly draw: (bound: number) => number;
+    /** How long a long poll of the log waits. */
+    readonly logWaitMilliseconds: number;
 }
 
 /** Fetches state from peers, and hands it to them. */
 export class StateFetcher {
     readonly #options: StateFetcherOptions;
     readonly #task: RepeatedTask;
+    readonly #currentMilliseconds: number;
 
     constructor(options: StateFetcherOptions) {
+        // A read confirms the configuration as of when it was asked, and the next one ends a wait later. Up to two waits
+        // are thus ordinary; with a lower bound, nodes that the log answers asked three peers for half of the time.
+        const ordinary = 2 * options.logWaitMilliseconds + slackMilliseconds;
+        this.#currentMilliseconds = Math.max(leastCurrentMilliseconds, ordinary);
         this.#options = options;
         this.#task = new RepeatedTask({ run: () => this.#fetch(), pauseMilliseconds });
     }
@@ -70,7 +79,7 @@
 
     async #fetch(): Promise<void> {
         const { configuration } = this.#options;
-        if (configuration.getAge() < currentMilliseconds) {
+        if (configuration.getAge() < this.#currentMilliseconds) {
             return;
         }
         for (const peer of this.#pickPeers()) {
--- a/src/measure/capacity/heap.ts
+++ b/src/measure/capacity/heap.ts
@@ -10,8 +10,10 @@
 const collectGarbage = runInNewContext("gc") as () => void;
 const collections = 3;
 
-function getSettledHeap(): number {
+/** What only timers or settled promises still hold is let go first. */
+async function getSettledHeap(): Promise<number> {
     for (let count = 0; count < collections; count += 1) {
+        await new Promise(resolve => setImmediate(resolve));
         collectGarbage();
     }
     const { heapUsed, external, arrayBuffers } = process.memoryUsage();
@@ -19,24 +21,35 @@
 }
 
 /**
- * Measures the bytes that an object of each size keeps.
+ * Measures the bytes that an object of each size keeps once it has settled.
  * @param sizes - The sizes.
  * @param build - Builds the object.
  */
-export function measureHeap(sizes: readonly number[], build: (size: number) => unknown): readonly Point[] {
+export async function measureHeap(
+    sizes: readonly number[],
+    build: (size: number) => unknown,
+): Promise<readonly Point[]> {
     const points: Point[] = [];
     // The first object of a kind pays for compiled code and shapes that the later ones share.
-    build(sizes[0]);
+    touch(await build(sizes[0]));
     for (const size of sizes) {
-        const before = getSettledHeap();
-        const kept = build(size);
-        const value = getSettledHeap() - before;
-        points.push({ size, value });
-        touch(kept);
+        points.push({ size, value: await measureKept(size, build) });
     }
     return points;
 }
 
+/**
+ * Stands in a function of its own: in a loop, the frame goes on holding the object before until the next one is built.
+ * It would then be freed between the two looks at the heap, and each figure be too small by the one before.
+ */
+async function measureKept(size: number, build: (size: number) => unknown): Promise<number> {
+    const before = await getSettledHeap();
+    const kept = await build(size);
+    const value = await getSettledHeap() - before;
+    touch(kept);
+    return value;
+}
+
 /**
  * Measures the milliseconds of processor time that a piece of work takes at each size.
  * @param sizes - The sizes.
--- a/src/measure/capacity/measureCapacity.ts
+++ b/src/measure/capacity/measureCapacity.ts
@@ -1,7 +1,7 @@
 /**
  * Measures the slopes from which docs/CAPACITY.md is worked out.
  */
-import type { Report } from "../report.js";
+import type { Report, ReportRow } from "../report.js";
 import { fitSlope } from "./slope.js";
 import { subjects } from "./subjects.js";
 
@@ -9,14 +9,15 @@
  * Measures all slopes in this process.
  * @param log - Writes progress.
  */
-export function measureCapacity(log: (line: string) => void): Report {
-    const rows = subjects.map(({ name, per, unit, measure }) => {
+export async function measureCapacity(log: (line: string) => void): Promise<Report> {
+    const rows: ReportRow[] = [];
+    for (const { name, per, unit, measure } of subjects) {
         log(`${name} ...`);
-        const points = measure();
+        const points = await measure();
         const { intercept, slope, standardError } = fitSlope(points);
         const scale = unit === "milliseconds" ? 1000 : 1;
         const shown = unit === "milliseconds" ? "µs" : "bytes";
-        return {
+        rows.push({
             name,
             figures: {
                 "per": per,
@@ -26,7 +27,7 @@
                 "at no size": (intercept * scale).toPrecision(3),
                 "measured at": points.map(point => `${point.size}: ${(point.value * scale).toPrecision(4)}`).join(", "),
             },
-        };
-    });
+        });
+    }
     return { measurement: "capacity", seeds: [], tables: [{ title: "Slopes of state and work", rows }] };
 }
--- a/src/measure/capacity/subjects.ts
+++ b/src/measure/capacity/subjects.ts
@@ -1,14 +1,14 @@
 /**
  * What is measured for docs/CAPACITY.md: each kind of state and work of control, by the number that it grows with.
  */
-import { type Bill, BillWriter } from "../../bills/index.js";
 import { ClaimFold, claimsFormat, claimsKind, createPinKey, createRunKey } from "../../claims/index.js";
 import { ManualClock, RandomSource } from "../../common/index.js";
 import { type Change, ConfigurationFold, createPublishRecord } from "../../configuration/index.js";
 import { Evidence, RunnerChooser } from "../../decisions/index.js";
-import { EventBuffer, Journal } from "../../events/index.js";
+import { EventBuffer } from "../../events/index.js";
 import type { LogEntry, LogRecord } from "../../log/index.js";
 import type { LoadReport, Vm } from "../../world/index.js";
+import { buildKeptBills, buildWaitingBills } from "./billSubjects.js";
 import { measureHeap, measureTime } from "./heap.js";
 import type { Point } from "./slope.js";
 
@@ -25,7 +25,7 @@
     /** What it grows with. */
     readonly per: string;
     readonly unit: "bytes" | "milliseconds";
-    readonly measure: () => readonly Point[];
+    readonly measure: () => readonly Point[] | Promise<readonly Point[]>;
 }
 
 /** All subjects, in the order in which docs/CAPACITY.md lists them. */
@@ -116,7 +116,13 @@
         name: "bill that waits for the log",
         per: "bill",
         unit: "bytes",
-        measure: () => measureHeap([500, 1000, 2000, 4000], size => buildBills(size)),
+        measure: () => measureHeap([2000, 5000, 10000, 20000], buildWaitingBills),
+    },
+    {
+        name: "copy of another entry's bill",
+        per: "bill",
+        unit: "bytes",
+        measure: () => measureHeap([2000, 5000, 10000, 20000], buildKeptBills),
     },
     {
         name: "event kept for time lines",
@@ -270,35 +276,6 @@
     return fold;
 }
 
-function buildBills(count: number): BillWriter {
-    const clock = new ManualClock(wallStart);
-    const writer = new BillWriter({
-        append: () => new Promise(() => undefined),
-        getCopyTargets: () => [],
-        clock,
-        journal: createJournal(clock),
-        writer: "entry-0",
-        maximumBills: count * 2,
-    });
-    for (let index = 0; index < count; index += 1) {
-        void writer.add(createBill(index));
-    }
-    return writer;
-}
-
-function createBill(index: number): Bill {
-    return {
-        requestId: `00000000-0000-0000-0000-${String(index).padStart(12, "0")}`,
-        workspace: "workspace",
-        application: "application",
-        requestClass: "class",
-        lines: [{ version: "model-0@1", inputTokens: 900, cachedTokens: 512, outputTokens: 460, cost: 0.001 }],
-        total: 0.001,
-        answeredAt: wallStart + index,
-        entry: "entry-0",
-    };
-}
-
 function buildEvents(count: number): EventBuffer {
     const buffer = new EventBuffer(count);
     for (let index = 0; index < count; index += 1) {
@@ -316,7 +293,3 @@
     }
     return buffer;
 }
-
-function createJournal(clock: ManualClock): Journal {
-    return new Journal({ process: "entry-0", clock, write: () => undefined });
-}
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -16,7 +16,7 @@
 
 /** Measurements by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, Measurement>> = {
-    capacity: ({ log }) => toFinding(measureCapacity(log)),
+    capacity: async ({ log }) => toFinding(await measureCapacity(log)),
     control: async ({ log }) => toFinding(await measureControl(log)),
     cost: async request => toFinding(await measureCost(withSeed(request))),
     entry: async ({ log }) => toFinding(await measureEntry(log)),
