Call upstreams by mutual TLS on request, with certificates renewed without a restart

Ruled out: a scheme in the VM list (the platform's format, not ours), a scheme in each client (five places that could forget it). Change: a section [upstream_tls] like [tls]; one connector opens all connections to upstreams and shows the entry's certificate; the watch on certificate files serves both sections. The stand-ins can listen at a second port for callers with a certificate of the authority. Before: no section; the test's upstreams answer nobody who speaks in the clear. Conclusion: done towards upstreams; towards callers there is still no TLS.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,5 +1,6 @@
 /** Errors, clocks and random numbers shared by all modules. */
 export * from "./clock.js";
+export * from "./credentials.js";
 export * from "./errors.js";
 export * from "./random.js";
 export * from "./repeatedTask.js";
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -1,7 +1,7 @@
 /**
  * What the parts of an entry can ask the container for.
  */
-import type { Agent } from "undici";
+import type { Agent, Dispatcher } from "undici";
 import type { BillKeeper, BillWriter } from "../bills/index.js";
 import type { ClaimClient, CollectorPool } from "../claims/index.js";
 import type { Clock, RandomSource } from "../common/index.js";
@@ -23,7 +23,7 @@
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { EntrySettings } from "../settings/index.js";
-import type { EngineClient, RatingClient, ServiceClient } from "../upstream/index.js";
+import type { EngineClient, RatingClient, ServiceClient, UpstreamConnector } from "../upstream/index.js";
 import type { AttemptRunner } from "./attemptRunner.js";
 import type { CallerServer } from "./callerServer.js";
 import type { ChatPipeline } from "./chatPipeline.js";
@@ -54,7 +54,9 @@
     readonly eventBuffer: EventBuffer;
     readonly journal: Journal;
     readonly metrics: Metrics;
-    readonly upstreamAgent: Agent;
+    /** Opens encrypted connections to upstreams; `undefined` when they are called in the clear. */
+    readonly upstreamConnector: UpstreamConnector | undefined;
+    readonly upstreamAgent: Dispatcher;
     readonly platformAgent: Agent;
     readonly log: LogClient;
     readonly follow: FollowStream;
@@ -68,6 +70,7 @@
     readonly peerClient: PeerClient;
     readonly peerServer: PeerServer;
     readonly credentialFiles: CredentialFiles;
+    readonly upstreamCredentialFiles: CredentialFiles;
     readonly gossip: Gossip;
     readonly membership: Membership;
     readonly collectors: CollectorPool;
--- a/src/entry/credentialFiles.ts
+++ b/src/entry/credentialFiles.ts
@@ -1,29 +1,29 @@
 /**
- * The certificate files of an entry, read at the start and again when they change.
+ * Certificate files of an entry, read at the start and again when they change.
  */
 import { readFileSync } from "node:fs";
 import { createSecureContext } from "node:tls";
-import { RepeatedTask } from "../common/index.js";
+import { type Credentials, RepeatedTask } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
-import type { PeerCredentials } from "../membership/index.js";
-import type { EntrySettings } from "../settings/index.js";
+import type { TlsSettings } from "../settings/index.js";
 
 /** Pause between two looks at the files, in milliseconds. */
 const lookPauseMilliseconds = 2000;
 
 /** What the watch works with. */
 export interface CredentialFilesOptions {
-    readonly settings: EntrySettings;
+    /** The section that names the files. */
+    readonly settings: TlsSettings;
     readonly journal: Journal;
     /** Takes renewed credentials. */
-    readonly onChange: (credentials: PeerCredentials) => void;
+    readonly onChange: (credentials: Credentials) => void;
 }
 
 /** Watches the certificate files, so that a renewal needs no restart. */
 export class CredentialFiles {
     readonly #options: CredentialFilesOptions;
     readonly #task: RepeatedTask;
-    #known: PeerCredentials | undefined;
+    #known: Credentials | undefined;
     #isUnreadable = false;
 
     constructor(options: CredentialFilesOptions) {
@@ -46,7 +46,7 @@
 
     /** Whoever renews the files may be in the middle of it: what cannot be read keeps the old credentials in use. */
     #look(): void {
-        let found: PeerCredentials | undefined;
+        let found: Credentials | undefined;
         try {
             found = readCredentials(this.#options.settings);
             checkFit(found);
@@ -74,11 +74,11 @@
 }
 
 /**
- * Reads the certificates that the settings name, or returns `undefined` when they name none.
- * @param settings - The entry's settings.
+ * Reads the certificates that a section names, or returns `undefined` when it names none.
+ * @param settings - The section.
  */
-export function readCredentials(settings: EntrySettings): PeerCredentials | undefined {
-    const { certificate, key, authority, serverName } = settings.tls;
+export function readCredentials(settings: TlsSettings): Credentials | undefined {
+    const { certificate, key, authority, serverName } = settings;
     if (certificate === undefined || key === undefined || authority === undefined) {
         return undefined;
     }
@@ -91,14 +91,14 @@
 }
 
 /** Throws when a certificate and its key do not belong together, as halfway through a renewal. */
-function checkFit(credentials: PeerCredentials | undefined): void {
+function checkFit(credentials: Credentials | undefined): void {
     if (credentials !== undefined) {
         const { certificate: cert, key, authority: ca } = credentials;
         createSecureContext({ cert, key, ca });
     }
 }
 
-function isSame(left: PeerCredentials, right: PeerCredentials): boolean {
+function isSame(left: Credentials, right: Credentials): boolean {
     return left.certificate.equals(right.certificate)
         && left.key.equals(right.key)
         && left.authority.equals(right.authority);
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -44,6 +44,7 @@
         // configuration it refuses, which callers can act upon; a connection that is refused tells them nothing.
         await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
         parts.credentialFiles.start();
+        parts.upstreamCredentialFiles.start();
         parts.shared.start();
         parts.gossip.start();
         parts.watcher.start();
@@ -108,6 +109,7 @@
         parts.claims.stop();
         await Promise.all([
             parts.credentialFiles.stop(),
+            parts.upstreamCredentialFiles.stop(),
             parts.shared.stop(),
             parts.poller.stop(),
             parts.watcher.stop(),
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -30,18 +30,18 @@
 
 /** Makes the parts that face the other entries. */
 export const peerParts: Parts = {
-    peerClient: ({ settings }) => new PeerClient({ credentials: readCredentials(settings) }),
+    peerClient: ({ settings }) => new PeerClient({ credentials: readCredentials(settings.tls) }),
     peerServer: cradle =>
         new PeerServer({
             address: cradle.settings.listen.peers.host,
             port: cradle.settings.listen.peers.port,
             journal: cradle.journal,
-            credentials: readCredentials(cradle.settings),
+            credentials: readCredentials(cradle.settings.tls),
             handlers: createHandlers(cradle),
         }),
     credentialFiles: ({ settings, peerClient, peerServer, journal }) =>
         new CredentialFiles({
-            settings,
+            settings: settings.tls,
             journal,
             onChange: credentials => {
                 peerClient.setCredentials(credentials);
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -6,9 +6,10 @@
 import { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../../control/index.js";
 import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
 import { LogClient, LogFollower } from "../../log/index.js";
-import { RatingClient, VmListClient } from "../../upstream/index.js";
+import { RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
 import type { Parts } from "../container.js";
 import { ControlSnapshots } from "../controlSnapshots.js";
+import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { createMetrics } from "../metrics.js";
 import { VmWatcher } from "../vmWatcher.js";
 
@@ -41,8 +42,20 @@
     metrics: () => createMetrics(),
     platformAgent: ({ settings }) =>
         new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
-    upstreamAgent: ({ settings }) =>
-        new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+    upstreamConnector: ({ settings }) => {
+        const credentials = readCredentials(settings.upstreamTls);
+        const { upstreamConnectTimeoutMilliseconds } = settings.timing;
+        return credentials && new UpstreamConnector(credentials, upstreamConnectTimeoutMilliseconds);
+    },
+    upstreamAgent: ({ settings, upstreamConnector }) =>
+        upstreamConnector?.createDispatcher()
+            ?? new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+    upstreamCredentialFiles: ({ settings, upstreamConnector, journal }) =>
+        new CredentialFiles({
+            settings: settings.upstreamTls,
+            journal,
+            onChange: credentials => upstreamConnector?.setCredentials(credentials),
+        }),
     log: cradle =>
         new LogClient({
             url: cradle.settings.platform.logUrl,
--- a/src/membership/peerClient.ts
+++ b/src/membership/peerClient.ts
@@ -4,7 +4,7 @@
  */
 import { type ChannelCredentials, type ClientOptions, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
-import { Failure } from "../common/index.js";
+import { type Credentials, Failure } from "../common/index.js";
 import {
     type CopyBillsReply,
     type CopyBillsRequest,
@@ -19,7 +19,6 @@
     type PushRequest,
 } from "../generated/peer.js";
 import type { GossipTransport, PeerAddress } from "./peerAddress.js";
-import type { PeerCredentials } from "./peerCredentials.js";
 
 const defaultDeadlineMilliseconds = 1_000;
 /** A connection without calls is closed after so long; gossip would otherwise hold one to each of 350 nodes. */
@@ -40,7 +39,7 @@
 /** Options of a client. */
 export interface PeerClientOptions {
     /** For mutual TLS; without it connections are plain. */
-    readonly credentials?: PeerCredentials;
+    readonly credentials?: Credentials;
     /** How long a call may take when it names no time of its own. */
     readonly deadlineMilliseconds?: number;
 }
@@ -49,7 +48,7 @@
 export class PeerClient {
     readonly #deadlineMilliseconds: number;
     readonly #clients = new Map<string, GeneratedClient>();
-    #credentials: PeerCredentials | undefined;
+    #credentials: Credentials | undefined;
 
     constructor(options: PeerClientOptions = {}) {
         this.#credentials = options.credentials;
@@ -60,7 +59,7 @@
      * Uses other credentials for the connections that are opened from now on. Calls under way finish on the old ones.
      * @param peerCredentials - The renewed credentials.
      */
-    setCredentials(peerCredentials: PeerCredentials): void {
+    setCredentials(peerCredentials: Credentials): void {
         this.#credentials = peerCredentials;
         this.close();
     }
--- a/src/membership/peerCredentials.ts
+++ b/src/membership/peerCredentials.ts
@@ -2,24 +2,15 @@
  * Mutual TLS between entries: both sides show a certificate of the site's own authority.
  */
 import { experimental, ServerCredentials } from "@grpc/grpc-js";
-
-/** What a node shows and whom it trusts, all in PEM. */
-export interface PeerCredentials {
-    readonly certificate: Buffer;
-    readonly key: Buffer;
-    /** The authority that signs the certificates of all entries. */
-    readonly authority: Buffer;
-    /** The name in the certificates, when they name the site and not each VM's IP number. */
-    readonly serverName?: string;
-}
+import type { Credentials } from "../common/index.js";
 
 /** Hands credentials to a running server, and renewed ones later. */
 export class CredentialSource implements experimental.CertificateProvider {
     readonly #authorityListeners = new Set<experimental.CaCertificateUpdateListener>();
     readonly #identityListeners = new Set<experimental.IdentityCertificateUpdateListener>();
-    #credentials: PeerCredentials;
+    #credentials: Credentials;
 
-    constructor(credentials: PeerCredentials) {
+    constructor(credentials: Credentials) {
         this.#credentials = credentials;
     }
 
@@ -27,7 +18,7 @@
      * Renews the credentials. Connections made from now on use them; those that are open stay.
      * @param credentials - The renewed credentials.
      */
-    set(credentials: PeerCredentials): void {
+    set(credentials: Credentials): void {
         this.#credentials = credentials;
         for (const listener of this.#authorityListeners) {
             listener({ caCertificate: credentials.authority });
--- a/src/membership/peerServer.ts
+++ b/src/membership/peerServer.ts
@@ -3,7 +3,7 @@
  */
 import { type handleUnaryCall, Server, ServerCredentials, status } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
-import { Failure } from "../common/index.js";
+import { type Credentials, Failure } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import {
     type CopyBillsReply,
@@ -18,7 +18,7 @@
     type PushReply,
     type PushRequest,
 } from "../generated/peer.js";
-import { CredentialSource, type PeerCredentials } from "./peerCredentials.js";
+import { CredentialSource } from "./peerCredentials.js";
 
 const stopMilliseconds = 2_000;
 
@@ -42,7 +42,7 @@
     readonly handlers: PeerHandlers;
     readonly journal: Journal;
     /** For mutual TLS; without it connections are plain. */
-    readonly credentials?: PeerCredentials;
+    readonly credentials?: Credentials;
 }
 
 /** Listens for peers. */
@@ -96,7 +96,7 @@
      * Renews the credentials without a restart.
      * @param credentials - The renewed credentials.
      */
-    setCredentials(credentials: PeerCredentials): void {
+    setCredentials(credentials: Credentials): void {
         this.#source?.set(credentials);
     }
 
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -104,15 +104,29 @@
     subset: count("Upstreams of a pool that the process probes for load.", 32),
 }, false);
 
-const tlsSection = defineSection("tls", "Certificates between entries; without the section peers talk in the clear.", {
+const certificateKeys = {
     certificate: optional(text({ description: "PEM file of the certificate.", example: "/etc/rattanlock/entry.pem" })),
     key: optional(text({ description: "PEM file of its key.", example: "/etc/rattanlock/entry.key" })),
     authority: optional(text({ description: "PEM file of the authority.", example: "/etc/rattanlock/authority.pem" })),
     server_name: optional(text({
-        description: "Name in the entries' certificates, when they name the site and not each VM's IP number.",
-        example: "entries.catania.example",
+        description: "Name in the other side's certificates, when they name the site and not each VM's IP number.",
+        example: "site.catania.example",
     })),
-}, false);
+};
+
+const tlsSection = defineSection(
+    "tls",
+    "Certificates between entries; without the section peers talk in the clear.",
+    certificateKeys,
+    false,
+);
+
+const upstreamTlsSection = defineSection(
+    "upstream_tls",
+    "Certificates towards upstreams; without the section they are called in the clear.",
+    certificateKeys,
+    false,
+);
 
 const sessionSection = defineSection("session", "Session tokens.", {
     signing_key: secret({
@@ -138,6 +152,7 @@
         timingSection,
         limitsSection,
         tlsSection,
+        upstreamTlsSection,
         sessionSection,
     ],
 };
@@ -162,6 +177,9 @@
     sections: [processSection, ledgerPlatformSection, ledgerSection],
 };
 
+/** A section that names certificate files. */
+export type TlsSettings = SettingValues<typeof certificateKeys>;
+
 /** The checked settings of an entry. `drain_timeout_ms` of the file is `drainTimeoutMilliseconds` here. */
 export interface EntrySettings {
     readonly process: SettingValues<typeof processSection.keys>;
@@ -169,7 +187,8 @@
     readonly platform: SettingValues<typeof platformSection.keys>;
     readonly timing: SettingValues<typeof timingSection.keys>;
     readonly limits: SettingValues<typeof limitsSection.keys>;
-    readonly tls: SettingValues<typeof tlsSection.keys>;
+    readonly tls: TlsSettings;
+    readonly upstreamTls: TlsSettings;
     readonly session: SettingValues<typeof sessionSection.keys>;
 }
 
@@ -187,7 +206,7 @@
  */
 export function parseEntrySettings(content: string, file: string): Result<EntrySettings, readonly Mistake[]> {
     return checkSettings(content, file, entrySchema).andThen(document => {
-        const mistakes = checkCertificates(document);
+        const mistakes = [tlsSection, upstreamTlsSection].flatMap(({ title }) => checkCertificates(document, title));
         return mistakes.length === 0 ? ok(readEntry(document)) : err(mistakes);
     });
 }
@@ -205,12 +224,12 @@
     }));
 }
 
-/** Keys that the [tls] section needs together; the server name is not always one. */
+/** Keys that a section of certificates needs together; the server name is not always one. */
 const neededTlsKeys = ["certificate", "key", "authority"];
 
-/** Checks that the [tls] section is whole: with a part of it missing, peers would talk in the clear or not at all. */
-function checkCertificates(document: SettingDocument): readonly Mistake[] {
-    const section = document.sections.get(tlsSection.title);
+/** Checks that a section is whole: with a part of it missing, the talk would be in the clear or not at all. */
+function checkCertificates(document: SettingDocument, title: string): readonly Mistake[] {
+    const section = document.sections.get(title);
     if (section === undefined) {
         return [];
     }
@@ -233,6 +252,7 @@
         timing: getValues(document, "timing", timingSection),
         limits: getValues(document, "limits", limitsSection),
         tls: getValues(document, "tls", tlsSection),
+        upstreamTls: getValues(document, "upstream_tls", upstreamTlsSection),
         session: getValues(document, "session", sessionSection),
     };
 }
--- a/src/standins/conditions.ts
+++ b/src/standins/conditions.ts
@@ -28,6 +28,14 @@
     outage: z.enum(["none", "answer", "drop"]).default("none"),
     /** How long each request waits before anything happens. */
     delayMilliseconds: amount.default(0),
+    /** Listens at a second port as well, for callers with a certificate of the authority. */
+    tls: z.strictObject({
+        /** How far above the first port the second one is. */
+        portOffset: z.coerce.number().int().min(1),
+        certificate: z.string(),
+        key: z.string(),
+        authority: z.string(),
+    }).optional(),
 };
 
 /** What every stand-in's conditions hold. */
@@ -35,6 +43,15 @@
     readonly seed: number;
     readonly outage: "none" | "answer" | "drop";
     readonly delayMilliseconds: number;
+    readonly tls?: TlsFiles | undefined;
+}
+
+/** Certificate files of a stand-in, and where it uses them. */
+export interface TlsFiles {
+    readonly portOffset: number;
+    readonly certificate: string;
+    readonly key: string;
+    readonly authority: string;
 }
 
 /** Holds a stand-in's conditions and changes them on command. */
--- a/src/standins/standinServer.ts
+++ b/src/standins/standinServer.ts
@@ -4,13 +4,15 @@
 import Router from "@koa/router";
 import Koa from "koa";
 import type { Result } from "neverthrow";
-import { createServer, type Server } from "node:http";
+import { readFileSync } from "node:fs";
+import { createServer, type RequestListener, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { json } from "node:stream/consumers";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Failure } from "../common/index.js";
 import type { Address } from "./address.js";
-import type { CommonConditions } from "./conditions.js";
+import type { CommonConditions, TlsFiles } from "./conditions.js";
 
 /** After this long a stop closes connections that are still at work. */
 const stopBoundMilliseconds = 1000;
@@ -35,6 +37,7 @@
 export class StandinServer {
     readonly #options: StandinServerOptions;
     readonly #server: Server;
+    readonly #tlsServer: Server | undefined;
 
     constructor(options: StandinServerOptions) {
         this.#options = options;
@@ -50,28 +53,26 @@
             application.use(options.fallback);
         }
         const handle = application.callback();
-        this.#server = createServer((request, response) => void handle(request, response));
+        const listener: RequestListener = (request, response) => void handle(request, response);
+        const { tls } = options.getConditions();
+        this.#server = createServer(listener);
+        this.#tlsServer = tls && createMutualTlsServer(tls, listener);
     }
 
     /** Listens; returns the address with the port in use. */
-    start(): Promise<Address> {
-        const { host, port } = this.#options.listen;
-        return new Promise((resolve, reject) => {
-            this.#server.once("error", reject);
-            this.#server.listen(port, host, () => {
-                resolve({ host, port: (this.#server.address() as AddressInfo).port });
-            });
-        });
+    async start(): Promise<Address> {
+        const { host } = this.#options.listen;
+        const port = await listen(this.#server, this.#options.listen);
+        const { tls } = this.#options.getConditions();
+        if (this.#tlsServer !== undefined && tls !== undefined) {
+            await listen(this.#tlsServer, { host, port: port + tls.portOffset });
+        }
+        return { host, port };
     }
 
     /** Stops listening, lets answers under way end within a bound, and closes all connections. */
     async stop(): Promise<void> {
-        const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
-        const sweep = setInterval(() => this.#server.closeIdleConnections(), idleSweepMilliseconds);
-        const bound = setTimeout(() => this.#server.closeAllConnections(), stopBoundMilliseconds);
-        await closed;
-        clearInterval(sweep);
-        clearTimeout(bound);
+        await Promise.all([this.#server, this.#tlsServer].map(server => server && stopServer(server)));
     }
 
     async #applyConditions(context: Koa.Context, next: Koa.Next): Promise<void> {
@@ -135,6 +136,34 @@
     context.req.socket.destroy();
 }
 
+/** Listens; returns the port in use. */
+function listen(server: Server, { host, port }: Address): Promise<number> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => resolve((server.address() as AddressInfo).port));
+    });
+}
+
+/** Lets answers under way end within a bound, and closes all connections. */
+async function stopServer(server: Server): Promise<void> {
+    const closed = new Promise<void>(resolve => server.close(() => resolve()));
+    const sweep = setInterval(() => server.closeIdleConnections(), idleSweepMilliseconds);
+    const bound = setTimeout(() => server.closeAllConnections(), stopBoundMilliseconds);
+    await closed;
+    clearInterval(sweep);
+    clearTimeout(bound);
+}
+
+function createMutualTlsServer(files: TlsFiles, listener: RequestListener): Server {
+    return createTlsServer({
+        cert: readFileSync(files.certificate),
+        key: readFileSync(files.key),
+        ca: readFileSync(files.authority),
+        requestCert: true,
+        rejectUnauthorized: true,
+    }, listener);
+}
+
 async function answerFailures(context: Koa.Context, next: Koa.Next): Promise<void> {
     try {
         await next();
--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -320,7 +320,7 @@
         const vm: Vm = {
             id: start.name,
             address: `${this.#description.prefix}.${start.lastByte}`,
-            port: this.#port,
+            port: this.#port + Number(start.settings["tls.portOffset"] ?? 0),
             role: start.kind === "engine" ? "runner" : "service",
             pool: start.pool,
             failureDomain: start.failureDomain,
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -3,5 +3,6 @@
 export * from "./engineStream.js";
 export * from "./ratingClient.js";
 export * from "./serviceClient.js";
+export * from "./upstreamConnector.js";
 export * from "./upstreamFailure.js";
 export * from "./vmListClient.js";
--- a/test/membership/peerCalls.test.ts
+++ b/test/membership/peerCalls.test.ts
@@ -3,14 +3,13 @@
 import { afterEach, describe, it } from "node:test";
 import { BillKeeper, BillWriter, getBillCopyTargets, handleCopyBills } from "../../src/bills/index.js";
 import { createAskCollector, handleDecideClaims } from "../../src/claims/index.js";
-import { RandomSource, systemClock } from "../../src/common/index.js";
+import { type Credentials, RandomSource, systemClock } from "../../src/common/index.js";
 import {
     Gossip,
     type Member,
     Membership,
     type NodeIdentity,
     PeerClient,
-    type PeerCredentials,
     type PeerHandlers,
     PeerServer,
 } from "../../src/membership/index.js";
@@ -46,7 +45,7 @@
 async function startServer(
     host: number,
     handlers: PeerHandlers,
-    credentials?: PeerCredentials,
+    credentials?: Credentials,
 ): Promise<{ server: PeerServer; identity: NodeIdentity; }> {
     const address = `${network}.${host}`;
     const server = new PeerServer({ address, port: 0, handlers, journal: createJournal().journal, credentials });
@@ -55,7 +54,7 @@
     return { server, identity: createIdentity(`entry-${host}`, host, port) };
 }
 
-function createClient(credentials?: PeerCredentials, deadlineMilliseconds?: number): PeerClient {
+function createClient(credentials?: Credentials, deadlineMilliseconds?: number): PeerClient {
     const client = new PeerClient({ credentials, deadlineMilliseconds });
     finishers.push(() => client.close());
     return client;
@@ -133,7 +132,7 @@
     describe("setCredentials", () => {
         it("lets peers of the same authority in and others out", async () => {
             const { identity } = await startServer(1, createHandlers(), readTestCredentials("site-first"));
-            const cases: [PeerCredentials | undefined, boolean][] = [
+            const cases: [Credentials | undefined, boolean][] = [
                 [readTestCredentials("site-second"), true],
                 [readTestCredentials("other-first"), false],
                 // Trusts this site, and shows a certificate of another.
--- a/test/settings/entrySettings.test.ts
+++ b/test/settings/entrySettings.test.ts
@@ -61,12 +61,14 @@
     });
 
     // A certificate without its key: peers would refuse each other, or a reader of the code would fall back to no TLS.
-    it("refuses half a [tls] section and a short signing key", () => {
+    it("refuses half a section of certificates and a short signing key", () => {
         const half = getMistakes(`${validEntry}[tls]\ncertificate = a.pem\nkey = a.key\n`);
         expect(half).toEqual([
             "entry.ini:20: [tls] authority: The key is missing beside the others of this section. Give certificate, key and "
             + "authority, or remove the section.",
         ]);
+        const upstreams = getMistakes(`${validEntry}[upstream_tls]\nauthority = a.pem\n`);
+        expect(upstreams.length).toEqual(2);
         const short = getMistakes(validEntry.replace("0123456789abcdef0123456789abcdef", "short"));
         expect(short.length).toEqual(1);
     });
