Weigh the capital of the test anew; measure against a test that knows the ratings' chances

Change: six tenths on all classes together; half of the weight on bad ratings, 0.15 on the mean (were 0.45 and 0.2). The measurement also gives what a test needs that knows how often good and bad answers are rated, and draws the delayed one 1,000 times instead of 100.

--- a/src/decisions/exposure/metric.ts
+++ b/src/decisions/exposure/metric.ts
@@ -55,7 +55,7 @@
         {
             // A version that answers well as a rule and badly now and then shows here much sooner than in its mean.
             name: "bad ratings",
-            weight: 0.45,
+            weight: 0.5,
             margin: badMarginPart * qualityMargin,
             values: binaryValues,
             count: tally => {
@@ -65,7 +65,7 @@
         },
         {
             name: "mean rating",
-            weight: 0.2,
+            weight: 0.15,
             margin: qualityMargin,
             values: scoreValues,
             count: tally => scoreValues.map((...[, bin]) => tally.getBin(bin)),
--- a/src/decisions/exposure/sequentialTest.ts
+++ b/src/decisions/exposure/sequentialTest.ts
@@ -14,7 +14,7 @@
 /** Sizes of bets, as parts of the greatest bet that can't lose more than the capital. */
 const betParts: readonly number[] = [0.08, 0.25, 0.6];
 /** Part of the capital of a metric that is bet on all classes together; the rest is split over single classes. */
-const pooledPart = 0.5;
+const pooledPart = 0.6;
 /** Reference observations below which a class isn't judged. */
 const minimumReferenceCount = 100;
 /** Standard errors by which the reference is lowered, since it is itself an estimate. */
--- a/src/measure/exposure/knownRatesTest.ts
+++ b/src/measure/exposure/knownRatesTest.ts
@@ -22,3 +22,37 @@
     }
     return samples;
 }
+
+/**
+ * Draws the number of answers until a test that knows the chances of each outcome says bad.
+ * @param good - Chance of each outcome with a good version.
+ * @param bad - Chance of each outcome with the bad version, which is the one that is drawn.
+ * @param falseAlarmProbability - The test's error for good versions.
+ */
+export function drawAnswerNumber(
+    good: readonly number[],
+    bad: readonly number[],
+    falseAlarmProbability: number,
+    random: RandomSource,
+): number {
+    const threshold = Math.log(1 / falseAlarmProbability);
+    let logRatio = 0;
+    let answers = 0;
+    while (logRatio < threshold) {
+        answers += 1;
+        const outcome = drawOutcome(bad, random);
+        logRatio += Math.log(bad[outcome] / good[outcome]);
+    }
+    return answers;
+}
+
+function drawOutcome(chances: readonly number[], random: RandomSource): number {
+    let point = random.next();
+    for (const [outcome, chance] of chances.entries()) {
+        point -= chance;
+        if (point < 0) {
+            return outcome;
+        }
+    }
+    return chances.length - 1;
+}
--- a/src/measure/exposure/measureExposure.ts
+++ b/src/measure/exposure/measureExposure.ts
@@ -6,7 +6,7 @@
 import { type ExposureCase, exposureCases, goodCase, goodChances } from "./exposureCase.js";
 import { type ExposureResult, ExposureRun, type ExposureWay, requestInterval } from "./exposureRun.js";
 import { stages } from "./exposureSite.js";
-import { drawSampleNumber } from "./knownRatesTest.js";
+import { drawAnswerNumber, drawSampleNumber } from "./knownRatesTest.js";
 
 const defaultSeedCount = 12;
 const goodRollouts = 300;
@@ -15,7 +15,7 @@
 const goodGossipInterval = 2000;
 const badDuration = 900_000;
 const knownRatesDraws = 4000;
-const delayedDraws = 100;
+const delayedDraws = 1000;
 const falseHaltProbability = 0.01;
 /** When an operator notices by himself and stops a roll-out that goes by percentages alone. */
 const operatorNotices = 600_000;
@@ -50,6 +50,7 @@
             "percentage only": Math.round(getPercentageOnly(exposureCase)),
             "2 x known rates": (2 * known).toFixed(1),
             "times known rates": (summarize(harmed).mean / known).toFixed(2),
+            "known rates, same ratings": getKnownRatesOfRatings(exposureCase, seeds[0]).toFixed(1),
             "known rates, same delays": getKnownRatesDelayed(exposureCase, seeds[0]).toFixed(1),
             "halted": `${shared.filter(result => result.halted).length} of ${seeds.length}`,
             "seconds": formatSummary(shared.map(result => (result.detectedAfter ?? badDuration) / 1000), 0),
@@ -77,6 +78,28 @@
     return onlyClass === undefined ? inClass : inClass + 2 * samples / knownRatesDraws / share * goodChances[kind];
 }
 
+/**
+ * Gets the callers given a bad answer until a test has decided that gets the same ratings as the router, without any
+ * delay, and knows the chance of each answer to be rated good, rated bad or not rated.
+ */
+function getKnownRatesOfRatings(exposureCase: ExposureCase, seed: number): number {
+    const { chances, onlyClass, ratedShare, ratedShareOfBad } = exposureCase;
+    if (getKind(exposureCase) !== "bad" || onlyClass !== undefined) {
+        return getKnownRates(exposureCase, seed);
+    }
+    const getOutcomes = (bad: number): readonly number[] => {
+        const outcomes = [(1 - bad) * ratedShare, bad * ratedShareOfBad];
+        return [...outcomes, 1 - outcomes[0] - outcomes[1]];
+    };
+    const random = new RandomSource(seed);
+    let answers = 0;
+    for (let draw = 0; draw < knownRatesDraws; draw += 1) {
+        const [good, bad] = [getOutcomes(goodChances.bad), getOutcomes(chances.bad)];
+        answers += drawAnswerNumber(good, bad, falseHaltProbability, random);
+    }
+    return answers / knownRatesDraws * chances.bad;
+}
+
 /**
  * Gets the callers given a bad answer until a test that knows both rates has decided, where it sees ratings as late as
  * the router does, and the candidate gets the stage's whole share meanwhile.
