--- a/src/control/controlReader.ts
+++ b/src/control/controlReader.ts
@@ -5,7 +5,8 @@
 import type { LogEntry } from "../log/index.js";
 import type { FollowStream, StreamReader } from "../log/logAccess.js";
 import type { LeaseFold, LeaseState } from "./leaseFold.js";
-import type { RolloutFold, RolloutSnapshot } from "./rolloutFold.js";
+import type { RolloutSnapshot } from "./rollout.js";
+import type { RolloutFold } from "./rolloutFold.js";
 
 /** Kind of the record that holds a snapshot of the control stream's folds. */
 export const controlSnapshotKind = "control-snapshot";
--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -104,3 +104,19 @@
     /** Wall-clock milliseconds of the node that raised it. */
     readonly at: number;
 }
+
+/** What the fold has taken in, as a snapshot keeps it; plain JSON. */
+export interface RolloutSnapshot {
+    readonly offset: number;
+    readonly rollouts: readonly Rollout[];
+    readonly halts: readonly Halt[];
+    readonly lifted: readonly string[];
+    readonly liftedAt: Readonly<Record<string, number>>;
+    readonly settled: Readonly<Record<string, readonly string[]>>;
+}
+
+/** Whether a record took effect, and if not, why. */
+export interface RolloutDecision {
+    readonly accepted: boolean;
+    readonly reason: string;
+}
--- a/src/control/rolloutFold.ts
+++ b/src/control/rolloutFold.ts
@@ -10,9 +10,11 @@
     type Rollout,
     rolloutAbortBody,
     rolloutAdvanceBody,
+    type RolloutDecision,
     rolloutFinishBody,
     rolloutGrantBody,
     rolloutRecordKinds,
+    type RolloutSnapshot,
     rolloutStartBody,
 } from "./rollout.js";
 import { RolloutHalts } from "./rolloutHalts.js";
@@ -21,28 +23,12 @@
 /** Ended roll-outs that are remembered. */
 const rememberedRollouts = 64;
 
-/** What the fold has taken in, as a snapshot keeps it; plain JSON. */
-export interface RolloutSnapshot {
-    readonly offset: number;
-    readonly rollouts: readonly Rollout[];
-    readonly halts: readonly Halt[];
-    readonly lifted: readonly string[];
-    readonly liftedAt: Readonly<Record<string, number>>;
-    readonly settled: Readonly<Record<string, readonly string[]>>;
-}
-
 /** Options of `RolloutFold`. */
 export interface RolloutFoldOptions {
     /** Tells whether a fence is that of the lease in force at this point of the stream. */
     readonly isCurrentFence: (fence: number) => boolean;
 }
 
-/** Whether a record took effect, and if not, why. */
-export interface RolloutDecision {
-    readonly accepted: boolean;
-    readonly reason: string;
-}
-
 /** The state of all roll-outs and halts. */
 export class RolloutFold {
     readonly #isCurrentFence: (fence: number) => boolean;
--- a/src/measure/exposure/knownRatesTest.ts
+++ b/src/measure/exposure/knownRatesTest.ts
@@ -13,14 +13,7 @@
     falseAlarmProbability: number,
     random: RandomSource,
 ): number {
-    const threshold = Math.log(1 / falseAlarmProbability);
-    let logRatio = 0;
-    let samples = 0;
-    while (logRatio < threshold) {
-        samples += 1;
-        logRatio += random.next() < bad ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good));
-    }
-    return samples;
+    return drawAnswerNumber([good, 1 - good], [bad, 1 - bad], falseAlarmProbability, random);
 }
 
 /**
