Keep waiting bills as text; ask no peer while the log answers

Cause: in an outage of the log a bill waits as an object with a set of keepers and a list of those who wait; a keeper read one string a bill for the run of its origin, and looked each bill's origin up among all members once a second: tens of thousands of copies times 350 members. Change: PackedBill, one text without field names; shared lists of keepers; one record of the origin for each second; one look-up an origin.

Cause: a read of the log confirms the configuration as of when it was asked, so with long polls of 2 s its age reaches 4 s; from 3 s on every entry asked three peers for two streams, twice a second. Ruled out: gossip with nothing new (40 exchanges, no pushes).

--- a/src/bills/billKeeper.ts
+++ b/src/bills/billKeeper.ts
@@ -11,11 +11,13 @@
 import { type Bill, parseBill } from "./bill.js";
 import { BillAppender } from "./billAppender.js";
 import type { BillCopyTarget } from "./billWriter.js";
+import { packBill, type PackedBill, unpackBill } from "./packedBill.js";
 
 const checkMilliseconds = 1_000;
 const defaultConfirmMilliseconds = 120_000;
 const defaultMaximumBills = 40_000;
 const flushPauseMilliseconds = 100;
+const sourceMilliseconds = 1_000;
 
 /** Options of a keeper. */
 export interface BillKeeperOptions {
@@ -39,17 +41,30 @@
 }
 
 interface KeptBill {
-    readonly bill: Bill;
+    readonly requestId: string;
+    readonly packed: PackedBill;
+    readonly source: BillSource;
+}
+
+/** Where the bills of one origin's second came from. They share it: a call carries one or two bills only. */
+interface BillSource {
     readonly origin: string;
     readonly incarnation: string | undefined;
     readonly keptAt: number;
 }
 
+/** What is known of the entry that a copy came from. */
+interface OriginState {
+    readonly isGone: boolean;
+    readonly incarnation: string | undefined;
+}
+
 /** Keeps copies of bills. */
 export class BillKeeper {
     readonly #options: BillKeeperOptions;
     readonly #appender: BillAppender;
     readonly #kept = new Map<string, KeptBill>();
+    readonly #lastSources = new Map<string, BillSource>();
     #timer: NodeJS.Timeout | undefined;
     #isAppending = false;
 
@@ -86,6 +101,7 @@
         for (const requestId of appended) {
             this.#kept.delete(requestId);
         }
+        const source = this.#getSource(origin);
         const kept: string[] = [];
         for (const text of bills) {
             const bill = parseBill(text);
@@ -93,16 +109,20 @@
             if (bill === undefined || !hasRoom) {
                 continue;
             }
-            const incarnation = this.#options.getIncarnation?.(origin);
-            this.#kept.set(bill.requestId, { bill, origin, incarnation, keptAt: this.#options.clock.monotonic() });
-            kept.push(bill.requestId);
+            const { requestId } = bill;
+            this.#kept.set(requestId, { requestId, packed: packBill(bill), source });
+            kept.push(requestId);
         }
         return kept;
     }
 
     /** Appends the bills whose origin is gone or has not confirmed them in time, as many as one record holds. */
     async appendDue(): Promise<void> {
-        await this.#appendWhere(kept => this.#isDue(kept));
+        // Each origin is looked up once: tens of thousands of copies, each compared with all members, held up the loop.
+        const origins = new Map<string, OriginState>();
+        // Origins come and go for as long as this process runs.
+        this.#lastSources.clear();
+        await this.#appendWhere(kept => this.#isDue(kept, origins));
     }
 
     /**
@@ -124,6 +144,18 @@
         return this.#kept.size;
     }
 
+    #getSource(origin: string): BillSource {
+        const keptAt = this.#options.clock.monotonic();
+        const incarnation = this.#options.getIncarnation?.(origin);
+        const last = this.#lastSources.get(origin);
+        if (last !== undefined && last.incarnation === incarnation && keptAt - last.keptAt < sourceMilliseconds) {
+            return last;
+        }
+        const source = { origin, incarnation, keptAt };
+        this.#lastSources.set(origin, source);
+        return source;
+    }
+
     async #handOver(): Promise<void> {
         for (const target of this.#options.getCopyTargets?.() ?? []) {
             for (const [origin, bills] of this.#getByOrigin()) {
@@ -138,30 +170,37 @@
 
     #getByOrigin(): ReadonlyMap<string, readonly Bill[]> {
         const byOrigin = new Map<string, Bill[]>();
-        for (const { origin, bill } of this.#kept.values()) {
-            byOrigin.set(origin, [...byOrigin.get(origin) ?? [], bill]);
+        for (const kept of this.#kept.values()) {
+            const { origin } = kept.source;
+            const bills = byOrigin.get(origin) ?? [];
+            byOrigin.set(origin, bills);
+            bills.push(unpack(kept));
         }
         return byOrigin;
     }
 
-    #isDue({ origin, incarnation, keptAt }: KeptBill): boolean {
-        if (this.#options.getIncarnation?.(origin) !== incarnation) {
-            return true;
-        }
+    #isDue({ source: { origin, incarnation, keptAt } }: KeptBill, origins: Map<string, OriginState>): boolean {
+        const state = origins.get(origin) ?? this.#lookUp(origin);
+        origins.set(origin, state);
         const age = this.#options.clock.monotonic() - keptAt;
-        return this.#options.isGone(origin) || age > (this.#options.confirmMilliseconds ?? defaultConfirmMilliseconds);
+        return state.isGone || state.incarnation !== incarnation
+            || age > (this.#options.confirmMilliseconds ?? defaultConfirmMilliseconds);
+    }
+
+    #lookUp(origin: string): OriginState {
+        return { isGone: this.#options.isGone(origin), incarnation: this.#options.getIncarnation?.(origin) };
     }
 
     async #appendWhere(isWanted: (kept: KeptBill) => boolean): Promise<void> {
         if (this.#isAppending) {
             return;
         }
-        const due = [...this.#kept.values()].filter(isWanted).map(kept => kept.bill);
+        const due = [...this.#kept.values()].filter(isWanted);
         if (due.length === 0) {
             return;
         }
         this.#isAppending = true;
-        const appended = await this.#appender.appendSome(due);
+        const appended = await this.#appender.appendSome(unpackEach(due));
         this.#isAppending = false;
         for (const { requestId } of appended) {
             this.#kept.delete(requestId);
@@ -171,3 +210,14 @@
         }
     }
 }
+
+function unpack({ requestId, packed }: KeptBill): Bill {
+    return unpackBill(requestId, packed);
+}
+
+/** Unpacks as many as one record holds, and no more. */
+function* unpackEach(kept: Iterable<KeptBill>): Iterable<Bill> {
+    for (const bill of kept) {
+        yield unpack(bill);
+    }
+}
--- a/src/bills/billWriter.ts
+++ b/src/bills/billWriter.ts
@@ -11,6 +11,7 @@
 import type { AppendRecord } from "../log/logAccess.js";
 import type { Bill } from "./bill.js";
 import { BillAppender } from "./billAppender.js";
+import { packBill, type PackedBill, unpackBill } from "./packedBill.js";
 
 const defaultIntervalMilliseconds = 1_000;
 const defaultMaximumBills = 20_000;
@@ -54,14 +55,21 @@
     readonly copyMilliseconds?: number;
 }
 
+type Settler = (result: Result<void, Failure>) => void;
+
 interface WaitingBill {
-    readonly bill: Bill;
-    /** The peers that keep a copy. */
-    readonly keepers: Set<BillCopyTarget>;
-    /** Tells those who wait for the bill. */
-    readonly settlers: ((result: Result<void, Failure>) => void)[];
+    readonly requestId: string;
+    readonly packed: PackedBill;
+    /** The peers that keep a copy. Bills of a batch share the list. */
+    keepers: readonly BillCopyTarget[];
+    /** Tells those who wait for the bill; nobody does once it has its copy. */
+    settlers: readonly Settler[];
 }
 
+/** One list for all bills that have none: an outage keeps tens of thousands. */
+const noKeepers: readonly BillCopyTarget[] = [];
+const noSettlers: readonly Settler[] = [];
+
 /** Writes this entry's bills. */
 export class BillWriter {
     readonly #options: BillWriterOptions;
@@ -120,16 +128,17 @@
                 resolve(result);
             };
             const known = this.#waiting.get(bill.requestId);
-            if (known !== undefined && known.keepers.size > 0) {
+            if (known !== undefined && known.keepers.length > 0) {
                 settler(ok(undefined));
                 return;
             }
             if (known !== undefined) {
-                known.settlers.push(settler);
+                known.settlers = [...known.settlers, settler];
                 return;
             }
-            const waiting = { bill, keepers: new Set<BillCopyTarget>(), settlers: [settler] };
-            this.#waiting.set(bill.requestId, waiting);
+            const { requestId } = bill;
+            const waiting = { requestId, packed: packBill(bill), keepers: noKeepers, settlers: [settler] };
+            this.#waiting.set(requestId, waiting);
             this.#toCopy.push(waiting);
             this.#copyTimer ??= setTimeout(() => void this.#copy(), copyBatchMilliseconds);
         });
@@ -153,7 +162,7 @@
             }
         }
         await this.#copyToSecondPeer();
-        const alone = [...this.#waiting.values()].filter(waiting => waiting.keepers.size === 0);
+        const alone = [...this.#waiting.values()].filter(waiting => waiting.keepers.length === 0);
         if (alone.length === 0) {
             return ok(undefined);
         }
@@ -169,13 +178,14 @@
         }
         let left = batch;
         for (const target of this.#options.getCopyTargets()) {
-            const kept = new Set(await target.copy(left.map(waiting => waiting.bill), []) ?? []);
+            const kept = new Set(await target.copy(left.map(unpack), []) ?? []);
+            const keepers = [target];
             for (const waiting of left) {
-                if (kept.has(waiting.bill.requestId)) {
-                    await this.#handleCopied(waiting, target);
+                if (kept.has(waiting.requestId)) {
+                    await this.#handleCopied(waiting, keepers);
                 }
             }
-            left = left.filter(waiting => !kept.has(waiting.bill.requestId));
+            left = left.filter(waiting => !kept.has(waiting.requestId));
             if (left.length === 0) {
                 return;
             }
@@ -188,24 +198,26 @@
     async #copyToSecondPeer(): Promise<void> {
         for (const target of this.#options.getCopyTargets()) {
             const left = [...this.#waiting.values()].filter(({ keepers }) =>
-                keepers.size < keepersAtLeaving && ![...keepers].some(keeper => keeper.id === target.id)
+                keepers.length < keepersAtLeaving && !keepers.some(keeper => keeper.id === target.id)
             );
             for (let start = 0; start < left.length; start += copyBillsInCall) {
                 const batch = left.slice(start, start + copyBillsInCall);
-                const kept = new Set(await target.copy(batch.map(waiting => waiting.bill), []) ?? []);
-                for (const waiting of batch.filter(({ bill }) => kept.has(bill.requestId))) {
-                    waiting.keepers.add(target);
+                const kept = new Set(await target.copy(batch.map(unpack), []) ?? []);
+                for (const waiting of batch.filter(({ requestId }) => kept.has(requestId))) {
+                    waiting.keepers = [...waiting.keepers, target];
                 }
             }
         }
     }
 
-    async #handleCopied(waiting: WaitingBill, target: BillCopyTarget): Promise<void> {
-        waiting.keepers.add(target);
+    async #handleCopied(waiting: WaitingBill, keepers: readonly BillCopyTarget[]): Promise<void> {
+        waiting.keepers = keepers;
         settleAll(waiting);
         // The append may have overtaken the copy; its keeper would then never be told and append once more.
-        if (this.#waiting.get(waiting.bill.requestId) !== waiting) {
-            await target.copy([], [waiting.bill.requestId]);
+        if (this.#waiting.get(waiting.requestId) !== waiting) {
+            for (const keeper of keepers) {
+                await keeper.copy([], [waiting.requestId]);
+            }
         }
     }
 
@@ -226,8 +238,7 @@
     }
 
     async #appendBatch(): Promise<void> {
-        const bills = [...this.#waiting.values()].map(waiting => waiting.bill);
-        const appended = await this.#appender.appendSome(bills);
+        const appended = await this.#appender.appendSome(unpackEach(this.#waiting.values()));
         const told = new Map<BillCopyTarget, string[]>();
         for (const { requestId } of appended) {
             const waiting = this.#waiting.get(requestId);
@@ -248,11 +259,24 @@
 }
 
 function settleAll(waiting: WaitingBill): void {
-    for (const settler of waiting.settlers.splice(0)) {
+    const { settlers } = waiting;
+    waiting.settlers = noSettlers;
+    for (const settler of settlers) {
         settler(ok(undefined));
     }
 }
 
+function unpack({ requestId, packed }: WaitingBill): Bill {
+    return unpackBill(requestId, packed);
+}
+
+/** Unpacks as many as are asked for: one record holds a small part of what waits in an outage. */
+function* unpackEach(waiting: Iterable<WaitingBill>): Iterable<Bill> {
+    for (const bill of waiting) {
+        yield unpack(bill);
+    }
+}
+
 function createNotCopiedFailure(): Failure {
     return new Failure({
         kind: "unavailable",
--- a/src/entry/stateFetcher.ts
+++ b/src/entry/stateFetcher.ts
@@ -21,10 +21,10 @@
 /** What a fetcher works with. */
 export interface StateFetcherOptions {
     readonly clock: Clock;
-    readonly configuration: ConfigurationReader;
-    readonly control: ControlReader;
-    readonly membership: Membership;
-    readonly client: PeerClient;
+    readonly configuration: Pick<ConfigurationReader, "confirm" | "exportState" | "getAge" | "getOffset" | "offer">;
+    readonly control: Pick<ControlReader, "exportState" | "getOffset" | "offer">;
+    readonly membership: Pick<Membership, "getMembers">;
+    readonly client: Pick<PeerClient, "fetchState">;
     /** Name of this entry. */
     readonly self: string;
     readonly getCounter: () => number;
--- a/test/bills/billKeeper.test.ts
+++ b/test/bills/billKeeper.test.ts
@@ -52,6 +52,25 @@
     });
 
     describe("appendDue", () => {
+        // The log has been away for half an hour and an entry keeps tens of thousands of copies. If each of them looked
+        // its origin up among all members every second, the entry's loop would stand still, and so would every answer.
+        it("looks an origin up once, however many of its bills are kept", async () => {
+            const lookUps: string[] = [];
+            const keeper = new BillKeeper({
+                append: new MemoryLog().append,
+                clock: new ManualClock(),
+                journal: createJournal("keeper").journal,
+                writer: "keeper",
+                isGone: origin => {
+                    lookUps.push(origin);
+                    return false;
+                },
+            });
+            keep(keeper, ...Array.from({ length: 500 }, (_, index) => `r${index}`));
+            await keeper.appendDue();
+            expect(lookUps).toEqual(["entry-a"]);
+        });
+
         // The entry is killed between the last byte of an answer and its append. The caller has the plan and has paid
         // nothing; the copy's keeper must write the bill.
         it("appends the bills of an entry that died before it could", async () => {
--- /dev/null
+++ b/test/entry/stateFetcher.test.ts
@@ -0,0 +1,67 @@
+import { expect } from "earl";
+import { err } from "neverthrow";
+import { describe, it } from "node:test";
+import { Failure, ManualClock } from "../../src/common/index.js";
+import { StateFetcher } from "../../src/entry/stateFetcher.js";
+import type { Member } from "../../src/membership/index.js";
+
+const logWaitMilliseconds = 2_000;
+
+/** Starts a fetcher of an entry whose configuration was confirmed some time ago, and counts whom it asks. */
+async function countAsked(configurationAge: number): Promise<number> {
+    let asked = 0;
+    const fetcher = new StateFetcher({
+        clock: new ManualClock(),
+        configuration: {
+            getAge: () => configurationAge,
+            getOffset: () => 7,
+            exportState: () => undefined as never,
+            offer: () => undefined as never,
+            confirm: () => {},
+        },
+        control: { getOffset: () => 3, exportState: () => undefined as never, offer: () => undefined as never },
+        membership: { getMembers: () => [createMember("entry-2")] },
+        client: {
+            fetchState: () => {
+                asked += 1;
+                const failure = new Failure({ kind: "unavailable", message: "Away.", remedy: "Wait." });
+                return Promise.resolve(err(failure));
+            },
+        },
+        self: "entry-1",
+        getCounter: () => 0,
+        draw: () => 0,
+        logWaitMilliseconds,
+    });
+    fetcher.start();
+    await fetcher.stop();
+    return asked;
+}
+
+function createMember(id: string): Member {
+    return {
+        id,
+        address: "127.0.0.1",
+        peerPort: 1,
+        failureDomain: "pasig-a",
+        region: "manila",
+        state: "alive",
+        protocol: { oldest: 1, newest: 1 },
+        configurationOffset: 7,
+        heartbeatAge: 0,
+    };
+}
+
+describe("StateFetcher", () => {
+    // The log is well and nobody publishes anything. A read that waits its two seconds confirms the configuration as of
+    // when it was asked, so its age goes up to four seconds. Nodes that then ask three peers each, twice a second, spend
+    // more on that than on all the rest of their control.
+    it("asks nobody while the log answers long polls", async () => {
+        expect(await countAsked(2 * logWaitMilliseconds)).toEqual(0);
+    });
+
+    // A node is cut off from the log. A version may have been withdrawn since, and callers would still get it.
+    it("asks once a read of the log is overdue", async () => {
+        expect(await countAsked(5_000)).toEqual(2);
+    });
+});
