Let the counts of runs that are over go once they are old

Cause: Evidence.forget marks a departed node, and nobody called it.

Ruled out: gossip's own values, which it forgets after a minute's silence.

Change: SharedState forgets a run once gossip knows another one of the same origin, or none.

--- a/src/entry/sharedState.ts
+++ b/src/entry/sharedState.ts
@@ -22,11 +22,11 @@
 
 /** What is shared. */
 export interface SharedStateOptions {
-    readonly gossip: Gossip;
-    readonly evidence: Evidence;
-    readonly exposures: Exposures;
-    readonly rollouts: RolloutFold;
-    readonly runners: RunnerChooser;
+    readonly gossip: Pick<Gossip, "get" | "onUpdate" | "set">;
+    readonly evidence: Pick<Evidence, "exportOwn" | "forget" | "merge">;
+    readonly exposures: Pick<Exposures, "exportOwn" | "merge">;
+    readonly rollouts: Pick<RolloutFold, "addHalt">;
+    readonly runners: Pick<RunnerChooser, "markLeaving">;
     /** Tells the runs of an entry apart. */
     readonly getIncarnation: (origin: string) => string | number | undefined;
     /** Milliseconds since this entry confirmed its configuration. */
@@ -37,6 +37,8 @@
 export class SharedState {
     readonly #options: SharedStateOptions;
     readonly #task: RepeatedTask;
+    /** By origin: the run whose counts were taken in last. */
+    readonly #runs = new Map<string, string>();
     #evidenceSequence = 0;
     #exposuresSequence = -1;
     #publishedFresh: boolean | undefined;
@@ -85,6 +87,7 @@
     }
 
     #publish(): void {
+        this.#forgetEndedRuns();
         this.#publishEvidence();
         const exposures = this.#options.exposures.exportOwn();
         if (exposures.sequence !== this.#exposuresSequence) {
@@ -126,8 +129,10 @@
         }
         if (key.startsWith(evidencePrefix)) {
             const counts = JSON.parse(value.toString()) as EvidenceCounts;
-            // A restarted entry counts from zero, so its runs must not be taken for one another.
-            this.#options.evidence.merge(`${origin}/${this.#options.getIncarnation(origin)}`, counts);
+            this.#forgetEndedRun(origin);
+            const run = this.#getRun(origin);
+            this.#runs.set(origin, run);
+            this.#options.evidence.merge(run, counts);
         }
         else if (key === exposuresKey) {
             this.#options.exposures.merge(origin, JSON.parse(value.toString()) as ExposureCounts);
@@ -140,6 +145,29 @@
         }
     }
 
+    /** A restarted entry counts from zero, so its runs must not be taken for one another. */
+    #getRun(origin: string): string {
+        return `${origin}/${this.#options.getIncarnation(origin)}`;
+    }
+
+    /**
+     * Marks the counts of runs that are over, so that they go once they are too old to matter. At a site that replaces
+     * its entries every day, memory would otherwise grow by a whole entry's counts with each of them.
+     */
+    #forgetEndedRuns(): void {
+        for (const origin of this.#runs.keys()) {
+            this.#forgetEndedRun(origin);
+        }
+    }
+
+    #forgetEndedRun(origin: string): void {
+        const run = this.#runs.get(origin);
+        if (run !== undefined && run !== this.#getRun(origin)) {
+            this.#runs.delete(origin);
+            this.#options.evidence.forget(run);
+        }
+    }
+
     #takeHalt(value: Buffer): void {
         const halt = haltSchema.safeParse(JSON.parse(value.toString()));
         if (halt.success) {
