--- a/src/command/operatorCommand.ts
+++ b/src/command/operatorCommand.ts
@@ -196,8 +196,13 @@
         }
     }
 
+    /** Finds where a part of the platform is, if the flags or the site file say so. */
+    protected findUrl(flags: SiteFlags, name: "log" | "vm-list"): string | undefined {
+        return flags[name] ?? this.#readSite(flags, name);
+    }
+
     #getUrl(flags: SiteFlags, name: "log" | "vm-list"): string {
-        const url = flags[name] ?? this.#readSite(flags, name);
+        const url = this.findUrl(flags, name);
         if (url === undefined || !URL.canParse(url)) {
             const message = `No usable URL for the ${name} is known. Give --${name} URL or --site FILE.`;
             return this.error(message, { exit: exitCodes.badInput });
--- a/src/command/rolloutStatus.ts
+++ b/src/command/rolloutStatus.ts
@@ -1,9 +1,14 @@
 /** `rattanlock rollout status` */
-import { OperatorCommand } from "./operatorCommand.js";
+import { askNodes, getNodeStatuses } from "./nodeStatus.js";
+import { OperatorCommand, type SiteFlags } from "./operatorCommand.js";
 import { formatTable } from "./table.js";
 
 const percent = 100;
 
+interface WaitingAnswer {
+    readonly waitingRollouts?: readonly string[];
+}
+
 /** Shows roll-outs, halts and who holds the lease. */
 export class RolloutStatusCommand extends OperatorCommand {
     static override summary = "Shows roll-outs with their stages, halted versions, and who drives roll-outs.";
@@ -11,6 +16,7 @@
 
     async run(): Promise<object> {
         const { flags } = await this.parse(RolloutStatusCommand);
+        const waiting = await this.#findWaiting(flags);
         return this.withControl(flags, async session => {
             const rollouts = session.rollouts.getRollouts();
             const halts = session.rollouts.getHalts();
@@ -19,7 +25,7 @@
                 rollout.id,
                 rollout.candidate,
                 rollout.baseline,
-                rollout.state,
+                waiting.has(rollout.id) ? "waits until its candidate is loaded" : rollout.state,
                 `${rollout.stage + 1} of ${rollout.stages.length} (${rollout.stages[rollout.stage] * percent}%)`,
             ]);
             this.log(formatTable(["ROLL-OUT", "CANDIDATE", "BASELINE", "STATE", "STAGE"], rows));
@@ -31,7 +37,18 @@
                     ? "Nobody holds the lease; roll-outs stand still."
                     : `${lease.holder} drives roll-outs under the fencing number ${lease.fence}.`,
             );
-            return { rollouts, halts, lease };
+            return { rollouts, halts, lease, waiting: [...waiting] };
         });
     }
+
+    /** Asks the entries which roll-outs wait for their candidate; without a VM list nobody can be asked. */
+    async #findWaiting(flags: SiteFlags): Promise<ReadonlySet<string>> {
+        const url = this.findUrl(flags, "vm-list");
+        if (url === undefined) {
+            return new Set();
+        }
+        const nodes = (await getNodeStatuses(url, flags["operator-port"])).unwrapOr([]);
+        const answers = [...(await askNodes(nodes, "/status")).values()];
+        return new Set(answers.flatMap(answer => (answer as WaitingAnswer).waitingRollouts ?? []));
+    }
 }
--- a/src/command/upstreams.ts
+++ b/src/command/upstreams.ts
@@ -4,27 +4,68 @@
 import { formatTable } from "./table.js";
 
 interface StatusAnswer {
-    readonly upstreams?: readonly { readonly id: string; readonly pool: string; readonly failureDomain: string; }[];
+    readonly upstreams?: readonly ReportedUpstream[];
+    readonly orders?: readonly {
+        readonly pool: string;
+        readonly runners: readonly { readonly id: string; readonly loading?: string; readonly isStalled: boolean; }[];
+    }[];
+}
+
+interface ReportedUpstream {
+    readonly id: string;
+    readonly pool: string;
+    readonly failureDomain: string;
+    readonly versions?: readonly string[];
+    readonly checksFencing?: boolean;
+}
+
+interface ShownUpstream extends ReportedUpstream {
+    readonly entries: number;
+    /** What the holder of the lease has ordered it to load; absent where nobody orders it. */
+    readonly orders?: string;
 }
 
 /** Shows the upstreams and how many entries talk to each. */
 export class UpstreamsCommand extends OperatorCommand {
-    static override summary = "Shows the runners and services that entries talk to, and how many entries each has.";
+    static override summary = "Shows runners and services: how many entries talk to each, what it has loaded, "
+        + "whether it checks fencing numbers, and what it was ordered to load.";
     static override examples = ["<%= config.bin %> upstreams --site site.ini"];
 
     async run(): Promise<object> {
         const { flags } = await this.parse(UpstreamsCommand);
         const answers = await askNodes(await this.getStatuses(flags), "/status");
-        const upstreams = new Map<string, { pool: string; failureDomain: string; entries: number; }>();
-        for (const answer of answers.values()) {
-            for (const { id, pool, failureDomain } of (answer as StatusAnswer).upstreams ?? []) {
-                const known = upstreams.get(id);
-                upstreams.set(id, { pool, failureDomain, entries: (known?.entries ?? 0) + 1 });
-            }
-        }
-        const rows = [...upstreams].map(([id, found]) => [id, found.pool, found.failureDomain, String(found.entries)]);
+        const upstreams = collectUpstreams([...answers.values()] as readonly StatusAnswer[]);
+        const rows = [...upstreams.values()].map(found => [
+            found.id,
+            found.pool,
+            found.failureDomain,
+            String(found.entries),
+            describeFencing(found.checksFencing),
+            found.versions?.join(", ") ?? "",
+            found.orders ?? "",
+        ]);
         rows.sort((left, right) => left[0] < right[0] ? -1 : 1);
-        this.log(formatTable(["UPSTREAM", "POOL", "FAILURE DOMAIN", "ENTRIES"], rows));
+        const titles = ["UPSTREAM", "POOL", "FAILURE DOMAIN", "ENTRIES", "CHECKS FENCING", "LOADED", "ORDERS"];
+        this.log(formatTable(titles, rows));
         return { upstreams: Object.fromEntries(upstreams) };
     }
 }
+
+function collectUpstreams(answers: readonly StatusAnswer[]): ReadonlyMap<string, ShownUpstream> {
+    const orders = new Map<string, string>();
+    for (const pool of answers.flatMap(answer => answer.orders ?? [])) {
+        for (const { id, loading, isStalled } of pool.runners) {
+            orders.set(id, loading !== undefined ? `loads ${loading}` : isStalled ? "does not load" : "as wanted");
+        }
+    }
+    const upstreams = new Map<string, ShownUpstream>();
+    for (const upstream of answers.flatMap(answer => answer.upstreams ?? [])) {
+        const entries = (upstreams.get(upstream.id)?.entries ?? 0) + 1;
+        upstreams.set(upstream.id, { ...upstream, entries, orders: orders.get(upstream.id) });
+    }
+    return upstreams;
+}
+
+function describeFencing(checksFencing: boolean | undefined): string {
+    return checksFencing === undefined ? "not said" : checksFencing ? "yes" : "no";
+}
--- a/src/configuration/checkTree.ts
+++ b/src/configuration/checkTree.ts
@@ -4,7 +4,7 @@
 import { describeUnknownKey, findNearest, findSectionSchema, getKey } from "../settings/index.js";
 import { getModel, getPatterns, isVersionAllowed, scopeLineage } from "./allowance.js";
 import { type Change, type Tree, wholeSection } from "./tree.js";
-import { treeSchema, versionKeys } from "./treeSchema.js";
+import { getTreeSchema, treeFormat, versionKeys } from "./treeSchema.js";
 
 /** A mistake in the tree; the file and line are added where there is a file. */
 export interface TreeMistake {
@@ -16,10 +16,14 @@
 
 const versionPrefix = "version.";
 
-/** Checks that a change names a known section and key and that its value can be read. */
-export function checkChange(change: Change): TreeMistake | undefined {
+/**
+ * Checks that a change names a known section and key and that its value can be read.
+ * @param change - The change.
+ * @param format - The format of the record that holds it.
+ */
+export function checkChange(change: Change, format: number = treeFormat): TreeMistake | undefined {
     const place = { section: change.section, key: change.key };
-    const schema = findSectionSchema(treeSchema, change.section);
+    const schema = findSectionSchema(getTreeSchema(format), change.section);
     if (schema === undefined) {
         return { ...place, message: "The section is not known.", remedy: "See docs/SETTINGS.md for the sections." };
     }
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -3,16 +3,19 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { Failure } from "../common/index.js";
-import { getPropertyName, type SettingValues } from "../settings/index.js";
+import { getPropertyName, type SettingKeys, type SettingValues } from "../settings/index.js";
 import type { ModelVersion, VersionStatus, Workspace, WorkspaceApplication } from "../world/index.js";
 import { getModel, getPatterns, scopeLineage } from "./allowance.js";
 import { EffectiveSettings } from "./effectiveSettings.js";
 import type { Tree } from "./tree.js";
-import { rolloutKeys, versionKeys } from "./treeSchema.js";
+import { poolKeys, rolloutKeys, scopeKeys, versionKeys } from "./treeSchema.js";
 
 /** Settings of roll-outs. */
 export type RolloutSettings = SettingValues<typeof rolloutKeys>;
 
+/** Settings of a pool of runners. */
+export type PoolSettings = SettingValues<typeof poolKeys>;
+
 /** Names whose settings are asked for. */
 export interface SettingsPath {
     readonly workspace: string;
@@ -118,14 +121,35 @@
      * @param model - The model's name.
      */
     getRollout(model: string): RolloutSettings {
-        const own = this.#tree.get(`rollout.${model}`);
-        const shared = this.#tree.get("rollout");
+        return this.#readValues(rolloutKeys, [`rollout.${model}`, "rollout"]) as RolloutSettings;
+    }
+
+    /**
+     * Returns what is ordered of a pool of runners.
+     * @param pool - The pool's name in the VM list.
+     */
+    getPool(pool: string): PoolSettings {
+        return this.#readValues(poolKeys, [`pool.${pool}`]) as PoolSettings;
+    }
+
+    /** Returns the longest time that a request of any scope may take, in milliseconds. */
+    getLongestDeadline(): number {
+        let longest = Number(scopeKeys.deadline_ms.defaultText);
+        for (const keys of this.#tree.values()) {
+            longest = Math.max(longest, Number(keys.get("deadline_ms") ?? 0));
+        }
+        return longest;
+    }
+
+    /** Reads keys, each from the first of the sections that has it. */
+    #readValues(keys: SettingKeys, sections: readonly string[]): unknown {
         const values: Record<string, unknown> = {};
-        for (const [name, key] of Object.entries(rolloutKeys)) {
-            const written = own?.get(name) ?? shared?.get(name) ?? key.defaultText ?? "";
+        for (const [name, key] of Object.entries(keys)) {
+            const holder = sections.find(section => this.#tree.get(section)?.has(name));
+            const written = holder === undefined ? key.defaultText ?? "" : this.#tree.get(holder)?.get(name) ?? "";
             values[getPropertyName(name)] = key.parse(written).unwrapOr(undefined as never);
         }
-        return values as RolloutSettings;
+        return values;
     }
 
     #findScope(path: SettingsPath): string | undefined {
--- a/src/configuration/configurationFold.ts
+++ b/src/configuration/configurationFold.ts
@@ -10,7 +10,7 @@
 import { type Publication, publicationSchema } from "./publication.js";
 import { TouchedKeys } from "./touchedKeys.js";
 import { type Change, changeTree, type Tree } from "./tree.js";
-import { treeFormat } from "./treeSchema.js";
+import { getNeededFormat, treeFormat } from "./treeSchema.js";
 import type { Verdict, VerdictOutcome } from "./verdict.js";
 
 /** Identifiers that are remembered. An older repeat is beaten by the record's own first acceptance. */
@@ -70,7 +70,7 @@
     /** Returns the state for a snapshot. */
     toSnapshot(): ConfigurationSnapshot {
         return {
-            format: treeFormat,
+            format: getNeededFormat(this.#configuration.getTree().keys()),
             offset: this.#offset,
             changedAt: this.#configuration.getOffset(),
             tree: [...this.#configuration.getTree()].map(([section, keys]) => [section, [...keys]]),
@@ -132,7 +132,7 @@
         };
         const rest = publication.changes.filter(change => !isWithdrawal(change));
         const mistakes = checkBasis(entry, publication, rest);
-        mistakes.push(...rest.map(checkChange).filter(mistake => mistake !== undefined));
+        mistakes.push(...checkChanges(rest, entry.record.format));
         for (const change of rest) {
             const beatenBy = this.#touched.findBeating(change, publication.basedOn);
             if (beatenBy !== undefined) {
@@ -161,7 +161,7 @@
      */
     #withdraw(entry: LogEntry, publication: Publication): readonly string[] {
         const withdrawals = publication.changes.filter(isWithdrawal).filter(change =>
-            checkChange(change) === undefined
+            checkChange(change, entry.record.format) === undefined
         );
         if (withdrawals.length > 0) {
             const tree = changeTree(this.#configuration.getTree(), withdrawals);
@@ -199,6 +199,10 @@
     return change.section.startsWith("version.") && change.key === "status" && change.value === "withdrawn";
 }
 
+function checkChanges(changes: readonly Change[], format: number): readonly TreeMistake[] {
+    return changes.map(change => checkChange(change, format)).filter(mistake => mistake !== undefined);
+}
+
 function checkBasis(entry: LogEntry, publication: Publication, changes: readonly Change[]): TreeMistake[] {
     const place = { section: "", key: "" };
     if (publication.basedOn > entry.offset) {
--- a/src/configuration/configurationSnapshot.ts
+++ b/src/configuration/configurationSnapshot.ts
@@ -24,7 +24,7 @@
 }) satisfies z.ZodType<Verdict>;
 
 const snapshotSchema = z.object({
-    format: z.literal(treeFormat),
+    format: z.number().int().min(1).max(treeFormat),
     offset: offsetSchema,
     changedAt: offsetSchema,
     tree: z.array(z.tuple([z.string(), z.array(z.tuple([z.string(), z.string()]))])),
--- a/src/configuration/publication.ts
+++ b/src/configuration/publication.ts
@@ -5,7 +5,7 @@
 import { z } from "zod";
 import type { LogRecord } from "../log/index.js";
 import type { Change } from "./tree.js";
-import { treeFormat } from "./treeSchema.js";
+import { getNeededFormat } from "./treeSchema.js";
 
 /** The kinds of records that a configuration is folded from. */
 export type ConfigurationRecordKind = "publish" | "snapshot";
@@ -24,6 +24,8 @@
         .max(maximumChanges),
 });
 
+const stateFormatSchema = z.object({ format: z.number() });
+
 /** What an operator publishes. */
 export interface Publication {
     readonly author: string;
@@ -39,7 +41,8 @@
  * @param writer - Name of the process that appends it.
  */
 export function createPublishRecord(publication: Publication, writer: string): LogRecord {
-    return { id: randomUUID(), kind: "publish", format: treeFormat, writer, body: publication };
+    const format = getNeededFormat(publication.changes.map(change => change.section));
+    return { id: randomUUID(), kind: "publish", format, writer, body: publication };
 }
 
 /**
@@ -49,7 +52,8 @@
  * @param writer - Name of the process that appends it.
  */
 export function createSnapshotRecord(covers: number, state: unknown, writer: string): LogRecord {
-    return { id: randomUUID(), kind: "snapshot", format: treeFormat, writer, body: { covers, state } };
+    const { format } = stateFormatSchema.parse(state);
+    return { id: randomUUID(), kind: "snapshot", format, writer, body: { covers, state } };
 }
 
 /** The body of a `snapshot` record. */
--- a/src/configuration/treeSchema.ts
+++ b/src/configuration/treeSchema.ts
@@ -21,7 +21,9 @@
 import type { VersionStatus } from "../world/index.js";
 
 /** The newest format of records that this release reads and writes. */
-export const treeFormat = 1;
+export const treeFormat = 2;
+/** The format that has no sections of pools. */
+const firstTreeFormat = 1;
 
 const namePattern = "[A-Za-z0-9][A-Za-z0-9_-]*";
 const versionPattern = "[A-Za-z0-9][A-Za-z0-9._-]*@[A-Za-z0-9][A-Za-z0-9._-]*";
@@ -218,6 +220,53 @@
     }),
 };
 
+/** Keys of a pool of runners. */
+export const poolKeys = {
+    orders: toggle({
+        description: "Whether the holder of the lease orders the pool's engines which versions to load. Off, they are "
+            + "managed by hand.",
+        defaultText: "false",
+        example: "true",
+    }),
+    models: list({
+        description: "Models whose versions are placed on this pool; `*` is every one.",
+        defaultText: "*",
+        example: "plan-large, plan-small",
+        pattern: /^(\*|[A-Za-z0-9][A-Za-z0-9._-]*)$/,
+        item: "model",
+    }),
+    versions_per_runner: integer({
+        description: "Versions that the memory of a runner holds.",
+        defaultText: "4",
+        example: "3",
+        minimum: 1,
+        maximum: 1_000,
+        unit: "versions",
+    }),
+    loads_at_a_time: integer({
+        description: "Runners of the pool that load a version at a time, since the weight store is rate-limited.",
+        defaultText: "2",
+        example: "8",
+        minimum: 1,
+        maximum: 1_000,
+        unit: "runners",
+    }),
+    load_timeout_s: integer({
+        description: "A runner that has not loaded a version for this long is passed over for another one.",
+        defaultText: "600",
+        example: "120",
+        minimum: 1,
+        maximum: 86_400,
+        unit: "seconds",
+    }),
+    checks_fencing: toggle({
+        description: "Whether the pool's engines refuse an order with an old fencing number. An engine that reports "
+            + "otherwise raises event 757.",
+        defaultText: "false",
+        example: "true",
+    }),
+};
+
 const workspaceTitle = `workspace\\.${namePattern}`;
 
 /** The section at the top of the tree. */
@@ -247,6 +296,15 @@
     keys: rolloutKeys,
 } satisfies SectionSchema;
 
+/** A pool of runners. */
+export const poolSection = {
+    title: "pool.NAME",
+    description: "A pool of runners, by its name in the VM list, and what is ordered of its engines.",
+    pattern: new RegExp(`^pool\\.${namePattern}$`),
+    isRequired: false,
+    keys: poolKeys,
+} satisfies SectionSchema;
+
 /** A workspace. */
 export const workspaceSection = {
     title: "workspace.NAME",
@@ -281,12 +339,41 @@
         rootSection,
         versionSection,
         rolloutSection,
+        poolSection,
         workspaceSection,
         applicationSection,
         sessionSection,
     ],
 };
 
+const firstTreeSchema: SettingSchema = {
+    ...treeSchema,
+    sections: treeSchema.sections.filter(section => section !== poolSection),
+};
+
+/**
+ * Returns the schema by which records of a format are judged. A release that judged a record of the first format by
+ * the second one's schema would accept a section that its older peers reject, and their trees would part.
+ * @param format - The format that the record names.
+ */
+export function getTreeSchema(format: number): SettingSchema {
+    return format <= firstTreeFormat ? firstTreeSchema : treeSchema;
+}
+
+/**
+ * Returns the oldest format that knows all of these sections. Records are written in it, so that a site which uses
+ * nothing new goes on writing what older releases read.
+ * @param sections - Names of sections.
+ */
+export function getNeededFormat(sections: Iterable<string>): number {
+    for (const section of sections) {
+        if (poolSection.pattern.test(section)) {
+            return treeFormat;
+        }
+    }
+    return firstTreeFormat;
+}
+
 function isRising(parts: readonly number[]): boolean {
     return parts.every((part, index) => part > (parts[index - 1] ?? 0) && part <= 100);
 }
--- a/src/control/orderChannel.ts
+++ b/src/control/orderChannel.ts
@@ -62,6 +62,25 @@
         this.#options = options;
     }
 
+    /**
+     * Sends one order, if the lease is held at this moment. Whether the engine obeyed shows in its report only.
+     * @param order - Reaches the engine.
+     * @param wanted - What it is to run.
+     */
+    async send(order: EngineControl["order"], wanted: WantedState): Promise<Result<void, Failure>> {
+        const { getFence, journal, deadlineMilliseconds } = this.#options;
+        const fence = getFence();
+        if (fence === undefined) {
+            return err(createNotHeldFailure(wanted.engine));
+        }
+        const state = { fence, versions: wanted.versions, role: wanted.role };
+        const ordered = await order(state, deadlineMilliseconds ?? defaultDeadlineMilliseconds);
+        if (ordered.isErr() && ordered.error.kind === "stale") {
+            journal.write(events.orderRefused, { engine: wanted.engine, fence });
+        }
+        return ordered;
+    }
+
     /**
      * Orders an engine until it reports what is wanted.
      *
@@ -78,13 +97,8 @@
             if (last.isOk() && isSame(last.value.versions, wanted.versions)) {
                 return last;
             }
-            const fence = this.#options.getFence();
-            if (fence === undefined) {
-                return err(createNotHeldFailure(wanted.engine));
-            }
-            const ordered = await control.order({ fence, versions: wanted.versions, role: wanted.role }, deadline);
+            const ordered = await this.send(control.order, wanted);
             if (ordered.isErr() && ordered.error.kind === "stale") {
-                this.#options.journal.write(events.orderRefused, { engine: wanted.engine, fence });
                 return err(ordered.error);
             }
             await (this.#options.sleep ?? pause)(readBackPauseMilliseconds);
--- a/src/decisions/placement/runner.ts
+++ b/src/decisions/placement/runner.ts
@@ -35,6 +35,8 @@
     vm: Vm;
     versions: readonly string[] | undefined;
     isLeaving = false;
+    /** Whether it says that it refuses orders with an old fencing number; undefined when it does not say. */
+    checksFencing: boolean | undefined;
     readonly #options: PlacementOptions;
     /** When each request that still waits for its first token was sent; the oldest first. */
     readonly #waiting = new Map<object, number>();
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -111,6 +111,15 @@
         }
     }
 
+    /**
+     * Returns what an upstream reports of its versions and of the orders that it takes.
+     * @param upstream - Identifier of the upstream.
+     */
+    getReported(upstream: string): { readonly versions?: readonly string[]; readonly checksFencing?: boolean; } {
+        const runner = this.#runners.get(upstream);
+        return { versions: runner?.versions, checksFencing: runner?.checksFencing };
+    }
+
     /** Takes in a load report, which may be late or out of order. */
     addLoadReport(report: LoadReport): void {
         const runner = this.#runners.get(report.upstream);
@@ -124,6 +133,7 @@
             return;
         }
         this.setVersions(report.upstream, report.versions);
+        runner.checksFencing = report.checksFencing;
         runner.pool.addOthers(runner.load.getOthersAtMeasurement(), runner.load.getCapacity());
     }
 
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -6,7 +6,7 @@
 import type { ClaimClient, CollectorPool } from "../claims/index.js";
 import type { Clock, RandomSource } from "../common/index.js";
 import type { ConfigurationReader, SnapshotWriter } from "../configuration/index.js";
-import type { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../control/index.js";
+import type { ControlReader, LeaseFold, LeaseHolder, OrderChannel, RolloutFold } from "../control/index.js";
 import type {
     AdmissionController,
     CallerHash,
@@ -23,7 +23,7 @@
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { EntrySettings } from "../settings/index.js";
-import type { EngineClient, RatingClient, ServiceClient } from "../upstream/index.js";
+import type { EngineClient, EngineOrders, RatingClient, ServiceClient } from "../upstream/index.js";
 import type { AttemptRunner } from "./attemptRunner.js";
 import type { CallerServer } from "./callerServer.js";
 import type { ChatPipeline } from "./chatPipeline.js";
@@ -34,6 +34,7 @@
 import type { LoadPoller } from "./loadPoller.js";
 import type { Metrics } from "./metrics.js";
 import type { OperatorServer } from "./operatorServer.js";
+import type { OrderDriver } from "./orders/orderDriver.js";
 import type { PlanRunner } from "./planRunner.js";
 import type { ResumePipeline } from "./resumePipeline.js";
 import type { RolloutDriver } from "./rolloutDriver.js";
@@ -81,6 +82,9 @@
     readonly judge: RolloutJudge;
     readonly router: RolloutRouter;
     readonly driver: RolloutDriver;
+    readonly engineOrders: EngineOrders;
+    readonly orderChannel: OrderChannel;
+    readonly orders: OrderDriver;
     readonly runners: RunnerChooser;
     readonly admission: AdmissionController;
     readonly retries: RetryBudget;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -57,6 +57,7 @@
         parts.controlSnapshots.start();
         parts.poller.start();
         parts.driver.start();
+        parts.orders.start();
         await parts.operatorServer.listen(settings.listen.operators.port, settings.listen.operators.host);
         parts.journal.write(events.processStarted, { address: settings.listen.callers.host });
     }
@@ -79,6 +80,7 @@
         parts.callerServer.announceLeaving();
         await parts.lease.stop();
         await parts.driver.stop();
+        await parts.orders.stop();
         // An entry that has not heard the news yet may still hand out this one's address, for callers to keep.
         await sleep(timing.addressesKeepMilliseconds + parts.gossip.getSuspectMilliseconds());
         await this.#drain();
--- /dev/null
+++ b/src/entry/orders/orderDriver.ts
@@ -0,0 +1,146 @@
+/**
+ * Orders engines as the holder of the roll-out lease: which versions each runner is to have loaded.
+ *
+ * Every round starts from what the engines report, so a holder that takes over needs nothing of the former one, and an
+ * engine that obeyed a late order of a former holder is put right in the next round.
+ */
+import { type Clock, RepeatedTask } from "../../common/index.js";
+import type { ConfigurationReader } from "../../configuration/index.js";
+import type { LeaseHolder, OrderChannel, RolloutFold } from "../../control/index.js";
+import type { Evidence, RunnerChooser } from "../../decisions/index.js";
+import type { Journal } from "../../events/index.js";
+import type { EngineOrders } from "../../upstream/index.js";
+import type { Vm } from "../../world/index.js";
+import { type OrderedPool, PoolOrders } from "./poolOrders.js";
+import { collectWantedVersions } from "./wantedVersions.js";
+
+/** An entry whose configuration was not confirmed for this long does not order: it might bring back a withdrawn version. */
+const freshMilliseconds = 10_000;
+/** Pause for each runner that is read, which bounds what reading costs a node before a large pool. */
+const pauseMillisecondsByRunner = 15;
+
+/** What a driver works with. */
+export interface OrderDriverOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly configuration: ConfigurationReader;
+    readonly rollouts: RolloutFold;
+    readonly evidence: Evidence;
+    readonly lease: LeaseHolder;
+    readonly runners: RunnerChooser;
+    readonly engines: EngineOrders;
+    readonly channel: OrderChannel;
+    readonly getVms: () => Iterable<Vm>;
+    readonly intervalMilliseconds: number;
+    /** Runners of a pool that an entry talks to. */
+    readonly subsetSize: number;
+}
+
+/** Drives the loading of versions. */
+export class OrderDriver {
+    readonly #options: OrderDriverOptions;
+    readonly #task: RepeatedTask;
+    readonly #pools = new Map<string, PoolOrders>();
+    #nextAt = 0;
+
+    constructor(options: OrderDriverOptions) {
+        this.#options = options;
+        this.#task = new RepeatedTask({
+            run: () => this.#arrangeAll(),
+            pauseMilliseconds: options.intervalMilliseconds,
+        });
+    }
+
+    /** Starts to order whenever the lease is held. */
+    start(): void {
+        this.#task.start();
+    }
+
+    /** Stops ordering. */
+    stop(): Promise<void> {
+        return this.#task.stop();
+    }
+
+    /**
+     * Tells whether callers may be led to a version: it is loaded on more than one runner where it is placed by
+     * orders, or anywhere that this entry knows of where engines are managed by hand.
+     * @param version - Identifier of the version.
+     */
+    isReady(version: string): boolean {
+        let isOrdered = false;
+        for (const pool of this.#pools.values()) {
+            const isReady = pool.isReady(version);
+            if (isReady === true) {
+                return true;
+            }
+            isOrdered ||= isReady === false;
+        }
+        const { runners } = this.#options;
+        const isLoaded = (vm: Vm): boolean => runners.getReported(vm.id).versions?.includes(version) === true;
+        return !isOrdered && runners.getSubset().some(isLoaded);
+    }
+
+    /** Returns what the holder knows of the pools that it orders; nothing on another entry. */
+    getStatus(): readonly OrderedPool[] {
+        return Array.from(this.#pools.values(), pool => pool.getStatus());
+    }
+
+    async #arrangeAll(): Promise<void> {
+        const { lease, configuration, clock } = this.#options;
+        if (lease.getFence() === undefined) {
+            this.#pools.clear();
+            return;
+        }
+        if (configuration.getAge() > freshMilliseconds || clock.monotonic() < this.#nextAt) {
+            return;
+        }
+        const byPool = groupByPool(this.#options.getVms());
+        let count = 0;
+        for (const [pool, runners] of byPool) {
+            if (configuration.getConfiguration().getPool(pool).orders) {
+                count += runners.length;
+                await this.#arrange(pool, runners);
+            }
+            else {
+                this.#pools.delete(pool);
+            }
+        }
+        this.#nextAt = clock.monotonic() + count * pauseMillisecondsByRunner;
+    }
+
+    #arrange(pool: string, runners: readonly Vm[]): Promise<void> {
+        const { rollouts, clock, journal, engines, channel, subsetSize } = this.#options;
+        const configuration = this.#options.configuration.getConfiguration();
+        const settings = configuration.getPool(pool);
+        let orders = this.#pools.get(pool);
+        if (orders === undefined) {
+            orders = new PoolOrders({ pool, clock, journal, engines, channel, subsetSize });
+            this.#pools.set(pool, orders);
+        }
+        const wanted = collectWantedVersions({
+            configuration,
+            rollouts,
+            models: settings.models,
+            getDemand: version => this.#getDemand(version),
+        });
+        return orders.arrange(runners, settings, wanted, configuration.getLongestDeadline());
+    }
+
+    #getDemand(version: string): number {
+        let answers = 0;
+        for (const requestClass of this.#options.evidence.getClasses(version)) {
+            answers += this.#options.evidence.getRecent(version, requestClass).answers;
+        }
+        return answers;
+    }
+}
+
+function groupByPool(vms: Iterable<Vm>): ReadonlyMap<string, readonly Vm[]> {
+    const pools = new Map<string, Vm[]>();
+    for (const vm of vms) {
+        if (vm.role === "runner" && vm.state === "live") {
+            pools.set(vm.pool, [...pools.get(vm.pool) ?? [], vm]);
+        }
+    }
+    return pools;
+}
--- /dev/null
+++ b/src/entry/orders/wantedVersions.ts
@@ -0,0 +1,78 @@
+/**
+ * Which versions a pool is to have loaded, from the configuration and the roll-outs.
+ */
+import type { Configuration } from "../../configuration/index.js";
+import type { Rollout, RolloutFold } from "../../control/index.js";
+import type { PlacedVersion } from "../../decisions/index.js";
+import type { ModelVersion } from "../../world/index.js";
+
+const everyModel = "*";
+
+/** What the wanted versions are worked out from. */
+export interface WantedVersionsOptions {
+    readonly configuration: Configuration;
+    readonly rollouts: RolloutFold;
+    /** Models that are placed on the pool; `*` is every one. */
+    readonly models: readonly string[];
+    /** Tells how much work a version gets in the whole site. */
+    readonly getDemand: (version: string) => number;
+}
+
+/** The versions of a pool. */
+export interface WantedVersions {
+    readonly placed: readonly PlacedVersion[];
+    /** Versions that may stay where they are loaded until their room is needed. */
+    readonly kept: ReadonlySet<string>;
+}
+
+/**
+ * Collects the versions that a pool is to have loaded: those that serve or drain, candidates under roll-out, and what
+ * traffic falls back to when one of these is halted. Whatever is neither placed nor kept is to be unloaded.
+ * @param options - What they are worked out from.
+ */
+export function collectWantedVersions(options: WantedVersionsOptions): WantedVersions {
+    const placed = new Map<string, number>();
+    const kept = new Set<string>();
+    for (const version of options.configuration.getVersions()) {
+        if (version.status === "withdrawn") {
+            continue;
+        }
+        const isPlacedHere = options.models.includes(everyModel) || options.models.includes(version.model);
+        const demand = isPlacedHere ? getPlacedDemand(version, options) : undefined;
+        if (demand === undefined) {
+            kept.add(version.id);
+        }
+        else {
+            placed.set(version.id, demand);
+        }
+    }
+    for (const id of [...placed.keys()]) {
+        // A halt sends all traffic to the fallback at once, and loading takes minutes.
+        const fallback = options.rollouts.getFallback(id, version => kept.has(version) || placed.has(version));
+        if (fallback !== undefined && kept.delete(fallback)) {
+            placed.set(fallback, 0);
+        }
+    }
+    return { placed: Array.from(placed, ([id, demand]) => ({ id, demand })), kept };
+}
+
+/** Returns the demand of a version that is to be loaded, or undefined for one that is not. */
+function getPlacedDemand(version: ModelVersion, options: WantedVersionsOptions): number | undefined {
+    const { rollouts, getDemand } = options;
+    if (rollouts.isHalted(version.id)) {
+        return undefined;
+    }
+    const demand = getDemand(version.id);
+    if (version.status !== "candidate") {
+        return demand;
+    }
+    const rollout = rollouts.getRollouts().findLast(other =>
+        other.candidate === version.id && (other.state === "active" || other.state === "finished")
+    );
+    return rollout === undefined ? undefined : Math.max(demand, getComingShare(rollout) * getDemand(rollout.baseline));
+}
+
+/** Returns the share of callers at the next stage: loaded only once the stage begins, the candidate would be short. */
+function getComingShare(rollout: Rollout): number {
+    return rollout.state === "finished" ? 1 : rollout.stages[rollout.stage + 1] ?? 1;
+}
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -1,6 +1,7 @@
 /**
  * The parts that decide: models, versions, runners, limits.
  */
+import { OrderChannel } from "../../control/index.js";
 import {
     AdmissionController,
     Evidence,
@@ -12,9 +13,10 @@
     RunnerChooser,
 } from "../../decisions/index.js";
 import { events } from "../../events/index.js";
-import { EngineClient, ServiceClient } from "../../upstream/index.js";
+import { EngineClient, EngineOrders, ServiceClient } from "../../upstream/index.js";
 import type { Parts } from "../container.js";
 import { LoadPoller } from "../loadPoller.js";
+import { OrderDriver } from "../orders/orderDriver.js";
 import { RolloutDriver } from "../rolloutDriver.js";
 import { VersionPolicy } from "../versionPolicy.js";
 
@@ -31,7 +33,24 @@
         new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
     router: ({ self, rollouts, exposures, callerHash }) =>
         new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
-    driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
+    engineOrders: ({ upstreamAgent }) => new EngineOrders(upstreamAgent),
+    orderChannel: ({ lease, clock, journal }) => new OrderChannel({ getFence: () => lease.getFence(), clock, journal }),
+    orders: cradle =>
+        new OrderDriver({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            configuration: cradle.configuration,
+            rollouts: cradle.rollouts,
+            evidence: cradle.evidence,
+            lease: cradle.lease,
+            runners: cradle.runners,
+            engines: cradle.engineOrders,
+            channel: cradle.orderChannel,
+            getVms: () => cradle.watcher.getVms(),
+            intervalMilliseconds: cradle.settings.timing.orderIntervalMilliseconds,
+            subsetSize: cradle.settings.limits.subset,
+        }),
+    driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared, orders }) =>
         new RolloutDriver({
             entry: self.id,
             clock,
@@ -51,6 +70,7 @@
             },
             append: async record => (await log.append("control", record)).isOk(),
             spreadHalt: halt => shared.spreadHalt(halt),
+            isLoaded: version => orders.isReady(version),
         }),
     versions: ({ rollouts, router }) => new VersionPolicy({ rollouts, router }),
     runners: ({ self, clock, random, journal, settings }) =>
--- a/src/entry/rolloutDriver.ts
+++ b/src/entry/rolloutDriver.ts
@@ -34,6 +34,8 @@
     readonly append: (record: LogRecord) => Promise<boolean>;
     /** Tells all peers at once. */
     readonly spreadHalt: (halt: Halt) => void;
+    /** Tells whether a version is loaded on enough runners to take callers. */
+    readonly isLoaded: (version: string) => boolean;
 }
 
 /** Drives roll-outs. */
@@ -42,6 +44,8 @@
     readonly #task: RepeatedTask;
     /** Halts raised here that the log has not taken yet. */
     readonly #unwritten = new Map<string, Halt>();
+    /** Roll-outs whose candidate is not loaded yet, as far as this entry drives them. */
+    readonly #waiting = new Set<string>();
 
     constructor(options: RolloutDriverOptions) {
         this.#options = options;
@@ -61,6 +65,15 @@
         return this.#task.stop();
     }
 
+    /** Returns the roll-outs that this entry, as holder of the lease, holds back until their candidate is loaded. */
+    getWaiting(): readonly string[] {
+        const { lease, rollouts } = this.#options;
+        if (lease.getFence() === undefined) {
+            return [];
+        }
+        return [...this.#waiting].filter(id => rollouts.getRollout(id)?.state === "active");
+    }
+
     async #judgeAll(): Promise<void> {
         for (const rollout of this.#options.rollouts.getRollouts()) {
             if (rollout.state === "active") {
@@ -80,7 +93,7 @@
         const verdict = judge.judge(rollout.id, this.#options.getEntries(), entry);
         this.#act(rollout, verdict);
         const fence = lease.getFence();
-        if (fence === undefined) {
+        if (fence === undefined || this.#isWaiting(rollout)) {
             return;
         }
         const record = judge.getRecord(rollout.id, verdict, fence);
@@ -98,6 +111,23 @@
         }
     }
 
+    /**
+     * Tells whether a roll-out has to wait for its candidate to be loaded. Callers who are let through to a version that
+     * no runner has would be refused, and their failures would count against the candidate.
+     */
+    #isWaiting(rollout: Rollout): boolean {
+        if (this.#options.isLoaded(rollout.candidate)) {
+            this.#waiting.delete(rollout.id);
+            return false;
+        }
+        if (!this.#waiting.has(rollout.id)) {
+            this.#waiting.add(rollout.id);
+            const { id, candidate } = rollout;
+            this.#options.journal.write(events.rolloutWaits, { rollout: id, version: candidate });
+        }
+        return true;
+    }
+
     #act(rollout: Rollout | undefined, verdict: Verdict): void {
         if (verdict.action !== "halt") {
             return;
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -33,6 +33,8 @@
             halted: rollouts.isHalted(version.id),
         })),
         rollouts: rollouts.getRollouts(),
+        waitingRollouts: cradle.driver.getWaiting(),
+        orders: cradle.orders.getStatus(),
         halts: rollouts.getHalts(),
         limits: {
             running: admission.getInFlight(),
@@ -40,7 +42,13 @@
             limit: admission.getLimit(),
         },
         bills: { waiting: bills.getSize(), kept: billKeeper.getSize(), full: bills.isFull() },
-        upstreams: cradle.runners.getSubset().map(({ id, pool, failureDomain }) => ({ id, pool, failureDomain })),
+        protocol: membership.getCommonProtocol(),
+        upstreams: cradle.runners.getSubset().map(({ id, pool, failureDomain }) => ({
+            id,
+            pool,
+            failureDomain,
+            ...cradle.runners.getReported(id),
+        })),
         memory: process.memoryUsage(),
         processor: process.cpuUsage(),
     };
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -236,6 +236,37 @@
         "warning",
         "An engine does not report what it was ordered to run.",
     ),
+    loadOrdered: define(755, "load-ordered", "info", "An engine was ordered to load a version."),
+    rolloutWaits: define(
+        756,
+        "rollout-waits",
+        "warning",
+        "A roll-out waits until its candidate is loaded on enough runners.",
+    ),
+    fencingUnchecked: define(
+        757,
+        "fencing-unchecked",
+        "warning",
+        "An engine says that it does not check fencing numbers, in a pool whose setting says that its engines do.",
+    ),
+    loadStalled: define(
+        758,
+        "load-stalled",
+        "warning",
+        "An engine did not load a version in time and is passed over for another one.",
+    ),
+    versionUnplaced: define(
+        759,
+        "version-unplaced",
+        "error",
+        "The runners of a pool have no room for a version that is to be loaded.",
+    ),
+    engineStrayed: define(
+        760,
+        "engine-strayed",
+        "warning",
+        "An engine left the state that it was ordered into: it restarted, or obeyed somebody else. It is ordered again.",
+    ),
     billsLeftBehind: define(
         410,
         "bills-left-behind",
--- a/src/membership/protocol.ts
+++ b/src/membership/protocol.ts
@@ -4,8 +4,8 @@
 
 /** The oldest version that this program reads. */
 export const oldestProtocol = 1;
-/** The newest version that this program reads. */
-export const newestProtocol = 1;
+/** The newest version that this program reads. Version 2 added the configuration's sections of pools. */
+export const newestProtocol = 2;
 
 /** A range of versions that a node reads. */
 export interface ProtocolRange {
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -51,6 +51,7 @@
     lease_drift_ms: milliseconds("Allowance for clocks that run at different rates.", second),
     vm_list_interval_ms: milliseconds("Pause between two reads of the VM list.", second),
     load_interval_ms: milliseconds("Pause between two reads of an upstream's load.", 500),
+    order_interval_ms: milliseconds("Pause between two looks at which versions engines have loaded.", 2 * second),
     log_timeout_ms: milliseconds("How long to wait for an answer of the log.", 5 * second),
     log_wait_ms: milliseconds("How long a long poll of the log waits.", 2 * second),
     upstream_connect_timeout_ms: milliseconds("How long to wait for a connection to an upstream.", second),
--- a/src/standins/engine/loadedVersions.ts
+++ b/src/standins/engine/loadedVersions.ts
@@ -70,7 +70,12 @@
             return "ignored";
         }
         this.#role = order.role ?? this.#role;
-        this.#desired = new Set(order.versions);
+        const desired = new Set(order.versions);
+        if (desired.size === this.#desired.size && order.versions.every(version => this.#desired.has(version))) {
+            // The same state again: a load that is under way goes on.
+            return "followed";
+        }
+        this.#desired = desired;
         for (const version of this.#loaded) {
             if (!this.#desired.has(version)) {
                 this.#loaded.delete(version);
--- a/src/testbench/site/siteFiles.ts
+++ b/src/testbench/site/siteFiles.ts
@@ -31,6 +31,7 @@
     lease_drift_ms: "200",
     vm_list_interval_ms: "200",
     load_interval_ms: "200",
+    order_interval_ms: "200",
     log_timeout_ms: "1000",
     log_wait_ms: "500",
     upstream_connect_timeout_ms: "500",
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,5 +1,6 @@
 /** Clients of upstreams, the VM list and the rating service. */
 export * from "./engineClient.js";
+export * from "./engineOrders.js";
 export * from "./engineStream.js";
 export * from "./ratingClient.js";
 export * from "./serviceClient.js";
--- a/src/world/upstream.ts
+++ b/src/world/upstream.ts
@@ -18,4 +18,6 @@
     readonly versions: readonly string[];
     /** Whether it has announced that it is leaving. */
     readonly leaving: boolean;
+    /** Whether it refuses an order with an old fencing number; engines only, and not all of them say so. */
+    readonly checksFencing?: boolean;
 }
--- a/test/configuration/configurationFold.test.ts
+++ b/test/configuration/configurationFold.test.ts
@@ -1,7 +1,14 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { basedOnWindow, type Change, ConfigurationFold, type Verdict } from "../../src/configuration/index.js";
+import {
+    basedOnWindow,
+    type Change,
+    ConfigurationFold,
+    createPublishRecord,
+    treeFormat,
+    type Verdict,
+} from "../../src/configuration/index.js";
 import type { LogEntry, LogRecord } from "../../src/log/index.js";
 import { createEntries, createPublication, smallTree } from "./records.js";
 
@@ -172,12 +179,28 @@
             expect(outcomes.slice(-3)).toEqual(["rejected", "rejected", "accepted"]);
         });
 
+        // An older release knows no sections of pools and rejects them. Accepted here, a record of its format would part
+        // this entry's tree from the older one's, and nobody would see it.
+        it("judges a record by its own format, and writes what needs a newer one in that", () => {
+            const orders: Change = { section: "pool.lm-pool", key: "orders", value: "true" };
+            const older = foldAll([createPublication(smallTree), createPublication([orders], { basedOn: 1 })]);
+            expect(older.verdicts.map(verdict => verdict.outcome)).toEqual(["accepted", "rejected"]);
+            expect(older.fold.toSnapshot().format).toEqual(1);
+            const record = createPublishRecord({ author: "a", reason: "", basedOn: 1, changes: [orders] }, "a");
+            const newer = foldAll([createPublication(smallTree), record]);
+            expect([record.format, newer.verdicts[1].outcome]).toEqual([2, "accepted"]);
+            expect(newer.fold.toSnapshot().format).toEqual(2);
+            expect(newer.fold.getConfiguration().getPool("lm-pool").orders).toEqual(true);
+            const plain = createPublishRecord({ author: "a", reason: "", basedOn: 1, changes: [setShare] }, "a");
+            expect(plain.format).toEqual(1);
+        });
+
         // A newer release publishes a format that this one does not know. Passing over it would leave this entry with a
         // tree of its own that it calls current.
         it("stops at a record of a newer format and folds nothing after it", () => {
             const { fold, verdicts } = foldAll([
                 createPublication(smallTree),
-                createPublication([raisePriority], { basedOn: 1, format: 2 }),
+                createPublication([raisePriority], { basedOn: 1, format: treeFormat + 1 }),
                 createPublication([setShare], { basedOn: 1 }),
             ]);
             expect(verdicts.map(verdict => verdict.outcome)).toEqual(["accepted", "unreadable", "unreadable"]);
@@ -187,7 +210,7 @@
 
     describe("toSnapshot", () => {
         it("is refused by fromSnapshot when it is of another format", () => {
-            const snapshot = { ...new ConfigurationFold().toSnapshot(), format: 2 };
+            const snapshot = { ...new ConfigurationFold().toSnapshot(), format: treeFormat + 1 };
             expect(ConfigurationFold.fromSnapshot(snapshot).isErr()).toEqual(true);
         });
     });
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { newestProtocol } from "../../src/membership/index.js";
 import { createGossipSite, type GossipNode, type GossipSite } from "../fixtures/gossipSite.js";
 
 const size = 8;
@@ -96,19 +97,19 @@
         // nobody may write what it cannot read, also while it is only cut off for a moment.
         it("stays with the older version until no older member is left", async () => {
             const site = createGossipSite(2);
-            site.add("newer", { protocol: { oldest: 1, newest: 2 } });
+            site.add("newer", { protocol: { oldest: 1, newest: newestProtocol + 1 } });
             site.listAll();
             const newer = site.get("newer");
             expect(newer.membership.getCommonProtocol()).toEqual(1);
             await site.run(periodsToSpread);
-            expect(newer.membership.getCommonProtocol()).toEqual(1);
+            expect(newer.membership.getCommonProtocol()).toEqual(newestProtocol);
             site.nodes[0].isDown = true;
             site.nodes[1].isDown = true;
             await site.run(periodsToDie);
             expect(getState(newer, "entry-0")).toEqual("dead");
-            expect(newer.membership.getCommonProtocol()).toEqual(1);
+            expect(newer.membership.getCommonProtocol()).toEqual(newestProtocol);
             site.listAll([newer.vm]);
-            expect(newer.membership.getCommonProtocol()).toEqual(2);
+            expect(newer.membership.getCommonProtocol()).toEqual(newestProtocol + 1);
         });
 
         it("counts a listed entry that was never heard as an old one, for a while", async () => {
--- /dev/null
+++ b/test/proofs/orders.test.ts
@@ -0,0 +1,371 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { rolloutRecordKinds } from "../../src/control/index.js";
+import type { EventLine } from "../../src/events/index.js";
+import {
+    callJson,
+    type ChatRecord,
+    getApiKey,
+    getJournal,
+    metroManila,
+    readEngineRuns,
+    setFaults,
+    waitUntil,
+} from "../../src/testbench/index.js";
+import { runCommand } from "../command/runCommand.js";
+import { type ProofSite, useProofSite } from "./fixtures.js";
+
+const entries = ["entry-1", "entry-2", "entry-3"];
+const runners = ["runner-1", "runner-2"];
+const large = "label-large@3";
+const small = "label-small@5";
+const next = "label-small@6";
+const medium = "label-medium@2";
+const linkDelayMilliseconds = 600;
+
+const versions = metroManila.versions
+    .filter(version => version.id !== medium)
+    .map(version => version.id === next ? { ...version, expectedQuality: 0.8, quality: 0.8 } : version);
+
+describe("Orders to engines", () => {
+    const getProof = useProofSite("127.63.11", {
+        runners: {
+            name: "lm-pool",
+            count: 2,
+            settings: { stepMilliseconds: 5, versions: `${large},${small}`, loadMilliseconds: 300 },
+        },
+        versions,
+        workspaces: metroManila.workspaces.filter(workspace => workspace.name === "commissary"),
+        sections: {
+            "pool.lm-pool": { orders: "true", versions_per_runner: "4", loads_at_a_time: "1", checks_fencing: "true" },
+        },
+    });
+
+    before(async () => {
+        for (const runner of runners) {
+            await setFaults(getAddress(getProof(), runner), {
+                weightStore: getProof().site.getPlatform("weight-store"),
+            });
+        }
+        const all = [large, small, next, medium, "label-late@1", "label-half@1", "label-retired@1"];
+        await setFaults(getProof().site.getPlatform("weight-store"), { versions: all, readsPerSecond: 2 });
+    });
+
+    after(async () => {
+        for (const name of entries) {
+            getProof().site.getEntryOrThrow(name).process.wake();
+        }
+    });
+
+    // A roll-out starts of a version that no engine has loaded, while the weight store is away. Callers who are let
+    // through to it would be refused by every runner, and their failures would count against the version.
+    it("load a candidate that no runner has, and its roll-out waits until it is loaded", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await setFaults(site.getPlatform("weight-store"), { outage: "answer" });
+        await startRollout(proof, "unloaded");
+        const holder = await waitUntil(() => findWaiting(proof, "unloaded"), { what: "the roll-out to wait" });
+        await waitUntil(async () => (await countOrders(proof, next)) > 0, { what: "an order to load it" });
+        const shown = await runCommand("rollout", "status", ...createFlags(proof));
+        expect(shown.stdout).toInclude("waits until its candidate is loaded");
+        for (const entry of entries) {
+            expect((await ask(proof, entry, "label-small")).version).toEqual(small);
+        }
+        expect(await countGrants(proof)).toEqual(0);
+        await setFaults(site.getPlatform("weight-store"), { outage: "none" });
+        await waitForVersion(proof, next);
+        await waitUntil(async () => await countGrants(proof) > 0, { what: "a grant" });
+        expect((await site.getStatus(holder)).rollouts.map(rollout => rollout.state)).toEqual(["active"]);
+        await waitUntil(async () => {
+            const records = await Promise.all(entries.map((entry, index) => ask(proof, entry, "label-small", index)));
+            return records.some(record => record.version === next);
+        }, { what: "an answer of the candidate" });
+        const upstreams = await runCommand("upstreams", ...createFlags(proof));
+        expect(upstreams.stdout).toMatchRegex(/runner-1 .* yes +label-\S+, label-\S+, label-\S+ +as wanted/);
+        expect(await findWrongAnswers(proof)).toEqual([]);
+    });
+
+    // A version is withdrawn while an answer of it is under way. Unloaded at once, the answer would break off; never
+    // unloaded, its memory would be missing to the next version.
+    it("unload a withdrawn version once its work has ended", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        const retired = "label-retired@1";
+        await publishVersion(proof, retired);
+        await waitForVersion(proof, retired);
+        for (const runner of runners) {
+            await setFaults(getAddress(proof, runner), { version: retired, outputTokens: 400 });
+        }
+        const chat = ask(proof, "entry-1", retired, 0, 400);
+        const run = await waitUntil(
+            async () =>
+                (await readEngineRuns(site)).find(other => other.ran === retired && other.outcome === "running"),
+            {
+                what: "work on the version",
+            },
+        );
+        await site.publish([{ section: `version.${retired}`, key: "status", value: "withdrawn" }]);
+        await waitForVersion(proof, retired, false);
+        const record = await chat;
+        expect([record.status, record.isWhole]).toEqual([200, true]);
+        const ended = (await readRuns(proof, run.runner)).find(other => other.id === run.id)?.endedAt ?? Infinity;
+        const orders = await readOrders(proof, run.runner);
+        const unloads = orders.filter(order => !order.versions.includes(retired) && order.time >= run.arrivedAt);
+        expect([unloads.length > 0, unloads.every(order => order.time >= ended)]).toEqual([true, true]);
+    });
+
+    // The holder is paused while its order is on the way, and the order arrives after another holder has ordered
+    // otherwise. An engine that does not check fencing obeys it: it drops a version that serves and loads one that was
+    // withdrawn.
+    it("of a former holder are refused, or put right by the present one", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await setFaults(getAddress(proof, "runner-2"), { checksFencing: false });
+        await setFaults(site.getPlatform("weight-store"), { readsPerSecond: 100 });
+        const former = await findHolder(proof, entries);
+        for (const runner of runners) {
+            await site.setLink(former, runner, { delayMilliseconds: linkDelayMilliseconds });
+        }
+        await publishPool(proof, { loads_at_a_time: "2" });
+        const before = await countEvents(proof, former, "load-ordered");
+        await publishVersion(proof, "label-late@1");
+        await waitUntil(async () => await countEvents(proof, former, "load-ordered") >= before + 2, {
+            what: "orders on their way",
+        });
+        for (const runner of runners) {
+            await site.setLink(former, runner, { freeze: true });
+        }
+        site.getEntryOrThrow(former).process.freeze();
+        const others = entries.filter(name => name !== former);
+        await site.publish([{ section: "version.label-late@1", key: "status", value: "withdrawn" }]);
+        await publishVersion(proof, medium);
+        await findHolder(proof, others);
+        await waitForVersion(proof, medium);
+        const load = startLoad(proof, others);
+        for (const runner of runners) {
+            await site.setLink(former, runner, { freeze: false, delayMilliseconds: 0 });
+        }
+        const fences = await waitUntil(async () => {
+            const outcomes = [];
+            for (const runner of runners) {
+                outcomes.push(findLate(await readOrders(proof, runner)));
+            }
+            return outcomes.every(outcome => outcome !== undefined) ? outcomes : undefined;
+        }, { what: "the late orders to arrive" });
+        expect(fences).toEqual(["refused", "followed"]);
+        await waitForRepair(proof);
+        site.getEntryOrThrow(former).process.wake();
+        await site.waitUntilReady();
+        const records = await load.end();
+        await waitForRepair(proof);
+        expect(records.length > 0).toEqual(true);
+        expect(records.filter(record => record.version !== undefined && record.version !== medium)).toEqual([]);
+        expect(records.filter(record => record.text !== "" && !record.text.includes(medium))).toEqual([]);
+        expect((await readEngineRuns(site)).filter(run => run.ran === "label-late@1")).toEqual([]);
+    });
+
+    // The holder dies after the first runner has loaded a version. The others would never load it, and its callers
+    // would crowd on one runner until somebody notices.
+    it("are finished by another holder when the first one is killed halfway", async () => {
+        const proof = getProof();
+        const { site } = proof;
+        await publishPool(proof, { loads_at_a_time: "1", versions_per_runner: "6" });
+        for (const runner of runners) {
+            await setFaults(getAddress(proof, runner), { loadMilliseconds: 600 });
+        }
+        const first = await findHolder(proof, entries);
+        await publishVersion(proof, "label-half@1");
+        await waitUntil(async () => (await countOrders(proof, "label-half@1")) > 0, { what: "the first load" });
+        await site.getEntryOrThrow(first).process.kill();
+        await waitForVersion(proof, "label-half@1");
+        const orders = (await Promise.all(runners.map(runner => readOrders(proof, runner)))).flat();
+        const fences = new Set(
+            orders.filter(order => order.versions.includes("label-half@1")).map(order => order.fence),
+        );
+        expect(fences.size).toEqual(2);
+        await site.startEntry(first);
+        await site.waitUntilReady();
+    });
+});
+
+interface OrderNote {
+    readonly kind: string;
+    readonly time: number;
+    readonly fence: number;
+    readonly versions: readonly string[];
+    readonly outcome: string;
+}
+
+interface RunNote {
+    readonly kind: string;
+    readonly id: string;
+    readonly endedAt?: number;
+}
+
+interface WaitingStatus {
+    readonly waitingRollouts: readonly string[];
+}
+
+function getAddress(proof: ProofSite, runner: string): string {
+    return proof.site.getUpstreamOrThrow(runner).getAddress();
+}
+
+async function readOrders(proof: ProofSite, runner: string): Promise<readonly OrderNote[]> {
+    return (await getJournal<OrderNote>(getAddress(proof, runner))).filter(note => note.kind === "order");
+}
+
+async function readRuns(proof: ProofSite, runner: string): Promise<readonly RunNote[]> {
+    return (await getJournal<RunNote>(getAddress(proof, runner))).filter(note => note.kind === "request");
+}
+
+async function countOrders(proof: ProofSite, version: string): Promise<number> {
+    const orders = await Promise.all(runners.map(runner => readOrders(proof, runner)));
+    return orders.flat().filter(order => order.versions.includes(version)).length;
+}
+
+/** Finds what became of an order that came after one with a newer fencing number. */
+function findLate(orders: readonly OrderNote[]): string | undefined {
+    let newest = -1;
+    for (const { fence, outcome } of orders) {
+        if (fence < newest) {
+            return outcome;
+        }
+        newest = fence;
+    }
+    return undefined;
+}
+
+/** Waits until every runner reports a version, or none does. */
+async function waitForVersion(proof: ProofSite, version: string, isWanted = true): Promise<void> {
+    for (const runner of runners) {
+        await waitUntil(async () => {
+            const report = await callJson<{ versions: string[]; }>({
+                address: getAddress(proof, runner),
+                path: "/load",
+            });
+            return report.versions.includes(version) === isWanted;
+        }, { what: `${runner} to ${isWanted ? "load" : "unload"} ${version}` });
+    }
+}
+
+/** Waits until the version that serves is back everywhere, and the withdrawn one gone. */
+async function waitForRepair(proof: ProofSite): Promise<void> {
+    await waitForVersion(proof, medium);
+    await waitForVersion(proof, "label-late@1", false);
+}
+
+function findHolder(proof: ProofSite, names: readonly string[]): Promise<string> {
+    return waitUntil(async () => {
+        for (const name of names) {
+            if ((await proof.site.getStatus(name)).holdsLease) {
+                return name;
+            }
+        }
+        return undefined;
+    }, { what: "somebody to hold the lease" });
+}
+
+async function findWaiting(proof: ProofSite, rollout: string): Promise<string | undefined> {
+    for (const name of entries) {
+        const address = proof.site.getEntryOrThrow(name).operators;
+        const status = await callJson<WaitingStatus>({ address, path: "/status" });
+        if (status.waitingRollouts.includes(rollout)) {
+            return name;
+        }
+    }
+    return undefined;
+}
+
+async function countEvents(proof: ProofSite, entry: string, event: string): Promise<number> {
+    const address = proof.site.getEntryOrThrow(entry).operators;
+    const lines = await callJson<readonly EventLine[]>({ address, path: "/events" });
+    return lines.filter(line => line.name === event).length;
+}
+
+async function countGrants(proof: ProofSite): Promise<number> {
+    const records = await proof.site.readStream("control");
+    return records.filter(entry => entry.record.kind === rolloutRecordKinds.grant).length;
+}
+
+function createFlags(proof: ProofSite): readonly string[] {
+    const log = `http://${proof.site.getPlatform("log")}`;
+    return ["--log", log, "--vm-list", `http://${proof.site.getPlatform("vm-list")}`];
+}
+
+async function publishVersion(proof: ProofSite, id: string): Promise<void> {
+    const section = `version.${id}`;
+    await proof.site.publish([
+        { section, key: "status", value: "serving" },
+        { section, key: "input_price", value: "1" },
+        { section, key: "output_price", value: "4" },
+        { section, key: "expected_quality", value: "0.85" },
+    ]);
+}
+
+async function publishPool(proof: ProofSite, settings: Readonly<Record<string, string>>): Promise<void> {
+    const section = "pool.lm-pool";
+    const changes = Object.entries(settings).map(([key, value]) => ({ section, key, value }));
+    await proof.site.waitInForce(await proof.site.publish(changes));
+}
+
+async function startRollout(proof: ProofSite, rollout: string): Promise<void> {
+    await proof.site.append("control", {
+        id: `start-${rollout}`,
+        kind: rolloutRecordKinds.start,
+        format: 1,
+        writer: "test",
+        body: {
+            rollout,
+            model: "label-small",
+            candidate: next,
+            baseline: small,
+            stages: [0.5, 1],
+            budget: [100, 400],
+            startedBy: "test",
+        },
+    });
+}
+
+function ask(
+    proof: ProofSite,
+    entry: string,
+    model: string,
+    index = 0,
+    maximumTokens = 8,
+): Promise<ChatRecord> {
+    return proof.caller.chat({
+        entry: proof.site.getEntryOrThrow(entry).callers,
+        key: getApiKey("commissary"),
+        session: `session-${entry}-${index}-${Math.random()}`,
+        model,
+        text: "Does the pastry hold sesame?",
+        maximumTokens,
+        boundMilliseconds: 8000,
+    });
+}
+
+/** Asks for a version that serves, again and again, until it is ended. */
+function startLoad(
+    proof: ProofSite,
+    names: readonly string[],
+): { readonly end: () => Promise<readonly ChatRecord[]>; } {
+    const records: ChatRecord[] = [];
+    let isOver = false;
+    const loops = names.map(async name => {
+        while (!isOver) {
+            records.push(await ask(proof, name, medium));
+        }
+    });
+    return {
+        end: async () => {
+            isOver = true;
+            await Promise.all(loops);
+            return records;
+        },
+    };
+}
+
+/** Finds work that ran on another version than was asked for. */
+async function findWrongAnswers(proof: ProofSite): Promise<readonly string[]> {
+    return (await readEngineRuns(proof.site)).filter(run => run.asked !== run.ran).map(run => run.id);
+}
