--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -11,6 +11,7 @@
 import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
 import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
+import { measureOrders } from "./orders.js";
 import { formatReport, type Report } from "./report.js";
 import { measureSite } from "./site/measureSite.js";
 
@@ -35,6 +36,7 @@
         const results = measureLimits(seed);
         return { results, text: formatLimits(results) };
     },
+    orders: request => toFinding(measureOrders(withSeed(request))),
     site: async request => toFinding(await measureSite(withSeed(request))),
 };
 
