--- a/src/control/rollout.ts
+++ b/src/control/rollout.ts
@@ -89,6 +89,8 @@
     /** Wall-clock milliseconds of the log when the stage began. */
     readonly stageSince: number;
     readonly state: RolloutState;
+    /** Wall-clock milliseconds of the log when it finished; absent before, and in snapshots of older releases. */
+    readonly finishedAt?: number;
     /** For each entry, how many callers it may have exposed altogether. */
     readonly grants: Readonly<Record<string, number>>;
 }
@@ -102,3 +104,19 @@
     /** Wall-clock milliseconds of the node that raised it. */
     readonly at: number;
 }
+
+/** What the fold has taken in, as a snapshot keeps it; plain JSON. */
+export interface RolloutSnapshot {
+    readonly offset: number;
+    readonly rollouts: readonly Rollout[];
+    readonly halts: readonly Halt[];
+    readonly lifted: readonly string[];
+    readonly liftedAt: Readonly<Record<string, number>>;
+    readonly settled: Readonly<Record<string, readonly string[]>>;
+}
+
+/** Whether a record took effect, and if not, why. */
+export interface RolloutDecision {
+    readonly accepted: boolean;
+    readonly reason: string;
+}
--- a/src/decisions/exposure/rolloutJudge.ts
+++ b/src/decisions/exposure/rolloutJudge.ts
@@ -5,11 +5,14 @@
  * fold refuses them under an old fence.
  */
 import type { Clock } from "../../common/index.js";
+import { getModel } from "../../configuration/allowance.js";
 import { type Rollout, type RolloutFold, rolloutRecordKinds } from "../../control/index.js";
 import { type Bucket, type Evidence, Tally } from "../model/index.js";
+import { type ConfirmationInput, getConfirmationCapital } from "./confirmation.js";
 import type { Exposures } from "./exposures.js";
 import { planGrants } from "./grants.js";
-import type { MetricName } from "./metric.js";
+import { createMetrics, type MetricName } from "./metric.js";
+import { defaultRolloutPolicy, type RolloutPolicy } from "./rolloutPolicy.js";
 import { SequentialTest, type Stratum, type TestResult } from "./sequentialTest.js";
 
 /** What should happen next. */
@@ -20,39 +23,6 @@
     | { readonly action: "finish"; readonly reason: string; }
     | { readonly action: "grant"; readonly grants: Readonly<Record<string, number>>; readonly reason: string; };
 
-/** How roll-outs are judged. */
-export interface RolloutPolicy {
-    /**
-     * Upper bound of the probability that a version is halted during its roll-out that is worse than the baseline by
-     * just the margins of the metrics. One that is as good as the baseline is halted far less often, see the
-     * measurements.
-     */
-    readonly falseHaltProbability: number;
-    /** Expected time between false halts of a settled version, for one that is worse than its past by the margins. */
-    readonly falseHaltMilliseconds: number;
-    /** How long a rating may take before it is taken to be missing. */
-    readonly ratingWaitMilliseconds: number;
-    /** Callers exposed before the first rating is in, in the whole system. */
-    readonly firstCallers: number;
-    /** Ratings needed before a stage is left, unless its budget is spent. */
-    readonly stageRatings: number;
-    /** How long a stage lasts at least. */
-    readonly stageMilliseconds: number;
-    /** How far back a change of a settled version is looked for. */
-    readonly changeWindowMilliseconds: number;
-}
-
-/** The policy unless the configuration says otherwise. */
-export const defaultRolloutPolicy: RolloutPolicy = {
-    falseHaltProbability: 0.1,
-    falseHaltMilliseconds: 3 * 86_400_000,
-    ratingWaitMilliseconds: 90_000,
-    firstCallers: 8,
-    stageRatings: 60,
-    stageMilliseconds: 60_000,
-    changeWindowMilliseconds: 600_000,
-};
-
 const referenceMilliseconds = 5000;
 /** Starts of a change that share the part of the capital that isn't bet on the first one. */
 const changeStarts = 200;
@@ -65,8 +35,19 @@
 /** Part of the baseline's share of rated answers that the candidate must reach for its exposure to grow. */
 const neededCoverage = 0.5;
 const matureAnswersNeeded = 10;
+/** Part of the capital that is bet on missing ratings. */
+const confirmationPart = 0.15;
+/**
+ * Capital of the bets on missing ratings from which on few callers are let through at a time. Waiting is cheap and is
+ * taken back by itself, so it needs far less than a halt.
+ */
+const unconfirmedCapital = 2;
+/** Callers that may be unjudged then, in the whole system. */
+const unconfirmedCallers = 3;
 /** Epochs between two moments at which a settled version is supposed to have changed. */
 const settledStartStep = 5;
+/** Part of the evidence needed to hold a version back, below which it is held back no longer. */
+const releasedStrength = 0.25;
 
 /** Options of `RolloutJudge`. */
 export interface RolloutJudgeOptions {
@@ -74,7 +55,21 @@
     readonly evidence: Evidence;
     readonly exposures: Exposures;
     readonly clock: Clock;
-    readonly policy?: Partial<RolloutPolicy>;
+    /**
+     * Gets the policy for a model. It is asked for at every judgement, so that a change holds from the next one on, also
+     * for roll-outs under way. The default policy by default.
+     */
+    readonly getPolicy?: (model: string) => RolloutPolicy;
+}
+
+interface ProgressInput {
+    readonly rollout: Rollout;
+    readonly policy: RolloutPolicy;
+    readonly entries: readonly string[];
+    readonly self: string;
+    readonly strata: readonly Stratum[];
+    readonly strength: number;
+    readonly confirmation: number;
 }
 
 /** Judges roll-outs and settled versions. */
@@ -83,9 +78,8 @@
     readonly #evidence: Evidence;
     readonly #exposures: Exposures;
     readonly #clock: Clock;
-    readonly #policy: RolloutPolicy;
-    readonly #rolloutTest: SequentialTest;
-    readonly #settledTest: SequentialTest;
+    readonly #getPolicy: (model: string) => RolloutPolicy;
+    readonly #held = new Set<string>();
     readonly #references = new Map<string, { readonly formedAt: number; readonly tally: Tally; }>();
 
     constructor(options: RolloutJudgeOptions) {
@@ -93,19 +87,7 @@
         this.#evidence = options.evidence;
         this.#exposures = options.exposures;
         this.#clock = options.clock;
-        this.#policy = { ...defaultRolloutPolicy, ...options.policy };
-        this.#rolloutTest = new SequentialTest({
-            threshold: 1 / this.#policy.falseHaltProbability,
-            firstStartPart,
-            laterStartPart: (1 - firstStartPart) / changeStarts,
-        });
-        const epoch = this.#evidence.epochMilliseconds;
-        this.#settledTest = new SequentialTest({
-            threshold: this.#policy.falseHaltMilliseconds / (settledStartStep * epoch),
-            firstStartPart: 1,
-            laterStartPart: 1,
-            startStep: settledStartStep,
-        });
+        this.#getPolicy = options.getPolicy ?? (() => defaultRolloutPolicy);
     }
 
     /**
@@ -120,12 +102,19 @@
             return { action: "wait", reason: "The roll-out isn't active.", strength: 0 };
         }
         const strata = this.#getRolloutStrata(rollout);
-        const result = this.#rolloutTest.evaluate(strata);
-        if (result.bad) {
+        const policy = this.#getPolicy(rollout.model);
+        const result = createRolloutTest(policy).evaluate(strata);
+        const confirmation = getConfirmationCapital(this.#getConfirmations(rollout, strata, policy));
+        const missing = confirmationPart * confirmation * policy.falseHaltProbability;
+        const strength = (1 - confirmationPart) * result.strength + missing;
+        if (strength >= 1) {
             const { candidate: version, baseline } = rollout;
-            return { action: "halt", version, reason: describe(result, baseline), strength: result.strength };
+            const reason = missing >= strength / 2
+                ? `Fewer of its answers are rated good than of those of ${baseline} at the same time.`
+                : describe(result, baseline);
+            return { action: "halt", version, reason, strength };
         }
-        return this.#judgeProgress(rollout, entries, self, strata, result.strength);
+        return this.#judgeProgress({ rollout, policy, entries, self, strata, strength, confirmation });
     }
 
     /**
@@ -133,12 +122,25 @@
      * @param version - The version.
      */
     judgeSettled(version: string): Verdict {
-        const strata = this.#getSettledStrata(version);
-        const result = this.#settledTest.evaluate(strata);
+        const policy = this.#getPolicy(getModel(version));
+        const isGuarded = this.#isGuarded(version, policy);
+        const falseHalts = isGuarded ? policy.guardFalseHaltMilliseconds : policy.falseHaltMilliseconds;
+        const test = createSettledTest(policy, falseHalts, this.#evidence.epochMilliseconds);
+        const result = test.evaluate(this.#getSettledStrata(version, policy));
+        this.#holdBack(version, isGuarded ? result.strength * falseHalts / policy.falseHoldMilliseconds : 0);
         if (result.bad) {
             return { action: "halt", version, reason: describe(result, "its own past"), strength: result.strength };
         }
-        return { action: "wait", reason: "The version is as it was.", strength: result.strength };
+        const reason = this.isHeld(version) ? "It looks worse than its own past." : "The version is as it was.";
+        return { action: "wait", reason, strength: result.strength };
+    }
+
+    /**
+     * Tells whether a version that was rolled out lately is held back: the evidence against it does not suffice for a
+     * halt yet, but for sending most new callers to the version before it until more is known.
+     */
+    isHeld(version: string): boolean {
+        return this.#held.has(version);
     }
 
     /**
@@ -158,23 +160,34 @@
         }
     }
 
-    #judgeProgress(
-        rollout: Rollout,
-        entries: readonly string[],
-        self: string,
-        strata: readonly Stratum[],
-        strength: number,
-    ): Verdict {
-        const seen = this.#countCandidate(strata);
+    /** Checks whether the roll-out of a version ended so lately that it is watched more closely. */
+    #isGuarded(version: string, policy: RolloutPolicy): boolean {
+        const finishedAt = this.#fold.getFinishedAt(version);
+        return finishedAt !== undefined && this.#clock.wall() - finishedAt < policy.guardMilliseconds;
+    }
+
+    #holdBack(version: string, strength: number): void {
+        if (strength >= 1) {
+            this.#held.add(version);
+        }
+        else if (strength < releasedStrength) {
+            this.#held.delete(version);
+        }
+    }
+
+    #judgeProgress(input: ProgressInput): Verdict {
+        const { rollout, policy, entries, self, strata, strength, confirmation } = input;
+        const seen = this.#countCandidate(strata, policy);
         if (!seen.ratingsArrive) {
             return { action: "wait", reason: "Ratings of the candidate are missing.", strength };
         }
         const budget = rollout.budgets[rollout.stage];
         const exposed = this.#exposures.getTotal(rollout.id);
         const spent = budget !== undefined && exposed >= 0.9 * budget && seen.settled >= 0.8 * budget;
-        const longEnough = this.#clock.wall() - rollout.stageSince >= this.#policy.stageMilliseconds;
-        const neededRatings = this.#policy.stageRatings * (rollout.stage + 1);
-        const suspicious = strength >= suspiciousStrength;
+        const longEnough = this.#clock.wall() - rollout.stageSince >= policy.stageMilliseconds;
+        const neededRatings = policy.stageRatings * (rollout.stage + 1);
+        const unconfirmed = confirmation >= unconfirmedCapital;
+        const suspicious = unconfirmed || strength >= suspiciousStrength;
         if (!suspicious && longEnough && (spent || seen.ratings >= neededRatings)) {
             const reason = spent ? "The budget is spent without a finding." : "The ratings suffice.";
             if (rollout.stage === rollout.stages.length - 1) {
@@ -187,7 +200,7 @@
             entries,
             budget,
             settled: Math.min(seen.settled, exposed),
-            firstCallers: this.#policy.firstCallers,
+            firstCallers: unconfirmed ? unconfirmedCallers : policy.firstCallers,
             unjudgedPerJudged: suspicious ? 0 : unjudgedPerJudged,
             getSpent: entry =>
                 entry === self ? this.#exposures.getOwn(rollout.id) : this.#exposures.getOf(entry, rollout.id),
@@ -200,11 +213,11 @@
     }
 
     /** Counts the candidate's answers about which all is known that will be. */
-    #countCandidate(strata: readonly Stratum[]) {
+    #countCandidate(strata: readonly Stratum[], policy: RolloutPolicy) {
         const mature = new Tally();
         const total = new Tally();
         const reference = new Tally();
-        const matureBefore = this.#evidence.getEpoch(this.#clock.wall() - this.#policy.ratingWaitMilliseconds);
+        const matureBefore = this.#evidence.getEpoch(this.#clock.wall() - policy.ratingWaitMilliseconds);
         for (const stratum of strata) {
             reference.add(stratum.reference);
             for (const bucket of stratum.buckets) {
@@ -239,6 +252,21 @@
         return strata;
     }
 
+    /** Gets the answers of both versions since the start about which all is known that will be. */
+    #getConfirmations(
+        rollout: Rollout,
+        strata: readonly Stratum[],
+        policy: RolloutPolicy,
+    ): readonly ConfirmationInput[] {
+        const since = this.#evidence.getEpoch(rollout.startedAt);
+        const before = this.#evidence.getEpoch(this.#clock.wall() - policy.ratingWaitMilliseconds);
+        const isMature = ({ start, level }: Bucket): boolean => start >= since && start + 2 ** level <= before;
+        return strata.map(({ requestClass, buckets }) => ({
+            candidate: buckets.filter(isMature),
+            baseline: this.#evidence.getBuckets(rollout.baseline, requestClass).filter(isMature),
+        }));
+    }
+
     /** Gets the recent counts of a baseline. They change slowly and are asked for often. */
     #getReference(version: string, requestClass: string): Tally {
         const key = `${version}/${requestClass}`;
@@ -252,10 +280,10 @@
         return tally;
     }
 
-    #getSettledStrata(version: string): readonly Stratum[] {
+    #getSettledStrata(version: string, policy: RolloutPolicy): readonly Stratum[] {
         const now = this.#evidence.getEpoch(this.#clock.wall());
         const liftedEpoch = this.#evidence.getEpoch(this.#fold.getLiftedAt(version) ?? 0);
-        const window = this.#policy.changeWindowMilliseconds / this.#evidence.epochMilliseconds;
+        const window = policy.changeWindowMilliseconds / this.#evidence.epochMilliseconds;
         const from = Math.max(now - window, liftedEpoch);
         const strata: Stratum[] = [];
         for (const requestClass of this.#evidence.getClasses(version)) {
@@ -268,6 +296,29 @@
     }
 }
 
+function createRolloutTest(policy: RolloutPolicy): SequentialTest {
+    return new SequentialTest({
+        threshold: 1 / policy.falseHaltProbability,
+        firstStartPart,
+        laterStartPart: (1 - firstStartPart) / changeStarts,
+        metrics: createMetrics(policy.qualityMargin),
+    });
+}
+
+function createSettledTest(
+    policy: RolloutPolicy,
+    falseHaltMilliseconds: number,
+    epochMilliseconds: number,
+): SequentialTest {
+    return new SequentialTest({
+        threshold: falseHaltMilliseconds / (settledStartStep * epochMilliseconds),
+        firstStartPart: 1,
+        laterStartPart: 1,
+        startStep: settledStartStep,
+        metrics: createMetrics(policy.qualityMargin),
+    });
+}
+
 function addUp(buckets: readonly Bucket[]): Tally {
     const total = new Tally();
     for (const bucket of buckets) {
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -1,12 +1,12 @@
 /**
  * What the parts of an entry can ask the container for.
  */
-import type { Agent } from "undici";
+import type { Agent, Dispatcher } from "undici";
 import type { BillKeeper, BillWriter } from "../bills/index.js";
 import type { ClaimClient, CollectorPool } from "../claims/index.js";
 import type { Clock, RandomSource } from "../common/index.js";
 import type { ConfigurationReader, SnapshotWriter } from "../configuration/index.js";
-import type { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../control/index.js";
+import type { ControlReader, LeaseFold, LeaseHolder, OrderChannel, RolloutFold } from "../control/index.js";
 import type {
     AdmissionController,
     AnswerTimes,
@@ -24,7 +24,7 @@
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { EntrySettings } from "../settings/index.js";
-import type { EngineClient, RatingClient, ServiceClient } from "../upstream/index.js";
+import type { EngineClient, EngineOrders, RatingClient, ServiceClient, UpstreamConnector } from "../upstream/index.js";
 import type { AttemptRunner } from "./attemptRunner.js";
 import type { CallerServer } from "./callerServer.js";
 import type { ChatPipeline } from "./chatPipeline.js";
@@ -35,6 +35,7 @@
 import type { LoadPoller } from "./loadPoller.js";
 import type { Metrics } from "./metrics.js";
 import type { OperatorServer } from "./operatorServer.js";
+import type { OrderDriver } from "./orders/orderDriver.js";
 import type { PlanRunner } from "./planRunner.js";
 import type { ResumePipeline } from "./resumePipeline.js";
 import type { RolloutDriver } from "./rolloutDriver.js";
@@ -55,7 +56,9 @@
     readonly eventBuffer: EventBuffer;
     readonly journal: Journal;
     readonly metrics: Metrics;
-    readonly upstreamAgent: Agent;
+    /** Opens encrypted connections to upstreams; `undefined` when they are called in the clear. */
+    readonly upstreamConnector: UpstreamConnector | undefined;
+    readonly upstreamAgent: Dispatcher;
     readonly platformAgent: Agent;
     readonly log: LogClient;
     readonly follow: FollowStream;
@@ -69,6 +72,7 @@
     readonly peerClient: PeerClient;
     readonly peerServer: PeerServer;
     readonly credentialFiles: CredentialFiles;
+    readonly upstreamCredentialFiles: CredentialFiles;
     readonly gossip: Gossip;
     readonly membership: Membership;
     readonly collectors: CollectorPool;
@@ -83,6 +87,9 @@
     readonly judge: RolloutJudge;
     readonly router: RolloutRouter;
     readonly driver: RolloutDriver;
+    readonly engineOrders: EngineOrders;
+    readonly orderChannel: OrderChannel;
+    readonly orders: OrderDriver;
     readonly runners: RunnerChooser;
     /** Lets chats in, by the engines' capacity. */
     readonly admission: AdmissionController;
--- a/src/measure/exposure/knownRatesTest.ts
+++ b/src/measure/exposure/knownRatesTest.ts
@@ -12,13 +12,40 @@
     bad: number,
     falseAlarmProbability: number,
     random: RandomSource,
+): number {
+    return drawAnswerNumber([good, 1 - good], [bad, 1 - bad], falseAlarmProbability, random);
+}
+
+/**
+ * Draws the number of answers until a test that knows the chances of each outcome says bad.
+ * @param good - Chance of each outcome with a good version.
+ * @param bad - Chance of each outcome with the bad version, which is the one that is drawn.
+ * @param falseAlarmProbability - The test's error for good versions.
+ */
+export function drawAnswerNumber(
+    good: readonly number[],
+    bad: readonly number[],
+    falseAlarmProbability: number,
+    random: RandomSource,
 ): number {
     const threshold = Math.log(1 / falseAlarmProbability);
     let logRatio = 0;
-    let samples = 0;
+    let answers = 0;
     while (logRatio < threshold) {
-        samples += 1;
-        logRatio += random.next() < bad ? Math.log(bad / good) : Math.log((1 - bad) / (1 - good));
+        answers += 1;
+        const outcome = drawOutcome(bad, random);
+        logRatio += Math.log(bad[outcome] / good[outcome]);
+    }
+    return answers;
+}
+
+function drawOutcome(chances: readonly number[], random: RandomSource): number {
+    let point = random.next();
+    for (const [outcome, chance] of chances.entries()) {
+        point -= chance;
+        if (point < 0) {
+            return outcome;
+        }
     }
-    return samples;
+    return chances.length - 1;
 }
--- a/src/measure/main.ts
+++ b/src/measure/main.ts
@@ -11,12 +11,13 @@
 import { formatLimits, measureLimits } from "./limits.js";
 import { firstReportingSeed, formatCosts, formatLoad, measureCosts, measureLoad } from "./load.js";
 import type { Finding, Measurement, MeasurementRequest, SeededRequest } from "./measurement.js";
+import { measureOrders } from "./orders.js";
 import { formatReport, type Report } from "./report.js";
 import { measureSite } from "./site/measureSite.js";
 
 /** Measurements by name; add a line here for each new one. */
 const measurements: Readonly<Record<string, Measurement>> = {
-    capacity: ({ log }) => toFinding(measureCapacity(log)),
+    capacity: async ({ log }) => toFinding(await measureCapacity(log)),
     control: async ({ log }) => toFinding(await measureControl(log)),
     cost: async request => toFinding(await measureCost(withSeed(request))),
     entry: async ({ log }) => toFinding(await measureEntry(log)),
@@ -35,6 +36,7 @@
         const results = measureLimits(seed);
         return { results, text: formatLimits(results) };
     },
+    orders: request => toFinding(measureOrders(withSeed(request))),
     site: async request => toFinding(await measureSite(withSeed(request))),
 };
 
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -12,6 +12,9 @@
 /** A shorter secret could be guessed, and with it the version that a session is pinned to could be chosen by callers. */
 const signingKeyLength = 32;
 
+/** Within less time hardly a rating comes in, and a version would be compared with its own first bad answers. */
+const leastWindowSeconds = 10;
+
 function milliseconds(description: string, defaultMilliseconds: number, maximum = 10 * minute) {
     const defaultText = String(defaultMilliseconds);
     return integer({ description, defaultText, example: defaultText, minimum: 1, maximum, unit: "milliseconds" });
@@ -50,7 +53,8 @@
     lease_term_ms: milliseconds("Term of a lease.", 10 * second),
     lease_drift_ms: milliseconds("Allowance for clocks that run at different rates.", second),
     vm_list_interval_ms: milliseconds("Pause between two reads of the VM list.", second),
-    load_interval_ms: milliseconds("Pause between two reads of an upstream's load.", 500),
+    load_interval_ms: milliseconds("Shortest pause between two reads of an upstream's load.", 500),
+    order_interval_ms: milliseconds("Pause between two looks at which versions engines have loaded.", 2 * second),
     log_timeout_ms: milliseconds("How long to wait for an answer of the log.", 5 * second),
     log_wait_ms: milliseconds("How long a long poll of the log waits.", 2 * second),
     upstream_connect_timeout_ms: milliseconds("How long to wait for a connection to an upstream.", second),
@@ -58,6 +62,16 @@
         "How long an upstream may send nothing before it counts as lost.",
         30 * second,
     ),
+    settled_window_s: integer({
+        description:
+            "How far back a change of a settled version to the worse is looked for. It is compared with what is "
+            + "older. Set it alike at all entries.",
+        defaultText: "600",
+        example: "600",
+        minimum: leastWindowSeconds,
+        maximum: 86_400,
+        unit: "seconds",
+    }),
     addresses_keep_ms: milliseconds("How long callers may keep the answer about addresses.", 10 * second),
     resume_grace_ms: milliseconds(
         "How long an answer goes on whose caller vanished, so that it can be resumed.",
@@ -87,18 +101,33 @@
         maximum: 100,
         unit: "percent",
     }),
+    load_polls: count("Upstreams that the process asks for their load in a second; longest unheard first.", 16),
     subset: count("Upstreams of a pool that the process probes for load.", 32),
 }, false);
 
-const tlsSection = defineSection("tls", "Certificates between entries; without the section peers talk in the clear.", {
+const certificateKeys = {
     certificate: optional(text({ description: "PEM file of the certificate.", example: "/etc/rattanlock/entry.pem" })),
     key: optional(text({ description: "PEM file of its key.", example: "/etc/rattanlock/entry.key" })),
     authority: optional(text({ description: "PEM file of the authority.", example: "/etc/rattanlock/authority.pem" })),
     server_name: optional(text({
-        description: "Name in the entries' certificates, when they name the site and not each VM's IP number.",
-        example: "entries.catania.example",
+        description: "Name in the other side's certificates, when they name the site and not each VM's IP number.",
+        example: "site.catania.example",
     })),
-}, false);
+};
+
+const tlsSection = defineSection(
+    "tls",
+    "Certificates between entries; without the section peers talk in the clear.",
+    certificateKeys,
+    false,
+);
+
+const upstreamTlsSection = defineSection(
+    "upstream_tls",
+    "Certificates towards upstreams; without the section they are called in the clear.",
+    certificateKeys,
+    false,
+);
 
 const sessionSection = defineSection("session", "Session tokens.", {
     signing_key: secret({
@@ -124,6 +153,7 @@
         timingSection,
         limitsSection,
         tlsSection,
+        upstreamTlsSection,
         sessionSection,
     ],
 };
@@ -148,6 +178,9 @@
     sections: [processSection, ledgerPlatformSection, ledgerSection],
 };
 
+/** A section that names certificate files. */
+export type TlsSettings = SettingValues<typeof certificateKeys>;
+
 /** The checked settings of an entry. `drain_timeout_ms` of the file is `drainTimeoutMilliseconds` here. */
 export interface EntrySettings {
     readonly process: SettingValues<typeof processSection.keys>;
@@ -155,7 +188,8 @@
     readonly platform: SettingValues<typeof platformSection.keys>;
     readonly timing: SettingValues<typeof timingSection.keys>;
     readonly limits: SettingValues<typeof limitsSection.keys>;
-    readonly tls: SettingValues<typeof tlsSection.keys>;
+    readonly tls: TlsSettings;
+    readonly upstreamTls: TlsSettings;
     readonly session: SettingValues<typeof sessionSection.keys>;
 }
 
@@ -173,7 +207,7 @@
  */
 export function parseEntrySettings(content: string, file: string): Result<EntrySettings, readonly Mistake[]> {
     return checkSettings(content, file, entrySchema).andThen(document => {
-        const mistakes = checkCertificates(document);
+        const mistakes = [tlsSection, upstreamTlsSection].flatMap(({ title }) => checkCertificates(document, title));
         return mistakes.length === 0 ? ok(readEntry(document)) : err(mistakes);
     });
 }
@@ -191,12 +225,12 @@
     }));
 }
 
-/** Keys that the [tls] section needs together; the server name is not always one. */
+/** Keys that a section of certificates needs together; the server name is not always one. */
 const neededTlsKeys = ["certificate", "key", "authority"];
 
-/** Checks that the [tls] section is whole: with a part of it missing, peers would talk in the clear or not at all. */
-function checkCertificates(document: SettingDocument): readonly Mistake[] {
-    const section = document.sections.get(tlsSection.title);
+/** Checks that a section is whole: with a part of it missing, the talk would be in the clear or not at all. */
+function checkCertificates(document: SettingDocument, title: string): readonly Mistake[] {
+    const section = document.sections.get(title);
     if (section === undefined) {
         return [];
     }
@@ -219,6 +253,7 @@
         timing: getValues(document, "timing", timingSection),
         limits: getValues(document, "limits", limitsSection),
         tls: getValues(document, "tls", tlsSection),
+        upstreamTls: getValues(document, "upstream_tls", upstreamTlsSection),
         session: getValues(document, "session", sessionSection),
     };
 }
