--- a/src/entry/planRunner.ts
+++ b/src/entry/planRunner.ts
@@ -2,14 +2,15 @@
  * Runs a plan: one version, or a cascade in which each cheaper answer is rated before it is accepted.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { Bill, BillLine, BillWriter } from "../bills/index.js";
+import type { BillLine, BillWriter } from "../bills/index.js";
 import { type Clock, type Failure, type Outcome } from "../common/index.js";
 import type { AnswerTimes, Evidence, Plan, PlanStep } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { EngineEvent, RatingClient, TokenUsage } from "../upstream/index.js";
-import { getPrice, type ModelVersion } from "../world/index.js";
+import type { ModelVersion } from "../world/index.js";
 import { AnswerText } from "./answerText.js";
 import { type Attempt, type AttemptRunner, getWorse } from "./attemptRunner.js";
+import { createBill, createLine } from "./callBill.js";
 import { type ChatCall, getTimeLeft } from "./chatCall.js";
 import type { ServedWork } from "./chatPipeline.js";
 import type { Explanations } from "./explanations.js";
@@ -308,41 +309,6 @@
     }
 }
 
-/** Creates the bill of an answered call. */
-export function createBill(
-    call: Pick<ChatCall, "requestId" | "workspace" | "application" | "requestClass" | "session">,
-    lines: readonly BillLine[],
-    entry: string,
-    answeredAt: number,
-): Bill {
-    let total = 0;
-    for (const line of lines) {
-        total += line.cost;
-    }
-    return {
-        requestId: call.requestId,
-        workspace: call.workspace,
-        application: call.application,
-        requestClass: call.requestClass,
-        session: call.session,
-        lines,
-        total,
-        answeredAt,
-        entry,
-    };
-}
-
-/** Creates the line of one model's answer. */
-export function createLine(version: ModelVersion, usage: TokenUsage): BillLine {
-    return {
-        version: version.id,
-        inputTokens: usage.inputTokens,
-        cachedTokens: usage.cachedTokens,
-        outputTokens: usage.outputTokens,
-        cost: getPrice(version, usage.inputTokens, usage.outputTokens),
-    };
-}
-
 function toServedWork(attempt: { readonly firstTokenMilliseconds: number; readonly usage: TokenUsage; }): ServedWork {
     return {
         outcome: "ok",
--- a/src/entry/resumePipeline.ts
+++ b/src/entry/resumePipeline.ts
@@ -10,8 +10,8 @@
 import type { Vm } from "../world/index.js";
 import { relayAnswer } from "./answerRelay.js";
 import type { AnswerSink } from "./answerSink.js";
+import { createBill, createLine } from "./callBill.js";
 import type { CallerIdentity } from "./callerIdentity.js";
-import { createBill, createLine } from "./planRunner.js";
 import type { Refusal } from "./problem.js";
 import { readResumeToken, type ResumePoint } from "./resumeToken.js";
 
--- a/src/measure/site/measureSite.ts
+++ b/src/measure/site/measureSite.ts
@@ -2,7 +2,7 @@
  * Measures a whole site from outside: real entries before stand-ins, judged by the callers' own records alone.
  */
 import { availableParallelism, loadavg } from "node:os";
-import { type LoadResult, type LoadRunOptions, runClosedLoop, runLoad } from "../../load/index.js";
+import { type LoadResult, type LoadRunOptions, runLoad } from "../../load/index.js";
 import { metroManila, ProcessGroup, Site } from "../../testbench/index.js";
 import type { SeededRequest } from "../measurement.js";
 import type { Report, ReportRow } from "../report.js";
@@ -11,12 +11,10 @@
 const prefix = "127.64.200";
 /** Runners slow enough that they, and not this machine's processors, bound what the site can carry. */
 const runnerSettings = { stepMilliseconds: 30, maximumRunning: 8, maximumWaiting: 32 } as const;
-/** A third more callers than the runners' batches hold. */
-const capacityCallers = 64;
-/** More requests than the site answers, so that the closed loop never runs out of them. */
-const capacityRequestsPerSecond = 500;
+/** About three times what the runners can answer. */
+const capacityRequestsPerSecond = 150;
 const runSeconds = 8;
-/** Seconds at the start of the closed loop that are left out, while connections open and estimates form. */
+/** Seconds at the start that are left out, while connections open and estimates form. */
 const warmupSeconds = 2;
 /**
  * Multiples of the capacity. Callers that come back after a refusal have waited longer than the target by then; the run
@@ -82,14 +80,20 @@
     }
 }
 
-/** Returns the whole answers a second that a closed loop gets, whenever they come. */
+/**
+ * Returns the whole answers a second that callers get, whenever they come, from a site that has more to do than it can.
+ * Callers that send their next request when the last one is done would measure their own patience: each refusal keeps
+ * one of them away for a second and more, while a place is free.
+ */
 async function findCapacity(options: Omit<LoadRunOptions, "ratePerSecond">): Promise<number> {
     const { profile } = options;
-    const result = await runClosedLoop({
+    const result = await runLoad({
         ...options,
-        profile: { ...profile, load: { ...profile.load, firstTokenMilliseconds: unlimitedFirstTokenMilliseconds } },
+        profile: {
+            ...profile,
+            load: { ...profile.load, tries: 1, firstTokenMilliseconds: unlimitedFirstTokenMilliseconds },
+        },
         ratePerSecond: capacityRequestsPerSecond,
-        callers: capacityCallers,
     });
     let answers = 0;
     for (const { good } of result.timeLine.slice(warmupSeconds, runSeconds)) {
