--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -11,6 +11,7 @@
 import {
     getCheapest,
     getExpectation,
+    getInTime,
     getLikelyQuality,
     getLowerBound,
     getNoLessSure,
@@ -19,6 +20,7 @@
     getTryWeight,
     isCheaper,
     isCheaperPlan,
+    isInTime,
     type Try,
 } from "./planChoice.js";
 import { getCascadeOptions, getSingleOption, type PlanSettings } from "./planOptions.js";
@@ -104,8 +106,7 @@
         }
         const ratings = request.ratingsAvailable ?? true;
         const state = this.#getState(request);
-        const best = getCheapest(ratings ? state.all : state.singles, request)
-            ?? (ratings ? getCheapest(state.fallbacks, request) : undefined) ?? state.surest;
+        const best = this.#chooseSure(state, request, ratings);
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
         const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
@@ -114,7 +115,8 @@
                 return createPlan(tried, request, true, "explores with saved surplus quality");
             }
         }
-        const probable = this.#chooseProbable(ratings ? state.probable : state.probableSingles, best, state, request);
+        const doubtful = ratings ? getInTime(state.probable, state.probableSingles, request) : state.probableSingles;
+        const probable = this.#chooseProbable(doubtful, best, state, request);
         if (probable !== undefined) {
             return createPlan(probable, request, false, "cheaper plan, its doubt covered by saved surplus quality");
         }
@@ -122,6 +124,16 @@
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
+    /** Chooses the cheapest plan that surely meets the target; where none does, the cheapest that is as sure as any. */
+    #chooseSure(state: ClassState, request: ModelRequest, ratings: boolean): PlanOption {
+        if (!ratings) {
+            return getCheapest(state.singles, request) ?? state.surest;
+        }
+        return getCheapest(getInTime(state.all, state.singles, request), request)
+            ?? getCheapest(getInTime(state.fallbacks, [state.surest], request), request)
+            ?? state.surest;
+    }
+
     /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
     #chooseProbable(
         options: readonly PlanOption[],
@@ -154,7 +166,8 @@
         let total = 0;
         for (const candidate of state.tries) {
             const affordable = needy || candidate.debit <= state.credit;
-            const weight = affordable ? getTryWeight(candidate, best, request) : 0;
+            const isEligible = affordable && isInTime(candidate.option, request);
+            const weight = isEligible ? getTryWeight(candidate, best, request) : 0;
             weights.push(weight);
             total += weight;
         }
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -4,6 +4,7 @@
 import { OrderChannel } from "../../control/index.js";
 import {
     AdmissionController,
+    AnswerTimes,
     createRolloutPolicy,
     Evidence,
     Exposures,
@@ -28,6 +29,7 @@
 /** Makes the parts that decide. */
 export const decisionParts: Parts = {
     evidence: ({ clock }) => new Evidence({ clock }),
+    answerTimes: ({ clock }) => new AnswerTimes(clock),
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
     judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
