Split links and VM lists out of the test site

Cause: site.ts had grown to 439 lines and did four jobs: processes, links through the proxy, VM lists, and access to the log. Change: SiteLinks opens routes and switches their faults, VmLists keeps the VMs and shows them; the site navigates.

--- a/src/testbench/site/site.ts
+++ b/src/testbench/site/site.ts
@@ -13,18 +13,21 @@
 import type { Vm } from "../../world/index.js";
 import type { ProcessGroup } from "../processGroup.js";
 import type { RunningProcess } from "../runningProcess.js";
-import { setFaults } from "../standinControl.js";
 import { waitUntil } from "../waitUntil.js";
 import type { EntryStatus } from "./entryStatus.js";
 import type { SiteDescription } from "./siteDescription.js";
 import { createRunnerSettings, createTreeChanges, writeEntrySettings } from "./siteFiles.js";
+import { SiteLinks } from "./siteLinks.js";
 import { SiteLog } from "./siteLog.js";
+import { VmLists } from "./vmLists.js";
 
 const entryProgram = fileURLToPath(new URL("../../entry/main.js", import.meta.url));
 /** Last bytes of the addresses of each kind of process. */
 const lastBytes = { platform: 1, runners: 20, services: 80, entries: 100, links: 180 } as const;
 const peerPortOffset = 1;
 const operatorPortOffset = 2;
+const ownListPortOffset = 3;
+const linkPortOffset = 10;
 const firstPort = 10_000;
 const portCount = 20_000;
 
@@ -50,13 +53,18 @@
     readonly #platformProcesses = new Map<PlatformPart, RunningProcess>();
     readonly #upstreams = new Map<string, RunningProcess>();
     readonly #entries = new Map<string, SiteEntry>();
-    readonly #vms = new Map<string, Vm>();
-    readonly #ownLists = new Map<string, string>();
-    #linkCount = 0;
+    readonly #links: SiteLinks;
+    readonly #vmLists: VmLists;
 
     private constructor(group: ProcessGroup, description: SiteDescription) {
         this.#group = group;
         this.#description = description;
+        this.#links = new SiteLinks({
+            getProxy: () => this.getPlatform("proxy"),
+            host: `${description.prefix}.${lastBytes.links}`,
+            port: this.#port + linkPortOffset,
+        });
+        this.#vmLists = new VmLists({ getSiteList: () => this.getPlatform("vm-list"), links: this.#links });
     }
 
     /**
@@ -129,10 +137,7 @@
      * @param name - `entry-N`.
      */
     async startEntry(name: string): Promise<SiteEntry> {
-        const vm = this.#vms.get(name);
-        if (vm === undefined) {
-            throw new Error(`There is no VM ${name}.`);
-        }
+        const vm = this.#vmLists.getVmOrThrow(name);
         const settings = await this.#writeSettings(vm);
         const started = await this.#group.start({
             program: entryProgram,
@@ -156,15 +161,14 @@
      * @param id - The new VM's identifier.
      */
     async replaceEntry(name: string, id: string): Promise<SiteEntry> {
-        const vm = this.#vms.get(name);
-        if (vm === undefined || this.#description.hasLinks === true) {
-            throw new Error(`There is no VM ${name}, or the site has links.`);
+        if (this.#description.hasLinks === true) {
+            throw new Error("The site has links; replace entries on a site without them.");
         }
+        const vm = this.#vmLists.getVmOrThrow(name);
         await this.getEntryOrThrow(name).process.kill();
-        await this.setVmState(name, "gone");
-        this.#vms.delete(name);
+        await this.#vmLists.remove(name);
         this.#entries.delete(name);
-        await this.#listVm({ ...vm, id });
+        await this.#vmLists.add({ ...vm, id });
         return this.startEntry(id);
     }
 
@@ -242,7 +246,7 @@
      * @param faults - Faults as the proxy knows them.
      */
     async setLink(from: string, to: string, faults: object): Promise<void> {
-        await setFaults(this.getPlatform("proxy"), { route: `${from}>${to}`, ...faults });
+        await this.#links.setFaults(from, to, faults);
     }
 
     /**
@@ -251,21 +255,7 @@
      * @param state - `live`, `leaving`, or `gone` to take it off the lists.
      */
     async setVmState(id: string, state: "live" | "leaving" | "gone"): Promise<void> {
-        const lists = [this.getPlatform("vm-list"), ...this.#ownLists.values()];
-        for (const address of lists) {
-            if (state === "gone") {
-                await callJson({ address, path: `/vms/${id}`, method: "DELETE" });
-            }
-            else if (state === "leaving") {
-                await callJson({ address, path: `/vms/${id}/leaving`, method: "POST" });
-            }
-        }
-        if (state === "live") {
-            const vm = this.#vms.get(id);
-            if (vm !== undefined) {
-                await this.#listVm(vm);
-            }
-        }
+        await this.#vmLists.setState(id, state);
     }
 
     async #startPlatform(): Promise<void> {
@@ -327,7 +317,7 @@
             region: this.#description.name,
             state: "live",
         };
-        await this.#listVm(vm);
+        await this.#vmLists.add(vm);
     }
 
     async #addEntryVm(name: string, index: number): Promise<void> {
@@ -344,62 +334,16 @@
             peerPort: this.#port + peerPortOffset,
         };
         if (hasLinks === true) {
-            const list = await this.#group.startStandin("vm-list", `${vm.address}:${this.#port + 3}`);
-            this.#ownLists.set(name, list.getAddress());
-            for (const other of this.#vms.values()) {
-                await this.#listVmAt(name, list.getAddress(), other);
-            }
-        }
-        await this.#listVm(vm);
-    }
-
-    /** Shows a VM on the site's list, and on each entry's own list at the route that leads there. */
-    async #listVm(vm: Vm): Promise<void> {
-        this.#vms.set(vm.id, vm);
-        await putVm(this.getPlatform("vm-list"), vm);
-        for (const [entry, list] of this.#ownLists) {
-            await this.#listVmAt(entry, list, vm);
-        }
-    }
-
-    async #listVmAt(entry: string, list: string, vm: Vm): Promise<void> {
-        if (vm.id === entry) {
-            await putVm(list, vm);
-            return;
+            const list = await this.#group.startStandin("vm-list", `${vm.address}:${this.#port + ownListPortOffset}`);
+            await this.#vmLists.addOwnList(name, list.getAddress());
         }
-        const target = `${vm.address}:${vm.role === "entry" ? vm.peerPort : vm.port}`;
-        const route = splitAddress(await this.#addLink(entry, vm.id, target));
-        // An entry calls the others at their peer port only, so the port for callers stays as it is.
-        await putVm(
-            list,
-            vm.role === "entry"
-                ? { ...vm, address: route.host, peerPort: route.port }
-                : { ...vm, address: route.host, port: route.port },
-        );
-    }
-
-    async #addLink(from: string, to: string, target: string): Promise<string> {
-        const name = `${from}>${to}`;
-        const proxy = this.getPlatform("proxy");
-        const known = (await callJson<Record<string, string>>({ address: proxy, path: "/routes" }))[name];
-        if (known !== undefined) {
-            return known;
-        }
-        this.#linkCount += 1;
-        const listen = `${this.#description.prefix}.${lastBytes.links}:${this.#port + 10 + this.#linkCount}`;
-        const { listen: opened } = await callJson<{ listen: string; }>({
-            address: proxy,
-            path: `/routes/${encodeURIComponent(name)}`,
-            method: "PUT",
-            body: { listen, target },
-        });
-        return opened;
+        await this.#vmLists.add(vm);
     }
 
     async #writeSettings(vm: Vm): Promise<string> {
         const reach = async (part: "log" | "rating"): Promise<string> => {
             const target = this.getPlatform(part);
-            return this.#description.hasLinks === true ? this.#addLink(vm.id, part, target) : target;
+            return this.#description.hasLinks === true ? this.#links.add(vm.id, part, target) : target;
         };
         return writeEntrySettings({
             name: vm.id,
@@ -409,7 +353,7 @@
             peers: `${vm.address}:${vm.peerPort}`,
             operators: `${vm.address}:${vm.port + operatorPortOffset}`,
             log: await reach("log"),
-            vmList: this.#ownLists.get(vm.id) ?? this.getPlatform("vm-list"),
+            vmList: this.#vmLists.getListOf(vm.id),
             rating: await reach("rating"),
             weightStore: this.getPlatform("weight-store"),
         }, { ...this.#description.entrySettings, ...this.#description.singleEntrySettings?.[vm.id] });
@@ -428,12 +372,3 @@
     readonly failureDomain: string;
     readonly settings: Readonly<Record<string, string | number | boolean>>;
 }
-
-async function putVm(list: string, vm: Vm): Promise<void> {
-    await callJson({ address: list, path: `/vms/${vm.id}`, method: "PUT", body: vm });
-}
-
-function splitAddress(address: string): { readonly host: string; readonly port: number; } {
-    const colon = address.lastIndexOf(":");
-    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
-}
--- /dev/null
+++ b/src/testbench/site/vmLists.ts
@@ -0,0 +1,108 @@
+/**
+ * The VM lists of a site: the platform's, and on a site with links one for each entry, which shows it the others at
+ * the links that lead to them.
+ */
+import { callJson } from "../../caller/index.js";
+import type { Vm } from "../../world/index.js";
+import type { SiteLinks } from "./siteLinks.js";
+
+/** What lists are made from. */
+export interface VmListsOptions {
+    /** Gets where the platform's list listens. */
+    readonly getSiteList: () => string;
+    readonly links: SiteLinks;
+}
+
+/** Keeps the VMs of a site and shows them on its lists. */
+export class VmLists {
+    readonly #options: VmListsOptions;
+    readonly #vms = new Map<string, Vm>();
+    readonly #ownLists = new Map<string, string>();
+
+    constructor(options: VmListsOptions) {
+        this.#options = options;
+    }
+
+    /** Returns a VM by its identifier. */
+    getVmOrThrow(id: string): Vm {
+        const vm = this.#vms.get(id);
+        if (vm === undefined) {
+            throw new Error(`There is no VM ${id}; there are ${[...this.#vms.keys()].join(", ")}.`);
+        }
+        return vm;
+    }
+
+    /** Returns the address of the list that an entry reads. */
+    getListOf(entry: string): string {
+        return this.#ownLists.get(entry) ?? this.#options.getSiteList();
+    }
+
+    /**
+     * Adds an entry's own list, with all VMs so far.
+     * @param entry - Identifier of the entry.
+     * @param address - Where the list listens.
+     */
+    async addOwnList(entry: string, address: string): Promise<void> {
+        this.#ownLists.set(entry, address);
+        for (const vm of this.#vms.values()) {
+            await this.#showAt(entry, address, vm);
+        }
+    }
+
+    /** Adds a VM to all lists. */
+    async add(vm: Vm): Promise<void> {
+        this.#vms.set(vm.id, vm);
+        await putVm(this.#options.getSiteList(), vm);
+        for (const [entry, list] of this.#ownLists) {
+            await this.#showAt(entry, list, vm);
+        }
+    }
+
+    /** Removes a VM for good. */
+    async remove(id: string): Promise<void> {
+        await this.setState(id, "gone");
+        this.#vms.delete(id);
+    }
+
+    /**
+     * Changes what the lists say of a VM.
+     * @param id - The VM.
+     * @param state - `live`, `leaving`, or `gone` to take it off the lists.
+     */
+    async setState(id: string, state: "live" | "leaving" | "gone"): Promise<void> {
+        if (state === "live") {
+            await this.add(this.getVmOrThrow(id));
+            return;
+        }
+        for (const address of [this.#options.getSiteList(), ...this.#ownLists.values()]) {
+            await (state === "gone"
+                ? callJson({ address, path: `/vms/${id}`, method: "DELETE" })
+                : callJson({ address, path: `/vms/${id}/leaving`, method: "POST" }));
+        }
+    }
+
+    async #showAt(entry: string, list: string, vm: Vm): Promise<void> {
+        if (vm.id === entry) {
+            await putVm(list, vm);
+            return;
+        }
+        const target = `${vm.address}:${vm.role === "entry" ? vm.peerPort : vm.port}`;
+        const link = splitAddress(await this.#options.links.add(entry, vm.id, target));
+        // An entry calls the others at their peer port only, so the port for callers stays as it is.
+        await putVm(
+            list,
+            vm.role === "entry"
+                ? { ...vm, address: link.host, peerPort: link.port }
+                : { ...vm, address: link.host, port: link.port },
+        );
+    }
+}
+
+async function putVm(list: string, vm: Vm): Promise<void> {
+    await callJson({ address: list, path: `/vms/${vm.id}`, method: "PUT", body: vm });
+}
+
+function splitAddress(address: string): { readonly host: string; readonly port: number; } {
+    const colon = address.lastIndexOf(":");
+    return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
