Measure exposure anew; hold back only where the version before can take the callers

Holding back asked only whether a single runner has the version before; a suspicion could then have sent most callers to that one runner.

Change: the version before needs half as many runners. The measurement has two more cases, past the hour after a roll-out.

--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -102,9 +102,9 @@
         return getCapacity(this.#runners.values()) / Math.max(1, entries);
     }
 
-    /** Tells whether any runner that takes work has a version loaded. */
-    hasVersion(version: string): boolean {
-        return this.#index.get(version, undefined).all.length > 0;
+    /** Counts the runners that take work and have a version loaded. */
+    countRunners(version: string): number {
+        return this.#index.get(version, undefined).all.length;
     }
 
     /**
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -23,6 +23,9 @@
 /** Requests that an entry may have at work beyond the upstreams' present capacity, so that a growing one is used. */
 const leastCapacity = 4;
 
+/** Runners that a version needs, as a part of its successor's, to take over most of the successor's callers. */
+const leastRunnerPart = 0.5;
+
 /** Makes the parts that decide. */
 export const decisionParts: Parts = {
     evidence: ({ clock }) => new Evidence({ clock }),
@@ -45,8 +48,11 @@
             fold: rollouts,
             exposures,
             hash: callerHash,
-            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
-            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+            // Where the version before it has been unloaded from most runners, holding back would overload the rest, and
+            // callers would be refused for a mere suspicion.
+            isHeld: ({ candidate, baseline }) =>
+                judge.isHeld(candidate)
+                && runners.countRunners(baseline) >= leastRunnerPart * runners.countRunners(candidate),
         }),
     driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
         new RolloutDriver({
--- a/src/measure/exposure/exposureCase.ts
+++ b/src/measure/exposure/exposureCase.ts
@@ -1,5 +1,7 @@
 /** The cases of the exposure measurement: how a version turns bad, and how ratings arrive. */
 
+import type { RolloutPolicy } from "../../decisions/exposure/index.js";
+
 /** Chances of an answer, by what it may suffer from. */
 export interface AnswerChances {
     readonly bad: number;
@@ -27,10 +29,15 @@
     /** Share of good and of bad answers that are rated. */
     readonly ratedShare: number;
     readonly ratedShareOfBad: number;
+    /** What differs from the default policy. */
+    readonly policy?: Partial<RolloutPolicy>;
 }
 
 const badRatings: AnswerChances = { ...goodChances, bad: 0.3 };
 
+/** As if the hour after the roll-out in which a version is watched more closely were over. */
+const unguarded: Partial<RolloutPolicy> = { guardMilliseconds: 0 };
+
 /** All cases with a bad candidate. */
 export const exposureCases: readonly ExposureCase[] = [
     createCase("first stage", { moment: "first stage" }),
@@ -49,6 +56,17 @@
         turnsBadAt: 30_000,
         meanRatingDelay: 60_000,
     }),
+    createCase("long after full roll-out", {
+        moment: "after full roll-out",
+        turnsBadAt: 30_000,
+        policy: unguarded,
+    }),
+    createCase("long after full roll-out, ratings a minute late", {
+        moment: "after full roll-out",
+        turnsBadAt: 30_000,
+        meanRatingDelay: 60_000,
+        policy: unguarded,
+    }),
 ];
 
 /** A candidate that is as good as the baseline. */
--- a/src/measure/exposure/exposureRun.ts
+++ b/src/measure/exposure/exposureRun.ts
@@ -72,9 +72,9 @@
 
     constructor(options: ExposureRunOptions) {
         this.#options = options;
-        const { seed, hash, policy } = options;
-        const sharing = options.way === "shared";
-        this.#site = new ExposureSite({ seed, hash, sharing, ...policy === undefined ? {} : { policy } });
+        const { seed, hash, exposureCase } = options;
+        const policy = { ...exposureCase.policy, ...options.policy };
+        this.#site = new ExposureSite({ seed, hash, sharing: options.way === "shared", policy });
     }
 
     /** Runs to the end. */
--- a/test/decisions/placement/runnerChooser.test.ts
+++ b/test/decisions/placement/runnerChooser.test.ts
@@ -28,6 +28,16 @@
             expect([...counts.keys()].sort()).toEqual(["runner-1", "runner-2", "runner-3"]);
         });
 
+        // Callers of a doubtful version are sent to the one before it only where enough runners have that one.
+        it("counts the runners that have a version and aren't leaving", () => {
+            const { chooser } = createChooser(createVms(4));
+            chooser.setVersions("runner-0", ["wear-small@1"]);
+            chooser.markLeaving("runner-1");
+            expect(chooser.countRunners("wear-small@1")).toEqual(1);
+            expect(chooser.countRunners(createRequest().version!)).toEqual(2);
+            expect(chooser.countRunners("wear-small@9")).toEqual(0);
+        });
+
         it("passes over runners that were tried", () => {
             const { chooser } = createChooser(createVms(3));
             const counts = countChoices(chooser, createRequest({ exclude: new Set(["runner-0", "runner-2"]) }));
