Read what a member publishes once; measure control in its steady part

Nothing in the measures showed it, since members were not among the subjects.

Ruled out: a longer life of the list (members that leave are to be seen).

Change: Membership keeps what it read of a record for as long as gossip holds the same one. Subjects of measure capacity: members kept, list of members formed. Control is now watched for 60 s from the 75th second on, the mean of all entries of a site; before, 8 s from the 3rd, while code was still being compiled.

--- a/src/measure/capacity/measureControl.ts
+++ b/src/measure/capacity/measureControl.ts
@@ -7,8 +7,15 @@
 import type { Report, ReportRow } from "../report.js";
 import { fitSlope, type Point, type Slope } from "./slope.js";
 
-const settleMilliseconds = 3000;
-const watchMilliseconds = 8000;
+/**
+ * By then the code is compiled, and an entry no longer collects for the partitions that it took on while it was alone.
+ */
+const settleMilliseconds = 75_000;
+const watchMilliseconds = 60_000;
+/** Sites that are watched at a time; more would take processor time from each other. */
+const sitesAtATime = 2;
+/** The period of gossip between 350 nodes. */
+const periodOfTarget = "2100";
 /** As the settings' defaults have it. */
 const timing = {
     gossip_interval_ms: "500",
@@ -20,6 +27,20 @@
     bill_flush_ms: "1000",
 };
 const permille = 1000;
+const bytesInMegabyte = 1e6;
+const firstBlock = 7;
+
+interface ControlCase {
+    readonly entries: number;
+    readonly runners: number;
+    readonly gossipInterval: string;
+}
+
+const usual: ControlCase = { entries: 3, runners: 2, gossipInterval: timing.gossip_interval_ms };
+const byRunners: readonly ControlCase[] = [2, 8, 20].map(runners => ({ ...usual, runners }));
+const byEntries: readonly ControlCase[] = [5, 8].map(entries => ({ ...usual, entries }));
+const atPeriodOfTarget: ControlCase = { ...usual, runners: 20, gossipInterval: periodOfTarget };
+const cases: readonly ControlCase[] = [...byRunners, ...byEntries, atPeriodOfTarget];
 
 interface ControlUsage {
     readonly processor: { readonly user: number; readonly system: number; };
@@ -27,7 +48,10 @@
 }
 
 interface ControlCost {
+    /** The mean of the site's entries, one of which holds the lease. */
     readonly processorPermille: number;
+    readonly leastPermille: number;
+    readonly greatestPermille: number;
     readonly heapMegabytes: number;
     readonly residentMegabytes: number;
 }
@@ -37,47 +61,56 @@
  * @param log - Writes progress.
  */
 export async function measureControl(log: (line: string) => void): Promise<Report> {
-    const rows: ReportRow[] = [];
-    const byUpstreams: Point[] = [];
-    for (const runners of [2, 8, 14, 20]) {
-        const cost = await watch(3, runners, log);
-        byUpstreams.push({ size: runners, value: cost.processorPermille });
-        rows.push(createRow(`3 entries, ${runners} runners`, cost));
-    }
-    const byEntries: Point[] = [];
-    for (const entries of [2, 5, 8, 11]) {
-        const cost = await watch(entries, 2, log);
-        byEntries.push({ size: entries, value: cost.processorPermille });
-        rows.push(createRow(`${entries} entries, 2 runners`, cost));
+    const costs = new Map<ControlCase, ControlCost>();
+    for (let start = 0; start < cases.length; start += sitesAtATime) {
+        await Promise.all(
+            cases.slice(start, start + sitesAtATime).map(async (controlCase, index) => {
+                log(`${describe(controlCase)} ...`);
+                costs.set(controlCase, await watch(controlCase, `127.100.${firstBlock + index}`));
+            }),
+        );
     }
-    rows.push(createSlopeRow("for each runner polled twice a second", fitSlope(byUpstreams)));
-    rows.push(createSlopeRow("for each entry more", fitSlope(byEntries)));
+    const rows = cases.map(controlCase => createRow(describe(controlCase), costs.get(controlCase)!));
+    const createPoint = (controlCase: ControlCase, size: number): Point => {
+        return { size, value: costs.get(controlCase)!.processorPermille };
+    };
+    const runnerPoints = byRunners.map(controlCase => createPoint(controlCase, controlCase.runners));
+    const entryPoints = [byRunners[0], ...byEntries].map(controlCase => createPoint(controlCase, controlCase.entries));
+    rows.push(createSlopeRow("for each runner", fitSlope(runnerPoints)));
+    rows.push(createSlopeRow("for each entry more", fitSlope(entryPoints)));
     return { measurement: "control", seeds: [], tables: [{ title: "Control at rest, one entry", rows }] };
 }
 
-async function watch(entryCount: number, runners: number, log: (line: string) => void): Promise<ControlCost> {
-    log(`${entryCount} entries, ${runners} runners ...`);
+function describe({ entries, runners, gossipInterval }: ControlCase): string {
+    const gossip = gossipInterval === usual.gossipInterval ? "" : `, gossip every ${gossipInterval} ms`;
+    return `${entries} entries, ${runners} runners${gossip}`;
+}
+
+async function watch({ entries, runners, gossipInterval }: ControlCase, prefix: string): Promise<ControlCost> {
     const group = new ProcessGroup();
     try {
         const site = await Site.start(group, {
             ...metroManila,
-            prefix: "127.100.7",
-            entryCount,
+            prefix,
+            entryCount: entries,
             entryEnvironment: { DEBUG: "" },
-            entrySettings: { timing },
+            entrySettings: { timing: { ...timing, gossip_interval_ms: gossipInterval } },
             runners: { name: "lm-pool", count: runners },
             services: { name: "label-app", count: 1 },
         });
         await sleep(settleMilliseconds);
-        const before = await readUsage(site);
+        const before = await readUsages(site);
         const startedAt = performance.now();
         await sleep(watchMilliseconds);
-        const after = await readUsage(site);
-        const microseconds = getProcessor(after) - getProcessor(before);
+        const after = await readUsages(site);
+        const elapsed = performance.now() - startedAt;
+        const permilles = after.map((usage, index) => (getProcessor(usage) - getProcessor(before[index])) / elapsed);
         return {
-            processorPermille: microseconds / (performance.now() - startedAt),
-            heapMegabytes: after.memory.heapUsed / 1e6,
-            residentMegabytes: after.memory.rss / 1e6,
+            processorPermille: permilles.reduce((sum, value) => sum + value, 0) / permilles.length,
+            leastPermille: Math.min(...permilles),
+            greatestPermille: Math.max(...permilles),
+            heapMegabytes: Math.max(...after.map(({ memory }) => memory.heapUsed)) / bytesInMegabyte,
+            residentMegabytes: Math.max(...after.map(({ memory }) => memory.rss)) / bytesInMegabyte,
         };
     }
     finally {
@@ -85,10 +118,10 @@
     }
 }
 
-/** The last entry: the first one holds the lease more often than not. */
-function readUsage(site: Site): Promise<ControlUsage> {
-    const entries = site.getEntries();
-    return callJson<ControlUsage>({ address: entries[entries.length - 1].operators, path: "/status" });
+function readUsages(site: Site): Promise<readonly ControlUsage[]> {
+    return Promise.all(
+        site.getEntries().map(entry => callJson<ControlUsage>({ address: entry.operators, path: "/status" })),
+    );
 }
 
 function getProcessor({ processor }: ControlUsage): number {
@@ -99,13 +132,18 @@
     return {
         name,
         figures: {
-            "processor, % of a core": (cost.processorPermille / permille * 100).toFixed(2),
+            "processor, % of a core": formatPercent(cost.processorPermille),
+            "least to greatest": `${formatPercent(cost.leastPermille)} to ${formatPercent(cost.greatestPermille)}`,
             "heap MB": cost.heapMegabytes.toFixed(0),
             "resident MB": cost.residentMegabytes.toFixed(0),
         },
     };
 }
 
+function formatPercent(value: number): string {
+    return (value / permille * 100).toFixed(2);
+}
+
 function createSlopeRow(name: string, { slope, standardError }: Slope): ReportRow {
     return {
         name,
--- a/src/measure/capacity/subjects.ts
+++ b/src/measure/capacity/subjects.ts
@@ -10,6 +10,7 @@
 import type { LoadReport, Vm } from "../../world/index.js";
 import { buildKeptBills, buildWaitingBills } from "./billSubjects.js";
 import { measureHeap, measureTime } from "./heap.js";
+import { buildNode, prepareMembers } from "./memberSubjects.js";
 import type { Point } from "./slope.js";
 
 const classCount = 8;
@@ -59,6 +60,18 @@
                 return () => chooser.setUpstreams(vms);
             }, 20),
     },
+    {
+        name: "members kept",
+        per: "entry",
+        unit: "bytes",
+        measure: () => measureHeap([50, 100, 200, 350], buildNode),
+    },
+    {
+        name: "list of members formed",
+        per: "entry",
+        unit: "milliseconds",
+        measure: () => measureTime([50, 100, 200, 350], prepareMembers, 40),
+    },
     {
         name: "load report taken in",
         per: "runner",
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -31,6 +31,13 @@
     newest: z.number(),
 });
 
+type PublishedNode = z.infer<typeof nodeSchema>;
+
+interface ReadNode {
+    readonly value: Buffer | undefined;
+    readonly node: PublishedNode | undefined;
+}
+
 /** What is known of whether a member answers. */
 export type MemberState = "alive" | "suspect" | "leaving" | "dead";
 
@@ -63,6 +70,8 @@
     /** By identifier: when each VM was first listed here. */
     readonly #listedAt = new Map<string, number>();
     readonly #states = new Map<string, MemberState>();
+    /** What members published of themselves, read once: with hundreds of them, reading it at each look took most of it. */
+    readonly #nodes = new Map<string, ReadNode>();
     #vms: readonly Vm[] = [];
     #isLeaving = false;
     #configurationOffset = -1;
@@ -93,6 +102,7 @@
             if (!listed.has(id)) {
                 this.#listedAt.delete(id);
                 this.#states.delete(id);
+                this.#nodes.delete(id);
             }
         }
         this.#cache = undefined;
@@ -223,7 +233,7 @@
 
     #createMember(vm: Vm): Member {
         const { gossip } = this.#options;
-        const node = parseNode(gossip.get(vm.id, nodeKey));
+        const node = this.#readNode(vm.id);
         const listedAge = this.#options.clock.monotonic() - (this.#listedAt.get(vm.id) ?? 0);
         const offset = gossip.get(vm.id, offsetKey);
         const age = gossip.getHeartbeatAge(vm.id);
@@ -245,6 +255,17 @@
         };
     }
 
+    #readNode(id: string): PublishedNode | undefined {
+        const value = this.#options.gossip.get(id, nodeKey);
+        const known = this.#nodes.get(id);
+        if (known !== undefined && known.value === value) {
+            return known.node;
+        }
+        const node = parseNode(value);
+        this.#nodes.set(id, { value, node });
+        return node;
+    }
+
     #judge(age: number | undefined, isLeaving: boolean): MemberState {
         const suspect = this.#options.gossip.getSuspectMilliseconds();
         if (age === undefined || age > suspect * deadFactor) {
@@ -265,7 +286,7 @@
     }
 }
 
-function parseNode(value: Buffer | undefined): z.infer<typeof nodeSchema> | undefined {
+function parseNode(value: Buffer | undefined): PublishedNode | undefined {
     if (value === undefined) {
         return undefined;
     }
