Keep all keepers of a bill when copies cross

Cause: with the shared list of keepers, a copy that returns while a shutdown makes the second one replaced the other keeper. Seen by reading, not by a run. That keeper would not be told of the append and would append once more, which the ledger removes.

Change: a list that has a keeper already is extended. Bills' tests pass.

--- a/src/bills/billWriter.ts
+++ b/src/bills/billWriter.ts
@@ -211,7 +211,7 @@
     }
 
     async #handleCopied(waiting: WaitingBill, keepers: readonly BillCopyTarget[]): Promise<void> {
-        waiting.keepers = keepers;
+        waiting.keepers = waiting.keepers.length === 0 ? keepers : [...waiting.keepers, ...keepers];
         settleAll(waiting);
         // The append may have overtaken the copy; its keeper would then never be told and append once more.
         if (this.#waiting.get(waiting.requestId) !== waiting) {
