--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -4,6 +4,7 @@
 import { OrderChannel } from "../../control/index.js";
 import {
     AdmissionController,
+    createRolloutPolicy,
     Evidence,
     Exposures,
     ModelChooser,
@@ -29,10 +30,26 @@
     evidence: ({ clock }) => new Evidence({ clock }),
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
-    judge: ({ rollouts, evidence, exposures, clock }) =>
-        new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
-    router: ({ self, rollouts, exposures, callerHash }) =>
-        new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
+    judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
+        new RolloutJudge({
+            fold: rollouts,
+            evidence,
+            exposures,
+            clock,
+            getPolicy: model =>
+                createRolloutPolicy(configuration.getConfiguration().getRollout(model), {
+                    changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
+                }),
+        }),
+    router: ({ self, rollouts, exposures, callerHash, judge, runners }) =>
+        new RolloutRouter({
+            entry: self.id,
+            fold: rollouts,
+            exposures,
+            hash: callerHash,
+            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
+            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+        }),
     engineOrders: ({ upstreamAgent }) => new EngineOrders(upstreamAgent),
     orderChannel: ({ lease, clock, journal }) => new OrderChannel({ getFence: () => lease.getFence(), clock, journal }),
     orders: cradle =>
@@ -92,9 +109,11 @@
         new ServiceClient({ dispatcher: upstreamAgent, maximumAnswerBytes: settings.limits.bodyBytes }),
     poller: cradle =>
         new LoadPoller({
+            clock: cradle.clock,
             engines: cradle.engines,
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
+            pollsPerSecond: cradle.settings.limits.loadPolls,
             onRound: () => {
                 const entries = Math.max(1, cradle.membership.getAlive().length);
                 cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
--- a/test/proofs/withdrawalAtDispatch.test.ts
+++ b/test/proofs/withdrawalAtDispatch.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { Change } from "../../src/configuration/index.js";
+import type { EventLine } from "../../src/events/index.js";
 import { callJson, type ChatRecord, getApiKey, readEngineRuns, waitUntil } from "../../src/testbench/index.js";
 import { type ProofSite, useProofSite } from "./fixtures.js";
 
@@ -18,16 +19,18 @@
     it("does not run on a version that was withdrawn meanwhile", async () => {
         const proof = getProof();
         const round = await waitUntil(() => withdrawWhileWaiting(proof), { what: "a request held back until then" });
-        const runs = (await readEngineRuns(proof.site)).filter(run => run.ran === small);
-        expect(runs.filter(run => run.arrivedAt > round.inForceAt)).toEqual([]);
+        expect(await findLateDispatches(proof, round.offset)).toEqual([]);
+        const ran = new Set((await readEngineRuns(proof.site)).map(run => run.id.split(".")[0]));
         const refused = round.records.filter(record => record.status !== 200);
         expect(refused.length > 0).toEqual(true);
         expect(refused.filter(record => record.outcome !== "not-run" || record.text !== "")).toEqual([]);
+        expect(refused.filter(record => record.requestId !== undefined && ran.has(record.requestId))).toEqual([]);
     });
 });
 
 interface Round {
-    readonly inForceAt: number;
+    /** Where the withdrawal stands in the log. */
+    readonly offset: number;
     readonly records: readonly ChatRecord[];
 }
 
@@ -47,14 +50,28 @@
     await waitUntil(async () => (await countRunning(proof)) >= held.size, { what: "all requests to be let in" });
     const offset = await site.publish(createStatus("withdrawn"));
     await site.waitInForce(offset, [entry]);
-    const inForceAt = Date.now();
     const heldCount = held.size;
     for (const collector of collectors) {
         await site.setLink(collector, "log", { freeze: false });
     }
     const records = await Promise.all(asks);
     await site.waitInForce(offset);
-    return heldCount > 0 ? { inForceAt, records } : undefined;
+    return heldCount > 0 ? { offset, records } : undefined;
+}
+
+/**
+ * Finds what the entry dispatched to the version after the withdrawal came into force there. The order of the entry's
+ * own events tells; by the engines' clocks a request that was on its way at that moment would look late.
+ */
+async function findLateDispatches(proof: ProofSite, offset: number): Promise<readonly EventLine[]> {
+    const address = proof.site.getEntryOrThrow(entry).operators;
+    const lines = await callJson<readonly EventLine[]>({ address, path: "/events" });
+    const inForce = lines.findIndex(line =>
+        line.name === "configuration-accepted" && line.offset === offset
+        || line.name === "configuration-offered" && Number(line.offset) > offset
+    );
+    expect(inForce >= 0).toEqual(true);
+    return lines.slice(inForce).filter(line => line.name === "request-dispatched" && line.version === small);
 }
 
 function createStatus(value: string): readonly Change[] {
