--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -106,9 +106,7 @@
         }
         const ratings = request.ratingsAvailable ?? true;
         const state = this.#getState(request);
-        const sure = ratings ? getInTime(state.all, state.singles, request) : state.singles;
-        const fallbacks = ratings ? getInTime(state.fallbacks, [], request) : [];
-        const best = getCheapest(sure, request) ?? getCheapest(fallbacks, request) ?? state.surest;
+        const best = this.#chooseSure(state, request, ratings);
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
         const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
@@ -126,6 +124,16 @@
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
+    /** Chooses the cheapest plan that surely meets the target; where none does, the cheapest that is as sure as any. */
+    #chooseSure(state: ClassState, request: ModelRequest, ratings: boolean): PlanOption {
+        if (!ratings) {
+            return getCheapest(state.singles, request) ?? state.surest;
+        }
+        return getCheapest(getInTime(state.all, state.singles, request), request)
+            ?? getCheapest(getInTime(state.fallbacks, [state.surest], request), request)
+            ?? state.surest;
+    }
+
     /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
     #chooseProbable(
         options: readonly PlanOption[],
