--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -9,6 +9,7 @@
 import type { ControlReader, LeaseFold, LeaseHolder, OrderChannel, RolloutFold } from "../control/index.js";
 import type {
     AdmissionController,
+    AnswerTimes,
     CallerHash,
     Evidence,
     Exposures,
@@ -80,6 +81,7 @@
     readonly bills: BillWriter;
     readonly billKeeper: BillKeeper;
     readonly evidence: Evidence;
+    readonly answerTimes: AnswerTimes;
     readonly exposures: Exposures;
     readonly chooser: ModelChooser;
     readonly judge: RolloutJudge;
@@ -89,7 +91,10 @@
     readonly orderChannel: OrderChannel;
     readonly orders: OrderDriver;
     readonly runners: RunnerChooser;
+    /** Lets chats in, by the engines' capacity. */
     readonly admission: AdmissionController;
+    /** Lets calls to plain services in, by the services' capacity. */
+    readonly serviceAdmission: AdmissionController;
     readonly retries: RetryBudget;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
