--- a/src/entry/orders/orderDriver.ts
+++ b/src/entry/orders/orderDriver.ts
@@ -75,9 +75,7 @@
             }
             isOrdered ||= isReady === false;
         }
-        const { runners } = this.#options;
-        const isLoaded = (vm: Vm): boolean => runners.getReported(vm.id).versions?.includes(version) === true;
-        return !isOrdered && runners.getSubset().some(isLoaded);
+        return !isOrdered && this.#options.runners.countRunners(version) > 0;
     }
 
     /** Returns what the holder knows of the pools that it orders; nothing on another entry. */
