--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -91,7 +91,10 @@
     readonly orderChannel: OrderChannel;
     readonly orders: OrderDriver;
     readonly runners: RunnerChooser;
+    /** Lets chats in, by the engines' capacity. */
     readonly admission: AdmissionController;
+    /** Lets calls to plain services in, by the services' capacity. */
+    readonly serviceAdmission: AdmissionController;
     readonly retries: RetryBudget;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
