Prepare for ratings being away, try second versions, and form plans after the request

A decision that found its plans old formed them while it waited.

Change: tries replace either step of the plan in use; a version that may meet the target by itself is also worth a tenth of what it would save without ratings; without ratings, versions that may meet the target are paid from saved surplus, and the advance for tries with them; the fallback is the cheapest single version no less sure than the surest. Plans that are due are formed after the request in steps by setImmediate (one line in the entry's parts): one version's counts, then the effects, then the plans.

--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -10,44 +10,41 @@
 import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
 import {
     getCheapest,
-    getExpectation,
     getLikelyQuality,
     getLowerBound,
     getNoLessSure,
     getSignature,
     getSurest,
-    getTryWeight,
+    getThriftiest,
     isCheaper,
-    isCheaperPlan,
-    type Try,
 } from "./planChoice.js";
 import { getCascadeOptions, getSingleOption, type PlanSettings } from "./planOptions.js";
 import { QualityModel } from "./qualityModel.js";
+import { getCascadeTries, getSingleTries, getTryWeight, type Try } from "./tries.js";
 
 /** Evidence changes with every rating; plans needn't. */
 const refreshMilliseconds = 3000;
-/** Reading the counts of one version takes about a tenth of a millisecond. */
-const readsPerDecision = 3;
+/** Plans of this age are not used again: they may send a request to a version that has long turned bad. */
+const outdatedMilliseconds = 10 * refreshMilliseconds;
 /** At most this share of a class's requests explores. */
 const maximumExploringShare = 0.2;
 /** Surplus quality that can be saved up, so that a good day doesn't pay for a burst of bad answers. */
 const maximumCredit = 5;
 /** Surplus quality that is advanced to a class never seen before, to be earned back. */
 const startingCredit = 1;
-/** A version with fewer recent ratings is tried as the first step of a cascade. */
-const wellKnownRatings = 40;
-/** A version that meets the target with a lower probability isn't tried by itself. */
-const minimumTryProbability = 0.01;
-/** Probability that a little known version proves of use as the first step of a cascade. */
-const cascadeProbability = 0.3;
-/** Standard deviations by which a little known version is hoped to be better than expected. */
-const luckyDeviations = 1.3;
+/** Ratings in a class that make up for the operator's expectations. */
+const experiencedRatings = 100;
+
+/** Standard deviations by which a version may be expected to miss the target and still be used without ratings. */
+const possibleDeviations = 0.67;
 
 /** Options of `ModelChooser`. */
 export interface ModelChooserOptions extends Partial<PlanSettings> {
     readonly evidence: Evidence;
     readonly random: RandomSource;
     readonly clock: Clock;
+    /** Runs a step later, such as `setImmediate`; by default plans are formed while a request waits. */
+    readonly schedule?: (step: () => void) => void;
 }
 
 interface ClassState {
@@ -57,18 +54,22 @@
     targetQuality: number;
     confidence: number;
     formedAt: number;
-    /** Index of the candidate whose counts are read next. */
-    nextRead: number;
+    /** Whether new plans are under way. */
+    preparing: boolean;
     /** Plans that meet the target with confidence, dominated ones left out. */
     singles: readonly PlanOption[];
     all: readonly PlanOption[];
     /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
     probable: readonly PlanOption[];
-    probableSingles: readonly PlanOption[];
+    /** Single versions that may meet it, for when there are no ratings. */
+    possibleSingles: readonly PlanOption[];
     /** The surest version, for when nothing is known to meet the target. */
     surest: PlanOption;
     /** Plans that are no less sure than that version; a cascade that ends with it often is, for less. */
     fallbacks: readonly PlanOption[];
+    fallbackSingles: readonly PlanOption[];
+    /** Whether ratings and not the operator's expectations speak for the plans. */
+    isExperienced: boolean;
     /** Plans that may turn out to meet the target for less. */
     tries: readonly Try[];
     /** Surplus quality saved up in this class, in answers times quality. */
@@ -80,6 +81,7 @@
     readonly #qualities: QualityModel;
     readonly #random: RandomSource;
     readonly #clock: Clock;
+    readonly #schedule: ModelChooserOptions["schedule"];
     readonly #settings: PlanSettings;
     readonly #states = new Map<string, ClassState>();
 
@@ -87,6 +89,7 @@
         this.#qualities = new QualityModel(options.evidence, options.clock);
         this.#random = options.random;
         this.#clock = options.clock;
+        this.#schedule = options.schedule;
         this.#settings = {
             ratingReliability: options.ratingReliability ?? 0.85,
             ratedShare: options.ratedShare ?? 0.95,
@@ -105,7 +108,7 @@
         const ratings = request.ratingsAvailable ?? true;
         const state = this.#getState(request);
         const best = getCheapest(ratings ? state.all : state.singles, request)
-            ?? (ratings ? getCheapest(state.fallbacks, request) : undefined) ?? state.surest;
+            ?? getCheapest(ratings ? state.fallbacks : state.fallbackSingles, request) ?? state.surest;
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
         const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
@@ -114,7 +117,7 @@
                 return createPlan(tried, request, true, "explores with saved surplus quality");
             }
         }
-        const probable = this.#chooseProbable(ratings ? state.probable : state.probableSingles, best, state, request);
+        const probable = this.#chooseProbable(state, best, request);
         if (probable !== undefined) {
             return createPlan(probable, request, false, "cheaper plan, its doubt covered by saved surplus quality");
         }
@@ -122,27 +125,32 @@
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
-    /** Chooses a plan that probably meets the target, if surplus quality covers what it may fall short. */
-    #chooseProbable(
-        options: readonly PlanOption[],
-        best: PlanOption,
-        state: ClassState,
-        request: ModelRequest,
-    ): PlanOption | undefined {
-        const option = getCheapest(options, request);
-        if (option === undefined || option === best || !isCheaperPlan(option, best, request)) {
-            return undefined;
-        }
-        const debit = request.targetQuality - getLikelyQuality(option, request.confidence);
-        // The advance is for tries alone: spent here, it would give a class never seen before to a version that only
-        // the operator's expectation speaks for.
-        if (debit > state.credit - startingCredit) {
+    /** Chooses a plan that probably meets the target, if saved surplus quality covers what it may fall short. */
+    #chooseProbable(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
+        const option = request.ratingsAvailable ?? true
+            ? getCheapest([best, ...state.probable], request)!
+            : this.#choosePossibleSingle(state, best, request);
+        const debit = getDebit(option, request);
+        // The advance is for tries while there are any: spent here, it would give a class never seen before to a version
+        // that only the operator's expectation speaks for.
+        if (option === best || debit > state.credit - getReserve(state, request)) {
             return undefined;
         }
-        state.credit -= debit;
+        state.credit = Math.min(maximumCredit, state.credit - debit);
         return option;
     }
 
+    /**
+     * Chooses the cheapest version that likely meets the target, or one that may fall short of it if saved surplus covers
+     * that. Without cascades the next sure version often costs several times as much.
+     */
+    #choosePossibleSingle(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption {
+        const likely = state.possibleSingles.filter(option => getDebit(option, request) <= 0);
+        const usual = getCheapest([best, ...likely], request)!;
+        const credit = state.credit - getReserve(state, request);
+        return getThriftiest(state.possibleSingles, usual, request, credit) ?? usual;
+    }
+
     #chooseTry(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
         if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
             return undefined;
@@ -150,11 +158,12 @@
         // Nothing earns credit while no version meets the target. A version that had a few unlucky ratings would then
         // never be tried again, and the class would stay below its target for good.
         const needy = best.quality < request.targetQuality;
+        const fallback = getCheapest(state.singles, request) ?? state.surest;
         const weights: number[] = [];
         let total = 0;
         for (const candidate of state.tries) {
             const affordable = needy || candidate.debit <= state.credit;
-            const weight = affordable ? getTryWeight(candidate, best, request) : 0;
+            const weight = affordable ? getTryWeight(candidate, best, fallback, request) : 0;
             weights.push(weight);
             total += weight;
         }
@@ -170,8 +179,8 @@
     }
 
     /**
-     * Gets the plans of a class. Counts that changed are read a few versions at a time, so that no decision holds up the
-     * tokens that the same loop carries; the plans are formed anew once all were read.
+     * Gets the plans of a class. Plans that are due are formed anew after the request, in steps that let the tokens pass
+     * that the same loop carries; only plans that nobody asked for in a long time are formed at once.
      */
     #getState(request: ModelRequest): ClassState {
         const { requestClass, candidates } = request;
@@ -180,23 +189,45 @@
             for (const version of candidates) {
                 this.#qualities.ensure(version, requestClass);
             }
+            this.#qualities.fit(requestClass, candidates);
             return this.#formState(request, known?.credit ?? startingCredit);
         }
-        const isDue = this.#clock.monotonic() - known.formedAt >= refreshMilliseconds;
-        if (!isDue || !this.#readChanged(known, requestClass)) {
+        const age = this.#clock.monotonic() - known.formedAt;
+        if (age < refreshMilliseconds) {
             return known;
         }
-        return this.#formState(request, known.credit);
+        if (this.#schedule === undefined || age >= outdatedMilliseconds) {
+            for (const version of candidates) {
+                this.#qualities.refresh(version, requestClass);
+            }
+            this.#qualities.fit(requestClass, candidates);
+            return this.#formState(request, known.credit);
+        }
+        if (!known.preparing) {
+            known.preparing = true;
+            this.#schedule(() => this.#prepare(known, request, 0));
+        }
+        return known;
     }
 
-    /** @returns Whether the counts of all candidates were read since the plans were formed. */
-    #readChanged(state: ClassState, requestClass: string): boolean {
-        let reads = 0;
-        while (state.nextRead < state.candidates.length && reads < readsPerDecision) {
-            reads += this.#qualities.refresh(state.candidates[state.nextRead], requestClass) ? 1 : 0;
-            state.nextRead += 1;
+    /** Reads the counts of one version, or fits what they share and then forms the plans once all were read. */
+    #prepare(state: ClassState, request: ModelRequest, next: number): void {
+        const { requestClass, candidates } = request;
+        if (this.#states.get(requestClass) !== state) {
+            return;
         }
-        return state.nextRead >= state.candidates.length;
+        for (let index = next; index < candidates.length; index += 1) {
+            if (this.#qualities.refresh(candidates[index], requestClass)) {
+                this.#schedule?.(() => this.#prepare(state, request, index + 1));
+                return;
+            }
+        }
+        this.#qualities.fit(requestClass, candidates);
+        this.#schedule?.(() => {
+            if (this.#states.get(requestClass) === state) {
+                this.#formState(request, state.credit);
+            }
+        });
     }
 
     #formState(request: ModelRequest, credit: number): ClassState {
@@ -207,11 +238,12 @@
 
     #formPlans(request: ModelRequest, credit: number): ClassState {
         const { candidates, requestClass, targetQuality, confidence } = request;
-        this.#qualities.fit(requestClass, candidates);
         const estimates = candidates.map(version => this.#qualities.getEstimate(version, requestClass));
         const singles = estimates.map(getSingleOption);
         const meets = (option: PlanOption) => getLowerBound(option, confidence) >= targetQuality;
         const isProbable = (option: PlanOption) => option.quality >= targetQuality;
+        const isPossible = (option: PlanOption) =>
+            option.quality + possibleDeviations * option.deviation >= targetQuality;
         const sufficient = singles.filter(meets);
         const cascades: PlanOption[] = [];
         const hardness = this.#qualities.getHardness(requestClass);
@@ -237,14 +269,16 @@
             signature: getSignature(candidates),
             targetQuality,
             confidence,
-            nextRead: 0,
+            preparing: false,
             formedAt: this.#clock.monotonic(),
             singles: getUndominated(sufficient),
             all,
             probable: getUndominated([...singles, ...cascades].filter(isProbable)),
-            probableSingles: getUndominated(singles.filter(isProbable)),
+            possibleSingles: singles.filter(isPossible),
             surest,
             fallbacks,
+            fallbackSingles: getUndominated(getNoLessSure(singles, surest, request)),
+            isExperienced: getRatings(estimates) >= experiencedRatings,
             tries: this.#formTries(request, estimates, hardness, best),
             credit,
         };
@@ -256,46 +290,9 @@
         hardness: Hardness,
         best: PlanOption,
     ): readonly Try[] {
-        const tries: Try[] = [];
-        const last = best.steps[best.steps.length - 1].version;
-        const second = estimates.find(({ version }) => version === last)!;
-        for (const estimate of estimates) {
-            const single = getSingleOption(estimate);
-            const lower = getLowerBound(single, request.confidence);
-            const { probability, shortfall } = getExpectation(single, request.targetQuality);
-            if (probability >= minimumTryProbability && lower < request.targetQuality) {
-                tries.push({ option: single, hoped: single, probability, debit: shortfall });
-            }
-            if (estimate.scores.ratings < wellKnownRatings && isCheaper(estimate.version, last)) {
-                const cascade = this.#formCascadeTry(estimate, second, hardness, request, best);
-                if (cascade !== undefined) {
-                    tries.push(cascade);
-                }
-            }
-        }
-        return tries;
-    }
-
-    /** Forms a try of a little known version before the one that answers last now, if it may turn out to cost less. */
-    #formCascadeTry(
-        first: Estimate,
-        second: Estimate,
-        hardness: Hardness,
-        request: ModelRequest,
-        best: PlanOption,
-    ): Try | undefined {
-        const meets = ({ quality }: PlanOption) => quality >= request.targetQuality;
-        const luckyMean = Math.min(1, first.mean + luckyDeviations * first.deviation);
-        const lucky = { ...first, mean: luckyMean, deviation: first.deviation / 2 };
-        const luckyOptions = getCascadeOptions(lucky, second, hardness, this.#settings);
-        const hoped = getCheapest(luckyOptions.filter(meets), request);
-        if (hoped === undefined || !isCheaperPlan(hoped, best, request)) {
-            return undefined;
-        }
-        const options = getCascadeOptions(first, second, hardness, this.#settings);
-        const option = getCheapest(options.filter(meets), request) ?? getSurest(options);
-        const debit = Math.max(0, request.targetQuality - getLikelyQuality(option, request.confidence));
-        return { option, hoped, probability: cascadeProbability, debit };
+        const singles = getSingleTries(estimates, request);
+        const cascades = getCascadeTries({ estimates, hardness, request, best, settings: this.#settings });
+        return [...singles, ...cascades];
     }
 }
 
@@ -317,6 +314,23 @@
     };
 }
 
+function getDebit(option: PlanOption, { targetQuality, confidence }: ModelRequest): number {
+    return targetQuality - getLikelyQuality(option, confidence);
+}
+
+/** Gets the credit that is kept for tries. */
+function getReserve(state: ClassState, request: ModelRequest): number {
+    return (request.ratingsAvailable ?? true) || !state.isExperienced ? startingCredit : 0;
+}
+
+function getRatings(estimates: readonly Estimate[]): number {
+    let ratings = 0;
+    for (const { scores } of estimates) {
+        ratings += scores.ratings;
+    }
+    return ratings;
+}
+
 function getReason(option: PlanOption, margin: number, ratings: boolean): string {
     if (margin < 0) {
         return `surest ${option.steps.length > 1 ? "cascade" : "version"}, since nothing is known to meet the target`;
--- a/src/decisions/model/plan.ts
+++ b/src/decisions/model/plan.ts
@@ -48,7 +48,11 @@
     const sorted = [...options].sort((left, right) => left.inputPrice - right.inputPrice);
     const kept: PlanOption[] = [];
     for (const option of sorted) {
-        if (!kept.some(other => dominates(other, option))) {
+        // In this order the one kept last is the one that most often undercuts the next.
+        if (
+            kept.length === 0
+            || !dominates(kept[kept.length - 1], option) && !kept.some(other => dominates(other, option))
+        ) {
             kept.push(option);
         }
     }
--- a/src/decisions/model/planChoice.ts
+++ b/src/decisions/model/planChoice.ts
@@ -6,16 +6,8 @@
 import { getNormalProbability, getNormalQuantile } from "./normal.js";
 import { getPlanCost, type PlanOption } from "./plan.js";
 
-/** A plan that may turn out to meet the target for less. */
-export interface Try {
-    readonly option: PlanOption;
-    /** The plan that it may turn out to allow; its cost decides what may be saved. */
-    readonly hoped: PlanOption;
-    /** Probability that it turns out to be of use. */
-    readonly probability: number;
-    /** Quality that it is expected to cost. */
-    readonly debit: number;
-}
+/** Less quality given up is not told apart. */
+const leastLoss = 0.001;
 
 const quantiles = new Map<number, number>();
 
@@ -80,21 +72,36 @@
     return cheapest;
 }
 
-/** Checks whether one option costs less than another for a request. */
-export function isCheaperPlan(one: PlanOption, other: PlanOption, request: ModelRequest): boolean {
-    const { inputTokens, outputTokens } = request;
-    return getPlanCost(one, inputTokens, outputTokens) < getPlanCost(other, inputTokens, outputTokens);
+/**
+ * Gets the option that saves most for the quality that it gives up, among those that a credit covers.
+ * @param best - The plan that is used otherwise.
+ * @param credit - Saved surplus quality that may be spent.
+ */
+export function getThriftiest(
+    options: readonly PlanOption[],
+    best: PlanOption,
+    request: ModelRequest,
+    credit: number,
+): PlanOption | undefined {
+    let thriftiest: PlanOption | undefined;
+    let highest = 0;
+    for (const option of options) {
+        const thrift = getThrift(option, best, request);
+        const debit = request.targetQuality - getLikelyQuality(option, request.confidence);
+        if (thrift > highest && debit <= credit) {
+            thriftiest = option;
+            highest = thrift;
+        }
+    }
+    return thriftiest;
 }
 
-/** Gets what a try is worth: what it may save, by the probability that it turns out to be of use. */
-export function getTryWeight(candidate: Try, best: PlanOption, request: ModelRequest): number {
-    const { inputTokens, outputTokens, targetQuality } = request;
-    const cost = getPlanCost(candidate.hoped, inputTokens, outputTokens);
-    const bestCost = getPlanCost(best, inputTokens, outputTokens);
-    if (best.quality < targetQuality && candidate.option.steps.length === 1) {
-        return candidate.probability * Math.max(bestCost, cost);
-    }
-    return candidate.probability * Math.max(0, bestCost - cost);
+/** Gets the saved cost by the quality given up. */
+function getThrift(option: PlanOption, best: PlanOption, request: ModelRequest): number {
+    const { inputTokens, outputTokens, confidence } = request;
+    const saved = getPlanCost(best, inputTokens, outputTokens) - getPlanCost(option, inputTokens, outputTokens);
+    const lost = getLikelyQuality(best, confidence) - getLikelyQuality(option, confidence);
+    return saved / Math.max(leastLoss, lost);
 }
 
 /** Gets how likely an option meets the target, and how much it is expected to fall short of it. */
--- a/src/decisions/model/scoreShape.ts
+++ b/src/decisions/model/scoreShape.ts
@@ -15,8 +15,20 @@
     readonly mean: number;
 }
 
+/** A version stands in many cascades of the same forming of plans. */
+const shapes = new WeakMap<Estimate, ScoreShape>();
+
 /** Gets the shape of a version's scores in a class. */
-export function getScoreShape({ scores, mean, deviation, scoreVariance }: Estimate): ScoreShape {
+export function getScoreShape(estimate: Estimate): ScoreShape {
+    let shape = shapes.get(estimate);
+    if (shape === undefined) {
+        shape = formShape(estimate);
+        shapes.set(estimate, shape);
+    }
+    return shape;
+}
+
+function formShape({ scores, mean, deviation, scoreVariance }: Estimate): ScoreShape {
     const spread = Math.sqrt(scoreVariance + deviation ** 2);
     const total = scores.ratings + shapeWeight;
     const shares: number[] = [];
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -26,7 +26,8 @@
 export const decisionParts: Parts = {
     evidence: ({ clock }) => new Evidence({ clock }),
     exposures: () => new Exposures(),
-    chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
+    chooser: ({ evidence, random, clock }) =>
+        new ModelChooser({ evidence, random, clock, schedule: step => setImmediate(step) }),
     judge: ({ rollouts, evidence, exposures, clock }) =>
         new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
     router: ({ self, rollouts, exposures, callerHash }) =>
--- a/src/measure/cost/measureForming.ts
+++ b/src/measure/cost/measureForming.ts
@@ -1,4 +1,4 @@
-/** Measures how long one decision is held up while the plans of its class are formed anew. */
+/** Measures for how long the event loop is held up while the plans of a class are formed anew. */
 import { performance } from "node:perf_hooks";
 import { RandomSource, systemClock } from "../../common/index.js";
 import { Evidence, ModelChooser } from "../../decisions/model/index.js";
@@ -13,10 +13,8 @@
 const warmUpRounds = 5;
 /** Long enough for plans to be formed anew. */
 const roundMilliseconds = 10_000;
-/** More than the steps in which counts are read. */
-const decisionsOfRound = 12;
 
-/** Times the slowest decision of each class in rounds before which the counts of all versions and entries changed. */
+/** Times the slowest step of each class in rounds before which the counts of all versions and entries changed. */
 export function measureForming(seed: number): readonly ReportRow[] {
     const random = new RandomSource(seed);
     const versions = new CostWorld(seed).getVersions(0);
@@ -44,18 +42,12 @@
         }
     }
     share();
-    let chooser = new ModelChooser({ evidence, random, clock });
+    const steps: (() => void)[] = [];
+    const schedule = (step: () => void) => steps.push(step);
+    let chooser = new ModelChooser({ evidence, random, clock, schedule });
     const decide = (requestClass: string) => {
-        const begin = performance.now();
-        chooser.choose({
-            requestClass,
-            candidates: versions,
-            targetQuality: 0.8,
-            confidence: 0.95,
-            inputTokens: 1000,
-            outputTokens: 200,
-        });
-        return performance.now() - begin;
+        const request = { requestClass, candidates: versions, inputTokens: 1000, outputTokens: 200 };
+        return measure(() => chooser.choose({ ...request, targetQuality: 0.8, confidence: 0.95 }));
     };
     const again: number[] = [];
     const first: number[] = [];
@@ -66,17 +58,26 @@
         }
         share();
         for (const requestClass of classes) {
-            const slowest = Math.max(...Array.from({ length: decisionsOfRound }, () => decide(requestClass)));
+            let slowest = decide(requestClass);
+            for (let step = steps.shift(); step !== undefined; step = steps.shift()) {
+                slowest = Math.max(slowest, measure(step));
+            }
             if (round >= warmUpRounds) {
                 again.push(slowest);
             }
         }
     }
     for (let round = 0; round < roundCount; round += 1) {
-        chooser = new ModelChooser({ evidence, random, clock });
+        chooser = new ModelChooser({ evidence, random, clock, schedule });
         first.push(...classes.map(decide));
     }
-    return [describe("plans formed anew, slowest decision", again), describe("first plans of a class", first)];
+    return [describe("plans formed anew, slowest step", again), describe("first plans of a class", first)];
+}
+
+function measure(run: () => void): number {
+    const begin = performance.now();
+    run();
+    return performance.now() - begin;
 }
 
 function describe(name: string, milliseconds: readonly number[]): ReportRow {
--- a/test/decisions/model/modelChooser.test.ts
+++ b/test/decisions/model/modelChooser.test.ts
@@ -125,6 +125,41 @@
             expect(lateTries > 0).toEqual(true);
         });
 
+        // Forming plans takes longer than callers may wait for their next token. It runs in steps after the request, and
+        // until the last step the plans from before are used.
+        it("forms plans that are due after the request, in steps", () => {
+            const steps: (() => void)[] = [];
+            const { addRatings, choose, clock } = createFixture({ schedule: step => steps.push(step) });
+            const getVersion = () => choose({ ratingsAvailable: false }).steps[0].version.id;
+            addRatings(medium, 400, 0.88, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            expect(getVersion()).toEqual(medium.id);
+            addRatings(medium, 600, 0.6, 0.02);
+            addRatings(large, 10, 0.95, 0.02);
+            clock.advance(4000);
+            expect(getVersion()).toEqual(medium.id);
+            let count = 0;
+            for (let step = steps.shift(); step !== undefined; step = steps.shift()) {
+                expect(getVersion()).toEqual(medium.id);
+                step();
+                count += 1;
+            }
+            expect(count > 2).toEqual(true);
+            expect(getVersion()).toEqual(large.id);
+        });
+
+        // Nobody asked for this class in a while, and meanwhile a version turned bad. Plans from before would send the next
+        // callers to it.
+        it("forms outdated plans before it answers", () => {
+            const { addRatings, choose, clock } = createFixture({ schedule: () => {} });
+            addRatings(medium, 400, 0.88, 0.02);
+            addRatings(large, 400, 0.95, 0.02);
+            expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(medium.id);
+            addRatings(medium, 600, 0.6, 0.02);
+            clock.advance(60_000);
+            expect(choose({ ratingsAvailable: false }).steps[0].version.id).toEqual(large.id);
+        });
+
         it("says so if there is no candidate", () => {
             const { choose } = createFixture();
             expect(choose({ candidates: [] }).steps).toEqual([]);
@@ -155,11 +190,11 @@
     });
 });
 
-function createFixture() {
+function createFixture(options: { schedule?: (step: () => void) => void; } = {}) {
     const clock = new ManualClock(1_800_000_000_000);
     const random = new RandomSource(11);
     const evidence = new Evidence({ clock });
-    const chooser = new ModelChooser({ evidence, random, clock });
+    const chooser = new ModelChooser({ evidence, random, clock, ...options });
     const request = {
         requestClass,
         candidates,
