--- a/src/control/rolloutFold.ts
+++ b/src/control/rolloutFold.ts
@@ -10,9 +10,11 @@
     type Rollout,
     rolloutAbortBody,
     rolloutAdvanceBody,
+    type RolloutDecision,
     rolloutFinishBody,
     rolloutGrantBody,
     rolloutRecordKinds,
+    type RolloutSnapshot,
     rolloutStartBody,
 } from "./rollout.js";
 import { RolloutHalts } from "./rolloutHalts.js";
@@ -21,28 +23,12 @@
 /** Ended roll-outs that are remembered. */
 const rememberedRollouts = 64;
 
-/** What the fold has taken in, as a snapshot keeps it; plain JSON. */
-export interface RolloutSnapshot {
-    readonly offset: number;
-    readonly rollouts: readonly Rollout[];
-    readonly halts: readonly Halt[];
-    readonly lifted: readonly string[];
-    readonly liftedAt: Readonly<Record<string, number>>;
-    readonly settled: Readonly<Record<string, readonly string[]>>;
-}
-
 /** Options of `RolloutFold`. */
 export interface RolloutFoldOptions {
     /** Tells whether a fence is that of the lease in force at this point of the stream. */
     readonly isCurrentFence: (fence: number) => boolean;
 }
 
-/** Whether a record took effect, and if not, why. */
-export interface RolloutDecision {
-    readonly accepted: boolean;
-    readonly reason: string;
-}
-
 /** The state of all roll-outs and halts. */
 export class RolloutFold {
     readonly #isCurrentFence: (fence: number) => boolean;
@@ -139,6 +125,14 @@
         return rollout.state === "active" ? rollout.stages[rollout.stage] : 0;
     }
 
+    /** Gets when a version was last fully rolled out, in the log's wall-clock milliseconds, or `undefined`. */
+    getFinishedAt(version: string): number | undefined {
+        const finished = this.getRollouts().findLast(({ candidate, state }) =>
+            candidate === version && state === "finished"
+        );
+        return finished?.finishedAt;
+    }
+
     /** Gets the newest version of a model that was fully rolled out and isn't halted, or `undefined`. */
     getSettled(model: string): string | undefined {
         return this.#settled.get(model).findLast(version => !this.isHalted(version));
@@ -277,7 +271,7 @@
         if (rollout.stage !== rollout.stages.length - 1) {
             return reject("The roll-out isn't at its last stage.");
         }
-        this.#rollouts.set(rollout.id, { ...rollout, state: "finished" });
+        this.#rollouts.set(rollout.id, { ...rollout, state: "finished", finishedAt: entry.time });
         this.#settled.add(rollout.model, rollout.candidate);
         return accept();
     }
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -85,6 +85,14 @@
         return Array.from(this.#index.getSubset(), runner => runner.vm);
     }
 
+    /**
+     * Returns when an upstream's load last came with an answer, in monotonic milliseconds.
+     * @param id - Identifier of the upstream.
+     */
+    getAnsweredAt(id: string): number | undefined {
+        return this.#runners.get(id)?.load.getAnsweredAt();
+    }
+
     /**
      * Returns the part of the region's capacity that falls to this entry, in requests at a time. Upstreams outside the
      * subset are taken to be like those within: the subset alone, shared out among all entries, would be far too little.
@@ -94,6 +102,11 @@
         return getCapacity(this.#runners.values()) / Math.max(1, entries);
     }
 
+    /** Tells whether any runner that takes work has a version loaded. */
+    hasVersion(version: string): boolean {
+        return this.#index.get(version, undefined).all.length > 0;
+    }
+
     /**
      * Takes in which versions an upstream has loaded, where that is known without a load report.
      * @param upstream - Identifier of the upstream.
@@ -111,6 +124,15 @@
         }
     }
 
+    /**
+     * Returns what an upstream reports of its versions and of the orders that it takes.
+     * @param upstream - Identifier of the upstream.
+     */
+    getReported(upstream: string): { readonly versions?: readonly string[]; readonly checksFencing?: boolean; } {
+        const runner = this.#runners.get(upstream);
+        return { versions: runner?.versions, checksFencing: runner?.checksFencing };
+    }
+
     /** Takes in a load report, which may be late or out of order. */
     addLoadReport(report: LoadReport): void {
         const runner = this.#runners.get(report.upstream);
@@ -124,6 +146,7 @@
             return;
         }
         this.setVersions(report.upstream, report.versions);
+        runner.checksFencing = report.checksFencing;
         runner.pool.addOthers(runner.load.getOthersAtMeasurement(), runner.load.getCapacity());
     }
 
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -44,6 +44,7 @@
         // configuration it refuses, which callers can act upon; a connection that is refused tells them nothing.
         await parts.callerServer.listen(settings.listen.callers.port, settings.listen.callers.host);
         parts.credentialFiles.start();
+        parts.upstreamCredentialFiles.start();
         parts.shared.start();
         parts.gossip.start();
         parts.watcher.start();
@@ -57,6 +58,7 @@
         parts.controlSnapshots.start();
         parts.poller.start();
         parts.driver.start();
+        parts.orders.start();
         await parts.operatorServer.listen(settings.listen.operators.port, settings.listen.operators.host);
         parts.journal.write(events.processStarted, { address: settings.listen.callers.host });
     }
@@ -79,6 +81,7 @@
         parts.callerServer.announceLeaving();
         await parts.lease.stop();
         await parts.driver.stop();
+        await parts.orders.stop();
         // An entry that has not heard the news yet may still hand out this one's address, for callers to keep.
         await sleep(timing.addressesKeepMilliseconds + parts.gossip.getSuspectMilliseconds());
         await this.#drain();
@@ -108,6 +111,7 @@
         parts.claims.stop();
         await Promise.all([
             parts.credentialFiles.stop(),
+            parts.upstreamCredentialFiles.stop(),
             parts.shared.stop(),
             parts.poller.stop(),
             parts.watcher.stop(),
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -1,8 +1,10 @@
 /**
  * The parts that decide: models, versions, runners, limits.
  */
+import { OrderChannel } from "../../control/index.js";
 import {
     AdmissionController,
+    createRolloutPolicy,
     Evidence,
     Exposures,
     ModelChooser,
@@ -12,9 +14,10 @@
     RunnerChooser,
 } from "../../decisions/index.js";
 import { events } from "../../events/index.js";
-import { EngineClient, ServiceClient } from "../../upstream/index.js";
+import { EngineClient, EngineOrders, ServiceClient } from "../../upstream/index.js";
 import type { Parts } from "../container.js";
 import { LoadPoller } from "../loadPoller.js";
+import { OrderDriver } from "../orders/orderDriver.js";
 import { RolloutDriver } from "../rolloutDriver.js";
 import { VersionPolicy } from "../versionPolicy.js";
 
@@ -28,11 +31,44 @@
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) =>
         new ModelChooser({ evidence, random, clock, schedule: step => setImmediate(step) }),
-    judge: ({ rollouts, evidence, exposures, clock }) =>
-        new RolloutJudge({ fold: rollouts, evidence, exposures, clock }),
-    router: ({ self, rollouts, exposures, callerHash }) =>
-        new RolloutRouter({ entry: self.id, fold: rollouts, exposures, hash: callerHash }),
-    driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared }) =>
+    judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
+        new RolloutJudge({
+            fold: rollouts,
+            evidence,
+            exposures,
+            clock,
+            getPolicy: model =>
+                createRolloutPolicy(configuration.getConfiguration().getRollout(model), {
+                    changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
+                }),
+        }),
+    router: ({ self, rollouts, exposures, callerHash, judge, runners }) =>
+        new RolloutRouter({
+            entry: self.id,
+            fold: rollouts,
+            exposures,
+            hash: callerHash,
+            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
+            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+        }),
+    engineOrders: ({ upstreamAgent }) => new EngineOrders(upstreamAgent),
+    orderChannel: ({ lease, clock, journal }) => new OrderChannel({ getFence: () => lease.getFence(), clock, journal }),
+    orders: cradle =>
+        new OrderDriver({
+            clock: cradle.clock,
+            journal: cradle.journal,
+            configuration: cradle.configuration,
+            rollouts: cradle.rollouts,
+            evidence: cradle.evidence,
+            lease: cradle.lease,
+            runners: cradle.runners,
+            engines: cradle.engineOrders,
+            channel: cradle.orderChannel,
+            getVms: () => cradle.watcher.getVms(),
+            intervalMilliseconds: cradle.settings.timing.orderIntervalMilliseconds,
+            subsetSize: cradle.settings.limits.subset,
+        }),
+    driver: ({ self, clock, journal, rollouts, judge, lease, membership, configuration, log, shared, orders }) =>
         new RolloutDriver({
             entry: self.id,
             clock,
@@ -52,6 +88,7 @@
             },
             append: async record => (await log.append("control", record)).isOk(),
             spreadHalt: halt => shared.spreadHalt(halt),
+            isLoaded: version => orders.isReady(version),
         }),
     versions: ({ rollouts, router }) => new VersionPolicy({ rollouts, router }),
     runners: ({ self, clock, random, journal, settings }) =>
@@ -73,9 +110,11 @@
         new ServiceClient({ dispatcher: upstreamAgent, maximumAnswerBytes: settings.limits.bodyBytes }),
     poller: cradle =>
         new LoadPoller({
+            clock: cradle.clock,
             engines: cradle.engines,
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
+            pollsPerSecond: cradle.settings.limits.loadPolls,
             onRound: () => {
                 const entries = Math.max(1, cradle.membership.getAlive().length);
                 cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -30,18 +30,18 @@
 
 /** Makes the parts that face the other entries. */
 export const peerParts: Parts = {
-    peerClient: ({ settings }) => new PeerClient({ credentials: readCredentials(settings) }),
+    peerClient: ({ settings }) => new PeerClient({ credentials: readCredentials(settings.tls) }),
     peerServer: cradle =>
         new PeerServer({
             address: cradle.settings.listen.peers.host,
             port: cradle.settings.listen.peers.port,
             journal: cradle.journal,
-            credentials: readCredentials(cradle.settings),
+            credentials: readCredentials(cradle.settings.tls),
             handlers: createHandlers(cradle),
         }),
     credentialFiles: ({ settings, peerClient, peerServer, journal }) =>
         new CredentialFiles({
-            settings,
+            settings: settings.tls,
             journal,
             onChange: credentials => {
                 peerClient.setCredentials(credentials);
@@ -132,7 +132,7 @@
             getIncarnation: origin => membership.getIncarnation(origin),
             getConfigurationAge: () => configuration.getAge(),
         }),
-    fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random }) =>
+    fetcher: ({ clock, configuration, control, membership, peerClient, self, journal, random, settings }) =>
         new StateFetcher({
             clock,
             configuration,
@@ -142,6 +142,7 @@
             self: self.id,
             getCounter: () => journal.getCounter(),
             draw: bound => random.nextInteger(bound),
+            logWaitMilliseconds: settings.timing.logWaitMilliseconds,
         }),
     state: ({ configuration, membership, self, shared, poller }) =>
         new EntryState({
