Form tries only when a decision explores, and time what follows the forming of plans

Cause: of the slowest step (553 µs in the median) a third was the forming of tries, which nine in ten decisions don't use. Change: tries are formed at the first decision that explores; the measurement counts the 30 decisions after the plans were formed as well, so that nothing is hidden by moving work.

--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -71,7 +71,7 @@
     /** Whether ratings and not the operator's expectations speak for the plans. */
     isExperienced: boolean;
     /** Plans that may turn out to meet the target for less. */
-    tries: readonly Try[];
+    readonly getTries: () => readonly Try[];
     /** Surplus quality saved up in this class, in answers times quality. */
     credit: number;
 }
@@ -152,23 +152,24 @@
     }
 
     #chooseTry(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
-        if (state.tries.length === 0 || this.#random.next() >= maximumExploringShare) {
+        if (this.#random.next() >= maximumExploringShare) {
             return undefined;
         }
+        const tries = state.getTries();
         // Nothing earns credit while no version meets the target. A version that had a few unlucky ratings would then
         // never be tried again, and the class would stay below its target for good.
         const needy = best.quality < request.targetQuality;
         const fallback = getCheapest(state.singles, request) ?? state.surest;
         const weights: number[] = [];
         let total = 0;
-        for (const candidate of state.tries) {
+        for (const candidate of tries) {
             const affordable = needy || candidate.debit <= state.credit;
             const weight = affordable ? getTryWeight(candidate, best, fallback, request) : 0;
             weights.push(weight);
             total += weight;
         }
         let point = this.#random.next() * total;
-        for (const [index, { option, debit }] of state.tries.entries()) {
+        for (const [index, { option, debit }] of tries.entries()) {
             point -= weights[index];
             if (weights[index] > 0 && point < 0) {
                 state.credit = needy ? state.credit : state.credit - debit;
@@ -279,7 +280,7 @@
             fallbacks,
             fallbackSingles: getUndominated(getNoLessSure(singles, surest, request)),
             isExperienced: getRatings(estimates) >= experiencedRatings,
-            tries: this.#formTries(request, estimates, hardness, best),
+            getTries: runOnce(() => this.#formTries(request, estimates, hardness, best)),
             credit,
         };
     }
@@ -318,6 +319,12 @@
     return targetQuality - getLikelyQuality(option, confidence);
 }
 
+/** Few decisions need the tries, which take as long to form as the plans. */
+function runOnce<T>(form: () => T): () => T {
+    let formed: { readonly value: T; } | undefined;
+    return () => (formed ??= { value: form() }).value;
+}
+
 /** Gets the credit that is kept for tries. */
 function getReserve(state: ClassState, request: ModelRequest): number {
     return (request.ratingsAvailable ?? true) || !state.isExperienced ? startingCredit : 0;
--- a/src/measure/cost/measureForming.ts
+++ b/src/measure/cost/measureForming.ts
@@ -13,8 +13,10 @@
 const warmUpRounds = 5;
 /** Long enough for plans to be formed anew. */
 const roundMilliseconds = 10_000;
+/** Some of them form tries, too. */
+const decisionsOfRound = 30;
 
-/** Times the slowest step of each class in rounds before which the counts of all versions and entries changed. */
+/** Times the slowest step or decision of each class in rounds before which the counts of all versions and entries changed. */
 export function measureForming(seed: number): readonly ReportRow[] {
     const random = new RandomSource(seed);
     const versions = new CostWorld(seed).getVersions(0);
@@ -62,6 +64,9 @@
             for (let step = steps.shift(); step !== undefined; step = steps.shift()) {
                 slowest = Math.max(slowest, measure(step));
             }
+            for (let decision = 0; decision < decisionsOfRound; decision += 1) {
+                slowest = Math.max(slowest, decide(requestClass));
+            }
             if (round >= warmUpRounds) {
                 again.push(slowest);
             }
@@ -71,7 +76,7 @@
         chooser = new ModelChooser({ evidence, random, clock, schedule });
         first.push(...classes.map(decide));
     }
-    return [describe("plans formed anew, slowest step", again), describe("first plans of a class", first)];
+    return [describe("plans formed anew, slowest step or decision", again), describe("first plans of a class", first)];
 }
 
 function measure(run: () => void): number {
