Let the test of shared knowledge fail without either effect

Cause: with the operator's expectation close to the truth by accident, the test passed with both effects left out.

--- a/test/decisions/model/qualityModel.test.ts
+++ b/test/decisions/model/qualityModel.test.ts
@@ -19,7 +19,7 @@
         const { model, addRatings, read } = createFixture();
         for (const [index, ease] of [0, 0.05, -0.05, 0.02].entries()) {
             addRatings(small, `class-${index}`, 200, 0.55 + ease);
-            addRatings(medium, `class-${index}`, 200, 0.82 + ease);
+            addRatings(medium, `class-${index}`, 200, 0.65 + ease);
             addRatings(large, `class-${index}`, 200, 0.9 + ease);
             read(`class-${index}`);
         }
@@ -27,7 +27,7 @@
         read("new");
         const { mean, deviation, scores } = model.getEstimate(medium, "new");
         expect(scores.ratings).toEqual(0);
-        expect(Math.abs(mean - 0.72) < 0.04).toEqual(true);
+        expect(Math.abs(mean - 0.55) < 0.05).toEqual(true);
         expect(deviation < 0.1).toEqual(true);
     });
 
