--- a/src/decisions/model/modelChooser.ts
+++ b/src/decisions/model/modelChooser.ts
@@ -7,16 +7,21 @@
 import type { Evidence } from "./evidence.js";
 import type { Hardness } from "./hardness.js";
 import type { ModelRequest } from "./modelRequest.js";
-import { getPlanCost, getUndominated, type Plan, type PlanOption } from "./plan.js";
+import { getUndominated, type Plan, type PlanOption } from "./plan.js";
 import {
+    createPlan,
     getCheapest,
+    getDebit,
+    getInTime,
     getLikelyQuality,
     getLowerBound,
     getNoLessSure,
+    getReason,
     getSignature,
     getSurest,
     getThriftiest,
     isCheaper,
+    isInTime,
 } from "./planChoice.js";
 import { getCascadeOptions, getSingleOption, type PlanSettings } from "./planOptions.js";
 import { QualityModel } from "./qualityModel.js";
@@ -61,6 +66,7 @@
     all: readonly PlanOption[];
     /** Plans that meet it more likely than not; they are used as far as saved surplus quality covers the doubt. */
     probable: readonly PlanOption[];
+    probableSingles: readonly PlanOption[];
     /** Single versions that may meet it, for when there are no ratings. */
     possibleSingles: readonly PlanOption[];
     /** The surest version, for when nothing is known to meet the target. */
@@ -107,8 +113,7 @@
         }
         const ratings = request.ratingsAvailable ?? true;
         const state = this.#getState(request);
-        const best = getCheapest(ratings ? state.all : state.singles, request)
-            ?? getCheapest(ratings ? state.fallbacks : state.fallbackSingles, request) ?? state.surest;
+        const best = this.#chooseSure(state, request, ratings);
         const margin = getLowerBound(best, request.confidence) - request.targetQuality;
         const surplus = getLikelyQuality(best, request.confidence) - request.targetQuality;
         if (ratings) {
@@ -125,10 +130,17 @@
         return createPlan(best, request, false, getReason(best, margin, ratings));
     }
 
+    /** Chooses the cheapest plan that surely meets the target; where none does, the cheapest that is as sure as any. */
+    #chooseSure(state: ClassState, request: ModelRequest, ratings: boolean): PlanOption {
+        const sure = ratings ? getInTime(state.all, state.singles, request) : state.singles;
+        const fallbacks = ratings ? getInTime(state.fallbacks, state.fallbackSingles, request) : state.fallbackSingles;
+        return getCheapest(sure, request) ?? getCheapest(fallbacks, request) ?? state.surest;
+    }
+
     /** Chooses a plan that probably meets the target, if saved surplus quality covers what it may fall short. */
     #chooseProbable(state: ClassState, best: PlanOption, request: ModelRequest): PlanOption | undefined {
         const option = request.ratingsAvailable ?? true
-            ? getCheapest([best, ...state.probable], request)!
+            ? getCheapest([best, ...getInTime(state.probable, state.probableSingles, request)], request)!
             : this.#choosePossibleSingle(state, best, request);
         const debit = getDebit(option, request);
         // The advance is for tries while there are any: spent here, it would give a class never seen before to a version
@@ -164,7 +176,8 @@
         let total = 0;
         for (const candidate of tries) {
             const affordable = needy || candidate.debit <= state.credit;
-            const weight = affordable ? getTryWeight(candidate, best, fallback, request) : 0;
+            const isEligible = affordable && isInTime(candidate.option, request);
+            const weight = isEligible ? getTryWeight(candidate, best, fallback, request) : 0;
             weights.push(weight);
             total += weight;
         }
@@ -275,6 +288,7 @@
             singles: getUndominated(sufficient),
             all,
             probable: getUndominated([...singles, ...cascades].filter(isProbable)),
+            probableSingles: getUndominated(singles.filter(isProbable)),
             possibleSingles: singles.filter(isPossible),
             surest,
             fallbacks,
@@ -305,20 +319,6 @@
     return state.candidates === request.candidates || state.signature === getSignature(request.candidates);
 }
 
-function createPlan(option: PlanOption, request: ModelRequest, exploring: boolean, reason: string): Plan {
-    return {
-        steps: option.steps,
-        expectedCost: getPlanCost(option, request.inputTokens, request.outputTokens),
-        expectedQuality: option.quality,
-        exploring,
-        reason,
-    };
-}
-
-function getDebit(option: PlanOption, { targetQuality, confidence }: ModelRequest): number {
-    return targetQuality - getLikelyQuality(option, confidence);
-}
-
 /** Few decisions need the tries, which take as long to form as the plans. */
 function runOnce<T>(form: () => T): () => T {
     let formed: { readonly value: T; } | undefined;
@@ -337,11 +337,3 @@
     }
     return ratings;
 }
-
-function getReason(option: PlanOption, margin: number, ratings: boolean): string {
-    if (margin < 0) {
-        return `surest ${option.steps.length > 1 ? "cascade" : "version"}, since nothing is known to meet the target`;
-    }
-    const kind = option.steps.length > 1 ? "cheapest cascade" : "cheapest version";
-    return ratings ? `${kind} that meets the target` : `${kind} that meets the target, without ratings`;
-}
--- a/src/decisions/model/planChoice.ts
+++ b/src/decisions/model/planChoice.ts
@@ -4,7 +4,7 @@
 import type { ModelVersion } from "../../world/index.js";
 import type { ModelRequest } from "./modelRequest.js";
 import { getNormalProbability, getNormalQuantile } from "./normal.js";
-import { getPlanCost, type PlanOption } from "./plan.js";
+import { getPlanCost, type Plan, type PlanOption } from "./plan.js";
 
 /** Less quality given up is not told apart. */
 const leastLoss = 0.001;
@@ -72,6 +72,23 @@
     return cheapest;
 }
 
+/** Checks whether a plan keeps the caller waiting no longer than it may. */
+export function isInTime({ steps }: PlanOption, { isCascadeInTime }: ModelRequest): boolean {
+    return steps.length < 2 || (isCascadeInTime?.(steps[0].version, steps[1].version) ?? true);
+}
+
+/**
+ * Gets the options that are in time. A cascade that is not may have undercut a single version, which then counts again.
+ */
+export function getInTime(
+    options: readonly PlanOption[],
+    singles: readonly PlanOption[],
+    request: ModelRequest,
+): readonly PlanOption[] {
+    const inTime = options.filter(option => isInTime(option, request));
+    return inTime.length === options.length ? options : [...inTime, ...singles];
+}
+
 /**
  * Gets the option that saves most for the quality that it gives up, among those that a credit covers.
  * @param best - The plan that is used otherwise.
@@ -126,3 +143,28 @@
     }
     return signature;
 }
+
+/** Gets the surplus quality that a plan spends; a negative one is earned. */
+export function getDebit(option: PlanOption, { targetQuality, confidence }: ModelRequest): number {
+    return targetQuality - getLikelyQuality(option, confidence);
+}
+
+/** Makes the plan for a request from an option. */
+export function createPlan(option: PlanOption, request: ModelRequest, exploring: boolean, reason: string): Plan {
+    return {
+        steps: option.steps,
+        expectedCost: getPlanCost(option, request.inputTokens, request.outputTokens),
+        expectedQuality: option.quality,
+        exploring,
+        reason,
+    };
+}
+
+/** Gets why a plan was chosen, for logs and `rattanlock status`. */
+export function getReason(option: PlanOption, margin: number, ratings: boolean): string {
+    if (margin < 0) {
+        return `surest ${option.steps.length > 1 ? "cascade" : "version"}, since nothing is known to meet the target`;
+    }
+    const kind = option.steps.length > 1 ? "cheapest cascade" : "cheapest version";
+    return ratings ? `${kind} that meets the target` : `${kind} that meets the target, without ratings`;
+}
