--- a/src/decisions/model/answerTimes.ts
+++ b/src/decisions/model/answerTimes.ts
@@ -13,8 +13,8 @@
  * its old ones would keep it out for good.
  */
 const keptMilliseconds = 60_000;
-/** Pairs of version and class that are kept. Callers name classes, so there may be any number of them. */
-const maximumKept = 4096;
+/** Classes that are kept. Callers name them, so there may be any number. */
+const maximumClasses = 1024;
 
 /** Times of one answer, in milliseconds. */
 export interface AnswerTime {
@@ -23,7 +23,6 @@
 }
 
 interface VersionTimes {
-    readonly requestClass: string;
     readonly firstToken: SmoothedTime;
     readonly whole: SmoothedTime;
 }
@@ -31,7 +30,8 @@
 /** Learns how long answers take. */
 export class AnswerTimes {
     readonly #clock: Clock;
-    readonly #versions = new Map<string, VersionTimes>();
+    /** By class, and by version within it. */
+    readonly #classes = new Map<string, Map<string, VersionTimes>>();
     readonly #rating = new SmoothedTime();
 
     constructor(clock: Clock) {
@@ -46,15 +46,15 @@
      */
     add(version: string, requestClass: string, time: AnswerTime): void {
         const now = this.#clock.monotonic();
-        const key = createKey(version, requestClass);
-        const times = this.#versions.get(key)
-            ?? { requestClass, firstToken: new SmoothedTime(), whole: new SmoothedTime() };
+        const versions = this.#classes.get(requestClass) ?? new Map<string, VersionTimes>();
+        const times = versions.get(version) ?? { firstToken: new SmoothedTime(), whole: new SmoothedTime() };
         times.firstToken.add(time.firstToken, now);
         times.whole.add(time.whole, now);
-        this.#versions.delete(key);
-        this.#versions.set(key, times);
-        if (this.#versions.size > maximumKept) {
-            this.#versions.delete(this.#versions.keys().next().value as string);
+        versions.set(version, times);
+        this.#classes.delete(requestClass);
+        this.#classes.set(requestClass, versions);
+        if (this.#classes.size > maximumClasses) {
+            this.#classes.delete(this.#classes.keys().next().value as string);
         }
     }
 
@@ -75,33 +75,18 @@
      * @param second - Identifier of the version that answers what the first one did not answer well.
      */
     getHoldMilliseconds(requestClass: string, first: string, second: string): number | undefined {
+        const versions = this.#classes.get(requestClass);
+        if (versions === undefined) {
+            return undefined;
+        }
         const now = this.#clock.monotonic();
-        const whole = this.#getHigh(first, requestClass, times => times.whole, now);
-        const firstToken = this.#getHigh(second, requestClass, times => times.firstToken, now);
+        const whole = getHigh(versions, first, times => times.whole.getHigh(now));
+        const firstToken = getHigh(versions, second, times => times.firstToken.getHigh(now));
         if (whole === undefined || firstToken === undefined) {
             return undefined;
         }
         return whole + (this.#rating.getHigh(now) ?? 0) + firstToken;
     }
-
-    #getHigh(
-        version: string,
-        requestClass: string,
-        select: (times: VersionTimes) => SmoothedTime,
-        now: number,
-    ): number | undefined {
-        const own = this.#versions.get(createKey(version, requestClass));
-        const known = own === undefined ? undefined : select(own).getHigh(now);
-        if (known !== undefined) {
-            return known;
-        }
-        let slowest: number | undefined;
-        for (const times of this.#versions.values()) {
-            const high = times.requestClass === requestClass ? select(times).getHigh(now) : undefined;
-            slowest = high === undefined ? slowest : Math.max(slowest ?? 0, high);
-        }
-        return slowest;
-    }
 }
 
 class SmoothedTime {
@@ -129,6 +114,21 @@
     }
 }
 
-function createKey(version: string, requestClass: string): string {
-    return `${version}\n${requestClass}`;
+/** Gets a time of a version, or the longest of its class when it has none of its own. */
+function getHigh(
+    versions: ReadonlyMap<string, VersionTimes>,
+    version: string,
+    select: (times: VersionTimes) => number | undefined,
+): number | undefined {
+    const own = versions.get(version);
+    const known = own === undefined ? undefined : select(own);
+    if (known !== undefined) {
+        return known;
+    }
+    let longest: number | undefined;
+    for (const times of versions.values()) {
+        const time = select(times);
+        longest = time === undefined ? longest : Math.max(longest ?? 0, time);
+    }
+    return longest;
 }
