--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -2,6 +2,7 @@
  * What an entry tells operators about itself.
  */
 import type { AdmissionController } from "../decisions/index.js";
+import { newestProtocol } from "../membership/index.js";
 import type { Cradle } from "./cradle.js";
 import { controlLease } from "./parts/platformParts.js";
 
@@ -40,7 +41,8 @@
         limits: createLimits(cradle.admission),
         serviceLimits: createLimits(cradle.serviceAdmission),
         bills: { waiting: bills.getSize(), kept: billKeeper.getSize(), full: bills.isFull() },
-        protocol: membership.getCommonProtocol(),
+        ownProtocol: newestProtocol,
+        commonProtocol: membership.getCommonProtocol(),
         upstreams: cradle.runners.getSubset().map(({ id, pool, failureDomain }) => ({
             id,
             pool,
