--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -36,7 +36,8 @@
     evidence: ({ clock }) => new Evidence({ clock }),
     answerTimes: ({ clock }) => new AnswerTimes(clock),
     exposures: () => new Exposures(),
-    chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
+    chooser: ({ evidence, random, clock }) =>
+        new ModelChooser({ evidence, random, clock, schedule: step => setImmediate(step) }),
     judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
         new RolloutJudge({
             fold: rollouts,
