--- a/src/entry/orders/orderDriver.ts
+++ b/src/entry/orders/orderDriver.ts
@@ -75,7 +75,7 @@
             }
             isOrdered ||= isReady === false;
         }
-        return !isOrdered && this.#options.runners.hasVersion(version);
+        return !isOrdered && this.#options.runners.countRunners(version) > 0;
     }
 
     /** Returns what the holder knows of the pools that it orders; nothing on another entry. */
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -4,6 +4,7 @@
 import { OrderChannel } from "../../control/index.js";
 import {
     AdmissionController,
+    AnswerTimes,
     createRolloutPolicy,
     Evidence,
     Exposures,
@@ -15,7 +16,9 @@
 } from "../../decisions/index.js";
 import { events } from "../../events/index.js";
 import { EngineClient, EngineOrders, ServiceClient } from "../../upstream/index.js";
+import type { VmRole } from "../../world/index.js";
 import type { Parts } from "../container.js";
+import type { Cradle } from "../cradle.js";
 import { LoadPoller } from "../loadPoller.js";
 import { OrderDriver } from "../orders/orderDriver.js";
 import { RolloutDriver } from "../rolloutDriver.js";
@@ -25,9 +28,13 @@
 /** Requests that an entry may have at work beyond the upstreams' present capacity, so that a growing one is used. */
 const leastCapacity = 4;
 
+/** Runners that a version needs, as a part of its successor's, to take over most of the successor's callers. */
+const leastRunnerPart = 0.5;
+
 /** Makes the parts that decide. */
 export const decisionParts: Parts = {
     evidence: ({ clock }) => new Evidence({ clock }),
+    answerTimes: ({ clock }) => new AnswerTimes(clock),
     exposures: () => new Exposures(),
     chooser: ({ evidence, random, clock }) => new ModelChooser({ evidence, random, clock }),
     judge: ({ rollouts, evidence, exposures, clock, configuration, settings }) =>
@@ -47,8 +54,11 @@
             fold: rollouts,
             exposures,
             hash: callerHash,
-            // Where the version before it has been unloaded, holding back would refuse callers for a mere suspicion.
-            isHeld: rollout => judge.isHeld(rollout.candidate) && runners.hasVersion(rollout.baseline),
+            // Where the version before it has been unloaded from most runners, holding back would overload the rest, and
+            // callers would be refused for a mere suspicion.
+            isHeld: ({ candidate, baseline }) =>
+                judge.isHeld(candidate)
+                && runners.countRunners(baseline) >= leastRunnerPart * runners.countRunners(candidate),
         }),
     engineOrders: ({ upstreamAgent }) => new EngineOrders(upstreamAgent),
     orderChannel: ({ lease, clock, journal }) => new OrderChannel({ getFence: () => lease.getFence(), clock, journal }),
@@ -99,6 +109,7 @@
             options: { nearSubsetSize: settings.limits.subset },
         }),
     admission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
+    serviceAdmission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     retries: ({ settings }) => new RetryBudget({ ratio: settings.limits.retryPercent / percent }),
     engines: ({ upstreamAgent, settings }) =>
         new EngineClient({
@@ -115,8 +126,10 @@
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
             pollsPerSecond: cradle.settings.limits.loadPolls,
             onRound: () => {
-                const entries = Math.max(1, cradle.membership.getAlive().length);
-                cradle.admission.setCapacity(Math.max(leastCapacity, cradle.runners.getOwnCapacity(entries)));
+                // Under one limit the places of idle services let chats in that no engine has a place for: they wait
+                // there, past the time to the first token, and keep more urgent ones waiting.
+                cradle.admission.setCapacity(getOwnCapacity(cradle, "runner"));
+                cradle.serviceAdmission.setCapacity(getOwnCapacity(cradle, "service"));
             },
             onLeaving: upstream => {
                 cradle.runners.markLeaving(upstream.id);
@@ -125,3 +138,8 @@
             },
         }),
 };
+
+function getOwnCapacity({ membership, runners }: Cradle, role: VmRole): number {
+    const entries = Math.max(1, membership.getAlive().length);
+    return Math.max(leastCapacity, runners.getOwnCapacity(entries, role));
+}
--- a/src/entry/rolloutDriver.ts
+++ b/src/entry/rolloutDriver.ts
@@ -111,6 +111,17 @@
         }
     }
 
+    #judgeSettled(version: string): void {
+        const { judge, journal } = this.#options;
+        const wasHeld = judge.isHeld(version);
+        const verdict = judge.judgeSettled(version);
+        const isHeld = judge.isHeld(version);
+        if (isHeld !== wasHeld) {
+            journal.write(isHeld ? events.versionHeld : events.versionReleased, { version, reason: verdict.reason });
+        }
+        this.#act(undefined, verdict);
+    }
+
     /**
      * Tells whether a roll-out has to wait for its candidate to be loaded. Callers who are let through to a version that
      * no runner has would be refused, and their failures would count against the candidate.
@@ -128,17 +139,6 @@
         return true;
     }
 
-    #judgeSettled(version: string): void {
-        const { judge, journal } = this.#options;
-        const wasHeld = judge.isHeld(version);
-        const verdict = judge.judgeSettled(version);
-        const isHeld = judge.isHeld(version);
-        if (isHeld !== wasHeld) {
-            journal.write(isHeld ? events.versionHeld : events.versionReleased, { version, reason: verdict.reason });
-        }
-        this.#act(undefined, verdict);
-    }
-
     #act(rollout: Rollout | undefined, verdict: Verdict): void {
         if (verdict.action !== "halt") {
             return;
