--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -2,7 +2,6 @@
  * Runs one version's answer on a runner, and on another one when the first fails before the caller saw anything.
  */
 import { err, ok, type Result } from "neverthrow";
-import { setTimeout as sleep } from "node:timers/promises";
 import type { BillLine } from "../bills/index.js";
 import { type Clock, Failure, type Outcome } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
@@ -18,16 +17,11 @@
 import type { Metrics } from "./metrics.js";
 import { type Refusal, refuseNotRun } from "./problem.js";
 import { getBlocks } from "./promptBlocks.js";
+import { cancelIdleStream } from "./streamCancellation.js";
 
 /** Runners that are tried for one answer, at most. */
 const maximumAttempts = 3;
 
-/**
- * Pauses before each try to cancel a stream, in milliseconds. A busy engine takes a second or more to learn that a
- * reader has gone; given up earlier, the answer would go on to its end with nobody to read it.
- */
-const cancellationPauses = [0, 20, 80, 200, 500, 1000, 2000];
-
 /** What an attempt runner works with. */
 export interface AttemptRunnerOptions {
     readonly clock: Clock;
@@ -279,27 +273,12 @@
      * now, it is left alone and billed there.
      */
     async #cancel(options: AttemptOptions, runner: Vm, streamId: string): Promise<void> {
-        const usage = await this.#cancelIdle(runner, streamId);
+        const usage = await cancelIdleStream(this.#options.engines, runner, streamId);
         if (usage !== undefined && options.direct && options.call.gone.aborted) {
             await options.beforeEnd(usage);
         }
     }
 
-    /**
-     * Cancels a stream that nobody reads. This entry's own reading ended a moment ago, and the engine may learn of it
-     * later than of the cancellation, so a refusal because the stream is read is tried again for a while.
-     */
-    async #cancelIdle(runner: Vm, streamId: string): Promise<TokenUsage | undefined> {
-        for (const pauseMilliseconds of cancellationPauses) {
-            await sleep(pauseMilliseconds);
-            const cancelled = await this.#options.engines.cancel(runner, streamId, true);
-            if (cancelled.isErr() || cancelled.value.kind !== "read") {
-                return cancelled.unwrapOr(undefined)?.usage;
-            }
-        }
-        return undefined;
-    }
-
     #refuseVersion(runner: Vm, streamId: string, version: ModelVersion, answer: EngineAnswer): AttemptRefusal {
         void answer.events.return(undefined);
         void this.#options.engines.cancel(runner, streamId, false);
