Name the unit of the settled window's factor

Cause: a bare 1000 stood in the parts that decide. Change: a named constant. No behaviour changed; format, lint and build passed, and the tests of test/entry are run with the landing.

--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -25,9 +25,9 @@
 import { VersionPolicy } from "../versionPolicy.js";
 
 const percent = 100;
+const millisecondsPerSecond = 1000;
 /** Requests that an entry may have at work beyond the upstreams' present capacity, so that a growing one is used. */
 const leastCapacity = 4;
-
 /** Runners that a version needs, as a part of its successor's, to take over most of the successor's callers. */
 const leastRunnerPart = 0.5;
 
@@ -46,7 +46,7 @@
             clock,
             getPolicy: model =>
                 createRolloutPolicy(configuration.getConfiguration().getRollout(model), {
-                    changeWindowMilliseconds: 1000 * settings.timing.settledWindowSeconds,
+                    changeWindowMilliseconds: millisecondsPerSecond * settings.timing.settledWindowSeconds,
                 }),
         }),
     router: ({ self, rollouts, exposures, callerHash, judge, runners }) =>
