Move pools to new versions under live traffic, through the store

Change: steps of a roll-out are records appended under a condition by whichever node is due first by rank; sessions follow by their rank; evidence is gossiped in mergeable counts; a bad version is halted at once and reverted. Ruled out: one driver by lease (its loss would stall the steps); shares decided by each node's own clock.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -325,5 +325,24 @@
         "A request was sent to an upstream, with what decided for it, and how that ended.",
     ),
     requestEnded: define(423, "request-ended", "info", "A request has its final answer, or its caller left."),
+    rolloutOrdered: define(444, "rollout-ordered", "info", "The operator ordered a pool to be moved to a version."),
+    rolloutProgressed: define(
+        445,
+        "rollout-progressed",
+        "info",
+        "A pool's roll-out took a step: another share, completed, or reverted.",
+    ),
+    rolloutHalted: define(
+        446,
+        "rollout-halted",
+        "warning",
+        "A pool's new version was found bad; this node sends it nothing more.",
+    ),
+    rolloutWriteFailed: define(
+        447,
+        "rollout-write-failed",
+        "warning",
+        "A step of a roll-out could not be written to the store, or somebody else wrote first; it is tried again.",
+    ),
     linesLeftOut: define(110, "lines-left-out", "warning", "So many log lines were left out to bound the volume."),
 } as const satisfies Record<string, EventDefinition>;
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -23,14 +23,15 @@
         exchange: Exchange,
         candidates: readonly RegisteredUpstream[],
     ) => readonly RegisteredUpstream[];
-    /** Takes how an attempt ended, as evidence for a roll-out. */
-    readonly onEnd: (attempt: EndedAttempt) => void;
+    /** Takes an attempt that begins; what it returns takes how the attempt ended. */
+    readonly onBegin: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
 }
 
 /** How an attempt ended. */
 export interface EndedAttempt {
     readonly exchange: Exchange;
     readonly upstream: RegisteredUpstream;
+    readonly model: string | undefined;
     readonly outcome: CallOutcome;
     /** From the sending to the answer's head; undefined when there was none. */
     readonly headMilliseconds: number | undefined;
@@ -134,8 +135,11 @@
             }
             isFinished = true;
             exchange.ended.removeEventListener("abort", cancel);
-            this.#finish({ exchange, upstream, outcome, headMilliseconds }, { request, choice, reason, startedAt });
+            const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds };
+            onEnd(ended);
+            this.#finish(ended, { choice, reason, startedAt });
         };
+        const onEnd = this.#options.onBegin(exchange, upstream);
         picker.begin(upstream.id);
         const called = await caller.call(upstream, {
             request: exchange.request,
@@ -194,7 +198,6 @@
     #finish(
         ended: EndedAttempt,
         details: {
-            readonly request: AttemptRequest;
             readonly choice: string;
             readonly reason: string;
             readonly startedAt: number;
@@ -203,13 +206,12 @@
         const { exchange, upstream, outcome, headMilliseconds } = ended;
         const { clock, journal, picker, registry } = this.#options;
         picker.finish(upstream, outcome, registry.getTaking(upstream.pool));
-        this.#options.onEnd(ended);
         journal.write(events.attemptEnded, {
             request: exchange.request.id,
             attempt: exchange.attempts,
             upstream: upstream.id,
             version: upstream.version,
-            model: details.request.model,
+            model: ended.model,
             choice: details.choice,
             outcome,
             reason: details.reason,
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { Failure } from "../common/index.js";
+import type { RolloutOrder, RolloutProgress, RolloutState } from "../rollouts/index.js";
 import { type KeyedWorkspace, type Pool, type Route, type RouteKind, RouteTable } from "../routing/index.js";
 
 const kinds: Readonly<Record<string, RouteKind>> = {
@@ -56,14 +57,6 @@
 });
 const orderSchema = z.object({ service: z.string(), target: z.string(), deadline_s: z.number() });
 
-/** An operator's order to move a pool to a version. */
-export interface RolloutOrder {
-    readonly pool: string;
-    readonly version: string;
-    /** Time from the order within which it has to be done, in milliseconds. */
-    readonly durationMilliseconds: number;
-}
-
 /**
  * Decodes a configuration.
  * @param value - The record's value.
@@ -88,15 +81,43 @@
 /**
  * Decodes a roll-out order.
  * @param value - The record's value.
+ * @param offset - The record's offset, which identifies the order.
  */
-export function decodeRolloutOrder(value: Buffer): Result<RolloutOrder, Failure> {
+export function decodeRolloutOrder(value: Buffer, offset: number): Result<RolloutOrder, Failure> {
     return parse(value, orderSchema).map(order => ({
+        id: offset,
         pool: order.service,
         version: order.target,
         durationMilliseconds: order.deadline_s * 1_000,
     }));
 }
 
+/** The operator's words for how a roll-out stands. */
+const rolloutStates: Readonly<Record<RolloutState, string>> = {
+    moving: "in_progress",
+    completed: "completed",
+    reverted: "reverted",
+};
+
+/** Encodes how a roll-out stands, for the operator. */
+export function encodeRolloutStatus(order: RolloutOrder, progress: RolloutProgress): Buffer {
+    const state = rolloutStates[progress.state];
+    return Buffer.from(JSON.stringify({ service: order.pool, target: order.version, state }));
+}
+
+const progressSchema = z.object({
+    order: z.number(),
+    version: z.string(),
+    state: z.enum(["moving", "completed", "reverted"]),
+    share: z.number(),
+    orderedAt: z.number(),
+});
+
+/** Decodes how far a roll-out has come, as a node wrote it. */
+export function decodeProgress(value: Buffer): Result<RolloutProgress, Failure> {
+    return parse(value, progressSchema);
+}
+
 function toRoute(route: z.infer<typeof routeSchema>): Route {
     const pools = route.split?.map(share => ({ pool: share.service, weight: share.weight }))
         ?? [{ pool: route.service ?? "", weight: 1 }];
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -30,7 +30,7 @@
 
     /** Starts to listen, to follow the store and to talk to peers. */
     async start(): Promise<void> {
-        const { settings, peerServer, callerFace, siteFace, topics, gossip, journal } = this.getParts();
+        const { settings, peerServer, callerFace, siteFace, topics, gossip, journal, rollouts } = this.getParts();
         const { listen } = settings;
         journal.write(events.processStarted, { address: settings.address });
         topics.onRoutes(() => callerFace.applyLimits());
@@ -43,6 +43,7 @@
             throw failure;
         });
         gossip.start();
+        rollouts.start();
     }
 
     /** Shuts down gracefully. A second call waits for the first. */
@@ -52,8 +53,8 @@
     }
 
     async #stop(): Promise<void> {
-        const { settings, clock, journal, membership, callerFace, siteFace, forwarder, topics, gossip } = this
-            .getParts();
+        const parts = this.getParts();
+        const { settings, clock, journal, membership, callerFace, siteFace, forwarder } = parts;
         journal.write(events.processStopping, { requests: forwarder.getInFlight() });
         const since = clock.monotonic();
         membership.announceLeaving();
@@ -69,7 +70,8 @@
         journal.write(events.processStopped, { requests: forwarder.getInFlight() });
         callerFace.close();
         siteFace.close();
-        gossip.stop();
-        topics.stop();
+        parts.rollouts.stop();
+        parts.gossip.stop();
+        parts.topics.stop();
     }
 }
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -6,7 +6,7 @@
 import { UpstreamPicker, WindowedBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
-import { Attempts, Forwarder } from "../forwarding/index.js";
+import { Attempts, type EndedAttempt, type Exchange, Forwarder } from "../forwarding/index.js";
 import {
     Gossip,
     MemberDirectory,
@@ -16,6 +16,7 @@
     type PeerHandlers,
     PeerServer,
 } from "../membership/index.js";
+import { type PeerReport, Rollouts } from "../rollouts/index.js";
 import { CallerFace } from "./callerFace.js";
 import type { NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
@@ -34,6 +35,10 @@
 /** Connections to one upstream that a node always may hold. */
 const leastConnections = 4;
 
+/** Keys of gossip: evidence on a pool's roll-out, and that it was found bad. */
+const evidenceKey = "rollout-evidence/";
+const haltKey = "rollout-halt/";
+
 /** The parts of a node. */
 export interface NodeParts {
     readonly settings: NodeSettings;
@@ -54,6 +59,7 @@
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedBudget;
     readonly upstreamClient: UpstreamClient;
+    readonly rollouts: Rollouts;
     readonly attempts: Attempts;
     readonly forwarder: Forwarder;
     readonly callerFace: CallerFace;
@@ -91,7 +97,17 @@
         region: settings.region,
     }),
     store: ({ settings, beliefClock }) => new StoreClient(settings.store, beliefClock),
-    topics: parts => new PlatformTopics(parts),
+    topics: parts =>
+        new PlatformTopics({
+            settings: parts.settings,
+            beliefClock: parts.beliefClock,
+            journal: parts.journal,
+            store: parts.store,
+            registry: parts.registry,
+            directory: parts.directory,
+            self: parts.self,
+            getRollouts: () => parts.rollouts,
+        }),
     registry: ({ clock }) => new UpstreamRegistry(clock),
     peerClient: () => new PeerClient(),
     peerServer: parts => {
@@ -124,7 +140,8 @@
                 return Math.max(leastConnections, Math.floor(all / membership.getMembers().length));
             },
         }),
-    attempts: ({ clock, journal, registry, picker, upstreamClient, budgets }) =>
+    rollouts: parts => createRollouts(parts),
+    attempts: ({ clock, journal, registry, picker, upstreamClient, budgets, rollouts }) =>
         new Attempts({
             clock,
             journal,
@@ -132,8 +149,14 @@
             picker,
             caller: upstreamClient,
             getBudget: budgets,
-            selectVersion: (...[, candidates]) => candidates,
-            onEnd: () => {},
+            selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
+            onBegin: (exchange, upstream) => {
+                const end = rollouts.begin(upstream, getSession(exchange));
+                return attempt => {
+                    end();
+                    addEvidence(rollouts, attempt);
+                };
+            },
         }),
     forwarder: ({ clock, journal, attempts, topics, settings, budgets }) =>
         new Forwarder({
@@ -192,6 +215,48 @@
     };
 }
 
+/** Requests without a session stand for themselves. */
+function getSession({ request }: Exchange): string {
+    return request.session ?? request.id;
+}
+
+/** Attempts that a caller ended, or that an upstream had no room for, say nothing of its version. */
+function addEvidence(rollouts: Rollouts, { exchange, upstream, model, outcome, headMilliseconds }: EndedAttempt): void {
+    if (outcome !== "cancelled" && outcome !== "refused") {
+        const lane = `${exchange.route.name} ${model ?? ""}`;
+        rollouts.addAnswer(upstream, { lane, hasFailed: outcome !== "ok", headMilliseconds });
+    }
+}
+
+function createRollouts({ clock, journal, registry, settings, membership, gossip, topics, self }: NodeParts): Rollouts {
+    const rollouts = new Rollouts({
+        clock,
+        journal,
+        registry,
+        exposureShare: settings.bounds.exposureShare,
+        sessionMilliseconds: settings.bounds.sessionMilliseconds,
+        getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
+        publishEvidence: (pool, value) => gossip.set(`${evidenceKey}${pool}`, value),
+        getEvidence: pool => getPeerReports(gossip, self.id, pool),
+        publishHalt: (pool, order) => gossip.set(`${haltKey}${pool}`, Buffer.from(String(order)), { urgent: true }),
+        writeProgress: (order, progress) => topics.writeProgress(order, progress),
+    });
+    gossip.onUpdate((...[, key, value]) => {
+        if (key.startsWith(haltKey) && value !== undefined) {
+            rollouts.setHalted(key.slice(haltKey.length), Number(value.toString()));
+        }
+    });
+    return rollouts;
+}
+
+function* getPeerReports(gossip: Gossip, self: string, pool: string): Iterable<PeerReport> {
+    for (const { origin, value } of gossip.getAll(`${evidenceKey}${pool}`)) {
+        if (origin !== self) {
+            yield { origin, value };
+        }
+    }
+}
+
 function createPeerHandlers({ gossip, self }: NodeParts): PeerHandlers {
     const unsupported = (): never => {
         throw new Error(`The node ${self.id} keeps no such state: on this platform it lives in the store.`);
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -5,9 +5,10 @@
 import { events, type Journal } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { MemberDirectory, NodeIdentity } from "../membership/index.js";
+import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import { type KeyedRecord, TopicFollower } from "../topics/index.js";
-import { decodeConfiguration } from "./decodeConfiguration.js";
+import { decodeConfiguration, decodeProgress, decodeRolloutOrder, encodeRolloutStatus } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { NodeSettings } from "./nodeSettings.js";
 import type { StoreClient } from "./storeClient.js";
@@ -30,6 +31,8 @@
     readonly registry: UpstreamRegistry;
     readonly directory: MemberDirectory;
     readonly self: NodeIdentity;
+    /** Returns what handles roll-outs, which in turn writes through these topics. */
+    readonly getRollouts: () => Rollouts;
 }
 
 /** Follows the store's topics and hands what they say to those who need it. */
@@ -110,10 +113,13 @@
     }
 
     #takeOrders(changed: readonly KeyedRecord[]): void {
-        for (const { key, value } of changed) {
+        for (const { key, value, offset } of changed) {
             if (key === recordKeys.configuration && value !== undefined) {
                 this.#takeConfiguration(value);
             }
+            else if (key.startsWith(recordKeys.rolloutPrefix) && value !== undefined) {
+                this.#takeOrder(key, value, offset);
+            }
         }
     }
 
@@ -137,6 +143,14 @@
         }
     }
 
+    #takeOrder(key: string, value: Buffer, offset: number): void {
+        const { journal, getRollouts } = this.#options;
+        decodeRolloutOrder(value, offset).match(
+            order => getRollouts().setOrder(order),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
+
     #takeUpstreams(changed: readonly KeyedRecord[]): void {
         const { registry, journal } = this.#options;
         for (const { key, value } of changed) {
@@ -163,14 +177,45 @@
     }
 
     #takeStatus(changed: readonly KeyedRecord[]): void {
-        const { directory, journal } = this.#options;
         for (const { key, value } of changed) {
-            if (
-                key.startsWith(recordKeys.memberPrefix)
-                && !directory.set(key.slice(recordKeys.memberPrefix.length), value)
-            ) {
-                journal.write(events.recordUnreadable, { key });
+            if (key.startsWith(recordKeys.memberPrefix)) {
+                this.#takeMember(key, value);
             }
+            else if (key.startsWith(recordKeys.progressPrefix) && value !== undefined) {
+                this.#takeProgress(key, value);
+            }
+        }
+    }
+
+    #takeMember(key: string, value: Buffer | undefined): void {
+        const { directory, journal } = this.#options;
+        if (!directory.set(key.slice(recordKeys.memberPrefix.length), value)) {
+            journal.write(events.recordUnreadable, { key });
+        }
+    }
+
+    #takeProgress(key: string, value: Buffer): void {
+        const { getRollouts, journal } = this.#options;
+        decodeProgress(value).match(
+            progress => getRollouts().setProgress(key.slice(recordKeys.progressPrefix.length), progress),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
+
+    /**
+     * Writes a step of a roll-out, for the nodes and for the operator, if nobody else has written since this node read.
+     * A write whose answer is lost may have taken effect; reading the topic tells, and the step is the same whoever takes it.
+     */
+    async writeProgress(order: RolloutOrder, progress: RolloutProgress): Promise<void> {
+        const { store, journal } = this.#options;
+        const records = [
+            { key: `${recordKeys.progressPrefix}${order.pool}`, value: Buffer.from(JSON.stringify(progress)) },
+            { key: `${recordKeys.rolloutPrefix}${order.pool}`, value: encodeRolloutStatus(order, progress) },
+        ];
+        const appended = await store.append(topics.status, records, this.#status.state.getEnd());
+        if (appended.isErr() || appended.value.kind === "conflict") {
+            const cause = appended.isErr() ? appended.error.message : "somebody else wrote first";
+            journal.write(events.rolloutWriteFailed, { rollout: order.pool, state: progress.state, cause });
         }
     }
 
@@ -185,7 +230,7 @@
                 if (known?.value?.equals(value) === true) {
                     return;
                 }
-                const appended = await store.append(topics.status, { key, value });
+                const appended = await store.append(topics.status, [{ key, value }]);
                 if (appended.isOk()) {
                     return;
                 }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -74,22 +74,27 @@
     }
 
     /**
-     * Appends the newest record of a key.
+     * Appends the newest records of some keys, all or none.
      * @param topic - The topic.
-     * @param record - The key and its value.
+     * @param records - The keys and their values.
      * @param end - Where the topic has to end for the append to take effect; undefined appends in any case.
      * @returns The outcome; a failure leaves it open whether the record was appended.
      */
     async append(
         topic: string,
-        record: { readonly key: string; readonly value: Buffer; },
+        records: readonly { readonly key: string; readonly value: Buffer; }[],
         end?: number,
     ): Promise<Result<AppendOutcome, Failure>> {
         const query = new URLSearchParams({ topic, part: "0" });
         if (end !== undefined) {
             query.set("at", String(end));
         }
-        const response = await this.#call("POST", `${storePaths.append}?${query}`, 0, encodeRecord(record));
+        const response = await this.#call(
+            "POST",
+            `${storePaths.append}?${query}`,
+            0,
+            Buffer.concat(records.map(encodeRecord)),
+        );
         if (response.isErr()) {
             return err(response.error);
         }
--- /dev/null
+++ b/src/rollouts/judgeRollout.ts
@@ -0,0 +1,85 @@
+/**
+ * Whether a new version is worse than the old one, by how both answered at the same time.
+ */
+import type { EvidenceCounts, LaneCounts, VersionCounts } from "./rolloutEvidence.js";
+
+/** Why a version is bad. */
+export interface Verdict {
+    /** Kind of request in which it shows, or `all`. */
+    readonly lane: string;
+    readonly reason: "failures" | "slow";
+    readonly candidate: number;
+    readonly current: number;
+}
+
+/** Failures below this number may be chance or one bad upstream. */
+const leastFailures = 5;
+/** A new version may fail so much more often than the old one, as a part of its answers. */
+const toleratedFailureShare = 0.12;
+/** Standard errors between the two versions' failure shares: false alarms in one of some thousand looks. */
+const failureErrors = 3.3;
+/** Answers with a time, of each version, before times are compared. */
+const leastTimed = 6;
+/** A new version may take so many times as long, in the geometric mean. */
+const toleratedSlowness = 2.5;
+const slownessErrors = 4;
+
+/**
+ * Judges a new version.
+ * @param evidence - Counts of all nodes, by kind of request.
+ * @returns Undefined while it shows nothing bad.
+ */
+export function judgeRollout(evidence: EvidenceCounts): Verdict | undefined {
+    let current = emptyCounts;
+    let candidate = emptyCounts;
+    for (const [lane, counts] of evidence) {
+        const verdict = judgeFailures(lane, counts) ?? judgeTimes(lane, counts);
+        if (verdict !== undefined) {
+            return verdict;
+        }
+        current = addFailures(current, counts.current);
+        candidate = addFailures(candidate, counts.candidate);
+    }
+    return judgeFailures("all", { current, candidate });
+}
+
+const emptyCounts: VersionCounts = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+
+function addFailures(sum: VersionCounts, counts: VersionCounts): VersionCounts {
+    return { ...sum, answers: sum.answers + counts.answers, failures: sum.failures + counts.failures };
+}
+
+function judgeFailures(lane: string, { current, candidate }: LaneCounts): Verdict | undefined {
+    if (candidate.failures < leastFailures) {
+        return undefined;
+    }
+    const candidateShare = candidate.failures / candidate.answers;
+    // One imagined failure and one success, so that an old version that nobody uses any more is not taken for perfect.
+    const currentShare = (current.failures + 0.5) / (current.answers + 1);
+    const difference = candidateShare - Math.min(currentShare, 0.5);
+    const pooled = (candidate.failures + current.failures + 0.5) / (candidate.answers + current.answers + 1);
+    const error = Math.sqrt(pooled * (1 - pooled) * (1 / candidate.answers + 1 / (current.answers + 1)));
+    if (difference < toleratedFailureShare || difference < failureErrors * Math.min(error, 0.1)) {
+        return undefined;
+    }
+    return { lane, reason: "failures", candidate: candidateShare, current: currentShare };
+}
+
+function judgeTimes(lane: string, { current, candidate }: LaneCounts): Verdict | undefined {
+    if (candidate.timed < leastTimed || current.timed < leastTimed) {
+        return undefined;
+    }
+    const candidateMean = candidate.logSum / candidate.timed;
+    const currentMean = current.logSum / current.timed;
+    const error = Math.sqrt(getVariance(candidate) / candidate.timed + getVariance(current) / current.timed);
+    const difference = candidateMean - currentMean;
+    if (difference < Math.log(toleratedSlowness) || difference < slownessErrors * error) {
+        return undefined;
+    }
+    return { lane, reason: "slow", candidate: Math.exp(candidateMean), current: Math.exp(currentMean) };
+}
+
+function getVariance({ timed, logSum, logSquares }: VersionCounts): number {
+    const mean = logSum / timed;
+    return Math.max(0.01, logSquares / timed - mean * mean);
+}
--- /dev/null
+++ b/src/rollouts/rolloutEvidence.ts
@@ -0,0 +1,176 @@
+/**
+ * How a pool's old and new version have answered lately, in counts that nodes can add up.
+ */
+import { z } from "zod";
+
+/** Evidence is kept for so many slices of this length: a version that turns bad late is not excused by its good start. */
+const sliceMilliseconds = 1_000;
+const slices = 6;
+
+/** Counts of one version. */
+export interface VersionCounts {
+    readonly answers: number;
+    readonly failures: number;
+    /** Answers with a known time to their head, with the sum and the sum of squares of its logarithm. */
+    readonly timed: number;
+    readonly logSum: number;
+    readonly logSquares: number;
+}
+
+/** Counts of both versions for requests of one kind. */
+export interface LaneCounts {
+    readonly current: VersionCounts;
+    readonly candidate: VersionCounts;
+}
+
+/** Counts by kind of request. */
+export type EvidenceCounts = ReadonlyMap<string, LaneCounts>;
+
+/** What a node tells the others of a roll-out. */
+export interface EvidenceReport {
+    readonly order: number;
+    /** Requests of this node that are at work at upstreams of the old version. */
+    readonly currentInFlight: number;
+    readonly lanes: EvidenceCounts;
+}
+
+/** One answer, as evidence. */
+export interface EvidenceAnswer {
+    /** Kind of the request: answers are compared within it, since kinds differ in how long they take. */
+    readonly lane: string;
+    readonly isCandidate: boolean;
+    readonly hasFailed: boolean;
+    /** Time to the head of the answer, in milliseconds; undefined when there was none. */
+    readonly headMilliseconds: number | undefined;
+}
+
+const none: VersionCounts = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+const noLane: LaneCounts = { current: none, candidate: none };
+
+interface Slice {
+    readonly index: number;
+    readonly lanes: Map<string, LaneCounts>;
+}
+
+/** Collects this node's evidence on one roll-out. */
+export class RolloutEvidence {
+    readonly #slices: Slice[] = [];
+
+    /**
+     * Adds an answer.
+     * @param answer - The answer.
+     * @param now - Monotonic milliseconds.
+     */
+    add(answer: EvidenceAnswer, now: number): void {
+        const { lanes } = this.#getSlice(now);
+        const known = lanes.get(answer.lane) ?? noLane;
+        const counts = toCounts(answer);
+        lanes.set(answer.lane, {
+            current: answer.isCandidate ? known.current : addCounts(known.current, counts),
+            candidate: answer.isCandidate ? addCounts(known.candidate, counts) : known.candidate,
+        });
+    }
+
+    /**
+     * Returns the counts of the last seconds.
+     * @param now - Monotonic milliseconds.
+     */
+    getCounts(now: number): EvidenceCounts {
+        this.#forgetOld(now);
+        return addEvidence(this.#slices.map(slice => slice.lanes));
+    }
+
+    #getSlice(now: number): Slice {
+        const index = Math.floor(now / sliceMilliseconds);
+        let slice = this.#slices.at(-1);
+        if (slice === undefined || slice.index !== index) {
+            slice = { index, lanes: new Map() };
+            this.#slices.push(slice);
+            this.#forgetOld(now);
+        }
+        return slice;
+    }
+
+    #forgetOld(now: number): void {
+        const oldest = Math.floor(now / sliceMilliseconds) - slices;
+        while (this.#slices.length > 0 && this.#slices[0].index <= oldest) {
+            this.#slices.shift();
+        }
+    }
+}
+
+/** Adds up the evidence of several nodes or times. */
+export function addEvidence(parts: Iterable<EvidenceCounts>): EvidenceCounts {
+    const total = new Map<string, LaneCounts>();
+    for (const part of parts) {
+        for (const [lane, counts] of part) {
+            const known = total.get(lane) ?? noLane;
+            total.set(lane, {
+                current: addCounts(known.current, counts.current),
+                candidate: addCounts(known.candidate, counts.candidate),
+            });
+        }
+    }
+    return total;
+}
+
+const countsSchema = z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()]);
+const reportSchema = z.object({
+    order: z.number(),
+    inFlight: z.number(),
+    lanes: z.array(z.tuple([z.string(), countsSchema, countsSchema])),
+});
+
+/** Encodes a report for peers. */
+export function encodeReport(report: EvidenceReport): Buffer {
+    const lanes = Array.from(
+        report.lanes,
+        ([lane, { current, candidate }]) => [lane, encodeCounts(current), encodeCounts(candidate)],
+    );
+    return Buffer.from(JSON.stringify({ order: report.order, inFlight: report.currentInFlight, lanes }));
+}
+
+/** Decodes a peer's report; undefined when it is of another release and can't be read. */
+export function decodeReport(value: Buffer): EvidenceReport | undefined {
+    const parsed = reportSchema.safeParse(JSON.parse(value.toString()));
+    if (!parsed.success) {
+        return undefined;
+    }
+    const { order, inFlight, lanes } = parsed.data;
+    const decoded = new Map<string, LaneCounts>();
+    for (const [lane, current, candidate] of lanes) {
+        decoded.set(lane, { current: decodeCounts(current), candidate: decodeCounts(candidate) });
+    }
+    return { order, currentInFlight: inFlight, lanes: decoded };
+}
+
+function toCounts(answer: EvidenceAnswer): VersionCounts {
+    const { headMilliseconds } = answer;
+    const log = headMilliseconds === undefined ? 0 : Math.log(Math.max(1, headMilliseconds));
+    return {
+        answers: 1,
+        failures: answer.hasFailed ? 1 : 0,
+        timed: headMilliseconds === undefined ? 0 : 1,
+        logSum: log,
+        logSquares: log * log,
+    };
+}
+
+function addCounts(first: VersionCounts, second: VersionCounts): VersionCounts {
+    return {
+        answers: first.answers + second.answers,
+        failures: first.failures + second.failures,
+        timed: first.timed + second.timed,
+        logSum: first.logSum + second.logSum,
+        logSquares: first.logSquares + second.logSquares,
+    };
+}
+
+function encodeCounts(counts: VersionCounts): readonly number[] {
+    const { answers, failures, timed, logSum, logSquares } = counts;
+    return [answers, failures, timed, Number(logSum.toFixed(3)), Number(logSquares.toFixed(3))];
+}
+
+function decodeCounts([answers, failures, timed, logSum, logSquares]: z.infer<typeof countsSchema>): VersionCounts {
+    return { answers, failures, timed, logSum, logSquares };
+}
--- /dev/null
+++ b/src/rollouts/rollouts.ts
@@ -0,0 +1,299 @@
+/**
+ * All roll-outs as one node sees them: it chooses versions by them, gathers evidence, and takes them further.
+ *
+ * Every node can take the next step. Steps are appended under the condition that nobody else has written meanwhile, and are
+ * the same whoever takes them; nodes wait in the order of their rank, so that usually only the first one writes.
+ */
+import type { Clock } from "../common/index.js";
+import { getUnitRank } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
+import { judgeRollout } from "./judgeRollout.js";
+import { planRollout } from "./planRollout.js";
+import { isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
+import { addEvidence, decodeReport, encodeReport, type EvidenceAnswer, RolloutEvidence } from "./rolloutEvidence.js";
+import { chooseVersion, SessionMemory } from "./versionGate.js";
+
+const tickMilliseconds = 200;
+/** A node waits so long for each node that ranks before it. */
+const rankDelayMilliseconds = 500;
+/** An attempt to write is not repeated sooner. */
+const writePauseMilliseconds = 1_000;
+/** A session's memory outlives the time in which its requests belong together. */
+const memoryFactor = 1.5;
+
+/** What a node hears from another one. */
+export interface PeerReport {
+    readonly origin: string;
+    readonly value: Buffer;
+}
+
+/** What roll-outs are handled with. */
+export interface RolloutsOptions {
+    readonly clock: Clock;
+    readonly journal: Journal;
+    readonly registry: UpstreamRegistry;
+    readonly exposureShare: number;
+    readonly sessionMilliseconds: number;
+    /** Returns how many nodes rank before this one. */
+    readonly getRank: () => number;
+    /** Tells the other nodes this node's evidence on a pool's roll-out. */
+    readonly publishEvidence: (pool: string, value: Buffer) => void;
+    /** Returns the evidence of the other nodes. */
+    readonly getEvidence: (pool: string) => Iterable<PeerReport>;
+    /** Tells all nodes at once that a pool's roll-out was found bad. */
+    readonly publishHalt: (pool: string, order: number) => void;
+    /** Writes a step, if nobody else has written; resolves when that has succeeded or failed. */
+    readonly writeProgress: (order: RolloutOrder, progress: RolloutProgress) => Promise<void>;
+}
+
+interface Rollout {
+    readonly order: RolloutOrder;
+    /** Monotonic milliseconds of the order, as far as known. */
+    orderedAt: number;
+    readonly evidence: RolloutEvidence;
+    readonly inFlight: Set<object>;
+    progress: RolloutProgress | undefined;
+    isHalted: boolean;
+    /** When the step that is due first was. */
+    dueSince: number | undefined;
+    writtenAt: number;
+}
+
+/** Handles the roll-outs of all pools. */
+export class Rollouts {
+    readonly #options: RolloutsOptions;
+    readonly #rollouts = new Map<string, Rollout>();
+    readonly #waitingProgress = new Map<string, RolloutProgress>();
+    readonly #reverted = new Map<string, Set<string>>();
+    readonly #sessions: SessionMemory;
+    #timer: NodeJS.Timeout | undefined;
+
+    constructor(options: RolloutsOptions) {
+        this.#options = options;
+        this.#sessions = new SessionMemory(options.sessionMilliseconds * memoryFactor);
+    }
+
+    /** Begins to take steps. */
+    start(): void {
+        this.#timer = setInterval(() => this.tick(), tickMilliseconds);
+    }
+
+    /** Ends taking steps. */
+    stop(): void {
+        clearInterval(this.#timer);
+    }
+
+    /** Takes in an operator's order. */
+    setOrder(order: RolloutOrder): void {
+        const known = this.#rollouts.get(order.pool);
+        if (known !== undefined && known.order.id >= order.id) {
+            return;
+        }
+        this.#rollouts.set(order.pool, {
+            order,
+            orderedAt: this.#options.clock.monotonic(),
+            evidence: new RolloutEvidence(),
+            inFlight: new Set(),
+            progress: undefined,
+            isHalted: false,
+            dueSince: undefined,
+            writtenAt: Number.NEGATIVE_INFINITY,
+        });
+        this.#reverted.get(order.pool)?.delete(order.version);
+        this.#options.journal.write(events.rolloutOrdered, {
+            rollout: order.pool,
+            version: order.version,
+            order: order.id,
+        });
+        const waiting = this.#waitingProgress.get(order.pool);
+        if (waiting !== undefined) {
+            this.setProgress(order.pool, waiting);
+        }
+    }
+
+    /** Takes in how far a pool's roll-out has come. */
+    setProgress(pool: string, progress: RolloutProgress): void {
+        const rollout = this.#rollouts.get(pool);
+        if (progress.state === "reverted") {
+            this.#reverted.set(pool, (this.#reverted.get(pool) ?? new Set()).add(progress.version));
+        }
+        if (rollout === undefined || rollout.order.id !== progress.order) {
+            this.#waitingProgress.set(pool, progress);
+            return;
+        }
+        if (rollout.progress !== undefined && isOver(rollout.progress)) {
+            return;
+        }
+        if (rollout.progress === undefined) {
+            // This node may have been started after the order; the wall clock then says how long ago that was.
+            const elapsed = this.#options.clock.wall() - progress.orderedAt;
+            const bounded = Math.min(Math.max(0, elapsed), rollout.order.durationMilliseconds);
+            rollout.orderedAt = Math.min(rollout.orderedAt, this.#options.clock.monotonic() - bounded);
+        }
+        rollout.progress = progress;
+        rollout.dueSince = undefined;
+        const { state, share, version } = progress;
+        this.#options.journal.write(events.rolloutProgressed, { rollout: pool, version, state, share });
+    }
+
+    /** Takes in that another node found a pool's roll-out bad. */
+    setHalted(pool: string, order: number): void {
+        const rollout = this.#rollouts.get(pool);
+        if (rollout !== undefined && rollout.order.id === order) {
+            this.#halt(rollout, "heard from a peer");
+        }
+    }
+
+    /**
+     * Returns the upstreams that may serve a request.
+     * @param pool - The pool.
+     * @param session - The session, or whatever identifies the request.
+     * @param upstreams - The pool's upstreams that take requests.
+     */
+    select(pool: string, session: string, upstreams: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
+        const reverted = this.#reverted.get(pool);
+        const sound = reverted === undefined ? upstreams : upstreams.filter(({ version }) => !reverted.has(version));
+        const rollout = this.#rollouts.get(pool);
+        if (rollout === undefined) {
+            return sound;
+        }
+        const { order, progress, isHalted } = rollout;
+        const choice = chooseVersion({
+            order,
+            progress,
+            isHalted,
+            sessionRank: getUnitRank(String(order.id), session),
+            lastVersion: this.#sessions.get(session, this.#options.clock.monotonic()),
+        });
+        const candidates = sound.filter(({ version }) => version === order.version);
+        const currents = sound.filter(({ version }) => version !== order.version);
+        if (choice === "candidate") {
+            return candidates.length > 0 ? candidates : currents;
+        }
+        const isBad = isHalted || progress?.state === "reverted";
+        return currents.length > 0 || isBad ? currents : candidates;
+    }
+
+    /**
+     * Notes a request that is sent to an upstream.
+     * @param upstream - The upstream.
+     * @param session - Its session.
+     * @returns Is to be called when it has ended.
+     */
+    begin(upstream: RegisteredUpstream, session: string): () => void {
+        this.#sessions.set(session, upstream.version, this.#options.clock.monotonic());
+        const rollout = this.#rollouts.get(upstream.pool);
+        if (rollout === undefined || upstream.version === rollout.order.version) {
+            return () => {};
+        }
+        const work = {};
+        rollout.inFlight.add(work);
+        return () => rollout.inFlight.delete(work);
+    }
+
+    /**
+     * Takes in how an upstream answered.
+     * @param upstream - The upstream.
+     * @param answer - How it answered.
+     */
+    addAnswer(upstream: RegisteredUpstream, answer: Omit<EvidenceAnswer, "isCandidate">): void {
+        const rollout = this.#rollouts.get(upstream.pool);
+        if (rollout === undefined || (rollout.progress !== undefined && isOver(rollout.progress))) {
+            return;
+        }
+        const isCandidate = upstream.version === rollout.order.version;
+        rollout.evidence.add({ ...answer, isCandidate }, this.#options.clock.monotonic());
+        if (isCandidate && answer.hasFailed) {
+            this.#judge(rollout);
+        }
+    }
+
+    /** Tells the others what is known here, judges, and takes the next step where it is this node's turn. */
+    tick(): void {
+        for (const rollout of this.#rollouts.values()) {
+            if (rollout.progress !== undefined && isOver(rollout.progress)) {
+                continue;
+            }
+            const { pool, id } = rollout.order;
+            const lanes = rollout.evidence.getCounts(this.#options.clock.monotonic());
+            const report = { order: id, currentInFlight: rollout.inFlight.size, lanes };
+            this.#options.publishEvidence(pool, encodeReport(report));
+            this.#judge(rollout);
+            this.#advance(rollout);
+        }
+    }
+
+    #judge(rollout: Rollout): void {
+        if (rollout.isHalted) {
+            return;
+        }
+        const parts = [rollout.evidence.getCounts(this.#options.clock.monotonic())];
+        for (const report of this.#getReports(rollout)) {
+            parts.push(report.lanes);
+        }
+        const verdict = judgeRollout(addEvidence(parts));
+        if (verdict === undefined) {
+            return;
+        }
+        const { lane, reason, candidate, current } = verdict;
+        this.#halt(rollout, `${reason} in ${lane}: ${candidate.toFixed(2)} against ${current.toFixed(2)}`);
+        this.#options.publishHalt(rollout.order.pool, rollout.order.id);
+    }
+
+    #halt(rollout: Rollout, reason: string): void {
+        if (rollout.isHalted) {
+            return;
+        }
+        rollout.isHalted = true;
+        const { pool, version } = rollout.order;
+        this.#options.journal.write(events.rolloutHalted, { rollout: pool, version, reason });
+    }
+
+    #getReports(rollout: Rollout) {
+        const reports = [];
+        for (const { value } of this.#options.getEvidence(rollout.order.pool)) {
+            const report = decodeReport(value);
+            if (report !== undefined && report.order === rollout.order.id) {
+                reports.push(report);
+            }
+        }
+        return reports;
+    }
+
+    #advance(rollout: Rollout): void {
+        const { clock, registry, exposureShare, getRank } = this.#options;
+        const now = clock.monotonic();
+        const { order, progress, isHalted } = rollout;
+        const upstreams = registry.getTaking(order.pool);
+        const candidates = upstreams.filter(upstream => upstream.version === order.version).length;
+        let currentInFlight = rollout.inFlight.size;
+        for (const report of this.#getReports(rollout)) {
+            currentInFlight += report.currentInFlight;
+        }
+        const next = planRollout({
+            order,
+            progress,
+            elapsedMilliseconds: now - rollout.orderedAt,
+            isBad: isHalted,
+            candidates,
+            currents: upstreams.length - candidates,
+            currentInFlight,
+            exposureShare,
+            wallNow: clock.wall(),
+        });
+        if (next === undefined) {
+            rollout.dueSince = undefined;
+            return;
+        }
+        rollout.dueSince ??= now;
+        if (
+            now - rollout.dueSince < getRank() * rankDelayMilliseconds
+            || now - rollout.writtenAt < writePauseMilliseconds
+        ) {
+            return;
+        }
+        rollout.writtenAt = now;
+        void this.#options.writeProgress(order, next);
+    }
+}
