Read the store by few nodes, stop in order, reload settings

Change: one reader a site (one a failure domain from eight nodes there), others ask it with a wait and know the age of what they hear; ready says no from the signal on, late streams are refused; SIGHUP reloads, a bad file changes nothing. Ruled out: server streams between nodes: a suspended machine would take an old answer for a fresh one.

--- a/src/decisions/retries/windowedBudget.ts
+++ b/src/decisions/retries/windowedBudget.ts
@@ -8,15 +8,21 @@
 /** Part of the budget that is used: clocks and windows of nodes and of whoever counts differ by a slice or two. */
 const usedShare = 0.88;
 
+/** How many repeats are allowed in a window. */
+export interface RepeatAllowance {
+    /** Repeats that each request of the window allows. */
+    readonly ratio: number;
+    /** Repeats that all nodes together may make beyond that. */
+    readonly extra: number;
+}
+
 /** Settings of a windowed budget. */
 export interface WindowedBudgetOptions {
     readonly clock: Clock;
     /** Length of the window in milliseconds. */
     readonly windowMilliseconds: number;
-    /** Repeats that each request of the window allows. */
-    readonly ratio: number;
-    /** Repeats that all nodes together may make beyond that, in a window. */
-    readonly extra: number;
+    /** Returns the allowance in force. */
+    readonly getAllowance: () => RepeatAllowance;
     /** Returns the number of nodes that may be at work; each takes an equal part of the extra. */
     readonly getNodeCount: () => number;
 }
@@ -54,8 +60,9 @@
             requests += slice.requests;
             repeats += slice.repeats;
         }
-        const { ratio, extra, getNodeCount } = this.#options;
-        return usedShare * (ratio * requests + extra / Math.max(1, getNodeCount())) - repeats;
+        const { ratio, extra } = this.#options.getAllowance();
+        const nodes = Math.max(1, this.#options.getNodeCount());
+        return usedShare * (ratio * requests + extra / nodes) - repeats;
     }
 
     /**
--- a/src/entry/stateFetcher.ts
+++ b/src/entry/stateFetcher.ts
@@ -81,6 +81,8 @@
             state: newer ? encode(isControl ? control.exportState() : configuration.exportState()) : Buffer.alloc(0),
             counter: this.#options.getCounter(),
             ageMilliseconds: Math.min(Number.MAX_SAFE_INTEGER, Math.ceil(configuration.getAge())),
+            heldMilliseconds: 0,
+            complete: true,
         };
     }
 
@@ -138,6 +140,8 @@
             stream,
             knownOffset,
             counter: this.#options.getCounter(),
+            waitMilliseconds: 0,
+            whole: false,
         });
         return reply.unwrapOr(undefined);
     }
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -344,5 +344,12 @@
         "warning",
         "A step of a roll-out could not be written to the store, or somebody else wrote first; it is tried again.",
     ),
+    settingsReloaded: define(105, "settings-reloaded", "info", "A changed settings file is in force."),
+    settingsRefused: define(
+        106,
+        "settings-refused",
+        "error",
+        "A changed settings file has mistakes; the settings before it stay in force.",
+    ),
     linesLeftOut: define(110, "lines-left-out", "warning", "So many log lines were left out to bound the volume."),
 } as const satisfies Record<string, EventDefinition>;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -26,10 +26,10 @@
     readonly getRoutes: () => RouteTable | undefined;
     /** Returns how long ago the route table was last known to be the newest, in milliseconds. */
     readonly getConfigurationAge: () => number;
-    /** Keys are accepted only while the configuration is younger than this, in milliseconds. */
-    readonly longestKeyAgeMilliseconds: number;
-    /** A route or key that is missing is believed to be missing only while the configuration is younger than this. */
-    readonly longestDenialAgeMilliseconds: number;
+    /** Returns the age of the configuration up to which keys are accepted, in milliseconds. */
+    readonly getLongestKeyAge: () => number;
+    /** Returns the age up to which a route or key that is missing is believed to be missing, in milliseconds. */
+    readonly getLongestDenialAge: () => number;
     readonly getBudget: (pool: string) => WindowedBudget;
     /** Tells why nothing new is taken on, such as a shutdown that leaves too little time. */
     readonly checkCapacity: (route: Route) => Failure | undefined;
@@ -118,7 +118,7 @@
         if (!routes.needsKeys() || route.isPublic) {
             return ok({ route, workspace: undefined, priority: route.priority, version: routes.version });
         }
-        if (age > this.#options.longestKeyAgeMilliseconds) {
+        if (age > this.#options.getLongestKeyAge()) {
             // The key may have been taken away since; accepting it would let a stranger in.
             return err(this.#refuseStale(request, "The configuration is too old to accept keys."));
         }
@@ -132,7 +132,7 @@
 
     /** A final "no" from a configuration that may be outdated would turn away a caller whose route or key is new. */
     #deny(request: CallerRequest, age: number, kind: "not-found" | "unauthorized", message: string): Refusal {
-        if (age > this.#options.longestDenialAgeMilliseconds) {
+        if (age > this.#options.getLongestDenialAge()) {
             return this.#refuseStale(request, "The configuration may be outdated.");
         }
         return refuse(kind, message, "Check the address and the key of the request.");
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -29,6 +29,7 @@
         // A second signal finds the shutdown under way and waits for it like the first.
         process.on(signal, () => void node.stop().then(() => process.exit(0)));
     }
+    process.on("SIGHUP", () => node.reload(readFileSync(file, "utf8"), file));
     await node.start();
 }
 
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -4,11 +4,10 @@
 import type { AwilixContainer } from "awilix";
 import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
+import { formatMistake } from "../settings/index.js";
 import { createNodeContainer, type NodeParts } from "./nodeParts.js";
-import type { NodeSettings } from "./nodeSettings.js";
+import { type NodeSettings, parseNodeSettings } from "./nodeSettings.js";
 
-/** Part of the time to stop in which requests under way may end. */
-const drainShare = 0.9;
 const drainPollMilliseconds = 50;
 /** Callers that asked just before the stop still connect for a while; the node goes on serving them, in milliseconds. */
 const leastServingMilliseconds = 2_500;
@@ -46,6 +45,25 @@
         rollouts.start();
     }
 
+    /**
+     * Takes in changed settings. Where the node listens and what it is called stays until a restart; a file with mistakes
+     * changes nothing.
+     * @param content - The file's content.
+     * @param file - Its name, for messages.
+     */
+    reload(content: string, file: string): void {
+        const { journal, liveSettings } = this.getParts();
+        parseNodeSettings(content, file).match(
+            settings => {
+                liveSettings.set(settings);
+                journal.write(events.settingsReloaded, { file });
+            },
+            mistakes => {
+                journal.write(events.settingsRefused, { file, cause: mistakes.map(formatMistake).join(" ") });
+            },
+        );
+    }
+
     /** Shuts down gracefully. A second call waits for the first. */
     stop(): Promise<void> {
         this.#stopping ??= this.#stop();
@@ -54,15 +72,14 @@
 
     async #stop(): Promise<void> {
         const parts = this.getParts();
-        const { settings, clock, journal, membership, callerFace, siteFace, forwarder } = parts;
+        const { liveSettings, clock, journal, membership, callerFace, siteFace, forwarder, departure } = parts;
         journal.write(events.processStopping, { requests: forwarder.getInFlight() });
         const since = clock.monotonic();
+        departure.begin(liveSettings.get().bounds.stopMilliseconds);
         membership.announceLeaving();
         callerFace.announceLeaving();
-        const end = settings.bounds.stopMilliseconds * drainShare;
-        while (clock.monotonic() - since < end) {
-            const elapsed = clock.monotonic() - since;
-            if (elapsed > leastServingMilliseconds && forwarder.getInFlight() === 0) {
+        while (departure.getTimeLeft() > 0) {
+            if (clock.monotonic() - since > leastServingMilliseconds && forwarder.getInFlight() === 0) {
                 break;
             }
             await sleep(drainPollMilliseconds);
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -6,7 +6,7 @@
 import { UpstreamPicker, WindowedBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
-import { Attempts, type EndedAttempt, type Exchange, Forwarder } from "../forwarding/index.js";
+import { Attempts, Departure, type EndedAttempt, type Exchange, Forwarder } from "../forwarding/index.js";
 import {
     Gossip,
     MemberDirectory,
@@ -18,7 +18,7 @@
 } from "../membership/index.js";
 import { type PeerReport, Rollouts } from "../rollouts/index.js";
 import { CallerFace } from "./callerFace.js";
-import type { NodeSettings } from "./nodeSettings.js";
+import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
 import { SiteFace } from "./siteFace.js";
 import { StoreClient } from "./storeClient.js";
@@ -41,7 +41,10 @@
 
 /** The parts of a node. */
 export interface NodeParts {
+    /** The settings at the start: name, addresses and what else a running node keeps. */
     readonly settings: NodeSettings;
+    /** The settings in force. */
+    readonly liveSettings: LiveSettings;
     readonly clock: Clock;
     /** Counts suspensions too; for the age of beliefs. */
     readonly beliefClock: Clock;
@@ -60,6 +63,7 @@
     readonly budgets: (pool: string) => WindowedBudget;
     readonly upstreamClient: UpstreamClient;
     readonly rollouts: Rollouts;
+    readonly departure: Departure;
     readonly attempts: Attempts;
     readonly forwarder: Forwarder;
     readonly callerFace: CallerFace;
@@ -82,6 +86,7 @@
 
 const makers: Makers = {
     settings: ({ settings }) => settings,
+    liveSettings: ({ settings }) => new LiveSettings(settings),
     clock: () => systemClock,
     beliefClock: () => new SuspensionClock(systemClock),
     random: () => new RandomSource(Math.floor(Math.random() * 2 ** 31)),
@@ -99,13 +104,15 @@
     store: ({ settings, beliefClock }) => new StoreClient(settings.store, beliefClock),
     topics: parts =>
         new PlatformTopics({
-            settings: parts.settings,
+            liveSettings: parts.liveSettings,
             beliefClock: parts.beliefClock,
             journal: parts.journal,
             store: parts.store,
             registry: parts.registry,
             directory: parts.directory,
             self: parts.self,
+            membership: parts.membership,
+            peerClient: parts.peerClient,
             getRollouts: () => parts.rollouts,
         }),
     registry: ({ clock }) => new UpstreamRegistry(clock),
@@ -132,7 +139,7 @@
             failureDomain: settings.failureDomain,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
         }),
-    budgets: ({ clock, settings, membership }) => createBudgets(clock, settings, membership),
+    budgets: ({ clock, liveSettings, membership }) => createBudgets(clock, liveSettings, membership),
     upstreamClient: ({ topics, membership }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
@@ -141,6 +148,7 @@
             },
         }),
     rollouts: parts => createRollouts(parts),
+    departure: ({ clock }) => new Departure(clock),
     attempts: ({ clock, journal, registry, picker, upstreamClient, budgets, rollouts }) =>
         new Attempts({
             clock,
@@ -158,17 +166,17 @@
                 };
             },
         }),
-    forwarder: ({ clock, journal, attempts, topics, settings, budgets }) =>
+    forwarder: ({ clock, journal, attempts, topics, liveSettings, budgets, departure }) =>
         new Forwarder({
             clock,
             journal,
             attempts,
             getRoutes: () => topics.getRoutes(),
             getConfigurationAge: () => topics.getConfigurationAge(),
-            longestKeyAgeMilliseconds: settings.bounds.revocationMilliseconds - revocationMarginMilliseconds,
-            longestDenialAgeMilliseconds: settings.bounds.configurationMilliseconds * denialShare,
+            getLongestKeyAge: () => liveSettings.get().bounds.revocationMilliseconds - revocationMarginMilliseconds,
+            getLongestDenialAge: () => liveSettings.get().bounds.configurationMilliseconds * denialShare,
             getBudget: budgets,
-            checkCapacity: () => undefined,
+            checkCapacity: route => departure.check(route),
         }),
     callerFace: ({ clock, forwarder, topics, journal }) =>
         new CallerFace({
@@ -180,9 +188,9 @@
                 journal.write(events.requestCrashed, { request, cause });
             },
         }),
-    siteFace: ({ settings, topics, membership, directory }) =>
+    siteFace: ({ settings, liveSettings, topics, membership, directory, departure }) =>
         new SiteFace({
-            isReady: () => topics.getRoutes() !== undefined,
+            isReady: () => topics.getRoutes() !== undefined && !departure.hasBegun,
             getAddresses: () => {
                 const addresses: string[] = [];
                 for (const member of membership.getAlive()) {
@@ -191,22 +199,27 @@
                 }
                 return addresses;
             },
-            keepSeconds: settings.bounds.addressKeepSeconds,
+            getKeepSeconds: () => liveSettings.get().bounds.addressKeepSeconds,
             getMetrics: () => Promise.resolve({ type: "text/plain", text: "" }),
         }),
 };
 
-function createBudgets(clock: Clock, settings: NodeSettings, membership: Membership): (pool: string) => WindowedBudget {
+function createBudgets(
+    clock: Clock,
+    liveSettings: LiveSettings,
+    membership: Membership,
+): (pool: string) => WindowedBudget {
     const budgets = new Map<string, WindowedBudget>();
-    const { retryRatio, retryWindowMilliseconds, retryExtra } = settings.bounds;
     return pool => {
         let budget = budgets.get(pool);
         if (budget === undefined) {
             budget = new WindowedBudget({
                 clock,
-                windowMilliseconds: retryWindowMilliseconds,
-                ratio: retryRatio,
-                extra: retryExtra,
+                windowMilliseconds: liveSettings.get().bounds.retryWindowMilliseconds,
+                getAllowance: () => {
+                    const { retryRatio, retryExtra } = liveSettings.get().bounds;
+                    return { ratio: retryRatio, extra: retryExtra };
+                },
                 getNodeCount: () => membership.getMembers().length,
             });
             budgets.set(pool, budget);
@@ -257,7 +270,7 @@
     }
 }
 
-function createPeerHandlers({ gossip, self }: NodeParts): PeerHandlers {
+function createPeerHandlers({ gossip, self, topics }: NodeParts): PeerHandlers {
     const unsupported = (): never => {
         throw new Error(`The node ${self.id} keeps no such state: on this platform it lives in the store.`);
     };
@@ -266,6 +279,6 @@
         push: request => ({ counter: gossip.handlePush(request) }),
         copyBills: unsupported,
         decideClaims: unsupported,
-        fetchState: unsupported,
+        fetchState: request => topics.answerPeer(request),
     };
 }
--- a/src/platform/nodeSettings.ts
+++ b/src/platform/nodeSettings.ts
@@ -50,6 +50,26 @@
     };
 }
 
+/** The settings in force, which a changed file replaces while the node runs. */
+export class LiveSettings {
+    #settings: NodeSettings;
+
+    /** @param settings - The settings at the start. */
+    constructor(settings: NodeSettings) {
+        this.#settings = settings;
+    }
+
+    /** Returns the settings in force. */
+    get(): NodeSettings {
+        return this.#settings;
+    }
+
+    /** Replaces them. */
+    set(settings: NodeSettings): void {
+        this.#settings = settings;
+    }
+}
+
 const endpointSchema = z.string().regex(/^[\d.]+:\d+$/, "write HOST:PORT with an IP number").transform(text => {
     const [host, port] = text.split(":");
     return { host, port: Number(port) };
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -4,33 +4,49 @@
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
-import type { MemberDirectory, NodeIdentity } from "../membership/index.js";
+import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
+import type { MemberDirectory, Membership, NodeIdentity, PeerAddress, PeerClient } from "../membership/index.js";
 import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
-import { type KeyedRecord, TopicFollower } from "../topics/index.js";
+import {
+    answerPeer,
+    chooseReader,
+    createPeerReader,
+    type KeyedRecord,
+    type KeyedTopicReader,
+    TopicFollower,
+} from "../topics/index.js";
 import { decodeConfiguration, decodeProgress, decodeRolloutOrder, encodeRolloutStatus } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
-import type { NodeSettings } from "./nodeSettings.js";
+import type { LiveSettings } from "./nodeSettings.js";
 import type { StoreClient } from "./storeClient.js";
 import { recordKeys, topics } from "./wire.js";
 
-/** An empty answer after this time confirms the newest configuration; keys need one every few seconds. */
-const confirmMilliseconds = 1_000;
-/** Nothing here needs to be confirmed; changes are delivered at once all the same. */
-const statusWaitMilliseconds = 5_000;
+/**
+ * An empty answer after this time confirms that nothing is newer. Keys need that every few seconds; and a node that no longer
+ * hears anything must know it soon enough to read for itself before a change is due.
+ */
+const confirmMilliseconds = 700;
+/** Who is a member, and how far a roll-out has come, may be a little older. */
+const statusWaitMilliseconds = 2_000;
+/** A state that was not confirmed for so long has to be read elsewhere, in milliseconds. */
+const staleMilliseconds = 2_500;
+const statusStaleMilliseconds = 6_000;
 /** An entry that vanishes within this time after an outage of the store may only have lapsed, in milliseconds. */
 const lapseMilliseconds = 2_000;
 const appendPauseMilliseconds = 500;
 
 /** What topics are followed with. */
 export interface PlatformTopicsOptions {
-    readonly settings: NodeSettings;
+    readonly liveSettings: LiveSettings;
     readonly beliefClock: Clock;
     readonly journal: Journal;
     readonly store: StoreClient;
     readonly registry: UpstreamRegistry;
     readonly directory: MemberDirectory;
     readonly self: NodeIdentity;
+    readonly membership: Membership;
+    readonly peerClient: PeerClient;
     /** Returns what handles roll-outs, which in turn writes through these topics. */
     readonly getRollouts: () => Rollouts;
 }
@@ -41,27 +57,21 @@
     readonly #operator: TopicFollower;
     readonly #upstreams: TopicFollower;
     readonly #status: TopicFollower;
+    readonly #followers = new Map<string, TopicFollower>();
     readonly #routeListeners: (() => void)[] = [];
     #routes: RouteTable | undefined;
     #isStopped = false;
 
     constructor(options: PlatformTopicsOptions) {
         this.#options = options;
-        this.#operator = this.#createFollower(
-            topics.operator,
-            confirmMilliseconds,
-            changed => this.#takeOrders(changed),
-        );
-        this.#upstreams = this.#createFollower(
-            topics.upstreams,
-            confirmMilliseconds,
-            changed => this.#takeUpstreams(changed),
-        );
-        this.#status = this.#createFollower(
-            topics.status,
-            statusWaitMilliseconds,
-            changed => this.#takeStatus(changed),
-        );
+        const quick = { waitMilliseconds: confirmMilliseconds, staleMilliseconds };
+        const slow = { waitMilliseconds: statusWaitMilliseconds, staleMilliseconds: statusStaleMilliseconds };
+        this.#operator = this.#createFollower(topics.operator, quick, changed => this.#takeOrders(changed));
+        this.#upstreams = this.#createFollower(topics.upstreams, quick, changed => this.#takeUpstreams(changed));
+        this.#status = this.#createFollower(topics.status, slow, changed => this.#takeStatus(changed));
+        this.#followers.set(topics.operator, this.#operator);
+        this.#followers.set(topics.upstreams, this.#upstreams);
+        this.#followers.set(topics.status, this.#status);
     }
 
     /** Begins to follow, and announces this node. */
@@ -95,20 +105,65 @@
         return this.#operator.getAge();
     }
 
+    /**
+     * Answers a peer that reads a topic through this node.
+     * @param request - What it asks.
+     */
+    answerPeer(request: FetchStateRequest): Promise<FetchStateReply> {
+        const follower = this.#followers.get(request.stream);
+        if (follower === undefined) {
+            throw new Error(`The topic ${request.stream} is not followed here.`);
+        }
+        return answerPeer(follower, request, this.#options.beliefClock);
+    }
+
     #createFollower(
         topic: string,
-        waitMilliseconds: number,
+        times: { readonly waitMilliseconds: number; readonly staleMilliseconds: number; },
         onChanges: (changed: readonly KeyedRecord[]) => void,
     ): TopicFollower {
         const { beliefClock, journal, store } = this.#options;
-        const reader = store.createReader(topic);
+        const storeReader = store.createReader(topic);
         return new TopicFollower({
             name: topic,
             clock: beliefClock,
             journal,
-            pickReader: () => reader,
-            waitMilliseconds,
+            pickReader: detours => this.#pickReader(topic, storeReader, detours),
             onChanges,
+            ...times,
+        });
+    }
+
+    #pickReader(topic: string, storeReader: KeyedTopicReader, detours: number): KeyedTopicReader {
+        const { self, membership, liveSettings } = this.#options;
+        const { seeds } = liveSettings.get();
+        const isStale = detours > 0 || this.#followers.get(topic)?.state.isLoaded() !== true;
+        const source = chooseReader({
+            self: self.id,
+            failureDomain: self.failureDomain,
+            alive: membership.getAlive(),
+            isStale,
+            detours,
+        });
+        if (source.kind === "peer") {
+            return this.#createPeerReader(topic, source.peer);
+        }
+        const seed = seeds[Math.floor(detours / 2) % Math.max(1, seeds.length)];
+        const isAlone = membership.getAlive().length <= 1;
+        if (isAlone && detours % 2 === 1 && seed !== undefined && seed.host !== self.address) {
+            // Nobody is known yet, since the store that would tell does not answer.
+            return this.#createPeerReader(topic, { id: seed.host, address: seed.host, peerPort: seed.port });
+        }
+        return storeReader;
+    }
+
+    #createPeerReader(topic: string, peer: PeerAddress): KeyedTopicReader {
+        const { beliefClock, peerClient } = this.#options;
+        return createPeerReader({
+            topic,
+            peer,
+            clock: beliefClock,
+            ask: (to, request, milliseconds) => peerClient.fetchState(to, request, milliseconds),
         });
     }
 
@@ -221,9 +276,9 @@
 
     /** Leaves this node's record in the store, so that the others get to know it. */
     async #announce(): Promise<void> {
-        const { self, settings, store } = this.#options;
+        const { self, liveSettings, store } = this.#options;
         const key = `${recordKeys.memberPrefix}${self.id}`;
-        const value = Buffer.from(JSON.stringify({ ...self, callerPort: settings.listen.callers.port }));
+        const value = Buffer.from(JSON.stringify({ ...self, callerPort: liveSettings.get().listen.callers.port }));
         while (!this.#isStopped) {
             if (this.#status.state.isLoaded()) {
                 const known = this.#status.state.get(key);
--- a/src/platform/siteFace.ts
+++ b/src/platform/siteFace.ts
@@ -13,8 +13,8 @@
      * @param failureDomain - The caller's, if it said.
      */
     readonly getAddresses: (failureDomain: string | undefined) => readonly string[];
-    /** How long callers may keep addresses. */
-    readonly keepSeconds: number;
+    /** Returns how long callers may keep addresses. */
+    readonly getKeepSeconds: () => number;
     /** Returns the metrics as text, and their content type. */
     readonly getMetrics: () => Promise<{ readonly type: string; readonly text: string; }>;
 }
@@ -71,5 +71,5 @@
         context.body = { error: "unavailable" };
         return;
     }
-    context.body = { addresses, ttl_s: options.keepSeconds };
+    context.body = { addresses, ttl_s: options.getKeepSeconds() };
 }
--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -1,4 +1,6 @@
 /** Topics of the platform's store: reading them, folding them, and knowing how old a belief is. */
 export * from "./keyedTopic.js";
+export * from "./peerTopics.js";
+export * from "./readerChoice.js";
 export * from "./topicFollower.js";
 export * from "./topicState.js";
--- /dev/null
+++ b/src/topics/peerTopics.ts
@@ -0,0 +1,121 @@
+/**
+ * Reading topics through peers: few nodes read the store, the others hear from them.
+ */
+import { err, ok, type Result } from "neverthrow";
+import { z } from "zod";
+import { type Clock, Failure } from "../common/index.js";
+import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
+import type { PeerAddress } from "../membership/index.js";
+import type { KeyedRecord, KeyedTopicReader, TopicPage } from "./keyedTopic.js";
+import type { TopicFollower } from "./topicFollower.js";
+
+/** How long a peer may take beyond the wait that it was asked for; a peer that is away must not be waited for longer. */
+const answerMilliseconds = 500;
+/** A peer waits no longer than this, whatever it is asked. */
+const longestWaitMilliseconds = 10_000;
+
+const stateSchema = z.array(z.tuple([z.string(), z.number(), z.string().optional()]));
+
+/** Asks a peer for state. */
+export type AskPeer = (
+    peer: PeerAddress,
+    request: FetchStateRequest,
+    milliseconds: number,
+) => Promise<Result<FetchStateReply, Failure>>;
+
+/** What a reader through a peer is made with. */
+export interface PeerTopicOptions {
+    readonly topic: string;
+    readonly peer: PeerAddress;
+    readonly clock: Clock;
+    readonly ask: AskPeer;
+}
+
+/** Creates a reader of a topic through a peer that follows it. */
+export function createPeerReader(options: PeerTopicOptions): KeyedTopicReader {
+    return {
+        readAll: () => read(options, { knownOffset: 0, waitMilliseconds: 0, whole: true }),
+        readSince: (from, waitMilliseconds) => read(options, { knownOffset: from, waitMilliseconds, whole: false }),
+    };
+}
+
+/**
+ * Answers a peer's question for a topic.
+ * @param follower - Follows the topic here.
+ * @param request - The question.
+ * @param clock - Tells ages.
+ */
+export async function answerPeer(
+    follower: TopicFollower,
+    request: FetchStateRequest,
+    clock: Clock,
+): Promise<FetchStateReply> {
+    const receivedAt = clock.monotonic();
+    if (!follower.state.isLoaded()) {
+        throw new Error("The topic has not been read here yet.");
+    }
+    const page = request.whole
+        ? follower.state.getWhole()
+        : await follower.waitSince(request.knownOffset, Math.min(request.waitMilliseconds, longestWaitMilliseconds));
+    const now = clock.monotonic();
+    return {
+        newer: page.records.length > 0,
+        offset: page.end,
+        state: encodeRecords(page.records),
+        counter: 0,
+        // Rounded up: a belief must never seem younger than it is.
+        ageMilliseconds: Math.ceil(now - page.confirmedAt),
+        heldMilliseconds: Math.floor(now - receivedAt),
+        complete: page.isComplete,
+    };
+}
+
+async function read(
+    { topic, peer, clock, ask }: PeerTopicOptions,
+    wanted: Pick<FetchStateRequest, "knownOffset" | "waitMilliseconds" | "whole">,
+): Promise<Result<TopicPage, Failure>> {
+    const sentAt = clock.monotonic();
+    const reply = await ask(
+        peer,
+        { ...wanted, stream: topic, counter: 0 },
+        wanted.waitMilliseconds + answerMilliseconds,
+    );
+    return reply.andThen(({ state, offset, complete, heldMilliseconds, ageMilliseconds }) =>
+        decodeRecords(state).map(records => ({
+            records,
+            isComplete: complete,
+            end: offset,
+            // The answer left the peer no sooner than the question was sent plus the time it was held. An answer that was
+            // long on its way is therefore never taken for a fresh one.
+            confirmedAt: sentAt + heldMilliseconds - ageMilliseconds,
+        }))
+    );
+}
+
+function encodeRecords(records: readonly KeyedRecord[]): Buffer {
+    const rows = records.map((
+        { key, offset, value },
+    ) => [key, offset, ...(value === undefined ? [] : [value.toString("base64")])]);
+    return Buffer.from(JSON.stringify(rows));
+}
+
+function decodeRecords(state: Buffer): Result<readonly KeyedRecord[], Failure> {
+    try {
+        const rows = stateSchema.parse(JSON.parse(state.toString()));
+        return ok(rows.map(([key, offset, value]) => ({
+            key,
+            offset,
+            value: value === undefined ? undefined : Buffer.from(value, "base64"),
+        })));
+    }
+    catch (cause) {
+        return err(
+            new Failure({
+                kind: "protocol",
+                message: "A peer's answer cannot be read.",
+                remedy: "Read from the store, and finish the replacement of the nodes by the new release.",
+                cause,
+            }),
+        );
+    }
+}
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -16,8 +16,13 @@
     readonly name: string;
     readonly clock: Clock;
     readonly journal: Journal;
-    /** Picks whom to read from, anew for each read. */
-    readonly pickReader: () => KeyedTopicReader;
+    /**
+     * Picks whom to read from, anew for each read.
+     * @param detours - Reads in a row that failed or left the state old; 0 when the last one was as it should be.
+     */
+    readonly pickReader: (detours: number) => KeyedTopicReader;
+    /** A state that was confirmed longer ago than this is old: whoever it is read from lags behind, in milliseconds. */
+    readonly staleMilliseconds: number;
     /** How long a read may wait for changes. An empty answer after that time confirms the state. */
     readonly waitMilliseconds: number;
     /** Takes what changed, in the order of offsets. */
@@ -32,6 +37,7 @@
     readonly #options: TopicFollowerOptions;
     readonly #waiters = new Set<() => void>();
     #failures = 0;
+    #detours = 0;
     #regainedAt = Number.NEGATIVE_INFINITY;
     #isStopped = false;
     #running: Promise<void> | undefined;
@@ -106,19 +112,34 @@
 
     async #run(): Promise<void> {
         while (!this.#isStopped) {
-            const reader = this.#options.pickReader();
+            const reader = this.#options.pickReader(this.#detours);
             const read = this.state.isLoaded()
                 ? await reader.readSince(this.state.getEnd(), this.#options.waitMilliseconds)
                 : await reader.readAll();
             if (read.isOk()) {
-                this.#noteRegained();
                 this.offer(read.value);
+                this.#detours = this.getAge() > this.#options.staleMilliseconds ? this.#detours + 1 : 0;
+                if (this.#detours === 0) {
+                    this.#noteRegained();
+                }
+                else {
+                    await this.#pause(this.#detours);
+                }
                 continue;
             }
+            this.#detours += 1;
             await this.#recover(reader, read.error);
         }
     }
 
+    /** The first detour is taken at once: the usual reader may just have died. */
+    async #pause(detours: number): Promise<void> {
+        if (detours > 1) {
+            const pause = Math.min(longestPauseMilliseconds, firstPauseMilliseconds * 2 ** Math.min(10, detours - 2));
+            await (this.#options.sleep ?? sleepByTimer)(pause);
+        }
+    }
+
     async #recover(reader: KeyedTopicReader, failure: Failure): Promise<void> {
         if (failure.kind === "gone") {
             const whole = await reader.readAll();
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -48,19 +48,26 @@
         }
     }
 
+    /** Returns everything. */
+    getWhole(): TopicPage {
+        return { records: [...this.getAll()], isComplete: true, end: this.#end, confirmedAt: this.#confirmedAt };
+    }
+
     /**
      * Returns what changed at or after an offset, removals among it; everything when removals that old are forgotten.
      * @param from - The offset.
      */
     getSince(from: number): TopicPage {
-        const isComplete = from < this.#forgottenBefore || from > this.#end;
+        if (from < this.#forgottenBefore) {
+            return this.getWhole();
+        }
         const records: KeyedRecord[] = [];
         for (const record of this.#records.values()) {
-            if (isComplete ? record.value !== undefined : record.offset >= from) {
+            if (record.offset >= from) {
                 records.push(record);
             }
         }
-        return { records, isComplete, end: this.#end, confirmedAt: this.#confirmedAt };
+        return { records, isComplete: false, end: this.#end, confirmedAt: this.#confirmedAt };
     }
 
     /**
--- a/test/entry/mutualTls.test.ts
+++ b/test/entry/mutualTls.test.ts
@@ -42,7 +42,13 @@
     async function isAnswered(client: PeerClient): Promise<boolean> {
         const [address, port] = site.getEntryOrThrow("entry-1").callers.split(":");
         const peer = { id: "entry-1", address, peerPort: Number(port) + 1 };
-        const reply = await client.fetchState(peer, { stream: "config", knownOffset: 0, counter: 0 });
+        const reply = await client.fetchState(peer, {
+            stream: "config",
+            knownOffset: 0,
+            counter: 0,
+            waitMilliseconds: 0,
+            whole: false,
+        });
         client.close();
         return reply.isOk();
     }
--- a/test/membership/peerCalls.test.ts
+++ b/test/membership/peerCalls.test.ts
@@ -37,7 +37,15 @@
         push: () => ({ counter: 7 }),
         copyBills: () => ({ kept: [], counter: 0 }),
         decideClaims: () => ({ decisions: [], counter: 0 }),
-        fetchState: () => ({ newer: false, offset: 0, state: Buffer.alloc(0), counter: 0, ageMilliseconds: 0 }),
+        fetchState: () => ({
+            newer: false,
+            offset: 0,
+            state: Buffer.alloc(0),
+            counter: 0,
+            ageMilliseconds: 0,
+            heldMilliseconds: 0,
+            complete: true,
+        }),
         ...changes,
     };
 }
--- a/test/proofs/membershipChanges.test.ts
+++ b/test/proofs/membershipChanges.test.ts
@@ -123,7 +123,15 @@
             push: request => ({ counter: gossip.handlePush(request) }),
             copyBills: () => ({ kept: [], counter: 0 }),
             decideClaims: () => ({ decisions: [], counter: 0 }),
-            fetchState: () => ({ newer: false, offset: 0, state: Buffer.alloc(0), counter: 0, ageMilliseconds: 0 }),
+            fetchState: () => ({
+                newer: false,
+                offset: 0,
+                state: Buffer.alloc(0),
+                counter: 0,
+                ageMilliseconds: 0,
+                heldMilliseconds: 0,
+                complete: true,
+            }),
         },
     });
     (await server.start())._unsafeUnwrap();
--- a/test/proofs/olderMember.test.ts
+++ b/test/proofs/olderMember.test.ts
@@ -31,7 +31,13 @@
     const [address, port] = proof.site.getEntryOrThrow("entry-1").callers.split(":");
     const client = new PeerClient({ newestProtocol });
     const peer = { id: "entry-1", address, peerPort: Number(port) + 1 };
-    const reply = await client.fetchState(peer, { stream: "config", knownOffset: 0, counter: 0 });
+    const reply = await client.fetchState(peer, {
+        stream: "config",
+        knownOffset: 0,
+        counter: 0,
+        waitMilliseconds: 0,
+        whole: false,
+    });
     client.close();
     return reply._unsafeUnwrap();
 }
