--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -17,7 +17,7 @@
  */
 const delayMillisecondsByRequest = 15;
 /** What a request in another failure domain must gain in time to be worth its bytes on the way, in milliseconds. */
-const domainMilliseconds = 40;
+const domainMilliseconds = 100;
 /** Parts of a prompt that are shared are likely to be in the memory of the first two runners by rank of their key. */
 const likelyCached = [0.9, 0.4] as const;
 /**
--- a/src/platform/main.ts
+++ b/src/platform/program.ts
@@ -1,17 +1,17 @@
-#!/usr/bin/env node
 /**
- * The program of a node on the platform.
+ * The program of a node on the platform; `deploy/launch.cjs` runs it.
  */
 import { readFileSync } from "node:fs";
 import { formatMistake } from "../settings/index.js";
 import { PlatformNode } from "./node.js";
 import { parseNodeSettings } from "./nodeSettings.js";
 
-const exitCodes = { badInput: 2, failed: 1 } as const;
+const exitCodes = { badInput: 2 } as const;
 /** Environment variable with the path of the settings file. */
 const settingsVariable = "RATTANLOCK_BOOT";
 
-async function main(): Promise<void> {
+/** Runs a node until it is told to stop. */
+export async function main(): Promise<void> {
     const file = process.env[settingsVariable];
     if (file === undefined) {
         console.error(`Set ${settingsVariable} to the path of the settings file.`);
@@ -32,11 +32,3 @@
     process.on("SIGHUP", () => node.reload(readFileSync(file, "utf8"), file));
     await node.start();
 }
-
-try {
-    await main();
-}
-catch (error) {
-    console.error(error instanceof Error ? error.stack : error);
-    process.exit(exitCodes.failed);
-}
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -2,7 +2,7 @@
  * Calls upstreams over HTTP, with the platform's headers.
  */
 import { err, ok, type Result } from "neverthrow";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type {
     ReportedLoad,
@@ -32,9 +32,32 @@
     readonly getConnectionLimit: (pool: string) => number;
 }
 
+/**
+ * An answer without a length that ends within this time of a reset of one of the upstream's connections is not taken for
+ * complete, in milliseconds. The HTTP library ends such an answer in the same way whether its connection was closed or reset;
+ * half a booking's confirmation would pass for a whole one.
+ */
+const resetMilliseconds = 100;
+
 interface PooledUpstream {
     readonly upstream: RegisteredUpstream;
     readonly pool: Pool;
+    readonly resets: ResetWatch;
+}
+
+/** Remembers when a connection of an upstream was last reset. */
+class ResetWatch {
+    #lastAt = Number.NEGATIVE_INFINITY;
+
+    /** Notes a reset. */
+    mark(): void {
+        this.#lastAt = performance.now();
+    }
+
+    /** Tells whether there was a reset just now. */
+    isRecent(): boolean {
+        return performance.now() - this.#lastAt < resetMilliseconds;
+    }
 }
 
 /** Calls upstreams; keeps connections to each. */
@@ -52,7 +75,8 @@
         call: UpstreamCall,
     ): Promise<Result<UpstreamAnswer, UpstreamCallFailure>> {
         try {
-            const response = await this.#getPool(upstream).request({
+            const { pool, resets } = this.#getPool(upstream);
+            const response = await pool.request({
                 method: call.request.method as Dispatcher.HttpMethod,
                 path: call.request.target,
                 headers: createHeaders(upstream, call),
@@ -60,7 +84,7 @@
                 signal: call.signal,
                 responseHeaders: "raw",
             });
-            return readHead(response, call);
+            return readHead(response, call, resets);
         }
         catch (error) {
             const kind = provesNothingWritten(error) ? "not-sent" : "broken";
@@ -85,29 +109,48 @@
         this.#pools.clear();
     }
 
-    #getPool(upstream: RegisteredUpstream): Pool {
+    #getPool(upstream: RegisteredUpstream): PooledUpstream {
         const known = this.#pools.get(upstream.id);
         if (known !== undefined && known.upstream.address === upstream.address) {
-            return known.pool;
+            return known;
         }
         if (known !== undefined) {
             closeQuietly(known.pool);
         }
+        const resets = new ResetWatch();
         const pool = new Pool(`http://${upstream.address}`, {
             connections: this.#options.getConnectionLimit(upstream.pool),
             pipelining: 1,
-            connectTimeout: connectMilliseconds,
+            connect: createConnector(resets),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: keepAliveMilliseconds,
             keepAliveMaxTimeout: longestKeepAliveMilliseconds,
             keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
         });
-        this.#pools.set(upstream.id, { upstream, pool });
-        return pool;
+        const pooled = { upstream, pool, resets };
+        this.#pools.set(upstream.id, pooled);
+        return pooled;
     }
 }
 
+/** Opens connections, and hears of their resets before the HTTP library does. */
+function createConnector(resets: ResetWatch): buildConnector.connector {
+    const connect = buildConnector({ timeout: connectMilliseconds });
+    return (options, callback) => {
+        connect(options, (...[error, socket]) => {
+            if (error) {
+                // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
+                callback(error, null);
+                return;
+            }
+            socket.on("error", () => resets.mark());
+            // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
+            callback(null, socket);
+        });
+    };
+}
+
 function createHeaders(upstream: RegisteredUpstream, call: UpstreamCall): string[] {
     const { request, deadlineMilliseconds, workspace, model, urgency, lastEventId } = call;
     const headers = [...request.headers];
@@ -132,6 +175,7 @@
 function readHead(
     response: Dispatcher.ResponseData,
     call: UpstreamCall,
+    resets: ResetWatch,
 ): Result<UpstreamAnswer, UpstreamCallFailure> {
     const raw = response.headers as unknown as readonly string[];
     const load = readLoad(raw);
@@ -164,10 +208,23 @@
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         load,
-        body: response.body as AsyncIterable<Buffer>,
+        body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
     });
 }
 
+/** Tells whether the end of an answer can be told from a connection that broke. */
+function hasFraming(raw: readonly string[]): boolean {
+    return findHeader(raw, "content-length") !== undefined || findHeader(raw, "transfer-encoding") !== undefined;
+}
+
+/** Reads a body that ends with its connection; throws when the connection was reset. */
+async function* readUnframed(body: AsyncIterable<Buffer>, resets: ResetWatch): AsyncGenerator<Buffer> {
+    yield* body;
+    if (resets.isRecent()) {
+        throw new Error("The connection was reset before the end of an answer without a length.");
+    }
+}
+
 /** Reads the rest of a short refusal, so that its connection can be used again. */
 function discard(response: Dispatcher.ResponseData): void {
     response.body.dump().catch(() => {
