--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -26,6 +26,21 @@
  */
 const loadNoise = 0.25;
 
+/**
+ * Part of a pool's runners that take long prompts. A runner reads prompts one after another, so a short prompt behind a long
+ * one waits for all of it; keeping the two apart spares most callers that wait (size-interval task assignment).
+ */
+const longShare = 0.5;
+/** A prompt is long when reading it takes so many milliseconds. */
+const longMilliseconds = 140;
+/** What a short prompt must gain to go to a runner of long prompts, in milliseconds. */
+const shortAmongLongMilliseconds = 120;
+/** A long prompt goes to another runner only if it gains so many times its reading time: that much it costs others there. */
+const longAmongShortFactor = 1;
+
+/** Fewer runners all take everything. */
+const leastRunnersToDivide = 4;
+
 /** What is known of a prompt, for the choice of its runner. */
 export interface PromptLoad {
     readonly model: string | undefined;
@@ -67,6 +82,7 @@
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
+    readonly #longRanks = new Map<string, number>();
 
     constructor(options: {
         readonly clock: Clock;
@@ -167,6 +183,7 @@
      */
     forget(upstream: string): void {
         this.#statuses.delete(upstream);
+        this.#longRanks.delete(upstream);
     }
 
     #getStatus(id: string): UpstreamStatus {
@@ -205,6 +222,7 @@
     /** Weighs what is read already against what waits: a shared part saves its reading, a crowded runner costs more. */
     #findLeastWait(group: readonly RegisteredUpstream[], prompt: PromptLoad, now: number): Pick | undefined {
         const holders = findFirstRanked(group, prompt.sharedKey);
+        const forLong = this.#findRunnersForLong(group);
         let best: Pick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const upstream of group) {
@@ -217,7 +235,8 @@
             const waiting = requests * delayMillisecondsByRequest + status.getReading();
             const isFull = requests >= upstream.slots;
             const distance = upstream.failureDomain === this.#failureDomain ? 0 : domainMilliseconds;
-            const cost = waiting * (isFull ? 2 : 1) + readingMilliseconds + distance;
+            const misplaced = getMisplacement(readingMilliseconds, forLong.has(upstream.id));
+            const cost = waiting * (isFull ? 2 : 1) + readingMilliseconds + distance + misplaced;
             if (cost < bestCost) {
                 bestCost = cost;
                 const expectedMilliseconds = waiting + readingMilliseconds;
@@ -228,6 +247,25 @@
         return best;
     }
 
+    /** Returns the runners that take long prompts: the same on every node that knows the same runners. */
+    #findRunnersForLong(group: readonly RegisteredUpstream[]): ReadonlySet<string> {
+        if (group.length < leastRunnersToDivide) {
+            return new Set();
+        }
+        const ranked = group.map(({ id }) => ({ id, rank: this.#getLongRank(id) }));
+        ranked.sort((first, second) => second.rank - first.rank);
+        return new Set(ranked.slice(0, Math.round(group.length * longShare)).map(({ id }) => id));
+    }
+
+    #getLongRank(id: string): number {
+        let rank = this.#longRanks.get(id);
+        if (rank === undefined) {
+            rank = getRank("long prompts", id);
+            this.#longRanks.set(id, rank);
+        }
+        return rank;
+    }
+
     #findRoomy(group: readonly RegisteredUpstream[], now: number): RegisteredUpstream | undefined {
         const least = this.#findLeastLoaded(group, now);
         return least !== undefined && this.#getLoad(least, now) < fullShare ? least : undefined;
@@ -248,6 +286,15 @@
     }
 }
 
+/** Returns what it costs others when a prompt is read among prompts of another length, in milliseconds. */
+function getMisplacement(readingMilliseconds: number, isForLong: boolean): number {
+    const isLong = readingMilliseconds >= longMilliseconds;
+    if (isLong === isForLong) {
+        return 0;
+    }
+    return isLong ? readingMilliseconds * longAmongShortFactor : shortAmongLongMilliseconds;
+}
+
 /** Returns the identifiers of the first two upstreams by rank of a key, the same on every node. */
 function findFirstRanked(group: readonly RegisteredUpstream[], key: string): readonly string[] {
     let first = { id: "", rank: -1 };
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -24,6 +24,8 @@
 const silentHeadFactor = 3;
 const silentHeadMilliseconds = 700;
 const leastHeadMilliseconds = 1_400;
+/** Nor before the answer is late by so much: on time at the first runner beats late at the second. */
+const lateHeadFactor = 1.2;
 /** Without an objective, a pause is silence from here on, in milliseconds. */
 const defaultPauseMilliseconds = 1_000;
 
@@ -132,7 +134,8 @@
             return left;
         }
         const patience = silentHeadFactor * expectedMilliseconds + silentHeadMilliseconds;
-        return Math.min(left, Math.max(leastHeadMilliseconds, patience));
+        const lateMilliseconds = lateHeadFactor * route.objectiveMilliseconds;
+        return Math.min(left, Math.max(leastHeadMilliseconds, lateMilliseconds, patience));
     }
 
     /**
--- a/src/rollouts/judgeRollout.ts
+++ b/src/rollouts/judgeRollout.ts
@@ -17,7 +17,13 @@
 /** A new version may fail so much more often than the old one, as a part of its answers. */
 const toleratedFailureShare = 0.12;
 /** Standard errors between the two versions' failure shares: false alarms in one of some thousand looks. */
-const failureErrors = 3.3;
+const failureErrors = 4.5;
+/**
+ * The old version is taken to have failed two of twenty answers besides what is known of it. When the new version serves
+ * everything there is nothing to compare with, and a fault that shows under full load must still be found.
+ */
+const priorAnswers = 20;
+const priorFailures = 2;
 /** Answers with a time, of each version, before times are compared. */
 const leastTimed = 6;
 /** A new version may take so many times as long, in the geometric mean. */
@@ -53,13 +59,14 @@
     if (candidate.failures < leastFailures) {
         return undefined;
     }
+    const currentAnswers = current.answers + priorAnswers;
+    const currentFailures = current.failures + priorFailures;
     const candidateShare = candidate.failures / candidate.answers;
-    // One imagined failure and one success, so that an old version that nobody uses any more is not taken for perfect.
-    const currentShare = (current.failures + 0.5) / (current.answers + 1);
-    const difference = candidateShare - Math.min(currentShare, 0.5);
-    const pooled = (candidate.failures + current.failures + 0.5) / (candidate.answers + current.answers + 1);
-    const error = Math.sqrt(pooled * (1 - pooled) * (1 / candidate.answers + 1 / (current.answers + 1)));
-    if (difference < toleratedFailureShare || difference < failureErrors * Math.min(error, 0.1)) {
+    const currentShare = currentFailures / currentAnswers;
+    const difference = candidateShare - currentShare;
+    const variance = currentShare * (1 - currentShare);
+    const error = Math.sqrt(variance * (1 / candidate.answers + 1 / currentAnswers));
+    if (difference < toleratedFailureShare || difference < failureErrors * error) {
         return undefined;
     }
     return { lane, reason: "failures", candidate: candidateShare, current: currentShare };
--- /dev/null
+++ b/test/decisions/cascade/confidenceCascade.test.ts
@@ -0,0 +1,34 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { chooseFirstModel, chooseNextModel } from "../../../src/decisions/index.js";
+
+const models = ["small", "middle", "large"];
+const first = { models, repeatsLeft: 20, attemptsLeft: 3, isContinued: false };
+
+describe("chooseFirstModel", () => {
+    it("begins with the smallest", () => {
+        expect(chooseFirstModel(first)).toEqual("small");
+    });
+
+    // The pool's repeats are used up. A small model's poor answer could not be bettered, and the caller would be left with it.
+    it("begins with the largest when no second step is possible", () => {
+        expect(chooseFirstModel({ ...first, repeatsLeft: 1 })).toEqual("large");
+        expect(chooseFirstModel({ ...first, attemptsLeft: 1 })).toEqual("large");
+    });
+
+    it("goes on with the largest where the caller has a part of an answer", () => {
+        expect(chooseFirstModel({ ...first, isContinued: true })).toEqual("large");
+    });
+});
+
+describe("chooseNextModel", () => {
+    it("keeps an answer that the model trusts, or says nothing of", () => {
+        expect(chooseNextModel({ models, model: "small", confidence: 50 })).toEqual(undefined);
+        expect(chooseNextModel({ models, model: "small", confidence: undefined })).toEqual(undefined);
+    });
+
+    it("asks the largest in place of a model that doubts itself, and nobody in place of the largest", () => {
+        expect(chooseNextModel({ models, model: "small", confidence: 49 })).toEqual("large");
+        expect(chooseNextModel({ models, model: "large", confidence: 0 })).toEqual(undefined);
+    });
+});
--- /dev/null
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -0,0 +1,163 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock, RandomSource } from "../../../src/common/index.js";
+import { type PromptLoad, UpstreamPicker } from "../../../src/decisions/index.js";
+import type { RegisteredUpstream } from "../../../src/fleet/index.js";
+import { createUpstream, createUpstreams } from "../../fixtures/upstreams.js";
+
+function createPicker() {
+    const clock = new ManualClock(10_000);
+    const ejected: string[] = [];
+    const picker = new UpstreamPicker({ clock, failureDomain: "north", onEject: id => ejected.push(id) });
+    return { clock, picker, ejected };
+}
+
+function createPrompt(options: Partial<PromptLoad> = {}): PromptLoad {
+    return { model: "large", tokens: 1_000, sharedTokens: 0, sharedKey: "large subject", ...options };
+}
+
+interface Job {
+    readonly at: number;
+    readonly tokens: number;
+}
+
+/** Prompts as they come in the worst seconds: mostly short ones, some that take a hundred times as long to read. */
+function createJobs(seed: number): Job[] {
+    const random = new RandomSource(seed);
+    const jobs: Job[] = [];
+    let at = 0;
+    for (let index = 0; index < 6_000; index += 1) {
+        at += random.nextExponential(11);
+        jobs.push({ at, tokens: Math.min(54_000, 700 * Math.exp(1.5 * random.nextNormal())) });
+    }
+    return jobs;
+}
+
+/** Lets runners read prompts one after another, 40 tokens a millisecond, and returns the waits of the short prompts. */
+function replay(jobs: readonly Job[], runners: readonly RegisteredUpstream[], pick: (job: Job) => string): number[] {
+    const freeAt = new Map(runners.map(runner => [runner.id, 0]));
+    const waits: number[] = [];
+    for (const job of jobs) {
+        const runner = pick(job);
+        const startsAt = Math.max(job.at, freeAt.get(runner) ?? 0);
+        freeAt.set(runner, startsAt + job.tokens / 40);
+        if (job.tokens < 2_000) {
+            waits.push(startsAt - job.at);
+        }
+    }
+    return waits.sort((first, second) => first - second);
+}
+
+describe("UpstreamPicker", () => {
+    describe("pick", () => {
+        it("prefers the own failure domain until it is full", () => {
+            const { picker } = createPicker();
+            const near = createUpstream("near");
+            const far = createUpstream("far", { failureDomain: "south" });
+            const options = { pool: "app", candidates: [near, far], excluded: new Set<string>(), prompt: undefined };
+            expect(picker.pick(options)?.upstream.id).toEqual("near");
+            for (let request = 0; request < 8; request += 1) {
+                picker.begin("near");
+            }
+            expect(picker.pick(options)?.upstream.id).toEqual("far");
+        });
+
+        it("returns to where a long shared part has been read", () => {
+            const { picker } = createPicker();
+            const candidates = createUpstreams(3);
+            const prompt = createPrompt({ tokens: 9_000, sharedTokens: 8_000 });
+            const picks = Array.from(
+                { length: 10 },
+                () => picker.pick({ pool: "app", candidates, excluded: new Set(), prompt }),
+            );
+            expect(new Set(picks.map(pick => pick?.upstream.id)).size).toEqual(1);
+        });
+
+        it("tries an ejected upstream rather than nobody", () => {
+            const { picker } = createPicker();
+            const only = createUpstream("only");
+            for (let failure = 0; failure < 8; failure += 1) {
+                picker.begin("only");
+                picker.finish(only, "silent", [only, createUpstream("other")]);
+            }
+            const pick = picker.pick({ pool: "app", candidates: [only], excluded: new Set(), prompt: undefined });
+            expect(pick?.reason).toEqual("ejected");
+        });
+
+        // The worst seconds of a busy day: a few prompts of 50,000 tokens among many of a few hundred. A short prompt that is
+        // read behind a long one waits a second and more for its first token though most runners have little to do.
+        it("spares short prompts the wait behind long ones", () => {
+            const jobs = createJobs(7);
+            const runners = createUpstreams(13, { slots: 48 });
+            const random = new RandomSource(8);
+            const spread = replay(jobs, runners, () => runners[random.nextInteger(runners.length)].id);
+            const { clock, picker } = createPicker();
+            const reading: { readonly id: string; readonly until: number; readonly milliseconds: number; }[] = [];
+            const apart = replay(jobs, runners, job => {
+                clock.advance(job.at + 10_000 - clock.monotonic());
+                for (
+                    const done of reading.splice(0).filter(entry => entry.until > clock.monotonic() || !finish(entry))
+                ) {
+                    reading.push(done);
+                }
+                const prompt = createPrompt({ tokens: job.tokens, sharedKey: `large ${job.at}` });
+                const pick = picker.pick({ pool: "app", candidates: runners, excluded: new Set(), prompt });
+                const { upstream, readingMilliseconds } = pick!;
+                picker.begin(upstream.id);
+                picker.addReading(upstream.id, readingMilliseconds);
+                const until = clock.monotonic() + job.tokens / 40;
+                reading.push({ id: upstream.id, until, milliseconds: readingMilliseconds });
+                return upstream.id;
+            });
+            function finish(entry: typeof reading[number]): boolean {
+                picker.addReading(entry.id, -entry.milliseconds);
+                picker.finish(createUpstream(entry.id), "cancelled", []);
+                return true;
+            }
+            const at95 = (waits: readonly number[]): number => waits[Math.floor(waits.length * 0.95)];
+            expect(at95(apart) < 0.25 * at95(spread)).toEqual(true);
+        });
+    });
+
+    describe("finish", () => {
+        it("ejects an upstream that is silent twice in a row, but not one that is heard otherwise", () => {
+            const { picker, ejected } = createPicker();
+            const pool = createUpstreams(4);
+            for (const upstream of pool.slice(0, 2)) {
+                for (let call = 0; call < 2; call += 1) {
+                    picker.begin(upstream.id);
+                    if (upstream.id === "u2") {
+                        picker.markHeard("u2");
+                    }
+                    picker.finish(upstream, "silent", pool);
+                }
+            }
+            expect(ejected).toEqual(["u1"]);
+        });
+
+        // All instances of a service fail one call in seven, as they always do. Ejecting them for that would leave the
+        // callers with half of the service.
+        it("does not eject for failures that the whole pool has", () => {
+            const { picker, ejected } = createPicker();
+            const pool = createUpstreams(4);
+            for (let call = 0; call < 400; call += 1) {
+                const upstream = pool[call % 4];
+                picker.begin(upstream.id);
+                picker.finish(upstream, call % 7 < 1 ? "failed" : "ok", pool);
+            }
+            expect(ejected).toEqual([]);
+        });
+
+        it("ejects one that fails far more than the others, and never more than half of the pool", () => {
+            const { picker, ejected } = createPicker();
+            const pool = createUpstreams(4);
+            for (let call = 0; call < 60; call += 1) {
+                for (const upstream of pool.slice(0, 3)) {
+                    picker.begin(upstream.id);
+                    picker.finish(upstream, "silent", pool);
+                }
+            }
+            expect(new Set(ejected).size).toEqual(2);
+        });
+    });
+});
--- /dev/null
+++ b/test/decisions/retries/windowedBudget.test.ts
@@ -0,0 +1,70 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../../src/common/index.js";
+import { WindowedBudget } from "../../../src/decisions/index.js";
+
+const windowMilliseconds = 10_000;
+
+function createBudget(options: { readonly extra?: number; readonly nodes?: number; } = {}) {
+    const clock = new ManualClock(100_000);
+    const budget = new WindowedBudget({
+        clock,
+        windowMilliseconds,
+        getAllowance: () => ({ ratio: 0.9, extra: options.extra ?? 0 }),
+        getNodeCount: () => options.nodes ?? 1,
+    });
+    return { clock, budget };
+}
+
+describe("WindowedBudget", () => {
+    // Every runner fails every request, and each request is sent again as often as its route allows. Without a bound the
+    // runners would get three times their load at the moment when they can bear least.
+    it("keeps repeats below their ratio in every window while all requests fail", () => {
+        const { clock, budget } = createBudget();
+        const sent: { readonly at: number; readonly isRepeat: boolean; }[] = [];
+        for (let step = 0; step < 4_000; step += 1) {
+            clock.advance(10);
+            const rate = step < 2_000 ? 1 : 5;
+            if (step % rate === 0) {
+                budget.addRequest();
+                sent.push({ at: clock.monotonic(), isRepeat: false });
+            }
+            for (let repeat = 0; repeat < 2; repeat += 1) {
+                if (budget.take()) {
+                    sent.push({ at: clock.monotonic(), isRepeat: true });
+                }
+            }
+        }
+        for (let from = 100_000; from < 130_000; from += 500) {
+            const window = sent.filter(({ at }) => at >= from && at < from + windowMilliseconds);
+            const before = sent.filter(({ at }) => at >= from - windowMilliseconds && at < from && from > 110_000);
+            const requests = window.filter(({ isRepeat }) => !isRepeat).length;
+            const requestsBefore = before.filter(({ isRepeat }) => !isRepeat).length;
+            const repeats = window.length - requests;
+            expect(repeats <= 0.9 * Math.max(requests, requestsBefore)).toEqual(true);
+        }
+    });
+
+    it("shares what is allowed beyond the ratio among the nodes", () => {
+        const { budget } = createBudget({ extra: 56, nodes: 8 });
+        let taken = 0;
+        while (budget.take()) {
+            taken += 1;
+        }
+        expect(taken).toEqual(6);
+    });
+
+    it("forgets what was taken when the window has passed", () => {
+        const { clock, budget } = createBudget({ extra: 10 });
+        while (budget.take()) {
+            // Takes everything.
+        }
+        clock.advance(windowMilliseconds + 1_000);
+        expect(budget.take()).toEqual(true);
+    });
+
+    it("leaves a reserve to more important work", () => {
+        const { budget } = createBudget({ extra: 10 });
+        expect([budget.take(9), budget.take()]).toEqual([false, true]);
+    });
+});
--- /dev/null
+++ b/test/rollouts/planRollout.test.ts
@@ -0,0 +1,82 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import type { RolloutOrder, RolloutProgress } from "../../src/rollouts/index.js";
+import { planRollout, type RolloutSituation } from "../../src/rollouts/planRollout.js";
+
+const order: RolloutOrder = { id: 5, pool: "app", version: "v2", durationMilliseconds: 20_000 };
+
+function createSituation(options: Partial<RolloutSituation> = {}): RolloutSituation {
+    return {
+        order,
+        progress: undefined,
+        elapsedMilliseconds: 0,
+        isBad: false,
+        candidates: 3,
+        currents: 3,
+        currentInFlight: 4,
+        exposureShare: 0.15,
+        wallNow: 1_000_000,
+        ...options,
+    };
+}
+
+/** Runs a roll-out to its end, a step each 200 ms, and returns what it went through. */
+function run(
+    change: (elapsed: number) => Partial<RolloutSituation>,
+): { readonly at: number; readonly progress: RolloutProgress; }[] {
+    const steps: { readonly at: number; readonly progress: RolloutProgress; }[] = [];
+    for (let elapsed = 0; elapsed <= 24_000; elapsed += 200) {
+        const progress = steps.at(-1)?.progress;
+        const next = planRollout(createSituation({ progress, elapsedMilliseconds: elapsed, ...change(elapsed) }));
+        if (next !== undefined) {
+            steps.push({ at: elapsed, progress: next });
+        }
+    }
+    return steps;
+}
+
+describe("planRollout", () => {
+    it("exposes few sessions in the first half, then all, and completes in time", () => {
+        const steps = run(elapsed => ({ currentInFlight: elapsed > 15_000 ? 0 : 4 }));
+        expect(steps.map(step => step.progress.share)).toEqual([0.0675, 0.35, 1, 1]);
+        expect(steps[1].at >= 10_000).toEqual(true);
+        expect(steps.at(-1)?.progress.state).toEqual("completed");
+        expect(steps.at(-1)!.at < 18_000).toEqual(true);
+    });
+
+    // Requests at work at the old upstreams are broken off when the roll-out completes: they stop at once.
+    it("waits for requests at the old upstreams, but not beyond the time", () => {
+        const steps = run(() => ({ currentInFlight: 2 }));
+        expect([steps.at(-1)?.at, steps.at(-1)?.progress.state]).toEqual([17_200, "completed"]);
+    });
+
+    it("reverts a bad version at once, and stays with that", () => {
+        const steps = run(elapsed => ({ isBad: elapsed >= 4_000 }));
+        expect(steps.map(step => step.progress.state)).toEqual(["moving", "reverted"]);
+        expect(steps.at(-1)?.at).toEqual(4_000);
+    });
+
+    it("waits for upstreams of the new version", () => {
+        const steps = run(elapsed => ({ candidates: elapsed < 3_000 ? 0 : 2 }));
+        expect(steps.slice(0, 2).map(step => [step.at, step.progress.share])).toEqual([[0, 0], [3_000, 0.0675]]);
+    });
+
+    it("never lessens the share and never leaves an end, whatever happens", () => {
+        const events = fc.array(fc.record({ isBad: fc.boolean(), candidates: fc.nat(3), currentInFlight: fc.nat(3) }), {
+            minLength: 121,
+            maxLength: 121,
+        });
+        fc.assert(
+            fc.property(events, changes => {
+                const steps = run(elapsed => changes[elapsed / 200]).map(step => step.progress);
+                for (const [index, step] of steps.slice(1).entries()) {
+                    const before = steps[index];
+                    expect(before.state).toEqual("moving");
+                    expect(step.state === "reverted" || step.share >= before.share).toEqual(true);
+                }
+            }),
+            { numRuns: 50 },
+        );
+    });
+});
--- /dev/null
+++ b/test/rollouts/versionGate.test.ts
@@ -0,0 +1,60 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import type { RolloutOrder, RolloutProgress } from "../../src/rollouts/index.js";
+import { chooseVersion, SessionMemory } from "../../src/rollouts/versionGate.js";
+
+const order: RolloutOrder = { id: 5, pool: "app", version: "v2", durationMilliseconds: 20_000 };
+
+function createProgress(share: number, state: RolloutProgress["state"] = "moving"): RolloutProgress {
+    return { order: order.id, version: order.version, state, share, orderedAt: 0 };
+}
+
+function choose(options: Partial<Parameters<typeof chooseVersion>[0]> = {}) {
+    return chooseVersion({
+        order,
+        progress: createProgress(0.1),
+        isHalted: false,
+        sessionRank: 0.05,
+        lastVersion: undefined,
+        ...options,
+    });
+}
+
+describe("chooseVersion", () => {
+    it("serves the new version to the share of new sessions", () => {
+        expect([choose(), choose({ sessionRank: 0.2 })]).toEqual(["candidate", "current"]);
+    });
+
+    // A conversation goes on while its pool is being moved. Two answers by unlike versions in a row contradict each other.
+    it("keeps a session that began on the old version there in the first step", () => {
+        expect(choose({ lastVersion: "v1" })).toEqual("current");
+        expect(choose({ lastVersion: "v1", progress: createProgress(0.35) })).toEqual("candidate");
+    });
+
+    it("serves nothing by a version that is halted here, or not begun, or reverted", () => {
+        expect(choose({ isHalted: true, lastVersion: "v2" })).toEqual("current");
+        expect(choose({ progress: undefined })).toEqual("current");
+        expect(choose({ progress: createProgress(0, "reverted"), lastVersion: "v2" })).toEqual("current");
+    });
+
+    it("never moves a session back while the share grows", () => {
+        const shares = fc.array(fc.double({ min: 0, max: 1, noNaN: true }), { minLength: 1, maxLength: 8 });
+        fc.assert(fc.property(shares, fc.double({ min: 0, max: 0.999, noNaN: true }), (steps, sessionRank) => {
+            let last: string | undefined;
+            for (const share of steps.sort((first, second) => first - second)) {
+                const choice = choose({ progress: createProgress(share), sessionRank, lastVersion: last });
+                expect(last === "v2" && choice === "current").toEqual(false);
+                last = choice === "candidate" ? "v2" : "v1";
+            }
+        }));
+    });
+});
+
+describe("SessionMemory", () => {
+    it("forgets after its time", () => {
+        const memory = new SessionMemory(5_000);
+        memory.set("s", "v1", 1_000);
+        expect([memory.get("s", 5_900), memory.get("s", 6_100)]).toEqual(["v1", undefined]);
+    });
+});
--- /dev/null
+++ b/test/topics/peerTopics.test.ts
@@ -0,0 +1,63 @@
+import { expect } from "earl";
+import { ok } from "neverthrow";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../src/common/index.js";
+import { answerPeer, createPeerReader, TopicFollower } from "../../src/topics/index.js";
+import { createJournal } from "../fixtures/journals.js";
+
+const peer = { id: "10.0.0.2", address: "10.0.0.2", peerPort: 9 };
+
+function createFollower(clock: ManualClock): TopicFollower {
+    return new TopicFollower({
+        name: "operator",
+        clock,
+        journal: createJournal().journal,
+        pickReader: () => {
+            throw new Error("Not read here.");
+        },
+        staleMilliseconds: 2_500,
+        waitMilliseconds: 700,
+        onChanges: () => {},
+    });
+}
+
+/** A reader through a peer whose answers take some time on their way back. */
+function createReader(options: { readonly stateAge: number; readonly wayBack: number; }) {
+    const peerClock = new ManualClock(500_000);
+    const follower = createFollower(peerClock);
+    follower.offer({
+        records: [{ key: "config", value: Buffer.from("{}"), offset: 3 }, { key: "old", value: undefined, offset: 4 }],
+        isComplete: true,
+        end: 5,
+        confirmedAt: peerClock.monotonic() - options.stateAge,
+    });
+    const clock = new ManualClock(1_000);
+    const reader = createPeerReader({
+        topic: "operator",
+        peer,
+        clock,
+        ask: async (...[, request]) => {
+            const reply = await answerPeer(follower, request, peerClock);
+            clock.advance(options.wayBack);
+            return ok(reply);
+        },
+    });
+    return { reader, clock };
+}
+
+describe("createPeerReader", () => {
+    it("brings records and removals over", async () => {
+        const { reader } = createReader({ stateAge: 0, wayBack: 1 });
+        const page = (await reader.readSince(4, 0))._unsafeUnwrap();
+        expect(page.records).toEqual([{ key: "old", value: undefined, offset: 4 }]);
+        expect((await reader.readAll())._unsafeUnwrap().records.map(record => record.key)).toEqual(["config"]);
+    });
+
+    // An answer is held up on a cut link for four seconds and then delivered. It was fresh when it left. Counted from its
+    // arrival, the state would pass for a fresh one, and a key that was taken away meanwhile would be accepted.
+    it("counts the age of a state from the sending of the question", async () => {
+        const { reader, clock } = createReader({ stateAge: 300, wayBack: 4_000 });
+        const page = (await reader.readSince(4, 0))._unsafeUnwrap();
+        expect(clock.monotonic() - page.confirmedAt).toEqual(4_300);
+    });
+});
--- /dev/null
+++ b/test/topics/topicFollower.test.ts
@@ -0,0 +1,111 @@
+import { expect } from "earl";
+import { err, ok, type Result } from "neverthrow";
+import { describe, it } from "node:test";
+import { Failure, ManualClock } from "../../src/common/index.js";
+import { type KeyedTopicReader, TopicFollower, type TopicPage } from "../../src/topics/index.js";
+import { createJournal } from "../fixtures/journals.js";
+
+type Read = Result<TopicPage, Failure>;
+
+function createPage(offset: number, confirmedAt: number, isComplete = false): Read {
+    const records = [{ key: "config", value: Buffer.from(String(offset)), offset }];
+    return ok({ records, isComplete, end: offset + 1, confirmedAt });
+}
+
+function createFailure(kind: "unavailable" | "gone"): Read {
+    return err(new Failure({ kind, message: "No.", remedy: "Again." }));
+}
+
+/** Follows a topic of which each read gives the next of the given answers; ends with the last one. */
+async function follow(answers: readonly Read[], clock = new ManualClock(1_000)) {
+    const { journal, lines } = createJournal();
+    const calls: string[] = [];
+    const detours: number[] = [];
+    const values: string[] = [];
+    let next = 0;
+    const answer = (call: string): Promise<Read> => {
+        calls.push(call);
+        const given = answers[next];
+        next += 1;
+        if (next >= answers.length) {
+            follower.stop();
+        }
+        return Promise.resolve(given);
+    };
+    const reader: KeyedTopicReader = {
+        readAll: () => answer("all"),
+        readSince: from => answer(`since ${from}`),
+    };
+    const follower: TopicFollower = new TopicFollower({
+        name: "operator",
+        clock,
+        journal,
+        pickReader: count => {
+            detours.push(count);
+            return reader;
+        },
+        staleMilliseconds: 2_500,
+        waitMilliseconds: 700,
+        onChanges: changed => values.push(...changed.map(record => record.value?.toString() ?? "")),
+        sleep: () => Promise.resolve(),
+    });
+    follower.start();
+    await follower.settle();
+    return { follower, calls, detours, values, lines };
+}
+
+describe("TopicFollower", () => {
+    it("reads everything once and then what changes", async () => {
+        const { calls, values } = await follow([createPage(4, 1_000, true), createPage(5, 1_000)]);
+        expect([calls, values]).toEqual([["all", "since 5"], ["4", "5"]]);
+    });
+
+    // The store dropped its history while this node was cut off. The records in between will never come; without reading
+    // everything again, the node would serve by an old configuration for good.
+    it("reads everything again when its offset has expired", async () => {
+        const { calls, values } = await follow([
+            createPage(4, 1_000, true),
+            createFailure("gone"),
+            createPage(9, 1_000, true),
+        ]);
+        expect([calls, values]).toEqual([["all", "since 5", "all"], ["4", "9"]]);
+    });
+
+    // The peer that it reads from is cut off from the store: it answers, with a state that nobody confirms. Its age must
+    // not be hidden, and another source has to be asked.
+    it("tries elsewhere when answers leave the state old", async () => {
+        const clock = new ManualClock(10_000);
+        const { detours, follower } = await follow([
+            createPage(4, 9_900, true),
+            createPage(4, 7_000),
+            createPage(4, 9_950),
+            createPage(4, 9_990),
+        ], clock);
+        expect(detours).toEqual([0, 0, 0, 0]);
+        expect(follower.getAge()).toEqual(10);
+    });
+
+    it("counts detours while reading fails, and says when it works again", async () => {
+        const { detours, lines } = await follow([
+            createPage(4, 1_000, true),
+            createFailure("unavailable"),
+            createFailure("unavailable"),
+            createPage(5, 1_000),
+        ]);
+        expect(detours).toEqual([0, 0, 1, 2]);
+        expect(lines.map(line => line.name)).toEqual(["topic-lost", "topic-regained"]);
+    });
+
+    it("lets a waiting peer know of a change at once, and of nothing after its wait", async () => {
+        const { follower } = await follow([createPage(4, 1_000, true)]);
+        const waited = follower.waitSince(5, 10_000);
+        follower.offer({
+            records: [{ key: "config", value: Buffer.from("6"), offset: 6 }],
+            isComplete: false,
+            end: 7,
+            confirmedAt: 0,
+        });
+        expect((await waited).end).toEqual(7);
+        expect((await follower.waitSince(7, 1)).records).toEqual([]);
+    });
+});
