Let peers know at once that the store turns their reader away

Change: a node whose reading fails answers its peers with an error and wakes those that wait; they read the store themselves; a detour that does is stayed with for 2 s; waits and timeouts are shorter (500 and 600 ms). Entries count as lapsed only after an outage of 3 s. Tests found besides that a silent instance of a service was never left: the bound on attempts was read too late.

--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -66,7 +66,7 @@
 
 function getHeadTimeout(exchange: Exchange): number {
     const left = exchange.getTimeLeft();
-    if (!isRepeatable(exchange.route) || exchange.attempts + 1 >= exchange.route.maximumAttempts) {
+    if (!isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts) {
         return left;
     }
     return Math.max(leastAttemptMilliseconds, left * attemptShare);
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -26,12 +26,14 @@
  * An empty answer after this time confirms that nothing is newer. Keys need that every few seconds; and a node that no longer
  * hears anything must know it soon enough to read for itself before a change is due.
  */
-const confirmMilliseconds = 700;
+const confirmMilliseconds = 500;
 /** Who is a member, and how far a roll-out has come, may be a little older. */
 const statusWaitMilliseconds = 2_000;
 /** A state that was not confirmed for so long has to be read elsewhere, in milliseconds. */
-const staleMilliseconds = 2_500;
-const statusStaleMilliseconds = 6_000;
+const staleMilliseconds = 1_700;
+const statusStaleMilliseconds = 5_000;
+/** Entries lapse after three heartbeats of 1.2 s in silence; an outage that was shorter lets none lapse, in milliseconds. */
+const outageMilliseconds = 3_000;
 /** An entry that vanishes within this time after an outage of the store may only have lapsed, in milliseconds. */
 const lapseMilliseconds = 2_000;
 const appendPauseMilliseconds = 500;
@@ -130,6 +132,7 @@
             journal,
             pickReader: detours => this.#pickReader(topic, storeReader, detours),
             onChanges,
+            outageMilliseconds,
             ...times,
         });
     }
@@ -150,7 +153,7 @@
         }
         const seed = seeds[Math.floor(detours / 2) % Math.max(1, seeds.length)];
         const isAlone = membership.getAlive().length <= 1;
-        if (isAlone && detours % 2 === 1 && seed !== undefined && seed.host !== self.address) {
+        if (isAlone && detours > 0 && detours % 2 === 0 && seed !== undefined && seed.host !== self.address) {
             // Nobody is known yet, since the store that would tell does not answer.
             return this.#createPeerReader(topic, { id: seed.host, address: seed.host, peerPort: seed.port });
         }
@@ -211,7 +214,7 @@
         for (const { key, value } of changed) {
             const upstream = value === undefined ? undefined : decodeUpstream(key, value);
             if (upstream === undefined) {
-                const mayHaveLapsed = value === undefined && this.#upstreams.getTimeSinceRegained() < lapseMilliseconds;
+                const mayHaveLapsed = value === undefined && this.#upstreams.getTimeSinceOutage() < lapseMilliseconds;
                 registry.remove(key, { mayHaveLapsed });
             }
             else {
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -12,7 +12,7 @@
  * How long the store may take beyond a long poll's own wait, in milliseconds. It answers in 4 ms, and in 240 ms when it is
  * sixty times slower; a connection on which an answer was lost never brings one.
  */
-const answerMilliseconds = 900;
+const answerMilliseconds = 600;
 /** Bytes of a length, and of the two offsets before the records of a read. */
 const lengthBytes = 4;
 const pageHeaderBytes = 16;
--- a/src/topics/peerTopics.ts
+++ b/src/topics/peerTopics.ts
@@ -57,6 +57,9 @@
     const page = request.whole
         ? follower.state.getWhole()
         : await follower.waitSince(request.knownOffset, Math.min(request.waitMilliseconds, longestWaitMilliseconds));
+    if (follower.isLost()) {
+        throw new Error("The topic can't be read here at the moment.");
+    }
     const now = clock.monotonic();
     return {
         newer: page.records.length > 0,
--- a/src/topics/readerChoice.ts
+++ b/src/topics/readerChoice.ts
@@ -37,10 +37,10 @@
     const { self, failureDomain, alive, isStale, detours } = options;
     if (isStale) {
         const others = alive.filter(member => member.id !== self);
-        if (detours % 2 === 0 || others.length === 0) {
+        if (detours === 0 || detours % 2 === 1 || others.length === 0) {
             return { kind: "store" };
         }
-        return { kind: "peer", peer: others[Math.floor(detours / 2) % others.length] };
+        return { kind: "peer", peer: others[(detours / 2 - 1) % others.length] };
     }
     const near = alive.filter(member => member.failureDomain === failureDomain);
     const group = near.length >= leastNodesOfDomain ? near : alive;
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -8,6 +8,8 @@
 
 /** Pause after a failed read, in milliseconds; doubled up to the longest one. */
 const firstPauseMilliseconds = 100;
+/** A source that failed is passed over for so long while another one does, in milliseconds. */
+const detourMilliseconds = 2_000;
 /** Kept short: after an outage every second without the store is a second in which keyed requests are refused. */
 const longestPauseMilliseconds = 400;
 
@@ -23,6 +25,8 @@
     readonly pickReader: (detours: number) => KeyedTopicReader;
     /** A state that was confirmed longer ago than this is old: whoever it is read from lags behind, in milliseconds. */
     readonly staleMilliseconds: number;
+    /** A state that nobody could confirm for so long was followed by an outage of the store, in milliseconds. */
+    readonly outageMilliseconds: number;
     /** How long a read may wait for changes. An empty answer after that time confirms the state. */
     readonly waitMilliseconds: number;
     /** Takes what changed, in the order of offsets. */
@@ -38,7 +42,8 @@
     readonly #waiters = new Set<() => void>();
     #failures = 0;
     #detours = 0;
-    #regainedAt = Number.NEGATIVE_INFINITY;
+    #detourUntil = Number.NEGATIVE_INFINITY;
+    #outageEndedAt = Number.NEGATIVE_INFINITY;
     #isStopped = false;
     #running: Promise<void> | undefined;
 
@@ -67,9 +72,14 @@
         return this.#options.clock.monotonic() - this.state.getConfirmedAt();
     }
 
-    /** Returns the milliseconds since reading worked again after it had failed; infinite when it never failed. */
-    getTimeSinceRegained(): number {
-        return this.#failures > 0 ? 0 : this.#options.clock.monotonic() - this.#regainedAt;
+    /** Returns the milliseconds since the state could be confirmed again after an outage; infinite when there was none. */
+    getTimeSinceOutage(): number {
+        return this.#options.clock.monotonic() - this.#outageEndedAt;
+    }
+
+    /** Tells whether reading fails or leaves the state old, so that peers had better ask somebody else. */
+    isLost(): boolean {
+        return this.#failures > 0 || this.getAge() > this.#options.staleMilliseconds;
     }
 
     /**
@@ -77,6 +87,9 @@
      * @param page - The page.
      */
     offer(page: TopicPage): void {
+        if (this.getAge() > this.#options.outageMilliseconds) {
+            this.#outageEndedAt = this.#options.clock.monotonic();
+        }
         const changed = this.state.apply(page);
         if (changed.length > 0) {
             this.#options.onChanges(changed);
@@ -85,17 +98,18 @@
     }
 
     /**
-     * Waits until there is something at or after an offset, for peers that read through this node.
+     * Waits until there is something at or after an offset, for peers that read through this node. Ends sooner when this
+     * node's own reading fails: a peer that went on waiting would hear of changes too late.
      * @param from - The offset.
      * @param waitMilliseconds - How long to wait at most.
      */
     async waitSince(from: number, waitMilliseconds: number): Promise<TopicPage> {
-        if (this.state.getEnd() > from || waitMilliseconds <= 0) {
+        if (this.state.getEnd() > from || this.isLost() || waitMilliseconds <= 0) {
             return this.state.getSince(from);
         }
         await new Promise<void>(resolve => {
             const done = (): void => {
-                if (this.state.getEnd() > from || this.#isStopped) {
+                if (this.state.getEnd() > from || this.isLost() || this.#isStopped) {
                     finish();
                 }
             };
@@ -116,22 +130,30 @@
             const read = this.state.isLoaded()
                 ? await reader.readSince(this.state.getEnd(), this.#options.waitMilliseconds)
                 : await reader.readAll();
-            if (read.isOk()) {
-                this.offer(read.value);
-                this.#detours = this.getAge() > this.#options.staleMilliseconds ? this.#detours + 1 : 0;
-                if (this.#detours === 0) {
-                    this.#noteRegained();
-                }
-                else {
-                    await this.#pause(this.#detours);
-                }
+            if (read.isErr()) {
+                this.#takeDetour();
+                await this.#recover(reader, read.error);
                 continue;
             }
-            this.#detours += 1;
-            await this.#recover(reader, read.error);
+            this.offer(read.value);
+            if (this.getAge() > this.#options.staleMilliseconds) {
+                this.#takeDetour();
+                await this.#pause(this.#detours);
+                continue;
+            }
+            this.#noteRegained();
+            if (this.#options.clock.monotonic() >= this.#detourUntil) {
+                this.#detours = 0;
+            }
         }
     }
 
+    /** A source that does on a detour is stayed with for a while, so that the usual one is not asked in vain each time. */
+    #takeDetour(): void {
+        this.#detours += 1;
+        this.#detourUntil = this.#options.clock.monotonic() + detourMilliseconds;
+    }
+
     /** The first detour is taken at once: the usual reader may just have died. */
     async #pause(detours: number): Promise<void> {
         if (detours > 1) {
@@ -162,6 +184,7 @@
         if (this.#failures === 1) {
             const { name, journal } = this.#options;
             journal.write(events.topicLost, { topic: name, offset: this.state.getEnd(), cause: failure.message });
+            this.#wake();
         }
     }
 
@@ -169,14 +192,13 @@
         if (this.#failures === 0) {
             return;
         }
-        const { name, journal, clock } = this.#options;
+        const { name, journal } = this.#options;
         journal.write(events.topicRegained, {
             topic: name,
             failures: this.#failures,
             ageMs: Math.round(this.getAge()),
         });
         this.#failures = 0;
-        this.#regainedAt = clock.monotonic();
     }
 
     #wake(): void {
--- /dev/null
+++ b/test/forwarding/forwarder.test.ts
@@ -0,0 +1,73 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createForwarder } from "../fixtures/exchanges.js";
+import { createRoute, createRouteTable } from "../fixtures/routes.js";
+
+describe("Forwarder", () => {
+    it("passes a request on under its workspace, with the time that is left", async () => {
+        const { send, calls } = createForwarder();
+        const caller = await send();
+        expect([caller.status, caller.pieces, caller.isWhole]).toEqual([200, ["done"], true]);
+        const { call } = calls[0];
+        expect([call.workspace, call.deadlineMilliseconds <= 1_000]).toEqual(["harbour", true]);
+    });
+
+    it("turns away unknown keys and paths while its configuration is fresh", async () => {
+        const { send, calls } = createForwarder();
+        expect((await send({ apiKey: "other" })).refusal?.failure.kind).toEqual("unauthorized");
+        expect((await send({ apiKey: undefined })).refusal?.failure.kind).toEqual("unauthorized");
+        expect((await send({ target: "/b/1" })).refusal?.failure.kind).toEqual("not-found");
+        expect(calls.length).toEqual(0);
+    });
+
+    // The node has just started and the store does not answer yet. A final "no" would tell every caller that its key or its
+    // path is wrong, and callers do not ask again after that.
+    it("asks callers back while it knows no configuration, or an old one", async () => {
+        const unknown = createForwarder({ getRoutes: () => undefined });
+        const old = createForwarder({ getConfigurationAge: () => 3_000 });
+        for (
+            const caller of [
+                await unknown.send(),
+                await old.send({ apiKey: "new" }),
+                await old.send({ target: "/new/" }),
+            ]
+        ) {
+            const { failure, outcome } = caller.refusal!;
+            expect([failure.kind, outcome, failure.retryAfterMilliseconds !== undefined]).toEqual([
+                "stale",
+                "not-run",
+                true,
+            ]);
+        }
+    });
+
+    // A key was taken away while this node was cut off from the store. Whoever found it would be served for as long as the
+    // cut lasts.
+    it("accepts no key by a configuration that is too old to know of its withdrawal", async () => {
+        const { send, calls } = createForwarder({
+            getConfigurationAge: () => 4_800,
+            getRoutes: () =>
+                createRouteTable({ routes: [createRoute(), createRoute({ pathPrefix: "/open/", isPublic: true })] }),
+        });
+        expect((await send()).refusal?.failure.kind).toEqual("stale");
+        expect((await send({ target: "/open/1", apiKey: undefined })).status).toEqual(200);
+        expect(calls.map(({ call }) => call.workspace)).toEqual([undefined]);
+    });
+
+    it("refuses a body above the limit", async () => {
+        const { send } = createForwarder();
+        expect((await send({ body: Buffer.alloc(100_001) })).refusal?.failure.kind).toEqual("too-large");
+    });
+
+    it("logs what decided, with the request's id and the age of the configuration", async () => {
+        const { send, lines } = createForwarder();
+        await send();
+        const names = lines.map(line => [line.name, line.request]);
+        expect(names).toEqual([
+            ["request-routed", "request-1"],
+            ["attempt-ended", "request-1"],
+            ["request-ended", "request-1"],
+        ]);
+        expect(lines[0].configurationAgeMs).toEqual(0);
+    });
+});
--- /dev/null
+++ b/test/forwarding/streamExchange.test.ts
@@ -0,0 +1,97 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { Generation } from "../../src/forwarding/index.js";
+import { type Behaviour, createAnswer, createCallFailure, createForwarder } from "../fixtures/exchanges.js";
+import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
+
+const generation: Generation = {
+    model: undefined,
+    promptTokens: 600,
+    mostOutputTokens: 100,
+    expectedOutputTokens: 40,
+    parts: [{ id: "subject", tokens: 400 }, { id: "own", tokens: 200 }],
+};
+
+function createEvent(id: number): string {
+    return `id: ${id}\ndata: ${id}\n\n`;
+}
+
+function createSite(behaviour: Behaviour, options: Parameters<typeof createStreamRoute>[0] = {}) {
+    const route = createStreamRoute(options);
+    const site = createForwarder({ behaviour, getRoutes: () => createRouteTable({ routes: [route] }) });
+    const send = () => site.send({ generation, session: "session", deadlineMilliseconds: 20_000 });
+    const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
+    return { ...site, send, getModels };
+}
+
+describe("StreamExchange", () => {
+    it("keeps the small model's answer when the model trusts it", async () => {
+        const { send, getModels } = createSite(() =>
+            createAnswer([createEvent(1), createEvent(2)], { confidence: 80 })
+        );
+        expect((await send()).pieces).toEqual([createEvent(1), createEvent(2)]);
+        expect(getModels()).toEqual(["small"]);
+    });
+
+    it("drops an answer that the small model doubts before the caller has seen any of it", async () => {
+        const { send, getModels, calls } = createSite(({ model }) =>
+            createAnswer([`data: ${model}\n\n`], { confidence: model === "small" ? 20 : 90 })
+        );
+        const caller = await send();
+        expect([caller.pieces, getModels()]).toEqual([["data: large\n\n"], ["small", "large"]]);
+        expect(calls[0].call.signal.aborted).toEqual(true);
+    });
+
+    // A runner crashes in the middle of an event. The caller must get every event once and whole, from two runners.
+    it("goes on at another runner after the last whole event", async () => {
+        const { send, calls } = createSite((...[, , count]) =>
+            count === 1
+                ? createAnswer([createEvent(1), `${createEvent(2)}id: 3\nda`], { confidence: 80, breakOff: true })
+                : createAnswer([createEvent(3)], { confidence: 10 })
+        );
+        const caller = await send();
+        expect([caller.pieces.join(""), caller.isWhole]).toEqual([
+            createEvent(1) + createEvent(2) + createEvent(3),
+            true,
+        ]);
+        expect(calls[1].call.lastEventId).toEqual("2");
+        expect([calls[1].call.model, calls[0].call.signal.aborted]).toEqual(["small", true]);
+    });
+
+    // A runner falls silent after its first events, with its connection open. Waiting for it, the caller would give up.
+    it("leaves a runner that falls silent in the middle of a stream", async () => {
+        async function* stall(signal: AbortSignal): AsyncGenerator<Buffer> {
+            yield Buffer.from(createEvent(1));
+            await new Promise(resolve => signal.addEventListener("abort", resolve));
+            throw new Error("aborted");
+        }
+        const { send, calls } = createSite((call, ...[, count]) =>
+            count === 1
+                ? createAnswer([], { confidence: 80, body: stall(call.signal) })
+                : createAnswer([createEvent(2)])
+        );
+        const caller = await send();
+        expect([caller.pieces, caller.isWhole, calls.length]).toEqual([[createEvent(1), createEvent(2)], true, 2]);
+    });
+
+    it("breaks off visibly when a stream can't go on", async () => {
+        const broken = createSite(() => createAnswer([createEvent(1)], { confidence: 80, breakOff: true }), {
+            maximumAttempts: 1,
+        });
+        const caller = await broken.send();
+        expect([caller.isWhole, caller.isAborted]).toEqual([false, true]);
+    });
+
+    it("does not resume a stream whose route does not allow it", async () => {
+        const { send, calls } = createSite(
+            () => createAnswer([createEvent(1)], { confidence: 80, breakOff: true }),
+            { isResumable: false },
+        );
+        expect([(await send()).isAborted, calls.length]).toEqual([true, 1]);
+    });
+
+    it("is refused truthfully when every runner is full", async () => {
+        const { send } = createSite(() => createCallFailure("refused"));
+        expect((await send()).refusal?.outcome).toEqual("not-run");
+    });
+});
--- /dev/null
+++ b/test/forwarding/unaryExchange.test.ts
@@ -0,0 +1,114 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { UpstreamCall } from "../../src/forwarding/index.js";
+import {
+    CallerStandin,
+    createAnswer,
+    createCallerRequest,
+    createCallFailure,
+    createForwarder,
+} from "../fixtures/exchanges.js";
+import { createRoute, createRouteTable } from "../fixtures/routes.js";
+
+function createSite(kind: "idempotent" | "at-most-once", options: Parameters<typeof createForwarder>[0] = {}) {
+    const route = createRoute({ kind, maximumAttempts: kind === "idempotent" ? 2 : 1, timeoutMilliseconds: 900 });
+    return createForwarder({ getRoutes: () => createRouteTable({ routes: [route] }), ...options });
+}
+
+/** Waits until a call is ended from outside, as at an upstream that never answers. */
+function waitForEnd(call: UpstreamCall) {
+    return new Promise<ReturnType<typeof createCallFailure>>(resolve => {
+        call.signal.addEventListener("abort", () => resolve(createCallFailure("broken")));
+    });
+}
+
+describe("runUnary", () => {
+    it("asks another upstream where a request may be repeated", async () => {
+        const { send, calls } = createSite("idempotent", {
+            behaviour: (...[, , count]) =>
+                count === 1 ? createAnswer(["oops"], { status: 500 }) : createAnswer(["done"]),
+        });
+        expect((await send()).pieces).toEqual(["done"]);
+        expect(calls[0].upstream).not.toEqual(calls[1].upstream);
+    });
+
+    // A booking reaches an instance, and the connection breaks. It may have been made. Sent to another instance, the driver
+    // would be ordered twice.
+    it("never repeats a request that may have run, and does not say that it has not", async () => {
+        const { send, calls } = createSite("at-most-once", { behaviour: () => createCallFailure("broken") });
+        const { refusal } = await send();
+        expect([calls.length, refusal?.outcome, refusal?.failure.kind]).toEqual([1, "unknown", "upstream-failed"]);
+    });
+
+    it("never repeats one whose answer broke off", async () => {
+        const { send, calls } = createSite("at-most-once", {
+            behaviour: () => createAnswer(["ha"], { breakOff: true }),
+        });
+        const { refusal } = await send();
+        expect([calls.length, refusal?.outcome]).toEqual([1, "ran"]);
+    });
+
+    it("tries another upstream when no connection came about, which counts for nothing", async () => {
+        const { send, calls } = createSite("at-most-once", {
+            behaviour: (...[, , count]) => count === 1 ? createCallFailure("not-sent") : createAnswer(["done"]),
+        });
+        expect([(await send()).status, calls.length]).toEqual([200, 2]);
+    });
+
+    // Every instance is full and says so. The caller must hear at once that nothing has run, and when to come back.
+    it("says that a request has not run, and when to come back, when every upstream refuses", async () => {
+        const { send } = createSite("at-most-once", { behaviour: () => createCallFailure("refused") });
+        const { refusal } = await send();
+        expect([refusal?.outcome, refusal?.failure.kind]).toEqual(["not-run", "overloaded"]);
+        const back = refusal!.failure.retryAfterMilliseconds!;
+        expect(back >= 30 && back <= 300).toEqual(true);
+    });
+
+    it("gives the upstream's own failure when nobody did better", async () => {
+        const { send } = createSite("idempotent", { behaviour: () => createAnswer(["oops"], { status: 500 }) });
+        const caller = await send();
+        expect([caller.status, caller.pieces]).toEqual([500, ["oops"]]);
+    });
+
+    // An instance takes a request and falls silent. A caller of a repeatable request need not wait until its deadline.
+    it("leaves a silent upstream while there is time for another one", async () => {
+        const { send, calls, renewed } = createSite("idempotent", {
+            behaviour: (call, ...[, count]) => count === 1 ? waitForEnd(call) : createAnswer(["done"]),
+        });
+        const caller = await send();
+        expect([caller.status, calls.length, renewed.length]).toEqual([200, 2, 1]);
+    });
+
+    it("answers at the route's timeout, and ends the work", async () => {
+        let wasEnded = false;
+        const { send } = createSite("at-most-once", {
+            behaviour: async call => {
+                const failure = await waitForEnd(call);
+                wasEnded = true;
+                return failure;
+            },
+        });
+        const before = performance.now();
+        const { refusal } = await send({ deadlineMilliseconds: 400 });
+        expect([refusal?.failure.kind, wasEnded]).toEqual(["deadline", true]);
+        expect(performance.now() - before >= 380).toEqual(true);
+    });
+
+    it("ends the work at once when the caller leaves", async () => {
+        const { forwarder, calls } = createSite("idempotent", { behaviour: waitForEnd });
+        const caller = new CallerStandin();
+        const handled = forwarder.handle(createCallerRequest(), caller);
+        await new Promise(resolve => setImmediate(resolve));
+        caller.leave();
+        await handled;
+        expect([calls.length, calls[0].call.signal.aborted]).toEqual([1, true]);
+    });
+
+    it("repeats nothing when the pool's budget is used up", async () => {
+        const { send, calls } = createSite("idempotent", {
+            repeats: 0,
+            behaviour: () => createAnswer(["oops"], { status: 500 }),
+        });
+        expect([(await send()).status, calls.length]).toEqual([500, 1]);
+    });
+});
--- a/test/topics/peerTopics.test.ts
+++ b/test/topics/peerTopics.test.ts
@@ -16,6 +16,7 @@
             throw new Error("Not read here.");
         },
         staleMilliseconds: 2_500,
+        outageMilliseconds: 3_000,
         waitMilliseconds: 700,
         onChanges: () => {},
     });
