Tell a reset from an orderly close, and meet the platform's bytes in tests

Cause: the HTTP library reports an orderly close as an error of the socket, so that every answer without a length counted as broken; and ending a late answer's connection raised an error that nobody handled. Both found by the new tests. Change: the library's own code for a close is no reset; the destroyed body's error is expected.

--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -39,6 +39,9 @@
  */
 const resetMilliseconds = 100;
 
+/** Code of the library's error for a connection that the other side closed. */
+const orderlyCloseCode = "UND_ERR_SOCKET";
+
 interface PooledUpstream {
     readonly upstream: RegisteredUpstream;
     readonly pool: Pool;
@@ -144,7 +147,12 @@
                 callback(error, null);
                 return;
             }
-            socket.on("error", () => resets.mark());
+            socket.on("error", (cause: NodeJS.ErrnoException) => {
+                // The library reports an orderly close as an error of its own; that is how such an answer ends well.
+                if (cause.code !== orderlyCloseCode) {
+                    resets.mark();
+                }
+            });
             // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
             callback(null, socket);
         });
@@ -186,6 +194,9 @@
     };
     if (echoed !== undefined && echoed !== call.request.id) {
         // A late answer to an earlier request on this connection. What follows it can't be told apart any more.
+        response.body.on("error", () => {
+            // Destroying the body ends the connection, and is reported as an error of the body.
+        });
         response.body.destroy();
         return err({ kind: "broken", reason: "the answer belongs to another request" });
     }
--- /dev/null
+++ b/test/platform/decode.test.ts
@@ -0,0 +1,176 @@
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { describe, it } from "node:test";
+import { decodeConfiguration, decodeRolloutOrder } from "../../src/platform/decodeConfiguration.js";
+import { decodeUpstream } from "../../src/platform/decodeUpstream.js";
+import { pickRequestHeaders } from "../../src/platform/headers.js";
+import { parseNodeSettings } from "../../src/platform/nodeSettings.js";
+import { decodePage, encodeRecord } from "../../src/platform/storeClient.js";
+
+function encode(value: unknown): Buffer {
+    return Buffer.from(JSON.stringify(value));
+}
+
+const entry = {
+    service: "pool",
+    address: "10.0.0.9:8080",
+    zone: "north",
+    version: "v1",
+    slots: 48,
+    state: "ready",
+    cold_left_ms: 0,
+    seq_no: 4,
+    born: 1_700_000_000_000,
+    models: [{ name: "m", version: 1, adapters: [] }],
+};
+
+describe("decodeUpstream", () => {
+    it("reads an entry", () => {
+        const upstream = decodeUpstream("i-1", encode(entry));
+        expect([upstream?.pool, upstream?.failureDomain, upstream?.isLeaving, upstream?.startedAt]).toEqual([
+            "pool",
+            "north",
+            false,
+            1_700_000_000_000,
+        ]);
+    });
+
+    // Another writer leaves something under an upstream's key: a field of another type, a state that nobody knows, bytes of
+    // another program. It names nobody to send requests to, and must not end the process that reads it.
+    it("finds no upstream in what it can't read", () => {
+        const spoilt = [
+            encode({ ...entry, slots: "48" }),
+            encode({ ...entry, state: "resting" }),
+            encode({ ...entry, address: undefined }),
+            encode({ ...entry, address: "elsewhere" }),
+            encode([]),
+            Buffer.from([0xff, 0x00, 0x7b]),
+            Buffer.alloc(0),
+        ];
+        expect(spoilt.map(value => decodeUpstream("i-1", value))).toEqual(spoilt.map(() => undefined));
+    });
+});
+
+describe("decodeConfiguration", () => {
+    const configuration = {
+        version: 7,
+        routes: [{
+            name: "r",
+            host: "app.example",
+            path_prefix: "/a/",
+            route_kind: "streaming",
+            timeout_ms: 20_000,
+            goal_ms: 1_000,
+            priority: 0,
+            sizes: ["s", "l"],
+            split: [{ service: "x", weight: 90 }, { service: "y", weight: 10 }],
+            max_attempts: 3,
+            public: false,
+            resumable: true,
+            gap_goal_ms: 600,
+        }],
+        services: [{ name: "x", max_conns: 300 }],
+        limits: { max_header_bytes: 1, max_body_bytes: 2, header_timeout_ms: 3, idle_timeout_ms: 4 },
+        tenants: [{ name: "t", api_keys: ["k"], priority: 1 }],
+    };
+
+    it("reads routes, pools, limits and keys", () => {
+        const table = decodeConfiguration(encode(configuration))._unsafeUnwrap();
+        const route = table.findRoute("app.example", "/a/b")!;
+        expect([route.kind, route.isResumable, route.pauseObjectiveMilliseconds]).toEqual(["stream", true, 600]);
+        expect(route.pools).toEqual([{ pool: "x", weight: 90 }, { pool: "y", weight: 10 }]);
+        expect([table.version, table.needsKeys(), table.findWorkspace("k")]).toEqual([7, true, {
+            name: "t",
+            priority: 1,
+        }]);
+    });
+
+    it("fails on what it can't read, and takes a kind that it does not know for the strictest", () => {
+        expect(decodeConfiguration(Buffer.from("{")).isErr()).toEqual(true);
+        const strange = { ...configuration, routes: [{ ...configuration.routes[0], route_kind: "new" }] };
+        const table = decodeConfiguration(encode(strange))._unsafeUnwrap();
+        expect(table.findRoute("app.example", "/a/")?.kind).toEqual("at-most-once");
+    });
+
+    it("reads an order of a roll-out", () => {
+        const order = decodeRolloutOrder(encode({ service: "x", target: "v2", deadline_s: 12 }), 9)._unsafeUnwrap();
+        expect(order).toEqual({ id: 9, pool: "x", version: "v2", durationMilliseconds: 12_000 });
+    });
+});
+
+describe("decodePage", () => {
+    it("reads records and removals with their offsets", () => {
+        const header = Buffer.alloc(16);
+        const body = Buffer.concat([
+            header,
+            encodeRecord({ key: "a", value: Buffer.from("1") }),
+            encodeRecord({ key: "b", value: Buffer.alloc(0) }),
+        ]);
+        const page = decodePage(body, 40, 5)._unsafeUnwrap();
+        expect(page.records).toEqual([
+            { key: "a", value: Buffer.from("1"), offset: 40 },
+            { key: "b", value: undefined, offset: 41 },
+        ]);
+        expect([page.end, page.confirmedAt]).toEqual([42, 5]);
+    });
+
+    it("fails on an answer that ends early", () => {
+        const record = encodeRecord({ key: "a", value: Buffer.from("1234") });
+        expect(decodePage(Buffer.concat([Buffer.alloc(16), record.subarray(0, 7)]), 0, 0).isErr()).toEqual(true);
+        expect(decodePage(Buffer.alloc(3), 0, 0).isErr()).toEqual(true);
+    });
+});
+
+describe("pickRequestHeaders", () => {
+    // A caller sends headers that only the router may set: another workspace, a reservation, the memory of another's request.
+    it("passes on what is the caller's, and nothing that the router alone may set", () => {
+        const raw = [
+            "Host",
+            "app.example",
+            "Attempt-Id",
+            "1",
+            "Tenant",
+            "other",
+            "Api-Key",
+            "k",
+            "Hold",
+            "h",
+            "Kv-From",
+            "a",
+            "Pin-Ms",
+            "9",
+            "Connection",
+            "keep-alive, X-Once",
+            "X-Once",
+            "1",
+            "Transfer-Encoding",
+            "chunked",
+            "Token-Count",
+            "1,2",
+        ];
+        expect(pickRequestHeaders(raw)).toEqual(["Host", "app.example", "Attempt-Id", "1", "Token-Count", "1,2"]);
+    });
+});
+
+describe("parseNodeSettings", () => {
+    const template = readFileSync("deploy/settings.ini", "utf8");
+    const filled = template
+        .replace("{{seeds}}", "10.0.0.1:9,10.0.0.2:9")
+        .replace("{{platform.address}}", "10.0.0.7:80")
+        .replaceAll(/\{\{listen\.[a-z]+\}\}/g, "10.0.0.1:80")
+        .replaceAll(/\{\{ip\}\}:\{\{port_range\.0\}\}/g, "10.0.0.1:81")
+        .replaceAll(/\{\{bounds\.[a-z_]+\}\}/g, "5")
+        .replaceAll(/\{\{[a-z._]+\}\}/g, "name");
+
+    it("reads the template of the deployment", () => {
+        const settings = parseNodeSettings(filled, "local.ini")._unsafeUnwrap();
+        expect(settings.seeds).toEqual([{ host: "10.0.0.1", port: 9 }, { host: "10.0.0.2", port: 9 }]);
+        expect(settings.bounds.retryWindowMilliseconds).toEqual(5_000);
+    });
+
+    it("names the line and key of what is wrong", () => {
+        const wrong = filled.replace(/revoke_ms = 5/, "revoke_ms = soon");
+        const [mistake] = parseNodeSettings(wrong, "local.ini")._unsafeUnwrapErr();
+        expect([mistake.section, mistake.key, mistake.line > 0]).toEqual(["bounds", "revoke_ms", true]);
+    });
+});
--- /dev/null
+++ b/test/platform/standins/storeStandin.ts
@@ -0,0 +1,198 @@
+/**
+ * The platform's store, as far as this system speaks to it: keyed topics with reads that wait, and conditional appends.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+interface StoredRecord {
+    readonly key: string;
+    readonly value: Buffer;
+}
+
+/** What the store does to its callers. */
+export type StoreMood = "well" | "busy" | "silent" | "loses-answers";
+
+/** Keeps topics in memory. */
+export class StoreStandin {
+    readonly #topics = new Map<string, StoredRecord[]>();
+    readonly #firstOffsets = new Map<string, number>();
+    readonly #waiting = new Set<() => void>();
+    readonly #server: Server;
+    mood: StoreMood = "well";
+    /** Moods for single callers, by their address. */
+    readonly moods = new Map<string, StoreMood>();
+    /** Calls that were answered or refused, as `METHOD PATH ADDRESS`. */
+    readonly calls: string[] = [];
+
+    constructor() {
+        this.#server = createServer((request, response) => void this.#answer(request, response));
+        this.#server.keepAliveTimeout = 30_000;
+    }
+
+    /** Begins to listen. */
+    listen(host: string, port: number): Promise<void> {
+        return new Promise(resolve => this.#server.listen(port, host, resolve));
+    }
+
+    /** Ends listening. */
+    close(): void {
+        this.#server.close();
+        this.#server.closeAllConnections();
+    }
+
+    /** Appends a record as the operator or an upstream does. */
+    put(topic: string, key: string, value: unknown): void {
+        const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
+        this.#append(topic, [{ key, value: bytes }]);
+    }
+
+    /** Removes a key. */
+    remove(topic: string, key: string): void {
+        this.#append(topic, [{ key, value: Buffer.alloc(0) }]);
+    }
+
+    /** Drops the history of a topic; the newest record of each key stays. */
+    compact(topic: string): void {
+        this.#firstOffsets.set(topic, this.#getRecords(topic).length);
+    }
+
+    /** Returns the newest value of a key as JSON. */
+    get(topic: string, key: string): unknown {
+        const record = this.#getRecords(topic).filter(entry => entry.key === key).at(-1);
+        return record === undefined || record.value.length === 0 ? undefined : JSON.parse(record.value.toString());
+    }
+
+    #append(topic: string, records: readonly StoredRecord[]): void {
+        this.#getRecords(topic).push(...records);
+        for (const wake of [...this.#waiting]) {
+            wake();
+        }
+    }
+
+    #getRecords(topic: string): StoredRecord[] {
+        let records = this.#topics.get(topic);
+        if (records === undefined) {
+            records = [];
+            this.#topics.set(topic, records);
+        }
+        return records;
+    }
+
+    async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "/", "http://store");
+        const caller = request.socket.remoteAddress ?? "";
+        const mood = this.moods.get(caller) ?? this.mood;
+        this.calls.push(`${request.method} ${url.pathname} ${caller}`);
+        if (mood === "silent") {
+            return;
+        }
+        if (mood === "busy") {
+            response.writeHead(429).end();
+            return;
+        }
+        const topic = url.searchParams.get("topic") ?? "";
+        switch (url.pathname) {
+            case "/v1/log-newest":
+                this.#answerNewest(topic, response);
+                return;
+            case "/v1/log-read":
+                await this.#answerRead(topic, url.searchParams, response);
+                return;
+            case "/v1/log-append":
+                await this.#answerAppend(topic, url.searchParams.get("at"), request, response, mood);
+                return;
+            default:
+                response.writeHead(404).end();
+        }
+    }
+
+    #answerNewest(topic: string, response: ServerResponse): void {
+        const newest = new Map<string, { key: string; value: string; offset: number; }>();
+        for (const [offset, { key, value }] of this.#getRecords(topic).entries()) {
+            newest.delete(key);
+            if (value.length > 0) {
+                newest.set(key, { key, value: value.toString("base64"), offset });
+            }
+        }
+        const body = { entries: [...newest.values()], has_more: false, end_offset: this.#getRecords(topic).length };
+        response.writeHead(200, { "content-type": "application/json" }).end(JSON.stringify(body));
+    }
+
+    async #answerRead(topic: string, query: URLSearchParams, response: ServerResponse): Promise<void> {
+        const from = Number(query.get("from"));
+        const first = this.#firstOffsets.get(topic) ?? 0;
+        if (from < first) {
+            response.writeHead(410).end(JSON.stringify({ first_offset: first }));
+            return;
+        }
+        await this.#waitForRecords(topic, from, Number(query.get("wait_ms") ?? 0));
+        const records = this.#getRecords(topic);
+        const header = Buffer.alloc(16);
+        header.writeBigUInt64BE(BigInt(records.length), 0);
+        header.writeBigUInt64BE(BigInt(first), 8);
+        response.writeHead(200).end(Buffer.concat([header, ...records.slice(from).map(encode)]));
+    }
+
+    #waitForRecords(topic: string, from: number, milliseconds: number): Promise<void> {
+        return new Promise(resolve => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                this.#waiting.delete(check);
+                resolve();
+            };
+            const check = (): void => {
+                if (this.#getRecords(topic).length > from) {
+                    finish();
+                }
+            };
+            const timer = setTimeout(finish, milliseconds);
+            this.#waiting.add(check);
+            check();
+        });
+    }
+
+    async #answerAppend(
+        topic: string,
+        at: string | null,
+        request: IncomingMessage,
+        response: ServerResponse,
+        mood: StoreMood,
+    ): Promise<void> {
+        const pieces: Buffer[] = [];
+        for await (const piece of request as AsyncIterable<Buffer>) {
+            pieces.push(piece);
+        }
+        const end = this.#getRecords(topic).length;
+        // eslint-disable-next-line no-restricted-syntax -- A missing parameter is null in the library.
+        if (at !== null && Number(at) !== end) {
+            response.writeHead(412).end(JSON.stringify({ end_offset: end }));
+            return;
+        }
+        const records = decode(Buffer.concat(pieces));
+        this.#append(topic, records);
+        if (mood === "loses-answers") {
+            return;
+        }
+        response.writeHead(200).end(JSON.stringify({ offset: end, end_offset: end + records.length }));
+    }
+}
+
+function encode({ key, value }: StoredRecord): Buffer {
+    const head = Buffer.alloc(5);
+    head.writeUInt32BE(1 + key.length + value.length, 0);
+    head.writeUInt8(key.length, 4);
+    return Buffer.concat([head, Buffer.from(key), value]);
+}
+
+function decode(body: Buffer): StoredRecord[] {
+    const records: StoredRecord[] = [];
+    let position = 0;
+    while (position < body.length) {
+        const length = body.readUInt32BE(position);
+        const keyLength = body.readUInt8(position + 4);
+        const keyEnd = position + 5 + keyLength;
+        const end = position + 4 + length;
+        records.push({ key: body.subarray(position + 5, keyEnd).toString(), value: body.subarray(keyEnd, end) });
+        position = end;
+    }
+    return records;
+}
--- /dev/null
+++ b/test/platform/upstreamClient.test.ts
@@ -0,0 +1,161 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import type { AddressInfo, Server, Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import type { RegisteredUpstream } from "../../src/fleet/index.js";
+import type { UpstreamAnswer, UpstreamCall } from "../../src/forwarding/index.js";
+import { UpstreamClient } from "../../src/platform/upstreamClient.js";
+import { createCallerRequest } from "../fixtures/exchanges.js";
+import { createUpstream } from "../fixtures/upstreams.js";
+import { createRawRunner } from "./standins/runnerStandin.js";
+
+const host = "127.71.1.1";
+const open: { close(): unknown; }[] = [];
+
+afterEach(async () => {
+    for (const part of open.splice(0)) {
+        await part.close();
+    }
+});
+
+async function listen(server: Server): Promise<RegisteredUpstream> {
+    server.listen(0, host);
+    await once(server, "listening");
+    open.push(server);
+    return createUpstream("i-1", { address: `${host}:${(server.address() as AddressInfo).port}` });
+}
+
+function createClient(): UpstreamClient {
+    const client = new UpstreamClient({ getConnectionLimit: () => 1 });
+    open.push(client);
+    return client;
+}
+
+function createCall(options: Partial<UpstreamCall> = {}): UpstreamCall {
+    return {
+        request: createCallerRequest({ headers: ["X-Own", "kept", "Attempt-Id", "request-1"] }),
+        deadlineMilliseconds: 800.7,
+        workspace: "harbour",
+        model: undefined,
+        urgency: 3,
+        lastEventId: undefined,
+        signal: new AbortController().signal,
+        ...options,
+    };
+}
+
+async function read(answer: UpstreamAnswer): Promise<string> {
+    let text = "";
+    for await (const piece of answer.body) {
+        text += piece.toString();
+    }
+    return text;
+}
+
+/** Lets a runner write some bytes for its first request and calls it. */
+async function call(write: (socket: Socket, requestId: string, count: number) => void) {
+    const upstream = await listen(createRawRunner(write));
+    const client = createClient();
+    return { client, upstream, called: await client.call(upstream, createCall()) };
+}
+
+describe("UpstreamClient", () => {
+    it("names the runner that is meant, the workspace and the time that is left, and passes the rest on unchanged", async () => {
+        let received = "";
+        const upstream = await listen(createRawRunner(socket => {
+            socket.write(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nServer-Seal: s\r\nServer-Load: 3,1,8\r\nContent-Length: 2\r\n\r\nok",
+            );
+        }));
+        open[0].close();
+        const server = createRawRunner(() => {});
+        server.on("connection", socket => {
+            socket.on("data", data => {
+                received += data.toString();
+                socket.write(
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nServer-Seal: s\r\nServer-Load: 3,1,8\r\nContent-Length: 2\r\n\r\nok",
+                );
+            });
+        });
+        void upstream;
+        const answer = (await createClient().call(await listen(server), createCall()))._unsafeUnwrap();
+        expect([await read(answer), answer.isSealed, answer.load]).toEqual(["ok", true, {
+            running: 3,
+            waiting: 1,
+            slots: 8,
+        }]);
+        expect(received.startsWith("POST /a/1?x=2 HTTP/1.1\r\n")).toEqual(true);
+        const lines = received.toLowerCase();
+        for (const line of ["x-own: kept", "expect-instance: i-1", "tenant: harbour", "deadline-ms: 800"]) {
+            expect(lines).toInclude(line);
+        }
+        expect(lines.includes("api-key")).toEqual(false);
+    });
+
+    it("knows a refusal before any work from a failure that may have run", async () => {
+        const refused = await call(socket =>
+            socket.write("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        );
+        expect(refused.called._unsafeUnwrapErr().kind).toEqual("refused");
+        const silentOnIt = await call(socket => socket.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"));
+        expect(silentOnIt.called._unsafeUnwrapErr().kind).toEqual("broken");
+        const replaced = await call(socket =>
+            socket.write("HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n")
+        );
+        expect(replaced.called._unsafeUnwrapErr().kind).toEqual("replaced");
+    });
+
+    it("says that nothing was sent where nobody listens", async () => {
+        const upstream = await listen(createRawRunner(() => {}));
+        await new Promise(resolve => (open.splice(0)[0] as Server).close(resolve));
+        expect((await createClient().call(upstream, createCall()))._unsafeUnwrapErr().kind).toEqual("not-sent");
+    });
+
+    it("does not take a success for the runner's that the runner does not vouch for", async () => {
+        const { called } = await call(socket => socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+        expect(called._unsafeUnwrapErr().kind).toEqual("broken");
+    });
+
+    // A runner answers late, after its caller was told something else. The answer stands where the next one is expected; it
+    // would be given to a stranger.
+    it("knows an answer that belongs to another request", async () => {
+        const { called } = await call(socket =>
+            socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: earlier\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nother")
+        );
+        expect(called._unsafeUnwrapErr().reason).toEqual("the answer belongs to another request");
+    });
+
+    // A runner writes a second answer right behind the first one. The bytes belong to no request; the next request on that
+    // connection would get them.
+    it("uses no connection again on which more came than was asked for", async () => {
+        const { client, upstream, called } = await call((socket, id, count) => {
+            const answer =
+                `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s${count}\r\nContent-Length: 2\r\n\r\n0${count}`;
+            socket.write(answer + answer);
+        });
+        expect(await read(called._unsafeUnwrap())).toEqual("01");
+        const second = (await client.call(upstream, createCall()))._unsafeUnwrap();
+        expect(await read(second)).toEqual("02");
+    });
+
+    // An answer without a length ends with its connection. When the connection is reset in the middle, what has come looks
+    // like a whole answer, and the caller takes half a confirmation for a whole one.
+    it("takes no answer for complete whose connection was reset", async () => {
+        const whole = await call((socket, id) =>
+            socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nwhole`)
+        );
+        expect(await read(whole.called._unsafeUnwrap())).toEqual("whole");
+        const reset = await call((socket, id) => {
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nha`);
+            setTimeout(() => socket.resetAndDestroy(), 50);
+        });
+        await expect(() => read(reset.called._unsafeUnwrap())).toBeRejected();
+    });
+
+    it("breaks off visibly when an answer is cut short", async () => {
+        const { called } = await call((socket, id) =>
+            socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nha`)
+        );
+        await expect(() => read(called._unsafeUnwrap())).toBeRejected();
+    });
+});
