--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -2,7 +2,7 @@
  * Calls upstreams over HTTP, with the platform's headers.
  */
 import { err, ok, type Result } from "neverthrow";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, errors, Pool } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type {
     ReportedLoad,
@@ -39,9 +39,6 @@
  */
 const resetMilliseconds = 100;
 
-/** Code of the library's error for a connection that the other side closed. */
-const orderlyCloseCode = "UND_ERR_SOCKET";
-
 interface PooledUpstream {
     readonly upstream: RegisteredUpstream;
     readonly pool: Pool;
@@ -147,9 +144,9 @@
                 callback(error, null);
                 return;
             }
-            socket.on("error", (cause: NodeJS.ErrnoException) => {
+            socket.on("error", cause => {
                 // The library reports an orderly close as an error of its own; that is how such an answer ends well.
-                if (cause.code !== orderlyCloseCode) {
+                if (!(cause instanceof errors.UndiciError)) {
                     resets.mark();
                 }
             });
