Refuse settings with mistakes in their text, and prove whole nodes on stand-ins

Cause: a settings file with a line that is no setting was accepted when the rest was whole; found by a new test. Change: such a file is refused. Tests run nodes as processes before a store and runners of this repository: configuration, keys, unreadable records, leaving runners, streams, reload, the store away for one or all, restart, stop, roll-outs.

--- a/src/platform/nodeSettings.ts
+++ b/src/platform/nodeSettings.ts
@@ -124,8 +124,9 @@
         raw[section.name] = Object.fromEntries(Array.from(section.lines.values(), line => [line.key, line.value]));
     }
     const parsed = settingsSchema.safeParse(raw);
-    if (!parsed.success) {
-        return err([...document.mistakes, ...parsed.error.issues.map(issue => toMistake(issue, document, file))]);
+    if (!parsed.success || document.mistakes.length > 0) {
+        const issues = parsed.error?.issues ?? [];
+        return err([...document.mistakes, ...issues.map(issue => toMistake(issue, document, file))]);
     }
     const { node, listen, peers, store, bounds } = parsed.data;
     return ok({
--- /dev/null
+++ b/test/platform/node.test.ts
@@ -0,0 +1,98 @@
+import { expect } from "earl";
+import { appendFileSync, writeFileSync } from "node:fs";
+import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../../src/testbench/index.js";
+import { createConfiguration, PlatformSite } from "./platformSite.js";
+import { createSeal } from "./standins/runnerStandin.js";
+
+describe("a node on the platform", () => {
+    const site = new PlatformSite("127.72.1");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(2);
+        await site.waitForReady(site.startNode(1));
+    });
+
+    it("answers a caller with its runner's answer, unchanged", async () => {
+        const answer = await site.send(site.nodes[0]);
+        expect([answer.status, answer.body, answer.headers["server-seal"]]).toEqual([200, "done", "3e1b.07"]);
+        const received = [...site.runners.values()].flatMap(runner => runner.received)[0];
+        expect([received.target, received.body, received.headers.tenant]).toEqual(["/call/1", "hello", "harbour"]);
+        expect(received.headers["api-key"]).toEqual(undefined);
+    });
+
+    it("turns away unknown keys and paths", async () => {
+        const statuses = [
+            (await site.send(site.nodes[0], { headers: { "api-key": "other" } })).status,
+            (await site.send(site.nodes[0], { path: "/nowhere/1" })).status,
+            (await site.send(site.nodes[0], { body: "x".repeat(100_001) })).status,
+            (await site.send(site.nodes[0], { headers: { "deadline-ms": "soon" } })).status,
+            (await site.send(site.nodes[0], { headers: { "x-long": "x".repeat(20_000) } })).status,
+        ];
+        expect(statuses).toEqual([401, 404, 413, 400, 431]);
+    });
+
+    it("has a published configuration in force at once", async () => {
+        site.store.put("keyed.op", "config", createConfiguration(4, ["key", "second"]));
+        await waitUntil(
+            async () => (await site.send(site.nodes[0], { headers: { "api-key": "second" } })).status === 200,
+            {
+                what: "the new key",
+                boundMilliseconds: 2_000,
+            },
+        );
+    });
+
+    // Somebody else wrote under a runner's key, and under the configuration's. The node must go on with what it knows.
+    it("goes on when records can't be read", async () => {
+        site.store.put("keyed.servers", "i-9", Buffer.from("\u0000{"));
+        site.store.put("keyed.op", "config", { version: "none" });
+        site.store.put("keyed.op", "config", createConfiguration(5, ["key", "third"]));
+        await waitUntil(
+            async () => (await site.send(site.nodes[0], { headers: { "api-key": "third" } })).status === 200,
+            {
+                what: "the readable configuration",
+            },
+        );
+        const unreadable = site.nodes[0].events.filter(event => event.name === "record-unreadable");
+        expect(unreadable.map(event => event.key).sort()).toEqual(["config", "i-9"]);
+    });
+
+    it("sends nothing to a runner that says that it is leaving", async () => {
+        site.register("i-1", { state: "draining" });
+        const isKnown = () => site.nodes[0].events.some(event => event.upstream === "i-1" && event.leaving === true);
+        await waitUntil(isKnown, { what: "the news" });
+        const before = site.runners.get("i-1")!.received.length;
+        for (let request = 0; request < 6; request += 1) {
+            expect((await site.send(site.nodes[0])).status).toEqual(200);
+        }
+        expect(site.runners.get("i-1")!.received.length).toEqual(before);
+        site.register("i-1");
+    });
+
+    it("passes the events of a stream on as they come", async () => {
+        for (const runner of site.runners.values()) {
+            runner.behaviour = async (request, response) => {
+                response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+                for (let id = 1; id <= 3; id += 1) {
+                    response.write(`id: ${id}\ndata: ${id}\n\n`);
+                    await new Promise(resolve => setTimeout(resolve, 20));
+                }
+                response.end();
+            };
+        }
+        const answer = await site.send(site.nodes[0], { path: "/stream/1", headers: { session: "s" } });
+        expect(answer.body).toEqual("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
+    });
+
+    it("keeps its settings when a changed file has mistakes, and takes over a good one", async () => {
+        const [node] = site.nodes;
+        appendFileSync(node.settingsFile, "\nwrong\n[bounds]\n");
+        node.child.kill("SIGHUP");
+        await waitUntil(() => node.events.some(event => event.name === "settings-refused"), { what: "the refusal" });
+        writeFileSync(node.settingsFile, site.createSettings(node.address));
+        node.child.kill("SIGHUP");
+        await waitUntil(() => node.events.some(event => event.name === "settings-reloaded"), { what: "the reload" });
+        expect((await site.send(node)).status).toEqual(200);
+    });
+});
--- /dev/null
+++ b/test/platform/platformSite.ts
@@ -0,0 +1,257 @@
+/**
+ * A whole site on the platform: nodes as processes of their own, before a store and runners in this process.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+import { Agent, request as sendRequest } from "undici";
+import type { EventLine } from "../../src/events/index.js";
+import { waitUntil } from "../../src/testbench/index.js";
+import { RunnerStandin } from "./standins/runnerStandin.js";
+import { StoreStandin } from "./standins/storeStandin.js";
+
+const program = "deploy/launch.cjs";
+const callerPort = 7_001;
+const readyPort = 7_002;
+const peerPort = 7_003;
+const addressPort = 7_004;
+const metricsPort = 7_005;
+const storePort = 7_010;
+const runnerPort = 7_020;
+
+/** A node's process. */
+export interface SiteNode {
+    readonly address: string;
+    readonly child: ChildProcess;
+    readonly events: EventLine[];
+    readonly settingsFile: string;
+    /** Ends with the process. */
+    readonly exited: Promise<number | null>;
+}
+
+/** An answer to a caller. */
+export interface SiteAnswer {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+}
+
+/** How a request is sent. */
+export interface SiteRequest {
+    readonly path?: string;
+    readonly method?: "GET" | "POST";
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+}
+
+/** Bounds of the test sites, as they stand in the settings. */
+const bounds: Readonly<Record<string, number>> = {
+    config_apply_ms: 2_000,
+    revoke_ms: 3_000,
+    drain_ms: 2_000,
+    grace_s: 4,
+    retry_budget_ratio: 0.9,
+    budget_window_s: 10,
+    budget_extra: 40,
+    exposure_share: 0.2,
+    exposure_slack: 30,
+    session_s: 5,
+    ttl_max_s: 5,
+};
+
+/** Creates a configuration with a call, a booking and a stream, all of the pool `pool`. */
+export function createConfiguration(version: number, keys: readonly string[] = ["key"]): object {
+    const route = {
+        host: "app.example",
+        timeout_ms: 3_000,
+        goal_ms: 500,
+        priority: 1,
+        service: "pool",
+        max_attempts: 2,
+        public: false,
+    };
+    return {
+        version,
+        routes: [
+            { ...route, name: "call", path_prefix: "/call/", route_kind: "idempotent" },
+            { ...route, name: "booking", path_prefix: "/booking/", route_kind: "non_idempotent", max_attempts: 1 },
+            {
+                ...route,
+                name: "stream",
+                path_prefix: "/stream/",
+                route_kind: "streaming",
+                resumable: true,
+                max_attempts: 3,
+                gap_goal_ms: 300,
+            },
+        ],
+        services: [{ name: "pool", health_path: "/healthz", max_conns: 100 }],
+        limits: {
+            max_header_bytes: 16_384,
+            max_body_bytes: 100_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+        tenants: [{ name: "harbour", api_keys: keys }],
+    };
+}
+
+/** Runs a site. */
+export class PlatformSite {
+    readonly store = new StoreStandin();
+    readonly nodes: SiteNode[] = [];
+    readonly runners = new Map<string, RunnerStandin>();
+    readonly #prefix: string;
+    readonly #folder = mkdtempSync(join(tmpdir(), "platform-site-"));
+    readonly #agent = new Agent();
+    #requests = 0;
+
+    /** @param prefix - First three bytes of the site's addresses, such as `127.72.1`. */
+    constructor(prefix: string) {
+        this.#prefix = prefix;
+    }
+
+    /** Starts the store with a configuration, and some runners of version `v1`. */
+    async start(runners: number): Promise<void> {
+        await this.store.listen(`${this.#prefix}.200`, storePort);
+        this.store.put("keyed.op", "config", createConfiguration(1));
+        for (let index = 1; index <= runners; index += 1) {
+            await this.addRunner(`i-${index}`);
+        }
+    }
+
+    /** Starts a runner and registers it. */
+    async addRunner(id: string, version = "v1"): Promise<RunnerStandin> {
+        const runner = new RunnerStandin();
+        await runner.listen(this.#getRunnerHost(this.runners.size + 1), runnerPort);
+        this.runners.set(id, runner);
+        this.register(id, { version });
+        return runner;
+    }
+
+    /** Registers a runner, or changes its entry. */
+    register(id: string, change: Readonly<Record<string, unknown>> = {}): void {
+        const index = [...this.runners.keys()].indexOf(id) + 1;
+        this.store.put("keyed.servers", id, {
+            service: "pool",
+            address: `${this.#getRunnerHost(index)}:${runnerPort}`,
+            zone: "north",
+            version: "v1",
+            slots: 20,
+            state: "ready",
+            seq_no: 1,
+            cold_left_ms: 0,
+            ...change,
+        });
+    }
+
+    /** Starts a node, the n-th from 1, and does not wait for it. */
+    startNode(index: number): SiteNode {
+        const address = `${this.#prefix}.${index}`;
+        const settingsFile = join(this.#folder, `node-${index}.ini`);
+        writeFileSync(settingsFile, this.createSettings(address));
+        const child = spawn(process.execPath, [program], {
+            env: { ...process.env, RATTANLOCK_BOOT: settingsFile },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        const events: EventLine[] = [];
+        createInterface({ input: child.stdout }).on("line", line => events.push(JSON.parse(line) as EventLine));
+        const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
+        const node = { address, child, events, settingsFile, exited };
+        this.nodes[index - 1] = node;
+        return node;
+    }
+
+    /** Returns settings in the form of the deployment's template. */
+    createSettings(address: string): string {
+        const values: Readonly<Record<string, string>> = {
+            "node_name": address,
+            "ip": address,
+            "zone": "north",
+            "region": "south",
+            "listen.front": `${address}:${callerPort}`,
+            "listen.ready": `${address}:${readyPort}`,
+            "listen.control": `${address}:${peerPort}`,
+            "listen.directory": `${address}:${addressPort}`,
+            "port_range.0": String(metricsPort),
+            "seeds": `${this.#prefix}.1:${peerPort},${this.#prefix}.2:${peerPort}`,
+            "platform.address": `${this.#prefix}.200:${storePort}`,
+        };
+        return readFileSync("deploy/settings.ini", "utf8").replaceAll(/\{\{([a-z0-9_.]+)\}\}/g, (...[, name]) => {
+            return values[name] ?? String(bounds[String(name).replace("bounds.", "")] ?? "");
+        });
+    }
+
+    /** Waits until a node says that it is ready. */
+    async waitForReady(node: SiteNode): Promise<void> {
+        await waitUntil(async () => (await this.ask(node, readyPort, "/v1/readyz"))?.status === 200, {
+            what: "a node",
+        });
+    }
+
+    /** Waits until a node hands out so many addresses. */
+    async waitForAddresses(node: SiteNode, count: number): Promise<void> {
+        await waitUntil(async () => (await this.getAddresses(node)).length === count, { what: `${count} addresses` });
+    }
+
+    /** Returns the addresses that a node hands out. */
+    async getAddresses(node: SiteNode): Promise<readonly string[]> {
+        const answer = await this.ask(node, addressPort, "/v1/resolution?name=app.example&region=south&zone=north");
+        return answer?.status === 200 ? (JSON.parse(answer.body) as { addresses: string[]; }).addresses : [];
+    }
+
+    /** Asks a node something on one of its other ports; undefined when it does not answer. */
+    async ask(node: SiteNode, port: number, path: string): Promise<SiteAnswer | undefined> {
+        try {
+            const response = await sendRequest(`http://${node.address}:${port}${path}`, { dispatcher: this.#agent });
+            return { status: response.statusCode, headers: response.headers, body: await response.body.text() };
+        }
+        catch {
+            // It does not listen yet, or no longer.
+            return undefined;
+        }
+    }
+
+    /** Reads a node's metrics. */
+    async getMetrics(node: SiteNode): Promise<string> {
+        return (await this.ask(node, metricsPort, "/metrics"))?.body ?? "";
+    }
+
+    /** Sends a request as a caller does. */
+    async send(node: SiteNode, options: SiteRequest = {}): Promise<SiteAnswer> {
+        this.#requests += 1;
+        const response = await sendRequest(`http://${node.address}:${callerPort}${options.path ?? "/call/1"}`, {
+            dispatcher: this.#agent,
+            method: options.method ?? "POST",
+            headers: {
+                "host": "app.example",
+                "attempt-id": `request-${this.#requests}`,
+                "deadline-ms": "3000",
+                "api-key": "key",
+                ...options.headers,
+            },
+            body: options.body ?? "hello",
+        });
+        return { status: response.statusCode, headers: response.headers, body: await response.body.text() };
+    }
+
+    /** Ends everything. */
+    async stop(): Promise<void> {
+        for (const node of this.nodes) {
+            node.child.kill("SIGKILL");
+            await node.exited;
+        }
+        for (const runner of this.runners.values()) {
+            runner.close();
+        }
+        this.store.close();
+        await this.#agent.destroy();
+        rmSync(this.#folder, { recursive: true });
+    }
+
+    #getRunnerHost(index: number): string {
+        return `${this.#prefix}.${100 + index}`;
+    }
+}
--- /dev/null
+++ b/test/platform/poolRollout.test.ts
@@ -0,0 +1,81 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../../src/testbench/index.js";
+import { PlatformSite } from "./platformSite.js";
+import { createSeal } from "./standins/runnerStandin.js";
+
+function getState(site: PlatformSite): unknown {
+    return (site.store.get("keyed.status", "rollout/pool") as { state?: unknown; } | undefined)?.state;
+}
+
+/** Sends requests of new sessions to all nodes until it is told to stop. */
+function startTraffic(site: PlatformSite): () => Promise<void> {
+    let isOver = false;
+    let sessions = 0;
+    const run = async (): Promise<void> => {
+        while (!isOver) {
+            sessions += 1;
+            const node = site.nodes[sessions % site.nodes.length];
+            await site.send(node, { headers: { session: `s-${sessions}` } }).catch(() => {
+                // A node that is killed breaks its connections off.
+            });
+        }
+    };
+    const runs = [run(), run(), run()];
+    return async () => {
+        isOver = true;
+        await Promise.all(runs);
+    };
+}
+
+describe("a roll-out of a pool's software", () => {
+    const site = new PlatformSite("127.72.3");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(2);
+        for (const index of [1, 2]) {
+            await site.waitForReady(site.startNode(index));
+        }
+        await site.waitForAddresses(site.nodes[0], 2);
+        await site.waitForAddresses(site.nodes[1], 2);
+    });
+
+    // The new version answers half of its requests with a failure. Few callers may meet it, and soon nobody.
+    it("ends at once when the new version is bad", async () => {
+        const bad = await site.addRunner("i-bad", "v2");
+        bad.behaviour = (request, response) => {
+            const status = bad.received.length % 2 === 0 ? 500 : 200;
+            response.writeHead(status, createSeal(request)).end("done");
+        };
+        const stop = startTraffic(site);
+        site.store.put("keyed.op", "rollout/pool", { service: "pool", target: "v2", deadline_s: 12 });
+        await waitUntil(() => getState(site) === "reverted", { what: "the end" });
+        const received = bad.received.length;
+        await new Promise(resolve => setTimeout(resolve, 1_000));
+        await stop();
+        expect(bad.received.length - received <= 2).toEqual(true);
+        expect(received < 200).toEqual(true);
+        site.store.remove("keyed.servers", "i-bad");
+    });
+
+    // The new version is good. It must be in use everywhere before its time is over, although a node is killed on the way.
+    it("is completed in time when the new version is good, also when a node dies", async () => {
+        await site.addRunner("i-good", "v3");
+        const stop = startTraffic(site);
+        const startedAt = performance.now();
+        site.store.put("keyed.op", "rollout/pool", { service: "pool", target: "v3", deadline_s: 6 });
+        await waitUntil(() => getState(site) === "in_progress", { what: "the beginning" });
+        site.nodes[0].child.kill("SIGKILL");
+        await site.nodes[0].exited;
+        await waitUntil(() => getState(site) === "completed", { what: "completion" });
+        expect(performance.now() - startedAt < 6_000).toEqual(true);
+        await stop();
+        const received = [...site.runners].filter(([id]) => id !== "i-good").map(([, runner]) =>
+            runner.received.length
+        );
+        await site.send(site.nodes[1]);
+        expect([...site.runners].filter(([id]) => id !== "i-good").map(([, runner]) => runner.received.length)).toEqual(
+            received,
+        );
+    });
+});
--- /dev/null
+++ b/test/platform/storeAway.test.ts
@@ -0,0 +1,95 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../../src/testbench/index.js";
+import { createConfiguration, PlatformSite } from "./platformSite.js";
+
+const readPath = /^GET \/v1\/log-(read|newest)/;
+
+describe("nodes without the store", () => {
+    const site = new PlatformSite("127.72.2");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(2);
+        for (const index of [1, 2, 3]) {
+            site.startNode(index);
+        }
+        for (const node of site.nodes) {
+            await site.waitForReady(node);
+            await site.waitForAddresses(node, 3);
+        }
+    });
+
+    it("let one of them read the store", async () => {
+        await new Promise(resolve => setTimeout(resolve, 3_000));
+        const from = site.store.calls.length;
+        await waitUntil(() => site.store.calls.length > from + 8, { what: "some reads" });
+        const readers = new Set(
+            site.store.calls.slice(from).filter(call => readPath.test(call)).map(call => call.split(" ")[2]),
+        );
+        expect(readers.size).toEqual(1);
+    });
+
+    // The store turns one machine away and serves the others, and a key is taken away meanwhile. Nobody may get in with it
+    // for longer than the bound, also not through that machine.
+    it("hear from each other what the store does not tell them", async () => {
+        for (const [index, node] of site.nodes.entries()) {
+            site.store.moods.clear();
+            site.store.moods.set(node.address, "busy");
+            site.store.put("keyed.op", "config", createConfiguration(10 + index, ["key"]));
+            const inForce = () =>
+                node.events.some(event => event.name === "routes-in-force" && event.version === 10 + index);
+            await waitUntil(inForce, { what: `version ${10 + index} at ${node.address}`, boundMilliseconds: 3_000 });
+        }
+        site.store.moods.clear();
+    });
+
+    // The store is away for good, and nobody can know whether a key has been taken away since. After the bound, keys are
+    // accepted no more; the refusal says truthfully that nothing has run.
+    it("accept no keys by knowledge that is too old, and do again when the store is back", async () => {
+        const [node] = site.nodes;
+        expect((await site.send(node)).status).toEqual(200);
+        site.store.mood = "silent";
+        const refused = await waitUntil(async () => {
+            const answer = await site.send(node);
+            return answer.status === 503 ? answer : undefined;
+        }, { what: "the refusal", boundMilliseconds: 6_000 });
+        expect(JSON.parse(refused.body)).toEqual({ ...JSON.parse(refused.body), error: "stale", outcome: "not-run" });
+        expect(Number(refused.headers["retry-after"]) > 0).toEqual(true);
+        site.store.mood = "well";
+        await waitUntil(async () => (await site.send(node)).status === 200, { what: "the store's return" });
+    });
+
+    // A node is killed and starts again while the store turns it away. It must not wait for the store to learn what its peers
+    // know, and until then it must say "later", not "no".
+    it("start again by what their peers know", async () => {
+        const before = site.nodes[2];
+        site.store.moods.set(before.address, "silent");
+        before.child.kill("SIGKILL");
+        await before.exited;
+        const node = site.startNode(3);
+        await site.waitForReady(node);
+        expect((await site.send(node)).status).toEqual(200);
+        site.store.moods.clear();
+    });
+
+    // A node is told to stop while it answers. The platform and callers must see that it leaves, and the answer must end.
+    it("stop in order", async () => {
+        const node = site.nodes[1];
+        for (const runner of site.runners.values()) {
+            const { behaviour } = runner;
+            runner.behaviour = async (request, response) => {
+                await new Promise(resolve => setTimeout(resolve, 800));
+                await behaviour(request, response);
+            };
+        }
+        const answering = site.send(node, { path: "/booking/1" });
+        await new Promise(resolve => setTimeout(resolve, 100));
+        node.child.kill("SIGTERM");
+        await waitUntil(async () => (await site.ask(node, 7_002, "/v1/readyz"))?.status === 503, { what: "not ready" });
+        await site.waitForAddresses(site.nodes[0], 2);
+        expect((await answering).status).toEqual(200);
+        expect(await node.exited).toEqual(0);
+        const names = node.events.map(event => event.name);
+        expect(names.includes("process-stopping") && names.includes("process-stopped")).toEqual(true);
+    });
+});
