Count and time the request path on the metrics address

Cause: the node's metrics address answered with nothing; log lines that were left out were not counted.

--- a/src/events/lineWriter.ts
+++ b/src/events/lineWriter.ts
@@ -28,6 +28,7 @@
     #allowance = burstLines;
     #refilledAt: number;
     #leftOut = 0;
+    #leftOutInAll = 0;
 
     constructor(options: LineWriterOptions) {
         this.#clock = options.clock;
@@ -36,9 +37,9 @@
         this.#refilledAt = options.clock.monotonic();
     }
 
-    /** Returns how many lines were left out since the last one that was written. */
+    /** Returns how many lines were left out since the start. */
     getLeftOut(): number {
-        return this.#leftOut;
+        return this.#leftOutInAll;
     }
 
     /**
@@ -50,6 +51,7 @@
         const reserve = line.level === "info" ? burstLines / 4 : 0;
         if (this.#allowance <= reserve || this.#output.writableLength > mostWaitingBytes) {
             this.#leftOut += 1;
+            this.#leftOutInAll += 1;
             return;
         }
         if (this.#leftOut > 0) {
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -7,12 +7,14 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { Exchange } from "./exchange.js";
+import type { ForwardingMetrics } from "./metrics.js";
 import type { UpstreamAnswer, UpstreamCaller, UpstreamCallFailure } from "./upstreamCall.js";
 
 /** What attempts are made with. */
 export interface AttemptsOptions {
     readonly clock: Clock;
     readonly journal: Journal;
+    readonly metrics: ForwardingMetrics;
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
     readonly caller: UpstreamCaller;
@@ -218,7 +220,11 @@
         },
     ): void {
         const { exchange, upstream, outcome, headMilliseconds } = ended;
-        const { clock, journal, picker, registry } = this.#options;
+        const { clock, journal, picker, registry, metrics } = this.#options;
+        metrics.attempts.inc({ pool: upstream.pool, version: upstream.version, outcome });
+        if (headMilliseconds !== undefined) {
+            metrics.heads.observe({ pool: upstream.pool, model: ended.model ?? "" }, headMilliseconds / 1_000);
+        }
         picker.finish(upstream, outcome, registry.getTaking(upstream.pool));
         journal.write(events.attemptEnded, {
             request: exchange.request.id,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -10,6 +10,7 @@
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
 import { Exchange } from "./exchange.js";
+import type { ForwardingMetrics } from "./metrics.js";
 import { getReturnMilliseconds } from "./refusals.js";
 import { StreamExchange } from "./streamExchange.js";
 import { runUnary } from "./unaryExchange.js";
@@ -21,6 +22,7 @@
 export interface ForwarderOptions {
     readonly clock: Clock;
     readonly journal: Journal;
+    readonly metrics: ForwardingMetrics;
     readonly attempts: Attempts;
     /** Returns the route table in force, or undefined before the first one. */
     readonly getRoutes: () => RouteTable | undefined;
@@ -64,6 +66,7 @@
     async handle(request: CallerRequest, reply: CallerReply): Promise<void> {
         const admitted = this.#admit(request);
         if (admitted.isErr()) {
+            this.#options.metrics.refusals.inc({ kind: admitted.error.failure.kind });
             this.#options.journal.write(events.requestRefused, {
                 request: request.id,
                 kind: admitted.error.failure.kind,
@@ -166,6 +169,9 @@
     }
 
     #noteEnded(exchange: Exchange): void {
+        const { metrics } = this.#options;
+        metrics.requests.inc({ route: exchange.route.name, ran: exchange.outcome });
+        metrics.answers.observe({ route: exchange.route.name }, exchange.getElapsed() / 1_000);
         this.#options.journal.write(events.requestEnded, {
             request: exchange.request.id,
             route: exchange.route.name,
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -6,4 +6,5 @@
 export * from "./eventSplitter.js";
 export * from "./exchange.js";
 export * from "./forwarder.js";
+export * from "./metrics.js";
 export * from "./upstreamCall.js";
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -6,7 +6,15 @@
 import { UpstreamPicker, WindowedBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
-import { Attempts, Departure, type EndedAttempt, type Exchange, Forwarder } from "../forwarding/index.js";
+import {
+    Attempts,
+    createForwardingMetrics,
+    Departure,
+    type EndedAttempt,
+    type Exchange,
+    Forwarder,
+    type ForwardingMetrics,
+} from "../forwarding/index.js";
 import {
     Gossip,
     MemberDirectory,
@@ -49,7 +57,9 @@
     /** Counts suspensions too; for the age of beliefs. */
     readonly beliefClock: Clock;
     readonly random: RandomSource;
+    readonly lineWriter: LineWriter;
     readonly journal: Journal;
+    readonly metrics: ForwardingMetrics;
     readonly self: NodeIdentity;
     readonly store: StoreClient;
     readonly topics: PlatformTopics;
@@ -90,10 +100,10 @@
     clock: () => systemClock,
     beliefClock: () => new SuspensionClock(systemClock),
     random: () => new RandomSource(Math.floor(Math.random() * 2 ** 31)),
-    journal: ({ settings, clock }) => {
-        const writer = new LineWriter({ clock });
-        return new Journal({ process: settings.name, clock, write: line => writer.write(line) });
-    },
+    lineWriter: ({ clock }) => new LineWriter({ clock }),
+    journal: ({ settings, clock, lineWriter }) =>
+        new Journal({ process: settings.name, clock, write: line => lineWriter.write(line) }),
+    metrics: () => createForwardingMetrics(),
     self: ({ settings }) => ({
         id: settings.address,
         address: settings.address,
@@ -149,10 +159,11 @@
         }),
     rollouts: parts => createRollouts(parts),
     departure: ({ clock }) => new Departure(clock),
-    attempts: ({ clock, journal, registry, picker, upstreamClient, budgets, rollouts }) =>
+    attempts: ({ clock, journal, metrics, registry, picker, upstreamClient, budgets, rollouts }) =>
         new Attempts({
             clock,
             journal,
+            metrics,
             registry,
             picker,
             caller: upstreamClient,
@@ -166,10 +177,11 @@
                 };
             },
         }),
-    forwarder: ({ clock, journal, attempts, topics, liveSettings, budgets, departure }) =>
+    forwarder: ({ clock, journal, metrics, attempts, topics, liveSettings, budgets, departure }) =>
         new Forwarder({
             clock,
             journal,
+            metrics,
             attempts,
             getRoutes: () => topics.getRoutes(),
             getConfigurationAge: () => topics.getConfigurationAge(),
@@ -188,8 +200,9 @@
                 journal.write(events.requestCrashed, { request, cause });
             },
         }),
-    siteFace: ({ settings, liveSettings, topics, membership, directory, departure }) =>
-        new SiteFace({
+    siteFace: parts => {
+        const { settings, liveSettings, topics, membership, directory, departure } = parts;
+        return new SiteFace({
             isReady: () => topics.getRoutes() !== undefined && !departure.hasBegun,
             getAddresses: () => {
                 const addresses: string[] = [];
@@ -200,10 +213,23 @@
                 return addresses;
             },
             getKeepSeconds: () => liveSettings.get().bounds.addressKeepSeconds,
-            getMetrics: () => Promise.resolve({ type: "text/plain", text: "" }),
-        }),
+            getMetrics: () => readMetrics(parts),
+        });
+    },
 };
 
+/** Fills in what is measured when somebody asks. */
+async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
+    const { metrics, topics, forwarder, membership, registry, lineWriter } = parts;
+    metrics.inFlight.set(forwarder.getInFlight());
+    metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
+    metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
+    metrics.members.set(membership.getAlive().length);
+    metrics.upstreams.set([...registry.getAll()].length);
+    metrics.linesLeftOut.set(lineWriter.getLeftOut());
+    return { type: metrics.registry.contentType, text: await metrics.registry.metrics() };
+}
+
 function createBudgets(
     clock: Clock,
     liveSettings: LiveSettings,
--- a/test/platform/node.test.ts
+++ b/test/platform/node.test.ts
@@ -85,6 +85,13 @@
         expect(answer.body).toEqual("id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n");
     });
 
+    it("counts what it did, on the metrics address of its settings", async () => {
+        const metrics = await site.getMetrics(site.nodes[0]);
+        expect(metrics).toInclude("rattanlock_forwarded_requests_total{route=\"call\",ran=\"ran\"}");
+        expect(metrics).toInclude("rattanlock_attempt_head_seconds_bucket");
+        expect(metrics).toInclude("rattanlock_refused_requests_total{kind=\"unauthorized\"} 1");
+    });
+
     it("keeps its settings when a changed file has mistakes, and takes over a good one", async () => {
         const [node] = site.nodes;
         appendFileSync(node.settingsFile, "\nwrong\n[bounds]\n");
