Judge versions by answers only, and give crowded runners more time

Change: only answers are evidence on a version; patience grows by the learned ratio of waits to expectations; a third of a pool is ejected at most; a doubtful answer is kept when a better one would be late. Ruled out: judging by the number of upstreams that fail (a bad version with one upstream would never be found).

--- a/src/decisions/cascade/confidenceCascade.ts
+++ b/src/decisions/cascade/confidenceCascade.ts
@@ -21,6 +21,8 @@
     readonly model: string;
     /** Its opinion of the answer, 0 to 100; undefined when it has none. */
     readonly confidence: number | undefined;
+    /** Whether another model's answer would still begin in time. */
+    readonly isInTime: boolean;
 }
 
 /**
@@ -28,6 +30,11 @@
  * 40, 0.726 at 70, 0.709 at 30; 0.651 with the largest model alone.
  */
 const acceptedConfidence = 50;
+/**
+ * When a better answer would be late, it is worth a tenth to a third of one in time, so only an answer that is almost certainly
+ * poor is given up for it. At the worst load this also keeps the work of second answers away from crowded runners.
+ */
+const acceptedLateConfidence = 20;
 /** Below this many repeats a cascade might end with a poor answer that nothing is left to better. */
 const leastRepeats = 2;
 
@@ -50,9 +57,10 @@
  * @param options - What the decision rests on.
  */
 export function chooseNextModel(options: AcceptanceOptions): string | undefined {
-    const { models, model, confidence } = options;
+    const { models, model, confidence, isInTime } = options;
     const largest = models.at(-1);
-    if (confidence === undefined || confidence >= acceptedConfidence || model === largest) {
+    const accepted = isInTime ? acceptedConfidence : acceptedLateConfidence;
+    if (confidence === undefined || confidence >= accepted || model === largest) {
         return undefined;
     }
     return largest;
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -8,7 +8,7 @@
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
 
 /** At most this part of a pool is ejected; beyond it the fault is hardly that of single upstreams. */
-const mostEjectedShare = 0.5;
+const mostEjectedShare = 0.34;
 /** A plain service counts as full in the own failure domain at this part of its slots. */
 const fullShare = 0.9;
 /**
@@ -41,6 +41,15 @@
 /** Fewer runners all take everything. */
 const leastRunnersToDivide = 4;
 
+/**
+ * Weight of the newest answer in the ratio of waits to expectations, and the bounds of one answer's. When a whole pool is
+ * crowded by other nodes, expectations are all too low; runners are then slow, not away, and giving them up adds to the crowd.
+ */
+const ratioWeight = 0.06;
+const mostRatio = 8;
+/** Waits below this say little about a crowd, in milliseconds. */
+const leastExpected = 80;
+
 /** What is known of a prompt, for the choice of its runner. */
 export interface PromptLoad {
     readonly model: string | undefined;
@@ -82,6 +91,7 @@
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
+    #waitRatio = 1;
     readonly #longRanks = new Map<string, number>();
 
     constructor(options: {
@@ -135,10 +145,18 @@
     /**
      * Notes how long a prompt took.
      * @param prompt - The prompt.
-     * @param milliseconds - Time to the head of the answer.
+     * @param milliseconds - Time to the head of the answer; so far, where it was given up.
+     * @param expectedMilliseconds - When it was expected.
      */
-    addPace(prompt: PromptLoad, milliseconds: number): void {
+    addPace(prompt: PromptLoad, milliseconds: number, expectedMilliseconds: number): void {
         this.#paces.add(prompt.model ?? "", prompt.tokens, milliseconds);
+        const ratio = Math.min(mostRatio, milliseconds / Math.max(leastExpected, expectedMilliseconds));
+        this.#waitRatio += ratioWeight * (ratio - this.#waitRatio);
+    }
+
+    /** Returns how many times as long as expected answers to prompts take to begin, at least once. */
+    getWaitRatio(): number {
+        return Math.max(1, this.#waitRatio);
     }
 
     /**
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -22,10 +22,12 @@
 
 /**
  * How a call to an upstream ended, for what is learned of it.
+ * - `error`: it answered with a failure of its own.
+ * - `failed`: the answer broke off.
  * - `silent`: nothing came in the time that was allowed, or no connection came about.
  * - `refused`: it had no room; that says nothing of its health.
  */
-export type CallOutcome = "ok" | "failed" | "silent" | "refused" | "cancelled";
+export type CallOutcome = "ok" | "error" | "failed" | "silent" | "refused" | "cancelled";
 
 /** A silent call at an upstream that was heard otherwise within this time failed by itself, in milliseconds. */
 const heardMilliseconds = 800;
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -84,6 +84,17 @@
         this.#options = options;
     }
 
+    /**
+     * Returns when an answer to a prompt could begin, in milliseconds from now; undefined when nobody is left to ask.
+     * @param exchange - The request.
+     * @param prompt - The prompt.
+     */
+    estimate(exchange: Exchange, prompt: PromptLoad): number | undefined {
+        const candidates = this.#options.selectVersion(exchange, this.#options.registry.getTaking(exchange.pool));
+        const pick = this.#options.picker.pick({ pool: exchange.pool, candidates, excluded: new Set(), prompt });
+        return pick && pick.expectedMilliseconds * this.#options.picker.getWaitRatio();
+    }
+
     /**
      * Makes one attempt.
      * @param request - What to send, and how long to wait.
@@ -135,7 +146,7 @@
         const timer = setTimeout(() => {
             isSilent = true;
             cancel();
-        }, request.getHeadTimeout(pick.expectedMilliseconds));
+        }, request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio()));
         const startedAt = clock.monotonic();
         let headMilliseconds: number | undefined = undefined;
         let isFinished = false;
@@ -174,7 +185,7 @@
         headMilliseconds = clock.monotonic() - startedAt;
         picker.markHeard(upstream.id);
         if (prompt !== undefined) {
-            picker.addPace(prompt, headMilliseconds);
+            picker.addPace(prompt, headMilliseconds, pick.expectedMilliseconds);
         }
         const { load } = called.value;
         if (load !== undefined) {
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -64,7 +64,7 @@
                 exchange,
                 model: this.#model,
                 lastEventId: this.#lastEventId,
-                prompt: this.#getPromptLoad(),
+                prompt: this.#getPromptLoad(this.#model),
                 getHeadTimeout: expected => this.#getHeadTimeout(expected),
             });
             if (made.isErr()) {
@@ -111,18 +111,30 @@
         if (attempts >= route.maximumAttempts || this.#budget.getLeft() < 1) {
             return undefined;
         }
-        return chooseNextModel({ models: route.models, model: this.#model, confidence: answer.confidence });
+        return chooseNextModel({
+            models: route.models,
+            model: this.#model,
+            confidence: answer.confidence,
+            isInTime: this.#isInTime(route.models.at(-1)),
+        });
+    }
+
+    /** Tells whether another model's answer is expected to begin within the route's objective. */
+    #isInTime(model: string | undefined): boolean {
+        const expected = this.#attempts.estimate(this.#exchange, this.#getPromptLoad(model));
+        return expected !== undefined
+            && this.#exchange.getElapsed() + expected <= this.#exchange.route.objectiveMilliseconds;
     }
 
     /** The last part of a prompt is the request's own; those before it are shared by all that ask about the same. */
-    #getPromptLoad(): PromptLoad {
+    #getPromptLoad(chosen: string | undefined): PromptLoad {
         const generation = this.#exchange.request.generation;
         const shared = generation?.parts.slice(0, -1) ?? [];
         let sharedTokens = 0;
         for (const part of shared) {
             sharedTokens += part.tokens;
         }
-        const model = this.#model ?? generation?.model;
+        const model = chosen ?? generation?.model;
         const tokens = generation?.promptTokens ?? 0;
         return { model, tokens, sharedTokens, sharedKey: `${model ?? ""} ${shared.at(-1)?.id ?? ""}` };
     }
@@ -146,12 +158,12 @@
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
         if (answer.status >= firstServerError && route.isResumable && this.#mayRepeat()) {
-            attempt.finish("failed", `status ${answer.status}`);
+            attempt.finish("error", `status ${answer.status}`);
             attempt.cancel();
             return false;
         }
         if (reply.hasBegun && answer.status !== 200) {
-            attempt.finish("failed", `status ${answer.status} in the middle of a stream`);
+            attempt.finish("error", `status ${answer.status} in the middle of a stream`);
             attempt.cancel();
             reply.abort();
             return true;
@@ -161,7 +173,7 @@
         }
         const end = await this.#pump(attempt);
         if (end.kind === "complete") {
-            attempt.finish(answer.status >= firstServerError ? "failed" : "ok", `status ${answer.status}`);
+            attempt.finish(answer.status >= firstServerError ? "error" : "ok", `status ${answer.status}`);
             reply.end();
             return true;
         }
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -97,7 +97,7 @@
         attempt.finish(exchange.ended.aborted ? "cancelled" : "failed", `broke off: ${String(cause)}`);
         return createBroken(String(cause));
     }
-    attempt.finish(answer.status >= firstServerError ? "failed" : "ok", `status ${answer.status}`);
+    attempt.finish(answer.status >= firstServerError ? "error" : "ok", `status ${answer.status}`);
     return ok({ head: answer, body: Buffer.concat(pieces) });
 }
 
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -259,11 +259,14 @@
     return request.session ?? request.id;
 }
 
-/** Attempts that a caller ended, or that an upstream had no room for, say nothing of its version. */
+/**
+ * Only answers say something of a version. A connection that breaks, and silence, are mostly a runner that crashed or is
+ * crowded: taken as evidence, three crashed runners had a good version reverted.
+ */
 function addEvidence(rollouts: Rollouts, { exchange, upstream, model, outcome, headMilliseconds }: EndedAttempt): void {
-    if (outcome !== "cancelled" && outcome !== "refused") {
+    if (outcome === "ok" || outcome === "error") {
         const lane = `${exchange.route.name} ${model ?? ""}`;
-        rollouts.addAnswer(upstream, { lane, hasFailed: outcome !== "ok", headMilliseconds });
+        rollouts.addAnswer(upstream, { lane, hasFailed: outcome === "error", headMilliseconds });
     }
 }
 
