Know a few runners well in a large fleet, and wait by the bounds in force

Cause: on 90 nodes before 78 runners a node hears of each runner once in some ten seconds and would choose blindly; peers asked their reader more often than the bounds of a large site need (a node of 24 spent 0.15 of a core on it, idle). Change: twelve runners of its own, the nearest by its own rank, besides those that may hold the prompt; waits are a quarter of the tightest bound, a state is old at 0.85 of it.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -38,6 +38,12 @@
 /** A long prompt goes to another runner only if it gains so many times its reading time: that much it costs others there. */
 const longAmongShortFactor = 1;
 
+/**
+ * A node chooses among so many runners of its own, besides those that are likely to hold the prompt's parts. Of hundreds of
+ * runners it would hear of each one only now and then, and choose blindly; those few it knows well.
+ */
+const ownRunners = 12;
+
 /** Fewer runners all take everything. */
 const leastRunnersToDivide = 4;
 
@@ -87,20 +93,25 @@
 /** Picks upstreams for one node and keeps what it learns of them. */
 export class UpstreamPicker {
     readonly #clock: Clock;
+    readonly #self: string;
     readonly #failureDomain: string;
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
     #waitRatio = 1;
     readonly #longRanks = new Map<string, number>();
+    readonly #ownRanks = new Map<string, number>();
 
     constructor(options: {
         readonly clock: Clock;
+        /** Identifier of this node. */
+        readonly self: string;
         /** Failure domain of this node. */
         readonly failureDomain: string;
         readonly onEject: (upstream: string, milliseconds: number) => void;
     }) {
         this.#clock = options.clock;
+        this.#self = options.self;
         this.#failureDomain = options.failureDomain;
         this.#onEject = options.onEject;
     }
@@ -202,6 +213,7 @@
     forget(upstream: string): void {
         this.#statuses.delete(upstream);
         this.#longRanks.delete(upstream);
+        this.#ownRanks.delete(upstream);
     }
 
     #getStatus(id: string): UpstreamStatus {
@@ -243,7 +255,7 @@
         const forLong = this.#findRunnersForLong(group);
         let best: Pick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const upstream of group) {
+        for (const upstream of this.#selectOwn(group, holders)) {
             const status = this.#getStatus(upstream.id);
             const cached = likelyCached[holders.indexOf(upstream.id)] ?? 0;
             const unread = prompt.tokens - cached * prompt.sharedTokens;
@@ -275,6 +287,35 @@
         return new Set(ranked.slice(0, Math.round(group.length * longShare)).map(({ id }) => id));
     }
 
+    /** Returns the runners to choose among: the nearest ones by this node's own rank, and those that may hold the prompt. */
+    #selectOwn(group: readonly RegisteredUpstream[], holders: readonly string[]): readonly RegisteredUpstream[] {
+        if (group.length <= ownRunners) {
+            return group;
+        }
+        const ranked = group.map(upstream => ({
+            upstream,
+            isNear: upstream.failureDomain === this.#failureDomain,
+            rank: this.#getOwnRank(upstream.id),
+        }));
+        ranked.sort((first, second) => Number(second.isNear) - Number(first.isNear) || second.rank - first.rank);
+        const own: RegisteredUpstream[] = [];
+        for (const [index, { upstream }] of ranked.entries()) {
+            if (index < ownRunners || holders.includes(upstream.id)) {
+                own.push(upstream);
+            }
+        }
+        return own;
+    }
+
+    #getOwnRank(id: string): number {
+        let rank = this.#ownRanks.get(id);
+        if (rank === undefined) {
+            rank = getRank(this.#self, id);
+            this.#ownRanks.set(id, rank);
+        }
+        return rank;
+    }
+
     #getLongRank(id: string): number {
         let rank = this.#longRanks.get(id);
         if (rank === undefined) {
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -143,9 +143,10 @@
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
-    picker: ({ clock, settings, journal }) =>
+    picker: ({ clock, settings, journal, self }) =>
         new UpstreamPicker({
             clock,
+            self: self.id,
             failureDomain: settings.failureDomain,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
         }),
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -26,11 +26,13 @@
  * An empty answer after this time confirms that nothing is newer. Keys need that every few seconds; and a node that no longer
  * hears anything must know it soon enough to read for itself before a change is due.
  */
-const confirmMilliseconds = 500;
+const mostConfirmMilliseconds = 1_000;
+/** Part of the tightest bound after which an empty answer is due, and after which a state that nobody confirmed is old. */
+const confirmShare = 0.25;
+const staleShare = 0.85;
 /** Who is a member, and how far a roll-out has come, may be a little older. */
 const statusWaitMilliseconds = 2_000;
-/** A state that was not confirmed for so long has to be read elsewhere, in milliseconds. */
-const staleMilliseconds = 1_700;
+/** A status that was not confirmed for so long has to be read elsewhere, in milliseconds. */
 const statusStaleMilliseconds = 5_000;
 /** Entries lapse after three heartbeats of 1.2 s in silence; an outage that was shorter lets none lapse, in milliseconds. */
 const outageMilliseconds = 3_000;
@@ -66,7 +68,12 @@
 
     constructor(options: PlatformTopicsOptions) {
         this.#options = options;
-        const quick = { waitMilliseconds: confirmMilliseconds, staleMilliseconds };
+        const { configurationMilliseconds, drainMilliseconds } = options.liveSettings.get().bounds;
+        const tightest = Math.min(configurationMilliseconds, drainMilliseconds);
+        const quick = {
+            waitMilliseconds: Math.min(mostConfirmMilliseconds, tightest * confirmShare),
+            staleMilliseconds: tightest * staleShare,
+        };
         const slow = { waitMilliseconds: statusWaitMilliseconds, staleMilliseconds: statusStaleMilliseconds };
         this.#operator = this.#createFollower(topics.operator, quick, changed => this.#takeOrders(changed));
         this.#upstreams = this.#createFollower(topics.upstreams, quick, changed => this.#takeUpstreams(changed));
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -8,7 +8,12 @@
 function createPicker() {
     const clock = new ManualClock(10_000);
     const ejected: string[] = [];
-    const picker = new UpstreamPicker({ clock, failureDomain: "north", onEject: id => ejected.push(id) });
+    const picker = new UpstreamPicker({
+        clock,
+        self: "node-1",
+        failureDomain: "north",
+        onEject: id => ejected.push(id),
+    });
     return { clock, picker, ejected };
 }
 
@@ -84,6 +89,20 @@
             expect(pick?.reason).toEqual("ejected");
         });
 
+        it("keeps to a few runners of its own domain in a large pool, and to those that hold the prompt", () => {
+            const { picker } = createPicker();
+            const near = createUpstreams(40, { slots: 12 });
+            const far = near.map(({ id }) => createUpstream(`far-${id}`, { slots: 12, failureDomain: "south" }));
+            const picked = new Set<string | undefined>();
+            for (let request = 0; request < 400; request += 1) {
+                const prompt = createPrompt({ tokens: 300, sharedTokens: 0, sharedKey: `large ${request % 3}` });
+                const pick = picker.pick({ pool: "app", candidates: [...near, ...far], excluded: new Set(), prompt });
+                picked.add(pick?.upstream.id);
+                picker.begin(pick!.upstream.id);
+            }
+            expect(picked.size <= 12 + 6).toEqual(true);
+        });
+
         // The worst seconds of a busy day: a few prompts of 50,000 tokens among many of a few hundred. A short prompt that is
         // read behind a long one waits a second and more for its first token though most runners have little to do.
         it("spares short prompts the wait behind long ones", () => {
