Never claim that an answer without a known end is whole

Change: such an answer keeps its framing, ends with its connection, and where the request may be repeated another upstream is asked first; a resumable stream asks for what follows its last event.

--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -9,8 +9,11 @@
     readonly hasBegun: boolean;
     /** Is aborted when the caller left. */
     readonly gone: AbortSignal;
-    /** Begins an answer whose body follows piece by piece. */
-    begin(status: number, headers: readonly string[]): void;
+    /**
+     * Begins an answer whose body follows piece by piece.
+     * @param options - Without a known end, the answer ends with its connection and does not claim to be whole.
+     */
+    begin(status: number, headers: readonly string[], options?: { readonly hasKnownEnd: boolean; }): void;
     /** Writes a piece. Resolves at once unless the caller reads more slowly than it is written. */
     write(piece: Buffer): Promise<void>;
     /** Ends an answer that was begun. */
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -169,15 +169,17 @@
             return true;
         }
         if (!reply.hasBegun) {
-            reply.begin(answer.status, answer.headers);
+            reply.begin(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd || route.isResumable });
         }
         const end = await this.#pump(attempt);
-        if (end.kind === "complete") {
+        if (end.kind === "complete" && (answer.hasKnownEnd || !route.isResumable)) {
             attempt.finish(answer.status >= firstServerError ? "error" : "ok", `status ${answer.status}`);
             reply.end();
             return true;
         }
-        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", end.reason);
+        // A stream without a known end is asked for what follows its last event: if it was whole, nothing does.
+        const reason = end.kind === "broken" ? end.reason : "may not be whole";
+        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", reason);
         attempt.cancel();
         this.#splitter.reset();
         if (!this.#exchange.ended.aborted && route.isResumable && answer.status === 200 && this.#mayRepeat()) {
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -19,8 +19,8 @@
 /** Status codes from here on are failures of the upstream. */
 const firstServerError = 500;
 
-/** An answer that was read whole. */
-interface WholeAnswer {
+/** An answer that was read to its end. */
+interface ReadAnswer {
     readonly head: UpstreamAnswer;
     readonly body: Buffer;
 }
@@ -31,7 +31,7 @@
  * @param attempts - Makes the attempts.
  */
 export async function runUnary(exchange: Exchange, attempts: Attempts): Promise<void> {
-    let failed: WholeAnswer | undefined;
+    let failed: ReadAnswer | undefined;
     for (;;) {
         const made = await attempts.make({
             exchange,
@@ -44,7 +44,7 @@
             if (mayTryAgain(exchange, made.error)) {
                 continue;
             }
-            finishFailed(exchange, made.error, failed);
+            await finishFailed(exchange, made.error, failed);
             return;
         }
         const answered = await readAnswer(exchange, made.value);
@@ -52,14 +52,14 @@
             if (isRepeatable(exchange.route)) {
                 continue;
             }
-            finishFailed(exchange, answered.error, failed);
+            await finishFailed(exchange, answered.error, failed);
             return;
         }
-        if (answered.value.head.status >= firstServerError && isRepeatable(exchange.route)) {
-            failed = answered.value;
+        if (isDoubtful(answered.value) && isRepeatable(exchange.route)) {
+            failed = chooseFallback(failed, answered.value);
             continue;
         }
-        give(exchange, answered.value);
+        await give(exchange, answered.value);
         return;
     }
 }
@@ -84,7 +84,7 @@
     return isRepeatable(exchange.route);
 }
 
-async function readAnswer(exchange: Exchange, attempt: Attempt): Promise<Result<WholeAnswer, AttemptFailure>> {
+async function readAnswer(exchange: Exchange, attempt: Attempt): Promise<Result<ReadAnswer, AttemptFailure>> {
     const { answer } = attempt;
     exchange.markRun("ran");
     const pieces: Buffer[] = [];
@@ -101,14 +101,34 @@
     return ok({ head: answer, body: Buffer.concat(pieces) });
 }
 
-function give(exchange: Exchange, { head, body }: WholeAnswer): void {
-    exchange.reply.answer(head.status, head.headers, body);
+/** Tells whether another upstream may do better: this one failed, or what it gave may be a part only. */
+function isDoubtful({ head }: ReadAnswer): boolean {
+    return head.status >= firstServerError || !head.hasKnownEnd;
 }
 
-function finishFailed(exchange: Exchange, error: AttemptFailure, failed: WholeAnswer | undefined): void {
+/** A success that may be a part beats a failure. */
+function chooseFallback(first: ReadAnswer | undefined, second: ReadAnswer): ReadAnswer {
+    return first !== undefined && first.head.status < firstServerError ? first : second;
+}
+
+async function give({ reply }: Exchange, { head, body }: ReadAnswer): Promise<void> {
+    if (head.hasKnownEnd) {
+        reply.answer(head.status, head.headers, body);
+        return;
+    }
+    reply.begin(head.status, head.headers, { hasKnownEnd: false });
+    await reply.write(body);
+    reply.end();
+}
+
+async function finishFailed(
+    exchange: Exchange,
+    error: AttemptFailure,
+    failed: ReadAnswer | undefined,
+): Promise<void> {
     if (failed !== undefined) {
-        // The upstream's own failure says more than any answer of the router's.
-        give(exchange, failed);
+        // What the upstream itself said is worth more than any answer of the router's.
+        await give(exchange, failed);
         return;
     }
     exchange.reply.refuse(createRefusal(exchange, error));
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -38,6 +38,11 @@
     /** The model's opinion of its answer, 0 to 100. */
     readonly confidence: number | undefined;
     readonly load: ReportedLoad | undefined;
+    /**
+     * Whether a whole body can be told from a part of it. An answer without a length ends with its connection, and one whose
+     * upstream died looks the same; the router then must not say that the answer is whole.
+     */
+    readonly hasKnownEnd: boolean;
     readonly body: AsyncIterable<Buffer>;
 }
 
--- a/src/platform/callerFace.ts
+++ b/src/platform/callerFace.ts
@@ -228,7 +228,12 @@
         return this.#gone.signal;
     }
 
-    begin(status: number, headers: readonly string[]): void {
+    begin(status: number, headers: readonly string[], options = { hasKnownEnd: true }): void {
+        if (!options.hasKnownEnd) {
+            // Neither a length nor chunks: the answer ends with its connection, as it did at the upstream.
+            this.#response.useChunkedEncodingByDefault = false;
+            this.#response.shouldKeepAlive = false;
+        }
         this.#response.writeHead(status, this.#complete(headers));
         this.#response.flushHeaders();
     }
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -216,6 +216,7 @@
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         load,
+        hasKnownEnd: hasFraming(raw),
         body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
     });
 }
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -74,6 +74,16 @@
         expect([caller.pieces, caller.isWhole, calls.length]).toEqual([[createEvent(1), createEvent(2)], true, 2]);
     });
 
+    it("asks for what follows the last event when a stream ends without a known end", async () => {
+        const { send, calls } = createSite((...[, , count]) =>
+            count === 1
+                ? createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false })
+                : createAnswer([createEvent(2)])
+        );
+        expect((await send()).pieces).toEqual([createEvent(1), createEvent(2)]);
+        expect(calls[1].call.lastEventId).toEqual("1");
+    });
+
     it("breaks off visibly when a stream can't go on", async () => {
         const broken = createSite(() => createAnswer([createEvent(1)], { confidence: 80, breakOff: true }), {
             maximumAttempts: 1,
--- a/test/forwarding/unaryExchange.test.ts
+++ b/test/forwarding/unaryExchange.test.ts
@@ -55,6 +55,17 @@
         expect([(await send()).status, calls.length]).toEqual([200, 2]);
     });
 
+    // An instance dies in the middle of an answer that has no length; its connection closes in order. Nobody can tell the part
+    // from the whole. Framed as whole, half a confirmation would pass for all of it.
+    it("does not claim that an answer without a known end is whole, and gets a better one where it may", async () => {
+        const behaviour = (...[, , count]: unknown[]) =>
+            count === 1 ? createAnswer(["ha"], { hasKnownEnd: false }) : createAnswer(["whole"]);
+        const booking = await createSite("at-most-once", { behaviour }).send();
+        expect([booking.pieces, booking.claimsWhole]).toEqual([["ha"], false]);
+        const query = await createSite("idempotent", { behaviour }).send();
+        expect([query.pieces, query.claimsWhole]).toEqual([["whole"], true]);
+    });
+
     // Every instance is full and says so. The caller must hear at once that nothing has run, and when to come back.
     it("says that a request has not run, and when to come back, when every upstream refuses", async () => {
         const { send } = createSite("at-most-once", { behaviour: () => createCallFailure("refused") });
--- a/test/platform/node.test.ts
+++ b/test/platform/node.test.ts
@@ -70,6 +70,18 @@
         site.register("i-1");
     });
 
+    it("ends an answer with its connection where the runner did, without claiming a length", async () => {
+        for (const runner of site.runners.values()) {
+            runner.behaviour = (request, response) => {
+                response.useChunkedEncodingByDefault = false;
+                response.writeHead(200, { ...createSeal(request), "Connection": "close" }).end("done");
+            };
+        }
+        const answer = await site.send(site.nodes[0], { path: "/booking/1" });
+        expect([answer.status, answer.body]).toEqual([200, "done"]);
+        expect([answer.headers["content-length"], answer.headers["transfer-encoding"]]).toEqual([undefined, undefined]);
+    });
+
     it("passes the events of a stream on as they come", async () => {
         for (const runner of site.runners.values()) {
             runner.behaviour = async (request, response) => {
