Keep long prompts apart in each failure domain, and weigh the bytes on the way

Cause: long prompts, the dearest to send, went to runners of another failure domain when their own had none for them. Change: half of each domain's runners take long prompts; a farther domain must gain more for a larger request; the division of runners is a class of its own.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -5,6 +5,7 @@
 import type { RegisteredUpstream } from "../../fleet/index.js";
 import { getRank } from "../placement/rendezvous.js";
 import { ReadingPace } from "./readingPace.js";
+import { RunnerGroups } from "./runnerGroups.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
 
 /** At most this part of a pool is ejected; beyond it the fault is hardly that of single upstreams. */
@@ -16,8 +17,12 @@
  * heads took 117 ms in the median beside 5 requests and 437 ms beside 19.
  */
 const delayMillisecondsByRequest = 15;
-/** What a request in another failure domain must gain in time to be worth its bytes on the way, in milliseconds. */
-const domainMilliseconds = 100;
+/**
+ * What a request in another failure domain must gain in time to be worth its way, in milliseconds: for the way itself, and for
+ * each kilobyte, since bytes between failure domains are paid for.
+ */
+const domainMilliseconds = 60;
+const domainMillisecondsByKilobyte = 4;
 /** Parts of a prompt that are shared are likely to be in the memory of the first two runners by rank of their key. */
 const likelyCached = [0.9, 0.4] as const;
 /**
@@ -26,11 +31,6 @@
  */
 const loadNoise = 0.25;
 
-/**
- * Part of a pool's runners that take long prompts. A runner reads prompts one after another, so a short prompt behind a long
- * one waits for all of it; keeping the two apart spares most callers that wait (size-interval task assignment).
- */
-const longShare = 0.5;
 /** A prompt is long when reading it takes so many milliseconds. */
 const longMilliseconds = 140;
 /** What a short prompt must gain to go to a runner of long prompts, in milliseconds. */
@@ -38,15 +38,6 @@
 /** A long prompt goes to another runner only if it gains so many times its reading time: that much it costs others there. */
 const longAmongShortFactor = 1;
 
-/**
- * A node chooses among so many runners of its own, besides those that are likely to hold the prompt's parts. Of hundreds of
- * runners it would hear of each one only now and then, and choose blindly; those few it knows well.
- */
-const ownRunners = 12;
-
-/** Fewer runners all take everything. */
-const leastRunnersToDivide = 4;
-
 /**
  * Weight of the newest answer in the ratio of waits to expectations, and the bounds of one answer's. When a whole pool is
  * crowded by other nodes, expectations are all too low; runners are then slow, not away, and giving them up adds to the crowd.
@@ -60,6 +51,8 @@
 export interface PromptLoad {
     readonly model: string | undefined;
     readonly tokens: number;
+    /** Bytes of the request. */
+    readonly bytes: number;
     /** Tokens of the parts that other requests share. */
     readonly sharedTokens: number;
     /** Requests with the same key share those parts. */
@@ -93,14 +86,12 @@
 /** Picks upstreams for one node and keeps what it learns of them. */
 export class UpstreamPicker {
     readonly #clock: Clock;
-    readonly #self: string;
     readonly #failureDomain: string;
+    readonly #groups: RunnerGroups;
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
     #waitRatio = 1;
-    readonly #longRanks = new Map<string, number>();
-    readonly #ownRanks = new Map<string, number>();
 
     constructor(options: {
         readonly clock: Clock;
@@ -111,8 +102,8 @@
         readonly onEject: (upstream: string, milliseconds: number) => void;
     }) {
         this.#clock = options.clock;
-        this.#self = options.self;
         this.#failureDomain = options.failureDomain;
+        this.#groups = new RunnerGroups(options);
         this.#onEject = options.onEject;
     }
 
@@ -212,8 +203,7 @@
      */
     forget(upstream: string): void {
         this.#statuses.delete(upstream);
-        this.#longRanks.delete(upstream);
-        this.#ownRanks.delete(upstream);
+        this.#groups.forget(upstream);
     }
 
     #getStatus(id: string): UpstreamStatus {
@@ -252,10 +242,11 @@
     /** Weighs what is read already against what waits: a shared part saves its reading, a crowded runner costs more. */
     #findLeastWait(group: readonly RegisteredUpstream[], prompt: PromptLoad, now: number): Pick | undefined {
         const holders = findFirstRanked(group, prompt.sharedKey);
-        const forLong = this.#findRunnersForLong(group);
+        const forLong = this.#groups.findForLong(group);
+        const domainCost = domainMilliseconds + domainMillisecondsByKilobyte * prompt.bytes / 1_024;
         let best: Pick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const upstream of this.#selectOwn(group, holders)) {
+        for (const upstream of this.#groups.selectOwn(group, holders)) {
             const status = this.#getStatus(upstream.id);
             const cached = likelyCached[holders.indexOf(upstream.id)] ?? 0;
             const unread = prompt.tokens - cached * prompt.sharedTokens;
@@ -264,7 +255,7 @@
             const requests = status.getRequests(now) * noise;
             const waiting = requests * delayMillisecondsByRequest + status.getReading();
             const isFull = requests >= upstream.slots;
-            const distance = upstream.failureDomain === this.#failureDomain ? 0 : domainMilliseconds;
+            const distance = upstream.failureDomain === this.#failureDomain ? 0 : domainCost;
             const misplaced = getMisplacement(readingMilliseconds, forLong.has(upstream.id));
             const cost = waiting * (isFull ? 2 : 1) + readingMilliseconds + distance + misplaced;
             if (cost < bestCost) {
@@ -277,54 +268,6 @@
         return best;
     }
 
-    /** Returns the runners that take long prompts: the same on every node that knows the same runners. */
-    #findRunnersForLong(group: readonly RegisteredUpstream[]): ReadonlySet<string> {
-        if (group.length < leastRunnersToDivide) {
-            return new Set();
-        }
-        const ranked = group.map(({ id }) => ({ id, rank: this.#getLongRank(id) }));
-        ranked.sort((first, second) => second.rank - first.rank);
-        return new Set(ranked.slice(0, Math.round(group.length * longShare)).map(({ id }) => id));
-    }
-
-    /** Returns the runners to choose among: the nearest ones by this node's own rank, and those that may hold the prompt. */
-    #selectOwn(group: readonly RegisteredUpstream[], holders: readonly string[]): readonly RegisteredUpstream[] {
-        if (group.length <= ownRunners) {
-            return group;
-        }
-        const ranked = group.map(upstream => ({
-            upstream,
-            isNear: upstream.failureDomain === this.#failureDomain,
-            rank: this.#getOwnRank(upstream.id),
-        }));
-        ranked.sort((first, second) => Number(second.isNear) - Number(first.isNear) || second.rank - first.rank);
-        const own: RegisteredUpstream[] = [];
-        for (const [index, { upstream }] of ranked.entries()) {
-            if (index < ownRunners || holders.includes(upstream.id)) {
-                own.push(upstream);
-            }
-        }
-        return own;
-    }
-
-    #getOwnRank(id: string): number {
-        let rank = this.#ownRanks.get(id);
-        if (rank === undefined) {
-            rank = getRank(this.#self, id);
-            this.#ownRanks.set(id, rank);
-        }
-        return rank;
-    }
-
-    #getLongRank(id: string): number {
-        let rank = this.#longRanks.get(id);
-        if (rank === undefined) {
-            rank = getRank("long prompts", id);
-            this.#longRanks.set(id, rank);
-        }
-        return rank;
-    }
-
     #findRoomy(group: readonly RegisteredUpstream[], now: number): RegisteredUpstream | undefined {
         const least = this.#findLeastLoaded(group, now);
         return least !== undefined && this.#getLoad(least, now) < fullShare ? least : undefined;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -136,7 +136,8 @@
         }
         const model = chosen ?? generation?.model;
         const tokens = generation?.promptTokens ?? 0;
-        return { model, tokens, sharedTokens, sharedKey: `${model ?? ""} ${shared.at(-1)?.id ?? ""}` };
+        const bytes = this.#exchange.request.body.length;
+        return { model, tokens, bytes, sharedTokens, sharedKey: `${model ?? ""} ${shared.at(-1)?.id ?? ""}` };
     }
 
     #getHeadTimeout(expectedMilliseconds: number): number {
--- a/src/platform/callerFace.ts
+++ b/src/platform/callerFace.ts
@@ -286,10 +286,10 @@
         const body = Buffer.from(JSON.stringify({ error: failure.kind, outcome, detail: failure.message }));
         const headers = ["Content-Type", "application/json", ...extra];
         if (this.#requestId !== undefined) {
-            headers.push("Attempt-Id", this.#requestId);
+            headers.push(headerNames.requestId, this.#requestId);
         }
         if (failure.retryAfterMilliseconds !== undefined) {
-            headers.push("Retry-After", (failure.retryAfterMilliseconds / 1_000).toFixed(3));
+            headers.push(headerNames.retryAfter, (failure.retryAfterMilliseconds / 1_000).toFixed(3));
         }
         this.answer(status, headers, body);
     }
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -18,7 +18,7 @@
 }
 
 function createPrompt(options: Partial<PromptLoad> = {}): PromptLoad {
-    return { model: "large", tokens: 1_000, sharedTokens: 0, sharedKey: "large subject", ...options };
+    return { model: "large", tokens: 1_000, bytes: 1_000, sharedTokens: 0, sharedKey: "large subject", ...options };
 }
 
 interface Job {
