Forget what was learned of upstreams that are gone, and give large sites' callers a draw of addresses

Cause: found by reading the diff: nobody listened when the registry said that an upstream is gone or was started anew, so its load, its ejection and its connections outlived it; callers take 64 addresses, and a site of 90 gave all of them the same first 64. Change: the node listens; addresses are those of the caller's failure domain first, then a draw of the others.

--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,4 +1,5 @@
 /** Membership: gossip between entries, who is alive, and the calls that entries make to each other. */
+export * from "./chooseAddresses.js";
 export * from "./gossip.js";
 export * from "./memberDirectory.js";
 export * from "./membership.js";
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -33,6 +33,7 @@
         const { listen } = settings;
         journal.write(events.processStarted, { address: settings.address });
         topics.onRoutes(() => callerFace.applyLimits());
+        this.#forgetGoneUpstreams();
         topics.start();
         await callerFace.listen(listen.callers.host, listen.callers.port);
         await siteFace.listen(listen.ready.host, listen.ready.port);
@@ -70,6 +71,15 @@
         return this.#stopping;
     }
 
+    /** Nothing that was learned of an upstream holds for one that was started anew under its identifier. */
+    #forgetGoneUpstreams(): void {
+        const { registry, picker, upstreamClient } = this.getParts();
+        registry.onGone(({ id }) => {
+            picker.forget(id);
+            upstreamClient.forget(id);
+        });
+    }
+
     async #stop(): Promise<void> {
         const parts = this.getParts();
         const { liveSettings, clock, journal, membership, callerFace, siteFace, forwarder, departure } = parts;
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -16,6 +16,7 @@
     type ForwardingMetrics,
 } from "../forwarding/index.js";
 import {
+    chooseAddresses,
     Gossip,
     MemberDirectory,
     Membership,
@@ -26,6 +27,7 @@
 } from "../membership/index.js";
 import { type PeerReport, Rollouts } from "../rollouts/index.js";
 import { CallerFace } from "./callerFace.js";
+
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
 import { SiteFace } from "./siteFace.js";
@@ -205,14 +207,11 @@
         const { settings, liveSettings, topics, membership, directory, departure } = parts;
         return new SiteFace({
             isReady: () => topics.getRoutes() !== undefined && !departure.hasBegun,
-            getAddresses: () => {
-                const addresses: string[] = [];
-                for (const member of membership.getAlive()) {
+            getAddresses: failureDomain =>
+                chooseAddresses(membership.getAlive(), failureDomain).map(member => {
                     const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
-                    addresses.push(`${member.address}:${port}`);
-                }
-                return addresses;
-            },
+                    return `${member.address}:${port}`;
+                }),
             getKeepSeconds: () => liveSettings.get().bounds.addressKeepSeconds,
             getMetrics: () => readMetrics(parts),
         });
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -94,9 +94,17 @@
 
     /** Opens new connections from now on; calls under way end on the old ones. */
     renewConnections(upstream: RegisteredUpstream): void {
-        const known = this.#pools.get(upstream.id);
+        this.forget(upstream.id);
+    }
+
+    /**
+     * Lets go of the connections to an upstream that is gone, or was started anew.
+     * @param id - Its identifier.
+     */
+    forget(id: string): void {
+        const known = this.#pools.get(id);
         if (known !== undefined) {
-            this.#pools.delete(upstream.id);
+            this.#pools.delete(id);
             closeQuietly(known.pool);
         }
     }
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -152,6 +152,20 @@
         await expect(() => read(reset.called._unsafeUnwrap())).toBeRejected();
     });
 
+    // A runner was started anew under its identifier, at the same address. Connections to the one before lead nowhere.
+    it("closes its connections to an upstream that is gone", async () => {
+        const closed = new Promise<void>(resolve => {
+            void call((socket, id) => {
+                socket.on("close", () => resolve());
+                socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok`);
+            }).then(async ({ client, upstream, called }) => {
+                await read(called._unsafeUnwrap());
+                client.forget(upstream.id);
+            });
+        });
+        await closed;
+    });
+
     it("breaks off visibly when an answer is cut short", async () => {
         const { called } = await call((socket, id) =>
             socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nha`)
