Give an old state, with its age, to a node that knows nothing

The same holds without any load when the store is away for everybody: a node that starts then would know nothing until the store is back. Change: whoever asks for everything is given what there is, with its age. Its test fails without the change.

--- a/src/topics/peerTopics.ts
+++ b/src/topics/peerTopics.ts
@@ -57,7 +57,8 @@
     const page = request.whole
         ? follower.state.getWhole()
         : await follower.waitSince(request.knownOffset, Math.min(request.waitMilliseconds, longestWaitMilliseconds));
-    if (follower.isLost()) {
+    // Whoever asks for everything knows nothing: an old state, with its age, beats none.
+    if (follower.isLost() && !request.whole) {
         throw new Error("The topic can't be read here at the moment.");
     }
     const now = clock.monotonic();
--- a/test/topics/peerTopics.test.ts
+++ b/test/topics/peerTopics.test.ts
@@ -54,6 +54,14 @@
         expect((await reader.readAll())._unsafeUnwrap().records.map(record => record.key)).toEqual(["config"]);
     });
 
+    // The store is away for everybody, and a node starts anew. Its peers' knowledge is old, but it says how old; without it the
+    // node would serve nobody until the store is back.
+    it("gives an old state to a peer that knows nothing, and to no other", async () => {
+        const { reader } = createReader({ stateAge: 60_000, wayBack: 1 });
+        expect((await reader.readAll())._unsafeUnwrap().records.length).toEqual(1);
+        await expect(() => reader.readSince(4, 0)).toBeRejected();
+    });
+
     // An answer is held up on a cut link for four seconds and then delivered. It was fresh when it left. Counted from its
     // arrival, the state would pass for a fresh one, and a key that was taken away meanwhile would be accepted.
     it("counts the age of a state from the sending of the question", async () => {
