--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -62,22 +62,12 @@
 describe("UpstreamClient", () => {
     it("names the runner that is meant, the workspace and the time that is left, and passes the rest on unchanged", async () => {
         let received = "";
-        const upstream = await listen(createRawRunner(socket => {
+        const server = createRawRunner(socket =>
             socket.write(
                 "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nServer-Seal: s\r\nServer-Load: 3,1,8\r\nContent-Length: 2\r\n\r\nok",
-            );
-        }));
-        open[0].close();
-        const server = createRawRunner(() => {});
-        server.on("connection", socket => {
-            socket.on("data", data => {
-                received += data.toString();
-                socket.write(
-                    "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nServer-Seal: s\r\nServer-Load: 3,1,8\r\nContent-Length: 2\r\n\r\nok",
-                );
-            });
-        });
-        void upstream;
+            )
+        );
+        server.on("connection", (socket: Socket) => socket.on("data", data => received += data.toString()));
         const answer = (await createClient().call(await listen(server), createCall()))._unsafeUnwrap();
         expect([await read(answer), answer.isSealed, answer.load]).toEqual(["ok", true, {
             running: 3,
