Let a site start and idle with a fraction of the calls

As 90 nodes start, every record of a node or runner woke every node: 3,263 store calls before traffic, and each node opened connections to all others. Idle, questions to peers are calls of their own: 0.068 of a core with 24 nodes.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -49,6 +49,8 @@
     readonly configurationOffset: number;
     /** Milliseconds since it was last known to live. */
     readonly heartbeatAge: number;
+    /** Whether anything was ever heard of it here. */
+    readonly isHeard: boolean;
 }
 
 /** Options of membership. */
@@ -131,6 +133,16 @@
         return this.getMembers().filter(member => member.state === "alive");
     }
 
+    /**
+     * Returns the members that answer, and those that were listed so recently that nothing could be heard of them yet. As a site
+     * starts, nobody has heard of anybody: a node that took itself for the only one would read the store in everybody's place and
+     * send all callers to itself.
+     */
+    getPresumed(): readonly Member[] {
+        const suspect = this.#options.gossip.getSuspectMilliseconds();
+        return this.getMembers().filter(member => member.state === "alive" || isNew(member, suspect));
+    }
+
     /**
      * Returns a member.
      * @param id - Its identifier.
@@ -228,6 +240,7 @@
             protocol: this.#protocol,
             configurationOffset: this.#configurationOffset,
             heartbeatAge: 0,
+            isHeard: true,
         };
     }
 
@@ -252,6 +265,7 @@
                 : { oldest: node.oldest, newest: node.newest },
             configurationOffset: offset === undefined ? -1 : Number(offset.toString()),
             heartbeatAge: age ?? listedAge,
+            isHeard: age !== undefined,
         };
     }
 
@@ -286,6 +300,10 @@
     }
 }
 
+function isNew({ isHeard, heartbeatAge }: Member, suspectMilliseconds: number): boolean {
+    return !isHeard && heartbeatAge < suspectMilliseconds;
+}
+
 function parseNode(value: Buffer | undefined): PublishedNode | undefined {
     if (value === undefined) {
         return undefined;
--- a/src/membership/peerClient.ts
+++ b/src/membership/peerClient.ts
@@ -20,6 +20,7 @@
 } from "../generated/peer.js";
 import type { GossipTransport, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, protocolKey } from "./protocol.js";
+import { StateConversation } from "./stateConversation.js";
 
 const defaultDeadlineMilliseconds = 1_000;
 /** A connection without calls is closed after so long; gossip would otherwise hold one to each of 350 nodes. */
@@ -51,6 +52,7 @@
 export class PeerClient {
     readonly #deadlineMilliseconds: number;
     readonly #clients = new Map<string, GeneratedClient>();
+    readonly #conversations = new Map<string, StateConversation>();
     readonly #metadata = new Metadata();
     #credentials: Credentials | undefined;
 
@@ -71,6 +73,10 @@
 
     /** Closes all connections. */
     close(): void {
+        for (const conversation of this.#conversations.values()) {
+            conversation.close("the client was closed");
+        }
+        this.#conversations.clear();
         for (const client of this.#clients.values()) {
             client.close();
         }
@@ -85,6 +91,8 @@
         const targets = new Set([...peers].map(getTarget));
         for (const [target, client] of this.#clients) {
             if (!targets.has(target)) {
+                this.#conversations.get(target)?.close("the peer is gone");
+                this.#conversations.delete(target);
                 client.close();
                 this.#clients.delete(target);
             }
@@ -141,6 +149,38 @@
         return this.#call(client.fetchState.bind(client), request, milliseconds);
     }
 
+    /**
+     * Asks for folded state on a call that stays open between questions.
+     * @param peer - Whom to ask.
+     * @param request - The question.
+     * @param milliseconds - How long the answer may take.
+     */
+    followState(
+        peer: PeerAddress,
+        request: FetchStateRequest,
+        milliseconds: number,
+    ): Promise<Result<FetchStateReply, Failure>> {
+        const target = getTarget(peer);
+        let conversation = this.#conversations.get(target);
+        if (conversation === undefined) {
+            conversation = new StateConversation({
+                open: () => this.#getClient(peer).followState(this.#metadata),
+                onSilence: () => this.#renew(target),
+            });
+            this.#conversations.set(target, conversation);
+        }
+        return conversation.ask(request, milliseconds);
+    }
+
+    /**
+     * Lets go of a connection that fell silent. It may stay open and carry nothing for good, and every further call on it would
+     * wait in vain until the keep-alive of the library ends it seconds later; the next call opens another one.
+     */
+    #renew(target: string): void {
+        this.#clients.get(target)?.close();
+        this.#clients.delete(target);
+    }
+
     #getClient(peer: PeerAddress): GeneratedClient {
         const target = getTarget(peer);
         let client = this.#clients.get(target);
@@ -165,6 +205,8 @@
             "grpc.service_config_disable_resolution": 1,
             "grpc.enable_retries": 0,
             "grpc.enable_http_proxy": 0,
+            // Clients share connections otherwise, and a new client would go on with one that fell silent.
+            "grpc.use_local_subchannel_pool": 1,
             "grpc.client_idle_timeout_ms": idleMilliseconds,
             "grpc.initial_reconnect_backoff_ms": firstBackoffMilliseconds,
             "grpc.max_reconnect_backoff_ms": maximumBackoffMilliseconds,
--- a/src/membership/peerServer.ts
+++ b/src/membership/peerServer.ts
@@ -1,7 +1,14 @@
 /**
  * Answers the calls of peers.
  */
-import { type handleUnaryCall, type Metadata, Server, ServerCredentials, status } from "@grpc/grpc-js";
+import {
+    type handleBidiStreamingCall,
+    type handleUnaryCall,
+    type Metadata,
+    Server,
+    ServerCredentials,
+    status,
+} from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
 import { type Credentials, Failure } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
@@ -14,6 +21,8 @@
     type ExchangeRequest,
     type FetchStateReply,
     type FetchStateRequest,
+    type FollowStateReply,
+    type FollowStateRequest,
     PeerService,
     type PushReply,
     type PushRequest,
@@ -62,6 +71,7 @@
             copyBills: this.#adapt(handlers.copyBills),
             decideClaims: this.#adapt(handlers.decideClaims),
             fetchState: this.#adapt(handlers.fetchState),
+            followState: this.#adaptConversation(handlers.fetchState),
         });
     }
 
@@ -115,6 +125,27 @@
             }
         };
     }
+
+    #adaptConversation(
+        handler: PeerHandler<FetchStateRequest, FetchStateReply>,
+    ): handleBidiStreamingCall<FollowStateRequest, FollowStateReply> {
+        return call => {
+            const protocol = readProtocol(call.metadata);
+            const answer = async ({ id, question }: FollowStateRequest): Promise<void> => {
+                try {
+                    call.write({ id, answer: question && await handler(question, protocol) });
+                }
+                catch (error) {
+                    this.#options.journal.write(events.peerCallFailed, { cause: String(error) });
+                    call.write({ id, answer: undefined });
+                }
+            };
+            call.on("data", (request: FollowStateRequest) => void answer(request));
+            call.on("end", () => call.end());
+            // The peer went away in the middle of a question: nobody is left to answer.
+            call.on("error", () => undefined);
+        };
+    }
 }
 
 /** Reads which protocol a caller reads; the oldest release does not say. */
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -208,7 +208,7 @@
         return new SiteFace({
             isReady: () => topics.getRoutes() !== undefined && !departure.hasBegun,
             getAddresses: failureDomain =>
-                chooseAddresses(membership.getAlive(), failureDomain).map(member => {
+                chooseAddresses(membership.getPresumed(), failureDomain).map(member => {
                     const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
                     return `${member.address}:${port}`;
                 }),
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -2,6 +2,7 @@
  * What the store's topics say, translated: routes, upstreams, nodes and roll-outs.
  */
 import type { Clock } from "../common/index.js";
+import { getUnitRank } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
@@ -39,6 +40,14 @@
 /** An entry that vanishes within this time after an outage of the store may only have lapsed, in milliseconds. */
 const lapseMilliseconds = 2_000;
 const appendPauseMilliseconds = 500;
+/** A node that could not tell what the store holds is passed over for so long, in milliseconds; a restart takes about two seconds. */
+const avoidMilliseconds = 3_000;
+/**
+ * A change costs a read at every node, so they wait for more changes after one, longer in larger sites: 0.27 s with 90 nodes.
+ * Bounded by a tenth of the time in which a configuration has to be in force at the sites that are known, 3 s.
+ */
+const pauseMillisecondsByNode = 3;
+const mostPauseMilliseconds = 300;
 
 /** What topics are followed with. */
 export interface PlatformTopicsOptions {
@@ -63,6 +72,10 @@
     readonly #status: TopicFollower;
     readonly #followers = new Map<string, TopicFollower>();
     readonly #routeListeners: (() => void)[] = [];
+    /** Kept, since the choice of whom to read from ranks all nodes several times a second. */
+    readonly #readerRanks = new Map<string, number>();
+    /** Until when a node that did not answer is passed over. */
+    readonly #avoidedUntil = new Map<string, number>();
     #routes: RouteTable | undefined;
     #isStopped = false;
 
@@ -140,6 +153,8 @@
             pickReader: detours => this.#pickReader(topic, storeReader, detours),
             onChanges,
             outageMilliseconds,
+            getPause: () =>
+                Math.min(mostPauseMilliseconds, pauseMillisecondsByNode * this.#options.membership.getMembers().length),
             ...times,
         });
     }
@@ -147,13 +162,16 @@
     #pickReader(topic: string, storeReader: KeyedTopicReader, detours: number): KeyedTopicReader {
         const { self, membership, liveSettings } = this.#options;
         const { seeds } = liveSettings.get();
-        const isStale = detours > 0 || this.#followers.get(topic)?.state.isLoaded() !== true;
+        const isLoaded = this.#followers.get(topic)?.state.isLoaded() === true;
         const source = chooseReader({
             self: self.id,
             failureDomain: self.failureDomain,
-            alive: membership.getAlive(),
-            isStale,
-            detours,
+            alive: membership.getPresumed(),
+            isAvoided: node => this.#isAvoided(node),
+            // One failure is the usual source's, which is avoided from then on; the next by rank is as good.
+            isStale: !isLoaded || detours > 1,
+            detours: isLoaded ? detours - 1 : detours,
+            getRank: node => this.#getReaderRank(node),
         });
         if (source.kind === "peer") {
             return this.#createPeerReader(topic, source.peer);
@@ -167,13 +185,37 @@
         return storeReader;
     }
 
+    #isAvoided(node: string): boolean {
+        return this.#options.beliefClock.monotonic() < (this.#avoidedUntil.get(node) ?? Number.NEGATIVE_INFINITY);
+    }
+
+    /** Asks somebody else for a while, so that nodes agree on the next reader before gossip tells that the first is gone. */
+    #avoid(node: string): void {
+        this.#avoidedUntil.set(node, this.#options.beliefClock.monotonic() + avoidMilliseconds);
+    }
+
+    #getReaderRank(node: string): number {
+        let rank = this.#readerRanks.get(node);
+        if (rank === undefined) {
+            rank = getUnitRank("reader", node);
+            this.#readerRanks.set(node, rank);
+        }
+        return rank;
+    }
+
     #createPeerReader(topic: string, peer: PeerAddress): KeyedTopicReader {
         const { beliefClock, peerClient } = this.#options;
         return createPeerReader({
             topic,
             peer,
             clock: beliefClock,
-            ask: (to, request, milliseconds) => peerClient.fetchState(to, request, milliseconds),
+            ask: async (to, request, milliseconds) => {
+                const reply = await peerClient.followState(to, request, milliseconds);
+                if (reply.isErr()) {
+                    this.#avoid(to.id);
+                }
+                return reply;
+            },
         });
     }
 
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -68,6 +68,7 @@
      */
     createReader(topic: string): KeyedTopicReader {
         return {
+            source: "store",
             readAll: () => this.#readAll(topic),
             readSince: (from, waitMilliseconds) => this.#readSince(topic, from, waitMilliseconds),
         };
--- a/src/topics/keyedTopic.ts
+++ b/src/topics/keyedTopic.ts
@@ -25,6 +25,8 @@
 
 /** Reads one topic, from the store or through a peer that reads it. */
 export interface KeyedTopicReader {
+    /** Where it reads: when a peer fails, another peer or the store may still do. */
+    readonly source: "store" | "peer";
     /** Reads the newest record of every key. */
     readonly readAll: () => Promise<Result<TopicPage, Failure>>;
     /**
--- a/src/topics/peerTopics.ts
+++ b/src/topics/peerTopics.ts
@@ -34,6 +34,7 @@
 /** Creates a reader of a topic through a peer that follows it. */
 export function createPeerReader(options: PeerTopicOptions): KeyedTopicReader {
     return {
+        source: "peer",
         readAll: () => read(options, { knownOffset: 0, waitMilliseconds: 0, whole: true }),
         readSince: (from, waitMilliseconds) => read(options, { knownOffset: from, waitMilliseconds, whole: false }),
     };
@@ -51,6 +52,9 @@
     clock: Clock,
 ): Promise<FetchStateReply> {
     const receivedAt = clock.monotonic();
+    if (!request.whole) {
+        await follower.waitLoaded(Math.min(request.waitMilliseconds, longestWaitMilliseconds));
+    }
     if (!follower.state.isLoaded()) {
         throw new Error("The topic has not been read here yet.");
     }
--- a/src/topics/readerChoice.ts
+++ b/src/topics/readerChoice.ts
@@ -1,13 +1,9 @@
 /**
  * Whom a node reads a topic from: the store, or a peer that reads the store.
  */
-import { getUnitRank } from "../decisions/index.js";
 import type { Member } from "../membership/index.js";
 
-/**
- * At least so many nodes share a reader of their own failure domain; fewer share one for all. A call to the store costs
- * more than the same bytes between failure domains while there are few nodes.
- */
+/** At least so many nodes of a failure domain hear from one of their own; fewer hear from the one that reads the store. */
 const leastNodesOfDomain = 8;
 
 /** Where to read. */
@@ -19,22 +15,27 @@
 export interface ReaderChoiceOptions {
     readonly self: string;
     readonly failureDomain: string;
-    /** Nodes that are known to live, this one among them. */
+    /** Nodes that are taken to live, this one among them. */
     readonly alive: readonly Member[];
     /** Whether the state is old, or reading failed: the usual source does not do. */
     readonly isStale: boolean;
     /** How often another source than the usual one was tried since the state was last fresh. */
     readonly detours: number;
+    /** Tells whether a node did not answer just now, so that the next by rank takes its place. */
+    readonly isAvoided: (node: string) => boolean;
+    /** Ranks a node; the first by rank reads. */
+    readonly getRank: (node: string) => number;
 }
 
 /**
- * Chooses the source of the next read. The reader is the first by rank among the nodes that share it. When the usual
- * source leaves the state old, the store and other peers are tried in turn: a node that the store turns away hears from one
- * that it serves.
+ * Chooses the source of the next read. One node reads the store, the first by rank. In a large failure domain the nodes hear
+ * from the first of their own domain, which hears from the one that reads: the calls to the store do not grow with the site, and
+ * no node answers more peers than its domain has nodes. When the usual source leaves the state old, the store and other peers
+ * are tried in turn: a node that the store turns away hears from one that it serves.
  * @param options - What the choice rests on.
  */
 export function chooseReader(options: ReaderChoiceOptions): ReadSource {
-    const { self, failureDomain, alive, isStale, detours } = options;
+    const { self, failureDomain, alive, isStale, detours, isAvoided, getRank } = options;
     if (isStale) {
         const others = alive.filter(member => member.id !== self);
         if (detours === 0 || detours % 2 === 1 || others.length === 0) {
@@ -42,13 +43,25 @@
         }
         return { kind: "peer", peer: others[(detours / 2 - 1) % others.length] };
     }
-    const near = alive.filter(member => member.failureDomain === failureDomain);
-    const group = near.length >= leastNodesOfDomain ? near : alive;
-    let reader: Member | undefined;
+    const usual = alive.filter(member => !isAvoided(member.id));
+    const near = usual.filter(member => member.failureDomain === failureDomain);
+    const relay = near.length >= leastNodesOfDomain ? findFirst(near, getRank) : undefined;
+    if (relay !== undefined && relay.id !== self) {
+        return { kind: "peer", peer: relay };
+    }
+    const reader = findFirst(usual, getRank);
+    return reader === undefined || reader.id === self ? { kind: "store" } : { kind: "peer", peer: reader };
+}
+
+function findFirst(group: readonly Member[], getRank: (node: string) => number): Member | undefined {
+    let first: Member | undefined;
+    let firstRank = -1;
     for (const member of group) {
-        if (reader === undefined || getUnitRank("reader", member.id) > getUnitRank("reader", reader.id)) {
-            reader = member;
+        const rank = getRank(member.id);
+        if (rank > firstRank) {
+            first = member;
+            firstRank = rank;
         }
     }
-    return reader === undefined || reader.id === self ? { kind: "store" } : { kind: "peer", peer: reader };
+    return first;
 }
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -29,6 +29,11 @@
     readonly outageMilliseconds: number;
     /** How long a read may wait for changes. An empty answer after that time confirms the state. */
     readonly waitMilliseconds: number;
+    /**
+     * Returns how long to wait after a read that brought changes, in milliseconds. Changes that come one by one, such as the
+     * records of all nodes as a site starts, would otherwise cost every node a read each.
+     */
+    readonly getPause?: () => number;
     /** Takes what changed, in the order of offsets. */
     readonly onChanges: (changed: readonly KeyedRecord[]) => void;
     /** Waits between failed reads; tests give another. */
@@ -41,6 +46,7 @@
     readonly #options: TopicFollowerOptions;
     readonly #waiters = new Set<() => void>();
     #failures = 0;
+    #isFailing = false;
     #detours = 0;
     #detourUntil = Number.NEGATIVE_INFINITY;
     #outageEndedAt = Number.NEGATIVE_INFINITY;
@@ -77,9 +83,12 @@
         return this.#options.clock.monotonic() - this.#outageEndedAt;
     }
 
-    /** Tells whether reading fails or leaves the state old, so that peers had better ask somebody else. */
+    /**
+     * Tells whether reading fails or leaves the state old, so that peers had better ask somebody else. The failure of one peer is
+     * not enough: the next read goes elsewhere at once.
+     */
     isLost(): boolean {
-        return this.#failures > 0 || this.getAge() > this.#options.staleMilliseconds;
+        return this.#isFailing || this.getAge() > this.#options.staleMilliseconds;
     }
 
     /**
@@ -104,12 +113,26 @@
      * @param waitMilliseconds - How long to wait at most.
      */
     async waitSince(from: number, waitMilliseconds: number): Promise<TopicPage> {
-        if (this.state.getEnd() > from || this.isLost() || waitMilliseconds <= 0) {
-            return this.state.getSince(from);
+        await this.#waitUntil(() => this.state.getEnd() > from || this.isLost(), waitMilliseconds);
+        return this.state.getSince(from);
+    }
+
+    /**
+     * Waits until the topic has been read once. Nodes that start together ask each other before they have read anything; turned
+     * away, they would all go on reading the store.
+     * @param waitMilliseconds - How long to wait at most.
+     */
+    async waitLoaded(waitMilliseconds: number): Promise<void> {
+        await this.#waitUntil(() => this.state.isLoaded(), waitMilliseconds);
+    }
+
+    async #waitUntil(isDone: () => boolean, waitMilliseconds: number): Promise<void> {
+        if (isDone() || this.#isStopped || waitMilliseconds <= 0) {
+            return;
         }
         await new Promise<void>(resolve => {
             const done = (): void => {
-                if (this.state.getEnd() > from || this.isLost() || this.#isStopped) {
+                if (isDone() || this.#isStopped) {
                     finish();
                 }
             };
@@ -121,7 +144,6 @@
             const timer = setTimeout(finish, waitMilliseconds);
             this.#waiters.add(done);
         });
-        return this.state.getSince(from);
     }
 
     async #run(): Promise<void> {
@@ -135,6 +157,7 @@
                 await this.#recover(reader, read.error);
                 continue;
             }
+            const hasChanges = this.state.getEnd() < read.value.end;
             this.offer(read.value);
             if (this.getAge() > this.#options.staleMilliseconds) {
                 this.#takeDetour();
@@ -145,6 +168,9 @@
             if (this.#options.clock.monotonic() >= this.#detourUntil) {
                 this.#detours = 0;
             }
+            if (hasChanges) {
+                await this.#sleep(this.#options.getPause?.() ?? 0);
+            }
         }
     }
 
@@ -158,7 +184,13 @@
     async #pause(detours: number): Promise<void> {
         if (detours > 1) {
             const pause = Math.min(longestPauseMilliseconds, firstPauseMilliseconds * 2 ** Math.min(10, detours - 2));
-            await (this.#options.sleep ?? sleepByTimer)(pause);
+            await this.#sleep(pause);
+        }
+    }
+
+    async #sleep(milliseconds: number): Promise<void> {
+        if (milliseconds > 0) {
+            await (this.#options.sleep ?? sleepByTimer)(milliseconds);
         }
     }
 
@@ -171,19 +203,21 @@
                 return;
             }
         }
-        this.#noteLost(failure);
-        const pause = Math.min(
-            longestPauseMilliseconds,
-            firstPauseMilliseconds * 2 ** Math.min(10, this.#failures - 1),
-        );
-        await (this.#options.sleep ?? sleepByTimer)(pause);
+        this.#noteLost(reader, failure);
+        if (this.#isFailing) {
+            const doublings = Math.min(10, this.#failures - 1);
+            await this.#sleep(Math.min(longestPauseMilliseconds, firstPauseMilliseconds * 2 ** doublings));
+        }
     }
 
-    #noteLost(failure: Failure): void {
+    #noteLost(reader: KeyedTopicReader, failure: Failure): void {
         this.#failures += 1;
         if (this.#failures === 1) {
             const { name, journal } = this.#options;
             journal.write(events.topicLost, { topic: name, offset: this.state.getEnd(), cause: failure.message });
+        }
+        if (!this.#isFailing && (reader.source === "store" || this.#failures > 1)) {
+            this.#isFailing = true;
             this.#wake();
         }
     }
@@ -199,6 +233,7 @@
             ageMs: Math.round(this.getAge()),
         });
         this.#failures = 0;
+        this.#isFailing = false;
     }
 
     #wake(): void {
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -17,11 +17,17 @@
 }
 
 /** Follows a topic of which each read gives the next of the given answers; ends with the last one. */
-async function follow(answers: readonly Read[], clock = new ManualClock(1_000), passing = 0) {
+async function follow(
+    answers: readonly Read[],
+    clock = new ManualClock(1_000),
+    passing = 0,
+    source: KeyedTopicReader["source"] = "store",
+) {
     const { journal, lines } = createJournal();
     const calls: string[] = [];
     const detours: number[] = [];
     const values: string[] = [];
+    const pauses: number[] = [];
     let next = 0;
     const answer = (call: string): Promise<Read> => {
         calls.push(call);
@@ -36,6 +42,7 @@
         return Promise.resolve(given);
     };
     const reader: KeyedTopicReader = {
+        source,
         readAll: () => answer("all"),
         readSince: from => answer(`since ${from}`),
     };
@@ -51,11 +58,15 @@
         outageMilliseconds: 3_000,
         waitMilliseconds: 700,
         onChanges: changed => values.push(...changed.map(record => record.value?.toString() ?? "")),
-        sleep: () => Promise.resolve(),
+        getPause: () => 40,
+        sleep: milliseconds => {
+            pauses.push(milliseconds);
+            return Promise.resolve();
+        },
     });
     follower.start();
     await follower.settle();
-    return { follower, calls, detours, values, lines };
+    return { follower, calls, detours, values, lines, pauses };
 }
 
 describe("TopicFollower", () => {
@@ -112,6 +123,31 @@
         expect((await follower.waitSince(5, 60_000)).records).toEqual([]);
     });
 
+    // A node hears from a peer that dies. Had it told those who hear from it in turn, all of them would turn to the store, though
+    // the next peer by rank answers at once.
+    it("does not take the failure of one peer for its own", async () => {
+        const { follower, pauses } = await follow(
+            [createPage(4, 1_000, true), createFailure("unavailable")],
+            undefined,
+            0,
+            "peer",
+        );
+        expect([follower.isLost(), pauses]).toEqual([false, [40]]);
+        const failed = await follow(
+            [createPage(4, 1_000, true), createFailure("unavailable"), createFailure("unavailable")],
+            undefined,
+            0,
+            "peer",
+        );
+        expect(failed.follower.isLost()).toEqual(true);
+    });
+
+    // The records of 90 nodes come one by one as a site starts. Read one by one at each node, they are 8,100 reads.
+    it("waits a little for more after a change, and not without one", async () => {
+        const { pauses } = await follow([createPage(4, 1_000, true), createPage(4, 1_000), createPage(5, 1_000)]);
+        expect(pauses).toEqual([40, 40]);
+    });
+
     it("lets a waiting peer know of a change at once, and of nothing after its wait", async () => {
         const { follower } = await follow([createPage(4, 1_000, true)]);
         // Ages are counted from now on.
