Revert "Learn how long prompts wait at each runner, and let long ones go elsewhere"

The replay lets a runner read prompts one after another; the users' engines read them in chunks between the tokens of all other requests, so a long prompt sent to a runner of short ones delays everything there. Conclusion: a failed try. A replay of placement has to model chunked reading before it decides anything.

--- a/src/decisions/dispatch/readingPace.ts
+++ b/src/decisions/dispatch/readingPace.ts
@@ -5,7 +5,7 @@
 /** Until a model has answered, it is taken to read as fast as this, in milliseconds a token. */
 const firstPace = 0.012;
 /** Time to the head of an answer that does not depend on the prompt, in milliseconds. */
-export const headMilliseconds = 60;
+const headMilliseconds = 60;
 /** Shorter prompts say little: their time is mostly the rest. */
 const leastTokens = 400;
 /** Low answers move the estimate up slowly and high ones down: it settles where a quarter of the answers is faster. */
--- a/src/decisions/dispatch/runnerGroups.ts
+++ b/src/decisions/dispatch/runnerGroups.ts
@@ -49,15 +49,9 @@
             domains.set(failureDomain, members);
         }
         const chosen = new Set<string>();
-        let owed = 0;
-        for (const [, members] of [...domains].sort(([first], [second]) => first < second ? -1 : 1)) {
+        for (const members of domains.values()) {
             members.sort((first, second) => second.rank - first.rank);
-            owed += members.length * longShare;
-            // What one domain is too small for, the next one makes good: of six runners in four domains, three take long prompts.
-            // Rounded down in each domain they were two, which fell seconds behind.
-            const count = Math.min(members.length, Math.floor(owed));
-            owed -= count;
-            for (const { id } of members.slice(0, count)) {
+            for (const { id } of members.slice(0, Math.floor(members.length * longShare))) {
                 chosen.add(id);
             }
         }
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../../common/index.js";
 import type { RegisteredUpstream } from "../../fleet/index.js";
 import { getRank } from "../placement/rendezvous.js";
-import { headMilliseconds, ReadingPace } from "./readingPace.js";
+import { ReadingPace } from "./readingPace.js";
 import { RunnerGroups } from "./runnerGroups.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
 
@@ -12,6 +12,11 @@
 const mostEjectedShare = 0.34;
 /** A plain service counts as full in the own failure domain at this part of its slots. */
 const fullShare = 0.9;
+/**
+ * Time by which each request at a runner delays the head of another answer there, in milliseconds. Measured on a calm day:
+ * heads took 117 ms in the median beside 5 requests and 437 ms beside 19.
+ */
+const delayMillisecondsByRequest = 15;
 /**
  * What a request in another failure domain must gain in time to be worth its way, in milliseconds: for the way itself, and for
  * each kilobyte, since bytes between failure domains are paid for.
@@ -30,11 +35,8 @@
 const longMilliseconds = 140;
 /** What a short prompt must gain to go to a runner of long prompts, in milliseconds. */
 const shortAmongLongMilliseconds = 120;
-/**
- * A long prompt goes to another runner only if it gains so many times its reading time, which it costs others there. Replayed at a
- * load that fills six runners: 0.5% of the worth late at 0.3 to 0.5, 1.5% at 1 and 1.4% at 0.
- */
-const longAmongShortFactor = 0.4;
+/** A long prompt goes to another runner only if it gains so many times its reading time: that much it costs others there. */
+const longAmongShortFactor = 1;
 
 /**
  * Weight of the newest answer in the ratio of waits to expectations, and the bounds of one answer's. When a whole pool is
@@ -79,8 +81,6 @@
     readonly expectedMilliseconds: number;
     /** Expected time to read the prompt there, in milliseconds. */
     readonly readingMilliseconds: number;
-    /** Requests expected to be there. */
-    readonly requests: number;
 }
 
 /** Picks upstreams for one node and keeps what it learns of them. */
@@ -89,7 +89,6 @@
     readonly #failureDomain: string;
     readonly #groups: RunnerGroups;
     readonly #onEject: (upstream: string, milliseconds: number) => void;
-    readonly #random: () => number;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
     #waitRatio = 1;
@@ -101,14 +100,11 @@
         /** Failure domain of this node. */
         readonly failureDomain: string;
         readonly onEject: (upstream: string, milliseconds: number) => void;
-        /** Draws from 0 to 1; tests give another. */
-        readonly random?: () => number;
     }) {
         this.#clock = options.clock;
         this.#failureDomain = options.failureDomain;
         this.#groups = new RunnerGroups(options);
         this.#onEject = options.onEject;
-        this.#random = options.random ?? Math.random;
     }
 
     /**
@@ -151,27 +147,15 @@
     /**
      * Notes how long a prompt took.
      * @param prompt - The prompt.
-     * @param pick - The choice of its runner.
-     * @param milliseconds - Time to the head of the answer.
+     * @param milliseconds - Time to the head of the answer; so far, where it was given up.
+     * @param expectedMilliseconds - When it was expected.
      */
-    addHead(prompt: PromptLoad, pick: Pick, milliseconds: number): void {
-        const { expectedMilliseconds } = pick;
+    addPace(prompt: PromptLoad, milliseconds: number, expectedMilliseconds: number): void {
         this.#paces.add(prompt.model ?? "", prompt.tokens, milliseconds);
-        this.addWait(pick, milliseconds);
         const ratio = Math.min(mostRatio, milliseconds / Math.max(leastExpected, expectedMilliseconds));
         this.#waitRatio += ratioWeight * (ratio - this.#waitRatio);
     }
 
-    /**
-     * Notes how long a prompt has waited at its runner, whether its answer began then or it was given up.
-     * @param pick - The choice of its runner.
-     * @param milliseconds - Time since it was sent.
-     */
-    addWait({ upstream, requests, readingMilliseconds }: Pick, milliseconds: number): void {
-        const waited = milliseconds - headMilliseconds - readingMilliseconds;
-        this.#getStatus(upstream.id).addDelay(waited / (requests + 1), this.#clock.monotonic());
-    }
-
     /** Returns how many times as long as expected answers to prompts take to begin, at least once. */
     getWaitRatio(): number {
         return Math.max(1, this.#waitRatio);
@@ -252,7 +236,6 @@
             load: this.#getLoad(upstream, now),
             expectedMilliseconds: 0,
             readingMilliseconds: 0,
-            requests: this.#getStatus(upstream.id).getRequests(now),
         };
     }
 
@@ -268,9 +251,9 @@
             const cached = likelyCached[holders.indexOf(upstream.id)] ?? 0;
             const unread = prompt.tokens - cached * prompt.sharedTokens;
             const readingMilliseconds = this.#paces.getMilliseconds(prompt.model, unread);
-            const noise = 1 + loadNoise * (2 * this.#random() - 1);
+            const noise = 1 + loadNoise * (2 * Math.random() - 1);
             const requests = status.getRequests(now) * noise;
-            const waiting = Math.max((requests + 1) * status.getDelay(now), status.getReading());
+            const waiting = requests * delayMillisecondsByRequest + status.getReading();
             const isFull = requests >= upstream.slots;
             const distance = upstream.failureDomain === this.#failureDomain ? 0 : domainCost;
             const misplaced = getMisplacement(readingMilliseconds, forLong.has(upstream.id));
@@ -279,7 +262,7 @@
                 bestCost = cost;
                 const expectedMilliseconds = waiting + readingMilliseconds;
                 const load = requests / upstream.slots;
-                best = { upstream, reason: "least-wait", load, expectedMilliseconds, readingMilliseconds, requests };
+                best = { upstream, reason: "least-wait", load, expectedMilliseconds, readingMilliseconds };
             }
         }
         return best;
@@ -295,7 +278,7 @@
         let bestLoad = Number.POSITIVE_INFINITY;
         for (const upstream of group) {
             // A tie is broken at random, or every node would send its first request to the same upstream.
-            const load = this.#getLoad(upstream, now) + this.#random() * 0.01;
+            const load = this.#getLoad(upstream, now) + Math.random() * 0.01;
             if (load < bestLoad) {
                 best = upstream;
                 bestLoad = load;
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -11,18 +11,6 @@
 
 /** Time after which half of what others were reported to have there is taken to be over, in milliseconds. */
 const loadHalfLifeMilliseconds = 1_500;
-/**
- * Time by which each request at a runner delays the head of another answer there, in milliseconds, until the runner itself has
- * shown more. Measured on a calm day: heads took 117 ms in the median beside 5 requests and 437 ms beside 19.
- */
-const firstDelayMilliseconds = 15;
-/** Bounds of what one answer may show, in milliseconds a request: a runner that hangs must not be shunned for good. */
-const leastDelayMilliseconds = 5;
-const mostDelayMilliseconds = 200;
-/** Weight of the newest answer in a runner's delay: a node hears of each runner every second or two, and must follow a crowd. */
-const delayWeight = 0.25;
-/** Time after which half of what a runner showed is taken to be over, in milliseconds: it is tried again after some seconds. */
-const delayHalfLifeMilliseconds = 4_000;
 /** Weight of the newest outcome in the failure rate: about the last eight count. */
 const outcomeWeight = 0.12;
 /** Outcomes before the rate says anything. */
@@ -52,8 +40,6 @@
     #reported = 0;
     #inFlightAtReport = 0;
     #reportedAt = Number.NEGATIVE_INFINITY;
-    #delay = firstDelayMilliseconds;
-    #delayAt = Number.NEGATIVE_INFINITY;
     #failureRate = 0;
     #outcomes = 0;
     #silentFailures = 0;
@@ -75,28 +61,6 @@
         return this.#inFlight + others * share;
     }
 
-    /**
-     * Returns the time by which each request there delays the head of another answer, in milliseconds. It differs between
-     * runners: some read long prompts, some are slow.
-     * @param now - Monotonic milliseconds.
-     */
-    getDelay(now: number): number {
-        const share = 0.5 ** ((now - this.#delayAt) / delayHalfLifeMilliseconds);
-        return firstDelayMilliseconds + (this.#delay - firstDelayMilliseconds) * share;
-    }
-
-    /**
-     * Notes how long a prompt waited before the runner began to read it.
-     * @param milliseconds - How long, for each request that was expected there.
-     * @param now - Monotonic milliseconds.
-     */
-    addDelay(milliseconds: number, now: number): void {
-        const seen = Math.min(mostDelayMilliseconds, Math.max(leastDelayMilliseconds, milliseconds));
-        const known = this.getDelay(now);
-        this.#delay = known + delayWeight * (seen - known);
-        this.#delayAt = now;
-    }
-
     /** Returns the smoothed share of calls that failed. */
     getFailureRate(): number {
         return this.#outcomes < leastOutcomes ? 0 : this.#failureRate;
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -180,15 +180,12 @@
             }
             finish(this.#judge(exchange, called.error, isSilent), isSilent ? "no answer in time" : called.error.reason);
             this.#learn(upstream, called.error, isSilent);
-            if (isSilent && prompt !== undefined) {
-                picker.addWait(pick, clock.monotonic() - startedAt);
-            }
             return err({ kind: "failed", failure: called.error });
         }
         headMilliseconds = clock.monotonic() - startedAt;
         picker.markHeard(upstream.id);
         if (prompt !== undefined) {
-            picker.addHead(prompt, pick, headMilliseconds);
+            picker.addPace(prompt, headMilliseconds, pick.expectedMilliseconds);
         }
         const { load } = called.value;
         if (load !== undefined) {
