Soak whole nodes on the platform's stand-ins, with faults drawn from a seed

Cause: the users ask for a randomized soak of the real programs; the product's own soak does not run the platform's node. Change: test/platform/soak runs four nodes as processes, five runners and the store, with a proxy on each node's way to the store. Faults in series and overlapping: SIGKILL, SIGTERM, SIGSTOP, SIGHUP, links cut, silent, one way, slow and frozen, the store busy, silent or losing answers, history dropped, runners that reset, fall silent, truncate, fail, are slow or leave, keys taken away. Checked from what callers and runners saw: nothing twice, refusals true, answers whole and the caller's own, streams in order, revoked keys, exits, and service by the newest configuration after the faults.

--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -103,19 +103,20 @@
     readonly store = new StoreStandin();
     readonly nodes: SiteNode[] = [];
     readonly runners = new Map<string, RunnerStandin>();
-    readonly #prefix: string;
+    /** First three bytes of the site's addresses. */
+    readonly prefix: string;
     readonly #folder = mkdtempSync(join(tmpdir(), "platform-site-"));
     readonly #agent = new Agent();
     #requests = 0;
 
     /** @param prefix - First three bytes of the site's addresses, such as `127.72.1`. */
     constructor(prefix: string) {
-        this.#prefix = prefix;
+        this.prefix = prefix;
     }
 
     /** Starts the store with a configuration, and some runners of version `v1`. */
     async start(runners: number): Promise<void> {
-        await this.store.listen(`${this.#prefix}.200`, storePort);
+        await this.store.listen(`${this.prefix}.200`, storePort);
         this.store.put("keyed.op", "config", createConfiguration(1));
         for (let index = 1; index <= runners; index += 1) {
             await this.addRunner(`i-${index}`);
@@ -148,10 +149,10 @@
     }
 
     /** Starts a node, the n-th from 1, and does not wait for it. */
-    startNode(index: number, nodeOptions: readonly string[] = []): SiteNode {
-        const address = `${this.#prefix}.${index}`;
+    startNode(index: number, nodeOptions: readonly string[] = [], storeAddress?: string): SiteNode {
+        const address = `${this.prefix}.${index}`;
         const settingsFile = join(this.#folder, `node-${index}.ini`);
-        writeFileSync(settingsFile, this.createSettings(address));
+        writeFileSync(settingsFile, this.createSettings(address, storeAddress));
         const child = spawn(process.execPath, [...nodeOptions, program], {
             env: { ...process.env, RATTANLOCK_BOOT: settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
@@ -165,7 +166,7 @@
     }
 
     /** Returns settings in the form of the deployment's template. */
-    createSettings(address: string): string {
+    createSettings(address: string, storeAddress = `${this.prefix}.200:${storePort}`): string {
         const values: Readonly<Record<string, string>> = {
             "node_name": address,
             "ip": address,
@@ -176,8 +177,8 @@
             "listen.control": `${address}:${peerPort}`,
             "listen.directory": `${address}:${addressPort}`,
             "port_range.0": String(metricsPort),
-            "seeds": `${this.#prefix}.1:${peerPort},${this.#prefix}.2:${peerPort}`,
-            "platform.address": `${this.#prefix}.200:${storePort}`,
+            "seeds": `${this.prefix}.1:${peerPort},${this.prefix}.2:${peerPort}`,
+            "platform.address": storeAddress,
         };
         return readFileSync("deploy/settings.ini", "utf8").replaceAll(/\{\{([a-z0-9_.]+)\}\}/g, (...[, name]) => {
             return values[name] ?? String(bounds[String(name).replace("bounds.", "")] ?? "");
@@ -241,6 +242,8 @@
     async stop(): Promise<void> {
         for (const node of this.nodes) {
             node.child.kill("SIGKILL");
+            // One that is paused takes no other signal before it goes on.
+            node.child.kill("SIGCONT");
             await node.exited;
         }
         for (const runner of this.runners.values()) {
@@ -252,6 +255,6 @@
     }
 
     #getRunnerHost(index: number): string {
-        return `${this.#prefix}.${100 + index}`;
+        return `${this.prefix}.${100 + index}`;
     }
 }
--- /dev/null
+++ b/test/platform/soak/main.ts
@@ -0,0 +1,25 @@
+/**
+ * Runs the platform's soak by hand: `node dist/test/platform/soak/main.js --seed 1 --count 50 --seconds 12`.
+ */
+import { parseArgs } from "node:util";
+import { runPlatformSoak } from "./platformSoak.js";
+
+const { values } = parseArgs({
+    options: {
+        seed: { type: "string", default: "1" },
+        count: { type: "string", default: "1" },
+        seconds: { type: "string", default: "12" },
+        prefix: { type: "string", default: "127.72.90" },
+    },
+});
+let failures = 0;
+for (let seed = Number(values.seed); seed < Number(values.seed) + Number(values.count); seed += 1) {
+    const options = { seed, milliseconds: Number(values.seconds) * 1_000, prefix: values.prefix };
+    const { broken, timeLine, requests, served } = await runPlatformSoak(options);
+    console.log(`Seed ${seed}: ${timeLine.length} faults, ${served} of ${requests} served, ${broken.length} broken.`);
+    if (broken.length > 0) {
+        failures += 1;
+        console.log([...broken, ...timeLine].join("\n"));
+    }
+}
+process.exit(failures === 0 ? 0 : 1);
--- /dev/null
+++ b/test/platform/soak/platformSoak.ts
@@ -0,0 +1,304 @@
+/**
+ * A soak on the platform: nodes as processes of their own, faults from outside them drawn from a seed, in series and
+ * overlapping, and the promises checked from what callers and runners saw.
+ */
+import { RandomSource } from "../../../src/common/index.js";
+import { FaultProxy } from "../../../src/standins/proxy/index.js";
+import { waitUntil } from "../../../src/testbench/index.js";
+import { createConfiguration, PlatformSite } from "../platformSite.js";
+import { SoakCallers } from "./soakCallers.js";
+import { findBrokenPromises, type RevokedKey, type RunRequest } from "./soakChecks.js";
+import { createBehaviour, type RunnerFault } from "./soakRunners.js";
+
+const nodeCount = 4;
+const runnerCount = 5;
+const storePort = 7_010;
+const proxyPort = 7_030;
+/** As in the settings of the site. */
+const revocationMilliseconds = 6_000;
+const requestsAtOnce = 4;
+const runnerFaults: readonly RunnerFault[] = ["reset", "mute", "truncate", "error", "slow"];
+const faultShare = 0.3;
+/** A fault begins this long after the one before, at most, so that some overlap. */
+const mostGapMilliseconds = 900;
+const leastHoldMilliseconds = 300;
+const mostHoldMilliseconds = 2_500;
+const recoveryMilliseconds = 20_000;
+
+/** What a soak is made from. */
+export interface PlatformSoakOptions {
+    readonly seed: number;
+    readonly milliseconds: number;
+    /** First three bytes of a loopback block. */
+    readonly prefix: string;
+}
+
+/** What came of a soak. */
+export interface PlatformSoakResult {
+    readonly broken: readonly string[];
+    /** Faults in the order of their beginning, with milliseconds since the start. */
+    readonly timeLine: readonly string[];
+    readonly requests: number;
+    readonly served: number;
+}
+
+/** Runs a soak. The seed fixes the faults, their targets, order and length; the processes' own timing stays free. */
+export async function runPlatformSoak(options: PlatformSoakOptions): Promise<PlatformSoakResult> {
+    const soak = new PlatformSoak(options);
+    try {
+        return await soak.run();
+    }
+    finally {
+        await soak.stop();
+    }
+}
+
+class PlatformSoak {
+    readonly #options: PlatformSoakOptions;
+    readonly #random: RandomSource;
+    readonly #site: PlatformSite;
+    readonly #proxy: FaultProxy;
+    readonly #runs: RunRequest[] = [];
+    readonly #revoked: RevokedKey[] = [];
+    readonly #timeLine: string[] = [];
+    readonly #broken: string[] = [];
+    readonly #lifting: Promise<void>[] = [];
+    /** Nodes that are killed, stopped or paused at the moment, by their number from 1. */
+    readonly #busy = new Set<number>();
+    readonly #startedAt = performance.now();
+    #version = 1;
+    #keys: readonly string[] = ["key", "key-1"];
+
+    constructor(options: PlatformSoakOptions) {
+        this.#options = options;
+        this.#random = new RandomSource(options.seed);
+        this.#site = new PlatformSite(options.prefix);
+        this.#proxy = new FaultProxy({ host: `${options.prefix}.201`, port: 0 });
+    }
+
+    async run(): Promise<PlatformSoakResult> {
+        await this.#start();
+        const addresses = this.#site.nodes.map(node => node.address);
+        const callers = new SoakCallers(new RandomSource(this.#options.seed + 1), addresses, () => this.#drawKey());
+        callers.start(requestsAtOnce);
+        while (performance.now() - this.#startedAt < this.#options.milliseconds) {
+            this.#injectFault();
+            await wait(this.#random.nextInteger(mostGapMilliseconds));
+        }
+        await Promise.all(this.#lifting);
+        await this.#checkRecovery(callers);
+        await callers.stop();
+        const promises = findBrokenPromises(callers.seen, this.#runs, this.#revoked, revocationMilliseconds);
+        return {
+            broken: [...this.#broken, ...promises],
+            timeLine: this.#timeLine,
+            requests: callers.seen.length,
+            served: callers.seen.filter(({ status, isWhole }) => status === 200 && isWhole).length,
+        };
+    }
+
+    async stop(): Promise<void> {
+        await this.#site.stop();
+        await this.#proxy.stop();
+    }
+
+    async #start(): Promise<void> {
+        await this.#proxy.start();
+        await this.#site.start(runnerCount);
+        this.#publish();
+        for (const id of this.#site.runners.keys()) {
+            this.#setRunner(id, "none");
+        }
+        for (let index = 1; index <= nodeCount; index += 1) {
+            const target = { host: `${this.#options.prefix}.200`, port: storePort };
+            await this.#proxy.addRoute(`store-${index}`, this.#getLink(index), target);
+            this.#startNode(index);
+        }
+        for (const node of this.#site.nodes) {
+            await this.#site.waitForReady(node);
+        }
+    }
+
+    #startNode(index: number): void {
+        const { host, port } = this.#getLink(index);
+        const node = this.#site.startNode(index, [], `${host}:${port}`);
+        void node.exited.then(code => {
+            if (!this.#busy.has(index)) {
+                this.#broken.push(`node ${index} ended by itself with ${code}`);
+            }
+        });
+    }
+
+    #getLink(index: number): { readonly host: string; readonly port: number; } {
+        return { host: `${this.#options.prefix}.${50 + index}`, port: proxyPort };
+    }
+
+    #publish(): void {
+        this.#version += 1;
+        this.#site.store.put("keyed.op", "config", createConfiguration(this.#version, this.#keys));
+    }
+
+    #setRunner(id: string, fault: RunnerFault): void {
+        const behaviour = createBehaviour(fault, faultShare, this.#random);
+        this.#site.runners.get(id)!.behaviour = (request, response) => {
+            this.#runs.push({ request, at: performance.now() });
+            return behaviour(request, response);
+        };
+    }
+
+    #drawKey(): string {
+        const known = [...this.#keys, ...this.#revoked.slice(-1).map(({ key }) => key)];
+        return known[Math.floor(Math.random() * known.length)];
+    }
+
+    #injectFault(): void {
+        const holdMilliseconds = leastHoldMilliseconds
+            + this.#random.nextInteger(mostHoldMilliseconds - leastHoldMilliseconds);
+        const faults = [
+            () => this.#stopNode("SIGKILL", holdMilliseconds),
+            () => this.#stopNode("SIGTERM", holdMilliseconds),
+            () => this.#pauseNode(holdMilliseconds),
+            () => this.#reload(),
+            () => this.#harmLink(holdMilliseconds),
+            () => this.#harmStore(holdMilliseconds),
+            () => this.#harmRunner(holdMilliseconds),
+            () => this.#drainRunner(holdMilliseconds),
+            () => this.#revoke(),
+            () => this.#compact(),
+        ];
+        this.#lifting.push(Promise.resolve(this.#draw(faults)()));
+    }
+
+    async #stopNode(signal: "SIGKILL" | "SIGTERM", holdMilliseconds: number): Promise<void> {
+        const index = this.#drawNode();
+        if (index === undefined) {
+            return;
+        }
+        this.#note(`${signal} to node ${index}, down for ${holdMilliseconds} ms`);
+        this.#busy.add(index);
+        const node = this.#site.nodes[index - 1];
+        node.child.kill(signal);
+        const code = await node.exited;
+        if (signal === "SIGTERM" && code !== 0) {
+            this.#broken.push(`node ${index} ended with ${code} after SIGTERM`);
+        }
+        await wait(holdMilliseconds);
+        this.#startNode(index);
+        this.#busy.delete(index);
+    }
+
+    async #pauseNode(holdMilliseconds: number): Promise<void> {
+        const index = this.#drawNode();
+        if (index === undefined) {
+            return;
+        }
+        this.#note(`node ${index} paused for ${holdMilliseconds} ms`);
+        this.#busy.add(index);
+        const { child } = this.#site.nodes[index - 1];
+        child.kill("SIGSTOP");
+        await wait(holdMilliseconds);
+        child.kill("SIGCONT");
+        this.#busy.delete(index);
+    }
+
+    #reload(): void {
+        const index = this.#drawNode();
+        if (index !== undefined) {
+            this.#note(`SIGHUP to node ${index}`);
+            this.#site.nodes[index - 1].child.kill("SIGHUP");
+        }
+    }
+
+    async #harmLink(holdMilliseconds: number): Promise<void> {
+        const route = `store-${1 + this.#random.nextInteger(nodeCount)}`;
+        const faults = this.#draw([
+            { cut: true },
+            { halfOpen: true },
+            { delayMilliseconds: 300 },
+            { oneWay: "from-target" },
+            { oneWay: "to-target" },
+            { freeze: true },
+        ]);
+        this.#note(`link ${route}: ${JSON.stringify(faults)} for ${holdMilliseconds} ms`);
+        (await this.#proxy.changeFaults({ route, ...faults }))._unsafeUnwrap();
+        await wait(holdMilliseconds);
+        const sound = { cut: false, halfOpen: false, delayMilliseconds: 0, oneWay: "none", freeze: false };
+        (await this.#proxy.changeFaults({ route, ...sound }))._unsafeUnwrap();
+    }
+
+    async #harmStore(holdMilliseconds: number): Promise<void> {
+        const mood = this.#draw(["busy", "silent", "loses-answers"] as const);
+        this.#note(`store ${mood} for ${holdMilliseconds} ms`);
+        this.#site.store.mood = mood;
+        await wait(holdMilliseconds);
+        this.#site.store.mood = "well";
+    }
+
+    async #harmRunner(holdMilliseconds: number): Promise<void> {
+        const id = this.#draw([...this.#site.runners.keys()]);
+        const fault = this.#draw(runnerFaults);
+        this.#note(`runner ${id}: ${fault} for ${holdMilliseconds} ms`);
+        this.#setRunner(id, fault);
+        await wait(holdMilliseconds);
+        this.#setRunner(id, "none");
+    }
+
+    async #drainRunner(holdMilliseconds: number): Promise<void> {
+        const id = this.#draw([...this.#site.runners.keys()]);
+        this.#note(`runner ${id} leaves for ${holdMilliseconds} ms`);
+        this.#site.register(id, { state: "draining" });
+        await wait(holdMilliseconds);
+        this.#site.register(id);
+    }
+
+    /** Takes the newest key away and hands out another one. */
+    #revoke(): void {
+        const key = this.#keys[1];
+        this.#note(`key ${key} taken away`);
+        this.#keys = ["key", `key-${this.#version + 1}`];
+        this.#publish();
+        this.#revoked.push({ key, at: performance.now() });
+    }
+
+    #compact(): void {
+        this.#note("history of the store dropped");
+        this.#site.store.compact("keyed.op");
+        this.#site.store.compact("keyed.servers");
+    }
+
+    /** When all faults are over, each node has to serve by the newest configuration again. */
+    async #checkRecovery(callers: SoakCallers): Promise<void> {
+        this.#keys = ["key", "key-last"];
+        this.#publish();
+        for (const { address } of this.#site.nodes) {
+            const isServing = async (): Promise<boolean> =>
+                (await callers.send("call", address, "key-last")).status === 200;
+            try {
+                await waitUntil(isServing, { what: `node ${address}`, boundMilliseconds: recoveryMilliseconds });
+            }
+            catch {
+                this.#broken.push(`${address} did not serve by the newest configuration after all faults were over`);
+            }
+        }
+    }
+
+    #drawNode(): number | undefined {
+        const free = Array.from({ length: nodeCount }, (...[, index]) => index + 1).filter(index =>
+            !this.#busy.has(index)
+        );
+        // One node is always left, so that the others have somebody to learn from and callers somebody to ask.
+        return free.length <= 1 ? undefined : this.#draw(free);
+    }
+
+    #draw<T>(items: readonly T[]): T {
+        return items[this.#random.nextInteger(items.length)];
+    }
+
+    #note(text: string): void {
+        this.#timeLine.push(`${Math.round(performance.now() - this.#startedAt)} ${text}`);
+    }
+}
+
+function wait(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/test/platform/soak/soakCallers.ts
@@ -0,0 +1,107 @@
+/** Callers of a soak: they send requests to whichever node they like, keep connections open, and note what they saw. */
+import { Agent, request as sendRequest } from "undici";
+import type { RandomSource } from "../../../src/common/index.js";
+
+const callerPort = 7_001;
+const deadlineMilliseconds = 2_500;
+const pauseMilliseconds = 30;
+
+/** Kinds of requests, as they stand in the paths of the site's routes. */
+export type RequestKind = "booking" | "call" | "stream";
+
+/** What a caller saw of one request. */
+export interface SeenRequest {
+    readonly id: string;
+    readonly kind: RequestKind;
+    readonly key: string;
+    readonly sentAt: number;
+    /** Undefined when the connection broke before the answer began. */
+    readonly status: number | undefined;
+    readonly isSealed: boolean;
+    readonly body: string;
+    /** Whether the answer ended as a whole one. */
+    readonly isWhole: boolean;
+}
+
+/** Sends requests until it is stopped. */
+export class SoakCallers {
+    readonly seen: SeenRequest[] = [];
+    readonly #agent = new Agent({ connect: { timeout: 500 }, headersTimeout: 5_000, bodyTimeout: 5_000 });
+    readonly #random: RandomSource;
+    readonly #addresses: readonly string[];
+    readonly #getKey: () => string;
+    readonly #running: Promise<void>[] = [];
+    #count = 0;
+    #isStopped = false;
+
+    /**
+     * @param random - Draws the node of each request.
+     * @param addresses - Addresses of the nodes.
+     * @param getKey - Returns the key of the next request.
+     */
+    constructor(random: RandomSource, addresses: readonly string[], getKey: () => string) {
+        this.#random = random;
+        this.#addresses = addresses;
+        this.#getKey = getKey;
+    }
+
+    /** Begins to send, so many requests of each kind at a time. */
+    start(atOnce: number): void {
+        for (const kind of ["booking", "call", "stream"] as const) {
+            for (let index = 0; index < atOnce; index += 1) {
+                this.#running.push(this.#run(kind));
+            }
+        }
+    }
+
+    /** Ends when the requests under way have ended. */
+    async stop(): Promise<void> {
+        this.#isStopped = true;
+        await Promise.all(this.#running);
+        await this.#agent.destroy();
+    }
+
+    /** Sends one request to a node. */
+    async send(kind: RequestKind, address: string, key: string): Promise<SeenRequest> {
+        this.#count += 1;
+        const id = `${kind}-${this.#count}`;
+        const sent = { id, kind, key, sentAt: performance.now() };
+        let status: number | undefined;
+        let isSealed = false;
+        const pieces: Buffer[] = [];
+        let isWhole = false;
+        try {
+            const response = await sendRequest(`http://${address}:${callerPort}/${kind}/1`, {
+                dispatcher: this.#agent,
+                method: "POST",
+                headers: {
+                    "host": "app.example",
+                    "attempt-id": id,
+                    "deadline-ms": String(deadlineMilliseconds),
+                    "api-key": key,
+                },
+                body: "hello",
+            });
+            status = response.statusCode;
+            isSealed = response.headers["server-seal"] !== undefined;
+            for await (const piece of response.body as AsyncIterable<Buffer>) {
+                pieces.push(piece);
+            }
+            isWhole = true;
+        }
+        catch {
+            // The connection broke, or the node was away: what was seen until then is noted.
+        }
+        const seen = { ...sent, status, isSealed, body: Buffer.concat(pieces).toString(), isWhole };
+        this.seen.push(seen);
+        return seen;
+    }
+
+    async #run(kind: RequestKind): Promise<void> {
+        while (!this.#isStopped) {
+            const address = this.#addresses[this.#random.nextInteger(this.#addresses.length)];
+            await this.send(kind, address, this.#getKey());
+            await new Promise(resolve => setTimeout(resolve, pauseMilliseconds));
+        }
+    }
+}
--- /dev/null
+++ b/test/platform/soak/soakRunners.ts
@@ -0,0 +1,74 @@
+/** Runners of a soak: they answer in a way that tells whose answer it is, and fail in the ways that runners fail. */
+import type { ServerResponse } from "node:http";
+import type { RandomSource } from "../../../src/common/index.js";
+import { createSeal, type ReceivedRequest, type RunnerBehaviour } from "../standins/runnerStandin.js";
+
+/** Events of a whole stream. */
+export const streamEvents = 12;
+const eventMilliseconds = 15;
+const slowMilliseconds = 900;
+
+/** How a runner fails a part of its requests. */
+export type RunnerFault = "none" | "reset" | "mute" | "truncate" | "error" | "slow";
+
+/** Returns the body of a whole answer to a request. */
+export function createWholeBody(requestId: string): string {
+    return `done ${requestId}`;
+}
+
+/** Creates the behaviour of a runner that fails a share of its requests. */
+export function createBehaviour(fault: RunnerFault, share: number, random: RandomSource): RunnerBehaviour {
+    return async (request, response) => {
+        const isFaulty = fault !== "none" && random.next() < share;
+        if (isFaulty && fault === "mute") {
+            return;
+        }
+        if (isFaulty && fault === "reset") {
+            response.socket?.destroy();
+            return;
+        }
+        if (isFaulty && fault === "error") {
+            response.writeHead(500, createSeal(request)).end("failed");
+            return;
+        }
+        if (isFaulty && fault === "slow") {
+            await wait(slowMilliseconds);
+        }
+        const breaksOff = isFaulty && fault === "truncate";
+        await (request.target.startsWith("/stream/")
+            ? answerStream(request, response, breaksOff)
+            : answerWhole(request, response, breaksOff));
+    };
+}
+
+async function answerWhole(request: ReceivedRequest, response: ServerResponse, breaksOff: boolean): Promise<void> {
+    const body = createWholeBody(String(request.headers["attempt-id"]));
+    response.writeHead(200, { ...createSeal(request), "Content-Length": String(body.length) });
+    if (breaksOff) {
+        response.write(body.slice(0, body.length / 2));
+        await wait(eventMilliseconds);
+        response.socket?.destroy();
+        return;
+    }
+    response.end(body);
+}
+
+async function answerStream(request: ReceivedRequest, response: ServerResponse, breaksOff: boolean): Promise<void> {
+    response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    for (let id = first; id <= streamEvents; id += 1) {
+        if (breaksOff && id === Math.floor((first + streamEvents) / 2)) {
+            response.write(`id: ${id}\nda`);
+            await wait(eventMilliseconds);
+            response.socket?.destroy();
+            return;
+        }
+        response.write(`id: ${id}\ndata: ${request.headers["attempt-id"]}\n\n`);
+        await wait(eventMilliseconds);
+    }
+    response.end();
+}
+
+function wait(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
