Presume new members for three seconds, and prove the open call between peers

Cause: a member was presumed alive for the time of suspicion, 10 s with 90 nodes, and a restarted node would send callers to nodes that are gone for as long. The open call had no test of a connection that falls silent for good. Change: 3 s; tests of the presumption, of the partners of a large site, and of the open call.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -18,6 +18,11 @@
 const deadFactor = 3;
 /** A silent member's protocol still binds for so long: it may only be cut off. */
 const defaultRecentMilliseconds = 10 * 60_000;
+/**
+ * A member that was just listed is presumed alive for so long, in milliseconds: 90 nodes that start together have heard of each
+ * other after two seconds. Longer, callers of a node that has just started would be sent to nodes that are gone.
+ */
+const presumedMilliseconds = 3_000;
 const majority = 0.5;
 /** The list of members is worked out anew after so long; it is asked for with every claim. */
 const cacheMilliseconds = 100;
@@ -139,8 +144,7 @@
      * send all callers to itself.
      */
     getPresumed(): readonly Member[] {
-        const suspect = this.#options.gossip.getSuspectMilliseconds();
-        return this.getMembers().filter(member => member.state === "alive" || isNew(member, suspect));
+        return this.getMembers().filter(member => member.state === "alive" || isNew(member));
     }
 
     /**
@@ -300,8 +304,8 @@
     }
 }
 
-function isNew({ isHeard, heartbeatAge }: Member, suspectMilliseconds: number): boolean {
-    return !isHeard && heartbeatAge < suspectMilliseconds;
+function isNew({ isHeard, heartbeatAge }: Member): boolean {
+    return !isHeard && heartbeatAge < presumedMilliseconds;
 }
 
 function parseNode(value: Buffer | undefined): PublishedNode | undefined {
--- a/test/membership/gossip.test.ts
+++ b/test/membership/gossip.test.ts
@@ -71,6 +71,16 @@
         });
     });
 
+    // Each node of a large site that talks to every other one opens thousands of connections as the site starts, and callers wait
+    // for their nodes meanwhile. With few partners the news still has to reach all.
+    it("keeps to a few partners at a large site, and reaches all through them", async () => {
+        const site = createGossipSite(60);
+        site.nodes[0].gossip.set("color", Buffer.from("red"));
+        await site.run(12);
+        expect(site.nodes.filter(node => node.gossip.get("entry-0", "color") === undefined).length).toEqual(0);
+        expect(Math.max(...site.countPartners().values()) <= 8 + 60 * 0.15).toEqual(true);
+    });
+
     describe("exchangeOnce", () => {
         it("brings both sides up to date with one exchange", async () => {
             const site = createGossipSite(2);
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -82,6 +82,21 @@
         });
     });
 
+    describe("getPresumed", () => {
+        // A whole site starts at once, and nobody has heard of anybody. A node that took itself for the only one sent all callers to
+        // itself, and read the store in everybody's place. A member that stays silent is gone, though, and callers must not be sent
+        // there.
+        it("counts on members that were just listed, until they had time to be heard", async () => {
+            const site = createGossipSite(size);
+            const [{ membership, clock }] = site.nodes;
+            expect([membership.getAlive().length, membership.getPresumed().length]).toEqual([1, size]);
+            clock.advance(4_000);
+            expect(membership.getPresumed().length).toEqual(1);
+            await site.run(periodsToSpread);
+            expect(membership.getPresumed().length).toEqual(size);
+        });
+    });
+
     describe("announceLeaving", () => {
         it("tells all members at once", async () => {
             const site = await createSettledSite();
--- /dev/null
+++ b/test/membership/stateConversation.test.ts
@@ -0,0 +1,146 @@
+import { expect } from "earl";
+import { connect, createServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import type { FetchStateReply, FetchStateRequest } from "../../src/generated/peer.js";
+import { type NodeIdentity, PeerClient, type PeerHandlers, PeerServer } from "../../src/membership/index.js";
+import { createJournal } from "../fixtures/journals.js";
+import { waitUntil } from "../fixtures/waiting.js";
+
+const network = "127.50.6";
+const milliseconds = 400;
+const finishers: (() => Promise<unknown> | unknown)[] = [];
+
+function createQuestion(knownOffset: number): FetchStateRequest {
+    return { stream: "topic", knownOffset, counter: 0, waitMilliseconds: 0, whole: false };
+}
+
+function createReply(offset: number): FetchStateReply {
+    const state = Buffer.alloc(0);
+    return { newer: false, offset, state, counter: 0, ageMilliseconds: 0, heldMilliseconds: 0, complete: true };
+}
+
+async function startServer(host: string, port: number, fetchState: PeerHandlers["fetchState"]): Promise<PeerServer> {
+    const unwanted = (): never => {
+        throw new Error("not wanted");
+    };
+    const handlers = { exchange: unwanted, push: unwanted, copyBills: unwanted, decideClaims: unwanted, fetchState };
+    const server = new PeerServer({ address: host, port, handlers, journal: createJournal().journal });
+    (await server.start())._unsafeUnwrap();
+    finishers.push(() => server.stop());
+    return server;
+}
+
+function createClient(): PeerClient {
+    const client = new PeerClient();
+    finishers.push(() => client.close());
+    return client;
+}
+
+function createPeer(host: string, peerPort: number): NodeIdentity {
+    return { id: host, address: host, peerPort, failureDomain: "north", region: "south" };
+}
+
+/** Leads connections to a target; those that are open when it is told so carry nothing any more, without an end. */
+async function startRelay(host: string, target: { readonly host: string; readonly port: number; }) {
+    const open = new Set<Socket>();
+    const silent = new Set<Socket>();
+    const lead = (from: Socket, to: Socket): void => {
+        from.on("data", bytes => silent.has(from) || to.write(bytes));
+        from.on("error", () => {
+            // The other side gave the connection up.
+        });
+        open.add(from);
+    };
+    const server = createServer(socket => {
+        const other = connect(target.port, target.host);
+        lead(socket, other);
+        lead(other, socket);
+    });
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    finishers.push(() => {
+        for (const socket of open) {
+            socket.destroy();
+        }
+        server.close();
+    });
+    const address = server.address();
+    const silence = (): void => {
+        for (const socket of open) {
+            silent.add(socket);
+        }
+    };
+    return { port: typeof address === "object" ? address?.port ?? 0 : 0, silence };
+}
+
+describe("StateConversation", () => {
+    afterEach(async () => {
+        for (const finish of finishers.splice(0).reverse()) {
+            await finish();
+        }
+    });
+
+    it("answers each question with its own answer, also when a later one is answered first", async () => {
+        const host = `${network}.1`;
+        await startServer(host, 7_100, async ({ knownOffset }) => {
+            await new Promise(resolve => setTimeout(resolve, knownOffset === 1 ? 60 : 0));
+            return createReply(knownOffset);
+        });
+        const client = createClient();
+        const peer = createPeer(host, 7_100);
+        const order: number[] = [];
+        const answers = await Promise.all([1, 2, 3].map(async offset => {
+            const answer = await client.followState(peer, createQuestion(offset), milliseconds);
+            order.push(offset);
+            return answer._unsafeUnwrap().offset;
+        }));
+        expect(answers).toEqual([1, 2, 3]);
+        expect(order.at(-1)).toEqual(1);
+    });
+
+    it("fails the question that the peer can't answer, and no other", async () => {
+        const host = `${network}.2`;
+        await startServer(host, 7_100, ({ knownOffset }) => {
+            if (knownOffset === 2) {
+                throw new Error("The topic can't be read here.");
+            }
+            return createReply(knownOffset);
+        });
+        const client = createClient();
+        const results = await Promise.all(
+            [1, 2, 3].map(offset => client.followState(createPeer(host, 7_100), createQuestion(offset), milliseconds)),
+        );
+        expect(results.map(result => result.isOk())).toEqual([true, false, true]);
+    });
+
+    // The connection to a peer falls silent for good, without a reset, while new ones work. A node that went on asking on it would
+    // hear nothing until the library's keep-alive notices, seconds after its knowledge has become too old for keyed requests.
+    it("asks on a new connection after an answer is overdue", async () => {
+        const host = `${network}.3`;
+        await startServer(host, 7_100, ({ knownOffset }) => createReply(knownOffset));
+        const relay = await startRelay(`${network}.5`, { host, port: 7_100 });
+        const peer = createPeer(`${network}.5`, relay.port);
+        const client = createClient();
+        expect((await client.followState(peer, createQuestion(1), milliseconds)).isOk()).toEqual(true);
+        relay.silence();
+        expect((await client.followState(peer, createQuestion(2), milliseconds)).isErr()).toEqual(true);
+        const answer = await client.followState(peer, createQuestion(3), milliseconds);
+        expect(answer._unsafeUnwrap().offset).toEqual(3);
+    });
+
+    // A peer is killed and starts again on its address. Questions under way must fail at once, so that somebody else is asked.
+    it("fails at once when the peer dies, and finds it again", async () => {
+        const host = `${network}.6`;
+        const first = await startServer(host, 7_100, () => new Promise<FetchStateReply>(() => undefined));
+        const client = createClient();
+        const peer = createPeer(host, 7_100);
+        const asked = client.followState(peer, createQuestion(1), 10_000);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        await first.stop();
+        expect((await asked).isErr()).toEqual(true);
+        await startServer(host, 7_100, ({ knownOffset }) => createReply(knownOffset));
+        await waitUntil(
+            async () => (await client.followState(peer, createQuestion(2), milliseconds)).isOk(),
+            "the peer",
+        );
+    });
+});
