Go on without a log when its reader is gone

Cause: found when a soak was ended by hand: its nodes ended themselves with EPIPE on their next line, since nothing heard the error of standard output. Ruled out: the gathering of lines (the stream before it had no listener either). Change: after an error of its output the line writer counts what it leaves out, and the node serves on. Figures: 'goes on without lines when their reader is gone' fails without the listener (EPIPE) and passes with it.

--- a/src/events/lineWriter.ts
+++ b/src/events/lineWriter.ts
@@ -38,11 +38,14 @@
     #timer: NodeJS.Timeout | undefined;
     #leftOut = 0;
     #leftOutInAll = 0;
+    #isBroken = false;
 
     constructor(options: LineWriterOptions) {
         this.#clock = options.clock;
         // A pipe behind process.stdout is written synchronously: a reader that stalls would stop the whole process.
         this.#output = options.output ?? createWriteStream("", { fd: standardOutput, autoClose: false });
+        // Whoever reads the lines may go away. Unheard, the error ends the process, and callers lose a node for its log.
+        this.#output.on("error", () => this.#isBroken = true);
         this.#refilledAt = options.clock.monotonic();
     }
 
@@ -59,7 +62,7 @@
         this.#refill();
         const reserve = line.level === "info" ? burstLines / 4 : 0;
         const waiting = this.#output.writableLength + this.#gatheredLength;
-        if (this.#allowance <= reserve || waiting > mostWaitingBytes) {
+        if (this.#isBroken || this.#allowance <= reserve || waiting > mostWaitingBytes) {
             this.#leftOut += 1;
             this.#leftOutInAll += 1;
             return;
@@ -86,7 +89,7 @@
         const text = this.#gathered.join("");
         this.#gathered = [];
         this.#gatheredLength = 0;
-        return new Promise(resolve => this.#output.write(text, () => resolve()));
+        return this.#isBroken ? Promise.resolve() : new Promise(resolve => this.#output.write(text, () => resolve()));
     }
 
     #print(line: EventLine & { readonly count?: number; }): void {
--- a/test/events/lineWriter.test.ts
+++ b/test/events/lineWriter.test.ts
@@ -80,4 +80,15 @@
         expect(writer.getLeftOut() > 0).toEqual(true);
         expect(output.writableLength < 600 * 1_024).toEqual(true);
     });
+
+    // Whoever reads the lines dies. The error of the next write ended the process, so that callers lost a node for its log.
+    it("goes on without lines when their reader is gone", async () => {
+        const output = new Writable({ write: (...[, , callback]) => callback(new Error("EPIPE")) });
+        const writer = new LineWriter({ clock: new ManualClock(), output });
+        writer.write(createLine("warning", 1));
+        await writer.flush();
+        writer.write(createLine("warning", 2));
+        await writer.flush();
+        expect(writer.getLeftOut()).toEqual(1);
+    });
 });
