Begin roll-outs with a smaller share at large sites

A node knows the sessions that it has served; a session that changes nodes is new to the next one, and with 89 nodes and five times the requests there are five such sessions in the first step's share. Ruled out: the trace shows the new version's share in force and no failure on the way; the change of tenants at 4.9 s touches no version. Sites of up to 16 nodes are unchanged. Figures: 'begins with fewer sessions at a large site' fails without the change (0.0675 of the requests at 89 nodes) and passes with it. Sessions that all nodes know would be better; that is the next step.

--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -278,6 +278,7 @@
         exposureShare: settings.bounds.exposureShare,
         sessionMilliseconds: settings.bounds.sessionMilliseconds,
         getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
+        getMemberCount: () => membership.getMembers().length,
         publishEvidence: (pool, value) => gossip.set(`${evidenceKey}${pool}`, value),
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) => gossip.set(`${haltKey}${pool}`, Buffer.from(String(order)), { urgent: true }),
--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -19,12 +19,20 @@
     readonly currentInFlight: number;
     /** Part of all requests that a bad version may get until the deadline. */
     readonly exposureShare: number;
+    /** Nodes that may be at work. */
+    readonly members: number;
     /** Unix milliseconds. */
     readonly wallNow: number;
 }
 
 /** Part of the allowed exposure that is used until the new version may take over sessions. */
 const firstExposure = 0.45;
+/**
+ * From so many nodes on the first step takes a smaller share, in proportion. A node knows only the sessions that it has served; one
+ * that moves between nodes in the first step may find the new version after the old one. The more requests a site has, the more such
+ * sessions: five in a day with 89 nodes. Its first step takes fewer of them and shows as much, since the share is of more requests.
+ */
+const firstStepMembers = 16;
 /**
  * Until half of the time is over, sessions that began on the old version stay there: only new ones go to the new version.
  * A little later than half, since nodes do not hear of an order at the same moment.
@@ -63,12 +71,12 @@
     return undefined;
 }
 
-function getShare({ candidates, exposureShare }: RolloutSituation, time: number): number {
+function getShare({ candidates, exposureShare, members }: RolloutSituation, time: number): number {
     if (candidates === 0) {
         return 0;
     }
     if (time < firstPhase) {
-        return exposureShare * firstExposure;
+        return exposureShare * firstExposure * Math.min(1, firstStepMembers / members);
     }
     return time < secondPhase ? secondShare : 1;
 }
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -37,6 +37,8 @@
     readonly sessionMilliseconds: number;
     /** Returns how many nodes rank before this one. */
     readonly getRank: () => number;
+    /** Returns how many nodes may be at work. */
+    readonly getMemberCount: () => number;
     /** Tells the other nodes this node's evidence on a pool's roll-out. */
     readonly publishEvidence: (pool: string, value: Buffer) => void;
     /** Returns the evidence of the other nodes. */
@@ -262,7 +264,7 @@
     }
 
     #advance(rollout: Rollout): void {
-        const { clock, registry, exposureShare, getRank } = this.#options;
+        const { clock, registry, exposureShare, getRank, getMemberCount } = this.#options;
         const now = clock.monotonic();
         const { order, progress, isHalted } = rollout;
         const upstreams = registry.getTaking(order.pool);
@@ -280,6 +282,7 @@
             currents: upstreams.length - candidates,
             currentInFlight,
             exposureShare,
+            members: getMemberCount(),
             wallNow: clock.wall(),
         });
         if (next === undefined) {
--- a/test/rollouts/planRollout.test.ts
+++ b/test/rollouts/planRollout.test.ts
@@ -16,6 +16,7 @@
         currents: 3,
         currentInFlight: 4,
         exposureShare: 0.15,
+        members: 8,
         wallNow: 1_000_000,
         ...options,
     };
@@ -45,6 +46,14 @@
         expect(steps.at(-1)!.at < 18_000).toEqual(true);
     });
 
+    // A session moves from one node to another, which has not seen it. In the first step of a large site that node takes it for a new
+    // one, and its caller is answered by the new version after the old one.
+    it("begins with fewer sessions at a large site", () => {
+        const [small, large] = [16, 89].map(members => planRollout(createSituation({ members })));
+        expect(small?.share).toEqual(0.0675);
+        expect(large!.share < 0.013).toEqual(true);
+    });
+
     // Requests at work at the old upstreams are broken off when the roll-out completes: they stop at once.
     it("waits for requests at the old upstreams, but not beyond the time", () => {
         const steps = run(() => ({ currentInFlight: 2 }));
