--- a/src/claims/claimClient.ts
+++ b/src/claims/claimClient.ts
@@ -91,6 +91,7 @@
     readonly #options: ClaimClientOptions;
     readonly #createId: () => string;
     readonly #repeats = new Set<NodeJS.Timeout>();
+    #isStopped = false;
 
     constructor(options: ClaimClientOptions) {
         this.#options = options;
@@ -99,6 +100,7 @@
 
     /** Gives up the releases and outcomes that still wait for the log. */
     stop(): void {
+        this.#isStopped = true;
         for (const timer of this.#repeats) {
             clearTimeout(timer);
         }
@@ -213,6 +215,9 @@
 
     /** Goes on writing a release or an outcome that the log did not confirm, until it does or the time is over. */
     #repeatLater(operation: ClaimOperation, startedAt: number, pauseMilliseconds = firstRepeatPauseMilliseconds): void {
+        if (this.#isStopped) {
+            return;
+        }
         const timer = setTimeout(async () => {
             this.#repeats.delete(timer);
             const decided = await this.#decide(operation);
--- a/src/claims/collectorPool.ts
+++ b/src/claims/collectorPool.ts
@@ -30,6 +30,7 @@
     readonly #options: CollectorPoolOptions;
     readonly #collectors = new Map<number, Collector>();
     #timer: NodeJS.Timeout | undefined;
+    #isStopped = false;
 
     constructor(options: CollectorPoolOptions) {
         this.#options = options;
@@ -37,13 +38,15 @@
 
     /** Begins to run this node's collectors, and to follow changes of who collects what. */
     start(): void {
+        this.#isStopped = false;
         this.#reassign();
         this.#timer ??= setInterval(() => this.#reassign(), reassignMilliseconds);
         this.#timer.unref();
     }
 
-    /** Stops all collectors. */
+    /** Stops all collectors. Operations that come later are not decided here any more. */
     async stop(): Promise<void> {
+        this.#isStopped = true;
         clearInterval(this.#timer);
         await Promise.all([...this.#collectors.values()].map(collector => collector.stop()));
         this.#collectors.clear();
@@ -69,8 +72,9 @@
      * @param operations - The operations.
      */
     async decide(partition: number, operations: readonly ClaimOperation[]): Promise<readonly PoolDecision[]> {
-        // A peer's call comes from another process: a partition that does not exist must not start a collector.
-        if (!Number.isInteger(partition) || partition < 0 || partition >= this.#options.partitions) {
+        // A peer's call comes from another process: a partition that does not exist must not start a collector. Nor must a release
+        // that is still repeated while the node stops: nobody would stop that collector, and the process would never end.
+        if (this.#isStopped || !Number.isInteger(partition) || partition < 0 || partition >= this.#options.partitions) {
             return operations.map(({ id }) => ({ id, mayHaveTakenEffect: false }));
         }
         const collector = this.get(partition);
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -6,12 +6,12 @@
  * them by the next exchanges.
  */
 import type { Clock, RandomSource } from "../common/index.js";
-import { getUnitRank } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { ExchangeReply, ExchangeRequest, Item, PushRequest } from "../generated/peer.js";
 import type { Vm } from "../world/index.js";
 import { readDigest, writeDigest } from "./gossipMessages.js";
 import { getPeriod, getSuspectTime, getValueBytes } from "./gossipPace.js";
+import { GossipPartners, mostPartners } from "./gossipPartners.js";
 import { type DigestLine, GossipState, incarnationKey } from "./gossipState.js";
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol } from "./protocol.js";
@@ -26,12 +26,6 @@
 const millisecondsPerVersion = 20;
 const pushFanOut = 4;
 const pushHops = 5;
-/**
- * A node exchanges with so many peers of its own choice, of those that are heard of. Every node talking to every other one would
- * open 8,000 connections as a site of 90 nodes starts, and keep 350 at each node of the largest; a random graph of this degree
- * carries news in as many rounds.
- */
-const mostPartners = 8;
 /** One exchange in so many goes to a peer that seems dead, so that two halves find each other again after a cut. */
 const revivalShare = 0.15;
 /** An origin that has left the VM list is remembered until it has been silent for so long. */
@@ -58,14 +52,14 @@
     readonly #state = new GossipState();
     readonly #listeners: GossipListener[] = [];
     #peers: ReadonlyMap<string, PeerAddress> = new Map();
-    /** This node's ranks of its peers. */
-    readonly #ranks = new Map<string, number>();
+    readonly #partners: GossipPartners;
     #heartbeat: number;
     #version: number;
     #timer: NodeJS.Timeout | undefined;
 
     constructor(options: GossipOptions) {
         this.#options = options;
+        this.#partners = new GossipPartners(options.self.id);
         const elapsedMilliseconds = options.clock.wall() - versionEpochMilliseconds;
         this.#version = Math.max(1, Math.floor(elapsedMilliseconds / millisecondsPerVersion));
         this.#heartbeat = this.#version;
@@ -160,11 +154,7 @@
             }
         }
         this.#peers = peers;
-        for (const id of this.#ranks.keys()) {
-            if (!peers.has(id)) {
-                this.#ranks.delete(id);
-            }
-        }
+        this.#partners.retain(peers);
         this.#forgetGone();
     }
 
@@ -322,7 +312,7 @@
     #push(items: Item[], hops: number, skipped: ReadonlySet<string>): void {
         const { heard } = this.#dividePeers();
         const known = heard.length >= mostPartners ? heard : [...this.#peers.values()];
-        const peers = shuffle(this.#selectPartners(known.filter(peer => !skipped.has(peer.id))), this.#options.random);
+        const peers = shuffle(this.#partners.select(known.filter(peer => !skipped.has(peer.id))), this.#options.random);
         const { sender, counter } = this.#createEnvelope();
         for (const peer of peers.slice(0, pushFanOut)) {
             void this.#options.transport.push(peer, { sender, counter, items, bases: [], hops });
@@ -332,7 +322,7 @@
     #pickPeer(): PeerAddress | undefined {
         const { quiet, heard } = this.#dividePeers();
         const isRevival = quiet.length > 0 && this.#options.random.next() < revivalShare;
-        const candidates = isRevival ? quiet : this.#selectPartners(heard.length > 0 ? heard : quiet);
+        const candidates = isRevival ? quiet : this.#partners.select(heard.length > 0 ? heard : quiet);
         return candidates.length === 0
             ? undefined
             : candidates[this.#options.random.nextInteger(candidates.length)];
@@ -350,24 +340,6 @@
         return { quiet, heard };
     }
 
-    /** Returns the peers that this node exchanges with, by a rank that is its own: all of them at a small site. */
-    #selectPartners(peers: readonly PeerAddress[]): readonly PeerAddress[] {
-        if (peers.length <= mostPartners) {
-            return peers;
-        }
-        const ranked = [...peers].sort((first, second) => this.#getRank(second.id) - this.#getRank(first.id));
-        return ranked.slice(0, mostPartners);
-    }
-
-    #getRank(peer: string): number {
-        let rank = this.#ranks.get(peer);
-        if (rank === undefined) {
-            rank = getUnitRank(this.#options.self.id, peer);
-            this.#ranks.set(peer, rank);
-        }
-        return rank;
-    }
-
     /** Returns how long a heartbeat may stay unchanged before its node is suspected. */
     getSuspectMilliseconds(): number {
         return getSuspectTime(this.getPeriodMilliseconds(), this.#peers.size);
--- a/src/standins/proxy/proxyRoute.ts
+++ b/src/standins/proxy/proxyRoute.ts
@@ -7,6 +7,7 @@
 import type { Address } from "../address.js";
 import { Conditions } from "../conditions.js";
 import { Pump } from "./pump.js";
+import { resetSocket } from "./resetSocket.js";
 import { type RouteFaults, routeFaultSchema } from "./routeFaults.js";
 
 /** What the proxy notes of a connection. */
@@ -149,6 +150,6 @@
 
 function breakSockets(sockets: readonly Socket[]): void {
     for (const socket of sockets) {
-        socket.resetAndDestroy();
+        resetSocket(socket);
     }
 }
