Take a node's first read for no outage, and end the grace of lapsed entries with the store's two seconds

A node that has just started had an infinite age before its first read, so that read counted as the end of an outage of the store; for the next two seconds each withdrawn entry was kept for another two seconds as one that may only have lapsed.

Change: the first read ends no outage; the grace counts from the outage's end, not from when an entry vanished, since upstreams that live are registered again within two seconds of the store's return. `UpstreamRegistry.replace`, which nothing used, is gone.

--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -4,12 +4,6 @@
 import type { Clock } from "../common/index.js";
 import type { RegisteredUpstream } from "./upstream.js";
 
-/**
- * How long an entry that lapsed while the store was away still counts after the store's return. Upstreams that live are
- * registered again within two seconds; without this time one outage would empty every pool.
- */
-const lapseGraceMilliseconds = 2_000;
-
 /** Takes an upstream that is new, was started anew, or is gone. */
 export type UpstreamListener = (upstream: RegisteredUpstream) => void;
 
@@ -51,38 +45,21 @@
     /**
      * Removes an upstream.
      * @param id - Its identifier.
-     * @param options - `mayHaveLapsed` keeps it for a while: its entry may have expired because the store was away.
+     * @param graceMilliseconds - How long it still counts: its entry may have expired because the store was away, and upstreams
+     * that live need a while to register again. Without this time one outage would empty every pool.
      */
-    remove(id: string, options: { readonly mayHaveLapsed: boolean; }): void {
+    remove(id: string, graceMilliseconds: number): void {
         const known = this.#upstreams.get(id);
         if (known === undefined) {
             return;
         }
-        if (options.mayHaveLapsed && !known.isLeaving) {
-            this.#lapsing.set(id, this.#clock.monotonic() + lapseGraceMilliseconds);
+        if (graceMilliseconds > 0 && !known.isLeaving) {
+            this.#lapsing.set(id, this.#clock.monotonic() + graceMilliseconds);
             return;
         }
         this.#forget(known);
     }
 
-    /**
-     * Replaces all entries by a snapshot.
-     * @param upstreams - The entries of the snapshot.
-     * @param options - As for `remove`.
-     */
-    replace(upstreams: readonly RegisteredUpstream[], options: { readonly mayHaveLapsed: boolean; }): void {
-        const listed = new Set<string>();
-        for (const upstream of upstreams) {
-            listed.add(upstream.id);
-            this.set(upstream);
-        }
-        for (const id of [...this.#upstreams.keys()]) {
-            if (!listed.has(id) && !this.#lapsing.has(id)) {
-                this.remove(id, options);
-            }
-        }
-    }
-
     /**
      * Marks an upstream as leaving that said so itself, before its entry does.
      * @param id - Its identifier.
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -35,9 +35,18 @@
 const statusWaitMilliseconds = 2_000;
 /** A status that was not confirmed for so long has to be read elsewhere, in milliseconds. */
 const statusStaleMilliseconds = 5_000;
+/**
+ * Part of the time in which a configuration must be in force that callers of a node that has just started wait for the first read.
+ * The store answers in 4 ms, and in 240 ms when it is sixty times slower; without an answer by then it is away, and callers are
+ * refused at once.
+ */
+const firstReadShare = 0.2;
 /** Entries lapse after three heartbeats of 1.2 s in silence; an outage that was shorter lets none lapse, in milliseconds. */
 const outageMilliseconds = 3_000;
-/** An entry that vanishes within this time after an outage of the store may only have lapsed, in milliseconds. */
+/**
+ * Until so long after an outage of the store, entries that vanish may only have lapsed, in milliseconds: upstreams that live are
+ * registered again within two seconds of its return, and one that is still missing then is gone.
+ */
 const lapseMilliseconds = 2_000;
 const appendPauseMilliseconds = 500;
 /** A node that could not tell what the store holds is passed over for so long, in milliseconds; a restart takes about two seconds. */
@@ -77,6 +86,7 @@
     /** Until when a node that did not answer is passed over. */
     readonly #avoidedUntil = new Map<string, number>();
     #routes: RouteTable | undefined;
+    #startedAt = Number.NEGATIVE_INFINITY;
     #isStopped = false;
 
     constructor(options: PlatformTopicsOptions) {
@@ -98,12 +108,27 @@
 
     /** Begins to follow, and announces this node. */
     start(): void {
+        this.#startedAt = this.#options.beliefClock.monotonic();
         this.#operator.start();
         this.#upstreams.start();
         this.#status.start();
         void this.#announce();
     }
 
+    /**
+     * Waits until the configuration and the upstreams have been read once, or until that has taken too long. Callers of a node
+     * that has just started would otherwise be refused milliseconds before it can serve them, and have no try left.
+     * @returns Undefined when there is nothing to wait for.
+     */
+    waitFirstRead(): Promise<unknown> | undefined {
+        const elapsed = this.#options.beliefClock.monotonic() - this.#startedAt;
+        const left = this.#options.liveSettings.get().bounds.configurationMilliseconds * firstReadShare - elapsed;
+        if (left <= 0 || this.#operator.state.isLoaded() && this.#upstreams.state.isLoaded()) {
+            return undefined;
+        }
+        return Promise.all([this.#operator.waitLoaded(left), this.#upstreams.waitLoaded(left)]);
+    }
+
     /** Ends following. */
     stop(): void {
         this.#isStopped = true;
@@ -263,8 +288,7 @@
         for (const { key, value } of changed) {
             const upstream = value === undefined ? undefined : decodeUpstream(key, value);
             if (upstream === undefined) {
-                const mayHaveLapsed = value === undefined && this.#upstreams.getTimeSinceOutage() < lapseMilliseconds;
-                registry.remove(key, { mayHaveLapsed });
+                registry.remove(key, value === undefined ? this.#getLapseGrace() : 0);
             }
             else {
                 registry.set(upstream);
@@ -283,6 +307,11 @@
         }
     }
 
+    /** Counted from the outage's end: counted from when an entry vanished, one that left then would get work for too long. */
+    #getLapseGrace(): number {
+        return Math.max(0, lapseMilliseconds - this.#upstreams.getTimeSinceOutage());
+    }
+
     #takeStatus(changed: readonly KeyedRecord[]): void {
         for (const { key, value } of changed) {
             if (key.startsWith(recordKeys.memberPrefix)) {
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -96,7 +96,8 @@
      * @param page - The page.
      */
     offer(page: TopicPage): void {
-        if (this.getAge() > this.#options.outageMilliseconds) {
+        // The first read of a node that has just started ends no outage: nothing that it knows can have lapsed.
+        if (this.state.isLoaded() && this.getAge() > this.#options.outageMilliseconds) {
             this.#outageEndedAt = this.#options.clock.monotonic();
         }
         const changed = this.state.apply(page);
--- a/test/fleet/upstreamRegistry.test.ts
+++ b/test/fleet/upstreamRegistry.test.ts
@@ -39,7 +39,7 @@
         it("forgets an upstream at once when its entry is gone for good", () => {
             const { registry, gone, getTaking } = createRegistry();
             registry.set(createUpstream("a"));
-            registry.remove("a", { mayHaveLapsed: false });
+            registry.remove("a", 0);
             expect([getTaking(), gone]).toEqual([[], ["a"]]);
         });
 
@@ -49,8 +49,8 @@
             const { clock, registry, getTaking } = createRegistry();
             registry.set(createUpstream("a"));
             registry.set(createUpstream("b"));
-            registry.remove("a", { mayHaveLapsed: true });
-            registry.remove("b", { mayHaveLapsed: true });
+            registry.remove("a", 2_000);
+            registry.remove("b", 2_000);
             clock.advance(1_500);
             registry.set(createUpstream("b"));
             expect(getTaking()).toEqual(["a", "b"]);
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -66,7 +66,7 @@
     });
     follower.start();
     await follower.settle();
-    return { follower, calls, detours, values, lines, pauses };
+    return { follower, clock, calls, detours, values, lines, pauses };
 }
 
 describe("TopicFollower", () => {
@@ -161,4 +161,15 @@
         expect((await waited).end).toEqual(7);
         expect((await follower.waitSince(7, 1)).records).toEqual([]);
     });
+
+    // A node is restarted while runners are replaced. It takes its first read for the end of an outage, keeps a runner whose entry
+    // is withdrawn right after, and sends it requests up to two seconds later, when the runner may be gone: callers wait for
+    // answers that never come.
+    it("takes the first read for no end of an outage, and a read after a long silence for one", async () => {
+        const { follower, clock } = await follow([createPage(4, 0, true)]);
+        expect(follower.getTimeSinceOutage()).toEqual(Number.POSITIVE_INFINITY);
+        clock.advance(4_000);
+        follower.offer(createPage(5, clock.monotonic())._unsafeUnwrap());
+        expect(follower.getTimeSinceOutage()).toEqual(0);
+    });
 });
