Listen first, load less, and run the compiled code that is kept

A node listened only after all of it, 0.5 s after its power was back, and refused callers until the first read.

Change: the code is kept under the options of the deploy file, a node that finds it refused says so (event 107); the bundle takes undici, prom-client and awilix by the parts that a node uses, and loads Koa and gRPC when they are first needed, after the first read; the launcher listens before it loads the program, and callers of a node that has just started wait for the first read (a fifth of the bound on configurations) in place of a refusal that uses up one of their two tries.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,16 +1,31 @@
 // Bundles the node's program into target/node.cjs and keeps its compiled code in target/node.cache.
 import { build } from "esbuild";
-import { writeFileSync } from "node:fs";
-import { createRequire } from "node:module";
+import { execFileSync } from "node:child_process";
+import { readFileSync } from "node:fs";
 import { join } from "node:path";
 
-const { loadBundle } = createRequire(import.meta.url)("../deploy/loadBundle.cjs");
 const folder = join(import.meta.dirname, "..");
-const bundle = join(folder, "target", "node.cjs");
+const lean = join(import.meta.dirname, "lean");
+/** Modules that take the place of a package's main module in the bundle, since a start is paid for with callers' waiting. */
+const entries = {
+    "@grpc/grpc-js": join(lean, "grpc.cjs"),
+    "awilix": join(folder, "node_modules", "awilix", "lib", "awilix.browser.mjs"),
+    "koa": join(lean, "koa.cjs"),
+    "prom-client": join(lean, "prom-client.cjs"),
+    "undici": join(lean, "undici.cjs"),
+};
+const leanEntries = {
+    name: "lean-entries",
+    setup(options) {
+        options.onResolve({ filter: /^[^.]/ }, ({ path, importer }) => {
+            return path in entries && !importer.startsWith(lean) ? { path: entries[path] } : undefined;
+        });
+    },
+};
 
 await build({
     entryPoints: [join(folder, "src", "platform", "program.ts")],
-    outfile: bundle,
+    outfile: join(folder, "target", "node.cjs"),
     bundle: true,
     platform: "node",
     target: "node20",
@@ -18,7 +33,10 @@
     minifySyntax: true,
     minifyWhitespace: true,
     logLevel: "warning",
+    plugins: [leanEntries],
 });
-// The code of modules that were evaluated is part of what is kept, so the program is loaded once before.
-const { script } = loadBundle(bundle, undefined);
-writeFileSync(join(folder, "target", "node.cache"), script.createCachedData());
+// V8 passes over code that was compiled under other flags, so it is compiled under those that nodes run with.
+const [, flags] = /^run = "node (.*?) ?deploy\/launch\.cjs/m.exec(
+    readFileSync(join(folder, "deploy", "system.toml"), "utf8"),
+);
+execFileSync(process.execPath, [...flags.split(" ").filter(Boolean), join(folder, "scripts", "keepCode.cjs")]);
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -351,5 +351,11 @@
         "error",
         "A changed settings file has mistakes; the settings before it stay in force.",
     ),
+    compiledCodeRefused: define(
+        107,
+        "compiled-code-refused",
+        "warning",
+        "The kept compiled code does not fit this release or its flags; starts take twice as long until it is built anew.",
+    ),
     linesLeftOut: define(110, "lines-left-out", "warning", "So many log lines were left out to bound the volume."),
 } as const satisfies Record<string, EventDefinition>;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -26,6 +26,8 @@
     readonly attempts: Attempts;
     /** Returns the route table in force, or undefined before the first one. */
     readonly getRoutes: () => RouteTable | undefined;
+    /** Waits for the first route table and upstreams, for a short while after the start only; undefined when there is no need. */
+    readonly waitFirstRead: () => Promise<unknown> | undefined;
     /** Returns how long ago the route table was last known to be the newest, in milliseconds. */
     readonly getConfigurationAge: () => number;
     /** Returns the age of the configuration up to which keys are accepted, in milliseconds. */
@@ -64,6 +66,7 @@
      * @param reply - Where the answer goes.
      */
     async handle(request: CallerRequest, reply: CallerReply): Promise<void> {
+        await this.#options.waitFirstRead();
         const admitted = this.#admit(request);
         if (admitted.isErr()) {
             this.#options.metrics.refusals.inc({ kind: admitted.error.failure.kind });
--- a/src/membership/peerClient.ts
+++ b/src/membership/peerClient.ts
@@ -53,12 +53,14 @@
     readonly #deadlineMilliseconds: number;
     readonly #clients = new Map<string, GeneratedClient>();
     readonly #conversations = new Map<string, StateConversation>();
-    readonly #metadata = new Metadata();
+    readonly #newestProtocol: number;
+    /** Created with the first call: a node that starts serves callers before it loads what it needs for peers. */
+    #metadata: Metadata | undefined;
     #credentials: Credentials | undefined;
 
     constructor(options: PeerClientOptions = {}) {
         this.#credentials = options.credentials;
-        this.#metadata.set(protocolKey, String(options.newestProtocol ?? newestProtocol));
+        this.#newestProtocol = options.newestProtocol ?? newestProtocol;
         this.#deadlineMilliseconds = options.deadlineMilliseconds ?? defaultDeadlineMilliseconds;
     }
 
@@ -164,7 +166,7 @@
         let conversation = this.#conversations.get(target);
         if (conversation === undefined) {
             conversation = new StateConversation({
-                open: () => this.#getClient(peer).followState(this.#metadata),
+                open: () => this.#getClient(peer).followState(this.#getMetadata()),
                 onSilence: () => this.#renew(target),
             });
             this.#conversations.set(target, conversation);
@@ -191,6 +193,14 @@
         return client;
     }
 
+    #getMetadata(): Metadata {
+        if (this.#metadata === undefined) {
+            this.#metadata = new Metadata();
+            this.#metadata.set(protocolKey, String(this.#newestProtocol));
+        }
+        return this.#metadata;
+    }
+
     #createCredentials(): ChannelCredentials {
         if (this.#credentials === undefined) {
             return credentials.createInsecure();
@@ -222,7 +232,7 @@
         milliseconds = this.#deadlineMilliseconds,
     ): Promise<Result<Reply, Failure>> {
         return new Promise(resolve => {
-            call(request, this.#metadata, { deadline: Date.now() + milliseconds }, (error, reply) => {
+            call(request, this.#getMetadata(), { deadline: Date.now() + milliseconds }, (error, reply) => {
                 resolve(error ? err(createCallFailure(error)) : ok(reply));
             });
         });
--- a/src/platform/callerFace.ts
+++ b/src/platform/callerFace.ts
@@ -2,11 +2,13 @@
  * Serves callers over HTTP: decodes their requests, and writes answers back unchanged.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { Server as ListeningServer } from "node:net";
 import type { Clock, Refusal } from "../common/index.js";
 import { Failure } from "../common/index.js";
 import type { CallerReply, CallerRequest, Generation, PromptPart } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { findHeader, findNumber, pickRequestHeaders } from "./headers.js";
+import type { Endpoint } from "./nodeSettings.js";
 import { anyModel, headerNames } from "./wire.js";
 
 /** Limits until the first configuration has been read. */
@@ -49,11 +51,14 @@
         this.applyLimits();
     }
 
-    /** Begins to listen. */
-    listen(host: string, port: number): Promise<void> {
+    /**
+     * Begins to listen.
+     * @param where - An address, or a server that listens already and whose connections are taken over.
+     */
+    listen(where: Endpoint | ListeningServer): Promise<void> {
         return new Promise((resolve, reject) => {
             this.#server.once("error", reject);
-            this.#server.listen(port, host, resolve);
+            this.#server.listen(where, resolve);
         });
     }
 
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -2,6 +2,7 @@
  * A node on the platform: the root from which its parts are reached.
  */
 import type { AwilixContainer } from "awilix";
+import type { Server } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
 import { formatMistake } from "../settings/index.js";
@@ -11,7 +12,6 @@
 const drainPollMilliseconds = 50;
 /** Callers that asked just before the stop still connect for a while; the node goes on serving them, in milliseconds. */
 const leastServingMilliseconds = 2_500;
-
 /** Runs a node from its start to its graceful shutdown. */
 export class PlatformNode {
     readonly #container: AwilixContainer<NodeParts>;
@@ -27,18 +27,32 @@
         return this.#container.cradle;
     }
 
-    /** Starts to listen, to follow the store and to talk to peers. */
-    async start(): Promise<void> {
-        const { settings, peerServer, callerFace, siteFace, topics, gossip, journal, rollouts } = this.getParts();
-        const { listen } = settings;
+    /**
+     * Starts to follow the store, to serve callers, and then to talk to peers: what callers wait for comes first.
+     * @param callerServer - Listens for callers already; without it the node begins to.
+     */
+    async start(callerServer?: Server): Promise<void> {
+        const { settings, callerFace, topics, journal } = this.getParts();
         journal.write(events.processStarted, { address: settings.address });
         topics.onRoutes(() => callerFace.applyLimits());
         this.#forgetGoneUpstreams();
+        const isListening = callerFace.listen(callerServer ?? settings.listen.callers);
         topics.start();
-        await callerFace.listen(listen.callers.host, listen.callers.port);
+        await isListening;
+        await topics.waitFirstRead();
+        await this.#startSiteFace();
+        await this.#startPeers();
+    }
+
+    async #startSiteFace(): Promise<void> {
+        const { settings: { listen }, siteFace } = this.getParts();
         await siteFace.listen(listen.ready.host, listen.ready.port);
         await siteFace.listen(listen.addresses.host, listen.addresses.port);
         await siteFace.listen(listen.metrics.host, listen.metrics.port);
+    }
+
+    async #startPeers(): Promise<void> {
+        const { peerServer, gossip, rollouts } = this.getParts();
         (await peerServer.start()).match(() => undefined, failure => {
             throw failure;
         });
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -187,6 +187,7 @@
             metrics,
             attempts,
             getRoutes: () => topics.getRoutes(),
+            waitFirstRead: () => topics.waitFirstRead(),
             getConfigurationAge: () => topics.getConfigurationAge(),
             getLongestKeyAge: () => liveSettings.get().bounds.revocationMilliseconds - revocationMarginMilliseconds,
             getLongestDenialAge: () => liveSettings.get().bounds.configurationMilliseconds * denialShare,
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -2,6 +2,8 @@
  * The program of a node on the platform; `deploy/launch.cjs` runs it.
  */
 import { readFileSync } from "node:fs";
+import type { Server } from "node:net";
+import { events } from "../events/index.js";
 import { formatMistake } from "../settings/index.js";
 import { PlatformNode } from "./node.js";
 import { parseNodeSettings } from "./nodeSettings.js";
@@ -10,8 +12,19 @@
 /** Environment variable with the path of the settings file. */
 const settingsVariable = "RATTANLOCK_BOOT";
 
-/** Runs a node until it is told to stop. */
-export async function main(): Promise<void> {
+/** What the launcher has made ready. */
+export interface LaunchOptions {
+    /** Listens for callers since before the program was loaded. */
+    readonly callerServer?: Server;
+    /** Whether V8 passed over the compiled code, which makes a start take twice as long. */
+    readonly isCompiledCodeRefused?: boolean;
+}
+
+/**
+ * Runs a node until it is told to stop.
+ * @param options - What the launcher has made ready.
+ */
+export async function main(options: LaunchOptions = {}): Promise<void> {
     const file = process.env[settingsVariable];
     if (file === undefined) {
         console.error(`Set ${settingsVariable} to the path of the settings file.`);
@@ -30,5 +43,20 @@
         process.on(signal, () => void node.stop().then(() => process.exit(0)));
     }
     process.on("SIGHUP", () => node.reload(readFileSync(file, "utf8"), file));
-    await node.start();
+    if (options.isCompiledCodeRefused === true) {
+        node.getParts().journal.write(events.compiledCodeRefused);
+    }
+    await node.start(options.callerServer);
+}
+
+/**
+ * Creates every part of a node without starting any, so that the code that does so is compiled and can be kept.
+ * @param content - Settings that no node runs with.
+ */
+export function createParts(content: string): void {
+    const node = new PlatformNode(parseNodeSettings(content, "sample")._unsafeUnwrap());
+    const parts = node.getParts();
+    for (const name of Object.keys(parts) as (keyof typeof parts)[]) {
+        void parts[name];
+    }
 }
--- a/test/forwarding/forwarder.test.ts
+++ b/test/forwarding/forwarder.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import type { RouteTable } from "../../src/routing/index.js";
 import { createForwarder } from "../fixtures/exchanges.js";
 import { createRoute, createRouteTable } from "../fixtures/routes.js";
 
@@ -41,6 +42,20 @@
         }
     });
 
+    // All nodes lost power, and callers connect while this one reads its first configuration. Refused at once, they would use up
+    // their only other try some milliseconds before they can be served.
+    it("lets callers wait for the first read after a start, and serves them by it", async () => {
+        let routes: RouteTable | undefined;
+        const { send } = createForwarder({
+            getRoutes: () => routes,
+            waitFirstRead: () => {
+                routes = createRouteTable({ routes: [createRoute()] });
+                return Promise.resolve();
+            },
+        });
+        expect((await send()).refusal).toEqual(undefined);
+    });
+
     // A key was taken away while this node was cut off from the store. Whoever found it would be served for as long as the
     // cut lasts.
     it("accepts no key by a configuration that is too old to know of its withdrawal", async () => {
--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -13,6 +13,10 @@
 import { StoreStandin } from "./standins/storeStandin.js";
 
 const program = "deploy/launch.cjs";
+/** As in the deployment: V8 takes the kept code only under the options with which it was compiled. */
+const runOptions = /^run = "node (.*?) deploy\/launch\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))![1].split(
+    " ",
+);
 const callerPort = 7_001;
 const readyPort = 7_002;
 const peerPort = 7_003;
@@ -109,9 +113,15 @@
     readonly #agent = new Agent();
     #requests = 0;
 
-    /** @param prefix - First three bytes of the site's addresses, such as `127.72.1`. */
-    constructor(prefix: string) {
+    readonly #bounds: Readonly<Record<string, number>>;
+
+    /**
+     * @param prefix - First three bytes of the site's addresses, such as `127.72.1`.
+     * @param changedBounds - Bounds that differ from the usual ones, by their names in the settings.
+     */
+    constructor(prefix: string, changedBounds: Readonly<Record<string, number>> = {}) {
         this.prefix = prefix;
+        this.#bounds = { ...bounds, ...changedBounds };
     }
 
     /** Starts the store with a configuration, and some runners of version `v1`. */
@@ -153,7 +163,7 @@
         const address = `${this.prefix}.${index}`;
         const settingsFile = join(this.#folder, `node-${index}.ini`);
         writeFileSync(settingsFile, this.createSettings(address, storeAddress));
-        const child = spawn(process.execPath, [...nodeOptions, program], {
+        const child = spawn(process.execPath, [...runOptions, ...nodeOptions, program, `${address}:${callerPort}`], {
             env: { ...process.env, RATTANLOCK_BOOT: settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
         });
@@ -181,7 +191,7 @@
             "platform.address": storeAddress,
         };
         return readFileSync("deploy/settings.ini", "utf8").replaceAll(/\{\{([a-z0-9_.]+)\}\}/g, (...[, name]) => {
-            return values[name] ?? String(bounds[String(name).replace("bounds.", "")] ?? "");
+            return values[name] ?? String(this.#bounds[String(name).replace("bounds.", "")] ?? "");
         });
     }
 
