--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -81,6 +81,8 @@
     readonly expectedMilliseconds: number;
     /** Expected time to read the prompt there, in milliseconds. */
     readonly readingMilliseconds: number;
+    /** Tokens that are likely to be read there: all but those that it holds. */
+    readonly unreadTokens: number;
 }
 
 /** Picks upstreams for one node and keeps what it learns of them. */
@@ -147,12 +149,18 @@
 
     /**
      * Notes how long a prompt took.
-     * @param prompt - The prompt.
-     * @param milliseconds - Time to the head of the answer; so far, where it was given up.
-     * @param expectedMilliseconds - When it was expected.
+     * @param model - The model that answered.
+     * @param milliseconds - Time to the head of the answer.
+     * @param pick - What was expected.
      */
-    addPace(prompt: PromptLoad, milliseconds: number, expectedMilliseconds: number): void {
-        this.#paces.add(prompt.model ?? "", prompt.tokens, milliseconds);
+    addPace(model: string | undefined, milliseconds: number, pick: Pick): void {
+        const { expectedMilliseconds, readingMilliseconds, unreadTokens } = pick;
+        this.#paces.add({
+            model,
+            tokens: unreadTokens,
+            headMilliseconds: milliseconds,
+            waitingMilliseconds: expectedMilliseconds - readingMilliseconds,
+        });
         const ratio = Math.min(mostRatio, milliseconds / Math.max(leastExpected, expectedMilliseconds));
         this.#waitRatio += ratioWeight * (ratio - this.#waitRatio);
     }
@@ -238,6 +246,7 @@
             load: this.#getLoad(upstream, now),
             expectedMilliseconds: 0,
             readingMilliseconds: 0,
+            unreadTokens: 0,
         };
     }
 
@@ -251,8 +260,8 @@
         for (const upstream of this.#groups.selectOwn(group, holders)) {
             const status = this.#getStatus(upstream.id);
             const cached = likelyCached[holders.indexOf(upstream.id)] ?? 0;
-            const unread = prompt.tokens - cached * prompt.sharedTokens;
-            const readingMilliseconds = this.#paces.getMilliseconds(prompt.model, unread);
+            const unreadTokens = prompt.tokens - cached * prompt.sharedTokens;
+            const readingMilliseconds = this.#paces.getMilliseconds(prompt.model, unreadTokens);
             const noise = 1 + loadNoise * (2 * Math.random() - 1);
             const requests = status.getRequests(now) * noise;
             const waiting = requests * delayMillisecondsByRequest + status.getReading();
@@ -264,7 +273,8 @@
                 bestCost = cost;
                 const expectedMilliseconds = waiting + readingMilliseconds;
                 const load = requests / upstream.slots;
-                best = { upstream, reason: "least-wait", load, expectedMilliseconds, readingMilliseconds };
+                const times = { expectedMilliseconds, readingMilliseconds, unreadTokens };
+                best = { upstream, reason: "least-wait", load, ...times };
             }
         }
         return best;
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -149,6 +149,7 @@
         }, request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio()));
         const startedAt = clock.monotonic();
         let headMilliseconds: number | undefined = undefined;
+        let confidence: number | undefined = undefined;
         let isFinished = false;
         const finish = (outcome: CallOutcome, reason: string): void => {
             if (isFinished) {
@@ -158,7 +159,7 @@
             exchange.ended.removeEventListener("abort", cancel);
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds };
             onEnd(ended);
-            this.#finish(ended, { choice, reason, startedAt });
+            this.#finish(ended, { choice, reason, startedAt, promptTokens: prompt?.tokens, confidence });
         };
         const onEnd = this.#options.onBegin(exchange, upstream);
         picker.begin(upstream.id);
@@ -183,9 +184,10 @@
             return err({ kind: "failed", failure: called.error });
         }
         headMilliseconds = clock.monotonic() - startedAt;
+        confidence = called.value.confidence;
         picker.markHeard(upstream.id);
         if (prompt !== undefined) {
-            picker.addPace(prompt, headMilliseconds, pick.expectedMilliseconds);
+            picker.addPace(prompt.model, headMilliseconds, pick);
         }
         const { load } = called.value;
         if (load !== undefined) {
@@ -228,6 +230,8 @@
             readonly choice: string;
             readonly reason: string;
             readonly startedAt: number;
+            readonly promptTokens: number | undefined;
+            readonly confidence: number | undefined;
         },
     ): void {
         const { exchange, upstream, outcome, headMilliseconds } = ended;
@@ -243,6 +247,8 @@
             upstream: upstream.id,
             version: upstream.version,
             model: ended.model,
+            promptTokens: details.promptTokens,
+            confidence: details.confidence,
             choice: details.choice,
             outcome,
             reason: details.reason,
