--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -99,7 +99,6 @@
             models: route.models,
             repeatsLeft: this.#budget.getLeft(),
             attemptsLeft: route.maximumAttempts - attempts,
-            isContinued: request.lastEventId !== undefined,
         });
     }
 
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import type { Generation } from "../../src/forwarding/index.js";
+import type { CallerRequest, Generation } from "../../src/forwarding/index.js";
 import { type Behaviour, createAnswer, createCallFailure, createForwarder } from "../fixtures/exchanges.js";
 import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
 
@@ -19,7 +19,8 @@
 function createSite(behaviour: Behaviour, options: Parameters<typeof createStreamRoute>[0] = {}) {
     const route = createStreamRoute(options);
     const site = createForwarder({ behaviour, getRoutes: () => createRouteTable({ routes: [route] }) });
-    const send = () => site.send({ generation, session: "session", deadlineMilliseconds: 20_000 });
+    const send = (request: Partial<CallerRequest> = {}) =>
+        site.send({ generation, session: "session", deadlineMilliseconds: 20_000, ...request });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     return { ...site, send, getModels };
 }
@@ -42,6 +43,20 @@
         expect(calls[0].call.signal.aborted).toEqual(true);
     });
 
+    // All nodes lose power, and their callers take up their streams some seconds later, all at once. If the largest model went on
+    // with each of them, whatever had begun it, new requests would wait behind them; yet a hard request must not end with a model
+    // that is too small for it.
+    for (const [confidence, models] of [[80, ["small"]], [10, ["small", "large"]]] as const) {
+        it(`goes on with a caller's stream by the small model's confidence of ${confidence}`, async () => {
+            const site = createSite(({ model }) =>
+                createAnswer([createEvent(4)], { confidence: model === "small" ? confidence : 90 })
+            );
+            const caller = await site.send({ lastEventId: "3" });
+            expect([caller.pieces, site.getModels()]).toEqual([[createEvent(4)], [...models]]);
+            expect(site.calls.map(({ call }) => call.lastEventId)).toEqual(models.map(() => "3"));
+        });
+    }
+
     // A runner crashes in the middle of an event. The caller must get every event once and whole, from two runners.
     it("goes on at another runner after the last whole event", async () => {
         const { send, calls } = createSite((...[, , count]) =>
