--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -57,6 +57,16 @@
         });
     }
 
+    // Streams that lost their node come back while new requests of the same kind arrive. They are late whatever happens; served
+    // first, they would make the others late, too.
+    it("lets new requests of a priority go before streams that are taken up", async () => {
+        const { send, calls } = createSite(() => createAnswer([createEvent(1)], { confidence: 90 }));
+        await send();
+        await send({ lastEventId: "3" });
+        const [first, takenUp] = calls.map(({ call }) => call.urgency);
+        expect(takenUp).toEqual(first + 1);
+    });
+
     // A runner crashes in the middle of an event. The caller must get every event once and whole, from two runners.
     it("goes on at another runner after the last whole event", async () => {
         const { send, calls } = createSite((...[, , count]) =>
