--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -3,6 +3,7 @@
  */
 import { ok, type Result } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
+import type { HeadPatience } from "../decisions/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, Attempts } from "./attempts.js";
 import { createTimeoutRefusal, type Exchange } from "./exchange.js";
@@ -38,7 +39,7 @@
             model: undefined,
             lastEventId: undefined,
             prompt: undefined,
-            getHeadTimeout: () => getHeadTimeout(exchange),
+            getHeadPatience: () => getHeadPatience(exchange),
         });
         if (made.isErr()) {
             if (mayTryAgain(exchange, made.error)) {
@@ -64,12 +65,11 @@
     }
 }
 
-function getHeadTimeout(exchange: Exchange): number {
+function getHeadPatience(exchange: Exchange): HeadPatience {
     const left = exchange.getTimeLeft();
-    if (!isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts) {
-        return left;
-    }
-    return Math.max(leastAttemptMilliseconds, left * attemptShare);
+    const isLast = !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts;
+    const longest = isLast ? left : Math.max(leastAttemptMilliseconds, left * attemptShare);
+    return { silentMilliseconds: longest, longestMilliseconds: longest };
 }
 
 /** Tells whether the failure of an attempt leaves another one open. Attempts themselves are bounded elsewhere. */
