--- /dev/null
+++ b/src/platform/decodeRequest.ts
@@ -0,0 +1,108 @@
+/**
+ * Reads callers' requests: what their headers say, and their bodies.
+ */
+import type { IncomingMessage } from "node:http";
+import type { CallerRequest, Generation, PromptPart } from "../forwarding/index.js";
+import { findHeader, findNumber, pickRequestHeaders } from "./headers.js";
+import { anyModel, headerNames } from "./wire.js";
+
+/**
+ * Reads a request's headers.
+ * @param incoming - The request.
+ * @param body - Its whole body.
+ * @param arrivedAt - Monotonic milliseconds at which it came.
+ * @returns What is wrong with the headers if they can't be read.
+ */
+export function decodeRequest(incoming: IncomingMessage, body: Buffer, arrivedAt: number): CallerRequest | string {
+    const raw = incoming.rawHeaders;
+    const id = findHeader(raw, headerNames.requestId);
+    if (id === undefined || id === "") {
+        return `The header ${headerNames.requestId} is missing.`;
+    }
+    const deadlineMilliseconds = findNumber(raw, headerNames.deadline);
+    if (deadlineMilliseconds === undefined && findHeader(raw, headerNames.deadline) !== undefined) {
+        return `The header ${headerNames.deadline} is no number of milliseconds.`;
+    }
+    return {
+        id,
+        method: incoming.method ?? "GET",
+        host: findHeader(raw, "host") ?? "",
+        target: incoming.url ?? "/",
+        headers: pickRequestHeaders(raw),
+        body,
+        deadlineMilliseconds,
+        apiKey: findHeader(raw, headerNames.apiKey),
+        session: findHeader(raw, headerNames.session),
+        generation: decodeGeneration(raw),
+        lastEventId: findHeader(raw, headerNames.lastEventId),
+        arrivedAt,
+    };
+}
+
+/** Reads what a generation asks for. Parts that can't be read only cost affinity, so they are passed over. */
+function decodeGeneration(raw: readonly string[]): Generation | undefined {
+    const model = findHeader(raw, headerNames.model);
+    const tokens = findHeader(raw, headerNames.tokens);
+    if (model === undefined && tokens === undefined) {
+        return undefined;
+    }
+    const [promptTokens, mostOutputTokens] = (tokens ?? "").split(",").map(Number);
+    return {
+        model: model === anyModel ? undefined : model,
+        promptTokens: Number.isFinite(promptTokens) ? promptTokens : 0,
+        mostOutputTokens: Number.isFinite(mostOutputTokens) ? mostOutputTokens : 0,
+        expectedOutputTokens: findNumber(raw, headerNames.lengthHint),
+        parts: decodeParts(findHeader(raw, headerNames.promptParts) ?? ""),
+    };
+}
+
+function decodeParts(text: string): readonly PromptPart[] {
+    const parts: PromptPart[] = [];
+    for (const entry of text.split(",")) {
+        const [id, tokens] = entry.trim().split(":");
+        if (id !== "" && Number.isFinite(Number(tokens))) {
+            parts.push({ id, tokens: Number(tokens) });
+        }
+    }
+    return parts;
+}
+
+/**
+ * Counts the bytes of a request's headers.
+ * @param raw - Names and values in turn.
+ */
+export function countHeaderBytes(raw: readonly string[]): number {
+    let bytes = 0;
+    for (const text of raw) {
+        // Each name is followed by a colon and a blank, each value by a line end.
+        bytes += text.length + 2;
+    }
+    return bytes;
+}
+
+/**
+ * Reads a request's body.
+ * @param incoming - The request.
+ * @param limit - Most bytes that it may have.
+ */
+export async function readBody(incoming: IncomingMessage, limit: number): Promise<Buffer | "too-large" | "gone"> {
+    if (Number(incoming.headers["content-length"] ?? 0) > limit) {
+        return "too-large";
+    }
+    const pieces: Buffer[] = [];
+    let size = 0;
+    try {
+        for await (const piece of incoming as AsyncIterable<Buffer>) {
+            size += piece.length;
+            if (size > limit) {
+                return "too-large";
+            }
+            pieces.push(piece);
+        }
+    }
+    catch {
+        // The caller left in the middle of its request; there is nobody to answer.
+        return "gone";
+    }
+    return pieces.length === 1 ? pieces[0] : Buffer.concat(pieces);
+}
--- /dev/null
+++ b/src/platform/httpReply.ts
@@ -0,0 +1,136 @@
+/**
+ * Writes answers to callers over HTTP.
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Refusal } from "../common/index.js";
+import type { CallerReply } from "../forwarding/index.js";
+import { findHeader } from "./headers.js";
+import { headerNames } from "./wire.js";
+
+/** Writes to one caller. */
+export class HttpReply implements CallerReply {
+    readonly #response: ServerResponse;
+    readonly #isLeaving: () => boolean;
+    readonly #gone = new AbortController();
+    #requestId: string | undefined;
+
+    /**
+     * @param incoming - The caller's request.
+     * @param response - Where the answer goes.
+     * @param isLeaving - Tells whether the node is stopping, so that connections end with their answers.
+     */
+    constructor(incoming: IncomingMessage, response: ServerResponse, isLeaving: () => boolean) {
+        this.#response = response;
+        this.#isLeaving = isLeaving;
+        this.#requestId = findHeader(incoming.rawHeaders, headerNames.requestId);
+        // Answers carry the date only where the upstream sent one.
+        response.sendDate = false;
+        const leave = (): void => {
+            if (!response.writableFinished) {
+                this.#gone.abort();
+            }
+        };
+        response.once("close", leave);
+        incoming.socket.once("end", leave);
+        response.once("close", () => incoming.socket.removeListener("end", leave));
+    }
+
+    get hasBegun(): boolean {
+        return this.#response.headersSent;
+    }
+
+    get gone(): AbortSignal {
+        return this.#gone.signal;
+    }
+
+    begin(status: number, headers: readonly string[], options = { hasKnownEnd: true }): void {
+        if (!options.hasKnownEnd) {
+            // Neither a length nor chunks: the answer ends with its connection, as it did at the upstream.
+            this.#response.useChunkedEncodingByDefault = false;
+            this.#response.shouldKeepAlive = false;
+        }
+        this.#response.writeHead(status, this.#complete(headers));
+        this.#response.flushHeaders();
+    }
+
+    write(piece: Buffer): Promise<void> {
+        if (this.#response.write(piece) || this.#gone.signal.aborted) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const done = (): void => {
+                this.#response.removeListener("drain", done);
+                this.#gone.signal.removeEventListener("abort", done);
+                resolve();
+            };
+            this.#response.once("drain", done);
+            this.#gone.signal.addEventListener("abort", done);
+        });
+    }
+
+    end(): void {
+        this.#response.end();
+    }
+
+    answer(status: number, headers: readonly string[], body: Buffer): void {
+        const length = body.length === 0 && (status === 204 || status === 304)
+            ? []
+            : ["Content-Length", String(body.length)];
+        this.#response.writeHead(status, [...this.#complete(headers), ...length]);
+        this.#response.end(body);
+    }
+
+    refuse(refusal: Refusal): void {
+        this.#refuse(refusal, getStatus(refusal), []);
+    }
+
+    /** Refuses a request whose body was not read; what is left of it must not be taken for the next request. */
+    refuseUnread(refusal: Refusal, status: number): void {
+        this.#refuse(refusal, status, ["Connection", "close"]);
+    }
+
+    abort(): void {
+        this.#response.socket?.destroy();
+    }
+
+    #refuse({ failure, outcome }: Refusal, status: number, extra: readonly string[]): void {
+        if (this.#gone.signal.aborted || this.#response.headersSent) {
+            this.abort();
+            return;
+        }
+        const body = Buffer.from(JSON.stringify({ error: failure.kind, outcome, detail: failure.message }));
+        const headers = ["Content-Type", "application/json", ...extra];
+        if (this.#requestId !== undefined) {
+            headers.push(headerNames.requestId, this.#requestId);
+        }
+        if (failure.retryAfterMilliseconds !== undefined) {
+            headers.push(headerNames.retryAfter, (failure.retryAfterMilliseconds / 1_000).toFixed(3));
+        }
+        this.answer(status, headers, body);
+    }
+
+    #complete(headers: readonly string[]): string[] {
+        return this.#isLeaving() ? [...headers, "Connection", "close"] : [...headers];
+    }
+}
+
+/**
+ * Returns the status of a refusal. 429 and 503 promise that the request has not run; where that is not known, the status must
+ * not promise it, or the caller repeats a booking that may have been made.
+ */
+function getStatus({ failure, outcome }: Refusal): number {
+    switch (failure.kind) {
+        case "not-found":
+            return 404;
+        case "unauthorized":
+            return 401;
+        case "invalid-input":
+            return 400;
+        case "too-large":
+            return 413;
+        case "deadline":
+            return 504;
+        default:
+            return outcome === "not-run" ? 503 : 502;
+    }
+}
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -2,21 +2,13 @@
  * What the store's topics say, translated: routes, upstreams, nodes and roll-outs.
  */
 import type { Clock } from "../common/index.js";
-import { getUnitRank } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
-import type { MemberDirectory, Membership, NodeIdentity, PeerAddress, PeerClient } from "../membership/index.js";
+import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
 import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
-import {
-    answerPeer,
-    chooseReader,
-    createPeerReader,
-    type KeyedRecord,
-    type KeyedTopicReader,
-    TopicFollower,
-} from "../topics/index.js";
+import { answerPeer, type KeyedRecord, TopicFollower, TopicSources } from "../topics/index.js";
 import { decodeConfiguration, decodeProgress, decodeRolloutOrder, encodeRolloutStatus } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
@@ -49,8 +41,6 @@
  */
 const lapseMilliseconds = 2_000;
 const appendPauseMilliseconds = 500;
-/** A node that could not tell what the store holds is passed over for so long, in milliseconds; a restart takes about two seconds. */
-const avoidMilliseconds = 3_000;
 /**
  * A change costs a read at every node, so they wait for more changes after one, longer in larger sites: 0.27 s with 90 nodes.
  * Bounded by a tenth of the time in which a configuration has to be in force at the sites that are known, 3 s.
@@ -81,16 +71,21 @@
     readonly #status: TopicFollower;
     readonly #followers = new Map<string, TopicFollower>();
     readonly #routeListeners: (() => void)[] = [];
-    /** Kept, since the choice of whom to read from ranks all nodes several times a second. */
-    readonly #readerRanks = new Map<string, number>();
-    /** Until when a node that did not answer is passed over. */
-    readonly #avoidedUntil = new Map<string, number>();
+    readonly #sources: TopicSources;
     #routes: RouteTable | undefined;
     #startedAt = Number.NEGATIVE_INFINITY;
     #isStopped = false;
 
     constructor(options: PlatformTopicsOptions) {
         this.#options = options;
+        const { self, membership, peerClient, beliefClock, liveSettings } = options;
+        this.#sources = new TopicSources({
+            self,
+            membership,
+            peerClient,
+            clock: beliefClock,
+            getSeeds: () => liveSettings.get().seeds,
+        });
         const { configurationMilliseconds, drainMilliseconds } = options.liveSettings.get().bounds;
         const tightest = Math.min(configurationMilliseconds, drainMilliseconds);
         const quick = {
@@ -175,7 +170,10 @@
             name: topic,
             clock: beliefClock,
             journal,
-            pickReader: detours => this.#pickReader(topic, storeReader, detours),
+            pickReader: detours => {
+                const isLoaded = this.#followers.get(topic)?.state.isLoaded() === true;
+                return this.#sources.pick({ topic, storeReader, isLoaded, detours });
+            },
             onChanges,
             outageMilliseconds,
             getPause: () =>
@@ -184,66 +182,6 @@
         });
     }
 
-    #pickReader(topic: string, storeReader: KeyedTopicReader, detours: number): KeyedTopicReader {
-        const { self, membership, liveSettings } = this.#options;
-        const { seeds } = liveSettings.get();
-        const isLoaded = this.#followers.get(topic)?.state.isLoaded() === true;
-        const source = chooseReader({
-            self: self.id,
-            failureDomain: self.failureDomain,
-            alive: membership.getPresumed(),
-            isAvoided: node => this.#isAvoided(node),
-            // One failure is the usual source's, which is avoided from then on; the next by rank is as good.
-            isStale: !isLoaded || detours > 1,
-            detours: isLoaded ? detours - 1 : detours,
-            getRank: node => this.#getReaderRank(node),
-        });
-        if (source.kind === "peer") {
-            return this.#createPeerReader(topic, source.peer);
-        }
-        const seed = seeds[Math.floor(detours / 2) % Math.max(1, seeds.length)];
-        const isAlone = membership.getAlive().length <= 1;
-        if (isAlone && detours > 0 && detours % 2 === 0 && seed !== undefined && seed.host !== self.address) {
-            // Nobody is known yet, since the store that would tell does not answer.
-            return this.#createPeerReader(topic, { id: seed.host, address: seed.host, peerPort: seed.port });
-        }
-        return storeReader;
-    }
-
-    #isAvoided(node: string): boolean {
-        return this.#options.beliefClock.monotonic() < (this.#avoidedUntil.get(node) ?? Number.NEGATIVE_INFINITY);
-    }
-
-    /** Asks somebody else for a while, so that nodes agree on the next reader before gossip tells that the first is gone. */
-    #avoid(node: string): void {
-        this.#avoidedUntil.set(node, this.#options.beliefClock.monotonic() + avoidMilliseconds);
-    }
-
-    #getReaderRank(node: string): number {
-        let rank = this.#readerRanks.get(node);
-        if (rank === undefined) {
-            rank = getUnitRank("reader", node);
-            this.#readerRanks.set(node, rank);
-        }
-        return rank;
-    }
-
-    #createPeerReader(topic: string, peer: PeerAddress): KeyedTopicReader {
-        const { beliefClock, peerClient } = this.#options;
-        return createPeerReader({
-            topic,
-            peer,
-            clock: beliefClock,
-            ask: async (to, request, milliseconds) => {
-                const reply = await peerClient.followState(to, request, milliseconds);
-                if (reply.isErr()) {
-                    this.#avoid(to.id);
-                }
-                return reply;
-            },
-        });
-    }
-
     #takeOrders(changed: readonly KeyedRecord[]): void {
         for (const { key, value, offset } of changed) {
             if (key === recordKeys.configuration && value !== undefined) {
--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -3,4 +3,5 @@
 export * from "./peerTopics.js";
 export * from "./readerChoice.js";
 export * from "./topicFollower.js";
+export * from "./topicSources.js";
 export * from "./topicState.js";
