--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,25 +23,20 @@
     },
 };
 
-for (const [source, bundle] of [["program.ts", "node.cjs"], ["warmUp.ts", "warmUp.cjs"]]) {
-    await build({
-        entryPoints: [join(folder, "src", "platform", source)],
-        outfile: join(folder, "target", bundle),
-        bundle: true,
-        platform: "node",
-        target: "node20",
-        format: "cjs",
-        minifySyntax: true,
-        minifyWhitespace: true,
-        logLevel: "warning",
-        plugins: [leanEntries],
-    });
-}
+await build({
+    entryPoints: [join(folder, "src", "platform", "program.ts")],
+    outfile: join(folder, "target", "node.cjs"),
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    minifySyntax: true,
+    minifyWhitespace: true,
+    logLevel: "warning",
+    plugins: [leanEntries],
+});
 // V8 passes over code that was compiled under other flags, so it is compiled under those that nodes run with.
 const [, flags] = /^run = "node (.*?) ?deploy\/launch\.cjs/m.exec(
     readFileSync(join(folder, "deploy", "system.toml"), "utf8"),
 );
-execFileSync(process.execPath, [...flags.split(" ").filter(Boolean), join(folder, "scripts", "keepCode.cjs")], {
-    // The nodes that run for a moment write their log to the standard output.
-    stdio: ["ignore", "ignore", "inherit"],
-});
+execFileSync(process.execPath, [...flags.split(" ").filter(Boolean), join(folder, "scripts", "keepCode.cjs")]);
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -50,9 +50,13 @@
 }
 
 /**
- * Creates a node, which has not started.
- * @param settings - The text of its settings, without mistakes.
+ * Creates every part of a node without starting any, so that the code that does so is compiled and can be kept.
+ * @param content - Settings that no node runs with.
  */
-export function createNode(settings: string): PlatformNode {
-    return new PlatformNode(parseNodeSettings(settings, "settings")._unsafeUnwrap());
+export function createParts(content: string): void {
+    const node = new PlatformNode(parseNodeSettings(content, "sample")._unsafeUnwrap());
+    const parts = node.getParts();
+    for (const name of Object.keys(parts) as (keyof typeof parts)[]) {
+        void parts[name];
+    }
 }
