--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -11,14 +11,7 @@
 
 const drainPollMilliseconds = 50;
 /** Callers that asked just before the stop still connect for a while; the node goes on serving them, in milliseconds. */
-const leastServingMilliseconds = 2_500; /**
- * After a start, callers come first: they come back all at once, and loading what peers need takes 80 ms of processor time. A node that
- * knows nothing yet talks to peers at once, since they may know what the store does not tell.
- */
-
-const peersDelayMilliseconds = 1_000;
-
-/** Runs a node from its start to its graceful shutdown. */
+const leastServingMilliseconds = 2_500; /** Runs a node from its start to its graceful shutdown. */
 export class PlatformNode {
     readonly #container: AwilixContainer<NodeParts>;
     #stopping: Promise<void> | undefined;
@@ -47,9 +40,6 @@
         await isListening;
         await topics.waitFirstRead();
         await this.#startSiteFace();
-        if (topics.getRoutes() !== undefined) {
-            await sleep(peersDelayMilliseconds);
-        }
         if (this.#stopping === undefined) {
             await this.#startPeers();
         }
--- a/src/platform/siteFace.ts
+++ b/src/platform/siteFace.ts
@@ -1,11 +1,8 @@
 /**
  * Answers the platform's question whether the node is ready, callers' question for addresses, and asks for metrics.
- *
- * Readiness and addresses are asked for as soon as a node listens. They are answered on Node's own server: loading Koa and its first
- * answer took 55 ms of processor time, which callers of a node that has just started waited for.
  */
 import Koa from "koa";
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer, type Server } from "node:http";
 import { servedPaths } from "./wire.js";
 
 /** What the answers are made from. */
@@ -22,23 +19,34 @@
     readonly getMetrics: () => Promise<{ readonly type: string; readonly text: string; }>;
 }
 
-/** Answers a request on Node's own server. */
-type Answer = (request: IncomingMessage, response: ServerResponse) => unknown;
-
 /** Serves on any number of addresses. */
 export class SiteFace {
-    readonly #options: SiteFaceOptions;
+    readonly #app = new Koa();
     readonly #servers: Server[] = [];
-    /** Created when somebody asks for metrics. */
-    #answerOthers: Answer | undefined;
 
     constructor(options: SiteFaceOptions) {
-        this.#options = options;
+        this.#app.use(async context => {
+            switch (context.path) {
+                case servedPaths.ready:
+                    context.status = options.isReady() ? 200 : 503;
+                    context.body = "";
+                    return;
+                case servedPaths.resolution:
+                    answerAddresses(context, options);
+                    return;
+                case servedPaths.metrics: {
+                    const { type, text } = await options.getMetrics();
+                    context.type = type;
+                    context.body = text;
+                    return;
+                }
+            }
+        });
     }
 
     /** Listens on one more address. */
     listen(host: string, port: number): Promise<void> {
-        const server = createServer((request, response) => this.#answer(request, response));
+        const server = createServer(this.#app.callback());
         this.#servers.push(server);
         return new Promise((resolve, reject) => {
             server.once("error", reject);
@@ -53,39 +61,15 @@
             server.closeAllConnections();
         }
     }
-
-    #answer(request: IncomingMessage, response: ServerResponse): void {
-        const url = new URL(request.url ?? "/", "http://site");
-        switch (url.pathname) {
-            case servedPaths.ready:
-                response.writeHead(this.#options.isReady() ? 200 : 503).end();
-                return;
-            case servedPaths.resolution:
-                this.#answerAddresses(url.searchParams.get("zone") ?? undefined, response);
-                return;
-            default:
-                this.#answerOthers ??= createMetricsApplication(this.#options).callback();
-                void this.#answerOthers(request, response);
-        }
-    }
-
-    #answerAddresses(failureDomain: string | undefined, response: ServerResponse): void {
-        const addresses = this.#options.getAddresses(failureDomain);
-        const isEmpty = addresses.length === 0;
-        const body = isEmpty ? { error: "unavailable" } : { addresses, ttl_s: this.#options.getKeepSeconds() };
-        response.writeHead(isEmpty ? 503 : 200, { "Content-Type": "application/json" }).end(JSON.stringify(body));
-    }
 }
 
-function createMetricsApplication(options: SiteFaceOptions): Koa {
-    const application = new Koa();
-    application.use(async context => {
-        if (context.path !== servedPaths.metrics) {
-            return;
-        }
-        const { type, text } = await options.getMetrics();
-        context.type = type;
-        context.body = text;
-    });
-    return application;
+function answerAddresses(context: Koa.Context, options: SiteFaceOptions): void {
+    const zone = context.query.zone;
+    const addresses = options.getAddresses(typeof zone === "string" ? zone : undefined);
+    if (addresses.length === 0) {
+        context.status = 503;
+        context.body = { error: "unavailable" };
+        return;
+    }
+    context.body = { addresses, ttl_s: options.getKeepSeconds() };
 }
