--- a/src/decisions/dispatch/index.ts
+++ b/src/decisions/dispatch/index.ts
@@ -1,4 +1,3 @@
-export * from "./headPatience.js";
 /** Which registered upstream gets a request, and what is learned of it. */
 export { getUnitRank } from "../placement/rendezvous.js";
 export * from "./upstreamPicker.js";
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -151,14 +151,6 @@
         this.#getStatus(upstream).markHeard(this.#clock.monotonic());
     }
 
-    /**
-     * Returns the milliseconds since anything came from an upstream.
-     * @param upstream - Its identifier.
-     */
-    getUnheard(upstream: string): number {
-        return this.#getStatus(upstream).getUnheard(this.#clock.monotonic());
-    }
-
     /**
      * Notes how long a prompt took.
      * @param model - The model that answered.
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -92,14 +92,6 @@
         this.#readingMilliseconds = Math.max(0, this.#readingMilliseconds + milliseconds);
     }
 
-    /**
-     * Returns the milliseconds since anything came from the upstream.
-     * @param now - Monotonic milliseconds.
-     */
-    getUnheard(now: number): number {
-        return now - this.#heardAt;
-    }
-
     /** Notes that something came from the upstream. */
     markHeard(now: number): void {
         this.#heardAt = now;
@@ -125,7 +117,7 @@
         this.#outcomes += 1;
         const failed = outcome === "ok" ? 0 : 1;
         this.#failureRate += outcomeWeight * (failed - this.#failureRate);
-        const isHeard = this.getUnheard(now) < heardMilliseconds;
+        const isHeard = now - this.#heardAt < heardMilliseconds;
         this.#silentFailures = outcome === "silent" && !isHeard ? this.#silentFailures + 1 : 0;
         if (outcome === "ok" && this.#failureRate < outcomeWeight) {
             this.#ejections = 0;
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -3,15 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../common/index.js";
-import {
-    type CallOutcome,
-    getFurtherWait,
-    type HeadPatience,
-    type Pick,
-    type PromptLoad,
-    type UpstreamPicker,
-    type WindowedBudget,
-} from "../decisions/index.js";
+import type { CallOutcome, Pick, PromptLoad, UpstreamPicker, WindowedBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { Exchange } from "./exchange.js";
@@ -55,10 +47,10 @@
     /** Undefined for plain services. */
     readonly prompt: PromptLoad | undefined;
     /**
-     * Returns how long to wait for the answer's head.
+     * Returns how long to wait for the answer's head, in milliseconds.
      * @param expectedMilliseconds - When it is expected.
      */
-    readonly getHeadPatience: (expectedMilliseconds: number) => HeadPatience;
+    readonly getHeadTimeout: (expectedMilliseconds: number) => number;
 }
 
 /** Why no attempt was made. */
@@ -81,9 +73,6 @@
     readonly cancel: () => void;
 }
 
-/** Pause between two looks at a silent attempt, at least, in milliseconds: more often would cost time and change nothing. */
-const leastWatchMilliseconds = 20;
-
 /** Urgency of the least urgent priority. */
 const leastUrgent = 8;
 
@@ -163,22 +152,12 @@
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
-        const startedAt = clock.monotonic();
         let isSilent = false;
-        const patience = request.getHeadPatience(pick.expectedMilliseconds * picker.getWaitRatio());
-        const watch = (): void => {
-            const further = getFurtherWait({
-                elapsedMilliseconds: clock.monotonic() - startedAt,
-                unheardMilliseconds: picker.getUnheard(upstream.id),
-            }, patience);
-            if (further > 0) {
-                timer = setTimeout(watch, Math.max(leastWatchMilliseconds, further));
-                return;
-            }
+        const timer = setTimeout(() => {
             isSilent = true;
             cancel();
-        };
-        let timer = setTimeout(watch, Math.min(patience.silentMilliseconds, patience.longestMilliseconds));
+        }, request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio()));
+        const startedAt = clock.monotonic();
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
         let isFinished = false;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,13 +2,7 @@
  * Requests that are answered by a stream of events.
  */
 import { Failure, type Refusal } from "../common/index.js";
-import {
-    chooseFirstModel,
-    chooseNextModel,
-    type HeadPatience,
-    type PromptLoad,
-    type WindowedBudget,
-} from "../decisions/index.js";
+import { chooseFirstModel, chooseNextModel, type PromptLoad, type WindowedBudget } from "../decisions/index.js";
 import type { Attempt, AttemptFailure, Attempts } from "./attempts.js";
 import { EventSplitter } from "./eventSplitter.js";
 import { createTimeoutRefusal, type Exchange } from "./exchange.js";
@@ -23,18 +17,15 @@
  */
 const silentPauseFactor = 2;
 /**
- * A runner from which nothing at all comes is left after so many times the expected time and a bit more, in milliseconds: soon enough
- * for most requests to be on time elsewhere.
+ * A runner is taken for silent when its answer does not begin in so many times the expected time and a bit more, and never
+ * sooner than the least, in milliseconds. Given up sooner, crowded runners look dead: their work is thrown away and done
+ * again elsewhere, which crowds the others (92 of 2,459 streams on a calm day with 1.5 times the objective).
  */
 const silentHeadFactor = 3;
 const silentHeadMilliseconds = 700;
-/**
- * An answer whose runner is heard otherwise may be lost all the same. It is not asked for elsewhere before it is late by so many times
- * the objective, and then not before this part of the time left: on time at the first runner beats late at the second, and what is
- * late anyway had better not be read twice while runners are crowded.
- */
+const leastHeadMilliseconds = 1_400;
+/** Nor before the answer is late by so much: on time at the first runner beats late at the second. */
 const lateHeadFactor = 1.2;
-const lostHeadShare = 0.25;
 /** Without an objective, a pause is silence from here on, in milliseconds. */
 const defaultPauseMilliseconds = 1_000;
 
@@ -74,7 +65,7 @@
                 model: this.#model,
                 lastEventId: this.#lastEventId,
                 prompt: this.#getPromptLoad(this.#model),
-                getHeadPatience: expected => this.#getHeadPatience(expected),
+                getHeadTimeout: expected => this.#getHeadTimeout(expected),
             });
             if (made.isErr()) {
                 if (this.#mayTryAgain(made.error)) {
@@ -149,15 +140,15 @@
         return { model, tokens, bytes, sharedTokens, sharedKey: `${model ?? ""} ${shared.at(-1)?.id ?? ""}` };
     }
 
-    #getHeadPatience(expectedMilliseconds: number): HeadPatience {
+    #getHeadTimeout(expectedMilliseconds: number): number {
         const { route, attempts } = this.#exchange;
         const left = this.#exchange.getTimeLeft();
         if (!route.isResumable || attempts >= route.maximumAttempts) {
-            return { silentMilliseconds: left, longestMilliseconds: left };
+            return left;
         }
-        const silent = silentHeadFactor * expectedMilliseconds + silentHeadMilliseconds;
-        const lost = Math.max(lateHeadFactor * route.objectiveMilliseconds, left * lostHeadShare, silent);
-        return { silentMilliseconds: Math.min(left, silent), longestMilliseconds: Math.min(left, lost) };
+        const patience = silentHeadFactor * expectedMilliseconds + silentHeadMilliseconds;
+        const lateMilliseconds = lateHeadFactor * route.objectiveMilliseconds;
+        return Math.min(left, Math.max(leastHeadMilliseconds, lateMilliseconds, patience));
     }
 
     /**
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -3,7 +3,6 @@
  */
 import { ok, type Result } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
-import type { HeadPatience } from "../decisions/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, Attempts } from "./attempts.js";
 import { createTimeoutRefusal, type Exchange } from "./exchange.js";
@@ -39,7 +38,7 @@
             model: undefined,
             lastEventId: undefined,
             prompt: undefined,
-            getHeadPatience: () => getHeadPatience(exchange),
+            getHeadTimeout: () => getHeadTimeout(exchange),
         });
         if (made.isErr()) {
             if (mayTryAgain(exchange, made.error)) {
@@ -65,11 +64,12 @@
     }
 }
 
-function getHeadPatience(exchange: Exchange): HeadPatience {
+function getHeadTimeout(exchange: Exchange): number {
     const left = exchange.getTimeLeft();
-    const isLast = !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts;
-    const longest = isLast ? left : Math.max(leastAttemptMilliseconds, left * attemptShare);
-    return { silentMilliseconds: longest, longestMilliseconds: longest };
+    if (!isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts) {
+        return left;
+    }
+    return Math.max(leastAttemptMilliseconds, left * attemptShare);
 }
 
 /** Tells whether the failure of an attempt leaves another one open. Attempts themselves are bounded elsewhere. */
