--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -76,16 +76,6 @@
 /** Urgency of the least urgent priority. */
 const leastUrgent = 8;
 
-/**
- * Returns how urgent an attempt is, 0 to 9: by its priority, and within one priority what is late already comes after what can still
- * be on time. Streams that come back after a loss of power, and repeats past their objective, would otherwise make new requests late.
- */
-function getUrgency(exchange: Exchange): number {
-    const isLate = exchange.request.lastEventId !== undefined
-        || exchange.getElapsed() > exchange.route.objectiveMilliseconds;
-    return Math.min(leastUrgent, 1 + 2 * exchange.priority + (isLate ? 1 : 0));
-}
-
 /** Makes attempts. */
 export class Attempts {
     readonly #options: AttemptsOptions;
@@ -179,7 +169,7 @@
             deadlineMilliseconds: exchange.getTimeLeft(),
             workspace: exchange.workspace,
             model: request.model,
-            urgency: getUrgency(exchange),
+            urgency: Math.min(leastUrgent, 1 + 2 * exchange.priority),
             lastEventId: request.lastEventId,
             signal: controller.signal,
         });
