--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -8,11 +8,7 @@
 import { RunnerGroups } from "./runnerGroups.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
 
-/**
- * At most this part of a pool is ejected for failing more than the others; beyond it the fault is hardly that of single upstreams.
- * Upstreams from which nothing comes are ejected however many they are: with 3 of 8 runners crashed, the one that was let in again took
- * 200 of 400 attempts in 4 s, since nobody else looked as empty. Where all are silent, one of them is tried all the same.
- */
+/** At most this part of a pool is ejected; beyond it the fault is hardly that of single upstreams. */
 const mostEjectedShare = 0.34;
 /** A plain service counts as full in the own failure domain at this part of its slots. */
 const fullShare = 0.9;
@@ -205,7 +201,7 @@
             return;
         }
         const ejected = pool.filter(other => this.#getStatus(other.id).isEjected(now)).length;
-        if (status.isAway() || (ejected + 1) / Math.max(1, pool.length) <= mostEjectedShare) {
+        if ((ejected + 1) / Math.max(1, pool.length) <= mostEjectedShare) {
             this.#onEject(upstream.id, status.eject(now));
         }
     }
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -124,17 +124,12 @@
         }
     }
 
-    /** Tells whether the upstream is taken to be away: nothing came from it several times in a row. */
-    isAway(): boolean {
-        return this.#silentFailures >= mostSilentFailures;
-    }
-
     /**
      * Tells whether the upstream fails so much more than its pool that it should get nothing for a while.
      * @param poolFailureRate - Failure rate over the whole pool.
      */
     isOutlier(poolFailureRate: number): boolean {
-        return this.isAway() || this.getFailureRate() > poolFailureRate + 0.25;
+        return this.#silentFailures >= mostSilentFailures || this.getFailureRate() > poolFailureRate + 0.25;
     }
 
     /**
--- a/src/decisions/retries/windowedBudget.ts
+++ b/src/decisions/retries/windowedBudget.ts
@@ -78,11 +78,6 @@
         return true;
     }
 
-    /** Gives back a repeat that was taken and then reached nobody. */
-    giveBack(): void {
-        this.#getSlice().repeats -= 1;
-    }
-
     #getSlice(): Slice {
         const index = this.#getIndex();
         let slice = this.#slices.at(-1);
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -177,7 +177,7 @@
         picker.addReading(upstream.id, -readingMilliseconds);
         if (called.isErr()) {
             if (called.error.kind === "not-sent") {
-                this.#takeBack(exchange);
+                exchange.takeBackAttempt();
             }
             finish(this.#judge(exchange, called.error, isSilent), isSilent ? "no answer in time" : called.error.reason);
             this.#learn(upstream, called.error, isSilent);
@@ -196,17 +196,6 @@
         return ok({ upstream, answer: called.value, finish, cancel, markHeard: () => picker.markHeard(upstream.id) });
     }
 
-    /**
-     * Takes back what an attempt was counted as that reached nobody. Requests that meet a crashed runner would otherwise use up the
-     * pool's repeats in a second, and those after them get no second answer.
-     */
-    #takeBack(exchange: Exchange): void {
-        exchange.takeBackAttempt();
-        if (exchange.attempts > 0) {
-            this.#options.getBudget(exchange.pool).giveBack();
-        }
-    }
-
     #judge(exchange: Exchange, failure: UpstreamCallFailure, isSilent: boolean): CallOutcome {
         if (failure.kind === "refused" || failure.kind === "replaced") {
             return "refused";
