Leave the end of a request's time to its own timer

Cause: the test "answers at the route's timeout, and ends the work" failed once on a busy machine. An attempt that may wait as long as the request set a timer of its own for the same moment; where that one fired first, the caller was told that the upstream had failed (502) in place of its deadline (504), and the upstream counted as silent.

Ruled out: the test's bound (the refusal's kind differed, not a time). Change: such attempts have no timer of their own; the request's ends them.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -47,10 +47,11 @@
     /** Undefined for plain services. */
     readonly prompt: PromptLoad | undefined;
     /**
-     * Returns how long to wait for the answer's head, in milliseconds.
+     * Returns how long to wait for the answer's head, in milliseconds. Undefined waits as long as the request may take: a timer of
+     * its own would race with the request's, and callers whose time is over would be told that the upstream failed.
      * @param expectedMilliseconds - When it is expected.
      */
-    readonly getHeadTimeout: (expectedMilliseconds: number) => number;
+    readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
 }
 
 /** Why no attempt was made. */
@@ -143,10 +144,14 @@
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
         let isSilent = false;
-        const timer = setTimeout(() => {
+        const giveUp = (): void => {
             isSilent = true;
             cancel();
-        }, request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio()));
+        };
+        const headTimeout = request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio());
+        const timer = headTimeout === undefined || headTimeout >= exchange.getTimeLeft()
+            ? undefined
+            : setTimeout(giveUp, headTimeout);
         const startedAt = clock.monotonic();
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -140,15 +140,14 @@
         return { model, tokens, bytes, sharedTokens, sharedKey: `${model ?? ""} ${shared.at(-1)?.id ?? ""}` };
     }
 
-    #getHeadTimeout(expectedMilliseconds: number): number {
+    #getHeadTimeout(expectedMilliseconds: number): number | undefined {
         const { route, attempts } = this.#exchange;
-        const left = this.#exchange.getTimeLeft();
         if (!route.isResumable || attempts >= route.maximumAttempts) {
-            return left;
+            return undefined;
         }
         const patience = silentHeadFactor * expectedMilliseconds + silentHeadMilliseconds;
         const lateMilliseconds = lateHeadFactor * route.objectiveMilliseconds;
-        return Math.min(left, Math.max(leastHeadMilliseconds, lateMilliseconds, patience));
+        return Math.max(leastHeadMilliseconds, lateMilliseconds, patience);
     }
 
     /**
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -64,12 +64,11 @@
     }
 }
 
-function getHeadTimeout(exchange: Exchange): number {
-    const left = exchange.getTimeLeft();
+function getHeadTimeout(exchange: Exchange): number | undefined {
     if (!isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maximumAttempts) {
-        return left;
+        return undefined;
     }
-    return Math.max(leastAttemptMilliseconds, left * attemptShare);
+    return Math.max(leastAttemptMilliseconds, exchange.getTimeLeft() * attemptShare);
 }
 
 /** Tells whether the failure of an attempt leaves another one open. Attempts themselves are bounded elsewhere. */
