Decode the reports of a roll-out once, and let few nodes look at them at each tick

Change: reports are decoded when they are new (PeerReports); the four first nodes by rank look at each tick and the others at every fifth; a node publishes no more often than gossip carries, and nothing that has not changed; the list of members is worked out anew only for values that say something of members.

Before: test/rollouts/peerReports decodes 19,400 reports in 100 looks without the change, 194 with it.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -91,7 +91,7 @@
         const { address, peerPort, failureDomain, region } = options.self;
         const node = { address, peerPort, failureDomain, region, ...this.#protocol };
         options.gossip.set(nodeKey, Buffer.from(JSON.stringify(node)));
-        options.gossip.onUpdate(() => this.#cache = undefined);
+        options.gossip.onUpdate((...[, key]) => this.#takeUpdate(key));
     }
 
     /**
@@ -237,6 +237,13 @@
         }
     }
 
+    /** Values of others that say nothing of members, such as evidence on roll-outs, come many times a second in a large site. */
+    #takeUpdate(key: string): void {
+        if (key === nodeKey || key === leavingKey || key === offsetKey || key === incarnationKey) {
+            this.#cache = undefined;
+        }
+    }
+
     #createSelf(): Member {
         return {
             ...this.#options.self,
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -1,3 +1,4 @@
 /** Roll-outs of a pool's software under live traffic. */
+export type { PeerReport } from "./peerReports.js";
 export * from "./rollout.js";
 export * from "./rollouts.js";
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -9,25 +9,26 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import { judgeRollout } from "./judgeRollout.js";
+import { type PeerReport, PeerReports, type ReportTotal } from "./peerReports.js";
 import { planRollout } from "./planRollout.js";
 import { isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
-import { addEvidence, decodeReport, encodeReport, type EvidenceAnswer, RolloutEvidence } from "./rolloutEvidence.js";
+import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
 import { chooseVersion, SessionMemory } from "./versionGate.js";
 
 const tickMilliseconds = 200;
 /** A node waits so long for each node that ranks before it. */
 const rankDelayMilliseconds = 500;
+/**
+ * So many nodes, the first by rank, look at all reports at every tick; the others do at every fifth. A look costs each node work
+ * in proportion to all nodes, and a node further back would wait its turn for longer than that anyway.
+ */
+const watchfulNodes = 4;
+const ticksBetweenLooks = 5;
 /** An attempt to write is not repeated sooner. */
 const writePauseMilliseconds = 1_000;
 /** A session's memory outlives the time in which its requests belong together. */
 const memoryFactor = 1.5;
 
-/** What a node hears from another one. */
-export interface PeerReport {
-    readonly origin: string;
-    readonly value: Buffer;
-}
-
 /** What roll-outs are handled with. */
 export interface RolloutsOptions {
     readonly clock: Clock;
@@ -41,6 +42,8 @@
     readonly getMemberCount: () => number;
     /** Tells the other nodes this node's evidence on a pool's roll-out. */
     readonly publishEvidence: (pool: string, value: Buffer) => void;
+    /** Returns the time in which what is published reaches one more node, in milliseconds: publishing more often is in vain. */
+    readonly getPublishMilliseconds: () => number;
     /** Returns the evidence of the other nodes. */
     readonly getEvidence: (pool: string) => Iterable<PeerReport>;
     /** Tells all nodes at once that a pool's roll-out was found bad. */
@@ -55,6 +58,9 @@
     orderedAt: number;
     readonly evidence: RolloutEvidence;
     readonly inFlight: Set<object>;
+    readonly peerReports: PeerReports;
+    published: Buffer | undefined;
+    publishedAt: number;
     progress: RolloutProgress | undefined;
     isHalted: boolean;
     /** When the step that is due first was. */
@@ -70,6 +76,7 @@
     readonly #reverted = new Map<string, Set<string>>();
     readonly #sessions: SessionMemory;
     #timer: NodeJS.Timeout | undefined;
+    #ticks = 0;
 
     constructor(options: RolloutsOptions) {
         this.#options = options;
@@ -97,6 +104,9 @@
             orderedAt: this.#options.clock.monotonic(),
             evidence: new RolloutEvidence(),
             inFlight: new Set(),
+            peerReports: new PeerReports(),
+            published: undefined,
+            publishedAt: Number.NEGATIVE_INFINITY,
             progress: undefined,
             isHalted: false,
             dueSince: undefined,
@@ -207,34 +217,55 @@
         const isCandidate = upstream.version === rollout.order.version;
         rollout.evidence.add({ ...answer, isCandidate }, this.#options.clock.monotonic());
         if (isCandidate && answer.hasFailed) {
-            this.#judge(rollout);
+            this.#judge(rollout, this.#getTotal(rollout, this.#createReport(rollout)));
         }
     }
 
     /** Tells the others what is known here, judges, and takes the next step where it is this node's turn. */
     tick(): void {
+        this.#ticks += 1;
         for (const rollout of this.#rollouts.values()) {
             if (rollout.progress !== undefined && isOver(rollout.progress)) {
                 continue;
             }
-            const { pool, id } = rollout.order;
-            const lanes = rollout.evidence.getCounts(this.#options.clock.monotonic());
-            const report = { order: id, currentInFlight: rollout.inFlight.size, lanes };
-            this.#options.publishEvidence(pool, encodeReport(report));
-            this.#judge(rollout);
-            this.#advance(rollout);
+            const own = this.#createReport(rollout);
+            this.#publish(rollout, own);
+            const rank = this.#options.getRank();
+            if (rank < watchfulNodes || this.#ticks % ticksBetweenLooks === rank % ticksBetweenLooks) {
+                const total = this.#getTotal(rollout, own);
+                this.#judge(rollout, total);
+                this.#advance(rollout, total, rank);
+            }
         }
     }
 
-    #judge(rollout: Rollout): void {
-        if (rollout.isHalted) {
+    #createReport({ order, inFlight, evidence }: Rollout): EvidenceReport {
+        const lanes = evidence.getCounts(this.#options.clock.monotonic());
+        return { order: order.id, currentInFlight: inFlight.size, lanes };
+    }
+
+    #publish(rollout: Rollout, own: EvidenceReport): void {
+        const now = this.#options.clock.monotonic();
+        if (now - rollout.publishedAt < this.#options.getPublishMilliseconds()) {
             return;
         }
-        const parts = [rollout.evidence.getCounts(this.#options.clock.monotonic())];
-        for (const report of this.#getReports(rollout)) {
-            parts.push(report.lanes);
+        rollout.publishedAt = now;
+        const value = encodeReport(own);
+        if (rollout.published?.equals(value) !== true) {
+            rollout.published = value;
+            this.#options.publishEvidence(rollout.order.pool, value);
+        }
+    }
+
+    #getTotal({ order, peerReports }: Rollout, own: EvidenceReport): ReportTotal {
+        return peerReports.getTotal(own, this.#options.getEvidence(order.pool));
+    }
+
+    #judge(rollout: Rollout, { lanes }: ReportTotal): void {
+        if (rollout.isHalted) {
+            return;
         }
-        const verdict = judgeRollout(addEvidence(parts));
+        const verdict = judgeRollout(lanes);
         if (verdict === undefined) {
             return;
         }
@@ -252,27 +283,12 @@
         this.#options.journal.write(events.rolloutHalted, { rollout: pool, version, reason });
     }
 
-    #getReports(rollout: Rollout) {
-        const reports = [];
-        for (const { value } of this.#options.getEvidence(rollout.order.pool)) {
-            const report = decodeReport(value);
-            if (report !== undefined && report.order === rollout.order.id) {
-                reports.push(report);
-            }
-        }
-        return reports;
-    }
-
-    #advance(rollout: Rollout): void {
-        const { clock, registry, exposureShare, getRank, getMemberCount } = this.#options;
+    #advance(rollout: Rollout, { currentInFlight }: ReportTotal, rank: number): void {
+        const { clock, registry, exposureShare, getMemberCount } = this.#options;
         const now = clock.monotonic();
         const { order, progress, isHalted } = rollout;
         const upstreams = registry.getTaking(order.pool);
         const candidates = upstreams.filter(upstream => upstream.version === order.version).length;
-        let currentInFlight = rollout.inFlight.size;
-        for (const report of this.#getReports(rollout)) {
-            currentInFlight += report.currentInFlight;
-        }
         const next = planRollout({
             order,
             progress,
@@ -291,7 +307,7 @@
         }
         rollout.dueSince ??= now;
         if (
-            now - rollout.dueSince < getRank() * rankDelayMilliseconds
+            now - rollout.dueSince < rank * rankDelayMilliseconds
             || now - rollout.writtenAt < writePauseMilliseconds
         ) {
             return;
--- /dev/null
+++ b/test/rollouts/peerReports.test.ts
@@ -0,0 +1,59 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { PeerReports } from "../../src/rollouts/peerReports.js";
+import { decodeReport, encodeReport, type EvidenceReport } from "../../src/rollouts/rolloutEvidence.js";
+
+const counts = { answers: 10, failures: 1, timed: 0, logSum: 0, logSquares: 0 };
+const none = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+
+function createReport(order: number, currentInFlight: number): EvidenceReport {
+    return { order, currentInFlight, lanes: new Map([["route", { current: counts, candidate: none }]]) };
+}
+
+function createPeers(count: number): { readonly origin: string; readonly value: Buffer; }[] {
+    return Array.from(
+        { length: count },
+        (...[, index]) => ({ origin: `n-${index}`, value: encodeReport(createReport(7, 2)) }),
+    );
+}
+
+describe("PeerReports", () => {
+    it("adds up this node's counts and those of all others", () => {
+        const total = new PeerReports().getTotal(createReport(7, 3), createPeers(4));
+        expect(total.currentInFlight).toEqual(11);
+        expect(total.lanes.get("route")?.current.answers).toEqual(50);
+    });
+
+    it("passes over reports on another order, and what it cannot read", () => {
+        const peers = [
+            { origin: "n-0", value: encodeReport(createReport(6, 2)) },
+            { origin: "n-1", value: Buffer.from("{}") },
+        ];
+        expect(new PeerReports().getTotal(createReport(7, 3), peers).currentInFlight).toEqual(3);
+    });
+
+    // In a fleet of 195 nodes each one looks at the reports of all others while a roll-out is under way. When every look decodes
+    // every report, the nodes spend more time on that than on their callers, whose answers then come late.
+    it("decodes a report once, however often it is looked at", () => {
+        let decoded = 0;
+        const reports = new PeerReports(value => {
+            decoded += 1;
+            return decodeReport(value);
+        });
+        const peers = createPeers(194);
+        for (let look = 0; look < 100; look += 1) {
+            reports.getTotal(createReport(7, 3), peers);
+        }
+        expect(decoded).toEqual(194);
+        peers[5] = { origin: "n-5", value: encodeReport(createReport(7, 9)) };
+        expect(reports.getTotal(createReport(7, 3), peers).currentInFlight).toEqual(3 + 193 * 2 + 9);
+        expect(decoded).toEqual(195);
+    });
+
+    it("forgets nodes that report nothing more", () => {
+        const reports = new PeerReports();
+        const peers = createPeers(2);
+        reports.getTotal(createReport(7, 0), peers);
+        expect(reports.getTotal(createReport(7, 0), peers.slice(1)).currentInFlight).toEqual(2);
+    });
+});
--- /dev/null
+++ b/test/rollouts/rollouts.test.ts
@@ -0,0 +1,98 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../src/common/index.js";
+
+import { UpstreamRegistry } from "../../src/fleet/index.js";
+import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
+import { encodeReport } from "../../src/rollouts/rolloutEvidence.js";
+import { createJournal } from "../fixtures/journals.js";
+
+const tickMilliseconds = 200;
+const order = { id: 7, pool: "pool", version: "v2", durationMilliseconds: 24_000 };
+const none = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+
+interface Site {
+    readonly rollouts: Rollouts;
+    readonly written: RolloutProgress[];
+    readonly counts: { looks: number; published: number; };
+    /** Lets time pass, tick by tick. */
+    readonly run: (ticks: number) => void;
+}
+
+/** A node of a rank, before the reports of others. */
+function createSite(rank: number, peers: readonly Buffer[], publishMilliseconds = 150): Site {
+    const clock = new ManualClock();
+    const registry = new UpstreamRegistry(clock);
+    const written: RolloutProgress[] = [];
+    const counts = { looks: 0, published: 0 };
+    const rollouts = new Rollouts({
+        clock,
+        journal: createJournal().journal,
+        registry,
+        exposureShare: 0.1,
+        sessionMilliseconds: 5_000,
+        getRank: () => rank,
+        getMemberCount: () => peers.length + 1,
+        getPublishMilliseconds: () => publishMilliseconds,
+        publishEvidence: () => counts.published += 1,
+        getEvidence: () => {
+            counts.looks += 1;
+            return peers.map((value, index) => ({ origin: `n-${index}`, value }));
+        },
+        publishHalt: () => undefined,
+        writeProgress: async (...[, progress]) => {
+            written.push(progress);
+        },
+    });
+    rollouts.setOrder(order);
+    const run = (ticks: number): void => {
+        for (let tick = 0; tick < ticks; tick += 1) {
+            clock.advance(tickMilliseconds);
+            rollouts.tick();
+        }
+    };
+    return { rollouts, written, counts, run };
+}
+
+function createBadReport(): Buffer {
+    const candidate = { ...none, answers: 10, failures: 8 };
+    return encodeReport({
+        order: order.id,
+        currentInFlight: 0,
+        lanes: new Map([["route", { current: none, candidate }]]),
+    });
+}
+
+describe("Rollouts", () => {
+    // Every node of a large fleet gathers what all others report. Done at each tick by each of them, the work grows with the
+    // square of the fleet, and callers wait behind it.
+    it("looks at the others' reports at each tick only where it is among the first by rank", () => {
+        const peers = Array.from({ length: 194 }, () => createBadReport());
+        const first = createSite(0, peers);
+        const late = createSite(100, peers);
+        first.run(50);
+        late.run(50);
+        expect(first.counts.looks).toEqual(50);
+        expect(late.counts.looks).toEqual(10);
+    });
+
+    it("finds a bad version by what others saw, on a node far back in rank within a second", () => {
+        const site = createSite(100, [createBadReport()]);
+        site.run(5);
+        expect(site.rollouts.select("pool", "session", [])).toEqual([]);
+        site.run(1_000);
+        expect(site.written[0]?.state).toEqual("reverted");
+    });
+
+    it("publishes no more often than it is heard, and nothing that is known already", () => {
+        const site = createSite(100, [], 1_000);
+        site.run(50);
+        expect(site.counts.published).toEqual(1);
+    });
+
+    it("takes the first step at once where it is the first by rank", () => {
+        const site = createSite(0, []);
+        site.run(2);
+        expect(site.written[0]?.state).toEqual("moving");
+    });
+});
