Tell of a page of member records once, and ask the store for changes only when the peers are known

Each reads the records of 195 nodes and worked out all members after each of them; and each waits for changes at the store until it knows who else may be asked: 1,584 calls for the first start of 195 nodes, 8 each, where three reads and a record are needed.

Change: MemberDirectory takes a page at a time; followers of the operator's and the upstreams' topics wait up to 0.5 s after their first read until the records of the nodes are read.

--- a/src/membership/memberDirectory.ts
+++ b/src/membership/memberDirectory.ts
@@ -39,15 +39,31 @@
     }
 
     /**
-     * Takes in a record, or its removal.
-     * @param id - The node.
-     * @param value - The record as JSON, undefined when it was removed.
-     * @returns Whether it could be read.
+     * Takes in records, or their removals, and tells of them once. A node that starts reads hundreds at a time; told of each, the
+     * list of members would be worked out as often, while callers wait for the node.
+     * @param changed - Records as JSON by node; undefined when one was removed.
+     * @returns The nodes whose records could not be read.
      */
-    set(id: string, value: Buffer | undefined): boolean {
+    apply(changed: Iterable<readonly [id: string, value: Buffer | undefined]>): readonly string[] {
+        const unreadable: string[] = [];
+        let hasChanged = false;
+        for (const [id, value] of changed) {
+            if (this.#set(id, value)) {
+                hasChanged = true;
+            }
+            else {
+                unreadable.push(id);
+            }
+        }
+        if (hasChanged) {
+            this.#onChange(Array.from(this.#records.values(), toVm));
+        }
+        return unreadable;
+    }
+
+    #set(id: string, value: Buffer | undefined): boolean {
         if (value === undefined) {
             this.#records.delete(id);
-            this.#tell();
             return true;
         }
         const record = parseRecord(value);
@@ -55,13 +71,8 @@
             return false;
         }
         this.#records.set(id, record);
-        this.#tell();
         return true;
     }
-
-    #tell(): void {
-        this.#onChange(Array.from(this.#records.values(), toVm));
-    }
 }
 
 function toVm(record: MemberRecord): Vm {
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -8,7 +8,13 @@
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
 import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
-import { answerPeer, type KeyedRecord, TopicFollower, TopicSources } from "../topics/index.js";
+import {
+    answerPeer,
+    type KeyedRecord,
+    TopicFollower,
+    type TopicFollowerOptions,
+    TopicSources,
+} from "../topics/index.js";
 import { decodeConfiguration, decodeProgress, decodeRolloutOrder, encodeRolloutStatus } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
@@ -27,6 +33,8 @@
 const statusWaitMilliseconds = 2_000;
 /** A status that was not confirmed for so long has to be read elsewhere, in milliseconds. */
 const statusStaleMilliseconds = 5_000;
+/** How long a node that has just started waits to learn who its peers are before it asks the store for changes, in milliseconds. */
+const peersMilliseconds = 500;
 /**
  * Part of the time in which a configuration must be in force that callers of a node that has just started wait for the first read.
  * The store answers in 4 ms, and in 240 ms when it is sixty times slower; without an answer by then it is away, and callers are
@@ -93,8 +101,17 @@
             staleMilliseconds: tightest * staleShare,
         };
         const slow = { waitMilliseconds: statusWaitMilliseconds, staleMilliseconds: statusStaleMilliseconds };
-        this.#operator = this.#createFollower(topics.operator, quick, changed => this.#takeOrders(changed));
-        this.#upstreams = this.#createFollower(topics.upstreams, quick, changed => this.#takeUpstreams(changed));
+        const waitForPeers = (): Promise<void> => this.#status.waitLoaded(peersMilliseconds);
+        this.#operator = this.#createFollower(
+            topics.operator,
+            { ...quick, waitForPeers },
+            changed => this.#takeOrders(changed),
+        );
+        this.#upstreams = this.#createFollower(
+            topics.upstreams,
+            { ...quick, waitForPeers },
+            changed => this.#takeUpstreams(changed),
+        );
         this.#status = this.#createFollower(topics.status, slow, changed => this.#takeStatus(changed));
         this.#followers.set(topics.operator, this.#operator);
         this.#followers.set(topics.upstreams, this.#upstreams);
@@ -161,7 +178,7 @@
 
     #createFollower(
         topic: string,
-        times: { readonly waitMilliseconds: number; readonly staleMilliseconds: number; },
+        following: Pick<TopicFollowerOptions, "waitMilliseconds" | "staleMilliseconds" | "waitForPeers">,
         onChanges: (changed: readonly KeyedRecord[]) => void,
     ): TopicFollower {
         const { beliefClock, journal, store } = this.#options;
@@ -178,7 +195,7 @@
             outageMilliseconds,
             getPause: () =>
                 Math.min(mostPauseMilliseconds, pauseMillisecondsByNode * this.#options.membership.getMembers().length),
-            ...times,
+            ...following,
         });
     }
 
@@ -251,20 +268,18 @@
     }
 
     #takeStatus(changed: readonly KeyedRecord[]): void {
+        const { directory, journal } = this.#options;
+        const members: [string, Buffer | undefined][] = [];
         for (const { key, value } of changed) {
             if (key.startsWith(recordKeys.memberPrefix)) {
-                this.#takeMember(key, value);
+                members.push([key.slice(recordKeys.memberPrefix.length), value]);
             }
             else if (key.startsWith(recordKeys.progressPrefix) && value !== undefined) {
                 this.#takeProgress(key, value);
             }
         }
-    }
-
-    #takeMember(key: string, value: Buffer | undefined): void {
-        const { directory, journal } = this.#options;
-        if (!directory.set(key.slice(recordKeys.memberPrefix.length), value)) {
-            journal.write(events.recordUnreadable, { key });
+        for (const id of directory.apply(members)) {
+            journal.write(events.recordUnreadable, { key: `${recordKeys.memberPrefix}${id}` });
         }
     }
 
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -34,6 +34,11 @@
      * records of all nodes as a site starts, would otherwise cost every node a read each.
      */
     readonly getPause?: () => number;
+    /**
+     * Waits after the first read until it is known whom else to ask. Every node that starts would otherwise wait for changes at the
+     * store for a while, though few nodes are to read it: several calls at each start, and all nodes at once after a loss of power.
+     */
+    readonly waitForPeers?: () => Promise<void>;
     /** Takes what changed, in the order of offsets. */
     readonly onChanges: (changed: readonly KeyedRecord[]) => void;
     /** Waits between failed reads; tests give another. */
@@ -150,9 +155,10 @@
     async #run(): Promise<void> {
         while (!this.#isStopped) {
             const reader = this.#options.pickReader(this.#detours);
-            const read = this.state.isLoaded()
-                ? await reader.readSince(this.state.getEnd(), this.#options.waitMilliseconds)
-                : await reader.readAll();
+            const isFirst = !this.state.isLoaded();
+            const read = isFirst
+                ? await reader.readAll()
+                : await reader.readSince(this.state.getEnd(), this.#options.waitMilliseconds);
             if (read.isErr()) {
                 this.#takeDetour();
                 await this.#recover(reader, read.error);
@@ -166,6 +172,9 @@
                 continue;
             }
             this.#noteRegained();
+            if (isFirst) {
+                await this.#options.waitForPeers?.();
+            }
             if (this.#options.clock.monotonic() >= this.#detourUntil) {
                 this.#detours = 0;
             }
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -75,6 +75,38 @@
         expect([calls, values]).toEqual([["all", "since 5"], ["4", "5"]]);
     });
 
+    // All nodes of a fleet start together after a loss of power. A node that follows a topic before it knows whom else to ask waits
+    // for changes at the store, and so does every other one: hundreds of calls in the second in which the store is needed most.
+    it("waits after its first read until it knows whom else to ask", async () => {
+        const order: string[] = [];
+        const reader: KeyedTopicReader = {
+            source: "store",
+            readAll: async () => {
+                order.push("all");
+                return createPage(4, 1_000, true);
+            },
+            readSince: async () => {
+                order.push("since");
+                follower.stop();
+                return createPage(5, 1_000);
+            },
+        };
+        const follower: TopicFollower = new TopicFollower({
+            name: "operator",
+            clock: new ManualClock(1_000),
+            journal: createJournal().journal,
+            pickReader: () => reader,
+            staleMilliseconds: 2_500,
+            outageMilliseconds: 3_000,
+            waitMilliseconds: 700,
+            waitForPeers: async () => void order.push("peers known"),
+            onChanges: () => undefined,
+        });
+        follower.start();
+        await follower.settle();
+        expect(order).toEqual(["all", "peers known", "since"]);
+    });
+
     // The store dropped its history while this node was cut off. The records in between will never come; without reading
     // everything again, the node would serve by an old configuration for good.
     it("reads everything again when its offset has expired", async () => {
