Presume all members of a large fleet alive until news of them had time to spread

Cause: after a start of everything a node presumed members for 3 s, whatever the size, and counted only those it had heard of after that. Gossip's period grows with the fleet (1.16 s with 195 nodes), so news takes 7 to 11 periods: in the new test a node counts on 31 of 195 members in the fourth second, on 12 to 135 in the mean until the seventh period, on 2 at the least.

Change: members are presumed for log2(n) + ln(n) periods, the time in which news almost surely reaches all nodes, and for 3 s at least.

Before: the test fails with 31 of 195; after: 195 of 195 in each period until all are heard.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -10,7 +10,7 @@
 import type { ExchangeReply, ExchangeRequest, Item, PushRequest } from "../generated/peer.js";
 import type { Vm } from "../world/index.js";
 import { readDigest, writeDigest } from "./gossipMessages.js";
-import { getPeriod, getSuspectTime, getValueBytes } from "./gossipPace.js";
+import { getPeriod, getSpreadTime, getSuspectTime, getValueBytes } from "./gossipPace.js";
 import { GossipPartners, mostPartners } from "./gossipPartners.js";
 import { type DigestLine, GossipState, incarnationKey } from "./gossipState.js";
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
@@ -345,6 +345,11 @@
         return getSuspectTime(this.getPeriodMilliseconds(), this.#peers.size);
     }
 
+    /** Returns how long news of a node takes to reach all others. */
+    getSpreadMilliseconds(): number {
+        return getSpreadTime(this.getPeriodMilliseconds(), this.#peers.size);
+    }
+
     /** Returns the time between two exchanges that this node begins. */
     getPeriodMilliseconds(): number {
         return getPeriod(this.#options.periodMilliseconds, this.#peers.size);
--- a/src/membership/gossipPace.ts
+++ b/src/membership/gossipPace.ts
@@ -24,8 +24,18 @@
 }
 
 /**
- * Returns how long a heartbeat may stay unchanged before its node is suspected. News reaches all nodes in about
- * log2(n) periods; twice that, and some periods for lost messages, keeps false suspicion rare.
+ * Returns the time in which news almost surely reaches all nodes: about log2(n) periods until half of them know it, and ln(n) more
+ * until the last one does.
+ * @param periodMilliseconds - The time between two exchanges.
+ * @param peers - How many peers there are.
+ */
+export function getSpreadTime(periodMilliseconds: number, peers: number): number {
+    return periodMilliseconds * (Math.log2(peers + 2) + Math.log(peers + 2));
+}
+
+/**
+ * Returns how long a heartbeat may stay unchanged before its node is suspected. Twice the time in which most nodes hear of it, and
+ * some periods for lost messages, keep false suspicion rare.
  * @param periodMilliseconds - The time between two exchanges.
  * @param peers - How many peers there are.
  */
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -19,10 +19,10 @@
 /** A silent member's protocol still binds for so long: it may only be cut off. */
 const defaultRecentMilliseconds = 10 * 60_000;
 /**
- * A member that was just listed is presumed alive for so long, in milliseconds: 90 nodes that start together have heard of each
- * other after two seconds. Longer, callers of a node that has just started would be sent to nodes that are gone.
+ * A member that was just listed is presumed alive for so long at a small site, in milliseconds, and for as long as news takes to reach
+ * all nodes at a larger one. Longer, callers of a node that has just started would be sent to nodes that are gone.
  */
-const presumedMilliseconds = 3_000;
+const leastPresumedMilliseconds = 3_000;
 const majority = 0.5;
 /** The list of members is worked out anew after so long; it is asked for with every claim. */
 const cacheMilliseconds = 100;
@@ -141,10 +141,14 @@
     /**
      * Returns the members that answer, and those that were listed so recently that nothing could be heard of them yet. As a site
      * starts, nobody has heard of anybody: a node that took itself for the only one would read the store in everybody's place and
-     * send all callers to itself.
+     * send all callers to itself, and one that has heard of a few would send them all to those few.
      */
     getPresumed(): readonly Member[] {
-        return this.getMembers().filter(member => member.state === "alive" || isNew(member));
+        const { gossip } = this.#options;
+        const presumedMilliseconds = Math.max(leastPresumedMilliseconds, gossip.getSpreadMilliseconds());
+        return this.getMembers().filter(({ state, isHeard, heartbeatAge }) =>
+            state === "alive" || !isHeard && heartbeatAge < presumedMilliseconds
+        );
     }
 
     /**
@@ -311,10 +315,6 @@
     }
 }
 
-function isNew({ isHeard, heartbeatAge }: Member): boolean {
-    return !isHeard && heartbeatAge < presumedMilliseconds;
-}
-
 function parseNode(value: Buffer | undefined): PublishedNode | undefined {
     if (value === undefined) {
         return undefined;
