Rank the runners of a pool once for each list, not for each request

Change: RunnerGroups keeps what it worked out for a list; lists stay the same objects until something changes (VersionDivisions for those of a roll-out, nothing filtered where nobody is left out). The choices are the same.

What is left is mostly the distances of all runners to the prompt's key.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -116,8 +116,8 @@
      */
     pick(options: PickOptions): Pick | undefined {
         const now = this.#clock.monotonic();
-        const untried = options.candidates.filter(upstream => !options.excluded.has(upstream.id));
-        const sound = untried.filter(upstream => !this.#getStatus(upstream.id).isEjected(now));
+        const untried = leaveOut(options.candidates, ({ id }) => options.excluded.has(id));
+        const sound = leaveOut(untried, ({ id }) => this.#getStatus(id).isEjected(now));
         if (sound.length === 0) {
             // Trying an ejected upstream beats refusing.
             return this.#createPick(this.#findLeastLoaded(untried, now), "ejected", now);
@@ -300,6 +300,14 @@
     }
 }
 
+/** Leaves some upstreams out; returns the same list where there are none, since what is worked out for a list is kept. */
+function leaveOut(
+    upstreams: readonly RegisteredUpstream[],
+    isLeftOut: (upstream: RegisteredUpstream) => boolean,
+): readonly RegisteredUpstream[] {
+    return upstreams.some(isLeftOut) ? upstreams.filter(upstream => !isLeftOut(upstream)) : upstreams;
+}
+
 /** Returns what it costs others when a prompt is read among prompts of another length, in milliseconds. */
 function getMisplacement(readingMilliseconds: number, isForLong: boolean): number {
     const isLong = readingMilliseconds >= longMilliseconds;
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -13,6 +13,7 @@
 import { planRollout } from "./planRollout.js";
 import { isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
 import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
+import { VersionDivisions } from "./versionDivisions.js";
 import { chooseVersion, SessionMemory } from "./versionGate.js";
 
 const tickMilliseconds = 200;
@@ -73,8 +74,10 @@
     readonly #options: RolloutsOptions;
     readonly #rollouts = new Map<string, Rollout>();
     readonly #waitingProgress = new Map<string, RolloutProgress>();
-    readonly #reverted = new Map<string, Set<string>>();
+    /** By pool: versions that serve nothing any more. A set that changes is another set. */
+    readonly #reverted = new Map<string, ReadonlySet<string>>();
     readonly #sessions: SessionMemory;
+    readonly #divisions = new VersionDivisions();
     #timer: NodeJS.Timeout | undefined;
     #ticks = 0;
 
@@ -112,7 +115,7 @@
             dueSince: undefined,
             writtenAt: Number.NEGATIVE_INFINITY,
         });
-        this.#reverted.get(order.pool)?.delete(order.version);
+        this.#forgive(order);
         this.#options.journal.write(events.rolloutOrdered, {
             rollout: order.pool,
             version: order.version,
@@ -124,11 +127,17 @@
         }
     }
 
+    /** A version that was reverted may be ordered again. */
+    #forgive({ pool, version }: RolloutOrder): void {
+        const left = [...this.#reverted.get(pool) ?? []].filter(reverted => reverted !== version);
+        this.#reverted.set(pool, new Set(left));
+    }
+
     /** Takes in how far a pool's roll-out has come. */
     setProgress(pool: string, progress: RolloutProgress): void {
         const rollout = this.#rollouts.get(pool);
         if (progress.state === "reverted") {
-            this.#reverted.set(pool, (this.#reverted.get(pool) ?? new Set()).add(progress.version));
+            this.#reverted.set(pool, new Set([...this.#reverted.get(pool) ?? [], progress.version]));
         }
         if (rollout === undefined || rollout.order.id !== progress.order) {
             this.#waitingProgress.set(pool, progress);
@@ -164,9 +173,11 @@
      * @param upstreams - The pool's upstreams that take requests.
      */
     select(pool: string, session: string, upstreams: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
-        const reverted = this.#reverted.get(pool);
-        const sound = reverted === undefined ? upstreams : upstreams.filter(({ version }) => !reverted.has(version));
         const rollout = this.#rollouts.get(pool);
+        const { sound, candidates, currents } = this.#divisions.get(upstreams, {
+            reverted: this.#reverted.get(pool),
+            candidate: rollout?.order.version,
+        });
         if (rollout === undefined) {
             return sound;
         }
@@ -178,8 +189,6 @@
             sessionRank: getUnitRank(String(order.id), session),
             lastVersion: this.#sessions.get(session, this.#options.clock.monotonic()),
         });
-        const candidates = sound.filter(({ version }) => version === order.version);
-        const currents = sound.filter(({ version }) => version !== order.version);
         if (choice === "candidate") {
             return candidates.length > 0 ? candidates : currents;
         }
