--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -1,8 +1,7 @@
 // Runs the bundled program with V8's compiled code beside it.
 //
 // Callers that connect to a node whose program still loads would be turned away by the system, and each of them has few tries. So
-// the first thing that the launcher does is to listen; connections wait in the system's queue until the program takes them. With the
-// compiled code and a lean bundle, a node knows its routes 283 ms after its power is back, where it took 630 (logs of one loss of power).
+// the first thing that the launcher does is to listen; connections wait in the system's queue until the program takes them.
 //
 // Usage: launch.cjs [HOST:PORT of callers]
 //
--- a/scripts/lean/undici.cjs
+++ b/scripts/lean/undici.cjs
@@ -1,5 +1,5 @@
-// The parts of undici that a node uses. The package's main module also loads fetch, WebSocket, caches and mocks: 45 ms of
-// processor time of a start (168 to 123 ms for the whole bundle with compiled code, median of 15).
+// The parts of undici that a node uses. The package's main module also loads fetch, WebSocket, caches and mocks, a
+// quarter of a start's processor time.
 const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
 // The main module adds the calls to its dispatchers in the same way.
 Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
--- a/src/decisions/cascade/confidenceCascade.ts
+++ b/src/decisions/cascade/confidenceCascade.ts
@@ -25,10 +25,7 @@
     readonly isInTime: () => boolean;
 }
 
-/**
- * Answers below this confidence go to the largest model. Measured on a calm day as credit less prices: 0.741 at 50, 0.736 at
- * 40, 0.726 at 70, 0.709 at 30; 0.651 with the largest model alone.
- */
+/** Answers below this confidence go to the largest model: more of them would cost more than better answers bring. */
 const acceptedConfidence = 50;
 /**
  * When a better answer would be late, it is worth a tenth to a third of one in time, so only an answer that is almost certainly
@@ -52,8 +49,7 @@
 
 /**
  * Returns the model to ask in place of the one that answered, or undefined when its answer is good enough. The step goes
- * straight to the largest model: with a middle step in between, a request may need three runners, which was measured to cost
- * more than it saves (0.667 against 0.741) and left no attempt for a failure.
+ * straight to the largest model: with a middle step in between, a request may need three runners, and none is left for a failure.
  * @param options - What the decision rests on.
  */
 export function chooseNextModel(options: AcceptanceOptions): string | undefined {
--- a/src/decisions/dispatch/readingPace.ts
+++ b/src/decisions/dispatch/readingPace.ts
@@ -32,9 +32,8 @@
 }
 
 /**
- * Learns the pace of each model, for prompts of each size apart, since the time to read grows faster than the prompt. By one pace for
- * all, prompts of 16,000 tokens and more were expected in 344 ms at the largest model and took 769 (medians of a calm day's log); they
- * were sent on to it and came late.
+ * Learns the pace of each model, for prompts of each size apart, since the time to read grows faster than the prompt: by one pace for
+ * all, the longest prompts are expected too soon, sent on to the largest model, and come late.
  */
 export class ReadingPace {
     /** By model, then by the binary logarithm of the tokens. */
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -12,10 +12,7 @@
 const mostEjectedShare = 0.34;
 /** A plain service counts as full in the own failure domain at this part of its slots. */
 const fullShare = 0.9;
-/**
- * Time by which each request at a runner delays the head of another answer there, in milliseconds. Measured on a calm day:
- * heads took 117 ms in the median beside 5 requests and 437 ms beside 19.
- */
+/** Time by which each request at a runner delays the head of another answer there, in milliseconds. */
 const delayMillisecondsByRequest = 15;
 /**
  * What a request in another failure domain must gain in time to be worth its way, in milliseconds: for the way itself, and for
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -19,7 +19,7 @@
 /**
  * A runner is taken for silent when its answer does not begin in so many times the expected time and a bit more, and never
  * sooner than the least, in milliseconds. Given up sooner, crowded runners look dead: their work is thrown away and done
- * again elsewhere, which crowds the others (92 of 2,459 streams on a calm day with 1.5 times the objective).
+ * again elsewhere, which crowds the others.
  */
 const silentHeadFactor = 3;
 const silentHeadMilliseconds = 700;
