--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -7,6 +7,7 @@
 import { ReadingPace } from "./readingPace.js";
 import { RunnerGroups } from "./runnerGroups.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
+import { UsualLoad } from "./usualLoad.js";
 
 /** At most this part of a pool is ejected; beyond it the fault is hardly that of single upstreams. */
 const mostEjectedShare = 0.34;
@@ -91,6 +92,8 @@
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #paces = new ReadingPace();
+    /** By pool. */
+    readonly #usualLoads = new Map<string, UsualLoad>();
     #waitRatio = 1;
 
     constructor(options: {
@@ -177,11 +180,12 @@
 
     /**
      * Notes the load that came with an answer.
-     * @param upstream - Identifier of the upstream.
+     * @param upstream - The upstream.
      * @param load - The load.
      */
-    report(upstream: string, load: ReportedRequests): void {
-        this.#getStatus(upstream).report(load, this.#clock.monotonic());
+    report(upstream: RegisteredUpstream, load: ReportedRequests): void {
+        const others = this.#getStatus(upstream.id).report(load, this.#clock.monotonic());
+        this.#getUsualLoad(upstream.pool).add(others, load.slots);
     }
 
     /**
@@ -222,8 +226,22 @@
         return status;
     }
 
+    #getUsualLoad(pool: string): UsualLoad {
+        let load = this.#usualLoads.get(pool);
+        if (load === undefined) {
+            load = new UsualLoad();
+            this.#usualLoads.set(pool, load);
+        }
+        return load;
+    }
+
+    /** Returns the requests that are expected at an upstream, of all nodes. */
+    #getRequests({ id, pool, slots }: RegisteredUpstream, now: number): number {
+        return this.#getStatus(id).getRequests(now, this.#getUsualLoad(pool).getOthers(slots));
+    }
+
     #getLoad(upstream: RegisteredUpstream, now: number): number {
-        return this.#getStatus(upstream.id).getRequests(now) / upstream.slots;
+        return this.#getRequests(upstream, now) / upstream.slots;
     }
 
     /** Failure rate of the pool's other upstreams: faults that all of them have are the pool's, not one upstream's. */
@@ -260,7 +278,7 @@
             const unreadTokens = prompt.tokens - cached * prompt.sharedTokens;
             const readingMilliseconds = this.#paces.getMilliseconds(prompt.model, unreadTokens);
             const noise = 1 + loadNoise * (2 * Math.random() - 1);
-            const requests = status.getRequests(now) * noise;
+            const requests = this.#getRequests(upstream, now) * noise;
             const waiting = requests * delayMillisecondsByRequest + status.getReading();
             const isFull = requests >= upstream.slots;
             const distance = upstream.failureDomain === this.#failureDomain ? 0 : domainCost;
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -9,7 +9,7 @@
     readonly slots: number;
 }
 
-/** Time after which half of what others were reported to have there is taken to be over, in milliseconds. */
+/** Time after which half of the difference between what others were reported to have there and what is usual is over, in milliseconds. */
 const loadHalfLifeMilliseconds = 1_500;
 /** Weight of the newest outcome in the failure rate: about the last eight count. */
 const outcomeWeight = 0.12;
@@ -37,8 +37,8 @@
     #inFlight = 0;
     #readingMilliseconds = 0;
     #heardAt = Number.NEGATIVE_INFINITY;
-    #reported = 0;
-    #inFlightAtReport = 0;
+    /** Requests of other nodes, by the last report. */
+    #others = 0;
     #reportedAt = Number.NEGATIVE_INFINITY;
     #failureRate = 0;
     #outcomes = 0;
@@ -52,13 +52,15 @@
     }
 
     /**
-     * Returns the requests that are expected to be there, of all nodes.
+     * Returns the requests that are expected to be there, of all nodes. What was reported long ago says nothing any more; an upstream
+     * of which nothing new is known is as crowded as its pool usually is. Taken for empty, it would get the next request of every node
+     * that has not heard of it lately: in a large fleet that is nearly all of them, and crowded upstreams get still more.
      * @param now - Monotonic milliseconds.
+     * @param usualOthers - Requests of other nodes that an upstream of the pool usually has.
      */
-    getRequests(now: number): number {
-        const others = Math.max(0, this.#reported - this.#inFlightAtReport);
+    getRequests(now: number, usualOthers: number): number {
         const share = 0.5 ** ((now - this.#reportedAt) / loadHalfLifeMilliseconds);
-        return this.#inFlight + others * share;
+        return this.#inFlight + usualOthers + (this.#others - usualOthers) * share;
     }
 
     /** Returns the smoothed share of calls that failed. */
@@ -97,11 +99,14 @@
         this.#heardAt = now;
     }
 
-    /** Notes the load that came with an answer. */
-    report(load: ReportedRequests, now: number): void {
-        this.#reported = load.requests;
-        this.#inFlightAtReport = this.#inFlight;
+    /**
+     * Notes the load that came with an answer.
+     * @returns The requests of other nodes among it.
+     */
+    report(load: ReportedRequests, now: number): number {
+        this.#others = Math.max(0, load.requests - this.#inFlight);
         this.#reportedAt = now;
+        return this.#others;
     }
 
     /**
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -196,7 +196,7 @@
         }
         const { load } = called.value;
         if (load !== undefined) {
-            picker.report(upstream.id, { requests: load.running + load.waiting, slots: load.slots });
+            picker.report(upstream, { requests: load.running + load.waiting, slots: load.slots });
         }
         return ok({ upstream, answer: called.value, finish, cancel, markHeard: () => picker.markHeard(upstream.id) });
     }
@@ -225,7 +225,7 @@
         }
         if (failure.load !== undefined) {
             const { running, waiting, slots } = failure.load;
-            picker.report(upstream.id, { requests: running + waiting, slots });
+            picker.report(upstream, { requests: running + waiting, slots });
         }
     }
 
--- /dev/null
+++ b/test/decisions/dispatch/manyNodes.ts
@@ -0,0 +1,132 @@
+/**
+ * A replay of many nodes before few runners, each node hearing of a runner only with its own answers from it.
+ */
+import { ManualClock, RandomSource } from "../../../src/common/index.js";
+import { UpstreamPicker } from "../../../src/decisions/index.js";
+import { createUpstreams } from "../../fixtures/upstreams.js";
+
+/** What is replayed. */
+export interface ManyNodesOptions {
+    readonly nodes: number;
+    readonly runners: number;
+    readonly slots: number;
+    /** Part of all slots that is taken in the mean. */
+    readonly load: number;
+    readonly requests: number;
+    readonly seed: number;
+}
+
+interface Kind {
+    readonly share: number;
+    readonly tokens: number;
+    /** Mean time in a slot. */
+    readonly milliseconds: number;
+}
+
+interface Job {
+    readonly at: number;
+    readonly node: number;
+    readonly kind: Kind;
+    readonly readingMilliseconds: number;
+}
+
+interface Runner {
+    running: number;
+    readonly queue: Job[];
+}
+
+interface Moment {
+    readonly at: number;
+    readonly run: () => void;
+}
+
+/** Long prompts with long answers, short prompts with long answers, and short ones with answers of a few tokens. */
+const kinds: readonly Kind[] = [
+    { share: 0.24, tokens: 12_000, milliseconds: 2_500 },
+    { share: 0.2, tokens: 800, milliseconds: 1_500 },
+    { share: 0.56, tokens: 2_400, milliseconds: 250 },
+];
+
+/**
+ * Replays requests.
+ * @returns The times that they waited for a slot, in milliseconds.
+ */
+export function replayManyNodes({ nodes, runners, slots, load, requests, seed }: ManyNodesOptions): readonly number[] {
+    const random = new RandomSource(seed);
+    const clock = new ManualClock(10_000);
+    const upstreams = createUpstreams(runners, { slots });
+    const states = new Map<string, Runner>(upstreams.map(({ id }) => [id, { running: 0, queue: [] }]));
+    const pickers = Array.from(
+        { length: nodes },
+        (...[, index]) =>
+            new UpstreamPicker({ clock, self: `n-${index}`, failureDomain: "north", onEject: () => undefined }),
+    );
+    const meanMilliseconds = kinds.reduce((sum, kind) => sum + kind.share * kind.milliseconds, 0);
+    const gapMilliseconds = meanMilliseconds / (runners * slots * load);
+    const moments: Moment[] = [];
+    const waits: number[] = [];
+
+    function schedule(moment: Moment): void {
+        let index = moments.length;
+        while (index > 0 && moments[index - 1].at < moment.at) {
+            index -= 1;
+        }
+        moments.splice(index, 0, moment);
+    }
+
+    function drawKind(): Kind {
+        const drawn = random.next();
+        return drawn < kinds[0].share ? kinds[0] : drawn < kinds[0].share + kinds[1].share ? kinds[1] : kinds[2];
+    }
+
+    function begin(id: string, job: Job): void {
+        const upstream = upstreams.find(other => other.id === id)!;
+        const state = states.get(id)!;
+        const picker = pickers[job.node];
+        state.running += 1;
+        waits.push(clock.monotonic() - job.at);
+        picker.addReading(id, -job.readingMilliseconds);
+        picker.report(upstream, { requests: state.running + state.queue.length, slots });
+        const milliseconds = job.kind.milliseconds * Math.exp(0.6 * random.nextNormal() - 0.18);
+        schedule({
+            at: clock.monotonic() + milliseconds,
+            run: () => {
+                state.running -= 1;
+                picker.finish(upstream, "ok", upstreams);
+                const next = state.queue.shift();
+                if (next !== undefined) {
+                    begin(id, next);
+                }
+            },
+        });
+    }
+
+    function arrive(left: number): void {
+        const kind = drawKind();
+        const node = random.nextInteger(nodes);
+        const tokens = Math.round(kind.tokens * Math.exp(random.nextNormal() - 0.5));
+        const prompt = { model: "m", tokens, bytes: 800, sharedTokens: 0, sharedKey: `k${left}` };
+        const pick = pickers[node].pick({ pool: "app", candidates: upstreams, excluded: new Set(), prompt })!;
+        const { upstream: { id }, readingMilliseconds } = pick;
+        pickers[node].begin(id);
+        pickers[node].addReading(id, readingMilliseconds);
+        const job = { at: clock.monotonic(), node, kind, readingMilliseconds };
+        const state = states.get(id)!;
+        if (state.running < slots) {
+            begin(id, job);
+        }
+        else {
+            state.queue.push(job);
+        }
+        if (left > 1) {
+            schedule({ at: clock.monotonic() + random.nextExponential(gapMilliseconds), run: () => arrive(left - 1) });
+        }
+    }
+
+    schedule({ at: clock.monotonic(), run: () => arrive(requests) });
+    for (let moment = moments.pop(); moment !== undefined; moment = moments.pop()) {
+        clock.advance(moment.at - clock.monotonic());
+        moment.run();
+    }
+    return waits;
+}
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -4,6 +4,7 @@
 import { type PromptLoad, UpstreamPicker } from "../../../src/decisions/index.js";
 import type { RegisteredUpstream } from "../../../src/fleet/index.js";
 import { createUpstream, createUpstreams } from "../../fixtures/upstreams.js";
+import { replayManyNodes } from "./manyNodes.js";
 
 function createPicker() {
     const clock = new ManualClock(10_000);
@@ -53,6 +54,14 @@
     return waits.sort((first, second) => first - second);
 }
 
+/** Time to the first token that 95 in 100 callers are promised. */
+const objectiveMilliseconds = 900;
+
+function getAt95(waits: readonly number[]): number {
+    const sorted = [...waits].sort((first, second) => first - second);
+    return sorted[Math.floor(sorted.length * 0.95)];
+}
+
 describe("UpstreamPicker", () => {
     describe("pick", () => {
         it("prefers the own failure domain until it is full", () => {
@@ -78,6 +87,16 @@
             expect(new Set(picks.map(pick => pick?.upstream.id)).size).toEqual(1);
         });
 
+        // Thirty nodes of a large fleet share a dozen runners of twelve slots, half of them taken. Each node has an answer from a given
+        // runner every few seconds only. Taking runners for empty of which it had not heard lately, it sent most requests to crowded
+        // ones, and callers got the first word late while other runners had free slots.
+        it("does not take runners for empty of which nothing is known", () => {
+            for (const seed of [1, 2, 3]) {
+                const waits = replayManyNodes({ nodes: 33, runners: 12, slots: 12, load: 0.5, requests: 6_000, seed });
+                expect(getAt95(waits) < objectiveMilliseconds).toEqual(true);
+            }
+        });
+
         it("tries an ejected upstream rather than nobody", () => {
             const { picker } = createPicker();
             const only = createUpstream("only");
@@ -133,8 +152,7 @@
                 picker.finish(createUpstream(entry.id), "cancelled", []);
                 return true;
             }
-            const at95 = (waits: readonly number[]): number => waits[Math.floor(waits.length * 0.95)];
-            expect(at95(apart) < 0.25 * at95(spread)).toEqual(true);
+            expect(getAt95(apart) < 0.25 * getAt95(spread)).toEqual(true);
         });
     });
 
