--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -281,7 +281,6 @@
         getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
         getMemberCount: () => membership.getMembers().length,
         publishEvidence: (pool, value) => gossip.set(`${evidenceKey}${pool}`, value),
-        getPublishMilliseconds: () => gossip.getPeriodMilliseconds(),
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) => gossip.set(`${haltKey}${pool}`, Buffer.from(String(order)), { urgent: true }),
         writeProgress: (order, progress) => topics.writeProgress(order, progress),
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -43,8 +43,6 @@
     readonly getMemberCount: () => number;
     /** Tells the other nodes this node's evidence on a pool's roll-out. */
     readonly publishEvidence: (pool: string, value: Buffer) => void;
-    /** Returns the time in which what is published reaches one more node, in milliseconds: publishing more often is in vain. */
-    readonly getPublishMilliseconds: () => number;
     /** Returns the evidence of the other nodes. */
     readonly getEvidence: (pool: string) => Iterable<PeerReport>;
     /** Tells all nodes at once that a pool's roll-out was found bad. */
@@ -61,7 +59,6 @@
     readonly inFlight: Set<object>;
     readonly peerReports: PeerReports;
     published: Buffer | undefined;
-    publishedAt: number;
     progress: RolloutProgress | undefined;
     isHalted: boolean;
     /** When the step that is due first was. */
@@ -109,7 +106,6 @@
             inFlight: new Set(),
             peerReports: new PeerReports(),
             published: undefined,
-            publishedAt: Number.NEGATIVE_INFINITY,
             progress: undefined,
             isHalted: false,
             dueSince: undefined,
@@ -253,12 +249,8 @@
         return { order: order.id, currentInFlight: inFlight.size, lanes };
     }
 
+    /** What has not changed is not published again, or gossip would carry it to every node once more. */
     #publish(rollout: Rollout, own: EvidenceReport): void {
-        const now = this.#options.clock.monotonic();
-        if (now - rollout.publishedAt < this.#options.getPublishMilliseconds()) {
-            return;
-        }
-        rollout.publishedAt = now;
         const value = encodeReport(own);
         if (rollout.published?.equals(value) !== true) {
             rollout.published = value;
