Say in the lines which session a request belongs to, and why it got its version

No decision changes. Ruled out: an event of its own for each choice, which would double the lines of a request.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,6 +6,7 @@
 import type { CallOutcome, Pick, PromptLoad, UpstreamPicker, WindowedBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
+import type { VersionSelection } from "../rollouts/index.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import type { UpstreamAnswer, UpstreamCaller, UpstreamCallFailure } from "./upstreamCall.js";
@@ -21,10 +22,7 @@
     /** Returns the budget of repeats of a pool. */
     readonly getBudget: (pool: string) => WindowedBudget;
     /** Returns the upstreams that may serve an exchange, by the roll-out under way. */
-    readonly selectVersion: (
-        exchange: Exchange,
-        candidates: readonly RegisteredUpstream[],
-    ) => readonly RegisteredUpstream[];
+    readonly selectVersion: (exchange: Exchange, candidates: readonly RegisteredUpstream[]) => VersionSelection;
     /** Takes an attempt that begins; what it returns takes how the attempt ended. */
     readonly onBegin: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
 }
@@ -91,8 +89,13 @@
      * @param prompt - The prompt.
      */
     estimate(exchange: Exchange, prompt: PromptLoad): number | undefined {
-        const candidates = this.#options.selectVersion(exchange, this.#options.registry.getTaking(exchange.pool));
-        const pick = this.#options.picker.pick({ pool: exchange.pool, candidates, excluded: new Set(), prompt });
+        const { upstreams } = this.#select(exchange);
+        const pick = this.#options.picker.pick({
+            pool: exchange.pool,
+            candidates: upstreams,
+            excluded: new Set(),
+            prompt,
+        });
         return pick && pick.expectedMilliseconds * this.#options.picker.getWaitRatio();
     }
 
@@ -108,10 +111,10 @@
         if (exchange.attempts >= exchange.route.maximumAttempts) {
             return err({ kind: "not-made", reason: "attempts" });
         }
-        const candidates = this.#options.selectVersion(exchange, this.#options.registry.getTaking(exchange.pool));
+        const { upstreams, reason } = this.#select(exchange);
         const pick = this.#options.picker.pick({
             pool: exchange.pool,
-            candidates,
+            candidates: upstreams,
             excluded: exchange.excluded,
             prompt: request.prompt,
         });
@@ -127,12 +130,17 @@
             return err({ kind: "not-made", reason: "budget" });
         }
         exchange.addAttempt(pick.upstream);
-        return this.#send(request, pick);
+        return this.#send(request, pick, reason);
+    }
+
+    #select(exchange: Exchange): VersionSelection {
+        return this.#options.selectVersion(exchange, this.#options.registry.getTaking(exchange.pool));
     }
 
     async #send(
         request: AttemptRequest,
         pick: Pick,
+        versionReason: string | undefined,
     ): Promise<Result<Attempt, AttemptFailure>> {
         const { exchange, prompt } = request;
         const { upstream, readingMilliseconds } = pick;
@@ -164,7 +172,8 @@
             exchange.ended.removeEventListener("abort", cancel);
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds };
             onEnd(ended);
-            this.#finish(ended, { choice, reason, startedAt, promptTokens: prompt?.tokens, confidence });
+            const promptTokens = prompt?.tokens;
+            this.#finish(ended, { choice, versionReason, reason, startedAt, promptTokens, confidence });
         };
         const onEnd = this.#options.onBegin(exchange, upstream);
         picker.begin(upstream.id);
@@ -233,6 +242,7 @@
         ended: EndedAttempt,
         details: {
             readonly choice: string;
+            readonly versionReason: string | undefined;
             readonly reason: string;
             readonly startedAt: number;
             readonly promptTokens: number | undefined;
@@ -251,6 +261,7 @@
             attempt: exchange.attempts,
             upstream: upstream.id,
             version: upstream.version,
+            versionReason: details.versionReason,
             model: ended.model,
             promptTokens: details.promptTokens,
             confidence: details.confidence,
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -161,6 +161,7 @@
         const { request, route, pool, workspace, priority, configurationVersion } = exchange;
         this.#options.journal.write(events.requestRouted, {
             request: request.id,
+            session: request.session,
             route: route.name,
             pool,
             workspace,
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -51,6 +51,13 @@
     readonly writeProgress: (order: RolloutOrder, progress: RolloutProgress) => Promise<void>;
 }
 
+/** The upstreams that may serve a request. */
+export interface VersionSelection {
+    readonly upstreams: readonly RegisteredUpstream[];
+    /** Why these, for the log; undefined when no roll-out is under way. */
+    readonly reason: string | undefined;
+}
+
 interface Rollout {
     readonly order: RolloutOrder;
     /** Monotonic milliseconds of the order, as far as known. */
@@ -168,28 +175,27 @@
      * @param session - The session, or whatever identifies the request.
      * @param upstreams - The pool's upstreams that take requests.
      */
-    select(pool: string, session: string, upstreams: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
+    select(pool: string, session: string, upstreams: readonly RegisteredUpstream[]): VersionSelection {
         const rollout = this.#rollouts.get(pool);
         const { sound, candidates, currents } = this.#divisions.get(upstreams, {
             reverted: this.#reverted.get(pool),
             candidate: rollout?.order.version,
         });
         if (rollout === undefined) {
-            return sound;
+            return { upstreams: sound, reason: undefined };
         }
         const { order, progress, isHalted } = rollout;
-        const choice = chooseVersion({
-            order,
-            progress,
-            isHalted,
-            sessionRank: getUnitRank(String(order.id), session),
-            lastVersion: this.#sessions.get(session, this.#options.clock.monotonic()),
-        });
+        const sessionRank = getUnitRank(String(order.id), session);
+        const lastVersion = this.#sessions.get(session, this.#options.clock.monotonic());
+        const choice = chooseVersion({ order, progress, isHalted, sessionRank, lastVersion });
+        const reason = progress !== undefined && isOver(progress)
+            ? undefined
+            : `${choice}: share ${progress?.share ?? 0}, rank ${sessionRank.toFixed(4)}, last ${lastVersion ?? "none"}`;
         if (choice === "candidate") {
-            return candidates.length > 0 ? candidates : currents;
+            return { upstreams: candidates.length > 0 ? candidates : currents, reason };
         }
         const isBad = isHalted || progress?.state === "reverted";
-        return currents.length > 0 || isBad ? currents : candidates;
+        return { upstreams: currents.length > 0 || isBad ? currents : candidates, reason };
     }
 
     /**
--- a/test/forwarding/forwarder.test.ts
+++ b/test/forwarding/forwarder.test.ts
@@ -13,6 +13,14 @@
         expect([call.workspace, call.deadlineMilliseconds <= 1_000]).toEqual(["harbour", true]);
     });
 
+    // Which requests belong to one session, and who answered each, could not be read from the lines.
+    it("names the session and the version of each attempt in its lines", async () => {
+        const { send, lines } = createForwarder({ versionReason: "candidate: share 0.1" });
+        await send({ session: "s-1" });
+        expect(lines.find(line => line.name === "request-routed")?.session).toEqual("s-1");
+        expect(lines.find(line => line.name === "attempt-ended")?.versionReason).toEqual("candidate: share 0.1");
+    });
+
     it("turns away unknown keys and paths while its configuration is fresh", async () => {
         const { send, calls } = createForwarder();
         expect((await send({ apiKey: "other" })).refusal?.failure.kind).toEqual("unauthorized");
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -6,6 +6,7 @@
 import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
 import { encodeReport } from "../../src/rollouts/rolloutEvidence.js";
 import { createJournal } from "../fixtures/journals.js";
+import { createUpstream } from "../fixtures/upstreams.js";
 
 const tickMilliseconds = 200;
 const order = { id: 7, pool: "pool", version: "v2", durationMilliseconds: 24_000 };
@@ -78,11 +79,20 @@
     it("finds a bad version by what others saw, on a node far back in rank within a second", () => {
         const site = createSite(100, [createBadReport()]);
         site.run(5);
-        expect(site.rollouts.select("pool", "session", [])).toEqual([]);
+        expect(site.rollouts.select("pool", "session", []).upstreams).toEqual([]);
         site.run(1_000);
         expect(site.written[0]?.state).toEqual("reverted");
     });
 
+    // A caller was answered by two versions, and the nodes' lines did not say what each of them knew of its session.
+    it("says why a request gets its version, while a roll-out is under way", () => {
+        const site = createSite(0, []);
+        const upstream = createUpstream("u1", { pool: "pool" });
+        site.rollouts.begin(upstream, "session");
+        expect(site.rollouts.select("pool", "session", [upstream]).reason?.endsWith("last v1")).toEqual(true);
+        expect(site.rollouts.select("other", "session", [upstream]).reason).toEqual(undefined);
+    });
+
     it("publishes nothing that is known already", () => {
         const site = createSite(100, []);
         site.run(50);
