Let a step of a roll-out depend on the step before it, not on the whole topic

A step was appended only if the status topic had not grown since the node read it. Every other record in that topic (members that start, soon the sessions that nodes report) made the step fail, and it was tried again a second later: with records that keep coming, never. Change: steps are counted, and each is appended in its turn (the store's producer, epoch and sequence number: the order is the epoch). The store takes a turn once, whoever comes first, so two nodes still cannot write two ends of one roll-out.

--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -109,6 +109,8 @@
     order: z.number(),
     version: z.string(),
     state: z.enum(["moving", "completed", "reverted"]),
+    /** Nodes of an earlier release did not count steps. */
+    step: z.number().default(0),
     share: z.number(),
     orderedAt: z.number(),
 });
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -292,8 +292,8 @@
     }
 
     /**
-     * Writes a step of a roll-out, for the nodes and for the operator, if nobody else has written since this node read.
-     * A write whose answer is lost may have taken effect; reading the topic tells, and the step is the same whoever takes it.
+     * Writes a step of a roll-out, for the nodes and for the operator, unless another node has taken the same step already. Whether it
+     * has, and whether a write whose answer was lost took effect, reading the topic tells.
      */
     async writeProgress(order: RolloutOrder, progress: RolloutProgress): Promise<void> {
         const { store, journal } = this.#options;
@@ -301,9 +301,10 @@
             { key: `${recordKeys.progressPrefix}${order.pool}`, value: Buffer.from(JSON.stringify(progress)) },
             { key: `${recordKeys.rolloutPrefix}${order.pool}`, value: encodeRolloutStatus(order, progress) },
         ];
-        const appended = await store.append(topics.status, records, this.#status.state.getEnd());
-        if (appended.isErr() || appended.value.kind === "conflict") {
-            const cause = appended.isErr() ? appended.error.message : "somebody else wrote first";
+        const turn = { matter: `${recordKeys.progressPrefix}${order.pool}`, epoch: order.id, number: progress.step };
+        const appended = await store.append(topics.status, records, turn);
+        if (appended.isErr() || appended.value === "out-of-turn") {
+            const cause = appended.isErr() ? appended.error.message : "another node is further";
             journal.write(events.rolloutWriteFailed, { rollout: order.pool, state: progress.state, cause });
         }
     }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -25,6 +25,7 @@
     end_offset: z.number(),
 });
 const appendedSchema = z.object({ end_offset: z.number() });
+const turnedAwaySchema = z.object({ reason: z.string() });
 
 interface StoreResponse {
     readonly status: number;
@@ -32,10 +33,17 @@
 }
 
 /** How an append ended. */
-export type AppendOutcome =
-    | { readonly kind: "appended"; readonly end: number; }
-    /** The topic had grown: somebody else wrote first. */
-    | { readonly kind: "conflict"; readonly end: number; };
+export type AppendOutcome = "appended" | "out-of-turn";
+
+/** The place of an append among others of the same matter; the store takes one append for each place. */
+export interface AppendTurn {
+    /** Names the matter. */
+    readonly matter: string;
+    /** A later epoch begins the matter anew and shuts out earlier ones. */
+    readonly epoch: number;
+    /** Follows the number of the last append in the epoch. */
+    readonly number: number;
+}
 
 /** Calls the store. */
 export class StoreClient {
@@ -78,17 +86,20 @@
      * Appends the newest records of some keys, all or none.
      * @param topic - The topic.
      * @param records - The keys and their values.
-     * @param end - Where the topic has to end for the append to take effect; undefined appends in any case.
-     * @returns The outcome; a failure leaves it open whether the record was appended.
+     * @param turn - The append's place, if it must not be taken twice. The store answers a repeated place as it answered the first time
+     * and appends nothing, so whoever takes a turn reads the topic to learn what was appended.
+     * @returns The outcome; a failure leaves it open whether the records were appended.
      */
     async append(
         topic: string,
         records: readonly { readonly key: string; readonly value: Buffer; }[],
-        end?: number,
+        turn?: AppendTurn,
     ): Promise<Result<AppendOutcome, Failure>> {
         const query = new URLSearchParams({ topic, part: "0" });
-        if (end !== undefined) {
-            query.set("at", String(end));
+        if (turn !== undefined) {
+            query.set("producer", turn.matter);
+            query.set("epoch", String(turn.epoch));
+            query.set("seq_no", String(turn.number));
         }
         const response = await this.#call(
             "POST",
@@ -100,11 +111,14 @@
             return err(response.error);
         }
         const { status, body } = response.value;
-        if (status !== 200 && status !== 412) {
-            return err(createStatusFailure(status));
+        switch (status) {
+            case 200:
+                return parseJson(body, appendedSchema).map(() => "appended");
+            case 409:
+                return parseJson(body, turnedAwaySchema).map(() => "out-of-turn");
+            default:
+                return err(createStatusFailure(status));
         }
-        return parseJson(body, appendedSchema)
-            .map(({ end_offset: newEnd }) => ({ kind: status === 200 ? "appended" : "conflict", end: newEnd }));
     }
 
     async #readAll(topic: string): Promise<Result<TopicPage, Failure>> {
--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -56,7 +56,7 @@
         return undefined;
     }
     const orderedAt = progress?.orderedAt ?? wallNow - elapsedMilliseconds;
-    const base = { order: order.id, version: order.version, orderedAt };
+    const base = { order: order.id, version: order.version, step: (progress?.step ?? 0) + 1, orderedAt };
     if (isBad) {
         return { ...base, state: "reverted", share: 0 };
     }
--- a/src/rollouts/rollout.ts
+++ b/src/rollouts/rollout.ts
@@ -27,6 +27,8 @@
     readonly order: number;
     readonly version: string;
     readonly state: RolloutState;
+    /** Counts the steps of the order from 1; each is taken once, by whichever node comes first. */
+    readonly step: number;
     /** Part of the sessions that the new version serves, from 0 to 1. */
     readonly share: number;
     /** Unix milliseconds at which the order was first seen, so that a restarted node knows how much time is left. */
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -1,8 +1,8 @@
 /**
  * All roll-outs as one node sees them: it chooses versions by them, gathers evidence, and takes them further.
  *
- * Every node can take the next step. Steps are appended under the condition that nobody else has written meanwhile, and are
- * the same whoever takes them; nodes wait in the order of their rank, so that usually only the first one writes.
+ * Every node can take the next step. The store takes each step once; nodes wait in the order of their rank, so that usually only
+ * the first one writes.
  */
 import type { Clock } from "../common/index.js";
 import { getUnitRank } from "../decisions/index.js";
--- a/test/platform/standins/storeStandin.ts
+++ b/test/platform/standins/storeStandin.ts
@@ -1,5 +1,5 @@
 /**
- * The platform's store, as far as this system speaks to it: keyed topics with reads that wait, and conditional appends.
+ * The platform's store, as far as this system speaks to it: keyed topics with reads that wait, and appends in turn.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 
@@ -8,6 +8,20 @@
     readonly value: Buffer;
 }
 
+interface AppendAnswer {
+    readonly status: number;
+    readonly body: object;
+}
+
+/** What a producer has appended to a topic. */
+interface Producer {
+    readonly epoch: number;
+    readonly answers: readonly { readonly sequence: number; readonly answer: AppendAnswer; }[];
+}
+
+/** A producer's repeat of one of so many last appends gets its first answer again. */
+const keptAnswers = 5;
+
 /** What the store does to its callers. */
 export type StoreMood = "well" | "busy" | "silent" | "loses-answers";
 
@@ -16,6 +30,8 @@
     readonly #topics = new Map<string, StoredRecord[]>();
     readonly #firstOffsets = new Map<string, number>();
     readonly #waiting = new Set<() => void>();
+    /** By topic and name. */
+    readonly #producers = new Map<string, Producer>();
     readonly #server: Server;
     mood: StoreMood = "well";
     /** Moods for single callers, by their address. */
@@ -98,7 +114,7 @@
                 await this.#answerRead(topic, url.searchParams, response);
                 return;
             case "/v1/log-append":
-                await this.#answerAppend(topic, url.searchParams.get("at"), request, response, mood);
+                await this.#answerAppend(topic, url.searchParams, request, response, mood);
                 return;
             default:
                 response.writeHead(404).end();
@@ -152,7 +168,7 @@
 
     async #answerAppend(
         topic: string,
-        at: string | null,
+        query: URLSearchParams,
         request: IncomingMessage,
         response: ServerResponse,
         mood: StoreMood,
@@ -161,18 +177,47 @@
         for await (const piece of request as AsyncIterable<Buffer>) {
             pieces.push(piece);
         }
-        const end = this.#getRecords(topic).length;
-        // eslint-disable-next-line no-restricted-syntax -- A missing parameter is null in the library.
-        if (at !== null && Number(at) !== end) {
-            response.writeHead(412).end(JSON.stringify({ end_offset: end }));
+        const answer = this.#takeTurn(topic, query) ?? this.#appendInTurn(topic, query, decode(Buffer.concat(pieces)));
+        if (mood === "loses-answers") {
             return;
         }
-        const records = decode(Buffer.concat(pieces));
+        response.writeHead(answer.status).end(JSON.stringify(answer.body));
+    }
+
+    /** Returns the answer to an append that is a repeat, or that does not follow the producer's last one. */
+    #takeTurn(topic: string, query: URLSearchParams): AppendAnswer | undefined {
+        const known = this.#producers.get(`${topic} ${query.get("producer")}`);
+        const epoch = Number(query.get("epoch"));
+        const sequence = Number(query.get("seq_no"));
+        if (known === undefined || epoch > known.epoch) {
+            return undefined;
+        }
+        if (epoch < known.epoch) {
+            return { status: 409, body: { reason: "fenced" } };
+        }
+        const last = known.answers.at(-1)!.sequence;
+        const first = known.answers.slice(-keptAnswers).find(answer => answer.sequence === sequence);
+        if (first !== undefined) {
+            return first.answer;
+        }
+        return sequence === last + 1 ? undefined : { status: 409, body: { reason: "seq", seq_no: last + 1 } };
+    }
+
+    #appendInTurn(topic: string, query: URLSearchParams, records: readonly StoredRecord[]): AppendAnswer {
+        const offset = this.#getRecords(topic).length;
         this.#append(topic, records);
-        if (mood === "loses-answers") {
-            return;
+        const answer = { status: 200, body: { offset, end_offset: offset + records.length } };
+        if (query.has("producer")) {
+            const key = `${topic} ${query.get("producer")}`;
+            const epoch = Number(query.get("epoch"));
+            const known = this.#producers.get(key);
+            const answers = known?.epoch === epoch ? known.answers : [];
+            this.#producers.set(key, {
+                epoch,
+                answers: [...answers, { sequence: Number(query.get("seq_no")), answer }],
+            });
         }
-        response.writeHead(200).end(JSON.stringify({ offset: end, end_offset: end + records.length }));
+        return answer;
     }
 }
 
--- a/test/rollouts/versionGate.test.ts
+++ b/test/rollouts/versionGate.test.ts
@@ -7,7 +7,7 @@
 const order: RolloutOrder = { id: 5, pool: "app", version: "v2", durationMilliseconds: 20_000 };
 
 function createProgress(share: number, state: RolloutProgress["state"] = "moving"): RolloutProgress {
-    return { order: order.id, version: order.version, state, share, orderedAt: 0 };
+    return { order: order.id, version: order.version, state, step: 1, share, orderedAt: 0 };
 }
 
 function choose(options: Partial<Parameters<typeof chooseVersion>[0]> = {}) {
