Have all nodes know which sessions the old version serves before the new one takes any

Cause: in the first step the new version takes new sessions of a rank below the share. A node took a session for new when it had not served it itself. Callers' next request comes to any node, so each session that the old version was serving as the step began, and whose rank lay in the share, changed at its next node. How many depends on the requests that follow one another, not on the nodes; the smaller share of large sites made it rarer and left it in. Change: the first progress announces the share of the first step. As a node hears it, and for each such session that it serves until the step, it reports the session's rank in the status topic; reported ranks stay on the old version at every node until sessions may move. The choice rests on what all nodes know, so a node's own memory no longer decides anything. Two records a node and roll-out, some more by load.

--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { z } from "zod";
 import { Failure } from "../common/index.js";
-import type { RolloutOrder, RolloutProgress, RolloutState } from "../rollouts/index.js";
+import type { PinReport, RolloutOrder, RolloutProgress, RolloutState } from "../rollouts/index.js";
 import { type KeyedWorkspace, type Pool, type Route, type RouteKind, RouteTable } from "../routing/index.js";
 
 const kinds: Readonly<Record<string, RouteKind>> = {
@@ -112,6 +112,8 @@
     /** Nodes of an earlier release did not count steps. */
     step: z.number().default(0),
     share: z.number(),
+    /** Nodes of an earlier release announced no first step. */
+    firstShare: z.number().default(0),
     orderedAt: z.number(),
 });
 
@@ -120,6 +122,13 @@
     return parse(value, progressSchema);
 }
 
+const pinReportSchema = z.object({ order: z.number(), ranks: z.array(z.number()) });
+
+/** Decodes which sessions a node has pinned, as it wrote it. */
+export function decodePinReport(value: Buffer): Result<PinReport, Failure> {
+    return parse(value, pinReportSchema);
+}
+
 function toRoute(route: z.infer<typeof routeSchema>): Route {
     const pools = route.split?.map(share => ({ pool: share.service, weight: share.weight }))
         ?? [{ pool: route.service ?? "", weight: 1 }];
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -173,7 +173,7 @@
             getBudget: budgets,
             selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
             onBegin: (exchange, upstream) => {
-                const end = rollouts.begin(upstream, getSession(exchange));
+                const end = rollouts.begin(upstream, exchange.request.session);
                 return attempt => {
                     end();
                     addEvidence(rollouts, attempt);
@@ -273,6 +273,7 @@
 
 function createRollouts({ clock, journal, registry, settings, membership, gossip, topics, self }: NodeParts): Rollouts {
     const rollouts = new Rollouts({
+        self: self.id,
         clock,
         journal,
         registry,
@@ -284,6 +285,7 @@
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) => gossip.set(`${haltKey}${pool}`, Buffer.from(String(order)), { urgent: true }),
         writeProgress: (order, progress) => topics.writeProgress(order, progress),
+        writePins: (pool, report) => topics.writePins(pool, report),
     });
     gossip.onUpdate((...[, key, value]) => {
         if (key.startsWith(haltKey) && value !== undefined) {
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -6,7 +6,7 @@
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
-import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
+import type { PinReport, RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import {
     answerPeer,
@@ -15,7 +15,13 @@
     type TopicFollowerOptions,
     TopicSources,
 } from "../topics/index.js";
-import { decodeConfiguration, decodeProgress, decodeRolloutOrder, encodeRolloutStatus } from "./decodeConfiguration.js";
+import {
+    decodeConfiguration,
+    decodePinReport,
+    decodeProgress,
+    decodeRolloutOrder,
+    encodeRolloutStatus,
+} from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
 import type { StoreClient } from "./storeClient.js";
@@ -277,6 +283,9 @@
             else if (key.startsWith(recordKeys.progressPrefix) && value !== undefined) {
                 this.#takeProgress(key, value);
             }
+            else if (key.startsWith(recordKeys.pinsPrefix) && value !== undefined) {
+                this.#takePins(key, value);
+            }
         }
         for (const id of directory.apply(members)) {
             journal.write(events.recordUnreadable, { key: `${recordKeys.memberPrefix}${id}` });
@@ -291,6 +300,29 @@
         );
     }
 
+    #takePins(key: string, value: Buffer): void {
+        const { getRollouts, journal } = this.#options;
+        const [node, ...pool] = key.slice(recordKeys.pinsPrefix.length).split("/");
+        decodePinReport(value).match(
+            report => getRollouts().setPins(pool.join("/"), node, report),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
+
+    /**
+     * Writes which sessions of a pool are pinned here.
+     * @returns Whether the store has taken it.
+     */
+    async writePins(pool: string, report: PinReport): Promise<boolean> {
+        const { store, journal, self } = this.#options;
+        const key = `${recordKeys.pinsPrefix}${self.id}/${pool}`;
+        const appended = await store.append(topics.status, [{ key, value: Buffer.from(JSON.stringify(report)) }]);
+        if (appended.isErr()) {
+            journal.write(events.rolloutWriteFailed, { rollout: pool, state: "pins", cause: appended.error.message });
+        }
+        return appended.isOk();
+    }
+
     /**
      * Writes a step of a roll-out, for the nodes and for the operator, unless another node has taken the same step already. Whether it
      * has, and whether a write whose answer was lost took effect, reading the topic tells.
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -67,6 +67,8 @@
     rolloutPrefix: "rollout/",
     /** How far a roll-out has come; only this system reads it. */
     progressPrefix: "progress/",
+    /** Which sessions a node has pinned, by node and pool; only this system reads them. */
+    pinsPrefix: "pins/",
     /** One record for each node; only this system reads them. */
     memberPrefix: "member/",
 } as const;
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -1,4 +1,5 @@
 /** Roll-outs of a pool's software under live traffic. */
 export type { PeerReport } from "./peerReports.js";
+export type { PinReport } from "./pinnedSessions.js";
 export * from "./rollout.js";
 export * from "./rollouts.js";
--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -10,6 +10,8 @@
     readonly progress: RolloutProgress | undefined;
     /** Milliseconds since the order. */
     readonly elapsedMilliseconds: number;
+    /** Milliseconds since this node heard of the first progress; 0 before. */
+    readonly announcedMilliseconds: number;
     /** Whether the new version was found bad. */
     readonly isBad: boolean;
     /** Upstreams of the new version that take requests, and those of other versions. */
@@ -28,11 +30,15 @@
 /** Part of the allowed exposure that is used until the new version may take over sessions. */
 const firstExposure = 0.45;
 /**
- * From so many nodes on the first step takes a smaller share, in proportion. A node knows only the sessions that it has served; one
- * that moves between nodes in the first step may find the new version after the old one. The more requests a site has, the more such
- * sessions: five in a day with 89 nodes. Its first step takes fewer of them and shows as much, since the share is of more requests.
+ * From so many nodes on the first step takes a smaller share, in proportion: news of a bad version takes longer there, and meanwhile more
+ * requests come.
  */
 const firstStepMembers = 16;
+/**
+ * Between the announcement and the first step, in milliseconds. A record reaches the last node in 0.4 s, with the pause that nodes make
+ * between reads; the announcement has to, and then what the nodes report.
+ */
+const announcementMilliseconds = 1_500;
 /**
  * Until half of the time is over, sessions that began on the old version stay there: only new ones go to the new version.
  * A little later than half, since nodes do not hear of an order at the same moment.
@@ -56,7 +62,9 @@
         return undefined;
     }
     const orderedAt = progress?.orderedAt ?? wallNow - elapsedMilliseconds;
-    const base = { order: order.id, version: order.version, step: (progress?.step ?? 0) + 1, orderedAt };
+    const firstShare = progress?.firstShare ?? getFirstShare(situation);
+    const step = (progress?.step ?? 0) + 1;
+    const base = { order: order.id, version: order.version, step, orderedAt, firstShare };
     if (isBad) {
         return { ...base, state: "reverted", share: 0 };
     }
@@ -71,12 +79,16 @@
     return undefined;
 }
 
-function getShare({ candidates, exposureShare, members }: RolloutSituation, time: number): number {
+function getFirstShare({ exposureShare, members }: RolloutSituation): number {
+    return exposureShare * firstExposure * Math.min(1, firstStepMembers / members);
+}
+
+function getShare({ candidates, announcedMilliseconds, progress }: RolloutSituation, time: number): number {
     if (candidates === 0) {
         return 0;
     }
     if (time < firstPhase) {
-        return exposureShare * firstExposure * Math.min(1, firstStepMembers / members);
+        return announcedMilliseconds < announcementMilliseconds ? 0 : progress?.firstShare ?? 0;
     }
     return time < secondPhase ? secondShare : 1;
 }
--- /dev/null
+++ b/src/rollouts/poolSessions.ts
@@ -0,0 +1,81 @@
+/**
+ * The sessions of a pool at this node, and which of them stay on the old version in a roll-out's first step.
+ */
+import type { Clock } from "../common/index.js";
+import { getUnitRank } from "../decisions/index.js";
+import { PinnedSessions, type PinReport } from "./pinnedSessions.js";
+import type { RolloutOrder } from "./rollout.js";
+import { SessionMemory } from "./sessionMemory.js";
+
+/** A session's memory outlives the time in which its requests belong together. */
+const memoryFactor = 1.5;
+
+/** What a pool's sessions are kept with. */
+export interface PoolSessionsOptions {
+    /** This node. */
+    readonly self: string;
+    readonly clock: Clock;
+    /** Requests of a session that follow each other within this time belong together. */
+    readonly sessionMilliseconds: number;
+    /** Tells the other nodes what is pinned here; resolves to whether that has succeeded. */
+    readonly writePins: (report: PinReport) => Promise<boolean>;
+}
+
+/** Returns a session's place among all, from 0 to 1: a roll-out takes the first ones first. */
+export function getSessionRank(order: RolloutOrder, session: string): number {
+    return getUnitRank(String(order.id), session);
+}
+
+/** Keeps a pool's sessions. */
+export class PoolSessions {
+    readonly #options: PoolSessionsOptions;
+    readonly #memory: SessionMemory;
+    readonly #pins: PinnedSessions;
+    #hasUntoldPins = false;
+
+    constructor(options: PoolSessionsOptions) {
+        this.#options = options;
+        this.#memory = new SessionMemory(options.sessionMilliseconds * memoryFactor);
+        this.#pins = new PinnedSessions(options.self);
+    }
+
+    /** Notes that a version serves a session. */
+    begin(session: string, version: string): void {
+        this.#memory.set(session, version, this.#options.clock.monotonic());
+    }
+
+    /** Takes in what is pinned at a node. */
+    setReport(origin: string, report: PinReport): void {
+        this.#pins.setReport(origin, report);
+    }
+
+    /** Tells whether a session stays on the old version in the first step. */
+    isPinned(order: RolloutOrder, sessionRank: number): boolean {
+        return this.#pins.has(order.id, sessionRank);
+    }
+
+    /** Pins a session that the old version serves here, if the first step would take it. */
+    pin(order: RolloutOrder, firstShare: number, session: string): void {
+        const rank = getSessionRank(order, session);
+        if (rank < firstShare && this.#pins.add(order.id, rank)) {
+            this.#hasUntoldPins = true;
+        }
+    }
+
+    /** Pins the sessions that the old version has served here lately, as far as the first step would take them. */
+    pinServed(order: RolloutOrder, firstShare: number): void {
+        for (const session of this.#memory.getOthers(order.version, this.#options.clock.monotonic())) {
+            this.pin(order, firstShare, session);
+        }
+    }
+
+    /** Tells the other nodes what is pinned here, unless they know it already. */
+    async tellPins(order: RolloutOrder): Promise<void> {
+        if (!this.#hasUntoldPins) {
+            return;
+        }
+        this.#hasUntoldPins = false;
+        const hasSucceeded = await this.#options.writePins(this.#pins.getReport(order.id));
+        this.#hasUntoldPins ||= !hasSucceeded;
+    }
+}
--- a/src/rollouts/rollout.ts
+++ b/src/rollouts/rollout.ts
@@ -31,6 +31,11 @@
     readonly step: number;
     /** Part of the sessions that the new version serves, from 0 to 1. */
     readonly share: number;
+    /**
+     * Part of the sessions that the first step takes. It is announced before that step: until then the nodes tell each other which of
+     * these sessions the old version serves.
+     */
+    readonly firstShare: number;
     /** Unix milliseconds at which the order was first seen, so that a restarted node knows how much time is left. */
     readonly orderedAt: number;
 }
@@ -39,3 +44,8 @@
 export function isOver(progress: RolloutProgress): boolean {
     return progress.state !== "moving";
 }
+
+/** Tells whether the new version takes only sessions that the old one has not served. */
+export function isFirstStep({ state, share, firstShare }: RolloutProgress): boolean {
+    return state === "moving" && share <= firstShare;
+}
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -5,16 +5,17 @@
  * the first one writes.
  */
 import type { Clock } from "../common/index.js";
-import { getUnitRank } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import { judgeRollout } from "./judgeRollout.js";
 import { type PeerReport, PeerReports, type ReportTotal } from "./peerReports.js";
+import type { PinReport } from "./pinnedSessions.js";
 import { planRollout } from "./planRollout.js";
-import { isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
+import { getSessionRank, PoolSessions } from "./poolSessions.js";
+import { isFirstStep, isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
 import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
 import { VersionDivisions } from "./versionDivisions.js";
-import { chooseVersion, SessionMemory } from "./versionGate.js";
+import { chooseVersion } from "./versionGate.js";
 
 const tickMilliseconds = 200;
 /** A node waits so long for each node that ranks before it. */
@@ -27,11 +28,11 @@
 const ticksBetweenLooks = 5;
 /** An attempt to write is not repeated sooner. */
 const writePauseMilliseconds = 1_000;
-/** A session's memory outlives the time in which its requests belong together. */
-const memoryFactor = 1.5;
 
 /** What roll-outs are handled with. */
 export interface RolloutsOptions {
+    /** This node. */
+    readonly self: string;
     readonly clock: Clock;
     readonly journal: Journal;
     readonly registry: UpstreamRegistry;
@@ -49,6 +50,8 @@
     readonly publishHalt: (pool: string, order: number) => void;
     /** Writes a step, if nobody else has written; resolves when that has succeeded or failed. */
     readonly writeProgress: (order: RolloutOrder, progress: RolloutProgress) => Promise<void>;
+    /** Writes which sessions are pinned here; resolves to whether that has succeeded. */
+    readonly writePins: (pool: string, report: PinReport) => Promise<boolean>;
 }
 
 /** The upstreams that may serve a request. */
@@ -67,6 +70,8 @@
     readonly peerReports: PeerReports;
     published: Buffer | undefined;
     progress: RolloutProgress | undefined;
+    /** Monotonic milliseconds at which this node heard of the first progress. */
+    announcedAt: number | undefined;
     isHalted: boolean;
     /** When the step that is due first was. */
     dueSince: number | undefined;
@@ -80,14 +85,14 @@
     readonly #waitingProgress = new Map<string, RolloutProgress>();
     /** By pool: versions that serve nothing any more. A set that changes is another set. */
     readonly #reverted = new Map<string, ReadonlySet<string>>();
-    readonly #sessions: SessionMemory;
+    /** By pool. */
+    readonly #sessions = new Map<string, PoolSessions>();
     readonly #divisions = new VersionDivisions();
     #timer: NodeJS.Timeout | undefined;
     #ticks = 0;
 
     constructor(options: RolloutsOptions) {
         this.#options = options;
-        this.#sessions = new SessionMemory(options.sessionMilliseconds * memoryFactor);
     }
 
     /** Begins to take steps. */
@@ -114,6 +119,7 @@
             peerReports: new PeerReports(),
             published: undefined,
             progress: undefined,
+            announcedAt: undefined,
             isHalted: false,
             dueSince: undefined,
             writtenAt: Number.NEGATIVE_INFINITY,
@@ -157,10 +163,19 @@
         }
         rollout.progress = progress;
         rollout.dueSince = undefined;
+        if (rollout.announcedAt === undefined) {
+            rollout.announcedAt = this.#options.clock.monotonic();
+            this.#pinServedSessions(rollout, progress);
+        }
         const { state, share, version } = progress;
         this.#options.journal.write(events.rolloutProgressed, { rollout: pool, version, state, share });
     }
 
+    /** Takes in which sessions of a pool are pinned at a node. */
+    setPins(pool: string, origin: string, report: PinReport): void {
+        this.#getSessions(pool).setReport(origin, report);
+    }
+
     /** Takes in that another node found a pool's roll-out bad. */
     setHalted(pool: string, order: number): void {
         const rollout = this.#rollouts.get(pool);
@@ -185,12 +200,12 @@
             return { upstreams: sound, reason: undefined };
         }
         const { order, progress, isHalted } = rollout;
-        const sessionRank = getUnitRank(String(order.id), session);
-        const lastVersion = this.#sessions.get(session, this.#options.clock.monotonic());
-        const choice = chooseVersion({ order, progress, isHalted, sessionRank, lastVersion });
+        const sessionRank = getSessionRank(order, session);
+        const isPinned = this.#getSessions(pool).isPinned(order, sessionRank);
+        const choice = chooseVersion({ order, progress, isHalted, sessionRank, isPinned });
         const reason = progress !== undefined && isOver(progress)
             ? undefined
-            : `${choice}: share ${progress?.share ?? 0}, rank ${sessionRank.toFixed(4)}, last ${lastVersion ?? "none"}`;
+            : `${choice}: share ${progress?.share ?? 0}, rank ${sessionRank.toFixed(4)}${isPinned ? ", pinned" : ""}`;
         if (choice === "candidate") {
             return { upstreams: candidates.length > 0 ? candidates : currents, reason };
         }
@@ -201,13 +216,20 @@
     /**
      * Notes a request that is sent to an upstream.
      * @param upstream - The upstream.
-     * @param session - Its session.
+     * @param session - Its session; undefined when it belongs to none.
      * @returns Is to be called when it has ended.
      */
-    begin(upstream: RegisteredUpstream, session: string): () => void {
-        this.#sessions.set(session, upstream.version, this.#options.clock.monotonic());
-        const rollout = this.#rollouts.get(upstream.pool);
-        if (rollout === undefined || upstream.version === rollout.order.version) {
+    begin(upstream: RegisteredUpstream, session: string | undefined): () => void {
+        const { pool, version } = upstream;
+        const rollout = this.#rollouts.get(pool);
+        const isCurrent = rollout !== undefined && version !== rollout.order.version;
+        if (session !== undefined) {
+            this.#getSessions(pool).begin(session, version);
+            if (isCurrent && rollout.progress !== undefined && isFirstStep(rollout.progress)) {
+                this.#getSessions(pool).pin(rollout.order, rollout.progress.firstShare, session);
+            }
+        }
+        if (!isCurrent) {
             return () => {};
         }
         const work = {};
@@ -232,6 +254,30 @@
         }
     }
 
+    #getSessions(pool: string): PoolSessions {
+        let sessions = this.#sessions.get(pool);
+        if (sessions === undefined) {
+            const { self, clock, sessionMilliseconds, writePins } = this.#options;
+            sessions = new PoolSessions({
+                self,
+                clock,
+                sessionMilliseconds,
+                writePins: report => writePins(pool, report),
+            });
+            this.#sessions.set(pool, sessions);
+        }
+        return sessions;
+    }
+
+    /** Pins the sessions that the old version has served here, as the first step is announced, and tells of them at once. */
+    #pinServedSessions({ order }: Rollout, progress: RolloutProgress): void {
+        if (isFirstStep(progress)) {
+            const sessions = this.#getSessions(order.pool);
+            sessions.pinServed(order, progress.firstShare);
+            void sessions.tellPins(order);
+        }
+    }
+
     /** Tells the others what is known here, judges, and takes the next step where it is this node's turn. */
     tick(): void {
         this.#ticks += 1;
@@ -239,6 +285,7 @@
             if (rollout.progress !== undefined && isOver(rollout.progress)) {
                 continue;
             }
+            void this.#getSessions(rollout.order.pool).tellPins(rollout.order);
             const own = this.#createReport(rollout);
             this.#publish(rollout, own);
             const rank = this.#options.getRank();
@@ -300,6 +347,7 @@
             order,
             progress,
             elapsedMilliseconds: now - rollout.orderedAt,
+            announcedMilliseconds: rollout.announcedAt === undefined ? 0 : now - rollout.announcedAt,
             isBad: isHalted,
             candidates,
             currents: upstreams.length - candidates,
