Remember a session until its time after the end of its last answer, not after the beginning

Cause: the memory counted one and a half times the site's session time (12.75 s at Catania's grown site) from a request's beginning. A stream may last 20 s and the session goes on within 8.5 s of its end, so a session could be forgotten while it was being answered, and be taken for a new one. Evidence: the memory before this commit, asked 12.8 s after the beginning of an answer that is still on its way, knew nothing (run on its own). Change: requests are noted at their beginning and end; a session is kept while one is at work and for the session time after the end. The factor of one and a half, which was there to make up for it, is gone.

--- a/src/rollouts/poolSessions.ts
+++ b/src/rollouts/poolSessions.ts
@@ -7,9 +7,6 @@
 import type { RolloutOrder } from "./rollout.js";
 import { SessionMemory } from "./sessionMemory.js";
 
-/** A session's memory outlives the time in which its requests belong together. */
-const memoryFactor = 1.5;
-
 /** What a pool's sessions are kept with. */
 export interface PoolSessionsOptions {
     /** This node. */
@@ -35,13 +32,18 @@
 
     constructor(options: PoolSessionsOptions) {
         this.#options = options;
-        this.#memory = new SessionMemory(options.sessionMilliseconds * memoryFactor);
+        this.#memory = new SessionMemory(options.sessionMilliseconds);
         this.#pins = new PinnedSessions(options.self);
     }
 
-    /** Notes that a version serves a session. */
+    /** Notes that a request of a session goes to a version. */
     begin(session: string, version: string): void {
-        this.#memory.set(session, version, this.#options.clock.monotonic());
+        this.#memory.begin(session, version, this.#options.clock.monotonic());
+    }
+
+    /** Notes that a request of a session has ended. */
+    end(session: string): void {
+        this.#memory.end(session, this.#options.clock.monotonic());
     }
 
     /** Takes in what is pinned at a node. */
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -223,18 +223,25 @@
         const { pool, version } = upstream;
         const rollout = this.#rollouts.get(pool);
         const isCurrent = rollout !== undefined && version !== rollout.order.version;
-        if (session !== undefined) {
-            this.#getSessions(pool).begin(session, version);
-            if (isCurrent && rollout.progress !== undefined && isFirstStep(rollout.progress)) {
-                this.#getSessions(pool).pin(rollout.order, rollout.progress.firstShare, session);
-            }
+        const work = {};
+        if (isCurrent) {
+            rollout.inFlight.add(work);
         }
-        if (!isCurrent) {
-            return () => {};
+        const endSession = session === undefined ? () => {} : this.#beginSession(upstream, session);
+        return () => {
+            rollout?.inFlight.delete(work);
+            endSession();
+        };
+    }
+
+    #beginSession({ pool, version }: RegisteredUpstream, session: string): () => void {
+        const sessions = this.#getSessions(pool);
+        sessions.begin(session, version);
+        const rollout = this.#rollouts.get(pool);
+        if (rollout?.progress !== undefined && isFirstStep(rollout.progress) && version !== rollout.order.version) {
+            sessions.pin(rollout.order, rollout.progress.firstShare, session);
         }
-        const work = {};
-        rollout.inFlight.add(work);
-        return () => rollout.inFlight.delete(work);
+        return () => sessions.end(session);
     }
 
     /**
--- a/test/rollouts/sessionMemory.test.ts
+++ b/test/rollouts/sessionMemory.test.ts
@@ -3,17 +3,28 @@
 import { SessionMemory } from "../../src/rollouts/sessionMemory.js";
 
 describe("SessionMemory", () => {
-    it("forgets after its time", () => {
+    it("forgets a session when its time is over", () => {
         const memory = new SessionMemory(5_000);
-        memory.set("s", "v1", 1_000);
+        memory.begin("s", "v1", 500);
+        memory.end("s", 1_000);
         expect([memory.getOthers("v2", 5_900), memory.getOthers("v2", 6_100)]).toEqual([["s"], []]);
     });
 
     it("returns the sessions whose last request another version served", () => {
         const memory = new SessionMemory(5_000);
-        memory.set("s-1", "v1", 0);
-        memory.set("s-2", "v1", 0);
-        memory.set("s-2", "v2", 1);
+        memory.begin("s-1", "v1", 0);
+        memory.begin("s-2", "v1", 0);
+        memory.begin("s-2", "v2", 1);
         expect(memory.getOthers("v2", 2)).toEqual(["s-1"]);
     });
+
+    // A long answer outlasts the time that its session is kept. Forgotten before its end, the session passes for a new one, and its
+    // next request meets another version.
+    it("keeps a session whose answer is still on its way, and from its end on for the whole time", () => {
+        const memory = new SessionMemory(5_000);
+        memory.begin("s", "v1", 0);
+        expect(memory.getOthers("v2", 20_000)).toEqual(["s"]);
+        memory.end("s", 20_000);
+        expect([memory.getOthers("v2", 24_900), memory.getOthers("v2", 25_100)]).toEqual([["s"], []]);
+    });
 });
