Draw a route's pool by the session, not by the request

What callers saw: on a route that is split between two pools, requests of one session were answered by either in turn. Change: the draw is by the session where there is one. Shares hold over sessions, as roll-outs count them. Ruled out: remembering the pool of each session, which another node would not know. Evidence: 'serves all requests of a session by one of a route's pools' fails without the change (run) and passes with it.

--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -188,8 +188,11 @@
     }
 }
 
-/** Draws one of a route's pools by their weights. */
-function choosePool(route: Route, { id }: CallerRequest): string {
+/**
+ * Draws one of a route's pools by their weights. A session draws the same one each time: drawn for each request, it would be answered by
+ * unlike services in turn, and its prompt be read in each of them.
+ */
+function choosePool(route: Route, { id, session }: CallerRequest): string {
     if (route.pools.length === 1) {
         return route.pools[0].pool;
     }
@@ -197,7 +200,7 @@
     for (const share of route.pools) {
         total += share.weight;
     }
-    let point = getUnitRank(route.name, id) * total;
+    let point = getUnitRank(route.name, session ?? id) * total;
     for (const share of route.pools) {
         point -= share.weight;
         if (point < 0) {
--- a/test/forwarding/forwarder.test.ts
+++ b/test/forwarding/forwarder.test.ts
@@ -3,6 +3,7 @@
 import type { RouteTable } from "../../src/routing/index.js";
 import { createForwarder } from "../fixtures/exchanges.js";
 import { createRoute, createRouteTable } from "../fixtures/routes.js";
+import { createUpstream } from "../fixtures/upstreams.js";
 
 describe("Forwarder", () => {
     it("passes a request on under its workspace, with the time that is left", async () => {
@@ -21,6 +22,24 @@
         expect(lines.find(line => line.name === "attempt-ended")?.versionReason).toEqual("candidate: share 0.1");
     });
 
+    // A route is split between two pools. A caller's next request drew its pool anew, and two services answered one session in turn.
+    it("serves all requests of a session by one of a route's pools", async () => {
+        const pools = [{ pool: "app", weight: 1 }, { pool: "other", weight: 1 }];
+        const upstreams = [createUpstream("u1"), createUpstream("u2", { pool: "other" })];
+        const { send, calls } = createForwarder({
+            upstreams,
+            getRoutes: () => createRouteTable({ routes: [createRoute({ pools })] }),
+        });
+        for (const session of ["s-1", "s-2", "s-3", "s-4", "s-5", "s-6"]) {
+            const before = calls.length;
+            for (const id of ["a", "b", "c", "d", "e"]) {
+                await send({ id: `${session}-${id}`, session });
+            }
+            expect(new Set(calls.slice(before).map(({ upstream }) => upstream)).size).toEqual(1);
+        }
+        expect(new Set(calls.map(({ upstream }) => upstream)).size).toEqual(2);
+    });
+
     it("turns away unknown keys and paths while its configuration is fresh", async () => {
         const { send, calls } = createForwarder();
         expect((await send({ apiKey: "other" })).refusal?.failure.kind).toEqual("unauthorized");
