Take the time since a roll-out's order from the wall clock only where the order was not seen

It would show as PINNED on a site whose clocks jump. Cause: every node that heard the first progress set the order's time back by its wall clock less the time that the first node had noted. A clock that is ten seconds ahead made half of the time seem over at once, and the node, if it ranked first, moved sessions. Change: a node that hears the first step was there when the order came, and goes by its own steady clock; one that hears a later step first, since it was started in between, still goes by the wall clock. Left: a node that was started in between with a wrong clock, or that missed the first step, can still be wrong.

--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -155,8 +155,8 @@
         if (rollout.progress !== undefined && isOver(rollout.progress)) {
             return;
         }
-        if (rollout.progress === undefined) {
-            // This node may have been started after the order; the wall clock then says how long ago that was.
+        if (rollout.progress === undefined && progress.step > 1) {
+            // This node may have been started after the order. Otherwise its own clock is right, and the wall clock may have jumped.
             const elapsed = this.#options.clock.wall() - progress.orderedAt;
             const bounded = Math.min(Math.max(0, elapsed), rollout.order.durationMilliseconds);
             rollout.orderedAt = Math.min(rollout.orderedAt, this.#options.clock.monotonic() - bounded);
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -10,25 +10,35 @@
 
 const tickMilliseconds = 200;
 const order = { id: 7, pool: "pool", version: "v2", durationMilliseconds: 24_000 };
+const announced: RolloutProgress = {
+    order: order.id,
+    version: order.version,
+    state: "moving",
+    step: 1,
+    share: 0,
+    firstShare: 0.045,
+    orderedAt: 0,
+};
 const none = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
 
 interface Site {
     readonly rollouts: Rollouts;
+    readonly registry: UpstreamRegistry;
     readonly written: RolloutProgress[];
     readonly counts: { looks: number; published: number; };
     /** Lets time pass, tick by tick. */
     readonly run: (ticks: number) => void;
 }
 
-/** A node of a rank, before the reports of others. */
-function createSite(rank: number, peers: readonly Buffer[]): Site {
+/** A node of a rank, before the reports of others. Its wall clock may be ahead of the others'. */
+function createSite(rank: number, peers: readonly Buffer[], aheadMilliseconds = 0): Site {
     const clock = new ManualClock();
     const registry = new UpstreamRegistry(clock);
     const written: RolloutProgress[] = [];
     const counts = { looks: 0, published: 0 };
     const rollouts = new Rollouts({
         self: "self",
-        clock,
+        clock: { monotonic: () => clock.monotonic(), wall: () => clock.wall() + aheadMilliseconds },
         journal: createJournal().journal,
         registry,
         exposureShare: 0.1,
@@ -53,7 +63,7 @@
             rollouts.tick();
         }
     };
-    return { rollouts, written, counts, run };
+    return { rollouts, registry, written, counts, run };
 }
 
 function createBadReport(): Buffer {
@@ -97,6 +107,24 @@
         expect(site.rollouts.select("other", "session", [upstream]).reason).toEqual(undefined);
     });
 
+    // A VM's time of day jumps. Its node took the difference for time that had passed since the order, and moved sessions before
+    // half of the time was over.
+    it("takes no step too soon when its wall clock is ahead of that of the node which began", () => {
+        const site = createSite(0, [], 10_000);
+        site.registry.set(createUpstream("u1", { pool: "pool", version: "v2" }));
+        site.rollouts.setProgress("pool", { ...announced, orderedAt: 0 });
+        site.run(55);
+        expect(site.written.filter(({ share }) => share > announced.firstShare)).toEqual([]);
+    });
+
+    it("knows by the wall clock how much time is left when it was started after the order", () => {
+        const site = createSite(0, [], 20_000);
+        site.registry.set(createUpstream("u1", { pool: "pool", version: "v2" }));
+        site.rollouts.setProgress("pool", { ...announced, step: 2, share: announced.firstShare, orderedAt: 0 });
+        site.run(1);
+        expect(site.written[0]?.share).toEqual(1);
+    });
+
     it("publishes nothing that is known already", () => {
         const site = createSite(100, []);
         site.run(50);
