Wait for how roll-outs stand before a node that has just started serves

What callers saw: a session that had moved to the new version was answered by the old one at a node that had just started. It waited for the configuration and the upstreams, not for the topic in which the roll-outs stand; without progress the choice is the old version. Change: the first read is over when all three topics have been read, within the same bound as before. Ruled out: refusing meanwhile, which uses up one of a caller's two tries. The three topics are read at the same time, so a node starts no later unless that one is slower; not measured at size.

--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -134,17 +134,19 @@
     }
 
     /**
-     * Waits until the configuration and the upstreams have been read once, or until that has taken too long. Callers of a node
-     * that has just started would otherwise be refused milliseconds before it can serve them, and have no try left.
+     * Waits until all topics have been read once, or until that has taken too long. Callers of a node that has just started would
+     * otherwise be refused milliseconds before it can serve them, and have no try left, or be served by a version that their sessions
+     * have left.
      * @returns Undefined when there is nothing to wait for.
      */
     waitFirstRead(): Promise<unknown> | undefined {
         const elapsed = this.#options.beliefClock.monotonic() - this.#startedAt;
         const left = this.#options.liveSettings.get().bounds.configurationMilliseconds * firstReadShare - elapsed;
-        if (left <= 0 || this.#operator.state.isLoaded() && this.#upstreams.state.isLoaded()) {
+        const followers = [this.#operator, this.#upstreams, this.#status];
+        if (left <= 0 || followers.every(follower => follower.state.isLoaded())) {
             return undefined;
         }
-        return Promise.all([this.#operator.waitLoaded(left), this.#upstreams.waitLoaded(left)]);
+        return Promise.all(followers.map(follower => follower.waitLoaded(left)));
     }
 
     /** Ends following. */
--- a/test/platform/standins/storeStandin.ts
+++ b/test/platform/standins/storeStandin.ts
@@ -36,6 +36,8 @@
     mood: StoreMood = "well";
     /** Moods for single callers, by their address. */
     readonly moods = new Map<string, StoreMood>();
+    /** How much longer the reads of single topics take, in milliseconds. */
+    readonly readDelays = new Map<string, number>();
     /** Calls that were answered or refused, as `METHOD PATH ADDRESS`. */
     readonly calls: string[] = [];
 
@@ -55,10 +57,14 @@
         this.#server.closeAllConnections();
     }
 
-    /** Appends a record as the operator or an upstream does. */
-    put(topic: string, key: string, value: unknown): void {
+    /**
+     * Appends a record as the operator or an upstream does.
+     * @returns Its offset.
+     */
+    put(topic: string, key: string, value: unknown): number {
         const bytes = Buffer.isBuffer(value) ? value : Buffer.from(JSON.stringify(value));
         this.#append(topic, [{ key, value: bytes }]);
+        return this.#getRecords(topic).length - 1;
     }
 
     /** Removes a key. */
@@ -106,6 +112,9 @@
             return;
         }
         const topic = url.searchParams.get("topic") ?? "";
+        if (request.method === "GET" && this.readDelays.has(topic)) {
+            await new Promise(resolve => setTimeout(resolve, this.readDelays.get(topic)));
+        }
         switch (url.pathname) {
             case "/v1/log-newest":
                 this.#answerNewest(topic, response);
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -30,6 +30,23 @@
     });
 });
 
+describe("a node that starts during a roll-out", () => {
+    const site = new PlatformSite("127.72.10", { config_apply_ms: 20_000 });
+    before(() => site.start(1));
+    after(() => site.stop());
+
+    // All sessions have moved to the new version. A node that does not know that yet answers its first callers by the old one.
+    it("serves its first caller by the version that the sessions have moved to", async () => {
+        const moved = await site.addRunner("i-new", "v2");
+        const id = site.store.put("keyed.op", "rollout/pool", { service: "pool", target: "v2", deadline_s: 600 });
+        const progress = { order: id, version: "v2", state: "moving", step: 3, share: 1, firstShare: 0.1 };
+        site.store.put("keyed.status", "progress/pool", { ...progress, orderedAt: Date.now() });
+        site.store.readDelays.set("keyed.status", 300);
+        const answer = await sendFirst(site, site.startNode(1));
+        expect([answer.status, moved.received.length]).toEqual([200, 1]);
+    });
+});
+
 describe("a node that starts alone without the store", () => {
     const site = new PlatformSite("127.72.6");
     before(() => site.start(1));
