Release what a test has begun when it fails, and end a test file that takes too long

Change: PlatformSite ends what was begun at it (addRelease) before its nodes, whatever became of the test; traffic of poolRollout uses it. Children end with the process that started them also when a signal ends it, at the testbench's sites and at PlatformSite alike (endWithParent). Ruled out: a finally in each test.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -7,6 +7,8 @@
 /** Tests that are known to fail for a recorded reason; `scripts/knownRed.mjs` judges them apart. */
 const knownRedFile = "KNOWN-RED.txt";
 const concurrency = "3";
+/** A file that takes longer is ended and named as failed; the longest takes a minute and a half on a busy machine. */
+const fileMilliseconds = 300_000;
 
 function findTestFiles(folder) {
     const files = [];
@@ -48,7 +50,6 @@
     console.error("No test file matches. Build first with `npm run build`, or give a part of a test file's path.");
     process.exit(1);
 }
-const run = spawnSync(process.execPath, ["--test", `--test-concurrency=${concurrency}`, ...files], {
-    stdio: "inherit",
-});
+const options = [`--test-concurrency=${concurrency}`, `--test-timeout=${fileMilliseconds}`];
+const run = spawnSync(process.execPath, ["--test", ...options, ...files], { stdio: "inherit" });
 process.exit(run.status ?? 1);
--- a/src/testbench/index.ts
+++ b/src/testbench/index.ts
@@ -2,6 +2,7 @@
 export * from "../caller/index.js";
 export * from "./addressBlock.js";
 export * from "./billJudge.js";
+export * from "./endWithParent.js";
 export * from "./judge.js";
 export * from "./processGroup.js";
 export * from "./runningProcess.js";
--- a/src/testbench/runningProcess.ts
+++ b/src/testbench/runningProcess.ts
@@ -4,20 +4,12 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { createInterface } from "node:readline";
 import type { EventLine } from "../events/index.js";
+import { endWithParent } from "./endWithParent.js";
 
 const readyBoundMilliseconds = 20_000;
 const stopBoundMilliseconds = 30_000;
 const keptLines = 5000;
 
-/** Children that must not outlive this process. */
-const endWithParent = new Set<ChildProcess>();
-
-process.once("exit", () => {
-    for (const child of endWithParent) {
-        child.kill("SIGKILL");
-    }
-});
-
 /** What a process is started from. */
 export interface ProcessOptions {
     /** Path of the compiled program. */
@@ -59,8 +51,7 @@
      */
     static async start(options: ProcessOptions): Promise<RunningProcess> {
         const running = new RunningProcess(options);
-        endWithParent.add(running.#child);
-        void running.#exited.then(() => endWithParent.delete(running.#child));
+        endWithParent(running.#child);
         await running.#waitForReady();
         return running;
     }
--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -8,7 +8,7 @@
 import { createInterface } from "node:readline";
 import { Agent, request as sendRequest } from "undici";
 import type { EventLine } from "../../src/events/index.js";
-import { waitUntil } from "../../src/testbench/index.js";
+import { endWithParent, waitUntil } from "../../src/testbench/index.js";
 import { RunnerStandin } from "./standins/runnerStandin.js";
 import { StoreStandin } from "./standins/storeStandin.js";
 
@@ -111,9 +111,10 @@
     readonly prefix: string;
     readonly #folder = mkdtempSync(join(tmpdir(), "platform-site-"));
     readonly #agent = new Agent();
-    #requests = 0;
-
     readonly #bounds: Readonly<Record<string, number>>;
+    /** End what tests have begun at this site. */
+    readonly #releases: (() => Promise<void>)[] = [];
+    #requests = 0;
 
     /**
      * @param prefix - First three bytes of the site's addresses, such as `127.72.1`.
@@ -167,6 +168,7 @@
             env: { ...process.env, RATTANLOCK_BOOT: settingsFile },
             stdio: ["ignore", "pipe", "inherit"],
         });
+        endWithParent(child);
         const events: EventLine[] = [];
         createInterface({ input: child.stdout }).on("line", line => events.push(JSON.parse(line) as EventLine));
         const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
@@ -248,8 +250,16 @@
         return { status: response.statusCode, headers: response.headers, body: await response.body.text() };
     }
 
+    /** Adds what is to be ended when the site stops, also after a test has failed. */
+    addRelease(release: () => Promise<void>): void {
+        this.#releases.push(release);
+    }
+
     /** Ends everything. */
     async stop(): Promise<void> {
+        for (const release of this.#releases) {
+            await release();
+        }
         for (const node of this.nodes) {
             node.child.kill("SIGKILL");
             // One that is paused takes no other signal before it goes on.
--- a/test/platform/poolRollout.test.ts
+++ b/test/platform/poolRollout.test.ts
@@ -8,7 +8,7 @@
     return (site.store.get("keyed.status", "rollout/pool") as { state?: unknown; } | undefined)?.state;
 }
 
-/** Sends requests of new sessions to all nodes until it is told to stop. */
+/** Sends requests of new sessions to all nodes until it is told to stop, or the site stops. */
 function startTraffic(site: PlatformSite): () => Promise<void> {
     let isOver = false;
     let sessions = 0;
@@ -22,10 +22,12 @@
         }
     };
     const runs = [run(), run(), run()];
-    return async () => {
+    const stop = async (): Promise<void> => {
         isOver = true;
         await Promise.all(runs);
     };
+    site.addRelease(stop);
+    return stop;
 }
 
 describe("a roll-out of a pool's software", () => {
