Revert a roll-out whose time is over while nobody runs the new version

Cause: without upstreams of the new version the share stays at 0, and no step was due any more. Change: when the time is over, no upstream of the new version takes requests and others of the pool are known, the roll-out is reverted. Late roll-outs that have upstreams go on to their end. Evidence: 'is reverted when its time is over and nobody runs the new version' failed before (still moving) and passes. Ruled out: completing it, since nothing was seen of the version.

--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -65,10 +65,10 @@
     const firstShare = progress?.firstShare ?? getFirstShare(situation);
     const step = (progress?.step ?? 0) + 1;
     const base = { order: order.id, version: order.version, step, orderedAt, firstShare };
-    if (isBad) {
+    const time = elapsedMilliseconds / order.durationMilliseconds;
+    if (isBad || isHopeless(situation, time)) {
         return { ...base, state: "reverted", share: 0 };
     }
-    const time = elapsedMilliseconds / order.durationMilliseconds;
     const share = Math.max(progress?.share ?? 0, getShare(situation, time));
     if (progress !== undefined && progress.share === 1 && mayComplete(situation, time)) {
         return { ...base, state: "completed", share: 1 };
@@ -79,6 +79,11 @@
     return undefined;
 }
 
+/** Tells whether the time is over and no upstream of the new version takes requests, though others of the pool are known. */
+function isHopeless({ candidates, currents }: RolloutSituation, time: number): boolean {
+    return time >= 1 && candidates === 0 && currents > 0;
+}
+
 function getFirstShare({ exposureShare, members }: RolloutSituation): number {
     return exposureShare * firstExposure * Math.min(1, firstStepMembers / members);
 }
--- a/test/rollouts/planRollout.test.ts
+++ b/test/rollouts/planRollout.test.ts
@@ -82,6 +82,15 @@
         expect(steps.at(-1)?.at).toEqual(4_000);
     });
 
+    // The new version's upstreams never come, or all of them crash. The roll-out would stay under way for good, and the operator would
+    // never be told that the old version goes on.
+    it("is reverted when its time is over and nobody runs the new version", () => {
+        const steps = run(() => ({ candidates: 0 }));
+        expect([steps.at(-1)?.at, steps.at(-1)?.progress.state]).toEqual([20_000, "reverted"]);
+        const unknown = run(() => ({ candidates: 0, currents: 0 }));
+        expect(unknown.at(-1)?.progress.state).toEqual("moving");
+    });
+
     it("waits for upstreams of the new version", () => {
         const steps = run(elapsed => ({ candidates: elapsed < 3_000 ? 0 : 2 }));
         expect(steps.slice(0, 2).map(step => [step.at, step.progress.share])).toEqual([[0, 0], [3_000, 0.0675]]);
