Bound how long a node leaves a due step of a roll-out to those before it

What callers saw: nothing yet. At 90 and 350 nodes, when the first nodes by rank die together, a roll-out takes no step, reverts among them, until their heartbeats are overdue: 10 s at 90 nodes, 45 s at 350. Evidence: 'comes in time when only the last by rank is left', with nodes killed at each half second of a roll-out of 6 s: 90 nodes, no end within 11 s when killed at 0 s; 350 nodes, no step at all. Both pass now; 2 and 3 nodes passed before. Change: the first four take turns of half a second as before, the others follow within 5 ms each: the store takes a step once, whoever writes it. A node that took the last step waits for nobody. Property with fast-check, 60 runs: whichever of 2, 3 or 90 nodes die and come back while one lives, news up to 0.6 s late, the roll-out of a good version is completed within 5 s of its deadline. It passed before the change, too: its nodes die one by one. News lost for good is not modelled; the followers of the store's topics read again.

--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -14,17 +14,15 @@
 import { getSessionRank, PoolSessions } from "./poolSessions.js";
 import { isFirstStep, isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
 import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
+import { getTurnDelay, watchfulNodes } from "./stepTurn.js";
 import { VersionDivisions } from "./versionDivisions.js";
 import { chooseVersion } from "./versionGate.js";
 
 const tickMilliseconds = 200;
-/** A node waits so long for each node that ranks before it. */
-const rankDelayMilliseconds = 500;
 /**
- * So many nodes, the first by rank, look at all reports at every tick; the others do at every fifth. A look costs each node work
- * in proportion to all nodes, and a node further back would wait its turn for longer than that anyway.
+ * The first nodes by rank look at all reports at every tick; the others do at every fifth. A look costs each node work in proportion to
+ * all nodes, and a node further back waits its turn for longer than that anyway.
  */
-const watchfulNodes = 4;
 const ticksBetweenLooks = 5;
 /** An attempt to write is not repeated sooner. */
 const writePauseMilliseconds = 1_000;
@@ -76,6 +74,8 @@
     /** When the step that is due first was. */
     dueSince: number | undefined;
     writtenAt: number;
+    /** Number of the last step that this node wrote. */
+    writtenStep: number;
 }
 
 /** Handles the roll-outs of all pools. */
@@ -123,6 +123,7 @@
             isHalted: false,
             dueSince: undefined,
             writtenAt: Number.NEGATIVE_INFINITY,
+            writtenStep: 0,
         });
         this.#forgive(order);
         this.#options.journal.write(events.rolloutOrdered, {
@@ -368,13 +369,13 @@
             return;
         }
         rollout.dueSince ??= now;
-        if (
-            now - rollout.dueSince < rank * rankDelayMilliseconds
-            || now - rollout.writtenAt < writePauseMilliseconds
-        ) {
+        const hasTakenLast = progress !== undefined && progress.step === rollout.writtenStep;
+        const delay = getTurnDelay({ rank, hasTakenLast });
+        if (now - rollout.dueSince < delay || now - rollout.writtenAt < writePauseMilliseconds) {
             return;
         }
         rollout.writtenAt = now;
+        rollout.writtenStep = next.step;
         void this.#options.writeProgress(order, next);
     }
 }
--- /dev/null
+++ b/test/rollouts/rolloutEnd.test.ts
@@ -0,0 +1,78 @@
+import { expect } from "earl";
+import fc from "fast-check";
+import { describe, it } from "node:test";
+import { RolloutFleet } from "../fixtures/rolloutFleet.js";
+
+const durationMilliseconds = 6_000;
+/** After its time is over a roll-out has to end within this, as long as one node lives and reaches the store. */
+const slackMilliseconds = 5_000;
+
+function createFleet(nodes: number, seed: number, mostHearingMilliseconds = 300): RolloutFleet {
+    const fleet = new RolloutFleet({
+        nodes,
+        seed,
+        requestsPerSecond: 20,
+        mostHearingMilliseconds,
+        sessionMilliseconds: 5_000,
+        durationMilliseconds,
+    });
+    fleet.run(1_000);
+    fleet.order();
+    return fleet;
+}
+
+describe("a roll-out's end", () => {
+    // The nodes that would take the next step are killed together and never come back. The others wait in the order of their rank,
+    // behind all that they still take for alive.
+    for (const nodes of [2, 3, 90, 350]) {
+        it(`comes in time when only the last by rank is left, at ${nodes} nodes`, () => {
+            for (let killedAt = 0; killedAt <= durationMilliseconds; killedAt += 500) {
+                const fleet = createFleet(nodes, 1);
+                fleet.run(killedAt);
+                for (let index = 0; index < nodes - 1; index += 1) {
+                    fleet.kill(index);
+                }
+                fleet.run(durationMilliseconds + slackMilliseconds - killedAt);
+                expect([killedAt, fleet.getProgress()?.state]).toEqual([killedAt, "completed"]);
+            }
+        });
+    }
+
+    it("comes in time whichever nodes die and come back, while one lives", () => {
+        const events = fc.array(
+            fc.record({
+                pauseMilliseconds: fc.nat(1_500),
+                node: fc.nat(89),
+                isStart: fc.boolean(),
+            }),
+            { maxLength: 12 },
+        );
+        fc.assert(
+            fc.property(
+                fc.constantFrom(2, 3, 90),
+                fc.nat(89),
+                fc.nat(1_000),
+                fc.nat(600),
+                events,
+                (nodes, survivor, seed, hearing, changes) => {
+                    const fleet = createFleet(nodes, seed, hearing);
+                    let elapsed = 0;
+                    for (const { pauseMilliseconds, node, isStart } of changes) {
+                        fleet.run(pauseMilliseconds);
+                        elapsed += pauseMilliseconds;
+                        const index = node % nodes;
+                        if (isStart) {
+                            fleet.start(index);
+                        }
+                        else if (index !== survivor % nodes) {
+                            fleet.kill(index);
+                        }
+                    }
+                    fleet.run(Math.max(0, durationMilliseconds + slackMilliseconds - elapsed));
+                    expect(fleet.getProgress()?.state).toEqual("completed");
+                },
+            ),
+            { numRuns: 60 },
+        );
+    });
+});
