Give each roll-out a class of its own, apart from the list of all

Change: OrderedRollout handles one order (choice, evidence, judgement, steps); Rollouts keeps the list and each pool's sessions; the options and the selection have files of their own. No behaviour changes.

--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -3,3 +3,4 @@
 export type { PinReport } from "./pinnedSessions.js";
 export * from "./rollout.js";
 export * from "./rollouts.js";
+export type { VersionSelection } from "./versionSelection.js";
--- /dev/null
+++ b/src/rollouts/orderedRollout.ts
@@ -0,0 +1,237 @@
+/**
+ * One roll-out as this node sees it: it chooses versions by it, gathers evidence, judges, and takes the next step when that is its turn.
+ */
+import { events } from "../events/index.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
+import { judgeRollout } from "./judgeRollout.js";
+import { PeerReports, type ReportTotal } from "./peerReports.js";
+import { planRollout } from "./planRollout.js";
+import { getSessionRank, type PoolSessions } from "./poolSessions.js";
+import { isFirstStep, isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
+import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
+import type { RolloutsOptions } from "./rolloutsOptions.js";
+import { getTurnDelay, watchfulNodes } from "./stepTurn.js";
+import type { VersionDivision } from "./versionDivisions.js";
+import { chooseVersion } from "./versionGate.js";
+import type { VersionSelection } from "./versionSelection.js";
+
+/**
+ * The first nodes by rank look at all reports at every tick; the others do at every fifth. A look costs each node work in proportion to
+ * all nodes, and a node further back waits its turn for longer than that anyway.
+ */
+const ticksBetweenLooks = 5;
+/** An attempt to write is not repeated sooner, in milliseconds. */
+const writePauseMilliseconds = 1_000;
+
+/** Handles one order. */
+export class OrderedRollout {
+    readonly order: RolloutOrder;
+    readonly #options: RolloutsOptions;
+    readonly #sessions: PoolSessions;
+    readonly #evidence = new RolloutEvidence();
+    readonly #peerReports = new PeerReports();
+    /** Requests that are at work at upstreams of the old version. */
+    readonly #inFlight = new Set<object>();
+    /** Monotonic milliseconds of the order, as far as known. */
+    #orderedAt: number;
+    #published: Buffer | undefined;
+    #progress: RolloutProgress | undefined;
+    /** Monotonic milliseconds at which this node heard of the first progress. */
+    #announcedAt: number | undefined;
+    #isHalted = false;
+    /** When the step that is due first was. */
+    #dueSince: number | undefined;
+    #writtenAt = Number.NEGATIVE_INFINITY;
+    /** Number of the last step that this node wrote. */
+    #writtenStep = 0;
+
+    /**
+     * @param options - What all roll-outs are handled with.
+     * @param order - The order.
+     * @param sessions - The pool's sessions.
+     */
+    constructor(options: RolloutsOptions, order: RolloutOrder, sessions: PoolSessions) {
+        this.order = order;
+        this.#options = options;
+        this.#sessions = sessions;
+        this.#orderedAt = options.clock.monotonic();
+    }
+
+    /** Tells whether it is completed or reverted. */
+    isOver(): boolean {
+        return this.#progress !== undefined && isOver(this.#progress);
+    }
+
+    /** Takes in how far it has come. */
+    setProgress(progress: RolloutProgress): void {
+        if (this.isOver()) {
+            return;
+        }
+        const { clock, journal } = this.#options;
+        const now = clock.monotonic();
+        if (this.#progress === undefined && progress.step > 1) {
+            // This node may have been started after the order. Otherwise its own clock is right, and the wall clock may have jumped.
+            const elapsed = clock.wall() - progress.orderedAt;
+            const bounded = Math.min(Math.max(0, elapsed), this.order.durationMilliseconds);
+            this.#orderedAt = Math.min(this.#orderedAt, now - bounded);
+        }
+        const isAnnouncement = this.#announcedAt === undefined;
+        this.#announcedAt ??= now;
+        this.#progress = progress;
+        this.#dueSince = undefined;
+        if (isAnnouncement && isFirstStep(progress)) {
+            this.#sessions.pinServed(this.order, progress.firstShare);
+            void this.#sessions.tellPins(this.order);
+        }
+        const { state, share, version } = progress;
+        journal.write(events.rolloutProgressed, { rollout: this.order.pool, version, state, share });
+    }
+
+    /** Takes in that the new version was found bad. */
+    halt(reason: string): void {
+        if (this.#isHalted) {
+            return;
+        }
+        this.#isHalted = true;
+        const { pool, version } = this.order;
+        this.#options.journal.write(events.rolloutHalted, { rollout: pool, version, reason });
+    }
+
+    /**
+     * Returns the upstreams that may serve a request.
+     * @param session - The session, or whatever identifies the request.
+     * @param division - The pool's upstreams by version.
+     */
+    select(session: string, { candidates, currents }: VersionDivision): VersionSelection {
+        const progress = this.#progress;
+        const sessionRank = getSessionRank(this.order, session);
+        const isPinned = this.#sessions.isPinned(this.order, sessionRank);
+        const choice = chooseVersion({ order: this.order, progress, isHalted: this.#isHalted, sessionRank, isPinned });
+        const reason = this.isOver()
+            ? undefined
+            : `${choice}: share ${progress?.share ?? 0}, rank ${sessionRank.toFixed(4)}${isPinned ? ", pinned" : ""}`;
+        if (choice === "candidate") {
+            return { upstreams: candidates.length > 0 ? candidates : currents, reason };
+        }
+        const isBad = this.#isHalted || progress?.state === "reverted";
+        return { upstreams: currents.length > 0 || isBad ? currents : candidates, reason };
+    }
+
+    /**
+     * Notes a request that is sent to an upstream.
+     * @param upstream - The upstream.
+     * @param session - Its session; undefined when it belongs to none.
+     * @returns Is to be called when it has ended.
+     */
+    begin({ version }: RegisteredUpstream, session: string | undefined): () => void {
+        if (version === this.order.version) {
+            return () => {};
+        }
+        if (session !== undefined && this.#progress !== undefined && isFirstStep(this.#progress)) {
+            this.#sessions.pin(this.order, this.#progress.firstShare, session);
+        }
+        const work = {};
+        this.#inFlight.add(work);
+        return () => this.#inFlight.delete(work);
+    }
+
+    /**
+     * Takes in how an upstream answered.
+     * @param upstream - The upstream.
+     * @param answer - How it answered.
+     */
+    addAnswer(upstream: RegisteredUpstream, answer: Omit<EvidenceAnswer, "isCandidate">): void {
+        if (this.isOver()) {
+            return;
+        }
+        const isCandidate = upstream.version === this.order.version;
+        this.#evidence.add({ ...answer, isCandidate }, this.#options.clock.monotonic());
+        if (isCandidate && answer.hasFailed) {
+            this.#judge(this.#getTotal(this.#createReport()));
+        }
+    }
+
+    /**
+     * Tells the others what is known here, judges, and takes the next step where it is this node's turn.
+     * @param ticks - Counts the calls.
+     */
+    tick(ticks: number): void {
+        void this.#sessions.tellPins(this.order);
+        const own = this.#createReport();
+        this.#publish(own);
+        const rank = this.#options.getRank();
+        if (rank < watchfulNodes || ticks % ticksBetweenLooks === rank % ticksBetweenLooks) {
+            const total = this.#getTotal(own);
+            this.#judge(total);
+            this.#advance(total, rank);
+        }
+    }
+
+    #createReport(): EvidenceReport {
+        const lanes = this.#evidence.getCounts(this.#options.clock.monotonic());
+        return { order: this.order.id, currentInFlight: this.#inFlight.size, lanes };
+    }
+
+    /** What has not changed is not published again, or gossip would carry it to every node once more. */
+    #publish(own: EvidenceReport): void {
+        const value = encodeReport(own);
+        if (this.#published?.equals(value) !== true) {
+            this.#published = value;
+            this.#options.publishEvidence(this.order.pool, value);
+        }
+    }
+
+    #getTotal(own: EvidenceReport): ReportTotal {
+        return this.#peerReports.getTotal(own, this.#options.getEvidence(this.order.pool));
+    }
+
+    #judge({ lanes }: ReportTotal): void {
+        if (this.#isHalted) {
+            return;
+        }
+        const verdict = judgeRollout(lanes);
+        if (verdict === undefined) {
+            return;
+        }
+        const { lane, reason, candidate, current } = verdict;
+        this.halt(`${reason} in ${lane}: ${candidate.toFixed(2)} against ${current.toFixed(2)}`);
+        this.#options.publishHalt(this.order.pool, this.order.id);
+    }
+
+    #advance(total: ReportTotal, rank: number): void {
+        const now = this.#options.clock.monotonic();
+        const next = this.#plan(total, now);
+        if (next === undefined) {
+            this.#dueSince = undefined;
+            return;
+        }
+        this.#dueSince ??= now;
+        const hasTakenLast = this.#progress !== undefined && this.#progress.step === this.#writtenStep;
+        const delay = getTurnDelay({ rank, hasTakenLast });
+        if (now - this.#dueSince < delay || now - this.#writtenAt < writePauseMilliseconds) {
+            return;
+        }
+        this.#writtenAt = now;
+        this.#writtenStep = next.step;
+        void this.#options.writeProgress(this.order, next);
+    }
+
+    #plan({ currentInFlight }: ReportTotal, now: number): RolloutProgress | undefined {
+        const { clock, registry, exposureShare, getMemberCount } = this.#options;
+        const upstreams = registry.getTaking(this.order.pool);
+        const candidates = upstreams.filter(upstream => upstream.version === this.order.version).length;
+        return planRollout({
+            order: this.order,
+            progress: this.#progress,
+            elapsedMilliseconds: now - this.#orderedAt,
+            announcedMilliseconds: this.#announcedAt === undefined ? 0 : now - this.#announcedAt,
+            isBad: this.#isHalted,
+            candidates,
+            currents: upstreams.length - candidates,
+            currentInFlight,
+            exposureShare,
+            members: getMemberCount(),
+            wallNow: clock.wall(),
+        });
+    }
+}
