--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -31,6 +31,7 @@
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
 import { SiteFace } from "./siteFace.js";
+import { StatusWriter } from "./statusWriter.js";
 import { StoreClient } from "./storeClient.js";
 import { UpstreamClient } from "./upstreamClient.js";
 
@@ -64,6 +65,7 @@
     readonly metrics: ForwardingMetrics;
     readonly self: NodeIdentity;
     readonly store: StoreClient;
+    readonly writer: StatusWriter;
     readonly topics: PlatformTopics;
     readonly registry: UpstreamRegistry;
     readonly peerClient: PeerClient;
@@ -120,6 +122,7 @@
             beliefClock: parts.beliefClock,
             journal: parts.journal,
             store: parts.store,
+            writer: parts.writer,
             registry: parts.registry,
             directory: parts.directory,
             self: parts.self,
@@ -127,6 +130,7 @@
             peerClient: parts.peerClient,
             getRollouts: () => parts.rollouts,
         }),
+    writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
     registry: ({ clock }) => new UpstreamRegistry(clock),
     peerClient: () => new PeerClient(),
     peerServer: parts => {
@@ -271,7 +275,7 @@
     }
 }
 
-function createRollouts({ clock, journal, registry, settings, membership, gossip, topics, self }: NodeParts): Rollouts {
+function createRollouts({ clock, journal, registry, settings, membership, gossip, writer, self }: NodeParts): Rollouts {
     const rollouts = new Rollouts({
         self: self.id,
         clock,
@@ -284,8 +288,8 @@
         publishEvidence: (pool, value) => gossip.set(`${evidenceKey}${pool}`, value),
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) => gossip.set(`${haltKey}${pool}`, Buffer.from(String(order)), { urgent: true }),
-        writeProgress: (order, progress) => topics.writeProgress(order, progress),
-        writePins: (pool, report) => topics.writePins(pool, report),
+        writeProgress: (order, progress) => writer.writeProgress(order, progress),
+        writePins: (pool, report) => writer.writePins(pool, report),
     });
     gossip.onUpdate((...[, key, value]) => {
         if (key.startsWith(haltKey) && value !== undefined) {
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -6,7 +6,7 @@
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
-import type { PinReport, RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
+import type { Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import {
     answerPeer,
@@ -15,15 +15,10 @@
     type TopicFollowerOptions,
     TopicSources,
 } from "../topics/index.js";
-import {
-    decodeConfiguration,
-    decodePinReport,
-    decodeProgress,
-    decodeRolloutOrder,
-    encodeRolloutStatus,
-} from "./decodeConfiguration.js";
+import { decodeConfiguration, decodePinReport, decodeProgress, decodeRolloutOrder } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
+import type { StatusWriter } from "./statusWriter.js";
 import type { StoreClient } from "./storeClient.js";
 import { recordKeys, topics } from "./wire.js";
 
@@ -54,7 +49,6 @@
  * registered again within two seconds of its return, and one that is still missing then is gone.
  */
 const lapseMilliseconds = 2_000;
-const appendPauseMilliseconds = 500;
 /**
  * A change costs a read at every node, so they wait for more changes after one, longer in larger sites: 0.27 s with 90 nodes.
  * Bounded by a tenth of the time in which a configuration has to be in force at the sites that are known, 3 s.
@@ -68,12 +62,13 @@
     readonly beliefClock: Clock;
     readonly journal: Journal;
     readonly store: StoreClient;
+    readonly writer: StatusWriter;
     readonly registry: UpstreamRegistry;
     readonly directory: MemberDirectory;
     readonly self: NodeIdentity;
     readonly membership: Membership;
     readonly peerClient: PeerClient;
-    /** Returns what handles roll-outs, which in turn writes through these topics. */
+    /** Returns what handles roll-outs. */
     readonly getRollouts: () => Rollouts;
 }
 
@@ -86,12 +81,13 @@
     readonly #followers = new Map<string, TopicFollower>();
     readonly #routeListeners: (() => void)[] = [];
     readonly #sources: TopicSources;
+    readonly #writer: StatusWriter;
     #routes: RouteTable | undefined;
     #startedAt = Number.NEGATIVE_INFINITY;
-    #isStopped = false;
 
     constructor(options: PlatformTopicsOptions) {
         this.#options = options;
+        this.#writer = options.writer;
         const { self, membership, peerClient, beliefClock, liveSettings } = options;
         this.#sources = new TopicSources({
             self,
@@ -130,7 +126,7 @@
         this.#operator.start();
         this.#upstreams.start();
         this.#status.start();
-        void this.#announce();
+        void this.#writer.announce(this.#status.state);
     }
 
     /**
@@ -151,7 +147,7 @@
 
     /** Ends following. */
     stop(): void {
-        this.#isStopped = true;
+        this.#writer.stop();
         for (const follower of [this.#operator, this.#upstreams, this.#status]) {
             follower.stop();
         }
@@ -310,56 +306,4 @@
             failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
         );
     }
-
-    /**
-     * Writes which sessions of a pool are pinned here.
-     * @returns Whether the store has taken it.
-     */
-    async writePins(pool: string, report: PinReport): Promise<boolean> {
-        const { store, journal, self } = this.#options;
-        const key = `${recordKeys.pinsPrefix}${self.id}/${pool}`;
-        const appended = await store.append(topics.status, [{ key, value: Buffer.from(JSON.stringify(report)) }]);
-        if (appended.isErr()) {
-            journal.write(events.rolloutWriteFailed, { rollout: pool, state: "pins", cause: appended.error.message });
-        }
-        return appended.isOk();
-    }
-
-    /**
-     * Writes a step of a roll-out, for the nodes and for the operator, unless another node has taken the same step already. Whether it
-     * has, and whether a write whose answer was lost took effect, reading the topic tells.
-     */
-    async writeProgress(order: RolloutOrder, progress: RolloutProgress): Promise<void> {
-        const { store, journal } = this.#options;
-        const records = [
-            { key: `${recordKeys.progressPrefix}${order.pool}`, value: Buffer.from(JSON.stringify(progress)) },
-            { key: `${recordKeys.rolloutPrefix}${order.pool}`, value: encodeRolloutStatus(order, progress) },
-        ];
-        const turn = { matter: `${recordKeys.progressPrefix}${order.pool}`, epoch: order.id, number: progress.step };
-        const appended = await store.append(topics.status, records, turn);
-        if (appended.isErr() || appended.value === "out-of-turn") {
-            const cause = appended.isErr() ? appended.error.message : "another node is further";
-            journal.write(events.rolloutWriteFailed, { rollout: order.pool, state: progress.state, cause });
-        }
-    }
-
-    /** Leaves this node's record in the store, so that the others get to know it. */
-    async #announce(): Promise<void> {
-        const { self, liveSettings, store } = this.#options;
-        const key = `${recordKeys.memberPrefix}${self.id}`;
-        const value = Buffer.from(JSON.stringify({ ...self, callerPort: liveSettings.get().listen.callers.port }));
-        while (!this.#isStopped) {
-            if (this.#status.state.isLoaded()) {
-                const known = this.#status.state.get(key);
-                if (known?.value?.equals(value) === true) {
-                    return;
-                }
-                const appended = await store.append(topics.status, [{ key, value }]);
-                if (appended.isOk()) {
-                    return;
-                }
-            }
-            await new Promise(resolve => setTimeout(resolve, appendPauseMilliseconds));
-        }
-    }
 }
