Wait for the lines of both topics before they are counted

Cause: the test's, not the product's: an answer under the new key proves that the operator's topic was read. The upstreams' topic is read apart from it, and lines come on the node's output, not with the answer. Change: wait for two lines within the usual bound, then compare all of them as before: as strict, since a missing or a third line still fails.

--- a/test/platform/node.test.ts
+++ b/test/platform/node.test.ts
@@ -54,8 +54,10 @@
                 what: "the readable configuration",
             },
         );
-        const unreadable = site.nodes[0].events.filter(event => event.name === "record-unreadable");
-        expect(unreadable.map(event => event.key).sort()).toEqual(["config", "i-9"]);
+        // The two topics are read apart from each other, and lines come on another way than answers.
+        const findUnreadable = () => site.nodes[0].events.filter(event => event.name === "record-unreadable");
+        await waitUntil(() => findUnreadable().length >= 2, { what: "both lines" });
+        expect(findUnreadable().map(event => event.key).sort()).toEqual(["config", "i-9"]);
     });
 
     it("sends nothing to a runner that says that it is leaving", async () => {
