Do not call a new version slow for a difference that no caller notices

Cause: times to the head are compared as a ratio. Where answers take a millisecond, a busy moment makes them take four, and 2.5 times was enough to halt the version; the old version's times may be from a quieter second. Change: times below a tenth of the route's objective count as alike. The objective is the operator's; nothing is fitted to a site. The test that finds a version eight times as slow is unchanged and passes. rollouts/: 52 of 52.

--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -271,7 +271,8 @@
 function addEvidence(rollouts: Rollouts, { exchange, upstream, model, outcome, headMilliseconds }: EndedAttempt): void {
     if (outcome === "ok" || outcome === "error") {
         const lane = `${exchange.route.name} ${model ?? ""}`;
-        rollouts.addAnswer(upstream, { lane, hasFailed: outcome === "error", headMilliseconds });
+        const { objectiveMilliseconds } = exchange.route;
+        rollouts.addAnswer(upstream, { lane, hasFailed: outcome === "error", headMilliseconds, objectiveMilliseconds });
     }
 }
 
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -7,6 +7,12 @@
 const sliceMilliseconds = 1_000;
 const slices = 6;
 
+/**
+ * Times below this part of what callers are promised count as alike. As a ratio a millisecond more is much where answers take one, and
+ * a good version would be taken back for a busy moment.
+ */
+const unnoticedShare = 0.1;
+
 /** Counts of one version. */
 export interface VersionCounts {
     readonly answers: number;
@@ -42,6 +48,8 @@
     readonly hasFailed: boolean;
     /** Time to the head of the answer, in milliseconds; undefined when there was none. */
     readonly headMilliseconds: number | undefined;
+    /** The time within which the caller wants the answer, in milliseconds. */
+    readonly objectiveMilliseconds: number;
 }
 
 const none: VersionCounts = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
@@ -145,8 +153,9 @@
 }
 
 function toCounts(answer: EvidenceAnswer): VersionCounts {
-    const { headMilliseconds } = answer;
-    const log = headMilliseconds === undefined ? 0 : Math.log(Math.max(1, headMilliseconds));
+    const { headMilliseconds, objectiveMilliseconds } = answer;
+    const unnoticed = Math.max(1, objectiveMilliseconds * unnoticedShare);
+    const log = headMilliseconds === undefined ? 0 : Math.log(Math.max(unnoticed, headMilliseconds));
     return {
         answers: 1,
         failures: answer.hasFailed ? 1 : 0,
