--- a/test/platform/soak/soakCallers.ts
+++ b/test/platform/soak/soakCallers.ts
@@ -5,6 +5,7 @@
 const callerPort = 7_001;
 const deadlineMilliseconds = 2_500;
 const pauseMilliseconds = 30;
+const requestsOfSession = 5;
 
 /** Kinds of requests, as they stand in the paths of the site's routes. */
 export type RequestKind = "booking" | "call" | "stream";
@@ -79,6 +80,7 @@
                     "attempt-id": id,
                     "deadline-ms": String(deadlineMilliseconds),
                     "api-key": key,
+                    "session": `s-${Math.floor(this.#count / requestsOfSession)}`,
                 },
                 body: "hello",
             });
--- a/test/platform/soak/soakChecks.ts
+++ b/test/platform/soak/soakChecks.ts
@@ -7,6 +7,7 @@
 export interface RunRequest {
     readonly request: ReceivedRequest;
     readonly at: number;
+    readonly runner: string;
 }
 
 /** A key that was taken away. */
