Take no news of a roll-out that is older than what a node knows

A session that had moved would go back to the old version. Cause: a node took whatever progress it heard of as the newest. Change: a step that is not newer changes nothing. Nodes of an earlier release do not count steps; theirs are taken as before. Evidence: 'does not go back to an earlier step that it hears of again' fails without the change (run) and passes. Whether the store's followers can hand over old news at all was not shown: they go by offsets.

--- a/src/rollouts/orderedRollout.ts
+++ b/src/rollouts/orderedRollout.ts
@@ -62,9 +62,9 @@
         return this.#progress !== undefined && isOver(this.#progress);
     }
 
-    /** Takes in how far it has come. */
+    /** Takes in how far it has come. News that is no newer than what is known changes nothing. */
     setProgress(progress: RolloutProgress): void {
-        if (this.isOver()) {
+        if (this.isOver() || this.#isOld(progress)) {
             return;
         }
         const { clock, journal } = this.#options;
@@ -87,6 +87,11 @@
         journal.write(events.rolloutProgressed, { rollout: this.order.pool, version, state, share });
     }
 
+    /** Nodes of an earlier release did not count steps; theirs are taken as they come. */
+    #isOld({ step }: RolloutProgress): boolean {
+        return this.#progress !== undefined && step > 0 && step <= this.#progress.step;
+    }
+
     /** Takes in that the new version was found bad. */
     halt(reason: string): void {
         if (this.#isHalted) {
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -125,6 +125,16 @@
         expect(site.written[0]?.share).toEqual(1);
     });
 
+    // News of an earlier step comes once more, after the later one. Sessions that have moved would go back to the old version.
+    it("does not go back to an earlier step that it hears of again", () => {
+        const site = createSite(1, []);
+        const upstreams = ["v1", "v2"].map(version => createUpstream(version, { pool: "pool", version }));
+        const select = (): string => site.rollouts.select("pool", "session", upstreams).upstreams[0].version;
+        site.rollouts.setProgress("pool", { ...announced, step: 4, share: 1 });
+        site.rollouts.setProgress("pool", { ...announced, step: 3, share: 0 });
+        expect(select()).toEqual("v2");
+    });
+
     it("publishes nothing that is known already", () => {
         const site = createSite(100, []);
         site.run(50);
