--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -342,7 +342,7 @@
         447,
         "rollout-write-failed",
         "warning",
-        "A step of a roll-out could not be written to the store, or somebody else wrote first; it is tried again.",
+        "A step of a roll-out, or which sessions are pinned, could not be written to the store; it is tried again.",
     ),
     settingsReloaded: define(105, "settings-reloaded", "info", "A changed settings file is in force."),
     settingsRefused: define(
