Draw the picker's random numbers from a source that tests can seed

Change: the picker takes a RandomSource like every other decision; a node gives it its own, tests a seeded one. The bound, the three seeds and the load of the test are unchanged.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -1,7 +1,7 @@
 /**
  * The choice of an upstream for a request, among those that are registered.
  */
-import type { Clock } from "../../common/index.js";
+import type { Clock, RandomSource } from "../../common/index.js";
 import type { RegisteredUpstream } from "../../fleet/index.js";
 import type { Pick, PickOptions, PromptLoad } from "./pick.js";
 import { PromptHolders } from "./promptHolders.js";
@@ -42,6 +42,7 @@
 /** Picks upstreams for one node and keeps what it learns of them. */
 export class UpstreamPicker {
     readonly #clock: Clock;
+    readonly #random: RandomSource;
     readonly #failureDomain: string;
     readonly #groups: RunnerGroups;
     readonly #holders = new PromptHolders();
@@ -58,9 +59,11 @@
         readonly self: string;
         /** Failure domain of this node. */
         readonly failureDomain: string;
+        readonly random: RandomSource;
         readonly onEject: (upstream: string, milliseconds: number) => void;
     }) {
         this.#clock = options.clock;
+        this.#random = options.random;
         this.#failureDomain = options.failureDomain;
         this.#groups = new RunnerGroups(options);
         this.#onEject = options.onEject;
@@ -232,7 +235,7 @@
             const cached = likelyCached[holders.indexOf(upstream.id)] ?? 0;
             const unreadTokens = prompt.tokens - cached * prompt.sharedTokens;
             const readingMilliseconds = this.#paces.getMilliseconds(prompt.model, unreadTokens);
-            const noise = 1 + loadNoise * (2 * Math.random() - 1);
+            const noise = 1 + loadNoise * (2 * this.#random.next() - 1);
             const requests = this.#getRequests(upstream, now) * noise;
             const waiting = requests * delayMillisecondsByRequest + status.getReading();
             const isFull = requests >= upstream.slots;
@@ -259,7 +262,7 @@
         let bestLoad = Number.POSITIVE_INFINITY;
         for (const upstream of group) {
             // A tie is broken at random, or every node would send its first request to the same upstream.
-            const load = this.#getLoad(upstream, now) + Math.random() * 0.01;
+            const load = this.#getLoad(upstream, now) + this.#random.next() * 0.01;
             if (load < bestLoad) {
                 best = upstream;
                 bestLoad = load;
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -149,11 +149,12 @@
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
-    picker: ({ clock, settings, journal, self }) =>
+    picker: ({ clock, settings, random, journal, self }) =>
         new UpstreamPicker({
             clock,
             self: self.id,
             failureDomain: settings.failureDomain,
+            random,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
         }),
     budgets: ({ clock, liveSettings, membership }) => createBudgets(clock, liveSettings, membership),
--- a/test/decisions/dispatch/manyNodes.ts
+++ b/test/decisions/dispatch/manyNodes.ts
@@ -59,7 +59,13 @@
     const pickers = Array.from(
         { length: nodes },
         (...[, index]) =>
-            new UpstreamPicker({ clock, self: `n-${index}`, failureDomain: "north", onEject: () => undefined }),
+            new UpstreamPicker({
+                clock,
+                self: `n-${index}`,
+                failureDomain: "north",
+                random: new RandomSource(seed * nodes + index),
+                onEject: () => undefined,
+            }),
     );
     const meanMilliseconds = kinds.reduce((sum, kind) => sum + kind.share * kind.milliseconds, 0);
     const gapMilliseconds = meanMilliseconds / (runners * slots * load);
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -13,6 +13,7 @@
         clock,
         self: "node-1",
         failureDomain: "north",
+        random: new RandomSource(1),
         onEject: id => ejected.push(id),
     });
     return { clock, picker, ejected };
