--- a/src/testbench/endWithParent.ts
+++ b/src/testbench/endWithParent.ts
@@ -6,6 +6,7 @@
 const terminatedCode = 143;
 
 const children = new Set<ChildProcess>();
+let isWatching = false;
 
 function killChildren(): void {
     for (const child of children) {
@@ -22,14 +23,16 @@
     }
 }
 
-process.once("exit", killChildren);
-process.once("SIGTERM", exitUnlessHandled);
-
 /**
  * Has a child end with this process, also when a signal ends it.
  * @param child - The child.
  */
 export function endWithParent(child: ChildProcess): void {
+    if (!isWatching) {
+        isWatching = true;
+        process.once("exit", killChildren);
+        process.once("SIGTERM", exitUnlessHandled);
+    }
     children.add(child);
     child.once("exit", () => children.delete(child));
 }
