Name in the log which request an attempt that broke off belongs to

The lines of the nodes name a request by the identifier of one attempt of its caller.

An attempt that failed or got no answer now has the request's fingerprint: a hash of method, host, path, workspace and body, by which it can be found on all nodes. Nothing else changes; requests without a broken attempt are not hashed.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -269,6 +269,7 @@
         picker.finish(upstream, outcome, registry.getAvailable(upstream.pool));
         journal.write(events.attemptEnded, {
             request: exchange.request.id,
+            fingerprint: isBroken(outcome) ? exchange.getFingerprint() : undefined,
             attempt: exchange.attempts,
             upstream: upstream.id,
             version: upstream.version,
@@ -284,3 +285,8 @@
         });
     }
 }
+
+/** Returns whether an upstream broke off a call, as it does when it crashes. */
+function isBroken(outcome: CallOutcome): boolean {
+    return outcome === "failed" || outcome === "silent";
+}
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -3,9 +3,10 @@
  */
 import { type Clock, Failure, type Outcome, type Refusal } from "../common/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import { createFingerprint } from "../quarantine/index.js";
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
-import type { CallerRequest } from "./callerRequest.js";
+import { type CallerRequest, getPath } from "./callerRequest.js";
 
 /** Options of an exchange. */
 export interface ExchangeOptions {
@@ -45,6 +46,7 @@
     readonly #timer: NodeJS.Timeout;
     readonly #handleDisconnect: () => void;
     #isTimedOut = false;
+    #fingerprint: string | undefined;
 
     constructor(options: ExchangeOptions) {
         this.request = options.request;
@@ -81,6 +83,13 @@
         return this.#isTimedOut;
     }
 
+    /** Returns what identifies the request when its caller sends it again. */
+    getFingerprint(): string {
+        const { method, host, body } = this.request;
+        const { workspace } = this;
+        return this.#fingerprint ??= createFingerprint({ method, host, path: getPath(this.request), workspace, body });
+    }
+
     /** Returns the time left until the route's timeout or the caller's deadline, in milliseconds. */
     getTimeLeft(): number {
         return this.#endsAt - this.#clock.monotonic();
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+/** Requests that crash the upstreams that run them. */
+export * from "./fingerprint.js";
