Reproduce a request that crashes its runners and is sent on without end

Three nodes in processes of their own, eight runners that end 50 ms after they begin to run one body and come back under another identifier, and a caller who sends it twelve times to the nodes in turn.

--- /dev/null
+++ b/test/platform/crashingFleet.ts
@@ -0,0 +1,71 @@
+/**
+ * Runners that crash as soon as they begin to run a certain request, and come back under other identifiers.
+ */
+import type { ServerResponse } from "node:http";
+import type { PlatformSite, SiteAnswer, SiteNode } from "./platformSite.js";
+import { createSeal, type ReceivedRequest } from "./standins/runnerStandin.js";
+
+/** The body of the request that crashes its runners. */
+const crashingBody = "crash";
+/** Path of a route whose answers are resumed at another runner after a failure. */
+const streamPath = "/stream/1";
+const restartMilliseconds = 300;
+
+/** Runners that one body crashes. */
+export class CrashingFleet {
+    /** Identifiers of the runners that have crashed. */
+    readonly crashed: string[] = [];
+    readonly #site: PlatformSite;
+    readonly #restarts = new Set<NodeJS.Timeout>();
+    #started = 0;
+
+    /** @param site - The site whose runners crash. */
+    constructor(site: PlatformSite) {
+        this.#site = site;
+        site.addCleanup(async () => {
+            for (const restart of this.#restarts) {
+                clearTimeout(restart);
+            }
+        });
+    }
+
+    /** Starts a runner. */
+    async startRunner(): Promise<void> {
+        this.#started += 1;
+        const id = `i-crashing-${this.#started}`;
+        const runner = await this.#site.addRunner(id);
+        runner.behaviour = (request, response) => this.#answer(id, request, response);
+    }
+
+    /** Sends the crashing request again, as a new attempt of the same caller. */
+    sendAgain(node: SiteNode): Promise<SiteAnswer | undefined> {
+        return this.#site.send(node, { path: streamPath, body: crashingBody }).catch(() => {
+            // The answer was cut off.
+            return undefined;
+        });
+    }
+
+    /** Sends a harmless request. */
+    sendOther(node: SiteNode, body: string): Promise<SiteAnswer | undefined> {
+        return this.#site.send(node, { path: streamPath, body }).catch(() => undefined);
+    }
+
+    /** Crashes a runner and starts another one in its place. */
+    crash(id: string): void {
+        this.crashed.push(id);
+        this.#site.runners.get(id)?.close();
+        this.#site.store.remove("keyed.servers", id);
+        this.#restarts.add(setTimeout(() => void this.startRunner(), restartMilliseconds));
+    }
+
+    async #answer(id: string, request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+        response.write("id: 1\ndata: one\n\n");
+        if (request.body === crashingBody) {
+            await new Promise(resolve => setTimeout(resolve, 50));
+            this.crash(id);
+            return;
+        }
+        response.end("id: 2\ndata: two\n\n");
+    }
+}
