Quarantine requests that crash the upstreams that run them, at all nodes

Callers saw answers cut off on every model runner in turn: one request crashed each runner that began to run it, and came back.

Cause: a request was known only for one attempt of its caller. Each return, at any node, began with no history and could crash as many runners as the route's max_attempts.

A request is identified by method, host, path, workspace and body. A crash counts if its upstream broke the connection, then refuses a new one, and the request was within 0.4 s of its first event; a stream that still waited counts half. Three crashes, each of an attempt that began after the crash before was known, quarantine the request: every node refuses it at once with 503, not run, and the quarantine's end as Retry-After. Records only grow and merge in any order; they spread by gossip, urgently from the second crash on, and the quarantined ones also through the status topic, which a restarted or cut-off node reads. A run that ends well lifts the suspicion everywhere.

--- a/src/common/errors.ts
+++ b/src/common/errors.ts
@@ -23,7 +23,8 @@
     | "stale"
     | "protocol"
     | "not-found"
-    | "too-large";
+    | "too-large"
+    | "quarantined";
 
 /** Options of a failure. */
 export interface FailureOptions {
--- a/src/entry/problem.ts
+++ b/src/entry/problem.ts
@@ -41,6 +41,7 @@
     "protocol": { number: 12, status: 502, title: "The upstream broke its protocol" },
     "not-found": { number: 13, status: 404, title: "No route leads there" },
     "too-large": { number: 14, status: 413, title: "The request is too large" },
+    "quarantined": { number: 15, status: 503, title: "The request crashes the upstreams that run it" },
 };
 
 /**
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -345,6 +345,36 @@
         "info",
         "A request received its final answer, or its caller disconnected.",
     ),
+    upstreamCrashed: define(
+        424,
+        "upstream-crashed",
+        "warning",
+        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come.",
+    ),
+    requestQuarantined: define(
+        425,
+        "request-quarantined",
+        "warning",
+        "A request crashed the upstreams that ran it, so no node sends it to an upstream until the given time.",
+    ),
+    quarantineLifted: define(
+        426,
+        "quarantine-lifted",
+        "info",
+        "A quarantined request ran without crashing its upstream; nodes send it to upstreams again.",
+    ),
+    quarantineWriteFailed: define(
+        427,
+        "quarantine-write-failed",
+        "warning",
+        "The store did not confirm which requests this node has quarantined; the write is repeated.",
+    ),
+    crashRecordsReceived: define(
+        428,
+        "crash-records-received",
+        "info",
+        "Another node published which requests are suspected or known to crash upstreams.",
+    ),
     rolloutOrdered: define(444, "rollout-ordered", "info", "The operator ordered the roll-out of a version to a pool."),
     rolloutProgressed: define(
         445,
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -13,6 +13,7 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { VersionSelection } from "../rollouts/index.js";
+import type { CrashWatch, RunEnd } from "./crashWatch.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import type { UpstreamAnswer, UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
@@ -25,6 +26,7 @@
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
     readonly transport: UpstreamTransport;
+    readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
     /** Returns the upstreams that may serve an exchange according to the current roll-out. */
@@ -59,12 +61,20 @@
     readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
 }
 
-/** Why no attempt was made. `nobody` means that no untried upstream was available. */
-export type NotMadeReason = "nobody" | "budget" | "attempts" | "ended";
+/**
+ * Why no attempt was made. `nobody` means that no untried upstream was available, `quarantined` that the request crashes the
+ * upstreams that run it.
+ */
+export type NotMadeReason = "nobody" | "budget" | "attempts" | "ended" | "quarantined";
 
 /** An attempt that failed or was not made. */
 export type AttemptFailure =
-    | { readonly kind: "not-made"; readonly reason: NotMadeReason; }
+    | {
+        readonly kind: "not-made";
+        readonly reason: NotMadeReason;
+        /** Time after which an attempt may be made, in milliseconds, where it is known. */
+        readonly retryAfterMilliseconds?: number;
+    }
     | { readonly kind: "failed"; readonly failure: UpstreamCallFailure; };
 
 /** An attempt whose answer has started. */
@@ -72,7 +82,7 @@
     readonly upstream: RegisteredUpstream;
     readonly answer: UpstreamAnswer;
     /** Ends the attempt and records its outcome. Later calls are ignored. */
-    readonly finish: (outcome: CallOutcome, reason: string) => void;
+    readonly finish: (outcome: CallOutcome, reason: string, end: RunEnd) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
     /** Cancels the call at the upstream. */
@@ -112,12 +122,17 @@
      */
     async make(request: AttemptRequest): Promise<Result<Attempt, AttemptFailure>> {
         const { exchange } = request;
+        await exchange.lastEvaluation;
         if (exchange.ended.aborted) {
             return err({ kind: "not-made", reason: "ended" });
         }
         if (exchange.attempts >= exchange.route.maxAttempts) {
             return err({ kind: "not-made", reason: "attempts" });
         }
+        const quarantineTimeLeft = this.#options.crashWatch.getQuarantineTimeLeft(exchange);
+        if (quarantineTimeLeft !== undefined) {
+            return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineTimeLeft });
+        }
         const { upstreams, reason } = this.#select(exchange);
         const pick = this.#options.picker.pick({
             pool: exchange.pool,
@@ -154,7 +169,7 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, picker, transport } = this.#options;
+        const { clock, crashWatch, picker, transport } = this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -168,15 +183,18 @@
             ? undefined
             : setTimeout(handleHeadTimeout, headTimeout);
         const startedAt = clock.monotonic();
+        const pointsAtStart = crashWatch.getPoints(exchange);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
         let isFinished = false;
-        const finish = (outcome: CallOutcome, reason: string): void => {
+        const finish = (outcome: CallOutcome, reason: string, end: RunEnd): void => {
             if (isFinished) {
                 return;
             }
             isFinished = true;
             exchange.ended.removeEventListener("abort", cancel);
+            const headAt = headMilliseconds === undefined ? undefined : startedAt + headMilliseconds;
+            exchange.lastEvaluation = crashWatch.evaluate({ exchange, upstream, end, pointsAtStart, headAt });
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds };
             onEnd(ended);
             const promptTokens = prompt?.tokens;
@@ -203,6 +221,7 @@
             finish(
                 this.#classifyFailure(exchange, result.error, isHeadTimedOut),
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
+                result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
             this.#applyFailure(upstream, result.error, isHeadTimedOut);
             return err({ kind: "failed", failure: result.error });
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -38,6 +38,8 @@
     attempts = 0;
     /** Whether the pool's budget has counted the request. */
     isCountedInBudget = false;
+    /** Pending evaluation of the last attempt, which the next one must wait for. */
+    lastEvaluation: Promise<void> | undefined;
     /** Whether the request ran, as far as known. */
     outcome: Outcome = "not-run";
     readonly #clock: Clock;
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -69,6 +69,11 @@
             help: "Upstreams that are registered, leaving ones among them.",
             registers,
         }),
+        quarantined: new Gauge({
+            name: "rattanlock_quarantined_requests",
+            help: "Requests that are sent to no upstream because they crash the upstreams that run them.",
+            registers,
+        }),
         linesLeftOut: new Gauge({
             name: "rattanlock_log_lines_left_out",
             help: "Log lines that were left out since the start to bound their volume.",
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -3,6 +3,7 @@
  */
 import { type Err, err } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
+import { createQuarantineFailure } from "../quarantine/index.js";
 import type { AttemptFailure } from "./attempts.js";
 import type { Exchange } from "./exchange.js";
 
@@ -32,6 +33,9 @@
  * @param error - Why the last attempt failed or was not made.
  */
 export function createNotRunRefusal(exchange: Exchange, error: AttemptFailure): Refusal {
+    if (error.kind === "not-made" && error.reason === "quarantined") {
+        return { outcome: "not-run", failure: createQuarantineFailure(error.retryAfterMilliseconds) };
+    }
     const reason = error.kind === "not-made" ? error.reason : error.failure.kind;
     return {
         outcome: "not-run",
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -40,7 +40,7 @@
 /** Result of relaying an answer. */
 type RelayResult =
     | { readonly kind: "complete"; }
-    | { readonly kind: "broken"; readonly reason: string; };
+    | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
 
 /** Handles the stream of one exchange. */
 export class StreamExchange {
@@ -85,7 +85,7 @@
             exchange.markRun("ran");
             const nextModel = this.#chooseNextModel(attempt.value);
             if (nextModel !== undefined) {
-                attempt.value.finish("ok", `confidence ${attempt.value.answer.confidence}`);
+                attempt.value.finish("ok", `confidence ${attempt.value.answer.confidence}`, "stopped");
                 attempt.value.cancel();
                 this.#model = nextModel;
                 // The same runner may answer with the larger model: its prefill of the prompt was for the smaller model only.
@@ -169,12 +169,12 @@
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
         if (answer.status >= minServerErrorStatus && route.isResumable && this.#canRepeat()) {
-            attempt.finish("error", `status ${answer.status}`);
+            attempt.finish("error", `status ${answer.status}`, "complete");
             attempt.cancel();
             return false;
         }
         if (reply.hasStarted && answer.status !== 200) {
-            attempt.finish("error", `status ${answer.status} in the middle of a stream`);
+            attempt.finish("error", `status ${answer.status} in the middle of a stream`, "complete");
             attempt.cancel();
             reply.abort();
             return true;
@@ -184,13 +184,15 @@
         }
         const relayed = await this.#relayBody(attempt);
         if (relayed.kind === "complete" && (answer.hasKnownEnd || !route.isResumable)) {
-            attempt.finish(answer.status >= minServerErrorStatus ? "error" : "ok", `status ${answer.status}`);
+            const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
+            attempt.finish(outcome, `status ${answer.status}`, "complete");
             reply.end();
             return true;
         }
         // A stream without a known end is resumed after its last event. If it was complete, no events follow.
         const reason = relayed.kind === "broken" ? relayed.reason : "the answer may be incomplete";
-        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", reason);
+        const end = relayed.kind === "broken" && relayed.isDisconnected ? "disconnected" : "stopped";
+        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", reason, end);
         attempt.cancel();
         this.#splitter.reset();
         if (!this.#exchange.ended.aborted && route.isResumable && answer.status === 200 && this.#canRepeat()) {
@@ -230,7 +232,7 @@
         }
         catch (cause) {
             const reason = isTimedOut ? `no data for ${pauseTimeout} ms` : ended.aborted ? "ended" : String(cause);
-            return { kind: "broken", reason };
+            return { kind: "broken", reason, isDisconnected: !isTimedOut && !ended.aborted };
         }
         finally {
             clearTimeout(timer);
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -93,10 +93,13 @@
         }
     }
     catch (cause) {
-        attempt.finish(exchange.ended.aborted ? "cancelled" : "failed", `truncated: ${String(cause)}`);
+        const isEnded = exchange.ended.aborted;
+        const end = isEnded ? "stopped" : "disconnected";
+        attempt.finish(isEnded ? "cancelled" : "failed", `truncated: ${String(cause)}`, end);
         return createBrokenFailure(String(cause));
     }
-    attempt.finish(answer.status >= minServerErrorStatus ? "error" : "ok", `status ${answer.status}`);
+    const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
+    attempt.finish(outcome, `status ${answer.status}`, "complete");
     return ok({ head: answer, body: Buffer.concat(chunks) });
 }
 
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -52,8 +52,9 @@
  * - `refused`: the upstream states that it has not run the request.
  * - `replaced`: another upstream uses the address and has not run the request.
  * - `broken`: the request may have run.
+ * - `disconnected`: the upstream closed or reset the connection, and the request may have run.
  */
-export type UpstreamFailureKind = "not-sent" | "refused" | "replaced" | "broken";
+export type UpstreamFailureKind = "not-sent" | "refused" | "replaced" | "broken" | "disconnected";
 
 /** A failed call. */
 export interface UpstreamCallFailure {
@@ -71,11 +72,13 @@
      * @param call - What to send.
      */
     call(upstream: RegisteredUpstream, call: UpstreamCall): Promise<Result<UpstreamAnswer, UpstreamCallFailure>>;
+    /** Returns whether an upstream's machine answers that nothing listens at its address, as it does after a crash. */
+    isRefusingConnections(upstream: RegisteredUpstream): Promise<boolean>;
     /** Uses new connections to an upstream from now on: one of the open ones is unresponsive, and others may be dead as well. */
     renewConnections(upstream: RegisteredUpstream): void;
 }
 
 /** Returns whether a failed call certainly has not run and never will. */
 export function isCertainlyNotRun(failure: UpstreamCallFailure): boolean {
-    return failure.kind !== "broken";
+    return failure.kind !== "broken" && failure.kind !== "disconnected";
 }
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -8,6 +8,7 @@
 import { UpstreamRegistry } from "../fleet/index.js";
 import {
     Attempts,
+    type CrashWatch,
     createForwardingMetrics,
     type EndedAttempt,
     type Exchange,
@@ -25,11 +26,12 @@
     type PeerHandlers,
     PeerServer,
 } from "../membership/index.js";
+import type { Quarantine } from "../quarantine/index.js";
 import { type PeerReport, Rollouts } from "../rollouts/index.js";
 import { CallerServer } from "./callerServer.js";
-
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
+import { createCrashWatch, createQuarantine } from "./quarantineParts.js";
 import { SiteServer } from "./siteServer.js";
 import { StatusWriter } from "./statusWriter.js";
 import { StoreClient } from "./storeClient.js";
@@ -78,6 +80,8 @@
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly upstreamClient: UpstreamClient;
+    readonly quarantine: Quarantine;
+    readonly crashWatch: CrashWatch;
     readonly rollouts: Rollouts;
     readonly shutdown: Shutdown;
     readonly attempts: Attempts;
@@ -133,6 +137,7 @@
             self: parts.self,
             membership: parts.membership,
             peerClient: parts.peerClient,
+            quarantine: parts.quarantine,
             getRollouts: () => parts.rollouts,
         }),
     writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
@@ -170,9 +175,11 @@
                 return Math.max(minConnections, Math.floor(poolLimit / membership.getMembers().length));
             },
         }),
+    quarantine: parts => createQuarantine(parts),
+    crashWatch: parts => createCrashWatch(parts),
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
-    attempts: ({ clock, journal, metrics, registry, picker, upstreamClient, budgets, rollouts }) =>
+    attempts: ({ clock, journal, metrics, registry, picker, upstreamClient, crashWatch, budgets, rollouts }) =>
         new Attempts({
             clock,
             journal,
@@ -180,6 +187,7 @@
             registry,
             picker,
             transport: upstreamClient,
+            crashWatch,
             getBudget: budgets,
             selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
             onStart: (exchange, upstream) => {
@@ -231,12 +239,13 @@
 
 /** Returns the metrics as text, after updating those that are sampled on each scrape. */
 async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
-    const { metrics, topics, forwarder, membership, registry, lineWriter } = parts;
+    const { metrics, topics, forwarder, membership, registry, quarantine, lineWriter } = parts;
     metrics.inFlight.set(forwarder.getInFlight());
     metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
     metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
     metrics.members.set(membership.getAlive().length);
     metrics.upstreams.set([...registry.getAll()].length);
+    metrics.quarantined.set(quarantine.countQuarantined());
     metrics.linesLeftOut.set(lineWriter.getDroppedCount());
     return { type: metrics.registry.contentType, text: await metrics.registry.metrics() };
 }
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -6,6 +6,7 @@
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
+import { decodeCrashRecords, type Quarantine } from "../quarantine/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import {
@@ -69,6 +70,7 @@
     readonly self: NodeIdentity;
     readonly membership: Membership;
     readonly peerClient: PeerClient;
+    readonly quarantine: Quarantine;
     /** Returns the roll-outs of this node. */
     readonly getRollouts: () => Rollouts;
 }
@@ -290,6 +292,9 @@
             else if (key.startsWith(recordKeys.pinsPrefix) && value !== undefined) {
                 this.#applyPins(key, value);
             }
+            else if (key.startsWith(recordKeys.quarantinePrefix) && value !== undefined) {
+                this.#applyQuarantine(key, value);
+            }
         }
         for (const id of directory.apply(members)) {
             journal.write(events.recordUnreadable, { key: `${recordKeys.memberPrefix}${id}` });
@@ -312,4 +317,13 @@
             failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
         );
     }
+
+    #applyQuarantine(key: string, value: Buffer): void {
+        const { journal, quarantine, self } = this.#options;
+        const isOwn = key.slice(recordKeys.quarantinePrefix.length) === self.id;
+        decodeCrashRecords(value).match(
+            records => isOwn ? quarantine.restore(records) : quarantine.merge(records),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
 }
--- a/src/platform/statusWriter.ts
+++ b/src/platform/statusWriter.ts
@@ -1,8 +1,10 @@
 /**
- * Writes to the status topic that the nodes share: the node's own record, steps of roll-outs and pinned sessions.
+ * Writes to the status topic that the nodes share: the node's own record, steps of roll-outs, pinned sessions
+ * and quarantined requests.
  */
 import { events, type Journal } from "../events/index.js";
 import type { NodeIdentity } from "../membership/index.js";
+import { type CrashRecord, encodeCrashRecords } from "../quarantine/index.js";
 import type { PinReport, RolloutOrder, RolloutProgress } from "../rollouts/index.js";
 import type { TopicState } from "../topics/index.js";
 import { encodeRolloutStatus } from "./decodeConfiguration.js";
@@ -48,6 +50,20 @@
         return result.isOk();
     }
 
+    /**
+     * Writes which requests this node has quarantined.
+     * @returns Whether the store has confirmed the write.
+     */
+    async writeQuarantine(crashRecords: readonly CrashRecord[]): Promise<boolean> {
+        const { store, journal, self } = this.#options;
+        const key = `${recordKeys.quarantinePrefix}${self.id}`;
+        const result = await store.append(topics.status, [{ key, value: encodeCrashRecords(crashRecords) }]);
+        if (result.isErr()) {
+            journal.write(events.quarantineWriteFailed, { cause: result.error.message });
+        }
+        return result.isOk() || this.#isStopped;
+    }
+
     /**
      * Writes a step of a roll-out for the nodes and for the operator, unless another node has already written the same step. The
      * topic shows whether another node has, and whether a write without a response took effect.
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -9,9 +9,10 @@
     UpstreamAnswer,
     UpstreamCall,
     UpstreamCallFailure,
+    UpstreamFailureKind,
     UpstreamTransport,
 } from "../forwarding/index.js";
-import { provesNothingWritten } from "../upstream/index.js";
+import { isRefusingConnections, provesNothingWritten } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { headerNames } from "./wire.js";
 
@@ -90,11 +91,15 @@
             return readHead(response, call, resets);
         }
         catch (error) {
-            const kind = provesNothingWritten(error) ? "not-sent" : "broken";
-            return err({ kind, reason: describeError(error) });
+            return err({ kind: classifyError(error, call.signal), reason: describeError(error) });
         }
     }
 
+    /** Returns whether an upstream's machine answers that nothing listens at its address. */
+    isRefusingConnections({ address }: RegisteredUpstream): Promise<boolean> {
+        return isRefusingConnections(address);
+    }
+
     /** Opens new connections from now on. Calls in flight complete on the old ones. */
     renewConnections(upstream: RegisteredUpstream): void {
         this.closeConnections(upstream.id);
@@ -268,7 +273,19 @@
     });
 }
 
+function classifyError(error: unknown, signal: AbortSignal): UpstreamFailureKind {
+    if (provesNothingWritten(error)) {
+        return "not-sent";
+    }
+    const isDisconnection = error instanceof errors.SocketError || getCode(error) === "ECONNRESET";
+    return isDisconnection && !signal.aborted ? "disconnected" : "broken";
+}
+
+function getCode(error: unknown): unknown {
+    return (error as { code?: unknown; } | undefined)?.code;
+}
+
 function describeError(error: unknown): string {
-    const code = (error as { code?: unknown; } | undefined)?.code;
+    const code = getCode(error);
     return typeof code === "string" ? code : String(error);
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -69,6 +69,8 @@
     progressPrefix: "progress/",
     /** Pinned sessions by node and pool. Only the nodes read them. */
     pinsPrefix: "pins/",
+    /** Quarantined requests by node. Only the nodes read them. */
+    quarantinePrefix: "quarantine/",
     /** One record for each node. Only the nodes read them. */
     memberPrefix: "member/",
 } as const;
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -1,2 +1,5 @@
 /** Requests that crash the upstreams that run them. */
+export * from "./crashRecord.js";
 export * from "./fingerprint.js";
+export * from "./quarantine.js";
+export * from "./quarantineFailure.js";
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,4 +1,5 @@
 /** Clients of upstreams, the VM list and the rating service. */
+export * from "./connectionProbe.js";
 export * from "./engineClient.js";
 export * from "./engineOrders.js";
 export * from "./engineStream.js";
--- a/test/platform/crashingRequests.test.ts
+++ b/test/platform/crashingRequests.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../../src/testbench/index.js";
 import { CrashingFleet } from "./crashingFleet.js";
 import { PlatformSite } from "./platformSite.js";
 
@@ -43,4 +44,19 @@
         expect(fleet.crashed.length >= maxCrashes).toEqual(true);
         expect(fleet.crashed.length <= maxCrashes + maxLateRetries).toEqual(true);
     });
+
+    // Guards against a node that forgets with its process which requests crash runners.
+    it("is not sent by a node that was restarted", async () => {
+        const crashes = fleet.crashed.length;
+        site.nodes[0].child.kill("SIGKILL");
+        await site.nodes[0].exited;
+        const restarted = site.startNode(1);
+        await site.waitForReady(restarted);
+        await waitUntil(async () => (await fleet.sendOther(restarted, "other"))?.status === 200, {
+            description: "an answer to another request",
+        });
+        await sleep(1_000);
+        const answer = await fleet.sendAgain(restarted);
+        expect([answer?.status, fleet.crashed.length]).toEqual([503, crashes]);
+    });
 });
--- /dev/null
+++ b/test/quarantine/quarantine.test.ts
@@ -0,0 +1,154 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../src/common/index.js";
+import type { Quarantine } from "../../src/quarantine/index.js";
+import { addCrashes, createQuarantine } from "../fixtures/quarantines.js";
+
+const minute = 60_000;
+const day = 24 * 60 * minute;
+
+function isQuarantined(quarantine: Quarantine, fingerprint: string): boolean {
+    return quarantine.getTimeLeft(() => fingerprint) !== undefined;
+}
+
+describe("the quarantine of requests that crash upstreams", () => {
+    it("takes effect at the third crash of a request as it begins to run", () => {
+        const { quarantine } = createQuarantine();
+        addCrashes(quarantine, "a", 2);
+        expect(isQuarantined(quarantine, "a")).toEqual(false);
+        addCrashes(quarantine, "a", 1);
+        expect([quarantine.getTimeLeft(() => "a"), quarantine.countQuarantined()]).toEqual([10 * minute, 1]);
+    });
+
+    // Guards against a request that crashes its upstreams before any answer starts and is never found.
+    it("takes effect at the sixth crash of a request that was waiting", () => {
+        const { quarantine } = createQuarantine();
+        for (let crash = 1; crash <= 6; crash += 1) {
+            expect(isQuarantined(quarantine, "a")).toEqual(false);
+            const pointsAtStart = quarantine.getPoints(() => "a");
+            quarantine.addCrash({ fingerprint: "a", pointsAtStart, stage: "waiting", isLastAttempt: false });
+        }
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+    });
+
+    // Guards against the refusal of a harmless request of which many copies are in flight when half of all runners die.
+    it("counts crashes of attempts that were in flight together once", () => {
+        const { quarantine } = createQuarantine();
+        for (let copy = 0; copy < 10; copy += 1) {
+            quarantine.addCrash({ fingerprint: "a", pointsAtStart: 0, stage: "running", isLastAttempt: false });
+        }
+        expect([quarantine.getPoints(() => "a"), isQuarantined(quarantine, "a")]).toEqual([2, false]);
+    });
+
+    // Guards against the refusal of a path that is requested for hours and meets a crash now and then.
+    it("forgets the crashes of a request that has run without one", () => {
+        const { quarantine } = createQuarantine();
+        addCrashes(quarantine, "a", 2);
+        quarantine.addSurvival(() => "a");
+        addCrashes(quarantine, "a", 2);
+        expect(isQuarantined(quarantine, "a")).toEqual(false);
+        addCrashes(quarantine, "a", 1);
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+    });
+
+    it("is lifted for all nodes when a run that was still in flight ends well", async () => {
+        const { quarantine, published, stored, lines } = createQuarantine();
+        const other = createQuarantine().quarantine;
+        addCrashes(quarantine, "a", 3);
+        other.merge(published.at(-1)!.records);
+        expect(isQuarantined(other, "a")).toEqual(true);
+        quarantine.addSurvival(() => "a");
+        other.merge(published.at(-1)!.records);
+        await Promise.resolve();
+        expect([isQuarantined(quarantine, "a"), isQuarantined(other, "a")]).toEqual([false, false]);
+        expect([published.at(-1)!.urgent, stored.at(-1)?.[0].cleared]).toEqual([true, 6]);
+        expect(lines.map(line => line.event)).toEqual([425, 426]);
+    });
+
+    it("ends, and a single crash of the next attempt starts a longer one", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createQuarantine({ clock });
+        addCrashes(quarantine, "a", 3);
+        clock.advance(10 * minute);
+        expect(isQuarantined(quarantine, "a")).toEqual(false);
+        addCrashes(quarantine, "a", 1);
+        expect(quarantine.getTimeLeft(() => "a")).toEqual(80 * minute);
+    });
+
+    // Guards against more than three retries a day of a request that never stops coming back.
+    it("lets a request that comes back all the time through three times a day", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createQuarantine({ clock });
+        addCrashes(quarantine, "a", 3);
+        let retries = 0;
+        for (let elapsed = 0; elapsed < day; elapsed += minute) {
+            clock.advance(minute);
+            if (!isQuarantined(quarantine, "a")) {
+                retries += 1;
+                addCrashes(quarantine, "a", 1);
+            }
+        }
+        expect(retries).toEqual(3);
+    });
+
+    it("is forgotten a day after its end, and a suspicion after ten minutes", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createQuarantine({ clock });
+        addCrashes(quarantine, "a", 3);
+        addCrashes(quarantine, "b", 2);
+        clock.advance(10 * minute);
+        expect([quarantine.getPoints(() => "a"), quarantine.getPoints(() => "b")]).toEqual([6, 0]);
+        clock.advance(day);
+        expect(quarantine.getPoints(() => "a")).toEqual(0);
+    });
+
+    it("tells the other nodes of a first crash with the next exchange, and of further or final ones at once", () => {
+        const { quarantine, published } = createQuarantine();
+        addCrashes(quarantine, "a", 3);
+        quarantine.addCrash({ fingerprint: "b", pointsAtStart: 0, stage: "running", isLastAttempt: true });
+        expect(published.map(({ urgent }) => urgent)).toEqual([false, true, true, true]);
+    });
+
+    it("stores what it has quarantined, and repeats a write that failed", async context => {
+        context.mock.timers.enable({ apis: ["setTimeout"] });
+        const results = [false, true];
+        const { quarantine, stored } = createQuarantine({ store: () => Promise.resolve(results.shift()!) });
+        addCrashes(quarantine, "b", 2);
+        expect(stored.length).toEqual(0);
+        addCrashes(quarantine, "a", 3);
+        await new Promise(resolve => setImmediate(resolve));
+        context.mock.timers.tick(1_000);
+        await new Promise(resolve => setImmediate(resolve));
+        expect(stored.map(records => records.map(({ fingerprint }) => fingerprint))).toEqual([["a"], ["a"]]);
+    });
+
+    it("writes what it stored before a restart again with its next finding", async () => {
+        const first = createQuarantine();
+        addCrashes(first.quarantine, "a", 3);
+        const second = createQuarantine();
+        second.quarantine.restore(first.stored[0]);
+        addCrashes(second.quarantine, "b", 3);
+        expect([isQuarantined(second.quarantine, "a"), second.stored[0].length]).toEqual([true, 2]);
+    });
+
+    it("remembers a bounded number of requests and forgets the least suspect ones first", () => {
+        const { quarantine, published } = createQuarantine();
+        addCrashes(quarantine, "quarantined", 3);
+        for (let index = 0; index < 2_000; index += 1) {
+            addCrashes(quarantine, `suspect-${index}`, 1);
+        }
+        expect(isQuarantined(quarantine, "quarantined")).toEqual(true);
+        expect(quarantine.getPoints(() => "suspect-0")).toEqual(0);
+        expect(quarantine.getPoints(() => "suspect-1999")).toEqual(2);
+        expect(published.at(-1)!.records.length).toEqual(64);
+    });
+
+    it("reads no request while none is suspect", () => {
+        const { quarantine } = createQuarantine();
+        const fail = (): string => {
+            throw new Error("The request was read.");
+        };
+        quarantine.addSurvival(fail);
+        expect([quarantine.getTimeLeft(fail), quarantine.getPoints(fail)]).toEqual([undefined, 0]);
+    });
+});
