Give a quarantined request that may be harmless a way back within a minute

A request that has run to its end at any node in the last minute is no suspect; runs that merely lasted long prove nothing any more, since a slow node sees a late crash.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -129,9 +129,9 @@
         if (exchange.attempts >= exchange.route.maxAttempts) {
             return err({ kind: "not-made", reason: "attempts" });
         }
-        const quarantineTimeLeft = this.#options.crashWatch.getQuarantineTimeLeft(exchange);
-        if (quarantineTimeLeft !== undefined) {
-            return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineTimeLeft });
+        const quarantineMilliseconds = this.#options.crashWatch.admit(exchange);
+        if (quarantineMilliseconds !== undefined) {
+            return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineMilliseconds });
         }
         const { upstreams, reason } = this.#select(exchange);
         const pick = this.#options.picker.pick({
--- a/src/forwarding/crashWatch.ts
+++ b/src/forwarding/crashWatch.ts
@@ -12,7 +12,7 @@
  * Time after the head of a stream within which a crash counts against the request, in milliseconds. A request that has run for
  * longer is not the one that crashes its runner as it begins to run.
  */
-const crashWindowMilliseconds = 400;
+export const crashWindowMilliseconds = 400;
 
 /**
  * How a run of a request ended.
@@ -42,7 +42,7 @@
     readonly isRefusingConnections: (upstream: RegisteredUpstream) => Promise<boolean>;
 }
 
-/** Reports crashes and runs without a crash to the quarantine. */
+/** Reports crashes and complete runs to the quarantine. */
 export class CrashWatch {
     readonly #options: CrashWatchOptions;
 
@@ -50,9 +50,9 @@
         this.#options = options;
     }
 
-    /** Returns the time for which a request is quarantined, in milliseconds, or undefined when it may be sent. */
-    getQuarantineTimeLeft(exchange: Exchange): number | undefined {
-        return this.#options.quarantine.getTimeLeft(() => exchange.getFingerprint());
+    /** Admits a request that is about to be sent, or returns the time after which it may be admitted, in milliseconds. */
+    admit(exchange: Exchange): number | undefined {
+        return this.#options.quarantine.admit(() => exchange.getFingerprint());
     }
 
     /** Returns the points of a request that is about to be sent. */
@@ -65,11 +65,12 @@
         const { exchange, upstream, end, headAt, pointsAtStart } = run;
         const { clock, journal, quarantine } = this.#options;
         const now = clock.monotonic();
-        if (end === "complete" || (headAt !== undefined && now - headAt > crashWindowMilliseconds)) {
-            quarantine.addSurvival(() => exchange.getFingerprint());
+        if (end === "complete") {
+            quarantine.addSurvival(exchange.getFingerprint());
             return;
         }
-        if (end === "stopped" || !await this.#options.isRefusingConnections(upstream)) {
+        const isLongRun = headAt !== undefined && now - headAt > crashWindowMilliseconds;
+        if (end === "stopped" || isLongRun || !await this.#options.isRefusingConnections(upstream)) {
             return;
         }
         const { route, attempts } = exchange;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -185,7 +185,7 @@
         const relayed = await this.#relayBody(attempt);
         if (relayed.kind === "complete" && (answer.hasKnownEnd || !route.isResumable)) {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-            attempt.finish(outcome, `status ${answer.status}`, "complete");
+            attempt.finish(outcome, `status ${answer.status}`, answer.hasKnownEnd ? "complete" : "stopped");
             reply.end();
             return true;
         }
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -99,7 +99,7 @@
         return createBrokenFailure(String(cause));
     }
     const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-    attempt.finish(outcome, `status ${answer.status}`, "complete");
+    attempt.finish(outcome, `status ${answer.status}`, answer.hasKnownEnd ? "complete" : "stopped");
     return ok({ head: answer, body: Buffer.concat(chunks) });
 }
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import { type CrashRecord, getSuspicion, mergeCrashRecords } from "./crashRecord.js";
+import { RecentSurvivals } from "./recentSurvivals.js";
 
 /**
  * How far a request had come when its upstream crashed. While it was only waiting, it is less likely to be the cause.
@@ -18,17 +19,26 @@
 const quarantinePoints = 3 * pointsByStage.running;
 /** Suspicion from which the other nodes are told at once. A single crash makes all requests of its upstream suspects. */
 const urgentPoints = 2 * pointsByStage.running;
-/** How long a suspicion is remembered, and how long the first quarantine of a request lasts. */
-const firstQuarantineMilliseconds = 10 * 60_000;
-/** After a quarantine the request is tried again. If it crashes its upstream, the next one is this many times longer. */
-const quarantineGrowth = 8;
+/** How long a suspicion is remembered that does not suffice for a quarantine. */
+const suspicionMilliseconds = 10 * 60_000;
+/** Length of a request's first quarantine. A harmless request that was quarantined is refused for this long. */
+const firstQuarantineMilliseconds = 60_000;
+/**
+ * After a quarantine one node tries the request once. If it crashes its upstream again, the next quarantine is this many times
+ * longer, so that a request that comes back all the time is tried three times a day.
+ */
+const quarantineGrowth = 32;
 const maxQuarantineMilliseconds = 24 * 3_600_000;
 /** How long a request is remembered after a quarantine, so that a single further crash starts the next one. */
 const trialMilliseconds = 24 * 3_600_000;
+/** Time within which a trial has shown whether the request crashes its upstream, in milliseconds. Until then there is no other. */
+const trialTimeoutMilliseconds = 30_000;
 /** Maximum numbers of requests in memory, and of requests that one node publishes or stores. */
 const maxRecords = 1_000;
 const maxOwnRecords = 64;
 const storeRetryMilliseconds = 1_000;
+/** Time after which another request may find the trial of a quarantined one ended. */
+const minRetryAfterMilliseconds = 1_000;
 
 /** Options of `Quarantine`. */
 export interface QuarantineOptions {
@@ -38,6 +48,8 @@
     readonly publish: (records: readonly CrashRecord[], options: { readonly urgent: boolean; }) => void;
     /** Stores this node's records of quarantined requests outside of the nodes. Resolves to whether that succeeded. */
     readonly store: (records: readonly CrashRecord[]) => Promise<boolean>;
+    /** Returns whether this node is the one that tries a request after its quarantine. */
+    readonly isTrialNode: (fingerprint: string) => boolean;
 }
 
 /** A crash of an upstream that a request was sent to. */
@@ -56,6 +68,9 @@
     readonly #records = new Map<string, CrashRecord>();
     /** Fingerprints of the records that this node has changed, in the order of their last change. */
     readonly #own = new Set<string>();
+    readonly #survivals = new RecentSurvivals();
+    /** Wall-clock times until which this node waits for the results of its trials, by fingerprint. */
+    readonly #trialEnds = new Map<string, number>();
     #isStoring = false;
     #mustStore = false;
 
@@ -65,18 +80,27 @@
 
     /** Returns the number of requests that are quarantined. */
     countQuarantined(): number {
-        return [...this.#records.values()].filter(record => this.#isQuarantined(record)).length;
+        return [...this.#records.values()].filter(record => getSuspicion(record) >= quarantinePoints).length;
     }
 
     /**
-     * Returns how long a request stays quarantined, in milliseconds, or undefined when it may be sent to an upstream.
+     * Admits a request that is about to be sent to an upstream. A request whose quarantine is over is admitted once, at one node.
      * @param getFingerprint - Called only if any request is suspect, since it reads the whole body.
+     * @returns The time after which the request may be admitted, in milliseconds, or undefined when it is admitted now.
      */
-    getTimeLeft(getFingerprint: () => string): number | undefined {
+    admit(getFingerprint: () => string): number | undefined {
         const record = this.#find(getFingerprint);
-        return record !== undefined && this.#isQuarantined(record)
-            ? record.until - this.#options.clock.wall()
-            : undefined;
+        if (record === undefined || getSuspicion(record) < quarantinePoints) {
+            return undefined;
+        }
+        const now = this.#options.clock.wall();
+        const { fingerprint, until } = record;
+        const trialEnd = this.#trialEnds.get(fingerprint) ?? until;
+        if (now >= until && now >= trialEnd && this.#options.isTrialNode(fingerprint)) {
+            this.#trialEnds.set(fingerprint, now + trialTimeoutMilliseconds);
+            return undefined;
+        }
+        return Math.max(until - now, trialEnd - now, minRetryAfterMilliseconds);
     }
 
     /** Returns the points of a request that is about to be sent to an upstream. */
@@ -86,9 +110,13 @@
 
     /**
      * Adds a crash. Attempts that were in flight at the same time count once, whatever their number: an outage of many upstreams, or
-     * a caller that sends the same request many times at once, would otherwise quarantine a harmless request.
+     * a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
+     * without a body, which many callers of a workspace send: it is no suspect while such requests run to their end.
      */
     addCrash({ fingerprint, pointsAtStart, stage, isLastAttempt }: RequestCrash): void {
+        if (this.#hasSurvived(fingerprint)) {
+            return;
+        }
         const known = this.#records.get(fingerprint);
         const points = pointsAtStart + pointsByStage[stage];
         if (known !== undefined && known.points >= points) {
@@ -105,26 +133,24 @@
         }
     }
 
-    /** Records that a request ran without crashing its upstream, which disproves the suspicion against it. */
-    addSurvival(getFingerprint: () => string): void {
-        const record = this.#find(getFingerprint);
-        if (record === undefined || getSuspicion(record) === 0) {
-            return;
-        }
-        const isStored = getSuspicion(record) >= quarantinePoints;
-        this.#setOwn({ ...record, cleared: record.points });
-        this.#publish(isStored);
-        if (isStored) {
-            this.#options.journal.write(events.quarantineLifted, { fingerprint: record.fingerprint });
-            this.#store();
+    /** Records that a request ran to its end, which disproves the suspicion against it. */
+    addSurvival(fingerprint: string): void {
+        this.#survivals.add(fingerprint, this.#options.clock.monotonic());
+        const record = this.#records.get(fingerprint);
+        if (record !== undefined && getSuspicion(record) > 0) {
+            this.#clear(record);
         }
     }
 
-    /** Adds the records of another node. */
+    /** Adds the records of another node, and disproves those of requests that have recently run to their end here. */
     merge(records: readonly CrashRecord[]): void {
         for (const record of records) {
             const known = this.#records.get(record.fingerprint);
-            this.#set(known === undefined ? record : mergeCrashRecords(known, record));
+            const merged = known === undefined ? record : mergeCrashRecords(known, record);
+            this.#set(merged);
+            if (getSuspicion(merged) >= urgentPoints && this.#hasSurvived(record.fingerprint)) {
+                this.#clear(merged);
+            }
         }
     }
 
@@ -139,7 +165,7 @@
     #find(getFingerprint: () => string): CrashRecord | undefined {
         const record = this.#records.size === 0 ? undefined : this.#records.get(getFingerprint());
         if (record !== undefined && this.#isExpired(record)) {
-            this.#records.delete(record.fingerprint);
+            this.#delete(record.fingerprint);
             return undefined;
         }
         return record;
@@ -150,8 +176,19 @@
         return this.#options.clock.wall() >= record.until + trial;
     }
 
-    #isQuarantined(record: CrashRecord): boolean {
-        return getSuspicion(record) >= quarantinePoints && this.#options.clock.wall() < record.until;
+    #hasSurvived(fingerprint: string): boolean {
+        return this.#survivals.has(fingerprint, this.#options.clock.monotonic());
+    }
+
+    #clear(record: CrashRecord): void {
+        this.#trialEnds.delete(record.fingerprint);
+        const isQuarantined = getSuspicion(record) >= quarantinePoints;
+        this.#setOwn({ ...record, cleared: record.points });
+        this.#publish(isQuarantined);
+        if (isQuarantined) {
+            this.#options.journal.write(events.quarantineLifted, { fingerprint: record.fingerprint });
+            this.#store();
+        }
     }
 
     #setOwn(record: CrashRecord): void {
@@ -174,7 +211,7 @@
     #removeExpired(): void {
         for (const record of this.#records.values()) {
             if (this.#isExpired(record)) {
-                this.#records.delete(record.fingerprint);
+                this.#delete(record.fingerprint);
             }
         }
     }
@@ -188,10 +225,15 @@
             }
         }
         if (least !== undefined) {
-            this.#records.delete(least.fingerprint);
+            this.#delete(least.fingerprint);
         }
     }
 
+    #delete(fingerprint: string): void {
+        this.#records.delete(fingerprint);
+        this.#trialEnds.delete(fingerprint);
+    }
+
     /** Returns the latest records that this node has changed, and removes the others from its own. */
     #getOwn(): readonly CrashRecord[] {
         const records = [...this.#own].map(fingerprint => this.#records.get(fingerprint)).filter(isDefined);
@@ -230,7 +272,10 @@
 }
 
 function getRetentionMilliseconds(suspicion: number): number {
-    const repeats = Math.max(0, (suspicion - quarantinePoints) / pointsByStage.running);
+    if (suspicion < quarantinePoints) {
+        return suspicionMilliseconds;
+    }
+    const repeats = (suspicion - quarantinePoints) / pointsByStage.running;
     return Math.min(maxQuarantineMilliseconds, firstQuarantineMilliseconds * quarantineGrowth ** repeats);
 }
 
