Quarantine prompts and calls that crash upstreams at the product's own interface

Both paths now ask the same quarantine before each attempt and report each run's end to it. The entries exchange the records by gossip; there is no durable copy, so records are lost if all entries end at once (open).

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -7,6 +7,7 @@
 import type { Configuration } from "../configuration/index.js";
 import type { Placement, RetryBudget, RunnerChooser, Work } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
+import { type CrashWatch, createQuarantineFailure, type RunEnd } from "../quarantine/index.js";
 import type { EngineAnswer, EngineClient, EngineEvent, TokenUsage } from "../upstream/index.js";
 import type { ModelVersion, Vm } from "../world/index.js";
 import { createAnswerHeaders } from "./answerHeaders.js";
@@ -30,6 +31,7 @@
     readonly engines: EngineClient;
     readonly runners: RunnerChooser;
     readonly retries: RetryBudget;
+    readonly crashWatch: CrashWatch;
     readonly explanations: Explanations;
     readonly getConfiguration: () => Configuration;
     readonly isHalted: (version: string) => boolean;
@@ -118,6 +120,10 @@
         if (allowed.isErr()) {
             return err(createFinalRefusal(allowed.error));
         }
+        const quarantineMilliseconds = this.#options.crashWatch.admit(call.watched);
+        if (quarantineMilliseconds !== undefined) {
+            return err(createFinalRefusal(createQuarantineFailure(quarantineMilliseconds)));
+        }
         const placed = this.#options.runners.choose({
             version: version.id,
             blocks: getPrefixHashes(call.request.promptText),
@@ -138,7 +144,7 @@
             stream: streamId,
             reason: placed.value.reason,
         });
-        return this.#dispatch(options, placed.value, streamId);
+        return this.#dispatch(options, placed.value, streamId, attempt + 1 >= maxAttempts);
     }
 
     /**
@@ -170,9 +176,20 @@
         options: AttemptOptions,
         placement: Placement,
         streamId: string,
+        isLastAttempt: boolean,
     ): Promise<Result<AttemptResult, AttemptRefusal>> {
         const { call, version } = options;
         const runner = placement.upstream;
+        const pointsAtStart = this.#options.crashWatch.getPoints(call.watched);
+        const evaluate = (end: RunEnd, headAt: number | undefined): Promise<void> =>
+            this.#options.crashWatch.evaluate({
+                request: call.watched,
+                upstream: { id: runner.id, address: `${runner.address}:${runner.port}` },
+                end,
+                pointsAtStart,
+                headAt,
+                isLastAttempt,
+            });
         const graceMilliseconds = options.direct && call.request.streamed ? this.#options.resumeGraceMilliseconds : 0;
         const attemptSignal = createAttemptSignal(call.disconnectSignal, call.deadlineSignal, graceMilliseconds);
         const startedAt = this.#options.clock.monotonic();
@@ -194,6 +211,7 @@
             if (answered.isErr()) {
                 const isRefused = answered.error.outcome === "not-run";
                 finishWork(work, isRefused ? "refused" : "failed", this.#options.clock.monotonic() - startedAt);
+                await evaluate(isRefused || attemptSignal.signal.aborted ? "stopped" : "disconnected", undefined);
                 if (attemptSignal.signal.aborted) {
                     // The engine may be processing the prompt. Without a cancellation it would complete an answer that
                     // has no reader and no bill: its load would include the work, and the bills would not.
@@ -207,7 +225,7 @@
                 return err(this.#rejectVersionMismatch(runner, streamId, version, answer));
             }
             const { signal } = attemptSignal;
-            return await this.#relay({ options, runner, streamId, headers, answer, work, startedAt, signal });
+            return await this.#relay({ options, runner, streamId, headers, answer, work, startedAt, signal, evaluate });
         }
         finally {
             attemptSignal.dispose();
@@ -219,6 +237,7 @@
         const { call } = options;
         const { clock, metrics } = this.#options;
         let firstTokenMilliseconds = 0;
+        let headAt: number | undefined;
         let lastEventAt = startedAt;
         const relayed = await relayAnswer({
             engines: this.#options.engines,
@@ -229,6 +248,7 @@
             signal,
             onFirstEvent: () => {
                 const now = clock.monotonic();
+                headAt = now;
                 firstTokenMilliseconds = now - options.stepStartedAt;
                 lastEventAt = now;
                 work.addFirstToken(now - startedAt);
@@ -250,9 +270,11 @@
         const milliseconds = clock.monotonic() - startedAt;
         if (relayed.isOk()) {
             finishWork(work, "ok", milliseconds, answer);
+            await attempt.evaluate("complete", headAt);
             return ok({ usage: relayed.value, firstTokenMilliseconds, milliseconds, headers });
         }
         finishWork(work, signal.aborted ? "cancelled" : "failed", milliseconds, answer);
+        await attempt.evaluate(signal.aborted ? "stopped" : "disconnected", headAt);
         await this.#abandon(options, runner, streamId);
         return err({ ...this.#toDeadlineRefusal(call, relayed.error), isRetriable: true });
     }
@@ -324,6 +346,8 @@
     readonly work: Work;
     readonly startedAt: number;
     readonly signal: AbortSignal;
+    /** Evaluates the end of the run for the quarantine. */
+    readonly evaluate: (end: RunEnd, headAt: number | undefined) => Promise<void>;
 }
 
 interface AttemptRefusal extends Refusal {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -9,6 +9,7 @@
 import { type Clock, Failure } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
 import { events, type Journal } from "../events/index.js";
+import { createFingerprint, type WatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
 import { DocumentSink, EventStreamSink, sendProblem } from "./answerSink.js";
 import { type CallerIdentity, identifyCaller } from "./callerIdentity.js";
@@ -20,6 +21,7 @@
 import type { ResumePipeline } from "./resumePipeline.js";
 import type { ServicePipeline, ServiceReply } from "./servicePipeline.js";
 
+const chatPath = "/v1/chat/completions";
 /** Maximum size of a caller's headers, in bytes. */
 const maxHeaderBytes = 16 * 1024;
 /** How long a caller may take to send its headers, in milliseconds. */
@@ -117,7 +119,7 @@
             context => this.#handle(context, (call, response) => this.#listModels(call, response)),
         );
         router.post(
-            "/v1/chat/completions",
+            chatPath,
             context => this.#handle(context, (call, response) => this.#serveChat(call, context.req, response)),
         );
         router.get(
@@ -201,6 +203,7 @@
             isRetry: Number(readSingleHeader(request.headers[retryCountHeader]) ?? 0) > 0,
             sessionToken: readSingleHeader(request.headers["x-rattanlock-session-token"]),
             request: parsed.value,
+            watched: createWatchedRequest(call, body.value),
             sink,
             deadlineSignal: deadline,
         });
@@ -322,6 +325,12 @@
     readonly arrivedAt: number;
 }
 
+function createWatchedRequest({ requestId, identity }: IncomingCall, body: Buffer): WatchedRequest {
+    const { workspace } = identity;
+    const content = { method: "POST", host: "", path: chatPath, workspace, body };
+    return { id: requestId, isStream: true, getFingerprint: () => createFingerprint(content) };
+}
+
 function createDisconnectSignal(response: ServerResponse): AbortSignal {
     const controller = new AbortController();
     response.on("close", () => {
--- a/src/entry/chatCall.ts
+++ b/src/entry/chatCall.ts
@@ -2,6 +2,7 @@
  * Chat completions that an entry processes.
  */
 import type { EffectiveSettings } from "../configuration/index.js";
+import type { WatchedRequest } from "../quarantine/index.js";
 import type { AnswerSink } from "./answerSink.js";
 import type { ChatRequest } from "./chatRequest.js";
 
@@ -20,6 +21,8 @@
     readonly sessionToken: string | undefined;
     readonly settings: EffectiveSettings;
     readonly request: ChatRequest;
+    /** The request as the watch for crashed upstreams sees it. */
+    readonly watched: WatchedRequest;
     readonly sink: AnswerSink;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAt: number;
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -23,6 +23,7 @@
 import type { LogClient } from "../log/index.js";
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
+import type { CrashWatch, Quarantine } from "../quarantine/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type { EngineClient, EngineOrders, RatingClient, ServiceClient, UpstreamConnector } from "../upstream/index.js";
 import type { AttemptRunner } from "./attemptRunner.js";
@@ -96,6 +97,8 @@
     /** Admits calls to plain services, limited by the services' capacity. */
     readonly serviceAdmission: AdmissionController;
     readonly retries: RetryBudget;
+    readonly quarantine: Quarantine;
+    readonly crashWatch: CrashWatch;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
     readonly ratings: RatingClient;
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -13,6 +13,8 @@
 } from "../../claims/index.js";
 import type { CopyBillsRequest, DecideClaimsRequest, FetchStateRequest, PushRequest } from "../../generated/peer.js";
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
+import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
+import { isRefusingConnections } from "../../upstream/index.js";
 import type { PartFactories } from "../container.js";
 import type { Cradle } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
@@ -59,6 +61,18 @@
             maxValueBytesPerMessage: maxGossipBytes,
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
+    quarantine: ({ self, clock, journal, gossip, membership }) =>
+        createSharedQuarantine({
+            self: self.id,
+            clock,
+            journal,
+            gossip,
+            getMembers: () => membership.getMembers().map(({ id }) => id),
+            // The entries hold the records for each other; they are not in the log.
+            store: () => Promise.resolve(true),
+        }),
+    crashWatch: ({ clock, journal, quarantine }) =>
+        new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
     collectors: ({ self, clock, journal, membership, log, follow, settings }) =>
         new CollectorPool({
             partitions: claimPartitions,
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -8,6 +8,12 @@
 import type { EffectiveSettings } from "../configuration/index.js";
 import type { AdmissionController, RetryBudget, RunnerChooser } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
+import {
+    type CrashWatch,
+    createFingerprint,
+    createQuarantineFailure,
+    type WatchedRequest,
+} from "../quarantine/index.js";
 import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
 import { combineOutcomes } from "./attemptRunner.js";
 import { checkFreshness } from "./chatPipeline.js";
@@ -55,6 +61,7 @@
     readonly services: ServiceClient;
     readonly claims: ClaimClient;
     readonly retries: RetryBudget;
+    readonly crashWatch: CrashWatch;
     readonly bills: BillWriter;
     readonly canBill: () => boolean;
     /** Name of this entry. */
@@ -197,15 +204,15 @@
     async #callWithRetries(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
         this.#options.retries.addRequest();
         const excluded = new Set<string>();
+        const watched = createWatchedRequest(request);
         let combinedOutcome: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
-            const called = await this.#callOnce(request, excluded);
+            const called = await this.#callOnce(request, watched, excluded);
             if (called.isOk()) {
                 return ok(called.value);
             }
             combinedOutcome = combineOutcomes(combinedOutcome, called.error.outcome);
-            const isRepeatable = idempotentMethods.has(request.method) && request.idempotencyKey === undefined;
-            const mayRetry = called.error.isRetriable && (isRepeatable || combinedOutcome === "not-run");
+            const mayRetry = called.error.isRetriable && (isRepeatable(request) || combinedOutcome === "not-run");
             if (!mayRetry || attempt + 1 >= maxAttempts || !this.#options.retries.tryAcquire()) {
                 return err({ failure: called.error.failure, outcome: combinedOutcome });
             }
@@ -214,9 +221,18 @@
 
     async #callOnce(
         request: ServiceRequest,
+        watched: WatchedRequest,
         excluded: Set<string>,
     ): Promise<Result<ServiceAnswer, UpstreamFailure & { readonly isRetriable: boolean; }>> {
-        const { clock, runners, services, journal } = this.#options;
+        const { clock, crashWatch, runners, services, journal } = this.#options;
+        const quarantineMilliseconds = crashWatch.admit(watched);
+        if (quarantineMilliseconds !== undefined) {
+            return err({
+                failure: createQuarantineFailure(quarantineMilliseconds),
+                outcome: "not-run",
+                isRetriable: false,
+            });
+        }
         const timeLeftMilliseconds = request.settings.deadlineMilliseconds - (clock.monotonic() - request.arrivedAt);
         const placed = runners.choose({
             pool: request.pool,
@@ -232,6 +248,7 @@
         journal.write(events.requestDispatched, { request: request.requestId, upstream: service.id });
         const startedAt = clock.monotonic();
         const work = runners.start(placed.value);
+        const pointsAtStart = crashWatch.getPoints(watched);
         const called = await services.call(service, {
             requestId: request.requestId,
             method: request.method,
@@ -247,6 +264,14 @@
             milliseconds: clock.monotonic() - startedAt,
             loadHeader: called.isOk() ? called.value.loadHeader : undefined,
         });
+        await crashWatch.evaluate({
+            request: watched,
+            upstream: { id: service.id, address: `${service.address}:${service.port}` },
+            end: called.isOk() ? "complete" : called.error.outcome === "not-run" ? "stopped" : "disconnected",
+            pointsAtStart,
+            headAt: undefined,
+            isLastAttempt: !isRepeatable(request) || excluded.size >= maxAttempts,
+        });
         return called.mapErr(failure => ({ ...failure, isRetriable: true }));
     }
 
@@ -265,6 +290,18 @@
     }
 }
 
+function isRepeatable({ method, idempotencyKey }: ServiceRequest): boolean {
+    return idempotentMethods.has(method) && idempotencyKey === undefined;
+}
+
+function createWatchedRequest({ requestId, pool, method, path, workspace, body }: ServiceRequest): WatchedRequest {
+    return {
+        id: requestId,
+        isStream: false,
+        getFingerprint: () => createFingerprint({ method, host: pool, path, workspace, body: body ?? "" }),
+    };
+}
+
 function createPoolFailure(pool: string): Failure {
     return new Failure({
         kind: "not-allowed",
--- a/src/quarantine/fingerprint.ts
+++ b/src/quarantine/fingerprint.ts
@@ -11,7 +11,7 @@
     readonly path: string;
     /** Undefined for requests that need no API key. */
     readonly workspace: string | undefined;
-    readonly body: Buffer | string;
+    readonly body: Uint8Array | string;
 }
 
 /** 96 bits. With a million fingerprints, the probability that two different requests share one is below 10^-17. */
--- a/src/standins/engine/engineConditions.ts
+++ b/src/standins/engine/engineConditions.ts
@@ -47,6 +47,8 @@
     leaving: flag.default(false),
     /** How long the engine still counts a reader after its connection has closed. */
     readerLagMilliseconds: nonNegativeNumber.default(0),
+    /** The engine's process ends as soon as it has begun to answer a prompt that contains this text. */
+    crashesOn: z.string().default(""),
     /** Pauses the batch: no request is admitted and no token is produced. */
     frozen: flag.default(false),
     /** Version that actually runs, by requested version. */
--- a/src/standins/engine/modelEngine.ts
+++ b/src/standins/engine/modelEngine.ts
@@ -25,6 +25,9 @@
 
 type CacheTransfer = z.infer<typeof transferSchema>;
 
+/** Steps after the start of a run at which an engine crashes, if its conditions say so. The first token is out by then. */
+const stepsBeforeCrash = 5;
+
 /** An engine with continuous batching, a prefix cache, orders and injected faults. */
 export class ModelEngine {
     readonly #conditions: Conditions<EngineConditions>;
@@ -148,6 +151,7 @@
         this.#runs.set(request, run);
         this.#journal.push(run.journalEntry);
         this.#batch.add(run.sequence);
+        this.#crashIfRequired(chat.prompt);
         void this.#removeAfterRetention(request, run);
         const load = this.#measureLoad();
         context.set("X-Model-Version", version);
@@ -155,6 +159,13 @@
         return run;
     }
 
+    #crashIfRequired(prompt: string): void {
+        const { crashesOn, stepMilliseconds } = this.#conditions.get();
+        if (crashesOn !== "" && prompt.includes(crashesOn)) {
+            setTimeout(() => process.exit(1), stepsBeforeCrash * stepMilliseconds);
+        }
+    }
+
     /** Removes a run `keepMilliseconds` after its end. Until then its stream can be resumed. */
     async #removeAfterRetention(request: string, run: EngineRun): Promise<void> {
         await run.stream.waitForEnd();
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -18,6 +18,8 @@
     /** Time between a call taking effect and its answer. */
     workMilliseconds: nonNegativeNumber.default(0),
     leaving: flag.default(false),
+    /** The service's process ends as soon as it has received a body that contains this text. */
+    crashesOn: z.string().default(""),
     /** Number of upcoming calls that take effect and then lose their connection. */
     dropAfterRun: nonNegativeNumber.default(0),
     /** Number of upcoming calls that lose their connection without taking effect. */
@@ -92,6 +94,10 @@
 
     async #run(context: Koa.Context): Promise<void> {
         const body = await text(context.req);
+        const { crashesOn } = this.#conditions.get();
+        if (crashesOn !== "" && body.includes(crashesOn)) {
+            process.exit(1);
+        }
         if (this.#consumeFault("hang")) {
             context.respond = false;
             return;
--- a/test/platform/crashingRequests.test.ts
+++ b/test/platform/crashingRequests.test.ts
@@ -45,18 +45,24 @@
         expect(fleet.crashed.length <= maxCrashes + maxLateRetries).toEqual(true);
     });
 
-    // Guards against a node that forgets with its process which requests crash runners.
-    it("is not sent by a node that was restarted", async () => {
+    // Guards against nodes that forget with their processes which requests crash runners.
+    it("is not sent after all nodes were killed and started again", async () => {
         const crashes = fleet.crashed.length;
-        site.nodes[0].child.kill("SIGKILL");
-        await site.nodes[0].exited;
-        const restarted = site.startNode(1);
-        await site.waitForReady(restarted);
-        await waitUntil(async () => (await fleet.sendOther(restarted, "other"))?.status === 200, {
-            description: "an answer to another request",
-        });
-        await sleep(1_000);
-        const answer = await fleet.sendAgain(restarted);
-        expect([answer?.status, fleet.crashed.length]).toEqual([503, crashes]);
+        for (const node of site.nodes) {
+            node.child.kill("SIGKILL");
+            await node.exited;
+        }
+        for (let index = 1; index <= nodeCount; index += 1) {
+            const node = site.startNode(index);
+            await site.waitForReady(node);
+            await waitUntil(async () => (await fleet.sendOther(node, "other"))?.status === 200, {
+                description: "an answer to another request",
+            });
+            await waitUntil(async () => (await site.getMetrics(node)).includes("rattanlock_quarantined_requests 1"), {
+                description: "the quarantine of a node that was started again",
+            });
+            const answer = await fleet.sendAgain(node);
+            expect([answer?.status, fleet.crashed.length]).toEqual([503, crashes]);
+        }
     });
 });
