Split the parts of a node and the records of the status topic by subject

What connects roll-outs with requests and gossip stands in rolloutParts.ts, the scrape of metrics in nodeMetrics.ts, and the records that nodes write for each other are applied by StatusRecords. Moved as they were; the platform's tests pass.

--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -6,15 +6,7 @@
 import { UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
-import {
-    Attempts,
-    createForwardingMetrics,
-    type EndedAttempt,
-    type Exchange,
-    Forwarder,
-    type ForwardingMetrics,
-    Shutdown,
-} from "../forwarding/index.js";
+import { Attempts, createForwardingMetrics, Forwarder, type ForwardingMetrics, Shutdown } from "../forwarding/index.js";
 import {
     chooseAddresses,
     Gossip,
@@ -26,11 +18,13 @@
     PeerServer,
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine, type Quarantine } from "../quarantine/index.js";
-import { type PeerReport, Rollouts } from "../rollouts/index.js";
+import type { Rollouts } from "../rollouts/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
+import { readMetrics } from "./nodeMetrics.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
+import { addEvidence, createRollouts, getSession } from "./rolloutParts.js";
 import { SiteServer } from "./siteServer.js";
 import { StatusWriter } from "./statusWriter.js";
 import { StoreClient } from "./storeClient.js";
@@ -49,10 +43,6 @@
 /** Minimum number of connections that a node may open to one upstream. */
 const minConnections = 4;
 
-/** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
-const evidenceKeyPrefix = "rollout-evidence/";
-const haltKeyPrefix = "rollout-halt/";
-
 /** The parts of a node. */
 export interface NodeParts {
     /** The settings at the start, such as name and addresses, which a running node does not change. */
@@ -245,19 +235,6 @@
     },
 };
 
-/** Returns the metrics as text, after updating those that are sampled on each scrape. */
-async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
-    const { metrics, topics, forwarder, membership, registry, quarantine, lineWriter } = parts;
-    metrics.inFlight.set(forwarder.getInFlight());
-    metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
-    metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
-    metrics.members.set(membership.getAlive().length);
-    metrics.upstreams.set([...registry.getAll()].length);
-    metrics.quarantined.set(quarantine.countQuarantined());
-    metrics.linesLeftOut.set(lineWriter.getDroppedCount());
-    return { type: metrics.registry.contentType, text: await metrics.registry.metrics() };
-}
-
 function createBudgets(
     clock: Clock,
     liveSettings: LiveSettings,
@@ -282,61 +259,6 @@
     };
 }
 
-/** Returns the session of a request. A request without a session forms its own. */
-function getSession({ request }: Exchange): string {
-    return request.session ?? request.id;
-}
-
-/**
- * Adds an answer as evidence on its version. Broken connections and timeouts do not count: their usual cause is a runner that
- * crashed or is overloaded. When they counted, three crashed runners caused a healthy version to be reverted.
- */
-function addEvidence(rollouts: Rollouts, { exchange, upstream, model, outcome, headMilliseconds }: EndedAttempt): void {
-    if (outcome === "ok" || outcome === "error") {
-        const segment = `${exchange.route.name} ${model ?? ""}`;
-        const { objectiveMilliseconds } = exchange.route;
-        rollouts.addAnswer(upstream, {
-            segment,
-            hasFailed: outcome === "error",
-            headMilliseconds,
-            objectiveMilliseconds,
-        });
-    }
-}
-
-function createRollouts({ clock, journal, registry, settings, membership, gossip, writer, self }: NodeParts): Rollouts {
-    const rollouts = new Rollouts({
-        self: self.id,
-        clock,
-        journal,
-        registry,
-        exposureShare: settings.bounds.exposureShare,
-        sessionMilliseconds: settings.bounds.sessionMilliseconds,
-        getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
-        getMemberCount: () => membership.getMembers().length,
-        publishEvidence: (pool, value) => gossip.set(`${evidenceKeyPrefix}${pool}`, value),
-        getEvidence: pool => getPeerReports(gossip, self.id, pool),
-        publishHalt: (pool, order) =>
-            gossip.set(`${haltKeyPrefix}${pool}`, Buffer.from(String(order)), { urgent: true }),
-        writeProgress: (order, progress) => writer.writeProgress(order, progress),
-        writePins: (pool, report) => writer.writePins(pool, report),
-    });
-    gossip.onUpdate((...[, key, value]) => {
-        if (key.startsWith(haltKeyPrefix) && value !== undefined) {
-            rollouts.setHalted(key.slice(haltKeyPrefix.length), Number(value.toString()));
-        }
-    });
-    return rollouts;
-}
-
-function* getPeerReports(gossip: Gossip, self: string, pool: string): Iterable<PeerReport> {
-    for (const { origin, value } of gossip.getAll(`${evidenceKeyPrefix}${pool}`)) {
-        if (origin !== self) {
-            yield { origin, value };
-        }
-    }
-}
-
 function createPeerHandlers({ gossip, self, topics }: NodeParts): PeerHandlers {
     const throwUnsupported = (): never => {
         throw new Error(`The node ${self.id} does not hold this state: on this platform it is kept in the store.`);
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -1,12 +1,12 @@
 /**
- * Applies the records of the store's topics to routes, upstreams, members and roll-outs.
+ * Applies the records of the store's topics to routes, upstreams and the parts of a node.
  */
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
-import { mergeEncodedRecords, type Quarantine } from "../quarantine/index.js";
+import type { Quarantine } from "../quarantine/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import {
@@ -16,9 +16,10 @@
     type TopicFollowerOptions,
     TopicSources,
 } from "../topics/index.js";
-import { decodeConfiguration, decodePinReport, decodeProgress, decodeRolloutOrder } from "./decodeConfiguration.js";
+import { decodeConfiguration, decodeRolloutOrder } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
+import { StatusRecords } from "./statusRecords.js";
 import type { StatusWriter } from "./statusWriter.js";
 import type { StoreClient } from "./storeClient.js";
 import { recordKeys, topics } from "./wire.js";
@@ -117,7 +118,8 @@
             { ...shortTiming, waitForPeers },
             changed => this.#applyUpstreams(changed),
         );
-        this.#status = this.#createFollower(topics.status, statusTiming, changed => this.#applyStatus(changed));
+        const statusRecords = new StatusRecords(options);
+        this.#status = this.#createFollower(topics.status, statusTiming, changed => statusRecords.apply(changed));
         this.#followers.set(topics.operator, this.#operator);
         this.#followers.set(topics.upstreams, this.#upstreams);
         this.#followers.set(topics.status, this.#status);
@@ -278,49 +280,4 @@
     #getExpiryGrace(): number {
         return Math.max(0, expiryGraceMilliseconds - this.#upstreams.getTimeSinceOutage());
     }
-
-    #applyStatus(changed: readonly KeyedRecord[]): void {
-        const { directory, journal } = this.#options;
-        const members: [string, Buffer | undefined][] = [];
-        for (const { key, value } of changed) {
-            if (key.startsWith(recordKeys.memberPrefix)) {
-                members.push([key.slice(recordKeys.memberPrefix.length), value]);
-            }
-            else if (key.startsWith(recordKeys.progressPrefix) && value !== undefined) {
-                this.#applyProgress(key, value);
-            }
-            else if (key.startsWith(recordKeys.pinsPrefix) && value !== undefined) {
-                this.#applyPins(key, value);
-            }
-            else if (key.startsWith(recordKeys.quarantinePrefix) && value !== undefined) {
-                this.#applyQuarantine(key, value);
-            }
-        }
-        for (const id of directory.apply(members)) {
-            journal.write(events.recordUnreadable, { key: `${recordKeys.memberPrefix}${id}` });
-        }
-    }
-
-    #applyProgress(key: string, value: Buffer): void {
-        const { getRollouts, journal } = this.#options;
-        decodeProgress(value).match(
-            progress => getRollouts().setProgress(key.slice(recordKeys.progressPrefix.length), progress),
-            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
-        );
-    }
-
-    #applyPins(key: string, value: Buffer): void {
-        const { getRollouts, journal } = this.#options;
-        const [node, ...pool] = key.slice(recordKeys.pinsPrefix.length).split("/");
-        decodePinReport(value).match(
-            report => getRollouts().setPins(pool.join("/"), node, report),
-            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
-        );
-    }
-
-    /** Applies a node's stored records, its own from before a restart among them. */
-    #applyQuarantine(key: string, value: Buffer): void {
-        const { journal, quarantine } = this.#options;
-        mergeEncodedRecords(quarantine, journal, { source: key, value });
-    }
 }
--- /dev/null
+++ b/src/platform/statusRecords.ts
@@ -0,0 +1,74 @@
+/**
+ * Applies the records of the status topic to members, roll-outs and the quarantine.
+ */
+import { events, type Journal } from "../events/index.js";
+import type { MemberDirectory } from "../membership/index.js";
+import { mergeEncodedRecords, type Quarantine } from "../quarantine/index.js";
+import type { Rollouts } from "../rollouts/index.js";
+import type { KeyedRecord } from "../topics/index.js";
+import { decodePinReport, decodeProgress } from "./decodeConfiguration.js";
+import { recordKeys } from "./wire.js";
+
+/** Options of `StatusRecords`. */
+export interface StatusRecordsOptions {
+    readonly journal: Journal;
+    readonly directory: MemberDirectory;
+    readonly quarantine: Quarantine;
+    /** Returns the roll-outs of this node. */
+    readonly getRollouts: () => Rollouts;
+}
+
+/** Applies what the nodes write to the status topic for each other. */
+export class StatusRecords {
+    readonly #options: StatusRecordsOptions;
+
+    constructor(options: StatusRecordsOptions) {
+        this.#options = options;
+    }
+
+    /** Applies records of the status topic that have changed. */
+    apply(changed: readonly KeyedRecord[]): void {
+        const { directory, journal } = this.#options;
+        const members: [string, Buffer | undefined][] = [];
+        for (const { key, value } of changed) {
+            if (key.startsWith(recordKeys.memberPrefix)) {
+                members.push([key.slice(recordKeys.memberPrefix.length), value]);
+            }
+            else if (key.startsWith(recordKeys.progressPrefix) && value !== undefined) {
+                this.#applyProgress(key, value);
+            }
+            else if (key.startsWith(recordKeys.pinsPrefix) && value !== undefined) {
+                this.#applyPins(key, value);
+            }
+            else if (key.startsWith(recordKeys.quarantinePrefix) && value !== undefined) {
+                this.#applyQuarantine(key, value);
+            }
+        }
+        for (const id of directory.apply(members)) {
+            journal.write(events.recordUnreadable, { key: `${recordKeys.memberPrefix}${id}` });
+        }
+    }
+
+    #applyProgress(key: string, value: Buffer): void {
+        const { getRollouts, journal } = this.#options;
+        decodeProgress(value).match(
+            progress => getRollouts().setProgress(key.slice(recordKeys.progressPrefix.length), progress),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
+
+    #applyPins(key: string, value: Buffer): void {
+        const { getRollouts, journal } = this.#options;
+        const [node, ...pool] = key.slice(recordKeys.pinsPrefix.length).split("/");
+        decodePinReport(value).match(
+            report => getRollouts().setPins(pool.join("/"), node, report),
+            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
+        );
+    }
+
+    /** Applies a node's stored records, its own from before a restart among them. */
+    #applyQuarantine(key: string, value: Buffer): void {
+        const { journal, quarantine } = this.#options;
+        mergeEncodedRecords(quarantine, journal, { source: key, value });
+    }
+}
