Split attempts, refusals and callers' requests by subject

They stand in attempt.ts, attemptRefusal.ts and incomingCall.ts now; the watched request, which three places built by themselves, in one function that computes its fingerprint once. Moved as they were; entry, forwarding and quarantine tests pass (87).

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -12,11 +12,18 @@
 import type { ModelVersion, Vm } from "../world/index.js";
 import { createAnswerHeaders } from "./answerHeaders.js";
 import { relayAnswer } from "./answerRelay.js";
+import {
+    type AttemptRefusal,
+    combineOutcomes,
+    createFinalRefusal,
+    createMismatchRefusal,
+    toDeadlineRefusal,
+} from "./attemptRefusal.js";
 import { createAttemptSignal } from "./attemptSignal.js";
 import { type ChatCall, getTimeLeft } from "./chatCall.js";
 import type { Explanations } from "./explanations.js";
 import type { Metrics } from "./metrics.js";
-import { createNotRunRefusal, type Refusal } from "./problem.js";
+import type { Refusal } from "./problem.js";
 import { getPrefixHashes } from "./promptBlocks.js";
 import { cancelIdleStream } from "./streamCancellation.js";
 
@@ -217,7 +224,7 @@
                     // has no reader and no bill: its load would include the work, and the bills would not.
                     await this.#abandon(options, runner, streamId);
                 }
-                return err({ ...this.#toDeadlineRefusal(call, answered.error), isRetriable: true });
+                return err({ ...toDeadlineRefusal(call, answered.error), isRetriable: true });
             }
             const answer = answered.value;
             if (answer.version !== version.id) {
@@ -276,7 +283,7 @@
         finishWork(work, signal.aborted ? "cancelled" : "failed", milliseconds, answer);
         await attempt.evaluate(signal.aborted ? "stopped" : "disconnected", headAt);
         await this.#abandon(options, runner, streamId);
-        return err({ ...this.#toDeadlineRefusal(call, relayed.error), isRetriable: true });
+        return err({ ...toDeadlineRefusal(call, relayed.error), isRetriable: true });
     }
 
     /**
@@ -309,30 +316,7 @@
             version: version.id,
             found: answer.version,
         });
-        return {
-            isRetriable: true,
-            outcome: "ran",
-            failure: new Failure({
-                kind: "upstream-failed",
-                message: `The engine ${runner.id} ran ${answer.version} instead of ${version.id}.`,
-                remedy: "Send the request again; the engine's answer was discarded.",
-                retryAfterMilliseconds: 1000,
-            }),
-        };
-    }
-
-    #toDeadlineRefusal(call: ChatCall, refusal: Refusal): Refusal {
-        if (!call.deadlineSignal.aborted) {
-            return refusal;
-        }
-        return {
-            outcome: refusal.outcome,
-            failure: new Failure({
-                kind: "deadline",
-                message: `The answer was not complete within ${call.settings.deadlineMilliseconds} ms.`,
-                remedy: "Request a shorter answer or have the workspace's deadline_ms raised.",
-            }),
-        };
+        return createMismatchRefusal(runner.id, version.id, answer.version);
     }
 }
 
@@ -350,15 +334,6 @@
     readonly evaluate: (end: RunEnd, headAt: number | undefined) => Promise<void>;
 }
 
-interface AttemptRefusal extends Refusal {
-    /** Whether an attempt on another runner may succeed. */
-    readonly isRetriable: boolean;
-}
-
-function createFinalRefusal(failure: Failure): AttemptRefusal {
-    return { ...createNotRunRefusal(failure), isRetriable: false };
-}
-
 function finishWork(
     work: Work,
     outcome: "ok" | "failed" | "refused" | "cancelled",
@@ -367,13 +342,3 @@
 ): void {
     work.finish({ outcome, milliseconds, loadHeader: answer?.loadHeader });
 }
-
-const outcomeOrder: readonly Outcome[] = ["not-run", "unknown", "ran"];
-
-/**
- * Returns the outcome that guarantees less. If one attempt of a request may have run, the request must not be reported
- * as "not run" because a later attempt was refused.
- */
-export function combineOutcomes(first: Outcome, second: Outcome): Outcome {
-    return outcomeOrder.indexOf(first) >= outcomeOrder.indexOf(second) ? first : second;
-}
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -3,23 +3,32 @@
  */
 import Router from "@koa/router";
 import Koa from "koa";
-import { err, type Result } from "neverthrow";
+import type { Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Clock, Failure } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
 import { events, type Journal } from "../events/index.js";
-import { createFingerprint, type WatchedRequest } from "../quarantine/index.js";
+import { createWatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
 import { DocumentSink, EventStreamSink, sendProblem } from "./answerSink.js";
 import { type CallerIdentity, identifyCaller } from "./callerIdentity.js";
 import type { ChatPipeline } from "./chatPipeline.js";
 import { automaticModel, parseChatRequest } from "./chatRequest.js";
+import {
+    createDisconnectSignal,
+    createNotReadyResult,
+    type IncomingCall,
+    readSingleHeader,
+    refuseAndClose,
+    selectForwardedHeaders,
+    sendReply,
+} from "./incomingCall.js";
 import type { Metrics } from "./metrics.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
 import { readBody } from "./requestBody.js";
 import type { ResumePipeline } from "./resumePipeline.js";
-import type { ServicePipeline, ServiceReply } from "./servicePipeline.js";
+import type { ServicePipeline } from "./servicePipeline.js";
 
 const chatPath = "/v1/chat/completions";
 /** Maximum size of a caller's headers, in bytes. */
@@ -28,8 +37,6 @@
 const headersTimeoutMilliseconds = 10_000;
 /** Header in which the public client reports the number of its earlier attempts. */
 const retryCountHeader = "x-stainless-retry-count";
-/** Headers of a caller that are forwarded to plain services. */
-const forwardedHeaders = ["content-type", "accept", "accept-language", "if-match", "if-none-match"];
 
 /** Options of the server. */
 export interface CallerServerOptions {
@@ -203,7 +210,17 @@
             isRetry: Number(readSingleHeader(request.headers[retryCountHeader]) ?? 0) > 0,
             sessionToken: readSingleHeader(request.headers["x-rattanlock-session-token"]),
             request: parsed.value,
-            watched: createWatchedRequest(call, body.value),
+            watched: createWatchedRequest({
+                id: call.requestId,
+                isStream: true,
+                content: {
+                    method: "POST",
+                    host: "",
+                    path: chatPath,
+                    workspace: identity.workspace,
+                    body: body.value,
+                },
+            }),
             sink,
             deadlineSignal: deadline,
         });
@@ -317,68 +334,3 @@
         return this.#options.clock.monotonic();
     }
 }
-
-interface IncomingCall {
-    readonly requestId: string;
-    readonly identity: CallerIdentity;
-    readonly disconnectSignal: AbortSignal;
-    readonly arrivedAt: number;
-}
-
-function createWatchedRequest({ requestId, identity }: IncomingCall, body: Buffer): WatchedRequest {
-    const { workspace } = identity;
-    const content = { method: "POST", host: "", path: chatPath, workspace, body };
-    return { id: requestId, isStream: true, getFingerprint: () => createFingerprint(content) };
-}
-
-function createDisconnectSignal(response: ServerResponse): AbortSignal {
-    const controller = new AbortController();
-    response.on("close", () => {
-        if (!response.writableFinished) {
-            controller.abort();
-        }
-    });
-    return controller.signal;
-}
-
-/** Refuses a body and closes the connection, because the rest of the body is still being received. */
-function refuseAndClose(response: ServerResponse, failure: Failure): Refusal {
-    response.setHeader("connection", "close");
-    response.once("finish", () => response.req.destroy());
-    return createNotRunRefusal(failure);
-}
-
-function readSingleHeader(header: string | string[] | undefined): string | undefined {
-    return typeof header === "string" ? header : undefined;
-}
-
-function selectForwardedHeaders(request: IncomingMessage): Readonly<Record<string, string>> {
-    const selected: Record<string, string> = {};
-    for (const name of forwardedHeaders) {
-        const value = request.headers[name];
-        if (typeof value === "string") {
-            selected[name] = value;
-        }
-    }
-    return selected;
-}
-
-function sendReply(response: ServerResponse, requestId: string, reply: ServiceReply): void {
-    response.writeHead(reply.answer.status, {
-        ...reply.answer.headers,
-        "x-request-id": requestId,
-        ...(reply.isReplayed ? { "idempotent-replayed": "true" } : {}),
-    });
-    response.end(reply.answer.body);
-}
-
-function createNotReadyResult(): Result<CallerIdentity, Failure> {
-    return err(
-        new Failure({
-            kind: "unavailable",
-            message: "This entry has just started: it has no configuration yet, or has not polled the upstreams.",
-            remedy: "Send the request to another address of GET /v1/addresses.",
-            retryAfterMilliseconds: 2000,
-        }),
-    );
-}
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -10,12 +10,12 @@
 import { events, type Journal } from "../events/index.js";
 import {
     type CrashWatch,
-    createFingerprint,
     createQuarantineFailure,
+    createWatchedRequest,
     type WatchedRequest,
 } from "../quarantine/index.js";
 import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
-import { combineOutcomes } from "./attemptRunner.js";
+import { combineOutcomes } from "./attemptRefusal.js";
 import { checkFreshness } from "./chatPipeline.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
 import { packAnswer, unpackAnswer } from "./storedAnswer.js";
@@ -204,7 +204,12 @@
     async #callWithRetries(request: ServiceRequest): Promise<Result<ServiceAnswer, Refusal>> {
         this.#options.retries.addRequest();
         const excluded = new Set<string>();
-        const watched = createWatchedRequest(request);
+        const { requestId: id, pool: host, method, path, workspace, body = "" } = request;
+        const watched = createWatchedRequest({
+            id,
+            isStream: false,
+            content: { method, host, path, workspace, body },
+        });
         let combinedOutcome: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
             const called = await this.#callOnce(request, watched, excluded);
@@ -294,14 +299,6 @@
     return idempotentMethods.has(method) && idempotencyKey === undefined;
 }
 
-function createWatchedRequest({ requestId, pool, method, path, workspace, body }: ServiceRequest): WatchedRequest {
-    return {
-        id: requestId,
-        isStream: false,
-        getFingerprint: () => createFingerprint({ method, host: pool, path, workspace, body: body ?? "" }),
-    };
-}
-
 function createPoolFailure(pool: string): Failure {
     return new Failure({
         kind: "not-allowed",
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -15,9 +15,10 @@
 import type { CrashWatch, RunEnd } from "../quarantine/index.js";
 import type { VersionSelection } from "../rollouts/index.js";
 import { isRepeatable } from "../routing/index.js";
+import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
-import type { UpstreamAnswer, UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
+import type { UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
 
 /** Options of `Attempts`. */
 export interface AttemptsOptions {
@@ -36,60 +37,6 @@
     readonly onStart: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
 }
 
-/** An attempt that has ended. */
-export interface EndedAttempt {
-    readonly exchange: Exchange;
-    readonly upstream: RegisteredUpstream;
-    readonly model: string | undefined;
-    readonly outcome: CallOutcome;
-    /** Time from sending the request to the head of the answer. Undefined when no head arrived. */
-    readonly headMilliseconds: number | undefined;
-}
-
-/** Parameters of one attempt. */
-export interface AttemptRequest {
-    readonly exchange: Exchange;
-    readonly model: string | undefined;
-    readonly lastEventId: string | undefined;
-    /** Undefined for plain services. */
-    readonly prompt: PromptDescription | undefined;
-    /**
-     * Returns the timeout for the head of the answer, in milliseconds. Undefined waits until the deadline of the request: a
-     * separate timer of the same length would race with the deadline, and callers that ran out of time would receive an upstream
-     * failure.
-     * @param expectedMilliseconds - Expected time to the head of the answer.
-     */
-    readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
-}
-
-/**
- * Why no attempt was made. `nobody` means that no untried upstream was available, `quarantined` that the request crashes the
- * upstreams that run it.
- */
-export type NotMadeReason = "nobody" | "budget" | "attempts" | "ended" | "quarantined";
-
-/** An attempt that failed or was not made. */
-export type AttemptFailure =
-    | {
-        readonly kind: "not-made";
-        readonly reason: NotMadeReason;
-        /** Time after which an attempt may be made, in milliseconds, where it is known. */
-        readonly retryAfterMilliseconds?: number;
-    }
-    | { readonly kind: "failed"; readonly failure: UpstreamCallFailure; };
-
-/** An attempt whose answer has started. */
-export interface Attempt {
-    readonly upstream: RegisteredUpstream;
-    readonly answer: UpstreamAnswer;
-    /** Ends the attempt and records its outcome. Later calls are ignored. */
-    readonly finish: (outcome: CallOutcome, reason: string, end: RunEnd) => void;
-    /** Records that a part of the answer has arrived. */
-    readonly markSeen: () => void;
-    /** Cancels the call at the upstream. */
-    readonly cancel: () => void;
-}
-
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
 
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -3,7 +3,7 @@
  */
 import { type Clock, Failure, type Outcome, type Refusal } from "../common/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { createFingerprint, type WatchedRequest } from "../quarantine/index.js";
+import { createWatchedRequest, type WatchedRequest } from "../quarantine/index.js";
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
@@ -60,7 +60,13 @@
         this.priority = options.priority;
         this.configurationVersion = options.configurationVersion;
         this.#clock = options.clock;
-        this.watchedRequest = createWatchedRequest(options);
+        const { id, method, host, body } = options.request;
+        const { workspace } = options;
+        this.watchedRequest = createWatchedRequest({
+            id,
+            isStream: options.route.kind === "stream",
+            content: { method, host, path: getPath(options.request), workspace, body },
+        });
         const timeoutMilliseconds = Math.min(
             options.route.timeoutMilliseconds,
             options.request.deadlineMilliseconds ?? Number.POSITIVE_INFINITY,
@@ -133,11 +139,3 @@
         }),
     };
 }
-
-function createWatchedRequest({ request, route, workspace }: ExchangeOptions): WatchedRequest {
-    const { id, method, host, body } = request;
-    let fingerprint: string | undefined;
-    const getFingerprint = (): string =>
-        fingerprint ??= createFingerprint({ method, host, path: getPath(request), workspace, body });
-    return { id, isStream: route.kind === "stream", getFingerprint };
-}
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -4,7 +4,7 @@
 import { type Err, err } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
 import { createQuarantineFailure } from "../quarantine/index.js";
-import type { AttemptFailure } from "./attempts.js";
+import type { AttemptFailure } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
 
 /**
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -8,7 +8,8 @@
     type PromptDescription,
     type WindowedRetryBudget,
 } from "../decisions/index.js";
-import type { Attempt, AttemptFailure, Attempts } from "./attempts.js";
+import type { Attempt, AttemptFailure } from "./attempt.js";
+import type { Attempts } from "./attempts.js";
 import { EventSplitter } from "./eventSplitter.js";
 import { createTimeoutRefusal, type Exchange } from "./exchange.js";
 import { createNotRunRefusal } from "./refusals.js";
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -4,7 +4,8 @@
 import { ok, type Result } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
 import { isRepeatable } from "../routing/index.js";
-import type { Attempt, AttemptFailure, Attempts } from "./attempts.js";
+import type { Attempt, AttemptFailure } from "./attempt.js";
+import type { Attempts } from "./attempts.js";
 import { createTimeoutRefusal, type Exchange } from "./exchange.js";
 import { createBrokenFailure, createNotRunRefusal } from "./refusals.js";
 import { isCertainlyNotRun, type UpstreamAnswer } from "./upstreamCall.js";
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { CrashStage, Quarantine } from "./quarantine.js";
+import type { WatchedRequest } from "./watchedRequest.js";
 
 /**
  * Time after the head of a stream within which a crash counts against the request, in milliseconds. A request that has run for
@@ -26,16 +27,6 @@
     readonly address: string;
 }
 
-/** A request whose runs are watched. */
-export interface WatchedRequest {
-    /** Identifier of the caller's attempt, for log lines. */
-    readonly id: string;
-    /** Whether the answer starts as soon as the request runs. Otherwise it starts at the end of the upstream's work. */
-    readonly isStream: boolean;
-    /** Returns the request's fingerprint. Called only where it is needed, since it reads the whole body. */
-    readonly getFingerprint: () => string;
-}
-
 /** A run of a request at an upstream that has ended. */
 export interface EndedRun {
     readonly request: WatchedRequest;
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -5,3 +5,4 @@
 export * from "./quarantine.js";
 export * from "./quarantineFailure.js";
 export * from "./sharedQuarantine.js";
+export * from "./watchedRequest.js";
--- /dev/null
+++ b/src/quarantine/watchedRequest.ts
@@ -0,0 +1,27 @@
+/**
+ * A request as the watch for crashed upstreams sees it.
+ */
+import { createFingerprint, type RequestContent } from "./fingerprint.js";
+
+/** A request whose runs are watched. */
+export interface WatchedRequest {
+    /** Identifier of the caller's attempt, for log lines. */
+    readonly id: string;
+    /** Whether the answer starts as soon as the request runs. Otherwise it starts at the end of the upstream's work. */
+    readonly isStream: boolean;
+    /** Returns the request's fingerprint. Called only where it is needed, since it reads the whole body. */
+    readonly getFingerprint: () => string;
+}
+
+/** Options of a watched request. */
+export interface WatchedRequestOptions {
+    readonly id: string;
+    readonly isStream: boolean;
+    readonly content: RequestContent;
+}
+
+/** Creates a watched request, whose fingerprint is computed once. */
+export function createWatchedRequest({ id, isStream, content }: WatchedRequestOptions): WatchedRequest {
+    let fingerprint: string | undefined;
+    return { id, isStream, getFingerprint: () => fingerprint ??= createFingerprint(content) };
+}
