Part the quarantine into its records, its measures of suspicion and its decisions

quarantine.ts had 290 lines and three jobs: keeping a bounded number of records, what a suspicion leads to and for how long, and the exchange with the other nodes. The first two stand in files of their own. A trial that has ended in a crash is forgotten at once; nothing else changes.

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -3,7 +3,8 @@
  */
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
-import type { CrashStage, Quarantine } from "./quarantine.js";
+import type { Quarantine } from "./quarantine.js";
+import type { CrashStage } from "./suspicion.js";
 import type { WatchedRequest } from "./watchedRequest.js";
 
 /**
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -5,4 +5,5 @@
 export * from "./quarantine.js";
 export * from "./quarantineFailure.js";
 export * from "./sharedQuarantine.js";
+export type { CrashStage } from "./suspicion.js";
 export * from "./watchedRequest.js";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -7,34 +7,20 @@
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import { type CrashRecord, getSuspicion, mergeCrashRecords } from "./crashRecord.js";
+import { CrashRecords } from "./crashRecords.js";
 import { RecentSurvivals } from "./recentSurvivals.js";
+import {
+    type CrashStage,
+    getRetentionMilliseconds,
+    isQuarantined,
+    pointsByStage,
+    quarantinePoints,
+    urgentPoints,
+} from "./suspicion.js";
 
-/**
- * How far a request had come when its upstream crashed. While it was only waiting, it is less likely to be the cause.
- */
-export type CrashStage = "running" | "waiting";
-
-const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
-/** Suspicion from which a request is sent to no upstream: three crashes as it began to run. */
-const quarantinePoints = 3 * pointsByStage.running;
-/** Suspicion from which the other nodes are told at once. A single crash makes all requests of its upstream suspects. */
-const urgentPoints = 2 * pointsByStage.running;
-/** How long a suspicion is remembered that does not suffice for a quarantine. */
-const suspicionMilliseconds = 10 * 60_000;
-/** Length of a request's first quarantine. A harmless request that was quarantined is refused for this long. */
-const firstQuarantineMilliseconds = 60_000;
-/**
- * After a quarantine one node tries the request once. If it crashes its upstream again, the next quarantine is this many times
- * longer, so that a request that comes back all the time is tried three times a day.
- */
-const quarantineGrowth = 32;
-const maxQuarantineMilliseconds = 24 * 3_600_000;
-/** How long a request is remembered after a quarantine, so that a single further crash starts the next one. */
-const trialMilliseconds = 24 * 3_600_000;
 /** Time within which a trial has shown whether the request crashes its upstream, in milliseconds. Until then there is no other. */
 const trialTimeoutMilliseconds = 30_000;
-/** Maximum numbers of requests in memory, and of requests that one node publishes or stores. */
-const maxRecords = 1_000;
+/** Maximum number of requests that one node publishes or stores. */
 const maxOwnRecords = 64;
 const storeRetryMilliseconds = 1_000;
 /** Time after which another request may find the trial of a quarantined one ended. */
@@ -65,7 +51,7 @@
 /** Knows which requests crash upstreams, from this node's own calls and from the records of the other nodes. */
 export class Quarantine {
     readonly #options: QuarantineOptions;
-    readonly #records = new Map<string, CrashRecord>();
+    readonly #records: CrashRecords;
     /** Fingerprints of the records that this node has changed, in the order of their last change. */
     readonly #own = new Set<string>();
     readonly #survivals = new RecentSurvivals();
@@ -76,11 +62,12 @@
 
     constructor(options: QuarantineOptions) {
         this.#options = options;
+        this.#records = new CrashRecords(options.clock);
     }
 
     /** Returns the number of requests that are quarantined. */
     countQuarantined(): number {
-        return [...this.#records.values()].filter(record => getSuspicion(record) >= quarantinePoints).length;
+        return this.#records.countQuarantined();
     }
 
     /**
@@ -90,7 +77,7 @@
      */
     admit(getFingerprint: () => string): number | undefined {
         const record = this.#find(getFingerprint);
-        if (record === undefined || getSuspicion(record) < quarantinePoints) {
+        if (record === undefined || !isQuarantined(record)) {
             return undefined;
         }
         const now = this.#options.clock.wall();
@@ -125,6 +112,7 @@
         const cleared = known?.cleared ?? 0;
         const suspicion = points - cleared;
         const until = this.#options.clock.wall() + getRetentionMilliseconds(suspicion);
+        this.#trialEnds.delete(fingerprint);
         this.#setOwn({ fingerprint, points, cleared, until });
         this.#publish(suspicion >= urgentPoints || isLastAttempt);
         if (suspicion >= quarantinePoints) {
@@ -157,7 +145,7 @@
         const known = this.#records.get(fingerprint);
         const merged = known === undefined ? record : mergeCrashRecords(known, record);
         const isNew = known === undefined || merged.points > known.points || merged.cleared > known.cleared;
-        this.#set(merged);
+        this.#records.set(merged);
         if (getSuspicion(merged) >= urgentPoints && this.#hasSurvived(fingerprint)) {
             this.#clear(merged);
         }
@@ -169,17 +157,7 @@
     }
 
     #find(getFingerprint: () => string): CrashRecord | undefined {
-        const record = this.#records.size === 0 ? undefined : this.#records.get(getFingerprint());
-        if (record !== undefined && this.#isExpired(record)) {
-            this.#delete(record.fingerprint);
-            return undefined;
-        }
-        return record;
-    }
-
-    #isExpired(record: CrashRecord): boolean {
-        const trial = getSuspicion(record) >= quarantinePoints ? trialMilliseconds : 0;
-        return this.#options.clock.wall() >= record.until + trial;
+        return this.#records.isEmpty() ? undefined : this.#records.get(getFingerprint());
     }
 
     #hasSurvived(fingerprint: string): boolean {
@@ -188,10 +166,10 @@
 
     #clear(record: CrashRecord): void {
         this.#trialEnds.delete(record.fingerprint);
-        const isQuarantined = getSuspicion(record) >= quarantinePoints;
+        const wasQuarantined = isQuarantined(record);
         this.#setOwn({ ...record, cleared: record.points });
-        this.#publish(isQuarantined);
-        if (isQuarantined) {
+        this.#publish(wasQuarantined);
+        if (wasQuarantined) {
             this.#options.journal.write(events.quarantineLifted, { fingerprint: record.fingerprint });
             this.#store();
         }
@@ -200,44 +178,7 @@
     #setOwn(record: CrashRecord): void {
         this.#own.delete(record.fingerprint);
         this.#own.add(record.fingerprint);
-        this.#set(record);
-    }
-
-    #set(record: CrashRecord): void {
-        this.#records.delete(record.fingerprint);
-        this.#records.set(record.fingerprint, record);
-        if (this.#records.size > maxRecords) {
-            this.#removeExpired();
-        }
-        if (this.#records.size > maxRecords) {
-            this.#removeLeastSuspect();
-        }
-    }
-
-    #removeExpired(): void {
-        for (const record of this.#records.values()) {
-            if (this.#isExpired(record)) {
-                this.#delete(record.fingerprint);
-            }
-        }
-    }
-
-    /** Removes the record with the least suspicion, the oldest among equals. */
-    #removeLeastSuspect(): void {
-        let least: CrashRecord | undefined;
-        for (const record of this.#records.values()) {
-            if (least === undefined || getSuspicion(record) < getSuspicion(least)) {
-                least = record;
-            }
-        }
-        if (least !== undefined) {
-            this.#delete(least.fingerprint);
-        }
-    }
-
-    #delete(fingerprint: string): void {
-        this.#records.delete(fingerprint);
-        this.#trialEnds.delete(fingerprint);
+        this.#records.set(record);
     }
 
     /** Returns the latest records that this node has changed, and removes the others from its own. */
@@ -277,14 +218,6 @@
     }
 }
 
-function getRetentionMilliseconds(suspicion: number): number {
-    if (suspicion < quarantinePoints) {
-        return suspicionMilliseconds;
-    }
-    const repeats = (suspicion - quarantinePoints) / pointsByStage.running;
-    return Math.min(maxQuarantineMilliseconds, firstQuarantineMilliseconds * quarantineGrowth ** repeats);
-}
-
 function isDefined<Value>(value: Value | undefined): value is Value {
     return value !== undefined;
 }
