--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -79,6 +79,9 @@
         }
         const quarantineMilliseconds = this.#options.crashWatch.admit(exchange.watchedRequest);
         if (quarantineMilliseconds !== undefined) {
+            if (exchange.attempts === 0) {
+                this.#options.metrics.refusals.inc({ kind: "quarantined" });
+            }
             return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineMilliseconds });
         }
         const { upstreams, reason } = this.#select(exchange);
--- a/test/forwarding/crashWatch.test.ts
+++ b/test/forwarding/crashWatch.test.ts
@@ -18,7 +18,7 @@
 
 describe("the watch for crashed upstreams", () => {
     it("quarantines a request under which three upstreams crashed, and refuses it at once", async () => {
-        const { send, calls } = createForwarder({
+        const { send, calls, metrics } = createForwarder({
             upstreams: createUpstreams(6),
             crashed: allCrashed,
             getRoutes: streamRoutes,
@@ -27,6 +27,7 @@
         await send({ id: "1" });
         const { refusal } = await send({ id: "2" });
         expect(calls.length).toEqual(3);
+        expect(await metrics.registry.metrics()).toInclude("refused_requests_total{kind=\"quarantined\"} 1");
         expect([refusal?.outcome, refusal?.failure.kind]).toEqual(["not-run", "quarantined"]);
         expect(refusal!.failure.retryAfterMilliseconds! > 59_000).toEqual(true);
     });
