Publish only suspicions that other nodes can use

At 350 nodes an outage of half of the upstreams makes some suspects at each node, and each node published its whole list of up to 64, which anti-entropy takes to all. Nearly all of these requests run well at the next upstream.

A first crash is published only where no attempt is left; the second at once, as before. What is not published is not carried along with later records either. Receiving a list no longer writes a line at each node; learning of a quarantine does (428).

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -369,11 +369,11 @@
         "warning",
         "The store did not confirm which requests this node has quarantined; the write is repeated.",
     ),
-    crashRecordsReceived: define(
+    quarantineLearned: define(
         428,
-        "crash-records-received",
+        "quarantine-learned",
         "info",
-        "Another node published which requests are suspected or known to crash upstreams.",
+        "Another node has quarantined a request; this node sends it to no upstream either.",
     ),
     rolloutOrdered: define(444, "rollout-ordered", "info", "The operator ordered the roll-out of a version to a pool."),
     rolloutProgressed: define(
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -52,7 +52,7 @@
 export class Quarantine {
     readonly #options: QuarantineOptions;
     readonly #records: CrashRecords;
-    /** Fingerprints of the records that this node has changed, in the order of their last change. */
+    /** Fingerprints of the records that this node publishes, in the order of their last change. */
     readonly #own = new Set<string>();
     readonly #survivals = new RecentSurvivals();
     /** Wall-clock times until which this node waits for the results of its trials, by fingerprint. */
@@ -113,8 +113,11 @@
         const suspicion = points - cleared;
         const until = this.#options.clock.wall() + getRetentionMilliseconds(suspicion);
         this.#trialEnds.delete(fingerprint);
-        this.#setOwn({ fingerprint, points, cleared, until });
-        this.#publish(suspicion >= urgentPoints || isLastAttempt);
+        const record = { fingerprint, points, cleared, until };
+        this.#records.set(record);
+        if (suspicion >= urgentPoints || isLastAttempt) {
+            this.#publish(record, { urgent: true });
+        }
         if (suspicion >= quarantinePoints) {
             this.#options.journal.write(events.requestQuarantined, { fingerprint, points: suspicion, until });
             this.#store();
@@ -146,12 +149,15 @@
         const merged = known === undefined ? record : mergeCrashRecords(known, record);
         const isNew = known === undefined || merged.points > known.points || merged.cleared > known.cleared;
         this.#records.set(merged);
+        if (isNew && isQuarantined(merged)) {
+            const { points, until } = merged;
+            this.#options.journal.write(events.quarantineLearned, { fingerprint, points, until });
+        }
         if (getSuspicion(merged) >= urgentPoints && this.#hasSurvived(fingerprint)) {
             this.#clear(merged);
         }
         else if (isNew && merged.points >= quarantinePoints && this.#options.isTrialNode(fingerprint)) {
-            this.#setOwn(merged);
-            this.#publish(false);
+            this.#publish(merged, { urgent: false });
             this.#store();
         }
     }
@@ -167,21 +173,18 @@
     #clear(record: CrashRecord): void {
         this.#trialEnds.delete(record.fingerprint);
         const wasQuarantined = isQuarantined(record);
-        this.#setOwn({ ...record, cleared: record.points });
-        this.#publish(wasQuarantined);
+        const clearedRecord = { ...record, cleared: record.points };
+        this.#records.set(clearedRecord);
+        if (getSuspicion(record) >= urgentPoints || this.#own.has(record.fingerprint)) {
+            this.#publish(clearedRecord, { urgent: wasQuarantined });
+        }
         if (wasQuarantined) {
             this.#options.journal.write(events.quarantineLifted, { fingerprint: record.fingerprint });
             this.#store();
         }
     }
 
-    #setOwn(record: CrashRecord): void {
-        this.#own.delete(record.fingerprint);
-        this.#own.add(record.fingerprint);
-        this.#records.set(record);
-    }
-
-    /** Returns the latest records that this node has changed, and removes the others from its own. */
+    /** Returns the latest records that this node publishes, and removes the others from its own. */
     #getOwn(): readonly CrashRecord[] {
         const records = [...this.#own].map(fingerprint => this.#records.get(fingerprint)).filter(isDefined);
         const latest = records.slice(-maxOwnRecords);
@@ -192,8 +195,11 @@
         return latest;
     }
 
-    #publish(urgent: boolean): void {
-        this.#options.publish(this.#getOwn(), { urgent });
+    /** Publishes a record together with those that this node has published before. */
+    #publish({ fingerprint }: CrashRecord, options: { readonly urgent: boolean; }): void {
+        this.#own.delete(fingerprint);
+        this.#own.add(fingerprint);
+        this.#options.publish(this.#getOwn(), options);
     }
 
     /** Stores the own records of quarantined requests, one write at a time, until that has succeeded. */
--- a/src/quarantine/sharedQuarantine.ts
+++ b/src/quarantine/sharedQuarantine.ts
@@ -52,10 +52,7 @@
 /** Merges records that were received. Records that cannot be read are logged and ignored. */
 export function mergeEncodedRecords(quarantine: Quarantine, journal: Journal, encoded: EncodedRecords): void {
     decodeCrashRecords(encoded.value).match(
-        records => {
-            quarantine.merge(records);
-            journal.write(events.crashRecordsReceived, { source: encoded.source, records: records.length });
-        },
+        records => quarantine.merge(records),
         failure => journal.write(events.recordUnreadable, { key: encoded.source, cause: String(failure.cause) }),
     );
 }
--- a/src/quarantine/suspicion.ts
+++ b/src/quarantine/suspicion.ts
@@ -12,7 +12,10 @@
 export const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
 /** Suspicion from which a request is sent to no upstream: three crashes as it began to run. */
 export const quarantinePoints = 3 * pointsByStage.running;
-/** Suspicion from which the other nodes are told at once. A single crash makes all requests of its upstream suspects. */
+/**
+ * Suspicion from which the other nodes are told. A single crash makes all requests of its upstream suspects, and nearly all of them
+ * run well at the next one.
+ */
 export const urgentPoints = 2 * pointsByStage.running;
 /** How long a suspicion is remembered that does not suffice for a quarantine. */
 const suspicionMilliseconds = 10 * 60_000;
