Store and publish only what concerns a quarantine at a second node

The node by rank stored and published each change of a record with six points or more, also where a good run had cleared them: a request without a body, sent by many callers, would cost a write to the store with each crash. It does so now only where the record is quarantined or was. The test failed before (two publications, one write).

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -148,6 +148,7 @@
         const known = this.#records.get(fingerprint);
         const merged = known === undefined ? record : mergeCrashRecords(known, record);
         const isNew = known === undefined || merged.points > known.points || merged.cleared > known.cleared;
+        const concernsQuarantine = isQuarantined(merged) || (known !== undefined && isQuarantined(known));
         this.#records.set(merged);
         if (isNew && isQuarantined(merged)) {
             const { points, until } = merged;
@@ -156,7 +157,7 @@
         if (getSuspicion(merged) >= urgentPoints && this.#hasSurvived(fingerprint)) {
             this.#clear(merged);
         }
-        else if (isNew && merged.points >= quarantinePoints && this.#options.isTrialNode(fingerprint)) {
+        else if (isNew && concernsQuarantine && this.#options.isTrialNode(fingerprint)) {
             this.#publish(merged, { urgent: false });
             this.#store();
         }
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -170,6 +170,14 @@
         expect([third.published.length, third.stored.length]).toEqual([0, 0]);
     });
 
+    // Guards against writes to the store with each crash under a request that has long been disproved.
+    it("is neither published nor stored by a second node when it does not hold", () => {
+        const { quarantine, published, stored } = createQuarantine();
+        quarantine.merge([{ fingerprint: "a", points: 8, cleared: 6, until: minute }]);
+        quarantine.merge([{ fingerprint: "a", points: 8, cleared: 8, until: minute }]);
+        expect([published.length, stored.length]).toEqual([0, 0]);
+    });
+
     // Guards against a node that overwrites what it stored before a restart.
     it("writes what it stored before a restart again with its next finding", async () => {
         const first = createQuarantine();
