Leave dead members out of callers' addresses within seconds at any size

What callers saw: addresses of machines that had lost power, for 6 s and more at 59 nodes and 24.7 s at 195, since a member was suspected by the age of its heartbeat only, which has to spread through all nodes. Change: every node watches its successor by identifier, with every third exchange, every second one at large sites, so that each node is watched by exactly one other whatever the partners are. A peer that fails two attempts is reported at once, if another peer does answer the reporter; the report names the peer's heartbeat and is contradicted by a later one. Members that are reported are left out of addresses, unless most are. Their state, by which work is divided, still depends on heartbeats alone. The successor is also among the partners of pushes: by rank alone a few nodes were nobody's partner, and no push reached them. Ruled out: reports that count only from an age of the heartbeat on (at 195 nodes the last heartbeats arrive so late that members stay named for 7 s and more); reports without a check of the reporter's own links (a node that hears nobody reported everybody).

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -12,10 +12,17 @@
 import { decodeDigest, encodeDigest } from "./gossipMessages.js";
 import { GossipPartners, maxPartners } from "./gossipPartners.js";
 import { type DigestLine, GossipState, incarnationKey } from "./gossipState.js";
-import { getMaxValueBytes, getPeriod, getPropagationTime, getSuspicionTimeout } from "./gossipTiming.js";
+import {
+    getMaxValueBytes,
+    getPeriod,
+    getPropagationTime,
+    getSuspicionTimeout,
+    getWatchPeriods,
+} from "./gossipTiming.js";
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol } from "./protocol.js";
 import { shuffle } from "./shuffle.js";
+import { UnreachablePeers } from "./unreachablePeers.js";
 
 /**
  * Epoch of initial versions and heartbeats. Counting from it lets a restarted node continue above the numbers of its
@@ -29,12 +36,14 @@
  */
 const millisecondsPerVersion = 20;
 const pushFanOut = 4;
-const pushHops = 5;
+const pushHops = 7;
 /**
  * Share of exchanges that go to an unresponsive peer, so that the two sides of a network partition reconnect after it
  * heals.
  */
 const unresponsivePeerProbability = 0.15;
+/** Key under which a node publishes which peers did not answer it. */
+const unreachableKey = "unreachable";
 /** An origin that was removed from the VM list is retained until its heartbeat is this old. */
 const originRetentionMilliseconds = 60_000;
 
@@ -60,6 +69,8 @@
     readonly #listeners: GossipListener[] = [];
     #peers: ReadonlyMap<string, PeerAddress> = new Map();
     readonly #partners: GossipPartners;
+    readonly #unreachablePeers = new UnreachablePeers();
+    #exchanges = 0;
     #heartbeat: number;
     #version: number;
     #timer: NodeJS.Timeout | undefined;
@@ -162,31 +173,54 @@
         }
         this.#peers = peers;
         this.#partners.retain(peers);
+        this.#unreachablePeers.retain(peers);
         this.#removeDepartedOrigins();
     }
 
-    /** Exchanges state with one random peer. */
+    /**
+     * Returns whether other nodes reported that a peer does not answer, and it has sent no heartbeat since. A failure is known in this
+     * way long before the heartbeat is so old that its node is suspected.
+     * @param id - The peer.
+     */
+    isReportedUnreachable(id: string): boolean {
+        return this.#unreachablePeers.isReported(id, this.#state.getDigestLine(id).heartbeat);
+    }
+
+    /**
+     * Exchanges state with one peer: a random partner, or the successor, whom this node watches. A peer that does not answer is
+     * reported if another one does; otherwise this node may be the one that is cut off.
+     */
     async exchangeOnce(): Promise<void> {
         this.#removeDepartedOrigins();
         this.#heartbeat += 1;
         this.#state.setHeartbeat(this.#options.self.id, this.#heartbeat, this.#options.clock.monotonic());
         const peer = this.#pickPeer();
-        if (peer === undefined) {
+        if (peer === undefined || await this.#exchangeWith(peer)) {
             return;
         }
+        const other = this.#pickPeer();
+        if (other !== undefined && other.id !== peer.id && await this.#exchangeWith(other)) {
+            this.#reportUnreachable(peer);
+        }
+    }
+
+    /** @returns Whether the peer answered the first or the second attempt: one message may be lost. */
+    async #exchangeWith(peer: PeerAddress): Promise<boolean> {
+        const { transport, clock } = this.#options;
         const request: ExchangeRequest = {
             ...this.#createEnvelope(),
             ...encodeDigest(this.#state, this.#getDigestLines()),
             items: [],
         };
         const sentVersions = this.#getVersions();
-        const reply = await this.#options.transport.exchange(peer, request);
+        const reply = await transport.exchange(peer, request) ?? await transport.exchange(peer, request);
         if (reply === undefined) {
-            this.#partners.markUnresponsive(peer.id, this.#options.clock.monotonic());
-            return;
+            this.#partners.markUnresponsive(peer.id, clock.monotonic());
+            return false;
         }
         this.#partners.markResponsive(peer.id);
         this.#handleReply(peer, reply, sentVersions);
+        return true;
     }
 
     /**
@@ -230,6 +264,13 @@
         return this.#options.journal.getCounter();
     }
 
+    #reportUnreachable({ id }: PeerAddress): void {
+        const { heartbeat } = this.#state.getDigestLine(id);
+        if (heartbeat > 0 && !this.#unreachablePeers.includes({ id, heartbeat })) {
+            this.set(unreachableKey, this.#unreachablePeers.add({ id, heartbeat }), { urgent: true });
+        }
+    }
+
     #schedule(): void {
         const jitter = 0.9 + this.#options.random.next() * 0.2;
         this.#timer = setTimeout(() => {
@@ -314,6 +355,9 @@
             }
         }
         for (const item of newer) {
+            if (item.key === unreachableKey && !item.removed) {
+                this.#unreachablePeers.apply(item.value);
+            }
             for (const listener of this.#listeners) {
                 listener(item.origin, item.key, item.removed ? undefined : item.value);
             }
@@ -336,6 +380,10 @@
 
     #pickPeer(): PeerAddress | undefined {
         const { unresponsive, responsive } = this.#classifyPeers();
+        this.#exchanges += 1;
+        if (this.#exchanges % getWatchPeriods(this.getPeriodMilliseconds()) === 0 && responsive.length > maxPartners) {
+            return this.#partners.getSuccessor(responsive);
+        }
         const shouldPickUnresponsive = unresponsive.length > 0
             && this.#options.random.next() < unresponsivePeerProbability;
         const candidates = shouldPickUnresponsive
--- a/src/membership/gossipPartners.ts
+++ b/src/membership/gossipPartners.ts
@@ -58,15 +58,37 @@
     }
 
     /**
-     * Selects the partners among some peers.
+     * Returns the peer that follows this node in the order of identifiers, or the first one after the last. Each peer follows exactly
+     * one node, so that each is watched, whichever partners the nodes have.
+     * @param peers - The peers.
+     */
+    getSuccessor(peers: readonly PeerAddress[]): PeerAddress | undefined {
+        let first: PeerAddress | undefined;
+        let next: PeerAddress | undefined;
+        for (const peer of peers) {
+            if (first === undefined || peer.id < first.id) {
+                first = peer;
+            }
+            if (peer.id > this.#self && (next === undefined || peer.id < next.id)) {
+                next = peer;
+            }
+        }
+        return next ?? first;
+    }
+
+    /**
+     * Selects the partners among some peers: the successor, and others by rank. By rank alone, a few nodes would be nobody's partner,
+     * and urgent values would not reach them.
      * @param peers - The peers.
      */
     select(peers: readonly PeerAddress[]): readonly PeerAddress[] {
         if (peers.length <= maxPartners) {
             return peers;
         }
-        const ranked = [...peers].sort((first, second) => this.#getRank(second.id) - this.#getRank(first.id));
-        return ranked.slice(0, maxPartners);
+        const successor = this.getSuccessor(peers);
+        const ranked = peers.filter(peer => peer !== successor);
+        ranked.sort((first, second) => this.#getRank(second.id) - this.#getRank(first.id));
+        return [...ranked.slice(0, maxPartners - 1), ...successor === undefined ? [] : [successor]];
     }
 
     #getRank(peer: string): number {
--- a/src/membership/gossipTiming.ts
+++ b/src/membership/gossipTiming.ts
@@ -14,6 +14,11 @@
  * there and its total traffic is low.
  */
 const siteValueByteBudget = 128 * 1024;
+/** A node exchanges with its successor once in this number of periods, and more often where periods are long. */
+const watchPeriods = 3;
+const watchPeriodsAtLargeSite = 2;
+/** Time in which a node should notice that its successor does not answer. */
+const maxWatchMilliseconds = 3_000;
 /** Number of periods without an update from a member that are normal at any site size. */
 const minSuspicionPeriods = 6;
 
@@ -46,6 +51,14 @@
     return periodMilliseconds * (minSuspicionPeriods + 2 * Math.log2(peers + 2));
 }
 
+/**
+ * Returns in which share of its periods a node exchanges with its successor: once in this number of periods.
+ * @param periodMilliseconds - The time between two exchanges.
+ */
+export function getWatchPeriods(periodMilliseconds: number): number {
+    return periodMilliseconds * watchPeriods > maxWatchMilliseconds ? watchPeriodsAtLargeSite : watchPeriods;
+}
+
 /**
  * Returns the maximum bytes of values in a message.
  * @param maxBytes - The limit at a small site.
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -159,6 +159,16 @@
         );
     }
 
+    /**
+     * Returns the members whose addresses callers may receive: those presumed alive, without those that other nodes report as
+     * unreachable. When most are reported, this node may be the one that is cut off, and the reports are ignored.
+     */
+    getAddressable(): readonly Member[] {
+        const presumed = this.getPresumedAlive();
+        const reachable = presumed.filter(({ id }) => !this.#options.gossip.isReportedUnreachable(id));
+        return reachable.length > presumed.length * majority ? reachable : presumed;
+    }
+
     /**
      * Returns a member.
      * @param id - Its identifier.
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -225,7 +225,7 @@
         return new SiteServer({
             isReady: () => topics.getRoutes() !== undefined && !shutdown.hasStarted,
             getAddresses: failureDomain =>
-                chooseAddresses(membership.getPresumedAlive(), failureDomain).map(member => {
+                chooseAddresses(membership.getAddressable(), failureDomain).map(member => {
                     const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
                     return `${member.address}:${port}`;
                 }),
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -8,6 +8,8 @@
 /** Periods until an unresponsive member is suspected, and until it counts as dead. */
 const periodsUntilSuspected = 16;
 const periodsUntilDead = 50;
+/** Time after its death from which no node may name a member to callers. */
+const maxNamedMilliseconds = 7_000;
 
 function getState(node: GossipNode, id: string): string | undefined {
     return node.membership.get(id)?.state;
@@ -115,6 +117,53 @@
         });
     });
 
+    describe("getAddressable", () => {
+        // Guards against callers that are sent to a machine long after it has lost power: with many nodes, seconds pass until its
+        // heartbeat is so old that it is suspected.
+        it("leaves out a dead member within seconds at any size of the site", async () => {
+            for (const [count, periodMilliseconds] of [[8, 150], [59, 348], [89, 528], [195, 1_164]]) {
+                const site = createGossipSite(count, { periodMilliseconds });
+                await site.run(14);
+                for (const id of ["entry-0", "entry-5"]) {
+                    site.get(id).isDown = true;
+                }
+                await site.run(Math.floor(maxNamedMilliseconds / periodMilliseconds));
+                for (const node of site.nodes.filter(({ isDown }) => !isDown)) {
+                    const named = node.membership.getAddressable().map(({ id }) => id);
+                    expect(named.filter(id => site.get(id).isDown)).toEqual([]);
+                    expect(named.length).toEqual(count - 2);
+                }
+            }
+        });
+
+        // Guards against healthy members that are left out because one node cannot reach them.
+        it("keeps members that other nodes reach, also when the links to one of them or from one node are cut", async () => {
+            const site = createGossipSite(59, { periodMilliseconds: 348 });
+            await site.run(14);
+            for (const { vm: { id } } of site.nodes) {
+                site.cutLinks.add(`entry-3>${id}`);
+                site.cutLinks.add(`${id}>entry-7`);
+            }
+            for (let period = 0; period < 40; period += 1) {
+                await site.run(1);
+                for (const node of site.nodes.filter(({ vm }) => vm.id !== "entry-3" && vm.id !== "entry-7")) {
+                    const named = node.membership.getAddressable().map(({ id }) => id);
+                    expect(named.length >= 57).toEqual(true);
+                }
+            }
+        });
+
+        it("names a member again when it is back", async () => {
+            const site = createGossipSite(20, { periodMilliseconds: 150 });
+            await site.run(14);
+            site.get("entry-5").isDown = true;
+            await site.run(20);
+            site.get("entry-5").isDown = false;
+            await site.run(periodsToPropagate);
+            expect(site.nodes[0].membership.getAddressable().length).toEqual(20);
+        });
+    });
+
     describe("announceLeaving", () => {
         it("reaches all members at once", async () => {
             const site = await createConvergedSite();
