Follow evacuations, and send little to upstreams that warm up

Records say how long a runner still warms up, and the field was dropped; evacuations were not read. Change: the registry holds which upstreams warm up and which failure domains are evacuated. A warming upstream gets requests from a few nodes of its failure domain only, chosen by rank, two a second from each, which together stay below the rate that the configuration allows; nodes that have just started or whose list of upstreams is old send it nothing. Its pace enters no statistics, and its crash is no evidence against a request. An evacuated domain's upstreams are unavailable until the record is removed, and presumed to warm up afterwards. When the version that serves a request has only warming upstreams, another version with warm ones does. Ruled out: limits without ranks (59 nodes cannot ask one another for each request). Not covered: a runner that turns cold without a restart gets what it got before until its next record arrives.

--- a/src/decisions/dispatch/index.ts
+++ b/src/decisions/dispatch/index.ts
@@ -3,3 +3,4 @@
 export type { PromptDescription, UpstreamPick, UpstreamPickOptions } from "./pick.js";
 export * from "./upstreamPicker.js";
 export type { CallOutcome } from "./upstreamStatus.js";
+export * from "./warmUpLimit.js";
--- a/src/decisions/dispatch/runnerSubsets.ts
+++ b/src/decisions/dispatch/runnerSubsets.ts
@@ -11,8 +11,8 @@
 const subsetSize = 12;
 
 interface RankedRunners {
-    /** First runners in this node's order: own failure domain first, then by rank. */
-    readonly subset: readonly RegisteredUpstream[];
+    /** All runners in this node's order: own failure domain first, then by rank. */
+    readonly ranked: readonly RegisteredUpstream[];
     readonly byId: ReadonlyMap<string, RegisteredUpstream>;
 }
 
@@ -44,19 +44,22 @@
      * Returns the runners to choose from: the subset of this node, and the runners that may have the prompt in their cache.
      * @param runners - All runners. Results are cached by array identity, so a changed list must be a new array.
      * @param holders - Identifiers of the runners that may have the prompt in their cache.
+     * @param usable - Those of the runners that may be chosen now. The next ones in the node's order replace the others.
      */
     selectCandidates(
         runners: readonly RegisteredUpstream[],
         holders: readonly string[],
+        usable: readonly RegisteredUpstream[] = runners,
     ): readonly RegisteredUpstream[] {
-        if (runners.length <= subsetSize) {
-            return runners;
+        if (usable.length <= subsetSize) {
+            return usable;
         }
-        const { subset, byId } = this.#getRankedRunners(runners);
-        const selected = [...subset];
+        const { ranked, byId } = this.#getRankedRunners(runners);
+        const selected = usable === runners ? ranked.slice(0, subsetSize) : selectUsable(ranked, usable);
+        const subset = new Set(selected);
         for (const holder of holders) {
             const upstream = byId.get(holder);
-            if (upstream !== undefined && !subset.includes(upstream)) {
+            if (upstream !== undefined && !subset.has(upstream)) {
                 selected.push(upstream);
             }
         }
@@ -67,7 +70,7 @@
         let rankedRunners = this.#rankedRunners.get(runners);
         if (rankedRunners === undefined) {
             rankedRunners = {
-                subset: this.#selectSubset(runners),
+                ranked: this.#rank(runners),
                 byId: new Map(runners.map(upstream => [upstream.id, upstream])),
             };
             this.#rankedRunners.set(runners, rankedRunners);
@@ -75,14 +78,14 @@
         return rankedRunners;
     }
 
-    #selectSubset(runners: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
+    #rank(runners: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
         const ranked = runners.map(upstream => ({
             upstream,
             isNear: upstream.failureDomain === this.#failureDomain,
             rank: this.#getRank(upstream.id),
         }));
         ranked.sort((first, second) => Number(second.isNear) - Number(first.isNear) || second.rank - first.rank);
-        return ranked.slice(0, subsetSize).map(({ upstream }) => upstream);
+        return ranked.map(({ upstream }) => upstream);
     }
 
     #getRank(id: string): number {
@@ -94,3 +97,21 @@
         return rank;
     }
 }
+
+function selectUsable(
+    ranked: readonly RegisteredUpstream[],
+    usable: readonly RegisteredUpstream[],
+): RegisteredUpstream[] {
+    const usableSet = new Set(usable);
+    const selected: RegisteredUpstream[] = [];
+    for (const upstream of ranked) {
+        if (!usableSet.has(upstream)) {
+            continue;
+        }
+        selected.push(upstream);
+        if (selected.length === subsetSize) {
+            break;
+        }
+    }
+    return selected;
+}
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -48,6 +48,7 @@
     readonly #subsets: RunnerSubsets;
     readonly #holders = new PromptHolders();
     readonly #onEject: (upstream: string, milliseconds: number) => void;
+    readonly #isAdmitted: (upstream: RegisteredUpstream) => boolean;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #prefillRates = new PrefillRate();
     /** Average loads by pool. */
@@ -62,12 +63,15 @@
         readonly failureDomain: string;
         readonly random: RandomSource;
         readonly onEject: (upstream: string, milliseconds: number) => void;
+        /** Returns whether an upstream may get a request from this node now. Without it, every upstream may. */
+        readonly isAdmitted?: (upstream: RegisteredUpstream) => boolean;
     }) {
         this.#clock = options.clock;
         this.#random = options.random;
         this.#failureDomain = options.failureDomain;
         this.#subsets = new RunnerSubsets(options);
         this.#onEject = options.onEject;
+        this.#isAdmitted = options.isAdmitted ?? (() => true);
     }
 
     /**
@@ -76,14 +80,17 @@
      */
     pick(options: UpstreamPickOptions): UpstreamPick | undefined {
         const now = this.#clock.monotonic();
-        const untried = exclude(options.candidates, ({ id }) => options.excluded.has(id));
+        const untried = exclude(
+            options.candidates,
+            upstream => options.excluded.has(upstream.id) || !this.#isAdmitted(upstream),
+        );
         const healthy = exclude(untried, ({ id }) => this.#getStatus(id).isEjected(now));
         if (healthy.length === 0) {
             // An attempt on an ejected upstream may succeed; without it the request would certainly be refused.
             return this.#createPick(this.#findLeastLoaded(untried, now), "ejected", now);
         }
         if (options.prompt !== undefined) {
-            return this.#findLeastWait(healthy, options.prompt, now);
+            return this.#findLeastWait(options.candidates, healthy, options.prompt, now);
         }
         const sameDomain = healthy.filter(upstream => upstream.failureDomain === this.#failureDomain);
         const upstream = this.#findWithFreeCapacity(sameDomain, now) ?? this.#findLeastLoaded(healthy, now);
@@ -235,14 +242,15 @@
      */
     #findLeastWait(
         candidates: readonly RegisteredUpstream[],
+        usable: readonly RegisteredUpstream[],
         prompt: PromptDescription,
         now: number,
     ): UpstreamPick | undefined {
-        const holders = this.#holders.findTwoHolders(candidates, prompt.sharedKey);
+        const holders = this.#holders.findTwoHolders(usable, prompt.sharedKey);
         const domainCost = crossDomainMilliseconds + crossDomainMillisecondsPerKilobyte * prompt.bytes / 1_024;
         let best: UpstreamPick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const upstream of this.#subsets.selectCandidates(candidates, holders)) {
+        for (const upstream of this.#subsets.selectCandidates(candidates, holders, usable)) {
             const status = this.#getStatus(upstream.id);
             const hitProbability = cacheHitProbabilities[holders.indexOf(upstream.id)] ?? 0;
             const uncachedTokens = prompt.tokens - hitProbability * prompt.sharedTokens;
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -327,6 +327,18 @@
         "info",
         "An upstream registered itself or changed its record, or its record was removed.",
     ),
+    evacuationStarted: define(
+        429,
+        "evacuation-started",
+        "warning",
+        "The operator evacuated a failure domain: this node sends its upstreams no more requests.",
+    ),
+    evacuationEnded: define(
+        430,
+        "evacuation-ended",
+        "info",
+        "The evacuation of a failure domain ended. Its upstreams are presumed to warm up.",
+    ),
     requestRouted: define(
         421,
         "request-routed",
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,3 +1,4 @@
 /** The upstreams that register themselves with the platform. */
 export * from "./upstream.js";
 export * from "./upstreamRegistry.js";
+export type { WarmUps } from "./warmUps.js";
--- a/src/fleet/upstream.ts
+++ b/src/fleet/upstream.ts
@@ -23,5 +23,7 @@
     readonly isLeaving: boolean;
     /** Unix time of its start in milliseconds, if registered. A restart under the same identifier discards all earlier state. */
     readonly startedAt: number | undefined;
+    /** Remaining warm-up time when the record was written, in milliseconds; 0 for a warm upstream. */
+    readonly warmUpMilliseconds: number;
     readonly models: readonly LoadedModel[];
 }
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -2,13 +2,18 @@
  * Registry of the upstreams that may receive requests.
  */
 import type { Clock } from "../common/index.js";
+import { Evacuations } from "./evacuations.js";
 import type { RegisteredUpstream } from "./upstream.js";
+import { WarmUps } from "./warmUps.js";
 
 /** Called with an upstream that was removed or restarted. */
 export type UpstreamListener = (upstream: RegisteredUpstream) => void;
 
 /** Holds the registered upstreams. */
 export class UpstreamRegistry {
+    /** The upstreams that are warming up. */
+    readonly warmUps: WarmUps;
+    readonly #evacuations: Evacuations;
     readonly #clock: Clock;
     readonly #upstreams = new Map<string, RegisteredUpstream>();
     /** Monotonic times until which removed upstreams still count as registered. */
@@ -18,6 +23,8 @@
 
     constructor(clock: Clock) {
         this.#clock = clock;
+        this.warmUps = new WarmUps(clock);
+        this.#evacuations = new Evacuations(clock);
     }
 
     /**
@@ -39,6 +46,7 @@
         }
         this.#upstreams.set(upstream.id, upstream);
         this.#expiryTimes.delete(upstream.id);
+        this.warmUps.set(upstream.id, upstream.warmUpMilliseconds);
         this.#byPool = undefined;
     }
 
@@ -72,6 +80,42 @@
         }
     }
 
+    /**
+     * Evacuates a failure domain: its upstreams accept no requests until the evacuation ends.
+     * @returns Whether the domain was not evacuated before.
+     */
+    evacuate(failureDomain: string): boolean {
+        this.#byPool = undefined;
+        return this.#evacuations.add(failureDomain);
+    }
+
+    /**
+     * Ends the evacuation of a failure domain. Its upstreams have received nothing for a while and may have lost their state, which
+     * their next records show only later, so they are presumed to warm up.
+     * @param failureDomain - The failure domain.
+     * @param getWarmUpMilliseconds - Returns how long the upstreams of a pool warm up.
+     * @returns The duration of the evacuation in milliseconds, or undefined if the domain was not evacuated.
+     */
+    endEvacuation(failureDomain: string, getWarmUpMilliseconds: (pool: string) => number): number | undefined {
+        const duration = this.#evacuations.remove(failureDomain);
+        if (duration === undefined) {
+            return undefined;
+        }
+        this.#byPool = undefined;
+        for (const upstream of this.#upstreams.values()) {
+            const warmUpMilliseconds = getWarmUpMilliseconds(upstream.pool);
+            if (upstream.failureDomain === failureDomain && warmUpMilliseconds > 0) {
+                this.warmUps.presume(upstream.id, warmUpMilliseconds);
+            }
+        }
+        return duration;
+    }
+
+    /** Returns the number of evacuated failure domains. */
+    countEvacuations(): number {
+        return this.#evacuations.count();
+    }
+
     /**
      * Returns an upstream, even if it is leaving.
      * @param id - The upstream's identifier.
@@ -86,7 +130,8 @@
     }
 
     /**
-     * Returns the upstreams of a pool that accept requests.
+     * Returns the upstreams of a pool that accept requests, those that are warming up among them. The result is the same array until
+     * something changes.
      * @param pool - Name of the pool.
      */
     getAvailable(pool: string): readonly RegisteredUpstream[] {
@@ -108,6 +153,7 @@
     #delete(upstream: RegisteredUpstream): void {
         this.#upstreams.delete(upstream.id);
         this.#expiryTimes.delete(upstream.id);
+        this.warmUps.remove(upstream.id);
         this.#byPool = undefined;
         this.#notifyRemoved(upstream);
     }
@@ -121,7 +167,7 @@
     #groupByPool(): ReadonlyMap<string, readonly RegisteredUpstream[]> {
         const byPool = new Map<string, RegisteredUpstream[]>();
         for (const upstream of this.#upstreams.values()) {
-            if (upstream.isLeaving) {
+            if (upstream.isLeaving || this.#evacuations.has(upstream.failureDomain)) {
                 continue;
             }
             const list = byPool.get(upstream.pool);
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -15,6 +15,8 @@
     readonly outcome: CallOutcome;
     /** Time from sending the request to the head of the answer. Undefined when no head arrived. */
     readonly headMilliseconds: number | undefined;
+    /** Whether the upstream was warming up when the attempt started. Its pace then says nothing about a warm one. */
+    readonly isWarmingUp: boolean;
 }
 
 /** Parameters of one attempt. */
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -8,6 +8,7 @@
     PromptDescription,
     UpstreamPick,
     UpstreamPicker,
+    WarmUpLimit,
     WindowedRetryBudget,
 } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
@@ -27,6 +28,7 @@
     readonly metrics: ForwardingMetrics;
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
+    readonly warmUpLimit: WarmUpLimit;
     readonly transport: UpstreamTransport;
     readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
@@ -37,6 +39,11 @@
     readonly onStart: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
 }
 
+interface PickedUpstream {
+    readonly pick: UpstreamPick;
+    readonly versionReason: string | undefined;
+}
+
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
 
@@ -54,13 +61,7 @@
      * @param prompt - The prompt.
      */
     estimate(exchange: Exchange, prompt: PromptDescription): number | undefined {
-        const { upstreams } = this.#select(exchange);
-        const pick = this.#options.picker.pick({
-            pool: exchange.pool,
-            candidates: upstreams,
-            excluded: new Set(),
-            prompt,
-        });
+        const pick = this.#pick(exchange, prompt, new Set())?.pick;
         return pick && pick.expectedMilliseconds * this.#options.picker.getWaitRatio();
     }
 
@@ -84,16 +85,11 @@
             }
             return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineMilliseconds });
         }
-        const { upstreams, reason } = this.#select(exchange);
-        const pick = this.#options.picker.pick({
-            pool: exchange.pool,
-            candidates: upstreams,
-            excluded: exchange.excluded,
-            prompt: request.prompt,
-        });
-        if (pick === undefined) {
+        const selected = this.#pick(exchange, request.prompt, exchange.excluded);
+        if (selected === undefined) {
             return err({ kind: "not-made", reason: "nobody" });
         }
+        const { pick, versionReason } = selected;
         const budget = this.#options.getBudget(exchange.pool);
         if (!exchange.isCountedInBudget) {
             exchange.isCountedInBudget = true;
@@ -103,11 +99,28 @@
             return err({ kind: "not-made", reason: "budget" });
         }
         exchange.addAttempt(pick.upstream);
-        return this.#send(request, pick, reason);
+        return this.#send(request, pick, versionReason);
     }
 
-    #select(exchange: Exchange): VersionSelection {
-        return this.#options.selectVersion(exchange, this.#options.registry.getAvailable(exchange.pool));
+    /**
+     * Picks an upstream of the version that serves the request. When all upstreams of that version are warming up and may get nothing
+     * from this node now, as at the beginning of a roll-out, a version with warm upstreams serves it.
+     */
+    #pick(
+        exchange: Exchange,
+        prompt: PromptDescription | undefined,
+        excluded: ReadonlySet<string>,
+    ): PickedUpstream | undefined {
+        const { registry, picker, selectVersion } = this.#options;
+        const available = registry.getAvailable(exchange.pool);
+        const pickAmong = (candidates: readonly RegisteredUpstream[]): PickedUpstream | undefined => {
+            const { upstreams, reason } = selectVersion(exchange, candidates);
+            const pick = picker.pick({ pool: exchange.pool, candidates: upstreams, excluded, prompt });
+            return pick && { pick, versionReason: reason };
+        };
+        const isWarmingUp = ({ id }: RegisteredUpstream): boolean => registry.warmUps.isWarmingUp(id);
+        return pickAmong(available)
+            ?? (available.some(isWarmingUp) ? pickAmong(available.filter(one => !isWarmingUp(one))) : undefined);
     }
 
     async #send(
@@ -120,7 +133,7 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, crashWatch, picker, transport } = this.#options;
+        const { clock, crashWatch, picker, registry, transport, warmUpLimit } = this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -134,6 +147,7 @@
             ? undefined
             : setTimeout(handleHeadTimeout, headTimeout);
         const startedAt = clock.monotonic();
+        const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
         const pointsAtStart = crashWatch.getPoints(exchange.watchedRequest);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
@@ -148,18 +162,20 @@
             exchange.lastEvaluation = crashWatch.evaluate({
                 request: exchange.watchedRequest,
                 upstream,
-                end,
+                // An upstream that is warming up crashes under its load. That is no evidence against one of its requests.
+                end: isWarmingUp && end === "disconnected" ? "stopped" : end,
                 pointsAtStart,
                 headAt,
                 isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
             });
-            const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds };
+            const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isWarmingUp };
             onEnd(ended);
             const promptTokens = prompt?.tokens;
             this.#finish(ended, { choice, versionReason, reason, startedAt, promptTokens, confidence });
         };
         const onEnd = this.#options.onStart(exchange, upstream);
         picker.start(upstream.id);
+        warmUpLimit.add(upstream);
         picker.addPendingPrefill(upstream.id, prefillMilliseconds);
         const result = await transport.call(upstream, {
             request: exchange.request,
@@ -187,7 +203,7 @@
         headMilliseconds = clock.monotonic() - startedAt;
         confidence = result.value.confidence;
         picker.markSeen(upstream.id);
-        if (prompt !== undefined) {
+        if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
         const { load } = result.value;
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -69,6 +69,16 @@
             help: "Upstreams that are registered, leaving ones among them.",
             registers,
         }),
+        warmingUpstreams: new Gauge({
+            name: "rattanlock_warming_upstreams",
+            help: "Upstreams that are warming up and get few requests.",
+            registers,
+        }),
+        evacuatedDomains: new Gauge({
+            name: "rattanlock_evacuated_failure_domains",
+            help: "Failure domains whose upstreams get no requests because the operator evacuated them.",
+            registers,
+        }),
         quarantined: new Gauge({
             name: "rattanlock_quarantined_requests",
             help: "Requests that are sent to no upstream because they crash the upstreams that run them.",
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -35,6 +35,8 @@
 const serviceSchema = z.object({
     name: z.string(),
     max_conns: z.number().default(64),
+    cold_start_s: z.number().nonnegative().default(0),
+    cold_per_s: z.number().nonnegative().default(0),
     engine: z.object({ models: z.array(z.object({ name: z.string(), cost: z.number().default(0) })).default([]) })
         .optional(),
 });
@@ -153,6 +155,8 @@
     return {
         name: service.name,
         maxConnections: service.max_conns,
+        warmUpMilliseconds: service.cold_start_s * 1_000,
+        warmUpRequestsPerSecond: service.cold_per_s,
         models: service.engine?.models.map(model => ({ name: model.name, price: model.cost })) ?? [],
     };
 }
--- a/src/platform/decodeUpstream.ts
+++ b/src/platform/decodeUpstream.ts
@@ -13,6 +13,7 @@
     state: z.enum(["ready", "draining"]),
     /** Unix time at which the runner started, in milliseconds. */
     born: z.number().int().optional(),
+    cold_left_ms: z.number().nonnegative().default(0),
     models: z.array(z.object({ name: z.string(), version: z.number() })).default([]),
 });
 
@@ -45,6 +46,7 @@
         slots: record.slots,
         isLeaving: record.state === "draining",
         startedAt: record.born,
+        warmUpMilliseconds: record.cold_left_ms,
         models: record.models.map(model => ({ name: model.name, weightsVersion: model.version })),
     };
 }
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -94,9 +94,10 @@
 
     /** Discards what was collected about removed and restarted upstreams: it is invalid after a restart under the same identifier. */
     #clearStateOfRemovedUpstreams(): void {
-        const { registry, picker, upstreamClient } = this.getParts();
+        const { registry, picker, upstreamClient, warmUpLimit } = this.getParts();
         registry.onRemoved(({ id }) => {
             picker.remove(id);
+            warmUpLimit.remove(id);
             upstreamClient.closeConnections(id);
         });
     }
--- a/src/platform/nodeMetrics.ts
+++ b/src/platform/nodeMetrics.ts
@@ -11,6 +11,8 @@
     metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
     metrics.members.set(membership.getAlive().length);
     metrics.upstreams.set([...registry.getAll()].length);
+    metrics.warmingUpstreams.set(registry.warmUps.count());
+    metrics.evacuatedDomains.set(registry.countEvacuations());
     metrics.quarantined.set(quarantine.countQuarantined());
     metrics.linesLeftOut.set(lineWriter.getDroppedCount());
     return { type: metrics.registry.contentType, text: await metrics.registry.metrics() };
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -3,7 +3,7 @@
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
 import { type Clock, RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
+import { UpstreamPicker, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
 import { Attempts, createForwardingMetrics, Forwarder, type ForwardingMetrics, Shutdown } from "../forwarding/index.js";
@@ -66,6 +66,7 @@
     readonly gossip: Gossip;
     readonly membership: Membership;
     readonly directory: MemberDirectory;
+    readonly warmUpLimit: WarmUpLimit;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly upstreamClient: UpstreamClient;
@@ -148,13 +149,15 @@
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
-    picker: ({ clock, settings, random, journal, self }) =>
+    warmUpLimit: parts => createWarmUpLimit(parts),
+    picker: ({ clock, settings, random, journal, self, warmUpLimit }) =>
         new UpstreamPicker({
             clock,
             self: self.id,
             failureDomain: settings.failureDomain,
             random,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
+            isAdmitted: upstream => warmUpLimit.isAdmitted(upstream),
         }),
     budgets: ({ clock, liveSettings, membership }) => createBudgets(clock, liveSettings, membership),
     upstreamClient: ({ topics, membership }) =>
@@ -177,25 +180,7 @@
         new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
-    attempts: ({ clock, journal, metrics, registry, picker, upstreamClient, crashWatch, budgets, rollouts }) =>
-        new Attempts({
-            clock,
-            journal,
-            metrics,
-            registry,
-            picker,
-            transport: upstreamClient,
-            crashWatch,
-            getBudget: budgets,
-            selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
-            onStart: (exchange, upstream) => {
-                const end = rollouts.startRequest(upstream, exchange.request.session);
-                return attempt => {
-                    end();
-                    addEvidence(rollouts, attempt);
-                };
-            },
-        }),
+    attempts: parts => createAttempts(parts),
     forwarder: ({ clock, journal, metrics, attempts, topics, liveSettings, budgets, shutdown }) =>
         new Forwarder({
             clock,
@@ -235,6 +220,46 @@
     },
 };
 
+/** A node that has just started does not know all others yet, and they do not know it. */
+const shareSettlingMilliseconds = 5_000;
+/** Records of upstreams are written about every second. An older list may lack that an upstream warms up. */
+const maxUpstreamsAgeMilliseconds = 3_000;
+
+function createWarmUpLimit({ clock, self, registry, topics, membership }: NodeParts): WarmUpLimit {
+    const settledAt = clock.monotonic() + shareSettlingMilliseconds;
+    return new WarmUpLimit({
+        clock,
+        self: self.id,
+        isWarmingUp: ({ id }) => registry.warmUps.isWarmingUp(id),
+        getRequestsPerSecond: pool => topics.getRoutes()?.getPool(pool)?.warmUpRequestsPerSecond ?? 0,
+        getNodes: () => membership.getMembers(),
+        mayHold: () => clock.monotonic() > settledAt && topics.getUpstreamsAge() < maxUpstreamsAgeMilliseconds,
+    });
+}
+
+function createAttempts(parts: NodeParts): Attempts {
+    const { upstreamClient, budgets, rollouts } = parts;
+    return new Attempts({
+        clock: parts.clock,
+        journal: parts.journal,
+        metrics: parts.metrics,
+        registry: parts.registry,
+        picker: parts.picker,
+        warmUpLimit: parts.warmUpLimit,
+        transport: upstreamClient,
+        crashWatch: parts.crashWatch,
+        getBudget: budgets,
+        selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
+        onStart: (exchange, upstream) => {
+            const end = rollouts.startRequest(upstream, exchange.request.session);
+            return attempt => {
+                end();
+                addEvidence(rollouts, attempt);
+            };
+        },
+    });
+}
+
 function createBudgets(
     clock: Clock,
     liveSettings: LiveSettings,
--- a/src/platform/nodeSettings.ts
+++ b/src/platform/nodeSettings.ts
@@ -34,6 +34,8 @@
         readonly revocationMilliseconds: number;
         /** Maximum time until an upstream that announced its departure receives no new requests. */
         readonly drainMilliseconds: number;
+        /** Maximum time until an evacuated failure domain receives no new requests. Undefined where none can be evacuated. */
+        readonly evacuationMilliseconds: number | undefined;
         /** Time from the stop signal until the process is killed. */
         readonly stopMilliseconds: number;
         /** Number of retries that each request permits, and the extra retries of all nodes together in one window. */
@@ -75,6 +77,10 @@
     return { host, port: Number(port) };
 });
 const numberSchema = z.coerce.number().nonnegative();
+/** A bound that the platform leaves empty where it does not apply. */
+const optionalNumberSchema = z.string().default("")
+    .transform(text => text.trim() === "" ? undefined : Number(text))
+    .pipe(z.number().nonnegative().optional());
 const settingsSchema = z.object({
     node: z.object({
         name: z.string().min(1),
@@ -99,6 +105,7 @@
         config_apply_ms: numberSchema,
         revoke_ms: numberSchema,
         drain_ms: numberSchema,
+        evacuate_ms: optionalNumberSchema,
         stop_grace_s: numberSchema,
         retry_ratio: numberSchema,
         retry_window_s: numberSchema,
@@ -141,6 +148,7 @@
             configurationMilliseconds: bounds.config_apply_ms,
             revocationMilliseconds: bounds.revoke_ms,
             drainMilliseconds: bounds.drain_ms,
+            evacuationMilliseconds: bounds.evacuate_ms,
             stopMilliseconds: bounds.stop_grace_s * millisecondsPerSecond,
             retryRatio: bounds.retry_ratio,
             retryWindowMilliseconds: bounds.retry_window_s * millisecondsPerSecond,
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -16,13 +16,13 @@
     type TopicFollowerOptions,
     TopicSources,
 } from "../topics/index.js";
-import { decodeConfiguration, decodeRolloutOrder } from "./decodeConfiguration.js";
 import { decodeUpstream } from "./decodeUpstream.js";
 import type { LiveSettings } from "./nodeSettings.js";
+import { OperatorRecords } from "./operatorRecords.js";
 import { StatusRecords } from "./statusRecords.js";
 import type { StatusWriter } from "./statusWriter.js";
 import type { StoreClient } from "./storeClient.js";
-import { recordKeys, topics } from "./wire.js";
+import { topics } from "./wire.js";
 
 /**
  * Long polls return after this time; an empty response confirms that the state is current. API keys need a confirmation every few
@@ -83,15 +83,15 @@
     readonly #upstreams: TopicFollower;
     readonly #status: TopicFollower;
     readonly #followers = new Map<string, TopicFollower>();
-    readonly #routeListeners: (() => void)[] = [];
+    readonly #operatorRecords: OperatorRecords;
     readonly #sources: TopicSources;
     readonly #writer: StatusWriter;
-    #routes: RouteTable | undefined;
     #startedAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: PlatformTopicsOptions) {
         this.#options = options;
         this.#writer = options.writer;
+        this.#operatorRecords = new OperatorRecords(options);
         const { self, membership, peerClient, suspensionClock, liveSettings } = options;
         this.#sources = new TopicSources({
             self,
@@ -100,8 +100,13 @@
             clock: suspensionClock,
             getSeeds: () => liveSettings.get().seeds,
         });
-        const { configurationMilliseconds, drainMilliseconds } = options.liveSettings.get().bounds;
-        const minBoundMilliseconds = Math.min(configurationMilliseconds, drainMilliseconds);
+        const { configurationMilliseconds, drainMilliseconds, evacuationMilliseconds } =
+            options.liveSettings.get().bounds;
+        const minBoundMilliseconds = Math.min(
+            configurationMilliseconds,
+            drainMilliseconds,
+            evacuationMilliseconds ?? Number.POSITIVE_INFINITY,
+        );
         const shortTiming = {
             waitMilliseconds: Math.min(maxConfirmationMilliseconds, minBoundMilliseconds * confirmationShare),
             staleMilliseconds: minBoundMilliseconds * staleShare,
@@ -111,7 +116,7 @@
         this.#operator = this.#createFollower(
             topics.operator,
             { ...shortTiming, waitForPeers },
-            changed => this.#applyOperatorRecords(changed),
+            changed => this.#operatorRecords.apply(changed),
         );
         this.#upstreams = this.#createFollower(
             topics.upstreams,
@@ -161,12 +166,12 @@
 
     /** Adds a listener for new route tables. */
     onRoutes(listener: () => void): void {
-        this.#routeListeners.push(listener);
+        this.#operatorRecords.onRoutes(listener);
     }
 
     /** Returns the route table in force, or undefined before the first one. */
     getRoutes(): RouteTable | undefined {
-        return this.#routes;
+        return this.#operatorRecords.getRoutes();
     }
 
     /** Returns the time since the configuration was last confirmed to be the latest, in milliseconds. */
@@ -174,6 +179,11 @@
         return this.#operator.getAge();
     }
 
+    /** Returns the time since the list of upstreams was last confirmed to be the latest, in milliseconds. */
+    getUpstreamsAge(): number {
+        return this.#upstreams.getAge();
+    }
+
     /**
      * Answers a peer that reads a topic through this node.
      * @param request - The peer's request.
@@ -209,45 +219,6 @@
         });
     }
 
-    #applyOperatorRecords(changed: readonly KeyedRecord[]): void {
-        for (const { key, value, offset } of changed) {
-            if (key === recordKeys.configuration && value !== undefined) {
-                this.#applyConfiguration(value);
-            }
-            else if (key.startsWith(recordKeys.rolloutPrefix) && value !== undefined) {
-                this.#applyRolloutOrder(key, value, offset);
-            }
-        }
-    }
-
-    #applyConfiguration(value: Buffer): void {
-        const { journal } = this.#options;
-        const decoded = decodeConfiguration(value);
-        if (decoded.isErr()) {
-            journal.write(events.recordUnreadable, {
-                key: recordKeys.configuration,
-                cause: String(decoded.error.cause),
-            });
-            return;
-        }
-        if (this.#routes !== undefined && decoded.value.version <= this.#routes.version) {
-            return;
-        }
-        this.#routes = decoded.value;
-        journal.write(events.routesInForce, { version: decoded.value.version });
-        for (const listener of this.#routeListeners) {
-            listener();
-        }
-    }
-
-    #applyRolloutOrder(key: string, value: Buffer, offset: number): void {
-        const { journal, getRollouts } = this.#options;
-        decodeRolloutOrder(value, offset).match(
-            order => getRollouts().setOrder(order),
-            failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
-        );
-    }
-
     #applyUpstreams(changed: readonly KeyedRecord[]): void {
         const { registry, journal } = this.#options;
         for (const { key, value } of changed) {
--- a/src/platform/rolloutParts.ts
+++ b/src/platform/rolloutParts.ts
@@ -21,7 +21,7 @@
  */
 export function addEvidence(
     rollouts: Rollouts,
-    { exchange, upstream, model, outcome, headMilliseconds }: EndedAttempt,
+    { exchange, upstream, model, outcome, headMilliseconds, isWarmingUp }: EndedAttempt,
 ): void {
     if (outcome === "ok" || outcome === "error") {
         const segment = `${exchange.route.name} ${model ?? ""}`;
@@ -29,7 +29,7 @@
         rollouts.addAnswer(upstream, {
             segment,
             hasFailed: outcome === "error",
-            headMilliseconds,
+            headMilliseconds: isWarmingUp ? undefined : headMilliseconds,
             objectiveMilliseconds,
         });
     }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -65,6 +65,8 @@
 export const recordKeys = {
     configuration: "config",
     rolloutPrefix: "rollout/",
+    /** One record for each failure domain that is evacuated. */
+    evacuationPrefix: "evacuate/",
     /** Progress of a roll-out. Only the nodes read it. */
     progressPrefix: "progress/",
     /** Pinned sessions by node and pool. Only the nodes read them. */
--- a/src/routing/pool.ts
+++ b/src/routing/pool.ts
@@ -14,6 +14,10 @@
     readonly name: string;
     /** Maximum number of connections that one upstream accepts from all nodes together. */
     readonly maxConnections: number;
+    /** How long an upstream warms up after its start, in milliseconds; 0 if it is warm at once. */
+    readonly warmUpMilliseconds: number;
+    /** Requests a second of all nodes that an upstream tolerates while it warms up. */
+    readonly warmUpRequestsPerSecond: number;
     /** Empty for plain services. */
     readonly models: readonly PricedModel[];
 }
