Space a node's calls to a store that does not answer it, for all topics together

Cause: while the store does not answer, each of a node's three topics asked it again every 0.4 s or so, in turn with peers. All nodes also began with the same peer. Change: one backoff a node, shared by its topics, up to 2.4 s; the node that usually reads the store stays at 0.4 s, so that its return is noticed at once. Nodes begin their fallback reads with different peers. Ruled out: a longer backoff for all nodes, since API keys are refused until the store was read again.

--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -2,6 +2,7 @@
 export * from "./keyedTopic.js";
 export * from "./peerTopics.js";
 export * from "./readSource.js";
+export * from "./storeBackoff.js";
 export * from "./topicFollower.js";
 export * from "./topicSources.js";
 export * from "./topicState.js";
--- a/src/topics/readSource.ts
+++ b/src/topics/readSource.ts
@@ -22,6 +22,8 @@
     readonly alive: readonly Member[];
     /** Whether the state is old, or reading failed, so that the usual source is not sufficient. */
     readonly isStale: boolean;
+    /** Whether the store recently did not answer this node, which leaves it to others for a while. */
+    readonly isStoreAvoided: boolean;
     /** Number of fallback reads since the state was last fresh. */
     readonly fallbackReads: number;
     /** Returns whether a node recently did not answer, so that the node with the next rank takes its place. */
@@ -34,18 +36,21 @@
  * Chooses the source of the next read. The node with the highest rank reads the store. In a large failure domain, the
  * nodes read from the highest-ranked node of their domain, which reads from the store reader. The number of calls to
  * the store therefore does not grow with the site, and no node serves more peers than its domain has nodes. When the
- * usual source leaves the state old, the store and other peers are read in turn. A node that the store rejects can thus
- * read from one that it serves.
+ * usual source leaves the state old, the store and other peers are read in turn, or only peers while the store does not
+ * answer this node. A node that the store rejects can thus read from one that it serves.
  * @param options - Input of the choice.
  */
 export function chooseReadSource(options: ReadSourceOptions): ReadSource {
-    const { self, failureDomain, alive, isStale, fallbackReads, isAvoided, getRank } = options;
+    const { self, failureDomain, alive, isStale, isStoreAvoided, fallbackReads, isAvoided, getRank } = options;
     if (isStale) {
         const others = alive.filter(member => member.id !== self);
-        if (fallbackReads === 0 || fallbackReads % 2 === 1 || others.length === 0) {
+        const isStoreTurn = fallbackReads === 0 || fallbackReads % 2 === 1;
+        if (others.length === 0 || isStoreTurn && !isStoreAvoided) {
             return { kind: "store" };
         }
-        return { kind: "peer", peer: others[(fallbackReads / 2 - 1) % others.length] };
+        // Each node begins with another peer. With the same order everywhere, all nodes would ask the first peer at once.
+        const first = Math.floor(getRank(self) * others.length);
+        return { kind: "peer", peer: others[(first + fallbackReads) % others.length] };
     }
     const candidates = alive.filter(member => !isAvoided(member.id));
     const sameDomain = candidates.filter(member => member.failureDomain === failureDomain);
--- a/src/topics/topicSources.ts
+++ b/src/topics/topicSources.ts
@@ -7,6 +7,7 @@
 import type { KeyedTopicReader } from "./keyedTopic.js";
 import { createPeerReader } from "./peerTopics.js";
 import { chooseReadSource } from "./readSource.js";
+import { StoreBackoff } from "./storeBackoff.js";
 
 /** Time for which a node that failed to answer is avoided, in milliseconds. A restart takes about two seconds. */
 const avoidMilliseconds = 3_000;
@@ -39,9 +40,16 @@
     readonly #ranks = new Map<string, number>();
     /** Monotonic time until which a node that did not answer is avoided. */
     readonly #avoidedUntil = new Map<string, number>();
+    readonly #storeBackoff: StoreBackoff;
 
     constructor(options: TopicSourcesOptions) {
         this.#options = options;
+        const isUsualReader = (): boolean => {
+            const { self, membership } = options;
+            const ownRank = this.#getRank(self.id);
+            return membership.getPresumedAlive().every(({ id }) => this.#getRank(id) <= ownRank);
+        };
+        this.#storeBackoff = new StoreBackoff({ clock: options.clock, isUsualReader });
     }
 
     /**
@@ -58,6 +66,7 @@
             // A single failure concerns the usual source, which is avoided from then on. The node with the next rank
             // replaces it.
             isStale: !isLoaded || fallbackReads > 1,
+            isStoreAvoided: this.#storeBackoff.isWaiting(),
             fallbackReads: isLoaded ? fallbackReads - 1 : fallbackReads,
             getRank: node => this.#getRank(node),
         });
@@ -73,7 +82,7 @@
             // No member is known yet, because the store, which holds their records, does not answer.
             return this.#createPeerReader(topic, { id: seed.host, address: seed.host, peerPort: seed.port });
         }
-        return storeReader;
+        return this.#storeBackoff.observe(storeReader);
     }
 
     #isAvoided(node: string): boolean {
--- a/test/topics/readSource.test.ts
+++ b/test/topics/readSource.test.ts
@@ -23,7 +23,16 @@
 
 function chooseAll(alive: readonly Member[], isAvoided: (node: string) => boolean = () => false): ReadSource[] {
     return alive.map(({ id, failureDomain }) =>
-        chooseReadSource({ self: id, failureDomain, alive, isStale: false, fallbackReads: 0, isAvoided, getRank })
+        chooseReadSource({
+            self: id,
+            failureDomain,
+            alive,
+            isStale: false,
+            isStoreAvoided: false,
+            fallbackReads: 0,
+            isAvoided,
+            getRank,
+        })
     );
 }
 
@@ -79,6 +88,7 @@
                     failureDomain: "north",
                     alive,
                     isStale: true,
+                    isStoreAvoided: false,
                     fallbackReads,
                     isAvoided: () => false,
                     getRank,
@@ -87,4 +97,29 @@
         expect(sources.map(source => source.kind)).toEqual(["store", "store", "peer", "store", "peer"]);
         expect(sources[2]).not.toEqual(sources[4]);
     });
+
+    // Guards against nodes that all ask one peer while the store does not answer them.
+    it("spreads the nodes over their peers while the store is left to others", () => {
+        const alive = createMembers(59);
+        const asked = new Map<string, number>();
+        for (const { id, failureDomain } of alive) {
+            for (const fallbackReads of [2, 3]) {
+                const source = chooseReadSource({
+                    self: id,
+                    failureDomain,
+                    alive,
+                    isStale: true,
+                    isStoreAvoided: true,
+                    fallbackReads,
+                    isAvoided: () => false,
+                    getRank,
+                });
+                expect(source.kind).toEqual("peer");
+                if (source.kind === "peer") {
+                    asked.set(source.peer.id, (asked.get(source.peer.id) ?? 0) + 1);
+                }
+            }
+        }
+        expect(Math.max(...asked.values()) < 10).toEqual(true);
+    });
 });
