--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -40,7 +40,4 @@
 const [, flags] = /^run = "node (.*?) ?deploy\/launch\.cjs/m.exec(
     readFileSync(join(folder, "deploy", "system.toml"), "utf8"),
 );
-execFileSync(process.execPath, [...flags.split(" ").filter(Boolean), join(folder, "scripts", "keepCode.cjs")], {
-    // The nodes write their log lines to standard output.
-    stdio: ["ignore", "ignore", "inherit"],
-});
+execFileSync(process.execPath, [...flags.split(" ").filter(Boolean), join(folder, "scripts", "keepCode.cjs")]);
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -8,8 +8,6 @@
 import { PlatformNode } from "./node.js";
 import { parseNodeSettings } from "./nodeSettings.js";
 
-export { rehearse } from "./rehearsal.js";
-
 const exitCodes = { badInput: 2 } as const;
 /** Environment variable with the path of the settings file. */
 const settingsVariable = "RATTANLOCK_BOOT";
