Revert the escalation to the largest model that is in time

Hypothesis: where the largest model would be late, a middle one that is in time serves callers better than a late or a doubtful answer. Change: an answer with a low confidence is escalated to the largest of the larger models that is in time, and late only if none is.

--- a/src/decisions/cascade/confidenceCascade.ts
+++ b/src/decisions/cascade/confidenceCascade.ts
@@ -22,8 +22,8 @@
     readonly model: string;
     /** Confidence of the model in its answer, from 0 to 100; undefined when it reports none. */
     readonly confidence: number | undefined;
-    /** Returns whether an answer of a model would still start in time. Called only if the decision depends on it. */
-    readonly isInTime: (model: string) => boolean;
+    /** Returns whether an answer of another model would still start in time. Called only if the decision depends on it. */
+    readonly isInTime: () => boolean;
 }
 
 /** Answers below this confidence are escalated to the largest model. A higher threshold would cost more than the better answers gain. */
@@ -49,18 +49,15 @@
 }
 
 /**
- * Returns the model that answers instead, or undefined when the answer is accepted. The largest model answers if it is in time: with an
- * intermediate model, a request could need three runners, and no attempt would be left for a failure. When only a smaller one is in
- * time, that one answers, since an answer that is in time with some probability is worth more than one that is certainly late.
+ * Returns the model that answers instead, or undefined when the answer is accepted. Escalation goes directly to the largest model: with
+ * an intermediate model, a request could need three runners, and no attempt would be left for a failure.
  * @param options - The options.
  */
 export function chooseNextModel(options: AcceptanceOptions): string | undefined {
     const { models, model, confidence, isInTime } = options;
-    const largerModels = models.slice(models.indexOf(model) + 1);
-    const largest = largerModels.at(-1);
-    if (confidence === undefined || confidence >= minAcceptedConfidence || largest === undefined) {
+    const largest = models.at(-1);
+    if (confidence === undefined || confidence >= minAcceptedConfidence || model === largest) {
         return undefined;
     }
-    const inTime = largerModels.findLast(larger => isInTime(larger));
-    return inTime ?? (confidence < minAcceptedLateConfidence ? largest : undefined);
+    return confidence < minAcceptedLateConfidence || isInTime() ? largest : undefined;
 }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -124,12 +124,12 @@
             models: route.models,
             model: this.#model,
             confidence: answer.confidence,
-            isInTime: model => this.#isInTime(model),
+            isInTime: () => this.#isInTime(route.models.at(-1)),
         });
     }
 
     /** Returns whether another model's answer is expected to start within the route's objective. */
-    #isInTime(model: string): boolean {
+    #isInTime(model: string | undefined): boolean {
         const expected = this.#attempts.estimate(this.#exchange, this.#getPromptDescription(model));
         return expected !== undefined
             && this.#exchange.getElapsed() + expected <= this.#exchange.route.objectiveMilliseconds;
