Let a node that knows no other one wait a second before it reads the store again

Cause: when a site starts for the first time, no node knows another, so each of them read all three topics at the store again and again while the records of the others were written one by one. Every call is priced. Change: a node that is alone after its first read waits a second. Ruled out: reading from the seeds, which start at the same moment.

--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -39,6 +39,8 @@
 const statusStaleMilliseconds = 5_000;
 /** How long a node that has just started waits for its list of peers before it requests changes from the store. */
 const peerDiscoveryTimeoutMilliseconds = 500;
+/** Time in which the nodes of a site that starts for the first time have written their records. */
+const firstRecordsMilliseconds = 1_000;
 /**
  * Callers of a node that has just started wait for the first read for this share of the configuration bound. The store answers
  * in 4 ms, and in 240 ms when it is sixty times slower. Without an answer by then it is treated as unavailable, and callers are
@@ -112,7 +114,10 @@
             staleMilliseconds: minBoundMilliseconds * staleShare,
         };
         const statusTiming = { waitMilliseconds: statusWaitMilliseconds, staleMilliseconds: statusStaleMilliseconds };
-        const waitForPeers = (): Promise<void> => this.#status.waitUntilLoaded(peerDiscoveryTimeoutMilliseconds);
+        const waitForPeers = async (): Promise<void> => {
+            await this.#status.waitUntilLoaded(peerDiscoveryTimeoutMilliseconds);
+            await this.#waitWhileAlone();
+        };
         this.#operator = this.#createFollower(
             topics.operator,
             { ...shortTiming, waitForPeers },
@@ -124,7 +129,11 @@
             changed => this.#applyUpstreams(changed),
         );
         const statusRecords = new StatusRecords(options);
-        this.#status = this.#createFollower(topics.status, statusTiming, changed => statusRecords.apply(changed));
+        this.#status = this.#createFollower(
+            topics.status,
+            { ...statusTiming, waitForPeers: () => this.#waitWhileAlone() },
+            changed => statusRecords.apply(changed),
+        );
         this.#followers.set(topics.operator, this.#operator);
         this.#followers.set(topics.upstreams, this.#upstreams);
         this.#followers.set(topics.status, this.#status);
@@ -196,6 +205,16 @@
         return handleFetchState(follower, request, this.#options.suspensionClock);
     }
 
+    /**
+     * Waits for a while if this node knows no other one, as when a whole site starts for the first time. Without the wait, every node
+     * would read the store on its own until the records of the others are written one by one.
+     */
+    async #waitWhileAlone(): Promise<void> {
+        if (this.#options.membership.getMembers().length <= 1) {
+            await new Promise(resolve => setTimeout(resolve, firstRecordsMilliseconds));
+        }
+    }
+
     #createFollower(
         topic: string,
         timing: Pick<TopicFollowerOptions, "waitMilliseconds" | "staleMilliseconds" | "waitForPeers">,
