Split the parts of forwarding from a node's parts, and the choice of partners from gossip

The parts that choose upstreams have a file of their own, and GossipPartners holds all that decides with whom a node exchanges. No behaviour changes; the tests of both are unchanged and pass.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -10,15 +10,9 @@
 import type { ExchangeReply, ExchangeRequest, Item, PushRequest } from "../generated/peer.js";
 import type { Vm } from "../world/index.js";
 import { decodeDigest, encodeDigest } from "./gossipMessages.js";
-import { GossipPartners, maxPartners } from "./gossipPartners.js";
+import { GossipPartners } from "./gossipPartners.js";
 import { type DigestLine, GossipState, incarnationKey } from "./gossipState.js";
-import {
-    getMaxValueBytes,
-    getPeriod,
-    getPropagationTime,
-    getSuspicionTimeout,
-    getWatchPeriods,
-} from "./gossipTiming.js";
+import { getMaxValueBytes, getPeriod, getPropagationTime, getSuspicionTimeout } from "./gossipTiming.js";
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol } from "./protocol.js";
 import { shuffle } from "./shuffle.js";
@@ -37,11 +31,6 @@
 const millisecondsPerVersion = 20;
 const pushFanOut = 4;
 const pushHops = 7;
-/**
- * Share of exchanges that go to an unresponsive peer, so that the two sides of a network partition reconnect after it
- * heals.
- */
-const unresponsivePeerProbability = 0.15;
 /** Key under which a node publishes which peers did not answer it. */
 const unreachableKey = "unreachable";
 /** An origin that was removed from the VM list is retained until its heartbeat is this old. */
@@ -70,14 +59,20 @@
     #peers: ReadonlyMap<string, PeerAddress> = new Map();
     readonly #partners: GossipPartners;
     readonly #unreachablePeers = new UnreachablePeers();
-    #exchanges = 0;
     #heartbeat: number;
     #version: number;
     #timer: NodeJS.Timeout | undefined;
 
     constructor(options: GossipOptions) {
         this.#options = options;
-        this.#partners = new GossipPartners(options.self.id);
+        this.#partners = new GossipPartners({
+            self: options.self.id,
+            clock: options.clock,
+            random: options.random,
+            getHeartbeatAge: peer => this.getHeartbeatAge(peer),
+            getSuspicionTimeout: () => this.getSuspicionTimeoutMilliseconds(),
+            getPeriod: () => this.getPeriodMilliseconds(),
+        });
         const elapsedMilliseconds = options.clock.wall() - versionEpochMilliseconds;
         this.#version = Math.max(1, Math.floor(elapsedMilliseconds / millisecondsPerVersion));
         this.#heartbeat = this.#version;
@@ -172,7 +167,7 @@
             }
         }
         this.#peers = peers;
-        this.#partners.retain(peers);
+        this.#partners.setPeers(peers);
         this.#unreachablePeers.retain(peers);
         this.#removeDepartedOrigins();
     }
@@ -194,11 +189,11 @@
         this.#removeDepartedOrigins();
         this.#heartbeat += 1;
         this.#state.setHeartbeat(this.#options.self.id, this.#heartbeat, this.#options.clock.monotonic());
-        const peer = this.#pickPeer();
+        const peer = this.#partners.pick();
         if (peer === undefined || await this.#exchangeWith(peer)) {
             return;
         }
-        const other = this.#pickPeer();
+        const other = this.#partners.pick();
         if (other !== undefined && other.id !== peer.id && await this.#exchangeWith(other)) {
             this.#reportUnreachable(peer);
         }
@@ -206,7 +201,7 @@
 
     /** @returns Whether the peer answered the first or the second attempt: one message may be lost. */
     async #exchangeWith(peer: PeerAddress): Promise<boolean> {
-        const { transport, clock } = this.#options;
+        const { transport } = this.#options;
         const request: ExchangeRequest = {
             ...this.#createEnvelope(),
             ...encodeDigest(this.#state, this.#getDigestLines()),
@@ -215,7 +210,7 @@
         const sentVersions = this.#getVersions();
         const reply = await transport.exchange(peer, request) ?? await transport.exchange(peer, request);
         if (reply === undefined) {
-            this.#partners.markUnresponsive(peer.id, clock.monotonic());
+            this.#partners.markUnresponsive(peer.id);
             return false;
         }
         this.#partners.markResponsive(peer.id);
@@ -366,52 +361,13 @@
     }
 
     #push(items: Item[], hops: number, excluded: ReadonlySet<string>): void {
-        const { responsive } = this.#classifyPeers();
-        const candidates = responsive.length >= maxPartners ? responsive : [...this.#peers.values()];
-        const peers = shuffle(
-            this.#partners.select(candidates.filter(peer => !excluded.has(peer.id))),
-            this.#options.random,
-        );
+        const peers = this.#partners.selectForPush(excluded);
         const { sender, counter } = this.#createEnvelope();
         for (const peer of peers.slice(0, pushFanOut)) {
             void this.#options.transport.push(peer, { sender, counter, items, bases: [], hops });
         }
     }
 
-    #pickPeer(): PeerAddress | undefined {
-        const { unresponsive, responsive } = this.#classifyPeers();
-        this.#exchanges += 1;
-        if (this.#exchanges % getWatchPeriods(this.getPeriodMilliseconds()) === 0 && responsive.length > maxPartners) {
-            return this.#partners.getSuccessor(responsive);
-        }
-        const shouldPickUnresponsive = unresponsive.length > 0
-            && this.#options.random.next() < unresponsivePeerProbability;
-        const candidates = shouldPickUnresponsive
-            ? unresponsive
-            : this.#partners.select(responsive.length > 0 ? responsive : unresponsive);
-        return candidates.length === 0
-            ? undefined
-            : candidates[this.#options.random.nextInteger(candidates.length)];
-    }
-
-    /**
-     * Splits the peers into unresponsive ones, whose heartbeat is too old or which did not answer a recent exchange,
-     * and the others.
-     */
-    #classifyPeers(): { readonly unresponsive: PeerAddress[]; readonly responsive: PeerAddress[]; } {
-        const unresponsive: PeerAddress[] = [];
-        const responsive: PeerAddress[] = [];
-        const suspicionTimeoutMilliseconds = this.getSuspicionTimeoutMilliseconds();
-        const unresponsiveSince = this.#options.clock.monotonic() - suspicionTimeoutMilliseconds;
-        for (const peer of this.#peers.values()) {
-            const age = this.getHeartbeatAge(peer.id);
-            const isUnresponsive = this.#partners.wasUnresponsive(peer.id, unresponsiveSince);
-            (age === undefined || age > suspicionTimeoutMilliseconds || isUnresponsive ? unresponsive : responsive)
-                .push(peer);
-        }
-        return { unresponsive, responsive };
-    }
-
     /** Returns the age of a heartbeat from which its node is suspected. */
     getSuspicionTimeoutMilliseconds(): number {
         return getSuspicionTimeout(this.getPeriodMilliseconds(), this.#peers.size);
--- /dev/null
+++ b/src/platform/forwardingParts.ts
@@ -0,0 +1,72 @@
+/**
+ * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
+ */
+import { WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import { Attempts } from "../forwarding/index.js";
+import type { NodeParts } from "./nodeParts.js";
+import { addEvidence, getSession } from "./rolloutParts.js";
+
+/** A node that has just started does not know all others yet, and they do not know it. */
+const shareSettlingMilliseconds = 5_000;
+/** Records of upstreams are written about every second. An older list may lack that an upstream warms up. */
+const maxUpstreamsAgeMilliseconds = 3_000;
+
+/** Creates the limit of requests to upstreams that warm up. */
+export function createWarmUpLimit({ clock, self, registry, topics, membership }: NodeParts): WarmUpLimit {
+    const settledAt = clock.monotonic() + shareSettlingMilliseconds;
+    return new WarmUpLimit({
+        clock,
+        self: self.id,
+        isWarmingUp: ({ id }) => registry.warmUps.isWarmingUp(id),
+        getRequestsPerSecond: pool => topics.getRoutes()?.getPool(pool)?.warmUpRequestsPerSecond ?? 0,
+        getNodes: () => membership.getMembers(),
+        mayHold: () => clock.monotonic() > settledAt && topics.getUpstreamsAge() < maxUpstreamsAgeMilliseconds,
+    });
+}
+
+/** Creates the part that sends requests to upstreams. */
+export function createAttempts(parts: NodeParts): Attempts {
+    const { upstreamClient, budgets, rollouts } = parts;
+    return new Attempts({
+        clock: parts.clock,
+        journal: parts.journal,
+        metrics: parts.metrics,
+        registry: parts.registry,
+        picker: parts.picker,
+        warmUpLimit: parts.warmUpLimit,
+        transport: upstreamClient,
+        crashWatch: parts.crashWatch,
+        getBudget: budgets,
+        selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
+        onStart: (exchange, upstream) => {
+            const end = rollouts.startRequest(upstream, exchange.request.session);
+            return attempt => {
+                end();
+                addEvidence(rollouts, attempt);
+            };
+        },
+    });
+}
+
+/** Creates the retry budgets of all pools. */
+export function createBudgets(
+    { clock, liveSettings, membership }: NodeParts,
+): (pool: string) => WindowedRetryBudget {
+    const budgets = new Map<string, WindowedRetryBudget>();
+    return pool => {
+        let budget = budgets.get(pool);
+        if (budget === undefined) {
+            budget = new WindowedRetryBudget({
+                clock,
+                windowMilliseconds: liveSettings.get().bounds.retryWindowMilliseconds,
+                getAllowance: () => {
+                    const { retryRatio, retryExtra } = liveSettings.get().bounds;
+                    return { ratio: retryRatio, extra: retryExtra };
+                },
+                getNodeCount: () => membership.getMembers().length,
+            });
+            budgets.set(pool, budget);
+        }
+        return budget;
+    };
+}
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -3,10 +3,16 @@
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
 import { type Clock, RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { UpstreamPicker, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import { UpstreamPicker, type WarmUpLimit, type WindowedRetryBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
-import { Attempts, createForwardingMetrics, Forwarder, type ForwardingMetrics, Shutdown } from "../forwarding/index.js";
+import {
+    type Attempts,
+    createForwardingMetrics,
+    Forwarder,
+    type ForwardingMetrics,
+    Shutdown,
+} from "../forwarding/index.js";
 import {
     chooseAddresses,
     Gossip,
@@ -21,10 +27,11 @@
 import type { Rollouts } from "../rollouts/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
+import { createAttempts, createBudgets, createWarmUpLimit } from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
-import { addEvidence, createRollouts, getSession } from "./rolloutParts.js";
+import { createRollouts } from "./rolloutParts.js";
 import { SiteServer } from "./siteServer.js";
 import { StatusWriter } from "./statusWriter.js";
 import { StoreClient } from "./storeClient.js";
@@ -159,7 +166,7 @@
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
             isAdmitted: upstream => warmUpLimit.isAdmitted(upstream),
         }),
-    budgets: ({ clock, liveSettings, membership }) => createBudgets(clock, liveSettings, membership),
+    budgets: parts => createBudgets(parts),
     upstreamClient: ({ topics, membership }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
@@ -220,70 +227,6 @@
     },
 };
 
-/** A node that has just started does not know all others yet, and they do not know it. */
-const shareSettlingMilliseconds = 5_000;
-/** Records of upstreams are written about every second. An older list may lack that an upstream warms up. */
-const maxUpstreamsAgeMilliseconds = 3_000;
-
-function createWarmUpLimit({ clock, self, registry, topics, membership }: NodeParts): WarmUpLimit {
-    const settledAt = clock.monotonic() + shareSettlingMilliseconds;
-    return new WarmUpLimit({
-        clock,
-        self: self.id,
-        isWarmingUp: ({ id }) => registry.warmUps.isWarmingUp(id),
-        getRequestsPerSecond: pool => topics.getRoutes()?.getPool(pool)?.warmUpRequestsPerSecond ?? 0,
-        getNodes: () => membership.getMembers(),
-        mayHold: () => clock.monotonic() > settledAt && topics.getUpstreamsAge() < maxUpstreamsAgeMilliseconds,
-    });
-}
-
-function createAttempts(parts: NodeParts): Attempts {
-    const { upstreamClient, budgets, rollouts } = parts;
-    return new Attempts({
-        clock: parts.clock,
-        journal: parts.journal,
-        metrics: parts.metrics,
-        registry: parts.registry,
-        picker: parts.picker,
-        warmUpLimit: parts.warmUpLimit,
-        transport: upstreamClient,
-        crashWatch: parts.crashWatch,
-        getBudget: budgets,
-        selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
-        onStart: (exchange, upstream) => {
-            const end = rollouts.startRequest(upstream, exchange.request.session);
-            return attempt => {
-                end();
-                addEvidence(rollouts, attempt);
-            };
-        },
-    });
-}
-
-function createBudgets(
-    clock: Clock,
-    liveSettings: LiveSettings,
-    membership: Membership,
-): (pool: string) => WindowedRetryBudget {
-    const budgets = new Map<string, WindowedRetryBudget>();
-    return pool => {
-        let budget = budgets.get(pool);
-        if (budget === undefined) {
-            budget = new WindowedRetryBudget({
-                clock,
-                windowMilliseconds: liveSettings.get().bounds.retryWindowMilliseconds,
-                getAllowance: () => {
-                    const { retryRatio, retryExtra } = liveSettings.get().bounds;
-                    return { ratio: retryRatio, extra: retryExtra };
-                },
-                getNodeCount: () => membership.getMembers().length,
-            });
-            budgets.set(pool, budget);
-        }
-        return budget;
-    };
-}
-
 function createPeerHandlers({ gossip, self, topics }: NodeParts): PeerHandlers {
     const throwUnsupported = (): never => {
         throw new Error(`The node ${self.id} does not hold this state: on this platform it is kept in the store.`);
