--- a/src/decisions/dispatch/averageLoad.ts
+++ b/src/decisions/dispatch/averageLoad.ts
@@ -28,3 +28,21 @@
         return (this.#load ?? 0) * slots;
     }
 }
+
+/** The average loads of all pools. */
+export class AverageLoads {
+    readonly #loads = new Map<string, AverageLoad>();
+
+    /**
+     * Returns the average load of a pool, which is empty before the first report.
+     * @param pool - Name of the pool.
+     */
+    get(pool: string): AverageLoad {
+        let load = this.#loads.get(pool);
+        if (load === undefined) {
+            load = new AverageLoad();
+            this.#loads.set(pool, load);
+        }
+        return load;
+    }
+}
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock, RandomSource } from "../../common/index.js";
 import type { RegisteredUpstream } from "../../fleet/index.js";
-import { AverageLoad } from "./averageLoad.js";
+import { AverageLoads } from "./averageLoad.js";
 import type { PromptDescription, UpstreamPick, UpstreamPickOptions } from "./pick.js";
 import { PrefillRate } from "./prefillRate.js";
 import { PromptHolders } from "./promptHolders.js";
@@ -51,8 +51,7 @@
     readonly #isAdmitted: (upstream: RegisteredUpstream) => boolean;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #prefillRates = new PrefillRate();
-    /** Average loads by pool. */
-    readonly #averageLoads = new Map<string, AverageLoad>();
+    readonly #averageLoads = new AverageLoads();
     #waitRatio = 1;
 
     constructor(options: {
@@ -152,7 +151,7 @@
      */
     addLoadReport(upstream: RegisteredUpstream, load: ReportedRequests): void {
         const others = this.#getStatus(upstream.id).addLoadReport(load, this.#clock.monotonic());
-        this.#getAverageLoad(upstream.pool).add(others, load.slots);
+        this.#averageLoads.get(upstream.pool).add(others, load.slots);
     }
 
     /**
@@ -193,18 +192,9 @@
         return status;
     }
 
-    #getAverageLoad(pool: string): AverageLoad {
-        let load = this.#averageLoads.get(pool);
-        if (load === undefined) {
-            load = new AverageLoad();
-            this.#averageLoads.set(pool, load);
-        }
-        return load;
-    }
-
     /** Returns the expected number of requests of all nodes at an upstream. */
     #getExpectedRequests({ id, pool, slots }: RegisteredUpstream, now: number): number {
-        return this.#getStatus(id).getExpectedRequests(now, this.#getAverageLoad(pool).getOtherRequests(slots));
+        return this.#getStatus(id).getExpectedRequests(now, this.#averageLoads.get(pool).getOtherRequests(slots));
     }
 
     #getLoad(upstream: RegisteredUpstream, now: number): number {
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -3,7 +3,6 @@
  * are alive and what they publish about themselves.
  */
 import { createHash } from "node:crypto";
-import { z } from "zod";
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { Vm } from "../world/index.js";
@@ -11,6 +10,7 @@
 import { incarnationKey } from "./gossipState.js";
 import type { NodeIdentity } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol, type ProtocolRange } from "./protocol.js";
+import { PublishedNodes } from "./publishedNodes.js";
 
 const nodeKey = "node";
 const leavingKey = "leaving";
@@ -31,22 +31,6 @@
 /** The list of members is cached for this time, since every claim reads it. */
 const cacheMilliseconds = 100;
 
-const nodeSchema = z.object({
-    address: z.string(),
-    peerPort: z.number(),
-    failureDomain: z.string(),
-    region: z.string(),
-    oldest: z.number(),
-    newest: z.number(),
-});
-
-type PublishedNode = z.infer<typeof nodeSchema>;
-
-interface ParsedNode {
-    readonly value: Buffer | undefined;
-    readonly node: PublishedNode | undefined;
-}
-
 /** State of a member as estimated from its heartbeat. */
 export type MemberState = "alive" | "suspect" | "leaving" | "dead";
 
@@ -81,11 +65,7 @@
     /** Monotonic time at which each VM was first listed here, by identifier. */
     readonly #listedAt = new Map<string, number>();
     readonly #states = new Map<string, MemberState>();
-    /**
-     * Parsed values that members published. With hundreds of members, parsing them for each list of members took most
-     * of its time.
-     */
-    readonly #parsedNodes = new Map<string, ParsedNode>();
+    readonly #publishedNodes = new PublishedNodes();
     #vms: readonly Vm[] = [];
     #isLeaving = false;
     #configurationOffset = -1;
@@ -116,7 +96,7 @@
             if (!listed.has(id)) {
                 this.#listedAt.delete(id);
                 this.#states.delete(id);
-                this.#parsedNodes.delete(id);
+                this.#publishedNodes.remove(id);
             }
         }
         this.#cache = undefined;
@@ -286,7 +266,7 @@
 
     #createMember(vm: Vm): Member {
         const { gossip } = this.#options;
-        const node = this.#readNode(vm.id);
+        const node = this.#publishedNodes.parse(vm.id, gossip.get(vm.id, nodeKey));
         const listedAge = this.#options.clock.monotonic() - (this.#listedAt.get(vm.id) ?? 0);
         const offset = gossip.get(vm.id, offsetKey);
         const age = gossip.getHeartbeatAge(vm.id);
@@ -309,17 +289,6 @@
         };
     }
 
-    #readNode(id: string): PublishedNode | undefined {
-        const value = this.#options.gossip.get(id, nodeKey);
-        const known = this.#parsedNodes.get(id);
-        if (known !== undefined && known.value === value) {
-            return known.node;
-        }
-        const node = parseNode(value);
-        this.#parsedNodes.set(id, { value, node });
-        return node;
-    }
-
     #determineState(age: number | undefined, isLeaving: boolean): MemberState {
         const suspicionTimeout = this.#options.gossip.getSuspicionTimeoutMilliseconds();
         if (age === undefined || age > suspicionTimeout * deadTimeoutFactor) {
@@ -344,11 +313,3 @@
         }
     }
 }
-
-function parseNode(value: Buffer | undefined): PublishedNode | undefined {
-    if (value === undefined) {
-        return undefined;
-    }
-    const parsed = nodeSchema.safeParse(JSON.parse(value.toString()));
-    return parsed.success ? parsed.data : undefined;
-}
