Ignore what a peer published in an unreadable form instead of throwing

What would be seen: one node of another release, or with a fault, publishes a value that is no JSON; every list of members at every other node throws, and with it addresses, budgets and the choice of a reader. Change: such a node counts as one of the oldest supported release.

--- a/src/membership/publishedNodes.ts
+++ b/src/membership/publishedNodes.ts
@@ -54,6 +54,11 @@
     if (value === undefined) {
         return undefined;
     }
-    const parsed = nodeSchema.safeParse(JSON.parse(value.toString()));
-    return parsed.success ? parsed.data : undefined;
+    try {
+        return nodeSchema.parse(JSON.parse(value.toString()));
+    }
+    catch {
+        // Another release may publish another format. The node then counts as one of the oldest supported release.
+        return undefined;
+    }
 }
