--- a/test/forwarding/crashWatch.test.ts
+++ b/test/forwarding/crashWatch.test.ts
@@ -45,6 +45,18 @@
         expect(quarantine.countQuarantined()).toEqual(0);
     });
 
+    // Guards against the refusal of good requests after runners have crashed under the load of their first seconds.
+    it("does not count a crash of an upstream that warms up", async () => {
+        const { send, quarantine, calls } = createForwarder({
+            upstreams: createUpstreams(6, { warmUpMilliseconds: 60_000 }),
+            crashed: allCrashed,
+            getRoutes: streamRoutes,
+            behaviour: () => createAnswer(["id: 1\n"], { breaksConnection: true }),
+        });
+        await send({ id: "1" });
+        expect([calls.length, quarantine.countQuarantined()]).toEqual([3, 0]);
+    });
+
     // Guards against the refusal of long answers that are cut off when other requests crash their runners.
     it("does not count a crash under a request that has run for long", async () => {
         const clock = new ManualClock(1_000);
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -87,6 +87,18 @@
         }]);
     });
 
+    it("decodes how long upstreams warm up, and at which rate", () => {
+        const services = [{ name: "x", cold_start_s: 3, cold_per_s: 11 }, { name: "y" }];
+        const table = decodeConfiguration(encode({ ...configuration, services }))._unsafeUnwrap();
+        const pools = ["x", "y"].map(name => table.getPool(name)!);
+        expect(pools.map(pool => [pool.warmUpMilliseconds, pool.warmUpRequestsPerSecond])).toEqual([[3_000, 11], [
+            0,
+            0,
+        ]]);
+        const upstream = decodeUpstream("i-1", encode({ ...record, cold_left_ms: 1_500 }));
+        expect(upstream?.warmUpMilliseconds).toEqual(1_500);
+    });
+
     it("fails on malformed records and treats an unknown route kind as the strictest", () => {
         expect(decodeConfiguration(Buffer.from("{")).isErr()).toEqual(true);
         const configurationOfUnknownKind = {
@@ -174,6 +186,15 @@
         expect(settings.bounds.retryWindowMilliseconds).toEqual(5_000);
     });
 
+    it("accepts an empty bound on evacuations, where no failure domain can be evacuated", () => {
+        const getBound = (text: string): number | undefined =>
+            parseNodeSettings(filled.replace(/evacuate_ms = 5/, `evacuate_ms = ${text}`), "local.ini")
+                ._unsafeUnwrap().bounds.evacuationMilliseconds;
+        expect([getBound(""), getBound("5000")]).toEqual([undefined, 5_000]);
+        expect(parseNodeSettings(filled.replace(/evacuate_ms = 5/, "evacuate_ms = soon"), "local.ini").isErr())
+            .toEqual(true);
+    });
+
     it("reports the line and key of an invalid value", () => {
         const invalid = filled.replace(/revoke_ms = 5/, "revoke_ms = soon");
         const [validationError] = parseNodeSettings(invalid, "local.ini")._unsafeUnwrapErr();
