Send peers only the changes of a topic that has thousands of records

Cause: tombstones were pruned when the records of a topic, live ones among them, were more than a thousand. With 3,000 runners every removal was forgotten at once, and all that had an older offset, some 80 peers of the reader, received the whole topic for it, encoded for each of them anew. Ruled out: heartbeats as records (the log of a node shows none). Change: tombstones are counted by themselves, and a list that many peers request is collected and encoded once. Both tests failed before.

--- a/src/topics/peerTopics.ts
+++ b/src/topics/peerTopics.ts
@@ -104,7 +104,19 @@
     );
 }
 
+/** Encoded lists of records. Many peers receive the same list, and each list is immutable. */
+const encodedRecords = new WeakMap<readonly KeyedRecord[], Buffer>();
+
 function encodeRecords(records: readonly KeyedRecord[]): Buffer {
+    let encoded = encodedRecords.get(records);
+    if (encoded === undefined) {
+        encoded = encodeRows(records);
+        encodedRecords.set(records, encoded);
+    }
+    return encoded;
+}
+
+function encodeRows(records: readonly KeyedRecord[]): Buffer {
     const rows = records.map((
         { key, offset, value },
     ) => [key, offset, ...(value === undefined ? [] : [value.toString("base64")])]);
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -3,11 +3,10 @@
  */
 import type { KeyedRecord, TopicPage } from "./keyedTopic.js";
 
-/**
- * Maximum number of records before tombstones are pruned. Tombstones report removals to peers that read through this
- * node.
- */
+/** Maximum number of tombstones. They report removals to peers that read through this node. */
 const maxTombstones = 1_000;
+/** Stands for the list of all records that are not removed, in place of an offset. */
+const wholeState = -1;
 
 /** Folds pages. An older offset never replaces a newer one, regardless of the order in which pages arrive. */
 export class TopicState {
@@ -17,6 +16,12 @@
     #isLoaded = false;
     /** Tombstones before this offset were pruned. */
     #prunedBefore = 0;
+    #tombstones = 0;
+    /**
+     * Lists of records by the offset from which they were requested, until the next change. Many peers request the same ones, and a
+     * list is encoded once.
+     */
+    readonly #lists = new Map<number, readonly KeyedRecord[]>();
 
     /** Returns the end offset of the folded records. */
     getEndOffset(): number {
@@ -54,7 +59,7 @@
     /** Returns the whole state. */
     getCompletePage(): TopicPage {
         return {
-            records: [...this.getAll()],
+            records: this.#getList(wholeState, () => [...this.getAll()]),
             isComplete: true,
             endOffset: this.#endOffset,
             confirmedAt: this.#confirmedAt,
@@ -70,12 +75,7 @@
         if (from < this.#prunedBefore) {
             return this.getCompletePage();
         }
-        const records: KeyedRecord[] = [];
-        for (const record of this.#records.values()) {
-            if (record.offset >= from) {
-                records.push(record);
-            }
-        }
+        const records = this.#getList(from, () => [...this.#records.values()].filter(({ offset }) => offset >= from));
         return { records, isComplete: false, endOffset: this.#endOffset, confirmedAt: this.#confirmedAt };
     }
 
@@ -85,6 +85,7 @@
      * @returns The records that changed the state, ordered by offset.
      */
     apply(page: TopicPage): readonly KeyedRecord[] {
+        this.#lists.clear();
         const changed: KeyedRecord[] = [];
         for (const record of page.records) {
             if (this.#set(record)) {
@@ -104,15 +105,32 @@
         return changed.sort((first, second) => first.offset - second.offset);
     }
 
+    #getList(from: number, collect: () => readonly KeyedRecord[]): readonly KeyedRecord[] {
+        const list = this.#lists.get(from) ?? collect();
+        this.#lists.set(from, list);
+        return list;
+    }
+
     #set(record: KeyedRecord): boolean {
         const known = this.#records.get(record.key);
         if (known !== undefined && known.offset >= record.offset) {
             return false;
         }
-        // Removed and set again, so that the map stays ordered by offset, lowest first.
+        this.#replace(record);
+        return true;
+    }
+
+    /** Removes the key and sets it again, so that the map stays ordered by offset, lowest first. */
+    #replace(record: KeyedRecord): void {
+        const known = this.#records.get(record.key);
+        if (known !== undefined && known.value === undefined) {
+            this.#tombstones -= 1;
+        }
+        if (record.value === undefined) {
+            this.#tombstones += 1;
+        }
         this.#records.delete(record.key);
         this.#records.set(record.key, record);
-        return true;
     }
 
     #removeMissing(page: TopicPage): KeyedRecord[] {
@@ -121,8 +139,7 @@
         for (const record of [...this.#records.values()]) {
             if (record.value !== undefined && !listed.has(record.key) && record.offset < page.endOffset) {
                 const tombstone = { key: record.key, value: undefined, offset: page.endOffset - 1 };
-                this.#records.delete(record.key);
-                this.#records.set(record.key, tombstone);
+                this.#replace(tombstone);
                 removed.push(tombstone);
             }
         }
@@ -130,15 +147,18 @@
     }
 
     #pruneTombstones(): void {
-        let excess = this.#records.size - maxTombstones;
+        if (this.#tombstones <= maxTombstones) {
+            return;
+        }
         for (const record of this.#records.values()) {
-            if (excess <= 0) {
-                return;
+            if (record.value !== undefined) {
+                continue;
             }
-            if (record.value === undefined) {
-                this.#records.delete(record.key);
-                this.#prunedBefore = Math.max(this.#prunedBefore, record.offset + 1);
-                excess -= 1;
+            this.#records.delete(record.key);
+            this.#tombstones -= 1;
+            this.#prunedBefore = Math.max(this.#prunedBefore, record.offset + 1);
+            if (this.#tombstones <= maxTombstones) {
+                return;
             }
         }
     }
--- a/test/topics/topicState.test.ts
+++ b/test/topics/topicState.test.ts
@@ -87,6 +87,27 @@
             expect(state.getSince(2).records).toEqual([createRemoval("a", 2)]);
         });
 
+        // Guards against nodes that send thousands of records to each of their peers for every single change. With more upstreams than
+        // tombstones are retained, each removal was forgotten at once, and the node that reads the store ran out of memory.
+        it("returns only the changes of a topic with thousands of records", () => {
+            const state = new TopicState();
+            const live = Array.from({ length: 3_000 }, (...[, index]) => createRecord(`u${index}`, index));
+            state.apply(createPage(live, { isComplete: true }));
+            state.apply(createPage([createRemoval("u7", 3_000), createRecord("u3000", 3_001)]));
+            const page = state.getSince(3_000);
+            expect(page.isComplete).toEqual(false);
+            expect(page.records.map(({ key }) => key)).toEqual(["u7", "u3000"]);
+        });
+
+        it("returns the same list to all peers until the next change", () => {
+            const state = new TopicState();
+            state.apply(createPage([createRecord("a", 0), createRecord("b", 1)], { isComplete: true }));
+            expect(state.getSince(1).records === state.getSince(1).records).toEqual(true);
+            expect(state.getCompletePage().records === state.getCompletePage().records).toEqual(true);
+            state.apply(createPage([createRecord("c", 2)]));
+            expect(state.getSince(1).records.map(({ key }) => key)).toEqual(["b", "c"]);
+        });
+
         it("returns the whole state when tombstones since the offset were pruned", () => {
             const state = new TopicState();
             for (let offset = 0; offset < 2_200; offset += 2) {
