Log when an upstream states a rate limit, and count the upstreams that do

Nodes now read what answers and refusals state and remember it until an answer states none. An answer to a request that was sent before the last statement is ignored, since it may be older. Events 431 and 432 tell when a node learns of a limit and of its end, the gauge rattanlock_limited_upstreams how many there are. No decision uses it yet.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -387,6 +387,13 @@
         "info",
         "Another node has quarantined a request; this node sends it to no upstream either.",
     ),
+    upstreamLimited: define(
+        431,
+        "upstream-limited",
+        "warning",
+        "An upstream states that it takes only the given number of requests a second from all nodes together.",
+    ),
+    upstreamUnlimited: define(432, "upstream-unlimited", "info", "An upstream no longer states a limit of requests."),
     rolloutOrdered: define(444, "rollout-ordered", "info", "The operator ordered the roll-out of a version to a pool."),
     rolloutProgressed: define(
         445,
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -14,6 +14,7 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { CrashWatch, RunEnd } from "../quarantine/index.js";
+import type { RateLimits } from "../ratelimits/index.js";
 import type { VersionSelection } from "../rollouts/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
@@ -29,6 +30,7 @@
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
     readonly warmUpLimit: WarmUpLimit;
+    readonly rateLimits: RateLimits;
     readonly transport: UpstreamTransport;
     readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
@@ -197,7 +199,7 @@
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
-            this.#applyFailure(upstream, result.error, isHeadTimedOut);
+            this.#applyFailure(upstream, result.error, { isHeadTimedOut, startedAt });
             return err({ kind: "failed", failure: result.error });
         }
         headMilliseconds = clock.monotonic() - startedAt;
@@ -206,7 +208,8 @@
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
-        const { load } = result.value;
+        const { load, requestsPerSecond } = result.value;
+        this.#observeRate(upstream, requestsPerSecond, startedAt);
         if (load !== undefined) {
             picker.addLoadReport(upstream, { requests: load.running + load.waiting, slots: load.slots });
         }
@@ -226,9 +229,14 @@
         return "silent";
     }
 
-    #applyFailure(upstream: RegisteredUpstream, failure: UpstreamCallFailure, isHeadTimedOut: boolean): void {
+    #applyFailure(
+        upstream: RegisteredUpstream,
+        failure: UpstreamCallFailure,
+        call: { readonly isHeadTimedOut: boolean; readonly startedAt: number; },
+    ): void {
         const { picker, registry, transport } = this.#options;
-        if (isHeadTimedOut) {
+        this.#observeRate(upstream, failure.requestsPerSecond, call.startedAt);
+        if (call.isHeadTimedOut) {
             transport.renewConnections(upstream);
         }
         if (failure.kind === "replaced") {
@@ -242,6 +250,12 @@
         }
     }
 
+    #observeRate(upstream: RegisteredUpstream, requestsPerSecond: number | undefined, sentAt: number): void {
+        if (requestsPerSecond !== undefined) {
+            this.#options.rateLimits.observe({ upstream: upstream.id, requestsPerSecond, sentAt });
+        }
+    }
+
     #finish(
         ended: EndedAttempt,
         details: {
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -74,6 +74,11 @@
             help: "Upstreams that are warming up and get few requests.",
             registers,
         }),
+        limitedUpstreams: new Gauge({
+            name: "rattanlock_limited_upstreams",
+            help: "Upstreams that take a stated number of requests a second from all nodes together.",
+            registers,
+        }),
         evacuatedDomains: new Gauge({
             name: "rattanlock_evacuated_failure_domains",
             help: "Failure domains whose upstreams get no requests because the operator evacuated them.",
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -38,6 +38,11 @@
     /** The model's confidence in its answer, 0 to 100. */
     readonly confidence: number | undefined;
     readonly load: ReportedLoad | undefined;
+    /**
+     * Requests a second that the upstream takes from all nodes together; infinity if the answer states no limit, undefined if what it
+     * states is not a number.
+     */
+    readonly requestsPerSecond: number | undefined;
     /**
      * Whether a complete body can be distinguished from a truncated one. An answer without a length ends with its connection, and
      * one whose upstream failed looks the same. The router must not present such an answer as complete.
@@ -62,6 +67,8 @@
     /** Reason for log lines. */
     readonly reason: string;
     readonly load?: ReportedLoad;
+    /** Requests a second that the upstream takes from all nodes together, if a refusal states them. */
+    readonly requestsPerSecond?: number;
 }
 
 /** Calls upstreams. */
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -34,6 +34,7 @@
         registry: parts.registry,
         picker: parts.picker,
         warmUpLimit: parts.warmUpLimit,
+        rateLimits: parts.rateLimits,
         transport: upstreamClient,
         crashWatch: parts.crashWatch,
         getBudget: budgets,
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -94,10 +94,11 @@
 
     /** Discards what was collected about removed and restarted upstreams: it is invalid after a restart under the same identifier. */
     #clearStateOfRemovedUpstreams(): void {
-        const { registry, picker, upstreamClient, warmUpLimit } = this.getParts();
+        const { registry, picker, upstreamClient, warmUpLimit, rateLimits } = this.getParts();
         registry.onRemoved(({ id }) => {
             picker.remove(id);
             warmUpLimit.remove(id);
+            rateLimits.remove(id);
             upstreamClient.closeConnections(id);
         });
     }
--- a/src/platform/nodeMetrics.ts
+++ b/src/platform/nodeMetrics.ts
@@ -5,13 +5,14 @@
 
 /** Returns the metrics as text, after updating those that are sampled on each scrape. */
 export async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
-    const { metrics, topics, forwarder, membership, registry, quarantine, lineWriter } = parts;
+    const { metrics, topics, forwarder, membership, registry, rateLimits, quarantine, lineWriter } = parts;
     metrics.inFlight.set(forwarder.getInFlight());
     metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
     metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
     metrics.members.set(membership.getAlive().length);
     metrics.upstreams.set([...registry.getAll()].length);
     metrics.warmingUpstreams.set(registry.warmUps.count());
+    metrics.limitedUpstreams.set(rateLimits.count());
     metrics.evacuatedDomains.set(registry.countEvacuations());
     metrics.quarantined.set(quarantine.countQuarantined());
     metrics.linesLeftOut.set(lineWriter.getDroppedCount());
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -24,6 +24,7 @@
     PeerServer,
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine, type Quarantine } from "../quarantine/index.js";
+import { RateLimits } from "../ratelimits/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
@@ -74,6 +75,7 @@
     readonly membership: Membership;
     readonly directory: MemberDirectory;
     readonly warmUpLimit: WarmUpLimit;
+    readonly rateLimits: RateLimits;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly upstreamClient: UpstreamClient;
@@ -157,6 +159,7 @@
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
     warmUpLimit: parts => createWarmUpLimit(parts),
+    rateLimits: ({ clock, journal }) => new RateLimits({ clock, journal }),
     picker: ({ clock, settings, random, journal, self, warmUpLimit }) =>
         new UpstreamPicker({
             clock,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -16,6 +16,8 @@
     /** `RUNNING,WAITING,SLOTS`. */
     load: "server-load",
     notExecuted: "not-executed",
+    /** Requests a second that the runner takes from all nodes together. */
+    rateLimit: "server-limit",
     retryAfter: "retry-after",
     model: "model",
     /** Prompt tokens and maximum output tokens, as `IN,OUT`. */
--- /dev/null
+++ b/src/ratelimits/index.ts
@@ -0,0 +1,2 @@
+/** Rate limits that upstreams state with their answers. */
+export * from "./rateLimits.js";
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -5,6 +5,7 @@
 import type { RegisteredUpstream } from "../../src/fleet/index.js";
 import type { UpstreamAnswer, UpstreamCall } from "../../src/forwarding/index.js";
 import { UpstreamClient } from "../../src/platform/upstreamClient.js";
+import { unlimitedRate } from "../../src/ratelimits/index.js";
 import { createCallerRequest } from "../fixtures/forwarders.js";
 import { createUpstream } from "../fixtures/upstreams.js";
 import { createRawRunner } from "./standins/runnerStandin.js";
@@ -60,6 +61,21 @@
 }
 
 describe("UpstreamClient", () => {
+    it("reads the rate limit that an answer or a refusal states", async () => {
+        const answerWith = (status: string, header: string) => (socket: Socket, requestId: string) =>
+            socket.write(
+                `HTTP/1.1 ${status}\r\nAttempt-Id: ${requestId}\r\nServer-Seal: s\r\n${header}Content-Length: 2\r\n\r\nok`,
+            );
+        const stated = (await call(answerWith("200 OK", "Server-Limit: 3.1\r\n"))).result;
+        expect(stated.isOk() && stated.value.requestsPerSecond).toEqual(3.1);
+        const none = (await call(answerWith("200 OK", ""))).result;
+        expect(none.isOk() && none.value.requestsPerSecond).toEqual(unlimitedRate);
+        const unreadable = (await call(answerWith("200 OK", "Server-Limit: few\r\n"))).result;
+        expect(unreadable.isOk() && unreadable.value.requestsPerSecond).toEqual(undefined);
+        const refused = (await call(answerWith("503 Full", "Not-Executed: 1\r\nServer-Limit: 2\r\n"))).result;
+        expect(refused.isErr() && refused.error.requestsPerSecond).toEqual(2);
+    });
+
     it("sends the expected runner, the workspace and the remaining time, and forwards other headers unchanged", async () => {
         let received = "";
         const server = createRawRunner(socket =>
--- a/test/platform/wireNames.test.ts
+++ b/test/platform/wireNames.test.ts
@@ -7,7 +7,19 @@
 /** Names that other code may also use. Only names that are specific to the platform are searched for. */
 const genericNames: ReadonlySet<string> = new Set(["retry-after", "last-event-id", "/metrics"]);
 /** Folders that depend on the platform through types only. */
-const folders = ["routing", "topics", "fleet", "forwarding", "rollouts", "decisions", "membership", "events", "common"];
+const folders = [
+    "routing",
+    "topics",
+    "fleet",
+    "forwarding",
+    "rollouts",
+    "decisions",
+    "ratelimits",
+    "quarantine",
+    "membership",
+    "events",
+    "common",
+];
 
 function findFiles(folder: string): string[] {
     return readdirSync(folder, { withFileTypes: true, recursive: true })
