Keep the rate that an upstream states, for all nodes together

What callers saw: nothing yet.

Cause: no node read what the upstream states. A node that keeps the rate alone is not enough: 8 nodes at 1.9 a second are 15, 350 are 665.

Ruled out: equal shares for all nodes (350 nodes at 0.005 a second each still send 350 at once); a share for each node that was told (the same, and the end of the limit is learned by none that sends nothing); one node for each upstream (its callers alone, and nothing while it is down).

Change: 2 nodes and one more for every 2 requests a second, by rank, of the upstream's failure domain, hold equal shares and space their requests evenly; the others send nothing. So in any span all nodes exceed the rate by at most the number of holders, whatever the number of nodes. Nodes that are dead hold nothing. Holders find out when the limit changes or ends, and all learn it by gossip; a change is numbered above the wall clock, so that one that was forgotten by its finder is not taken for a newer one. What no upstream takes is refused at once. The choice of holders is one with that for upstreams that warm up.

--- /dev/null
+++ b/src/decisions/dispatch/statedRateLimit.ts
@@ -0,0 +1,82 @@
+/**
+ * Limits the requests that all nodes together send to an upstream that states a rate limit.
+ *
+ * A few nodes hold equal shares of the rate and space their requests evenly; the others send the upstream nothing. In any span of
+ * time the nodes together exceed the rate by at most one request for each holder.
+ */
+import type { Clock, RandomSource } from "../../common/index.js";
+import type { LimitedUpstream, SendLimit } from "./sendLimit.js";
+import { type ShareHolder, ShareHolders } from "./shareHolders.js";
+
+/** Holders of a small rate. Some of them may be down, or have no requests for the upstream. */
+const minHolders = 2;
+/** Requests a second for which there is one more holder. */
+const requestsPerSecondPerHolder = 2;
+/** Rate at which an upstream that takes nothing is asked whether it still states that. */
+const minRequestsPerSecond = 0.25;
+
+/** Options of `StatedRateLimit`. */
+export interface StatedRateLimitOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Identifier of this node. */
+    readonly self: string;
+    /** Returns the requests a second that an upstream takes from all nodes together, or infinity. */
+    readonly getRequestsPerSecond: (upstream: string) => number;
+    /** Returns all nodes that may send requests, including this one. */
+    readonly getNodes: () => readonly ShareHolder[];
+    /** Returns whether this node knows the other nodes. Otherwise it holds no share: others may hold all of them. */
+    readonly mayHold: () => boolean;
+}
+
+/** Decides whether this node may send a request to an upstream that states a rate limit. */
+export class StatedRateLimit implements SendLimit {
+    readonly #options: StatedRateLimitOptions;
+    readonly #holders: ShareHolders;
+    /** Monotonic time of this node's last request to each upstream. */
+    readonly #sentAt = new Map<string, number>();
+
+    constructor(options: StatedRateLimitOptions) {
+        this.#options = options;
+        this.#holders = new ShareHolders(options);
+    }
+
+    isAdmitted(upstream: LimitedUpstream): boolean {
+        const requestsPerSecond = this.#options.getRequestsPerSecond(upstream.id);
+        if (requestsPerSecond === Number.POSITIVE_INFINITY) {
+            this.#sentAt.delete(upstream.id);
+            return true;
+        }
+        if (!this.#options.mayHold()) {
+            return false;
+        }
+        const rate = Math.max(minRequestsPerSecond, requestsPerSecond);
+        const maxHolders = minHolders + Math.floor(rate / requestsPerSecondPerHolder);
+        const { isHolder, holders } = this.#holders.get(upstream, maxHolders);
+        const intervalMilliseconds = 1_000 * holders / rate;
+        return isHolder && this.#getTimeSinceLast(upstream.id, intervalMilliseconds) >= intervalMilliseconds;
+    }
+
+    add({ id }: LimitedUpstream): void {
+        if (this.#sentAt.has(id)) {
+            this.#sentAt.set(id, this.#options.clock.monotonic());
+        }
+    }
+
+    remove(upstream: string): void {
+        this.#holders.remove(upstream);
+        this.#sentAt.delete(upstream);
+    }
+
+    /** Returns the time since this node's last request. A random one is assumed for the first, as holders would else send theirs at once. */
+    #getTimeSinceLast(id: string, intervalMilliseconds: number): number {
+        const now = this.#options.clock.monotonic();
+        const known = this.#sentAt.get(id);
+        if (known !== undefined) {
+            return now - known;
+        }
+        const assumed = this.#options.random.next() * intervalMilliseconds;
+        this.#sentAt.set(id, now - assumed);
+        return assumed;
+    }
+}
--- a/src/decisions/dispatch/warmUpLimit.ts
+++ b/src/decisions/dispatch/warmUpLimit.ts
@@ -5,21 +5,13 @@
  * add up to less than the tolerated rate, so that nodes whose lists of nodes differ for a moment do not exceed it either.
  */
 import type { Clock } from "../../common/index.js";
-import type { RegisteredUpstream } from "../../fleet/index.js";
-import { getRank } from "../placement/rendezvous.js";
+import type { LimitedUpstream, SendLimit } from "./sendLimit.js";
+import { type ShareHolder, ShareHolders } from "./shareHolders.js";
 
 /** Requests that one node sends to an upstream in one window, at most. */
 const requestsPerHolder = 2;
 /** Longer than the second in which an upstream counts, since requests of one node take unequal times to arrive. */
 const windowMilliseconds = 1_100;
-/** Time for which the choice of holders of an upstream is cached. */
-const holderCacheMilliseconds = 1_000;
-
-/** A node that may hold a share. */
-export interface ShareHolder {
-    readonly id: string;
-    readonly failureDomain: string;
-}
 
 /** Options of `WarmUpLimit`. */
 export interface WarmUpLimitOptions {
@@ -27,7 +19,7 @@
     /** Identifier of this node. */
     readonly self: string;
     /** Returns whether an upstream is warming up. */
-    readonly isWarmingUp: (upstream: RegisteredUpstream) => boolean;
+    readonly isWarmingUp: (upstream: LimitedUpstream) => boolean;
     /** Returns the requests a second of all nodes that a warming upstream of a pool tolerates; 0 if they are not limited. */
     readonly getRequestsPerSecond: (pool: string) => number;
     /** Returns all nodes, including this one and those that do not answer. */
@@ -39,40 +31,39 @@
     readonly mayHold: () => boolean;
 }
 
-interface CachedHolding {
-    readonly isHolder: boolean;
-    readonly until: number;
-}
-
 /** Decides whether this node may send a request to an upstream that is warming up. */
-export class WarmUpLimit {
+export class WarmUpLimit implements SendLimit {
     readonly #options: WarmUpLimitOptions;
-    readonly #holdings = new Map<string, CachedHolding>();
+    readonly #holders: ShareHolders;
     /** Monotonic times of the requests in the current window, by upstream. */
     readonly #sentAt = new Map<string, readonly number[]>();
 
     constructor(options: WarmUpLimitOptions) {
         this.#options = options;
+        this.#holders = new ShareHolders(options);
     }
 
     /**
      * Returns whether this node may send a request to an upstream now. A warm upstream has no limit.
      * @param upstream - The upstream.
      */
-    isAdmitted(upstream: RegisteredUpstream): boolean {
+    isAdmitted(upstream: LimitedUpstream): boolean {
         if (!this.#isLimited(upstream)) {
             return true;
         }
         const share = this.#getShare(upstream.pool);
-        return share > 0 && this.#options.mayHold() && this.#isHolder(upstream)
-            && this.#getRecent(upstream.id).length < share;
+        if (share === 0 || !this.#options.mayHold()) {
+            return false;
+        }
+        const maxHolders = Math.floor(this.#options.getRequestsPerSecond(upstream.pool) / share);
+        return this.#holders.get(upstream, maxHolders).isHolder && this.#getRecent(upstream.id).length < share;
     }
 
     /**
      * Records a request that is sent to an upstream.
      * @param upstream - The upstream.
      */
-    add(upstream: RegisteredUpstream): void {
+    add(upstream: LimitedUpstream): void {
         if (this.#isLimited(upstream)) {
             this.#sentAt.set(upstream.id, [...this.#getRecent(upstream.id), this.#options.clock.monotonic()]);
         }
@@ -83,11 +74,11 @@
      * @param upstream - Identifier of the upstream.
      */
     remove(upstream: string): void {
-        this.#holdings.delete(upstream);
+        this.#holders.remove(upstream);
         this.#sentAt.delete(upstream);
     }
 
-    #isLimited(upstream: RegisteredUpstream): boolean {
+    #isLimited(upstream: LimitedUpstream): boolean {
         const { isWarmingUp, getRequestsPerSecond } = this.#options;
         return isWarmingUp(upstream) && getRequestsPerSecond(upstream.pool) > 0;
     }
@@ -101,26 +92,4 @@
         const since = this.#options.clock.monotonic() - windowMilliseconds;
         return (this.#sentAt.get(id) ?? []).filter(at => at > since);
     }
-
-    #isHolder(upstream: RegisteredUpstream): boolean {
-        const now = this.#options.clock.monotonic();
-        const cached = this.#holdings.get(upstream.id);
-        if (cached !== undefined && now < cached.until) {
-            return cached.isHolder;
-        }
-        const isHolder = this.#chooseHolders(upstream).some(({ id }) => id === this.#options.self);
-        this.#holdings.set(upstream.id, { isHolder, until: now + holderCacheMilliseconds });
-        return isHolder;
-    }
-
-    /** Chooses nodes of the upstream's failure domain, which send it most requests anyway, or any where that has none. */
-    #chooseHolders({ id, pool, failureDomain }: RegisteredUpstream): readonly ShareHolder[] {
-        const { getNodes, getRequestsPerSecond } = this.#options;
-        const count = Math.floor(getRequestsPerSecond(pool) / this.#getShare(pool));
-        const nodes = getNodes();
-        const near = nodes.filter(node => node.failureDomain === failureDomain);
-        const ranked = (near.length > 0 ? near : nodes).map(node => ({ node, rank: getRank(id, node.id) }));
-        ranked.sort((first, second) => second.rank - first.rank);
-        return ranked.slice(0, count).map(({ node }) => node);
-    }
 }
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -36,10 +36,10 @@
 }
 
 /**
- * Why no attempt was made. `nobody` means that no untried upstream was available, `quarantined` that the request crashes the
- * upstreams that run it.
+ * Why no attempt was made. `nobody` means that no untried upstream was available, `limited` that those available get nothing more
+ * from this node now, `quarantined` that the request crashes the upstreams that run it.
  */
-export type NotMadeReason = "nobody" | "budget" | "attempts" | "ended" | "quarantined";
+export type NotMadeReason = "nobody" | "limited" | "budget" | "attempts" | "ended" | "quarantined";
 
 /** An attempt that failed or was not made. */
 export type AttemptFailure =
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,9 +6,9 @@
 import type {
     CallOutcome,
     PromptDescription,
+    SendLimit,
     UpstreamPick,
     UpstreamPicker,
-    WarmUpLimit,
     WindowedRetryBudget,
 } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
@@ -29,7 +29,8 @@
     readonly metrics: ForwardingMetrics;
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
-    readonly warmUpLimit: WarmUpLimit;
+    /** The limits that the picker observes; here, the requests that were sent are added to them. */
+    readonly sendLimit: SendLimit;
     readonly rateLimits: RateLimits;
     readonly transport: UpstreamTransport;
     readonly crashWatch: CrashWatch;
@@ -89,7 +90,7 @@
         }
         const selected = this.#pick(exchange, request.prompt, exchange.excluded);
         if (selected === undefined) {
-            return err({ kind: "not-made", reason: "nobody" });
+            return err({ kind: "not-made", reason: this.#isAnyLimited(exchange) ? "limited" : "nobody" });
         }
         const { pick, versionReason } = selected;
         const budget = this.#options.getBudget(exchange.pool);
@@ -125,6 +126,12 @@
             ?? (available.some(isWarmingUp) ? pickAmong(available.filter(one => !isWarmingUp(one))) : undefined);
     }
 
+    /** Returns whether an upstream that was not tried yet gets nothing from this node now because of a limit. */
+    #isAnyLimited({ pool, excluded }: Exchange): boolean {
+        const { registry, sendLimit } = this.#options;
+        return registry.getAvailable(pool).some(one => !excluded.has(one.id) && !sendLimit.isAdmitted(one));
+    }
+
     async #send(
         request: AttemptRequest,
         pick: UpstreamPick,
@@ -135,7 +142,7 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, crashWatch, picker, registry, transport, warmUpLimit } = this.#options;
+        const { clock, crashWatch, picker, registry, sendLimit, transport } = this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -177,7 +184,7 @@
         };
         const onEnd = this.#options.onStart(exchange, upstream);
         picker.start(upstream.id);
-        warmUpLimit.add(upstream);
+        sendLimit.add(upstream);
         picker.addPendingPrefill(upstream.id, prefillMilliseconds);
         const result = await transport.call(upstream, {
             request: exchange.request,
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -40,7 +40,7 @@
     return {
         outcome: "not-run",
         failure: new Failure({
-            kind: reason === "nobody" ? "unavailable" : "overloaded",
+            kind: reason === "nobody" || reason === "limited" ? "unavailable" : "overloaded",
             message: `No upstream of the pool ${exchange.pool} accepted the request (${reason}).`,
             remedy: "Retry after the given time.",
             retryAfterMilliseconds: drawRetryAfterMilliseconds(exchange.getTimeLeft(), Math.random()),
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -132,13 +132,23 @@
      * would send all callers to those few members.
      */
     getPresumedAlive(): readonly Member[] {
-        const { gossip } = this.#options;
-        const gracePeriodMilliseconds = Math.max(minGracePeriodMilliseconds, gossip.getPropagationMilliseconds());
+        const gracePeriodMilliseconds = this.#getGracePeriodMilliseconds();
         return this.getMembers().filter(({ state, hasBeenSeen, heartbeatAge }) =>
             state === "alive" || !hasBeenSeen && heartbeatAge < gracePeriodMilliseconds
         );
     }
 
+    /**
+     * Returns the members that may send requests to upstreams: all but those that are dead. A member that was listed recently may be
+     * alive although no heartbeat of it has arrived yet.
+     */
+    getPossiblySending(): readonly Member[] {
+        const gracePeriodMilliseconds = this.#getGracePeriodMilliseconds();
+        return this.getMembers().filter(({ state, hasBeenSeen, heartbeatAge }) =>
+            state !== "dead" || !hasBeenSeen && heartbeatAge < gracePeriodMilliseconds
+        );
+    }
+
     /**
      * Returns the members whose addresses callers may receive: those presumed alive, without those that other nodes report as
      * unreachable. When most are reported, this node may be the one that is cut off, and the reports are ignored.
@@ -253,6 +263,10 @@
         }
     }
 
+    #getGracePeriodMilliseconds(): number {
+        return Math.max(minGracePeriodMilliseconds, this.#options.gossip.getPropagationMilliseconds());
+    }
+
     #createSelf(): Member {
         return {
             ...this.#options.self,
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -1,7 +1,7 @@
 /**
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
-import { WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import { type SendLimit, SendLimits, StatedRateLimit, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import { Attempts } from "../forwarding/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
@@ -11,8 +11,27 @@
 /** Records of upstreams are written about every second. An older list may lack that an upstream warms up. */
 const maxUpstreamsAgeMilliseconds = 3_000;
 
+/** Creates the limits of requests to upstreams. */
+export function createSendLimit(parts: NodeParts): SendLimit {
+    return new SendLimits([createWarmUpLimit(parts), createStatedRateLimit(parts)]);
+}
+
+/** Creates the limit of requests to upstreams that state one. */
+function createStatedRateLimit({ clock, self, random, membership, rateLimits }: NodeParts): SendLimit {
+    const settledAt = clock.monotonic() + shareSettlingMilliseconds;
+    return new StatedRateLimit({
+        clock,
+        random,
+        self: self.id,
+        getRequestsPerSecond: upstream => rateLimits.get(upstream),
+        getNodes: () => membership.getPossiblySending(),
+        // A node that starts again reads the list of all nodes before it serves.
+        mayHold: () => clock.monotonic() > settledAt || membership.getMembers().length > 1,
+    });
+}
+
 /** Creates the limit of requests to upstreams that warm up. */
-export function createWarmUpLimit({ clock, self, registry, topics, membership }: NodeParts): WarmUpLimit {
+function createWarmUpLimit({ clock, self, registry, topics, membership }: NodeParts): SendLimit {
     const settledAt = clock.monotonic() + shareSettlingMilliseconds;
     return new WarmUpLimit({
         clock,
@@ -33,7 +52,7 @@
         metrics: parts.metrics,
         registry: parts.registry,
         picker: parts.picker,
-        warmUpLimit: parts.warmUpLimit,
+        sendLimit: parts.sendLimit,
         rateLimits: parts.rateLimits,
         transport: upstreamClient,
         crashWatch: parts.crashWatch,
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -3,7 +3,7 @@
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
 import { type Clock, RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { UpstreamPicker, type WarmUpLimit, type WindowedRetryBudget } from "../decisions/index.js";
+import { type SendLimit, UpstreamPicker, type WindowedRetryBudget } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
 import {
@@ -24,11 +24,11 @@
     PeerServer,
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine, type Quarantine } from "../quarantine/index.js";
-import { RateLimits } from "../ratelimits/index.js";
+import { createSharedRateLimits, type RateLimits } from "../ratelimits/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
-import { createAttempts, createBudgets, createWarmUpLimit } from "./forwardingParts.js";
+import { createAttempts, createBudgets, createSendLimit } from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
@@ -74,8 +74,8 @@
     readonly gossip: Gossip;
     readonly membership: Membership;
     readonly directory: MemberDirectory;
-    readonly warmUpLimit: WarmUpLimit;
     readonly rateLimits: RateLimits;
+    readonly sendLimit: SendLimit;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly upstreamClient: UpstreamClient;
@@ -158,16 +158,16 @@
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
-    warmUpLimit: parts => createWarmUpLimit(parts),
-    rateLimits: ({ clock, journal }) => new RateLimits({ clock, journal }),
-    picker: ({ clock, settings, random, journal, self, warmUpLimit }) =>
+    rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
+    sendLimit: parts => createSendLimit(parts),
+    picker: ({ clock, settings, random, journal, self, sendLimit }) =>
         new UpstreamPicker({
             clock,
             self: self.id,
             failureDomain: settings.failureDomain,
             random,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
-            isAdmitted: upstream => warmUpLimit.isAdmitted(upstream),
+            isAdmitted: upstream => sendLimit.isAdmitted(upstream),
         }),
     budgets: parts => createBudgets(parts),
     upstreamClient: ({ topics, membership }) =>
--- a/src/ratelimits/rateLimits.ts
+++ b/src/ratelimits/rateLimits.ts
@@ -2,15 +2,17 @@
  * Tracks which upstreams state a rate limit.
  *
  * An upstream in need states with its answers how many requests a second it takes from all nodes together, for as long as it states
- * that. An answer without a limit ends it.
+ * that. An answer without a limit ends it. Only a few nodes send requests to such an upstream, so the others learn from them.
  */
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
+import { getRate, isNewer, type RateRecord, unlimitedRate } from "./rateRecord.js";
 
-/** The rate of an upstream that states no limit. */
-export const unlimitedRate = Number.POSITIVE_INFINITY;
 /** Maximum relative change of a stated rate that is ignored. */
 const ignoredChange = 0.1;
+/** Maximum number of records that one node keeps, and that it publishes. */
+const maxRecords = 4_096;
+const maxOwnRecords = 256;
 
 /** What an answer states about the rate limit of its upstream. */
 export interface RateStatement {
@@ -22,9 +24,9 @@
     readonly sentAt: number;
 }
 
-interface RateLimit {
-    readonly requestsPerSecond: number;
-    /** Monotonic time of the last answer that stated a limit, or of the one that ended it. */
+interface KnownRate {
+    readonly record: RateRecord;
+    /** Monotonic time of the last answer that confirmed the record here, or of its arrival from another node. */
     readonly knownAt: number;
 }
 
@@ -32,12 +34,17 @@
 export interface RateLimitsOptions {
     readonly clock: Clock;
     readonly journal: Journal;
+    /** Sends the changes that this node has found to the other nodes. */
+    readonly publish: (records: readonly RateRecord[]) => void;
 }
 
-/** Knows the rate limits that upstreams have stated to this node. */
+/** Knows the rate limits of upstreams, from this node's own calls and from the records of the other nodes. */
 export class RateLimits {
     readonly #options: RateLimitsOptions;
-    readonly #limits = new Map<string, RateLimit>();
+    /** By upstream, the one that was changed last at the end. */
+    readonly #rates = new Map<string, KnownRate>();
+    /** Upstreams whose last known change was found by this node, in the order of their changes. */
+    readonly #own = new Set<string>();
 
     constructor(options: RateLimitsOptions) {
         this.#options = options;
@@ -48,12 +55,12 @@
      * @param upstream - Its identifier.
      */
     get(upstream: string): number {
-        return this.#limits.get(upstream)?.requestsPerSecond ?? unlimitedRate;
+        return getRate(this.#rates.get(upstream)?.record);
     }
 
     /** Returns the number of upstreams that state a limit. */
     count(): number {
-        return [...this.#limits.values()].filter(({ requestsPerSecond }) => requestsPerSecond < unlimitedRate).length;
+        return [...this.#rates.values()].filter(({ record }) => getRate(record) < unlimitedRate).length;
     }
 
     /**
@@ -61,21 +68,31 @@
      * ignored.
      */
     observe({ upstream, requestsPerSecond, sentAt }: RateStatement): void {
-        const known = this.#limits.get(upstream);
-        if (known === undefined && requestsPerSecond === unlimitedRate) {
+        const known = this.#rates.get(upstream);
+        if (
+            known === undefined && requestsPerSecond === unlimitedRate || known !== undefined && sentAt < known.knownAt
+        ) {
             return;
         }
-        if (known !== undefined && sentAt < known.knownAt) {
+        if (known !== undefined && isSimilar(getRate(known.record), requestsPerSecond)) {
+            this.#rates.set(upstream, { record: known.record, knownAt: this.#options.clock.monotonic() });
             return;
         }
-        const knownRate = known?.requestsPerSecond ?? unlimitedRate;
-        const hasChanged = !isSimilar(knownRate, requestsPerSecond);
-        this.#limits.set(upstream, {
-            requestsPerSecond: hasChanged ? requestsPerSecond : knownRate,
-            knownAt: this.#options.clock.monotonic(),
-        });
-        if (hasChanged) {
-            this.#logChange(upstream, requestsPerSecond);
+        const change = Math.max((known?.record.change ?? -1) + 1, Math.floor(this.#options.clock.wall()));
+        const rate = requestsPerSecond === unlimitedRate ? undefined : requestsPerSecond;
+        this.#set({ upstream, change, requestsPerSecond: rate }, "answer");
+        this.#own.delete(upstream);
+        this.#own.add(upstream);
+        this.#publish();
+    }
+
+    /** Adds the changes that another node has found. */
+    merge(records: readonly RateRecord[]): void {
+        for (const record of records) {
+            if (isNewer(record, this.#rates.get(record.upstream)?.record)) {
+                this.#own.delete(record.upstream);
+                this.#set(record, "peer");
+            }
         }
     }
 
@@ -84,16 +101,43 @@
      * @param upstream - Its identifier.
      */
     remove(upstream: string): void {
-        this.#limits.delete(upstream);
+        this.#rates.delete(upstream);
+        this.#own.delete(upstream);
     }
 
-    #logChange(upstream: string, requestsPerSecond: number): void {
-        const { journal } = this.#options;
-        if (requestsPerSecond === unlimitedRate) {
-            journal.write(events.upstreamUnlimited, { upstream });
-            return;
+    #set(record: RateRecord, source: "answer" | "peer"): void {
+        const { clock, journal } = this.#options;
+        const { upstream, requestsPerSecond } = record;
+        const hasChanged = getRate(record) !== this.get(upstream);
+        this.#rates.delete(upstream);
+        this.#rates.set(upstream, { record, knownAt: clock.monotonic() });
+        this.#removeOldest();
+        if (hasChanged && requestsPerSecond === undefined) {
+            journal.write(events.upstreamUnlimited, { upstream, source });
+        }
+        else if (hasChanged) {
+            journal.write(events.upstreamLimited, { upstream, requestsPerSecond, source });
+        }
+    }
+
+    #removeOldest(): void {
+        for (const upstream of this.#rates.keys()) {
+            if (this.#rates.size <= maxRecords) {
+                return;
+            }
+            this.remove(upstream);
+        }
+    }
+
+    #publish(): void {
+        const own: RateRecord[] = [];
+        for (const upstream of [...this.#own].slice(-maxOwnRecords)) {
+            const known = this.#rates.get(upstream);
+            if (known !== undefined) {
+                own.push(known.record);
+            }
         }
-        journal.write(events.upstreamLimited, { upstream, requestsPerSecond });
+        this.#options.publish(own);
     }
 }
 
--- a/test/platform/statedLimits.test.ts
+++ b/test/platform/statedLimits.test.ts
@@ -95,4 +95,20 @@
             });
         }
     });
+
+    // Guards against requests that wait for an upstream that may not get them, or are sent to it all the same, where all state limits.
+    it("makes nodes refuse at once what no upstream takes", async () => {
+        for (const runner of limited) {
+            runner.statedAt = undefined;
+            runner.isInNeed = true;
+        }
+        const answers = await sendTraffic();
+        for (const runner of limited) {
+            expect(runner.getMaxInWindow()).toBeLessThanOrEqual(maxInWindow);
+        }
+        const refused = answers.filter(({ status }) => status !== 200);
+        expect(refused.length > 0).toEqual(true);
+        expect(refused.every(({ status, headers }) => status === 503 && headers["retry-after"] !== undefined))
+            .toEqual(true);
+    });
 });
--- a/test/ratelimits/rateLimits.test.ts
+++ b/test/ratelimits/rateLimits.test.ts
@@ -7,7 +7,7 @@
 function createLimits() {
     const clock = new ManualClock(1_000);
     const { journal, lines } = createJournal();
-    const limits = new RateLimits({ clock, journal });
+    const limits = new RateLimits({ clock, journal, publish: () => {} });
     const observe = (requestsPerSecond: number, sentAt = clock.monotonic()): void =>
         limits.observe({ upstream: "u1", requestsPerSecond, sentAt });
     return { clock, limits, lines, observe };
