Let holders of a stated rate consider the runner whatever their subset

Found by reading, after the mend: in a large pool each node chooses among 12 runners of its own order, and the few nodes that hold the rate of a limited runner may all have others. With 19 runners in a failure domain a holder lacks it in 7 of 19 cases. The runner would then get nearly nothing, and nobody would learn that its limit has ended. Only runners that hold a prompt's shared parts were considered beyond the subset.

Change: a runner of whose stated rate the node holds a share is among those it chooses from. Nothing differs while no upstream states a limit.

Test: decisions/dispatch/upstreamPicker, each of 78 runners in turn; without the change it fails (a guard).

--- a/src/decisions/dispatch/runnerSubsets.ts
+++ b/src/decisions/dispatch/runnerSubsets.ts
@@ -41,14 +41,14 @@
     }
 
     /**
-     * Returns the runners to choose from: the subset of this node, and the runners that may have the prompt in their cache.
+     * Returns the runners to choose from: the subset of this node, and some others.
      * @param runners - All runners. Results are cached by array identity, so a changed list must be a new array.
-     * @param holders - Identifiers of the runners that may have the prompt in their cache.
+     * @param others - Identifiers of the others, such as the runners that may have the prompt in their cache.
      * @param usable - Those of the runners that may be chosen now. The next ones in the node's order replace the others.
      */
     selectCandidates(
         runners: readonly RegisteredUpstream[],
-        holders: readonly string[],
+        others: readonly string[],
         usable: readonly RegisteredUpstream[] = runners,
     ): readonly RegisteredUpstream[] {
         if (usable.length <= subsetSize) {
@@ -57,8 +57,8 @@
         const { ranked, byId } = this.#getRankedRunners(runners);
         const selected = usable === runners ? ranked.slice(0, subsetSize) : selectUsable(ranked, usable);
         const subset = new Set(selected);
-        for (const holder of holders) {
-            const upstream = byId.get(holder);
+        for (const other of others) {
+            const upstream = byId.get(other);
             if (upstream !== undefined && !subset.has(upstream)) {
                 selected.push(upstream);
             }
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -49,6 +49,7 @@
     readonly #holders = new PromptHolders();
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #isAdmitted: (upstream: RegisteredUpstream) => boolean;
+    readonly #getRateLimited: () => ReadonlySet<string>;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #prefillRates = new PrefillRate();
     readonly #averageLoads = new AverageLoads();
@@ -64,6 +65,8 @@
         readonly onEject: (upstream: string, milliseconds: number) => void;
         /** Returns whether an upstream may get a request from this node now. Without it, every upstream may. */
         readonly isAdmitted?: (upstream: RegisteredUpstream) => boolean;
+        /** Returns the identifiers of upstreams that state a rate limit. Without it, none does. */
+        readonly getRateLimited?: () => ReadonlySet<string>;
     }) {
         this.#clock = options.clock;
         this.#random = options.random;
@@ -71,6 +74,7 @@
         this.#subsets = new RunnerSubsets(options);
         this.#onEject = options.onEject;
         this.#isAdmitted = options.isAdmitted ?? (() => true);
+        this.#getRateLimited = options.getRateLimited ?? (() => new Set());
     }
 
     /**
@@ -237,10 +241,11 @@
         now: number,
     ): UpstreamPick | undefined {
         const holders = this.#holders.findTwoHolders(usable, prompt.sharedKey);
+        const others = [...holders, ...this.#findRateLimited(usable)];
         const domainCost = crossDomainMilliseconds + crossDomainMillisecondsPerKilobyte * prompt.bytes / 1_024;
         let best: UpstreamPick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const upstream of this.#subsets.selectCandidates(candidates, holders, usable)) {
+        for (const upstream of this.#subsets.selectCandidates(candidates, others, usable)) {
             const status = this.#getStatus(upstream.id);
             const hitProbability = cacheHitProbabilities[holders.indexOf(upstream.id)] ?? 0;
             const uncachedTokens = prompt.tokens - hitProbability * prompt.sharedTokens;
@@ -262,6 +267,15 @@
         return best;
     }
 
+    /**
+     * Finds the upstreams of whose stated rate this node holds a share. The few nodes that do may all have other upstreams in their
+     * subsets. The upstream would then get nothing, and nobody would learn that its limit has ended.
+     */
+    #findRateLimited(usable: readonly RegisteredUpstream[]): readonly string[] {
+        const limited = this.#getRateLimited();
+        return limited.size === 0 ? [] : usable.filter(({ id }) => limited.has(id)).map(({ id }) => id);
+    }
+
     #findWithFreeCapacity(candidates: readonly RegisteredUpstream[], now: number): RegisteredUpstream | undefined {
         const leastLoaded = this.#findLeastLoaded(candidates, now);
         return leastLoaded !== undefined && this.#getLoad(leastLoaded, now) < fullLoadShare ? leastLoaded : undefined;
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -160,7 +160,7 @@
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
     sendLimit: parts => createSendLimit(parts),
-    picker: ({ clock, settings, random, journal, self, sendLimit }) =>
+    picker: ({ clock, settings, random, journal, self, sendLimit, rateLimits }) =>
         new UpstreamPicker({
             clock,
             self: self.id,
@@ -168,6 +168,7 @@
             random,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
             isAdmitted: upstream => sendLimit.isAdmitted(upstream),
+            getRateLimited: () => rateLimits.getLimited(),
         }),
     budgets: parts => createBudgets(parts),
     upstreamClient: ({ topics, membership }) =>
--- a/src/ratelimits/rateLimits.ts
+++ b/src/ratelimits/rateLimits.ts
@@ -43,6 +43,7 @@
     readonly #options: RateLimitsOptions;
     /** By upstream, the one that was changed last at the end. */
     readonly #rates = new Map<string, KnownRate>();
+    readonly #limited = new Set<string>();
     /** Upstreams whose last known change was found by this node, in the order of their changes. */
     readonly #own = new Set<string>();
 
@@ -60,7 +61,12 @@
 
     /** Returns the number of upstreams that state a limit. */
     count(): number {
-        return [...this.#rates.values()].filter(({ record }) => getRate(record) < unlimitedRate).length;
+        return this.#limited.size;
+    }
+
+    /** Returns the identifiers of the upstreams that state a limit. */
+    getLimited(): ReadonlySet<string> {
+        return this.#limited;
     }
 
     /**
@@ -102,6 +108,7 @@
      */
     remove(upstream: string): void {
         this.#rates.delete(upstream);
+        this.#limited.delete(upstream);
         this.#own.delete(upstream);
     }
 
@@ -111,6 +118,10 @@
         const hasChanged = getRate(record) !== this.get(upstream);
         this.#rates.delete(upstream);
         this.#rates.set(upstream, { record, knownAt: clock.monotonic() });
+        this.#limited.delete(upstream);
+        if (requestsPerSecond !== undefined) {
+            this.#limited.add(upstream);
+        }
         this.#removeOldest();
         if (hasChanged && requestsPerSecond === undefined) {
             journal.write(events.upstreamUnlimited, { upstream, source });
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -6,7 +6,7 @@
 import { createUpstream, createUpstreams } from "../../fixtures/upstreams.js";
 import { replayManyNodes } from "./manyNodes.js";
 
-function createPicker() {
+function createPicker(options: { readonly getRateLimited?: () => ReadonlySet<string>; } = {}) {
     const clock = new ManualClock(10_000);
     const ejected: string[] = [];
     const picker = new UpstreamPicker({
@@ -15,6 +15,7 @@
         failureDomain: "north",
         random: new RandomSource(1),
         onEject: id => ejected.push(id),
+        ...options,
     });
     return { clock, picker, ejected };
 }
@@ -65,6 +66,24 @@
 
 describe("UpstreamPicker", () => {
     describe("pick", () => {
+        // Guards against an upstream that gets nothing since the nodes that hold shares of its rate choose among others.
+        it("chooses a runner of whose stated rate the node holds a share, whatever its own subset", () => {
+            const runners = createUpstreams(78);
+            for (const limited of runners) {
+                const { picker } = createPicker({ getRateLimited: () => new Set([limited.id]) });
+                for (const { id } of runners.filter(other => other !== limited)) {
+                    picker.addPendingPrefill(id, 5_000);
+                }
+                const pick = picker.pick({
+                    candidates: runners,
+                    excluded: new Set(),
+                    pool: "app",
+                    prompt: createPrompt(),
+                });
+                expect(pick?.upstream.id).toEqual(limited.id);
+            }
+        });
+
         it("prefers the own failure domain until it is full", () => {
             const { picker } = createPicker();
             const near = createUpstream("near");
