Keep the rates that engines and services state at the product's own interface

An upstream now states X-Rate-Limit (docs/design/interfaces.md); entries observe it with each answer, learn it from each other by gossip, and hold shares of it with the code that the platform's nodes use.

What is known of an upstream is removed with it, in one place for both.

--- a/src/decisions/dispatch/statedRateLimit.ts
+++ b/src/decisions/dispatch/statedRateLimit.ts
@@ -15,14 +15,21 @@
 /** Rate at which an upstream that takes nothing is asked whether it still states that. */
 const minRequestsPerSecond = 0.25;
 
+/** The rates that upstreams state, by identifier. */
+export interface StatedRates {
+    /** Returns the requests a second that an upstream takes from all nodes together, or infinity. */
+    get(upstream: string): number;
+    /** Removes what is known of an upstream. */
+    remove(upstream: string): void;
+}
+
 /** Options of `StatedRateLimit`. */
 export interface StatedRateLimitOptions {
     readonly clock: Clock;
     readonly random: RandomSource;
     /** Identifier of this node. */
     readonly self: string;
-    /** Returns the requests a second that an upstream takes from all nodes together, or infinity. */
-    readonly getRequestsPerSecond: (upstream: string) => number;
+    readonly rates: StatedRates;
     /** Returns all nodes that may send requests, including this one. */
     readonly getNodes: () => readonly ShareHolder[];
     /** Returns whether this node knows the other nodes. Otherwise it holds no share: others may hold all of them. */
@@ -42,7 +49,7 @@
     }
 
     isAdmitted(upstream: LimitedUpstream): boolean {
-        const requestsPerSecond = this.#options.getRequestsPerSecond(upstream.id);
+        const requestsPerSecond = this.#options.rates.get(upstream.id);
         if (requestsPerSecond === Number.POSITIVE_INFINITY) {
             this.#sentAt.delete(upstream.id);
             return true;
@@ -64,6 +71,7 @@
     }
 
     remove(upstream: string): void {
+        this.#options.rates.remove(upstream);
         this.#holders.remove(upstream);
         this.#sentAt.delete(upstream);
     }
--- a/src/decisions/placement/candidateSet.ts
+++ b/src/decisions/placement/candidateSet.ts
@@ -3,6 +3,7 @@
  * grows with the number of runners.
  */
 import type { RandomSource } from "../../common/index.js";
+import type { Vm } from "../../world/index.js";
 import type { PlacementOptions } from "./options.js";
 import type { Placement, PlacementReason, PlacementRequest } from "./placement.js";
 import type { PrefixMatch } from "./prefixTable.js";
@@ -15,6 +16,7 @@
 export class CandidateSet {
     readonly #random: RandomSource;
     readonly #options: PlacementOptions;
+    readonly #isAdmitted: (upstream: Vm) => boolean;
     #now = 0;
     #request: PlacementRequest | undefined;
     #matches: readonly PrefixMatch[] = [];
@@ -22,9 +24,15 @@
     #bestWait = Number.POSITIVE_INFINITY;
     #bestReason: PlacementReason = "least-wait";
 
-    constructor(options: { readonly random: RandomSource; readonly options: PlacementOptions; }) {
+    constructor(options: {
+        readonly random: RandomSource;
+        readonly options: PlacementOptions;
+        /** Returns whether an upstream may get a request from this entry now. */
+        readonly isAdmitted: (upstream: Vm) => boolean;
+    }) {
         this.#random = options.random;
         this.#options = options.options;
+        this.#isAdmitted = options.isAdmitted;
     }
 
     /** Resets the set for a new request. */
@@ -89,7 +97,7 @@
         let found = 0;
         for (let step = 0; step < runners.length && found < this.#options.choices; step += 1) {
             const runner = runners[(start + step) % runners.length];
-            if (this.#request?.excluded.has(runner.vm.id) === false) {
+            if (this.#request?.excluded.has(runner.vm.id) === false && this.#isAdmitted(runner.vm)) {
                 this.#compare(runner, "panic");
                 found += 1;
             }
@@ -112,7 +120,7 @@
 
     #isEligible(runner: Runner): boolean {
         return !runner.isLeaving && !runner.health.isEjected(this.#now)
-            && this.#request?.excluded.has(runner.vm.id) === false;
+            && this.#request?.excluded.has(runner.vm.id) === false && this.#isAdmitted(runner.vm);
     }
 
     #serves(runner: Runner): boolean {
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -6,6 +6,7 @@
 import type { Clock, Failure, RandomSource } from "../../common/index.js";
 import { events, type Journal } from "../../events/index.js";
 import type { LoadReport, Vm, VmRole } from "../../world/index.js";
+import type { SendLimit } from "../dispatch/sendLimit.js";
 import { CandidateSet } from "./candidateSet.js";
 import { getCapacity } from "./capacity.js";
 import { getEjectedShareWith } from "./ejection.js";
@@ -36,6 +37,8 @@
     readonly #index: RunnerIndex;
     readonly #prefixes: PrefixTable;
     readonly #candidates: CandidateSet;
+    readonly #sendLimit: SendLimit | undefined;
+    readonly #getRateLimited: () => ReadonlySet<string>;
 
     constructor(options: {
         readonly self: EntryLocation;
@@ -43,6 +46,10 @@
         readonly random: RandomSource;
         readonly options?: Partial<PlacementOptions>;
         readonly journal?: Journal;
+        /** Limits the requests of this entry to each upstream. Without it, there is no limit. */
+        readonly sendLimit?: SendLimit;
+        /** Returns the identifiers of upstreams that state a rate limit. Without it, none does. */
+        readonly getRateLimited?: () => ReadonlySet<string>;
     }) {
         this.#self = options.self;
         this.#clock = options.clock;
@@ -51,7 +58,13 @@
         this.#journal = options.journal;
         this.#index = new RunnerIndex(options.self.failureDomain, this.#options);
         this.#prefixes = new PrefixTable(this.#options.maxPrefixBlocks);
-        this.#candidates = new CandidateSet({ random: options.random, options: this.#options });
+        this.#sendLimit = options.sendLimit;
+        this.#getRateLimited = options.getRateLimited ?? (() => new Set());
+        this.#candidates = new CandidateSet({
+            random: options.random,
+            options: this.#options,
+            isAdmitted: upstream => this.#sendLimit?.isAdmitted(upstream) ?? true,
+        });
     }
 
     /**
@@ -75,6 +88,7 @@
                 this.#runners.delete(id);
                 this.#index.remove(runner);
                 this.#prefixes.removeUpstream(id);
+                this.#sendLimit?.remove(id);
             }
         }
         this.#index.setEntries(entries);
@@ -219,6 +233,7 @@
         const matches = this.#prefixes.getMatches(request.blocks, this.#options.cachedChoices);
         this.#candidates.start(now, request, matches);
         this.#addPreferred(request, matches);
+        this.#addRateLimited();
         this.#candidates.addSample(list.near, "least-wait");
         if (this.#candidates.getBestWait() > this.#options.spillOverMilliseconds) {
             this.#candidates.addSample(list.far, "spill-over");
@@ -245,6 +260,7 @@
      */
     start(placement: Placement): Work {
         const runner = this.#runners.get(placement.upstream.id);
+        this.#sendLimit?.add(placement.upstream);
         return runner === undefined
             ? new Work({ firstToken: () => {}, load: () => {}, finish: () => {} })
             : this.#createWork(runner, placement);
@@ -333,6 +349,19 @@
         }
     }
 
+    /**
+     * Adds the upstreams of whose stated rate this entry holds a share, also those outside its subset: the few entries that do may
+     * all have other upstreams in theirs.
+     */
+    #addRateLimited(): void {
+        for (const id of this.#getRateLimited()) {
+            const runner = this.#runners.get(id);
+            if (runner !== undefined) {
+                this.#candidates.addOne(runner, "least-wait");
+            }
+        }
+    }
+
     #recordFirstToken(runner: Runner, milliseconds: number, modelledMilliseconds: number): void {
         const now = this.#clock.monotonic();
         const ratio = runner.addFirstToken(milliseconds, modelledMilliseconds, now);
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -24,8 +24,16 @@
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
+import type { RateLimits } from "../ratelimits/index.js";
 import type { EntrySettings } from "../settings/index.js";
-import type { EngineClient, EngineOrders, RatingClient, ServiceClient, UpstreamConnector } from "../upstream/index.js";
+import type {
+    EngineClient,
+    EngineOrders,
+    RateObserver,
+    RatingClient,
+    ServiceClient,
+    UpstreamConnector,
+} from "../upstream/index.js";
 import type { AttemptRunner } from "./attemptRunner.js";
 import type { CallerServer } from "./callerServer.js";
 import type { ChatPipeline } from "./chatPipeline.js";
@@ -99,6 +107,8 @@
     readonly retries: RetryBudget;
     readonly quarantine: Quarantine;
     readonly crashWatch: CrashWatch;
+    readonly rateLimits: RateLimits;
+    readonly rateObserver: RateObserver;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
     readonly ratings: RatingClient;
--- a/src/entry/metrics.ts
+++ b/src/entry/metrics.ts
@@ -84,6 +84,11 @@
             labelNames: ["state"] as const,
             registers,
         }),
+        limitedUpstreams: new Gauge({
+            name: "rattanlock_limited_upstreams",
+            help: "Upstreams that take a stated number of requests a second from all entries together.",
+            registers,
+        }),
         unappendedBills: new Gauge({
             name: "rattanlock_unappended_bills",
             help: "Bills that wait for the log.",
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -15,7 +15,8 @@
     RunnerChooser,
 } from "../../decisions/index.js";
 import { events } from "../../events/index.js";
-import { EngineClient, EngineOrders, ServiceClient } from "../../upstream/index.js";
+import { createRateShares } from "../../ratelimits/index.js";
+import { EngineClient, EngineOrders, RateObserver, ServiceClient } from "../../upstream/index.js";
 import type { VmRole } from "../../world/index.js";
 import type { PartFactories } from "../container.js";
 import type { Cradle } from "../cradle.js";
@@ -118,24 +119,29 @@
         isLoaded: version => orderDriver.isReady(version),
     }),
     versionPolicy: ({ rollouts, rolloutRouter }) => new VersionPolicy({ rollouts, router: rolloutRouter }),
-    runners: ({ self, clock, random, journal, settings }) =>
+    rateObserver: ({ clock, rateLimits }) =>
+        new RateObserver({ clock, onStatement: statement => rateLimits.observe(statement) }),
+    runners: ({ self, clock, random, journal, settings, membership, rateLimits }) =>
         new RunnerChooser({
             self: { failureDomain: self.failureDomain, region: self.region, subsetKey: self.id },
             clock,
             random,
             journal,
             options: { nearSubsetSize: settings.limits.subset },
+            sendLimit: createRateShares({ clock, random, self: self.id, membership, rateLimits }),
+            getRateLimited: () => rateLimits.getLimited(),
         }),
     admission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     serviceAdmission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     retries: ({ settings }) => new RetryBudget({ ratio: settings.limits.retryPercent / percent }),
-    engines: ({ upstreamAgent, settings }) =>
+    engines: ({ upstreamAgent, settings, rateObserver }) =>
         new EngineClient({
             dispatcher: upstreamAgent,
             headersTimeoutMilliseconds: settings.timing.upstreamConnectTimeoutMilliseconds,
+            rateObserver,
         }),
-    services: ({ upstreamAgent, settings }) =>
-        new ServiceClient({ dispatcher: upstreamAgent, maxAnswerBytes: settings.limits.bodyBytes }),
+    services: ({ upstreamAgent, settings, rateObserver }) =>
+        new ServiceClient({ dispatcher: upstreamAgent, maxAnswerBytes: settings.limits.bodyBytes, rateObserver }),
     loadPoller: cradle =>
         new LoadPoller({
             clock: cradle.clock,
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -14,6 +14,7 @@
 import type { CopyBillsRequest, DecideClaimsRequest, FetchStateRequest, PushRequest } from "../../generated/peer.js";
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
+import { createSharedRateLimits } from "../../ratelimits/index.js";
 import { isRefusingConnections } from "../../upstream/index.js";
 import type { PartFactories } from "../container.js";
 import type { Cradle } from "../cradle.js";
@@ -71,6 +72,7 @@
             // The entries hold the records for each other; they are not in the log.
             store: () => Promise.resolve(true),
         }),
+    rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
     crashWatch: ({ clock, journal, quarantine }) =>
         new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
     collectors: ({ self, clock, journal, membership, log, follow, settings }) =>
--- a/src/entry/status.ts
+++ b/src/entry/status.ts
@@ -59,9 +59,10 @@
  * @param cradle - The entry's parts.
  */
 export function refreshGauges(cradle: Cradle): void {
-    const { metrics, configuration, membership, bills } = cradle;
+    const { metrics, configuration, membership, bills, rateLimits } = cradle;
     metrics.configurationOffset.set(configuration.getOffset());
     metrics.configurationAge.set(toFinite(configuration.getAge()) / millisecondsPerSecond);
+    metrics.limitedUpstreams.set(rateLimits.count());
     metrics.unappendedBills.set(bills.getSize());
     for (const state of ["alive", "suspect", "leaving", "dead"] as const) {
         metrics.members.set({ state }, membership.getMembers().filter(member => member.state === state).length);
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -1,8 +1,9 @@
 /**
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
-import { type SendLimit, SendLimits, StatedRateLimit, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import { type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import { Attempts } from "../forwarding/index.js";
+import { createRateShares } from "../ratelimits/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
 
@@ -13,21 +14,9 @@
 
 /** Creates the limits of requests to upstreams. */
 export function createSendLimit(parts: NodeParts): SendLimit {
-    return new SendLimits([createWarmUpLimit(parts), createStatedRateLimit(parts)]);
-}
-
-/** Creates the limit of requests to upstreams that state one. */
-function createStatedRateLimit({ clock, self, random, membership, rateLimits }: NodeParts): SendLimit {
-    const settledAt = clock.monotonic() + shareSettlingMilliseconds;
-    return new StatedRateLimit({
-        clock,
-        random,
-        self: self.id,
-        getRequestsPerSecond: upstream => rateLimits.get(upstream),
-        getNodes: () => membership.getPossiblySending(),
-        // A node that starts again reads the list of all nodes before it serves.
-        mayHold: () => clock.monotonic() > settledAt || membership.getMembers().length > 1,
-    });
+    const { clock, random, self, membership, rateLimits } = parts;
+    const rateShares = createRateShares({ clock, random, self: self.id, membership, rateLimits });
+    return new SendLimits([createWarmUpLimit(parts), rateShares]);
 }
 
 /** Creates the limit of requests to upstreams that warm up. */
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -94,11 +94,10 @@
 
     /** Discards what was collected about removed and restarted upstreams: it is invalid after a restart under the same identifier. */
     #clearStateOfRemovedUpstreams(): void {
-        const { registry, picker, upstreamClient, sendLimit, rateLimits } = this.getParts();
+        const { registry, picker, upstreamClient, sendLimit } = this.getParts();
         registry.onRemoved(({ id }) => {
             picker.remove(id);
             sendLimit.remove(id);
-            rateLimits.remove(id);
             upstreamClient.closeConnections(id);
         });
     }
--- a/src/standins/engine/engineConditions.ts
+++ b/src/standins/engine/engineConditions.ts
@@ -28,6 +28,8 @@
     role: z.string().default("serve"),
     stepMilliseconds: z.coerce.number().positive().default(10),
     tokensPerStep: nonNegativeNumber.default(512),
+    /** Requests a second that the engine states to take from all entries together; 0 states no limit. */
+    statedPerSecond: nonNegativeNumber.default(0),
     maximumRunning: z.coerce.number().min(1).default(16),
     /** Requests are rejected with 429 while this many requests wait. */
     maximumWaiting: nonNegativeNumber.default(64),
--- a/src/standins/engine/modelEngine.ts
+++ b/src/standins/engine/modelEngine.ts
@@ -9,7 +9,7 @@
 import type { LoadReport } from "../../world/index.js";
 import type { Address } from "../address.js";
 import { Conditions } from "../conditions.js";
-import { readJson, sendProblem, StandinServer } from "../standinServer.js";
+import { readJson, sendProblem, setRateLimit, StandinServer } from "../standinServer.js";
 import type { AnswerStream } from "./answerStream.js";
 import { Batch } from "./batch.js";
 import { type ChatRequest, createCompletion, readChatRequest } from "./chat.js";
@@ -156,6 +156,7 @@
         const load = this.#measureLoad();
         context.set("X-Model-Version", version);
         context.set("X-Load", `${load.running}/${load.waiting}/${load.capacity}`);
+        setRateLimit(context, this.#conditions.get().statedPerSecond);
         return run;
     }
 
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -9,12 +9,14 @@
 import type { LoadReport } from "../world/index.js";
 import type { Address } from "./address.js";
 import { commonConditions, Conditions, flag, nonNegativeNumber } from "./conditions.js";
-import { dropConnection, sendProblem, StandinServer } from "./standinServer.js";
+import { dropConnection, sendProblem, setRateLimit, StandinServer } from "./standinServer.js";
 
 const schema = z.strictObject({
     ...commonConditions,
     name: z.string().default("service"),
     capacity: nonNegativeNumber.default(16),
+    /** Requests a second that the service states to take from all entries together; 0 states no limit. */
+    statedPerSecond: nonNegativeNumber.default(0),
     /** Time between a call taking effect and its answer. */
     workMilliseconds: nonNegativeNumber.default(0),
     leaving: flag.default(false),
@@ -84,6 +86,7 @@
         this.#activeCount += 1;
         const load = this.#getLoad();
         context.set("X-Load", `${load.running}/${load.waiting}/${load.capacity}`);
+        setRateLimit(context, this.#conditions.get().statedPerSecond);
         try {
             await this.#run(context);
         }
--- a/src/standins/standinServer.ts
+++ b/src/standins/standinServer.ts
@@ -130,6 +130,13 @@
     context.type = "application/problem+json";
 }
 
+/** Sets the header that states a rate limit; 0 states none. */
+export function setRateLimit(context: Koa.Context, requestsPerSecond: number): void {
+    if (requestsPerSecond > 0) {
+        context.set("X-Rate-Limit", String(requestsPerSecond));
+    }
+}
+
 /** Closes the connection without an answer, as a network failure does. */
 export function dropConnection(context: Koa.Context): void {
     context.respond = false;
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -6,6 +6,7 @@
 import { Failure } from "../common/index.js";
 import type { LoadReport, Vm } from "../world/index.js";
 import { type EngineEvent, readEvents, type TokenUsage } from "./engineStream.js";
+import type { RateObserver } from "./rateObserver.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
 /** The timeout of the HTTP client exceeds the deadline by this time. */
@@ -45,16 +46,20 @@
     readonly dispatcher: Dispatcher;
     /** Timeout for the response headers of all calls except completions, in milliseconds. */
     readonly headersTimeoutMilliseconds: number;
+    /** Receives the heads of answers to completions. */
+    readonly rateObserver?: RateObserver;
 }
 
 /** Calls model engines. */
 export class EngineClient {
     readonly #dispatcher: Dispatcher;
     readonly #headersTimeout: number;
+    readonly #rateObserver: RateObserver | undefined;
 
     constructor(options: EngineClientOptions) {
         this.#dispatcher = options.dispatcher;
         this.#headersTimeout = options.headersTimeoutMilliseconds;
+        this.#rateObserver = options.rateObserver;
     }
 
     /**
@@ -63,6 +68,7 @@
      * @param options - The request.
      */
     async complete(runner: Vm, options: EngineRequest): Promise<Result<EngineAnswer, UpstreamFailure>> {
+        const sentAt = this.#rateObserver?.getTime() ?? 0;
         try {
             const response = await request(`${getOrigin(runner)}/v1/chat/completions`, {
                 method: "POST",
@@ -87,6 +93,7 @@
                     stream_options: { include_usage: true },
                 }),
             });
+            this.#rateObserver?.observe(runner.id, response, sentAt);
             return await toAnswer(response, runner, 0);
         }
         catch (error) {
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -3,6 +3,7 @@
 export * from "./engineClient.js";
 export * from "./engineOrders.js";
 export * from "./engineStream.js";
+export * from "./rateObserver.js";
 export * from "./ratingClient.js";
 export * from "./serviceClient.js";
 export * from "./upstreamConnector.js";
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -7,6 +7,7 @@
 import { Failure } from "../common/index.js";
 import type { Vm } from "../world/index.js";
 import { getOrigin, getSingleHeader } from "./engineClient.js";
+import type { RateObserver } from "./rateObserver.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
 /** A call to a plain service. */
@@ -43,16 +44,20 @@
     readonly dispatcher: Dispatcher;
     /** Maximum size of an answer that is forwarded, in bytes. */
     readonly maxAnswerBytes: number;
+    /** Receives the heads of answers. */
+    readonly rateObserver?: RateObserver;
 }
 
 /** Calls plain services. */
 export class ServiceClient {
     readonly #dispatcher: Dispatcher;
     readonly #maxAnswerBytes: number;
+    readonly #rateObserver: RateObserver | undefined;
 
     constructor(options: ServiceClientOptions) {
         this.#dispatcher = options.dispatcher;
         this.#maxAnswerBytes = options.maxAnswerBytes;
+        this.#rateObserver = options.rateObserver;
     }
 
     /**
@@ -61,6 +66,7 @@
      * @param call - The call.
      */
     async call(service: Vm, call: ServiceCall): Promise<Result<ServiceAnswer, UpstreamFailure>> {
+        const sentAt = this.#rateObserver?.getTime() ?? 0;
         try {
             const response = await request(`${getOrigin(service)}${call.path}`, {
                 method: call.method as Dispatcher.HttpMethod,
@@ -75,6 +81,7 @@
                 },
                 body: call.body,
             });
+            this.#rateObserver?.observe(service.id, response, sentAt);
             const answer = await this.#readAnswer(response, service);
             if (answer.isOk() && isLeavingRefusal(answer.value)) {
                 return err(classifyRefusal(answer.value.status, service.id));
--- a/test/decisions/dispatch/statedRateLimit.test.ts
+++ b/test/decisions/dispatch/statedRateLimit.test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import { describe, it } from "node:test";
 import { ManualClock, RandomSource } from "../../../src/common/index.js";
-import { type ShareHolder, StatedRateLimit } from "../../../src/decisions/index.js";
+import { type ShareHolder, StatedRateLimit, type StatedRates } from "../../../src/decisions/index.js";
 import { createUpstream } from "../../fixtures/upstreams.js";
 
 const upstream = createUpstream("needy", { failureDomain: "d0" });
@@ -22,6 +22,10 @@
     );
 }
 
+function createRates(get: () => number): StatedRates {
+    return { get, remove: () => {} };
+}
+
 interface FleetOptions {
     readonly nodes: readonly ShareHolder[];
     /** Returns the nodes that a node knows; by default all. */
@@ -41,7 +45,7 @@
             clock,
             random: new RandomSource(random.nextInteger(1_000_000)),
             self: id,
-            getRequestsPerSecond: () => getRate(clock.monotonic()),
+            rates: createRates(() => getRate(clock.monotonic())),
             getNodes: () => getNodes?.(index) ?? nodes,
             mayHold: () => true,
         })
@@ -74,7 +78,7 @@
             clock,
             random: new RandomSource(1),
             self: "n-0",
-            getRequestsPerSecond: () => Number.POSITIVE_INFINITY,
+            rates: createRates(() => Number.POSITIVE_INFINITY),
             getNodes: () => createNodes(8),
             mayHold: () => false,
         });
@@ -150,7 +154,7 @@
             clock: new ManualClock(100_000),
             random: new RandomSource(1),
             self: "n-0",
-            getRequestsPerSecond: () => 100,
+            rates: createRates(() => 100),
             getNodes: () => createNodes(1),
             mayHold: () => false,
         });
