--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -1,6 +1,6 @@
 /**
  * Runs the platform's soak test by hand: `node dist/test/platform/soak/main.js --seed 1 --count 50 --seconds 12`. With
- * `--rollout` the pool moves to a new version meanwhile.
+ * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit.
  */
 import { parseArgs } from "node:util";
 import { runPlatformSoak } from "./platformSoak.js";
@@ -11,6 +11,7 @@
         count: { type: "string", default: "1" },
         seconds: { type: "string", default: "12" },
         prefix: { type: "string", default: "127.72.90" },
+        limit: { type: "boolean", default: false },
         rollout: { type: "boolean", default: false },
     },
 });
@@ -21,6 +22,7 @@
         milliseconds: Number(values.seconds) * 1_000,
         prefix: values.prefix,
         hasRollout: values.rollout,
+        hasLimit: values.limit,
     };
     const { violations, timeLine, requests, served } = await runPlatformSoak(options);
     console.log(
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -5,6 +5,10 @@
 const soakMilliseconds = 7_000;
 const maxLines = 20;
 
+function describeOptions(options: { readonly hasRollout: boolean; readonly hasLimit?: boolean; }): string {
+    return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}`;
+}
+
 describe("runPlatformSoak", () => {
     // Nodes crash, stall and restart; links to the store fail in one or both directions; the store is unavailable or loses
     // answers; runners fail and leave; API keys are revoked. The faults occur in sequence and overlap, while callers reuse their
@@ -16,14 +20,17 @@
         { seed: 31, prefix: "127.72.42", hasRollout: false },
         // A roll-out in progress has to end, and every node has to serve according to its result.
         { seed: 3, prefix: "127.72.43", hasRollout: true },
+        // Nodes that are killed, paused and cut off have to keep to the rate that a runner states, also together with the others.
+        { seed: 5, prefix: "127.72.47", hasRollout: false, hasLimit: true },
     ];
-    for (const { seed, prefix, hasRollout } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${hasRollout ? ", in a roll-out" : ""}`, async () => {
+    for (const { seed, prefix, hasRollout, hasLimit } of seeds) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
                 prefix,
                 hasRollout,
+                hasLimit,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -8,6 +8,7 @@
 import { createConfiguration, PlatformSite } from "../platformSite.js";
 import { SoakCallers } from "./soakCallers.js";
 import { type ExecutedRequest, findViolations, type RevokedKey } from "./soakChecks.js";
+import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { createBehaviour, type RunnerFault } from "./soakRunners.js";
 
 const nodeCount = 4;
@@ -24,6 +25,8 @@
 const minFaultMilliseconds = 300;
 const maxFaultMilliseconds = 2_500;
 const recoveryMilliseconds = 20_000;
+/** A runner without faults that states a rate limit. */
+const limitedRunner = "i-limited";
 const newVersion = "v2";
 const newRunnerCount = 3;
 /** Maximum time until a roll-out ends, counted from its deadline and the last fault. */
@@ -39,6 +42,8 @@
     readonly prefix: string;
     /** Whether the pool moves to a new version meanwhile. Draws no random numbers, so a seed's faults are the same without it. */
     readonly hasRollout?: boolean;
+    /** Whether one more runner states a rate limit all the while. Draws no random numbers either. */
+    readonly hasLimit?: boolean;
 }
 
 /** Result of a soak test. */
@@ -70,6 +75,7 @@
     readonly #revoked: RevokedKey[] = [];
     readonly #timeLine: string[] = [];
     readonly #violations: string[] = [];
+    readonly #outages: NodeOutage[] = [];
     readonly #activeFaults: Promise<void>[] = [];
     /** Indices from 1 of the nodes that are killed, stopped or paused at the moment. */
     readonly #unavailableNodes = new Set<number>();
@@ -111,8 +117,11 @@
             this.#revoked,
             revocationMilliseconds,
         );
+        const limitViolations = this.#options.hasLimit === true
+            ? findLimitViolations(this.#getLimitedArrivals(callers), this.#outages)
+            : [];
         return {
-            violations: [...this.#violations, ...checkedViolations],
+            violations: [...this.#violations, ...checkedViolations, ...limitViolations],
             timeLine: this.#timeLine,
             requests: callers.observed.length,
             served: callers.observed.filter(({ status, isComplete }) => status === 200 && isComplete).length,
@@ -133,6 +142,10 @@
         for (const id of this.#runnerIds) {
             this.#setRunner(id, "none");
         }
+        if (this.#options.hasLimit === true) {
+            await this.#site.addRunner(limitedRunner);
+            this.#setRunner(limitedRunner, "none");
+        }
         for (let index = 1; index <= nodeCount; index += 1) {
             const target = { host: `${this.#options.prefix}.200`, port: storePort };
             await this.#proxy.addRoute(`store-${index}`, this.#getLink(index), target);
@@ -216,10 +229,25 @@
         const behaviour = createBehaviour(fault, faultShare, this.#random);
         this.#site.runners.get(id)!.behaviour = (request, response) => {
             this.#executed.push({ request, at: performance.now(), runner: id });
+            if (id === limitedRunner) {
+                response.setHeader("Server-Limit", String(statedPerSecond));
+            }
             return behaviour(request, response);
         };
     }
 
+    #getLimitedArrivals({ observed }: SoakCallers): readonly LimitedArrival[] {
+        const nodes = new Map(observed.map(({ id, address }) => [id, address]));
+        const arrivals: LimitedArrival[] = [];
+        for (const { request, at, runner } of this.#executed) {
+            const node = nodes.get(String(request.headers["attempt-id"]));
+            if (runner === limitedRunner && node !== undefined) {
+                arrivals.push({ at, node });
+            }
+        }
+        return arrivals;
+    }
+
     #drawKey(): string {
         const keys = [...this.#keys, ...this.#revoked.slice(-1).map(({ key }) => key)];
         return keys[Math.floor(Math.random() * keys.length)];
@@ -251,6 +279,7 @@
         this.#recordEvent(`${signal} to node ${index}, down for ${faultMilliseconds} ms`);
         this.#unavailableNodes.add(index);
         const node = this.#site.nodes[index - 1];
+        const from = performance.now();
         node.child.kill(signal);
         const code = await node.exited;
         // Until it serves, a node is terminated by the signal itself: seed 36 sent the signal 79 ms after a start.
@@ -260,6 +289,7 @@
         }
         await wait(faultMilliseconds);
         this.#startNode(index);
+        this.#outages.push({ node: node.address, from, until: performance.now() });
         this.#recordEvent(`node ${index} started again`);
         this.#unavailableNodes.delete(index);
     }
@@ -271,10 +301,12 @@
         }
         this.#recordEvent(`node ${index} paused for ${faultMilliseconds} ms`);
         this.#unavailableNodes.add(index);
-        const { child } = this.#site.nodes[index - 1];
+        const { address, child } = this.#site.nodes[index - 1];
+        const from = performance.now();
         child.kill("SIGSTOP");
         await wait(faultMilliseconds);
         child.kill("SIGCONT");
+        this.#outages.push({ node: address, from, until: performance.now() });
         this.#unavailableNodes.delete(index);
     }
 
--- a/test/platform/soak/soakCallers.ts
+++ b/test/platform/soak/soakCallers.ts
@@ -13,6 +13,8 @@
 /** What a caller observed of one request. */
 export interface ObservedRequest {
     readonly id: string;
+    /** Address of the node that it was sent to. */
+    readonly address: string;
     readonly kind: RequestKind;
     readonly key: string;
     readonly sentAt: number;
@@ -66,7 +68,7 @@
     async send(kind: RequestKind, address: string, key: string): Promise<ObservedRequest> {
         this.#count += 1;
         const id = `${kind}-${this.#count}`;
-        const sent = { id, kind, key, sentAt: performance.now() };
+        const sent = { id, address, kind, key, sentAt: performance.now() };
         let status: number | undefined;
         let isSealed = false;
         const pieces: Buffer[] = [];
