Split the catalogue of events by the ranges of their numbers

Each range has its own file now; the catalogue is their union, and its types are checked as before. No number, name or text changes: docs/EVENTS.md differs in the name of its source only.

--- /dev/null
+++ b/src/events/catalogue/decisionEvents.ts
@@ -0,0 +1,26 @@
+/**
+ * Events of decisions. Numbers from 500.
+ */
+import { define } from "./eventDefinition.js";
+
+/** Events of decisions. */
+export const decisionEvents = {
+    upstreamEjected: define(
+        550,
+        "upstream-ejected",
+        "warning",
+        "An upstream failed or was far too slow and temporarily gets no new requests.",
+    ),
+    admissionLimitLowered: define(
+        560,
+        "admission-limit-lowered",
+        "warning",
+        "Answers slowed down or failed, so the limit of concurrent requests was lowered.",
+    ),
+    admissionLimitRestored: define(
+        561,
+        "admission-limit-restored",
+        "info",
+        "The limit of concurrent requests is restored to the capacity of the upstreams.",
+    ),
+};
--- a/src/events/formatCatalogue.ts
+++ b/src/events/formatCatalogue.ts
@@ -1,7 +1,7 @@
 /**
  * Formats the catalogue as docs/EVENTS.md.
  */
-import { type EventDefinition, events } from "./catalogue.js";
+import { type EventDefinition, events } from "./catalogue/index.js";
 
 const header = `# Events
 
@@ -10,7 +10,7 @@
 \`event\`, \`name\`, \`level\`, \`process\`, \`time\` (wall-clock milliseconds), \`counter\` (a Lamport counter) and the fields of the
 event. \`rattanlock timeline\` orders the events of all entries about one request or roll-out.
 
-This page is generated from src/events/catalogue.ts by \`node scripts/generateEvents.mjs\`; a test compares the two.
+This page is generated from src/events/catalogue by \`node scripts/generateEvents.mjs\`; a test compares the two.
 
 | number | name | level | meaning |
 | ---: | --- | --- | --- |
--- a/src/events/index.ts
+++ b/src/events/index.ts
@@ -1,5 +1,5 @@
 /** Numbered events, their catalogue, and the journal that writes them. */
-export * from "./catalogue.js";
+export * from "./catalogue/index.js";
 export * from "./eventBuffer.js";
 export * from "./formatCatalogue.js";
 export * from "./journal.js";
--- a/src/events/journal.ts
+++ b/src/events/journal.ts
@@ -6,7 +6,7 @@
  */
 import debug from "debug";
 import type { Clock } from "../common/index.js";
-import type { EventDefinition } from "./catalogue.js";
+import type { EventDefinition } from "./catalogue/index.js";
 
 /** Represents the fields of an event. */
 export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
--- a/src/events/lineWriter.ts
+++ b/src/events/lineWriter.ts
@@ -4,7 +4,7 @@
 import { createWriteStream } from "node:fs";
 import type { Writable } from "node:stream";
 import type { Clock } from "../common/index.js";
-import { events } from "./catalogue.js";
+import { events } from "./catalogue/index.js";
 import type { EventLine } from "./journal.js";
 
 /** Maximum average rate of written lines, and maximum number of lines in a burst. */
