Split a node's own values from gossip, and the states of members from membership

What a node publishes about itself, with its versions and its heartbeat, is one class; the states that follow from heartbeats another. Nothing changes in what is sent.

--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -11,24 +11,14 @@
 import type { Vm } from "../world/index.js";
 import { decodeDigest, encodeDigest } from "./gossipMessages.js";
 import { GossipPartners } from "./gossipPartners.js";
-import { type DigestLine, GossipState, incarnationKey } from "./gossipState.js";
+import { type DigestLine, GossipState } from "./gossipState.js";
 import { getMaxValueBytes, getPeriod, getPropagationTime, getSuspicionTimeout } from "./gossipTiming.js";
+import { OwnValues } from "./ownValues.js";
 import type { GossipTransport, NodeIdentity, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol } from "./protocol.js";
 import { shuffle } from "./shuffle.js";
 import { UnreachablePeers } from "./unreachablePeers.js";
 
-/**
- * Epoch of initial versions and heartbeats. Counting from it lets a restarted node continue above the numbers of its
- * last run.
- */
-const versionEpochMilliseconds = Date.UTC(2025, 0, 1);
-/**
- * Time that corresponds to one version. A run that publishes values faster than this over its whole life ends above the
- * initial version of the next run on the same VM. Peers would then keep the values of the old run that the new one has
- * not overwritten, "leaving" above all, and never send requests to the restarted entry.
- */
-const millisecondsPerVersion = 20;
 const pushFanOut = 4;
 const pushHops = 7;
 /** Key under which a node publishes which peers did not answer it. */
@@ -59,8 +49,7 @@
     #peers: ReadonlyMap<string, PeerAddress> = new Map();
     readonly #partners: GossipPartners;
     readonly #unreachablePeers = new UnreachablePeers();
-    #heartbeat: number;
-    #version: number;
+    readonly #ownValues: OwnValues;
     #timer: NodeJS.Timeout | undefined;
 
     constructor(options: GossipOptions) {
@@ -73,11 +62,7 @@
             getSuspicionTimeout: () => this.getSuspicionTimeoutMilliseconds(),
             getPeriod: () => this.getPeriodMilliseconds(),
         });
-        const elapsedMilliseconds = options.clock.wall() - versionEpochMilliseconds;
-        this.#version = Math.max(1, Math.floor(elapsedMilliseconds / millisecondsPerVersion));
-        this.#heartbeat = this.#version;
-        this.#state.add(options.self.id, options.clock.monotonic());
-        this.#publishIncarnation();
+        this.#ownValues = new OwnValues({ self: options.self.id, clock: options.clock, state: this.#state });
     }
 
     /** Starts periodic exchanges. */
@@ -106,7 +91,7 @@
      * @param options - `urgent` pushes it at once.
      */
     set(key: string, value: Buffer, options: { readonly urgent?: boolean; } = {}): void {
-        const item = this.#publish(key, value, false);
+        const item = this.#ownValues.publish(key, value);
         if (options.urgent === true) {
             this.#push([item], pushHops, new Set([this.#options.self.id]));
         }
@@ -118,7 +103,7 @@
      */
     remove(key: string): void {
         if (this.get(this.#options.self.id, key) !== undefined) {
-            this.#publish(key, Buffer.alloc(0), true);
+            this.#ownValues.remove(key);
         }
     }
 
@@ -187,8 +172,7 @@
      */
     async exchangeOnce(): Promise<void> {
         this.#removeDepartedOrigins();
-        this.#heartbeat += 1;
-        this.#state.setHeartbeat(this.#options.self.id, this.#heartbeat, this.#options.clock.monotonic());
+        this.#ownValues.advanceHeartbeat();
         const peer = this.#partners.pick();
         if (peer === undefined || await this.#exchangeWith(peer)) {
             return;
@@ -295,7 +279,7 @@
         const now = this.#options.clock.monotonic();
         for (const line of lines) {
             if (line.origin === this.#options.self.id) {
-                this.#renumberOwnValues(line);
+                this.#ownValues.renumber(line);
             }
             else {
                 this.#state.setHeartbeat(line.origin, line.heartbeat, now);
@@ -303,38 +287,6 @@
         }
     }
 
-    /**
-     * Renumbers the values of this node above the versions that peers hold from an earlier run of it. Peers hold higher
-     * versions when the wall clock was set back across a restart. They would otherwise discard every new value as
-     * outdated.
-     */
-    #renumberOwnValues(line: DigestLine): void {
-        this.#heartbeat = Math.max(this.#heartbeat, line.heartbeat);
-        if (line.version <= this.#version) {
-            return;
-        }
-        this.#version = line.version;
-        const own = [...this.#state.getValues(this.#options.self.id)];
-        this.#publishIncarnation();
-        for (const [key, value] of own) {
-            if (key !== incarnationKey) {
-                this.#publish(key, value.value, value.removed);
-            }
-        }
-    }
-
-    #publishIncarnation(): void {
-        this.#publish(incarnationKey, Buffer.from(String(this.#version + 1)), false);
-    }
-
-    #publish(key: string, value: Buffer, removed: boolean): Item {
-        this.#version += 1;
-        const item = { origin: this.#options.self.id, key, version: this.#version, value, removed };
-        this.#state.setItem(item);
-        this.#state.setVersion(item.origin, 0, item.version);
-        return item;
-    }
-
     #applyItems(items: readonly Item[], bases: ReadonlyMap<string, number>): Item[] {
         const newer: Item[] = [];
         for (const item of items) {
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -3,6 +3,7 @@
 export * from "./gossip.js";
 export * from "./memberDirectory.js";
 export * from "./membership.js";
+export type { MemberState } from "./memberStates.js";
 export * from "./peerAddress.js";
 export * from "./peerClient.js";
 export * from "./peerCredentials.js";
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -4,10 +4,11 @@
  */
 import { createHash } from "node:crypto";
 import type { Clock } from "../common/index.js";
-import { events, type Journal } from "../events/index.js";
+import type { Journal } from "../events/index.js";
 import type { Vm } from "../world/index.js";
 import type { Gossip } from "./gossip.js";
 import { incarnationKey } from "./gossipState.js";
+import { type MemberState, MemberStates } from "./memberStates.js";
 import type { NodeIdentity } from "./peerAddress.js";
 import { newestProtocol, oldestProtocol, type ProtocolRange } from "./protocol.js";
 import { PublishedNodes } from "./publishedNodes.js";
@@ -15,8 +16,6 @@
 const nodeKey = "node";
 const leavingKey = "leaving";
 const offsetKey = "configuration-offset";
-/** A member counts as dead after this multiple of the suspicion timeout. */
-const deadTimeoutFactor = 3;
 /**
  * Time for which the protocol of an unresponsive member still counts, since the member may still run and merely be cut
  * off from this node.
@@ -31,9 +30,6 @@
 /** The list of members is cached for this time, since every claim reads it. */
 const cacheMilliseconds = 100;
 
-/** State of a member as estimated from its heartbeat. */
-export type MemberState = "alive" | "suspect" | "leaving" | "dead";
-
 /** A member; this node is one of them. */
 export interface Member extends NodeIdentity {
     readonly state: MemberState;
@@ -64,7 +60,7 @@
     readonly #protocol: ProtocolRange;
     /** Monotonic time at which each VM was first listed here, by identifier. */
     readonly #listedAt = new Map<string, number>();
-    readonly #states = new Map<string, MemberState>();
+    readonly #states: MemberStates;
     readonly #publishedNodes = new PublishedNodes();
     #vms: readonly Vm[] = [];
     #isLeaving = false;
@@ -75,6 +71,7 @@
     constructor(options: MembershipOptions) {
         this.#options = options;
         this.#protocol = options.protocol ?? { oldest: oldestProtocol, newest: newestProtocol };
+        this.#states = new MemberStates(options.journal);
         const { address, peerPort, failureDomain, region } = options.self;
         const node = { address, peerPort, failureDomain, region, ...this.#protocol };
         options.gossip.set(nodeKey, Buffer.from(JSON.stringify(node)));
@@ -95,7 +92,7 @@
         for (const id of this.#listedAt.keys()) {
             if (!listed.has(id)) {
                 this.#listedAt.delete(id);
-                this.#states.delete(id);
+                this.#states.remove(id);
                 this.#publishedNodes.remove(id);
             }
         }
@@ -285,8 +282,8 @@
         const offset = gossip.get(vm.id, offsetKey);
         const age = gossip.getHeartbeatAge(vm.id);
         const isLeaving = vm.state === "leaving" || gossip.get(vm.id, leavingKey) !== undefined;
-        const state = this.#determineState(age, isLeaving);
-        this.#recordState(vm.id, state);
+        const suspicionTimeout = gossip.getSuspicionTimeoutMilliseconds();
+        const state = this.#states.determine({ id: vm.id, heartbeatAge: age, isLeaving, suspicionTimeout });
         return {
             id: vm.id,
             address: vm.address,
@@ -302,28 +299,4 @@
             hasBeenSeen: age !== undefined,
         };
     }
-
-    #determineState(age: number | undefined, isLeaving: boolean): MemberState {
-        const suspicionTimeout = this.#options.gossip.getSuspicionTimeoutMilliseconds();
-        if (age === undefined || age > suspicionTimeout * deadTimeoutFactor) {
-            return "dead";
-        }
-        if (isLeaving) {
-            return "leaving";
-        }
-        return age > suspicionTimeout ? "suspect" : "alive";
-    }
-
-    #recordState(id: string, state: MemberState): void {
-        const before = this.#states.get(id);
-        if (before === state) {
-            return;
-        }
-        this.#states.set(id, state);
-        // The first state of a newly listed member is not logged if it is "dead": in a large fleet, that would be one
-        // line for each other node at every start.
-        if (before !== undefined || state !== "dead") {
-            this.#options.journal.write(events.memberChanged, { member: id, state, before });
-        }
-    }
 }
