Remove the last import circles, and one failure that stood twice

On the platform the interface of a node's parts and the container that creates them are two files, so that the files that create parts import no container. In the entry the types of an attempt and of a served request have their own files, and the measurement of admission its times. No circle is left in src (counted over all import and export statements but those of generated code).

--- a/src/entry/answerHeaders.ts
+++ b/src/entry/answerHeaders.ts
@@ -1,7 +1,7 @@
 /**
  * Creates the headers of an answer.
  */
-import type { AttemptOptions } from "./attemptRunner.js";
+import type { AttemptOptions } from "./attempt.js";
 import type { ChatCall } from "./chatCall.js";
 import { createResumeToken } from "./resumeToken.js";
 
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -2,16 +2,16 @@
  * Runs one version's answer on a runner, and on another runner if the first fails before the caller received anything.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { BillLine } from "../bills/index.js";
 import { type Clock, Failure, type Outcome } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
 import type { Placement, RetryBudget, RunnerChooser, Work } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import { type CrashWatch, createQuarantineFailure, type RunEnd } from "../quarantine/index.js";
-import type { EngineAnswer, EngineClient, EngineEvent, TokenUsage } from "../upstream/index.js";
+import type { EngineAnswer, EngineClient } from "../upstream/index.js";
 import type { ModelVersion, Vm } from "../world/index.js";
 import { createAnswerHeaders } from "./answerHeaders.js";
 import { relayAnswer } from "./answerRelay.js";
+import type { AttemptOptions, AttemptResult } from "./attempt.js";
 import {
     type AttemptRefusal,
     combineOutcomes,
@@ -48,35 +48,6 @@
     readonly resumeGraceMilliseconds: number;
 }
 
-/** Represents a requested answer of one version. */
-export interface AttemptOptions {
-    readonly call: ChatCall;
-    readonly version: ModelVersion;
-    /** Index of the step in the plan. */
-    readonly stepIndex: number;
-    readonly earlierLines: readonly BillLine[];
-    /** Monotonic time from which the time to first token is measured, in milliseconds. */
-    readonly stepStartedAt: number;
-    /** Whether events are sent to the caller as they arrive. */
-    readonly direct: boolean;
-    /** Called before the answer starts again on another runner. */
-    readonly onRestart: () => void;
-    readonly write: (event: EngineEvent) => Promise<void>;
-    readonly writeEnd: (event: EngineEvent) => Promise<void>;
-    readonly beforeEnd: (usage: TokenUsage) => Promise<Result<void, Failure>>;
-}
-
-/** Represents a completed answer. */
-export interface AttemptResult {
-    readonly usage: TokenUsage;
-    /** Time from `stepStartedAt` to the engine's first token, in milliseconds. */
-    readonly firstTokenMilliseconds: number;
-    /** Time from the dispatch to the end of the answer, in milliseconds. */
-    readonly milliseconds: number;
-    /** Headers for the caller. */
-    readonly headers: Readonly<Record<string, string>>;
-}
-
 /** Runs answers on runners. */
 export class AttemptRunner {
     readonly #options: AttemptRunnerOptions;
--- a/src/entry/chatPipeline.ts
+++ b/src/entry/chatPipeline.ts
@@ -1,16 +1,18 @@
 /**
  * Processes chat completions: freshness, admission, session, plan, and the plan's steps.
  */
-import { err, ok, type Result } from "neverthrow";
+import { err, type Result } from "neverthrow";
 import { type Clock, Failure } from "../common/index.js";
-import type { EffectiveSettings } from "../configuration/index.js";
 import type { AdmissionController, AnswerTimes, ModelChooser, Plan } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { ModelVersion } from "../world/index.js";
+import { createBillsFullFailure } from "./billsFullFailure.js";
 import { type ChatCall, getExposureKey } from "./chatCall.js";
 import type { Explanations } from "./explanations.js";
+import { checkFreshness } from "./freshness.js";
 import type { PlanRunner } from "./planRunner.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
+import type { ServedRequest } from "./servedRequest.js";
 import type { Sessions } from "./sessions.js";
 import { getTicketOutcome } from "./ticketOutcome.js";
 import type { VersionPolicy } from "./versionPolicy.js";
@@ -187,51 +189,12 @@
     }
 }
 
-/** Represents a served request, as the admission controller counts it. */
-export interface ServedRequest {
-    readonly outcome: "ok";
-    readonly firstTokenMilliseconds: number;
-    readonly tokens: number;
-}
-
-/**
- * Refuses work if the configuration is older than the workspace allows.
- *
- * An entry that is cut off from the log and from its peers cannot receive a withdrawal. Without this check it would
- * continue to send work to a version that was withdrawn everywhere else.
- * @param settings - The workspace's settings.
- * @param ageMilliseconds - Time since the configuration was last confirmed.
- */
-export function checkFreshness(settings: EffectiveSettings, ageMilliseconds: number): Result<void, Failure> {
-    if (ageMilliseconds <= settings.maxConfigurationAgeMilliseconds) {
-        return ok(undefined);
-    }
-    return err(
-        new Failure({
-            kind: "stale",
-            message: "This entry has not been able to confirm its configuration for "
-                + `${Math.round(ageMilliseconds / 1000)} s.`,
-            remedy: "Send the request to another address of GET /v1/addresses.",
-            retryAfterMilliseconds: 2000,
-        }),
-    );
-}
-
 /** Reduces a plan to its last step, which has the best version. */
 function toSingleStepPlan(plan: Plan): Plan {
     const last = plan.steps[plan.steps.length - 1];
     return { ...plan, steps: [{ version: last.version, acceptScore: undefined }] };
 }
 
-function createBillsFullFailure(): Failure {
-    return new Failure({
-        kind: "unavailable",
-        message: "Bills cannot be stored: the log has been unavailable for so long that their buffer is full.",
-        remedy: "Retry later.",
-        retryAfterMilliseconds: 15_000,
-    });
-}
-
 function createCallerDisconnectedFailure(): Failure {
     return new Failure({
         kind: "gone",
--- a/src/entry/container.ts
+++ b/src/entry/container.ts
@@ -11,9 +11,6 @@
 import { peerParts } from "./parts/peerParts.js";
 import { platformParts } from "./parts/platformParts.js";
 
-/** Creates each part of an entry from other parts. */
-export type PartFactories = { readonly [Name in keyof Cradle]?: (cradle: Cradle) => Cradle[Name]; };
-
 /**
  * Creates the container of an entry. Each part is created once, when it is first requested.
  * @param settings - The entry's validated settings.
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -127,3 +127,6 @@
     readonly callerServer: CallerServer;
     readonly operatorServer: OperatorServer;
 }
+
+/** Creates parts of an entry from other parts. */
+export type PartFactories = { readonly [Name in keyof Cradle]?: (cradle: Cradle) => Cradle[Name]; };
--- a/src/entry/freshness.ts
+++ b/src/entry/freshness.ts
@@ -5,6 +5,9 @@
  * withdrawal from them or stop taking new work. An outage of the log for all entries must not stop a site, since
  * nothing can be withdrawn during the outage.
  */
+import { err, ok, type Result } from "neverthrow";
+import { Failure } from "../common/index.js";
+import type { EffectiveSettings } from "../configuration/index.js";
 
 /** Represents what one entry knows about itself and its peers. */
 export interface FreshnessView {
@@ -47,3 +50,26 @@
     }
     return 0;
 }
+
+/**
+ * Refuses work if the configuration is older than the workspace allows.
+ *
+ * An entry that is cut off from the log and from its peers cannot receive a withdrawal. Without this check it would
+ * continue to send work to a version that was withdrawn everywhere else.
+ * @param settings - The workspace's settings.
+ * @param ageMilliseconds - Time since the configuration was last confirmed.
+ */
+export function checkFreshness(settings: EffectiveSettings, ageMilliseconds: number): Result<void, Failure> {
+    if (ageMilliseconds <= settings.maxConfigurationAgeMilliseconds) {
+        return ok(undefined);
+    }
+    return err(
+        new Failure({
+            kind: "stale",
+            message: "This entry has not been able to confirm its configuration for "
+                + `${Math.round(ageMilliseconds / 1000)} s.`,
+            remedy: "Send the request to another address of GET /v1/addresses.",
+            retryAfterMilliseconds: 2000,
+        }),
+    );
+}
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -4,8 +4,7 @@
 import { AttemptRunner } from "../attemptRunner.js";
 import { CallerServer } from "../callerServer.js";
 import { ChatPipeline } from "../chatPipeline.js";
-import type { PartFactories } from "../container.js";
-import type { Cradle } from "../cradle.js";
+import type { Cradle, PartFactories } from "../cradle.js";
 import { Explanations } from "../explanations.js";
 import { OperatorServer } from "../operatorServer.js";
 import { PlanRunner } from "../planRunner.js";
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -16,8 +16,7 @@
 import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
 import { createSharedRateLimits } from "../../ratelimits/index.js";
 import { isRefusingConnections } from "../../upstream/index.js";
-import type { PartFactories } from "../container.js";
-import type { Cradle } from "../cradle.js";
+import type { Cradle, PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { EntryState } from "../entryState.js";
 import { Sessions } from "../sessions.js";
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -7,8 +7,8 @@
 import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
 import { LogClient, LogFollower } from "../../log/index.js";
 import { RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
-import type { PartFactories } from "../container.js";
 import { ControlSnapshotWriter } from "../controlSnapshotWriter.js";
+import type { PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { createMetrics } from "../metrics.js";
 import { VmWatcher } from "../vmWatcher.js";
--- a/src/entry/planRunner.ts
+++ b/src/entry/planRunner.ts
@@ -9,14 +9,15 @@
 import type { EngineEvent, RatingClient, TokenUsage } from "../upstream/index.js";
 import type { ModelVersion } from "../world/index.js";
 import { AnswerText } from "./answerText.js";
+import type { AttemptResult } from "./attempt.js";
 import { combineOutcomes } from "./attemptRefusal.js";
-import type { AttemptResult, AttemptRunner } from "./attemptRunner.js";
+import type { AttemptRunner } from "./attemptRunner.js";
 import { createBill, createBillLine } from "./callBill.js";
 import { type ChatCall, getTimeLeft } from "./chatCall.js";
-import type { ServedRequest } from "./chatPipeline.js";
 import type { Explanations } from "./explanations.js";
 import type { Metrics } from "./metrics.js";
 import type { Refusal } from "./problem.js";
+import type { ServedRequest } from "./servedRequest.js";
 
 /** Fraction of the remaining time that a rating inside a cascade may take. */
 const ratingTimeShare = 0.25;
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -16,7 +16,8 @@
 } from "../quarantine/index.js";
 import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
 import { combineOutcomes } from "./attemptRefusal.js";
-import { checkFreshness } from "./chatPipeline.js";
+import { createBillsFullFailure } from "./billsFullFailure.js";
+import { checkFreshness } from "./freshness.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
 import { packAnswer, unpackAnswer } from "./storedAnswer.js";
 
@@ -307,15 +308,6 @@
     });
 }
 
-function createBillsFullFailure(): Failure {
-    return new Failure({
-        kind: "unavailable",
-        message: "Bills cannot be stored: the log has been unavailable for so long that their buffer is full.",
-        remedy: "Retry later.",
-        retryAfterMilliseconds: 15_000,
-    });
-}
-
 function createClaimTimeoutFailure(): Failure {
     return new Failure({
         kind: "deadline",
--- a/src/measure/limits.ts
+++ b/src/measure/limits.ts
@@ -3,7 +3,8 @@
  */
 import { type AdmissionName, admissionNames } from "./admissionPolicies.js";
 import type { LimitsRecord } from "./limitsRecord.js";
-import { type LimitsScenario, limitsTimes, LimitsTrial, type WorkspaceLoad } from "./limitsTrial.js";
+import { limitsTimes } from "./limitsTimes.js";
+import { type LimitsScenario, LimitsTrial, type WorkspaceLoad } from "./limitsTrial.js";
 import { formatSpread, formatTable, getRange, getSpread, type Spread } from "./statistics.js";
 
 const seedsPerRun = 10;
--- a/src/measure/limitsRecord.ts
+++ b/src/measure/limitsRecord.ts
@@ -1,7 +1,7 @@
 /**
  * Records the requests of one run of the measurement `limits` and computes its figures.
  */
-import { limitsTimes } from "./limitsTrial.js";
+import { limitsTimes } from "./limitsTimes.js";
 import { getQuantile, getRange } from "./statistics.js";
 
 /** An answered attempt. */
--- a/src/measure/limitsTrial.ts
+++ b/src/measure/limitsTrial.ts
@@ -7,6 +7,7 @@
 import { type Admission, type AdmissionName, createAdmission } from "./admissionPolicies.js";
 import { EventQueue } from "./eventQueue.js";
 import { LimitsRecord } from "./limitsRecord.js";
+import { limitsTimes } from "./limitsTimes.js";
 import { createPolicy, type Policy } from "./placementPolicies.js";
 import { getFullLoadServiceTime, SimulatedRunner } from "./simulatedRunner.js";
 import { getRange } from "./statistics.js";
@@ -20,9 +21,6 @@
 const maxRetries = 4;
 const maxUpstreams = 3;
 
-/** Times of a run, in seconds from its start. */
-export const limitsTimes = { measureFrom: 20, brownOutFrom: 50, brownOutTo: 80, end: 140 };
-
 /** The load that a workspace's callers generate. */
 export interface WorkspaceLoad {
     readonly name: string;
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -6,7 +6,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
 import { formatValidationError } from "../settings/index.js";
-import { createNodeContainer, type NodeParts } from "./nodeParts.js";
+import { createNodeContainer } from "./nodeContainer.js";
+import type { NodeParts } from "./nodeParts.js";
 import { type NodeSettings, parseNodeSettings } from "./nodeSettings.js";
 
 const drainPollMilliseconds = 50;
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -1,55 +1,22 @@
 /**
- * Defines the parts of a node on the platform and how each is created from others.
+ * Defines the parts of a node on the platform.
  */
-import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
-import { type Clock, RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { type SendLimit, UpstreamPicker, type WindowedRetryBudget } from "../decisions/index.js";
-import { events, Journal, LineWriter } from "../events/index.js";
-import { UpstreamRegistry } from "../fleet/index.js";
-import {
-    type Attempts,
-    createForwardingMetrics,
-    Forwarder,
-    type ForwardingMetrics,
-    Shutdown,
-} from "../forwarding/index.js";
-import {
-    chooseAddresses,
-    Gossip,
-    MemberDirectory,
-    Membership,
-    type NodeIdentity,
-    PeerClient,
-    type PeerHandlers,
-    PeerServer,
-} from "../membership/index.js";
-import { CrashWatch, createSharedQuarantine, type Quarantine } from "../quarantine/index.js";
-import { createSharedRateLimits, type RateLimits } from "../ratelimits/index.js";
+import type { Clock, RandomSource } from "../common/index.js";
+import type { SendLimit, UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
+import type { Journal, LineWriter } from "../events/index.js";
+import type { UpstreamRegistry } from "../fleet/index.js";
+import type { Attempts, Forwarder, ForwardingMetrics, Shutdown } from "../forwarding/index.js";
+import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
+import type { CrashWatch, Quarantine } from "../quarantine/index.js";
+import type { RateLimits } from "../ratelimits/index.js";
 import type { Rollouts } from "../rollouts/index.js";
-import { isRefusingConnections } from "../upstream/index.js";
-import { CallerServer } from "./callerServer.js";
-import { createAttempts, createBudgets, createSendLimit } from "./forwardingParts.js";
-import { readMetrics } from "./nodeMetrics.js";
-import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
-import { PlatformTopics } from "./platformTopics.js";
-import { createRollouts } from "./rolloutParts.js";
-import { SiteServer } from "./siteServer.js";
-import { StatusWriter } from "./statusWriter.js";
-import { StoreClient } from "./storeClient.js";
-import { UpstreamClient } from "./upstreamClient.js";
-
-/**
- * Interval between two gossip exchanges that a node starts. With 150 ms, the failure of a node is detected within two seconds.
- */
-const gossipIntervalMilliseconds = 150;
-/** Maximum size of the values in one gossip exchange. */
-const maxGossipBytes = 64 * 1024;
-/** API keys are refused this long before the revocation bound, because a checked request may still be in transit for a moment. */
-const revocationMarginMilliseconds = 300;
-/** Maximum age of the configuration at which unknown routes and keys are refused as final, as a share of its bound. */
-const maxDenialAgeShare = 0.75;
-/** Minimum number of connections that a node may open to one upstream. */
-const minConnections = 4;
+import type { CallerServer } from "./callerServer.js";
+import type { LiveSettings, NodeSettings } from "./nodeSettings.js";
+import type { PlatformTopics } from "./platformTopics.js";
+import type { SiteServer } from "./siteServer.js";
+import type { StatusWriter } from "./statusWriter.js";
+import type { StoreClient } from "./storeClient.js";
+import type { UpstreamClient } from "./upstreamClient.js";
 
 /** The parts of a node. */
 export interface NodeParts {
@@ -88,158 +55,3 @@
     readonly callerServer: CallerServer;
     readonly siteServer: SiteServer;
 }
-
-type PartFactories = { readonly [Name in keyof NodeParts]: (parts: NodeParts) => NodeParts[Name]; };
-
-/**
- * Creates the container of a node. Each part is created once, on first use.
- * @param settings - The node's validated settings.
- */
-export function createNodeContainer(settings: NodeSettings): AwilixContainer<NodeParts> {
-    const container = createContainer<NodeParts>({ injectionMode: InjectionMode.PROXY, strict: true });
-    for (const [name, factory] of Object.entries({ ...partFactories, settings: () => settings })) {
-        container.register(
-            name,
-            asFunction(factory as (parts: NodeParts) => unknown, { lifetime: Lifetime.SINGLETON }),
-        );
-    }
-    return container;
-}
-
-const partFactories: PartFactories = {
-    settings: ({ settings }) => settings,
-    liveSettings: ({ settings }) => new LiveSettings(settings),
-    clock: () => systemClock,
-    suspensionClock: () => new SuspensionClock(systemClock),
-    random: () => new RandomSource(Math.floor(Math.random() * 2 ** 31)),
-    lineWriter: ({ clock }) => new LineWriter({ clock }),
-    journal: ({ settings, clock, lineWriter }) =>
-        new Journal({ process: settings.name, clock, write: line => lineWriter.write(line) }),
-    metrics: () => createForwardingMetrics(),
-    self: ({ settings }) => ({
-        id: settings.address,
-        address: settings.address,
-        peerPort: settings.listen.peers.port,
-        failureDomain: settings.failureDomain,
-        region: settings.region,
-    }),
-    store: ({ settings, suspensionClock }) => new StoreClient(settings.store, suspensionClock),
-    topics: parts =>
-        new PlatformTopics({
-            liveSettings: parts.liveSettings,
-            suspensionClock: parts.suspensionClock,
-            journal: parts.journal,
-            store: parts.store,
-            writer: parts.writer,
-            registry: parts.registry,
-            directory: parts.directory,
-            self: parts.self,
-            membership: parts.membership,
-            peerClient: parts.peerClient,
-            quarantine: parts.quarantine,
-            getRollouts: () => parts.rollouts,
-        }),
-    writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
-    registry: ({ clock }) => new UpstreamRegistry(clock),
-    peerClient: () => new PeerClient(),
-    peerServer: parts => {
-        const { host, port } = parts.settings.listen.peers;
-        return new PeerServer({ address: host, port, journal: parts.journal, handlers: createPeerHandlers(parts) });
-    },
-    gossip: ({ self, clock, random, journal, peerClient }) =>
-        new Gossip({
-            self,
-            clock,
-            random,
-            journal,
-            transport: peerClient.createGossipTransport(),
-            periodMilliseconds: gossipIntervalMilliseconds,
-            maxValueBytesPerMessage: maxGossipBytes,
-        }),
-    membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
-    directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
-    rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
-    sendLimit: parts => createSendLimit(parts),
-    picker: ({ clock, settings, random, journal, self, sendLimit, rateLimits }) =>
-        new UpstreamPicker({
-            clock,
-            self: self.id,
-            failureDomain: settings.failureDomain,
-            random,
-            onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
-            isAdmitted: upstream => sendLimit.isAdmitted(upstream),
-            getRateLimited: () => rateLimits.getLimited(),
-        }),
-    budgets: parts => createBudgets(parts),
-    upstreamClient: ({ topics, membership }) =>
-        new UpstreamClient({
-            getConnectionLimit: pool => {
-                const poolLimit = topics.getRoutes()?.getPool(pool)?.maxConnections ?? minConnections;
-                return Math.max(minConnections, Math.floor(poolLimit / membership.getMembers().length));
-            },
-        }),
-    quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
-        createSharedQuarantine({
-            self: self.id,
-            clock,
-            journal,
-            gossip,
-            getMembers: () => membership.getAlive().map(({ id }) => id),
-            store: records => writer.writeQuarantine(records),
-        }),
-    crashWatch: ({ clock, journal, quarantine }) =>
-        new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
-    rollouts: parts => createRollouts(parts),
-    shutdown: ({ clock }) => new Shutdown(clock),
-    attempts: parts => createAttempts(parts),
-    forwarder: ({ clock, journal, metrics, attempts, topics, liveSettings, budgets, shutdown }) =>
-        new Forwarder({
-            clock,
-            journal,
-            metrics,
-            attempts,
-            getRoutes: () => topics.getRoutes(),
-            waitForFirstRead: () => topics.waitForFirstRead(),
-            getConfigurationAge: () => topics.getConfigurationAge(),
-            getMaxKeyAge: () => liveSettings.get().bounds.revocationMilliseconds - revocationMarginMilliseconds,
-            getMaxDenialAge: () => liveSettings.get().bounds.configurationMilliseconds * maxDenialAgeShare,
-            getBudget: budgets,
-            checkCapacity: route => shutdown.check(route),
-        }),
-    callerServer: ({ clock, forwarder, topics, journal }) =>
-        new CallerServer({
-            clock,
-            handle: (request, reply) => forwarder.handle(request, reply),
-            getLimits: () => topics.getRoutes()?.limits,
-            onCrash: (request, error) => {
-                const cause = error instanceof Error ? error.stack : String(error);
-                journal.write(events.requestCrashed, { request, cause });
-            },
-        }),
-    siteServer: parts => {
-        const { settings, liveSettings, topics, membership, directory, shutdown } = parts;
-        return new SiteServer({
-            isReady: () => topics.getRoutes() !== undefined && !shutdown.hasStarted,
-            getAddresses: failureDomain =>
-                chooseAddresses(membership.getAddressable(), failureDomain).map(member => {
-                    const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
-                    return `${member.address}:${port}`;
-                }),
-            getAddressTtlSeconds: () => liveSettings.get().bounds.addressKeepSeconds,
-            getMetrics: () => readMetrics(parts),
-        });
-    },
-};
-
-function createPeerHandlers({ gossip, self, topics }: NodeParts): PeerHandlers {
-    const throwUnsupported = (): never => {
-        throw new Error(`The node ${self.id} does not hold this state: on this platform it is kept in the store.`);
-    };
-    return {
-        exchange: request => gossip.handleExchange(request),
-        push: request => ({ counter: gossip.handlePush(request) }),
-        copyBills: throwUnsupported,
-        decideClaims: throwUnsupported,
-        fetchState: request => topics.answerPeer(request),
-    };
-}
