--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -9,6 +9,7 @@
 import { PromptHolders } from "./promptHolders.js";
 import { RunnerSubsets } from "./runnerSubsets.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
+import { WaitRatio } from "./waitRatio.js";
 
 /** Maximum share of a pool that is ejected. If more of it fails, the cause is unlikely to be in single upstreams. */
 const maxEjectedShare = 0.34;
@@ -30,16 +31,6 @@
  */
 const loadNoise = 0.25;
 
-/**
- * Weight of the latest answer in the average ratio of measured to expected response times, and the upper bound of a single ratio. When
- * other nodes overload a whole pool, all expected times are too low. Its runners are then slow, not unavailable, and giving up on them
- * would add to the overload.
- */
-const ratioWeight = 0.06;
-const maxRatio = 8;
-/** Lower bound of the expected time in the ratio, in milliseconds: shorter times say little about overload. */
-const minExpectedMilliseconds = 80;
-
 /** Selects upstreams for one node and records their state. */
 export class UpstreamPicker {
     readonly #clock: Clock;
@@ -53,7 +44,7 @@
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #prefillRates = new PrefillRate();
     readonly #averageLoads = new AverageLoads();
-    #waitRatio = 1;
+    readonly #waitRatio = new WaitRatio();
 
     constructor(options: {
         readonly clock: Clock;
@@ -131,13 +122,12 @@
             headMilliseconds: milliseconds,
             waitingMilliseconds: expectedMilliseconds - prefillMilliseconds,
         });
-        const ratio = Math.min(maxRatio, milliseconds / Math.max(minExpectedMilliseconds, expectedMilliseconds));
-        this.#waitRatio += ratioWeight * (ratio - this.#waitRatio);
+        this.#waitRatio.add(milliseconds, expectedMilliseconds);
     }
 
     /** Returns the average ratio of measured to expected times to the response head, at least 1. */
     getWaitRatio(): number {
-        return Math.max(1, this.#waitRatio);
+        return Math.max(1, this.#waitRatio.get());
     }
 
     /**
