Divide what all nodes may do together by nodes that exist

Found by looking for the cause of LIMIT elsewhere: limits for all nodes together of which each node computes a share. Two of them did not add up.

- A node opened four connections to an upstream at least. 195 nodes before one that accepts 480 would open 780, and it resets those beyond its limit with the requests on them.
- Members stay listed when their machines are replaced, and shares of the retry budget, of connections and of the rate of warming upstreams were divided by all that were ever listed.
A member that has been dead and silent for a minute holds none now; until then it may merely be cut off.

--- a/src/decisions/dispatch/index.ts
+++ b/src/decisions/dispatch/index.ts
@@ -1,5 +1,6 @@
 /** Selection of a registered upstream for a request, and the statistics that it is based on. */
 export { getUnitRank } from "../placement/rendezvous.js";
+export * from "./connectionShare.js";
 export type { PromptDescription, UpstreamPick, UpstreamPickOptions } from "./pick.js";
 export * from "./sendLimit.js";
 export type { ShareHolder } from "./shareHolders.js";
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -136,13 +136,14 @@
     }
 
     /**
-     * Returns the members that may send requests to upstreams: all but those that are dead. A member that was listed recently may be
-     * alive although no heartbeat of it has arrived yet.
+     * Returns the members that may send requests to upstreams: all but those that are dead. A dead member may merely be cut off from
+     * this node, and one that was listed recently may be alive although no heartbeat of it has arrived yet. Machines that were
+     * replaced stay listed: if they counted for ever, shares of what all nodes may do together would shrink with each of them.
+     * @param silentMilliseconds - Time for which a dead member still counts; by default that in which a first heartbeat arrives.
      */
-    getPossiblySending(): readonly Member[] {
-        const gracePeriodMilliseconds = this.#getGracePeriodMilliseconds();
-        return this.getMembers().filter(({ state, hasBeenSeen, heartbeatAge }) =>
-            state !== "dead" || !hasBeenSeen && heartbeatAge < gracePeriodMilliseconds
+    getPossiblySending(silentMilliseconds = this.#getGracePeriodMilliseconds()): readonly Member[] {
+        return this.getMembers().filter(({ state, heartbeatAge }) =>
+            state !== "dead" || heartbeatAge < silentMilliseconds
         );
     }
 
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -9,6 +9,8 @@
 
 /** A node that has just started does not know all others yet, and they do not know it. */
 const shareSettlingMilliseconds = 5_000;
+/** Time for which a silent node still holds its shares of what all nodes may do together, since it may merely be cut off. */
+export const shareRetentionMilliseconds = 60_000;
 /** Records of upstreams are written about every second. An older list may lack that an upstream warms up. */
 const maxUpstreamsAgeMilliseconds = 3_000;
 
@@ -27,7 +29,7 @@
         self: self.id,
         isWarmingUp: ({ id }) => registry.warmUps.isWarmingUp(id),
         getRequestsPerSecond: pool => topics.getRoutes()?.getPool(pool)?.warmUpRequestsPerSecond ?? 0,
-        getNodes: () => membership.getMembers(),
+        getNodes: () => membership.getPossiblySending(shareRetentionMilliseconds),
         mayHold: () => clock.monotonic() > settledAt && topics.getUpstreamsAge() < maxUpstreamsAgeMilliseconds,
     });
 }
@@ -72,7 +74,7 @@
                     const { retryRatio, retryExtra } = liveSettings.get().bounds;
                     return { ratio: retryRatio, extra: retryExtra };
                 },
-                getNodeCount: () => membership.getMembers().length,
+                getNodeCount: () => membership.getPossiblySending(shareRetentionMilliseconds).length,
             });
             budgets.set(pool, budget);
         }
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -3,7 +3,7 @@
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
 import { RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { UpstreamPicker } from "../decisions/index.js";
+import { getConnectionShare, UpstreamPicker } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { UpstreamRegistry } from "../fleet/index.js";
 import { createForwardingMetrics, Forwarder, Shutdown } from "../forwarding/index.js";
@@ -20,7 +20,7 @@
 import { createSharedRateLimits } from "../ratelimits/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
-import { createAttempts, createBudgets, createSendLimit } from "./forwardingParts.js";
+import { createAttempts, createBudgets, createSendLimit, shareRetentionMilliseconds } from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
 import type { NodeParts } from "./nodeParts.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
@@ -41,8 +41,8 @@
 const revocationMarginMilliseconds = 300;
 /** Maximum age of the configuration at which unknown routes and keys are refused as final, as a share of its bound. */
 const maxDenialAgeShare = 0.75;
-/** Minimum number of connections that a node may open to one upstream. */
-const minConnections = 4;
+/** Connections that a node may open to an upstream of a pool that is not configured. */
+const defaultConnections = 4;
 
 type PartFactories = { readonly [Name in keyof NodeParts]: (parts: NodeParts) => NodeParts[Name]; };
 
@@ -129,8 +129,10 @@
     upstreamClient: ({ topics, membership }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
-                const poolLimit = topics.getRoutes()?.getPool(pool)?.maxConnections ?? minConnections;
-                return Math.max(minConnections, Math.floor(poolLimit / membership.getMembers().length));
+                const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
+                return limit === undefined
+                    ? defaultConnections
+                    : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
             },
         }),
     quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -117,6 +117,27 @@
         });
     });
 
+    describe("getPossiblySending", () => {
+        // Guards against shares of common limits that shrink with every machine that was ever replaced.
+        it("leaves out a member that is dead, at once or after the given time", async () => {
+            const site = await createConvergedSite();
+            const { membership } = site.nodes[0];
+            site.nodes[3].isDown = true;
+            await site.run(periodsUntilSuspected);
+            expect(membership.getPossiblySending().length).toEqual(size);
+            await site.run(periodsUntilDead);
+            const silentMilliseconds = (periodsUntilSuspected + periodsUntilDead) * site.periodMilliseconds;
+            expect(membership.getPossiblySending().length).toEqual(size - 1);
+            expect(membership.getPossiblySending(2 * silentMilliseconds).length).toEqual(size);
+            expect(membership.getPossiblySending(silentMilliseconds / 2).length).toEqual(size - 1);
+        });
+
+        it("includes newly listed members until their heartbeats had time to arrive", () => {
+            const site = createGossipSite(size);
+            expect(site.nodes[0].membership.getPossiblySending().length).toEqual(size);
+        });
+    });
+
     describe("getAddressable", () => {
         // Guards against callers that are sent to a machine long after it has lost power: with many nodes, seconds pass until its
         // heartbeat is so old that it is suspected.
