Split creating runners and recording their requests from the chooser

Runners are created by one class, requests on them recorded by another, and the table of prefixes applies the changes of a cache itself. Where a candidate was looked up by its identifier stood three times, it stands once.

--- a/src/decisions/placement/prefixTable.ts
+++ b/src/decisions/placement/prefixTable.ts
@@ -4,6 +4,7 @@
  * The size of the table is bounded: the prefix whose last new holder was added longest ago is removed first. Its entries are only hints
  * for speed. A wrong hint costs the time to prefill the prompt again, but never the answer.
  */
+import type { CacheEvent } from "./placement.js";
 
 const holdersPerBlock = 4;
 /**
@@ -81,6 +82,23 @@
         this.#minValidGenerations.set(upstream, this.#getGeneration(upstream));
     }
 
+    /**
+     * Applies a change of an upstream's cache.
+     * @param upstream - Identifier of the upstream.
+     * @param event - The change.
+     */
+    apply(upstream: string, event: CacheEvent): void {
+        if (event.kind === "stored") {
+            this.add(upstream, event.block);
+        }
+        else if (event.kind === "removed") {
+            this.remove(upstream, event.block);
+        }
+        else {
+            this.clear(upstream);
+        }
+    }
+
     /** Removes a departed runner. Its remaining hints in the table are ignored. */
     removeUpstream(upstream: string): void {
         this.#generations.delete(upstream);
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -11,19 +11,17 @@
 import { getCapacity } from "./capacity.js";
 import { getEjectedShareWith } from "./ejection.js";
 import { createOverloaded, createUnavailable } from "./failures.js";
-import { parseLoadHeader } from "./loadHeader.js";
 import { defaultPlacementOptions, type PlacementOptions } from "./options.js";
-import type { CacheEvent, EntryLocation, Placement, PlacementRequest, WorkResult } from "./placement.js";
-import { PoolStatistics } from "./poolStatistics.js";
+import type { CacheEvent, EntryLocation, Placement, PlacementReason, PlacementRequest } from "./placement.js";
 import { PrefixTable } from "./prefixTable.js";
-import { getRank } from "./rendezvous.js";
-import { getPrefillTokens, Runner } from "./runner.js";
+import type { Runner } from "./runner.js";
+import { RunnerFactory } from "./runnerFactory.js";
 import { RunnerIndex } from "./runnerIndex.js";
+import { RunnerWorks } from "./runnerWorks.js";
 import { Work } from "./work.js";
 
 /** Base of the retry time of a refused request. The excess over its deadline is added, and jitter of up to 25 % in both directions. */
 const baseRetryMilliseconds = 1_000;
-const ownDomainMilliseconds = 0;
 
 /** Selects runners for one entry and tracks their state. */
 export class RunnerChooser {
@@ -33,7 +31,8 @@
     readonly #options: PlacementOptions;
     readonly #journal: Journal | undefined;
     readonly #runners = new Map<string, Runner>();
-    readonly #pools = new Map<string, PoolStatistics>();
+    readonly #factory: RunnerFactory;
+    readonly #works: RunnerWorks;
     readonly #index: RunnerIndex;
     readonly #prefixes: PrefixTable;
     readonly #candidates: CandidateSet;
@@ -58,6 +57,13 @@
         this.#journal = options.journal;
         this.#index = new RunnerIndex(options.self.failureDomain, this.#options);
         this.#prefixes = new PrefixTable(this.#options.maxPrefixBlocks);
+        this.#factory = new RunnerFactory(options.self, this.#options);
+        this.#works = new RunnerWorks({
+            clock: options.clock,
+            options: this.#options,
+            prefixes: this.#prefixes,
+            eject: (id, reason) => this.eject(id, reason),
+        });
         this.#sendLimit = options.sendLimit;
         this.#getRateLimited = options.getRateLimited ?? (() => new Set());
         this.#candidates = new CandidateSet({
@@ -179,15 +185,7 @@
             this.#prefixes.addGap(upstream);
         }
         for (const event of cacheEvents) {
-            if (event.kind === "stored") {
-                this.#prefixes.add(upstream, event.block);
-            }
-            else if (event.kind === "removed") {
-                this.#prefixes.remove(upstream, event.block);
-            }
-            else {
-                this.#prefixes.clear(upstream);
-            }
+            this.#prefixes.apply(upstream, event);
         }
     }
 
@@ -263,35 +261,7 @@
         this.#sendLimit?.add(placement.upstream);
         return runner === undefined
             ? new Work({ firstToken: () => {}, load: () => {}, finish: () => {} })
-            : this.#createWork(runner, placement);
-    }
-
-    #createWork(runner: Runner, placement: Placement): Work {
-        const now = this.#clock.monotonic();
-        const uncachedBlocks = placement.blocks.length - placement.cachedBlocks;
-        const modelledMilliseconds = runner.getModelledWait(now, uncachedBlocks);
-        const isIdle = runner.getLoad(now) < runner.load.getCapacity() / 2;
-        runner.load.changeOwnRequests(1, now);
-        for (const block of placement.blocks) {
-            this.#prefixes.add(runner.vm.id, block);
-        }
-        const work: Work = new Work({
-            firstToken: milliseconds => {
-                runner.removeWaiting(work);
-                if (isIdle) {
-                    runner.poolStatistics.addPrefillSample(milliseconds / getPrefillTokens(uncachedBlocks));
-                }
-                this.#recordFirstToken(runner, milliseconds, modelledMilliseconds);
-            },
-            load: header => this.#applyLoadHeader(runner, header),
-            finish: result => {
-                runner.removeWaiting(work);
-                runner.load.changeOwnRequests(-1, this.#clock.monotonic());
-                this.#recordResult(runner, result);
-            },
-        });
-        runner.addWaiting(work, now);
-        return work;
+            : this.#works.start(runner, placement);
     }
 
     #setUpstream(vm: Vm): void {
@@ -303,14 +273,7 @@
             }
             return;
         }
-        const runner = new Runner({
-            vm,
-            poolStatistics: this.#getPool(vm.pool),
-            rank: getRank(this.#self.subsetKey, vm.id),
-            networkMilliseconds: this.#getNetworkMilliseconds(vm),
-            isNear: vm.region === this.#self.region,
-            options: this.#options,
-        });
+        const runner = this.#factory.create(vm);
         runner.isLeaving = vm.state === "leaving";
         this.#runners.set(vm.id, runner);
         if (!runner.isLeaving) {
@@ -318,34 +281,17 @@
         }
     }
 
-    #getNetworkMilliseconds(vm: Vm): number {
-        if (vm.region !== this.#self.region) {
-            return this.#options.otherRegionMilliseconds;
-        }
-        return vm.failureDomain === this.#self.failureDomain
-            ? ownDomainMilliseconds
-            : this.#options.otherDomainMilliseconds;
-    }
-
-    #getPool(name: string): PoolStatistics {
-        let pool = this.#pools.get(name);
-        if (pool === undefined) {
-            pool = new PoolStatistics();
-            this.#pools.set(name, pool);
+    #addCandidate(upstream: string | undefined, reason: PlacementReason): void {
+        const runner = upstream === undefined ? undefined : this.#runners.get(upstream);
+        if (runner !== undefined) {
+            this.#candidates.addOne(runner, reason);
         }
-        return pool;
     }
 
     #addPreferred(request: PlacementRequest, matches: readonly { readonly upstream: string; }[]): void {
-        const preferred = request.preferred === undefined ? undefined : this.#runners.get(request.preferred);
-        if (preferred !== undefined) {
-            this.#candidates.addOne(preferred, "session");
-        }
-        for (const match of matches) {
-            const runner = this.#runners.get(match.upstream);
-            if (runner !== undefined) {
-                this.#candidates.addOne(runner, "cached-prefix");
-            }
+        this.#addCandidate(request.preferred, "session");
+        for (const { upstream } of matches) {
+            this.#addCandidate(upstream, "cached-prefix");
         }
     }
 
@@ -354,40 +300,8 @@
      * all have other upstreams in theirs.
      */
     #addRateLimited(): void {
-        for (const id of this.#getRateLimited()) {
-            const runner = this.#runners.get(id);
-            if (runner !== undefined) {
-                this.#candidates.addOne(runner, "least-wait");
-            }
-        }
-    }
-
-    #recordFirstToken(runner: Runner, milliseconds: number, modelledMilliseconds: number): void {
-        const now = this.#clock.monotonic();
-        const ratio = runner.addFirstToken(milliseconds, modelledMilliseconds, now);
-        const isSlow = ratio > this.#options.outlierFactor * Math.max(1, runner.poolStatistics.getSlowdown());
-        if (runner.health.recordLatency(isSlow) >= this.#options.outlierAnswers) {
-            this.eject(runner.vm.id, "slow");
-        }
-    }
-
-    #recordResult(runner: Runner, result: WorkResult): void {
-        if (result.loadHeader !== undefined) {
-            this.#applyLoadHeader(runner, result.loadHeader);
-        }
-        if (result.outcome === "ok") {
-            runner.health.addSuccess(this.#clock.monotonic());
-            runner.poolStatistics.addServiceTime(result.milliseconds);
-        }
-        else if (result.outcome === "failed" && runner.health.addFailure() >= this.#options.ejectAfterFailures) {
-            this.eject(runner.vm.id, "failures");
-        }
-    }
-
-    #applyLoadHeader(runner: Runner, header: string): void {
-        const load = parseLoadHeader(header);
-        if (load !== undefined) {
-            runner.load.addAnswerLoad(load.requests, load.capacity, this.#clock.monotonic());
+        for (const upstream of this.#getRateLimited()) {
+            this.#addCandidate(upstream, "least-wait");
         }
     }
 
