Send a runner that states a rate a request when a share of it is due

A replay of whole fleets (test/ratelimits/limitReplay) showed what the tests of the parts did not: with 59 nodes, and with 195, no node knew 16 s after the end of all limits that each of them had ended, and 12 in 100 of the stated rates were used. Cause: the few holders choose by cost among a dozen idle runners and the holders of a prompt, and hardly ever the one of whose rate they hold a share. So nobody sends it a request, and nobody learns. That the runner is among the candidates whatever the subset did not help; it is taken back.

Change: a holder that has not used its share for two seconds sends its next request there, if the runner is not ejected. So every limit is asked about at least every two seconds by each holder that has callers.

Nothing differs while no upstream states a rate.

--- a/src/decisions/dispatch/statedRateLimit.ts
+++ b/src/decisions/dispatch/statedRateLimit.ts
@@ -12,6 +12,8 @@
 const minHolders = 2;
 /** Requests a second for which there is one more holder. */
 const requestsPerSecondPerHolder = 2;
+/** Time without a request of this node after which its share is due. */
+const dueMilliseconds = 2_000;
 /** Rate at which an upstream that takes nothing is asked whether it still states that. */
 const minRequestsPerSecond = 0.25;
 
@@ -19,6 +21,8 @@
 export interface StatedRates {
     /** Returns the requests a second that an upstream takes from all nodes together, or infinity. */
     get(upstream: string): number;
+    /** Returns the identifiers of the upstreams that state a rate. */
+    getLimited(): ReadonlySet<string>;
     /** Removes what is known of an upstream. */
     remove(upstream: string): void;
 }
@@ -36,8 +40,20 @@
     readonly mayHold: () => boolean;
 }
 
+/** The shares that this node holds of the rates that upstreams state. */
+export interface RateShares {
+    /** Returns the identifiers of the upstreams that state a rate. */
+    getLimited(): ReadonlySet<string>;
+    /**
+     * Returns whether a request should go to an upstream next: this node holds a share of its rate and has not used it for a while.
+     * In a large fleet the few holders may have other upstreams that suit their requests better. The upstream would then get nothing,
+     * and nobody would learn that it no longer states a rate.
+     */
+    isDue(upstream: LimitedUpstream): boolean;
+}
+
 /** Decides whether this node may send a request to an upstream that states a rate limit. */
-export class StatedRateLimit implements SendLimit {
+export class StatedRateLimit implements SendLimit, RateShares {
     readonly #options: StatedRateLimitOptions;
     readonly #holders: ShareHolders;
     /** Monotonic time of this node's last request to each upstream. */
@@ -49,19 +65,19 @@
     }
 
     isAdmitted(upstream: LimitedUpstream): boolean {
-        const requestsPerSecond = this.#options.rates.get(upstream.id);
-        if (requestsPerSecond === Number.POSITIVE_INFINITY) {
+        if (this.#options.rates.get(upstream.id) === Number.POSITIVE_INFINITY) {
             this.#sentAt.delete(upstream.id);
             return true;
         }
-        if (!this.#options.mayHold()) {
-            return false;
-        }
-        const rate = Math.max(minRequestsPerSecond, requestsPerSecond);
-        const maxHolders = minHolders + Math.floor(rate / requestsPerSecondPerHolder);
-        const { isHolder, holders } = this.#holders.get(upstream, maxHolders);
-        const intervalMilliseconds = 1_000 * holders / rate;
-        return isHolder && this.#getTimeSinceLast(upstream.id, intervalMilliseconds) >= intervalMilliseconds;
+        return this.#isShareFree(upstream, 0);
+    }
+
+    isDue(upstream: LimitedUpstream): boolean {
+        return this.#options.rates.getLimited().has(upstream.id) && this.#isShareFree(upstream, dueMilliseconds);
+    }
+
+    getLimited(): ReadonlySet<string> {
+        return this.#options.rates.getLimited();
     }
 
     add({ id }: LimitedUpstream): void {
@@ -76,6 +92,20 @@
         this.#sentAt.delete(upstream);
     }
 
+    /** Returns whether this node holds a share, and its last request was long enough ago. */
+    #isShareFree(upstream: LimitedUpstream, minMilliseconds: number): boolean {
+        if (!this.#options.mayHold()) {
+            return false;
+        }
+        const rate = Math.max(minRequestsPerSecond, this.#options.rates.get(upstream.id));
+        const maxHolders = minHolders + Math.floor(rate / requestsPerSecondPerHolder);
+        const { isHolder, holders } = this.#holders.get(upstream, maxHolders);
+        const intervalMilliseconds = 1_000 * holders / rate;
+        return isHolder
+            && this.#getTimeSinceLast(upstream.id, intervalMilliseconds)
+                >= Math.max(minMilliseconds, intervalMilliseconds);
+    }
+
     /** Returns the time since this node's last request. A random one is assumed for the first, as holders would else send theirs at once. */
     #getTimeSinceLast(id: string, intervalMilliseconds: number): number {
         const now = this.#options.clock.monotonic();
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -8,6 +8,7 @@
 import { PrefillRate } from "./prefillRate.js";
 import { PromptHolders } from "./promptHolders.js";
 import { RunnerSubsets } from "./runnerSubsets.js";
+import type { RateShares } from "./statedRateLimit.js";
 import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
 import { WaitRatio } from "./waitRatio.js";
 
@@ -40,7 +41,7 @@
     readonly #holders = new PromptHolders();
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #isAdmitted: (upstream: RegisteredUpstream) => boolean;
-    readonly #getRateLimited: () => ReadonlySet<string>;
+    readonly #rateShares: RateShares | undefined;
     readonly #statuses = new Map<string, UpstreamStatus>();
     readonly #prefillRates = new PrefillRate();
     readonly #averageLoads = new AverageLoads();
@@ -56,8 +57,8 @@
         readonly onEject: (upstream: string, milliseconds: number) => void;
         /** Returns whether an upstream may get a request from this node now. Without it, every upstream may. */
         readonly isAdmitted?: (upstream: RegisteredUpstream) => boolean;
-        /** Returns the identifiers of upstreams that state a rate limit. Without it, none does. */
-        readonly getRateLimited?: () => ReadonlySet<string>;
+        /** The node's shares of the rates that upstreams state. Without it, none states any. */
+        readonly rateShares?: RateShares;
     }) {
         this.#clock = options.clock;
         this.#random = options.random;
@@ -65,7 +66,7 @@
         this.#subsets = new RunnerSubsets(options);
         this.#onEject = options.onEject;
         this.#isAdmitted = options.isAdmitted ?? (() => true);
-        this.#getRateLimited = options.getRateLimited ?? (() => new Set());
+        this.#rateShares = options.rateShares;
     }
 
     /**
@@ -78,7 +79,8 @@
             options.candidates,
             upstream => options.excluded.has(upstream.id) || !this.#isAdmitted(upstream),
         );
-        const healthy = exclude(untried, ({ id }) => this.#getStatus(id).isEjected(now));
+        const unejected = exclude(untried, ({ id }) => this.#getStatus(id).isEjected(now));
+        const healthy = this.#findDue(unejected) ?? unejected;
         if (healthy.length === 0) {
             // An attempt on an ejected upstream may succeed; without it the request would certainly be refused.
             return this.#createPick(this.#findLeastLoaded(untried, now), "ejected", now);
@@ -231,11 +233,10 @@
         now: number,
     ): UpstreamPick | undefined {
         const holders = this.#holders.findTwoHolders(usable, prompt.sharedKey);
-        const others = [...holders, ...this.#findRateLimited(usable)];
         const domainCost = crossDomainMilliseconds + crossDomainMillisecondsPerKilobyte * prompt.bytes / 1_024;
         let best: UpstreamPick | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const upstream of this.#subsets.selectCandidates(candidates, others, usable)) {
+        for (const upstream of this.#subsets.selectCandidates(candidates, holders, usable)) {
             const status = this.#getStatus(upstream.id);
             const hitProbability = cacheHitProbabilities[holders.indexOf(upstream.id)] ?? 0;
             const uncachedTokens = prompt.tokens - hitProbability * prompt.sharedTokens;
@@ -257,13 +258,14 @@
         return best;
     }
 
-    /**
-     * Finds the upstreams of whose stated rate this node holds a share. The few nodes that do may all have other upstreams in their
-     * subsets. The upstream would then get nothing, and nobody would learn that its limit has ended.
-     */
-    #findRateLimited(usable: readonly RegisteredUpstream[]): readonly string[] {
-        const limited = this.#getRateLimited();
-        return limited.size === 0 ? [] : usable.filter(({ id }) => limited.has(id)).map(({ id }) => id);
+    /** Finds an upstream that states a rate limit and should get the next request, also if it is not in the subset of this node. */
+    #findDue(upstreams: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] | undefined {
+        const shares = this.#rateShares;
+        if (shares === undefined || shares.getLimited().size === 0) {
+            return undefined;
+        }
+        const due = upstreams.find(upstream => shares.isDue(upstream));
+        return due && [due];
     }
 
     #findWithFreeCapacity(candidates: readonly RegisteredUpstream[], now: number): RegisteredUpstream | undefined {
--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -6,7 +6,7 @@
 import type { Clock, Failure, RandomSource } from "../../common/index.js";
 import { events, type Journal } from "../../events/index.js";
 import type { LoadReport, Vm, VmRole } from "../../world/index.js";
-import type { SendLimit } from "../dispatch/sendLimit.js";
+import type { StatedRateLimit } from "../dispatch/statedRateLimit.js";
 import { CandidateSet } from "./candidateSet.js";
 import { getCapacity } from "./capacity.js";
 import { getEjectedShareWith } from "./ejection.js";
@@ -36,8 +36,7 @@
     readonly #index: RunnerIndex;
     readonly #prefixes: PrefixTable;
     readonly #candidates: CandidateSet;
-    readonly #sendLimit: SendLimit | undefined;
-    readonly #getRateLimited: () => ReadonlySet<string>;
+    readonly #rateShares: StatedRateLimit | undefined;
 
     constructor(options: {
         readonly self: EntryLocation;
@@ -45,10 +44,8 @@
         readonly random: RandomSource;
         readonly options?: Partial<PlacementOptions>;
         readonly journal?: Journal;
-        /** Limits the requests of this entry to each upstream. Without it, there is no limit. */
-        readonly sendLimit?: SendLimit;
-        /** Returns the identifiers of upstreams that state a rate limit. Without it, none does. */
-        readonly getRateLimited?: () => ReadonlySet<string>;
+        /** The entry's shares of the rates that upstreams state. Without it, none states any. */
+        readonly rateShares?: StatedRateLimit;
     }) {
         this.#self = options.self;
         this.#clock = options.clock;
@@ -64,12 +61,11 @@
             prefixes: this.#prefixes,
             eject: (id, reason) => this.eject(id, reason),
         });
-        this.#sendLimit = options.sendLimit;
-        this.#getRateLimited = options.getRateLimited ?? (() => new Set());
+        this.#rateShares = options.rateShares;
         this.#candidates = new CandidateSet({
             random: options.random,
             options: this.#options,
-            isAdmitted: upstream => this.#sendLimit?.isAdmitted(upstream) ?? true,
+            isAdmitted: upstream => this.#rateShares?.isAdmitted(upstream) ?? true,
         });
     }
 
@@ -94,7 +90,7 @@
                 this.#runners.delete(id);
                 this.#index.remove(runner);
                 this.#prefixes.removeUpstream(id);
-                this.#sendLimit?.remove(id);
+                this.#rateShares?.remove(id);
             }
         }
         this.#index.setEntries(entries);
@@ -230,9 +226,11 @@
         const list = this.#index.get(request.version, request.pool);
         const matches = this.#prefixes.getMatches(request.blocks, this.#options.cachedChoices);
         this.#candidates.start(now, request, matches);
-        this.#addPreferred(request, matches);
-        this.#addRateLimited();
-        this.#candidates.addSample(list.near, "least-wait");
+        this.#addDue();
+        if (this.#candidates.isEmpty()) {
+            this.#addPreferred(request, matches);
+            this.#candidates.addSample(list.near, "least-wait");
+        }
         if (this.#candidates.getBestWait() > this.#options.spillOverMilliseconds) {
             this.#candidates.addSample(list.far, "spill-over");
         }
@@ -258,7 +256,7 @@
      */
     start(placement: Placement): Work {
         const runner = this.#runners.get(placement.upstream.id);
-        this.#sendLimit?.add(placement.upstream);
+        this.#rateShares?.add(placement.upstream);
         return runner === undefined
             ? new Work({ firstToken: () => {}, load: () => {}, finish: () => {} })
             : this.#works.start(runner, placement);
@@ -295,13 +293,14 @@
         }
     }
 
-    /**
-     * Adds the upstreams of whose stated rate this entry holds a share, also those outside its subset: the few entries that do may
-     * all have other upstreams in theirs.
-     */
-    #addRateLimited(): void {
-        for (const upstream of this.#getRateLimited()) {
-            this.#addCandidate(upstream, "least-wait");
+    /** Adds the upstreams that state a rate limit and should get the next request, also those outside the subset of this entry. */
+    #addDue(): void {
+        const shares = this.#rateShares;
+        for (const id of shares?.getLimited() ?? []) {
+            const vm = this.#runners.get(id)?.vm;
+            if (vm !== undefined && shares?.isDue(vm) === true) {
+                this.#addCandidate(id, "least-wait");
+            }
         }
     }
 
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -3,7 +3,6 @@
  */
 import { type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import { Attempts } from "../forwarding/index.js";
-import { createRateShares } from "../ratelimits/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
 
@@ -16,9 +15,7 @@
 
 /** Creates the limits of requests to upstreams. */
 export function createSendLimit(parts: NodeParts): SendLimit {
-    const { clock, random, self, membership, rateLimits } = parts;
-    const rateShares = createRateShares({ clock, random, self: self.id, membership, rateLimits });
-    return new SendLimits([createWarmUpLimit(parts), rateShares]);
+    return new SendLimits([createWarmUpLimit(parts), parts.rateShares]);
 }
 
 /** Creates the limit of requests to upstreams that warm up. */
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -17,7 +17,7 @@
     PeerServer,
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../quarantine/index.js";
-import { createSharedRateLimits } from "../ratelimits/index.js";
+import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
 import { isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
 import { createAttempts, createBudgets, createSendLimit, shareRetentionMilliseconds } from "./forwardingParts.js";
@@ -114,8 +114,10 @@
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
     directory: ({ membership }) => new MemberDirectory(vms => membership.setVms(vms)),
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
+    rateShares: ({ clock, random, self, membership, rateLimits }) =>
+        createRateShares({ clock, random, self: self.id, membership, rateLimits }),
     sendLimit: parts => createSendLimit(parts),
-    picker: ({ clock, settings, random, journal, self, sendLimit, rateLimits }) =>
+    picker: ({ clock, settings, random, journal, self, sendLimit, rateShares }) =>
         new UpstreamPicker({
             clock,
             self: self.id,
@@ -123,7 +125,7 @@
             random,
             onEject: (upstream, milliseconds) => journal.write(events.upstreamEjected, { upstream, milliseconds }),
             isAdmitted: upstream => sendLimit.isAdmitted(upstream),
-            getRateLimited: () => rateLimits.getLimited(),
+            rateShares,
         }),
     budgets: parts => createBudgets(parts),
     upstreamClient: ({ topics, membership }) =>
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -2,7 +2,7 @@
  * Defines the parts of a node on the platform.
  */
 import type { Clock, RandomSource } from "../common/index.js";
-import type { SendLimit, UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
+import type { SendLimit, StatedRateLimit, UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { Attempts, Forwarder, ForwardingMetrics, Shutdown } from "../forwarding/index.js";
@@ -42,6 +42,7 @@
     readonly membership: Membership;
     readonly directory: MemberDirectory;
     readonly rateLimits: RateLimits;
+    readonly rateShares: StatedRateLimit;
     readonly sendLimit: SendLimit;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
--- a/src/ratelimits/sharedRateLimits.ts
+++ b/src/ratelimits/sharedRateLimits.ts
@@ -2,7 +2,7 @@
  * Connects a node's knowledge of rate limits with that of the other nodes.
  */
 import type { Clock, RandomSource } from "../common/index.js";
-import { type SendLimit, StatedRateLimit } from "../decisions/index.js";
+import { StatedRateLimit } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { Gossip, Membership } from "../membership/index.js";
 import { RateLimits } from "./rateLimits.js";
@@ -50,7 +50,7 @@
 }
 
 /** Creates the limit of requests to upstreams that state one, of which few nodes hold shares. */
-export function createRateShares({ clock, random, self, membership, rateLimits }: RateShareOptions): SendLimit {
+export function createRateShares({ clock, random, self, membership, rateLimits }: RateShareOptions): StatedRateLimit {
     const settledAt = clock.monotonic() + settlingMilliseconds;
     return new StatedRateLimit({
         clock,
