Withdraw the rate limit of an upstream that is gone from what a node publishes

Found by reading the diff: what a node has found stays in what it publishes until its next change, also when the upstream is removed. A node that starts later learned of the limit of an upstream that is gone, and counted it in rattanlock_limited_upstreams for ever. The node that found it now withdraws it with the upstream. The test failed before: 1 upstream counted in place of 0.

--- a/src/ratelimits/rateLimits.ts
+++ b/src/ratelimits/rateLimits.ts
@@ -109,7 +109,10 @@
     remove(upstream: string): void {
         this.#rates.delete(upstream);
         this.#limited.delete(upstream);
-        this.#own.delete(upstream);
+        if (this.#own.delete(upstream)) {
+            // Nodes that start later would otherwise learn of the limit of an upstream that is gone, and never forget it.
+            this.#publish();
+        }
     }
 
     #set(record: RateRecord, source: "answer" | "peer"): void {
--- a/test/ratelimits/sharedRateLimits.test.ts
+++ b/test/ratelimits/sharedRateLimits.test.ts
@@ -89,6 +89,24 @@
         expect(countKnowing(limits, unlimitedRate)).toEqual(4);
     });
 
+    // Guards against nodes that start later, learn of the limit of an upstream that is gone, and count it for ever.
+    it("tells a node that starts later nothing of an upstream that was removed", async () => {
+        const { site, limits, observe } = createFleet(4);
+        await site.run(4);
+        observe(0, 3);
+        await site.run(4);
+        for (const one of limits) {
+            one.remove("u1");
+        }
+        await site.run(4);
+        const late = site.add("entry-late");
+        site.distributeVmList();
+        const journal = createJournal(late.vm.id).journal;
+        const learned = createSharedRateLimits({ clock: late.clock, journal, gossip: late.gossip });
+        await site.run(8);
+        expect(learned.count()).toEqual(0);
+    });
+
     it("agrees on the lower of two rates that nodes were told at once", async () => {
         const { site, limits, observe } = createFleet(4);
         await site.run(4);
