Let only successes end a rate limit, and read what an answer states in one place

Found by reading the diff: on the platform any answer without the header ended a limit, also a runner's own 500, while the entry counted successes only. A failure may come without what successes carry, and a limit that ends for a moment lets all nodes send at once. Both read it with one function now. The test of the client failed before for a 500 without the header.

--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -39,8 +39,8 @@
     readonly confidence: number | undefined;
     readonly load: ReportedLoad | undefined;
     /**
-     * Requests a second that the upstream takes from all nodes together; infinity if the answer states no limit, undefined if what it
-     * states is not a number.
+     * Requests a second that the upstream takes from all nodes together; infinity if a success states no limit, undefined if the
+     * answer says nothing that is certain.
      */
     readonly requestsPerSecond: number | undefined;
     /**
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -12,7 +12,7 @@
     UpstreamFailureKind,
     UpstreamTransport,
 } from "../forwarding/index.js";
-import { unlimitedRate } from "../ratelimits/index.js";
+import { readStatedRate } from "../ratelimits/index.js";
 import { provesNothingWritten } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { headerNames } from "./wire.js";
@@ -196,11 +196,11 @@
 ): Result<UpstreamAnswer, UpstreamCallFailure> {
     const raw = response.headers as unknown as readonly string[];
     const load = readLoad(raw);
-    const statedRate = findNumber(raw, headerNames.rateLimit);
+    const requestsPerSecond = readStatedRate(findHeader(raw, headerNames.rateLimit), response.statusCode);
     const echoedId = findHeader(raw, headerNames.requestId);
     const fail = (kind: UpstreamCallFailure["kind"], reason: string): Result<never, UpstreamCallFailure> => {
         discard(response);
-        return err({ kind, reason, load, requestsPerSecond: statedRate });
+        return err({ kind, reason, load, requestsPerSecond });
     };
     if (echoedId !== undefined && echoedId !== call.request.id) {
         // This is a late answer to an earlier request on the connection. What follows on it cannot be attributed to a request.
@@ -229,7 +229,7 @@
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         load,
-        requestsPerSecond: findHeader(raw, headerNames.rateLimit) === undefined ? unlimitedRate : statedRate,
+        requestsPerSecond,
         hasKnownEnd: hasFraming(raw),
         body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
     });
--- a/src/ratelimits/index.ts
+++ b/src/ratelimits/index.ts
@@ -2,3 +2,4 @@
 export * from "./rateLimits.js";
 export * from "./rateRecord.js";
 export * from "./sharedRateLimits.js";
+export * from "./statedRate.js";
--- a/src/upstream/rateObserver.ts
+++ b/src/upstream/rateObserver.ts
@@ -2,10 +2,7 @@
  * Reads the rate limit that an upstream states with its answers (docs/design/interfaces.md, `X-Rate-Limit`).
  */
 import type { Clock } from "../common/index.js";
-import { type RateStatement, unlimitedRate } from "../ratelimits/index.js";
-
-/** Statuses from here on are failures, which state nothing by the lack of a limit. */
-const minFailureStatus = 400;
+import { type RateStatement, readStatedRate } from "../ratelimits/index.js";
 
 /** The head of an answer in the form of the HTTP client. */
 export interface AnswerHead {
@@ -40,19 +37,10 @@
      * @param sentAt - Monotonic time at which the request was sent.
      */
     observe(upstream: string, { statusCode, headers }: AnswerHead, sentAt: number): void {
-        const requestsPerSecond = readRate(headers["x-rate-limit"]);
-        const isStated = requestsPerSecond !== undefined && requestsPerSecond < unlimitedRate;
-        if (requestsPerSecond !== undefined && (isStated || statusCode < minFailureStatus)) {
+        const header = headers["x-rate-limit"];
+        const requestsPerSecond = Array.isArray(header) ? undefined : readStatedRate(header, statusCode);
+        if (requestsPerSecond !== undefined) {
             this.#options.onStatement({ upstream, requestsPerSecond, sentAt });
         }
     }
 }
-
-/** @returns The stated rate, `unlimitedRate` without the header, or undefined if its value is not a rate. */
-function readRate(header: string | string[] | undefined): number | undefined {
-    if (header === undefined) {
-        return unlimitedRate;
-    }
-    const rate = typeof header === "string" && header.trim() !== "" ? Number(header) : Number.NaN;
-    return Number.isFinite(rate) && rate >= 0 ? rate : undefined;
-}
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -70,6 +70,8 @@
         expect(stated.isOk() && stated.value.requestsPerSecond).toEqual(3.1);
         const none = (await call(answerWith("200 OK", ""))).result;
         expect(none.isOk() && none.value.requestsPerSecond).toEqual(unlimitedRate);
+        const failed = (await call(answerWith("500 Failed", ""))).result;
+        expect(failed.isOk() && failed.value.requestsPerSecond).toEqual(undefined);
         const unreadable = (await call(answerWith("200 OK", "Server-Limit: few\r\n"))).result;
         expect(unreadable.isOk() && unreadable.value.requestsPerSecond).toEqual(undefined);
         const refused = (await call(answerWith("503 Full", "Not-Executed: 1\r\nServer-Limit: 2\r\n"))).result;
