Say on a node when it can connect to no upstream of a pool

Events 551 and 552 and rattanlock_unreachable_pools say so. It is learned from connections that cannot be opened, and by three probes when a pool that owes answers, or the whole node, receives nothing for a second. Nothing is decided by it yet.

--- a/src/events/catalogue/decisionEvents.ts
+++ b/src/events/catalogue/decisionEvents.ts
@@ -11,6 +11,13 @@
         "warning",
         "An upstream failed or was far too slow and temporarily gets no new requests.",
     ),
+    poolUnreachable: define(
+        551,
+        "pool-unreachable",
+        "warning",
+        "This node can connect to no upstream of a pool.",
+    ),
+    poolReachable: define(552, "pool-reachable", "info", "This node can connect to upstreams of a pool again."),
     admissionLimitLowered: define(
         560,
         "admission-limit-lowered",
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -140,6 +140,12 @@
         return this.#byPool.get(pool) ?? [];
     }
 
+    /** Returns the names of the pools with upstreams that accept requests. */
+    getPools(): Iterable<string> {
+        this.#byPool ??= this.#groupByPool();
+        return this.#byPool.keys();
+    }
+
     #removeExpired(): void {
         const now = this.#clock.monotonic();
         for (const [id, until] of this.#expiryTimes) {
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -15,6 +15,7 @@
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { CrashWatch, RunEnd } from "../quarantine/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
+import type { Reachability } from "../reachability/index.js";
 import type { VersionSelection } from "../rollouts/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
@@ -33,6 +34,8 @@
     readonly sendLimit: SendLimit;
     readonly rateLimits: RateLimits;
     readonly transport: UpstreamTransport;
+    /** Learns which pools answer. */
+    readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
     readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
@@ -142,7 +145,7 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, crashWatch, picker, registry, sendLimit, transport } = this.#options;
+        const { clock, crashWatch, picker, reachability, registry, sendLimit, transport } = this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -186,6 +189,7 @@
         picker.start(upstream.id);
         sendLimit.add(upstream);
         picker.addPendingPrefill(upstream.id, prefillMilliseconds);
+        const endWait = reachability.startCall(upstream.pool);
         const result = await transport.call(upstream, {
             request: exchange.request,
             deadlineMilliseconds: exchange.getTimeLeft(),
@@ -196,6 +200,7 @@
             signal: controller.signal,
         });
         clearTimeout(timer);
+        endWait();
         picker.addPendingPrefill(upstream.id, -prefillMilliseconds);
         if (result.isErr()) {
             if (result.error.kind === "not-sent") {
@@ -211,7 +216,7 @@
         }
         headMilliseconds = clock.monotonic() - startedAt;
         confidence = result.value.confidence;
-        picker.markSeen(upstream.id);
+        this.#markSeen(upstream);
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
@@ -220,7 +225,12 @@
         if (load !== undefined) {
             picker.addLoadReport(upstream, { requests: load.running + load.waiting, slots: load.slots });
         }
-        return ok({ upstream, answer: result.value, finish, cancel, markSeen: () => picker.markSeen(upstream.id) });
+        return ok({ upstream, answer: result.value, finish, cancel, markSeen: () => this.#markSeen(upstream) });
+    }
+
+    #markSeen(upstream: RegisteredUpstream): void {
+        this.#options.picker.markSeen(upstream.id);
+        this.#options.reachability.markSeen(upstream.pool);
     }
 
     #classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -79,6 +79,11 @@
             help: "Upstreams that take a stated number of requests a second from all nodes together.",
             registers,
         }),
+        unreachablePools: new Gauge({
+            name: "rattanlock_unreachable_pools",
+            help: "Pools of which this node can connect to no upstream.",
+            registers,
+        }),
         evacuatedDomains: new Gauge({
             name: "rattanlock_evacuated_failure_domains",
             help: "Failure domains whose upstreams get no requests because the operator evacuated them.",
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -43,6 +43,7 @@
         sendLimit: parts.sendLimit,
         rateLimits: parts.rateLimits,
         transport: upstreamClient,
+        reachability: parts.reachability,
         crashWatch: parts.crashWatch,
         getBudget: budgets,
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -57,12 +57,13 @@
     }
 
     async #startPeers(): Promise<void> {
-        const { peerServer, gossip, rollouts } = this.getParts();
+        const { peerServer, gossip, reachability, rollouts } = this.getParts();
         (await peerServer.start()).match(() => undefined, failure => {
             throw failure;
         });
         gossip.start();
         rollouts.start();
+        reachability.start();
     }
 
     /**
@@ -121,6 +122,7 @@
         callerServer.close();
         siteServer.close();
         parts.rollouts.stop();
+        await parts.reachability.stop();
         parts.gossip.stop();
         parts.topics.stop();
         await parts.lineWriter.flush();
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -18,7 +18,8 @@
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../quarantine/index.js";
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
-import { isRefusingConnections } from "../upstream/index.js";
+import { Reachability } from "../reachability/index.js";
+import { isAcceptingConnections, isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
 import { createAttempts, createBudgets, createSendLimit, shareRetentionMilliseconds } from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
@@ -128,7 +129,16 @@
             rateShares,
         }),
     budgets: parts => createBudgets(parts),
-    upstreamClient: ({ topics, membership }) =>
+    reachability: ({ clock, random, journal, registry }) =>
+        new Reachability({
+            clock,
+            random,
+            journal,
+            getPools: () => registry.getPools(),
+            getUpstreams: pool => registry.getAvailable(pool),
+            probe: isAcceptingConnections,
+        }),
+    upstreamClient: ({ topics, membership, reachability }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
                 const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
@@ -136,6 +146,7 @@
                     ? defaultConnections
                     : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
             },
+            onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
         }),
     quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
         createSharedQuarantine({
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -9,6 +9,7 @@
 import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
+import type { Reachability } from "../reachability/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import type { CallerServer } from "./callerServer.js";
 import type { LiveSettings, NodeSettings } from "./nodeSettings.js";
@@ -46,6 +47,7 @@
     readonly sendLimit: SendLimit;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
+    readonly reachability: Reachability;
     readonly upstreamClient: UpstreamClient;
     readonly quarantine: Quarantine;
     readonly crashWatch: CrashWatch;
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -35,6 +35,8 @@
 export interface UpstreamClientOptions {
     /** Returns the maximum number of connections from this node to one upstream of a pool. */
     readonly getConnectionLimit: (pool: string) => number;
+    /** Called when a connection to an upstream could not be opened. */
+    readonly onConnectFailure?: (upstream: RegisteredUpstream) => void;
 }
 
 /**
@@ -133,7 +135,7 @@
         const pool = new Pool(`http://${upstream.address}`, {
             connections: this.#options.getConnectionLimit(upstream.pool),
             pipelining: 1,
-            connect: createConnector(resets),
+            connect: createConnector(resets, () => this.#options.onConnectFailure?.(upstream)),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: defaultKeepAliveMilliseconds,
@@ -147,11 +149,12 @@
 }
 
 /** Creates a connector that records resets before the HTTP library reports them. */
-function createConnector(resets: ResetTracker): buildConnector.connector {
+function createConnector(resets: ResetTracker, onFailure: () => void): buildConnector.connector {
     const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
     return (options, callback) => {
         connect(options, (...[error, socket]) => {
             if (error) {
+                onFailure();
                 // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
                 callback(error, null);
                 return;
--- a/src/upstream/connectionProbe.ts
+++ b/src/upstream/connectionProbe.ts
@@ -1,27 +1,52 @@
 /**
- * Finds out whether the process behind an address has ended.
+ * Finds out whether connections to an address can be opened.
  */
 import { connect } from "node:net";
 
 /** A machine whose process has ended refuses at once; longer waits only delay the caller's next attempt. */
-const probeMilliseconds = 150;
+const crashProbeMilliseconds = 150;
+/** Connecting takes a millisecond or two. A machine that is down or cut off does not respond at all. */
+const reachProbeMilliseconds = 400;
+
+/**
+ * Result of opening a connection.
+ * - `opened`: the connection was established.
+ * - `refused`: the machine answered that nothing listens at the address.
+ * - `failed`: the connection failed in another way, such as by a timeout.
+ */
+type ProbeResult = "opened" | "refused" | "failed";
 
 /**
  * Opens a connection and closes it again.
  * @param address - The address, as `HOST:PORT`.
  * @returns Whether the machine refused it because nothing listens there. False when the connection was opened or nothing answered.
  */
-export function isRefusingConnections(address: string): Promise<boolean> {
+export async function isRefusingConnections(address: string): Promise<boolean> {
+    return await probe(address, crashProbeMilliseconds) === "refused";
+}
+
+/**
+ * Opens a connection and closes it again.
+ * @param address - The address, as `HOST:PORT`.
+ * @returns Whether it was opened.
+ */
+export async function isAcceptingConnections(address: string): Promise<boolean> {
+    return await probe(address, reachProbeMilliseconds) === "opened";
+}
+
+function probe(address: string, timeoutMilliseconds: number): Promise<ProbeResult> {
     const separator = address.lastIndexOf(":");
     const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
     return new Promise(resolve => {
-        const finish = (isRefusing: boolean): void => {
+        const finish = (result: ProbeResult): void => {
             clearTimeout(timer);
             socket.destroy();
-            resolve(isRefusing);
+            resolve(result);
         };
-        const timer = setTimeout(() => finish(false), probeMilliseconds);
-        socket.once("connect", () => finish(false));
-        socket.on("error", error => finish((error as NodeJS.ErrnoException).code === "ECONNREFUSED"));
+        const timer = setTimeout(() => finish("failed"), timeoutMilliseconds);
+        socket.once("connect", () => finish("opened"));
+        socket.on("error", error => {
+            finish((error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? "refused" : "failed");
+        });
     });
 }
