--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -31,6 +31,8 @@
     readonly child: ChildProcess;
     readonly events: EventLine[];
     readonly settingsFile: string;
+    /** Holds the state of the path to runners, for nodes that are started with a network that can be cut. */
+    readonly cutFile: string;
     /** Resolves with the exit code when the process exits. */
     readonly exited: Promise<number | null>;
 }
@@ -42,6 +44,9 @@
     readonly body: string;
 }
 
+/** How the connections to runners behave at a node: as usual, or in one of the ways in which its path to them is cut. */
+export type Cut = "none" | "silent" | "reset" | "kept";
+
 /** Options of a request; omitted fields use defaults. */
 export interface SiteRequest {
     readonly path?: string;
@@ -164,19 +169,26 @@
         const address = `${this.prefix}.${index}`;
         const settingsFile = join(this.#folder, `node-${index}.ini`);
         writeFileSync(settingsFile, this.createSettings(address, storeAddress));
+        const cutFile = join(this.#folder, `cut-${index}`);
         const child = spawn(process.execPath, [...runOptions, ...nodeOptions, program, `${address}:${callerPort}`], {
-            env: { ...process.env, RATTANLOCK_BOOT: settingsFile },
+            env: { ...process.env, RATTANLOCK_BOOT: settingsFile, CUT_FILE: cutFile, CUT_PORT: String(runnerPort) },
             stdio: ["ignore", "pipe", "inherit"],
         });
         endWithParent(child);
         const events: EventLine[] = [];
         createInterface({ input: child.stdout }).on("line", line => events.push(JSON.parse(line) as EventLine));
         const exited = new Promise<number | null>(resolve => child.once("exit", code => resolve(code)));
-        const node = { address, child, events, settingsFile, exited };
+        const node = { address, child, events, settingsFile, cutFile, exited };
         this.nodes[index - 1] = node;
         return node;
     }
 
+    /** Starts a node whose path to the runners can be cut. */
+    startCuttableNode(index: number, cut: Cut = "none"): SiteNode {
+        writeFileSync(join(this.#folder, `cut-${index}`), cut);
+        return this.startNode(index, ["--import", "./test/platform/standins/cutNetwork.mjs"]);
+    }
+
     /** Returns settings in the format of the deployment's template. */
     createSettings(address: string, storeAddress = `${this.prefix}.200:${storePort}`): string {
         const values: Readonly<Record<string, string>> = {
--- /dev/null
+++ b/test/platform/unreachableUpstreams.test.ts
@@ -0,0 +1,114 @@
+import { expect } from "earl";
+import { writeFileSync } from "node:fs";
+import { after, afterEach, before, describe, it } from "node:test";
+import { type Cut, PlatformSite, type SiteAnswer, type SiteNode } from "./platformSite.js";
+import { createSeal } from "./standins/runnerStandin.js";
+
+const nodeCount = 4;
+const cutNodeCount = 2;
+const runnerCount = 4;
+/** Time after the beginning of a cut from which the node has to serve its callers again. */
+const settlingMilliseconds = 3_000;
+const trafficMilliseconds = 4_000;
+const requestMilliseconds = 20;
+const paths = ["/call/1", "/booking/1", "/stream/1"];
+/** The users' bound: cut nodes serve two thirds as often as the others, or fail no more than this. */
+const minServedShare = 2 / 3;
+const maxFailedShare = 1 / 50;
+const maxFailedExtra = 10;
+/** Share that the other nodes serve at least; below it, a test would say nothing about the cut ones. */
+const minServedByOthers = 0.95;
+
+// A node loses the paths to all upstreams, while callers, the store and the other nodes reach it as before.
+describe("a node that can reach no upstream", () => {
+    const site = new PlatformSite("127.72.50");
+    after(() => site.stop());
+    afterEach(() => setCut("none"));
+    before(async () => {
+        await site.start(runnerCount);
+        for (const runner of site.runners.values()) {
+            runner.behaviour = (request, response) => {
+                response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+                response.end("id: 1\ndata: 1\n\n");
+            };
+        }
+        for (let index = 1; index <= nodeCount; index += 1) {
+            await site.waitForReady(site.startCuttableNode(index));
+        }
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount);
+        }
+    });
+
+    function setCut(cut: Cut, nodes = site.nodes.slice(0, cutNodeCount)): void {
+        for (const node of nodes) {
+            writeFileSync(node.cutFile, cut);
+        }
+    }
+
+    /** Sends requests of all kinds to nodes in turn for a while. */
+    async function sendFor(milliseconds: number, nodes: readonly SiteNode[]): Promise<readonly TimedAnswer[]> {
+        const pending: Promise<TimedAnswer>[] = [];
+        const endsAt = performance.now() + milliseconds;
+        while (performance.now() < endsAt) {
+            const path = paths[pending.length % paths.length];
+            pending.push(
+                measure(() => site.send(nodes[Math.floor(pending.length / paths.length) % nodes.length], { path })),
+            );
+            await new Promise(resolve => setTimeout(resolve, requestMilliseconds));
+        }
+        return Promise.all(pending);
+    }
+
+    /** Cuts off some nodes under traffic, and returns the shares that the cut nodes and the others served after the settling time. */
+    async function serveDuring(cut: Cut): Promise<{ readonly cutOff: Shares; readonly others: Shares; }> {
+        const cutNodes = site.nodes.slice(0, cutNodeCount);
+        const others = site.nodes.slice(cutNodeCount);
+        await sendFor(500, site.nodes);
+        setCut(cut);
+        await Promise.all([sendFor(settlingMilliseconds, cutNodes), sendFor(settlingMilliseconds, others)]);
+        const [answers, otherAnswers] = await Promise.all([
+            sendFor(trafficMilliseconds, cutNodes),
+            sendFor(trafficMilliseconds, others),
+        ]);
+        return { cutOff: getShares(answers), others: getShares(otherAnswers) };
+    }
+
+    // Guards against a node that goes on to refuse its callers, or to let them wait, while the nodes beside it could serve them.
+    it("serves its callers through nodes that do", async () => {
+        for (const cut of ["silent", "reset", "kept"] as const) {
+            const { cutOff, others } = await serveDuring(cut);
+            const result = `${cut}: served ${cutOff.served.toFixed(2)} of ${cutOff.sent}, others ${
+                others.served.toFixed(2)
+            }`;
+            const isServed = cutOff.served > minServedShare * others.served
+                && cutOff.failed <= maxFailedExtra + maxFailedShare * cutOff.sent;
+            expect([result, others.served > minServedByOthers, isServed]).toEqual([result, true, true]);
+            setCut("none");
+            await sendFor(settlingMilliseconds, site.nodes);
+        }
+    });
+});
+
+/** An answer and the time that it took. */
+interface TimedAnswer extends SiteAnswer {
+    readonly milliseconds: number;
+}
+
+interface Shares {
+    readonly sent: number;
+    readonly failed: number;
+    /** Share of the requests that were served. */
+    readonly served: number;
+}
+
+async function measure(send: () => Promise<SiteAnswer>): Promise<TimedAnswer> {
+    const startedAt = performance.now();
+    const answer = await send();
+    return { ...answer, milliseconds: performance.now() - startedAt };
+}
+
+function getShares(answers: readonly SiteAnswer[]): Shares {
+    const failed = answers.filter(({ status }) => status !== 200).length;
+    return { sent: answers.length, failed, served: 1 - failed / answers.length };
+}
