Send requests through other nodes to upstreams that a node cannot reach

Callers of a node that had lost all paths to its upstreams were refused with 503 after each upstream had been tried, or waited until their deadline.

Cause: each upstream was judged by itself, and nothing that a node knew of all its paths together was used or told to others. Ruled out by the record's lines: that the others knew and named it all the same because of stale lists (there was no line on any node), and that ejections outlast the cut (they were of single upstreams and of seconds).

A node that can connect to none of a pool's upstreams now sends its requests through another node that does, once and never on to a third: one gRPC call (Relay) that hands back the upstream's bytes. All decisions, budgets, limits and the deadline stay with the node that has the caller; what certainly was not sent is tried at another, and nothing else is. It tells the others at once by gossip; while most nodes reach upstreams the addresses for callers leave it out, otherwise all stay. What no node reaches is refused at once. A node comes back after two accepted connections, and its upstreams' failures and old connections are dropped. A forwarding node takes 256 requests at a time.

A reset of connections followed by refused ones also passed for a crash of the upstream and was held against the request that it ran: a node now asks others of the pool before it says so.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -169,6 +169,14 @@
         }
     }
 
+    /**
+     * Discards the recorded failures of an upstream and ends its ejection.
+     * @param upstream - Identifier of the upstream.
+     */
+    clearFailures(upstream: string): void {
+        this.#statuses.get(upstream)?.clearFailures();
+    }
+
     /**
      * Removes the recorded state of an upstream.
      * @param upstream - Identifier of the upstream.
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -132,6 +132,15 @@
         }
     }
 
+    /** Discards the recorded failures and ends the ejection. */
+    clearFailures(): void {
+        this.#failureRate = 0;
+        this.#outcomes = 0;
+        this.#unresponsiveFailures = 0;
+        this.#ejections = 0;
+        this.#ejectedUntil = Number.NEGATIVE_INFINITY;
+    }
+
     /**
      * Returns whether the upstream is unreachable or fails so much more often than its pool that it should be ejected.
      * @param poolFailureRate - Mean failure rate of the other upstreams of the pool.
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -200,6 +200,9 @@
         fetchState: withObservedCounter((request: FetchStateRequest, protocol) =>
             stateFetcher.handle(request, protocol)
         ),
+        relay: () => {
+            throw new Error("This entry forwards no requests of other entries.");
+        },
     };
 }
 
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -36,6 +36,8 @@
     readonly transport: UpstreamTransport;
     /** Learns which pools answer. */
     readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
+    /** Returns whether this node, or another one that would forward the request, can connect to upstreams of a pool. */
+    readonly isReachable: (pool: string) => boolean;
     readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
@@ -91,6 +93,9 @@
             }
             return err({ kind: "not-made", reason: "quarantined", retryAfterMilliseconds: quarantineMilliseconds });
         }
+        if (!this.#options.isReachable(exchange.pool)) {
+            return err({ kind: "not-made", reason: "unreachable" });
+        }
         const selected = this.#pick(exchange, request.prompt, exchange.excluded);
         if (selected === undefined) {
             return err({ kind: "not-made", reason: this.#isAnyLimited(exchange) ? "limited" : "nobody" });
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -17,6 +17,9 @@
 const minRetryAfterMilliseconds = 60;
 const maxRetryAfterMilliseconds = 1_500;
 
+/** Reasons that lie in the upstreams or the paths to them, and not in how much they have to do. */
+const unavailableReasons: ReadonlySet<string> = new Set(["nobody", "limited", "unreachable"]);
+
 /**
  * Draws the retry delay of a refused request.
  * @param timeLeftMilliseconds - The caller's remaining time.
@@ -40,7 +43,7 @@
     return {
         outcome: "not-run",
         failure: new Failure({
-            kind: reason === "nobody" || reason === "limited" ? "unavailable" : "overloaded",
+            kind: unavailableReasons.has(reason) ? "unavailable" : "overloaded",
             message: `No upstream of the pool ${exchange.pool} accepted the request (${reason}).`,
             remedy: "Retry after the given time.",
             retryAfterMilliseconds: drawRetryAfterMilliseconds(exchange.getTimeLeft(), Math.random()),
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -3,6 +3,7 @@
  */
 import type { Result } from "neverthrow";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import type { TransportFailureKind } from "../upstream/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
 /** Parameters of a call to an upstream. */
@@ -59,7 +60,7 @@
  * - `broken`: the request may have run.
  * - `disconnected`: the upstream closed or reset the connection, and the request may have run.
  */
-export type UpstreamFailureKind = "not-sent" | "refused" | "replaced" | "broken" | "disconnected";
+export type UpstreamFailureKind = TransportFailureKind | "refused" | "replaced";
 
 /** A failed call. */
 export interface UpstreamCallFailure {
--- a/src/membership/peerClient.ts
+++ b/src/membership/peerClient.ts
@@ -2,7 +2,14 @@
  * Calls peers over gRPC. Each call has a deadline, is sent once, and addresses its peer by IP number. The caller
  * decides which peer to call and whether to retry, so the retries and the name resolution of the library are off.
  */
-import { type ChannelCredentials, type ClientOptions, credentials, Metadata, type ServiceError } from "@grpc/grpc-js";
+import {
+    type ChannelCredentials,
+    type ClientOptions,
+    type ClientReadableStream,
+    credentials,
+    Metadata,
+    type ServiceError,
+} from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
 import { type Credentials, Failure } from "../common/index.js";
 import {
@@ -17,12 +24,16 @@
     PeerClient as GeneratedClient,
     type PushReply,
     type PushRequest,
+    type RelayPart,
+    type RelayRequest,
 } from "../generated/peer.js";
 import type { GossipTransport, PeerAddress } from "./peerAddress.js";
 import { newestProtocol, protocolKey } from "./protocol.js";
 import { StateQueryStream } from "./stateQueryStream.js";
 
 const defaultDeadlineMilliseconds = 1_000;
+/** Time to connect to a peer that is to forward a request, whose caller waits. */
+const relayConnectMilliseconds = 300;
 /** A connection without calls is closed after this time. Gossip would otherwise hold one to each of 350 nodes. */
 const idleTimeoutMilliseconds = 60_000;
 const initialBackoffMilliseconds = 200;
@@ -174,6 +185,20 @@
         return stateStream.query(request, timeoutMilliseconds);
     }
 
+    /**
+     * Opens a call on which a peer forwards a request to an upstream.
+     * @param peer - The peer.
+     * @param request - The request.
+     * @returns The call, or undefined when no connection to the peer was established, so that it has received nothing.
+     */
+    async relay(peer: PeerAddress, request: RelayRequest): Promise<ClientReadableStream<RelayPart> | undefined> {
+        const client = this.#getClient(peer);
+        const isConnected = await new Promise<boolean>(resolve => {
+            client.waitForReady(Date.now() + relayConnectMilliseconds, error => resolve(error === undefined));
+        });
+        return isConnected ? client.relay(request, this.#getMetadata()) : undefined;
+    }
+
     /**
      * Closes an unresponsive connection. It may stay open without carrying data, and further calls on it would time out
      * until the keepalive of the library closes it seconds later. The next call opens a new connection.
--- a/src/membership/peerServer.ts
+++ b/src/membership/peerServer.ts
@@ -3,10 +3,12 @@
  */
 import {
     type handleBidiStreamingCall,
+    type handleServerStreamingCall,
     type handleUnaryCall,
     type Metadata,
     Server,
     ServerCredentials,
+    type ServerWritableStream,
     status,
 } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
@@ -26,6 +28,8 @@
     PeerService,
     type PushReply,
     type PushRequest,
+    type RelayPart,
+    type RelayRequest,
 } from "../generated/peer.js";
 import { CredentialSource } from "./peerCredentials.js";
 import { oldestProtocol, protocolKey } from "./protocol.js";
@@ -42,6 +46,8 @@
     readonly copyBills: PeerHandler<CopyBillsRequest, CopyBillsReply>;
     readonly decideClaims: PeerHandler<DecideClaimsRequest, DecideClaimsReply>;
     readonly fetchState: PeerHandler<FetchStateRequest, FetchStateReply>;
+    /** Forwards a request to an upstream; the signal is aborted when the caller no longer waits. */
+    readonly relay: (request: RelayRequest, signal: AbortSignal) => AsyncIterable<RelayPart>;
 }
 
 /** Options of a server. */
@@ -74,6 +80,7 @@
             decideClaims: this.#adapt(handlers.decideClaims),
             fetchState: this.#adapt(handlers.fetchState),
             followState: this.#adaptStream(handlers.fetchState),
+            relay: this.#adaptRelay(handlers.relay),
         });
     }
 
@@ -129,6 +136,31 @@
         };
     }
 
+    #adaptRelay(handler: PeerHandlers["relay"]): handleServerStreamingCall<RelayRequest, RelayPart> {
+        return async call => {
+            const controller = new AbortController();
+            call.on("cancelled", () => controller.abort());
+            // The peer disconnected, so there is no recipient for the rest.
+            call.on("error", () => controller.abort());
+            try {
+                for await (const part of handler(call.request, controller.signal)) {
+                    if (controller.signal.aborted) {
+                        return;
+                    }
+                    if (!call.write(part)) {
+                        await waitForDrain(call, controller.signal);
+                    }
+                }
+            }
+            catch (error) {
+                this.#options.journal.write(events.peerCallFailed, { cause: String(error) });
+            }
+            finally {
+                call.end();
+            }
+        };
+    }
+
     #adaptStream(
         handler: PeerHandler<FetchStateRequest, FetchStateReply>,
     ): handleBidiStreamingCall<FollowStateRequest, FollowStateReply> {
@@ -151,6 +183,14 @@
     }
 }
 
+/** Waits until a call takes more data or its caller is gone. */
+function waitForDrain(call: ServerWritableStream<RelayRequest, RelayPart>, signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+        call.once("drain", resolve);
+        signal.addEventListener("abort", () => resolve(), { once: true });
+    });
+}
+
 /** Returns the newest protocol that a caller reads. The oldest release does not send it. */
 function readProtocol(metadata: Metadata): number {
     const protocol = Number(metadata.get(protocolKey)[0]);
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -44,6 +44,7 @@
         rateLimits: parts.rateLimits,
         transport: upstreamClient,
         reachability: parts.reachability,
+        isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
         crashWatch: parts.crashWatch,
         getBudget: budgets,
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -39,6 +39,7 @@
         journal.write(events.processStarted, { address: settings.address });
         topics.onRoutes(() => callerServer.applyLimits());
         this.#clearStateOfRemovedUpstreams();
+        this.#clearStateOfUnreachablePools();
         const listening = callerServer.listen(listeningServer ?? settings.listen.callers);
         topics.start();
         await listening;
@@ -104,6 +105,20 @@
         });
     }
 
+    /**
+     * Discards what was collected about the upstreams of a pool that has become unreachable: its failures were not theirs, and open
+     * connections that hang would be used again when the path is back.
+     */
+    #clearStateOfUnreachablePools(): void {
+        const { reachability, registry, picker, upstreamClient } = this.getParts();
+        reachability.onChange(pool => {
+            for (const upstream of reachability.isUnreachable(pool) ? registry.getAvailable(pool) : []) {
+                picker.clearFailures(upstream.id);
+                upstreamClient.renewConnections(upstream);
+            }
+        });
+    }
+
     async #stop(): Promise<void> {
         const parts = this.getParts();
         const { liveSettings, clock, journal, membership, callerServer, siteServer, forwarder, shutdown } = parts;
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -18,14 +18,20 @@
 } from "../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../quarantine/index.js";
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
-import { Reachability } from "../reachability/index.js";
-import { isAcceptingConnections, isRefusingConnections } from "../upstream/index.js";
 import { CallerServer } from "./callerServer.js";
 import { createAttempts, createBudgets, createSendLimit, shareRetentionMilliseconds } from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
 import type { NodeParts } from "./nodeParts.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
+import {
+    createCrashProbe,
+    createInterceptor,
+    createReachability,
+    createRelayPeers,
+    createRelayServer,
+    createSharedReachability,
+} from "./relayParts.js";
 import { createRollouts } from "./rolloutParts.js";
 import { SiteServer } from "./siteServer.js";
 import { StatusWriter } from "./statusWriter.js";
@@ -129,16 +135,12 @@
             rateShares,
         }),
     budgets: parts => createBudgets(parts),
-    reachability: ({ clock, random, journal, registry }) =>
-        new Reachability({
-            clock,
-            random,
-            journal,
-            getPools: () => registry.getPools(),
-            getUpstreams: pool => registry.getAvailable(pool),
-            probe: isAcceptingConnections,
-        }),
-    upstreamClient: ({ topics, membership, reachability }) =>
+    reachability: parts => createReachability(parts),
+    sharedReachability: parts => createSharedReachability(parts),
+    relayPeers: parts => createRelayPeers(parts),
+    relayServer: parts => createRelayServer(parts),
+    relayInterceptor: parts => createInterceptor(parts),
+    upstreamClient: ({ topics, membership, reachability, relayInterceptor }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
                 const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
@@ -146,6 +148,7 @@
                     ? defaultConnections
                     : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
             },
+            getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
             onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
         }),
     quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
@@ -157,8 +160,10 @@
             getMembers: () => membership.getAlive().map(({ id }) => id),
             store: records => writer.writeQuarantine(records),
         }),
-    crashWatch: ({ clock, journal, quarantine }) =>
-        new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
+    crashWatch: parts => {
+        const { clock, journal, quarantine } = parts;
+        return new CrashWatch({ clock, journal, quarantine, isRefusingConnections: createCrashProbe(parts) });
+    },
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
     attempts: parts => createAttempts(parts),
@@ -187,21 +192,23 @@
             },
         }),
     siteServer: parts => {
-        const { settings, liveSettings, topics, membership, directory, shutdown } = parts;
+        const { settings, liveSettings, topics, membership, directory, sharedReachability, shutdown } = parts;
         return new SiteServer({
             isReady: () => topics.getRoutes() !== undefined && !shutdown.hasStarted,
             getAddresses: failureDomain =>
-                chooseAddresses(membership.getAddressable(), failureDomain).map(member => {
-                    const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
-                    return `${member.address}:${port}`;
-                }),
+                chooseAddresses(sharedReachability.preferReaching(membership.getAddressable()), failureDomain).map(
+                    member => {
+                        const port = directory.getCallerPort(member.id) ?? settings.listen.callers.port;
+                        return `${member.address}:${port}`;
+                    },
+                ),
             getAddressTtlSeconds: () => liveSettings.get().bounds.addressKeepSeconds,
             getMetrics: () => readMetrics(parts),
         });
     },
 };
 
-function createPeerHandlers({ gossip, self, topics }: NodeParts): PeerHandlers {
+function createPeerHandlers({ gossip, self, topics, relayServer }: NodeParts): PeerHandlers {
     const throwUnsupported = (): never => {
         throw new Error(`The node ${self.id} does not hold this state: on this platform it is kept in the store.`);
     };
@@ -211,5 +218,6 @@
         copyBills: throwUnsupported,
         decideClaims: throwUnsupported,
         fetchState: request => topics.answerPeer(request),
+        relay: (request, signal) => relayServer.handle(request, signal),
     };
 }
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -1,6 +1,7 @@
 /**
  * Defines the parts of a node on the platform.
  */
+import type { Dispatcher } from "undici";
 import type { Clock, RandomSource } from "../common/index.js";
 import type { SendLimit, StatedRateLimit, UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
@@ -9,7 +10,7 @@
 import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
-import type { Reachability } from "../reachability/index.js";
+import type { Reachability, RelayPeers, RelayServer, SharedReachability } from "../reachability/index.js";
 import type { Rollouts } from "../rollouts/index.js";
 import type { CallerServer } from "./callerServer.js";
 import type { LiveSettings, NodeSettings } from "./nodeSettings.js";
@@ -48,6 +49,11 @@
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly reachability: Reachability;
+    readonly sharedReachability: SharedReachability;
+    readonly relayPeers: RelayPeers;
+    readonly relayServer: RelayServer;
+    /** Sends requests to upstreams through other nodes. */
+    readonly relayInterceptor: Dispatcher.DispatcherComposeInterceptor;
     readonly upstreamClient: UpstreamClient;
     readonly quarantine: Quarantine;
     readonly crashWatch: CrashWatch;
--- /dev/null
+++ b/src/platform/relayParts.ts
@@ -0,0 +1,83 @@
+/**
+ * Creates the parts with which nodes forward requests for each other, from the other parts of a node.
+ */
+import type { Dispatcher } from "undici";
+import type { RegisteredUpstream } from "../fleet/index.js";
+import {
+    createRelayInterceptor,
+    Reachability,
+    RelayPeers,
+    RelayServer,
+    SharedReachability,
+} from "../reachability/index.js";
+import { isAcceptingConnections, isRefusingConnections } from "../upstream/index.js";
+import type { NodeParts } from "./nodeParts.js";
+
+/** Creates the knowledge of the pools that this node reaches. */
+export function createReachability({ clock, random, journal, registry }: NodeParts): Reachability {
+    return new Reachability({
+        clock,
+        random,
+        journal,
+        getPools: () => registry.getPools(),
+        getUpstreams: pool => registry.getAvailable(pool),
+        probe: isAcceptingConnections,
+    });
+}
+
+/** Creates the knowledge of the pools that other nodes reach. */
+export function createSharedReachability({ self, gossip, reachability }: NodeParts): SharedReachability {
+    return new SharedReachability({ self: self.id, gossip, reachability });
+}
+
+/** Creates the choice of the nodes that forward requests for this one. */
+export function createRelayPeers({ clock, random, self, membership, sharedReachability }: NodeParts): RelayPeers {
+    return new RelayPeers({
+        clock,
+        random,
+        self: self.id,
+        getMembers: () => membership.getAddressable(),
+        reaches: (node, pool) => sharedReachability.reaches(node, pool),
+    });
+}
+
+/** Creates the part that forwards requests for other nodes. */
+export function createRelayServer({ registry, upstreamClient }: NodeParts): RelayServer {
+    return new RelayServer(address => {
+        const upstream = findUpstream(registry.getAll(), address);
+        const isAvailable = upstream !== undefined && registry.getAvailable(upstream.pool).includes(upstream);
+        return isAvailable ? upstreamClient.getRelayTarget(upstream) : undefined;
+    });
+}
+
+/** Creates the interceptor that sends requests to upstreams through other nodes. */
+export function createInterceptor(
+    { registry, relayPeers, peerClient }: NodeParts,
+): Dispatcher.DispatcherComposeInterceptor {
+    return createRelayInterceptor({
+        peers: relayPeers,
+        getRelayedPool: address => findUpstream(registry.getAll(), address)?.pool,
+        open: (peer, request) => peerClient.relay(peer, request),
+    });
+}
+
+/**
+ * Creates the check for crashed upstreams: the machine refuses connections, while others of the pool accept them. A node that has
+ * lost its paths is refused by all, and would blame the requests that they ran.
+ */
+export function createCrashProbe({ registry, reachability }: NodeParts): (address: string) => Promise<boolean> {
+    return async address => {
+        const upstream = findUpstream(registry.getAll(), address);
+        return await isRefusingConnections(address)
+            && (upstream === undefined || await reachability.check(upstream.pool, upstream.id));
+    };
+}
+
+function findUpstream(upstreams: Iterable<RegisteredUpstream>, address: string): RegisteredUpstream | undefined {
+    for (const upstream of upstreams) {
+        if (upstream.address === address) {
+            return upstream;
+        }
+    }
+    return undefined;
+}
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -9,11 +9,11 @@
     UpstreamAnswer,
     UpstreamCall,
     UpstreamCallFailure,
-    UpstreamFailureKind,
     UpstreamTransport,
 } from "../forwarding/index.js";
 import { readStatedRate } from "../ratelimits/index.js";
-import { provesNothingWritten } from "../upstream/index.js";
+import { hasFraming, type RelayTarget } from "../reachability/index.js";
+import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { headerNames } from "./wire.js";
 
@@ -35,6 +35,8 @@
 export interface UpstreamClientOptions {
     /** Returns the maximum number of connections from this node to one upstream of a pool. */
     readonly getConnectionLimit: (pool: string) => number;
+    /** Returns the interceptor that sends requests to a pool through other nodes, or undefined when this node reaches the pool. */
+    readonly getRelay?: (pool: string) => Dispatcher.DispatcherComposeInterceptor | undefined;
     /** Called when a connection to an upstream could not be opened. */
     readonly onConnectFailure?: (upstream: RegisteredUpstream) => void;
 }
@@ -82,8 +84,10 @@
         call: UpstreamCall,
     ): Promise<Result<UpstreamAnswer, UpstreamCallFailure>> {
         try {
+            const relay = this.#options.getRelay?.(upstream.pool);
             const { pool, resets } = this.#getPool(upstream);
-            const response = await pool.request({
+            const response = await (relay === undefined ? pool : pool.compose(relay)).request({
+                origin: `http://${upstream.address}`,
                 method: call.request.method as Dispatcher.HttpMethod,
                 path: call.request.target,
                 headers: createHeaders(upstream, call),
@@ -94,10 +98,16 @@
             return readHead(response, call, resets);
         }
         catch (error) {
-            return err({ kind: classifyError(error, call.signal), reason: describeError(error) });
+            return err({ kind: classifyTransportError(error, call.signal), reason: describeTransportError(error) });
         }
     }
 
+    /** Returns the connections to an upstream, for requests of other nodes. */
+    getRelayTarget(upstream: RegisteredUpstream): RelayTarget {
+        const { pool, resets } = this.#getPool(upstream);
+        return { dispatcher: pool, wasReset: () => resets.isRecent() };
+    }
+
     /** Opens new connections from now on. Calls in flight complete on the old ones. */
     renewConnections(upstream: RegisteredUpstream): void {
         this.closeConnections(upstream.id);
@@ -238,11 +248,6 @@
     });
 }
 
-/** Returns whether the end of an answer can be distinguished from a broken connection. */
-function hasFraming(raw: readonly string[]): boolean {
-    return findHeader(raw, "content-length") !== undefined || findHeader(raw, "transfer-encoding") !== undefined;
-}
-
 /** Reads a body that ends with its connection. Throws if the connection was reset. */
 async function* readUnframed(body: AsyncIterable<Buffer>, resets: ResetTracker): AsyncGenerator<Buffer> {
     yield* body;
@@ -273,20 +278,3 @@
         // Nothing waits for a discarded pool.
     });
 }
-
-function classifyError(error: unknown, signal: AbortSignal): UpstreamFailureKind {
-    if (provesNothingWritten(error)) {
-        return "not-sent";
-    }
-    const isDisconnection = error instanceof errors.SocketError || getCode(error) === "ECONNRESET";
-    return isDisconnection && !signal.aborted ? "disconnected" : "broken";
-}
-
-function getCode(error: unknown): unknown {
-    return (error as { code?: unknown; } | undefined)?.code;
-}
-
-function describeError(error: unknown): string {
-    const code = getCode(error);
-    return typeof code === "string" ? code : String(error);
-}
--- a/src/reachability/reachability.ts
+++ b/src/reachability/reachability.ts
@@ -16,8 +16,8 @@
 
 /** Upstreams that are probed at once. All must fail for the pool to count as unreachable. */
 const probesPerCheck = 3;
-/** Probed upstreams that must accept a connection for an unreachable pool to count as reachable again. */
-const minAcceptingUpstreams = 2;
+/** Connections that must be accepted, in rounds without a round of failures, for an unreachable pool to count as reachable again. */
+const minAccepted = 2;
 const tickMilliseconds = 250;
 /** A pool is checked when calls to it wait and it has sent nothing for this time, or when all pools are silent and idle. */
 const silenceMilliseconds = 1_000;
@@ -47,6 +47,8 @@
     /** Monotonic time at which the last check ended. */
     checkedAt: number;
     check: Promise<boolean> | undefined;
+    /** Connections that were accepted since the last check in which none was. */
+    accepted: number;
 }
 
 /** Knows the reachable pools from the results of connections and from probes. */
@@ -174,8 +176,8 @@
         if (accepting > 0) {
             this.markSeen(pool);
         }
-        const minAccepting = state.isUnreachable ? Math.min(minAcceptingUpstreams, probed.length) : 1;
-        this.#set(pool, state, accepting < minAccepting);
+        state.accepted = accepting > 0 ? state.accepted + accepting : 0;
+        this.#set(pool, state, state.accepted < (state.isUnreachable ? minAccepted : 1));
         return !state.isUnreachable;
     }
 
@@ -223,6 +225,7 @@
                 waiting: 0,
                 checkedAt: Number.NEGATIVE_INFINITY,
                 check: undefined,
+                accepted: 0,
             };
             this.#states.set(pool, state);
         }
--- /dev/null
+++ b/src/reachability/relayInterceptor.ts
@@ -0,0 +1,186 @@
+/**
+ * Sends requests to upstreams through other nodes, as an interceptor of the HTTP library.
+ */
+import type { ClientReadableStream } from "@grpc/grpc-js";
+import type { IncomingHttpHeaders } from "node:http";
+import { type Dispatcher, errors } from "undici";
+import type { RelayHead, RelayPart, RelayRequest } from "../generated/peer.js";
+import type { PeerAddress } from "../membership/index.js";
+import { NotSentError } from "../upstream/index.js";
+import type { RelayPeers } from "./relayPeers.js";
+
+/** Options of the interceptor. */
+export interface RelayInterceptorOptions {
+    readonly peers: RelayPeers;
+    /** Returns the pool of an upstream if requests to it are forwarded by other nodes. */
+    readonly getRelayedPool: (address: string) => string | undefined;
+    /** Opens a call to a node; undefined when the node certainly has received nothing. */
+    readonly open: (peer: PeerAddress, request: RelayRequest) => Promise<ClientReadableStream<RelayPart> | undefined>;
+}
+
+/** Creates the interceptor. Requests whose upstream this node reaches are sent as before. */
+export function createRelayInterceptor(options: RelayInterceptorOptions): Dispatcher.DispatcherComposeInterceptor {
+    return dispatch => (dispatchOptions, handler) => {
+        const address = new URL(String(dispatchOptions.origin)).host;
+        const pool = options.getRelayedPool(address);
+        const request = pool === undefined ? undefined : createRequest(address, dispatchOptions);
+        if (pool === undefined || request === undefined) {
+            return dispatch(dispatchOptions, handler);
+        }
+        void new RelayedRequest(handler).run({ ...options, pool, request });
+        return true;
+    };
+}
+
+/** Carries one request through another node. */
+class RelayedRequest implements Dispatcher.DispatchController {
+    readonly #handler: Dispatcher.DispatchHandler;
+    #call: ClientReadableStream<RelayPart> | undefined;
+    #reason: Error | undefined;
+    #hasEnded = false;
+    #isPaused = false;
+
+    constructor(handler: Dispatcher.DispatchHandler) {
+        this.#handler = handler;
+    }
+
+    get aborted(): boolean {
+        return this.#reason !== undefined;
+    }
+
+    get paused(): boolean {
+        return this.#isPaused;
+    }
+
+    get reason(): Error | null {
+        // eslint-disable-next-line no-restricted-syntax -- The library's own type.
+        return this.#reason ?? null;
+    }
+
+    abort(reason: Error): void {
+        this.#reason = reason;
+        this.#call?.cancel();
+        this.#fail(reason);
+    }
+
+    pause(): void {
+        this.#isPaused = true;
+        this.#call?.pause();
+    }
+
+    resume(): void {
+        this.#isPaused = false;
+        this.#call?.resume();
+    }
+
+    /** Sends the request and passes its answer on. */
+    async run(
+        { peers, pool, request, open }: RelayInterceptorOptions & {
+            readonly pool: string;
+            readonly request: RelayRequest;
+        },
+    ): Promise<void> {
+        this.#handler.onRequestStart?.(this, undefined);
+        const peer = peers.choose(pool);
+        if (peer === undefined) {
+            this.#fail(new NotSentError("no other node reaches the upstream"));
+            return;
+        }
+        const finish = peers.start(peer.id);
+        const call = this.#hasEnded ? undefined : await open(peer, request);
+        if (call === undefined || this.#hasEnded) {
+            call?.cancel();
+            finish();
+            peers.pause(peer.id, pool);
+            this.#fail(new NotSentError(`the node ${peer.id} did not answer`));
+            return;
+        }
+        this.#call = call;
+        call.on("data", (part: RelayPart) => {
+            if (part.failure?.kind === "not-sent") {
+                peers.pause(peer.id, pool);
+            }
+            this.#handlePart(part);
+        });
+        call.on("error", error => this.#fail(error));
+        call.on("close", finish);
+        call.on("end", () => this.#fail(new Error(`the node ${peer.id} ended an answer too early`)));
+    }
+
+    #handlePart({ head, data, isEnd, failure }: RelayPart): void {
+        if (this.#hasEnded) {
+            return;
+        }
+        if (head !== undefined) {
+            this.#handler.onResponseStart?.(this, head.status, readHeaders(head), "");
+        }
+        if (data !== undefined) {
+            this.#handler.onResponseData?.(this, data);
+        }
+        if (failure !== undefined) {
+            this.#fail(createError(failure.kind, failure.reason));
+        }
+        if (isEnd) {
+            this.#hasEnded = true;
+            this.#handler.onResponseEnd?.(this, {});
+        }
+    }
+
+    #fail(error: Error): void {
+        if (!this.#hasEnded) {
+            this.#hasEnded = true;
+            this.#handler.onResponseError?.(this, error);
+        }
+    }
+}
+
+/** Returns undefined for a body that can be read only once, which no client of upstreams uses. */
+function createRequest(address: string, options: Dispatcher.DispatchOptions): RelayRequest | undefined {
+    const body = options.body ?? "";
+    if (typeof body !== "string" && !(body instanceof Uint8Array)) {
+        return undefined;
+    }
+    return {
+        address,
+        method: options.method,
+        path: options.path,
+        headers: flattenHeaders(options.headers),
+        body: Buffer.from(body),
+    };
+}
+
+function flattenHeaders(headers: Dispatcher.DispatchOptions["headers"]): string[] {
+    if (Array.isArray(headers)) {
+        return [...headers];
+    }
+    const flat: string[] = [];
+    for (const [name, value] of Object.entries((headers ?? {}) as Readonly<IncomingHttpHeaders>)) {
+        for (const single of Array.isArray(value) ? value : [value]) {
+            if (single !== undefined) {
+                flat.push(name, single);
+            }
+        }
+    }
+    return flat;
+}
+
+function readHeaders({ headers }: RelayHead): IncomingHttpHeaders {
+    const read: Record<string, string | string[]> = {};
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        const [name, value] = [headers[index], headers[index + 1]];
+        const known = read[name];
+        read[name] = known === undefined ? value : [known, value].flat();
+    }
+    return read;
+}
+
+function createError(kind: string, reason: string): Error {
+    switch (kind) {
+        case "not-sent":
+            return new NotSentError(reason);
+        case "disconnected":
+            return new errors.SocketError(reason);
+        default:
+            return new Error(reason);
+    }
+}
--- /dev/null
+++ b/src/reachability/relayPeers.ts
@@ -0,0 +1,101 @@
+/**
+ * Choice of the nodes that forward requests to upstreams which this node cannot reach.
+ */
+import type { Clock, RandomSource } from "../common/index.js";
+import type { Member } from "../membership/index.js";
+
+/** Time for which a node that could not forward a request is not asked again. */
+const failurePauseMilliseconds = 1_000;
+
+/** Options of `RelayPeers`. */
+export interface RelayPeersOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Identifier of this node. */
+    readonly self: string;
+    /** Returns the members that answer. */
+    readonly getMembers: () => readonly Member[];
+    /** Returns whether a node may reach a pool. */
+    readonly reaches: (node: string, pool: string) => boolean;
+}
+
+/** Selects nodes and records the requests that they forward for this one. */
+export class RelayPeers {
+    readonly #options: RelayPeersOptions;
+    readonly #inFlight = new Map<string, number>();
+    /** Monotonic times until which nodes are not asked, by node and pool. */
+    readonly #pausedUntil = new Map<string, number>();
+
+    constructor(options: RelayPeersOptions) {
+        this.#options = options;
+    }
+
+    /** Returns whether a node is known that may forward requests to a pool. */
+    canReach(pool: string): boolean {
+        return this.#getCandidates(pool).length > 0;
+    }
+
+    /**
+     * Selects a node: of two drawn at random, the one with fewer of this node's requests. The nodes that are cut off together do not
+     * all choose the same one then.
+     * @param pool - The pool of the upstream.
+     */
+    choose(pool: string): Member | undefined {
+        const candidates = this.#getCandidates(pool);
+        if (candidates.length === 0) {
+            return undefined;
+        }
+        const { random } = this.#options;
+        const first = candidates[random.nextInteger(candidates.length)];
+        const second = candidates[random.nextInteger(candidates.length)];
+        return this.#countInFlight(second.id) < this.#countInFlight(first.id) ? second : first;
+    }
+
+    /**
+     * Records a request that a node forwards.
+     * @param node - Identifier of the node.
+     * @returns A function to call once when the node is done with the request.
+     */
+    start(node: string): () => void {
+        this.#inFlight.set(node, this.#countInFlight(node) + 1);
+        return () => {
+            const left = this.#countInFlight(node) - 1;
+            if (left > 0) {
+                this.#inFlight.set(node, left);
+            }
+            else {
+                this.#inFlight.delete(node);
+            }
+        };
+    }
+
+    /** Records that a node could not forward a request to a pool. */
+    pause(node: string, pool: string): void {
+        const now = this.#options.clock.monotonic();
+        for (const [key, until] of this.#pausedUntil) {
+            if (until <= now) {
+                this.#pausedUntil.delete(key);
+            }
+        }
+        this.#pausedUntil.set(createKey(node, pool), now + failurePauseMilliseconds);
+    }
+
+    #getCandidates(pool: string): readonly Member[] {
+        const { clock, self, getMembers, reaches } = this.#options;
+        const now = clock.monotonic();
+        return getMembers().filter(({ id, state }) =>
+            id !== self
+            && state === "alive"
+            && reaches(id, pool)
+            && now >= (this.#pausedUntil.get(createKey(id, pool)) ?? Number.NEGATIVE_INFINITY)
+        );
+    }
+
+    #countInFlight(node: string): number {
+        return this.#inFlight.get(node) ?? 0;
+    }
+}
+
+function createKey(node: string, pool: string): string {
+    return `${node} ${pool}`;
+}
--- /dev/null
+++ b/src/reachability/relayServer.ts
@@ -0,0 +1,98 @@
+/**
+ * Forwards requests of nodes that cannot reach an upstream.
+ */
+import type { Dispatcher } from "undici";
+import type { RelayPart, RelayRequest } from "../generated/peer.js";
+import { classifyTransportError, describeTransportError, type TransportFailureKind } from "../upstream/index.js";
+
+/**
+ * Maximum number of requests that this node forwards at a time. A few nodes that still reach their upstreams would otherwise break
+ * down under the callers of all others.
+ */
+const maxCalls = 256;
+
+/** An upstream to which requests may be forwarded. */
+export interface RelayTarget {
+    /** Opens connections to the upstream. */
+    readonly dispatcher: Pick<Dispatcher, "request">;
+    /** Returns whether one of its connections was reset just now. */
+    readonly wasReset: () => boolean;
+}
+
+/** Forwards requests to upstreams that this node reaches itself, and never to a third node. */
+export class RelayServer {
+    readonly #getTarget: (address: string) => RelayTarget | undefined;
+    #calls = 0;
+
+    /** @param getTarget - Returns the upstream with an address, if this node knows it and may send it requests. */
+    constructor(getTarget: (address: string) => RelayTarget | undefined) {
+        this.#getTarget = getTarget;
+    }
+
+    /**
+     * Forwards one request, once.
+     * @param request - The request.
+     * @param signal - Cancels the request at the upstream.
+     * @returns The parts of the answer.
+     */
+    async *handle(request: RelayRequest, signal: AbortSignal): AsyncGenerator<RelayPart> {
+        const target = this.#getTarget(request.address);
+        if (target === undefined || this.#calls >= maxCalls) {
+            const reason = target === undefined
+                ? "the upstream gets no requests here"
+                : "too many requests are forwarded";
+            yield createFailure("not-sent", reason);
+            return;
+        }
+        this.#calls += 1;
+        try {
+            yield* forward(request, target, signal);
+        }
+        catch (error) {
+            yield createFailure(classifyTransportError(error, signal), describeTransportError(error));
+        }
+        finally {
+            this.#calls -= 1;
+        }
+    }
+}
+
+async function* forward(
+    { address, method, path, headers, body }: RelayRequest,
+    target: RelayTarget,
+    signal: AbortSignal,
+): AsyncGenerator<RelayPart> {
+    const response = await target.dispatcher.request({
+        origin: `http://${address}`,
+        method: method as Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body.length === 0 ? undefined : body,
+        signal,
+        responseHeaders: "raw",
+        // The node that asked cancels the call at its caller's deadline.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+    const raw = response.headers as unknown as readonly string[];
+    yield { head: { status: response.statusCode, headers: [...raw] }, isEnd: false };
+    for await (const data of response.body as AsyncIterable<Buffer>) {
+        yield { data, isEnd: false };
+    }
+    if (!hasFraming(raw) && target.wasReset()) {
+        yield createFailure("disconnected", "the connection was reset before the end of an answer without a length");
+        return;
+    }
+    yield { isEnd: true };
+}
+
+/** Returns whether the end of an answer can be distinguished from a broken connection. */
+export function hasFraming(rawHeaders: readonly string[]): boolean {
+    return rawHeaders.some((name, index) =>
+        index % 2 === 0 && ["content-length", "transfer-encoding"].includes(name.toLowerCase())
+    );
+}
+
+function createFailure(kind: TransportFailureKind, reason: string): RelayPart {
+    return { failure: { kind, reason }, isEnd: false };
+}
--- a/src/upstream/upstreamFailure.ts
+++ b/src/upstream/upstreamFailure.ts
@@ -11,8 +11,11 @@
     readonly outcome: Outcome;
 }
 
+/** Code of `NotSentError`. */
+const notSentCode = "ERR_NOT_SENT";
 /** System and client error codes that prove that no connection was established, so nothing was written. */
 const connectFailureCodes: ReadonlySet<string> = new Set([
+    notSentCode,
     "ECONNREFUSED",
     "EHOSTUNREACH",
     "ENETUNREACH",
@@ -20,6 +23,38 @@
     "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+/**
+ * How a call to an upstream failed.
+ * - `not-sent`: no connection was established, and nothing was sent.
+ * - `disconnected`: the upstream closed or reset the connection.
+ * - `broken`: anything else. As after a disconnection, the request may have run.
+ */
+export type TransportFailureKind = "not-sent" | "disconnected" | "broken";
+
+/** A request that was certainly not sent to its upstream. */
+export class NotSentError extends Error {
+    readonly code = notSentCode;
+}
+
+/**
+ * Classifies an exception of the HTTP client by what it proves.
+ * @param error - The exception.
+ * @param signal - Signal that cancels the call. What happens to a cancelled call proves nothing about its upstream.
+ */
+export function classifyTransportError(error: unknown, signal: AbortSignal): TransportFailureKind {
+    if (provesNothingWritten(error)) {
+        return "not-sent";
+    }
+    const isDisconnection = error instanceof errors.SocketError || getCode(error) === "ECONNRESET";
+    return isDisconnection && !signal.aborted ? "disconnected" : "broken";
+}
+
+/** Returns the code of an exception of the HTTP client, or its text. */
+export function describeTransportError(error: unknown): string {
+    const code = getCode(error);
+    return typeof code === "string" && code !== notSentCode ? code : String(error);
+}
+
 /**
  * Classifies an exception of the HTTP client.
  *
@@ -73,14 +108,18 @@
     if (error instanceof AggregateError) {
         return error.errors.length > 0 && error.errors.every(provesNothingWritten);
     }
-    const code = (error as { code?: unknown; } | undefined)?.code;
+    const code = getCode(error);
     return typeof code === "string" && connectFailureCodes.has(code);
 }
 
 function describeError(error: unknown): string {
     if (error instanceof Error) {
-        const code = (error as { code?: unknown; }).code;
+        const code = getCode(error);
         return typeof code === "string" ? `${error.message || error.name} (${code})` : error.message || error.name;
     }
     return String(error);
 }
+
+function getCode(error: unknown): unknown {
+    return (error as { code?: unknown; } | undefined)?.code;
+}
--- a/test/membership/peerCalls.test.ts
+++ b/test/membership/peerCalls.test.ts
@@ -46,6 +46,9 @@
             heldMilliseconds: 0,
             complete: true,
         }),
+        relay: () => {
+            throw new Error("unexpected call");
+        },
         ...changes,
     };
 }
--- a/test/membership/stateQueryStream.test.ts
+++ b/test/membership/stateQueryStream.test.ts
@@ -27,6 +27,7 @@
         exchange: failUnexpectedCall,
         push: failUnexpectedCall,
         copyBills: failUnexpectedCall,
+        relay: failUnexpectedCall,
         decideClaims: failUnexpectedCall,
         fetchState,
     };
--- a/test/platform/unreachableUpstreams.test.ts
+++ b/test/platform/unreachableUpstreams.test.ts
@@ -18,6 +18,9 @@
 const maxFailedExtra = 10;
 /** Share that the other nodes serve at least; below it, a test would say nothing about the cut ones. */
 const minServedByOthers = 0.95;
+/** Time within which a request is refused that can certainly not be served. */
+const maxRefusalMilliseconds = 300;
+const startMilliseconds = 8_000;
 
 // A node loses the paths to all upstreams, while callers, the store and the other nodes reach it as before.
 describe("a node that can reach no upstream", () => {
@@ -88,6 +91,65 @@
             await sendFor(settlingMilliseconds, site.nodes);
         }
     });
+
+    // Guards against a node whose path is back but which keeps treating its upstreams as unreachable.
+    it("sends to its upstreams itself once the path is back", async () => {
+        setCut("silent");
+        await sendFor(settlingMilliseconds, site.nodes);
+        setCut("none");
+        await sendFor(settlingMilliseconds, site.nodes);
+        for (const node of site.nodes) {
+            expect(await site.getMetrics(node)).toInclude("rattanlock_unreachable_pools 0");
+        }
+        const { served } = getShares(await sendFor(1_000, site.nodes));
+        expect(served).toEqual(1);
+    });
+
+    // Guards against a node that has no callers at the beginning of a cut, and lets the first ones wait for connections that hang.
+    it("knows of it before its first caller comes", async () => {
+        setCut("silent");
+        await new Promise(resolve => setTimeout(resolve, settlingMilliseconds));
+        const answers = await sendFor(300, site.nodes.slice(0, cutNodeCount));
+        expect(getShares(answers).served).toEqual(1);
+        expect(Math.max(...answers.map(({ milliseconds }) => milliseconds))).toBeLessThan(400);
+    });
+
+    // Guards against callers that wait until their deadline for what no node can reach, and against nodes that all withdraw.
+    it("refuses at once when no other node reaches one either, and all addresses stay listed", async () => {
+        setCut("silent", site.nodes);
+        await sendFor(settlingMilliseconds, site.nodes);
+        const answers = await sendFor(1_000, site.nodes);
+        expect(answers.every(({ status, headers }) => status === 503 && headers["retry-after"] !== undefined)).toEqual(
+            true,
+        );
+        expect(Math.max(...answers.map(({ milliseconds }) => milliseconds))).toBeLessThan(maxRefusalMilliseconds);
+        expect((await site.getAddresses(site.nodes[0])).length).toEqual(nodeCount);
+        setCut("none", site.nodes);
+        await sendFor(settlingMilliseconds, site.nodes);
+        expect(getShares(await sendFor(1_000, site.nodes)).served).toEqual(1);
+    });
+
+    // Guards against new callers that are sent to the node although most others serve them better.
+    it("is not listed for callers while most nodes reach their upstreams", async () => {
+        setCut("reset", site.nodes.slice(0, 1));
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount - 1);
+        }
+        setCut("none", site.nodes.slice(0, 1));
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount);
+        }
+    });
+
+    // Guards against a node that starts in the middle of a cut, and never had a connection that could have failed.
+    it("serves its callers also when it has just started", { timeout: 4 * startMilliseconds }, async () => {
+        site.nodes[0].child.kill("SIGKILL");
+        await site.nodes[0].exited;
+        const node = site.startCuttableNode(1, "silent");
+        await site.waitForReady(node);
+        await new Promise(resolve => setTimeout(resolve, settlingMilliseconds));
+        expect(getShares(await sendFor(1_000, [node])).served).toBeGreaterThan(0.95);
+    });
 });
 
 /** An answer and the time that it took. */
--- a/test/proofs/membershipChanges.test.ts
+++ b/test/proofs/membershipChanges.test.ts
@@ -136,6 +136,9 @@
                 heldMilliseconds: 0,
                 complete: true,
             }),
+            relay: () => {
+                throw new Error("unexpected call");
+            },
         },
     });
     (await server.start())._unsafeUnwrap();
--- a/test/reachability/reachability.test.ts
+++ b/test/reachability/reachability.test.ts
@@ -123,7 +123,7 @@
     });
 
     // Guards against a node that goes back and forth when a lossy path lets single connections through.
-    it("returns when two upstreams accept connections", async () => {
+    it("returns when two connections in a row are accepted", async () => {
         const { reachability, clock, closed, close, settle } = createReachability(3);
         close("first");
         reachability.addConnectFailure("first");
@@ -133,9 +133,15 @@
         reachability.tick();
         await settle();
         expect(reachability.isUnreachable("first")).toEqual(true);
+        closed.add("first:1");
+        reachability.tick();
+        await settle();
         closed.delete("first:2");
         reachability.tick();
         await settle();
+        expect(reachability.isUnreachable("first")).toEqual(true);
+        reachability.tick();
+        await settle();
         expect(reachability.isUnreachable("first")).toEqual(false);
     });
 
@@ -148,6 +154,8 @@
         closed.clear();
         reachability.tick();
         await settle();
+        reachability.tick();
+        await settle();
         expect(reachability.isUnreachable("first")).toEqual(false);
     });
 });
