Send few requests to full upstreams that state how many rejections they bear

One that has to turn more than so many requests away in a second for want of room falls over.

A request that finds room by this node's newest report, or in a pool whose newest reports show little load, is sent as usual. Any other may be rejected; each node spaces those so that all nodes together stay below half of what the upstream bears. What then finds no upstream is refused at once. Such an upstream that crashes is no evidence against the requests that it ran.

The product's own interface has no such statement.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,6 +6,7 @@
 import type {
     CallOutcome,
     PromptDescription,
+    RejectionLimit,
     SendLimit,
     UpstreamPick,
     UpstreamPicker,
@@ -33,6 +34,7 @@
     /** The limits that the picker observes; here, the requests that were sent are added to them. */
     readonly sendLimit: SendLimit;
     readonly rateLimits: RateLimits;
+    readonly rejectionLimit: RejectionLimit;
     readonly transport: UpstreamTransport;
     /** Learns which pools answer. */
     readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
@@ -150,7 +152,8 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, crashWatch, picker, reachability, registry, sendLimit, transport } = this.#options;
+        const { clock, crashWatch, picker, reachability, registry, rejectionLimit, sendLimit, transport } =
+            this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -165,6 +168,7 @@
             : setTimeout(handleHeadTimeout, headTimeout);
         const startedAt = clock.monotonic();
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
+        const mayFailByLoad = isWarmingUp || rejectionLimit.isLimited(upstream.id);
         const pointsAtStart = crashWatch.getPoints(exchange.watchedRequest);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
@@ -179,8 +183,8 @@
             exchange.lastEvaluation = crashWatch.evaluate({
                 request: exchange.watchedRequest,
                 upstream,
-                // An upstream that is warming up crashes under its load. That is no evidence against one of its requests.
-                end: isWarmingUp && end === "disconnected" ? "stopped" : end,
+                // Such an upstream crashes under its load. That is no evidence against one of its requests.
+                end: mayFailByLoad && end === "disconnected" ? "stopped" : end,
                 pointsAtStart,
                 headAt,
                 isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
@@ -225,8 +229,9 @@
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
-        const { load, requestsPerSecond } = result.value;
+        const { load, requestsPerSecond, rejectionsPerSecond } = result.value;
         this.#observeRate(upstream, requestsPerSecond, startedAt);
+        this.#observeRejections(upstream, { load, rejectionsPerSecond, isRejection: false });
         if (load !== undefined) {
             picker.addLoadReport(upstream, { requests: load.running + load.waiting, slots: load.slots });
         }
@@ -258,6 +263,7 @@
     ): void {
         const { picker, registry, transport } = this.#options;
         this.#observeRate(upstream, failure.requestsPerSecond, call.startedAt);
+        this.#observeRejections(upstream, { ...failure, isRejection: failure.kind === "refused" });
         if (call.isHeadTimedOut) {
             transport.renewConnections(upstream);
         }
@@ -278,6 +284,21 @@
         }
     }
 
+    #observeRejections(
+        { id, pool }: RegisteredUpstream,
+        { load, rejectionsPerSecond, isRejection }: Pick<UpstreamCallFailure, "load" | "rejectionsPerSecond"> & {
+            readonly isRejection: boolean;
+        },
+    ): void {
+        this.#options.rejectionLimit.observe({
+            upstream: id,
+            pool,
+            rejectionsPerSecond,
+            isRejection,
+            load: load && { requests: load.running + load.waiting, slots: load.slots },
+        });
+    }
+
     #finish(
         ended: EndedAttempt,
         details: {
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -79,6 +79,11 @@
             help: "Upstreams that take a stated number of requests a second from all nodes together.",
             registers,
         }),
+        rejectionLimitedUpstreams: new Gauge({
+            name: "rattanlock_rejection_limited_upstreams",
+            help: "Upstreams that state how many rejections in a second they bear before they fail.",
+            registers,
+        }),
         unreachablePools: new Gauge({
             name: "rattanlock_unreachable_pools",
             help: "Pools of which this node can connect to no upstream.",
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -44,6 +44,8 @@
      * answer says nothing that is certain.
      */
     readonly requestsPerSecond: number | undefined;
+    /** Rejections a second that the upstream bears; stated in the same way. */
+    readonly rejectionsPerSecond: number | undefined;
     /**
      * Whether a complete body can be distinguished from a truncated one. An answer without a length ends with its connection, and
      * one whose upstream failed looks the same. The router must not present such an answer as complete.
@@ -70,6 +72,8 @@
     readonly load?: ReportedLoad;
     /** Requests a second that the upstream takes from all nodes together, if a refusal states them. */
     readonly requestsPerSecond?: number;
+    /** Rejections a second that the upstream bears, if a refusal states them. */
+    readonly rejectionsPerSecond?: number;
 }
 
 /** Calls upstreams. */
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -1,7 +1,7 @@
 /**
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
-import { type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import { RejectionLimit, type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import { Attempts } from "../forwarding/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
@@ -15,7 +15,16 @@
 
 /** Creates the limits of requests to upstreams. */
 export function createSendLimit(parts: NodeParts): SendLimit {
-    return new SendLimits([createWarmUpLimit(parts), parts.rateShares]);
+    return new SendLimits([createWarmUpLimit(parts), parts.rateShares, parts.rejectionLimit]);
+}
+
+/** Creates the limit of requests to upstreams that fail when they reject too many. */
+export function createRejectionLimit({ clock, random, membership }: NodeParts): RejectionLimit {
+    return new RejectionLimit({
+        clock,
+        random,
+        getNodeCount: () => membership.getPossiblySending(shareRetentionMilliseconds).length,
+    });
 }
 
 /** Creates the limit of requests to upstreams that warm up. */
@@ -42,6 +51,7 @@
         picker: parts.picker,
         sendLimit: parts.sendLimit,
         rateLimits: parts.rateLimits,
+        rejectionLimit: parts.rejectionLimit,
         transport: upstreamClient,
         reachability: parts.reachability,
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -19,7 +19,13 @@
 import { CrashWatch, createSharedQuarantine } from "../quarantine/index.js";
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
 import { CallerServer } from "./callerServer.js";
-import { createAttempts, createBudgets, createSendLimit, shareRetentionMilliseconds } from "./forwardingParts.js";
+import {
+    createAttempts,
+    createBudgets,
+    createRejectionLimit,
+    createSendLimit,
+    shareRetentionMilliseconds,
+} from "./forwardingParts.js";
 import { readMetrics } from "./nodeMetrics.js";
 import type { NodeParts } from "./nodeParts.js";
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
@@ -123,6 +129,7 @@
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
     rateShares: ({ clock, random, self, membership, rateLimits }) =>
         createRateShares({ clock, random, self: self.id, membership, rateLimits }),
+    rejectionLimit: parts => createRejectionLimit(parts),
     sendLimit: parts => createSendLimit(parts),
     picker: ({ clock, settings, random, journal, self, sendLimit, rateShares }) =>
         new UpstreamPicker({
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -3,7 +3,13 @@
  */
 import type { Dispatcher } from "undici";
 import type { Clock, RandomSource } from "../common/index.js";
-import type { SendLimit, StatedRateLimit, UpstreamPicker, WindowedRetryBudget } from "../decisions/index.js";
+import type {
+    RejectionLimit,
+    SendLimit,
+    StatedRateLimit,
+    UpstreamPicker,
+    WindowedRetryBudget,
+} from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
 import type { UpstreamRegistry } from "../fleet/index.js";
 import type { Attempts, Forwarder, ForwardingMetrics, Shutdown } from "../forwarding/index.js";
@@ -45,6 +51,7 @@
     readonly directory: MemberDirectory;
     readonly rateLimits: RateLimits;
     readonly rateShares: StatedRateLimit;
+    readonly rejectionLimit: RejectionLimit;
     readonly sendLimit: SendLimit;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -210,10 +210,11 @@
     const raw = response.headers as unknown as readonly string[];
     const load = readLoad(raw);
     const requestsPerSecond = readStatedRate(findHeader(raw, headerNames.rateLimit), response.statusCode);
+    const rejectionsPerSecond = readStatedRate(findHeader(raw, headerNames.rejectionLimit), response.statusCode);
     const echoedId = findHeader(raw, headerNames.requestId);
     const fail = (kind: UpstreamCallFailure["kind"], reason: string): Result<never, UpstreamCallFailure> => {
         discard(response);
-        return err({ kind, reason, load, requestsPerSecond });
+        return err({ kind, reason, load, requestsPerSecond, rejectionsPerSecond });
     };
     if (echoedId !== undefined && echoedId !== call.request.id) {
         // This is a late answer to an earlier request on the connection. What follows on it cannot be attributed to a request.
@@ -243,6 +244,7 @@
         confidence: findNumber(raw, headerNames.confidence),
         load,
         requestsPerSecond,
+        rejectionsPerSecond,
         hasKnownEnd: hasFraming(raw),
         body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
     });
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -18,6 +18,8 @@
     notExecuted: "not-executed",
     /** Requests a second that the runner takes from all nodes together. */
     rateLimit: "server-limit",
+    /** Requests that the runner can turn away in a second without falling over. */
+    rejectionLimit: "server-brittle",
     retryAfter: "retry-after",
     model: "model",
     /** Prompt tokens and maximum output tokens, as `IN,OUT`. */
