Let a runner be silent for a second before its stream is resumed elsewhere

A stream with a pause objective of 300 ms was resumed at another runner after 600 ms, while the first one would go on with it. The timeout is twice the objective as before and 1.3 s at least; callers wait for two.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -22,6 +22,8 @@
  * give up after eight times the objective.
  */
 const pauseTimeoutFactor = 2;
+/** A sound runner may send nothing for a second. Callers wait for two at least. */
+const minPauseTimeoutMilliseconds = 1_300;
 /**
  * The timeout for the head of an answer is this factor times the expected time plus the margin, and at least the minimum. With
  * shorter timeouts, overloaded runners are treated as failed: their work is discarded and repeated elsewhere, which overloads
@@ -212,7 +214,10 @@
         const { reply, route, ended } = this.#exchange;
         const isEventStream = attempt.answer.status === 200;
         const pauseTimeout = route.isResumable
-            ? (route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds) * pauseTimeoutFactor
+            ? Math.max(
+                minPauseTimeoutMilliseconds,
+                (route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds) * pauseTimeoutFactor,
+            )
             : this.#exchange.getTimeLeft();
         let isTimedOut = false;
         const timer = setTimeout(() => {
