Send an entry's requests through other entries to upstreams that it cannot reach

Entries share the mechanism now: the interceptor sits below the clients of engines and services, so that resumed streams, polls of load and orders go the same way. Requests for others are asked for by the upstream's identifier and no longer by its address, which may belong to another one or to a proxy at the node that forwards them.

--- a/src/entry/container.ts
+++ b/src/entry/container.ts
@@ -10,6 +10,7 @@
 import { decisionParts } from "./parts/decisionParts.js";
 import { peerParts } from "./parts/peerParts.js";
 import { platformParts } from "./parts/platformParts.js";
+import { relayParts } from "./parts/relayParts.js";
 
 /**
  * Creates the container of an entry. Each part is created once, when it is first requested.
@@ -23,7 +24,7 @@
         random: asValue(new RandomSource(Math.floor(Math.random() * 2 ** 31))),
         callerHash: asValue(await createCallerHash()),
     });
-    for (const factories of [platformParts, peerParts, decisionParts, callerParts]) {
+    for (const factories of [platformParts, relayParts, peerParts, decisionParts, callerParts]) {
         for (const [name, create] of Object.entries(factories)) {
             container.register(
                 name,
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -25,6 +25,7 @@
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
+import type { Reachability, RelayPeers, RelayServer, SharedReachability } from "../reachability/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type {
     EngineClient,
@@ -67,7 +68,14 @@
     readonly metrics: Metrics;
     /** Opens encrypted connections to upstreams; `undefined` if they are called without TLS. */
     readonly upstreamConnector: UpstreamConnector | undefined;
+    /** Calls upstreams from this entry itself. */
+    readonly directUpstreamAgent: Dispatcher;
+    /** Calls upstreams, through other entries where this one reaches none. */
     readonly upstreamAgent: Dispatcher;
+    readonly reachability: Reachability;
+    readonly sharedReachability: SharedReachability;
+    readonly relayPeers: RelayPeers;
+    readonly relayServer: RelayServer;
     readonly platformAgent: Agent;
     readonly log: LogClient;
     readonly follow: FollowStream;
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -58,6 +58,7 @@
         parts.lease.start();
         parts.controlSnapshotWriter.start();
         parts.loadPoller.start();
+        parts.reachability.start();
         parts.rolloutDriver.start();
         parts.orderDriver.start();
         await parts.operatorServer.listen(settings.listen.operators.port, settings.listen.operators.host);
@@ -116,6 +117,7 @@
             parts.upstreamCredentialFiles.stop(),
             parts.sharedState.stop(),
             parts.loadPoller.stop(),
+            parts.reachability.stop(),
             parts.vmWatcher.stop(),
             parts.stateFetcher.stop(),
             parts.controlSnapshotWriter.stop(),
--- a/src/entry/loadPoller.ts
+++ b/src/entry/loadPoller.ts
@@ -14,6 +14,10 @@
     readonly intervalMilliseconds: number;
     /** Maximum number of upstreams polled in a second. */
     readonly pollsPerSecond: number;
+    /** Called when an upstream has answered. */
+    readonly onAnswer: (upstream: Vm) => void;
+    /** Called when an upstream could not be asked. */
+    readonly onFailure: (upstream: Vm) => void;
     /** Called at the end of each round. */
     readonly onRound: () => void;
     /** Called when an upstream reports that it is leaving. */
@@ -93,8 +97,10 @@
     async #pollUpstream(upstream: Vm, hasCacheEvents: boolean): Promise<void> {
         const load = await this.#options.engines.getLoad(upstream);
         if (load.isErr()) {
+            this.#options.onFailure(upstream);
             return;
         }
+        this.#options.onAnswer(upstream);
         // Upstreams choose their own names, so the report is stored under the VM list's identifier.
         this.#options.runners.addLoadReport({ ...load.value, upstream: upstream.id });
         if (load.value.leaving) {
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -120,11 +120,11 @@
         }),
 };
 
-function createAddressDocumentOptions({ settings, membership, vmWatcher }: Cradle) {
+function createAddressDocumentOptions({ settings, membership, sharedReachability, vmWatcher }: Cradle) {
     const ownPort = settings.listen.callers.port;
     return {
         keepSeconds: settings.timing.addressesKeepMilliseconds / millisecondsPerSecond,
-        getMembers: () => membership.getMembers(),
+        getMembers: () => sharedReachability.preferReaching(membership.getAlive()),
         getCallerPort: (member: { readonly id: string; }) => vmWatcher.getVm(member.id)?.port ?? ownPort,
     };
 }
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -147,6 +147,8 @@
             runners: cradle.runners,
             intervalMilliseconds: cradle.settings.timing.loadIntervalMilliseconds,
             pollsPerSecond: cradle.settings.limits.loadPolls,
+            onAnswer: ({ pool }) => cradle.reachability.markSeen(pool),
+            onFailure: ({ pool }) => cradle.reachability.addConnectFailure(pool),
             onRound: () => {
                 // With a common limit, the slots of idle services would admit chats for which no engine has a slot.
                 // These would wait at the engines, beyond the target for the time to first token, and delay more urgent
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -11,7 +11,13 @@
     handleDecideClaims,
     SessionPins,
 } from "../../claims/index.js";
-import type { CopyBillsRequest, DecideClaimsRequest, FetchStateRequest, PushRequest } from "../../generated/peer.js";
+import type {
+    CopyBillsRequest,
+    DecideClaimsRequest,
+    FetchStateRequest,
+    PushRequest,
+    RelayRequest,
+} from "../../generated/peer.js";
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
 import { createSharedRateLimits } from "../../ratelimits/index.js";
@@ -177,7 +183,7 @@
     return () => getBillCopyTargets({ self, membership, client: peerClient, getCounter });
 }
 
-function createHandlers({ gossip, journal, billReplicas, collectors, stateFetcher }: Cradle) {
+function createHandlers({ gossip, journal, billReplicas, collectors, stateFetcher, relayServer }: Cradle) {
     const getCounter = () => journal.getCounter();
     /**
      * Observes the caller's counter, so that the events that this entry records for the call sort after their cause.
@@ -200,9 +206,7 @@
         fetchState: withObservedCounter((request: FetchStateRequest, protocol) =>
             stateFetcher.handle(request, protocol)
         ),
-        relay: () => {
-            throw new Error("This entry forwards no requests of other entries.");
-        },
+        relay: (request: RelayRequest, signal: AbortSignal) => relayServer.handle(request, signal),
     };
 }
 
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -47,9 +47,6 @@
         const { upstreamConnectTimeoutMilliseconds } = settings.timing;
         return credentials && new UpstreamConnector(credentials, upstreamConnectTimeoutMilliseconds);
     },
-    upstreamAgent: ({ settings, upstreamConnector }) =>
-        upstreamConnector?.createDispatcher()
-            ?? new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
     upstreamCredentialFiles: ({ settings, upstreamConnector, journal }) =>
         new CredentialFiles({
             settings: settings.upstreamTls,
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -43,8 +43,8 @@
 
 /** Creates the part that forwards requests for other nodes. */
 export function createRelayServer({ registry, upstreamClient }: NodeParts): RelayServer {
-    return new RelayServer(address => {
-        const upstream = findUpstream(registry.getAll(), address);
+    return new RelayServer(id => {
+        const upstream = registry.get(id);
         const isAvailable = upstream !== undefined && registry.getAvailable(upstream.pool).includes(upstream);
         return isAvailable ? upstreamClient.getRelayTarget(upstream) : undefined;
     });
@@ -56,7 +56,7 @@
 ): Dispatcher.DispatcherComposeInterceptor {
     return createRelayInterceptor({
         peers: relayPeers,
-        getRelayedPool: address => findUpstream(registry.getAll(), address)?.pool,
+        findRelayed: address => findUpstream(registry.getAll(), address),
         open: (peer, request) => peerClient.relay(peer, request),
     });
 }
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -105,7 +105,7 @@
     /** Returns the connections to an upstream, for requests of other nodes. */
     getRelayTarget(upstream: RegisteredUpstream): RelayTarget {
         const { pool, resets } = this.#getPool(upstream);
-        return { dispatcher: pool, wasReset: () => resets.isRecent() };
+        return { address: upstream.address, dispatcher: pool, wasReset: () => resets.isRecent() };
     }
 
     /** Opens new connections from now on. Calls in flight complete on the old ones. */
--- a/src/reachability/relayInterceptor.ts
+++ b/src/reachability/relayInterceptor.ts
@@ -9,11 +9,17 @@
 import { NotSentError } from "../upstream/index.js";
 import type { RelayPeers } from "./relayPeers.js";
 
+/** An upstream to which other nodes forward requests. */
+export interface RelayedUpstream {
+    readonly id: string;
+    readonly pool: string;
+}
+
 /** Options of the interceptor. */
 export interface RelayInterceptorOptions {
     readonly peers: RelayPeers;
-    /** Returns the pool of an upstream if requests to it are forwarded by other nodes. */
-    readonly getRelayedPool: (address: string) => string | undefined;
+    /** Returns the upstream with an address if requests to it are forwarded by other nodes. */
+    readonly findRelayed: (address: string) => RelayedUpstream | undefined;
     /** Opens a call to a node; undefined when the node certainly has received nothing. */
     readonly open: (peer: PeerAddress, request: RelayRequest) => Promise<ClientReadableStream<RelayPart> | undefined>;
 }
@@ -22,12 +28,12 @@
 export function createRelayInterceptor(options: RelayInterceptorOptions): Dispatcher.DispatcherComposeInterceptor {
     return dispatch => (dispatchOptions, handler) => {
         const address = new URL(String(dispatchOptions.origin)).host;
-        const pool = options.getRelayedPool(address);
-        const request = pool === undefined ? undefined : createRequest(address, dispatchOptions);
-        if (pool === undefined || request === undefined) {
+        const upstream = options.findRelayed(address);
+        const request = upstream && createRequest(upstream.id, dispatchOptions);
+        if (upstream === undefined || request === undefined) {
             return dispatch(dispatchOptions, handler);
         }
-        void new RelayedRequest(handler).run({ ...options, pool, request });
+        void new RelayedRequest(handler).run({ ...options, pool: upstream.pool, request });
         return true;
     };
 }
@@ -135,13 +141,13 @@
 }
 
 /** Returns undefined for a body that can be read only once, which no client of upstreams uses. */
-function createRequest(address: string, options: Dispatcher.DispatchOptions): RelayRequest | undefined {
+function createRequest(upstream: string, options: Dispatcher.DispatchOptions): RelayRequest | undefined {
     const body = options.body ?? "";
     if (typeof body !== "string" && !(body instanceof Uint8Array)) {
         return undefined;
     }
     return {
-        address,
+        upstream,
         method: options.method,
         path: options.path,
         headers: flattenHeaders(options.headers),
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -13,6 +13,8 @@
 
 /** An upstream to which requests may be forwarded. */
 export interface RelayTarget {
+    /** `HOST:PORT`. */
+    readonly address: string;
     /** Opens connections to the upstream. */
     readonly dispatcher: Pick<Dispatcher, "request">;
     /** Returns whether one of its connections was reset just now. */
@@ -21,11 +23,11 @@
 
 /** Forwards requests to upstreams that this node reaches itself, and never to a third node. */
 export class RelayServer {
-    readonly #getTarget: (address: string) => RelayTarget | undefined;
+    readonly #getTarget: (upstream: string) => RelayTarget | undefined;
     #calls = 0;
 
-    /** @param getTarget - Returns the upstream with an address, if this node knows it and may send it requests. */
-    constructor(getTarget: (address: string) => RelayTarget | undefined) {
+    /** @param getTarget - Returns an upstream by its identifier, if this node knows it and may send it requests. */
+    constructor(getTarget: (upstream: string) => RelayTarget | undefined) {
         this.#getTarget = getTarget;
     }
 
@@ -36,7 +38,7 @@
      * @returns The parts of the answer.
      */
     async *handle(request: RelayRequest, signal: AbortSignal): AsyncGenerator<RelayPart> {
-        const target = this.#getTarget(request.address);
+        const target = this.#getTarget(request.upstream);
         if (target === undefined || this.#calls >= maxCalls) {
             const reason = target === undefined
                 ? "the upstream gets no requests here"
@@ -58,12 +60,12 @@
 }
 
 async function* forward(
-    { address, method, path, headers, body }: RelayRequest,
+    { method, path, headers, body }: RelayRequest,
     target: RelayTarget,
     signal: AbortSignal,
 ): AsyncGenerator<RelayPart> {
     const response = await target.dispatcher.request({
-        origin: `http://${address}`,
+        origin: `http://${target.address}`,
         method: method as Dispatcher.HttpMethod,
         path,
         headers,
