--- a/src/reachability/sharedReachability.ts
+++ b/src/reachability/sharedReachability.ts
@@ -8,6 +8,8 @@
 /** Gossip key of the pools that a node cannot reach. */
 const unreachablePoolsKey = "unreachable-pools";
 const majority = 0.5;
+/** Pools become unreachable one shortly after the other; they are published together. */
+const publicationDelayMilliseconds = 20;
 const reportSchema = z.object({ pools: z.array(z.string()), isCutOff: z.boolean() });
 
 /** What a node publishes about its paths to upstreams. */
@@ -32,10 +34,13 @@
 export class SharedReachability {
     readonly #options: SharedReachabilityOptions;
     readonly #parsed = new WeakMap<Buffer, ReachabilityReport>();
+    #timer: NodeJS.Timeout | undefined;
 
     constructor(options: SharedReachabilityOptions) {
         this.#options = options;
-        options.reachability.onChange(() => this.#publish());
+        options.reachability.onChange(() => {
+            this.#timer ??= setTimeout(() => this.#publish(), publicationDelayMilliseconds);
+        });
     }
 
     /**
@@ -78,6 +83,7 @@
 
     /** Urgent, since the others choose by it whom they ask to forward requests. */
     #publish(): void {
+        this.#timer = undefined;
         const { gossip, reachability } = this.#options;
         const report: ReachabilityReport = { pools: reachability.getUnreachable(), isCutOff: reachability.isCutOff() };
         gossip.set(unreachablePoolsKey, Buffer.from(JSON.stringify(report)), { urgent: true });
--- a/test/platform/wireNames.test.ts
+++ b/test/platform/wireNames.test.ts
@@ -34,7 +34,7 @@
             .flatMap(table => Object.values(table))
             .filter(name => /[-/.]/.test(name) && !genericNames.has(name));
         const found: string[] = [];
-        for (const file of folders.flatMap(folder => findFiles(join("src", folder)))) {
+        for (const file of [...folders, "reachability"].flatMap(folder => findFiles(join("src", folder)))) {
             const text = readFileSync(file, "utf8").toLowerCase();
             for (const name of names.filter(candidate => text.includes(`"${candidate}"`))) {
                 found.push(`${file}: ${name}`);
