--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -184,9 +184,9 @@
     }
 
     /** Starts a node whose path to the runners can be cut. */
-    startCuttableNode(index: number, cut: Cut = "none"): SiteNode {
+    startCuttableNode(index: number, cut: Cut = "none", storeAddress?: string): SiteNode {
         writeFileSync(join(this.#folder, `cut-${index}`), cut);
-        return this.startNode(index, ["--import", "./test/platform/standins/cutNetwork.mjs"]);
+        return this.startNode(index, ["--import", "./test/platform/standins/cutNetwork.mjs"], storeAddress);
     }
 
     /** Returns settings in the format of the deployment's template. */
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -1,6 +1,7 @@
 /**
  * Runs the platform's soak test by hand: `node dist/test/platform/soak/main.js --seed 1 --count 50 --seconds 12`. With
- * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit.
+ * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit, with
+ * `--cuts` nodes lose the paths to all runners.
  */
 import { parseArgs } from "node:util";
 import { runPlatformSoak } from "./platformSoak.js";
@@ -12,6 +13,7 @@
         seconds: { type: "string", default: "12" },
         prefix: { type: "string", default: "127.72.90" },
         limit: { type: "boolean", default: false },
+        cuts: { type: "boolean", default: false },
         rollout: { type: "boolean", default: false },
     },
 });
@@ -23,6 +25,7 @@
         prefix: values.prefix,
         hasRollout: values.rollout,
         hasLimit: values.limit,
+        hasCuts: values.cuts,
     };
     const { violations, timeLine, requests, served } = await runPlatformSoak(options);
     console.log(
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -5,8 +5,12 @@
 const soakMilliseconds = 7_000;
 const maxLines = 20;
 
-function describeOptions(options: { readonly hasRollout: boolean; readonly hasLimit?: boolean; }): string {
-    return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}`;
+function describeOptions(
+    options: { readonly hasRollout: boolean; readonly hasLimit?: boolean; readonly hasCuts?: boolean; },
+): string {
+    return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
+        options.hasCuts === true ? ", with nodes that reach no runner" : ""
+    }`;
 }
 
 describe("runPlatformSoak", () => {
@@ -22,15 +26,18 @@
         { seed: 3, prefix: "127.72.43", hasRollout: true },
         // Nodes that are killed, paused and cut off have to keep to the rate that a runner states, also together with the others.
         { seed: 5, prefix: "127.72.47", hasRollout: false, hasLimit: true },
+        // What one node forwards for another must neither run twice nor be reported as not run.
+        { seed: 7, prefix: "127.72.52", hasRollout: false, hasCuts: true },
     ];
-    for (const { seed, prefix, hasRollout, hasLimit } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit })}`, async () => {
+    for (const { seed, prefix, hasRollout, hasLimit, hasCuts } of seeds) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
                 prefix,
                 hasRollout,
                 hasLimit,
+                hasCuts,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -2,10 +2,11 @@
  * A soak test on the platform: nodes in separate processes and external faults drawn from a seed, in sequence and overlapping.
  * Checks the guarantees against what callers and runners observed.
  */
+import { writeFileSync } from "node:fs";
 import { RandomSource } from "../../../src/common/index.js";
 import { FaultProxy } from "../../../src/standins/proxy/index.js";
 import { waitUntil } from "../../../src/testbench/index.js";
-import { createConfiguration, PlatformSite } from "../platformSite.js";
+import { createConfiguration, type Cut, PlatformSite } from "../platformSite.js";
 import { SoakCallers } from "./soakCallers.js";
 import { type ExecutedRequest, findViolations, type RevokedKey } from "./soakChecks.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
@@ -19,6 +20,7 @@
 const revocationMilliseconds = 6_000;
 const concurrentRequests = 4;
 const runnerFaults: readonly RunnerFault[] = ["reset", "mute", "truncate", "error", "slow"];
+const cuts: readonly Cut[] = ["silent", "reset", "kept"];
 const faultShare = 0.3;
 /** Maximum time between the starts of two faults. It is short so that some faults overlap. */
 const maxGapMilliseconds = 900;
@@ -44,6 +46,8 @@
     readonly hasRollout?: boolean;
     /** Whether one more runner states a rate limit all the while. Draws no random numbers either. */
     readonly hasLimit?: boolean;
+    /** Whether nodes also lose the paths to all runners. The faults of a seed differ with it. */
+    readonly hasCuts?: boolean;
 }
 
 /** Result of a soak test. */
@@ -158,7 +162,9 @@
 
     #startNode(index: number): void {
         const { host, port } = this.#getLink(index);
-        const node = this.#site.startNode(index, [], `${host}:${port}`);
+        const node = this.#options.hasCuts === true
+            ? this.#site.startCuttableNode(index, "none", `${host}:${port}`)
+            : this.#site.startNode(index, [], `${host}:${port}`);
         void node.exited.then(code => {
             if (this.#unavailableNodes.has(index) || this.#isStopped) {
                 return;
@@ -267,6 +273,7 @@
             () => this.#drainRunner(faultMilliseconds),
             () => this.#revoke(),
             () => this.#compact(),
+            ...this.#options.hasCuts === true ? [() => this.#cutNodes(faultMilliseconds)] : [],
         ];
         this.#activeFaults.push(Promise.resolve(this.#draw(faults)()));
     }
@@ -310,6 +317,20 @@
         this.#unavailableNodes.delete(index);
     }
 
+    /** Takes the paths to all runners away from one node or from several, or from all. */
+    async #cutNodes(faultMilliseconds: number): Promise<void> {
+        const count = 1 + this.#random.nextInteger(nodeCount);
+        const cut = this.#draw(cuts);
+        this.#recordEvent(`${count} nodes reach no runner (${cut}) for ${faultMilliseconds} ms`);
+        for (const { cutFile } of this.#site.nodes.slice(0, count)) {
+            writeFileSync(cutFile, cut);
+        }
+        await wait(faultMilliseconds);
+        for (const { cutFile } of this.#site.nodes.slice(0, count)) {
+            writeFileSync(cutFile, "none");
+        }
+    }
+
     #reload(): void {
         const index = this.#drawNode();
         if (index !== undefined) {
