Handle the error of a forwarded request whose caller leaves while it is opened

A caller left while the connection to the forwarding node was still opened; the call was cancelled before anything listened for its error, and the process ended. What a node forwards is counted until the call reports its status: a stream that was not read to its end is never closed.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,7 +6,6 @@
 import type {
     CallOutcome,
     PromptDescription,
-    RejectionLimit,
     SendLimit,
     UpstreamPick,
     UpstreamPicker,
@@ -15,14 +14,13 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { CrashWatch, RunEnd } from "../quarantine/index.js";
-import type { RateLimits } from "../ratelimits/index.js";
-import type { Reachability } from "../reachability/index.js";
 import type { VersionSelection } from "../rollouts/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import type { UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
+import type { UpstreamObserver } from "./upstreamObserver.js";
 
 /** Options of `Attempts`. */
 export interface AttemptsOptions {
@@ -33,11 +31,8 @@
     readonly picker: UpstreamPicker;
     /** The limits that the picker observes; here, the requests that were sent are added to them. */
     readonly sendLimit: SendLimit;
-    readonly rateLimits: RateLimits;
-    readonly rejectionLimit: RejectionLimit;
     readonly transport: UpstreamTransport;
-    /** Learns which pools answer. */
-    readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
+    readonly observer: UpstreamObserver;
     /** Returns whether this node, or another one that would forward the request, can connect to upstreams of a pool. */
     readonly isReachable: (pool: string) => boolean;
     readonly crashWatch: CrashWatch;
@@ -152,8 +147,7 @@
         const choice = `${pick.reason} at load ${pick.load.toFixed(2)}, ${
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
-        const { clock, crashWatch, picker, reachability, registry, rejectionLimit, sendLimit, transport } =
-            this.#options;
+        const { clock, crashWatch, observer, picker, registry, sendLimit, transport } = this.#options;
         const controller = new AbortController();
         const cancel = (): void => controller.abort();
         exchange.ended.addEventListener("abort", cancel);
@@ -168,7 +162,7 @@
             : setTimeout(handleHeadTimeout, headTimeout);
         const startedAt = clock.monotonic();
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
-        const mayFailByLoad = isWarmingUp || rejectionLimit.isLimited(upstream.id);
+        const mayFailByLoad = isWarmingUp || observer.isRejectionLimited(upstream);
         const pointsAtStart = crashWatch.getPoints(exchange.watchedRequest);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
@@ -198,7 +192,7 @@
         picker.start(upstream.id);
         sendLimit.add(upstream);
         picker.addPendingPrefill(upstream.id, prefillMilliseconds);
-        const endWait = reachability.startCall(upstream.pool);
+        const endWait = observer.startCall(upstream);
         const result = await transport.call(upstream, {
             request: exchange.request,
             deadlineMilliseconds: exchange.getTimeLeft(),
@@ -220,27 +214,17 @@
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
-            this.#applyFailure(upstream, result.error, { isHeadTimedOut, startedAt });
+            observer.observeFailure(upstream, result.error, startedAt);
+            this.#applyFailure(upstream, result.error, isHeadTimedOut);
             return err({ kind: "failed", failure: result.error });
         }
         headMilliseconds = clock.monotonic() - startedAt;
         confidence = result.value.confidence;
-        this.#markSeen(upstream);
+        observer.observeAnswer(upstream, result.value, startedAt);
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
-        const { load, requestsPerSecond, rejectionsPerSecond } = result.value;
-        this.#observeRate(upstream, requestsPerSecond, startedAt);
-        this.#observeRejections(upstream, { load, rejectionsPerSecond, isRejection: false });
-        if (load !== undefined) {
-            picker.addLoadReport(upstream, { requests: load.running + load.waiting, slots: load.slots });
-        }
-        return ok({ upstream, answer: result.value, finish, cancel, markSeen: () => this.#markSeen(upstream) });
-    }
-
-    #markSeen(upstream: RegisteredUpstream): void {
-        this.#options.picker.markSeen(upstream.id);
-        this.#options.reachability.markSeen(upstream.pool);
+        return ok({ upstream, answer: result.value, finish, cancel, markSeen: () => observer.markSeen(upstream) });
     }
 
     #classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
@@ -256,15 +240,9 @@
         return "silent";
     }
 
-    #applyFailure(
-        upstream: RegisteredUpstream,
-        failure: UpstreamCallFailure,
-        call: { readonly isHeadTimedOut: boolean; readonly startedAt: number; },
-    ): void {
-        const { picker, registry, transport } = this.#options;
-        this.#observeRate(upstream, failure.requestsPerSecond, call.startedAt);
-        this.#observeRejections(upstream, { ...failure, isRejection: failure.kind === "refused" });
-        if (call.isHeadTimedOut) {
+    #applyFailure(upstream: RegisteredUpstream, failure: UpstreamCallFailure, isHeadTimedOut: boolean): void {
+        const { registry, transport } = this.#options;
+        if (isHeadTimedOut) {
             transport.renewConnections(upstream);
         }
         if (failure.kind === "replaced") {
@@ -272,31 +250,6 @@
             // under its identifier.
             registry.markLeaving(upstream.id);
         }
-        if (failure.load !== undefined) {
-            const { running, waiting, slots } = failure.load;
-            picker.addLoadReport(upstream, { requests: running + waiting, slots });
-        }
-    }
-
-    #observeRate(upstream: RegisteredUpstream, requestsPerSecond: number | undefined, sentAt: number): void {
-        if (requestsPerSecond !== undefined) {
-            this.#options.rateLimits.observe({ upstream: upstream.id, requestsPerSecond, sentAt });
-        }
-    }
-
-    #observeRejections(
-        { id, pool }: RegisteredUpstream,
-        { load, rejectionsPerSecond, isRejection }: Pick<UpstreamCallFailure, "load" | "rejectionsPerSecond"> & {
-            readonly isRejection: boolean;
-        },
-    ): void {
-        this.#options.rejectionLimit.observe({
-            upstream: id,
-            pool,
-            rejectionsPerSecond,
-            isRejection,
-            load: load && { requests: load.running + load.waiting, slots: load.slots },
-        });
     }
 
     #finish(
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -9,3 +9,4 @@
 export * from "./metrics.js";
 export * from "./shutdown.js";
 export * from "./upstreamCall.js";
+export * from "./upstreamObserver.js";
--- /dev/null
+++ b/src/forwarding/upstreamObserver.ts
@@ -0,0 +1,86 @@
+/**
+ * Records what answers and refusals state of their upstreams.
+ */
+import type { RejectionLimit, UpstreamPicker } from "../decisions/index.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
+import type { RateLimits } from "../ratelimits/index.js";
+import type { Reachability } from "../reachability/index.js";
+import type { UpstreamAnswer, UpstreamCallFailure } from "./upstreamCall.js";
+
+/** What an answer or a refusal states of its upstream. */
+type UpstreamStatement = Pick<UpstreamCallFailure, "load" | "requestsPerSecond" | "rejectionsPerSecond">;
+
+/** Options of `UpstreamObserver`. */
+export interface UpstreamObserverOptions {
+    readonly picker: Pick<UpstreamPicker, "addLoadReport" | "markSeen">;
+    /** Learns which pools answer. */
+    readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
+    readonly rateLimits: Pick<RateLimits, "observe">;
+    readonly rejectionLimit: Pick<RejectionLimit, "isLimited" | "observe">;
+}
+
+/** Passes on what is learned of upstreams to the parts that decide by it. */
+export class UpstreamObserver {
+    readonly #options: UpstreamObserverOptions;
+
+    constructor(options: UpstreamObserverOptions) {
+        this.#options = options;
+    }
+
+    /**
+     * Records that a call was sent to an upstream.
+     * @returns A function to call once when the answer starts or the call ends.
+     */
+    startCall({ pool }: RegisteredUpstream): () => void {
+        return this.#options.reachability.startCall(pool);
+    }
+
+    /** Returns whether an upstream fails when it has to reject too many requests. */
+    isRejectionLimited({ id }: RegisteredUpstream): boolean {
+        return this.#options.rejectionLimit.isLimited(id);
+    }
+
+    /** Records that data was received from an upstream. */
+    markSeen(upstream: RegisteredUpstream): void {
+        this.#options.picker.markSeen(upstream.id);
+        this.#options.reachability.markSeen(upstream.pool);
+    }
+
+    /**
+     * Records the head of an answer.
+     * @param upstream - The upstream.
+     * @param answer - Its answer.
+     * @param sentAt - Monotonic time at which the request was sent.
+     */
+    observeAnswer(upstream: RegisteredUpstream, answer: UpstreamAnswer, sentAt: number): void {
+        this.markSeen(upstream);
+        this.#observe(upstream, answer, { sentAt, isRejection: false });
+    }
+
+    /**
+     * Records a failed call.
+     * @param upstream - The upstream.
+     * @param failure - How the call failed.
+     * @param sentAt - Monotonic time at which the request was sent.
+     */
+    observeFailure(upstream: RegisteredUpstream, failure: UpstreamCallFailure, sentAt: number): void {
+        this.#observe(upstream, failure, { sentAt, isRejection: failure.kind === "refused" });
+    }
+
+    #observe(
+        upstream: RegisteredUpstream,
+        { load, requestsPerSecond, rejectionsPerSecond }: UpstreamStatement,
+        { sentAt, isRejection }: { readonly sentAt: number; readonly isRejection: boolean; },
+    ): void {
+        const { picker, rateLimits, rejectionLimit } = this.#options;
+        const { id, pool } = upstream;
+        const report = load && { requests: load.running + load.waiting, slots: load.slots };
+        if (requestsPerSecond !== undefined) {
+            rateLimits.observe({ upstream: id, requestsPerSecond, sentAt });
+        }
+        rejectionLimit.observe({ upstream: id, pool, rejectionsPerSecond, isRejection, load: report });
+        if (report !== undefined) {
+            picker.addLoadReport(upstream, report);
+        }
+    }
+}
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -2,7 +2,7 @@
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
 import { RejectionLimit, type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
-import { Attempts } from "../forwarding/index.js";
+import { Attempts, UpstreamObserver } from "../forwarding/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
 
@@ -50,10 +50,8 @@
         registry: parts.registry,
         picker: parts.picker,
         sendLimit: parts.sendLimit,
-        rateLimits: parts.rateLimits,
-        rejectionLimit: parts.rejectionLimit,
         transport: upstreamClient,
-        reachability: parts.reachability,
+        observer: createObserver(parts),
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
         crashWatch: parts.crashWatch,
         getBudget: budgets,
@@ -68,6 +66,10 @@
     });
 }
 
+function createObserver({ picker, reachability, rateLimits, rejectionLimit }: NodeParts): UpstreamObserver {
+    return new UpstreamObserver({ picker, reachability, rateLimits, rejectionLimit });
+}
+
 /** Creates the retry budgets of all pools. */
 export function createBudgets(
     { clock, liveSettings, membership }: NodeParts,
--- a/src/reachability/relayInterceptor.ts
+++ b/src/reachability/relayInterceptor.ts
@@ -94,11 +94,9 @@
         }
         const finish = peers.start(peer.id);
         const call = this.#hasEnded ? undefined : await open(peer, request);
-        if (call === undefined || this.#hasEnded) {
-            call?.cancel();
+        if (call === undefined) {
             finish();
-            peers.pause(peer.id, pool);
-            this.#fail(new NotSentError(`the node ${peer.id} did not answer`));
+            this.#failUnopened(peer.id, { peers, pool });
             return;
         }
         this.#call = call;
@@ -109,8 +107,21 @@
             this.#handlePart(part);
         });
         call.on("error", error => this.#fail(error));
+        // The library reports a status for every call, but closes a stream only when it was read to its end.
+        call.on("status", finish);
         call.on("close", finish);
         call.on("end", () => this.#fail(new Error(`the node ${peer.id} ended an answer too early`)));
+        if (this.#hasEnded) {
+            // The caller left while the call was opened. A cancelled call reports an error, which is handled from here on.
+            call.cancel();
+        }
+    }
+
+    #failUnopened(peer: string, { peers, pool }: { readonly peers: RelayPeers; readonly pool: string; }): void {
+        if (!this.#hasEnded) {
+            peers.pause(peer, pool);
+            this.#fail(new NotSentError(`the node ${peer} did not answer`));
+        }
     }
 
     #handlePart({ head, data, isEnd, failure }: RelayPart): void {
--- a/src/reachability/relayPeers.ts
+++ b/src/reachability/relayPeers.ts
@@ -54,11 +54,16 @@
     /**
      * Records a request that a node forwards.
      * @param node - Identifier of the node.
-     * @returns A function to call once when the node is done with the request.
+     * @returns A function to call when the node is done with the request; later calls do nothing.
      */
     start(node: string): () => void {
         this.#inFlight.set(node, this.#countInFlight(node) + 1);
+        let isFinished = false;
         return () => {
+            if (isFinished) {
+                return;
+            }
+            isFinished = true;
             const left = this.#countInFlight(node) - 1;
             if (left > 0) {
                 this.#inFlight.set(node, left);
--- /dev/null
+++ b/test/reachability/relayServer.test.ts
@@ -0,0 +1,92 @@
+import { expect } from "earl";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { Agent } from "undici";
+import type { RelayPart } from "../../src/generated/peer.js";
+import { RelayServer, type RelayTarget } from "../../src/reachability/index.js";
+
+const host = "127.72.54.1";
+const request = {
+    upstream: "upstream-1",
+    method: "POST",
+    path: "/a",
+    headers: ["X-One", "1"],
+    body: Buffer.from("hello"),
+};
+const servers: Server[] = [];
+
+async function startUpstream(handle: Parameters<typeof createServer>[1]): Promise<string> {
+    const server = createServer(handle);
+    servers.push(server);
+    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    return `${host}:${(server.address() as AddressInfo).port}`;
+}
+
+function createTarget(address: string, hasBeenReset = false): RelayTarget {
+    return { address, dispatcher: new Agent(), wasReset: () => hasBeenReset };
+}
+
+async function collect(server: RelayServer, signal = new AbortController().signal): Promise<readonly RelayPart[]> {
+    const parts: RelayPart[] = [];
+    for await (const part of server.handle(request, signal)) {
+        parts.push(part);
+    }
+    return parts;
+}
+
+describe("a node that forwards a request", () => {
+    afterEach(() => {
+        for (const server of servers.splice(0)) {
+            server.closeAllConnections();
+            server.close();
+        }
+    });
+
+    it("sends it once and hands the answer back", async () => {
+        const received: unknown[] = [];
+        const address = await startUpstream((incoming, response) => {
+            received.push([incoming.method, incoming.url, incoming.headers["x-one"]]);
+            incoming.resume().on("end", () => response.end("done"));
+        });
+        const parts = await collect(new RelayServer(id => id === "upstream-1" ? createTarget(address) : undefined));
+        expect(received).toEqual([["POST", "/a", "1"]]);
+        expect([parts[0].head?.status, parts[1].data?.toString(), parts.at(-1)?.isEnd]).toEqual([200, "done", true]);
+    });
+
+    // Guards against an upstream that gets a request though this node knows that it leaves, or that another one has its address.
+    it("sends nothing to an upstream that it does not know", async () => {
+        const parts = await collect(new RelayServer(() => undefined));
+        expect(parts.map(({ failure }) => failure?.kind)).toEqual(["not-sent"]);
+    });
+
+    it("says that nothing was sent when it cannot connect either", async () => {
+        const parts = await collect(new RelayServer(() => createTarget(`${host}:1`)));
+        expect(parts.map(({ failure }) => failure?.kind)).toEqual(["not-sent"]);
+    });
+
+    // Guards against an answer without a length that was cut off and passes for a whole one at the node that asked.
+    it("does not call an answer without a length whole after a reset", async () => {
+        const address = await startUpstream((incoming, response) => {
+            response.useChunkedEncodingByDefault = false;
+            incoming.resume().on("end", () => response.writeHead(200, { Connection: "close" }).end("do"));
+        });
+        const parts = await collect(new RelayServer(() => createTarget(address, true)));
+        expect([parts.at(-1)?.isEnd, parts.at(-1)?.failure?.kind]).toEqual([false, "disconnected"]);
+    });
+
+    // Guards against the few nodes that are left, which would break down under the callers of all others.
+    it("declines what exceeds its share, and takes requests again afterwards", async () => {
+        const address = await startUpstream(() => {
+            // Never answers.
+        });
+        const server = new RelayServer(() => createTarget(address));
+        const controller = new AbortController();
+        const pending = Array.from({ length: 256 }, () => collect(server, controller.signal));
+        expect((await collect(server)).map(({ failure }) => failure?.kind)).toEqual(["not-sent"]);
+        controller.abort();
+        await Promise.all(pending);
+        const [part] = await collect(server, AbortSignal.timeout(200));
+        expect(part.failure?.kind).toEqual("broken");
+    });
+});
