Let four nodes forward for one that is cut off, and cache who they are

A cut node drew from all members that reach the pool, so that it would hold a connection to each of hundreds in the end, at some 100 kB each, and filtered and copied the list of members for each request. It draws from four by a rank of its own now, chosen every 200 ms.

--- a/src/reachability/relayPeers.ts
+++ b/src/reachability/relayPeers.ts
@@ -2,10 +2,15 @@
  * Choice of the nodes that forward requests to upstreams which this node cannot reach.
  */
 import type { Clock, RandomSource } from "../common/index.js";
+import { getUnitRank } from "../decisions/index.js";
 import type { Member } from "../membership/index.js";
 
 /** Time for which a node that could not forward a request is not asked again. */
 const failurePauseMilliseconds = 1_000;
+/** Nodes that forward for one other. A connection to each of hundreds would take tens of megabytes. */
+const maxPeers = 4;
+/** Time for which the choice of these nodes is cached, unless one of them fails. */
+const cacheMilliseconds = 200;
 
 /** Options of `RelayPeers`. */
 export interface RelayPeersOptions {
@@ -23,6 +28,7 @@
 export class RelayPeers {
     readonly #options: RelayPeersOptions;
     readonly #inFlight = new Map<string, number>();
+    readonly #cache = new Map<string, { readonly until: number; readonly peers: readonly Member[]; }>();
     /** Monotonic times until which nodes are not asked, by node and pool. */
     readonly #pausedUntil = new Map<string, number>();
 
@@ -32,7 +38,7 @@
 
     /** Returns whether a node is known that may forward requests to a pool. */
     canReach(pool: string): boolean {
-        return this.#getCandidates(pool).length > 0;
+        return this.#getPeers(pool).length > 0;
     }
 
     /**
@@ -41,7 +47,7 @@
      * @param pool - The pool of the upstream.
      */
     choose(pool: string): Member | undefined {
-        const candidates = this.#getCandidates(pool);
+        const candidates = this.#getPeers(pool);
         if (candidates.length === 0) {
             return undefined;
         }
@@ -83,11 +89,28 @@
             }
         }
         this.#pausedUntil.set(createKey(node, pool), now + failurePauseMilliseconds);
+        this.#cache.delete(pool);
     }
 
-    #getCandidates(pool: string): readonly Member[] {
-        const { clock, self, getMembers, reaches } = this.#options;
-        const now = clock.monotonic();
+    /** Returns the nodes that forward requests to a pool for this one: the first by a rank of each node's own. */
+    #getPeers(pool: string): readonly Member[] {
+        const now = this.#options.clock.monotonic();
+        const known = this.#cache.get(pool);
+        if (known !== undefined && now < known.until) {
+            return known.peers;
+        }
+        const ranked = this.#getCandidates(pool, now).map(member => ({
+            member,
+            rank: getUnitRank(this.#options.self, member.id),
+        }));
+        ranked.sort((first, second) => second.rank - first.rank);
+        const peers = ranked.slice(0, maxPeers).map(({ member }) => member);
+        this.#cache.set(pool, { until: now + cacheMilliseconds, peers });
+        return peers;
+    }
+
+    #getCandidates(pool: string, now: number): readonly Member[] {
+        const { self, getMembers, reaches } = this.#options;
         return getMembers().filter(({ id, state }) =>
             id !== self
             && state === "alive"
