Follow changes of how many rejections an upstream bears

Only the first statement counted: an upstream that bears fewer later would have got as many uncertain requests as before. Found by reading; the test fails without the change.

--- a/src/decisions/dispatch/rejectionLimit.ts
+++ b/src/decisions/dispatch/rejectionLimit.ts
@@ -33,7 +33,7 @@
 }
 
 interface KnownUpstream {
-    readonly rejectionsPerSecond: number;
+    rejectionsPerSecond: number;
     /** Monotonic time of the newest report. */
     reportedAt: number;
     /** Requests for which there was room at that time. */
@@ -91,6 +91,7 @@
             return;
         }
         const now = this.#options.clock.monotonic();
+        known.rejectionsPerSecond = rejectionsPerSecond ?? known.rejectionsPerSecond;
         this.#addPoolLoad(pool, isRejection || load === undefined ? 1 : load.requests / load.slots);
         known.reportedAt = now;
         known.sent = 0;
--- a/test/decisions/dispatch/rejectionLimit.test.ts
+++ b/test/decisions/dispatch/rejectionLimit.test.ts
@@ -144,6 +144,22 @@
         });
     }
 
+    // Guards against an upstream that gets more and more worn, and is still judged by what it bore at first.
+    it("are limited by their newest statement", () => {
+        const clock = new ManualClock(10_000);
+        const limit = new RejectionLimit({ clock, random: new RandomSource(1), getNodeCount: () => 1 });
+        const upstream = { id: "a", pool: "pool", failureDomain: "north" };
+        const statement = { upstream: "a", pool: "pool", isRejection: true, load: undefined };
+        limit.observe({ ...statement, rejectionsPerSecond: 100 });
+        limit.observe({ ...statement, rejectionsPerSecond: 1 });
+        clock.advance(100);
+        limit.add(upstream);
+        clock.advance(1_000);
+        expect(limit.isAdmitted(upstream)).toEqual(false);
+        clock.advance(1_100);
+        expect(limit.isAdmitted(upstream)).toEqual(true);
+    });
+
     it("are limited until an answer states nothing", () => {
         const clock = new ManualClock(10_000);
         const limit = new RejectionLimit({ clock, random: new RandomSource(1), getNodeCount: () => 8 });
