Let a stopping node finish what it forwards for others

A node that was told to stop waited for its own callers' requests only, and exited after 2.5 s in the middle of those that it forwarded: the caller of a cut node got 502. Found by reading; platform/unreachableUpstreams, 'is stopped meanwhile', fails so without the change (502 in place of 200).

--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -127,8 +127,9 @@
         shutdown.start(liveSettings.get().bounds.stopMilliseconds);
         membership.announceLeaving();
         callerServer.announceLeaving();
+        const isIdle = (): boolean => forwarder.getInFlight() === 0 && parts.relayServer.getInFlight() === 0;
         while (shutdown.getTimeLeft() > 0) {
-            if (clock.monotonic() - startedAt > minServingMilliseconds && forwarder.getInFlight() === 0) {
+            if (clock.monotonic() - startedAt > minServingMilliseconds && isIdle()) {
                 break;
             }
             await sleep(drainPollMilliseconds);
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -31,6 +31,11 @@
         this.#getTarget = getTarget;
     }
 
+    /** Returns the number of requests that this node forwards at the moment. */
+    getInFlight(): number {
+        return this.#calls;
+    }
+
     /**
      * Forwards one request, once.
      * @param request - The request.
--- a/test/platform/unreachableUpstreams.test.ts
+++ b/test/platform/unreachableUpstreams.test.ts
@@ -18,6 +18,8 @@
 const maxFailedExtra = 10;
 /** Share that the other nodes serve at least; below it, a test would say nothing about the cut ones. */
 const minServedByOthers = 0.95;
+/** Longer than a node serves after it was told to stop, when it has nothing to do. */
+const slowMilliseconds = 2_750;
 /** Time within which a request is refused that can certainly not be served. */
 const maxRefusalMilliseconds = 300;
 const startMilliseconds = 8_000;
@@ -150,6 +152,25 @@
         await new Promise(resolve => setTimeout(resolve, settlingMilliseconds));
         expect(getShares(await sendFor(1_000, [node])).served).toBeGreaterThan(0.95);
     });
+
+    // Guards against an answer that is cut off because the node that forwards it is stopped.
+    it("gets the whole answer from a node that is stopped meanwhile", async () => {
+        for (const runner of site.runners.values()) {
+            runner.behaviour = async (request, response) => {
+                await new Promise(resolve => setTimeout(resolve, slowMilliseconds));
+                response.writeHead(200, createSeal(request)).end("done");
+            };
+        }
+        setCut("silent", site.nodes.slice(0, 1));
+        await new Promise(resolve => setTimeout(resolve, settlingMilliseconds));
+        const pending = site.send(site.nodes[0], { path: "/booking/1" });
+        await new Promise(resolve => setTimeout(resolve, 50));
+        for (const node of site.nodes.slice(1)) {
+            node.child.kill("SIGTERM");
+        }
+        const answer = await pending;
+        expect([answer.status, answer.body]).toEqual([200, "done"]);
+    });
 });
 
 /** An answer and the time that it took. */
--- a/test/reachability/relayServer.test.ts
+++ b/test/reachability/relayServer.test.ts
@@ -84,8 +84,10 @@
         const controller = new AbortController();
         const pending = Array.from({ length: 256 }, () => collect(server, controller.signal));
         expect((await collect(server)).map(({ failure }) => failure?.kind)).toEqual(["not-sent"]);
+        expect(server.getInFlight()).toEqual(256);
         controller.abort();
         await Promise.all(pending);
+        expect(server.getInFlight()).toEqual(0);
         const [part] = await collect(server, AbortSignal.timeout(200));
         expect(part.failure?.kind).toEqual("broken");
     });
