Count connections that opened while the process stood still

After a suspension or a stall of 400 ms the timers of probes run before the connections that opened meanwhile are seen, so that all probes failed at once and the node took its upstreams for unreachable, for half a second and more.

--- a/src/upstream/connectionProbe.ts
+++ b/src/upstream/connectionProbe.ts
@@ -43,7 +43,9 @@
             socket.destroy();
             resolve(result);
         };
-        const timer = setTimeout(() => finish("failed"), timeoutMilliseconds);
+        // After the process stood still, timers run before the events that arrived meanwhile. Without the turn in between, a node that was
+        // suspended would take all of its upstreams for unreachable.
+        const timer = setTimeout(() => setImmediate(() => finish("failed")), timeoutMilliseconds);
         socket.once("connect", () => finish("opened"));
         socket.on("error", error => {
             finish((error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? "refused" : "failed");
