Ask others of a pool before an entry says that an upstream has crashed

The product's own interface still took a reset connection whose upstream then refused new ones for a crash, also when the entry itself had lost its paths, and held it against the request. Both interfaces use one check now (reachability/crashProbe; read with only the refusal it finds a crash where all upstreams refuse). Found while reading the diff. entry/crashingPrompts and platform/crashingRequests pass.

--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -21,13 +21,14 @@
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
 import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
 import { createSharedRateLimits } from "../../ratelimits/index.js";
-import { isRefusingConnections } from "../../upstream/index.js";
+import { createCrashProbe } from "../../reachability/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { EntryState } from "../entryState.js";
 import { Sessions } from "../sessions.js";
 import { SharedState } from "../sharedState.js";
 import { StateFetcher } from "../stateFetcher.js";
+import { findUpstream } from "./relayParts.js";
 
 /** Number of claim partitions. It is the same on all nodes and must never change. */
 const claimPartitions = 8;
@@ -78,8 +79,16 @@
             store: () => Promise.resolve(true),
         }),
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
-    crashWatch: ({ clock, journal, quarantine }) =>
-        new CrashWatch({ clock, journal, quarantine, isRefusingConnections }),
+    crashWatch: ({ clock, journal, quarantine, reachability, vmWatcher }) =>
+        new CrashWatch({
+            clock,
+            journal,
+            quarantine,
+            isRefusingConnections: createCrashProbe({
+                reachability,
+                findUpstream: address => findUpstream(vmWatcher.getVms(), address),
+            }),
+        }),
     collectors: ({ self, clock, journal, membership, log, follow, settings }) =>
         new CollectorPool({
             partitions: claimPartitions,
--- a/src/entry/parts/relayParts.ts
+++ b/src/entry/parts/relayParts.ts
@@ -64,7 +64,8 @@
     }));
 }
 
-function findUpstream(vms: Iterable<Vm>, address: string): Vm | undefined {
+/** Returns the upstream with an address, as `HOST:PORT`. */
+export function findUpstream(vms: Iterable<Vm>, address: string): Vm | undefined {
     return getUpstreams(vms).find(vm => getAddress(vm) === address);
 }
 
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -31,8 +31,8 @@
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
 import {
-    createCrashProbe,
-    createInterceptor,
+    createNodeCrashProbe,
+    createNodeRelayInterceptor,
     createReachability,
     createRelayPeers,
     createRelayServer,
@@ -146,7 +146,7 @@
     sharedReachability: parts => createSharedReachability(parts),
     relayPeers: parts => createRelayPeers(parts),
     relayServer: parts => createRelayServer(parts),
-    relayInterceptor: parts => createInterceptor(parts),
+    relayInterceptor: parts => createNodeRelayInterceptor(parts),
     upstreamClient: ({ topics, membership, reachability, relayInterceptor }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
@@ -169,7 +169,7 @@
         }),
     crashWatch: parts => {
         const { clock, journal, quarantine } = parts;
-        return new CrashWatch({ clock, journal, quarantine, isRefusingConnections: createCrashProbe(parts) });
+        return new CrashWatch({ clock, journal, quarantine, isRefusingConnections: createNodeCrashProbe(parts) });
     },
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -4,13 +4,14 @@
 import type { Dispatcher } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import {
+    createCrashProbe,
     createRelayInterceptor,
     Reachability,
     RelayPeers,
     RelayServer,
     SharedReachability,
 } from "../reachability/index.js";
-import { isAcceptingConnections, isRefusingConnections } from "../upstream/index.js";
+import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
 
 /** Creates the knowledge of the pools that this node reaches. */
@@ -51,7 +52,7 @@
 }
 
 /** Creates the interceptor that sends requests to upstreams through other nodes. */
-export function createInterceptor(
+export function createNodeRelayInterceptor(
     { registry, relayPeers, peerClient }: NodeParts,
 ): Dispatcher.DispatcherComposeInterceptor {
     return createRelayInterceptor({
@@ -61,16 +62,9 @@
     });
 }
 
-/**
- * Creates the check for crashed upstreams: the machine refuses connections, while others of the pool accept them. A node that has
- * lost its paths is refused by all, and would blame the requests that they ran.
- */
-export function createCrashProbe({ registry, reachability }: NodeParts): (address: string) => Promise<boolean> {
-    return async address => {
-        const upstream = findUpstream(registry.getAll(), address);
-        return await isRefusingConnections(address)
-            && (upstream === undefined || await reachability.check(upstream.pool, upstream.id));
-    };
+/** Creates the check for crashed upstreams. */
+export function createNodeCrashProbe({ registry, reachability }: NodeParts): (address: string) => Promise<boolean> {
+    return createCrashProbe({ reachability, findUpstream: address => findUpstream(registry.getAll(), address) });
 }
 
 function findUpstream(upstreams: Iterable<RegisteredUpstream>, address: string): RegisteredUpstream | undefined {
