Answer "not run" while the release of an abandoned claim is on its way to the log

Cause, by reading and in memory: an entry that gets no decision on its claim in time answers "not run" and never dispatches, but releases the claim only half a second later, or not at all while the log does not accept it. Until then each reader of the claim sees the key as held and answers the caller's next attempt with 409 unknown, for a call that certainly did not run. A collector cannot tell it from a run in progress, since it has not heard of the release.

Ruled out: a release that is withdrawn (claimants never dispatch after one). The caller's own earlier attempt (it waits for its answer).

Change: the release is sent when the claim is abandoned. A collector that has received one answers claims on that key with the verdict "releasing", as long as the key is free or held by the released claim; nothing is written for them. It writes the release again, as the claimant may be gone. Older peers read the new verdict as no decision.

Before and after: three tests of claims/claimClient fail on (held in place of not run: at the collector, at a third entry that has read the claim, and after the claimant was stopped) and pass now. "releases a claim that it abandoned" relied on the half second before the release; the log refuses the release there instead, with the same expectations.

--- a/src/claims/claimClient.ts
+++ b/src/claims/claimClient.ts
@@ -130,7 +130,8 @@
         if (decided.isErr()) {
             if (decided.error.mayHaveTakenEffect && getPurpose(key) === "run") {
                 this.#options.journal.write(events.claimAbandoned, { request: request.requestId, claim: operation.id });
-                this.#scheduleRetry({ ...operation, kind: "release" }, startedAt);
+                // The collector must know of the release before the caller's next attempt reaches it.
+                void this.#decideWithRetries({ ...operation, kind: "release" });
             }
             return err(decided.error);
         }
@@ -164,12 +165,7 @@
             value: options.value,
             outcome,
         };
-        const startedAt = this.#options.clock.monotonic();
-        const decided = await this.#decide(operation);
-        if (decided.isErr()) {
-            this.#scheduleRetry(operation, startedAt);
-        }
-        return decided.map(() => undefined);
+        return (await this.#decideWithRetries(operation)).map(() => undefined);
     }
 
     /**
@@ -180,12 +176,7 @@
         options: { readonly key: string; readonly claimId: string; readonly value: string; },
     ): Promise<Result<void, Failure>> {
         const operation = { kind: "release", id: options.claimId, key: options.key, value: options.value } as const;
-        const startedAt = this.#options.clock.monotonic();
-        const decided = await this.#decide(operation);
-        if (decided.isErr()) {
-            this.#scheduleRetry(operation, startedAt);
-        }
-        return decided.map(() => undefined);
+        return (await this.#decideWithRetries(operation)).map(() => undefined);
     }
 
     #createVerdict(
@@ -200,6 +191,7 @@
             case "completed":
                 return ok({ kind: decision.verdict, value: decision.value, outcome: decision.outcome });
             case "released":
+            case "releasing":
                 return err(new ClaimFailure(false));
         }
     }
@@ -223,6 +215,16 @@
         return err(new ClaimFailure(local.mayHaveTakenEffect || (remote?.mayHaveTakenEffect ?? false)));
     }
 
+    /** Writes a release or an outcome. Returns after the first attempt; further ones follow when it has failed. */
+    async #decideWithRetries(operation: ClaimOperation): Promise<Result<ClaimDecision, ClaimFailure>> {
+        const startedAt = this.#options.clock.monotonic();
+        const decided = await this.#decide(operation);
+        if (decided.isErr()) {
+            this.#scheduleRetry(operation, startedAt);
+        }
+        return decided;
+    }
+
     /** Retries the write of a release or an outcome until the log confirms it or the retry timeout is over. */
     #scheduleRetry(
         operation: ClaimOperation,
--- a/src/claims/claimOperation.ts
+++ b/src/claims/claimOperation.ts
@@ -31,8 +31,10 @@
      * - `held`: another claim holds the key and has not completed.
      * - `completed`: the claim that holds the key has completed with `outcome`.
      * - `released`: this claim has ended without running and can never be granted again.
+     * - `releasing`: another claim holds the key, but its claimant has released it and the log does not hold the
+     *   release yet. Nothing was written for this claim.
      */
-    readonly verdict: "granted" | "held" | "completed" | "released";
+    readonly verdict: "granted" | "held" | "completed" | "released" | "releasing";
     /** The value that the key is claimed for. */
     readonly value: string;
     readonly outcome?: string;
--- a/src/claims/collector.ts
+++ b/src/claims/collector.ts
@@ -22,6 +22,7 @@
     getPurpose,
 } from "./claimOperation.js";
 import { getClaimsStream, PartitionReader } from "./partitionReader.js";
+import { UnconfirmedReleases } from "./unconfirmedReleases.js";
 
 const defaultBatchMilliseconds = 4;
 const defaultMinAppendIntervalMilliseconds = 40;
@@ -77,6 +78,7 @@
     readonly #createId: () => string;
     /** Pending operations by kind and identifier, since a claim and its release have the same identifier. */
     readonly #pending = new Map<string, PendingOperation[]>();
+    readonly #unconfirmedReleases = new UnconfirmedReleases();
     readonly #queue: PendingOperation[] = [];
     #timer: NodeJS.Timeout | undefined;
     #snapshotTimer: NodeJS.Timeout | undefined;
@@ -129,13 +131,20 @@
      */
     decide(operation: ClaimOperation): Promise<Result<ClaimDecision, ClaimFailure>> {
         this.#lastUsedAt = this.#options.clock.monotonic();
-        const known = this.#decideFromFold(operation);
+        const known = this.#decideFromReleases(operation) ?? this.#decideFromFold(operation);
         if (known !== undefined) {
             return Promise.resolve(ok(known));
         }
         if (this.#isStopped) {
             return Promise.resolve(err(new ClaimFailure(false)));
         }
+        if (operation.kind === "release") {
+            this.#unconfirmedReleases.add(operation);
+        }
+        return this.#enqueue(operation);
+    }
+
+    #enqueue(operation: ClaimOperation): Promise<Result<ClaimDecision, ClaimFailure>> {
         const timeoutMilliseconds = this.#options.decisionTimeoutMilliseconds ?? defaultDecisionTimeoutMilliseconds;
         return new Promise(resolve => {
             const pending: PendingOperation = {
@@ -174,6 +183,26 @@
         return decision.verdict === "granted" ? undefined : decision;
     }
 
+    /**
+     * Answers a claim on a key that its claimant has released, unless the key is known to be held by another claim.
+     *
+     * The releases are written again, as the claimant may be gone before the log accepts them.
+     */
+    #decideFromReleases({ kind, id, key, value }: ClaimOperation): ClaimDecision | undefined {
+        const releases = this.#unconfirmedReleases.get(key);
+        const holding = this.#reader.getFold()?.get(key);
+        const isReleased = holding === undefined || releases.some(release => release.id === holding.id);
+        if (kind !== "claim" || releases.length === 0 || !isReleased || this.#isStopped) {
+            return undefined;
+        }
+        for (const release of releases) {
+            if (!this.#pending.has(getPendingKey("release", release.id))) {
+                void this.#enqueue(release);
+            }
+        }
+        return { kind, id, verdict: "releasing", value };
+    }
+
     /**
      * Answers from a pin that is younger than a fraction of its lifetime, so that it cannot have expired while this
      * fold lagged behind the log.
@@ -194,6 +223,9 @@
 
     #resolveDecided(decisions: readonly ClaimDecision[]): void {
         for (const decision of decisions) {
+            if (decision.kind === "release") {
+                this.#unconfirmedReleases.remove(decision.id);
+            }
             for (const pending of this.#pending.get(getPendingKey(decision.kind, decision.id)) ?? []) {
                 this.#resolve(pending, ok(decision));
             }
--- a/src/claims/peerClaims.ts
+++ b/src/claims/peerClaims.ts
@@ -117,6 +117,7 @@
         case "held":
         case "completed":
         case "released":
+        case "releasing":
             return text;
         default:
             return undefined;
--- a/test/claims/claimClient.test.ts
+++ b/test/claims/claimClient.test.ts
@@ -1,9 +1,15 @@
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
-import { type ClaimVerdict, createRunKey, defaultLifetimes, SessionPins } from "../../src/claims/index.js";
+import {
+    type ClaimVerdict,
+    createRunKey,
+    defaultLifetimes,
+    getPartition,
+    SessionPins,
+} from "../../src/claims/index.js";
 import { RandomSource } from "../../src/common/index.js";
-import type { LogEntry } from "../../src/log/index.js";
-import { type ClaimNode, type ClaimNodeOptions, createClaimNode } from "../fixtures/claimNodes.js";
+import type { LogEntry, LogRecord } from "../../src/log/index.js";
+import { type ClaimNode, type ClaimNodeOptions, claimPartitions, createClaimNode } from "../fixtures/claimNodes.js";
 import { MemoryLog } from "../fixtures/memoryLog.js";
 import { waitUntil } from "../fixtures/waiting.js";
 
@@ -29,6 +35,29 @@
     return verdict;
 }
 
+function isRelease(record: LogRecord): boolean {
+    return JSON.stringify(record.body).includes("\"kind\":\"release\"");
+}
+
+function setLogAvailable(log: MemoryLog, isAvailable: boolean): void {
+    log.decideOutcome = () => isAvailable ? "taken" : "dropped";
+    log.isReadingBlocked = !isAvailable;
+    log.wakeReaders();
+}
+
+/** Returns a function that calls `action` and returns true at its first call, and returns false afterwards. */
+function createOnce(action: () => void): () => boolean {
+    let isDone = false;
+    return () => {
+        if (isDone) {
+            return false;
+        }
+        isDone = true;
+        action();
+        return true;
+    };
+}
+
 function hasAnyRecord(log: MemoryLog): boolean {
     return log.getEntries("claims-0").length + log.getEntries("claims-1").length > 0;
 }
@@ -119,12 +148,77 @@
             log.isReadingBlocked = true;
             expect(await claim(node, "r1")).toEqual(undefined);
             expect(hasAnyRecord(log)).toEqual(true);
+            log.decideOutcome = record => JSON.stringify(record.body).includes("\"release\"") ? "overloaded" : "taken";
             log.isReadingBlocked = false;
             log.wakeReaders();
             expect((await claim(other, "r2"))?.kind).toEqual("held");
+            log.decideOutcome = () => "taken";
+            await waitUntil(async () => (await claim(other, "r3"))?.kind === "granted", "the key is free");
+        });
+
+        // Guards against an unknown outcome of a call that certainly did not run: the collector's answer is lost, and the
+        // log becomes unavailable before the claimant can release its claim.
+        it("refuses the next attempt as not run while the release of an abandoned claim cannot be written", async () => {
+            const log = new MemoryLog();
+            const collector = createNode({ log, name: "collector" });
+            const claimant = createNode({
+                log,
+                name: "claimant",
+                collector,
+                isAnswerLost: createOnce(() => setLogAvailable(log, false)),
+                decisionTimeoutMilliseconds: 100,
+            });
+            const other = createNode({ log, name: "other", collector, decisionTimeoutMilliseconds: 100 });
+            expect(await claim(claimant, "r1")).toEqual(undefined);
+            expect(hasAnyRecord(log)).toEqual(true);
+            expect(await claim(other, "r2")).toEqual(undefined);
+            setLogAvailable(log, true);
             await waitUntil(async () => (await claim(other, "r3"))?.kind === "granted", "the key is free");
         });
 
+        // Guards against an unknown outcome of a call that certainly did not run: the log stops, neither the collector nor
+        // the claimant reads the claim any more, and a third entry has read it.
+        it("refuses the next attempt as not run at an entry that has read the abandoned claim", async () => {
+            const log = new MemoryLog();
+            const deafLog = { append: log.append, follow: () => ({ start: () => {}, stop: () => Promise.resolve() }) };
+            const decisionTimeoutMilliseconds = 100;
+            const collector = createNode({ log: deafLog, name: "collector", decisionTimeoutMilliseconds });
+            const claimant = createNode({ log: deafLog, name: "claimant", collector, decisionTimeoutMilliseconds });
+            const other = createNode({ log, name: "other", collector, decisionTimeoutMilliseconds });
+            const partition = getPartition(key, claimPartitions);
+            other.pool.get(partition);
+            log.decideOutcome = record => isRelease(record) ? "dropped" : "taken";
+            expect(await claim(claimant, "r1")).toEqual(undefined);
+            const isHeldAtOther = async () => {
+                const operation = { kind: "claim", id: "probe", key, value: "probe" } as const;
+                const [local] = await other.pool.decide(partition, [operation]);
+                return local.decision?.verdict === "held";
+            };
+            await waitUntil(isHeldAtOther, "the other entry has read the claim");
+            log.decideOutcome = () => "dropped";
+            expect(await claim(other, "r2")).toEqual(undefined);
+        });
+
+        // Guards against a key that stays held for a day: the claimant is replaced before the log accepts its release.
+        it("writes the release of an abandoned claim when its claimant is gone", async () => {
+            const log = new MemoryLog();
+            const collector = createNode({ log, name: "collector", decisionTimeoutMilliseconds: 100 });
+            const claimant = createNode({
+                log,
+                name: "claimant",
+                collector,
+                isAnswerLost: createOnce(() => setLogAvailable(log, false)),
+                decisionTimeoutMilliseconds: 100,
+            });
+            expect(await claim(claimant, "r1")).toEqual(undefined);
+            await claimant.stop();
+            expect(await claim(collector, "r2")).toEqual(undefined);
+            // The releases that the collector has tried to write so far time out.
+            collector.clock.advance(60_000);
+            setLogAvailable(log, true);
+            await waitUntil(async () => (await claim(collector, "r3"))?.kind === "granted", "the key is free");
+        });
+
         // Guards against lost and repeated runs. If an entry dies before it has written its claim, the next attempt
         // must run. If it dies afterwards, it is unknown whether it dispatched, so the next attempt must neither run
         // nor report that the first one did not.
