--- a/test/proofs/shutdown.test.ts
+++ b/test/proofs/shutdown.test.ts
@@ -62,7 +62,7 @@
         finally {
             await traffic.stop();
         }
-        expect(findUnreportedErrors(traffic.getChats(), traffic.getPrints())).toEqual([]);
+        expectNoUnreportedErrors(proof.site, traffic);
         await expectBilledOnce(
             proof,
             traffic.getChats().map(({ record }) => record),
@@ -176,10 +176,23 @@
             await waitForChats(traffic);
         }
         await traffic.stop();
-        expect(findUnreportedErrors(traffic.getChats(), traffic.getPrints())).toEqual([]);
+        expectNoUnreportedErrors(proof.site, traffic);
     });
 });
 
+/** Checks that callers got no unreported errors. The message also lists what the entries wrote about claims. */
+function expectNoUnreportedErrors(site: Site, traffic: Traffic): void {
+    const errors = findUnreportedErrors(traffic.getChats(), traffic.getPrints());
+    if (errors.length === 0) {
+        return;
+    }
+    const claimEvents = site.getEntries()
+        .flatMap(entry => entry.process.getEvents())
+        .filter(event => event.name.startsWith("claim"))
+        .map(event => JSON.stringify(event));
+    throw new Error([...errors, ...claimEvents].join("\n"));
+}
+
 /** Marks an upstream as leaving, stops it by two signals once it gets no new work, and returns its runs. */
 async function stopLeavingUpstream(site: Site, name: string) {
     const upstream = site.getUpstreamOrThrow(name);
