--- a/src/claims/collector.ts
+++ b/src/claims/collector.ts
@@ -22,6 +22,7 @@
     getPurpose,
 } from "./claimOperation.js";
 import { getClaimsStream, PartitionReader } from "./partitionReader.js";
+import { SnapshotWriter } from "./snapshotWriter.js";
 import { UnconfirmedReleases } from "./unconfirmedReleases.js";
 
 const defaultBatchMilliseconds = 4;
@@ -32,12 +33,8 @@
 const pinRenewalAgeFraction = 0.5;
 /** A pin that could not be renewed remains usable up to this fraction of its lifetime. */
 const maxPinAgeFraction = 0.75;
-const maxSnapshotAttempts = 5;
 const maxOperationsPerRecord = 500;
 const maxBytesPerRecord = 200_000;
-const maxSnapshotItemsPerPart = 1_000;
-const maxSnapshotBytesPerPart = 150_000;
-const defaultSnapshotIntervalMilliseconds = 15 * 60_000;
 
 /** Options of a collector. */
 export interface CollectorOptions {
@@ -75,13 +72,13 @@
 export class Collector {
     readonly #options: CollectorOptions;
     readonly #reader: PartitionReader;
+    readonly #snapshots: SnapshotWriter;
     readonly #createId: () => string;
     /** Pending operations by kind and identifier, since a claim and its release have the same identifier. */
     readonly #pending = new Map<string, PendingOperation[]>();
     readonly #unconfirmedReleases = new UnconfirmedReleases();
     readonly #queue: PendingOperation[] = [];
     #timer: NodeJS.Timeout | undefined;
-    #snapshotTimer: NodeJS.Timeout | undefined;
     #isAppending = false;
     #lastAppendAt = Number.NEGATIVE_INFINITY;
     #lastUsedAt: number;
@@ -99,21 +96,27 @@
             lifetimes: options.lifetimes ?? defaultLifetimes,
             onDecisions: decisions => this.#resolveDecided(decisions),
         });
+        this.#snapshots = new SnapshotWriter({
+            reader: this.#reader,
+            createId: this.#createId,
+            createRecord: part => this.#createRecord(claimsSnapshotKind, part),
+            append: record => this.#appendOrWait(record),
+            isDesignated: options.isDesignated,
+            intervalMilliseconds: options.snapshotIntervalMilliseconds,
+        });
     }
 
     /** Starts following the partition. */
     start(): void {
         this.#reader.start();
-        const interval = this.#options.snapshotIntervalMilliseconds ?? defaultSnapshotIntervalMilliseconds;
-        this.#snapshotTimer ??= setInterval(() => void this.#writeSnapshotWhenDue(), interval / 4);
-        this.#snapshotTimer.unref();
+        this.#snapshots.start();
     }
 
     /** Stops following the partition. Pending operations fail as unavailable. */
     async stop(): Promise<void> {
         this.#isStopped = true;
         clearTimeout(this.#timer);
-        clearInterval(this.#snapshotTimer);
+        this.#snapshots.stop();
         for (const pending of [...this.#pending.values()].flat()) {
             this.#resolve(pending, err(new ClaimFailure(pending.mayHaveTakenEffect)));
         }
@@ -329,31 +332,13 @@
         return pending.isDone || this.#options.clock.monotonic() >= pending.deadline;
     }
 
-    async #writeSnapshotWhenDue(): Promise<void> {
-        const fold = this.#reader.getFold();
-        const interval = this.#options.snapshotIntervalMilliseconds ?? defaultSnapshotIntervalMilliseconds;
-        const isDesignated = this.#options.isDesignated?.() ?? true;
-        if (fold === undefined || fold.getOffset() < 0 || !isDesignated || this.#reader.getSnapshotAge() < interval) {
-            return;
-        }
-        const parts = fold.createSnapshot(this.#createId(), maxSnapshotItemsPerPart, maxSnapshotBytesPerPart);
-        for (const part of parts) {
-            if (!await this.#appendPart(this.#createRecord(claimsSnapshotKind, part))) {
-                // The next interval writes a complete new snapshot; readers ignore an incomplete one.
-                return;
-            }
-        }
-    }
-
-    async #appendPart(record: LogRecord): Promise<boolean> {
-        for (let attempt = 0; attempt < maxSnapshotAttempts && !this.#isStopped; attempt += 1) {
-            const appended = await this.#options.append(getClaimsStream(this.#options.partition), record);
-            if (appended.isOk()) {
-                return true;
-            }
+    /** Appends a record once. Waits after a failure, so that the caller may repeat it. */
+    async #appendOrWait(record: LogRecord): Promise<boolean> {
+        const appended = await this.#options.append(getClaimsStream(this.#options.partition), record);
+        if (appended.isErr()) {
             await this.#waitBeforeRetry(appended.error);
         }
-        return false;
+        return appended.isOk();
     }
 
     #createRecord(kind: string, body: unknown): LogRecord {
--- a/test/claims/claimClient.test.ts
+++ b/test/claims/claimClient.test.ts
@@ -1,12 +1,6 @@
 import { expect } from "earl";
 import { afterEach, describe, it } from "node:test";
-import {
-    type ClaimVerdict,
-    createRunKey,
-    defaultLifetimes,
-    getPartition,
-    SessionPins,
-} from "../../src/claims/index.js";
+import { type ClaimVerdict, createRunKey, defaultLifetimes, getPartition } from "../../src/claims/index.js";
 import { RandomSource } from "../../src/common/index.js";
 import type { LogEntry, LogRecord } from "../../src/log/index.js";
 import { type ClaimNode, type ClaimNodeOptions, claimPartitions, createClaimNode } from "../fixtures/claimNodes.js";
@@ -45,17 +39,23 @@
     log.wakeReaders();
 }
 
-/** Returns a function that calls `action` and returns true at its first call, and returns false afterwards. */
-function createOnce(action: () => void): () => boolean {
-    let isDone = false;
-    return () => {
-        if (isDone) {
-            return false;
-        }
-        isDone = true;
-        action();
-        return true;
-    };
+/** Creates a node that does not receive the collector's answer to its claim, after which nobody reaches the log. */
+function createClaimantThatLosesLog(log: MemoryLog, collector: ClaimNode): ClaimNode {
+    let isLost = false;
+    return createNode({
+        log,
+        name: "claimant",
+        collector,
+        isAnswerLost: () => {
+            if (isLost) {
+                return false;
+            }
+            isLost = true;
+            setLogAvailable(log, false);
+            return true;
+        },
+        decisionTimeoutMilliseconds: 100,
+    });
 }
 
 function hasAnyRecord(log: MemoryLog): boolean {
@@ -161,13 +161,7 @@
         it("refuses the next attempt as not run while the release of an abandoned claim cannot be written", async () => {
             const log = new MemoryLog();
             const collector = createNode({ log, name: "collector" });
-            const claimant = createNode({
-                log,
-                name: "claimant",
-                collector,
-                isAnswerLost: createOnce(() => setLogAvailable(log, false)),
-                decisionTimeoutMilliseconds: 100,
-            });
+            const claimant = createClaimantThatLosesLog(log, collector);
             const other = createNode({ log, name: "other", collector, decisionTimeoutMilliseconds: 100 });
             expect(await claim(claimant, "r1")).toEqual(undefined);
             expect(hasAnyRecord(log)).toEqual(true);
@@ -203,13 +197,7 @@
         it("writes the release of an abandoned claim when its claimant is gone", async () => {
             const log = new MemoryLog();
             const collector = createNode({ log, name: "collector", decisionTimeoutMilliseconds: 100 });
-            const claimant = createNode({
-                log,
-                name: "claimant",
-                collector,
-                isAnswerLost: createOnce(() => setLogAvailable(log, false)),
-                decisionTimeoutMilliseconds: 100,
-            });
+            const claimant = createClaimantThatLosesLog(log, collector);
             expect(await claim(claimant, "r1")).toEqual(undefined);
             await claimant.stop();
             expect(await claim(collector, "r2")).toEqual(undefined);
@@ -386,40 +374,3 @@
         });
     });
 });
-
-describe("SessionPins", () => {
-    describe("pin", () => {
-        // Guards against a session that changes its version: two first requests of a conversation arrive at two entries
-        // that propose different versions, and both must be answered from the same one.
-        it("returns the same version at both entries", async () => {
-            const log = new MemoryLog();
-            const pins = ["a", "b"].map(name => new SessionPins(createNode({ log, name }).client));
-            const request = { workspace: "agenzia", session: "bench-1", requestId: "r" };
-            const versions = await Promise.all([
-                pins[0].pin({ ...request, proposal: "plan@1" }),
-                pins[1].pin({ ...request, proposal: "plan@2" }),
-            ]);
-            expect(versions[0]._unsafeUnwrap()).toEqual(versions[1]._unsafeUnwrap());
-            await Promise.all(nodes.splice(0).map(node => node.stop()));
-        });
-
-        // Guards against lost and changed sessions: the log is unavailable, and the pin is so old that its next use
-        // would renew it. The session must continue with its version, but not with a pin that may have expired without
-        // notice.
-        it("continues with a known pin while the log is unavailable, as long as the pin cannot have expired", async () => {
-            const hour = 3_600_000;
-            for (const [age, isKnown] of [[10 * hour, true], [40 * hour, true], [60 * hour, false]] as const) {
-                const log = new MemoryLog();
-                const node = createNode({ log, decisionTimeoutMilliseconds: 50 });
-                const pins = new SessionPins(node.client);
-                const request = { workspace: "agenzia", session: "bench-1", requestId: "r" };
-                await pins.pin({ ...request, proposal: "plan@1" });
-                log.decideOutcome = () => "dropped";
-                node.clock.advance(age);
-                const pinned = await pins.pin({ ...request, proposal: "plan@2" });
-                expect(pinned.unwrapOr("unavailable")).toEqual(isKnown ? "plan@1" : "unavailable");
-                await Promise.all(nodes.splice(0).map(stopped => stopped.stop()));
-            }
-        });
-    });
-});
