Probe more upstreams before a node counts a pool as unreachable

Cause of a part of it at least: a node called a pool unreachable when three upstreams, drawn at random, failed. With half of a large pool crashed that is one check in eight, and each failed connection leads to a check. Nodes then tell all by urgent gossip, drop their connections and forward through each other. So the mechanism of the incident's mend took a crash of many for a loss of its own paths.

Ruled out: judging by refused connections alone (a cut refuses them too, says the users' news), or by data that still arrives (old connections may live on in a cut).

Change: when the first three fail, nine more are probed, or all that there are; all must fail. A probe of an unreachable pool stays at three.

--- a/src/reachability/reachability.ts
+++ b/src/reachability/reachability.ts
@@ -14,8 +14,13 @@
     readonly address: string;
 }
 
-/** Upstreams that are probed at once. All must fail for the pool to count as unreachable. */
+/** Upstreams that are probed at once. */
 const probesPerCheck = 3;
+/**
+ * Further upstreams that are probed before a pool counts as unreachable. All must fail, as well as the first. When many upstreams of
+ * a pool have crashed, the first few often fail at all nodes.
+ */
+const confirmingProbes = 9;
 /** Connections that must be accepted, in rounds without a round of failures, for an unreachable pool to count as reachable again. */
 const minAccepted = 2;
 const tickMilliseconds = 250;
@@ -167,12 +172,14 @@
 
     async #check(pool: string, state: PoolState, excluded: string | undefined): Promise<boolean> {
         const upstreams = this.#options.getUpstreams(pool).filter(({ id }) => id !== excluded);
-        const probed = this.#choose(upstreams);
-        if (probed.length === 0) {
+        if (upstreams.length === 0) {
             return !state.isUnreachable;
         }
-        const results = await Promise.all(probed.map(({ address }) => this.#options.probe(address)));
-        const accepting = results.filter(isOpen => isOpen).length;
+        const chosen = this.#choose(upstreams);
+        let accepting = await this.#countAccepting(chosen.slice(0, probesPerCheck));
+        if (accepting === 0 && !state.isUnreachable) {
+            accepting = await this.#countAccepting(chosen.slice(probesPerCheck));
+        }
         if (accepting > 0) {
             this.markSeen(pool);
         }
@@ -181,11 +188,17 @@
         return !state.isUnreachable;
     }
 
-    /** Chooses the upstreams to probe, at random. */
+    /** Probes upstreams and returns how many accept a connection. */
+    async #countAccepting(upstreams: readonly ReachableUpstream[]): Promise<number> {
+        const results = await Promise.all(upstreams.map(({ address }) => this.#options.probe(address)));
+        return results.filter(isOpen => isOpen).length;
+    }
+
+    /** Chooses the upstreams to probe, at random and in the order of probing. */
     #choose(upstreams: readonly ReachableUpstream[]): readonly ReachableUpstream[] {
         const left = [...upstreams];
         const chosen: ReachableUpstream[] = [];
-        while (chosen.length < probesPerCheck && left.length > 0) {
+        while (chosen.length < probesPerCheck + confirmingProbes && left.length > 0) {
             chosen.push(...left.splice(this.#options.random.nextInteger(left.length), 1));
         }
         return chosen;
--- a/test/reachability/reachability.test.ts
+++ b/test/reachability/reachability.test.ts
@@ -47,6 +47,24 @@
         expect(reachability.isUnreachable("first")).toEqual(false);
     });
 
+    // Guards against nodes that all take a crash of many upstreams for a loss of their own paths, and forward requests to each other.
+    it("is kept while half of a large pool refuses connections", async () => {
+        const { reachability, clock, closed, settle } = createReachability(64);
+        for (let index = 0; index < 64; index += 2) {
+            closed.add(`first:${index}`);
+        }
+        let lost = 0;
+        for (let round = 0; round < 500; round += 1) {
+            reachability.addConnectFailure("first");
+            await settle();
+            lost += reachability.isUnreachable("first") ? 1 : 0;
+            clock.advance(250);
+            reachability.tick();
+            await settle();
+        }
+        expect(lost).toEqual(0);
+    });
+
     it("is lost when connections to several upstreams fail, and then all pools are checked", async () => {
         const { reachability, lines, close, settle } = createReachability(5);
         close("first");
