--- a/test/claims/claimClient.test.ts
+++ b/test/claims/claimClient.test.ts
@@ -174,10 +174,18 @@
         // the claimant reads the claim any more, and a third entry has read it.
         it("refuses the next attempt as not run at an entry that has read the abandoned claim", async () => {
             const log = new MemoryLog();
-            const deafLog = { append: log.append, follow: () => ({ start: () => {}, stop: () => Promise.resolve() }) };
+            const unreadableLog = {
+                append: log.append,
+                follow: () => ({ start: () => {}, stop: () => Promise.resolve() }),
+            };
             const decisionTimeoutMilliseconds = 100;
-            const collector = createNode({ log: deafLog, name: "collector", decisionTimeoutMilliseconds });
-            const claimant = createNode({ log: deafLog, name: "claimant", collector, decisionTimeoutMilliseconds });
+            const collector = createNode({ log: unreadableLog, name: "collector", decisionTimeoutMilliseconds });
+            const claimant = createNode({
+                log: unreadableLog,
+                name: "claimant",
+                collector,
+                decisionTimeoutMilliseconds,
+            });
             const other = createNode({ log, name: "other", collector, decisionTimeoutMilliseconds });
             const partition = getPartition(key, claimPartitions);
             other.pool.get(partition);
