Read and log what answers say about leaving and rest

Nothing decides by what is read yet.

Events 409 (with its source), 433 and 434, and the gauge rattanlock_resting_upstreams. What an answer states is one type now, in place of the same fields in three.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -29,7 +29,12 @@
         "An engine ran a different version than requested; its answer was discarded.",
     ),
     claimHeldElsewhere: define(408, "claim-held-elsewhere", "info", "An idempotency key belongs to another request."),
-    upstreamLeaving: define(409, "upstream-leaving", "info", "An upstream announced that it is leaving the site."),
+    upstreamLeaving: define(
+        409,
+        "upstream-leaving",
+        "info",
+        "An upstream announced that it is leaving the site, or another one uses its address; it gets no more requests.",
+    ),
     billsLeftBehind: define(
         410,
         "bills-left-behind",
@@ -109,6 +114,18 @@
         "An upstream states that it takes only the given number of requests a second from all nodes together.",
     ),
     upstreamUnlimited: define(432, "upstream-unlimited", "info", "An upstream no longer states a limit of requests."),
+    upstreamResting: define(
+        433,
+        "upstream-resting",
+        "warning",
+        "An upstream that rejected a request asks this node to send it nothing for the given time.",
+    ),
+    restUnreadable: define(
+        434,
+        "rest-unreadable",
+        "warning",
+        "An upstream that rejected a request asks for rest with a value that cannot be read; it is ignored.",
+    ),
     rolloutMoved: define(
         440,
         "rollout-moved",
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -84,6 +84,11 @@
             help: "Upstreams that state how many rejections in a second they bear before they fail.",
             registers,
         }),
+        restingUpstreams: new Gauge({
+            name: "rattanlock_resting_upstreams",
+            help: "Upstreams that have asked this node for rest which is not over.",
+            registers,
+        }),
         unreachablePools: new Gauge({
             name: "rattanlock_unreachable_pools",
             help: "Pools of which this node can connect to no upstream.",
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -29,15 +29,8 @@
     readonly slots: number;
 }
 
-/** The head of an upstream's answer. */
-export interface UpstreamAnswer {
-    readonly status: number;
-    /** Headers for the caller, as a flat list of names and values. */
-    readonly headers: readonly string[];
-    /** Whether the answer carries the upstream's seal, which proves that the upstream itself produced it. */
-    readonly isSealed: boolean;
-    /** The model's confidence in its answer, 0 to 100. */
-    readonly confidence: number | undefined;
+/** What the head of an answer or of a refusal states of its upstream. */
+export interface UpstreamStatement {
     readonly load: ReportedLoad | undefined;
     /**
      * Requests a second that the upstream takes from all nodes together; infinity if a success states no limit, undefined if the
@@ -46,6 +39,23 @@
     readonly requestsPerSecond: number | undefined;
     /** Rejections a second that the upstream bears; stated in the same way. */
     readonly rejectionsPerSecond: number | undefined;
+    /** Whether the upstream is about to leave, and wants no further requests of any node. */
+    readonly isLeaving: boolean;
+    /** Time for which the upstream wants no requests from the node that it answered. */
+    readonly restMilliseconds: number | undefined;
+    /** The value with which the upstream asks for rest, if it cannot be read. */
+    readonly unreadableRest: string | undefined;
+}
+
+/** The head of an upstream's answer. */
+export interface UpstreamAnswer extends UpstreamStatement {
+    readonly status: number;
+    /** Headers for the caller, as a flat list of names and values. */
+    readonly headers: readonly string[];
+    /** Whether the answer carries the upstream's seal, which proves that the upstream itself produced it. */
+    readonly isSealed: boolean;
+    /** The model's confidence in its answer, 0 to 100. */
+    readonly confidence: number | undefined;
     /**
      * Whether a complete body can be distinguished from a truncated one. An answer without a length ends with its connection, and
      * one whose upstream failed looks the same. The router must not present such an answer as complete.
@@ -64,16 +74,11 @@
  */
 export type UpstreamFailureKind = TransportFailureKind | "refused" | "replaced";
 
-/** A failed call. */
-export interface UpstreamCallFailure {
+/** A failed call, with what a refusal states of its upstream. */
+export interface UpstreamCallFailure extends Partial<UpstreamStatement> {
     readonly kind: UpstreamFailureKind;
     /** Reason for log lines. */
     readonly reason: string;
-    readonly load?: ReportedLoad;
-    /** Requests a second that the upstream takes from all nodes together, if a refusal states them. */
-    readonly requestsPerSecond?: number;
-    /** Rejections a second that the upstream bears, if a refusal states them. */
-    readonly rejectionsPerSecond?: number;
 }
 
 /** Calls upstreams. */
--- a/src/forwarding/upstreamObserver.ts
+++ b/src/forwarding/upstreamObserver.ts
@@ -2,16 +2,16 @@
  * Records what answers and refusals state of their upstreams.
  */
 import type { RejectionLimit, UpstreamPicker } from "../decisions/index.js";
-import type { RegisteredUpstream } from "../fleet/index.js";
+import { events, type Journal } from "../events/index.js";
+import type { Announcements, RegisteredUpstream } from "../fleet/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
 import type { Reachability } from "../reachability/index.js";
-import type { UpstreamAnswer, UpstreamCallFailure } from "./upstreamCall.js";
-
-/** What an answer or a refusal states of its upstream. */
-type UpstreamStatement = Pick<UpstreamCallFailure, "load" | "requestsPerSecond" | "rejectionsPerSecond">;
+import type { UpstreamAnswer, UpstreamCallFailure, UpstreamStatement } from "./upstreamCall.js";
 
 /** Options of `UpstreamObserver`. */
 export interface UpstreamObserverOptions {
+    readonly journal: Journal;
+    readonly announcements: Pick<Announcements, "observe">;
     readonly picker: Pick<UpstreamPicker, "addLoadReport" | "markSeen">;
     /** Learns which pools answer. */
     readonly reachability: Pick<Reachability, "startCall" | "markSeen">;
@@ -67,13 +67,31 @@
         this.#observe(upstream, failure, { sentAt, isRejection: failure.kind === "refused" });
     }
 
+    /**
+     * Records what an answer says about further requests, also one to a request that this node forwarded for another one.
+     * @param upstream - The upstream.
+     * @param statement - What the head of the answer states.
+     */
+    observeAnnouncement(
+        upstream: RegisteredUpstream,
+        { isLeaving = false, restMilliseconds, unreadableRest }: Partial<UpstreamStatement>,
+    ): void {
+        const { announcements, journal } = this.#options;
+        announcements.observe(upstream, { isLeaving, restMilliseconds });
+        if (unreadableRest !== undefined) {
+            journal.write(events.restUnreadable, { upstream: upstream.id, value: unreadableRest });
+        }
+    }
+
     #observe(
         upstream: RegisteredUpstream,
-        { load, requestsPerSecond, rejectionsPerSecond }: UpstreamStatement,
+        statement: Partial<UpstreamStatement>,
         { sentAt, isRejection }: { readonly sentAt: number; readonly isRejection: boolean; },
     ): void {
         const { picker, rateLimits, rejectionLimit } = this.#options;
         const { id, pool } = upstream;
+        const { load, requestsPerSecond, rejectionsPerSecond } = statement;
+        this.observeAnnouncement(upstream, statement);
         const report = load && { requests: load.running + load.waiting, slots: load.slots };
         if (requestsPerSecond !== undefined) {
             rateLimits.observe({ upstream: id, requestsPerSecond, sentAt });
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -66,8 +66,9 @@
     });
 }
 
-function createObserver({ picker, reachability, rateLimits, rejectionLimit }: NodeParts): UpstreamObserver {
-    return new UpstreamObserver({ picker, reachability, rateLimits, rejectionLimit });
+function createObserver(parts: NodeParts): UpstreamObserver {
+    const { journal, announcements, picker, reachability, rateLimits, rejectionLimit } = parts;
+    return new UpstreamObserver({ journal, announcements, picker, reachability, rateLimits, rejectionLimit });
 }
 
 /** Creates the retry budgets of all pools. */
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -5,7 +5,7 @@
 import { RandomSource, SuspensionClock, systemClock } from "../common/index.js";
 import { getConnectionShare, UpstreamPicker } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
-import { UpstreamRegistry } from "../fleet/index.js";
+import { Announcements, UpstreamRegistry } from "../fleet/index.js";
 import { createForwardingMetrics, Forwarder, Shutdown } from "../forwarding/index.js";
 import {
     chooseAddresses,
@@ -108,6 +108,7 @@
             getRollouts: () => parts.rollouts,
         }),
     writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
+    announcements: ({ clock, journal }) => new Announcements({ clock, journal }),
     registry: ({ clock }) => new UpstreamRegistry(clock),
     peerClient: () => new PeerClient(),
     peerServer: parts => {
--- a/src/platform/nodeMetrics.ts
+++ b/src/platform/nodeMetrics.ts
@@ -6,7 +6,7 @@
 /** Returns the metrics as text, after updating those that are sampled on each scrape. */
 export async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
     const { metrics, topics, forwarder, membership, registry, rateLimits, quarantine, lineWriter } = parts;
-    const { reachability, rejectionLimit } = parts;
+    const { announcements, reachability, rejectionLimit } = parts;
     metrics.inFlight.set(forwarder.getInFlight());
     metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
     metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
@@ -15,6 +15,7 @@
     metrics.warmingUpstreams.set(registry.warmUps.count());
     metrics.limitedUpstreams.set(rateLimits.count());
     metrics.rejectionLimitedUpstreams.set(rejectionLimit.count());
+    metrics.restingUpstreams.set(announcements.countResting());
     metrics.unreachablePools.set(reachability.getUnreachable().length);
     metrics.evacuatedDomains.set(registry.countEvacuations());
     metrics.quarantined.set(quarantine.countQuarantined());
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -11,7 +11,7 @@
     WindowedRetryBudget,
 } from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
-import type { UpstreamRegistry } from "../fleet/index.js";
+import type { Announcements, UpstreamRegistry } from "../fleet/index.js";
 import type { Attempts, Forwarder, ForwardingMetrics, Shutdown } from "../forwarding/index.js";
 import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
@@ -43,6 +43,7 @@
     readonly store: StoreClient;
     readonly writer: StatusWriter;
     readonly topics: PlatformTopics;
+    readonly announcements: Announcements;
     readonly registry: UpstreamRegistry;
     readonly peerClient: PeerClient;
     readonly peerServer: PeerServer;
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -4,17 +4,11 @@
 import { err, ok, type Result } from "neverthrow";
 import { buildConnector, type Dispatcher, errors, Pool } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import type {
-    ReportedLoad,
-    UpstreamAnswer,
-    UpstreamCall,
-    UpstreamCallFailure,
-    UpstreamTransport,
-} from "../forwarding/index.js";
-import { readStatedRate } from "../ratelimits/index.js";
+import type { UpstreamAnswer, UpstreamCall, UpstreamCallFailure, UpstreamTransport } from "../forwarding/index.js";
 import { hasFraming, type RelayTarget } from "../reachability/index.js";
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
+import { readStatement } from "./readStatement.js";
 import { headerNames } from "./wire.js";
 
 /** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
@@ -221,13 +215,11 @@
     resets: ResetTracker,
 ): Result<UpstreamAnswer, UpstreamCallFailure> {
     const raw = response.headers as unknown as readonly string[];
-    const load = readLoad(raw);
-    const requestsPerSecond = readStatedRate(findHeader(raw, headerNames.rateLimit), response.statusCode);
-    const rejectionsPerSecond = readStatedRate(findHeader(raw, headerNames.rejectionLimit), response.statusCode);
+    const statement = readStatement(raw, response.statusCode);
     const echoedId = findHeader(raw, headerNames.requestId);
     const fail = (kind: UpstreamCallFailure["kind"], reason: string): Result<never, UpstreamCallFailure> => {
         discard(response);
-        return err({ kind, reason, load, requestsPerSecond, rejectionsPerSecond });
+        return err({ kind, reason, ...statement });
     };
     if (echoedId !== undefined && echoedId !== call.request.id) {
         // This is a late answer to an earlier request on the connection. What follows on it cannot be attributed to a request.
@@ -255,9 +247,7 @@
         headers: pickAnswerHeaders(raw),
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
-        load,
-        requestsPerSecond,
-        rejectionsPerSecond,
+        ...statement,
         hasKnownEnd: hasFraming(raw),
         body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
     });
@@ -278,15 +268,6 @@
     });
 }
 
-function readLoad(raw: readonly string[]): ReportedLoad | undefined {
-    const numbers = (findHeader(raw, headerNames.load) ?? "").split(",").map(Number);
-    if (numbers.length !== 3 || !numbers.every(number => Number.isFinite(number) && number >= 0)) {
-        return undefined;
-    }
-    const [running, waiting, slots] = numbers;
-    return { running, waiting, slots };
-}
-
 /** Closes idle connections now and the others when their answers end. */
 function closeIgnoringErrors(pool: Pool): void {
     pool.close().catch(() => {
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -21,6 +21,8 @@
     /** Requests that the runner can turn away in a second without falling over. */
     rejectionLimit: "server-brittle",
     retryAfter: "retry-after",
+    /** Whether the runner is about to leave. */
+    leaving: "server-leaving",
     model: "model",
     /** Prompt tokens and maximum output tokens, as `IN,OUT`. */
     tokens: "token-count",
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -5,6 +5,7 @@
 export * from "./engineStream.js";
 export * from "./rateObserver.js";
 export * from "./ratingClient.js";
+export * from "./rest.js";
 export * from "./serviceClient.js";
 export * from "./upstreamConnector.js";
 export * from "./upstreamFailure.js";
