Send nothing to upstreams that have said that they leave

What callers saw: requests served by, or cut off at, upstreams that had said up to 12 s before that they leave.

Cause: a node learned that an upstream leaves from the registry alone, and that comes late while the store is unavailable.

Change: the announcement is kept beside the records, for one life of the upstream (identifier, address, start), and the registry asks it for each of its answers. So it holds on every way, since all of them choose among what the registry offers: first and further attempts, resumed streams, pinned sessions, the last resort to ejected upstreams. Three ways did not ask at the moment of sending, and do now: requests that waited for a connection in the HTTP library (they wait in upstreamConnections and are withdrawn at once; evacuated and removed upstreams are concerned too), requests that a node forwards for another one (it reads the announcement itself), and records that come back with an older word, also after a 421 said that another upstream has the address. An answer to another request on the connection counts; one of another upstream at the address does not.

--- a/src/fleet/announcements.ts
+++ b/src/fleet/announcements.ts
@@ -45,11 +45,20 @@
     readonly #options: AnnouncementsOptions;
     /** By identifier of the upstream, the newest at the end. */
     readonly #known = new Map<string, KnownIncarnation>();
+    readonly #listeners: (() => void)[] = [];
 
     constructor(options: AnnouncementsOptions) {
         this.#options = options;
     }
 
+    /**
+     * Adds a listener for upstreams that may no longer receive requests.
+     * @param listener - Called after each such announcement.
+     */
+    onChange(listener: () => void): void {
+        this.#listeners.push(listener);
+    }
+
     /**
      * Records what an answer announces.
      * @param upstream - The upstream.
@@ -76,6 +85,7 @@
         }
         known.isLeaving = true;
         this.#options.journal.write(events.upstreamLeaving, { upstream: upstream.id, source });
+        this.#notify();
     }
 
     /** Returns whether an upstream has announced that it leaves. */
@@ -99,6 +109,12 @@
         return [...this.#known.values()].filter(({ restEndsAt = now }) => restEndsAt > now).length;
     }
 
+    #notify(): void {
+        for (const listener of this.#listeners) {
+            listener();
+        }
+    }
+
     /** A shorter rest does not end a longer one, which the upstream was promised. */
     #addRest(upstream: UpstreamIncarnation, milliseconds: number): void {
         const known = this.#getOrAdd(upstream);
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -2,6 +2,7 @@
  * Registry of the upstreams that may receive requests.
  */
 import type { Clock } from "../common/index.js";
+import type { Announcements } from "./announcements.js";
 import { Evacuations } from "./evacuations.js";
 import type { RegisteredUpstream } from "./upstream.js";
 import { WarmUps } from "./warmUps.js";
@@ -15,14 +16,22 @@
     readonly warmUps: WarmUps;
     readonly #evacuations: Evacuations;
     readonly #clock: Clock;
+    readonly #announcements: Announcements;
     readonly #upstreams = new Map<string, RegisteredUpstream>();
     /** Monotonic times until which removed upstreams still count as registered. */
     readonly #expiryTimes = new Map<string, number>();
     readonly #removalListeners: UpstreamListener[] = [];
+    readonly #changeListeners: (() => void)[] = [];
     #byPool: ReadonlyMap<string, readonly RegisteredUpstream[]> | undefined;
 
-    constructor(clock: Clock) {
+    /**
+     * @param clock - The clock of expiry times.
+     * @param announcements - What the upstreams themselves say, which counts beside their records.
+     */
+    constructor(clock: Clock, announcements: Announcements) {
         this.#clock = clock;
+        this.#announcements = announcements;
+        announcements.onChange(() => this.#handleChange());
         this.warmUps = new WarmUps(clock);
         this.#evacuations = new Evacuations(clock);
     }
@@ -35,6 +44,14 @@
         this.#removalListeners.push(listener);
     }
 
+    /**
+     * Adds a listener for changes of the upstreams that accept requests.
+     * @param listener - Called after each change.
+     */
+    onChange(listener: () => void): void {
+        this.#changeListeners.push(listener);
+    }
+
     /**
      * Adds or replaces an upstream.
      * @param upstream - The registered upstream.
@@ -47,7 +64,7 @@
         this.#upstreams.set(upstream.id, upstream);
         this.#expiryTimes.delete(upstream.id);
         this.warmUps.set(upstream.id, upstream.warmUpMilliseconds);
-        this.#byPool = undefined;
+        this.#handleChange();
     }
 
     /**
@@ -61,7 +78,7 @@
         if (known === undefined) {
             return;
         }
-        if (graceMilliseconds > 0 && !known.isLeaving) {
+        if (graceMilliseconds > 0 && !this.#isLeaving(known)) {
             this.#expiryTimes.set(id, this.#clock.monotonic() + graceMilliseconds);
             return;
         }
@@ -69,14 +86,13 @@
     }
 
     /**
-     * Marks an upstream as leaving before its record shows it, for example after a call that found it replaced.
+     * Marks an upstream as leaving before its record shows it, after a call that found it replaced.
      * @param id - The upstream's identifier.
      */
     markLeaving(id: string): void {
         const known = this.#upstreams.get(id);
-        if (known !== undefined && !known.isLeaving) {
-            this.#upstreams.set(id, { ...known, isLeaving: true });
-            this.#byPool = undefined;
+        if (known !== undefined) {
+            this.#announcements.markLeaving(known, "replaced");
         }
     }
 
@@ -85,8 +101,9 @@
      * @returns Whether the domain was not evacuated before.
      */
     evacuate(failureDomain: string): boolean {
-        this.#byPool = undefined;
-        return this.#evacuations.add(failureDomain);
+        const isNew = this.#evacuations.add(failureDomain);
+        this.#handleChange();
+        return isNew;
     }
 
     /**
@@ -101,7 +118,7 @@
         if (duration === undefined) {
             return undefined;
         }
-        this.#byPool = undefined;
+        this.#handleChange();
         for (const upstream of this.#upstreams.values()) {
             const warmUpMilliseconds = getWarmUpMilliseconds(upstream.pool);
             if (upstream.failureDomain === failureDomain && warmUpMilliseconds > 0) {
@@ -140,12 +157,33 @@
         return this.#byPool.get(pool) ?? [];
     }
 
+    /** Returns whether an upstream, as it was registered when a request was placed, still accepts requests. */
+    isAvailable(upstream: RegisteredUpstream): boolean {
+        const known = this.#upstreams.get(upstream.id);
+        return known !== undefined && !wasRestarted(known, upstream) && this.#acceptsRequests(known);
+    }
+
     /** Returns the names of the pools with upstreams that accept requests. */
     getPools(): Iterable<string> {
         this.#byPool ??= this.#groupByPool();
         return this.#byPool.keys();
     }
 
+    #acceptsRequests(upstream: RegisteredUpstream): boolean {
+        return !this.#isLeaving(upstream) && !this.#evacuations.has(upstream.failureDomain);
+    }
+
+    #isLeaving(upstream: RegisteredUpstream): boolean {
+        return upstream.isLeaving || this.#announcements.isLeaving(upstream);
+    }
+
+    #handleChange(): void {
+        this.#byPool = undefined;
+        for (const listener of this.#changeListeners) {
+            listener();
+        }
+    }
+
     #removeExpired(): void {
         const now = this.#clock.monotonic();
         for (const [id, until] of this.#expiryTimes) {
@@ -160,7 +198,7 @@
         this.#upstreams.delete(upstream.id);
         this.#expiryTimes.delete(upstream.id);
         this.warmUps.remove(upstream.id);
-        this.#byPool = undefined;
+        this.#handleChange();
         this.#notifyRemoved(upstream);
     }
 
@@ -173,7 +211,7 @@
     #groupByPool(): ReadonlyMap<string, readonly RegisteredUpstream[]> {
         const byPool = new Map<string, RegisteredUpstream[]>();
         for (const upstream of this.#upstreams.values()) {
-            if (upstream.isLeaving || this.#evacuations.has(upstream.failureDomain)) {
+            if (!this.#acceptsRequests(upstream)) {
                 continue;
             }
             const list = byPool.get(upstream.pool);
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -195,7 +195,7 @@
         const endWait = observer.startCall(upstream);
         const result = await transport.call(upstream, {
             request: exchange.request,
-            deadlineMilliseconds: exchange.getTimeLeft(),
+            getTimeLeft: () => exchange.getTimeLeft(),
             workspace: exchange.workspace,
             model: request.model,
             urgency: Math.min(maxUrgencyValue, 1 + 2 * exchange.priority),
@@ -242,7 +242,7 @@
 
     #applyFailure(upstream: RegisteredUpstream, failure: UpstreamCallFailure, isHeadTimedOut: boolean): void {
         const { registry, transport } = this.#options;
-        if (isHeadTimedOut) {
+        if (isHeadTimedOut && failure.kind !== "no-room") {
             transport.renewConnections(upstream);
         }
         if (failure.kind === "replaced") {
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -9,8 +9,8 @@
 /** Parameters of a call to an upstream. */
 export interface UpstreamCall {
     readonly request: CallerRequest;
-    /** Remaining time in milliseconds. */
-    readonly deadlineMilliseconds: number;
+    /** Returns the remaining time in milliseconds. The request may wait for a connection before it is sent. */
+    readonly getTimeLeft: () => number;
     readonly workspace: string | undefined;
     /** The model that has to answer. Undefined keeps the model that the caller sent. */
     readonly model: string | undefined;
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -51,7 +51,7 @@
         picker: parts.picker,
         sendLimit: parts.sendLimit,
         transport: upstreamClient,
-        observer: createObserver(parts),
+        observer: parts.observer,
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
         crashWatch: parts.crashWatch,
         getBudget: budgets,
@@ -66,7 +66,8 @@
     });
 }
 
-function createObserver(parts: NodeParts): UpstreamObserver {
+/** Creates the part that records what answers state of their upstreams. */
+export function createObserver(parts: NodeParts): UpstreamObserver {
     const { journal, announcements, picker, reachability, rateLimits, rejectionLimit } = parts;
     return new UpstreamObserver({ journal, announcements, picker, reachability, rateLimits, rejectionLimit });
 }
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -22,6 +22,7 @@
 import {
     createAttempts,
     createBudgets,
+    createObserver,
     createRejectionLimit,
     createSendLimit,
     shareRetentionMilliseconds,
@@ -109,7 +110,7 @@
         }),
     writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
     announcements: ({ clock, journal }) => new Announcements({ clock, journal }),
-    registry: ({ clock }) => new UpstreamRegistry(clock),
+    registry: ({ clock, announcements }) => new UpstreamRegistry(clock, announcements),
     peerClient: () => new PeerClient(),
     peerServer: parts => {
         const { host, port } = parts.settings.listen.peers;
@@ -148,7 +149,8 @@
     relayPeers: parts => createRelayPeers(parts),
     relayServer: parts => createRelayServer(parts),
     relayInterceptor: parts => createNodeRelayInterceptor(parts),
-    upstreamClient: ({ topics, membership, reachability, relayInterceptor }) =>
+    observer: parts => createObserver(parts),
+    upstreamClient: ({ topics, membership, reachability, relayInterceptor, registry, observer }) =>
         new UpstreamClient({
             getConnectionLimit: pool => {
                 const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
@@ -158,6 +160,8 @@
             },
             getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
             onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
+            mayReceive: upstream => registry.isAvailable(upstream),
+            onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
         }),
     quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
         createSharedQuarantine({
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -12,7 +12,7 @@
 } from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
 import type { Announcements, UpstreamRegistry } from "../fleet/index.js";
-import type { Attempts, Forwarder, ForwardingMetrics, Shutdown } from "../forwarding/index.js";
+import type { Attempts, Forwarder, ForwardingMetrics, Shutdown, UpstreamObserver } from "../forwarding/index.js";
 import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
 import type { RateLimits } from "../ratelimits/index.js";
@@ -62,6 +62,7 @@
     readonly relayServer: RelayServer;
     /** Sends requests to upstreams through other nodes. */
     readonly relayInterceptor: Dispatcher.DispatcherComposeInterceptor;
+    readonly observer: UpstreamObserver;
     readonly upstreamClient: UpstreamClient;
     readonly quarantine: Quarantine;
     readonly crashWatch: CrashWatch;
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -46,7 +46,7 @@
 export function createRelayServer({ registry, upstreamClient }: NodeParts): RelayServer {
     return new RelayServer(id => {
         const upstream = registry.get(id);
-        const isAvailable = upstream !== undefined && registry.getAvailable(upstream.pool).includes(upstream);
+        const isAvailable = upstream !== undefined && registry.isAvailable(upstream);
         return isAvailable ? upstreamClient.getRelayTarget(upstream) : undefined;
     });
 }
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -2,25 +2,22 @@
  * Calls upstreams over HTTP, with the platform's headers.
  */
 import { err, ok, type Result } from "neverthrow";
-import { buildConnector, type Dispatcher, errors, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import type { UpstreamAnswer, UpstreamCall, UpstreamCallFailure, UpstreamTransport } from "../forwarding/index.js";
+import type {
+    UpstreamAnswer,
+    UpstreamCall,
+    UpstreamCallFailure,
+    UpstreamStatement,
+    UpstreamTransport,
+} from "../forwarding/index.js";
 import { hasFraming, type RelayTarget } from "../reachability/index.js";
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
+import { UpstreamConnections } from "./upstreamConnections.js";
 import { headerNames } from "./wire.js";
 
-/** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
-const connectTimeoutMilliseconds = 400;
-/**
- * Connections are closed this long before the upstream's keep-alive timeout. A request that is sent while the
- * upstream closes the connection is lost.
- */
-const keepAliveMarginMilliseconds = 1_000;
-/** Keep-alive timeout for upstreams that announce none. */
-const defaultKeepAliveMilliseconds = 4_000;
-const maxKeepAliveMilliseconds = 15_000;
 /** Statuses that mean that a request has not run. From an upstream they count only together with its explicit header. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 const misdirectedStatus = 421;
@@ -33,44 +30,18 @@
     readonly getRelay?: (pool: string) => Dispatcher.DispatcherComposeInterceptor | undefined;
     /** Called when a connection to an upstream could not be opened. */
     readonly onConnectFailure?: (upstream: RegisteredUpstream) => void;
-}
-
-/**
- * An answer without a length that ends this soon after a reset of one of the upstream's connections counts as incomplete. The
- * HTTP library ends such an answer in the same way whether the connection was closed or reset, so a truncated confirmation of a
- * booking could pass for a complete one.
- */
-const resetWindowMilliseconds = 100;
-
-interface PooledUpstream {
-    readonly upstream: RegisteredUpstream;
-    readonly pool: Pool;
-    /** Maximum number of connections of the pool. */
-    readonly connections: number;
-    readonly resets: ResetTracker;
-}
-
-/** Records when a connection of an upstream was last reset. */
-class ResetTracker {
-    #lastAt = Number.NEGATIVE_INFINITY;
-
-    /** Records a reset. */
-    mark(): void {
-        this.#lastAt = performance.now();
-    }
-
-    /** Returns whether a connection was reset within the window. */
-    isRecent(): boolean {
-        return performance.now() - this.#lastAt < resetWindowMilliseconds;
-    }
+    /** Returns whether an upstream may receive requests of this node now. Without it, each one may. */
+    readonly mayReceive?: (upstream: RegisteredUpstream) => boolean;
+    /** Called with what the head of an answer states that this node forwards for another one. */
+    readonly onRelayedStatement?: (upstream: RegisteredUpstream, statement: UpstreamStatement) => void;
 }
 
 /** Calls upstreams and pools the connections to each. */
 export class UpstreamClient implements UpstreamTransport {
     readonly #options: UpstreamClientOptions;
-    readonly #pools = new Map<string, PooledUpstream>();
+    readonly #connections = new Map<string, UpstreamConnections>();
     /** Connections for requests of other nodes. They take the place of connections that those nodes cannot open. */
-    readonly #relayPools = new Map<string, PooledUpstream>();
+    readonly #relayConnections = new Map<string, UpstreamConnections>();
 
     constructor(options: UpstreamClientOptions) {
         this.#options = options;
@@ -83,17 +54,18 @@
     ): Promise<Result<UpstreamAnswer, UpstreamCallFailure>> {
         try {
             const relay = this.#options.getRelay?.(upstream.pool);
-            const { pool, resets } = this.#getPool(this.#pools, upstream);
-            const response = await (relay === undefined ? pool : pool.compose(relay)).request({
-                origin: `http://${upstream.address}`,
-                method: call.request.method as Dispatcher.HttpMethod,
-                path: call.request.target,
-                headers: createHeaders(upstream, call),
-                body: call.request.body.length === 0 ? undefined : call.request.body,
-                signal: call.signal,
-                responseHeaders: "raw",
-            });
-            return readHead(response, call, resets);
+            const connections = this.#getConnections(this.#connections, upstream);
+            const send = (dispatcher: Dispatcher): Promise<Dispatcher.ResponseData> =>
+                dispatcher.request(createRequest(upstream, call));
+            const response = relay === undefined
+                ? await connections.send(send, {
+                    signal: call.signal,
+                    mayStillSend: () => this.#options.mayReceive?.(upstream) ?? true,
+                })
+                : await send(connections.dispatcher.compose(relay));
+            return response === undefined
+                ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
+                : readHead(response, call, () => connections.wasReset());
         }
         catch (error) {
             return err({ kind: classifyTransportError(error, call.signal), reason: describeTransportError(error) });
@@ -102,15 +74,29 @@
 
     /** Returns the connections to an upstream, for requests of other nodes. */
     getRelayTarget(upstream: RegisteredUpstream): RelayTarget {
-        const { pool, connections, resets } = this.#getPool(this.#relayPools, upstream);
+        const connections = this.#getConnections(this.#relayConnections, upstream);
         return {
             address: upstream.address,
-            dispatcher: pool,
-            hasRoom: () => pool.stats.size < connections,
-            wasReset: () => resets.isRecent(),
+            dispatcher: connections.dispatcher,
+            hasRoom: () => connections.hasRoom(),
+            wasReset: () => connections.wasReset(),
+            observeHead: (status, headers) => {
+                if (status !== misdirectedStatus) {
+                    this.#options.onRelayedStatement?.(upstream, readStatement(headers, status));
+                }
+            },
         };
     }
 
+    /** Lets requests that wait for a connection go elsewhere if their upstream may not receive them any more. */
+    withdrawWaiting(): void {
+        for (const connections of this.#connections.values()) {
+            if (connections.hasWaiting() && this.#options.mayReceive?.(connections.upstream) === false) {
+                connections.wakeAll();
+            }
+        }
+    }
+
     /** Opens new connections from now on. Calls in flight complete on the old ones. */
     renewConnections(upstream: RegisteredUpstream): void {
         this.closeConnections(upstream.id);
@@ -121,78 +107,55 @@
      * @param id - Its identifier.
      */
     closeConnections(id: string): void {
-        for (const pools of [this.#pools, this.#relayPools]) {
-            const known = pools.get(id);
-            if (known !== undefined) {
-                pools.delete(id);
-                closeIgnoringErrors(known.pool);
-            }
+        for (const known of [this.#connections, this.#relayConnections]) {
+            const connections = known.get(id);
+            known.delete(id);
+            connections?.close();
         }
     }
 
     /** Closes all connections. */
     async close(): Promise<void> {
-        for (const { pool } of [...this.#pools.values(), ...this.#relayPools.values()]) {
-            await pool.destroy();
+        for (const connections of [...this.#connections.values(), ...this.#relayConnections.values()]) {
+            await connections.destroy();
         }
-        this.#pools.clear();
-        this.#relayPools.clear();
+        this.#connections.clear();
+        this.#relayConnections.clear();
     }
 
-    #getPool(pools: Map<string, PooledUpstream>, upstream: RegisteredUpstream): PooledUpstream {
-        const existing = pools.get(upstream.id);
+    #getConnections(known: Map<string, UpstreamConnections>, upstream: RegisteredUpstream): UpstreamConnections {
+        const existing = known.get(upstream.id);
         if (existing !== undefined && existing.upstream.address === upstream.address) {
             return existing;
         }
-        if (existing !== undefined) {
-            closeIgnoringErrors(existing.pool);
-        }
-        const resets = new ResetTracker();
-        const connections = this.#options.getConnectionLimit(upstream.pool);
-        const pool = new Pool(`http://${upstream.address}`, {
-            connections,
-            pipelining: 1,
-            connect: createConnector(resets, () => this.#options.onConnectFailure?.(upstream)),
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            keepAliveTimeout: defaultKeepAliveMilliseconds,
-            keepAliveMaxTimeout: maxKeepAliveMilliseconds,
-            keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
+        existing?.close();
+        const connections = new UpstreamConnections({
+            upstream,
+            connections: this.#options.getConnectionLimit(upstream.pool),
+            onConnectFailure: () => this.#options.onConnectFailure?.(upstream),
         });
-        const pooled = { upstream, pool, connections, resets };
-        pools.set(upstream.id, pooled);
-        return pooled;
+        known.set(upstream.id, connections);
+        return connections;
     }
 }
 
-/** Creates a connector that records resets before the HTTP library reports them. */
-function createConnector(resets: ResetTracker, onFailure: () => void): buildConnector.connector {
-    const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
-    return (options, callback) => {
-        connect(options, (...[error, socket]) => {
-            if (error) {
-                onFailure();
-                // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
-                callback(error, null);
-                return;
-            }
-            socket.on("error", cause => {
-                // The library reports an orderly close as an error of its own class. Complete answers without a length end that way.
-                if (!(cause instanceof errors.UndiciError)) {
-                    resets.mark();
-                }
-            });
-            // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
-            callback(null, socket);
-        });
+function createRequest(upstream: RegisteredUpstream, call: UpstreamCall): Dispatcher.RequestOptions {
+    return {
+        origin: `http://${upstream.address}`,
+        method: call.request.method as Dispatcher.HttpMethod,
+        path: call.request.target,
+        headers: createHeaders(upstream, call),
+        body: call.request.body.length === 0 ? undefined : call.request.body,
+        signal: call.signal,
+        responseHeaders: "raw",
     };
 }
 
 function createHeaders(upstream: RegisteredUpstream, call: UpstreamCall): string[] {
-    const { request, deadlineMilliseconds, workspace, model, urgency, lastEventId } = call;
+    const { request, workspace, model, urgency, lastEventId } = call;
     const headers = [...request.headers];
     headers.push(headerNames.expectedRunner, upstream.id);
-    headers.push(headerNames.deadline, String(Math.max(1, Math.floor(deadlineMilliseconds))));
+    headers.push(headerNames.deadline, String(Math.max(1, Math.floor(call.getTimeLeft()))));
     if (workspace !== undefined) {
         headers.push(headerNames.workspace, workspace);
     }
@@ -212,7 +175,7 @@
 function readHead(
     response: Dispatcher.ResponseData,
     call: UpstreamCall,
-    resets: ResetTracker,
+    wasReset: () => boolean,
 ): Result<UpstreamAnswer, UpstreamCallFailure> {
     const raw = response.headers as unknown as readonly string[];
     const statement = readStatement(raw, response.statusCode);
@@ -227,10 +190,13 @@
             // Destroying the body closes the connection, which the body reports as an error.
         });
         response.body.destroy();
-        return err({ kind: "broken", reason: "the answer belongs to another request" });
+        const { isLeaving, restMilliseconds } = statement;
+        return err({ kind: "broken", reason: "the answer belongs to another request", isLeaving, restMilliseconds });
     }
     if (response.statusCode === misdirectedStatus) {
-        return fail("replaced", "another upstream has the address");
+        discard(response);
+        // What the answer states concerns the other upstream.
+        return err({ kind: "replaced", reason: "another upstream has the address" });
     }
     if (findHeader(raw, headerNames.notExecuted) !== undefined) {
         return fail("refused", `status ${response.statusCode}, not executed`);
@@ -249,14 +215,14 @@
         confidence: findNumber(raw, headerNames.confidence),
         ...statement,
         hasKnownEnd: hasFraming(raw),
-        body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, resets),
+        body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, wasReset),
     });
 }
 
 /** Reads a body that ends with its connection. Throws if the connection was reset. */
-async function* readUnframed(body: AsyncIterable<Buffer>, resets: ResetTracker): AsyncGenerator<Buffer> {
+async function* readUnframed(body: AsyncIterable<Buffer>, wasReset: () => boolean): AsyncGenerator<Buffer> {
     yield* body;
-    if (resets.isRecent()) {
+    if (wasReset()) {
         throw new Error("The connection was reset before the end of an answer without a length.");
     }
 }
@@ -267,10 +233,3 @@
         // The library then closes the connection. The headers of the refusal have already been read.
     });
 }
-
-/** Closes idle connections now and the others when their answers end. */
-function closeIgnoringErrors(pool: Pool): void {
-    pool.close().catch(() => {
-        // Nothing waits for a discarded pool.
-    });
-}
--- /dev/null
+++ b/src/platform/upstreamConnections.ts
@@ -0,0 +1,171 @@
+/**
+ * The connections of this node to one upstream, and the requests that wait for one of them.
+ */
+import { buildConnector, errors, Pool } from "undici";
+import type { RegisteredUpstream } from "../fleet/index.js";
+
+/** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
+const connectTimeoutMilliseconds = 400;
+/**
+ * Connections are closed this long before the upstream's keep-alive timeout. A request that is sent while the
+ * upstream closes the connection is lost.
+ */
+const keepAliveMarginMilliseconds = 1_000;
+/** Keep-alive timeout for upstreams that announce none. */
+const defaultKeepAliveMilliseconds = 4_000;
+const maxKeepAliveMilliseconds = 15_000;
+/**
+ * An answer without a length that ends this soon after a reset of one of the upstream's connections counts as incomplete. The
+ * HTTP library ends such an answer in the same way whether the connection was closed or reset, so a truncated confirmation of a
+ * booking could pass for a complete one.
+ */
+const resetWindowMilliseconds = 100;
+
+/** Options of `UpstreamConnections`. */
+export interface UpstreamConnectionsOptions {
+    readonly upstream: RegisteredUpstream;
+    /** Maximum number of connections. */
+    readonly connections: number;
+    /** Called when a connection could not be opened. */
+    readonly onConnectFailure: () => void;
+}
+
+/**
+ * Holds the connections to one upstream. Requests wait here and not in the HTTP library, where they could neither be withdrawn nor
+ * cancelled before a connection is free.
+ */
+export class UpstreamConnections {
+    readonly upstream: RegisteredUpstream;
+    readonly dispatcher: Pool;
+    readonly #connections: number;
+    /** Functions that let the waiting requests go on, in the order of their arrival. */
+    readonly #waiting = new Set<() => void>();
+    #resetAt = Number.NEGATIVE_INFINITY;
+    #isClosed = false;
+
+    constructor({ upstream, connections, onConnectFailure }: UpstreamConnectionsOptions) {
+        this.upstream = upstream;
+        this.#connections = connections;
+        this.dispatcher = new Pool(`http://${upstream.address}`, {
+            connections,
+            pipelining: 1,
+            connect: createConnector({ onReset: () => this.#resetAt = performance.now(), onFailure: onConnectFailure }),
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: defaultKeepAliveMilliseconds,
+            keepAliveMaxTimeout: maxKeepAliveMilliseconds,
+            keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
+        });
+        this.dispatcher.on("drain", () => this.#wakeNext());
+        this.dispatcher.on("disconnect", () => this.#wakeNext());
+        this.dispatcher.on("connectionError", () => this.#wakeNext());
+    }
+
+    /** Returns whether one more request would be sent at once. */
+    hasRoom(): boolean {
+        return !this.#isClosed && this.dispatcher.stats.size < this.#connections;
+    }
+
+    /** Returns whether requests wait for a connection. */
+    hasWaiting(): boolean {
+        return this.#waiting.size > 0;
+    }
+
+    /**
+     * Sends a request if there is room, after those that arrived before it. Nothing that was sent is ever sent again.
+     * @param send - Sends the request.
+     * @param options - `signal` ends the wait; `mayStillSend` tells after it whether the request may still be sent.
+     * @returns Undefined when the request was not sent.
+     */
+    async send<T>(
+        send: (dispatcher: Pool) => Promise<T>,
+        options: { readonly signal: AbortSignal; readonly mayStillSend: () => boolean; },
+    ): Promise<T | undefined> {
+        const { signal, mayStillSend } = options;
+        const maySend = (): boolean => !this.#isClosed && !signal.aborted && mayStillSend();
+        let isNext = this.#waiting.size === 0;
+        while (maySend() && !(isNext && this.hasRoom())) {
+            await this.#wait(signal);
+            isNext = true;
+        }
+        if (!maySend()) {
+            this.#wakeNext();
+            return undefined;
+        }
+        const pending = send(this.dispatcher);
+        this.#wakeNext();
+        return pending;
+    }
+
+    /** Lets all waiting requests go on. Those that may not be sent any more find that out. */
+    wakeAll(): void {
+        for (const wake of this.#waiting) {
+            wake();
+        }
+    }
+
+    /** Returns whether a connection was reset just now. */
+    wasReset(): boolean {
+        return performance.now() - this.#resetAt < resetWindowMilliseconds;
+    }
+
+    /** Closes idle connections now and the others when their answers end. */
+    close(): void {
+        this.#isClosed = true;
+        this.dispatcher.close().catch(() => {
+            // Nothing waits for discarded connections.
+        });
+        this.wakeAll();
+    }
+
+    /** Closes all connections now. */
+    async destroy(): Promise<void> {
+        this.#isClosed = true;
+        this.wakeAll();
+        await this.dispatcher.destroy();
+    }
+
+    #wakeNext(): void {
+        const [wake] = this.#waiting;
+        if (wake !== undefined && this.hasRoom()) {
+            wake();
+        }
+    }
+
+    #wait(signal: AbortSignal): Promise<void> {
+        return new Promise(resolve => {
+            const wake = (): void => {
+                this.#waiting.delete(wake);
+                signal.removeEventListener("abort", wake);
+                resolve();
+            };
+            this.#waiting.add(wake);
+            signal.addEventListener("abort", wake);
+        });
+    }
+}
+
+/** Creates a connector that reports resets before the HTTP library does. */
+function createConnector(
+    { onReset, onFailure }: { readonly onReset: () => void; readonly onFailure: () => void; },
+): buildConnector.connector {
+    const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+    return (options, callback) => {
+        connect(options, (...[error, socket]) => {
+            if (error) {
+                onFailure();
+                // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
+                callback(error, null);
+                return;
+            }
+            socket.on("error", cause => {
+                // The library reports an orderly close as an error of its own class. Complete answers without a length end that way.
+                if (!(cause instanceof errors.UndiciError)) {
+                    onReset();
+                }
+            });
+            // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
+            callback(null, socket);
+        });
+    };
+}
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -21,6 +21,8 @@
     readonly hasRoom: () => boolean;
     /** Returns whether one of its connections was reset just now. */
     readonly wasReset: () => boolean;
+    /** Called with the head of an answer, whose headers are alternating names and values. */
+    readonly observeHead?: (status: number, headers: readonly string[]) => void;
 }
 
 /** Forwards requests to upstreams that this node reaches itself, and never to a third node. */
@@ -88,6 +90,7 @@
         bodyTimeout: 0,
     });
     const raw = response.headers as unknown as readonly string[];
+    target.observeHead?.(response.statusCode, raw);
     yield { head: { status: response.statusCode, headers: [...raw] }, isEnd: false };
     for await (const data of response.body as AsyncIterable<Buffer>) {
         yield { data, isEnd: false };
--- a/test/fleet/upstreamRegistry.test.ts
+++ b/test/fleet/upstreamRegistry.test.ts
@@ -1,16 +1,18 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
-import { UpstreamRegistry } from "../../src/fleet/index.js";
+import { Announcements, UpstreamRegistry } from "../../src/fleet/index.js";
+import { createJournal } from "../fixtures/journals.js";
 import { createUpstream } from "../fixtures/upstreams.js";
 
 function createRegistry() {
     const clock = new ManualClock(1_000);
-    const registry = new UpstreamRegistry(clock);
+    const announcements = new Announcements({ clock, journal: createJournal().journal });
+    const registry = new UpstreamRegistry(clock, announcements);
     const removed: string[] = [];
     registry.onRemoved(upstream => removed.push(upstream.id));
     const getAvailable = (): string[] => registry.getAvailable("app").map(upstream => upstream.id);
-    return { clock, registry, removed, getAvailable };
+    return { clock, announcements, registry, removed, getAvailable };
 }
 
 describe("UpstreamRegistry", () => {
@@ -58,4 +60,47 @@
             expect(getAvailable()).toEqual(["b"]);
         });
     });
+
+    // Guards against records that are older than what the upstream itself has said, and that bring it back while the store is
+    // unavailable or after it has returned.
+    describe("an upstream that has announced that it leaves", () => {
+        const leaving = { isLeaving: true, restMilliseconds: undefined };
+
+        it("accepts no requests, whatever its records say, also when they were gone and come back", () => {
+            const { announcements, registry, getAvailable } = createRegistry();
+            registry.set(createUpstream("a"));
+            registry.set(createUpstream("b"));
+            announcements.observe(createUpstream("a"), leaving);
+            expect([getAvailable(), registry.isAvailable(createUpstream("a"))]).toEqual([["b"], false]);
+            registry.set(createUpstream("a"));
+            expect(getAvailable()).toEqual(["b"]);
+            registry.remove("a", 2_000);
+            registry.set(createUpstream("a"));
+            expect(getAvailable()).toEqual(["b"]);
+        });
+
+        it("accepts them again after a restart under its identifier, and at another address", () => {
+            const { announcements, registry, getAvailable } = createRegistry();
+            const first = createUpstream("a", { startedAt: 1 });
+            registry.set(first);
+            announcements.observe(first, leaving);
+            registry.set(createUpstream("a", { startedAt: 2 }));
+            expect([getAvailable(), registry.isAvailable(first)]).toEqual([["a"], false]);
+            announcements.observe(createUpstream("a", { startedAt: 2 }), leaving);
+            expect(getAvailable()).toEqual([]);
+            registry.set(createUpstream("a", { startedAt: 2, address: "10.0.0.2:8000" }));
+            expect(getAvailable()).toEqual(["a"]);
+        });
+
+        it("tells listeners, so that requests that wait for it go elsewhere", () => {
+            const { announcements, registry } = createRegistry();
+            const upstream = createUpstream("a");
+            registry.set(upstream);
+            const seen: boolean[] = [];
+            registry.onChange(() => seen.push(registry.isAvailable(upstream)));
+            announcements.observe(upstream, leaving);
+            announcements.observe(upstream, leaving);
+            expect(seen).toEqual([false]);
+        });
+    });
 });
--- a/test/fleet/warmUps.test.ts
+++ b/test/fleet/warmUps.test.ts
@@ -1,12 +1,11 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
-import { UpstreamRegistry } from "../../src/fleet/index.js";
-import { createUpstream } from "../fixtures/upstreams.js";
+import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
 
 function createRegistry() {
     const clock = new ManualClock(1_000);
-    const registry = new UpstreamRegistry(clock);
+    const registry = createUpstreamRegistry(clock);
     const getAvailable = (): string[] => registry.getAvailable("app").map(({ id }) => id);
     return { clock, registry, getAvailable };
 }
--- a/test/forwarding/forwarder.test.ts
+++ b/test/forwarding/forwarder.test.ts
@@ -11,7 +11,7 @@
         const caller = await send();
         expect([caller.status, caller.chunks, caller.isComplete]).toEqual([200, ["done"], true]);
         const { call } = calls[0];
-        expect([call.workspace, call.deadlineMilliseconds <= 1_000]).toEqual(["harbour", true]);
+        expect([call.workspace, call.getTimeLeft() <= 1_000]).toEqual(["harbour", true]);
     });
 
     // Without these fields the log does not show which requests belong to a session and which version answered each of them.
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -2,9 +2,10 @@
 import { once } from "node:events";
 import type { AddressInfo, Server, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { RegisteredUpstream } from "../../src/fleet/index.js";
 import type { UpstreamAnswer, UpstreamCall } from "../../src/forwarding/index.js";
-import { UpstreamClient } from "../../src/platform/upstreamClient.js";
+import { UpstreamClient, type UpstreamClientOptions } from "../../src/platform/upstreamClient.js";
 import { unlimitedRate } from "../../src/ratelimits/index.js";
 import { createCallerRequest } from "../fixtures/forwarders.js";
 import { createUpstream } from "../fixtures/upstreams.js";
@@ -12,6 +13,8 @@
 import { createRawRunner } from "./standins/runnerStandin.js";
 
 const host = "127.71.1.1";
+/** Time within which a request that waits is withdrawn. */
+const maxWithdrawalMilliseconds = 1_000;
 const openResources: { close(): unknown; }[] = [];
 
 afterEach(async () => {
@@ -27,8 +30,8 @@
     return createUpstream("i-1", { address: `${host}:${(server.address() as AddressInfo).port}` });
 }
 
-function createClient(): UpstreamClient {
-    const client = new UpstreamClient({ getConnectionLimit: () => 1 });
+function createClient(options: Partial<UpstreamClientOptions> = {}): UpstreamClient {
+    const client = new UpstreamClient({ getConnectionLimit: () => 1, ...options });
     openResources.push(client);
     return client;
 }
@@ -36,7 +39,7 @@
 function createCall(options: Partial<UpstreamCall> = {}): UpstreamCall {
     return {
         request: createCallerRequest({ headers: ["X-Own", "kept", "Attempt-Id", "request-1"] }),
-        deadlineMilliseconds: 800.7,
+        getTimeLeft: () => 800.7,
         workspace: "harbour",
         model: undefined,
         urgency: 3,
@@ -79,6 +82,78 @@
         expect(refused.isErr() && refused.error.requestsPerSecond).toEqual(2);
     });
 
+    it("reads whether an upstream leaves and asks for rest, also in an answer to another request", async () => {
+        const answerWith = (head: string) => (socket: Socket) =>
+            socket.write(`HTTP/1.1 ${head}\r\nContent-Length: 0\r\n\r\n`);
+        const read = async (head: string) => {
+            const { result } = await call(answerWith(head));
+            const { isLeaving, restMilliseconds } = result.isOk() ? result.value : result.error;
+            return [isLeaving, restMilliseconds];
+        };
+        expect(await read("200 OK\r\nServer-Seal: s\r\nServer-Leaving: 1")).toEqual([true, undefined]);
+        expect(await read("500 Failed\r\nServer-Seal: s\r\nServer-Leaving: 1\r\nRetry-After: 3")).toEqual(
+            [true, undefined],
+        );
+        expect(await read("503 Full\r\nNot-Executed: 1\r\nRetry-After: 2.5")).toEqual([false, 2_500]);
+        expect(await read("503 Full\r\nRetry-After: 2")).toEqual([false, 2_000]);
+        expect(await read("429 Full\r\nNot-Executed: 1\r\nServer-Leaving: 0\r\nRetry-After: soon")).toEqual(
+            [false, undefined],
+        );
+        expect(await read("200 OK\r\nAttempt-Id: other\r\nServer-Leaving: 1")).toEqual([true, undefined]);
+        // Another upstream has the address: what it says concerns itself.
+        expect(await read("421 Other\r\nServer-Leaving: 1\r\nRetry-After: 3")).toEqual([undefined, undefined]);
+    });
+
+    // Guards against requests that were placed before an upstream left, and reach it when a connection becomes free.
+    it("sends no request that waited for a connection to an upstream that may not receive it any more", async () => {
+        const sockets: Socket[] = [];
+        const upstream = await listen(createRawRunner(socket => sockets.push(socket)));
+        let mayReceive = true;
+        const client = createClient({ mayReceive: () => mayReceive });
+        const first = client.call(upstream, createCall());
+        await waitUntil(() => sockets.length === 1, "the first request arrives");
+        const waiting = [client.call(upstream, createCall()), client.call(upstream, createCall())];
+        mayReceive = false;
+        client.withdrawWaiting();
+        const withdrawn = await Promise.race([Promise.all(waiting), sleep(maxWithdrawalMilliseconds, [])]);
+        expect(withdrawn.map(called => called._unsafeUnwrapErr().kind)).toEqual(["no-room", "no-room"]);
+        sockets[0].write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        expect(await read((await first)._unsafeUnwrap())).toEqual("ok");
+        expect(sockets.length).toEqual(1);
+    });
+
+    // Guards against requests that wait for ever, or get lost, behind others for one connection.
+    it("sends requests that wait for a connection one after the other, and none whose caller has left", async () => {
+        const received: string[] = [];
+        const upstream = await listen(createRawRunner((socket, id) => {
+            received.push(id);
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok`);
+        }));
+        const client = createClient();
+        const controller = new AbortController();
+        const ids = ["request-1", "request-2", "request-3", "request-4", "request-5"];
+        const calls = ids.map(async id => {
+            const request = createCallerRequest({ id, headers: ["Attempt-Id", id] });
+            const signal = id === "request-3" ? controller.signal : new AbortController().signal;
+            const called = await client.call(upstream, createCall({ request, signal }));
+            return called.isOk() ? read(called.value) : called.error.kind;
+        });
+        controller.abort();
+        expect(await Promise.all(calls)).toEqual(["ok", "ok", "no-room", "ok", "ok"]);
+        expect(received).toEqual(ids.filter(id => id !== "request-3"));
+    });
+
+    // Guards against a node that forwards for another one and does not learn what the upstream says of itself.
+    it("reports what the answers state that it forwards for other nodes", async () => {
+        const upstream = await listen(createRawRunner(() => {}));
+        const statements: boolean[] = [];
+        const client = createClient({ onRelayedStatement: (...[, { isLeaving }]) => statements.push(isLeaving) });
+        const target = client.getRelayTarget(upstream);
+        target.observeHead?.(200, ["Server-Leaving", "1"]);
+        target.observeHead?.(421, ["Server-Leaving", "1"]);
+        expect(statements).toEqual([true]);
+    });
+
     it("sends the expected runner, the workspace and the remaining time, and forwards other headers unchanged", async () => {
         let received = "";
         const server = createRawRunner(socket =>
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -1,12 +1,11 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
-
-import { UpstreamRegistry } from "../../src/fleet/index.js";
+import type { UpstreamRegistry } from "../../src/fleet/index.js";
 import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
 import { encodeReport } from "../../src/rollouts/rolloutEvidence.js";
 import { createJournal } from "../fixtures/journals.js";
-import { createUpstream } from "../fixtures/upstreams.js";
+import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
 
 const tickMilliseconds = 200;
 const order = { id: 7, pool: "pool", version: "v2", durationMilliseconds: 24_000 };
@@ -33,7 +32,7 @@
 /** Creates a node of a rank with the reports of its peers. Its wall clock may be ahead of the others'. */
 function createNode(rank: number, peers: readonly Buffer[], clockAheadMilliseconds = 0): RolloutNode {
     const clock = new ManualClock();
-    const registry = new UpstreamRegistry(clock);
+    const registry = createUpstreamRegistry(clock);
     const written: RolloutProgress[] = [];
     const counts = { evidenceReads: 0, published: 0 };
     const rollouts = new Rollouts({
