Leave upstreams in peace that have asked this node for rest

What callers saw: refusals and second attempts at upstreams that had just said that they reject everything for 3 s.

Change: RestLimit stands beside the limits of warm-ups, stated rates and rejections, which every choice of an upstream asks: first and further attempts, resumed streams, pinned sessions, the last resort. A node that forwards for another one keeps to what the upstream has told either of them. When all others are full as well, the requests of resting upstreams are not heaped upon them but refused at once, and when all rest, callers are told the time until the first returns, and a random one on top.

A booking may be tried once, so the one with which a node is told is refused.

--- a/src/decisions/dispatch/index.ts
+++ b/src/decisions/dispatch/index.ts
@@ -3,6 +3,7 @@
 export * from "./connectionShare.js";
 export type { PromptDescription, UpstreamPick, UpstreamPickOptions } from "./pick.js";
 export * from "./rejectionLimit.js";
+export * from "./restLimit.js";
 export * from "./sendLimit.js";
 export type { ShareHolder } from "./shareHolders.js";
 export * from "./statedRateLimit.js";
--- a/src/fleet/announcements.ts
+++ b/src/fleet/announcements.ts
@@ -45,18 +45,27 @@
     readonly #options: AnnouncementsOptions;
     /** By identifier of the upstream, the newest at the end. */
     readonly #known = new Map<string, KnownIncarnation>();
-    readonly #listeners: (() => void)[] = [];
+    readonly #leavingListeners: (() => void)[] = [];
+    readonly #restListeners: (() => void)[] = [];
 
     constructor(options: AnnouncementsOptions) {
         this.#options = options;
     }
 
     /**
-     * Adds a listener for upstreams that may no longer receive requests.
+     * Adds a listener for upstreams that leave.
      * @param listener - Called after each such announcement.
      */
-    onChange(listener: () => void): void {
-        this.#listeners.push(listener);
+    onLeaving(listener: () => void): void {
+        this.#leavingListeners.push(listener);
+    }
+
+    /**
+     * Adds a listener for upstreams that begin to rest.
+     * @param listener - Called after each such announcement.
+     */
+    onRest(listener: () => void): void {
+        this.#restListeners.push(listener);
     }
 
     /**
@@ -85,7 +94,7 @@
         }
         known.isLeaving = true;
         this.#options.journal.write(events.upstreamLeaving, { upstream: upstream.id, source });
-        this.#notify();
+        notify(this.#leavingListeners);
     }
 
     /** Returns whether an upstream has announced that it leaves. */
@@ -109,23 +118,19 @@
         return [...this.#known.values()].filter(({ restEndsAt = now }) => restEndsAt > now).length;
     }
 
-    #notify(): void {
-        for (const listener of this.#listeners) {
-            listener();
-        }
-    }
-
     /** A shorter rest does not end a longer one, which the upstream was promised. */
     #addRest(upstream: UpstreamIncarnation, milliseconds: number): void {
         const known = this.#getOrAdd(upstream);
         const now = this.#options.clock.monotonic();
-        if ((known.restEndsAt ?? now) <= now) {
+        const isResting = (known.restEndsAt ?? now) > now;
+        known.restEndsAt = Math.max(known.restEndsAt ?? now, now + milliseconds);
+        if (!isResting) {
             this.#options.journal.write(events.upstreamResting, {
                 upstream: upstream.id,
                 milliseconds: Math.round(milliseconds),
             });
+            notify(this.#restListeners);
         }
-        known.restEndsAt = Math.max(known.restEndsAt ?? now, now + milliseconds);
     }
 
     #find({ id, address, startedAt }: UpstreamIncarnation): KnownIncarnation | undefined {
@@ -151,3 +156,9 @@
         return added;
     }
 }
+
+function notify(listeners: readonly (() => void)[]): void {
+    for (const listener of listeners) {
+        listener();
+    }
+}
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -31,7 +31,7 @@
     constructor(clock: Clock, announcements: Announcements) {
         this.#clock = clock;
         this.#announcements = announcements;
-        announcements.onChange(() => this.#handleChange());
+        announcements.onLeaving(() => this.#handleChange());
         this.warmUps = new WarmUps(clock);
         this.#evacuations = new Evacuations(clock);
     }
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -47,7 +47,7 @@
         readonly kind: "not-made";
         readonly reason: NotMadeReason;
         /** Time after which an attempt may be made, in milliseconds, where it is known. */
-        readonly retryAfterMilliseconds?: number;
+        readonly retryAfterMilliseconds?: number | undefined;
     }
     | { readonly kind: "failed"; readonly failure: UpstreamCallFailure; };
 
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,6 +6,7 @@
 import type {
     CallOutcome,
     PromptDescription,
+    RestLimit,
     SendLimit,
     UpstreamPick,
     UpstreamPicker,
@@ -30,7 +31,8 @@
     readonly registry: UpstreamRegistry;
     readonly picker: UpstreamPicker;
     /** The limits that the picker observes; here, the requests that were sent are added to them. */
-    readonly sendLimit: SendLimit;
+    readonly sendLimit: SendLimit<RegisteredUpstream>;
+    readonly restLimit: Pick<RestLimit<RegisteredUpstream>, "getWait">;
     readonly transport: UpstreamTransport;
     readonly observer: UpstreamObserver;
     /** Returns whether this node, or another one that would forward the request, can connect to upstreams of a pool. */
@@ -51,6 +53,8 @@
 
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
+/** Load of an upstream whose slots are all in use, as a share of them. */
+const fullLoad = 1;
 
 /** Makes attempts at upstreams. */
 export class Attempts {
@@ -95,9 +99,12 @@
         }
         const selected = this.#pick(exchange, request.prompt, exchange.excluded);
         if (selected === undefined) {
-            return err({ kind: "not-made", reason: this.#isAnyLimited(exchange) ? "limited" : "nobody" });
+            return err(this.#createUnpicked(exchange));
         }
         const { pick, versionReason } = selected;
+        if (pick.load >= fullLoad && this.#isAnyResting(exchange)) {
+            return err(this.#createUnpicked(exchange));
+        }
         const budget = this.#options.getBudget(exchange.pool);
         if (!exchange.isCountedInBudget) {
             exchange.isCountedInBudget = true;
@@ -131,6 +138,23 @@
             ?? (available.some(isWarmingUp) ? pickAmong(available.filter(one => !isWarmingUp(one))) : undefined);
     }
 
+    /** Returns whether an upstream of the pool rests. Its requests must not be heaped upon the others when these are full. */
+    #isAnyResting({ pool }: Exchange): boolean {
+        const { registry, restLimit } = this.#options;
+        return registry.getAvailable(pool).some(one => restLimit.getWait(one) > 0);
+    }
+
+    #createUnpicked(exchange: Exchange): AttemptFailure {
+        const { registry, restLimit } = this.#options;
+        const waits = registry.getAvailable(exchange.pool).map(one => restLimit.getWait(one));
+        const reason = this.#isAnyLimited(exchange) ? "limited" : "nobody";
+        return {
+            kind: "not-made",
+            reason,
+            retryAfterMilliseconds: waits.length === 0 ? undefined : Math.min(...waits),
+        };
+    }
+
     /** Returns whether an upstream that was not tried yet gets nothing from this node now because of a limit. */
     #isAnyLimited({ pool, excluded }: Exchange): boolean {
         const { registry, sendLimit } = this.#options;
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -16,6 +16,8 @@
 /** Absolute bounds of the retry delay. */
 const minRetryAfterMilliseconds = 60;
 const maxRetryAfterMilliseconds = 1_500;
+/** Share of the caller's remaining time beyond which it does not wait. */
+const maxWaitShare = 1 / 3;
 
 /** Reasons that lie in the upstreams or the paths to them, and not in how much they have to do. */
 const unavailableReasons: ReadonlySet<string> = new Set(["nobody", "limited", "unreachable"]);
@@ -40,13 +42,18 @@
         return { outcome: "not-run", failure: createQuarantineFailure(error.retryAfterMilliseconds) };
     }
     const reason = error.kind === "not-made" ? error.reason : error.failure.kind;
+    const knownWait = error.kind === "not-made" ? error.retryAfterMilliseconds ?? 0 : 0;
+    const timeLeft = exchange.getTimeLeft();
     return {
         outcome: "not-run",
         failure: new Failure({
             kind: unavailableReasons.has(reason) ? "unavailable" : "overloaded",
             message: `No upstream of the pool ${exchange.pool} accepted the request (${reason}).`,
             remedy: "Retry after the given time.",
-            retryAfterMilliseconds: drawRetryAfterMilliseconds(exchange.getTimeLeft(), Math.random()),
+            retryAfterMilliseconds: Math.min(
+                Math.max(minRetryAfterMilliseconds, timeLeft * maxWaitShare),
+                knownWait + drawRetryAfterMilliseconds(timeLeft, Math.random()),
+            ),
         }),
     };
 }
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -2,6 +2,7 @@
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
 import { RejectionLimit, type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
 import { Attempts, UpstreamObserver } from "../forwarding/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
@@ -14,8 +15,8 @@
 const maxUpstreamsAgeMilliseconds = 3_000;
 
 /** Creates the limits of requests to upstreams. */
-export function createSendLimit(parts: NodeParts): SendLimit {
-    return new SendLimits([createWarmUpLimit(parts), parts.rateShares, parts.rejectionLimit]);
+export function createSendLimit(parts: NodeParts): SendLimit<RegisteredUpstream> {
+    return new SendLimits([createWarmUpLimit(parts), parts.rateShares, parts.rejectionLimit, parts.restLimit]);
 }
 
 /** Creates the limit of requests to upstreams that fail when they reject too many. */
@@ -50,6 +51,7 @@
         registry: parts.registry,
         picker: parts.picker,
         sendLimit: parts.sendLimit,
+        restLimit: parts.restLimit,
         transport: upstreamClient,
         observer: parts.observer,
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -3,7 +3,7 @@
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
 import { RandomSource, SuspensionClock, systemClock } from "../common/index.js";
-import { getConnectionShare, UpstreamPicker } from "../decisions/index.js";
+import { getConnectionShare, RestLimit, UpstreamPicker } from "../decisions/index.js";
 import { events, Journal, LineWriter } from "../events/index.js";
 import { Announcements, UpstreamRegistry } from "../fleet/index.js";
 import { createForwardingMetrics, Forwarder, Shutdown } from "../forwarding/index.js";
@@ -132,6 +132,8 @@
     rateShares: ({ clock, random, self, membership, rateLimits }) =>
         createRateShares({ clock, random, self: self.id, membership, rateLimits }),
     rejectionLimit: parts => createRejectionLimit(parts),
+    restLimit: ({ clock, random, announcements }) =>
+        new RestLimit({ clock, random, getRestEnd: upstream => announcements.getRestEnd(upstream) }),
     sendLimit: parts => createSendLimit(parts),
     picker: ({ clock, settings, random, journal, self, sendLimit, rateShares }) =>
         new UpstreamPicker({
@@ -150,19 +152,21 @@
     relayServer: parts => createRelayServer(parts),
     relayInterceptor: parts => createNodeRelayInterceptor(parts),
     observer: parts => createObserver(parts),
-    upstreamClient: ({ topics, membership, reachability, relayInterceptor, registry, observer }) =>
-        new UpstreamClient({
-            getConnectionLimit: pool => {
-                const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
-                return limit === undefined
-                    ? defaultConnections
-                    : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
-            },
-            getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
-            onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
-            mayReceive: upstream => registry.isAvailable(upstream),
-            onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
-        }),
+    upstreamClient: (
+        { topics, membership, reachability, relayInterceptor, registry, announcements, observer, restLimit },
+    ) => new UpstreamClient({
+        getConnectionLimit: pool => {
+            const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
+            return limit === undefined
+                ? defaultConnections
+                : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
+        },
+        getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
+        onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
+        mayReceive: upstream => registry.isAvailable(upstream) && announcements.getRestMilliseconds(upstream) === 0,
+        relayLimit: restLimit,
+        onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
+    }),
     quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
         createSharedQuarantine({
             self: self.id,
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -5,13 +5,14 @@
 import type { Clock, RandomSource } from "../common/index.js";
 import type {
     RejectionLimit,
+    RestLimit,
     SendLimit,
     StatedRateLimit,
     UpstreamPicker,
     WindowedRetryBudget,
 } from "../decisions/index.js";
 import type { Journal, LineWriter } from "../events/index.js";
-import type { Announcements, UpstreamRegistry } from "../fleet/index.js";
+import type { Announcements, RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type { Attempts, Forwarder, ForwardingMetrics, Shutdown, UpstreamObserver } from "../forwarding/index.js";
 import type { Gossip, MemberDirectory, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
 import type { CrashWatch, Quarantine } from "../quarantine/index.js";
@@ -53,7 +54,8 @@
     readonly rateLimits: RateLimits;
     readonly rateShares: StatedRateLimit;
     readonly rejectionLimit: RejectionLimit;
-    readonly sendLimit: SendLimit;
+    readonly restLimit: RestLimit<RegisteredUpstream>;
+    readonly sendLimit: SendLimit<RegisteredUpstream>;
     readonly picker: UpstreamPicker;
     readonly budgets: (pool: string) => WindowedRetryBudget;
     readonly reachability: Reachability;
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -3,6 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
+import type { SendLimit } from "../decisions/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type {
     UpstreamAnswer,
@@ -32,6 +33,8 @@
     readonly onConnectFailure?: (upstream: RegisteredUpstream) => void;
     /** Returns whether an upstream may receive requests of this node now. Without it, each one may. */
     readonly mayReceive?: (upstream: RegisteredUpstream) => boolean;
+    /** Limits the requests of other nodes. Their own limits are applied there. */
+    readonly relayLimit?: Pick<SendLimit<RegisteredUpstream>, "isAdmitted" | "add">;
     /** Called with what the head of an answer states that this node forwards for another one. */
     readonly onRelayedStatement?: (upstream: RegisteredUpstream, statement: UpstreamStatement) => void;
 }
@@ -78,7 +81,8 @@
         return {
             address: upstream.address,
             dispatcher: connections.dispatcher,
-            hasRoom: () => connections.hasRoom(),
+            hasRoom: () => connections.hasRoom() && (this.#options.relayLimit?.isAdmitted(upstream) ?? true),
+            addRequest: () => this.#options.relayLimit?.add(upstream),
             wasReset: () => connections.wasReset(),
             observeHead: (status, headers) => {
                 if (status !== misdirectedStatus) {
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -17,8 +17,10 @@
     readonly address: string;
     /** Opens connections to the upstream, apart from those of this node's own callers. */
     readonly dispatcher: Pick<Dispatcher, "request">;
-    /** Returns whether one more request would be sent without waiting for another one to end. */
+    /** Returns whether one more request may be sent, and would be without waiting for another one to end. */
     readonly hasRoom: () => boolean;
+    /** Called with each request that is sent. */
+    readonly addRequest?: () => void;
     /** Returns whether one of its connections was reset just now. */
     readonly wasReset: () => boolean;
     /** Called with the head of an answer, whose headers are alternating names and values. */
@@ -56,10 +58,11 @@
             return;
         }
         if (!target.hasRoom()) {
-            yield createFailure("no-room", "all connections to the upstream are in use");
+            yield createFailure("no-room", "the upstream takes no more requests from this node now");
             return;
         }
         this.#calls += 1;
+        target.addRequest?.();
         try {
             yield* forward(request, target, signal);
         }
--- a/src/upstream/upstreamFailure.ts
+++ b/src/upstream/upstreamFailure.ts
@@ -26,7 +26,8 @@
 /**
  * How a call to an upstream failed.
  * - `not-sent`: no connection was established, and nothing was sent.
- * - `no-room`: nothing was sent, as the node that would forward the request has no free connection to the upstream.
+ * - `no-room`: nothing was sent, as the upstream takes no more requests from this node, or from the one that would forward it: all
+ *   connections are in use, or it rests or leaves.
  * - `disconnected`: the upstream closed or reset the connection.
  * - `broken`: anything else. As after a disconnection, the request may have run.
  */
@@ -37,7 +38,7 @@
     readonly code = notSentCode;
 }
 
-/** A request that was not sent since the node that would forward it has no free connection to the upstream. */
+/** A request that was not sent since the upstream takes no more requests from the node that would forward it. */
 export class NoRoomError extends NotSentError {}
 
 /**
--- a/test/platform/leavingAndResting.test.ts
+++ b/test/platform/leavingAndResting.test.ts
@@ -12,6 +12,8 @@
 const restSlackMilliseconds = 500;
 const maxWhileResting = 2;
 const restSeconds = 3;
+/** Time within which a request is refused that can certainly not be served. */
+const maxRefusalMilliseconds = 300;
 
 // Upstreams say with their answers that they leave, or ask for rest as they reject requests, and the registry does not show it.
 describe("an upstream that wants no requests", () => {
@@ -35,13 +37,14 @@
     });
 
     /** Sends requests of all kinds to all nodes in turn for a while. */
-    async function sendFor(milliseconds: number): Promise<readonly SiteAnswer[]> {
-        const pending: Promise<SiteAnswer>[] = [];
+    async function sendFor(milliseconds: number): Promise<readonly TimedAnswer[]> {
+        const pending: Promise<TimedAnswer>[] = [];
         const endsAt = performance.now() + milliseconds;
         while (performance.now() < endsAt) {
             const node = site.nodes[Math.floor(pending.length / paths.length) % nodeCount];
             const headers = { [nodeHeader]: node.address, [sentAtHeader]: String(performance.now()) };
-            pending.push(site.send(node, { path: paths[pending.length % paths.length], headers }));
+            const path = paths[pending.length % paths.length];
+            pending.push(measure(() => site.send(node, { path, headers })));
             await new Promise(resolve => setTimeout(resolve, requestMilliseconds));
         }
         return Promise.all(pending);
@@ -54,7 +57,37 @@
         runners[1].restSeconds = undefined;
         expect(runners[1].getNodes().size).toEqual(nodeCount);
         expect(runners[1].getMostWhileResting(restSlackMilliseconds)).toBeLessThanOrEqual(maxWhileResting);
+        // A booking may be tried once only: the one with which a node is told is refused.
+        const refused = answers.filter(({ status }) => status !== 200);
+        expect(refused.every(({ status }) => status === 503)).toEqual(true);
+        expect(refused.length).toBeLessThanOrEqual(nodeCount);
+    });
+
+    // Guards against an upstream that nobody uses any more, or that all nodes rush to at the end of its rest.
+    it("gets requests again after its rest, at first a few", async () => {
+        await sendFor(restSeconds * 1_000);
+        const answers = await sendFor(1_000);
         expect(answers.filter(({ status }) => status !== 200).length).toEqual(0);
+        expect(runners[1].getArrivalsOfLast(1_000)).toBeGreaterThan(5);
+    });
+
+    // Guards against callers that wait for upstreams that all rest, and come back before one of them takes requests again.
+    it("makes nodes refuse at once when all others rest as well, with the time after which to come back", async () => {
+        for (const runner of runners) {
+            runner.restSeconds = restSeconds;
+        }
+        await sendFor(restSlackMilliseconds);
+        const answers = await sendFor(1_000);
+        for (const runner of runners) {
+            runner.restSeconds = undefined;
+            expect(runner.getMostWhileResting(restSlackMilliseconds)).toBeLessThanOrEqual(maxWhileResting);
+        }
+        expect(answers.every(({ status }) => status === 503)).toEqual(true);
+        // The callers' deadline is 3 s, and they wait for a third of it at most.
+        expect(answers.every(({ headers }) => Number(headers["retry-after"]) > 0.9)).toEqual(true);
+        expect(Math.max(...answers.map(({ milliseconds }) => milliseconds))).toBeLessThan(maxRefusalMilliseconds);
+        await sendFor(2 * restSeconds * 1_000);
+        expect((await sendFor(500)).every(({ status }) => status === 200)).toEqual(true);
     });
 
     // Guards against nodes that learn only from the store that an upstream leaves, although its answers have said so.
@@ -66,4 +99,29 @@
         expect(runners[0].getAfterLeaving(drainMilliseconds).length).toEqual(0);
         expect(answers.filter(({ status }) => status !== 200).length).toEqual(0);
     });
+
+    // Guards against callers that wait when every upstream has said that it leaves, and against a node that still uses one of them.
+    it("makes nodes refuse at once when all others leave as well", async () => {
+        for (const runner of runners) {
+            runner.isLeaving = true;
+        }
+        await sendFor(restSlackMilliseconds);
+        const before = runners.map(({ arrivals }) => arrivals.length);
+        const answers = await sendFor(500);
+        expect(answers.every(({ status, headers }) => status === 503 && headers["retry-after"] !== undefined))
+            .toEqual(true);
+        expect(Math.max(...answers.map(({ milliseconds }) => milliseconds))).toBeLessThan(maxRefusalMilliseconds);
+        expect(runners.map(({ arrivals }) => arrivals.length)).toEqual(before);
+    });
 });
+
+/** An answer and the time that it took. */
+interface TimedAnswer extends SiteAnswer {
+    readonly milliseconds: number;
+}
+
+async function measure(send: () => Promise<SiteAnswer>): Promise<TimedAnswer> {
+    const startedAt = performance.now();
+    const answer = await send();
+    return { ...answer, milliseconds: performance.now() - startedAt };
+}
--- a/test/platform/standins/statingRunner.ts
+++ b/test/platform/standins/statingRunner.ts
@@ -35,6 +35,12 @@
         return new Set(this.arrivals.map(({ node }) => node));
     }
 
+    /** Returns the number of requests in the last milliseconds. */
+    getArrivalsOfLast(milliseconds: number): number {
+        const from = performance.now() - milliseconds;
+        return this.arrivals.filter(({ at }) => at >= from).length;
+    }
+
     /** Returns the requests that were sent to a node this long after the runner had told it that it leaves. */
     getAfterLeaving(boundMilliseconds: number): readonly Arrival[] {
         const toldAt = new Map<string, number>();
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -143,6 +143,19 @@
         expect(received).toEqual(ids.filter(id => id !== "request-3"));
     });
 
+    // Guards against an upstream that gets requests of other nodes through one that it has asked for rest.
+    it("forwards nothing for other nodes to an upstream that takes nothing from this one", async () => {
+        const upstream = await listen(createRawRunner(() => {}));
+        let isAdmitted = true;
+        let sent = 0;
+        const client = createClient({ relayLimit: { isAdmitted: () => isAdmitted, add: () => sent += 1 } });
+        const target = client.getRelayTarget(upstream);
+        target.addRequest?.();
+        expect([target.hasRoom(), sent]).toEqual([true, 1]);
+        isAdmitted = false;
+        expect(target.hasRoom()).toEqual(false);
+    });
+
     // Guards against a node that forwards for another one and does not learn what the upstream says of itself.
     it("reports what the answers state that it forwards for other nodes", async () => {
         const upstream = await listen(createRawRunner(() => {}));
