Tell the other nodes that an upstream leaves

Nodes that start, or have not used an upstream, learn that it leaves from its first answer or from the registry. While the store is unavailable that was the only way: an upstream that has gone by then fails their requests. What an upstream announces holds for all nodes, so those that were told publish it by ordinary gossip until the registry drops the upstream.

--- a/src/fleet/announcements.ts
+++ b/src/fleet/announcements.ts
@@ -26,6 +26,12 @@
     readonly restMilliseconds: number | undefined;
 }
 
+/** How a node knows that an upstream leaves: by its own answer, since another one uses its address, or from another node. */
+export type LeavingSource = "answer" | "replaced" | "peer";
+
+/** Called with an upstream that leaves. */
+export type LeavingListener = (upstream: UpstreamIncarnation, source: LeavingSource) => void;
+
 interface KnownIncarnation {
     readonly address: string;
     readonly startedAt: number | undefined;
@@ -45,7 +51,7 @@
     readonly #options: AnnouncementsOptions;
     /** By identifier of the upstream, the newest at the end. */
     readonly #known = new Map<string, KnownIncarnation>();
-    readonly #leavingListeners: (() => void)[] = [];
+    readonly #leavingListeners: LeavingListener[] = [];
     readonly #restListeners: (() => void)[] = [];
 
     constructor(options: AnnouncementsOptions) {
@@ -54,9 +60,9 @@
 
     /**
      * Adds a listener for upstreams that leave.
-     * @param listener - Called after each such announcement.
+     * @param listener - Called once for each life of such an upstream.
      */
-    onLeaving(listener: () => void): void {
+    onLeaving(listener: LeavingListener): void {
         this.#leavingListeners.push(listener);
     }
 
@@ -87,14 +93,16 @@
      * @param upstream - The upstream.
      * @param source - How this node knows it, for the log.
      */
-    markLeaving(upstream: UpstreamIncarnation, source: "answer" | "replaced" | "peer"): void {
+    markLeaving(upstream: UpstreamIncarnation, source: LeavingSource): void {
         const known = this.#getOrAdd(upstream);
         if (known.isLeaving) {
             return;
         }
         known.isLeaving = true;
         this.#options.journal.write(events.upstreamLeaving, { upstream: upstream.id, source });
-        notify(this.#leavingListeners);
+        for (const listener of this.#leavingListeners) {
+            listener(upstream, source);
+        }
     }
 
     /** Returns whether an upstream has announced that it leaves. */
@@ -129,7 +137,9 @@
                 upstream: upstream.id,
                 milliseconds: Math.round(milliseconds),
             });
-            notify(this.#restListeners);
+            for (const listener of this.#restListeners) {
+                listener();
+            }
         }
     }
 
@@ -156,9 +166,3 @@
         return added;
     }
 }
-
-function notify(listeners: readonly (() => void)[]): void {
-    for (const listener of listeners) {
-        listener();
-    }
-}
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -5,6 +5,7 @@
 import type { Server } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
+import { shareLeavings } from "../fleet/index.js";
 import { formatValidationError } from "../settings/index.js";
 import { createNodeContainer } from "./nodeContainer.js";
 import type { NodeParts } from "./nodeParts.js";
@@ -39,6 +40,7 @@
         journal.write(events.processStarted, { address: settings.address });
         topics.onRoutes(() => callerServer.applyLimits());
         this.#clearStateOfRemovedUpstreams();
+        shareLeavings(this.getParts());
         this.#clearStateOfUnreachablePools();
         const listening = callerServer.listen(listeningServer ?? settings.listen.callers);
         topics.start();
