Keep to the rest that upstreams ask entries for, and to what their refusals say about leaving

The same cause in the product's own interface: entries handed the upstream's Retry-After on to nobody and sent the next request there, and a refusal "leaving" counted for the one request only, until the load report or the list of VMs said the same. An upstream that was reported as leaving before the list showed it was used once it was listed.

Requests that wait for a connection are not withdrawn here: entries open as many connections as they need.

--- a/src/decisions/placement/runnerChooser.ts
+++ b/src/decisions/placement/runnerChooser.ts
@@ -6,6 +6,7 @@
 import type { Clock, Failure, RandomSource } from "../../common/index.js";
 import { events, type Journal } from "../../events/index.js";
 import type { LoadReport, Vm, VmRole } from "../../world/index.js";
+import type { RestLimit } from "../dispatch/restLimit.js";
 import type { StatedRateLimit } from "../dispatch/statedRateLimit.js";
 import { CandidateSet } from "./candidateSet.js";
 import { getCapacity } from "./capacity.js";
@@ -22,6 +23,7 @@
 
 /** Base of the retry time of a refused request. The excess over its deadline is added, and jitter of up to 25 % in both directions. */
 const baseRetryMilliseconds = 1_000;
+const maxUnlistedLeaving = 1_000;
 
 /** Selects runners for one entry and tracks their state. */
 export class RunnerChooser {
@@ -37,6 +39,9 @@
     readonly #prefixes: PrefixTable;
     readonly #candidates: CandidateSet;
     readonly #rateShares: StatedRateLimit | undefined;
+    readonly #restLimit: RestLimit<Vm> | undefined;
+    /** Identifiers of upstreams that leave and are not listed yet, the newest at the end. */
+    readonly #unlistedLeaving = new Set<string>();
 
     constructor(options: {
         readonly self: EntryLocation;
@@ -46,6 +51,8 @@
         readonly journal?: Journal;
         /** The entry's shares of the rates that upstreams state. Without it, none states any. */
         readonly rateShares?: StatedRateLimit;
+        /** Keeps requests from upstreams that have asked this entry for rest. Without it, none has. */
+        readonly restLimit?: RestLimit<Vm>;
     }) {
         this.#self = options.self;
         this.#clock = options.clock;
@@ -62,10 +69,12 @@
             eject: (id, reason) => this.eject(id, reason),
         });
         this.#rateShares = options.rateShares;
+        this.#restLimit = options.restLimit;
         this.#candidates = new CandidateSet({
             random: options.random,
             options: this.#options,
-            isAdmitted: upstream => this.#rateShares?.isAdmitted(upstream) ?? true,
+            isAdmitted: upstream =>
+                (this.#rateShares?.isAdmitted(upstream) ?? true) && (this.#restLimit?.isAdmitted(upstream) ?? true),
         });
     }
 
@@ -91,6 +100,7 @@
                 this.#index.remove(runner);
                 this.#prefixes.removeUpstream(id);
                 this.#rateShares?.remove(id);
+                this.#restLimit?.remove(id);
             }
         }
         this.#index.setEntries(entries);
@@ -188,7 +198,11 @@
     /** Excludes an upstream from new requests until the VM list no longer contains it. */
     markLeaving(id: string): void {
         const runner = this.#runners.get(id);
-        if (runner === undefined || runner.isLeaving) {
+        if (runner === undefined) {
+            this.#addUnlistedLeaving(id);
+            return;
+        }
+        if (runner.isLeaving) {
             return;
         }
         runner.isLeaving = true;
@@ -241,7 +255,7 @@
         }
         const placement = this.#candidates.getBest();
         if (placement === undefined) {
-            return err(createUnavailable(request, this.#getRetryAfter(0)));
+            return err(createUnavailable(request, this.#getRetryAfter(this.#getRestWait(list.all))));
         }
         const excess = placement.expectedWaitMilliseconds - request.deadlineMilliseconds;
         if (excess > 0) {
@@ -257,6 +271,7 @@
     start(placement: Placement): Work {
         const runner = this.#runners.get(placement.upstream.id);
         this.#rateShares?.add(placement.upstream);
+        this.#restLimit?.add(placement.upstream);
         return runner === undefined
             ? new Work({ firstToken: () => {}, load: () => {}, finish: () => {} })
             : this.#works.start(runner, placement);
@@ -272,7 +287,7 @@
             return;
         }
         const runner = this.#factory.create(vm);
-        runner.isLeaving = vm.state === "leaving";
+        runner.isLeaving = vm.state === "leaving" || this.#unlistedLeaving.delete(vm.id);
         this.#runners.set(vm.id, runner);
         if (!runner.isLeaving) {
             this.#index.add(runner);
@@ -304,6 +319,24 @@
         }
     }
 
+    /** Returns the time until the first of some upstreams takes requests again, in milliseconds. */
+    #getRestWait(runners: readonly Runner[]): number {
+        const waits = runners.map(({ vm }) => this.#restLimit?.getWait(vm) ?? 0);
+        return waits.length === 0 ? 0 : Math.min(...waits);
+    }
+
+    /** The list of VMs may lag behind what other entries have been told by an upstream that is new. */
+    #addUnlistedLeaving(id: string): void {
+        this.#unlistedLeaving.delete(id);
+        this.#unlistedLeaving.add(id);
+        for (const oldest of this.#unlistedLeaving) {
+            if (this.#unlistedLeaving.size <= maxUnlistedLeaving) {
+                return;
+            }
+            this.#unlistedLeaving.delete(oldest);
+        }
+    }
+
     #getRetryAfter(excessMilliseconds: number): number {
         return Math.round((baseRetryMilliseconds + excessMilliseconds) * (0.75 + this.#random.next() / 2));
     }
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -20,6 +20,7 @@
     RunnerChooser,
 } from "../decisions/index.js";
 import type { EventBuffer, Journal } from "../events/index.js";
+import type { Announcements } from "../fleet/index.js";
 import type { LogClient } from "../log/index.js";
 import type { FollowStream } from "../log/logAccess.js";
 import type { Gossip, Membership, NodeIdentity, PeerClient, PeerServer } from "../membership/index.js";
@@ -28,9 +29,9 @@
 import type { Reachability, RelayPeers, RelayServer, SharedReachability } from "../reachability/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import type {
+    AnswerObserver,
     EngineClient,
     EngineOrders,
-    RateObserver,
     RatingClient,
     ServiceClient,
     UpstreamConnector,
@@ -116,7 +117,8 @@
     readonly quarantine: Quarantine;
     readonly crashWatch: CrashWatch;
     readonly rateLimits: RateLimits;
-    readonly rateObserver: RateObserver;
+    readonly announcements: Announcements;
+    readonly answerObserver: AnswerObserver;
     readonly engines: EngineClient;
     readonly services: ServiceClient;
     readonly ratings: RatingClient;
--- a/src/entry/parts/decisionParts.ts
+++ b/src/entry/parts/decisionParts.ts
@@ -9,14 +9,15 @@
     Evidence,
     Exposures,
     ModelChooser,
+    RestLimit,
     RetryBudget,
     RolloutEvaluator,
     RolloutRouter,
     RunnerChooser,
 } from "../../decisions/index.js";
-import { events } from "../../events/index.js";
+import { Announcements } from "../../fleet/index.js";
 import { createRateShares } from "../../ratelimits/index.js";
-import { EngineClient, EngineOrders, RateObserver, ServiceClient } from "../../upstream/index.js";
+import { AnswerObserver, EngineClient, EngineOrders, ServiceClient } from "../../upstream/index.js";
 import type { VmRole } from "../../world/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
 import { LoadPoller } from "../loadPoller.js";
@@ -118,9 +119,21 @@
         isLoaded: version => orderDriver.isReady(version),
     }),
     versionPolicy: ({ rollouts, rolloutRouter }) => new VersionPolicy({ rollouts, router: rolloutRouter }),
-    rateObserver: ({ clock, rateLimits }) =>
-        new RateObserver({ clock, onStatement: statement => rateLimits.observe(statement) }),
-    runners: ({ self, clock, random, journal, settings, membership, rateLimits }) =>
+    announcements: cradle => {
+        const announcements = new Announcements({ clock: cradle.clock, journal: cradle.journal });
+        announcements.onLeaving(({ id }) => {
+            cradle.runners.markLeaving(id);
+            cradle.sharedState.broadcastLeaving(id);
+        });
+        return announcements;
+    },
+    answerObserver: ({ clock, rateLimits, announcements }) =>
+        new AnswerObserver({
+            clock,
+            onRate: statement => rateLimits.observe(statement),
+            onAnnouncement: (upstream, announcement) => announcements.observe(upstream, announcement),
+        }),
+    runners: ({ self, clock, random, journal, settings, membership, rateLimits, announcements }) =>
         new RunnerChooser({
             self: { failureDomain: self.failureDomain, region: self.region, subsetKey: self.id },
             clock,
@@ -128,18 +141,19 @@
             journal,
             options: { nearSubsetSize: settings.limits.subset },
             rateShares: createRateShares({ clock, random, self: self.id, membership, rateLimits }),
+            restLimit: new RestLimit({ clock, random, getRestEnd: upstream => announcements.getRestEnd(upstream) }),
         }),
     admission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     serviceAdmission: ({ clock, random, journal }) => new AdmissionController({ clock, random, journal }),
     retries: ({ settings }) => new RetryBudget({ ratio: settings.limits.retryPercent / percent }),
-    engines: ({ upstreamAgent, settings, rateObserver }) =>
+    engines: ({ upstreamAgent, settings, answerObserver }) =>
         new EngineClient({
             dispatcher: upstreamAgent,
             headersTimeoutMilliseconds: settings.timing.upstreamConnectTimeoutMilliseconds,
-            rateObserver,
+            answerObserver,
         }),
-    services: ({ upstreamAgent, settings, rateObserver }) =>
-        new ServiceClient({ dispatcher: upstreamAgent, maxAnswerBytes: settings.limits.bodyBytes, rateObserver }),
+    services: ({ upstreamAgent, settings, answerObserver }) =>
+        new ServiceClient({ dispatcher: upstreamAgent, maxAnswerBytes: settings.limits.bodyBytes, answerObserver }),
     loadPoller: cradle =>
         new LoadPoller({
             clock: cradle.clock,
@@ -156,11 +170,7 @@
                 cradle.admission.setCapacity(getOwnCapacity(cradle, "runner"));
                 cradle.serviceAdmission.setCapacity(getOwnCapacity(cradle, "service"));
             },
-            onLeaving: upstream => {
-                cradle.runners.markLeaving(upstream.id);
-                cradle.journal.write(events.upstreamLeaving, { upstream: upstream.id });
-                cradle.sharedState.broadcastLeaving(upstream.id);
-            },
+            onLeaving: upstream => cradle.announcements.markLeaving(upstream, "answer"),
         }),
 };
 
--- a/src/entry/parts/relayParts.ts
+++ b/src/entry/parts/relayParts.ts
@@ -37,7 +37,7 @@
             getMembers: () => membership.getAddressable(),
             reaches: (node, pool) => sharedReachability.reaches(node, pool),
         }),
-    relayServer: ({ vmWatcher, directUpstreamAgent }) =>
+    relayServer: ({ vmWatcher, directUpstreamAgent, announcements, answerObserver }) =>
         new RelayServer(id => {
             const vm = vmWatcher.getVm(id);
             return vm === undefined || vm.role === "entry"
@@ -45,8 +45,10 @@
                 : {
                     address: getAddress(vm),
                     dispatcher: directUpstreamAgent,
-                    hasRoom: () => true,
+                    hasRoom: () => announcements.getRestMilliseconds(vm) === 0,
                     wasReset: () => false,
+                    observeHead: (statusCode, headers) =>
+                        answerObserver.observeRest(vm, { statusCode, headers: toObject(headers) }),
                 };
         }),
     directUpstreamAgent: ({ settings, upstreamConnector }) =>
@@ -81,3 +83,12 @@
 function getAddress({ address, port }: Vm): string {
     return `${address}:${port}`;
 }
+
+/** Returns alternating names and values as an object with names in lower case. */
+function toObject(headers: readonly string[]): Readonly<Record<string, string>> {
+    const entries: [string, string][] = [];
+    for (let index = 0; index + 1 < headers.length; index += 2) {
+        entries.push([headers[index].toLowerCase(), headers[index + 1]]);
+    }
+    return Object.fromEntries(entries);
+}
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -20,6 +20,8 @@
     /** Time between a call taking effect and its answer. */
     workMilliseconds: nonNegativeNumber.default(0),
     leaving: flag.default(false),
+    /** Seconds of rest that the service asks for as it rejects each call; 0 serves them. */
+    restSeconds: nonNegativeNumber.default(0),
     /** The service's process ends as soon as it has received a body that contains this text. */
     crashesOn: z.string().default(""),
     /** Number of upcoming calls that take effect and then lose their connection. */
@@ -45,11 +47,17 @@
     readonly body: string;
 }
 
+/** Journal entry of a call that was rejected with a rest. */
+interface RejectionJournalEntry {
+    /** Unix time in milliseconds. */
+    readonly rejectedAt: number;
+}
+
 /** A plain service in which each call takes effect immediately and is journaled. */
 export class PlainService {
     readonly #conditions: Conditions<z.infer<typeof schema>>;
     readonly #server: StandinServer;
-    readonly #journal: RunJournalEntry[] = [];
+    readonly #journal: (RunJournalEntry | RejectionJournalEntry)[] = [];
     #activeCount = 0;
 
     constructor(listen: Address, settings: object = {}) {
@@ -79,10 +87,17 @@
     }
 
     async #serve(context: Koa.Context): Promise<void> {
-        if (this.#conditions.get().leaving) {
+        const { leaving, restSeconds } = this.#conditions.get();
+        if (leaving) {
             sendProblem(context, 409, "leaving", "This service is leaving. Use another service.");
             return;
         }
+        if (restSeconds > 0) {
+            this.#journal.push({ rejectedAt: systemClock.wall() });
+            context.set("Retry-After", String(restSeconds));
+            sendProblem(context, 503, "overloaded", "This service needs rest. Use another service.");
+            return;
+        }
         this.#activeCount += 1;
         const load = this.#getLoad();
         context.set("X-Load", `${load.running}/${load.waiting}/${load.capacity}`);
--- a/src/upstream/answerObserver.ts
+++ b/src/upstream/answerObserver.ts
@@ -1,8 +1,11 @@
 /**
- * Reads the rate limit that an upstream states with its answers (docs/design/interfaces.md, `X-Rate-Limit`).
+ * Reads what an upstream states of itself with its answers (docs/design/interfaces.md, `X-Rate-Limit`, `Retry-After`, "leaving").
  */
 import type { Clock } from "../common/index.js";
+import type { Announcement } from "../fleet/index.js";
 import { type RateStatement, readStatedRate } from "../ratelimits/index.js";
+import type { Vm } from "../world/index.js";
+import { readRest } from "./rest.js";
 
 /** The head of an answer in the form of the HTTP client. */
 export interface AnswerHead {
@@ -10,18 +13,20 @@
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
-/** Options of `RateObserver`. */
-export interface RateObserverOptions {
+/** Options of `AnswerObserver`. */
+export interface AnswerObserverOptions {
     readonly clock: Clock;
-    /** Receives what each answer states. */
-    readonly onStatement: (statement: RateStatement) => void;
+    /** Receives what each answer states about the rate limit of its upstream. */
+    readonly onRate: (statement: RateStatement) => void;
+    /** Receives that an upstream leaves or asks for rest. */
+    readonly onAnnouncement: (upstream: Vm, announcement: Announcement) => void;
 }
 
-/** Passes on what the answers of upstreams state about their rate limits. */
-export class RateObserver {
-    readonly #options: RateObserverOptions;
+/** Passes on what the answers of upstreams state. */
+export class AnswerObserver {
+    readonly #options: AnswerObserverOptions;
 
-    constructor(options: RateObserverOptions) {
+    constructor(options: AnswerObserverOptions) {
         this.#options = options;
     }
 
@@ -32,15 +37,43 @@
 
     /**
      * Reads the head of an answer.
-     * @param upstream - Identifier of the upstream.
+     * @param upstream - The VM of the upstream.
      * @param head - The head.
      * @param sentAt - Monotonic time at which the request was sent.
      */
-    observe(upstream: string, { statusCode, headers }: AnswerHead, sentAt: number): void {
-        const header = headers["x-rate-limit"];
-        const requestsPerSecond = Array.isArray(header) ? undefined : readStatedRate(header, statusCode);
+    observe(upstream: Vm, head: AnswerHead, sentAt: number): void {
+        const rateLimit = getSingleHeader(head.headers["x-rate-limit"]);
+        const isRepeated = rateLimit === undefined && head.headers["x-rate-limit"] !== undefined;
+        const requestsPerSecond = isRepeated ? undefined : readStatedRate(rateLimit, head.statusCode);
         if (requestsPerSecond !== undefined) {
-            this.#options.onStatement({ upstream, requestsPerSecond, sentAt });
+            this.#options.onRate({ upstream: upstream.id, requestsPerSecond, sentAt });
         }
+        this.observeRest(upstream, head);
     }
+
+    /**
+     * Reads whether an answer asks for rest, also one to a request that this entry forwards for another one.
+     * @param upstream - The VM of the upstream.
+     * @param head - The head.
+     */
+    observeRest(upstream: Vm, { statusCode: status, headers }: AnswerHead): void {
+        const retryAfter = getSingleHeader(headers["retry-after"]);
+        const rest = readRest({ status, retryAfter, date: getSingleHeader(headers.date) }, this.#options.clock.wall());
+        if (rest.kind === "asked") {
+            this.#options.onAnnouncement(upstream, { isLeaving: false, restMilliseconds: rest.milliseconds });
+        }
+    }
+
+    /** Records that an upstream has refused a request because it leaves. */
+    observeLeaving(upstream: Vm): void {
+        this.#options.onAnnouncement(upstream, { isLeaving: true, restMilliseconds: undefined });
+    }
+}
+
+/**
+ * Returns the value of a header that was sent exactly once.
+ * @param header - The header in the form of the HTTP client.
+ */
+export function getSingleHeader(header: string | string[] | undefined): string | undefined {
+    return typeof header === "string" ? header : undefined;
 }
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -5,10 +5,12 @@
 import { type Dispatcher, request } from "undici";
 import { Failure } from "../common/index.js";
 import type { LoadReport, Vm } from "../world/index.js";
+import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
 import { type EngineEvent, readEvents, type TokenUsage } from "./engineStream.js";
-import type { RateObserver } from "./rateObserver.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
+/** Status with which an engine that leaves refuses a completion. */
+const leavingStatus = 409;
 /** The timeout of the HTTP client exceeds the deadline by this time. */
 const timeoutSlackMilliseconds = 2000;
 
@@ -47,19 +49,19 @@
     /** Timeout for the response headers of all calls except completions, in milliseconds. */
     readonly headersTimeoutMilliseconds: number;
     /** Receives the heads of answers to completions. */
-    readonly rateObserver?: RateObserver;
+    readonly answerObserver?: AnswerObserver;
 }
 
 /** Calls model engines. */
 export class EngineClient {
     readonly #dispatcher: Dispatcher;
     readonly #headersTimeout: number;
-    readonly #rateObserver: RateObserver | undefined;
+    readonly #answerObserver: AnswerObserver | undefined;
 
     constructor(options: EngineClientOptions) {
         this.#dispatcher = options.dispatcher;
         this.#headersTimeout = options.headersTimeoutMilliseconds;
-        this.#rateObserver = options.rateObserver;
+        this.#answerObserver = options.answerObserver;
     }
 
     /**
@@ -68,7 +70,7 @@
      * @param options - The request.
      */
     async complete(runner: Vm, options: EngineRequest): Promise<Result<EngineAnswer, UpstreamFailure>> {
-        const sentAt = this.#rateObserver?.getTime() ?? 0;
+        const sentAt = this.#answerObserver?.getTime() ?? 0;
         try {
             const response = await request(`${getOrigin(runner)}/v1/chat/completions`, {
                 method: "POST",
@@ -93,7 +95,10 @@
                     stream_options: { include_usage: true },
                 }),
             });
-            this.#rateObserver?.observe(runner.id, response, sentAt);
+            this.#answerObserver?.observe(runner, response, sentAt);
+            if (response.statusCode === leavingStatus) {
+                this.#answerObserver?.observeLeaving(runner);
+            }
             return await toAnswer(response, runner, 0);
         }
         catch (error) {
@@ -222,14 +227,6 @@
     return `http://${upstream.address}:${upstream.port}`;
 }
 
-/**
- * Returns the value of a header that was sent exactly once.
- * @param header - The header in the form of the HTTP client.
- */
-export function getSingleHeader(header: string | string[] | undefined): string | undefined {
-    return typeof header === "string" ? header : undefined;
-}
-
 async function toAnswer(
     response: Dispatcher.ResponseData,
     runner: Vm,
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,9 +1,9 @@
 /** Clients of upstreams, the VM list and the rating service. */
+export * from "./answerObserver.js";
 export * from "./connectionProbe.js";
 export * from "./engineClient.js";
 export * from "./engineOrders.js";
 export * from "./engineStream.js";
-export * from "./rateObserver.js";
 export * from "./ratingClient.js";
 export * from "./rest.js";
 export * from "./serviceClient.js";
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -6,8 +6,8 @@
 import { z } from "zod";
 import { Failure } from "../common/index.js";
 import type { Vm } from "../world/index.js";
-import { getOrigin, getSingleHeader } from "./engineClient.js";
-import type { RateObserver } from "./rateObserver.js";
+import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
+import { getOrigin } from "./engineClient.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
 
 /** A call to a plain service. */
@@ -45,19 +45,19 @@
     /** Maximum size of an answer that is forwarded, in bytes. */
     readonly maxAnswerBytes: number;
     /** Receives the heads of answers. */
-    readonly rateObserver?: RateObserver;
+    readonly answerObserver?: AnswerObserver;
 }
 
 /** Calls plain services. */
 export class ServiceClient {
     readonly #dispatcher: Dispatcher;
     readonly #maxAnswerBytes: number;
-    readonly #rateObserver: RateObserver | undefined;
+    readonly #answerObserver: AnswerObserver | undefined;
 
     constructor(options: ServiceClientOptions) {
         this.#dispatcher = options.dispatcher;
         this.#maxAnswerBytes = options.maxAnswerBytes;
-        this.#rateObserver = options.rateObserver;
+        this.#answerObserver = options.answerObserver;
     }
 
     /**
@@ -66,7 +66,7 @@
      * @param call - The call.
      */
     async call(service: Vm, call: ServiceCall): Promise<Result<ServiceAnswer, UpstreamFailure>> {
-        const sentAt = this.#rateObserver?.getTime() ?? 0;
+        const sentAt = this.#answerObserver?.getTime() ?? 0;
         try {
             const response = await request(`${getOrigin(service)}${call.path}`, {
                 method: call.method as Dispatcher.HttpMethod,
@@ -81,9 +81,10 @@
                 },
                 body: call.body,
             });
-            this.#rateObserver?.observe(service.id, response, sentAt);
+            this.#answerObserver?.observe(service, response, sentAt);
             const answer = await this.#readAnswer(response, service);
             if (answer.isOk() && isLeavingRefusal(answer.value)) {
+                this.#answerObserver?.observeLeaving(service);
                 return err(classifyRefusal(answer.value.status, service.id));
             }
             return answer;
