Soak nodes before runners that leave and ask for rest

Two more runners of the platform's soak: one rejects everything for 2.5 s at a time and asks for 1.5 s of rest, one says after 2 s that it leaves, which its record never shows.

Requests that wait for connections are found by the upstreams that they wait for, and not by all: the registry changes for each heartbeat of each upstream.

--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -45,6 +45,8 @@
     readonly #connections = new Map<string, UpstreamConnections>();
     /** Connections for requests of other nodes. They take the place of connections that those nodes cannot open. */
     readonly #relayConnections = new Map<string, UpstreamConnections>();
+    /** Connections for which requests wait or have waited. */
+    readonly #waitedFor = new Set<UpstreamConnections>();
 
     constructor(options: UpstreamClientOptions) {
         this.#options = options;
@@ -94,8 +96,11 @@
 
     /** Lets requests that wait for a connection go elsewhere if their upstream may not receive them any more. */
     withdrawWaiting(): void {
-        for (const connections of this.#connections.values()) {
-            if (connections.hasWaiting() && this.#options.mayReceive?.(connections.upstream) === false) {
+        for (const connections of this.#waitedFor) {
+            if (!connections.hasWaiting()) {
+                this.#waitedFor.delete(connections);
+            }
+            else if (this.#options.mayReceive?.(connections.upstream) === false) {
                 connections.wakeAll();
             }
         }
@@ -137,6 +142,7 @@
             upstream,
             connections: this.#options.getConnectionLimit(upstream.pool),
             onConnectFailure: () => this.#options.onConnectFailure?.(upstream),
+            onWait: waited => this.#waitedFor.add(waited),
         });
         known.set(upstream.id, connections);
         return connections;
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -28,6 +28,8 @@
     readonly connections: number;
     /** Called when a connection could not be opened. */
     readonly onConnectFailure: () => void;
+    /** Called with these connections when a request begins to wait for one of them. */
+    readonly onWait: (connections: UpstreamConnections) => void;
 }
 
 /**
@@ -38,14 +40,16 @@
     readonly upstream: RegisteredUpstream;
     readonly dispatcher: Pool;
     readonly #connections: number;
+    readonly #onWait: (connections: UpstreamConnections) => void;
     /** Functions that let the waiting requests go on, in the order of their arrival. */
     readonly #waiting = new Set<() => void>();
     #resetAt = Number.NEGATIVE_INFINITY;
     #isClosed = false;
 
-    constructor({ upstream, connections, onConnectFailure }: UpstreamConnectionsOptions) {
+    constructor({ upstream, connections, onConnectFailure, onWait }: UpstreamConnectionsOptions) {
         this.upstream = upstream;
         this.#connections = connections;
+        this.#onWait = onWait;
         this.dispatcher = new Pool(`http://${upstream.address}`, {
             connections,
             pipelining: 1,
@@ -141,6 +145,7 @@
             };
             this.#waiting.add(wake);
             signal.addEventListener("abort", wake);
+            this.#onWait(this);
         });
     }
 }
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the platform's soak test by hand: `node dist/test/platform/soak/main.js --seed 1 --count 50 --seconds 12`. With
  * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit, with
- * `--cuts` nodes lose the paths to all runners.
+ * `--cuts` nodes lose the paths to all runners, with `--statements` two more runners leave and ask for rest.
  */
 import { parseArgs } from "node:util";
 import { runPlatformSoak } from "./platformSoak.js";
@@ -14,6 +14,7 @@
         prefix: { type: "string", default: "127.72.90" },
         limit: { type: "boolean", default: false },
         cuts: { type: "boolean", default: false },
+        statements: { type: "boolean", default: false },
         rollout: { type: "boolean", default: false },
     },
 });
@@ -26,6 +27,7 @@
         hasRollout: values.rollout,
         hasLimit: values.limit,
         hasCuts: values.cuts,
+        hasStatements: values.statements,
     };
     const { violations, timeLine, requests, served } = await runPlatformSoak(options);
     console.log(
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -6,11 +6,16 @@
 const maxLines = 20;
 
 function describeOptions(
-    options: { readonly hasRollout: boolean; readonly hasLimit?: boolean; readonly hasCuts?: boolean; },
+    options: {
+        readonly hasRollout: boolean;
+        readonly hasLimit?: boolean;
+        readonly hasCuts?: boolean;
+        readonly hasStatements?: boolean;
+    },
 ): string {
     return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
         options.hasCuts === true ? ", with nodes that reach no runner" : ""
-    }`;
+    }${options.hasStatements === true ? ", with runners that leave and ask for rest" : ""}`;
 }
 
 describe("runPlatformSoak", () => {
@@ -28,9 +33,11 @@
         { seed: 5, prefix: "127.72.47", hasRollout: false, hasLimit: true },
         // What one node forwards for another must neither run twice nor be reported as not run.
         { seed: 7, prefix: "127.72.52", hasRollout: false, hasCuts: true },
+        // Nodes have to keep to what runners have told them, whatever happens to the nodes and the store meanwhile.
+        { seed: 9, prefix: "127.72.57", hasRollout: false, hasStatements: true },
     ];
-    for (const { seed, prefix, hasRollout, hasLimit, hasCuts } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts })}`, async () => {
+    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements } of seeds) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
@@ -38,6 +45,7 @@
                 hasRollout,
                 hasLimit,
                 hasCuts,
+                hasStatements,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -11,6 +11,13 @@
 import { type ExecutedRequest, findViolations, type RevokedKey } from "./soakChecks.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { createBehaviour, type RunnerFault } from "./soakRunners.js";
+import {
+    findStatementViolations,
+    leavingRunner,
+    restingRunner,
+    state,
+    type StatementArrival,
+} from "./soakStatements.js";
 
 const nodeCount = 4;
 const runnerCount = 5;
@@ -46,6 +53,8 @@
     readonly hasRollout?: boolean;
     /** Whether one more runner states a rate limit all the while. Draws no random numbers either. */
     readonly hasLimit?: boolean;
+    /** Whether two more runners leave and ask for rest. Draws no random numbers either. */
+    readonly hasStatements?: boolean;
     /** Whether nodes also lose the paths to all runners. The faults of a seed differ with it. */
     readonly hasCuts?: boolean;
 }
@@ -80,6 +89,7 @@
     readonly #timeLine: string[] = [];
     readonly #violations: string[] = [];
     readonly #outages: NodeOutage[] = [];
+    readonly #statementArrivals: StatementArrival[] = [];
     readonly #activeFaults: Promise<void>[] = [];
     /** Indices from 1 of the nodes that are killed, stopped or paused at the moment. */
     readonly #unavailableNodes = new Set<number>();
@@ -124,8 +134,10 @@
         const limitViolations = this.#options.hasLimit === true
             ? findLimitViolations(this.#getLimitedArrivals(callers), this.#outages)
             : [];
+        const sent = new Map(callers.observed.map(({ id, address, sentAt }) => [id, { node: address, sentAt }]));
+        const statementViolations = findStatementViolations(this.#statementArrivals, sent, this.#outages);
         return {
-            violations: [...this.#violations, ...checkedViolations, ...limitViolations],
+            violations: [...this.#violations, ...checkedViolations, ...limitViolations, ...statementViolations],
             timeLine: this.#timeLine,
             requests: callers.observed.length,
             served: callers.observed.filter(({ status, isComplete }) => status === 200 && isComplete).length,
@@ -146,9 +158,13 @@
         for (const id of this.#runnerIds) {
             this.#setRunner(id, "none");
         }
-        if (this.#options.hasLimit === true) {
-            await this.#site.addRunner(limitedRunner);
-            this.#setRunner(limitedRunner, "none");
+        const statingRunners = [
+            ...this.#options.hasLimit === true ? [limitedRunner] : [],
+            ...this.#options.hasStatements === true ? [restingRunner, leavingRunner] : [],
+        ];
+        for (const id of statingRunners) {
+            await this.#site.addRunner(id);
+            this.#setRunner(id, "none");
         }
         for (let index = 1; index <= nodeCount; index += 1) {
             const target = { host: `${this.#options.prefix}.200`, port: storePort };
@@ -234,7 +250,17 @@
     #setRunner(id: string, fault: RunnerFault): void {
         const behaviour = createBehaviour(fault, faultShare, this.#random);
         this.#site.runners.get(id)!.behaviour = (request, response) => {
-            this.#executed.push({ request, at: performance.now(), runner: id });
+            const at = performance.now();
+            if (id === restingRunner || id === leavingRunner) {
+                const requestId = String(request.headers["attempt-id"]);
+                const elapsed = at - this.#startedAt;
+                const { isRejected, isTold } = state({ runner: id, request: requestId, elapsed }, response);
+                this.#statementArrivals.push({ runner: id, request: requestId, at, isTold });
+                if (isRejected) {
+                    return undefined;
+                }
+            }
+            this.#executed.push({ request, at, runner: id });
             if (id === limitedRunner) {
                 response.setHeader("Server-Limit", String(statedPerSecond));
             }
