--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -33,7 +33,7 @@
         409,
         "upstream-leaving",
         "info",
-        "An upstream announced that it is leaving the site, or another one uses its address; it gets no more requests.",
+        "An upstream announced that it is leaving the site; it gets no more requests.",
     ),
     billsLeftBehind: define(
         410,
--- a/src/fleet/announcements.ts
+++ b/src/fleet/announcements.ts
@@ -26,8 +26,8 @@
     readonly restMilliseconds: number | undefined;
 }
 
-/** How a node knows that an upstream leaves: by its own answer, since another one uses its address, or from another node. */
-export type LeavingSource = "answer" | "replaced" | "peer";
+/** How a node knows that an upstream leaves: by its own answer, or from another node. */
+export type LeavingSource = "answer" | "peer";
 
 /** Called with an upstream that leaves. */
 export type LeavingListener = (upstream: UpstreamIncarnation, source: LeavingSource) => void;
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -86,13 +86,15 @@
     }
 
     /**
-     * Marks an upstream as leaving before its record shows it, after a call that found it replaced.
+     * Marks an upstream as leaving until its next record, after a call that found it replaced. Only an upstream that lives writes
+     * another record: a refused model, too, may pass for a replacement.
      * @param id - The upstream's identifier.
      */
     markLeaving(id: string): void {
         const known = this.#upstreams.get(id);
-        if (known !== undefined) {
-            this.#announcements.markLeaving(known, "replaced");
+        if (known !== undefined && !known.isLeaving) {
+            this.#upstreams.set(id, { ...known, isLeaving: true });
+            this.#handleChange();
         }
     }
 
--- a/test/fleet/upstreamRegistry.test.ts
+++ b/test/fleet/upstreamRegistry.test.ts
@@ -61,6 +61,16 @@
         });
     });
 
+    // Guards against a pool that one caller with a refused model empties for good.
+    it("treats an upstream that a call found replaced as leaving until its next record only", () => {
+        const { registry, getAvailable } = createRegistry();
+        registry.set(createUpstream("a"));
+        registry.markLeaving("a");
+        expect(getAvailable()).toEqual([]);
+        registry.set(createUpstream("a"));
+        expect(getAvailable()).toEqual(["a"]);
+    });
+
     // Guards against records that are older than what the upstream itself has said, and that bring it back while the store is
     // unavailable or after it has returned.
     describe("an upstream that has announced that it leaves", () => {
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -7,17 +7,11 @@
 import { FaultProxy } from "../../../src/standins/proxy/index.js";
 import { waitUntil } from "../../../src/testbench/index.js";
 import { createConfiguration, type Cut, PlatformSite } from "../platformSite.js";
+import { RunnerSet } from "./runnerSet.js";
 import { SoakCallers } from "./soakCallers.js";
-import { type ExecutedRequest, findViolations, type RevokedKey } from "./soakChecks.js";
-import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
-import { createBehaviour, type RunnerFault } from "./soakRunners.js";
-import {
-    findStatementViolations,
-    leavingRunner,
-    restingRunner,
-    state,
-    type StatementArrival,
-} from "./soakStatements.js";
+import { findViolations, type RevokedKey } from "./soakChecks.js";
+import type { NodeOutage } from "./soakLimit.js";
+import type { RunnerFault } from "./soakRunners.js";
 
 const nodeCount = 4;
 const runnerCount = 5;
@@ -28,14 +22,11 @@
 const concurrentRequests = 4;
 const runnerFaults: readonly RunnerFault[] = ["reset", "mute", "truncate", "error", "slow"];
 const cuts: readonly Cut[] = ["silent", "reset", "kept"];
-const faultShare = 0.3;
 /** Maximum time between the starts of two faults. It is short so that some faults overlap. */
 const maxGapMilliseconds = 900;
 const minFaultMilliseconds = 300;
 const maxFaultMilliseconds = 2_500;
 const recoveryMilliseconds = 20_000;
-/** A runner without faults that states a rate limit. */
-const limitedRunner = "i-limited";
 const newVersion = "v2";
 const newRunnerCount = 3;
 /** Maximum time until a roll-out ends, counted from its deadline and the last fault. */
@@ -84,12 +75,11 @@
     readonly #random: RandomSource;
     readonly #site: PlatformSite;
     readonly #proxy: FaultProxy;
-    readonly #executed: ExecutedRequest[] = [];
+    readonly #runners: RunnerSet;
     readonly #revoked: RevokedKey[] = [];
     readonly #timeLine: string[] = [];
     readonly #violations: string[] = [];
     readonly #outages: NodeOutage[] = [];
-    readonly #statementArrivals: StatementArrival[] = [];
     readonly #activeFaults: Promise<void>[] = [];
     /** Indices from 1 of the nodes that are killed, stopped or paused at the moment. */
     readonly #unavailableNodes = new Set<number>();
@@ -104,6 +94,12 @@
         this.#options = options;
         this.#random = new RandomSource(options.seed);
         this.#site = new PlatformSite(options.prefix);
+        this.#runners = new RunnerSet({
+            site: this.#site,
+            random: this.#random,
+            hasLimit: options.hasLimit === true,
+            hasStatements: options.hasStatements === true,
+        });
         this.#proxy = new FaultProxy({ host: `${options.prefix}.201`, port: 0 });
     }
 
@@ -127,17 +123,13 @@
         await callers.stop();
         const checkedViolations = findViolations(
             callers.observed,
-            this.#executed,
+            this.#runners.executed,
             this.#revoked,
             revocationMilliseconds,
         );
-        const limitViolations = this.#options.hasLimit === true
-            ? findLimitViolations(this.#getLimitedArrivals(callers), this.#outages)
-            : [];
-        const sent = new Map(callers.observed.map(({ id, address, sentAt }) => [id, { node: address, sentAt }]));
-        const statementViolations = findStatementViolations(this.#statementArrivals, sent, this.#outages);
+        const statementViolations = this.#runners.findViolations(callers, this.#outages);
         return {
-            violations: [...this.#violations, ...checkedViolations, ...limitViolations, ...statementViolations],
+            violations: [...this.#violations, ...checkedViolations, ...statementViolations],
             timeLine: this.#timeLine,
             requests: callers.observed.length,
             served: callers.observed.filter(({ status, isComplete }) => status === 200 && isComplete).length,
@@ -156,16 +148,9 @@
         this.#publish();
         this.#runnerIds = [...this.#site.runners.keys()];
         for (const id of this.#runnerIds) {
-            this.#setRunner(id, "none");
-        }
-        const statingRunners = [
-            ...this.#options.hasLimit === true ? [limitedRunner] : [],
-            ...this.#options.hasStatements === true ? [restingRunner, leavingRunner] : [],
-        ];
-        for (const id of statingRunners) {
-            await this.#site.addRunner(id);
-            this.#setRunner(id, "none");
+            this.#runners.set(id, "none");
         }
+        await this.#runners.addStating();
         for (let index = 1; index <= nodeCount; index += 1) {
             const target = { host: `${this.#options.prefix}.200`, port: storePort };
             await this.#proxy.addRoute(`store-${index}`, this.#getLink(index), target);
@@ -211,7 +196,7 @@
         for (let index = 1; index <= newRunnerCount; index += 1) {
             const id = `i-new-${index}`;
             await this.#site.addRunner(id, newVersion);
-            this.#setRunner(id, "none");
+            this.#runners.set(id, "none");
         }
         const order = { service: "pool", target: newVersion, deadline_s: this.#options.milliseconds / 1_000 };
         this.#site.store.put("keyed.op", "rollout/pool", order);
@@ -239,7 +224,7 @@
         for (const { address } of this.#site.nodes) {
             for (let count = 0; count < requestsAfterRollout; count += 1) {
                 const { id } = await callers.send("call", address, "key-last");
-                const runner = this.#executed.findLast(run => run.request.headers["attempt-id"] === id)?.runner;
+                const runner = this.#runners.executed.findLast(run => run.request.headers["attempt-id"] === id)?.runner;
                 if (runner !== undefined && runner.startsWith("i-new") !== isNewExpected) {
                     this.#violations.push(`${address} served by ${runner} after the roll-out was ${getState()}`);
                 }
@@ -247,39 +232,6 @@
         }
     }
 
-    #setRunner(id: string, fault: RunnerFault): void {
-        const behaviour = createBehaviour(fault, faultShare, this.#random);
-        this.#site.runners.get(id)!.behaviour = (request, response) => {
-            const at = performance.now();
-            if (id === restingRunner || id === leavingRunner) {
-                const requestId = String(request.headers["attempt-id"]);
-                const elapsed = at - this.#startedAt;
-                const { isRejected, isTold } = state({ runner: id, request: requestId, elapsed }, response);
-                this.#statementArrivals.push({ runner: id, request: requestId, at, isTold });
-                if (isRejected) {
-                    return undefined;
-                }
-            }
-            this.#executed.push({ request, at, runner: id });
-            if (id === limitedRunner) {
-                response.setHeader("Server-Limit", String(statedPerSecond));
-            }
-            return behaviour(request, response);
-        };
-    }
-
-    #getLimitedArrivals({ observed }: SoakCallers): readonly LimitedArrival[] {
-        const nodes = new Map(observed.map(({ id, address }) => [id, address]));
-        const arrivals: LimitedArrival[] = [];
-        for (const { request, at, runner } of this.#executed) {
-            const node = nodes.get(String(request.headers["attempt-id"]));
-            if (runner === limitedRunner && node !== undefined) {
-                arrivals.push({ at, node });
-            }
-        }
-        return arrivals;
-    }
-
     #drawKey(): string {
         const keys = [...this.#keys, ...this.#revoked.slice(-1).map(({ key }) => key)];
         return keys[Math.floor(Math.random() * keys.length)];
@@ -394,9 +346,9 @@
         const id = this.#draw(this.#runnerIds);
         const fault = this.#draw(runnerFaults);
         this.#recordEvent(`runner ${id}: ${fault} for ${faultMilliseconds} ms`);
-        this.#setRunner(id, fault);
+        this.#runners.set(id, fault);
         await wait(faultMilliseconds);
-        this.#setRunner(id, "none");
+        this.#runners.set(id, "none");
     }
 
     async #drainRunner(faultMilliseconds: number): Promise<void> {
--- /dev/null
+++ b/test/platform/soak/runnerSet.ts
@@ -0,0 +1,94 @@
+/** The runners of a soak test, with their faults and statements, and what they received. */
+import type { ServerResponse } from "node:http";
+import type { RandomSource } from "../../../src/common/index.js";
+import type { PlatformSite } from "../platformSite.js";
+import type { ReceivedRequest } from "../standins/runnerStandin.js";
+import type { SoakCallers } from "./soakCallers.js";
+import type { ExecutedRequest } from "./soakChecks.js";
+import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
+import { createBehaviour, type RunnerFault } from "./soakRunners.js";
+import {
+    findStatementViolations,
+    leavingRunner,
+    restingRunner,
+    state,
+    type StatementArrival,
+} from "./soakStatements.js";
+
+const faultShare = 0.3;
+/** A runner without faults that states a rate limit. */
+const limitedRunner = "i-limited";
+
+/** Options of a set of runners. */
+export interface RunnerSetOptions {
+    readonly site: PlatformSite;
+    readonly random: RandomSource;
+    /** Whether one more runner states a rate limit. */
+    readonly hasLimit: boolean;
+    /** Whether two more runners leave and ask for rest. */
+    readonly hasStatements: boolean;
+}
+
+/** Sets how runners behave and records the requests that they ran or rejected. */
+export class RunnerSet {
+    readonly executed: ExecutedRequest[] = [];
+    readonly #options: RunnerSetOptions;
+    readonly #arrivals: StatementArrival[] = [];
+    readonly #startedAt = performance.now();
+
+    constructor(options: RunnerSetOptions) {
+        this.#options = options;
+    }
+
+    /** Adds the runners that state something. */
+    async addStating(): Promise<void> {
+        const { site, hasLimit, hasStatements } = this.#options;
+        for (const id of [...hasLimit ? [limitedRunner] : [], ...hasStatements ? [restingRunner, leavingRunner] : []]) {
+            await site.addRunner(id);
+            this.set(id, "none");
+        }
+    }
+
+    /** Sets how a runner fails a share of its requests. */
+    set(id: string, fault: RunnerFault): void {
+        const { site, random } = this.#options;
+        const behaviour = createBehaviour(fault, faultShare, random);
+        site.runners.get(id)!.behaviour = (request, response) => {
+            if (this.#isRejected(id, request, response)) {
+                return undefined;
+            }
+            this.executed.push({ request, at: performance.now(), runner: id });
+            if (id === limitedRunner) {
+                response.setHeader("Server-Limit", String(statedPerSecond));
+            }
+            return behaviour(request, response);
+        };
+    }
+
+    /** Returns where nodes did not keep to what runners have stated, one line each. */
+    findViolations({ observed }: SoakCallers, outages: readonly NodeOutage[]): readonly string[] {
+        const sent = new Map(observed.map(({ id, address, sentAt }) => [id, { node: address, sentAt }]));
+        const limited: LimitedArrival[] = [];
+        for (const { request, at, runner } of this.executed) {
+            const node = sent.get(String(request.headers["attempt-id"]))?.node;
+            if (runner === limitedRunner && node !== undefined) {
+                limited.push({ at, node });
+            }
+        }
+        return [
+            ...this.#options.hasLimit ? findLimitViolations(limited, outages) : [],
+            ...findStatementViolations(this.#arrivals, sent, outages),
+        ];
+    }
+
+    #isRejected(runner: string, { headers }: ReceivedRequest, response: ServerResponse): boolean {
+        if (runner !== restingRunner && runner !== leavingRunner) {
+            return false;
+        }
+        const at = performance.now();
+        const request = String(headers["attempt-id"]);
+        const { isRejected, isTold } = state({ runner, request, elapsed: at - this.#startedAt }, response);
+        this.#arrivals.push({ runner, request, at, isTold });
+        return isRejected;
+    }
+}
