Go on with streams at full upstreams while others rest

While an upstream of a pool rests, a request whose best choice is full is refused at once. That held for a stream as well that had already been sent in part: with the others full it was broken off for good. What has run is sent on; the test fails without it. Found by reading the change.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -102,7 +102,8 @@
             return err(this.#createUnpicked(exchange));
         }
         const { pick, versionReason } = selected;
-        if (pick.load >= fullLoad && this.#isAnyResting(exchange)) {
+        // A request that has already run in part is better late than broken off.
+        if (exchange.outcome === "not-run" && pick.load >= fullLoad && this.#isAnyResting(exchange)) {
             return err(this.#createUnpicked(exchange));
         }
         const budget = this.#options.getBudget(exchange.pool);
--- a/test/forwarding/restingUpstreams.test.ts
+++ b/test/forwarding/restingUpstreams.test.ts
@@ -4,14 +4,15 @@
 import { ManualClock } from "../../src/common/index.js";
 import type { ReportedLoad, UpstreamAnswer, UpstreamCallFailure } from "../../src/forwarding/index.js";
 import { createAnswer, createForwarder } from "../fixtures/forwarders.js";
+import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
 import { createUpstreams } from "../fixtures/upstreams.js";
 
 /** A tenth of the timeout of the route. */
 const restMilliseconds = 100;
 const timeoutMilliseconds = 1_000;
 
-function reject(): Result<UpstreamAnswer, UpstreamCallFailure> {
-    return err({ kind: "refused", reason: "full", restMilliseconds });
+function reject(milliseconds = restMilliseconds): Result<UpstreamAnswer, UpstreamCallFailure> {
+    return err({ kind: "refused", reason: "full", restMilliseconds: milliseconds });
 }
 
 /** Creates a forwarder before two upstreams of which the first rejects and asks for rest; the second reports its load. */
@@ -49,6 +50,27 @@
         expect(calls.length).toBeGreaterThan(before);
     });
 
+    // Guards against streams that are broken off for good since those that could go on with them have all slots in use.
+    it("do not keep the rest of a stream from full upstreams", async () => {
+        const load = { running: 8, waiting: 1, slots: 8 };
+        let accepted = 0;
+        const site = createForwarder({
+            upstreams: createUpstreams(3),
+            getRoutes: () => createRouteTable({ routes: [createStreamRoute()] }),
+            behaviour: (...[, { id }]) => {
+                if (id === "u1") {
+                    return reject(5_000);
+                }
+                accepted += 1;
+                const event = `id: ${accepted}\ndata: ${accepted}\n\n`;
+                return createAnswer([event], { load, confidence: 100, breaksConnection: accepted === 1 });
+            },
+        });
+        site.announcements.observe(createUpstreams(1)[0], { isLeaving: false, restMilliseconds: 5_000 });
+        const caller = await site.send({ deadlineMilliseconds: 20_000 });
+        expect([accepted, caller.isComplete, caller.chunks.length]).toEqual([2, true, 2]);
+    });
+
     // Guards against callers that come back while the upstreams still rest, all at one moment.
     it("let callers come back after the end of the first rest, at different moments", async () => {
         const { send } = createPair(undefined, true);
