Name the parts of a request's prompt where an upstream crashed under it

Line 424 has `parts` now: a truncated hash of the pool and of each part before the last one, which belongs to the request only. On the product's own interface the messages before the last one are the parts. Nothing is decided by them yet.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -220,6 +220,7 @@
                     workspace: identity.workspace,
                     body: body.value,
                 },
+                prompt: { pool: "", parts: parsed.value.promptParts },
             }),
             sink,
             deadlineSignal: deadline,
--- a/src/entry/chatRequest.ts
+++ b/src/entry/chatRequest.ts
@@ -42,6 +42,8 @@
     readonly streamed: boolean;
     /** All messages as one text, whose prefix blocks are hashed. */
     readonly promptText: string;
+    /** The messages as texts. Prompts of a conversation, or with the same instructions, share all but the last of them. */
+    readonly promptParts: readonly string[];
     readonly estimatedInputTokens: number;
     readonly estimatedOutputTokens: number;
 }
@@ -65,23 +67,21 @@
     }
     const requestedTokens = parsed.data.max_completion_tokens ?? parsed.data.max_tokens ?? undefined;
     const outputLimit = Math.min(requestedTokens ?? maxTokens, maxTokens);
-    const promptText = getPromptText(parsed.data.messages);
+    const promptParts = getPromptParts(parsed.data.messages);
+    const promptText = promptParts.join("");
     return ok({
         body: { ...parsed.data, max_tokens: outputLimit },
         model: parsed.data.model,
         streamed: parsed.data.stream === true,
         promptText,
+        promptParts,
         estimatedInputTokens: Math.ceil(promptText.length / charactersPerToken),
         estimatedOutputTokens: Math.min(outputLimit, defaultOutputTokens),
     });
 }
 
-function getPromptText(messages: readonly z.infer<typeof messageSchema>[]): string {
-    let text = "";
-    for (const message of messages) {
-        text += `${message.role}\n${getContentText(message.content)}\n`;
-    }
-    return text;
+function getPromptParts(messages: readonly z.infer<typeof messageSchema>[]): readonly string[] {
+    return messages.map(message => `${message.role}\n${getContentText(message.content)}\n`);
 }
 
 function getContentText(content: z.infer<typeof contentSchema> | null | undefined): string {
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -210,6 +210,7 @@
             id,
             isStream: false,
             content: { method, host, path, workspace, body },
+            prompt: undefined,
         });
         let combinedOutcome: Outcome = "not-run";
         for (let attempt = 0;; attempt += 1) {
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -69,7 +69,7 @@
         424,
         "upstream-crashed",
         "warning",
-        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come.",
+        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come, and name the parts of its prompt.",
     ),
     requestQuarantined: define(
         425,
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -60,12 +60,13 @@
         this.priority = options.priority;
         this.configurationVersion = options.configurationVersion;
         this.#clock = options.clock;
-        const { id, method, host, body } = options.request;
-        const { workspace } = options;
+        const { id, method, host, body, generation } = options.request;
+        const { workspace, pool } = options;
         this.watchedRequest = createWatchedRequest({
             id,
             isStream: options.route.kind === "stream",
             content: { method, host, path: getPath(options.request), workspace, body },
+            prompt: generation && { pool, parts: generation.parts.map(part => part.id) },
         });
         const timeoutMilliseconds = Math.min(
             options.route.timeoutMilliseconds,
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -88,6 +88,7 @@
         journal.write(events.upstreamCrashed, {
             request: request.id,
             fingerprint,
+            parts: request.getPartKeys().join(" ") || undefined,
             upstream: upstream.id,
             stage,
             points: pointsAtStart,
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -2,6 +2,7 @@
 export * from "./crashRecord.js";
 export * from "./crashWatch.js";
 export * from "./fingerprint.js";
+export * from "./promptParts.js";
 export * from "./quarantine.js";
 export * from "./quarantineFailure.js";
 export * from "./sharedQuarantine.js";
--- a/src/quarantine/watchedRequest.ts
+++ b/src/quarantine/watchedRequest.ts
@@ -2,6 +2,7 @@
  * A request as the watch for crashed upstreams sees it.
  */
 import { createFingerprint, type RequestContent } from "./fingerprint.js";
+import { createPartKeys, type PromptContent } from "./promptParts.js";
 
 /** A request whose runs are watched. */
 export interface WatchedRequest {
@@ -11,6 +12,8 @@
     readonly isStream: boolean;
     /** Returns the request's fingerprint. Called only where it is needed, since it reads the whole body. */
     readonly getFingerprint: () => string;
+    /** Returns the keys of those parts of its prompt that other requests may share. */
+    readonly getPartKeys: () => readonly string[];
 }
 
 /** Options of a watched request. */
@@ -18,10 +21,18 @@
     readonly id: string;
     readonly isStream: boolean;
     readonly content: RequestContent;
+    /** Undefined for requests without a prompt. */
+    readonly prompt: PromptContent | undefined;
 }
 
-/** Creates a watched request, whose fingerprint is computed once. */
-export function createWatchedRequest({ id, isStream, content }: WatchedRequestOptions): WatchedRequest {
+/** Creates a watched request, whose fingerprint and keys are computed once. */
+export function createWatchedRequest({ id, isStream, content, prompt }: WatchedRequestOptions): WatchedRequest {
     let fingerprint: string | undefined;
-    return { id, isStream, getFingerprint: () => fingerprint ??= createFingerprint(content) };
+    let partKeys: readonly string[] | undefined;
+    return {
+        id,
+        isStream,
+        getFingerprint: () => fingerprint ??= createFingerprint(content),
+        getPartKeys: () => partKeys ??= prompt === undefined ? [] : createPartKeys(prompt),
+    };
 }
