--- a/src/caller/caller.ts
+++ b/src/caller/caller.ts
@@ -12,6 +12,8 @@
     readonly entry: string;
     readonly key: string;
     readonly model?: string;
+    /** Messages before the text, such as instructions that many prompts share. */
+    readonly instructions?: readonly string[];
     readonly text: string;
     readonly streamed?: boolean;
     readonly application?: string;
@@ -95,7 +97,10 @@
                 headers: createHeaders(chatRequest),
                 body: JSON.stringify({
                     model: chatRequest.model ?? "auto",
-                    messages: [{ role: "user", content: chatRequest.text }],
+                    messages: [
+                        ...(chatRequest.instructions ?? []).map(content => ({ role: "system", content })),
+                        { role: "user", content: chatRequest.text },
+                    ],
                     stream: chatRequest.streamed === true,
                     max_tokens: chatRequest.maxTokens,
                 }),
--- a/test/entry/crashingPrompts.test.ts
+++ b/test/entry/crashingPrompts.test.ts
@@ -13,12 +13,15 @@
 
 const entryCount = 3;
 const runnerCount = 12;
+const partRunnerCount = 20;
 const serviceCount = 8;
 /** How often the caller sends the same prompt. */
 const returns = 9;
 /** Engines that a prompt may crash, and retries that are permitted after that. */
 const maxCrashes = 3;
 const maxLateRetries = 3;
+/** Engines that a part of prompts may crash, and requests with it that may still be sent after that. */
+const maxCrashesByPart = 5;
 /** Time after which the caller of the call comes back. Until then the other entries learn of the crash. */
 const returnMilliseconds = 250;
 
@@ -63,6 +66,44 @@
         });
     });
 
+    // Guards against a message that crashes engines under ever new prompts, until none is left.
+    it("stops sending prompts with a message that crashes the engines, and no others", async () => {
+        await withProcesses(async group => {
+            const site = await Site.start(group, {
+                ...metroManila,
+                prefix: "127.60.19",
+                entryCount,
+                runners: { name: "lm-pool", count: partRunnerCount, settings: { stepMilliseconds: 5 } },
+            });
+            const engines = [...site.getUpstreams()].filter(([name]) => name.startsWith("runner"));
+            for (const [, engine] of engines) {
+                await setFaults(engine.getAddress(), { crashesOn: "dynamite" });
+            }
+            const caller = new Caller();
+            const send = (index: number, instructions: readonly string[]) =>
+                caller.chat({
+                    entry: site.getEntryOrThrow(`entry-${1 + index % entryCount}`).callerAddress,
+                    key: getApiKey("commissary"),
+                    model: "label-large@3",
+                    instructions,
+                    text: `What does recipe ${index} taste of?`,
+                    maxTokens: 20,
+                });
+            for (let index = 0; index < returns; index += 1) {
+                await send(index, ["Answer briefly.", "One stick of dynamite."]);
+                await send(index, ["Answer briefly."]);
+            }
+            const last = await send(returns, ["Answer briefly.", "One stick of dynamite."]);
+            expect([last.status, last.outcome]).toEqual([503, "not-run"]);
+            const crashes = engines.filter(([, engine]) => engine.hasExited()).length;
+            expect(crashes <= maxCrashesByPart + maxLateRetries).toEqual(true);
+            await waitUntil(async () => (await send(1, ["Answer briefly."])).status === 200, {
+                description: "an answer to a prompt with the other message",
+            });
+            await caller.close();
+        });
+    });
+
     // Guards against a call that ends one instance of a plain service for each return of its caller.
     it("stops sending a call that crashes the services that run it", async () => {
         await withProcesses(async group => {
--- a/test/platform/crashingFleet.ts
+++ b/test/platform/crashingFleet.ts
@@ -5,23 +5,32 @@
 import type { PlatformSite, SiteAnswer, SiteNode } from "./platformSite.js";
 import { createSeal, type ReceivedRequest } from "./standins/runnerStandin.js";
 
-/** The body of the request that crashes its runners. */
+/** The body of the request that crashes its runners, unless a test chooses others. */
 const crashingBody = "crash";
 /** Path of a route whose answers are resumed at another runner after a failure. */
 const streamPath = "/stream/1";
 const restartMilliseconds = 300;
+const tokensPerPart = 50;
 
 /** Runners that one body crashes. */
 export class CrashingFleet {
     /** Identifiers of the runners that have crashed. */
     readonly crashed: string[] = [];
     readonly #site: PlatformSite;
+    readonly #isCrashing: (request: ReceivedRequest) => boolean;
     readonly #restarts = new Set<NodeJS.Timeout>();
     #started = 0;
 
-    /** @param site - The site whose runners crash. */
-    constructor(site: PlatformSite) {
+    /**
+     * @param site - The site whose runners crash.
+     * @param isCrashing - Returns whether a request crashes its runner.
+     */
+    constructor(
+        site: PlatformSite,
+        isCrashing: (request: ReceivedRequest) => boolean = ({ body }) => body === crashingBody,
+    ) {
         this.#site = site;
+        this.#isCrashing = isCrashing;
         site.addCleanup(async () => {
             for (const restart of this.#restarts) {
                 clearTimeout(restart);
@@ -50,6 +59,16 @@
         return this.#site.send(node, { path: streamPath, body }).catch(() => undefined);
     }
 
+    /** Sends a request whose prompt has the given parts. */
+    sendPrompt(node: SiteNode, parts: readonly string[]): Promise<SiteAnswer | undefined> {
+        const headers = {
+            "model": "m",
+            "token-count": `${parts.length * tokensPerPart},20`,
+            "prompt-prefix": parts.map(part => `${part}:${tokensPerPart}`).join(","),
+        };
+        return this.#site.send(node, { path: streamPath, body: parts.join(" "), headers }).catch(() => undefined);
+    }
+
     /** Crashes a runner and starts another one in its place. */
     crash(id: string): void {
         this.crashed.push(id);
@@ -61,7 +80,7 @@
     async #answer(id: string, request: ReceivedRequest, response: ServerResponse): Promise<void> {
         response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
         response.write("id: 1\ndata: one\n\n");
-        if (request.body === crashingBody) {
+        if (this.#isCrashing(request)) {
             await new Promise(resolve => setTimeout(resolve, 50));
             this.crash(id);
             return;
--- /dev/null
+++ b/test/platform/crashingPromptParts.test.ts
@@ -0,0 +1,100 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { waitUntil } from "../../src/testbench/index.js";
+import { CrashingFleet } from "./crashingFleet.js";
+import { PlatformSite, type SiteNode } from "./platformSite.js";
+
+const nodeCount = 3;
+const runnerCount = 8;
+const firstPart = "f1257";
+const crashingPart = "dead";
+/** Crashes by which all nodes know the part, and requests with it that may reach runners after the contact time. */
+const maxCrashes = 5;
+const maxLateRequests = 3;
+const contactMilliseconds = 3_000;
+const rounds = 30;
+const roundMilliseconds = 250;
+
+/** Time and prompt of a request that reached a runner. */
+interface Arrival {
+    readonly at: number;
+    readonly parts: string;
+}
+
+// A part of prompts crashes each runner that begins to answer. Ever new requests with it come to any node, beside sound ones with
+// the same first part.
+describe("a part of prompts that crashes its runners", () => {
+    const site = new PlatformSite("127.72.61");
+    const arrivals: Arrival[] = [];
+    const fleet = new CrashingFleet(site, ({ headers }) => {
+        const parts = String(headers["prompt-prefix"]);
+        arrivals.push({ at: Date.now(), parts });
+        return parts.includes(crashingPart);
+    });
+    let requestCount = 0;
+    const sendCrashing = (node: SiteNode) => {
+        requestCount += 1;
+        return fleet.sendPrompt(node, [firstPart, crashingPart, `a${requestCount}`]);
+    };
+    const sendSound = (node: SiteNode) => {
+        requestCount += 1;
+        return fleet.sendPrompt(node, [firstPart, `b${requestCount % 2}`, `c${requestCount}`]);
+    };
+    after(() => site.stop());
+    before(async () => {
+        await site.start(0);
+        for (let index = 0; index < runnerCount; index += 1) {
+            await fleet.startRunner();
+        }
+        for (let index = 1; index <= nodeCount; index += 1) {
+            await site.waitForReady(site.startNode(index));
+        }
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount);
+        }
+    });
+
+    // Guards against a part that is sent to runners in ever new requests, until none is left.
+    it("is not sent on without end, while sound requests are served", async () => {
+        let fifthCrashAt = Number.POSITIVE_INFINITY;
+        let soundCount = 0;
+        let servedCount = 0;
+        for (let round = 0; round < rounds; round += 1) {
+            void sendCrashing(site.nodes[round % nodeCount]);
+            const answers = await Promise.all(site.nodes.map(sendSound));
+            if (fleet.crashed.length >= maxCrashes) {
+                fifthCrashAt = Math.min(fifthCrashAt, Date.now());
+            }
+            if (Date.now() > fifthCrashAt + contactMilliseconds) {
+                soundCount += answers.length;
+                servedCount += answers.filter(answer => answer?.status === 200).length;
+            }
+            await sleep(roundMilliseconds);
+        }
+        const late = arrivals.filter(({ at, parts }) =>
+            at > fifthCrashAt + contactMilliseconds && parts.includes(crashingPart)
+        );
+        expect(late.length <= maxLateRequests).toEqual(true);
+        expect(fleet.crashed.length >= 3).toEqual(true);
+        expect(soundCount > 0 && servedCount >= 0.9 * soundCount).toEqual(true);
+    });
+
+    // Guards against nodes that forget with their processes which parts crash runners.
+    it("is not sent after all nodes were killed and started again", async () => {
+        for (const node of site.nodes) {
+            node.child.kill("SIGKILL");
+            await node.exited;
+        }
+        const crashes = fleet.crashed.length;
+        for (let index = 1; index <= nodeCount; index += 1) {
+            const node = site.startNode(index);
+            await site.waitForReady(node);
+            await waitUntil(async () => (await sendSound(node))?.status === 200, {
+                description: "an answer to a request without the part",
+            });
+            const answer = await sendCrashing(node);
+            expect([answer?.status, fleet.crashed.length]).toEqual([503, crashes]);
+        }
+    });
+});
