--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -6,7 +6,7 @@
 import type { Configuration } from "../configuration/index.js";
 import type { Placement, RetryBudget, RunnerChooser, Work } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
-import { type CrashWatch, createQuarantineFailure, type RunEnd } from "../quarantine/index.js";
+import { type CrashWatch, createQuarantineFailure, type RunEnd, type WatchedRun } from "../quarantine/index.js";
 import type { EngineAnswer, EngineClient } from "../upstream/index.js";
 import type { ModelVersion, Vm } from "../world/index.js";
 import { createAnswerHeaders } from "./answerHeaders.js";
@@ -158,16 +158,9 @@
     ): Promise<Result<AttemptResult, AttemptRefusal>> {
         const { call, version } = options;
         const runner = placement.upstream;
-        const pointsAtStart = this.#options.crashWatch.getPoints(call.watched);
-        const evaluate = (end: RunEnd, headAt: number | undefined): Promise<void> =>
-            this.#options.crashWatch.evaluate({
-                request: call.watched,
-                upstream: { id: runner.id, address: `${runner.address}:${runner.port}` },
-                end,
-                pointsAtStart,
-                headAt,
-                isLastAttempt,
-            });
+        const { crashWatch } = this.#options;
+        const run = crashWatch.startRun(call.watched, { id: runner.id, address: `${runner.address}:${runner.port}` });
+        const evaluate = (end: RunEnd): Promise<void> => crashWatch.evaluate(run, { end, isLastAttempt });
         const graceMilliseconds = options.direct && call.request.streamed ? this.#options.resumeGraceMilliseconds : 0;
         const attemptSignal = createAttemptSignal(call.disconnectSignal, call.deadlineSignal, graceMilliseconds);
         const startedAt = this.#options.clock.monotonic();
@@ -189,7 +182,7 @@
             if (answered.isErr()) {
                 const isRefused = answered.error.outcome === "not-run";
                 finishWork(work, isRefused ? "refused" : "failed", this.#options.clock.monotonic() - startedAt);
-                await evaluate(isRefused || attemptSignal.signal.aborted ? "stopped" : "disconnected", undefined);
+                await evaluate(isRefused || attemptSignal.signal.aborted ? "stopped" : "disconnected");
                 if (attemptSignal.signal.aborted) {
                     // The engine may be processing the prompt. Without a cancellation it would complete an answer that
                     // has no reader and no bill: its load would include the work, and the bills would not.
@@ -203,7 +196,18 @@
                 return err(this.#rejectVersionMismatch(runner, streamId, version, answer));
             }
             const { signal } = attemptSignal;
-            return await this.#relay({ options, runner, streamId, headers, answer, work, startedAt, signal, evaluate });
+            return await this.#relay({
+                options,
+                runner,
+                streamId,
+                headers,
+                answer,
+                work,
+                startedAt,
+                signal,
+                run,
+                evaluate,
+            });
         }
         finally {
             attemptSignal.dispose();
@@ -215,7 +219,6 @@
         const { call } = options;
         const { clock, metrics } = this.#options;
         let firstTokenMilliseconds = 0;
-        let headAt: number | undefined;
         let lastEventAt = startedAt;
         const relayed = await relayAnswer({
             engines: this.#options.engines,
@@ -226,7 +229,7 @@
             signal,
             onFirstEvent: () => {
                 const now = clock.monotonic();
-                headAt = now;
+                attempt.run.markHead();
                 firstTokenMilliseconds = now - options.stepStartedAt;
                 lastEventAt = now;
                 work.addFirstToken(now - startedAt);
@@ -241,6 +244,7 @@
                     metrics.tokenGap.observe((now - lastEventAt) / 1000);
                 }
                 lastEventAt = now;
+                attempt.run.markPiece();
                 await (event.data === "[DONE]" ? options.writeEnd(event) : options.write(event));
             },
             beforeEnd: usage => options.beforeEnd(usage),
@@ -248,11 +252,11 @@
         const milliseconds = clock.monotonic() - startedAt;
         if (relayed.isOk()) {
             finishWork(work, "ok", milliseconds, answer);
-            await attempt.evaluate("complete", headAt);
+            await attempt.evaluate("complete");
             return ok({ usage: relayed.value, firstTokenMilliseconds, milliseconds, headers });
         }
         finishWork(work, signal.aborted ? "cancelled" : "failed", milliseconds, answer);
-        await attempt.evaluate(signal.aborted ? "stopped" : "disconnected", headAt);
+        await attempt.evaluate(signal.aborted ? "stopped" : "disconnected");
         await this.#abandon(options, runner, streamId);
         return err({ ...toDeadlineRefusal(call, relayed.error), isRetriable: true });
     }
@@ -301,8 +305,10 @@
     readonly work: Work;
     readonly startedAt: number;
     readonly signal: AbortSignal;
+    /** The attempt as the watch for crashed upstreams sees it. */
+    readonly run: WatchedRun;
     /** Evaluates the end of the run for the quarantine. */
-    readonly evaluate: (end: RunEnd, headAt: number | undefined) => Promise<void>;
+    readonly evaluate: (end: RunEnd) => Promise<void>;
 }
 
 function finishWork(
--- a/src/entry/cradle.ts
+++ b/src/entry/cradle.ts
@@ -115,6 +115,7 @@
     readonly serviceAdmission: AdmissionController;
     readonly retries: RetryBudget;
     readonly quarantine: Quarantine;
+    readonly partQuarantine: Quarantine;
     readonly crashWatch: CrashWatch;
     readonly rateLimits: RateLimits;
     readonly announcements: Announcements;
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -19,7 +19,14 @@
     RelayRequest,
 } from "../../generated/peer.js";
 import { Gossip, Membership, PeerClient, PeerServer } from "../../membership/index.js";
-import { CrashWatch, createSharedQuarantine } from "../../quarantine/index.js";
+import {
+    CrashWatch,
+    createSharedQuarantine,
+    partPolicy,
+    type Quarantine,
+    requestPolicy,
+    type SuspicionPolicy,
+} from "../../quarantine/index.js";
 import { createSharedRateLimits } from "../../ratelimits/index.js";
 import { createCrashProbe } from "../../reachability/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
@@ -68,22 +75,15 @@
             maxValueBytesPerMessage: maxGossipBytes,
         }),
     membership: ({ self, gossip, clock, journal }) => new Membership({ self, gossip, clock, journal }),
-    quarantine: ({ self, clock, journal, gossip, membership }) =>
-        createSharedQuarantine({
-            self: self.id,
-            clock,
-            journal,
-            gossip,
-            getMembers: () => membership.getMembers().map(({ id }) => id),
-            // The entries hold the records for each other; they are not in the log.
-            store: () => Promise.resolve(true),
-        }),
+    quarantine: parts => createQuarantine(parts, requestPolicy),
+    partQuarantine: parts => createQuarantine(parts, partPolicy),
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
-    crashWatch: ({ clock, journal, quarantine, reachability, vmWatcher }) =>
+    crashWatch: ({ clock, journal, quarantine, partQuarantine, reachability, vmWatcher }) =>
         new CrashWatch({
             clock,
             journal,
             quarantine,
+            partQuarantine,
             isRefusingConnections: createCrashProbe({
                 reachability,
                 findUpstream: address => findUpstream(vmWatcher.getVms(), address),
@@ -219,6 +219,22 @@
     };
 }
 
+function createQuarantine(
+    { self, clock, journal, gossip, membership }: Cradle,
+    policy: SuspicionPolicy,
+): Quarantine {
+    return createSharedQuarantine({
+        self: self.id,
+        clock,
+        journal,
+        policy,
+        gossip,
+        getMembers: () => membership.getMembers().map(({ id }) => id),
+        // The entries hold the records for each other; they are not in the log.
+        store: () => Promise.resolve(true),
+    });
+}
+
 function isCollector(membership: Membership, self: string, partition: number): boolean {
     return membership.getCollector(getPartitionName(partition))?.id === self;
 }
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -255,7 +255,7 @@
         journal.write(events.requestDispatched, { request: request.requestId, upstream: service.id });
         const startedAt = clock.monotonic();
         const work = runners.start(placed.value);
-        const pointsAtStart = crashWatch.getPoints(watched);
+        const run = crashWatch.startRun(watched, { id: service.id, address: `${service.address}:${service.port}` });
         const called = await services.call(service, {
             requestId: request.requestId,
             method: request.method,
@@ -271,12 +271,8 @@
             milliseconds: clock.monotonic() - startedAt,
             loadHeader: called.isOk() ? called.value.loadHeader : undefined,
         });
-        await crashWatch.evaluate({
-            request: watched,
-            upstream: { id: service.id, address: `${service.address}:${service.port}` },
+        await crashWatch.evaluate(run, {
             end: called.isOk() ? "complete" : called.error.outcome === "not-run" ? "stopped" : "disconnected",
-            pointsAtStart,
-            headAt: undefined,
             isLastAttempt: !isRepeatable(request) || excluded.size >= maxAttempts,
         });
         return called.mapErr(failure => ({ ...failure, isRetriable: true }));
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -187,8 +187,8 @@
             : setTimeout(handleHeadTimeout, headTimeout);
         const startedAt = clock.monotonic();
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
-        const mayFailByLoad = isWarmingUp || observer.isRejectionLimited(upstream);
-        const pointsAtStart = crashWatch.getPoints(exchange.watchedRequest);
+        const mayBeLoad = isWarmingUp || observer.isRejectionLimited(upstream);
+        const run = crashWatch.startRun(exchange.watchedRequest, upstream);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
         let isFinished = false;
@@ -198,14 +198,9 @@
             }
             isFinished = true;
             exchange.ended.removeEventListener("abort", cancel);
-            const headAt = headMilliseconds === undefined ? undefined : startedAt + headMilliseconds;
-            exchange.lastEvaluation = crashWatch.evaluate({
-                request: exchange.watchedRequest,
-                upstream,
-                // Such an upstream crashes under its load. That is no evidence against one of its requests.
-                end: mayFailByLoad && end === "disconnected" ? "stopped" : end,
-                pointsAtStart,
-                headAt,
+            exchange.lastEvaluation = crashWatch.evaluate(run, {
+                end,
+                mayBeLoad,
                 isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
             });
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isWarmingUp };
@@ -244,12 +239,17 @@
             return err({ kind: "failed", failure: result.error });
         }
         headMilliseconds = clock.monotonic() - startedAt;
+        run.markHead();
         confidence = result.value.confidence;
         observer.observeAnswer(upstream, result.value, startedAt);
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
         }
-        return ok({ upstream, answer: result.value, finish, cancel, markSeen: () => observer.markSeen(upstream) });
+        const markSeen = (): void => {
+            observer.markSeen(upstream);
+            run.markPiece();
+        };
+        return ok({ upstream, answer: result.value, finish, cancel, markSeen });
     }
 
     #classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -104,6 +104,12 @@
             help: "Requests that are sent to no upstream because they crash the upstreams that run them.",
             registers,
         }),
+        quarantinedParts: new Gauge({
+            name: "rattanlock_quarantined_prompt_parts",
+            help:
+                "Parts of prompts whose requests are sent to no upstream because they crash the upstreams that run them.",
+            registers,
+        }),
         linesLeftOut: new Gauge({
             name: "rattanlock_log_lines_left_out",
             help: "Log lines that were left out since the start to bound their volume.",
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -16,7 +16,14 @@
     type PeerHandlers,
     PeerServer,
 } from "../membership/index.js";
-import { CrashWatch, createSharedQuarantine } from "../quarantine/index.js";
+import {
+    CrashWatch,
+    createSharedQuarantine,
+    partPolicy,
+    type Quarantine,
+    requestPolicy,
+    type SuspicionPolicy,
+} from "../quarantine/index.js";
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
 import { CallerServer } from "./callerServer.js";
 import {
@@ -44,6 +51,7 @@
 import { StatusWriter } from "./statusWriter.js";
 import { StoreClient } from "./storeClient.js";
 import { UpstreamClient } from "./upstreamClient.js";
+import { recordKeys } from "./wire.js";
 
 /**
  * Interval between two gossip exchanges that a node starts. With 150 ms, the failure of a node is detected within two seconds.
@@ -106,6 +114,7 @@
             membership: parts.membership,
             peerClient: parts.peerClient,
             quarantine: parts.quarantine,
+            partQuarantine: parts.partQuarantine,
             getRollouts: () => parts.rollouts,
         }),
     writer: ({ liveSettings, journal, store, self }) => new StatusWriter({ liveSettings, journal, store, self }),
@@ -167,18 +176,12 @@
         relayLimit: restLimit,
         onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
     }),
-    quarantine: ({ self, clock, journal, gossip, membership, writer }) =>
-        createSharedQuarantine({
-            self: self.id,
-            clock,
-            journal,
-            gossip,
-            getMembers: () => membership.getAlive().map(({ id }) => id),
-            store: records => writer.writeQuarantine(records),
-        }),
+    quarantine: parts => createQuarantine(parts, requestPolicy, recordKeys.quarantinePrefix),
+    partQuarantine: parts => createQuarantine(parts, partPolicy, recordKeys.partQuarantinePrefix),
     crashWatch: parts => {
-        const { clock, journal, quarantine } = parts;
-        return new CrashWatch({ clock, journal, quarantine, isRefusingConnections: createNodeCrashProbe(parts) });
+        const { clock, journal, quarantine, partQuarantine } = parts;
+        const isRefusingConnections = createNodeCrashProbe(parts);
+        return new CrashWatch({ clock, journal, quarantine, partQuarantine, isRefusingConnections });
     },
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
@@ -224,6 +227,22 @@
     },
 };
 
+function createQuarantine(
+    { self, clock, journal, gossip, membership, writer }: NodeParts,
+    policy: SuspicionPolicy,
+    keyPrefix: string,
+): Quarantine {
+    return createSharedQuarantine({
+        self: self.id,
+        clock,
+        journal,
+        policy,
+        gossip,
+        getMembers: () => membership.getAlive().map(({ id }) => id),
+        store: records => writer.writeQuarantine(keyPrefix, records),
+    });
+}
+
 function createPeerHandlers({ gossip, self, topics, relayServer }: NodeParts): PeerHandlers {
     const throwUnsupported = (): never => {
         throw new Error(`The node ${self.id} does not hold this state: on this platform it is kept in the store.`);
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -67,6 +67,7 @@
     readonly observer: UpstreamObserver;
     readonly upstreamClient: UpstreamClient;
     readonly quarantine: Quarantine;
+    readonly partQuarantine: Quarantine;
     readonly crashWatch: CrashWatch;
     readonly rollouts: Rollouts;
     readonly shutdown: Shutdown;
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -74,6 +74,7 @@
     readonly membership: Membership;
     readonly peerClient: PeerClient;
     readonly quarantine: Quarantine;
+    readonly partQuarantine: Quarantine;
     /** Returns the roll-outs of this node. */
     readonly getRollouts: () => Rollouts;
 }
--- a/src/platform/statusRecords.ts
+++ b/src/platform/statusRecords.ts
@@ -1,5 +1,5 @@
 /**
- * Applies the records of the status topic to members, roll-outs and the quarantine.
+ * Applies the records of the status topic to members, roll-outs and the quarantines.
  */
 import { events, type Journal } from "../events/index.js";
 import type { MemberDirectory } from "../membership/index.js";
@@ -14,6 +14,7 @@
     readonly journal: Journal;
     readonly directory: MemberDirectory;
     readonly quarantine: Quarantine;
+    readonly partQuarantine: Quarantine;
     /** Returns the roll-outs of this node. */
     readonly getRollouts: () => Rollouts;
 }
@@ -28,7 +29,7 @@
 
     /** Applies records of the status topic that have changed. */
     apply(changed: readonly KeyedRecord[]): void {
-        const { directory, journal } = this.#options;
+        const { directory, journal, quarantine, partQuarantine } = this.#options;
         const members: [string, Buffer | undefined][] = [];
         for (const { key, value } of changed) {
             if (key.startsWith(recordKeys.memberPrefix)) {
@@ -41,7 +42,11 @@
                 this.#applyPins(key, value);
             }
             else if (key.startsWith(recordKeys.quarantinePrefix) && value !== undefined) {
-                this.#applyQuarantine(key, value);
+                // The node's own records from before a restart are among them.
+                mergeEncodedRecords(quarantine, journal, { source: key, value });
+            }
+            else if (key.startsWith(recordKeys.partQuarantinePrefix) && value !== undefined) {
+                mergeEncodedRecords(partQuarantine, journal, { source: key, value });
             }
         }
         for (const id of directory.apply(members)) {
@@ -65,10 +70,4 @@
             failure => journal.write(events.recordUnreadable, { key, cause: String(failure.cause) }),
         );
     }
-
-    /** Applies a node's stored records, its own from before a restart among them. */
-    #applyQuarantine(key: string, value: Buffer): void {
-        const { journal, quarantine } = this.#options;
-        mergeEncodedRecords(quarantine, journal, { source: key, value });
-    }
 }
--- a/src/platform/statusWriter.ts
+++ b/src/platform/statusWriter.ts
@@ -1,6 +1,6 @@
 /**
  * Writes to the status topic that the nodes share: the node's own record, steps of roll-outs, pinned sessions
- * and quarantined requests.
+ * and what is quarantined.
  */
 import { events, type Journal } from "../events/index.js";
 import type { NodeIdentity } from "../membership/index.js";
@@ -51,12 +51,12 @@
     }
 
     /**
-     * Writes which requests this node has quarantined.
+     * Writes which requests or parts of prompts this node has quarantined.
      * @returns Whether the store has confirmed the write.
      */
-    async writeQuarantine(crashRecords: readonly CrashRecord[]): Promise<boolean> {
+    async writeQuarantine(keyPrefix: string, crashRecords: readonly CrashRecord[]): Promise<boolean> {
         const { store, journal, self } = this.#options;
-        const key = `${recordKeys.quarantinePrefix}${self.id}`;
+        const key = `${keyPrefix}${self.id}`;
         const result = await store.append(topics.status, [{ key, value: encodeCrashRecords(crashRecords) }]);
         if (result.isErr()) {
             journal.write(events.quarantineWriteFailed, { cause: result.error.message });
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -79,6 +79,8 @@
     pinsPrefix: "pins/",
     /** Quarantined requests by node. Only the nodes read them. */
     quarantinePrefix: "quarantine/",
+    /** Quarantined parts of prompts by node. Only the nodes read them. */
+    partQuarantinePrefix: "quarantine-parts/",
     /** One record for each node. Only the nodes read them. */
     memberPrefix: "member/",
 } as const;
--- a/src/quarantine/crashRecords.ts
+++ b/src/quarantine/crashRecords.ts
@@ -3,18 +3,22 @@
  */
 import type { Clock } from "../common/index.js";
 import { type CrashRecord, getSuspicion } from "./crashRecord.js";
-import { isExpired, isQuarantined } from "./suspicion.js";
+import { isExpired, isQuarantined, type SuspicionPolicy } from "./suspicion.js";
 
 const maxRecords = 1_000;
 
 /** Holds what a node knows about requests that may crash their upstreams. */
 export class CrashRecords {
     readonly #clock: Clock;
+    readonly #policy: SuspicionPolicy;
     /** By fingerprint, the one that was changed last at the end. */
     readonly #records = new Map<string, CrashRecord>();
 
-    constructor(clock: Clock) {
+    readonly #raisedAt = new Map<string, number>();
+
+    constructor(clock: Clock, policy: SuspicionPolicy) {
         this.#clock = clock;
+        this.#policy = policy;
     }
 
     /** Returns whether there are none. */
@@ -24,23 +28,43 @@
 
     /** Returns the number of requests that are quarantined. */
     countQuarantined(): number {
-        return [...this.#records.values()].filter(isQuarantined).length;
+        return [...this.#records.values()].filter(record => isQuarantined(record, this.#policy)).length;
     }
 
     /** Returns the record of a request, or undefined when there is none or it no longer counts. */
     get(fingerprint: string): CrashRecord | undefined {
         const record = this.#records.get(fingerprint);
-        if (record !== undefined && isExpired(record, this.#clock.wall())) {
-            this.#records.delete(fingerprint);
+        if (record !== undefined && this.#isExpired(record, this.#clock.wall())) {
+            this.#remove(fingerprint);
             return undefined;
         }
         return record;
     }
 
+    /** Returns whether any record that counts meets a condition. */
+    some(condition: (record: CrashRecord) => boolean): boolean {
+        const now = this.#clock.wall();
+        for (const record of this.#records.values()) {
+            if (!this.#isExpired(record, now) && condition(record)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the monotonic time at which the points of a subject last grew. */
+    getRaisedAt(fingerprint: string): number {
+        return this.#raisedAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY;
+    }
+
     /** Adds or replaces a record. The records with the least suspicion make room for others. */
     set(record: CrashRecord): void {
-        this.#records.delete(record.fingerprint);
-        this.#records.set(record.fingerprint, record);
+        const { fingerprint } = record;
+        if (record.points > (this.#records.get(fingerprint)?.points ?? 0)) {
+            this.#raisedAt.set(fingerprint, this.#clock.monotonic());
+        }
+        this.#records.delete(fingerprint);
+        this.#records.set(fingerprint, record);
         if (this.#records.size > maxRecords) {
             this.#removeExpired();
         }
@@ -49,11 +73,20 @@
         }
     }
 
+    #remove(fingerprint: string): void {
+        this.#records.delete(fingerprint);
+        this.#raisedAt.delete(fingerprint);
+    }
+
+    #isExpired(record: CrashRecord, now: number): boolean {
+        return isExpired(record, now, this.#policy);
+    }
+
     #removeExpired(): void {
         const now = this.#clock.wall();
         for (const record of this.#records.values()) {
-            if (isExpired(record, now)) {
-                this.#records.delete(record.fingerprint);
+            if (this.#isExpired(record, now)) {
+                this.#remove(record.fingerprint);
             }
         }
     }
@@ -67,7 +100,7 @@
             }
         }
         if (least !== undefined) {
-            this.#records.delete(least.fingerprint);
+            this.#remove(least.fingerprint);
         }
     }
 }
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -6,12 +6,7 @@
 import type { Quarantine } from "./quarantine.js";
 import type { CrashStage } from "./suspicion.js";
 import type { WatchedRequest } from "./watchedRequest.js";
-
-/**
- * Time after the head of a stream within which a crash counts against the request, in milliseconds. A request that has run for
- * longer is not the one that crashes its runner as it begins to run.
- */
-export const crashWindowMilliseconds = 400;
+import { crashWindowMilliseconds, type RunUpstream, WatchedRun } from "./watchedRun.js";
 
 /**
  * How a run of a request ended.
@@ -21,79 +16,96 @@
  */
 export type RunEnd = "complete" | "disconnected" | "stopped";
 
-/** The upstream of a run. */
-export interface RunUpstream {
-    readonly id: string;
-    /** The address, as `HOST:PORT`. */
-    readonly address: string;
-}
-
-/** A run of a request at an upstream that has ended. */
-export interface EndedRun {
-    readonly request: WatchedRequest;
-    readonly upstream: RunUpstream;
+/** How a run has ended, and what that means. */
+export interface RunResult {
     readonly end: RunEnd;
-    /** The request's points in the quarantine when the run started. */
-    readonly pointsAtStart: number;
-    /** Monotonic time at which the answer started, in milliseconds. Undefined when it did not. */
-    readonly headAt: number | undefined;
     /** Whether this node sends the request to no other upstream until its caller sends it again. */
     readonly isLastAttempt: boolean;
+    /** Whether the upstream may crash under its load. */
+    readonly mayBeLoad?: boolean;
 }
 
 /** Options of `CrashWatch`. */
 export interface CrashWatchOptions {
     readonly clock: Clock;
     readonly journal: Journal;
+    /** Requests that crash upstreams. */
     readonly quarantine: Quarantine;
+    /** Parts of prompts that crash upstreams. */
+    readonly partQuarantine: Quarantine;
     /** Returns whether an upstream's machine answers that nothing listens at its address. */
     readonly isRefusingConnections: (address: string) => Promise<boolean>;
 }
 
-/** Reports crashes and complete runs to the quarantine. */
+/** Reports crashes and complete runs to the quarantines. */
 export class CrashWatch {
     readonly #options: CrashWatchOptions;
+    /**
+     * Requests whose crashes count against their parts already. Further attempts of one request say nothing about which of its parts
+     * is the cause.
+     */
+    readonly #countedRequests = new WeakSet<WatchedRequest>();
 
     constructor(options: CrashWatchOptions) {
         this.#options = options;
     }
 
     /** Admits a request that is about to be sent, or returns the time after which it may be admitted, in milliseconds. */
-    admit({ getFingerprint }: WatchedRequest): number | undefined {
-        return this.#options.quarantine.admit(getFingerprint);
+    admit({ getFingerprint, getPartKeys }: WatchedRequest): number | undefined {
+        const { quarantine, partQuarantine } = this.#options;
+        return partQuarantine.admit(getPartKeys) ?? quarantine.admit(() => [getFingerprint()]);
     }
 
-    /** Returns the points of a request that is about to be sent. */
-    getPoints({ getFingerprint }: WatchedRequest): number {
-        return this.#options.quarantine.getPoints(getFingerprint);
+    /** Starts to watch a run of a request that was admitted. */
+    startRun(request: WatchedRequest, upstream: RunUpstream): WatchedRun {
+        const { clock, quarantine, partQuarantine } = this.#options;
+        return new WatchedRun({ request, upstream, clock, quarantine, partQuarantine });
     }
 
     /** Evaluates a run that has ended. The next attempt of its request must wait for the result. */
-    async evaluate(run: EndedRun): Promise<void> {
-        const { request, upstream, end, headAt, pointsAtStart, isLastAttempt } = run;
-        const { clock, journal, quarantine } = this.#options;
+    async evaluate(run: WatchedRun, { end, isLastAttempt, mayBeLoad = false }: RunResult): Promise<void> {
         if (end === "complete") {
-            quarantine.addSurvival(request.getFingerprint());
+            run.addSurvival();
             return;
         }
-        const runMilliseconds = headAt === undefined ? 0 : clock.monotonic() - headAt;
-        if (end === "stopped" || runMilliseconds > crashWindowMilliseconds) {
+        if (end === "stopped" || run.getMilliseconds() > crashWindowMilliseconds) {
             return;
         }
-        if (!await this.#options.isRefusingConnections(upstream.address)) {
-            return;
+        if (await this.#options.isRefusingConnections(run.upstream.address)) {
+            this.#addCrash(run, { isLastAttempt, mayBeLoad });
         }
-        const stage: CrashStage = request.isStream && headAt === undefined ? "waiting" : "running";
+    }
+
+    #addCrash(
+        run: WatchedRun,
+        { isLastAttempt, mayBeLoad }: { readonly isLastAttempt: boolean; readonly mayBeLoad: boolean; },
+    ): void {
+        const { journal, quarantine, partQuarantine } = this.#options;
+        const { request, upstream } = run;
+        const stage: CrashStage = request.isStream && !run.hasHead ? "waiting" : "running";
         const fingerprint = request.getFingerprint();
+        const { pointsAtStart, partPoints } = run;
         journal.write(events.upstreamCrashed, {
             request: request.id,
             fingerprint,
-            parts: request.getPartKeys().join(" ") || undefined,
+            parts: [...partPoints.keys()].join(" ") || undefined,
             upstream: upstream.id,
             stage,
             points: pointsAtStart,
-            runMs: Math.round(runMilliseconds),
+            runMs: Math.round(run.getMilliseconds()),
         });
-        quarantine.addCrash({ fingerprint, pointsAtStart, stage, isLastAttempt });
+        quarantine.addCrash({ fingerprint, pointsAtStart, stage, mayBeLoad, isLastAttempt });
+        if (stage === "waiting" || this.#countedRequests.has(request)) {
+            return;
+        }
+        this.#countedRequests.add(request);
+        const countedParts = [...partPoints].map(([part, points]) => ({
+            fingerprint: part,
+            pointsAtStart: points,
+            hasLikelierCause: partQuarantine.hasLikelierCause(part),
+        }));
+        for (const counted of countedParts) {
+            partQuarantine.addCrash({ ...counted, stage, mayBeLoad, isLastAttempt });
+        }
     }
 }
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -6,5 +6,6 @@
 export * from "./quarantine.js";
 export * from "./quarantineFailure.js";
 export * from "./sharedQuarantine.js";
-export type { CrashStage } from "./suspicion.js";
+export { type CrashStage, partPolicy, requestPolicy, type SuspicionPolicy } from "./suspicion.js";
 export * from "./watchedRequest.js";
+export * from "./watchedRun.js";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,8 +1,8 @@
 /**
- * Stops requests that crash the upstreams that run them from being sent again by any node.
+ * Stops what crashes upstreams from being sent again by any node: single requests, or parts that the prompts of many share.
  *
- * Such a request comes back, with another identifier and at another node. If each attempt of its caller starts from
- * nothing, it crashes upstreams until none is left, and each crash also cuts off every other answer of that upstream.
+ * Such a request comes back, with another identifier and at another node, and such a part comes with ever new requests. If each
+ * starts from nothing, they crash upstreams until none is left, and each crash also cuts off every other answer of that upstream.
  */
 import type { Clock } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
@@ -13,42 +13,51 @@
     type CrashStage,
     getRetentionMilliseconds,
     isQuarantined,
-    pointsByStage,
-    quarantinePoints,
-    urgentPoints,
+    suspicionMilliseconds,
+    type SuspicionPolicy,
 } from "./suspicion.js";
 
 /** Time within which a trial has shown whether the request crashes its upstream, in milliseconds. Until then there is no other. */
 const trialTimeoutMilliseconds = 30_000;
-/** Maximum number of requests that one node publishes or stores. */
+/** Time in which a run that began after a crash shows whether it outlives its beginning. */
+const evidenceMilliseconds = 250;
+/** Time between the trials of two nodes. In less than that, all nodes know how the first one ended. */
+const trialStepMilliseconds = 5_000;
+/** Maximum number of subjects that one node publishes or stores. */
 const maxOwnRecords = 64;
 const storeRetryMilliseconds = 1_000;
-/** Time after which another request may find the trial of a quarantined one ended. */
+/** Time after which another request may find a trial ended. */
 const minRetryAfterMilliseconds = 1_000;
 
 /** Options of `Quarantine`. */
 export interface QuarantineOptions {
     readonly clock: Clock;
     readonly journal: Journal;
+    readonly policy: SuspicionPolicy;
     /** Sends this node's records to the other nodes, at once if urgent. */
     readonly publish: (records: readonly CrashRecord[], options: { readonly urgent: boolean; }) => void;
-    /** Stores this node's records of quarantined requests outside of the nodes. Resolves to whether that succeeded. */
+    /** Stores this node's records of what is quarantined outside of the nodes. Resolves to whether that succeeded. */
     readonly store: (records: readonly CrashRecord[]) => Promise<boolean>;
-    /** Returns whether this node is the one that tries a request after its quarantine. */
-    readonly isTrialNode: (fingerprint: string) => boolean;
+    /** Returns this node's place, from 0, in the order in which the nodes may try a subject after its quarantine. */
+    readonly getTrialRank: (fingerprint: string) => number;
 }
 
 /** A crash of an upstream that a request was sent to. */
-export interface RequestCrash {
+export interface SubjectCrash {
+    /** The fingerprint of the request, or the key of a part of its prompt. */
     readonly fingerprint: string;
-    /** The request's points when it was sent to the upstream. */
+    /** The subject's points when the run started. */
     readonly pointsAtStart: number;
     readonly stage: CrashStage;
+    /** Whether the upstream may have crashed under its load. */
+    readonly mayBeLoad: boolean;
+    /** Whether another subject is suspected as much, and has not run well recently, as this one has. */
+    readonly hasLikelierCause?: boolean;
     /** Whether this node sends the request to no other upstream until its caller sends it again. */
     readonly isLastAttempt: boolean;
 }
 
-/** Knows which requests crash upstreams, from this node's own calls and from the records of the other nodes. */
+/** Knows which requests, or which parts of prompts, crash upstreams, from this node's own calls and from the records of the other nodes. */
 export class Quarantine {
     readonly #options: QuarantineOptions;
     readonly #records: CrashRecords;
@@ -62,37 +71,64 @@
 
     constructor(options: QuarantineOptions) {
         this.#options = options;
-        this.#records = new CrashRecords(options.clock);
+        this.#records = new CrashRecords(options.clock, options.policy);
     }
 
-    /** Returns the number of requests that are quarantined. */
+    /** Returns the number of subjects that are quarantined. */
     countQuarantined(): number {
         return this.#records.countQuarantined();
     }
 
     /**
-     * Admits a request that is about to be sent to an upstream. A request whose quarantine is over is admitted once, at one node.
-     * @param getFingerprint - Called only if any request is suspect, since it reads the whole body.
+     * Admits a request that is about to be sent to an upstream. After the quarantine of all of its subjects it is admitted once: at
+     * the node that has the first place for the first of them, or later at others, as that one may receive no such request.
+     * @param getFingerprints - Returns the request's subjects. Called only if any subject is suspect, since it reads the whole body.
      * @returns The time after which the request may be admitted, in milliseconds, or undefined when it is admitted now.
      */
-    admit(getFingerprint: () => string): number | undefined {
-        const record = this.#find(getFingerprint);
-        if (record === undefined || !isQuarantined(record)) {
+    admit(getFingerprints: () => readonly string[]): number | undefined {
+        const quarantined = this.#findQuarantined(getFingerprints);
+        if (quarantined.length === 0) {
             return undefined;
         }
         const now = this.#options.clock.wall();
-        const { fingerprint, until } = record;
-        const trialEnd = this.#trialEnds.get(fingerprint) ?? until;
-        if (now >= until && now >= trialEnd && this.#options.isTrialNode(fingerprint)) {
+        const wait = Math.max(
+            ...quarantined.map(({ fingerprint, until }) =>
+                Math.max(until, this.#trialEnds.get(fingerprint) ?? until) - now
+            ),
+        );
+        const trialWait = wait + this.#options.getTrialRank(quarantined[0].fingerprint) * trialStepMilliseconds;
+        if (trialWait > 0) {
+            return Math.max(wait, minRetryAfterMilliseconds);
+        }
+        for (const { fingerprint } of quarantined) {
             this.#trialEnds.set(fingerprint, now + trialTimeoutMilliseconds);
-            return undefined;
         }
-        return Math.max(until - now, trialEnd - now, minRetryAfterMilliseconds);
+        return undefined;
+    }
+
+    /** Returns whether any of a request's subjects is quarantined. */
+    isQuarantined(getFingerprints: () => readonly string[]): boolean {
+        return this.#findQuarantined(getFingerprints).length > 0;
     }
 
-    /** Returns the points of a request that is about to be sent to an upstream. */
+    /** Returns the points of a subject. */
     getPoints(getFingerprint: () => string): number {
-        return this.#find(getFingerprint)?.points ?? 0;
+        return this.#records.isEmpty() ? 0 : this.#records.get(getFingerprint())?.points ?? 0;
+    }
+
+    /**
+     * Returns whether a subject that has recently run at this node without a crash comes along with the cause of crashes: one that has
+     * not run so is quarantined.
+     */
+    hasLikelierCause(fingerprint: string): boolean {
+        const { policy } = this.#options;
+        return this.hasSurvived(fingerprint)
+            && this.#records.some(other => isQuarantined(other, policy) && !this.hasSurvived(other.fingerprint));
+    }
+
+    /** Returns whether a subject has recently run at this node without a crash. */
+    hasSurvived(fingerprint: string): boolean {
+        return this.#survivals.has(fingerprint, this.#options.clock.monotonic());
     }
 
     /**
@@ -100,42 +136,49 @@
      * a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
      * without a body, which many callers of a workspace send: it is no suspect while such requests run to their end.
      */
-    addCrash({ fingerprint, pointsAtStart, stage, isLastAttempt }: RequestCrash): void {
-        if (this.#hasSurvived(fingerprint)) {
-            return;
-        }
+    addCrash(
+        { fingerprint, pointsAtStart, stage, mayBeLoad, hasLikelierCause = false, isLastAttempt }: SubjectCrash,
+    ): void {
+        const { clock, journal, policy } = this.#options;
+        const hasSurvived = this.hasSurvived(fingerprint);
+        const isRaisedJustNow = clock.monotonic() - this.#records.getRaisedAt(fingerprint) < evidenceMilliseconds;
+        const crashPoints = policy.getCrashPoints({ stage, mayBeLoad, hasSurvived, hasLikelierCause, isRaisedJustNow });
         const known = this.#records.get(fingerprint);
-        const points = pointsAtStart + pointsByStage[stage];
-        if (known !== undefined && known.points >= points) {
+        const points = pointsAtStart + crashPoints;
+        if (crashPoints === 0 || (known !== undefined && known.points >= points)) {
             return;
         }
         const cleared = known?.cleared ?? 0;
         const suspicion = points - cleared;
-        const until = this.#options.clock.wall() + getRetentionMilliseconds(suspicion);
+        const until = clock.wall() + getRetentionMilliseconds(suspicion, policy);
         this.#trialEnds.delete(fingerprint);
         const record = { fingerprint, points, cleared, until };
         this.#records.set(record);
-        if (suspicion >= urgentPoints || isLastAttempt) {
+        if (suspicion >= policy.sharedPoints || isLastAttempt) {
             this.#publish(record, { urgent: true });
         }
-        if (suspicion >= quarantinePoints) {
-            this.#options.journal.write(events.requestQuarantined, { fingerprint, points: suspicion, until });
+        if (suspicion >= policy.quarantinePoints) {
+            const { subject } = policy;
+            journal.write(events.requestQuarantined, { subject, fingerprint, points: suspicion, until });
             this.#store();
         }
     }
 
-    /** Records that a request ran to its end, which disproves the suspicion against it. */
-    addSurvival(fingerprint: string): void {
+    /**
+     * Records a run that crashed nothing, which disproves the suspicion against a subject.
+     * @param points - The points up to which it does: later crashes may have a cause that the run did not meet.
+     */
+    addSurvival(fingerprint: string, points = Number.POSITIVE_INFINITY): void {
         this.#survivals.add(fingerprint, this.#options.clock.monotonic());
         const record = this.#records.get(fingerprint);
-        if (record !== undefined && getSuspicion(record) > 0) {
-            this.#clear(record);
+        if (record !== undefined && record.cleared < Math.min(points, record.points)) {
+            this.#clear(record, Math.min(points, record.points));
         }
     }
 
     /**
      * Adds the records of another node. Those of requests that have recently run to their end here are disproved. Quarantined ones
-     * are published and stored by the trial node as well, since the node that found them may end before they reach all others.
+     * are published and stored by the first node that may try them as well, since the node that found them may end before they reach all others.
      */
     merge(records: readonly CrashRecord[]): void {
         for (const record of records) {
@@ -144,43 +187,51 @@
     }
 
     #merge(record: CrashRecord): void {
+        const { journal, policy, getTrialRank } = this.#options;
         const { fingerprint } = record;
         const known = this.#records.get(fingerprint);
         const merged = known === undefined ? record : mergeCrashRecords(known, record);
         const isNew = known === undefined || merged.points > known.points || merged.cleared > known.cleared;
-        const concernsQuarantine = isQuarantined(merged) || (known !== undefined && isQuarantined(known));
+        const concernsQuarantine = isQuarantined(merged, policy)
+            || (known !== undefined && isQuarantined(known, policy));
         this.#records.set(merged);
-        if (isNew && isQuarantined(merged)) {
+        if (isNew && isQuarantined(merged, policy)) {
             const { points, until } = merged;
-            this.#options.journal.write(events.quarantineLearned, { fingerprint, points, until });
+            journal.write(events.quarantineLearned, { subject: policy.subject, fingerprint, points, until });
         }
-        if (getSuspicion(merged) >= urgentPoints && this.#hasSurvived(fingerprint)) {
-            this.#clear(merged);
+        const isExcused = policy.isExcusedBySurvival && this.hasSurvived(fingerprint);
+        if (getSuspicion(merged) >= policy.sharedPoints && isExcused) {
+            this.#clear(merged, merged.points);
         }
-        else if (isNew && concernsQuarantine && this.#options.isTrialNode(fingerprint)) {
+        else if (isNew && concernsQuarantine && getTrialRank(fingerprint) === 0) {
             this.#publish(merged, { urgent: false });
             this.#store();
         }
     }
 
-    #find(getFingerprint: () => string): CrashRecord | undefined {
-        return this.#records.isEmpty() ? undefined : this.#records.get(getFingerprint());
-    }
-
-    #hasSurvived(fingerprint: string): boolean {
-        return this.#survivals.has(fingerprint, this.#options.clock.monotonic());
+    #findQuarantined(getFingerprints: () => readonly string[]): readonly CrashRecord[] {
+        if (this.#records.isEmpty()) {
+            return [];
+        }
+        return getFingerprints()
+            .map(fingerprint => this.#records.get(fingerprint))
+            .filter(isDefined)
+            .filter(record => isQuarantined(record, this.#options.policy));
     }
 
-    #clear(record: CrashRecord): void {
-        this.#trialEnds.delete(record.fingerprint);
-        const wasQuarantined = isQuarantined(record);
-        const clearedRecord = { ...record, cleared: record.points };
+    #clear(record: CrashRecord, cleared: number): void {
+        const { journal, policy } = this.#options;
+        const { fingerprint } = record;
+        const suspicion = getSuspicion(record);
+        const wasQuarantined = isQuarantined(record, policy);
+        this.#trialEnds.delete(fingerprint);
+        const clearedRecord = { ...record, cleared, until: this.#options.clock.wall() + suspicionMilliseconds };
         this.#records.set(clearedRecord);
-        if (getSuspicion(record) >= urgentPoints || this.#own.has(record.fingerprint)) {
-            this.#publish(clearedRecord, { urgent: wasQuarantined });
+        if (suspicion >= policy.sharedPoints || this.#own.has(fingerprint)) {
+            this.#publish(clearedRecord, { urgent: suspicion >= policy.urgentlyClearedPoints });
         }
-        if (wasQuarantined) {
-            this.#options.journal.write(events.quarantineLifted, { fingerprint: record.fingerprint });
+        if (wasQuarantined && !isQuarantined(clearedRecord, policy)) {
+            journal.write(events.quarantineLifted, { subject: policy.subject, fingerprint });
             this.#store();
         }
     }
@@ -203,7 +254,7 @@
         this.#options.publish(this.#getOwn(), options);
     }
 
-    /** Stores the own records of quarantined requests, one write at a time, until that has succeeded. */
+    /** Stores the own records of what is quarantined, one write at a time, until that has succeeded. */
     #store(): void {
         this.#mustStore = true;
         if (!this.#isStoring) {
@@ -215,7 +266,7 @@
         this.#isStoring = true;
         while (this.#mustStore) {
             this.#mustStore = false;
-            const records = this.#getOwn().filter(({ points }) => points >= quarantinePoints);
+            const records = this.#getOwn().filter(({ points }) => points >= this.#options.policy.quarantinePoints);
             if (!await this.#options.store(records)) {
                 this.#mustStore = true;
                 await new Promise(resolve => setTimeout(resolve, storeRetryMilliseconds).unref());
--- a/src/quarantine/quarantineFailure.ts
+++ b/src/quarantine/quarantineFailure.ts
@@ -10,7 +10,8 @@
 export function createQuarantineFailure(retryAfterMilliseconds: number | undefined): Failure {
     return new Failure({
         kind: "quarantined",
-        message: "The request crashed the upstreams that ran it, so it is sent to no other one.",
+        message:
+            "The request, or a part of its prompt, crashed the upstreams that ran it, so it is sent to no other one.",
         remedy: "Change the request, or have the upstream's operator look into the crashes.",
         retryAfterMilliseconds,
     });
--- a/src/quarantine/sharedQuarantine.ts
+++ b/src/quarantine/sharedQuarantine.ts
@@ -7,9 +7,13 @@
 import type { Gossip } from "../membership/index.js";
 import { type CrashRecord, decodeCrashRecords, encodeCrashRecords } from "./crashRecord.js";
 import { Quarantine } from "./quarantine.js";
+import type { SuspicionPolicy } from "./suspicion.js";
 
-/** Gossip key of a node's records of requests that crash upstreams. */
-const quarantineKey = "quarantine";
+/** Gossip keys of a node's records, by the kind of subject. */
+const gossipKeys: Readonly<Record<SuspicionPolicy["subject"], string>> = {
+    request: "quarantine",
+    part: "quarantine-parts",
+};
 
 /** Options of a shared quarantine. */
 export interface SharedQuarantineOptions {
@@ -17,6 +21,7 @@
     readonly self: string;
     readonly clock: Clock;
     readonly journal: Journal;
+    readonly policy: SuspicionPolicy;
     readonly gossip: Pick<Gossip, "onUpdate" | "set">;
     /** Returns the identifiers of the nodes that are alive, including this one. */
     readonly getMembers: () => Iterable<string>;
@@ -26,16 +31,18 @@
 
 /** Creates a quarantine that exchanges its records with the other nodes by gossip. */
 export function createSharedQuarantine(options: SharedQuarantineOptions): Quarantine {
-    const { self, clock, journal, gossip, getMembers, store } = options;
+    const { self, clock, journal, policy, gossip, getMembers, store } = options;
+    const gossipKey = gossipKeys[policy.subject];
     const quarantine = new Quarantine({
         clock,
         journal,
-        publish: (records, { urgent }) => gossip.set(quarantineKey, encodeCrashRecords(records), { urgent }),
+        policy,
+        publish: (records, { urgent }) => gossip.set(gossipKey, encodeCrashRecords(records), { urgent }),
         store,
-        isTrialNode: fingerprint => findHighestRanked(fingerprint, getMembers()) === self,
+        getTrialRank: fingerprint => getRank(fingerprint, self, getMembers()),
     });
     gossip.onUpdate((origin, key, value) => {
-        if (key === quarantineKey && value !== undefined) {
+        if (key === gossipKey && value !== undefined) {
             mergeEncodedRecords(quarantine, journal, { source: origin, value });
         }
     });
@@ -57,16 +64,14 @@
     );
 }
 
-/** Returns the member that all nodes choose for a fingerprint. */
-function findHighestRanked(fingerprint: string, members: Iterable<string>): string | undefined {
-    let highest: string | undefined;
-    let highestRank = -1;
+/** Returns the place of a member in the order in which all nodes put the members for a fingerprint. */
+function getRank(fingerprint: string, self: string, members: Iterable<string>): number {
+    const ownRank = getUnitRank(fingerprint, self);
+    let place = 0;
     for (const member of members) {
-        const rank = getUnitRank(fingerprint, member);
-        if (rank > highestRank) {
-            highest = member;
-            highestRank = rank;
+        if (member !== self && getUnitRank(fingerprint, member) > ownRank) {
+            place += 1;
         }
     }
-    return highest;
+    return place;
 }
--- a/src/quarantine/suspicion.ts
+++ b/src/quarantine/suspicion.ts
@@ -8,35 +8,102 @@
  */
 export type CrashStage = "running" | "waiting";
 
+/** What is known of a crash when it is counted. */
+export interface CrashEvidence {
+    readonly stage: CrashStage;
+    /** Whether a run has recently shown that the subject crashes nothing. */
+    readonly hasSurvived: boolean;
+    /** Whether the upstream may have crashed under its load. */
+    readonly mayBeLoad: boolean;
+    /** Whether a subject that has not run well recently, as this one has, is quarantined. */
+    readonly hasLikelierCause: boolean;
+    /** Whether the suspicion grew so recently that no run could have disproved it since. */
+    readonly isRaisedJustNow: boolean;
+}
+
+/** How suspicion against one kind of subject arises, and who learns of it. */
+export interface SuspicionPolicy {
+    /** The kind of subject, for log lines. */
+    readonly subject: "request" | "part";
+    /** Returns the points that a crash adds, 0 if it says nothing against the subject. */
+    readonly getCrashPoints: (evidence: CrashEvidence) => number;
+    /** Whether a recent run that ended well outweighs what other nodes report. */
+    readonly isExcusedBySurvival: boolean;
+    /** Suspicion from which a subject is sent to no upstream. */
+    readonly quarantinePoints: number;
+    /** Suspicion from which the other nodes are told, at once. */
+    readonly sharedPoints: number;
+    /** Suspicion from which the other nodes are told at once that a run has disproved it. */
+    readonly urgentlyClearedPoints: number;
+    /** Length of a subject's first quarantine. A harmless one that is held back is refused for this long. */
+    readonly firstQuarantineMilliseconds: number;
+}
+
 /** Points that a crash adds. */
-export const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
-/** Suspicion from which a request is sent to no upstream: three crashes as it began to run. */
-export const quarantinePoints = 3 * pointsByStage.running;
+const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
+/** Points of a crash that may well have another cause. */
+const doubtfulPoints = 1;
+const requestQuarantinePoints = 3 * pointsByStage.running;
+
+/** A request that its caller sends again: three crashes as it began to run. */
+export const requestPolicy: SuspicionPolicy = {
+    subject: "request",
+    getCrashPoints: ({ stage, hasSurvived, mayBeLoad }) => hasSurvived || mayBeLoad ? 0 : pointsByStage[stage],
+    isExcusedBySurvival: true,
+    quarantinePoints: requestQuarantinePoints,
+    // A single crash makes all requests of its upstream suspects, and nearly all of them run well at the next one.
+    sharedPoints: 2 * pointsByStage.running,
+    urgentlyClearedPoints: requestQuarantinePoints,
+    firstQuarantineMilliseconds: 60_000,
+};
+
 /**
- * Suspicion from which the other nodes are told. A single crash makes all requests of its upstream suspects, and nearly all of them
- * run well at the next one.
+ * A part of prompts, which comes with ever new requests at any node: crashes of two requests one after the other, or of four if the
+ * part has run well before. Requests share most of their parts, and one that is held back by mistake is tried again soon.
  */
-export const urgentPoints = 2 * pointsByStage.running;
-/** How long a suspicion is remembered that does not suffice for a quarantine. */
-const suspicionMilliseconds = 10 * 60_000;
-/** Length of a request's first quarantine. A harmless request that was quarantined is refused for this long. */
-const firstQuarantineMilliseconds = 60_000;
+export const partPolicy: SuspicionPolicy = {
+    subject: "part",
+    getCrashPoints: getPartCrashPoints,
+    isExcusedBySurvival: false,
+    quarantinePoints: 2 * pointsByStage.running,
+    sharedPoints: doubtfulPoints,
+    urgentlyClearedPoints: doubtfulPoints,
+    firstQuarantineMilliseconds: 1_000,
+};
+
+function getPartCrashPoints(evidence: CrashEvidence): number {
+    const { stage, hasSurvived, mayBeLoad, hasLikelierCause, isRaisedJustNow } = evidence;
+    // Whole queues wait at an upstream, whose prompts have nearly all parts.
+    if (stage === "waiting" || hasLikelierCause) {
+        return 0;
+    }
+    if (!hasSurvived && !mayBeLoad) {
+        return pointsByStage.running;
+    }
+    return isRaisedJustNow ? 0 : doubtfulPoints;
+}
+
+/** How long a suspicion is remembered that does not suffice for a quarantine, or that a run has disproved. */
+export const suspicionMilliseconds = 10 * 60_000;
 /**
- * After a quarantine one node tries the request once. If it crashes its upstream again, the next quarantine is this many times
- * longer, so that a request that comes back all the time is tried three times a day.
+ * After a quarantine one node tries the subject once. If it crashes its upstream again, the next quarantine is this many times
+ * longer, so that what comes back all the time is tried three or four times a day.
  */
 const quarantineGrowth = 32;
 const maxQuarantineMilliseconds = 24 * 3_600_000;
-/** How long a request is remembered after a quarantine, so that a single further crash starts the next one. */
+/** How long a subject is remembered after a quarantine, so that a single further crash starts the next one. */
 const trialMilliseconds = 24 * 3_600_000;
 
-/** Returns whether a request is sent to no upstream, apart from trials. */
-export function isQuarantined(record: CrashRecord): boolean {
+/** Returns whether a subject is sent to no upstream, apart from trials. */
+export function isQuarantined(record: CrashRecord, { quarantinePoints }: SuspicionPolicy): boolean {
     return getSuspicion(record) >= quarantinePoints;
 }
 
 /** Returns how long a suspicion counts, or how long its quarantine lasts, in milliseconds. */
-export function getRetentionMilliseconds(suspicion: number): number {
+export function getRetentionMilliseconds(
+    suspicion: number,
+    { quarantinePoints, firstQuarantineMilliseconds }: SuspicionPolicy,
+): number {
     if (suspicion < quarantinePoints) {
         return suspicionMilliseconds;
     }
@@ -48,6 +115,6 @@
  * Returns whether a record no longer counts.
  * @param now - Wall-clock time, in milliseconds since the Unix epoch.
  */
-export function isExpired(record: CrashRecord, now: number): boolean {
-    return now >= record.until + (isQuarantined(record) ? trialMilliseconds : 0);
+export function isExpired(record: CrashRecord, now: number, policy: SuspicionPolicy): boolean {
+    return now >= record.until + (isQuarantined(record, policy) ? trialMilliseconds : 0);
 }
--- /dev/null
+++ b/test/quarantine/partQuarantine.test.ts
@@ -0,0 +1,115 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock } from "../../src/common/index.js";
+import { partPolicy, type Quarantine } from "../../src/quarantine/index.js";
+import { addCrashes, createQuarantine } from "../fixtures/quarantines.js";
+
+const second = 1_000;
+
+function createPartQuarantine(options: Parameters<typeof createQuarantine>[0] = {}) {
+    return createQuarantine({ policy: partPolicy, ...options });
+}
+
+function isQuarantined(quarantine: Quarantine, part: string): boolean {
+    return quarantine.isQuarantined(() => [part]);
+}
+
+describe("the quarantine of parts of prompts", () => {
+    // Guards against five crashes at five nodes that are five first ones.
+    it("counts the crashes of all nodes, from the first one on", () => {
+        const first = createPartQuarantine();
+        const second = createPartQuarantine();
+        addCrashes(first.quarantine, "a", 1);
+        expect(first.published.map(({ urgent }) => urgent)).toEqual([true]);
+        second.quarantine.merge(first.published[0].records);
+        expect(isQuarantined(second.quarantine, "a")).toEqual(false);
+        addCrashes(second.quarantine, "a", 1);
+        expect(isQuarantined(second.quarantine, "a")).toEqual(true);
+    });
+
+    it("counts no crash of an upstream at which a request only waited", () => {
+        const { quarantine } = createPartQuarantine();
+        quarantine.addCrash({
+            fingerprint: "a",
+            pointsAtStart: 0,
+            stage: "waiting",
+            mayBeLoad: false,
+            isLastAttempt: true,
+        });
+        expect(quarantine.getPoints(() => "a")).toEqual(0);
+    });
+
+    // Guards against the refusal of all requests that share a part with those that crash upstreams.
+    it("takes effect at the fourth crash for a part that has run well, counted as fast as runs could disprove it", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createPartQuarantine({ clock });
+        quarantine.addSurvival("a", 0);
+        addCrashes(quarantine, "a", 10);
+        expect(quarantine.getPoints(() => "a")).toEqual(1);
+        for (let crash = 2; crash <= 4; crash += 1) {
+            expect(isQuarantined(quarantine, "a")).toEqual(false);
+            clock.advance(second);
+            addCrashes(quarantine, "a", 1);
+        }
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+    });
+
+    it("does not suspect a part that has run well while one is quarantined that has not", () => {
+        const { quarantine } = createPartQuarantine();
+        quarantine.addSurvival("shared", 0);
+        addCrashes(quarantine, "crashing", 2);
+        expect([quarantine.hasLikelierCause("shared"), quarantine.hasLikelierCause("crashing")]).toEqual([true, false]);
+        const crash = { fingerprint: "shared", pointsAtStart: 0, stage: "running", isLastAttempt: false } as const;
+        quarantine.addCrash({ ...crash, mayBeLoad: false, hasLikelierCause: true });
+        expect(quarantine.getPoints(() => "shared")).toEqual(0);
+    });
+
+    // Guards against a part that begins to crash upstreams while requests with it still run that began before.
+    it("is disproved only by a run that began after the crashes", () => {
+        const { quarantine } = createPartQuarantine();
+        addCrashes(quarantine, "a", 2);
+        quarantine.addSurvival("a", 0);
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+        quarantine.addSurvival("a", quarantine.getPoints(() => "a"));
+        expect(isQuarantined(quarantine, "a")).toEqual(false);
+    });
+
+    // Guards against a harmless part that the other nodes go on refusing after one has tried it.
+    it("is lifted at all nodes by a trial after its end", () => {
+        const clock = new ManualClock();
+        const { quarantine, published } = createPartQuarantine({ clock });
+        const other = createPartQuarantine({ clock }).quarantine;
+        addCrashes(quarantine, "a", 2);
+        other.merge(published.at(-1)!.records);
+        clock.advance(2 * second);
+        expect(quarantine.admit(() => ["a"])).toEqual(undefined);
+        quarantine.addSurvival("a", quarantine.getPoints(() => "a"));
+        other.merge(published.at(-1)!.records);
+        expect([published.at(-1)!.urgent, isQuarantined(other, "a")]).toEqual([true, false]);
+    });
+
+    // Guards against a harmless part that stays refused since the one node that may try it gets no request with it.
+    it("is tried by another node if the first one has not", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createPartQuarantine({ clock, getTrialRank: () => 1 });
+        addCrashes(quarantine, "a", 2);
+        clock.advance(2 * second);
+        expect(quarantine.admit(() => ["a"])).toEqual(second);
+        clock.advance(5 * second);
+        expect(quarantine.admit(() => ["a"])).toEqual(undefined);
+    });
+
+    it("tries a request with two quarantined parts when the quarantine of both is over", () => {
+        const clock = new ManualClock();
+        const { quarantine } = createPartQuarantine({ clock });
+        addCrashes(quarantine, "a", 2);
+        addCrashes(quarantine, "b", 3);
+        clock.advance(2 * second);
+        expect(quarantine.admit(() => ["a", "b"])).toEqual(30 * second);
+        clock.advance(30 * second);
+        expect([quarantine.admit(() => ["a", "b"]), quarantine.admit(() => ["a", "b"])]).toEqual([
+            undefined,
+            30 * second,
+        ]);
+    });
+});
