Find out whether an upstream crashes after a cascade has dropped its answer

A cascade drops an answer of low confidence at its head, which ends the watch of that run as "stopped". The upstream crashes some 50 to 100 ms later all the same. Runs that their callers leave, and answers without a length, end so as well.

Without a suspicion nothing is asked, since each question costs a connection; the first crash is then known by the request's next attempt.

The test in forwarding/crashWatch failed before (no quarantine within 20 s) and passes.

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -16,15 +16,19 @@
  */
 export type RunEnd = "complete" | "disconnected" | "stopped";
 
-/** How a run has ended, and what that means. */
-export interface RunResult {
-    readonly end: RunEnd;
+/** What is known of a run beside its end. */
+export interface CrashDetails {
     /** Whether this node sends the request to no other upstream until its caller sends it again. */
     readonly isLastAttempt: boolean;
     /** Whether the upstream may crash under its load. */
     readonly mayBeLoad?: boolean;
 }
 
+/** How a run has ended, and what that means. */
+export interface RunResult extends CrashDetails {
+    readonly end: RunEnd;
+}
+
 /** Options of `CrashWatch`. */
 export interface CrashWatchOptions {
     readonly clock: Clock;
@@ -63,23 +67,39 @@
     }
 
     /** Evaluates a run that has ended. The next attempt of its request must wait for the result. */
-    async evaluate(run: WatchedRun, { end, isLastAttempt, mayBeLoad = false }: RunResult): Promise<void> {
+    async evaluate(run: WatchedRun, { end, ...details }: RunResult): Promise<void> {
         if (end === "complete") {
             run.addSurvival();
             return;
         }
-        if (end === "stopped" || run.getMilliseconds() > crashWindowMilliseconds) {
+        if (run.getMilliseconds() > crashWindowMilliseconds) {
+            return;
+        }
+        if (end === "stopped") {
+            this.#evaluateLater(run, details);
             return;
         }
+        await this.#addCrashIfDown(run, details);
+    }
+
+    /**
+     * Finds out whether an upstream crashes although its answer is read no further, as when a cascade drops it. This costs a connection,
+     * so it is done only for requests of which a part is suspect.
+     */
+    #evaluateLater(run: WatchedRun, details: CrashDetails): void {
+        if (run.hasHead && this.#options.partQuarantine.isSuspect(() => run.request.getPartKeys())) {
+            const remaining = crashWindowMilliseconds - run.getMilliseconds();
+            setTimeout(() => void this.#addCrashIfDown(run, details), remaining).unref();
+        }
+    }
+
+    async #addCrashIfDown(run: WatchedRun, details: CrashDetails): Promise<void> {
         if (await this.#options.isRefusingConnections(run.upstream.address)) {
-            this.#addCrash(run, { isLastAttempt, mayBeLoad });
+            this.#addCrash(run, details);
         }
     }
 
-    #addCrash(
-        run: WatchedRun,
-        { isLastAttempt, mayBeLoad }: { readonly isLastAttempt: boolean; readonly mayBeLoad: boolean; },
-    ): void {
+    #addCrash(run: WatchedRun, { isLastAttempt, mayBeLoad = false }: CrashDetails): void {
         const { journal, quarantine, partQuarantine } = this.#options;
         const { request, upstream } = run;
         const stage: CrashStage = request.isStream && !run.hasHead ? "waiting" : "running";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -111,6 +111,14 @@
         return this.#findQuarantined(getFingerprints).length > 0;
     }
 
+    /** Returns whether anything counts against one of a request's subjects. */
+    isSuspect(getFingerprints: () => readonly string[]): boolean {
+        return !this.#records.isEmpty() && getFingerprints().some(fingerprint => {
+            const record = this.#records.get(fingerprint);
+            return record !== undefined && getSuspicion(record) > 0;
+        });
+    }
+
     /** Returns the points of a subject. */
     getPoints(getFingerprint: () => string): number {
         return this.#records.isEmpty() ? 0 : this.#records.get(getFingerprint())?.points ?? 0;
--- a/test/forwarding/crashWatch.test.ts
+++ b/test/forwarding/crashWatch.test.ts
@@ -1,8 +1,11 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
+import { createPartKeys } from "../../src/quarantine/index.js";
+import { waitUntil } from "../../src/testbench/index.js";
 import { createAnswer, createCallFailure, createForwarder } from "../fixtures/forwarders.js";
-import { createRoute, createRouteTable } from "../fixtures/routes.js";
+import { addCrashes } from "../fixtures/quarantines.js";
+import { createRoute, createRouteTable, createStreamRoute } from "../fixtures/routes.js";
 import { createUpstreams } from "../fixtures/upstreams.js";
 
 const allCrashed: ReadonlySet<string> = new Set(["u1", "u2", "u3", "u4", "u5", "u6"]);
@@ -98,6 +101,25 @@
         expect(calls.length).toEqual(3);
     });
 
+    // Guards against a cascade that drops each first answer of a request, and learns of no crash under it.
+    it("counts a crash of an upstream whose answer was dropped just before, if a part of the prompt is suspect", async () => {
+        const { send, partQuarantine } = createForwarder({
+            upstreams: createUpstreams(6),
+            crashed: allCrashed,
+            getRoutes: () => createRouteTable({ routes: [createStreamRoute()] }),
+            behaviour: ({ model }) =>
+                model === "small" ? createAnswer(["id: 1\n\n"], { confidence: 0 }) : createCallFailure("refused"),
+        });
+        const parts = [{ id: "a", tokens: 10 }, { id: "own", tokens: 10 }];
+        const generation = { model: undefined, promptTokens: 20, maxOutputTokens: 10, expectedOutputTokens: 10, parts };
+        const [part] = createPartKeys({ pool: "app", parts: ["a", "own"] });
+        addCrashes(partQuarantine, part, 1);
+        await send({ generation });
+        await waitUntil(() => Promise.resolve(partQuarantine.isQuarantined(() => [part])), {
+            description: "the quarantine of the part",
+        });
+    });
+
     it("takes a complete answer as proof that a request crashes nothing", async () => {
         let isCrashing = true;
         const { send, quarantine } = createForwarder({
