Tell a stream without a length that is complete from one that was broken off

What callers saw: a resumable stream whose answer came with neither a length nor chunks was requested again after its last event, each time, and with no attempt left its caller's connection was broken, though it was complete. One that ended inside an event was worse: its incomplete event was written, and the next runner's events after it, so that the caller read a corrupt one.

Cause: the end of such an answer was taken as unknown in any case, and the bytes after the last event were written.

Change: a stream that ends inside an event is broken, and counts as cut off by its runner. One that ends between events is complete if its runner still accepts a connection; otherwise it may have crashed, or this node may have lost its path, and the stream is resumed as before.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -59,6 +59,8 @@
     readonly finish: (outcome: CallOutcome, reason: string, end: RunEnd) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
+    /** Returns whether the upstream certainly runs on: it accepts a connection of this node. */
+    readonly isUpstreamUp: () => Promise<boolean>;
     /** Cancels the call at the upstream. */
     readonly cancel: () => void;
 }
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -38,6 +38,8 @@
     /** Returns whether this node, or another one that would forward the request, can connect to upstreams of a pool. */
     readonly isReachable: (pool: string) => boolean;
     readonly crashWatch: CrashWatch;
+    /** Opens a connection to an address and closes it. Returns whether that succeeded. */
+    readonly isAcceptingConnections: (address: string) => Promise<boolean>;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
     /** Returns the upstreams that may serve an exchange according to the current roll-out. */
@@ -249,7 +251,8 @@
             observer.markSeen(upstream);
             run.markPiece();
         };
-        return ok({ upstream, answer: result.value, finish, cancel, markSeen });
+        const isUpstreamUp = (): Promise<boolean> => this.#options.isAcceptingConnections(upstream.address);
+        return ok({ upstream, answer: result.value, finish, cancel, markSeen, isUpstreamUp });
     }
 
     #classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -186,16 +186,15 @@
             reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd || route.isResumable });
         }
         const relayed = await this.#relayBody(attempt);
-        if (relayed.kind === "complete" && (answer.hasKnownEnd || !route.isResumable)) {
+        if (relayed.kind === "complete") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-            attempt.finish(outcome, `status ${answer.status}`, answer.hasKnownEnd ? "complete" : "stopped");
+            const isCertain = answer.hasKnownEnd || route.isResumable;
+            attempt.finish(outcome, `status ${answer.status}`, isCertain ? "complete" : "stopped");
             reply.end();
             return true;
         }
-        // A stream without a known end is resumed after its last event. If it was complete, no events follow.
-        const reason = relayed.kind === "broken" ? relayed.reason : "the answer may be incomplete";
-        const end = relayed.kind === "broken" && relayed.isDisconnected ? "disconnected" : "stopped";
-        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", reason, end);
+        const end = relayed.isDisconnected ? "disconnected" : "stopped";
+        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", relayed.reason, end);
         attempt.cancel();
         this.#splitter.reset();
         if (!this.#exchange.ended.aborted && route.isResumable && answer.status === 200 && this.#canRepeat()) {
@@ -230,11 +229,7 @@
                 attempt.markSeen();
                 await (isEventStream ? this.#writeEvents(bytes) : reply.write(bytes));
             }
-            const remainder = this.#splitter.getRemainder();
-            if (remainder.length > 0) {
-                await reply.write(remainder);
-            }
-            return { kind: "complete" };
+            return attempt.answer.hasKnownEnd ? await this.#writeRemainder() : await this.#evaluateEnd(attempt);
         }
         catch (cause) {
             const reason = isTimedOut ? `no data for ${pauseTimeout} ms` : ended.aborted ? "ended" : String(cause);
@@ -245,6 +240,28 @@
         }
     }
 
+    async #writeRemainder(): Promise<RelayResult> {
+        const remainder = this.#splitter.getRemainder();
+        if (remainder.length > 0) {
+            await this.#exchange.reply.write(remainder);
+        }
+        return { kind: "complete" };
+    }
+
+    /**
+     * Evaluates the end of a stream without a known end, which a runner closes in the same way when the stream is complete and when it
+     * crashes. A stream that may be incomplete is resumed after its last event. If it was complete, no events follow.
+     */
+    async #evaluateEnd(attempt: Attempt): Promise<RelayResult> {
+        if (this.#splitter.getRemainder().length > 0) {
+            return { kind: "broken", reason: "the answer ended inside an event", isDisconnected: true };
+        }
+        if (this.#exchange.route.isResumable && !await attempt.isUpstreamUp()) {
+            return { kind: "broken", reason: "the answer may be incomplete", isDisconnected: true };
+        }
+        return { kind: "complete" };
+    }
+
     async #writeEvents(bytes: Buffer): Promise<void> {
         for (const event of this.#splitter.push(bytes)) {
             this.#lastEventId = event.id ?? this.#lastEventId;
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -4,6 +4,7 @@
 import { RejectionLimit, type SendLimit, SendLimits, WarmUpLimit, WindowedRetryBudget } from "../decisions/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import { Attempts, UpstreamObserver } from "../forwarding/index.js";
+import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { addEvidence, getSession } from "./rolloutParts.js";
 
@@ -56,6 +57,7 @@
         observer: parts.observer,
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
         crashWatch: parts.crashWatch,
+        isAcceptingConnections,
         getBudget: budgets,
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
         onStart: (exchange, upstream) => {
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -16,9 +16,14 @@
     return `id: ${id}\ndata: ${id}\n\n`;
 }
 
-function createStreamForwarder(behaviour: UpstreamBehaviour, options: Parameters<typeof createStreamRoute>[0] = {}) {
+function createStreamForwarder(
+    behaviour: UpstreamBehaviour,
+    options: Parameters<typeof createStreamRoute>[0] = {},
+    crashed: readonly string[] = [],
+) {
     const route = createStreamRoute(options);
-    const site = createForwarder({ behaviour, getRoutes: () => createRouteTable({ routes: [route] }) });
+    const getRoutes = () => createRouteTable({ routes: [route] });
+    const site = createForwarder({ behaviour, getRoutes, crashed: new Set(crashed) });
     const send = () => site.send({ generation, session: "session", deadlineMilliseconds: 20_000 });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     return { ...site, send, getModels };
@@ -77,14 +82,49 @@
         expect([caller.chunks, caller.isComplete, calls.length]).toEqual([[createEvent(1), createEvent(2)], true, 2]);
     });
 
-    it("requests the events after the last one when a stream ends without a known end", async () => {
-        const { send, calls } = createStreamForwarder((...[, , count]) =>
-            count === 1
-                ? createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false })
-                : createAnswer([createEvent(2)])
+    it("takes a stream without a known end that ended between events at a living runner as complete", async () => {
+        const { send, calls, quarantine } = createStreamForwarder(() =>
+            createAnswer([createEvent(1), createEvent(2)], { confidence: 80, hasKnownEnd: false })
         );
-        expect((await send()).chunks).toEqual([createEvent(1), createEvent(2)]);
-        expect(calls[1].call.lastEventId).toEqual("1");
+        const caller = await send();
+        expect([caller.chunks.join(""), caller.isComplete, calls.length]).toEqual([
+            createEvent(1) + createEvent(2),
+            true,
+            1,
+        ]);
+        expect(quarantine.countQuarantined()).toEqual(0);
+    });
+
+    // Guards against a truncated stream that looks complete to its caller.
+    it("resumes a stream without a known end that ended inside an event, or whose runner has crashed", async () => {
+        for (
+            const [chunk, crashed] of [[`${createEvent(1)}id: 2\nda`, []], [createEvent(1), [
+                "u1",
+                "u2",
+                "u3",
+            ]]] as const
+        ) {
+            const { send, calls } = createStreamForwarder(
+                (...[, , count]) =>
+                    count === 1
+                        ? createAnswer([chunk], { confidence: 80, hasKnownEnd: false })
+                        : createAnswer([createEvent(2)], { confidence: 80 }),
+                {},
+                crashed,
+            );
+            const caller = await send();
+            expect([caller.chunks.join(""), caller.isComplete]).toEqual([createEvent(1) + createEvent(2), true]);
+            expect(calls.map(({ call }) => call.lastEventId)).toEqual([undefined, "1"]);
+        }
+    });
+
+    it("aborts the connection when a stream without a known end that cannot be resumed ended inside an event", async () => {
+        const { send } = createStreamForwarder(
+            () => createAnswer([`${createEvent(1)}id: 2\nda`], { confidence: 80, hasKnownEnd: false }),
+            { isResumable: false },
+        );
+        const caller = await send();
+        expect([caller.chunks.join(""), caller.isAborted, caller.isComplete]).toEqual([createEvent(1), true, false]);
     });
 
     it("aborts the connection when a stream cannot be resumed", async () => {
