Withdraw requests that wait for a connection when they are quarantined

What callers saw: nothing yet; found by reading. A request waits at a node for a connection to a busy upstream, and is sent when one is free, also if a part of its prompt, or the request itself, was quarantined meanwhile. Each may crash one more upstream after all nodes know.

Change: a request asks again before it is sent, a trial excepted, and all that wait are woken when a quarantine begins; they are refused at once.

Evidence: the test in platform/upstreamClient fails without the question (the request goes on waiting) and passes.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -222,6 +222,7 @@
             model: request.model,
             urgency: Math.min(maxUrgencyValue, 1 + 2 * exchange.priority),
             lastEventId: request.lastEventId,
+            isWithdrawn: () => run.isWithdrawn(),
             signal: controller.signal,
         });
         clearTimeout(timer);
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -18,6 +18,8 @@
     readonly urgency: number;
     /** Identifier of the last event that the caller received, when a stream is resumed. */
     readonly lastEventId: string | undefined;
+    /** Returns whether the request may not be sent any more, asked after it has waited for a connection. */
+    readonly isWithdrawn: () => boolean;
     /** Cancels the call and its work at the upstream. */
     readonly signal: AbortSignal;
 }
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -227,11 +227,8 @@
     },
 };
 
-function createQuarantine(
-    { self, clock, journal, gossip, membership, writer }: NodeParts,
-    policy: SuspicionPolicy,
-    keyPrefix: string,
-): Quarantine {
+function createQuarantine(parts: NodeParts, policy: SuspicionPolicy, keyPrefix: string): Quarantine {
+    const { self, clock, journal, gossip, membership, writer } = parts;
     return createSharedQuarantine({
         self: self.id,
         clock,
@@ -240,6 +237,7 @@
         gossip,
         getMembers: () => membership.getAlive().map(({ id }) => id),
         store: records => writer.writeQuarantine(keyPrefix, records),
+        onQuarantined: () => parts.upstreamClient.withdrawWaiting(),
     });
 }
 
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -65,7 +65,7 @@
             const response = relay === undefined
                 ? await connections.send(send, {
                     signal: call.signal,
-                    mayStillSend: () => this.#options.mayReceive?.(upstream) ?? true,
+                    mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
                 })
                 : await send(connections.dispatcher.compose(relay));
             return response === undefined
@@ -94,15 +94,15 @@
         };
     }
 
-    /** Lets requests that wait for a connection go elsewhere if their upstream may not receive them any more. */
+    /** Lets requests that wait for a connection go elsewhere, or be refused, if they may not be sent any more. */
     withdrawWaiting(): void {
         for (const connections of this.#waitedFor) {
-            if (!connections.hasWaiting()) {
-                this.#waitedFor.delete(connections);
-            }
-            else if (this.#options.mayReceive?.(connections.upstream) === false) {
+            if (connections.hasWaiting()) {
                 connections.wakeAll();
             }
+            else {
+                this.#waitedFor.delete(connections);
+            }
         }
     }
 
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -38,6 +38,8 @@
     readonly publish: (records: readonly CrashRecord[], options: { readonly urgent: boolean; }) => void;
     /** Stores this node's records of what is quarantined outside of the nodes. Resolves to whether that succeeded. */
     readonly store: (records: readonly CrashRecord[]) => Promise<boolean>;
+    /** Called when this node learns that a subject is quarantined. */
+    readonly onQuarantined: () => void;
     /** Returns this node's place, from 0, in the order in which the nodes may try a subject after its quarantine. */
     readonly getTrialRank: (fingerprint: string) => number;
 }
@@ -168,6 +170,7 @@
         if (suspicion >= policy.quarantinePoints) {
             const { subject } = policy;
             journal.write(events.requestQuarantined, { subject, fingerprint, points: suspicion, until });
+            this.#options.onQuarantined();
             this.#store();
         }
     }
@@ -195,7 +198,7 @@
     }
 
     #merge(record: CrashRecord): void {
-        const { journal, policy, getTrialRank } = this.#options;
+        const { journal, policy, getTrialRank, onQuarantined } = this.#options;
         const { fingerprint } = record;
         const known = this.#records.get(fingerprint);
         const merged = known === undefined ? record : mergeCrashRecords(known, record);
@@ -206,6 +209,7 @@
         if (isNew && isQuarantined(merged, policy)) {
             const { points, until } = merged;
             journal.write(events.quarantineLearned, { subject: policy.subject, fingerprint, points, until });
+            onQuarantined();
         }
         const isExcused = policy.isExcusedBySurvival && this.hasSurvived(fingerprint);
         if (getSuspicion(merged) >= policy.sharedPoints && isExcused) {
--- a/src/quarantine/sharedQuarantine.ts
+++ b/src/quarantine/sharedQuarantine.ts
@@ -27,11 +27,13 @@
     readonly getMembers: () => Iterable<string>;
     /** Stores this node's records outside of the nodes. Resolves to whether that succeeded. */
     readonly store: (records: readonly CrashRecord[]) => Promise<boolean>;
+    /** Called when this node learns that a subject is quarantined. */
+    readonly onQuarantined?: () => void;
 }
 
 /** Creates a quarantine that exchanges its records with the other nodes by gossip. */
 export function createSharedQuarantine(options: SharedQuarantineOptions): Quarantine {
-    const { self, clock, journal, policy, gossip, getMembers, store } = options;
+    const { self, clock, journal, policy, gossip, getMembers, store, onQuarantined = () => {} } = options;
     const gossipKey = gossipKeys[policy.subject];
     const quarantine = new Quarantine({
         clock,
@@ -39,6 +41,7 @@
         policy,
         publish: (records, { urgent }) => gossip.set(gossipKey, encodeCrashRecords(records), { urgent }),
         store,
+        onQuarantined,
         getTrialRank: fingerprint => getRank(fingerprint, self, getMembers()),
     });
     gossip.onUpdate((origin, key, value) => {
--- a/src/quarantine/watchedRun.ts
+++ b/src/quarantine/watchedRun.ts
@@ -38,6 +38,7 @@
     readonly #clock: Clock;
     readonly #quarantine: Quarantine;
     readonly #partQuarantine: Quarantine;
+    readonly #isTrial: boolean;
     #headAt: number | undefined;
     #partPoints: ReadonlyMap<string, number> | undefined;
     /** Time since which the answer arrives steadily, and that of its last piece. */
@@ -52,6 +53,7 @@
         this.#quarantine = quarantine;
         this.#partQuarantine = partQuarantine;
         this.pointsAtStart = quarantine.getPoints(request.getFingerprint);
+        this.#isTrial = this.#isHeldBack();
     }
 
     /** Whether the answer has started. */
@@ -67,6 +69,11 @@
         return this.#partPoints ?? this.#readPartPoints();
     }
 
+    /** Returns whether the request was quarantined since it was admitted, so that it may not be sent any more. */
+    isWithdrawn(): boolean {
+        return !this.#isTrial && this.#isHeldBack();
+    }
+
     /** Records that the answer has started. */
     markHead(): void {
         this.#headAt = this.#clock.monotonic();
@@ -102,6 +109,12 @@
         this.#addPartSurvivals();
     }
 
+    #isHeldBack(): boolean {
+        const { getFingerprint, getPartKeys } = this.request;
+        return this.#partQuarantine.isQuarantined(getPartKeys)
+            || this.#quarantine.isQuarantined(() => [getFingerprint()]);
+    }
+
     #addPartSurvivals(): void {
         for (const [part, points] of this.partPoints) {
             this.#partQuarantine.addSurvival(part, points);
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -44,6 +44,7 @@
         model: undefined,
         urgency: 3,
         lastEventId: undefined,
+        isWithdrawn: () => false,
         signal: new AbortController().signal,
         ...options,
     };
@@ -122,6 +123,24 @@
         expect(sockets.length).toEqual(1);
     });
 
+    // Guards against requests that waited for a connection while a part of their prompts was quarantined, and crash one more upstream.
+    it("sends no request that was withdrawn while it waited for a connection", async () => {
+        const sockets: Socket[] = [];
+        const upstream = await listen(createRawRunner(socket => sockets.push(socket)));
+        const client = createClient();
+        const first = client.call(upstream, createCall());
+        await waitUntil(() => sockets.length === 1, "the first request arrives");
+        let isWithdrawn = false;
+        const waiting = client.call(upstream, createCall({ isWithdrawn: () => isWithdrawn }));
+        isWithdrawn = true;
+        client.withdrawWaiting();
+        const withdrawn = await Promise.race([waiting, sleep(maxWithdrawalMilliseconds)]);
+        expect(withdrawn?._unsafeUnwrapErr().kind).toEqual("no-room");
+        sockets[0].write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        expect(await read((await first)._unsafeUnwrap())).toEqual("ok");
+        expect(sockets.length).toEqual(1);
+    });
+
     // Guards against requests that wait for ever, or get lost, behind others for one connection.
     it("sends requests that wait for a connection one after the other, and none whose caller has left", async () => {
         const received: string[] = [];
