Do not ask whether upstreams that fall over by their load have crashed under requests without a prompt

The mend of parts counts crashes of upstreams that warm up, or reject by limit, half against parts of prompts. It asked and logged them for requests without parts as well, against which they count nothing: forwarding/rejectionLimits failed with two lines 424 where one is permitted (seen when the tests of forwarding ran as a whole), and passes.

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -75,6 +75,10 @@
         if (run.getMilliseconds() > crashWindowMilliseconds) {
             return;
         }
+        if (details.mayBeLoad === true && run.request.getPartKeys().length === 0) {
+            // That is no evidence against the request as a whole.
+            return;
+        }
         if (end === "stopped") {
             this.#evaluateLater(run, details);
             return;
