Split the choice of upstreams and the cancellation of calls from attempts, and guard the mends

forwarding/attempts had 324 lines and a #send of a hundred with its closures: the choice of an upstream, with the reasons why there is none, is UpstreamSelection now, and the cancellation of a call CallCancellation. fleet/sharedLeavings names what it needs of gossip itself, which opens the circle fleet, membership, decisions, fleet. Nothing is decided differently.

--- a/src/fleet/sharedLeavings.ts
+++ b/src/fleet/sharedLeavings.ts
@@ -4,7 +4,6 @@
  */
 import { z } from "zod";
 import { events, type Journal } from "../events/index.js";
-import type { Gossip } from "../membership/index.js";
 import type { Announcements, UpstreamIncarnation } from "./announcements.js";
 import type { UpstreamRegistry } from "./upstreamRegistry.js";
 
@@ -18,11 +17,19 @@
     startedAt: z.number().optional(),
 }));
 
+/** Publishes values of this node, and receives those of the others. */
+export interface ValueExchange {
+    /** Adds a listener, called once for each newer value. The value is undefined when its origin removed it. */
+    onUpdate(listener: (origin: string, key: string, value: Buffer | undefined) => void): void;
+    /** Publishes a value of this node. */
+    set(key: string, value: Buffer): void;
+}
+
 /** The parts that are connected. */
 export interface SharedLeavingsOptions {
     readonly announcements: Pick<Announcements, "markLeaving" | "onLeaving">;
     readonly registry: Pick<UpstreamRegistry, "onRemoved">;
-    readonly gossip: Pick<Gossip, "onUpdate" | "set">;
+    readonly gossip: ValueExchange;
     readonly journal: Journal;
 }
 
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -6,33 +6,29 @@
 import type {
     CallOutcome,
     PromptDescription,
-    RestLimit,
     SendLimit,
     UpstreamPick,
-    UpstreamPicker,
     WindowedRetryBudget,
 } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
-import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
 import type { CrashWatch, RunEnd } from "../quarantine/index.js";
-import type { VersionSelection } from "../rollouts/index.js";
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
+import { CallCancellation } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import type { UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
 import type { UpstreamObserver } from "./upstreamObserver.js";
+import { type SelectedUpstream, UpstreamSelection, type UpstreamSelectionOptions } from "./upstreamSelection.js";
 
 /** Options of `Attempts`. */
-export interface AttemptsOptions {
+export interface AttemptsOptions extends UpstreamSelectionOptions {
     readonly clock: Clock;
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
-    readonly registry: UpstreamRegistry;
-    readonly picker: UpstreamPicker;
     /** The limits that the picker observes; here, the requests that were sent are added to them. */
     readonly sendLimit: SendLimit<RegisteredUpstream>;
-    readonly restLimit: Pick<RestLimit<RegisteredUpstream>, "getWait">;
     readonly transport: UpstreamTransport;
     readonly observer: UpstreamObserver;
     /** Returns whether this node, or another one that would forward the request, can connect to upstreams of a pool. */
@@ -42,28 +38,21 @@
     readonly isAcceptingConnections: (address: string) => Promise<boolean>;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
-    /** Returns the upstreams that may serve an exchange according to the current roll-out. */
-    readonly selectVersion: (exchange: Exchange, candidates: readonly RegisteredUpstream[]) => VersionSelection;
     /** Called when an attempt starts. Returns a callback for its end. */
     readonly onStart: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
 }
 
-interface PickedUpstream {
-    readonly pick: UpstreamPick;
-    readonly versionReason: string | undefined;
-}
-
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
-/** Load of an upstream whose slots are all in use, as a share of them. */
-const fullLoad = 1;
 
 /** Makes attempts at upstreams. */
 export class Attempts {
     readonly #options: AttemptsOptions;
+    readonly #selection: UpstreamSelection;
 
     constructor(options: AttemptsOptions) {
         this.#options = options;
+        this.#selection = new UpstreamSelection(options);
     }
 
     /**
@@ -72,7 +61,7 @@
      * @param prompt - The prompt.
      */
     estimate(exchange: Exchange, prompt: PromptDescription): number | undefined {
-        const pick = this.#pick(exchange, prompt, new Set())?.pick;
+        const pick = this.#selection.select(exchange, prompt, new Set())?.pick;
         return pick && pick.expectedMilliseconds * this.#options.picker.getWaitRatio();
     }
 
@@ -99,14 +88,9 @@
         if (!this.#options.isReachable(exchange.pool)) {
             return err({ kind: "not-made", reason: "unreachable" });
         }
-        const selected = this.#pick(exchange, request.prompt, exchange.excluded);
-        if (selected === undefined) {
-            return err(this.#createUnpicked(exchange));
-        }
-        const { pick, versionReason } = selected;
-        // A request that has already run in part is better late than broken off.
-        if (exchange.outcome === "not-run" && pick.load >= fullLoad && this.#isAnyResting(exchange)) {
-            return err(this.#createUnpicked(exchange));
+        const selected = this.#selection.select(exchange, request.prompt, exchange.excluded);
+        if (selected === undefined || this.#selection.isHeapedUp(exchange, selected.pick)) {
+            return err(this.#selection.createFailure(exchange));
         }
         const budget = this.#options.getBudget(exchange.pool);
         if (!exchange.isCountedInBudget) {
@@ -116,58 +100,13 @@
         else if (exchange.attempts > 0 && !budget.tryAcquire()) {
             return err({ kind: "not-made", reason: "budget" });
         }
-        exchange.addAttempt(pick.upstream);
-        return this.#send(request, pick, versionReason);
-    }
-
-    /**
-     * Picks an upstream of the version that serves the request. When all upstreams of that version are warming up and may get nothing
-     * from this node now, as at the beginning of a roll-out, a version with warm upstreams serves it.
-     */
-    #pick(
-        exchange: Exchange,
-        prompt: PromptDescription | undefined,
-        excluded: ReadonlySet<string>,
-    ): PickedUpstream | undefined {
-        const { registry, picker, selectVersion } = this.#options;
-        const available = registry.getAvailable(exchange.pool);
-        const pickAmong = (candidates: readonly RegisteredUpstream[]): PickedUpstream | undefined => {
-            const { upstreams, reason } = selectVersion(exchange, candidates);
-            const pick = picker.pick({ pool: exchange.pool, candidates: upstreams, excluded, prompt });
-            return pick && { pick, versionReason: reason };
-        };
-        const isWarmingUp = ({ id }: RegisteredUpstream): boolean => registry.warmUps.isWarmingUp(id);
-        return pickAmong(available)
-            ?? (available.some(isWarmingUp) ? pickAmong(available.filter(one => !isWarmingUp(one))) : undefined);
-    }
-
-    /** Returns whether an upstream of the pool rests. Its requests must not be heaped upon the others when these are full. */
-    #isAnyResting({ pool }: Exchange): boolean {
-        const { registry, restLimit } = this.#options;
-        return registry.getAvailable(pool).some(one => restLimit.getWait(one) > 0);
-    }
-
-    #createUnpicked(exchange: Exchange): AttemptFailure {
-        const { registry, restLimit } = this.#options;
-        const waits = registry.getAvailable(exchange.pool).map(one => restLimit.getWait(one));
-        const reason = this.#isAnyLimited(exchange) ? "limited" : "nobody";
-        return {
-            kind: "not-made",
-            reason,
-            retryAfterMilliseconds: waits.length === 0 ? undefined : Math.min(...waits),
-        };
-    }
-
-    /** Returns whether an upstream that was not tried yet gets nothing from this node now because of a limit. */
-    #isAnyLimited({ pool, excluded }: Exchange): boolean {
-        const { registry, sendLimit } = this.#options;
-        return registry.getAvailable(pool).some(one => !excluded.has(one.id) && !sendLimit.isAdmitted(one));
+        exchange.addAttempt(selected.pick.upstream);
+        return this.#send(request, selected);
     }
 
     async #send(
         request: AttemptRequest,
-        pick: UpstreamPick,
-        versionReason: string | undefined,
+        { pick, versionReason }: SelectedUpstream,
     ): Promise<Result<Attempt, AttemptFailure>> {
         const { exchange, prompt } = request;
         const { upstream, prefillMilliseconds } = pick;
@@ -175,18 +114,7 @@
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
         const { clock, crashWatch, observer, picker, registry, sendLimit, transport } = this.#options;
-        const controller = new AbortController();
-        const cancel = (): void => controller.abort();
-        exchange.ended.addEventListener("abort", cancel);
-        let isHeadTimedOut = false;
-        const handleHeadTimeout = (): void => {
-            isHeadTimedOut = true;
-            cancel();
-        };
-        const headTimeout = request.getHeadTimeout(pick.expectedMilliseconds * picker.getWaitRatio());
-        const timer = headTimeout === undefined || headTimeout >= exchange.getTimeLeft()
-            ? undefined
-            : setTimeout(handleHeadTimeout, headTimeout);
+        const cancellation = this.#createCancellation(request, pick);
         const startedAt = clock.monotonic();
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
         const mayBeLoad = isWarmingUp || observer.isRejectionLimited(upstream);
@@ -199,7 +127,7 @@
                 return;
             }
             isFinished = true;
-            exchange.ended.removeEventListener("abort", cancel);
+            cancellation.dispose();
             exchange.lastEvaluation = crashWatch.evaluate(run, {
                 end,
                 mayBeLoad,
@@ -223,17 +151,18 @@
             urgency: Math.min(maxUrgencyValue, 1 + 2 * exchange.priority),
             lastEventId: request.lastEventId,
             isWithdrawn: () => run.isWithdrawn(),
-            signal: controller.signal,
+            signal: cancellation.signal,
         });
-        clearTimeout(timer);
+        cancellation.stopHeadTimeout();
         endWait();
         picker.addPendingPrefill(upstream.id, -prefillMilliseconds);
         if (result.isErr()) {
             if (result.error.kind === "not-sent" || result.error.kind === "no-room") {
                 exchange.removeAttempt();
             }
+            const { isHeadTimedOut } = cancellation;
             finish(
-                this.#classifyFailure(exchange, result.error, isHeadTimedOut),
+                classifyFailure(exchange, result.error, isHeadTimedOut),
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
@@ -253,20 +182,17 @@
             run.markPiece();
         };
         const isUpstreamUp = (): Promise<boolean> => this.#options.isAcceptingConnections(upstream.address);
+        const { cancel } = cancellation;
         return ok({ upstream, answer: result.value, finish, cancel, markSeen, isUpstreamUp });
     }
 
-    #classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
-        if (failure.kind === "refused" || failure.kind === "replaced" || failure.kind === "no-room") {
-            return "refused";
-        }
-        if (isHeadTimedOut) {
-            return "silent";
-        }
-        if (exchange.ended.aborted) {
-            return "cancelled";
-        }
-        return "silent";
+    #createCancellation({ exchange, getHeadTimeout }: AttemptRequest, pick: UpstreamPick): CallCancellation {
+        const timeout = getHeadTimeout(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
+        const isLate = timeout === undefined || timeout >= exchange.getTimeLeft();
+        return new CallCancellation({
+            ended: exchange.ended,
+            headTimeoutMilliseconds: isLate ? undefined : timeout,
+        });
     }
 
     #applyFailure(upstream: RegisteredUpstream, failure: UpstreamCallFailure, isHeadTimedOut: boolean): void {
@@ -322,3 +248,10 @@
 function isBroken(outcome: CallOutcome): boolean {
     return outcome === "failed" || outcome === "silent";
 }
+
+function classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
+    if (failure.kind === "refused" || failure.kind === "replaced" || failure.kind === "no-room") {
+        return "refused";
+    }
+    return !isHeadTimedOut && exchange.ended.aborted ? "cancelled" : "silent";
+}
--- /dev/null
+++ b/src/forwarding/callCancellation.ts
@@ -0,0 +1,53 @@
+/**
+ * Cancels a call: when its exchange ends, when its answer does not start in time, or when the node gives it up.
+ */
+
+/** Options of `CallCancellation`. */
+export interface CallCancellationOptions {
+    /** Aborted when the exchange ends. */
+    readonly ended: AbortSignal;
+    /** Time in which the answer has to start, in milliseconds. Undefined when the exchange's own end comes first. */
+    readonly headTimeoutMilliseconds: number | undefined;
+}
+
+/** The cancellation of one call. */
+export class CallCancellation {
+    readonly #controller = new AbortController();
+    readonly #ended: AbortSignal;
+    readonly #timer: NodeJS.Timeout | undefined;
+    #isHeadTimedOut = false;
+
+    constructor({ ended, headTimeoutMilliseconds }: CallCancellationOptions) {
+        this.#ended = ended;
+        ended.addEventListener("abort", this.cancel);
+        this.#timer = headTimeoutMilliseconds === undefined
+            ? undefined
+            : setTimeout(() => {
+                this.#isHeadTimedOut = true;
+                this.cancel();
+            }, headTimeoutMilliseconds);
+    }
+
+    /** Aborted when the call is cancelled. */
+    get signal(): AbortSignal {
+        return this.#controller.signal;
+    }
+
+    /** Whether the answer did not start in time. */
+    get isHeadTimedOut(): boolean {
+        return this.#isHeadTimedOut;
+    }
+
+    /** Cancels the call. */
+    readonly cancel = (): void => this.#controller.abort();
+
+    /** Stops waiting for the start of the answer. */
+    stopHeadTimeout(): void {
+        clearTimeout(this.#timer);
+    }
+
+    /** Ignores the end of the exchange from now on. */
+    dispose(): void {
+        this.#ended.removeEventListener("abort", this.cancel);
+    }
+}
--- a/test/quarantine/watchedRun.test.ts
+++ b/test/quarantine/watchedRun.test.ts
@@ -24,6 +24,14 @@
         expect([...run.partPoints]).toEqual([["part", 2]]);
     });
 
+    it("does not disprove crashes that came after the start of its answer", () => {
+        const { partQuarantine, run } = createRun();
+        run.markHead();
+        addCrashes(partQuarantine, "part", 2);
+        run.addSurvival();
+        expect(partQuarantine.isQuarantined(() => ["part"])).toEqual(true);
+    });
+
     it("shows that its parts crash nothing while its answer goes on", () => {
         const { clock, partQuarantine, run } = createRun();
         run.markHead();
