Keep the end of a quarantine that a run disproves in part

Found by reading: a run that disproves some of the crashes of a part that stays quarantined gave its record ten minutes more, which is meant for records that were disproved as a whole. partQuarantine has a test that fails without the change (ten minutes instead of 32 s). Which part explains a crash is found out where crashes are added now; the parts of one crash see those before them.

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -123,13 +123,8 @@
             return;
         }
         this.#countedRequests.add(request);
-        const countedParts = [...partPoints].map(([part, points]) => ({
-            fingerprint: part,
-            pointsAtStart: points,
-            hasLikelierCause: partQuarantine.hasLikelierCause(part),
-        }));
-        for (const counted of countedParts) {
-            partQuarantine.addCrash({ ...counted, stage, mayBeLoad, isLastAttempt });
+        for (const [part, points] of partPoints) {
+            partQuarantine.addCrash({ fingerprint: part, pointsAtStart: points, stage, mayBeLoad, isLastAttempt });
         }
     }
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -53,8 +53,6 @@
     readonly stage: CrashStage;
     /** Whether the upstream may have crashed under its load. */
     readonly mayBeLoad: boolean;
-    /** Whether another subject is suspected as much, and has not run well recently, as this one has. */
-    readonly hasLikelierCause?: boolean;
     /** Whether this node sends the request to no other upstream until its caller sends it again. */
     readonly isLastAttempt: boolean;
 }
@@ -126,16 +124,6 @@
         return this.#records.isEmpty() ? 0 : this.#records.get(getFingerprint())?.points ?? 0;
     }
 
-    /**
-     * Returns whether a subject that has recently run at this node without a crash comes along with the cause of crashes: one that has
-     * not run so is quarantined.
-     */
-    hasLikelierCause(fingerprint: string): boolean {
-        const { policy } = this.#options;
-        return this.hasSurvived(fingerprint)
-            && this.#records.some(other => isQuarantined(other, policy) && !this.hasSurvived(other.fingerprint));
-    }
-
     /** Returns whether a subject has recently run at this node without a crash. */
     hasSurvived(fingerprint: string): boolean {
         return this.#survivals.has(fingerprint, this.#options.clock.monotonic());
@@ -146,13 +134,15 @@
      * a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
      * without a body, which many callers of a workspace send: it is no suspect while such requests run to their end.
      */
-    addCrash(
-        { fingerprint, pointsAtStart, stage, mayBeLoad, hasLikelierCause = false, isLastAttempt }: SubjectCrash,
-    ): void {
+    addCrash({ fingerprint, pointsAtStart, stage, mayBeLoad, isLastAttempt }: SubjectCrash): void {
         const { clock, journal, policy } = this.#options;
-        const hasSurvived = this.hasSurvived(fingerprint);
-        const isRaisedJustNow = clock.monotonic() - this.#records.getRaisedAt(fingerprint) < evidenceMilliseconds;
-        const crashPoints = policy.getCrashPoints({ stage, mayBeLoad, hasSurvived, hasLikelierCause, isRaisedJustNow });
+        const crashPoints = policy.getCrashPoints({
+            stage,
+            mayBeLoad,
+            hasSurvived: this.hasSurvived(fingerprint),
+            hasLikelierCause: this.#hasLikelierCause(fingerprint),
+            isRaisedJustNow: clock.monotonic() - this.#records.getRaisedAt(fingerprint) < evidenceMilliseconds,
+        });
         const known = this.#records.get(fingerprint);
         const points = pointsAtStart + crashPoints;
         if (crashPoints === 0 || (known !== undefined && known.points >= points)) {
@@ -221,6 +211,16 @@
         }
     }
 
+    /**
+     * Returns whether a subject that has recently run at this node without a crash comes along with the cause of crashes: one that has
+     * not run so is quarantined.
+     */
+    #hasLikelierCause(fingerprint: string): boolean {
+        const { policy } = this.#options;
+        return this.hasSurvived(fingerprint)
+            && this.#records.some(other => isQuarantined(other, policy) && !this.hasSurvived(other.fingerprint));
+    }
+
     #findQuarantined(getFingerprints: () => readonly string[]): readonly CrashRecord[] {
         if (this.#records.isEmpty()) {
             return [];
@@ -232,17 +232,19 @@
     }
 
     #clear(record: CrashRecord, cleared: number): void {
-        const { journal, policy } = this.#options;
+        const { clock, journal, policy } = this.#options;
         const { fingerprint } = record;
         const suspicion = getSuspicion(record);
         const wasQuarantined = isQuarantined(record, policy);
         this.#trialEnds.delete(fingerprint);
-        const clearedRecord = { ...record, cleared, until: this.#options.clock.wall() + suspicionMilliseconds };
+        const isLifted = !isQuarantined({ ...record, cleared }, policy);
+        const until = isLifted ? clock.wall() + suspicionMilliseconds : record.until;
+        const clearedRecord = { ...record, cleared, until };
         this.#records.set(clearedRecord);
         if (suspicion >= policy.sharedPoints || this.#own.has(fingerprint)) {
             this.#publish(clearedRecord, { urgent: suspicion >= policy.urgentlyClearedPoints });
         }
-        if (wasQuarantined && !isQuarantined(clearedRecord, policy)) {
+        if (wasQuarantined && isLifted) {
             journal.write(events.quarantineLifted, { subject: policy.subject, fingerprint });
             this.#store();
         }
--- a/test/quarantine/partQuarantine.test.ts
+++ b/test/quarantine/partQuarantine.test.ts
@@ -58,10 +58,9 @@
         const { quarantine } = createPartQuarantine();
         quarantine.addSurvival("shared", 0);
         addCrashes(quarantine, "crashing", 2);
-        expect([quarantine.hasLikelierCause("shared"), quarantine.hasLikelierCause("crashing")]).toEqual([true, false]);
-        const crash = { fingerprint: "shared", pointsAtStart: 0, stage: "running", isLastAttempt: false } as const;
-        quarantine.addCrash({ ...crash, mayBeLoad: false, hasLikelierCause: true });
-        expect(quarantine.getPoints(() => "shared")).toEqual(0);
+        addCrashes(quarantine, "shared", 1);
+        addCrashes(quarantine, "crashing", 1);
+        expect([quarantine.getPoints(() => "shared"), quarantine.getPoints(() => "crashing")]).toEqual([0, 6]);
     });
 
     // Guards against a part that begins to crash upstreams while requests with it still run that began before.
@@ -74,6 +73,14 @@
         expect(isQuarantined(quarantine, "a")).toEqual(false);
     });
 
+    // Guards against a quarantine that a run makes longer by disproving a part of the suspicion.
+    it("ends when it did if a run disproves some of the crashes only", () => {
+        const { quarantine } = createPartQuarantine();
+        addCrashes(quarantine, "a", 3);
+        quarantine.addSurvival("a", 2);
+        expect(quarantine.admit(() => ["a"])).toEqual(32 * second);
+    });
+
     // Guards against a harmless part that the other nodes go on refusing after one has tried it.
     it("is lifted at all nodes by a trial after its end", () => {
         const clock = new ManualClock();
