--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -11,11 +11,14 @@
         readonly hasLimit?: boolean;
         readonly hasCuts?: boolean;
         readonly hasStatements?: boolean;
+        readonly hasCrashes?: boolean;
     },
 ): string {
     return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
         options.hasCuts === true ? ", with nodes that reach no runner" : ""
-    }${options.hasStatements === true ? ", with runners that leave and ask for rest" : ""}`;
+    }${options.hasStatements === true ? ", with runners that leave and ask for rest" : ""}${
+        options.hasCrashes === true ? ", with a part of prompts that crashes runners" : ""
+    }`;
 }
 
 describe("runPlatformSoak", () => {
@@ -35,9 +38,11 @@
         { seed: 7, prefix: "127.72.52", hasRollout: false, hasCuts: true },
         // Nodes have to keep to what runners have told them, whatever happens to the nodes and the store meanwhile.
         { seed: 9, prefix: "127.72.57", hasRollout: false, hasStatements: true },
+        // Nodes have to hold back requests with a part that crashes runners, whatever happens to the nodes and the store meanwhile.
+        { seed: 11, prefix: "127.72.62", hasRollout: false, hasCrashes: true },
     ];
-    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements })}`, async () => {
+    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes } of seeds) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
@@ -46,6 +51,7 @@
                 hasLimit,
                 hasCuts,
                 hasStatements,
+                hasCrashes,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -46,6 +46,8 @@
     readonly hasLimit?: boolean;
     /** Whether two more runners leave and ask for rest. Draws no random numbers either. */
     readonly hasStatements?: boolean;
+    /** Whether a part of prompts crashes runners. Draws no random numbers either. */
+    readonly hasCrashes?: boolean;
     /** Whether nodes also lose the paths to all runners. The faults of a seed differ with it. */
     readonly hasCuts?: boolean;
 }
@@ -99,6 +101,7 @@
             random: this.#random,
             hasLimit: options.hasLimit === true,
             hasStatements: options.hasStatements === true,
+            hasCrashes: options.hasCrashes === true,
         });
         this.#proxy = new FaultProxy({ host: `${options.prefix}.201`, port: 0 });
     }
@@ -106,7 +109,12 @@
     async run(): Promise<PlatformSoakResult> {
         await this.#start();
         const addresses = this.#site.nodes.map(node => node.address);
-        const callers = new SoakCallers(new RandomSource(this.#options.seed + 1), addresses, () => this.#drawKey());
+        const callers = new SoakCallers(
+            new RandomSource(this.#options.seed + 1),
+            addresses,
+            () => this.#drawKey(),
+            this.#options.hasCrashes === true,
+        );
         callers.start(concurrentRequests);
         if (this.#options.hasRollout === true) {
             await this.#orderRollout();
--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -2,9 +2,10 @@
 import type { ServerResponse } from "node:http";
 import type { RandomSource } from "../../../src/common/index.js";
 import type { PlatformSite } from "../platformSite.js";
-import type { ReceivedRequest } from "../standins/runnerStandin.js";
+import { createSeal, type ReceivedRequest } from "../standins/runnerStandin.js";
 import type { SoakCallers } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
+import { type Crash, findCrashViolations, isCrashing } from "./soakCrashes.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { createBehaviour, type RunnerFault } from "./soakRunners.js";
 import {
@@ -16,6 +17,9 @@
 } from "./soakStatements.js";
 
 const faultShare = 0.3;
+/** Time after the start of an answer in which a runner crashes, and for which it is down. */
+const crashMilliseconds = 40;
+const downMilliseconds = 800;
 /** A runner without faults that states a rate limit. */
 const limitedRunner = "i-limited";
 
@@ -27,6 +31,8 @@
     readonly hasLimit: boolean;
     /** Whether two more runners leave and ask for rest. */
     readonly hasStatements: boolean;
+    /** Whether a part of prompts crashes runners. */
+    readonly hasCrashes: boolean;
 }
 
 /** Sets how runners behave and records the requests that they ran or rejected. */
@@ -34,6 +40,7 @@
     readonly executed: ExecutedRequest[] = [];
     readonly #options: RunnerSetOptions;
     readonly #arrivals: StatementArrival[] = [];
+    readonly #crashes: Crash[] = [];
     readonly #startedAt = performance.now();
 
     constructor(options: RunnerSetOptions) {
@@ -61,10 +68,23 @@
             if (id === limitedRunner) {
                 response.setHeader("Server-Limit", String(statedPerSecond));
             }
+            if (this.#options.hasCrashes && isCrashing(request)) {
+                return this.#crash(id, request, response);
+            }
             return behaviour(request, response);
         };
     }
 
+    /** Begins to answer and crashes. */
+    #crash(id: string, request: ReceivedRequest, response: ServerResponse): void {
+        const attempt = String(request.headers["attempt-id"]);
+        const next = Number(request.headers["last-event-id"] ?? 0) + 1;
+        this.#crashes.push({ request: attempt, at: performance.now() });
+        response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+        response.write(`id: ${next}\ndata: ${attempt}\n\n`);
+        setTimeout(() => this.#options.site.runners.get(id)!.crash(downMilliseconds), crashMilliseconds);
+    }
+
     /** Returns where nodes did not keep to what runners have stated, one line each. */
     findViolations({ observed }: SoakCallers, outages: readonly NodeOutage[]): readonly string[] {
         const sent = new Map(observed.map(({ id, address, sentAt }) => [id, { node: address, sentAt }]));
@@ -78,6 +98,7 @@
         return [
             ...this.#options.hasLimit ? findLimitViolations(limited, outages) : [],
             ...findStatementViolations(this.#arrivals, sent, outages),
+            ...findCrashViolations(this.#crashes, sent, outages),
         ];
     }
 
--- a/test/platform/soak/soakCallers.ts
+++ b/test/platform/soak/soakCallers.ts
@@ -1,10 +1,13 @@
 /** Callers of a soak test. They send requests to random nodes, keep connections open, and record what they observe. */
 import { Agent, request as sendRequest } from "undici";
 import type { RandomSource } from "../../../src/common/index.js";
+import { createPromptHeaders, createPromptParts } from "./soakCrashes.js";
 
 const callerPort = 7_001;
 const deadlineMilliseconds = 2_500;
 const pauseMilliseconds = 30;
+/** Pause between two requests that crash runners. */
+const crashingPauseMilliseconds = 150;
 const requestsPerSession = 5;
 
 /** Kinds of requests, named as in the paths of the site's routes. */
@@ -33,6 +36,7 @@
     readonly #random: RandomSource;
     readonly #addresses: readonly string[];
     readonly #getKey: () => string;
+    readonly #hasPrompts: boolean;
     readonly #running: Promise<void>[] = [];
     #count = 0;
     #isStopped = false;
@@ -41,8 +45,15 @@
      * @param random - Chooses the node of each request.
      * @param addresses - Addresses of the nodes.
      * @param getKey - Returns the key of the next request.
+     * @param hasPrompts - Whether streams have prompts, and some of them a part that crashes runners.
      */
-    constructor(random: RandomSource, addresses: readonly string[], getKey: () => string) {
+    constructor(
+        random: RandomSource,
+        addresses: readonly string[],
+        getKey: () => string,
+        hasPrompts = false,
+    ) {
+        this.#hasPrompts = hasPrompts;
         this.#random = random;
         this.#addresses = addresses;
         this.#getKey = getKey;
@@ -55,6 +66,9 @@
                 this.#running.push(this.#run(kind));
             }
         }
+        if (this.#hasPrompts) {
+            this.#running.push(this.#runCrashing());
+        }
     }
 
     /** Stops sending. Resolves when the requests in flight have ended. */
@@ -65,8 +79,16 @@
     }
 
     /** Sends one request to a node. */
-    async send(kind: RequestKind, address: string, key: string): Promise<ObservedRequest> {
+    async send(
+        kind: RequestKind,
+        address: string,
+        key: string,
+        isCrashing = false,
+    ): Promise<ObservedRequest> {
         this.#count += 1;
+        const prompt = kind === "stream" && this.#hasPrompts
+            ? createPromptHeaders(createPromptParts(this.#count, isCrashing))
+            : {};
         const id = `${kind}-${this.#count}`;
         const sent = { id, address, kind, key, sentAt: performance.now() };
         let status: number | undefined;
@@ -83,6 +105,7 @@
                     "deadline-ms": String(deadlineMilliseconds),
                     "api-key": key,
                     "session": `s-${Math.floor(this.#count / requestsPerSession)}`,
+                    ...prompt,
                 },
                 body: "hello",
             });
@@ -101,6 +124,14 @@
         return observed;
     }
 
+    async #runCrashing(): Promise<void> {
+        while (!this.#isStopped) {
+            const address = this.#addresses[this.#random.nextInteger(this.#addresses.length)];
+            await this.send("stream", address, this.#getKey(), true);
+            await new Promise(resolve => setTimeout(resolve, crashingPauseMilliseconds));
+        }
+    }
+
     async #run(kind: RequestKind): Promise<void> {
         while (!this.#isStopped) {
             const address = this.#addresses[this.#random.nextInteger(this.#addresses.length)];
--- a/test/platform/standins/runnerStandin.ts
+++ b/test/platform/standins/runnerStandin.ts
@@ -2,7 +2,7 @@
  * Simulates a model runner or an instance of a plain service on the platform, down to the bytes that it writes.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 
 /** A request as a runner received it. */
 export interface ReceivedRequest {
@@ -19,6 +19,7 @@
 export class RunnerStandin {
     readonly received: ReceivedRequest[] = [];
     readonly #server: Server;
+    #return: NodeJS.Timeout | undefined;
     behaviour: RunnerBehaviour;
 
     /** @param behaviour - Handles requests; by default with a sealed answer with the body `done`. */
@@ -34,10 +35,21 @@
 
     /** Stops listening and closes all connections, as a crash does. */
     close(): void {
+        clearTimeout(this.#return);
         this.#server.close();
         this.#server.closeAllConnections();
     }
 
+    /** Crashes, unless it is down already, and comes back at the same address. */
+    crash(downMilliseconds: number): void {
+        if (!this.#server.listening) {
+            return;
+        }
+        const { address, port } = this.#server.address() as AddressInfo;
+        this.close();
+        this.#return = setTimeout(() => this.#server.listen(port, address), downMilliseconds);
+    }
+
     async #answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const pieces: Buffer[] = [];
         for await (const piece of request as AsyncIterable<Buffer>) {
--- a/test/quarantine/sharedQuarantine.test.ts
+++ b/test/quarantine/sharedQuarantine.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { createSharedQuarantine, type Quarantine, requestPolicy } from "../../src/quarantine/index.js";
+import { createSharedQuarantine, partPolicy, type Quarantine, requestPolicy } from "../../src/quarantine/index.js";
 import { createGossipSite, type GossipNode, type GossipSite } from "../fixtures/gossipSite.js";
 import { createJournal } from "../fixtures/journals.js";
 import { addCrashes } from "../fixtures/quarantines.js";
@@ -12,7 +12,7 @@
 const periodsToSettle = 15;
 
 /** Creates the quarantine of each node; `stored` counts the writes to the store. */
-function createQuarantines(site: GossipSite) {
+function createQuarantines(site: GossipSite, policy = requestPolicy) {
     const stored: string[] = [];
     const ids = site.nodes.map(({ vm }) => vm.id);
     const create = ({ vm, clock, gossip }: GossipNode): Quarantine =>
@@ -20,7 +20,7 @@
             self: vm.id,
             clock,
             journal: createJournal(vm.id).journal,
-            policy: requestPolicy,
+            policy,
             gossip,
             getMembers: () => ids,
             store: () => {
@@ -53,6 +53,26 @@
         expect(countQuarantined(quarantines)).toEqual(fleetSize);
     });
 
+    // Guards against crashes under one part at several nodes of a large fleet that are a first one at each.
+    it("tells nearly all of 350 nodes of the first crash under a part at once, within its bytes", async () => {
+        const site = createGossipSite(fleetSize);
+        const { quarantines } = createQuarantines(site, partPolicy);
+        await site.run(periodsToSettle);
+        for (const node of site.nodes) {
+            node.bytes = 0;
+        }
+        addCrashes(quarantines[0], "crashing", 1);
+        await site.deliverMessages();
+        const informed = quarantines.filter(quarantine => quarantine.getPoints(() => "crashing") > 0);
+        expect(informed.length >= 0.9 * fleetSize).toEqual(true);
+        addCrashes(informed[informed.length - 1], "crashing", 1);
+        await site.deliverMessages();
+        expect(countQuarantined(quarantines) >= 0.9 * fleetSize).toEqual(true);
+        expect(Math.max(...site.nodes.map(({ bytes }) => bytes)) < maxControlBytes).toEqual(true);
+        await site.run(periodsToSettle);
+        expect(countQuarantined(quarantines)).toEqual(fleetSize);
+    });
+
     // Guards against a node that was cut off when a request was quarantined and sends it once it is back.
     it("reaches a node that was cut off once the cut has ended", async () => {
         const site = createGossipSite(4);
