--- a/test/platform/crashingFleet.ts
+++ b/test/platform/crashingFleet.ts
@@ -38,6 +38,21 @@
         });
     }
 
+    /** Starts the site with runners and nodes, and waits until all nodes serve. */
+    async start(runnerCount: number, nodeCount: number): Promise<void> {
+        const site = this.#site;
+        await site.start(0);
+        for (let index = 0; index < runnerCount; index += 1) {
+            await this.startRunner();
+        }
+        for (let index = 1; index <= nodeCount; index += 1) {
+            await site.waitForReady(site.startNode(index));
+        }
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount);
+        }
+    }
+
     /** Starts a runner. */
     async startRunner(): Promise<void> {
         this.#started += 1;
--- a/test/platform/crashingPromptParts.test.ts
+++ b/test/platform/crashingPromptParts.test.ts
@@ -42,18 +42,7 @@
         return fleet.sendPrompt(node, [firstPart, `b${requestCount % 2}`, `c${requestCount}`]);
     };
     after(() => site.stop());
-    before(async () => {
-        await site.start(0);
-        for (let index = 0; index < runnerCount; index += 1) {
-            await fleet.startRunner();
-        }
-        for (let index = 1; index <= nodeCount; index += 1) {
-            await site.waitForReady(site.startNode(index));
-        }
-        for (const node of site.nodes) {
-            await site.waitForAddresses(node, nodeCount);
-        }
-    });
+    before(() => fleet.start(runnerCount, nodeCount));
 
     // Guards against a part that is sent to runners in ever new requests, until none is left.
     it("is not sent on without end, while sound requests are served", async () => {
--- a/test/platform/crashingRequests.test.ts
+++ b/test/platform/crashingRequests.test.ts
@@ -22,18 +22,7 @@
     const site = new PlatformSite("127.72.45");
     const fleet = new CrashingFleet(site);
     after(() => site.stop());
-    before(async () => {
-        await site.start(0);
-        for (let index = 0; index < runnerCount; index += 1) {
-            await fleet.startRunner();
-        }
-        for (let index = 1; index <= nodeCount; index += 1) {
-            await site.waitForReady(site.startNode(index));
-        }
-        for (const node of site.nodes) {
-            await site.waitForAddresses(node, nodeCount);
-        }
-    });
+    before(() => fleet.start(runnerCount, nodeCount));
 
     // Guards against a request that is sent to runners for as long as its caller comes back, until none is left.
     it("is not sent on without end", async () => {
