Log when the leaving of a caller was read, when attempts began, and how long a node read nothing

Line 423 has callerGoneMs now, line 422 startedMs, both counted from the reading of the request; line 109 and rattanlock_turn_seconds tell how long a turn of the event loop took. ReadProgress observes turns only while requests arrive, so an idle node does nothing for it. No decision depends on any of it yet.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -3,5 +3,6 @@
 export * from "./credentials.js";
 export * from "./errors.js";
 export * from "./random.js";
+export * from "./readProgress.js";
 export * from "./repeatedTask.js";
 export * from "./suspensionClock.js";
--- a/src/events/catalogue/processEvents.ts
+++ b/src/events/catalogue/processEvents.ts
@@ -49,6 +49,12 @@
         "info",
         "The settings give no memory limit; a default one bounds what waits for callers.",
     ),
+    processBehind: define(
+        109,
+        "process-behind",
+        "warning",
+        "The process read nothing from its connections for the given time; requests that it reads next may have waited as long.",
+    ),
     linesLeftOut: define(
         110,
         "lines-left-out",
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -242,6 +242,7 @@
             promptTokens: details.promptTokens,
             confidence: details.confidence,
             choice: details.choice,
+            startedMs: Math.round(details.startedAt - exchange.request.arrivedAt),
             load: details.load && formatLoad(details.load),
             outcome,
             reason: details.reason,
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -51,6 +51,7 @@
     readonly #timer: NodeJS.Timeout;
     readonly #handleDisconnect: () => void;
     #isTimedOut = false;
+    #callerLeftAfterMilliseconds: number | undefined;
 
     constructor(options: ExchangeOptions) {
         this.request = options.request;
@@ -78,7 +79,10 @@
             this.#isTimedOut = true;
             this.#endController.abort();
         }, Math.max(0, this.#endsAt - this.#clock.monotonic()));
-        this.#handleDisconnect = () => this.#endController.abort();
+        this.#handleDisconnect = () => {
+            this.#callerLeftAfterMilliseconds = this.getElapsed();
+            this.#endController.abort();
+        };
         this.reply.disconnected.addEventListener("abort", this.#handleDisconnect);
         if (this.reply.disconnected.aborted) {
             this.#handleDisconnect();
@@ -95,6 +99,11 @@
         return this.#isTimedOut;
     }
 
+    /** Time from the arrival of the request until its caller's leaving was read, in milliseconds. Undefined if the caller stays. */
+    get callerLeftAfterMilliseconds(): number | undefined {
+        return this.#callerLeftAfterMilliseconds;
+    }
+
     /** Returns the time left until the route's timeout or the caller's deadline, in milliseconds. */
     getTimeLeft(): number {
         return this.#endsAt - this.#clock.monotonic();
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -203,6 +203,7 @@
             ran: exchange.outcome,
             timedOut: exchange.isTimedOut || undefined,
             callerGone: exchange.reply.disconnected.aborted || undefined,
+            callerGoneMs: roundMilliseconds(exchange.callerLeftAfterMilliseconds),
             wholeMs: Math.round(exchange.getElapsed()),
         });
     }
@@ -230,6 +231,10 @@
     return route.pools[route.pools.length - 1].pool;
 }
 
+function roundMilliseconds(milliseconds: number | undefined): number | undefined {
+    return milliseconds === undefined ? undefined : Math.round(milliseconds);
+}
+
 function createRefusal(kind: "not-found" | "unauthorized" | "too-large", message: string, remedy: string): Refusal {
     return { outcome: "not-run", failure: new Failure({ kind, message, remedy }) };
 }
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -6,6 +6,9 @@
 /** Buckets in seconds, from a short call to a long stream. */
 const answerBuckets = [0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 25];
 
+/** Buckets in seconds, from a turn of an idle process to one in which callers give up. */
+const turnBuckets = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+
 /** Creates the metrics in a separate registry. */
 export function createForwardingMetrics() {
     const registry = new Registry();
@@ -200,6 +203,12 @@
             help: "Values with the paces of upstreams from other nodes that could not be read.",
             registers,
         }),
+        turns: new Histogram({
+            name: "rattanlock_turn_seconds",
+            help: "Time between two reads of all connections of the process, measured while requests arrive.",
+            buckets: turnBuckets,
+            registers,
+        }),
         linesLeftOut: new Gauge({
             name: "rattanlock_log_lines_left_out",
             help: "Log lines that were left out since the start to bound their volume.",
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Server as ListeningServer } from "node:net";
-import { type Clock, Failure, type Refusal } from "../common/index.js";
+import { type Clock, Failure, type ReadProgress, type Refusal } from "../common/index.js";
 import type { CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
@@ -31,6 +31,7 @@
 /** Options of `CallerServer`. */
 export interface CallerServerOptions {
     readonly clock: Clock;
+    readonly readProgress: ReadProgress;
     readonly handle: HandleRequest;
     /** Returns the limits in force, or undefined before there are any. */
     readonly getLimits: () => CallerLimits | undefined;
@@ -94,6 +95,7 @@
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#options.clock.monotonic();
+        void this.#options.readProgress.catchUp();
         response.once("close", this.#connectionErrors.add(incoming));
         const { replyBuffers: buffers, onDropped } = this.#options;
         const reply = new HttpReply({ incoming, response, isLeaving: () => this.#isLeaving, buffers, onDropped });
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -2,7 +2,7 @@
  * Creates the container of a node on the platform, which creates each part from others.
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
-import { RandomSource, SuspensionClock, systemClock } from "../common/index.js";
+import { RandomSource, ReadProgress, SuspensionClock, systemClock } from "../common/index.js";
 import { getConnectionShare, RestLimit, UpstreamPicker } from "../decisions/index.js";
 import { events, Journal, LineWriter, ThrottledJournal } from "../events/index.js";
 import { Announcements, UpstreamRegistry } from "../fleet/index.js";
@@ -66,6 +66,8 @@
 const revocationMarginMilliseconds = 300;
 /** Maximum age of the configuration at which unknown routes and keys are refused as final, as a share of its bound. */
 const maxDenialAgeShare = 0.75;
+/** Turns of the event loop from this length on are logged. */
+const minLoggedTurnMilliseconds = 250;
 /** Connections that a node may open to an upstream of a pool that is not configured. */
 const defaultConnections = 4;
 
@@ -92,6 +94,7 @@
     clock: () => systemClock,
     suspensionClock: () => new SuspensionClock(systemClock),
     random: () => new RandomSource(Math.floor(Math.random() * 2 ** 31)),
+    readProgress: parts => createReadProgress(parts),
     lineWriter: ({ clock }) => new LineWriter({ clock }),
     journal: ({ settings, clock, lineWriter }) =>
         new Journal({ process: settings.name, clock, write: line => lineWriter.write(line) }),
@@ -211,9 +214,10 @@
             checkCapacity: route => shutdown.check(route),
         }),
     replyBuffers: parts => createReplyBuffers(parts),
-    callerServer: ({ clock, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
+    callerServer: ({ clock, readProgress, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
         new CallerServer({
             clock,
+            readProgress,
             handle: (request, reply) => forwarder.handle(request, reply),
             getLimits: () => topics.getRoutes()?.limits,
             onCrash: (request, error) => {
@@ -243,6 +247,18 @@
     },
 };
 
+function createReadProgress({ suspensionClock, throttledJournal, metrics }: NodeParts): ReadProgress {
+    return new ReadProgress({
+        clock: suspensionClock,
+        onTurn: milliseconds => {
+            metrics.turns.observe(milliseconds / 1_000);
+            if (milliseconds >= minLoggedTurnMilliseconds) {
+                throttledJournal.write(events.processBehind, "", { turnMs: Math.round(milliseconds) });
+            }
+        },
+    });
+}
+
 function createQuarantine(parts: NodeParts, policy: SuspicionPolicy, keyPrefix: string): Quarantine {
     const { self, clock, journal, gossip, membership, writer } = parts;
     return createSharedQuarantine({
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -2,7 +2,7 @@
  * Defines the parts of a node on the platform.
  */
 import type { Dispatcher } from "undici";
-import type { Clock, RandomSource } from "../common/index.js";
+import type { Clock, RandomSource, ReadProgress } from "../common/index.js";
 import type {
     PoolRooms,
     RejectionLimit,
@@ -46,6 +46,8 @@
     /** Also advances while the machine is suspended. Used for the age of cached state. */
     readonly suspensionClock: Clock;
     readonly random: RandomSource;
+    /** Up to when the node has read what arrived at its connections. */
+    readonly readProgress: ReadProgress;
     readonly lineWriter: LineWriter;
     readonly journal: Journal;
     readonly throttledJournal: ThrottledJournal;
--- /dev/null
+++ b/test/common/readProgress.test.ts
@@ -0,0 +1,119 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { ManualClock, ReadProgress, systemClock } from "../../src/common/index.js";
+import { waitUntil } from "../../src/testbench/index.js";
+
+/** Runs the turns of an event loop one by one. */
+function createTurns() {
+    const clock = new ManualClock();
+    const turns: number[] = [];
+    let scheduled: (() => void)[] = [];
+    const progress = new ReadProgress({
+        clock,
+        onTurn: milliseconds => turns.push(milliseconds),
+        schedule: run => scheduled.push(run),
+    });
+    const runTurn = async (milliseconds: number): Promise<void> => {
+        clock.advance(milliseconds);
+        const current = scheduled;
+        scheduled = [];
+        for (const run of current) {
+            run();
+        }
+        await Promise.resolve();
+    };
+    return { progress, runTurn, turns, isIdle: () => scheduled.length === 0 };
+}
+
+describe("ReadProgress", () => {
+    describe("getReadUntil", () => {
+        it("is the time before three whole turns", async () => {
+            const { progress, runTurn } = createTurns();
+            void progress.catchUp();
+            for (const milliseconds of [10, 20, 30]) {
+                await runTurn(milliseconds);
+                expect(progress.getReadUntil()).toEqual(Number.NEGATIVE_INFINITY);
+            }
+            await runTurn(40);
+            expect(progress.getReadUntil()).toEqual(10);
+        });
+
+        it("goes on with each turn while somebody waits", async () => {
+            const { progress, runTurn, turns } = createTurns();
+            for (const milliseconds of [10, 20, 30, 40, 50]) {
+                void progress.catchUp();
+                await runTurn(milliseconds);
+            }
+            expect([progress.getReadUntil(), turns]).toEqual([30, [20, 30, 40, 50]]);
+        });
+
+        // The turns of two observations have a gap between them, in which a process may have been paused.
+        it("does not take the time between two observations for a turn", async () => {
+            const { progress, runTurn, turns, isIdle } = createTurns();
+            void progress.catchUp();
+            for (let count = 0; count < 4; count += 1) {
+                await runTurn(1);
+            }
+            expect(isIdle()).toEqual(true);
+            void progress.catchUp();
+            await runTurn(5_000);
+            expect([progress.getReadUntil(), turns]).toEqual([1, [1, 1, 1]]);
+        });
+    });
+
+    describe("catchUp", () => {
+        it("resolves after the first turn that begins after the call", async () => {
+            const { progress, runTurn } = createTurns();
+            const resolved: string[] = [];
+            void progress.catchUp().then(() => resolved.push("first"));
+            await runTurn(1);
+            void progress.catchUp().then(() => resolved.push("second"));
+            expect(resolved).toEqual([]);
+            await runTurn(1);
+            expect(resolved).toEqual(["first"]);
+            await runTurn(1);
+            expect(resolved).toEqual(["first", "second"]);
+        });
+    });
+
+    describe("on real connections", () => {
+        const servers: Server[] = [];
+        afterEach(() => {
+            for (const server of servers.splice(0)) {
+                server.close();
+            }
+        });
+
+        // Bytes and the end of a connection wait in the kernel while a process is busy. Guards against a request that is served for a
+        // caller that left before it was read.
+        it("knows of the end of a connection that was closed before its bytes were read", async () => {
+            const progress = new ReadProgress({ clock: systemClock });
+            const ended = new Set<Socket>();
+            const results: boolean[][] = [];
+            const server = createServer(socket => {
+                socket.on("end", () => ended.add(socket));
+                socket.on("data", () => {
+                    const isKnown = ended.has(socket);
+                    void progress.catchUp().then(() => results.push([isKnown, ended.has(socket)]));
+                });
+            });
+            servers.push(server);
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            const clients = Array.from({ length: 20 }, () => connect((server.address() as AddressInfo).port));
+            for (const client of clients) {
+                await once(client, "connect");
+            }
+            for (const client of clients) {
+                client.end("request");
+            }
+            const until = systemClock.monotonic() + 300;
+            while (systemClock.monotonic() < until) {
+                // The process is busy.
+            }
+            await waitUntil(() => results.length === clients.length, { description: "all requests" });
+            expect(results).toEqual(clients.map(() => [false, true]));
+        });
+    });
+});
--- a/test/forwarding/unaryExchange.test.ts
+++ b/test/forwarding/unaryExchange.test.ts
@@ -111,14 +111,17 @@
         expect(performance.now() - before >= 380).toEqual(true);
     });
 
-    it("aborts the call when the caller disconnects", async () => {
-        const { forwarder, calls } = createUnaryForwarder("idempotent", { behaviour: waitForAbort });
+    it("aborts the call when the caller disconnects, and tells when that was known", async () => {
+        const { forwarder, calls, lines } = createUnaryForwarder("idempotent", { behaviour: waitForAbort });
         const caller = new CallerStandin();
         const handled = forwarder.handle(createCallerRequest(), caller);
         await new Promise(resolve => setImmediate(resolve));
         caller.disconnect();
         await handled;
         expect([calls.length, calls[0].call.signal.aborted]).toEqual([1, true]);
+        const { callerGoneMs } = lines.find(line => line.name === "request-ended")!;
+        const { startedMs } = lines.find(line => line.name === "attempt-ended")!;
+        expect(Number(callerGoneMs) >= Number(startedMs)).toEqual(true);
     });
 
     // Guards against attempts that are cut off while their upstream works, for a retry that is then refused.
--- a/test/platform/refusalStatus.test.ts
+++ b/test/platform/refusalStatus.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Failure, type Outcome, systemClock } from "../../src/common/index.js";
+import { Failure, type Outcome, ReadProgress, systemClock } from "../../src/common/index.js";
 import { type CallerReply, ReplyBuffers } from "../../src/forwarding/index.js";
 import { CallerServer } from "../../src/platform/callerServer.js";
 
@@ -20,6 +20,7 @@
     const { port } = listening.address() as AddressInfo;
     const server = new CallerServer({
         clock: systemClock,
+        readProgress: new ReadProgress({ clock: systemClock }),
         handle: (...[, reply]) => {
             handle(reply);
             return Promise.resolve();
