--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -17,7 +17,7 @@
 const runOptions = /^run = "node (.*?) deploy\/launch\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))![1].split(
     " ",
 );
-const callerPort = 7_001;
+export const callerPort = 7_001;
 const readyPort = 7_002;
 const peerPort = 7_003;
 const addressPort = 7_004;
