Begin nothing for callers whose leaving waits unread behind their requests

What callers saw: upstreams worked for callers that had left, while others waited (GONE). Cause: the bytes of a request are read in an earlier turn of the event loop than the end of its connection. A node without processor time, or one that was paused, finds both in the kernel after seconds; it decoded the request, sent it on in the same turn, and read the end of the connection afterwards. On top of that Node accepts one connection in a turn, so the longest-waiting callers, most of them gone, came first.

Ruled out by the record: forwarding by another node (the cases arrive from the node that the caller was connected to). Not ruled out before: work after a wait (room, a connection, a further attempt); the gate stands before each of these as well.

Change: before anything is done for a request, and before each attempt, CallerReply.confirmCaller makes sure that what was read is at most 0.2 s old. ReadProgress knows that for all connections together from turns in which none was accepted; only if it is older does a request wait for a turn of its own. Requests of one turn go on one by one, and those that come late in it wait for the next. 0.2 s leaves 0.3 of the half second for the turn that reads and the way to the upstream. A node that is not behind makes no request wait; an idle one does nothing. Line 462 and rattanlock_departed_callers_total tell of callers that had left.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -2,6 +2,7 @@
 export * from "./clock.js";
 export * from "./credentials.js";
 export * from "./errors.js";
+export * from "./presenceCheck.js";
 export * from "./random.js";
 export * from "./readProgress.js";
 export * from "./repeatedTask.js";
--- a/src/common/readProgress.ts
+++ b/src/common/readProgress.ts
@@ -4,10 +4,12 @@
 import type { Clock } from "./clock.js";
 
 /**
- * Turns of the event loop until everything has been read that had arrived at their start: connections are accepted in the first one,
- * their bytes are read in the second one, and their ends in the third one.
+ * Turns of the event loop until the end of a connection is read that had arrived at their start: the bytes before it are read in the
+ * first one.
  */
-const turnsUntilRead = 3;
+const turnsUntilRead = 2;
+/** Age up to which what was read counts as recent. Upstreams should not begin work half a second after its caller has left. */
+const maxAgeMilliseconds = 200;
 
 /** Options of `ReadProgress`. */
 export interface ReadProgressOptions {
@@ -19,6 +21,12 @@
     readonly schedule?: (run: () => void) => void;
 }
 
+interface TurnStart {
+    readonly turn: number;
+    /** Monotonic milliseconds. */
+    readonly at: number;
+}
+
 /**
  * Observes the turns of the event loop while somebody asks for them; an idle process does nothing. The bytes of a request are read
  * before the end of its connection, in an earlier turn. While a process is paused or overloaded, both wait in the kernel, and a
@@ -27,66 +35,93 @@
 export class ReadProgress {
     readonly #options: ReadProgressOptions;
     readonly #schedule: (run: () => void) => void;
-    /** Start times of the latest turns that were observed without a gap. */
-    #turns: number[] = [];
     #isObserving = false;
+    /** Number of turns since the observation began. */
+    #turn = 0;
+    /** Start of the last turn that was observed. Undefined when the observation begins. */
+    #turnStartedAt: number | undefined;
+    /** Turns before which all connections were accepted whose requests had arrived, the latest last. */
+    #starts: TurnStart[] = [];
+    #hasAccepted = false;
     #readUntil = Number.NEGATIVE_INFINITY;
-    /** Callers of `catchUp` in this turn, and those whose turn has begun. */
-    #waiting: (() => void)[] = [];
-    #due: (() => void)[] = [];
+    /** Number of callers of `catchUp` that wait. */
+    #waiting = 0;
 
     constructor(options: ReadProgressOptions) {
         this.#options = options;
         this.#schedule = options.schedule ?? setImmediate;
     }
 
+    /** Records that a connection was accepted. Others may wait behind it, as only one is accepted in a turn. */
+    addConnection(): void {
+        this.#hasAccepted = true;
+    }
+
     /** Returns the monotonic time before which everything that had arrived has been read, in milliseconds. */
     getReadUntil(): number {
         return this.#readUntil;
     }
 
-    /** Waits until the process has read its connections again, so that what arrived at them before this call is known. */
-    catchUp(): Promise<void> {
+    /**
+     * Returns whether everything has been read that had arrived some time ago.
+     * @param readUntil - Monotonic time before which everything was read at a connection, if that is known, in milliseconds.
+     */
+    isRecent(readUntil = Number.NEGATIVE_INFINITY): boolean {
+        return this.#options.clock.monotonic() - Math.max(readUntil, this.#readUntil) <= maxAgeMilliseconds;
+    }
+
+    /**
+     * Waits until the process has read its connections again, so that what arrived at them before this call is known.
+     * @returns The monotonic time of that, in milliseconds.
+     */
+    catchUp(): Promise<number> {
         this.#observe();
-        return new Promise(resolve => this.#waiting.push(resolve));
+        this.#waiting += 1;
+        return new Promise(resolve => {
+            const finish = (): void => {
+                this.#waiting -= 1;
+                resolve(this.#turnStartedAt ?? this.#options.clock.monotonic());
+            };
+            // Each one is scheduled by itself, so that what it begins has been done before the next one looks at the time.
+            this.#schedule(() => this.#schedule(finish));
+        });
     }
 
     #observe(): void {
         if (!this.#isObserving) {
             this.#isObserving = true;
+            this.#turn = 0;
+            this.#turnStartedAt = undefined;
+            this.#starts = [];
             this.#schedule(this.#handleTurn);
         }
     }
 
     readonly #handleTurn = (): void => {
-        this.#recordTurn();
-        const due = this.#due;
-        this.#due = this.#waiting;
-        this.#waiting = [];
-        this.#isObserving = this.#due.length > 0 || this.#turns.length <= turnsUntilRead;
+        const now = this.#options.clock.monotonic();
+        const hasProgressed = this.#recordTurn(now);
+        this.#isObserving = !hasProgressed || this.#waiting > 0;
         if (this.#isObserving) {
             this.#schedule(this.#handleTurn);
         }
-        else {
-            this.#turns = [];
-        }
-        for (const resolve of due) {
-            resolve();
-        }
     };
 
-    #recordTurn(): void {
-        const now = this.#options.clock.monotonic();
-        const last = this.#turns.at(-1);
-        if (last !== undefined) {
-            this.#options.onTurn?.(now - last);
+    /** Returns whether more is known to be read than before. */
+    #recordTurn(now: number): boolean {
+        if (this.#turnStartedAt !== undefined) {
+            this.#options.onTurn?.(now - this.#turnStartedAt);
         }
-        this.#turns.push(now);
-        if (this.#turns.length > turnsUntilRead + 1) {
-            this.#turns.shift();
+        this.#turn += 1;
+        this.#turnStartedAt = now;
+        if (this.#hasAccepted) {
+            this.#hasAccepted = false;
+            this.#starts.pop();
         }
-        if (this.#turns.length > turnsUntilRead) {
-            this.#readUntil = this.#turns[0];
+        this.#starts.push({ turn: this.#turn, at: now });
+        if (this.#starts[0].turn > this.#turn - turnsUntilRead) {
+            return false;
         }
+        this.#readUntil = this.#starts.shift()!.at;
+        return true;
     }
 }
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -165,6 +165,12 @@
         "warning",
         "An upstream reports its load with a value that cannot be read; it is ignored, and the rest of the answer is not.",
     ),
+    callerDeparted: define(
+        462,
+        "caller-departed",
+        "info",
+        "A caller closed its connection before anything was done for its request, which waited unread at this node meanwhile.",
+    ),
     slowCallerDropped: define(
         461,
         "slow-caller-dropped",
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -38,6 +38,7 @@
     async admit(request: AttemptRequest): Promise<Result<SelectedUpstream, AttemptFailure>> {
         const { exchange } = request;
         await exchange.lastEvaluation;
+        await exchange.reply.confirmCaller();
         if (exchange.ended.aborted) {
             return err({ kind: "not-made", reason: "ended" });
         }
@@ -63,8 +64,8 @@
         if (entry.isErr()) {
             return err(entry.error);
         }
-        // A request may be quarantined, and an upstream may be gone, while it waits.
-        const selection = entry.value.hasWaited ? this.#select(request) : available;
+        // A request may be quarantined, and its caller or an upstream may be gone, while it waits.
+        const selection = entry.value.hasWaited ? await this.#selectAgain(request) : available;
         if (selection.isErr()) {
             return err(selection.error);
         }
@@ -81,6 +82,11 @@
         return ok(selected);
     }
 
+    async #selectAgain(request: AttemptRequest): Promise<Result<SelectedUpstream, AttemptFailure>> {
+        await request.exchange.reply.confirmCaller();
+        return request.exchange.ended.aborted ? err({ kind: "not-made", reason: "ended" }) : this.#select(request);
+    }
+
     /** Returns whether the attempt is no retry, or one that the budget has left beside the reserve. */
     #hasBudget({ exchange, getRetryReserve }: AttemptRequest): boolean {
         const budget = this.#options.getBudget(exchange.pool);
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -126,6 +126,7 @@
             urgency: Math.min(maxUrgencyValue, 1 + 2 * exchange.priority),
             lastEventId: request.lastEventId,
             isWithdrawn: () => run.isWithdrawn(),
+            confirmCaller: () => exchange.reply.confirmCaller(),
             signal: cancellation.signal,
         });
         cancellation.stopHeadTimeout();
--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -9,6 +9,12 @@
     readonly hasStarted: boolean;
     /** Aborted when the caller disconnects. */
     readonly disconnected: AbortSignal;
+    /**
+     * Makes sure that `disconnected` is up to date. A node that was paused or overloaded has read the request, but perhaps not that its
+     * caller closed the connection long ago.
+     * @returns Undefined when there is nothing to wait for.
+     */
+    confirmCaller(): Promise<void> | undefined;
     /**
      * Starts an answer whose body follows in pieces.
      * @param options - Without a known end, the answer ends with its connection and does not claim to be complete.
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -180,6 +180,11 @@
             labelNames: ["bound"] as const,
             registers,
         }),
+        departedCallers: new Counter({
+            name: "rattanlock_departed_callers_total",
+            help: "Requests whose callers had left before anything was done for them.",
+            registers,
+        }),
         slowestPace: new Gauge({
             name: "rattanlock_upstream_pace_slowest",
             help: "Time of the slowest upstream for the same work, relative to its pool.",
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -20,6 +20,8 @@
     readonly lastEventId: string | undefined;
     /** Returns whether the request may not be sent any more, asked after it has waited for a connection. */
     readonly isWithdrawn: () => boolean;
+    /** Makes sure that the signal is up to date, as `CallerReply.confirmCaller` does, asked after a wait as well. */
+    readonly confirmCaller: () => Promise<void> | undefined;
     /** Cancels the call and its work at the upstream. */
     readonly signal: AbortSignal;
 }
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Server as ListeningServer } from "node:net";
-import { type Clock, Failure, type ReadProgress, type Refusal } from "../common/index.js";
+import { type Clock, Failure, PresenceCheck, type ReadProgress, type Refusal } from "../common/index.js";
 import type { CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
@@ -38,6 +38,8 @@
     /** Reports a request whose handler threw, which is a programming error. */
     readonly onCrash: (requestId: string, error: unknown) => void;
     readonly replyBuffers: ReplyBuffers;
+    /** Reports a request whose caller had left before anything was done for it. */
+    readonly onDeparted: (requestId: string) => void;
     /** Reports a request whose caller was given up because it reads too slowly. */
     readonly onDropped: DroppedCallerListener;
 }
@@ -55,6 +57,7 @@
             void this.#serve(request, response);
         });
         this.#server.on("clientError", (error, connection) => this.#connectionErrors.handle(error, connection));
+        this.#server.on("connection", () => options.readProgress.addConnection());
         this.#server.requestTimeout = 0;
         this.applyLimits();
     }
@@ -95,10 +98,17 @@
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#options.clock.monotonic();
-        void this.#options.readProgress.catchUp();
         response.once("close", this.#connectionErrors.add(incoming));
         const { replyBuffers: buffers, onDropped } = this.#options;
-        const reply = new HttpReply({ incoming, response, isLeaving: () => this.#isLeaving, buffers, onDropped });
+        const presence = new PresenceCheck(this.#options.readProgress);
+        const reply = new HttpReply({
+            incoming,
+            response,
+            isLeaving: () => this.#isLeaving,
+            buffers,
+            presence,
+            onDropped,
+        });
         const limits = this.#getLimits();
         const id = findHeader(incoming.rawHeaders, headerNames.requestId) ?? "";
         if (countHeaderBytes(incoming.rawHeaders) > limits.headerBytes) {
@@ -110,7 +120,9 @@
             reply.refuseUnread(createTooLargeRefusal("body", limits.bodyBytes), 413);
             return;
         }
-        if (body === "gone") {
+        await reply.confirmCaller();
+        if (body === "gone" || reply.disconnected.aborted) {
+            this.#options.onDeparted(id);
             reply.abort();
             return;
         }
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { Refusal } from "../common/index.js";
+import type { PresenceCheck, Refusal } from "../common/index.js";
 import type { CallerReply, ReplyBound, ReplyBuffer, ReplyBuffers } from "../forwarding/index.js";
 import { findHeader } from "./headers.js";
 import { headerNames } from "./wire.js";
@@ -26,6 +26,7 @@
     /** Returns whether the node is stopping; connections then close after their answers. */
     readonly isLeaving: () => boolean;
     readonly buffers: ReplyBuffers;
+    readonly presence: PresenceCheck;
     readonly onDropped: DroppedCallerListener;
 }
 
@@ -40,16 +41,18 @@
     readonly #response: ServerResponse;
     readonly #isLeaving: () => boolean;
     readonly #buffer: ReplyBuffer;
+    readonly #presence: PresenceCheck;
     readonly #disconnection = new AbortController();
     #requestId: string | undefined;
     #hasKnownEnd = true;
     /** Lets the writer go on that waits for its caller. */
     #wakeWriter: (() => void) | undefined;
 
-    constructor({ incoming, response, isLeaving, buffers, onDropped }: HttpReplyOptions) {
+    constructor({ incoming, response, isLeaving, buffers, presence, onDropped }: HttpReplyOptions) {
         this.#connection = incoming.socket;
         this.#response = response;
         this.#isLeaving = isLeaving;
+        this.#presence = presence;
         this.#requestId = findHeader(incoming.rawHeaders, headerNames.requestId);
         this.#buffer = buffers.add((bound, heldBytes) => {
             this.#reset();
@@ -82,6 +85,10 @@
         return this.#disconnection.signal;
     }
 
+    confirmCaller(): Promise<void> | undefined {
+        return this.#presence.confirm();
+    }
+
     start(status: number, headers: readonly string[], options = { hasKnownEnd: true }): void {
         this.#hasKnownEnd = options.hasKnownEnd;
         if (!options.hasKnownEnd) {
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -225,6 +225,10 @@
                 journal.write(events.requestCrashed, { request, cause });
             },
             replyBuffers,
+            onDeparted: request => {
+                metrics.departedCallers.inc();
+                throttledJournal.write(events.callerDeparted, request, { request });
+            },
             onDropped: (request, bound, heldBytes) => {
                 metrics.droppedCallers.inc({ bound });
                 throttledJournal.write(events.slowCallerDropped, request, { request, bound, heldBytes });
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -65,6 +65,7 @@
             const response = relay === undefined
                 ? await connections.send(send, {
                     signal: call.signal,
+                    confirmCaller: call.confirmCaller,
                     mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
                 })
                 : await send(connections.dispatcher.compose(relay));
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -78,18 +78,24 @@
     /**
      * Sends a request if there is room, after those that arrived before it. Nothing that was sent is ever sent again.
      * @param send - Sends the request.
-     * @param options - `signal` ends the wait; `mayStillSend` tells after it whether the request may still be sent.
+     * @param options - `signal` ends the wait; `confirmCaller` brings it up to date after the wait, and `mayStillSend` tells whether the
+     * request may still be sent.
      * @returns Undefined when the request was not sent.
      */
     async send<T>(
         send: (dispatcher: Pool) => Promise<T>,
-        options: { readonly signal: AbortSignal; readonly mayStillSend: () => boolean; },
+        options: {
+            readonly signal: AbortSignal;
+            readonly confirmCaller: () => Promise<void> | undefined;
+            readonly mayStillSend: () => boolean;
+        },
     ): Promise<T | undefined> {
-        const { signal, mayStillSend } = options;
+        const { signal, confirmCaller, mayStillSend } = options;
         const maySend = (): boolean => !this.#isClosed && !signal.aborted && mayStillSend();
         let isNext = this.#waiting.size === 0;
         while (maySend() && !(isNext && this.hasRoom())) {
             await this.#wait(signal);
+            await confirmCaller();
             isNext = true;
         }
         if (!maySend()) {
--- a/test/common/readProgress.test.ts
+++ b/test/common/readProgress.test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Server, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { ManualClock, ReadProgress, systemClock } from "../../src/common/index.js";
+import { ManualClock, PresenceCheck, ReadProgress, systemClock } from "../../src/common/index.js";
 import { waitUntil } from "../../src/testbench/index.js";
 
 /** Runs the turns of an event loop one by one. */
@@ -29,14 +29,14 @@
 
 describe("ReadProgress", () => {
     describe("getReadUntil", () => {
-        it("is the time before three whole turns", async () => {
+        it("is the time before two whole turns", async () => {
             const { progress, runTurn } = createTurns();
             void progress.catchUp();
-            for (const milliseconds of [10, 20, 30]) {
+            for (const milliseconds of [10, 20]) {
                 await runTurn(milliseconds);
                 expect(progress.getReadUntil()).toEqual(Number.NEGATIVE_INFINITY);
             }
-            await runTurn(40);
+            await runTurn(30);
             expect(progress.getReadUntil()).toEqual(10);
         });
 
@@ -46,20 +46,34 @@
                 void progress.catchUp();
                 await runTurn(milliseconds);
             }
-            expect([progress.getReadUntil(), turns]).toEqual([30, [20, 30, 40, 50]]);
+            expect([progress.getReadUntil(), turns]).toEqual([60, [20, 30, 40, 50]]);
+        });
+
+        // One connection is accepted in a turn. Guards against requests that count as recent while they wait behind others.
+        it("stands still while connections are accepted turn after turn", async () => {
+            const { progress, runTurn, isIdle } = createTurns();
+            void progress.catchUp();
+            for (let count = 0; count < 10; count += 1) {
+                progress.addConnection();
+                await runTurn(100);
+            }
+            expect([progress.getReadUntil(), isIdle()]).toEqual([Number.NEGATIVE_INFINITY, false]);
+            await runTurn(100);
+            await runTurn(100);
+            expect([progress.getReadUntil(), isIdle()]).toEqual([1_000, true]);
         });
 
         // The turns of two observations have a gap between them, in which a process may have been paused.
         it("does not take the time between two observations for a turn", async () => {
             const { progress, runTurn, turns, isIdle } = createTurns();
             void progress.catchUp();
-            for (let count = 0; count < 4; count += 1) {
+            for (let count = 0; count < 3; count += 1) {
                 await runTurn(1);
             }
             expect(isIdle()).toEqual(true);
             void progress.catchUp();
             await runTurn(5_000);
-            expect([progress.getReadUntil(), turns]).toEqual([1, [1, 1, 1]]);
+            expect([progress.getReadUntil(), turns]).toEqual([1, [1, 1]]);
         });
     });
 
@@ -86,32 +100,58 @@
             }
         });
 
-        // Bytes and the end of a connection wait in the kernel while a process is busy. Guards against a request that is served for a
-        // caller that left before it was read.
-        it("knows of the end of a connection that was closed before its bytes were read", async () => {
+        /** Starts a server that tells of each request whether its connection had ended, before and after `confirm`. */
+        async function startServer() {
             const progress = new ReadProgress({ clock: systemClock });
             const ended = new Set<Socket>();
             const results: boolean[][] = [];
             const server = createServer(socket => {
                 socket.on("end", () => ended.add(socket));
-                socket.on("data", () => {
+                socket.on("data", async () => {
                     const isKnown = ended.has(socket);
-                    void progress.catchUp().then(() => results.push([isKnown, ended.has(socket)]));
+                    await new PresenceCheck(progress).confirm();
+                    results.push([isKnown, ended.has(socket)]);
                 });
             });
+            server.on("connection", () => progress.addConnection());
             servers.push(server);
             await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-            const clients = Array.from({ length: 20 }, () => connect((server.address() as AddressInfo).port));
-            for (const client of clients) {
-                await once(client, "connect");
+            const { port } = server.address() as AddressInfo;
+            return { results, connectAll: () => Array.from({ length: 20 }, () => connect(port)) };
+        }
+
+        function stayBusy(milliseconds: number): void {
+            const until = systemClock.monotonic() + milliseconds;
+            while (systemClock.monotonic() < until) {
+                // The process is busy.
             }
+        }
+
+        // Bytes and the end of a connection wait in the kernel while a process is busy. Guards against a request that is served for a
+        // caller that left before it was read.
+        it("knows of the end of a connection that was closed before its bytes were read", async () => {
+            const { results, connectAll } = await startServer();
+            const clients = connectAll();
+            await Promise.all(clients.map(client => once(client, "connect")));
+            await new Promise(resolve => setTimeout(resolve, 50));
             for (const client of clients) {
                 client.end("request");
             }
-            const until = systemClock.monotonic() + 300;
-            while (systemClock.monotonic() < until) {
-                // The process is busy.
+            stayBusy(300);
+            await waitUntil(() => results.length === clients.length, { description: "all requests" });
+            expect(results).toEqual(clients.map(() => [false, true]));
+        });
+
+        // Connections that nobody has accepted yet wait as well, and are accepted one in a turn.
+        it("knows of the ends of connections that had waited to be accepted", async () => {
+            const { results, connectAll } = await startServer();
+            const clients = connectAll();
+            for (const client of clients) {
+                client.on("connect", () => client.end("request"));
             }
+            // The clients connect in a turn in which one connection is accepted.
+            await new Promise(resolve => clients.at(-1)!.once("connect", resolve));
+            stayBusy(300);
             await waitUntil(() => results.length === clients.length, { description: "all requests" });
             expect(results).toEqual(clients.map(() => [false, true]));
         });
--- /dev/null
+++ b/test/platform/callerServer.test.ts
@@ -0,0 +1,107 @@
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { afterEach, describe, it } from "node:test";
+import { ReadProgress, systemClock } from "../../src/common/index.js";
+import { ReplyBuffers } from "../../src/forwarding/index.js";
+import { CallerServer } from "../../src/platform/callerServer.js";
+import { waitUntil } from "../../src/testbench/index.js";
+
+const host = "127.0.0.1";
+const callers = 20;
+/** Longer than what was read counts as recent. */
+const busyMilliseconds = 400;
+const request = "POST /a/1 HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+
+const opened: { readonly close: () => void; }[] = [];
+
+async function startServer() {
+    const handled: string[] = [];
+    const departed: string[] = [];
+    const listening = createServer();
+    await new Promise<void>(resolve => listening.listen(0, host, resolve));
+    const { port } = listening.address() as AddressInfo;
+    const server = new CallerServer({
+        clock: systemClock,
+        readProgress: new ReadProgress({ clock: systemClock }),
+        handle: ({ id }, reply) => {
+            handled.push(id);
+            reply.answer(200, [], Buffer.from("done"));
+            return Promise.resolve();
+        },
+        getLimits: () => undefined,
+        onCrash: (...[, error]) => {
+            throw error;
+        },
+        replyBuffers: new ReplyBuffers({ clock: systemClock, maxReplyBytes: 4_000, getMaxNodeBytes: () => 4_000 }),
+        onDeparted: id => departed.push(id),
+        onDropped: () => {},
+    });
+    await server.listen(listening);
+    opened.push(server);
+    return { port, handled, departed };
+}
+
+function stayBusy(): void {
+    const until = systemClock.monotonic() + busyMilliseconds;
+    while (systemClock.monotonic() < until) {
+        // The process is busy.
+    }
+}
+
+/** Connects callers. Each one sends its request and leaves as soon as it is connected, or after all are. */
+async function sendAndLeave(port: number, when: "connected" | "accepted"): Promise<void> {
+    const sockets: Socket[] = Array.from({ length: callers }, () => connect(port, host));
+    const connected = sockets.map(socket => once(socket, "connect"));
+    for (const socket of sockets) {
+        socket.resume();
+        opened.push({ close: () => socket.destroy() });
+        if (when === "connected") {
+            socket.on("connect", () => socket.end(request));
+        }
+    }
+    await Promise.all(connected);
+    if (when === "accepted") {
+        await new Promise(resolve => setTimeout(resolve, 100));
+        for (const socket of sockets) {
+            socket.end(request);
+        }
+    }
+}
+
+describe("CallerServer", () => {
+    afterEach(() => {
+        for (const one of opened.splice(0)) {
+            one.close();
+        }
+    });
+
+    // The process is busy, and reads the requests and the ends of their connections together.
+    it("handles no request of callers that left before it was read", async () => {
+        const { port, handled, departed } = await startServer();
+        await sendAndLeave(port, "accepted");
+        stayBusy();
+        await waitUntil(() => handled.length + departed.length === callers, { description: "all requests" });
+        expect([handled.length, departed.length]).toEqual([0, callers]);
+    });
+
+    // Connections are accepted one by one after others. Guards against the last ones, which count as read too early.
+    it("handles no request of callers that left before their connections were accepted", async () => {
+        const { port, handled, departed } = await startServer();
+        await sendAndLeave(port, "connected");
+        stayBusy();
+        await waitUntil(() => handled.length + departed.length === callers, { description: "all requests" });
+        expect([handled.length, departed.length]).toEqual([0, callers]);
+    });
+
+    it("answers callers that stayed while the process was busy", async () => {
+        const { port, handled } = await startServer();
+        const socket = connect(port, host);
+        opened.push({ close: () => socket.destroy() });
+        await once(socket, "connect");
+        socket.write(request);
+        stayBusy();
+        const [answer] = await once(socket, "data") as [Buffer];
+        expect([String(answer).startsWith("HTTP/1.1 200"), handled]).toEqual([true, ["1"]]);
+    });
+});
--- a/test/platform/departedCallers.test.ts
+++ b/test/platform/departedCallers.test.ts
@@ -65,7 +65,10 @@
             node.child.kill("SIGCONT");
             await waitUntil(() => sockets.every(({ closed }) => closed), { description: "closed connections" });
             await site.send(node);
-            expect(countReceived(path)).toEqual(0);
+            const routed = node.events.filter(({ name, request }) =>
+                name === "request-routed" && String(request).startsWith(path)
+            );
+            expect([countReceived(path), routed.length]).toEqual([0, 0]);
         });
     }
 
--- a/test/platform/refusalStatus.test.ts
+++ b/test/platform/refusalStatus.test.ts
@@ -30,6 +30,7 @@
             throw error;
         },
         replyBuffers: new ReplyBuffers({ clock: systemClock, maxReplyBytes: 4_000, getMaxNodeBytes: () => 4_000 }),
+        onDeparted: () => {},
         onDropped: () => {},
     });
     await server.listen(listening);
--- a/test/platform/slowCallers.test.ts
+++ b/test/platform/slowCallers.test.ts
@@ -3,7 +3,7 @@
 import { createServer } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { systemClock } from "../../src/common/index.js";
+import { PresenceCheck, ReadProgress, systemClock } from "../../src/common/index.js";
 import { ReplyBuffers } from "../../src/forwarding/index.js";
 import { HttpReply } from "../../src/platform/httpReply.js";
 import { waitUntil } from "../../src/testbench/index.js";
@@ -37,7 +37,8 @@
             return reset();
         };
         const onDropped = (request: string, bound: string): number => dropped.push({ request, bound });
-        void handle(id, new HttpReply({ incoming, response, isLeaving: () => false, buffers, onDropped }));
+        const presence = new PresenceCheck(new ReadProgress({ clock: systemClock }));
+        void handle(id, new HttpReply({ incoming, response, isLeaving: () => false, buffers, presence, onDropped }));
     });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     opened.push({
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -45,6 +45,7 @@
         urgency: 3,
         lastEventId: undefined,
         isWithdrawn: () => false,
+        confirmCaller: () => undefined,
         signal: new AbortController().signal,
         ...options,
     };
@@ -141,6 +142,25 @@
         expect(sockets.length).toEqual(1);
     });
 
+    // Guards against requests that are sent for nobody, as the leaving of their callers is read after the end of their wait.
+    it("sends no request whose caller turns out to have left after the wait for a connection", async () => {
+        const sockets: Socket[] = [];
+        const upstream = await listen(createRawRunner(socket => sockets.push(socket)));
+        const client = createClient();
+        const first = client.call(upstream, createCall());
+        await waitUntil(() => sockets.length === 1, "the first request arrives");
+        const controller = new AbortController();
+        const confirmCaller = (): Promise<void> => {
+            controller.abort();
+            return Promise.resolve();
+        };
+        const waiting = client.call(upstream, createCall({ signal: controller.signal, confirmCaller }));
+        sockets[0].write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        expect(await read((await first)._unsafeUnwrap())).toEqual("ok");
+        const ended = await Promise.race([waiting, sleep(maxWithdrawalMilliseconds)]);
+        expect(ended?._unsafeUnwrapErr().kind).toEqual("no-room");
+    });
+
     // Guards against requests that wait for ever, or get lost, behind others for one connection.
     it("sends requests that wait for a connection one after the other, and none whose caller has left", async () => {
         const received: string[] = [];
