Test that another node forwards nothing for callers that have left

The same cause was looked for where a node forwards requests of another one: it is paused while the callers of the other one leave.

--- a/test/platform/departedCallers.test.ts
+++ b/test/platform/departedCallers.test.ts
@@ -6,6 +6,8 @@
 import { waitUntil } from "../../src/testbench/index.js";
 import { callerPort, PlatformSite, type SiteNode } from "./platformSite.js";
 
+/** Bytes of a request that does not arrive in one piece with the end of its caller's interest. */
+const bodyBytes = 20_000;
 /** Callers in one pause of the node. */
 const callers = 40;
 /** How long a caller waits for a node that does not read its request. */
@@ -14,7 +16,7 @@
 const pauseMilliseconds = 1_000;
 
 /** Sends a request on a new connection and closes it before the node has read anything. Returns the connection. */
-async function sendAndLeave(node: SiteNode, path: string): Promise<Socket> {
+async function sendAndLeave(node: SiteNode, path: string, body = "hello"): Promise<Socket> {
     const socket = connect(callerPort, node.address);
     // The end is read, so that the connection closes once the node has closed its side.
     socket.resume();
@@ -28,9 +30,9 @@
         `Attempt-Id: ${path}`,
         "Deadline-Ms: 3000",
         "Api-Key: key",
-        "Content-Length: 5",
+        `Content-Length: ${body.length}`,
         "",
-        "hello",
+        body,
     ].join("\r\n"));
     await sleep(patienceMilliseconds);
     return socket.end();
@@ -86,3 +88,34 @@
         expect(statuses).toEqual(statuses.map(() => 200));
     });
 });
+
+// A node reaches no upstream, and another one forwards its requests. That one is paused while the callers leave.
+describe("callers that left while their requests were on the way to another node", () => {
+    const site = new PlatformSite("127.72.62");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(2);
+        await site.waitForReady(site.startCuttableNode(1, "reset"));
+        await site.waitForReady(site.startNode(2));
+        await site.waitForAddresses(site.nodes[0], 2);
+        // Requests are forwarded once the first node knows that it reaches no upstream and that the other one does.
+        await waitUntil(async () => (await site.send(site.nodes[0])).status === 200, { description: "forwarding" });
+        await Promise.all(Array.from({ length: callers }, () => site.send(site.nodes[0])));
+    });
+
+    // Guards against upstreams that work for callers that have left.
+    it("have none of them sent on", async () => {
+        const [node, forwarding] = site.nodes;
+        forwarding.child.kill("SIGSTOP");
+        const path = "/call/relayed-";
+        const body = "x".repeat(bodyBytes);
+        const sent = Array.from({ length: callers }, (...[, index]) => sendAndLeave(node, `${path}${index}`, body));
+        const sockets = await Promise.all(sent);
+        await waitUntil(() => sockets.every(({ closed }) => closed), { description: "closed connections" });
+        await sleep(pauseMilliseconds - patienceMilliseconds);
+        forwarding.child.kill("SIGCONT");
+        await waitUntil(async () => (await site.send(node)).status === 200, { description: "forwarding" });
+        const received = [...site.runners.values()].flatMap(runner => runner.received);
+        expect(received.filter(({ target }) => target.startsWith(path)).length).toEqual(0);
+    });
+});
