Begin nothing on the product's own interface for callers that have left

What callers saw: calls and chats of callers that had given up ran at upstreams, with the same cause as on the platform: an entry that was paused reads a request and the end of its connection together, and dispatched the request in between. Besides, a call to a plain service was tried again at another one after its caller had left, as that way did not look at the caller at all.

Change: before a call is planned and before each attempt, checkCaller lets the entry read what has arrived, if that was not done within the last 0.2 s, and refuses the call as not run if its caller has left. The end of a connection counts as soon as it is read, as on the platform; the two servers share watchConnection. Calls that are under way at a plain service go on as before: their outcome may be kept under a key.

--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -20,6 +20,7 @@
     toDeadlineRefusal,
 } from "./attemptRefusal.js";
 import { createAttemptSignal } from "./attemptSignal.js";
+import { checkCaller } from "./callerDisconnection.js";
 import { type ChatCall, getTimeLeft } from "./chatCall.js";
 import type { Explanations } from "./explanations.js";
 import type { Metrics } from "./metrics.js";
@@ -94,6 +95,10 @@
         excluded: Set<string>,
     ): Promise<Result<AttemptResult, AttemptRefusal>> {
         const { call, version } = options;
+        const present = await checkCaller(call);
+        if (present.isErr()) {
+            return err(createFinalRefusal(present.error));
+        }
         const allowed = this.#checkAllowed(call, version);
         if (allowed.isErr()) {
             return err(createFinalRefusal(allowed.error));
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,12 +6,13 @@
 import type { Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type Clock, Failure } from "../common/index.js";
+import { type Clock, Failure, PresenceCheck, type ReadProgress } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
 import { events, type Journal } from "../events/index.js";
 import { createWatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
 import { DocumentSink, EventStreamSink, sendProblem } from "./answerSink.js";
+import { checkCaller } from "./callerDisconnection.js";
 import { type CallerIdentity, identifyCaller } from "./callerIdentity.js";
 import type { ChatPipeline } from "./chatPipeline.js";
 import { automaticModel, parseChatRequest } from "./chatRequest.js";
@@ -41,6 +42,7 @@
 /** Options of the server. */
 export interface CallerServerOptions {
     readonly clock: Clock;
+    readonly readProgress: ReadProgress;
     readonly journal: Journal;
     readonly metrics: Metrics;
     readonly getConfiguration: () => Configuration;
@@ -76,6 +78,7 @@
             keepAliveTimeout: 30_000,
         }, koa.callback());
         this.#server.maxConnections = options.maxConnections;
+        this.#server.on("connection", () => options.readProgress.addConnection());
     }
 
     /**
@@ -157,10 +160,12 @@
             context.req.resume();
             return;
         }
+        const presence = new PresenceCheck(this.#options.readProgress);
         const call = {
             requestId,
             identity: identity.value,
-            disconnectSignal: createDisconnectSignal(response),
+            disconnectSignal: createDisconnectSignal(context.req, response),
+            confirmCaller: () => presence.confirm(),
             arrivedAt: this.#now(),
         };
         this.#openResponses.add(response);
@@ -194,6 +199,10 @@
         if (body.isErr()) {
             return refuseAndClose(response, body.error);
         }
+        const present = await checkCaller(call);
+        if (present.isErr()) {
+            return createNotRunRefusal(present.error);
+        }
         const { identity } = call;
         const parsed = parseChatRequest(body.value.toString("utf8"), identity.settings.maxTokens);
         if (parsed.isErr()) {
@@ -261,6 +270,10 @@
         if (body.isErr()) {
             return refuseAndClose(response, body.error);
         }
+        const present = await checkCaller(call);
+        if (present.isErr()) {
+            return createNotRunRefusal(present.error);
+        }
         const result = await this.#options.servicePipeline.run({
             ...call,
             ...call.identity,
--- a/src/entry/chatCall.ts
+++ b/src/entry/chatCall.ts
@@ -4,10 +4,11 @@
 import type { EffectiveSettings } from "../configuration/index.js";
 import type { WatchedRequest } from "../quarantine/index.js";
 import type { AnswerSink } from "./answerSink.js";
+import type { WaitingCaller } from "./callerDisconnection.js";
 import type { ChatRequest } from "./chatRequest.js";
 
 /** Represents a chat completion that has been authenticated and validated. */
-export interface ChatCall {
+export interface ChatCall extends WaitingCaller {
     readonly requestId: string;
     readonly workspace: string;
     readonly application: string;
@@ -26,8 +27,6 @@
     readonly sink: AnswerSink;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAt: number;
-    /** Aborts when the caller's connection is closed. */
-    readonly disconnectSignal: AbortSignal;
     /** Aborts when the request's deadline has passed. */
     readonly deadlineSignal: AbortSignal;
 }
--- a/src/entry/chatPipeline.ts
+++ b/src/entry/chatPipeline.ts
@@ -7,6 +7,7 @@
 import { events, type Journal } from "../events/index.js";
 import type { ModelVersion } from "../world/index.js";
 import { createBillsFullFailure } from "./billsFullFailure.js";
+import { checkCaller } from "./callerDisconnection.js";
 import { type ChatCall, getExposureKey } from "./chatCall.js";
 import type { Explanations } from "./explanations.js";
 import { checkFreshness } from "./freshness.js";
@@ -71,9 +72,10 @@
             return err(createNotRunRefusal(admitted.error));
         }
         const ticket = admitted.value;
-        if (call.disconnectSignal.aborted) {
+        const present = await checkCaller(call);
+        if (present.isErr()) {
             ticket.release({ outcome: "cancelled", tokens: 0 });
-            return err(createNotRunRefusal(createCallerDisconnectedFailure()));
+            return err(createNotRunRefusal(present.error));
         }
         const result = await this.#serve({ ...call, priority: ticket.priority });
         ticket.release(
@@ -194,11 +196,3 @@
     const last = plan.steps[plan.steps.length - 1];
     return { ...plan, steps: [{ version: last.version, acceptScore: undefined }] };
 }
-
-function createCallerDisconnectedFailure(): Failure {
-    return new Failure({
-        kind: "gone",
-        message: "The caller closed its connection before the request started.",
-        remedy: "Send the request again.",
-    });
-}
--- a/src/entry/incomingCall.ts
+++ b/src/entry/incomingCall.ts
@@ -3,7 +3,8 @@
  */
 import { err, type Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Failure } from "../common/index.js";
+import { Failure, watchConnection } from "../common/index.js";
+import type { WaitingCaller } from "./callerDisconnection.js";
 import type { CallerIdentity } from "./callerIdentity.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
 import type { ServiceReply } from "./servicePipeline.js";
@@ -12,21 +13,16 @@
 const forwardedHeaders = ["content-type", "accept", "accept-language", "if-match", "if-none-match"];
 
 /** A call from an identified caller. */
-export interface IncomingCall {
+export interface IncomingCall extends WaitingCaller {
     readonly requestId: string;
     readonly identity: CallerIdentity;
-    readonly disconnectSignal: AbortSignal;
     readonly arrivedAt: number;
 }
 
 /** Creates a signal that aborts when the caller closes its connection before the answer is complete. */
-export function createDisconnectSignal(response: ServerResponse): AbortSignal {
+export function createDisconnectSignal(incoming: IncomingMessage, response: ServerResponse): AbortSignal {
     const controller = new AbortController();
-    response.on("close", () => {
-        if (!response.writableFinished) {
-            controller.abort();
-        }
-    });
+    watchConnection({ incoming, response, onDisconnected: () => controller.abort() });
     return controller.signal;
 }
 
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -1,6 +1,7 @@
 /**
  * Factories of the parts that serve callers and operators.
  */
+import { ReadProgress, SuspensionClock } from "../../common/index.js";
 import { AttemptRunner } from "../attemptRunner.js";
 import { CallerServer } from "../callerServer.js";
 import { ChatPipeline } from "../chatPipeline.js";
@@ -98,6 +99,7 @@
     callerServer: cradle =>
         new CallerServer({
             clock: cradle.clock,
+            readProgress: new ReadProgress({ clock: new SuspensionClock(cradle.clock) }),
             journal: cradle.journal,
             metrics: cradle.metrics,
             getConfiguration: () => cradle.configuration.getConfiguration(),
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -17,6 +17,7 @@
 import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
 import { combineOutcomes } from "./attemptRefusal.js";
 import { createBillsFullFailure } from "./billsFullFailure.js";
+import { checkCaller, type WaitingCaller } from "./callerDisconnection.js";
 import { checkFreshness } from "./freshness.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
 import { packAnswer, unpackAnswer } from "./storedAnswer.js";
@@ -29,7 +30,7 @@
 const idempotentMethods: ReadonlySet<string> = new Set(["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]);
 
 /** Represents an authenticated call to a plain service. */
-export interface ServiceRequest {
+export interface ServiceRequest extends WaitingCaller {
     readonly requestId: string;
     readonly workspace: string;
     readonly application: string;
@@ -40,7 +41,6 @@
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array | undefined;
     readonly idempotencyKey: string | undefined;
-    readonly disconnectSignal: AbortSignal;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAt: number;
 }
@@ -232,6 +232,10 @@
         excluded: Set<string>,
     ): Promise<Result<ServiceAnswer, UpstreamFailure & { readonly isRetriable: boolean; }>> {
         const { clock, crashWatch, runners, services, journal } = this.#options;
+        const present = await checkCaller(request);
+        if (present.isErr()) {
+            return err({ failure: present.error, outcome: "not-run", isRetriable: false });
+        }
         const quarantineMilliseconds = crashWatch.admit(watched);
         if (quarantineMilliseconds !== undefined) {
             return err({
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import type { PresenceCheck, Refusal } from "../common/index.js";
+import { type PresenceCheck, type Refusal, watchConnection } from "../common/index.js";
 import type { CallerReply, ReplyBound, ReplyBuffer, ReplyBuffers } from "../forwarding/index.js";
 import { findHeader } from "./headers.js";
 import { headerNames } from "./wire.js";
@@ -60,21 +60,12 @@
         });
         // The date is forwarded from the upstream's answer, if it has one.
         response.sendDate = false;
-        const abortOnDisconnect = (): void => {
-            if (!response.writableFinished) {
-                this.#disconnect();
-            }
-        };
-        const handleClose = (): void => {
-            this.#connection.removeListener("end", abortOnDisconnect);
-            this.#connection.removeListener("close", handleClose);
-            this.#buffer.close();
-            abortOnDisconnect();
-        };
-        this.#connection.once("end", abortOnDisconnect);
-        // A response is told of the end of its connection only while it is being sent, not while it waits for the one before it.
-        this.#connection.once("close", handleClose);
-        response.once("close", handleClose);
+        watchConnection({
+            incoming,
+            response,
+            onDisconnected: () => this.#disconnect(),
+            onClosed: () => this.#buffer.close(),
+        });
     }
 
     get hasStarted(): boolean {
