Let timeouts of streams, store calls and peers expire only after what arrived was read

Timers run before what arrived meanwhile is read. After a pause of the node, a sound stream was cut off and resumed at another runner, an answer of the store was thrown away and the store counted as unavailable, and a peer was avoided for seconds.

Change: ReadTimeout expires a turn of the event loop after its time, as the timeouts of heads of answers and of connection probes did already, and takes their place too. Before: three tests failed (a stream, a call to the store, a query to a peer, each with an answer that arrives while the process is busy); after: they pass. The guard was seen to fail. Left as they are: calls to peers with a deadline of the gRPC library, and gossip, whose suspicions need several rounds.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -6,5 +6,6 @@
 export * from "./presenceCheck.js";
 export * from "./random.js";
 export * from "./readProgress.js";
+export * from "./readTimeout.js";
 export * from "./repeatedTask.js";
 export * from "./suspensionClock.js";
--- a/src/forwarding/callCancellation.ts
+++ b/src/forwarding/callCancellation.ts
@@ -1,6 +1,7 @@
 /**
  * Cancels a call: when its exchange ends, when its answer does not start in time, or when the node gives it up.
  */
+import { ReadTimeout } from "../common/index.js";
 
 /** Options of `CallCancellation`. */
 export interface CallCancellationOptions {
@@ -14,19 +15,15 @@
 export class CallCancellation {
     readonly #controller = new AbortController();
     readonly #ended: AbortSignal;
-    readonly #timer: NodeJS.Timeout | undefined;
-    #immediate: NodeJS.Immediate | undefined;
+    readonly #timeout: ReadTimeout | undefined;
     #isHeadTimedOut = false;
 
     constructor({ ended, headTimeoutMilliseconds }: CallCancellationOptions) {
         this.#ended = ended;
         ended.addEventListener("abort", this.cancel);
-        this.#timer = headTimeoutMilliseconds === undefined
+        this.#timeout = headTimeoutMilliseconds === undefined
             ? undefined
-            : setTimeout(() => {
-                // After a pause of this process, timers fire before an answer is read that arrived meanwhile.
-                this.#immediate = setImmediate(() => this.#cancelLate());
-            }, headTimeoutMilliseconds);
+            : new ReadTimeout(headTimeoutMilliseconds, () => this.#cancelLate());
     }
 
     /** Aborted when the call is cancelled. */
@@ -44,8 +41,7 @@
 
     /** Stops waiting for the start of the answer. */
     stopHeadTimeout(): void {
-        clearTimeout(this.#timer);
-        clearImmediate(this.#immediate);
+        this.#timeout?.clear();
     }
 
     /** Ignores the end of the exchange from now on. */
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,7 +2,7 @@
  * Forwards requests that are answered by a stream of events.
  */
 import type { Result } from "neverthrow";
-import { Failure, type Refusal } from "../common/index.js";
+import { Failure, ReadTimeout, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
@@ -170,20 +170,20 @@
             : this.#exchange.getTimeLeft();
         let isTimedOut = false;
         let isWaitingForCaller = false;
-        const timer = setTimeout(() => {
+        const timeout = new ReadTimeout(pauseTimeout, () => {
             // While the node waits for a slow caller, nothing is known of the runner.
             if (!isWaitingForCaller) {
                 isTimedOut = true;
                 attempt.cancel();
             }
-        }, pauseTimeout);
+        });
         try {
             for await (const bytes of attempt.answer.body) {
                 attempt.markSeen();
                 isWaitingForCaller = true;
                 await (isEventStream ? this.#writeEvents(bytes) : reply.write(bytes));
                 isWaitingForCaller = false;
-                timer.refresh();
+                timeout.refresh();
                 if (reply.disconnected.aborted) {
                     return { kind: "broken", reason: "the caller has left", isDisconnected: false };
                 }
@@ -195,7 +195,7 @@
             return { kind: "broken", reason, isDisconnected: !isTimedOut && !ended.aborted };
         }
         finally {
-            clearTimeout(timer);
+            timeout.clear();
         }
     }
 
--- a/src/membership/stateQueryStream.ts
+++ b/src/membership/stateQueryStream.ts
@@ -7,7 +7,7 @@
  */
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 import { err, ok, type Result } from "neverthrow";
-import { Failure } from "../common/index.js";
+import { Failure, ReadTimeout } from "../common/index.js";
 import type { FetchStateReply, FetchStateRequest, FollowStateReply, FollowStateRequest } from "../generated/peer.js";
 
 type Call = ClientDuplexStream<FollowStateRequest, FollowStateReply>;
@@ -40,13 +40,13 @@
         this.#lastId += 1;
         const id = this.#lastId;
         return new Promise(resolve => {
-            const timer = setTimeout(() => {
+            const timeout = new ReadTimeout(timeoutMilliseconds, () => {
                 resolveQuery(err(createFailure(`no answer within ${timeoutMilliseconds} ms`)));
                 this.close("an answer is overdue");
                 this.#onTimeout();
-            }, timeoutMilliseconds);
+            });
             const resolveQuery: ResolveCallback = result => {
-                clearTimeout(timer);
+                timeout.clear();
                 this.#pending.delete(id);
                 resolve(result);
             };
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
 import { z } from "zod";
-import { type Clock, Failure } from "../common/index.js";
+import { type Clock, Failure, ReadTimeout } from "../common/index.js";
 import type { KeyedRecord, KeyedTopicReader, TopicPage } from "../topics/index.js";
 import { storePaths } from "./wire.js";
 
@@ -176,7 +176,7 @@
         body?: Buffer,
     ): Promise<Result<StoreResponse, Failure>> {
         const controller = new AbortController();
-        const timer = setTimeout(() => controller.abort(), waitMilliseconds + responseTimeoutMilliseconds);
+        const timeout = new ReadTimeout(waitMilliseconds + responseTimeoutMilliseconds, () => controller.abort());
         try {
             const response = await this.#pool.request({ method, path, body, signal: controller.signal });
             return ok({ status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) });
@@ -185,7 +185,7 @@
             return err(createNoResponseFailure(cause));
         }
         finally {
-            clearTimeout(timer);
+            timeout.clear();
         }
     }
 }
--- a/src/upstream/connectionProbe.ts
+++ b/src/upstream/connectionProbe.ts
@@ -2,6 +2,7 @@
  * Finds out whether connections to an address can be opened.
  */
 import { connect } from "node:net";
+import { ReadTimeout } from "../common/index.js";
 
 /** A machine whose process has ended refuses at once; longer waits only delay the caller's next attempt. */
 const crashProbeMilliseconds = 150;
@@ -39,13 +40,11 @@
     const socket = connect({ host: address.slice(0, separator), port: Number(address.slice(separator + 1)) });
     return new Promise(resolve => {
         const finish = (result: ProbeResult): void => {
-            clearTimeout(timer);
+            timeout.clear();
             socket.destroy();
             resolve(result);
         };
-        // After the process stood still, timers run before the events that arrived meanwhile. Without the turn in between, a node that was
-        // suspended would take all of its upstreams for unreachable.
-        const timer = setTimeout(() => setImmediate(() => finish("failed")), timeoutMilliseconds);
+        const timeout = new ReadTimeout(timeoutMilliseconds, () => finish("failed"));
         socket.once("connect", () => finish("opened"));
         socket.on("error", error => {
             finish((error as NodeJS.ErrnoException).code === "ECONNREFUSED" ? "refused" : "failed");
--- a/test/common/readProgress.test.ts
+++ b/test/common/readProgress.test.ts
@@ -4,6 +4,7 @@
 import { afterEach, describe, it } from "node:test";
 import { ManualClock, PresenceCheck, ReadProgress, systemClock } from "../../src/common/index.js";
 import { waitUntil } from "../../src/testbench/index.js";
+import { blockProcess } from "../fixtures/pauses.js";
 
 /** Runs the turns of an event loop one by one. */
 function createTurns() {
@@ -120,13 +121,6 @@
             return { results, connectAll: () => Array.from({ length: 20 }, () => connect(port)) };
         }
 
-        function stayBusy(milliseconds: number): void {
-            const until = systemClock.monotonic() + milliseconds;
-            while (systemClock.monotonic() < until) {
-                // The process is busy.
-            }
-        }
-
         // Bytes and the end of a connection wait in the kernel while a process is busy. Guards against a request that is served for a
         // caller that left before it was read.
         it("knows of the end of a connection that was closed before its bytes were read", async () => {
@@ -137,7 +131,7 @@
             for (const client of clients) {
                 client.end("request");
             }
-            stayBusy(300);
+            blockProcess(300);
             await waitUntil(() => results.length === clients.length, { description: "all requests" });
             expect(results).toEqual(clients.map(() => [false, true]));
         });
@@ -151,7 +145,7 @@
             }
             // The clients connect in a turn in which one connection is accepted.
             await new Promise(resolve => clients.at(-1)!.once("connect", resolve));
-            stayBusy(300);
+            blockProcess(300);
             await waitUntil(() => results.length === clients.length, { description: "all requests" });
             expect(results).toEqual(clients.map(() => [false, true]));
         });
--- a/test/forwarding/callCancellation.test.ts
+++ b/test/forwarding/callCancellation.test.ts
@@ -3,6 +3,7 @@
 import { setImmediate, setTimeout } from "node:timers/promises";
 import { MessageChannel } from "node:worker_threads";
 import { CallCancellation } from "../../src/forwarding/callCancellation.js";
+import { blockProcess } from "../fixtures/pauses.js";
 
 const headTimeoutMilliseconds = 5;
 
@@ -10,14 +11,6 @@
     return new CallCancellation({ ended: new AbortController().signal, headTimeoutMilliseconds });
 }
 
-/** Blocks the process, as a machine that is busy or frozen. */
-function pause(milliseconds: number): void {
-    const endsAt = performance.now() + milliseconds;
-    while (performance.now() < endsAt) {
-        // Waits.
-    }
-}
-
 describe("CallCancellation", () => {
     it("cancels a call whose answer does not start in time", async () => {
         const cancellation = createCancellation();
@@ -35,7 +28,7 @@
         const cancellation = createCancellation();
         port2.on("message", () => cancellation.stopHeadTimeout());
         port1.postMessage("head");
-        pause(2 * headTimeoutMilliseconds);
+        blockProcess(2 * headTimeoutMilliseconds);
         await setTimeout(2 * headTimeoutMilliseconds);
         port1.close();
         expect([cancellation.isHeadTimedOut, cancellation.signal.aborted]).toEqual([false, false]);
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -1,5 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { MessageChannel } from "node:worker_threads";
 import type { Generation } from "../../src/forwarding/index.js";
 import {
     CallerStandin,
@@ -9,6 +11,7 @@
     createForwarder,
     type UpstreamBehaviour,
 } from "../fixtures/forwarders.js";
+import { blockProcess } from "../fixtures/pauses.js";
 import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
 
 const generation: Generation = {
@@ -105,6 +108,26 @@
         expect(calls[0].call.signal.aborted).toEqual(false);
     });
 
+    // Guards against a sound stream that is cut off and resumed elsewhere, since this node was paused.
+    it("does not take a runner for silent whose event arrived while the node was paused", async () => {
+        const { port1, port2 } = new MessageChannel();
+        async function* readEvents(): AsyncGenerator<Buffer> {
+            yield Buffer.from(createEvent(1));
+            // From here, timers run before what has arrived is read.
+            await setImmediate();
+            const arrived = new Promise(resolve => port2.once("message", resolve));
+            port1.postMessage("event");
+            blockProcess(1_500);
+            await arrived;
+            yield Buffer.from(createEvent(2));
+        }
+        const { send, calls } = createStreamForwarder(() => createAnswer([], { confidence: 80, body: readEvents() }));
+        const caller = await send();
+        port1.close();
+        expect([caller.chunks, caller.isComplete, calls.length]).toEqual([[createEvent(1), createEvent(2)], true, 1]);
+        expect(calls[0].call.signal.aborted).toEqual(false);
+    });
+
     // Guards against a run that goes on, and a crash that is suspected, after a caller was given up.
     it("cancels the run of a caller that is given up, and blames no runner", async () => {
         const { forwarder, calls, lines } = createStreamForwarder(() =>
--- a/test/membership/stateQueryStream.test.ts
+++ b/test/membership/stateQueryStream.test.ts
@@ -1,10 +1,15 @@
 import { expect } from "earl";
+import { EventEmitter } from "node:events";
 import { connect, createServer, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { MessageChannel } from "node:worker_threads";
 import type { FetchStateReply, FetchStateRequest } from "../../src/generated/peer.js";
 import { type NodeIdentity, PeerClient, type PeerHandlers, PeerServer } from "../../src/membership/index.js";
+import { StateQueryStream } from "../../src/membership/stateQueryStream.js";
 import { waitUntil } from "../../src/testbench/index.js";
 import { createJournal } from "../fixtures/journals.js";
+import { blockProcess } from "../fixtures/pauses.js";
 
 const network = "127.50.16";
 const timeoutMilliseconds = 400;
@@ -124,6 +129,25 @@
         expect(results.map(result => result.isOk())).toEqual([true, false, true]);
     });
 
+    // Guards against a peer that is avoided for seconds since this node was paused while its answer arrived.
+    it("takes an answer that arrived while the process was paused", async () => {
+        const { port1, port2 } = new MessageChannel();
+        const call = Object.assign(new EventEmitter(), { write: () => true, cancel: () => {} });
+        const stream = new StateQueryStream({
+            open: () => call as unknown as ReturnType<ConstructorParameters<typeof StateQueryStream>[0]["open"]>,
+            onTimeout: () => {},
+        });
+        port2.on("message", () => call.emit("data", { id: 1, answer: createReply(7) }));
+        // From here, timers run before what has arrived is read.
+        await setImmediate();
+        const answered = stream.query(createRequest(7), 20);
+        port1.postMessage("answer");
+        blockProcess(40);
+        const result = await answered;
+        port1.close();
+        expect(result._unsafeUnwrap().offset).toEqual(7);
+    });
+
     // Guards against refused keyed requests after a connection becomes unresponsive without a reset while new ones
     // work. A node that kept using it would receive no answer until the keepalive of the library closes it, seconds
     // after its state has become too old for keyed requests.
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -6,6 +6,7 @@
 import { ReplyBuffers } from "../../src/forwarding/index.js";
 import { CallerServer } from "../../src/platform/callerServer.js";
 import { waitUntil } from "../../src/testbench/index.js";
+import { blockProcess } from "../fixtures/pauses.js";
 
 const host = "127.0.0.1";
 const callers = 20;
@@ -42,13 +43,6 @@
     return { port, handled, departed };
 }
 
-function stayBusy(): void {
-    const until = systemClock.monotonic() + busyMilliseconds;
-    while (systemClock.monotonic() < until) {
-        // The process is busy.
-    }
-}
-
 /** Connects callers. Each one sends its request and leaves as soon as it is connected, or after all are. */
 async function sendAndLeave(port: number, when: "connected" | "accepted"): Promise<void> {
     const sockets: Socket[] = Array.from({ length: callers }, () => connect(port, host));
@@ -80,7 +74,7 @@
     it("handles no request of callers that left before it was read", async () => {
         const { port, handled, departed } = await startServer();
         await sendAndLeave(port, "accepted");
-        stayBusy();
+        blockProcess(busyMilliseconds);
         await waitUntil(() => handled.length + departed.length === callers, { description: "all requests" });
         expect([handled.length, departed.length]).toEqual([0, callers]);
     });
@@ -89,7 +83,7 @@
     it("handles no request of callers that left before their connections were accepted", async () => {
         const { port, handled, departed } = await startServer();
         await sendAndLeave(port, "connected");
-        stayBusy();
+        blockProcess(busyMilliseconds);
         await waitUntil(() => handled.length + departed.length === callers, { description: "all requests" });
         expect([handled.length, departed.length]).toEqual([0, callers]);
     });
@@ -100,7 +94,7 @@
         opened.push({ close: () => socket.destroy() });
         await once(socket, "connect");
         socket.write(request);
-        stayBusy();
+        blockProcess(busyMilliseconds);
         const [answer] = await once(socket, "data") as [Buffer];
         expect([String(answer).startsWith("HTTP/1.1 200"), handled]).toEqual([true, ["1"]]);
     });
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -1,7 +1,9 @@
 import { expect } from "earl";
+import { createServer } from "node:http";
 import { after, before, describe, it } from "node:test";
 import { systemClock } from "../../src/common/index.js";
 import { StoreClient } from "../../src/platform/storeClient.js";
+import { blockProcess } from "../fixtures/pauses.js";
 import { StoreStandin } from "./standins/storeStandin.js";
 
 const host = "127.72.9.1";
@@ -39,6 +41,21 @@
         expect(store.get(topic, "progress/app")).toEqual("second");
     });
 
+    // Guards against a store that counts as unavailable since this node was paused.
+    it("reads an answer that arrived while the process was paused", async () => {
+        const server = createServer((...[, response]) => {
+            response.writeHead(200).end(Buffer.alloc(16));
+            // The answer has left, and the client has not read it.
+            setImmediate(() => blockProcess(800));
+        });
+        await new Promise<void>(resolve => server.listen(port + 1, host, resolve));
+        const otherClient = new StoreClient(`${host}:${port + 1}`, systemClock);
+        const page = await otherClient.createReader(topic).readSince(0, 0);
+        await otherClient.close();
+        server.close();
+        expect(page._unsafeUnwrap().records).toEqual([]);
+    });
+
     // Nodes write their own records to the same topic. If a step had to be the topic's next record, each of these records would
     // make it fail, and a roll-out would not progress.
     it("appends consecutive positions although other records are written in between", async () => {
