--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -1,11 +1,9 @@
 import { expect } from "earl";
 import { once } from "node:events";
-import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { ReadProgress, systemClock } from "../../src/common/index.js";
-import { ReplyBuffers } from "../../src/forwarding/index.js";
-import { CallerServer } from "../../src/platform/callerServer.js";
 import { waitUntil } from "../../src/testbench/index.js";
+import { startCallerServer } from "../fixtures/callerServers.js";
 import { blockProcess } from "../fixtures/pauses.js";
 
 const host = "127.0.0.1";
@@ -19,26 +17,14 @@
 async function startServer() {
     const handled: string[] = [];
     const departed: string[] = [];
-    const listening = createServer();
-    await new Promise<void>(resolve => listening.listen(0, host, resolve));
-    const { port } = listening.address() as AddressInfo;
-    const server = new CallerServer({
-        clock: systemClock,
-        readProgress: new ReadProgress({ clock: systemClock }),
+    const { server, port } = await startCallerServer({
         handle: ({ id }, reply) => {
             handled.push(id);
             reply.answer(200, [], Buffer.from("done"));
             return Promise.resolve();
         },
-        getLimits: () => undefined,
-        onCrash: (...[, error]) => {
-            throw error;
-        },
-        replyBuffers: new ReplyBuffers({ clock: systemClock, maxReplyBytes: 4_000, getMaxNodeBytes: () => 4_000 }),
         onDeparted: id => departed.push(id),
-        onDropped: () => {},
     });
-    await server.listen(listening);
     opened.push(server);
     return { port, handled, departed };
 }
--- a/test/platform/refusalStatus.test.ts
+++ b/test/platform/refusalStatus.test.ts
@@ -1,10 +1,10 @@
 import { expect } from "earl";
 import { once } from "node:events";
-import { type AddressInfo, connect, createServer } from "node:net";
+import { connect } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Failure, type Outcome, ReadProgress, systemClock } from "../../src/common/index.js";
-import { type CallerReply, ReplyBuffers } from "../../src/forwarding/index.js";
-import { CallerServer } from "../../src/platform/callerServer.js";
+import { Failure, type Outcome } from "../../src/common/index.js";
+import type { CallerReply } from "../../src/forwarding/index.js";
+import { startCallerServer } from "../fixtures/callerServers.js";
 
 const host = "127.0.0.1";
 /** Statuses that promise that a request has not run. */
@@ -15,25 +15,13 @@
 const opened: { readonly close: () => void; }[] = [];
 
 async function startServer(handle: (reply: CallerReply) => void): Promise<number> {
-    const listening = createServer();
-    await new Promise<void>(resolve => listening.listen(0, host, resolve));
-    const { port } = listening.address() as AddressInfo;
-    const server = new CallerServer({
-        clock: systemClock,
-        readProgress: new ReadProgress({ clock: systemClock }),
+    const { server, port } = await startCallerServer({
         handle: (...[, reply]) => {
             handle(reply);
             return Promise.resolve();
         },
         getLimits: () => ({ headerBytes: 4_000, bodyBytes: 4_000, headerMilliseconds: 200, idleMilliseconds: 5_000 }),
-        onCrash: (...[, error]) => {
-            throw error;
-        },
-        replyBuffers: new ReplyBuffers({ clock: systemClock, maxReplyBytes: 4_000, getMaxNodeBytes: () => 4_000 }),
-        onDeparted: () => {},
-        onDropped: () => {},
     });
-    await server.listen(listening);
     opened.push(server);
     return port;
 }
