Add failing tests of a store that comes back from an older copy

What callers saw: a revoked key that still worked, and callers with keys refused for seconds after the store was back (CONFIG). The stand-in of the store learns the new term: the header Store-Era, copies, offsets that go back and are given out again, 410 for an offset beyond its end.

--- a/test/platform/standins/storeStandin.ts
+++ b/test/platform/standins/storeStandin.ts
@@ -25,6 +25,13 @@
 /** Fault that the store simulates. */
 export type StoreFault = "well" | "busy" | "silent" | "loses-answers";
 
+/** What the store held at a moment. */
+export interface StoreCopy {
+    readonly topics: ReadonlyMap<string, readonly StoredRecord[]>;
+    readonly firstOffsets: ReadonlyMap<string, number>;
+    readonly producers: ReadonlyMap<string, Producer>;
+}
+
 /** Stores topics in memory. */
 export class StoreStandin {
     readonly #topics = new Map<string, StoredRecord[]>();
@@ -33,6 +40,8 @@
     /** Keys are topic and producer, separated by a space. */
     readonly #producers = new Map<string, Producer>();
     readonly #server: Server;
+    /** Rises each time the store comes back from a copy. */
+    #era = 1;
     fault: StoreFault = "well";
     /** Faults for single callers, by their address. */
     readonly faultsByCaller = new Map<string, StoreFault>();
@@ -77,6 +86,28 @@
         this.#firstOffsets.set(topic, this.#getRecords(topic).length);
     }
 
+    /** Returns a copy of what the store holds. */
+    takeCopy(): StoreCopy {
+        return {
+            topics: new Map([...this.#topics].map(([topic, records]) => [topic, [...records]])),
+            firstOffsets: new Map(this.#firstOffsets),
+            producers: new Map(this.#producers),
+        };
+    }
+
+    /** Comes back from a copy: what was written since is lost, and its offsets are given out again. Ends all connections. */
+    restore({ topics, firstOffsets, producers }: StoreCopy): void {
+        this.#era += 1;
+        this.#topics.clear();
+        for (const [topic, records] of topics) {
+            this.#topics.set(topic, [...records]);
+        }
+        replaceAll(this.#firstOffsets, firstOffsets);
+        replaceAll(this.#producers, producers);
+        this.#waitingReads.clear();
+        this.#server.closeAllConnections();
+    }
+
     /** Returns the latest value of a key, parsed as JSON. */
     get(topic: string, key: string): unknown {
         const record = this.#getRecords(topic).filter(entry => entry.key === key).at(-1);
@@ -104,6 +135,7 @@
         const caller = request.socket.remoteAddress ?? "";
         const fault = this.faultsByCaller.get(caller) ?? this.fault;
         this.calls.push(`${request.method} ${url.pathname} ${caller}`);
+        response.setHeader("Store-Era", String(this.#era));
         if (fault === "silent") {
             return;
         }
@@ -145,7 +177,7 @@
     async #answerRead(topic: string, query: URLSearchParams, response: ServerResponse): Promise<void> {
         const from = Number(query.get("from"));
         const first = this.#firstOffsets.get(topic) ?? 0;
-        if (from < first) {
+        if (from < first || from > this.#getRecords(topic).length) {
             response.writeHead(410).end(JSON.stringify({ first_offset: first }));
             return;
         }
@@ -231,6 +263,13 @@
     }
 }
 
+function replaceAll<Key, Value>(target: Map<Key, Value>, source: ReadonlyMap<Key, Value>): void {
+    target.clear();
+    for (const [key, value] of source) {
+        target.set(key, value);
+    }
+}
+
 function encode({ key, value }: StoredRecord): Buffer {
     const head = Buffer.alloc(5);
     head.writeUInt32BE(1 + key.length + value.length, 0);
--- /dev/null
+++ b/test/platform/storeWentBack.test.ts
@@ -0,0 +1,96 @@
+import { expect } from "earl";
+import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { waitUntil } from "../../src/testbench/index.js";
+import { createConfiguration, PlatformSite } from "./platformSite.js";
+
+const nodeCount = 3;
+/** The users' bound for a configuration to be in force. */
+const applyMilliseconds = 2_000;
+/** How long the store is away before it comes back from its copy. */
+const awayMilliseconds = 1_000;
+/** Calls of one node in a second after the store's return, beyond which it would be asked for nothing. */
+const maxCallsPerNodeSecond = 20;
+
+// The store is away for a moment and comes back from an older copy: what was written since is lost, and its offsets are given out again.
+describe("nodes after the store came back from an older copy", () => {
+    const site = new PlatformSite("127.72.63");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(3);
+        for (let index = 1; index <= nodeCount; index += 1) {
+            await site.waitForReady(site.startNode(index));
+        }
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, nodeCount);
+        }
+    });
+
+    /** Loses what `write` writes, and brings the store back. */
+    async function loseWrites(write: () => Promise<void>): Promise<void> {
+        const copy = site.store.takeCopy();
+        await write();
+        site.store.fault = "silent";
+        await sleep(awayMilliseconds);
+        site.store.restore(copy);
+        site.store.fault = "well";
+    }
+
+    function publish(version: number, keys: readonly string[]): void {
+        site.store.put("keyed.op", "config", createConfiguration(version, keys));
+    }
+
+    async function waitForVersion(version: number): Promise<void> {
+        const hasVersion = (): boolean =>
+            site.nodes.every(({ events }) =>
+                events.some(line => line.name === "routes-in-force" && line.version === version)
+            );
+        await waitUntil(hasVersion, { description: `version ${version}`, timeoutMilliseconds: applyMilliseconds });
+    }
+
+    async function readStatuses(key: string): Promise<readonly number[]> {
+        const answers = site.nodes.map(node => site.send(node, { headers: { "api-key": key } }));
+        return (await Promise.all(answers)).map(({ status }) => status);
+    }
+
+    const everywhere = (status: number): readonly number[] => site.nodes.map(() => status);
+
+    // Guards against a revoked key that still works, and against new keys that do not, until the topic has grown past its old end.
+    it("put each further configuration into force in time, twice", async () => {
+        let version = 1;
+        for (const round of ["first", "second"]) {
+            await loseWrites(async () => {
+                for (let count = 0; count < 8; count += 1) {
+                    version += 1;
+                    publish(version, ["key", round]);
+                }
+                await waitForVersion(version);
+            });
+            // The operator writes again what was lost, and then something new.
+            publish(version, ["key", round]);
+            expect(await readStatuses(round)).toEqual(everywhere(200));
+            version += 1;
+            publish(version, ["key"]);
+            await waitForVersion(version);
+            expect(await readStatuses(round)).toEqual(everywhere(401));
+            expect(await readStatuses("key")).toEqual(everywhere(200));
+        }
+    });
+
+    // Guards against nodes that ask the store hundreds of times a second for an offset that it does not have.
+    it("do not ask the store again and again", async () => {
+        await loseWrites(async () => {
+            for (let count = 0; count < 8; count += 1) {
+                publish(100 + count, ["key"]);
+            }
+            await waitForVersion(107);
+        });
+        await sleep(500);
+        const before = site.store.calls.length;
+        await sleep(2_000);
+        const calls = site.store.calls.length - before;
+        expect(calls).toBeLessThanOrEqual(2 * nodeCount * maxCallsPerNodeSecond);
+        publish(108, ["key"]);
+        await waitForVersion(108);
+    });
+});
