Call the place of a record in a topic its position

What orders the copies of a topic will no longer be the store's offset alone; the name makes room for that.

--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -83,11 +83,11 @@
 /**
  * Decodes a roll-out order.
  * @param value - The record's value.
- * @param offset - The record's offset, which identifies the order.
+ * @param position - The record's position, which identifies the order.
  */
-export function decodeRolloutOrder(value: Buffer, offset: number): Result<RolloutOrder, Failure> {
+export function decodeRolloutOrder(value: Buffer, position: number): Result<RolloutOrder, Failure> {
     return parseRecord(value, orderSchema).map(order => ({
-        id: offset,
+        id: position,
         pool: order.service,
         version: order.target,
         durationMilliseconds: order.deadline_s * 1_000,
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -44,12 +44,12 @@
      * @param changed - The records; without a value, the operator has removed them.
      */
     apply(changed: readonly KeyedRecord[]): void {
-        for (const { key, value, offset } of changed) {
+        for (const { key, value, position } of changed) {
             if (key === recordKeys.configuration && value !== undefined) {
                 this.#applyConfiguration(value);
             }
             else if (key.startsWith(recordKeys.rolloutPrefix) && value !== undefined) {
-                this.#applyRolloutOrder(key, value, offset);
+                this.#applyRolloutOrder(key, value, position);
             }
             else if (key.startsWith(recordKeys.evacuationPrefix)) {
                 this.#applyEvacuation(key.slice(recordKeys.evacuationPrefix.length), value !== undefined);
@@ -75,8 +75,8 @@
         }
     }
 
-    #applyRolloutOrder(key: string, value: Buffer, offset: number): void {
-        decodeRolloutOrder(value, offset).match(
+    #applyRolloutOrder(key: string, value: Buffer, position: number): void {
+        decodeRolloutOrder(value, position).match(
             order => this.#options.getRollouts().setOrder(order),
             failure => this.#logUnreadable(key, failure),
         );
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -124,7 +124,7 @@
     async #readAll(topic: string): Promise<Result<TopicPage, Failure>> {
         const confirmedAt = this.#clock.monotonic();
         const records = new Map<string, KeyedRecord>();
-        let endOffset: number | undefined;
+        let endPosition: number | undefined;
         let after: string | undefined;
         for (;;) {
             const query = new URLSearchParams({ topic, part: "0", ...(after === undefined ? {} : { after }) });
@@ -140,14 +140,14 @@
                 return err(page.error);
             }
             for (const { key, value, offset } of page.value.entries) {
-                records.set(key, { key, value: Buffer.from(value, "base64"), offset });
+                records.set(key, { key, value: Buffer.from(value, "base64"), position: offset });
                 after = key;
             }
             // The pages are not a consistent snapshot. Changes made after the first page are read again from that page's end
             // offset.
-            endOffset ??= page.value.end_offset;
+            endPosition ??= page.value.end_offset;
             if (!page.value.has_more) {
-                return ok({ records: [...records.values()], isComplete: true, endOffset, confirmedAt });
+                return ok({ records: [...records.values()], isComplete: true, endPosition, confirmedAt });
             }
         }
     }
@@ -212,22 +212,22 @@
         return err(createUnreadableResponseFailure("the answer ends early"));
     }
     const records: KeyedRecord[] = [];
-    let position = pageHeaderBytes;
-    let offset = from;
-    while (position + lengthBytes <= body.length) {
-        const length = body.readUInt32BE(position);
-        const record = body.subarray(position + lengthBytes, position + lengthBytes + length);
+    let start = pageHeaderBytes;
+    let position = from;
+    while (start + lengthBytes <= body.length) {
+        const length = body.readUInt32BE(start);
+        const record = body.subarray(start + lengthBytes, start + lengthBytes + length);
         if (record.length < length) {
             return err(createUnreadableResponseFailure("a record ends early"));
         }
         const keyEnd = 1 + (record[0] ?? 0);
         const value = record.subarray(keyEnd);
         const key = record.subarray(1, keyEnd).toString();
-        records.push({ key, value: value.length === 0 ? undefined : Buffer.from(value), offset });
-        position += lengthBytes + length;
-        offset += 1;
+        records.push({ key, value: value.length === 0 ? undefined : Buffer.from(value), position });
+        start += lengthBytes + length;
+        position += 1;
     }
-    return ok({ records, isComplete: false, endOffset: offset, confirmedAt });
+    return ok({ records, isComplete: false, endPosition: position, confirmedAt });
 }
 
 function parseJson<T>(body: Buffer, schema: z.ZodType<T>): Result<T, Failure> {
--- a/src/topics/keyedTopic.ts
+++ b/src/topics/keyedTopic.ts
@@ -9,7 +9,8 @@
     readonly key: string;
     /** Undefined when the key was removed. */
     readonly value: Buffer | undefined;
-    readonly offset: number;
+    /** Grows with each record of the topic. */
+    readonly position: number;
 }
 
 /** Records of a topic, and the time at which they were confirmed. */
@@ -17,8 +18,8 @@
     readonly records: readonly KeyedRecord[];
     /** Whether the records are the newest ones of all keys, so that missing keys were removed. */
     readonly isComplete: boolean;
-    /** The offset from which to continue reading. */
-    readonly endOffset: number;
+    /** The position from which to continue reading. */
+    readonly endPosition: number;
     /** Monotonic milliseconds at which the store held nothing newer. This is a lower bound. */
     readonly confirmedAt: number;
 }
@@ -30,8 +31,8 @@
     /** Reads the newest record of every key. */
     readonly readAll: () => Promise<Result<TopicPage, Failure>>;
     /**
-     * Waits for records at or after an offset. A failure of the kind `gone` requires a call of `readAll`.
-     * @param from - The first offset to read.
+     * Waits for records at or after a position. A failure of the kind `gone` requires a call of `readAll`.
+     * @param from - The first position to read.
      * @param waitMilliseconds - How long to wait for a record before returning an empty page.
      */
     readonly readSince: (from: number, waitMilliseconds: number) => Promise<Result<TopicPage, Failure>>;
--- a/src/topics/peerTopics.ts
+++ b/src/topics/peerTopics.ts
@@ -72,7 +72,7 @@
     const now = clock.monotonic();
     return {
         newer: page.records.length > 0,
-        offset: page.endOffset,
+        offset: page.endPosition,
         state: encodeRecords(page.records),
         counter: 0,
         // Rounded up, so that the state never appears younger than it is.
@@ -92,11 +92,11 @@
         { ...requestFields, stream: topic, counter: 0 },
         requestFields.waitMilliseconds + responseTimeoutMilliseconds,
     );
-    return reply.andThen(({ state, offset, complete, heldMilliseconds, ageMilliseconds }) =>
+    return reply.andThen(({ state, offset: endPosition, complete, heldMilliseconds, ageMilliseconds }) =>
         decodeRecords(state).map(records => ({
             records,
             isComplete: complete,
-            endOffset: offset,
+            endPosition,
             // The peer sent the answer no earlier than the time at which the query was sent plus the time for which the
             // peer held it. A delayed answer therefore never counts as fresh.
             confirmedAt: sentAt + heldMilliseconds - ageMilliseconds,
@@ -118,17 +118,17 @@
 
 function encodeRows(records: readonly KeyedRecord[]): Buffer {
     const rows = records.map((
-        { key, offset, value },
-    ) => [key, offset, ...(value === undefined ? [] : [value.toString("base64")])]);
+        { key, position, value },
+    ) => [key, position, ...(value === undefined ? [] : [value.toString("base64")])]);
     return Buffer.from(JSON.stringify(rows));
 }
 
 function decodeRecords(state: Buffer): Result<readonly KeyedRecord[], Failure> {
     try {
         const rows = stateSchema.parse(JSON.parse(state.toString()));
-        return ok(rows.map(([key, offset, value]) => ({
+        return ok(rows.map(([key, position, value]) => ({
             key,
-            offset,
+            position,
             value: value === undefined ? undefined : Buffer.from(value, "base64"),
         })));
     }
--- a/src/topics/storeBackoff.ts
+++ b/src/topics/storeBackoff.ts
@@ -44,7 +44,7 @@
     }
 
     #record(result: Result<TopicPage, Failure>): Result<TopicPage, Failure> {
-        // A topic whose offset has expired is an answer of the store.
+        // A topic whose position has expired is an answer of the store.
         if (result.isOk() || result.error.kind === "gone") {
             this.#failures = 0;
             this.#waitsUntil = Number.NEGATIVE_INFINITY;
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -43,7 +43,7 @@
      * all nodes at once after a power failure.
      */
     readonly waitForPeers?: () => Promise<void>;
-    /** Receives changed records, ordered by offset. */
+    /** Receives changed records, ordered by position. */
     readonly onChanges: (changed: readonly KeyedRecord[]) => void;
     /** Waits between failed reads. The default uses a timer. */
     readonly sleep?: (milliseconds: number) => Promise<void>;
@@ -117,13 +117,13 @@
     }
 
     /**
-     * Waits until there is a record at or after an offset, for peers that read through this node. Returns early when
+     * Waits until there is a record at or after a position, for peers that read through this node. Returns early when
      * the reads of this node fail, since a peer that kept waiting would receive changes too late.
-     * @param from - The offset.
+     * @param from - The position.
      * @param waitMilliseconds - Maximum time to wait.
      */
     async waitForChanges(from: number, waitMilliseconds: number): Promise<TopicPage> {
-        await this.#waitUntil(() => this.state.getEndOffset() > from || this.isDegraded(), waitMilliseconds);
+        await this.#waitUntil(() => this.state.getEndPosition() > from || this.isDegraded(), waitMilliseconds);
         return this.state.getSince(from);
     }
 
@@ -162,13 +162,13 @@
             const isFirst = !this.state.isLoaded();
             const read = isFirst
                 ? await reader.readAll()
-                : await reader.readSince(this.state.getEndOffset(), this.#options.waitMilliseconds);
+                : await reader.readSince(this.state.getEndPosition(), this.#options.waitMilliseconds);
             if (read.isErr()) {
                 this.#startFallback();
                 await this.#recover(reader, read.error);
                 continue;
             }
-            const hasChanges = this.state.getEndOffset() < read.value.endOffset;
+            const hasChanges = this.state.getEndPosition() < read.value.endPosition;
             this.applyPage(read.value);
             if (this.getAge() > this.#options.staleMilliseconds) {
                 this.#startFallback();
@@ -231,7 +231,11 @@
         this.#failures += 1;
         if (this.#failures === 1) {
             const { name, journal } = this.#options;
-            journal.write(events.topicLost, { topic: name, offset: this.state.getEndOffset(), cause: failure.message });
+            journal.write(events.topicLost, {
+                topic: name,
+                offset: this.state.getEndPosition(),
+                cause: failure.message,
+            });
         }
         if (!this.#isFailing && (reader.source === "store" || this.#failures > 1)) {
             this.#isFailing = true;
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -5,27 +5,27 @@
 
 /** Maximum number of tombstones. They report removals to peers that read through this node. */
 const maxTombstones = 1_000;
-/** Stands for the list of all records that are not removed, in place of an offset. */
+/** Stands for the list of all records that are not removed, in place of a position. */
 const wholeState = -1;
 
-/** Folds pages. An older offset never replaces a newer one, regardless of the order in which pages arrive. */
+/** Folds pages. An older position never replaces a newer one, regardless of the order in which pages arrive. */
 export class TopicState {
     readonly #records = new Map<string, KeyedRecord>();
-    #endOffset = 0;
+    #endPosition = 0;
     #confirmedAt = Number.NEGATIVE_INFINITY;
     #isLoaded = false;
-    /** Tombstones before this offset were pruned. */
+    /** Tombstones before this position were pruned. */
     #prunedBefore = 0;
     #tombstones = 0;
     /**
-     * Lists of records by the offset from which they were requested, until the next change. Many peers request the same ones, and a
+     * Lists of records by the position from which they were requested, until the next change. Many peers request the same ones, and a
      * list is encoded once.
      */
     readonly #lists = new Map<number, readonly KeyedRecord[]>();
 
-    /** Returns the end offset of the folded records. */
-    getEndOffset(): number {
-        return this.#endOffset;
+    /** Returns the end position of the folded records. */
+    getEndPosition(): number {
+        return this.#endPosition;
     }
 
     /** Returns whether a complete page has been folded. */
@@ -61,28 +61,31 @@
         return {
             records: this.#getList(wholeState, () => [...this.getAll()]),
             isComplete: true,
-            endOffset: this.#endOffset,
+            endPosition: this.#endPosition,
             confirmedAt: this.#confirmedAt,
         };
     }
 
     /**
-     * Returns the changes at or after an offset, including removals, or the whole state if tombstones since that offset
+     * Returns the changes at or after a position, including removals, or the whole state if tombstones since that position
      * were pruned.
-     * @param from - The offset.
+     * @param from - The position.
      */
     getSince(from: number): TopicPage {
         if (from < this.#prunedBefore) {
             return this.getCompletePage();
         }
-        const records = this.#getList(from, () => [...this.#records.values()].filter(({ offset }) => offset >= from));
-        return { records, isComplete: false, endOffset: this.#endOffset, confirmedAt: this.#confirmedAt };
+        const records = this.#getList(
+            from,
+            () => [...this.#records.values()].filter(({ position }) => position >= from),
+        );
+        return { records, isComplete: false, endPosition: this.#endPosition, confirmedAt: this.#confirmedAt };
     }
 
     /**
      * Folds a page.
      * @param page - The page.
-     * @returns The records that changed the state, ordered by offset.
+     * @returns The records that changed the state, ordered by position.
      */
     apply(page: TopicPage): readonly KeyedRecord[] {
         this.#lists.clear();
@@ -96,13 +99,13 @@
             changed.push(...this.#removeMissing(page));
             this.#isLoaded = true;
         }
-        this.#endOffset = Math.max(this.#endOffset, page.endOffset);
-        // A page of a peer that lags behind confirms only the offsets that it covers.
-        if (page.endOffset >= this.#endOffset) {
+        this.#endPosition = Math.max(this.#endPosition, page.endPosition);
+        // A page of a peer that lags behind confirms only the positions that it covers.
+        if (page.endPosition >= this.#endPosition) {
             this.#confirmedAt = Math.max(this.#confirmedAt, page.confirmedAt);
         }
         this.#pruneTombstones();
-        return changed.sort((first, second) => first.offset - second.offset);
+        return changed.sort((first, second) => first.position - second.position);
     }
 
     #getList(from: number, collect: () => readonly KeyedRecord[]): readonly KeyedRecord[] {
@@ -113,14 +116,14 @@
 
     #set(record: KeyedRecord): boolean {
         const known = this.#records.get(record.key);
-        if (known !== undefined && known.offset >= record.offset) {
+        if (known !== undefined && known.position >= record.position) {
             return false;
         }
         this.#replace(record);
         return true;
     }
 
-    /** Removes the key and sets it again, so that the map stays ordered by offset, lowest first. */
+    /** Removes the key and sets it again, so that the map stays ordered by position, lowest first. */
     #replace(record: KeyedRecord): void {
         const known = this.#records.get(record.key);
         if (known !== undefined && known.value === undefined) {
@@ -137,8 +140,8 @@
         const listed = new Set(page.records.map(record => record.key));
         const removed: KeyedRecord[] = [];
         for (const record of [...this.#records.values()]) {
-            if (record.value !== undefined && !listed.has(record.key) && record.offset < page.endOffset) {
-                const tombstone = { key: record.key, value: undefined, offset: page.endOffset - 1 };
+            if (record.value !== undefined && !listed.has(record.key) && record.position < page.endPosition) {
+                const tombstone = { key: record.key, value: undefined, position: page.endPosition - 1 };
                 this.#replace(tombstone);
                 removed.push(tombstone);
             }
@@ -156,7 +159,7 @@
             }
             this.#records.delete(record.key);
             this.#tombstones -= 1;
-            this.#prunedBefore = Math.max(this.#prunedBefore, record.offset + 1);
+            this.#prunedBefore = Math.max(this.#prunedBefore, record.position + 1);
             if (this.#tombstones <= maxTombstones) {
                 return;
             }
--- a/test/platform/decode.test.ts
+++ b/test/platform/decode.test.ts
@@ -116,7 +116,7 @@
 });
 
 describe("decodePage", () => {
-    it("decodes records and removals with their offsets", () => {
+    it("decodes records and removals with their positions", () => {
         const header = Buffer.alloc(16);
         const body = Buffer.concat([
             header,
@@ -125,10 +125,10 @@
         ]);
         const page = decodePage(body, 40, 5)._unsafeUnwrap();
         expect(page.records).toEqual([
-            { key: "a", value: Buffer.from("1"), offset: 40 },
-            { key: "b", value: undefined, offset: 41 },
+            { key: "a", value: Buffer.from("1"), position: 40 },
+            { key: "b", value: undefined, position: 41 },
         ]);
-        expect([page.endOffset, page.confirmedAt]).toEqual([42, 5]);
+        expect([page.endPosition, page.confirmedAt]).toEqual([42, 5]);
     });
 
     it("fails on a truncated answer", () => {
--- a/test/platform/upstreamRecords.test.ts
+++ b/test/platform/upstreamRecords.test.ts
@@ -24,11 +24,11 @@
     const registry = new UpstreamRegistry(clock, new Announcements({ clock, journal }));
     const throttledJournal = new ThrottledJournal({ clock, journal });
     const records = new UpstreamRecords({ journal, throttledJournal, metrics, registry });
-    let offset = 0;
+    let position = 0;
     const apply = (key: string, value: unknown): void => {
         const bytes = Buffer.isBuffer(value) || value === undefined ? value : Buffer.from(JSON.stringify(value));
-        offset += 1;
-        records.apply([{ key, value: bytes, offset }], 0);
+        position += 1;
+        records.apply([{ key, value: bytes, position }], 0);
     };
     const getAvailable = (): readonly string[] => registry.getAvailable("pool").map(({ id }) => id);
     const countLines = (name: string): number => lines.filter(line => line.name === name).length;
--- a/test/topics/peerTopics.test.ts
+++ b/test/topics/peerTopics.test.ts
@@ -27,9 +27,13 @@
     const peerClock = new ManualClock(500_000);
     const follower = createFollower(peerClock);
     follower.applyPage({
-        records: [{ key: "config", value: Buffer.from("{}"), offset: 3 }, { key: "old", value: undefined, offset: 4 }],
+        records: [{ key: "config", value: Buffer.from("{}"), position: 3 }, {
+            key: "old",
+            value: undefined,
+            position: 4,
+        }],
         isComplete: true,
-        endOffset: 5,
+        endPosition: 5,
         confirmedAt: peerClock.monotonic() - options.stateAge,
     });
     const clock = new ManualClock(1_000);
@@ -50,7 +54,7 @@
     it("transfers records and removals", async () => {
         const { reader } = createReader({ stateAge: 0, replyDelay: 1 });
         const page = (await reader.readSince(4, 0))._unsafeUnwrap();
-        expect(page.records).toEqual([{ key: "old", value: undefined, offset: 4 }]);
+        expect(page.records).toEqual([{ key: "old", value: undefined, position: 4 }]);
         expect((await reader.readAll())._unsafeUnwrap().records.map(record => record.key)).toEqual(["config"]);
     });
 
--- a/test/topics/storeBackoff.test.ts
+++ b/test/topics/storeBackoff.test.ts
@@ -12,7 +12,7 @@
     const read: KeyedTopicReader["readAll"] = () => {
         state.calls += 1;
         const failure = new Failure({ kind: "unavailable", message: "The store is down.", remedy: "Wait." });
-        const page = { records: [], isComplete: true, endOffset: 0, confirmedAt: 0 };
+        const page = { records: [], isComplete: true, endPosition: 0, confirmedAt: 0 };
         return Promise.resolve(state.isDown ? err(failure) : ok(page));
     };
     return { state, reader: { source: "store", readAll: read, readSince: read } satisfies KeyedTopicReader };
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -7,9 +7,9 @@
 
 type ReadResult = Result<TopicPage, Failure>;
 
-function createPage(offset: number, confirmedAt: number, isComplete = false): ReadResult {
-    const records = [{ key: "config", value: Buffer.from(String(offset)), offset }];
-    return ok({ records, isComplete, endOffset: offset + 1, confirmedAt });
+function createPage(position: number, confirmedAt: number, isComplete = false): ReadResult {
+    const records = [{ key: "config", value: Buffer.from(String(position)), position }];
+    return ok({ records, isComplete, endPosition: position + 1, confirmedAt });
 }
 
 function createFailure(kind: "unavailable" | "gone"): ReadResult {
@@ -111,7 +111,7 @@
     // Guards against a configuration that stays outdated. The store dropped its history while this node was cut off, so
     // the missing records never arrive. Without reading the whole topic again, the node would keep using the old
     // configuration.
-    it("reads the whole topic again when its offset has expired", async () => {
+    it("reads the whole topic again when its position has expired", async () => {
         const { calls, values } = await follow([
             createPage(4, 1_000, true),
             createFailure("gone"),
@@ -188,12 +188,12 @@
         const { follower } = await follow([createPage(4, 1_000, true)]);
         const waited = follower.waitForChanges(5, 10_000);
         follower.applyPage({
-            records: [{ key: "config", value: Buffer.from("6"), offset: 6 }],
+            records: [{ key: "config", value: Buffer.from("6"), position: 6 }],
             isComplete: false,
-            endOffset: 7,
+            endPosition: 7,
             confirmedAt: 0,
         });
-        expect((await waited).endOffset).toEqual(7);
+        expect((await waited).endPosition).toEqual(7);
         expect((await follower.waitForChanges(7, 1)).records).toEqual([]);
     });
 
--- a/test/topics/topicState.test.ts
+++ b/test/topics/topicState.test.ts
@@ -3,17 +3,17 @@
 import { describe, it } from "node:test";
 import { type KeyedRecord, type TopicPage, TopicState } from "../../src/topics/index.js";
 
-function createRecord(key: string, offset: number, value: string | undefined = `${key}@${offset}`): KeyedRecord {
-    return { key, offset, value: value === undefined ? undefined : Buffer.from(value) };
+function createRecord(key: string, position: number, value: string | undefined = `${key}@${position}`): KeyedRecord {
+    return { key, position, value: value === undefined ? undefined : Buffer.from(value) };
 }
 
-function createRemoval(key: string, offset: number): KeyedRecord {
-    return { key, offset, value: undefined };
+function createRemoval(key: string, position: number): KeyedRecord {
+    return { key, position, value: undefined };
 }
 
 function createPage(records: readonly KeyedRecord[], options: Partial<TopicPage> = {}): TopicPage {
-    const end = Math.max(0, ...records.map(record => record.offset + 1));
-    return { records, isComplete: false, endOffset: end, confirmedAt: 0, ...options };
+    const end = Math.max(0, ...records.map(record => record.position + 1));
+    return { records, isComplete: false, endPosition: end, confirmedAt: 0, ...options };
 }
 
 function readAll(state: TopicState): Record<string, string> {
@@ -29,7 +29,7 @@
         it("removes a key that a complete page lacks", () => {
             const state = new TopicState();
             state.apply(createPage([createRecord("a", 0), createRecord("b", 1)]));
-            const changed = state.apply(createPage([createRecord("b", 1)], { isComplete: true, endOffset: 3 }));
+            const changed = state.apply(createPage([createRecord("b", 1)], { isComplete: true, endPosition: 3 }));
             expect(changed).toEqual([createRemoval("a", 2)]);
         });
 
@@ -38,17 +38,17 @@
         it("retains records that are newer than a complete page", () => {
             const state = new TopicState();
             state.apply(createPage([createRecord("a", 0), createRecord("c", 7)]));
-            state.apply(createPage([createRecord("a", 0)], { isComplete: true, endOffset: 5 }));
+            state.apply(createPage([createRecord("a", 0)], { isComplete: true, endPosition: 5 }));
             expect(readAll(state)).toEqual({ a: "a@0", c: "c@7" });
         });
 
         // Guards against the use of revoked keys. Two peers answer, and the one that lags behind answers last. Its
         // answer is recent, but its state is old. If it confirmed the state, a key that was removed in between would be
         // accepted.
-        it("is not confirmed by a page that ends at a lower offset", () => {
+        it("is not confirmed by a page that ends at a lower position", () => {
             const state = new TopicState();
             state.apply(createPage([createRecord("a", 4)], { confirmedAt: 100 }));
-            state.apply(createPage([], { endOffset: 3, confirmedAt: 900 }));
+            state.apply(createPage([], { endPosition: 3, confirmedAt: 900 }));
             expect(state.getConfirmedAt()).toEqual(100);
         });
 
@@ -56,8 +56,8 @@
             const keys = fc.constantFrom("a", "b", "c");
             const history = fc.array(fc.tuple(keys, fc.boolean()), { minLength: 1, maxLength: 20 });
             fc.assert(fc.property(history, fc.array(fc.nat(), { maxLength: 30 }), (entries, picks) => {
-                const records = entries.map(([key, removed], offset) =>
-                    removed ? createRemoval(key, offset) : createRecord(key, offset)
+                const records = entries.map(([key, removed], position) =>
+                    removed ? createRemoval(key, position) : createRecord(key, position)
                 );
                 const state = new TopicState();
                 for (const pick of picks) {
@@ -81,7 +81,7 @@
     });
 
     describe("getSince", () => {
-        it("returns changes and removals from an offset on", () => {
+        it("returns changes and removals from a position on", () => {
             const state = new TopicState();
             state.apply(createPage([createRecord("a", 0), createRecord("b", 1), createRemoval("a", 2)]));
             expect(state.getSince(2).records).toEqual([createRemoval("a", 2)]);
@@ -108,10 +108,12 @@
             expect(state.getSince(1).records.map(({ key }) => key)).toEqual(["b", "c"]);
         });
 
-        it("returns the whole state when tombstones since the offset were pruned", () => {
+        it("returns the whole state when tombstones since the position were pruned", () => {
             const state = new TopicState();
-            for (let offset = 0; offset < 2_200; offset += 2) {
-                state.apply(createPage([createRecord(`k${offset}`, offset), createRemoval(`k${offset}`, offset + 1)]));
+            for (let position = 0; position < 2_200; position += 2) {
+                state.apply(
+                    createPage([createRecord(`k${position}`, position), createRemoval(`k${position}`, position + 1)]),
+                );
             }
             const page = state.getSince(0);
             expect([page.isComplete, page.records.length]).toEqual([true, 0]);
