Order the records of a topic by the store's era before their offset

What callers saw: a revoked key that still worked, and keys refused for seconds after the store was back (CONFIG). Cause: copies of a topic were ordered by offset alone. When the store came back from an older copy, what was written again had lower offsets than what a node knew, so the whole list changed nothing, and the next read began behind the store's end once more: 410, without a pause, until the topic had grown past its old end. What lay between was never seen; then the state counted as current again. Ruled out by the record: unreadable versions, and nodes that read from peers of before.

Change: the adapter reads the header Store-Era and makes one position of era and offset, which only grows; nothing else of the nodes knows eras but what has to be done at a return. A read that goes on from an offset of another era asks for the whole list. What the store's copy lacks counts on for five seconds, in which its writers write it again, and is removed by a second whole read; an upstream or an evacuation does not vanish in between. A record that the copy has kept is no change. A source that lists less than is known is asked again after a pause. Peers pass positions on as they did offsets. Line 224 tells of each return.

--- a/src/events/catalogue/configurationEvents.ts
+++ b/src/events/catalogue/configurationEvents.ts
@@ -85,6 +85,12 @@
         "warning",
         "A topic of the store could not be read; the cached state becomes stale until it can be read again.",
     ),
+    storeWentBack: define(
+        224,
+        "store-went-back",
+        "warning",
+        "The store came back from an older copy of itself; the topic goes on with the given era and offset.",
+    ),
     topicRegained: define(221, "topic-regained", "info", "A topic of the store can be read again."),
     routesInForce: define(222, "routes-in-force", "info", "A version of the route table is in force on this node."),
     recordUnreadable: define(
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -5,8 +5,14 @@
 import { Pool } from "undici";
 import { z } from "zod";
 import { type Clock, Failure, ReadTimeout } from "../common/index.js";
-import type { KeyedRecord, KeyedTopicReader, TopicPage } from "../topics/index.js";
-import { storePaths } from "./wire.js";
+import {
+    createPosition,
+    type KeyedRecord,
+    type KeyedTopicReader,
+    readPosition,
+    type TopicPage,
+} from "../topics/index.js";
+import { headerNames, storePaths } from "./wire.js";
 
 /**
  * How long the store may take in addition to the duration of a long poll. It answers in 4 ms, and in 240 ms when it is sixty
@@ -29,6 +35,8 @@
 
 interface StoreResponse {
     readonly status: number;
+    /** Rises each time the store comes back from an older copy of itself; 0 for a store that does not say. */
+    readonly era: number;
     readonly body: Buffer;
 }
 
@@ -124,7 +132,7 @@
     async #readAll(topic: string): Promise<Result<TopicPage, Failure>> {
         const confirmedAt = this.#clock.monotonic();
         const records = new Map<string, KeyedRecord>();
-        let endPosition: number | undefined;
+        let first: { readonly era: number; readonly endPosition: number; } | undefined;
         let after: string | undefined;
         for (;;) {
             const query = new URLSearchParams({ topic, part: "0", ...(after === undefined ? {} : { after }) });
@@ -132,21 +140,29 @@
             if (response.isErr()) {
                 return err(response.error);
             }
-            if (response.value.status !== 200) {
-                return err(createStatusFailure(response.value.status));
+            const { status, era, body } = response.value;
+            if (status !== 200) {
+                return err(createStatusFailure(status));
             }
-            const page = parseJson(response.value.body, newestSchema);
+            const page = parseJson(body, newestSchema);
             if (page.isErr()) {
                 return err(page.error);
             }
+            // The pages are not a consistent snapshot. Changes made after the first page are read again from that page's end.
+            first ??= { era, endPosition: createPosition({ era, offset: page.value.end_offset }) };
+            if (era !== first.era) {
+                return err(createWentBackFailure(topic));
+            }
             for (const { key, value, offset } of page.value.entries) {
-                records.set(key, { key, value: Buffer.from(value, "base64"), position: offset });
+                records.set(key, {
+                    key,
+                    value: Buffer.from(value, "base64"),
+                    position: createPosition({ era, offset }),
+                });
                 after = key;
             }
-            // The pages are not a consistent snapshot. Changes made after the first page are read again from that page's end
-            // offset.
-            endPosition ??= page.value.end_offset;
             if (!page.value.has_more) {
+                const { endPosition } = first;
                 return ok({ records: [...records.values()], isComplete: true, endPosition, confirmedAt });
             }
         }
@@ -154,18 +170,28 @@
 
     async #readSince(topic: string, from: number, waitMilliseconds: number): Promise<Result<TopicPage, Failure>> {
         const confirmedAt = this.#clock.monotonic();
-        const query = new URLSearchParams({ topic, part: "0", from: String(from), wait_ms: String(waitMilliseconds) });
+        const known = readPosition(from);
+        const query = new URLSearchParams({
+            topic,
+            part: "0",
+            from: String(known.offset),
+            wait_ms: String(waitMilliseconds),
+        });
         const response = await this.#call("GET", `${storePaths.read}?${query}`, waitMilliseconds);
         if (response.isErr()) {
             return err(response.error);
         }
-        const { status, body } = response.value;
+        const { status, era, body } = response.value;
         if (status === 410) {
-            return err(createOffsetExpiredFailure(topic, from));
+            return err(createOffsetGoneFailure(topic, known.offset));
         }
         if (status !== 200) {
             return err(createStatusFailure(status));
         }
+        if (era !== known.era) {
+            // The same offset is another record now.
+            return err(createWentBackFailure(topic));
+        }
         return decodePage(body, from, confirmedAt);
     }
 
@@ -179,7 +205,11 @@
         const timeout = new ReadTimeout(waitMilliseconds + responseTimeoutMilliseconds, () => controller.abort());
         try {
             const response = await this.#pool.request({ method, path, body, signal: controller.signal });
-            return ok({ status: response.statusCode, body: Buffer.from(await response.body.arrayBuffer()) });
+            const content = Buffer.from(await response.body.arrayBuffer());
+            const era = Number(response.headers[headerNames.storeEra] ?? 0);
+            return Number.isSafeInteger(era)
+                ? ok({ status: response.statusCode, era, body: content })
+                : err(createUnreadableResponseFailure(`the header ${headerNames.storeEra} is not a number`));
         }
         catch (cause) {
             return err(createNoResponseFailure(cause));
@@ -204,7 +234,7 @@
 /**
  * Decodes the answer to a read.
  * @param body - The end offset and the first retained offset, then the records.
- * @param from - Offset of the first record.
+ * @param from - Position of the first record.
  * @param confirmedAt - Monotonic time at which the read started.
  */
 export function decodePage(body: Buffer, from: number, confirmedAt: number): Result<TopicPage, Failure> {
@@ -247,10 +277,18 @@
     });
 }
 
-function createOffsetExpiredFailure(topic: string, from: number): Failure {
+function createOffsetGoneFailure(topic: string, from: number): Failure {
+    return new Failure({
+        kind: "gone",
+        message: `Offset ${from} of the topic ${topic} has expired or was never written.`,
+        remedy: "Read the newest record of every key.",
+    });
+}
+
+function createWentBackFailure(topic: string): Failure {
     return new Failure({
         kind: "gone",
-        message: `Offset ${from} of the topic ${topic} has expired.`,
+        message: `The store came back from an older copy, and the topic ${topic} has other offsets.`,
         remedy: "Read the newest record of every key.",
     });
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -38,6 +38,8 @@
     confidence: "confidence",
     apiKey: "api-key",
     session: "session",
+    /** Rises each time the store comes back from an older copy of itself. In all its answers. */
+    storeEra: "store-era",
 } as const;
 
 /** Model name with which a caller lets the router choose the model. */
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -4,6 +4,7 @@
 import type { Clock, Failure } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { KeyedRecord, KeyedTopicReader, TopicPage } from "./keyedTopic.js";
+import { isOfLaterEra, readPosition } from "./position.js";
 import { TopicState } from "./topicState.js";
 
 /** Pause after a failed read, in milliseconds. It doubles up to the maximum. */
@@ -13,6 +14,12 @@
 /** Short, since keyed requests are refused until the store can be read again after an outage. */
 const maxBackoffMilliseconds = 400;
 
+/**
+ * Time after the store's return from an older copy in which its writers write again what it has lost, in milliseconds. Upstreams do so
+ * within two seconds.
+ */
+const settlingMilliseconds = 5_000;
+
 /** Options of a follower. */
 export interface TopicFollowerOptions {
     readonly name: string;
@@ -59,6 +66,8 @@
     #fallbackReads = 0;
     #fallbackUntil = Number.NEGATIVE_INFINITY;
     #outageEndedAt = Number.NEGATIVE_INFINITY;
+    /** Monotonic time at which the writers had time to write again what the store has lost. */
+    #settledAt = Number.POSITIVE_INFINITY;
     #isStopped = false;
     #running: Promise<void> | undefined;
 
@@ -109,10 +118,14 @@
         if (this.state.isLoaded() && this.getAge() > this.#options.outageMilliseconds) {
             this.#outageEndedAt = this.#options.clock.monotonic();
         }
+        const before = this.state.getEndPosition();
         const changed = this.state.apply(page);
         if (changed.length > 0) {
             this.#options.onChanges(changed);
         }
+        if (isOfLaterEra(this.state.getEndPosition(), before) && before > 0) {
+            this.#handleReturn();
+        }
         this.#notifyWaiters();
     }
 
@@ -156,11 +169,24 @@
         });
     }
 
+    /** Continues with a store that has come back from an older copy. What it has lost counts until its writers had time to write it again. */
+    #handleReturn(): void {
+        const { name, journal, clock } = this.#options;
+        journal.write(events.storeWentBack, { topic: name, ...readPosition(this.state.getEndPosition()) });
+        this.#settledAt = clock.monotonic() + settlingMilliseconds;
+    }
+
+    /** Returns whether the whole topic has to be read: for the first time, or since what was not written again is gone. */
+    #mustReadAll(): boolean {
+        return !this.state.isLoaded() || this.#options.clock.monotonic() >= this.#settledAt;
+    }
+
     async #run(): Promise<void> {
         while (!this.#isStopped) {
             const reader = this.#options.pickReader(this.#fallbackReads);
             const isFirst = !this.state.isLoaded();
-            const read = isFirst
+            const isWhole = this.#mustReadAll();
+            const read = isWhole
                 ? await reader.readAll()
                 : await reader.readSince(this.state.getEndPosition(), this.#options.waitMilliseconds);
             if (read.isErr()) {
@@ -168,6 +194,9 @@
                 await this.#recover(reader, read.error);
                 continue;
             }
+            if (isWhole) {
+                this.#settledAt = Number.POSITIVE_INFINITY;
+            }
             const hasChanges = this.state.getEndPosition() < read.value.endPosition;
             this.applyPage(read.value);
             if (this.getAge() > this.#options.staleMilliseconds) {
@@ -215,8 +244,11 @@
         if (failure.kind === "gone") {
             const page = await reader.readAll();
             if (page.isOk()) {
-                this.#recordRecovery();
                 this.applyPage(page.value);
+            }
+            // A source that knows less than this node would be asked for the same position again and again.
+            if (page.isOk() && page.value.endPosition >= this.state.getEndPosition()) {
+                this.#recordRecovery();
                 return;
             }
         }
@@ -233,7 +265,7 @@
             const { name, journal } = this.#options;
             journal.write(events.topicLost, {
                 topic: name,
-                offset: this.state.getEndPosition(),
+                ...readPosition(this.state.getEndPosition()),
                 cause: failure.message,
             });
         }
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -2,6 +2,7 @@
  * The newest records of a topic, folded from pages that may overlap, repeat or come from several readers.
  */
 import type { KeyedRecord, TopicPage } from "./keyedTopic.js";
+import { isOfLaterEra } from "./position.js";
 
 /** Maximum number of tombstones. They report removals to peers that read through this node. */
 const maxTombstones = 1_000;
@@ -90,13 +91,14 @@
     apply(page: TopicPage): readonly KeyedRecord[] {
         this.#lists.clear();
         const changed: KeyedRecord[] = [];
-        for (const record of page.records) {
+        for (const record of page.isComplete ? page.records.toSorted(compareByPosition) : page.records) {
             if (this.#set(record)) {
                 changed.push(record);
             }
         }
         if (page.isComplete) {
-            changed.push(...this.#removeMissing(page));
+            // What the store has lost is not removed: it is written again.
+            changed.push(...this.#hasLostRecords(page) ? [] : this.#removeMissing(page));
             this.#isLoaded = true;
         }
         this.#endPosition = Math.max(this.#endPosition, page.endPosition);
@@ -105,7 +107,12 @@
             this.#confirmedAt = Math.max(this.#confirmedAt, page.confirmedAt);
         }
         this.#pruneTombstones();
-        return changed.sort((first, second) => first.position - second.position);
+        return changed.sort(compareByPosition);
+    }
+
+    /** Returns whether a page is the first one since the store came back from an older copy. */
+    #hasLostRecords({ endPosition }: TopicPage): boolean {
+        return this.#isLoaded && isOfLaterEra(endPosition, this.#endPosition);
     }
 
     #getList(from: number, collect: () => readonly KeyedRecord[]): readonly KeyedRecord[] {
@@ -120,7 +127,7 @@
             return false;
         }
         this.#replace(record);
-        return true;
+        return known === undefined || !isSameRecord(known, record);
     }
 
     /** Removes the key and sets it again, so that the map stays ordered by position, lowest first. */
@@ -166,3 +173,15 @@
         }
     }
 }
+
+function compareByPosition(first: KeyedRecord, second: KeyedRecord): number {
+    return first.position - second.position;
+}
+
+/** Returns whether a record is one that was known before the store came back, and that its copy has kept or its writer has written again. */
+function isSameRecord(known: KeyedRecord, record: KeyedRecord): boolean {
+    if (!isOfLaterEra(record.position, known.position)) {
+        return false;
+    }
+    return known.value === undefined ? record.value === undefined : record.value?.equals(known.value) === true;
+}
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -56,6 +56,29 @@
         expect(page._unsafeUnwrap().records).toEqual([]);
     });
 
+    // Guards against records of before and after the store's return from an older copy that pass for one history.
+    it("does not read on from an offset of before, which is another record now", async () => {
+        const other = new StoreStandin();
+        await other.listen(host, port + 2);
+        const otherClient = new StoreClient(`${host}:${port + 2}`, systemClock);
+        const reader = otherClient.createReader(topic);
+        const copy = other.takeCopy();
+        other.put(topic, "a", "lost");
+        const before = (await reader.readAll())._unsafeUnwrap();
+        other.restore(copy);
+        expect((await reader.readSince(before.endPosition, 0))._unsafeUnwrapErr().kind).toEqual("gone");
+        other.put(topic, "b", "written");
+        other.put(topic, "c", "written");
+        expect((await reader.readSince(before.endPosition, 0))._unsafeUnwrapErr().kind).toEqual("gone");
+        const after = (await reader.readAll())._unsafeUnwrap();
+        expect(after.records.map(({ key }) => key)).toEqual(["b", "c"]);
+        expect(after.records.every(({ position }) => position >= before.endPosition)).toEqual(true);
+        const page = await reader.readSince(after.endPosition, 0);
+        expect(page._unsafeUnwrap().records).toEqual([]);
+        await otherClient.close();
+        other.close();
+    });
+
     // Nodes write their own records to the same topic. If a step had to be the topic's next record, each of these records would
     // make it fail, and a roll-out would not progress.
     it("appends consecutive positions although other records are written in between", async () => {
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { describe, it } from "node:test";
 import { Failure, ManualClock } from "../../src/common/index.js";
-import { type KeyedTopicReader, TopicFollower, type TopicPage } from "../../src/topics/index.js";
+import { createPosition, type KeyedTopicReader, TopicFollower, type TopicPage } from "../../src/topics/index.js";
 import { createJournal } from "../fixtures/journals.js";
 
 type ReadResult = Result<TopicPage, Failure>;
@@ -22,6 +22,7 @@
     clock = new ManualClock(1_000),
     elapsedMilliseconds = 0,
     source: KeyedTopicReader["source"] = "store",
+    later?: { readonly after: number; readonly milliseconds: number; },
 ) {
     const { journal, lines } = createJournal();
     const calls: string[] = [];
@@ -36,6 +37,9 @@
         if (next === 2) {
             clock.advance(elapsedMilliseconds);
         }
+        if (next === later?.after) {
+            clock.advance(later.milliseconds);
+        }
         if (next >= answers.length) {
             follower.stop();
         }
@@ -120,6 +124,45 @@
         expect([calls, values]).toEqual([["all", "since 5", "all"], ["4", "9"]]);
     });
 
+    // Guards against a node that waits behind the end of a topic, or asks for it hundreds of times a second, after the store came back
+    // from an older copy.
+    it("goes on where the store does after it came back from an older copy, and reads the whole topic again once it has settled", async () => {
+        const clock = new ManualClock(1_000);
+        const returned = createPosition({ era: 1, offset: 2 });
+        const { calls, values, lines } = await follow(
+            [
+                createPage(4, 1_000, true),
+                createFailure("gone"),
+                createPage(returned, 20_000, true),
+                createPage(returned + 1, 20_000),
+                createPage(returned + 1, 20_000, true),
+                createPage(returned + 1, 20_000),
+            ],
+            clock,
+            0,
+            "store",
+            { after: 4, milliseconds: 5_000 },
+        );
+        const since = (from: number): string => `since ${from}`;
+        expect(calls).toEqual(["all", since(5), "all", since(returned + 1), "all", since(returned + 2)]);
+        expect(values).toEqual(["4", String(returned), String(returned + 1)]);
+        const line = lines.find(({ name }) => name === "store-went-back");
+        expect([line?.era, line?.offset]).toEqual([1, 3]);
+    });
+
+    // Guards against a store that is asked for the same position without a pause, as what it lists ends before that.
+    it("pauses when the whole topic ends before what it knows", async () => {
+        const { pauses } = await follow([
+            createPage(4, 1_000, true),
+            createFailure("gone"),
+            createPage(2, 1_000, true),
+            createFailure("gone"),
+            createPage(2, 1_000, true),
+            createPage(5, 1_000),
+        ]);
+        expect(pauses.filter(milliseconds => milliseconds >= 100).length).toEqual(2);
+    });
+
     // Guards against a hidden lag: the peer that the node reads from is cut off from the store, and answers with a
     // state that nothing confirms. The age must show, and another source must be read.
     it("uses another source when answers leave the state old", async () => {
--- a/test/topics/topicState.test.ts
+++ b/test/topics/topicState.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { type KeyedRecord, type TopicPage, TopicState } from "../../src/topics/index.js";
+import { createPosition, type KeyedRecord, type TopicPage, TopicState } from "../../src/topics/index.js";
 
 function createRecord(key: string, position: number, value: string | undefined = `${key}@${position}`): KeyedRecord {
     return { key, position, value: value === undefined ? undefined : Buffer.from(value) };
@@ -24,6 +24,24 @@
     return found;
 }
 
+/** Creates a state with the keys a, b and c, before the store comes back from a copy. */
+function createLoadedState(): TopicState {
+    const state = new TopicState();
+    const records = [createRecord("a", 0), createRecord("b", 1), createRecord("c", 2)];
+    state.apply(createPage(records, { isComplete: true }));
+    return state;
+}
+
+/** Creates a record that was written, or kept, in the era after the store's return. */
+function createLater(key: string, offset: number, value: string): KeyedRecord {
+    return createRecord(key, createPosition({ era: 1, offset }), value);
+}
+
+function createReturnPage(records: readonly KeyedRecord[], endOffset: number): TopicPage {
+    const endPosition = createPosition({ era: 1, offset: endOffset });
+    return createPage(records, { isComplete: true, endPosition, confirmedAt: 5 });
+}
+
 describe("TopicState", () => {
     describe("apply", () => {
         it("removes a key that a complete page lacks", () => {
@@ -52,6 +70,37 @@
             expect(state.getConfirmedAt()).toEqual(100);
         });
 
+        // Guards against a configuration that is never seen, since the store came back from an older copy and gave out its offsets again.
+        it("takes records of a later era, whatever their offsets, and none of before after them", () => {
+            const state = createLoadedState();
+            const changed = state.apply(createReturnPage([createLater("a", 1, "again")], 2));
+            expect([changed.map(({ key }) => key), readAll(state).a]).toEqual([["a"], "again"]);
+            expect(state.apply(createPage([createRecord("a", 9, "late")], { confirmedAt: 900 }))).toEqual([]);
+            expect([readAll(state).a, state.getConfirmedAt()]).toEqual(["again", 5]);
+        });
+
+        // Guards against upstreams and evacuations that vanish for a moment, since the copy was made before them.
+        it("keeps what a copy lacks until the topic is read whole once more", () => {
+            const state = createLoadedState();
+            state.apply(createReturnPage([createLater("a", 0, "a@0")], 1));
+            expect(readAll(state)).toEqual({ a: "a@0", b: "b@1", c: "c@2" });
+            state.apply(createPage([createLater("b", 1, "b@1")]));
+            const changed = state.apply(createReturnPage([createLater("a", 0, "a@0"), createLater("b", 1, "b@1")], 2));
+            expect([changed.map(({ key }) => key), readAll(state)]).toEqual([["c"], { a: "a@0", b: "b@1" }]);
+        });
+
+        it("reports no change for a record that the copy has kept, and passes its new position on", () => {
+            const state = createLoadedState();
+            expect(state.apply(createReturnPage([createLater("a", 0, "a@0")], 1))).toEqual([]);
+            expect(state.getSince(createPosition({ era: 1, offset: 0 })).records.map(({ key }) => key)).toEqual(["a"]);
+        });
+
+        it("reports a record that is written anew in the same era, although its value is the same", () => {
+            const state = createLoadedState();
+            const again = createRecord("a", 3, "a@0");
+            expect(state.apply(createPage([again]))).toEqual([again]);
+        });
+
         it("converges to the newest state for any order of pages, with lost and repeated ones", () => {
             const keys = fc.constantFrom("a", "b", "c");
             const history = fc.array(fc.tuple(keys, fc.boolean()), { minLength: 1, maxLength: 20 });
