Write a node's own records again that the store has lost

What callers noticed would have been nodes that nobody sends them to: after the store came back from a copy that was made before a node started, its record was gone for good, and nodes that start later never learn of it. The same holds for pinned sessions and for what is quarantined, which a node wrote once and never again. Cause: an acknowledged write counted as kept for ever; by the new term the store may lose it.

Change: a node keeps what it wrote last under each of its keys. Line 225 tells of each.

Left: a record of a node that has restarted since and does not write it any more.

--- a/src/events/catalogue/configurationEvents.ts
+++ b/src/events/catalogue/configurationEvents.ts
@@ -91,6 +91,12 @@
         "warning",
         "The store came back from an older copy of itself; the topic goes on with the given era and offset.",
     ),
+    recordRestored: define(
+        225,
+        "record-restored",
+        "info",
+        "This node wrote a record again that the store had lost; with a cause, the write failed and is repeated.",
+    ),
     topicRegained: define(221, "topic-regained", "info", "A topic of the store can be read again."),
     routesInForce: define(222, "routes-in-force", "info", "A version of the route table is in force on this node."),
     recordUnreadable: define(
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -136,7 +136,11 @@
         const statusRecords = new StatusRecords(options);
         this.#status = this.#createFollower(
             topics.status,
-            { ...statusTiming, waitForPeers: () => this.#waitWhileAlone() },
+            {
+                ...statusTiming,
+                waitForPeers: () => this.#waitWhileAlone(),
+                onReturned: () => void this.#writer.restore(this.#status.state),
+            },
             changed => statusRecords.apply(changed),
         );
         this.#followers.set(topics.operator, this.#operator);
@@ -222,7 +226,7 @@
 
     #createFollower(
         topic: string,
-        timing: Pick<TopicFollowerOptions, "waitMilliseconds" | "staleMilliseconds" | "waitForPeers">,
+        options: Pick<TopicFollowerOptions, "waitMilliseconds" | "staleMilliseconds" | "waitForPeers" | "onReturned">,
         onChanges: (changed: readonly KeyedRecord[]) => void,
     ): TopicFollower {
         const { suspensionClock, journal, store } = this.#options;
@@ -239,7 +243,7 @@
             outageMilliseconds,
             getPause: () =>
                 Math.min(maxPauseMilliseconds, pauseMillisecondsPerNode * this.#options.membership.getMembers().length),
-            ...timing,
+            ...options,
         });
     }
 
--- a/src/platform/statusWriter.ts
+++ b/src/platform/statusWriter.ts
@@ -2,6 +2,8 @@
  * Writes to the status topic that the nodes share: the node's own record, steps of roll-outs, pinned sessions
  * and what is quarantined.
  */
+import type { Result } from "neverthrow";
+import type { Failure } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { NodeIdentity } from "../membership/index.js";
 import { type CrashRecord, encodeCrashRecords } from "../quarantine/index.js";
@@ -9,7 +11,7 @@
 import type { TopicState } from "../topics/index.js";
 import { encodeRolloutStatus } from "./decodeConfiguration.js";
 import type { LiveSettings } from "./nodeSettings.js";
-import type { StoreClient } from "./storeClient.js";
+import type { AppendOutcome, StoreClient } from "./storeClient.js";
 import { recordKeys, topics } from "./wire.js";
 
 const appendRetryDelayMilliseconds = 500;
@@ -25,7 +27,12 @@
 /** Writes this node's records to the status topic. */
 export class StatusWriter {
     readonly #options: StatusWriterOptions;
+    /** What this node wrote last under its own keys, and the store has confirmed. */
+    readonly #written = new Map<string, Buffer>();
     #isStopped = false;
+    #isRestoring = false;
+    /** Whether the store has come back since the last look at what it has lost. */
+    #mustRestore = false;
 
     constructor(options: StatusWriterOptions) {
         this.#options = options;
@@ -41,9 +48,9 @@
      * @returns Whether the store has confirmed the write.
      */
     async writePins(pool: string, report: PinReport): Promise<boolean> {
-        const { store, journal, self } = this.#options;
+        const { journal, self } = this.#options;
         const key = `${recordKeys.pinsPrefix}${self.id}/${pool}`;
-        const result = await store.append(topics.status, [{ key, value: Buffer.from(JSON.stringify(report)) }]);
+        const result = await this.#append(key, Buffer.from(JSON.stringify(report)));
         if (result.isErr()) {
             journal.write(events.rolloutWriteFailed, { rollout: pool, state: "pins", cause: result.error.message });
         }
@@ -55,9 +62,9 @@
      * @returns Whether the store has confirmed the write.
      */
     async writeQuarantine(keyPrefix: string, crashRecords: readonly CrashRecord[]): Promise<boolean> {
-        const { store, journal, self } = this.#options;
+        const { journal, self } = this.#options;
         const key = `${keyPrefix}${self.id}`;
-        const result = await store.append(topics.status, [{ key, value: encodeCrashRecords(crashRecords) }]);
+        const result = await this.#append(key, encodeCrashRecords(crashRecords));
         if (result.isErr()) {
             journal.write(events.quarantineWriteFailed, { cause: result.error.message });
         }
@@ -93,21 +100,73 @@
      * @param status - The status topic as far as it has been read.
      */
     async announce(status: TopicState): Promise<void> {
-        const { self, liveSettings, store } = this.#options;
+        const { self, liveSettings } = this.#options;
         const key = `${recordKeys.memberPrefix}${self.id}`;
         const value = Buffer.from(JSON.stringify({ ...self, callerPort: liveSettings.get().listen.callers.port }));
-        while (!this.#isStopped) {
-            if (status.isLoaded()) {
-                const known = status.get(key);
-                if (known?.value?.equals(value) === true) {
-                    return;
-                }
-                const result = await store.append(topics.status, [{ key, value }]);
-                if (result.isOk()) {
-                    return;
+        await this.#repeat(async () => {
+            if (!status.isLoaded()) {
+                return false;
+            }
+            if (isHeld(status, key, value)) {
+                this.#written.set(key, value);
+                return true;
+            }
+            return (await this.#append(key, value)).isOk();
+        });
+    }
+
+    /**
+     * Writes again what this node has written and the store has lost, as it came back from an older copy.
+     * @param status - The status topic as far as it has been read.
+     */
+    async restore(status: TopicState): Promise<void> {
+        this.#mustRestore = true;
+        if (this.#isRestoring) {
+            return;
+        }
+        this.#isRestoring = true;
+        while (this.#mustRestore && !this.#isStopped) {
+            this.#mustRestore = false;
+            for (const [key, value] of [...this.#written]) {
+                if (!isHeld(status, key, value)) {
+                    await this.#restoreRecord(key);
                 }
             }
+        }
+        this.#isRestoring = false;
+    }
+
+    /** Writes the latest value of a key again. A write of the same key that succeeds meanwhile may be overtaken, and is then repeated. */
+    async #restoreRecord(key: string): Promise<void> {
+        const { store, journal } = this.#options;
+        await this.#repeat(async () => {
+            const value = this.#written.get(key)!;
+            const result = await store.append(topics.status, [{ key, value }]);
+            journal.write(events.recordRestored, {
+                key,
+                cause: result.match(() => undefined, failure => failure.message),
+            });
+            return result.isOk() && this.#written.get(key) === value;
+        });
+    }
+
+    async #append(key: string, value: Buffer): Promise<Result<AppendOutcome, Failure>> {
+        const result = await this.#options.store.append(topics.status, [{ key, value }]);
+        if (result.isOk()) {
+            this.#written.set(key, value);
+        }
+        return result;
+    }
+
+    /** Repeats a step until it is done or the node stops. */
+    async #repeat(step: () => Promise<boolean>): Promise<void> {
+        while (!this.#isStopped && !await step()) {
             await new Promise(resolve => setTimeout(resolve, appendRetryDelayMilliseconds));
         }
     }
 }
+
+/** Returns whether the store holds a record with a value. */
+function isHeld(status: TopicState, key: string, value: Buffer): boolean {
+    return status.getHeld(key)?.value?.equals(value) === true;
+}
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -52,6 +52,8 @@
     readonly waitForPeers?: () => Promise<void>;
     /** Receives changed records, ordered by position. */
     readonly onChanges: (changed: readonly KeyedRecord[]) => void;
+    /** Called when the store has come back from an older copy, and may have lost what this node wrote. */
+    readonly onReturned?: () => void;
     /** Waits between failed reads. The default uses a timer. */
     readonly sleep?: (milliseconds: number) => Promise<void>;
 }
@@ -174,6 +176,7 @@
         const { name, journal, clock } = this.#options;
         journal.write(events.storeWentBack, { topic: name, ...readPosition(this.state.getEndPosition()) });
         this.#settledAt = clock.monotonic() + settlingMilliseconds;
+        this.#options.onReturned?.();
     }
 
     /** Returns whether the whole topic has to be read: for the first time, or since what was not written again is gone. */
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -48,6 +48,15 @@
         return record?.value === undefined ? undefined : record;
     }
 
+    /**
+     * Returns a record that the store holds, or undefined if it may have lost the one that is known, as it came back from an older copy.
+     * @param key - Its key.
+     */
+    getHeld(key: string): KeyedRecord | undefined {
+        const record = this.get(key);
+        return record === undefined || isOfLaterEra(this.#endPosition, record.position) ? undefined : record;
+    }
+
     /** Returns the records of all keys that are not removed. */
     *getAll(): Iterable<KeyedRecord> {
         for (const record of this.#records.values()) {
--- a/test/platform/standins/storeStandin.ts
+++ b/test/platform/standins/storeStandin.ts
@@ -47,6 +47,8 @@
     readonly faultsByCaller = new Map<string, StoreFault>();
     /** Additional delay of the reads of single topics, in milliseconds. */
     readonly readDelays = new Map<string, number>();
+    /** Delay of appends that arrive from now on before they take effect, in milliseconds. */
+    appendDelay = 0;
     /** Received calls as `METHOD PATH ADDRESS`. */
     readonly calls: string[] = [];
 
@@ -214,10 +216,12 @@
         response: ServerResponse,
         fault: StoreFault,
     ): Promise<void> {
+        const delay = this.appendDelay;
         const pieces: Buffer[] = [];
         for await (const piece of request as AsyncIterable<Buffer>) {
             pieces.push(piece);
         }
+        await new Promise(resolve => setTimeout(resolve, delay));
         const answer = this.#checkSequence(topic, query)
             ?? this.#appendSequenced(topic, query, decode(Buffer.concat(pieces)));
         if (fault === "loses-answers") {
--- a/test/platform/storeWentBack.test.ts
+++ b/test/platform/storeWentBack.test.ts
@@ -94,3 +94,28 @@
         await waitForVersion(108);
     });
 });
+
+// The nodes have started after the copy was made: the store knows none of their own records.
+describe("what nodes wrote themselves and the store has lost", () => {
+    const site = new PlatformSite("127.72.64");
+    after(() => site.stop());
+    before(async () => {
+        await site.start(2);
+    });
+
+    // Guards against nodes that are not found by those that start later, since their records are gone.
+    it("is written again: the records by which nodes find each other", async () => {
+        const copy = site.store.takeCopy();
+        for (const index of [1, 2]) {
+            await site.waitForReady(site.startNode(index));
+        }
+        const isKnown = (): boolean =>
+            site.nodes.every(({ address }) => site.store.get("keyed.status", `member/${address}`) !== undefined);
+        await waitUntil(isKnown, { description: "the records of both nodes" });
+        site.store.restore(copy);
+        expect(isKnown()).toEqual(false);
+        await waitUntil(isKnown, { description: "the records of both nodes, written again" });
+        await site.waitForReady(site.startNode(3));
+        await site.waitForAddresses(site.nodes[2], 3);
+    });
+});
