Write the progress of a roll-out again that the store has lost

What would have been noticed: after the store came back from a copy of before a step, nobody could take the next one, as the store refuses it as out of turn; an end that was acknowledged was unknown to the operator and to nodes that start anew, which began the roll-out again. Cause: as with a node's own records, an acknowledged write counted as kept for ever; and the position of the order, which names it and is the epoch of its steps, is another one after the return.

Change: each node compares the progress that it has read with what the store holds, and writes it again when it is its turn by rank; the store takes each step once. The epoch is the newest position of the order's record, so that the steps of the copy do not stand in the way. A node that has started since and knows only that position takes on the progress of before.

--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -8,7 +8,7 @@
 import type { FetchStateReply, FetchStateRequest } from "../generated/peer.js";
 import type { MemberDirectory, Membership, NodeIdentity, PeerClient } from "../membership/index.js";
 import type { Quarantine } from "../quarantine/index.js";
-import type { Rollouts } from "../rollouts/index.js";
+import type { RolloutOrder, RolloutProgress, Rollouts } from "../rollouts/index.js";
 import type { RouteTable } from "../routing/index.js";
 import {
     handleFetchState,
@@ -17,13 +17,14 @@
     type TopicFollowerOptions,
     TopicSources,
 } from "../topics/index.js";
+import { decodeProgress, decodeRolloutOrder } from "./decodeConfiguration.js";
 import type { LiveSettings } from "./nodeSettings.js";
 import { OperatorRecords } from "./operatorRecords.js";
 import { StatusRecords } from "./statusRecords.js";
 import type { StatusWriter } from "./statusWriter.js";
 import type { StoreClient } from "./storeClient.js";
 import { UpstreamRecords } from "./upstreamRecords.js";
-import { topics } from "./wire.js";
+import { recordKeys, topics } from "./wire.js";
 
 /**
  * Long polls return after this time; an empty response confirms that the state is current. API keys need a confirmation every few
@@ -202,6 +203,26 @@
         return this.#upstreams.getAge();
     }
 
+    /** Returns the newest position of the record of an order, which grows when the store comes back from an older copy. */
+    getOrderPosition(order: RolloutOrder): number {
+        const record = this.#operator.state.get(`${recordKeys.rolloutPrefix}${order.pool}`);
+        const isSame = record?.value !== undefined
+            && decodeRolloutOrder(record.value, record.position).match(
+                ({ version }) => version === order.version,
+                () => false,
+            );
+        return isSame ? Math.max(order.id, record.position) : order.id;
+    }
+
+    /** Returns whether the store holds the progress of a roll-out, or a later one. */
+    isProgressHeld(pool: string, progress: RolloutProgress): boolean {
+        const record = this.#status.state.getHeld(`${recordKeys.progressPrefix}${pool}`);
+        return record?.value !== undefined && decodeProgress(record.value).match(
+            held => held.order > progress.order || held.order === progress.order && held.step >= progress.step,
+            () => false,
+        );
+    }
+
     /**
      * Answers a peer that reads a topic through this node.
      * @param request - The peer's request.
--- a/src/platform/rolloutParts.ts
+++ b/src/platform/rolloutParts.ts
@@ -37,7 +37,7 @@
 
 /** Creates the roll-outs, whose evidence and halts are exchanged by gossip. */
 export function createRollouts(
-    { clock, journal, registry, settings, membership, gossip, writer, self }: NodeParts,
+    { clock, journal, registry, settings, membership, gossip, writer, self, topics }: NodeParts,
 ): Rollouts {
     const rollouts = new Rollouts({
         self: self.id,
@@ -52,7 +52,8 @@
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) =>
             gossip.set(`${haltKeyPrefix}${pool}`, Buffer.from(String(order)), { urgent: true }),
-        writeProgress: (order, progress) => writer.writeProgress(order, progress),
+        writeProgress: (order, progress) => writer.writeProgress(order, progress, topics.getOrderPosition(order)),
+        isStored: (pool, progress) => topics.isProgressHeld(pool, progress),
         writePins: (pool, report) => writer.writePins(pool, report),
     });
     gossip.onUpdate((...[, key, value]) => {
--- a/src/platform/statusWriter.ts
+++ b/src/platform/statusWriter.ts
@@ -74,8 +74,10 @@
     /**
      * Writes a step of a roll-out for the nodes and for the operator, unless another node has already written the same step. The
      * topic shows whether another node has, and whether a write without a response took effect.
+     * @param epoch - The newest position of the order's record: after the store came back from an older copy, what it knew of the steps
+     * before is outdated.
      */
-    async writeProgress(order: RolloutOrder, progress: RolloutProgress): Promise<void> {
+    async writeProgress(order: RolloutOrder, progress: RolloutProgress, epoch: number): Promise<void> {
         const { store, journal } = this.#options;
         const records = [
             { key: `${recordKeys.progressPrefix}${order.pool}`, value: Buffer.from(JSON.stringify(progress)) },
@@ -83,7 +85,7 @@
         ];
         const position = {
             producer: `${recordKeys.progressPrefix}${order.pool}`,
-            epoch: order.id,
+            epoch,
             sequenceNumber: progress.step,
         };
         const result = await store.append(topics.status, records, position);
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -43,6 +43,8 @@
     /** Monotonic milliseconds since which a step has been due. */
     #dueSince: number | undefined;
     #lastWriteAt = Number.NEGATIVE_INFINITY;
+    /** Monotonic milliseconds since which the store has lacked the progress. */
+    #lostSince: number | undefined;
     /** Number of the last step that this node wrote. */
     #lastWrittenStep = 0;
 
@@ -163,6 +165,13 @@
      * @param ticks - Number of this call.
      */
     tick(ticks: number): void {
+        if (this.#isLost()) {
+            this.#writeAgain();
+            return;
+        }
+        if (this.isOver()) {
+            return;
+        }
         if (this.#progress !== undefined && isFirstStep(this.#progress)) {
             void this.#sessions.reportPins(this.order);
         }
@@ -181,6 +190,27 @@
         return { order: this.order.id, currentInFlight: this.#inFlight.size, segments };
     }
 
+    #isLost(): boolean {
+        const isLost = this.#progress !== undefined && !this.#options.isStored(this.order.pool, this.#progress);
+        if (!isLost) {
+            this.#lostSince = undefined;
+        }
+        return isLost;
+    }
+
+    /** Writes the progress again when it is this node's turn. Without it, nobody could take the next step, and the operator would not learn of the end. */
+    #writeAgain(): void {
+        const { clock, getRank, writeProgress } = this.#options;
+        const now = clock.monotonic();
+        this.#lostSince ??= now;
+        const delay = getStepDelay({ rank: getRank(), hasTakenLastStep: false });
+        if (now - this.#lostSince < delay || now - this.#lastWriteAt < minWriteIntervalMilliseconds) {
+            return;
+        }
+        this.#lastWriteAt = now;
+        void writeProgress(this.order, this.#progress!);
+    }
+
     /** Unchanged reports are not published again, since gossip would send them to every node once more. */
     #publish(own: EvidenceReport): void {
         const value = encodeReport(own);
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -6,6 +6,7 @@
  */
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import { isOfLaterEra } from "../topics/index.js";
 import type { PinReport } from "./pinnedSessions.js";
 import { PoolRollout } from "./poolRollout.js";
 import { PoolSessions } from "./poolSessions.js";
@@ -74,11 +75,19 @@
             this.#revertedVersions.set(pool, new Set([...this.#revertedVersions.get(pool) ?? [], progress.version]));
         }
         const rollout = this.#rollouts.get(pool);
-        if (rollout === undefined || rollout.order.id !== progress.order) {
+        if (rollout !== undefined && rollout.order.id === progress.order) {
+            rollout.setProgress(progress);
+        }
+        else if (rollout !== undefined && isSameOrder(rollout.order, progress)) {
+            this.#rollouts.set(
+                pool,
+                new PoolRollout(this.#options, { ...rollout.order, id: progress.order }, this.#getSessions(pool)),
+            );
+            this.setProgress(pool, progress);
+        }
+        else {
             this.#pendingProgress.set(pool, progress);
-            return;
         }
-        rollout.setProgress(progress);
     }
 
     /** Sets the sessions of a pool that are pinned at a node. */
@@ -141,9 +150,7 @@
     tick(): void {
         this.#ticks += 1;
         for (const rollout of this.#rollouts.values()) {
-            if (!rollout.isOver()) {
-                rollout.tick(this.#ticks);
-            }
+            rollout.tick(this.#ticks);
         }
     }
 
@@ -162,3 +169,11 @@
         return sessions;
     }
 }
+
+/**
+ * Returns whether a progress belongs to an order that has another identifier since: the store came back from an older copy in between,
+ * and the order was written again. A node that has started after that knows only the later identifier.
+ */
+function isSameOrder({ id, version }: RolloutOrder, progress: RolloutProgress): boolean {
+    return progress.version === version && isOfLaterEra(id, progress.order);
+}
--- a/src/rollouts/rolloutsOptions.ts
+++ b/src/rollouts/rolloutsOptions.ts
@@ -29,6 +29,8 @@
     readonly publishHalt: (pool: string, order: number) => void;
     /** Writes a step unless another node has written it already. Resolves when the write has succeeded or failed. */
     readonly writeProgress: (order: RolloutOrder, progress: RolloutProgress) => Promise<void>;
+    /** Returns whether the store holds a progress that was read before, or a later one. It may have come back from an older copy. */
+    readonly isStored: (pool: string, progress: RolloutProgress) => boolean;
     /** Writes which sessions are pinned here. Resolves to whether that succeeded. */
     readonly writePins: (pool: string, report: PinReport) => Promise<boolean>;
 }
--- a/test/platform/storeWentBack.test.ts
+++ b/test/platform/storeWentBack.test.ts
@@ -118,4 +118,36 @@
         await site.waitForReady(site.startNode(3));
         await site.waitForAddresses(site.nodes[2], 3);
     });
+
+    // Guards against an operator who never learns that a roll-out has ended, and against nodes that begin it anew after a restart.
+    it("is written again: the end of a roll-out", async () => {
+        const copy = site.store.takeCopy();
+        const order = { service: "pool", target: "v2", deadline_s: 6 };
+        const getState = (): unknown =>
+            (site.store.get("keyed.status", "rollout/pool") as { state?: unknown; } | undefined)?.state;
+        await site.addRunner("i-new", "v2");
+        site.store.put("keyed.op", "rollout/pool", order);
+        await waitUntil(() => getState() === "completed", {
+            description: "the end of the roll-out",
+            timeoutMilliseconds: 8_000,
+        });
+        site.store.restore(copy);
+        site.register("i-new", { version: "v2" });
+        site.store.put("keyed.op", "rollout/pool", order);
+        expect(getState()).toEqual(undefined);
+        await waitUntil(() => getState() === "completed", {
+            description: "the end of the roll-out, written again",
+            timeoutMilliseconds: 5_000,
+        });
+        const restarted = site.nodes[0];
+        restarted.child.kill("SIGKILL");
+        await restarted.exited;
+        await site.waitForReady(site.startNode(1));
+        const received = site.runners.get("i-new")!.received.length;
+        for (let count = 0; count < 10; count += 1) {
+            expect((await site.send(site.nodes[0])).status).toEqual(200);
+        }
+        expect(site.runners.get("i-new")!.received.length - received).toEqual(10);
+        expect(getState()).toEqual("completed");
+    });
 });
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -4,6 +4,7 @@
 import type { UpstreamRegistry } from "../../src/fleet/index.js";
 import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
 import { encodeReport } from "../../src/rollouts/rolloutEvidence.js";
+import { createPosition } from "../../src/topics/index.js";
 import { createJournal } from "../fixtures/journals.js";
 import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
 
@@ -24,6 +25,8 @@
     readonly rollouts: Rollouts;
     readonly registry: UpstreamRegistry;
     readonly written: RolloutProgress[];
+    /** Whether the store holds the progress that was read. */
+    readonly store: { isHeld: boolean; };
     readonly counts: { evidenceReads: number; published: number; };
     /** Advances the time tick by tick. */
     readonly run: (ticks: number) => void;
@@ -34,6 +37,7 @@
     const clock = new ManualClock();
     const registry = createUpstreamRegistry(clock);
     const written: RolloutProgress[] = [];
+    const store = { isHeld: true };
     const counts = { evidenceReads: 0, published: 0 };
     const rollouts = new Rollouts({
         self: "self",
@@ -53,6 +57,7 @@
         writeProgress: async (...[, progress]) => {
             written.push(progress);
         },
+        isStored: () => store.isHeld,
         writePins: async () => true,
     });
     rollouts.setOrder(order);
@@ -62,7 +67,7 @@
             rollouts.tick();
         }
     };
-    return { rollouts, registry, written, counts, run };
+    return { rollouts, registry, written, counts, store, run };
 }
 
 function createBadReport(): Buffer {
@@ -146,4 +151,48 @@
         node.run(2);
         expect(node.written[0]?.state).toEqual("moving");
     });
+
+    describe("after the store came back from an older copy", () => {
+        const later = { ...order, id: createPosition({ era: 1, offset: 3 }) };
+        const completed: RolloutProgress = { ...announced, state: "completed", step: 6, share: 1 };
+
+        // Guards against an operator who never learns that a roll-out has ended, and against steps that nobody can take any more.
+        it("write a progress again that the store has lost, moving or ended, the first node by rank at once", () => {
+            for (const progress of [announced, completed]) {
+                const first = createNode(0, []);
+                const last = createNode(5, []);
+                for (const { rollouts, store, run } of [first, last]) {
+                    rollouts.setProgress(order.pool, progress);
+                    run(1);
+                    store.isHeld = false;
+                    run(1);
+                }
+                expect([first.written, last.written]).toEqual([[progress], []]);
+                last.store.isHeld = true;
+                last.run(100);
+                expect(last.written).toEqual([]);
+            }
+        });
+
+        // Guards against a node that starts anew after the return, takes the order for another one, and moves sessions back.
+        it("go on with the progress of before, also at a node that knows only the position of the order since", () => {
+            const { rollouts, registry, written, run } = createNode(0, []);
+            registry.set(createUpstream("old", { pool: order.pool, version: "v1" }));
+            registry.set(createUpstream("new", { pool: order.pool, version: "v2" }));
+            rollouts.setOrder(later);
+            rollouts.setProgress(order.pool, completed);
+            const { upstreams } = rollouts.select(order.pool, "session", registry.getAvailable(order.pool));
+            run(20);
+            expect([upstreams.map(({ id }) => id), written]).toEqual([["new"], []]);
+        });
+
+        it("do not take the end of an earlier order in the same era for theirs", () => {
+            const { rollouts, registry, written, run } = createNode(0, []);
+            registry.set(createUpstream("new", { pool: order.pool, version: "v2" }));
+            rollouts.setOrder({ ...order, id: order.id + 5 });
+            rollouts.setProgress(order.pool, completed);
+            run(20);
+            expect(written[0]?.order).toEqual(order.id + 5);
+        });
+    });
 });
