Use no upstream again that has left, because an older copy of the store lists it

What would have been noticed: requests that fail, or keep a leaving upstream from its end, since the store came back from a copy that was made before the upstream said that it leaves, or before its record was removed. Cause: the registry took each newer record as it stands; by the era it is newer, by what it says it is older.

Change: what the records of upstreams have said last is remembered, also of those that are gone. A record of a later era that does not come after that, by the number that upstreams give their records, leaves the upstream as one that has left, for the same life of it. Without numbers only what it has said itself is final. One whose record merely expired while the store was away, one that has written since, and another life of it are used.

Before: the test fails for both, after: it passes. The guard was seen to fail its test. Positions moved to src/common, where fleet, rollouts and topics use them without a circle. The tests of fleet, topics, rollouts, common, and two files of test/platform pass.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -3,6 +3,7 @@
 export * from "./clock.js";
 export * from "./credentials.js";
 export * from "./errors.js";
+export * from "./position.js";
 export * from "./presenceCheck.js";
 export * from "./random.js";
 export * from "./readProgress.js";
--- a/src/fleet/upstream.ts
+++ b/src/fleet/upstream.ts
@@ -26,4 +26,11 @@
     /** Remaining warm-up time when the record was written, in milliseconds; 0 for a warm upstream. */
     readonly warmUpMilliseconds: number;
     readonly models: readonly LoadedModel[];
+    /** Grows with each record of the upstream; undefined if it does not number them. */
+    readonly sequenceNumber?: number | undefined;
+}
+
+/** Returns whether two records are of one life of an upstream. After a restart it has a new start time, or another address. */
+export function isSameIncarnation(first: RegisteredUpstream, second: RegisteredUpstream): boolean {
+    return first.address === second.address && first.startedAt === second.startedAt;
 }
--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -4,7 +4,7 @@
 import type { Clock } from "../common/index.js";
 import type { Announcements } from "./announcements.js";
 import { Evacuations } from "./evacuations.js";
-import type { RegisteredUpstream } from "./upstream.js";
+import { isSameIncarnation, type RegisteredUpstream } from "./upstream.js";
 import { WarmUps } from "./warmUps.js";
 
 /** Called with an upstream that was removed or restarted. */
@@ -58,7 +58,7 @@
      */
     set(upstream: RegisteredUpstream): void {
         const known = this.#upstreams.get(upstream.id);
-        if (known !== undefined && wasRestarted(known, upstream)) {
+        if (known !== undefined && !isSameIncarnation(known, upstream)) {
             this.#notifyRemoved(known);
         }
         this.#upstreams.set(upstream.id, upstream);
@@ -162,7 +162,7 @@
     /** Returns whether an upstream, as it was registered when a request was placed, still accepts requests. */
     isAvailable(upstream: RegisteredUpstream): boolean {
         const known = this.#upstreams.get(upstream.id);
-        return known !== undefined && !wasRestarted(known, upstream) && this.#acceptsRequests(known);
+        return known !== undefined && isSameIncarnation(known, upstream) && this.#acceptsRequests(known);
     }
 
     /** Returns the names of the pools with upstreams that accept requests. */
@@ -227,7 +227,3 @@
         return byPool;
     }
 }
-
-function wasRestarted(known: RegisteredUpstream, upstream: RegisteredUpstream): boolean {
-    return known.address !== upstream.address || known.startedAt !== upstream.startedAt;
-}
--- a/src/platform/decodeUpstream.ts
+++ b/src/platform/decodeUpstream.ts
@@ -19,6 +19,8 @@
     /** Unix time at which the runner started, in milliseconds. */
     born: z.number().int().optional(),
     cold_left_ms: z.number().nonnegative().default(0),
+    /** Grows with each heartbeat. */
+    seq_no: z.number().optional(),
     models: z.array(z.object({ name: z.string(), version: z.number() })).default([]),
 });
 
@@ -54,6 +56,7 @@
         slots: record.slots,
         isLeaving: record.state === "draining",
         startedAt: record.born,
+        sequenceNumber: record.seq_no,
         warmUpMilliseconds: record.cold_left_ms,
         models: record.models.map(model => ({ name: model.name, weightsVersion: model.version })),
     };
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -4,14 +4,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
 import { z } from "zod";
-import { type Clock, Failure, ReadTimeout } from "../common/index.js";
-import {
-    createPosition,
-    type KeyedRecord,
-    type KeyedTopicReader,
-    readPosition,
-    type TopicPage,
-} from "../topics/index.js";
+import { type Clock, createPosition, Failure, readPosition, ReadTimeout } from "../common/index.js";
+import type { KeyedRecord, KeyedTopicReader, TopicPage } from "../topics/index.js";
 import { headerNames, storePaths } from "./wire.js";
 
 /**
--- a/src/platform/upstreamRecords.ts
+++ b/src/platform/upstreamRecords.ts
@@ -2,7 +2,7 @@
  * Applies the records with which upstreams register.
  */
 import { events, type Journal, type ThrottledJournal } from "../events/index.js";
-import type { RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
+import { type RegisteredUpstream, UpstreamHistory, type UpstreamRegistry } from "../fleet/index.js";
 import type { ForwardingMetrics } from "../forwarding/index.js";
 import type { KeyedRecord } from "../topics/index.js";
 import { decodeUpstream } from "./decodeUpstream.js";
@@ -18,6 +18,7 @@
 /** Keeps the registered upstreams up to date. */
 export class UpstreamRecords {
     readonly #options: UpstreamRecordsOptions;
+    readonly #history = new UpstreamHistory();
 
     constructor(options: UpstreamRecordsOptions) {
         this.#options = options;
@@ -29,11 +30,10 @@
      * @param expiryGraceMilliseconds - How long an upstream still counts as registered after its record was removed.
      */
     apply(changed: readonly KeyedRecord[], expiryGraceMilliseconds: number): void {
-        for (const { key, value } of changed) {
+        for (const { key, value, position } of changed) {
             const upstream = value === undefined ? undefined : decodeUpstream(key, value);
             if (upstream !== undefined) {
-                this.#options.registry.set(upstream);
-                this.#logRegistered(upstream);
+                this.#set(upstream, position);
                 continue;
             }
             if (value !== undefined) {
@@ -43,8 +43,18 @@
         }
     }
 
+    #set(upstream: RegisteredUpstream, position: number): void {
+        const hasLeft = this.#history.add(upstream, position);
+        const registered = hasLeft ? { ...upstream, isLeaving: true } : upstream;
+        this.#options.registry.set(registered);
+        this.#logRegistered(registered);
+    }
+
     #remove(key: string, graceMilliseconds: number): void {
         const { journal, registry } = this.#options;
+        if (graceMilliseconds === 0) {
+            this.#history.markRemoved(key);
+        }
         if (registry.get(key) !== undefined) {
             registry.remove(key, graceMilliseconds);
             journal.write(events.upstreamRegistered, { upstream: key, gone: true });
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -4,9 +4,9 @@
  * Every node can take the next step, and the store accepts each step once. Nodes wait in the order of their rank, so
  * that usually only the first one writes.
  */
+import { isOfLaterEra } from "../common/index.js";
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { isOfLaterEra } from "../topics/index.js";
 import type { PinReport } from "./pinnedSessions.js";
 import { PoolRollout } from "./poolRollout.js";
 import { PoolSessions } from "./poolSessions.js";
--- a/src/topics/index.ts
+++ b/src/topics/index.ts
@@ -1,7 +1,6 @@
 /** Topics of the platform's store: reading them, folding them, and tracking the age of the folded state. */
 export * from "./keyedTopic.js";
 export * from "./peerTopics.js";
-export * from "./position.js";
 export * from "./readSource.js";
 export * from "./storeBackoff.js";
 export * from "./topicFollower.js";
--- a/src/topics/topicFollower.ts
+++ b/src/topics/topicFollower.ts
@@ -1,10 +1,9 @@
 /**
  * Follows a topic: reads it whole once, then waits for changes, and tracks the age of its state.
  */
-import type { Clock, Failure } from "../common/index.js";
+import { type Clock, type Failure, isOfLaterEra, readPosition } from "../common/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { KeyedRecord, KeyedTopicReader, TopicPage } from "./keyedTopic.js";
-import { isOfLaterEra, readPosition } from "./position.js";
 import { TopicState } from "./topicState.js";
 
 /** Pause after a failed read, in milliseconds. It doubles up to the maximum. */
--- a/src/topics/topicState.ts
+++ b/src/topics/topicState.ts
@@ -1,8 +1,8 @@
 /**
  * The newest records of a topic, folded from pages that may overlap, repeat or come from several readers.
  */
+import { isOfLaterEra } from "../common/index.js";
 import type { KeyedRecord, TopicPage } from "./keyedTopic.js";
-import { isOfLaterEra } from "./position.js";
 
 /** Maximum number of tombstones. They report removals to peers that read through this node. */
 const maxTombstones = 1_000;
--- a/test/topics/position.test.ts
+++ b/test/common/position.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { createPosition, isOfLaterEra, readPosition, type TopicOffset } from "../../src/topics/index.js";
+import { createPosition, isOfLaterEra, readPosition, type TopicOffset } from "../../src/common/index.js";
 
 const offsets = fc.record({ era: fc.nat(100_000), offset: fc.nat(2 ** 31 - 1) });
 
--- a/test/platform/upstreamRecords.test.ts
+++ b/test/platform/upstreamRecords.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { ManualClock } from "../../src/common/index.js";
+import { createPosition, ManualClock, readPosition } from "../../src/common/index.js";
 import { ThrottledJournal } from "../../src/events/index.js";
 import { Announcements, UpstreamRegistry } from "../../src/fleet/index.js";
 import { createForwardingMetrics } from "../../src/forwarding/index.js";
@@ -25,14 +25,18 @@
     const throttledJournal = new ThrottledJournal({ clock, journal });
     const records = new UpstreamRecords({ journal, throttledJournal, metrics, registry });
     let position = 0;
-    const apply = (key: string, value: unknown): void => {
+    const apply = (key: string, value: unknown, graceMilliseconds = 0): void => {
         const bytes = Buffer.isBuffer(value) || value === undefined ? value : Buffer.from(JSON.stringify(value));
         position += 1;
-        records.apply([{ key, value: bytes, position }], 0);
+        records.apply([{ key, value: bytes, position }], graceMilliseconds);
+    };
+    /** The store comes back from an older copy: all that is applied from now on has later positions. */
+    const comeBack = (): void => {
+        position = createPosition({ era: readPosition(position).era + 1, offset: 0 });
     };
     const getAvailable = (): readonly string[] => registry.getAvailable("pool").map(({ id }) => id);
     const countLines = (name: string): number => lines.filter(line => line.name === name).length;
-    return { apply, getAvailable, countLines, metrics, registry };
+    return { apply, comeBack, getAvailable, countLines, metrics, registry };
 }
 
 const foreignRecords: readonly unknown[] = [
@@ -105,4 +109,48 @@
         apply("i-1", { ...record, born: record.born + 1 });
         expect(removed).toEqual([record.born]);
     });
+
+    describe("after the store came back from an older copy", () => {
+        const before = { ...record, seq_no: 4 };
+        const leaving = { ...record, state: "draining", seq_no: 5 };
+
+        // Guards against requests that are sent to an upstream that had said that it leaves, as the copy is older than that.
+        it("does not use an upstream again that has left, or was removed", () => {
+            for (const last of [leaving, undefined]) {
+                const { apply, comeBack, getAvailable } = createRecords();
+                apply("i-1", before);
+                apply("i-1", last);
+                comeBack();
+                apply("i-1", before);
+                expect(getAvailable()).toEqual([]);
+                comeBack();
+                apply("i-1", before);
+                expect(getAvailable()).toEqual([]);
+            }
+        });
+
+        // Guards against pools that stay empty, as live upstreams are taken for such that have left.
+        it("uses an upstream whose record had only expired, one that has written since, and another life of it", () => {
+            const { apply, comeBack, getAvailable } = createRecords();
+            for (const id of ["expired", "alive", "restarted"]) {
+                apply(id, before);
+            }
+            apply("expired", undefined, 2_000);
+            apply("alive", undefined);
+            apply("restarted", leaving);
+            comeBack();
+            apply("expired", before);
+            apply("alive", { ...record, seq_no: 6 });
+            apply("restarted", { ...before, born: record.born + 9_000 });
+            expect([...getAvailable()].sort()).toEqual(["alive", "expired", "restarted"]);
+        });
+
+        it("uses an upstream whose record is the one that was known", () => {
+            const { apply, comeBack, getAvailable } = createRecords();
+            apply("i-1", before);
+            comeBack();
+            apply("i-1", { ...before, zone: "south" });
+            expect(getAvailable()).toEqual(["i-1"]);
+        });
+    });
 });
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -1,10 +1,9 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { ManualClock } from "../../src/common/index.js";
+import { createPosition, ManualClock } from "../../src/common/index.js";
 import type { UpstreamRegistry } from "../../src/fleet/index.js";
 import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
 import { encodeReport } from "../../src/rollouts/rolloutEvidence.js";
-import { createPosition } from "../../src/topics/index.js";
 import { createJournal } from "../fixtures/journals.js";
 import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
 
--- a/test/topics/topicFollower.test.ts
+++ b/test/topics/topicFollower.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "earl";
 import { err, ok, type Result } from "neverthrow";
 import { describe, it } from "node:test";
-import { Failure, ManualClock } from "../../src/common/index.js";
-import { createPosition, type KeyedTopicReader, TopicFollower, type TopicPage } from "../../src/topics/index.js";
+import { createPosition, Failure, ManualClock } from "../../src/common/index.js";
+import { type KeyedTopicReader, TopicFollower, type TopicPage } from "../../src/topics/index.js";
 import { createJournal } from "../fixtures/journals.js";
 
 type ReadResult = Result<TopicPage, Failure>;
--- a/test/topics/topicState.test.ts
+++ b/test/topics/topicState.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import { describe, it } from "node:test";
-import { createPosition, type KeyedRecord, type TopicPage, TopicState } from "../../src/topics/index.js";
+import { createPosition } from "../../src/common/index.js";
+import { type KeyedRecord, type TopicPage, TopicState } from "../../src/topics/index.js";
 
 function createRecord(key: string, position: number, value: string | undefined = `${key}@${position}`): KeyedRecord {
     return { key, position, value: value === undefined ? undefined : Buffer.from(value) };
