--- a/test/platform/departedCallers.test.ts
+++ b/test/platform/departedCallers.test.ts
@@ -41,7 +41,7 @@
 // A node is paused for a second. Its callers give up meanwhile and close their connections, so that requests and closings are read
 // together.
 describe("callers that left before their requests were read", () => {
-    const site = new PlatformSite("127.72.61");
+    const site = new PlatformSite("127.72.66");
     after(() => site.stop());
     before(async () => {
         await site.start(2);
@@ -91,7 +91,7 @@
 
 // A node reaches no upstream, and another one forwards its requests. That one is paused while the callers leave.
 describe("callers that left while their requests were on the way to another node", () => {
-    const site = new PlatformSite("127.72.62");
+    const site = new PlatformSite("127.72.67");
     after(() => site.stop());
     before(async () => {
         await site.start(2);
--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -2,7 +2,7 @@
  * Runs the platform's soak test by hand: `node dist/test/platform/soak/main.js --seed 1 --count 50 --seconds 12`. With
  * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit, with
  * `--cuts` nodes lose the paths to all runners, with `--statements` two more runners leave and ask for rest, with
- * `--crashes` a part of prompts crashes runners.
+ * `--crashes` a part of prompts crashes runners, with `--returns` the store comes back from older copies of itself.
  */
 import { parseArgs } from "node:util";
 import { runPlatformSoak } from "./platformSoak.js";
@@ -17,6 +17,7 @@
         cuts: { type: "boolean", default: false },
         statements: { type: "boolean", default: false },
         crashes: { type: "boolean", default: false },
+        returns: { type: "boolean", default: false },
         rollout: { type: "boolean", default: false },
     },
 });
@@ -31,6 +32,7 @@
         hasCuts: values.cuts,
         hasStatements: values.statements,
         hasCrashes: values.crashes,
+        hasReturns: values.returns,
     };
     const { violations, timeLine, requests, served } = await runPlatformSoak(options);
     console.log(
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -12,13 +12,14 @@
         readonly hasCuts?: boolean;
         readonly hasStatements?: boolean;
         readonly hasCrashes?: boolean;
+        readonly hasReturns?: boolean;
     },
 ): string {
     return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
         options.hasCuts === true ? ", with nodes that reach no runner" : ""
     }${options.hasStatements === true ? ", with runners that leave and ask for rest" : ""}${
         options.hasCrashes === true ? ", with a part of prompts that crashes runners" : ""
-    }`;
+    }${options.hasReturns === true ? ", with a store that comes back from older copies" : ""}`;
 }
 
 describe("runPlatformSoak", () => {
@@ -40,9 +41,11 @@
         { seed: 9, prefix: "127.72.57", hasRollout: false, hasStatements: true },
         // Nodes have to hold back requests with a part that crashes runners, whatever happens to the nodes and the store meanwhile.
         { seed: 11, prefix: "127.72.62", hasRollout: false, hasCrashes: true },
+        // No accepted configuration may come back older, and a roll-out has to end, although the store loses what it has acknowledged.
+        { seed: 13, prefix: "127.72.68", hasRollout: true, hasReturns: true },
     ];
-    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes })}`, async () => {
+    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns } of seeds) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
@@ -52,6 +55,7 @@
                 hasCuts,
                 hasStatements,
                 hasCrashes,
+                hasReturns,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -7,6 +7,7 @@
 import { FaultProxy } from "../../../src/standins/proxy/index.js";
 import { waitUntil } from "../../../src/testbench/index.js";
 import { createConfiguration, type Cut, PlatformSite } from "../platformSite.js";
+import type { StoreCopy } from "../standins/storeStandin.js";
 import { RunnerSet } from "./runnerSet.js";
 import { SoakCallers } from "./soakCallers.js";
 import { findViolations, type RevokedKey } from "./soakChecks.js";
@@ -29,6 +30,8 @@
 const recoveryMilliseconds = 20_000;
 /** Time for which a runner that left is down before it starts again under its identifier. */
 const runnerDownMilliseconds = 150;
+/** Topics whose writers, the operator and the runners, write again what the store has lost. */
+const writtenAgain = ["keyed.op", "keyed.servers"];
 const newVersion = "v2";
 const newRunnerCount = 3;
 /** Maximum time until a roll-out ends, counted from its deadline and the last fault. */
@@ -50,6 +53,8 @@
     readonly hasStatements?: boolean;
     /** Whether a part of prompts crashes runners. Draws no random numbers either. */
     readonly hasCrashes?: boolean;
+    /** Whether the store also comes back from older copies of itself. The faults of a seed differ with it. */
+    readonly hasReturns?: boolean;
     /** Whether nodes also lose the paths to all runners. The faults of a seed differ with it. */
     readonly hasCuts?: boolean;
 }
@@ -90,6 +95,7 @@
     readonly #startedAt = performance.now();
     /** The runners that may get faults. */
     #runnerIds: readonly string[] = [];
+    #lastCopy: StoreCopy | undefined;
     #isStopped = false;
     #version = 1;
     #keys: readonly string[] = ["key", "key-1"];
@@ -261,6 +267,7 @@
             () => this.#drainRunner(faultMilliseconds),
             () => this.#revoke(),
             () => this.#compact(),
+            ...this.#options.hasReturns === true ? [() => this.#returnStore(faultMilliseconds)] : [],
             ...this.#options.hasCuts === true ? [() => this.#cutNodes(faultMilliseconds)] : [],
         ];
         this.#activeFaults.push(Promise.resolve(this.#draw(faults)()));
@@ -352,6 +359,21 @@
         this.#site.store.fault = "well";
     }
 
+    /** Loses what was written within a time, and the store is away for as long. A copy may be the one of an earlier return. */
+    async #returnStore(faultMilliseconds: number): Promise<void> {
+        const copy = this.#lastCopy !== undefined && this.#random.nextInteger(2) === 0
+            ? this.#lastCopy
+            : this.#site.store.takeCopy();
+        this.#lastCopy = copy;
+        await wait(faultMilliseconds);
+        this.#recordEvent(`store away for ${faultMilliseconds} ms`);
+        this.#site.store.fault = "silent";
+        await wait(faultMilliseconds);
+        this.#recordEvent("store back from an older copy");
+        this.#site.store.restore(copy, writtenAgain);
+        this.#site.store.fault = "well";
+    }
+
     async #injectRunnerFault(faultMilliseconds: number): Promise<void> {
         const id = this.#draw(this.#runnerIds);
         const fault = this.#draw(runnerFaults);
--- a/test/platform/standins/storeStandin.ts
+++ b/test/platform/standins/storeStandin.ts
@@ -97,8 +97,14 @@
         };
     }
 
-    /** Comes back from a copy: what was written since is lost, and its offsets are given out again. Ends all connections. */
-    restore({ topics, firstOffsets, producers }: StoreCopy): void {
+    /**
+     * Comes back from a copy: what was written since is lost, and its offsets are given out again. Ends all connections.
+     * @param rewrittenTopics - Topics whose writers write the newest records that were lost again at once.
+     */
+    restore({ topics, firstOffsets, producers }: StoreCopy, rewrittenTopics: readonly string[] = []): void {
+        const lost = rewrittenTopics.map(topic =>
+            [topic, this.#getLost(topic, topics.get(topic)?.length ?? 0)] as const
+        );
         this.#era += 1;
         this.#topics.clear();
         for (const [topic, records] of topics) {
@@ -108,6 +114,19 @@
         replaceAll(this.#producers, producers);
         this.#waitingReads.clear();
         this.#server.closeAllConnections();
+        for (const [topic, records] of lost) {
+            this.#append(topic, records);
+        }
+    }
+
+    /** Returns the newest record of each key that was written from an offset on. */
+    #getLost(topic: string, from: number): readonly StoredRecord[] {
+        const newest = new Map<string, StoredRecord>();
+        for (const record of this.#getRecords(topic).slice(from)) {
+            newest.delete(record.key);
+            newest.set(record.key, record);
+        }
+        return [...newest.values()];
     }
 
     /** Returns the latest value of a key, parsed as JSON. */
--- a/test/platform/storeWentBack.test.ts
+++ b/test/platform/storeWentBack.test.ts
@@ -151,3 +151,84 @@
         expect(getState()).toEqual("completed");
     });
 });
+
+// The store comes back from an older copy while a node cannot notice it.
+describe("nodes that were away while the store came back from an older copy", () => {
+    const site = new PlatformSite("127.72.69", { evacuate_ms: 2_000 });
+    after(() => site.stop());
+    before(async () => {
+        await site.start(3);
+        site.register("i-3", { zone: "west" });
+        for (const index of [1, 2, 3]) {
+            await site.waitForReady(site.startNode(index));
+        }
+        for (const node of site.nodes) {
+            await site.waitForAddresses(node, 3);
+        }
+    });
+
+    function isInForce(version: number): boolean {
+        return site.nodes.every(({ events }) =>
+            events.some(line => line.name === "routes-in-force" && line.version === version)
+        );
+    }
+
+    /** Lets the store lose versions while a node is away, and publishes one more after its return. */
+    async function checkReturn(version: number, leave: () => void, comeBack: () => void): Promise<void> {
+        const copy = site.store.takeCopy();
+        for (let count = 0; count < 6; count += 1) {
+            site.store.put("keyed.op", "config", createConfiguration(version + count));
+        }
+        await waitUntil(() => isInForce(version + 5), { description: "the versions that are lost" });
+        leave();
+        site.store.fault = "silent";
+        await sleep(awayMilliseconds);
+        site.store.restore(copy);
+        site.store.fault = "well";
+        site.store.put("keyed.op", "config", createConfiguration(version + 6));
+        await sleep(awayMilliseconds);
+        comeBack();
+        await waitUntil(() => isInForce(version + 6), {
+            description: "the version after the return",
+            timeoutMilliseconds: applyMilliseconds,
+        });
+    }
+
+    it("put the next configuration into force after a pause", async () => {
+        const { child } = site.nodes[0];
+        await checkReturn(10, () => void child.kill("SIGSTOP"), () => void child.kill("SIGCONT"));
+    });
+
+    // Guards against a node that reads through peers alone and stays with what it knew before.
+    it("put the next configuration into force although the store refuses them", async () => {
+        const { address } = site.nodes[1];
+        await checkReturn(20, () => site.store.faultsByCaller.set(address, "busy"), () => {});
+        site.store.faultsByCaller.clear();
+    });
+
+    // Guards against a node that starts with the copy, and against the others that are asked by it.
+    it("put the next configuration into force after a start in between", async () => {
+        await checkReturn(30, () => void site.nodes[2].child.kill("SIGKILL"), () => void site.startNode(3));
+        await site.waitForReady(site.nodes[2]);
+    });
+
+    // Guards against requests to an evacuated failure domain, as the copy was made before its evacuation.
+    it("go on with an evacuation that the store has lost until it is written again", async () => {
+        const copy = site.store.takeCopy();
+        site.store.put("keyed.op", "evacuate/west", {});
+        const isEvacuated = (): boolean =>
+            site.nodes.every(({ events }) => events.some(line => line.name === "evacuation-started"));
+        await waitUntil(isEvacuated, { description: "the evacuation" });
+        const evacuated = site.runners.get("i-3")!;
+        const received = evacuated.received.length;
+        site.store.restore(copy);
+        const until = performance.now() + 2_000;
+        while (performance.now() < until) {
+            await Promise.all(site.nodes.map(node => site.send(node)));
+        }
+        site.store.put("keyed.op", "evacuate/west", {});
+        await sleep(4_000);
+        await Promise.all(site.nodes.map(node => site.send(node)));
+        expect(evacuated.received.length).toEqual(received);
+    });
+});
