--- a/src/pace/mergePaces.ts
+++ b/src/pace/mergePaces.ts
@@ -34,10 +34,16 @@
 /** A median of normally distributed values has this times the variance of their mean. */
 const medianVariance = Math.PI / 2;
 
+/** Inserts an estimate into a list that is ordered by pace. */
+export function insertByPace<Estimate extends PaceEstimate>(estimates: Estimate[], estimate: Estimate): void {
+    const index = estimates.findIndex(({ logPace }) => logPace > estimate.logPace);
+    estimates.splice(index < 0 ? estimates.length : index, 0, estimate);
+}
+
 /**
  * Merges paces. The median of the nodes is robust against single ones that measured while an upstream was slowed down for a moment. How
  * far the result leaves the pool's mean depends on how much more the upstreams differ than noise explains.
- * @param estimates - The estimates of all nodes by upstream.
+ * @param estimates - The estimates of all nodes by upstream, ordered by their paces.
  * @param priorVariance - Variance of the logarithm of one sample, as it was measured within this node.
  */
 export function mergePaces(
@@ -110,19 +116,18 @@
 
 /** Returns the weighted median, between two values where the weights are equal on both sides. */
 function getMedian(estimates: readonly PaceEstimate[]): PaceEstimate {
-    const sorted = estimates.toSorted((left, right) => left.logPace - right.logPace);
     let weight = 0;
-    for (const estimate of sorted) {
+    for (const estimate of estimates) {
         weight += estimate.weight;
     }
     let below = 0;
-    for (const [index, estimate] of sorted.entries()) {
+    for (const [index, estimate] of estimates.entries()) {
         below += estimate.weight;
-        if (below > weight / 2 || index === sorted.length - 1) {
+        if (below > weight / 2 || index === estimates.length - 1) {
             return { logPace: estimate.logPace, weight };
         }
         if (below === weight / 2) {
-            return { logPace: (estimate.logPace + sorted[index + 1].logPace) / 2, weight };
+            return { logPace: (estimate.logPace + estimates[index + 1].logPace) / 2, weight };
         }
     }
     return { logPace: 0, weight: 0 };
--- a/src/pace/runnerPaces.ts
+++ b/src/pace/runnerPaces.ts
@@ -9,7 +9,7 @@
 import { HeardPaces } from "./heardPaces.js";
 import { IncarnationKeys } from "./incarnation.js";
 import { LocalPaces } from "./localPaces.js";
-import { type MergedPace, mergePaces, type PaceEstimate } from "./mergePaces.js";
+import { insertByPace, type MergedPace, mergePaces, type PaceEstimate } from "./mergePaces.js";
 import { classifyPace, type PaceClass } from "./paceClass.js";
 import type { PaceDigest } from "./paceDigest.js";
 
@@ -247,7 +247,10 @@
     for (const key of keys) {
         const ofOthers = heard.get(key) ?? [];
         const ofSelf = own.get(key);
-        const all = ofSelf === undefined ? ofOthers : [...ofOthers, ofSelf];
+        const all = [...ofOthers];
+        if (ofSelf !== undefined) {
+            insertByPace(all, ofSelf);
+        }
         if (all.length > 0) {
             selected.set(key, all);
         }
--- a/test/pace/mergePaces.test.ts
+++ b/test/pace/mergePaces.test.ts
@@ -6,7 +6,8 @@
 const variance = 0.04;
 
 function merge(ofUpstreams: readonly (readonly PaceEstimate[])[], priorVariance = variance): readonly number[] {
-    const { paces } = mergePaces(new Map(ofUpstreams.entries()), priorVariance);
+    const sorted = ofUpstreams.map(estimates => estimates.toSorted((left, right) => left.logPace - right.logPace));
+    const { paces } = mergePaces(new Map(sorted.entries()), priorVariance);
     return ofUpstreams.map((...[, index]) => Math.exp(paces.get(index)?.logPace ?? 0));
 }
 
