Log each answer whose connection this node closes before it is complete

Line 463 gives the reason and the bytes written before, rattanlock_broken_answers_total counts them. CallerReply.abort takes the reason; a server that closes reports what it cuts. Nothing is decided differently.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -177,6 +177,12 @@
         "warning",
         "A caller read its answer too slowly: what waited for it exceeded a bound, so its connection was reset and its run cancelled.",
     ),
+    answerBroken: define(
+        463,
+        "answer-broken",
+        "warning",
+        "The connection of a caller was closed by this node before its answer was complete; the fields give the reason and the bytes written.",
+    ),
     poorAnswerAccepted: define(
         470,
         "poor-answer-accepted",
--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -31,6 +31,9 @@
     answer(status: number, headers: readonly string[], body: Buffer): void;
     /** Sends a refusal by the router itself. */
     refuse(refusal: Refusal): void;
-    /** Breaks the connection of an answer that cannot be completed, so that it does not look complete to the caller. */
-    abort(): void;
+    /**
+     * Breaks the connection of an answer that cannot be completed, so that it does not look complete to the caller.
+     * @param reason - Why it cannot be completed, for log lines.
+     */
+    abort(reason: string): void;
 }
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -180,6 +180,11 @@
             labelNames: ["bound"] as const,
             registers,
         }),
+        brokenReplies: new Counter({
+            name: "rattanlock_broken_answers_total",
+            help: "Answers whose connections were closed by this node before they were complete.",
+            registers,
+        }),
         departedCallers: new Counter({
             name: "rattanlock_departed_callers_total",
             help: "Requests whose callers had left before anything was done for them.",
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -130,7 +130,7 @@
         if (reply.hasStarted && answer.status !== 200) {
             attempt.finish("error", `status ${answer.status} in the middle of a stream`, "complete");
             attempt.cancel();
-            reply.abort();
+            reply.abort(`status ${answer.status} in the middle of a stream`);
             return true;
         }
         if (!reply.hasStarted) {
@@ -151,7 +151,7 @@
         if (!this.#exchange.ended.aborted && route.isResumable && answer.status === 200 && this.#canRepeat()) {
             return false;
         }
-        reply.abort();
+        reply.abort(relayed.reason);
         return true;
     }
 
@@ -242,7 +242,7 @@
     #fail(error: AttemptFailure): void {
         const { reply } = this.#exchange;
         if (reply.hasStarted) {
-            reply.abort();
+            reply.abort(error.kind === "not-made" ? `not resumed: ${error.reason}` : error.failure.reason);
             return;
         }
         reply.refuse(this.#createRefusal(error));
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -9,7 +9,7 @@
 import { ConnectionErrors } from "./connectionErrors.js";
 import { countHeaderBytes, decodeRequest, readBody } from "./decodeRequest.js";
 import { findHeader } from "./headers.js";
-import { type DroppedCallerListener, HttpReply } from "./httpReply.js";
+import { type BrokenReplyListener, type DroppedCallerListener, HttpReply } from "./httpReply.js";
 import type { Endpoint } from "./nodeSettings.js";
 import { headerNames } from "./wire.js";
 
@@ -42,6 +42,8 @@
     readonly onDeparted: (requestId: string) => void;
     /** Reports a request whose caller was given up because it reads too slowly. */
     readonly onDropped: DroppedCallerListener;
+    /** Reports a request whose connection this node closes before its answer is complete. */
+    readonly onBroken: BrokenReplyListener;
 }
 
 /** Serves callers. */
@@ -49,6 +51,8 @@
     readonly #options: CallerServerOptions;
     readonly #server: Server;
     readonly #connectionErrors = new ConnectionErrors();
+    /** Replies that are not complete. */
+    readonly #replies = new Set<HttpReply>();
     #isLeaving = false;
 
     constructor(options: CallerServerOptions) {
@@ -89,6 +93,9 @@
     /** Stops listening and closes all remaining connections. */
     close(): void {
         this.#server.close();
+        for (const reply of this.#replies) {
+            reply.abort("the node stops");
+        }
         this.#server.closeAllConnections();
     }
 
@@ -99,7 +106,7 @@
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#options.clock.monotonic();
         response.once("close", this.#connectionErrors.add(incoming));
-        const { replyBuffers: buffers, onDropped } = this.#options;
+        const { replyBuffers: buffers, onDropped, onBroken } = this.#options;
         const presence = new PresenceCheck(this.#options.readProgress);
         const reply = new HttpReply({
             incoming,
@@ -108,7 +115,10 @@
             buffers,
             presence,
             onDropped,
+            onBroken,
         });
+        this.#replies.add(reply);
+        response.once("close", () => this.#replies.delete(reply));
         const limits = this.#getLimits();
         const id = findHeader(incoming.rawHeaders, headerNames.requestId) ?? "";
         if (countHeaderBytes(incoming.rawHeaders) > limits.headerBytes) {
@@ -123,7 +133,7 @@
         await reply.confirmCaller();
         if (body === "gone" || reply.disconnected.aborted) {
             this.#options.onDeparted(id);
-            reply.abort();
+            reply.abort("the caller has left");
             return;
         }
         try {
@@ -134,7 +144,7 @@
         }
         catch (error) {
             this.#options.onCrash(id, error);
-            reply.abort();
+            reply.abort("the handler failed");
         }
     }
 }
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -17,6 +17,17 @@
 /** Called with a request whose caller was given up, the bound that was exceeded, and the bytes that were held. */
 export type DroppedCallerListener = (request: string, bound: ReplyBound, heldBytes: number) => void;
 
+/** An answer whose connection was closed before it was complete. */
+export interface BrokenReply {
+    readonly request: string;
+    readonly reason: string;
+    /** Bytes of the answer that were written to the connection, with its head. */
+    readonly writtenBytes: number;
+}
+
+/** Called when this node closes the connection of an answer that is not complete. */
+export type BrokenReplyListener = (reply: BrokenReply) => void;
+
 /** Options of `HttpReply`. */
 export interface HttpReplyOptions {
     /** The caller's request. */
@@ -28,6 +39,7 @@
     readonly buffers: ReplyBuffers;
     readonly presence: PresenceCheck;
     readonly onDropped: DroppedCallerListener;
+    readonly onBroken: BrokenReplyListener;
 }
 
 /** A socket with its handle, which alone knows how much of a running write has not left. */
@@ -43,13 +55,18 @@
     readonly #buffer: ReplyBuffer;
     readonly #presence: PresenceCheck;
     readonly #disconnection = new AbortController();
+    readonly #onBroken: BrokenReplyListener;
+    /** Bytes that the connection had written before this answer. */
+    readonly #bytesBefore: number;
     #requestId: string | undefined;
     #hasKnownEnd = true;
     /** Lets the writer go on that waits for its caller. */
     #wakeWriter: (() => void) | undefined;
 
-    constructor({ incoming, response, isLeaving, buffers, presence, onDropped }: HttpReplyOptions) {
+    constructor({ incoming, response, isLeaving, buffers, presence, onDropped, onBroken }: HttpReplyOptions) {
         this.#connection = incoming.socket;
+        this.#bytesBefore = this.#connection.bytesWritten;
+        this.#onBroken = onBroken;
         this.#response = response;
         this.#isLeaving = isLeaving;
         this.#presence = presence;
@@ -130,7 +147,11 @@
         this.#refuse(refusal, status, ["Connection", "close"]);
     }
 
-    abort(): void {
+    abort(reason: string): void {
+        if (!this.#disconnection.signal.aborted && !this.#response.writableFinished) {
+            const writtenBytes = this.#connection.bytesWritten - this.#bytesBefore;
+            this.#onBroken({ request: this.#requestId ?? "", reason, writtenBytes });
+        }
         if (this.#hasKnownEnd) {
             this.#closeConnection(connection => connection.destroy());
             return;
@@ -195,7 +216,7 @@
 
     #refuse({ failure, outcome }: Refusal, status: number, extra: readonly string[]): void {
         if (this.#disconnection.signal.aborted || this.#response.headersSent) {
-            this.abort();
+            this.abort(`refused after the answer had begun: ${failure.kind}`);
             return;
         }
         const body = Buffer.from(JSON.stringify({ error: failure.kind, outcome, detail: failure.message }));
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -233,6 +233,10 @@
                 metrics.droppedCallers.inc({ bound });
                 throttledJournal.write(events.slowCallerDropped, request, { request, bound, heldBytes });
             },
+            onBroken: broken => {
+                metrics.brokenReplies.inc();
+                journal.write(events.answerBroken, { ...broken });
+            },
         }),
     siteServer: parts => {
         const { settings, liveSettings, topics, membership, directory, sharedReachability, shutdown } = parts;
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import type { BrokenReply } from "../../src/platform/httpReply.js";
 import { waitUntil } from "../../src/testbench/index.js";
 import { startCallerServer } from "../fixtures/callerServers.js";
 import { blockProcess } from "../fixtures/pauses.js";
@@ -84,4 +85,25 @@
         const [answer] = await once(socket, "data") as [Buffer];
         expect([String(answer).startsWith("HTTP/1.1 200"), handled]).toEqual([true, ["1"]]);
     });
+
+    it("reports what it cuts as it closes", async () => {
+        const broken: BrokenReply[] = [];
+        const { server, port } = await startCallerServer({
+            handle: (...[, reply]) => {
+                reply.start(200, []);
+                return reply.write(Buffer.from("a"));
+            },
+            onBroken: reply => broken.push(reply),
+        });
+        const socket = connect(port, host);
+        socket.write(request);
+        await once(socket, "data");
+        server.close();
+        await once(socket, "close");
+        expect(broken.map(({ request, reason }) => ({ request, reason }))).toEqual([{
+            request: "1",
+            reason: "the node stops",
+        }]);
+        expect(broken[0].writtenBytes > 0).toEqual(true);
+    });
 });
--- a/test/platform/slowCallers.test.ts
+++ b/test/platform/slowCallers.test.ts
@@ -38,7 +38,11 @@
         };
         const onDropped = (request: string, bound: string): number => dropped.push({ request, bound });
         const presence = new PresenceCheck(new ReadProgress({ clock: systemClock }));
-        void handle(id, new HttpReply({ incoming, response, isLeaving: () => false, buffers, presence, onDropped }));
+        const onBroken = (): void => {};
+        void handle(
+            id,
+            new HttpReply({ incoming, response, isLeaving: () => false, buffers, presence, onDropped, onBroken }),
+        );
     });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     opened.push({
@@ -86,7 +90,7 @@
             written.set(id, count + 1);
         }
         if (reply.disconnected.aborted) {
-            reply.abort();
+            reply.abort("test");
             return;
         }
         reply.end();
@@ -124,7 +128,7 @@
             const { port, resets } = await startServer(async (...[, reply]) => {
                 reply.start(200, [], { hasKnownEnd });
                 await reply.write(Buffer.from("first"));
-                setTimeout(() => reply.abort(), 20);
+                setTimeout(() => reply.abort("test"), 20);
             }, 100 * megabyte);
             await readAll(await sendRequest(port, "broken"));
             expect(resets).toEqual(hasKnownEnd ? [] : ["broken"]);
@@ -212,7 +216,7 @@
                 return Promise.resolve();
             }
             reply.start(200, [], { hasKnownEnd: id !== "open" });
-            reply.abort();
+            reply.abort("test");
             first?.answer(200, [], large);
             return Promise.resolve();
         }, 100 * megabyte);
