Add failing tests of streams whose runners fall silent when nothing can take their place

The request has no attempt left, or there is no other runner. Both answers are broken off after 1.3 s with one event, although the runner goes on.

--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { setImmediate } from "node:timers/promises";
+import { setImmediate, setTimeout as sleep } from "node:timers/promises";
 import { MessageChannel } from "node:worker_threads";
 import type { Generation } from "../../src/forwarding/index.js";
 import {
@@ -13,6 +13,7 @@
 } from "../fixtures/forwarders.js";
 import { blockProcess } from "../fixtures/pauses.js";
 import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
+import { createUpstreams } from "../fixtures/upstreams.js";
 
 const generation: Generation = {
     model: undefined,
@@ -30,10 +31,11 @@
     behaviour: UpstreamBehaviour,
     options: Parameters<typeof createStreamRoute>[0] = {},
     crashed: readonly string[] = [],
+    upstreams = createUpstreams(3),
 ) {
     const route = createStreamRoute(options);
     const getRoutes = () => createRouteTable({ routes: [route] });
-    const site = createForwarder({ behaviour, getRoutes, crashed: new Set(crashed) });
+    const site = createForwarder({ behaviour, getRoutes, crashed: new Set(crashed), upstreams });
     const send = () => site.send({ generation, session: "session", deadlineMilliseconds: 20_000 });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     return { ...site, send, getModels };
@@ -92,6 +94,38 @@
         expect([caller.chunks, caller.isComplete, calls.length]).toEqual([[createEvent(1), createEvent(2)], true, 2]);
     });
 
+    describe("when its runner falls silent for longer than the pause timeout", () => {
+        async function* pause(signal: AbortSignal): AsyncGenerator<Buffer> {
+            yield Buffer.from(createEvent(1));
+            await sleep(1_800, undefined, { signal });
+            yield Buffer.from(createEvent(2));
+        }
+        const behave: UpstreamBehaviour = ({ signal }) => createAnswer([], { confidence: 80, body: pause(signal) });
+
+        // Guards against an answer that is broken off halfway although its runner goes on.
+        it("waits for it if the request has no attempt left", async () => {
+            const { send, calls } = createStreamForwarder(behave, { maxAttempts: 1 });
+            const caller = await send();
+            expect([caller.chunks, caller.isComplete, caller.isAborted]).toEqual([
+                [createEvent(1), createEvent(2)],
+                true,
+                false,
+            ]);
+            expect(calls.length).toEqual(1);
+        });
+
+        // Guards against an answer that is broken off halfway although its runner goes on.
+        it("waits for it if no other runner takes the request", async () => {
+            const { send } = createStreamForwarder(behave, { maxAttempts: 3 }, [], createUpstreams(1));
+            const caller = await send();
+            expect([caller.chunks, caller.isComplete, caller.isAborted]).toEqual([
+                [createEvent(1), createEvent(2)],
+                true,
+                false,
+            ]);
+        });
+    });
+
     // A caller reads slowly for longer than a runner may be silent. Guards against a sound run that is cancelled and repeated elsewhere.
     it("does not take a slow caller for a silent runner", async () => {
         const { forwarder, calls } = createStreamForwarder(() =>
