--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -3,7 +3,6 @@
  */
 import type { Clock, RandomSource } from "../../common/index.js";
 import type { RegisteredUpstream } from "../../fleet/index.js";
-import { AverageLoads } from "./averageLoad.js";
 import { exclude } from "./exclude.js";
 import { ExpectedWaits } from "./expectedWaits.js";
 import type { Paces } from "./paces.js";
@@ -12,7 +11,8 @@
 import { PromptHolders } from "./promptHolders.js";
 import { RunnerSubsets } from "./runnerSubsets.js";
 import type { RateShares } from "./statedRateLimit.js";
-import { type CallOutcome, type ReportedRequests, UpstreamStatus } from "./upstreamStatus.js";
+import { UpstreamLoads } from "./upstreamLoads.js";
+import type { CallOutcome, ReportedRequests } from "./upstreamStatus.js";
 import { WaitRatio } from "./waitRatio.js";
 
 /** Maximum share of a pool that is ejected. If more of it fails, the cause is unlikely to be in single upstreams. */
@@ -51,11 +51,9 @@
     readonly #onEject: (upstream: string, milliseconds: number) => void;
     readonly #isAdmitted: (upstream: RegisteredUpstream) => boolean;
     readonly #rateShares: RateShares | undefined;
-    readonly #statuses = new Map<string, UpstreamStatus>();
+    readonly #loads: UpstreamLoads;
     readonly #prefillRates = new PrefillRate();
-    readonly #averageLoads = new AverageLoads();
     readonly #expectedWaits: ExpectedWaits;
-    readonly #paces: Paces | undefined;
     readonly #waitRatio = new WaitRatio();
 
     constructor(options: {
@@ -80,7 +78,7 @@
         this.#onEject = options.onEject;
         this.#isAdmitted = options.isAdmitted ?? (() => true);
         this.#rateShares = options.rateShares;
-        this.#paces = options.paces;
+        this.#loads = new UpstreamLoads(options.paces);
         this.#expectedWaits = new ExpectedWaits(options.failureDomain);
     }
 
@@ -94,7 +92,7 @@
             options.candidates,
             upstream => options.excluded.has(upstream.id) || !this.#isAdmitted(upstream),
         );
-        const unejected = exclude(untried, ({ id }) => this.#getStatus(id).isEjected(now));
+        const unejected = exclude(untried, ({ id }) => this.#loads.getStatus(id).isEjected(now));
         const healthy = this.#findDue(unejected) ?? unejected;
         if (healthy.length === 0) {
             // An attempt on an ejected upstream may succeed; without it the request would certainly be refused.
@@ -114,7 +112,7 @@
      * @param milliseconds - Expected prefill time of the prompt; negative when its prefill has ended.
      */
     addPendingPrefill(upstream: string, milliseconds: number): void {
-        this.#statuses.get(upstream)?.addPendingPrefill(milliseconds);
+        this.#loads.find(upstream)?.addPendingPrefill(milliseconds);
     }
 
     /**
@@ -122,7 +120,7 @@
      * @param upstream - Identifier of the upstream.
      */
     markSeen(upstream: string): void {
-        this.#statuses.get(upstream)?.markSeen(this.#clock.monotonic());
+        this.#loads.find(upstream)?.markSeen(this.#clock.monotonic());
     }
 
     /**
@@ -153,7 +151,7 @@
      * @param upstream - Identifier of the upstream.
      */
     start(upstream: string): void {
-        this.#getStatus(upstream).start(this.#clock.monotonic());
+        this.#loads.getStatus(upstream).start(this.#clock.monotonic());
     }
 
     /**
@@ -167,12 +165,12 @@
             return;
         }
         const now = this.#clock.monotonic();
-        const status = this.#getStatus(upstream.id);
+        const status = this.#loads.getStatus(upstream.id);
         const others = status.addLoadReport(load, now);
-        this.#averageLoads.get(upstream.pool).add(others, load.slots);
+        this.#loads.addReported(upstream.pool, others, load.slots);
         const waiting = status.getReportedWaiting();
         if (waiting !== undefined) {
-            this.#expectedWaits.addReport(upstream, waiting, this.#getPace(upstream.id), now);
+            this.#expectedWaits.addReport(upstream, waiting, this.#loads.getPace(upstream.id), now);
         }
     }
 
@@ -183,16 +181,16 @@
      * @param pool - All upstreams of the pool.
      */
     finish(upstream: RegisteredUpstream, outcome: CallOutcome, pool: readonly RegisteredUpstream[]): void {
-        const status = this.#statuses.get(upstream.id);
+        const status = this.#loads.find(upstream.id);
         const now = this.#clock.monotonic();
         status?.finish(outcome, now);
         if (
             status === undefined || outcome === "ok" || status.isEjected(now)
-            || !status.isOutlier(this.#getFailureRate(pool, upstream))
+            || !status.isOutlier(this.#loads.getFailureRate(pool, upstream))
         ) {
             return;
         }
-        const ejected = pool.filter(other => this.#getStatus(other.id).isEjected(now)).length;
+        const ejected = pool.filter(other => this.#loads.getStatus(other.id).isEjected(now)).length;
         if ((ejected + 1) / Math.max(1, pool.length) <= maxEjectedShare) {
             this.#onEject(upstream.id, status.eject(now));
         }
@@ -203,7 +201,7 @@
      * @param upstream - Identifier of the upstream.
      */
     clearFailures(upstream: string): void {
-        this.#statuses.get(upstream)?.clearFailures();
+        this.#loads.find(upstream)?.clearFailures();
     }
 
     /**
@@ -211,54 +209,11 @@
      * @param upstream - Identifier of the upstream.
      */
     remove(upstream: string): void {
-        this.#statuses.delete(upstream);
+        this.#loads.remove(upstream);
         this.#subsets.remove(upstream);
         this.#holders.remove(upstream);
     }
 
-    #getStatus(id: string): UpstreamStatus {
-        let status = this.#statuses.get(id);
-        if (status === undefined) {
-            status = new UpstreamStatus();
-            this.#statuses.set(id, status);
-        }
-        return status;
-    }
-
-    #getPace(upstream: string): number {
-        return this.#paces?.getPace(upstream) ?? 1;
-    }
-
-    /** Returns how long an upstream takes for work that is sent to it now, relative to its pool. */
-    #getSlowness(upstream: string, now: number): number {
-        return this.#getPace(upstream) * this.#getStatus(upstream).getSlowdown(now);
-    }
-
-    /** Returns the expected number of requests of all nodes at an upstream. */
-    #getExpectedRequests({ id, pool, slots }: RegisteredUpstream, now: number): number {
-        return this.#getStatus(id).getExpectedRequests(now, this.#averageLoads.get(pool).getOtherRequests(slots));
-    }
-
-    #getLoad(upstream: RegisteredUpstream, now: number): number {
-        return this.#getExpectedRequests(upstream, now) / upstream.slots;
-    }
-
-    /** Returns the load with another request, as many times as high as work takes longer there, less the share of the request. */
-    #getSlowedLoad(upstream: RegisteredUpstream, now: number): number {
-        const slowness = this.#getSlowness(upstream.id, now);
-        return this.#getLoad(upstream, now) * slowness + (slowness - 1) / upstream.slots;
-    }
-
-    /** Returns the mean failure rate of the pool's other upstreams. Failures that all of them have are not the fault of a single one. */
-    #getFailureRate(pool: readonly RegisteredUpstream[], except: RegisteredUpstream): number {
-        const others = pool.filter(upstream => upstream.id !== except.id);
-        let sum = 0;
-        for (const upstream of others) {
-            sum += this.#getStatus(upstream.id).getFailureRate();
-        }
-        return others.length === 0 ? 1 : sum / others.length;
-    }
-
     #createPick(
         upstream: RegisteredUpstream | undefined,
         reason: UpstreamPick["reason"],
@@ -267,10 +222,10 @@
         return upstream && {
             upstream,
             reason,
-            load: this.#getLoad(upstream, now),
+            load: this.#loads.getLoad(upstream, now),
             expectedMilliseconds: 0,
             prefillMilliseconds: 0,
-            slowness: this.#getSlowness(upstream.id, now),
+            slowness: this.#loads.getSlowness(upstream.id, now),
             uncachedTokens: 0,
         };
     }
@@ -297,7 +252,7 @@
             const { expectedMilliseconds, prefillMilliseconds, load } = pick;
             const waiting = expectedMilliseconds - prefillMilliseconds;
             const placeCost = upstream.failureDomain === this.#failureDomain
-                ? this.#expectedWaits.drawSpread(pool, this.#getStatus(upstream.id), now, this.#random)
+                ? this.#expectedWaits.drawSpread(pool, this.#loads.getStatus(upstream.id), now, this.#random)
                 : domainCost;
             const cost = waiting * (load >= 1 ? 2 : 1) + prefillMilliseconds + placeCost;
             if (cost < bestCost) {
@@ -316,15 +271,15 @@
         hitProbability: number,
         now: number,
     ): UpstreamPick {
-        const status = this.#getStatus(upstream.id);
-        const slowness = this.#getSlowness(upstream.id, now);
+        const status = this.#loads.getStatus(upstream.id);
+        const slowness = this.#loads.getSlowness(upstream.id, now);
         const uncachedTokens = prompt.tokens - hitProbability * prompt.sharedTokens;
         const prefillMilliseconds = slowness
             * this.#prefillRates.getPrefillMilliseconds(prompt.model, uncachedTokens);
         const noise = 1 + loadNoise * (2 * this.#random.next() - 1);
-        const requests = this.#getExpectedRequests(upstream, now) * noise;
+        const requests = this.#loads.getExpectedRequests(upstream, now) * noise;
         const load = requests / upstream.slots;
-        const pace = this.#getPace(upstream.id);
+        const pace = this.#loads.getPace(upstream.id);
         // A full batch makes each step about twice as long.
         const delay = this.#expectedWaits.isKnown(upstream.pool)
             ? noise * slowness * this.#expectedWaits.getOthersMilliseconds(upstream, status, pace, now)
@@ -360,7 +315,7 @@
         let oldest: RegisteredUpstream | undefined;
         let oldestAge = drawn < probeShare ? probeAgeMilliseconds : Number.MAX_VALUE;
         for (const upstream of candidates) {
-            const status = this.#getStatus(upstream.id);
+            const status = this.#loads.getStatus(upstream.id);
             const age = status.getTrialAge(now);
             if (age > oldestAge && status.getInFlight() === 0 && upstream.failureDomain === this.#failureDomain) {
                 oldest = upstream;
@@ -382,7 +337,7 @@
 
     #findWithFreeCapacity(candidates: readonly RegisteredUpstream[], now: number): RegisteredUpstream | undefined {
         const leastLoaded = this.#findLeastLoaded(candidates, now);
-        return leastLoaded !== undefined && this.#getSlowedLoad(leastLoaded, now) < fullLoadShare
+        return leastLoaded !== undefined && this.#loads.getSlowedLoad(leastLoaded, now) < fullLoadShare
             ? leastLoaded
             : undefined;
     }
@@ -392,7 +347,7 @@
         let bestLoad = Number.POSITIVE_INFINITY;
         for (const upstream of candidates) {
             // Ties are broken at random; otherwise every node would send its first request to the same upstream.
-            const load = this.#getSlowedLoad(upstream, now) + this.#random.next() * 0.01;
+            const load = this.#loads.getSlowedLoad(upstream, now) + this.#random.next() * 0.01;
             if (load < bestLoad) {
                 best = upstream;
                 bestLoad = load;
