--- a/test/quarantine/crashReplay.test.ts
+++ b/test/quarantine/crashReplay.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { CrashReplay, type CrashReplayOptions, type CrashReplayResult } from "./crashReplay.js";
+import { CrashReplay } from "./crashReplay.js";
+import type { CrashReplayOptions, CrashReplayResult } from "./crashReplayOptions.js";
 
 const fleet = { nodes: 8, runners: 13, requestsPerSecond: 80 };
 const outages = [10_000, 13_000, 16_000, 20_000, 24_000, 30_000, 40_000];
