Answer what a node has in hand as its time to stop runs out

What callers saw: a node that was told to stop closed the connections of all requests that it still had in hand at the end of its time, without an answer or a refusal. Their last line was the one of their routing.

Cause: the end of the time to stop was known to the sockets alone. `PlatformNode` closed all connections and the process ended; no exchange was told, so none was refused, no run was cancelled by the node, and none had its last line.

Ruled out: closing the connections later or in order. What has no head needs an answer that says whether it has run, which only its exchange knows; and a refusal that is written as the connections are destroyed is lost with them.

Change: `Forwarder.stop` ends each exchange, on the path of a request whose time is over: its run is cancelled, and it is refused with 503 and a short retry delay if it has certainly not run, and with 502 otherwise. The node then waits until these answers are written, at most until 98% of its time to stop.

Not covered: requests that this node forwards for other nodes; those see a broken connection, as before.

--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,6 +8,7 @@
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
+import { createStopFailure } from "./shutdown.js";
 
 /** Options of an exchange. */
 export interface ExchangeOptions {
@@ -51,6 +52,7 @@
     readonly #timer: NodeJS.Timeout;
     readonly #handleDisconnect: () => void;
     #isTimedOut = false;
+    #isStopped = false;
     #callerLeftAfterMilliseconds: number | undefined;
 
     constructor(options: ExchangeOptions) {
@@ -77,11 +79,11 @@
         this.#endsAt = options.request.arrivedAt + timeoutMilliseconds;
         this.#timer = setTimeout(() => {
             this.#isTimedOut = true;
-            this.#endController.abort();
+            this.#endController.abort("the time is over");
         }, Math.max(0, this.#endsAt - this.#clock.monotonic()));
         this.#handleDisconnect = () => {
             this.#callerLeftAfterMilliseconds = this.getElapsed();
-            this.#endController.abort();
+            this.#endController.abort("the caller has left");
         };
         this.reply.disconnected.addEventListener("abort", this.#handleDisconnect);
         if (this.reply.disconnected.aborted) {
@@ -89,7 +91,7 @@
         }
     }
 
-    /** Aborted when the caller disconnects or the time is over. */
+    /** Aborted when the caller disconnects, the time is over, or the node stops. Its reason says which, for log lines. */
     get ended(): AbortSignal {
         return this.#endController.signal;
     }
@@ -99,6 +101,11 @@
         return this.#isTimedOut;
     }
 
+    /** Whether the node stopped before the answer was complete. */
+    get isStopped(): boolean {
+        return this.#isStopped;
+    }
+
     /** Time from the arrival of the request until its caller's leaving was read, in milliseconds. Undefined if the caller stays. */
     get callerLeftAfterMilliseconds(): number | undefined {
         return this.#callerLeftAfterMilliseconds;
@@ -114,6 +121,14 @@
         return this.#clock.monotonic() - this.request.arrivedAt;
     }
 
+    /** Ends the exchange because the node stops: cancels its run and lets its caller be refused. Does nothing after its end. */
+    stop(): void {
+        if (!this.#endController.signal.aborted) {
+            this.#isStopped = true;
+            this.#endController.abort("the node stops");
+        }
+    }
+
     /** Records that the request was sent to an upstream. */
     addAttempt(upstream: RegisteredUpstream): void {
         this.attempts += 1;
@@ -144,8 +159,15 @@
     return { pool, priority, objectiveMilliseconds: route.objectiveMilliseconds };
 }
 
-/** Creates the refusal of a request whose time has run out. */
-export function createTimeoutRefusal(exchange: Exchange): Refusal {
+/** Creates the refusal of a request that was ended before its answer, or undefined if it was not. */
+export function createEndRefusal(exchange: Exchange): Refusal | undefined {
+    if (exchange.isTimedOut) {
+        return createTimeoutRefusal(exchange);
+    }
+    return exchange.isStopped ? { outcome: exchange.outcome, failure: createStopFailure() } : undefined;
+}
+
+function createTimeoutRefusal(exchange: Exchange): Refusal {
     return {
         outcome: exchange.outcome,
         failure: new Failure({
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -55,7 +55,7 @@
     readonly #ranks: RankShares;
     readonly #pressure: PoolPressure;
     readonly #headTimes: HeadTimes;
-    #inFlight = 0;
+    readonly #exchanges = new Set<Exchange>();
 
     constructor(options: ForwarderOptions) {
         this.#options = options;
@@ -67,7 +67,14 @@
 
     /** Returns the number of requests in flight. */
     getInFlight(): number {
-        return this.#inFlight;
+        return this.#exchanges.size;
+    }
+
+    /** Ends all requests in flight: cancels their runs and refuses those that have no answer yet. */
+    stop(): void {
+        for (const exchange of this.#exchanges) {
+            exchange.stop();
+        }
     }
 
     /**
@@ -102,12 +109,12 @@
         });
         this.#ranks.add(exchange.pool, priority);
         this.#logRouted(exchange);
-        this.#inFlight += 1;
+        this.#exchanges.add(exchange);
         try {
             await this.#run(exchange);
         }
         finally {
-            this.#inFlight -= 1;
+            this.#exchanges.delete(exchange);
             exchange.dispose();
             this.#recordEnded(exchange);
         }
@@ -202,6 +209,7 @@
             attempts: exchange.attempts,
             ran: exchange.outcome,
             timedOut: exchange.isTimedOut || undefined,
+            stopped: exchange.isStopped || undefined,
             callerGone: exchange.reply.disconnected.aborted || undefined,
             callerGoneMs: roundMilliseconds(exchange.callerLeftAfterMilliseconds),
             wholeMs: Math.round(exchange.getElapsed()),
--- a/src/forwarding/shutdown.ts
+++ b/src/forwarding/shutdown.ts
@@ -11,6 +11,8 @@
 const streamAdmissionShare = 0.34;
 /** Requests in flight are aborted after this share of the time to stop, so that the process exits before it is killed. */
 const abortShare = 0.95;
+/** The last answers are written until this share of the time to stop. What remains is for the end of the process. */
+const answerShare = 0.98;
 /** Retry delay of refused callers. It is short because they can reach another node at once. */
 const refusalRetryMilliseconds = 50;
 
@@ -41,8 +43,12 @@
 
     /** Returns the time until requests in flight have to be aborted, in milliseconds. */
     getTimeLeft(): number {
-        const elapsed = this.#startedAt === undefined ? 0 : this.#clock.monotonic() - this.#startedAt;
-        return this.#stopMilliseconds * abortShare - elapsed;
+        return this.#stopMilliseconds * abortShare - this.#getElapsed();
+    }
+
+    /** Returns the time until all answers have to be written, in milliseconds. */
+    getAnswerTimeLeft(): number {
+        return this.#stopMilliseconds * answerShare - this.#getElapsed();
     }
 
     /**
@@ -61,6 +67,10 @@
         });
     }
 
+    #getElapsed(): number {
+        return this.#startedAt === undefined ? 0 : this.#clock.monotonic() - this.#startedAt;
+    }
+
     #canFinish(route: Route): boolean {
         const remainingMilliseconds = this.getTimeLeft();
         return route.kind === "stream"
@@ -68,3 +78,13 @@
             : remainingMilliseconds > route.timeoutMilliseconds;
     }
 }
+
+/** Creates the failure of a request that was accepted and cannot be answered before the node stops. */
+export function createStopFailure(): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: "The node stops before the request can be answered.",
+        remedy: "Send the request to another address.",
+        retryAfterMilliseconds: refusalRetryMilliseconds,
+    });
+}
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -8,7 +8,7 @@
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { EventSplitter } from "./eventSplitter.js";
-import { createTimeoutRefusal, type Exchange, getRankedRequest } from "./exchange.js";
+import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
 import type { ForwardingMetrics } from "./metrics.js";
@@ -191,7 +191,11 @@
             return attempt.answer.hasKnownEnd ? await this.#writeRemainder() : await this.#evaluateEnd(attempt);
         }
         catch (cause) {
-            const reason = isTimedOut ? `no data for ${pauseTimeout} ms` : ended.aborted ? "ended" : String(cause);
+            const reason = isTimedOut
+                ? `no data for ${pauseTimeout} ms`
+                : ended.aborted
+                ? String(ended.reason)
+                : String(cause);
             return { kind: "broken", reason, isDisconnected: !isTimedOut && !ended.aborted };
         }
         finally {
@@ -249,8 +253,9 @@
     }
 
     #createRefusal(error: AttemptFailure): Refusal {
-        if (this.#exchange.isTimedOut) {
-            return createTimeoutRefusal(this.#exchange);
+        const endRefusal = createEndRefusal(this.#exchange);
+        if (endRefusal !== undefined) {
+            return endRefusal;
         }
         if (this.#exchange.outcome === "not-run") {
             return createNotRunRefusal(this.#exchange, error, this.#pressure);
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -7,7 +7,7 @@
 import { isRepeatable } from "../routing/index.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
-import { createTimeoutRefusal, type Exchange, getRankedRequest } from "./exchange.js";
+import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
 import type { HeadTimes } from "./headTimes.js";
 import { createBrokenFailure, createNotRunRefusal } from "./refusals.js";
 import { isCertainlyNotRun, type UpstreamAnswer } from "./upstreamCall.js";
@@ -148,8 +148,9 @@
 }
 
 function createRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
-    if (exchange.isTimedOut) {
-        return createTimeoutRefusal(exchange);
+    const endRefusal = createEndRefusal(exchange);
+    if (endRefusal !== undefined) {
+        return endRefusal;
     }
     if (exchange.outcome === "not-run") {
         return createNotRunRefusal(exchange, error, pressure);
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -84,6 +84,11 @@
         this.#server.keepAliveTimeout = idleMilliseconds + idleMarginMilliseconds;
     }
 
+    /** Returns the number of requests whose answers are not written completely, from the arrival of their headers on. */
+    countOpen(): number {
+        return this.#replies.size;
+    }
+
     /** Closes each connection after its current answer from now on. New connections are still served. */
     announceLeaving(): void {
         this.#isLeaving = true;
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -12,6 +12,7 @@
 import { type NodeSettings, parseNodeSettings } from "./nodeSettings.js";
 
 const drainPollMilliseconds = 50;
+const answerPollMilliseconds = 5;
 /** Minimum time to keep serving after a stop signal: callers that fetched addresses just before it still connect for a while. */
 const minServingMilliseconds = 2_500;
 
@@ -150,6 +151,11 @@
             }
             await sleep(drainPollMilliseconds);
         }
+        // Connections that are closed at once would take the refusals with them.
+        forwarder.stop();
+        while (callerServer.countOpen() > 0 && shutdown.getAnswerTimeLeft() > 0) {
+            await sleep(answerPollMilliseconds);
+        }
         journal.write(events.processStopped, { requests: forwarder.getInFlight() });
         callerServer.close();
         siteServer.close();
