Count what is being read, and read what has arrived, before a node stops

What callers saw: a stopping node closed the connection of a request whose body it was reading, or whose bytes waited unread, with neither an answer nor a refusal.

Cause: `PlatformNode` took itself for idle by `Forwarder.getInFlight`, which counts from the admission on. A request whose body is being read, that waits for the confirmation of its caller or for the first read of the store is not admitted yet. And a process that was paused runs its timers before it reads: it decided by what it had read, while something newer waited.

Change: `CallerServer.countOpen` counts replies from the headers of their request until the answer is written or the connection is closed, and the node's drain uses it. Before the node closes its connections it reads what has arrived (`ReadProgress.readArrived`, also on connections that wait to be accepted) and looks again. The replies that wait behind another one on a connection are taken out as that connection closes; their responses never report an end, so the count would have stayed above zero. The lines of stopping and stopped processes give this count too. `countBehind` is left out of the drain: an answer that is not written is an open reply.

Ruled out: the bytes of a head that is split are not counted: only the HTTP library knows them.

--- a/src/common/readProgress.ts
+++ b/src/common/readProgress.ts
@@ -87,6 +87,17 @@
         });
     }
 
+    /**
+     * Waits until everything has been read that had arrived before this call, also on connections that wait to be accepted. What it
+     * begins is known then; what arrives meanwhile may not be.
+     */
+    async readArrived(): Promise<void> {
+        const calledAt = this.#options.clock.monotonic();
+        while (this.#readUntil < calledAt) {
+            await this.catchUp();
+        }
+    }
+
     #observe(): void {
         if (!this.#isObserving) {
             this.#isObserving = true;
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -121,9 +121,9 @@
             presence,
             onDropped,
             onBroken,
+            onClosed: () => this.#replies.delete(reply),
         });
         this.#replies.add(reply);
-        response.once("close", () => this.#replies.delete(reply));
         const limits = this.#getLimits();
         const id = findHeader(incoming.rawHeaders, headerNames.requestId) ?? "";
         if (countHeaderBytes(incoming.rawHeaders) > limits.headerBytes) {
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -40,6 +40,8 @@
     readonly presence: PresenceCheck;
     readonly onDropped: DroppedCallerListener;
     readonly onBroken: BrokenReplyListener;
+    /** Called when the answer is written or its connection is closed. May be called again. */
+    readonly onClosed?: () => void;
 }
 
 /** A socket with its handle, which alone knows how much of a running write has not left. */
@@ -63,7 +65,9 @@
     /** Lets the writer go on that waits for its caller. */
     #wakeWriter: (() => void) | undefined;
 
-    constructor({ incoming, response, isLeaving, buffers, presence, onDropped, onBroken }: HttpReplyOptions) {
+    constructor(
+        { incoming, response, isLeaving, buffers, presence, onDropped, onBroken, onClosed }: HttpReplyOptions,
+    ) {
         this.#connection = incoming.socket;
         this.#bytesBefore = this.#connection.bytesWritten;
         this.#onBroken = onBroken;
@@ -81,7 +85,10 @@
             incoming,
             response,
             onDisconnected: () => this.#disconnect(),
-            onClosed: () => this.#buffer.close(),
+            onClosed: () => {
+                this.#buffer.close();
+                onClosed?.();
+            },
         });
     }
 
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -136,27 +136,18 @@
 
     async #stop(): Promise<void> {
         const parts = this.getParts();
-        const { liveSettings, clock, journal, membership, callerServer, siteServer, forwarder, shutdown } = parts;
-        journal.write(events.processStopping, { requests: forwarder.getInFlight() });
-        const startedAt = clock.monotonic();
+        const { liveSettings, journal, membership, callerServer, siteServer, forwarder, shutdown } = parts;
+        journal.write(events.processStopping, { requests: callerServer.countOpen() });
         shutdown.start(liveSettings.get().bounds.stopMilliseconds);
         membership.announceLeaving();
         callerServer.announceLeaving();
-        const isIdle = (): boolean =>
-            forwarder.getInFlight() === 0 && parts.relayServer.getInFlight() === 0
-            && parts.replyBuffers.countBehind() === 0;
-        while (shutdown.getTimeLeft() > 0) {
-            if (clock.monotonic() - startedAt > minServingMilliseconds && isIdle()) {
-                break;
-            }
-            await sleep(drainPollMilliseconds);
-        }
+        await this.#drain();
         // Connections that are closed at once would take the refusals with them.
         forwarder.stop();
         while (callerServer.countOpen() > 0 && shutdown.getAnswerTimeLeft() > 0) {
             await sleep(answerPollMilliseconds);
         }
-        journal.write(events.processStopped, { requests: forwarder.getInFlight() });
+        journal.write(events.processStopped, { requests: callerServer.countOpen() });
         callerServer.close();
         siteServer.close();
         parts.rollouts.stop();
@@ -165,4 +156,24 @@
         parts.topics.stop();
         await parts.lineWriter.flush();
     }
+
+    /** Serves on until nothing is in hand, not even what has arrived and waits unread, or until the time to stop runs out. */
+    async #drain(): Promise<void> {
+        const { clock, shutdown, readProgress } = this.getParts();
+        const startedAt = clock.monotonic();
+        while (shutdown.getTimeLeft() > 0) {
+            if (clock.monotonic() - startedAt > minServingMilliseconds && this.#isIdle()) {
+                await readProgress.readArrived();
+                if (this.#isIdle()) {
+                    return;
+                }
+            }
+            await sleep(drainPollMilliseconds);
+        }
+    }
+
+    #isIdle(): boolean {
+        const { callerServer, forwarder, relayServer } = this.getParts();
+        return callerServer.countOpen() === 0 && forwarder.getInFlight() === 0 && relayServer.getInFlight() === 0;
+    }
 }
--- a/test/common/readProgress.test.ts
+++ b/test/common/readProgress.test.ts
@@ -78,6 +78,24 @@
         });
     });
 
+    describe("readArrived", () => {
+        // Guards against a node that closes connections which it has not accepted yet.
+        it("waits while connections are accepted turn after turn", async () => {
+            const { progress, runTurn } = createTurns();
+            let isRead = false;
+            void progress.readArrived().then(() => isRead = true);
+            for (let count = 0; count < 10; count += 1) {
+                progress.addConnection();
+                await runTurn(100);
+            }
+            expect(isRead).toEqual(false);
+            for (let count = 0; count < 4; count += 1) {
+                await runTurn(100);
+            }
+            expect(isRead).toEqual(true);
+        });
+    });
+
     describe("catchUp", () => {
         it("resolves after the first turn that begins after the call", async () => {
             const { progress, runTurn } = createTurns();
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -27,7 +27,16 @@
         onDeparted: id => departed.push(id),
     });
     opened.push(server);
-    return { port, handled, departed };
+    return { server, port, handled, departed };
+}
+
+/** Sends a request and returns its connection once it is answered. */
+async function connectAndSend(port: number): Promise<Socket> {
+    const socket = connect(port, host);
+    opened.push({ close: () => socket.destroy() });
+    socket.write(request);
+    await once(socket, "data");
+    return socket;
 }
 
 /** Connects callers. Each one sends its request and leaves as soon as it is connected, or after all are. */
@@ -86,6 +95,27 @@
         expect([String(answer).startsWith("HTTP/1.1 200"), handled]).toEqual([true, ["1"]]);
     });
 
+    it("closes idle connections as it begins to leave", async () => {
+        const { server, port } = await startServer();
+        const socket = await connectAndSend(port);
+        server.announceLeaving();
+        await once(socket, "close");
+    });
+
+    // Guards against a node that stops while it reads a request, or never does since a caller left.
+    it("counts a request from its headers until it is answered or its caller has left", async () => {
+        const { server, port } = await startCallerServer({ handle: () => new Promise(() => {}) });
+        opened.push(server);
+        const socket = connect(port, host);
+        opened.push({ close: () => socket.destroy() });
+        socket.write(request.slice(0, -1));
+        await waitUntil(() => server.countOpen() === 1, { description: "a request that is being read" });
+        socket.write(request.slice(-1) + request);
+        await waitUntil(() => server.countOpen() === 2, { description: "a request that waits behind it" });
+        socket.destroy();
+        await waitUntil(() => server.countOpen() === 0, { description: "no request" });
+    });
+
     it("reports what it cuts as it closes", async () => {
         const broken: BrokenReply[] = [];
         const { server, port } = await startCallerServer({
--- a/test/platform/plannedStop.test.ts
+++ b/test/platform/plannedStop.test.ts
@@ -1,11 +1,18 @@
 import { expect } from "earl";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../src/testbench/index.js";
-import { createConfiguration, PlatformSite, type SiteAnswer, type SiteNode } from "./platformSite.js";
+import { callerPort, createConfiguration, PlatformSite, type SiteAnswer, type SiteNode } from "./platformSite.js";
 import { createSeal } from "./standins/runnerStandin.js";
 
 /** Longer than the time that a node has to stop. */
 const longMilliseconds = 20_000;
+/** Time for which a stopping node serves at least. */
+const minServingMilliseconds = 2_500;
+/** Longer than it takes an idle node to notice that. */
+const marginMilliseconds = 300;
 /** Time between the pieces of a stream. */
 const pieceMilliseconds = 100;
 
@@ -32,6 +39,20 @@
     }
 }
 
+/** Returns the bytes of a request. */
+function createRequest(id: string, body: string): string {
+    return [
+        `POST /call/${id} HTTP/1.1`,
+        "Host: app.example",
+        `Attempt-Id: ${id}`,
+        "Deadline-Ms: 20000",
+        "Api-Key: key",
+        `Content-Length: ${body.length}`,
+        "",
+        body,
+    ].join("\r\n");
+}
+
 // A node is told to stop while runners are at work that will not end in time.
 describe("a node whose time to stop runs out", () => {
     const site = new PlatformSite("127.72.91");
@@ -99,3 +120,55 @@
         expect(find("process-stopped").map(({ requests }) => requests)).toEqual([0]);
     });
 });
+
+describe("a node that is told to stop while it reads", () => {
+    const site = new PlatformSite("127.72.92", { grace_s: 8 });
+    after(() => site.stop());
+    before(async () => {
+        await site.start(1);
+        await site.waitForReady(site.startNode(1));
+    });
+
+    // Guards against a node that takes itself for idle while it reads the body of a request.
+    it("answers a request whose body takes longer than it serves at least", async () => {
+        const [node] = site.nodes;
+        const body = "hello";
+        const socket = connect(callerPort, node.address);
+        let received = "";
+        socket.on("data", data => received += String(data));
+        await once(socket, "connect");
+        const content = createRequest("slow", body);
+        socket.write(content.slice(0, -1));
+        node.child.kill("SIGTERM");
+        await waitUntil(() => node.events.some(({ name }) => name === "process-stopping"), { description: "the stop" });
+        const isClosed = once(socket, "close");
+        setTimeout(() => socket.write(content.slice(-1)), minServingMilliseconds + marginMilliseconds);
+        await isClosed;
+        expect(received.split("\r\n")[0]).toEqual("HTTP/1.1 200 OK");
+        expect(await node.exited).toEqual(0);
+    });
+
+    // Guards against a node that closes a connection on which a request waits unread, after it was paused as it stops.
+    it("answers a request that arrived while it was paused", async () => {
+        const node = site.startNode(2);
+        await site.waitForReady(node);
+        node.child.kill("SIGTERM");
+        await waitUntil(() => node.events.some(({ name }) => name === "process-stopping"), { description: "the stop" });
+        const socket = connect(callerPort, node.address);
+        let received = "";
+        socket.on("data", data => received += String(data));
+        socket.on("error", () => {
+            // The node resets a connection that it closes unread.
+        });
+        await once(socket, "connect");
+        await sleep(marginMilliseconds);
+        node.child.kill("SIGSTOP");
+        socket.write(createRequest("paused", "hello"));
+        await sleep(minServingMilliseconds + marginMilliseconds);
+        const isClosed = once(socket, "close");
+        node.child.kill("SIGCONT");
+        await isClosed;
+        expect(received.split("\r\n")[0]).toEqual("HTTP/1.1 200 OK");
+        expect(await node.exited).toEqual(0);
+    });
+});
