Read what has arrived before a node that begins to leave closes idle connections

What callers saw: the end of a kept connection on which they had just sent a request, at the moment at which a node is told to stop.

Cause: `announceLeaving` closed the connections that look idle at once, also those whose bytes wait unread.

Change: what has arrived is read first; its answers carry `Connection: close`. Only a request that crosses the close on the way is left, which callers may send again since it was not read.

Left as it is: idle connections are closed at the start of the drain and not at its end.

Before: test/platform/callerServer, ECONNRESET.

--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -89,10 +89,11 @@
         return this.#replies.size;
     }
 
-    /** Closes each connection after its current answer from now on. New connections are still served. */
+    /** Closes each connection after its current answer from now on, and idle ones at once. New connections are still served. */
     announceLeaving(): void {
         this.#isLeaving = true;
-        this.#server.closeIdleConnections();
+        // A connection on which a request waits unread looks idle.
+        void this.#options.readProgress.readArrived().then(() => this.#server.closeIdleConnections());
     }
 
     /** Stops listening and closes all remaining connections. */
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -95,6 +95,17 @@
         expect([String(answer).startsWith("HTTP/1.1 200"), handled]).toEqual([true, ["1"]]);
     });
 
+    // Guards against a request that is lost as a stopping node closes its idle connections.
+    it("answers what has arrived on an idle connection before it begins to leave", async () => {
+        const { server, port } = await startServer();
+        const socket = await connectAndSend(port);
+        socket.write(request);
+        server.announceLeaving();
+        const [answer] = await once(socket, "data") as [Buffer];
+        expect(String(answer).split("\r\n").slice(0, 2)).toEqual(["HTTP/1.1 200 OK", "Connection: close"]);
+        await once(socket, "close");
+    });
+
     it("closes idle connections as it begins to leave", async () => {
         const { server, port } = await startServer();
         const socket = await connectAndSend(port);
