--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -84,10 +84,16 @@
         this.#server.keepAliveTimeout = idleMilliseconds + idleMarginMilliseconds;
     }
 
-    /** Closes each connection after its current answer from now on. New connections are still served. */
+    /** Returns the number of requests whose answers are not written completely, from the arrival of their headers on. */
+    countOpen(): number {
+        return this.#replies.size;
+    }
+
+    /** Closes each connection after its current answer from now on, and idle ones at once. New connections are still served. */
     announceLeaving(): void {
         this.#isLeaving = true;
-        this.#server.closeIdleConnections();
+        // A connection on which a request waits unread looks idle.
+        void this.#options.readProgress.readArrived().then(() => this.#server.closeIdleConnections());
     }
 
     /** Stops listening and closes all remaining connections. */
@@ -116,9 +122,9 @@
             presence,
             onDropped,
             onBroken,
+            onClosed: () => this.#replies.delete(reply),
         });
         this.#replies.add(reply);
-        response.once("close", () => this.#replies.delete(reply));
         const limits = this.#getLimits();
         const id = findHeader(incoming.rawHeaders, headerNames.requestId) ?? "";
         if (countHeaderBytes(incoming.rawHeaders) > limits.headerBytes) {
