Give up a call without a head only for an attempt that is certain

What callers saw: a request was refused with 502 1.4 s after it was sent, while its runner was sound and about to answer.

Cause: whether a retry is left was asked when an attempt began. Its timeout then cancelled it whatever had become of the retries and the other upstreams; what could replace it was looked for afterwards. In the other direction, an attempt that began while no retry was left waited for a dead upstream until its time was over.

Ruled out: asking only for the number of attempts and the budget at the expiry. Others may take the retry between that and the next attempt, no upstream may be left that takes the request, and the pool may turn it away.

Change: at the expiry the next attempt is admitted while the current one goes on: room, upstream, quarantine and retry, of which the last three are checked and taken in one step. The current call is cancelled only after that, and the next attempt uses what was taken. Otherwise it waits on, and this is asked again each 250 ms until the exchange ends. An ejected upstream does not count as a replacement. A request that waits for room beside its call is not reported as turned away if it gets none.

The fixture of callCancellation.test.ts passes the new option; what the existing tests check is unchanged.

--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -39,44 +39,82 @@
         const { exchange } = request;
         await exchange.lastEvaluation;
         await exchange.reply.confirmCaller();
+        const reservation = exchange.takeReservation();
+        if (reservation !== undefined && !exchange.ended.aborted) {
+            return ok(reservation);
+        }
+        const available = this.#check(request);
+        if (available.isErr()) {
+            return err(available.error);
+        }
+        const entry = await this.#options.waitingRoom.enter(request);
+        if (entry.isErr()) {
+            return err(entry.error);
+        }
+        // A request may be quarantined, and its caller or an upstream may be gone, while it waits.
+        const selection = entry.value.hasWaited ? await this.#selectAgain(request) : available;
+        return selection.andThen(selected => this.#take(request, selected));
+    }
+
+    /**
+     * Admits the next attempt of a request while its current one is silent, so that this one is given up only for one that is certain.
+     * @param request - The next attempt.
+     * @param signal - Aborted when the current attempt is not silent any more.
+     * @returns Whether the next attempt is admitted.
+     */
+    async reserve(request: AttemptRequest, signal: AbortSignal): Promise<boolean> {
+        if (this.#checkReplacement(request).isErr() || !await this.#options.waitingRoom.enterBeside(request, signal)) {
+            return false;
+        }
+        if (signal.aborted) {
+            return false;
+        }
+        const selection = this.#checkReplacement(request).andThen(selected => this.#take(request, selected));
+        request.exchange.reservation = selection.unwrapOr(undefined);
+        return selection.isOk();
+    }
+
+    /** Returns the upstream to which a request may be sent that has room, or why it is sent to none. */
+    #check(request: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
+        const { exchange } = request;
         if (exchange.ended.aborted) {
             return err({ kind: "not-made", reason: "ended" });
         }
         if (exchange.attempts >= exchange.route.maxAttempts) {
             return err({ kind: "not-made", reason: "attempts" });
         }
-        const { crashWatch } = this.#options;
-        const wait = crashWatch.getWait(exchange.watchedRequest);
+        const wait = this.#options.crashWatch.getWait(exchange.watchedRequest);
         if (wait !== undefined) {
             return err(this.#createQuarantined(exchange, wait));
         }
-        const available = this.#select(request);
-        if (available.isErr()) {
-            return err(available.error);
+        const selected = this.#select(request);
+        if (selected.isErr()) {
+            return selected;
         }
         if (!this.#hasBudget(request)) {
             return err({ kind: "not-made", reason: "budget" });
         }
-        if (!request.mayWait()) {
-            return err({ kind: "not-made", reason: "no-room" });
-        }
-        const entry = await this.#options.waitingRoom.enter(request);
-        if (entry.isErr()) {
-            return err(entry.error);
-        }
-        // A request may be quarantined, and its caller or an upstream may be gone, while it waits.
-        const selection = entry.value.hasWaited ? await this.#selectAgain(request) : available;
-        if (selection.isErr()) {
-            return err(selection.error);
-        }
-        const selected = selection.value;
+        return request.mayWait() ? selected : err({ kind: "not-made", reason: "no-room" });
+    }
+
+    /** Does the same for a request that another upstream works on. An ejected one is not likely to do better than that one. */
+    #checkReplacement(request: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
+        return this.#check(request).andThen(selected =>
+            selected.pick.reason === "ejected"
+                ? err<SelectedUpstream, AttemptFailure>({ kind: "not-made", reason: "nobody" })
+                : ok<SelectedUpstream, AttemptFailure>(selected)
+        );
+    }
+
+    /** Takes what an attempt needs beside room. */
+    #take(request: AttemptRequest, selected: SelectedUpstream): Result<SelectedUpstream, AttemptFailure> {
         if (!this.#hasBudget(request)) {
             return err({ kind: "not-made", reason: "budget" });
         }
         // What is admitted as a trial is certainly sent: there is no other trial for a while.
-        const laterWait = crashWatch.admit(exchange.watchedRequest);
-        if (laterWait !== undefined) {
-            return err(this.#createQuarantined(exchange, laterWait));
+        const wait = this.#options.crashWatch.admit(request.exchange.watchedRequest);
+        if (wait !== undefined) {
+            return err(this.#createQuarantined(request.exchange, wait));
         }
         this.#takeBudget(request);
         return ok(selected);
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -75,6 +75,16 @@
         return this.#send(request, selected.value);
     }
 
+    /**
+     * Admits the next attempt of a request whose current one is silent. The current one may be given up only then.
+     * @param request - The next attempt.
+     * @param signal - Aborted when the current attempt is not silent any more.
+     * @returns Whether the next attempt is certain. If so, it has to be made at once.
+     */
+    reserve(request: AttemptRequest, signal: AbortSignal): Promise<boolean> {
+        return this.#admission.reserve(request, signal);
+    }
+
     async #send(
         request: AttemptRequest,
         { pick, versionReason }: SelectedUpstream,
@@ -130,6 +140,10 @@
             signal: cancellation.signal,
         });
         cancellation.stopHeadTimeout();
+        if (!cancellation.isHeadTimedOut) {
+            // One that was admitted just as this attempt was answered is not made at once.
+            exchange.takeReservation();
+        }
         endWait();
         load = result.match(answer => answer.load, failure => failure.load);
         picker.addPendingPrefill(upstream.id, -prefillMilliseconds);
@@ -192,12 +206,14 @@
         return { ...answer, body };
     }
 
-    #createCancellation({ exchange, getHeadTimeout }: AttemptRequest, pick: UpstreamPick): CallCancellation {
+    #createCancellation(request: AttemptRequest, pick: UpstreamPick): CallCancellation {
+        const { exchange, getHeadTimeout } = request;
         const timeout = getHeadTimeout(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
         const isLate = timeout === undefined || timeout >= exchange.getTimeLeft();
         return new CallCancellation({
             ended: exchange.ended,
             headTimeoutMilliseconds: isLate ? undefined : timeout,
+            reserveNext: signal => this.reserve(request, signal),
         });
     }
 
--- a/src/forwarding/callCancellation.ts
+++ b/src/forwarding/callCancellation.ts
@@ -3,27 +3,41 @@
  */
 import { ReadTimeout } from "../common/index.js";
 
+/** Time after which it is asked again whether a call may be given up that could not be replaced, in milliseconds. */
+export const recheckMilliseconds = 250;
+
 /** Options of `CallCancellation`. */
 export interface CallCancellationOptions {
     /** Aborted when the exchange ends. */
     readonly ended: AbortSignal;
     /** Time in which the answer has to start, in milliseconds. Undefined when the exchange's own end comes first. */
     readonly headTimeoutMilliseconds: number | undefined;
+    /**
+     * Makes sure that another upstream takes the request, asked when the answer does not start in time. A call that nothing can replace
+     * goes on.
+     * @param signal - Aborted when the answer starts or the call ends.
+     * @returns Whether the call is given up.
+     */
+    readonly reserveNext: (signal: AbortSignal) => Promise<boolean>;
 }
 
 /** The cancellation of one call. */
 export class CallCancellation {
     readonly #controller = new AbortController();
+    /** Aborted when the call waits no longer for the start of the answer. */
+    readonly #waitController = new AbortController();
     readonly #ended: AbortSignal;
-    readonly #timeout: ReadTimeout | undefined;
+    readonly #reserveNext: (signal: AbortSignal) => Promise<boolean>;
+    #timeout: ReadTimeout | undefined;
     #isHeadTimedOut = false;
 
-    constructor({ ended, headTimeoutMilliseconds }: CallCancellationOptions) {
+    constructor({ ended, headTimeoutMilliseconds, reserveNext }: CallCancellationOptions) {
         this.#ended = ended;
+        this.#reserveNext = reserveNext;
         ended.addEventListener("abort", this.cancel);
-        this.#timeout = headTimeoutMilliseconds === undefined
-            ? undefined
-            : new ReadTimeout(headTimeoutMilliseconds, () => this.#cancelLate());
+        if (headTimeoutMilliseconds !== undefined) {
+            this.#startTimeout(headTimeoutMilliseconds);
+        }
     }
 
     /** Aborted when the call is cancelled. */
@@ -31,7 +45,7 @@
         return this.#controller.signal;
     }
 
-    /** Whether the answer did not start in time. */
+    /** Whether the call was given up as the answer did not start in time. */
     get isHeadTimedOut(): boolean {
         return this.#isHeadTimedOut;
     }
@@ -42,6 +56,7 @@
     /** Stops waiting for the start of the answer. */
     stopHeadTimeout(): void {
         this.#timeout?.clear();
+        this.#waitController.abort();
     }
 
     /** Ignores the end of the exchange from now on. */
@@ -49,7 +64,20 @@
         this.#ended.removeEventListener("abort", this.cancel);
     }
 
-    #cancelLate(): void {
+    #startTimeout(milliseconds: number): void {
+        this.#timeout = new ReadTimeout(milliseconds, () => void this.#giveUpIfReplaced());
+    }
+
+    async #giveUpIfReplaced(): Promise<void> {
+        const { signal } = this.#waitController;
+        const isReplaced = await this.#reserveNext(signal);
+        if (signal.aborted) {
+            return;
+        }
+        if (!isReplaced) {
+            this.#startTimeout(recheckMilliseconds);
+            return;
+        }
         this.#isHeadTimedOut = true;
         this.cancel();
     }
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,6 +8,7 @@
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
+import type { SelectedUpstream } from "./upstreamSelection.js";
 
 /** Options of an exchange. */
 export interface ExchangeOptions {
@@ -39,6 +40,8 @@
     attempts = 0;
     /** Whether the pool's budget has counted the request. */
     isCountedInBudget = false;
+    /** Upstream of the next attempt, which was admitted before the silent one that it replaces is given up. */
+    reservation: SelectedUpstream | undefined;
     /** Pending evaluation of the last attempt, which the next one must wait for. */
     lastEvaluation: Promise<void> | undefined;
     /** The request as the watch for crashed upstreams sees it. */
@@ -120,6 +123,13 @@
         this.excluded.add(upstream.id);
     }
 
+    /** Takes the upstream of the next attempt, if that was admitted. */
+    takeReservation(): SelectedUpstream | undefined {
+        const { reservation } = this;
+        this.reservation = undefined;
+        return reservation;
+    }
+
     /** Reverts the count of an attempt that never reached its upstream because no connection was established. */
     removeAttempt(): void {
         this.attempts -= 1;
--- a/src/forwarding/headTimes.ts
+++ b/src/forwarding/headTimes.ts
@@ -49,7 +49,7 @@
         return new HeadWatch({
             clock,
             getTimeout: (expected, model) => {
-                if (!isRepeatable(route) || !hasRetryLeft(exchange, budget, this.#options.pressure)) {
+                if (!isRepeatable(route) || exchange.attempts >= route.maxAttempts) {
                     return undefined;
                 }
                 return route.kind === "stream"
--- a/src/forwarding/waitingRoom.ts
+++ b/src/forwarding/waitingRoom.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../common/index.js";
-import type { EndedRequest, PoolRooms, RoomDecision } from "../decisions/index.js";
+import type { EndedRequest, PoolRooms, PromptDescription, RoomDecision } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
@@ -15,7 +15,7 @@
     readonly clock: Clock;
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
-    readonly rooms: Pick<PoolRooms, "offer" | "start">;
+    readonly rooms: Pick<PoolRooms, "offer" | "start" | "getWaitMilliseconds">;
 }
 
 /** A request that has room. */
@@ -47,8 +47,7 @@
         if (exchange.reply.hasStarted) {
             return ok({ hasWaited: false });
         }
-        const work = prompt === undefined ? callWork : getPromptWork(exchange, prompt.tokens);
-        const decision = await this.#wait(exchange, work);
+        const decision = await this.#wait(exchange, getWork(exchange, prompt), exchange.ended);
         if (decision === undefined) {
             return err({ kind: "not-made", reason: "ended" });
         }
@@ -58,6 +57,23 @@
             : err({ kind: "not-made", reason: "no-room", retryAfterMilliseconds: decision.retryAfterMilliseconds });
     }
 
+    /**
+     * Waits until a further attempt may begin, while the current one goes on.
+     * @param request - The further attempt.
+     * @param signal - Ends the wait.
+     * @returns Whether it may begin. Otherwise its caller is not refused.
+     */
+    async enterBeside({ exchange, prompt }: AttemptRequest, signal: AbortSignal): Promise<boolean> {
+        if (exchange.reply.hasStarted) {
+            return true;
+        }
+        if (this.#options.rooms.getWaitMilliseconds(exchange.pool, exchange.priority) >= exchange.getTimeLeft()) {
+            return false;
+        }
+        const decision = await this.#wait(exchange, getWork(exchange, prompt), signal);
+        return decision?.kind === "begin";
+    }
+
     /**
      * Records that an attempt begins at an upstream.
      * @returns A function to call once at its end.
@@ -66,15 +82,15 @@
         return this.#options.rooms.start(upstream);
     }
 
-    /** Returns the decision, or undefined when the caller left or its time ran out. */
-    #wait(exchange: Exchange, work: number): Promise<RoomDecision | undefined> {
-        const { pool, workspace = anonymousWorkspace, priority, route, ended } = exchange;
+    /** Returns the decision, or undefined when the wait was ended by the signal. */
+    #wait(exchange: Exchange, work: number, signal: AbortSignal): Promise<RoomDecision | undefined> {
+        const { pool, workspace = anonymousWorkspace, priority, route } = exchange;
         return new Promise(resolve => {
             const leave = (): void => {
                 stopWaiting();
                 resolve(undefined);
             };
-            ended.addEventListener("abort", leave, { once: true });
+            signal.addEventListener("abort", leave, { once: true });
             const stopWaiting = this.#options.rooms.offer(pool, {
                 workspace,
                 priority,
@@ -84,7 +100,7 @@
                 deadlineMilliseconds: exchange.getTimeLeft(),
                 getCaller: () => getCaller(exchange),
             }, decision => {
-                ended.removeEventListener("abort", leave);
+                signal.removeEventListener("abort", leave);
                 resolve(decision);
             });
         });
@@ -125,6 +141,11 @@
     return request.body.length === 0 ? undefined : watchedRequest.getFingerprint();
 }
 
+/** Returns the expected work of a request. */
+function getWork(exchange: Exchange, prompt: PromptDescription | undefined): number {
+    return prompt === undefined ? callWork : getPromptWork(exchange, prompt.tokens);
+}
+
 /** Returns the expected work of a prompt in tokens: prompt tokens cost a quarter of generated ones. */
 function getPromptWork({ request }: Exchange, promptTokens: number): number {
     const { expectedOutputTokens, maxOutputTokens = 0 } = request.generation ?? {};
--- a/test/forwarding/callCancellation.test.ts
+++ b/test/forwarding/callCancellation.test.ts
@@ -7,8 +7,12 @@
 
 const headTimeoutMilliseconds = 5;
 
-function createCancellation(): CallCancellation {
-    return new CallCancellation({ ended: new AbortController().signal, headTimeoutMilliseconds });
+function createCancellation(reserveNext = () => Promise.resolve(true)): CallCancellation {
+    return new CallCancellation({
+        ended: new AbortController().signal,
+        headTimeoutMilliseconds,
+        reserveNext,
+    });
 }
 
 describe("CallCancellation", () => {
@@ -20,6 +24,33 @@
         expect(cancellation.isHeadTimedOut).toEqual(true);
     });
 
+    // Guards against a request that fails since its call is given up before another one is certain.
+    it("goes on with a call until another one takes its place", async () => {
+        const replies = [false, false, true];
+        const aborted: boolean[] = [];
+        const cancellation: CallCancellation = createCancellation(() => {
+            aborted.push(cancellation.signal.aborted);
+            return Promise.resolve(replies.shift()!);
+        });
+        while (!cancellation.signal.aborted) {
+            await setTimeout(1);
+        }
+        expect([aborted, cancellation.isHeadTimedOut]).toEqual([[false, false, false], true]);
+    });
+
+    // Guards against an answer that is thrown away although it starts while another upstream is chosen.
+    it("keeps a call whose answer starts while another one is prepared", async () => {
+        let reserve: ((isReserved: boolean) => void) | undefined;
+        const cancellation = createCancellation(() => new Promise(resolve => reserve = resolve));
+        while (reserve === undefined) {
+            await setTimeout(1);
+        }
+        cancellation.stopHeadTimeout();
+        reserve(true);
+        await setTimeout(1);
+        expect([cancellation.isHeadTimedOut, cancellation.signal.aborted]).toEqual([false, false]);
+    });
+
     // Guards against answers that are thrown away, and connections that are renewed, because this process itself paused.
     it("does not cancel a call whose answer arrived while this process paused", async () => {
         const { port1, port2 } = new MessageChannel();
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -32,10 +32,17 @@
     options: Parameters<typeof createStreamRoute>[0] = {},
     crashed: readonly string[] = [],
     upstreams = createUpstreams(3),
+    retryAllowance?: number,
 ) {
     const route = createStreamRoute(options);
     const getRoutes = () => createRouteTable({ routes: [route] });
-    const site = createForwarder({ behaviour, getRoutes, crashed: new Set(crashed), upstreams });
+    const site = createForwarder({
+        behaviour,
+        getRoutes,
+        crashed: new Set(crashed),
+        upstreams,
+        ...retryAllowance === undefined ? {} : { retryAllowance },
+    });
     const send = () => site.send({ generation, session: "session", deadlineMilliseconds: 20_000 });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     return { ...site, send, getModels };
@@ -126,6 +133,66 @@
         });
     });
 
+    describe("when its runner does not begin to answer in time", () => {
+        const behave: UpstreamBehaviour = async ({ signal }) => {
+            await sleep(1_800, undefined, { signal }).catch(() => undefined);
+            return signal.aborted ? createCallFailure("broken") : createAnswer([createEvent(1)], { confidence: 80 });
+        };
+
+        // Guards against a request that fails although its runner is about to answer.
+        it("waits for it if no other runner takes the request", async () => {
+            const { send, renewed } = createStreamForwarder(behave, { maxAttempts: 3 }, [], createUpstreams(1));
+            const caller = await send();
+            expect([caller.refusal, caller.chunks, renewed]).toEqual([undefined, [createEvent(1)], []]);
+        });
+
+        // Guards against a request that fails since another one took the retry that was left when it was sent.
+        it("waits for it if the last retry of the pool was taken meanwhile", async () => {
+            const { forwarder, calls } = createStreamForwarder(
+                (call, upstream, count) =>
+                    call.request.id === "slow"
+                        ? behave(call, upstream, count)
+                        : count === 2
+                        ? createCallFailure("broken")
+                        : createAnswer([createEvent(1)], { confidence: 80 }),
+                { maxAttempts: 3 },
+                [],
+                createUpstreams(3),
+                2,
+            );
+            const callers = ["slow", "other"].map(id => {
+                const caller = new CallerStandin();
+                const request = createCallerRequest({ id, generation, deadlineMilliseconds: 20_000 });
+                return { caller, ended: forwarder.handle(request, caller) };
+            });
+            await Promise.all(callers.map(({ ended }) => ended));
+            expect(callers.map(({ caller }) => caller.chunks)).toEqual([[createEvent(1)], [createEvent(1)]]);
+            expect(calls.map(({ call }) => call.request.id)).toEqual(["slow", "other", "other"]);
+        });
+
+        // Guards against a request that waits for a dead runner until its time is over, since no other one took it at first.
+        it("asks another runner as soon as one takes the request", async () => {
+            const [first, second] = createUpstreams(2);
+            const { send, registry, calls } = createStreamForwarder(
+                ({ signal }, { id }) =>
+                    id === second.id
+                        ? createAnswer([createEvent(1)], { confidence: 80 })
+                        : new Promise(resolve =>
+                            signal.addEventListener("abort", () => resolve(createCallFailure("broken")))
+                        ),
+                { maxAttempts: 3 },
+                [],
+                [first],
+            );
+            setTimeout(() => registry.set(second), 1_700);
+            const caller = await send();
+            expect([caller.chunks, calls.map(({ upstream }) => upstream)]).toEqual([
+                [createEvent(1)],
+                [first.id, second.id],
+            ]);
+        });
+    });
+
     // A caller reads slowly for longer than a runner may be silent. Guards against a sound run that is cancelled and repeated elsewhere.
     it("does not take a slow caller for a silent runner", async () => {
         const { forwarder, calls } = createStreamForwarder(() =>
