Give up a silent answer only for an attempt that begins

What callers saw: the connection was closed in the middle of a stream 1.3 s after the last event, although the runner was sound and went on 0.2 s later.

Cause: the pause timeout cancelled an attempt whatever was left to replace it. Whether a retry was left was asked afterwards, and whether an upstream takes the request later still; nothing was left to go on with then. When the other runner rejected the request, the silent one had been cancelled as well.

Ruled out: a longer pause timeout. It moves the moment and delays streams whose runner is dead.

Change: at the pause timeout the next attempt is admitted first, in the same way as for a head that does not come. Without one the stream waits on and asks again each 250 ms, until its exchange ends. With one, the silent answer is held as the cascade holds a poor one, with the same mechanism: it goes on if the other runner rejects the request or answers with another status within 100 ms after the sending. A read that was waited for in vain is kept, so that no event is lost or comes twice. A stream that may not be resumed, and an answer with another status than 200, wait until the exchange ends.

--- a/src/forwarding/heldAnswer.ts
+++ b/src/forwarding/heldAnswer.ts
@@ -17,18 +17,22 @@
      * discarded then.
      */
     readonly mayBeRejected: () => boolean;
+    /** Records the end of the attempt whose answer is discarded. */
+    readonly onDiscard: () => void;
 }
 
-/** An answer of which the caller has received nothing. Its unread body takes no more memory than a connection buffers. */
+/** An answer that is not read on meanwhile. Its unread body takes no more memory than a connection buffers. */
 export class HeldAnswer {
     readonly #attempt: Attempt;
     readonly #mayBeRejected: () => boolean;
+    readonly #onDiscard: () => void;
     #timer: NodeJS.Timeout | undefined;
     #isHeld = true;
 
-    constructor({ attempt, mayBeRejected }: HeldAnswerOptions) {
+    constructor({ attempt, mayBeRejected, onDiscard }: HeldAnswerOptions) {
         this.#attempt = attempt;
         this.#mayBeRejected = mayBeRejected;
+        this.#onDiscard = onDiscard;
     }
 
     /** Records that the other request is sent. */
@@ -43,7 +47,7 @@
     /** Discards the answer and cancels the work on it. Later calls are ignored. */
     discard(): void {
         if (this.#release()) {
-            this.#attempt.drop(`confidence ${this.#attempt.answer.confidence}`);
+            this.#onDiscard();
             this.#attempt.cancel();
         }
     }
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -72,7 +72,11 @@
         if (judgement.kind !== "escalated") {
             return false;
         }
-        this.#held = new HeldAnswer({ attempt, mayBeRejected: () => pressure.isFull(this.#ranked) });
+        this.#held = new HeldAnswer({
+            attempt,
+            mayBeRejected: () => pressure.isFull(this.#ranked),
+            onDiscard: () => attempt.drop(`confidence ${answer.confidence}`),
+        });
         this.#previousModel = this.#model;
         this.#model = judgement.model;
         // The same runner may answer with the larger model: its prefill of the prompt was for the smaller model only.
--- /dev/null
+++ b/src/forwarding/streamAnswer.ts
@@ -0,0 +1,20 @@
+/**
+ * The answer of one runner to a stream, and how far it was read.
+ */
+import type { Attempt } from "./attempt.js";
+import { BodyReader } from "./bodyReader.js";
+import { EventSplitter } from "./eventSplitter.js";
+
+/** An answer that is relayed. It can be put aside while another runner is asked, and be read on afterwards. */
+export class StreamAnswer {
+    readonly attempt: Attempt;
+    readonly body: BodyReader;
+    readonly splitter = new EventSplitter();
+    /** Whether the runner has sent nothing for longer than the pause timeout. */
+    isSilent = false;
+
+    constructor(attempt: Attempt) {
+        this.attempt = attempt;
+        this.body = new BodyReader(attempt.answer.body);
+    }
+}
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,25 +2,28 @@
  * Forwards requests that are answered by a stream of events.
  */
 import type { Result } from "neverthrow";
-import { Failure, ReadTimeout, type Refusal } from "../common/index.js";
+import { Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
-import type { Attempt, AttemptFailure } from "./attempt.js";
+import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
-import { EventSplitter } from "./eventSplitter.js";
+import { recheckMilliseconds } from "./callCancellation.js";
 import { createTimeoutRefusal, type Exchange, getRankedRequest } from "./exchange.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
+import { HeldAnswer } from "./heldAnswer.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import { ModelCascade } from "./modelCascade.js";
 import { createNotRunRefusal } from "./refusals.js";
+import { StreamAnswer } from "./streamAnswer.js";
 import { isCertainlyNotRun } from "./upstreamCall.js";
 
 /** Statuses from here on are failures of the upstream. */
 const minServerErrorStatus = 500;
+const successStatus = 200;
 /**
- * A resumable stream whose runner sends nothing for this factor times the pause objective is resumed at another runner. Callers
- * give up after eight times the objective.
+ * A resumable stream whose runner sends nothing for this factor times the pause objective is resumed at another runner, if one takes
+ * it. Callers give up after eight times the objective.
  */
 const pauseTimeoutFactor = 2;
 /** A sound runner may send nothing for a second. Callers wait for two at least. */
@@ -31,8 +34,15 @@
 /** Result of relaying an answer. */
 type RelayResult =
     | { readonly kind: "complete"; }
+    | { readonly kind: "silent"; readonly reason: string; }
     | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
 
+/** An answer whose runner has fallen silent, kept until another one answers. */
+interface SilentAnswer {
+    readonly answer: StreamAnswer;
+    readonly held: HeldAnswer;
+}
+
 /** Options of `StreamExchange`. */
 export interface StreamExchangeOptions {
     readonly exchange: Exchange;
@@ -51,10 +61,11 @@
     readonly #exchange: Exchange;
     readonly #attempts: Attempts;
     readonly #budget: WindowedRetryBudget;
-    readonly #splitter = new EventSplitter();
     readonly #pressure: PoolPressure;
     readonly #cascade: ModelCascade;
     readonly #watch: HeadWatch;
+    /** Answer that goes on if the attempt that replaces it does not begin. */
+    #silent: SilentAnswer | undefined;
     #lastEventId: string | undefined;
 
     constructor({ exchange, attempts, budget, pressure, headTimes, journal, metrics }: StreamExchangeOptions) {
@@ -71,7 +82,7 @@
     async run(): Promise<void> {
         for (;;) {
             const attempt = await this.#makeAttempt();
-            const answered = attempt.isOk() ? this.#acceptOrEscalate(attempt.value) : this.#takeBack(attempt.error);
+            const answered = attempt.isOk() ? this.#accept(attempt.value) : this.#takeBack(attempt.error);
             if (answered !== undefined) {
                 if (await this.#relay(answered)) {
                     return;
@@ -86,40 +97,84 @@
     }
 
     #makeAttempt(): Promise<Result<Attempt, AttemptFailure>> {
+        return this.#attempts.make(this.#createAttemptRequest());
+    }
+
+    #createAttemptRequest(): AttemptRequest {
         const { model } = this.#cascade;
-        return this.#attempts.make({
+        return {
             exchange: this.#exchange,
             model,
             lastEventId: this.#lastEventId,
             prompt: this.#cascade.describePrompt(model),
             getHeadTimeout: expected => {
                 this.#cascade.markSent();
+                this.#silent?.held.markOtherSent();
                 return this.#watch.start(expected, model);
             },
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
-        });
+        };
     }
 
-    /** Returns an attempt whose answer the caller gets, or undefined when a larger model is asked. */
-    #acceptOrEscalate(attempt: Attempt): Attempt | undefined {
+    /** Returns the answer that the caller gets, or undefined when a larger model is asked. */
+    #accept(attempt: Attempt): StreamAnswer | undefined {
         this.#watch.markHead(attempt.answer.status);
         this.#cascade.discardHeld();
         this.#exchange.markRun("ran");
-        return this.#cascade.escalate(attempt) ? undefined : attempt;
+        const previous = this.#takeSilentBack(attempt);
+        if (previous !== undefined) {
+            return previous;
+        }
+        return this.#cascade.escalate(attempt) ? undefined : new StreamAnswer(attempt);
+    }
+
+    /** Returns the silent answer if the attempt that replaces it does not continue it; otherwise discards it. */
+    #takeSilentBack(attempt: Attempt): StreamAnswer | undefined {
+        if (this.#silent === undefined || attempt.answer.status === successStatus) {
+            this.#silent?.held.discard();
+            this.#silent = undefined;
+            return undefined;
+        }
+        const previous = this.#takeSilent();
+        if (previous !== undefined) {
+            this.#rejectContinuation(attempt);
+        }
+        return previous;
     }
 
-    /** Returns the answer that was kept for the case that a larger model does not answer. */
-    #takeBack(error: AttemptFailure): Attempt | undefined {
+    /** Returns the silent answer, unless it was discarded. */
+    #takeSilent(): StreamAnswer | undefined {
+        const silent = this.#silent;
+        this.#silent = undefined;
+        return silent?.held.take() === undefined ? undefined : silent.answer;
+    }
+
+    /** Returns the answer that was kept for the case that another attempt fails. */
+    #takeBack(error: AttemptFailure): StreamAnswer | undefined {
         this.#watch.markFailed();
-        return this.#cascade.takeBack(error.kind === "not-made" ? error.reason : error.failure.reason);
+        const silent = this.#takeSilent();
+        if (silent !== undefined) {
+            return silent;
+        }
+        const attempt = this.#cascade.takeBack(error.kind === "not-made" ? error.reason : error.failure.reason);
+        return attempt && new StreamAnswer(attempt);
+    }
+
+    /** Ends an attempt that answers in the middle of a stream with another status than that of its first part. */
+    #rejectContinuation(attempt: Attempt): string {
+        const reason = `status ${attempt.answer.status} in the middle of a stream`;
+        attempt.finish("error", reason, "complete");
+        attempt.cancel();
+        return reason;
     }
 
     /**
      * Relays an answer event by event.
      * @returns Whether the exchange has ended.
      */
-    async #relay(attempt: Attempt): Promise<boolean> {
+    async #relay(relayed: StreamAnswer): Promise<boolean> {
+        const { attempt } = relayed;
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
         if (answer.status >= minServerErrorStatus && route.isResumable && this.#canRepeat()) {
@@ -127,80 +182,99 @@
             attempt.cancel();
             return false;
         }
-        if (reply.hasStarted && answer.status !== 200) {
-            attempt.finish("error", `status ${answer.status} in the middle of a stream`, "complete");
-            attempt.cancel();
-            reply.abort(`status ${answer.status} in the middle of a stream`);
+        if (reply.hasStarted && answer.status !== successStatus) {
+            reply.abort(this.#rejectContinuation(attempt));
             return true;
         }
         if (!reply.hasStarted) {
             reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd || route.isResumable });
         }
-        const relayed = await this.#relayBody(attempt);
-        if (relayed.kind === "complete") {
+        const result = await this.#relayBody(relayed);
+        if (result.kind === "silent") {
+            this.#silent = { answer: relayed, held: createHeld(attempt, result.reason) };
+            return false;
+        }
+        if (result.kind === "complete") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
             const isCertain = answer.hasKnownEnd || route.isResumable;
             attempt.finish(outcome, `status ${answer.status}`, isCertain ? "complete" : "stopped");
             reply.end();
             return true;
         }
-        const end = relayed.isDisconnected ? "disconnected" : "stopped";
-        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", relayed.reason, end);
+        const end = result.isDisconnected ? "disconnected" : "stopped";
+        attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", result.reason, end);
         attempt.cancel();
-        this.#splitter.reset();
-        if (!this.#exchange.ended.aborted && route.isResumable && answer.status === 200 && this.#canRepeat()) {
+        if (
+            !this.#exchange.ended.aborted && route.isResumable && answer.status === successStatus && this.#canRepeat()
+        ) {
             return false;
         }
-        reply.abort(relayed.reason);
+        reply.abort(result.reason);
         return true;
     }
 
     #canRepeat(): boolean {
-        return hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
+        return this.#exchange.reservation !== undefined
+            || hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
     }
 
-    async #relayBody(attempt: Attempt): Promise<RelayResult> {
-        const { reply, route, ended } = this.#exchange;
-        const isEventStream = attempt.answer.status === 200;
-        const pauseTimeout = route.isResumable
-            ? Math.max(
-                minPauseTimeoutMilliseconds,
-                (route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds) * pauseTimeoutFactor,
-            )
-            : this.#exchange.getTimeLeft();
-        let isTimedOut = false;
-        let isWaitingForCaller = false;
-        const timeout = new ReadTimeout(pauseTimeout, () => {
-            // While the node waits for a slow caller, nothing is known of the runner.
-            if (!isWaitingForCaller) {
-                isTimedOut = true;
-                attempt.cancel();
-            }
-        });
+    async #relayBody(relayed: StreamAnswer): Promise<RelayResult> {
+        const { reply, ended } = this.#exchange;
+        const { attempt, body } = relayed;
+        const isEventStream = attempt.answer.status === successStatus;
         try {
-            for await (const bytes of attempt.answer.body) {
+            for (;;) {
+                if (!await this.#waitForPiece(relayed)) {
+                    return { kind: "silent", reason: `no data for ${this.#getPauseTimeout()} ms` };
+                }
+                const bytes = await body.read();
+                if (bytes === undefined) {
+                    break;
+                }
                 attempt.markSeen();
-                isWaitingForCaller = true;
-                await (isEventStream ? this.#writeEvents(bytes) : reply.write(bytes));
-                isWaitingForCaller = false;
-                timeout.refresh();
+                await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
                 if (reply.disconnected.aborted) {
                     return { kind: "broken", reason: "the caller has left", isDisconnected: false };
                 }
             }
-            return attempt.answer.hasKnownEnd ? await this.#writeRemainder() : await this.#evaluateEnd(attempt);
+            return attempt.answer.hasKnownEnd ? await this.#writeRemainder(relayed) : await this.#evaluateEnd(relayed);
         }
         catch (cause) {
-            const reason = isTimedOut ? `no data for ${pauseTimeout} ms` : ended.aborted ? "ended" : String(cause);
-            return { kind: "broken", reason, isDisconnected: !isTimedOut && !ended.aborted };
+            const reason = ended.aborted ? "ended" : String(cause);
+            return { kind: "broken", reason, isDisconnected: !ended.aborted };
         }
-        finally {
-            timeout.clear();
+    }
+
+    /**
+     * Waits until a runner sends something. A sound one may be silent for a while and go on, so it is given up only for another one
+     * that certainly takes the request.
+     * @returns Whether there is something to read. Otherwise the next attempt is admitted.
+     */
+    async #waitForPiece(relayed: StreamAnswer): Promise<boolean> {
+        const { ended, route } = this.#exchange;
+        if (!route.isResumable || relayed.attempt.answer.status !== successStatus) {
+            return true;
+        }
+        let milliseconds = relayed.isSilent ? recheckMilliseconds : this.#getPauseTimeout();
+        while (!await relayed.body.waitForPiece(milliseconds)) {
+            relayed.isSilent = true;
+            if (await this.#attempts.reserve(this.#createAttemptRequest(), ended)) {
+                return false;
+            }
+            milliseconds = recheckMilliseconds;
         }
+        relayed.isSilent = false;
+        return true;
     }
 
-    async #writeRemainder(): Promise<RelayResult> {
-        const remainder = this.#splitter.getRemainder();
+    /** Returns the time without data after which another runner is asked, in milliseconds. */
+    #getPauseTimeout(): number {
+        const objective = this.#exchange.route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds;
+        return Math.max(minPauseTimeoutMilliseconds, objective * pauseTimeoutFactor);
+    }
+
+    async #writeRemainder({ splitter }: StreamAnswer): Promise<RelayResult> {
+        const remainder = splitter.getRemainder();
         if (remainder.length > 0) {
             await this.#exchange.reply.write(remainder);
         }
@@ -211,8 +285,8 @@
      * Evaluates the end of a stream without a known end, which a runner closes in the same way when the stream is complete and when it
      * crashes. A stream that may be incomplete is resumed after its last event. If it was complete, no events follow.
      */
-    async #evaluateEnd(attempt: Attempt): Promise<RelayResult> {
-        if (this.#splitter.getRemainder().length > 0) {
+    async #evaluateEnd({ attempt, splitter }: StreamAnswer): Promise<RelayResult> {
+        if (splitter.getRemainder().length > 0) {
             return { kind: "broken", reason: "the answer ended inside an event", isDisconnected: true };
         }
         if (this.#exchange.route.isResumable && !await attempt.isUpstreamUp()) {
@@ -221,8 +295,8 @@
         return { kind: "complete" };
     }
 
-    async #writeEvents(bytes: Buffer): Promise<void> {
-        for (const event of this.#splitter.push(bytes)) {
+    async #writeEvents({ splitter }: StreamAnswer, bytes: Buffer): Promise<void> {
+        for (const event of splitter.push(bytes)) {
             this.#lastEventId = event.id ?? this.#lastEventId;
             await this.#exchange.reply.write(event.bytes);
         }
@@ -265,3 +339,12 @@
         };
     }
 }
+
+/** Keeps an answer whose runner has fallen silent: the other one may reject the request, and this one goes on as a rule. */
+function createHeld(attempt: Attempt, reason: string): HeldAnswer {
+    return new HeldAnswer({
+        attempt,
+        mayBeRejected: () => true,
+        onDiscard: () => attempt.finish("failed", reason, "stopped"),
+    });
+}
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -131,6 +131,39 @@
                 false,
             ]);
         });
+
+        // Guards against an answer that is broken off halfway since the runner that was to go on with it is full.
+        it("waits for it if the other runner rejects the request", async () => {
+            const { send, calls } = createStreamForwarder(
+                (call, upstream, count) => count === 1 ? behave(call, upstream, count) : createCallFailure("refused"),
+                { maxAttempts: 2 },
+            );
+            const caller = await send();
+            expect([caller.chunks, caller.isComplete, caller.isAborted]).toEqual([
+                [createEvent(1), createEvent(2)],
+                true,
+                false,
+            ]);
+            expect([calls.length, calls[0].call.signal.aborted]).toEqual([2, false]);
+        });
+
+        // Guards against an answer that is broken off halfway since another request took the retry that was left.
+        it("waits for it if the pool has no retry left", async () => {
+            const { send } = createStreamForwarder(behave, { maxAttempts: 3 }, [], createUpstreams(3), 0);
+            const caller = await send();
+            expect([caller.chunks, caller.isComplete]).toEqual([[createEvent(1), createEvent(2)], true]);
+        });
+
+        // Guards against an answer that ends halfway although it may not be repeated and its runner goes on.
+        it("waits for it if the stream may not be resumed", async () => {
+            const { send, calls } = createStreamForwarder(behave, { isResumable: false });
+            const caller = await send();
+            expect([caller.chunks, caller.isComplete, calls.length]).toEqual([
+                [createEvent(1), createEvent(2)],
+                true,
+                1,
+            ]);
+        });
     });
 
     describe("when its runner does not begin to answer in time", () => {
