Pass on a stream's failure if no other runner takes the request

What callers saw: 502 of the router in place of the status and the body with which their runner had answered.

Cause: an answer from 500 on was cancelled if a retry was left; whether another upstream takes the request was asked afterwards. Unary requests keep such an answer already.

Change: the next attempt is admitted before the failure is dropped, as for a silent runner. A request that waits for room keeps the failure meanwhile. If its time is over then, it is refused as before.

Before: "passes on the failure of a runner if no other runner takes the request" failed (refused, no status).

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -177,7 +177,8 @@
         const { attempt } = relayed;
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
-        if (answer.status >= minServerErrorStatus && route.isResumable && this.#canRepeat()) {
+        const mayRetry = answer.status >= minServerErrorStatus && route.isResumable;
+        if (mayRetry && (await this.#reserveNext() || this.#exchange.ended.aborted)) {
             attempt.finish("error", `status ${answer.status}`, "complete");
             attempt.cancel();
             return false;
@@ -251,14 +252,14 @@
      * @returns Whether there is something to read. Otherwise the next attempt is admitted.
      */
     async #waitForPiece(relayed: StreamAnswer): Promise<boolean> {
-        const { ended, route } = this.#exchange;
+        const { route } = this.#exchange;
         if (!route.isResumable || relayed.attempt.answer.status !== successStatus) {
             return true;
         }
         let milliseconds = relayed.isSilent ? recheckMilliseconds : this.#getPauseTimeout();
         while (!await relayed.body.waitForPiece(milliseconds)) {
             relayed.isSilent = true;
-            if (await this.#attempts.reserve(this.#createAttemptRequest(), ended)) {
+            if (await this.#reserveNext()) {
                 return false;
             }
             milliseconds = recheckMilliseconds;
@@ -267,6 +268,11 @@
         return true;
     }
 
+    /** Returns whether a further attempt is certain. Its upstream is then reserved. */
+    #reserveNext(): Promise<boolean> {
+        return this.#attempts.reserve(this.#createAttemptRequest(), this.#exchange.ended);
+    }
+
     /** Returns the time without data after which another runner is asked, in milliseconds. */
     #getPauseTimeout(): number {
         const objective = this.#exchange.route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds;
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -226,6 +226,18 @@
         });
     });
 
+    // Guards against a failure that is thrown away although nothing replaces it.
+    it("passes on the failure of a runner if no other runner takes the request", async () => {
+        const { send } = createStreamForwarder(
+            () => createAnswer(["overheated"], { status: 500 }),
+            { maxAttempts: 3 },
+            [],
+            createUpstreams(1),
+        );
+        const caller = await send();
+        expect([caller.status, caller.chunks, caller.refusal]).toEqual([500, ["overheated"], undefined]);
+    });
+
     // A caller reads slowly for longer than a runner may be silent. Guards against a sound run that is cancelled and repeated elsewhere.
     it("does not take a slow caller for a silent runner", async () => {
         const { forwarder, calls } = createStreamForwarder(() =>
