Split event streams in time that is linear in their bytes

What callers saw: nothing by itself; a runner that sends one event without an end made its node stand still for all callers.

Cause: each piece was joined to all that had arrived of the event, and the whole of it was searched for a blank line again.

Ruled out: the parser of the events' identifiers, which sees complete events only.

Change: what is left of an event is collected in blocks (`ByteCollector`), and only the bytes of the new piece are searched. The last line end that was seen is kept, since a blank line may be split between pieces.

Conclusion: bytes of an event cost the same however many came before. They still have no bound.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,4 +1,5 @@
 /** Errors, clocks and random numbers shared by all modules. */
+export * from "./byteCollector.js";
 export * from "./callerConnection.js";
 export * from "./clock.js";
 export * from "./credentials.js";
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -2,10 +2,14 @@
  * Splits the bytes of an event stream into complete events.
  */
 import { createParser } from "eventsource-parser";
+import { ByteCollector } from "../common/index.js";
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 
+/** The end of some bytes: of a line, of a line and a carriage return after it, or something else. */
+type LineEnd = "none" | "line-feed" | "carriage-return";
+
 /** A complete event with the bytes to forward. */
 export interface StreamEvent {
     readonly bytes: Buffer;
@@ -19,39 +23,54 @@
  * caller would read a corrupt event. Therefore only complete events are returned.
  */
 export class EventSplitter {
-    #remainder: Buffer = Buffer.alloc(0);
+    readonly #remainder = new ByteCollector();
+    /** The end of the remainder that may begin a blank line. */
+    #lineEnd: LineEnd = "none";
     #id: string | undefined;
     readonly #parser = createParser({ onEvent: event => this.#id = event.id });
 
     /**
-     * Adds bytes.
+     * Adds bytes, each of which is looked at once: an event may arrive in any number of pieces.
      * @returns The events that are now complete.
      */
     push(bytes: Buffer): readonly StreamEvent[] {
-        const data = this.#remainder.length === 0 ? bytes : Buffer.concat([this.#remainder, bytes]);
         const events: StreamEvent[] = [];
         let start = 0;
         for (;;) {
-            const end = findEnd(data, start);
+            const end = findEnd(bytes, start, this.#lineEnd);
             if (end === undefined) {
                 break;
             }
-            const event = data.subarray(start, end);
+            const event = this.#complete(bytes.subarray(start, end));
             events.push({ bytes: event, id: this.#readId(event) });
             start = end;
         }
-        this.#remainder = data.subarray(start);
+        const rest = bytes.subarray(start);
+        this.#lineEnd = readLineEnd(rest, this.#lineEnd);
+        this.#remainder.add(rest);
         return events;
     }
 
     /** Returns the bytes after the last complete event. */
     getRemainder(): Buffer {
-        return this.#remainder;
+        return this.#remainder.read();
     }
 
     /** Discards the incomplete event of a stream that is resumed elsewhere. */
     reset(): void {
-        this.#remainder = Buffer.alloc(0);
+        this.#remainder.clear();
+        this.#lineEnd = "none";
+    }
+
+    /** Returns an event whose last bytes have arrived. */
+    #complete(last: Buffer): Buffer {
+        if (this.#remainder.length === 0) {
+            return last;
+        }
+        this.#remainder.add(last);
+        const event = this.#remainder.read();
+        this.reset();
+        return event;
     }
 
     #readId(event: Buffer): string | undefined {
@@ -63,17 +82,36 @@
 }
 
 /** Returns the position after the next blank line, or undefined when there is none yet. */
-function findEnd(data: Buffer, from: number): number | undefined {
-    let position = data.indexOf(lineFeed, from);
+function findEnd(bytes: Buffer, from: number, lineEnd: LineEnd): number | undefined {
+    const end = from === 0 && lineEnd !== "none" ? findBlankLine(bytes, 0, lineEnd) : undefined;
+    if (end !== undefined) {
+        return end;
+    }
+    let position = bytes.indexOf(lineFeed, from);
     while (position >= 0) {
-        const next = data[position + 1];
-        if (next === lineFeed) {
-            return position + 2;
-        }
-        if (next === carriageReturn && data[position + 2] === lineFeed) {
-            return position + 3;
+        const end = findBlankLine(bytes, position + 1, "line-feed");
+        if (end !== undefined) {
+            return end;
         }
-        position = data.indexOf(lineFeed, position + 1);
+        position = bytes.indexOf(lineFeed, position + 1);
     }
     return undefined;
 }
+
+/** Returns the position after a blank line of which the bytes before `from` are known; undefined if there is none. */
+function findBlankLine(bytes: Buffer, from: number, lineEnd: LineEnd): number | undefined {
+    const position = lineEnd === "line-feed" && bytes[from] === carriageReturn ? from + 1 : from;
+    return bytes[position] === lineFeed ? position + 1 : undefined;
+}
+
+/** Returns the end of the bytes that may begin a blank line. `before` is that of the bytes before them. */
+function readLineEnd(bytes: Buffer, before: LineEnd): LineEnd {
+    if (bytes.length === 0) {
+        return before;
+    }
+    if (bytes.at(-1) === lineFeed) {
+        return "line-feed";
+    }
+    const isAfterLineFeed = bytes.length === 1 ? before === "line-feed" : bytes.at(-2) === lineFeed;
+    return bytes.at(-1) === carriageReturn && isAfterLineFeed ? "carriage-return" : "none";
+}
--- a/test/forwarding/eventSplitter.test.ts
+++ b/test/forwarding/eventSplitter.test.ts
@@ -1,11 +1,34 @@
 import { expect } from "earl";
 import fc from "fast-check";
-import { describe, it } from "node:test";
+import { afterEach, describe, it, mock } from "node:test";
 import { EventSplitter } from "../../src/forwarding/index.js";
 
 const stream =
     "id: 1\ndata: first\n\nid: 2\nweight-versions: 7\ndata: second\n\ndata: no id\n\nid: 3\r\ndata: crlf\r\n\r\n";
 
+const pieces = 64;
+const eventBytes = 1024 * 1024;
+
+afterEach(() => mock.restoreAll());
+
+/** Counts the bytes that are searched for a line feed, and those that are copied to join pieces. */
+function countBytes() {
+    const count = { scanned: 0, copied: 0 };
+    const { concat } = Buffer;
+    mock.method(Buffer, "concat", (list: readonly Uint8Array[]) => {
+        const joined = concat(list);
+        count.copied += joined.length;
+        return joined;
+    });
+    const search = Buffer.prototype.indexOf;
+    mock.method(Buffer.prototype, "indexOf", function(this: Buffer, value: number, from = 0) {
+        const found = search.call(this, value, from);
+        count.scanned += (found < 0 ? this.length : found) - from;
+        return found;
+    });
+    return count;
+}
+
 function split(pieces: readonly Buffer[]) {
     const splitter = new EventSplitter();
     const events = pieces.flatMap(piece => splitter.push(piece));
@@ -33,4 +56,22 @@
             "id: 2\ndata: b\n\n",
         ]);
     });
+
+    // Guards against a node that stands still for seconds over one event that never ends.
+    for (const content of ["data", "data: line\n"]) {
+        it(`reads and copies each byte of an event of ${JSON.stringify(content)} at most three times`, () => {
+            const piece = Buffer.from(content.repeat(eventBytes / pieces / content.length));
+            const count = countBytes();
+            const { splitter } = split(Array.from({ length: pieces }, () => piece));
+            expect(splitter.getRemainder().length).toEqual(piece.length * pieces);
+            expect(count.scanned <= 3 * eventBytes && count.copied <= 3 * eventBytes).toEqual(true);
+        });
+    }
+
+    // Guards against an object for each byte of an answer that arrives byte by byte.
+    it("keeps an event that arrives byte by byte", () => {
+        const text = `${"data: a\n".repeat(20_000)}\n`;
+        const { bytes } = split(Array.from(text, letter => Buffer.from(letter)));
+        expect(bytes.equals(Buffer.from(text))).toEqual(true);
+    });
 });
