Give up answers and events that take more memory than answers may

What callers would see: a runner answers a plain request, or sends an event of a stream, whose bytes have no end. The node collects them until its memory is over the limit and it ends, and all of its callers lose their answers.

Cause: `readAnswer` and `EventSplitter` collect without a bound, and no timeout ends it: bytes arrive all the time.

Ruled out: a bound of the HTTP library (`maxResponseSize`), which counts streams that are passed on at once as well. A bound for each answer, which would either be fitted to a site or let a few answers take all the memory.

Change: `AnswerBuffers` counts what a node holds of all answers and events that it has not read completely. Beyond a tenth of `memory_mb`, as much as may wait for the callers, so that a larger answer could be read but not passed on, the answer that holds the most is given up. Its attempt has failed, which is no crash and no evidence against a version: a request that may be repeated goes to another runner, another one gets 502 with the outcome `ran`, a stream is resumed after its last event or broken off with line 463. Line 464 names the upstream, the bound and the bytes; two metrics.

Conclusion: what is read has a bound. What has no end and is never read as a body, such as heads, is a matter of its own.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -183,6 +183,12 @@
         "warning",
         "The connection of a caller was closed by this node before its answer was complete; the fields give the reason and the bytes written.",
     ),
+    answerOversized: define(
+        464,
+        "answer-oversized",
+        "warning",
+        "An upstream sent bytes without an end: they exceeded a bound, so its connection was closed. The fields give the bound and the bytes.",
+    ),
     poorAnswerAccepted: define(
         470,
         "poor-answer-accepted",
--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -51,6 +51,11 @@
         return events;
     }
 
+    /** The number of bytes after the last complete event. */
+    get remainderLength(): number {
+        return this.#remainder.length;
+    }
+
     /** Returns the bytes after the last complete event. */
     getRemainder(): Buffer {
         return this.#remainder.read();
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -6,6 +6,7 @@
 import { getUnitRank, PoolPressure, type PoolRoom, RankShares, type WindowedRetryBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { Route, RouteTable } from "../routing/index.js";
+import type { AnswerBuffers } from "./answerBuffers.js";
 import type { Attempts } from "./attempts.js";
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
@@ -25,6 +26,8 @@
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
     readonly attempts: Attempts;
+    /** Bounds what is held of answers. */
+    readonly answerBuffers: AnswerBuffers;
     /** Returns the route table in force, or undefined before the first one. */
     readonly getRoutes: () => RouteTable | undefined;
     /** Waits for the first route table and upstreams shortly after the start; returns undefined when no wait is needed. */
@@ -114,9 +117,9 @@
     }
 
     #run(exchange: Exchange): Promise<void> {
-        const { attempts, getBudget, journal, metrics } = this.#options;
+        const { answerBuffers, attempts, getBudget, journal, metrics } = this.#options;
         const budget = getBudget(exchange.pool);
-        const parts = { attempts, budget, pressure: this.#pressure, headTimes: this.#headTimes };
+        const parts = { answerBuffers, attempts, budget, pressure: this.#pressure, headTimes: this.#headTimes };
         return exchange.route.kind === "stream"
             ? new StreamExchange({ ...parts, exchange, journal, metrics }).run()
             : runUnary(exchange, parts);
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -1,4 +1,5 @@
 /** Handles requests from admission to the final answer. */
+export * from "./answerBuffers.js";
 export * from "./attempt.js";
 export * from "./attempts.js";
 export * from "./callerReply.js";
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -174,6 +174,18 @@
             help: "Callers that have not read all that was written to them.",
             registers,
         }),
+        oversizedAnswers: new Counter({
+            name: "rattanlock_oversized_answers_total",
+            help:
+                "Answers of upstreams whose connections were closed since they had no end within a bound, by the bound.",
+            labelNames: ["bound"] as const,
+            registers,
+        }),
+        heldAnswers: new Gauge({
+            name: "rattanlock_held_answer_bytes",
+            help: "Bytes of answers that are read completely before they are passed on.",
+            registers,
+        }),
         droppedCallers: new Counter({
             name: "rattanlock_slow_callers_dropped_total",
             help: "Answers that were given up because their callers read too slowly, by the bound that was exceeded.",
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -5,6 +5,7 @@
 import { Failure, ReadTimeout, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
+import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { EventSplitter } from "./eventSplitter.js";
@@ -44,6 +45,8 @@
     readonly headTimes: HeadTimes;
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
+    /** Bounds the events that are read. */
+    readonly answerBuffers: AnswerBuffers;
 }
 
 /** Handles the stream of one exchange. */
@@ -55,9 +58,12 @@
     readonly #pressure: PoolPressure;
     readonly #cascade: ModelCascade;
     readonly #watch: HeadWatch;
+    readonly #answerBuffers: AnswerBuffers;
     #lastEventId: string | undefined;
 
-    constructor({ exchange, attempts, budget, pressure, headTimes, journal, metrics }: StreamExchangeOptions) {
+    constructor(options: StreamExchangeOptions) {
+        const { exchange, attempts, budget, pressure, headTimes, journal, metrics } = options;
+        this.#answerBuffers = options.answerBuffers;
         this.#exchange = exchange;
         this.#attempts = attempts;
         this.#budget = budget;
@@ -177,6 +183,7 @@
                 attempt.cancel();
             }
         });
+        const buffer = this.#answerBuffers.add(attempt.upstream.id, attempt.cancel);
         try {
             for await (const bytes of attempt.answer.body) {
                 attempt.markSeen();
@@ -184,6 +191,10 @@
                 await (isEventStream ? this.#writeEvents(bytes) : reply.write(bytes));
                 isWaitingForCaller = false;
                 timeout.refresh();
+                buffer.hold(this.#splitter.remainderLength);
+                if (buffer.isGivenUp) {
+                    return { kind: "broken", reason: oversizedReason, isDisconnected: false };
+                }
                 if (reply.disconnected.aborted) {
                     return { kind: "broken", reason: "the caller has left", isDisconnected: false };
                 }
@@ -191,10 +202,14 @@
             return attempt.answer.hasKnownEnd ? await this.#writeRemainder() : await this.#evaluateEnd(attempt);
         }
         catch (cause) {
+            if (buffer.isGivenUp) {
+                return { kind: "broken", reason: oversizedReason, isDisconnected: false };
+            }
             const reason = isTimedOut ? `no data for ${pauseTimeout} ms` : ended.aborted ? "ended" : String(cause);
             return { kind: "broken", reason, isDisconnected: !isTimedOut && !ended.aborted };
         }
         finally {
+            buffer.close();
             timeout.clear();
         }
     }
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -2,9 +2,10 @@
  * Forwards requests with a single answer, which is read completely before it is sent.
  */
 import { ok, type Result } from "neverthrow";
-import { Failure, type Refusal } from "../common/index.js";
+import { ByteCollector, Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { isRepeatable } from "../routing/index.js";
+import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { createTimeoutRefusal, type Exchange, getRankedRequest } from "./exchange.js";
@@ -29,6 +30,8 @@
     readonly budget: WindowedRetryBudget;
     readonly pressure: PoolPressure;
     readonly headTimes: HeadTimes;
+    /** Bounds the answers that are read. */
+    readonly answerBuffers: AnswerBuffers;
 }
 
 /**
@@ -59,7 +62,7 @@
             return;
         }
         watch.markHead(attempt.value.answer.status);
-        const answer = await readAnswer(exchange, attempt.value);
+        const answer = await readAnswer(exchange, attempt.value, parts.answerBuffers);
         if (answer.isErr()) {
             if (isRepeatable(exchange.route)) {
                 continue;
@@ -94,24 +97,48 @@
     return isRepeatable(exchange.route);
 }
 
-async function readAnswer(exchange: Exchange, attempt: Attempt): Promise<Result<BufferedAnswer, AttemptFailure>> {
+async function readAnswer(
+    exchange: Exchange,
+    attempt: Attempt,
+    buffers: AnswerBuffers,
+): Promise<Result<BufferedAnswer, AttemptFailure>> {
     const { answer } = attempt;
     exchange.markRun("ran");
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
+    const buffer = buffers.add(attempt.upstream.id, attempt.cancel);
     try {
         for await (const chunk of answer.body) {
-            chunks.push(chunk);
+            body.add(chunk);
+            buffer.hold(body.length);
+            if (buffer.isGivenUp) {
+                break;
+            }
         }
     }
     catch (cause) {
+        if (buffer.isGivenUp) {
+            return failOversized(attempt);
+        }
         const isEnded = exchange.ended.aborted;
         const end = isEnded ? "stopped" : "disconnected";
         attempt.finish(isEnded ? "cancelled" : "failed", `truncated: ${String(cause)}`, end);
         return createBrokenFailure(String(cause));
     }
+    finally {
+        buffer.close();
+    }
+    if (buffer.isGivenUp) {
+        return failOversized(attempt);
+    }
     const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
     attempt.finish(outcome, `status ${answer.status}`, answer.hasKnownEnd ? "complete" : "stopped");
-    return ok({ head: answer, body: Buffer.concat(chunks) });
+    return ok({ head: answer, body: body.read() });
+}
+
+/** Ends an attempt whose answer was given up. The upstream did not crash, so its run has merely stopped. */
+function failOversized(attempt: Attempt): Result<never, AttemptFailure> {
+    attempt.finish("failed", oversizedReason, "stopped");
+    return createBrokenFailure(oversizedReason);
 }
 
 /** Returns whether a retry may give a better answer: this one is a failure or may be incomplete. */
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -9,8 +9,9 @@
     WarmUpLimit,
     WindowedRetryBudget,
 } from "../decisions/index.js";
+import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
+import { AnswerBuffers, Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
 import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
@@ -25,8 +26,11 @@
 
 /** Bytes of an answer that may wait for one caller; whole streams of text are smaller. */
 const maxReplyBytes = 256 * 1024;
-/** Share of the memory limit that may wait for all callers. */
-const replyMemoryShare = 0.1;
+/**
+ * Share of the memory limit that answers may take while they are read, and again while they wait for their callers. A larger answer could
+ * be read but not passed on.
+ */
+const answerMemoryShare = 0.1;
 /** Memory limit where the settings give none. */
 const defaultMemoryMegabytes = 256;
 const bytesPerMegabyte = 1024 * 1024;
@@ -36,13 +40,27 @@
     return new ReplyBuffers({
         clock,
         maxReplyBytes,
-        getMaxNodeBytes: () => {
-            const { memoryMegabytes = defaultMemoryMegabytes } = liveSettings.get();
-            return memoryMegabytes * bytesPerMegabyte * replyMemoryShare;
+        getMaxNodeBytes: () => getAnswerMemory(liveSettings),
+    });
+}
+
+/** Creates the bound of the answers that are read. */
+export function createAnswerBuffers({ liveSettings, metrics, throttledJournal }: NodeParts): AnswerBuffers {
+    return new AnswerBuffers({
+        getMaxNodeBytes: () => getAnswerMemory(liveSettings),
+        onOversized: (upstream, bytes) => {
+            metrics.oversizedAnswers.inc({ bound: "memory" });
+            throttledJournal.write(events.answerOversized, upstream, { upstream, bound: "memory", bytes });
         },
     });
 }
 
+/** Returns the bytes that answers may take. */
+function getAnswerMemory(liveSettings: NodeParts["liveSettings"]): number {
+    const { memoryMegabytes = defaultMemoryMegabytes } = liveSettings.get();
+    return memoryMegabytes * bytesPerMegabyte * answerMemoryShare;
+}
+
 /** Creates the limits of requests to upstreams. */
 export function createSendLimit(parts: NodeParts): SendLimit<RegisteredUpstream> {
     return new SendLimits([createWarmUpLimit(parts), parts.rateShares, parts.rejectionLimit, parts.restLimit]);
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -27,6 +27,7 @@
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
 import { CallerServer } from "./callerServer.js";
 import {
+    createAnswerBuffers,
     createAttempts,
     createBudgets,
     createObserver,
@@ -198,11 +199,12 @@
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
     attempts: parts => createAttempts(parts),
-    forwarder: ({ clock, journal, metrics, attempts, topics, liveSettings, budgets, rooms, shutdown }) =>
+    forwarder: ({ clock, journal, metrics, answerBuffers, attempts, topics, liveSettings, budgets, rooms, shutdown }) =>
         new Forwarder({
             clock,
             journal,
             metrics,
+            answerBuffers,
             attempts,
             getRoutes: () => topics.getRoutes(),
             waitForFirstRead: () => topics.waitForFirstRead(),
@@ -213,6 +215,7 @@
             room: rooms,
             checkCapacity: route => shutdown.check(route),
         }),
+    answerBuffers: parts => createAnswerBuffers(parts),
     replyBuffers: parts => createReplyBuffers(parts),
     callerServer: ({ clock, readProgress, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
         new CallerServer({
--- a/src/platform/nodeMetrics.ts
+++ b/src/platform/nodeMetrics.ts
@@ -6,8 +6,17 @@
 /** Returns the metrics as text, after updating those that are sampled on each scrape. */
 export async function readMetrics(parts: NodeParts): Promise<{ readonly type: string; readonly text: string; }> {
     const { metrics, topics, forwarder, membership, registry, rateLimits, lineWriter } = parts;
-    const { quarantine, partQuarantine, announcements, reachability, rejectionLimit, replyBuffers, paces, rooms } =
-        parts;
+    const {
+        quarantine,
+        partQuarantine,
+        announcements,
+        reachability,
+        rejectionLimit,
+        replyBuffers,
+        answerBuffers,
+        paces,
+        rooms,
+    } = parts;
     metrics.inFlight.set(forwarder.getInFlight());
     metrics.configurationVersion.set(topics.getRoutes()?.version ?? 0);
     metrics.configurationAge.set(topics.getConfigurationAge() / 1_000);
@@ -21,6 +30,7 @@
     metrics.evacuatedDomains.set(registry.countEvacuations());
     metrics.quarantined.set(quarantine.countQuarantined());
     metrics.quarantinedParts.set(partQuarantine.countQuarantined());
+    metrics.heldAnswers.set(answerBuffers.getHeldBytes());
     metrics.heldForCallers.set(replyBuffers.getHeldBytes());
     metrics.waitingCallers.set(replyBuffers.countBehind());
     for (const gauge of [metrics.slowestPace, metrics.fastestPace, metrics.knownPaces]) {
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -15,6 +15,7 @@
 import type { Journal, LineWriter, ThrottledJournal } from "../events/index.js";
 import type { Announcements, RegisteredUpstream, UpstreamRegistry } from "../fleet/index.js";
 import type {
+    AnswerBuffers,
     Attempts,
     Forwarder,
     ForwardingMetrics,
@@ -88,6 +89,8 @@
     readonly shutdown: Shutdown;
     readonly attempts: Attempts;
     readonly forwarder: Forwarder;
+    /** What is held of answers that are read completely before they are passed on. */
+    readonly answerBuffers: AnswerBuffers;
     /** What waits for callers that read slowly. */
     readonly replyBuffers: ReplyBuffers;
     readonly callerServer: CallerServer;
