--- a/test/platform/standins/endlessRunner.ts
+++ b/test/platform/standins/endlessRunner.ts
@@ -23,19 +23,26 @@
     isClosed: boolean;
 }
 
-/** Creates a runner and the record of its answers. */
-export function createEndlessRunner(
-    answer: EndlessAnswer,
-): { readonly server: Server; readonly written: WrittenAnswer[]; } {
-    const written: WrittenAnswer[] = [];
+/** A runner and the record of its answers. */
+export interface EndlessRunner {
+    readonly server: Server;
+    readonly written: WrittenAnswer[];
+    /** What it answers from now on. */
+    answer: EndlessAnswer;
+}
+
+/** Creates a runner. */
+export function createEndlessRunner(answer: EndlessAnswer): EndlessRunner {
     const server = createRawRunner((socket, requestId) => {
+        const { start, repeated } = runner.answer;
         const record = { bytes: 0, isClosed: false };
-        written.push(record);
+        runner.written.push(record);
         socket.on("close", () => record.isClosed = true);
-        socket.write(answer.start.replace("REQUEST", requestId));
-        void writeEndlessly(socket, answer.repeated, record);
+        socket.write(start.replace("REQUEST", requestId));
+        void writeEndlessly(socket, repeated, record);
     });
-    return { server, written };
+    const runner: EndlessRunner = { server, written: [], answer };
+    return runner;
 }
 
 /** Returns the start of an answer with the given lines after its seal. */
