Give up answers of the store that have no end

What callers would see: the store, or what answers at its address, sends bytes without an end; for up to 30 s, the time of a long poll, each of up to eight calls collects them, and the node's memory is over the limit.

Cause: `StoreClient` reads bodies without a bound, and only the timeout of the call ends them.

Change: the HTTP library's `maxResponseSize`, 4 MB: a page has at most 1 MB of records, in base64 where they have keys. The store's connections are watched for bytes that are neither head nor body, as those to upstreams. The failure says that the answer has no end; a topic is read again after its usual wait, and cached state keeps its age.

Seen before: with the client of before, three of three new tests failed (the call ended as unavailable after its timeout); they pass now.

Conclusion: an answer without an end costs at most 4 MB a call.

--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -2,10 +2,11 @@
  * Client of the platform's store: reads keyed topics and appends to them.
  */
 import { err, ok, type Result } from "neverthrow";
-import { Pool } from "undici";
+import { buildConnector, errors, Pool } from "undici";
 import { z } from "zod";
 import { type Clock, createPosition, Failure, readPosition, ReadTimeout } from "../common/index.js";
 import type { KeyedRecord, KeyedTopicReader, TopicPage } from "../topics/index.js";
+import { isEndless, watchConnections } from "../upstream/index.js";
 import { headerNames, storePaths } from "./wire.js";
 
 /**
@@ -16,6 +17,11 @@
 /** Size of a length field, and of the two offsets before the records of a page. */
 const lengthBytes = 4;
 const pageHeaderBytes = 16;
+/**
+ * Largest answer that is read. The store sends at most 1 MB of records at a time, in base64 where they have keys; the rest is for keys
+ * and for a record that exceeds the page.
+ */
+const maxResponseBytes = 4 * 1024 * 1024;
 /** Connections to the store: one for each followed topic, and several for appends. */
 const maxConnections = 8;
 
@@ -61,7 +67,8 @@
         this.#pool = new Pool(`http://${address}`, {
             connections: maxConnections,
             pipelining: 1,
-            connectTimeout: responseTimeoutMilliseconds,
+            connect: watchConnections(buildConnector({ timeout: responseTimeoutMilliseconds })),
+            maxResponseSize: maxResponseBytes,
             headersTimeout: 0,
             bodyTimeout: 0,
         });
@@ -206,7 +213,8 @@
                 : err(createUnreadableResponseFailure(`the header ${headerNames.storeEra} is not a number`));
         }
         catch (cause) {
-            return err(createNoResponseFailure(cause));
+            const hasNoEnd = cause instanceof errors.ResponseExceededMaxSizeError || isEndless(cause);
+            return err(hasNoEnd ? createUnreadableResponseFailure("it has no end") : createNoResponseFailure(cause));
         }
         finally {
             timeout.clear();
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -11,3 +11,4 @@
 export * from "./upstreamConnector.js";
 export * from "./upstreamFailure.js";
 export * from "./vmListClient.js";
+export * from "./watchedConnector.js";
--- a/test/platform/storeClient.test.ts
+++ b/test/platform/storeClient.test.ts
@@ -4,12 +4,19 @@
 import { systemClock } from "../../src/common/index.js";
 import { StoreClient } from "../../src/platform/storeClient.js";
 import { blockProcess } from "../fixtures/pauses.js";
+import { createEndlessRunner, type EndlessAnswer } from "./standins/endlessRunner.js";
 import { StoreStandin } from "./standins/storeStandin.js";
 
 const host = "127.72.9.1";
 const port = 8_700;
 const topic = "keyed.status";
 
+const endlessAnswers: Readonly<Record<string, EndlessAnswer>> = {
+    "its head": { start: "HTTP/1.1 200 OK\r\n", repeated: "X-Own: 1\r\n" },
+    "heads before the final one": { start: "", repeated: "HTTP/1.1 103 Early Hints\r\n\r\n" },
+    "its body": { start: "HTTP/1.1 200 OK\r\n\r\n", repeated: "x" },
+};
+
 function createRecord(value: string) {
     return [{ key: "progress/app", value: Buffer.from(JSON.stringify(value)) }];
 }
@@ -56,6 +63,22 @@
         expect(page._unsafeUnwrap().records).toEqual([]);
     });
 
+    // Guards against a node whose memory or whose time goes to an answer of the store without an end.
+    for (const [name, answer] of Object.entries(endlessAnswers)) {
+        it(`gives up an answer without an end in ${name}`, async () => {
+            const { server, written } = createEndlessRunner(answer);
+            await new Promise<void>(resolve => server.listen(port + 2, host, resolve));
+            const otherClient = new StoreClient(`${host}:${port + 2}`, systemClock);
+            const reader = otherClient.createReader(topic);
+            // A long poll may take far longer than the bytes.
+            const results = [await reader.readSince(0, 5_000), await reader.readAll()];
+            await otherClient.close();
+            server.close();
+            expect(results.map(result => result._unsafeUnwrapErr().kind)).toEqual(["protocol", "protocol"]);
+            expect(written.every(({ bytes }) => bytes < 16 * 1024 * 1024)).toEqual(true);
+        });
+    }
+
     // Guards against records of before and after the store's return from an older copy that pass for one history.
     it("does not read on from an offset of before, which is another record now", async () => {
         const other = new StoreStandin();
