--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -5,6 +5,8 @@
 import { Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
+import { isEndless } from "../upstream/index.js";
+import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { recheckMilliseconds } from "./callCancellation.js";
@@ -54,6 +56,8 @@
     readonly headTimes: HeadTimes;
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
+    /** Bounds the events that are read. */
+    readonly answerBuffers: AnswerBuffers;
 }
 
 /** Handles the stream of one exchange. */
@@ -66,9 +70,12 @@
     readonly #watch: HeadWatch;
     /** Answer that goes on if the attempt that replaces it does not begin. */
     #silent: SilentAnswer | undefined;
+    readonly #answerBuffers: AnswerBuffers;
     #lastEventId: string | undefined;
 
-    constructor({ exchange, attempts, budget, pressure, headTimes, journal, metrics }: StreamExchangeOptions) {
+    constructor(options: StreamExchangeOptions) {
+        const { exchange, attempts, budget, pressure, headTimes, journal, metrics } = options;
+        this.#answerBuffers = options.answerBuffers;
         this.#exchange = exchange;
         this.#attempts = attempts;
         this.#budget = budget;
@@ -223,6 +230,7 @@
         const { reply, ended } = this.#exchange;
         const { attempt, body } = relayed;
         const isEventStream = attempt.answer.status === successStatus;
+        const buffer = this.#answerBuffers.add(attempt.upstream.id, attempt.cancel);
         try {
             for (;;) {
                 if (!await this.#waitForPiece(relayed)) {
@@ -234,6 +242,10 @@
                 }
                 attempt.markSeen();
                 await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
+                buffer.hold(relayed.splitter.remainderLength);
+                if (buffer.isGivenUp) {
+                    return { kind: "broken", reason: oversizedReason, isDisconnected: false };
+                }
                 if (reply.disconnected.aborted) {
                     return { kind: "broken", reason: "the caller has left", isDisconnected: false };
                 }
@@ -241,8 +253,14 @@
             return attempt.answer.hasKnownEnd ? await this.#writeRemainder(relayed) : await this.#evaluateEnd(relayed);
         }
         catch (cause) {
+            if (buffer.isGivenUp) {
+                return { kind: "broken", reason: oversizedReason, isDisconnected: false };
+            }
             const reason = ended.aborted ? String(ended.reason) : String(cause);
-            return { kind: "broken", reason, isDisconnected: !ended.aborted };
+            return { kind: "broken", reason, isDisconnected: !ended.aborted && !isEndless(cause) };
+        }
+        finally {
+            buffer.close();
         }
     }
 
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -27,6 +27,7 @@
 import { createRateShares, createSharedRateLimits } from "../ratelimits/index.js";
 import { CallerServer } from "./callerServer.js";
 import {
+    createAnswerBuffers,
     createAttempts,
     createBudgets,
     createObserver,
@@ -173,21 +174,27 @@
     relayServer: parts => createRelayServer(parts),
     relayInterceptor: parts => createNodeRelayInterceptor(parts),
     observer: parts => createObserver(parts),
-    upstreamClient: (
-        { topics, membership, reachability, relayInterceptor, registry, announcements, observer, restLimit },
-    ) => new UpstreamClient({
-        getConnectionLimit: pool => {
-            const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
-            return limit === undefined
-                ? defaultConnections
-                : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
-        },
-        getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
-        onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
-        mayReceive: upstream => registry.isAvailable(upstream) && announcements.getRestMilliseconds(upstream) === 0,
-        relayLimit: restLimit,
-        onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
-    }),
+    upstreamClient: parts => {
+        const { topics, membership, reachability, relayInterceptor, registry, announcements, restLimit } = parts;
+        const { observer, throttledJournal, metrics } = parts;
+        return new UpstreamClient({
+            getConnectionLimit: pool => {
+                const limit = topics.getRoutes()?.getPool(pool)?.maxConnections;
+                return limit === undefined
+                    ? defaultConnections
+                    : getConnectionShare(limit, membership.getPossiblySending(shareRetentionMilliseconds).length);
+            },
+            getRelay: pool => reachability.isUnreachable(pool) ? relayInterceptor : undefined,
+            onConnectFailure: ({ pool }) => reachability.addConnectFailure(pool),
+            onOversized: ({ id: upstream }, bytes) => {
+                metrics.oversizedAnswers.inc({ bound: "head" });
+                throttledJournal.write(events.answerOversized, upstream, { upstream, bound: "head", bytes });
+            },
+            mayReceive: upstream => registry.isAvailable(upstream) && announcements.getRestMilliseconds(upstream) === 0,
+            relayLimit: restLimit,
+            onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
+        });
+    },
     quarantine: parts => createQuarantine(parts, requestPolicy, recordKeys.quarantinePrefix),
     partQuarantine: parts => createQuarantine(parts, partPolicy, recordKeys.partQuarantinePrefix),
     crashWatch: parts => {
@@ -198,11 +205,12 @@
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
     attempts: parts => createAttempts(parts),
-    forwarder: ({ clock, journal, metrics, attempts, topics, liveSettings, budgets, rooms, shutdown }) =>
+    forwarder: ({ clock, journal, metrics, answerBuffers, attempts, topics, liveSettings, budgets, rooms, shutdown }) =>
         new Forwarder({
             clock,
             journal,
             metrics,
+            answerBuffers,
             attempts,
             getRoutes: () => topics.getRoutes(),
             waitForFirstRead: () => topics.waitForFirstRead(),
@@ -213,6 +221,7 @@
             room: rooms,
             checkCapacity: route => shutdown.check(route),
         }),
+    answerBuffers: parts => createAnswerBuffers(parts),
     replyBuffers: parts => createReplyBuffers(parts),
     callerServer: ({ clock, readProgress, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
         new CallerServer({
