Find a new version slow by the share of its slow answers, and count those that nobody waited for

Cause: an attempt without a head had no time, and one with a head was counted when its whole stream had ended, so of a slow version only the quick answers were known. Times were compared within a kind of request alone, as geometric means with a bound of 2.5; half of the answers eight times as late are 2.83. What came slowly between the parts of a stream was not looked at.

Ruled out: counting broken connections (three crashed runners reverted a good version); counting all that was given up at once (a runner that has crashed silently leaves the same).

Change: the time counts as the head arrives. What this node gave up counts as at least that time, if its runner has answered others since or accepts a connection; attempts that still wait count by their age, if their runner has answered others since. Times are counts in classes, summed over nodes. An answer is slow if it takes longer than nearly all of the old version's of its kind at the same time, or, once it answers nothing, than its last ones. The shares of slow answers are compared over all kinds together and for each kind, as those of failures are. Pauses are compared in the same way, one sample a stream. Attempts at runners that warm up or whose slots are all taken say nothing.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -7,6 +7,17 @@
 import type { Exchange } from "./exchange.js";
 import type { UpstreamAnswer, UpstreamCallFailure } from "./upstreamCall.js";
 
+/** An attempt that starts. */
+export interface StartedAttempt {
+    readonly exchange: Exchange;
+    readonly upstream: RegisteredUpstream;
+    readonly model: string | undefined;
+    /** Whether the upstream is warming up. Its pace then says nothing about a warm one. */
+    readonly isWarmingUp: boolean;
+    /** Expected requests at the upstream, as a share of its slots. */
+    readonly load: number;
+}
+
 /** An attempt that has ended. */
 export interface EndedAttempt {
     readonly exchange: Exchange;
@@ -15,8 +26,18 @@
     readonly outcome: CallOutcome;
     /** Time from sending the request to the head of the answer. Undefined when no head arrived. */
     readonly headMilliseconds: number | undefined;
-    /** Whether the upstream was warming up when the attempt started. Its pace then says nothing about a warm one. */
-    readonly isWarmingUp: boolean;
+    /** Whether this node ended it while the upstream was at work and no head had arrived. */
+    readonly isGivenUp: boolean;
+}
+
+/** Observes one attempt. */
+export interface AttemptObserver {
+    /** Called when the head of a successful answer arrives. */
+    readonly onHead: () => void;
+    /** Called with usual pauses between the parts of an answer, in milliseconds. */
+    readonly onPause: (milliseconds: number) => void;
+    /** Called once when the attempt has ended. */
+    readonly onEnd: (attempt: EndedAttempt) => void;
 }
 
 /** Parameters of one attempt. */
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -9,7 +9,14 @@
 import { measurePauses, type RunnerPaces } from "../pace/index.js";
 import type { RunEnd } from "../quarantine/index.js";
 import { isRepeatable } from "../routing/index.js";
-import type { Attempt, AttemptFailure, AttemptRequest, EndedAttempt } from "./attempt.js";
+import type {
+    Attempt,
+    AttemptFailure,
+    AttemptObserver,
+    AttemptRequest,
+    EndedAttempt,
+    StartedAttempt,
+} from "./attempt.js";
 import { AttemptAdmission, type AttemptAdmissionOptions } from "./attemptAdmission.js";
 import { CallCancellation } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
@@ -29,8 +36,8 @@
     readonly paces?: Pick<RunnerPaces, "add">;
     /** Opens a connection to an address and closes it. Returns whether that succeeded. */
     readonly isAcceptingConnections: (address: string) => Promise<boolean>;
-    /** Called when an attempt starts. Returns a callback for its end. */
-    readonly onStart: (exchange: Exchange, upstream: RegisteredUpstream) => (attempt: EndedAttempt) => void;
+    /** Called when an attempt starts. */
+    readonly onStart: (attempt: StartedAttempt) => AttemptObserver;
 }
 
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
@@ -95,6 +102,7 @@
         let confidence: number | undefined = undefined;
         let load: ReportedLoad | undefined = undefined;
         let isServed = false;
+        let isGivenUp = false;
         let isFinished = false;
         const finish = (outcome: CallOutcome, reason: string, end: RunEnd): void => {
             if (isFinished) {
@@ -108,12 +116,13 @@
                 mayBeLoad,
                 isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
             });
-            const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isWarmingUp };
-            onEnd(ended);
+            const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
+            attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
             this.#finish(ended, { choice, versionReason, reason, startedAt, promptTokens, confidence, load });
         };
-        const onEnd = this.#options.onStart(exchange, upstream);
+        const { model } = request;
+        const attemptObserver = this.#options.onStart({ exchange, upstream, model, isWarmingUp, load: pick.load });
         picker.start(upstream.id);
         sendLimit.add(upstream);
         picker.addPendingPrefill(upstream.id, prefillMilliseconds);
@@ -138,6 +147,7 @@
                 exchange.removeAttempt();
             }
             const { isHeadTimedOut } = cancellation;
+            isGivenUp = result.error.kind === "broken" && (isHeadTimedOut || exchange.ended.aborted);
             finish(
                 classifyFailure(exchange, result.error, isHeadTimedOut),
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
@@ -149,6 +159,9 @@
         }
         headMilliseconds = clock.monotonic() - startedAt;
         isServed = result.value.status < minErrorStatus;
+        if (isServed) {
+            attemptObserver.onHead();
+        }
         run.markHead();
         confidence = result.value.confidence;
         observer.observeAnswer(upstream, result.value, startedAt);
@@ -159,7 +172,9 @@
             observer.markSeen(upstream);
             run.markPiece();
         };
-        const answer = isWarmingUp ? result.value : this.#measure(request, upstream, result.value, headMilliseconds);
+        const answer = isWarmingUp
+            ? result.value
+            : this.#measure(request, upstream, result.value, headMilliseconds, attemptObserver.onPause);
         const isUpstreamUp = (): Promise<boolean> => this.#options.isAcceptingConnections(upstream.address);
         const { cancel } = cancellation;
         const drop = (reason: string): void => {
@@ -175,6 +190,7 @@
         upstream: RegisteredUpstream,
         answer: UpstreamAnswer,
         headMilliseconds: number,
+        onPause: (milliseconds: number) => void,
     ): UpstreamAnswer {
         const { clock, paces } = this.#options;
         if (paces === undefined || answer.status !== successStatus) {
@@ -188,6 +204,7 @@
         const work = model ?? prompt.model ?? "";
         const body = measurePauses(answer.body, () => clock.monotonic(), milliseconds => {
             paces.add(upstream, { kind: "pause", work, milliseconds, load });
+            onPause(milliseconds);
         });
         return { ...answer, body };
     }
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -14,7 +14,7 @@
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
 import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
-import { addEvidence, getSession } from "./rolloutParts.js";
+import { getSession, watchAttempt } from "./rolloutParts.js";
 
 /** A node that has just started does not know all others yet, and they do not know it. */
 const shareSettlingMilliseconds = 5_000;
@@ -100,13 +100,7 @@
         isAcceptingConnections,
         getBudget: budgets,
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
-        onStart: (exchange, upstream) => {
-            const end = rollouts.startRequest(upstream, exchange.request.session);
-            return attempt => {
-                end();
-                addEvidence(rollouts, attempt);
-            };
-        },
+        onStart: attempt => watchAttempt(rollouts, attempt),
     });
 }
 
--- a/src/platform/rolloutParts.ts
+++ b/src/platform/rolloutParts.ts
@@ -1,38 +1,53 @@
 /**
  * Connects a node's roll-outs with its requests and with the other nodes.
  */
-import type { EndedAttempt, Exchange } from "../forwarding/index.js";
+import type { AttemptObserver, EndedAttempt, Exchange, StartedAttempt } from "../forwarding/index.js";
 import type { Gossip } from "../membership/index.js";
-import { type PeerReport, Rollouts } from "../rollouts/index.js";
+import { type AttemptEnd, type PeerReport, Rollouts } from "../rollouts/index.js";
+import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
 
 /** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
 const evidenceKeyPrefix = "rollout-evidence/";
 const haltKeyPrefix = "rollout-halt/";
+/** Load of an upstream of which all slots are taken: further requests wait there. */
+const fullLoad = 1;
 
 /** Returns the session of a request. A request without a session forms its own. */
 export function getSession({ request }: Exchange): string {
     return request.session ?? request.id;
 }
 
+/** Starts to watch an attempt for the roll-out of its pool. */
+export function watchAttempt(rollouts: Rollouts, started: StartedAttempt): AttemptObserver {
+    const { exchange, upstream, model, isWarmingUp, load } = started;
+    const { objectiveMilliseconds, pauseObjectiveMilliseconds = objectiveMilliseconds } = exchange.route;
+    const endRequest = rollouts.startRequest(upstream, exchange.request.session);
+    const watch = rollouts.watchAttempt(upstream, {
+        segment: `${exchange.route.name} ${model ?? ""}`,
+        objectiveMilliseconds,
+        pauseObjectiveMilliseconds,
+        isComparable: !isWarmingUp && load < fullLoad,
+    });
+    return {
+        onHead: () => watch?.markHead(),
+        onPause: milliseconds => watch?.addPause(milliseconds),
+        onEnd: ended => {
+            endRequest();
+            watch?.end(getAttemptEnd(ended));
+        },
+    };
+}
+
 /**
- * Adds an answer as evidence on its version. Broken connections and timeouts do not count: their usual cause is a runner that
- * crashed or is overloaded. When they counted, three crashed runners caused a healthy version to be reverted.
+ * Returns what the end of an attempt says about its version. Broken connections say nothing: their usual cause is a runner that
+ * crashed. When they counted, three crashed runners caused a healthy version to be reverted.
  */
-export function addEvidence(
-    rollouts: Rollouts,
-    { exchange, upstream, model, outcome, headMilliseconds, isWarmingUp }: EndedAttempt,
-): void {
-    if (outcome === "ok" || outcome === "error") {
-        const segment = `${exchange.route.name} ${model ?? ""}`;
-        const { objectiveMilliseconds } = exchange.route;
-        rollouts.addAnswer(upstream, {
-            segment,
-            hasFailed: outcome === "error",
-            headMilliseconds: isWarmingUp ? undefined : headMilliseconds,
-            objectiveMilliseconds,
-        });
+function getAttemptEnd({ outcome, isGivenUp }: EndedAttempt): AttemptEnd {
+    if (isGivenUp) {
+        return "given-up";
     }
+    return outcome === "ok" ? "answered" : outcome === "error" ? "failed" : "unknown";
 }
 
 /** Creates the roll-outs, whose evidence and halts are exchanged by gossip. */
@@ -48,6 +63,10 @@
         sessionMilliseconds: settings.bounds.sessionMilliseconds,
         getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
         getMemberCount: () => membership.getMembers().length,
+        isRunning: async id => {
+            const upstream = registry.get(id);
+            return upstream !== undefined && await isAcceptingConnections(upstream.address);
+        },
         publishEvidence: (pool, value) => gossip.set(`${evidenceKeyPrefix}${pool}`, value),
         getEvidence: pool => getPeerReports(gossip, self.id, pool),
         publishHalt: (pool, order) =>
--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -1,96 +1,165 @@
 /**
  * Checks whether a new version is worse than the old one by comparing their answers over the same time.
  */
-import type { EvidenceCounts, SegmentCounts, VersionCounts } from "./rolloutEvidence.js";
+import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
+import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
+import { countAbove, getQuantileClass, type TimeCounts } from "./timeCounts.js";
+import { type Measure, minReferenceTimes, type TimeReferences } from "./timeReferences.js";
 
 /** A regression of the new version. */
-export interface Regression {
+export interface Regression extends ShareIncrease {
     /** Kind of request in which it was found, or `all`. */
     readonly segment: string;
-    readonly reason: "failures" | "slow";
-    readonly candidate: number;
-    readonly current: number;
+    readonly reason: "failures" | "slow" | "slow between parts";
 }
 
-/** Fewer failures than this may be random or caused by one bad upstream. */
-const minFailures = 5;
-/** Maximum by which the new version's failure share may exceed that of the old one. */
-const maxFailureShareIncrease = 0.12;
 /**
- * Minimum difference between the two versions' failure shares, in standard errors. A false alarm occurs about once in
- * several thousand evaluations.
+ * What is known of a new version that was not found bad.
+ * - `scarce`: too little to find a bad version.
+ * - `suspicious`: more bad answers than the old version's, which may be random.
+ * - `sound`: enough, and nothing suspicious.
  */
-const failureStandardErrors = 4.5;
-/**
- * Prior of the old version: two failures in twenty answers are added to its counts. When the new version serves
- * everything there are no answers to compare with, and faults that appear only under full load must still be found.
- */
-const priorAnswers = 20;
-const priorFailures = 2;
-/** Minimum number of answers with a time, of each version, for a comparison of times. */
-const minTimedAnswers = 6;
-/** Maximum ratio of the new version's time to that of the old one, as geometric means. */
-const maxSlowdownRatio = 2.5;
-/** Minimum difference between the two versions' mean logarithms of times, in standard errors. */
-const slowdownStandardErrors = 4;
+export type EvidenceState = "scarce" | "suspicious" | "sound";
+
+/** A false alarm occurs about once in several thousand evaluations. */
+const failureBounds: IncreaseBounds = { minBad: 5, minIncrease: 0.12, minStandardErrors: 4.5 };
+const slownessBounds: IncreaseBounds = { minBad: 5, minIncrease: 0.2, minStandardErrors: 4.5 };
+/** Bounds for one of many kinds of request: some kind is slow by chance more often than all of them together. */
+const kindSlownessBounds: IncreaseBounds = { minBad: 8, minIncrease: 0.3, minStandardErrors: 4.5 };
+/** Differences from which on the next step of the roll-out waits. They are random about once in a hundred evaluations. */
+const suspicionBounds: IncreaseBounds = { minBad: 3, minIncrease: 0.1, minStandardErrors: 2.5 };
+/** Number of answers from which on a version is found bad whose share of bad answers exceeds the old one's by a third. */
+const minSoundAnswers = 20;
+/** Share of the old version's times up to the class that an answer must exceed to be slow. */
+const usualShare = 0.9;
+/** Classes between the end of the usual times and that class. */
+const slowClassDistance = 1;
+
+const noAnswers: AnswerShare = { answers: 0, bad: 0 };
+
+/** The answers of both versions. */
+interface AnswerShares {
+    readonly candidate: AnswerShare;
+    readonly current: AnswerShare;
+}
+
+/** The answers of both versions to requests of one kind. */
+interface SegmentShares {
+    readonly segment: string;
+    readonly shares: AnswerShares;
+}
+
+/** The answers of both versions, by what may be bad about them. */
+interface VersionShares {
+    readonly failures: readonly SegmentShares[];
+    readonly times: readonly SegmentShares[];
+    readonly pauses: readonly SegmentShares[];
+}
 
 /**
  * Compares the new version with the old one.
  * @param evidence - Counts of all nodes, by kind of request.
+ * @param references - Earlier times of the old version, for kinds of request of which it now answers too few.
  * @returns The first regression, or undefined if there is none.
  */
-export function evaluateRollout(evidence: EvidenceCounts): Regression | undefined {
-    let current = emptyCounts;
-    let candidate = emptyCounts;
-    for (const [segment, counts] of evidence) {
-        const regression = compareFailures(segment, counts) ?? compareTimes(segment, counts);
-        if (regression !== undefined) {
-            return regression;
-        }
-        current = addFailures(current, counts.current);
-        candidate = addFailures(candidate, counts.candidate);
+export function evaluateRollout(evidence: EvidenceCounts, references?: TimeReferences): Regression | undefined {
+    const { failures, times, pauses } = getShares(evidence, references);
+    return compare("failures", failures, failureBounds, failureBounds)
+        ?? compare("slow", times, kindSlownessBounds, slownessBounds)
+        ?? compare("slow between parts", pauses, kindSlownessBounds, slownessBounds);
+}
+
+/**
+ * Returns what is known of a new version that was not found bad.
+ * @param evidence - Counts of all nodes, by kind of request.
+ * @param references - Earlier times of the old version.
+ */
+export function assessEvidence(evidence: EvidenceCounts, references?: TimeReferences): EvidenceState {
+    const { failures, times, pauses } = getShares(evidence, references);
+    const suspicion = compare("failures", failures, suspicionBounds, suspicionBounds)
+        ?? compare("slow", times, suspicionBounds, suspicionBounds)
+        ?? compare("slow between parts", pauses, suspicionBounds, suspicionBounds);
+    if (suspicion !== undefined) {
+        return "suspicious";
     }
-    return compareFailures("all", { current, candidate });
+    const answers = Math.max(countCandidateAnswers(failures), countCandidateAnswers(times));
+    return answers >= minSoundAnswers ? "sound" : "scarce";
 }
 
-const emptyCounts: VersionCounts = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
+    const segments = [...evidence];
+    const compareMeasure = (measure: Measure): readonly SegmentShares[] => {
+        return segments.map(([segment, counts]) => {
+            return { segment, shares: getSlowness(counts, measure, references?.get(measure, segment)) };
+        });
+    };
+    return {
+        failures: segments.map(([segment, counts]) => ({ segment, shares: getFailures(counts) })),
+        times: compareMeasure("times"),
+        pauses: compareMeasure("pauses"),
+    };
+}
 
-function addFailures(sum: VersionCounts, counts: VersionCounts): VersionCounts {
-    return { ...sum, answers: sum.answers + counts.answers, failures: sum.failures + counts.failures };
+function countCandidateAnswers(segments: readonly SegmentShares[]): number {
+    return segments.reduce((sum, { shares }) => sum + shares.candidate.answers, 0);
 }
 
-function compareFailures(segment: string, { current, candidate }: SegmentCounts): Regression | undefined {
-    if (candidate.failures < minFailures) {
-        return undefined;
-    }
-    const currentAnswers = current.answers + priorAnswers;
-    const currentFailures = current.failures + priorFailures;
-    const candidateShare = candidate.failures / candidate.answers;
-    const currentShare = currentFailures / currentAnswers;
-    const difference = candidateShare - currentShare;
-    const variance = currentShare * (1 - currentShare);
-    const standardError = Math.sqrt(variance * (1 / candidate.answers + 1 / currentAnswers));
-    if (difference < maxFailureShareIncrease || difference < failureStandardErrors * standardError) {
-        return undefined;
+/** Compares all kinds of request together, then each by itself. */
+function compare(
+    reason: Regression["reason"],
+    segments: readonly SegmentShares[],
+    kindBounds: IncreaseBounds,
+    totalBounds: IncreaseBounds,
+): Regression | undefined {
+    const total = {
+        segment: "all",
+        shares: {
+            candidate: segments.map(({ shares }) => shares.candidate).reduce(addShares, noAnswers),
+            current: segments.map(({ shares }) => shares.current).reduce(addShares, noAnswers),
+        },
+    };
+    for (const { segment, shares } of [total, ...segments]) {
+        const bounds = segment === total.segment ? totalBounds : kindBounds;
+        const increase = compareShares(shares.candidate, shares.current, bounds);
+        if (increase !== undefined) {
+            return { segment, reason, ...increase };
+        }
     }
-    return { segment, reason: "failures", candidate: candidateShare, current: currentShare };
+    return undefined;
 }
 
-function compareTimes(segment: string, { current, candidate }: SegmentCounts): Regression | undefined {
-    if (candidate.timed < minTimedAnswers || current.timed < minTimedAnswers) {
-        return undefined;
-    }
-    const candidateMean = candidate.logSum / candidate.timed;
-    const currentMean = current.logSum / current.timed;
-    const standardError = Math.sqrt(getVariance(candidate) / candidate.timed + getVariance(current) / current.timed);
-    const difference = candidateMean - currentMean;
-    if (difference < Math.log(maxSlowdownRatio) || difference < slowdownStandardErrors * standardError) {
-        return undefined;
+function getFailures({ candidate, current }: SegmentCounts): AnswerShares {
+    return {
+        candidate: { answers: candidate.answers, bad: candidate.failures },
+        current: { answers: current.answers, bad: current.failures },
+    };
+}
+
+/** Counts the answers of both versions that take longer than nearly all of the old version's do. */
+function getSlowness(
+    { candidate, current }: SegmentCounts,
+    measure: Measure,
+    earlier: TimeCounts | undefined,
+): AnswerShares {
+    const isKnown = countAbove(current[measure], -1) >= minReferenceTimes;
+    const reference = isKnown ? current[measure] : earlier;
+    if (reference === undefined) {
+        return { candidate: noAnswers, current: noAnswers };
     }
-    return { segment, reason: "slow", candidate: Math.exp(candidateMean), current: Math.exp(currentMean) };
+    const slowClass = getQuantileClass(reference, usualShare) + slowClassDistance;
+    const [candidateWaits, currentWaits] = measure === "times" ? [candidate.waits, current.waits] : [[], []];
+    return {
+        candidate: countSlow(candidate[measure], candidateWaits, slowClass),
+        current: countSlow(reference, currentWaits, slowClass),
+    };
+}
+
+/** A wait that is not slow yet tells nothing: its answer may come at once. */
+function countSlow(times: TimeCounts, waits: TimeCounts, slowClass: number): AnswerShare {
+    const slowWaits = countAbove(waits, slowClass);
+    return { answers: countAbove(times, -1) + slowWaits, bad: countAbove(times, slowClass) + slowWaits };
 }
 
-function getVariance({ timed, logSum, logSquares }: VersionCounts): number {
-    const mean = logSum / timed;
-    return Math.max(0.01, logSquares / timed - mean * mean);
+function addShares(first: AnswerShare, second: AnswerShare): AnswerShare {
+    return { answers: first.answers + second.answers, bad: first.bad + second.bad };
 }
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -1,4 +1,5 @@
 /** Roll-outs of a pool's software while it serves traffic. */
+export type { AttemptEnd } from "./attemptWatch.js";
 export type { PeerReport } from "./peerReports.js";
 export type { PinReport } from "./pinnedSessions.js";
 export * from "./rollout.js";
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -4,15 +4,18 @@
  */
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import { AttemptEvidence } from "./attemptEvidence.js";
+import type { AttemptWatch, WatchedAttempt } from "./attemptWatch.js";
 import { chooseVersion } from "./chooseVersion.js";
 import { evaluateRollout } from "./evaluateRollout.js";
 import { PeerReports, type ReportTotal } from "./peerReports.js";
 import { planRollout } from "./planRollout.js";
 import { getSessionRank, type PoolSessions } from "./poolSessions.js";
 import { isFirstStep, isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
-import { encodeReport, type EvidenceAnswer, type EvidenceReport, RolloutEvidence } from "./rolloutEvidence.js";
+import { encodeReport, type EvidenceReport } from "./rolloutEvidence.js";
 import type { RolloutsOptions } from "./rolloutsOptions.js";
 import { getStepDelay, leadingNodeCount } from "./stepDelay.js";
+import { TimeReferences } from "./timeReferences.js";
 import type { VersionPartition } from "./versionPartitions.js";
 import type { VersionSelection } from "./versionSelection.js";
 
@@ -24,12 +27,16 @@
 /** Minimum interval between attempts to write a step, in milliseconds. */
 const minWriteIntervalMilliseconds = 1_000;
 
+/** What is known of an attempt apart from its upstream. */
+export type AttemptKind = Omit<WatchedAttempt, "upstream" | "isCandidate">;
+
 /** Handles one order. */
 export class PoolRollout {
     readonly order: RolloutOrder;
     readonly #options: RolloutsOptions;
     readonly #sessions: PoolSessions;
-    readonly #evidence = new RolloutEvidence();
+    readonly #evidence: AttemptEvidence;
+    readonly #timeReferences = new TimeReferences();
     readonly #peerReports = new PeerReports();
     /** Requests that are in flight at upstreams of the old version. */
     readonly #inFlight = new Set<object>();
@@ -58,6 +65,11 @@
         this.#options = options;
         this.#sessions = sessions;
         this.#orderedAt = options.clock.monotonic();
+        this.#evidence = new AttemptEvidence({
+            clock: options.clock,
+            isRunning: options.isRunning,
+            onFailure: () => this.#evaluate(this.#getTotal(this.#createReport())),
+        });
     }
 
     /** Checks whether the roll-out is completed or reverted. */
@@ -145,19 +157,16 @@
     }
 
     /**
-     * Adds an upstream's answer to the evidence.
+     * Starts to watch an attempt as evidence on its version. Returns undefined when the roll-out is over.
      * @param upstream - The upstream.
-     * @param answer - The outcome and duration of the answer.
+     * @param attempt - The kind of attempt.
      */
-    addAnswer(upstream: RegisteredUpstream, answer: Omit<EvidenceAnswer, "isCandidate">): void {
+    watchAttempt(upstream: RegisteredUpstream, attempt: AttemptKind): AttemptWatch | undefined {
         if (this.isOver()) {
-            return;
+            return undefined;
         }
         const isCandidate = upstream.version === this.order.version;
-        this.#evidence.add({ ...answer, isCandidate }, this.#options.clock.monotonic());
-        if (isCandidate && answer.hasFailed) {
-            this.#evaluate(this.#getTotal(this.#createReport()));
-        }
+        return this.#evidence.start({ ...attempt, upstream: upstream.id, isCandidate });
     }
 
     /**
@@ -186,7 +195,7 @@
     }
 
     #createReport(): EvidenceReport {
-        const segments = this.#evidence.getCounts(this.#options.clock.monotonic());
+        const segments = this.#evidence.getCounts();
         return { order: this.order.id, currentInFlight: this.#inFlight.size, segments };
     }
 
@@ -228,7 +237,8 @@
         if (this.#isHalted) {
             return;
         }
-        const regression = evaluateRollout(segments);
+        this.#timeReferences.update(segments);
+        const regression = evaluateRollout(segments, this.#timeReferences);
         if (regression === undefined) {
             return;
         }
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -2,6 +2,7 @@
  * Recent answers of a pool's old and new version, as counts that can be summed over nodes.
  */
 import { z } from "zod";
+import { addTimeClass, addTimeCounts, getTimeClass, type TimeCounts } from "./timeCounts.js";
 
 /**
  * Length of a time slice, in milliseconds. Evidence covers the last `sliceCount` slices only: otherwise the good
@@ -15,15 +16,19 @@
  * large ratio, and a good version would be reverted because of a short busy period.
  */
 const latencyFloorShare = 0.1;
+/** The same for pauses. It is smaller, since a caller accepts a single long pause, but sums up all of them. */
+const pauseFloorShare = 0.025;
 
 /** Counts of one version. */
 export interface VersionCounts {
     readonly answers: number;
     readonly failures: number;
-    /** Number of answers with a known time to their head, and the sum and the sum of squares of its logarithm. */
-    readonly timed: number;
-    readonly logSum: number;
-    readonly logSquares: number;
+    /** Times to the heads of answers. */
+    readonly times: TimeCounts;
+    /** Times without a head until now, or until an attempt was given up: its answer would have taken at least that long. */
+    readonly waits: TimeCounts;
+    /** Pauses between the parts of streamed answers, one for each stream. */
+    readonly pauses: TimeCounts;
 }
 
 /** Counts of both versions for requests of one kind. */
@@ -43,19 +48,25 @@
     readonly segments: EvidenceCounts;
 }
 
-/** One answer, as evidence. */
-export interface EvidenceAnswer {
+/** The attempts of one kind at one version. */
+export interface EvidenceKind {
     /** Kind of the request. Answers are compared within a kind, since kinds differ in their typical duration. */
     readonly segment: string;
     readonly isCandidate: boolean;
-    readonly hasFailed: boolean;
-    /** Time to the head of the answer, in milliseconds. Undefined without a head. */
-    readonly headMilliseconds: number | undefined;
     /** The time within which the caller expects the answer, in milliseconds. */
     readonly objectiveMilliseconds: number;
+    /** The longest pause between the parts of an answer that the caller accepts, in milliseconds. */
+    readonly pauseObjectiveMilliseconds: number;
 }
 
-const emptyCounts: VersionCounts = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+/** The time of an attempt. */
+export interface EvidenceTime {
+    readonly milliseconds: number;
+    /** Whether the answer had a head at that time. */
+    readonly hasHead: boolean;
+}
+
+const emptyCounts: VersionCounts = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
 const emptySegment: SegmentCounts = { current: emptyCounts, candidate: emptyCounts };
 
 interface Slice {
@@ -68,18 +79,39 @@
     readonly #slices: Slice[] = [];
 
     /**
-     * Adds an answer.
-     * @param answer - The answer.
+     * Adds the outcome of an answer.
+     * @param kind - The kind of attempt.
+     * @param hasFailed - Whether the answer is a failure of the upstream.
+     * @param now - Monotonic milliseconds.
+     */
+    addOutcome(kind: EvidenceKind, hasFailed: boolean, now: number): void {
+        this.#add(kind, { ...emptyCounts, answers: 1, failures: hasFailed ? 1 : 0 }, now);
+    }
+
+    /**
+     * Adds the time of an attempt.
+     * @param kind - The kind of attempt.
+     * @param time - The time to the head, or until the attempt was given up.
+     * @param now - Monotonic milliseconds.
+     */
+    addTime(kind: EvidenceKind, time: EvidenceTime, now: number): void {
+        this.#add(kind, countTime(kind, time), now);
+    }
+
+    /**
+     * Adds a usual pause of a streamed answer.
+     * @param kind - The kind of attempt.
+     * @param milliseconds - The pause.
      * @param now - Monotonic milliseconds.
      */
-    add(answer: EvidenceAnswer, now: number): void {
-        const { segments } = this.#getSlice(now);
-        const known = segments.get(answer.segment) ?? emptySegment;
-        const counts = toCounts(answer);
-        segments.set(answer.segment, {
-            current: answer.isCandidate ? known.current : addCounts(known.current, counts),
-            candidate: answer.isCandidate ? addCounts(known.candidate, counts) : known.candidate,
-        });
+    addPause(kind: EvidenceKind, milliseconds: number, now: number): void {
+        const shortestMilliseconds = Math.max(1, kind.pauseObjectiveMilliseconds * pauseFloorShare);
+        const pauses = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
+        this.#add(kind, { ...emptyCounts, pauses }, now);
+    }
+
+    #add(kind: EvidenceKind, counts: VersionCounts, now: number): void {
+        addToSegment(this.#getSlice(now).segments, kind, counts);
     }
 
     /**
@@ -125,7 +157,8 @@
     return total;
 }
 
-const countsSchema = z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()]);
+const timesSchema = z.array(z.number());
+const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema]);
 const reportSchema = z.object({
     order: z.number(),
     inFlight: z.number(),
@@ -155,34 +188,43 @@
     return { order, currentInFlight: inFlight, segments: decoded };
 }
 
-function toCounts(answer: EvidenceAnswer): VersionCounts {
-    const { headMilliseconds, objectiveMilliseconds } = answer;
-    const floorMilliseconds = Math.max(1, objectiveMilliseconds * latencyFloorShare);
-    const log = headMilliseconds === undefined ? 0 : Math.log(Math.max(floorMilliseconds, headMilliseconds));
-    return {
-        answers: 1,
-        failures: answer.hasFailed ? 1 : 0,
-        timed: headMilliseconds === undefined ? 0 : 1,
-        logSum: log,
-        logSquares: log * log,
-    };
+/** Counts one attempt by its time. */
+export function countTime(
+    { objectiveMilliseconds }: EvidenceKind,
+    { milliseconds, hasHead }: EvidenceTime,
+): VersionCounts {
+    const shortestMilliseconds = Math.max(1, objectiveMilliseconds * latencyFloorShare);
+    const counts = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
+    return hasHead ? { ...emptyCounts, times: counts } : { ...emptyCounts, waits: counts };
+}
+
+/** Adds counts of one version to those of a kind of request. */
+export function addToSegment(
+    segments: Map<string, SegmentCounts>,
+    { segment, isCandidate }: EvidenceKind,
+    counts: VersionCounts,
+): void {
+    const known = segments.get(segment) ?? emptySegment;
+    segments.set(segment, {
+        current: isCandidate ? known.current : addCounts(known.current, counts),
+        candidate: isCandidate ? addCounts(known.candidate, counts) : known.candidate,
+    });
 }
 
 function addCounts(first: VersionCounts, second: VersionCounts): VersionCounts {
     return {
         answers: first.answers + second.answers,
         failures: first.failures + second.failures,
-        timed: first.timed + second.timed,
-        logSum: first.logSum + second.logSum,
-        logSquares: first.logSquares + second.logSquares,
+        times: addTimeCounts(first.times, second.times),
+        waits: addTimeCounts(first.waits, second.waits),
+        pauses: addTimeCounts(first.pauses, second.pauses),
     };
 }
 
-function encodeCounts(counts: VersionCounts): readonly number[] {
-    const { answers, failures, timed, logSum, logSquares } = counts;
-    return [answers, failures, timed, Number(logSum.toFixed(3)), Number(logSquares.toFixed(3))];
+function encodeCounts({ answers, failures, times, waits, pauses }: VersionCounts): readonly unknown[] {
+    return [answers, failures, times, waits, pauses];
 }
 
-function decodeCounts([answers, failures, timed, logSum, logSquares]: z.infer<typeof countsSchema>): VersionCounts {
-    return { answers, failures, timed, logSum, logSquares };
+function decodeCounts([answers, failures, times, waits, pauses]: z.infer<typeof countsSchema>): VersionCounts {
+    return { answers, failures, times, waits, pauses };
 }
--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -7,11 +7,11 @@
 import { isOfLaterEra } from "../common/index.js";
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import type { AttemptWatch } from "./attemptWatch.js";
 import type { PinReport } from "./pinnedSessions.js";
-import { PoolRollout } from "./poolRollout.js";
+import { type AttemptKind, PoolRollout } from "./poolRollout.js";
 import { PoolSessions } from "./poolSessions.js";
 import type { RolloutOrder, RolloutProgress } from "./rollout.js";
-import type { EvidenceAnswer } from "./rolloutEvidence.js";
 import type { RolloutsOptions } from "./rolloutsOptions.js";
 import { VersionPartitions } from "./versionPartitions.js";
 import type { VersionSelection } from "./versionSelection.js";
@@ -138,12 +138,12 @@
     }
 
     /**
-     * Adds an upstream's answer to the evidence.
+     * Starts to watch an attempt as evidence on its version. Returns undefined when no roll-out of its pool is in progress.
      * @param upstream - The upstream.
-     * @param answer - The outcome and duration of the answer.
+     * @param attempt - The kind of attempt.
      */
-    addAnswer(upstream: RegisteredUpstream, answer: Omit<EvidenceAnswer, "isCandidate">): void {
-        this.#rollouts.get(upstream.pool)?.addAnswer(upstream, answer);
+    watchAttempt(upstream: RegisteredUpstream, attempt: AttemptKind): AttemptWatch | undefined {
+        return this.#rollouts.get(upstream.pool)?.watchAttempt(upstream, attempt);
     }
 
     /** Advances all roll-outs in progress. */
--- a/src/rollouts/rolloutsOptions.ts
+++ b/src/rollouts/rolloutsOptions.ts
@@ -21,6 +21,8 @@
     readonly getRank: () => number;
     /** Returns how many nodes may be running. */
     readonly getMemberCount: () => number;
+    /** Returns whether an upstream accepts connections, and so has not crashed. */
+    readonly isRunning: (upstream: string) => Promise<boolean>;
     /** Publishes this node's evidence on a pool's roll-out to the other nodes. */
     readonly publishEvidence: (pool: string, value: Buffer) => void;
     /** Returns the evidence of the other nodes. */
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -1,29 +1,52 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { RandomSource } from "../../src/common/index.js";
-import { evaluateRollout } from "../../src/rollouts/evaluateRollout.js";
+import { assessEvidence, evaluateRollout } from "../../src/rollouts/evaluateRollout.js";
 import { addEvidence, decodeReport, encodeReport, RolloutEvidence } from "../../src/rollouts/rolloutEvidence.js";
+import { TimeReferences } from "../../src/rollouts/timeReferences.js";
 
 interface Behaviour {
     readonly failures: number;
     /** Median time to the head of an answer, in milliseconds. */
     readonly median: number;
+    /** Share of the answers that take eight times as long. */
+    readonly slowShare?: number;
+    /** Time after which callers leave. */
+    readonly patience?: number;
 }
 
-/** Creates evidence of both versions over some seconds. The new version gives one of seven answers. */
-function createEvidence(seed: number, current: Behaviour, candidate: Behaviour, count = 400): RolloutEvidence {
+interface EvidenceOptions {
+    readonly count?: number;
+    readonly kinds?: number;
+    /** Every so many answers, the new version gives one. */
+    readonly candidateInterval?: number;
+}
+
+/** Creates evidence of both versions over some seconds. */
+function createEvidence(
+    seed: number,
+    current: Behaviour,
+    candidate: Behaviour,
+    { count = 400, kinds = 3, candidateInterval = 7 }: EvidenceOptions = {},
+): RolloutEvidence {
     const random = new RandomSource(seed);
     const evidence = new RolloutEvidence();
     for (let index = 0; index < count; index += 1) {
-        const isCandidate = index % 7 === 0;
-        const { failures, median } = isCandidate ? candidate : current;
-        evidence.add({
-            segment: `route ${index % 3}`,
+        const isCandidate = index % candidateInterval === 0;
+        const { failures, median, slowShare = 0, patience = Number.POSITIVE_INFINITY } = isCandidate
+            ? candidate
+            : current;
+        const kind = {
+            segment: `route ${index % kinds}`,
             isCandidate,
-            hasFailed: random.next() < failures,
-            headMilliseconds: median * Math.exp(0.6 * random.nextNormal()),
             objectiveMilliseconds: 1_000,
-        }, index * 10);
+            pauseObjectiveMilliseconds: 600,
+        };
+        evidence.addOutcome(kind, random.next() < failures, index * 10);
+        const factor = random.next() < slowShare ? 8 : 1;
+        const milliseconds = factor * median * Math.exp(0.6 * random.nextNormal());
+        const hasHead = milliseconds <= patience;
+        evidence.addTime(kind, { milliseconds: Math.min(milliseconds, patience), hasHead }, index * 10);
     }
     return evidence;
 }
@@ -41,6 +64,79 @@
         expect(regression?.reason).toEqual("slow");
     });
 
+    // Guards against keeping a version of which half of the answers are eight times as slow, with few answers of many kinds of request.
+    it("finds a version of which half of the answers are slow by a few answers of all kinds together", () => {
+        const slow = { ...good, slowShare: 0.5 };
+        const options = { count: 400, kinds: 9, candidateInterval: 14 };
+        const found = Array.from({ length: 100 }, (...[, seed]) => {
+            return evaluateRollout(createEvidence(seed, good, slow, options).getCounts(4_000))?.reason;
+        });
+        expect(found.filter(reason => reason === "slow").length >= 95).toEqual(true);
+    });
+
+    // Guards against knowing only the quick half of a version, since callers leave before the slow answers begin.
+    it("counts answers that nobody waited for", () => {
+        const slow = { ...good, slowShare: 0.5 };
+        for (let seed = 0; seed < 20; seed += 1) {
+            const [old, candidate] = [good, slow].map(behaviour => ({ ...behaviour, patience: 500 }));
+            expect(evaluateRollout(createEvidence(seed, old, candidate).getCounts(4_000))?.reason).toEqual("slow");
+        }
+    });
+
+    // Guards against keeping a version whose answers begin in time and then come several times slower.
+    it("finds a version that is slow between the parts of its streams", () => {
+        const random = new RandomSource(9);
+        const evidence = new RolloutEvidence();
+        for (let index = 0; index < 120; index += 1) {
+            const isCandidate = index % 8 === 0;
+            const kind = {
+                segment: "stream",
+                isCandidate,
+                objectiveMilliseconds: 1_000,
+                pauseObjectiveMilliseconds: 600,
+            };
+            evidence.addTime(kind, { milliseconds: 100, hasHead: true }, index * 30);
+            evidence.addPause(kind, (isCandidate ? 100 : 25) * Math.exp(0.3 * random.nextNormal()), index * 30);
+        }
+        expect(evaluateRollout(evidence.getCounts(4_000))?.reason).toEqual("slow between parts");
+    });
+
+    // Guards against reverting a good version whose callers leave early.
+    it("does not count answers that might still have come in the usual time", () => {
+        for (let seed = 0; seed < 200; seed += 1) {
+            const evidence = createEvidence(seed, good, { ...good, patience: 120 });
+            expect(evaluateRollout(evidence.getCounts(4_000))).toEqual(undefined);
+        }
+    });
+
+    // Guards against reverting a good version because of a burst, under which both versions are slow.
+    it("does not find a good version bad while both are slow", () => {
+        for (let seed = 0; seed < 200; seed += 1) {
+            const busy = { ...good, slowShare: 0.6 };
+            expect(evaluateRollout(createEvidence(seed, busy, busy).getCounts(4_000))).toEqual(undefined);
+        }
+    });
+
+    // Guards against keeping a version that turns slow when it serves everything, so that no other answers are there to compare with.
+    it("compares with earlier times of the old version once it answers nothing", () => {
+        const references = new TimeReferences();
+        references.update(createEvidence(5, good, good).getCounts(4_000));
+        const alone = { count: 60, candidateInterval: 1 };
+        const slow = createEvidence(6, good, { ...good, slowShare: 0.5 }, alone).getCounts(4_000);
+        const sound = createEvidence(7, good, good, alone).getCounts(4_000);
+        expect([evaluateRollout(slow, references)?.reason, evaluateRollout(slow)?.reason]).toEqual(["slow", undefined]);
+        expect(evaluateRollout(sound, references)).toEqual(undefined);
+    });
+
+    it("assesses what is known of a version that it does not find bad", () => {
+        const assess = (candidate: Behaviour, count: number): string => {
+            return assessEvidence(createEvidence(8, good, candidate, { count }).getCounts(4_000));
+        };
+        expect(assess(good, 400)).toEqual("sound");
+        expect(assess(good, 70)).toEqual("scarce");
+        expect(assess({ ...good, slowShare: 0.5 }, 70)).toEqual("suspicious");
+    });
+
     // The new version is as good as the old one, and both lose answers in transit. A halt would keep callers on
     // the old version unnecessarily.
     it("does not find a good version bad for failures that both versions have", () => {
@@ -63,16 +159,14 @@
     it("finds a version that fails when there are no answers to compare with", () => {
         const evidence = new RolloutEvidence();
         for (let index = 0; index < 40; index += 1) {
-            evidence.add(
-                {
-                    segment: "route",
-                    isCandidate: true,
-                    hasFailed: index % 2 === 0,
-                    headMilliseconds: 100,
-                    objectiveMilliseconds: 1_000,
-                },
-                index * 20,
-            );
+            const kind = {
+                segment: "route",
+                isCandidate: true,
+                objectiveMilliseconds: 1_000,
+                pauseObjectiveMilliseconds: 600,
+            };
+            evidence.addOutcome(kind, index % 2 === 0, index * 20);
+            evidence.addTime(kind, { milliseconds: 100, hasHead: true }, index * 20);
         }
         expect(evaluateRollout(evidence.getCounts(800))?.reason).toEqual("failures");
     });
@@ -84,7 +178,9 @@
 
     // Each node alone has too little evidence of a bad version. Only the sum over nodes suffices.
     it("sums the evidence of several nodes", () => {
-        const parts = [11, 12, 13, 14].map(seed => createEvidence(seed, good, { failures: 0.5, median: 100 }, 45));
+        const parts = [11, 12, 13, 14].map(seed =>
+            createEvidence(seed, good, { failures: 0.5, median: 100 }, { count: 45 })
+        );
         const received = parts.map(part =>
             decodeReport(encodeReport({ order: 1, currentInFlight: 0, segments: part.getCounts(400) }))!
         );
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -18,7 +18,7 @@
     firstShare: 0.045,
     orderedAt: 0,
 };
-const none = { answers: 0, failures: 0, timed: 0, logSum: 0, logSquares: 0 };
+const none = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
 
 interface RolloutNode {
     readonly rollouts: Rollouts;
@@ -56,6 +56,7 @@
         writeProgress: async (...[, progress]) => {
             written.push(progress);
         },
+        isRunning: async () => true,
         isStored: () => store.isHeld,
         writePins: async () => true,
     });
