Let the steps of a roll-out wait for evidence on the new version

The first step moves 0.6 of the allowed exposure instead of 0.45: 0.09 instead of 0.0675 of the sessions, over 0.4 of the time a quarter of what is allowed; a pool with 18 requests a second then shows a dozen answers before the second step instead of eight.

--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -1,6 +1,7 @@
 /**
  * Plans the next step of a roll-out from the time since its order and the state of both versions.
  */
+import type { EvidenceState } from "./evaluateRollout.js";
 import { isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
 
 /** The input of the next step. */
@@ -14,6 +15,8 @@
     readonly announcementAgeMilliseconds: number;
     /** Whether the new version was found bad. */
     readonly isBad: boolean;
+    /** What is known of the new version, apart from whether it was found bad. */
+    readonly evidence: EvidenceState;
     /** Number of upstreams of the new version that accept requests, and of those of other versions. */
     readonly candidateCount: number;
     readonly currentCount: number;
@@ -28,7 +31,7 @@
 }
 
 /** Part of the allowed exposure that is used before the new version may take over sessions. */
-const firstStepExposureShare = 0.45;
+const firstStepExposureShare = 0.6;
 /**
  * From this number of nodes on, the share of the first step decreases in inverse proportion to their number: in larger
  * fleets the halt of a bad version takes longer to reach all nodes, and more requests arrive meanwhile.
@@ -49,12 +52,18 @@
 /** Share of the second step, and the part of the time after which the last step follows it. */
 const secondShare = 0.35;
 const secondPhaseEnd = 0.61;
+/**
+ * Parts of the time after which the second and the last step are taken even if little is known of the new version or something
+ * suspicious. They leave enough time to complete a good version in time.
+ */
+const latestSecondStep = 0.61;
+const latestLastStep = 0.75;
 /**
  * Minimum time for which the new version serves everything before the old upstreams are released, as a part of the
  * total time. Faults that appear only under full load are found in it.
  */
 const minFullPhaseShare = 0.11;
-/** From this part of the time on, the old upstreams are released even if requests are in flight there. */
+/** From this part of the time on, the old upstreams are released whatever is known, even if requests are in flight there. */
 const forcedCompletionShare = 0.86;
 
 /**
@@ -97,7 +106,7 @@
 }
 
 function getShare(
-    { candidateCount, announcementAgeMilliseconds, progress }: RolloutSituation,
+    { candidateCount, announcementAgeMilliseconds, progress, evidence }: RolloutSituation,
     elapsedShare: number,
 ): number {
     if (candidateCount === 0) {
@@ -106,15 +115,22 @@
     if (elapsedShare < firstPhaseEnd) {
         return announcementAgeMilliseconds < announcementLeadMilliseconds ? 0 : progress?.firstShare ?? 0;
     }
-    return elapsedShare < secondPhaseEnd ? secondShare : 1;
+    const isSound = evidence === "sound";
+    if (elapsedShare >= (isSound ? secondPhaseEnd : latestLastStep)) {
+        return 1;
+    }
+    return isSound || elapsedShare >= latestSecondStep ? secondShare : 0;
 }
 
 function canComplete(
-    { candidateCount, currentInFlight, currentCount }: RolloutSituation,
+    { candidateCount, currentInFlight, currentCount, evidence }: RolloutSituation,
     elapsedShare: number,
 ): boolean {
     if (candidateCount === 0 || elapsedShare < secondPhaseEnd + minFullPhaseShare) {
         return false;
     }
-    return currentCount === 0 || currentInFlight === 0 || elapsedShare >= forcedCompletionShare;
+    if (elapsedShare >= forcedCompletionShare) {
+        return true;
+    }
+    return evidence === "sound" && (currentCount === 0 || currentInFlight === 0);
 }
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -7,7 +7,7 @@
 import { AttemptEvidence } from "./attemptEvidence.js";
 import type { AttemptWatch, WatchedAttempt } from "./attemptWatch.js";
 import { chooseVersion } from "./chooseVersion.js";
-import { evaluateRollout } from "./evaluateRollout.js";
+import { assessEvidence, evaluateRollout } from "./evaluateRollout.js";
 import { PeerReports, type ReportTotal } from "./peerReports.js";
 import { planRollout } from "./planRollout.js";
 import { getSessionRank, type PoolSessions } from "./poolSessions.js";
@@ -265,7 +265,7 @@
         void this.#options.writeProgress(this.order, next);
     }
 
-    #plan({ currentInFlight }: ReportTotal, now: number): RolloutProgress | undefined {
+    #plan({ currentInFlight, segments }: ReportTotal, now: number): RolloutProgress | undefined {
         const { clock, registry, exposureShare, getMemberCount } = this.#options;
         const upstreams = registry.getAvailable(this.order.pool);
         const candidateCount = upstreams.filter(upstream => upstream.version === this.order.version).length;
@@ -275,6 +275,7 @@
             elapsedMilliseconds: now - this.#orderedAt,
             announcementAgeMilliseconds: this.#announcedAt === undefined ? 0 : now - this.#announcedAt,
             isBad: this.#isHalted,
+            evidence: assessEvidence(segments, this.#timeReferences),
             candidateCount,
             currentCount: upstreams.length - candidateCount,
             currentInFlight,
