--- a/src/rollouts/timeCounts.ts
+++ b/src/rollouts/timeCounts.ts
@@ -29,8 +29,11 @@
 
 /** Sums two distributions. */
 export function addTimeCounts(first: TimeCounts, second: TimeCounts): TimeCounts {
+    if (first.length === 0 || second.length === 0) {
+        return first.length === 0 ? second : first;
+    }
     const [longer, shorter] = first.length >= second.length ? [first, second] : [second, first];
-    return longer.map((count, index) => count + (shorter[index] ?? 0));
+    return longer.map((count, index) => index < shorter.length ? count + shorter[index] : count);
 }
 
 /** Returns the number of times in all classes above a class. */
