Take no step on answers of a new version that have no time

A version whose runners still warm up has answers, but no times: they counted as enough evidence, though nothing was known of how long it takes.

--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -82,7 +82,9 @@
     if (suspicion !== undefined) {
         return "suspicious";
     }
-    const answers = Math.max(countCandidateAnswers(failures), countCandidateAnswers(times));
+    // Answers of upstreams that warm up have no time, and do not show whether the version is slow.
+    const hasReference = times.some(({ shares }) => shares.current.answers > 0);
+    const answers = countCandidateAnswers(hasReference ? times : failures);
     return answers >= minSoundAnswers ? "sound" : "scarce";
 }
 
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -128,6 +128,16 @@
         expect(evaluateRollout(sound, references)).toEqual(undefined);
     });
 
+    // Guards against steps that are taken before it is known how long a version takes, since its upstreams still warm up.
+    it("considers evidence scarce while the new version has answers and no times", () => {
+        const evidence = createEvidence(10, good, good, { count: 200 });
+        const times = evidence.getCounts(4_000);
+        const untimed = new Map(Array.from(times, ([segment, { current, candidate }]) => {
+            return [segment, { current, candidate: { ...candidate, times: [], waits: [] } }];
+        }));
+        expect([assessEvidence(times), assessEvidence(untimed)]).toEqual(["sound", "scarce"]);
+    });
+
     it("assesses what is known of a version that it does not find bad", () => {
         const assess = (candidate: Behaviour, count: number): string => {
             return assessEvidence(createEvidence(8, good, candidate, { count }).getCounts(4_000));
