Judge idle connections by the limit in force and by what has arrived

What callers saw: the end of a kept connection on which they had sent a request within the idle limit of the newest configuration, or before the old one was over while the node was paused.

Cause: the HTTP library starts the idle timer of a connection with the limit of the moment at which its answer ends, and closes the connection when that expires: a limit that is raised later does not hold for it, and after a pause of the process the timer runs before what arrived meanwhile is read.

Change: `IdleConnections` decides when that timer has expired. It reads what has arrived first, and lets a connection stay for as long as the limit in force allows. A lowered limit shortens no connection that is idle already, as before: its caller may have been told more. `Keep-Alive` still names the limit with a second more than callers may use, and the library closes another second later.

--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -10,6 +10,7 @@
 import { countHeaderBytes, decodeRequest, readBody } from "./decodeRequest.js";
 import { findHeader } from "./headers.js";
 import { type BrokenReplyListener, type DroppedCallerListener, HttpReply } from "./httpReply.js";
+import { IdleConnections } from "./idleConnections.js";
 import type { Endpoint } from "./nodeSettings.js";
 import { headerNames } from "./wire.js";
 
@@ -51,17 +52,25 @@
     readonly #options: CallerServerOptions;
     readonly #server: Server;
     readonly #connectionErrors = new ConnectionErrors();
+    readonly #idleConnections: IdleConnections;
     /** Replies that are not complete. */
     readonly #replies = new Set<HttpReply>();
     #isLeaving = false;
 
     constructor(options: CallerServerOptions) {
         this.#options = options;
+        const { clock, readProgress } = options;
+        this.#idleConnections = new IdleConnections({
+            clock,
+            readProgress,
+            getLimit: () => this.#getLimits().idleMilliseconds + idleMarginMilliseconds,
+        });
         this.#server = createServer({ maxHeaderSize: maxHeaderBytes }, (request, response) => {
             void this.#serve(request, response);
         });
         this.#server.on("clientError", (error, connection) => this.#connectionErrors.handle(error, connection));
-        this.#server.on("connection", () => options.readProgress.addConnection());
+        this.#server.on("timeout", connection => void this.#idleConnections.handleTimeout(connection));
+        this.#server.on("connection", () => readProgress.addConnection());
         this.#server.requestTimeout = 0;
         this.applyLimits();
     }
@@ -112,6 +121,7 @@
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#options.clock.monotonic();
         response.once("close", this.#connectionErrors.add(incoming));
+        response.once("finish", () => this.#idleConnections.add(incoming.socket));
         const { replyBuffers: buffers, onDropped, onBroken } = this.#options;
         const presence = new PresenceCheck(this.#options.readProgress);
         const reply = new HttpReply({
--- a/test/platform/callerServer.test.ts
+++ b/test/platform/callerServer.test.ts
@@ -2,7 +2,10 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { CallerServerOptions } from "../../src/platform/callerServer.js";
 import type { BrokenReply } from "../../src/platform/httpReply.js";
+import type { CallerLimits } from "../../src/routing/index.js";
 import { waitUntil } from "../../src/testbench/index.js";
 import { startCallerServer } from "../fixtures/callerServers.js";
 import { blockProcess } from "../fixtures/pauses.js";
@@ -11,11 +14,20 @@
 const callers = 20;
 /** Longer than what was read counts as recent. */
 const busyMilliseconds = 400;
+/** Limits with which a connection is closed soon after its answer. */
+const shortLimits: CallerLimits = {
+    headerBytes: 16_384,
+    bodyBytes: 100,
+    headerMilliseconds: 3_000,
+    idleMilliseconds: 1,
+};
+/** Longer than such a connection stays open. */
+const idleMilliseconds = 2_500;
 const request = "POST /a/1 HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: 1\r\nContent-Length: 2\r\n\r\nok";
 
 const opened: { readonly close: () => void; }[] = [];
 
-async function startServer() {
+async function startServer(options: Partial<CallerServerOptions> = {}) {
     const handled: string[] = [];
     const departed: string[] = [];
     const { server, port } = await startCallerServer({
@@ -25,6 +37,7 @@
             return Promise.resolve();
         },
         onDeparted: id => departed.push(id),
+        ...options,
     });
     opened.push(server);
     return { server, port, handled, departed };
@@ -59,6 +72,15 @@
     }
 }
 
+/** Returns the first line that a connection brings, or undefined when it ends before. */
+function readStatus(socket: Socket): Promise<string | undefined> {
+    return new Promise(resolve => {
+        socket.once("data", data => resolve(String(data).split("\r\n")[0]));
+        socket.once("error", () => resolve(undefined));
+        socket.once("close", () => resolve(undefined));
+    });
+}
+
 describe("CallerServer", () => {
     afterEach(() => {
         for (const one of opened.splice(0)) {
@@ -127,6 +149,33 @@
         await waitUntil(() => server.countOpen() === 0, { description: "no request" });
     });
 
+    // Guards against a request that is lost as the process was paused, with the timer of its idle connection due.
+    it("answers what arrived before a connection was idle for too long", async () => {
+        const { port } = await startServer({ getLimits: () => shortLimits });
+        const socket = await connectAndSend(port);
+        socket.write(request);
+        blockProcess(idleMilliseconds);
+        expect(await readStatus(socket)).toEqual("HTTP/1.1 200 OK");
+    });
+
+    it("closes a connection that was idle for too long", async () => {
+        const { port } = await startServer({ getLimits: () => shortLimits });
+        await once(await connectAndSend(port), "close");
+    });
+
+    // A caller may use a connection as long as the configuration in force says. Guards against one that meets its end.
+    it("keeps connections that are idle already for as long as a raised limit allows", async () => {
+        let limits = shortLimits;
+        const { server, port } = await startServer({ getLimits: () => limits });
+        const socket = await connectAndSend(port);
+        limits = { ...shortLimits, idleMilliseconds: 60_000 };
+        server.applyLimits();
+        const status = readStatus(socket);
+        await sleep(idleMilliseconds);
+        socket.write(request);
+        expect(await status).toEqual("HTTP/1.1 200 OK");
+    });
+
     it("reports what it cuts as it closes", async () => {
         const broken: BrokenReply[] = [];
         const { server, port } = await startCallerServer({
