Begin no second step of a cascade that may outlast a stopping node

What callers saw: a stream that was broken off as its node ended, though a first answer, of low confidence, had been there long before.

Cause: the cascade asks whether the better answer starts in time for its caller, and does not know that the node stops.

The bound is the time that the caller allows, not an expectation of how long the better answer takes: nothing in the path of a request measures whole streams yet. So nearly all second steps of requests with long deadlines are left out for the seconds in which a node stops; what that costs in confidence was not measured.

Before: the regression test got the larger model's answer with 5 s left to stop and 20 s of deadline.

--- a/src/decisions/cascade/confidenceCascade.ts
+++ b/src/decisions/cascade/confidenceCascade.ts
@@ -22,7 +22,7 @@
  * Why an answer cannot be escalated at all: no attempt is left, no retry, no upstream is available, or another answer would not
  * start before the deadline.
  */
-export type EscalationObstacle = "attempts" | "budget" | "nobody" | "deadline";
+export type EscalationObstacle = "attempts" | "budget" | "nobody" | "deadline" | "stopping";
 
 /** Why a poor answer is accepted: an obstacle, the other answer would be `late`, or more urgent requests need the room. */
 export type PoorAnswerReason = EscalationObstacle | "late" | "room";
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -23,6 +23,8 @@
     readonly priority: number;
     /** Version of the route table by which the request was admitted. */
     readonly configurationVersion: number;
+    /** Returns the time until the node ends its requests in milliseconds, or undefined while it does not stop. */
+    readonly getStopTimeLeft?: () => number | undefined;
 }
 
 /** Carries a request from its admission to its final answer. */
@@ -47,6 +49,7 @@
     /** Whether the request ran, as far as known. */
     outcome: Outcome = "not-run";
     readonly #clock: Clock;
+    readonly #getStopTimeLeft: () => number | undefined;
     readonly #endsAt: number;
     readonly #endController = new AbortController();
     readonly #timer: NodeJS.Timeout;
@@ -64,6 +67,7 @@
         this.priority = options.priority;
         this.configurationVersion = options.configurationVersion;
         this.#clock = options.clock;
+        this.#getStopTimeLeft = options.getStopTimeLeft ?? (() => undefined);
         const { id, method, host, body, generation } = options.request;
         const { workspace, pool } = options;
         this.watchedRequest = createWatchedRequest({
@@ -116,6 +120,12 @@
         return this.#endsAt - this.#clock.monotonic();
     }
 
+    /** Returns whether the node stops, and may do so before the request has used its time. */
+    mayOutlastNode(): boolean {
+        const stopTimeLeft = this.#getStopTimeLeft();
+        return stopTimeLeft !== undefined && this.getTimeLeft() > stopTimeLeft;
+    }
+
     /** Returns the time since the request arrived, in milliseconds. */
     getElapsed(): number {
         return this.#clock.monotonic() - this.request.arrivedAt;
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -40,6 +40,8 @@
     readonly room?: PoolRoom | undefined;
     /** Returns why no new requests are accepted, such as a shutdown that leaves too little time. */
     readonly checkCapacity: (route: Route) => Failure | undefined;
+    /** Returns the time until the node ends its requests in milliseconds, or undefined while it does not stop. */
+    readonly getStopTimeLeft?: () => number | undefined;
 }
 
 interface Admission {
@@ -106,6 +108,7 @@
             workspace,
             priority,
             configurationVersion: version,
+            getStopTimeLeft: this.#options.getStopTimeLeft,
         });
         this.#ranks.add(exchange.pool, priority);
         this.#logRouted(exchange);
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -164,6 +164,9 @@
         if (exchange.attempts >= exchange.route.maxAttempts) {
             return "attempts";
         }
+        if (exchange.mayOutlastNode()) {
+            return "stopping";
+        }
         if (budget.getRemaining() - pressure.getRetryReserve(this.#ranked, budget.getAllowed()) < 1) {
             return "budget";
         }
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -212,6 +212,7 @@
             getBudget: budgets,
             room: rooms,
             checkCapacity: route => shutdown.check(route),
+            getStopTimeLeft: () => shutdown.hasStarted ? shutdown.getTimeLeft() : undefined,
         }),
     replyBuffers: parts => createReplyBuffers(parts),
     callerServer: ({ clock, readProgress, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
--- a/test/forwarding/modelCascade.test.ts
+++ b/test/forwarding/modelCascade.test.ts
@@ -19,12 +19,18 @@
 const freeRoom: PoolRoom = { getOccupancy: () => 0.3, getWaitMilliseconds: () => 0 };
 
 /** Creates a forwarder with an urgent route `/a/` and a less urgent one `/b/` to the same pool. */
-function createSite(behaviour: UpstreamBehaviour, room: PoolRoom | undefined, upstreams = createUpstreams(3)) {
+function createSite(
+    behaviour: UpstreamBehaviour,
+    room: PoolRoom | undefined,
+    upstreams = createUpstreams(3),
+    getStopTimeLeft = (): number | undefined => undefined,
+) {
     const routes = [
         createStreamRoute({ name: "urgent", pathPrefix: "/a/", priority: 0 }),
         createStreamRoute({ name: "less-urgent", pathPrefix: "/b/", priority: 2 }),
     ];
-    const site = createForwarder({ behaviour, room, upstreams, getRoutes: () => createRouteTable({ routes }) });
+    const getRoutes = () => createRouteTable({ routes });
+    const site = createForwarder({ behaviour, room, upstreams, getRoutes, getStopTimeLeft });
     const send = (target: string) => site.send({ target, generation, deadlineMilliseconds: 20_000 });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     const getEvents = ({ number }: EventDefinition) => site.lines.filter(line => line.event === number);
@@ -53,6 +59,16 @@
         expect((await metrics.poorAnswers.get()).values.map(({ value }) => value)).toEqual([1]);
     });
 
+    // Guards against a second answer that is broken off as the node ends, where the caller could have had the first one.
+    it("gives a doubtful answer if the node may stop before the better one is complete", async () => {
+        for (const [stopTimeLeft, chunks] of [[5_000, ["data: small\n\n"]], [30_000, ["data: large\n\n"]]] as const) {
+            const { send, getEvents } = createSite(answerWith(30), freeRoom, createUpstreams(3), () => stopTimeLeft);
+            expect((await send("/a/1")).chunks).toEqual([...chunks]);
+            const reasons = getEvents(events.poorAnswerAccepted).map(({ reason }) => reason);
+            expect(reasons).toEqual(stopTimeLeft === 5_000 ? ["stopping"] : []);
+        }
+    });
+
     it("escalates as without a known room while there is room to spare, or the answer is almost certainly poor", async () => {
         for (const [room, confidence] of [[undefined, 30], [freeRoom, 30], [fullRoom, 10]] as const) {
             const { send, getModels, getEvents } = createSite(answerWith(confidence), room);
