--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -220,6 +220,7 @@
             getBudget: budgets,
             room: rooms,
             checkCapacity: route => shutdown.check(route),
+            getStopTimeLeft: () => shutdown.hasStarted ? shutdown.getTimeLeft() : undefined,
         }),
     answerBuffers: parts => createAnswerBuffers(parts),
     replyBuffers: parts => createReplyBuffers(parts),
