Resume an answer again if its engine does not answer the first resumption

What callers of the product's own interface would notice: an answer breaks off halfway when a connection to its engine was lost and the engine then says nothing for a second, although it holds the stream and goes on.

Cause: a resumption without an answer within upstream_connect_timeout_ms (1 s by default) ended the answer at once. Resumptions that are answered and break again have three tries.

Change: one without an answer counts as one of the three. What the engine refuses, and a connection that cannot be opened, end the answer at once as before. An engine that is dead without closing connections takes up to 2 s longer to be given up.

--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -20,7 +20,7 @@
 
 /** Options of a relay. */
 export interface RelayOptions {
-    readonly engines: EngineClient;
+    readonly engines: Pick<EngineClient, "resume">;
     readonly runner: Vm;
     readonly streamId: string;
     readonly answer: EngineAnswer;
@@ -45,10 +45,12 @@
  */
 export async function relayAnswer(options: RelayOptions): Promise<Result<TokenUsage, UpstreamFailure>> {
     const relay = new Relay(options);
-    let answer = options.answer;
+    let answer: EngineAnswer | undefined = options.answer;
+    let failure: UpstreamFailure | undefined;
     for (let resumption = 0;; resumption += 1) {
         const lastId = relay.getLastId();
-        const failure = await relay.run(answer);
+        // Without an answer to the last resumption, the failure is still that of the answer before.
+        failure = answer === undefined ? failure : await relay.run(answer);
         if (failure === undefined) {
             return ok(relay.getUsage());
         }
@@ -67,10 +69,11 @@
             relay.getLastId(),
             options.signal,
         );
-        if (resumed.isErr()) {
+        if (resumed.isErr() && resumed.error.outcome !== "unknown") {
             return err({ ...resumed.error, outcome: failure.outcome });
         }
-        answer = resumed.value;
+        // An engine that does not answer may be silent for a while and hold the stream all the same.
+        answer = resumed.unwrapOr(undefined);
     }
 }
 
