Give up answers without an end on the product's own interface

What callers would see: an engine, the list of VMs, the rating service or the log answers with bytes without an end, and the entry collects them until its memory is used up; a plain service's answer had a bound (`limits.bodyBytes`) already, and so had the bodies of callers.

Cause: load reports, cache events, states of engines, ratings, the list and pages of the log are read with `json()` and `text()`, which have no bound, and only timeouts of silence end them. An event of an engine's stream has no bound either.

All connections to engines, services, the platform and the log are watched for bytes that are neither head nor body. An event of an engine may take 1 MB; the stream is then resumed or fails like one with a gap.

Conclusion: no answer that this program reads is without a bound, apart from the tools for load and for operators.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -7,6 +7,7 @@
 export * from "./position.js";
 export * from "./presenceCheck.js";
 export * from "./random.js";
+export * from "./readDocument.js";
 export * from "./readProgress.js";
 export * from "./readTimeout.js";
 export * from "./repeatedTask.js";
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -1,12 +1,11 @@
 /**
  * Factories of the parts that communicate with the platform: log, configuration, control stream and VM list.
  */
-import { Agent } from "undici";
 import { ConfigurationReader, SnapshotWriter } from "../../configuration/index.js";
 import { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../../control/index.js";
 import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
 import { LogClient, LogFollower } from "../../log/index.js";
-import { RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
+import { createWatchedAgent, RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
 import { ControlSnapshotWriter } from "../controlSnapshotWriter.js";
 import type { PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
@@ -40,8 +39,7 @@
         });
     },
     metrics: () => createMetrics(),
-    platformAgent: ({ settings }) =>
-        new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+    platformAgent: ({ settings }) => createWatchedAgent(settings.timing.upstreamConnectTimeoutMilliseconds),
     upstreamConnector: ({ settings }) => {
         const credentials = readCredentials(settings.upstreamTls);
         const { upstreamConnectTimeoutMilliseconds } = settings.timing;
--- a/src/entry/parts/relayParts.ts
+++ b/src/entry/parts/relayParts.ts
@@ -1,7 +1,7 @@
 /**
  * Factories of the parts with which entries forward requests for each other.
  */
-import { Agent, type Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import {
     createRelayInterceptor,
     Reachability,
@@ -9,7 +9,7 @@
     RelayServer,
     SharedReachability,
 } from "../../reachability/index.js";
-import { isAcceptingConnections } from "../../upstream/index.js";
+import { createWatchedAgent, isAcceptingConnections } from "../../upstream/index.js";
 import type { Vm } from "../../world/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
 
@@ -53,7 +53,7 @@
         }),
     directUpstreamAgent: ({ settings, upstreamConnector }) =>
         upstreamConnector?.createDispatcher()
-            ?? new Agent({ connect: { timeout: settings.timing.upstreamConnectTimeoutMilliseconds } }),
+            ?? createWatchedAgent(settings.timing.upstreamConnectTimeoutMilliseconds),
     upstreamAgent: cradle => createRelayingAgent(cradle),
 };
 
--- a/src/log/transport.ts
+++ b/src/log/transport.ts
@@ -1,7 +1,9 @@
 /**
  * HTTP transport of requests to the log service. Tests replace it by a function.
  */
-import { Agent, request as undiciRequest } from "undici";
+import { Agent, buildConnector, request as undiciRequest } from "undici";
+import { readDocument } from "../common/index.js";
+import { watchConnections } from "../upstream/index.js";
 
 /** A request to the log service. */
 export interface LogRequest {
@@ -28,7 +30,7 @@
 
 /** Creates a transport over undici with its own connection pool. */
 export function createTransport(): LogTransport {
-    const agent = new Agent({ keepAliveTimeout: 10_000 });
+    const agent = new Agent({ keepAliveTimeout: 10_000, connect: watchConnections(buildConnector({})) });
     return async request => {
         // One controller per request: `AbortSignal.any` on a long-lived signal retains the signal of every request, so
         // memory would grow with each long poll.
@@ -61,6 +63,6 @@
     return {
         status: response.statusCode,
         retryAfterSeconds: Number.isFinite(retryAfter) ? retryAfter : undefined,
-        body: await response.body.text(),
+        body: await readDocument(response.body),
     };
 }
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
-import { Failure } from "../common/index.js";
+import { Failure, readDocument } from "../common/index.js";
 import type { LoadReport, Vm } from "../world/index.js";
 import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
 import { type EngineEvent, readEvents, type TokenUsage } from "./engineStream.js";
@@ -155,7 +155,7 @@
                 await response.body.dump();
                 return ok({ kind: response.statusCode === 409 ? "read" : "over", usage: undefined });
             }
-            const answer = await response.body.json() as { usage?: Record<string, number>; };
+            const answer = JSON.parse(await readDocument(response.body)) as { usage?: Record<string, number>; };
             return ok({ kind: "cancelled", usage: toUsage(answer.usage) });
         }
         catch (error) {
@@ -178,7 +178,7 @@
                 await response.body.dump();
                 return err(classifyRefusal(response.statusCode, upstream.id));
             }
-            return ok(await response.body.json() as LoadReport);
+            return ok(JSON.parse(await readDocument(response.body)) as LoadReport);
         }
         catch (error) {
             return err(classifyCallError(error, upstream.id));
@@ -201,7 +201,7 @@
                 await response.body.dump();
                 return err(classifyRefusal(response.statusCode, runner.id));
             }
-            return ok(await response.body.json() as CacheEventPage);
+            return ok(JSON.parse(await readDocument(response.body)) as CacheEventPage);
         }
         catch (error) {
             return err(classifyCallError(error, runner.id));
--- a/src/upstream/engineOrders.ts
+++ b/src/upstream/engineOrders.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
-import { Failure } from "../common/index.js";
+import { Failure, readDocument } from "../common/index.js";
 import type { EngineOrder, EngineState } from "../control/index.js";
 import type { Vm } from "../world/index.js";
 import { getOrigin } from "./engineClient.js";
@@ -81,7 +81,7 @@
                 body: body === undefined ? undefined : JSON.stringify(body),
             });
             if (response.statusCode === 200) {
-                return ok(await response.body.json());
+                return ok(JSON.parse(await readDocument(response.body)));
             }
             await response.body.dump();
             return response.statusCode === staleStatus && method === "POST"
--- a/src/upstream/engineStream.ts
+++ b/src/upstream/engineStream.ts
@@ -19,6 +19,9 @@
     readonly outputTokens: number;
 }
 
+/** Largest event that is read. An event carries the text of a few tokens. */
+const maxEventBytes = 1024 * 1024;
+
 /** Marks the end of a stream. */
 export const endOfStream = "[DONE]";
 
@@ -40,8 +43,16 @@
         },
     });
     const decoder = new TextDecoder();
+    let incompleteBytes = 0;
     for await (const bytes of body) {
+        incompleteBytes += bytes.byteLength;
         parser.feed(decoder.decode(bytes, { stream: true }));
+        if (parsedEvents.length > 0) {
+            incompleteBytes = 0;
+        }
+        if (incompleteBytes > maxEventBytes) {
+            throw createEndlessFailure(lastReadId);
+        }
         for (const event of parsedEvents.splice(0)) {
             if (event.id <= lastReadId) {
                 continue;
@@ -95,6 +106,14 @@
     });
 }
 
+function createEndlessFailure(lastReadId: number): Failure {
+    return new Failure({
+        kind: "protocol",
+        message: `The event after event ${lastReadId} of the answer's stream has no end within ${maxEventBytes} bytes.`,
+        remedy: "Resume the stream after the last event in order.",
+    });
+}
+
 function createTruncatedFailure(lastReadId: number): Failure {
     return new Failure({
         kind: "upstream-failed",
--- a/src/upstream/ratingClient.ts
+++ b/src/upstream/ratingClient.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
-import { Failure } from "../common/index.js";
+import { Failure, readDocument } from "../common/index.js";
 
 /** An answer to rate. */
 export interface RatingRequest {
@@ -85,7 +85,7 @@
                 await response.body.dump();
                 return err(createFailure(`it answered with status ${response.statusCode}`));
             }
-            const { score } = await response.body.json() as { score: number; };
+            const { score } = JSON.parse(await readDocument(response.body)) as { score: number; };
             return ok(score);
         }
         catch (error) {
--- a/src/upstream/upstreamConnector.ts
+++ b/src/upstream/upstreamConnector.ts
@@ -3,6 +3,7 @@
  */
 import { Agent, buildConnector, type Dispatcher } from "undici";
 import type { Credentials } from "../common/index.js";
+import { watchConnections } from "./watchedConnector.js";
 
 /** Connects to upstreams with credentials that can be renewed. */
 export class UpstreamConnector {
@@ -33,13 +34,14 @@
     }
 
     #createConnector({ certificate, key, authority, serverName }: Credentials): buildConnector.connector {
-        return buildConnector({
+        const connect = buildConnector({
             cert: certificate,
             key,
             ca: authority,
             timeout: this.#timeoutMilliseconds,
             ...serverName === undefined ? {} : { servername: serverName },
         });
+        return watchConnections(connect);
     }
 }
 
--- a/src/upstream/vmListClient.ts
+++ b/src/upstream/vmListClient.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
-import { Failure } from "../common/index.js";
+import { Failure, readDocument } from "../common/index.js";
 import type { Vm } from "../world/index.js";
 
 const vmSchema = z.object({
@@ -67,7 +67,7 @@
                 await response.body.dump();
                 return err(createFailure(`it answered with status ${response.statusCode}`));
             }
-            const parsed = listSchema.safeParse(await response.body.json());
+            const parsed = listSchema.safeParse(JSON.parse(await readDocument(response.body)));
             if (!parsed.success) {
                 return err(createFailure(z.prettifyError(parsed.error)));
             }
--- a/src/upstream/watchedConnector.ts
+++ b/src/upstream/watchedConnector.ts
@@ -1,7 +1,7 @@
 /**
  * Connections to other systems that are closed when their bytes have no end.
  */
-import type { buildConnector } from "undici";
+import { Agent, buildConnector } from "undici";
 import { AnswerProgress, type EndlessBytesListener } from "./answerProgress.js";
 
 /**
@@ -23,3 +23,11 @@
         });
     };
 }
+
+/**
+ * Creates an agent whose connections are watched.
+ * @param timeoutMilliseconds - Timeout for opening a connection.
+ */
+export function createWatchedAgent(timeoutMilliseconds: number): Agent {
+    return new Agent({ connect: watchConnections(buildConnector({ timeout: timeoutMilliseconds })) });
+}
