--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -26,7 +26,7 @@
 const slownessBounds: IncreaseBounds = { minBad: 5, minIncrease: 0.2, minStandardErrors: 4.5 };
 /** Bounds for one of many kinds of request: some kind is slow by chance more often than all of them together. */
 const kindSlownessBounds: IncreaseBounds = { minBad: 8, minIncrease: 0.3, minStandardErrors: 4.5 };
-/** Differences from which on the next step of the roll-out waits. They are random about once in a hundred evaluations. */
+/** Differences from which on the next step of the roll-out waits. They are random in a few of a hundred evaluations. */
 const suspicionBounds: IncreaseBounds = { minBad: 3, minIncrease: 0.1, minStandardErrors: 2.5 };
 /** Number of answers from which on a version is found bad whose share of bad answers exceeds the old one's by a third. */
 const minSoundAnswers = 20;
