Compare a new version only at upstreams that are no busier than the old one's were

Cause: once the new version serves everything, its times are compared with the old one's of before.

Change: an attempt at the new version counts for times if the load of its upstream, as the node expects it, is at most the 95th percentile of those under which the old version's attempts began at this node, or a quarter of the slots.

--- a/src/platform/rolloutParts.ts
+++ b/src/platform/rolloutParts.ts
@@ -10,8 +10,6 @@
 /** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
 const evidenceKeyPrefix = "rollout-evidence/";
 const haltKeyPrefix = "rollout-halt/";
-/** Load of an upstream of which all slots are taken: further requests wait there. */
-const fullLoad = 1;
 
 /** Returns the session of a request. A request without a session forms its own. */
 export function getSession({ request }: Exchange): string {
@@ -27,7 +25,8 @@
         segment: `${exchange.route.name} ${model ?? ""}`,
         objectiveMilliseconds,
         pauseObjectiveMilliseconds,
-        isComparable: !isWarmingUp && load < fullLoad,
+        isWarmingUp,
+        load,
     });
     return {
         onHead: () => watch?.markHead(),
--- a/src/rollouts/attemptEvidence.ts
+++ b/src/rollouts/attemptEvidence.ts
@@ -2,6 +2,7 @@
  * Collects a node's evidence on one roll-out from the attempts that it makes, including those that still wait for their answers.
  */
 import type { Clock } from "../common/index.js";
+import { RecentQuantiles } from "../decisions/index.js";
 import { AttemptWatch, type WatchedAttempt } from "./attemptWatch.js";
 import {
     addEvidence,
@@ -13,6 +14,14 @@
     type SegmentCounts,
 } from "./rolloutEvidence.js";
 
+/** Load of an upstream of which all slots are taken: further requests wait there. */
+const fullLoad = 1;
+/** Load up to which an upstream is not busy, however little the old version's upstreams had to do. */
+const minBusyLoad = 0.25;
+/** Key of the loads of the old version's upstreams, and the factor by which they become values with enough resolution. */
+const loadKey = "load";
+const loadScale = 100;
+
 /** Options of `AttemptEvidence`. */
 export interface AttemptEvidenceOptions {
     readonly clock: Clock;
@@ -26,22 +35,28 @@
 export class AttemptEvidence {
     readonly #options: AttemptEvidenceOptions;
     readonly #evidence = new RolloutEvidence();
+    /** Loads under which the old version's attempts began. */
+    readonly #currentLoads: RecentQuantiles;
     readonly #waiting = new Set<AttemptWatch>();
     /** Monotonic milliseconds of the last head of an answer, by upstream. */
     readonly #lastHeads = new Map<string, number>();
 
     constructor(options: AttemptEvidenceOptions) {
         this.#options = options;
+        this.#currentLoads = new RecentQuantiles(options.clock);
     }
 
     /** Starts to watch an attempt. */
     start(attempt: WatchedAttempt): AttemptWatch {
+        const isComparable = this.#isComparable(attempt);
         const watch = new AttemptWatch({
             attempt,
             getNow: () => this.#options.clock.monotonic(),
             onTime: time => {
                 this.#lastHeads.set(attempt.upstream, this.#options.clock.monotonic());
-                this.#addTime(attempt, time);
+                if (isComparable) {
+                    this.#addTime(attempt, time);
+                }
             },
             onOutcome: hasFailed => {
                 this.#evidence.addOutcome(attempt, hasFailed, this.#options.clock.monotonic());
@@ -50,14 +65,18 @@
                 }
             },
             onPause: milliseconds => {
-                if (attempt.isComparable) {
+                if (isComparable) {
                     this.#evidence.addPause(attempt, milliseconds, this.#options.clock.monotonic());
                 }
             },
-            onGivenUp: (ended, time) => void this.#addGivenUp(ended, time),
+            onGivenUp: (ended, time) => {
+                if (isComparable) {
+                    void this.#addGivenUp(ended, time);
+                }
+            },
             onWaitEnd: ended => this.#waiting.delete(ended),
         });
-        if (attempt.isComparable) {
+        if (isComparable) {
             this.#waiting.add(watch);
         }
         return watch;
@@ -74,6 +93,23 @@
         return addEvidence([this.#evidence.getCounts(this.#options.clock.monotonic()), waits]);
     }
 
+    /**
+     * Returns whether the time of an attempt says something about its version. Under a burst, or with half of its upstreams gone, a
+     * good version that serves everything would look slow beside the old one's times of before.
+     */
+    #isComparable({ isCandidate, isWarmingUp, load }: WatchedAttempt): boolean {
+        if (!isCandidate) {
+            this.#currentLoads.add(loadKey, load * loadScale);
+        }
+        return !isWarmingUp && load <= (isCandidate ? this.#getMaxLoad() : fullLoad);
+    }
+
+    /** Returns the load up to which the new version's upstreams are no busier than the old one's were. */
+    #getMaxLoad(): number {
+        const highLoad = this.#currentLoads.getHigh(loadKey);
+        return highLoad === undefined ? fullLoad : Math.min(fullLoad, Math.max(minBusyLoad, highLoad / loadScale));
+    }
+
     async #addGivenUp(watch: AttemptWatch, time: EvidenceTime): Promise<void> {
         if (this.#hasAnsweredSince(watch) || await this.#options.isRunning(watch.attempt.upstream)) {
             this.#addTime(watch.attempt, time);
@@ -81,9 +117,7 @@
     }
 
     #addTime(attempt: WatchedAttempt, time: EvidenceTime): void {
-        if (attempt.isComparable) {
-            this.#evidence.addTime(attempt, time, this.#options.clock.monotonic());
-        }
+        this.#evidence.addTime(attempt, time, this.#options.clock.monotonic());
     }
 
     /** Returns whether an upstream has answered another request since an attempt at it began, so that it has not crashed before. */
--- a/src/rollouts/attemptWatch.ts
+++ b/src/rollouts/attemptWatch.ts
@@ -6,8 +6,10 @@
 /** An attempt that begins. */
 export interface WatchedAttempt extends EvidenceKind {
     readonly upstream: string;
-    /** Whether its time says something about its version: the upstream is warm and has room. */
-    readonly isComparable: boolean;
+    /** Whether the upstream is warming up. */
+    readonly isWarmingUp: boolean;
+    /** Expected requests at the upstream, as a share of its slots. */
+    readonly load: number;
 }
 
 /**
