--- a/src/common/byteCollector.ts
+++ b/src/common/byteCollector.ts
@@ -2,8 +2,9 @@
  * Collects bytes that arrive in pieces.
  */
 
-/** Size of the blocks into which small pieces are copied. */
-const blockBytes = 64 * 1024;
+/** Smallest and largest size of the blocks into which small pieces are copied. */
+const minBlockBytes = 1_024;
+const maxBlockBytes = 64 * 1024;
 
 /**
  * Collects pieces until all of them are needed at once. Small pieces are copied into blocks: an object for each of them would take many
@@ -27,14 +28,14 @@
             return;
         }
         this.#length += piece.length;
-        if (piece.length >= blockBytes / 2) {
+        if (piece.length >= maxBlockBytes / 2) {
             this.#closeBlock();
             this.#pieces.push(piece);
             return;
         }
         if (piece.length > this.#block.length - this.#blockLength) {
             this.#closeBlock();
-            this.#block = Buffer.allocUnsafeSlow(blockBytes);
+            this.#block = Buffer.allocUnsafeSlow(this.#getBlockBytes());
         }
         piece.copy(this.#block, this.#blockLength);
         this.#blockLength += piece.length;
@@ -57,6 +58,11 @@
         this.#length = 0;
     }
 
+    /** Returns the size of the next block: as much as was collected so far, so that a short answer does not hold a large one. */
+    #getBlockBytes(): number {
+        return Math.min(maxBlockBytes, Math.max(minBlockBytes, 2 * this.#length));
+    }
+
     /** Makes the used part of the block a piece. What is left of the block takes further pieces. */
     #closeBlock(): void {
         if (this.#blockLength > 0) {
--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -42,7 +42,7 @@
 
 // A runner writes bytes that are no answer, in a head or a body, until its reader closes the connection.
 describe("a runner whose answers have no end", () => {
-    const site = new PlatformSite("127.72.92");
+    const site = new PlatformSite("127.72.97");
     after(() => site.stop());
     let node: SiteNode;
     let endless: ReturnType<typeof createEndlessRunner>;
--- a/test/platform/endlessHeads.test.ts
+++ b/test/platform/endlessHeads.test.ts
@@ -8,7 +8,7 @@
 import { waitUntil } from "../fixtures/waiting.js";
 import { createEndlessRunner, createSealedStart, type EndlessAnswer } from "./standins/endlessRunner.js";
 
-const host = "127.72.91.1";
+const host = "127.72.96.1";
 /** More than the kernel takes for a connection besides what is read. */
 const maxWrittenBytes = 16 * 1024 * 1024;
 const chunked = createSealedStart("Transfer-Encoding: chunked\r\n\r\n");
