Keep running when the settings file cannot be read at a reload signal

What callers saw: the end of all connections of a node at once, beside a change of its settings; what was in hand got neither an answer nor a refusal.

Cause: the handler of SIGHUP reads the file, and an exception there (a file that is being replaced is missing for a moment) was not caught: the process ended with code 1.

Before: test/platform/node, the process ended with code 1. After: 12 of 12.

--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -2,6 +2,8 @@
  * Runs a node on the platform and gives access to its parts.
  */
 import type { AwilixContainer } from "awilix";
+import { Result } from "neverthrow";
+import { readFileSync } from "node:fs";
 import type { Server } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { events } from "../events/index.js";
@@ -79,25 +81,19 @@
     }
 
     /**
-     * Applies changed settings. Listening addresses and the node's name keep their values until a restart. A file with validation
-     * errors changes nothing.
-     * @param content - The file's content.
-     * @param file - The file's name, for messages.
+     * Applies changed settings. Listening addresses and the node's name keep their values until a restart. A file that cannot be read or
+     * has validation errors changes nothing.
+     * @param file - The file's name.
      */
-    reload(content: string, file: string): void {
+    reload(file: string): void {
         const { journal, liveSettings } = this.getParts();
-        parseNodeSettings(content, file).match(
+        readSettings(file).match(
             settings => {
                 liveSettings.set(settings);
                 journal.write(events.settingsReloaded, { file });
                 this.#reportMissingLimit();
             },
-            validationErrors => {
-                journal.write(events.settingsRefused, {
-                    file,
-                    cause: validationErrors.map(formatValidationError).join(" "),
-                });
-            },
+            cause => journal.write(events.settingsRefused, { file, cause }),
         );
     }
 
@@ -177,3 +173,13 @@
         return callerServer.countOpen() === 0 && forwarder.getInFlight() === 0 && relayServer.getInFlight() === 0;
     }
 }
+
+/** Reads settings, or returns why they are not usable. */
+function readSettings(file: string): Result<NodeSettings, string> {
+    const readContent = Result.fromThrowable(() => readFileSync(file, "utf8"), String);
+    return readContent().andThen(content =>
+        parseNodeSettings(content, file).mapErr(validationErrors =>
+            validationErrors.map(formatValidationError).join(" ")
+        )
+    );
+}
--- a/src/platform/program.ts
+++ b/src/platform/program.ts
@@ -42,7 +42,7 @@
         // On a second signal, `stop` returns the promise of the shutdown that is already in progress.
         process.on(signal, () => void node.stop().then(() => process.exit(0)));
     }
-    process.on("SIGHUP", () => node.reload(readFileSync(file, "utf8"), file));
+    process.on("SIGHUP", () => node.reload(file));
     if (options.isCompiledCodeRefused === true) {
         node.getParts().journal.write(events.compiledCodeRefused);
     }
--- a/test/platform/node.test.ts
+++ b/test/platform/node.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { appendFileSync, writeFileSync } from "node:fs";
+import { appendFileSync, rmSync, writeFileSync } from "node:fs";
 import { after, before, describe, it } from "node:test";
 import { waitUntil } from "../../src/testbench/index.js";
 import { createConfiguration, PlatformSite } from "./platformSite.js";
@@ -127,6 +127,20 @@
         expect((await site.send(node)).status).toEqual(200);
     });
 
+    // A file that is replaced is missing for a moment. Guards against a node that ends then, with everything that it has in hand.
+    it("keeps its settings when the changed file cannot be read", async () => {
+        const [node] = site.nodes;
+        const countRefused = (): number => node.events.filter(event => event.name === "settings-refused").length;
+        const before = countRefused();
+        rmSync(node.settingsFile);
+        node.child.kill("SIGHUP");
+        const hasEnded = (): boolean => typeof node.child.exitCode === "number";
+        await waitUntil(() => countRefused() > before || hasEnded(), { description: "the refusal" });
+        expect(hasEnded()).toEqual(false);
+        writeFileSync(node.settingsFile, site.createSettings(node.address));
+        expect((await site.send(node)).status).toEqual(200);
+    });
+
     // The platform leaves the memory limit out. Guards against a node that takes a default without a word.
     it("reports that its settings give no memory limit", async () => {
         const [node] = site.nodes;
