Take the last step of a roll-out earlier when little is known of the new version

Cause: with little evidence the last step was taken at 0.75 of the time and the roll-out completed at 0.86.

Change: the last step at 0.68, completed at 0.79 where little is known, at 0.86 where something is suspicious.

--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -57,7 +57,7 @@
  * suspicious. They leave enough time to complete a good version in time.
  */
 const latestSecondStep = 0.61;
-const latestLastStep = 0.75;
+const latestLastStep = 0.68;
 /**
  * Minimum time for which the new version serves everything before the old upstreams are released, as a part of the
  * total time. Faults that appear only under full load are found in it.
@@ -126,11 +126,12 @@
     { candidateCount, currentInFlight, currentCount, evidence }: RolloutSituation,
     elapsedShare: number,
 ): boolean {
-    if (candidateCount === 0 || elapsedShare < secondPhaseEnd + minFullPhaseShare) {
+    const lastStep = evidence === "sound" ? secondPhaseEnd : latestLastStep;
+    if (candidateCount === 0 || elapsedShare < lastStep + minFullPhaseShare) {
         return false;
     }
     if (elapsedShare >= forcedCompletionShare) {
         return true;
     }
-    return evidence === "sound" && (currentCount === 0 || currentInFlight === 0);
+    return evidence !== "suspicious" && (currentCount === 0 || currentInFlight === 0);
 }
