--- /dev/null
+++ b/test/rollouts/scarceEvidence.test.ts
@@ -0,0 +1,40 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { assessEvidence, evaluateRollout } from "../../src/rollouts/evaluateRollout.js";
+import { PeerReports } from "../../src/rollouts/peerReports.js";
+import { RolloutEvidence } from "../../src/rollouts/rolloutEvidence.js";
+import { TimeReferences } from "../../src/rollouts/timeReferences.js";
+
+const kind = { objectiveMilliseconds: 1_000, pauseObjectiveMilliseconds: 600 };
+
+describe("the evidence on a version", () => {
+    // Guards against taking a slow version for sound at a pool of which no kind of request has 20 answers in six seconds.
+    it("is not sound while nothing is known of the usual times", () => {
+        const evidence = new RolloutEvidence();
+        const references = new TimeReferences();
+        for (let second = 0; second < 20; second += 1) {
+            for (const segment of ["a", "b", "c", "d"]) {
+                for (const offset of [0, 300, 600]) {
+                    const now = second * 1_000 + offset;
+                    for (const [isCandidate, milliseconds] of [[false, 200], [true, 1_600]] as const) {
+                        const attempt = { ...kind, segment, isCandidate };
+                        evidence.addOutcome(attempt, false, now);
+                        evidence.addTime(attempt, { milliseconds, hasHead: true }, now);
+                    }
+                }
+            }
+            references.update(evidence.getCounts(second * 1_000 + 900));
+        }
+        const counts = evidence.getCounts(19_900);
+        expect(evaluateRollout(counts, references)?.reason).toEqual("slow");
+        expect(assessEvidence(counts, references) === "sound").toEqual(false);
+    });
+
+    // Guards against completing a roll-out while nodes of the release before have requests at the old version.
+    it("knows the requests in flight of nodes of the release before", () => {
+        const lanes = [["route", [10, 0, 10, 40.5, 170.2], [0, 0, 0, 0, 0]]];
+        const value = Buffer.from(JSON.stringify({ order: 7, inFlight: 5, lanes }));
+        const own = { order: 7, currentInFlight: 0, segments: new Map() };
+        expect(new PeerReports().getTotal(own, [{ origin: "n-1", value }]).currentInFlight).toEqual(5);
+    });
+});
