Read the requests in flight of nodes of another release

Cause: a report was parsed as a whole, so the report of a node of the release before, whose counts of times have another format, was dropped with its number of requests in flight at the old version.

A roll-out could be completed, and the old upstreams stopped, while requests of such nodes were in flight there.

Change: counts that cannot be read do not keep the order and the requests in flight from being read. Of the earlier format the answers and failures count, its times do not, since they are no distribution.

A node of the release before still cannot read the reports of this one.

--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -157,12 +157,14 @@
     return total;
 }
 
-const timesSchema = z.array(z.number());
+/** Times in the format of another release cannot be compared with this release's. */
+const timesSchema = z.array(z.number()).catch([]);
 const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema]);
 const reportSchema = z.object({
     order: z.number(),
     inFlight: z.number(),
-    lanes: z.array(z.tuple([z.string(), countsSchema, countsSchema])),
+    /** The requests in flight are known even if another release counts in a format that cannot be read. */
+    lanes: z.array(z.tuple([z.string(), countsSchema, countsSchema])).catch([]),
 });
 
 /** Encodes a report for peers. */
@@ -174,7 +176,7 @@
     return Buffer.from(JSON.stringify({ order: report.order, inFlight: report.currentInFlight, lanes }));
 }
 
-/** Decodes a peer's report. Returns undefined if it has the format of another release that cannot be read. */
+/** Decodes a peer's report as far as its format, which may be that of another release, can be read. Returns undefined if it names no order. */
 export function decodeReport(value: Buffer): EvidenceReport | undefined {
     const parsed = reportSchema.safeParse(JSON.parse(value.toString()));
     if (!parsed.success) {
