Take no last step for a suspicious version, and revert it at the end

Cause: from 0.75 of the time the last step was taken, and at 0.86 the roll-out was completed, whatever was known. What held for little evidence held for suspicious evidence too, so a bad version that stayed just below the bounds of a halt was rolled out by the clock.

Change: a suspicious version gets no last step and is not completed. It is reverted if it is still suspicious at 0.86 of the time. Where little is known the times are as before.

The test "waits with each step for sound evidence, but completes in time without it" demanded the completion for scarce and for suspicious evidence. For scarce evidence it is unchanged. For suspicious evidence it was wrong, and a test as strict, with each step at its time, replaces it: no last step, and reverted at 17.2 of 20 s. Both new tests failed before, and pass.

--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -53,8 +53,8 @@
 const secondShare = 0.35;
 const secondPhaseEnd = 0.61;
 /**
- * Parts of the time after which the second and the last step are taken even if little is known of the new version or something
- * suspicious. They leave enough time to complete a good version in time.
+ * Parts of the time after which the second and the last step are taken even if little is known of the new version, and the second
+ * one even if something is suspicious. They leave enough time to complete a good version in time.
  */
 const latestSecondStep = 0.61;
 const latestLastStep = 0.75;
@@ -63,7 +63,10 @@
  * total time. Faults that appear only under full load are found in it.
  */
 const minFullPhaseShare = 0.11;
-/** From this part of the time on, the old upstreams are released whatever is known, even if requests are in flight there. */
+/**
+ * From this part of the time on, the old upstreams are released even if little is known or requests are in flight there. A version
+ * that is suspicious then is reverted.
+ */
 const forcedCompletionShare = 0.86;
 
 /**
@@ -80,7 +83,7 @@
     const step = (progress?.step ?? 0) + 1;
     const base = { order: order.id, version: order.version, step, orderedAt, firstShare };
     const elapsedShare = elapsedMilliseconds / order.durationMilliseconds;
-    if (isBad || hasNoCandidateAtDeadline(situation, elapsedShare)) {
+    if (isBad || hasNoCandidateAtDeadline(situation, elapsedShare) || isSuspiciousAtEnd(situation, elapsedShare)) {
         return { ...base, state: "reverted", share: 0 };
     }
     const share = Math.max(progress?.share ?? 0, getShare(situation, elapsedShare));
@@ -101,6 +104,11 @@
     return elapsedShare >= 1 && candidateCount === 0 && currentCount > 0;
 }
 
+/** Checks whether the new version is still suspicious when it would have to be completed. */
+function isSuspiciousAtEnd({ evidence }: RolloutSituation, elapsedShare: number): boolean {
+    return evidence === "suspicious" && elapsedShare >= forcedCompletionShare;
+}
+
 function getFirstShare({ exposureShare, members }: RolloutSituation): number {
     return exposureShare * firstStepExposureShare * Math.min(1, firstStepMemberThreshold / members);
 }
@@ -116,7 +124,7 @@
         return announcementAgeMilliseconds < announcementLeadMilliseconds ? 0 : progress?.firstShare ?? 0;
     }
     const isSound = evidence === "sound";
-    if (elapsedShare >= (isSound ? secondPhaseEnd : latestLastStep)) {
+    if (evidence !== "suspicious" && elapsedShare >= (isSound ? secondPhaseEnd : latestLastStep)) {
         return 1;
     }
     return isSound || elapsedShare >= latestSecondStep ? secondShare : 0;
--- a/test/rollouts/planRollout.test.ts
+++ b/test/rollouts/planRollout.test.ts
@@ -84,18 +84,41 @@
         expect([steps.at(-1)?.at, steps.at(-1)?.progress.state]).toEqual([17_200, "completed"]);
     });
 
-    // Guards against moving all sessions to a version of which little is known, or something suspicious.
+    // Guards against moving all sessions to a version of which little is known.
     it("waits with each step for sound evidence, but completes in time without it", () => {
-        for (const evidence of ["scarce", "suspicious"] as const) {
-            const steps = runRollout(() => ({ evidence, currentInFlight: 0 }));
-            expect(steps.map(({ at, progress }) => [at, progress.share, progress.state])).toEqual([
-                [0, 0, "moving"],
-                [1_600, 0.09, "moving"],
-                [12_200, 0.35, "moving"],
-                [15_000, 1, "moving"],
-                [17_200, 1, "completed"],
-            ]);
-        }
+        const steps = runRollout(() => ({ evidence: "scarce", currentInFlight: 0 }));
+        expect(steps.map(({ at, progress }) => [at, progress.share, progress.state])).toEqual([
+            [0, 0, "moving"],
+            [1_600, 0.09, "moving"],
+            [12_200, 0.35, "moving"],
+            [15_000, 1, "moving"],
+            [17_200, 1, "completed"],
+        ]);
+    });
+
+    // Guards against moving all sessions to a suspicious version, and against keeping it.
+    it("takes no last step while the evidence is suspicious, and reverts a version that is still suspicious at the end", () => {
+        const steps = runRollout(() => ({ evidence: "suspicious", currentInFlight: 0 }));
+        expect(steps.map(({ at, progress }) => [at, progress.share, progress.state])).toEqual([
+            [0, 0, "moving"],
+            [1_600, 0.09, "moving"],
+            [12_200, 0.35, "moving"],
+            [17_200, 0, "reverted"],
+        ]);
+        const late = runRollout(elapsed => ({ evidence: elapsed < 14_000 ? "sound" : "suspicious" }));
+        expect(late.slice(3).map(({ at, progress }) => [at, progress.share, progress.state])).toEqual([
+            [12_200, 1, "moving"],
+            [17_200, 0, "reverted"],
+        ]);
+    });
+
+    // Guards against reverting a good version that was suspicious by chance for some time.
+    it("completes a version that is not suspicious any more at the end", () => {
+        const steps = runRollout(elapsed => ({ evidence: elapsed < 16_000 ? "suspicious" : "sound" }));
+        expect(steps.slice(3).map(({ at, progress }) => [at, progress.share, progress.state])).toEqual([
+            [16_000, 1, "moving"],
+            [17_200, 1, "completed"],
+        ]);
     });
 
     it("takes a step as soon as its evidence is sound", () => {
