Take no version for sound of which the usual times are not known

Cause: times were compared only within a kind of request of which the old version had 20 in six seconds. Where no kind had so many, no times were compared at all, and 20 answers without a failure were sound.

A version that took eight times as long was found sound at a pool with 18 answers of each of four kinds in six seconds.

Change: evidence is scarce unless 20 answers of the new version can be compared with usual times. Kinds with 8 of the old version's times are compared as parts of all kinds together, if these have 20; by itself a kind still needs 20.

--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -4,7 +4,13 @@
 import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
 import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
 import { countAbove, getQuantileClass, type TimeCounts } from "./timeCounts.js";
-import { type Measure, minReferenceTimes, type TimeReferences } from "./timeReferences.js";
+import {
+    chooseReference,
+    type Measure,
+    minKindReferenceTimes,
+    minReferenceTimes,
+    type TimeReferences,
+} from "./timeReferences.js";
 
 /** A regression of the new version. */
 export interface Regression extends ShareIncrease {
@@ -15,7 +21,7 @@
 
 /**
  * What is known of a new version that was not found bad.
- * - `scarce`: too little to find a bad version.
+ * - `scarce`: too little to find a bad version, of it or of the old version's usual times.
  * - `suspicious`: more bad answers than the old version's, which may be random.
  * - `sound`: enough, and nothing suspicious.
  */
@@ -65,8 +71,8 @@
 export function evaluateRollout(evidence: EvidenceCounts, references?: TimeReferences): Regression | undefined {
     const { failures, times, pauses } = getShares(evidence, references);
     return compare("failures", failures, failureBounds, failureBounds)
-        ?? compare("slow", times, kindSlownessBounds, slownessBounds)
-        ?? compare("slow between parts", pauses, kindSlownessBounds, slownessBounds);
+        ?? compareSlowness("slow", times, kindSlownessBounds, slownessBounds)
+        ?? compareSlowness("slow between parts", pauses, kindSlownessBounds, slownessBounds);
 }
 
 /**
@@ -77,23 +83,22 @@
 export function assessEvidence(evidence: EvidenceCounts, references?: TimeReferences): EvidenceState {
     const { failures, times, pauses } = getShares(evidence, references);
     const suspicion = compare("failures", failures, suspicionBounds, suspicionBounds)
-        ?? compare("slow", times, suspicionBounds, suspicionBounds)
-        ?? compare("slow between parts", pauses, suspicionBounds, suspicionBounds);
+        ?? compareSlowness("slow", times, suspicionBounds, suspicionBounds)
+        ?? compareSlowness("slow between parts", pauses, suspicionBounds, suspicionBounds);
     if (suspicion !== undefined) {
         return "suspicious";
     }
-    // Answers of upstreams that warm up have no time, and do not show whether the version is slow.
-    const hasReference = times.some(({ shares }) => shares.current.answers > 0);
-    const answers = countCandidateAnswers(hasReference ? times : failures);
-    return answers >= minSoundAnswers ? "sound" : "scarce";
+    // Answers without a time, or without usual times to compare with, do not show whether the version is slow.
+    return countAnswers(times, "candidate") >= minSoundAnswers ? "sound" : "scarce";
 }
 
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
     const segments = [...evidence];
     const compareMeasure = (measure: Measure): readonly SegmentShares[] => {
-        return segments.map(([segment, counts]) => {
+        const compared = segments.map(([segment, counts]) => {
             return { segment, shares: getSlowness(counts, measure, references?.get(measure, segment)) };
         });
+        return countAnswers(compared, "current") >= minReferenceTimes ? compared : [];
     };
     return {
         failures: segments.map(([segment, counts]) => ({ segment, shares: getFailures(counts) })),
@@ -102,16 +107,28 @@
     };
 }
 
-function countCandidateAnswers(segments: readonly SegmentShares[]): number {
-    return segments.reduce((sum, { shares }) => sum + shares.candidate.answers, 0);
+function countAnswers(segments: readonly SegmentShares[], version: keyof AnswerShares): number {
+    return segments.reduce((sum, { shares }) => sum + shares[version].answers, 0);
 }
 
-/** Compares all kinds of request together, then each by itself. */
+/** Compares all kinds of request together, then each of which enough usual times are known. */
+function compareSlowness(
+    reason: Regression["reason"],
+    segments: readonly SegmentShares[],
+    kindBounds: IncreaseBounds,
+    totalBounds: IncreaseBounds,
+): Regression | undefined {
+    const kinds = segments.filter(({ shares }) => shares.current.answers >= minReferenceTimes);
+    return compare(reason, segments, kindBounds, totalBounds, kinds);
+}
+
+/** Compares all kinds of request together, then some of them each by itself. */
 function compare(
     reason: Regression["reason"],
     segments: readonly SegmentShares[],
     kindBounds: IncreaseBounds,
     totalBounds: IncreaseBounds,
+    kinds: readonly SegmentShares[] = segments,
 ): Regression | undefined {
     const total = {
         segment: "all",
@@ -120,7 +137,7 @@
             current: segments.map(({ shares }) => shares.current).reduce(addShares, noAnswers),
         },
     };
-    for (const { segment, shares } of [total, ...segments]) {
+    for (const { segment, shares } of [total, ...kinds]) {
         const bounds = segment === total.segment ? totalBounds : kindBounds;
         const increase = compareShares(shares.candidate, shares.current, bounds);
         if (increase !== undefined) {
@@ -143,9 +160,8 @@
     measure: Measure,
     earlier: TimeCounts | undefined,
 ): AnswerShares {
-    const isKnown = countAbove(current[measure], -1) >= minReferenceTimes;
-    const reference = isKnown ? current[measure] : earlier;
-    if (reference === undefined) {
+    const reference = chooseReference(current[measure], earlier);
+    if (countAbove(reference, -1) < minKindReferenceTimes) {
         return { candidate: noAnswers, current: noAnswers };
     }
     const slowClass = getQuantileClass(reference, usualShare) + slowClassDistance;
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -117,6 +117,27 @@
         }
     });
 
+    // Guards against reverting a good version because the usual times of each kind of request are known by a few answers only.
+    it("does not find a good version bad by a few answers of many kinds", () => {
+        const states = Array.from({ length: 400 }, (...[, seed]) => {
+            const evidence = createEvidence(seed, good, good, { count: 220, kinds: 16, candidateInterval: 5 })
+                .getCounts(4_000);
+            expect(evaluateRollout(evidence)).toEqual(undefined);
+            return assessEvidence(evidence);
+        });
+        expect(states.includes("sound")).toEqual(true);
+        expect(states.filter(state => state === "suspicious").length <= 0.05 * states.length).toEqual(true);
+    });
+
+    // Guards against taking a version for sound by its outcomes alone, at a node that has started when it served everything.
+    it("considers evidence scarce while nothing is known of the old version's times", () => {
+        const alone = createEvidence(12, good, good, { count: 60, candidateInterval: 1 }).getCounts(4_000);
+        expect(assessEvidence(alone)).toEqual("scarce");
+        const references = new TimeReferences();
+        references.update(createEvidence(5, good, good).getCounts(4_000));
+        expect(assessEvidence(alone, references)).toEqual("sound");
+    });
+
     // Guards against keeping a version that turns slow when it serves everything, so that no other answers are there to compare with.
     it("compares with earlier times of the old version once it answers nothing", () => {
         const references = new TimeReferences();
