Keep a silent stream until its replacement was sent and had time to reject it

Cause: a silent answer was given up 100 ms after the replacing attempt began. At that time the request could still wait for a connection, or be queued at a runner that rejects it later. A replacement was also sent to runners whose slots are all in use. What callers saw: a stream broken off halfway ("not resumed: budget", "not resumed: attempts") although its runner went on. Ruled out: keeping the answer until the head of the other one; two runners may work on a request together for 400 ms only. Change: the time is counted from when the request is written to its connection (UpstreamCall.onSent), and is 300 ms, which leaves 100 ms for the cancellation to arrive. A request that goes by way of another node counts as written at once. The model cascade keeps its answers as before. A runner at load 1 or more replaces no silent stream; an answer with a server error is replaced as before.

The refusal of full runners has no test here.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -54,6 +54,8 @@
      * @param expectedMilliseconds - Expected time to the head of the answer.
      */
     readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
+    /** Called when the request is written to a connection. It may wait for one before. */
+    readonly onSent?: (() => void) | undefined;
     /**
      * Returns the retries that a further attempt leaves to more urgent requests.
      * @param allowed - Retries that the pool's budget allows in its window.
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -7,7 +7,12 @@
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
-import type { SelectedUpstream, UpstreamSelection, UpstreamSelectionOptions } from "./upstreamSelection.js";
+import {
+    fullLoad,
+    type SelectedUpstream,
+    type UpstreamSelection,
+    type UpstreamSelectionOptions,
+} from "./upstreamSelection.js";
 import type { WaitingRoom } from "./waitingRoom.js";
 
 /** Options of `AttemptAdmission`. */
@@ -69,7 +74,26 @@
         if (signal.aborted) {
             return false;
         }
-        const selection = this.#checkReplacement(request).andThen(selected => this.#take(request, selected));
+        return this.#reserve(request, this.#checkReplacement(request));
+    }
+
+    /**
+     * Admits the next attempt of a request whose stream has started and is silent now. A full upstream would queue the request, and
+     * the current one may go on earlier.
+     * @param request - The next attempt.
+     * @returns Whether the next attempt is admitted.
+     */
+    reserveBeside(request: AttemptRequest): boolean {
+        const selection = this.#checkReplacement(request).andThen(selected =>
+            selected.pick.load >= fullLoad
+                ? err<SelectedUpstream, AttemptFailure>({ kind: "not-made", reason: "no-room" })
+                : ok<SelectedUpstream, AttemptFailure>(selected)
+        );
+        return this.#reserve(request, selection);
+    }
+
+    #reserve(request: AttemptRequest, checked: Result<SelectedUpstream, AttemptFailure>): boolean {
+        const selection = checked.andThen(selected => this.#take(request, selected));
         request.exchange.reservation = selection.unwrapOr(undefined);
         return selection.isOk();
     }
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -83,15 +83,24 @@
     }
 
     /**
-     * Admits the next attempt of a request whose current one is silent. The current one may be given up only then.
+     * Admits the next attempt of a request whose current one is to be given up only for one that is made.
      * @param request - The next attempt.
-     * @param signal - Aborted when the current attempt is not silent any more.
-     * @returns Whether the next attempt is certain. If so, it has to be made at once.
+     * @param signal - Ends the wait for room.
+     * @returns Whether the next attempt is admitted. If so, it has to be made at once.
      */
     reserve(request: AttemptRequest, signal: AbortSignal): Promise<boolean> {
         return this.#admission.reserve(request, signal);
     }
 
+    /**
+     * Admits the next attempt of a request whose stream has started and is silent now, if an upstream has room for it.
+     * @param request - The next attempt.
+     * @returns Whether the next attempt is admitted. If so, it has to be made at once.
+     */
+    reserveBeside(request: AttemptRequest): boolean {
+        return this.#admission.reserveBeside(request);
+    }
+
     async #send(
         request: AttemptRequest,
         { pick, versionReason }: SelectedUpstream,
@@ -144,6 +153,7 @@
             model: request.model,
             urgency: Math.min(maxUrgencyValue, 1 + 2 * exchange.priority),
             lastEventId: request.lastEventId,
+            onSent: request.onSent,
             isWithdrawn: () => run.isWithdrawn(),
             confirmCaller: () => exchange.reply.confirmCaller(),
             signal: cancellation.signal,
--- a/src/forwarding/heldAnswer.ts
+++ b/src/forwarding/heldAnswer.ts
@@ -3,20 +3,14 @@
  */
 import type { Attempt } from "./attempt.js";
 
-/**
- * Time after the sending of the other request for which the answer is kept. An upstream that rejects a request does so at once, and
- * the answer's own upstream must not go on working beside the other one for long.
- */
-const keptMilliseconds = 100;
-
 /** Options of `HeldAnswer`. */
 export interface HeldAnswerOptions {
     readonly attempt: Attempt;
     /**
-     * Returns whether the upstream of the other request may well reject it. Called when that one is sent; otherwise the answer is
-     * discarded then.
+     * Returns the time after the sending of the other request for which the answer is kept, in milliseconds. Called when that one is
+     * sent; at 0, the answer is discarded then.
      */
-    readonly mayBeRejected: () => boolean;
+    readonly getKeptMilliseconds: () => number;
     /** Records the end of the attempt whose answer is discarded. */
     readonly onDiscard: () => void;
 }
@@ -24,24 +18,25 @@
 /** An answer that is not read on meanwhile. Its unread body takes no more memory than a connection buffers. */
 export class HeldAnswer {
     readonly #attempt: Attempt;
-    readonly #mayBeRejected: () => boolean;
+    readonly #getKeptMilliseconds: () => number;
     readonly #onDiscard: () => void;
     #timer: NodeJS.Timeout | undefined;
     #isHeld = true;
 
-    constructor({ attempt, mayBeRejected, onDiscard }: HeldAnswerOptions) {
+    constructor({ attempt, getKeptMilliseconds, onDiscard }: HeldAnswerOptions) {
         this.#attempt = attempt;
-        this.#mayBeRejected = mayBeRejected;
+        this.#getKeptMilliseconds = getKeptMilliseconds;
         this.#onDiscard = onDiscard;
     }
 
     /** Records that the other request is sent. */
     markOtherSent(): void {
-        if (!this.#mayBeRejected()) {
+        const milliseconds = this.#getKeptMilliseconds();
+        if (milliseconds === 0) {
             this.discard();
             return;
         }
-        this.#timer ??= setTimeout(() => this.discard(), keptMilliseconds);
+        this.#timer ??= setTimeout(() => this.discard(), milliseconds);
     }
 
     /** Discards the answer and cancels the work on it. Later calls are ignored. */
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -18,6 +18,9 @@
 import { HeldAnswer } from "./heldAnswer.js";
 import type { ForwardingMetrics } from "./metrics.js";
 
+/** Time for which an answer is kept for the case that a full pool rejects the better one. It does so at once. */
+const keptMilliseconds = 100;
+
 /** Options of `ModelCascade`. */
 export interface ModelCascadeOptions {
     readonly exchange: Exchange;
@@ -74,7 +77,7 @@
         }
         this.#held = new HeldAnswer({
             attempt,
-            mayBeRejected: () => pressure.isFull(this.#ranked),
+            getKeptMilliseconds: () => pressure.isFull(this.#ranked) ? keptMilliseconds : 0,
             onDiscard: () => attempt.drop(`confidence ${answer.confidence}`),
         });
         this.#previousModel = this.#model;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -33,6 +33,12 @@
 /** Pause objective of routes that configure none. */
 const defaultPauseMilliseconds = 1_000;
 
+/**
+ * Time for which a silent answer is kept after the request was sent to another runner, which may queue it before it rejects it. Both
+ * runners may work on a request for 400 ms, in which the first one also has to learn of its cancellation.
+ */
+const keptMilliseconds = 300;
+
 /** Result of relaying an answer. */
 type RelayResult =
     | { readonly kind: "complete"; }
@@ -116,9 +122,9 @@
             prompt: this.#cascade.describePrompt(model),
             getHeadTimeout: expected => {
                 this.#cascade.markSent();
-                this.#silent?.held.markOtherSent();
                 return this.#watch.start(expected, model);
             },
+            onSent: this.#silent && (() => this.#silent?.held.markOtherSent()),
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
         };
@@ -266,7 +272,7 @@
 
     /**
      * Waits until a runner sends something. A sound one may be silent for a while and go on, so it is given up only for another one
-     * that certainly takes the request.
+     * that has room for the request.
      * @returns Whether there is something to read. Otherwise the next attempt is admitted.
      */
     async #waitForPiece(relayed: StreamAnswer): Promise<boolean> {
@@ -277,7 +283,7 @@
         let milliseconds = relayed.isSilent ? recheckMilliseconds : this.#getPauseTimeout();
         while (!await relayed.body.waitForPiece(milliseconds)) {
             relayed.isSilent = true;
-            if (await this.#reserveNext()) {
+            if (this.#attempts.reserveBeside(this.#createAttemptRequest())) {
                 return false;
             }
             milliseconds = recheckMilliseconds;
@@ -369,7 +375,7 @@
 function createHeld(attempt: Attempt, reason: string): HeldAnswer {
     return new HeldAnswer({
         attempt,
-        mayBeRejected: () => true,
+        getKeptMilliseconds: () => keptMilliseconds,
         onDiscard: () => attempt.finish("failed", reason, "stopped"),
     });
 }
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -22,6 +22,8 @@
     readonly isWithdrawn: () => boolean;
     /** Makes sure that the signal is up to date, as `CallerReply.confirmCaller` does, asked after a wait as well. */
     readonly confirmCaller: () => Promise<void> | undefined;
+    /** Called when the request is written to a connection, or passed on to another node. */
+    readonly onSent?: (() => void) | undefined;
     /** Cancels the call and its work at the upstream. */
     readonly signal: AbortSignal;
 }
--- a/src/forwarding/upstreamSelection.ts
+++ b/src/forwarding/upstreamSelection.ts
@@ -8,7 +8,7 @@
 import type { Exchange } from "./exchange.js";
 
 /** Load of an upstream whose slots are all in use, as a share of them. */
-const fullLoad = 1;
+export const fullLoad = 1;
 
 /** Options of `UpstreamSelection`. */
 export interface UpstreamSelectionOptions {
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -16,6 +16,7 @@
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
+import { observeSending } from "./sendingObserver.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { headerNames } from "./wire.js";
 
@@ -65,12 +66,12 @@
             const send = (dispatcher: Dispatcher): Promise<Dispatcher.ResponseData> =>
                 dispatcher.request(createRequest(upstream, call));
             const response = relay === undefined
-                ? await connections.send(send, {
+                ? await connections.send(dispatcher => send(observeSending(dispatcher, call.onSent)), {
                     signal: call.signal,
                     confirmCaller: call.confirmCaller,
                     mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
                 })
-                : await send(connections.dispatcher.compose(relay));
+                : await relayCall(() => send(connections.dispatcher.compose(relay)), call);
             return response === undefined
                 ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
                 : readHead(response, call, () => connections.wasReset());
@@ -153,6 +154,12 @@
     }
 }
 
+/** Makes a call by way of another node, whose sending cannot be observed. */
+function relayCall<T>(send: () => T, { onSent }: UpstreamCall): T {
+    onSent?.();
+    return send();
+}
+
 function createRequest(upstream: RegisteredUpstream, call: UpstreamCall): Dispatcher.RequestOptions {
     return {
         origin: `http://${upstream.address}`,
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -142,6 +142,25 @@
         expect(sockets.length).toEqual(1);
     });
 
+    // Guards against a runner that is cancelled for another one while the request still waits for a connection to that one.
+    it("reports that a request is sent when it is written, and not while it waits for a connection", async () => {
+        const sockets: Socket[] = [];
+        const upstream = await listen(createRawRunner(socket => sockets.push(socket)));
+        const client = createClient();
+        const first = client.call(upstream, createCall());
+        await waitUntil(() => sockets.length === 1, "the first request arrives");
+        const sentAt: number[] = [];
+        const waiting = client.call(upstream, createCall({ onSent: () => sentAt.push(sockets.length) }));
+        await sleep(50);
+        expect(sentAt).toEqual([]);
+        sockets[0].write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        expect(await read((await first)._unsafeUnwrap())).toEqual("ok");
+        await waitUntil(() => sockets.length === 2, "the second request arrives");
+        expect(sentAt).toEqual([1]);
+        sockets[1].write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+        expect(await read((await waiting)._unsafeUnwrap())).toEqual("ok");
+    });
+
     // Guards against requests that are sent for nobody, as the leaving of their callers is read after the end of their wait.
     it("sends no request whose caller turns out to have left after the wait for a connection", async () => {
         const sockets: Socket[] = [];
