Bound the time for which a node reads what has arrived

Cause: readArrived() waits until a turn of the event loop without a new connection lies before the call. While each turn accepts a connection, it never returns: a stopping node waits for it without regard to the time it has, and idle connections stay open.

Change: it ends after the turns in which all connections were accepted that may have waited at the call (the listen queue), since they are accepted in the order of their arrival. A stopping node waits no longer than the time it has.

Ruled out: a bound in milliseconds, which would leave connections unread in a slow process.

The race in node.ts has no test of its own.

--- a/src/common/readProgress.ts
+++ b/src/common/readProgress.ts
@@ -8,6 +8,10 @@
  * first one.
  */
 const turnsUntilRead = 2;
+/** Connections that may wait to be accepted: the HTTP library's default, and one that the kernel adds. */
+const maxWaitingConnections = 512;
+/** Turns after which everything is read that had arrived before them, even if each of them accepts a connection. */
+const maxTurnsUntilRead = maxWaitingConnections + turnsUntilRead;
 /** Age up to which what was read counts as recent. Upstreams should not begin work half a second after its caller has left. */
 const maxAgeMilliseconds = 200;
 
@@ -89,11 +93,12 @@
 
     /**
      * Waits until everything has been read that had arrived before this call, also on connections that wait to be accepted. What it
-     * begins is known then; what arrives meanwhile may not be.
+     * begins is known then; what arrives meanwhile may not be. Its time is bounded: connections are accepted in the order in which
+     * they arrived.
      */
     async readArrived(): Promise<void> {
         const calledAt = this.#options.clock.monotonic();
-        while (this.#readUntil < calledAt) {
+        for (let turns = 0; turns < maxTurnsUntilRead && this.#readUntil < calledAt; turns++) {
             await this.catchUp();
         }
     }
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -163,7 +163,7 @@
         const startedAt = clock.monotonic();
         while (shutdown.getTimeLeft() > 0) {
             if (clock.monotonic() - startedAt > minServingMilliseconds && this.#isIdle()) {
-                await readProgress.readArrived();
+                await Promise.race([readProgress.readArrived(), sleep(shutdown.getTimeLeft(), undefined, { ref: false })]);
                 if (this.#isIdle()) {
                     return;
                 }
--- a/test/common/readProgress.test.ts
+++ b/test/common/readProgress.test.ts
@@ -94,6 +94,20 @@
             }
             expect(isRead).toEqual(true);
         });
+
+        // Guards against a node that never stops, and idle connections that stay open, while callers connect in each turn.
+        it("ends when everything was accepted that may have waited, though connections are accepted turn after turn", async () => {
+            const { progress, runTurn } = createTurns();
+            let isRead = false;
+            void progress.readArrived().then(() => isRead = true);
+            let accepted = 0;
+            while (!isRead && accepted < 2_000) {
+                progress.addConnection();
+                accepted += 1;
+                await runTurn(1);
+            }
+            expect([isRead, accepted >= 512]).toEqual([true, true]);
+        });
     });
 
     describe("catchUp", () => {
