Take no step before it is known how the streams of a new version go on

Cause: 20 times to heads counted as enough evidence.

Change: where the old version has pauses, six streams of the new one are asked for as well.

--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -30,6 +30,8 @@
 const suspicionBounds: IncreaseBounds = { minBad: 3, minIncrease: 0.1, minStandardErrors: 2.5 };
 /** Number of answers from which on a version is found bad whose share of bad answers exceeds the old one's by a third. */
 const minSoundAnswers = 20;
+/** Number of streams from which on a version is found bad of which all are slow between the parts. */
+const minSoundPauses = 6;
 /** Share of the old version's times up to the class that an answer must exceed to be slow. */
 const usualShare = 0.9;
 /** Classes between the end of the usual times and that class. */
@@ -83,9 +85,13 @@
         return "suspicious";
     }
     // Answers of upstreams that warm up have no time, and do not show whether the version is slow.
-    const hasReference = times.some(({ shares }) => shares.current.answers > 0);
-    const answers = countCandidateAnswers(hasReference ? times : failures);
-    return answers >= minSoundAnswers ? "sound" : "scarce";
+    const answers = countCandidateAnswers(hasReference(times) ? times : failures);
+    const hasPauses = !hasReference(pauses) || countCandidateAnswers(pauses) >= minSoundPauses;
+    return answers >= minSoundAnswers && hasPauses ? "sound" : "scarce";
+}
+
+function hasReference(segments: readonly SegmentShares[]): boolean {
+    return segments.some(({ shares }) => shares.current.answers > 0);
 }
 
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -138,6 +138,20 @@
         expect([assessEvidence(times), assessEvidence(untimed)]).toEqual(["sound", "scarce"]);
     });
 
+    // Guards against steps that are taken before it is known how a version's streams go on.
+    it("considers evidence scarce while streams of the new version have begun and none has pauses", () => {
+        const evidence = createEvidence(11, good, good);
+        const kind = { segment: "route 0", objectiveMilliseconds: 1_000, pauseObjectiveMilliseconds: 600 };
+        for (let index = 0; index < 40; index += 1) {
+            evidence.addPause({ ...kind, isCandidate: false }, 25, 3_900);
+        }
+        expect(assessEvidence(evidence.getCounts(4_000))).toEqual("scarce");
+        for (let index = 0; index < 6; index += 1) {
+            evidence.addPause({ ...kind, isCandidate: true }, 25, 3_900);
+        }
+        expect(assessEvidence(evidence.getCounts(4_000))).toEqual("sound");
+    });
+
     it("assesses what is known of a version that it does not find bad", () => {
         const assess = (candidate: Behaviour, count: number): string => {
             return assessEvidence(createEvidence(8, good, candidate, { count }).getCounts(4_000));
