--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -36,6 +36,8 @@
 const suspicionBounds: IncreaseBounds = { minBad: 3, minIncrease: 0.1, minStandardErrors: 2.5 };
 /** Number of answers from which on a version is found bad whose share of bad answers exceeds the old one's by a third. */
 const minSoundAnswers = 20;
+/** Number of streams from which on a version is found bad of which all are slow between the parts. */
+const minSoundPauses = 6;
 /** Share of the old version's times up to the class that an answer must exceed to be slow. */
 const usualShare = 0.9;
 /** Classes between the end of the usual times and that class. */
@@ -89,7 +91,8 @@
         return "suspicious";
     }
     // Answers without a time, or without usual times to compare with, do not show whether the version is slow.
-    return countAnswers(times, "candidate") >= minSoundAnswers ? "sound" : "scarce";
+    const hasPauses = pauses.length === 0 || countAnswers(pauses, "candidate") >= minSoundPauses;
+    return countAnswers(times, "candidate") >= minSoundAnswers && hasPauses ? "sound" : "scarce";
 }
 
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
