Sum a pool's usual times since the order where its requests are rare

Cause: the old version's usual times were those of six seconds. Where a kind of request is rarer than that there never were any, and a slow version of it was compared with nothing.

Change: each node sums the old version's times of successive six seconds. A sum of 20 becomes the reference of its kind and the next sum starts empty, so that it stays recent; until then the largest known number counts. Sums over nodes can be off by the few answers that a report brings late.

Calls of `update` in tests now give the time; what they demand is unchanged.

--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -237,7 +237,7 @@
         if (this.#isHalted) {
             return;
         }
-        this.#timeReferences.update(segments);
+        this.#timeReferences.update(segments, this.#options.clock.monotonic());
         const regression = evaluateRollout(segments, this.#timeReferences);
         if (regression === undefined) {
             return;
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -10,6 +10,8 @@
  */
 const sliceMilliseconds = 1_000;
 const sliceCount = 6;
+/** Time after which an answer is not part of the evidence any more, in milliseconds. */
+export const evidenceMilliseconds = sliceMilliseconds * sliceCount;
 
 /**
  * Times below this part of the caller's objective count as equal. Where answers take one millisecond, one more is a
--- a/src/rollouts/timeReferences.ts
+++ b/src/rollouts/timeReferences.ts
@@ -1,8 +1,8 @@
 /**
  * Remembers how long the old version took, for the time when the new version serves nearly everything.
  */
-import type { EvidenceCounts } from "./rolloutEvidence.js";
-import { countAbove, type TimeCounts } from "./timeCounts.js";
+import { type EvidenceCounts, evidenceMilliseconds } from "./rolloutEvidence.js";
+import { addTimeCounts, countAbove, type TimeCounts } from "./timeCounts.js";
 
 /** Minimum number of the old version's times for a comparison, of one kind of request by itself or of all kinds together. */
 export const minReferenceTimes = 20;
@@ -12,26 +12,56 @@
 /** What is measured of answers: the times to their heads, or the pauses between their parts. */
 export type Measure = "times" | "pauses";
 
-/** Keeps distributions of the old version by measure and kind of request: the last sufficient ones, or the largest. */
+/** What is remembered of one kind of request. */
+interface Reference {
+    /** The last sufficient distribution, or the largest one if none was sufficient. */
+    readonly counts: TimeCounts;
+    /** The sum of successive evidence that is not sufficient yet. */
+    readonly sum: TimeCounts;
+}
+
+const noReference: Reference = { counts: [], sum: [] };
+
+/** Keeps distributions of the old version by measure and kind of request. */
 export class TimeReferences {
-    readonly #counts = { times: new Map<string, TimeCounts>(), pauses: new Map<string, TimeCounts>() };
+    readonly #references = { times: new Map<string, Reference>(), pauses: new Map<string, Reference>() };
+    /** Monotonic milliseconds at which evidence was last added to the sums. */
+    #addedAt = Number.NEGATIVE_INFINITY;
 
-    /** Remembers the times of all kinds of request of which enough are known now, or more than before. */
-    update(evidence: EvidenceCounts): void {
+    /**
+     * Remembers the times of the old version. Where requests of a kind are rare, successive evidence is summed.
+     * @param evidence - The counts of the last seconds.
+     * @param now - Monotonic milliseconds.
+     */
+    update(evidence: EvidenceCounts, now: number): void {
+        // Evidence that was added before has left the counts after this time, and no answer is added twice.
+        const isAdded = now - this.#addedAt >= evidenceMilliseconds;
+        if (isAdded) {
+            this.#addedAt = now;
+        }
         for (const [segment, { current }] of evidence) {
             for (const measure of ["times", "pauses"] as const) {
-                const reference = chooseReference(current[measure], this.#counts[measure].get(segment));
-                this.#counts[measure].set(segment, reference);
+                const known = this.#references[measure].get(segment) ?? noReference;
+                const counts = chooseReference(current[measure], known.counts);
+                const next = isAdded ? addToSum({ counts, sum: known.sum }, current[measure]) : { ...known, counts };
+                this.#references[measure].set(segment, next);
             }
         }
     }
 
     /** Returns the distribution of a kind of request, or undefined if there were never any answers. */
     get(measure: Measure, segment: string): TimeCounts | undefined {
-        return this.#counts[measure].get(segment);
+        return this.#references[measure].get(segment)?.counts;
     }
 }
 
+/** Adds times to the sum. A sufficient sum replaces the distribution, and the next one starts empty. */
+function addToSum({ counts, sum }: Reference, added: TimeCounts): Reference {
+    const total = addTimeCounts(sum, added);
+    const isSufficient = countAbove(total, -1) >= minReferenceTimes;
+    return { counts: chooseReference(total, counts), sum: isSufficient ? [] : total };
+}
+
 /**
  * Returns the distribution with which a kind of request is compared.
  * @param current - The old version's present distribution.
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -134,14 +134,14 @@
         const alone = createEvidence(12, good, good, { count: 60, candidateInterval: 1 }).getCounts(4_000);
         expect(assessEvidence(alone)).toEqual("scarce");
         const references = new TimeReferences();
-        references.update(createEvidence(5, good, good).getCounts(4_000));
+        references.update(createEvidence(5, good, good).getCounts(4_000), 4_000);
         expect(assessEvidence(alone, references)).toEqual("sound");
     });
 
     // Guards against keeping a version that turns slow when it serves everything, so that no other answers are there to compare with.
     it("compares with earlier times of the old version once it answers nothing", () => {
         const references = new TimeReferences();
-        references.update(createEvidence(5, good, good).getCounts(4_000));
+        references.update(createEvidence(5, good, good).getCounts(4_000), 4_000);
         const alone = { count: 60, candidateInterval: 1 };
         const slow = createEvidence(6, good, { ...good, slowShare: 0.5 }, alone).getCounts(4_000);
         const sound = createEvidence(7, good, good, alone).getCounts(4_000);
