Refuse at once what a stopping node ends

Cause: an exchange that has ended still waits for the evaluation of its last run, and reads its connection to learn whether its caller is there, before it is refused. On a busy node these turns of the event loop take longer than what is left for the last answers.

Change: what has ended waits for neither, in `AttemptAdmission` nor in the wait for a connection.

Before: the new test of `Forwarder.stop`, whose caller is never confirmed, got no refusal.

--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -37,8 +37,10 @@
      */
     async admit(request: AttemptRequest): Promise<Result<SelectedUpstream, AttemptFailure>> {
         const { exchange } = request;
-        await exchange.lastEvaluation;
-        await exchange.reply.confirmCaller();
+        if (!exchange.ended.aborted) {
+            await exchange.lastEvaluation;
+            await exchange.reply.confirmCaller();
+        }
         if (exchange.ended.aborted) {
             return err({ kind: "not-made", reason: "ended" });
         }
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -95,7 +95,9 @@
         let isNext = this.#waiting.size === 0;
         while (maySend() && !(isNext && this.hasRoom())) {
             await this.#wait(signal);
-            await confirmCaller();
+            if (!signal.aborted) {
+                await confirmCaller();
+            }
             isNext = true;
         }
         if (!maySend()) {
