--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -42,10 +42,15 @@
      */
     async admit(request: AttemptRequest): Promise<Result<SelectedUpstream, AttemptFailure>> {
         const { exchange } = request;
-        await exchange.lastEvaluation;
-        await exchange.reply.confirmCaller();
+        if (!exchange.ended.aborted) {
+            await exchange.lastEvaluation;
+            await exchange.reply.confirmCaller();
+        }
         const reservation = exchange.takeReservation();
-        if (reservation !== undefined && !exchange.ended.aborted) {
+        if (exchange.ended.aborted) {
+            return err({ kind: "not-made", reason: "ended" });
+        }
+        if (reservation !== undefined) {
             return ok(reservation);
         }
         const available = this.#check(request);
