Refuse what the product's own interface cannot answer before it stops

Cause: at the drain timeout the entry closed all connections. Callers of calls without an answer lost their connections without a refusal, begun streams ended without a word, and a stream that was broken off had no line in the log. Besides, the entry stopped listening and closed connections that looked idle before it had read what had arrived on them.

Change: at the drain timeout each open request is refused (503, outcome unknown) or, in a begun stream, gets the chunk with an error that other failures of streams get; each is logged as refused; its work is cancelled as if its caller had left; connections are closed when these answers are written, or after a second. Sinks write nothing after the end of a response. Before it closes, the server reads what has arrived.

Ruled out: letting each pipeline end by the cancellation alone and refuse by itself, as calls to services go on until their deadline.

The reading before the close has no test. A process whose service call goes on still ends only after that call.

--- a/src/entry/answerSink.ts
+++ b/src/entry/answerSink.ts
@@ -6,6 +6,8 @@
 import { AnswerText } from "./answerText.js";
 import { createProblem, getProblemHeaders, type Refusal } from "./problem.js";
 
+const eventStreamType = "text/event-stream; charset=utf-8";
+
 /** Receives an answer for a caller. */
 export interface AnswerSink {
     /** Whether any byte of the answer has been sent. */
@@ -44,14 +46,18 @@
 
     start(headers: Readonly<Record<string, string>>): void {
         this.#started = true;
+        // Headers that are only passed to `writeHead` cannot be read afterwards.
+        this.#response.setHeader("content-type", eventStreamType);
         this.#response.writeHead(200, {
-            "content-type": "text/event-stream; charset=utf-8",
             "cache-control": "no-cache",
             ...headers,
         });
     }
 
     async write(event: EngineEvent): Promise<void> {
+        if (this.#response.writableEnded) {
+            return;
+        }
         const isBelowHighWaterMark = this.#response.write(`id: ${event.id}\ndata: ${event.data}\n\n`);
         if (event.data === endOfStream) {
             this.#response.end();
@@ -63,13 +69,7 @@
     }
 
     fail(refusal: Refusal): void {
-        const problem = createProblem(refusal, this.#requestId);
-        if (!this.#started) {
-            sendProblem(this.#response, refusal, this.#requestId);
-            return;
-        }
-        // The status has already been sent. The public client raises an error for a chunk that contains `error`.
-        this.#response.end(`data: ${JSON.stringify(problem)}\n\n`);
+        endWithProblem(this.#response, refusal, this.#requestId);
     }
 }
 
@@ -106,10 +106,13 @@
     }
 
     fail(refusal: Refusal): void {
-        sendProblem(this.#response, refusal, this.#requestId);
+        endWithProblem(this.#response, refusal, this.#requestId);
     }
 
     #send(): void {
+        if (this.#response.writableEnded) {
+            return;
+        }
         const usage = this.#usage ?? { inputTokens: 0, cachedTokens: 0, outputTokens: 0 };
         this.#response.writeHead(200, { "content-type": "application/json", ...this.#headers });
         this.#response.end(JSON.stringify({
@@ -148,6 +151,24 @@
     response.end(JSON.stringify(problem));
 }
 
+/**
+ * Ends a response that cannot be completed, whether or not it has started. A response that has ended is left as it is.
+ * @param response - The response.
+ * @param refusal - Why it cannot be completed.
+ * @param requestId - Identifies the request.
+ */
+export function endWithProblem(response: ServerResponse, refusal: Refusal, requestId: string): void {
+    if (response.writableEnded) {
+        return;
+    }
+    if (response.headersSent && response.getHeader("content-type") === eventStreamType) {
+        // The status has already been sent. The public client raises an error for a chunk that contains `error`.
+        response.end(`data: ${JSON.stringify(createProblem(refusal, requestId))}\n\n`);
+        return;
+    }
+    sendProblem(response, refusal, requestId);
+}
+
 function waitForDrain(response: ServerResponse): Promise<void> {
     return new Promise(resolve => {
         const finish = () => {
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -6,19 +6,21 @@
 import type { Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { type Clock, Failure, PresenceCheck, type ReadProgress } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
 import { events, type Journal } from "../events/index.js";
 import { createWatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
-import { DocumentSink, EventStreamSink, sendProblem } from "./answerSink.js";
+import { DocumentSink, endWithProblem, EventStreamSink } from "./answerSink.js";
 import { checkCaller } from "./callerDisconnection.js";
 import { type CallerIdentity, identifyCaller } from "./callerIdentity.js";
 import type { ChatPipeline } from "./chatPipeline.js";
 import { automaticModel, parseChatRequest } from "./chatRequest.js";
 import {
-    createDisconnectSignal,
+    createDisconnection,
     createNotReadyResult,
+    createStopRefusal,
     type IncomingCall,
     readSingleHeader,
     refuseAndClose,
@@ -36,6 +38,8 @@
 const maxHeaderBytes = 16 * 1024;
 /** How long a caller may take to send its headers, in milliseconds. */
 const headersTimeoutMilliseconds = 10_000;
+/** How long the last answers may take to be written when the entry stops, in milliseconds. */
+const lastAnswersMilliseconds = 1_000;
 /** Header in which the public client reports the number of its earlier attempts. */
 const retryCountHeader = "x-stainless-retry-count";
 
@@ -57,11 +61,20 @@
     readonly isReady: () => boolean;
 }
 
+/** A call whose handler has not ended. */
+interface OpenCall extends IncomingCall {
+    /** Aborts the call as if its caller had left. */
+    readonly disconnection: AbortController;
+}
+
 /** Serves callers. */
 export class CallerServer {
     readonly #options: CallerServerOptions;
     readonly #server: Server;
-    readonly #openResponses = new Set<ServerResponse>();
+    /** Calls whose handlers have not ended, by their responses. */
+    readonly #openCalls = new Map<ServerResponse, OpenCall>();
+    /** Responses that were ended since the entry stops. */
+    readonly #stoppedResponses = new WeakSet<ServerResponse>();
     #isLeaving = false;
 
     constructor(options: CallerServerOptions) {
@@ -95,7 +108,7 @@
 
     /** Returns the number of requests in progress. */
     getRunningCount(): number {
-        return this.#openResponses.size;
+        return this.#openCalls.size;
     }
 
     /** Closes each connection after its next response from now on, so that callers connect to another entry. */
@@ -103,18 +116,40 @@
         this.#isLeaving = true;
     }
 
-    /** Stops accepting connections, and resolves when every accepted request has been answered. */
-    close(): Promise<void> {
+    /**
+     * Stops accepting connections, and resolves when every accepted request has been answered. What has arrived is read first: a
+     * connection on which a request waits unread looks idle.
+     */
+    async close(): Promise<void> {
+        await this.#options.readProgress.readArrived();
         const closed = new Promise<void>(resolve => this.#server.close(() => resolve()));
         this.#server.closeIdleConnections();
-        return closed;
+        await closed;
     }
 
-    /** Closes every connection, including those with incomplete answers. */
-    abort(): void {
+    /** Refuses the requests whose answers are incomplete, and closes every connection. */
+    async abort(): Promise<void> {
+        const finished: Promise<unknown>[] = [];
+        for (const [response, call] of this.#openCalls) {
+            if (!response.writableEnded) {
+                finished.push(new Promise(resolve => response.once("close", resolve)));
+                this.#stopCall(call, response);
+            }
+        }
+        await Promise.race([Promise.all(finished), sleep(lastAnswersMilliseconds)]);
         this.#server.closeAllConnections();
     }
 
+    #stopCall(call: OpenCall, response: ServerResponse): void {
+        this.#stoppedResponses.add(response);
+        if (!response.headersSent) {
+            response.setHeader("connection", "close");
+        }
+        this.#refuse(response, call.requestId, call.identity.workspace, createStopRefusal());
+        // Ends the work for the caller.
+        call.disconnection.abort();
+    }
+
     #createRouter(): Router {
         const router = new Router();
         router.get("/health", context => {
@@ -161,15 +196,16 @@
             return;
         }
         const presence = new PresenceCheck(this.#options.readProgress);
+        const disconnection = createDisconnection(context.req, response);
         const call = {
             requestId,
             identity: identity.value,
-            disconnectSignal: createDisconnectSignal(context.req, response),
+            disconnectSignal: disconnection.signal,
             confirmCaller: () => presence.confirm(),
             arrivedAt: this.#now(),
         };
-        this.#openResponses.add(response);
-        this.#options.metrics.running.set(this.#openResponses.size);
+        this.#openCalls.set(response, { ...call, disconnection });
+        this.#options.metrics.running.set(this.#openCalls.size);
         try {
             const refusal = await serve(call, response);
             this.#report(call, response, refusal);
@@ -178,8 +214,8 @@
             this.#reportCrash(call, response, error);
         }
         finally {
-            this.#openResponses.delete(response);
-            this.#options.metrics.running.set(this.#openResponses.size);
+            this.#openCalls.delete(response);
+            this.#options.metrics.running.set(this.#openCalls.size);
         }
     }
 
@@ -303,6 +339,9 @@
 
     #report(call: IncomingCall, response: ServerResponse, refusal: Refusal | undefined): void {
         const { workspace } = call.identity;
+        if (this.#stoppedResponses.has(response)) {
+            return;
+        }
         if (refusal !== undefined) {
             this.#refuse(response, call.requestId, workspace, refusal);
             return;
@@ -325,9 +364,7 @@
             outcome,
             message: failure.message,
         });
-        if (!response.writableEnded) {
-            sendProblem(response, refusal, requestId);
-        }
+        endWithProblem(response, refusal, requestId);
     }
 
     #reportCrash(call: IncomingCall, response: ServerResponse, error: unknown): void {
--- a/src/entry/entry.ts
+++ b/src/entry/entry.ts
@@ -101,7 +101,7 @@
     async #drain(): Promise<void> {
         const { callerServer, settings } = this.getParts();
         const closed = callerServer.close();
-        const timer = setTimeout(() => callerServer.abort(), settings.timing.drainTimeoutMilliseconds);
+        const timer = setTimeout(() => void callerServer.abort(), settings.timing.drainTimeoutMilliseconds);
         await closed;
         clearTimeout(timer);
     }
--- a/src/entry/incomingCall.ts
+++ b/src/entry/incomingCall.ts
@@ -19,11 +19,11 @@
     readonly arrivedAt: number;
 }
 
-/** Creates a signal that aborts when the caller closes its connection before the answer is complete. */
-export function createDisconnectSignal(incoming: IncomingMessage, response: ServerResponse): AbortSignal {
+/** Creates a controller that aborts when the caller closes its connection before the answer is complete. */
+export function createDisconnection(incoming: IncomingMessage, response: ServerResponse): AbortController {
     const controller = new AbortController();
     watchConnection({ incoming, response, onDisconnected: () => controller.abort() });
-    return controller.signal;
+    return controller;
 }
 
 /** Refuses a body and closes the connection, because the rest of the body is still being received. */
@@ -52,6 +52,9 @@
 
 /** Sends a plain service's answer. */
 export function sendReply(response: ServerResponse, requestId: string, reply: ServiceReply): void {
+    if (response.writableEnded) {
+        return;
+    }
     response.writeHead(reply.answer.status, {
         ...reply.answer.headers,
         "x-request-id": requestId,
@@ -60,6 +63,18 @@
     response.end(reply.answer.body);
 }
 
+/** Creates the refusal of a call that was accepted and cannot be answered before the entry stops. */
+export function createStopRefusal(): Refusal {
+    return {
+        outcome: "unknown",
+        failure: new Failure({
+            kind: "unavailable",
+            message: "The entry stops before the request can be answered.",
+            remedy: "Check its outcome, or resume its stream, at another address of GET /v1/addresses.",
+        }),
+    };
+}
+
 /** Creates the failure of a call to an entry that is not ready. */
 export function createNotReadyResult(): Result<CallerIdentity, Failure> {
     return err(
