Tell the nodes that asked when a node stops that forwards their requests

Cause: a stopping node ended only what its own callers had in hand. Requests that it forwarded for other nodes ended with the process, and new ones were taken up to the end, since only the requests of callers are checked for the time that is left. The node that asked saw a broken call, and a begun answer broke off there.

Change: after the draining the relay server cancels what is left and sends the asking node a failure ("broken", as the request may have run), which is waited for like the last answers of callers; from then on, and after the share of the time to stop in which streams are accepted, it declines requests as not sent, so the asking node may take another one.

Ruled out: "disconnected", which would make the runner suspected of a crash; the route's timeout as a measure, which the forwarding node does not know.

Before: stop() does not exist, and a node without time answers otherwise; both new tests fail. No test lets a whole node stop while it forwards requests.

--- a/src/forwarding/shutdown.ts
+++ b/src/forwarding/shutdown.ts
@@ -7,7 +7,7 @@
 import { type Clock, Failure } from "../common/index.js";
 import type { Route } from "../routing/index.js";
 
-/** Streams are accepted during this first share of the time to stop. Most streams take a few seconds. */
+/** Streams, and requests of other nodes, are accepted during this first share of the time to stop. Most streams take a few seconds. */
 const streamAdmissionShare = 0.34;
 /** Requests in flight are aborted after this share of the time to stop, so that the process exits before it is killed. */
 const abortShare = 0.95;
@@ -67,15 +67,18 @@
         });
     }
 
+    /** Returns whether a request whose length is unknown may begin. */
+    canFinishUnknown(): boolean {
+        return this.#startedAt === undefined
+            || this.getTimeLeft() > this.#stopMilliseconds * (abortShare - streamAdmissionShare);
+    }
+
     #getElapsed(): number {
         return this.#startedAt === undefined ? 0 : this.#clock.monotonic() - this.#startedAt;
     }
 
     #canFinish(route: Route): boolean {
-        const remainingMilliseconds = this.getTimeLeft();
-        return route.kind === "stream"
-            ? remainingMilliseconds > this.#stopMilliseconds * (abortShare - streamAdmissionShare)
-            : remainingMilliseconds > route.timeoutMilliseconds;
+        return route.kind === "stream" ? this.canFinishUnknown() : this.getTimeLeft() > route.timeoutMilliseconds;
     }
 }
 
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -136,7 +136,7 @@
 
     async #stop(): Promise<void> {
         const parts = this.getParts();
-        const { liveSettings, journal, membership, callerServer, siteServer, forwarder, shutdown } = parts;
+        const { liveSettings, journal, membership, callerServer, siteServer, forwarder, relayServer, shutdown } = parts;
         journal.write(events.processStopping, { requests: callerServer.countOpen() });
         shutdown.start(liveSettings.get().bounds.stopMilliseconds);
         membership.announceLeaving();
@@ -144,7 +144,8 @@
         await this.#drain();
         // Connections that are closed at once would take the refusals with them.
         forwarder.stop();
-        while (callerServer.countOpen() > 0 && shutdown.getAnswerTimeLeft() > 0) {
+        relayServer.stop();
+        while (callerServer.countOpen() + relayServer.getInFlight() > 0 && shutdown.getAnswerTimeLeft() > 0) {
             await sleep(answerPollMilliseconds);
         }
         journal.write(events.processStopped, { requests: callerServer.countOpen() });
@@ -163,7 +164,10 @@
         const startedAt = clock.monotonic();
         while (shutdown.getTimeLeft() > 0) {
             if (clock.monotonic() - startedAt > minServingMilliseconds && this.#isIdle()) {
-                await Promise.race([readProgress.readArrived(), sleep(shutdown.getTimeLeft(), undefined, { ref: false })]);
+                await Promise.race([
+                    readProgress.readArrived(),
+                    sleep(shutdown.getTimeLeft(), undefined, { ref: false }),
+                ]);
                 if (this.#isIdle()) {
                     return;
                 }
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -43,12 +43,12 @@
 }
 
 /** Creates the part that forwards requests for other nodes. */
-export function createRelayServer({ registry, upstreamClient }: NodeParts): RelayServer {
+export function createRelayServer({ registry, upstreamClient, shutdown }: NodeParts): RelayServer {
     return new RelayServer(id => {
         const upstream = registry.get(id);
         const isAvailable = upstream !== undefined && registry.isAvailable(upstream);
         return isAvailable ? upstreamClient.getRelayTarget(upstream) : undefined;
-    });
+    }, () => shutdown.canFinishUnknown());
 }
 
 /** Creates the interceptor that sends requests to upstreams through other nodes. */
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -10,6 +10,7 @@
  * down under the callers of all others.
  */
 const maxCalls = 256;
+const stopReason = "the node that forwards requests stops";
 
 /** An upstream to which requests may be forwarded. */
 export interface RelayTarget {
@@ -30,16 +31,31 @@
 /** Forwards requests to upstreams that this node reaches itself, and never to a third node. */
 export class RelayServer {
     readonly #getTarget: (upstream: string) => RelayTarget | undefined;
-    #calls = 0;
+    readonly #canFinish: () => boolean;
+    /** Cancel the requests that are forwarded at the moment. */
+    readonly #calls = new Set<AbortController>();
+    #hasStopped = false;
 
-    /** @param getTarget - Returns an upstream by its identifier, if this node knows it and may send it requests. */
-    constructor(getTarget: (upstream: string) => RelayTarget | undefined) {
+    /**
+     * @param getTarget - Returns an upstream by its identifier, if this node knows it and may send it requests.
+     * @param canFinish - Returns whether a request that begins now is expected to end before this node does.
+     */
+    constructor(getTarget: (upstream: string) => RelayTarget | undefined, canFinish: () => boolean = () => true) {
         this.#getTarget = getTarget;
+        this.#canFinish = canFinish;
     }
 
     /** Returns the number of requests that this node forwards at the moment. */
     getInFlight(): number {
-        return this.#calls;
+        return this.#calls.size;
+    }
+
+    /** Cancels all requests, tells the nodes that asked, and declines further ones. */
+    stop(): void {
+        this.#hasStopped = true;
+        for (const call of this.#calls) {
+            call.abort();
+        }
     }
 
     /**
@@ -49,8 +65,12 @@
      * @returns The parts of the answer.
      */
     async *handle(request: RelayRequest, signal: AbortSignal): AsyncGenerator<RelayPart> {
+        if (this.#hasStopped || !this.#canFinish()) {
+            yield createFailure("not-sent", stopReason);
+            return;
+        }
         const target = this.#getTarget(request.upstream);
-        if (target === undefined || this.#calls >= maxCalls) {
+        if (target === undefined || this.#calls.size >= maxCalls) {
             const reason = target === undefined
                 ? "the upstream gets no requests here"
                 : "too many requests are forwarded";
@@ -61,16 +81,25 @@
             yield createFailure("no-room", "the upstream takes no more requests from this node now");
             return;
         }
-        this.#calls += 1;
+        const call = new AbortController();
+        const cancel = (): void => call.abort();
+        signal.addEventListener("abort", cancel, { once: true });
+        if (signal.aborted) {
+            cancel();
+        }
+        this.#calls.add(call);
         target.addRequest?.();
         try {
-            yield* forward(request, target, signal);
+            yield* forward(request, target, call.signal);
         }
         catch (error) {
-            yield createFailure(classifyTransportError(error, signal), describeTransportError(error));
+            const isStopped = call.signal.aborted && !signal.aborted;
+            const reason = isStopped ? stopReason : describeTransportError(error);
+            yield createFailure(classifyTransportError(error, call.signal), reason);
         }
         finally {
-            this.#calls -= 1;
+            this.#calls.delete(call);
+            signal.removeEventListener("abort", cancel);
         }
     }
 }
--- a/test/reachability/relayServer.test.ts
+++ b/test/reachability/relayServer.test.ts
@@ -5,6 +5,7 @@
 import { Agent } from "undici";
 import type { RelayPart } from "../../src/generated/peer.js";
 import { RelayServer, type RelayTarget } from "../../src/reachability/index.js";
+import { waitUntil } from "../../src/testbench/index.js";
 
 const host = "127.72.54.1";
 const request = {
@@ -81,6 +82,36 @@
         expect(parts.map(({ failure }) => failure?.kind)).toEqual(["no-room"]);
     });
 
+    // Guards against a node that asks and loses its request without a word when this one stops.
+    it("tells the nodes that asked when it stops, and sends nothing afterwards", async () => {
+        let received = 0;
+        const address = await startUpstream((incoming, response) => {
+            received += 1;
+            response.writeHead(200).write("begun");
+            incoming.resume();
+        });
+        const server = new RelayServer(() => createTarget(address));
+        const pending = collect(server);
+        await waitUntil(() => received === 1, { description: "a request at the upstream" });
+        server.stop();
+        const last = (await pending).at(-1);
+        expect([last?.failure, last?.isEnd, server.getInFlight()]).toEqual([
+            { kind: "broken", reason: "the node that forwards requests stops" },
+            false,
+            0,
+        ]);
+        expect((await collect(server)).map(({ failure }) => failure?.kind)).toEqual(["not-sent"]);
+        expect(received).toEqual(1);
+    });
+
+    // Guards against a request that begins shortly before its node ends.
+    it("declines what would not end before it stops", async () => {
+        const server = new RelayServer(() => createTarget(`${host}:1`), () => false);
+        expect((await collect(server)).map(({ failure }) => [failure?.kind, failure?.reason])).toEqual([
+            ["not-sent", "the node that forwards requests stops"],
+        ]);
+    });
+
     // Guards against the few nodes that are left, which would break down under the callers of all others.
     it("declines what exceeds its share, and takes requests again afterwards", async () => {
         const address = await startUpstream(() => {
