--- a/test/forwarding/replacedSilence.test.ts
+++ b/test/forwarding/replacedSilence.test.ts
@@ -1,8 +1,9 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { waitUntil } from "../../src/testbench/index.js";
 import { createAnswer, createCallFailure, createForwarder, type UpstreamBehaviour } from "../fixtures/forwarders.js";
-import { createRouteTable, createStreamRoute } from "../fixtures/routes.js";
+import { createRoute, createRouteTable, createStreamRoute } from "../fixtures/routes.js";
 import { createUpstreams } from "../fixtures/upstreams.js";
 
 function createEvent(id: number): string {
@@ -45,3 +46,46 @@
         });
     }
 });
+
+describe("a stream whose silent runner could be replaced only by one whose slots are all in use", () => {
+    // Guards against an answer that is broken off halfway since the request waits in the queue of another runner.
+    it("goes on with its own runner", async () => {
+        const held = new AbortController();
+        const behaviour: UpstreamBehaviour = async ({ request, signal }) => {
+            if (request.target.startsWith("/filling/")) {
+                await sleep(10_000, undefined, { signal: AbortSignal.any([signal, held.signal]) }).catch(() => {});
+                return createAnswer(["done"]);
+            }
+            return createAnswer([], { confidence: 80, body: pause(signal) });
+        };
+        let candidate = "u2";
+        const { send, calls } = createForwarder({
+            behaviour,
+            getRoutes: () =>
+                createRouteTable({
+                    routes: [
+                        createStreamRoute({ maxAttempts: 2 }),
+                        createRoute({
+                            pathPrefix: "/filling/",
+                            kind: "at-most-once",
+                            maxAttempts: 1,
+                            timeoutMilliseconds: 10_000,
+                        }),
+                    ],
+                }),
+            upstreams: createUpstreams(2, { slots: 1 }),
+            selectVersion: upstreams => upstreams.filter(({ id }) => candidate === "" || id === candidate),
+        });
+        const filling = [1, 2, 3].map(() => send({ target: "/filling/1", deadlineMilliseconds: 10_000 }));
+        await waitUntil(() => calls.length === filling.length, { description: "the other runner to be full" });
+        candidate = "u1";
+        const streaming = send({ session: "session", deadlineMilliseconds: 20_000 });
+        await waitUntil(() => calls.length > filling.length, { description: "the stream to begin" });
+        candidate = "";
+        const caller = await streaming;
+        held.abort();
+        await Promise.all(filling);
+        expect([caller.chunks, caller.isComplete]).toEqual([[createEvent(1), createEvent(2)], true]);
+        expect(calls.map(({ upstream }) => upstream)).toEqual(["u2", "u2", "u2", "u1"]);
+    });
+});
