Look for a second runner beside a silent one without a refusal

Cause: an attempt whose answer did not start in time asked for room like a new request, every 250 ms. At a full pool it was turned away or queued: it marked its own caller as refused, took a slot of the retry schedule, counted as refused, and could push others out of the queue. What callers saw is suspected from the code, not measured: requests that are told to wait, or refused as crowded, for nothing. Ruled out: an offer without a caller, which leaves the retry schedule, the counts and the queue as they were. Change: PoolRooms.tryBegin lets a request begin only if there is room now, and leaves nothing otherwise; silent attempts use it. What is to replace an answer with a server error still waits for room as before.

The new test of the pool's rooms needs the new method, so there is no run of it from before. After: poolRooms 22, roomReplay 24, waitingRoom 5, unaryExchange 13, streamExchange 22, replacedSilence 3, platform/silentRunner 4 pass.

--- a/src/decisions/room/beginCredit.ts
+++ b/src/decisions/room/beginCredit.ts
@@ -1,6 +1,10 @@
 /**
  * Credit by which a node begins requests at a rate that may be far below one a second.
  */
+import type { Turn } from "./waitingRequests.js";
+
+/** Credit, in requests, from which a request begins. The later its turn, the more is left for requests that come first. */
+export const neededCredits: Readonly<Record<Turn, number>> = { timely: 1, "above-share": 3, late: 4 };
 
 /** Accumulates the requests that may begin. */
 export class BeginCredit {
--- a/src/decisions/room/poolRooms.ts
+++ b/src/decisions/room/poolRooms.ts
@@ -82,6 +82,21 @@
         return this.#getGate(pool).offer(request, resolve);
     }
 
+    /**
+     * Lets a request begin if there is room for it now. Otherwise it does not wait, and its caller is not refused.
+     * @param pool - Name of the pool.
+     * @param request - The request.
+     * @returns Whether it begins.
+     */
+    tryBegin(pool: string, request: RoomRequest): boolean {
+        const gate = this.#getGate(pool);
+        const hasRoom = gate.hasRoom(request.priority);
+        if (hasRoom) {
+            gate.offer(request, () => {});
+        }
+        return hasRoom;
+    }
+
     /** Adds what an upstream reports with an answer or a rejection. */
     addReport(upstream: PooledUpstream, load: LoadStatement): void {
         const gate = this.#getGate(upstream.pool);
--- a/src/decisions/room/roomGate.ts
+++ b/src/decisions/room/roomGate.ts
@@ -8,7 +8,7 @@
 import type { Schedule } from "../limits/admission.js";
 import { RefusedCallers } from "../limits/refusedCallers.js";
 import { RetrySchedule } from "../limits/retrySchedule.js";
-import { BeginCredit } from "./beginCredit.js";
+import { BeginCredit, neededCredits } from "./beginCredit.js";
 import { type BelievedLoad, type LoadedUpstream, PoolLoad } from "./poolLoad.js";
 import type { RoomBasis, RoomDecision, RoomRefusalReason, RoomRequest } from "./roomDecision.js";
 import type { RoomOptions } from "./roomOptions.js";
@@ -34,8 +34,6 @@
 const retrySpread = 0.25;
 /** Factor of the expected wait of a waiting request. Estimates vary, so a request is not turned away at the first doubt. */
 const sweepDoubt = 0.5;
-/** Credit, in requests, from which a request begins. The later its turn, the more is left for requests that come first. */
-const neededCredits: Readonly<Record<Turn, number>> = { timely: 1, "above-share": 3, late: 4 };
 /** Share of a workspace in its priority. */
 const workspaceShare = 1;
 
@@ -85,6 +83,12 @@
         return load && this.#getShare(load);
     }
 
+    /** Returns whether a new request of a priority would begin at once. */
+    hasRoom(priority: number): boolean {
+        const load = this.#getLoad();
+        return load === undefined ? this.#getLoadOfWaiting() === undefined : this.#mayPass(load, priority);
+    }
+
     /** Returns the expected time until a new request of a priority would begin, in milliseconds. */
     getWaitMilliseconds(priority: number): number {
         const load = this.#getLoad();
@@ -101,9 +105,8 @@
      */
     offer(request: RoomRequest, resolve: (decision: RoomDecision) => void): () => void {
         const item = this.#createItem(request, resolve);
-        const known = this.#getLoad();
-        const load = known ?? this.#getLoadOfWaiting();
-        if (load === undefined || known !== undefined && this.#mayPass(known, request.priority)) {
+        const load = this.#getLoad() ?? this.#getLoadOfWaiting();
+        if (load === undefined || this.hasRoom(request.priority)) {
             this.#waiting.addPassage(item, item.since);
             resolve({ kind: "begin", hasWaited: false, basis: this.#createBasis(item, 0) });
             return () => {};
@@ -212,10 +215,7 @@
         return isProbe;
     }
 
-    /**
-     * Finds the next request, after moving back those that can no longer meet their objective and turning away those that can no
-     * longer be answered.
-     */
+    /** Finds the next request, after moving back those that miss their objective and turning away those that miss their deadline. */
     #findNext(now: number): NextRequest<Waiting> | undefined {
         for (;;) {
             const next = this.#waiting.findNext();
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -62,13 +62,13 @@
     }
 
     /**
-     * Admits the next attempt of a request while its current one is silent, so that this one is given up only for one that is certain.
+     * Admits the next attempt of a request whose current one has failed, so that its answer is given up only for one that is made.
      * @param request - The next attempt.
-     * @param signal - Aborted when the current attempt is not silent any more.
+     * @param signal - Ends the wait for room.
      * @returns Whether the next attempt is admitted.
      */
     async reserve(request: AttemptRequest, signal: AbortSignal): Promise<boolean> {
-        if (this.#checkReplacement(request).isErr() || !await this.#options.waitingRoom.enterBeside(request, signal)) {
+        if (this.#checkReplacement(request).isErr() || !await this.#options.waitingRoom.enterAgain(request, signal)) {
             return false;
         }
         if (signal.aborted) {
@@ -78,18 +78,19 @@
     }
 
     /**
-     * Admits the next attempt of a request whose stream has started and is silent now. A full upstream would queue the request, and
-     * the current one may go on earlier.
+     * Admits the next attempt of a request whose current one is silent, if there is room for it now. A full upstream would queue a
+     * stream that has started, and the current one may go on earlier.
      * @param request - The next attempt.
      * @returns Whether the next attempt is admitted.
      */
     reserveBeside(request: AttemptRequest): boolean {
         const selection = this.#checkReplacement(request).andThen(selected =>
-            selected.pick.load >= fullLoad
+            request.exchange.reply.hasStarted && selected.pick.load >= fullLoad
                 ? err<SelectedUpstream, AttemptFailure>({ kind: "not-made", reason: "no-room" })
                 : ok<SelectedUpstream, AttemptFailure>(selected)
         );
-        return this.#reserve(request, selection);
+        return selection.isOk() && this.#options.waitingRoom.tryEnterBeside(request)
+            && this.#reserve(request, selection);
     }
 
     #reserve(request: AttemptRequest, checked: Result<SelectedUpstream, AttemptFailure>): boolean {
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -83,7 +83,7 @@
     }
 
     /**
-     * Admits the next attempt of a request whose current one is to be given up only for one that is made.
+     * Admits the next attempt of a request whose current one has failed. It waits for room.
      * @param request - The next attempt.
      * @param signal - Ends the wait for room.
      * @returns Whether the next attempt is admitted. If so, it has to be made at once.
@@ -93,7 +93,7 @@
     }
 
     /**
-     * Admits the next attempt of a request whose stream has started and is silent now, if an upstream has room for it.
+     * Admits the next attempt of a request whose current one is silent, if there is room for it now.
      * @param request - The next attempt.
      * @returns Whether the next attempt is admitted. If so, it has to be made at once.
      */
@@ -240,7 +240,7 @@
         return new CallCancellation({
             ended: exchange.ended,
             headTimeoutMilliseconds: isLate ? undefined : timeout,
-            reserveNext: signal => this.reserve(request, signal),
+            reserveNext: () => Promise.resolve(this.reserveBeside(request)),
         });
     }
 
--- a/src/forwarding/waitingRoom.ts
+++ b/src/forwarding/waitingRoom.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../common/index.js";
-import type { EndedRequest, PoolRooms, PromptDescription, RoomDecision } from "../decisions/index.js";
+import type { EndedRequest, PoolRooms, PromptDescription, RoomDecision, RoomRequest } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
@@ -15,7 +15,7 @@
     readonly clock: Clock;
     readonly journal: Journal;
     readonly metrics: ForwardingMetrics;
-    readonly rooms: Pick<PoolRooms, "offer" | "start" | "getWaitMilliseconds">;
+    readonly rooms: Pick<PoolRooms, "offer" | "tryBegin" | "start" | "getWaitMilliseconds">;
 }
 
 /** A request that has room. */
@@ -58,12 +58,12 @@
     }
 
     /**
-     * Waits until a further attempt may begin, while the current one goes on.
+     * Waits until a further attempt may begin in place of one that has failed.
      * @param request - The further attempt.
      * @param signal - Ends the wait.
      * @returns Whether it may begin. Otherwise its caller is not refused.
      */
-    async enterBeside({ exchange, prompt }: AttemptRequest, signal: AbortSignal): Promise<boolean> {
+    async enterAgain({ exchange, prompt }: AttemptRequest, signal: AbortSignal): Promise<boolean> {
         if (exchange.reply.hasStarted) {
             return true;
         }
@@ -74,6 +74,16 @@
         return decision?.kind === "begin";
     }
 
+    /**
+     * Lets a further attempt begin beside the current one if there is room now. One whose answer has already started needs none.
+     * @returns Whether it may begin. Otherwise nothing is left of the question.
+     */
+    tryEnterBeside({ exchange, prompt }: AttemptRequest): boolean {
+        const { pool, reply } = exchange;
+        return reply.hasStarted
+            || this.#options.rooms.tryBegin(pool, createRoomRequest(exchange, getWork(exchange, prompt)));
+    }
+
     /**
      * Records that an attempt begins at an upstream.
      * @returns A function to call once at its end.
@@ -84,25 +94,20 @@
 
     /** Returns the decision, or undefined when the wait was ended by the signal. */
     #wait(exchange: Exchange, work: number, signal: AbortSignal): Promise<RoomDecision | undefined> {
-        const { pool, workspace = anonymousWorkspace, priority, route } = exchange;
         return new Promise(resolve => {
             const leave = (): void => {
                 stopWaiting();
                 resolve(undefined);
             };
             signal.addEventListener("abort", leave, { once: true });
-            const stopWaiting = this.#options.rooms.offer(pool, {
-                workspace,
-                priority,
-                work,
-                bytes: exchange.request.body.length,
-                objectiveMilliseconds: route.objectiveMilliseconds - exchange.getElapsed(),
-                deadlineMilliseconds: exchange.getTimeLeft(),
-                getCaller: () => getCaller(exchange),
-            }, decision => {
-                signal.removeEventListener("abort", leave);
-                resolve(decision);
-            });
+            const stopWaiting = this.#options.rooms.offer(
+                exchange.pool,
+                createRoomRequest(exchange, work),
+                decision => {
+                    signal.removeEventListener("abort", leave);
+                    resolve(decision);
+                },
+            );
         });
     }
 
@@ -136,6 +141,19 @@
     }
 }
 
+function createRoomRequest(exchange: Exchange, work: number): RoomRequest {
+    const { workspace = anonymousWorkspace, priority, route, request } = exchange;
+    return {
+        workspace,
+        priority,
+        work,
+        bytes: request.body.length,
+        objectiveMilliseconds: route.objectiveMilliseconds - exchange.getElapsed(),
+        deadlineMilliseconds: exchange.getTimeLeft(),
+        getCaller: () => getCaller(exchange),
+    };
+}
+
 /** Identifies a request by its content. Requests without a body are too alike: those of different callers count as repeats. */
 function getCaller({ request, watchedRequest }: Exchange): string | undefined {
     return request.body.length === 0 ? undefined : watchedRequest.getFingerprint();
--- a/test/decisions/room/poolRooms.test.ts
+++ b/test/decisions/room/poolRooms.test.ts
@@ -236,6 +236,21 @@
         expect(decisions.length).toEqual(0);
     });
 
+    // Guards against requests that are refused or pushed out of the queue since others only ask for a second runner at a full pool.
+    it("lets a request begin only if there is room now, and leaves nothing of it otherwise", () => {
+        const { offer, keepFull, rooms } = createRooms({ nodes: 30 });
+        const asked = createRequest({ deadlineMilliseconds: 100, getCaller: () => "asking" });
+        expect(rooms.tryBegin("desk", asked)).toEqual(true);
+        keepFull();
+        const { decisions: waiting } = offer({ deadlineMilliseconds: 1_000_000 });
+        for (let count = 0; count < 1_000; count += 1) {
+            expect(rooms.tryBegin("desk", asked)).toEqual(false);
+        }
+        expect([rooms.getWaiting("desk"), waiting.length]).toEqual([1, 0]);
+        const { decisions } = offer({ deadlineMilliseconds: 1_000_000, getCaller: () => "asking" });
+        expect([decisions.length, rooms.getWaiting("desk")]).toEqual([0, 2]);
+    });
+
     // Guards against a repeat that stays in the queue without a caller and takes the room of others.
     it("forgets a repeating caller that leaves", () => {
         const { offer, keepFull, rooms, time } = createRooms({ nodes: 30 });
