Bound the failures of streams that are passed on

What callers saw: a stream's runner that answers with a failure whose body has no end is read, and passed on, until the caller's deadline.

Cause: the bound of answers counted what is held of an event; a failure holds none and was passed on as it came.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -237,6 +237,7 @@
         const { attempt, body } = relayed;
         const isEventStream = attempt.answer.status === successStatus;
         const buffer = this.#answerBuffers.add(attempt.upstream.id, attempt.cancel);
+        let passedBytes = 0;
         try {
             for (;;) {
                 if (!await this.#waitForPiece(relayed)) {
@@ -248,7 +249,9 @@
                 }
                 attempt.markSeen();
                 await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
-                buffer.hold(relayed.splitter.remainderLength);
+                passedBytes += bytes.length;
+                // What is no stream of events may be no larger than an answer that is read completely.
+                buffer.hold(isEventStream ? relayed.splitter.remainderLength : passedBytes);
                 if (buffer.isGivenUp) {
                     return { kind: "broken", reason: oversizedReason, isDisconnected: false };
                 }
