--- /dev/null
+++ b/test/platform/standins/slottedRunner.ts
@@ -0,0 +1,123 @@
+/**
+ * Simulates a runner that works on a bounded number of requests at once, lets others wait, states its load with each answer and
+ * falls silent as a whole for a time, after which it goes on.
+ */
+import type { ServerResponse } from "node:http";
+import { createSeal, type ReceivedRequest, type RunnerStandin } from "./runnerStandin.js";
+
+/** Requests that wait for a slot; a runner rejects others. */
+const maxWaiting = 100;
+
+/** What a runner does with its requests. */
+export interface SlottedWork {
+    /** Requests that are worked on at once. */
+    readonly slots: number;
+    /** Time between the events of a stream. */
+    readonly eventMilliseconds: number;
+    /** Time that an answer without events takes. */
+    readonly callMilliseconds: number;
+    /** Returns the number of events of the whole answer to a stream. */
+    readonly getEventCount: (target: string) => number;
+}
+
+/** Works on the requests that a stand-in receives. */
+export class SlottedRunner {
+    readonly #work: SlottedWork;
+    readonly #waiting: (() => void)[] = [];
+    #running = 0;
+    #silentUntil = 0;
+
+    /**
+     * @param runner - The stand-in that it takes over.
+     * @param work - What it does.
+     */
+    constructor(runner: RunnerStandin, work: SlottedWork) {
+        this.#work = work;
+        runner.behaviour = (request, response) => this.#answer(request, response);
+    }
+
+    /** Sends nothing for a time, begins nothing and notices nothing of what arrives. */
+    silence(milliseconds: number): void {
+        this.#silentUntil = Math.max(this.#silentUntil, performance.now() + milliseconds);
+    }
+
+    async #answer(request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        await this.#wait(0);
+        if (this.#running >= this.#work.slots && this.#waiting.length >= maxWaiting) {
+            const headers = { "Attempt-Id": String(request.headers["attempt-id"]), "Not-Executed": "1" };
+            response.writeHead(503, { ...headers, ...this.#createLoad() }).end();
+            return;
+        }
+        await this.#takeSlot();
+        if (!response.destroyed) {
+            await (request.target.startsWith("/stream/")
+                ? this.#answerStream(request, response)
+                : this.#answerCall(request, response));
+        }
+        this.#freeSlot();
+    }
+
+    async #answerStream(request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        const last = this.#work.getEventCount(request.target);
+        for (let id = first; id <= last; id += 1) {
+            await this.#wait(this.#work.eventMilliseconds);
+            if (response.destroyed) {
+                return;
+            }
+            if (!response.headersSent) {
+                const headers = { ...createSeal(request), "Content-Type": "text/event-stream" };
+                response.writeHead(200, { ...headers, ...this.#createLoad() });
+            }
+            response.write(createEvent(id));
+        }
+        if (!response.headersSent) {
+            response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+        }
+        response.end();
+    }
+
+    async #answerCall(request: ReceivedRequest, response: ServerResponse): Promise<void> {
+        await this.#wait(this.#work.callMilliseconds);
+        response.writeHead(200, { ...createSeal(request), ...this.#createLoad() }).end("done");
+    }
+
+    /** Waits for a time, and until the silence ends. */
+    async #wait(milliseconds: number): Promise<void> {
+        const until = performance.now() + milliseconds;
+        for (;;) {
+            const left = Math.max(until, this.#silentUntil) - performance.now();
+            if (left <= 0) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, left));
+        }
+    }
+
+    async #takeSlot(): Promise<void> {
+        if (this.#running < this.#work.slots) {
+            this.#running += 1;
+            return;
+        }
+        await new Promise<void>(resolve => this.#waiting.push(resolve));
+    }
+
+    /** Passes the slot on to the request that has waited longest. */
+    #freeSlot(): void {
+        const next = this.#waiting.shift();
+        if (next === undefined) {
+            this.#running -= 1;
+            return;
+        }
+        next();
+    }
+
+    #createLoad(): Readonly<Record<string, string>> {
+        return { "Server-Load": `${this.#running},${this.#waiting.length},${this.#work.slots}` };
+    }
+}
+
+/** Returns the bytes of an event. */
+export function createEvent(id: number): string {
+    return `id: ${id}\ndata: ${id}\n\n`;
+}
