Tell how the silence of a stream's upstream ended

Lines 422 and 463 could not tell two hypotheses of docs/incidents/silent-runners.md apart: that a silent answer is given up before the one in its place has begun, and that queues after a silence are too long.

Line 465 says for how long an upstream was silent, whether it went on, was taken back or was given up, and whether its replacement had begun by then. No decision changes.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -189,6 +189,12 @@
         "warning",
         "An upstream sent bytes without an end: they exceeded a bound, so its connection was closed. The fields give the bound and the bytes.",
     ),
+    silenceEnded: define(
+        465,
+        "silence-ended",
+        "info",
+        "A stream's upstream had sent nothing for longer than the pause timeout. The fields say for how long, whether it went on, was taken back after its replacement had failed, or was given up, and whether the replacement had begun by then.",
+    ),
     poorAnswerAccepted: define(
         470,
         "poor-answer-accepted",
--- a/src/forwarding/streamAnswer.ts
+++ b/src/forwarding/streamAnswer.ts
@@ -10,11 +10,25 @@
     readonly attempt: Attempt;
     readonly body: BodyReader;
     readonly splitter = new EventSplitter();
-    /** Whether the runner has sent nothing for longer than the pause timeout. */
-    isSilent = false;
+    /**
+     * Time from the arrival of the request since which the runner has sent nothing, in milliseconds. Undefined as long as that is
+     * shorter than the pause timeout.
+     */
+    silentSince: number | undefined;
+    #isReplaced = false;
 
     constructor(attempt: Attempt) {
         this.attempt = attempt;
         this.body = new BodyReader(attempt.answer.body);
     }
+
+    /** Whether another runner has begun to go on with the stream. */
+    get isReplaced(): boolean {
+        return this.#isReplaced;
+    }
+
+    /** Records that another runner has begun to go on with the stream. */
+    markReplaced(): void {
+        this.#isReplaced = true;
+    }
 }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -4,7 +4,7 @@
 import type { Result } from "neverthrow";
 import { Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
-import type { Journal } from "../events/index.js";
+import { events, type Journal } from "../events/index.js";
 import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
@@ -77,10 +77,12 @@
     /** Answer that goes on if the attempt that replaces it does not begin. */
     #silent: SilentAnswer | undefined;
     readonly #answerBuffers: AnswerBuffers;
+    readonly #journal: Journal;
     #lastEventId: string | undefined;
 
     constructor(options: StreamExchangeOptions) {
         const { exchange, attempts, budget, pressure, headTimes, journal, metrics } = options;
+        this.#journal = journal;
         this.#answerBuffers = options.answerBuffers;
         this.#exchange = exchange;
         this.#attempts = attempts;
@@ -145,6 +147,7 @@
     /** Returns the silent answer if the attempt that replaces it does not continue it; otherwise discards it. */
     #takeSilentBack(attempt: Attempt): StreamAnswer | undefined {
         if (this.#silent === undefined || attempt.answer.status === successStatus) {
+            this.#silent?.answer.markReplaced();
             this.#silent?.held.discard();
             this.#silent = undefined;
             return undefined;
@@ -160,7 +163,11 @@
     #takeSilent(): StreamAnswer | undefined {
         const silent = this.#silent;
         this.#silent = undefined;
-        return silent?.held.take() === undefined ? undefined : silent.answer;
+        if (silent?.held.take() === undefined) {
+            return undefined;
+        }
+        this.#logSilence(silent.answer, "taken-back");
+        return silent.answer;
     }
 
     /** Returns the answer that was kept for the case that another attempt fails. */
@@ -205,7 +212,7 @@
         }
         const result = await this.#relayBody(relayed);
         if (result.kind === "silent") {
-            this.#silent = { answer: relayed, held: createHeld(attempt, result.reason) };
+            this.#silent = { answer: relayed, held: this.#hold(relayed, result.reason) };
             return false;
         }
         if (result.kind === "complete") {
@@ -283,18 +290,43 @@
         if (!route.isResumable || relayed.attempt.answer.status !== successStatus) {
             return true;
         }
-        let milliseconds = relayed.isSilent ? recheckMilliseconds : this.#getPauseTimeout();
+        let milliseconds = relayed.silentSince === undefined ? this.#getPauseTimeout() : recheckMilliseconds;
         while (!await relayed.body.waitForPiece(milliseconds)) {
-            relayed.isSilent = true;
+            relayed.silentSince ??= this.#exchange.getElapsed() - milliseconds;
             if (this.#attempts.reserveBeside(this.#createAttemptRequest())) {
                 return false;
             }
             milliseconds = recheckMilliseconds;
         }
-        relayed.isSilent = false;
+        if (relayed.silentSince !== undefined) {
+            this.#logSilence(relayed, "went-on");
+            relayed.silentSince = undefined;
+        }
         return true;
     }
 
+    /** Keeps an answer whose runner has fallen silent: the other one may reject the request, and this one goes on as a rule. */
+    #hold(silent: StreamAnswer, reason: string): HeldAnswer {
+        return new HeldAnswer({
+            attempt: silent.attempt,
+            getKeptMilliseconds: () => keptMilliseconds,
+            onDiscard: () => {
+                this.#logSilence(silent, "given-up");
+                silent.attempt.finish("failed", reason, "stopped");
+            },
+        });
+    }
+
+    #logSilence(silent: StreamAnswer, end: "went-on" | "taken-back" | "given-up"): void {
+        this.#journal.write(events.silenceEnded, {
+            request: this.#exchange.request.id,
+            upstream: silent.attempt.upstream.id,
+            end,
+            silentMs: Math.round(this.#exchange.getElapsed() - (silent.silentSince ?? 0)),
+            isReplaced: silent.isReplaced,
+        });
+    }
+
     /** Returns whether a further attempt is certain. Its upstream is then reserved. */
     #reserveNext(): Promise<boolean> {
         return this.#attempts.reserve(this.#createAttemptRequest(), this.#exchange.ended);
@@ -373,12 +405,3 @@
         };
     }
 }
-
-/** Keeps an answer whose runner has fallen silent: the other one may reject the request, and this one goes on as a rule. */
-function createHeld(attempt: Attempt, reason: string): HeldAnswer {
-    return new HeldAnswer({
-        attempt,
-        getKeptMilliseconds: () => keptMilliseconds,
-        onDiscard: () => attempt.finish("failed", reason, "stopped"),
-    });
-}
--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -30,6 +30,12 @@
 console.log(
     `${lost.length} lost and ${refused} refused of ${result.answers.length}; ${givenUp.length} attempts given up in silence`,
 );
+const ends = new Map<string, number>();
+for (const { end, isReplaced } of result.events.filter(({ name }) => name === "silence-ended")) {
+    const text = `${String(end)}${isReplaced === true ? " after the other one had begun" : ""}`;
+    ends.set(text, (ends.get(text) ?? 0) + 1);
+}
+console.log(`silences: ${[...ends].map(([end, count]) => `${count} ${end}`).join(", ")}`);
 for (const { id, path, status, body, reason, sentAt, endedAt } of lost.slice(0, Number(values.lines))) {
     const milliseconds = Math.round(endedAt - sentAt);
     console.log(
