Choose runners by their load for streams without a prompt

Callers got half of their streams: the time was over while they waited behind each other at one runner of twelve.

Cause: the choice by expected finish counts prefill alone.

Change: a stream without a prompt goes to the least loaded runner, as calls do. Such answers, and picks that expect nothing, no longer enter the rates of prefill.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -98,7 +98,8 @@
             // An attempt on an ejected upstream may succeed; without it the request would certainly be refused.
             return this.#createPick(this.#findLeastLoaded(untried, now), "ejected", now);
         }
-        if (options.prompt !== undefined) {
+        // Without a prompt there is no prefill to expect, so that the expected times are equal whatever the loads are.
+        if (options.prompt !== undefined && options.prompt.tokens > 0) {
             return this.#findLeastWait(options, healthy, options.prompt, now);
         }
         const sameDomain = healthy.filter(upstream => upstream.failureDomain === this.#failureDomain);
@@ -131,6 +132,9 @@
      */
     addHeadTime(model: string | undefined, milliseconds: number, pick: UpstreamPick): void {
         const { expectedMilliseconds, prefillMilliseconds, slowness, uncachedTokens, upstream: { pool } } = pick;
+        if (uncachedTokens === 0) {
+            return;
+        }
         this.#prefillRates.add({
             model,
             tokens: uncachedTokens,
--- a/test/decisions/dispatch/upstreamPicker.test.ts
+++ b/test/decisions/dispatch/upstreamPicker.test.ts
@@ -274,6 +274,28 @@
             }
             expect(getPercentile95(pickerWaits) < 0.25 * getPercentile95(randomWaits)).toEqual(true);
         });
+
+        // Guards against nodes that all send to the same upstream, however full it is, since nothing is to be prefilled.
+        it("looks at the loads for a stream without a prompt", () => {
+            const { picker } = createPicker();
+            const candidates = createUpstreams(4, { slots: 8 });
+            const prompt = createPrompt({ tokens: 0 });
+            for (const [index, upstream] of candidates.entries()) {
+                picker.addLoadReport(upstream, {
+                    requests: index === 0 ? 12 : 1,
+                    waiting: index === 0 ? 4 : 0,
+                    slots: 8,
+                });
+            }
+            const counts = new Map(candidates.map(({ id }) => [id, 0]));
+            for (let index = 0; index < 9; index += 1) {
+                const { upstream, load } = picker.pick({ pool: "pool", candidates, excluded: new Set(), prompt })!;
+                expect(load < 1).toEqual(true);
+                picker.start(upstream.id);
+                counts.set(upstream.id, counts.get(upstream.id)! + 1);
+            }
+            expect([...counts.values()]).toEqual([0, 3, 3, 3]);
+        });
     });
 
     describe("finish", () => {
