Keep a silent answer until the runner that is to replace it has begun

Callers lost the rest of a stream, or waited for it in vain, although their runner had gone on after a second of silence.

Cause: a silent answer was kept until 300 ms after the request was sent to another runner. One that queues the request, or is silent itself, has not begun by then. Class: what a caller has is ended for what was only sent.

Ruled out: keeping both until the end. Two runners must not go on with one stream, so the first one that begins ends the other: the head of the replacement, which comes with its first token, ends the silent attempt, and anything from the silent runner withdraws the replacement. An end without a length is not taken for going on, and a crash while the answer is kept still counts as one. If the replacement is given up for a third runner, the silent answer is kept beside that one as well.

Tests: forwarding/replacedSilence, "goes on with its own runner, and ends the work at the other one", failed before.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -56,6 +56,8 @@
     readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
     /** Called when the request is written to a connection. It may wait for one before. */
     readonly onSent?: (() => void) | undefined;
+    /** Ends the attempt before its answer has started. Without it, only the end of the request does. */
+    readonly withdrawal?: AbortSignal | undefined;
     /**
      * Returns the retries that a further attempt leaves to more urgent requests.
      * @param allowed - Retries that the pool's budget allows in its window.
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -173,7 +173,7 @@
             const { isHeadTimedOut } = cancellation;
             isGivenUp = result.error.kind === "broken" && (isHeadTimedOut || exchange.ended.aborted);
             finish(
-                classifyFailure(exchange, result.error, isHeadTimedOut),
+                classifyFailure(request, result.error, isHeadTimedOut),
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
@@ -234,11 +234,12 @@
     }
 
     #createCancellation(request: AttemptRequest, pick: UpstreamPick): CallCancellation {
-        const { exchange, getHeadTimeout } = request;
+        const { exchange, getHeadTimeout, withdrawal } = request;
         const timeout = getHeadTimeout(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
         const isLate = timeout === undefined || timeout >= exchange.getTimeLeft();
         return new CallCancellation({
             ended: exchange.ended,
+            withdrawal,
             headTimeoutMilliseconds: isLate ? undefined : timeout,
             reserveNext: () => Promise.resolve(this.reserveBeside(request)),
         });
@@ -306,9 +307,14 @@
     return outcome === "failed" || outcome === "silent";
 }
 
-function classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
+function classifyFailure(
+    { exchange, withdrawal }: AttemptRequest,
+    failure: UpstreamCallFailure,
+    isHeadTimedOut: boolean,
+): CallOutcome {
     if (failure.kind === "refused" || failure.kind === "replaced" || failure.kind === "no-room") {
         return "refused";
     }
-    return !isHeadTimedOut && exchange.ended.aborted ? "cancelled" : "silent";
+    const isCancelled = exchange.ended.aborted || withdrawal?.aborted === true;
+    return !isHeadTimedOut && isCancelled ? "cancelled" : "silent";
 }
--- a/src/forwarding/bodyReader.ts
+++ b/src/forwarding/bodyReader.ts
@@ -36,6 +36,12 @@
         });
     }
 
+    /** Returns whether the next read returns a piece, once that is known. Throws when the body breaks off. */
+    async hasPiece(): Promise<boolean> {
+        const { done } = await this.#startRead();
+        return done !== true;
+    }
+
     #startRead(): Promise<IteratorResult<Buffer>> {
         this.#pending ??= this.#iterator.next();
         return this.#pending;
--- a/src/forwarding/callCancellation.ts
+++ b/src/forwarding/callCancellation.ts
@@ -10,6 +10,8 @@
 export interface CallCancellationOptions {
     /** Aborted when the exchange ends. */
     readonly ended: AbortSignal;
+    /** Aborted when the answer is no longer wanted, before it has started. */
+    readonly withdrawal?: AbortSignal | undefined;
     /** Time in which the answer has to start, in milliseconds. Undefined when the exchange's own end comes first. */
     readonly headTimeoutMilliseconds: number | undefined;
     /**
@@ -27,14 +29,20 @@
     /** Aborted when the call waits no longer for the start of the answer. */
     readonly #waitController = new AbortController();
     readonly #ended: AbortSignal;
+    readonly #withdrawal: AbortSignal | undefined;
     readonly #reserveNext: (signal: AbortSignal) => Promise<boolean>;
     #timeout: ReadTimeout | undefined;
     #isHeadTimedOut = false;
 
-    constructor({ ended, headTimeoutMilliseconds, reserveNext }: CallCancellationOptions) {
+    constructor({ ended, withdrawal, headTimeoutMilliseconds, reserveNext }: CallCancellationOptions) {
         this.#ended = ended;
+        this.#withdrawal = withdrawal;
         this.#reserveNext = reserveNext;
         ended.addEventListener("abort", this.cancel);
+        withdrawal?.addEventListener("abort", this.cancel);
+        if (withdrawal?.aborted === true) {
+            this.cancel();
+        }
         if (headTimeoutMilliseconds !== undefined) {
             this.#startTimeout(headTimeoutMilliseconds);
         }
@@ -57,11 +65,13 @@
     stopHeadTimeout(): void {
         this.#timeout?.clear();
         this.#waitController.abort();
+        this.#withdrawal?.removeEventListener("abort", this.cancel);
     }
 
     /** Ignores the end of the exchange from now on. */
     dispose(): void {
         this.#ended.removeEventListener("abort", this.cancel);
+        this.#withdrawal?.removeEventListener("abort", this.cancel);
     }
 
     #startTimeout(milliseconds: number): void {
--- a/src/forwarding/streamAnswer.ts
+++ b/src/forwarding/streamAnswer.ts
@@ -15,20 +15,9 @@
      * shorter than the pause timeout.
      */
     silentSince: number | undefined;
-    #isReplaced = false;
 
     constructor(attempt: Attempt) {
         this.attempt = attempt;
         this.body = new BodyReader(attempt.answer.body);
     }
-
-    /** Whether another runner has begun to go on with the stream. */
-    get isReplaced(): boolean {
-        return this.#isReplaced;
-    }
-
-    /** Records that another runner has begun to go on with the stream. */
-    markReplaced(): void {
-        this.#isReplaced = true;
-    }
 }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -13,10 +13,10 @@
 import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
-import { HeldAnswer } from "./heldAnswer.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import { ModelCascade } from "./modelCascade.js";
 import { createNotRunRefusal } from "./refusals.js";
+import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
 import { isCertainlyNotRun } from "./upstreamCall.js";
 
@@ -33,24 +33,12 @@
 /** Pause objective of routes that configure none. */
 const defaultPauseMilliseconds = 1_000;
 
-/**
- * Time for which a silent answer is kept after the request was sent to another runner, which may queue it before it rejects it. Both
- * runners may work on a request for 400 ms, in which the first one also has to learn of its cancellation.
- */
-const keptMilliseconds = 300;
-
 /** Result of relaying an answer. */
 type RelayResult =
     | { readonly kind: "complete"; }
     | { readonly kind: "silent"; readonly reason: string; }
     | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
 
-/** An answer whose runner has fallen silent, kept until another one answers. */
-interface SilentAnswer {
-    readonly answer: StreamAnswer;
-    readonly held: HeldAnswer;
-}
-
 /** Options of `StreamExchange`. */
 export interface StreamExchangeOptions {
     readonly exchange: Exchange;
@@ -74,7 +62,7 @@
     readonly #pressure: PoolPressure;
     readonly #cascade: ModelCascade;
     readonly #watch: HeadWatch;
-    /** Answer that goes on if the attempt that replaces it does not begin. */
+    /** Answer that goes on unless the attempt that is to replace it begins before. */
     #silent: SilentAnswer | undefined;
     readonly #answerBuffers: AnswerBuffers;
     readonly #journal: Journal;
@@ -126,7 +114,7 @@
                 this.#cascade.markSent();
                 return this.#watch.start(expected, model);
             },
-            onSent: this.#silent && (() => this.#silent?.held.markOtherSent()),
+            withdrawal: this.#silent?.goesOn,
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
         };
@@ -144,35 +132,42 @@
         return this.#cascade.escalate(attempt) ? undefined : new StreamAnswer(attempt);
     }
 
-    /** Returns the silent answer if the attempt that replaces it does not continue it; otherwise discards it. */
+    /** Returns the silent answer if the attempt that was to replace it does not continue it; otherwise ends that answer. */
     #takeSilentBack(attempt: Attempt): StreamAnswer | undefined {
-        if (this.#silent === undefined || attempt.answer.status === successStatus) {
-            this.#silent?.answer.markReplaced();
-            this.#silent?.held.discard();
-            this.#silent = undefined;
+        const silent = this.#silent;
+        if (silent === undefined) {
             return undefined;
         }
-        const previous = this.#takeSilent();
-        if (previous !== undefined) {
+        if (silent.goesOn.aborted) {
+            attempt.drop("the silent upstream goes on");
+            attempt.cancel();
+            return this.#takeSilent();
+        }
+        if (attempt.answer.status !== successStatus) {
             this.#rejectContinuation(attempt);
+            return this.#takeSilent();
         }
-        return previous;
+        this.#silent = undefined;
+        silent.replace();
+        return undefined;
     }
 
-    /** Returns the silent answer, unless it was discarded. */
     #takeSilent(): StreamAnswer | undefined {
         const silent = this.#silent;
         this.#silent = undefined;
-        if (silent?.held.take() === undefined) {
-            return undefined;
+        if (silent !== undefined && !silent.goesOn.aborted) {
+            this.#logSilence(silent.answer, "taken-back");
         }
-        this.#logSilence(silent.answer, "taken-back");
-        return silent.answer;
+        return silent?.take();
     }
 
     /** Returns the answer that was kept for the case that another attempt fails. */
     #takeBack(error: AttemptFailure): StreamAnswer | undefined {
         this.#watch.markFailed();
+        if (this.#silent?.goesOn.aborted === false && this.#exchange.reservation !== undefined) {
+            // The other runner was given up as well, for one that is asked next.
+            return undefined;
+        }
         const silent = this.#takeSilent();
         if (silent !== undefined) {
             return silent;
@@ -212,7 +207,7 @@
         }
         const result = await this.#relayBody(relayed);
         if (result.kind === "silent") {
-            this.#silent = { answer: relayed, held: this.#hold(relayed, result.reason) };
+            this.#silent = this.#keep(relayed, result.reason);
             return false;
         }
         if (result.kind === "complete") {
@@ -305,25 +300,21 @@
         return true;
     }
 
-    /** Keeps an answer whose runner has fallen silent: the other one may reject the request, and this one goes on as a rule. */
-    #hold(silent: StreamAnswer, reason: string): HeldAnswer {
-        return new HeldAnswer({
-            attempt: silent.attempt,
-            getKeptMilliseconds: () => keptMilliseconds,
-            onDiscard: () => {
-                this.#logSilence(silent, "given-up");
-                silent.attempt.finish("failed", reason, "stopped");
-            },
+    #keep(answer: StreamAnswer, reason: string): SilentAnswer {
+        return new SilentAnswer({
+            answer,
+            reason,
+            ended: this.#exchange.ended,
+            onReplace: () => this.#logSilence(answer, "replaced"),
         });
     }
 
-    #logSilence(silent: StreamAnswer, end: "went-on" | "taken-back" | "given-up"): void {
+    #logSilence(silent: StreamAnswer, end: "went-on" | "taken-back" | "replaced"): void {
         this.#journal.write(events.silenceEnded, {
             request: this.#exchange.request.id,
             upstream: silent.attempt.upstream.id,
             end,
             silentMs: Math.round(this.#exchange.getElapsed() - (silent.silentSince ?? 0)),
-            isReplaced: silent.isReplaced,
         });
     }
 
--- a/test/forwarding/replacedSilence.test.ts
+++ b/test/forwarding/replacedSilence.test.ts
@@ -47,6 +47,48 @@
     }
 });
 
+describe("a stream whose silent runner is to be replaced by one that has not begun", () => {
+    // Guards against an answer that is given up, and whose caller waits in vain, although its runner has gone on meanwhile.
+    it("goes on with its own runner, and ends the work at the other one", async () => {
+        let isOtherEnded = false;
+        const behaviour: UpstreamBehaviour = async ({ signal }, _, count) => {
+            if (count === 1) {
+                return createAnswer([], { confidence: 80, body: pause(signal) });
+            }
+            await sleep(10_000, undefined, { signal }).catch(() => isOtherEnded = true);
+            return createCallFailure("broken");
+        };
+        const { send, calls } = createForwarder({
+            behaviour,
+            getRoutes: () => createRouteTable({ routes: [createStreamRoute({ maxAttempts: 2 })] }),
+            upstreams: createUpstreams(3),
+        });
+        const caller = await send({ session: "session", deadlineMilliseconds: 5_000 });
+        expect([caller.chunks, caller.isComplete]).toEqual([[createEvent(1), createEvent(2)], true]);
+        expect([calls.length, isOtherEnded]).toEqual([2, true]);
+    });
+
+    // Guards against two runners that work on the same stream.
+    it("ends the work at its own runner as soon as the other one begins", async () => {
+        let isOwnEnded = false;
+        const behaviour: UpstreamBehaviour = async ({ signal }, _, count) => {
+            if (count > 1) {
+                return createAnswer([createEvent(2)], { confidence: 80 });
+            }
+            signal.addEventListener("abort", () => isOwnEnded = true);
+            return createAnswer([], { confidence: 80, body: pause(signal) });
+        };
+        const { send, calls } = createForwarder({
+            behaviour,
+            getRoutes: () => createRouteTable({ routes: [createStreamRoute({ maxAttempts: 2 })] }),
+            upstreams: createUpstreams(3),
+        });
+        const caller = await send({ session: "session", deadlineMilliseconds: 5_000 });
+        expect([caller.chunks, caller.isComplete]).toEqual([[createEvent(1), createEvent(2)], true]);
+        expect([calls.length, calls[1].call.lastEventId, isOwnEnded]).toEqual([2, "1", true]);
+    });
+});
+
 describe("a stream whose silent runner could be replaced only by one whose slots are all in use", () => {
     // Guards against an answer that is broken off halfway since the request waits in the queue of another runner.
     it("goes on with its own runner", async () => {
