Name each attempt by its own number in its line

Change: the number is taken when the attempt is sent. No decision uses it. forwarding/replacedSilence looks at the numbers.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -113,6 +113,7 @@
         const { clock, crashWatch, observer, picker, registry, sendLimit, transport } = this.#options;
         const cancellation = this.#createCancellation(request, pick);
         const startedAt = clock.monotonic();
+        const number = exchange.attempts;
         const endInRoom = this.#options.waitingRoom.start(upstream);
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
         const mayBeLoad = isWarmingUp || observer.isRejectionLimited(upstream);
@@ -138,7 +139,7 @@
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
             attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
-            this.#finish(ended, { choice, versionReason, reason, startedAt, promptTokens, confidence, load });
+            this.#finish(ended, { number, choice, versionReason, reason, startedAt, promptTokens, confidence, load });
         };
         const { model } = request;
         const attemptObserver = this.#options.onStart({ exchange, upstream, model, isWarmingUp, load: pick.load });
@@ -260,6 +261,8 @@
     #finish(
         ended: EndedAttempt,
         details: {
+            /** Number of the attempt, counted from 1. */
+            readonly number: number;
             readonly choice: string;
             readonly versionReason: string | undefined;
             readonly reason: string;
@@ -279,7 +282,7 @@
         journal.write(events.attemptEnded, {
             request: exchange.request.id,
             fingerprint: isBroken(outcome) ? exchange.watchedRequest.getFingerprint() : undefined,
-            attempt: exchange.attempts,
+            attempt: details.number,
             upstream: upstream.id,
             version: upstream.version,
             versionReason: details.versionReason,
--- a/test/forwarding/replacedSilence.test.ts
+++ b/test/forwarding/replacedSilence.test.ts
@@ -78,7 +78,7 @@
             signal.addEventListener("abort", () => isOwnEnded = true);
             return createAnswer([], { confidence: 80, body: pause(signal) });
         };
-        const { send, calls } = createForwarder({
+        const { send, calls, lines } = createForwarder({
             behaviour,
             getRoutes: () => createRouteTable({ routes: [createStreamRoute({ maxAttempts: 2 })] }),
             upstreams: createUpstreams(3),
@@ -86,6 +86,9 @@
         const caller = await send({ session: "session", deadlineMilliseconds: 5_000 });
         expect([caller.chunks, caller.isComplete]).toEqual([[createEvent(1), createEvent(2)], true]);
         expect([calls.length, calls[1].call.lastEventId, isOwnEnded]).toEqual([2, "1", true]);
+        // Each line names its own attempt, although the second one began before the first one ended.
+        const ended = lines.filter(({ name }) => name === "attempt-ended");
+        expect(ended.map(({ attempt }) => attempt)).toEqual([1, 2]);
     });
 });
 
