Keep a first answer until the second was sent and not rejected, also while there is room to spare

What callers saw: a complete answer of the smaller model was thrown away, and the request failed as every upstream that was asked for the better one rejected it. Cause: whether the first answer is kept was decided from the counted room of the pool. With room to spare it was cancelled as the second attempt began. An upstream also rejects as it leaves, rests or warms up, whatever the pool's room. Ruled out: keeping it until the head of the other answer. The smaller model's upstream goes on with it all the while, and both may work on a request for 400 ms only; the head of a larger model's answer takes longer as a rule. Change: it is kept for the same 100 ms after the sending at every occupancy. If the other request has certainly not run, there is room and an attempt and a retry are left, the answer stays kept while another upstream is asked, so that callers get no poorer answers than before; at a full pool the first answer is given at once, as before. It costs at most 100 ms of the smaller model's work per second step. The test "cancels the first answer before the second is requested while there is room to spare" demanded the fault. In its place the test of the bound ("cancels the first answer soon after the second one was requested") now holds at both occupancies.

Conclusion: a rejection never costs the caller the answer at hand.

--- a/src/forwarding/heldAnswer.ts
+++ b/src/forwarding/heldAnswer.ts
@@ -39,6 +39,12 @@
         this.#timer ??= setTimeout(() => this.discard(), milliseconds);
     }
 
+    /** Records that the other request has certainly not run. The answer is kept until one is sent again. */
+    markOtherNotRun(): void {
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+    }
+
     /** Discards the answer and cancels the work on it. Later calls are ignored. */
     discard(): void {
         if (this.#release()) {
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -12,13 +12,17 @@
     type WindowedRetryBudget,
 } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
-import type { Attempt } from "./attempt.js";
+import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
 import { HeldAnswer } from "./heldAnswer.js";
 import type { ForwardingMetrics } from "./metrics.js";
+import { isCertainlyNotRun } from "./upstreamCall.js";
 
-/** Time for which an answer is kept for the case that a full pool rejects the better one. It does so at once. */
+/**
+ * Time for which an answer is kept after the request for the better one was sent, which an upstream may reject whether or not its pool
+ * seemed to have room. It does so at once. Both upstreams may work on a request for 400 ms.
+ */
 const keptMilliseconds = 100;
 
 /** Options of `ModelCascade`. */
@@ -77,7 +81,7 @@
         }
         this.#held = new HeldAnswer({
             attempt,
-            getKeptMilliseconds: () => pressure.isFull(this.#ranked) ? keptMilliseconds : 0,
+            getKeptMilliseconds: () => keptMilliseconds,
             onDiscard: () => attempt.drop(`confidence ${answer.confidence}`),
         });
         this.#previousModel = this.#model;
@@ -106,15 +110,19 @@
     }
 
     /**
-     * Takes back the kept answer after the attempt at a better one has failed.
-     * @param reason - Why that attempt failed or was not made, for log lines.
+     * Takes back the kept answer after the attempt at a better one has failed. It stays kept if a better one can still be asked for.
+     * @param error - Why that attempt failed or was not made.
      */
-    takeBack(reason: string): Attempt | undefined {
+    takeBack(error: AttemptFailure): Attempt | undefined {
         const { exchange, journal, metrics } = this.#options;
         if (exchange.ended.aborted) {
             this.discardHeld();
             return undefined;
         }
+        if (this.#mayAskAgain(error)) {
+            this.#held?.markOtherNotRun();
+            return undefined;
+        }
         const attempt = this.#held?.take();
         this.#held = undefined;
         if (attempt === undefined) {
@@ -127,7 +135,7 @@
             request: exchange.request.id,
             model: this.#model,
             confidence: attempt.answer.confidence,
-            reason,
+            reason: error.kind === "not-made" ? error.reason : error.failure.reason,
         });
         return attempt;
     }
@@ -184,6 +192,14 @@
         return expected > exchange.getTimeLeft() ? "deadline" : undefined;
     }
 
+    /** Returns whether another upstream is asked for the better answer. While the pool is full, it would reject it as well. */
+    #mayAskAgain(error: AttemptFailure): boolean {
+        const { exchange, pressure } = this.#options;
+        return this.#held !== undefined && error.kind === "failed" && isCertainlyNotRun(error.failure)
+            && (exchange.reservation !== undefined
+                || (!pressure.isFull(this.#ranked) && this.#getObstacle() === undefined));
+    }
+
     /** Returns whether a model's answer is expected to start within the route's objective. */
     #isInTime(model: string | undefined): boolean {
         const { exchange } = this.#options;
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -177,7 +177,7 @@
         if (silent !== undefined) {
             return silent;
         }
-        const attempt = this.#cascade.takeBack(error.kind === "not-made" ? error.reason : error.failure.reason);
+        const attempt = this.#cascade.takeBack(error);
         return attempt && new StreamAnswer(attempt);
     }
 
--- a/test/forwarding/modelCascade.test.ts
+++ b/test/forwarding/modelCascade.test.ts
@@ -115,25 +115,41 @@
         expect(getEvents(events.poorAnswerAccepted).map(({ reason }) => reason)).toEqual(["nobody"]);
     });
 
-    // Guards against two upstreams that work on one request side by side.
-    it("cancels the first answer soon after the second one was requested", async () => {
-        const { send, calls } = createSite(async (call, ...rest) => {
-            if (call.model === "large") {
-                await waitForAbort(calls[0].call);
-            }
-            return answerWith(10)(call, ...rest);
-        }, fullRoom);
-        expect((await send("/a/1")).chunks).toEqual(["data: large\n\n"]);
-        expect(calls[0].call.signal.aborted).toEqual(true);
+    // Guards against an answer that is thrown away since the pool seemed to have room, for one that upstreams reject nevertheless.
+    it("gives the first answer when upstreams reject the second although there is room to spare, and no attempt is left", async () => {
+        const { send, getModels, getEvents, calls } = createSite(
+            call =>
+                call.model === "small" ? answerWith(10)(call, createUpstreams(1)[0], 1) : createCallFailure("refused"),
+            freeRoom,
+        );
+        const caller = await send("/a/1");
+        expect([caller.chunks, caller.isComplete]).toEqual([["data: small\n\n"], true]);
+        expect([getModels(), calls[0].call.signal.aborted]).toEqual([["small", "large", "large"], false]);
+        expect(getEvents(events.escalationFailed).map(({ reason }) => reason)).toEqual(["refused"]);
     });
 
-    it("cancels the first answer before the second is requested while there is room to spare", async () => {
-        const wasAborted: boolean[] = [];
-        const { send, calls } = createSite((call, ...rest) => {
-            wasAborted.push(calls[0].call.signal.aborted);
-            return answerWith(10)(call, ...rest);
-        }, freeRoom);
-        await send("/a/1");
-        expect(wasAborted).toEqual([false, true]);
+    // Guards against a poor answer for a caller who could have had the better one from another upstream.
+    it("asks another upstream for the second answer when one rejects it and there is room to spare", async () => {
+        const { send, getModels, calls } = createSite(
+            (call, upstream, count) =>
+                count === 2 ? createCallFailure("refused") : answerWith(10)(call, upstream, count),
+            freeRoom,
+        );
+        expect((await send("/a/1")).chunks).toEqual(["data: large\n\n"]);
+        expect([getModels(), calls[0].call.signal.aborted]).toEqual([["small", "large", "large"], true]);
     });
+
+    // Guards against two upstreams that work on one request side by side.
+    for (const [name, room] of [["full", fullRoom], ["with room to spare", freeRoom]] as const) {
+        it(`cancels the first answer soon after the second one was requested, at a pool ${name}`, async () => {
+            const { send, calls } = createSite(async (call, ...rest) => {
+                if (call.model === "large") {
+                    await waitForAbort(calls[0].call);
+                }
+                return answerWith(10)(call, ...rest);
+            }, room);
+            expect((await send("/a/1")).chunks).toEqual(["data: large\n\n"]);
+            expect(calls[0].call.signal.aborted).toEqual(true);
+        });
+    }
 });
