Keep a first answer until the second request is written to a connection

What callers saw: a complete answer of the smaller model was thrown away, and the request failed as no connection to the larger model's upstream could be opened within 400 ms. Cause: the second request counted as sent as the timeout of its head was computed, before there was a connection. The first answer was cancelled 100 ms later. Ruled out: a longer time from then on. A request may wait for a connection for any time, in which only one upstream works on it. Change: it counts as sent once it is written (onSent, as for silent streams).

Conclusion: nothing is discarded for a request that no upstream has received.

--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -98,7 +98,7 @@
             || this.#isInTime(this.#model);
     }
 
-    /** Records that an attempt is sent. */
+    /** Records that an attempt is written to a connection. */
     markSent(): void {
         this.#held?.markOtherSent();
     }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -122,11 +122,11 @@
             model,
             lastEventId: this.#lastEventId,
             prompt: this.#cascade.describePrompt(model),
-            getHeadTimeout: expected => {
+            getHeadTimeout: expected => this.#watch.start(expected, model),
+            onSent: () => {
                 this.#cascade.markSent();
-                return this.#watch.start(expected, model);
+                this.#silent?.held.markOtherSent();
             },
-            onSent: this.#silent && (() => this.#silent?.held.markOtherSent()),
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
         };
--- a/test/forwarding/modelCascade.test.ts
+++ b/test/forwarding/modelCascade.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { PoolRoom } from "../../src/decisions/index.js";
 import { type EventDefinition, events } from "../../src/events/index.js";
 import type { Generation, UpstreamCall } from "../../src/forwarding/index.js";
@@ -15,6 +16,9 @@
     parts: [{ id: "subject", tokens: 400 }, { id: "own", tokens: 200 }],
 };
 
+/** Time after which a connection that cannot be opened is given up. */
+const connectMilliseconds = 400;
+
 const fullRoom: PoolRoom = { getOccupancy: () => 1.2, getWaitMilliseconds: () => 0 };
 const freeRoom: PoolRoom = { getOccupancy: () => 0.3, getWaitMilliseconds: () => 0 };
 
@@ -24,13 +28,14 @@
     room: PoolRoom | undefined,
     upstreams = createUpstreams(3),
     getStopTimeLeft = (): number | undefined => undefined,
+    isSent: (call: UpstreamCall) => boolean = () => true,
 ) {
     const routes = [
         createStreamRoute({ name: "urgent", pathPrefix: "/a/", priority: 0 }),
         createStreamRoute({ name: "less-urgent", pathPrefix: "/b/", priority: 2 }),
     ];
     const getRoutes = () => createRouteTable({ routes });
-    const site = createForwarder({ behaviour, room, upstreams, getRoutes, getStopTimeLeft });
+    const site = createForwarder({ behaviour, room, upstreams, getRoutes, getStopTimeLeft, isSent });
     const send = (target: string) => site.send({ target, generation, deadlineMilliseconds: 20_000 });
     const getModels = (): (string | undefined)[] => site.calls.map(({ call }) => call.model);
     const getEvents = ({ number }: EventDefinition) => site.lines.filter(line => line.event === number);
@@ -128,6 +133,24 @@
         expect(getEvents(events.escalationFailed).map(({ reason }) => reason)).toEqual(["refused"]);
     });
 
+    // Guards against an answer that is thrown away for a request that no upstream has received.
+    it("gives the first answer when no connection to the upstreams of the second can be opened in time", async () => {
+        for (const room of [fullRoom, freeRoom]) {
+            const behaviour: UpstreamBehaviour = async (call, ...rest) => {
+                if (call.model === "small") {
+                    return answerWith(10)(call, ...rest);
+                }
+                await sleep(connectMilliseconds);
+                return createCallFailure("not-sent");
+            };
+            const upstreams = createUpstreams(2);
+            const { send, calls } = createSite(behaviour, room, upstreams, undefined, ({ model }) => model === "small");
+            const caller = await send("/a/1");
+            expect([caller.chunks, caller.isComplete]).toEqual([["data: small\n\n"], true]);
+            expect(calls[0].call.signal.aborted).toEqual(false);
+        }
+    });
+
     // Guards against a poor answer for a caller who could have had the better one from another upstream.
     it("asks another upstream for the second answer when one rejects it and there is room to spare", async () => {
         const { send, getModels, calls } = createSite(
