--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -110,10 +110,8 @@
             model,
             lastEventId: this.#lastEventId,
             prompt: this.#cascade.describePrompt(model),
-            getHeadTimeout: expected => {
-                this.#cascade.markSent();
-                return this.#watch.start(expected, model);
-            },
+            getHeadTimeout: expected => this.#watch.start(expected, model),
+            onSent: () => this.#cascade.markSent(),
             withdrawal: this.#silent?.goesOn,
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
@@ -172,7 +170,7 @@
         if (silent !== undefined) {
             return silent;
         }
-        const attempt = this.#cascade.takeBack(error.kind === "not-made" ? error.reason : error.failure.reason);
+        const attempt = this.#cascade.takeBack(error);
         return attempt && new StreamAnswer(attempt);
     }
 
