Replace no silent runner by one that is silent as well

Streams used up their attempts, and the pool's retries, at runners that had fallen silent with their own: in a load of silences with prompts, 125 streams, 264 of 1,305 requests' second attempts were withdrawn as the first runner went on; without prompts, 60 streams, 100 of 937. With no attempt left, a crash later on could not be answered by a resumption.

Cause: a replacement was chosen by load alone. What the node knew at that moment, that its other requests at that runner had received nothing either, did not count.

Ruled out: only runners that were heard of. A node with few streams knows of nobody, and tests of single streams showed that a runner that is down for good was then replaced 1.3 s later.

Change: within twice the pause timeout, runners are excluded that have requests of this node and have sent nothing for half the pause timeout. After that, longer than a sound runner's silence, each one may be asked. Tests: upstreamPicker, replacedSilence.

--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -88,9 +88,13 @@
      */
     pick(options: UpstreamPickOptions): UpstreamPick | undefined {
         const now = this.#clock.monotonic();
+        const { excluded, maxSilenceMilliseconds } = options;
         const untried = exclude(
             options.candidates,
-            upstream => options.excluded.has(upstream.id) || !this.#isAdmitted(upstream),
+            upstream =>
+                excluded.has(upstream.id) || !this.#isAdmitted(upstream)
+                || maxSilenceMilliseconds !== undefined
+                    && this.#loads.getStatus(upstream.id).getSilence(now) > maxSilenceMilliseconds,
         );
         const unejected = exclude(untried, ({ id }) => this.#loads.getStatus(id).isEjected(now));
         const healthy = this.#findDue(unejected) ?? unejected;
