Create the refusals of calls and streams without an answer in one place

The refusal of a request without a whole answer stood in the two exchanges, word for word but for its text. It is in refusals now; callers get the same.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,7 +2,6 @@
  * Forwards requests that are answered by a stream of events.
  */
 import type { Result } from "neverthrow";
-import { Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import { isEndless } from "../upstream/index.js";
@@ -10,12 +9,12 @@
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { recheckMilliseconds } from "./callCancellation.js";
-import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
+import { type Exchange, getRankedRequest } from "./exchange.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import { ModelCascade } from "./modelCascade.js";
-import { createNotRunRefusal } from "./refusals.js";
+import { createAnswerRefusal } from "./refusals.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
 import { isCertainlyNotRun } from "./upstreamCall.js";
@@ -383,24 +382,9 @@
             reply.abort(error.kind === "not-made" ? `not resumed: ${error.reason}` : error.failure.reason);
             return;
         }
-        reply.refuse(this.#createRefusal(error));
-    }
-
-    #createRefusal(error: AttemptFailure): Refusal {
-        const endRefusal = createEndRefusal(this.#exchange);
-        if (endRefusal !== undefined) {
-            return endRefusal;
-        }
-        if (this.#exchange.outcome === "not-run") {
-            return createNotRunRefusal(this.#exchange, error, this.#pressure);
-        }
-        return {
-            outcome: this.#exchange.outcome,
-            failure: new Failure({
-                kind: "upstream-failed",
-                message: "No runner sent a complete answer, and the request may have run.",
-                remedy: "Retry the request if it is safe to repeat.",
-            }),
-        };
+        reply.refuse(createAnswerRefusal(this.#exchange, error, this.#pressure, {
+            message: "No runner sent a complete answer, and the request may have run.",
+            remedy: "Retry the request if it is safe to repeat.",
+        }));
     }
 }
