Tell one end of each silence, and the right one

Cause: it was written when a read would return, whatever it returned. It is written when something was read, when another runner has begun, or when the stream ends. No decision changes.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -152,9 +152,6 @@
     #takeSilent(): StreamAnswer | undefined {
         const silent = this.#silent;
         this.#silent = undefined;
-        if (silent !== undefined && !silent.goesOn.aborted) {
-            this.#logSilence(silent.answer, "taken-back");
-        }
         return silent?.take();
     }
 
@@ -207,6 +204,7 @@
             this.#silent = this.#keep(relayed, result.reason);
             return false;
         }
+        this.#endSilence(relayed, "ended");
         if (result.kind === "complete") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
             const isCertain = answer.hasKnownEnd || route.isResumable;
@@ -246,6 +244,7 @@
                 if (bytes === undefined) {
                     break;
                 }
+                this.#endSilence(relayed, "went-on");
                 attempt.markSeen();
                 await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
                 passedBytes += bytes.length;
@@ -291,10 +290,6 @@
             }
             milliseconds = recheckMilliseconds;
         }
-        if (relayed.silentSince !== undefined) {
-            this.#logSilence(relayed, "went-on");
-            relayed.silentSince = undefined;
-        }
         return true;
     }
 
@@ -303,17 +298,22 @@
             answer,
             reason,
             ended: this.#exchange.ended,
-            onReplace: () => this.#logSilence(answer, "replaced"),
+            onReplace: () => this.#endSilence(answer, "replaced"),
         });
     }
 
-    #logSilence(silent: StreamAnswer, end: "went-on" | "taken-back" | "replaced"): void {
+    /** Records the end of a silence, if there was one. */
+    #endSilence(answer: StreamAnswer, end: "went-on" | "replaced" | "ended"): void {
+        if (answer.silentSince === undefined) {
+            return;
+        }
         this.#journal.write(events.silenceEnded, {
             request: this.#exchange.request.id,
-            upstream: silent.attempt.upstream.id,
+            upstream: answer.attempt.upstream.id,
             end,
-            silentMs: Math.round(this.#exchange.getElapsed() - (silent.silentSince ?? 0)),
+            silentMs: Math.round(this.#exchange.getElapsed() - answer.silentSince),
         });
+        answer.silentSince = undefined;
     }
 
     /**
