Count a failed replacement as failed when the silent runner goes on

The status is looked at first. And no reservation of a third attempt is left behind when a silent answer goes on; by reading alone, it could not be reached in a test.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -135,15 +135,15 @@
         if (silent === undefined) {
             return undefined;
         }
+        if (attempt.answer.status !== successStatus) {
+            this.#rejectContinuation(attempt);
+            return this.#takeSilent();
+        }
         if (silent.goesOn.aborted) {
             attempt.drop("the silent upstream goes on");
             attempt.cancel();
             return this.#takeSilent();
         }
-        if (attempt.answer.status !== successStatus) {
-            this.#rejectContinuation(attempt);
-            return this.#takeSilent();
-        }
         this.#silent = undefined;
         silent.replace();
         return undefined;
@@ -152,6 +152,9 @@
     #takeSilent(): StreamAnswer | undefined {
         const silent = this.#silent;
         this.#silent = undefined;
+        if (silent !== undefined) {
+            this.#exchange.takeReservation();
+        }
         return silent?.take();
     }
 
