Ask a silent engine again when its stream is resumed, and tell callers to come back while it stays silent

What callers saw: a caller that resumes its stream while the engine is silent for a second got 410, "The rest of the answer is no longer available", and gave up an answer that the engine held. Cause: every failure of the first request for the rest counted as an answer that has expired. Ruled out: a longer timeout of the request. It moves the moment, and an engine on a dead connection never answers on it. Change: an engine that gives no answer, or accepts no connection in time, is asked three times, with the code that the relay of a broken answer uses. If it stays silent, the caller gets 503 with the time after which to resume again. 410 is left for engines that do not hold the answer, or whose process is gone.

Conclusion: silence is no word that an answer is gone.

--- a/src/entry/answerRelay.ts
+++ b/src/entry/answerRelay.ts
@@ -7,27 +7,19 @@
     classifyCallError,
     endOfStream,
     type EngineAnswer,
-    type EngineClient,
     type EngineEvent,
     readUsage,
     type TokenUsage,
     type UpstreamFailure,
 } from "../upstream/index.js";
-import type { Vm } from "../world/index.js";
+import { resumeStream, type StreamResumptionOptions } from "./streamResumption.js";
 
 /** Maximum number of consecutive resumptions without progress before the answer is abandoned. */
 const maxResumptions = 3;
 
 /** Options of a relay. */
-export interface RelayOptions {
-    readonly engines: Pick<EngineClient, "resume">;
-    readonly runner: Vm;
-    readonly streamId: string;
+export interface RelayOptions extends StreamResumptionOptions {
     readonly answer: EngineAnswer;
-    /** Number of the last event that the caller has received. */
-    readonly lastId: number;
-    /** Aborts the relay. */
-    readonly signal: AbortSignal;
     /** Called with each event, in order. */
     readonly write: (event: EngineEvent) => Promise<void>;
     /** Called at the first event. */
@@ -45,12 +37,10 @@
  */
 export async function relayAnswer(options: RelayOptions): Promise<Result<TokenUsage, UpstreamFailure>> {
     const relay = new Relay(options);
-    let answer: EngineAnswer | undefined = options.answer;
-    let failure: UpstreamFailure | undefined;
+    let { answer } = options;
     for (let resumption = 0;; resumption += 1) {
         const lastId = relay.getLastId();
-        // Without an answer to the last resumption, the failure is still that of the answer before.
-        failure = answer === undefined ? failure : await relay.run(answer);
+        const failure = await relay.run(answer);
         if (failure === undefined) {
             return ok(relay.getUsage());
         }
@@ -63,17 +53,11 @@
         if (!mayResume) {
             return err(failure);
         }
-        const resumed = await options.engines.resume(
-            options.runner,
-            options.streamId,
-            relay.getLastId(),
-            options.signal,
-        );
-        if (resumed.isErr() && resumed.error.outcome !== "unknown") {
+        const resumed = await resumeStream({ ...options, lastId: relay.getLastId() });
+        if (resumed.isErr()) {
             return err({ ...resumed.error, outcome: failure.outcome });
         }
-        // An engine that does not answer may be silent for a while and hold the stream all the same.
-        answer = resumed.unwrapOr(undefined);
+        answer = resumed.value;
     }
 }
 
--- a/src/entry/resumePipeline.ts
+++ b/src/entry/resumePipeline.ts
@@ -14,13 +14,17 @@
 import type { CallerIdentity } from "./callerIdentity.js";
 import type { Refusal } from "./problem.js";
 import { readResumeToken, type ResumePoint } from "./resumeToken.js";
+import { isUnanswered, resumeStream } from "./streamResumption.js";
+
+/** Time after which an answer may be resumed again whose engine does not answer, in milliseconds. */
+const retryMilliseconds = 1_000;
 
 /** Options of the pipeline. */
 export interface ResumePipelineOptions {
     readonly clock: Clock;
     readonly journal: Journal;
-    readonly engines: EngineClient;
-    readonly bills: BillWriter;
+    readonly engines: Pick<EngineClient, "resume">;
+    readonly bills: Pick<BillWriter, "add">;
     readonly getConfiguration: () => Configuration;
     readonly getUpstream: (id: string) => Vm | undefined;
     readonly signingKey: string;
@@ -67,19 +71,20 @@
 
     async #relay(resumption: Resumption, point: ResumePoint, runner: Vm): Promise<Result<void, Refusal>> {
         const { engines, journal } = this.#options;
-        const answered = await engines.resume(runner, point.streamId, resumption.lastId, resumption.disconnectSignal);
+        const { lastId, disconnectSignal: signal } = resumption;
+        const stream = { engines, runner, streamId: point.streamId, lastId, signal };
+        const answered = await resumeStream(stream);
         if (answered.isErr()) {
-            return err({ failure: createAnswerExpiredFailure(), outcome: "unknown" });
+            const failure = isUnanswered(answered.error)
+                ? createNoAnswerFailure(runner.id)
+                : createAnswerExpiredFailure();
+            return err({ failure, outcome: "unknown" });
         }
-        journal.write(events.streamResumed, { request: point.requestId, from: resumption.lastId });
+        journal.write(events.streamResumed, { request: point.requestId, from: lastId });
         resumption.sink.start({ "x-request-id": point.requestId, "x-rattanlock-version": point.version });
         const relayed = await relayAnswer({
-            engines,
-            runner,
-            streamId: point.streamId,
+            ...stream,
             answer: answered.value,
-            lastId: resumption.lastId,
-            signal: resumption.disconnectSignal,
             onFirstEvent: () => undefined,
             write: event => resumption.sink.write(event),
             beforeEnd: usage => this.#bill(point, usage),
@@ -124,6 +129,15 @@
     });
 }
 
+function createNoAnswerFailure(runner: string): Failure {
+    return new Failure({
+        kind: "unavailable",
+        message: `The engine ${runner}, which holds the rest of the answer, does not answer.`,
+        remedy: "Resume the answer again, with the same token and Last-Event-ID.",
+        retryAfterMilliseconds: retryMilliseconds,
+    });
+}
+
 function createAnswerExpiredFailure(): Failure {
     return new Failure({
         kind: "gone",
