Keep an answer that was not accepted until a later version has answered

What callers saw (the product's own interface): a cascade had a complete answer, its rating was below the bound, and the next version failed. The caller got that failure and nothing of the answer that was at hand. Cause: the first answer was dropped as its rating came, before it was known whether another version answers. Ruled out: asking a third version. There is none as a rule, and it may fail as well. Change: the best answer that was not accepted is kept, and given with a bill of all steps that answered if a later step fails before anything of its answer was sent, unless the caller has left. A rating that is missing counts as 0. It is given after the deadline, too: it is ready.

Conclusion: a version that fails costs no caller an answer that another one has given.

--- a/src/entry/planRunner.ts
+++ b/src/entry/planRunner.ts
@@ -29,12 +29,12 @@
     readonly clock: Clock;
     readonly journal: Journal;
     readonly metrics: Metrics;
-    readonly attemptRunner: AttemptRunner;
-    readonly ratings: RatingClient;
-    readonly evidence: Evidence;
-    readonly answerTimes: AnswerTimes;
-    readonly bills: BillWriter;
-    readonly explanations: Explanations;
+    readonly attemptRunner: Pick<AttemptRunner, "run">;
+    readonly ratings: Pick<RatingClient, "rate">;
+    readonly evidence: Pick<Evidence, "addAnswer" | "addEscalation" | "addRating">;
+    readonly answerTimes: Pick<AnswerTimes, "add" | "addRating">;
+    readonly bills: Pick<BillWriter, "add">;
+    readonly explanations: Pick<Explanations, "addRating">;
     /** Name of this entry. */
     readonly entry: string;
     /** Returns whether a finished answer is sent to the rating service as a sample. */
@@ -51,6 +51,20 @@
     readonly isExploring: boolean;
     /** The rated answer that the next step's answer replaces. */
     escalatedFrom: RatedStep | undefined;
+    /** The best answer that was not accepted, kept for the case that no later step answers. */
+    kept: KeptAnswer | undefined;
+}
+
+/** An answer that was read completely, of which the caller has received nothing yet. */
+interface BufferedAnswer {
+    readonly result: AttemptResult;
+    readonly events: readonly EngineEvent[];
+}
+
+interface KeptAnswer extends BufferedAnswer {
+    readonly version: string;
+    /** Its rating; undefined if the rating service gave none. */
+    readonly score: number | undefined;
 }
 
 interface RatedStep {
@@ -76,6 +90,7 @@
             earlierLines: [],
             outcome: "not-run",
             escalatedFrom: undefined,
+            kept: undefined,
             isExploring: plan.isExploring,
         };
         for (let index = 0; index < plan.steps.length; index += 1) {
@@ -85,7 +100,8 @@
                 ? await this.#runDirect(call, step, index, progress)
                 : await this.#runRated(call, step, index, progress);
             if (served.isErr()) {
-                return err({ ...served.error, outcome: combineOutcomes(progress.outcome, served.error.outcome) });
+                return await this.#serveKept(call, progress, served.error.failure)
+                    ?? err({ ...served.error, outcome: combineOutcomes(progress.outcome, served.error.outcome) });
             }
             if (served.value !== undefined) {
                 return ok(served.value);
@@ -182,18 +198,51 @@
         this.#options.explanations.addRating(call.requestId, version.id, score, isAccepted);
         if (!isAccepted) {
             progress.escalatedFrom = score === undefined ? undefined : { version: version.id, score };
+            progress.kept = chooseKept(progress.kept, {
+                result: result.value,
+                events: bufferedEvents,
+                version: version.id,
+                score,
+            });
             earlierLines.push(line);
             return ok(undefined);
         }
-        const billed = await this.#addBill(call, [...earlierLines, line]);
+        return this.#serveBuffered(call, { result: result.value, events: bufferedEvents }, [...earlierLines, line]);
+    }
+
+    /** Sends the answer that was kept, after a later step has failed. Returns undefined if there is none or the caller has left. */
+    async #serveKept(
+        call: ChatCall,
+        { kept, earlierLines }: PlanProgress,
+        { message }: Failure,
+    ): Promise<Result<ServedRequest, Refusal> | undefined> {
+        if (kept === undefined || call.sink.hasStarted || call.disconnectSignal.aborted) {
+            return undefined;
+        }
+        const { version, score } = kept;
+        this.#options.journal.write(events.escalationFailed, {
+            request: call.requestId,
+            model: version,
+            confidence: score,
+            reason: message,
+        });
+        return this.#serveBuffered(call, kept, earlierLines);
+    }
+
+    async #serveBuffered(
+        call: ChatCall,
+        { result, events: bufferedEvents }: BufferedAnswer,
+        lines: readonly BillLine[],
+    ): Promise<Result<ServedRequest, Refusal>> {
+        const billed = await this.#addBill(call, lines);
         if (billed.isErr()) {
             return err({ failure: billed.error, outcome: "ran" });
         }
-        this.#startBuffered(call, result.value);
+        this.#startBuffered(call, result);
         for (const event of bufferedEvents) {
             await call.sink.write(event);
         }
-        return ok(toServedRequest(result.value));
+        return ok(toServedRequest(result));
     }
 
     /**
@@ -317,6 +366,11 @@
     }
 }
 
+/** Chooses between two answers that were not accepted: the better one, and of equal ones the later. */
+function chooseKept(first: KeptAnswer | undefined, second: KeptAnswer): KeptAnswer {
+    return first !== undefined && (first.score ?? 0) > (second.score ?? 0) ? first : second;
+}
+
 function toServedRequest(
     attempt: { readonly firstTokenMilliseconds: number; readonly usage: TokenUsage; },
 ): ServedRequest {
