Hold a lowered limit of connections for upstreams that are connected already

What callers could see: a runner resets what is beyond the connections that it accepts, with the requests on them, after the configuration has lowered max_conns or nodes have joined. Cause: the number of connections to an upstream was read once, as the first one was opened, and kept until they were renewed. Ruled out: closing the connections and opening new ones at each change. Requests that wait for one would be given up, the number of nodes changes often, and answers that still arrive on old connections would come on top of the new ones. Change: the limit in force is read before each request. Beyond it requests wait, and are woken as answers end: the library tells of a free connection only if none was. Connections beyond the limit fall idle and are closed by their timeout. A raised limit still holds for connections that are opened anew only, as the library's number is fixed.

Conclusion: a lowered limit holds from the next request on.

--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -16,7 +16,6 @@
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
-import { observeSending } from "./sendingObserver.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { headerNames } from "./wire.js";
 
@@ -66,7 +65,8 @@
             const send = (dispatcher: Dispatcher): Promise<Dispatcher.ResponseData> =>
                 dispatcher.request(createRequest(upstream, call));
             const response = relay === undefined
-                ? await connections.send(dispatcher => send(observeSending(dispatcher, call.onSent)), {
+                ? await connections.send(send, {
+                    onSent: call.onSent,
                     signal: call.signal,
                     confirmCaller: call.confirmCaller,
                     mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
@@ -144,7 +144,7 @@
         existing?.close();
         const connections = new UpstreamConnections({
             upstream,
-            connections: this.#options.getConnectionLimit(upstream.pool),
+            getLimit: () => this.#options.getConnectionLimit(upstream.pool),
             onConnectFailure: () => this.#options.onConnectFailure?.(upstream),
             onEndless: bytes => this.#options.onOversized?.(upstream, bytes),
             onWait: waited => this.#waitedFor.add(waited),
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -1,9 +1,10 @@
 /**
  * The connections of this node to one upstream, and the requests that wait for one of them.
  */
-import { buildConnector, errors, Pool } from "undici";
+import { buildConnector, type Dispatcher, errors, Pool } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import { AnswerProgress, type EndlessBytesListener } from "../upstream/index.js";
+import { observeSending } from "./sendingObserver.js";
 
 /** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
 const connectTimeoutMilliseconds = 400;
@@ -25,8 +26,11 @@
 /** Options of `UpstreamConnections`. */
 export interface UpstreamConnectionsOptions {
     readonly upstream: RegisteredUpstream;
-    /** Maximum number of connections. */
-    readonly connections: number;
+    /**
+     * Returns the maximum number of connections, which changes with the configuration and the number of nodes. A lower one holds at
+     * once, a higher one for connections that are opened anew.
+     */
+    readonly getLimit: () => number;
     /** Called when a connection could not be opened. */
     readonly onConnectFailure: () => void;
     /** Called when a connection was closed since its bytes had no end. */
@@ -42,19 +46,22 @@
 export class UpstreamConnections {
     readonly upstream: RegisteredUpstream;
     readonly dispatcher: Pool;
-    readonly #connections: number;
+    readonly #getLimit: () => number;
+    /** Connections that the HTTP library opens at most. */
+    readonly #maxConnections: number;
     readonly #onWait: (connections: UpstreamConnections) => void;
     /** Functions that let the waiting requests go on, in the order of their arrival. */
     readonly #waiting = new Set<() => void>();
     #resetAt = Number.NEGATIVE_INFINITY;
     #isClosed = false;
 
-    constructor({ upstream, connections, onConnectFailure, onEndless, onWait }: UpstreamConnectionsOptions) {
+    constructor({ upstream, getLimit, onConnectFailure, onEndless, onWait }: UpstreamConnectionsOptions) {
         this.upstream = upstream;
-        this.#connections = connections;
+        this.#getLimit = getLimit;
+        this.#maxConnections = getLimit();
         this.#onWait = onWait;
         this.dispatcher = new Pool(`http://${upstream.address}`, {
-            connections,
+            connections: this.#maxConnections,
             pipelining: 1,
             connect: createConnector({
                 onReset: () => this.#resetAt = performance.now(),
@@ -74,7 +81,7 @@
 
     /** Returns whether one more request would be sent at once. */
     hasRoom(): boolean {
-        return !this.#isClosed && this.dispatcher.stats.size < this.#connections;
+        return !this.#isClosed && this.dispatcher.stats.size < Math.min(this.#maxConnections, this.#getLimit());
     }
 
     /** Returns whether requests wait for a connection. */
@@ -85,19 +92,20 @@
     /**
      * Sends a request if there is room, after those that arrived before it. Nothing that was sent is ever sent again.
      * @param send - Sends the request.
-     * @param options - `signal` ends the wait; `confirmCaller` brings it up to date after the wait, and `mayStillSend` tells whether the
-     * request may still be sent.
+     * @param options - `onSent` is called when it is written to a connection. `signal` ends the wait; `confirmCaller` brings it up to
+     * date after the wait, and `mayStillSend` tells whether the request may still be sent.
      * @returns Undefined when the request was not sent.
      */
     async send<T>(
-        send: (dispatcher: Pool) => Promise<T>,
+        send: (dispatcher: Dispatcher) => Promise<T>,
         options: {
+            readonly onSent: (() => void) | undefined;
             readonly signal: AbortSignal;
             readonly confirmCaller: () => Promise<void> | undefined;
             readonly mayStillSend: () => boolean;
         },
     ): Promise<T | undefined> {
-        const { signal, confirmCaller, mayStillSend } = options;
+        const { onSent, signal, confirmCaller, mayStillSend } = options;
         const maySend = (): boolean => !this.#isClosed && !signal.aborted && mayStillSend();
         let isNext = this.#waiting.size === 0;
         while (maySend() && !(isNext && this.hasRoom())) {
@@ -111,7 +119,9 @@
             this.#wakeNext();
             return undefined;
         }
-        const pending = send(this.dispatcher);
+        // The library tells that a connection is free only if none was. It uses one again a cycle of the event loop after its answer.
+        const onEnd = (): void => void setImmediate(() => setImmediate(() => this.#wakeNext()));
+        const pending = send(observeSending(this.dispatcher, { onSent, onEnd }));
         this.#wakeNext();
         return pending;
     }
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -180,6 +180,35 @@
         expect(ended?._unsafeUnwrapErr().kind).toEqual("no-room");
     });
 
+    // Guards against connections beyond a limit that was lowered, which an upstream resets with the requests on them.
+    it("sends no request beyond a limit of connections that was lowered since they were opened, and each one in the end", async () => {
+        const sockets: Socket[] = [];
+        const upstream = await listen(createRawRunner(socket => sockets.push(socket)));
+        let limit = 4;
+        const client = createClient({ getConnectionLimit: () => limit });
+        const answer = async (socket: Socket, pending: ReturnType<typeof client.call>): Promise<void> => {
+            socket.write("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok");
+            expect(await read((await pending)._unsafeUnwrap())).toEqual("ok");
+        };
+        const first = client.call(upstream, createCall());
+        const second = client.call(upstream, createCall());
+        await waitUntil(() => sockets.length === 2, "the first two requests arrive");
+        limit = 1;
+        const third = client.call(upstream, createCall());
+        const fourth = client.call(upstream, createCall());
+        await answer(sockets[0], first);
+        await sleep(50);
+        expect(sockets.length).toEqual(2);
+        await answer(sockets[1], second);
+        await waitUntil(() => sockets.length === 3, "the third request arrives");
+        await sleep(50);
+        expect(sockets.length).toEqual(3);
+        await answer(sockets[2], third);
+        await waitUntil(() => sockets.length === 4, "the fourth request arrives");
+        await answer(sockets[3], fourth);
+        expect(new Set(sockets).size).toEqual(2);
+    });
+
     // Guards against requests that wait for ever, or get lost, behind others for one connection.
     it("sends requests that wait for a connection one after the other, and none whose caller has left", async () => {
         const received: string[] = [];
