Count a request by way of another node as sent when the call to that node is open

What callers saw: a first answer of a cascade is discarded 100 ms after the second request was sent; at a pool that is reached through other nodes, that was while a connection to the other node was still being opened, which takes up to 300 ms and may fail. Cause: the request counted as written before there was a call to the other node. Ruled out: a report by the other node when it writes the request to the upstream. It needs a new part in the protocol between nodes; without it, a connection from there that fails still comes too late for the first answer. Change: the interceptor starts the request, in the library's sense, once the call is open, and the sending is observed in the same way as for requests that go straight to the upstream. A caller that leaves before is noticed up to 300 ms later; its call is cancelled as it opens, as before. A node that could not be reached is also paused if the caller has left.

Conclusion: nothing is discarded for a request that is still with this node.

--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -16,6 +16,7 @@
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
+import { observeSending } from "./sendingObserver.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
 import { headerNames } from "./wire.js";
 
@@ -71,7 +72,7 @@
                     confirmCaller: call.confirmCaller,
                     mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
                 })
-                : await relayCall(() => send(connections.dispatcher.compose(relay)), call);
+                : await send(observeSending(connections.dispatcher.compose(relay), { onSent: call.onSent }));
             return response === undefined
                 ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
                 : readHead(response, call, () => connections.wasReset());
@@ -154,12 +155,6 @@
     }
 }
 
-/** Makes a call by way of another node, whose sending cannot be observed. */
-function relayCall<T>(send: () => T, { onSent }: UpstreamCall): T {
-    onSent?.();
-    return send();
-}
-
 function createRequest(upstream: RegisteredUpstream, call: UpstreamCall): Dispatcher.RequestOptions {
     return {
         origin: `http://${upstream.address}`,
--- a/src/reachability/relayInterceptor.ts
+++ b/src/reachability/relayInterceptor.ts
@@ -86,14 +86,13 @@
             readonly request: RelayRequest;
         },
     ): Promise<void> {
-        this.#handler.onRequestStart?.(this, undefined);
         const peer = peers.choose(pool);
         if (peer === undefined) {
             this.#fail(new NotSentError("no other node reaches the upstream"));
             return;
         }
         const finish = peers.start(peer.id);
-        const call = this.#hasEnded ? undefined : await open(peer, request);
+        const call = await open(peer, request);
         if (call === undefined) {
             finish();
             this.#failUnopened(peer.id, { peers, pool });
@@ -111,17 +110,14 @@
         call.on("status", finish);
         call.on("close", finish);
         call.on("end", () => this.#fail(new Error(`the node ${peer.id} ended an answer too early`)));
-        if (this.#hasEnded) {
-            // The caller left while the call was opened. A cancelled call reports an error, which is handled from here on.
-            call.cancel();
-        }
+        // The request counts as sent only now. If its caller left while the call was opened, this cancels the call, which reports an
+        // error that is handled from here on.
+        this.#handler.onRequestStart?.(this, undefined);
     }
 
     #failUnopened(peer: string, { peers, pool }: { readonly peers: RelayPeers; readonly pool: string; }): void {
-        if (!this.#hasEnded) {
-            peers.pause(peer, pool);
-            this.#fail(new NotSentError(`the node ${peer} did not answer`));
-        }
+        peers.pause(peer, pool);
+        this.#fail(new NotSentError(`the node ${peer} did not answer`));
     }
 
     #handlePart({ head, data, isEnd, failure }: RelayPart): void {
--- a/test/reachability/relayInterceptor.test.ts
+++ b/test/reachability/relayInterceptor.test.ts
@@ -62,7 +62,7 @@
             signal,
             responseHeaders: "raw",
         });
-    return { send, requests, peers };
+    return { dispatcher, send, requests, peers };
 }
 
 function createCall(...parts: readonly Partial<RelayPart>[]): Open {
@@ -130,6 +130,26 @@
         expect(await catchError(response.body.text()) instanceof Error).toEqual(true);
     });
 
+    // Guards against an answer that is given up for a request that waits for a connection to another node, and may not get one.
+    it("starts when the call to the other node is open", async () => {
+        const steps: string[] = [];
+        const { dispatcher } = createRelay(async () => {
+            await Promise.resolve();
+            steps.push("open");
+            return new CallStandin([head, data, end]);
+        });
+        await new Promise<void>((resolve, reject) => {
+            dispatcher.dispatch({ origin: "http://127.0.0.9:1", path: "/", method: "GET" }, {
+                onRequestStart: () => void steps.push("start"),
+                onResponseStart: () => void steps.push("head"),
+                onResponseData: () => {},
+                onResponseEnd: () => resolve(),
+                onResponseError: (_, error) => reject(error),
+            });
+        });
+        expect(steps).toEqual(["open", "start", "head"]);
+    });
+
     // Guards against a node that ends with an unhandled error when a caller leaves while the call to the peer is opened.
     it("is cancelled when its caller leaves at any moment", async () => {
         const opening = new AbortController();
