Keep first answers for a fixed time, now that nothing else is kept by HeldAnswer

Cause: the time was a function for streams and full pools, which have their own ways now. Change: one number. No behaviour changes.

--- a/src/forwarding/heldAnswer.ts
+++ b/src/forwarding/heldAnswer.ts
@@ -6,11 +6,8 @@
 /** Options of `HeldAnswer`. */
 export interface HeldAnswerOptions {
     readonly attempt: Attempt;
-    /**
-     * Returns the time after the sending of the other request for which the answer is kept, in milliseconds. Called when that one is
-     * sent; at 0, the answer is discarded then.
-     */
-    readonly getKeptMilliseconds: () => number;
+    /** Time after the sending of the other request for which the answer is kept, in milliseconds. */
+    readonly keptMilliseconds: number;
     /** Records the end of the attempt whose answer is discarded. */
     readonly onDiscard: () => void;
 }
@@ -18,25 +15,20 @@
 /** An answer that is not read on meanwhile. Its unread body takes no more memory than a connection buffers. */
 export class HeldAnswer {
     readonly #attempt: Attempt;
-    readonly #getKeptMilliseconds: () => number;
+    readonly #keptMilliseconds: number;
     readonly #onDiscard: () => void;
     #timer: NodeJS.Timeout | undefined;
     #isHeld = true;
 
-    constructor({ attempt, getKeptMilliseconds, onDiscard }: HeldAnswerOptions) {
+    constructor({ attempt, keptMilliseconds, onDiscard }: HeldAnswerOptions) {
         this.#attempt = attempt;
-        this.#getKeptMilliseconds = getKeptMilliseconds;
+        this.#keptMilliseconds = keptMilliseconds;
         this.#onDiscard = onDiscard;
     }
 
     /** Records that the other request is sent. */
     markOtherSent(): void {
-        const milliseconds = this.#getKeptMilliseconds();
-        if (milliseconds === 0) {
-            this.discard();
-            return;
-        }
-        this.#timer ??= setTimeout(() => this.discard(), milliseconds);
+        this.#timer ??= setTimeout(() => this.discard(), this.#keptMilliseconds);
     }
 
     /** Records that the other request has certainly not run. The answer is kept until one is sent again. */
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -81,7 +81,7 @@
         }
         this.#held = new HeldAnswer({
             attempt,
-            getKeptMilliseconds: () => keptMilliseconds,
+            keptMilliseconds,
             onDiscard: () => attempt.drop(`confidence ${answer.confidence}`),
         });
         this.#previousModel = this.#model;
