--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -1,9 +1,14 @@
 /**
  * Runs the load of silent runners by hand: `node dist/test/platform/silences/main.js --seed 1 --seconds 60 --streams 60`. With
- * `--prompts` streams have prompts; `--lines N` prints what the nodes wrote of the first N requests that were lost.
+ * `--prompts` streams have prompts, with `--cascade` runners have several models; `--load '{"tags":10}'` changes fields of
+ * `SilentLoad`. `--lines N` prints what the nodes wrote of the first N requests that were lost.
  */
 import { parseArgs } from "node:util";
-import { findLost, runSilentFleet } from "./silentFleet.js";
+import type { EventLine } from "../../../src/events/index.js";
+import { cascadeLoad, findLost, runSilentFleet, type SilentLoad } from "./silentFleet.js";
+
+/** Lines of several nodes within this time are one burst. */
+const burstMilliseconds = 15;
 
 const { values } = parseArgs({
     options: {
@@ -12,6 +17,8 @@
         streams: { type: "string", default: "60" },
         prefix: { type: "string", default: "127.72.110" },
         prompts: { type: "boolean", default: false },
+        cascade: { type: "boolean", default: false },
+        load: { type: "string", default: "{}" },
         lines: { type: "string", default: "0" },
     },
 });
@@ -21,21 +28,26 @@
     milliseconds: Number(values.seconds) * 1_000,
     streams: Number(values.streams),
     hasPrompts: values.prompts,
+    load: { ...(values.cascade ? cascadeLoad : {}), ...JSON.parse(values.load) as Partial<SilentLoad> },
 });
 const lost = findLost(result);
-const refused = result.answers.filter(({ status, isWhole }) => isWhole && status !== 200).length;
+const refused = result.answers.filter(({ status, isWhole }) => isWhole && status !== 200);
 const givenUp = result.events.filter(({ name, reason }) =>
     name === "attempt-ended" && /^(no data for|no answer in time)/.test(String(reason))
 );
 console.log(
-    `${lost.length} lost and ${refused} refused of ${result.answers.length}; ${givenUp.length} attempts given up in silence`,
+    `${lost.length} lost and ${refused.length} refused of ${result.answers.length}; ${givenUp.length} attempts given up in silence`,
 );
-const ends = new Map<string, number>();
-for (const { end, isReplaced } of result.events.filter(({ name }) => name === "silence-ended")) {
-    const text = `${String(end)}${isReplaced === true ? " after the other one had begun" : ""}`;
-    ends.set(text, (ends.get(text) ?? 0) + 1);
-}
-console.log(`silences: ${[...ends].map(([end, count]) => `${count} ${end}`).join(", ")}`);
+console.log(`lost: ${describe(lost, ({ id }) => id.split("-")[0])}`);
+console.log(`refused: ${describe(refused, ({ id, status }) => `${id.split("-")[0]} ${status}`)}`);
+console.log(`given up: ${describe(givenUp, ({ reason }) => String(reason))}`);
+console.log(`silences: ${describe(getLines("silence-ended"), ({ end, isReplaced }) => `${end} ${isReplaced ?? ""}`)}`);
+console.log(`broken off: ${describe(getLines("answer-broken"), ({ reason }) => String(reason))}`);
+const failures = getLines("escalation-failed");
+console.log(`escalation-failed: ${describe(failures, ({ reason }) => String(reason))}; ${describeTimes(failures)}`);
+const ejections = getLines("upstream-ejected");
+console.log(`upstream-ejected: ${ejections.length}, ${countBursts(ejections)} bursts; ${describeTimes(ejections)}`);
+console.log(`lines: ${describe(result.events, ({ name }) => name)}`);
 for (const { id, path, status, body, reason, sentAt, endedAt } of lost.slice(0, Number(values.lines))) {
     const milliseconds = Math.round(endedAt - sentAt);
     console.log(
@@ -47,3 +59,37 @@
 }
 console.log(result.timeLine.join("\n"));
 process.exit(lost.length === 0 ? 0 : 1);
+
+function getLines(name: string): readonly EventLine[] {
+    return result.events.filter(event => event.name === name);
+}
+
+/** Counts items by a text. */
+function describe<T>(items: readonly T[], getText: (item: T) => string): string {
+    const counts = new Map<string, number>();
+    for (const item of items) {
+        counts.set(getText(item), (counts.get(getText(item)) ?? 0) + 1);
+    }
+    return [...counts].map(([text, count]) => `${count} ${text.trim()}`).join(", ");
+}
+
+/** Describes how long after the start of a silence lines were written. */
+function describeTimes(lines: readonly EventLine[]): string {
+    const times = lines.map(({ time }) => time - (result.silences.findLast(start => start <= time) ?? time));
+    times.sort((left, right) => left - right);
+    const getTime = (share: number): number | undefined => times[Math.floor((times.length - 1) * share)];
+    return `after the start of a silence: 10% ${getTime(0.1)}, 50% ${getTime(0.5)}, 90% ${getTime(0.9)} ms`;
+}
+
+/** Counts the groups of lines that several nodes wrote at the same time. */
+function countBursts(lines: readonly EventLine[]): number {
+    const sorted = [...lines].sort((left, right) => left.time - right.time);
+    let bursts = 0;
+    while (sorted.length > 0) {
+        const start = sorted[0].time;
+        const length = sorted.findIndex(({ time }) => time > start + burstMilliseconds);
+        const group = sorted.splice(0, length < 0 ? sorted.length : length);
+        bursts += new Set(group.map(({ process: node }) => node)).size >= 2 ? 1 : 0;
+    }
+    return bursts;
+}
--- a/test/platform/standins/slottedRunner.ts
+++ b/test/platform/standins/slottedRunner.ts
@@ -16,8 +16,12 @@
     readonly eventMilliseconds: number;
     /** Time that an answer without events takes. */
     readonly callMilliseconds: number;
-    /** Returns the number of events of the whole answer to a stream. */
-    readonly getEventCount: (target: string) => number;
+    /** Returns the number of events of the whole answer to a stream; undefined for an answer without events. */
+    readonly getEventCount: (target: string) => number | undefined;
+    /** Returns the factor by which a model's events take longer. */
+    readonly getPace?: ((model: string) => number) | undefined;
+    /** Returns a model's confidence in its answer to a request; undefined if it states none. */
+    readonly getConfidence?: ((request: ReceivedRequest, model: string) => number) | undefined;
 }
 
 /** Works on the requests that a stand-in receives. */
@@ -50,29 +54,30 @@
         }
         await this.#takeSlot();
         if (!response.destroyed) {
-            await (request.target.startsWith("/stream/")
-                ? this.#answerStream(request, response)
-                : this.#answerCall(request, response));
+            const last = this.#work.getEventCount(request.target);
+            await (last === undefined
+                ? this.#answerCall(request, response)
+                : this.#answerStream(request, response, last));
         }
         this.#freeSlot();
     }
 
-    async #answerStream(request: ReceivedRequest, response: ServerResponse): Promise<void> {
+    async #answerStream(request: ReceivedRequest, response: ServerResponse, last: number): Promise<void> {
+        const { eventMilliseconds, getPace } = this.#work;
+        const milliseconds = eventMilliseconds * (getPace?.(getModel(request)) ?? 1);
         const first = Number(request.headers["last-event-id"] ?? 0) + 1;
-        const last = this.#work.getEventCount(request.target);
         for (let id = first; id <= last; id += 1) {
-            await this.#wait(this.#work.eventMilliseconds);
+            await this.#wait(milliseconds);
             if (response.destroyed) {
                 return;
             }
             if (!response.headersSent) {
-                const headers = { ...createSeal(request), "Content-Type": "text/event-stream" };
-                response.writeHead(200, { ...headers, ...this.#createLoad() });
+                response.writeHead(200, this.#createStreamHeaders(request));
             }
             response.write(createEvent(id));
         }
         if (!response.headersSent) {
-            response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
+            response.writeHead(200, this.#createStreamHeaders(request));
         }
         response.end();
     }
@@ -112,11 +117,25 @@
         next();
     }
 
+    #createStreamHeaders(request: ReceivedRequest): Readonly<Record<string, string>> {
+        const confidence = this.#work.getConfidence?.(request, getModel(request));
+        return {
+            ...createSeal(request),
+            "Content-Type": "text/event-stream",
+            ...this.#createLoad(),
+            ...(confidence === undefined ? {} : { Confidence: String(confidence) }),
+        };
+    }
+
     #createLoad(): Readonly<Record<string, string>> {
         return { "Server-Load": `${this.#running},${this.#waiting.length},${this.#work.slots}` };
     }
 }
 
+function getModel(request: ReceivedRequest): string {
+    return String(request.headers.model ?? "");
+}
+
 /** Returns the bytes of an event. */
 export function createEvent(id: number): string {
     return `id: ${id}\ndata: ${id}\n\n`;
