--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -1,7 +1,7 @@
 /**
  * Runs the load of silent runners by hand: `node dist/test/platform/silences/main.js --seed 1 --seconds 60 --streams 60`. With
  * `--prompts` streams have prompts, with `--cascade` runners have several models; `--load '{"tags":10}'` changes fields of
- * `SilentLoad`. `--lines N` prints what the nodes wrote of the first N requests that were lost.
+ * `SilentLoad`. `--lines N` prints what the nodes wrote of the first N requests that were lost or, after them, that got a failure.
  */
 import { parseArgs } from "node:util";
 import type { EventLine } from "../../../src/events/index.js";
@@ -48,7 +48,8 @@
 const ejections = getLines("upstream-ejected");
 console.log(`upstream-ejected: ${ejections.length}, ${countBursts(ejections)} bursts; ${describeTimes(ejections)}`);
 console.log(`lines: ${describe(result.events, ({ name }) => name)}`);
-for (const { id, path, status, body, reason, sentAt, endedAt } of lost.slice(0, Number(values.lines))) {
+const unserved = [...lost, ...refused.filter(({ status }) => status !== 401 && status !== 404)];
+for (const { id, path, status, body, reason, sentAt, endedAt } of unserved.slice(0, Number(values.lines))) {
     const milliseconds = Math.round(endedAt - sentAt);
     console.log(
         `${id} ${path} status ${status}, ${body.split("\n\n").length - 1} events, ${milliseconds} ms: ${reason}`,
