--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -38,7 +38,7 @@
 console.log(
     `${lost.length} lost and ${refused.length} refused of ${result.answers.length}; ${givenUp.length} attempts given up in silence`,
 );
-console.log(`lost: ${describe(lost, ({ id }) => id.split("-")[0])}`);
+console.log(`lost: ${describe(lost, ({ id, status, reason }) => `${id.split("-")[0]} ${status} ${reason}`)}`);
 console.log(`refused: ${describe(refused, ({ id, status }) => `${id.split("-")[0]} ${status}`)}`);
 console.log(`given up: ${describe(givenUp, ({ reason }) => String(reason))}`);
 console.log(`silences: ${describe(getLines("silence-ended"), ({ end, isReplaced }) => `${end} ${isReplaced ?? ""}`)}`);
