--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -39,6 +39,10 @@
     `${lost.length} lost and ${refused.length} refused of ${result.answers.length}; ${givenUp.length} attempts given up in silence`,
 );
 console.log(`lost: ${describe(lost, ({ id, status, reason }) => `${id.split("-")[0]} ${status} ${reason}`)}`);
+const times = result.answers.filter(({ id }) => id.startsWith("stream-")).map(({ sentAt, endedAt }) =>
+    endedAt - sentAt
+);
+console.log(`streams: ${describeShares(times)} ms`);
 console.log(`refused: ${describe(refused, ({ id, status }) => `${id.split("-")[0]} ${status}`)}`);
 console.log(`given up: ${describe(givenUp, ({ reason }) => String(reason))}`);
 console.log(`silences: ${describe(getLines("silence-ended"), ({ end, isReplaced }) => `${end} ${isReplaced ?? ""}`)}`);
@@ -46,7 +50,8 @@
 const failures = getLines("escalation-failed");
 console.log(`escalation-failed: ${describe(failures, ({ reason }) => String(reason))}; ${describeTimes(failures)}`);
 const ejections = getLines("upstream-ejected");
-console.log(`upstream-ejected: ${ejections.length}, ${countBursts(ejections)} bursts; ${describeTimes(ejections)}`);
+console.log(`upstream-ejected: ${ejections.length}; ${describeTimes(ejections)}`);
+console.log(`bursts of them: ${describe(findBursts(ejections), text => text)}`);
 console.log(`lines: ${describe(result.events, ({ name }) => name)}`);
 const unserved = [...lost, ...refused.filter(({ status }) => status !== 401 && status !== 404)];
 for (const { id, path, status, body, reason, sentAt, endedAt } of unserved.slice(0, Number(values.lines))) {
@@ -77,20 +82,29 @@
 /** Describes how long after the start of a silence lines were written. */
 function describeTimes(lines: readonly EventLine[]): string {
     const times = lines.map(({ time }) => time - (result.silences.findLast(start => start <= time) ?? time));
-    times.sort((left, right) => left - right);
-    const getTime = (share: number): number | undefined => times[Math.floor((times.length - 1) * share)];
-    return `after the start of a silence: 10% ${getTime(0.1)}, 50% ${getTime(0.5)}, 90% ${getTime(0.9)} ms`;
+    return `${describeShares(times)} ms after the start of a silence`;
+}
+
+function describeShares(numbers: readonly number[]): string {
+    const sorted = [...numbers].sort((left, right) => left - right);
+    return [0.1, 0.5, 0.9, 0.99].map(share => {
+        const value = sorted[Math.floor((sorted.length - 1) * share)];
+        return `${100 * share}% ${value === undefined ? "-" : Math.round(value)}`;
+    }).join(", ");
 }
 
-/** Counts the groups of lines that several nodes wrote at the same time. */
-function countBursts(lines: readonly EventLine[]): number {
+/** Returns, for each group of lines that several nodes wrote at the same time, of how many nodes and runners they tell. */
+function findBursts(lines: readonly EventLine[]): readonly string[] {
     const sorted = [...lines].sort((left, right) => left.time - right.time);
-    let bursts = 0;
+    const bursts: string[] = [];
     while (sorted.length > 0) {
         const start = sorted[0].time;
         const length = sorted.findIndex(({ time }) => time > start + burstMilliseconds);
         const group = sorted.splice(0, length < 0 ? sorted.length : length);
-        bursts += new Set(group.map(({ process: node }) => node)).size >= 2 ? 1 : 0;
+        const nodes = new Set(group.map(({ process: node }) => node)).size;
+        if (nodes >= 2) {
+            bursts.push(`of ${nodes} nodes on ${new Set(group.map(({ upstream }) => upstream)).size} runners`);
+        }
     }
     return bursts;
 }
--- a/test/platform/silences/silentFleet.test.ts
+++ b/test/platform/silences/silentFleet.test.ts
@@ -1,30 +1,51 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { findLost, runSilentFleet } from "./silentFleet.js";
+import { cascadeLoad, findLost, runSilentFleet, type SilentFleetOptions } from "./silentFleet.js";
 
 const loadMilliseconds = 14_000;
+/** Time in which some, all and some runners are silent. */
+const cascadeMilliseconds = 9_000;
+const maxCascadeSilenceMilliseconds = 1_700;
 const maxLines = 20;
 
 describe("runSilentFleet", () => {
-    const loads = [
+    const loads: readonly (SilentFleetOptions & { readonly title: string; })[] = [
         // Guards against streams that wait behind each other at one runner while others are idle, until their time is over.
-        { seed: 1, prefix: "127.72.69", streams: 75, hasPrompts: false },
+        {
+            title: "75 streams without prompts",
+            seed: 1,
+            prefix: "127.72.69",
+            milliseconds: loadMilliseconds,
+            streams: 75,
+            hasPrompts: false,
+        },
         // Guards against streams that are broken off although their runners go on after a silence.
-        { seed: 2, prefix: "127.72.70", streams: 100, hasPrompts: true },
+        {
+            title: "100 streams with prompts",
+            seed: 2,
+            prefix: "127.72.70",
+            milliseconds: loadMilliseconds,
+            streams: 100,
+            hasPrompts: true,
+        },
+        // Guards against streams of larger models that are broken off in a second silence, after which no attempt is left.
+        {
+            title: "100 streams of a cascade of models",
+            seed: 1,
+            prefix: "127.72.115",
+            milliseconds: cascadeMilliseconds,
+            streams: 100,
+            hasPrompts: true,
+            load: { ...cascadeLoad, maxSilenceMilliseconds: maxCascadeSilenceMilliseconds },
+        },
     ];
-    for (const { seed, prefix, streams, hasPrompts } of loads) {
-        it(`answers ${streams} streams ${hasPrompts ? "with" : "without"} prompts as runners fall silent`, async () => {
-            const result = await runSilentFleet({
-                seed,
-                prefix,
-                milliseconds: loadMilliseconds,
-                streams,
-                hasPrompts,
-            });
+    for (const { title, ...options } of loads) {
+        it(`answers ${title} as runners fall silent`, async () => {
+            const result = await runSilentFleet(options);
             const lost = findLost(result).map(({ id, path, status, reason }) => `${id} ${path} ${status} ${reason}`);
             const lines = lost.length === 0 ? [] : [...lost.slice(0, maxLines), ...result.timeLine];
             expect(lines).toEqual([]);
-            expect(result.answers.length > streams).toEqual(true);
+            expect(result.answers.length > options.streams).toEqual(true);
         });
     }
 });
