Create the refusals of calls and streams without an answer in one place, and tell one end of each silence

The refusal of a request without a whole answer stood in the two exchanges, word for word but for its text; it is in refusals.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -193,7 +193,7 @@
         465,
         "silence-ended",
         "info",
-        "A stream's upstream had sent nothing for longer than the pause timeout. The fields say for how long, and whether it went on, was taken back as no other one had begun, or was replaced by one that had.",
+        "A stream's upstream had sent nothing for longer than the pause timeout. The fields say for how long, and whether it went on, was replaced by another one that had begun, or the stream ended.",
     ),
     poorAnswerAccepted: define(
         470,
--- a/src/forwarding/refusals.ts
+++ b/src/forwarding/refusals.ts
@@ -6,7 +6,7 @@
 import type { PoolPressure } from "../decisions/index.js";
 import { createQuarantineFailure } from "../quarantine/index.js";
 import type { AttemptFailure } from "./attempt.js";
-import { type Exchange, getRankedRequest } from "./exchange.js";
+import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
 
 /**
  * Bounds of the retry delay as shares of the caller's remaining time; delays are drawn uniformly. A caller that retries later has
@@ -67,13 +67,42 @@
     return Math.min(wait + spread, limit * (1 - waitSpreadShare * random));
 }
 
+/** What a caller is told of a request that may have run and was not answered. */
+export interface UnansweredText {
+    readonly message: string;
+    readonly remedy: string;
+}
+
+/**
+ * Creates the refusal of a request without a whole answer.
+ * @param exchange - The request.
+ * @param error - Why the last attempt failed or was not made.
+ * @param pressure - Knows when room is expected.
+ * @param text - What the caller is told if the request may have run.
+ */
+export function createAnswerRefusal(
+    exchange: Exchange,
+    error: AttemptFailure,
+    pressure: PoolPressure,
+    text: UnansweredText,
+): Refusal {
+    const endRefusal = createEndRefusal(exchange);
+    if (endRefusal !== undefined) {
+        return endRefusal;
+    }
+    if (exchange.outcome === "not-run") {
+        return createNotRunRefusal(exchange, error, pressure);
+    }
+    return { outcome: exchange.outcome, failure: new Failure({ kind: "upstream-failed", ...text }) };
+}
+
 /**
  * Creates the refusal of a request that no upstream has run.
  * @param exchange - The request.
  * @param error - Why the last attempt failed or was not made.
  * @param pressure - Knows when room is expected.
  */
-export function createNotRunRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
+function createNotRunRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
     if (error.kind === "not-made" && error.reason === "quarantined") {
         return { outcome: "not-run", failure: createQuarantineFailure(error.retryAfterMilliseconds) };
     }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,7 +2,6 @@
  * Forwards requests that are answered by a stream of events.
  */
 import type { Result } from "neverthrow";
-import { Failure, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import { isEndless } from "../upstream/index.js";
@@ -10,12 +9,12 @@
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
 import { recheckMilliseconds } from "./callCancellation.js";
-import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
+import { type Exchange, getRankedRequest } from "./exchange.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
 import type { ForwardingMetrics } from "./metrics.js";
 import { ModelCascade } from "./modelCascade.js";
-import { createNotRunRefusal } from "./refusals.js";
+import { createAnswerRefusal } from "./refusals.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
 import { isCertainlyNotRun } from "./upstreamCall.js";
@@ -136,15 +135,15 @@
         if (silent === undefined) {
             return undefined;
         }
+        if (attempt.answer.status !== successStatus) {
+            this.#rejectContinuation(attempt);
+            return this.#takeSilent();
+        }
         if (silent.goesOn.aborted) {
             attempt.drop("the silent upstream goes on");
             attempt.cancel();
             return this.#takeSilent();
         }
-        if (attempt.answer.status !== successStatus) {
-            this.#rejectContinuation(attempt);
-            return this.#takeSilent();
-        }
         this.#silent = undefined;
         silent.replace();
         return undefined;
@@ -153,8 +152,8 @@
     #takeSilent(): StreamAnswer | undefined {
         const silent = this.#silent;
         this.#silent = undefined;
-        if (silent !== undefined && !silent.goesOn.aborted) {
-            this.#logSilence(silent.answer, "taken-back");
+        if (silent !== undefined) {
+            this.#exchange.takeReservation();
         }
         return silent?.take();
     }
@@ -208,6 +207,7 @@
             this.#silent = this.#keep(relayed, result.reason);
             return false;
         }
+        this.#endSilence(relayed, "ended");
         if (result.kind === "complete") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
             const isCertain = answer.hasKnownEnd || route.isResumable;
@@ -247,6 +247,7 @@
                 if (bytes === undefined) {
                     break;
                 }
+                this.#endSilence(relayed, "went-on");
                 attempt.markSeen();
                 await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
                 passedBytes += bytes.length;
@@ -292,10 +293,6 @@
             }
             milliseconds = recheckMilliseconds;
         }
-        if (relayed.silentSince !== undefined) {
-            this.#logSilence(relayed, "went-on");
-            relayed.silentSince = undefined;
-        }
         return true;
     }
 
@@ -304,17 +301,22 @@
             answer,
             reason,
             ended: this.#exchange.ended,
-            onReplace: () => this.#logSilence(answer, "replaced"),
+            onReplace: () => this.#endSilence(answer, "replaced"),
         });
     }
 
-    #logSilence(silent: StreamAnswer, end: "went-on" | "taken-back" | "replaced"): void {
+    /** Records the end of a silence, if there was one. */
+    #endSilence(answer: StreamAnswer, end: "went-on" | "replaced" | "ended"): void {
+        if (answer.silentSince === undefined) {
+            return;
+        }
         this.#journal.write(events.silenceEnded, {
             request: this.#exchange.request.id,
-            upstream: silent.attempt.upstream.id,
+            upstream: answer.attempt.upstream.id,
             end,
-            silentMs: Math.round(this.#exchange.getElapsed() - (silent.silentSince ?? 0)),
+            silentMs: Math.round(this.#exchange.getElapsed() - answer.silentSince),
         });
+        answer.silentSince = undefined;
     }
 
     /**
@@ -383,24 +385,9 @@
             reply.abort(error.kind === "not-made" ? `not resumed: ${error.reason}` : error.failure.reason);
             return;
         }
-        reply.refuse(this.#createRefusal(error));
-    }
-
-    #createRefusal(error: AttemptFailure): Refusal {
-        const endRefusal = createEndRefusal(this.#exchange);
-        if (endRefusal !== undefined) {
-            return endRefusal;
-        }
-        if (this.#exchange.outcome === "not-run") {
-            return createNotRunRefusal(this.#exchange, error, this.#pressure);
-        }
-        return {
-            outcome: this.#exchange.outcome,
-            failure: new Failure({
-                kind: "upstream-failed",
-                message: "No runner sent a complete answer, and the request may have run.",
-                remedy: "Retry the request if it is safe to repeat.",
-            }),
-        };
+        reply.refuse(createAnswerRefusal(this.#exchange, error, this.#pressure, {
+            message: "No runner sent a complete answer, and the request may have run.",
+            remedy: "Retry the request if it is safe to repeat.",
+        }));
     }
 }
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -2,16 +2,16 @@
  * Forwards requests with a single answer, which is read completely before it is sent.
  */
 import { ok, type Result } from "neverthrow";
-import { ByteCollector, Failure, type Refusal } from "../common/index.js";
+import { ByteCollector, type Refusal } from "../common/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { isRepeatable } from "../routing/index.js";
 import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import type { Attempts } from "./attempts.js";
-import { createEndRefusal, type Exchange, getRankedRequest } from "./exchange.js";
+import { type Exchange, getRankedRequest } from "./exchange.js";
 import type { HeadTimes } from "./headTimes.js";
-import { createBrokenFailure, createNotRunRefusal } from "./refusals.js";
+import { createAnswerRefusal, createBrokenFailure } from "./refusals.js";
 import { isCertainlyNotRun, type UpstreamAnswer } from "./upstreamCall.js";
 
 /** Statuses from here on are failures of the upstream. */
@@ -176,19 +176,8 @@
 }
 
 function createRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
-    const endRefusal = createEndRefusal(exchange);
-    if (endRefusal !== undefined) {
-        return endRefusal;
-    }
-    if (exchange.outcome === "not-run") {
-        return createNotRunRefusal(exchange, error, pressure);
-    }
-    return {
-        outcome: exchange.outcome,
-        failure: new Failure({
-            kind: "upstream-failed",
-            message: "The upstream sent no complete answer, and the request may have run.",
-            remedy: "Check whether it took effect before sending it again.",
-        }),
-    };
+    return createAnswerRefusal(exchange, error, pressure, {
+        message: "The upstream sent no complete answer, and the request may have run.",
+        remedy: "Check whether it took effect before sending it again.",
+    });
 }
