--- a/src/decisions/dispatch/pick.ts
+++ b/src/decisions/dispatch/pick.ts
@@ -24,8 +24,6 @@
     readonly excluded: ReadonlySet<string>;
     /** The prompt; undefined for plain services. */
     readonly prompt: PromptDescription | undefined;
-    /** Excludes upstreams that have requests of this node and have sent it nothing for longer than this time, in milliseconds. */
-    readonly maxSilenceMilliseconds?: number | undefined;
     /** Whether the choice may be a probe. False for estimates and for attempts after the first one. */
     readonly mayProbe?: boolean;
 }
--- a/src/decisions/dispatch/upstreamPicker.ts
+++ b/src/decisions/dispatch/upstreamPicker.ts
@@ -88,13 +88,9 @@
      */
     pick(options: UpstreamPickOptions): UpstreamPick | undefined {
         const now = this.#clock.monotonic();
-        const { excluded, maxSilenceMilliseconds } = options;
         const untried = exclude(
             options.candidates,
-            upstream =>
-                excluded.has(upstream.id) || !this.#isAdmitted(upstream)
-                || maxSilenceMilliseconds !== undefined
-                    && this.#loads.getStatus(upstream.id).getSilence(now) > maxSilenceMilliseconds,
+            upstream => options.excluded.has(upstream.id) || !this.#isAdmitted(upstream),
         );
         const unejected = exclude(untried, ({ id }) => this.#loads.getStatus(id).isEjected(now));
         const healthy = this.#findDue(unejected) ?? unejected;
--- a/src/decisions/dispatch/upstreamStatus.ts
+++ b/src/decisions/dispatch/upstreamStatus.ts
@@ -109,11 +109,6 @@
         return now - this.#reportedAt;
     }
 
-    /** Returns the time for which requests of this node have received nothing, in milliseconds; 0 if none is in flight. */
-    getSilence(now: number): number {
-        return this.#inFlight === 0 ? 0 : now - Math.max(this.#reportedAt, this.#lastSeenAt);
-    }
-
     /** Returns the time since data was received or a call was started, in milliseconds; infinity if neither ever was. */
     getTrialAge(now: number): number {
         return now - Math.max(this.#reportedAt, this.#lastSeenAt, this.#lastStartAt);
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -54,8 +54,6 @@
      * @param expectedMilliseconds - Expected time to the head of the answer.
      */
     readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
-    /** Excludes upstreams that have requests of this node and have sent it nothing for longer than this time, in milliseconds. */
-    readonly maxSilenceMilliseconds?: number | undefined;
     /** Called when the request is written to a connection. It may wait for one before. */
     readonly onSent?: (() => void) | undefined;
     /** Ends the attempt before its answer has started. Without it, only the end of the request does. */
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -182,13 +182,11 @@
     }
 
     /** Selects an upstream, or tells why the request is not sent to any now. */
-    #select({ exchange, prompt, maxSilenceMilliseconds }: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
+    #select({ exchange, prompt }: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
         if (!this.#options.isReachable(exchange.pool)) {
             return err({ kind: "not-made", reason: "unreachable" });
         }
-        const { excluded, attempts } = exchange;
-        const limits = { excluded, mayProbe: attempts === 0, maxSilenceMilliseconds };
-        const selected = this.#selection.select(exchange, prompt, limits);
+        const selected = this.#selection.select(exchange, prompt, exchange.excluded, exchange.attempts === 0);
         return selected === undefined || this.#selection.isHeapedUp(exchange, selected.pick)
             ? err(this.#selection.createFailure(exchange))
             : ok(selected);
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -65,7 +65,7 @@
      * @param prompt - The prompt.
      */
     estimate(exchange: Exchange, prompt: PromptDescription): number | undefined {
-        const pick = this.#selection.select(exchange, prompt, { excluded: new Set() })?.pick;
+        const pick = this.#selection.select(exchange, prompt, new Set())?.pick;
         return pick && pick.expectedMilliseconds * this.#options.picker.getWaitRatio();
     }
 
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -287,8 +287,7 @@
         let milliseconds = relayed.silentSince === undefined ? this.#getPauseTimeout() : recheckMilliseconds;
         while (!await relayed.body.waitForPiece(milliseconds)) {
             relayed.silentSince ??= this.#exchange.getElapsed() - milliseconds;
-            const maxSilenceMilliseconds = this.#getMaxSilence(relayed);
-            if (this.#attempts.reserveBeside({ ...this.#createAttemptRequest(), maxSilenceMilliseconds })) {
+            if (this.#attempts.reserveBeside(this.#createAttemptRequest())) {
                 return false;
             }
             milliseconds = recheckMilliseconds;
@@ -319,15 +318,6 @@
         answer.silentSince = undefined;
     }
 
-    /**
-     * Returns how long another runner that replaces a silent one may have been silent itself, in milliseconds. Where all runners are
-     * silent, none does better, and the attempts are kept for one that does. Undefined once a sound runner would have gone on.
-     */
-    #getMaxSilence({ silentSince = 0 }: StreamAnswer): number | undefined {
-        const timeout = this.#getPauseTimeout();
-        return this.#exchange.getElapsed() - silentSince < 2 * timeout ? timeout / pauseTimeoutFactor : undefined;
-    }
-
     /** Returns whether a further attempt is certain. Its upstream is then reserved. */
     #reserveNext(): Promise<boolean> {
         return this.#attempts.reserve(this.#createAttemptRequest(), this.#exchange.ended);
--- a/src/forwarding/upstreamSelection.ts
+++ b/src/forwarding/upstreamSelection.ts
@@ -20,16 +20,6 @@
     readonly selectVersion: (exchange: Exchange, candidates: readonly RegisteredUpstream[]) => VersionSelection;
 }
 
-/** What restricts the selection of an upstream. */
-export interface SelectionLimits {
-    /** Identifiers of the upstreams that were tried. */
-    readonly excluded: ReadonlySet<string>;
-    /** Whether the choice may be a probe. */
-    readonly mayProbe?: boolean;
-    /** Excludes upstreams that have requests of this node and have sent it nothing for longer than this time, in milliseconds. */
-    readonly maxSilenceMilliseconds?: number | undefined;
-}
-
 /** An upstream that was selected. */
 export interface SelectedUpstream {
     readonly pick: UpstreamPick;
@@ -52,13 +42,14 @@
     select(
         exchange: Exchange,
         prompt: PromptDescription | undefined,
-        limits: SelectionLimits,
+        excluded: ReadonlySet<string>,
+        mayProbe = false,
     ): SelectedUpstream | undefined {
         const { registry, picker, selectVersion } = this.#options;
         const available = registry.getAvailable(exchange.pool);
         const pickAmong = (candidates: readonly RegisteredUpstream[]): SelectedUpstream | undefined => {
             const { upstreams, reason } = selectVersion(exchange, candidates);
-            const pick = picker.pick({ ...limits, pool: exchange.pool, candidates: upstreams, prompt });
+            const pick = picker.pick({ pool: exchange.pool, candidates: upstreams, excluded, prompt, mayProbe });
             return pick && { pick, versionReason: reason };
         };
         const isWarmingUp = ({ id }: RegisteredUpstream): boolean => registry.warmUps.isWarmingUp(id);
