--- /dev/null
+++ b/test/platform/soak/soakNodes.ts
@@ -0,0 +1,144 @@
+/** The nodes of a soak test, and their faults. */
+import { writeFileSync } from "node:fs";
+import type { RandomSource } from "../../../src/common/index.js";
+import type { Cut, PlatformSite } from "../platformSite.js";
+import type { NodeOutage } from "./soakLimit.js";
+import { draw, type SoakRecord, wait } from "./soakRecord.js";
+
+const cuts: readonly Cut[] = ["silent", "reset", "kept"];
+
+/** Options of the nodes of a soak test. */
+export interface SoakNodesOptions {
+    readonly site: PlatformSite;
+    readonly random: RandomSource;
+    readonly record: SoakRecord;
+    readonly count: number;
+    /** Whether the paths of nodes to the runners can be cut. */
+    readonly areCuttable: boolean;
+    /** Returns the address at which a node reaches the store. */
+    readonly getStoreAddress: (index: number) => string;
+}
+
+/** Starts nodes, stops, kills and pauses them and cuts their paths. */
+export class SoakNodes {
+    readonly outages: NodeOutage[] = [];
+    readonly #options: SoakNodesOptions;
+    /** Indices from 1 of the nodes that are killed, stopped or paused at the moment. */
+    readonly #unavailable = new Set<number>();
+    #isStopped = false;
+
+    constructor(options: SoakNodesOptions) {
+        this.#options = options;
+    }
+
+    /** Starts all nodes and waits until they are ready. */
+    async start(): Promise<void> {
+        const { site, count } = this.#options;
+        for (let index = 1; index <= count; index += 1) {
+            this.#startNode(index);
+        }
+        for (const node of site.nodes) {
+            await site.waitForReady(node);
+        }
+    }
+
+    /** No longer reports nodes that exit. */
+    ignoreExits(): void {
+        this.#isStopped = true;
+    }
+
+    /** Kills a node or tells it to stop, and starts it again after a time. */
+    async stopNode(signal: "SIGKILL" | "SIGTERM", faultMilliseconds: number): Promise<void> {
+        const { site, record } = this.#options;
+        const index = this.#drawNode();
+        if (index === undefined) {
+            return;
+        }
+        record.addFault(`${signal} to node ${index}, down for ${faultMilliseconds} ms`);
+        this.#unavailable.add(index);
+        const node = site.nodes[index - 1];
+        const from = performance.now();
+        node.child.kill(signal);
+        const code = await node.exited;
+        // Until it serves, a node is terminated by the signal itself: seed 36 sent the signal 79 ms after a start.
+        const hasStarted = node.events.some(event => event.name === "process-started");
+        if (signal === "SIGTERM" && hasStarted && code !== 0) {
+            record.addViolation(`node ${index} exited with ${code} after SIGTERM`);
+        }
+        await wait(faultMilliseconds);
+        this.#startNode(index);
+        this.outages.push({ node: node.address, from, until: performance.now() });
+        record.addFault(`node ${index} started again`);
+        this.#unavailable.delete(index);
+    }
+
+    /** Pauses a node. */
+    async pauseNode(faultMilliseconds: number): Promise<void> {
+        const index = this.#drawNode();
+        if (index === undefined) {
+            return;
+        }
+        this.#options.record.addFault(`node ${index} paused for ${faultMilliseconds} ms`);
+        this.#unavailable.add(index);
+        const { address, child } = this.#options.site.nodes[index - 1];
+        const from = performance.now();
+        child.kill("SIGSTOP");
+        await wait(faultMilliseconds);
+        child.kill("SIGCONT");
+        this.outages.push({ node: address, from, until: performance.now() });
+        this.#unavailable.delete(index);
+    }
+
+    /** Takes the paths to all runners away from one node or from several, or from all. */
+    async cutNodes(faultMilliseconds: number): Promise<void> {
+        const { site, random, record } = this.#options;
+        const count = 1 + random.nextInteger(this.#options.count);
+        const cut = draw(random, cuts);
+        record.addFault(`${count} nodes reach no runner (${cut}) for ${faultMilliseconds} ms`);
+        for (const { cutFile } of site.nodes.slice(0, count)) {
+            writeFileSync(cutFile, cut);
+        }
+        await wait(faultMilliseconds);
+        for (const { cutFile } of site.nodes.slice(0, count)) {
+            writeFileSync(cutFile, "none");
+        }
+    }
+
+    /** Tells a node to read its settings again. */
+    reload(): void {
+        const index = this.#drawNode();
+        if (index !== undefined) {
+            this.#options.record.addFault(`SIGHUP to node ${index}`);
+            this.#options.site.nodes[index - 1].child.kill("SIGHUP");
+        }
+    }
+
+    #startNode(index: number): void {
+        const { site, record, areCuttable, getStoreAddress } = this.#options;
+        const node = areCuttable
+            ? site.startCuttableNode(index, "none", getStoreAddress(index))
+            : site.startNode(index, [], getStoreAddress(index));
+        void node.exited.then(code => {
+            if (this.#unavailable.has(index) || this.#isStopped) {
+                return;
+            }
+            // For a tenth of a second after its start, a process runs no code of the program that could handle a signal.
+            if (node.child.signalCode === "SIGHUP" && node.events.length === 0) {
+                record.addFault(`node ${index} ended by SIGHUP before it ran, started again`);
+                this.#startNode(index);
+            }
+            else {
+                record.addViolation(`node ${index} exited unexpectedly with ${code} at ${record.getElapsed()}`);
+            }
+        });
+    }
+
+    #drawNode(): number | undefined {
+        const { count, random } = this.#options;
+        const available = Array.from({ length: count }, (...[, index]) => index + 1).filter(index =>
+            !this.#unavailable.has(index)
+        );
+        // One node always stays available, so that the others can read from a peer and callers get answers.
+        return available.length <= 1 ? undefined : draw(random, available);
+    }
+}
