Let runners of the platform's soak fall silent, and find the requests that were lost

Cause: the platform's soak read only successes. A request without an answer, and one whose answer was broken off, passed. No runner was silent as a whole, and no stream lasted longer than 0.2 s. Ruled out: counting every request without a whole answer; nodes that are killed, and runners that break off, end some. In every mode a request without a whole answer or refusal is a violation unless a fault of its node, its own deadline or the runner of its last sound run excuses it.

--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -3,15 +3,18 @@
  * Checks the guarantees against what callers and runners observed.
  */
 import { RandomSource } from "../../../src/common/index.js";
+import type { EventLine } from "../../../src/events/index.js";
 import { waitUntil } from "../../../src/testbench/index.js";
 import { PlatformSite } from "../platformSite.js";
 import { RunnerSet } from "./runnerSet.js";
 import { SoakCallers } from "./soakCallers.js";
 import { findViolations } from "./soakChecks.js";
 import { SoakConfiguration } from "./soakConfiguration.js";
+import { describeLost, findLostRequests, isWhole } from "./soakLosses.js";
 import { SoakNodes } from "./soakNodes.js";
 import { draw, SoakRecord, wait } from "./soakRecord.js";
 import type { RunnerFault } from "./soakRunners.js";
+import { SoakSilences } from "./soakSilences.js";
 import { SoakStore } from "./soakStore.js";
 
 const nodeCount = 4;
@@ -27,6 +30,8 @@
 const recoveryMilliseconds = 20_000;
 /** Time for which a runner that left is down before it starts again under its identifier. */
 const runnerDownMilliseconds = 150;
+/** Difference between the seeds of the silences and of the other faults. */
+const silenceSeedOffset = 2;
 const newVersion = "v2";
 const newRunnerCount = 3;
 /** Maximum time until a roll-out ends, counted from its deadline and the last fault. */
@@ -52,6 +57,11 @@
     readonly hasReturns?: boolean;
     /** Whether nodes also lose the paths to all runners. The faults of a seed differ with it. */
     readonly hasCuts?: boolean;
+    /**
+     * Whether all runners or some of them fall silent as a whole, shortly after changes of the configuration, while callers also send
+     * streams of several seconds. Draws its random numbers from a source of its own, so a seed's other faults are the same without it.
+     */
+    readonly hasSilences?: boolean;
 }
 
 /** Result of a soak test. */
@@ -61,6 +71,12 @@
     readonly timeLine: readonly string[];
     readonly requests: number;
     readonly served: number;
+    /** Number of requests without a whole answer or refusal, also of those that a fault excuses. */
+    readonly incomplete: number;
+    /** Identifiers of the requests without a whole answer or refusal that no fault excuses. */
+    readonly lost: readonly string[];
+    /** The lines of all nodes. */
+    readonly lines: readonly EventLine[];
 }
 
 /** Runs a soak test. The seed determines the faults, their targets, order and duration, but not the timing of the processes. */
@@ -98,7 +114,7 @@
             hasStatements: options.hasStatements === true,
             hasCrashes: options.hasCrashes === true,
         });
-        this.#configuration = new SoakConfiguration(this.#site, this.#record);
+        this.#configuration = new SoakConfiguration(this.#site, this.#record, options.hasSilences === true);
         const parts = { site: this.#site, random: this.#random, record: this.#record };
         const store = new SoakStore({ ...parts, nodeCount });
         this.#store = store;
@@ -113,16 +129,20 @@
     async run(): Promise<PlatformSoakResult> {
         await this.#start();
         const addresses = this.#site.nodes.map(node => node.address);
-        const callers = new SoakCallers(
-            new RandomSource(this.#options.seed + 1),
+        const callers = new SoakCallers({
+            random: new RandomSource(this.#options.seed + 1),
             addresses,
-            () => this.#configuration.drawKey(),
-            this.#options.hasCrashes === true,
-        );
+            getKey: () => this.#configuration.drawKey(),
+            hasPrompts: this.#options.hasCrashes === true,
+            hasLongStreams: this.#options.hasSilences === true,
+        });
         callers.start(concurrentRequests);
         if (this.#options.hasRollout === true) {
             await this.#orderRollout();
         }
+        if (this.#options.hasSilences === true) {
+            this.#activeFaults.push(this.#runSilences());
+        }
         while (this.#record.getElapsed() < this.#options.milliseconds) {
             this.#injectFault();
             await wait(this.#random.nextInteger(maxGapMilliseconds));
@@ -140,10 +160,20 @@
             revocationMilliseconds,
         );
         const statementViolations = this.#runners.findViolations(callers, this.#nodes.outages);
+        const lost = findLostRequests({
+            observed: callers.observed,
+            executed: this.#runners.executed,
+            failures: this.#runners.failures,
+            faults: this.#nodes.faults,
+        });
+        const lostLines = lost.map(request => describeLost(request, this.#record.startedAt));
         return {
-            violations: [...this.#record.violations, ...checkedViolations, ...statementViolations],
+            violations: [...this.#record.violations, ...checkedViolations, ...lostLines, ...statementViolations],
+            lost: lost.map(({ request }) => request.id),
+            lines: this.#nodes.lines,
             timeLine: this.#record.timeLine,
             requests: callers.observed.length,
+            incomplete: callers.observed.filter(request => !isWhole(request)).length,
             served: callers.observed.filter(({ status, isComplete }) => status === 200 && isComplete).length,
         };
     }
@@ -166,6 +196,16 @@
         await this.#nodes.start();
     }
 
+    async #runSilences(): Promise<void> {
+        const silences = new SoakSilences({
+            random: new RandomSource(this.#options.seed + silenceSeedOffset),
+            configuration: this.#configuration,
+            runners: this.#runners,
+            record: this.#record,
+        });
+        await silences.run(() => this.#record.getElapsed() >= this.#options.milliseconds);
+    }
+
     /** Orders the roll-out of a good version, with its deadline at the end of the faults. */
     async #orderRollout(): Promise<void> {
         for (let index = 1; index <= newRunnerCount; index += 1) {
@@ -198,7 +238,7 @@
         await wait(maxGapMilliseconds);
         for (const { address } of this.#site.nodes) {
             for (let count = 0; count < requestsAfterRollout; count += 1) {
-                const { id } = await callers.send("call", address, "key-last");
+                const { id } = await callers.send({ kind: "call", address, key: "key-last" });
                 const runner = this.#runners.executed.findLast(run => run.request.headers["attempt-id"] === id)?.runner;
                 if (runner !== undefined && runner.startsWith("i-new") !== isNewExpected) {
                     this.#record.addViolation(`${address} served by ${runner} after the roll-out was ${getState()}`);
@@ -241,7 +281,7 @@
         this.#record.addFault(`runner ${id} leaves for ${faultMilliseconds} ms`);
         this.#site.register(id, { state: "draining" });
         await wait(faultMilliseconds);
-        this.#site.restartRunner(id, runnerDownMilliseconds);
+        this.#runners.restart(id, runnerDownMilliseconds);
     }
 
     /** Checks that each node serves by the latest configuration again after all faults have ended. */
@@ -249,7 +289,7 @@
         this.#configuration.publishLast();
         for (const { address } of this.#site.nodes) {
             const isServing = async (): Promise<boolean> =>
-                (await callers.send("call", address, "key-last")).status === 200;
+                (await callers.send({ kind: "call", address, key: "key-last" })).status === 200;
             try {
                 await waitUntil(isServing, {
                     description: `node ${address}`,
--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -3,12 +3,13 @@
 import type { RandomSource } from "../../../src/common/index.js";
 import type { PlatformSite } from "../platformSite.js";
 import { createSeal, type ReceivedRequest } from "../standins/runnerStandin.js";
+import { RunnerSilence } from "./runnerSilence.js";
 import type { SoakCallers } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
 import { type Crash, findCrashViolations, isCrashing } from "./soakCrashes.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { cutOffUnread, SoakLoad } from "./soakLoads.js";
-import { createBehaviour, type RunnerFault } from "./soakRunners.js";
+import { createBehaviour, type RunnerFailure, type RunnerFault } from "./soakRunners.js";
 import {
     findStatementViolations,
     leavingRunner,
@@ -23,6 +24,7 @@
 const downMilliseconds = 800;
 /** A runner without faults that states a rate limit. */
 const limitedRunner = "i-limited";
+const statingRunners: readonly string[] = [limitedRunner, restingRunner, leavingRunner];
 
 /** Options of a set of runners. */
 export interface RunnerSetOptions {
@@ -39,6 +41,10 @@
 /** Sets how runners behave and records the requests that they ran or rejected. */
 export class RunnerSet {
     readonly executed: ExecutedRequest[] = [];
+    /** The requests that a runner broke off or failed. */
+    readonly failures = new Map<ReceivedRequest, RunnerFailure>();
+    readonly #inHand = new Map<ServerResponse, { readonly runner: string; readonly request: ReceivedRequest; }>();
+    readonly #silences = new Map<string, RunnerSilence>();
     readonly #options: RunnerSetOptions;
     readonly #arrivals: StatementArrival[] = [];
     readonly #crashes: Crash[] = [];
@@ -61,11 +67,22 @@
     /** Sets how a runner fails a share of its requests. */
     set(id: string, fault: RunnerFault): void {
         const { site, random } = this.#options;
-        const behaviour = createBehaviour(fault, faultShare, random);
+        const silence = this.#getSilence(id);
+        const onFailure = (request: ReceivedRequest, failure: RunnerFailure): void => {
+            this.failures.set(request, failure);
+        };
+        const behaviour = createBehaviour({ fault, share: faultShare, random, silence, onFailure });
         const load = this.#getLoad(id);
-        site.runners.get(id)!.behaviour = (request, response) => {
+        site.runners.get(id)!.behaviour = async (request, response) => {
+            this.#inHand.set(response, { runner: id, request });
+            response.once("close", () => this.#inHand.delete(response));
+            await silence.wait(0);
+            // A runner that has crashed meanwhile knows nothing of the request.
+            if (this.failures.has(request)) {
+                return undefined;
+            }
             load.add(response);
-            cutOffUnread(response);
+            cutOffUnread(response, () => onFailure(request, "broken-off"));
             if (this.#isRejected(id, request, response)) {
                 return undefined;
             }
@@ -87,7 +104,33 @@
         this.#crashes.push({ request: attempt, at: performance.now() });
         response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
         response.write(`id: ${next}\ndata: ${attempt}\n\n`);
-        setTimeout(() => this.#options.site.restartRunner(id, downMilliseconds), crashMilliseconds);
+        setTimeout(() => this.restart(id, downMilliseconds), crashMilliseconds);
+    }
+
+    /** Crashes a runner, which starts again and breaks off what it has in hand. */
+    restart(id: string, milliseconds: number): void {
+        for (const { runner, request } of this.#inHand.values()) {
+            if (runner === id) {
+                this.failures.set(request, "broken-off");
+            }
+        }
+        this.#options.site.restartRunner(id, milliseconds);
+    }
+
+    /** The runners that may fall silent. Those that state something may not: what they receive has its time. */
+    get silentIds(): readonly string[] {
+        return [...this.#silences.keys()].filter(id => !statingRunners.includes(id));
+    }
+
+    /** Lets a runner send nothing, begin nothing and notice nothing for a time, after which it goes on. */
+    silence(id: string, milliseconds: number): void {
+        this.#getSilence(id).begin(milliseconds);
+    }
+
+    #getSilence(id: string): RunnerSilence {
+        const silence = this.#silences.get(id) ?? new RunnerSilence();
+        this.#silences.set(id, silence);
+        return silence;
     }
 
     #getLoad(id: string): SoakLoad {
--- a/test/platform/soak/soakChecks.ts
+++ b/test/platform/soak/soakChecks.ts
@@ -1,7 +1,7 @@
 /** Checks the guarantees of a soak test against what callers and runners observed. */
 import type { ReceivedRequest } from "../standins/runnerStandin.js";
 import type { ObservedRequest } from "./soakCallers.js";
-import { createCompleteBody, streamEventCount } from "./soakRunners.js";
+import { createCompleteBody } from "./soakRunners.js";
 
 /** A request as a runner received it, and when. */
 export interface ExecutedRequest {
@@ -53,7 +53,9 @@
     }
 }
 
-function* checkAnswer({ id, kind, status, isSealed, isComplete, body }: ObservedRequest): Iterable<string> {
+function* checkAnswer(
+    { id, kind, status, isSealed, isComplete, body, events: eventCount }: ObservedRequest,
+): Iterable<string> {
     if (status !== 200) {
         return;
     }
@@ -69,7 +71,7 @@
     const pattern = /id: (\d+)\ndata: (\S+)\n\n/g;
     const events = [...body.matchAll(pattern)];
     const isInOrder = events.every(([, event, owner], index) => Number(event) === index + 1 && owner === id);
-    if (!isInOrder || (isComplete && events.length !== streamEventCount)) {
+    if (!isInOrder || (isComplete && events.length !== eventCount)) {
         yield `${id} got a stream with a missing, repeated or foreign event: ${JSON.stringify(body)}`;
     }
 }
--- a/test/platform/soak/soakLoads.ts
+++ b/test/platform/soak/soakLoads.ts
@@ -28,12 +28,16 @@
     }
 }
 
-/** Cuts an answer off that its reader has left unread for some seconds. */
-export function cutOffUnread(response: ServerResponse): void {
+/**
+ * Cuts an answer off that its reader has left unread for some seconds.
+ * @param onCut - Called before.
+ */
+export function cutOffUnread(response: ServerResponse, onCut: () => void): void {
     let unreadSince: number | undefined;
     const timer = setInterval(() => {
         unreadSince = response.writableLength === 0 ? undefined : unreadSince ?? performance.now();
         if (unreadSince !== undefined && performance.now() - unreadSince > maxUnreadMilliseconds) {
+            onCut();
             response.socket?.destroy();
         }
     }, unreadPollMilliseconds);
--- a/test/platform/soak/soakNodes.ts
+++ b/test/platform/soak/soakNodes.ts
@@ -1,8 +1,10 @@
 /** The nodes of a soak test, and their faults. */
 import { writeFileSync } from "node:fs";
 import type { RandomSource } from "../../../src/common/index.js";
-import type { Cut, PlatformSite } from "../platformSite.js";
+import type { EventLine } from "../../../src/events/index.js";
+import type { Cut, PlatformSite, SiteNode } from "../platformSite.js";
 import type { NodeOutage } from "./soakLimit.js";
+import type { NodeFault } from "./soakLosses.js";
 import { draw, type SoakRecord, wait } from "./soakRecord.js";
 
 const cuts: readonly Cut[] = ["silent", "reset", "kept"];
@@ -22,6 +24,9 @@
 /** Starts nodes, stops, kills and pauses them and cuts their paths. */
 export class SoakNodes {
     readonly outages: NodeOutage[] = [];
+    readonly #faults: NodeFault[] = [];
+    /** All processes, those that have ended too. */
+    readonly #processes: SiteNode[] = [];
     readonly #options: SoakNodesOptions;
     /** Indices from 1 of the nodes that are killed, stopped or paused at the moment. */
     readonly #unavailable = new Set<number>();
@@ -42,6 +47,29 @@
         }
     }
 
+    /** The lines of all processes, those that have ended too. */
+    get lines(): readonly EventLine[] {
+        return this.#processes.flatMap(({ events }) => events);
+    }
+
+    /** The faults of the nodes. One that was killed or stopped is back when it says that it has started. */
+    get faults(): readonly NodeFault[] {
+        return this.#faults.map(fault =>
+            fault.kind === "killed" || fault.kind === "stopped" ? { ...fault, until: this.#findStart(fault) } : fault
+        );
+    }
+
+    #findStart({ node, from }: NodeFault): number {
+        for (const { address, events } of this.#processes) {
+            const line = events.find(({ name }) => name === "process-started");
+            const startedAt = (line?.time ?? Number.NEGATIVE_INFINITY) - performance.timeOrigin;
+            if (address === node && startedAt > from) {
+                return startedAt;
+            }
+        }
+        return Number.POSITIVE_INFINITY;
+    }
+
     /** No longer reports nodes that exit. */
     ignoreExits(): void {
         this.#isStopped = true;
@@ -58,6 +86,8 @@
         this.#unavailable.add(index);
         const node = site.nodes[index - 1];
         const from = performance.now();
+        const kind = signal === "SIGTERM" && node.events.length > 0 ? "stopped" : "killed";
+        this.#faults.push({ node: node.address, kind, from, until: Number.POSITIVE_INFINITY });
         node.child.kill(signal);
         const code = await node.exited;
         // Until it serves, a node is terminated by the signal itself: seed 36 sent the signal 79 ms after a start.
@@ -85,7 +115,9 @@
         child.kill("SIGSTOP");
         await wait(faultMilliseconds);
         child.kill("SIGCONT");
-        this.outages.push({ node: address, from, until: performance.now() });
+        const until = performance.now();
+        this.outages.push({ node: address, from, until });
+        this.#faults.push({ node: address, kind: "paused", from, until });
         this.#unavailable.delete(index);
     }
 
@@ -95,13 +127,17 @@
         const count = 1 + random.nextInteger(this.#options.count);
         const cut = draw(random, cuts);
         record.addFault(`${count} nodes reach no runner (${cut}) for ${faultMilliseconds} ms`);
-        for (const { cutFile } of site.nodes.slice(0, count)) {
+        const nodes = site.nodes.slice(0, count);
+        const from = performance.now();
+        for (const { cutFile } of nodes) {
             writeFileSync(cutFile, cut);
         }
         await wait(faultMilliseconds);
-        for (const { cutFile } of site.nodes.slice(0, count)) {
+        for (const { cutFile } of nodes) {
             writeFileSync(cutFile, "none");
         }
+        const until = performance.now();
+        this.#faults.push(...nodes.map(({ address }) => ({ node: address, kind: "cut" as const, from, until })));
     }
 
     /** Tells a node to read its settings again. */
@@ -118,6 +154,7 @@
         const node = areCuttable
             ? site.startCuttableNode(index, "none", getStoreAddress(index))
             : site.startNode(index, [], getStoreAddress(index));
+        this.#processes.push(node);
         void node.exited.then(code => {
             if (this.#unavailable.has(index) || this.#isStopped) {
                 return;
