--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -38,9 +38,10 @@
         hasReturns: values.returns,
         hasSilences: values.silences,
     };
-    const { violations, timeLine, requests, served, incomplete, lost, lines } = await runPlatformSoak(options);
+    const { violations, timeLine, requests, served, excused, lost, lines } = await runPlatformSoak(options);
+    const excuses = [...excused].map(([excuse, count]) => `${count} ${excuse}`).join(", ");
     console.log(
-        `Seed ${seed}: ${timeLine.length} faults, ${served} of ${requests} served, ${incomplete} incomplete, ${violations.length} violations.`,
+        `Seed ${seed}: ${timeLine.length} faults, ${served} of ${requests} served, excused: ${excuses}, ${violations.length} violations.`,
     );
     if (violations.length > 0) {
         failures += 1;
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -13,13 +13,16 @@
         readonly hasStatements?: boolean;
         readonly hasCrashes?: boolean;
         readonly hasReturns?: boolean;
+        readonly hasSilences?: boolean;
     },
 ): string {
     return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
         options.hasCuts === true ? ", with nodes that reach no runner" : ""
     }${options.hasStatements === true ? ", with runners that leave and ask for rest" : ""}${
         options.hasCrashes === true ? ", with a part of prompts that crashes runners" : ""
-    }${options.hasReturns === true ? ", with a store that comes back from older copies" : ""}`;
+    }${options.hasReturns === true ? ", with a store that comes back from older copies" : ""}${
+        options.hasSilences === true ? ", with runners that fall silent" : ""
+    }`;
 }
 
 describe("runPlatformSoak", () => {
@@ -43,9 +46,14 @@
         { seed: 11, prefix: "127.72.62", hasRollout: false, hasCrashes: true },
         // No accepted configuration may come back older, and a roll-out has to end, although the store loses what it has acknowledged.
         { seed: 13, prefix: "127.72.68", hasRollout: true, hasReturns: true },
+        // Each request needs a whole answer or refusal as all runners fall silent shortly after changes of the configuration.
+        { seed: 15, prefix: "127.72.73", hasRollout: false, hasSilences: true },
     ];
-    for (const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns } of seeds) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns })}`, async () => {
+    for (
+        const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns, hasSilences }
+            of seeds
+    ) {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns, hasSilences })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
@@ -56,6 +64,7 @@
                 hasStatements,
                 hasCrashes,
                 hasReturns,
+                hasSilences,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -10,7 +10,7 @@
 import { SoakCallers } from "./soakCallers.js";
 import { findViolations } from "./soakChecks.js";
 import { SoakConfiguration } from "./soakConfiguration.js";
-import { describeLost, findLostRequests, isWhole } from "./soakLosses.js";
+import { describeIncomplete, findIncomplete, type IncompleteRequest } from "./soakLosses.js";
 import { SoakNodes } from "./soakNodes.js";
 import { draw, SoakRecord, wait } from "./soakRecord.js";
 import type { RunnerFault } from "./soakRunners.js";
@@ -71,8 +71,8 @@
     readonly timeLine: readonly string[];
     readonly requests: number;
     readonly served: number;
-    /** Number of requests without a whole answer or refusal, also of those that a fault excuses. */
-    readonly incomplete: number;
+    /** Number of requests without a whole answer or refusal that a fault excuses, by what excuses them. */
+    readonly excused: ReadonlyMap<string, number>;
     /** Identifiers of the requests without a whole answer or refusal that no fault excuses. */
     readonly lost: readonly string[];
     /** The lines of all nodes. */
@@ -160,20 +160,21 @@
             revocationMilliseconds,
         );
         const statementViolations = this.#runners.findViolations(callers, this.#nodes.outages);
-        const lost = findLostRequests({
+        const incomplete = findIncomplete({
             observed: callers.observed,
             executed: this.#runners.executed,
             failures: this.#runners.failures,
             faults: this.#nodes.faults,
         });
-        const lostLines = lost.map(request => describeLost(request, this.#record.startedAt));
+        const lost = incomplete.filter(({ excuse }) => excuse === undefined);
+        const lostLines = lost.map(request => describeIncomplete(request, this.#record.startedAt));
         return {
             violations: [...this.#record.violations, ...checkedViolations, ...lostLines, ...statementViolations],
             lost: lost.map(({ request }) => request.id),
             lines: this.#nodes.lines,
             timeLine: this.#record.timeLine,
             requests: callers.observed.length,
-            incomplete: callers.observed.filter(request => !isWhole(request)).length,
+            excused: countExcuses(incomplete),
             served: callers.observed.filter(({ status, isComplete }) => status === 200 && isComplete).length,
         };
     }
@@ -304,3 +305,14 @@
         }
     }
 }
+
+function countExcuses(incomplete: readonly IncompleteRequest[]): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    for (const { request, excuse } of incomplete) {
+        if (excuse !== undefined) {
+            const text = request.hasConnected ? excuse : `${excuse} (no connection)`;
+            counts.set(text, (counts.get(text) ?? 0) + 1);
+        }
+    }
+    return counts;
+}
--- a/test/platform/soak/soakLosses.ts
+++ b/test/platform/soak/soakLosses.ts
@@ -30,25 +30,39 @@
     readonly faults: readonly NodeFault[];
 }
 
-/** A request without a whole answer or refusal that no fault excuses. */
-export interface LostRequest {
+/** What excuses that a request has no whole answer: a fault of its node, its caller's deadline, or its runner. */
+export type Excuse = NodeFault["kind"] | "deadline" | "runner";
+
+/** A request without a whole answer or refusal. */
+export interface IncompleteRequest {
     readonly request: ObservedRequest;
     readonly runs: readonly ExecutedRequest[];
+    /** Undefined for a request that was lost. */
+    readonly excuse: Excuse | undefined;
 }
 
-/** Returns the requests that were lost. */
-export function findLostRequests({ observed, executed, failures, faults }: SoakLosses): readonly LostRequest[] {
+/** Returns the requests that have neither a whole answer nor a whole refusal. */
+export function findIncomplete({ observed, executed, failures, faults }: SoakLosses): readonly IncompleteRequest[] {
     const runsById = groupRuns(executed);
-    const lost: LostRequest[] = [];
-    for (const request of observed) {
+    return observed.filter(request => !isWhole(request)).map(request => {
         const runs = runsById.get(request.id) ?? [];
-        const isExcused = isExcusedByNode(request, runs, faults)
-            || (request.hasConnected && (isExcusedByDeadline(request) || isExcusedByRunner(runs, failures)));
-        if (!isWhole(request) && !isExcused) {
-            lost.push({ request, runs });
-        }
+        return { request, runs, excuse: findExcuse(request, runs, failures, faults) };
+    });
+}
+
+function findExcuse(
+    request: ObservedRequest,
+    runs: readonly ExecutedRequest[],
+    failures: SoakLosses["failures"],
+    faults: readonly NodeFault[],
+): Excuse | undefined {
+    if (request.hasConnected && isExcusedByDeadline(request)) {
+        return "deadline";
     }
-    return lost;
+    if (request.hasConnected && isExcusedByRunner(runs, failures)) {
+        return "runner";
+    }
+    return faults.find(fault => isExcusedByFault(request, runs, fault))?.kind;
 }
 
 function groupRuns(executed: readonly ExecutedRequest[]): ReadonlyMap<string, readonly ExecutedRequest[]> {
@@ -60,18 +74,18 @@
     return groups;
 }
 
-/** Describes a lost request in one line. */
-export function describeLost({ request, runs }: LostRequest, startedAt: number): string {
+/** Describes such a request in one line. */
+export function describeIncomplete({ request, runs }: IncompleteRequest, startedAt: number): string {
     const { id, address, status, body, events, reason, sentAt, endedAt } = request;
     const had = events === undefined ? `${body.length} bytes` : `${body.split("\n\n").length - 1} of ${events} events`;
     const at = runs.map(run => `${run.runner} at ${Math.round(run.at - startedAt)}`).join(", ");
-    return `${id} lost: sent to ${address} at ${Math.round(sentAt - startedAt)}, ended at ${
+    return `${id} has no whole answer: sent to ${address} at ${Math.round(sentAt - startedAt)}, ended at ${
         Math.round(endedAt - startedAt)
     }, status ${status}, ${had}, ${reason ?? "complete"}, ran [${at}]`;
 }
 
 /** A refusal is whole if it is complete; what a success has to contain is known by its kind. */
-export function isWhole({ status, isComplete, body, events }: ObservedRequest): boolean {
+function isWhole({ status, isComplete, body, events }: ObservedRequest): boolean {
     const hasAllEvents = events === undefined || body.split("\n\n").length - 1 === events;
     return status !== undefined && isComplete && (status !== successStatus || hasAllEvents);
 }
@@ -88,28 +102,17 @@
     return lastBroken >= 0 && ends.slice(lastBroken).every(end => end !== undefined);
 }
 
-function isExcusedByNode(
-    request: ObservedRequest,
-    runs: readonly ExecutedRequest[],
-    faults: readonly NodeFault[],
-): boolean {
-    return faults.some(fault =>
-        fault.node === request.address && fault.from <= request.endedAt && fault.until >= request.sentAt
-        && isExcusedByFault(request, runs, fault)
-    );
-}
-
 function isExcusedByFault(
-    { hasConnected, endedAt }: ObservedRequest,
+    { address, hasConnected, sentAt, endedAt }: ObservedRequest,
     runs: readonly ExecutedRequest[],
-    { kind, from }: NodeFault,
+    { node, kind, from, until }: NodeFault,
 ): boolean {
+    if (node !== address || from > endedAt || until < sentAt) {
+        return false;
+    }
     if (kind === "cut") {
         return hasConnected;
     }
-    if (kind === "stopped") {
-        // A node that stops answers what it has passed on, unless a runner is still at work as its time runs out.
-        return runs.length === 0 || endedAt >= from + finishingShare * graceMilliseconds;
-    }
-    return true;
+    // A node that stops answers what it has passed on, unless a runner is still at work as its time runs out.
+    return kind !== "stopped" || runs.length === 0 || endedAt >= from + finishingShare * graceMilliseconds;
 }
