Leave nothing behind in the soak for requests whose callers have left in a silence

Cause: a runner that notices a request after a silence may find its connection closed. Ruled out: not to run such requests; a runner that was paused finds their bytes when it goes on, so a refusal has to be true for them too. Change: load and timer begin only for a response that is open, and a crash breaks off only what is open.

--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -81,8 +81,11 @@
             if (this.failures.has(request)) {
                 return undefined;
             }
-            load.add(response);
-            cutOffUnread(response, () => onFailure(request, "broken-off"));
+            // One whose caller has left meanwhile runs all the same, but never closes again.
+            if (!response.destroyed) {
+                load.add(response);
+                cutOffUnread(response, () => onFailure(request, "broken-off"));
+            }
             if (this.#isRejected(id, request, response)) {
                 return undefined;
             }
@@ -109,8 +112,8 @@
 
     /** Crashes a runner, which starts again and breaks off what it has in hand. */
     restart(id: string, milliseconds: number): void {
-        for (const { runner, request } of this.#inHand.values()) {
-            if (runner === id) {
+        for (const [response, { runner, request }] of this.#inHand) {
+            if (runner === id && !response.destroyed) {
                 this.failures.set(request, "broken-off");
             }
         }
