--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -3,12 +3,13 @@
 import type { RandomSource } from "../../../src/common/index.js";
 import type { PlatformSite } from "../platformSite.js";
 import { createSeal, type ReceivedRequest } from "../standins/runnerStandin.js";
+import { RunnerSilence } from "./runnerSilence.js";
 import type { SoakCallers } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
 import { type Crash, findCrashViolations, isCrashing } from "./soakCrashes.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { cutOffUnread, SoakLoad } from "./soakLoads.js";
-import { createBehaviour, type RunnerFault } from "./soakRunners.js";
+import { createBehaviour, type RunnerFailure, type RunnerFault } from "./soakRunners.js";
 import {
     findStatementViolations,
     leavingRunner,
@@ -23,6 +24,7 @@
 const downMilliseconds = 800;
 /** A runner without faults that states a rate limit. */
 const limitedRunner = "i-limited";
+const statingRunners: readonly string[] = [limitedRunner, restingRunner, leavingRunner];
 
 /** Options of a set of runners. */
 export interface RunnerSetOptions {
@@ -39,6 +41,10 @@
 /** Sets how runners behave and records the requests that they ran or rejected. */
 export class RunnerSet {
     readonly executed: ExecutedRequest[] = [];
+    /** The requests that a runner broke off or failed. */
+    readonly failures = new Map<ReceivedRequest, RunnerFailure>();
+    readonly #inHand = new Map<ServerResponse, { readonly runner: string; readonly request: ReceivedRequest; }>();
+    readonly #silences = new Map<string, RunnerSilence>();
     readonly #options: RunnerSetOptions;
     readonly #arrivals: StatementArrival[] = [];
     readonly #crashes: Crash[] = [];
@@ -61,11 +67,30 @@
     /** Sets how a runner fails a share of its requests. */
     set(id: string, fault: RunnerFault): void {
         const { site, random } = this.#options;
-        const behaviour = createBehaviour(fault, faultShare, random);
+        const silence = this.#getSilence(id);
+        const onFailure = (request: ReceivedRequest, failure: RunnerFailure): void => {
+            this.failures.set(request, failure);
+        };
+        const behaviour = createBehaviour({ fault, share: faultShare, random, silence, onFailure });
         const load = this.#getLoad(id);
-        site.runners.get(id)!.behaviour = (request, response) => {
-            load.add(response);
-            cutOffUnread(response);
+        site.runners.get(id)!.behaviour = async (request, response) => {
+            this.#inHand.set(response, { runner: id, request });
+            response.once("close", () => this.#inHand.delete(response));
+            const isRejected = await silence.findRejection();
+            // A runner that has crashed meanwhile knows nothing of the request.
+            if (this.failures.has(request)) {
+                return undefined;
+            }
+            // One whose caller has left meanwhile runs all the same, but never closes again.
+            if (!response.destroyed) {
+                load.add(response);
+                cutOffUnread(response, () => onFailure(request, "broken-off"));
+            }
+            if (isRejected) {
+                const headers = { "Attempt-Id": String(request.headers["attempt-id"]), "Not-Executed": "1" };
+                response.writeHead(503, headers).end();
+                return undefined;
+            }
             if (this.#isRejected(id, request, response)) {
                 return undefined;
             }
@@ -87,7 +112,33 @@
         this.#crashes.push({ request: attempt, at: performance.now() });
         response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
         response.write(`id: ${next}\ndata: ${attempt}\n\n`);
-        setTimeout(() => this.#options.site.restartRunner(id, downMilliseconds), crashMilliseconds);
+        setTimeout(() => this.restart(id, downMilliseconds), crashMilliseconds);
+    }
+
+    /** Crashes a runner, which starts again and breaks off what it has in hand. */
+    restart(id: string, milliseconds: number): void {
+        for (const [response, { runner, request }] of this.#inHand) {
+            if (runner === id && !response.destroyed) {
+                this.failures.set(request, "broken-off");
+            }
+        }
+        this.#options.site.restartRunner(id, milliseconds);
+    }
+
+    /** The runners that may fall silent. Those that state something may not: what they receive has its time. */
+    get silentIds(): readonly string[] {
+        return [...this.#silences.keys()].filter(id => !statingRunners.includes(id));
+    }
+
+    /** Lets a runner send nothing, begin nothing and notice nothing for a time, after which it goes on. */
+    silence(id: string, milliseconds: number): void {
+        this.#getSilence(id).begin(milliseconds);
+    }
+
+    #getSilence(id: string): RunnerSilence {
+        const silence = this.#silences.get(id) ?? new RunnerSilence();
+        this.#silences.set(id, silence);
+        return silence;
     }
 
     #getLoad(id: string): SoakLoad {
