Tell in the soak whether a run was still sound when another one broke off

Cause: a run that its node had cancelled, since the silent runner went on, counted as sound for good. Ruled out: an excuse for any break-off; one that came while another run was sound stays a violation. Change: each run's first end has its time. A runner's break-off excuses if every other run was failed or had been given up by then. What a stopping node passes on later than 3 s after its signal is excused no longer.

--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -163,7 +163,7 @@
         const incomplete = findIncomplete({
             observed: callers.observed,
             executed: this.#runners.executed,
-            failures: this.#runners.failures,
+            getEnd: request => this.#runners.ends.get(request),
             faults: this.#nodes.faults,
         });
         const lost = incomplete.filter(({ excuse }) => excuse === undefined);
--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -3,13 +3,14 @@
 import type { RandomSource } from "../../../src/common/index.js";
 import type { PlatformSite } from "../platformSite.js";
 import { createSeal, type ReceivedRequest } from "../standins/runnerStandin.js";
+import { RunEnds, type RunnerFailure } from "./runEnds.js";
 import { RunnerSilence } from "./runnerSilence.js";
 import type { SoakCallers } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
 import { type Crash, findCrashViolations, isCrashing } from "./soakCrashes.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { cutOffUnread, SoakLoad } from "./soakLoads.js";
-import { createBehaviour, type RunnerFailure, type RunnerFault } from "./soakRunners.js";
+import { createBehaviour, type RunnerFault } from "./soakRunners.js";
 import {
     findStatementViolations,
     leavingRunner,
@@ -41,8 +42,7 @@
 /** Sets how runners behave and records the requests that they ran or rejected. */
 export class RunnerSet {
     readonly executed: ExecutedRequest[] = [];
-    /** The requests that a runner broke off or failed. */
-    readonly failures = new Map<ReceivedRequest, RunnerFailure>();
+    readonly ends = new RunEnds();
     readonly #inHand = new Map<ServerResponse, { readonly runner: string; readonly request: ReceivedRequest; }>();
     readonly #silences = new Map<string, RunnerSilence>();
     readonly #options: RunnerSetOptions;
@@ -68,17 +68,16 @@
     set(id: string, fault: RunnerFault): void {
         const { site, random } = this.#options;
         const silence = this.#getSilence(id);
-        const onFailure = (request: ReceivedRequest, failure: RunnerFailure): void => {
-            this.failures.set(request, failure);
-        };
+        const onFailure = (request: ReceivedRequest, failure: RunnerFailure): void => this.ends.fail(request, failure);
         const behaviour = createBehaviour({ fault, share: faultShare, random, silence, onFailure });
         const load = this.#getLoad(id);
         site.runners.get(id)!.behaviour = async (request, response) => {
             this.#inHand.set(response, { runner: id, request });
             response.once("close", () => this.#inHand.delete(response));
+            this.ends.watch(request, response);
             const isRejected = await silence.findRejection();
             // A runner that has crashed meanwhile knows nothing of the request.
-            if (this.failures.has(request)) {
+            if (this.ends.get(request)?.kind === "broken-off") {
                 return undefined;
             }
             // One whose caller has left meanwhile runs all the same, but never closes again.
@@ -117,9 +116,9 @@
 
     /** Crashes a runner, which starts again and breaks off what it has in hand. */
     restart(id: string, milliseconds: number): void {
-        for (const [response, { runner, request }] of this.#inHand) {
-            if (runner === id && !response.destroyed) {
-                this.failures.set(request, "broken-off");
+        for (const { runner, request } of this.#inHand.values()) {
+            if (runner === id) {
+                this.ends.fail(request, "broken-off");
             }
         }
         this.#options.site.restartRunner(id, milliseconds);
--- a/test/platform/soak/soakLosses.test.ts
+++ b/test/platform/soak/soakLosses.test.ts
@@ -1,10 +1,10 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import type { ReceivedRequest } from "../standins/runnerStandin.js";
+import type { RunEnd } from "./runEnds.js";
 import type { ObservedRequest } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
 import { findIncomplete, type NodeFault, type SoakLosses } from "./soakLosses.js";
-import type { RunnerFailure } from "./soakRunners.js";
 
 const node = "127.0.0.1";
 const otherNode = "127.0.0.2";
@@ -35,7 +35,7 @@
     const [incomplete, ...others] = findIncomplete({
         observed: [request],
         executed: [],
-        failures: new Map(),
+        getEnd: () => undefined,
         faults: [],
         ...losses,
     });
@@ -62,17 +62,17 @@
     return { request, at: 10_100, runner: "i-1" };
 }
 
-/** Judges the request after runs that ended in these ways. */
-function judgeRuns(...ends: readonly (RunnerFailure | "sound")[]): string {
-    const failures = new Map<ReceivedRequest, RunnerFailure>();
-    const executed = ends.map(end => {
+/** Judges the request after runs that ended in these ways and in this order; undefined stands for one that goes on. */
+function judgeRuns(...kinds: readonly (RunEnd["kind"] | undefined)[]): string {
+    const ends = new Map<ReceivedRequest, RunEnd>();
+    const executed = kinds.map((kind, index) => {
         const run = createRun();
-        if (end !== "sound") {
-            failures.set(run.request, end);
+        if (kind !== undefined) {
+            ends.set(run.request, { kind, at: 10_200 + index });
         }
         return run;
     });
-    return judge(broken, { executed, failures });
+    return judge(broken, { executed, getEnd: request => ends.get(request) });
 }
 
 describe("findIncomplete", () => {
@@ -98,20 +98,28 @@
         expect(judge({ ...broken, endedAt: 19_999 })).toEqual("lost");
     });
 
-    it("excuses what its runner broke off, unless a run after that was sound", () => {
+    it("excuses what its runner broke off, unless another run was sound then", () => {
         expect(judgeRuns("broken-off")).toEqual("runner");
-        expect(judgeRuns("sound", "broken-off")).toEqual("runner");
+        expect(judgeRuns("left", "broken-off")).toEqual("runner");
         expect(judgeRuns("broken-off", "failed")).toEqual("runner");
-        expect(judgeRuns("broken-off", "sound")).toEqual("lost");
-        expect(judgeRuns("broken-off", "failed", "sound")).toEqual("lost");
+        expect(judgeRuns("failed", "broken-off", "broken-off")).toEqual("runner");
+        expect(judgeRuns("broken-off", "left")).toEqual("lost");
+        expect(judgeRuns("broken-off", "answered")).toEqual("lost");
+        expect(judgeRuns("answered", "broken-off")).toEqual("lost");
+        expect(judgeRuns("broken-off", undefined)).toEqual("lost");
+        expect(judgeRuns(undefined, "broken-off")).toEqual("lost");
+        expect(judgeRuns("left")).toEqual("lost");
         expect(judgeRuns("failed")).toEqual("lost");
-        expect(judgeRuns("sound")).toEqual("lost");
+        expect(judgeRuns("answered")).toEqual("lost");
     });
 
     it("excuses nothing by what a runner broke off for another request", () => {
         const other = createRun("stream-2");
-        const failures = new Map<ReceivedRequest, RunnerFailure>([[other.request, "broken-off"]]);
-        expect(judge(broken, { executed: [createRun(), other], failures })).toEqual("lost");
+        const getEnd = (request: ReceivedRequest): RunEnd => ({
+            kind: request === other.request ? "broken-off" : "left",
+            at: 10_200,
+        });
+        expect(judge(broken, { executed: [createRun(), other], getEnd })).toEqual("lost");
     });
 
     it("excuses what its node lost while it was killed, paused or cut off, and nothing of another node or time", () => {
@@ -128,6 +136,7 @@
         expect(judgeFault({ kind: "stopped" }, { status: undefined, body: "" }, [])).toEqual("stopped");
         expect(judgeFault({ kind: "stopped" }, { endedAt: 15_300 })).toEqual("lost");
         expect(judgeFault({ kind: "stopped", until: 17_000 }, { endedAt: 15_400 })).toEqual("stopped");
+        expect(judgeFault({ kind: "stopped", until: 17_000 }, { sentAt: 15_001, endedAt: 15_400 })).toEqual("lost");
     });
 
     it("excuses a caller that could not connect only while its node was not there", () => {
--- a/test/platform/soak/soakLosses.ts
+++ b/test/platform/soak/soakLosses.ts
@@ -2,14 +2,17 @@
  * Checks that each request of a soak test got a whole answer or a whole refusal, unless a fault excuses it. Silent runners and
  * changes of the configuration excuse nothing.
  */
+import type { ReceivedRequest } from "../standins/runnerStandin.js";
+import type { RunEnd } from "./runEnds.js";
 import type { ObservedRequest } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
-import type { RunnerFailure } from "./soakRunners.js";
 
 const successStatus = 200;
 /** The time that a node has to stop, in the site's settings, and the share of it after which work may be broken off. */
 const graceMilliseconds = 4_000;
 const finishingShare = 5 / 6;
+/** Time after the signal from which a stopping node has to answer all that it passes on. */
+const acceptingMilliseconds = 3_000;
 
 /** A time in which a node was killed, told to stop or paused, until it worked again, or had lost its paths to runners. */
 export interface NodeFault {
@@ -25,8 +28,8 @@
     readonly observed: readonly ObservedRequest[];
     /** All runs, in their order. */
     readonly executed: readonly ExecutedRequest[];
-    /** The runs that their runner broke off or failed, by what it received. */
-    readonly failures: ReadonlyMap<ExecutedRequest["request"], RunnerFailure>;
+    /** Returns how a run has ended at its runner; undefined while it goes on. */
+    readonly getEnd: (request: ReceivedRequest) => RunEnd | undefined;
     readonly faults: readonly NodeFault[];
 }
 
@@ -42,27 +45,27 @@
 }
 
 /** Returns the requests that have neither a whole answer nor a whole refusal. */
-export function findIncomplete({ observed, executed, failures, faults }: SoakLosses): readonly IncompleteRequest[] {
+export function findIncomplete({ observed, executed, getEnd, faults }: SoakLosses): readonly IncompleteRequest[] {
     const runsById = groupRuns(executed);
     return observed.filter(request => !isWhole(request)).map(request => {
         const runs = runsById.get(request.id) ?? [];
-        return { request, runs, excuse: findExcuse(request, runs, failures, faults) };
+        const ends = runs.map(run => getEnd(run.request));
+        return { request, runs, excuse: findExcuse(request, ends, faults) };
     });
 }
 
 function findExcuse(
     request: ObservedRequest,
-    runs: readonly ExecutedRequest[],
-    failures: SoakLosses["failures"],
+    ends: readonly (RunEnd | undefined)[],
     faults: readonly NodeFault[],
 ): Excuse | undefined {
     if (request.hasConnected && isExcusedByDeadline(request)) {
         return "deadline";
     }
-    if (request.hasConnected && isExcusedByRunner(runs, failures)) {
+    if (request.hasConnected && isExcusedByRunner(ends)) {
         return "runner";
     }
-    return faults.find(fault => isExcusedByFault(request, runs, fault))?.kind;
+    return faults.find(fault => isExcusedByFault(request, ends.length > 0, fault))?.kind;
 }
 
 function groupRuns(executed: readonly ExecutedRequest[]): ReadonlyMap<string, readonly ExecutedRequest[]> {
@@ -95,16 +98,18 @@
     return endedAt - sentAt >= deadlineMilliseconds;
 }
 
-/** The runner ended its last sound run itself, and the runs after it failed as well. */
-function isExcusedByRunner(runs: readonly ExecutedRequest[], failures: SoakLosses["failures"]): boolean {
-    const ends = runs.map(({ request }) => failures.get(request));
-    const lastBroken = ends.lastIndexOf("broken-off");
-    return lastBroken >= 0 && ends.slice(lastBroken).every(end => end !== undefined);
+/** The runner broke the answer off itself, and no other run was still sound: the node had given the others up before. */
+function isExcusedByRunner(ends: readonly (RunEnd | undefined)[]): boolean {
+    const brokenAt = Math.max(...ends.filter(end => end?.kind === "broken-off").map(end => end?.at ?? 0));
+    return Number.isFinite(brokenAt)
+        && ends.every(end =>
+            end?.kind === "broken-off" || end?.kind === "failed" || (end?.kind === "left" && end.at <= brokenAt)
+        );
 }
 
 function isExcusedByFault(
     { address, hasConnected, sentAt, endedAt }: ObservedRequest,
-    runs: readonly ExecutedRequest[],
+    isPassedOn: boolean,
     { node, kind, from, until }: NodeFault,
 ): boolean {
     if (node !== address || from > endedAt || until < sentAt) {
@@ -113,6 +118,9 @@
     if (kind === "cut") {
         return hasConnected;
     }
-    // A node that stops answers what it has passed on, unless a runner is still at work as its time runs out.
-    return kind !== "stopped" || runs.length === 0 || endedAt >= from + finishingShare * graceMilliseconds;
+    if (kind === "stopped" && isPassedOn) {
+        // A node that stops answers what it has passed on, unless a runner is still at work as its time runs out.
+        return sentAt <= from + acceptingMilliseconds && endedAt >= from + finishingShare * graceMilliseconds;
+    }
+    return true;
 }
--- a/test/platform/soak/soakRunners.ts
+++ b/test/platform/soak/soakRunners.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from "node:http";
 import type { RandomSource } from "../../../src/common/index.js";
 import { createSeal, type ReceivedRequest, type RunnerBehaviour } from "../standins/runnerStandin.js";
+import type { RunnerFailure } from "./runEnds.js";
 import type { RunnerSilence } from "./runnerSilence.js";
 
 /** A stream's number of events and the time between them. */
@@ -18,9 +19,6 @@
 /** How a runner fails a share of its requests. */
 export type RunnerFault = "none" | "reset" | "mute" | "truncate" | "error" | "slow";
 
-/** How a runner ended a request that it neither answered nor leaves unanswered: by a closed connection, or by a failure. */
-export type RunnerFailure = "broken-off" | "failed";
-
 /** Options of a runner's behaviour. */
 export interface SoakBehaviour {
     readonly fault: RunnerFault;
