Test that streams are answered while one runner is silent for good, which fails

Fault: a second try of a stream that has not begun may go to a runner that is silent itself, which is the last attempt and has no timeout.

--- a/test/platform/silences/silentFleet.test.ts
+++ b/test/platform/silences/silentFleet.test.ts
@@ -1,10 +1,12 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { cascadeLoad, findLost, runSilentFleet, type SilentFleetOptions } from "./silentFleet.js";
+import { cascadeLoad, findLost, findRefusedStreams, runSilentFleet, type SilentFleetOptions } from "./silentFleet.js";
 
 const loadMilliseconds = 14_000;
 /** Time in which some, all and some runners are silent. */
 const cascadeMilliseconds = 9_000;
+/** Time of one silence, after which one runner does not go on. */
+const endlessMilliseconds = 3_000;
 const maxCascadeSilenceMilliseconds = 1_700;
 const maxLines = 20;
 
@@ -48,4 +50,19 @@
             expect(result.answers.length > options.streams).toEqual(true);
         });
     }
+
+    // Guards against second tries at a runner that is silent itself, where they wait until their time is over.
+    it("answers all streams at the other runners while one is silent for good", async () => {
+        const result = await runSilentFleet({
+            seed: 1,
+            prefix: "127.72.116",
+            milliseconds: endlessMilliseconds,
+            streams: 110,
+            hasPrompts: false,
+            load: { endlesslySilent: 1 },
+        });
+        const unserved = [...findLost(result), ...findRefusedStreams(result)];
+        expect(unserved.map(({ id, path, status, reason }) => `${id} ${path} ${status} ${reason}`)).toEqual([]);
+        expect(result.answers.length > 110).toEqual(true);
+    });
 });
--- a/test/platform/silences/silentFleet.ts
+++ b/test/platform/silences/silentFleet.ts
@@ -112,6 +112,11 @@
     return answers.filter(({ status, isWhole }) => status === undefined || !isWhole);
 }
 
+/** Returns the streams that were refused. */
+export function findRefusedStreams({ answers }: SilentFleetResult): readonly ObservedAnswer[] {
+    return answers.filter(({ id, status, isWhole }) => id.startsWith("stream-") && isWhole && status !== 200);
+}
+
 class SilentFleet {
     readonly #options: SilentFleetOptions;
     readonly #load: SilentLoad;
