Compare a version's times at equally busy runners

Change: times and pauses are counted by the load under which they began, in four classes, and compared within a class; where the old version answered too little under a load, together with the next higher one. A policy change.

--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -3,7 +3,7 @@
  */
 import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
 import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
-import { countAbove, getQuantileClass, type TimeCounts } from "./timeCounts.js";
+import { addTimeCounts, countAbove, getQuantileClass, splitByLoad, type TimeCounts } from "./timeCounts.js";
 import {
     chooseReference,
     type Measure,
@@ -161,21 +161,70 @@
     };
 }
 
-/** Counts the answers of both versions that take longer than nearly all of the old version's do. */
+/** The times of both versions under one load. */
+interface LoadTimes {
+    readonly candidate: TimeCounts;
+    readonly candidateWaits: TimeCounts;
+    /** The old version's present or earlier times. */
+    readonly reference: TimeCounts;
+    readonly currentWaits: TimeCounts;
+}
+
+const noTimes: LoadTimes = { candidate: [], candidateWaits: [], reference: [], currentWaits: [] };
+
+/**
+ * Counts the answers of both versions that take longer than nearly all of the old version's do under the same load. Otherwise a slow
+ * version that serves little would look as quick as the old one that bears a burst. Where the old version answered too little under a
+ * load, that load is compared together with the next higher one: a sound version is no slower where it has less to do.
+ */
 function getSlowness(
     { candidate, current }: SegmentCounts,
     measure: Measure,
-    earlier: TimeCounts | undefined,
+    earlier: TimeCounts = [],
 ): AnswerShares {
-    const reference = chooseReference(current[measure], earlier);
-    if (countAbove(reference, -1) < minKindReferenceTimes) {
-        return { candidate: noAnswers, current: noAnswers };
+    const hasWaits = measure === "times";
+    const [candidates, candidateWaits, currents, currentWaits, earlierCounts] = [
+        candidate[measure],
+        hasWaits ? candidate.waits : [],
+        current[measure],
+        hasWaits ? current.waits : [],
+        earlier,
+    ].map(splitByLoad);
+    let shares: AnswerShares = { candidate: noAnswers, current: noAnswers };
+    let times = noTimes;
+    for (const [loadClass, currentCounts] of currents.entries()) {
+        times = addLoadTimes(times, {
+            candidate: candidates[loadClass],
+            candidateWaits: candidateWaits[loadClass],
+            reference: chooseReference(currentCounts, earlierCounts[loadClass]),
+            currentWaits: currentWaits[loadClass],
+        });
+        if (countAbove(times.reference, -1) >= minKindReferenceTimes) {
+            shares = addSlowness(shares, times);
+            times = noTimes;
+        }
     }
+    return shares;
+}
+
+function addLoadTimes(first: LoadTimes, second: LoadTimes): LoadTimes {
+    return {
+        candidate: addTimeCounts(first.candidate, second.candidate),
+        candidateWaits: addTimeCounts(first.candidateWaits, second.candidateWaits),
+        reference: addTimeCounts(first.reference, second.reference),
+        currentWaits: addTimeCounts(first.currentWaits, second.currentWaits),
+    };
+}
+
+/** Adds the answers under one load, of which those are slow that take longer than nearly all of the old version's do. */
+function addSlowness(
+    shares: AnswerShares,
+    { candidate, candidateWaits, reference, currentWaits }: LoadTimes,
+): AnswerShares {
     const slowClass = getQuantileClass(reference, usualShare) + slowClassDistance;
-    const [candidateWaits, currentWaits] = measure === "times" ? [candidate.waits, current.waits] : [[], []];
     return {
-        candidate: countSlow(candidate[measure], candidateWaits, slowClass),
-        current: countSlow(reference, currentWaits, slowClass),
+        candidate: addShares(shares.candidate, countSlow(candidate, candidateWaits, slowClass)),
+        current: addShares(shares.current, countSlow(reference, currentWaits, slowClass)),
     };
 }
 
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -2,7 +2,15 @@
  * Recent answers of a pool's old and new version, as counts that can be summed over nodes.
  */
 import { z } from "zod";
-import { addTimeClass, addTimeCounts, getTimeClass, type TimeCounts } from "./timeCounts.js";
+import {
+    addTimeCounts,
+    countTimeClass,
+    getLoadClass,
+    getTimeClass,
+    joinLoads,
+    splitByLoad,
+    type TimeCounts,
+} from "./timeCounts.js";
 
 /**
  * Length of a time slice, in milliseconds. Evidence covers the last `sliceCount` slices only: otherwise the good
@@ -59,6 +67,8 @@
     readonly objectiveMilliseconds: number;
     /** The longest pause between the parts of an answer that the caller accepts, in milliseconds. */
     readonly pauseObjectiveMilliseconds: number;
+    /** Requests at the upstream as the attempt began, as a share of its slots. An upstream of unknown load counts as idle. */
+    readonly load?: number;
 }
 
 /** The time of an attempt. */
@@ -107,8 +117,7 @@
      * @param now - Monotonic milliseconds.
      */
     addPause(kind: EvidenceKind, milliseconds: number, now: number): void {
-        const shortestMilliseconds = Math.max(1, kind.pauseObjectiveMilliseconds * pauseFloorShare);
-        const pauses = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
+        const pauses = countMilliseconds(kind, milliseconds, kind.pauseObjectiveMilliseconds * pauseFloorShare);
         this.#add(kind, { ...emptyCounts, pauses }, now);
     }
 
@@ -160,7 +169,7 @@
 }
 
 /** Times in the format of another release cannot be compared with this release's. */
-const timesSchema = z.array(z.number()).catch([]);
+const timesSchema = z.array(z.array(z.number())).catch([]).transform(joinLoads);
 const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema]);
 const reportSchema = z.object({
     order: z.number(),
@@ -193,15 +202,15 @@
 }
 
 /** Counts one attempt by its time. */
-export function countTime(
-    { objectiveMilliseconds }: EvidenceKind,
-    { milliseconds, hasHead }: EvidenceTime,
-): VersionCounts {
-    const shortestMilliseconds = Math.max(1, objectiveMilliseconds * latencyFloorShare);
-    const counts = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
+export function countTime(kind: EvidenceKind, { milliseconds, hasHead }: EvidenceTime): VersionCounts {
+    const counts = countMilliseconds(kind, milliseconds, kind.objectiveMilliseconds * latencyFloorShare);
     return hasHead ? { ...emptyCounts, times: counts } : { ...emptyCounts, waits: counts };
 }
 
+function countMilliseconds({ load = 0 }: EvidenceKind, milliseconds: number, shortestMilliseconds: number): TimeCounts {
+    return countTimeClass(getTimeClass(milliseconds, Math.max(1, shortestMilliseconds)), getLoadClass(load));
+}
+
 /** Adds counts of one version to those of a kind of request. */
 export function addToSegment(
     segments: Map<string, SegmentCounts>,
@@ -226,7 +235,7 @@
 }
 
 function encodeCounts({ answers, failures, times, waits, pauses }: VersionCounts): readonly unknown[] {
-    return [answers, failures, times, waits, pauses];
+    return [answers, failures, ...[times, waits, pauses].map(splitByLoad)];
 }
 
 function decodeCounts([answers, failures, times, waits, pauses]: z.infer<typeof countsSchema>): VersionCounts {
--- a/src/rollouts/timeReferences.ts
+++ b/src/rollouts/timeReferences.ts
@@ -2,7 +2,7 @@
  * Remembers how long the old version took, for the time when the new version serves nearly everything.
  */
 import { type EvidenceCounts, evidenceMilliseconds } from "./rolloutEvidence.js";
-import { addTimeCounts, countAbove, type TimeCounts } from "./timeCounts.js";
+import { addTimeCounts, countAbove, joinLoads, splitByLoad, type TimeCounts } from "./timeCounts.js";
 
 /** Minimum number of the old version's times for a comparison, of one kind of request by itself or of all kinds together. */
 export const minReferenceTimes = 20;
@@ -12,7 +12,7 @@
 /** What is measured of answers: the times to their heads, or the pauses between their parts. */
 export type Measure = "times" | "pauses";
 
-/** What is remembered of one kind of request. */
+/** What is remembered of one kind of request under one load. */
 interface Reference {
     /** The last sufficient distribution, or the largest one if none was sufficient. */
     readonly counts: TimeCounts;
@@ -22,9 +22,13 @@
 
 const noReference: Reference = { counts: [], sum: [] };
 
-/** Keeps distributions of the old version by measure and kind of request. */
+/** Keeps distributions of the old version by measure, kind of request and load. */
 export class TimeReferences {
-    readonly #references = { times: new Map<string, Reference>(), pauses: new Map<string, Reference>() };
+    /** By measure and kind of request, then by load class. */
+    readonly #references = {
+        times: new Map<string, readonly Reference[]>(),
+        pauses: new Map<string, readonly Reference[]>(),
+    };
     /** Monotonic milliseconds at which evidence was last added to the sums. */
     #addedAt = Number.NEGATIVE_INFINITY;
 
@@ -41,9 +45,12 @@
         }
         for (const [segment, { current }] of evidence) {
             for (const measure of ["times", "pauses"] as const) {
-                const known = this.#references[measure].get(segment) ?? noReference;
-                const counts = chooseReference(current[measure], known.counts);
-                const next = isAdded ? addToSum({ counts, sum: known.sum }, current[measure]) : { ...known, counts };
+                const known = this.#references[measure].get(segment);
+                const next = splitByLoad(current[measure]).map((added, loadClass) => {
+                    const { counts, sum } = known?.[loadClass] ?? noReference;
+                    const reference = { counts: chooseReference(added, counts), sum };
+                    return isAdded ? addToSum(reference, added) : reference;
+                });
                 this.#references[measure].set(segment, next);
             }
         }
@@ -51,7 +58,8 @@
 
     /** Returns the distribution of a kind of request, or undefined if there were never any answers. */
     get(measure: Measure, segment: string): TimeCounts | undefined {
-        return this.#references[measure].get(segment)?.counts;
+        const references = this.#references[measure].get(segment);
+        return references === undefined ? undefined : joinLoads(references.map(({ counts }) => counts));
     }
 }
 
