Count streams that still run by the least that their pauses can be

Change: a stream that has begun and whose usual pause is not known counts, as waits for heads do, by a lower bound: the time until its runner's last answer over 16. A stream that breaks off counts by it at its end. Silence of the runner as a whole after its last answer counts for nothing.

--- a/src/rollouts/attemptEvidence.ts
+++ b/src/rollouts/attemptEvidence.ts
@@ -7,6 +7,7 @@
 import {
     addEvidence,
     addToSegment,
+    countPause,
     countTime,
     type EvidenceCounts,
     type EvidenceTime,
@@ -38,6 +39,8 @@
     /** Loads under which the old version's attempts began. */
     readonly #currentLoads: RecentQuantiles;
     readonly #waiting = new Set<AttemptWatch>();
+    /** Attempts whose answers have begun. */
+    readonly #answering = new Set<AttemptWatch>();
     /** Monotonic milliseconds of the last head of an answer, by upstream. */
     readonly #lastHeads = new Map<string, number>();
 
@@ -56,6 +59,7 @@
                 this.#lastHeads.set(attempt.upstream, this.#options.clock.monotonic());
                 if (isComparable) {
                     this.#addTime(attempt, time);
+                    this.#answering.add(watch);
                 }
             },
             onOutcome: hasFailed => {
@@ -74,7 +78,14 @@
                     void this.#addGivenUp(ended, time);
                 }
             },
+            onBrokenOff: ended => {
+                const pause = ended.getPauseWait(this.#getLastHead(ended));
+                if (isComparable && pause !== undefined) {
+                    this.#evidence.addPauseWait(attempt, pause.milliseconds, this.#options.clock.monotonic());
+                }
+            },
             onWaitEnd: ended => this.#waiting.delete(ended),
+            onEnd: ended => this.#answering.delete(ended),
         });
         if (isComparable) {
             this.#waiting.add(watch);
@@ -90,6 +101,13 @@
                 addToSegment(waits, watch.attempt, countTime(watch.attempt, watch.getWait()));
             }
         }
+        for (const watch of this.#answering) {
+            // A runner that is silent as a whole says nothing about its pauses, so its last answer counts instead of the present.
+            const pause = watch.getPauseWait(this.#getLastHead(watch));
+            if (pause !== undefined) {
+                addToSegment(waits, watch.attempt, countPause(watch.attempt, pause));
+            }
+        }
         return addEvidence([this.#evidence.getCounts(this.#options.clock.monotonic()), waits]);
     }
 
@@ -121,7 +139,12 @@
     }
 
     /** Returns whether an upstream has answered another request since an attempt at it began, so that it has not crashed before. */
-    #hasAnsweredSince({ attempt, startedAt }: AttemptWatch): boolean {
-        return (this.#lastHeads.get(attempt.upstream) ?? Number.NEGATIVE_INFINITY) >= startedAt;
+    #hasAnsweredSince(watch: AttemptWatch): boolean {
+        return this.#getLastHead(watch) >= watch.startedAt;
+    }
+
+    /** Returns the monotonic milliseconds of the last head of an answer of the upstream of an attempt. */
+    #getLastHead({ attempt }: AttemptWatch): number {
+        return this.#lastHeads.get(attempt.upstream) ?? Number.NEGATIVE_INFINITY;
     }
 }
--- a/src/rollouts/attemptWatch.ts
+++ b/src/rollouts/attemptWatch.ts
@@ -1,7 +1,10 @@
 /**
  * Watches one attempt at an upstream of a pool that is being moved to another version.
  */
-import type { EvidenceKind, EvidenceTime } from "./rolloutEvidence.js";
+import type { EvidenceKind, EvidencePause, EvidenceTime } from "./rolloutEvidence.js";
+
+/** Number of pauses of a stream after which its usual pause is known. */
+const usualPauseCount = 16;
 
 /** An attempt that begins. */
 export interface WatchedAttempt extends EvidenceKind {
@@ -30,8 +33,12 @@
     readonly onPause: (milliseconds: number) => void;
     /** Called when the attempt ended before its answer began. */
     readonly onGivenUp: (watch: AttemptWatch, time: EvidenceTime) => void;
+    /** Called when an answer that had begun was broken off. */
+    readonly onBrokenOff: (watch: AttemptWatch) => void;
     /** Called when the attempt waits for its answer no longer. */
     readonly onWaitEnd: (watch: AttemptWatch) => void;
+    /** Called when the attempt has ended. */
+    readonly onEnd: (watch: AttemptWatch) => void;
 }
 
 /** Watches one attempt. */
@@ -42,6 +49,8 @@
     readonly #options: AttemptWatchOptions;
     #isWaiting = true;
     #hasPause = false;
+    /** Monotonic milliseconds at which the head arrived. */
+    #headAt: number | undefined;
 
     constructor(options: AttemptWatchOptions) {
         this.attempt = options.attempt;
@@ -54,9 +63,22 @@
         return { milliseconds: this.#options.getNow() - this.startedAt, hasHead: false };
     }
 
+    /**
+     * Returns the lower bound of the usual pause of an answer that has begun, or undefined if its usual pause is known. It becomes
+     * known after some pauses, so those until now are on average at least as long.
+     * @param until - Monotonic milliseconds until which the upstream was certainly at work.
+     */
+    getPauseWait(until: number): EvidencePause | undefined {
+        if (this.#headAt === undefined || this.#hasPause) {
+            return undefined;
+        }
+        return { milliseconds: Math.max(0, until - this.#headAt) / usualPauseCount, isKnown: false };
+    }
+
     /** Records that the head of a successful answer has arrived. */
     markHead(): void {
         this.#endWait();
+        this.#headAt = this.#options.getNow();
         this.#options.onTime({ ...this.getWait(), hasHead: true });
     }
 
@@ -78,6 +100,10 @@
         else if (end === "given-up" && isWaiting) {
             this.#options.onGivenUp(this, this.getWait());
         }
+        else if (!isWaiting) {
+            this.#options.onBrokenOff(this);
+        }
+        this.#options.onEnd(this);
     }
 
     #endWait(): void {
--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -182,12 +182,12 @@
     measure: Measure,
     earlier: TimeCounts = [],
 ): AnswerShares {
-    const hasWaits = measure === "times";
+    const waits = measure === "times" ? "waits" : "pauseWaits";
     const [candidates, candidateWaits, currents, currentWaits, earlierCounts] = [
         candidate[measure],
-        hasWaits ? candidate.waits : [],
+        candidate[waits],
         current[measure],
-        hasWaits ? current.waits : [],
+        current[waits],
         earlier,
     ].map(splitByLoad);
     let shares: AnswerShares = { candidate: noAnswers, current: noAnswers };
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -39,6 +39,8 @@
     readonly waits: TimeCounts;
     /** Pauses between the parts of streamed answers, one for each stream. */
     readonly pauses: TimeCounts;
+    /** Lower bounds of the usual pauses of streams that run, or were broken off, before their usual pause was known. */
+    readonly pauseWaits: TimeCounts;
 }
 
 /** Counts of both versions for requests of one kind. */
@@ -78,7 +80,14 @@
     readonly hasHead: boolean;
 }
 
-const emptyCounts: VersionCounts = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
+/** The usual pause of a stream. */
+export interface EvidencePause {
+    readonly milliseconds: number;
+    /** Whether the pause is known. Otherwise it is at least as long. */
+    readonly isKnown: boolean;
+}
+
+const emptyCounts: VersionCounts = { answers: 0, failures: 0, times: [], waits: [], pauses: [], pauseWaits: [] };
 const emptySegment: SegmentCounts = { current: emptyCounts, candidate: emptyCounts };
 
 interface Slice {
@@ -117,8 +126,17 @@
      * @param now - Monotonic milliseconds.
      */
     addPause(kind: EvidenceKind, milliseconds: number, now: number): void {
-        const pauses = countMilliseconds(kind, milliseconds, kind.pauseObjectiveMilliseconds * pauseFloorShare);
-        this.#add(kind, { ...emptyCounts, pauses }, now);
+        this.#add(kind, countPause(kind, { milliseconds, isKnown: true }), now);
+    }
+
+    /**
+     * Adds the lower bound of the usual pause of a stream that was broken off before it was known.
+     * @param kind - The kind of attempt.
+     * @param milliseconds - The lower bound.
+     * @param now - Monotonic milliseconds.
+     */
+    addPauseWait(kind: EvidenceKind, milliseconds: number, now: number): void {
+        this.#add(kind, countPause(kind, { milliseconds, isKnown: false }), now);
     }
 
     #add(kind: EvidenceKind, counts: VersionCounts, now: number): void {
@@ -170,7 +188,7 @@
 
 /** Times in the format of another release cannot be compared with this release's. */
 const timesSchema = z.array(z.array(z.number())).catch([]).transform(joinLoads);
-const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema]);
+const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema, timesSchema]);
 const reportSchema = z.object({
     order: z.number(),
     inFlight: z.number(),
@@ -207,6 +225,12 @@
     return hasHead ? { ...emptyCounts, times: counts } : { ...emptyCounts, waits: counts };
 }
 
+/** Counts one stream by its usual pause. */
+export function countPause(kind: EvidenceKind, { milliseconds, isKnown }: EvidencePause): VersionCounts {
+    const counts = countMilliseconds(kind, milliseconds, kind.pauseObjectiveMilliseconds * pauseFloorShare);
+    return isKnown ? { ...emptyCounts, pauses: counts } : { ...emptyCounts, pauseWaits: counts };
+}
+
 function countMilliseconds({ load = 0 }: EvidenceKind, milliseconds: number, shortestMilliseconds: number): TimeCounts {
     return countTimeClass(getTimeClass(milliseconds, Math.max(1, shortestMilliseconds)), getLoadClass(load));
 }
@@ -231,13 +255,14 @@
         times: addTimeCounts(first.times, second.times),
         waits: addTimeCounts(first.waits, second.waits),
         pauses: addTimeCounts(first.pauses, second.pauses),
+        pauseWaits: addTimeCounts(first.pauseWaits, second.pauseWaits),
     };
 }
 
-function encodeCounts({ answers, failures, times, waits, pauses }: VersionCounts): readonly unknown[] {
-    return [answers, failures, ...[times, waits, pauses].map(splitByLoad)];
+function encodeCounts({ answers, failures, times, waits, pauses, pauseWaits }: VersionCounts): readonly unknown[] {
+    return [answers, failures, ...[times, waits, pauses, pauseWaits].map(splitByLoad)];
 }
 
-function decodeCounts([answers, failures, times, waits, pauses]: z.infer<typeof countsSchema>): VersionCounts {
-    return { answers, failures, times, waits, pauses };
+function decodeCounts([answers, failures, times, waits, pauses, pauseWaits]: z.infer<typeof countsSchema>): VersionCounts {
+    return { answers, failures, times, waits, pauses, pauseWaits };
 }
--- a/test/rollouts/attemptEvidence.test.ts
+++ b/test/rollouts/attemptEvidence.test.ts
@@ -5,7 +5,7 @@
 import { AttemptEvidence } from "../../src/rollouts/attemptEvidence.js";
 import type { AttemptWatch, WatchedAttempt } from "../../src/rollouts/attemptWatch.js";
 import { evaluateRollout, type Regression } from "../../src/rollouts/evaluateRollout.js";
-import { countAbove } from "../../src/rollouts/timeCounts.js";
+import { countAbove, getTimeClass, splitByLoad } from "../../src/rollouts/timeCounts.js";
 
 interface Fixture {
     readonly clock: ManualClock;
@@ -61,6 +61,28 @@
         expect(getCandidate()).toEqual({ times: 1, waits: 1 });
     });
 
+    // Guards against knowing only the pauses of the quick streams, since a slow one gives its first parts too late.
+    it("counts a stream whose usual pause is not known yet by the least that it can be", () => {
+        const { clock, evidence, start } = createFixture();
+        const streams = [start("new-1"), start("new-1")];
+        for (const stream of streams) {
+            stream.markHead();
+        }
+        const getPauses = (): readonly number[] => {
+            const { pauses = [], pauseWaits = [] } = evidence.getCounts().get("route")?.candidate ?? {};
+            const [, loadedWaits] = splitByLoad(pauseWaits);
+            return [countAbove(pauses, -1), countAbove(loadedWaits, getTimeClass(90, 15))];
+        };
+        clock.advance(3_200);
+        // Nothing is known of the upstream since its last answer: it may be silent as a whole.
+        expect(getPauses()).toEqual([0, 0]);
+        start("new-1").markHead();
+        expect(getPauses()).toEqual([0, 2]);
+        streams[0].addPause(200);
+        streams[1].end("unknown");
+        expect(getPauses()).toEqual([1, 1]);
+    });
+
     it("counts an attempt that is given up once, by the time that it waited", async () => {
         const { clock, start, getCandidate } = createFixture();
         const watch = start("new-1");
--- a/test/rollouts/peerReports.test.ts
+++ b/test/rollouts/peerReports.test.ts
@@ -3,8 +3,8 @@
 import { PeerReports } from "../../src/rollouts/peerReports.js";
 import { decodeReport, encodeReport, type EvidenceReport } from "../../src/rollouts/rolloutEvidence.js";
 
-const counts = { answers: 10, failures: 1, times: [], waits: [], pauses: [] };
-const none = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
+const counts = { answers: 10, failures: 1, times: [], waits: [], pauses: [], pauseWaits: [] };
+const none = { answers: 0, failures: 0, times: [], waits: [], pauses: [], pauseWaits: [] };
 
 function createReport(order: number, currentInFlight: number): EvidenceReport {
     return { order, currentInFlight, segments: new Map([["route", { current: counts, candidate: none }]]) };
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -18,7 +18,7 @@
     firstShare: 0.045,
     orderedAt: 0,
 };
-const none = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
+const none = { answers: 0, failures: 0, times: [], waits: [], pauses: [], pauseWaits: [] };
 
 interface RolloutNode {
     readonly rollouts: Rollouts;
