Compare with earlier times of the old version only as far as it has not become slow itself

Change: the old version's present answers are compared with its first ones under the same load. As many as are slow among them count as usual for the earlier answers that stand in for present ones.

--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -2,7 +2,7 @@
  * Checks whether a new version is worse than the old one by comparing their answers over the same time.
  */
 import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
-import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
+import type { EvidenceCounts, SegmentCounts, VersionCounts } from "./rolloutEvidence.js";
 import { addTimeCounts, countAbove, getQuantileClass, splitByLoad, type TimeCounts } from "./timeCounts.js";
 import {
     chooseReference,
@@ -102,8 +102,12 @@
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
     const segments = [...evidence];
     const compareMeasure = (measure: Measure): readonly SegmentShares[] => {
+        const slowedDown = segments
+            .map(([segment, { current }]) => getSlowedDown(current, measure, references?.getFirst(measure, segment)))
+            .reduce(addShares, noAnswers);
         const compared = segments.map(([segment, counts]) => {
-            return { segment, shares: getSlowness(counts, measure, references?.get(measure, segment)) };
+            const earlier = references?.get(measure, segment);
+            return { segment, shares: getSlowness(counts, { measure, earlier, slowedDown }) };
         });
         return countAnswers(compared, "current") >= minReferenceTimes ? compared : [];
     };
@@ -170,7 +174,21 @@
     readonly currentWaits: TimeCounts;
 }
 
-const noTimes: LoadTimes = { candidate: [], candidateWaits: [], reference: [], currentWaits: [] };
+const noTimes: LoadTimes = {
+    candidate: [],
+    candidateWaits: [],
+    reference: [],
+    currentWaits: [],
+};
+
+/** With what the answers of a kind of request are compared. */
+interface SlownessOptions {
+    readonly measure: Measure;
+    /** Earlier times of the old version. */
+    readonly earlier: TimeCounts | undefined;
+    /** The old version's present answers of all kinds, and how many of them are slower than it was at first. */
+    readonly slowedDown: AnswerShare;
+}
 
 /**
  * Counts the answers of both versions that take longer than nearly all of the old version's do under the same load. Otherwise a slow
@@ -179,10 +197,9 @@
  */
 function getSlowness(
     { candidate, current }: SegmentCounts,
-    measure: Measure,
-    earlier: TimeCounts = [],
+    { measure, earlier = [], slowedDown }: SlownessOptions,
 ): AnswerShares {
-    const waits = measure === "times" ? "waits" : "pauseWaits";
+    const waits = getWaits(measure);
     const [candidates, candidateWaits, currents, currentWaits, earlierCounts] = [
         candidate[measure],
         candidate[waits],
@@ -190,17 +207,19 @@
         current[waits],
         earlier,
     ].map(splitByLoad);
+    const chosen = currents.map((counts, loadClass) => chooseReference(counts, earlierCounts[loadClass]));
+    const isEarlier = chosen.some((reference, loadClass) => reference !== currents[loadClass]);
     let shares: AnswerShares = { candidate: noAnswers, current: noAnswers };
     let times = noTimes;
-    for (const [loadClass, currentCounts] of currents.entries()) {
+    for (const [loadClass, reference] of chosen.entries()) {
         times = addLoadTimes(times, {
             candidate: candidates[loadClass],
             candidateWaits: candidateWaits[loadClass],
-            reference: chooseReference(currentCounts, earlierCounts[loadClass]),
+            reference,
             currentWaits: currentWaits[loadClass],
         });
         if (countAbove(times.reference, -1) >= minKindReferenceTimes) {
-            shares = addSlowness(shares, times);
+            shares = addSlowness(shares, times, isEarlier ? slowedDown : noAnswers);
             times = noTimes;
         }
     }
@@ -217,17 +236,44 @@
 }
 
 /** Adds the answers under one load, of which those are slow that take longer than nearly all of the old version's do. */
-function addSlowness(
-    shares: AnswerShares,
-    { candidate, candidateWaits, reference, currentWaits }: LoadTimes,
-): AnswerShares {
-    const slowClass = getQuantileClass(reference, usualShare) + slowClassDistance;
+function addSlowness(shares: AnswerShares, times: LoadTimes, slowedDown: AnswerShare): AnswerShares {
+    const { candidate, candidateWaits, reference, currentWaits } = times;
+    const slowClass = getSlowClass(reference);
+    const current = countSlow(reference, currentWaits, slowClass);
+    // Where earlier answers are compared, as many of them would be slow at present as of the others.
+    const bad = slowedDown.answers >= minReferenceTimes
+        ? Math.max(current.bad, current.answers * slowedDown.bad / slowedDown.answers)
+        : current.bad;
     return {
         candidate: addShares(shares.candidate, countSlow(candidate, candidateWaits, slowClass)),
-        current: addShares(shares.current, countSlow(reference, currentWaits, slowClass)),
+        current: addShares(shares.current, { ...current, bad }),
     };
 }
 
+/**
+ * Counts the old version's answers that take longer than nearly all of its first ones under the same load. Where there are many, what
+ * both versions share has become slow, and the new version is not compared with quicker times of before.
+ */
+function getSlowedDown(current: VersionCounts, measure: Measure, first: TimeCounts = []): AnswerShare {
+    const [counts, waits, firstCounts] = [current[measure], current[getWaits(measure)], first].map(splitByLoad);
+    return firstCounts
+        .map((reference, loadClass) => {
+            return countAbove(reference, -1) < minReferenceTimes
+                ? noAnswers
+                : countSlow(counts[loadClass], waits[loadClass], getSlowClass(reference));
+        })
+        .reduce(addShares, noAnswers);
+}
+
+/** Returns the class that a slow answer exceeds. */
+function getSlowClass(reference: TimeCounts): number {
+    return getQuantileClass(reference, usualShare) + slowClassDistance;
+}
+
+function getWaits(measure: Measure): "waits" | "pauseWaits" {
+    return measure === "times" ? "waits" : "pauseWaits";
+}
+
 /** A wait that is not slow yet tells nothing: its answer may come at once. */
 function countSlow(times: TimeCounts, waits: TimeCounts, slowClass: number): AnswerShare {
     const slowWaits = countAbove(waits, slowClass);
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -263,6 +263,8 @@
     return [answers, failures, ...[times, waits, pauses, pauseWaits].map(splitByLoad)];
 }
 
-function decodeCounts([answers, failures, times, waits, pauses, pauseWaits]: z.infer<typeof countsSchema>): VersionCounts {
+function decodeCounts(
+    [answers, failures, times, waits, pauses, pauseWaits]: z.infer<typeof countsSchema>,
+): VersionCounts {
     return { answers, failures, times, waits, pauses, pauseWaits };
 }
--- a/src/rollouts/timeReferences.ts
+++ b/src/rollouts/timeReferences.ts
@@ -16,11 +16,13 @@
 interface Reference {
     /** The last sufficient distribution, or the largest one if none was sufficient. */
     readonly counts: TimeCounts;
+    /** The first sufficient distribution, or the present one while none was sufficient. */
+    readonly first: TimeCounts;
     /** The sum of successive evidence that is not sufficient yet. */
     readonly sum: TimeCounts;
 }
 
-const noReference: Reference = { counts: [], sum: [] };
+const noReference: Reference = { counts: [], first: [], sum: [] };
 
 /** Keeps distributions of the old version by measure, kind of request and load. */
 export class TimeReferences {
@@ -47,8 +49,12 @@
             for (const measure of ["times", "pauses"] as const) {
                 const known = this.#references[measure].get(segment);
                 const next = splitByLoad(current[measure]).map((added, loadClass) => {
-                    const { counts, sum } = known?.[loadClass] ?? noReference;
-                    const reference = { counts: chooseReference(added, counts), sum };
+                    const { counts, first, sum } = known?.[loadClass] ?? noReference;
+                    const reference = {
+                        counts: chooseReference(added, counts),
+                        first: countAbove(first, -1) >= minReferenceTimes ? first : added,
+                        sum,
+                    };
                     return isAdded ? addToSum(reference, added) : reference;
                 });
                 this.#references[measure].set(segment, next);
@@ -61,13 +67,19 @@
         const references = this.#references[measure].get(segment);
         return references === undefined ? undefined : joinLoads(references.map(({ counts }) => counts));
     }
+
+    /** Returns the first sufficient distribution of a kind of request under each load, or undefined if there were never any answers. */
+    getFirst(measure: Measure, segment: string): TimeCounts | undefined {
+        const references = this.#references[measure].get(segment);
+        return references === undefined ? undefined : joinLoads(references.map(({ first }) => first));
+    }
 }
 
 /** Adds times to the sum. A sufficient sum replaces the distribution, and the next one starts empty. */
-function addToSum({ counts, sum }: Reference, added: TimeCounts): Reference {
+function addToSum({ counts, first, sum }: Reference, added: TimeCounts): Reference {
     const total = addTimeCounts(sum, added);
     const isSufficient = countAbove(total, -1) >= minReferenceTimes;
-    return { counts: chooseReference(total, counts), sum: isSufficient ? [] : total };
+    return { counts: chooseReference(total, counts), first, sum: isSufficient ? [] : total };
 }
 
 /**
--- a/test/rollouts/evaluateRollout.test.ts
+++ b/test/rollouts/evaluateRollout.test.ts
@@ -162,6 +162,41 @@
         expect(evaluateRollout(sound, references)).toEqual(undefined);
     });
 
+    // Guards against taking a slow version that bears little for sound beside an old one that bears a burst, and against finding a
+    // good one bad because both versions have become slow since the old one had little to do.
+    it("compares answers under equal loads, unless the old version has become slow under its load too", () => {
+        const busyLoad = 0.4;
+        const idleLoad = 0.1;
+        const find = (options: { readonly busy: number; readonly current: number; readonly candidate: number; }) => {
+            const random = new RandomSource(13);
+            const evidence = new RolloutEvidence();
+            const references = new TimeReferences();
+            const add = (now: number, load: number, median: number, isCandidate = false): void => {
+                const kind = {
+                    segment: "route",
+                    isCandidate,
+                    objectiveMilliseconds: 1_000,
+                    pauseObjectiveMilliseconds: 600,
+                };
+                const milliseconds = median * Math.exp(0.4 * random.nextNormal());
+                evidence.addTime({ ...kind, load }, { milliseconds, hasHead: true }, now);
+            };
+            for (let index = 0; index < 60; index += 1) {
+                add(index, idleLoad, 100);
+                add(1_000 + index, busyLoad, options.busy);
+            }
+            references.update(evidence.getCounts(1_500), 1_500);
+            for (let index = 0; index < 60; index += 1) {
+                add(9_000 + index, busyLoad, options.current);
+                add(9_000 + index, idleLoad, options.candidate, true);
+            }
+            return evaluateRollout(evidence.getCounts(9_500), references)?.reason;
+        };
+        expect(find({ busy: 500, current: 500, candidate: 400 })).toEqual("slow");
+        expect(find({ busy: 500, current: 500, candidate: 100 })).toEqual(undefined);
+        expect(find({ busy: 500, current: 2_000, candidate: 400 })).toEqual(undefined);
+    });
+
     // Guards against steps that are taken before it is known how long a version takes, since its upstreams still warm up.
     it("considers evidence scarce while the new version has answers and no times", () => {
         const evidence = createEvidence(10, good, good, { count: 200 });
