Prove that the soak finds answers that are given up in a silence

The guard gives up a silent answer as soon as another runner is admitted. Proved: node scripts/guards.mjs "a silent answer is kept".

Nodes run the bundled program, which the scratch copy of the guards did not have, so that such a guard could not be proved: the deploy folder is copied, and the program bundled anew for tests of real nodes.

--- a/scripts/guards.mjs
+++ b/scripts/guards.mjs
@@ -6,7 +6,9 @@
 import { tmpdir } from "node:os";
 import { join, resolve } from "node:path";
 
-const copied = ["src", "test", "scripts", "dist", "docs", "package.json", "tsconfig.json", "KNOWN-RED.txt"];
+const copied = ["src", "test", "scripts", "deploy", "dist", "docs", "package.json", "tsconfig.json", "KNOWN-RED.txt"];
+/** Tests below this folder run the bundled program of nodes. */
+const bundledTests = "platform/";
 const shownFailures = 4;
 
 function copyTree() {
@@ -45,6 +47,9 @@
         "--noUnusedParameters",
         "false",
     ]);
+    if (guard.test.startsWith(bundledTests)) {
+        run(folder, process.execPath, ["scripts/bundle.mjs"]);
+    }
     const tested = run(folder, process.execPath, createTestArguments(guard));
     writeFileSync(path, original);
     if (built.status !== 0) {
