--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -113,6 +113,7 @@
         const { clock, crashWatch, observer, picker, registry, sendLimit, transport } = this.#options;
         const cancellation = this.#createCancellation(request, pick);
         const startedAt = clock.monotonic();
+        const number = exchange.attempts;
         const endInRoom = this.#options.waitingRoom.start(upstream);
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
         const mayBeLoad = isWarmingUp || observer.isRejectionLimited(upstream);
@@ -138,7 +139,7 @@
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
             attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
-            this.#finish(ended, { choice, versionReason, reason, startedAt, promptTokens, confidence, load });
+            this.#finish(ended, { number, choice, versionReason, reason, startedAt, promptTokens, confidence, load });
         };
         const { model } = request;
         const attemptObserver = this.#options.onStart({ exchange, upstream, model, isWarmingUp, load: pick.load });
@@ -173,7 +174,7 @@
             const { isHeadTimedOut } = cancellation;
             isGivenUp = result.error.kind === "broken" && (isHeadTimedOut || exchange.ended.aborted);
             finish(
-                classifyFailure(exchange, result.error, isHeadTimedOut),
+                classifyFailure(request, result.error, isHeadTimedOut),
                 isHeadTimedOut ? "no answer in time" : result.error.reason,
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
@@ -234,11 +235,12 @@
     }
 
     #createCancellation(request: AttemptRequest, pick: UpstreamPick): CallCancellation {
-        const { exchange, getHeadTimeout } = request;
+        const { exchange, getHeadTimeout, withdrawal } = request;
         const timeout = getHeadTimeout(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
         const isLate = timeout === undefined || timeout >= exchange.getTimeLeft();
         return new CallCancellation({
             ended: exchange.ended,
+            withdrawal,
             headTimeoutMilliseconds: isLate ? undefined : timeout,
             reserveNext: () => Promise.resolve(this.reserveBeside(request)),
         });
@@ -259,6 +261,8 @@
     #finish(
         ended: EndedAttempt,
         details: {
+            /** Number of the attempt, counted from 1. */
+            readonly number: number;
             readonly choice: string;
             readonly versionReason: string | undefined;
             readonly reason: string;
@@ -278,7 +282,7 @@
         journal.write(events.attemptEnded, {
             request: exchange.request.id,
             fingerprint: isBroken(outcome) ? exchange.watchedRequest.getFingerprint() : undefined,
-            attempt: exchange.attempts,
+            attempt: details.number,
             upstream: upstream.id,
             version: upstream.version,
             versionReason: details.versionReason,
@@ -306,9 +310,14 @@
     return outcome === "failed" || outcome === "silent";
 }
 
-function classifyFailure(exchange: Exchange, failure: UpstreamCallFailure, isHeadTimedOut: boolean): CallOutcome {
+function classifyFailure(
+    { exchange, withdrawal }: AttemptRequest,
+    failure: UpstreamCallFailure,
+    isHeadTimedOut: boolean,
+): CallOutcome {
     if (failure.kind === "refused" || failure.kind === "replaced" || failure.kind === "no-room") {
         return "refused";
     }
-    return !isHeadTimedOut && exchange.ended.aborted ? "cancelled" : "silent";
+    const isCancelled = exchange.ended.aborted || withdrawal?.aborted === true;
+    return !isHeadTimedOut && isCancelled ? "cancelled" : "silent";
 }
