--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -66,12 +66,13 @@
             const send = (dispatcher: Dispatcher): Promise<Dispatcher.ResponseData> =>
                 dispatcher.request(createRequest(upstream, call));
             const response = relay === undefined
-                ? await connections.send(dispatcher => send(observeSending(dispatcher, call.onSent)), {
+                ? await connections.send(send, {
+                    onSent: call.onSent,
                     signal: call.signal,
                     confirmCaller: call.confirmCaller,
                     mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
                 })
-                : await relayCall(() => send(connections.dispatcher.compose(relay)), call);
+                : await send(observeSending(connections.dispatcher.compose(relay), { onSent: call.onSent }));
             return response === undefined
                 ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
                 : readHead(response, call, () => connections.wasReset());
@@ -144,7 +145,7 @@
         existing?.close();
         const connections = new UpstreamConnections({
             upstream,
-            connections: this.#options.getConnectionLimit(upstream.pool),
+            getLimit: () => this.#options.getConnectionLimit(upstream.pool),
             onConnectFailure: () => this.#options.onConnectFailure?.(upstream),
             onEndless: bytes => this.#options.onOversized?.(upstream, bytes),
             onWait: waited => this.#waitedFor.add(waited),
@@ -154,12 +155,6 @@
     }
 }
 
-/** Makes a call by way of another node, whose sending cannot be observed. */
-function relayCall<T>(send: () => T, { onSent }: UpstreamCall): T {
-    onSent?.();
-    return send();
-}
-
 function createRequest(upstream: RegisteredUpstream, call: UpstreamCall): Dispatcher.RequestOptions {
     return {
         origin: `http://${upstream.address}`,
--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -2,8 +2,8 @@
  * Checks whether a new version is worse than the old one by comparing their answers over the same time.
  */
 import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
-import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
-import { countAbove, getQuantileClass, type TimeCounts } from "./timeCounts.js";
+import type { EvidenceCounts, SegmentCounts, VersionCounts } from "./rolloutEvidence.js";
+import { addTimeCounts, countAbove, getQuantileClass, splitByLoad, type TimeCounts } from "./timeCounts.js";
 import {
     chooseReference,
     type Measure,
@@ -102,8 +102,12 @@
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
     const segments = [...evidence];
     const compareMeasure = (measure: Measure): readonly SegmentShares[] => {
+        const slowedDown = segments
+            .map(([segment, { current }]) => getSlowedDown(current, measure, references?.getFirst(measure, segment)))
+            .reduce(addShares, noAnswers);
         const compared = segments.map(([segment, counts]) => {
-            return { segment, shares: getSlowness(counts, measure, references?.get(measure, segment)) };
+            const earlier = references?.get(measure, segment);
+            return { segment, shares: getSlowness(counts, { measure, earlier, slowedDown }) };
         });
         return countAnswers(compared, "current") >= minReferenceTimes ? compared : [];
     };
@@ -161,24 +165,115 @@
     };
 }
 
-/** Counts the answers of both versions that take longer than nearly all of the old version's do. */
+/** The times of both versions under one load. */
+interface LoadTimes {
+    readonly candidate: TimeCounts;
+    readonly candidateWaits: TimeCounts;
+    /** The old version's present or earlier times. */
+    readonly reference: TimeCounts;
+    readonly currentWaits: TimeCounts;
+}
+
+const noTimes: LoadTimes = {
+    candidate: [],
+    candidateWaits: [],
+    reference: [],
+    currentWaits: [],
+};
+
+/** With what the answers of a kind of request are compared. */
+interface SlownessOptions {
+    readonly measure: Measure;
+    /** Earlier times of the old version. */
+    readonly earlier: TimeCounts | undefined;
+    /** The old version's present answers of all kinds, and how many of them are slower than it was at first. */
+    readonly slowedDown: AnswerShare;
+}
+
+/**
+ * Counts the answers of both versions that take longer than nearly all of the old version's do under the same load. Otherwise a slow
+ * version that serves little would look as quick as the old one that bears a burst. Where the old version answered too little under a
+ * load, that load is compared together with the next higher one: a sound version is no slower where it has less to do.
+ */
 function getSlowness(
     { candidate, current }: SegmentCounts,
-    measure: Measure,
-    earlier: TimeCounts | undefined,
+    { measure, earlier = [], slowedDown }: SlownessOptions,
 ): AnswerShares {
-    const reference = chooseReference(current[measure], earlier);
-    if (countAbove(reference, -1) < minKindReferenceTimes) {
-        return { candidate: noAnswers, current: noAnswers };
+    const waits = getWaits(measure);
+    const [candidates, candidateWaits, currents, currentWaits, earlierCounts] = [
+        candidate[measure],
+        candidate[waits],
+        current[measure],
+        current[waits],
+        earlier,
+    ].map(splitByLoad);
+    const chosen = currents.map((counts, loadClass) => chooseReference(counts, earlierCounts[loadClass]));
+    const isEarlier = chosen.some((reference, loadClass) => reference !== currents[loadClass]);
+    let shares: AnswerShares = { candidate: noAnswers, current: noAnswers };
+    let times = noTimes;
+    for (const [loadClass, reference] of chosen.entries()) {
+        times = addLoadTimes(times, {
+            candidate: candidates[loadClass],
+            candidateWaits: candidateWaits[loadClass],
+            reference,
+            currentWaits: currentWaits[loadClass],
+        });
+        if (countAbove(times.reference, -1) >= minKindReferenceTimes) {
+            shares = addSlowness(shares, times, isEarlier ? slowedDown : noAnswers);
+            times = noTimes;
+        }
     }
-    const slowClass = getQuantileClass(reference, usualShare) + slowClassDistance;
-    const [candidateWaits, currentWaits] = measure === "times" ? [candidate.waits, current.waits] : [[], []];
+    return shares;
+}
+
+function addLoadTimes(first: LoadTimes, second: LoadTimes): LoadTimes {
     return {
-        candidate: countSlow(candidate[measure], candidateWaits, slowClass),
-        current: countSlow(reference, currentWaits, slowClass),
+        candidate: addTimeCounts(first.candidate, second.candidate),
+        candidateWaits: addTimeCounts(first.candidateWaits, second.candidateWaits),
+        reference: addTimeCounts(first.reference, second.reference),
+        currentWaits: addTimeCounts(first.currentWaits, second.currentWaits),
     };
 }
 
+/** Adds the answers under one load, of which those are slow that take longer than nearly all of the old version's do. */
+function addSlowness(shares: AnswerShares, times: LoadTimes, slowedDown: AnswerShare): AnswerShares {
+    const { candidate, candidateWaits, reference, currentWaits } = times;
+    const slowClass = getSlowClass(reference);
+    const current = countSlow(reference, currentWaits, slowClass);
+    // Where earlier answers are compared, as many of them would be slow at present as of the others.
+    const bad = slowedDown.answers >= minReferenceTimes
+        ? Math.max(current.bad, current.answers * slowedDown.bad / slowedDown.answers)
+        : current.bad;
+    return {
+        candidate: addShares(shares.candidate, countSlow(candidate, candidateWaits, slowClass)),
+        current: addShares(shares.current, { ...current, bad }),
+    };
+}
+
+/**
+ * Counts the old version's answers that take longer than nearly all of its first ones under the same load. Where there are many, what
+ * both versions share has become slow, and the new version is not compared with quicker times of before.
+ */
+function getSlowedDown(current: VersionCounts, measure: Measure, first: TimeCounts = []): AnswerShare {
+    const [counts, waits, firstCounts] = [current[measure], current[getWaits(measure)], first].map(splitByLoad);
+    return firstCounts
+        .map((reference, loadClass) => {
+            return countAbove(reference, -1) < minReferenceTimes
+                ? noAnswers
+                : countSlow(counts[loadClass], waits[loadClass], getSlowClass(reference));
+        })
+        .reduce(addShares, noAnswers);
+}
+
+/** Returns the class that a slow answer exceeds. */
+function getSlowClass(reference: TimeCounts): number {
+    return getQuantileClass(reference, usualShare) + slowClassDistance;
+}
+
+function getWaits(measure: Measure): "waits" | "pauseWaits" {
+    return measure === "times" ? "waits" : "pauseWaits";
+}
+
 /** A wait that is not slow yet tells nothing: its answer may come at once. */
 function countSlow(times: TimeCounts, waits: TimeCounts, slowClass: number): AnswerShare {
     const slowWaits = countAbove(waits, slowClass);
--- a/src/rollouts/rolloutEvidence.ts
+++ b/src/rollouts/rolloutEvidence.ts
@@ -2,7 +2,15 @@
  * Recent answers of a pool's old and new version, as counts that can be summed over nodes.
  */
 import { z } from "zod";
-import { addTimeClass, addTimeCounts, getTimeClass, type TimeCounts } from "./timeCounts.js";
+import {
+    addTimeCounts,
+    countTimeClass,
+    getLoadClass,
+    getTimeClass,
+    joinLoads,
+    splitByLoad,
+    type TimeCounts,
+} from "./timeCounts.js";
 
 /**
  * Length of a time slice, in milliseconds. Evidence covers the last `sliceCount` slices only: otherwise the good
@@ -31,6 +39,8 @@
     readonly waits: TimeCounts;
     /** Pauses between the parts of streamed answers, one for each stream. */
     readonly pauses: TimeCounts;
+    /** Lower bounds of the usual pauses of streams that run, or were broken off, before their usual pause was known. */
+    readonly pauseWaits: TimeCounts;
 }
 
 /** Counts of both versions for requests of one kind. */
@@ -59,6 +69,8 @@
     readonly objectiveMilliseconds: number;
     /** The longest pause between the parts of an answer that the caller accepts, in milliseconds. */
     readonly pauseObjectiveMilliseconds: number;
+    /** Requests at the upstream as the attempt began, as a share of its slots. An upstream of unknown load counts as idle. */
+    readonly load?: number;
 }
 
 /** The time of an attempt. */
@@ -68,7 +80,14 @@
     readonly hasHead: boolean;
 }
 
-const emptyCounts: VersionCounts = { answers: 0, failures: 0, times: [], waits: [], pauses: [] };
+/** The usual pause of a stream. */
+export interface EvidencePause {
+    readonly milliseconds: number;
+    /** Whether the pause is known. Otherwise it is at least as long. */
+    readonly isKnown: boolean;
+}
+
+const emptyCounts: VersionCounts = { answers: 0, failures: 0, times: [], waits: [], pauses: [], pauseWaits: [] };
 const emptySegment: SegmentCounts = { current: emptyCounts, candidate: emptyCounts };
 
 interface Slice {
@@ -107,9 +126,17 @@
      * @param now - Monotonic milliseconds.
      */
     addPause(kind: EvidenceKind, milliseconds: number, now: number): void {
-        const shortestMilliseconds = Math.max(1, kind.pauseObjectiveMilliseconds * pauseFloorShare);
-        const pauses = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
-        this.#add(kind, { ...emptyCounts, pauses }, now);
+        this.#add(kind, countPause(kind, { milliseconds, isKnown: true }), now);
+    }
+
+    /**
+     * Adds the lower bound of the usual pause of a stream that was broken off before it was known.
+     * @param kind - The kind of attempt.
+     * @param milliseconds - The lower bound.
+     * @param now - Monotonic milliseconds.
+     */
+    addPauseWait(kind: EvidenceKind, milliseconds: number, now: number): void {
+        this.#add(kind, countPause(kind, { milliseconds, isKnown: false }), now);
     }
 
     #add(kind: EvidenceKind, counts: VersionCounts, now: number): void {
@@ -160,8 +187,8 @@
 }
 
 /** Times in the format of another release cannot be compared with this release's. */
-const timesSchema = z.array(z.number()).catch([]);
-const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema]);
+const timesSchema = z.array(z.array(z.number())).catch([]).transform(joinLoads);
+const countsSchema = z.tuple([z.number(), z.number(), timesSchema, timesSchema, timesSchema, timesSchema]);
 const reportSchema = z.object({
     order: z.number(),
     inFlight: z.number(),
@@ -193,15 +220,21 @@
 }
 
 /** Counts one attempt by its time. */
-export function countTime(
-    { objectiveMilliseconds }: EvidenceKind,
-    { milliseconds, hasHead }: EvidenceTime,
-): VersionCounts {
-    const shortestMilliseconds = Math.max(1, objectiveMilliseconds * latencyFloorShare);
-    const counts = addTimeClass([], getTimeClass(milliseconds, shortestMilliseconds));
+export function countTime(kind: EvidenceKind, { milliseconds, hasHead }: EvidenceTime): VersionCounts {
+    const counts = countMilliseconds(kind, milliseconds, kind.objectiveMilliseconds * latencyFloorShare);
     return hasHead ? { ...emptyCounts, times: counts } : { ...emptyCounts, waits: counts };
 }
 
+/** Counts one stream by its usual pause. */
+export function countPause(kind: EvidenceKind, { milliseconds, isKnown }: EvidencePause): VersionCounts {
+    const counts = countMilliseconds(kind, milliseconds, kind.pauseObjectiveMilliseconds * pauseFloorShare);
+    return isKnown ? { ...emptyCounts, pauses: counts } : { ...emptyCounts, pauseWaits: counts };
+}
+
+function countMilliseconds({ load = 0 }: EvidenceKind, milliseconds: number, shortestMilliseconds: number): TimeCounts {
+    return countTimeClass(getTimeClass(milliseconds, Math.max(1, shortestMilliseconds)), getLoadClass(load));
+}
+
 /** Adds counts of one version to those of a kind of request. */
 export function addToSegment(
     segments: Map<string, SegmentCounts>,
@@ -222,13 +255,16 @@
         times: addTimeCounts(first.times, second.times),
         waits: addTimeCounts(first.waits, second.waits),
         pauses: addTimeCounts(first.pauses, second.pauses),
+        pauseWaits: addTimeCounts(first.pauseWaits, second.pauseWaits),
     };
 }
 
-function encodeCounts({ answers, failures, times, waits, pauses }: VersionCounts): readonly unknown[] {
-    return [answers, failures, times, waits, pauses];
+function encodeCounts({ answers, failures, times, waits, pauses, pauseWaits }: VersionCounts): readonly unknown[] {
+    return [answers, failures, ...[times, waits, pauses, pauseWaits].map(splitByLoad)];
 }
 
-function decodeCounts([answers, failures, times, waits, pauses]: z.infer<typeof countsSchema>): VersionCounts {
-    return { answers, failures, times, waits, pauses };
+function decodeCounts(
+    [answers, failures, times, waits, pauses, pauseWaits]: z.infer<typeof countsSchema>,
+): VersionCounts {
+    return { answers, failures, times, waits, pauses, pauseWaits };
 }
--- a/src/rollouts/timeReferences.ts
+++ b/src/rollouts/timeReferences.ts
@@ -2,7 +2,7 @@
  * Remembers how long the old version took, for the time when the new version serves nearly everything.
  */
 import { type EvidenceCounts, evidenceMilliseconds } from "./rolloutEvidence.js";
-import { addTimeCounts, countAbove, type TimeCounts } from "./timeCounts.js";
+import { addTimeCounts, countAbove, joinLoads, splitByLoad, type TimeCounts } from "./timeCounts.js";
 
 /** Minimum number of the old version's times for a comparison, of one kind of request by itself or of all kinds together. */
 export const minReferenceTimes = 20;
@@ -12,19 +12,25 @@
 /** What is measured of answers: the times to their heads, or the pauses between their parts. */
 export type Measure = "times" | "pauses";
 
-/** What is remembered of one kind of request. */
+/** What is remembered of one kind of request under one load. */
 interface Reference {
     /** The last sufficient distribution, or the largest one if none was sufficient. */
     readonly counts: TimeCounts;
+    /** The first sufficient distribution, or the present one while none was sufficient. */
+    readonly first: TimeCounts;
     /** The sum of successive evidence that is not sufficient yet. */
     readonly sum: TimeCounts;
 }
 
-const noReference: Reference = { counts: [], sum: [] };
+const noReference: Reference = { counts: [], first: [], sum: [] };
 
-/** Keeps distributions of the old version by measure and kind of request. */
+/** Keeps distributions of the old version by measure, kind of request and load. */
 export class TimeReferences {
-    readonly #references = { times: new Map<string, Reference>(), pauses: new Map<string, Reference>() };
+    /** By measure and kind of request, then by load class. */
+    readonly #references = {
+        times: new Map<string, readonly Reference[]>(),
+        pauses: new Map<string, readonly Reference[]>(),
+    };
     /** Monotonic milliseconds at which evidence was last added to the sums. */
     #addedAt = Number.NEGATIVE_INFINITY;
 
@@ -41,9 +47,16 @@
         }
         for (const [segment, { current }] of evidence) {
             for (const measure of ["times", "pauses"] as const) {
-                const known = this.#references[measure].get(segment) ?? noReference;
-                const counts = chooseReference(current[measure], known.counts);
-                const next = isAdded ? addToSum({ counts, sum: known.sum }, current[measure]) : { ...known, counts };
+                const known = this.#references[measure].get(segment);
+                const next = splitByLoad(current[measure]).map((added, loadClass) => {
+                    const { counts, first, sum } = known?.[loadClass] ?? noReference;
+                    const reference = {
+                        counts: chooseReference(added, counts),
+                        first: countAbove(first, -1) >= minReferenceTimes ? first : added,
+                        sum,
+                    };
+                    return isAdded ? addToSum(reference, added) : reference;
+                });
                 this.#references[measure].set(segment, next);
             }
         }
@@ -51,15 +64,22 @@
 
     /** Returns the distribution of a kind of request, or undefined if there were never any answers. */
     get(measure: Measure, segment: string): TimeCounts | undefined {
-        return this.#references[measure].get(segment)?.counts;
+        const references = this.#references[measure].get(segment);
+        return references === undefined ? undefined : joinLoads(references.map(({ counts }) => counts));
+    }
+
+    /** Returns the first sufficient distribution of a kind of request under each load, or undefined if there were never any answers. */
+    getFirst(measure: Measure, segment: string): TimeCounts | undefined {
+        const references = this.#references[measure].get(segment);
+        return references === undefined ? undefined : joinLoads(references.map(({ first }) => first));
     }
 }
 
 /** Adds times to the sum. A sufficient sum replaces the distribution, and the next one starts empty. */
-function addToSum({ counts, sum }: Reference, added: TimeCounts): Reference {
+function addToSum({ counts, first, sum }: Reference, added: TimeCounts): Reference {
     const total = addTimeCounts(sum, added);
     const isSufficient = countAbove(total, -1) >= minReferenceTimes;
-    return { counts: chooseReference(total, counts), sum: isSufficient ? [] : total };
+    return { counts: chooseReference(total, counts), first, sum: isSufficient ? [] : total };
 }
 
 /**
