--- a/test/platform/silences/silentFleet.ts
+++ b/test/platform/silences/silentFleet.ts
@@ -162,6 +162,9 @@
     }
 
     async stop(): Promise<void> {
+        for (const runner of this.#runners) {
+            runner.close();
+        }
         await this.#site.stop();
     }
 
--- a/test/platform/standins/slottedRunner.ts
+++ b/test/platform/standins/slottedRunner.ts
@@ -2,7 +2,9 @@
  * Simulates a runner that works on a bounded number of requests at once, lets others wait, states its load with each answer and
  * falls silent as a whole for a time, after which it goes on.
  */
+import { setMaxListeners } from "node:events";
 import type { ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { createSeal, type ReceivedRequest, type RunnerStandin } from "./runnerStandin.js";
 
 /** Requests that wait for a slot; a runner rejects others. */
@@ -28,6 +30,7 @@
 export class SlottedRunner {
     readonly #work: SlottedWork;
     readonly #waiting: (() => void)[] = [];
+    readonly #closing = new AbortController();
     #running = 0;
     #silentUntil = 0;
 
@@ -37,6 +40,7 @@
      */
     constructor(runner: RunnerStandin, work: SlottedWork) {
         this.#work = work;
+        setMaxListeners(0, this.#closing.signal);
         runner.behaviour = (request, response) => this.#answer(request, response);
     }
 
@@ -45,6 +49,11 @@
         this.#silentUntil = Math.max(this.#silentUntil, performance.now() + milliseconds);
     }
 
+    /** Ends all waits, whose timers would keep the process running. */
+    close(): void {
+        this.#closing.abort();
+    }
+
     async #answer(request: ReceivedRequest, response: ServerResponse): Promise<void> {
         await this.#wait(0);
         if (this.#running >= this.#work.slots && this.#waiting.length >= maxWaiting) {
@@ -89,13 +98,15 @@
 
     /** Waits for a time, and until the silence ends. */
     async #wait(milliseconds: number): Promise<void> {
+        const { signal } = this.#closing;
         const until = performance.now() + milliseconds;
         for (;;) {
             const left = Math.max(until, this.#silentUntil) - performance.now();
-            if (left <= 0) {
+            if (left <= 0 || signal.aborted) {
                 return;
             }
-            await new Promise(resolve => setTimeout(resolve, left));
+            // An aborted wait is over.
+            await sleep(left, undefined, { signal }).catch(() => undefined);
         }
     }
 
