Count the attempts of a request that are open at once in the load of silences

What a kept attempt costs is the time for which two upstreams work on the same request. The load of silences printed nothing of it.

Change: main.ts prints, from the lines of attempts that ended, how many pairs of attempts were open at once and for how long, and how long after the answer of one had begun; pairs whose first answer had begun and fallen silent apart from those where none had.

--- a/test/platform/silences/main.ts
+++ b/test/platform/silences/main.ts
@@ -46,6 +46,13 @@
 console.log(`refused: ${describe(refused, ({ id, status }) => `${id.split("-")[0]} ${status}`)}`);
 console.log(`given up: ${describe(givenUp, ({ reason }) => String(reason))}`);
 console.log(`silences: ${describe(getLines("silence-ended"), ({ end, isReplaced }) => `${end} ${isReplaced ?? ""}`)}`);
+const overlaps = findOverlaps();
+for (const [title, isBegun] of [["none had begun", false], ["the first one had fallen silent", true]] as const) {
+    const found = overlaps.filter(overlap => overlap.isBegun === isBegun);
+    const whole = describeShares(found.map(({ milliseconds }) => milliseconds));
+    const late = describeShares(found.map(({ begunMilliseconds }) => begunMilliseconds));
+    console.log(`two attempts open, ${title}: ${found.length}; ${whole} ms; after one has begun: ${late} ms`);
+}
 console.log(`broken off: ${describe(getLines("answer-broken"), ({ reason }) => String(reason))}`);
 const failures = getLines("escalation-failed");
 console.log(`escalation-failed: ${describe(failures, ({ reason }) => String(reason))}; ${describeTimes(failures)}`);
@@ -66,6 +73,46 @@
 console.log(result.timeLine.join("\n"));
 process.exit(lost.length === 0 ? 0 : 1);
 
+/** Two attempts of one request that were open at once. */
+interface Overlap {
+    readonly milliseconds: number;
+    /** Whether the answer of the first one had begun when the second one was sent. */
+    readonly isBegun: boolean;
+    /** Time for which both were open after the answer of one had begun. */
+    readonly begunMilliseconds: number;
+}
+
+function findOverlaps(): readonly Overlap[] {
+    const byRequest = new Map<string, EventLine[]>();
+    for (const line of getLines("attempt-ended")) {
+        const request = String(line.request);
+        byRequest.set(request, [...byRequest.get(request) ?? [], line]);
+    }
+    const found: Overlap[] = [];
+    for (const lines of byRequest.values()) {
+        const attempts = lines.map(({ startedMs, wholeMs, headMs }) => {
+            const start = Number(startedMs);
+            const headAt = headMs === undefined ? Number.POSITIVE_INFINITY : start + Number(headMs);
+            return { start, headAt, end: start + Number(wholeMs) };
+        }).sort((left, right) => left.start - right.start);
+        for (const [index, first] of attempts.entries()) {
+            for (const second of attempts.slice(index + 1)) {
+                const end = Math.min(first.end, second.end);
+                const begunAt = Math.max(second.start, Math.min(first.headAt, second.headAt));
+                if (end > second.start) {
+                    const isBegun = first.headAt <= second.start;
+                    found.push({
+                        milliseconds: end - second.start,
+                        isBegun,
+                        begunMilliseconds: Math.max(0, end - begunAt),
+                    });
+                }
+            }
+        }
+    }
+    return found;
+}
+
 function getLines(name: string): readonly EventLine[] {
     return result.events.filter(event => event.name === name);
 }
@@ -87,7 +134,7 @@
 
 function describeShares(numbers: readonly number[]): string {
     const sorted = [...numbers].sort((left, right) => left - right);
-    return [0.1, 0.5, 0.9, 0.99].map(share => {
+    return [0.1, 0.5, 0.9, 0.99, 1].map(share => {
         const value = sorted[Math.floor((sorted.length - 1) * share)];
         return `${100 * share}% ${value === undefined ? "-" : Math.round(value)}`;
     }).join(", ");
