Keep an attempt whose answer has not begun beside the next one

Callers were refused at their deadline though the upstream that was asked first would have answered them: an attempt whose answer had not begun was ended as the next one was admitted, which then waited in a queue or was silent itself.

Ruled out: to give the first attempt up later, or only where the other upstream has room. Both are guesses, and the second one may be silent all the same. A second mechanism like SilentAnswer's with its own withdrawal: the one of attempts serves both.

Change: AttemptRace makes the attempts of a request, for streams and calls. An overdue attempt is kept (LateAttempt) beside the next one, which is withdrawn as the first answer begins; if the next one's begins, the kept one is given up as before. A failure or a status from 500 of one leaves the other going, and a further attempt is asked for beside it at once; of two failures the later one is handled as before. At most one attempt is kept: a third one ends the one that was asked first. None is kept beside a silent answer, nor where the request, or a part of its prompt, is suspected of crashes (CrashWatch.isSuspect), and a kept one ends if the other one's crash quarantines the request. Each attempt counts against attempts and the retry budget as before, and both end with the exchange. Exchange waits for the evaluations of all attempts that ended, since two may crash within a probe's time. HeadWatch gives each attempt its own WatchedHead, so that the late head is measured from its own start; its tests make the same statements of the new interface.

Conclusion: whichever begins first answers, and both upstreams work on a request only until one begins.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -5,6 +5,7 @@
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type { RunEnd } from "../quarantine/index.js";
 import type { Exchange } from "./exchange.js";
+import type { WatchedHead } from "./headWatch.js";
 import type { UpstreamAnswer, UpstreamCallFailure } from "./upstreamCall.js";
 
 /** An attempt that starts. */
@@ -48,15 +49,13 @@
     /** Undefined for plain services. */
     readonly prompt: PromptDescription | undefined;
     /**
-     * Returns the timeout for the head of the answer, in milliseconds. Undefined waits until the deadline of the request: a
-     * separate timer of the same length would race with the deadline, and callers that ran out of time would receive an upstream
-     * failure.
+     * Starts to watch the head of the answer as the attempt is sent.
      * @param expectedMilliseconds - Expected time to the head of the answer.
      */
-    readonly getHeadTimeout: (expectedMilliseconds: number) => number | undefined;
+    readonly watchHead: (expectedMilliseconds: number) => WatchedHead;
     /** Called when the request is written to a connection. It may wait for one before. */
     readonly onSent?: (() => void) | undefined;
-    /** Ends the attempt before its answer has started. Without it, only the end of the request does. */
+    /** Ends the attempt, or keeps it from being made, before its answer has started. Without it, only the end of the request does. */
     readonly withdrawal?: AbortSignal | undefined;
     /**
      * Returns the retries that a further attempt leaves to more urgent requests.
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -43,11 +43,11 @@
     async admit(request: AttemptRequest): Promise<Result<SelectedUpstream, AttemptFailure>> {
         const { exchange } = request;
         if (!exchange.ended.aborted) {
-            await exchange.lastEvaluation;
+            await exchange.waitForEvaluations();
             await exchange.reply.confirmCaller();
         }
         const reservation = exchange.takeReservation();
-        if (exchange.ended.aborted) {
+        if (exchange.ended.aborted || request.withdrawal?.aborted === true) {
             return err({ kind: "not-made", reason: "ended" });
         }
         if (reservation !== undefined) {
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Clock } from "../common/index.js";
-import type { CallOutcome, PromptDescription, SendLimit, UpstreamPick } from "../decisions/index.js";
+import type { CallOutcome, PromptDescription, SendLimit } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import { measurePauses, type RunnerPaces } from "../pace/index.js";
@@ -20,6 +20,8 @@
 import { AttemptAdmission, type AttemptAdmissionOptions } from "./attemptAdmission.js";
 import { CallCancellation } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
+import type { WatchedHead } from "./headWatch.js";
+import { PendingAttempt } from "./pendingAttempt.js";
 import type { ReportedLoad, UpstreamAnswer, UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
 import type { UpstreamObserver } from "./upstreamObserver.js";
 import { type SelectedUpstream, UpstreamSelection } from "./upstreamSelection.js";
@@ -70,16 +72,29 @@
     }
 
     /**
-     * Makes one attempt.
+     * Starts one attempt.
      * @param request - The request and its timeouts.
      */
-    async make(request: AttemptRequest): Promise<Result<Attempt, AttemptFailure>> {
+    async start(request: AttemptRequest): Promise<Result<PendingAttempt, AttemptFailure>> {
         const selected = await this.#admission.admit(request);
         if (selected.isErr()) {
             return err(selected.error);
         }
-        request.exchange.addAttempt(selected.value.pick.upstream);
-        return this.#send(request, selected.value);
+        const { pick } = selected.value;
+        request.exchange.addAttempt(pick.upstream);
+        const head = request.watchHead(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
+        const cancellation = this.#createCancellation(request, head);
+        return ok(new PendingAttempt(cancellation, this.#send(request, selected.value, { head, cancellation })));
+    }
+
+    /** Returns whether a request may crash the upstreams that run it, so that no two of them are to run it at once. */
+    isSuspect({ watchedRequest }: Exchange): boolean {
+        return this.#options.crashWatch.isSuspect(watchedRequest);
+    }
+
+    /** Returns whether a request may not be sent now as it crashes the upstreams that run it. */
+    isQuarantined({ watchedRequest }: Exchange): boolean {
+        return this.#options.crashWatch.getWait(watchedRequest) !== undefined;
     }
 
     /**
@@ -104,6 +119,7 @@
     async #send(
         request: AttemptRequest,
         { pick, versionReason }: SelectedUpstream,
+        { head, cancellation }: { readonly head: WatchedHead; readonly cancellation: CallCancellation; },
     ): Promise<Result<Attempt, AttemptFailure>> {
         const { exchange, prompt } = request;
         const { upstream, prefillMilliseconds } = pick;
@@ -111,7 +127,6 @@
             Math.round(pick.expectedMilliseconds)
         } ms expected`;
         const { clock, crashWatch, observer, picker, registry, sendLimit, transport } = this.#options;
-        const cancellation = this.#createCancellation(request, pick);
         const startedAt = clock.monotonic();
         const number = exchange.attempts;
         const endInRoom = this.#options.waitingRoom.start(upstream);
@@ -131,11 +146,11 @@
             isFinished = true;
             cancellation.dispose();
             endInRoom({ isServed: isServed && outcome === "ok", headMilliseconds });
-            exchange.lastEvaluation = crashWatch.evaluate(run, {
+            exchange.addEvaluation(crashWatch.evaluate(run, {
                 end,
                 mayBeLoad,
                 isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
-            });
+            }));
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
             attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
@@ -160,7 +175,7 @@
             signal: cancellation.signal,
         });
         cancellation.stopHeadTimeout();
-        if (!cancellation.isHeadTimedOut) {
+        if (!cancellation.isHeadTimedOut && !cancellation.isReplaced) {
             // One that was admitted just as this attempt was answered is not made at once.
             exchange.takeReservation();
         }
@@ -168,6 +183,7 @@
         load = result.match(answer => answer.load, failure => failure.load);
         picker.addPendingPrefill(upstream.id, -prefillMilliseconds);
         if (result.isErr()) {
+            head.markFailed();
             if (result.error.kind === "not-sent" || result.error.kind === "no-room") {
                 exchange.removeAttempt();
             }
@@ -175,13 +191,14 @@
             isGivenUp = result.error.kind === "broken" && (isHeadTimedOut || exchange.ended.aborted);
             finish(
                 classifyFailure(request, result.error, isHeadTimedOut),
-                isHeadTimedOut ? "no answer in time" : result.error.reason,
+                getFailureReason(request, result.error, isHeadTimedOut),
                 result.error.kind === "disconnected" ? "disconnected" : "stopped",
             );
             observer.observeFailure(upstream, result.error, startedAt);
             this.#applyFailure(upstream, result.error, isHeadTimedOut);
             return err({ kind: "failed", failure: result.error });
         }
+        head.markHead(result.value.status);
         headMilliseconds = clock.monotonic() - startedAt;
         isServed = result.value.status < minErrorStatus;
         if (isServed) {
@@ -234,14 +251,13 @@
         return { ...answer, body };
     }
 
-    #createCancellation(request: AttemptRequest, pick: UpstreamPick): CallCancellation {
-        const { exchange, getHeadTimeout, withdrawal } = request;
-        const timeout = getHeadTimeout(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
-        const isLate = timeout === undefined || timeout >= exchange.getTimeLeft();
+    #createCancellation(request: AttemptRequest, { timeoutMilliseconds }: WatchedHead): CallCancellation {
+        const { exchange, withdrawal } = request;
+        const isLate = timeoutMilliseconds === undefined || timeoutMilliseconds >= exchange.getTimeLeft();
         return new CallCancellation({
             ended: exchange.ended,
             withdrawal,
-            headTimeoutMilliseconds: isLate ? undefined : timeout,
+            headTimeoutMilliseconds: isLate ? undefined : timeoutMilliseconds,
             reserveNext: () => Promise.resolve(this.reserveBeside(request)),
         });
     }
@@ -310,6 +326,17 @@
     return outcome === "failed" || outcome === "silent";
 }
 
+function getFailureReason(
+    { exchange, withdrawal }: AttemptRequest,
+    { reason }: UpstreamCallFailure,
+    isHeadTimedOut: boolean,
+): string {
+    if (isHeadTimedOut) {
+        return "no answer in time";
+    }
+    return withdrawal?.aborted === true && !exchange.ended.aborted ? "an earlier attempt goes on" : reason;
+}
+
 function classifyFailure(
     { exchange, withdrawal }: AttemptRequest,
     failure: UpstreamCallFailure,
--- a/src/forwarding/callCancellation.ts
+++ b/src/forwarding/callCancellation.ts
@@ -33,6 +33,9 @@
     readonly #reserveNext: (signal: AbortSignal) => Promise<boolean>;
     #timeout: ReadTimeout | undefined;
     #isHeadTimedOut = false;
+    #isReplaced = false;
+    /** Called when another upstream takes the request. Without it, the call is then given up. */
+    #onReplaced: (() => void) | undefined;
 
     constructor({ ended, withdrawal, headTimeoutMilliseconds, reserveNext }: CallCancellationOptions) {
         this.#ended = ended;
@@ -58,6 +61,11 @@
         return this.#isHeadTimedOut;
     }
 
+    /** Whether another upstream takes the request, which is asked beside this one. */
+    get isReplaced(): boolean {
+        return this.#isReplaced;
+    }
+
     /** Cancels the call. */
     readonly cancel = (): void => this.#controller.abort();
 
@@ -68,6 +76,27 @@
         this.#withdrawal?.removeEventListener("abort", this.cancel);
     }
 
+    /**
+     * Waits until another upstream takes the request as the answer does not start in time. The call then goes on beside that one until
+     * it is given up. If there was one before, which has failed, a further one is asked for at once.
+     */
+    waitForReplacement(): Promise<void> {
+        const replaced = new Promise<void>(resolve => this.#onReplaced = resolve);
+        if (this.#isReplaced) {
+            this.#isReplaced = false;
+            void this.#giveUpIfReplaced();
+        }
+        return replaced;
+    }
+
+    /** Gives the call up as its answer did not start in time. Has no effect once the answer has started or the call has ended. */
+    giveUp(): void {
+        if (!this.#waitController.signal.aborted && !this.signal.aborted) {
+            this.#isHeadTimedOut = true;
+            this.cancel();
+        }
+    }
+
     /** Ignores the end of the exchange from now on. */
     dispose(): void {
         this.#ended.removeEventListener("abort", this.cancel);
@@ -80,6 +109,9 @@
 
     async #giveUpIfReplaced(): Promise<void> {
         const { signal } = this.#waitController;
+        if (signal.aborted) {
+            return;
+        }
         const isReplaced = await this.#reserveNext(signal);
         if (signal.aborted) {
             return;
@@ -88,7 +120,12 @@
             this.#startTimeout(recheckMilliseconds);
             return;
         }
-        this.#isHeadTimedOut = true;
-        this.cancel();
+        if (this.#onReplaced === undefined) {
+            this.giveUp();
+            return;
+        }
+        this.#isReplaced = true;
+        this.#onReplaced();
+        this.#onReplaced = undefined;
     }
 }
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -45,8 +45,6 @@
     isCountedInBudget = false;
     /** Upstream of the next attempt, which was admitted before the silent one that it replaces is given up. */
     reservation: SelectedUpstream | undefined;
-    /** Pending evaluation of the last attempt, which the next one must wait for. */
-    lastEvaluation: Promise<void> | undefined;
     /** The request as the watch for crashed upstreams sees it. */
     readonly watchedRequest: WatchedRequest;
     /** Whether the request ran, as far as known. */
@@ -57,6 +55,7 @@
     readonly #endController = new AbortController();
     readonly #timer: NodeJS.Timeout;
     readonly #handleDisconnect: () => void;
+    #evaluations: Promise<unknown> | undefined;
     #isTimedOut = false;
     #isStopped = false;
     #callerLeftAfterMilliseconds: number | undefined;
@@ -148,6 +147,16 @@
         this.excluded.add(upstream.id);
     }
 
+    /** Adds the evaluation of an attempt that has ended, which the next one must wait for. */
+    addEvaluation(evaluation: Promise<void>): void {
+        this.#evaluations = Promise.all([this.#evaluations, evaluation]);
+    }
+
+    /** Waits until all attempts that have ended are evaluated. */
+    async waitForEvaluations(): Promise<void> {
+        await this.#evaluations;
+    }
+
     /** Takes the upstream of the next attempt, if that was admitted. */
     takeReservation(): SelectedUpstream | undefined {
         const { reservation } = this;
--- a/src/forwarding/headWatch.ts
+++ b/src/forwarding/headWatch.ts
@@ -2,9 +2,7 @@
  * Watches how long the attempts of a request wait for the heads of their answers.
  */
 import type { Clock } from "../common/index.js";
-
-/** Statuses from here on are failures of the upstream, whose times say nothing about answers. */
-const minServerErrorStatus = 500;
+import { minServerErrorStatus } from "./upstreamCall.js";
 
 /** A measured time to the head of an answer. */
 export interface MeasuredHead {
@@ -23,35 +21,64 @@
     readonly onSecondTry: (afterMilliseconds: number) => void;
 }
 
-/** Watches the attempts of one request, one after the other. */
+/** Watches the attempts of one request. */
 export class HeadWatch {
     readonly #options: HeadWatchOptions;
-    #startedAt = 0;
-    #expectedMilliseconds = 0;
-    #model: string | undefined;
-    #timeoutMilliseconds: number | undefined;
-    /** Time that was waited for the last attempt, if it was given up. */
-    #givenUpMilliseconds: number | undefined;
+    #last: WatchedHead | undefined;
 
     constructor(options: HeadWatchOptions) {
         this.#options = options;
     }
 
     /**
-     * Records that an attempt is sent, and returns the timeout for its head in milliseconds, if there is one.
+     * Records that an attempt is sent, and starts to watch the head of its answer.
      * @param expectedMilliseconds - Expected time to the head.
      * @param model - The model that is to answer.
      */
-    start(expectedMilliseconds: number, model?: string): number | undefined {
-        if (this.#givenUpMilliseconds !== undefined) {
-            this.#options.onSecondTry(this.#givenUpMilliseconds);
-            this.#givenUpMilliseconds = undefined;
+    start(expectedMilliseconds: number, model?: string): WatchedHead {
+        const overdueMilliseconds = this.#last?.overdueMilliseconds;
+        if (overdueMilliseconds !== undefined) {
+            this.#options.onSecondTry(overdueMilliseconds);
         }
-        this.#startedAt = this.#options.clock.monotonic();
-        this.#expectedMilliseconds = expectedMilliseconds;
-        this.#model = model;
-        this.#timeoutMilliseconds = this.#options.getTimeout(expectedMilliseconds, model);
-        return this.#timeoutMilliseconds;
+        const { clock, getTimeout, onHead } = this.#options;
+        const timeoutMilliseconds = getTimeout(expectedMilliseconds, model);
+        this.#last = new WatchedHead({ clock, expectedMilliseconds, model, timeoutMilliseconds, onHead });
+        return this.#last;
+    }
+}
+
+/** Options of `WatchedHead`. */
+export interface WatchedHeadOptions extends Pick<HeadWatchOptions, "clock" | "onHead"> {
+    readonly expectedMilliseconds: number;
+    readonly model: string | undefined;
+    readonly timeoutMilliseconds: number | undefined;
+}
+
+/** Watches how long one attempt waits for the head of its answer. */
+export class WatchedHead {
+    /**
+     * The timeout for the head, in milliseconds. Undefined waits until the deadline of the request: a separate timer of the same length
+     * would race with the deadline, and callers that ran out of time would receive an upstream failure.
+     */
+    readonly timeoutMilliseconds: number | undefined;
+    readonly #options: WatchedHeadOptions;
+    readonly #startedAt: number;
+    #isAnswered = false;
+    /** Time from the start to the failure. Undefined while the attempt has not failed. */
+    #failedAfterMilliseconds: number | undefined;
+
+    constructor(options: WatchedHeadOptions) {
+        this.#options = options;
+        this.timeoutMilliseconds = options.timeoutMilliseconds;
+        this.#startedAt = options.clock.monotonic();
+    }
+
+    /** Time that was waited for the head, if that is longer than its timeout and the attempt was not answered. */
+    get overdueMilliseconds(): number | undefined {
+        const waited = this.#failedAfterMilliseconds ?? this.#getElapsed();
+        const timeout = this.timeoutMilliseconds;
+        const isOverdue = !this.#isAnswered && timeout !== undefined && waited >= Math.floor(timeout);
+        return isOverdue ? waited : undefined;
     }
 
     /**
@@ -59,19 +86,17 @@
      * @param status - Status of the answer.
      */
     markHead(status: number): void {
-        this.#timeoutMilliseconds = undefined;
+        this.#isAnswered = true;
+        // Times of failures say nothing about answers.
         if (status < minServerErrorStatus) {
-            const expectedMilliseconds = this.#expectedMilliseconds;
-            this.#options.onHead({ milliseconds: this.#getElapsed(), expectedMilliseconds, model: this.#model });
+            const { expectedMilliseconds, model, onHead } = this.#options;
+            onHead({ milliseconds: this.#getElapsed(), expectedMilliseconds, model });
         }
     }
 
     /** Records that the attempt has failed. */
     markFailed(): void {
-        const elapsed = this.#getElapsed();
-        const isGivenUp = this.#timeoutMilliseconds !== undefined && elapsed >= Math.floor(this.#timeoutMilliseconds);
-        this.#givenUpMilliseconds = isGivenUp ? elapsed : undefined;
-        this.#timeoutMilliseconds = undefined;
+        this.#failedAfterMilliseconds ??= this.#getElapsed();
     }
 
     #getElapsed(): number {
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -1,12 +1,12 @@
 /**
  * Forwards requests that are answered by a stream of events.
  */
-import type { Result } from "neverthrow";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
 import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
+import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
 import { recheckMilliseconds } from "./callCancellation.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
@@ -17,10 +17,8 @@
 import { createAnswerRefusal } from "./refusals.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
-import { isCertainlyNotRun } from "./upstreamCall.js";
+import { isCertainlyNotRun, minServerErrorStatus } from "./upstreamCall.js";
 
-/** Statuses from here on are failures of the upstream. */
-const minServerErrorStatus = 500;
 const successStatus = 200;
 /**
  * A resumable stream whose runner sends nothing for this factor times the pause objective is resumed at another runner, if one takes
@@ -57,6 +55,7 @@
 export class StreamExchange {
     readonly #exchange: Exchange;
     readonly #attempts: Attempts;
+    readonly #race: AttemptRace;
     readonly #budget: WindowedRetryBudget;
     readonly #pressure: PoolPressure;
     readonly #cascade: ModelCascade;
@@ -73,6 +72,7 @@
         this.#answerBuffers = options.answerBuffers;
         this.#exchange = exchange;
         this.#attempts = attempts;
+        this.#race = new AttemptRace(exchange, attempts);
         this.#budget = budget;
         this.#pressure = pressure;
         this.#cascade = new ModelCascade({ exchange, attempts, budget, pressure, journal, metrics });
@@ -82,8 +82,17 @@
 
     /** Answers the request with the cheapest sufficient model, and retries at other runners after failures. */
     async run(): Promise<void> {
+        try {
+            await this.#answer();
+        }
+        finally {
+            this.#race.close();
+        }
+    }
+
+    async #answer(): Promise<void> {
         for (;;) {
-            const attempt = await this.#makeAttempt();
+            const attempt = await this.#race.make(this.#createAttemptRequest());
             const answered = attempt.isOk() ? this.#accept(attempt.value) : this.#takeBack(attempt.error);
             if (answered !== undefined) {
                 if (await this.#relay(answered)) {
@@ -98,10 +107,6 @@
         }
     }
 
-    #makeAttempt(): Promise<Result<Attempt, AttemptFailure>> {
-        return this.#attempts.make(this.#createAttemptRequest());
-    }
-
     #createAttemptRequest(): AttemptRequest {
         const { model } = this.#cascade;
         return {
@@ -109,7 +114,7 @@
             model,
             lastEventId: this.#lastEventId,
             prompt: this.#cascade.describePrompt(model),
-            getHeadTimeout: expected => this.#watch.start(expected, model),
+            watchHead: expected => this.#watch.start(expected, model),
             onSent: () => this.#cascade.markSent(),
             withdrawal: this.#silent?.goesOn,
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
@@ -119,7 +124,6 @@
 
     /** Returns the answer that the caller gets, or undefined when a larger model is asked. */
     #accept(attempt: Attempt): StreamAnswer | undefined {
-        this.#watch.markHead(attempt.answer.status);
         this.#cascade.discardHeld();
         this.#exchange.markRun("ran");
         const previous = this.#takeSilentBack(attempt);
@@ -160,7 +164,6 @@
 
     /** Returns the answer that was kept for the case that another attempt fails. */
     #takeBack(error: AttemptFailure): StreamAnswer | undefined {
-        this.#watch.markFailed();
         if (this.#silent?.goesOn.aborted === false && this.#exchange.reservation !== undefined) {
             // The other runner was given up as well, for one that is asked next.
             return undefined;
@@ -190,7 +193,7 @@
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
         const mayRetry = answer.status >= minServerErrorStatus && route.isResumable;
-        if (mayRetry && (await this.#reserveNext() || this.#exchange.ended.aborted)) {
+        if (mayRetry && (this.#race.isOpen || await this.#reserveNext() || this.#exchange.ended.aborted)) {
             attempt.finish("error", `status ${answer.status}`, "complete");
             attempt.cancel();
             return false;
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -8,14 +8,12 @@
 import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
+import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
 import type { HeadTimes } from "./headTimes.js";
 import { createAnswerRefusal, createBrokenFailure } from "./refusals.js";
-import { isCertainlyNotRun, type UpstreamAnswer } from "./upstreamCall.js";
-
-/** Statuses from here on are failures of the upstream. */
-const minServerErrorStatus = 500;
+import { isCertainlyNotRun, minServerErrorStatus, type UpstreamAnswer } from "./upstreamCall.js";
 
 /** An answer that was read completely. */
 interface BufferedAnswer {
@@ -41,28 +39,36 @@
  * @param parts - The parts that it needs.
  */
 export async function runUnary(exchange: Exchange, parts: UnaryParts): Promise<void> {
-    const { attempts, budget, pressure, headTimes } = parts;
+    const race = new AttemptRace(exchange, parts.attempts);
+    try {
+        await runRace(exchange, race, parts);
+    }
+    finally {
+        race.close();
+    }
+}
+
+async function runRace(exchange: Exchange, race: AttemptRace, parts: UnaryParts): Promise<void> {
+    const { budget, pressure, headTimes } = parts;
     const watch = headTimes.watch(exchange, budget);
     let fallbackAnswer: BufferedAnswer | undefined;
     for (;;) {
-        const attempt = await attempts.make({
+        const attempt = await race.make({
             exchange,
             model: undefined,
             lastEventId: undefined,
             prompt: undefined,
-            getHeadTimeout: expected => watch.start(expected),
+            watchHead: expected => watch.start(expected),
             getRetryReserve: allowed => pressure.getRetryReserve(getRankedRequest(exchange), allowed),
             mayWait: () => fallbackAnswer === undefined || isWaitInTime(exchange, pressure),
         });
         if (attempt.isErr()) {
-            watch.markFailed();
             if (canRetry(exchange, attempt.error)) {
                 continue;
             }
             await finishWithoutAnswer(exchange, fallbackAnswer, () => createRefusal(exchange, attempt.error, pressure));
             return;
         }
-        watch.markHead(attempt.value.answer.status);
         const answer = await readAnswer(exchange, attempt.value, parts.answerBuffers);
         if (answer.isErr()) {
             if (isRepeatable(exchange.route)) {
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -6,6 +6,9 @@
 import type { TransportFailureKind } from "../upstream/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
+/** Statuses from here on are failures of the upstream. */
+export const minServerErrorStatus = 500;
+
 /** Parameters of a call to an upstream. */
 export interface UpstreamCall {
     readonly request: CallerRequest;
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -72,6 +72,12 @@
         return partQuarantine.getWait(getPartKeys) ?? quarantine.getWait(() => [getFingerprint()]);
     }
 
+    /** Returns whether a request, or a part of its prompt, may crash upstreams. */
+    isSuspect({ getFingerprint, getPartKeys }: WatchedRequest): boolean {
+        const { quarantine, partQuarantine } = this.#options;
+        return quarantine.isSuspect(() => [getFingerprint()]) || partQuarantine.isSuspect(getPartKeys);
+    }
+
     /** Starts to watch a run of a request that was admitted. */
     startRun(request: WatchedRequest, upstream: RunUpstream): WatchedRun {
         const { clock, quarantine, partQuarantine } = this.#options;
--- a/test/forwarding/callCancellation.test.ts
+++ b/test/forwarding/callCancellation.test.ts
@@ -38,6 +38,38 @@
         expect([aborted, cancellation.isHeadTimedOut]).toEqual([[false, false, false], true]);
     });
 
+    // Guards against a call that is given up, although its answer may start first, for one that has not started either.
+    it("keeps a call beside its replacement if that is waited for, until it is given up", async () => {
+        const cancellation = createCancellation();
+        await cancellation.waitForReplacement();
+        expect([cancellation.isReplaced, cancellation.signal.aborted]).toEqual([true, false]);
+        cancellation.giveUp();
+        expect([cancellation.isHeadTimedOut, cancellation.signal.aborted]).toEqual([true, true]);
+    });
+
+    it("asks at once for a further replacement when the first one has failed", async () => {
+        let count = 0;
+        const cancellation = createCancellation(() => Promise.resolve((count += 1) !== 2));
+        await cancellation.waitForReplacement();
+        const replaced = cancellation.waitForReplacement();
+        expect([count, cancellation.isReplaced]).toEqual([2, false]);
+        await replaced;
+        expect([count, cancellation.isReplaced, cancellation.signal.aborted]).toEqual([3, true, false]);
+    });
+
+    it("gives up no call whose answer has started, or that was cancelled", async () => {
+        const started = createCancellation();
+        await started.waitForReplacement();
+        started.stopHeadTimeout();
+        started.giveUp();
+        expect([started.isHeadTimedOut, started.signal.aborted]).toEqual([false, false]);
+        const cancelled = createCancellation();
+        await cancelled.waitForReplacement();
+        cancelled.cancel();
+        cancelled.giveUp();
+        expect(cancelled.isHeadTimedOut).toEqual(false);
+    });
+
     // Guards against an answer that is thrown away although it starts while another upstream is chosen.
     it("keeps a call whose answer starts while another one is prepared", async () => {
         let reserve: ((isReserved: boolean) => void) | undefined;
