Print what the nodes wrote of a stream that a load of silences did not serve

The last test of silentFleet failed once of three runs on with two streams that were broken off, and printed only their status. What the nodes had written of them was gone with the run, so that the cause cannot be told.

Change: the tests print, with each answer that is lost or refused, the lines of its request. No check is changed.

--- a/test/platform/silences/silentFleet.test.ts
+++ b/test/platform/silences/silentFleet.test.ts
@@ -1,6 +1,13 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
-import { cascadeLoad, findLost, findRefusedStreams, runSilentFleet, type SilentFleetOptions } from "./silentFleet.js";
+import {
+    cascadeLoad,
+    describeAnswers,
+    findLost,
+    findRefusedStreams,
+    runSilentFleet,
+    type SilentFleetOptions,
+} from "./silentFleet.js";
 
 const loadMilliseconds = 14_000;
 /** Time in which some, all and some runners are silent. */
@@ -8,7 +15,7 @@
 /** Time of one silence, after which one runner does not go on. */
 const endlessMilliseconds = 3_000;
 const maxCascadeSilenceMilliseconds = 1_700;
-const maxLines = 20;
+const maxLines = 60;
 
 describe("runSilentFleet", () => {
     const loads: readonly (SilentFleetOptions & { readonly title: string; })[] = [
@@ -44,7 +51,7 @@
     for (const { title, ...options } of loads) {
         it(`answers ${title} as runners fall silent`, async () => {
             const result = await runSilentFleet(options);
-            const lost = findLost(result).map(({ id, path, status, reason }) => `${id} ${path} ${status} ${reason}`);
+            const lost = describeAnswers(result, findLost(result));
             const lines = lost.length === 0 ? [] : [...lost.slice(0, maxLines), ...result.timeLine];
             expect(lines).toEqual([]);
             expect(result.answers.length > options.streams).toEqual(true);
@@ -62,7 +69,7 @@
             load: { endlesslySilent: 1 },
         });
         const unserved = [...findLost(result), ...findRefusedStreams(result)];
-        expect(unserved.map(({ id, path, status, reason }) => `${id} ${path} ${status} ${reason}`)).toEqual([]);
+        expect(describeAnswers(result, unserved)).toEqual([]);
         expect(result.answers.length > 110).toEqual(true);
     });
 });
--- a/test/platform/silences/silentFleet.ts
+++ b/test/platform/silences/silentFleet.ts
@@ -117,6 +117,14 @@
     return answers.filter(({ id, status, isWhole }) => id.startsWith("stream-") && isWhole && status !== 200);
 }
 
+/** Describes answers, each with what the nodes wrote of its request. */
+export function describeAnswers({ events }: SilentFleetResult, answers: readonly ObservedAnswer[]): readonly string[] {
+    return answers.flatMap(({ id, path, status, reason }) => [
+        `${id} ${path} ${status} ${reason}`,
+        ...events.filter(({ request }) => request === id).map(event => JSON.stringify(event)),
+    ]);
+}
+
 class SilentFleet {
     readonly #options: SilentFleetOptions;
     readonly #load: SilentLoad;
