Ask no further upstream while a crash is still looked into

Cause: a kept attempt may end by a crash while the next one is overdue. Its evaluation takes a connection's time, and a further attempt was admitted meanwhile, so that it was sent beside one that is open although the request had become suspect, or as a trial that nobody had admitted. Before attempts were kept, no evaluation could run as the next one was admitted.

Ruled out: to look again when the attempt is made, since one that was admitted as the trial of a quarantined request would then be dropped.

Change: nothing is admitted beside an attempt while another one's end is evaluated; it is asked again after the usual pause.

Conclusion: the next upstream is asked when it is known what the last one's end says of the request.

--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -89,6 +89,10 @@
      * @returns Whether the next attempt is admitted.
      */
     reserveBeside(request: AttemptRequest): boolean {
+        if (request.exchange.isEvaluating) {
+            // The request may turn out to crash the upstreams that run it.
+            return false;
+        }
         const selection = this.#checkReplacement(request).andThen(selected =>
             request.exchange.reply.hasStarted && selected.pick.load >= fullLoad
                 ? err<SelectedUpstream, AttemptFailure>({ kind: "not-made", reason: "no-room" })
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -56,6 +56,7 @@
     readonly #timer: NodeJS.Timeout;
     readonly #handleDisconnect: () => void;
     #evaluations: Promise<unknown> | undefined;
+    #pendingEvaluations = 0;
     #isTimedOut = false;
     #isStopped = false;
     #callerLeftAfterMilliseconds: number | undefined;
@@ -147,9 +148,16 @@
         this.excluded.add(upstream.id);
     }
 
+    /** Whether an attempt that has ended is still evaluated. */
+    get isEvaluating(): boolean {
+        return this.#pendingEvaluations > 0;
+    }
+
     /** Adds the evaluation of an attempt that has ended, which the next one must wait for. */
     addEvaluation(evaluation: Promise<void>): void {
-        this.#evaluations = Promise.all([this.#evaluations, evaluation]);
+        this.#pendingEvaluations += 1;
+        const ended = evaluation.finally(() => this.#pendingEvaluations -= 1);
+        this.#evaluations = Promise.all([this.#evaluations, ended]);
     }
 
     /** Waits until all attempts that have ended are evaluated. */
