Keep no attempt beside the first answer of a cascade

Cause: the first answer is kept until the second request was sent and had time to be rejected. A kept attempt at the larger model that waits for a connection, and one beside it that is sent, were two where the cascade knows of one: the sending of the second discarded the answer, though nobody had taken the request, and the caller was refused at its deadline in place of the small answer at 1.5 s.

Ruled out: to tell the cascade of each end within the race. It keeps one answer for one request, and the answer is the better thing to keep.

Change: while the first answer is kept, an overdue attempt is given up for the next one, as before.

Conclusion: what a caller has is not ended for what was only sent.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -57,6 +57,8 @@
     readonly onSent?: (() => void) | undefined;
     /** Ends the attempt, or keeps it from being made, before its answer has started. Without it, only the end of the request does. */
     readonly withdrawal?: AbortSignal | undefined;
+    /** Returns whether the attempt may go on beside the next one when it is overdue. Without it, it always may. */
+    readonly mayBeKept?: (() => boolean) | undefined;
     /**
      * Returns the retries that a further attempt leaves to more urgent requests.
      * @param allowed - Retries that the pool's budget allows in its window.
--- a/src/forwarding/attemptRace.ts
+++ b/src/forwarding/attemptRace.ts
@@ -73,14 +73,14 @@
     /** Waits for the start of an answer. Undefined if it is overdue and the next attempt is admitted. */
     async #waitForHead(
         attempt: PendingAttempt,
-        { withdrawal }: AttemptRequest,
+        { withdrawal, mayBeKept }: AttemptRequest,
     ): Promise<Result<Attempt, AttemptFailure> | undefined> {
         // Beside an answer that is kept already, no attempt is.
         if (withdrawal !== undefined || !await attempt.waitUntilReplaced()) {
             return attempt.result;
         }
-        if (this.#attempts.isSuspect(this.#exchange)) {
-            // Two upstreams that run it may crash at once.
+        // Two upstreams that run a suspect request may crash at once.
+        if (this.#attempts.isSuspect(this.#exchange) || mayBeKept?.() === false) {
             attempt.giveUp();
             return attempt.result;
         }
--- a/src/forwarding/heldAnswer.ts
+++ b/src/forwarding/heldAnswer.ts
@@ -26,6 +26,11 @@
         this.#onDiscard = onDiscard;
     }
 
+    /** Whether the answer was neither discarded nor taken. */
+    get isHeld(): boolean {
+        return this.#isHeld;
+    }
+
     /** Records that the other request is sent. */
     markOtherSent(): void {
         this.#timer ??= setTimeout(() => this.discard(), this.#keptMilliseconds);
--- a/src/forwarding/modelCascade.ts
+++ b/src/forwarding/modelCascade.ts
@@ -55,6 +55,11 @@
         return this.#model;
     }
 
+    /** Whether an answer is kept, which is delivered if the attempt at a better one fails. */
+    get isHolding(): boolean {
+        return this.#held?.isHeld === true;
+    }
+
     /**
      * Decides whether an answer is escalated. If so, it is kept until the next attempt is certain.
      * @param attempt - The attempt whose answer has started.
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -117,6 +117,7 @@
             watchHead: expected => this.#watch.start(expected, model),
             onSent: () => this.#cascade.markSent(),
             withdrawal: this.#silent?.goesOn,
+            mayBeKept: () => !this.#cascade.isHolding,
             getRetryReserve: allowed => this.#pressure.getRetryReserve(getRankedRequest(this.#exchange), allowed),
             mayWait: () => this.#cascade.mayWait(),
         };
