Read no failure of one upstream while the other one's answer has begun

Cause: a call reads the body of a failure for the case that no better answer comes, with no regard to the attempt that is kept. A stream drops it at once.

Change: the failure is given up as the kept attempt's answer begins.

Conclusion: the first answer that is no failure goes on, whatever else is being read.

--- a/src/forwarding/attemptRace.ts
+++ b/src/forwarding/attemptRace.ts
@@ -30,6 +30,11 @@
         return this.#late !== undefined;
     }
 
+    /** Aborted when the answer of the attempt that is kept begins; undefined if none is kept. */
+    get otherBegins(): AbortSignal | undefined {
+        return this.#late?.begins;
+    }
+
     /**
      * Makes one attempt, and further ones beside it while none has begun. A failure is returned when no other attempt is awaited.
      * @param request - The request and its timeouts.
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -69,7 +69,10 @@
             await finishWithoutAnswer(exchange, fallbackAnswer, () => createRefusal(exchange, attempt.error, pressure));
             return;
         }
-        const answer = await readAnswer(exchange, attempt.value, parts.answerBuffers);
+        const answer = await readAnswer(exchange, attempt.value, {
+            buffers: parts.answerBuffers,
+            otherBegins: race.otherBegins,
+        });
         if (answer.isErr()) {
             if (isRepeatable(exchange.route)) {
                 continue;
@@ -104,15 +107,22 @@
     return isRepeatable(exchange.route);
 }
 
+/**
+ * Reads an answer.
+ * @param exchange - The request.
+ * @param attempt - The attempt.
+ * @param options - What bounds the answers, and a signal that another attempt has begun, for which this one's failure is given up.
+ */
 async function readAnswer(
     exchange: Exchange,
     attempt: Attempt,
-    buffers: AnswerBuffers,
+    { buffers, otherBegins }: { readonly buffers: AnswerBuffers; readonly otherBegins: AbortSignal | undefined; },
 ): Promise<Result<BufferedAnswer, AttemptFailure>> {
     const { answer } = attempt;
     exchange.markRun("ran");
     const body = new ByteCollector();
     const buffer = buffers.add(attempt.upstream.id, attempt.cancel);
+    otherBegins?.addEventListener("abort", attempt.cancel);
     try {
         for await (const chunk of answer.body) {
             body.add(chunk);
@@ -126,6 +136,10 @@
         if (buffer.isGivenUp) {
             return failOversized(attempt);
         }
+        if (otherBegins?.aborted === true) {
+            attempt.finish("error", `status ${answer.status}`, "stopped");
+            return createBrokenFailure(String(cause));
+        }
         const isEnded = exchange.ended.aborted;
         const end = isEnded || isEndless(cause) ? "stopped" : "disconnected";
         attempt.finish(isEnded ? "cancelled" : "failed", `truncated: ${String(cause)}`, end);
@@ -133,6 +147,7 @@
     }
     finally {
         buffer.close();
+        otherBegins?.removeEventListener("abort", attempt.cancel);
     }
     if (buffer.isGivenUp) {
         return failOversized(attempt);
