End a kept attempt whose answer has begun and is not delivered

Cause: the answer of a kept attempt may begin while the other one's crash is looked into. If the request is quarantined meanwhile, the race was closed, and closing ended only attempts whose answers had not begun, or were failures. One that had begun was neither delivered nor ended: its place at the upstream, its body and its connection were held for good.

Change: closing ends an attempt that has begun, whatever its status; and an answer that has begun is delivered, not refused for the other one's crash.

Conclusion: each attempt ends exactly once.

--- a/src/forwarding/attemptRace.ts
+++ b/src/forwarding/attemptRace.ts
@@ -126,19 +126,19 @@
 
     /** Returns whether the attempt that is kept is awaited after another one has failed. */
     async #mayAwaitOther(error: AttemptFailure): Promise<boolean> {
-        if (this.#late === undefined) {
-            return false;
-        }
-        if (this.#late.begins.aborted) {
-            return true;
+        if (this.#late === undefined || this.#hasOtherBegun()) {
+            return this.#late !== undefined;
         }
         this.#markRun(error);
         await this.#exchange.waitForEvaluations();
-        if (this.#attempts.isQuarantined(this.#exchange)) {
+        if (!this.#hasOtherBegun() && this.#attempts.isQuarantined(this.#exchange)) {
             this.close();
-            return false;
         }
-        return this.#late !== undefined;
+        return this.isOpen;
+    }
+
+    #hasOtherBegun(): boolean {
+        return this.#late?.begins.aborted === true;
     }
 
     #markRun(error: AttemptFailure): void {
--- a/src/forwarding/lateAttempt.ts
+++ b/src/forwarding/lateAttempt.ts
@@ -19,8 +19,8 @@
     readonly #onFail: (error: AttemptFailure) => void;
     readonly #beginController = new AbortController();
     #state: "kept" | "taken" | "replaced" = "kept";
-    /** A failure of the upstream, which is the answer only if the other attempt fails. */
-    #failedAnswer: Attempt | undefined;
+    /** The attempt whose answer has begun. A failure of the upstream is the answer only if the other attempt fails. */
+    #begun: Attempt | undefined;
 
     constructor({ attempt, onFail }: LateAttemptOptions) {
         this.#attempt = attempt;
@@ -40,8 +40,9 @@
         }
         this.#state = "replaced";
         this.#attempt.giveUp();
-        this.#failedAnswer?.finish("error", `status ${this.#failedAnswer.answer.status}`, "complete");
-        this.#failedAnswer?.cancel();
+        if (this.#begun !== undefined) {
+            endReplaced(this.#begun);
+        }
     }
 
     /** Takes the attempt in order to go on with it. */
@@ -59,17 +60,25 @@
             this.#onFail(result.error);
             return;
         }
-        const attempt = result.value;
+        this.#begun = result.value;
         if (this.#state === "replaced") {
             // Both have begun in the same moment.
-            attempt.drop("another attempt has begun");
-            attempt.cancel();
-        }
-        else if (attempt.answer.status >= minServerErrorStatus) {
-            this.#failedAnswer = attempt;
+            endReplaced(this.#begun);
         }
-        else {
+        else if (this.#begun.answer.status < minServerErrorStatus) {
             this.#beginController.abort();
         }
     }
 }
+
+/** Ends an attempt whose answer has begun and is not delivered. */
+function endReplaced(attempt: Attempt): void {
+    const { status } = attempt.answer;
+    if (status >= minServerErrorStatus) {
+        attempt.finish("error", `status ${status}`, "complete");
+    }
+    else {
+        attempt.drop("another attempt has begun");
+    }
+    attempt.cancel();
+}
