Count the time of an attempt that is withdrawn for a kept one

Cause: a roll-out learns from attempts that this node gave up that the version took at least that long. An attempt that is withdrawn as an earlier one begins was not among them, so that the slower a version is, the less is known of it. Attempts that are withdrawn as a silent upstream goes on likewise.

Change: an attempt that is withdrawn before its head counts as given up.

Conclusion: both attempts of a race leave what is known of their times.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -188,7 +188,8 @@
                 exchange.removeAttempt();
             }
             const { isHeadTimedOut } = cancellation;
-            isGivenUp = result.error.kind === "broken" && (isHeadTimedOut || exchange.ended.aborted);
+            const isEndedHere = isHeadTimedOut || exchange.ended.aborted || request.withdrawal?.aborted === true;
+            isGivenUp = result.error.kind === "broken" && isEndedHere;
             finish(
                 classifyFailure(request, result.error, isHeadTimedOut),
                 getFailureReason(request, result.error, isHeadTimedOut),
