Take an upstream that never answered for silent, also when it was awaited

Cause: a kept attempt ends with its request, which is no outcome of the upstream. So an upstream that is silent for good was ejected later, and not by requests whose second upstream is silent as well.

Change: an attempt that was overdue counts as silent when its request ends.

Conclusion: what is known of an upstream does not depend on whether its attempt was kept.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -187,7 +187,7 @@
             if (result.error.kind === "not-sent" || result.error.kind === "no-room") {
                 exchange.removeAttempt();
             }
-            const { isHeadTimedOut } = cancellation;
+            const isHeadTimedOut = cancellation.isHeadTimedOut || (cancellation.isOverdue && exchange.ended.aborted);
             const isEndedHere = isHeadTimedOut || exchange.ended.aborted || request.withdrawal?.aborted === true;
             isGivenUp = result.error.kind === "broken" && isEndedHere;
             finish(
--- a/src/forwarding/callCancellation.ts
+++ b/src/forwarding/callCancellation.ts
@@ -34,6 +34,7 @@
     #timeout: ReadTimeout | undefined;
     #isHeadTimedOut = false;
     #isReplaced = false;
+    #isOverdue = false;
     /** Called when another upstream takes the request. Without it, the call is then given up. */
     #onReplaced: (() => void) | undefined;
 
@@ -61,6 +62,11 @@
         return this.#isHeadTimedOut;
     }
 
+    /** Whether the answer did not start in time, so that another upstream was asked beside this one. */
+    get isOverdue(): boolean {
+        return this.#isOverdue;
+    }
+
     /** Whether another upstream takes the request, which is asked beside this one. */
     get isReplaced(): boolean {
         return this.#isReplaced;
@@ -125,6 +131,7 @@
             return;
         }
         this.#isReplaced = true;
+        this.#isOverdue = true;
         this.#onReplaced();
         this.#onReplaced = undefined;
     }
