Count a request as run where a kept attempt was answered with a failure

Cause: a failure of the kept attempt is looked at only if the other one fails. If a third one replaces it and the others are certainly not run, the caller was told that the request has not run, though an upstream had answered it.

Ruled out: a request that may not be repeated; none of those is kept.

Change: an answer that begins counts as a run, also one that is not delivered.

Conclusion: a refusal that says not run is true.

--- a/src/forwarding/attemptRace.ts
+++ b/src/forwarding/attemptRace.ts
@@ -97,6 +97,7 @@
         this.#late?.replace();
         const late = new LateAttempt({
             attempt,
+            onBegin: () => this.#exchange.markRun("ran"),
             onFail: error => {
                 this.#markRun(error);
                 if (this.#late === late) {
--- a/src/forwarding/lateAttempt.ts
+++ b/src/forwarding/lateAttempt.ts
@@ -9,6 +9,8 @@
 /** Options of `LateAttempt`. */
 export interface LateAttemptOptions {
     readonly attempt: PendingAttempt;
+    /** Called when an answer has begun, also one that is not delivered. */
+    readonly onBegin: () => void;
     /** Called when the attempt fails while it is kept. */
     readonly onFail: (error: AttemptFailure) => void;
 }
@@ -16,14 +18,16 @@
 /** An attempt that goes on if its answer begins before the one beside it. */
 export class LateAttempt {
     readonly #attempt: PendingAttempt;
+    readonly #onBegin: () => void;
     readonly #onFail: (error: AttemptFailure) => void;
     readonly #beginController = new AbortController();
     #state: "kept" | "taken" | "replaced" = "kept";
     /** The attempt whose answer has begun. A failure of the upstream is the answer only if the other attempt fails. */
     #begun: Attempt | undefined;
 
-    constructor({ attempt, onFail }: LateAttemptOptions) {
+    constructor({ attempt, onBegin, onFail }: LateAttemptOptions) {
         this.#attempt = attempt;
+        this.#onBegin = onBegin;
         this.#onFail = onFail;
         void this.#watch();
     }
@@ -61,6 +65,7 @@
             return;
         }
         this.#begun = result.value;
+        this.#onBegin();
         if (this.#state === "replaced") {
             // Both have begun in the same moment.
             endReplaced(this.#begun);
