Deliver an upstream's own failure if the kept attempt fails as well

Cause: a stream dropped a status from 500 at once while an earlier attempt was awaited. If that one failed too, the caller was refused as by the router, with nothing of what the upstream had said.

Change: the failure is kept while the other attempt is awaited, and delivered if nothing better comes.

Conclusion: streams and calls treat the failures of a race alike.

--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -10,6 +10,7 @@
 import type { Attempts } from "./attempts.js";
 import { recheckMilliseconds } from "./callCancellation.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
+import { FailedAnswer } from "./failedAnswer.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
 import type { HeadWatch } from "./headWatch.js";
 import type { ForwardingMetrics } from "./metrics.js";
@@ -62,6 +63,7 @@
     readonly #watch: HeadWatch;
     /** Answer that goes on unless the attempt that is to replace it begins before. */
     #silent: SilentAnswer | undefined;
+    readonly #failed = new FailedAnswer();
     readonly #answerBuffers: AnswerBuffers;
     readonly #journal: Journal;
     #lastEventId: string | undefined;
@@ -86,6 +88,7 @@
             await this.#answer();
         }
         finally {
+            this.#failed.drop();
             this.#race.close();
         }
     }
@@ -101,12 +104,23 @@
                 continue;
             }
             if (attempt.isErr() && !this.#canRetry(attempt.error)) {
-                this.#fail(attempt.error);
+                await this.#finishWithoutAnswer(attempt.error);
                 return;
             }
         }
     }
 
+    async #finishWithoutAnswer(error: AttemptFailure): Promise<void> {
+        const failed = this.#exchange.reply.hasStarted || this.#exchange.ended.aborted
+            ? undefined
+            : this.#failed.take();
+        if (failed === undefined) {
+            this.#fail(error);
+            return;
+        }
+        await this.#deliver(failed);
+    }
+
     #createAttemptRequest(): AttemptRequest {
         const { model } = this.#cascade;
         return {
@@ -126,6 +140,7 @@
     /** Returns the answer that the caller gets, or undefined when a larger model is asked. */
     #accept(attempt: Attempt): StreamAnswer | undefined {
         this.#cascade.discardHeld();
+        this.#failed.drop();
         this.#exchange.markRun("ran");
         const previous = this.#takeSilentBack(attempt);
         if (previous !== undefined) {
@@ -192,13 +207,24 @@
     async #relay(relayed: StreamAnswer): Promise<boolean> {
         const { attempt } = relayed;
         const { answer } = attempt;
-        const { route, reply } = this.#exchange;
-        const mayRetry = answer.status >= minServerErrorStatus && route.isResumable;
-        if (mayRetry && (this.#race.isOpen || await this.#reserveNext() || this.#exchange.ended.aborted)) {
+        const mayRetry = answer.status >= minServerErrorStatus && this.#exchange.route.isResumable;
+        if (mayRetry && this.#race.isOpen) {
+            this.#failed.keep(relayed);
+            return false;
+        }
+        if (mayRetry && (await this.#reserveNext() || this.#exchange.ended.aborted)) {
             attempt.finish("error", `status ${answer.status}`, "complete");
             attempt.cancel();
             return false;
         }
+        return this.#deliver(relayed);
+    }
+
+    /** Does the same for an answer that is not given up for another attempt before it has begun. */
+    async #deliver(relayed: StreamAnswer): Promise<boolean> {
+        const { attempt } = relayed;
+        const { answer } = attempt;
+        const { route, reply } = this.#exchange;
         if (reply.hasStarted && answer.status !== successStatus) {
             reply.abort(this.#rejectContinuation(attempt));
             return true;
