Name each failed test at the end of a run of the tests

So nobody knows which it was.

Conclusion: the tail of a run names what failed, also in the parallel run.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -1,9 +1,11 @@
 // Runs the compiled test files with Node's test runner.
 // Arguments select files by a part of their path: `npm test -- log` runs only the files whose path contains "log".
 import { spawnSync } from "node:child_process";
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { existsSync, mkdtempSync, readdirSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { run } from "node:test";
+import { FailureCollector } from "./failureReporter.mjs";
 
 /** Lists tests that are known to fail for a recorded reason; only their failures are ignored. */
 const knownRedFile = "KNOWN-RED.txt";
@@ -12,6 +14,9 @@
 const concurrency = "3";
 /** Timeout of a test file, after which it is ended and fails. The longest file takes 90 seconds on a busy machine. */
 const fileMilliseconds = 300_000;
+/** Numbers of failures that the end of the output shows with their errors, and of those that it names. The ends of logs are kept. */
+const maxShownErrors = 10;
+const maxNamed = 40;
 
 function findTestFiles(folder) {
     const files = [];
@@ -58,35 +63,68 @@
     process.exit(1);
 }
 
-/** Runs test files and returns the exit code; the runner writes to this process's output. */
+/** Runs test files. Returns the exit code and the failures; the runner writes to this process's output. */
 function runFiles(paths) {
-    const options = [`--test-concurrency=${concurrency}`, `--test-timeout=${fileMilliseconds}`];
-    return spawnSync(process.execPath, ["--test", ...options, ...paths], { stdio: "inherit" }).status ?? 1;
+    const folder = mkdtempSync(join(tmpdir(), "rattanlock-tests-"));
+    const failuresFile = join(folder, "failures");
+    const reporter = new URL("failureReporter.mjs", import.meta.url);
+    const options = [
+        `--test-concurrency=${concurrency}`,
+        `--test-timeout=${fileMilliseconds}`,
+        ...["--test-reporter=tap", "--test-reporter-destination=stdout"],
+        ...[`--test-reporter=${reporter}`, `--test-reporter-destination=${failuresFile}`],
+    ];
+    const status = spawnSync(process.execPath, ["--test", ...options, ...paths], { stdio: "inherit" }).status ?? 1;
+    const lines = existsSync(failuresFile) ? readFileSync(failuresFile, "utf8").split("\n") : [];
+    rmSync(folder, { recursive: true });
+    return { status, failures: lines.filter(line => line !== "").map(line => JSON.parse(line)) };
 }
 
-/** Runs a file that contains known red tests and ignores only their failures. */
+/** Runs a file that contains known red tests and ignores only their failures. Returns the others. */
 async function runRedFile(path, names) {
-    let status = 0;
-    for await (const { type, data } of run({ files: [path], timeout: fileMilliseconds })) {
-        // A suite or file that fails only because of its subtests is not a failure of its own.
-        if (type !== "test:fail" || data.details.error.failureType === "subtestsFailed") {
+    const collector = new FailureCollector();
+    const failures = [];
+    for await (const event of run({ files: [path], timeout: fileMilliseconds })) {
+        const failure = collector.observe(event);
+        if (failure === undefined) {
             continue;
         }
-        const isKnown = names.includes(data.name);
-        console.log(`${isKnown ? "known red" : "not ok"}: ${path}: ${data.name}: ${data.details.error.cause ?? ""}`);
-        status = isKnown ? status : 1;
+        const isKnown = names.includes(event.data.name);
+        console.log(`${isKnown ? "known red" : "not ok"}: ${path}: ${failure.name}: ${failure.lines[0]}`);
+        if (!isKnown) {
+            failures.push(failure);
+        }
+    }
+    return failures;
+}
+
+function printFailures(failures) {
+    if (failures.length > 0) {
+        console.log(`\n${failures.length} failed:`);
+    }
+    for (const [index, { file, name, lines }] of failures.slice(0, maxNamed).entries()) {
+        console.log(`failed: ${file}: ${name}`);
+        for (const line of index < maxShownErrors ? lines : []) {
+            console.log(`    ${line}`);
+        }
+    }
+    if (failures.length > maxNamed) {
+        console.log(`and ${failures.length - maxNamed} more`);
     }
-    return status;
 }
 
-let status = 0;
+const failures = [];
 for (const [path, names] of redNames) {
     if (files.includes(path)) {
-        status = Math.max(status, await runRedFile(path, names));
+        failures.push(...await runRedFile(path, names));
     }
 }
+let status = failures.length === 0 ? 0 : 1;
 const others = files.filter(path => !redNames.has(path));
 if (others.length > 0) {
-    status = Math.max(status, runFiles(others));
+    const result = runFiles(others);
+    failures.push(...result.failures);
+    status = Math.max(status, result.status);
 }
+printFailures(failures);
 process.exit(status);
