Fail for files that end early after a known red test, and for empty files

Cause: of a file that a signal ended after one of its tests had failed, Node's runner reports no failure, only its completion. A file without tests passed too, in both kinds of run.

Ruled out: the parallel run.

Change: the completion of a file counts as a failure if it failed for its tests but its exit code is not that of failed tests, and the passing of a file itself, which is reported only for one without tests.

--- a/scripts/failureReporter.mjs
+++ b/scripts/failureReporter.mjs
@@ -1,7 +1,10 @@
 // Finds what failed in the events of Node's test runner. As a reporter, it writes one JSON line for each failure.
-import { relative } from "node:path";
+import { relative, resolve } from "node:path";
 import { stripVTControlCharacters } from "node:util";
 
+/** Type of the failure of a suite or file of which tests failed. */
+const subtestsFailed = "subtestsFailed";
+const exitCodeOfFailedTests = 1;
 const maxErrorLines = 12;
 const maxLineLength = 240;
 /** A line of a stack that lies in Node itself. */
@@ -19,12 +22,13 @@
             this.#errorOutput.set(data.file, lines.slice(-maxErrorLines));
             return undefined;
         }
-        if (type !== "test:fail" || isTodo(data) || failedBySubtests(data.details.error)) {
+        const reason = findReason(type, data);
+        if (reason === undefined) {
             return undefined;
         }
-        const output = data.name === data.file ? this.#errorOutput.get(data.file) ?? [] : [];
-        const lines = [...describeError(data.details.error), ...output].slice(0, maxErrorLines);
-        return { file: shorten(data.file), name: shorten(data.name), lines };
+        const output = isFile(data) ? this.#errorOutput.get(data.file) ?? [] : [];
+        const lines = [...reason, ...output].slice(0, maxErrorLines);
+        return { file: shorten(data.file), name: isFile(data) ? shorten(data.file) : shorten(data.name), lines };
     }
 }
 
@@ -39,13 +43,29 @@
     }
 }
 
+/** Returns lines that say why something failed; undefined if it did not fail by itself. */
+function findReason(type, data) {
+    if (type === "test:pass" && isFile(data)) {
+        return ["The file has no tests."];
+    }
+    const error = data.details?.error;
+    const isFailure = type === "test:fail" && !isTodo(data) && error.failureType !== subtestsFailed;
+    return isFailure || type === "test:complete" && hasEndedEarly(error) ? describeError(error) : undefined;
+}
+
 function isTodo({ todo }) {
     return todo !== undefined && todo !== false;
 }
 
-/** A suite or file that fails only because of its subtests is not a failure of its own, unless a signal ended it. */
-function failedBySubtests({ failureType, signal }) {
-    return failureType === "subtestsFailed" && (signal ?? undefined) === undefined;
+/** Events of a file itself name it in place of a test. */
+function isFile({ name, file }) {
+    return file !== undefined && resolve(name) === resolve(file);
+}
+
+/** Node does not report the failure of a file that was ended after one of its tests had failed, but only its completion. */
+function hasEndedEarly(error) {
+    return error?.failureType === subtestsFailed && error.exitCode !== undefined
+        && error.exitCode !== exitCodeOfFailedTests;
 }
 
 function describeError({ failureType, cause, message, exitCode, signal }) {
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -124,7 +124,7 @@
 if (others.length > 0) {
     const result = runFiles(others);
     failures.push(...result.failures);
-    status = Math.max(status, result.status);
+    status = Math.max(status, result.status, result.failures.length === 0 ? 0 : 1);
 }
 printFailures(failures);
 process.exit(status);
--- a/test/scripts/runTests.test.ts
+++ b/test/scripts/runTests.test.ts
@@ -81,6 +81,23 @@
         expect(other.lines).toInclude("failed: dist/test/first.test.js: also fails");
     });
 
+    // Guards against a file that ends before all of its tests have run, after a known red one has failed.
+    it("fails for a file that ended after a known red test", async () => {
+        const late = killed.replace("process.kill", "await new Promise(done => setTimeout(done, 200)); process.kill");
+        const { status, lines } = await runTests({ first: `${failing}\n${late}` }, "first; fails; a command\n");
+        expect(status).toEqual(1);
+        expect(lines).toInclude("failed: dist/test/first.test.js: dist/test/first.test.js");
+    });
+
+    // Guards against a test file that tests nothing.
+    it("fails for a file without tests, known red or not", async () => {
+        for (const knownRed of ["", "first; fails; a command\n"]) {
+            const { status, lines } = await runTests({ first: "" }, knownRed);
+            expect(status).toEqual(1);
+            expect(lines).toInclude("failed: dist/test/first.test.js: dist/test/first.test.js");
+        }
+    });
+
     // Guards against failures that are named although all tests pass.
     it("names none if all pass", async () => {
         const { status, lines } = await runTests({ first: passing });
