Give each test file of the platform addresses of its own

Cause: silentFleet and storeWentBack start nodes and stand-ins at the same loopback addresses, and a site of the platform has fixed ports. They never ran at the same time so far, since known red files run before all others; once silentFleet leaves KNOWN-RED.txt they can.

Ruled out: other pairs. Test files that use testbench's blocks share some prefixes, but their ports depend on the process.

Conclusion: a latent failure that would have come now and then.

--- a/test/platform/storeWentBack.test.ts
+++ b/test/platform/storeWentBack.test.ts
@@ -154,7 +154,7 @@
 
 // The store comes back from an older copy while a node cannot notice it.
 describe("nodes that were away while the store came back from an older copy", () => {
-    const site = new PlatformSite("127.72.69", { evacuate_ms: 2_000 });
+    const site = new PlatformSite("127.72.71", { evacuate_ms: 2_000 });
     after(() => site.stop());
     before(async () => {
         await site.start(3);
