Compare with no earlier times once the old version has become slow beside a new one that was as quick

Found in a replay, not by callers: a good version is reverted where the whole pool becomes three times as slow from the middle of a roll-out on.

Cause: earlier times of the old version are compared with present ones of the new version, although what both share has changed in between. The correction for it had three gaps. It was lost once the old version bore only loads that were new to it, or served nothing any more; times under new loads, learned while the old version was slow, became its usual ones; and its pauses had mostly no first times at all.

Change: once the evidence on the new version was sound, earlier times are compared only while the old version is as quick as at first; its present answers are compared always. The bounds are those of suspicion; nothing is fitted.

The cost: a version that turns slow after it was found as quick, while the old one is overloaded.

Conclusion: the new test failed before at both rates and passes.

--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -240,6 +240,9 @@
         this.#timeReferences.update(segments, this.#options.clock.monotonic());
         const regression = evaluateRollout(segments, this.#timeReferences);
         if (regression === undefined) {
+            if (assessEvidence(segments, this.#timeReferences) === "sound") {
+                this.#timeReferences.markAlike();
+            }
             return;
         }
         const { segment, reason, candidate, current } = regression;
--- a/test/rollouts/rolloutReplay.ts
+++ b/test/rollouts/rolloutReplay.ts
@@ -44,6 +44,8 @@
     readonly getRate: (elapsed: number) => number;
     /** Share of the new version's requests that are slow. */
     readonly slowShare: number;
+    /** Factor by which the answers of all runners of both versions take longer, at a time since the order in milliseconds. 1 if omitted. */
+    readonly getSlowdown?: (elapsed: number) => number;
 }
 
 /** What a roll-out did. */
@@ -186,9 +188,10 @@
         });
         this.#running.set(upstream.id, (this.#running.get(upstream.id) ?? 0) + 1);
         const [headFactor, pauseFactor] = isSlow ? [slowHeadFactor, slowPauseFactor] : [1, 1];
-        const head = headMilliseconds * headFactor * (1 + fullHeadIncrease * load)
+        const slowdown = this.#options.getSlowdown?.(now - orderedAt) ?? 1;
+        const head = headMilliseconds * headFactor * slowdown * (1 + fullHeadIncrease * load)
             * Math.exp(0.8 * this.#random.nextNormal());
-        const pause = pauseMilliseconds * pauseFactor * (1 + fullPauseIncrease * load)
+        const pause = pauseMilliseconds * pauseFactor * slowdown * (1 + fullPauseIncrease * load)
             * Math.exp(0.3 * this.#random.nextNormal());
         const isStream = this.#random.next() < streamShare;
         const pauses = isStream ? Math.round(medianParts * Math.exp(0.5 * this.#random.nextNormal())) : 0;
--- a/test/rollouts/slowVersionInBurst.test.ts
+++ b/test/rollouts/slowVersionInBurst.test.ts
@@ -6,10 +6,15 @@
 const seeds = [1, 2, 3, 4, 5];
 const burst = { start: 2_000, end: 9_000, factor: 2.2 };
 
-function replay(options: Pick<RolloutReplayOptions, "seed" | "getRate" | "slowShare">): Promise<ReplayedRollout> {
+function replay(options: Omit<RolloutReplayOptions, "durationMilliseconds">): Promise<ReplayedRollout> {
     return new RolloutReplay({ durationMilliseconds, ...options }).run();
 }
 
+/** The whole pool is slow from the middle of the roll-out on. */
+function getPoolSlowdown(elapsed: number): number {
+    return elapsed >= durationMilliseconds / 2 ? 3 : 1;
+}
+
 function createBurst(requestsPerSecond: number): (elapsed: number) => number {
     return elapsed => requestsPerSecond * (elapsed >= burst.start && elapsed < burst.end ? burst.factor : 1);
 }
@@ -37,5 +42,20 @@
                 expect([seed, state, endedAt! < durationMilliseconds]).toEqual([seed, "completed", true]);
             }
         });
+
+        // Guards against reverting a good version because the runners of both versions become slow during its roll-out.
+        it("is completed in time if it is good and the whole pool becomes slow meanwhile", async () => {
+            for (const seed of seeds) {
+                const { state, endedAt } = await replay({ seed, getRate, slowShare: 0, getSlowdown: getPoolSlowdown });
+                expect([seed, state, endedAt! < durationMilliseconds]).toEqual([seed, "completed", true]);
+            }
+        });
+
+        // Guards against taking a slow version for good because the whole pool becomes slow during its roll-out.
+        it("is exposed to few callers if half of its answers are slow and the whole pool becomes slow meanwhile", async () => {
+            for (const seed of seeds) {
+                expectBounded(await replay({ seed, getRate, slowShare: 0.5, getSlowdown: getPoolSlowdown }));
+            }
+        });
     });
 }
