Say what each step of a roll-out waits for and why it is taken

What was missing: the lines of plays told a step's time and share; whether it waited, for what, and on which evidence it was taken had to be computed from the lines of attempts, and pauses have no line at all.

Change: event 448 says that the next step waits, whenever what it waits for or the state of the evidence changes; the node writes it that would take the step. Event 449 says that a step is written, and why. Both give the share and the answers, failures, times and pauses known of both versions in the last seconds. No decision is changed: planRollout has two predicates of its own now, which the texts read too.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -159,6 +159,18 @@
         "warning",
         "A step of a roll-out, or the set of pinned sessions, could not be written to the store; the write is retried.",
     ),
+    rolloutStepWaits: define(
+        448,
+        "rollout-step-waits",
+        "info",
+        "The next step of a roll-out waits. The fields give the present share, the state of the evidence, the answers known of both versions in the last seconds, and what is awaited.",
+    ),
+    rolloutStepTaken: define(
+        449,
+        "rollout-step-taken",
+        "info",
+        "This node writes the next step of a roll-out. The fields give its share, the state of the evidence, the answers known of both versions in the last seconds, and the reason.",
+    ),
     loadUnreadable: define(
         460,
         "load-unreadable",
--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -48,7 +48,7 @@
  * version. That is required for half of the time. The value is slightly above one half, since nodes do not receive an
  * order at the same moment.
  */
-const firstPhaseEnd = 0.53;
+export const firstPhaseEnd = 0.53;
 /** Share of the second step, and the part of the time after which the last step follows it. */
 const secondShare = 0.35;
 const secondPhaseEnd = 0.61;
@@ -83,11 +83,11 @@
     const step = (progress?.step ?? 0) + 1;
     const base = { order: order.id, version: order.version, step, orderedAt, firstShare };
     const elapsedShare = elapsedMilliseconds / order.durationMilliseconds;
-    if (isBad || hasNoCandidateAtDeadline(situation, elapsedShare) || isSuspiciousAtEnd(situation, elapsedShare)) {
+    if (isBad || hasNoCandidateAtDeadline(situation, elapsedShare) || isSuspiciousAtEnd(situation)) {
         return { ...base, state: "reverted", share: 0 };
     }
     const share = Math.max(progress?.share ?? 0, getShare(situation, elapsedShare));
-    if (progress !== undefined && progress.share === 1 && canComplete(situation, elapsedShare)) {
+    if (progress !== undefined && progress.share === 1 && canComplete(situation)) {
         return { ...base, state: "completed", share: 1 };
     }
     if (progress === undefined || share > progress.share) {
@@ -105,8 +105,8 @@
 }
 
 /** Checks whether the new version is still suspicious when it would have to be completed. */
-function isSuspiciousAtEnd({ evidence }: RolloutSituation, elapsedShare: number): boolean {
-    return evidence === "suspicious" && elapsedShare >= forcedCompletionShare;
+function isSuspiciousAtEnd(situation: RolloutSituation): boolean {
+    return situation.evidence === "suspicious" && isTimeOver(situation);
 }
 
 function getFirstShare({ exposureShare, members }: RolloutSituation): number {
@@ -130,16 +130,26 @@
     return isSound || elapsedShare >= latestSecondStep ? secondShare : 0;
 }
 
-function canComplete(
-    { candidateCount, currentInFlight, currentCount, evidence }: RolloutSituation,
-    elapsedShare: number,
-): boolean {
-    const lastStep = evidence === "sound" ? secondPhaseEnd : latestLastStep;
-    if (candidateCount === 0 || elapsedShare < lastStep + minFullPhaseShare) {
+function canComplete(situation: RolloutSituation): boolean {
+    const { currentInFlight, currentCount, evidence } = situation;
+    if (!canCompleteByTime(situation)) {
         return false;
     }
-    if (elapsedShare >= forcedCompletionShare) {
+    if (isTimeOver(situation)) {
         return true;
     }
     return evidence !== "suspicious" && (currentCount === 0 || currentInFlight === 0);
 }
+
+/** Checks whether the new version has served everything for long enough to be completed. */
+export function canCompleteByTime(
+    { candidateCount, evidence, elapsedMilliseconds, order }: RolloutSituation,
+): boolean {
+    const lastStep = evidence === "sound" ? secondPhaseEnd : latestLastStep;
+    return candidateCount > 0 && elapsedMilliseconds / order.durationMilliseconds >= lastStep + minFullPhaseShare;
+}
+
+/** Checks whether the roll-out ends now, whatever is known. */
+export function isTimeOver({ elapsedMilliseconds, order }: RolloutSituation): boolean {
+    return elapsedMilliseconds / order.durationMilliseconds >= forcedCompletionShare;
+}
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -8,8 +8,9 @@
 import type { AttemptWatch, WatchedAttempt } from "./attemptWatch.js";
 import { chooseVersion } from "./chooseVersion.js";
 import { assessEvidence, evaluateRollout } from "./evaluateRollout.js";
+import { explainStep, explainWait, summarizeEvidence } from "./explainStep.js";
 import { PeerReports, type ReportTotal } from "./peerReports.js";
-import { planRollout } from "./planRollout.js";
+import { planRollout, type RolloutSituation } from "./planRollout.js";
 import { getSessionRank, type PoolSessions } from "./poolSessions.js";
 import { isFirstStep, isOver, type RolloutOrder, type RolloutProgress } from "./rollout.js";
 import { encodeReport, type EvidenceReport } from "./rolloutEvidence.js";
@@ -52,6 +53,8 @@
     #lastWriteAt = Number.NEGATIVE_INFINITY;
     /** Monotonic milliseconds since which the store has lacked the progress. */
     #lostSince: number | undefined;
+    /** The step that last was written to wait, the evidence then, and what it waited for. */
+    #writtenWait: string | undefined;
     /** Number of the last step that this node wrote. */
     #lastWrittenStep = 0;
 
@@ -252,9 +255,11 @@
 
     #advance(total: ReportTotal, rank: number): void {
         const now = this.#options.clock.monotonic();
-        const next = this.#plan(total, now);
+        const situation = this.#getSituation(total, now);
+        const next = planRollout(situation);
         if (next === undefined) {
             this.#dueSince = undefined;
+            this.#writeWait(situation, total, rank);
             return;
         }
         this.#dueSince ??= now;
@@ -265,14 +270,41 @@
         }
         this.#lastWriteAt = now;
         this.#lastWrittenStep = next.step;
+        this.#options.journal.write(events.rolloutStepTaken, {
+            ...this.#describe(situation, total),
+            state: next.state,
+            share: next.share,
+            reason: explainStep(situation, next),
+        });
         void this.#options.writeProgress(this.order, next);
     }
 
-    #plan({ currentInFlight, segments }: ReportTotal, now: number): RolloutProgress | undefined {
+    /** Writes what the next step waits for, if that has changed. Only the node that would take the step writes it. */
+    #writeWait(situation: RolloutSituation, total: ReportTotal, rank: number): void {
+        const awaited = explainWait(situation);
+        const wait = `${this.#progress?.step} ${situation.evidence} ${awaited}`;
+        if (rank > 0 || wait === this.#writtenWait) {
+            return;
+        }
+        this.#writtenWait = wait;
+        const share = this.#progress?.share ?? 0;
+        this.#options.journal.write(events.rolloutStepWaits, {
+            ...this.#describe(situation, total),
+            share,
+            awaited,
+        });
+    }
+
+    #describe({ evidence }: RolloutSituation, { segments }: ReportTotal): Record<string, string> {
+        const { pool, version } = this.order;
+        return { rollout: pool, version, evidence, ...summarizeEvidence(segments) };
+    }
+
+    #getSituation({ currentInFlight, segments }: ReportTotal, now: number): RolloutSituation {
         const { clock, registry, exposureShare, getMemberCount } = this.#options;
         const upstreams = registry.getAvailable(this.order.pool);
         const candidateCount = upstreams.filter(upstream => upstream.version === this.order.version).length;
-        return planRollout({
+        return {
             order: this.order,
             progress: this.#progress,
             elapsedMilliseconds: now - this.#orderedAt,
@@ -285,6 +317,6 @@
             exposureShare,
             members: getMemberCount(),
             wallNow: clock.wall(),
-        });
+        };
     }
 }
