Take a new version for as quick as the old one only after a whole window of sound evidence

Change: earlier times stop counting only if the evidence was sound at every look until none of before was left. Until then the comparison is that of without any difference.

What is slow before a window of evidence is complete is not told apart, and a version that turns slow while the old one is overloaded is kept.

--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -243,9 +243,8 @@
         this.#timeReferences.update(segments, this.#options.clock.monotonic());
         const regression = evaluateRollout(segments, this.#timeReferences);
         if (regression === undefined) {
-            if (assessEvidence(segments, this.#timeReferences) === "sound") {
-                this.#timeReferences.markAlike();
-            }
+            const isSound = assessEvidence(segments, this.#timeReferences) === "sound";
+            this.#timeReferences.setSound(isSound, this.#options.clock.monotonic());
             return;
         }
         const { segment, reason, candidate, current } = regression;
--- a/src/rollouts/timeReferences.ts
+++ b/src/rollouts/timeReferences.ts
@@ -45,6 +45,8 @@
     };
     /** By measure: the old version's answers when last enough were known, and how many of them were slower than it was at first. */
     readonly #slowedDown: Record<Measure, AnswerShare> = { times: noAnswers, pauses: noAnswers };
+    /** Monotonic milliseconds since which the evidence on the new version has been sound. */
+    #soundSince: number | undefined;
     #isAlike = false;
     /** Monotonic milliseconds at which evidence was last added to the sums. */
     #addedAt = Number.NEGATIVE_INFINITY;
@@ -63,7 +65,7 @@
         for (const measure of measures) {
             this.#slowedDown[measure] = this.getSlowedDown(measure, evidence);
         }
-        const isSlowedDown = this.#isSlowedDown();
+        const isSlowedDown = this.#isAlike && this.#isSlowedDown();
         for (const [segment, { current }] of evidence) {
             for (const measure of measures) {
                 const known = this.#references[measure].get(segment);
@@ -83,11 +85,14 @@
     }
 
     /**
-     * Records that the new version was found to be as quick as the old one. If the old version becomes slow after that, what both
-     * versions share has changed.
+     * Records whether the new version is found to be as quick as the old one. If it is for so long that no evidence of before is left,
+     * and the old version becomes slow after that, what both versions share has changed.
+     * @param isSound - Whether the evidence on the new version is sound.
+     * @param now - Monotonic milliseconds.
      */
-    markAlike(): void {
-        this.#isAlike = true;
+    setSound(isSound: boolean, now: number): void {
+        this.#soundSince = isSound ? this.#soundSince ?? now : undefined;
+        this.#isAlike ||= this.#soundSince !== undefined && now - this.#soundSince >= evidenceMilliseconds;
     }
 
     /** Returns the earlier distribution of a kind of request, or undefined if it says nothing about the present one. */
@@ -106,7 +111,7 @@
         const share = [...evidence]
             .map(([segment, { current }]) => this.#countSlowedDown(current, measure, segment))
             .reduce(addShares, noAnswers);
-        return share.answers >= minReferenceTimes ? share : this.#slowedDown[measure];
+        return share.answers >= minReferenceTimes || !this.#isAlike ? share : this.#slowedDown[measure];
     }
 
     #isSlowedDown(): boolean {
