Split the relaying of answers from the exchange of a stream

What relays an answer event by event and notices that a runner sends nothing is StreamRelay; which runner is asked, and which answer goes on, stays in StreamExchange. The status of a whole answer stood in two files and is named once.

No behaviour changes.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -22,7 +22,13 @@
 import type { Exchange } from "./exchange.js";
 import type { WatchedHead } from "./headWatch.js";
 import { PendingAttempt } from "./pendingAttempt.js";
-import type { ReportedLoad, UpstreamAnswer, UpstreamCallFailure, UpstreamTransport } from "./upstreamCall.js";
+import {
+    type ReportedLoad,
+    successStatus,
+    type UpstreamAnswer,
+    type UpstreamCallFailure,
+    type UpstreamTransport,
+} from "./upstreamCall.js";
 import type { UpstreamObserver } from "./upstreamObserver.js";
 import { type SelectedUpstream, UpstreamSelection } from "./upstreamSelection.js";
 
@@ -44,8 +50,6 @@
 
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
-/** Status of the answers whose times are compared: failures may be fast or slow for other reasons. */
-const successStatus = 200;
 /** Statuses from here on are errors of the caller or the upstream, which say nothing about how long requests take. */
 const minErrorStatus = 400;
 
@@ -236,6 +240,7 @@
         onPause: (milliseconds: number) => void,
     ): UpstreamAnswer {
         const { clock, paces } = this.#options;
+        // Failures may be fast or slow for other reasons.
         if (paces === undefined || answer.status !== successStatus) {
             return answer;
         }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -2,13 +2,11 @@
  * Forwards requests that are answered by a stream of events.
  */
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
-import { events, type Journal } from "../events/index.js";
-import { isEndless } from "../upstream/index.js";
-import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
+import type { Journal } from "../events/index.js";
+import type { AnswerBuffers } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
-import { recheckMilliseconds } from "./callCancellation.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
 import { FailedAnswer } from "./failedAnswer.js";
 import { hasRetryLeft, type HeadTimes } from "./headTimes.js";
@@ -18,24 +16,8 @@
 import { createAnswerRefusal } from "./refusals.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
-import { isCertainlyNotRun, minServerErrorStatus } from "./upstreamCall.js";
-
-const successStatus = 200;
-/**
- * A resumable stream whose runner sends nothing for this factor times the pause objective is resumed at another runner, if one takes
- * it. Callers give up after eight times the objective.
- */
-const pauseTimeoutFactor = 2;
-/** A sound runner may send nothing for a second. Callers wait for two at least. */
-const minPauseTimeoutMilliseconds = 1_300;
-/** Pause objective of routes that configure none. */
-const defaultPauseMilliseconds = 1_000;
-
-/** Result of relaying an answer. */
-type RelayResult =
-    | { readonly kind: "complete"; }
-    | { readonly kind: "silent"; readonly reason: string; }
-    | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
+import { StreamRelay } from "./streamRelay.js";
+import { isCertainlyNotRun, minServerErrorStatus, successStatus } from "./upstreamCall.js";
 
 /** Options of `StreamExchange`. */
 export interface StreamExchangeOptions {
@@ -64,14 +46,10 @@
     /** Answer that goes on unless the attempt that is to replace it begins before. */
     #silent: SilentAnswer | undefined;
     readonly #failed = new FailedAnswer();
-    readonly #answerBuffers: AnswerBuffers;
-    readonly #journal: Journal;
-    #lastEventId: string | undefined;
+    readonly #relay: StreamRelay;
 
     constructor(options: StreamExchangeOptions) {
-        const { exchange, attempts, budget, pressure, headTimes, journal, metrics } = options;
-        this.#journal = journal;
-        this.#answerBuffers = options.answerBuffers;
+        const { exchange, attempts, budget, pressure, headTimes, journal, metrics, answerBuffers } = options;
         this.#exchange = exchange;
         this.#attempts = attempts;
         this.#race = new AttemptRace(exchange, attempts);
@@ -79,7 +57,12 @@
         this.#pressure = pressure;
         this.#cascade = new ModelCascade({ exchange, attempts, budget, pressure, journal, metrics });
         this.#watch = headTimes.watch(exchange, budget);
-        this.#lastEventId = exchange.request.lastEventId;
+        this.#relay = new StreamRelay({
+            exchange,
+            answerBuffers,
+            journal,
+            reserveBeside: () => attempts.reserveBeside(this.#createAttemptRequest()),
+        });
     }
 
     /** Answers the request with the cheapest sufficient model, and retries at other runners after failures. */
@@ -98,7 +81,7 @@
             const attempt = await this.#race.make(this.#createAttemptRequest());
             const answered = attempt.isOk() ? this.#accept(attempt.value) : this.#takeBack(attempt.error);
             if (answered !== undefined) {
-                if (await this.#relay(answered)) {
+                if (await this.#relayAnswer(answered)) {
                     return;
                 }
                 continue;
@@ -126,7 +109,7 @@
         return {
             exchange: this.#exchange,
             model,
-            lastEventId: this.#lastEventId,
+            lastEventId: this.#relay.lastEventId,
             prompt: this.#cascade.describePrompt(model),
             watchHead: expected => this.#watch.start(expected, model),
             onSent: () => this.#cascade.markSent(),
@@ -204,7 +187,7 @@
      * Relays an answer event by event.
      * @returns Whether the exchange has ended.
      */
-    async #relay(relayed: StreamAnswer): Promise<boolean> {
+    async #relayAnswer(relayed: StreamAnswer): Promise<boolean> {
         const { attempt } = relayed;
         const { answer } = attempt;
         const mayRetry = answer.status >= minServerErrorStatus && this.#exchange.route.isResumable;
@@ -232,12 +215,12 @@
         if (!reply.hasStarted) {
             reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd || route.isResumable });
         }
-        const result = await this.#relayBody(relayed);
+        const result = await this.#relay.relay(relayed);
         if (result.kind === "silent") {
             this.#silent = this.#keep(relayed, result.reason);
             return false;
         }
-        this.#endSilence(relayed, "ended");
+        this.#relay.endSilence(relayed, "ended");
         if (result.kind === "complete") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
             const isCertain = answer.hasKnownEnd || route.isResumable;
@@ -262,90 +245,13 @@
             || hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
     }
 
-    async #relayBody(relayed: StreamAnswer): Promise<RelayResult> {
-        const { reply, ended } = this.#exchange;
-        const { attempt, body } = relayed;
-        const isEventStream = attempt.answer.status === successStatus;
-        const buffer = this.#answerBuffers.add(attempt.upstream.id, attempt.cancel);
-        let passedBytes = 0;
-        try {
-            for (;;) {
-                if (!await this.#waitForPiece(relayed)) {
-                    return { kind: "silent", reason: `no data for ${this.#getPauseTimeout()} ms` };
-                }
-                const bytes = await body.read();
-                if (bytes === undefined) {
-                    break;
-                }
-                this.#endSilence(relayed, "went-on");
-                attempt.markSeen();
-                await (isEventStream ? this.#writeEvents(relayed, bytes) : reply.write(bytes));
-                passedBytes += bytes.length;
-                // What is no stream of events may be no larger than an answer that is read completely.
-                buffer.hold(isEventStream ? relayed.splitter.remainderLength : passedBytes);
-                if (buffer.isGivenUp) {
-                    return { kind: "broken", reason: oversizedReason, isDisconnected: false };
-                }
-                if (reply.disconnected.aborted) {
-                    return { kind: "broken", reason: "the caller has left", isDisconnected: false };
-                }
-            }
-            return attempt.answer.hasKnownEnd ? await this.#writeRemainder(relayed) : await this.#evaluateEnd(relayed);
-        }
-        catch (cause) {
-            if (buffer.isGivenUp) {
-                return { kind: "broken", reason: oversizedReason, isDisconnected: false };
-            }
-            const reason = ended.aborted ? String(ended.reason) : String(cause);
-            return { kind: "broken", reason, isDisconnected: !ended.aborted && !isEndless(cause) };
-        }
-        finally {
-            buffer.close();
-        }
-    }
-
-    /**
-     * Waits until a runner sends something. A sound one may be silent for a while and go on, so it is given up only for another one
-     * that has room for the request.
-     * @returns Whether there is something to read. Otherwise the next attempt is admitted.
-     */
-    async #waitForPiece(relayed: StreamAnswer): Promise<boolean> {
-        const { route } = this.#exchange;
-        if (!route.isResumable || relayed.attempt.answer.status !== successStatus) {
-            return true;
-        }
-        let milliseconds = relayed.silentSince === undefined ? this.#getPauseTimeout() : recheckMilliseconds;
-        while (!await relayed.body.waitForPiece(milliseconds)) {
-            relayed.silentSince ??= this.#exchange.getElapsed() - milliseconds;
-            if (this.#attempts.reserveBeside(this.#createAttemptRequest())) {
-                return false;
-            }
-            milliseconds = recheckMilliseconds;
-        }
-        return true;
-    }
-
     #keep(answer: StreamAnswer, reason: string): SilentAnswer {
         return new SilentAnswer({
             answer,
             reason,
             ended: this.#exchange.ended,
-            onReplace: () => this.#endSilence(answer, "replaced"),
-        });
-    }
-
-    /** Records the end of a silence, if there was one. */
-    #endSilence(answer: StreamAnswer, end: "went-on" | "replaced" | "ended"): void {
-        if (answer.silentSince === undefined) {
-            return;
-        }
-        this.#journal.write(events.silenceEnded, {
-            request: this.#exchange.request.id,
-            upstream: answer.attempt.upstream.id,
-            end,
-            silentMs: Math.round(this.#exchange.getElapsed() - answer.silentSince),
+            onReplace: () => this.#relay.endSilence(answer, "replaced"),
         });
-        answer.silentSince = undefined;
     }
 
     /** Returns whether a further attempt is certain. Its upstream is then reserved. */
@@ -353,41 +259,6 @@
         return this.#attempts.reserve(this.#createAttemptRequest(), this.#exchange.ended);
     }
 
-    /** Returns the time without data after which another runner is asked, in milliseconds. */
-    #getPauseTimeout(): number {
-        const objective = this.#exchange.route.pauseObjectiveMilliseconds ?? defaultPauseMilliseconds;
-        return Math.max(minPauseTimeoutMilliseconds, objective * pauseTimeoutFactor);
-    }
-
-    async #writeRemainder({ splitter }: StreamAnswer): Promise<RelayResult> {
-        const remainder = splitter.getRemainder();
-        if (remainder.length > 0) {
-            await this.#exchange.reply.write(remainder);
-        }
-        return { kind: "complete" };
-    }
-
-    /**
-     * Evaluates the end of a stream without a known end, which a runner closes in the same way when the stream is complete and when it
-     * crashes. A stream that may be incomplete is resumed after its last event. If it was complete, no events follow.
-     */
-    async #evaluateEnd({ attempt, splitter }: StreamAnswer): Promise<RelayResult> {
-        if (splitter.getRemainder().length > 0) {
-            return { kind: "broken", reason: "the answer ended inside an event", isDisconnected: true };
-        }
-        if (this.#exchange.route.isResumable && !await attempt.isUpstreamUp()) {
-            return { kind: "broken", reason: "the answer may be incomplete", isDisconnected: true };
-        }
-        return { kind: "complete" };
-    }
-
-    async #writeEvents({ splitter }: StreamAnswer, bytes: Buffer): Promise<void> {
-        for (const event of splitter.push(bytes)) {
-            this.#lastEventId = event.id ?? this.#lastEventId;
-            await this.#exchange.reply.write(event.bytes);
-        }
-    }
-
     #canRetry(error: AttemptFailure): boolean {
         if (error.kind === "not-made") {
             return false;
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -6,6 +6,8 @@
 import type { TransportFailureKind } from "../upstream/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 
+/** Status of a whole answer, or of a stream that has begun. */
+export const successStatus = 200;
 /** Statuses from here on are failures of the upstream. */
 export const minServerErrorStatus = 500;
 
