Start the new version's upstreams of a replay with the order

Cause: in the replay of a roll-out half of the requests of the three seconds before the order went to the new version, since all its upstreams were there, and counted as exposed and as bad answers.

Change: the replay's upstreams of the new version take part from the order on.

--- a/test/rollouts/rolloutReplay.ts
+++ b/test/rollouts/rolloutReplay.ts
@@ -74,6 +74,8 @@
     readonly #random: RandomSource;
     readonly #rollouts: Rollouts;
     readonly #upstreams: readonly RegisteredUpstream[];
+    /** The upstreams of the old version. Those of the new one start with the order. */
+    readonly #currentUpstreams: readonly RegisteredUpstream[];
     readonly #running = new Map<string, number>();
     readonly #steps: { at: number; progress: RolloutProgress; }[] = [];
     readonly #sentAt: number[] = [];
@@ -91,6 +93,7 @@
                 return createUpstream(`${version}-${index}`, { version, slots });
             })
         );
+        this.#currentUpstreams = this.#upstreams.filter(({ version }) => version === "v1");
         for (const upstream of this.#upstreams) {
             registry.set(upstream);
         }
@@ -169,7 +172,11 @@
     }
 
     #send(session: string, now: number): void {
-        const { upstreams } = this.#rollouts.select(pool, session, this.#upstreams);
+        const { upstreams } = this.#rollouts.select(
+            pool,
+            session,
+            now < orderedAt ? this.#currentUpstreams : this.#upstreams,
+        );
         const [first, second] = [0, 0].map(() => upstreams[this.#random.nextInteger(upstreams.length)]);
         const upstream = this.#getLoad(first) <= this.#getLoad(second) ? first : second;
         const load = this.#getLoad(upstream);
