--- a/src/rollouts/evaluateRollout.ts
+++ b/src/rollouts/evaluateRollout.ts
@@ -2,12 +2,10 @@
  * Checks whether a new version is worse than the old one by comparing their answers over the same time.
  */
 import { type AnswerShare, compareShares, type IncreaseBounds, type ShareIncrease } from "./compareShares.js";
-import type { EvidenceCounts, SegmentCounts } from "./rolloutEvidence.js";
-import { addShares, countSlow, noAnswers } from "./slowAnswers.js";
-import { addTimeCounts, countAbove, splitByLoad, type TimeCounts } from "./timeCounts.js";
+import type { EvidenceCounts, SegmentCounts, VersionCounts } from "./rolloutEvidence.js";
+import { addTimeCounts, countAbove, getQuantileClass, splitByLoad, type TimeCounts } from "./timeCounts.js";
 import {
     chooseReference,
-    getWaits,
     type Measure,
     minKindReferenceTimes,
     minReferenceTimes,
@@ -44,6 +42,13 @@
 const minSoundAnswers = 20;
 /** Number of streams from which on a version is found bad of which all are slow between the parts. */
 const minSoundPauses = 6;
+/** Share of the old version's times up to the class that an answer must exceed to be slow. */
+const usualShare = 0.9;
+/** Classes between the end of the usual times and that class. */
+const slowClassDistance = 1;
+
+const noAnswers: AnswerShare = { answers: 0, bad: 0 };
+
 /** The answers of both versions. */
 interface AnswerShares {
     readonly candidate: AnswerShare;
@@ -97,7 +102,9 @@
 function getShares(evidence: EvidenceCounts, references: TimeReferences | undefined): VersionShares {
     const segments = [...evidence];
     const compareMeasure = (measure: Measure): readonly SegmentShares[] => {
-        const slowedDown = references?.getSlowedDown(measure, evidence) ?? noAnswers;
+        const slowedDown = segments
+            .map(([segment, { current }]) => getSlowedDown(current, measure, references?.getFirst(measure, segment)))
+            .reduce(addShares, noAnswers);
         const compared = segments.map(([segment, counts]) => {
             const earlier = references?.get(measure, segment);
             return { segment, shares: getSlowness(counts, { measure, earlier, slowedDown }) };
@@ -179,7 +186,7 @@
     readonly measure: Measure;
     /** Earlier times of the old version. */
     readonly earlier: TimeCounts | undefined;
-    /** The old version's answers of all kinds when last enough were known, and how many of them were slower than it was at first. */
+    /** The old version's present answers of all kinds, and how many of them are slower than it was at first. */
     readonly slowedDown: AnswerShare;
 }
 
@@ -231,13 +238,48 @@
 /** Adds the answers under one load, of which those are slow that take longer than nearly all of the old version's do. */
 function addSlowness(shares: AnswerShares, times: LoadTimes, slowedDown: AnswerShare): AnswerShares {
     const { candidate, candidateWaits, reference, currentWaits } = times;
-    const current = countSlow(reference, currentWaits, reference);
+    const slowClass = getSlowClass(reference);
+    const current = countSlow(reference, currentWaits, slowClass);
     // Where earlier answers are compared, as many of them would be slow at present as of the others.
     const bad = slowedDown.answers >= minReferenceTimes
         ? Math.max(current.bad, current.answers * slowedDown.bad / slowedDown.answers)
         : current.bad;
     return {
-        candidate: addShares(shares.candidate, countSlow(candidate, candidateWaits, reference)),
+        candidate: addShares(shares.candidate, countSlow(candidate, candidateWaits, slowClass)),
         current: addShares(shares.current, { ...current, bad }),
     };
 }
+
+/**
+ * Counts the old version's answers that take longer than nearly all of its first ones under the same load. Where there are many, what
+ * both versions share has become slow, and the new version is not compared with quicker times of before.
+ */
+function getSlowedDown(current: VersionCounts, measure: Measure, first: TimeCounts = []): AnswerShare {
+    const [counts, waits, firstCounts] = [current[measure], current[getWaits(measure)], first].map(splitByLoad);
+    return firstCounts
+        .map((reference, loadClass) => {
+            return countAbove(reference, -1) < minReferenceTimes
+                ? noAnswers
+                : countSlow(counts[loadClass], waits[loadClass], getSlowClass(reference));
+        })
+        .reduce(addShares, noAnswers);
+}
+
+/** Returns the class that a slow answer exceeds. */
+function getSlowClass(reference: TimeCounts): number {
+    return getQuantileClass(reference, usualShare) + slowClassDistance;
+}
+
+function getWaits(measure: Measure): "waits" | "pauseWaits" {
+    return measure === "times" ? "waits" : "pauseWaits";
+}
+
+/** A wait that is not slow yet tells nothing: its answer may come at once. */
+function countSlow(times: TimeCounts, waits: TimeCounts, slowClass: number): AnswerShare {
+    const slowWaits = countAbove(waits, slowClass);
+    return { answers: countAbove(times, -1) + slowWaits, bad: countAbove(times, slowClass) + slowWaits };
+}
+
+function addShares(first: AnswerShare, second: AnswerShare): AnswerShare {
+    return { answers: first.answers + second.answers, bad: first.bad + second.bad };
+}
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -243,8 +243,6 @@
         this.#timeReferences.update(segments, this.#options.clock.monotonic());
         const regression = evaluateRollout(segments, this.#timeReferences);
         if (regression === undefined) {
-            const isSound = assessEvidence(segments, this.#timeReferences) === "sound";
-            this.#timeReferences.setSound(isSound, this.#options.clock.monotonic());
             return;
         }
         const { segment, reason, candidate, current } = regression;
