--- /dev/null
+++ b/test/platform/standins/framedRunner.ts
@@ -0,0 +1,164 @@
+/**
+ * A runner that writes the bytes of its answers by hand: with each framing, whole or broken off at a chosen point, in order or by a
+ * reset.
+ */
+import { createServer, type Server, type Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** How the end of an answer is marked. */
+export type Framing = "none" | "chunks" | "length";
+
+/**
+ * Where an answer is broken off. `last-chunk` is inside an event too, but the end of the body is marked as if it were whole.
+ */
+export type BreakPoint = "between" | "inside" | "last-chunk";
+
+/** One answer to a stream. */
+export interface FramedAnswer {
+    readonly framing: Framing;
+    /** Whether its head says that the connection closes. */
+    readonly closes?: boolean;
+    /** Where it is broken off, after the given event; undefined if it is whole. */
+    readonly broken?: { readonly afterEvent: number; readonly at: BreakPoint; };
+    /** How the connection ends; without it, a framed answer leaves it open and another one ends in order. */
+    readonly end?: "order" | "reset";
+}
+
+/** The answers to one stream, and its events. */
+export interface FramedStream {
+    readonly events: number;
+    readonly eventBytes: number;
+    /** Answers to its first run, its second one and so on; the last one is repeated. */
+    readonly answers: readonly FramedAnswer[];
+}
+
+/** A run as the runner saw it. */
+export interface FramedRun {
+    readonly stream: string;
+    readonly lastEventId: number;
+    readonly answer: FramedAnswer;
+}
+
+/** Time that the bytes of an answer have to leave before a reset discards them. */
+const leaveMilliseconds = 30;
+const headEnd = "\r\n\r\n";
+
+/** The streams and the runs of all runners. */
+export class FramedRunners {
+    readonly runs: FramedRun[] = [];
+    readonly #streams = new Map<string, FramedStream>();
+    readonly #servers: Server[] = [];
+
+    /** Adds a stream, which is requested by its name as the last part of the path. */
+    add(name: string, stream: FramedStream): void {
+        this.#streams.set(name, stream);
+    }
+
+    /** Returns the runs of a stream. */
+    getRuns(name: string): readonly FramedRun[] {
+        return this.runs.filter(run => run.stream === name);
+    }
+
+    /** Starts a runner. */
+    async listen(host: string, port: number): Promise<void> {
+        const server = createServer({ allowHalfOpen: true }, socket => this.#serve(socket));
+        this.#servers.push(server);
+        await new Promise<void>(resolve => server.listen(port, host, resolve));
+    }
+
+    /** Stops all runners. Open connections end with their readers. */
+    close(): void {
+        for (const server of this.#servers) {
+            server.close();
+        }
+    }
+
+    #serve(socket: Socket): void {
+        let received = "";
+        socket.on("error", () => {
+            // The reader closed the connection.
+        });
+        socket.on("end", () => socket.end());
+        socket.on("data", data => {
+            received += data.toString();
+            const length = Number(/content-length: (\d+)/i.exec(received)?.[1] ?? 0);
+            const headLength = received.indexOf(headEnd) + headEnd.length;
+            if (headLength < headEnd.length || received.length < headLength + length) {
+                return;
+            }
+            const head = received;
+            received = "";
+            void this.#answer(socket, head);
+        });
+    }
+
+    async #answer(socket: Socket, head: string): Promise<void> {
+        const name = /^\S+ \S*\/(\S+) /.exec(head)![1];
+        const stream = this.#streams.get(name)!;
+        const lastEventId = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0);
+        const answer = stream.answers[Math.min(this.getRuns(name).length, stream.answers.length - 1)];
+        this.runs.push({ stream: name, lastEventId, answer });
+        const pieces = createPieces(stream, answer, lastEventId);
+        const attempt = /attempt-id: (\S+)/i.exec(head)![1];
+        const written = [createHead(answer, attempt, stream, lastEventId), ...frame(pieces, answer)];
+        for (const piece of written) {
+            await new Promise(resolve => socket.write(piece, resolve));
+        }
+        if (answer.end === "reset") {
+            await sleep(leaveMilliseconds);
+            socket.resetAndDestroy();
+        }
+        else if (answer.end === "order" || answer.framing === "none") {
+            socket.end();
+        }
+    }
+}
+
+/** Returns the bytes of an event. */
+export function createFramedEvent(id: number, bytes: number): string {
+    return `id: ${id}\ndata: ${"x".repeat(bytes)}\n\n`;
+}
+
+function createPieces({ events, eventBytes }: FramedStream, { broken }: FramedAnswer, lastEventId: number): string[] {
+    const last = broken?.afterEvent ?? events;
+    const pieces: string[] = [];
+    for (let id = lastEventId + 1; id <= last; id += 1) {
+        pieces.push(createFramedEvent(id, eventBytes));
+    }
+    if (broken !== undefined && broken.at !== "between") {
+        pieces.push(`id: ${last + 1}\ndata: cut`);
+    }
+    return pieces;
+}
+
+function createHead(
+    { framing, closes = false, broken }: FramedAnswer,
+    attempt: string,
+    stream: FramedStream,
+    lastEventId: number,
+): string {
+    const whole = createPieces(
+        stream,
+        { framing, broken: broken?.at === "last-chunk" ? broken : undefined },
+        lastEventId,
+    );
+    const lines = [
+        "HTTP/1.1 200 OK",
+        `Attempt-Id: ${attempt}`,
+        "Server-Seal: 3e1b.07",
+        "Content-Type: text/event-stream",
+        ...framing === "chunks" ? ["Transfer-Encoding: chunked"] : [],
+        ...framing === "length" ? [`Content-Length: ${whole.join("").length}`] : [],
+        ...closes ? ["Connection: close"] : [],
+    ];
+    return lines.join("\r\n") + headEnd;
+}
+
+function frame(pieces: readonly string[], { framing, broken }: FramedAnswer): readonly string[] {
+    if (framing !== "chunks") {
+        return pieces;
+    }
+    const chunks = pieces.map(piece => `${piece.length.toString(16)}\r\n${piece}\r\n`);
+    const isMarkedWhole = broken === undefined || broken.at === "last-chunk";
+    return isMarkedWhole ? [...chunks, "0\r\n\r\n"] : chunks;
+}
