Say in the lines of attempts and requests whether an answer has a framing

The lines could not tell the hypotheses apart: line 422 of an answer that was taken for whole is the line of a sound one, and line 423 does not say what its caller's framing claims. Both now have 'unframed' where an answer has neither a length nor chunks. With line 463 that tells a claim of the node's (422 unframed, 423 not), an end that was misread (422 and 423 unframed, no 463), a framing that was believed (neither), and a caller that cannot see it (463). CallerReply says whether its answer has a framing. No decision is changed.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -57,13 +57,13 @@
         422,
         "attempt-ended",
         "info",
-        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result.",
+        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result, and say if its answer had neither a length nor chunks.",
     ),
     requestEnded: define(
         423,
         "request-ended",
         "info",
-        "A request received its final answer, or its caller disconnected.",
+        "A request received its final answer, or its caller disconnected; the fields say if the answer has neither a length nor chunks.",
     ),
     upstreamCrashed: define(
         424,
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -140,6 +140,7 @@
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
         let load: ReportedLoad | undefined = undefined;
+        let isUnframed = false;
         let isServed = false;
         let isGivenUp = false;
         let isFinished = false;
@@ -158,7 +159,17 @@
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
             attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
-            this.#finish(ended, { number, choice, versionReason, reason, startedAt, promptTokens, confidence, load });
+            this.#finish(ended, {
+                number,
+                choice,
+                versionReason,
+                reason,
+                startedAt,
+                promptTokens,
+                confidence,
+                load,
+                isUnframed,
+            });
         };
         const { model } = request;
         const attemptObserver = this.#options.onStart({ exchange, upstream, model, isWarmingUp, load: pick.load });
@@ -211,6 +222,7 @@
         }
         run.markHead();
         confidence = result.value.confidence;
+        isUnframed = !result.value.hasKnownEnd;
         observer.observeAnswer(upstream, result.value, startedAt);
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
@@ -292,6 +304,7 @@
             readonly promptTokens: number | undefined;
             readonly confidence: number | undefined;
             readonly load: ReportedLoad | undefined;
+            readonly isUnframed: boolean;
         },
     ): void {
         const { exchange, upstream, outcome, headMilliseconds } = ended;
@@ -314,6 +327,7 @@
             choice: details.choice,
             startedMs: Math.round(details.startedAt - exchange.request.arrivedAt),
             load: details.load && formatLoad(details.load),
+            unframed: details.isUnframed || undefined,
             outcome,
             reason: details.reason,
             headMs: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -7,6 +7,8 @@
 export interface CallerReply {
     /** Whether any byte of an answer may have reached the caller. */
     readonly hasStarted: boolean;
+    /** Whether the answer that was started has a framing, whose end tells the caller that it is complete. */
+    readonly hasKnownEnd: boolean;
     /** Aborted when the caller disconnects. */
     readonly disconnected: AbortSignal;
     /**
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -216,6 +216,7 @@
             ran: exchange.outcome,
             timedOut: exchange.isTimedOut || undefined,
             stopped: exchange.isStopped || undefined,
+            unframed: exchange.reply.hasKnownEnd ? undefined : true,
             callerGone: exchange.reply.disconnected.aborted || undefined,
             callerGoneMs: roundMilliseconds(exchange.callerLeftAfterMilliseconds),
             wholeMs: Math.round(exchange.getElapsed()),
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -96,6 +96,10 @@
         return this.#response.headersSent;
     }
 
+    get hasKnownEnd(): boolean {
+        return this.#hasKnownEnd;
+    }
+
     get disconnected(): AbortSignal {
         return this.#disconnection.signal;
     }
--- a/test/forwarding/unaryExchange.test.ts
+++ b/test/forwarding/unaryExchange.test.ts
@@ -65,9 +65,9 @@
         const behaviour = (...[, , count]: unknown[]) =>
             count === 1 ? createAnswer(["ha"], { hasKnownEnd: false }) : createAnswer(["whole"]);
         const booking = await createUnaryForwarder("at-most-once", { behaviour }).send();
-        expect([booking.chunks, booking.hasCompleteFraming]).toEqual([["ha"], false]);
+        expect([booking.chunks, booking.hasKnownEnd]).toEqual([["ha"], false]);
         const query = await createUnaryForwarder("idempotent", { behaviour }).send();
-        expect([query.chunks, query.hasCompleteFraming]).toEqual([["whole"], true]);
+        expect([query.chunks, query.hasKnownEnd]).toEqual([["whole"], true]);
     });
 
     // Every instance is full and refuses. The caller must receive a prompt refusal with the outcome not run and a retry delay.
