--- /dev/null
+++ b/test/platform/brokenOff/brokenOffAnswers.test.ts
@@ -0,0 +1,109 @@
+import { expect } from "earl";
+import { writeFileSync } from "node:fs";
+import { after, before, describe, it } from "node:test";
+import { waitUntil } from "../../../src/testbench/index.js";
+import type { SiteNode } from "../platformSite.js";
+import type { ReadingPace } from "../standins/framedCaller.js";
+import type { FramedAnswer } from "../standins/framedRunner.js";
+import { type AnswerCase, createCases } from "./framedCases.js";
+import { FramedSite } from "./framedSite.js";
+
+/** Streams at once: bytes of 700 KB events wait in the node, whose memory is bounded. */
+const concurrency: Readonly<Record<ReadingPace, number>> = { quick: 4, paused: 8, slow: 2 };
+const paces: readonly ReadingPace[] = ["quick", "paused", "slow"];
+
+/** Chooses cases by their first answer, which is the only one where the stream may not be resumed. */
+type CaseFilter = (first: FramedAnswer, isResumable: boolean, rest: FramedAnswer | undefined) => boolean;
+
+/** Sends the cases that a filter admits, and returns those that did not get what they may, one line each. */
+async function findWrong(
+    site: FramedSite,
+    node: SiteNode,
+    filter: CaseFilter,
+    { pacesUsed = ["quick", "paused"] }: { readonly pacesUsed?: readonly ReadingPace[]; } = {},
+): Promise<readonly string[]> {
+    const wrong: string[] = [];
+    for (const pace of paces.filter(one => pacesUsed.includes(one))) {
+        const waiting = createCases(pace).flatMap(one => [true, false].map(isResumable => ({ one, isResumable })))
+            .filter(({ one: { answers }, isResumable }) =>
+                (isResumable || answers.length === 1) && filter(answers[0], isResumable, answers.at(1))
+            );
+        const run = async (): Promise<void> => {
+            for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
+                const { one, isResumable } = next;
+                const { seen, verdict } = await site.send({ node, isResumable, ...one });
+                if (verdict !== "right") {
+                    wrong.push(
+                        describeWrong(one, isResumable, `${verdict}: ${seen.events.length} events, ${seen.end}`),
+                    );
+                }
+            }
+        };
+        await Promise.all(Array.from({ length: concurrency[pace] }, run));
+    }
+    return wrong;
+}
+
+function describeWrong({ name, pace }: AnswerCase, isResumable: boolean, seen: string): string {
+    return `${pace}, ${isResumable ? "resumable" : "single"}: ${name} -> ${seen}`;
+}
+
+// Runners break off their answers in each framing, in order and by a reset, before callers that read at once, late or slowly.
+describe("answers that are broken off", () => {
+    const site = new FramedSite("127.72.120");
+    let node: SiteNode;
+    before(async () => {
+        await site.start(1);
+        node = site.site.nodes[0];
+    });
+    after(() => site.stop());
+
+    // Guards against a stream that is framed as complete although its runner never said so.
+    it("claims no end for a runner that framed nothing and ended in order", async () => {
+        const isUnstated = ({ framing, broken, end }: FramedAnswer): boolean =>
+            framing === "none" && end === "order" && broken?.at === "between";
+        expect(await findWrong(site, node, isUnstated)).toEqual([]);
+    });
+
+    // Guards against a framing that is taken for a whole answer although its last event is cut.
+    it("takes a stream for broken off whose last chunk comes inside an event", async () => {
+        expect(await findWrong(site, node, ({ broken }) => broken?.at === "last-chunk")).toEqual([]);
+    });
+
+    // Guards against a reset that reads as an orderly end, since the bytes before it waited for a slow caller.
+    it("notices a reset behind bytes that wait unread", async () => {
+        const isResetBetween: CaseFilter = ({ framing, broken, end }, _, rest) =>
+            framing === "none" && end === "reset" && broken?.at === "between" && rest === undefined;
+        expect(await findWrong(site, node, isResetBetween, { pacesUsed: ["slow"] })).toEqual([]);
+    });
+
+    // Guards against a caller that reads an orderly end where its node has reset the connection.
+    it("shows a caller with unread bytes that its answer was broken off", async () => {
+        const isNoticed: CaseFilter = ({ framing, broken, end }, isResumable) =>
+            !isResumable && framing === "none" && broken !== undefined && (end === "reset" || broken.at === "inside");
+        expect(await findWrong(site, node, isNoticed, { pacesUsed: ["paused"] })).toEqual([]);
+    });
+});
+
+// The node of the caller reaches no runner, so that another node relays each answer.
+describe("answers that another node relays", () => {
+    const site = new FramedSite("127.72.121");
+    let node: SiteNode;
+    before(async () => {
+        await site.start(2);
+        node = site.site.nodes[0];
+        await site.site.waitForAddresses(node, 2);
+        writeFileSync(node.cutFile, "reset");
+        const isRelayed = async (): Promise<boolean> =>
+            (await site.send({ node, isResumable: false, answers: [{ framing: "chunks" }] })).seen.status === 200;
+        await waitUntil(isRelayed, { description: "a relayed answer" });
+    });
+    after(() => site.stop());
+
+    // Guards against a whole answer that is broken off since the node of its caller cannot connect to the runner.
+    it("are not cut where they are sound", async () => {
+        const isSound: CaseFilter = (first, isResumable, rest) =>
+            isResumable && (rest ?? first).framing === "none" && (rest ?? first).broken === undefined;
+        expect(await findWrong(site, node, isSound)).toEqual([]);
+    });
+});
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -178,6 +178,32 @@
         await expect(() => read(reset.result._unsafeUnwrap())).toBeRejected();
     });
 
+    // Guards against a sound answer that is cut since another connection to its upstream was reset shortly before.
+    it("tells from its own connection alone whether an answer without a length is complete", async () => {
+        const head = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nConnection: close\r\n\r\n";
+        const upstream = await calls.listen(createRawRunner((socket, _, count) => {
+            socket.write(`${head}ha`);
+            setTimeout(() => count === 1 ? socket.resetAndDestroy() : socket.end("lf"), 50);
+        }));
+        const client = calls.createClient({ getConnectionLimit: () => 2 });
+        const [first, second] = await Promise.all([
+            client.call(upstream, createCall()),
+            client.call(upstream, createCall()),
+        ]);
+        await expect(() => read(first._unsafeUnwrap())).toBeRejected();
+        expect(await read(second._unsafeUnwrap())).toEqual("half");
+    });
+
+    // Guards against a reset that is read as an orderly end, since the bytes before it were not read in time.
+    it("notices the reset of an answer without a length behind bytes that wait unread", async () => {
+        const { result: called } = await calls.call((socket, id) => {
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\n`);
+            socket.write("x".repeat(300_000), () => setTimeout(() => socket.resetAndDestroy(), 50));
+        });
+        await new Promise(resolve => setTimeout(resolve, 300));
+        await expect(() => read(called._unsafeUnwrap())).toBeRejected();
+    });
+
     // Guards against own callers that wait behind requests of other nodes, and against such requests that wait for a connection
     // until their deadline.
     it("keeps requests of other nodes apart from its own, and knows when their connections are in use", async () => {
