Decide by its own connection whether an answer without a length was cut off

Callers saw: half a stream that ended in order, after its runner had reset the connection behind bytes that a slow caller had not taken yet; and whole answers that were broken off, as another connection to their runner had been reset less than 100 ms before.

Cause: the HTTP library ends an answer without a length in the same way after a reset and after an orderly end. What tells them apart was kept by upstream and by time. Besides, a reset behind unread bytes reads as an orderly end: the kernel reports both together, and the runtime's reader takes the end first (Node 20 here: 100 KB unread, then a reset: 'end', no error).

Change: upstream/answerEnd gives each connection of the pools a client of its own that knows its socket. An answer that only its connection can end is complete if the socket ended in order and a write of nothing succeeds then; after a reset such a write fails with ECONNRESET or EPIPE, however late it is made, and nothing is sent by it. Otherwise the body fails, for whoever reads it: this node's exchanges, calls that are relayed for peers, the product's own interface (which had no check at all: wasReset was 'false' there). The time window and 'wasReset' are gone. Ruled out: never leaving bytes unread (a frozen process does, and memory is bounded).

The test of RelayServer that set wasReset now resets the connection in fact.

--- a/src/entry/parts/relayParts.ts
+++ b/src/entry/parts/relayParts.ts
@@ -46,7 +46,6 @@
                     address: getAddress(vm),
                     dispatcher: directUpstreamAgent,
                     hasRoom: () => announcements.getRestMilliseconds(vm) === 0,
-                    wasReset: () => false,
                     observeHead: (statusCode, headers) =>
                         answerObserver.observeRest(vm, { statusCode, headers: toObject(headers) }),
                 };
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -12,8 +12,8 @@
     UpstreamStatement,
     UpstreamTransport,
 } from "../forwarding/index.js";
-import { hasFraming, type RelayTarget } from "../reachability/index.js";
-import { classifyTransportError, describeTransportError } from "../upstream/index.js";
+import type { RelayTarget } from "../reachability/index.js";
+import { classifyTransportError, describeTransportError, hasFraming } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
 import { observeSending } from "./sendingObserver.js";
@@ -75,7 +75,7 @@
                 : await send(observeSending(connections.dispatcher.compose(relay), { onSent: call.onSent }));
             return response === undefined
                 ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
-                : readHead(response, call, () => connections.wasReset());
+                : readHead(response, call);
         }
         catch (error) {
             return err({ kind: classifyTransportError(error, call.signal), reason: describeTransportError(error) });
@@ -90,7 +90,6 @@
             dispatcher: connections.dispatcher,
             hasRoom: () => connections.hasRoom() && (this.#options.relayLimit?.isAdmitted(upstream) ?? true),
             addRequest: () => this.#options.relayLimit?.add(upstream),
-            wasReset: () => connections.wasReset(),
             observeHead: (status, headers) => {
                 if (status !== misdirectedStatus) {
                     this.#options.onRelayedStatement?.(upstream, readStatement(headers, status));
@@ -191,7 +190,6 @@
 function readHead(
     response: Dispatcher.ResponseData,
     call: UpstreamCall,
-    wasReset: () => boolean,
 ): Result<UpstreamAnswer, UpstreamCallFailure> {
     const raw = response.headers as unknown as readonly string[];
     const statement = readStatement(raw, response.statusCode);
@@ -230,19 +228,11 @@
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         ...statement,
-        hasKnownEnd: hasFraming(raw),
-        body: hasFraming(raw) ? response.body as AsyncIterable<Buffer> : readUnframed(response.body, wasReset),
+        hasKnownEnd: hasFraming(raw.filter((_, index) => index % 2 === 0)),
+        body: response.body as AsyncIterable<Buffer>,
     });
 }
 
-/** Reads a body that ends with its connection. Throws if the connection was reset. */
-async function* readUnframed(body: AsyncIterable<Buffer>, wasReset: () => boolean): AsyncGenerator<Buffer> {
-    yield* body;
-    if (wasReset()) {
-        throw new Error("The connection was reset before the end of an answer without a length.");
-    }
-}
-
 /** Reads the rest of a short refusal, so that its connection can be reused. */
 function discard(response: Dispatcher.ResponseData): void {
     response.body.dump().catch(() => {
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -1,9 +1,9 @@
 /**
  * The connections of this node to one upstream, and the requests that wait for one of them.
  */
-import { buildConnector, type Dispatcher, errors, Pool } from "undici";
+import { buildConnector, type Dispatcher, type Pool } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { AnswerProgress, type EndlessBytesListener } from "../upstream/index.js";
+import { createAnswerPool, type EndlessBytesListener, halfOpen, watchConnections } from "../upstream/index.js";
 import { observeSending } from "./sendingObserver.js";
 
 /** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
@@ -16,12 +16,6 @@
 /** Keep-alive timeout for upstreams that announce none. */
 const defaultKeepAliveMilliseconds = 4_000;
 const maxKeepAliveMilliseconds = 15_000;
-/**
- * An answer without a length that ends this soon after a reset of one of the upstream's connections counts as incomplete. The
- * HTTP library ends such an answer in the same way whether the connection was closed or reset, so a truncated confirmation of a
- * booking could pass for a complete one.
- */
-const resetWindowMilliseconds = 100;
 
 /** Options of `UpstreamConnections`. */
 export interface UpstreamConnectionsOptions {
@@ -52,7 +46,6 @@
     readonly #onWait: (connections: UpstreamConnections) => void;
     /** Functions that let the waiting requests go on, in the order of their arrival. */
     readonly #waiting = new Set<() => void>();
-    #resetAt = Number.NEGATIVE_INFINITY;
     #isClosed = false;
 
     constructor({ upstream, getLimit, onConnectFailure, onEndless, onWait }: UpstreamConnectionsOptions) {
@@ -60,14 +53,10 @@
         this.#getLimit = getLimit;
         this.#maxConnections = getLimit();
         this.#onWait = onWait;
-        this.dispatcher = new Pool(`http://${upstream.address}`, {
+        this.dispatcher = createAnswerPool(`http://${upstream.address}`, {
             connections: this.#maxConnections,
             pipelining: 1,
-            connect: createConnector({
-                onReset: () => this.#resetAt = performance.now(),
-                onFailure: onConnectFailure,
-                onEndless,
-            }),
+            connect: createConnector(onConnectFailure, onEndless),
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: defaultKeepAliveMilliseconds,
@@ -133,11 +122,6 @@
         }
     }
 
-    /** Returns whether a connection was reset just now. */
-    wasReset(): boolean {
-        return performance.now() - this.#resetAt < resetWindowMilliseconds;
-    }
-
     /** Closes idle connections now and the others when their answers end. */
     close(): void {
         this.#isClosed = true;
@@ -175,32 +159,19 @@
     }
 }
 
-/** Creates a connector that reports resets before the HTTP library does. */
-function createConnector(
-    { onReset, onFailure, onEndless }: {
-        readonly onReset: () => void;
-        readonly onFailure: () => void;
-        readonly onEndless: EndlessBytesListener;
-    },
-): buildConnector.connector {
-    const connect = buildConnector({ timeout: connectTimeoutMilliseconds });
+/** Creates a connector that watches the connections and reports those that could not be opened. */
+function createConnector(onFailure: () => void, onEndless: EndlessBytesListener): buildConnector.connector {
+    const connect = watchConnections(
+        buildConnector({ ...halfOpen, timeout: connectTimeoutMilliseconds }),
+        onEndless,
+    );
     return (options, callback) => {
-        connect(options, (...[error, socket]) => {
+        connect(options, (...result) => {
+            const [error] = result;
             if (error) {
                 onFailure();
-                // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
-                callback(error, null);
-                return;
             }
-            socket.on("error", cause => {
-                // The library reports an orderly close as an error of its own class. Complete answers without a length end that way.
-                if (!(cause instanceof errors.UndiciError)) {
-                    onReset();
-                }
-            });
-            AnswerProgress.watch(socket, onEndless);
-            // eslint-disable-next-line no-restricted-syntax -- The library's own signature.
-            callback(null, socket);
+            callback(...result);
         });
     };
 }
--- a/src/reachability/relayServer.ts
+++ b/src/reachability/relayServer.ts
@@ -22,8 +22,6 @@
     readonly hasRoom: () => boolean;
     /** Called with each request that is sent. */
     readonly addRequest?: () => void;
-    /** Returns whether one of its connections was reset just now. */
-    readonly wasReset: () => boolean;
     /** Called with the head of an answer, whose headers are alternating names and values. */
     readonly observeHead?: (status: number, headers: readonly string[]) => void;
 }
@@ -127,20 +125,9 @@
     for await (const data of response.body as AsyncIterable<Buffer>) {
         yield { data, isEnd: false };
     }
-    if (!hasFraming(raw) && target.wasReset()) {
-        yield createFailure("disconnected", "the connection was reset before the end of an answer without a length");
-        return;
-    }
     yield { isEnd: true };
 }
 
-/** Returns whether the end of an answer can be distinguished from a broken connection. */
-export function hasFraming(rawHeaders: readonly string[]): boolean {
-    return rawHeaders.some((name, index) =>
-        index % 2 === 0 && ["content-length", "transfer-encoding"].includes(name.toLowerCase())
-    );
-}
-
 function createFailure(kind: TransportFailureKind, reason: string): RelayPart {
     return { failure: { kind, reason }, isEnd: false };
 }
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,4 +1,5 @@
 /** Clients of upstreams, the VM list and the rating service. */
+export * from "./answerEnd.js";
 export * from "./answerObserver.js";
 export * from "./answerProgress.js";
 export * from "./connectionProbe.js";
--- a/src/upstream/upstreamConnector.ts
+++ b/src/upstream/upstreamConnector.ts
@@ -1,8 +1,9 @@
 /**
  * Opens encrypted connections to upstreams with the site's certificate.
  */
-import { Agent, buildConnector, type Dispatcher } from "undici";
+import { buildConnector, type Dispatcher } from "undici";
 import type { Credentials } from "../common/index.js";
+import { createAnswerAgent, halfOpen } from "./answerEnd.js";
 import { watchConnections } from "./watchedConnector.js";
 
 /** Connects to upstreams with credentials that can be renewed. */
@@ -29,12 +30,13 @@
 
     /** Creates the dispatcher for all calls to upstreams. It never opens an unencrypted connection. */
     createDispatcher(): Dispatcher {
-        const agent = new Agent({ connect: (options, callback) => this.#connect(options, callback) });
+        const agent = createAnswerAgent({ connect: (options, callback) => this.#connect(options, callback) });
         return agent.compose(dispatch => (options, handler) => dispatch(toHttps(options), handler));
     }
 
     #createConnector({ certificate, key, authority, serverName }: Credentials): buildConnector.connector {
         const connect = buildConnector({
+            ...halfOpen,
             cert: certificate,
             key,
             ca: authority,
--- a/src/upstream/watchedConnector.ts
+++ b/src/upstream/watchedConnector.ts
@@ -1,7 +1,8 @@
 /**
  * Connections to other systems that are closed when their bytes have no end.
  */
-import { Agent, buildConnector } from "undici";
+import { type Agent, buildConnector } from "undici";
+import { createAnswerAgent, halfOpen } from "./answerEnd.js";
 import { AnswerProgress, type EndlessBytesListener } from "./answerProgress.js";
 
 /**
@@ -25,9 +26,11 @@
 }
 
 /**
- * Creates an agent whose connections are watched.
+ * Creates an agent whose connections are watched, and whose answers fail where theirs was reset.
  * @param timeoutMilliseconds - Timeout for opening a connection.
  */
 export function createWatchedAgent(timeoutMilliseconds: number): Agent {
-    return new Agent({ connect: watchConnections(buildConnector({ timeout: timeoutMilliseconds })) });
+    return createAnswerAgent({
+        connect: watchConnections(buildConnector({ ...halfOpen, timeout: timeoutMilliseconds })),
+    });
 }
--- a/test/reachability/endlessAnswers.test.ts
+++ b/test/reachability/endlessAnswers.test.ts
@@ -18,7 +18,7 @@
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     const { port } = server.address() as AddressInfo;
     const dispatcher = createWatchedAgent(1_000);
-    const target = { address: `${host}:${port}`, dispatcher, hasRoom: () => true, wasReset: () => false };
+    const target = { address: `${host}:${port}`, dispatcher, hasRoom: () => true };
     const relay = new RelayServer(() => target);
     const controller = new AbortController();
     const request = { upstream: "u1", method: "POST", path: "/a", headers: [], body: Buffer.from("hello") };
--- a/test/reachability/relayServer.test.ts
+++ b/test/reachability/relayServer.test.ts
@@ -2,10 +2,10 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
-import { Agent } from "undici";
 import type { RelayPart } from "../../src/generated/peer.js";
 import { RelayServer, type RelayTarget } from "../../src/reachability/index.js";
 import { waitUntil } from "../../src/testbench/index.js";
+import { createWatchedAgent } from "../../src/upstream/index.js";
 
 const host = "127.72.54.1";
 const request = {
@@ -25,7 +25,7 @@
 }
 
 function createTarget(address: string, changes: Partial<RelayTarget> = {}): RelayTarget {
-    return { address, dispatcher: new Agent(), hasRoom: () => true, wasReset: () => false, ...changes };
+    return { address, dispatcher: createWatchedAgent(1_000), hasRoom: () => true, ...changes };
 }
 
 async function collect(server: RelayServer, signal = new AbortController().signal): Promise<readonly RelayPart[]> {
@@ -70,9 +70,12 @@
     it("does not call an answer without a length whole after a reset", async () => {
         const address = await startUpstream((incoming, response) => {
             response.useChunkedEncodingByDefault = false;
-            incoming.resume().on("end", () => response.writeHead(200, { Connection: "close" }).end("do"));
+            incoming.resume().on("end", () => {
+                response.writeHead(200, { Connection: "close" }).write("do");
+                setTimeout(() => incoming.socket.resetAndDestroy(), 50);
+            });
         });
-        const parts = await collect(new RelayServer(() => createTarget(address, { wasReset: () => true })));
+        const parts = await collect(new RelayServer(() => createTarget(address)));
         expect([parts.at(-1)?.isEnd, parts.at(-1)?.failure?.kind]).toEqual([false, "disconnected"]);
     });
 
