Take a stream for broken off that ends inside an event, whatever its framing says

Callers saw: a part of an event and the last chunk after it, 200, as if it were the whole answer; on resumable routes nobody was asked for the rest.

Cause: only the end of a stream without a framing was held against its events.

Change: one function, forwarding/streamEnd, decides from the framing and the last event: whole, unstated, or inside an event. What follows the last event counts only if it begins another one: comments, blank lines and lines that end with a carriage return alone do not, and bodies of another media type are not looked at, so that no sound answer is cut for it. Where an answer states no type it counts as a stream if it has events. Such an end is no sign of a crash if the framing was complete.

--- a/src/forwarding/eventSplitter.ts
+++ b/src/forwarding/eventSplitter.ts
@@ -6,6 +6,8 @@
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+/** Any end of a line in a stream of events. */
+const lineBreak = /\r\n|\r|\n/;
 
 /** The end of some bytes: of a line, of a line and a carriage return after it, or something else. */
 type LineEnd = "none" | "line-feed" | "carriage-return";
@@ -26,6 +28,7 @@
     readonly #remainder = new ByteCollector();
     /** The end of the remainder that may begin a blank line. */
     #lineEnd: LineEnd = "none";
+    #hasEvents = false;
     #id: string | undefined;
     readonly #parser = createParser({ onEvent: event => this.#id = event.id });
 
@@ -42,6 +45,7 @@
                 break;
             }
             const event = this.#complete(bytes.subarray(start, end));
+            this.#hasEvents = true;
             events.push({ bytes: event, id: this.#readId(event) });
             start = end;
         }
@@ -61,6 +65,18 @@
         return this.#remainder.read();
     }
 
+    /** Whether any event was complete. */
+    get hasEvents(): boolean {
+        return this.#hasEvents;
+    }
+
+    /** Returns whether the bytes after the last complete event begin another one. Comments and blank lines do not. */
+    isInsideEvent(): boolean {
+        const lines = this.#remainder.read().toString().split(lineBreak);
+        const lastBlank = lines.slice(0, -1).lastIndexOf("");
+        return lines.slice(lastBlank + 1).some(line => line !== "" && !line.startsWith(":"));
+    }
+
     /** Discards the incomplete event of a stream that is resumed elsewhere. */
     reset(): void {
         this.#remainder.clear();
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -12,6 +12,7 @@
 export * from "./refusals.js";
 export * from "./replyBuffers.js";
 export * from "./shutdown.js";
+export * from "./streamEnd.js";
 export * from "./upstreamCall.js";
 export * from "./upstreamObserver.js";
 export * from "./waitingRoom.js";
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -7,6 +7,7 @@
 import { recheckMilliseconds } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
 import type { StreamAnswer } from "./streamAnswer.js";
+import { judgeStreamEnd } from "./streamEnd.js";
 import { successStatus } from "./upstreamCall.js";
 
 /**
@@ -79,7 +80,7 @@
                     return { kind: "broken", reason: "the caller has left", isDisconnected: false };
                 }
             }
-            return attempt.answer.hasKnownEnd ? await this.#writeRemainder(relayed) : await this.#evaluateEnd(relayed);
+            return await this.#evaluateEnd(relayed);
         }
         catch (cause) {
             if (buffer.isGivenUp) {
@@ -134,23 +135,21 @@
         return Math.max(minPauseTimeoutMilliseconds, objective * pauseTimeoutFactor);
     }
 
-    async #writeRemainder({ splitter }: StreamAnswer): Promise<RelayResult> {
-        const remainder = splitter.getRemainder();
-        if (remainder.length > 0) {
-            await this.#options.exchange.reply.write(remainder);
-        }
-        return { kind: "complete" };
-    }
-
     /**
-     * Evaluates the end of a stream without a known end, which a runner closes in the same way when the stream is complete and when it
-     * crashes. A stream that may be incomplete is resumed after its last event. If it was complete, no events follow.
+     * Evaluates the end of a stream. A runner that crashes may end one without a known end in the same way as a complete one. One that may
+     * be incomplete is resumed after its last event. If it was complete, no events follow.
      */
     async #evaluateEnd({ attempt, splitter }: StreamAnswer): Promise<RelayResult> {
-        if (splitter.getRemainder().length > 0) {
-            return { kind: "broken", reason: "the answer ended inside an event", isDisconnected: true };
+        const end = judgeStreamEnd(attempt.answer, splitter);
+        if (end === "inside-event") {
+            const isDisconnected = !attempt.answer.hasKnownEnd;
+            return { kind: "broken", reason: "the answer ended inside an event", isDisconnected };
+        }
+        const remainder = splitter.getRemainder();
+        if (remainder.length > 0) {
+            await this.#options.exchange.reply.write(remainder);
         }
-        if (this.#options.exchange.route.isResumable && !await attempt.isUpstreamUp()) {
+        if (end === "unstated" && this.#options.exchange.route.isResumable && !await attempt.isUpstreamUp()) {
             return { kind: "broken", reason: "the answer may be incomplete", isDisconnected: true };
         }
         return { kind: "complete" };
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -70,6 +70,8 @@
     readonly status: number;
     /** Headers for the caller, as a flat list of names and values. */
     readonly headers: readonly string[];
+    /** Media type of the body without its parameters; undefined if the answer states none. */
+    readonly mediaType: string | undefined;
     /** Whether the answer carries the upstream's seal, which proves that the upstream itself produced it. */
     readonly isSealed: boolean;
     /** The model's confidence in its answer, 0 to 100. */
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -225,6 +225,7 @@
     return ok({
         status: response.statusCode,
         headers: pickAnswerHeaders(raw),
+        mediaType: readMediaType(raw),
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         ...statement,
@@ -233,6 +234,10 @@
     });
 }
 
+function readMediaType(raw: readonly string[]): string | undefined {
+    return findHeader(raw, "content-type")?.split(";")[0].trim().toLowerCase();
+}
+
 /** Reads the rest of a short refusal, so that its connection can be reused. */
 function discard(response: Dispatcher.ResponseData): void {
     response.body.dump().catch(() => {
--- a/test/forwarding/eventSplitter.test.ts
+++ b/test/forwarding/eventSplitter.test.ts
@@ -57,6 +57,20 @@
         ]);
     });
 
+    // Guards against a broken-off stream that passes for whole, and against a whole one that is cut for what follows its last event.
+    it("tells whether a stream has ended inside an event", () => {
+        const complete = "id: 1\ndata: a\n\n";
+        const whole = ["", "\n", "\r\n", ": comment", ": comment\n", ": one\n\n: two\n"];
+        const inside = ["i", "id: 2", "id: 2\n", "id: 2\ndata: b\n", ": comment\ndata", "data\r"];
+        const isInside = (rest: string): boolean => split([Buffer.from(complete + rest)]).splitter.isInsideEvent();
+        expect(whole.filter(isInside)).toEqual([]);
+        expect(inside.filter(isInside)).toEqual(inside);
+        // Lines that end with a carriage return alone.
+        const lone = complete.replaceAll("\n", "\r");
+        expect([`${lone}${lone}`, `${lone}data`].map(text => split([Buffer.from(text)]).splitter.isInsideEvent()))
+            .toEqual([false, true]);
+    });
+
     // Guards against a node that stands still for seconds over one event that never ends.
     for (const content of ["data", "data: line\n"]) {
         it(`reads and copies each byte of an event of ${JSON.stringify(content)} at most three times`, () => {
--- a/test/platform/wireNames.test.ts
+++ b/test/platform/wireNames.test.ts
@@ -45,7 +45,9 @@
     });
 
     it("are used by one store client, one upstream client and one topic reader", () => {
-        const users = findFiles("src/platform").filter(file => /(new (Pool|Agent)|createAnswer(Pool|Agent)|createWatchedAgent)\(/.test(readFileSync(file, "utf8")));
+        const users = findFiles("src/platform").filter(file =>
+            /(new (Pool|Agent)|createAnswer(Pool|Agent)|createWatchedAgent)\(/.test(readFileSync(file, "utf8"))
+        );
         expect(users.sort()).toEqual(["src/platform/storeClient.ts", "src/platform/upstreamConnections.ts"]);
         const readers = folders.flatMap(folder => findFiles(join("src", folder)))
             .filter(file => /from "undici"/.test(readFileSync(file, "utf8")));
