Let callers with unread bytes see that an answer without a framing was broken off

A reset behind bytes that a caller has not read reads as an orderly end (Node 20 here, up to 100 KB unread), and discards what has not arrived: with events of 60 KB the bytes that were left ended between two events.

Cause: an answer without a framing had one way to say that it is broken off, and that one does not reach a caller who is behind.

Change: such a stream ends inside an event, which the users' pages define as broken off: an event that is begun and has no data, so that it has no effect at its reader. The connection is then reset as before if the answer is so short (16 KB) that all of it has arrived, and otherwise closed in order, so that nothing is discarded; a caller that takes nothing for a second is reset. Other bodies without a framing are reset as before. Ruled out: a delayed reset (who reads later is still misled, and everyone else waits).

The site of the tests now reads with the agent of src/upstream: the plain one takes a reset of an answer without a framing for its end.

--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -3,6 +3,17 @@
  */
 import type { Refusal } from "../common/index.js";
 
+/** How an answer that follows in pieces ends. */
+export interface ReplyEnd {
+    /** Whether it has a framing. Without one, it ends with its connection and does not claim to be complete. */
+    readonly hasKnownEnd: boolean;
+    /**
+     * Bytes after which the body is certainly incomplete. An answer without a framing ends with them if it is broken off, as its caller
+     * may not see that the connection was reset.
+     */
+    readonly incompleteEnd?: Buffer | undefined;
+}
+
 /** Sends the answer to the caller of one request. */
 export interface CallerReply {
     /** Whether any byte of an answer may have reached the caller. */
@@ -17,11 +28,8 @@
      * @returns Undefined when there is nothing to wait for.
      */
     confirmCaller(): Promise<void> | undefined;
-    /**
-     * Starts an answer whose body follows in pieces.
-     * @param options - Without a known end, the answer ends with its connection and does not claim to be complete.
-     */
-    start(status: number, headers: readonly string[], options?: { readonly hasKnownEnd: boolean; }): void;
+    /** Starts an answer whose body follows in pieces. */
+    start(status: number, headers: readonly string[], end?: ReplyEnd): void;
     /**
      * Writes a piece of the body. Resolves at once unless more waits for the caller than its bound allows; if that lasts, the caller
      * is given up, which aborts `disconnected`.
--- a/src/forwarding/streamEnd.ts
+++ b/src/forwarding/streamEnd.ts
@@ -5,6 +5,8 @@
 import { successStatus, type UpstreamAnswer } from "./upstreamCall.js";
 
 const eventStreamType = "text/event-stream";
+/** An event without data has no effect at its reader. */
+const unfinishedEvent = Buffer.from("event: broken-off\n");
 
 /**
  * What is known of a stream that has ended.
@@ -30,3 +32,11 @@
 function isEventStream({ status, mediaType }: UpstreamAnswer, { hasEvents }: EventSplitter): boolean {
     return status === successStatus && (mediaType === undefined ? hasEvents : mediaType === eventStreamType);
 }
+
+/**
+ * Returns bytes after which a stream is certainly incomplete, since they end inside an event.
+ * @param answer - The head of the answer.
+ */
+export function getIncompleteEnd({ status, mediaType }: UpstreamAnswer): Buffer | undefined {
+    return status === successStatus && (mediaType ?? eventStreamType) === eventStreamType ? unfinishedEvent : undefined;
+}
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -16,6 +16,7 @@
 import { createAnswerRefusal } from "./refusals.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
+import { getIncompleteEnd } from "./streamEnd.js";
 import { StreamRelay } from "./streamRelay.js";
 import { isCertainlyNotRun, minServerErrorStatus, successStatus } from "./upstreamCall.js";
 
@@ -213,7 +214,8 @@
             return true;
         }
         if (!reply.hasStarted) {
-            reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd || route.isResumable });
+            const hasKnownEnd = answer.hasKnownEnd || route.isResumable;
+            reply.start(answer.status, answer.headers, { hasKnownEnd, incompleteEnd: getIncompleteEnd(answer) });
         }
         const result = await this.#relay.relay(relayed);
         if (result.kind === "silent") {
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { type PresenceCheck, type Refusal, watchConnection } from "../common/index.js";
-import type { CallerReply, ReplyBound, ReplyBuffer, ReplyBuffers } from "../forwarding/index.js";
+import type { CallerReply, ReplyBound, ReplyBuffer, ReplyBuffers, ReplyEnd } from "../forwarding/index.js";
 import { findHeader } from "./headers.js";
 import { headerNames } from "./wire.js";
 
@@ -13,6 +13,11 @@
  * upstream cuts off an answer that stays unread for some seconds.
  */
 const maxFullMilliseconds = 1_000;
+/**
+ * Bytes that have reached a caller although it reads nothing. A reset discards what has not, which can leave a broken-off answer that ends
+ * between two events.
+ */
+const arrivedBytes = 16 * 1024;
 
 /** Called with a request whose caller was given up, the bound that was exceeded, and the bytes that were held. */
 export type DroppedCallerListener = (request: string, bound: ReplyBound, heldBytes: number) => void;
@@ -61,7 +66,7 @@
     /** Bytes that the connection had written before this answer. */
     readonly #bytesBefore: number;
     #requestId: string | undefined;
-    #hasKnownEnd = true;
+    #end: ReplyEnd = { hasKnownEnd: true };
     /** Lets the writer go on that waits for its caller. */
     #wakeWriter: (() => void) | undefined;
 
@@ -97,7 +102,7 @@
     }
 
     get hasKnownEnd(): boolean {
-        return this.#hasKnownEnd;
+        return this.#end.hasKnownEnd;
     }
 
     get disconnected(): AbortSignal {
@@ -108,9 +113,9 @@
         return this.#presence.confirm();
     }
 
-    start(status: number, headers: readonly string[], options = { hasKnownEnd: true }): void {
-        this.#hasKnownEnd = options.hasKnownEnd;
-        if (!options.hasKnownEnd) {
+    start(status: number, headers: readonly string[], end: ReplyEnd = { hasKnownEnd: true }): void {
+        this.#end = end;
+        if (!end.hasKnownEnd) {
             // Neither a length nor chunked encoding: the answer ends with its connection, as it did at the upstream.
             this.#response.useChunkedEncodingByDefault = false;
             this.#response.shouldKeepAlive = false;
@@ -159,16 +164,37 @@
     }
 
     abort(reason: string): void {
-        if (!this.#disconnection.signal.aborted && !this.#response.writableFinished) {
-            const writtenBytes = this.#connection.bytesWritten - this.#bytesBefore;
+        const isPresent = !this.#disconnection.signal.aborted;
+        const writtenBytes = this.#connection.bytesWritten - this.#bytesBefore;
+        if (isPresent && !this.#response.writableFinished) {
             this.#onBroken({ request: this.#requestId ?? "", reason, writtenBytes });
         }
-        if (this.#hasKnownEnd) {
+        const { hasKnownEnd, incompleteEnd } = this.#end;
+        if (hasKnownEnd) {
             this.#closeConnection(connection => connection.destroy());
-            return;
         }
-        // An answer without a length ends with its connection. Closed in order, a truncated one would look complete.
-        this.#reset();
+        else if (incompleteEnd !== undefined && isPresent) {
+            this.#endIncomplete(incompleteEnd, writtenBytes);
+        }
+        else {
+            // An answer without a length ends with its connection. Closed in order, a truncated one would look complete.
+            this.#reset();
+        }
+    }
+
+    /** Ends the answer with bytes that tell that it is incomplete, also to a caller that reads a reset as an orderly end. */
+    #endIncomplete(bytes: Buffer, writtenBytes: number): void {
+        const timer = setTimeout(() => this.#reset(), maxFullMilliseconds);
+        this.#response.write(bytes, () => {
+            clearTimeout(timer);
+            if (writtenBytes <= arrivedBytes) {
+                this.#reset();
+            }
+            else {
+                this.#response.end();
+            }
+        });
+        this.#disconnect();
     }
 
     /** Resets the connection, which also frees what the kernel holds for it. */
--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -6,12 +6,15 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
-import { Agent, request as sendRequest } from "undici";
+import { request as sendRequest } from "undici";
 import type { EventLine } from "../../src/events/index.js";
 import { endWithParent, waitUntil } from "../../src/testbench/index.js";
+import { createWatchedAgent } from "../../src/upstream/index.js";
 import { RunnerStandin } from "./standins/runnerStandin.js";
 import { StoreStandin } from "./standins/storeStandin.js";
 
+/** Time within which a node accepts a connection. */
+const connectMilliseconds = 10_000;
 const program = "deploy/launch.cjs";
 /** The options of the deployment. V8 accepts cached code only under the options with which it was compiled. */
 const runOptions = /^run = "node (.*?) deploy\/launch\.cjs/m.exec(readFileSync("deploy/system.toml", "utf8"))![1].split(
@@ -117,7 +120,7 @@
     /** The first three bytes of the site's addresses. */
     readonly prefix: string;
     readonly #folder = mkdtempSync(join(tmpdir(), "platform-site-"));
-    readonly #agent = new Agent();
+    readonly #agent = createWatchedAgent(connectMilliseconds);
     readonly #bounds: Readonly<Record<string, number>>;
     /** Functions that stop what tests have started at this site. */
     readonly #cleanups: (() => Promise<void>)[] = [];
