Claim no end of a stream that its runner has not stated

Callers saw: 200 in chunks with the last chunk and 6 of 12 events, connection kept, where the runner had neither a length nor chunks and ended in order; and whole answers that were broken off after 12 of 12 events, after three attempts, where another node relayed them.

Cause: on resumable routes every stream was begun in chunks, since what is missing could be asked for elsewhere. At its end, a runner whose address accepted a connection was taken for one that had sent everything. That is a guess: a runner that breaks off in order and runs on, or is back, accepts as well; and a node that cannot reach the runner at all asked the same question and broke off whole answers.

Change: the caller's answer has a framing if that of the first runner had one. An end that no runner has stated is passed on as what it is, in order and without a framing, with no second attempt. Another runner is asked for the rest in two cases: the runner has crashed (its address refuses connections while others of the pool accept them, as the watch for crashes asks), or the caller's answer was begun with a framing that would claim the end. If that one has nothing more, the answer was whole. Where nobody can be asked, an answer without a framing ends in order and one with a framing is broken off. Ruled out: asking another runner at each such end, which costs an attempt for each stream where runners use no framing; and all streams without a framing, which costs each caller a connection.

The test of a living runner now also holds the framing: nothing is claimed. New tests: the rest of a framed stream without a framing, with and without somebody to ask.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -103,8 +103,8 @@
     readonly drop: (reason: string) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
-    /** Returns whether the upstream certainly runs on: it accepts a connection of this node. */
-    readonly isUpstreamUp: () => Promise<boolean>;
+    /** Returns whether the upstream has crashed as far as this node can tell: nothing listens at its address any more. */
+    readonly hasUpstreamCrashed: () => Promise<boolean>;
     /** Cancels the call at the upstream. */
     readonly cancel: () => void;
 }
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -42,8 +42,8 @@
     readonly observer: UpstreamObserver;
     /** Learns how long upstreams take. Without it, nothing is measured. */
     readonly paces?: Pick<RunnerPaces, "add">;
-    /** Opens a connection to an address and closes it. Returns whether that succeeded. */
-    readonly isAcceptingConnections: (address: string) => Promise<boolean>;
+    /** Opens a connection to an address and closes it. Returns whether it was refused because the upstream there has crashed. */
+    readonly isRefusingConnections: (address: string) => Promise<boolean>;
     /** Called when an attempt starts. */
     readonly onStart: (attempt: StartedAttempt) => AttemptObserver;
 }
@@ -234,13 +234,13 @@
         const answer = isWarmingUp
             ? result.value
             : this.#measure(request, upstream, result.value, headMilliseconds, attemptObserver.onPause);
-        const isUpstreamUp = (): Promise<boolean> => this.#options.isAcceptingConnections(upstream.address);
+        const hasUpstreamCrashed = (): Promise<boolean> => this.#options.isRefusingConnections(upstream.address);
         const { cancel } = cancellation;
         const drop = (reason: string): void => {
             isServed = false;
             finish("ok", reason, "stopped");
         };
-        return ok({ upstream, answer, finish, drop, cancel, markSeen, isUpstreamUp });
+        return ok({ upstream, answer, finish, drop, cancel, markSeen, hasUpstreamCrashed });
     }
 
     /** Measures how long a successful answer takes: a stream by the pauses between its parts, another one by its head. */
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -7,7 +7,7 @@
 import { recheckMilliseconds } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
 import type { StreamAnswer } from "./streamAnswer.js";
-import { judgeStreamEnd } from "./streamEnd.js";
+import { judgeStreamEnd, type StreamEnd } from "./streamEnd.js";
 import { successStatus } from "./upstreamCall.js";
 
 /**
@@ -22,7 +22,7 @@
 
 /** Result of relaying an answer. */
 export type RelayResult =
-    | { readonly kind: "complete"; }
+    | { readonly kind: "ended"; readonly end: Exclude<StreamEnd, "inside-event">; }
     | { readonly kind: "silent"; readonly reason: string; }
     | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
 
@@ -135,10 +135,6 @@
         return Math.max(minPauseTimeoutMilliseconds, objective * pauseTimeoutFactor);
     }
 
-    /**
-     * Evaluates the end of a stream. A runner that crashes may end one without a known end in the same way as a complete one. One that may
-     * be incomplete is resumed after its last event. If it was complete, no events follow.
-     */
     async #evaluateEnd({ attempt, splitter }: StreamAnswer): Promise<RelayResult> {
         const end = judgeStreamEnd(attempt.answer, splitter);
         if (end === "inside-event") {
@@ -149,10 +145,7 @@
         if (remainder.length > 0) {
             await this.#options.exchange.reply.write(remainder);
         }
-        if (end === "unstated" && this.#options.exchange.route.isResumable && !await attempt.isUpstreamUp()) {
-            return { kind: "broken", reason: "the answer may be incomplete", isDisconnected: true };
-        }
-        return { kind: "complete" };
+        return { kind: "ended", end };
     }
 
     async #writeEvents({ splitter }: StreamAnswer, bytes: Buffer): Promise<void> {
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -13,8 +13,8 @@
 import type { RegisteredUpstream } from "../fleet/index.js";
 import { AnswerBuffers, Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
-import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
+import { createNodeCrashProbe } from "./relayParts.js";
 import { getSession, watchAttempt } from "./rolloutParts.js";
 
 /** A node that has just started does not know all others yet, and they do not know it. */
@@ -115,7 +115,7 @@
         isReachable: pool => !parts.reachability.isUnreachable(pool) || parts.relayPeers.canReach(pool),
         crashWatch: parts.crashWatch,
         paces: parts.paces,
-        isAcceptingConnections,
+        isRefusingConnections: createNodeCrashProbe(parts),
         getBudget: budgets,
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
         onStart: attempt => watchAttempt(rollouts, attempt),
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -289,19 +289,67 @@
         expect(lines.find(line => line.name === "attempt-ended")?.outcome).toEqual("cancelled");
     });
 
-    it("takes a stream without a known end that ended between events at a living runner as complete", async () => {
+    // Guards against a claim that no runner has made.
+    it("ends a stream without a known end that ended between events at a living runner as it did, and claims nothing", async () => {
         const { send, calls, quarantine } = createStreamForwarder(() =>
             createAnswer([createEvent(1), createEvent(2)], { confidence: 80, hasKnownEnd: false })
         );
         const caller = await send();
-        expect([caller.chunks.join(""), caller.isComplete, calls.length]).toEqual([
+        expect([caller.chunks.join(""), caller.isComplete, caller.hasKnownEnd, calls.length]).toEqual([
             createEvent(1) + createEvent(2),
             true,
+            false,
             1,
         ]);
         expect(quarantine.countQuarantined()).toEqual(0);
     });
 
+    // Guards against a sound answer that is cut since its runner has stopped after it and nobody else is left.
+    it("ends a stream in the same way whose runner has crashed, if no other one is asked", async () => {
+        const { send, calls } = createStreamForwarder(
+            () => createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false }),
+            { maxAttempts: 1 },
+            ["u1", "u2", "u3"],
+        );
+        const caller = await send();
+        expect([caller.isComplete, caller.hasKnownEnd, caller.isAborted, calls.length]).toEqual([
+            true,
+            false,
+            false,
+            1,
+        ]);
+    });
+
+    describe("a stream whose first part had a known end and whose rest has none", () => {
+        const answerParts = (third: readonly string[], hasKnownEnd: boolean): UpstreamBehaviour => (...[, , count]) => {
+            const parts = [
+                createAnswer([createEvent(1)], { confidence: 80, breaksConnection: true }),
+                createAnswer([createEvent(2)], { confidence: 80, hasKnownEnd: false }),
+            ];
+            return parts.at(count - 1) ?? createAnswer(third, { confidence: 80, hasKnownEnd });
+        };
+
+        // Guards against a part that is framed as complete although its runner has not said so.
+        it("is complete if another runner has nothing more, and goes on otherwise", async () => {
+            for (const [third, hasKnownEnd] of [[[], true], [[], false], [[createEvent(3)], true]] as const) {
+                const { send, calls } = createStreamForwarder(answerParts(third, hasKnownEnd), { maxAttempts: 4 });
+                const caller = await send();
+                expect([caller.chunks.join(""), caller.isComplete, caller.hasKnownEnd]).toEqual([
+                    [createEvent(1), createEvent(2), ...third].join(""),
+                    true,
+                    true,
+                ]);
+                expect(calls.map(({ call }) => call.lastEventId)).toEqual([undefined, "1", "2"]);
+            }
+        });
+
+        it("is broken off if nobody can be asked", async () => {
+            const { send, calls } = createStreamForwarder(answerParts([], true), { maxAttempts: 2 });
+            const caller = await send();
+            expect([caller.isAborted, caller.isComplete, calls.length]).toEqual([true, false, 2]);
+        });
+    });
+
     // Guards against a truncated stream that looks complete to its caller.
     it("resumes a stream without a known end that ended inside an event, or whose runner has crashed", async () => {
         for (
