Keep in the product's own interface what a service has said of the end of its answer

Callers would see: an answer of a plain service without a length, as the entry sent it in chunks with the last chunk, whether the service's connection had ended in order or by a reset; under an idempotency key the same half answer again and again.

ServiceClient read such a body to its end and the reply had a framing of its own; the agent had no check of resets. Now an answer keeps whether its end is known, in the reply and in the stored one. Chat answers need nothing of it: they end with an event that says so.

--- a/src/entry/storedAnswer.ts
+++ b/src/entry/storedAnswer.ts
@@ -13,6 +13,8 @@
     status: z.number().int(),
     headers: z.record(z.string(), z.string()),
     body: z.string().optional(),
+    /** Absent in answers that were stored before. They were delivered as complete. */
+    hasKnownEnd: z.boolean().default(true),
 });
 
 /**
@@ -23,7 +25,8 @@
     const body = answer.body.byteLength <= maxStoredBodyBytes
         ? Buffer.from(answer.body).toString("base64")
         : undefined;
-    return JSON.stringify({ status: answer.status, headers: answer.headers, body });
+    const { status, headers, hasKnownEnd } = answer;
+    return JSON.stringify({ status, headers, body, hasKnownEnd });
 }
 
 /**
@@ -45,6 +48,7 @@
         status: stored.status,
         headers: stored.headers,
         body: Buffer.from(stored.body, "base64"),
+        hasKnownEnd: stored.hasKnownEnd,
         loadHeader: undefined,
     });
 }
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -6,6 +6,7 @@
 import { z } from "zod";
 import { Failure } from "../common/index.js";
 import type { Vm } from "../world/index.js";
+import { hasFraming } from "./answerEnd.js";
 import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
 import { getOrigin } from "./engineClient.js";
 import { classifyCallError, classifyRefusal, type UpstreamFailure } from "./upstreamFailure.js";
@@ -28,6 +29,8 @@
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
+    /** Whether the service has said that the body is complete. It has not if the body has neither a length nor chunks. */
+    readonly hasKnownEnd: boolean;
     /** The service's reported load as `running/waiting/capacity`. */
     readonly loadHeader: string | undefined;
 }
@@ -112,6 +115,7 @@
             status: response.statusCode,
             headers: pickHeaders(response.headers),
             body: Buffer.concat(parts),
+            hasKnownEnd: hasFraming(Object.keys(response.headers)) || size === 0,
             loadHeader: getSingleHeader(response.headers["x-load"]),
         });
     }
