Move the ending of an answer and the selected upstream out of long files and a circle of imports

SelectedUpstream is in a file of its own, so that attempt, exchange and upstreamSelection no longer import each other in a circle. No behaviour is changed; the tests of streams and calls are green.

--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -7,12 +7,8 @@
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
 import type { ForwardingMetrics } from "./metrics.js";
-import {
-    fullLoad,
-    type SelectedUpstream,
-    type UpstreamSelection,
-    type UpstreamSelectionOptions,
-} from "./upstreamSelection.js";
+import type { SelectedUpstream } from "./selectedUpstream.js";
+import { fullLoad, type UpstreamSelection, type UpstreamSelectionOptions } from "./upstreamSelection.js";
 import type { WaitingRoom } from "./waitingRoom.js";
 
 /** Options of `AttemptAdmission`. */
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -22,6 +22,7 @@
 import type { Exchange } from "./exchange.js";
 import type { WatchedHead } from "./headWatch.js";
 import { PendingAttempt } from "./pendingAttempt.js";
+import type { SelectedUpstream } from "./selectedUpstream.js";
 import {
     type ReportedLoad,
     successStatus,
@@ -30,7 +31,7 @@
     type UpstreamTransport,
 } from "./upstreamCall.js";
 import type { UpstreamObserver } from "./upstreamObserver.js";
-import { type SelectedUpstream, UpstreamSelection } from "./upstreamSelection.js";
+import { UpstreamSelection } from "./upstreamSelection.js";
 
 /** Options of `Attempts`. */
 export interface AttemptsOptions extends AttemptAdmissionOptions {
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -8,8 +8,8 @@
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
 import { type CallerRequest, getPath } from "./callerRequest.js";
+import type { SelectedUpstream } from "./selectedUpstream.js";
 import { createStopFailure } from "./shutdown.js";
-import type { SelectedUpstream } from "./upstreamSelection.js";
 
 /** Options of an exchange. */
 export interface ExchangeOptions {
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -14,15 +14,13 @@
 import type { ForwardingMetrics } from "./metrics.js";
 import { ModelCascade } from "./modelCascade.js";
 import { createAnswerRefusal } from "./refusals.js";
+import { ReplyEnding } from "./replyEnding.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
-import { getIncompleteEnd, type StreamEnd } from "./streamEnd.js";
+import { getIncompleteEnd } from "./streamEnd.js";
 import { StreamRelay } from "./streamRelay.js";
 import { isCertainlyNotRun, minServerErrorStatus, successStatus } from "./upstreamCall.js";
 
-/** Why an answer is broken off that its caller would take for whole. */
-const unstatedReason = "the answer may be incomplete";
-
 /** Options of `StreamExchange`. */
 export interface StreamExchangeOptions {
     readonly exchange: Exchange;
@@ -50,8 +48,7 @@
     /** Answer that goes on unless the attempt that is to replace it begins before. */
     #silent: SilentAnswer | undefined;
     readonly #failed = new FailedAnswer();
-    /** Whether what the caller has is either whole or broken off: the last part ended in order, without a framing and between events. */
-    #mayBeWhole = false;
+    readonly #ending: ReplyEnding;
     readonly #relay: StreamRelay;
 
     constructor(options: StreamExchangeOptions) {
@@ -63,6 +60,7 @@
         this.#pressure = pressure;
         this.#cascade = new ModelCascade({ exchange, attempts, budget, pressure, journal, metrics });
         this.#watch = headTimes.watch(exchange, budget);
+        this.#ending = new ReplyEnding(exchange, () => this.#canRepeat());
         this.#relay = new StreamRelay({
             exchange,
             answerBuffers,
@@ -215,7 +213,7 @@
         const { answer } = attempt;
         const { route, reply } = this.#exchange;
         if (reply.hasStarted && answer.status !== successStatus) {
-            this.#endOrAbort(this.#rejectContinuation(attempt));
+            this.#ending.breakOff(this.#rejectContinuation(attempt));
             return true;
         }
         if (!reply.hasStarted) {
@@ -232,9 +230,9 @@
         if (result.kind === "ended") {
             const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
             attempt.finish(outcome, `status ${answer.status}`, result.end === "whole" ? "complete" : "stopped");
-            return this.#handleEnd(attempt, result.end, hasEvents);
+            return this.#ending.end(attempt, result.end, hasEvents);
         }
-        this.#mayBeWhole &&= !hasEvents;
+        this.#ending.markBroken(hasEvents);
         const end = result.isDisconnected ? "disconnected" : "stopped";
         attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", result.reason, end);
         attempt.cancel();
@@ -243,40 +241,10 @@
         ) {
             return false;
         }
-        this.#endOrAbort(result.reason);
-        return true;
-    }
-
-    /**
-     * Ends an answer whose runner has ended it. Where that runner has not said that it is whole, another one is asked for the rest if the
-     * caller would be told so, or if the runner has crashed. If that one has nothing more, the answer was whole.
-     * @returns Whether the exchange has ended.
-     */
-    async #handleEnd(attempt: Attempt, end: StreamEnd, hasEvents: boolean): Promise<boolean> {
-        const { ended, reply, route } = this.#exchange;
-        if (end === "whole" || (this.#mayBeWhole && !hasEvents)) {
-            reply.end();
-            return true;
-        }
-        this.#mayBeWhole = true;
-        const mayAsk = route.isResumable && attempt.answer.status === successStatus && !ended.aborted;
-        if (mayAsk && (reply.hasKnownEnd || await attempt.hasUpstreamCrashed()) && this.#canRepeat()) {
-            return false;
-        }
-        this.#endOrAbort(unstatedReason);
+        this.#ending.breakOff(result.reason);
         return true;
     }
 
-    /** Ends an answer that may be whole if its caller is not told that it is; otherwise breaks it off. */
-    #endOrAbort(reason: string): void {
-        const { reply } = this.#exchange;
-        if (this.#mayBeWhole && !reply.hasKnownEnd) {
-            reply.end();
-            return;
-        }
-        reply.abort(reason);
-    }
-
     #canRepeat(): boolean {
         return this.#exchange.reservation !== undefined
             || hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
@@ -310,7 +278,7 @@
     #fail(error: AttemptFailure): void {
         const { reply } = this.#exchange;
         if (reply.hasStarted) {
-            this.#endOrAbort(error.kind === "not-made" ? `not resumed: ${error.reason}` : error.failure.reason);
+            this.#ending.breakOff(error.kind === "not-made" ? `not resumed: ${error.reason}` : error.failure.reason);
             return;
         }
         reply.refuse(createAnswerRefusal(this.#exchange, error, this.#pressure, {
--- a/src/forwarding/upstreamSelection.ts
+++ b/src/forwarding/upstreamSelection.ts
@@ -6,6 +6,7 @@
 import type { VersionSelection } from "../rollouts/index.js";
 import type { AttemptFailure } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
+import type { SelectedUpstream } from "./selectedUpstream.js";
 
 /** Load of an upstream whose slots are all in use, as a share of them. */
 export const fullLoad = 1;
@@ -20,13 +21,6 @@
     readonly selectVersion: (exchange: Exchange, candidates: readonly RegisteredUpstream[]) => VersionSelection;
 }
 
-/** An upstream that was selected. */
-export interface SelectedUpstream {
-    readonly pick: UpstreamPick;
-    /** Why its version serves the request, for log lines. */
-    readonly versionReason: string | undefined;
-}
-
 /** Selects upstreams for attempts. */
 export class UpstreamSelection {
     readonly #options: UpstreamSelectionOptions;
