Let the platform's soak break answers off in each framing, and fail on one that passes for whole

An answer that has nothing against it must be whole, and one whose last run ended well must not be cut. Allowed is one case: without a framing, in order, between events, if the runner ended it so or crashed, or the node was killed, as nobody can tell then.

--- a/test/platform/soak/main.ts
+++ b/test/platform/soak/main.ts
@@ -3,7 +3,8 @@
  * `--rollout` the pool moves to a new version meanwhile, with `--limit` one more runner states a rate limit, with
  * `--cuts` nodes lose the paths to all runners, with `--statements` two more runners leave and ask for rest, with
  * `--crashes` a part of prompts crashes runners, with `--returns` the store comes back from older copies of itself, with
- * `--silences` runners fall silent after changes of the configuration. `--lines N` prints what nodes wrote of the first N lost requests.
+ * `--silences` runners fall silent after changes of the configuration, with `--framings` answers come in each framing and are broken off
+ * in each way. `--lines N` prints what nodes wrote of the first N lost requests.
  */
 import { parseArgs } from "node:util";
 import { type PlatformSoakOptions, runPlatformSoak } from "./platformSoak.js";
@@ -20,6 +21,7 @@
         crashes: { type: "boolean", default: false },
         returns: { type: "boolean", default: false },
         silences: { type: "boolean", default: false },
+        framings: { type: "boolean", default: false },
         lines: { type: "string", default: "3" },
         rollout: { type: "boolean", default: false },
     },
@@ -37,6 +39,7 @@
         hasCrashes: values.crashes,
         hasReturns: values.returns,
         hasSilences: values.silences,
+        hasFramings: values.framings,
     };
     const { violations, timeLine, requests, served, excused, lost, lines } = await runPlatformSoak(options);
     const excuses = [...excused].map(([excuse, count]) => `${count} ${excuse}`).join(", ");
--- a/test/platform/soak/platformSoak.test.ts
+++ b/test/platform/soak/platformSoak.test.ts
@@ -14,6 +14,7 @@
         readonly hasCrashes?: boolean;
         readonly hasReturns?: boolean;
         readonly hasSilences?: boolean;
+        readonly hasFramings?: boolean;
     },
 ): string {
     return `${options.hasRollout ? ", in a roll-out" : ""}${options.hasLimit === true ? ", with a stated limit" : ""}${
@@ -22,7 +23,7 @@
         options.hasCrashes === true ? ", with a part of prompts that crashes runners" : ""
     }${options.hasReturns === true ? ", with a store that comes back from older copies" : ""}${
         options.hasSilences === true ? ", with runners that fall silent" : ""
-    }`;
+    }${options.hasFramings === true ? ", with answers that are broken off in each framing" : ""}`;
 }
 
 describe("runPlatformSoak", () => {
@@ -48,12 +49,24 @@
         { seed: 13, prefix: "127.72.68", hasRollout: true, hasReturns: true },
         // Each request needs a whole answer or refusal as all runners fall silent shortly after changes of the configuration.
         { seed: 15, prefix: "127.72.73", hasRollout: false, hasSilences: true },
+        // No answer that was broken off may pass for whole, and no sound one may be cut, in whatever framing runners answer.
+        { seed: 17, prefix: "127.72.126", hasRollout: false, hasFramings: true },
     ];
     for (
-        const { seed, prefix, hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns, hasSilences }
-            of seeds
+        const {
+            seed,
+            prefix,
+            hasRollout,
+            hasLimit,
+            hasCuts,
+            hasStatements,
+            hasCrashes,
+            hasReturns,
+            hasSilences,
+            hasFramings,
+        } of seeds
     ) {
-        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns, hasSilences })}`, async () => {
+        it(`violates no guarantee under the faults of seed ${seed}${describeOptions({ hasRollout, hasLimit, hasCuts, hasStatements, hasCrashes, hasReturns, hasSilences, hasFramings })}`, async () => {
             const { violations, timeLine, served } = await runPlatformSoak({
                 seed,
                 milliseconds: soakMilliseconds,
@@ -65,6 +78,7 @@
                 hasCrashes,
                 hasReturns,
                 hasSilences,
+                hasFramings,
             });
             // A few lines suffice, and comparing thousands of them would take minutes.
             const lines = violations.length === 0 ? [] : [...violations.slice(0, maxLines), ...timeLine];
--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -7,9 +7,10 @@
 import { waitUntil } from "../../../src/testbench/index.js";
 import { PlatformSite } from "../platformSite.js";
 import { RunnerSet } from "./runnerSet.js";
-import { SoakCallers } from "./soakCallers.js";
+import { type ObservedRequest, SoakCallers } from "./soakCallers.js";
 import { findViolations } from "./soakChecks.js";
 import { SoakConfiguration } from "./soakConfiguration.js";
+import { SoakFramings } from "./soakFramings.js";
 import { describeIncomplete, findIncomplete, type IncompleteRequest } from "./soakLosses.js";
 import { SoakNodes } from "./soakNodes.js";
 import { draw, SoakRecord, wait } from "./soakRecord.js";
@@ -32,6 +33,7 @@
 const runnerDownMilliseconds = 150;
 /** Difference between the seeds of the silences and of the other faults. */
 const silenceSeedOffset = 2;
+const framingSeedOffset = 3;
 const newVersion = "v2";
 const newRunnerCount = 3;
 /** Maximum time until a roll-out ends, counted from its deadline and the last fault. */
@@ -62,6 +64,11 @@
      * streams of several seconds. Draws its random numbers from a source of its own, so a seed's other faults are the same without it.
      */
     readonly hasSilences?: boolean;
+    /**
+     * Whether answers come in each framing and are broken off in each way, some of them before late readers. Draws its random numbers
+     * from a source of its own.
+     */
+    readonly hasFramings?: boolean;
 }
 
 /** Result of a soak test. */
@@ -97,6 +104,7 @@
     readonly #record = new SoakRecord();
     readonly #configuration: SoakConfiguration;
     readonly #runners: RunnerSet;
+    readonly #framings: SoakFramings | undefined;
     readonly #store: SoakStore;
     readonly #nodes: SoakNodes;
     readonly #activeFaults: Promise<void>[] = [];
@@ -107,12 +115,16 @@
         this.#options = options;
         this.#random = new RandomSource(options.seed);
         this.#site = new PlatformSite(options.prefix);
+        this.#framings = options.hasFramings === true
+            ? new SoakFramings(new RandomSource(options.seed + framingSeedOffset))
+            : undefined;
         this.#runners = new RunnerSet({
             site: this.#site,
             random: this.#random,
             hasLimit: options.hasLimit === true,
             hasStatements: options.hasStatements === true,
             hasCrashes: options.hasCrashes === true,
+            framings: this.#framings,
         });
         this.#configuration = new SoakConfiguration(this.#site, this.#record, options.hasSilences === true);
         const parts = { site: this.#site, random: this.#random, record: this.#record };
@@ -135,6 +147,7 @@
             getKey: () => this.#configuration.drawKey(),
             hasPrompts: this.#options.hasCrashes === true,
             hasLongStreams: this.#options.hasSilences === true,
+            hasLateReaders: this.#options.hasFramings === true,
         });
         callers.start(concurrentRequests);
         if (this.#options.hasRollout === true) {
@@ -158,6 +171,7 @@
             this.#runners.executed,
             this.#configuration.revoked,
             revocationMilliseconds,
+            request => this.#framings?.hasUnstatedBreak(request.id) === true || this.#wasKilled(request),
         );
         const statementViolations = this.#runners.findViolations(callers, this.#nodes.outages);
         const incomplete = findIncomplete({
@@ -179,6 +193,13 @@
         };
     }
 
+    /** Returns whether the node of a request was killed as its answer ended. */
+    #wasKilled({ address, sentAt, endedAt }: ObservedRequest): boolean {
+        return this.#nodes.faults.some(({ node, kind, from, until }) =>
+            kind === "killed" && node === address && from <= endedAt && sentAt <= until
+        );
+    }
+
     async stop(): Promise<void> {
         this.#nodes.ignoreExits();
         await this.#site.stop();
@@ -253,6 +274,7 @@
         const faultMilliseconds = minFaultMilliseconds
             + this.#random.nextInteger(maxFaultMilliseconds - minFaultMilliseconds);
         const faults = [
+            ...this.#options.hasFramings === true ? [() => this.#injectRunnerFault(faultMilliseconds, "truncate")] : [],
             () => this.#nodes.stopNode("SIGKILL", faultMilliseconds),
             () => this.#nodes.stopNode("SIGTERM", faultMilliseconds),
             () => this.#nodes.pauseNode(faultMilliseconds),
@@ -269,9 +291,9 @@
         this.#activeFaults.push(Promise.resolve(draw(this.#random, faults)()));
     }
 
-    async #injectRunnerFault(faultMilliseconds: number): Promise<void> {
+    async #injectRunnerFault(faultMilliseconds: number, chosen?: RunnerFault): Promise<void> {
         const id = draw(this.#random, this.#runnerIds);
-        const fault = draw(this.#random, runnerFaults);
+        const fault = chosen ?? draw(this.#random, runnerFaults);
         this.#record.addFault(`runner ${id}: ${fault} for ${faultMilliseconds} ms`);
         this.#runners.set(id, fault);
         await wait(faultMilliseconds);
--- a/test/platform/soak/runnerSet.ts
+++ b/test/platform/soak/runnerSet.ts
@@ -8,6 +8,7 @@
 import type { SoakCallers } from "./soakCallers.js";
 import type { ExecutedRequest } from "./soakChecks.js";
 import { type Crash, findCrashViolations, isCrashing } from "./soakCrashes.js";
+import type { SoakFramings } from "./soakFramings.js";
 import { findLimitViolations, type LimitedArrival, type NodeOutage, statedPerSecond } from "./soakLimit.js";
 import { cutOffUnread, SoakLoad } from "./soakLoads.js";
 import { createBehaviour, type RunnerFault } from "./soakRunners.js";
@@ -37,6 +38,8 @@
     readonly hasStatements: boolean;
     /** Whether a part of prompts crashes runners. */
     readonly hasCrashes: boolean;
+    /** Draws how answers are framed and broken off; undefined if all are alike. */
+    readonly framings: SoakFramings | undefined;
 }
 
 /** Sets how runners behave and records the requests that they ran or rejected. */
@@ -68,10 +71,10 @@
 
     /** Sets how a runner fails a share of its requests. */
     set(id: string, fault: RunnerFault): void {
-        const { site, random } = this.#options;
+        const { site, random, framings } = this.#options;
         const silence = this.#getSilence(id);
         const onFailure = (request: ReceivedRequest, failure: RunnerFailure): void => this.ends.fail(request, failure);
-        const behaviour = createBehaviour({ fault, share: faultShare, random, silence, onFailure });
+        const behaviour = createBehaviour({ fault, share: faultShare, random, silence, framings, onFailure });
         const load = this.#getLoad(id);
         site.runners.get(id)!.behaviour = async (request, response) => {
             this.#inHand.set(response, { runner: id, request });
@@ -85,7 +88,10 @@
             // One whose caller has left meanwhile runs all the same, but never closes again.
             if (!response.destroyed) {
                 load.add(response);
-                cutOffUnread(response, () => onFailure(request, "broken-off"));
+                cutOffUnread(response, () => {
+                    onFailure(request, "broken-off");
+                    framings?.markClosed(request);
+                });
             }
             if (isRejected) {
                 const headers = { "Attempt-Id": String(request.headers["attempt-id"]), "Not-Executed": "1" };
@@ -121,6 +127,7 @@
         for (const { runner, request } of this.#inHand.values()) {
             if (runner === id) {
                 this.ends.fail(request, "broken-off");
+                this.#options.framings?.markClosed(request);
             }
         }
         this.#restarts.set(id, (this.#restarts.get(id) ?? 0) + 1);
--- a/test/platform/soak/soakCallers.ts
+++ b/test/platform/soak/soakCallers.ts
@@ -1,6 +1,7 @@
 /** Callers of a soak test. They send requests to random nodes, keep connections open, and record what they observe. */
-import { Agent, request as sendRequest } from "undici";
+import { type Agent, buildConnector, request as sendRequest } from "undici";
 import type { RandomSource } from "../../../src/common/index.js";
+import { createAnswerAgent, halfOpen, hasFraming } from "../../../src/upstream/index.js";
 import { createPromptHeaders, createPromptParts } from "./soakCrashes.js";
 import { draw, wait } from "./soakRecord.js";
 import { createStreamPath, shortStream, type StreamShape } from "./soakRunners.js";
@@ -17,6 +18,9 @@
 const longIntervalMilliseconds = 40;
 const connectMilliseconds = 500;
 const pauseMilliseconds = 30;
+/** One stream in so many is read late, and for how long nothing of it is. */
+const lateReaderInterval = 3;
+const lateMilliseconds = 250;
 /** Pause between two requests that crash runners. */
 const crashingPauseMilliseconds = 150;
 const requestsPerSession = 5;
@@ -47,8 +51,10 @@
     readonly status: number | undefined;
     readonly isSealed: boolean;
     readonly body: string;
-    /** Whether the answer was complete. */
+    /** Whether nothing tells that the answer was broken off. */
     readonly isComplete: boolean;
+    /** Whether the answer had a framing, whose end says that it is complete. */
+    readonly isFramed: boolean;
 }
 
 /** Options of the callers of a soak test. */
@@ -61,6 +67,8 @@
     readonly getKey: () => string;
     /** Whether streams have prompts, and some of them a part that crashes runners. */
     readonly hasPrompts: boolean;
+    /** Whether callers of some streams begin late to read. */
+    readonly hasLateReaders: boolean;
     /** Whether there are also streams that last for several seconds. */
     readonly hasLongStreams: boolean;
 }
@@ -88,8 +96,8 @@
     constructor(options: SoakCallersOptions) {
         this.#options = options;
         const timeout = options.hasLongStreams ? longLeaveMilliseconds : leaveMilliseconds;
-        this.#agent = new Agent({
-            connect: { timeout: connectMilliseconds },
+        this.#agent = createAnswerAgent({
+            connect: buildConnector({ ...halfOpen, timeout: connectMilliseconds }),
             headersTimeout: timeout,
             bodyTimeout: timeout,
         });
@@ -126,6 +134,7 @@
         const sent = { id, address, kind, key, deadlineMilliseconds, sentAt: performance.now() };
         let status: number | undefined;
         let isSealed = false;
+        let isFramed = true;
         let failure: unknown;
         const pieces: Buffer[] = [];
         try {
@@ -137,6 +146,10 @@
             });
             status = response.statusCode;
             isSealed = response.headers["server-seal"] !== undefined;
+            isFramed = hasFraming(Object.keys(response.headers));
+            if (this.#options.hasLateReaders && kind === "stream" && this.#count % lateReaderInterval === 0) {
+                await wait(lateMilliseconds);
+            }
             for await (const piece of response.body as AsyncIterable<Buffer>) {
                 pieces.push(piece);
             }
@@ -145,14 +158,17 @@
             // The connection broke, or the node was unreachable. The part observed so far is recorded.
             failure = cause;
         }
+        const body = Buffer.concat(pieces).toString();
+        const isInsideEvent = kind === "stream" && status === 200 && !/(^|\n\n)$/.test(body);
         const observed = {
             ...sent,
             endedAt: performance.now(),
             events: kind === "stream" ? stream.events : undefined,
             status,
             isSealed,
-            body: Buffer.concat(pieces).toString(),
-            isComplete: failure === undefined,
+            body,
+            isComplete: failure === undefined && (isFramed || !isInsideEvent),
+            isFramed,
             hasConnected: !connectFailures.includes((failure as { readonly code?: string; } | undefined)?.code ?? ""),
             reason: failure === undefined ? undefined : String(failure),
         };
--- a/test/platform/soak/soakChecks.ts
+++ b/test/platform/soak/soakChecks.ts
@@ -16,12 +16,17 @@
     readonly at: number;
 }
 
-/** Returns the violations of the guarantees, one line each. */
+/**
+ * Returns the violations of the guarantees, one line each.
+ * @param mayBePartial - Returns whether an answer without a framing may end in order before its end: its runner ended it so, or its node
+ * was killed, so that nobody could tell.
+ */
 export function findViolations(
     observed: readonly ObservedRequest[],
     executed: readonly ExecutedRequest[],
     revoked: readonly RevokedKey[],
     revocationMilliseconds: number,
+    mayBePartial: (request: ObservedRequest) => boolean = () => false,
 ): readonly string[] {
     const counts = new Map<string, number>();
     for (const { request } of executed) {
@@ -30,7 +35,10 @@
     }
     const violations: string[] = [];
     for (const entry of observed) {
-        violations.push(...checkRuns(entry, counts.get(entry.id) ?? 0), ...checkAnswer(entry));
+        violations.push(
+            ...checkRuns(entry, counts.get(entry.id) ?? 0),
+            ...checkAnswer(entry, !entry.isFramed && mayBePartial(entry)),
+        );
     }
     const keys = new Map(revoked.map(({ key, at }) => [key, at]));
     const byId = new Map(observed.map(entry => [entry.id, entry]));
@@ -53,8 +61,10 @@
     }
 }
 
+/** @param mayBePartial - Whether the answer ended without a claim, and nobody can tell that it was broken off. */
 function* checkAnswer(
     { id, kind, status, isSealed, isComplete, body, events: eventCount }: ObservedRequest,
+    mayBePartial: boolean,
 ): Iterable<string> {
     if (status !== 200) {
         return;
@@ -63,7 +73,8 @@
         yield `${id} got a success without a runner's seal`;
     }
     if (kind !== "stream") {
-        if (isComplete && body !== createCompleteBody(id)) {
+        const whole = createCompleteBody(id);
+        if (isComplete && body !== whole && !(mayBePartial && whole.startsWith(body))) {
             yield `${id} got a wrong body in a complete answer: ${body}`;
         }
         return;
@@ -71,7 +82,7 @@
     const pattern = /id: (\d+)\ndata: (\S+)\n\n/g;
     const events = [...body.matchAll(pattern)];
     const isInOrder = events.every(([, event, owner], index) => Number(event) === index + 1 && owner === id);
-    if (!isInOrder || (isComplete && events.length !== eventCount)) {
+    if (!isInOrder || (isComplete && events.length !== eventCount && !mayBePartial)) {
         yield `${id} got a stream with a missing, repeated or foreign event: ${JSON.stringify(body)}`;
     }
 }
--- a/test/platform/soak/soakLosses.test.ts
+++ b/test/platform/soak/soakLosses.test.ts
@@ -27,6 +27,7 @@
     isSealed: true,
     body: brokenBody,
     isComplete: false,
+    isFramed: true,
     reason: "other side closed",
 };
 
--- a/test/platform/soak/soakRunners.ts
+++ b/test/platform/soak/soakRunners.ts
@@ -4,6 +4,7 @@
 import { createSeal, type ReceivedRequest, type RunnerBehaviour } from "../standins/runnerStandin.js";
 import type { RunnerFailure } from "./runEnds.js";
 import type { RunnerSilence } from "./runnerSilence.js";
+import type { SoakBreak, SoakFramings } from "./soakFramings.js";
 
 /** A stream's number of events and the time between them. */
 export interface StreamShape {
@@ -26,6 +27,8 @@
     readonly share: number;
     readonly random: RandomSource;
     readonly silence: RunnerSilence;
+    /** Draws how answers are framed and broken off. Without it, streams come in chunks and are cut inside an event. */
+    readonly framings?: SoakFramings | undefined;
     /** Called before the runner fails a request. */
     readonly onFailure: (request: ReceivedRequest, failure: RunnerFailure) => void;
 }
@@ -47,7 +50,7 @@
 
 /** Creates the behaviour of a runner that fails a share of its requests. */
 export function createBehaviour(options: SoakBehaviour): RunnerBehaviour {
-    const { fault, share, random, silence, onFailure } = options;
+    const { fault, share, random, silence, framings, onFailure } = options;
     return async (request, response) => {
         const isFaulty = fault !== "none" && random.next() < share;
         if (isFaulty && fault === "mute") {
@@ -68,11 +71,18 @@
         }
         const isTruncated = isFaulty && fault === "truncate";
         const answer = request.target.startsWith("/stream/") ? answerStream : answerUnary;
-        if (await answer({ request, response, isTruncated, silence }) === "truncated") {
-            await silence.wait(truncationMilliseconds);
-            onFailure(request, "broken-off");
+        const end = await answer({ request, response, isTruncated, silence, framings });
+        if (end === "whole" || end === "left") {
+            return;
+        }
+        await silence.wait(truncationMilliseconds);
+        onFailure(request, "broken-off");
+        if (framings === undefined) {
             response.socket?.destroy();
         }
+        else {
+            await framings.breakOff(request, response, end);
+        }
     };
 }
 
@@ -81,23 +91,30 @@
     readonly response: ServerResponse;
     readonly isTruncated: boolean;
     readonly silence: RunnerSilence;
+    readonly framings: SoakFramings | undefined;
 }
 
-function answerUnary({ request, response, isTruncated }: SoakAnswer): "whole" | "truncated" {
+/** How an answer ended, or where it is to be broken off. */
+type SoakEnd = "whole" | "left" | SoakBreak;
+
+function answerUnary({ request, response, isTruncated, framings }: SoakAnswer): SoakEnd {
     const body = createCompleteBody(String(request.headers["attempt-id"]));
-    response.writeHead(200, { ...createSeal(request), "Content-Length": String(body.length) });
+    response.setHeader("Content-Length", String(body.length));
+    framings?.begin(request, response, body.length);
+    response.writeHead(200, createSeal(request));
     if (isTruncated) {
         response.write(body.slice(0, body.length / 2));
-        return "truncated";
+        return "between";
     }
     response.end(body);
     return "whole";
 }
 
 async function answerStream(
-    { request, response, isTruncated, silence }: SoakAnswer,
-): Promise<"whole" | "truncated" | "left"> {
+    { request, response, isTruncated, silence, framings }: SoakAnswer,
+): Promise<SoakEnd> {
     const { events, intervalMilliseconds } = readStreamShape(request.target);
+    framings?.begin(request, response, getStreamLength(request, events));
     response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     for (let id = first; id <= events; id += 1) {
@@ -105,12 +122,28 @@
             return "left";
         }
         if (isTruncated && id === Math.floor((first + events) / 2)) {
-            response.write(`id: ${id}\nda`);
-            return "truncated";
+            const at = framings?.drawBreak(request) ?? "inside";
+            if (at !== "between") {
+                response.write(`id: ${id}\nda`);
+            }
+            return at;
         }
-        response.write(`id: ${id}\ndata: ${request.headers["attempt-id"]}\n\n`);
+        response.write(createSoakEvent(request, id));
         await silence.wait(intervalMilliseconds);
     }
     response.end();
     return "whole";
 }
+
+function createSoakEvent({ headers }: ReceivedRequest, id: number): string {
+    return `id: ${id}\ndata: ${headers["attempt-id"]}\n\n`;
+}
+
+/** Returns the bytes of the events that a whole answer to a request has. */
+function getStreamLength(request: ReceivedRequest, events: number): number {
+    let length = 0;
+    for (let id = Number(request.headers["last-event-id"] ?? 0) + 1; id <= events; id += 1) {
+        length += createSoakEvent(request, id).length;
+    }
+    return length;
+}
