Give a caller up only after two seconds in which nothing leaves for it

Cause: a caller counts as one that does not read when nothing leaves the process for a second. What leaves is told by the caller's system, which opens its window in steps of a share of a buffer of megabytes; at 800 KB a second, more than a second can pass between two of them.

Change: two seconds, for which callers themselves wait for a stream's next event at least; an upstream cuts an unread answer off after some seconds, so it is not reached. What the replies of slow callers hold is bounded as before. Ruled out: counting a caller's acknowledgements, which the runtime does not tell.

--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -12,7 +12,7 @@
  * How long a reply may hold more than its bound while nothing leaves the process before its caller counts as one that does not read. An
  * upstream cuts off an answer that stays unread for some seconds.
  */
-const maxFullMilliseconds = 1_000;
+const maxFullMilliseconds = 2_000;
 /**
  * Bytes that have reached a caller although it reads nothing. A reset discards what has not, which can leave a broken-off answer that ends
  * between two events.
--- a/test/platform/brokenOff/brokenOffAnswers.test.ts
+++ b/test/platform/brokenOff/brokenOffAnswers.test.ts
@@ -77,6 +77,12 @@
         expect(await findWrong(site, node, isResetBetween, { pacesUsed: ["slow"] })).toEqual([]);
     });
 
+    // Guards against a sound answer that is cut since its caller's system tells late that the caller has read on.
+    it("cuts no answer of a caller that reads slowly and steadily", async () => {
+        const isWhole: CaseFilter = ({ broken }) => broken === undefined;
+        expect(await findWrong(site, node, isWhole, { pacesUsed: ["slow"] })).toEqual([]);
+    });
+
     // Guards against a caller that reads an orderly end where its node has reset the connection.
     it("shows a caller with unread bytes that its answer was broken off", async () => {
         const isNoticed: CaseFilter = ({ framing, broken, end }, isResumable) =>
