Hold frozen nodes, calls and bookings against answers that are broken off

A node is stopped as a runner writes an answer without a framing and ends it, and goes on 0.4 s later; calls and bookings come in each framing, whole and broken off. For a call there is no end inside an event: what its runner framed is its whole.

--- a/test/platform/brokenOff/brokenOffAnswers.test.ts
+++ b/test/platform/brokenOff/brokenOffAnswers.test.ts
@@ -1,15 +1,17 @@
 import { expect } from "earl";
 import { writeFileSync } from "node:fs";
 import { after, before, describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { waitUntil } from "../../../src/testbench/index.js";
 import type { SiteNode } from "../platformSite.js";
 import type { ReadingPace } from "../standins/framedCaller.js";
 import type { FramedAnswer } from "../standins/framedRunner.js";
 import { type AnswerCase, createCases } from "./framedCases.js";
-import { FramedSite } from "./framedSite.js";
+import { type FramedRoute, FramedSite } from "./framedSite.js";
 
 /** Streams at once: bytes of 700 KB events wait in the node, whose memory is bounded. */
 const concurrency: Readonly<Record<ReadingPace, number>> = { quick: 4, paused: 8, slow: 2 };
+const frozenMilliseconds = 400;
 const paces: readonly ReadingPace[] = ["quick", "paused", "slow"];
 
 /** Chooses cases by their first answer, which is the only one where the stream may not be resumed. */
@@ -20,22 +22,23 @@
     site: FramedSite,
     node: SiteNode,
     filter: CaseFilter,
-    { pacesUsed = ["quick", "paused"] }: { readonly pacesUsed?: readonly ReadingPace[]; } = {},
+    { pacesUsed = ["quick", "paused"], routes = ["stream", "single"] }: {
+        readonly pacesUsed?: readonly ReadingPace[];
+        readonly routes?: readonly FramedRoute[];
+    } = {},
 ): Promise<readonly string[]> {
     const wrong: string[] = [];
     for (const pace of paces.filter(one => pacesUsed.includes(one))) {
-        const waiting = createCases(pace).flatMap(one => [true, false].map(isResumable => ({ one, isResumable })))
-            .filter(({ one: { answers }, isResumable }) =>
-                (isResumable || answers.length === 1) && filter(answers[0], isResumable, answers.at(1))
+        const waiting = createCases(pace).flatMap(one => routes.map(route => ({ one, route })))
+            .filter(({ one: { answers }, route }) =>
+                (route === "stream" || answers.length === 1) && filter(answers[0], route === "stream", answers.at(1))
             );
         const run = async (): Promise<void> => {
             for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-                const { one, isResumable } = next;
-                const { seen, verdict } = await site.send({ node, isResumable, ...one });
+                const { one, route } = next;
+                const { seen, verdict } = await site.send({ node, route, ...one });
                 if (verdict !== "right") {
-                    wrong.push(
-                        describeWrong(one, isResumable, `${verdict}: ${seen.events.length} events, ${seen.end}`),
-                    );
+                    wrong.push(describeWrong(one, route, `${verdict}: ${seen.events.length} events, ${seen.end}`));
                 }
             }
         };
@@ -44,8 +47,15 @@
     return wrong;
 }
 
-function describeWrong({ name, pace }: AnswerCase, isResumable: boolean, seen: string): string {
-    return `${pace}, ${isResumable ? "resumable" : "single"}: ${name} -> ${seen}`;
+function describeWrong({ name, pace }: AnswerCase, route: FramedRoute, seen: string): string {
+    return `${pace}, ${route}: ${name} -> ${seen}`;
+}
+
+/** Stops a node's process until the runner has written its answer and ended its connection. */
+async function freeze({ child }: SiteNode): Promise<void> {
+    child.kill("SIGSTOP");
+    await sleep(frozenMilliseconds);
+    child.kill("SIGCONT");
 }
 
 // Runners break off their answers in each framing, in order and by a reset, before callers that read at once, late or slowly.
@@ -83,6 +93,29 @@
         expect(await findWrong(site, node, isWhole, { pacesUsed: ["slow"] })).toEqual([]);
     });
 
+    // Guards against a reset that reads as an orderly end, or a sound answer that is cut, since the node stood still as its end came.
+    it("notices a reset that came while the node was frozen", async () => {
+        for (const route of ["stream", "single", "booking"] as const) {
+            for (const end of ["reset", "order"] as const) {
+                const broken = end === "reset" ? { broken: { afterEvent: 6, at: "between" as const } } : {};
+                const { seen, verdict } = await site.send({
+                    node,
+                    route,
+                    eventBytes: 10_000,
+                    answers: [{ framing: "none", end, delayMilliseconds: 50, ...broken }, { framing: "chunks" }],
+                    onArrival: () => freeze(node),
+                });
+                expect(`${route}, ${end}, ${seen.end}: ${verdict}`).toEqual(`${route}, ${end}, ${seen.end}: right`);
+            }
+        }
+    });
+
+    // Guards against half a confirmation that passes for a whole one, and against a whole one that is lost.
+    it("passes calls and bookings on as their runners ended them", async () => {
+        const wrong = await findWrong(site, node, () => true, { pacesUsed: ["quick"], routes: ["call", "booking"] });
+        expect(wrong).toEqual([]);
+    });
+
     // Guards against a caller that reads an orderly end where its node has reset the connection.
     it("shows a caller with unread bytes that its answer was broken off", async () => {
         const isNoticed: CaseFilter = ({ framing, broken, end }, isResumable) =>
@@ -101,7 +134,7 @@
         await site.site.waitForAddresses(node, 2);
         writeFileSync(node.cutFile, "reset");
         const isRelayed = async (): Promise<boolean> =>
-            (await site.send({ node, isResumable: false, answers: [{ framing: "chunks" }] })).seen.status === 200;
+            (await site.send({ node, route: "single", answers: [{ framing: "chunks" }] })).seen.status === 200;
         await waitUntil(isRelayed, { description: "a relayed answer" });
     });
     after(() => site.stop());
--- a/test/platform/brokenOff/framedSite.ts
+++ b/test/platform/brokenOff/framedSite.ts
@@ -1,6 +1,7 @@
 /**
  * A site whose runners write each framing by hand, and the judgement of what callers get from it.
  */
+import { waitUntil } from "../../../src/testbench/index.js";
 import { callerPort, createConfiguration, PlatformSite, type SiteNode } from "../platformSite.js";
 import { readFramed, type ReadingPace, type SeenAnswer } from "../standins/framedCaller.js";
 import { type FramedAnswer, FramedRunners, type FramedStream } from "../standins/framedRunner.js";
@@ -10,18 +11,22 @@
 /** The settings of all streams here. */
 const timeoutMilliseconds = 20_000;
 
-/** A stream that one caller asks for. */
+/** The routes of the site: streams that may be resumed or not, and calls that may be repeated or not. */
+export type FramedRoute = "stream" | "single" | "call" | "booking";
+
+/** An answer that one caller asks for. */
 export interface FramedCase {
     readonly node: SiteNode;
-    /** Whether its route lets another runner go on with it. */
-    readonly isResumable: boolean;
+    readonly route: FramedRoute;
+    /** Called when the first run has arrived at a runner. */
+    readonly onArrival?: () => Promise<void>;
     readonly pace?: ReadingPace;
     readonly events?: number;
     readonly eventBytes?: number;
     readonly answers: readonly FramedAnswer[];
 }
 
-/** A site with the routes `/stream/` and `/single/`, whose streams cannot be resumed. */
+/** A site with a path for each route. */
 export class FramedSite {
     readonly site: PlatformSite;
     readonly runners = new FramedRunners();
@@ -47,15 +52,20 @@
     }
 
     /** Sends one request and reads its answer. */
-    async send({ node, isResumable, pace = "quick", answers, ...sizes }: FramedCase): Promise<FramedResult> {
+    async send({ node, route, pace = "quick", answers, onArrival, ...sizes }: FramedCase): Promise<FramedResult> {
         this.#count += 1;
         const id = `case-${this.#count}`;
         const stream: FramedStream = { events: 12, eventBytes: 10, ...sizes, answers };
         this.runners.add(id, stream);
-        const path = `/${isResumable ? "stream" : "single"}/${id}`;
-        const seen = await readFramed({ host: node.address, port: callerPort, path, id, pace });
+        const path = `/${route}/${id}`;
+        const pending = readFramed({ host: node.address, port: callerPort, path, id, pace });
+        if (onArrival !== undefined) {
+            await waitUntil(() => this.runners.getRuns(id).length > 0, { description: "the first run" });
+            await onArrival();
+        }
+        const seen = await pending;
         const last = this.runners.getRuns(id).at(-1)?.answer;
-        return { id, seen, runs: this.runners.getRuns(id).length, verdict: judge(stream, seen, last) };
+        return { id, seen, runs: this.runners.getRuns(id).length, verdict: judge(stream, { route, seen, last }) };
     }
 
     /** Stops everything. */
@@ -79,8 +89,11 @@
  */
 function judge(
     { events }: FramedStream,
-    seen: SeenAnswer,
-    last: FramedAnswer | undefined,
+    { route, seen, last }: {
+        readonly route: FramedRoute;
+        readonly seen: SeenAnswer;
+        readonly last: FramedAnswer | undefined;
+    },
 ): FramedResult["verdict"] {
     if (seen.status !== 200) {
         return "right";
@@ -89,21 +102,25 @@
         return "wrong events";
     }
     const isWhole = seen.events.length === events && !seen.isInsideEvent;
-    const isBrokenForCaller = seen.end === "broken" || (seen.end === "unstated" && seen.isInsideEvent);
+    const isStream = route === "stream" || route === "single";
+    const isBrokenForCaller = seen.end === "broken" || (isStream && seen.end === "unstated" && seen.isInsideEvent);
     const endedSound = last !== undefined && last.broken === undefined && last.end !== "reset";
     if (isBrokenForCaller) {
         return endedSound ? "sound one cut" : "right";
     }
+    // What the body of a call has to contain is known to nobody on the way: a runner that frames half of it has made it the whole.
+    const isFramedPart = !isStream && last?.broken?.at === "last-chunk";
     const mayBeWhole = last?.framing === "none" && last.end !== "reset"
-        && (last.broken === undefined || last.broken.at === "between");
-    return isWhole || (seen.end === "unstated" && mayBeWhole) ? "right" : "passes for whole";
+        && (last.broken === undefined || last.broken.at === "between" || !isStream);
+    return isWhole || isFramedPart || (seen.end === "unstated" && mayBeWhole) ? "right" : "passes for whole";
 }
 
 function createStreamConfiguration(): object {
     const { routes, ...configuration } = createConfiguration(2) as {
         readonly routes: readonly { readonly name: string; }[];
     };
-    const stream = { ...routes.find(({ name }) => name === "stream"), timeout_ms: timeoutMilliseconds };
+    const slow = routes.map(route => ({ ...route, timeout_ms: timeoutMilliseconds }));
+    const stream = slow.find(({ name }) => name === "stream");
     const single = { ...stream, name: "single", path_prefix: "/single/", resumable: false };
-    return { ...configuration, routes: [stream, single] };
+    return { ...configuration, routes: [...slow, single] };
 }
--- a/test/platform/standins/framedRunner.ts
+++ b/test/platform/standins/framedRunner.ts
@@ -22,6 +22,8 @@
     readonly broken?: { readonly afterEvent: number; readonly at: BreakPoint; };
     /** How the connection ends; without it, a framed answer leaves it open and another one ends in order. */
     readonly end?: "order" | "reset";
+    /** Time after the arrival of the request before anything is written. */
+    readonly delayMilliseconds?: number;
 }
 
 /** The answers to one stream, and its events. */
@@ -101,6 +103,7 @@
         const pieces = createPieces(stream, answer, lastEventId);
         const attempt = /attempt-id: (\S+)/i.exec(head)![1];
         const written = [createHead(answer, attempt, stream, lastEventId), ...frame(pieces, answer)];
+        await sleep(answer.delayMilliseconds ?? 0);
         for (const piece of written) {
             await new Promise(resolve => socket.write(piece, resolve));
         }
