Take an empty answer without a length for unstated in the product's own interface

Read in a review of the diff: an empty body counted as complete whatever its framing, so that an answer that broke off before its first byte was given a framing by the entry. Only answers whose status has no body end with their heads. The test failed before with 'true' for the empty one.

--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -38,6 +38,8 @@
 /** Headers of an answer that are forwarded to the caller. */
 const forwardedHeaders = ["content-type", "content-language", "location", "etag", "last-modified", "cache-control"];
 
+/** Statuses of answers that end with their heads. */
+const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const leavingStatus = 409;
 const leavingType = "leaving";
 const problemSchema = z.object({ type: z.string() });
@@ -115,7 +117,7 @@
             status: response.statusCode,
             headers: pickHeaders(response.headers),
             body: Buffer.concat(parts),
-            hasKnownEnd: hasFraming(Object.keys(response.headers)) || size === 0,
+            hasKnownEnd: hasFraming(Object.keys(response.headers)) || bodylessStatuses.has(response.statusCode),
             loadHeader: getSingleHeader(response.headers["x-load"]),
         });
     }
--- a/test/upstream/serviceClient.test.ts
+++ b/test/upstream/serviceClient.test.ts
@@ -63,6 +63,9 @@
         const known = (await callService(socket => socket.end(`${head}Content-Length: 4\r\n\r\ndone`)))._unsafeUnwrap();
         const unstated = (await callService(socket => socket.end(`${head}\r\ndone`)))._unsafeUnwrap();
         expect([known.hasKnownEnd, unstated.hasKnownEnd]).toEqual([true, false]);
+        const empty = (await callService(socket => socket.end(`${head}\r\n`)))._unsafeUnwrap();
+        const none = (await callService(socket => socket.end("HTTP/1.1 204 None\r\n\r\n")))._unsafeUnwrap();
+        expect([empty.hasKnownEnd, none.hasKnownEnd]).toEqual([false, true]);
         for (const answer of [known, unstated]) {
             const stored = unpackAnswer(packAnswer(answer))._unsafeUnwrap();
             expect(stored.hasKnownEnd).toEqual(answer.hasKnownEnd);
