Give the connections of the HTTP library a folder of their own, and leave no circle of imports

The log's transport took its connector from the upstreams' folder, whose clients take the limits and decisions, which take the roll-outs that are folded from the log: 23 files in one circle, exposure and control among them. What watches connections and their answers knows nothing of upstreams and stands in src/connections now.

--- /dev/null
+++ b/src/connections/index.ts
@@ -0,0 +1,4 @@
+/** Connections of the HTTP library: how their answers progress and end. */
+export * from "./answerEnd.js";
+export * from "./answerProgress.js";
+export * from "./watchedConnector.js";
--- a/src/entry/parts/platformParts.ts
+++ b/src/entry/parts/platformParts.ts
@@ -2,10 +2,11 @@
  * Factories of the parts that communicate with the platform: log, configuration, control stream and VM list.
  */
 import { ConfigurationReader, SnapshotWriter } from "../../configuration/index.js";
+import { createWatchedAgent } from "../../connections/index.js";
 import { ControlReader, LeaseFold, LeaseHolder, RolloutFold } from "../../control/index.js";
 import { createDebugWriter, EventBuffer, Journal } from "../../events/index.js";
 import { LogClient, LogFollower } from "../../log/index.js";
-import { createWatchedAgent, RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
+import { RatingClient, UpstreamConnector, VmListClient } from "../../upstream/index.js";
 import { ControlSnapshotWriter } from "../controlSnapshotWriter.js";
 import type { PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
--- a/src/entry/parts/relayParts.ts
+++ b/src/entry/parts/relayParts.ts
@@ -2,6 +2,7 @@
  * Factories of the parts with which entries forward requests for each other.
  */
 import type { Dispatcher } from "undici";
+import { createWatchedAgent } from "../../connections/index.js";
 import {
     createRelayInterceptor,
     Reachability,
@@ -9,7 +10,7 @@
     RelayServer,
     SharedReachability,
 } from "../../reachability/index.js";
-import { createWatchedAgent, isAcceptingConnections } from "../../upstream/index.js";
+import { isAcceptingConnections } from "../../upstream/index.js";
 import type { Vm } from "../../world/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
 
--- a/src/forwarding/silentAnswer.ts
+++ b/src/forwarding/silentAnswer.ts
@@ -2,7 +2,7 @@
  * Keeps a stream's answer whose runner has fallen silent while another runner is asked to go on with it. A sound runner may be
  * silent for a second, and the other one may queue the request, be silent itself or fail, so that whichever begins first goes on.
  */
-import { isEndless } from "../upstream/index.js";
+import { isEndless } from "../connections/index.js";
 import type { StreamAnswer } from "./streamAnswer.js";
 
 /** Options of `SilentAnswer`. */
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -1,8 +1,8 @@
 /**
  * Relays the answers of runners to the caller of a stream, and notices when a runner sends nothing for a time.
  */
+import { isEndless } from "../connections/index.js";
 import { events, type Journal } from "../events/index.js";
-import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import { recheckMilliseconds } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -3,9 +3,9 @@
  */
 import { ok, type Result } from "neverthrow";
 import { ByteCollector, type Refusal } from "../common/index.js";
+import { isEndless } from "../connections/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import { isRepeatable } from "../routing/index.js";
-import { isEndless } from "../upstream/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
--- a/src/log/transport.ts
+++ b/src/log/transport.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, buildConnector, request as undiciRequest } from "undici";
 import { readDocument } from "../common/index.js";
-import { watchConnections } from "../upstream/index.js";
+import { watchConnections } from "../connections/index.js";
 
 /** A request to the log service. */
 export interface LogRequest {
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -5,8 +5,8 @@
 import { buildConnector, errors, Pool } from "undici";
 import { z } from "zod";
 import { type Clock, createPosition, Failure, readPosition, ReadTimeout } from "../common/index.js";
+import { isEndless, watchConnections } from "../connections/index.js";
 import type { KeyedRecord, KeyedTopicReader, TopicPage } from "../topics/index.js";
-import { isEndless, watchConnections } from "../upstream/index.js";
 import { headerNames, storePaths } from "./wire.js";
 
 /**
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -3,6 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
+import { hasFraming } from "../connections/index.js";
 import type { SendLimit } from "../decisions/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type {
@@ -13,7 +14,7 @@
     UpstreamTransport,
 } from "../forwarding/index.js";
 import type { RelayTarget } from "../reachability/index.js";
-import { classifyTransportError, describeTransportError, hasFraming } from "../upstream/index.js";
+import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { readStatement } from "./readStatement.js";
 import { observeSending } from "./sendingObserver.js";
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -2,8 +2,8 @@
  * The connections of this node to one upstream, and the requests that wait for one of them.
  */
 import { buildConnector, type Dispatcher, type Pool } from "undici";
+import { createAnswerPool, type EndlessBytesListener, halfOpen, watchConnections } from "../connections/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { createAnswerPool, type EndlessBytesListener, halfOpen, watchConnections } from "../upstream/index.js";
 import { observeSending } from "./sendingObserver.js";
 
 /** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
--- a/src/upstream/index.ts
+++ b/src/upstream/index.ts
@@ -1,7 +1,5 @@
 /** Clients of upstreams, the VM list and the rating service. */
-export * from "./answerEnd.js";
 export * from "./answerObserver.js";
-export * from "./answerProgress.js";
 export * from "./connectionProbe.js";
 export * from "./engineClient.js";
 export * from "./engineOrders.js";
@@ -12,4 +10,3 @@
 export * from "./upstreamConnector.js";
 export * from "./upstreamFailure.js";
 export * from "./vmListClient.js";
-export * from "./watchedConnector.js";
--- a/src/upstream/upstreamConnector.ts
+++ b/src/upstream/upstreamConnector.ts
@@ -3,8 +3,7 @@
  */
 import { buildConnector, type Dispatcher } from "undici";
 import type { Credentials } from "../common/index.js";
-import { createAnswerAgent, halfOpen } from "./answerEnd.js";
-import { watchConnections } from "./watchedConnector.js";
+import { createAnswerAgent, halfOpen, watchConnections } from "../connections/index.js";
 
 /** Connects to upstreams with credentials that can be renewed. */
 export class UpstreamConnector {
--- a/test/platform/platformSite.ts
+++ b/test/platform/platformSite.ts
@@ -7,9 +7,9 @@
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 import { request as sendRequest } from "undici";
+import { createWatchedAgent } from "../../src/connections/index.js";
 import type { EventLine } from "../../src/events/index.js";
 import { endWithParent, waitUntil } from "../../src/testbench/index.js";
-import { createWatchedAgent } from "../../src/upstream/index.js";
 import { RunnerStandin } from "./standins/runnerStandin.js";
 import { StoreStandin } from "./standins/storeStandin.js";
 
--- a/test/reachability/endlessAnswers.test.ts
+++ b/test/reachability/endlessAnswers.test.ts
@@ -1,9 +1,9 @@
 import { expect } from "earl";
 import type { AddressInfo } from "node:net";
 import { describe, it } from "node:test";
+import { createWatchedAgent } from "../../src/connections/index.js";
 import type { RelayPart } from "../../src/generated/peer.js";
 import { RelayServer } from "../../src/reachability/index.js";
-import { createWatchedAgent } from "../../src/upstream/index.js";
 import { waitUntil } from "../fixtures/waiting.js";
 import { createEndlessRunner, type EndlessAnswer } from "../platform/standins/endlessRunner.js";
 
--- a/test/reachability/relayServer.test.ts
+++ b/test/reachability/relayServer.test.ts
@@ -2,10 +2,10 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { createWatchedAgent } from "../../src/connections/index.js";
 import type { RelayPart } from "../../src/generated/peer.js";
 import { RelayServer, type RelayTarget } from "../../src/reachability/index.js";
 import { waitUntil } from "../../src/testbench/index.js";
-import { createWatchedAgent } from "../../src/upstream/index.js";
 
 const host = "127.72.54.1";
 const request = {
--- a/test/upstream/endlessAnswers.test.ts
+++ b/test/upstream/endlessAnswers.test.ts
@@ -2,15 +2,9 @@
 import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
 import type { Agent } from "undici";
+import { createWatchedAgent } from "../../src/connections/index.js";
 import { createTransport } from "../../src/log/index.js";
-import {
-    createWatchedAgent,
-    EngineClient,
-    EngineOrders,
-    RatingClient,
-    readEvents,
-    VmListClient,
-} from "../../src/upstream/index.js";
+import { EngineClient, EngineOrders, RatingClient, readEvents, VmListClient } from "../../src/upstream/index.js";
 import type { Vm } from "../../src/world/index.js";
 import { waitUntil } from "../fixtures/waiting.js";
 import { createEndlessRunner, type EndlessAnswer } from "../platform/standins/endlessRunner.js";
--- a/test/upstream/serviceClient.test.ts
+++ b/test/upstream/serviceClient.test.ts
@@ -2,9 +2,10 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { afterEach, describe, it } from "node:test";
+import { createWatchedAgent } from "../../src/connections/index.js";
 import { sendReply } from "../../src/entry/incomingCall.js";
 import { packAnswer, unpackAnswer } from "../../src/entry/storedAnswer.js";
-import { createWatchedAgent, type ServiceAnswer, ServiceClient } from "../../src/upstream/index.js";
+import { type ServiceAnswer, ServiceClient } from "../../src/upstream/index.js";
 import type { Vm } from "../../src/world/index.js";
 import { createRawRunner } from "../platform/standins/runnerStandin.js";
 
