--- a/test/platform/soak/platformSoak.ts
+++ b/test/platform/soak/platformSoak.ts
@@ -179,6 +179,7 @@
             executed: this.#runners.executed,
             getEnd: request => this.#runners.ends.get(request),
             faults: this.#nodes.faults,
+            isFramed: this.#framings && (request => this.#framings?.isFramed(request) === true),
         });
         const lost = incomplete.filter(({ excuse }) => excuse === undefined);
         const lostLines = lost.map(request => describeIncomplete(request, this.#record.startedAt));
