--- a/src/forwarding/replyEnding.ts
+++ b/src/forwarding/replyEnding.ts
@@ -9,6 +9,15 @@
 /** Why an answer is broken off that its caller would take for whole. */
 const unstatedReason = "the answer may be incomplete";
 
+/** How the part of one runner has ended. */
+export interface EndedPart {
+    readonly end: StreamEnd;
+    /** Whether it had any events. */
+    readonly hasEvents: boolean;
+    /** Whether the runner has crashed. */
+    readonly hasCrashed: boolean;
+}
+
 /** Ends one answer, which may have parts of several runners. */
 export class ReplyEnding {
     readonly #exchange: Exchange;
@@ -29,11 +38,10 @@
      * Ends an answer whose runner has ended it. Where that runner has not said that it is whole, another one is asked for the rest if the
      * caller would be told so, or if the runner has crashed. If that one has nothing more, the answer was whole.
      * @param attempt - The attempt.
-     * @param end - How its answer ended.
-     * @param hasEvents - Whether it had any events.
+     * @param part - How its answer ended.
      * @returns Whether the exchange has ended.
      */
-    async end(attempt: Attempt, end: StreamEnd, hasEvents: boolean): Promise<boolean> {
+    end(attempt: Attempt, { end, hasEvents, hasCrashed }: EndedPart): boolean {
         const { ended, reply, route } = this.#exchange;
         if (end === "whole" || (this.#mayBeWhole && !hasEvents)) {
             reply.end();
@@ -41,7 +49,7 @@
         }
         this.#mayBeWhole = true;
         const mayAsk = route.isResumable && attempt.answer.status === successStatus && !ended.aborted;
-        if (mayAsk && (reply.hasKnownEnd || await attempt.hasUpstreamCrashed()) && this.#canRepeat()) {
+        if (mayAsk && (reply.hasKnownEnd || hasCrashed) && this.#canRepeat()) {
             return false;
         }
         this.breakOff(unstatedReason);
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -17,7 +17,7 @@
 import { ReplyEnding } from "./replyEnding.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
-import { getIncompleteEnd } from "./streamEnd.js";
+import { getIncompleteEnd, type StreamEnd } from "./streamEnd.js";
 import { StreamRelay } from "./streamRelay.js";
 import { isCertainlyNotRun, minServerErrorStatus, successStatus } from "./upstreamCall.js";
 
@@ -228,9 +228,8 @@
         this.#relay.endSilence(relayed, "ended");
         const hasEvents = relayed.splitter.hasEvents;
         if (result.kind === "ended") {
-            const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-            attempt.finish(outcome, `status ${answer.status}`, result.end === "whole" ? "complete" : "stopped");
-            return this.#ending.end(attempt, result.end, hasEvents);
+            const hasCrashed = await this.#recordEnd(attempt, result.end);
+            return this.#ending.end(attempt, { end: result.end, hasEvents, hasCrashed });
         }
         this.#ending.markBroken(hasEvents);
         const end = result.isDisconnected ? "disconnected" : "stopped";
@@ -245,6 +244,22 @@
         return true;
     }
 
+    /**
+     * Records the end of an attempt whose runner has ended its answer in order.
+     * @returns Whether that runner has crashed, where another one can be asked for the rest.
+     */
+    async #recordEnd(attempt: Attempt, end: StreamEnd): Promise<boolean> {
+        const { status } = attempt.answer;
+        const mayBeBroken = end === "unstated" && status === successStatus && this.#exchange.route.isResumable;
+        if (mayBeBroken && await attempt.hasUpstreamCrashed()) {
+            attempt.finish("failed", "the upstream crashed as its answer ended", "disconnected");
+            return true;
+        }
+        const outcome = status >= minServerErrorStatus ? "error" : "ok";
+        attempt.finish(outcome, `status ${status}`, end === "whole" ? "complete" : "stopped");
+        return false;
+    }
+
     #canRepeat(): boolean {
         return this.#exchange.reservation !== undefined
             || hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -320,6 +320,18 @@
         ]);
     });
 
+    // Guards against a request that goes on crashing runners, as their streams end in order.
+    it("counts the crash of a runner whose stream without a known end ended in order", async () => {
+        const { send, lines } = createStreamForwarder(
+            () => createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false }),
+            { maxAttempts: 2 },
+            ["u1", "u2", "u3"],
+        );
+        await send();
+        const crashes = lines.filter(({ name }) => name === "upstream-crashed");
+        expect([crashes.length, new Set(crashes.map(({ upstream }) => upstream)).size]).toEqual([2, 2]);
+    });
+
     describe("a stream whose first part had a known end and whose rest has none", () => {
         const answerParts = (third: readonly string[], hasKnownEnd: boolean): UpstreamBehaviour => (...[, , count]) => {
             const parts = [
