Say in the lines of attempts what an answer was taken for and how it ended

A call whose answers all came without a framing has line 466 with their lengths and that of the chosen one; before, no line told a choice between two answers from a retry that was refused. FallbackAnswer takes over the choice unchanged.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -57,7 +57,7 @@
         422,
         "attempt-ended",
         "info",
-        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result, and say if its answer had neither a length nor chunks.",
+        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result, and say if its answer had neither a length nor chunks, its type if the route leads to expect another one, and how it ended if not completely.",
     ),
     requestEnded: define(
         423,
@@ -201,6 +201,12 @@
         "warning",
         "An upstream sent bytes without an end: they exceeded a bound, so its connection was closed. The fields give the bound and the bytes.",
     ),
+    partialAnswerChosen: define(
+        466,
+        "partial-answer-chosen",
+        "info",
+        "A call was answered without a length or chunks, so that its answer may be incomplete, and so was every further attempt. The fields give the bytes of the answers in order, and of the one that its caller gets.",
+    ),
     silenceEnded: define(
         465,
         "silence-ended",
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -23,6 +23,7 @@
 import type { WatchedHead } from "./headWatch.js";
 import { PendingAttempt } from "./pendingAttempt.js";
 import type { SelectedUpstream } from "./selectedUpstream.js";
+import { eventStreamType } from "./streamEnd.js";
 import {
     type ReportedLoad,
     successStatus,
@@ -142,6 +143,7 @@
         let confidence: number | undefined = undefined;
         let load: ReportedLoad | undefined = undefined;
         let isUnframed = false;
+        let unexpectedType: string | undefined = undefined;
         let isServed = false;
         let isGivenUp = false;
         let isFinished = false;
@@ -170,6 +172,8 @@
                 confidence,
                 load,
                 isUnframed,
+                unexpectedType,
+                end,
             });
         };
         const { model } = request;
@@ -224,6 +228,7 @@
         run.markHead();
         confidence = result.value.confidence;
         isUnframed = !result.value.hasKnownEnd;
+        unexpectedType = getUnexpectedType(exchange, result.value);
         observer.observeAnswer(upstream, result.value, startedAt);
         if (prompt !== undefined && !isWarmingUp) {
             picker.addHeadTime(prompt.model, headMilliseconds, pick);
@@ -306,6 +311,8 @@
             readonly confidence: number | undefined;
             readonly load: ReportedLoad | undefined;
             readonly isUnframed: boolean;
+            readonly unexpectedType: string | undefined;
+            readonly end: RunEnd;
         },
     ): void {
         const { exchange, upstream, outcome, headMilliseconds } = ended;
@@ -329,6 +336,8 @@
             startedMs: Math.round(details.startedAt - exchange.request.arrivedAt),
             load: details.load && formatLoad(details.load),
             unframed: details.isUnframed || undefined,
+            type: details.unexpectedType,
+            end: details.end === "complete" ? undefined : details.end,
             outcome,
             reason: details.reason,
             headMs: headMilliseconds === undefined ? undefined : Math.round(headMilliseconds),
@@ -342,6 +351,12 @@
     return [running, waiting, slots, ...slowdown === undefined ? [] : [slowdown]].join(",");
 }
 
+/** Returns the type of a success that is not a stream of events exactly where the route leads to expect one, for log lines. */
+function getUnexpectedType({ route }: Exchange, { status, mediaType }: UpstreamAnswer): string | undefined {
+    const isExpected = (mediaType === eventStreamType) === (route.kind === "stream");
+    return isExpected || status >= minErrorStatus ? undefined : mediaType ?? "none";
+}
+
 /** Returns whether an upstream broke off a call, as it does when it crashes. */
 function isBroken(outcome: CallOutcome): boolean {
     return outcome === "failed" || outcome === "silent";
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -129,9 +129,10 @@
     #run(exchange: Exchange): Promise<void> {
         const { answerBuffers, attempts, getBudget, journal, metrics } = this.#options;
         const budget = getBudget(exchange.pool);
-        const parts = { answerBuffers, attempts, budget, pressure: this.#pressure, headTimes: this.#headTimes };
+        const [pressure, headTimes] = [this.#pressure, this.#headTimes];
+        const parts = { answerBuffers, attempts, budget, pressure, headTimes, journal };
         return exchange.route.kind === "stream"
-            ? new StreamExchange({ ...parts, exchange, journal, metrics }).run()
+            ? new StreamExchange({ ...parts, exchange, metrics }).run()
             : runUnary(exchange, parts);
     }
 
--- a/src/forwarding/streamEnd.ts
+++ b/src/forwarding/streamEnd.ts
@@ -4,7 +4,8 @@
 import type { EventSplitter } from "./eventSplitter.js";
 import { successStatus, type UpstreamAnswer } from "./upstreamCall.js";
 
-const eventStreamType = "text/event-stream";
+/** Media type of a stream of events. */
+export const eventStreamType = "text/event-stream";
 /** An event without data has no effect at its reader. */
 const unfinishedEvent = Buffer.from("event: broken-off\n");
 
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -5,21 +5,17 @@
 import { ByteCollector, type Refusal } from "../common/index.js";
 import { isEndless } from "../connections/index.js";
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
+import { events, type Journal } from "../events/index.js";
 import { isRepeatable } from "../routing/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
+import { type BufferedAnswer, FallbackAnswer } from "./fallbackAnswer.js";
 import type { HeadTimes } from "./headTimes.js";
 import { createAnswerRefusal, createBrokenFailure } from "./refusals.js";
-import { isCertainlyNotRun, minServerErrorStatus, type UpstreamAnswer } from "./upstreamCall.js";
-
-/** An answer that was read completely. */
-interface BufferedAnswer {
-    readonly head: UpstreamAnswer;
-    readonly body: Buffer;
-}
+import { isCertainlyNotRun, minServerErrorStatus } from "./upstreamCall.js";
 
 /** Parts that answer plain requests. */
 export interface UnaryParts {
@@ -31,6 +27,7 @@
     readonly headTimes: HeadTimes;
     /** Bounds the answers that are read. */
     readonly answerBuffers: AnswerBuffers;
+    readonly journal: Journal;
 }
 
 /**
@@ -49,9 +46,9 @@
 }
 
 async function runRace(exchange: Exchange, race: AttemptRace, parts: UnaryParts): Promise<void> {
-    const { budget, pressure, headTimes } = parts;
+    const { budget, pressure, headTimes, journal } = parts;
     const watch = headTimes.watch(exchange, budget);
-    let fallbackAnswer: BufferedAnswer | undefined;
+    const fallback = new FallbackAnswer();
     for (;;) {
         const attempt = await race.make({
             exchange,
@@ -60,13 +57,14 @@
             prompt: undefined,
             watchHead: expected => watch.start(expected),
             getRetryReserve: allowed => pressure.getRetryReserve(getRankedRequest(exchange), allowed),
-            mayWait: () => fallbackAnswer === undefined || isWaitInTime(exchange, pressure),
+            mayWait: () => fallback.answer === undefined || isWaitInTime(exchange, pressure),
         });
         if (attempt.isErr()) {
             if (canRetry(exchange, attempt.error)) {
                 continue;
             }
-            await finishWithoutAnswer(exchange, fallbackAnswer, () => createRefusal(exchange, attempt.error, pressure));
+            const getRefusal = (): Refusal => createRefusal(exchange, attempt.error, pressure);
+            await finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
             return;
         }
         const answer = await readAnswer(exchange, attempt.value, {
@@ -77,11 +75,12 @@
             if (isRepeatable(exchange.route)) {
                 continue;
             }
-            await finishWithoutAnswer(exchange, fallbackAnswer, () => createRefusal(exchange, answer.error, pressure));
+            const getRefusal = (): Refusal => createRefusal(exchange, answer.error, pressure);
+            await finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
             return;
         }
         if (isFailedOrPartial(answer.value) && isRepeatable(exchange.route)) {
-            fallbackAnswer = chooseFallback(fallbackAnswer, answer.value);
+            fallback.add(answer.value);
             continue;
         }
         await sendAnswer(exchange, answer.value);
@@ -168,11 +167,6 @@
     return head.status >= minServerErrorStatus || !head.hasKnownEnd;
 }
 
-/** Chooses between two failed or possibly incomplete answers. A success that may be incomplete is better than a failure. */
-function chooseFallback(first: BufferedAnswer | undefined, second: BufferedAnswer): BufferedAnswer {
-    return first !== undefined && first.head.status < minServerErrorStatus ? first : second;
-}
-
 async function sendAnswer({ reply }: Exchange, { head, body }: BufferedAnswer): Promise<void> {
     if (head.hasKnownEnd) {
         reply.answer(head.status, head.headers, body);
@@ -183,17 +177,29 @@
     reply.end();
 }
 
+/** Delivers the best of the answers that came, or refuses the request if none did. */
 async function finishWithoutAnswer(
     exchange: Exchange,
-    fallbackAnswer: BufferedAnswer | undefined,
-    getRefusal: () => Refusal,
+    { fallback, journal, getRefusal }: {
+        readonly fallback: FallbackAnswer;
+        readonly journal: Journal;
+        readonly getRefusal: () => Refusal;
+    },
 ): Promise<void> {
-    if (fallbackAnswer !== undefined) {
-        // The upstream's own failure is more informative than a refusal by the router.
-        await sendAnswer(exchange, fallbackAnswer);
+    const { answer, partialBytes } = fallback;
+    if (answer === undefined) {
+        exchange.reply.refuse(getRefusal());
         return;
     }
-    exchange.reply.refuse(getRefusal());
+    if (partialBytes.length > 0) {
+        journal.write(events.partialAnswerChosen, {
+            request: exchange.request.id,
+            bytes: partialBytes.join(","),
+            chosenBytes: answer.body.length,
+        });
+    }
+    // The upstream's own failure is more informative than a refusal by the router.
+    await sendAnswer(exchange, answer);
 }
 
 function createRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
