--- a/test/platform/brokenOff/brokenOffAnswers.test.ts
+++ b/test/platform/brokenOff/brokenOffAnswers.test.ts
@@ -1,16 +1,13 @@
 import { expect } from "earl";
-import { writeFileSync } from "node:fs";
 import { after, before, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { waitUntil } from "../../../src/testbench/index.js";
 import type { SiteNode } from "../platformSite.js";
 import type { ReadingPace } from "../standins/framedCaller.js";
 import type { FramedAnswer } from "../standins/framedRunner.js";
-import { type AnswerCase, createCases } from "./framedCases.js";
+import { createCases } from "./framedCases.js";
 import { type FramedRoute, FramedSite } from "./framedSite.js";
+import { cutOff, runCases } from "./runCases.js";
 
-/** Streams at once: bytes of 700 KB events wait in the node, whose memory is bounded. */
-const concurrency: Readonly<Record<ReadingPace, number>> = { quick: 4, paused: 8, slow: 2 };
 const frozenMilliseconds = 400;
 const paces: readonly ReadingPace[] = ["quick", "paused", "slow"];
 
@@ -29,28 +26,15 @@
 ): Promise<readonly string[]> {
     const wrong: string[] = [];
     for (const pace of paces.filter(one => pacesUsed.includes(one))) {
-        const waiting = createCases(pace).flatMap(one => routes.map(route => ({ one, route })))
+        const cases = createCases(pace).flatMap(one => routes.map(route => ({ one, route })))
             .filter(({ one: { answers }, route }) =>
                 (route === "stream" || answers.length === 1) && filter(answers[0], route === "stream", answers.at(1))
             );
-        const run = async (): Promise<void> => {
-            for (let next = waiting.shift(); next !== undefined; next = waiting.shift()) {
-                const { one, route } = next;
-                const { seen, verdict } = await site.send({ node, route, ...one });
-                if (verdict !== "right") {
-                    wrong.push(describeWrong(one, route, `${verdict}: ${seen.events.length} events, ${seen.end}`));
-                }
-            }
-        };
-        await Promise.all(Array.from({ length: concurrency[pace] }, run));
+        wrong.push(...(await runCases(site, node, cases)).wrong);
     }
     return wrong;
 }
 
-function describeWrong({ name, pace }: AnswerCase, route: FramedRoute, seen: string): string {
-    return `${pace}, ${route}: ${name} -> ${seen}`;
-}
-
 /** Stops a node's process until the runner has written its answer and ended its connection. */
 async function freeze({ child }: SiteNode): Promise<void> {
     child.kill("SIGSTOP");
@@ -131,11 +115,7 @@
     before(async () => {
         await site.start(2);
         node = site.site.nodes[0];
-        await site.site.waitForAddresses(node, 2);
-        writeFileSync(node.cutFile, "reset");
-        const isRelayed = async (): Promise<boolean> =>
-            (await site.send({ node, route: "single", answers: [{ framing: "chunks" }] })).seen.status === 200;
-        await waitUntil(isRelayed, { description: "a relayed answer" });
+        await cutOff(site, node);
     });
     after(() => site.stop());
 
--- a/test/platform/brokenOff/framedSite.ts
+++ b/test/platform/brokenOff/framedSite.ts
@@ -4,10 +4,12 @@
 import { waitUntil } from "../../../src/testbench/index.js";
 import { callerPort, createConfiguration, PlatformSite, type SiteNode } from "../platformSite.js";
 import { readFramed, type ReadingPace, type SeenAnswer } from "../standins/framedCaller.js";
-import { type FramedAnswer, FramedRunners, type FramedStream } from "../standins/framedRunner.js";
+import { type FramedAnswer, FramedRunners, type FramedStream, isFramed } from "../standins/framedRunner.js";
 
 const runnerCount = 3;
 const runnerPort = 7_020;
+/** So many that the budget ends no case. */
+const maxRetries = 5_000;
 /** The settings of all streams here. */
 const timeoutMilliseconds = 20_000;
 
@@ -32,15 +34,21 @@
     readonly runners = new FramedRunners();
     #count = 0;
 
-    /** @param prefix - The first three bytes of the site's addresses. */
-    constructor(prefix: string) {
-        this.site = new PlatformSite(prefix, { retry_budget_ratio: 5 });
+    readonly #maxAttempts: number | undefined;
+
+    /**
+     * @param prefix - The first three bytes of the site's addresses.
+     * @param maxAttempts - Upstreams to which a stream may be sent, if they differ from the site's usual number.
+     */
+    constructor(prefix: string, maxAttempts?: number) {
+        this.site = new PlatformSite(prefix, { retry_budget_ratio: 5, budget_extra: maxRetries });
+        this.#maxAttempts = maxAttempts;
     }
 
     /** Starts the store, the runners and nodes, whose path to the runners can be cut. */
     async start(nodes: number): Promise<void> {
         await this.site.start(0);
-        this.site.store.put("keyed.op", "config", createStreamConfiguration());
+        this.site.store.put("keyed.op", "config", createStreamConfiguration(this.#maxAttempts));
         for (let index = 1; index <= runnerCount; index += 1) {
             const host = `${this.site.prefix}.${100 + index}`;
             await this.runners.listen(host, runnerPort);
@@ -64,8 +72,9 @@
             await onArrival();
         }
         const seen = await pending;
-        const last = this.runners.getRuns(id).at(-1)?.answer;
-        return { id, seen, runs: this.runners.getRuns(id).length, verdict: judge(stream, { route, seen, last }) };
+        const runAnswers = this.runners.getRuns(id).map(run => run.answer);
+        const verdict = judge(stream, { route, seen, answers: runAnswers });
+        return { id, seen, runs: runAnswers.length, verdict };
     }
 
     /** Stops everything. */
@@ -80,47 +89,78 @@
     readonly id: string;
     readonly seen: SeenAnswer;
     readonly runs: number;
-    readonly verdict: "right" | "passes for whole" | "sound one cut" | "wrong events";
+    readonly verdict: "right" | "passes for whole" | "sound one cut" | "whole one lost" | "wrong events";
+}
+
+/** What a runner has said of the end of its answer. */
+type StatedEnd = "whole" | "unstated" | "broken";
+
+/** Decides what a runner has said, by the bytes that it wrote and the end of its connection. */
+function getStatedEnd(answer: FramedAnswer): StatedEnd {
+    const { broken, end, head } = answer;
+    const isEventStream = head !== "json";
+    if (broken !== undefined && broken.at !== "between" && isEventStream) {
+        return "broken";
+    }
+    if (isFramed(answer)) {
+        return broken === undefined || broken.at === "last-chunk" ? "whole" : "broken";
+    }
+    return end === "reset" ? "broken" : "unstated";
 }
 
 /**
  * Judges what a caller got. An answer that has no framing and ended in order at its runner may end so at its caller, whether it was whole
- * or not: nobody claims that it was.
+ * or not: nobody claims that it was. What the body of a call has to contain is known to nobody on the way either: a runner that frames
+ * half of it has made it the whole.
  */
 function judge(
     { events }: FramedStream,
-    { route, seen, last }: {
+    { route, seen, answers }: {
         readonly route: FramedRoute;
         readonly seen: SeenAnswer;
-        readonly last: FramedAnswer | undefined;
+        /** The answers of the runs, in their order. */
+        readonly answers: readonly FramedAnswer[];
     },
 ): FramedResult["verdict"] {
-    if (seen.status !== 200) {
+    if (seen.status < 200 || seen.status > 299) {
         return "right";
     }
     if (seen.events.some((id, index) => id !== index + 1)) {
         return "wrong events";
     }
+    const last = answers.at(-1);
+    const isEventStream = last?.head !== "json";
     const isWhole = seen.events.length === events && !seen.isInsideEvent;
-    const isStream = route === "stream" || route === "single";
-    const isBrokenForCaller = seen.end === "broken" || (isStream && seen.end === "unstated" && seen.isInsideEvent);
-    const endedSound = last !== undefined && last.broken === undefined && last.end !== "reset";
+    const isBrokenForCaller = seen.end === "broken"
+        || (isEventStream && seen.end === "unstated" && seen.isInsideEvent);
+    const isSound = ({ broken, end }: FramedAnswer): boolean => broken === undefined && end !== "reset";
     if (isBrokenForCaller) {
-        return endedSound ? "sound one cut" : "right";
+        return last !== undefined && isSound(last) ? "sound one cut" : "right";
     }
-    // What the body of a call has to contain is known to nobody on the way: a runner that frames half of it has made it the whole.
-    const isFramedPart = !isStream && last?.broken?.at === "last-chunk";
-    const mayBeWhole = last?.framing === "none" && last.end !== "reset"
-        && (last.broken === undefined || last.broken.at === "between" || !isStream);
-    return isWhole || isFramedPart || (seen.end === "unstated" && mayBeWhole) ? "right" : "passes for whole";
+    if (isWhole) {
+        return "right";
+    }
+    if (isCall(route) && answers.some(isSound)) {
+        return "whole one lost";
+    }
+    const stated = answers.map(getStatedEnd);
+    const mayBeWhole = isCall(route) ? stated.includes(seen.end) : last !== undefined && stated.at(-1) === seen.end;
+    return mayBeWhole ? "right" : "passes for whole";
 }
 
-function createStreamConfiguration(): object {
+function isCall(route: FramedRoute): boolean {
+    return route === "call" || route === "booking";
+}
+
+function createStreamConfiguration(maxAttempts: number | undefined): object {
     const { routes, ...configuration } = createConfiguration(2) as {
         readonly routes: readonly { readonly name: string; }[];
     };
     const slow = routes.map(route => ({ ...route, timeout_ms: timeoutMilliseconds }));
-    const stream = slow.find(({ name }) => name === "stream");
+    const stream = {
+        ...slow.find(({ name }) => name === "stream"),
+        ...maxAttempts === undefined ? {} : { max_attempts: maxAttempts },
+    };
     const single = { ...stream, name: "single", path_prefix: "/single/", resumable: false };
-    return { ...configuration, routes: [...slow, single] };
+    return { ...configuration, routes: [...slow.filter(({ name }) => name !== "stream"), stream, single] };
 }
--- a/test/platform/standins/framedCaller.ts
+++ b/test/platform/standins/framedCaller.ts
@@ -51,6 +51,8 @@
     const pieces: Buffer[] = [];
     let isReset = false;
     socket.on("error", () => isReset = true);
+    // The connection may be closed before the caller reads on.
+    const closed = new Promise<void>(resolve => socket.on("close", () => resolve()));
     const lines = [
         `POST ${path} HTTP/1.1`,
         "Host: app.example",
@@ -63,19 +65,17 @@
     if (pace === "paused") {
         await sleep(pauseMilliseconds);
     }
-    await new Promise<void>(resolve => {
-        socket.on("close", () => resolve());
-        socket.on("data", piece => {
-            pieces.push(piece);
-            if (isFramingComplete(Buffer.concat(pieces.slice(-2)), pieces)) {
-                socket.destroy();
-            }
-            else if (pace === "slow") {
-                socket.pause();
-                setTimeout(() => socket.resume(), slowMilliseconds);
-            }
-        });
+    socket.on("data", piece => {
+        pieces.push(piece);
+        if (isFramingComplete(Buffer.concat(pieces.slice(-2)), pieces)) {
+            socket.destroy();
+        }
+        else if (pace === "slow") {
+            socket.pause();
+            setTimeout(() => socket.resume(), slowMilliseconds);
+        }
     });
+    await closed;
     return readAnswer(Buffer.concat(pieces), isReset);
 }
 
--- a/test/platform/standins/framedRunner.ts
+++ b/test/platform/standins/framedRunner.ts
@@ -5,8 +5,11 @@
 import { createServer, type Server, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
-/** How the end of an answer is marked. */
-export type Framing = "none" | "chunks" | "length";
+/** How the end of an answer is marked. `identity` names a transfer encoding that marks no end. */
+export type Framing = "none" | "chunks" | "length" | "identity";
+
+/** What the head of an answer says beside its framing. All but `json` are those of streams; `created` has another status of success. */
+export type FramedHead = "typed" | "charset" | "untyped" | "http-1.0" | "created" | "json";
 
 /**
  * Where an answer is broken off. `last-chunk` is inside an event too, but the end of the body is marked as if it were whole.
@@ -16,9 +19,11 @@
 /** One answer to a stream. */
 export interface FramedAnswer {
     readonly framing: Framing;
+    /** Without it, `typed`. */
+    readonly head?: FramedHead;
     /** Whether its head says that the connection closes. */
     readonly closes?: boolean;
-    /** Where it is broken off, after the given event; undefined if it is whole. */
+    /** Where it is broken off, after the given event or before any if it begins later; undefined if it is whole. */
     readonly broken?: { readonly afterEvent: number; readonly at: BreakPoint; };
     /** How the connection ends; without it, a framed answer leaves it open and another one ends in order. */
     readonly end?: "order" | "reset";
@@ -111,19 +116,24 @@
             await sleep(leaveMilliseconds);
             socket.resetAndDestroy();
         }
-        else if (answer.end === "order" || answer.framing === "none") {
+        else if (answer.end === "order" || !isFramed(answer)) {
             socket.end();
         }
     }
 }
 
+/** Returns whether the end of an answer differs from that of a broken connection. */
+export function isFramed({ framing }: FramedAnswer): boolean {
+    return framing === "chunks" || framing === "length";
+}
+
 /** Returns the bytes of an event. */
 export function createFramedEvent(id: number, bytes: number): string {
     return `id: ${id}\ndata: ${"x".repeat(bytes)}\n\n`;
 }
 
 function createPieces({ events, eventBytes }: FramedStream, { broken }: FramedAnswer, lastEventId: number): string[] {
-    const last = broken?.afterEvent ?? events;
+    const last = Math.max(lastEventId, broken?.afterEvent ?? events);
     const pieces: string[] = [];
     for (let id = lastEventId + 1; id <= last; id += 1) {
         pieces.push(createFramedEvent(id, eventBytes));
@@ -135,7 +145,7 @@
 }
 
 function createHead(
-    { framing, closes = false, broken }: FramedAnswer,
+    { framing, head = "typed", closes = false, broken }: FramedAnswer,
     attempt: string,
     stream: FramedStream,
     lastEventId: number,
@@ -146,17 +156,31 @@
         lastEventId,
     );
     const lines = [
-        "HTTP/1.1 200 OK",
+        `${head === "http-1.0" ? "HTTP/1.0" : "HTTP/1.1"} ${head === "created" ? "201 Created" : "200 OK"}`,
         `Attempt-Id: ${attempt}`,
         "Server-Seal: 3e1b.07",
-        "Content-Type: text/event-stream",
+        ...createTypeLines(head),
         ...framing === "chunks" ? ["Transfer-Encoding: chunked"] : [],
+        ...framing === "identity" ? ["Transfer-Encoding: identity"] : [],
         ...framing === "length" ? [`Content-Length: ${whole.join("").length}`] : [],
         ...closes ? ["Connection: close"] : [],
     ];
     return lines.join("\r\n") + headEnd;
 }
 
+function createTypeLines(head: FramedHead): readonly string[] {
+    switch (head) {
+        case "untyped":
+            return [];
+        case "charset":
+            return ["Content-Type: Text/Event-Stream; charset=utf-8"];
+        case "json":
+            return ["Content-Type: application/json"];
+        default:
+            return ["Content-Type: text/event-stream"];
+    }
+}
+
 function frame(pieces: readonly string[], { framing, broken }: FramedAnswer): readonly string[] {
     if (framing !== "chunks") {
         return pieces;
