Believe a framing only where the head of an answer states its end

Callers got half an answer in chunks with the last chunk, if its head had 'Transfer-Encoding: identity' or another coding that is not chunked. Cause: whether an answer has a framing was decided by the name of a header. A transfer encoding whose last coding is not chunked goes on until the connection ends (RFC 9112, section 6.3), so neither its reset nor its early end was looked at. The other face: an answer with status 204 or to HEAD, which has no body, counted as unstated, so that an idempotent call was sent twice for it.

--- a/src/connections/answerEnd.ts
+++ b/src/connections/answerEnd.ts
@@ -6,22 +6,12 @@
  */
 import type { Socket } from "node:net";
 import { Agent, type buildConnector, Client, type Dispatcher, errors, Pool } from "undici";
+import { hasStatedEnd } from "./statedEnd.js";
 
 const nothing = Buffer.alloc(0);
 /** Codes of writes to a connection that was reset. */
 const resetCodes: ReadonlySet<string | undefined> = new Set(["ECONNRESET", "EPIPE", "ENOTCONN"]);
 
-/** Headers of an answer whose end differs from that of a broken connection. */
-const framingHeaders: ReadonlySet<string> = new Set(["content-length", "transfer-encoding"]);
-
-/**
- * Returns whether an answer has a length or chunks.
- * @param names - The names of its headers.
- */
-export function hasFraming(names: readonly string[]): boolean {
-    return names.some(name => framingHeaders.has(name.toLowerCase()));
-}
-
 /** An open connection, and how it ends. */
 class AnswerConnection {
     readonly #socket: Socket;
@@ -76,13 +66,15 @@
 /** Passes an answer on, and fails it if its connection was reset where only the connection could end it. */
 class AnswerEnd implements ClientHandler {
     readonly #handler: ClientHandler;
+    readonly #method: string;
     readonly #getConnection: () => AnswerConnection | undefined;
     #connection: AnswerConnection | undefined;
-    #hasFraming = false;
+    #hasStatedEnd = false;
     #hasFailed = false;
 
-    constructor(handler: ClientHandler, getConnection: () => AnswerConnection | undefined) {
+    constructor(handler: ClientHandler, method: string, getConnection: () => AnswerConnection | undefined) {
         this.#handler = handler;
+        this.#method = method;
         this.#getConnection = getConnection;
     }
 
@@ -99,7 +91,7 @@
     }
 
     onHeaders(status: number, headers: readonly Buffer[], resume: () => void, statusText: string): boolean {
-        this.#hasFraming = hasFraming(headers.filter((_, index) => index % 2 === 0).map(String));
+        this.#hasStatedEnd = hasStatedEnd(this.#method, { status, headers: headers.map(String) });
         this.#connection = this.#getConnection();
         return this.#handler.onHeaders(status, headers, resume, statusText);
     }
@@ -110,7 +102,7 @@
 
     onComplete(trailers: readonly Buffer[]): void {
         const connection = this.#connection;
-        if (this.#hasFraming || connection === undefined || !connection.isOver) {
+        if (this.#hasStatedEnd || connection === undefined || !connection.isOver) {
             this.#handler.onComplete(trailers);
             return;
         }
@@ -164,7 +156,11 @@
     }
 
     override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        const end = new AnswerEnd(handler as unknown as ClientHandler, () => this.#current.get());
+        const end = new AnswerEnd(
+            handler as unknown as ClientHandler,
+            options.method,
+            () => this.#current.get(),
+        );
         return super.dispatch(options, end as unknown as Dispatcher.DispatchHandler);
     }
 }
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -3,7 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { Dispatcher } from "undici";
-import { hasFraming } from "../connections/index.js";
+import { hasStatedEnd } from "../connections/index.js";
 import type { SendLimit } from "../decisions/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type {
@@ -230,7 +230,7 @@
         isSealed,
         confidence: findNumber(raw, headerNames.confidence),
         ...statement,
-        hasKnownEnd: hasFraming(raw.filter((_, index) => index % 2 === 0)),
+        hasKnownEnd: hasStatedEnd(call.request.method, { status: response.statusCode, headers: raw }),
         body: response.body as AsyncIterable<Buffer>,
     });
 }
--- a/src/reachability/relayInterceptor.ts
+++ b/src/reachability/relayInterceptor.ts
@@ -4,6 +4,7 @@
 import type { ClientReadableStream } from "@grpc/grpc-js";
 import type { IncomingHttpHeaders } from "node:http";
 import { type Dispatcher, errors } from "undici";
+import { listHeaders } from "../connections/index.js";
 import type { RelayHead, RelayPart, RelayRequest } from "../generated/peer.js";
 import type { PeerAddress } from "../membership/index.js";
 import { NoRoomError, NotSentError } from "../upstream/index.js";
@@ -163,18 +164,7 @@
 }
 
 function flattenHeaders(headers: Dispatcher.DispatchOptions["headers"]): string[] {
-    if (Array.isArray(headers)) {
-        return [...headers];
-    }
-    const flat: string[] = [];
-    for (const [name, value] of Object.entries((headers ?? {}) as Readonly<IncomingHttpHeaders>)) {
-        for (const single of Array.isArray(value) ? value : [value]) {
-            if (single !== undefined) {
-                flat.push(name, single);
-            }
-        }
-    }
-    return flat;
+    return Array.isArray(headers) ? [...headers] : listHeaders((headers ?? {}) as Readonly<IncomingHttpHeaders>);
 }
 
 function readHeaders({ headers }: RelayHead): IncomingHttpHeaders {
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -5,7 +5,7 @@
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
 import { Failure } from "../common/index.js";
-import { hasFraming } from "../connections/index.js";
+import { hasStatedEnd, listHeaders } from "../connections/index.js";
 import type { Vm } from "../world/index.js";
 import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
 import { getOrigin } from "./engineClient.js";
@@ -38,8 +38,6 @@
 /** Headers of an answer that are forwarded to the caller. */
 const forwardedHeaders = ["content-type", "content-language", "location", "etag", "last-modified", "cache-control"];
 
-/** Statuses of answers that end with their heads. */
-const bodylessStatuses: ReadonlySet<number> = new Set([204, 304]);
 const leavingStatus = 409;
 const leavingType = "leaving";
 const problemSchema = z.object({ type: z.string() });
@@ -87,7 +85,7 @@
                 body: call.body,
             });
             this.#answerObserver?.observe(service, response, sentAt);
-            const answer = await this.#readAnswer(response, service);
+            const answer = await this.#readAnswer(response, service, call.method);
             if (answer.isOk() && isLeavingRefusal(answer.value)) {
                 this.#answerObserver?.observeLeaving(service);
                 return err(classifyRefusal(answer.value.status, service.id));
@@ -102,6 +100,7 @@
     async #readAnswer(
         response: Dispatcher.ResponseData,
         service: Vm,
+        method: string,
     ): Promise<Result<ServiceAnswer, UpstreamFailure>> {
         const parts: Uint8Array[] = [];
         let size = 0;
@@ -117,7 +116,10 @@
             status: response.statusCode,
             headers: pickHeaders(response.headers),
             body: Buffer.concat(parts),
-            hasKnownEnd: hasFraming(Object.keys(response.headers)) || bodylessStatuses.has(response.statusCode),
+            hasKnownEnd: hasStatedEnd(method, {
+                status: response.statusCode,
+                headers: listHeaders(response.headers),
+            }),
             loadHeader: getSingleHeader(response.headers["x-load"]),
         });
     }
--- a/test/platform/soak/soakCallers.ts
+++ b/test/platform/soak/soakCallers.ts
@@ -1,7 +1,7 @@
 /** Callers of a soak test. They send requests to random nodes, keep connections open, and record what they observe. */
 import { type Agent, buildConnector, request as sendRequest } from "undici";
 import type { RandomSource } from "../../../src/common/index.js";
-import { createAnswerAgent, halfOpen, hasFraming } from "../../../src/connections/index.js";
+import { createAnswerAgent, halfOpen, hasStatedEnd, listHeaders } from "../../../src/connections/index.js";
 import { createPromptHeaders, createPromptParts } from "./soakCrashes.js";
 import { draw, wait } from "./soakRecord.js";
 import { createStreamPath, shortStream, type StreamShape } from "./soakRunners.js";
@@ -146,7 +146,7 @@
             });
             status = response.statusCode;
             isSealed = response.headers["server-seal"] !== undefined;
-            isFramed = hasFraming(Object.keys(response.headers));
+            isFramed = hasStatedEnd("POST", { status, headers: listHeaders(response.headers) });
             if (this.#options.hasLateReaders && kind === "stream" && this.#count % lateReaderInterval === 0) {
                 await wait(lateMilliseconds);
             }
