Decide at one place what an answer is and how it has ended

Callers got a part of an event and the last chunk, or events of two runs joined ('id: 4, data: cutid: 4, data: ...', framed as complete), where the head of a part had no Content-Type or a status of success other than 200. Cause: StreamRelay split events by the status, the judgement of the end looked for them by the type and, where that was missing, by whether one had been complete, and the path of calls did not look at all. Where the three differed, an answer was passed on as one thing and judged as another.

Change: forwarding/answerEnd alone decides both. The relay, the resumption, the silence of a runner, the rejection of a part that is something else, the bytes that mark a broken end and the reading of calls go by it. A call's answer that is a stream and ends inside an event fails like one that was truncated.

--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -9,6 +9,7 @@
 import { measurePauses, type RunnerPaces } from "../pace/index.js";
 import type { RunEnd } from "../quarantine/index.js";
 import { isRepeatable } from "../routing/index.js";
+import { getAnswerForm } from "./answerEnd.js";
 import type {
     Attempt,
     AttemptFailure,
@@ -23,7 +24,6 @@
 import type { WatchedHead } from "./headWatch.js";
 import { PendingAttempt } from "./pendingAttempt.js";
 import type { SelectedUpstream } from "./selectedUpstream.js";
-import { eventStreamType } from "./streamEnd.js";
 import {
     type ReportedLoad,
     successStatus,
@@ -353,7 +353,8 @@
 
 /** Returns the type of a success that is not a stream of events exactly where the route leads to expect one, for log lines. */
 function getUnexpectedType({ route }: Exchange, { status, mediaType }: UpstreamAnswer): string | undefined {
-    const isExpected = (mediaType === eventStreamType) === (route.kind === "stream");
+    const isEventStream = getAnswerForm(route, { status, mediaType }) === "events";
+    const isExpected = isEventStream === (route.kind === "stream") && (mediaType !== undefined || !isEventStream);
     return isExpected || status >= minErrorStatus ? undefined : mediaType ?? "none";
 }
 
--- a/src/forwarding/fallbackAnswer.ts
+++ b/src/forwarding/fallbackAnswer.ts
@@ -7,6 +7,8 @@
 export interface BufferedAnswer {
     readonly head: UpstreamAnswer;
     readonly body: Buffer;
+    /** Whether its upstream has said that it is complete. */
+    readonly isWhole: boolean;
 }
 
 /** The failed and the possibly incomplete answers to one call. */
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -1,5 +1,6 @@
 /** Handles requests from admission to the final answer. */
 export * from "./answerBuffers.js";
+export * from "./answerEnd.js";
 export * from "./attempt.js";
 export * from "./attempts.js";
 export * from "./callerReply.js";
@@ -12,7 +13,6 @@
 export * from "./refusals.js";
 export * from "./replyBuffers.js";
 export * from "./shutdown.js";
-export * from "./streamEnd.js";
 export * from "./upstreamCall.js";
 export * from "./upstreamObserver.js";
 export * from "./waitingRoom.js";
--- a/src/forwarding/replyEnding.ts
+++ b/src/forwarding/replyEnding.ts
@@ -1,21 +1,22 @@
 /**
  * Ends the answer to the caller of a stream, and claims no more of its end than the runners have stated.
  */
-import type { Attempt } from "./attempt.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
+import type { AnswerEnd } from "./answerEnd.js";
 import type { Exchange } from "./exchange.js";
-import type { StreamEnd } from "./streamEnd.js";
-import { successStatus } from "./upstreamCall.js";
 
 /** Why an answer is broken off that its caller would take for whole. */
 const unstatedReason = "the answer may be incomplete";
 
 /** How the part of one runner has ended. */
 export interface EndedPart {
-    readonly end: StreamEnd;
+    readonly end: AnswerEnd;
     /** Whether it had any events. */
     readonly hasEvents: boolean;
     /** Whether the runner has crashed. */
     readonly hasCrashed: boolean;
+    /** Whether another runner may go on with it. */
+    readonly mayResume: boolean;
 }
 
 /** Ends one answer, which may have parts of several runners. */
@@ -37,19 +38,19 @@
     /**
      * Ends an answer whose runner has ended it. Where that runner has not said that it is whole, another one is asked for the rest if the
      * caller would be told so, or if the runner has crashed. If that one has nothing more, the answer was whole.
-     * @param attempt - The attempt.
+     * @param upstream - The runner.
      * @param part - How its answer ended.
      * @returns Whether the exchange has ended.
      */
-    end(attempt: Attempt, { end, hasEvents, hasCrashed }: EndedPart): boolean {
-        const { ended, reply, route } = this.#exchange;
+    end(upstream: RegisteredUpstream, { end, hasEvents, hasCrashed, mayResume }: EndedPart): boolean {
+        const { ended, reply } = this.#exchange;
         if (end === "whole" || (this.#mayBeWhole && !hasEvents)) {
             reply.end();
             return true;
         }
         this.#mayBeWhole = true;
-        const mayAsk = route.isResumable && attempt.answer.status === successStatus && !ended.aborted;
-        if (mayAsk && (reply.hasKnownEnd || hasCrashed) && this.#canRepeat()) {
+        void upstream;
+        if (mayResume && !ended.aborted && (reply.hasKnownEnd || hasCrashed) && this.#canRepeat()) {
             return false;
         }
         this.breakOff(unstatedReason);
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -4,6 +4,7 @@
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
 import type { AnswerBuffers } from "./answerBuffers.js";
+import { getAnswerForm, getIncompleteEnd } from "./answerEnd.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
@@ -17,9 +18,8 @@
 import { ReplyEnding } from "./replyEnding.js";
 import { SilentAnswer } from "./silentAnswer.js";
 import { StreamAnswer } from "./streamAnswer.js";
-import { getIncompleteEnd, type StreamEnd } from "./streamEnd.js";
 import { StreamRelay } from "./streamRelay.js";
-import { isCertainlyNotRun, minServerErrorStatus, successStatus } from "./upstreamCall.js";
+import { isCertainlyNotRun, minServerErrorStatus } from "./upstreamCall.js";
 
 /** Options of `StreamExchange`. */
 export interface StreamExchangeOptions {
@@ -133,7 +133,7 @@
         if (previous !== undefined) {
             return previous;
         }
-        return this.#cascade.escalate(attempt) ? undefined : new StreamAnswer(attempt);
+        return this.#cascade.escalate(attempt) ? undefined : this.#createAnswer(attempt);
     }
 
     /** Returns the silent answer if the attempt that was to replace it does not continue it; otherwise ends that answer. */
@@ -142,7 +142,7 @@
         if (silent === undefined) {
             return undefined;
         }
-        if (attempt.answer.status !== successStatus) {
+        if (getAnswerForm(this.#exchange.route, attempt.answer) !== "events") {
             this.#rejectContinuation(attempt);
             return this.#takeSilent();
         }
@@ -176,12 +176,17 @@
             return silent;
         }
         const attempt = this.#cascade.takeBack(error);
-        return attempt && new StreamAnswer(attempt);
+        return attempt && this.#createAnswer(attempt);
     }
 
-    /** Ends an attempt that answers in the middle of a stream with another status than that of its first part. */
+    #createAnswer(attempt: Attempt): StreamAnswer {
+        return new StreamAnswer(attempt, getAnswerForm(this.#exchange.route, attempt.answer));
+    }
+
+    /** Ends an attempt that answers in the middle of a stream with something else. */
     #rejectContinuation(attempt: Attempt): string {
-        const reason = `status ${attempt.answer.status} in the middle of a stream`;
+        const { status, mediaType = "no type" } = attempt.answer;
+        const reason = `status ${status}, ${mediaType}, in the middle of a stream`;
         attempt.finish("error", reason, "complete");
         attempt.cancel();
         return reason;
@@ -211,13 +216,13 @@
     async #deliver(relayed: StreamAnswer): Promise<boolean> {
         const { attempt } = relayed;
         const { answer } = attempt;
-        const { route, reply } = this.#exchange;
-        if (reply.hasStarted && answer.status !== successStatus) {
+        const { reply } = this.#exchange;
+        if (reply.hasStarted && relayed.form !== "events") {
             this.#ending.breakOff(this.#rejectContinuation(attempt));
             return true;
         }
         if (!reply.hasStarted) {
-            const incompleteEnd = getIncompleteEnd(answer);
+            const incompleteEnd = getIncompleteEnd(relayed.form);
             reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd, incompleteEnd });
         }
         const result = await this.#relay.relay(relayed);
@@ -228,16 +233,15 @@
         this.#relay.endSilence(relayed, "ended");
         const hasEvents = relayed.splitter.hasEvents;
         if (result.kind === "ended") {
-            const hasCrashed = await this.#recordEnd(attempt, result.end);
-            return this.#ending.end(attempt, { end: result.end, hasEvents, hasCrashed });
+            const mayResume = this.#mayResume(relayed);
+            const hasCrashed = await this.#recordEnd(attempt, result.end === "unstated" && mayResume);
+            return this.#ending.end(attempt.upstream, { end: result.end, hasEvents, hasCrashed, mayResume });
         }
         this.#ending.markBroken(hasEvents);
         const end = result.isDisconnected ? "disconnected" : "stopped";
         attempt.finish(this.#exchange.ended.aborted ? "cancelled" : "failed", result.reason, end);
         attempt.cancel();
-        if (
-            !this.#exchange.ended.aborted && route.isResumable && answer.status === successStatus && this.#canRepeat()
-        ) {
+        if (!this.#exchange.ended.aborted && this.#mayResume(relayed) && this.#canRepeat()) {
             return false;
         }
         this.#ending.breakOff(result.reason);
@@ -246,20 +250,26 @@
 
     /**
      * Records the end of an attempt whose runner has ended its answer in order.
+     * @param attempt - The attempt.
+     * @param mayBeBroken - Whether the runner has not said that its answer is whole, and another one can be asked for the rest.
      * @returns Whether that runner has crashed, where another one can be asked for the rest.
      */
-    async #recordEnd(attempt: Attempt, end: StreamEnd): Promise<boolean> {
-        const { status } = attempt.answer;
-        const mayBeBroken = end === "unstated" && status === successStatus && this.#exchange.route.isResumable;
+    async #recordEnd(attempt: Attempt, mayBeBroken: boolean): Promise<boolean> {
+        const { status, hasKnownEnd } = attempt.answer;
         if (mayBeBroken && await attempt.hasUpstreamCrashed()) {
             attempt.finish("failed", "the upstream crashed as its answer ended", "disconnected");
             return true;
         }
         const outcome = status >= minServerErrorStatus ? "error" : "ok";
-        attempt.finish(outcome, `status ${status}`, end === "whole" ? "complete" : "stopped");
+        attempt.finish(outcome, `status ${status}`, hasKnownEnd ? "complete" : "stopped");
         return false;
     }
 
+    /** Returns whether another runner may go on with an answer. */
+    #mayResume({ form }: StreamAnswer): boolean {
+        return this.#exchange.route.isResumable && form === "events";
+    }
+
     #canRepeat(): boolean {
         return this.#exchange.reservation !== undefined
             || hasRetryLeft(this.#exchange, this.#budget, this.#pressure);
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -4,11 +4,10 @@
 import { isEndless } from "../connections/index.js";
 import { events, type Journal } from "../events/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
+import { type AnswerEnd, judgeAnswerEnd } from "./answerEnd.js";
 import { recheckMilliseconds } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
 import type { StreamAnswer } from "./streamAnswer.js";
-import { judgeStreamEnd, type StreamEnd } from "./streamEnd.js";
-import { successStatus } from "./upstreamCall.js";
 
 /**
  * A resumable stream whose runner sends nothing for this factor times the pause objective is resumed at another runner, if one takes
@@ -22,7 +21,7 @@
 
 /** Result of relaying an answer. */
 export type RelayResult =
-    | { readonly kind: "ended"; readonly end: Exclude<StreamEnd, "inside-event">; }
+    | { readonly kind: "ended"; readonly end: Exclude<AnswerEnd, "inside-event">; }
     | { readonly kind: "silent"; readonly reason: string; }
     | { readonly kind: "broken"; readonly reason: string; readonly isDisconnected: boolean; };
 
@@ -55,7 +54,7 @@
     async relay(relayed: StreamAnswer): Promise<RelayResult> {
         const { reply, ended } = this.#options.exchange;
         const { attempt, body } = relayed;
-        const isEventStream = attempt.answer.status === successStatus;
+        const isEventStream = relayed.form === "events";
         const buffer = this.#options.answerBuffers.add(attempt.upstream.id, attempt.cancel);
         let passedBytes = 0;
         try {
@@ -101,7 +100,7 @@
      */
     async #waitForPiece(relayed: StreamAnswer): Promise<boolean> {
         const { route } = this.#options.exchange;
-        if (!route.isResumable || relayed.attempt.answer.status !== successStatus) {
+        if (!route.isResumable || relayed.form !== "events") {
             return true;
         }
         let milliseconds = relayed.silentSince === undefined ? this.#getPauseTimeout() : recheckMilliseconds;
@@ -135,8 +134,8 @@
         return Math.max(minPauseTimeoutMilliseconds, objective * pauseTimeoutFactor);
     }
 
-    async #evaluateEnd({ attempt, splitter }: StreamAnswer): Promise<RelayResult> {
-        const end = judgeStreamEnd(attempt.answer, splitter);
+    async #evaluateEnd({ attempt, form, splitter }: StreamAnswer): Promise<RelayResult> {
+        const end = judgeAnswerEnd(attempt.answer, form, splitter);
         if (end === "inside-event") {
             const isDisconnected = !attempt.answer.hasKnownEnd;
             return { kind: "broken", reason: "the answer ended inside an event", isDisconnected };
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -8,14 +8,16 @@
 import { events, type Journal } from "../events/index.js";
 import { isRepeatable } from "../routing/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
+import { type AnswerEnd, getAnswerForm, judgeAnswerEnd } from "./answerEnd.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
+import { EventSplitter } from "./eventSplitter.js";
 import { type Exchange, getRankedRequest } from "./exchange.js";
 import { type BufferedAnswer, FallbackAnswer } from "./fallbackAnswer.js";
 import type { HeadTimes } from "./headTimes.js";
 import { createAnswerRefusal, createBrokenFailure } from "./refusals.js";
-import { isCertainlyNotRun, minServerErrorStatus } from "./upstreamCall.js";
+import { isCertainlyNotRun, minServerErrorStatus, type UpstreamAnswer } from "./upstreamCall.js";
 
 /** Parts that answer plain requests. */
 export interface UnaryParts {
@@ -151,9 +153,25 @@
     if (buffer.isGivenUp) {
         return failOversized(attempt);
     }
+    const bytes = body.read();
+    const end = judgeBody(exchange, answer, bytes);
+    if (end === "inside-event") {
+        const reason = "the answer ended inside an event";
+        attempt.finish("failed", reason, answer.hasKnownEnd ? "stopped" : "disconnected");
+        return createBrokenFailure(reason);
+    }
     const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-    attempt.finish(outcome, `status ${answer.status}`, answer.hasKnownEnd ? "complete" : "stopped");
-    return ok({ head: answer, body: body.read() });
+    attempt.finish(outcome, `status ${answer.status}`, end === "whole" ? "complete" : "stopped");
+    return ok({ head: answer, body: bytes, isWhole: end === "whole" });
+}
+
+function judgeBody({ route }: Exchange, answer: UpstreamAnswer, body: Buffer): AnswerEnd {
+    const form = getAnswerForm(route, answer);
+    const splitter = new EventSplitter();
+    if (form === "events") {
+        splitter.push(body);
+    }
+    return judgeAnswerEnd(answer, form, splitter);
 }
 
 /** Ends an attempt whose answer was given up. The upstream did not crash, so its run has merely stopped. */
@@ -163,12 +181,12 @@
 }
 
 /** Returns whether a retry may give a better answer: this one is a failure or may be incomplete. */
-function isFailedOrPartial({ head }: BufferedAnswer): boolean {
-    return head.status >= minServerErrorStatus || !head.hasKnownEnd;
+function isFailedOrPartial({ head, isWhole }: BufferedAnswer): boolean {
+    return head.status >= minServerErrorStatus || !isWhole;
 }
 
-async function sendAnswer({ reply }: Exchange, { head, body }: BufferedAnswer): Promise<void> {
-    if (head.hasKnownEnd) {
+async function sendAnswer({ reply }: Exchange, { head, body, isWhole }: BufferedAnswer): Promise<void> {
+    if (isWhole) {
         reply.answer(head.status, head.headers, body);
         return;
     }
