Deliver the longest of a call's answers that came without a framing

A caller of an idempotent call got the half of an answer although the second runner had sent all of it: where every answer comes without a length or chunks and ends in order, the first success was delivered whatever the others said. An answer that was broken off is shorter than the whole one, so the longest of one class of statuses is delivered now, still without a framing. Where two attempts bring the same bytes, no third one is made; a route with four attempts took four runs for each such answer.

--- a/src/forwarding/fallbackAnswer.ts
+++ b/src/forwarding/fallbackAnswer.ts
@@ -16,6 +16,7 @@
     /** Lengths of the bodies of the successes that may be incomplete, in the order of their attempts. */
     readonly #partialBytes: number[] = [];
     #answer: BufferedAnswer | undefined;
+    #isConfirmed = false;
 
     /** The answer to deliver; undefined if there was none. */
     get answer(): BufferedAnswer | undefined {
@@ -27,17 +28,33 @@
         return this.#partialBytes;
     }
 
-    /** Adds an answer. A success that may be incomplete is better than a failure. */
+    /** Whether two attempts have brought the same answer, so that a further one would tell no more. */
+    get isConfirmed(): boolean {
+        return this.#isConfirmed;
+    }
+
+    /** Adds an answer. A success that may be incomplete is better than a failure, and one that says more than another is better. */
     add(answer: BufferedAnswer): void {
+        const known = this.#answer;
         if (isSuccess(answer)) {
             this.#partialBytes.push(answer.body.length);
+            this.#isConfirmed ||= known?.head.status === answer.head.status && known.body.equals(answer.body);
         }
-        if (this.#answer === undefined || !isSuccess(this.#answer)) {
+        if (known === undefined || !isSuccess(known) || saysMore(answer, known)) {
             this.#answer = answer;
         }
     }
 }
 
+/** Returns whether an answer is longer than another one of the same class of statuses, of which a part may be missing. */
+function saysMore({ head, body }: BufferedAnswer, other: BufferedAnswer): boolean {
+    return getStatusClass(head.status) === getStatusClass(other.head.status) && body.length > other.body.length;
+}
+
+function getStatusClass(status: number): number {
+    return Math.floor(status / 100);
+}
+
 function isSuccess({ head }: BufferedAnswer): boolean {
     return head.status < minServerErrorStatus;
 }
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -83,7 +83,11 @@
         }
         if (isFailedOrPartial(answer.value) && isRepeatable(exchange.route)) {
             fallback.add(answer.value);
-            continue;
+            if (!fallback.isConfirmed) {
+                continue;
+            }
+            await sendFallback(exchange, answer.value, { fallback, journal });
+            return;
         }
         await sendAnswer(exchange, answer.value);
         return;
@@ -204,11 +208,20 @@
         readonly getRefusal: () => Refusal;
     },
 ): Promise<void> {
-    const { answer, partialBytes } = fallback;
+    const { answer } = fallback;
     if (answer === undefined) {
         exchange.reply.refuse(getRefusal());
         return;
     }
+    // The upstream's own failure is more informative than a refusal by the router.
+    await sendFallback(exchange, answer, { fallback, journal });
+}
+
+async function sendFallback(
+    exchange: Exchange,
+    answer: BufferedAnswer,
+    { fallback: { partialBytes }, journal }: { readonly fallback: FallbackAnswer; readonly journal: Journal; },
+): Promise<void> {
     if (partialBytes.length > 0) {
         journal.write(events.partialAnswerChosen, {
             request: exchange.request.id,
@@ -216,7 +229,6 @@
             chosenBytes: answer.body.length,
         });
     }
-    // The upstream's own failure is more informative than a refusal by the router.
     await sendAnswer(exchange, answer);
 }
 
--- a/test/forwarding/unaryExchange.test.ts
+++ b/test/forwarding/unaryExchange.test.ts
@@ -70,6 +70,45 @@
         expect([query.chunks, query.hasKnownEnd]).toEqual([["whole"], true]);
     });
 
+    // Guards against half an answer that is delivered although the second upstream sent all of it.
+    it("delivers the longest of the answers without a known end", async () => {
+        for (const bodies of [["ha", "half and whole"], ["half and whole", "ha"]]) {
+            const { send, lines } = createUnaryForwarder("idempotent", {
+                behaviour: (...[, , count]) => createAnswer([bodies[count - 1]], { hasKnownEnd: false }),
+            });
+            const caller = await send();
+            expect([caller.chunks, caller.hasKnownEnd]).toEqual([["half and whole"], false]);
+            expect(lines.filter(line => line.name === "partial-answer-chosen").map(line => line.bytes)).toEqual([
+                bodies.map(body => body.length).join(","),
+            ]);
+        }
+    });
+
+    // Guards against a success that is replaced by a longer failure, and against an answer that is exchanged for one of the same length.
+    it("keeps the first of equal answers without a known end, and a success before a failure", async () => {
+        const answers = [
+            createAnswer(["one"], { hasKnownEnd: false }),
+            createAnswer(["a long failure"], { hasKnownEnd: false, status: 500 }),
+            createAnswer(["two"], { hasKnownEnd: false }),
+        ];
+        const route = createRoute({ kind: "idempotent", maxAttempts: 3, timeoutMilliseconds: 900 });
+        const { send } = createForwarder({
+            getRoutes: () => createRouteTable({ routes: [route] }),
+            behaviour: (...[, , count]) => answers[count - 1],
+        });
+        expect((await send()).chunks).toEqual(["one"]);
+    });
+
+    // Guards against a further run for an answer that two upstreams have given alike.
+    it("asks for an answer without a known end until two upstreams agree", async () => {
+        const route = createRoute({ kind: "idempotent", maxAttempts: 3, timeoutMilliseconds: 900 });
+        const { send, calls } = createForwarder({
+            getRoutes: () => createRouteTable({ routes: [route] }),
+            behaviour: () => createAnswer(["same"], { hasKnownEnd: false }),
+        });
+        expect([(await send()).chunks, calls.length]).toEqual([["same"], 2]);
+    });
+
     // Every instance is full and refuses. The caller must receive a prompt refusal with the outcome not run and a retry delay.
     it("reports that a request has not run, with a retry delay, when every upstream refuses", async () => {
         const { send } = createUnaryForwarder("at-most-once", { behaviour: () => createCallFailure("refused") });
