Ask the runner of an unstated end again before its caller is told that the answer is broken off

Callers whose answer was begun with a framing got 12 of 12 events and then a cut where the last runner had sent the rest without a framing and ended it in order, since all runners had been asked. Cause: what such an end is worth was decided when nobody else was left, though the runner itself can say whether it has more. It is asked for what follows its last event now, at most twice for one request, within the retry budget and only if no other runner can be asked; the number of runners to which a request goes does not grow. Nothing more, in order: the answer is whole. More events: they are passed on. Anything else: broken off as before. Callers whose answer has no framing are told nothing either way, so nobody is asked for them.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -66,6 +66,11 @@
     readonly getRetryReserve: (allowed: number) => number;
     /** Returns whether the attempt may wait for room. One that replaces an answer at hand must not make it late. */
     readonly mayWait: () => boolean;
+    /**
+     * The only upstream that is asked, although it was asked before: it has ended its part of the answer without saying that the answer
+     * is whole. It counts no further time among the upstreams to which the request may be sent.
+     */
+    readonly only?: RegisteredUpstream | undefined;
 }
 
 /**
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -3,6 +3,7 @@
  */
 import { err, ok, type Result } from "neverthrow";
 import type { WindowedRetryBudget } from "../decisions/index.js";
+import type { RegisteredUpstream } from "../fleet/index.js";
 import type { CrashWatch } from "../quarantine/index.js";
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
 import type { Exchange } from "./exchange.js";
@@ -85,8 +86,8 @@
      * @returns Whether the next attempt is admitted.
      */
     reserveBeside(request: AttemptRequest): boolean {
-        if (request.exchange.isEvaluating) {
-            // The request may turn out to crash the upstreams that run it.
+        if (request.exchange.isEvaluating || request.only !== undefined) {
+            // The request may turn out to crash the upstreams that run it, or is to be sent to one of them alone.
             return false;
         }
         const selection = this.#checkReplacement(request).andThen(selected =>
@@ -106,11 +107,11 @@
 
     /** Returns the upstream to which a request may be sent that has room, or why it is sent to none. */
     #check(request: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
-        const { exchange } = request;
+        const { exchange, only } = request;
         if (exchange.ended.aborted) {
             return err({ kind: "not-made", reason: "ended" });
         }
-        if (exchange.attempts >= exchange.route.maxAttempts) {
+        if (only === undefined && exchange.attempts >= exchange.route.maxAttempts) {
             return err({ kind: "not-made", reason: "attempts" });
         }
         const wait = this.#options.crashWatch.getWait(exchange.watchedRequest);
@@ -182,15 +183,21 @@
     }
 
     /** Selects an upstream, or tells why the request is not sent to any now. */
-    #select({ exchange, prompt }: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
+    #select({ exchange, prompt, only }: AttemptRequest): Result<SelectedUpstream, AttemptFailure> {
         if (!this.#options.isReachable(exchange.pool)) {
             return err({ kind: "not-made", reason: "unreachable" });
         }
-        const selected = this.#selection.select(exchange, prompt, exchange.excluded, exchange.attempts === 0);
+        const excluded = only === undefined ? exchange.excluded : this.#excludeOthers(only);
+        const selected = this.#selection.select(exchange, prompt, excluded, exchange.attempts === 0);
         return selected === undefined || this.#selection.isHeapedUp(exchange, selected.pick)
             ? err(this.#selection.createFailure(exchange))
             : ok(selected);
     }
+
+    #excludeOthers({ id, pool }: RegisteredUpstream): ReadonlySet<string> {
+        const available = this.#options.registry.getAvailable(pool);
+        return new Set(available.map(upstream => upstream.id).filter(other => other !== id));
+    }
 }
 
 /** Returns whether a further attempt counts as a retry. */
--- a/src/forwarding/replyEnding.ts
+++ b/src/forwarding/replyEnding.ts
@@ -8,6 +8,9 @@
 /** Why an answer is broken off that its caller would take for whole. */
 const unstatedReason = "the answer may be incomplete";
 
+/** Times that a runner is asked again whether it has more: once for the part that it has sent, and once for the rest of that. */
+const maxTimesAskedAgain = 2;
+
 /** How the part of one runner has ended. */
 export interface EndedPart {
     readonly end: AnswerEnd;
@@ -25,6 +28,10 @@
     readonly #canRepeat: () => boolean;
     /** Whether what the caller has is either whole or broken off: the last part ended in order, without a framing and between events. */
     #mayBeWhole = false;
+    /** The runner that has ended the last part so, and may be asked whether it has more. */
+    #unconfirmed: RegisteredUpstream | undefined;
+    #toAskAgain: RegisteredUpstream | undefined;
+    #timesAskedAgain = 0;
 
     /**
      * @param exchange - The request.
@@ -49,17 +56,47 @@
             return true;
         }
         this.#mayBeWhole = true;
-        void upstream;
-        if (mayResume && !ended.aborted && (reply.hasKnownEnd || hasCrashed) && this.#canRepeat()) {
+        this.#unconfirmed = mayResume && !hasCrashed ? upstream : undefined;
+        const mayAsk = mayResume && !ended.aborted && (reply.hasKnownEnd || hasCrashed);
+        if (mayAsk && (this.#canRepeat() || this.askAgain())) {
             return false;
         }
         this.breakOff(unstatedReason);
         return true;
     }
 
+    /**
+     * Lets the runner that has ended the last part be asked once more, if its caller would otherwise be told that the answer is broken
+     * off. It alone can say that it has nothing more where no other runner is left.
+     * @returns Whether it is asked.
+     */
+    askAgain(): boolean {
+        const { ended, reply } = this.#exchange;
+        if (
+            this.#unconfirmed === undefined || this.#timesAskedAgain >= maxTimesAskedAgain || !reply.hasKnownEnd
+            || ended.aborted
+        ) {
+            return false;
+        }
+        this.#timesAskedAgain += 1;
+        this.#toAskAgain = this.#unconfirmed;
+        this.#unconfirmed = undefined;
+        return true;
+    }
+
+    /** Returns the runner that alone is asked next, once. */
+    takeAskedAgain(): RegisteredUpstream | undefined {
+        const upstream = this.#toAskAgain;
+        this.#toAskAgain = undefined;
+        return upstream;
+    }
+
     /** Records that a part of an answer was broken off. If it had events, those before it were not the whole answer. */
     markBroken(hasEvents: boolean): void {
         this.#mayBeWhole &&= !hasEvents;
+        if (hasEvents) {
+            this.#unconfirmed = undefined;
+        }
     }
 
     /** Breaks an answer off. One that may be whole, of which its caller is told nothing, ends in order. */
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -82,7 +82,10 @@
 
     async #answer(): Promise<void> {
         for (;;) {
-            const attempt = await this.#race.make(this.#createAttemptRequest());
+            const attempt = await this.#race.make({
+                ...this.#createAttemptRequest(),
+                only: this.#ending.takeAskedAgain(),
+            });
             const answered = attempt.isOk() ? this.#accept(attempt.value) : this.#takeBack(attempt.error);
             if (answered !== undefined) {
                 if (await this.#relayAnswer(answered)) {
@@ -90,7 +93,7 @@
                 }
                 continue;
             }
-            if (attempt.isErr() && !this.#canRetry(attempt.error)) {
+            if (attempt.isErr() && !this.#canRetry(attempt.error) && !this.#ending.askAgain()) {
                 await this.#finishWithoutAnswer(attempt.error);
                 return;
             }
