Take a stream's runner for ended by its record as well, where its end is not stated

Callers got half a resumable stream, ended in order, although other runners had the rest, if the runner had crashed and was back as the end was read. Cause: the only evidence of a crash was a refused connection, at the moment at which the end is read. A node that was frozen or whose caller reads slowly reads it later than that. The runners' records say as much for as long as needed: one that is gone, has another start time, or stands under another identifier at the same address is not the one that was asked. It costs no connection and no attempt where the runner lives.

forwarding/streamExchange, 'asks for the rest of a stream without a known end whose runner has started anew by its record', fails without the change (one event, one call) and passes with it; UpstreamRegistry.hasEnded has a test of its own. Open: a runner that is back before both the end is read and its new record is known passes as before.

--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -165,6 +165,23 @@
         return known !== undefined && isSameIncarnation(known, upstream) && this.#acceptsRequests(known);
     }
 
+    /**
+     * Returns whether an upstream, as it was registered when a request was placed, has ended: it is registered no longer, it has started
+     * anew, or another one is registered with its address.
+     */
+    hasEnded(upstream: RegisteredUpstream): boolean {
+        const known = this.#upstreams.get(upstream.id);
+        if (known === undefined || !isSameIncarnation(known, upstream)) {
+            return true;
+        }
+        for (const other of this.getAvailable(upstream.pool)) {
+            if (other.id !== upstream.id && other.address === upstream.address) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the names of the pools with upstreams that accept requests. */
     getPools(): Iterable<string> {
         this.#byPool ??= this.#groupByPool();
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -255,12 +255,12 @@
      * Records the end of an attempt whose runner has ended its answer in order.
      * @param attempt - The attempt.
      * @param mayBeBroken - Whether the runner has not said that its answer is whole, and another one can be asked for the rest.
-     * @returns Whether that runner has crashed, where another one can be asked for the rest.
+     * @returns Whether that runner has ended, where another one can be asked for the rest.
      */
     async #recordEnd(attempt: Attempt, mayBeBroken: boolean): Promise<boolean> {
         const { status, hasKnownEnd } = attempt.answer;
-        if (mayBeBroken && await attempt.hasUpstreamCrashed()) {
-            attempt.finish("failed", "the upstream crashed as its answer ended", "disconnected");
+        if (mayBeBroken && await attempt.hasUpstreamEnded()) {
+            attempt.finish("failed", "the upstream has ended with its answer", "disconnected");
             return true;
         }
         const outcome = status >= minServerErrorStatus ? "error" : "ok";
--- a/test/fleet/upstreamRegistry.test.ts
+++ b/test/fleet/upstreamRegistry.test.ts
@@ -37,6 +37,26 @@
         });
     });
 
+    describe("hasEnded", () => {
+        // Guards against the end of a run that passes for the orderly end of its answer since the upstream is back already.
+        it("knows upstreams that have started anew, under their own identifier or another one at their address", () => {
+            const { registry } = createRegistry();
+            const first = createUpstream("a", { startedAt: 1, address: "10.0.0.1:80" });
+            registry.set(first);
+            registry.set(createUpstream("b", { address: "10.0.0.2:80" }));
+            expect(registry.hasEnded(first)).toEqual(false);
+            registry.set({ ...first, isLeaving: true });
+            expect(registry.hasEnded(first)).toEqual(false);
+            registry.set(createUpstream("c", { address: "10.0.0.1:80" }));
+            expect(registry.hasEnded(first)).toEqual(true);
+            registry.remove("c", 0);
+            registry.set({ ...first, startedAt: 2 });
+            expect(registry.hasEnded(first)).toEqual(true);
+            registry.remove("a", 0);
+            expect(registry.hasEnded(first)).toEqual(true);
+        });
+    });
+
     describe("remove", () => {
         it("removes an upstream at once without a grace period", () => {
             const { registry, removed, getAvailable } = createRegistry();
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -320,6 +320,21 @@
         ]);
     });
 
+    // Guards against half a stream that passes for a whole one since its runner was back before the end was read.
+    it("asks for the rest of a stream without a known end whose runner has started anew by its record", async () => {
+        const restarted = createUpstreams(3).map(upstream => ({ ...upstream, id: `${upstream.id}-again` }));
+        const site = createStreamForwarder((_, upstream, count) => {
+            if (count > 1) {
+                return createAnswer([createEvent(2)], { confidence: 80 });
+            }
+            const { address } = upstream;
+            site.registry.set(restarted.find(one => one.address === address)!);
+            return createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false });
+        });
+        const caller = await site.send();
+        expect([caller.chunks.join(""), site.calls.length]).toEqual([createEvent(1) + createEvent(2), 2]);
+    });
+
     // Guards against a request that goes on crashing runners, as their streams end in order.
     it("counts the crash of a runner whose stream without a known end ended in order", async () => {
         const { send, lines } = createStreamForwarder(
