Take the empty answer of a crashed runner for no confirmation that a stream is whole

Callers got half a stream with the last chunk: a framed part was broken off, the next runner sent more without a framing and crashed between two events, and the one that was asked for the rest crashed before its first event. Cause: an unstated part without events confirmed the end of the part before, whatever became of its runner; both ends read as orderly, as a killed process's connections do. That its address refuses connections was known by then, and asked only whether another runner is to go on.

Of all that was found this fits the report best: answers without a framing beside crashes, and 'framed as complete and isn't'. That it was the users' case stays suspected.

--- a/src/forwarding/replyEnding.ts
+++ b/src/forwarding/replyEnding.ts
@@ -44,14 +44,14 @@
 
     /**
      * Ends an answer whose runner has ended it. Where that runner has not said that it is whole, another one is asked for the rest if the
-     * caller would be told so, or if the runner has crashed. If that one has nothing more, the answer was whole.
+     * caller would be told so, or if the runner has crashed. If that one has nothing more and lives, the answer was whole.
      * @param upstream - The runner.
      * @param part - How its answer ended.
      * @returns Whether the exchange has ended.
      */
     end(upstream: RegisteredUpstream, { end, hasEvents, hasCrashed, mayResume }: EndedPart): boolean {
         const { ended, reply } = this.#exchange;
-        if (end === "whole" || (this.#mayBeWhole && !hasEvents)) {
+        if (end === "whole" || (this.#mayBeWhole && !hasEvents && !hasCrashed)) {
             reply.end();
             return true;
         }
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -403,14 +403,21 @@
             }
         });
 
-        it("is broken off if its runner has crashed and nobody else can be asked", async () => {
-            const { send, calls } = createStreamForwarder(answerParts([], true), { maxAttempts: 2 }, [
-                "u1",
-                "u2",
-                "u3",
-            ]);
-            const caller = await send();
-            expect([caller.isAborted, caller.isComplete, calls.length]).toEqual([true, false, 2]);
+        // Guards against half an answer that is framed as complete, since the runner that was asked for the rest crashed before its first event.
+        it("is broken off if its runner has crashed and nobody else has more", async () => {
+            for (const maxAttempts of [2, 3, 4]) {
+                const { send, calls } = createStreamForwarder(answerParts([], false), { maxAttempts }, [
+                    "u1",
+                    "u2",
+                    "u3",
+                ]);
+                const caller = await send();
+                expect([caller.isAborted, caller.isComplete, calls.length]).toEqual([
+                    true,
+                    false,
+                    Math.min(maxAttempts, 3),
+                ]);
+            }
         });
     });
 
