Count no failure of a runner whose record is gone as its answer ends in order

Since an unstated end of a runner that has left as planned, or is back under a new record, counted as a failed attempt and a lost connection: against its version in a roll-out, and towards a crash of its request. It is known only that the runner is gone, so the attempt counts as the answer that it was, and another runner is asked for the rest as before. A refused connection is a crash as before. forwarding/streamExchange, 'asks for the rest of a stream without a known end whose runner has started anew by its record', holds the outcomes now; it failed so on by reading, not by a run.

--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -108,11 +108,13 @@
     readonly drop: (reason: string) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
+    /** Returns whether the upstream has crashed as far as this node can tell: nothing listens at its address any more. */
+    readonly hasUpstreamCrashed: () => Promise<boolean>;
     /**
-     * Returns whether the upstream has ended as far as this node can tell: nothing listens at its address any more, or its record says so.
-     * An end that is read late may be that of a run before a restart.
+     * Returns whether the upstream has ended by its record: it has left, or has crashed and is back. An end that is read late may be that
+     * of a run before a restart.
      */
-    readonly hasUpstreamEnded: () => Promise<boolean>;
+    readonly isUpstreamGone: () => boolean;
     /** Cancels the call at the upstream. */
     readonly cancel: () => void;
 }
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -240,14 +240,14 @@
         const answer = isWarmingUp
             ? result.value
             : this.#measure(request, upstream, result.value, headMilliseconds, attemptObserver.onPause);
-        const hasUpstreamEnded = async (): Promise<boolean> =>
-            registry.hasEnded(upstream) || await this.#options.isRefusingConnections(upstream.address);
+        const hasUpstreamCrashed = (): Promise<boolean> => this.#options.isRefusingConnections(upstream.address);
+        const isUpstreamGone = (): boolean => registry.hasEnded(upstream);
         const { cancel } = cancellation;
         const drop = (reason: string): void => {
             isServed = false;
             finish("ok", reason, "stopped");
         };
-        return ok({ upstream, answer, finish, drop, cancel, markSeen, hasUpstreamEnded });
+        return ok({ upstream, answer, finish, drop, cancel, markSeen, hasUpstreamCrashed, isUpstreamGone });
     }
 
     /** Measures how long a successful answer takes: a stream by the pauses between its parts, another one by its head. */
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -259,13 +259,14 @@
      */
     async #recordEnd(attempt: Attempt, mayBeBroken: boolean): Promise<boolean> {
         const { status, hasKnownEnd } = attempt.answer;
-        if (mayBeBroken && await attempt.hasUpstreamEnded()) {
-            attempt.finish("failed", "the upstream has ended with its answer", "disconnected");
+        if (mayBeBroken && await attempt.hasUpstreamCrashed()) {
+            attempt.finish("failed", "the upstream crashed as its answer ended", "disconnected");
             return true;
         }
         const outcome = status >= minServerErrorStatus ? "error" : "ok";
         attempt.finish(outcome, `status ${status}`, hasKnownEnd ? "complete" : "stopped");
-        return false;
+        // One that has left as planned may have ended its answer in order, so this is no failure of it.
+        return mayBeBroken && attempt.isUpstreamGone();
     }
 
     /** Returns whether another runner may go on with an answer. */
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -333,6 +333,8 @@
         });
         const caller = await site.send();
         expect([caller.chunks.join(""), site.calls.length]).toEqual([createEvent(1) + createEvent(2), 2]);
+        const outcomes = site.lines.filter(line => line.name === "attempt-ended").map(line => line.outcome);
+        expect(outcomes).toEqual(["ok", "ok"]);
     });
 
     // Guards against a request that goes on crashing runners, as their streams end in order.
