Crash the runners of streams amid answers without a framing, before a real node

The table of ends has no runner that crashes, and the fault that fits the report best was found by reading.

--- a/test/platform/standins/framedRunner.ts
+++ b/test/platform/standins/framedRunner.ts
@@ -29,6 +29,8 @@
     readonly end?: "order" | "reset";
     /** Time after the arrival of the request before anything is written. */
     readonly delayMilliseconds?: number;
+    /** Time for which the runner listens no longer after what it has written: it crashes, and its connections end in order. */
+    readonly downMilliseconds?: number;
 }
 
 /** The answers to one stream, and its events. */
@@ -55,6 +57,8 @@
     readonly runs: FramedRun[] = [];
     readonly #streams = new Map<string, FramedStream>();
     readonly #servers: Server[] = [];
+    readonly #sockets = new Map<Server, Set<Socket>>();
+    #isClosed = false;
 
     /** Adds a stream, which is requested by its name as the last part of the path. */
     add(name: string, stream: FramedStream): void {
@@ -68,19 +72,41 @@
 
     /** Starts a runner. */
     async listen(host: string, port: number): Promise<void> {
-        const server = createServer({ allowHalfOpen: true }, socket => this.#serve(socket));
+        const sockets = new Set<Socket>();
+        const server = createServer({ allowHalfOpen: true }, socket => {
+            sockets.add(socket);
+            socket.on("close", () => sockets.delete(socket));
+            this.#serve(socket, answer => this.#crash(server, { host, port, ...answer }));
+        });
         this.#servers.push(server);
+        this.#sockets.set(server, sockets);
         await new Promise<void>(resolve => server.listen(port, host, resolve));
     }
 
+    #crash(
+        server: Server,
+        { host, port, downMilliseconds = 0 }: FramedAnswer & { readonly host: string; readonly port: number; },
+    ): void {
+        server.close();
+        for (const socket of this.#sockets.get(server) ?? []) {
+            socket.end();
+        }
+        setTimeout(() => {
+            if (!this.#isClosed) {
+                void this.listen(host, port);
+            }
+        }, downMilliseconds);
+    }
+
     /** Stops all runners. Open connections end with their readers. */
     close(): void {
+        this.#isClosed = true;
         for (const server of this.#servers) {
             server.close();
         }
     }
 
-    #serve(socket: Socket): void {
+    #serve(socket: Socket, crash: (answer: FramedAnswer) => void): void {
         let received = "";
         socket.on("error", () => {
             // The reader closed the connection.
@@ -95,11 +121,11 @@
             }
             const head = received;
             received = "";
-            void this.#answer(socket, head);
+            void this.#answer(socket, head, crash);
         });
     }
 
-    async #answer(socket: Socket, head: string): Promise<void> {
+    async #answer(socket: Socket, head: string, crash: (answer: FramedAnswer) => void): Promise<void> {
         const name = /^\S+ \S*\/(\S+) /.exec(head)![1];
         const stream = this.#streams.get(name)!;
         const lastEventId = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0);
@@ -112,7 +138,10 @@
         for (const piece of written) {
             await new Promise(resolve => socket.write(piece, resolve));
         }
-        if (answer.end === "reset") {
+        if (answer.downMilliseconds !== undefined) {
+            crash(answer);
+        }
+        else if (answer.end === "reset") {
             await sleep(leaveMilliseconds);
             socket.resetAndDestroy();
         }
