--- a/test/platform/endlessAnswers.test.ts
+++ b/test/platform/endlessAnswers.test.ts
@@ -1,14 +1,17 @@
 import { expect } from "earl";
 import { readFileSync } from "node:fs";
+import type { ServerResponse } from "node:http";
 import { after, before, describe, it } from "node:test";
 import { waitUntil } from "../../src/testbench/index.js";
 import { PlatformSite, type SiteNode } from "./platformSite.js";
 import { createEndlessRunner, createSealedStart, type EndlessAnswer } from "./standins/endlessRunner.js";
+import { createSeal, type ReceivedRequest } from "./standins/runnerStandin.js";
 
 const port = 7_030;
 /** Memory of a node on the platform. */
 const maxMemoryMegabytes = 350;
 const body = createSealedStart("Transfer-Encoding: chunked\r\n\r\n");
+const soundEvent = "id: 1\ndata: done\n\n";
 const withoutLength = createSealedStart("\r\n");
 const answers: Readonly<Record<string, EndlessAnswer>> = {
     "a body in chunks": { start: body, repeated: `1000\r\n${"x".repeat(0x1000)}\r\n` },
@@ -34,6 +37,13 @@
     return { node, endless };
 }
 
+/** Answers streams with an event and calls with the body `done`. */
+function answerSoundly(request: ReceivedRequest, response: ServerResponse): void {
+    const isStream = request.target.startsWith("/stream/");
+    response.writeHead(200, { ...createSeal(request), ...isStream ? { "Content-Type": "text/event-stream" } : {} });
+    response.end(isStream ? soundEvent : "done");
+}
+
 /** Returns the most memory that a node has taken so far. */
 function readPeakMegabytes({ child }: SiteNode): number {
     const kilobytes = /^VmHWM:\s+(\d+)/m.exec(readFileSync(`/proc/${child.pid}/status`, "utf8"))![1];
@@ -84,6 +94,7 @@
 
     it("costs no caller an answer where requests may be repeated", async () => {
         const { node, endless } = await startSite(site, 1);
+        site.runners.get("i-1")!.behaviour = answerSoundly;
         for (const name of ["a body in chunks", "heads", "lines without a blank one"]) {
             endless.answer = answers[name];
             for (let count = 0; count < 4; count += 1) {
@@ -91,7 +102,10 @@
                     site.send(node),
                     site.send(node, { path: "/stream/1" }),
                 ]);
-                expect(answered.map(({ status, body }) => `${status} ${body}`)).toEqual(["200 done", "200 done"]);
+                expect(answered.map(({ status, body }) => `${status} ${body}`)).toEqual([
+                    "200 done",
+                    `200 ${soundEvent}`,
+                ]);
             }
         }
         expect(endless.written.length >= 1).toEqual(true);
--- a/test/platform/standins/runnerStandin.ts
+++ b/test/platform/standins/runnerStandin.ts
@@ -71,9 +71,9 @@
     return { "Attempt-Id": String(request.headers["attempt-id"]), "Server-Seal": "3e1b.07" };
 }
 
-/** Answers with the body `done`. */
+/** Answers with the body `done`, which is no stream of events. */
 export function answerDone(request: ReceivedRequest, response: ServerResponse): void {
-    response.writeHead(200, createSeal(request)).end("done");
+    response.writeHead(200, { ...createSeal(request), "Content-Type": "text/plain" }).end("done");
 }
 
 /** Creates a TCP server that writes arbitrary bytes for each request. */
