--- a/review/lib/site.mjs
+++ b/review/site.mjs
@@ -7,7 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { Store } from "./store.mjs";
 
-const root = resolve(dirname(fileURLToPath(import.meta.url)), "../..");
+const root = resolve(dirname(fileURLToPath(import.meta.url)), "..");
 const command = /^run = "node (.*)"/m.exec(readFileSync(join(root, "deploy/system.toml"), "utf8"))[1].split(" ");
 const template = readFileSync(join(root, "deploy/settings.ini"), "utf8");
 
@@ -38,6 +38,8 @@
 
     constructor(recordFile) {
         this.recordFile = recordFile;
+        // No process may outlive a script that ends by an error.
+        process.once("exit", () => this.nodes.forEach(({ child }) => child.kill("SIGKILL")));
     }
 
     /** Adds a line to the record. */
