Say in a line and a metric what a node counts when its retry budget is spent

Cause: no line says how many requests and retries a node counts when it refuses a retry, nor with how many others it believes to share the extra, so that a process which forgets, one which knows too few others, and one which counts late requests look alike. No decision changes.

--- a/src/decisions/retries/windowedRetryBudget.ts
+++ b/src/decisions/retries/windowedRetryBudget.ts
@@ -16,6 +16,16 @@
     readonly extra: number;
 }
 
+/** What a budget counts in its window, for log lines and metrics. */
+export interface RetryBudgetState {
+    readonly requests: number;
+    readonly retries: number;
+    /** Retries that are allowed, taken ones among them. */
+    readonly allowed: number;
+    /** Number of nodes that the extra is divided among. */
+    readonly nodes: number;
+}
+
 /** Settings of a windowed budget. */
 export interface WindowedRetryBudgetOptions {
     readonly clock: Clock;
@@ -77,6 +87,17 @@
         return safetyFactor * (ratio * requests + extra / nodes);
     }
 
+    /** Returns what the budget counts in its window. */
+    getState(): RetryBudgetState {
+        let requests = 0;
+        let retries = 0;
+        for (const slice of this.#getSlices()) {
+            requests += slice.requests;
+            retries += slice.retries;
+        }
+        return { requests, retries, allowed: this.getAllowed(), nodes: this.#options.getNodeCount() };
+    }
+
     /**
      * Takes a retry from the budget.
      * @param reserve - Retries that are reserved for more important requests.
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -231,4 +231,10 @@
         "info",
         "A request was sent to a further upstream after the given time, since an upstream had not begun to answer by then.",
     ),
+    retryBudgetSpent: define(
+        473,
+        "retry-budget-spent",
+        "info",
+        "A failed request was not sent to a further upstream, since the retry budget of its pool is spent at this node. The fields give the requests and retries of the window, the retries allowed, and the number of nodes that share what is allowed beyond the ratio.",
+    ),
 };
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -2,7 +2,7 @@
  * Decides whether an attempt is made now, and at which upstream.
  */
 import { err, ok, type Result } from "neverthrow";
-import type { WindowedRetryBudget } from "../decisions/index.js";
+import type { RetryBudgetState, WindowedRetryBudget } from "../decisions/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import type { CrashWatch } from "../quarantine/index.js";
 import type { AttemptFailure, AttemptRequest } from "./attempt.js";
@@ -21,6 +21,8 @@
     readonly crashWatch: CrashWatch;
     /** Returns the retry budget of a pool. */
     readonly getBudget: (pool: string) => WindowedRetryBudget;
+    /** Reports that a retry was not made because the budget of its pool is spent. */
+    readonly onBudgetSpent: (pool: string, budget: RetryBudgetState) => void;
 }
 
 /** Admits attempts, which are sent at once when they are admitted. */
@@ -123,6 +125,7 @@
             return selected;
         }
         if (!this.#hasBudget(request)) {
+            this.#options.onBudgetSpent(exchange.pool, this.#options.getBudget(exchange.pool).getState());
             return err({ kind: "not-made", reason: "budget" });
         }
         return request.mayWait() ? selected : err({ kind: "not-made", reason: "no-room" });
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -98,6 +98,12 @@
             labelNames: ["pool"] as const,
             registers,
         }),
+        budgetRefusals: new Counter({
+            name: "rattanlock_retries_refused_total",
+            help: "Retries that were not made because the retry budget of their pool was spent, by pool.",
+            labelNames: ["pool"] as const,
+            registers,
+        }),
         inFlight: new Gauge({
             name: "rattanlock_forwarded_requests_in_flight",
             help: "Requests that this node works on.",
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -100,7 +100,7 @@
 
 /** Creates the part that sends requests to upstreams. */
 export function createAttempts(parts: NodeParts): Attempts {
-    const { clock, journal, metrics, rooms, upstreamClient, budgets, rollouts } = parts;
+    const { clock, journal, throttledJournal, metrics, rooms, upstreamClient, budgets, rollouts } = parts;
     return new Attempts({
         clock,
         journal,
@@ -117,6 +117,16 @@
         paces: parts.paces,
         isRefusingConnections: createNodeCrashProbe(parts),
         getBudget: budgets,
+        onBudgetSpent: (pool, { requests, retries, allowed, nodes }) => {
+            metrics.budgetRefusals.inc({ pool });
+            throttledJournal.write(events.retryBudgetSpent, pool, {
+                pool,
+                requests,
+                retries,
+                allowed: Math.round(allowed),
+                nodes,
+            });
+        },
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
         onStart: attempt => watchAttempt(rollouts, attempt),
     });
