Add failing tests of the retry budget while nodes are killed or paused, and list them

Real nodes before runners that fail every request; arrivals beyond the first of each are counted over all nodes as the users' rule counts them.

--- /dev/null
+++ b/test/platform/retryStormCases.ts
@@ -0,0 +1,97 @@
+/**
+ * What is done to nodes while all runners fail every request.
+ */
+import { once } from "node:events";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { RetryStorm, StormOptions } from "./retryStorm.js";
+
+/** A storm with a name. */
+export type StormCase = Omit<StormOptions, "milliseconds"> & { readonly name: string; };
+
+type Disturbance = NonNullable<StormOptions["disturb"]>;
+
+/** Time after which all nodes are killed, once or again and again. */
+const killMilliseconds = 3_000;
+const killInTurnMilliseconds = 1_200;
+const halvesMilliseconds = 2_500;
+const pauseMilliseconds = 4_000;
+const betweenPausesMilliseconds = 2_500;
+const cutMilliseconds = 4_000;
+
+const killAll = repeat(killMilliseconds, storm => storm.restart(storm.getNodes()));
+const killOnce = afterPause(killMilliseconds, storm => storm.restart(storm.getNodes()));
+const killInTurn = repeat(killInTurnMilliseconds, (storm, count) => storm.restart(getNode(storm, count)));
+const killHalves = repeat(halvesMilliseconds, (storm, count) => {
+    const half = storm.getNodes().length / 2;
+    return storm.restart(count % 2 === 0 ? storm.getNodes(0, half) : storm.getNodes(half));
+});
+const stopInTurn = repeat(0, (storm, count) => storm.restart(getNode(storm, count), "SIGTERM"));
+const pauseAll = repeat(betweenPausesMilliseconds, storm => storm.pause(storm.getNodes(), pauseMilliseconds));
+const pauseInTurn = repeat(0, (storm, count) => storm.pause(getNode(storm, count), halvesMilliseconds));
+const cutHalf = repeat(cutMilliseconds, async storm => {
+    const nodes = storm.getNodes(0, storm.getNodes().length / 2);
+    storm.setCut(nodes, "silent");
+    await sleep(cutMilliseconds);
+    storm.setCut(nodes, "none");
+});
+
+/** All storms. */
+export const stormCases: readonly StormCase[] = [
+    { name: "left alone", way: "reset", requestsPerSecond: 8 },
+    { name: "left alone", way: "reset", requestsPerSecond: 40 },
+    { name: "left alone", way: "broken-off", requestsPerSecond: 20 },
+    { name: "each stopped in turn", way: "reset", requestsPerSecond: 8, disturb: stopInTurn },
+    { name: "each paused in turn", way: "reset", requestsPerSecond: 20, disturb: pauseInTurn },
+    { name: "half cut off from the runners", way: "reset", requestsPerSecond: 20, disturb: cutHalf },
+    { name: "killed in turn", way: "reset", requestsPerSecond: 8, disturb: killInTurn },
+    { name: "killed in turn", way: "broken-off", requestsPerSecond: 8, disturb: killInTurn },
+    { name: "killed in turn", way: "error", requestsPerSecond: 8, disturb: killInTurn },
+    { name: "killed in turn", way: "silent", requestsPerSecond: 8, disturb: killInTurn },
+    { name: "killed in turn", way: "broken-event", requestsPerSecond: 8, disturb: killInTurn },
+    { name: "all killed once", way: "reset", requestsPerSecond: 8, disturb: killOnce },
+    { name: "all killed once", way: "reset", requestsPerSecond: 40, disturb: killOnce },
+    { name: "all killed again and again", way: "reset", requestsPerSecond: 8, disturb: killAll },
+    { name: "all killed again and again", way: "error", requestsPerSecond: 8, disturb: killAll },
+    { name: "all killed again and again", way: "reset", requestsPerSecond: 40, disturb: killAll },
+    { name: "halves killed in turn", way: "reset", requestsPerSecond: 8, disturb: killHalves },
+    { name: "all paused", way: "reset", requestsPerSecond: 8, disturb: pauseAll },
+    { name: "all paused", way: "reset", requestsPerSecond: 20, disturb: pauseAll },
+    { name: "all paused", way: "reset", requestsPerSecond: 40, disturb: pauseAll },
+];
+
+/** Returns the storm with a name, a way in which runners fail, and a rate. */
+export function getCaseOrThrow(name: string, way: string, requestsPerSecond: number): StormCase {
+    for (const stormCase of stormCases) {
+        if (stormCase.name === name && stormCase.way === way && stormCase.requestsPerSecond === requestsPerSecond) {
+            return stormCase;
+        }
+    }
+    throw new Error(`There is no storm "${name}" with ${way} at ${requestsPerSecond} a second: add it to stormCases.`);
+}
+
+/** Creates a disturbance that is repeated, with a pause before each time. */
+function repeat(pause: number, run: (storm: RetryStorm, count: number) => Promise<void>): Disturbance {
+    return async (storm, signal) => {
+        const aborted = once(signal, "abort");
+        for (let count = 0;; count += 1) {
+            await Promise.race([sleep(pause), aborted]);
+            if (signal.aborted) {
+                return;
+            }
+            await run(storm, count);
+        }
+    };
+}
+
+/** Creates a disturbance that happens once, after a pause. */
+function afterPause(pause: number, run: (storm: RetryStorm) => Promise<void>): Disturbance {
+    return async storm => {
+        await sleep(pause);
+        await run(storm);
+    };
+}
+
+function getNode(storm: RetryStorm, count: number): ReturnType<RetryStorm["getNodes"]> {
+    const index = count % storm.getNodes().length;
+    return storm.getNodes(index, index + 1);
+}
