Give a process no part of the shared retries before it has seen a whole window

Callers saw: nothing but slower upstreams; the upstreams got more repeats than all nodes together may send. Cause: each node takes an equal part of the extra in any window, and a process keeps what it has taken in its own memory. A process that begins anew takes its node's part again, as often as processes end. Line 473 shows 5 retries on 2 requests of every new process, with the others counted right. Ruled out: that a new process believes to be alone (line 473: nodes 8). Change: the extra is taken by ExtraShare: nothing in the first window of a process, nothing while the list of nodes is older than a window or lacks this node (a new node waits for a window, so the others have had that long to read its record), nothing for a window after a suspension or a wall clock that was set forward, since the window is empty then. The budget's clock counts suspensions now. The ratio is untouched: a process that ends takes its requests along with its retries.

--- a/src/decisions/retries/windowedRetryBudget.ts
+++ b/src/decisions/retries/windowedRetryBudget.ts
@@ -5,6 +5,8 @@
 
 /** Number of slices of the window, which moves one slice at a time. */
 const sliceCount = 20;
+/** Slices in memory. */
+const keptSliceCount = sliceCount;
 /** Share of the budget that is used, since the clocks and windows of nodes and of external counters differ by a slice or two. */
 const safetyFactor = 0.88;
 
@@ -22,19 +24,20 @@
     readonly retries: number;
     /** Retries that are allowed, taken ones among them. */
     readonly allowed: number;
-    /** Number of nodes that the extra is divided among. */
-    readonly nodes: number;
+    /** This node's part of the extra, from 0 to 1. */
+    readonly share: number;
 }
 
 /** Settings of a windowed budget. */
 export interface WindowedRetryBudgetOptions {
+    /** Must also count the time during which the process is suspended. */
     readonly clock: Clock;
     /** Length of the window in milliseconds. */
     readonly windowMilliseconds: number;
     /** Returns the current allowance. */
     readonly getAllowance: () => RetryAllowance;
-    /** Returns the number of nodes that may be active; each takes an equal part of the extra. */
-    readonly getNodeCount: () => number;
+    /** Returns this node's part of the extra, from 0 to 1. The parts of all nodes add up to 1 at most. */
+    readonly getShare: () => number;
 }
 
 interface Slice {
@@ -43,6 +46,12 @@
     retries: number;
 }
 
+/** Sums over the newest slices: the element N is the sum over the N newest ones. */
+interface Totals {
+    readonly requests: readonly number[];
+    readonly retries: readonly number[];
+}
+
 /**
  * Counts the requests and the retries of one pool. Each node applies the ratio to its own requests, so it also holds for the sum of all
  * nodes, without coordination. When every request fails, the load on the pool is at most (1 + ratio) times the callers' load, apart from
@@ -50,6 +59,7 @@
  */
 export class WindowedRetryBudget {
     readonly #options: WindowedRetryBudgetOptions;
+    /** The earliest slice first. */
     readonly #slices: Slice[] = [];
 
     constructor(options: WindowedRetryBudgetOptions) {
@@ -58,7 +68,7 @@
 
     /** Records the first attempt of a request. */
     addRequest(): void {
-        this.#getSlice().requests += 1;
+        this.#getSlice(this.#getCurrentIndex()).requests += 1;
     }
 
     /**
@@ -66,11 +76,7 @@
      * @param newRequests - Requests that are about to be recorded, and that the budget grows with.
      */
     getRemaining(newRequests = 0): number {
-        let retries = 0;
-        for (const slice of this.#getSlices()) {
-            retries += slice.retries;
-        }
-        return this.getAllowed(newRequests) - retries;
+        return this.getAllowed(newRequests) - this.#sumUp(newRequests).retries[sliceCount];
     }
 
     /**
@@ -78,24 +84,19 @@
      * @param newRequests - Requests that are about to be recorded.
      */
     getAllowed(newRequests = 0): number {
-        let requests = newRequests;
-        for (const slice of this.#getSlices()) {
-            requests += slice.requests;
-        }
-        const { ratio, extra } = this.#options.getAllowance();
-        const nodes = Math.max(1, this.#options.getNodeCount());
-        return safetyFactor * (ratio * requests + extra / nodes);
+        const { ratio } = this.#options.getAllowance();
+        return safetyFactor * (ratio * this.#sumUp(newRequests).requests[sliceCount] + this.#getExtra());
     }
 
     /** Returns what the budget counts in its window. */
     getState(): RetryBudgetState {
-        let requests = 0;
-        let retries = 0;
-        for (const slice of this.#getSlices()) {
-            requests += slice.requests;
-            retries += slice.retries;
-        }
-        return { requests, retries, allowed: this.getAllowed(), nodes: this.#options.getNodeCount() };
+        const { requests, retries } = this.#sumUp(0);
+        return {
+            requests: requests[sliceCount],
+            retries: retries[sliceCount],
+            allowed: this.getAllowed(),
+            share: this.#options.getShare(),
+        };
     }
 
     /**
@@ -107,30 +108,55 @@
         if (this.getRemaining() - reserve < 1) {
             return false;
         }
-        this.#getSlice().retries += 1;
+        this.#getSlice(this.#getCurrentIndex()).retries += 1;
         return true;
     }
 
-    #getSlice(): Slice {
-        const index = this.#getIndex();
-        let slice = this.#slices.at(-1);
-        if (slice === undefined || slice.index !== index) {
-            slice = { index, requests: 0, retries: 0 };
-            this.#slices.push(slice);
+    #getExtra(): number {
+        return this.#options.getAllowance().extra * this.#options.getShare();
+    }
+
+    #sumUp(newRequests: number): Totals {
+        const current = this.#getCurrentIndex();
+        const requests = [0];
+        const retries = [0];
+        let position = this.#slices.length - 1;
+        for (let age = 0; age < keptSliceCount; age += 1) {
+            const slice = this.#slices[position]?.index === current - age ? this.#slices[position--] : undefined;
+            requests.push(requests[age] + (slice?.requests ?? 0) + (age === 0 ? newRequests : 0));
+            retries.push(retries[age] + (slice?.retries ?? 0));
         }
+        return { requests, retries };
+    }
+
+    /** Returns a slice, which is created if there is none yet. */
+    #getSlice(index: number): Slice {
+        this.#removeExpired();
+        let position = this.#slices.length;
+        while (position > 0 && this.#slices[position - 1].index > index) {
+            position -= 1;
+        }
+        const known = this.#slices.at(position - 1);
+        if (position > 0 && known?.index === index) {
+            return known;
+        }
+        const slice = { index, requests: 0, retries: 0 };
+        this.#slices.splice(position, 0, slice);
         return slice;
     }
 
-    /** Returns the slices of the window. */
-    #getSlices(): readonly Slice[] {
-        const lastExpired = this.#getIndex() - sliceCount;
+    #removeExpired(): void {
+        const lastExpired = this.#getCurrentIndex() - keptSliceCount;
         while (this.#slices.length > 0 && this.#slices[0].index <= lastExpired) {
             this.#slices.shift();
         }
-        return this.#slices;
     }
 
-    #getIndex(): number {
-        return Math.floor(this.#options.clock.monotonic() / (this.#options.windowMilliseconds / sliceCount));
+    #getCurrentIndex(): number {
+        return this.#getIndex(this.#options.clock.monotonic());
+    }
+
+    #getIndex(milliseconds: number): number {
+        return Math.floor(milliseconds / (this.#options.windowMilliseconds / sliceCount));
     }
 }
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -235,6 +235,6 @@
         473,
         "retry-budget-spent",
         "info",
-        "A failed request was not sent to a further upstream, since the retry budget of its pool is spent at this node. The fields give the requests and retries of the window, the retries allowed, and the number of nodes that share what is allowed beyond the ratio.",
+        "A failed request was not sent to a further upstream, since the retry budget of its pool is spent at this node. The fields give the requests and retries of the window, the retries allowed, and this node's part of what all nodes may do beyond the ratio.",
     ),
 };
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -2,6 +2,7 @@
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
 import {
+    ExtraShare,
     PoolRooms,
     RejectionLimit,
     type SendLimit,
@@ -117,14 +118,14 @@
         paces: parts.paces,
         isRefusingConnections: createNodeCrashProbe(parts),
         getBudget: budgets,
-        onBudgetSpent: (pool, { requests, retries, allowed, nodes }) => {
+        onBudgetSpent: (pool, { requests, retries, allowed, share }) => {
             metrics.budgetRefusals.inc({ pool });
             throttledJournal.write(events.retryBudgetSpent, pool, {
                 pool,
                 requests,
                 retries,
                 allowed: Math.round(allowed),
-                nodes,
+                share,
             });
         },
         selectVersion: (exchange, candidates) => rollouts.select(exchange.pool, getSession(exchange), candidates),
@@ -163,24 +164,38 @@
 }
 
 /** Creates the retry budgets of all pools. */
-export function createBudgets(
-    { clock, liveSettings, membership }: NodeParts,
-): (pool: string) => WindowedRetryBudget {
+export function createBudgets(parts: NodeParts): (pool: string) => WindowedRetryBudget {
+    const { suspensionClock, liveSettings } = parts;
     const budgets = new Map<string, WindowedRetryBudget>();
+    const share = createExtraShare(parts);
     return pool => {
         let budget = budgets.get(pool);
         if (budget === undefined) {
             budget = new WindowedRetryBudget({
-                clock,
+                clock: suspensionClock,
                 windowMilliseconds: liveSettings.get().bounds.retryWindowMilliseconds,
                 getAllowance: () => {
                     const { retryRatio, retryExtra } = liveSettings.get().bounds;
                     return { ratio: retryRatio, extra: retryExtra };
                 },
-                getNodeCount: () => membership.getPossiblySending(shareRetentionMilliseconds).length,
+                getShare: () => share.get(),
             });
             budgets.set(pool, budget);
         }
         return budget;
     };
 }
+
+/** Creates this node's part of the retries that all nodes share. */
+function createExtraShare(
+    { clock, suspensionClock, liveSettings, membership, directory, self, topics }: NodeParts,
+): ExtraShare {
+    return new ExtraShare({
+        clock,
+        suspensionClock,
+        windowMilliseconds: liveSettings.get().bounds.retryWindowMilliseconds,
+        getNodeCount: () => membership.getPossiblySending(shareRetentionMilliseconds).length,
+        getListAge: () => topics.getMembersAge(),
+        isListed: () => directory.getCallerPort(self.id) !== undefined,
+    });
+}
--- a/src/platform/platformTopics.ts
+++ b/src/platform/platformTopics.ts
@@ -203,6 +203,11 @@
         return this.#upstreams.getAge();
     }
 
+    /** Returns the time since the list of nodes was last confirmed to be the latest, in milliseconds. */
+    getMembersAge(): number {
+        return this.#status.getAge();
+    }
+
     /** Returns the newest position of the record of an order, which grows when the store comes back from an older copy. */
     getOrderPosition(order: RolloutOrder): number {
         const record = this.#operator.state.get(`${recordKeys.rolloutPrefix}${order.pool}`);
--- a/test/decisions/cascade/firstModelReplay.test.ts
+++ b/test/decisions/cascade/firstModelReplay.test.ts
@@ -31,7 +31,7 @@
                 clock,
                 windowMilliseconds: 10_000,
                 getAllowance: () => ({ ratio: 0.9, extra: 188 }),
-                getNodeCount: () => nodes,
+                getShare: () => 1 / nodes,
             }),
         );
     }
--- a/test/decisions/retries/poolPressure.test.ts
+++ b/test/decisions/retries/poolPressure.test.ts
@@ -43,7 +43,7 @@
             clock,
             windowMilliseconds: 10_000,
             getAllowance: () => ({ ratio: 0, extra: 100 }),
-            getNodeCount: () => 1,
+            getShare: () => 1,
         });
         const takeAll = (priority: number): number => {
             let taken = 0;
--- /dev/null
+++ b/test/decisions/retries/sharedRetryBudget.test.ts
@@ -0,0 +1,139 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { ManualClock, RandomSource } from "../../../src/common/index.js";
+import { ExtraShare, WindowedRetryBudget } from "../../../src/decisions/index.js";
+
+const windowMilliseconds = 10_000;
+const ratio = 0.9;
+const extra = 40;
+const nodeCount = 8;
+const stepMilliseconds = 50;
+const checkMilliseconds = 250;
+const seconds = 60;
+const maxRetriesOfRequest = 3;
+
+/** What is done to the nodes in one step. */
+interface Fleet {
+    readonly random: RandomSource;
+    readonly restart: (index: number) => void;
+    readonly pause: (index: number, milliseconds: number) => void;
+}
+
+/** A load and what is done to the nodes while it lasts. */
+interface Replay {
+    /** Returns the requests a second that callers send to all nodes. */
+    readonly getRate: (milliseconds: number) => number;
+    /** Returns whether requests fail at all upstreams. */
+    readonly isFailing?: (milliseconds: number) => boolean;
+    readonly disturb?: (milliseconds: number, fleet: Fleet) => void;
+    readonly seed?: number;
+}
+
+/** Replays a load on the budgets of all nodes, and returns the windows with more retries than the users' rule allows. */
+function replay(
+    { getRate, isFailing = () => true, disturb, seed = 1 }: Replay,
+): { readonly retries: number; readonly broken: readonly number[]; } {
+    const clock = new ManualClock(100_000);
+    const random = new RandomSource(seed);
+    const getElapsed = (): number => clock.monotonic() - 100_000;
+    const createNode = () => {
+        const share = new ExtraShare({
+            clock,
+            suspensionClock: clock,
+            windowMilliseconds,
+            getNodeCount: () => nodeCount,
+            getListAge: () => 0,
+            isListed: () => true,
+        });
+        return new WindowedRetryBudget({
+            clock,
+            windowMilliseconds,
+            getAllowance: () => ({ ratio, extra }),
+            getShare: () => share.get(),
+        });
+    };
+    const budgets = Array.from({ length: nodeCount }, createNode);
+    const pausedUntil = new Map<number, number>();
+    const unread = Array.from({ length: nodeCount }, () => 0);
+    const sent: number[] = [];
+    const retried: number[] = [];
+    const fleet: Fleet = {
+        random,
+        restart: index => {
+            budgets[index] = createNode();
+            unread[index] = 0;
+            pausedUntil.delete(index);
+        },
+        pause: (index, milliseconds) => {
+            pausedUntil.set(index, clock.monotonic() + milliseconds);
+        },
+    };
+    const work = (index: number, requests: number): void => {
+        for (let request = 0; request < requests; request += 1) {
+            budgets[index].addRequest();
+            for (let retry = 0; retry < maxRetriesOfRequest && isFailing(getElapsed()); retry += 1) {
+                if (budgets[index].tryAcquire()) {
+                    retried.push(getElapsed());
+                }
+            }
+        }
+    };
+    let due = 0;
+    while (getElapsed() < seconds * 1_000) {
+        clock.advance(stepMilliseconds);
+        disturb?.(getElapsed(), fleet);
+        due += getRate(getElapsed()) * stepMilliseconds / 1_000;
+        for (; due >= 1; due -= 1) {
+            const index = random.nextInteger(nodeCount);
+            sent.push(getElapsed());
+            unread[index] += 1;
+        }
+        for (let index = 0; index < nodeCount; index += 1) {
+            const until = pausedUntil.get(index);
+            if (until !== undefined && clock.monotonic() < until) {
+                continue;
+            }
+            pausedUntil.delete(index);
+            work(index, unread[index]);
+            unread[index] = 0;
+        }
+    }
+    return { retries: retried.length, broken: findBrokenWindows(sent, retried) };
+}
+
+function findBrokenWindows(sent: readonly number[], retried: readonly number[]): readonly number[] {
+    const broken: number[] = [];
+    for (let from = 0; from < seconds * 1_000; from += checkMilliseconds) {
+        const requests = [from, from - windowMilliseconds / 2, from - windowMilliseconds].map(at => count(sent, at));
+        if (count(retried, from) > ratio * Math.max(...requests) + extra) {
+            broken.push(from);
+        }
+    }
+    return broken;
+}
+
+function count(times: readonly number[], from: number): number {
+    return times.filter(at => at >= from && at < from + windowMilliseconds).length;
+}
+
+/** Returns whether something that happens again and again happens in this step. */
+function isTime(milliseconds: number, every: number): boolean {
+    return milliseconds % every < stepMilliseconds;
+}
+
+// All upstreams fail, and processes end, pause or begin; more retries than all nodes may send together would overload the upstreams.
+describe("the retry budgets of all nodes", () => {
+    it("hold while nothing is done to them, and are used", () => {
+        const { retries, broken } = replay({ getRate: () => 40 });
+        expect({ broken, isUsed: retries > 0.75 * ratio * 40 * seconds }).toEqual({ broken: [], isUsed: true });
+    });
+
+    it("hold while all processes begin anew again and again", () => {
+        const disturb: Replay["disturb"] = (at, { restart }) => {
+            for (let index = 0; index < nodeCount && isTime(at, 1_000); index += 1) {
+                restart(index);
+            }
+        };
+        expect(replay({ getRate: () => 8, disturb }).broken).toEqual([]);
+    });
+});
--- a/test/decisions/retries/windowedRetryBudget.test.ts
+++ b/test/decisions/retries/windowedRetryBudget.test.ts
@@ -11,7 +11,7 @@
         clock,
         windowMilliseconds,
         getAllowance: () => ({ ratio: 0.9, extra: options.extra ?? 0 }),
-        getNodeCount: () => options.nodes ?? 1,
+        getShare: () => 1 / (options.nodes ?? 1),
     });
     return { clock, budget };
 }
--- a/test/platform/retryStorm.ts
+++ b/test/platform/retryStorm.ts
@@ -199,10 +199,10 @@
                 allowed: Math.floor(retryRatio * Math.max(...requests) + retryExtra),
             });
         }
-        const getExcess = ({ repeats: count, allowed }: RetryWindow): number => count - allowed;
+        const getUse = ({ repeats: count, allowed }: RetryWindow): number => count / allowed;
         return {
-            worst: windows.reduce((worst, window) => getExcess(window) > getExcess(worst) ? window : worst),
-            broken: windows.filter(window => getExcess(window) > 0),
+            worst: windows.reduce((worst, window) => getUse(window) > getUse(worst) ? window : worst),
+            broken: windows.filter(window => window.repeats > window.allowed),
             arrived: this.#arrivals.length - repeats.length,
             repeats: repeats.length,
         };
