Count a request for the retry budget when it may have been sent, not when it was read

Upstreams got more repeats than all nodes together may send after nodes had been paused. Cause: a paused node reads the requests of seconds in one turn and counted them at that moment; they paid for retries in a window in which nobody had sent them. The users' rule counts requests when callers send them. Ruled out: a monotonic clock that stands still during SIGSTOP (it does not on Linux). Change: StallWatch notices by a tick of 200 ms that the event loop has not turned for 400 ms or more, by a pause, a suspension or too much work; until everything is read that had arrived by its end, what is read counts as sent when the stall began. That is the earliest time possible, so no window is paid for twice; a request that waited for room counts from its arrival too. The budget's tests replay pauses of 1, 4 and 8 s in memory.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -11,4 +11,5 @@
 export * from "./readProgress.js";
 export * from "./readTimeout.js";
 export * from "./repeatedTask.js";
+export * from "./stallWatch.js";
 export * from "./suspensionClock.js";
--- a/src/decisions/retries/windowedRetryBudget.ts
+++ b/src/decisions/retries/windowedRetryBudget.ts
@@ -66,9 +66,12 @@
         this.#options = options;
     }
 
-    /** Records the first attempt of a request. */
-    addRequest(): void {
-        this.#getSlice(this.#getCurrentIndex()).requests += 1;
+    /**
+     * Records the first attempt of a request. One that waited unread would otherwise pay for retries in a window in which nobody sent it.
+     * @param sentAt - Monotonic time at which its caller sent it at the earliest, in milliseconds; by default now.
+     */
+    addRequest(sentAt = this.#options.clock.monotonic()): void {
+        this.#getSlice(this.#getIndex(sentAt)).requests += 1;
     }
 
     /**
--- a/src/forwarding/attemptAdmission.ts
+++ b/src/forwarding/attemptAdmission.ts
@@ -170,7 +170,7 @@
         const budget = this.#options.getBudget(exchange.pool);
         if (!exchange.isCountedInBudget) {
             exchange.isCountedInBudget = true;
-            budget.addRequest();
+            budget.addRequest(exchange.request.sentAt);
         }
         else if (isRetry(exchange)) {
             budget.tryAcquire(getRetryReserve(budget.getAllowed()));
--- a/src/forwarding/callerRequest.ts
+++ b/src/forwarding/callerRequest.ts
@@ -40,6 +40,11 @@
     readonly lastEventId: string | undefined;
     /** Monotonic time at which the headers were read, in milliseconds. */
     readonly arrivedAt: number;
+    /**
+     * Earliest time at which the request may have arrived, in milliseconds of a clock that counts suspensions. It is before `arrivedAt`
+     * where the request waited unread while the node was paused. Undefined means when it was read.
+     */
+    readonly sentAt?: number;
 }
 
 /** Returns the path of a request without its query. */
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -3,7 +3,14 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Server as ListeningServer } from "node:net";
-import { type Clock, Failure, PresenceCheck, type ReadProgress, type Refusal } from "../common/index.js";
+import {
+    type Clock,
+    Failure,
+    PresenceCheck,
+    type ReadProgress,
+    type Refusal,
+    type StallWatch,
+} from "../common/index.js";
 import type { CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
@@ -33,6 +40,7 @@
 export interface CallerServerOptions {
     readonly clock: Clock;
     readonly readProgress: ReadProgress;
+    readonly stallWatch: StallWatch;
     readonly handle: HandleRequest;
     /** Returns the limits in force, or undefined before there are any. */
     readonly getLimits: () => CallerLimits | undefined;
@@ -120,6 +128,7 @@
 
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const arrivedAt = this.#options.clock.monotonic();
+        const sentAt = this.#options.stallWatch.getEarliestArrival();
         response.once("close", this.#connectionErrors.add(incoming));
         response.once("finish", () => this.#idleConnections.add(incoming.socket));
         const { replyBuffers: buffers, onDropped, onBroken } = this.#options;
@@ -153,7 +162,7 @@
             return;
         }
         try {
-            const decoded = decodeRequest(incoming, body, arrivedAt);
+            const decoded = decodeRequest(incoming, body, { arrivedAt, sentAt });
             await (typeof decoded === "string"
                 ? reply.refuse(createMalformedRefusal(decoded))
                 : this.#options.handle(decoded, reply));
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -6,14 +6,17 @@
 import { findHeader, findNumber, pickRequestHeaders } from "./headers.js";
 import { anyModel, headerNames } from "./wire.js";
 
+/** When a request was read, and when it may have arrived. */
+export type ArrivalTimes = Pick<CallerRequest, "arrivedAt" | "sentAt">;
+
 /**
  * Decodes the headers of a request.
  * @param incoming - The request.
  * @param body - Its complete body.
- * @param arrivedAt - Monotonic time of its arrival, in milliseconds.
+ * @param times - The times of its arrival.
  * @returns The request, or a message that describes the invalid header.
  */
-export function decodeRequest(incoming: IncomingMessage, body: Buffer, arrivedAt: number): CallerRequest | string {
+export function decodeRequest(incoming: IncomingMessage, body: Buffer, times: ArrivalTimes): CallerRequest | string {
     const raw = incoming.rawHeaders;
     const id = findHeader(raw, headerNames.requestId);
     if (id === undefined || id === "") {
@@ -35,7 +38,7 @@
         session: findHeader(raw, headerNames.session),
         generation: decodeGeneration(raw),
         lastEventId: findHeader(raw, headerNames.lastEventId),
-        arrivedAt,
+        ...times,
     };
 }
 
--- a/src/platform/node.ts
+++ b/src/platform/node.ts
@@ -39,13 +39,14 @@
      * @param listeningServer - A server that already listens for callers. Without it, the node starts to listen itself.
      */
     async start(listeningServer?: Server): Promise<void> {
-        const { settings, callerServer, topics, journal } = this.getParts();
+        const { settings, callerServer, stallWatch, topics, journal } = this.getParts();
         journal.write(events.processStarted, { address: settings.address });
         this.#reportMissingLimit();
         topics.onRoutes(() => callerServer.applyLimits());
         this.#clearStateOfRemovedUpstreams();
         shareLeavings(this.getParts());
         this.#clearStateOfUnreachablePools();
+        stallWatch.start();
         const listening = callerServer.listen(listeningServer ?? settings.listen.callers);
         topics.start();
         await listening;
@@ -147,6 +148,7 @@
         journal.write(events.processStopped, { requests: callerServer.countOpen() });
         callerServer.close();
         siteServer.close();
+        parts.stallWatch.stop();
         parts.rollouts.stop();
         await parts.reachability.stop();
         parts.gossip.stop();
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -2,7 +2,7 @@
  * Creates the container of a node on the platform, which creates each part from others.
  */
 import { asFunction, type AwilixContainer, createContainer, InjectionMode, Lifetime } from "awilix";
-import { RandomSource, ReadProgress, SuspensionClock, systemClock } from "../common/index.js";
+import { RandomSource, ReadProgress, StallWatch, SuspensionClock, systemClock } from "../common/index.js";
 import { getConnectionShare, RestLimit, UpstreamPicker } from "../decisions/index.js";
 import { events, Journal, LineWriter, ThrottledJournal } from "../events/index.js";
 import { Announcements, UpstreamRegistry } from "../fleet/index.js";
@@ -96,6 +96,13 @@
     suspensionClock: () => new SuspensionClock(systemClock),
     random: () => new RandomSource(Math.floor(Math.random() * 2 ** 31)),
     readProgress: parts => createReadProgress(parts),
+    stallWatch: ({ suspensionClock, readProgress, throttledJournal }) =>
+        new StallWatch({
+            clock: suspensionClock,
+            readProgress,
+            onStall: milliseconds =>
+                throttledJournal.write(events.processBehind, "", { turnMs: Math.round(milliseconds) }),
+        }),
     lineWriter: ({ clock }) => new LineWriter({ clock }),
     journal: ({ settings, clock, lineWriter }) =>
         new Journal({ process: settings.name, clock, write: line => lineWriter.write(line) }),
@@ -224,17 +231,19 @@
         }),
     answerBuffers: parts => createAnswerBuffers(parts),
     replyBuffers: parts => createReplyBuffers(parts),
-    callerServer: ({ clock, readProgress, forwarder, topics, journal, throttledJournal, metrics, replyBuffers }) =>
-        new CallerServer({
+    callerServer: parts => {
+        const { clock, readProgress, stallWatch, forwarder, topics, journal, throttledJournal, metrics } = parts;
+        return new CallerServer({
             clock,
             readProgress,
+            stallWatch,
             handle: (request, reply) => forwarder.handle(request, reply),
             getLimits: () => topics.getRoutes()?.limits,
             onCrash: (request, error) => {
                 const cause = error instanceof Error ? error.stack : String(error);
                 journal.write(events.requestCrashed, { request, cause });
             },
-            replyBuffers,
+            replyBuffers: parts.replyBuffers,
             onDeparted: request => {
                 metrics.departedCallers.inc();
                 throttledJournal.write(events.callerDeparted, request, { request });
@@ -247,7 +256,8 @@
                 metrics.brokenReplies.inc();
                 journal.write(events.answerBroken, { ...broken });
             },
-        }),
+        });
+    },
     siteServer: parts => {
         const { settings, liveSettings, topics, membership, directory, sharedReachability, shutdown } = parts;
         return new SiteServer({
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -2,7 +2,7 @@
  * Defines the parts of a node on the platform.
  */
 import type { Dispatcher } from "undici";
-import type { Clock, RandomSource, ReadProgress } from "../common/index.js";
+import type { Clock, RandomSource, ReadProgress, StallWatch } from "../common/index.js";
 import type {
     PoolRooms,
     RejectionLimit,
@@ -49,6 +49,8 @@
     readonly random: RandomSource;
     /** Up to when the node has read what arrived at its connections. */
     readonly readProgress: ReadProgress;
+    /** Notices when requests may have waited unread. */
+    readonly stallWatch: StallWatch;
     readonly lineWriter: LineWriter;
     readonly journal: Journal;
     readonly throttledJournal: ThrottledJournal;
--- a/test/decisions/retries/sharedRetryBudget.test.ts
+++ b/test/decisions/retries/sharedRetryBudget.test.ts
@@ -53,6 +53,7 @@
         });
     };
     const budgets = Array.from({ length: nodeCount }, createNode);
+    const pausedSince = new Map<number, number>();
     const pausedUntil = new Map<number, number>();
     const unread = Array.from({ length: nodeCount }, () => 0);
     const sent: number[] = [];
@@ -65,12 +66,13 @@
             pausedUntil.delete(index);
         },
         pause: (index, milliseconds) => {
+            pausedSince.set(index, clock.monotonic());
             pausedUntil.set(index, clock.monotonic() + milliseconds);
         },
     };
-    const work = (index: number, requests: number): void => {
+    const work = (index: number, requests: number, sentAt: number): void => {
         for (let request = 0; request < requests; request += 1) {
-            budgets[index].addRequest();
+            budgets[index].addRequest(sentAt);
             for (let retry = 0; retry < maxRetriesOfRequest && isFailing(getElapsed()); retry += 1) {
                 if (budgets[index].tryAcquire()) {
                     retried.push(getElapsed());
@@ -94,7 +96,7 @@
                 continue;
             }
             pausedUntil.delete(index);
-            work(index, unread[index]);
+            work(index, unread[index], until === undefined ? clock.monotonic() : pausedSince.get(index)!);
             unread[index] = 0;
         }
     }
@@ -136,4 +138,15 @@
         };
         expect(replay({ getRate: () => 8, disturb }).broken).toEqual([]);
     });
+
+    it("hold while all processes pause and read the requests of seconds at once", () => {
+        for (const pauseMilliseconds of [1_000, 4_000, 8_000]) {
+            const disturb: Replay["disturb"] = (at, { pause }) => {
+                for (let index = 0; index < nodeCount && isTime(at, pauseMilliseconds + 2_500); index += 1) {
+                    pause(index, pauseMilliseconds);
+                }
+            };
+            expect(replay({ getRate: () => 40, disturb }).broken).toEqual([]);
+        }
+    });
 });
