Compare the retries of each window with the requests of the windows that pay for them

Upstreams could get more repeats than all nodes may send, where requests come in bursts almost a window apart and only the later one fails. Cause: a node compared the retries of the last ten seconds with the requests of the same ten seconds. Two bursts lie in these, and both paid for the retries of the second; the users' rule looks at any window, which may hold the second burst alone, and at the requests of that window and of those that began half a window and a whole one earlier. Change: each window of the last ten seconds is compared with the most requests of those three. After: none broken in the replays.

--- a/src/decisions/retries/windowedRetryBudget.ts
+++ b/src/decisions/retries/windowedRetryBudget.ts
@@ -5,11 +5,17 @@
 
 /** Number of slices of the window, which moves one slice at a time. */
 const sliceCount = 20;
-/** Slices in memory. */
-const keptSliceCount = sliceCount;
+/** Slices in memory: those of the window, and those of the one before it. */
+const keptSliceCount = 2 * sliceCount;
 /** Share of the budget that is used, since the clocks and windows of nodes and of external counters differ by a slice or two. */
 const safetyFactor = 0.88;
 
+/**
+ * Standard deviations by which one node's count of a window may be below its part of all requests. Without it, a node that gets a request
+ * every few seconds would hardly send one again.
+ */
+const deviationFactor = 0.25;
+
 /** Number of retries allowed in a window. */
 export interface RetryAllowance {
     /** Retries allowed per request in the window. */
@@ -55,7 +61,8 @@
 /**
  * Counts the requests and the retries of one pool. Each node applies the ratio to its own requests, so it also holds for the sum of all
  * nodes, without coordination. When every request fails, the load on the pool is at most (1 + ratio) times the callers' load, apart from
- * the extra.
+ * the extra. The retries of any window are also compared with the requests of that window and of the two that began half a window and a
+ * whole one earlier: otherwise the requests of two bursts that are almost a window apart would pay for the retries of one of them.
  */
 export class WindowedRetryBudget {
     readonly #options: WindowedRetryBudgetOptions;
@@ -79,7 +86,15 @@
      * @param newRequests - Requests that are about to be recorded, and that the budget grows with.
      */
     getRemaining(newRequests = 0): number {
-        return this.getAllowed(newRequests) - this.#sumUp(newRequests).retries[sliceCount];
+        const totals = this.#sumUp(newRequests);
+        const { ratio } = this.#options.getAllowance();
+        let remaining = ratio * totals.requests[sliceCount] - totals.retries[sliceCount] / safetyFactor;
+        for (let length = 1; length <= sliceCount; length += 1) {
+            const requests = getMostRequests(totals, length);
+            const tolerated = requests + deviationFactor * Math.sqrt(requests);
+            remaining = Math.min(remaining, ratio * tolerated - totals.retries[length] / safetyFactor);
+        }
+        return safetyFactor * (remaining + this.#getExtra());
     }
 
     /**
@@ -163,3 +178,16 @@
         return Math.floor(milliseconds / (this.#options.windowMilliseconds / sliceCount));
     }
 }
+
+/**
+ * Returns the most requests of the three windows that pay for the retries of one window.
+ * @param totals - The sums.
+ * @param length - Slices since the start of the window, the current one among them.
+ */
+function getMostRequests({ requests }: Totals, length: number): number {
+    const half = sliceCount / 2;
+    const own = requests[length];
+    const halfEarlier = requests[length + half] - requests[Math.max(0, length - half)];
+    const before = requests[length + sliceCount] - requests[length];
+    return Math.max(own, halfEarlier, before);
+}
--- a/test/decisions/retries/sharedRetryBudget.test.ts
+++ b/test/decisions/retries/sharedRetryBudget.test.ts
@@ -149,4 +149,30 @@
             expect(replay({ getRate: () => 40, disturb }).broken).toEqual([]);
         }
     });
+
+    it("hold while requests come in bursts of which the first did not fail", () => {
+        for (const everyMilliseconds of [3_000, 7_000, 9_000, 11_000]) {
+            const getRate: Replay["getRate"] = at => at % everyMilliseconds < 500 ? 200 : 0;
+            const isFailing: Replay["isFailing"] = at => at % (2 * everyMilliseconds) >= everyMilliseconds;
+            expect(replay({ getRate, isFailing }).broken).toEqual([]);
+        }
+    });
+
+    it("hold while anything of that happens in any order", () => {
+        for (let seed = 1; seed <= 50; seed += 1) {
+            const disturb: Replay["disturb"] = (...[, { random, restart, pause }]) => {
+                const index = random.nextInteger(nodeCount);
+                const draw = random.next();
+                if (draw < 0.02) {
+                    restart(index);
+                }
+                else if (draw < 0.03) {
+                    pause(index, 500 + random.nextInteger(6_000));
+                }
+            };
+            const getRate: Replay["getRate"] = at => at % 8_000 < 1_000 ? 120 : 20;
+            const isFailing: Replay["isFailing"] = at => at % 17_000 > 6_000;
+            expect([seed, replay({ getRate, isFailing, disturb, seed }).broken]).toEqual([seed, []]);
+        }
+    });
 });
