Reserve memory for the body of a request before it is read

Cause: every body that arrived was read whole and then copied into one piece, and held until its answer ended; nothing bounded the sum. Change: a tenth of memory_mb is for bodies above 64 KiB. Memory is reserved in the order of the requests before a body is read, so that the caller's own flow control waits; after 0.8 s or a quarter of the caller's time the request is refused unread, 503 with Retry-After: callers give up what is not read within a second or a third of their time. A body is held once, in a buffer of its stated size. Small ones never wait. Line 474, a gauge and a counter tell of it. Ruled out: a share of 0.2 and 0.15 (peaks of 178 and more in the fast test, most of it garbage of the parser's pieces); a smaller young generation (no gain); AbortSignal.any with AbortSignal.timeout (the abort never came on Node 20, seen as waits of 3 s). Open: bodies that are relayed to a peer, and bodies of the product's own interface, are not counted.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -237,4 +237,10 @@
         "info",
         "A failed request was not sent to a further upstream, since the retry budget of its pool is spent at this node. The fields give the requests and retries of the window, the retries allowed, and this node's part of what all nodes may do beyond the ratio.",
     ),
+    bodyRefused: define(
+        474,
+        "body-refused",
+        "warning",
+        "A request was refused before its body was read, since the bodies of other requests take the memory that the node has for them. The fields give the bytes of these.",
+    ),
 };
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -192,6 +192,11 @@
             help: "Bytes of answers that are read completely before they are passed on.",
             registers,
         }),
+        heldBodies: new Gauge({
+            name: "rattanlock_held_body_bytes",
+            help: "Bytes that are reserved for the larger bodies of callers' requests.",
+            registers,
+        }),
         droppedCallers: new Counter({
             name: "rattanlock_slow_callers_dropped_total",
             help: "Answers that were given up because their callers read too slowly, by the bound that was exceeded.",
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -11,14 +11,15 @@
     type Refusal,
     type StallWatch,
 } from "../common/index.js";
-import type { CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
+import type { BodyMemory, CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
-import { countHeaderBytes, decodeRequest, readBody } from "./decodeRequest.js";
-import { findHeader } from "./headers.js";
+import { countHeaderBytes, decodeRequest } from "./decodeRequest.js";
+import { findHeader, findNumber } from "./headers.js";
 import { type BrokenReplyListener, type DroppedCallerListener, HttpReply } from "./httpReply.js";
 import { IdleConnections } from "./idleConnections.js";
 import type { Endpoint } from "./nodeSettings.js";
+import { readBody } from "./requestBody.js";
 import { headerNames } from "./wire.js";
 
 /** Limits until the first configuration is in force. */
@@ -30,6 +31,11 @@
 };
 /** Idle connections stay open a little longer than callers reuse them, so that no request arrives while its connection closes. */
 const idleMarginMilliseconds = 1_000;
+/** How long a request may wait for memory before it is read, and the share of its time. Callers give up one that is not read after these. */
+const maxUnreadMilliseconds = 800;
+const maxUnreadShare = 0.25;
+/** Slow upstreams take some seconds to read a large body, so there is room for a few others by then. */
+const memoryRetryAfterMilliseconds = 1_000;
 /** Hard limit of the HTTP parser. The configured limit is checked for each request. */
 const maxHeaderBytes = 64 * 1024;
 
@@ -47,6 +53,9 @@
     /** Reports a request whose handler threw, which is a programming error. */
     readonly onCrash: (requestId: string, error: unknown) => void;
     readonly replyBuffers: ReplyBuffers;
+    readonly bodyMemory: BodyMemory;
+    /** Reports a request that was refused unread, since the bodies of others took the memory. */
+    readonly onNoMemory: (requestId: string) => void;
     /** Reports a request whose caller had left before anything was done for it. */
     readonly onDeparted: (requestId: string) => void;
     /** Reports a request whose caller was given up because it reads too slowly. */
@@ -150,19 +159,38 @@
             reply.refuseUnread(createTooLargeRefusal("headers", limits.headerBytes), 431);
             return;
         }
-        const body = await readBody(incoming, limits.bodyBytes);
-        if (body === "too-large") {
-            reply.refuseUnread(createTooLargeRefusal("body", limits.bodyBytes), 413);
-            return;
+        const memory = this.#options.bodyMemory.add();
+        try {
+            const wait = { maxMilliseconds: getMaxUnreadMilliseconds(incoming), disconnected: reply.disconnected };
+            const body = await readBody(incoming, {
+                limit: limits.bodyBytes,
+                reserve: bytes => memory.reserve(bytes, wait),
+            });
+            if (body === "too-large") {
+                reply.refuseUnread(createTooLargeRefusal("body", limits.bodyBytes), 413);
+                return;
+            }
+            if (body === "no-memory" && !reply.disconnected.aborted) {
+                this.#options.onNoMemory(id);
+                reply.refuseUnread(createNoMemoryRefusal(), 503);
+                return;
+            }
+            await reply.confirmCaller();
+            if (typeof body === "string" || reply.disconnected.aborted) {
+                this.#options.onDeparted(id);
+                reply.abort("the caller has left");
+                return;
+            }
+            memory.shrink(body.length);
+            await this.#handle(id, decodeRequest(incoming, body, { arrivedAt, sentAt }), reply);
         }
-        await reply.confirmCaller();
-        if (body === "gone" || reply.disconnected.aborted) {
-            this.#options.onDeparted(id);
-            reply.abort("the caller has left");
-            return;
+        finally {
+            memory.release();
         }
+    }
+
+    async #handle(id: string, decoded: CallerRequest | string, reply: CallerReply): Promise<void> {
         try {
-            const decoded = decodeRequest(incoming, body, { arrivedAt, sentAt });
             await (typeof decoded === "string"
                 ? reply.refuse(createMalformedRefusal(decoded))
                 : this.#options.handle(decoded, reply));
@@ -174,6 +202,24 @@
     }
 }
 
+/** Returns how long a request may wait unread for memory: callers give up one that is not read soon. */
+function getMaxUnreadMilliseconds({ rawHeaders }: IncomingMessage): number {
+    const deadlineMilliseconds = findNumber(rawHeaders, headerNames.deadline) ?? Number.POSITIVE_INFINITY;
+    return Math.max(0, Math.min(maxUnreadMilliseconds, deadlineMilliseconds * maxUnreadShare));
+}
+
+function createNoMemoryRefusal(): Refusal {
+    return {
+        outcome: "not-run",
+        failure: new Failure({
+            kind: "overloaded",
+            message: "The bodies of other requests take the memory that this node has for them.",
+            remedy: "Send the request again later.",
+            retryAfterMilliseconds: memoryRetryAfterMilliseconds,
+        }),
+    };
+}
+
 function createTooLargeRefusal(part: string, bytes: number): Refusal {
     return {
         outcome: "not-run",
--- a/src/platform/decodeRequest.ts
+++ b/src/platform/decodeRequest.ts
@@ -82,30 +82,3 @@
     }
     return bytes;
 }
-
-/**
- * Reads a request's body.
- * @param incoming - The request.
- * @param limit - Maximum size of the body in bytes.
- */
-export async function readBody(incoming: IncomingMessage, limit: number): Promise<Buffer | "too-large" | "gone"> {
-    if (Number(incoming.headers["content-length"] ?? 0) > limit) {
-        return "too-large";
-    }
-    const chunks: Buffer[] = [];
-    let size = 0;
-    try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
-            size += chunk.length;
-            if (size > limit) {
-                return "too-large";
-            }
-            chunks.push(chunk);
-        }
-    }
-    catch {
-        // The caller disconnected before its request was complete, so no answer can be sent.
-        return "gone";
-    }
-    return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-}
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -12,7 +12,14 @@
 } from "../decisions/index.js";
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import { AnswerBuffers, Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
+import {
+    AnswerBuffers,
+    Attempts,
+    BodyMemory,
+    ReplyBuffers,
+    UpstreamObserver,
+    WaitingRoom,
+} from "../forwarding/index.js";
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { createNodeCrashProbe } from "./relayParts.js";
@@ -32,6 +39,8 @@
  * be read but not passed on.
  */
 const answerMemoryShare = 0.1;
+/** Share of the memory limit that the bodies of callers' requests may take until their answers end. */
+const bodyMemoryShare = 0.1;
 /** Memory limit where the settings give none. */
 const defaultMemoryMegabytes = 256;
 const bytesPerMegabyte = 1024 * 1024;
@@ -56,10 +65,19 @@
     });
 }
 
+/** Creates the bound of the bodies of callers' requests. */
+export function createBodyMemory({ liveSettings }: NodeParts): BodyMemory {
+    return new BodyMemory({ getMaxBytes: () => getMemoryShare(liveSettings, bodyMemoryShare) });
+}
+
 /** Returns the bytes that answers may take. */
 function getAnswerMemory(liveSettings: NodeParts["liveSettings"]): number {
+    return getMemoryShare(liveSettings, answerMemoryShare);
+}
+
+function getMemoryShare(liveSettings: NodeParts["liveSettings"], share: number): number {
     const { memoryMegabytes = defaultMemoryMegabytes } = liveSettings.get();
-    return memoryMegabytes * bytesPerMegabyte * answerMemoryShare;
+    return memoryMegabytes * bytesPerMegabyte * share;
 }
 
 /** Creates the limits of requests to upstreams. */
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -29,6 +29,7 @@
 import {
     createAnswerBuffers,
     createAttempts,
+    createBodyMemory,
     createBudgets,
     createObserver,
     createPaces,
@@ -230,6 +231,7 @@
             getStopTimeLeft: () => shutdown.hasStarted ? shutdown.getTimeLeft() : undefined,
         }),
     answerBuffers: parts => createAnswerBuffers(parts),
+    bodyMemory: parts => createBodyMemory(parts),
     replyBuffers: parts => createReplyBuffers(parts),
     callerServer: parts => {
         const { clock, readProgress, stallWatch, forwarder, topics, journal, throttledJournal, metrics } = parts;
@@ -244,6 +246,14 @@
                 journal.write(events.requestCrashed, { request, cause });
             },
             replyBuffers: parts.replyBuffers,
+            bodyMemory: parts.bodyMemory,
+            onNoMemory: request => {
+                metrics.refusals.inc({ kind: "memory" });
+                throttledJournal.write(events.bodyRefused, request, {
+                    request,
+                    heldBytes: parts.bodyMemory.getReservedBytes(),
+                });
+            },
             onDeparted: request => {
                 metrics.departedCallers.inc();
                 throttledJournal.write(events.callerDeparted, request, { request });
--- a/src/platform/nodeMetrics.ts
+++ b/src/platform/nodeMetrics.ts
@@ -14,6 +14,7 @@
         rejectionLimit,
         replyBuffers,
         answerBuffers,
+        bodyMemory,
         paces,
         rooms,
     } = parts;
@@ -31,6 +32,7 @@
     metrics.quarantined.set(quarantine.countQuarantined());
     metrics.quarantinedParts.set(partQuarantine.countQuarantined());
     metrics.heldAnswers.set(answerBuffers.getHeldBytes());
+    metrics.heldBodies.set(bodyMemory.getReservedBytes());
     metrics.heldForCallers.set(replyBuffers.getHeldBytes());
     metrics.waitingCallers.set(replyBuffers.countBehind());
     for (const gauge of [metrics.slowestPace, metrics.fastestPace, metrics.knownPaces]) {
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -17,6 +17,7 @@
 import type {
     AnswerBuffers,
     Attempts,
+    BodyMemory,
     Forwarder,
     ForwardingMetrics,
     ReplyBuffers,
@@ -93,6 +94,8 @@
     readonly forwarder: Forwarder;
     /** What is held of answers that are read completely before they are passed on. */
     readonly answerBuffers: AnswerBuffers;
+    /** The memory that bodies of callers' requests take. */
+    readonly bodyMemory: BodyMemory;
     /** What waits for callers that read slowly. */
     readonly replyBuffers: ReplyBuffers;
     readonly callerServer: CallerServer;
