--- a/test/platform/retryStorm.ts
+++ b/test/platform/retryStorm.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, type Cut, type PlatformSite, type SiteNode } from "./platformSite.js";
 import { createSeal, type ReceivedRequest } from "./standins/runnerStandin.js";
+import type { StoreStandin } from "./standins/storeStandin.js";
 
 const runnerCount = 6;
 const maxAttempts = 4;
@@ -105,6 +106,11 @@
         return this.#evaluate();
     }
 
+    /** The site's store. */
+    get store(): StoreStandin {
+        return this.#site.store;
+    }
+
     /** Returns nodes in the order of their numbers; by default all. */
     getNodes(from = 0, to = this.#nodeCount): readonly SiteNode[] {
         return this.#site.nodes.slice(from, to);
--- a/test/platform/retryStormCases.ts
+++ b/test/platform/retryStormCases.ts
@@ -3,7 +3,8 @@
  */
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { RetryStorm, StormOptions } from "./retryStorm.js";
+import { RandomSource } from "../../src/common/index.js";
+import type { FailureWay, RetryStorm, StormOptions } from "./retryStorm.js";
 
 /** A storm with a name. */
 export type StormCase = Omit<StormOptions, "milliseconds"> & { readonly name: string; };
@@ -17,6 +18,12 @@
 const pauseMilliseconds = 4_000;
 const betweenPausesMilliseconds = 2_500;
 const cutMilliseconds = 4_000;
+/** Requests a second of drawn storms, and the longest time between two of their disturbances. */
+const minDrawnRate = 8;
+const maxDrawnRate = 40;
+const maxDrawnPauseMilliseconds = 1_500;
+/** Kinds of disturbances; kills are drawn for the last ones. */
+const drawnKinds = 7;
 
 const killAll = repeat(killMilliseconds, storm => storm.restart(storm.getNodes()));
 const killOnce = afterPause(killMilliseconds, storm => storm.restart(storm.getNodes()));
@@ -59,6 +66,51 @@
     { name: "all paused", way: "reset", requestsPerSecond: 40, disturb: pauseAll },
 ];
 
+/** Creates a storm in which processes are killed, stopped and paused, and the store and the runners are away, in an order drawn from a seed. */
+export function createDrawnCase(seed: number): StormCase {
+    const random = new RandomSource(seed);
+    const ways: readonly FailureWay[] = ["reset", "broken-off", "broken-event", "error"];
+    return {
+        name: `drawn ${seed}`,
+        way: ways[random.nextInteger(ways.length)],
+        requestsPerSecond: minDrawnRate + random.nextInteger(maxDrawnRate - minDrawnRate),
+        disturb: repeat(0, async storm => {
+            await sleep(random.nextInteger(maxDrawnPauseMilliseconds));
+            const from = random.nextInteger(storm.getNodes().length);
+            const nodes = storm.getNodes(from, from + 1 + random.nextInteger(storm.getNodes().length - from));
+            const milliseconds = random.nextInteger(pauseMilliseconds);
+            await drawDisturbance(storm, nodes, milliseconds, random.nextInteger(drawnKinds));
+        }),
+    };
+}
+
+async function drawDisturbance(
+    storm: RetryStorm,
+    nodes: ReturnType<RetryStorm["getNodes"]>,
+    milliseconds: number,
+    kind: number,
+): Promise<void> {
+    if (kind === 0) {
+        storm.store.fault = "silent";
+        await sleep(milliseconds);
+        storm.store.fault = "well";
+    }
+    else if (kind === 1) {
+        storm.setCut(nodes, "reset");
+        await sleep(milliseconds);
+        storm.setCut(nodes, "none");
+    }
+    else if (kind === 2) {
+        await storm.restart(nodes.slice(0, 1), "SIGTERM");
+    }
+    else if (kind === 3) {
+        await storm.pause(nodes, milliseconds);
+    }
+    else {
+        await storm.restart(nodes);
+    }
+}
+
 /** Returns the storm with a name, a way in which runners fail, and a rate. */
 export function getCaseOrThrow(name: string, way: string, requestsPerSecond: number): StormCase {
     for (const stormCase of stormCases) {
--- a/test/platform/retryStormMain.ts
+++ b/test/platform/retryStormMain.ts
@@ -1,10 +1,10 @@
 /**
  * Runs storms of failing requests on real nodes, one after the other, and prints the worst window of each.
- * Arguments: a part of the names to run, and how often; by default all of them once.
+ * Without arguments, runs all of the table. `drawn FIRST COUNT` runs storms that are drawn from as many seeds.
  */
 import { PlatformSite } from "./platformSite.js";
 import { RetryStorm } from "./retryStorm.js";
-import { type StormCase, stormCases } from "./retryStormCases.js";
+import { createDrawnCase, type StormCase, stormCases } from "./retryStormCases.js";
 
 const stormMilliseconds = 24_000;
 const firstBlock = 100;
@@ -26,14 +26,17 @@
     }
 }
 
-const [part = "", times = "1"] = process.argv.slice(2);
+function getCases(): readonly StormCase[] {
+    const [mode, first, count] = process.argv.slice(2);
+    return mode === "drawn"
+        ? Array.from({ length: Number(count) }, (...[, index]) => createDrawnCase(Number(first) + index))
+        : stormCases;
+}
+
 let failed = 0;
-let count = 0;
-for (let round = 0; round < Number(times); round += 1) {
-    for (const stormCase of stormCases.filter(({ name }) => name.includes(part))) {
-        failed += await runCase(stormCase, `127.74.${firstBlock + count % firstBlock}`) ? 0 : 1;
-        count += 1;
-    }
+const cases = getCases();
+for (const [index, stormCase] of cases.entries()) {
+    failed += await runCase(stormCase, `127.74.${firstBlock + index % firstBlock}`) ? 0 : 1;
 }
-console.log(`${failed} of ${count} storms broke the budget`);
+console.log(`${failed} of ${cases.length} storms broke the budget`);
 process.exitCode = failed === 0 ? 0 : 1;
--- a/test/platform/retryStorms.test.ts
+++ b/test/platform/retryStorms.test.ts
@@ -2,7 +2,7 @@
 import { after, describe, it } from "node:test";
 import { PlatformSite } from "./platformSite.js";
 import { RetryStorm, type StormResult } from "./retryStorm.js";
-import { getCaseOrThrow, type StormCase } from "./retryStormCases.js";
+import { createDrawnCase, getCaseOrThrow, type StormCase } from "./retryStormCases.js";
 
 const stormMilliseconds = 24_000;
 
@@ -38,4 +38,9 @@
         const { broken, repeats, arrived } = await runStorm("127.73.93", getCaseOrThrow("left alone", "reset", 8));
         expect({ broken, isRepeated: repeats > arrived / 2 }).toEqual({ broken: [], isRepeated: true });
     });
+
+    it("holds while anything of that happens in a drawn order", async () => {
+        const { broken } = await runStorm("127.73.89", createDrawnCase(17));
+        expect(broken).toEqual([]);
+    });
 });
