Close the connection of a large body that does not arrive in time, and decode requests where failures are caught

Two faults of, found by reading: a few callers that send a part of a large body and no more held the memory for bodies as long as they liked, and a request whose decoding threw would have ended the process, since decoding had moved out of the place that catches it. Change: a body for which memory is reserved has its caller's deadline, or 30 s where there is none, to arrive; small ones are waited for as before. Decoding is done where the handler is called. Test: platform/requestBody; without the timer its last case does not end.

--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -34,6 +34,8 @@
 /** How long a request may wait for memory before it is read, and the share of its time. Callers give up one that is not read after these. */
 const maxUnreadMilliseconds = 800;
 const maxUnreadShare = 0.25;
+/** How long a caller that states no deadline may take to send a body for which memory is reserved. */
+const defaultMaxBodyMilliseconds = 30_000;
 /** Slow upstreams take some seconds to read a large body, so there is room for a few others by then. */
 const memoryRetryAfterMilliseconds = 1_000;
 /** Hard limit of the HTTP parser. The configured limit is checked for each request. */
@@ -164,6 +166,7 @@
             const wait = { maxMilliseconds: getMaxUnreadMilliseconds(incoming), disconnected: reply.disconnected };
             const body = await readBody(incoming, {
                 limit: limits.bodyBytes,
+                maxMilliseconds: getDeadline(incoming) ?? defaultMaxBodyMilliseconds,
                 reserve: bytes => memory.reserve(bytes, wait),
             });
             if (body === "too-large") {
@@ -182,15 +185,16 @@
                 return;
             }
             memory.shrink(body.length);
-            await this.#handle(id, decodeRequest(incoming, body, { arrivedAt, sentAt }), reply);
+            await this.#handle(id, reply, () => decodeRequest(incoming, body, { arrivedAt, sentAt }));
         }
         finally {
             memory.release();
         }
     }
 
-    async #handle(id: string, decoded: CallerRequest | string, reply: CallerReply): Promise<void> {
+    async #handle(id: string, reply: CallerReply, decode: () => CallerRequest | string): Promise<void> {
         try {
+            const decoded = decode();
             await (typeof decoded === "string"
                 ? reply.refuse(createMalformedRefusal(decoded))
                 : this.#options.handle(decoded, reply));
@@ -203,11 +207,15 @@
 }
 
 /** Returns how long a request may wait unread for memory: callers give up one that is not read soon. */
-function getMaxUnreadMilliseconds({ rawHeaders }: IncomingMessage): number {
-    const deadlineMilliseconds = findNumber(rawHeaders, headerNames.deadline) ?? Number.POSITIVE_INFINITY;
+function getMaxUnreadMilliseconds(incoming: IncomingMessage): number {
+    const deadlineMilliseconds = getDeadline(incoming) ?? Number.POSITIVE_INFINITY;
     return Math.max(0, Math.min(maxUnreadMilliseconds, deadlineMilliseconds * maxUnreadShare));
 }
 
+function getDeadline({ rawHeaders }: IncomingMessage): number | undefined {
+    return findNumber(rawHeaders, headerNames.deadline);
+}
+
 function createNoMemoryRefusal(): Refusal {
     return {
         outcome: "not-run",
--- a/src/platform/requestBody.ts
+++ b/src/platform/requestBody.ts
@@ -11,6 +11,11 @@
 export interface BodyOptions {
     /** Maximum size of the body in bytes. */
     readonly limit: number;
+    /**
+     * Time after which a body for which memory is reserved is given up and its connection closed, in milliseconds. A few callers that
+     * send slowly would otherwise take all memory for bodies.
+     */
+    readonly maxMilliseconds: number;
     /** Waits until there is memory for a number of bytes. Returns false if there was none in time. */
     readonly reserve: (bytes: number) => Promise<boolean>;
 }
@@ -22,35 +27,53 @@
  * @param options - The options.
  */
 export async function readBody(incoming: IncomingMessage, options: BodyOptions): Promise<Buffer | UnreadReason> {
-    const { limit, reserve } = options;
     const stated = getStatedLength(incoming);
-    if (stated !== undefined && stated > limit) {
+    if (stated !== undefined && stated > options.limit) {
         return "too-large";
     }
+    let timer: NodeJS.Timeout | undefined;
+    const reserve = async (bytes: number): Promise<boolean> => {
+        const isReserved = await options.reserve(bytes);
+        if (isReserved && bytes > smallBodyBytes) {
+            timer = setTimeout(() => incoming.destroy(), options.maxMilliseconds);
+        }
+        return isReserved;
+    };
+    try {
+        return await readPieces(incoming, stated, { ...options, reserve });
+    }
+    catch {
+        // The caller disconnected before its request was complete, or took too long. No answer can be sent.
+        return "gone";
+    }
+    finally {
+        clearTimeout(timer);
+    }
+}
+
+async function readPieces(
+    incoming: IncomingMessage,
+    stated: number | undefined,
+    { limit, reserve }: BodyOptions,
+): Promise<Buffer | UnreadReason> {
     let isReserved = stated !== undefined;
     if (stated !== undefined && !await reserve(stated)) {
         return "no-memory";
     }
     let body: Buffer = Buffer.allocUnsafeSlow(stated ?? 0);
     let size = 0;
-    try {
-        for await (const chunk of incoming as AsyncIterable<Buffer>) {
-            if (size + chunk.length > limit) {
-                return "too-large";
-            }
-            if (!isReserved && size + chunk.length > smallBodyBytes) {
-                isReserved = true;
-                if (!await reserve(limit)) {
-                    return "no-memory";
-                }
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        if (size + chunk.length > limit) {
+            return "too-large";
+        }
+        if (!isReserved && size + chunk.length > smallBodyBytes) {
+            isReserved = true;
+            if (!await reserve(limit)) {
+                return "no-memory";
             }
-            body = ensureRoom(body, size, chunk.length);
-            size += chunk.copy(body, size);
         }
-    }
-    catch {
-        // The caller disconnected before its request was complete, so no answer can be sent.
-        return "gone";
+        body = ensureRoom(body, size, chunk.length);
+        size += chunk.copy(body, size);
     }
     return body.subarray(0, size);
 }
--- a/test/platform/requestBody.test.ts
+++ b/test/platform/requestBody.test.ts
@@ -4,7 +4,10 @@
 import { describe, it } from "node:test";
 import { readBody } from "../../src/platform/requestBody.js";
 
+// eslint-disable-next-line no-restricted-syntax -- streams end with it
+const endOfStream = null;
 const limit = 1_000_000;
+const longMilliseconds = 10_000;
 
 function createRequest(pieces: readonly Buffer[], headers: Readonly<Record<string, string>>): IncomingMessage {
     return Object.assign(Readable.from(pieces), { headers }) as unknown as IncomingMessage;
@@ -14,6 +17,7 @@
     const reserved: number[] = [];
     const body = await readBody(createRequest(pieces, headers), {
         limit,
+        maxMilliseconds: longMilliseconds,
         reserve: async bytes => {
             reserved.push(bytes);
             return hasMemory;
@@ -52,7 +56,28 @@
 
     it("keeps the bytes in their order", async () => {
         const pieces = Array.from({ length: 300 }, (...[, index]) => Buffer.from(String(index).padStart(5, "0")));
-        const body = await readBody(createRequest(pieces, chunked), { limit, reserve: async () => true });
+        const body = await readBody(createRequest(pieces, chunked), {
+            limit,
+            maxMilliseconds: longMilliseconds,
+            reserve: async () => true,
+        });
         expect(body.toString()).toEqual(Buffer.concat(pieces).toString());
     });
+
+    // Callers that send a part of a large body and no more would hold the memory of the others.
+    it("gives up a large body that does not arrive in time, and waits on for a small one", async () => {
+        const maxMilliseconds = 50;
+        const stuck = new Readable({ read: () => {} });
+        const options = { limit, maxMilliseconds, reserve: async () => true };
+        const large = Object.assign(stuck, { headers: { "content-length": "100000" } }) as unknown as IncomingMessage;
+        expect(await readBody(large, options)).toEqual("gone");
+        const slow = new Readable({ read: () => {} });
+        const small = Object.assign(slow, { headers: { "content-length": "5" } }) as unknown as IncomingMessage;
+        const reading = readBody(small, options);
+        setTimeout(() => {
+            slow.push("small");
+            slow.push(endOfStream);
+        }, 4 * maxMilliseconds);
+        expect((await reading).toString()).toEqual("small");
+    });
 });
