Take an answer without a framing for whole only when its runner has outlived its end

Cause: an end in order was taken for the runner's own wherever nobody else could be asked (unsafe calls, streams that may not be resumed, last attempts), and where somebody could, a connection that the runner's address accepts was taken for life. The kernel ends the connections of a killed process one after the other, the listening one last, and accepts for it until then. So neither is knowledge.

Change: what proves that the process has outlived its end is an answer to something that was sent after it. A node asks for one (LivenessChecks): the report of a model runner, which needs no slot, else the health path of the service. Any status proves it, also a rejection; an answer with another Attempt-Id, Instance-Id or `born`, or a 421, does not, nor does one that the kernel can give. The identifier tells the answer from a late one on a kept connection. Ends that wait at one runner share a request, and any answer to a caller's request that was sent after the end proves the same at no cost. It waits for 1 s at most, for the runner's own limits and rests too. Where the end is not confirmed, a resumable stream is resumed, another one is broken off, and a call is refused with 502 (ran, not known whole). Two equal answers to a call count only if one of the two runners lives. A record that was removed says nothing: a leaving runner serves on.

Unit tests for calls, agreeing calls and last attempts.

A test was wrong and is replaced: "ends a stream in the same way whose runner has crashed, if no other one is asked" demanded that the end of a crashed runner reaches the caller in order. That is what the users report. In its place stands that such a stream is broken off; that a sound one is not cut is held by the test before it, and by the test of leaving upstreams in fleet/upstreamRegistry.

--- a/src/fleet/upstreamRegistry.ts
+++ b/src/fleet/upstreamRegistry.ts
@@ -166,12 +166,12 @@
     }
 
     /**
-     * Returns whether an upstream, as it was registered when a request was placed, has ended: it is registered no longer, it has started
-     * anew, or another one is registered with its address.
+     * Returns whether what answers at the address of an upstream is not what was registered when a request was placed: it has started
+     * anew, or another one is registered with its address. One whose record was removed goes on for a while.
      */
-    hasEnded(upstream: RegisteredUpstream): boolean {
+    isReplaced(upstream: RegisteredUpstream): boolean {
         const known = this.#upstreams.get(upstream.id);
-        if (known === undefined || !isSameIncarnation(known, upstream)) {
+        if (known !== undefined && !isSameIncarnation(known, upstream)) {
             return true;
         }
         for (const other of this.getAvailable(upstream.pool)) {
--- a/src/forwarding/answerEnd.ts
+++ b/src/forwarding/answerEnd.ts
@@ -4,6 +4,9 @@
  *
  * Nothing else may look at the status or the type of an answer, or at its last bytes, to decide that. Where two places decide by different
  * properties, an answer is passed on as one thing and judged as another, and one that was broken off passes for whole.
+ *
+ * Who may say that an answer is whole: its upstream, by a framing that it has completed, or by an end in order that its process has
+ * outlived (`Attempt.confirmEnd`). The framing towards the caller is the node's own, and is completed on that knowledge alone.
  */
 import type { Route } from "../routing/index.js";
 import type { EventSplitter } from "./eventSplitter.js";
@@ -16,6 +19,11 @@
 /** An event without data has no effect at its reader. */
 const unfinishedEvent = Buffer.from("event: broken-off\n");
 
+/** Why an attempt failed whose upstream crashed as its answer ended, for log lines. */
+export const crashedAtEndReason = "the upstream crashed as its answer ended";
+/** What is said of an answer without a framing whose upstream has not outlived its end, as far as known, for log lines. */
+export const unconfirmedReason = "its end is not confirmed";
+
 /** What the body of an answer is: a stream of events, or bytes of which nothing is known on the way. */
 export type AnswerForm = "events" | "bytes";
 
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -108,13 +108,13 @@
     readonly drop: (reason: string) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
-    /** Returns whether the upstream has crashed as far as this node can tell: nothing listens at its address any more. */
-    readonly hasUpstreamCrashed: () => Promise<boolean>;
     /**
-     * Returns whether the upstream has ended by its record: it has left, or has crashed and is back. An end that is read late may be that
-     * of a run before a restart.
+     * Returns whether an answer that has ended in order, without a framing, is whole: its upstream has outlived that end, and is not one
+     * that has started anew since. Otherwise the end may be that of a killed process, whose connections end in order as well.
      */
-    readonly isUpstreamGone: () => boolean;
+    readonly confirmEnd: () => Promise<boolean>;
+    /** Returns whether the upstream has crashed as far as this node can tell: nothing listens at its address any more. */
+    readonly hasUpstreamCrashed: () => Promise<boolean>;
     /** Cancels the call at the upstream. */
     readonly cancel: () => void;
 }
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -241,13 +241,14 @@
             ? result.value
             : this.#measure(request, upstream, result.value, headMilliseconds, attemptObserver.onPause);
         const hasUpstreamCrashed = (): Promise<boolean> => this.#options.isRefusingConnections(upstream.address);
-        const isUpstreamGone = (): boolean => registry.hasEnded(upstream);
+        const confirmEnd = async (): Promise<boolean> =>
+            await transport.confirmRunning(upstream, exchange.ended) && !registry.isReplaced(upstream);
         const { cancel } = cancellation;
         const drop = (reason: string): void => {
             isServed = false;
             finish("ok", reason, "stopped");
         };
-        return ok({ upstream, answer, finish, drop, cancel, markSeen, hasUpstreamCrashed, isUpstreamGone });
+        return ok({ upstream, answer, finish, drop, cancel, markSeen, confirmEnd, hasUpstreamCrashed });
     }
 
     /** Measures how long a successful answer takes: a stream by the pauses between its parts, another one by its head. */
--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -6,7 +6,7 @@
 /** How an answer that follows in pieces ends. */
 export interface ReplyEnd {
     /** Whether it has a framing. Without one, it ends with its connection and does not claim to be complete. */
-    readonly hasKnownEnd: boolean;
+    readonly hasStatedEnd: boolean;
     /**
      * Bytes after which the body is certainly incomplete. An answer without a framing ends with them if it is broken off, as its caller
      * may not see that the connection was reset.
@@ -19,7 +19,7 @@
     /** Whether any byte of an answer may have reached the caller. */
     readonly hasStarted: boolean;
     /** Whether the answer that was started has a framing, whose end tells the caller that it is complete. */
-    readonly hasKnownEnd: boolean;
+    readonly hasStatedEnd: boolean;
     /** Aborted when the caller disconnects. */
     readonly disconnected: AbortSignal;
     /**
--- a/src/forwarding/forwarder.ts
+++ b/src/forwarding/forwarder.ts
@@ -217,7 +217,7 @@
             ran: exchange.outcome,
             timedOut: exchange.isTimedOut || undefined,
             stopped: exchange.isStopped || undefined,
-            unframed: exchange.reply.hasKnownEnd ? undefined : true,
+            unframed: exchange.reply.hasStatedEnd ? undefined : true,
             callerGone: exchange.reply.disconnected.aborted || undefined,
             callerGoneMs: roundMilliseconds(exchange.callerLeftAfterMilliseconds),
             wholeMs: Math.round(exchange.getElapsed()),
--- a/src/forwarding/metrics.ts
+++ b/src/forwarding/metrics.ts
@@ -98,6 +98,13 @@
             labelNames: ["pool"] as const,
             registers,
         }),
+        livenessChecks: new Counter({
+            name: "rattanlock_liveness_checks_total",
+            help:
+                "Requests with which upstreams were asked whether they have outlived the end of an answer without a framing, by pool and result.",
+            labelNames: ["pool", "result"] as const,
+            registers,
+        }),
         budgetRefusals: new Counter({
             name: "rattanlock_retries_refused_total",
             help: "Retries that were not made because the retry budget of their pool was spent, by pool.",
--- a/src/forwarding/replyEnding.ts
+++ b/src/forwarding/replyEnding.ts
@@ -16,8 +16,8 @@
     readonly end: AnswerEnd;
     /** Whether it had any events. */
     readonly hasEvents: boolean;
-    /** Whether the runner has crashed. */
-    readonly hasCrashed: boolean;
+    /** Whether the runner has ended it itself: it has said so, or has outlived that end. */
+    readonly isConfirmed: boolean;
     /** Whether another runner may go on with it. */
     readonly mayResume: boolean;
 }
@@ -43,22 +43,22 @@
     }
 
     /**
-     * Ends an answer whose runner has ended it. Where that runner has not said that it is whole, another one is asked for the rest if the
-     * caller would be told so, or if the runner has crashed. If that one has nothing more and lives, the answer was whole.
+     * Ends an answer whose runner has ended it. An end that the runner has not stated counts if it has outlived it, and no other runner
+     * had stated where the answer ends. Otherwise another one is asked for the rest. If that one has nothing more, the answer was whole.
      * @param upstream - The runner.
      * @param part - How its answer ended.
      * @returns Whether the exchange has ended.
      */
-    end(upstream: RegisteredUpstream, { end, hasEvents, hasCrashed, mayResume }: EndedPart): boolean {
+    end(upstream: RegisteredUpstream, { end, hasEvents, isConfirmed, mayResume }: EndedPart): boolean {
         const { ended, reply } = this.#exchange;
-        if (end === "whole" || (this.#mayBeWhole && !hasEvents && !hasCrashed)) {
+        const isEndOfReply = !reply.hasStatedEnd || (this.#mayBeWhole && !hasEvents);
+        if (end === "whole" || (isConfirmed && isEndOfReply)) {
             reply.end();
             return true;
         }
         this.#mayBeWhole = true;
-        this.#unconfirmed = mayResume && !hasCrashed ? upstream : undefined;
-        const mayAsk = mayResume && !ended.aborted && (reply.hasKnownEnd || hasCrashed);
-        if (mayAsk && (this.#canRepeat() || this.askAgain())) {
+        this.#unconfirmed = mayResume && isConfirmed ? upstream : undefined;
+        if (mayResume && !ended.aborted && (this.#canRepeat() || this.askAgain())) {
             return false;
         }
         this.breakOff(unstatedReason);
@@ -73,7 +73,7 @@
     askAgain(): boolean {
         const { ended, reply } = this.#exchange;
         if (
-            this.#unconfirmed === undefined || this.#timesAskedAgain >= maxTimesAskedAgain || !reply.hasKnownEnd
+            this.#unconfirmed === undefined || this.#timesAskedAgain >= maxTimesAskedAgain || !reply.hasStatedEnd
             || ended.aborted
         ) {
             return false;
@@ -99,13 +99,8 @@
         }
     }
 
-    /** Breaks an answer off. One that may be whole, of which its caller is told nothing, ends in order. */
+    /** Breaks an answer off. */
     breakOff(reason: string): void {
-        const { reply } = this.#exchange;
-        if (this.#mayBeWhole && !reply.hasKnownEnd) {
-            reply.end();
-            return;
-        }
-        reply.abort(reason);
+        this.#exchange.reply.abort(reason);
     }
 }
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -4,7 +4,7 @@
 import type { PoolPressure, WindowedRetryBudget } from "../decisions/index.js";
 import type { Journal } from "../events/index.js";
 import type { AnswerBuffers } from "./answerBuffers.js";
-import { getAnswerForm, getIncompleteEnd } from "./answerEnd.js";
+import { type AnswerEnd, crashedAtEndReason, getAnswerForm, getIncompleteEnd, unconfirmedReason } from "./answerEnd.js";
 import type { Attempt, AttemptFailure, AttemptRequest } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
@@ -226,7 +226,7 @@
         }
         if (!reply.hasStarted) {
             const incompleteEnd = getIncompleteEnd(relayed.form);
-            reply.start(answer.status, answer.headers, { hasKnownEnd: answer.hasKnownEnd, incompleteEnd });
+            reply.start(answer.status, answer.headers, { hasStatedEnd: answer.hasKnownEnd, incompleteEnd });
         }
         const result = await this.#relay.relay(relayed);
         if (result.kind === "silent") {
@@ -236,9 +236,9 @@
         this.#relay.endSilence(relayed, "ended");
         const hasEvents = relayed.splitter.hasEvents;
         if (result.kind === "ended") {
+            const isConfirmed = await this.#recordEnd(attempt, result.end);
             const mayResume = this.#mayResume(relayed);
-            const hasCrashed = await this.#recordEnd(attempt, result.end === "unstated" && mayResume);
-            return this.#ending.end(attempt.upstream, { end: result.end, hasEvents, hasCrashed, mayResume });
+            return this.#ending.end(attempt.upstream, { end: result.end, hasEvents, isConfirmed, mayResume });
         }
         this.#ending.markBroken(hasEvents);
         const end = result.isDisconnected ? "disconnected" : "stopped";
@@ -254,19 +254,21 @@
     /**
      * Records the end of an attempt whose runner has ended its answer in order.
      * @param attempt - The attempt.
-     * @param mayBeBroken - Whether the runner has not said that its answer is whole, and another one can be asked for the rest.
-     * @returns Whether that runner has ended, where another one can be asked for the rest.
+     * @param end - What the runner has said of that end.
+     * @returns Whether the runner has ended its answer itself: it has said so, or has outlived that end.
      */
-    async #recordEnd(attempt: Attempt, mayBeBroken: boolean): Promise<boolean> {
+    async #recordEnd(attempt: Attempt, end: AnswerEnd): Promise<boolean> {
         const { status, hasKnownEnd } = attempt.answer;
-        if (mayBeBroken && await attempt.hasUpstreamCrashed()) {
-            attempt.finish("failed", "the upstream crashed as its answer ended", "disconnected");
-            return true;
+        const isConfirmed = end === "whole" || await attempt.confirmEnd();
+        if (!isConfirmed && await attempt.hasUpstreamCrashed()) {
+            attempt.finish("failed", crashedAtEndReason, "disconnected");
+            return false;
         }
         const outcome = status >= minServerErrorStatus ? "error" : "ok";
-        attempt.finish(outcome, `status ${status}`, hasKnownEnd ? "complete" : "stopped");
-        // One that has left as planned may have ended its answer in order, so this is no failure of it.
-        return mayBeBroken && attempt.isUpstreamGone();
+        // One that has left as planned may have ended its answer in order, so an end that is not confirmed is no failure of it.
+        const reason = isConfirmed ? `status ${status}` : `status ${status}, ${unconfirmedReason}`;
+        attempt.finish(outcome, reason, hasKnownEnd ? "complete" : "stopped");
+        return isConfirmed;
     }
 
     /** Returns whether another runner may go on with an answer. */
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -8,7 +8,7 @@
 import { events, type Journal } from "../events/index.js";
 import { isRepeatable } from "../routing/index.js";
 import { type AnswerBuffers, oversizedReason } from "./answerBuffers.js";
-import { type AnswerEnd, getAnswerForm, judgeAnswerEnd } from "./answerEnd.js";
+import { type AnswerEnd, crashedAtEndReason, getAnswerForm, judgeAnswerEnd, unconfirmedReason } from "./answerEnd.js";
 import type { Attempt, AttemptFailure } from "./attempt.js";
 import { AttemptRace } from "./attemptRace.js";
 import type { Attempts } from "./attempts.js";
@@ -59,14 +59,14 @@
             prompt: undefined,
             watchHead: expected => watch.start(expected),
             getRetryReserve: allowed => pressure.getRetryReserve(getRankedRequest(exchange), allowed),
-            mayWait: () => fallback.answer === undefined || isWaitInTime(exchange, pressure),
+            mayWait: () => fallback.isEmpty || isWaitInTime(exchange, pressure),
         });
         if (attempt.isErr()) {
             if (canRetry(exchange, attempt.error)) {
                 continue;
             }
             const getRefusal = (): Refusal => createRefusal(exchange, attempt.error, pressure);
-            await finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
+            finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
             return;
         }
         const answer = await readAnswer(exchange, attempt.value, {
@@ -78,18 +78,22 @@
                 continue;
             }
             const getRefusal = (): Refusal => createRefusal(exchange, answer.error, pressure);
-            await finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
+            finishWithoutAnswer(exchange, { fallback, journal, getRefusal });
             return;
         }
         if (isFailedOrPartial(answer.value) && isRepeatable(exchange.route)) {
             fallback.add(answer.value);
-            if (!fallback.isConfirmed) {
+            if (!fallback.isAgreed) {
                 continue;
             }
-            await sendFallback(exchange, answer.value, { fallback, journal });
+            sendFallback(exchange, answer.value, { fallback, journal });
             return;
         }
-        await sendAnswer(exchange, answer.value);
+        if (!answer.value.isConfirmed) {
+            exchange.reply.refuse(createRefusal(exchange, createBrokenFailure(unconfirmedReason).error, pressure));
+            return;
+        }
+        sendAnswer(exchange, answer.value);
         return;
     }
 }
@@ -164,9 +168,25 @@
         attempt.finish("failed", reason, answer.hasKnownEnd ? "stopped" : "disconnected");
         return createBrokenFailure(reason);
     }
-    const outcome = answer.status >= minServerErrorStatus ? "error" : "ok";
-    attempt.finish(outcome, `status ${answer.status}`, end === "whole" ? "complete" : "stopped");
-    return ok({ head: answer, body: bytes, isWhole: end === "whole" });
+    const isWhole = end === "whole";
+    const isConfirmed = isWhole || await attempt.confirmEnd();
+    await recordEnd(attempt, { isWhole, isConfirmed });
+    return ok({ head: answer, body: bytes, isWhole, isConfirmed });
+}
+
+/** Records the end of an attempt whose upstream has ended its answer in order. */
+async function recordEnd(
+    attempt: Attempt,
+    { isWhole, isConfirmed }: Pick<BufferedAnswer, "isWhole" | "isConfirmed">,
+): Promise<void> {
+    if (!isConfirmed && await attempt.hasUpstreamCrashed()) {
+        attempt.finish("failed", crashedAtEndReason, "disconnected");
+        return;
+    }
+    const { status } = attempt.answer;
+    const outcome = status >= minServerErrorStatus ? "error" : "ok";
+    const reason = isConfirmed ? `status ${status}` : `status ${status}, ${unconfirmedReason}`;
+    attempt.finish(outcome, reason, isWhole ? "complete" : "stopped");
 }
 
 function judgeBody({ route }: Exchange, answer: UpstreamAnswer, body: Buffer): AnswerEnd {
@@ -189,39 +209,33 @@
     return head.status >= minServerErrorStatus || !isWhole;
 }
 
-async function sendAnswer({ reply }: Exchange, { head, body, isWhole }: BufferedAnswer): Promise<void> {
-    if (isWhole) {
-        reply.answer(head.status, head.headers, body);
-        return;
-    }
-    reply.start(head.status, head.headers, { hasKnownEnd: false });
-    await reply.write(body);
-    reply.end();
+function sendAnswer({ reply }: Exchange, { head, body }: BufferedAnswer): void {
+    reply.answer(head.status, head.headers, body);
 }
 
-/** Delivers the best of the answers that came, or refuses the request if none did. */
-async function finishWithoutAnswer(
+/** Delivers the best of the answers that came, or refuses the request if none may be delivered. */
+function finishWithoutAnswer(
     exchange: Exchange,
     { fallback, journal, getRefusal }: {
         readonly fallback: FallbackAnswer;
         readonly journal: Journal;
         readonly getRefusal: () => Refusal;
     },
-): Promise<void> {
-    const { answer } = fallback;
+): void {
+    const answer = fallback.deliverable;
     if (answer === undefined) {
         exchange.reply.refuse(getRefusal());
         return;
     }
     // The upstream's own failure is more informative than a refusal by the router.
-    await sendFallback(exchange, answer, { fallback, journal });
+    sendFallback(exchange, answer, { fallback, journal });
 }
 
-async function sendFallback(
+function sendFallback(
     exchange: Exchange,
     answer: BufferedAnswer,
     { fallback: { partialBytes }, journal }: { readonly fallback: FallbackAnswer; readonly journal: Journal; },
-): Promise<void> {
+): void {
     if (partialBytes.length > 0) {
         journal.write(events.partialAnswerChosen, {
             request: exchange.request.id,
@@ -229,7 +243,7 @@
             chosenBytes: answer.body.length,
         });
     }
-    await sendAnswer(exchange, answer);
+    sendAnswer(exchange, answer);
 }
 
 function createRefusal(exchange: Exchange, error: AttemptFailure, pressure: PoolPressure): Refusal {
--- a/src/forwarding/upstreamCall.ts
+++ b/src/forwarding/upstreamCall.ts
@@ -109,6 +109,14 @@
      * @param call - What to send.
      */
     call(upstream: RegisteredUpstream, call: UpstreamCall): Promise<Result<UpstreamAnswer, UpstreamCallFailure>>;
+    /**
+     * Finds out whether an upstream still runs: whether its process answers something that is sent after this call. Neither the end of
+     * one of its answers nor a connection that is accepted shows that, since the kernel ends and accepts connections for a killed process.
+     * @param upstream - The upstream, as it was registered when an answer of it was requested.
+     * @param signal - Ends the wait.
+     * @returns Whether it certainly does. False also when it could not be asked or has not answered in time.
+     */
+    confirmRunning(upstream: RegisteredUpstream, signal: AbortSignal): Promise<boolean>;
     /** Uses new connections to an upstream from now on: one of the open ones is unresponsive, and others may be dead as well. */
     renewConnections(upstream: RegisteredUpstream): void;
 }
--- a/src/platform/decodeConfiguration.ts
+++ b/src/platform/decodeConfiguration.ts
@@ -35,6 +35,7 @@
 const serviceSchema = z.object({
     name: z.string(),
     max_conns: z.number().default(64),
+    health_path: z.string().optional(),
     cold_start_s: z.number().nonnegative().default(0),
     cold_per_s: z.number().nonnegative().default(0),
     engine: z.object({ models: z.array(z.object({ name: z.string(), cost: z.number().default(0) })).default([]) })
@@ -155,6 +156,7 @@
     return {
         name: service.name,
         maxConnections: service.max_conns,
+        healthPath: service.health_path,
         warmUpMilliseconds: service.cold_start_s * 1_000,
         warmUpRequestsPerSecond: service.cold_per_s,
         models: service.engine?.models.map(model => ({ name: model.name, price: model.cost })) ?? [],
--- a/src/platform/httpReply.ts
+++ b/src/platform/httpReply.ts
@@ -66,7 +66,7 @@
     /** Bytes that the connection had written before this answer. */
     readonly #bytesBefore: number;
     #requestId: string | undefined;
-    #end: ReplyEnd = { hasKnownEnd: true };
+    #end: ReplyEnd = { hasStatedEnd: true };
     /** Lets the writer go on that waits for its caller. */
     #wakeWriter: (() => void) | undefined;
 
@@ -101,8 +101,8 @@
         return this.#response.headersSent;
     }
 
-    get hasKnownEnd(): boolean {
-        return this.#end.hasKnownEnd;
+    get hasStatedEnd(): boolean {
+        return this.#end.hasStatedEnd;
     }
 
     get disconnected(): AbortSignal {
@@ -113,9 +113,9 @@
         return this.#presence.confirm();
     }
 
-    start(status: number, headers: readonly string[], end: ReplyEnd = { hasKnownEnd: true }): void {
+    start(status: number, headers: readonly string[], end: ReplyEnd = { hasStatedEnd: true }): void {
         this.#end = end;
-        if (!end.hasKnownEnd) {
+        if (!end.hasStatedEnd) {
             // Neither a length nor chunked encoding: the answer ends with its connection, as it did at the upstream.
             this.#response.useChunkedEncodingByDefault = false;
             this.#response.shouldKeepAlive = false;
@@ -169,8 +169,8 @@
         if (isPresent && !this.#response.writableFinished) {
             this.#onBroken({ request: this.#requestId ?? "", reason, writtenBytes });
         }
-        const { hasKnownEnd, incompleteEnd } = this.#end;
-        if (hasKnownEnd) {
+        const { hasStatedEnd, incompleteEnd } = this.#end;
+        if (hasStatedEnd) {
             this.#closeConnection(connection => connection.destroy());
         }
         else if (incompleteEnd !== undefined && isPresent) {
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -199,6 +199,10 @@
                 throttledJournal.write(events.answerOversized, upstream, { upstream, bound: "head", bytes });
             },
             mayReceive: upstream => registry.isAvailable(upstream) && announcements.getRestMilliseconds(upstream) === 0,
+            getHealthPath: pool => topics.getRoutes()?.getPool(pool)?.healthPath,
+            checkLimit: parts.sendLimit,
+            onCheck: ({ pool }, isRunning) =>
+                metrics.livenessChecks.inc({ pool, result: isRunning ? "answered" : "unanswered" }),
             relayLimit: restLimit,
             onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
         });
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -2,6 +2,8 @@
  * Calls upstreams over HTTP, with the platform's headers.
  */
 import { err, ok, type Result } from "neverthrow";
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Dispatcher } from "undici";
 import { hasStatedEnd } from "../connections/index.js";
 import type { SendLimit } from "../decisions/index.js";
@@ -16,14 +18,20 @@
 import type { RelayTarget } from "../reachability/index.js";
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
+import { LivenessChecks, type LivenessRequest } from "./livenessChecks.js";
+import { readLiveness } from "./readLiveness.js";
 import { readStatement } from "./readStatement.js";
 import { observeSending } from "./sendingObserver.js";
 import { UpstreamConnections } from "./upstreamConnections.js";
-import { headerNames } from "./wire.js";
+import { headerNames, runnerPaths } from "./wire.js";
 
 /** Statuses that mean that a request has not run. From an upstream they count only together with its explicit header. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 const misdirectedStatus = 421;
+/** Bytes of the identifier of a request of the node itself. */
+const requestIdBytes = 8;
+/** Time between two looks at whether an upstream may be asked now. */
+const askPauseMilliseconds = 50;
 
 /** Options of `UpstreamClient`. */
 export interface UpstreamClientOptions {
@@ -37,6 +45,12 @@
     readonly onOversized?: (upstream: RegisteredUpstream, bytes: number) => void;
     /** Returns whether an upstream may receive requests of this node now. Without it, each one may. */
     readonly mayReceive?: (upstream: RegisteredUpstream) => boolean;
+    /** Returns the path at which the upstreams of a pool answer whether they are healthy; undefined while it is not known. */
+    readonly getHealthPath?: (pool: string) => string | undefined;
+    /** Limits the requests with which this node asks upstreams for a sign of life. Without it, each one may be asked. */
+    readonly checkLimit?: Pick<SendLimit<RegisteredUpstream>, "isAdmitted" | "add">;
+    /** Called when an upstream was asked for a sign of life, with whether it has given one. */
+    readonly onCheck?: (upstream: RegisteredUpstream, isRunning: boolean) => void;
     /** Limits the requests of other nodes. Their own limits are applied there. */
     readonly relayLimit?: Pick<SendLimit<RegisteredUpstream>, "isAdmitted" | "add">;
     /** Called with what the head of an answer states that this node forwards for another one. */
@@ -49,6 +63,7 @@
     readonly #connections = new Map<string, UpstreamConnections>();
     /** Connections for requests of other nodes. They take the place of connections that those nodes cannot open. */
     readonly #relayConnections = new Map<string, UpstreamConnections>();
+    readonly #liveness = new LivenessChecks((upstream, options) => this.#ask(upstream, options));
     /** Connections for which requests wait or have waited. */
     readonly #waitedFor = new Set<UpstreamConnections>();
 
@@ -61,28 +76,84 @@
         upstream: RegisteredUpstream,
         call: UpstreamCall,
     ): Promise<Result<UpstreamAnswer, UpstreamCallFailure>> {
+        let sentAt = 0;
         try {
-            const relay = this.#options.getRelay?.(upstream.pool);
-            const connections = this.#getConnections(this.#connections, upstream);
-            const send = (dispatcher: Dispatcher): Promise<Dispatcher.ResponseData> =>
-                dispatcher.request(createRequest(upstream, call));
-            const response = relay === undefined
-                ? await connections.send(send, {
-                    onSent: call.onSent,
-                    signal: call.signal,
-                    confirmCaller: call.confirmCaller,
-                    mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
-                })
-                : await send(observeSending(connections.dispatcher.compose(relay), { onSent: call.onSent }));
-            return response === undefined
-                ? err({ kind: "no-room", reason: "not sent after the wait for a connection" })
-                : readHead(response, call);
+            const response = await this.#send(upstream, createRequest(upstream, call), {
+                ...call,
+                onSent: () => {
+                    sentAt = this.#liveness.getMoment();
+                    call.onSent?.();
+                },
+                mayStillSend: () => !call.isWithdrawn() && (this.#options.mayReceive?.(upstream) ?? true),
+            });
+            if (response === undefined) {
+                return err({ kind: "no-room", reason: "not sent after the wait for a connection" });
+            }
+            if (isOwnAnswer(response, call.request.id)) {
+                this.#liveness.addAnswer(upstream, sentAt);
+            }
+            return readHead(response, call);
         }
         catch (error) {
             return err({ kind: classifyTransportError(error, call.signal), reason: describeTransportError(error) });
         }
     }
 
+    confirmRunning(upstream: RegisteredUpstream, signal: AbortSignal): Promise<boolean> {
+        return this.#liveness.confirm(upstream, signal);
+    }
+
+    /** Asks an upstream for a sign of life, with a request that needs no slot where it serves one. */
+    async #ask(upstream: RegisteredUpstream, { onSent, signal }: Parameters<LivenessRequest>[1]): Promise<boolean> {
+        const path = upstream.models.length > 0
+            ? runnerPaths.report
+            : this.#options.getHealthPath?.(upstream.pool);
+        if (path === undefined || !await this.#waitForLimit(upstream, signal)) {
+            return false;
+        }
+        const requestId = randomBytes(requestIdBytes).toString("hex");
+        let isRunning = false;
+        try {
+            const response = await this.#send(upstream, createCheck(upstream, { path, requestId, signal }), {
+                onSent,
+                signal,
+                confirmCaller: () => undefined,
+                mayStillSend: () => true,
+            });
+            isRunning = response !== undefined && await readLiveness(response, upstream, requestId);
+        }
+        catch {
+            // No answer is no sign of life, whatever the reason; it is counted below.
+        }
+        this.#options.onCheck?.(upstream, isRunning);
+        return isRunning;
+    }
+
+    /** Waits until an upstream may be asked. Returns false when that was not so in time. */
+    async #waitForLimit(upstream: RegisteredUpstream, signal: AbortSignal): Promise<boolean> {
+        const { checkLimit } = this.#options;
+        while (checkLimit?.isAdmitted(upstream) === false && !signal.aborted) {
+            await sleep(askPauseMilliseconds);
+        }
+        if (!signal.aborted) {
+            checkLimit?.add(upstream);
+        }
+        return !signal.aborted;
+    }
+
+    /** Sends a request on a connection of this node, or through another node. Returns undefined when it was not sent. */
+    #send(
+        upstream: RegisteredUpstream,
+        request: Dispatcher.RequestOptions,
+        options: Parameters<UpstreamConnections["send"]>[1],
+    ): Promise<Dispatcher.ResponseData | undefined> {
+        const relay = this.#options.getRelay?.(upstream.pool);
+        const connections = this.#getConnections(this.#connections, upstream);
+        return relay === undefined
+            ? connections.send(dispatcher => dispatcher.request(request), options)
+            : observeSending(connections.dispatcher.compose(relay), { onSent: options.onSent }).request(request);
+    }
+
     /** Returns the connections to an upstream, for requests of other nodes. */
     getRelayTarget(upstream: RegisteredUpstream): RelayTarget {
         const connections = this.#getConnections(this.#relayConnections, upstream);
@@ -167,6 +238,31 @@
     };
 }
 
+/** Creates a request for a sign of life. Its identifier tells its answer from a late one to another request. */
+function createCheck(
+    { address, id }: RegisteredUpstream,
+    { path, requestId, signal }: {
+        readonly path: string;
+        readonly requestId: string;
+        readonly signal: AbortSignal;
+    },
+): Dispatcher.RequestOptions {
+    return {
+        origin: `http://${address}`,
+        method: "GET",
+        path,
+        headers: [headerNames.requestId, requestId, headerNames.expectedRunner, id],
+        signal,
+        responseHeaders: "raw",
+    };
+}
+
+/** Returns whether an answer is certainly one to the request that it was read for, by the upstream that was asked. */
+function isOwnAnswer({ headers, statusCode }: Dispatcher.ResponseData, requestId: string): boolean {
+    const raw = headers as unknown as readonly string[];
+    return statusCode !== misdirectedStatus && findHeader(raw, headerNames.requestId) === requestId;
+}
+
 function createHeaders(upstream: RegisteredUpstream, call: UpstreamCall): string[] {
     const { request, workspace, model, urgency, lastEventId } = call;
     const headers = [...request.headers];
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -13,6 +13,8 @@
     seal: "server-seal",
     workspace: "tenant",
     expectedRunner: "expect-instance",
+    /** The runner that answers, in some of its answers. */
+    runner: "instance-id",
     /** `RUNNING,WAITING,SLOTS`, from some runners with the time that work takes there now, in percent of the usual. */
     load: "server-load",
     notExecuted: "not-executed",
@@ -52,6 +54,12 @@
     newest: "/v1/log-newest",
 } as const;
 
+/** Paths that model runners serve besides callers' requests. */
+export const runnerPaths = {
+    /** What the runner says of itself, at once and without a slot. */
+    report: "/v1/report",
+} as const;
+
 /** Paths that a node serves besides callers' requests. */
 export const servedPaths = {
     ready: "/v1/readyz",
--- a/test/fleet/upstreamRegistry.test.ts
+++ b/test/fleet/upstreamRegistry.test.ts
@@ -37,23 +37,30 @@
         });
     });
 
-    describe("hasEnded", () => {
+    describe("isReplaced", () => {
         // Guards against the end of a run that passes for the orderly end of its answer since the upstream is back already.
         it("knows upstreams that have started anew, under their own identifier or another one at their address", () => {
             const { registry } = createRegistry();
             const first = createUpstream("a", { startedAt: 1, address: "10.0.0.1:80" });
             registry.set(first);
             registry.set(createUpstream("b", { address: "10.0.0.2:80" }));
-            expect(registry.hasEnded(first)).toEqual(false);
+            expect(registry.isReplaced(first)).toEqual(false);
             registry.set({ ...first, isLeaving: true });
-            expect(registry.hasEnded(first)).toEqual(false);
+            expect(registry.isReplaced(first)).toEqual(false);
             registry.set(createUpstream("c", { address: "10.0.0.1:80" }));
-            expect(registry.hasEnded(first)).toEqual(true);
+            expect(registry.isReplaced(first)).toEqual(true);
             registry.remove("c", 0);
             registry.set({ ...first, startedAt: 2 });
-            expect(registry.hasEnded(first)).toEqual(true);
+            expect(registry.isReplaced(first)).toEqual(true);
+        });
+
+        // Guards against a sound answer that is cut since its upstream leaves, whose record is removed while it still serves.
+        it("does not take an upstream for another one whose record was removed", () => {
+            const { registry } = createRegistry();
+            const first = createUpstream("a", { startedAt: 1 });
+            registry.set(first);
             registry.remove("a", 0);
-            expect(registry.hasEnded(first)).toEqual(true);
+            expect(registry.isReplaced(first)).toEqual(false);
         });
     });
 
--- a/test/forwarding/streamExchange.test.ts
+++ b/test/forwarding/streamExchange.test.ts
@@ -289,13 +289,13 @@
         expect(lines.find(line => line.name === "attempt-ended")?.outcome).toEqual("cancelled");
     });
 
-    // Guards against a claim that no runner has made.
-    it("ends a stream without a known end that ended between events at a living runner as it did, and claims nothing", async () => {
+    // Guards against a sound stream that is cut, or asked for again, since its runner frames nothing.
+    it("ends a stream without a known end that ended between events at a runner that outlived it", async () => {
         const { send, calls, quarantine } = createStreamForwarder(() =>
             createAnswer([createEvent(1), createEvent(2)], { confidence: 80, hasKnownEnd: false })
         );
         const caller = await send();
-        expect([caller.chunks.join(""), caller.isComplete, caller.hasKnownEnd, calls.length]).toEqual([
+        expect([caller.chunks.join(""), caller.isComplete, caller.hasStatedEnd, calls.length]).toEqual([
             createEvent(1) + createEvent(2),
             true,
             false,
@@ -304,20 +304,17 @@
         expect(quarantine.countQuarantined()).toEqual(0);
     });
 
-    // Guards against a sound answer that is cut since its runner has stopped after it and nobody else is left.
-    it("ends a stream in the same way whose runner has crashed, if no other one is asked", async () => {
-        const { send, calls } = createStreamForwarder(
-            () => createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false }),
-            { maxAttempts: 1 },
-            ["u1", "u2", "u3"],
-        );
-        const caller = await send();
-        expect([caller.isComplete, caller.hasKnownEnd, caller.isAborted, calls.length]).toEqual([
-            true,
-            false,
-            false,
-            1,
-        ]);
+    // Guards against half a stream that passes for a whole one since nobody else may be asked for the rest of it.
+    it("breaks a stream off whose runner has not outlived its end, if no other one is asked", async () => {
+        for (const options of [{ maxAttempts: 1 }, { isResumable: false }]) {
+            const { send, calls } = createStreamForwarder(
+                () => createAnswer([createEvent(1)], { confidence: 80, hasKnownEnd: false }),
+                options,
+                ["u1", "u2", "u3"],
+            );
+            const caller = await send();
+            expect([caller.isComplete, caller.isAborted, calls.length]).toEqual([false, true, 1]);
+        }
     });
 
     // Guards against half a stream that passes for a whole one since its runner was back before the end was read.
@@ -363,7 +360,7 @@
             for (const [third, hasKnownEnd] of [[[], true], [[], false], [[createEvent(3)], true]] as const) {
                 const { send, calls } = createStreamForwarder(answerParts(third, hasKnownEnd), { maxAttempts: 4 });
                 const caller = await send();
-                expect([caller.chunks.join(""), caller.isComplete, caller.hasKnownEnd]).toEqual([
+                expect([caller.chunks.join(""), caller.isComplete, caller.hasStatedEnd]).toEqual([
                     [createEvent(1), createEvent(2), ...third].join(""),
                     true,
                     true,
--- a/test/forwarding/unaryExchange.test.ts
+++ b/test/forwarding/unaryExchange.test.ts
@@ -59,15 +59,40 @@
         expect([(await send()).status, calls.length]).toEqual([200, 2]);
     });
 
-    // An instance fails in the middle of an answer without a length, and its connection closes in order. The part cannot be
-    // distinguished from a complete answer. Framed as complete, half a confirmation would pass for all of it.
-    it("does not frame an answer without a known end as complete, and retries where it may", async () => {
+    // An instance is killed in the middle of an answer without a length, and its connection closes in order. Half a confirmation would
+    // pass for all of it.
+    it("does not deliver an answer without a known end whose upstream has not outlived it, and retries where it may", async () => {
         const behaviour = (...[, , count]: unknown[]) =>
             count === 1 ? createAnswer(["ha"], { hasKnownEnd: false }) : createAnswer(["whole"]);
-        const booking = await createUnaryForwarder("at-most-once", { behaviour }).send();
-        expect([booking.chunks, booking.hasKnownEnd]).toEqual([["ha"], false]);
-        const query = await createUnaryForwarder("idempotent", { behaviour }).send();
-        expect([query.chunks, query.hasKnownEnd]).toEqual([["whole"], true]);
+        const crashed = new Set(["u1", "u2", "u3"]);
+        const booking = createUnaryForwarder("at-most-once", { behaviour, crashed });
+        const { chunks, refusal } = await booking.send();
+        expect([chunks, refusal?.outcome, refusal?.failure.kind, booking.calls.length]).toEqual([
+            [],
+            "ran",
+            "upstream-failed",
+            1,
+        ]);
+        const query = await createUnaryForwarder("idempotent", { behaviour, crashed }).send();
+        expect(query.chunks).toEqual(["whole"]);
+    });
+
+    // Guards against a sound confirmation that is withheld since its upstream frames nothing.
+    it("delivers an answer without a known end whose upstream has outlived it", async () => {
+        const { send, calls } = createUnaryForwarder("at-most-once", {
+            behaviour: () => createAnswer(["all"], { hasKnownEnd: false }),
+        });
+        expect([(await send()).chunks, calls.length]).toEqual([["all"], 1]);
+    });
+
+    // Guards against half an answer that passes for a whole one since two upstreams were killed at the same byte of it.
+    it("does not take two equal answers for whole of which no upstream has outlived either", async () => {
+        const { send } = createUnaryForwarder("idempotent", {
+            behaviour: () => createAnswer(["ha"], { hasKnownEnd: false }),
+            crashed: new Set(["u1", "u2", "u3"]),
+        });
+        const { chunks, refusal } = await send();
+        expect([chunks, refusal?.outcome]).toEqual([[], "ran"]);
     });
 
     // Guards against half an answer that is delivered although the second upstream sent all of it.
@@ -77,7 +102,7 @@
                 behaviour: (...[, , count]) => createAnswer([bodies[count - 1]], { hasKnownEnd: false }),
             });
             const caller = await send();
-            expect([caller.chunks, caller.hasKnownEnd]).toEqual([["half and whole"], false]);
+            expect([caller.chunks, caller.isComplete]).toEqual([["half and whole"], true]);
             expect(lines.filter(line => line.name === "partial-answer-chosen").map(line => line.bytes)).toEqual([
                 bodies.map(body => body.length).join(","),
             ]);
--- a/test/platform/slowCallers.test.ts
+++ b/test/platform/slowCallers.test.ts
@@ -82,9 +82,9 @@
     return Buffer.concat(pieces).toString("latin1");
 }
 
-function createStream(written: Map<string, number>, hasKnownEnd = true): HandleReply {
+function createStream(written: Map<string, number>, hasStatedEnd = true): HandleReply {
     return async (id, reply) => {
-        reply.start(200, [], { hasKnownEnd });
+        reply.start(200, [], { hasStatedEnd });
         for (let count = 0; count < pieceCount && !reply.disconnected.aborted; count += 1) {
             await reply.write(piece);
             written.set(id, count + 1);
@@ -107,10 +107,10 @@
     // A caller stops reading its stream. Guards against a run that goes on for nobody, against memory that grows with the answer, and
     // against a truncated answer that looks complete.
     it("gives up a stream whose caller does not read, with a reset connection", async () => {
-        for (const hasKnownEnd of [true, false]) {
+        for (const hasStatedEnd of [true, false]) {
             const written = new Map<string, number>();
             const { port, buffers, dropped, resets } = await startServer(
-                createStream(written, hasKnownEnd),
+                createStream(written, hasStatedEnd),
                 100 * megabyte,
             );
             const socket = await sendRequest(port, "stalled");
@@ -124,14 +124,14 @@
 
     // An answer without a length breaks off at its upstream. Closed in order, the connection would show a complete answer.
     it("resets the connection of an answer without a length that cannot be completed, and closes others", async () => {
-        for (const hasKnownEnd of [true, false]) {
+        for (const hasStatedEnd of [true, false]) {
             const { port, resets } = await startServer(async (...[, reply]) => {
-                reply.start(200, [], { hasKnownEnd });
+                reply.start(200, [], { hasStatedEnd });
                 await reply.write(Buffer.from("first"));
                 setTimeout(() => reply.abort("test"), 20);
             }, 100 * megabyte);
             await readAll(await sendRequest(port, "broken"));
-            expect(resets).toEqual(hasKnownEnd ? [] : ["broken"]);
+            expect(resets).toEqual(hasStatedEnd ? [] : ["broken"]);
         }
     });
 
@@ -215,7 +215,7 @@
                 first = reply;
                 return Promise.resolve();
             }
-            reply.start(200, [], { hasKnownEnd: id !== "open" });
+            reply.start(200, [], { hasStatedEnd: id !== "open" });
             reply.abort("test");
             first?.answer(200, [], large);
             return Promise.resolve();
--- a/test/platform/standins/framedRunner.ts
+++ b/test/platform/standins/framedRunner.ts
@@ -51,6 +51,8 @@
 /** Time that the bytes of an answer have to leave before a reset discards them. */
 const leaveMilliseconds = 30;
 const headEnd = "\r\n\r\n";
+/** Last part of the path at which a runner answers whether it is healthy. */
+const healthName = "healthz";
 
 /** The streams and the runs of all runners. */
 export class FramedRunners {
@@ -127,6 +129,10 @@
 
     async #answer(socket: Socket, head: string, crash: (answer: FramedAnswer) => void): Promise<void> {
         const name = /^\S+ \S*\/(\S+) /.exec(head)![1];
+        if (name === healthName) {
+            socket.write(`HTTP/1.1 200 OK\r\nContent-Length: 0${headEnd}`);
+            return;
+        }
         const stream = this.#streams.get(name)!;
         const lastEventId = Number(/last-event-id: (\d+)/i.exec(head)?.[1] ?? 0);
         const answer = stream.answers[Math.min(this.getRuns(name).length, stream.answers.length - 1)];
--- a/test/platform/standins/runnerStandin.ts
+++ b/test/platform/standins/runnerStandin.ts
@@ -4,6 +4,9 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 
+/** Path at which a runner answers whether it is healthy; such requests are not recorded. */
+const healthPath = "/healthz";
+
 /** A request as a runner received it. */
 export interface ReceivedRequest {
     readonly method: string;
@@ -55,6 +58,10 @@
         for await (const piece of request as AsyncIterable<Buffer>) {
             pieces.push(piece);
         }
+        if (request.url === healthPath) {
+            response.writeHead(200).end();
+            return;
+        }
         const received: ReceivedRequest = {
             method: request.method ?? "",
             target: request.url ?? "",
