Frame every answer that follows in pieces, so that a killed node leaves it open

Cause: a node passed an answer without a framing on without one. The end of the connection was then its only end, and the kernel gives that for a killed node as well as the node itself.

Killed or broken off, it stays open. The connection serves the caller's next request. Callers of HTTP/1.0 read no chunks: their streams end with the connection, broken off ones with half an event and a reset, which now also holds where the runner's answer had a framing (it was closed in order, so half a stream passed for whole). A node that is killed can still not show it to them; a call has a length for them too. What a node relays for another one was framed already (a gRPC stream that ends without its last part).

--- a/src/forwarding/callerReply.ts
+++ b/src/forwarding/callerReply.ts
@@ -5,11 +5,11 @@
 
 /** How an answer that follows in pieces ends. */
 export interface ReplyEnd {
-    /** Whether it has a framing. Without one, it ends with its connection and does not claim to be complete. */
+    /** Whether the upstream states the end of its answer. Without that, the answer ends with its connection there. */
     readonly hasStatedEnd: boolean;
     /**
-     * Bytes after which the body is certainly incomplete. An answer without a framing ends with them if it is broken off, as its caller
-     * may not see that the connection was reset.
+     * Bytes after which the body is certainly incomplete. An answer to a caller that reads no framing ends with them if it is broken off,
+     * as that caller may not see that the connection was reset.
      */
     readonly incompleteEnd?: Buffer | undefined;
 }
@@ -18,7 +18,7 @@
 export interface CallerReply {
     /** Whether any byte of an answer may have reached the caller. */
     readonly hasStarted: boolean;
-    /** Whether the answer that was started has a framing, whose end tells the caller that it is complete. */
+    /** Whether the upstream whose answer was started states its end. The framing towards the caller does not depend on it. */
     readonly hasStatedEnd: boolean;
     /** Aborted when the caller disconnects. */
     readonly disconnected: AbortSignal;
@@ -28,14 +28,17 @@
      * @returns Undefined when there is nothing to wait for.
      */
     confirmCaller(): Promise<void> | undefined;
-    /** Starts an answer whose body follows in pieces. */
+    /**
+     * Starts an answer whose body follows in pieces. Its framing is this node's own, and stays open if the node is killed or breaks the
+     * answer off.
+     */
     start(status: number, headers: readonly string[], end?: ReplyEnd): void;
     /**
      * Writes a piece of the body. Resolves at once unless more waits for the caller than its bound allows; if that lasts, the caller
      * is given up, which aborts `disconnected`.
      */
     write(piece: Buffer): Promise<void>;
-    /** Ends an answer that was started. */
+    /** Ends an answer that was started, which claims that it is complete. */
     end(): void;
     /** Sends a complete answer. */
     answer(status: number, headers: readonly string[], body: Buffer): void;
--- a/test/platform/brokenOff/killedProcesses.test.ts
+++ b/test/platform/brokenOff/killedProcesses.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "earl";
-import { after, before, describe, it } from "node:test";
+import { writeFileSync } from "node:fs";
+import { after, afterEach, before, describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { callerPort, createConfiguration, PlatformSite, type SiteNode } from "../platformSite.js";
 import { readFramed, type SeenAnswer } from "../standins/framedCaller.js";
@@ -122,4 +123,53 @@
         const visible = seen.filter(({ answer }) => answer.status !== 200 || answer.end === "broken");
         expect(visible.length > 0).toEqual(true);
     });
+
+    // Guards against a sound answer that is cut, asked for again or left without an end since its runner frames nothing.
+    it("are whole for all callers while no runner is killed", async () => {
+        const seen = await unframed.sendAll(node, () => Promise.resolve());
+        expect(seen.filter(({ answer }) => answer.status !== 200 || answer.end !== "whole")).toEqual([]);
+        expect(findPassing(seen)).toEqual([]);
+    });
+});
+
+// A node is killed while it passes on answers without a framing, to its own callers or to another node.
+describe("answers without a framing whose node is killed", () => {
+    const unframed = new UnframedSite("127.72.134");
+    before(() => unframed.start(3, 2));
+    after(() => unframed.stop());
+    afterEach(() => {
+        for (const { cutFile } of unframed.site.nodes) {
+            writeFileSync(cutFile, "none");
+        }
+    });
+
+    async function kill(index: number): Promise<void> {
+        const { child, exited } = unframed.site.nodes[index - 1];
+        child.kill("SIGKILL");
+        await exited;
+    }
+
+    // Guards against half a stream that ends in order, since the kernel ends the connections of the killed node so.
+    it("pass for whole at no caller of that node", async () => {
+        for (const index of [1, 2]) {
+            const seen = await unframed.sendAll(unframed.site.nodes[index - 1], () => kill(index));
+            expect(findPassing(seen)).toEqual([]);
+            expect(seen.some(({ answer }) => answer.status === 200)).toEqual(true);
+            await unframed.site.waitForReady(unframed.site.startCuttableNode(index));
+        }
+    });
+
+    // Guards against half a stream that the caller's node takes for whole, since the node that relays it was killed.
+    it("pass for whole at no caller of a node for which that one relays", async () => {
+        const [node] = unframed.site.nodes;
+        await unframed.site.waitForAddresses(node, 3);
+        writeFileSync(node.cutFile, "reset");
+        const isRelayed = async (): Promise<boolean> =>
+            (await unframed.sendAll(node, () => Promise.resolve())).every(({ answer }) => answer.status === 200);
+        for (let tries = 0; !await isRelayed(); tries += 1) {
+            expect(tries < 10).toEqual(true);
+        }
+        const seen = await unframed.sendAll(node, () => kill(2));
+        expect(findPassing(seen)).toEqual([]);
+    });
 });
