Deliver an answer of a plain service without a framing only when the service has outlived its end

The same class at the product's own interface, found by looking for it: a killed service leaves half an answer that ends in order. The entry passed it on as the service had framed it, which is not at all, and stored it under the idempotency key, so that half a confirmation was replayed as well.

Change: the entry asks for GET /load, which every service serves, after such an answer. Stored answers of an earlier program that may be incomplete are not replayed (410, check the service).

Left: GET /load does not say when the service started, so one that is back within a round trip is taken for the one that was killed.

--- a/src/entry/storedAnswer.ts
+++ b/src/entry/storedAnswer.ts
@@ -13,7 +13,7 @@
     status: z.number().int(),
     headers: z.record(z.string(), z.string()),
     body: z.string().optional(),
-    /** Absent in answers that were stored before. They were delivered as complete. */
+    /** False in answers that were stored before their ends were confirmed, and which may be incomplete. */
     hasKnownEnd: z.boolean().default(true),
 });
 
@@ -25,21 +25,22 @@
     const body = answer.body.byteLength <= maxStoredBodyBytes
         ? Buffer.from(answer.body).toString("base64")
         : undefined;
-    const { status, headers, hasKnownEnd } = answer;
-    return JSON.stringify({ status, headers, body, hasKnownEnd });
+    const { status, headers } = answer;
+    return JSON.stringify({ status, headers, body });
 }
 
 /**
- * Unpacks a stored answer. Fails if its body was too large to be stored.
+ * Unpacks a stored answer. Fails if its body was too large to be stored, or may be incomplete.
  * @param text - JSON text.
  */
 export function unpackAnswer(text: string): Result<ServiceAnswer, Failure> {
     const stored = storedSchema.parse(JSON.parse(text));
-    if (stored.body === undefined) {
+    if (stored.body === undefined || !stored.hasKnownEnd) {
+        const reason = stored.body === undefined ? "was too large to store" : "may be incomplete";
         return err(
             new Failure({
                 kind: "gone",
-                message: `The call ran and was answered with status ${stored.status}; its body was too large to store.`,
+                message: `The call ran and was answered with status ${stored.status}; its body ${reason}.`,
                 remedy: "Ask the service for the result; do not send the call again.",
             }),
         );
@@ -48,7 +49,6 @@
         status: stored.status,
         headers: stored.headers,
         body: Buffer.from(stored.body, "base64"),
-        hasKnownEnd: stored.hasKnownEnd,
         loadHeader: undefined,
     });
 }
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -4,7 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, request } from "undici";
 import { z } from "zod";
-import { Failure } from "../common/index.js";
+import { Failure, ReadTimeout } from "../common/index.js";
 import { hasStatedEnd, listHeaders } from "../connections/index.js";
 import type { Vm } from "../world/index.js";
 import { type AnswerObserver, getSingleHeader } from "./answerObserver.js";
@@ -24,13 +24,16 @@
     readonly signal: AbortSignal;
 }
 
+/** Time within which a service has to answer that it runs. */
+const maxLivenessMilliseconds = 1_000;
+/** Path at which a service reports its load. */
+const loadPath = "/load";
+
 /** The complete answer of a plain service. */
 export interface ServiceAnswer {
     readonly status: number;
     readonly headers: Readonly<Record<string, string>>;
     readonly body: Uint8Array;
-    /** Whether the service has said that the body is complete. It has not if the body has neither a length nor chunks. */
-    readonly hasKnownEnd: boolean;
     /** The service's reported load as `running/waiting/capacity`. */
     readonly loadHeader: string | undefined;
 }
@@ -85,7 +88,10 @@
                 body: call.body,
             });
             this.#answerObserver?.observe(service, response, sentAt);
-            const answer = await this.#readAnswer(response, service, call.method);
+            const answer = await this.#readAnswer(response, service);
+            if (answer.isOk() && !hasKnownEnd(response, call.method) && !await this.#isRunning(service, call.signal)) {
+                return err({ outcome: "ran", failure: createUnconfirmedFailure(service) });
+            }
             if (answer.isOk() && isLeavingRefusal(answer.value)) {
                 this.#answerObserver?.observeLeaving(service);
                 return err(classifyRefusal(answer.value.status, service.id));
@@ -100,7 +106,6 @@
     async #readAnswer(
         response: Dispatcher.ResponseData,
         service: Vm,
-        method: string,
     ): Promise<Result<ServiceAnswer, UpstreamFailure>> {
         const parts: Uint8Array[] = [];
         let size = 0;
@@ -116,14 +121,34 @@
             status: response.statusCode,
             headers: pickHeaders(response.headers),
             body: Buffer.concat(parts),
-            hasKnownEnd: hasStatedEnd(method, {
-                status: response.statusCode,
-                headers: listHeaders(response.headers),
-            }),
             loadHeader: getSingleHeader(response.headers["x-load"]),
         });
     }
 
+    /**
+     * Returns whether a service still runs after one of its answers has ended, by an answer to a request that is sent now. An answer with
+     * neither a length nor chunks ends in order when its service is killed as well.
+     */
+    async #isRunning(service: Vm, signal: AbortSignal): Promise<boolean> {
+        const waiting = new AbortController();
+        const timeout = new ReadTimeout(maxLivenessMilliseconds, () => waiting.abort());
+        try {
+            const response = await request(`${getOrigin(service)}${loadPath}`, {
+                dispatcher: this.#dispatcher,
+                signal: AbortSignal.any([signal, waiting.signal]),
+            });
+            await response.body.dump();
+            return true;
+        }
+        catch {
+            // No answer is no sign of life, whatever the reason. The caller learns that its answer may be incomplete.
+            return false;
+        }
+        finally {
+            timeout.clear();
+        }
+    }
+
     #createTooLargeFailure(service: Vm): Failure {
         return new Failure({
             kind: "upstream-failed",
@@ -146,6 +171,18 @@
     return problem.success && problem.data.type === leavingType;
 }
 
+function hasKnownEnd({ statusCode: status, headers }: Dispatcher.ResponseData, method: string): boolean {
+    return hasStatedEnd(method, { status, headers: listHeaders(headers) });
+}
+
+function createUnconfirmedFailure({ id }: Vm): Failure {
+    return new Failure({
+        kind: "upstream-failed",
+        message: `The answer of ${id} may be incomplete: the service has not answered since it ended.`,
+        remedy: "Check whether the call took effect before sending it again.",
+    });
+}
+
 function pickHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
     const picked: Record<string, string> = {};
     for (const name of forwardedHeaders) {
