Tell a crashing request from sound ones that differ from it in the query alone

Cause: a request was known by its path, caller and body, without its query, so that all lookups of a path are one. A sound one that has run within a minute then keeps any crash from counting against all of them.

Ruled out: adding the query to that key. A caller that changes a part of it with each return would never be stopped (the control: such a request, with sound lookups on another path, is stopped after three crashes, and must be).

Change: a request with a query is held by several keys, as a prompt is by its parts: any query, the whole query, each parameter (name and value, decoded and in a fixed order). A sound run clears the keys that it has, a crash counts against those that no sound run has cleared. Rules, points, gossip and store are the same mechanism. At the product's own interface the path of a call included its query, so a changed query was never recognized: the same keys hold there now.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -265,6 +265,7 @@
                     workspace: identity.workspace,
                     body: body.value,
                 },
+                query: "",
                 prompt: { pool: "", parts: parsed.value.promptParts },
             }),
             sink,
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -206,10 +206,12 @@
         this.#options.retries.addRequest();
         const excluded = new Set<string>();
         const { requestId: id, pool: host, method, path, workspace, body = "" } = request;
+        const [pathAlone, ...query] = path.split("?");
         const watched = createWatchedRequest({
             id,
             isStream: false,
-            content: { method, host, path, workspace, body },
+            content: { method, host, path: pathAlone, workspace, body },
+            query: query.join("?"),
             prompt: undefined,
         });
         let combinedOutcome: Outcome = "not-run";
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -57,19 +57,19 @@
         422,
         "attempt-ended",
         "info",
-        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result, and say if its answer had neither a length nor chunks, its type if the route leads to expect another one, and how it ended if not completely.",
+        "An attempt at an upstream ended; the fields give the reasons for choosing the upstream and the result, and say if its answer had neither a length nor chunks, its type if the route leads to expect another one, how it ended if not completely, and if the upstream did not confirm that end.",
     ),
     requestEnded: define(
         423,
         "request-ended",
         "info",
-        "A request received its final answer, or its caller disconnected; the fields say if the answer has neither a length nor chunks.",
+        "A request received its final answer, or its caller disconnected; the fields say if its upstream gave the answer neither a length nor chunks.",
     ),
     upstreamCrashed: define(
         424,
         "upstream-crashed",
         "warning",
-        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come, and name the parts of its prompt.",
+        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come, and give the keys by which it may be quarantined: those of its query and its parameters, and those of the parts of its prompt.",
     ),
     requestQuarantined: define(
         425,
--- a/src/forwarding/callerRequest.ts
+++ b/src/forwarding/callerRequest.ts
@@ -47,6 +47,12 @@
     readonly sentAt?: number;
 }
 
+/** Returns the query of a request without the question mark; empty if there is none. */
+export function getQuery({ target }: CallerRequest): string {
+    const query = target.indexOf("?");
+    return query < 0 ? "" : target.slice(query + 1);
+}
+
 /** Returns the path of a request without its query. */
 export function getPath(request: CallerRequest): string {
     const query = request.target.indexOf("?");
--- a/src/forwarding/exchange.ts
+++ b/src/forwarding/exchange.ts
@@ -7,7 +7,7 @@
 import { createWatchedRequest, type WatchedRequest } from "../quarantine/index.js";
 import type { Route } from "../routing/index.js";
 import type { CallerReply } from "./callerReply.js";
-import { type CallerRequest, getPath } from "./callerRequest.js";
+import { type CallerRequest, getPath, getQuery } from "./callerRequest.js";
 import type { SelectedUpstream } from "./selectedUpstream.js";
 import { createStopFailure } from "./shutdown.js";
 
@@ -77,6 +77,7 @@
             id,
             isStream: options.route.kind === "stream",
             content: { method, host, path: getPath(options.request), workspace, body },
+            query: getQuery(options.request),
             prompt: generation && { pool, parts: generation.parts.map(part => part.id) },
         });
         const timeoutMilliseconds = Math.min(
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -57,25 +57,25 @@
     /** Admits a request that is about to be sent, or returns the time after which it may be admitted, in milliseconds. */
     admit(request: WatchedRequest): number | undefined {
         const { quarantine, partQuarantine } = this.#options;
-        const { getFingerprint, getPartKeys } = request;
+        const { getTraitKeys, getPartKeys } = request;
         const wait = this.getWait(request);
         if (wait === undefined) {
             partQuarantine.admit(getPartKeys);
-            quarantine.admit(() => [getFingerprint()]);
+            quarantine.admit(getTraitKeys);
         }
         return wait;
     }
 
     /** Returns what `admit` would return now, without admitting the request. */
-    getWait({ getFingerprint, getPartKeys }: WatchedRequest): number | undefined {
+    getWait({ getTraitKeys, getPartKeys }: WatchedRequest): number | undefined {
         const { quarantine, partQuarantine } = this.#options;
-        return partQuarantine.getWait(getPartKeys) ?? quarantine.getWait(() => [getFingerprint()]);
+        return partQuarantine.getWait(getPartKeys) ?? quarantine.getWait(getTraitKeys);
     }
 
     /** Returns whether a request, or a part of its prompt, may crash upstreams. */
-    isSuspect({ getFingerprint, getPartKeys }: WatchedRequest): boolean {
+    isSuspect({ getTraitKeys, getPartKeys }: WatchedRequest): boolean {
         const { quarantine, partQuarantine } = this.#options;
-        return quarantine.isSuspect(() => [getFingerprint()]) || partQuarantine.isSuspect(getPartKeys);
+        return quarantine.isSuspect(getTraitKeys) || partQuarantine.isSuspect(getPartKeys);
     }
 
     /** Starts to watch a run of a request that was admitted. */
@@ -126,17 +126,21 @@
         const { request, upstream } = run;
         const stage: CrashStage = request.isStream && !run.hasHead ? "waiting" : "running";
         const fingerprint = request.getFingerprint();
-        const { pointsAtStart, partPoints } = run;
+        const { traitPoints, partPoints } = run;
         journal.write(events.upstreamCrashed, {
             request: request.id,
             fingerprint,
+            traits: request.getTraitKeys().join(" "),
             parts: [...partPoints.keys()].join(" ") || undefined,
             upstream: upstream.id,
             stage,
-            points: pointsAtStart,
+            points: Math.max(0, ...traitPoints.values()),
             runMs: Math.round(run.getMilliseconds()),
         });
-        quarantine.addCrash({ fingerprint, pointsAtStart, stage, mayBeLoad, isLastAttempt });
+        for (const trait of request.getTraitKeys()) {
+            const pointsAtStart = traitPoints.get(trait) ?? 0;
+            quarantine.addCrash({ fingerprint: trait, pointsAtStart, stage, mayBeLoad, isLastAttempt });
+        }
         if (stage === "waiting" || this.#countedRequests.has(request)) {
             return;
         }
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -5,6 +5,7 @@
 export * from "./promptParts.js";
 export * from "./quarantine.js";
 export * from "./quarantineFailure.js";
+export * from "./queryTraits.js";
 export * from "./sharedQuarantine.js";
 export { type CrashStage, partPolicy, requestPolicy, type SuspicionPolicy } from "./suspicion.js";
 export * from "./watchedRequest.js";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -134,6 +134,12 @@
         return this.#records.isEmpty() ? 0 : this.#records.get(getFingerprint())?.points ?? 0;
     }
 
+    /** Returns the points of a request's subjects, by fingerprint. Those of which nothing is known may be missing. */
+    readPoints(getFingerprints: () => readonly string[]): ReadonlyMap<string, number> {
+        const fingerprints = this.#records.isEmpty() ? [] : getFingerprints();
+        return new Map(fingerprints.map(fingerprint => [fingerprint, this.getPoints(() => fingerprint)]));
+    }
+
     /** Returns whether a subject has recently run at this node without a crash. */
     hasSurvived(fingerprint: string): boolean {
         return this.#survivals.has(fingerprint, this.#options.clock.monotonic());
@@ -260,15 +266,18 @@
         }
     }
 
-    /** Returns the latest records that this node publishes, and removes the others from its own. */
+    /**
+     * Returns the records that this node publishes, and removes the others from its own. Those with the most points stay: a crash raises
+     * suspicion against everything that had just begun to run.
+     */
     #getOwn(): readonly CrashRecord[] {
         const records = [...this.#own].map(fingerprint => this.#records.get(fingerprint)).filter(isDefined);
-        const latest = records.slice(-maxOwnRecords);
+        const kept = records.sort((left, right) => left.points - right.points).slice(-maxOwnRecords);
         this.#own.clear();
-        for (const { fingerprint } of latest) {
+        for (const { fingerprint } of kept) {
             this.#own.add(fingerprint);
         }
-        return latest;
+        return kept;
     }
 
     /** Publishes a record together with those that this node has published before. */
--- a/src/quarantine/recentSurvivals.ts
+++ b/src/quarantine/recentSurvivals.ts
@@ -5,7 +5,7 @@
 /** How long a run that ended well counts. */
 const retentionMilliseconds = 60_000;
 /** Maximum number of requests in memory. */
-const maxRequests = 2_000;
+const maxRequests = 10_000;
 
 /** Remembers which requests have run without crashing their upstream. */
 export class RecentSurvivals {
--- a/src/quarantine/watchedRequest.ts
+++ b/src/quarantine/watchedRequest.ts
@@ -3,6 +3,7 @@
  */
 import { createFingerprint, type RequestContent } from "./fingerprint.js";
 import { createPartKeys, type PromptContent } from "./promptParts.js";
+import { createTraitKeys } from "./queryTraits.js";
 
 /** A request whose runs are watched. */
 export interface WatchedRequest {
@@ -10,8 +11,10 @@
     readonly id: string;
     /** Whether the answer starts as soon as the request runs. Otherwise it starts at the end of the upstream's work. */
     readonly isStream: boolean;
-    /** Returns the request's fingerprint. Called only where it is needed, since it reads the whole body. */
+    /** Returns the request's fingerprint, without its query. Called only where it is needed, since it reads the whole body. */
     readonly getFingerprint: () => string;
+    /** Returns the keys of what in it may crash upstreams by itself. */
+    readonly getTraitKeys: () => readonly string[];
     /** Returns the keys of those parts of its prompt that other requests may share. */
     readonly getPartKeys: () => readonly string[];
 }
@@ -21,18 +24,23 @@
     readonly id: string;
     readonly isStream: boolean;
     readonly content: RequestContent;
+    /** The query without the question mark; empty if there is none. */
+    readonly query: string;
     /** Undefined for requests without a prompt. */
     readonly prompt: PromptContent | undefined;
 }
 
 /** Creates a watched request, whose fingerprint and keys are computed once. */
-export function createWatchedRequest({ id, isStream, content, prompt }: WatchedRequestOptions): WatchedRequest {
+export function createWatchedRequest({ id, isStream, content, query, prompt }: WatchedRequestOptions): WatchedRequest {
     let fingerprint: string | undefined;
+    let traitKeys: readonly string[] | undefined;
     let partKeys: readonly string[] | undefined;
+    const getFingerprint = (): string => fingerprint ??= createFingerprint(content);
     return {
         id,
         isStream,
-        getFingerprint: () => fingerprint ??= createFingerprint(content),
+        getFingerprint,
+        getTraitKeys: () => traitKeys ??= createTraitKeys(getFingerprint(), query),
         getPartKeys: () => partKeys ??= prompt === undefined ? [] : createPartKeys(prompt),
     };
 }
--- a/src/quarantine/watchedRun.ts
+++ b/src/quarantine/watchedRun.ts
@@ -33,8 +33,8 @@
 export class WatchedRun {
     readonly request: WatchedRequest;
     readonly upstream: RunUpstream;
-    /** The request's points when it was sent. */
-    readonly pointsAtStart: number;
+    /** The points of what the request may crash upstreams by, by key, when it was sent; those that had none are missing. */
+    readonly traitPoints: ReadonlyMap<string, number>;
     readonly #clock: Clock;
     readonly #quarantine: Quarantine;
     readonly #partQuarantine: Quarantine;
@@ -52,7 +52,7 @@
         this.#clock = clock;
         this.#quarantine = quarantine;
         this.#partQuarantine = partQuarantine;
-        this.pointsAtStart = quarantine.getPoints(request.getFingerprint);
+        this.traitPoints = quarantine.readPoints(request.getTraitKeys);
         this.#isTrial = this.#isHeldBack();
     }
 
@@ -105,14 +105,15 @@
 
     /** Records that the request and the parts of its prompt have run without a crash. */
     addSurvival(): void {
-        this.#quarantine.addSurvival(this.request.getFingerprint());
+        for (const key of this.request.getTraitKeys()) {
+            this.#quarantine.addSurvival(key);
+        }
         this.#addPartSurvivals();
     }
 
     #isHeldBack(): boolean {
-        const { getFingerprint, getPartKeys } = this.request;
-        return this.#partQuarantine.isQuarantined(getPartKeys)
-            || this.#quarantine.isQuarantined(() => [getFingerprint()]);
+        const { getTraitKeys, getPartKeys } = this.request;
+        return this.#partQuarantine.isQuarantined(getPartKeys) || this.#quarantine.isQuarantined(getTraitKeys);
     }
 
     #addPartSurvivals(): void {
@@ -122,6 +123,7 @@
     }
 
     #readPartPoints(): ReadonlyMap<string, number> {
-        return new Map(this.request.getPartKeys().map(key => [key, this.#partQuarantine.getPoints(() => key)]));
+        const points = this.#partQuarantine.readPoints(this.request.getPartKeys);
+        return new Map(this.request.getPartKeys().map(key => [key, points.get(key) ?? 0]));
     }
 }
--- a/test/forwarding/keptAttempt.test.ts
+++ b/test/forwarding/keptAttempt.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../../src/common/index.js";
 import type { Generation, UpstreamAnswer, UpstreamCallFailure } from "../../src/forwarding/index.js";
+import { createTraitKeys } from "../../src/quarantine/index.js";
 import type { Route } from "../../src/routing/index.js";
 import {
     CallerStandin,
@@ -361,9 +362,10 @@
     }
 });
 
+/** Returns the key for any query of the request of which an attempt has failed. */
 function getFingerprint({ lines }: ReturnType<typeof createForwarder>): string {
     const line = lines.find(({ fingerprint }) => fingerprint !== undefined);
-    return String(line?.fingerprint);
+    return createTraitKeys(String(line?.fingerprint), "x=2")[0];
 }
 
 /** Lets two upstreams end their calls in one turn of the event loop, in the given order. */
--- a/test/forwarding/waitingRoom.test.ts
+++ b/test/forwarding/waitingRoom.test.ts
@@ -105,9 +105,10 @@
     });
 });
 
-/** Returns the fingerprint of the requests of these tests. */
+/** Returns the key of the requests of these tests for any query. */
 function getFingerprint(): string {
     const { method, host, target } = createCallerRequest();
-    const content = { method, host, path: target.split("?")[0], workspace: "harbour", body: brokenBody };
-    return createWatchedRequest({ id: "any", isStream: false, content, prompt: undefined }).getFingerprint();
+    const [path, query] = target.split("?");
+    const content = { method, host, path, workspace: "harbour", body: brokenBody };
+    return createWatchedRequest({ id: "any", isStream: false, content, query, prompt: undefined }).getTraitKeys()[0];
 }
--- a/test/quarantine/crashReplay.test.ts
+++ b/test/quarantine/crashReplay.test.ts
@@ -62,6 +62,25 @@
         expect(results.map(({ refusedHarmless }) => refusedHarmless)).toEqual([0, 0, 0, 0, 0]);
     });
 
+    // Guards against a request that is never stopped since sound lookups on its path, which differ from it in their queries, clear it.
+    it("stops a crashing lookup beside sound ones that differ in the query alone, and refuses none of these", async () => {
+        for (const lookups of ["same-query", "changing-query"] as const) {
+            for (const copies of [1, 4]) {
+                const results = await play({ ...fleet, lookups, returnMilliseconds: 1_000, copies });
+                expectWithinLimits(results);
+                expect(Math.max(...results.map(({ crashes }) => crashes)) < 15).toEqual(true);
+            }
+            expectWithinLimits(await play({ ...fleet, lookups, returnMilliseconds: 1_000, outages }));
+        }
+    });
+
+    it("stops a crashing lookup in a fleet of 350 nodes whose records take seconds", async () => {
+        const large = { nodes: 350, runners: 120, requestsPerSecond: 400, lookups: "changing-query" } as const;
+        const delays = { urgentMilliseconds: 400, exchangeMilliseconds: 12_000 };
+        const result = await new CrashReplay({ ...large, ...delays, returnMilliseconds: 500, seed: 1 }).play();
+        expectWithinLimits([result]);
+    });
+
     it("stops a crashing request in a fleet of 195 nodes whose records take seconds", async () => {
         const large = { nodes: 195, runners: 69, requestsPerSecond: 358 };
         const delays = { urgentMilliseconds: 400, exchangeMilliseconds: 12_000 };
--- a/test/quarantine/crashReplay.ts
+++ b/test/quarantine/crashReplay.ts
@@ -6,6 +6,7 @@
 import {
     type CrashRecord,
     CrashWatch,
+    createTraitKeys,
     partPolicy,
     type Quarantine,
     requestPolicy,
@@ -25,6 +26,9 @@
 const kinds = 3;
 const subjects = 40;
 const maxAttempts = 3;
+/** Share of the harmless requests that are lookups on one path, where there are any, and the orders that they ask for. */
+const lookupShare = 0.5;
+const lookupOrders = 1_000_000;
 
 interface Node {
     readonly watch: CrashWatch;
@@ -190,16 +194,20 @@
         this.#schedule(this.#random.nextExponential(1_000 / this.#options.requestsPerSecond), () => {
             this.#harmless += 1;
             const shared = `path-${this.#random.nextInteger(10)}`;
-            const fingerprint = this.#options.sharesFingerprints === true ? shared : `harmless-${this.#harmless}`;
+            const { sharesFingerprints, lookups } = this.#options;
+            const ownFingerprint = sharesFingerprints === true ? shared : `harmless-${this.#harmless}`;
+            const isLookup = lookups !== undefined && this.#random.next() < lookupShare;
+            const fingerprint = isLookup ? "lookup" : ownFingerprint;
+            const query = isLookup ? `order=${this.#random.nextInteger(lookupOrders)}&lang=en` : "";
             const kind = this.#random.nextInteger(kinds);
             const isPopular = this.#random.next() < (this.#options.popularShare ?? 0);
             const subject = isPopular ? 0 : this.#random.nextInteger(subjects);
             // Requests without a body have no prompt.
-            const parts = this.#options.sharesFingerprints === true
+            const parts = sharesFingerprints === true || isLookup
                 ? []
                 : [`kind-${kind}`, `subject-${kind}-${subject}`];
             for (let copy = 0; copy < (this.#options.harmlessCopies ?? 1); copy += 1) {
-                this.#start({ fingerprint, parts, isCrashing: false });
+                this.#start({ fingerprint, query, parts, isCrashing: false });
             }
             this.#scheduleHarmless();
         });
@@ -220,7 +228,7 @@
         const part = this.#random.nextInteger(crashingParts);
         this.#start(
             cause === "request"
-                ? { fingerprint: "crashing", parts: [], isCrashing: true }
+                ? { ...this.#createCrashingLookup(), parts: [], isCrashing: true }
                 : {
                     fingerprint: `crashing-${this.#crashingRequests}`,
                     parts: ["kind-0", `crashing-${part}`, "subject-0-1"],
@@ -229,9 +237,23 @@
         );
     }
 
+    /** Returns the crashing request, which is a lookup on the path of harmless ones where those have queries. */
+    #createCrashingLookup(): { readonly fingerprint: string; readonly query?: string; } {
+        const { lookups } = this.#options;
+        if (lookups === undefined) {
+            return { fingerprint: "crashing" };
+        }
+        const order = "order=cra%73hing";
+        const reference = `ref=${this.#crashingRequests}`;
+        // A caller may write the same query in another order.
+        const query = this.#crashingRequests % 2 === 0 ? `${reference}&${order}` : `order=crashing&${reference}`;
+        return { fingerprint: "lookup", query: lookups === "same-query" ? "order=crashing" : query };
+    }
+
     #start(
-        { fingerprint, parts, isCrashing }: {
+        { fingerprint, query = "", parts, isCrashing }: {
             readonly fingerprint: string;
+            readonly query?: string;
             readonly parts: readonly string[];
             readonly isCrashing: boolean;
         },
@@ -241,6 +263,7 @@
             id: fingerprint,
             isStream: true,
             getFingerprint: () => fingerprint,
+            getTraitKeys: () => createTraitKeys(fingerprint, query),
             getPartKeys: () => parts,
         };
         const isRelated = !isCrashing && parts[0] === "kind-0";
--- a/test/quarantine/crashReplayOptions.ts
+++ b/test/quarantine/crashReplayOptions.ts
@@ -30,6 +30,11 @@
     readonly harmlessCopies?: number;
     /** Whether the harmless requests share a few fingerprints, as those without a body do. */
     readonly sharesFingerprints?: boolean;
+    /**
+     * Whether half of the harmless requests are lookups that share path, caller and body, and differ in their queries. The crashing request
+     * is one of them, always with the same query or with one of which a part differs each time.
+     */
+    readonly lookups?: "same-query" | "changing-query";
     /** Delays of urgent and other records to the other nodes, in milliseconds. */
     readonly urgentMilliseconds?: number;
     readonly exchangeMilliseconds?: number;
--- a/test/quarantine/watchedRun.test.ts
+++ b/test/quarantine/watchedRun.test.ts
@@ -8,7 +8,13 @@
     const clock = new ManualClock();
     const { quarantine } = createQuarantine({ clock });
     const partQuarantine = createQuarantine({ clock, policy: partPolicy }).quarantine;
-    const request = { id: "1", isStream: true, getFingerprint: () => "request", getPartKeys: () => ["part"] };
+    const request = {
+        id: "1",
+        isStream: true,
+        getFingerprint: () => "request",
+        getTraitKeys: () => ["request"],
+        getPartKeys: () => ["part"],
+    };
     const upstream = { id: "u1", address: "127.0.0.1:1" };
     const run = new WatchedRun({ request, upstream, clock, quarantine, partQuarantine });
     return { clock, partQuarantine, run };
