Take nothing for an answer that does not name its request, and close its connection

Cause: an answer with another Attempt-Id was refused, one without any was taken for the answer to the present request, its "Not-Executed" for a statement about it. And the body of a foreign answer that had arrived whole was destroyed, which closes nothing: the connection stayed in use, one answer behind.

Ruled out: that runners leave the identifier out of rejections.

Change: an answer counts only with the Attempt-Id of its request. Anything else says nothing of it, so the request may have run, and the connection is closed as the foreign answer ends, also where it arrived whole (connections/answerEnd, told by a function of the platform whose answers are own ones). What an answer to an earlier request says of its runner (leaving, rest) still counts. Answers to a node's own questions may lack it, with status 200 and without a seal.

Test: platform/upstreamClient, four kinds of additional bytes; fails before. Stand-ins of tests that left the identifier out have it now.

--- a/src/connections/answerEnd.ts
+++ b/src/connections/answerEnd.ts
@@ -6,9 +6,11 @@
  */
 import type { Socket } from "node:net";
 import { Agent, type buildConnector, Client, type Dispatcher, errors, Pool } from "undici";
-import { hasStatedEnd } from "./statedEnd.js";
+import { type AnswerHead, hasStatedEnd } from "./statedEnd.js";
 
 const nothing = Buffer.alloc(0);
+/** Statuses below are those of interim answers. */
+const minFinalStatus = 200;
 /** Codes of writes to a connection that was reset. */
 const resetCodes: ReadonlySet<string | undefined> = new Set(["ECONNRESET", "EPIPE", "ENOTCONN"]);
 
@@ -35,6 +37,11 @@
         return this.#hasEnded || this.#wasReset || this.#socket.destroyed;
     }
 
+    /** Closes the connection now. */
+    close(): void {
+        this.#socket.destroy();
+    }
+
     /** Returns whether the connection was closed in order. A write of nothing tells, as it fails on a connection that was reset. */
     hasEndedInOrder(): Promise<boolean> {
         if (this.#wasReset || !this.#hasEnded) {
@@ -63,18 +70,38 @@
     onError(error: Error): void;
 }
 
-/** Passes an answer on, and fails it if its connection was reset where only the connection could end it. */
+/**
+ * Returns whether the head of an answer belongs to the request that waits for one on its connection.
+ * @param request - The request.
+ * @param head - The head, with alternating names and values as its headers.
+ */
+export type AnswerCheck = (request: Dispatcher.DispatchOptions, head: AnswerHead) => boolean;
+
+/**
+ * Passes an answer on, and fails it if its connection was reset where only the connection could end it. Closes the connection behind an
+ * answer that belongs to no request of it: what follows cannot be attributed either.
+ */
 class AnswerEnd implements ClientHandler {
     readonly #handler: ClientHandler;
-    readonly #method: string;
+    readonly #request: Dispatcher.DispatchOptions;
+    readonly #isOwn: AnswerCheck;
     readonly #getConnection: () => AnswerConnection | undefined;
     #connection: AnswerConnection | undefined;
     #hasStatedEnd = false;
     #hasFailed = false;
-
-    constructor(handler: ClientHandler, method: string, getConnection: () => AnswerConnection | undefined) {
+    #isForeign = false;
+
+    constructor(
+        handler: ClientHandler,
+        request: Dispatcher.DispatchOptions,
+        { isOwn, getConnection }: {
+            readonly isOwn: AnswerCheck;
+            readonly getConnection: () => AnswerConnection | undefined;
+        },
+    ) {
         this.#handler = handler;
-        this.#method = method;
+        this.#request = request;
+        this.#isOwn = isOwn;
         this.#getConnection = getConnection;
     }
 
@@ -91,8 +118,10 @@
     }
 
     onHeaders(status: number, headers: readonly Buffer[], resume: () => void, statusText: string): boolean {
-        this.#hasStatedEnd = hasStatedEnd(this.#method, { status, headers: headers.map(String) });
+        const head = { status, headers: headers.map(String) };
+        this.#hasStatedEnd = hasStatedEnd(this.#request.method, head);
         this.#connection = this.#getConnection();
+        this.#isForeign = status >= minFinalStatus && !this.#isOwn(this.#request, head);
         return this.#handler.onHeaders(status, headers, resume, statusText);
     }
 
@@ -102,6 +131,9 @@
 
     onComplete(trailers: readonly Buffer[]): void {
         const connection = this.#connection;
+        if (this.#isForeign) {
+            connection?.close();
+        }
         if (this.#hasStatedEnd || connection === undefined || !connection.isOver) {
             this.#handler.onComplete(trailers);
             return;
@@ -149,18 +181,19 @@
 /** A client with one connection, whose answers fail where it was reset before their end. */
 class AnswerClient extends Client {
     readonly #current: CurrentConnection;
+    readonly #isOwn: AnswerCheck;
 
-    constructor(origin: string | URL, options: Client.Options, current: CurrentConnection) {
+    constructor(origin: string | URL, options: Client.Options, current: CurrentConnection, isOwn: AnswerCheck) {
         super(origin, options);
         this.#current = current;
+        this.#isOwn = isOwn;
     }
 
     override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        const end = new AnswerEnd(
-            handler as unknown as ClientHandler,
-            options.method,
-            () => this.#current.get(),
-        );
+        const end = new AnswerEnd(handler as unknown as ClientHandler, options, {
+            isOwn: this.#isOwn,
+            getConnection: () => this.#current.get(),
+        });
         return super.dispatch(options, end as unknown as Dispatcher.DispatchHandler);
     }
 }
@@ -169,11 +202,12 @@
  * Creates the client of one connection in a pool of them.
  * @param origin - The upstream.
  * @param options - Its options, with a connector whose connections stay open for writing when the other side has ended.
+ * @param isOwn - Tells the answers to its requests from others.
  */
-function createAnswerClient(origin: string | URL, options: object): Client {
+function createAnswerClient(origin: string | URL, options: object, isOwn: AnswerCheck): Client {
     const current = new CurrentConnection();
     const { connect, ...rest } = options as Client.Options & { readonly connect: buildConnector.connector; };
-    return new AnswerClient(origin, { ...rest, connect: current.follow(connect) }, current);
+    return new AnswerClient(origin, { ...rest, connect: current.follow(connect) }, current, isOwn);
 }
 
 /** Options with a connector, which opens connections with `halfOpen`. */
@@ -187,9 +221,17 @@
  */
 export const halfOpen = { allowHalfOpen: true } as const;
 
-/** Creates the connections to one upstream, each of which carries one request at a time. */
-export function createAnswerPool(origin: string, options: AnswerPoolOptions): Pool {
-    return new Pool(origin, { ...options, factory: createAnswerClient });
+/**
+ * Creates the connections to one upstream, each of which carries one request at a time.
+ * @param origin - The upstream.
+ * @param options - Options of the library.
+ * @param isOwn - Tells the answers to its requests from others.
+ */
+export function createAnswerPool(origin: string, options: AnswerPoolOptions, isOwn: AnswerCheck): Pool {
+    return new Pool(origin, {
+        ...options,
+        factory: (client, clientOptions) => createAnswerClient(client, clientOptions, isOwn),
+    });
 }
 
 /** Creates the connections to any number of upstreams. */
@@ -197,6 +239,6 @@
     return new Agent({
         ...options,
         factory: (origin, poolOptions) =>
-            new Pool(origin, { ...poolOptions as Pool.Options, factory: createAnswerClient }),
+            createAnswerPool(String(origin), poolOptions as AnswerPoolOptions, () => true),
     });
 }
--- a/src/platform/readLiveness.ts
+++ b/src/platform/readLiveness.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import { hasStatedEnd } from "../connections/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import { destroyBody } from "./destroyBody.js";
 import { findHeader } from "./headers.js";
 import { headerNames } from "./wire.js";
 
@@ -35,10 +36,7 @@
     const isAnswer = echoedId === undefined || echoedId === requestId;
     const isOther = status === misdirectedStatus || (runner !== undefined && runner !== upstream.id);
     if (!isAnswer || isOther || !hasStatedEnd("GET", { status, headers: raw })) {
-        body.on("error", () => {
-            // Destroying the body closes the connection, which the body reports as an error.
-        });
-        body.destroy();
+        destroyBody(response);
         return isAnswer && !isOther;
     }
     const length = Number(findHeader(raw, "content-length") ?? Number.NaN);
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -17,6 +17,7 @@
 } from "../forwarding/index.js";
 import type { RelayTarget } from "../reachability/index.js";
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
+import { destroyBody } from "./destroyBody.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
 import { LivenessChecks, type LivenessRequest } from "./livenessChecks.js";
 import { readLiveness } from "./readLiveness.js";
@@ -89,7 +90,7 @@
             if (response === undefined) {
                 return err({ kind: "no-room", reason: "not sent after the wait for a connection" });
             }
-            if (isOwnAnswer(response, call.request.id)) {
+            if (isSignOfLife(response, call.request.id)) {
                 this.#liveness.addAnswer(upstream, sentAt);
             }
             return readHead(response, call);
@@ -258,7 +259,7 @@
 }
 
 /** Returns whether an answer is certainly one to the request that it was read for, by the upstream that was asked. */
-function isOwnAnswer({ headers, statusCode }: Dispatcher.ResponseData, requestId: string): boolean {
+function isSignOfLife({ headers, statusCode }: Dispatcher.ResponseData, requestId: string): boolean {
     const raw = headers as unknown as readonly string[];
     return statusCode !== misdirectedStatus && findHeader(raw, headerNames.requestId) === requestId;
 }
@@ -295,12 +296,9 @@
         discard(response);
         return err({ kind, reason, ...statement });
     };
-    if (echoedId !== undefined && echoedId !== call.request.id) {
-        // This is a late answer to an earlier request on the connection. What follows on it cannot be attributed to a request.
-        response.body.on("error", () => {
-            // Destroying the body closes the connection, which the body reports as an error.
-        });
-        response.body.destroy();
+    if (echoedId !== call.request.id) {
+        // A late answer to an earlier request, or bytes that belong to none. The request itself may run.
+        destroyBody(response);
         const { isLeaving, restMilliseconds } = statement;
         return err({ kind: "broken", reason: "the answer belongs to another request", isLeaving, restMilliseconds });
     }
--- a/src/platform/upstreamConnections.ts
+++ b/src/platform/upstreamConnections.ts
@@ -4,6 +4,7 @@
 import { buildConnector, type Dispatcher, type Pool } from "undici";
 import { createAnswerPool, type EndlessBytesListener, halfOpen, watchConnections } from "../connections/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import { isOwnAnswer } from "./ownAnswer.js";
 import { observeSending } from "./sendingObserver.js";
 
 /** Connecting takes a millisecond or two. A machine that is down or partitioned does not respond at all. */
@@ -62,7 +63,7 @@
             keepAliveTimeout: defaultKeepAliveMilliseconds,
             keepAliveMaxTimeout: maxKeepAliveMilliseconds,
             keepAliveTimeoutThreshold: keepAliveMarginMilliseconds,
-        });
+        }, ({ headers }, head) => isOwnAnswer({ headers: headers as readonly string[] }, head));
         this.dispatcher.on("drain", () => this.#wakeNext());
         this.dispatcher.on("disconnect", () => this.#wakeNext());
         this.dispatcher.on("connectionError", () => this.#wakeNext());
--- a/test/platform/node.test.ts
+++ b/test/platform/node.test.ts
@@ -73,7 +73,8 @@
         site.register("i-1");
     });
 
-    it("closes the connection after an answer without a length", async () => {
+    // Guards against an answer that looks complete when the node that passes it on is killed.
+    it("gives a call a length whose runner gave it none", async () => {
         for (const runner of site.runners.values()) {
             runner.behaviour = (request, response) => {
                 response.useChunkedEncodingByDefault = false;
@@ -82,7 +83,7 @@
         }
         const answer = await site.send(site.nodes[0], { path: "/booking/1" });
         expect([answer.status, answer.body]).toEqual([200, "done"]);
-        expect([answer.headers["content-length"], answer.headers["transfer-encoding"]]).toEqual([undefined, undefined]);
+        expect([answer.headers["content-length"], answer.headers["transfer-encoding"]]).toEqual(["4", undefined]);
     });
 
     it("forwards the events of a stream", async () => {
--- a/test/platform/upstreamCalls.ts
+++ b/test/platform/upstreamCalls.ts
@@ -12,7 +12,7 @@
 
 const host = "127.71.1.1";
 /** A complete answer, whose body is `ok`. */
-export const okAnswer = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+export const okAnswer = "HTTP/1.1 200 OK\r\nAttempt-Id: request-1\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\nok";
 
 /** What the calls of one test have opened. */
 export class UpstreamCalls {
--- a/test/platform/upstreamClient.test.ts
+++ b/test/platform/upstreamClient.test.ts
@@ -29,8 +29,10 @@
     });
 
     it("reads whether an upstream leaves and asks for rest, also in an answer to another request", async () => {
-        const answerWith = (head: string) => (socket: Socket) =>
-            socket.write(`HTTP/1.1 ${head}\r\nContent-Length: 0\r\n\r\n`);
+        const answerWith = (head: string) => (socket: Socket, requestId: string) => {
+            const own = head.includes("Attempt-Id") ? "" : `\r\nAttempt-Id: ${requestId}`;
+            socket.write(`HTTP/1.1 ${head}${own}\r\nContent-Length: 0\r\n\r\n`);
+        };
         const read = async (head: string) => {
             const { result } = await calls.call(answerWith(head));
             const { isLeaving, restMilliseconds } = result.isOk() ? result.value : result.error;
@@ -98,15 +100,13 @@
     });
 
     it("distinguishes a refusal before any work from a failure after which the request may have run", async () => {
-        const refused = await calls.call(socket =>
-            socket.write("HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-        );
+        const answerWith = (head: string) => (socket: Socket, requestId: string) =>
+            socket.write(`HTTP/1.1 ${head}\r\nAttempt-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`);
+        const refused = await calls.call(answerWith("503 X\r\nNot-Executed: 1"));
         expect(refused.result._unsafeUnwrapErr().kind).toEqual("refused");
-        const unspecified = await calls.call(socket => socket.write("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"));
+        const unspecified = await calls.call(answerWith("503 X"));
         expect(unspecified.result._unsafeUnwrapErr().kind).toEqual("broken");
-        const replaced = await calls.call(socket =>
-            socket.write("HTTP/1.1 421 X\r\nInstance-Id: i-2\r\nContent-Length: 0\r\n\r\n")
-        );
+        const replaced = await calls.call(answerWith("421 X\r\nInstance-Id: i-2"));
         expect(replaced.result._unsafeUnwrapErr().kind).toEqual("replaced");
     });
 
@@ -136,10 +136,10 @@
     });
 
     it("rejects a success without a seal", async () => {
-        const { result: called } = await calls.call(socket =>
-            socket.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        const { result: called } = await calls.call((socket, id) =>
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`)
         );
-        expect(called._unsafeUnwrapErr().kind).toEqual("broken");
+        expect(called._unsafeUnwrapErr().reason).toEqual("a success without the upstream's seal");
     });
 
     // A runner answers late, after its caller was refused or answered by other means. The late answer arrives where the answer to
@@ -151,6 +151,38 @@
         expect(called._unsafeUnwrapErr().reason).toEqual("the answer belongs to another request");
     });
 
+    // A runner sends additional bytes where the next answer is expected. Guards against a promise that a request has not run which runs, a
+    // page that belongs to no request, and a connection that is one answer behind.
+    it("takes nothing for an answer that does not name its request, and does not use its connection again", async () => {
+        for (
+            const status of [
+                "400 Bad\r\nNot-Executed: 1",
+                "503 Full\r\nNot-Executed: 1",
+                "404 None\r\nServer-Seal: s",
+                "421 Other",
+            ]
+        ) {
+            const sockets = new Set<Socket>();
+            const stray = `HTTP/1.1 ${status}\r\nContent-Length: 4\r\n\r\npage`;
+            const { client, upstream, result } = await calls.call((socket, id, count) => {
+                sockets.add(socket);
+                const own =
+                    `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n0${count}`;
+                // The bytes come as one write, or before the work on the request is done.
+                socket.write(count === 2 ? stray : own);
+                setTimeout(() => count === 2 && socket.write(own), 20);
+            });
+            expect(await read(result._unsafeUnwrap())).toEqual("01");
+            const second = await client.call(upstream, createCall());
+            expect([second.isErr() && second.error.kind, second.isErr() && second.error.reason]).toEqual([
+                "broken",
+                "the answer belongs to another request",
+            ]);
+            const third = (await client.call(upstream, createCall()))._unsafeUnwrap();
+            expect([await read(third), sockets.size]).toEqual(["03", 2]);
+        }
+    });
+
     // A runner writes a second answer directly after the first one. The extra bytes belong to no request, and the next request on
     // the connection would receive them.
     it("does not reuse a connection after surplus bytes", async () => {
@@ -180,9 +212,8 @@
 
     // Guards against a sound answer that is cut since another connection to its upstream was reset shortly before.
     it("tells from its own connection alone whether an answer without a length is complete", async () => {
-        const head = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nConnection: close\r\n\r\n";
-        const upstream = await calls.listen(createRawRunner((socket, _, count) => {
-            socket.write(`${head}ha`);
+        const upstream = await calls.listen(createRawRunner((socket, id, count) => {
+            socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nha`);
             setTimeout(() => count === 1 ? socket.resetAndDestroy() : socket.end("lf"), 50);
         }));
         const client = calls.createClient({ getConnectionLimit: () => 2 });
