--- a/test/platform/standins/framedRunner.ts
+++ b/test/platform/standins/framedRunner.ts
@@ -60,6 +60,8 @@
     readonly #streams = new Map<string, FramedStream>();
     readonly #servers: Server[] = [];
     readonly #sockets = new Map<Server, Set<Socket>>();
+    /** Functions that crash the runners that listen, the one that began first at the front. */
+    readonly #crashes: ((downMilliseconds: number) => void)[] = [];
     #isClosed = false;
 
     /** Adds a stream, which is requested by its name as the last part of the path. */
@@ -83,6 +85,14 @@
         this.#servers.push(server);
         this.#sockets.set(server, sockets);
         await new Promise<void>(resolve => server.listen(port, host, resolve));
+        this.#crashes.push(milliseconds =>
+            this.#crash(server, { framing: "none", downMilliseconds: milliseconds, host, port })
+        );
+    }
+
+    /** Crashes the runner that has listened for the longest time, and starts it again. */
+    crashNext(downMilliseconds: number): void {
+        this.#crashes.shift()?.(downMilliseconds);
     }
 
     #crash(
