Reset no relayed call that has ended, since too many resets close the connection with all answers on it

What callers saw: a sound answer by way of another node is cut, "13 INTERNAL: Received RST_STREAM with code 2 triggered by internal client error: Session closed with error code 2".

Cause: the HTTP/2 library closes a connection with that code after 1,000 resets of streams, and 33 more a second. A relayed call that had failed was reset as its attempt was cancelled, though the other node had sent its last part, whenever the end of the call had not arrived with it: under load.

Found by: line 475 (new: why an upstream gave no sign of life) and the attempts' reasons in the message of a failed case. Ruled out by them: the confirmation of ends, which had answered in each of these cases.

Change: a call is reset only before its last part. Test: reachability/relayInterceptor, fails without the condition (switched off, run).

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -243,4 +243,10 @@
         "warning",
         "A request was refused before its body was read, since the bodies of other requests take the memory that the node has for them. The fields give the bytes of these.",
     ),
+    livenessUnknown: define(
+        475,
+        "liveness-unknown",
+        "warning",
+        "An upstream was asked for a sign of life after an answer without a framing and has given none, for the reason in the fields; that answer is not taken for whole.",
+    ),
 };
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -201,8 +201,12 @@
             mayReceive: upstream => registry.isAvailable(upstream) && announcements.getRestMilliseconds(upstream) === 0,
             getHealthPath: pool => topics.getRoutes()?.getPool(pool)?.healthPath,
             checkLimit: parts.sendLimit,
-            onCheck: ({ pool }, isRunning) =>
-                metrics.livenessChecks.inc({ pool, result: isRunning ? "answered" : "unanswered" }),
+            onCheck: ({ id: upstream, pool }, failure) => {
+                metrics.livenessChecks.inc({ pool, result: failure === undefined ? "answered" : "unanswered" });
+                if (failure !== undefined) {
+                    throttledJournal.write(events.livenessUnknown, upstream, { upstream, reason: failure });
+                }
+            },
             relayLimit: restLimit,
             onRelayedStatement: (upstream, statement) => observer.observeAnnouncement(upstream, statement),
         });
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -50,8 +50,8 @@
     readonly getHealthPath?: (pool: string) => string | undefined;
     /** Limits the requests with which this node asks upstreams for a sign of life. Without it, each one may be asked. */
     readonly checkLimit?: Pick<SendLimit<RegisteredUpstream>, "isAdmitted" | "add">;
-    /** Called when an upstream was asked for a sign of life, with whether it has given one. */
-    readonly onCheck?: (upstream: RegisteredUpstream, isRunning: boolean) => void;
+    /** Called when an upstream was asked for a sign of life, with the reason why it has given none. */
+    readonly onCheck?: (upstream: RegisteredUpstream, failure: string | undefined) => void;
     /** Limits the requests of other nodes. Their own limits are applied there. */
     readonly relayLimit?: Pick<SendLimit<RegisteredUpstream>, "isAdmitted" | "add">;
     /** Called with what the head of an answer states that this node forwards for another one. */
@@ -113,7 +113,7 @@
             return false;
         }
         const requestId = randomBytes(requestIdBytes).toString("hex");
-        let isRunning = false;
+        let failure: string | undefined = undefined;
         try {
             const response = await this.#send(upstream, createCheck(upstream, { path, requestId, signal }), {
                 onSent,
@@ -121,13 +121,18 @@
                 confirmCaller: () => undefined,
                 mayStillSend: () => true,
             });
-            isRunning = response !== undefined && await readLiveness(response, upstream, requestId);
+            if (response === undefined) {
+                failure = "not sent after the wait for a connection";
+            }
+            else if (!await readLiveness(response, upstream, requestId)) {
+                failure = "the answer is not one of this life of the upstream";
+            }
         }
-        catch {
-            // No answer is no sign of life, whatever the reason; it is counted below.
+        catch (error) {
+            failure = signal.aborted ? "no answer in time" : describeTransportError(error);
         }
-        this.#options.onCheck?.(upstream, isRunning);
-        return isRunning;
+        this.#options.onCheck?.(upstream, failure);
+        return failure === undefined;
     }
 
     /** Waits until an upstream may be asked. Returns false when that was not so in time. */
--- a/src/reachability/relayInterceptor.ts
+++ b/src/reachability/relayInterceptor.ts
@@ -66,7 +66,11 @@
 
     abort(reason: Error): void {
         this.#reason = reason;
-        this.#call?.cancel();
+        if (!this.#hasEnded) {
+            // After its last part the call ends by itself. Resetting it then would count against the connection, which the HTTP/2 library
+            // closes with all its calls after too many resets.
+            this.#call?.cancel();
+        }
         this.#fail(reason);
     }
 
--- a/test/platform/brokenOff/runCases.ts
+++ b/test/platform/brokenOff/runCases.ts
@@ -43,7 +43,7 @@
             if (result.verdict !== "right") {
                 const { events, end } = result.seen;
                 const seen = `${result.verdict}: ${events.length} events, ${end}, ${result.runs} runs`;
-                wrong.push(`${one.pace}, ${route}: ${one.name} -> ${seen}`);
+                wrong.push(`${one.pace}, ${route}: ${one.name} -> ${seen}; ${describeLines(node, result.id)}`);
             }
         }
     };
@@ -52,6 +52,14 @@
     return { cases: cases.length, runs, wrong };
 }
 
+/** Names why attempts at a request ended, and what upstreams did not answer, for the message of a failed test. */
+function describeLines({ events }: SiteNode, id: string): string {
+    return events
+        .filter(({ name, request }) => name === "liveness-unknown" || request === id)
+        .map(({ name, reason, message }) => `${name}: ${reason ?? message ?? ""}`)
+        .join(" | ");
+}
+
 /** Cuts the path of a node to all runners, and waits until another node relays its answers. */
 export async function cutOff(site: FramedSite, node: SiteNode): Promise<void> {
     await site.site.waitForAddresses(node, 2);
--- a/test/reachability/relayInterceptor.test.ts
+++ b/test/reachability/relayInterceptor.test.ts
@@ -168,4 +168,18 @@
         expect(await catchError(response.body.text()) instanceof Error).toEqual(true);
         expect(runningCall.isCancelled).toEqual(true);
     });
+
+    // Guards against a connection to a peer that is closed with all answers on it, since calls that had ended were reset as well.
+    it("is not reset after its last part", async () => {
+        for (const last of [{ isEnd: true }, { failure: { kind: "disconnected", reason: "cut" } }]) {
+            const controller = new AbortController();
+            const call = new CallStandin([head, last]);
+            const response = await createRelay(() => Promise.resolve(call)).send(controller.signal);
+            await catchError(response.body.text());
+            controller.abort();
+            response.body.destroy();
+            await new Promise(resolve => setImmediate(resolve));
+            expect(call.isCancelled).toEqual(false);
+        }
+    });
 });
