Say how many reports of other nodes a step of a roll-out rests on, and how old they are

Cause: lines 448 and 449 gave the answers known, but could not tell a fleet that knows little from a node that is told late. Change: the field reports (number, median age and largest age since their arrival). The exchange of evidence by gossip stands in platform/rolloutGossip, so that a replay in memory can use the same code; no logic changes.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -163,13 +163,13 @@
         448,
         "rollout-step-waits",
         "info",
-        "The next step of a roll-out waits. The fields give the present share, the state of the evidence, the answers known of both versions in the last seconds, and what is awaited.",
+        "The next step of a roll-out waits. The fields give the present share, the state of the evidence, the answers known of both versions in the last seconds, the other nodes' reports with their ages, and what is awaited.",
     ),
     rolloutStepTaken: define(
         449,
         "rollout-step-taken",
         "info",
-        "This node writes the next step of a roll-out. The fields give its share, the state of the evidence, the answers known of both versions in the last seconds, and the reason.",
+        "This node writes the next step of a roll-out. The fields give its share, the state of the evidence, the answers known of both versions in the last seconds, the other nodes' reports with their ages, and the reason.",
     ),
     loadUnreadable: define(
         460,
--- a/src/platform/rolloutParts.ts
+++ b/src/platform/rolloutParts.ts
@@ -2,14 +2,10 @@
  * Connects a node's roll-outs with its requests and with the other nodes.
  */
 import type { AttemptObserver, EndedAttempt, Exchange, StartedAttempt } from "../forwarding/index.js";
-import type { Gossip } from "../membership/index.js";
-import { type AttemptEnd, type PeerReport, Rollouts } from "../rollouts/index.js";
+import { type AttemptEnd, Rollouts } from "../rollouts/index.js";
 import { isAcceptingConnections } from "../upstream/index.js";
 import type { NodeParts } from "./nodeParts.js";
-
-/** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
-const evidenceKeyPrefix = "rollout-evidence/";
-const haltKeyPrefix = "rollout-halt/";
+import { createRolloutPeers, followHalts } from "./rolloutGossip.js";
 
 /** Returns the session of a request. A request without a session forms its own. */
 export function getSession({ request }: Exchange): string {
@@ -60,32 +56,15 @@
         registry,
         exposureShare: settings.bounds.exposureShare,
         sessionMilliseconds: settings.bounds.sessionMilliseconds,
-        getRank: () => membership.getAlive().filter(member => member.id < self.id).length,
-        getMemberCount: () => membership.getMembers().length,
         isRunning: async id => {
             const upstream = registry.get(id);
             return upstream !== undefined && await isAcceptingConnections(upstream.address);
         },
-        publishEvidence: (pool, value) => gossip.set(`${evidenceKeyPrefix}${pool}`, value),
-        getEvidence: pool => getPeerReports(gossip, self.id, pool),
-        publishHalt: (pool, order) =>
-            gossip.set(`${haltKeyPrefix}${pool}`, Buffer.from(String(order)), { urgent: true }),
+        ...createRolloutPeers({ self: self.id, gossip, membership }),
         writeProgress: (order, progress) => writer.writeProgress(order, progress, topics.getOrderPosition(order)),
         isStored: (pool, progress) => topics.isProgressHeld(pool, progress),
         writePins: (pool, report) => writer.writePins(pool, report),
     });
-    gossip.onUpdate((...[, key, value]) => {
-        if (key.startsWith(haltKeyPrefix) && value !== undefined) {
-            rollouts.setHalted(key.slice(haltKeyPrefix.length), Number(value.toString()));
-        }
-    });
+    followHalts(gossip, rollouts);
     return rollouts;
 }
-
-function* getPeerReports(gossip: Gossip, self: string, pool: string): Iterable<PeerReport> {
-    for (const { origin, value } of gossip.getAll(`${evidenceKeyPrefix}${pool}`)) {
-        if (origin !== self) {
-            yield { origin, value };
-        }
-    }
-}
--- a/src/rollouts/explainStep.ts
+++ b/src/rollouts/explainStep.ts
@@ -1,6 +1,7 @@
 /**
  * Says for the log why a step of a roll-out is taken, or what it waits for.
  */
+import type { ReportAges } from "./peerReports.js";
 import { canCompleteByTime, firstPhaseEnd, isTimeOver, type RolloutSituation } from "./planRollout.js";
 import { isFirstStep, type RolloutProgress } from "./rollout.js";
 import type { EvidenceCounts, VersionCounts } from "./rolloutEvidence.js";
@@ -57,6 +58,11 @@
     };
 }
 
+/** Returns how many reports of other nodes are known, and how long ago they arrived. */
+export function summarizeReports({ count, median, max }: ReportAges): string {
+    return `${count} reports, median age ${median} ms, oldest ${max} ms`;
+}
+
 function summarize(counts: readonly VersionCounts[]): string {
     const sum = (getCount: (counts: VersionCounts) => number): number => {
         return counts.reduce((total, part) => total + getCount(part), 0);
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -4,4 +4,5 @@
 export type { PinReport } from "./pinnedSessions.js";
 export * from "./rollout.js";
 export * from "./rollouts.js";
+export type { RolloutsOptions } from "./rolloutsOptions.js";
 export type { VersionSelection } from "./versionSelection.js";
--- a/src/rollouts/peerReports.ts
+++ b/src/rollouts/peerReports.ts
@@ -15,11 +15,21 @@
     /** Requests in flight at upstreams of the old version. */
     readonly currentInFlight: number;
     readonly segments: EvidenceCounts;
+    readonly ages: ReportAges;
+}
+
+/** How old the reports of the other nodes are that a total contains, since their arrival and in milliseconds. */
+export interface ReportAges {
+    readonly count: number;
+    readonly median: number;
+    readonly max: number;
 }
 
 interface DecodedReport {
     readonly value: Buffer;
     readonly report: EvidenceReport | undefined;
+    /** Monotonic milliseconds of the first reading. */
+    readonly readAt: number;
 }
 
 /**
@@ -41,31 +51,34 @@
      * Sums the reports on an order.
      * @param own - This node's own report.
      * @param peers - The latest values of the other nodes. Cached reports of origins that are not listed are removed.
+     * @param now - Monotonic milliseconds.
      */
-    getTotal(own: EvidenceReport, peers: Iterable<PeerReport>): ReportTotal {
+    getTotal(own: EvidenceReport, peers: Iterable<PeerReport>, now: number): ReportTotal {
         const parts = [own.segments];
+        const ages: number[] = [];
         let currentInFlight = own.currentInFlight;
         const listed = new Set<string>();
         for (const peer of peers) {
             listed.add(peer.origin);
-            const report = this.#get(peer);
+            const { report, readAt } = this.#get(peer, now);
             if (report?.order === own.order) {
                 parts.push(report.segments);
+                ages.push(now - readAt);
                 currentInFlight += report.currentInFlight;
             }
         }
         this.#removeUnlisted(listed);
-        return { currentInFlight, segments: addEvidence(parts) };
+        return { currentInFlight, segments: addEvidence(parts), ages: summarizeAges(ages) };
     }
 
-    #get({ origin, value }: PeerReport): EvidenceReport | undefined {
+    #get({ origin, value }: PeerReport, now: number): DecodedReport {
         const known = this.#decoded.get(origin);
         if (known?.value === value) {
-            return known.report;
+            return known;
         }
-        const report = this.#decode(value);
-        this.#decoded.set(origin, { value, report });
-        return report;
+        const decoded = { value, report: this.#decode(value), readAt: now };
+        this.#decoded.set(origin, decoded);
+        return decoded;
     }
 
     #removeUnlisted(listed: ReadonlySet<string>): void {
@@ -76,3 +89,8 @@
         }
     }
 }
+
+function summarizeAges(ages: readonly number[]): ReportAges {
+    const sorted = ages.toSorted((first, second) => first - second);
+    return { count: sorted.length, median: sorted[Math.floor(sorted.length / 2)] ?? 0, max: sorted.at(-1) ?? 0 };
+}
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -8,7 +8,7 @@
 import type { AttemptWatch, WatchedAttempt } from "./attemptWatch.js";
 import { chooseVersion } from "./chooseVersion.js";
 import { assessEvidence, evaluateRollout } from "./evaluateRollout.js";
-import { explainStep, explainWait, summarizeEvidence } from "./explainStep.js";
+import { explainStep, explainWait, summarizeEvidence, summarizeReports } from "./explainStep.js";
 import { PeerReports, type ReportTotal } from "./peerReports.js";
 import { planRollout, type RolloutSituation } from "./planRollout.js";
 import { getSessionRank, type PoolSessions } from "./poolSessions.js";
@@ -233,7 +233,8 @@
     }
 
     #getTotal(own: EvidenceReport): ReportTotal {
-        return this.#peerReports.getTotal(own, this.#options.getEvidence(this.order.pool));
+        const { clock, getEvidence } = this.#options;
+        return this.#peerReports.getTotal(own, getEvidence(this.order.pool), clock.monotonic());
     }
 
     #evaluate({ segments }: ReportTotal): void {
@@ -292,9 +293,9 @@
         });
     }
 
-    #describe({ evidence }: RolloutSituation, { segments }: ReportTotal): Record<string, string> {
+    #describe({ evidence }: RolloutSituation, { segments, ages }: ReportTotal): Record<string, string> {
         const { pool, version } = this.order;
-        return { rollout: pool, version, evidence, ...summarizeEvidence(segments) };
+        return { rollout: pool, version, evidence, ...summarizeEvidence(segments), reports: summarizeReports(ages) };
     }
 
     #getSituation({ currentInFlight, segments }: ReportTotal, now: number): RolloutSituation {
--- a/test/rollouts/peerReports.test.ts
+++ b/test/rollouts/peerReports.test.ts
@@ -19,7 +19,7 @@
 
 describe("PeerReports", () => {
     it("sums this node's counts and those of all others", () => {
-        const total = new PeerReports().getTotal(createReport(7, 3), createPeers(4));
+        const total = new PeerReports().getTotal(createReport(7, 3), createPeers(4), 0);
         expect(total.currentInFlight).toEqual(11);
         expect(total.segments.get("route")?.current.answers).toEqual(50);
     });
@@ -29,7 +29,7 @@
             { origin: "n-0", value: encodeReport(createReport(6, 2)) },
             { origin: "n-1", value: Buffer.from("{}") },
         ];
-        expect(new PeerReports().getTotal(createReport(7, 3), peers).currentInFlight).toEqual(3);
+        expect(new PeerReports().getTotal(createReport(7, 3), peers, 0).currentInFlight).toEqual(3);
     });
 
     // In a fleet of 195 nodes each one reads the reports of all others during a roll-out. If it decoded every report at
@@ -42,18 +42,18 @@
         });
         const peers = createPeers(194);
         for (let read = 0; read < 100; read += 1) {
-            reports.getTotal(createReport(7, 3), peers);
+            reports.getTotal(createReport(7, 3), peers, 0);
         }
         expect(decoded).toEqual(194);
         peers[5] = { origin: "n-5", value: encodeReport(createReport(7, 9)) };
-        expect(reports.getTotal(createReport(7, 3), peers).currentInFlight).toEqual(3 + 193 * 2 + 9);
+        expect(reports.getTotal(createReport(7, 3), peers, 0).currentInFlight).toEqual(3 + 193 * 2 + 9);
         expect(decoded).toEqual(195);
     });
 
     it("drops the reports of nodes that are not listed any more", () => {
         const reports = new PeerReports();
         const peers = createPeers(2);
-        reports.getTotal(createReport(7, 0), peers);
-        expect(reports.getTotal(createReport(7, 0), peers.slice(1)).currentInFlight).toEqual(2);
+        reports.getTotal(createReport(7, 0), peers, 0);
+        expect(reports.getTotal(createReport(7, 0), peers.slice(1), 0).currentInFlight).toEqual(2);
     });
 });
--- a/test/rollouts/scarceEvidence.test.ts
+++ b/test/rollouts/scarceEvidence.test.ts
@@ -69,6 +69,6 @@
         const lanes = [["route", [10, 0, 10, 40.5, 170.2], [0, 0, 0, 0, 0]]];
         const value = Buffer.from(JSON.stringify({ order: 7, inFlight: 5, lanes }));
         const own = { order: 7, currentInFlight: 0, segments: new Map() };
-        expect(new PeerReports().getTotal(own, [{ origin: "n-1", value }]).currentInFlight).toEqual(5);
+        expect(new PeerReports().getTotal(own, [{ origin: "n-1", value }], 0).currentInFlight).toEqual(5);
     });
 });
