Replay roll-outs of bad versions at sixty nodes in memory, which break both bounds

Cause: no test had more than one node that decides and no gossip between nodes, so what a site's size does to evidence was seen nowhere.

--- /dev/null
+++ b/test/rollouts/badVersionInFleet.test.ts
@@ -0,0 +1,43 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createFleetCases } from "./fleetCases.js";
+import { FleetReplay } from "./fleetReplay.js";
+
+const nodes = 59;
+const requestsPerSecond = 350;
+const seeds = [1, 2];
+const versions = ["failing in a third", "slow in four of ten", "slow for one kind"];
+
+describe(`a roll-out at a site of ${nodes} nodes`, () => {
+    for (const trouble of ["in a burst", "nodes restarted in turn", "nodes added"]) {
+        // Guards against steps and halts that rest on what the deciding nodes are told late: a bad version reached everybody meanwhile.
+        it(`exposes few requests to a bad version: ${trouble}`, async () => {
+            for (const version of versions) {
+                const { name, ...options } = findCase(`${version}, ${trouble}`);
+                for (const seed of seeds) {
+                    const fleet = await new FleetReplay({ seed, nodes, requestsPerSecond, ...options }).run();
+                    const isBounded = fleet.exposed <= fleet.allowed && fleet.late === 0;
+                    expect([name, seed, fleet.state, isBounded, fleet]).toEqual([name, seed, "reverted", true, fleet]);
+                }
+            }
+        });
+
+        it(`completes a good version in time: ${trouble}`, async () => {
+            const { name, ...options } = findCase(`good, ${trouble}`);
+            const fleet = await new FleetReplay({ seed: 1, nodes, requestsPerSecond, ...options }).run();
+            expect([name, fleet.state, fleet.endedAt! <= options.durationMilliseconds]).toEqual([
+                name,
+                "completed",
+                true,
+            ]);
+        });
+    }
+});
+
+function findCase(name: string): ReturnType<typeof createFleetCases>[number] {
+    const found = createFleetCases().find(fleet => fleet.name === name);
+    if (found === undefined) {
+        throw new Error(`no case ${name}`);
+    }
+    return found;
+}
