Send the evidence on a new version straight to the nodes that decide on it

Cause: reports travelled by gossip alone, whose messages carry 2 KB of values at 60 nodes and less for each node the more there are, so that the first node by rank knew 2 of 93 answers of the new version as it waited for evidence, 9 of 180 as it moved everything, and 35 of 823 two seconds later. The class: a decision for all nodes that rests on what one of them was told, by a channel whose share for each node falls with their number. Ruled out: late steps and halts (0.25 and 0.12 s to all nodes); unequal loads (the evidence was scarce, not sound). Change: Gossip.set takes recipients, to whom a value is sent at once and who do not forward it. A node sends its report to the four leading nodes, at most once a gossip period (0.4 s at 59 nodes, 2.1 s at 350), so that a leading node reads some 170 reports a second at any size, and publishes no more often than that. Gossip still brings them to the others. Replay: a node that has just started serves after it has read the store, as in the product (waitForFirstRead); before, the replay counted requests that no real node sends.

--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -10,7 +10,7 @@
 /** Lists tests that are known to fail for a recorded reason; only their failures are ignored. */
 const knownRedFile = "KNOWN-RED.txt";
 /** Maximum number of such tests. Beyond it, mending goes before anything new. */
-const maxKnownRed = 19;
+const maxKnownRed = 15;
 const concurrency = "3";
 /** Timeout of a test file, after which it is ended and fails. The longest file takes 90 seconds on a busy machine. */
 const fileMilliseconds = 300_000;
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -29,6 +29,14 @@
 /** Receives a value that is new to this node. The value is undefined when its origin removed it. */
 export type GossipListener = (origin: string, key: string, value: Buffer | undefined) => void;
 
+/** How a value reaches other nodes sooner than by exchanges. */
+export interface PublishOptions {
+    /** Whether it is pushed at once, and forwarded until all nodes have it. */
+    readonly urgent?: boolean;
+    /** Nodes to which it is sent at once. They do not forward it. */
+    readonly recipients?: readonly string[];
+}
+
 /** Options of gossip. */
 export interface GossipOptions {
     readonly self: NodeIdentity;
@@ -88,13 +96,19 @@
      * Publishes a value of this node.
      * @param key - Its key.
      * @param value - The value.
-     * @param options - `urgent` pushes it at once.
+     * @param options - How it reaches others sooner than by exchanges.
      */
-    set(key: string, value: Buffer, options: { readonly urgent?: boolean; } = {}): void {
+    set(key: string, value: Buffer, { urgent = false, recipients = [] }: PublishOptions = {}): void {
         const item = this.#ownValues.publish(key, value);
-        if (options.urgent === true) {
+        if (urgent) {
             this.#push([item], pushHops, new Set([this.#options.self.id]));
         }
+        for (const recipient of recipients) {
+            const peer = this.#peers.get(recipient);
+            if (peer !== undefined) {
+                this.#send(peer, [item], 0);
+            }
+        }
     }
 
     /**
@@ -314,12 +328,16 @@
 
     #push(items: Item[], hops: number, excluded: ReadonlySet<string>): void {
         const peers = this.#partners.selectForPush(excluded);
-        const { sender, counter } = this.#createEnvelope();
         for (const peer of peers.slice(0, pushFanOut)) {
-            void this.#options.transport.push(peer, { sender, counter, items, bases: [], hops });
+            this.#send(peer, items, hops);
         }
     }
 
+    #send(peer: PeerAddress, items: Item[], hops: number): void {
+        const { sender, counter } = this.#createEnvelope();
+        void this.#options.transport.push(peer, { sender, counter, items, bases: [], hops });
+    }
+
     /** Returns the age of a heartbeat from which its node is suspected. */
     getSuspicionTimeoutMilliseconds(): number {
         return getSuspicionTimeout(this.getPeriodMilliseconds(), this.#peers.size);
--- a/src/platform/rolloutGossip.ts
+++ b/src/platform/rolloutGossip.ts
@@ -2,7 +2,7 @@
  * Exchanges evidence on roll-outs, and halts, between the nodes by gossip.
  */
 import type { Gossip, Membership } from "../membership/index.js";
-import type { PeerReport, Rollouts, RolloutsOptions } from "../rollouts/index.js";
+import { leadingNodeCount, type PeerReport, type Rollouts, type RolloutsOptions } from "../rollouts/index.js";
 
 /** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
 const evidenceKeyPrefix = "rollout-evidence/";
@@ -11,7 +11,7 @@
 /** What roll-outs need of the other nodes. */
 export type RolloutPeers = Pick<
     RolloutsOptions,
-    "getRank" | "getMemberCount" | "publishEvidence" | "getEvidence" | "publishHalt"
+    "getRank" | "getMemberCount" | "publishEvidence" | "getReportInterval" | "getEvidence" | "publishHalt"
 >;
 
 /** Options of `createRolloutPeers`. */
@@ -27,7 +27,9 @@
     return {
         getRank: () => membership.getAlive().filter(member => member.id < self).length,
         getMemberCount: () => membership.getMembers().length,
-        publishEvidence: (pool, value) => gossip.set(`${evidenceKeyPrefix}${pool}`, value),
+        publishEvidence: (pool, value) =>
+            gossip.set(`${evidenceKeyPrefix}${pool}`, value, { recipients: getLeadingNodes(membership) }),
+        getReportInterval: () => gossip.getPeriodMilliseconds(),
         getEvidence: pool => getPeerReports(gossip, self, pool),
         publishHalt: (pool, order) =>
             gossip.set(`${haltKeyPrefix}${pool}`, Buffer.from(String(order)), { urgent: true }),
@@ -43,6 +45,11 @@
     });
 }
 
+/** Returns the nodes that follow a roll-out closely: the first ones by rank that are alive. */
+function getLeadingNodes(membership: Membership): readonly string[] {
+    return membership.getAlive().map(({ id }) => id).sort().slice(0, leadingNodeCount);
+}
+
 function* getPeerReports(gossip: Gossip, self: string, pool: string): Iterable<PeerReport> {
     for (const { origin, value } of gossip.getAll(`${evidenceKeyPrefix}${pool}`)) {
         if (origin !== self) {
--- a/src/rollouts/index.ts
+++ b/src/rollouts/index.ts
@@ -5,4 +5,5 @@
 export * from "./rollout.js";
 export * from "./rollouts.js";
 export type { RolloutsOptions } from "./rolloutsOptions.js";
+export { leadingNodeCount } from "./stepDelay.js";
 export type { VersionSelection } from "./versionSelection.js";
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -44,6 +44,8 @@
     /** Monotonic milliseconds of the order, as far as known. */
     #orderedAt: number;
     #publishedReport: Buffer | undefined;
+    /** Monotonic milliseconds of the last publication. */
+    #publishedAt = Number.NEGATIVE_INFINITY;
     #progress: RolloutProgress | undefined;
     /** Monotonic milliseconds at which this node received the first progress. */
     #announcedAt: number | undefined;
@@ -225,10 +227,16 @@
 
     /** Unchanged reports are not published again, since gossip would send them to every node once more. */
     #publish(own: EvidenceReport): void {
+        const { clock, getReportInterval, publishEvidence } = this.#options;
+        const now = clock.monotonic();
+        if (now - this.#publishedAt < getReportInterval()) {
+            return;
+        }
         const value = encodeReport(own);
         if (this.#publishedReport?.equals(value) !== true) {
+            this.#publishedAt = now;
             this.#publishedReport = value;
-            this.#options.publishEvidence(this.order.pool, value);
+            publishEvidence(this.order.pool, value);
         }
     }
 
--- a/src/rollouts/rolloutsOptions.ts
+++ b/src/rollouts/rolloutsOptions.ts
@@ -23,8 +23,10 @@
     readonly getMemberCount: () => number;
     /** Returns whether an upstream accepts connections, and so has not crashed. */
     readonly isRunning: (upstream: string) => Promise<boolean>;
-    /** Publishes this node's evidence on a pool's roll-out to the other nodes. */
+    /** Publishes this node's evidence on a pool's roll-out to the other nodes, at once to those that follow the roll-out closely. */
     readonly publishEvidence: (pool: string, value: Buffer) => void;
+    /** Returns the least time between two publications, in milliseconds. It grows with the number of nodes, whose reports a leading node reads. */
+    readonly getReportInterval: () => number;
     /** Returns the evidence of the other nodes. */
     readonly getEvidence: (pool: string) => Iterable<PeerReport>;
     /** Notifies all nodes at once that a pool's roll-out was found bad. */
--- a/test/membership/gossip.test.ts
+++ b/test/membership/gossip.test.ts
@@ -33,6 +33,17 @@
             expect(known >= 36).toEqual(true);
         });
 
+        // Guards against deciding nodes that learn of a value as late as everybody else where exchanges carry few bytes for each node.
+        it("sends a value to its recipients without waiting for an exchange, and to nobody else", async () => {
+            const site = createGossipSite(40);
+            site.nodes[0].gossip.set("report", Buffer.from("r"), {
+                recipients: ["entry-0", "entry-3", "entry-7", "none"],
+            });
+            await site.deliverMessages();
+            const informed = site.nodes.filter(({ gossip }) => gossip.get("entry-0", "report") !== undefined);
+            expect(informed.map(({ vm }) => vm.id)).toEqual(["entry-0", "entry-3", "entry-7"]);
+        });
+
         it("does not replace a value by an older one that arrives late", async () => {
             const site = createGossipSite(2);
             const [first, second] = site.nodes;
--- a/test/rollouts/explainStep.test.ts
+++ b/test/rollouts/explainStep.test.ts
@@ -35,6 +35,7 @@
         getMemberCount: () => 1,
         isRunning: async () => true,
         publishEvidence: () => undefined,
+        getReportInterval: () => 0,
         getEvidence: () => [],
         publishHalt: () => undefined,
         writeProgress: async (...[, progress]: readonly [unknown, RolloutProgress]) => {
--- a/test/rollouts/fleetReplay.ts
+++ b/test/rollouts/fleetReplay.ts
@@ -109,6 +109,8 @@
     membership: Membership;
     rollouts: Rollouts;
     isRunning: boolean;
+    /** Whether it takes requests: a node that has just started reads the store first. */
+    isServing: boolean;
     nextExchangeAt: number;
     /** Rank by which the node is cut off, so that shares of the nodes can be cut off. */
     readonly cutRank: number;
@@ -156,7 +158,7 @@
             this.#registry.set(upstream);
         }
         for (let index = 0; index < options.nodes; index += 1) {
-            this.#addNode();
+            this.#addNode().isServing = true;
         }
         this.#distributeNodes();
     }
@@ -314,6 +316,7 @@
             const at = restarts!.from + (restarts!.until - restarts!.from) * index / this.#options.nodes;
             this.#schedule(leadMilliseconds + at, () => {
                 node.isRunning = false;
+                node.isServing = false;
                 this.#schedule(restarts!.downMilliseconds, () => {
                     this.#startNode(node);
                     node.membership.setVms(this.#nodes.map(({ vm }) => vm));
@@ -323,17 +326,17 @@
         }
     }
 
-    /** Lets a node that has started read the store. */
+    /** Lets a node that has started read the store, and then serve. */
     #catchUp(node: FleetNode): void {
-        if (this.#elapsed < 0) {
-            return;
-        }
-        this.#deliverTo(node, ({ rollouts }) => {
-            rollouts.setOrder(this.#order);
+        this.#deliverTo(node, () => {
             const last = this.#steps.at(-1);
+            if (this.#elapsed >= 0) {
+                node.rollouts.setOrder(this.#order);
+            }
             if (last !== undefined) {
-                rollouts.setProgress(pool, last.progress);
+                node.rollouts.setProgress(pool, last.progress);
             }
+            node.isServing = true;
         });
     }
 
@@ -382,7 +385,7 @@
         const { requestsPerSecond, getDemand, durationMilliseconds } = this.#options;
         const perStep = requestsPerSecond * (getDemand?.(this.#elapsed) ?? 1) * stepMilliseconds / 1_000;
         const count = Math.floor(perStep) + (this.#random.next() < perStep % 1 ? 1 : 0);
-        const serving = this.#nodes.filter(({ isRunning }) => isRunning);
+        const serving = this.#nodes.filter(({ isServing }) => isServing);
         for (let index = 0; index < count; index += 1) {
             this.#requests += 1;
             if (this.#elapsed >= 0 && this.#elapsed < durationMilliseconds) {
--- a/test/rollouts/rolloutReplay.ts
+++ b/test/rollouts/rolloutReplay.ts
@@ -107,6 +107,7 @@
             getRank: () => 0,
             getMemberCount: () => 8,
             publishEvidence: () => undefined,
+            getReportInterval: () => 0,
             getEvidence: () => [],
             publishHalt: () => undefined,
             writeProgress: async (...[, progress]) => this.#writeProgress(progress),
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -32,7 +32,11 @@
 }
 
 /** Creates a node of a rank with the reports of its peers. Its wall clock may be ahead of the others'. */
-function createNode(rank: number, peers: readonly Buffer[], clockAheadMilliseconds = 0): RolloutNode {
+function createNode(
+    rank: number,
+    peers: readonly Buffer[],
+    { clockAheadMilliseconds = 0, reportIntervalMilliseconds = 0 } = {},
+): RolloutNode {
     const clock = new ManualClock();
     const registry = createUpstreamRegistry(clock);
     const written: RolloutProgress[] = [];
@@ -48,6 +52,7 @@
         getRank: () => rank,
         getMemberCount: () => peers.length + 1,
         publishEvidence: () => counts.published += 1,
+        getReportInterval: () => reportIntervalMilliseconds,
         getEvidence: () => {
             counts.evidenceReads += 1;
             return peers.map((value, index) => ({ origin: `n-${index}`, value }));
@@ -92,6 +97,17 @@
         expect(late.counts.evidenceReads).toEqual(10);
     });
 
+    // Guards against a leading node that spends its time on the reports of hundreds of nodes.
+    it("publishes no more often than the site bears", () => {
+        const node = createNode(100, [], { reportIntervalMilliseconds: 2_000 });
+        const upstream = createUpstream("u1", { pool: "pool" });
+        for (let tick = 0; tick < 50; tick += 1) {
+            node.rollouts.startRequest(upstream, undefined);
+            node.run(1);
+        }
+        expect(node.counts.published).toEqual(5);
+    });
+
     it("finds a bad version by the reports of others within a second, also on a node of a high rank", () => {
         const node = createNode(100, [createBadReport()]);
         node.run(5);
@@ -114,7 +130,7 @@
     // The wall clock of a VM jumps. If its node took the difference for time elapsed since the order, it would move
     // sessions before half of the time is over.
     it("takes no step too early when its wall clock is ahead of that of the node that took the first step", () => {
-        const node = createNode(0, [], 10_000);
+        const node = createNode(0, [], { clockAheadMilliseconds: 10_000 });
         node.registry.set(createUpstream("u1", { pool: "pool", version: "v2" }));
         node.rollouts.setProgress("pool", { ...announced, orderedAt: 0 });
         node.run(55);
@@ -122,7 +138,7 @@
     });
 
     it("computes the remaining time from the wall clock when it was started after the order", () => {
-        const node = createNode(0, [], 20_000);
+        const node = createNode(0, [], { clockAheadMilliseconds: 20_000 });
         node.registry.set(createUpstream("u1", { pool: "pool", version: "v2" }));
         node.rollouts.setProgress("pool", { ...announced, step: 2, share: announced.firstShare, orderedAt: 0 });
         node.run(1);
