Move the same share in the first step of a roll-out at every size

Cause: from 16 nodes on the first step's share fell in proportion to the nodes, 0.016 in place of 0.059 at 59. So a version's answers were as few as 5 a second of 350. Change: the share is 0.6 of the allowed exposure everywhere. A node reports once in 4 ms for each other node, so that a leading one reads 250 reports a second at most.

--- a/src/platform/rolloutGossip.ts
+++ b/src/platform/rolloutGossip.ts
@@ -7,11 +7,13 @@
 /** Prefixes of gossip keys: evidence on the candidate of a pool's roll-out, and halts of a roll-out. */
 const evidenceKeyPrefix = "rollout-evidence/";
 const haltKeyPrefix = "rollout-halt/";
+/** Time between two reports of a node for each other node, in milliseconds: a leading node reads at most 250 reports a second. */
+const reportMillisecondsPerNode = 4;
 
 /** What roll-outs need of the other nodes. */
 export type RolloutPeers = Pick<
     RolloutsOptions,
-    "getRank" | "getMemberCount" | "publishEvidence" | "getReportInterval" | "getEvidence" | "publishHalt"
+    "getRank" | "publishEvidence" | "getReportInterval" | "getEvidence" | "publishHalt"
 >;
 
 /** Options of `createRolloutPeers`. */
@@ -26,10 +28,9 @@
 export function createRolloutPeers({ self, gossip, membership }: RolloutPeersOptions): RolloutPeers {
     return {
         getRank: () => membership.getAlive().filter(member => member.id < self).length,
-        getMemberCount: () => membership.getMembers().length,
         publishEvidence: (pool, value) =>
             gossip.set(`${evidenceKeyPrefix}${pool}`, value, { recipients: getLeadingNodes(membership) }),
-        getReportInterval: () => gossip.getPeriodMilliseconds(),
+        getReportInterval: () => gossip.getPeers().size * reportMillisecondsPerNode,
         getEvidence: pool => getPeerReports(gossip, self, pool),
         publishHalt: (pool, order) =>
             gossip.set(`${haltKeyPrefix}${pool}`, Buffer.from(String(order)), { urgent: true }),
--- a/src/rollouts/planRollout.ts
+++ b/src/rollouts/planRollout.ts
@@ -24,19 +24,12 @@
     readonly currentInFlight: number;
     /** Maximum share of all requests that a bad version may get until the deadline. */
     readonly exposureShare: number;
-    /** Number of nodes that may be running. */
-    readonly members: number;
     /** Unix milliseconds. */
     readonly wallNow: number;
 }
 
 /** Part of the allowed exposure that is used before the new version may take over sessions. */
 const firstStepExposureShare = 0.6;
-/**
- * From this number of nodes on, the share of the first step decreases in inverse proportion to their number: in larger
- * fleets the halt of a bad version takes longer to reach all nodes, and more requests arrive meanwhile.
- */
-const firstStepMemberThreshold = 16;
 /**
  * Time between the announcement and the first step, in milliseconds. A record reaches the last node within 0.4 s,
  * including the pause of nodes between reads. Within this time first the announcement must reach all nodes, and then
@@ -109,8 +102,8 @@
     return situation.evidence === "suspicious" && isTimeOver(situation);
 }
 
-function getFirstShare({ exposureShare, members }: RolloutSituation): number {
-    return exposureShare * firstStepExposureShare * Math.min(1, firstStepMemberThreshold / members);
+function getFirstShare({ exposureShare }: RolloutSituation): number {
+    return exposureShare * firstStepExposureShare;
 }
 
 function getShare(
--- a/src/rollouts/poolRollout.ts
+++ b/src/rollouts/poolRollout.ts
@@ -307,7 +307,7 @@
     }
 
     #getSituation({ currentInFlight, segments }: ReportTotal, now: number): RolloutSituation {
-        const { clock, registry, exposureShare, getMemberCount } = this.#options;
+        const { clock, registry, exposureShare } = this.#options;
         const upstreams = registry.getAvailable(this.order.pool);
         const candidateCount = upstreams.filter(upstream => upstream.version === this.order.version).length;
         return {
@@ -321,7 +321,6 @@
             currentCount: upstreams.length - candidateCount,
             currentInFlight,
             exposureShare,
-            members: getMemberCount(),
             wallNow: clock.wall(),
         };
     }
--- a/src/rollouts/rolloutsOptions.ts
+++ b/src/rollouts/rolloutsOptions.ts
@@ -19,8 +19,6 @@
     readonly sessionMilliseconds: number;
     /** Returns how many nodes rank before this one. */
     readonly getRank: () => number;
-    /** Returns how many nodes may be running. */
-    readonly getMemberCount: () => number;
     /** Returns whether an upstream accepts connections, and so has not crashed. */
     readonly isRunning: (upstream: string) => Promise<boolean>;
     /** Publishes this node's evidence on a pool's roll-out to the other nodes, at once to those that follow the roll-out closely. */
