Remember a halt that arrives before its order

Cause: a halt of a roll-out that a node has not read yet was dropped, and nobody sends it again. A node that was cut off from the store, or has just started, then sends requests to the bad version until the record of its end arrives, which may take as long as the store is slow. Change: the latest halted order of each pool is kept, and applied to an order as it arrives. An older halt that arrives later does not replace it. Test: 'halts an order that it receives after the halt' failed before (the new version was chosen) and passes.

--- a/src/rollouts/rollouts.ts
+++ b/src/rollouts/rollouts.ts
@@ -25,6 +25,8 @@
     readonly #rollouts = new Map<string, PoolRollout>();
     /** By pool: progress of an order that this node has not received yet. */
     readonly #pendingProgress = new Map<string, RolloutProgress>();
+    /** By pool: the latest order that other nodes have halted. That may be known before the order itself. */
+    readonly #halts = new Map<string, number>();
     /** By pool: versions that serve nothing any more. The sets are immutable: a change creates a new one. */
     readonly #revertedVersions = new Map<string, ReadonlySet<string>>();
     /** By pool. */
@@ -57,6 +59,7 @@
         this.#rollouts.set(pool, new PoolRollout(this.#options, order, this.#getSessions(pool)));
         this.#clearReverted(order);
         this.#options.journal.write(events.rolloutOrdered, { rollout: pool, version, order: id });
+        this.#applyHalt(pool);
         const pending = this.#pendingProgress.get(pool);
         if (pending !== undefined) {
             this.setProgress(pool, pending);
@@ -97,8 +100,13 @@
 
     /** Halts a pool's roll-out that another node found bad. */
     setHalted(pool: string, order: number): void {
+        this.#halts.set(pool, Math.max(order, this.#halts.get(pool) ?? order));
+        this.#applyHalt(pool);
+    }
+
+    #applyHalt(pool: string): void {
         const rollout = this.#rollouts.get(pool);
-        if (rollout !== undefined && rollout.order.id === order) {
+        if (rollout !== undefined && rollout.order.id === this.#halts.get(pool)) {
             rollout.halt("reported by a peer");
         }
     }
--- a/test/rollouts/rollouts.test.ts
+++ b/test/rollouts/rollouts.test.ts
@@ -115,6 +115,26 @@
         expect(node.written[0]?.state).toEqual("reverted");
     });
 
+    // Guards against requests for a bad version at a node that reads the order only after the others have halted it.
+    it("halts an order that it receives after the halt", () => {
+        const node = createNode(100, []);
+        node.rollouts.setHalted("pool", order.id + 1);
+        node.rollouts.setHalted("pool", order.id);
+        const next = { ...order, id: order.id + 1, version: "v3" };
+        node.rollouts.setOrder(next);
+        node.rollouts.setProgress("pool", {
+            order: next.id,
+            version: next.version,
+            state: "moving",
+            step: 2,
+            share: 1,
+            firstShare: 0.05,
+            orderedAt: 0,
+        });
+        const upstreams = ["v1", "v3"].map(version => createUpstream(version, { pool: "pool", version }));
+        expect(node.rollouts.select("pool", "session", upstreams).upstreams.map(({ id }) => id)).toEqual(["v1"]);
+    });
+
     // A caller was answered by two versions, and the nodes' log lines did not contain the reason for each choice.
     it("returns the reason for a request's version while a roll-out is in progress", () => {
         const node = createNode(0, []);
