Count no answers of nodes that have gone as those of the last seconds

Cause: a node's last report stayed in the sum for as long as gossip keeps the values of a silent node, a minute. Answers of before a version became bad hid the present ones. Change: the answers of a report count for six seconds after it was read, as long as answers count anywhere; a running node reports again by then. Its requests in flight still count, since the old version is stopped when there are none. Test: 'counts no answers of a node that has not reported for as long as answers count' failed before and passes. Conclusion: the evidence is that of the last seconds, whoever is there.

--- a/src/rollouts/peerReports.ts
+++ b/src/rollouts/peerReports.ts
@@ -1,7 +1,13 @@
 /**
  * The reports of other nodes on a roll-out, each decoded once and summed.
  */
-import { addEvidence, decodeReport, type EvidenceCounts, type EvidenceReport } from "./rolloutEvidence.js";
+import {
+    addEvidence,
+    decodeReport,
+    type EvidenceCounts,
+    evidenceMilliseconds,
+    type EvidenceReport,
+} from "./rolloutEvidence.js";
 
 /** A report received from another node. */
 export interface PeerReport {
@@ -61,10 +67,14 @@
         for (const peer of peers) {
             listed.add(peer.origin);
             const { report, readAt } = this.#get(peer, now);
-            if (report?.order === own.order) {
+            if (report?.order !== own.order) {
+                continue;
+            }
+            currentInFlight += report.currentInFlight;
+            // A node that runs reports again as soon as something of its last report has become too old to count.
+            if (now - readAt <= evidenceMilliseconds) {
                 parts.push(report.segments);
                 ages.push(now - readAt);
-                currentInFlight += report.currentInFlight;
             }
         }
         this.#removeUnlisted(listed);
--- a/test/rollouts/peerReports.test.ts
+++ b/test/rollouts/peerReports.test.ts
@@ -50,6 +50,20 @@
         expect(decoded).toEqual(195);
     });
 
+    // Guards against the answers of a node that has gone, which would be counted as those of the last seconds for a minute.
+    it("counts no answers of a node that has not reported for as long as answers count", () => {
+        const reports = new PeerReports();
+        const [gone, running] = createPeers(2);
+        reports.getTotal(createReport(7, 0), [gone, running], 0);
+        const renewed = { ...running, value: encodeReport(createReport(7, 2)) };
+        const total = reports.getTotal(createReport(7, 0), [gone, renewed], 6_001);
+        expect([total.segments.get("route")?.current.answers, total.ages.count, total.currentInFlight]).toEqual([
+            20,
+            1,
+            4,
+        ]);
+    });
+
     it("drops the reports of nodes that are not listed any more", () => {
         const reports = new PeerReports();
         const peers = createPeers(2);
