Keep the connection of a request whose body is given up

What callers saw: one client that sends a chunk over the limit, and the node ends with all of its requests: 'Invalid value used as weak map key', from the answer's finish. Cause: the refusal of a body in the middle destroys the request, after which the HTTP library no longer gives its connection; the idle timer was begun for it at the end of the answer. Class: a socket that may be gone by the time of an event. Looked for in src: httpReply and connectionErrors take the connection as the request arrives, callerConnection too, httpReply asks the response's socket and handles that there is none. No other place.

--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -141,7 +141,9 @@
         const arrivedAt = this.#options.clock.monotonic();
         const sentAt = this.#options.stallWatch.getEarliestArrival();
         response.once("close", this.#connectionErrors.add(incoming));
-        response.once("finish", () => this.#idleConnections.add(incoming.socket));
+        // A request that was given up may have lost its connection by then.
+        const connection = incoming.socket;
+        response.once("finish", () => this.#idleConnections.add(connection));
         const { replyBuffers: buffers, onDropped, onBroken } = this.#options;
         const presence = new PresenceCheck(this.#options.readProgress);
         const reply = new HttpReply({
