Close connections on which too many requests wait for their answers

What callers saw: a process ended with its heap full while clients sent whole requests one behind the other and read no answers: 20 clients with 400 requests of 8 KB each at the port of callers (208 MB of 180 allowed), 20 with 2,000 lookups at the port of metrics. Cause: the HTTP library hands over each request that it parses, however many wait on their connection, and nothing counted them: their bodies, their objects and their answers were bounded one by one. Ruled out: holding the connection back: what a single read brings is parsed at once, thousands of lookups, and each unanswered one is kept by the library. No client of an HTTP library sends more than one at a time; our pages' clients neither.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -9,6 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Clock, Failure, PresenceCheck, type ReadProgress } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
+import { limitPipelining } from "../connections/index.js";
 import { events, type Journal } from "../events/index.js";
 import { createWatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
@@ -38,6 +39,8 @@
 const maxHeaderBytes = 16 * 1024;
 /** How long a caller may take to send its headers, in milliseconds. */
 const headersTimeoutMilliseconds = 10_000;
+/** Requests of a connection that may wait for their answers. Clients of HTTP libraries send one at a time. */
+const maxPipelinedRequests = 32;
 /** How long the last answers may take to be written when the entry stops, in milliseconds. */
 const lastAnswersMilliseconds = 1_000;
 /** Header in which the public client reports the number of its earlier attempts. */
@@ -89,7 +92,7 @@
             headersTimeout: headersTimeoutMilliseconds,
             requestTimeout: options.bodyTimeoutMilliseconds + headersTimeoutMilliseconds,
             keepAliveTimeout: 30_000,
-        }, koa.callback());
+        }, limitPipelining(maxPipelinedRequests, koa.callback()));
         this.#server.maxConnections = options.maxConnections;
         this.#server.on("connection", () => options.readProgress.addConnection());
     }
--- a/src/entry/operatorServer.ts
+++ b/src/entry/operatorServer.ts
@@ -4,10 +4,14 @@
 import Router from "@koa/router";
 import Koa from "koa";
 import { createServer, type Server } from "node:http";
+import { limitPipelining } from "../connections/index.js";
 import type { EventLine } from "../events/index.js";
 import type { Explanations } from "./explanations.js";
 import type { Metrics } from "./metrics.js";
 
+/** Requests of a connection that may wait for their answers. Those of metrics are large. */
+const maxPipelinedRequests = 8;
+
 /** Options of the server. */
 export interface OperatorServerOptions {
     readonly metrics: Metrics;
@@ -28,7 +32,7 @@
         const router = createRouter(options);
         koa.use(router.routes());
         koa.use(router.allowedMethods());
-        this.#server = createServer(koa.callback());
+        this.#server = createServer(limitPipelining(maxPipelinedRequests, koa.callback()));
     }
 
     /**
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -11,6 +11,7 @@
     type Refusal,
     type StallWatch,
 } from "../common/index.js";
+import { limitPipelining } from "../connections/index.js";
 import type { BodyMemory, CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
@@ -40,6 +41,8 @@
 const memoryRetryAfterMilliseconds = 1_000;
 /** Hard limit of the HTTP parser. The configured limit is checked for each request. */
 const maxHeaderBytes = 64 * 1024;
+/** Requests of a connection that may wait for their answers. Clients of HTTP libraries send one at a time. */
+const maxPipelinedRequests = 32;
 
 /** Handles a decoded request. */
 export type HandleRequest = (request: CallerRequest, reply: CallerReply) => Promise<void>;
@@ -84,9 +87,10 @@
             readProgress,
             getLimit: () => this.#getLimits().idleMilliseconds + idleMarginMilliseconds,
         });
-        this.#server = createServer({ maxHeaderSize: maxHeaderBytes }, (request, response) => {
+        const serve = limitPipelining(maxPipelinedRequests, (request, response) => {
             void this.#serve(request, response);
         });
+        this.#server = createServer({ maxHeaderSize: maxHeaderBytes }, serve);
         this.#server.on("clientError", (error, connection) => this.#connectionErrors.handle(error, connection));
         this.#server.on("timeout", connection => void this.#idleConnections.handleTimeout(connection));
         this.#server.on("connection", () => readProgress.addConnection());
--- a/src/platform/siteServer.ts
+++ b/src/platform/siteServer.ts
@@ -3,8 +3,11 @@
  */
 import Koa from "koa";
 import { createServer, type Server } from "node:http";
+import { limitPipelining } from "../connections/index.js";
 import { servedPaths } from "./wire.js";
 
+/** Requests of a connection that may wait for their answers. Those of metrics are large. */
+const maxPipelinedRequests = 8;
 const textType = "text/plain; charset=utf-8";
 const jsonType = "application/json; charset=utf-8";
 
@@ -47,7 +50,7 @@
 
     /** Starts to listen on an additional address. */
     listen(host: string, port: number): Promise<void> {
-        const server = createServer(this.#app.callback());
+        const server = createServer(limitPipelining(maxPipelinedRequests, this.#app.callback()));
         this.#servers.push(server);
         return new Promise((resolve, reject) => {
             server.once("error", reject);
