Count the memory of small bodies and of requests, and let bodies in tiny pieces take turns

Cause: bodies up to 64 KB, and requests without any, were counted nowhere; one that stopped short held its memory for as long as its connection. A read of 64 KB holds 10,900 chunks of one byte, each an object and a step of a loop, and all connections were read in the same turn. Change: connections/bodyMemory counts small bodies and 8 KB a request, in 0.15 of the node's memory. When that or the memory for large bodies is short, incomplete bodies of which nothing has come for 2 s give way, the longest waiting first; a caller that sends slowly is not cut off otherwise. Bodies are copied as their pieces arrive, and while one waits for memory or, after 512 pieces, for its turn, its connection is not read (ConnectionHold: the library resumes it by itself, so it is paused again each time). Reading and memory moved to src/connections, where both programs find them; the test of bodies from a stream without a connection asks for the same as before.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -241,7 +241,7 @@
         474,
         "body-refused",
         "warning",
-        "A request was refused before its body was read, since the bodies of other requests take the memory that the node has for them. The fields give the bytes of these.",
+        "A request was refused before its body was read, since the bodies of other requests take the memory that the node has for them. The fields give the bytes of these, large and small ones.",
     ),
     livenessUnknown: define(
         475,
--- a/src/forwarding/index.ts
+++ b/src/forwarding/index.ts
@@ -3,7 +3,6 @@
 export * from "./answerEnd.js";
 export * from "./attempt.js";
 export * from "./attempts.js";
-export * from "./bodyMemory.js";
 export * from "./callerReply.js";
 export * from "./callerRequest.js";
 export * from "./eventSplitter.js";
--- a/src/platform/callerServer.ts
+++ b/src/platform/callerServer.ts
@@ -11,8 +11,8 @@
     type Refusal,
     type StallWatch,
 } from "../common/index.js";
-import { limitPipelining } from "../connections/index.js";
-import type { BodyMemory, CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
+import { type BodyMemory, limitPipelining, readBody, TurnQueue } from "../connections/index.js";
+import type { CallerReply, CallerRequest, ReplyBuffers } from "../forwarding/index.js";
 import type { CallerLimits } from "../routing/index.js";
 import { ConnectionErrors } from "./connectionErrors.js";
 import { countHeaderBytes, decodeRequest } from "./decodeRequest.js";
@@ -20,7 +20,6 @@
 import { type BrokenReplyListener, type DroppedCallerListener, HttpReply } from "./httpReply.js";
 import { IdleConnections } from "./idleConnections.js";
 import type { Endpoint } from "./nodeSettings.js";
-import { readBody } from "./requestBody.js";
 import { headerNames } from "./wire.js";
 
 /** Limits until the first configuration is in force. */
@@ -77,6 +76,7 @@
     readonly #idleConnections: IdleConnections;
     /** Replies that are not complete. */
     readonly #replies = new Set<HttpReply>();
+    readonly #bodyTurns = new TurnQueue();
     #isLeaving = false;
 
     constructor(options: CallerServerOptions) {
@@ -167,13 +167,15 @@
             reply.refuseUnread(createTooLargeRefusal("headers", limits.headerBytes), 431);
             return;
         }
-        const memory = this.#options.bodyMemory.add();
+        const memory = this.#options.bodyMemory.add(() => connection.destroy());
         try {
             const wait = { maxMilliseconds: getMaxUnreadMilliseconds(incoming), disconnected: reply.disconnected };
             const body = await readBody(incoming, {
                 limit: limits.bodyBytes,
                 maxMilliseconds: getDeadline(incoming) ?? defaultMaxBodyMilliseconds,
-                reserve: bytes => memory.reserve(bytes, wait),
+                memory,
+                wait,
+                turns: this.#bodyTurns,
             });
             if (body === "too-large") {
                 reply.refuseUnread(createTooLargeRefusal("body", limits.bodyBytes), 413);
@@ -190,7 +192,7 @@
                 reply.abort("the caller has left");
                 return;
             }
-            memory.shrink(body.length);
+            memory.complete(body.length);
             await this.#handle(id, reply, () => decodeRequest(incoming, body, { arrivedAt, sentAt }));
         }
         finally {
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -1,6 +1,7 @@
 /**
  * Creates the parts that choose upstreams and send requests to them, from the other parts of a node.
  */
+import { BodyMemory } from "../connections/index.js";
 import {
     ExtraShare,
     PoolRooms,
@@ -12,14 +13,7 @@
 } from "../decisions/index.js";
 import { events } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
-import {
-    AnswerBuffers,
-    Attempts,
-    BodyMemory,
-    ReplyBuffers,
-    UpstreamObserver,
-    WaitingRoom,
-} from "../forwarding/index.js";
+import { AnswerBuffers, Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
 import type { NodeParts } from "./nodeParts.js";
 import { createNodeCrashProbe } from "./relayParts.js";
@@ -39,8 +33,10 @@
  * be read but not passed on.
  */
 const answerMemoryShare = 0.1;
-/** Share of the memory limit that the bodies of callers' requests may take until their answers end. */
+/** Share of the memory limit that the bodies of callers' requests may take until their answers end, apart from small ones. */
 const bodyMemoryShare = 0.1;
+/** The same for requests with small bodies, with what they take beside these. */
+const smallBodyMemoryShare = 0.15;
 /** Memory limit where the settings give none. */
 const defaultMemoryMegabytes = 256;
 const bytesPerMegabyte = 1024 * 1024;
@@ -66,8 +62,12 @@
 }
 
 /** Creates the bound of the bodies of callers' requests. */
-export function createBodyMemory({ liveSettings }: NodeParts): BodyMemory {
-    return new BodyMemory({ getMaxBytes: () => getMemoryShare(liveSettings, bodyMemoryShare) });
+export function createBodyMemory({ clock, liveSettings }: NodeParts): BodyMemory {
+    return new BodyMemory({
+        clock,
+        getMaxBytes: () => getMemoryShare(liveSettings, bodyMemoryShare),
+        getMaxSmallBytes: () => getMemoryShare(liveSettings, smallBodyMemoryShare),
+    });
 }
 
 /** Returns the bytes that answers may take. */
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -260,6 +260,7 @@
                 throttledJournal.write(events.bodyRefused, request, {
                     request,
                     heldBytes: parts.bodyMemory.getReservedBytes(),
+                    smallBytes: parts.bodyMemory.getSmallBytes(),
                 });
             },
             onDeparted: request => {
--- a/src/platform/nodeParts.ts
+++ b/src/platform/nodeParts.ts
@@ -3,6 +3,7 @@
  */
 import type { Dispatcher } from "undici";
 import type { Clock, RandomSource, ReadProgress, StallWatch } from "../common/index.js";
+import type { BodyMemory } from "../connections/index.js";
 import type {
     PoolRooms,
     RejectionLimit,
@@ -17,7 +18,6 @@
 import type {
     AnswerBuffers,
     Attempts,
-    BodyMemory,
     Forwarder,
     ForwardingMetrics,
     ReplyBuffers,
