Bound the bodies of an entry together, and read them as a node does

What callers saw: 300 clients with chunks of one byte took an entry of the product's own interface to 5,624 MB, 300 whole bodies of 1 MB to 588 MB of 500 allowed. Cause: bodies were bounded one by one; the library that read them kept each piece, an object for each byte.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -9,7 +9,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Clock, Failure, PresenceCheck, type ReadProgress } from "../common/index.js";
 import type { Configuration } from "../configuration/index.js";
-import { limitPipelining } from "../connections/index.js";
+import { type BodyMemory, limitPipelining, TurnQueue } from "../connections/index.js";
 import { events, type Journal } from "../events/index.js";
 import { createWatchedRequest } from "../quarantine/index.js";
 import { type AddressDocumentOptions, createAddressDocument } from "./addressDocument.js";
@@ -58,6 +58,7 @@
     readonly servicePipeline: ServicePipeline;
     readonly addresses: AddressDocumentOptions;
     readonly maxBodyBytes: number;
+    readonly bodyMemory: BodyMemory;
     readonly bodyTimeoutMilliseconds: number;
     readonly maxConnections: number;
     /** Whether the entry is ready; until it has a configuration it refuses requests. */
@@ -78,6 +79,7 @@
     readonly #openCalls = new Map<ServerResponse, OpenCall>();
     /** Responses that were ended since the entry stops. */
     readonly #stoppedResponses = new WeakSet<ServerResponse>();
+    readonly #bodyTurns = new TurnQueue();
     #isLeaving = false;
 
     constructor(options: CallerServerOptions) {
@@ -200,8 +202,11 @@
         }
         const presence = new PresenceCheck(this.#options.readProgress);
         const disconnection = createDisconnection(context.req, response);
+        const connection = context.req.socket;
+        const memory = this.#options.bodyMemory.add(() => connection.destroy());
         const call = {
             requestId,
+            memory,
             identity: identity.value,
             disconnectSignal: disconnection.signal,
             confirmCaller: () => presence.confirm(),
@@ -217,6 +222,7 @@
             this.#reportCrash(call, response, error);
         }
         finally {
+            memory.release();
             this.#openCalls.delete(response);
             this.#options.metrics.running.set(this.#openCalls.size);
         }
@@ -229,12 +235,23 @@
         return identifyCaller(request.headers, this.#options.getConfiguration());
     }
 
+    #readBody(call: IncomingCall, request: IncomingMessage): Promise<Result<Buffer, Failure>> {
+        const { maxBodyBytes, bodyTimeoutMilliseconds } = this.#options;
+        return readBody(request, {
+            maxBytes: maxBodyBytes,
+            timeoutMilliseconds: bodyTimeoutMilliseconds,
+            memory: call.memory,
+            turns: this.#bodyTurns,
+            disconnected: call.disconnectSignal,
+        });
+    }
+
     async #serveChat(
         call: IncomingCall,
         request: IncomingMessage,
         response: ServerResponse,
     ): Promise<Refusal | undefined> {
-        const body = await readBody(request, this.#options.maxBodyBytes, this.#options.bodyTimeoutMilliseconds);
+        const body = await this.#readBody(call, request);
         if (body.isErr()) {
             return refuseAndClose(response, body.error);
         }
@@ -306,7 +323,7 @@
         pool: string,
         path: string,
     ): Promise<Refusal | undefined> {
-        const body = await readBody(request, this.#options.maxBodyBytes, this.#options.bodyTimeoutMilliseconds);
+        const body = await this.#readBody(call, request);
         if (body.isErr()) {
             return refuseAndClose(response, body.error);
         }
--- a/src/entry/incomingCall.ts
+++ b/src/entry/incomingCall.ts
@@ -4,6 +4,7 @@
 import { err, type Result } from "neverthrow";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Failure, watchConnection } from "../common/index.js";
+import type { BodyReservation } from "../connections/index.js";
 import type { WaitingCaller } from "./callerDisconnection.js";
 import type { CallerIdentity } from "./callerIdentity.js";
 import { createNotRunRefusal, type Refusal } from "./problem.js";
@@ -17,6 +18,8 @@
     readonly requestId: string;
     readonly identity: CallerIdentity;
     readonly arrivedAt: number;
+    /** The memory of its body. */
+    readonly memory: BodyReservation;
 }
 
 /** Creates a controller that aborts when the caller closes its connection before the answer is complete. */
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -2,6 +2,7 @@
  * Factories of the parts that serve callers and operators.
  */
 import { ReadProgress, SuspensionClock } from "../../common/index.js";
+import { BodyMemory } from "../../connections/index.js";
 import { AttemptRunner } from "../attemptRunner.js";
 import { CallerServer } from "../callerServer.js";
 import { ChatPipeline } from "../chatPipeline.js";
@@ -17,6 +18,8 @@
 const millisecondsPerSecond = 1000;
 /** Maximum number of finished answers that this entry sends to the rating service in a second. */
 const ratingsPerSecond = 20;
+/** Part of the memory for bodies that requests with small ones may take beside it. */
+const smallBodyShare = 0.5;
 /** How long a caller may take to send its body, in milliseconds. */
 const bodyTimeoutMilliseconds = 15_000;
 
@@ -108,6 +111,11 @@
             servicePipeline: cradle.servicePipeline,
             addresses: createAddressDocumentOptions(cradle),
             maxBodyBytes: cradle.settings.limits.bodyBytes,
+            bodyMemory: new BodyMemory({
+                clock: cradle.clock,
+                getMaxBytes: () => cradle.settings.limits.bodyMemoryBytes,
+                getMaxSmallBytes: () => cradle.settings.limits.bodyMemoryBytes * smallBodyShare,
+            }),
             bodyTimeoutMilliseconds,
             maxConnections: cradle.settings.limits.openRequests,
             isReady: () => cradle.entryState.isReady(),
--- a/src/settings/entrySettings.ts
+++ b/src/settings/entrySettings.ts
@@ -107,6 +107,11 @@
 
 const limitsSection = defineSection("limits", "Limits on the work and memory of the process.", {
     body_bytes: createCountKey("Maximum size of a request body, in bytes.", 8_388_608, 134_217_728),
+    body_memory_bytes: createCountKey(
+        "Maximum bytes that the bodies of requests in progress may take together, and half as many for those of up to 64 KB.",
+        67_108_864,
+        4_294_967_296,
+    ),
     open_requests: createCountKey("Maximum number of concurrent requests.", 2_000),
     kept_bills: createCountKey("Maximum number of bills that wait for the log; above it, new work is refused.", 50_000),
     kept_stream_bytes: createCountKey(
