--- a/src/rollouts/explainStep.ts
+++ b/src/rollouts/explainStep.ts
@@ -60,7 +60,7 @@
 
 /** Returns how many reports of other nodes are known, and how long ago they arrived. */
 export function summarizeReports({ count, median, max }: ReportAges): string {
-    return `${count} reports, median age ${median} ms, oldest ${max} ms`;
+    return `${count} reports, median age ${Math.round(median)} ms, oldest ${Math.round(max)} ms`;
 }
 
 function summarize(counts: readonly VersionCounts[]): string {
