--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -270,9 +270,9 @@
             return answer;
         }
         const work = model ?? prompt.model ?? "";
-        const body = measurePauses(answer.body, () => clock.monotonic(), {
-            onSample: milliseconds => paces.add(upstream, { kind: "pause", work, milliseconds, load }),
-            onUsual: onPause,
+        const body = measurePauses(answer.body, () => clock.monotonic(), milliseconds => {
+            paces.add(upstream, { kind: "pause", work, milliseconds, load });
+            onPause(milliseconds);
         });
         return { ...answer, body };
     }
--- a/src/pace/pauseWindow.ts
+++ b/src/pace/pauseWindow.ts
@@ -5,32 +5,22 @@
 /** Number of pauses whose median is one sample, and the minimum at the end of an answer. */
 const windowPauses = 16;
 const minPauses = 6;
-/** Number of pauses after which the usual pause of an answer is known. */
-export const usualPauseCount = minPauses;
 /** Share of a pause at which the caller may still have been taking the previous part. */
 const maxTakingShare = 0.2;
 
-/** Receives what is learned of the pauses of an answer, in milliseconds. */
-export interface PauseListener {
-    /** Called with the median of each window of pauses, and of the last ones if they are enough. */
-    readonly onSample: (milliseconds: number) => void;
-    /** Called once with the median of the first pauses: those of one answer are alike. */
-    readonly onUsual: (milliseconds: number) => void;
-}
-
 /**
  * Collects the pauses of an answer. A part that arrives while the caller still takes the previous one may have waited unread, and so
  * may all later ones; from there on the answer says nothing about its upstream.
  */
 export class PauseWindow {
-    readonly #listener: PauseListener;
+    readonly #onSample: (milliseconds: number) => void;
     #pauses: number[] = [];
-    #hasUsual = false;
     #arrivedAt: number | undefined;
     #isEnded = false;
 
-    constructor(listener: PauseListener) {
-        this.#listener = listener;
+    /** @param onSample - Receives medians of pauses, in milliseconds. */
+    constructor(onSample: (milliseconds: number) => void) {
+        this.#onSample = onSample;
     }
 
     /**
@@ -51,10 +41,6 @@
             return;
         }
         this.#pauses.push(pause);
-        if (!this.#hasUsual && this.#pauses.length >= usualPauseCount) {
-            this.#hasUsual = true;
-            this.#listener.onUsual(getMedian(this.#pauses));
-        }
         if (this.#pauses.length >= windowPauses) {
             this.#flush();
         }
@@ -69,28 +55,24 @@
     }
 
     #flush(): void {
-        const median = getMedian(this.#pauses);
+        const sorted = this.#pauses.toSorted((left, right) => left - right);
         this.#pauses = [];
-        this.#listener.onSample(median);
+        this.#onSample(sorted[sorted.length >> 1]);
     }
 }
 
-function getMedian(pauses: readonly number[]): number {
-    return pauses.toSorted((left, right) => left - right)[pauses.length >> 1];
-}
-
 /**
  * Passes on the parts of an answer and measures the pauses between them.
  * @param body - The parts.
  * @param getNow - Returns the monotonic time.
- * @param listener - Receives what is learned.
+ * @param onSample - Receives medians of pauses, in milliseconds.
  */
 export async function* measurePauses(
     body: AsyncIterable<Buffer>,
     getNow: () => number,
-    listener: PauseListener,
+    onSample: (milliseconds: number) => void,
 ): AsyncGenerator<Buffer, void, void> {
-    const window = new PauseWindow(listener);
+    const window = new PauseWindow(onSample);
     let waitedSince = getNow();
     try {
         for await (const part of body) {
--- a/src/rollouts/attemptWatch.ts
+++ b/src/rollouts/attemptWatch.ts
@@ -1,9 +1,11 @@
 /**
  * Watches one attempt at an upstream of a pool that is being moved to another version.
  */
-import { usualPauseCount } from "../pace/index.js";
 import type { EvidenceKind, EvidencePause, EvidenceTime } from "./rolloutEvidence.js";
 
+/** Number of pauses of a stream after which its usual pause is known. */
+const usualPauseCount = 16;
+
 /** An attempt that begins. */
 export interface WatchedAttempt extends EvidenceKind {
     readonly upstream: string;
