Write down what repeats beyond the budget look like while callers move, before any mend

Change: tests only. The storms take ways of answering, load, callers and kinds of requests as functions of time (stormRunners), their windows are counted apart (retryWindows), and a result also tells repeats at too many runners, with too much time, and the worst window by nodes. No logic is changed.

--- a/test/platform/retryStorm.ts
+++ b/test/platform/retryStorm.ts
@@ -5,39 +5,54 @@
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createConfiguration, type Cut, type PlatformSite, type SiteNode } from "./platformSite.js";
-import { createSeal, type ReceivedRequest } from "./standins/runnerStandin.js";
+import {
+    countPaying,
+    countWithin,
+    findRepeats,
+    findWindows,
+    type PayingRequests,
+    type RetryWindow,
+    type TimedRequest,
+} from "./retryWindows.js";
+import type { ReceivedRequest } from "./standins/runnerStandin.js";
 import type { StoreStandin } from "./standins/storeStandin.js";
+import { answerInWay, type FailureWay, isRejection } from "./stormRunners.js";
 
 const runnerCount = 6;
 const maxAttempts = 4;
-const failureMilliseconds = 25;
-/** Longer than callers wait. */
-const silenceMilliseconds = 4_000;
 /** The settings of the test sites. */
-const windowMilliseconds = 10_000;
-const retryRatio = 0.9;
-const retryExtra = 40;
-/** Distance between the starts of two windows that are checked. */
-const windowStepMilliseconds = 250;
+const retryAllowance = { ratio: 0.9, extra: 40 };
+const models = ["small", "middle", "large"];
+const deadlineMilliseconds = 3_000;
+const longDeadlineMilliseconds = 20_000;
+/** Time by which a runner may go on beyond what its caller waits, and from which on an attempt is a late one. */
+const overlongMilliseconds = 500;
+const tokens = { prompt: 400, output: 40 };
 
-/** How the runners fail. */
-export type FailureWay = "reset" | "broken-off" | "broken-event" | "error" | "silent";
+/** What callers ask for: a call, a stream, or a stream of the model that the nodes choose. */
+export type StormKind = "call" | "stream" | "prompt";
 
 /** Load on a site and what is done to it. */
 export interface StormOptions {
     readonly way: FailureWay;
+    /** Returns how the runners answer at a time since the start of the load; by default always in the same way. */
+    readonly getWay?: ((milliseconds: number) => FailureWay) | undefined;
     readonly requestsPerSecond: number;
+    /** Returns the load at a time, as a factor of the usual one. */
+    readonly getLoad?: ((milliseconds: number) => number) | undefined;
+    /** Returns the index of the node that gets a request; by default all in turn. */
+    readonly chooseNode?: ((count: number, milliseconds: number) => number) | undefined;
+    /** What callers ask for in turn; by default what suits the way. */
+    readonly kinds?: readonly StormKind[] | undefined;
     readonly milliseconds: number;
     /** Disturbs the nodes until the signal is aborted. */
     readonly disturb?: ((storm: RetryStorm, signal: AbortSignal) => Promise<void>) | undefined;
 }
 
-/** The repeats that reached the runners in one window, and those that are allowed. */
-export interface RetryWindow {
-    /** Start of the window since the start of the load, in milliseconds. */
-    readonly from: number;
+/** What one node got and sent again in a window. */
+export interface NodeWindow extends PayingRequests {
+    readonly node: string;
     readonly repeats: number;
-    readonly allowed: number;
 }
 
 /** What came of a storm. */
@@ -48,36 +63,78 @@
     /** Requests that reached a runner, and arrivals beyond the first of each. */
     readonly arrived: number;
     readonly repeats: number;
+    /** Requests that more runners got than their route allows, apart from those that rejected them. */
+    readonly scattered: readonly string[];
+    /** The worst window, by the nodes that got its requests. */
+    readonly byNode: readonly NodeWindow[];
+    /** Repeats that were given more time than their callers had left, and all that were sent so late. */
+    readonly overlong: number;
+    readonly late: number;
 }
 
-interface TimedRequest {
-    readonly id: string;
-    /** Milliseconds since the start of the load. */
-    readonly at: number;
+/** A request as a runner received it. */
+interface Arrival extends TimedRequest {
+    readonly runner: string;
+    readonly isRejected: boolean;
+    /** Time that the runner was given, in milliseconds. */
+    readonly milliseconds: number;
+}
+
+interface SentRequest extends TimedRequest {
+    /** Address of the node that got it. */
+    readonly node: string;
+    /** Time for which its caller waits. */
+    readonly milliseconds: number;
+}
+
+interface RouteRecord {
+    readonly name: string;
+}
+
+/** Options of a `RetryStorm`. */
+export interface RetryStormOptions {
+    /** Number of nodes. */
+    readonly nodeCount?: number;
+    /** Whether runners have several models, of which the nodes choose. */
+    readonly hasModels?: boolean;
+    /** The retries that the settings of the site allow. */
+    readonly allowance?: { readonly ratio: number; readonly extra: number; };
 }
 
 /** Sends requests to nodes in turn while all runners fail, and counts what arrives. */
 export class RetryStorm {
     readonly #site: PlatformSite;
     readonly #nodeCount: number;
-    readonly #sent: TimedRequest[] = [];
-    readonly #arrivals: TimedRequest[] = [];
+    readonly #hasModels: boolean;
+    readonly #allowance: { readonly ratio: number; readonly extra: number; };
+    readonly #sent: SentRequest[] = [];
+    readonly #arrivals: Arrival[] = [];
     #startedAt = 0;
 
     /**
      * @param site - The site, which is not started yet.
-     * @param nodeCount - Number of its nodes.
+     * @param options - What differs from the usual site.
      */
-    constructor(site: PlatformSite, nodeCount = 8) {
+    constructor(
+        site: PlatformSite,
+        { nodeCount = 8, hasModels = false, allowance = retryAllowance }: RetryStormOptions = {},
+    ) {
         this.#site = site;
         this.#nodeCount = nodeCount;
+        this.#hasModels = hasModels;
+        this.#allowance = allowance;
     }
 
     /** Starts the site, and waits until all nodes know each other. */
     async start(): Promise<void> {
         const site = this.#site;
         await site.start(runnerCount);
-        site.store.put("keyed.op", "config", createStormConfiguration());
+        if (this.#hasModels) {
+            for (const id of site.runners.keys()) {
+                site.register(id, { models: models.map(name => ({ name, version: 1 })) });
+            }
+        }
+        site.store.put("keyed.op", "config", createStormConfiguration(this.#hasModels));
         for (let index = 1; index <= this.#nodeCount; index += 1) {
             site.startCuttableNode(index);
         }
@@ -93,8 +150,8 @@
     async run(options: StormOptions): Promise<StormResult> {
         this.#sent.length = 0;
         this.#arrivals.length = 0;
-        for (const runner of this.#site.runners.values()) {
-            runner.behaviour = (request, response) => this.#fail(options.way, request, response);
+        for (const [id, runner] of this.#site.runners) {
+            runner.behaviour = (request, response) => this.#answer(options, { runner: id, request, response });
         }
         this.#startedAt = performance.now();
         const ending = new AbortController();
@@ -146,23 +203,31 @@
     }
 
     async #sendAll(options: StormOptions): Promise<readonly Promise<void>[]> {
+        const { getLoad, chooseNode, kinds = [getKind(options.way)] } = options;
         const pending: Promise<void>[] = [];
-        const pauseMilliseconds = 1_000 / options.requestsPerSecond;
+        let dueAt = 0;
         while (this.#getElapsed() < options.milliseconds) {
-            const node = this.#site.nodes[pending.length % this.#nodeCount];
-            pending.push(this.#send(node, options.way));
-            await sleep(Math.max(0, pending.length * pauseMilliseconds - this.#getElapsed()));
+            const count = pending.length;
+            const index = chooseNode?.(count, this.#getElapsed()) ?? count;
+            pending.push(this.#send(this.#site.nodes[index % this.#nodeCount], kinds[count % kinds.length]));
+            dueAt += 1_000 / (options.requestsPerSecond * (getLoad?.(this.#getElapsed()) ?? 1));
+            await sleep(Math.max(0, dueAt - this.#getElapsed()));
         }
         return pending;
     }
 
-    async #send(node: SiteNode, way: FailureWay): Promise<void> {
+    async #send(node: SiteNode, kind: StormKind): Promise<void> {
         const id = `storm-${this.#sent.length}`;
-        this.#sent.push({ id, at: this.#getElapsed() });
+        const milliseconds = kind === "prompt" ? longDeadlineMilliseconds : deadlineMilliseconds;
+        this.#sent.push({ id, at: this.#getElapsed(), node: node.address, milliseconds });
         try {
             await this.#site.send(node, {
-                path: way === "broken-event" ? "/stream/1" : "/call/1",
-                headers: { "attempt-id": id },
+                path: kind === "call" ? "/call/1" : "/stream/1",
+                headers: {
+                    "attempt-id": id,
+                    "deadline-ms": String(milliseconds),
+                    ...(kind === "prompt" ? createPromptHeaders(this.#sent.length) : {}),
+                },
             });
         }
         catch {
@@ -170,22 +235,27 @@
         }
     }
 
-    async #fail(way: FailureWay, request: ReceivedRequest, response: ServerResponse): Promise<void> {
-        this.#arrivals.push({ id: String(request.headers["attempt-id"]), at: this.#getElapsed() });
-        if (way === "error") {
-            await sleep(failureMilliseconds);
-            response.writeHead(500, createSeal(request)).end("failed");
-            return;
-        }
-        if (way === "broken-off") {
-            response.writeHead(200, { ...createSeal(request), "Content-Length": "100" }).write("half");
-        }
-        if (way === "broken-event") {
-            response.writeHead(200, { ...createSeal(request), "Content-Type": "text/event-stream" });
-            response.write("id: 1\ndata: on");
+    async #answer(
+        options: StormOptions,
+        { runner, request, response }: {
+            readonly runner: string;
+            readonly request: ReceivedRequest;
+            readonly response: ServerResponse;
+        },
+    ): Promise<void> {
+        const at = this.#getElapsed();
+        const way = options.getWay?.(at) ?? options.way;
+        // Requests of the nodes themselves have other paths.
+        if (/^.(call|stream)/.test(request.target)) {
+            this.#arrivals.push({
+                id: String(request.headers["attempt-id"]),
+                at,
+                runner,
+                isRejected: isRejection(way),
+                milliseconds: Number(request.headers["deadline-ms"]),
+            });
         }
-        await sleep(way === "silent" ? silenceMilliseconds : failureMilliseconds);
-        response.destroy();
+        await answerInWay(way, request, response);
     }
 
     #getElapsed(): number {
@@ -194,41 +264,96 @@
 
     #evaluate(): StormResult {
         const repeats = findRepeats(this.#arrivals);
-        const windows: RetryWindow[] = [];
-        const end = this.#getElapsed();
-        for (let from = -windowMilliseconds; from < end; from += windowStepMilliseconds) {
-            const requests = [from, from - windowMilliseconds / 2, from - windowMilliseconds]
-                .map(start => countWithin(this.#sent, start));
-            windows.push({
-                from,
-                repeats: countWithin(repeats, from),
-                allowed: Math.floor(retryRatio * Math.max(...requests) + retryExtra),
-            });
-        }
+        const windows = findWindows(this.#sent, repeats, this.#allowance);
         const getUse = ({ repeats: count, allowed }: RetryWindow): number => count / allowed;
+        const worst = windows.reduce((other, window) => getUse(window) > getUse(other) ? window : other);
         return {
-            worst: windows.reduce((worst, window) => getUse(window) > getUse(worst) ? window : worst),
+            worst,
+            byNode: this.#divide(worst, repeats),
             broken: windows.filter(window => window.repeats > window.allowed),
             arrived: this.#arrivals.length - repeats.length,
             repeats: repeats.length,
+            scattered: findScattered(this.#arrivals.filter(({ isRejected }) => !isRejected)),
+            ...this.#countOverlong(),
         };
     }
+
+    /** Divides a window by the nodes that got its requests. */
+    #divide({ from }: RetryWindow, repeats: readonly TimedRequest[]): readonly NodeWindow[] {
+        const nodes = new Map(this.#sent.map(({ id, node }) => [id, node]));
+        return this.getNodes().map(({ address }) => ({
+            node: address,
+            ...countPaying(this.#sent.filter(({ node }) => node === address), from),
+            repeats: countWithin(repeats.filter(({ id }) => nodes.get(id) === address), from),
+        }));
+    }
+
+    /** Counts the repeats that were sent well after their first attempts, and those whose runners may go on for too long. */
+    #countOverlong(): Pick<StormResult, "overlong" | "late"> {
+        const sent = new Map(this.#sent.map(request => [request.id, request]));
+        const first = new Map<string, Arrival>();
+        let [late, overlong] = [0, 0];
+        for (const arrival of this.#arrivals) {
+            const earlier = first.get(arrival.id);
+            const request = sent.get(arrival.id);
+            if (earlier === undefined || request === undefined) {
+                first.set(arrival.id, arrival);
+                continue;
+            }
+            if (arrival.at - earlier.at > overlongMilliseconds) {
+                late += 1;
+                const end = Math.max(getEnd(earlier), getEnd(request)) + overlongMilliseconds;
+                overlong += getEnd(arrival) > end ? 1 : 0;
+            }
+        }
+        return { late, overlong };
+    }
 }
 
-/** Creates a configuration in which calls and streams may be sent to four runners. */
-function createStormConfiguration(): object {
-    const configuration = createConfiguration(2) as { readonly routes: readonly object[]; };
-    const routes = configuration.routes
-        .filter(route => (route as { readonly name: string; }).name !== "booking")
-        .map(route => ({ ...route, max_attempts: maxAttempts }));
-    return { ...configuration, routes };
+function getEnd({ at, milliseconds }: Pick<SentRequest, "at" | "milliseconds">): number {
+    return at + milliseconds;
 }
 
-function findRepeats(arrivals: readonly TimedRequest[]): readonly TimedRequest[] {
-    const seen = new Set<string>();
-    return arrivals.filter(({ id }) => seen.size === seen.add(id).size);
+/** Returns the requests that more runners got than their route allows. */
+function findScattered(arrivals: readonly Arrival[]): readonly string[] {
+    const runners = new Map<string, Set<string>>();
+    for (const { id, runner } of arrivals) {
+        runners.set(id, (runners.get(id) ?? new Set()).add(runner));
+    }
+    return [...runners].filter(([, { size }]) => size > maxAttempts).map(([id]) => id);
+}
+
+/** Returns what callers ask for so that a way of failing shows. */
+function getKind(way: FailureWay): StormKind {
+    return way.endsWith("-event") || way === "late-reset" ? "stream" : "call";
+}
+
+/** Creates a configuration in which calls and streams may be sent to several runners. */
+function createStormConfiguration(hasModels: boolean): object {
+    const configuration = createConfiguration(2) as { readonly routes: readonly RouteRecord[]; };
+    const routes = configuration.routes
+        .filter(({ name }) => name !== "booking")
+        .map(route => ({
+            ...route,
+            max_attempts: maxAttempts,
+            ...(route.name === "stream" && hasModels ? { sizes: models, timeout_ms: longDeadlineMilliseconds } : {}),
+        }));
+    const engine = { models: models.map((name, index) => ({ name, cost: index + 1 })) };
+    const services = (configuration as { services?: readonly object[]; }).services ?? [];
+    return {
+        ...configuration,
+        routes,
+        services: services.map(service => hasModels ? { ...service, engine } : service),
+    };
 }
 
-function countWithin(requests: readonly TimedRequest[], from: number): number {
-    return requests.filter(({ at }) => at >= from && at < from + windowMilliseconds).length;
+/** Creates the headers of a prompt that any model may answer, with parts that others have too. */
+function createPromptHeaders(count: number): Readonly<Record<string, string>> {
+    return {
+        "model": "*",
+        "token-count": `${tokens.prompt},${tokens.output}`,
+        "prompt-prefix": `f1:${tokens.prompt / 2},b${count % runnerCount}:${tokens.prompt / 4},c${count}:${
+            tokens.prompt / 4
+        }`,
+    };
 }
--- a/test/platform/retryStormCases.ts
+++ b/test/platform/retryStormCases.ts
@@ -4,7 +4,8 @@
 import { once } from "node:events";
 import { setTimeout as sleep } from "node:timers/promises";
 import { RandomSource } from "../../src/common/index.js";
-import type { FailureWay, RetryStorm, StormOptions } from "./retryStorm.js";
+import type { RetryStorm, StormOptions } from "./retryStorm.js";
+import { type FailureWay, failureWays } from "./stormRunners.js";
 
 /** A storm with a name. */
 export type StormCase = Omit<StormOptions, "milliseconds"> & { readonly name: string; };
@@ -22,6 +23,14 @@
 const minDrawnRate = 8;
 const maxDrawnRate = 40;
 const maxDrawnPauseMilliseconds = 1_500;
+/** Times between two changes of what a mixed storm draws, and the longest storm for which they are drawn. */
+const minStepMilliseconds = 1_500;
+const maxStepMilliseconds = 9_000;
+const maxStormMilliseconds = 120_000;
+/** Loads of mixed storms, as factors of the usual one. */
+const drawnLoads = [0.1, 0.5, 1, 1, 2];
+/** One mixed storm in so many leaves the nodes alone. */
+const undisturbedInterval = 3;
 /** Small seeds alone would all draw the same first numbers. */
 const seedFactor = 48_271;
 /** Kinds of disturbances; kills are drawn for the last ones. */
@@ -68,6 +77,23 @@
     { name: "all paused", way: "reset", requestsPerSecond: 40, disturb: pauseAll },
 ];
 
+/** Creates a storm in which streams last before they fail, load comes in bursts, and callers move from some nodes to the others. */
+export function createMovingCase(
+    way: FailureWay,
+    requestsPerSecond: number,
+    burstMilliseconds: number,
+    moveMilliseconds: number,
+): StormCase {
+    return {
+        name: `moving, bursts of ${burstMilliseconds}, moves of ${moveMilliseconds}`,
+        way,
+        requestsPerSecond,
+        getLoad: at => Math.floor(at / burstMilliseconds) % 2 === 0 ? 2 : 0.1,
+        chooseNode: (count, at) => (Math.floor(at / moveMilliseconds) % 2) * 3 + count % 3,
+        kinds: ["prompt"],
+    };
+}
+
 /** Creates a storm in which processes are killed, stopped and paused, and the store and the runners are away, in an order drawn from a seed. */
 export function createDrawnCase(seed: number): StormCase {
     const random = new RandomSource(seed * seedFactor);
@@ -86,6 +112,36 @@
     };
 }
 
+/**
+ * Creates a storm in which also the ways in which runners answer change, the load rises and falls, and callers move from some nodes to others.
+ */
+export function createMixedCase(seed: number): StormCase {
+    const drawn = createDrawnCase(seed);
+    const random = new RandomSource(seed * seedFactor + 1);
+    const ways = drawSteps(random, () => failureWays[random.nextInteger(failureWays.length)]);
+    const loads = drawSteps(random, () => drawnLoads[random.nextInteger(drawnLoads.length)]);
+    const moves = drawSteps(random, () => ({ from: random.nextInteger(8), count: 1 + random.nextInteger(8) }));
+    return {
+        ...drawn,
+        name: `mixed ${seed}`,
+        disturb: seed % undisturbedInterval === 0 ? undefined : drawn.disturb,
+        getWay: ways,
+        getLoad: loads,
+        chooseNode: (count, at) => moves(at).from + count % moves(at).count,
+        kinds: ["call", "stream", "prompt"],
+    };
+}
+
+/** Draws what changes every few seconds. */
+function drawSteps<T>(random: RandomSource, drawStep: () => T): (milliseconds: number) => T {
+    const steps: { readonly until: number; readonly value: T; }[] = [];
+    for (let until = 0; until < maxStormMilliseconds;) {
+        until += minStepMilliseconds + random.nextInteger(maxStepMilliseconds - minStepMilliseconds);
+        steps.push({ until, value: drawStep() });
+    }
+    return milliseconds => (steps.find(({ until }) => milliseconds < until) ?? steps[steps.length - 1]).value;
+}
+
 async function drawDisturbance(
     storm: RetryStorm,
     nodes: ReturnType<RetryStorm["getNodes"]>,
--- a/test/platform/retryStormMain.ts
+++ b/test/platform/retryStormMain.ts
@@ -1,24 +1,34 @@
 /**
  * Runs storms of failing requests on real nodes, one after the other, and prints the worst window of each.
- * Without arguments, runs all of the table. `drawn FIRST COUNT` runs storms that are drawn from as many seeds.
+ * Without arguments, runs all of the table. `drawn FIRST COUNT` runs storms that are drawn from as many seeds,
+ * `mixed FIRST COUNT` those in which also the runners, the load and the callers change. A fourth argument is the first block of addresses.
  */
 import { PlatformSite } from "./platformSite.js";
 import { RetryStorm } from "./retryStorm.js";
-import { createDrawnCase, type StormCase, stormCases } from "./retryStormCases.js";
+import { createDrawnCase, createMixedCase, createMovingCase, type StormCase, stormCases } from "./retryStormCases.js";
 
 const stormMilliseconds = 24_000;
 const firstBlock = 100;
 
+/** The settings and the nodes of a site with several models. */
+const siteWithModels = { nodeCount: 6, hasModels: true, allowance: { ratio: 0.9, extra: 52 } };
+
 async function runCase({ name, ...options }: StormCase, prefix: string): Promise<boolean> {
-    const site = new PlatformSite(prefix);
+    const hasModels = options.kinds?.includes("prompt") === true;
+    const site = new PlatformSite(prefix, hasModels ? { budget_extra: siteWithModels.allowance.extra } : {});
     try {
-        const storm = new RetryStorm(site);
+        const storm = new RetryStorm(site, hasModels ? siteWithModels : {});
         await storm.start();
-        const { worst, broken, arrived, repeats } = await storm.run({ ...options, milliseconds: stormMilliseconds });
+        const result = await storm.run({ ...options, milliseconds: stormMilliseconds });
+        const { worst, broken, arrived, repeats, scattered, overlong, late, byNode } = result;
         console.log(
             `${name}, ${options.way}, ${options.requestsPerSecond}/s: ${worst.repeats} of ${worst.allowed} from ${worst.from} ms, `
-                + `${broken.length} windows broken; ${arrived} requests and ${repeats} repeats arrived`,
+                + `${broken.length} windows broken; ${arrived} requests and ${repeats} repeats arrived; `
+                + `${scattered.length} at too many runners, ${overlong} of ${late} late ones with too much time`,
         );
+        if (broken.length > 0) {
+            console.table(byNode);
+        }
         return broken.length === 0;
     }
     finally {
@@ -27,16 +37,20 @@
 }
 
 function getCases(): readonly StormCase[] {
-    const [mode, first, count] = process.argv.slice(2);
-    return mode === "drawn"
-        ? Array.from({ length: Number(count) }, (...[, index]) => createDrawnCase(Number(first) + index))
-        : stormCases;
+    if (mode === "moving") {
+        return [createMovingCase("late-reset", 20, 10_000, 5_000), createMovingCase("late-reset", 20, 5_000, 3_000)];
+    }
+    const create = mode === "mixed" ? createMixedCase : createDrawnCase;
+    return mode === undefined
+        ? stormCases
+        : Array.from({ length: Number(count) }, (...[, index]) => create(Number(first) + index));
 }
 
+const [mode, first, count, block = "74"] = process.argv.slice(2);
 let failed = 0;
 const cases = getCases();
 for (const [index, stormCase] of cases.entries()) {
-    failed += await runCase(stormCase, `127.74.${firstBlock + index % firstBlock}`) ? 0 : 1;
+    failed += await runCase(stormCase, `127.${block}.${firstBlock + index % firstBlock}`) ? 0 : 1;
 }
 console.log(`${failed} of ${cases.length} storms broke the budget`);
 process.exitCode = failed === 0 ? 0 : 1;
