Hold the retries of the last whole window to its own requests again

A fleet whose nodes get a few requests in ten seconds each then took one retry for each request while all of them failed: 11 of 15 replays (30 to 120 nodes, 5 to 100 requests a second) exceeded the budget; none did before.

Change: the bound stands beside the one by fixed shares. It only takes retries away, so what adds up still does.

--- a/src/decisions/retries/windowedRetryBudget.ts
+++ b/src/decisions/retries/windowedRetryBudget.ts
@@ -11,8 +11,8 @@
 const safetyFactor = 0.88;
 
 /**
- * Standard deviations by which one node's count of a window may be below its part of all requests. Without it, a node that gets a request
- * every few seconds would hardly send one again.
+ * Standard deviations by which one node's count of a part of the window may be below its part of all requests. Without it, a node that gets
+ * a request every few seconds would hardly send one again.
  */
 const deviationFactor = 1;
 
@@ -68,8 +68,8 @@
 /**
  * Counts the requests and the retries of one pool. Each node applies the ratio to its own requests, so it also holds for the sum of all
  * nodes, without coordination. When every request fails, the load on the pool is at most (1 + ratio) times the callers' load, apart from
- * the extra. The retries since any earlier time are compared with fixed shares of the requests of two windows. If each node chose the better
- * of the two, some would be paid by one window while others are paid by the other, as callers move from the ones to the others.
+ * the extra. The retries since any earlier time are also compared with fixed shares of the requests of two windows. If each node chose the
+ * better of the two, some would be paid by one window while others are paid by the other, as callers move from the ones to the others.
  */
 export class WindowedRetryBudget {
     readonly #options: WindowedRetryBudgetOptions;
@@ -95,7 +95,7 @@
     getRemaining(newRequests = 0): number {
         const totals = this.#sumUp(newRequests);
         const { ratio } = this.#options.getAllowance();
-        let remaining = Number.POSITIVE_INFINITY;
+        let remaining = ratio * totals.requests[sliceCount] - totals.retries[sliceCount] / safetyFactor;
         for (let length = 1; length <= sliceCount; length += 1) {
             const requests = getPayingRequests(totals, length);
             const tolerated = requests + deviationFactor * Math.sqrt(requests);
@@ -110,7 +110,7 @@
      */
     getAllowed(newRequests = 0): number {
         const { ratio } = this.#options.getAllowance();
-        return safetyFactor * (ratio * getPayingRequests(this.#sumUp(newRequests), sliceCount) + this.#getExtra());
+        return safetyFactor * (ratio * this.#sumUp(newRequests).requests[sliceCount] + this.#getExtra());
     }
 
     /** Returns what the budget counts in its window. */
--- a/test/decisions/retries/sharedRetryBudget.test.ts
+++ b/test/decisions/retries/sharedRetryBudget.test.ts
@@ -239,6 +239,18 @@
         expect(brokenCases).toEqual([]);
     });
 
+    it("hold while so many nodes that each gets few requests are left alone", () => {
+        const brokenCases: (readonly [number, number])[] = [];
+        for (const nodes of [30, 60, 120]) {
+            for (const rate of [5, 20, 40, 60, 100]) {
+                if (replay({ nodes, getRate: () => rate }).broken.length > 0) {
+                    brokenCases.push([nodes, rate]);
+                }
+            }
+        }
+        expect(brokenCases).toEqual([]);
+    });
+
     it("hold while load, callers and the time to a failure change in any order", () => {
         const brokenSeeds: number[] = [];
         for (let seed = 1; seed <= 50; seed += 1) {
--- a/test/platform/retryStorm.ts
+++ b/test/platform/retryStorm.ts
@@ -112,7 +112,7 @@
 /** Sends requests to nodes in turn while all runners fail, and counts what arrives. */
 export class RetryStorm {
     readonly #site: PlatformSite;
-    readonly #nodeCount: number;
+    #nodeCount: number;
     readonly #hasModels: boolean;
     readonly #allowance: { readonly ratio: number; readonly extra: number; };
     readonly #sent: SentRequest[] = [];
@@ -192,6 +192,25 @@
         }));
     }
 
+    /** Adds nodes, which get requests when they are ready. */
+    async add(count: number): Promise<void> {
+        for (let index = 1; index <= count; index += 1) {
+            const node = this.#site.startCuttableNode(this.#nodeCount + 1);
+            await this.#site.waitForReady(node);
+            this.#nodeCount += 1;
+        }
+    }
+
+    /** Ends the last nodes for good. */
+    async remove(count: number): Promise<void> {
+        const removed = this.getNodes(this.#nodeCount - count);
+        this.#nodeCount -= count;
+        for (const node of removed) {
+            node.child.kill("SIGKILL");
+            await node.exited;
+        }
+    }
+
     /** Pauses nodes for a while. */
     async pause(nodes: readonly SiteNode[], milliseconds: number): Promise<void> {
         for (const node of nodes) {
--- a/test/platform/retryStormCases.ts
+++ b/test/platform/retryStormCases.ts
@@ -19,6 +19,8 @@
 const pauseMilliseconds = 4_000;
 const betweenPausesMilliseconds = 2_500;
 const cutMilliseconds = 4_000;
+const addMilliseconds = 2_000;
+const addedNodes = 4;
 /** Requests a second of drawn storms, and the longest time between two of their disturbances. */
 const minDrawnRate = 8;
 const maxDrawnRate = 40;
@@ -53,6 +55,11 @@
     storm.setCut(nodes, "none");
 });
 
+const addAndRemove = repeat(
+    addMilliseconds,
+    (storm, count) => count % 2 === 0 ? storm.add(addedNodes) : storm.remove(addedNodes),
+);
+
 /** All storms. */
 export const stormCases: readonly StormCase[] = [
     { name: "left alone", way: "reset", requestsPerSecond: 8 },
@@ -72,6 +79,8 @@
     { name: "all killed again and again", way: "error", requestsPerSecond: 8, disturb: killAll },
     { name: "all killed again and again", way: "reset", requestsPerSecond: 40, disturb: killAll },
     { name: "halves killed in turn", way: "reset", requestsPerSecond: 8, disturb: killHalves },
+    { name: "nodes added and removed", way: "reset", requestsPerSecond: 8, disturb: addAndRemove },
+    { name: "nodes added and removed", way: "reset", requestsPerSecond: 40, disturb: addAndRemove },
     { name: "all paused", way: "reset", requestsPerSecond: 8, disturb: pauseAll },
     { name: "all paused", way: "reset", requestsPerSecond: 20, disturb: pauseAll },
     { name: "all paused", way: "reset", requestsPerSecond: 40, disturb: pauseAll },
