--- a/test/platform/retryStorm.ts
+++ b/test/platform/retryStorm.ts
@@ -4,30 +4,23 @@
 import { writeFileSync } from "node:fs";
 import type { ServerResponse } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createConfiguration, type Cut, type PlatformSite, type SiteNode } from "./platformSite.js";
-import {
-    countPaying,
-    countWithin,
-    findRepeats,
-    findWindows,
-    type PayingRequests,
-    type RetryWindow,
-    type TimedRequest,
-} from "./retryWindows.js";
+import type { Cut, PlatformSite, SiteNode } from "./platformSite.js";
+import type { RetryAllowance } from "./retryWindows.js";
 import type { ReceivedRequest } from "./standins/runnerStandin.js";
 import type { StoreStandin } from "./standins/storeStandin.js";
+import { type Arrival, evaluateStorm, type SentRequest, type StormResult } from "./stormResult.js";
 import { answerInWay, type FailureWay, isRejection } from "./stormRunners.js";
+import {
+    createPromptHeaders,
+    createStormConfiguration,
+    createStormRecord,
+    longDeadlineMilliseconds,
+    runnerCount,
+} from "./stormSite.js";
 
-const runnerCount = 6;
-const maxAttempts = 4;
 /** The settings of the test sites. */
 const retryAllowance = { ratio: 0.9, extra: 40 };
-const models = ["small", "middle", "large"];
 const deadlineMilliseconds = 3_000;
-const longDeadlineMilliseconds = 20_000;
-/** Time by which a runner may go on beyond what its caller waits, and from which on an attempt is a late one. */
-const overlongMilliseconds = 500;
-const tokens = { prompt: 400, output: 40 };
 
 /** What callers ask for: a call, a stream, or a stream of the model that the nodes choose. */
 export type StormKind = "call" | "stream" | "prompt";
@@ -49,48 +42,6 @@
     readonly disturb?: ((storm: RetryStorm, signal: AbortSignal) => Promise<void>) | undefined;
 }
 
-/** What one node got and sent again in a window. */
-export interface NodeWindow extends PayingRequests {
-    readonly node: string;
-    readonly repeats: number;
-}
-
-/** What came of a storm. */
-export interface StormResult {
-    /** The window with the most repeats compared to those allowed. */
-    readonly worst: RetryWindow;
-    readonly broken: readonly RetryWindow[];
-    /** Requests that reached a runner, and arrivals beyond the first of each. */
-    readonly arrived: number;
-    readonly repeats: number;
-    /** Requests that more runners got than their route allows, apart from those that rejected them. */
-    readonly scattered: readonly string[];
-    /** The worst window, by the nodes that got its requests. */
-    readonly byNode: readonly NodeWindow[];
-    /** Repeats that were given more time than their callers had left, and all that were sent so late. */
-    readonly overlong: number;
-    readonly late: number;
-}
-
-/** A request as a runner received it. */
-interface Arrival extends TimedRequest {
-    readonly runner: string;
-    readonly isRejected: boolean;
-    /** Time that the runner was given, in milliseconds. */
-    readonly milliseconds: number;
-}
-
-interface SentRequest extends TimedRequest {
-    /** Address of the node that got it. */
-    readonly node: string;
-    /** Time for which its caller waits. */
-    readonly milliseconds: number;
-}
-
-interface RouteRecord {
-    readonly name: string;
-}
-
 /** Options of a `RetryStorm`. */
 export interface RetryStormOptions {
     /** Number of nodes. */
@@ -98,23 +49,15 @@
     /** Whether runners have several models, of which the nodes choose. */
     readonly hasModels?: boolean;
     /** The retries that the settings of the site allow. */
-    readonly allowance?: { readonly ratio: number; readonly extra: number; };
+    readonly allowance?: RetryAllowance;
 }
 
-/** A site of nodes that choose among several models, and the bounds in its settings. */
-export const siteWithModels = {
-    nodeCount: 6,
-    hasModels: true,
-    allowance: { ratio: 0.9, extra: 52 },
-    bounds: { retry_budget_ratio: 0.9, budget_extra: 52 },
-} as const;
-
 /** Sends requests to nodes in turn while all runners fail, and counts what arrives. */
 export class RetryStorm {
     readonly #site: PlatformSite;
     #nodeCount: number;
     readonly #hasModels: boolean;
-    readonly #allowance: { readonly ratio: number; readonly extra: number; };
+    readonly #allowance: RetryAllowance;
     readonly #sent: SentRequest[] = [];
     readonly #arrivals: Arrival[] = [];
     #startedAt = 0;
@@ -139,7 +82,7 @@
         await site.start(runnerCount);
         if (this.#hasModels) {
             for (const id of site.runners.keys()) {
-                site.register(id, { models: models.map(name => ({ name, version: 1 })) });
+                site.register(id, createStormRecord());
             }
         }
         site.store.put("keyed.op", "config", createStormConfiguration(this.#hasModels));
@@ -168,7 +111,12 @@
         ending.abort();
         await disturbing;
         await Promise.all(pending);
-        return this.#evaluate();
+        return evaluateStorm({
+            sent: this.#sent,
+            arrivals: this.#arrivals,
+            nodes: this.getNodes().map(({ address }) => address),
+            allowance: this.#allowance,
+        });
     }
 
     /** The site's store. */
@@ -288,99 +236,9 @@
     #getElapsed(): number {
         return performance.now() - this.#startedAt;
     }
-
-    #evaluate(): StormResult {
-        const repeats = findRepeats(this.#arrivals);
-        const windows = findWindows(this.#sent, repeats, this.#allowance);
-        const getUse = ({ repeats: count, allowed }: RetryWindow): number => count / allowed;
-        const worst = windows.reduce((other, window) => getUse(window) > getUse(other) ? window : other);
-        return {
-            worst,
-            byNode: this.#divide(worst, repeats),
-            broken: windows.filter(window => window.repeats > window.allowed),
-            arrived: this.#arrivals.length - repeats.length,
-            repeats: repeats.length,
-            scattered: findScattered(this.#arrivals.filter(({ isRejected }) => !isRejected)),
-            ...this.#countOverlong(),
-        };
-    }
-
-    /** Divides a window by the nodes that got its requests. */
-    #divide({ from }: RetryWindow, repeats: readonly TimedRequest[]): readonly NodeWindow[] {
-        const nodes = new Map(this.#sent.map(({ id, node }) => [id, node]));
-        return this.getNodes().map(({ address }) => ({
-            node: address,
-            ...countPaying(this.#sent.filter(({ node }) => node === address), from),
-            repeats: countWithin(repeats.filter(({ id }) => nodes.get(id) === address), from),
-        }));
-    }
-
-    /** Counts the repeats that were sent well after their first attempts, and those whose runners may go on for too long. */
-    #countOverlong(): Pick<StormResult, "overlong" | "late"> {
-        const sent = new Map(this.#sent.map(request => [request.id, request]));
-        const first = new Map<string, Arrival>();
-        let [late, overlong] = [0, 0];
-        for (const arrival of this.#arrivals) {
-            const earlier = first.get(arrival.id);
-            const request = sent.get(arrival.id);
-            if (earlier === undefined || request === undefined) {
-                first.set(arrival.id, arrival);
-                continue;
-            }
-            if (arrival.at - earlier.at > overlongMilliseconds) {
-                late += 1;
-                const end = Math.max(getEnd(earlier), getEnd(request)) + overlongMilliseconds;
-                overlong += getEnd(arrival) > end ? 1 : 0;
-            }
-        }
-        return { late, overlong };
-    }
-}
-
-function getEnd({ at, milliseconds }: Pick<SentRequest, "at" | "milliseconds">): number {
-    return at + milliseconds;
-}
-
-/** Returns the requests that more runners got than their route allows. */
-function findScattered(arrivals: readonly Arrival[]): readonly string[] {
-    const runners = new Map<string, Set<string>>();
-    for (const { id, runner } of arrivals) {
-        runners.set(id, (runners.get(id) ?? new Set()).add(runner));
-    }
-    return [...runners].filter(([, { size }]) => size > maxAttempts).map(([id]) => id);
 }
 
 /** Returns what callers ask for so that a way of failing shows. */
 function getKind(way: FailureWay): StormKind {
     return way.endsWith("-event") || way === "late-reset" ? "stream" : "call";
 }
-
-/** Creates a configuration in which calls and streams may be sent to several runners. */
-function createStormConfiguration(hasModels: boolean): object {
-    const configuration = createConfiguration(2) as { readonly routes: readonly RouteRecord[]; };
-    const routes = configuration.routes
-        .filter(({ name }) => name !== "booking")
-        .map(route => ({
-            ...route,
-            max_attempts: maxAttempts,
-            ...(route.name === "stream" && hasModels ? { sizes: models, timeout_ms: longDeadlineMilliseconds } : {}),
-        }));
-    const engine = { models: models.map((name, index) => ({ name, cost: index + 1 })) };
-    const services = (configuration as { services?: readonly object[]; }).services ?? [];
-    return {
-        ...configuration,
-        routes,
-        services: services.map(service => hasModels ? { ...service, engine } : service),
-    };
-}
-
-/** Creates the headers of a prompt that any model may answer, with parts that others have too. */
-function createPromptHeaders(count: number): Readonly<Record<string, string>> {
-    return {
-        "model": "*",
-        "token-count": `${tokens.prompt},${tokens.output}`,
-        "prompt-prefix": `f1:${tokens.prompt / 2},b${count % runnerCount}:${tokens.prompt / 4},c${count}:${
-            tokens.prompt / 4
-        }`,
-    };
-}
--- a/test/platform/retryStormMain.ts
+++ b/test/platform/retryStormMain.ts
@@ -4,8 +4,9 @@
  * `mixed FIRST COUNT` those in which also the runners, the load and the callers change. A fourth argument is the first block of addresses.
  */
 import { PlatformSite } from "./platformSite.js";
-import { RetryStorm, siteWithModels } from "./retryStorm.js";
+import { RetryStorm } from "./retryStorm.js";
 import { createDrawnCase, createMixedCase, createMovingCase, type StormCase, stormCases } from "./retryStormCases.js";
+import { siteWithModels } from "./stormSite.js";
 
 const stormMilliseconds = 24_000;
 const firstBlock = 100;
--- a/test/platform/retryStorms.test.ts
+++ b/test/platform/retryStorms.test.ts
@@ -1,8 +1,10 @@
 import { expect } from "earl";
 import { after, describe, it } from "node:test";
 import { PlatformSite } from "./platformSite.js";
-import { RetryStorm, siteWithModels, type StormResult } from "./retryStorm.js";
+import { RetryStorm } from "./retryStorm.js";
 import { createDrawnCase, createMovingCase, getCaseOrThrow, type StormCase } from "./retryStormCases.js";
+import type { StormResult } from "./stormResult.js";
+import { siteWithModels } from "./stormSite.js";
 
 const stormMilliseconds = 24_000;
 
--- a/test/platform/retryWindows.ts
+++ b/test/platform/retryWindows.ts
@@ -13,6 +13,12 @@
     readonly at: number;
 }
 
+/** The retries that all nodes together may send in a window: for each request, and beside these. */
+export interface RetryAllowance {
+    readonly ratio: number;
+    readonly extra: number;
+}
+
 /** The repeats that reached the runners in one window, and those that are allowed. */
 export interface RetryWindow {
     /** Start of the window since the start of the load, in milliseconds. */
@@ -39,12 +45,12 @@
  * window before it, whichever has most.
  * @param sent - What callers sent.
  * @param repeats - The arrivals beyond the first of each request.
- * @param allowance - The retries that are allowed for each request, and beside these.
+ * @param allowance - The retries that are allowed.
  */
 export function findWindows(
     sent: readonly TimedRequest[],
     repeats: readonly TimedRequest[],
-    { ratio, extra }: { readonly ratio: number; readonly extra: number; },
+    { ratio, extra }: RetryAllowance,
 ): readonly RetryWindow[] {
     const windows: RetryWindow[] = [];
     const end = Math.max(...sent.map(({ at }) => at), ...repeats.map(({ at }) => at));
