Count a node of the soak as down until its next process has started

Its time line: node 4 started again at 5,451 ms, SIGTERM at 5,641 ms, ended about 8,208 ms, started again at 9,995 ms.

Cause, in the judgement: a fault of a node lasted until the first 'process-started' line later than the signal. A process that is told to stop 190 ms after its start writes that line after the signal, so the fault ended at once, and refused connections after its exit had no excuse.

Change: the fault lasts until a later process at the address says that it has started. Nothing else is excused. A test of SoakNodes failed before (the fault ended 2,000 ms early) and passes.

--- a/test/platform/soak/soakNodes.ts
+++ b/test/platform/soak/soakNodes.ts
@@ -21,10 +21,18 @@
     readonly getStoreAddress: (index: number) => string;
 }
 
+/** The end of a process. It lasts until the next one at its address says that it has started. */
+interface ProcessEnd {
+    readonly kind: "killed" | "stopped";
+    readonly from: number;
+    readonly process: SiteNode;
+}
+
 /** Starts nodes, stops, kills and pauses them and cuts their paths. */
 export class SoakNodes {
     readonly outages: NodeOutage[] = [];
     readonly #faults: NodeFault[] = [];
+    readonly #ends: ProcessEnd[] = [];
     /** All processes, those that have ended too. */
     readonly #processes: SiteNode[] = [];
     readonly #options: SoakNodesOptions;
@@ -52,19 +60,23 @@
         return this.#processes.flatMap(({ events }) => events);
     }
 
-    /** The faults of the nodes. One that was killed or stopped is back when it says that it has started. */
+    /** The faults of the nodes. */
     get faults(): readonly NodeFault[] {
-        return this.#faults.map(fault =>
-            fault.kind === "killed" || fault.kind === "stopped" ? { ...fault, until: this.#findStart(fault) } : fault
-        );
+        const ends = this.#ends.map(({ kind, from, process }) => ({
+            node: process.address,
+            kind,
+            from,
+            until: this.#findNextStart(process),
+        }));
+        return [...this.#faults, ...ends];
     }
 
-    #findStart({ node, from }: NodeFault): number {
-        for (const { address, events } of this.#processes) {
+    /** A process that is told to stop as it starts may say that it has started after that, so only the next one counts. */
+    #findNextStart(ended: SiteNode): number {
+        for (const { address, events } of this.#processes.slice(this.#processes.indexOf(ended) + 1)) {
             const line = events.find(({ name }) => name === "process-started");
-            const startedAt = (line?.time ?? Number.NEGATIVE_INFINITY) - performance.timeOrigin;
-            if (address === node && startedAt > from) {
-                return startedAt;
+            if (address === ended.address && line !== undefined) {
+                return line.time - performance.timeOrigin;
             }
         }
         return Number.POSITIVE_INFINITY;
@@ -87,7 +99,7 @@
         const node = site.nodes[index - 1];
         const from = performance.now();
         const kind = signal === "SIGTERM" && node.events.length > 0 ? "stopped" : "killed";
-        this.#faults.push({ node: node.address, kind, from, until: Number.POSITIVE_INFINITY });
+        this.#ends.push({ kind, from, process: node });
         node.child.kill(signal);
         const code = await node.exited;
         // Until it serves, a node is terminated by the signal itself: seed 36 sent the signal 79 ms after a start.
