Split the replay of fleets, and keep what both replays of roll-outs share once

Types, drawn answers, the schedule of tasks and the shared constants have files of their own now; the random numbers are drawn in the same order.

--- a/test/rollouts/fleetCases.ts
+++ b/test/rollouts/fleetCases.ts
@@ -1,7 +1,7 @@
 /**
  * Roll-outs of fleets to replay: kinds of versions beside what happens to demand and nodes meanwhile.
  */
-import type { BadVersion, FleetReplayOptions, FleetTrouble } from "./fleetReplay.js";
+import type { BadVersion, FleetReplayOptions, FleetTrouble } from "./fleetReplayOptions.js";
 
 /** A roll-out to replay. */
 export interface FleetCase extends Omit<FleetReplayOptions, "seed" | "nodes" | "requestsPerSecond"> {
--- a/test/rollouts/fleetReplay.ts
+++ b/test/rollouts/fleetReplay.ts
@@ -10,6 +10,17 @@
 import type { Vm } from "../../src/world/index.js";
 import { createJournal } from "../fixtures/journals.js";
 import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
+import { drawAnswer, getUsualAnswerSeconds } from "./drawAnswer.js";
+import type { FleetReplayOptions, ReplayedFleet } from "./fleetReplayOptions.js";
+import {
+    exposureExtra,
+    maxBadAnswers,
+    minSamplePauses,
+    pool,
+    rollbackMilliseconds,
+    samplePauses,
+} from "./replayConstants.js";
+import { TaskSchedule } from "./taskSchedule.js";
 
 const stepMilliseconds = 10;
 const tickMilliseconds = 200;
@@ -20,88 +31,11 @@
 /** Time for which the fleet runs before the order, and after the deadline. */
 const leadMilliseconds = 6_000;
 const tailMilliseconds = 6_000;
-const pool = "app";
 const slots = 16;
 /** Load of the runners of the old version at the usual rate. */
 const usualLoad = 0.3;
-/** The users' bounds: share of the requests, requests beside it, and time after the 50th bad answer. */
+/** The users' bound of the site: share of the requests. */
 const exposureShare = 0.0975;
-const exposureExtra = 30;
-const rollbackMilliseconds = 5_000;
-const maxBadAnswers = 50;
-/** Median time to the head and pause between two parts at an idle runner, and what a full one adds, as shares of them. */
-const headMilliseconds = 90;
-const pauseMilliseconds = 25;
-const fullHeadIncrease = 8;
-const fullPauseIncrease = 3;
-/** Pauses after which the usual pause of a stream is known, and the least number at its end. */
-const samplePauses = 16;
-const minSamplePauses = 6;
-/** Kinds of request, their share of all, and the median of their parts after the first one. */
-const kinds = [
-    { segment: "plan", share: 0.2, parts: 37 },
-    { segment: "query", share: 0.34, parts: 28 },
-    { segment: "tag", share: 0.46, parts: 1 },
-];
-
-/** What is bad of a version. */
-export interface BadVersion {
-    /** Failures, or answers that take longer. */
-    readonly how: "errors" | "slow";
-    /** Share of its requests that are bad. */
-    readonly share: number;
-    /** Factors by which slow answers begin later and have longer pauses. */
-    readonly headFactor?: number;
-    readonly pauseFactor?: number;
-    /** The only kind of request of which answers are bad. */
-    readonly segment?: string;
-    /** Time after the order from which on it is bad, in milliseconds. */
-    readonly from?: number;
-    /** Load of a runner from which on its answers are bad. */
-    readonly minLoad?: number;
-}
-
-/** What happens to nodes. */
-export interface FleetTrouble {
-    /** All nodes are stopped and started in turn, from a time after the order to another, in milliseconds. */
-    readonly restarts?: { readonly from: number; readonly until: number; readonly downMilliseconds: number; };
-    /** Nodes that are added. */
-    readonly added?: { readonly at: number; readonly count: number; };
-    /** A share of the nodes is cut off from the other nodes. */
-    readonly cut?: { readonly from: number; readonly until: number; readonly share: number; };
-    /** A share of the nodes does not reach the store. */
-    readonly withoutStore?: { readonly from: number; readonly until: number; readonly share: number; };
-}
-
-/** Options of a replay. */
-export interface FleetReplayOptions {
-    readonly seed: number;
-    readonly nodes: number;
-    /** Usual requests a second, and the factor of the demand at a time after the order. */
-    readonly requestsPerSecond: number;
-    readonly getDemand?: (elapsed: number) => number;
-    readonly durationMilliseconds: number;
-    /** Undefined for a good version. */
-    readonly bad?: BadVersion;
-    readonly trouble?: FleetTrouble;
-}
-
-/** What a roll-out did. */
-export interface ReplayedFleet {
-    readonly state: string | undefined;
-    /** Milliseconds from the order to the last step, and to the first halt at any node. */
-    readonly endedAt: number | undefined;
-    readonly haltedAt: number | undefined;
-    /** Requests that the new version got, and how many a bad one may get. */
-    readonly exposed: number;
-    readonly allowed: number;
-    /** Requests that the new version got later than the bound after its 50th bad answer. */
-    readonly late: number;
-    readonly steps: readonly { readonly at: number; readonly share: number; }[];
-    /** Bytes that the busiest node received from other nodes, a second. */
-    readonly maxBytesPerSecond: number;
-}
-
 interface FleetNode {
     readonly id: string;
     readonly vm: Vm;
@@ -135,7 +69,7 @@
     readonly #order: RolloutOrder;
     readonly #sentAt: number[] = [];
     readonly #badAt: number[] = [];
-    readonly #tasks = new Map<number, (() => void)[]>();
+    readonly #schedule = new TaskSchedule(this.#clock, stepMilliseconds);
     #haltedAt: number | undefined;
     #poolRequests = 0;
     #requests = 0;
@@ -145,12 +79,8 @@
         this.#random = new RandomSource(options.seed);
         this.#journal = createJournal().journal;
         this.#order = { id: 7, pool, version: "v2", durationMilliseconds: options.durationMilliseconds };
-        // The mean time of an answer by which the number of runners gives the usual load.
-        const answerSeconds = kinds.reduce(
-            (sum, { share, parts }) => sum + share * (headMilliseconds * 2 + parts * pauseMilliseconds * 2) / 1_000,
-            0,
-        );
-        const runners = Math.max(3, Math.ceil(options.requestsPerSecond * answerSeconds / (slots * usualLoad)));
+        const seconds = getUsualAnswerSeconds();
+        const runners = Math.max(3, Math.ceil(options.requestsPerSecond * seconds / (slots * usualLoad)));
         this.#upstreams = ["v1", "v2"].flatMap(version =>
             Array.from({ length: runners }, (...[, index]) => createUpstream(`${version}-${index}`, { version, slots }))
         );
@@ -172,10 +102,10 @@
     async run(): Promise<ReplayedFleet> {
         const end = this.#options.durationMilliseconds + tailMilliseconds;
         this.#scheduleTrouble();
-        this.#schedule(leadMilliseconds, () => this.#deliver(node => this.#setOrder(node)));
+        this.#schedule.add(leadMilliseconds, () => this.#deliver(node => this.#setOrder(node)));
         while (this.#elapsed < end) {
             this.#clock.advance(stepMilliseconds);
-            this.#runDueTasks();
+            this.#schedule.runDue();
             this.#sendRequests();
             for (const [index, node] of this.#nodes.entries()) {
                 this.#advanceNode(node, index);
@@ -306,7 +236,7 @@
     #scheduleTrouble(): void {
         const { restarts, added } = this.#options.trouble ?? {};
         if (added !== undefined) {
-            this.#schedule(leadMilliseconds + added.at, () => {
+            this.#schedule.add(leadMilliseconds + added.at, () => {
                 for (let index = 0; index < added.count; index += 1) {
                     this.#catchUp(this.#addNode());
                 }
@@ -315,11 +245,11 @@
         }
         for (const [index, node] of restarts === undefined ? [] : this.#nodes.entries()) {
             const at = restarts!.from + (restarts!.until - restarts!.from) * index / this.#options.nodes;
-            this.#schedule(leadMilliseconds + at, () => {
+            this.#schedule.add(leadMilliseconds + at, () => {
                 node.isRunning = false;
                 node.isServing = false;
                 node.hasOrder = false;
-                this.#schedule(restarts!.downMilliseconds, () => {
+                this.#schedule.add(restarts!.downMilliseconds, () => {
                     this.#startNode(node);
                     node.membership.setVms(this.#nodes.map(({ vm }) => vm));
                     this.#catchUp(node);
@@ -379,7 +309,7 @@
     }
 
     #deliverTo(node: FleetNode, apply: (node: FleetNode) => void): void {
-        this.#schedule(this.#random.next() * maxDeliveryMilliseconds, () => {
+        this.#schedule.add(this.#random.next() * maxDeliveryMilliseconds, () => {
             if (isInTrouble(this.#options.trouble?.withoutStore, node, this.#elapsed)) {
                 this.#deliverTo(node, apply);
             }
@@ -413,9 +343,14 @@
         const [first, second] = [0, 0].map(() => upstreams[this.#random.nextInteger(upstreams.length)]);
         const upstream = this.#getLoad(first) <= this.#getLoad(second) ? first : second;
         const load = this.#getLoad(upstream);
-        const { segment, parts } = this.#drawKind();
         const isCandidate = upstream.version === "v2";
-        const bad = isCandidate ? this.#drawBad(segment, load) : undefined;
+        const { bad: badVersion } = this.#options;
+        const answer = drawAnswer(this.#random, {
+            bad: isCandidate ? badVersion : undefined,
+            load,
+            elapsed: this.#elapsed,
+        });
+        const { segment, bad, hasFailed, pauses, headMilliseconds: head, pauseMilliseconds: pause } = answer;
         if (isCandidate) {
             this.#sentAt.push(now);
         }
@@ -428,19 +363,13 @@
             load,
         });
         this.#running.set(upstream.id, (this.#running.get(upstream.id) ?? 0) + 1);
-        const head = headMilliseconds * (bad?.headFactor ?? 1) * (1 + fullHeadIncrease * load)
-            * Math.exp(0.8 * this.#random.nextNormal());
-        const pause = pauseMilliseconds * (bad?.pauseFactor ?? 1) * (1 + fullPauseIncrease * load)
-            * Math.exp(0.3 * this.#random.nextNormal());
-        const hasFailed = bad?.how === "errors";
-        const pauses = hasFailed ? 0 : Math.round(parts * Math.exp(0.3 * this.#random.nextNormal()));
         if (!hasFailed) {
-            this.#schedule(head, () => watch?.markHead());
+            this.#schedule.add(head, () => watch?.markHead());
         }
         if (pauses >= minSamplePauses) {
-            this.#schedule(head + Math.min(pauses, samplePauses) * pause, () => watch?.addPause(pause));
+            this.#schedule.add(head + Math.min(pauses, samplePauses) * pause, () => watch?.addPause(pause));
         }
-        this.#schedule(head + pauses * pause, () => {
+        this.#schedule.add(head + pauses * pause, () => {
             watch?.end(hasFailed ? "failed" : "answered");
             endRequest();
             this.#running.set(upstream.id, this.#running.get(upstream.id)! - 1);
@@ -450,49 +379,9 @@
         });
     }
 
-    #drawKind(): { readonly segment: string; readonly parts: number; } {
-        let rest = this.#random.next();
-        for (const kind of kinds) {
-            rest -= kind.share;
-            if (rest < 0) {
-                return kind;
-            }
-        }
-        return kinds[0];
-    }
-
-    #drawBad(segment: string, load: number): BadVersion | undefined {
-        const { bad } = this.#options;
-        const isPossible = bad !== undefined
-            && (bad.segment ?? segment) === segment
-            && this.#elapsed >= (bad.from ?? 0)
-            && load >= (bad.minLoad ?? 0);
-        return isPossible && this.#random.next() < bad.share ? bad : undefined;
-    }
-
     #getLoad({ id }: RegisteredUpstream): number {
         return (this.#running.get(id) ?? 0) / slots;
     }
-
-    #schedule(afterMilliseconds: number, run: () => void): void {
-        const steps = Math.max(1, Math.ceil(afterMilliseconds / stepMilliseconds));
-        const at = this.#clock.monotonic() + steps * stepMilliseconds;
-        const tasks = this.#tasks.get(at);
-        if (tasks === undefined) {
-            this.#tasks.set(at, [run]);
-        }
-        else {
-            tasks.push(run);
-        }
-    }
-
-    #runDueTasks(): void {
-        const now = this.#clock.monotonic();
-        for (const run of this.#tasks.get(now) ?? []) {
-            run();
-        }
-        this.#tasks.delete(now);
-    }
 }
 
 function isInTrouble(
--- a/test/rollouts/rolloutReplay.ts
+++ b/test/rollouts/rolloutReplay.ts
@@ -6,32 +6,32 @@
 import { type RolloutProgress, Rollouts } from "../../src/rollouts/index.js";
 import { createJournal } from "../fixtures/journals.js";
 import { createUpstream, createUpstreamRegistry } from "../fixtures/upstreams.js";
+import {
+    exposureExtra,
+    fullHeadIncrease,
+    fullPauseIncrease,
+    headMilliseconds,
+    maxBadAnswers,
+    minSamplePauses,
+    pauseMilliseconds,
+    pool,
+    rollbackMilliseconds,
+    samplePauses,
+} from "./replayConstants.js";
 
 const stepMilliseconds = 10;
 const tickMilliseconds = 200;
 /** Time until a written step or a cancelled answer is known. */
 const deliveryMilliseconds = 200;
-const pool = "app";
 const runnersPerVersion = 4;
 const slots = 48;
 /** Time of the order. */
 const orderedAt = 3_000;
-/** The users' bounds: share of the requests, requests beside it, and time after the 50th bad answer. */
+/** The users' bound of the site: share of the requests. */
 const exposureShare = 0.15;
-const exposureExtra = 30;
-const rollbackMilliseconds = 5_000;
-const maxBadAnswers = 50;
 /** Factors by which slow answers begin later and have longer pauses: most of what is slow comes between the parts. */
 const slowHeadFactor = 1.5;
 const slowPauseFactor = 6;
-/** Median time to the head and pause between two parts at an idle runner, and what a full one adds, as shares of them. */
-const headMilliseconds = 90;
-const pauseMilliseconds = 25;
-const fullHeadIncrease = 8;
-const fullPauseIncrease = 3;
-/** Pauses after which the usual pause of a stream is known, and the least number at its end. */
-const samplePauses = 16;
-const minSamplePauses = 6;
 /** Share of the requests that are answered by a stream. The others get a single part. */
 const streamShare = 0.35;
 const medianParts = 45;
