Name the loads and moves of the storms

The storms in which callers move were made from four numbers in a row; they take named times now, and the mixed ones draw from the number of nodes instead of 8. No check is changed.

--- a/test/platform/retryStormCases.ts
+++ b/test/platform/retryStormCases.ts
@@ -6,6 +6,7 @@
 import { RandomSource } from "../../src/common/index.js";
 import type { RetryStorm, StormOptions } from "./retryStorm.js";
 import { type FailureWay, failureWays } from "./stormRunners.js";
+import { siteWithModels } from "./stormSite.js";
 
 /** A storm with a name. */
 export type StormCase = Omit<StormOptions, "milliseconds"> & { readonly name: string; };
@@ -29,6 +30,10 @@
 const minStepMilliseconds = 1_500;
 const maxStepMilliseconds = 9_000;
 const maxStormMilliseconds = 120_000;
+/** Requests a second of moving storms, and their loads in a burst and between two, as factors of it. */
+const movingRate = 20;
+const burstLoad = 2;
+const pauseLoad = 0.1;
 /** Loads of mixed storms, as factors of the usual one. */
 const drawnLoads = [0.1, 0.5, 1, 1, 2];
 /** One mixed storm in so many leaves the nodes alone. */
@@ -86,19 +91,27 @@
     { name: "all paused", way: "reset", requestsPerSecond: 40, disturb: pauseAll },
 ];
 
+/** Times after which bursts begin and end, and after which callers move. */
+export interface MovingOptions {
+    readonly burstMilliseconds: number;
+    readonly moveMilliseconds: number;
+}
+
+/** The moving storms. */
+export const movingCases: readonly MovingOptions[] = [
+    { burstMilliseconds: 10_000, moveMilliseconds: 5_000 },
+    { burstMilliseconds: 5_000, moveMilliseconds: 3_000 },
+];
+
 /** Creates a storm in which streams last before they fail, load comes in bursts, and callers move from some nodes to the others. */
-export function createMovingCase(
-    way: FailureWay,
-    requestsPerSecond: number,
-    burstMilliseconds: number,
-    moveMilliseconds: number,
-): StormCase {
+export function createMovingCase({ burstMilliseconds, moveMilliseconds }: MovingOptions): StormCase {
+    const half = siteWithModels.nodeCount / 2;
     return {
         name: `moving, bursts of ${burstMilliseconds}, moves of ${moveMilliseconds}`,
-        way,
-        requestsPerSecond,
-        getLoad: at => Math.floor(at / burstMilliseconds) % 2 === 0 ? 2 : 0.1,
-        chooseNode: (count, at) => (Math.floor(at / moveMilliseconds) % 2) * 3 + count % 3,
+        way: "late-reset",
+        requestsPerSecond: movingRate,
+        getLoad: at => Math.floor(at / burstMilliseconds) % 2 === 0 ? burstLoad : pauseLoad,
+        chooseNode: (count, at) => (Math.floor(at / moveMilliseconds) % 2) * half + count % half,
         kinds: ["prompt"],
     };
 }
@@ -129,7 +142,11 @@
     const random = new RandomSource(seed * seedFactor + 1);
     const ways = drawSteps(random, () => failureWays[random.nextInteger(failureWays.length)]);
     const loads = drawSteps(random, () => drawnLoads[random.nextInteger(drawnLoads.length)]);
-    const moves = drawSteps(random, () => ({ from: random.nextInteger(8), count: 1 + random.nextInteger(8) }));
+    const { nodeCount } = siteWithModels;
+    const moves = drawSteps(
+        random,
+        () => ({ from: random.nextInteger(nodeCount), count: 1 + random.nextInteger(nodeCount) }),
+    );
     return {
         ...drawn,
         name: `mixed ${seed}`,
--- a/test/platform/retryStormMain.ts
+++ b/test/platform/retryStormMain.ts
@@ -1,11 +1,19 @@
 /**
  * Runs storms of failing requests on real nodes, one after the other, and prints the worst window of each.
  * Without arguments, runs all of the table. `drawn FIRST COUNT` runs storms that are drawn from as many seeds,
- * `mixed FIRST COUNT` those in which also the runners, the load and the callers change. A fourth argument is the first block of addresses.
+ * `mixed FIRST COUNT` those in which also the runners, the load and the callers change. `moving` runs those in which callers move between
+ * halves of the nodes. A fourth argument is the block of addresses.
  */
 import { PlatformSite } from "./platformSite.js";
 import { RetryStorm } from "./retryStorm.js";
-import { createDrawnCase, createMixedCase, createMovingCase, type StormCase, stormCases } from "./retryStormCases.js";
+import {
+    createDrawnCase,
+    createMixedCase,
+    createMovingCase,
+    movingCases,
+    type StormCase,
+    stormCases,
+} from "./retryStormCases.js";
 import { siteWithModels } from "./stormSite.js";
 
 const stormMilliseconds = 24_000;
@@ -36,7 +44,7 @@
 
 function getCases(): readonly StormCase[] {
     if (mode === "moving") {
-        return [createMovingCase("late-reset", 20, 10_000, 5_000), createMovingCase("late-reset", 20, 5_000, 3_000)];
+        return movingCases.map(createMovingCase);
     }
     const create = mode === "mixed" ? createMixedCase : createDrawnCase;
     return mode === undefined
--- a/test/platform/retryStorms.test.ts
+++ b/test/platform/retryStorms.test.ts
@@ -2,7 +2,7 @@
 import { after, describe, it } from "node:test";
 import { PlatformSite } from "./platformSite.js";
 import { RetryStorm } from "./retryStorm.js";
-import { createDrawnCase, createMovingCase, getCaseOrThrow, type StormCase } from "./retryStormCases.js";
+import { createDrawnCase, createMovingCase, getCaseOrThrow, movingCases, type StormCase } from "./retryStormCases.js";
 import type { StormResult } from "./stormResult.js";
 import { siteWithModels } from "./stormSite.js";
 
@@ -43,7 +43,7 @@
     });
 
     it("holds while callers move from some nodes to the others and their streams last before they break", async () => {
-        const { broken, byNode } = await runStorm("127.73.88", createMovingCase("late-reset", 20, 10_000, 5_000));
+        const { broken, byNode } = await runStorm("127.73.88", createMovingCase(movingCases[0]));
         expect([broken, byNode.length]).toEqual([[], 6]);
     });
 
