Say which ends of runs are not taken for the end of their runner, and why

Line 476 says what was found, or that nobody asked, how the run ended, whether its answer had begun, how long it had run and how long its upstream was silent. No decision is changed.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -249,4 +249,10 @@
         "warning",
         "An upstream was asked for a sign of life after an answer without a framing and has given none, for the reason in the fields; that answer is not taken for whole.",
     ),
+    endNotProven: define(
+        476,
+        "end-not-proven",
+        "info",
+        "A run ended early or fell silent, and its upstream was not found to have ended with it; the fields say what was found, how the run ended, whether its answer had begun, how long it had run and how long its upstream was silent.",
+    ),
 };
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -8,6 +8,9 @@
 import type { WatchedRequest } from "./watchedRequest.js";
 import { crashWindowMilliseconds, type RunUpstream, WatchedRun } from "./watchedRun.js";
 
+/** Time without anything from an upstream after which it may have ended. A sound one may be silent for a second. */
+const silenceMilliseconds = 1_000;
+
 /**
  * How a run of a request ended.
  * - `complete`: the upstream sent its whole answer.
@@ -91,6 +94,7 @@
             return;
         }
         if (run.getMilliseconds() > crashWindowMilliseconds) {
+            this.#reportUnproven(run, end, "too-late");
             return;
         }
         if (details.mayBeLoad === true && run.request.getPartKeys().length === 0) {
@@ -98,6 +102,7 @@
             return;
         }
         if (end === "stopped") {
+            this.#reportUnproven(run, end, "not-asked");
             this.#evaluateLater(run, details);
             return;
         }
@@ -118,7 +123,26 @@
     async #addCrashIfDown(run: WatchedRun, details: CrashDetails): Promise<void> {
         if (await this.#options.isRefusingConnections(run.upstream.address)) {
             this.#addCrash(run, details);
+            return;
+        }
+        this.#reportUnproven(run, "disconnected", "accepting-or-silent");
+    }
+
+    /** Reports an end of which it is not known whether it was that of the upstream. A run that was merely given up is none. */
+    #reportUnproven(run: WatchedRun, end: RunEnd, found: string): void {
+        const silentMs = Math.round(run.getSilentMilliseconds());
+        if (end === "stopped" && silentMs < silenceMilliseconds) {
+            return;
         }
+        this.#options.journal.write(events.endNotProven, {
+            request: run.request.id,
+            upstream: run.upstream.id,
+            found,
+            end,
+            hasHead: run.hasHead,
+            runMs: Math.round(run.getMilliseconds()),
+            silentMs,
+        });
     }
 
     #addCrash(run: WatchedRun, { isLastAttempt, mayBeLoad = false }: CrashDetails): void {
--- a/src/quarantine/watchedRun.ts
+++ b/src/quarantine/watchedRun.ts
@@ -39,6 +39,7 @@
     readonly #quarantine: Quarantine;
     readonly #partQuarantine: Quarantine;
     readonly #isTrial: boolean;
+    readonly #sentAt: number;
     #headAt: number | undefined;
     #partPoints: ReadonlyMap<string, number> | undefined;
     /** Time since which the answer arrives steadily, and that of its last piece. */
@@ -50,6 +51,7 @@
         this.request = request;
         this.upstream = upstream;
         this.#clock = clock;
+        this.#sentAt = clock.monotonic();
         this.#quarantine = quarantine;
         this.#partQuarantine = partQuarantine;
         this.traitPoints = quarantine.readPoints(request.getTraitKeys);
@@ -103,6 +105,11 @@
         return this.#headAt === undefined ? 0 : this.#clock.monotonic() - this.#headAt;
     }
 
+    /** Returns the time since the upstream last sent something for this run, in milliseconds. */
+    getSilentMilliseconds(): number {
+        return this.#clock.monotonic() - Math.max(this.#sentAt, this.#lastPieceAt);
+    }
+
     /** Records that the request and the parts of its prompt have run without a crash. */
     addSurvival(): void {
         for (const key of this.request.getTraitKeys()) {
--- a/test/platform/crashes/main.ts
+++ b/test/platform/crashes/main.ts
@@ -7,7 +7,7 @@
 import { CrashTrial, type CrashTrialOptions } from "./crashTrial.js";
 import type { DownState, EndMoment } from "./endingRunner.js";
 
-const shownLines = new Set([424, 425, 426, 428]);
+const shownLines = new Set([424, 425, 426, 428, 476]);
 
 const { values } = parseArgs({
     options: {
@@ -33,6 +33,14 @@
             lines.filter(({ event }) => event === 424).length
         } lines of crashes`,
 );
+const unproven = new Map<string, number>();
+for (const { event, found, end: ending, hasHead } of lines) {
+    const key = `${String(found)} ${String(ending)} ${hasHead === true ? "begun" : "not begun"}`;
+    if (event === 476) {
+        unproven.set(key, (unproven.get(key) ?? 0) + 1);
+    }
+}
+console.log(`ends not proven: ${[...unproven].map(([key, count]) => `${count} ${key}`).join(", ")}`);
 for (const line of values.lines ? lines : []) {
     if (shownLines.has(Number(line.event))) {
         console.log(JSON.stringify(line));
