--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -6,7 +6,13 @@
 import type { Configuration } from "../configuration/index.js";
 import type { Placement, RetryBudget, RunnerChooser, Work } from "../decisions/index.js";
 import { events, type Journal } from "../events/index.js";
-import { type CrashWatch, createQuarantineFailure, type RunEnd, type WatchedRun } from "../quarantine/index.js";
+import {
+    type CrashWatch,
+    createQuarantineFailure,
+    type RunEnd,
+    type RunUpstream,
+    type WatchedRun,
+} from "../quarantine/index.js";
 import type { EngineAnswer, EngineClient } from "../upstream/index.js";
 import type { ModelVersion, Vm } from "../world/index.js";
 import { createAnswerHeaders } from "./answerHeaders.js";
@@ -40,6 +46,8 @@
     readonly runners: RunnerChooser;
     readonly retries: RetryBudget;
     readonly crashWatch: CrashWatch;
+    /** Describes an engine to the watch for crashed upstreams. */
+    readonly describeUpstream: (runner: Vm) => RunUpstream;
     readonly explanations: Explanations;
     readonly getConfiguration: () => Configuration;
     readonly isHalted: (version: string) => boolean;
@@ -164,8 +172,11 @@
         const { call, version } = options;
         const runner = placement.upstream;
         const { crashWatch } = this.#options;
-        const run = crashWatch.startRun(call.watched, { id: runner.id, address: `${runner.address}:${runner.port}` });
-        const evaluate = (end: RunEnd): Promise<void> => crashWatch.evaluate(run, { end, isLastAttempt });
+        const run = crashWatch.startRun(call.watched, {
+            upstream: this.#options.describeUpstream(runner),
+            isLastAttempt: () => isLastAttempt,
+        });
+        const evaluate = (end: RunEnd): Promise<void> => crashWatch.evaluate(run, end);
         const graceMilliseconds = options.direct && call.request.streamed ? this.#options.resumeGraceMilliseconds : 0;
         const attemptSignal = createAttemptSignal(call.disconnectSignal, call.deadlineSignal, graceMilliseconds);
         const startedAt = this.#options.clock.monotonic();
--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -3,6 +3,9 @@
  */
 import { ReadProgress, SuspensionClock } from "../../common/index.js";
 import { BodyMemory } from "../../connections/index.js";
+import type { RunUpstream } from "../../quarantine/index.js";
+import { createCrashProbe, probeLife } from "../../reachability/index.js";
+import type { Vm } from "../../world/index.js";
 import { AttemptRunner } from "../attemptRunner.js";
 import { CallerServer } from "../callerServer.js";
 import { ChatPipeline } from "../chatPipeline.js";
@@ -35,6 +38,7 @@
             runners: cradle.runners,
             retries: cradle.retries,
             crashWatch: cradle.crashWatch,
+            describeUpstream: vm => describeUpstream(cradle, vm),
             explanations: cradle.explanations,
             getConfiguration: () => cradle.configuration.getConfiguration(),
             isHalted: version => cradle.versionPolicy.isHalted(version),
@@ -95,6 +99,7 @@
             claims: cradle.claims,
             retries: cradle.retries,
             crashWatch: cradle.crashWatch,
+            describeUpstream: vm => describeUpstream(cradle, vm),
             bills: cradle.bills,
             canBill: () => !cradle.bills.isFull(),
             entry: cradle.self.id,
@@ -138,3 +143,18 @@
         getCallerPort: (member: { readonly id: string; }) => vmWatcher.getVm(member.id)?.port ?? ownPort,
     };
 }
+
+/** Describes an engine or a service to the watch for crashed upstreams. */
+function describeUpstream({ reachability, services }: Cradle, vm: Vm): RunUpstream {
+    const { id, pool } = vm;
+    const isRefusing = createCrashProbe({ reachability, findUpstream: () => ({ id, pool }) });
+    return {
+        id,
+        isRefusingConnections: () => isRefusing(`${vm.address}:${vm.port}`),
+        getLife: () =>
+            probeLife(vm, {
+                reachability,
+                checkLiveness: async () => await services.isRunning(vm) ? "running" : "unanswered",
+            }),
+    };
+}
--- a/src/entry/parts/peerParts.ts
+++ b/src/entry/parts/peerParts.ts
@@ -28,14 +28,12 @@
     type SuspicionPolicy,
 } from "../../quarantine/index.js";
 import { createSharedRateLimits } from "../../ratelimits/index.js";
-import { createCrashProbe } from "../../reachability/index.js";
 import type { Cradle, PartFactories } from "../cradle.js";
 import { CredentialFiles, readCredentials } from "../credentialFiles.js";
 import { EntryState } from "../entryState.js";
 import { Sessions } from "../sessions.js";
 import { SharedState } from "../sharedState.js";
 import { StateFetcher } from "../stateFetcher.js";
-import { findUpstream } from "./relayParts.js";
 
 /** Number of claim partitions. It is the same on all nodes and must never change. */
 const claimPartitions = 8;
@@ -78,17 +76,8 @@
     quarantine: parts => createQuarantine(parts, requestPolicy),
     partQuarantine: parts => createQuarantine(parts, partPolicy),
     rateLimits: ({ clock, journal, gossip }) => createSharedRateLimits({ clock, journal, gossip }),
-    crashWatch: ({ clock, journal, quarantine, partQuarantine, reachability, vmWatcher }) =>
-        new CrashWatch({
-            clock,
-            journal,
-            quarantine,
-            partQuarantine,
-            isRefusingConnections: createCrashProbe({
-                reachability,
-                findUpstream: address => findUpstream(vmWatcher.getVms(), address),
-            }),
-        }),
+    crashWatch: ({ clock, journal, quarantine, partQuarantine }) =>
+        new CrashWatch({ clock, journal, quarantine, partQuarantine }),
     collectors: ({ self, clock, journal, membership, log, follow, settings }) =>
         new CollectorPool({
             partitions: claimPartitions,
--- a/src/entry/servicePipeline.ts
+++ b/src/entry/servicePipeline.ts
@@ -12,9 +12,11 @@
     type CrashWatch,
     createQuarantineFailure,
     createWatchedRequest,
+    type RunUpstream,
     type WatchedRequest,
 } from "../quarantine/index.js";
 import type { ServiceAnswer, ServiceClient, UpstreamFailure } from "../upstream/index.js";
+import type { Vm } from "../world/index.js";
 import { combineOutcomes } from "./attemptRefusal.js";
 import { createBillsFullFailure } from "./billsFullFailure.js";
 import { checkCaller, type WaitingCaller } from "./callerDisconnection.js";
@@ -63,6 +65,8 @@
     readonly claims: ClaimClient;
     readonly retries: RetryBudget;
     readonly crashWatch: CrashWatch;
+    /** Describes a service to the watch for crashed upstreams. */
+    readonly describeUpstream: (service: Vm) => RunUpstream;
     readonly bills: BillWriter;
     readonly canBill: () => boolean;
     /** Name of this entry. */
@@ -261,7 +265,10 @@
         journal.write(events.requestDispatched, { request: request.requestId, upstream: service.id });
         const startedAt = clock.monotonic();
         const work = runners.start(placed.value);
-        const run = crashWatch.startRun(watched, { id: service.id, address: `${service.address}:${service.port}` });
+        const run = crashWatch.startRun(watched, {
+            upstream: this.#options.describeUpstream(service),
+            isLastAttempt: () => !isRepeatable(request) || excluded.size >= maxAttempts,
+        });
         const called = await services.call(service, {
             requestId: request.requestId,
             method: request.method,
@@ -277,10 +284,8 @@
             milliseconds: clock.monotonic() - startedAt,
             loadHeader: called.isOk() ? called.value.loadHeader : undefined,
         });
-        await crashWatch.evaluate(run, {
-            end: called.isOk() ? "complete" : called.error.outcome === "not-run" ? "stopped" : "disconnected",
-            isLastAttempt: !isRepeatable(request) || excluded.size >= maxAttempts,
-        });
+        const failedEnd = called.isErr() && called.error.outcome === "not-run" ? "stopped" : "disconnected";
+        await crashWatch.evaluate(run, called.isOk() ? "complete" : failedEnd);
         return called.mapErr(failure => ({ ...failure, isRetriable: true }));
     }
 
--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -69,7 +69,7 @@
         424,
         "upstream-crashed",
         "warning",
-        "An upstream cut off a request and no longer accepts connections; the fields say how far the request had come, and give the keys by which it may be quarantined: those of its query and its parameters, and those of the parts of its prompt.",
+        "An upstream cut off a request or fell silent under it, and has ended or gives no sign of life; the fields say what was found and how far the request had come, and give the keys by which it may be quarantined: those of its query and its parameters, and those of the parts of its prompt.",
     ),
     requestQuarantined: define(
         425,
@@ -253,6 +253,6 @@
         476,
         "end-not-proven",
         "info",
-        "A run ended early or fell silent, and its upstream was not found to have ended with it; the fields say what was found, how the run ended, whether its answer had begun, how long it had run and how long its upstream was silent.",
+        "A run ended early or fell silent, and its upstream was not found to have ended with it; the fields say what was found, whether its answer had begun, how long it had run and how long its upstream was silent.",
     ),
 };
--- a/src/forwarding/attempt.ts
+++ b/src/forwarding/attempt.ts
@@ -108,6 +108,8 @@
     readonly drop: (reason: string) => void;
     /** Records that a part of the answer has arrived. */
     readonly markSeen: () => void;
+    /** Records that the upstream has sent nothing for a while. */
+    readonly markSilent: () => void;
     /**
      * Returns whether an answer that has ended in order, without a framing, is whole: its upstream has outlived that end, and is not one
      * that has started anew since. Otherwise the end may be that of a killed process, whose connections end in order as well.
--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -7,7 +7,7 @@
 import { events, type Journal } from "../events/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
 import { measurePauses, type RunnerPaces } from "../pace/index.js";
-import type { RunEnd } from "../quarantine/index.js";
+import type { RunEnd, UpstreamLife, WatchedRun } from "../quarantine/index.js";
 import { isRepeatable } from "../routing/index.js";
 import { getAnswerForm } from "./answerEnd.js";
 import type {
@@ -46,6 +46,8 @@
     readonly paces?: Pick<RunnerPaces, "add">;
     /** Opens a connection to an address and closes it. Returns whether it was refused because the upstream there has crashed. */
     readonly isRefusingConnections: (address: string) => Promise<boolean>;
+    /** Asks whether an upstream that refuses no connections still runs. */
+    readonly getLife: (upstream: RegisteredUpstream) => Promise<UpstreamLife>;
     /** Called when an attempt starts. */
     readonly onStart: (attempt: StartedAttempt) => AttemptObserver;
 }
@@ -89,8 +91,9 @@
         const { pick } = selected.value;
         request.exchange.addAttempt(pick.upstream);
         const head = request.watchHead(pick.expectedMilliseconds * this.#options.picker.getWaitRatio());
-        const cancellation = this.#createCancellation(request, head);
-        return ok(new PendingAttempt(cancellation, this.#send(request, selected.value, { head, cancellation })));
+        const run = this.#startRun(request.exchange, pick.upstream);
+        const cancellation = this.#createCancellation(request, head, run);
+        return ok(new PendingAttempt(cancellation, this.#send(request, selected.value, { head, cancellation, run })));
     }
 
     /** Returns whether a request may crash the upstreams that run it, so that no two of them are to run it at once. */
@@ -125,7 +128,11 @@
     async #send(
         request: AttemptRequest,
         { pick, versionReason }: SelectedUpstream,
-        { head, cancellation }: { readonly head: WatchedHead; readonly cancellation: CallCancellation; },
+        { head, cancellation, run }: {
+            readonly head: WatchedHead;
+            readonly cancellation: CallCancellation;
+            readonly run: WatchedRun;
+        },
     ): Promise<Result<Attempt, AttemptFailure>> {
         const { exchange, prompt } = request;
         const { upstream, prefillMilliseconds } = pick;
@@ -137,8 +144,6 @@
         const number = exchange.attempts;
         const endInRoom = this.#options.waitingRoom.start(upstream);
         const isWarmingUp = registry.warmUps.isWarmingUp(upstream.id);
-        const mayBeLoad = isWarmingUp || observer.isRejectionLimited(upstream);
-        const run = crashWatch.startRun(exchange.watchedRequest, upstream);
         let headMilliseconds: number | undefined = undefined;
         let confidence: number | undefined = undefined;
         let load: ReportedLoad | undefined = undefined;
@@ -154,11 +159,7 @@
             isFinished = true;
             cancellation.dispose();
             endInRoom({ isServed: isServed && outcome === "ok", headMilliseconds });
-            exchange.addEvaluation(crashWatch.evaluate(run, {
-                end,
-                mayBeLoad,
-                isLastAttempt: !isRepeatable(exchange.route) || exchange.attempts >= exchange.route.maxAttempts,
-            }));
+            exchange.addEvaluation(crashWatch.evaluate(run, end));
             const ended = { exchange, upstream, model: request.model, outcome, headMilliseconds, isGivenUp };
             attemptObserver.onEnd(ended);
             const promptTokens = prompt?.tokens;
@@ -237,6 +238,7 @@
             observer.markSeen(upstream);
             run.markPiece();
         };
+        const markSilent = (): void => crashWatch.observeSilence(run);
         const answer = isWarmingUp
             ? result.value
             : this.#measure(request, upstream, result.value, headMilliseconds, attemptObserver.onPause);
@@ -248,7 +250,23 @@
             isServed = false;
             finish("ok", reason, "stopped");
         };
-        return ok({ upstream, answer, finish, drop, cancel, markSeen, confirmEnd, hasUpstreamCrashed });
+        return ok({ upstream, answer, finish, drop, cancel, markSeen, markSilent, confirmEnd, hasUpstreamCrashed });
+    }
+
+    #startRun(exchange: Exchange, upstream: RegisteredUpstream): WatchedRun {
+        const { crashWatch, observer, registry } = this.#options;
+        const { route } = exchange;
+        const { id, startedAt } = upstream;
+        return crashWatch.startRun(exchange.watchedRequest, {
+            upstream: {
+                id,
+                startedAt,
+                isRefusingConnections: () => this.#options.isRefusingConnections(upstream.address),
+                getLife: () => this.#options.getLife(upstream),
+            },
+            mayBeLoad: registry.warmUps.isWarmingUp(id) || observer.isRejectionLimited(upstream),
+            isLastAttempt: () => !isRepeatable(route) || exchange.attempts >= route.maxAttempts,
+        });
     }
 
     /** Measures how long a successful answer takes: a stream by the pauses between its parts, another one by its head. */
@@ -277,14 +295,21 @@
         return { ...answer, body };
     }
 
-    #createCancellation(request: AttemptRequest, { timeoutMilliseconds }: WatchedHead): CallCancellation {
+    #createCancellation(
+        request: AttemptRequest,
+        { timeoutMilliseconds }: WatchedHead,
+        run: WatchedRun,
+    ): CallCancellation {
         const { exchange, withdrawal } = request;
         const isLate = timeoutMilliseconds === undefined || timeoutMilliseconds >= exchange.getTimeLeft();
         return new CallCancellation({
             ended: exchange.ended,
             withdrawal,
             headTimeoutMilliseconds: isLate ? undefined : timeoutMilliseconds,
-            reserveNext: () => Promise.resolve(this.reserveBeside(request)),
+            reserveNext: () => {
+                this.#options.crashWatch.observeSilence(run);
+                return Promise.resolve(this.reserveBeside(request));
+            },
         });
     }
 
--- a/src/forwarding/streamExchange.ts
+++ b/src/forwarding/streamExchange.ts
@@ -267,7 +267,7 @@
         const outcome = status >= minServerErrorStatus ? "error" : "ok";
         // One that has left as planned may have ended its answer in order, so an end that is not confirmed is no failure of it.
         const reason = isConfirmed ? `status ${status}` : `status ${status}, ${unconfirmedReason}`;
-        attempt.finish(outcome, reason, hasKnownEnd ? "complete" : "stopped");
+        attempt.finish(outcome, reason, hasKnownEnd || isConfirmed ? "complete" : "disconnected");
         return isConfirmed;
     }
 
--- a/src/forwarding/streamRelay.ts
+++ b/src/forwarding/streamRelay.ts
@@ -105,6 +105,7 @@
         }
         let milliseconds = relayed.silentSince === undefined ? this.#getPauseTimeout() : recheckMilliseconds;
         while (!await relayed.body.waitForPiece(milliseconds)) {
+            relayed.attempt.markSilent();
             relayed.silentSince ??= this.#options.exchange.getElapsed() - milliseconds;
             if (this.#options.reserveBeside()) {
                 return false;
--- a/src/forwarding/unaryExchange.ts
+++ b/src/forwarding/unaryExchange.ts
@@ -170,14 +170,14 @@
     }
     const isWhole = end === "whole";
     const isConfirmed = isWhole || await attempt.confirmEnd();
-    await recordEnd(attempt, { isWhole, isConfirmed });
+    await recordEnd(attempt, { isConfirmed });
     return ok({ head: answer, body: bytes, isWhole, isConfirmed });
 }
 
 /** Records the end of an attempt whose upstream has ended its answer in order. */
 async function recordEnd(
     attempt: Attempt,
-    { isWhole, isConfirmed }: Pick<BufferedAnswer, "isWhole" | "isConfirmed">,
+    { isConfirmed }: Pick<BufferedAnswer, "isConfirmed">,
 ): Promise<void> {
     if (!isConfirmed && await attempt.hasUpstreamCrashed()) {
         attempt.finish("failed", crashedAtEndReason, "disconnected");
@@ -186,7 +186,7 @@
     const { status } = attempt.answer;
     const outcome = status >= minServerErrorStatus ? "error" : "ok";
     const reason = isConfirmed ? `status ${status}` : `status ${status}, ${unconfirmedReason}`;
-    attempt.finish(outcome, reason, isWhole ? "complete" : "stopped");
+    attempt.finish(outcome, reason, isConfirmed ? "complete" : "disconnected");
 }
 
 function judgeBody({ route }: Exchange, answer: UpstreamAnswer, body: Buffer): AnswerEnd {
--- a/src/platform/forwardingParts.ts
+++ b/src/platform/forwardingParts.ts
@@ -16,7 +16,7 @@
 import { AnswerBuffers, Attempts, ReplyBuffers, UpstreamObserver, WaitingRoom } from "../forwarding/index.js";
 import { createSharedPaces, type RunnerPaces } from "../pace/index.js";
 import type { NodeParts } from "./nodeParts.js";
-import { createNodeCrashProbe } from "./relayParts.js";
+import { createNodeCrashProbe, createNodeLifeProbe } from "./relayParts.js";
 import { getSession, watchAttempt } from "./rolloutParts.js";
 
 /** A node that has just started does not know all others yet, and they do not know it. */
@@ -135,6 +135,7 @@
         crashWatch: parts.crashWatch,
         paces: parts.paces,
         isRefusingConnections: createNodeCrashProbe(parts),
+        getLife: createNodeLifeProbe(parts),
         getBudget: budgets,
         onBudgetSpent: (pool, { requests, retries, allowed, share }) => {
             metrics.budgetRefusals.inc({ pool });
--- a/src/platform/livenessChecks.ts
+++ b/src/platform/livenessChecks.ts
@@ -7,27 +7,30 @@
  */
 import { ReadTimeout } from "../common/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import type { Liveness } from "../reachability/index.js";
 
 /** Time within which an upstream has to answer. It does so in a round trip, and later where the request waits for a free slot. */
 const maxWaitMilliseconds = 1_000;
 
-/** Asks an upstream for any answer. Calls `onSent` when the request is written, and resolves to whether the upstream has answered it. */
+/** Asks an upstream for any answer. Calls `onSent` when the request is written. */
 export type LivenessRequest = (
     upstream: RegisteredUpstream,
     options: { readonly onSent: () => void; readonly signal: AbortSignal; },
-) => Promise<boolean>;
+) => Promise<Liveness>;
 
 /** An answer whose end waits to be confirmed. */
 interface Waiter {
     /** Number of the moment at which its end was read. */
     readonly endedAt: number;
-    readonly resolve: (isRunning: boolean) => void;
+    readonly resolve: (liveness: Liveness) => void;
 }
 
 /** The ends at one upstream that wait to be confirmed. */
 interface WaitingEnds {
     readonly waiters: Set<Waiter>;
     isAsking: boolean;
+    /** Whether the request that is open was written. */
+    isSent: boolean;
 }
 
 /** Confirms the ends of answers. Ends that wait at the same time share a request. */
@@ -55,20 +58,29 @@
      * @param signal - Ends the wait.
      * @returns Whether it has. False also when it could not be asked.
      */
-    confirm(upstream: RegisteredUpstream, signal: AbortSignal): Promise<boolean> {
+    async confirm(upstream: RegisteredUpstream, signal: AbortSignal): Promise<boolean> {
+        return await this.check(upstream, signal) === "running";
+    }
+
+    /** Does the same, and returns what the upstream has shown. */
+    check(upstream: RegisteredUpstream, signal: AbortSignal): Promise<Liveness> {
         return new Promise(resolve => {
             const key = getKey(upstream);
-            const ends = this.#waiting.get(key) ?? { waiters: new Set<Waiter>(), isAsking: false };
+            const ends = this.#waiting.get(key) ?? {
+                waiters: new Set<Waiter>(),
+                isAsking: false,
+                isSent: false,
+            };
             this.#waiting.set(key, ends);
-            const finish = (isRunning: boolean): void => {
+            const finish = (liveness: Liveness): void => {
                 timeout.clear();
                 signal.removeEventListener("abort", giveUp);
                 ends.waiters.delete(waiter);
-                resolve(isRunning);
+                resolve(liveness);
             };
-            const giveUp = (): void => finish(false);
+            const giveUp = (): void => finish("unasked");
             const waiter = { endedAt: this.getMoment(), resolve: finish };
-            const timeout = new ReadTimeout(maxWaitMilliseconds, giveUp);
+            const timeout = new ReadTimeout(maxWaitMilliseconds, () => finish(ends.isSent ? "unanswered" : "unasked"));
             ends.waiters.add(waiter);
             signal.addEventListener("abort", giveUp);
             if (signal.aborted) {
@@ -88,7 +100,7 @@
     addAnswer(upstream: RegisteredUpstream, sentAt: number): void {
         const ends = this.#waiting.get(getKey(upstream));
         if (ends !== undefined) {
-            resolveEarlier(ends, sentAt, true);
+            resolveEarlier(ends, sentAt, "running");
         }
     }
 
@@ -101,20 +113,23 @@
             let sentAt: number | undefined = undefined;
             const onSent = (): void => {
                 sentAt = this.getMoment();
+                ends.isSent = true;
             };
-            const isRunning = await this.#ask(upstream, { onSent, signal: controller.signal });
+            ends.isSent = false;
+            const liveness = await this.#ask(upstream, { onSent, signal: controller.signal });
             timeout.clear();
-            resolveEarlier(ends, sentAt ?? this.getMoment(), isRunning && sentAt !== undefined);
+            const isInOrder = sentAt !== undefined || liveness !== "running";
+            resolveEarlier(ends, sentAt ?? this.getMoment(), isInOrder ? liveness : "unasked");
         }
         ends.isAsking = false;
         this.#waiting.delete(key);
     }
 }
 
-function resolveEarlier({ waiters }: WaitingEnds, moment: number, isRunning: boolean): void {
+function resolveEarlier({ waiters }: WaitingEnds, moment: number, liveness: Liveness): void {
     for (const waiter of waiters) {
         if (waiter.endedAt < moment) {
-            waiter.resolve(isRunning);
+            waiter.resolve(liveness);
         }
     }
 }
--- a/src/platform/nodeContainer.ts
+++ b/src/platform/nodeContainer.ts
@@ -44,7 +44,6 @@
 import { LiveSettings, type NodeSettings } from "./nodeSettings.js";
 import { PlatformTopics } from "./platformTopics.js";
 import {
-    createNodeCrashProbe,
     createNodeRelayInterceptor,
     createReachability,
     createRelayPeers,
@@ -215,8 +214,7 @@
     partQuarantine: parts => createQuarantine(parts, partPolicy, recordKeys.partQuarantinePrefix),
     crashWatch: parts => {
         const { clock, journal, quarantine, partQuarantine } = parts;
-        const isRefusingConnections = createNodeCrashProbe(parts);
-        return new CrashWatch({ clock, journal, quarantine, partQuarantine, isRefusingConnections });
+        return new CrashWatch({ clock, journal, quarantine, partQuarantine });
     },
     rollouts: parts => createRollouts(parts),
     shutdown: ({ clock }) => new Shutdown(clock),
--- a/src/platform/readLiveness.ts
+++ b/src/platform/readLiveness.ts
@@ -5,6 +5,7 @@
 import { z } from "zod";
 import { hasStatedEnd } from "../connections/index.js";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import type { Liveness } from "../reachability/index.js";
 import { destroyBody } from "./destroyBody.js";
 import { findHeader } from "./headers.js";
 import { headerNames } from "./wire.js";
@@ -18,8 +19,8 @@
 const startSchema = z.object({ born: z.number() });
 
 /**
- * Returns whether an answer shows that an upstream runs. Any status does, a rejection too; not so an answer to another request, or one of
- * another upstream, or of this one after it has started anew.
+ * Returns what an answer shows of an upstream. With any status it runs, a rejection too; not so by an answer to another request, or one
+ * of another upstream, or of this one after it has started anew.
  * @param response - The answer, whose body is read or discarded.
  * @param upstream - The upstream that was asked.
  * @param requestId - The identifier of the request.
@@ -28,7 +29,7 @@
     response: Dispatcher.ResponseData,
     upstream: RegisteredUpstream,
     requestId: string,
-): Promise<boolean> {
+): Promise<Liveness> {
     const raw = response.headers as unknown as readonly string[];
     const { statusCode: status, body } = response;
     const echoedId = findHeader(raw, headerNames.requestId);
@@ -37,15 +38,18 @@
     const isOther = status === misdirectedStatus || (runner !== undefined && runner !== upstream.id);
     if (!isAnswer || isOther || !hasStatedEnd("GET", { status, headers: raw })) {
         destroyBody(response);
-        return isAnswer && !isOther;
+        if (!isAnswer) {
+            return "unanswered";
+        }
+        return isOther ? "replaced" : "running";
     }
     const length = Number(findHeader(raw, "content-length") ?? Number.NaN);
     const type = findHeader(raw, "content-type")?.split(";")[0].trim().toLowerCase();
     if (type !== jsonType || !(length <= maxBodyBytes)) {
         await body.dump({ limit: maxBodyBytes });
-        return true;
+        return "running";
     }
-    return isSameStart(await body.text(), upstream);
+    return isSameStart(await body.text(), upstream) ? "running" : "replaced";
 }
 
 /** Returns whether an upstream says that it started when it was registered to have, or does not say when. */
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -3,9 +3,11 @@
  */
 import type { Dispatcher } from "undici";
 import type { RegisteredUpstream } from "../fleet/index.js";
+import type { UpstreamLife } from "../quarantine/index.js";
 import {
     createCrashProbe,
     createRelayInterceptor,
+    probeLife,
     Reachability,
     RelayPeers,
     RelayServer,
@@ -67,6 +69,21 @@
     return createCrashProbe({ reachability, findUpstream: address => findUpstream(registry.getAll(), address) });
 }
 
+/** Creates the look whether an upstream that refuses no connections still runs. */
+export function createNodeLifeProbe(
+    { registry, reachability, upstreamClient }: NodeParts,
+): (upstream: RegisteredUpstream) => Promise<UpstreamLife> {
+    return async upstream => {
+        if (registry.isReplaced(upstream)) {
+            return "ended";
+        }
+        return await probeLife(upstream, {
+            reachability,
+            checkLiveness: () => upstreamClient.checkLiveness(upstream),
+        });
+    };
+}
+
 function findUpstream(upstreams: Iterable<RegisteredUpstream>, address: string): RegisteredUpstream | undefined {
     for (const upstream of upstreams) {
         if (upstream.address === address) {
--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -15,7 +15,7 @@
     UpstreamStatement,
     UpstreamTransport,
 } from "../forwarding/index.js";
-import type { RelayTarget } from "../reachability/index.js";
+import type { Liveness, RelayTarget } from "../reachability/index.js";
 import { classifyTransportError, describeTransportError } from "../upstream/index.js";
 import { destroyBody } from "./destroyBody.js";
 import { findHeader, findNumber, pickAnswerHeaders } from "./headers.js";
@@ -34,6 +34,14 @@
 /** Time between two looks at whether an upstream may be asked now. */
 const askPauseMilliseconds = 50;
 
+/** Why an upstream is not known to run, for log lines. */
+const livenessFailures: Readonly<Record<Liveness, string | undefined>> = {
+    running: undefined,
+    replaced: "the answer is not one of this life of the upstream",
+    unanswered: "the answer is one to another request",
+    unasked: "not sent after the wait for a connection",
+};
+
 /** Options of `UpstreamClient`. */
 export interface UpstreamClientOptions {
     /** Returns the maximum number of connections from this node to one upstream of a pool. */
@@ -104,35 +112,41 @@
         return this.#liveness.confirm(upstream, signal);
     }
 
+    /** Asks an upstream for a sign of life that it gives after now, and returns what it has shown. */
+    checkLiveness(upstream: RegisteredUpstream): Promise<Liveness> {
+        return this.#liveness.check(upstream, new AbortController().signal);
+    }
+
     /** Asks an upstream for a sign of life, with a request that needs no slot where it serves one. */
-    async #ask(upstream: RegisteredUpstream, { onSent, signal }: Parameters<LivenessRequest>[1]): Promise<boolean> {
+    async #ask(upstream: RegisteredUpstream, { onSent, signal }: Parameters<LivenessRequest>[1]): Promise<Liveness> {
         const path = upstream.models.length > 0
             ? runnerPaths.report
             : this.#options.getHealthPath?.(upstream.pool);
         if (path === undefined || !await this.#waitForLimit(upstream, signal)) {
-            return false;
+            return "unasked";
         }
         const requestId = randomBytes(requestIdBytes).toString("hex");
         let failure: string | undefined = undefined;
+        let liveness: Liveness = "unasked";
         try {
             const response = await this.#send(upstream, createCheck(upstream, { path, requestId, signal }), {
-                onSent,
+                onSent: () => {
+                    liveness = "unanswered";
+                    onSent();
+                },
                 signal,
                 confirmCaller: () => undefined,
                 mayStillSend: () => true,
             });
-            if (response === undefined) {
-                failure = "not sent after the wait for a connection";
-            }
-            else if (!await readLiveness(response, upstream, requestId)) {
-                failure = "the answer is not one of this life of the upstream";
-            }
+            liveness = response === undefined ? "unasked" : await readLiveness(response, upstream, requestId);
+            failure = livenessFailures[liveness];
         }
         catch (error) {
             failure = signal.aborted ? "no answer in time" : describeTransportError(error);
+            liveness = signal.aborted ? liveness : "unanswered";
         }
         this.#options.onCheck?.(upstream, failure);
-        return failure === undefined;
+        return liveness;
     }
 
     /** Waits until an upstream may be asked. Returns false when that was not so in time. */
--- a/src/quarantine/crashRecord.ts
+++ b/src/quarantine/crashRecord.ts
@@ -13,6 +13,11 @@
     cleared: z.number().int().nonnegative(),
     /** Wall-clock time until which the record counts, in milliseconds since the Unix epoch. */
     until: z.number(),
+    /**
+     * Wall-clock time of the last crash that was counted, in milliseconds since the Unix epoch. It may have become known seconds later.
+     * Missing in the records of older nodes.
+     */
+    crashedAt: z.number().optional(),
 }).readonly();
 
 const crashRecordsSchema = z.array(crashRecordSchema).readonly();
@@ -56,5 +61,15 @@
         until: left.points === right.points
             ? Math.max(left.until, right.until)
             : (left.points > right.points ? left.until : right.until),
+        crashedAt: mergeCrashTimes(left, right),
     };
 }
+
+/** Of as many crashes, the last one is the earlier one of both: more later ones can be told from it. */
+function mergeCrashTimes(left: CrashRecord, right: CrashRecord): number | undefined {
+    if (left.points !== right.points) {
+        return left.points > right.points ? left.crashedAt : right.crashedAt;
+    }
+    const times = [left.crashedAt, right.crashedAt].filter(time => time !== undefined);
+    return times.length === 0 ? undefined : Math.min(...times);
+}
--- a/src/quarantine/crashRecords.ts
+++ b/src/quarantine/crashRecords.ts
@@ -14,8 +14,6 @@
     /** By fingerprint, the one that was changed last at the end. */
     readonly #records = new Map<string, CrashRecord>();
 
-    readonly #raisedAt = new Map<string, number>();
-
     constructor(clock: Clock, policy: SuspicionPolicy) {
         this.#clock = clock;
         this.#policy = policy;
@@ -35,7 +33,7 @@
     get(fingerprint: string): CrashRecord | undefined {
         const record = this.#records.get(fingerprint);
         if (record !== undefined && this.#isExpired(record, this.#clock.wall())) {
-            this.#remove(fingerprint);
+            this.#records.delete(fingerprint);
             return undefined;
         }
         return record;
@@ -52,17 +50,9 @@
         return false;
     }
 
-    /** Returns the monotonic time at which the points of a subject last grew. */
-    getRaisedAt(fingerprint: string): number {
-        return this.#raisedAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY;
-    }
-
     /** Adds or replaces a record. The records with the least suspicion make room for others. */
     set(record: CrashRecord): void {
         const { fingerprint } = record;
-        if (record.points > (this.#records.get(fingerprint)?.points ?? 0)) {
-            this.#raisedAt.set(fingerprint, this.#clock.monotonic());
-        }
         this.#records.delete(fingerprint);
         this.#records.set(fingerprint, record);
         if (this.#records.size > maxRecords) {
@@ -73,11 +63,6 @@
         }
     }
 
-    #remove(fingerprint: string): void {
-        this.#records.delete(fingerprint);
-        this.#raisedAt.delete(fingerprint);
-    }
-
     #isExpired(record: CrashRecord, now: number): boolean {
         return isExpired(record, now, this.#policy);
     }
@@ -86,7 +71,7 @@
         const now = this.#clock.wall();
         for (const record of this.#records.values()) {
             if (this.#isExpired(record, now)) {
-                this.#remove(record.fingerprint);
+                this.#records.delete(record.fingerprint);
             }
         }
     }
@@ -100,7 +85,7 @@
             }
         }
         if (least !== undefined) {
-            this.#remove(least.fingerprint);
+            this.#records.delete(least.fingerprint);
         }
     }
 }
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -8,5 +8,6 @@
 export * from "./queryTraits.js";
 export * from "./sharedQuarantine.js";
 export { type CrashStage, partPolicy, requestPolicy, type SuspicionPolicy } from "./suspicion.js";
+export * from "./upstreamLife.js";
 export * from "./watchedRequest.js";
 export * from "./watchedRun.js";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -19,7 +19,10 @@
 
 /** Time within which a trial has shown whether the request crashes its upstream, in milliseconds. Until then there is no other. */
 const trialTimeoutMilliseconds = 30_000;
-/** Time in which a run that began after a crash shows whether it outlives its beginning. */
+/**
+ * Time between two crashes in which a run that began after the first one shows whether it outlives its beginning. The time of a crash is
+ * known less exactly than that, too, where its upstream fell silent.
+ */
 const evidenceMilliseconds = 250;
 /** Time between the trials of two nodes. In less than that, all nodes know how the first one ended. */
 const trialStepMilliseconds = 5_000;
@@ -48,11 +51,17 @@
 export interface SubjectCrash {
     /** The fingerprint of the request, or the key of a part of its prompt. */
     readonly fingerprint: string;
-    /** The subject's points when the run started. */
+    /** The subject's points as they were known when the run started. */
     readonly pointsAtStart: number;
+    /**
+     * Wall-clock times from which on the run may have begun to run the subject, and at which the upstream crashed, in milliseconds since
+     * the Unix epoch. The crash may have become known seconds later.
+     */
+    readonly beganAt: number;
+    readonly crashedAt: number;
     readonly stage: CrashStage;
-    /** Whether the upstream may have crashed under its load. */
-    readonly mayBeLoad: boolean;
+    /** Whether the upstream may well have ended for another reason: by its load, or before the run was sent. */
+    readonly isDoubtful: boolean;
     /** Whether this node sends the request to no other upstream until its caller sends it again. */
     readonly isLastAttempt: boolean;
 }
@@ -146,21 +155,16 @@
     }
 
     /**
-     * Adds a crash. Attempts that were in flight at the same time count once, whatever their number: an outage of many upstreams, or
-     * a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
+     * Adds a crash. Attempts that were in flight at the same time count once, whatever their number, and whenever their ends become known:
+     * an outage of many upstreams, or a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
      * without a body, which many callers of a workspace send: it is no suspect while such requests run to their end.
      */
-    addCrash({ fingerprint, pointsAtStart, stage, mayBeLoad, isLastAttempt }: SubjectCrash): void {
+    addCrash(crash: SubjectCrash): void {
         const { clock, journal, policy } = this.#options;
-        const crashPoints = policy.getCrashPoints({
-            stage,
-            mayBeLoad,
-            hasSurvived: this.hasSurvived(fingerprint),
-            hasLikelierCause: this.#hasLikelierCause(fingerprint),
-            isRaisedJustNow: clock.monotonic() - this.#records.getRaisedAt(fingerprint) < evidenceMilliseconds,
-        });
+        const { fingerprint, crashedAt, isLastAttempt } = crash;
         const known = this.#records.get(fingerprint);
-        const points = pointsAtStart + crashPoints;
+        const crashPoints = this.#getCrashPoints(crash, known);
+        const points = getPointsBefore(crash, known) + crashPoints;
         if (crashPoints === 0 || (known !== undefined && known.points >= points)) {
             return;
         }
@@ -168,7 +172,7 @@
         const suspicion = points - cleared;
         const until = clock.wall() + getRetentionMilliseconds(suspicion, policy);
         this.#trialEnds.delete(fingerprint);
-        const record = { fingerprint, points, cleared, until };
+        const record = { fingerprint, points, cleared, until, crashedAt };
         this.#records.set(record);
         if (suspicion >= policy.sharedPoints || isLastAttempt) {
             this.#publish(record, { urgent: true });
@@ -184,12 +188,19 @@
     /**
      * Records a run that crashed nothing, which disproves the suspicion against a subject.
      * @param points - The points up to which it does: later crashes may have a cause that the run did not meet.
+     * @param beganAt - Wall-clock time at which the run began. It also disproves crashes from before that became known later.
      */
-    addSurvival(fingerprint: string, points = Number.POSITIVE_INFINITY): void {
-        this.#survivals.add(fingerprint, this.#options.clock.monotonic());
+    addSurvival(fingerprint: string, points = Number.POSITIVE_INFINITY, beganAt = Number.NEGATIVE_INFINITY): void {
+        this.#survivals.add(fingerprint, this.#options.clock.monotonic(), beganAt);
         const record = this.#records.get(fingerprint);
-        if (record !== undefined && record.cleared < Math.min(points, record.points)) {
-            this.#clear(record, Math.min(points, record.points));
+        if (record === undefined) {
+            return;
+        }
+        const disproved = this.#isDisproved(fingerprint, record.crashedAt)
+            ? record.points
+            : Math.min(points, record.points);
+        if (record.cleared < disproved) {
+            this.#clear(record, disproved);
         }
     }
 
@@ -217,7 +228,8 @@
             journal.write(events.quarantineLearned, { subject: policy.subject, fingerprint, points, until });
             onQuarantined();
         }
-        const isExcused = policy.isExcusedBySurvival && this.hasSurvived(fingerprint);
+        const isExcused = (policy.isExcusedBySurvival && this.hasSurvived(fingerprint))
+            || this.#isDisproved(fingerprint, merged.crashedAt);
         if (getSuspicion(merged) >= policy.sharedPoints && isExcused) {
             this.#clear(merged, merged.points);
         }
@@ -227,6 +239,28 @@
         }
     }
 
+    #getCrashPoints(
+        { fingerprint, stage, isDoubtful, crashedAt }: SubjectCrash,
+        known: CrashRecord | undefined,
+    ): number {
+        if (this.#isDisproved(fingerprint, crashedAt)) {
+            return 0;
+        }
+        return this.#options.policy.getCrashPoints({
+            stage,
+            isDoubtful,
+            suspicion: known === undefined ? 0 : getSuspicion(known),
+            hasSurvived: this.hasSurvived(fingerprint),
+            hasLikelierCause: this.#hasLikelierCause(fingerprint),
+            isJustAfterLast: known?.crashedAt !== undefined && crashedAt < known.crashedAt + evidenceMilliseconds,
+        });
+    }
+
+    /** Returns whether a run that ended well here began after a crash. */
+    #isDisproved(fingerprint: string, crashedAt: number | undefined): boolean {
+        return crashedAt !== undefined && this.#survivals.hasBegunAfter(fingerprint, crashedAt);
+    }
+
     /**
      * Returns whether a subject that has recently run at this node without a crash comes along with the cause of crashes: one that has
      * not run so is quarantined.
@@ -309,6 +343,12 @@
     }
 }
 
+/** Returns the points of the crashes after which a run began. */
+function getPointsBefore({ pointsAtStart, beganAt }: SubjectCrash, known: CrashRecord | undefined): number {
+    const hasBegunAfterAll = known?.crashedAt !== undefined && beganAt >= known.crashedAt + evidenceMilliseconds;
+    return hasBegunAfterAll ? Math.max(pointsAtStart, known.points) : pointsAtStart;
+}
+
 function isDefined<Value>(value: Value | undefined): value is Value {
     return value !== undefined;
 }
--- a/src/quarantine/suspicion.ts
+++ b/src/quarantine/suspicion.ts
@@ -11,14 +11,16 @@
 /** What is known of a crash when it is counted. */
 export interface CrashEvidence {
     readonly stage: CrashStage;
+    /** Points that count against the subject already. */
+    readonly suspicion: number;
     /** Whether a run has recently shown that the subject crashes nothing. */
     readonly hasSurvived: boolean;
-    /** Whether the upstream may have crashed under its load. */
-    readonly mayBeLoad: boolean;
+    /** Whether the upstream may well have ended for another reason. */
+    readonly isDoubtful: boolean;
     /** Whether a subject that has not run well recently, as this one has, is quarantined. */
     readonly hasLikelierCause: boolean;
-    /** Whether the suspicion grew so recently that no run could have disproved it since. */
-    readonly isRaisedJustNow: boolean;
+    /** Whether it came so soon after the last crash that was counted that no run could have disproved that one meanwhile. */
+    readonly isJustAfterLast: boolean;
 }
 
 /** How suspicion against one kind of subject arises, and who learns of it. */
@@ -48,7 +50,7 @@
 /** A request that its caller sends again: three crashes as it began to run. */
 export const requestPolicy: SuspicionPolicy = {
     subject: "request",
-    getCrashPoints: ({ stage, hasSurvived, mayBeLoad }) => hasSurvived || mayBeLoad ? 0 : pointsByStage[stage],
+    getCrashPoints: ({ stage, hasSurvived, isDoubtful }) => hasSurvived || isDoubtful ? 0 : pointsByStage[stage],
     isExcusedBySurvival: true,
     quarantinePoints: requestQuarantinePoints,
     // A single crash makes all requests of its upstream suspects, and nearly all of them run well at the next one.
@@ -59,7 +61,8 @@
 
 /**
  * A part of prompts, which comes with ever new requests at any node: crashes of two requests one after the other, or of four if the
- * part has run well before. Requests share most of their parts, and one that is held back by mistake is tried again soon.
+ * part has run well before or the upstreams may well have ended for another reason. Requests share most of their parts, and one that is held back by mistake is tried
+ * again soon.
  */
 export const partPolicy: SuspicionPolicy = {
     subject: "part",
@@ -72,15 +75,14 @@
 };
 
 function getPartCrashPoints(evidence: CrashEvidence): number {
-    const { stage, hasSurvived, mayBeLoad, hasLikelierCause, isRaisedJustNow } = evidence;
-    // Whole queues wait at an upstream, whose prompts have nearly all parts.
-    if (stage === "waiting" || hasLikelierCause) {
+    const { stage, suspicion, hasSurvived, isDoubtful, hasLikelierCause, isJustAfterLast } = evidence;
+    if (hasLikelierCause) {
         return 0;
     }
-    if (!hasSurvived && !mayBeLoad) {
+    if (!hasSurvived && !isDoubtful && (stage === "running" || suspicion >= pointsByStage.running)) {
         return pointsByStage.running;
     }
-    return isRaisedJustNow ? 0 : doubtfulPoints;
+    return isJustAfterLast ? 0 : doubtfulPoints;
 }
 
 /** How long a suspicion is remembered that does not suffice for a quarantine, or that a run has disproved. */
--- a/src/quarantine/watchedRun.ts
+++ b/src/quarantine/watchedRun.ts
@@ -2,23 +2,53 @@
  * A run of a request at an upstream, as the watch for crashed upstreams sees it.
  */
 import type { Clock } from "../common/index.js";
+import type { LastSigns, UpstreamIncarnation } from "./lastSigns.js";
 import type { Quarantine } from "./quarantine.js";
+import type { UpstreamLife } from "./upstreamLife.js";
 import type { WatchedRequest } from "./watchedRequest.js";
 
-/** The upstream of a run. */
-export interface RunUpstream {
-    readonly id: string;
-    /** The address, as `HOST:PORT`. */
-    readonly address: string;
+/** The upstream of a run, as it was when the run was sent. */
+export interface RunUpstream extends UpstreamIncarnation {
+    /** Returns whether its machine answers that nothing listens at its address. */
+    readonly isRefusingConnections: () => Promise<boolean>;
+    /** Asks whether this upstream still runs, of one that does not refuse connections. */
+    readonly getLife: () => Promise<UpstreamLife>;
+}
+
+/** What is known of a run when it is sent. */
+export interface RunDescription {
+    readonly upstream: RunUpstream;
+    /** Whether the upstream may crash under its load. */
+    readonly mayBeLoad?: boolean;
+    /** Returns whether this node sends the request to no other upstream until its caller sends it again. */
+    readonly isLastAttempt: () => boolean;
 }
 
 /** Options of `WatchedRun`. */
-export interface WatchedRunOptions {
+export interface WatchedRunOptions extends RunDescription {
     readonly request: WatchedRequest;
-    readonly upstream: RunUpstream;
     readonly clock: Clock;
     readonly quarantine: Quarantine;
     readonly partQuarantine: Quarantine;
+    readonly lastSigns: LastSigns;
+}
+
+/** The end of a run, as far as its moment is known. */
+export interface RunMoment {
+    /** How long the request had run, in milliseconds. 0 if its answer had not started. */
+    readonly runMilliseconds: number;
+    /** How long the upstream has sent nothing, for this run and for any other, in milliseconds. */
+    readonly silentMilliseconds: number;
+    /**
+     * Whether the upstream was alive when the request was sent. One that was unresponsive before did not end by it, and callers who send
+     * harmless requests meet such ones one after the other.
+     */
+    readonly aliveWhenSent: "certain" | "likely" | "unknown";
+    /** Monotonic time of the end. */
+    readonly endedMonotonic: number;
+    /** Wall-clock times of the end, and from which on the request may have run, in milliseconds since the Unix epoch. */
+    readonly endedAt: number;
+    readonly beganAt: number;
 }
 
 /**
@@ -26,6 +56,10 @@
  * longer is not the one that crashes its runner as it begins to run.
  */
 export const crashWindowMilliseconds = 400;
+/** Time without anything from an upstream after which it may have ended, in milliseconds. A sound one may be silent for a second. */
+export const silenceMilliseconds = 1_000;
+/** Time after which an upstream that resets a connection has worked on its request, in milliseconds. */
+const minWorkMilliseconds = 20;
 /** Longest pause between two pieces of an answer that arrives steadily. After a longer one this node may have stood still itself. */
 const maxSteadyPauseMilliseconds = 300;
 
@@ -33,28 +67,41 @@
 export class WatchedRun {
     readonly request: WatchedRequest;
     readonly upstream: RunUpstream;
+    /** Whether the upstream may crash under its load. */
+    readonly mayBeLoad: boolean;
+    /** Returns whether this node sends the request to no other upstream until its caller sends it again. */
+    readonly isLastAttempt: () => boolean;
     /** The points of what the request may crash upstreams by, by key, when it was sent; those that had none are missing. */
     readonly traitPoints: ReadonlyMap<string, number>;
     readonly #clock: Clock;
     readonly #quarantine: Quarantine;
     readonly #partQuarantine: Quarantine;
+    readonly #lastSigns: LastSigns;
     readonly #isTrial: boolean;
     readonly #sentAt: number;
+    /** Wall-clock time at which the request was sent. */
+    readonly #sentWall: number;
     #headAt: number | undefined;
-    #partPoints: ReadonlyMap<string, number> | undefined;
+    #partPoints: ReadonlyMap<string, number>;
     /** Time since which the answer arrives steadily, and that of its last piece. */
     #steadySince = 0;
     #lastPieceAt = 0;
     #hasOutlived = false;
 
-    constructor({ request, upstream, clock, quarantine, partQuarantine }: WatchedRunOptions) {
+    constructor(options: WatchedRunOptions) {
+        const { request, upstream, clock, quarantine, partQuarantine, lastSigns } = options;
         this.request = request;
         this.upstream = upstream;
+        this.mayBeLoad = options.mayBeLoad ?? false;
+        this.isLastAttempt = options.isLastAttempt;
         this.#clock = clock;
-        this.#sentAt = clock.monotonic();
         this.#quarantine = quarantine;
         this.#partQuarantine = partQuarantine;
+        this.#lastSigns = lastSigns;
+        this.#sentAt = clock.monotonic();
+        this.#sentWall = clock.wall();
         this.traitPoints = quarantine.readPoints(request.getTraitKeys);
+        this.#partPoints = partQuarantine.readPoints(request.getPartKeys);
         this.#isTrial = this.#isHeldBack();
     }
 
@@ -63,12 +110,17 @@
         return this.#headAt !== undefined;
     }
 
+    /** Wall-clock time at which the request was sent, in milliseconds since the Unix epoch. */
+    get sentAt(): number {
+        return this.#sentWall;
+    }
+
     /**
-     * The points of the prompt's parts, by key: when the answer started, or now. Requests wait at upstreams for seconds, in which
-     * other requests with the same part show what it does.
+     * The points of the prompt's parts, by key: when the answer started, or when the request was sent. Requests wait at upstreams for
+     * seconds, in which other requests with the same part show what it does.
      */
     get partPoints(): ReadonlyMap<string, number> {
-        return this.#partPoints ?? this.#readPartPoints();
+        return new Map(this.request.getPartKeys().map(key => [key, this.#partPoints.get(key) ?? 0]));
     }
 
     /** Returns whether the request was quarantined since it was admitted, so that it may not be sent any more. */
@@ -81,7 +133,8 @@
         this.#headAt = this.#clock.monotonic();
         this.#steadySince = this.#headAt;
         this.#lastPieceAt = this.#headAt;
-        this.#partPoints = this.#readPartPoints();
+        this.#lastSigns.mark(this.upstream, this.#headAt);
+        this.#partPoints = this.#partQuarantine.readPoints(this.request.getPartKeys);
     }
 
     /**
@@ -94,26 +147,51 @@
             this.#steadySince = now;
         }
         this.#lastPieceAt = now;
+        this.#lastSigns.mark(this.upstream, now);
         if (!this.#hasOutlived && now - this.#steadySince > crashWindowMilliseconds) {
             this.#hasOutlived = true;
             this.#addPartSurvivals();
         }
     }
 
-    /** Returns the time for which the request has run, in milliseconds. 0 until its answer starts. */
-    getMilliseconds(): number {
-        return this.#headAt === undefined ? 0 : this.#clock.monotonic() - this.#headAt;
+    /**
+     * Returns what is known of the end of the run, which is noticed now. An upstream that has been silent for longer than a sound one has
+     * ended when it was last heard. A request that waits may have begun at any moment.
+     */
+    getMoment(): RunMoment {
+        const now = this.#clock.monotonic();
+        const lastSignAt = Math.max(this.#lastPieceAt, this.#lastSigns.get(this.upstream));
+        const heardAt = Math.max(this.#sentAt, lastSignAt);
+        const silentMilliseconds = now - heardAt;
+        const endedAt = silentMilliseconds >= silenceMilliseconds ? heardAt : now;
+        const runMilliseconds = this.#headAt === undefined ? 0 : Math.max(0, endedAt - this.#headAt);
+        const endedWall = this.#clock.wall() - (now - endedAt);
+        return {
+            runMilliseconds,
+            silentMilliseconds,
+            aliveWhenSent: this.#wasAliveWhenSent(lastSignAt, now),
+            endedMonotonic: endedAt,
+            endedAt: endedWall,
+            beganAt: endedWall - runMilliseconds,
+        };
     }
 
-    /** Returns the time since the upstream last sent something for this run, in milliseconds. */
-    getSilentMilliseconds(): number {
-        return this.#clock.monotonic() - Math.max(this.#sentAt, this.#lastPieceAt);
+    /**
+     * An upstream from which something came since, for this run or for any other, was alive. One whose address another process holds resets
+     * a connection at once, so it was likely alive if it did so later.
+     */
+    #wasAliveWhenSent(lastSignAt: number, endedAt: number): RunMoment["aliveWhenSent"] {
+        if (lastSignAt >= this.#sentAt) {
+            return "certain";
+        }
+        const milliseconds = endedAt - this.#sentAt;
+        return milliseconds >= minWorkMilliseconds && milliseconds < silenceMilliseconds ? "likely" : "unknown";
     }
 
     /** Records that the request and the parts of its prompt have run without a crash. */
     addSurvival(): void {
         for (const key of this.request.getTraitKeys()) {
-            this.#quarantine.addSurvival(key);
+            this.#quarantine.addSurvival(key, Number.POSITIVE_INFINITY, this.#sentWall);
         }
         this.#addPartSurvivals();
     }
@@ -124,13 +202,10 @@
     }
 
     #addPartSurvivals(): void {
+        const now = this.#clock.monotonic();
+        const beganAt = this.#headAt === undefined ? this.#sentWall : this.#clock.wall() - (now - this.#headAt);
         for (const [part, points] of this.partPoints) {
-            this.#partQuarantine.addSurvival(part, points);
+            this.#partQuarantine.addSurvival(part, points, beganAt);
         }
     }
-
-    #readPartPoints(): ReadonlyMap<string, number> {
-        const points = this.#partQuarantine.readPoints(this.request.getPartKeys);
-        return new Map(this.request.getPartKeys().map(key => [key, points.get(key) ?? 0]));
-    }
 }
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -89,7 +89,7 @@
             });
             this.#answerObserver?.observe(service, response, sentAt);
             const answer = await this.#readAnswer(response, service);
-            if (answer.isOk() && !hasKnownEnd(response, call.method) && !await this.#isRunning(service, call.signal)) {
+            if (answer.isOk() && !hasKnownEnd(response, call.method) && !await this.isRunning(service, call.signal)) {
                 return err({ outcome: "ran", failure: createUnconfirmedFailure(service) });
             }
             if (answer.isOk() && isLeavingRefusal(answer.value)) {
@@ -126,16 +126,18 @@
     }
 
     /**
-     * Returns whether a service still runs after one of its answers has ended, by an answer to a request that is sent now. An answer with
-     * neither a length nor chunks ends in order when its service is killed as well.
+     * Returns whether an upstream still runs after one of its answers has ended, by an answer to a request that is sent now. An answer with
+     * neither a length nor chunks ends in order when its upstream is killed as well.
+     * @param upstream - The VM of a service or an engine.
+     * @param signal - Ends the wait.
      */
-    async #isRunning(service: Vm, signal: AbortSignal): Promise<boolean> {
+    async isRunning(upstream: Vm, signal?: AbortSignal): Promise<boolean> {
         const waiting = new AbortController();
         const timeout = new ReadTimeout(maxLivenessMilliseconds, () => waiting.abort());
         try {
-            const response = await request(`${getOrigin(service)}${loadPath}`, {
+            const response = await request(`${getOrigin(upstream)}${loadPath}`, {
                 dispatcher: this.#dispatcher,
-                signal: AbortSignal.any([signal, waiting.signal]),
+                signal: signal === undefined ? waiting.signal : AbortSignal.any([signal, waiting.signal]),
             });
             await response.body.dump();
             return true;
--- a/test/platform/crashes/main.ts
+++ b/test/platform/crashes/main.ts
@@ -34,8 +34,8 @@
         } lines of crashes`,
 );
 const unproven = new Map<string, number>();
-for (const { event, found, end: ending, hasHead } of lines) {
-    const key = `${String(found)} ${String(ending)} ${hasHead === true ? "begun" : "not begun"}`;
+for (const { event, found, hasHead } of lines) {
+    const key = `${String(found)} ${hasHead === true ? "begun" : "not begun"}`;
     if (event === 476) {
         unproven.set(key, (unproven.get(key) ?? 0) + 1);
     }
--- a/test/platform/livenessChecks.test.ts
+++ b/test/platform/livenessChecks.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, describe, it } from "node:test";
 import { LivenessChecks, type LivenessRequest } from "../../src/platform/livenessChecks.js";
+import type { Liveness } from "../../src/reachability/index.js";
 import { createUpstream } from "../fixtures/upstreams.js";
 import { UpstreamCalls } from "./upstreamCalls.js";
 
@@ -12,7 +13,7 @@
 
 /** Requests for signs of life that are answered by the test. */
 class Asked {
-    readonly answers: ((isRunning: boolean) => void)[] = [];
+    readonly answers: ((liveness: Liveness) => void)[] = [];
     readonly sends: (() => void)[] = [];
 
     readonly ask: LivenessRequest = (...[, { onSent }]) => {
@@ -33,12 +34,12 @@
         const first = [checks.confirm(upstream, never), checks.confirm(upstream, never)];
         asked.sends[0]();
         const late = checks.confirm(upstream, never);
-        asked.answers[0](true);
+        asked.answers[0]("running");
         expect(await Promise.all(first)).toEqual([true, true]);
         await settle();
         expect(asked.answers.length).toEqual(2);
         asked.sends[1]();
-        asked.answers[1](false);
+        asked.answers[1]("unanswered");
         expect(await late).toEqual(false);
     });
 
@@ -63,7 +64,7 @@
         const asked = new Asked();
         const checks = new LivenessChecks(asked.ask);
         const unsent = checks.confirm(upstream, never);
-        asked.answers[0](true);
+        asked.answers[0]("running");
         expect(await unsent).toEqual(false);
         await settle();
         const controller = new AbortController();
@@ -76,7 +77,7 @@
     it("gives up an upstream that does not answer", async () => {
         const checks = new LivenessChecks((...[, { onSent, signal }]) => {
             onSent();
-            return new Promise(resolve => signal.addEventListener("abort", () => resolve(false)));
+            return new Promise(resolve => signal.addEventListener("abort", () => resolve("unanswered")));
         });
         expect(await checks.confirm(upstream, never)).toEqual(false);
     });
--- a/test/quarantine/crashRecord.test.ts
+++ b/test/quarantine/crashRecord.test.ts
@@ -7,7 +7,7 @@
     mergeCrashRecords,
 } from "../../src/quarantine/index.js";
 
-const record: CrashRecord = { fingerprint: "a", points: 6, cleared: 2, until: 1_000 };
+const record: CrashRecord = { fingerprint: "a", points: 6, cleared: 2, until: 1_000, crashedAt: 900 };
 
 describe("records of requests that crash upstreams", () => {
     it("are read as they were written", () => {
@@ -21,9 +21,11 @@
     });
 
     it("are merged in any order with the same result", () => {
-        const newer: CrashRecord = { ...record, points: 8, cleared: 0, until: 500 };
-        const merged: CrashRecord = { fingerprint: "a", points: 8, cleared: 2, until: 500 };
+        const newer: CrashRecord = { ...record, points: 8, cleared: 0, until: 500, crashedAt: 700 };
+        const merged: CrashRecord = { fingerprint: "a", points: 8, cleared: 2, until: 500, crashedAt: 700 };
         expect([mergeCrashRecords(record, newer), mergeCrashRecords(newer, record)]).toEqual([merged, merged]);
         expect(mergeCrashRecords(record, { ...record, until: 2_000 }).until).toEqual(2_000);
+        const earlier = { ...record, crashedAt: 800 };
+        expect([mergeCrashRecords(record, earlier), mergeCrashRecords(earlier, record)]).toEqual([earlier, earlier]);
     });
 });
--- a/test/quarantine/crashReplay.ts
+++ b/test/quarantine/crashReplay.ts
@@ -11,6 +11,7 @@
     type Quarantine,
     requestPolicy,
     type SuspicionPolicy,
+    type UpstreamLife,
     type WatchedRequest,
     type WatchedRun,
 } from "../../src/quarantine/index.js";
@@ -55,6 +56,8 @@
 interface Runner {
     readonly runs: Set<Run>;
     isDown: boolean;
+    /** Number of its starts. */
+    life: number;
 }
 
 const lengthMilliseconds = 60_000;
@@ -63,6 +66,9 @@
 const restartMilliseconds = 2_500;
 const meanWaitMilliseconds = 250;
 const meanRunMilliseconds = 1_500;
+/** When a node notices that a runner is silent, and how long it waits for a sign of life then. */
+const silenceMilliseconds = 1_300;
+const livenessMilliseconds = 1_300;
 /** When the pieces of an answer arrive that matter, after its head. */
 const pieceMilliseconds = [250, 450];
 
@@ -93,7 +99,7 @@
             this.#nodes.push(this.#createNode(index));
         }
         for (let index = 0; index < options.runners; index += 1) {
-            this.#runners.push({ runs: new Set(), isDown: false });
+            this.#runners.push({ runs: new Set(), isDown: false, life: 0 });
         }
     }
 
@@ -143,7 +149,7 @@
             journal: createJournal().journal,
             quarantine,
             partQuarantine,
-            isRefusingConnections: address => Promise.resolve(this.#runners[Number(address)].isDown),
+            wait: milliseconds => new Promise(resolve => this.#schedule(milliseconds, () => resolve(undefined))),
         });
         return { watch, quarantine, partQuarantine };
     }
@@ -297,8 +303,18 @@
         if (request.isCrashing && this.#clock.monotonic() > this.#lateAt) {
             this.#lateRetries += 1;
         }
-        const address = String(this.#runners.indexOf(runner));
-        const run: Run = { request, watched: watch.startRun(request.watched, { id: address, address }), isOver: false };
+        const { life } = runner;
+        const watched = watch.startRun(request.watched, {
+            upstream: {
+                id: String(this.#runners.indexOf(runner)),
+                startedAt: life,
+                isRefusingConnections: () =>
+                    Promise.resolve(runner.isDown && runner.life === life && this.#options.goesDark !== true),
+                getLife: () => this.#getLife(runner, life),
+            },
+            isLastAttempt: () => request.attempts === maxAttempts,
+        });
+        const run: Run = { request, watched, isOver: false };
         runner.runs.add(run);
         const up = this.#runners.filter(one => !one.isDown).length;
         const wait = this.#random.nextExponential(this.#options.waitMilliseconds ?? meanWaitMilliseconds);
@@ -321,7 +337,10 @@
         if (run.isOver) {
             return;
         }
-        run.watched.markHead();
+        const isSure = run.request.isCrashing && this.#options.endsBeforeHead === true;
+        if (!isSure) {
+            run.watched.markHead();
+        }
         const crashesFrom = firstReturnMilliseconds + (this.#options.soundMilliseconds ?? 0);
         if (run.request.isCrashing && this.#getElapsed() >= crashesFrom) {
             this.#schedule(50 + this.#random.next() * 50, () => this.#crashBy(runner, run));
@@ -361,22 +380,41 @@
         }
     }
 
+    #getLife(runner: Runner, life: number): Promise<UpstreamLife> {
+        if (!runner.isDown || runner.life !== life) {
+            return Promise.resolve(runner.life === life ? "running" : "ended");
+        }
+        return new Promise(resolve => this.#schedule(livenessMilliseconds, () => resolve("unresponsive")));
+    }
+
     #crash(runner: Runner): void {
         runner.isDown = true;
         this.#schedule(restartMilliseconds, () => {
             runner.isDown = false;
+            runner.life += 1;
         });
         const runs = [...runner.runs];
         runner.runs.clear();
         for (const run of runs) {
             run.isOver = true;
-            void this.#evaluate(run, "disconnected").then(() => this.#attempt(run.request));
+            if (this.#options.goesDark === true) {
+                this.#schedule(silenceMilliseconds, () => this.#observeSilence(run));
+            }
+            else {
+                void this.#evaluate(run, "disconnected").then(() => this.#attempt(run.request));
+            }
         }
     }
 
+    /** Sends the request of a silent run to another runner. */
+    #observeSilence({ request, watched }: Run): void {
+        this.#nodes[request.node].watch.observeSilence(watched);
+        this.#attempt(request);
+    }
+
     #evaluate({ request, watched }: Run, end: "complete" | "disconnected"): Promise<void> {
         const { watch } = this.#nodes[request.node];
-        const evaluation = watch.evaluate(watched, { end, isLastAttempt: request.attempts === maxAttempts });
+        const evaluation = watch.evaluate(watched, end);
         this.#pending.push(evaluation);
         return evaluation;
     }
--- a/test/quarantine/crashReplayOptions.ts
+++ b/test/quarantine/crashReplayOptions.ts
@@ -21,6 +21,10 @@
     readonly waitMilliseconds?: number;
     /** Intervals of the crashing request's returns, in milliseconds. Undefined when there is none. */
     readonly returnMilliseconds?: number;
+    /** Whether the cause ends its runners before the start of its answer. */
+    readonly endsBeforeHead?: boolean;
+    /** Whether runners that end go dark: they refuse no connections, and their open answers hang. */
+    readonly goesDark?: boolean;
     /** Copies of the crashing request with each return, at different nodes. */
     readonly copies?: number;
     /** Times at which a share of all runners crashes at once, in milliseconds. */
--- a/test/quarantine/partQuarantine.test.ts
+++ b/test/quarantine/partQuarantine.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
 import { partPolicy, type Quarantine } from "../../src/quarantine/index.js";
-import { addCrashes, createQuarantine } from "../fixtures/quarantines.js";
+import { addCrashes, createCrash, createQuarantine } from "../fixtures/quarantines.js";
 
 const second = 1_000;
 
@@ -27,16 +27,49 @@
         expect(isQuarantined(second.quarantine, "a")).toEqual(true);
     });
 
-    it("counts no crash of an upstream at which a request only waited", () => {
+    // Guards against a part that ends its upstreams before the first byte of any answer, and is never found.
+    it("takes effect at the third crash of an upstream at which a request with it only waited", () => {
         const { quarantine } = createPartQuarantine();
-        quarantine.addCrash({
-            fingerprint: "a",
-            pointsAtStart: 0,
-            stage: "waiting",
-            mayBeLoad: false,
-            isLastAttempt: true,
-        });
-        expect(quarantine.getPoints(() => "a")).toEqual(0);
+        for (let crash = 1; crash <= 3; crash += 1) {
+            expect(isQuarantined(quarantine, "a")).toEqual(false);
+            quarantine.addCrash({ ...createCrash("a", crash * second), stage: "waiting" });
+        }
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+    });
+
+    // Guards against the refusal of parts that stand in all requests of the queues of many upstreams that end at once.
+    it("counts crashes of upstreams that ended together once, for the requests that waited there", () => {
+        const { quarantine } = createPartQuarantine();
+        for (let crash = 0; crash < 10; crash += 1) {
+            quarantine.addCrash({ ...createCrash("a", second + 20 * crash), stage: "waiting" });
+        }
+        expect(quarantine.getPoints(() => "a")).toEqual(1);
+    });
+
+    // Guards against crashes that count once since they became known late, when many later runs had begun.
+    it("counts crashes that became known late by the times of the runs", () => {
+        const { quarantine } = createPartQuarantine();
+        quarantine.addCrash({ ...createCrash("a", 1_000), beganAt: 950 });
+        quarantine.addCrash({ ...createCrash("a", 1_030), beganAt: 960 });
+        expect(isQuarantined(quarantine, "a")).toEqual(false);
+        quarantine.addCrash({ ...createCrash("a", 1_400), beganAt: 1_350 });
+        expect(isQuarantined(quarantine, "a")).toEqual(true);
+    });
+
+    // Guards against the refusal of a part for crashes that become known after sound runs have disproved them.
+    it("does not count a crash after which a sound run has begun, here or at another node", () => {
+        const clock = new ManualClock();
+        const first = createPartQuarantine({ clock });
+        const other = createPartQuarantine({ clock });
+        first.quarantine.addSurvival("a", 0, 2_000);
+        first.quarantine.addCrash(createCrash("a", 1_500));
+        expect(first.quarantine.getPoints(() => "a")).toEqual(0);
+        other.quarantine.addCrash(createCrash("a", 1_000));
+        other.quarantine.addCrash({ ...createCrash("a", 1_900), beganAt: 1_800 });
+        expect(isQuarantined(other.quarantine, "a")).toEqual(true);
+        first.quarantine.merge(other.published.at(-1)!.records);
+        other.quarantine.merge(first.published.at(-1)!.records);
+        expect([isQuarantined(first.quarantine, "a"), isQuarantined(other.quarantine, "a")]).toEqual([false, false]);
     });
 
     // Guards against the refusal of all requests that share a part with those that crash upstreams.
@@ -44,12 +77,12 @@
         const clock = new ManualClock();
         const { quarantine } = createPartQuarantine({ clock });
         quarantine.addSurvival("a", 0);
-        addCrashes(quarantine, "a", 10);
+        addCrashes(quarantine, "a", 10, clock);
         expect(quarantine.getPoints(() => "a")).toEqual(1);
         for (let crash = 2; crash <= 4; crash += 1) {
             expect(isQuarantined(quarantine, "a")).toEqual(false);
             clock.advance(second);
-            addCrashes(quarantine, "a", 1);
+            addCrashes(quarantine, "a", 1, clock);
         }
         expect(isQuarantined(quarantine, "a")).toEqual(true);
     });
--- a/test/quarantine/quarantine.test.ts
+++ b/test/quarantine/quarantine.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
 import type { Quarantine } from "../../src/quarantine/index.js";
-import { addCrashes, createQuarantine } from "../fixtures/quarantines.js";
+import { addCrashes, createCrash, createQuarantine } from "../fixtures/quarantines.js";
 
 const minute = 60_000;
 const day = 24 * 60 * minute;
@@ -26,13 +26,7 @@
         for (let crash = 1; crash <= 6; crash += 1) {
             expect(isQuarantined(quarantine, "a")).toEqual(false);
             const pointsAtStart = quarantine.getPoints(() => "a");
-            quarantine.addCrash({
-                fingerprint: "a",
-                pointsAtStart,
-                stage: "waiting",
-                mayBeLoad: false,
-                isLastAttempt: false,
-            });
+            quarantine.addCrash({ ...createCrash("a"), pointsAtStart, stage: "waiting" });
         }
         expect(isQuarantined(quarantine, "a")).toEqual(true);
     });
@@ -41,13 +35,7 @@
     it("counts crashes of attempts that were in flight together once", () => {
         const { quarantine } = createQuarantine();
         for (let copy = 0; copy < 10; copy += 1) {
-            quarantine.addCrash({
-                fingerprint: "a",
-                pointsAtStart: 0,
-                stage: "running",
-                mayBeLoad: false,
-                isLastAttempt: false,
-            });
+            quarantine.addCrash(createCrash("a"));
         }
         expect([quarantine.getPoints(() => "a"), isQuarantined(quarantine, "a")]).toEqual([2, false]);
     });
@@ -151,13 +139,7 @@
         quarantine.addSurvival("a");
         expect(published.length).toEqual(0);
         addCrashes(quarantine, "b", 3);
-        quarantine.addCrash({
-            fingerprint: "c",
-            pointsAtStart: 0,
-            stage: "running",
-            mayBeLoad: false,
-            isLastAttempt: true,
-        });
+        quarantine.addCrash({ ...createCrash("c"), isLastAttempt: true });
         expect(published.map(({ urgent }) => urgent)).toEqual([true, true, true]);
     });
 
@@ -211,14 +193,7 @@
         const { quarantine, published } = createQuarantine();
         addCrashes(quarantine, "quarantined", 3);
         for (let index = 0; index < 2_000; index += 1) {
-            const fingerprint = `suspect-${index}`;
-            quarantine.addCrash({
-                fingerprint,
-                pointsAtStart: 0,
-                stage: "running",
-                mayBeLoad: false,
-                isLastAttempt: true,
-            });
+            quarantine.addCrash({ ...createCrash(`suspect-${index}`), isLastAttempt: true });
         }
         expect(isQuarantined(quarantine, "quarantined")).toEqual(true);
         expect(quarantine.getPoints(() => "suspect-0")).toEqual(0);
--- a/test/quarantine/watchedRun.test.ts
+++ b/test/quarantine/watchedRun.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { ManualClock } from "../../src/common/index.js";
-import { partPolicy, WatchedRun } from "../../src/quarantine/index.js";
+import { partPolicy, type UpstreamLife, WatchedRun } from "../../src/quarantine/index.js";
+import { LastSigns } from "../../src/quarantine/lastSigns.js";
 import { addCrashes, createQuarantine } from "../fixtures/quarantines.js";
 
 function createRun() {
@@ -15,8 +16,14 @@
         getTraitKeys: () => ["request"],
         getPartKeys: () => ["part"],
     };
-    const upstream = { id: "u1", address: "127.0.0.1:1" };
-    const run = new WatchedRun({ request, upstream, clock, quarantine, partQuarantine });
+    const upstream = {
+        id: "u1",
+        isRefusingConnections: () => Promise.resolve(false),
+        getLife: () => Promise.resolve<UpstreamLife>("running"),
+    };
+    const lastSigns = new LastSigns();
+    const isLastAttempt = () => false;
+    const run = new WatchedRun({ request, upstream, isLastAttempt, clock, quarantine, partQuarantine, lastSigns });
     return { clock, partQuarantine, run };
 }
 
