Fail answers without a length whose connections end before their requests are written

What callers saw: a part of an answer, framed as whole, where a runner answered a long upload without having read it and ended the connection in order. Found on other systems by the users, with a reset; here a reset is noticed in each framing, and an end in order is not.

Cause: an answer with neither a length nor chunks was judged by the end of its connection and a sign of life alone, not by whether its request had been written. Change: where the other side ends the connection while bytes of the request wait to be written, the answer fails. Nodes and the product's own interface share this code.

--- a/src/connections/answerEnd.ts
+++ b/src/connections/answerEnd.ts
@@ -19,11 +19,15 @@
     readonly #socket: Socket;
     #wasReset = false;
     #hasEnded = false;
+    #hasEndedEarly = false;
 
     /** @param socket - The connection, before the library has it. */
     constructor(socket: Socket) {
         this.#socket = socket;
-        socket.on("end", () => this.#hasEnded = true);
+        socket.on("end", () => {
+            this.#hasEnded = true;
+            this.#hasEndedEarly = socket.writableLength > 0;
+        });
         socket.on("error", cause => {
             // The library closes connections with errors of its own classes.
             if (!(cause instanceof errors.UndiciError)) {
@@ -37,6 +41,14 @@
         return this.#hasEnded || this.#wasReset || this.#socket.destroyed;
     }
 
+    /**
+     * Whether the other side ended the connection before all of the request was written to it. It has not read that request, and what it has
+     * sent may be a part of an answer.
+     */
+    get hasEndedEarly(): boolean {
+        return this.#hasEndedEarly;
+    }
+
     /** Closes the connection now. */
     close(): void {
         this.#socket.destroy();
@@ -138,6 +150,10 @@
             this.#handler.onComplete(trailers);
             return;
         }
+        if (connection.hasEndedEarly) {
+            this.onError(new errors.SocketError("the connection was closed before the request was written"));
+            return;
+        }
         void connection.hasEndedInOrder().then(isInOrder => {
             if (isInOrder && !this.#hasFailed) {
                 this.#handler.onComplete(trailers);
--- a/test/platform/standins/framedCaller.ts
+++ b/test/platform/standins/framedCaller.ts
@@ -33,15 +33,19 @@
     readonly path: string;
     readonly id: string;
     readonly pace: ReadingPace;
+    /** Size of its body; by default a few bytes. */
+    readonly bodyBytes?: number;
 }
 
+const defaultBodyBytes = 5;
 const pauseMilliseconds = 900;
 const slowMilliseconds = 80;
 const slowBytes = 64 * 1024;
 const deadlineMilliseconds = 20_000;
 
 /** Sends a request and reads its answer until its framing is complete or its connection ends. */
-export async function readFramed({ host, port, path, id, pace }: FramedRequest): Promise<SeenAnswer> {
+export async function readFramed(request: FramedRequest): Promise<SeenAnswer> {
+    const { host, port, path, id, pace, bodyBytes = defaultBodyBytes } = request;
     const options: TcpNetConnectOpts & { readonly readableHighWaterMark: number; } = {
         host,
         port,
@@ -59,9 +63,10 @@
         `Attempt-Id: ${id}`,
         `Deadline-Ms: ${deadlineMilliseconds}`,
         "Api-Key: key",
-        "Content-Length: 5",
+        `Content-Length: ${bodyBytes}`,
     ];
-    socket.write(`${lines.join("\r\n")}\r\n\r\nhello`);
+    socket.write(`${lines.join("\r\n")}\r\n\r\n`);
+    socket.write(Buffer.alloc(bodyBytes, "x"));
     if (pace === "paused") {
         await sleep(pauseMilliseconds);
     }
--- a/test/upstream/serviceClient.test.ts
+++ b/test/upstream/serviceClient.test.ts
@@ -10,6 +10,8 @@
 import { createRawRunner } from "../platform/standins/runnerStandin.js";
 
 const host = "127.72.124.1";
+/** More than the kernels of both machines hold. */
+const uploadBytes = 8_000_000;
 const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
 const cleanups: (() => unknown)[] = [];
 
@@ -20,7 +22,7 @@
 });
 
 /** Calls a service that writes the given bytes for each request, and may stop to listen. */
-async function callService(write: (socket: Socket, server: Server) => void) {
+async function callService(write: (socket: Socket, server: Server) => void, body = Buffer.from("label")) {
     const server = createRawRunner(socket => write(socket, server));
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     const dispatcher = createWatchedAgent(1_000);
@@ -32,7 +34,7 @@
         method: "POST",
         path: "/print",
         headers: {},
-        body: Buffer.from("label"),
+        body,
         idempotencyKey: undefined,
         timeoutMilliseconds: 1_000,
         signal: AbortSignal.timeout(2_000),
@@ -50,6 +52,16 @@
 }
 
 describe("ServiceClient", () => {
+    // Guards against a part of a confirmation that passes for whole since its service ended the connection without reading the upload.
+    it("fails an answer without a length whose connection ended before the request was written", async () => {
+        const called = await callService(socket => {
+            socket.pause();
+            socket.end(`${head}\r\nha`);
+            setTimeout(() => socket.destroy(), 300);
+        }, Buffer.alloc(uploadBytes));
+        expect(called.isErr() && called.error.outcome).toEqual("unknown");
+    });
+
     // Guards against half a confirmation that passes for a whole one at the caller and under its idempotency key.
     it("fails an answer without a length whose connection was reset", async () => {
         const called = await callService(socket => {
