Pass on no answers with statuses outside of those of the protocol

Statuses 600, 700 and 999 of a runner were passed on to callers as they were, direct and by a peer: whatever was not expected fell through.

--- a/src/platform/upstreamClient.ts
+++ b/src/platform/upstreamClient.ts
@@ -29,6 +29,8 @@
 /** Statuses that mean that a request has not run. From an upstream they count only together with its explicit header. */
 const notExecutedStatuses: ReadonlySet<number> = new Set([408, 429, 503]);
 const misdirectedStatus = 421;
+/** Larger ones are none of the protocol (RFC 9110, section 15). */
+const maxStatus = 599;
 /** Bytes of the identifier of a request of the node itself. */
 const requestIdBytes = 8;
 /** Time between two looks at whether an upstream may be asked now. */
@@ -332,6 +334,9 @@
     if (notExecutedStatuses.has(response.statusCode)) {
         return fail("broken", `status ${response.statusCode} that does not state whether the request ran`);
     }
+    if (response.statusCode > maxStatus) {
+        return fail("broken", `status ${response.statusCode}, which is none of the protocol`);
+    }
     const isSealed = findHeader(raw, headerNames.seal) !== undefined;
     if (!isSealed && response.statusCode < 300) {
         return fail("broken", "a success without the upstream's seal");
--- a/src/upstream/serviceClient.ts
+++ b/src/upstream/serviceClient.ts
@@ -42,6 +42,8 @@
 const forwardedHeaders = ["content-type", "content-language", "location", "etag", "last-modified", "cache-control"];
 
 const leavingStatus = 409;
+/** Larger ones are none of the protocol (RFC 9110, section 15). */
+const maxStatus = 599;
 const leavingType = "leaving";
 const problemSchema = z.object({ type: z.string() });
 
@@ -88,6 +90,10 @@
                 body: call.body,
             });
             this.#answerObserver?.observe(service, response, sentAt);
+            if (response.statusCode > maxStatus) {
+                await response.body.dump();
+                return err({ outcome: "ran", failure: createStatusFailure(service, response.statusCode) });
+            }
             const answer = await this.#readAnswer(response, service);
             if (answer.isOk() && !hasKnownEnd(response, call.method) && !await this.isRunning(service, call.signal)) {
                 return err({ outcome: "ran", failure: createUnconfirmedFailure(service) });
@@ -185,6 +191,15 @@
     });
 }
 
+function createStatusFailure({ id }: Vm, status: number): Failure {
+    return new Failure({
+        kind: "upstream-failed",
+        message: `The service ${id} answered with the status ${status}, which is none of the protocol.`,
+        remedy:
+            "Check whether the call took effect before sending it again, and have the service's operator look into it.",
+    });
+}
+
 function pickHeaders(headers: Readonly<Record<string, string | string[] | undefined>>): Record<string, string> {
     const picked: Record<string, string> = {};
     for (const name of forwardedHeaders) {
--- a/test/platform/brokenOff/earlyAnswers.test.ts
+++ b/test/platform/brokenOff/earlyAnswers.test.ts
@@ -150,4 +150,18 @@
         const answer = await send(nodes[0], "call", { framing: "none", end: "order", status: 200 }, heldBytes);
         expect([answer.status, answer.end]).not.toEqual([200, "whole"]);
     });
+
+    // Guards against an answer with a status that is none, which a caller takes for one of its own.
+    it("is not passed on with a status outside of those of the protocol", async () => {
+        const passedOn: number[] = [];
+        for (const node of nodes) {
+            for (const status of [600, 700, 999]) {
+                const answer = await send(node, "call", { framing: "length", end: "order", status }, 10);
+                if (answer.status < 500 || answer.status > 504) {
+                    passedOn.push(answer.status);
+                }
+            }
+        }
+        expect(passedOn).toEqual([]);
+    });
 });
--- a/test/upstream/serviceClient.test.ts
+++ b/test/upstream/serviceClient.test.ts
@@ -62,6 +62,16 @@
         expect(called.isErr() && called.error.outcome).toEqual("unknown");
     });
 
+    // Guards against an answer with a status that is none, which a caller takes for one of its own.
+    it("fails an answer with a status outside of those of the protocol", async () => {
+        for (const status of [600, 999]) {
+            const called = await callService(socket => {
+                socket.write(`HTTP/1.1 ${status} Odd\r\nContent-Length: 4\r\n\r\ndone`);
+            });
+            expect(called.isErr() && called.error.outcome).toEqual("ran");
+        }
+    });
+
     // Guards against half a confirmation that passes for a whole one at the caller and under its idempotency key.
     it("fails an answer without a length whose connection was reset", async () => {
         const called = await callService(socket => {
