--- a/src/forwarding/attempts.ts
+++ b/src/forwarding/attempts.ts
@@ -9,7 +9,6 @@
 import { measurePauses, type RunnerPaces } from "../pace/index.js";
 import type { RunEnd, UpstreamLife, WatchedRun } from "../quarantine/index.js";
 import { isRepeatable } from "../routing/index.js";
-import { getAnswerForm } from "./answerEnd.js";
 import type {
     Attempt,
     AttemptFailure,
@@ -19,6 +18,14 @@
     StartedAttempt,
 } from "./attempt.js";
 import { AttemptAdmission, type AttemptAdmissionOptions } from "./attemptAdmission.js";
+import {
+    classifyFailure,
+    formatLoad,
+    getFailureReason,
+    getUnexpectedType,
+    isBroken,
+    minErrorStatus,
+} from "./attemptOutcome.js";
 import { CallCancellation } from "./callCancellation.js";
 import type { Exchange } from "./exchange.js";
 import type { WatchedHead } from "./headWatch.js";
@@ -54,8 +61,6 @@
 
 /** Urgency of the least urgent priorities. 0 is the most urgent. */
 const maxUrgencyValue = 8;
-/** Statuses from here on are errors of the caller or the upstream, which say nothing about how long requests take. */
-const minErrorStatus = 400;
 
 /** Makes attempts at upstreams. */
 export class Attempts {
@@ -372,43 +377,3 @@
         });
     }
 }
-
-/** Formats a reported load: running and waiting requests, slots, and the slowdown if the upstream states it. */
-function formatLoad({ running, waiting, slots, slowdown }: ReportedLoad): string {
-    return [running, waiting, slots, ...slowdown === undefined ? [] : [slowdown]].join(",");
-}
-
-/** Returns the type of a success that is not a stream of events exactly where the route leads to expect one, for log lines. */
-function getUnexpectedType({ route }: Exchange, { status, mediaType }: UpstreamAnswer): string | undefined {
-    const isEventStream = getAnswerForm(route, { status, mediaType }) === "events";
-    const isExpected = isEventStream === (route.kind === "stream") && (mediaType !== undefined || !isEventStream);
-    return isExpected || status >= minErrorStatus ? undefined : mediaType ?? "none";
-}
-
-/** Returns whether an upstream broke off a call, as it does when it crashes. */
-function isBroken(outcome: CallOutcome): boolean {
-    return outcome === "failed" || outcome === "silent";
-}
-
-function getFailureReason(
-    { exchange, withdrawal }: AttemptRequest,
-    { reason }: UpstreamCallFailure,
-    isHeadTimedOut: boolean,
-): string {
-    if (isHeadTimedOut) {
-        return "no answer in time";
-    }
-    return withdrawal?.aborted === true && !exchange.ended.aborted ? "an earlier attempt goes on" : reason;
-}
-
-function classifyFailure(
-    { exchange, withdrawal }: AttemptRequest,
-    failure: UpstreamCallFailure,
-    isHeadTimedOut: boolean,
-): CallOutcome {
-    if (failure.kind === "refused" || failure.kind === "replaced" || failure.kind === "no-room") {
-        return "refused";
-    }
-    const isCancelled = exchange.ended.aborted || withdrawal?.aborted === true;
-    return !isHeadTimedOut && isCancelled ? "cancelled" : "silent";
-}
