--- a/test/platform/brokenOff/earlyAnswers.test.ts
+++ b/test/platform/brokenOff/earlyAnswers.test.ts
@@ -97,7 +97,7 @@
 
 // A runner answers a long upload before it has read it, sends a part of its answer and goes away.
 describe("an answer that comes before its request is written", () => {
-    const site = new PlatformSite("127.72.130");
+    const site = new PlatformSite("127.76.9");
     const runners = new EarlyRunners();
     let count = 0;
     let nodes: readonly SiteNode[] = [];
