--- a/test/quarantine/crashReplay.test.ts
+++ b/test/quarantine/crashReplay.test.ts
@@ -1,29 +1,7 @@
 import { expect } from "earl";
 import { describe, it } from "node:test";
 import { CrashReplay } from "./crashReplay.js";
-import type { CrashReplayOptions, CrashReplayResult } from "./crashReplayOptions.js";
-
-const fleet = { nodes: 8, runners: 13, requestsPerSecond: 80 };
-const outages = [10_000, 13_000, 16_000, 20_000, 24_000, 30_000, 40_000];
-const seeds = [1, 2, 3, 4, 5];
-/** Retries that are permitted after the contact time. */
-const maxLateRetries = 3;
-
-function play(options: Omit<CrashReplayOptions, "seed">): Promise<CrashReplayResult[]> {
-    return Promise.all(seeds.map(seed => new CrashReplay({ ...options, seed }).play()));
-}
-
-/** Returns the number of harmless requests that may be refused: five and one in five hundred. */
-function getRefusalLimit({ harmlessRequests }: CrashReplayResult): number {
-    return 5 + harmlessRequests / 500;
-}
-
-function expectWithinLimits(results: readonly CrashReplayResult[]): void {
-    for (const result of results) {
-        expect(result.lateRetries <= maxLateRetries).toEqual(true);
-        expect(result.refusedHarmless <= getRefusalLimit(result)).toEqual(true);
-    }
-}
+import { expectPartStopped, expectWithinLimits, fleet, outages, play } from "./crashReplayPlays.js";
 
 // Guards against both faults of a quarantine: one that lets a crashing request through, and one that refuses harmless requests
 // because they were in flight when runners died.
@@ -90,15 +68,6 @@
     });
 });
 
-/** Expects what the users' limits permit: requests with a crashing part late at runners, and related requests that are refused. */
-function expectPartStopped(results: readonly CrashReplayResult[], crashingParts = 1): void {
-    for (const { crashes, lateRetries, lateRelated, refusedRelated } of results) {
-        expect(crashes > 0).toEqual(true);
-        expect(lateRetries <= maxLateRetries * crashingParts).toEqual(true);
-        expect(refusedRelated <= lateRelated / 2).toEqual(true);
-    }
-}
-
 // Guards against both faults of a quarantine of parts: one that lets a crashing part through with ever new requests, and one that refuses
 // the parts that most requests share because they were in flight when runners died.
 describe("the quarantine of parts in a fleet whose runners crash", () => {
@@ -158,54 +127,3 @@
         );
     });
 });
-
-// Guards against runners that end unseen under a part, and against the refusal of harmless requests at runners that go dark for no fault
-// of theirs.
-describe("the quarantine of parts where no refused connection follows the start of an answer", () => {
-    const storm = { ...fleet, cause: "part", returnMilliseconds: 330 } as const;
-    const often = Array.from({ length: 9 }, (...[, index]) => 10_000 + 1_000 * index);
-    const calm = [
-        storm,
-        { ...storm, runners: 4 },
-        { ...storm, waitMilliseconds: 1_000 },
-        { ...storm, returnMilliseconds: 2_000 },
-    ];
-    const hard = [
-        { ...storm, returnMilliseconds: 1_000, copies: 4 },
-        { ...storm, soundMilliseconds: 10_000 },
-        { ...storm, requestsPerSecond: 40, harmlessCopies: 2, outages: [12_000, 20_000] },
-    ];
-
-    async function expectAllStopped(storms: readonly Omit<CrashReplayOptions, "seed">[]): Promise<void> {
-        for (const options of storms) {
-            expectPartStopped(await play(options));
-        }
-    }
-
-    it("stops a part whose runners end before the start of an answer", async () => {
-        await expectAllStopped(calm.map(options => ({ ...options, endsBeforeHead: true })));
-    });
-
-    it("stops a part whose runners go dark", async () => {
-        await expectAllStopped([...calm, ...hard].map(options => ({ ...options, goesDark: true })));
-    });
-
-    it("stops a part whose runners end before the start of an answer and go dark, or beside outages, or that ran well", async () => {
-        await expectAllStopped(hard.map(options => ({ ...options, endsBeforeHead: true })));
-        await expectAllStopped(calm.map(options => ({ ...options, endsBeforeHead: true, goesDark: true })));
-    });
-
-    it("refuses next to nothing when half of all runners go dark nine times", async () => {
-        expectWithinLimits(await play({ ...fleet, goesDark: true, outages: often, popularShare: 0.8 }));
-        expectWithinLimits(
-            await play({
-                ...fleet,
-                goesDark: true,
-                requestsPerSecond: 40,
-                harmlessCopies: 4,
-                outages,
-                popularShare: 0.8,
-            }),
-        );
-    });
-});
