--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -156,8 +156,9 @@
 
     /**
      * Adds a crash. Attempts that were in flight at the same time count once, whatever their number, and whenever their ends become known:
-     * an outage of many upstreams, or a caller that sends the same request many times at once, would otherwise quarantine a harmless request. So would a request
-     * without a body, which many callers of a workspace send: it is no suspect while such requests run to their end.
+     * an outage of many upstreams, or a caller that sends the same request many times at once, would otherwise quarantine a harmless
+     * request. So would a request without a body, which many callers of a workspace send: it is no suspect while such requests run to
+     * their end.
      */
     addCrash(crash: SubjectCrash): void {
         const { clock, journal, policy } = this.#options;
--- a/src/quarantine/suspicion.ts
+++ b/src/quarantine/suspicion.ts
@@ -60,9 +60,9 @@
 };
 
 /**
- * A part of prompts, which comes with ever new requests at any node: crashes of two requests one after the other, or of four if the
- * part has run well before or the upstreams may well have ended for another reason. Requests share most of their parts, and one that is held back by mistake is tried
- * again soon.
+ * A part of prompts, which comes with ever new requests at any node: crashes of two requests one after the other, of three if the requests
+ * only waited, or of four if the part has run well before or the upstreams may well have ended for another reason. Requests share most of
+ * their parts, and one that is held back by mistake is tried again soon.
  */
 export const partPolicy: SuspicionPolicy = {
     subject: "part",
@@ -79,6 +79,7 @@
     if (hasLikelierCause) {
         return 0;
     }
+    // Whole queues wait at an upstream, whose prompts have nearly all parts.
     if (!hasSurvived && !isDoubtful && (stage === "running" || suspicion >= pointsByStage.running)) {
         return pointsByStage.running;
     }
