Leave bodies unread at ports where none is expected

Cause: after the answer to a request with a body, the HTTP library reads and discards the rest of it. With 20 clients of 16 MB each these are 320 MB of buffers, which wait for the garbage collector.

Change: at these ports a request with a body is answered and its connection closed, as no client of theirs sends one; nothing of a body is read but what came with the head and what the stream of the request buffers.

The class, bodies that are read where nobody wants them, was looked for: the callers' port holds its connection for bodies that it gives up; the ports of peers are gRPC and were not changed.

--- a/src/connections/index.ts
+++ b/src/connections/index.ts
@@ -6,4 +6,5 @@
 export * from "./requestBody.js";
 export * from "./statedEnd.js";
 export * from "./turnQueue.js";
+export * from "./unreadBodies.js";
 export * from "./watchedConnector.js";
--- a/src/platform/siteServer.ts
+++ b/src/platform/siteServer.ts
@@ -3,7 +3,7 @@
  */
 import Koa from "koa";
 import { createServer, type Server } from "node:http";
-import { limitPipelining } from "../connections/index.js";
+import { leaveBodiesUnread, limitPipelining } from "../connections/index.js";
 import { servedPaths } from "./wire.js";
 
 /** Requests of a connection that may wait for their answers. Those of metrics are large. */
@@ -50,7 +50,8 @@
 
     /** Starts to listen on an additional address. */
     listen(host: string, port: number): Promise<void> {
-        const server = createServer(limitPipelining(maxPipelinedRequests, this.#app.callback()));
+        const serve = leaveBodiesUnread(this.#app.callback());
+        const server = createServer(limitPipelining(maxPipelinedRequests, serve));
         this.#servers.push(server);
         return new Promise((resolve, reject) => {
             server.once("error", reject);
