Read the start of an upstream also from an answer whose length is not stated

Cause: the answer to a request for a sign of life was only read if it had a Content-Length. One in chunks was taken for one of a running upstream, whatever it said of its start. The class: a framing that decides what an answer says. The same judgement confirms the ends of answers without a framing, so a runner that is back within a round trip spoke for the one that had been killed, if it sends chunks.

Evidence: platform/livenessChecks asks for both framings and failed for chunks before.

--- a/src/platform/readLiveness.ts
+++ b/src/platform/readLiveness.ts
@@ -43,13 +43,26 @@
         }
         return isOther ? "replaced" : "running";
     }
-    const length = Number(findHeader(raw, "content-length") ?? Number.NaN);
     const type = findHeader(raw, "content-type")?.split(";")[0].trim().toLowerCase();
-    if (type !== jsonType || !(length <= maxBodyBytes)) {
+    if (type !== jsonType) {
         await body.dump({ limit: maxBodyBytes });
         return "running";
     }
-    return isSameStart(await body.text(), upstream) ? "running" : "replaced";
+    return isSameStart(await readStart(body), upstream) ? "running" : "replaced";
+}
+
+/** Reads a body as far as the bound, also one whose length is not stated. */
+async function readStart(body: AsyncIterable<Buffer>): Promise<string> {
+    const pieces: Buffer[] = [];
+    let bytes = 0;
+    for await (const piece of body) {
+        pieces.push(piece);
+        bytes += piece.length;
+        if (bytes > maxBodyBytes) {
+            break;
+        }
+    }
+    return Buffer.concat(pieces).toString();
 }
 
 /** Returns whether an upstream says that it started when it was registered to have, or does not say when. */
--- a/test/platform/livenessChecks.test.ts
+++ b/test/platform/livenessChecks.test.ts
@@ -88,12 +88,18 @@
     afterEach(() => calls.close());
 
     /** Asks an upstream that answers with the given status, headers and body. */
-    async function ask(status: number, headers: Record<string, string>, body: string, isModelRunner = false) {
+    async function ask(
+        status: number,
+        headers: Record<string, string>,
+        body: string,
+        { isModelRunner = false, isChunked = false } = {},
+    ) {
         const paths: (string | undefined)[] = [];
         const server = createServer((request, response) => {
             paths.push(request.url);
             const echoed = headers["Attempt-Id"] === "own" ? { "Attempt-Id": request.headers["attempt-id"] } : {};
-            response.writeHead(status, { ...headers, ...echoed, "Content-Length": String(body.length) }).end(body);
+            const framing = isChunked ? {} : { "Content-Length": String(body.length) };
+            response.writeHead(status, { ...headers, ...echoed, ...framing }).end(body);
         });
         server.listen(0, "127.71.1.1");
         await once(server, "listening");
@@ -116,9 +122,12 @@
     // Guards against an upstream that is back already, or another one, that speaks for the one that was killed.
     it("is none of another upstream, of another life of it, or to another request", async () => {
         const json = { "Content-Type": "application/json" };
-        expect(await ask(200, json, "{\"born\":5}", true)).toEqual([true, "/v1/report"]);
-        expect(await ask(200, json, "{\"born\":6}", true)).toEqual([false, "/v1/report"]);
-        expect(await ask(200, json, "no JSON", true)).toEqual([true, "/v1/report"]);
+        for (const isChunked of [false, true]) {
+            const options = { isModelRunner: true, isChunked };
+            expect(await ask(200, json, "{\"born\":5}", options)).toEqual([true, "/v1/report"]);
+            expect(await ask(200, json, "{\"born\":6}", options)).toEqual([false, "/v1/report"]);
+            expect(await ask(200, json, "no JSON", options)).toEqual([true, "/v1/report"]);
+        }
         expect(await ask(200, { "Instance-Id": "i-2" }, "")).toEqual([false, "/healthz"]);
         expect(await ask(421, {}, "")).toEqual([false, "/healthz"]);
         expect(await ask(200, { "Attempt-Id": "earlier" }, "")).toEqual([false, "/healthz"]);
