Ask an upstream that lets a request for a sign of life wait no second time

What was seen: the end of a runner that goes dark was known 3.2 s after it: a second of silence, two requests of a second each, and a pause.

Cause: the second request is there for connections that were reset together with the run's, which break it off at once; it was made after a request that had waited for its whole second, too.

Change: it is made only where the first one was broken off within half a second.

Evidence: reachability/lifeProbe (failed before: asked twice).

--- a/src/entry/parts/callerParts.ts
+++ b/src/entry/parts/callerParts.ts
@@ -145,7 +145,7 @@
 }
 
 /** Describes an engine or a service to the watch for crashed upstreams. */
-function describeUpstream({ reachability, services }: Cradle, vm: Vm): RunUpstream {
+function describeUpstream({ clock, reachability, services }: Cradle, vm: Vm): RunUpstream {
     const { id, pool } = vm;
     const isRefusing = createCrashProbe({ reachability, findUpstream: () => ({ id, pool }) });
     return {
@@ -153,6 +153,7 @@
         isRefusingConnections: () => isRefusing(`${vm.address}:${vm.port}`),
         getLife: () =>
             probeLife(vm, {
+                clock,
                 reachability,
                 checkLiveness: async () => await services.isRunning(vm) ? "running" : "unanswered",
             }),
--- a/src/platform/relayParts.ts
+++ b/src/platform/relayParts.ts
@@ -71,13 +71,14 @@
 
 /** Creates the look whether an upstream that refuses no connections still runs. */
 export function createNodeLifeProbe(
-    { registry, reachability, upstreamClient }: NodeParts,
+    { clock, registry, reachability, upstreamClient }: NodeParts,
 ): (upstream: RegisteredUpstream) => Promise<UpstreamLife> {
     return async upstream => {
         if (registry.isReplaced(upstream)) {
             return "ended";
         }
         return await probeLife(upstream, {
+            clock,
             reachability,
             checkLiveness: () => upstreamClient.checkLiveness(upstream),
         });
--- a/src/reachability/lifeProbe.ts
+++ b/src/reachability/lifeProbe.ts
@@ -2,15 +2,18 @@
  * Finds out whether an upstream that does not refuse connections still runs.
  */
 import { setTimeout as sleep } from "node:timers/promises";
+import type { Clock } from "../common/index.js";
 import type { UpstreamLife } from "../quarantine/index.js";
 import type { Reachability } from "./reachability.js";
 import type { RelayedUpstream } from "./relayInterceptor.js";
 
 /**
- * Time after which an upstream that has not answered a request for a sign of life is asked again. That request may have gone to a connection
+ * Time after which an upstream is asked again that has broken off a request for a sign of life. That request may have gone to a connection
  * that was reset together with the run's, as by a network that fails.
  */
 const secondRequestMilliseconds = 150;
+/** Time within which a connection that was reset breaks off a request. One that has waited for longer met silence, and so would the next. */
+const maxResetMilliseconds = 500;
 
 /**
  * What a request for a sign of life shows of an upstream.
@@ -23,6 +26,7 @@
 
 /** Options of the look. */
 export interface LifeProbeOptions {
+    readonly clock: Pick<Clock, "monotonic">;
     readonly reachability: Pick<Reachability, "check">;
     /** Asks the upstream for a sign of life that it gives after now. */
     readonly checkLiveness: () => Promise<Liveness>;
@@ -34,10 +38,11 @@
  */
 export async function probeLife(
     { id, pool }: RelayedUpstream,
-    { reachability, checkLiveness }: LifeProbeOptions,
+    { clock, reachability, checkLiveness }: LifeProbeOptions,
 ): Promise<UpstreamLife> {
+    const askedAt = clock.monotonic();
     let liveness = await checkLiveness();
-    if (liveness === "unanswered") {
+    if (liveness === "unanswered" && clock.monotonic() - askedAt < maxResetMilliseconds) {
         await sleep(secondRequestMilliseconds);
         liveness = await checkLiveness();
     }
