Let a quarantined part explain only the crashes of the next three seconds

Cause: a likelier cause excused crashes for as long as it was quarantined. It can only explain those of requests that were admitted before that.

Change: it explains crashes until three seconds after its own last one. quarantine/partQuarantine has a test that failed before.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -24,6 +24,8 @@
  * known less exactly than that, too, where its upstream fell silent.
  */
 const evidenceMilliseconds = 250;
+/** Time after the start of a quarantine in which requests with its subject may still run that were admitted before. */
+const admittedMilliseconds = 3_000;
 /** Time between the trials of two nodes. In less than that, all nodes know how the first one ended. */
 const trialStepMilliseconds = 5_000;
 /** Maximum number of subjects that one node publishes or stores. */
@@ -252,7 +254,7 @@
             isDoubtful,
             suspicion: known === undefined ? 0 : getSuspicion(known),
             hasSurvived: this.hasSurvived(fingerprint),
-            hasLikelierCause: this.#hasLikelierCause(fingerprint),
+            hasLikelierCause: this.#hasLikelierCause(fingerprint, crashedAt),
             isJustAfterLast: known?.crashedAt !== undefined && crashedAt < known.crashedAt + evidenceMilliseconds,
         });
     }
@@ -263,13 +265,17 @@
     }
 
     /**
-     * Returns whether a subject that has recently run at this node without a crash comes along with the cause of crashes: one that has
-     * not run so is quarantined.
+     * Returns whether a subject that has recently run at this node without a crash comes along with the cause of a crash: one that has
+     * not run so is quarantined. Crashes that come long after that have another cause.
      */
-    #hasLikelierCause(fingerprint: string): boolean {
+    #hasLikelierCause(fingerprint: string, crashedAt: number): boolean {
         const { policy } = this.#options;
+        const mayExplain = (other: CrashRecord): boolean =>
+            other.crashedAt === undefined || crashedAt < other.crashedAt + admittedMilliseconds;
         return this.hasSurvived(fingerprint)
-            && this.#records.some(other => isQuarantined(other, policy) && !this.hasSurvived(other.fingerprint));
+            && this.#records.some(other =>
+                isQuarantined(other, policy) && mayExplain(other) && !this.hasSurvived(other.fingerprint)
+            );
     }
 
     #findQuarantined(getFingerprints: () => readonly string[]): readonly CrashRecord[] {
--- a/test/quarantine/partQuarantine.test.ts
+++ b/test/quarantine/partQuarantine.test.ts
@@ -37,6 +37,19 @@
         expect(isQuarantined(quarantine, "a")).toEqual(true);
     });
 
+    // Guards against a part that goes on ending upstreams since a harmless one was taken for the cause.
+    it("counts crashes against a part that ran well which come long after another one was quarantined", () => {
+        const { quarantine } = createPartQuarantine();
+        quarantine.addSurvival("a", 0, -10 * second);
+        quarantine.addCrash(createCrash("b", 1 * second));
+        quarantine.addCrash({ ...createCrash("b", 2 * second), beganAt: 2 * second });
+        expect(isQuarantined(quarantine, "b")).toEqual(true);
+        quarantine.addCrash(createCrash("a", 4 * second));
+        expect(quarantine.getPoints(() => "a")).toEqual(0);
+        quarantine.addCrash(createCrash("a", 6 * second));
+        expect(quarantine.getPoints(() => "a")).toEqual(1);
+    });
+
     // Guards against the refusal of parts that stand in all requests of the queues of many upstreams that end at once.
     it("counts crashes of upstreams that ended together once, for the requests that waited there", () => {
         const { quarantine } = createPartQuarantine();
