Tell outages from crashes by a part, and date ends that were not seen

Change: no crash counts where two others ended at the same time (one, where the request only waited and connections were refused); runs of any age tell of ends; an upstream heard within a second before the send was likely alive; unseen ends are dated to the last sign; two crashes count for one request that waited. Line 477 says which crashes were not counted. The replay sends to dark runners, which are not counted as reached.

--- a/src/events/catalogue/requestEvents.ts
+++ b/src/events/catalogue/requestEvents.ts
@@ -255,4 +255,10 @@
         "info",
         "A run ended early or fell silent, and its upstream was not found to have ended with it; the fields say what was found, whether its answer had begun, how long it had run and how long its upstream was silent.",
     ),
+    crashNotCounted: define(
+        477,
+        "crash-not-counted",
+        "info",
+        "A crash was not counted against the parts of a prompt, since other upstreams ended at the same time; the fields say how many.",
+    ),
 };
--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -7,7 +7,7 @@
 import { LastSigns } from "./lastSigns.js";
 import type { Quarantine, SubjectCrash } from "./quarantine.js";
 import { RecentEnds } from "./recentEnds.js";
-import type { CrashStage } from "./suspicion.js";
+import { type CrashStage, pointsByStage } from "./suspicion.js";
 import type { UpstreamLife } from "./upstreamLife.js";
 import type { WatchedRequest } from "./watchedRequest.js";
 import {
@@ -24,8 +24,12 @@
  */
 const maxDelayMilliseconds = 150;
 
-/** Time within which upstreams have ended at the same time. Nodes notice refused connections within a few milliseconds. */
+/** Time within which ends were at the same time that nodes notice as they happen. */
 const coincidenceMilliseconds = 20;
+/** The same for upstreams that fall silent: the time between two pieces of a steady answer. */
+const silentCoincidenceMilliseconds = 50;
+/** Points of all crashes under one request against each of its parts. Further ones do not say which of its parts is the cause. */
+const maxRequestPoints = pointsByStage.running;
 
 /** A crash as it counts against each part of a prompt. */
 type PartEvidence = Omit<SubjectCrash, "fingerprint" | "pointsAtStart">;
@@ -56,11 +60,8 @@
     readonly #lastSigns = new LastSigns();
     readonly #recentEnds = new RecentEnds();
     readonly #wait: (milliseconds: number) => Promise<unknown>;
-    /**
-     * Requests whose crashes count against their parts already. Further attempts of one request say nothing about which of its parts
-     * is the cause.
-     */
-    readonly #countedRequests = new WeakSet<WatchedRequest>();
+    /** Points that have counted against the parts of requests. */
+    readonly #requestPoints = new WeakMap<WatchedRequest, number>();
     /** Runs whose upstreams are looked at, or have been found ended. */
     readonly #examinedRuns = new WeakSet<WatchedRun>();
 
@@ -107,6 +108,9 @@
             return;
         }
         const moment = run.getMoment();
+        if (end === "disconnected" || isSilent(moment)) {
+            this.#recentEnds.add(run.upstream, moment.endTime);
+        }
         if (!isNearStart(moment)) {
             return;
         }
@@ -130,7 +134,11 @@
      */
     observeSilence(run: WatchedRun): void {
         const moment = run.getMoment();
-        if (isNearStart(moment) && moment.silentMilliseconds >= silenceMilliseconds) {
+        if (!isSilent(moment)) {
+            return;
+        }
+        this.#recentEnds.add(run.upstream, moment.endTime);
+        if (isNearStart(moment)) {
             void this.#examine(run, moment);
         }
     }
@@ -140,7 +148,7 @@
      * latter costs a connection, so it is done only for requests of which a part is suspect.
      */
     #evaluateStopped(run: WatchedRun, moment: RunMoment): void {
-        if (moment.silentMilliseconds >= silenceMilliseconds) {
+        if (isSilent(moment)) {
             void this.#examine(run, moment);
         }
         else if (run.hasHead && this.#options.partQuarantine.isSuspect(run.request.getPartKeys)) {
@@ -158,13 +166,15 @@
             return;
         }
         this.#examinedRuns.add(run);
-        const life = await isRefused ? "ended" : await run.upstream.getLife();
-        if (life === "ended" || (life === "unresponsive" && moment.aliveWhenSent !== "unknown")) {
-            this.#addCrash(run, moment, life);
+        const hasEndedNow = await isRefused;
+        const life = hasEndedNow ? "ended" : await run.upstream.getLife();
+        if (hasEndedByRun(life, moment)) {
+            await this.#addCrash(run, hasEndedNow ? moment : assumeEarlierEnd(moment), life);
             return;
         }
         if (life === "running") {
             this.#lastSigns.mark(run.upstream, this.#options.clock.monotonic());
+            this.#recentEnds.remove(run.upstream);
         }
         // A run that goes on may still end with its upstream.
         this.#examinedRuns.delete(run);
@@ -178,7 +188,7 @@
         });
     }
 
-    #addCrash(run: WatchedRun, moment: RunMoment, life: UpstreamLife): void {
+    async #addCrash(run: WatchedRun, moment: RunMoment, life: UpstreamLife): Promise<void> {
         const { journal, quarantine } = this.#options;
         const { request, upstream, mayBeLoad, traitPoints, partPoints } = run;
         const stage: CrashStage = request.isStream && !run.hasHead ? "waiting" : "running";
@@ -201,31 +211,34 @@
             const pointsAtStart = traitPoints.get(fingerprint) ?? 0;
             quarantine.addCrash({ ...evidence, fingerprint, pointsAtStart, stage, beganAt: run.sentAt });
         }
-        this.#recentEnds.add(upstream, moment.endedMonotonic);
-        if (run.hasHead) {
-            this.#addPartCrash(run, { ...evidence, stage: "running", beganAt });
-        }
-        else if (partPoints.size > 0) {
-            void this.#addLoneCrash(run, moment, { ...evidence, stage: "waiting", beganAt });
+        if (partPoints.size > 0) {
+            await this.#addLoneCrash(run, moment, { ...evidence, stage: run.hasHead ? "running" : "waiting", beganAt });
         }
     }
 
     /**
-     * Counts a crash against the parts of a request that waited, as its upstream may have ended before the first byte of the answer that it
-     * began. A request ends one upstream at a time: where several have ended at the same time, they did not end by what waited there.
+     * Counts a crash against the parts of a request, unless other upstreams have ended at the same time: a request ends one upstream at a
+     * time. Requests with the same part may end two by chance.
      */
-    async #addLoneCrash(run: WatchedRun, { endedMonotonic }: RunMoment, evidence: PartEvidence): Promise<void> {
+    async #addLoneCrash(run: WatchedRun, moment: RunMoment, evidence: PartEvidence): Promise<void> {
         await this.#wait(coincidenceMilliseconds);
-        if (!this.#recentEnds.hasOther(run.upstream, endedMonotonic, coincidenceMilliseconds)) {
+        const margin = isSilent(moment) ? silentCoincidenceMilliseconds : coincidenceMilliseconds;
+        const maxOthers = isSilent(moment) || evidence.stage === "running" ? 1 : 0;
+        const others = this.#recentEnds.countOthers(run.upstream, moment.endTime, margin);
+        if (others <= maxOthers) {
             this.#addPartCrash(run, evidence);
+            return;
         }
+        const { request, upstream } = run;
+        this.#options.journal.write(events.crashNotCounted, { request: request.id, upstream: upstream.id, others });
     }
 
     #addPartCrash({ request, partPoints }: WatchedRun, evidence: PartEvidence): void {
-        if (this.#countedRequests.has(request)) {
+        const points = (this.#requestPoints.get(request) ?? 0) + pointsByStage[evidence.stage];
+        if (points > maxRequestPoints) {
             return;
         }
-        this.#countedRequests.add(request);
+        this.#requestPoints.set(request, points);
         for (const [fingerprint, pointsAtStart] of partPoints) {
             this.#options.partQuarantine.addCrash({ ...evidence, fingerprint, pointsAtStart });
         }
@@ -237,6 +250,28 @@
     return runMilliseconds <= crashWindowMilliseconds;
 }
 
+/** Returns whether an upstream has been silent for longer than a sound one. */
+function isSilent({ silentMilliseconds }: RunMoment): boolean {
+    return silentMilliseconds >= silenceMilliseconds;
+}
+
+/**
+ * Returns the moment of an end that was not seen: the upstream has started anew, or gives no sign of life. It may have ended any time since
+ * it was last heard, and later crashes, and runs that crash nothing, are compared with the earliest one.
+ */
+function assumeEarlierEnd(moment: RunMoment): RunMoment {
+    const { heardAt, beganAt, runMilliseconds } = moment;
+    return { ...moment, endedAt: heardAt, beganAt: runMilliseconds === 0 ? heardAt : Math.min(beganAt, heardAt) };
+}
+
+/** Returns whether an upstream has ended since the request was sent. One that was silent may have ended before. */
+function hasEndedByRun(life: UpstreamLife, moment: RunMoment): boolean {
+    if (life === "ended" && !isSilent(moment)) {
+        return true;
+    }
+    return (life === "ended" || life === "unresponsive") && moment.aliveWhenSent !== "unknown";
+}
+
 function waitAtMost(promise: Promise<void>, milliseconds: number): Promise<void> {
     return new Promise((resolve, reject) => {
         const timeout = new ReadTimeout(milliseconds, resolve);
--- a/src/quarantine/recentEnds.ts
+++ b/src/quarantine/recentEnds.ts
@@ -3,31 +3,74 @@
  */
 import { getIncarnationKey, type UpstreamIncarnation } from "./lastSigns.js";
 
-/** How long an end is remembered, in milliseconds. */
-const retentionMilliseconds = 2_000;
+/** How long an end is remembered, in milliseconds: until all runs of that time have fallen silent and were looked at. */
+const retentionMilliseconds = 5_000;
 
-interface End {
-    readonly key: string;
-    /** Monotonic time. */
-    readonly at: number;
+/** When an upstream has ended, as far as it is known, in milliseconds of monotonic time. Both are the same where the time is known. */
+export interface EndTime {
+    readonly earliest: number;
+    readonly latest: number;
 }
 
-/** Remembers which upstreams have ended, and when. */
+/** Remembers which upstreams have ended, or may have, and when. */
 export class RecentEnds {
-    #ends: End[] = [];
+    /** By the life of the upstream, the one that was added first at the beginning. */
+    readonly #ends = new Map<string, EndTime>();
 
-    /** Adds the end of an upstream. Each run there may tell of it. */
-    add(upstream: UpstreamIncarnation, at: number): void {
+    /** Adds what a run tells of the end of its upstream. Of several runs, the one that has heard of it last tells most. */
+    add(upstream: UpstreamIncarnation, time: EndTime): void {
         const key = getIncarnationKey(upstream);
-        this.#ends = this.#ends.filter(end => end.at > at - retentionMilliseconds);
-        if (!this.#ends.some(end => end.key === key)) {
-            this.#ends.push({ key, at });
+        const known = this.#ends.get(key);
+        this.#ends.delete(key);
+        this.#ends.set(key, known !== undefined && isCloser(known, time) ? known : time);
+        for (const [oldest, { latest }] of this.#ends) {
+            if (latest > time.latest - retentionMilliseconds) {
+                return;
+            }
+            this.#ends.delete(oldest);
         }
     }
 
-    /** Returns whether another upstream has ended within a time before or after. */
-    hasOther(upstream: UpstreamIncarnation, at: number, milliseconds: number): boolean {
+    /** Removes an upstream that has not ended. */
+    remove(upstream: UpstreamIncarnation): void {
+        this.#ends.delete(getIncarnationKey(upstream));
+    }
+
+    /**
+     * Returns how many others have ended at one moment at which an upstream may have ended. Counts those whose time is known.
+     * @param margin - By how much the times of two that end at the same moment differ at most, in milliseconds.
+     */
+    countOthers(upstream: UpstreamIncarnation, { earliest, latest }: EndTime, margin: number): number {
         const key = getIncarnationKey(upstream);
-        return this.#ends.some(end => end.key !== key && Math.abs(end.at - at) <= milliseconds);
+        const times: number[] = [];
+        for (const [other, end] of this.#ends) {
+            if (other !== key && isTimeKnown(end) && end.latest >= earliest - margin && end.latest <= latest + margin) {
+                times.push(end.latest);
+            }
+        }
+        return isTimeKnown({ earliest, latest }) ? times.length : countLargestGroup(times, margin);
+    }
+}
+
+function isTimeKnown({ earliest, latest }: EndTime): boolean {
+    return earliest === latest;
+}
+
+/** Returns whether a first time is closer to the end than a second one. */
+function isCloser(first: EndTime, second: EndTime): boolean {
+    return first.earliest > second.earliest || (first.earliest === second.earliest && first.latest < second.latest);
+}
+
+/** Returns the largest number of times that lie within a margin. */
+function countLargestGroup(times: readonly number[], margin: number): number {
+    const sorted = [...times].sort((left, right) => left - right);
+    let largest = 0;
+    let first = 0;
+    for (const [last, time] of sorted.entries()) {
+        while (time - sorted[first] > margin) {
+            first += 1;
+        }
+        largest = Math.max(largest, last - first + 1);
     }
+    return largest;
 }
--- a/src/quarantine/suspicion.ts
+++ b/src/quarantine/suspicion.ts
@@ -42,7 +42,7 @@
 }
 
 /** Points that a crash adds. */
-const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
+export const pointsByStage: Readonly<Record<CrashStage, number>> = { running: 2, waiting: 1 };
 /** Points of a crash that may well have another cause. */
 const doubtfulPoints = 1;
 const requestQuarantinePoints = 3 * pointsByStage.running;
--- a/src/quarantine/watchedRun.ts
+++ b/src/quarantine/watchedRun.ts
@@ -4,6 +4,7 @@
 import type { Clock } from "../common/index.js";
 import type { LastSigns, UpstreamIncarnation } from "./lastSigns.js";
 import type { Quarantine } from "./quarantine.js";
+import type { EndTime } from "./recentEnds.js";
 import type { UpstreamLife } from "./upstreamLife.js";
 import type { WatchedRequest } from "./watchedRequest.js";
 
@@ -44,11 +45,12 @@
      * harmless requests meet such ones one after the other.
      */
     readonly aliveWhenSent: "certain" | "likely" | "unknown";
-    /** Monotonic time of the end. */
-    readonly endedMonotonic: number;
+    readonly endTime: EndTime;
     /** Wall-clock times of the end, and from which on the request may have run, in milliseconds since the Unix epoch. */
     readonly endedAt: number;
     readonly beganAt: number;
+    /** Wall-clock time at which the upstream was last heard, or the request was sent. One that has started anew may have ended then. */
+    readonly heardAt: number;
 }
 
 /**
@@ -164,28 +166,34 @@
         const heardAt = Math.max(this.#sentAt, lastSignAt);
         const silentMilliseconds = now - heardAt;
         const endedAt = silentMilliseconds >= silenceMilliseconds ? heardAt : now;
+        const isTimeKnown = endedAt === now || lastSignAt >= this.#sentAt;
         const runMilliseconds = this.#headAt === undefined ? 0 : Math.max(0, endedAt - this.#headAt);
         const endedWall = this.#clock.wall() - (now - endedAt);
         return {
             runMilliseconds,
             silentMilliseconds,
             aliveWhenSent: this.#wasAliveWhenSent(lastSignAt, now),
-            endedMonotonic: endedAt,
+            endTime: isTimeKnown ? { earliest: endedAt, latest: endedAt } : { earliest: lastSignAt, latest: now },
             endedAt: endedWall,
             beganAt: endedWall - runMilliseconds,
+            heardAt: endedWall - (endedAt - heardAt),
         };
     }
 
     /**
-     * An upstream from which something came since, for this run or for any other, was alive. One whose address another process holds resets
-     * a connection at once, so it was likely alive if it did so later.
+     * An upstream from which something came since, for this run or for any other, was alive. One that fell silent was likely alive if it had
+     * not yet been silent for longer than a sound one, and one that resets a connection if it had worked: another process that holds its
+     * address does so at once.
      */
     #wasAliveWhenSent(lastSignAt: number, endedAt: number): RunMoment["aliveWhenSent"] {
         if (lastSignAt >= this.#sentAt) {
             return "certain";
         }
         const milliseconds = endedAt - this.#sentAt;
-        return milliseconds >= minWorkMilliseconds && milliseconds < silenceMilliseconds ? "likely" : "unknown";
+        const wasLikelyAlive = milliseconds >= silenceMilliseconds
+            ? this.#sentAt - lastSignAt < silenceMilliseconds
+            : milliseconds >= minWorkMilliseconds;
+        return wasLikelyAlive ? "likely" : "unknown";
     }
 
     /** Records that the request and the parts of its prompt have run without a crash. */
--- a/test/platform/crashes/main.ts
+++ b/test/platform/crashes/main.ts
@@ -7,7 +7,7 @@
 import { CrashTrial, type CrashTrialOptions } from "./crashTrial.js";
 import type { DownState, EndMoment } from "./endingRunner.js";
 
-const shownLines = new Set([424, 425, 426, 428, 476]);
+const shownLines = new Set([424, 425, 426, 428, 476, 477]);
 
 const { values } = parseArgs({
     options: {
--- a/test/quarantine/crashReplay.ts
+++ b/test/quarantine/crashReplay.ts
@@ -35,12 +35,16 @@
     readonly watch: CrashWatch;
     readonly quarantine: Quarantine;
     readonly partQuarantine: Quarantine;
+    /** Runners that it knows to be dark, with the number of the life that has ended. */
+    readonly dark: Map<Runner, number>;
 }
 
 interface Run {
     readonly request: ReplayedRequest;
     readonly watched: WatchedRun;
     isOver: boolean;
+    /** Whether its answer has started. */
+    hasBegun: boolean;
 }
 
 interface ReplayedRequest {
@@ -69,13 +73,17 @@
 /** When a node notices that a runner is silent, and how long it waits for a sign of life then. */
 const silenceMilliseconds = 1_300;
 const livenessMilliseconds = 1_300;
-/** When the pieces of an answer arrive that matter, after its head. */
+/** When the pieces of an answer arrive that show that it goes on, after its head. */
 const pieceMilliseconds = [250, 450];
+/** Longest time between two pieces of an answer. */
+const maxPauseMilliseconds = 50;
 
 /** Plays one minute of a fleet. */
 export class CrashReplay {
     readonly #options: CrashReplayOptions;
     readonly #clock = new ManualClock(1_000_000);
+    /** How long ago what the watches see has happened, in milliseconds. */
+    #lag = 0;
     readonly #random: RandomSource;
     readonly #nodes: Node[] = [];
     readonly #runners: Runner[] = [];
@@ -145,13 +153,16 @@
         const quarantine = this.#createQuarantine(index, "quarantine", requestPolicy);
         const partQuarantine = this.#createQuarantine(index, "partQuarantine", partPolicy);
         const watch = new CrashWatch({
-            clock: this.#clock,
+            clock: {
+                monotonic: () => this.#clock.monotonic() - this.#lag,
+                wall: () => this.#clock.wall() - this.#lag,
+            },
             journal: createJournal().journal,
             quarantine,
             partQuarantine,
             wait: milliseconds => new Promise(resolve => this.#schedule(milliseconds, () => resolve(undefined))),
         });
-        return { watch, quarantine, partQuarantine };
+        return { watch, quarantine, partQuarantine, dark: new Map() };
     }
 
     #createQuarantine(
@@ -300,7 +311,7 @@
         }
         request.attempts += 1;
         request.excluded.add(runner);
-        if (request.isCrashing && this.#clock.monotonic() > this.#lateAt) {
+        if (request.isCrashing && !runner.isDown && this.#clock.monotonic() > this.#lateAt) {
             this.#lateRetries += 1;
         }
         const { life } = runner;
@@ -314,7 +325,12 @@
             },
             isLastAttempt: () => request.attempts === maxAttempts,
         });
-        const run: Run = { request, watched, isOver: false };
+        const run: Run = { request, watched, isOver: false, hasBegun: false };
+        if (runner.isDown) {
+            run.isOver = true;
+            this.#schedule(silenceMilliseconds, () => this.#observeSilence(runner, run, life));
+            return true;
+        }
         runner.runs.add(run);
         const up = this.#runners.filter(one => !one.isDown).length;
         const wait = this.#random.nextExponential(this.#options.waitMilliseconds ?? meanWaitMilliseconds);
@@ -323,8 +339,8 @@
     }
 
     /** Picks the runner with the fewest runs of three random ones. */
-    #pick({ excluded }: ReplayedRequest): Runner | undefined {
-        const available = this.#runners.filter(runner => !runner.isDown && !excluded.has(runner));
+    #pick({ excluded, node }: ReplayedRequest): Runner | undefined {
+        const available = this.#runners.filter(runner => !this.#isKnownDown(runner, node) && !excluded.has(runner));
         let best: Runner | undefined;
         for (let draw = 0; draw < 3 && available.length > 0; draw += 1) {
             const candidate = available[this.#random.nextInteger(available.length)];
@@ -333,12 +349,18 @@
         return best;
     }
 
+    #isKnownDown(runner: Runner, node: number): boolean {
+        return runner.isDown
+            && (this.#options.goesDark !== true || this.#nodes[node].dark.get(runner) === runner.life);
+    }
+
     #begin(runner: Runner, run: Run): void {
         if (run.isOver) {
             return;
         }
         const isSure = run.request.isCrashing && this.#options.endsBeforeHead === true;
         if (!isSure) {
+            run.hasBegun = true;
             run.watched.markHead();
         }
         const crashesFrom = firstReturnMilliseconds + (this.#options.soundMilliseconds ?? 0);
@@ -356,6 +378,7 @@
         if (!run.isOver) {
             run.isOver = true;
             runner.runs.delete(run);
+            run.watched.markPiece();
             void this.#evaluate(run, "complete");
         }
     }
@@ -388,6 +411,7 @@
     }
 
     #crash(runner: Runner): void {
+        const { life } = runner;
         runner.isDown = true;
         this.#schedule(restartMilliseconds, () => {
             runner.isDown = false;
@@ -398,7 +422,8 @@
         for (const run of runs) {
             run.isOver = true;
             if (this.#options.goesDark === true) {
-                this.#schedule(silenceMilliseconds, () => this.#observeSilence(run));
+                this.#markLastPiece(run);
+                this.#schedule(silenceMilliseconds, () => this.#observeSilence(runner, run, life));
             }
             else {
                 void this.#evaluate(run, "disconnected").then(() => this.#attempt(run.request));
@@ -406,9 +431,20 @@
         }
     }
 
+    /** Records the last piece of an answer that has begun. */
+    #markLastPiece({ hasBegun, watched }: Run): void {
+        if (hasBegun) {
+            this.#lag = this.#random.next() * maxPauseMilliseconds;
+            watched.markPiece();
+            this.#lag = 0;
+        }
+    }
+
     /** Sends the request of a silent run to another runner. */
-    #observeSilence({ request, watched }: Run): void {
-        this.#nodes[request.node].watch.observeSilence(watched);
+    #observeSilence(runner: Runner, { request, watched }: Run, life: number): void {
+        const { dark, watch } = this.#nodes[request.node];
+        dark.set(runner, life);
+        watch.observeSilence(watched);
         this.#attempt(request);
     }
 
--- a/test/quarantine/crashReplayOptions.ts
+++ b/test/quarantine/crashReplayOptions.ts
@@ -23,7 +23,10 @@
     readonly returnMilliseconds?: number;
     /** Whether the cause ends its runners before the start of its answer. */
     readonly endsBeforeHead?: boolean;
-    /** Whether runners that end go dark: they refuse no connections, and their open answers hang. */
+    /**
+     * Whether runners that end go dark: they refuse no connections, and their open answers hang. A node sends requests there until one of
+     * its own has been silent.
+     */
     readonly goesDark?: boolean;
     /** Copies of the crashing request with each return, at different nodes. */
     readonly copies?: number;
--- a/test/quarantine/unseenEnds.test.ts
+++ b/test/quarantine/unseenEnds.test.ts
@@ -7,10 +7,11 @@
 describe("the quarantine of parts where no refused connection follows the start of an answer", () => {
     const storm = { ...fleet, cause: "part", returnMilliseconds: 330 } as const;
     const often = Array.from({ length: 9 }, (...[, index]) => 10_000 + 1_000 * index);
+    const slow = { ...storm, waitMilliseconds: 1_000 };
     const calm = [
         storm,
         { ...storm, runners: 4 },
-        { ...storm, waitMilliseconds: 1_000 },
+        slow,
         { ...storm, returnMilliseconds: 2_000 },
     ];
     const hard = [
@@ -35,7 +36,19 @@
 
     it("stops a part whose runners end before the start of an answer and go dark, or beside outages, or that ran well", async () => {
         await expectAllStopped(hard.map(options => ({ ...options, endsBeforeHead: true })));
-        await expectAllStopped(calm.map(options => ({ ...options, endsBeforeHead: true, goesDark: true })));
+        const quick = [...calm, ...hard].filter(options => options !== slow);
+        await expectAllStopped(quick.map(options => ({ ...options, endsBeforeHead: true, goesDark: true })));
+    });
+
+    // Guards against the same where five runners end within a second before the first end is known, and against the refusal of subjects of
+    // which few requests tell.
+    it("stops it where requests wait for a second at runners that go dark, and refuses next to nothing where half go dark nine times and no subject is popular", async () => {
+        await expectAllStopped([{ ...slow, endsBeforeHead: true, goesDark: true }]);
+        expectWithinLimits(await play({ ...fleet, goesDark: true, outages: often }));
+    });
+
+    it("refuses next to nothing when half of all runners end nine times and no subject is popular", async () => {
+        expectWithinLimits(await play({ ...fleet, outages: often }));
     });
 
     it("refuses next to nothing when half of all runners go dark nine times", async () => {
