--- a/test/platform/brokenOff/earlyAnswers.test.ts
+++ b/test/platform/brokenOff/earlyAnswers.test.ts
@@ -147,7 +147,12 @@
 
     // Guards against the same for an upload that the kernels of both machines hold, so that it is written although nobody reads it.
     it("is not whole if its connection ends before its request is read", async () => {
-        const answer = await send(nodes[0], "call", { framing: "none", end: "order", status: successStatus }, heldBytes);
+        const answer = await send(
+            nodes[0],
+            "call",
+            { framing: "none", end: "order", status: successStatus },
+            heldBytes,
+        );
         expect([answer.status, answer.end]).not.toEqual([200, "whole"]);
     });
 
