Keep the first end of an upstream to which connections go on breaking

Cause: each send to such a port told of another, later end of its runner, so the ends of one outage lay apart by the time they were compared. And since a runner that has started anew counts, also where the request was sent while it was down.

Change: a later end adds nothing unless the upstream was heard since the first; an upstream that was not seen to end counts only if it was alive when the request was sent, by one point if that is only likely; a reset is dated to when it came.

Evidence: quarantine/recentEnds (failed before).

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -109,7 +109,7 @@
         }
         const moment = run.getMoment();
         if (end === "disconnected" || isSilent(moment)) {
-            this.#recentEnds.add(run.upstream, moment.endTime);
+            this.#recentEnds.add(run.upstream, moment.endTime, this.#lastSigns.get(run.upstream));
         }
         if (!isNearStart(moment)) {
             return;
@@ -137,7 +137,7 @@
         if (!isSilent(moment)) {
             return;
         }
-        this.#recentEnds.add(run.upstream, moment.endTime);
+        this.#recentEnds.add(run.upstream, moment.endTime, this.#lastSigns.get(run.upstream));
         if (isNearStart(moment)) {
             void this.#examine(run, moment);
         }
@@ -168,8 +168,12 @@
         this.#examinedRuns.add(run);
         const hasEndedNow = await isRefused;
         const life = hasEndedNow ? "ended" : await run.upstream.getLife();
+        if (hasEndedNow) {
+            await this.#addCrash(run, { ...moment, aliveWhenSent: "certain" }, life);
+            return;
+        }
         if (hasEndedByRun(life, moment)) {
-            await this.#addCrash(run, hasEndedNow ? moment : assumeEarlierEnd(moment), life);
+            await this.#addCrash(run, life === "ended" ? assumeEarlierEnd(moment) : moment, life);
             return;
         }
         if (life === "running") {
@@ -205,7 +209,7 @@
             runMs: Math.round(moment.runMilliseconds),
             silentMs: Math.round(moment.silentMilliseconds),
         });
-        const isDoubtful = mayBeLoad || (life === "unresponsive" && moment.aliveWhenSent === "likely");
+        const isDoubtful = mayBeLoad || moment.aliveWhenSent === "likely";
         const evidence = { isDoubtful, isLastAttempt: run.isLastAttempt(), crashedAt };
         for (const fingerprint of request.getTraitKeys()) {
             const pointsAtStart = traitPoints.get(fingerprint) ?? 0;
@@ -256,20 +260,20 @@
 }
 
 /**
- * Returns the moment of an end that was not seen: the upstream has started anew, or gives no sign of life. It may have ended any time since
- * it was last heard, and later crashes, and runs that crash nothing, are compared with the earliest one.
+ * Returns the moment of an end that was not seen, of an upstream that has started anew. It may have ended any time since it was last heard,
+ * and later crashes, and runs that crash nothing, are compared with the earliest moment.
  */
 function assumeEarlierEnd(moment: RunMoment): RunMoment {
     const { heardAt, beganAt, runMilliseconds } = moment;
     return { ...moment, endedAt: heardAt, beganAt: runMilliseconds === 0 ? heardAt : Math.min(beganAt, heardAt) };
 }
 
-/** Returns whether an upstream has ended since the request was sent. One that was silent may have ended before. */
-function hasEndedByRun(life: UpstreamLife, moment: RunMoment): boolean {
-    if (life === "ended" && !isSilent(moment)) {
-        return true;
-    }
-    return (life === "ended" || life === "unresponsive") && moment.aliveWhenSent !== "unknown";
+/**
+ * Returns whether an upstream that was not seen to end has ended since the request was sent. It may have been down before: requests that are sent
+ * meanwhile break off as well, or get no answer.
+ */
+function hasEndedByRun(life: UpstreamLife, { aliveWhenSent }: RunMoment): boolean {
+    return (life === "ended" || life === "unresponsive") && aliveWhenSent !== "unknown";
 }
 
 function waitAtMost(promise: Promise<void>, milliseconds: number): Promise<void> {
--- a/src/quarantine/recentEnds.ts
+++ b/src/quarantine/recentEnds.ts
@@ -17,12 +17,16 @@
     /** By the life of the upstream, the one that was added first at the beginning. */
     readonly #ends = new Map<string, EndTime>();
 
-    /** Adds what a run tells of the end of its upstream. Of several runs, the one that has heard of it last tells most. */
-    add(upstream: UpstreamIncarnation, time: EndTime): void {
+    /**
+     * Adds what a run tells of the end of its upstream. What others tell that was not heard since then adds nothing: connections to an upstream
+     * that has ended may break for as long as it is down.
+     * @param heardAt - When the upstream was last heard.
+     */
+    add(upstream: UpstreamIncarnation, time: EndTime, heardAt: number): void {
         const key = getIncarnationKey(upstream);
         const known = this.#ends.get(key);
         this.#ends.delete(key);
-        this.#ends.set(key, known !== undefined && isCloser(known, time) ? known : time);
+        this.#ends.set(key, known !== undefined && isTimeKnown(known) && known.latest >= heardAt ? known : time);
         for (const [oldest, { latest }] of this.#ends) {
             if (latest > time.latest - retentionMilliseconds) {
                 return;
@@ -56,11 +60,6 @@
     return earliest === latest;
 }
 
-/** Returns whether a first time is closer to the end than a second one. */
-function isCloser(first: EndTime, second: EndTime): boolean {
-    return first.earliest > second.earliest || (first.earliest === second.earliest && first.latest < second.latest);
-}
-
 /** Returns the largest number of times that lie within a margin. */
 function countLargestGroup(times: readonly number[], margin: number): number {
     const sorted = [...times].sort((left, right) => left - right);
--- a/test/quarantine/recentEnds.test.ts
+++ b/test/quarantine/recentEnds.test.ts
@@ -12,7 +12,7 @@
 function createEnds(times: readonly number[]): RecentEnds {
     const ends = new RecentEnds();
     for (const [index, time] of times.entries()) {
-        ends.add({ id: `u${index}` }, createKnown(time));
+        ends.add({ id: `u${index}` }, createKnown(time), time);
     }
     return ends;
 }
@@ -20,7 +20,7 @@
 describe("RecentEnds", () => {
     it("counts the others that ended at the same time, each once", () => {
         const ends = createEnds([1_000, 1_040, 1_060]);
-        ends.add({ id: "u1" }, createKnown(1_040));
+        ends.add({ id: "u1" }, createKnown(1_040), 1_040);
         expect(ends.countOthers({ id: "u0" }, createKnown(1_000), margin)).toEqual(1);
     });
 
@@ -32,11 +32,13 @@
         expect(ends.countOthers({ id: "x" }, { ...time, earliest: 1_200 }, margin)).toEqual(1);
     });
 
-    it("keeps of several runs the one that has heard of the upstream last, and counts none whose time is not known", () => {
+    // Guards against an outage that explains nothing any more as connections to its upstreams go on breaking while they are down.
+    it("keeps the first end of an upstream that was not heard since, and counts none whose time is not known", () => {
         const ends = createEnds([1_000]);
-        ends.add({ id: "u0" }, { earliest: 1_000, latest: 2_000 });
+        ends.add({ id: "u0" }, createKnown(1_900), 990);
+        ends.add({ id: "u0" }, { earliest: 990, latest: 2_000 }, 990);
         expect(ends.countOthers({ id: "x" }, createKnown(1_000), margin)).toEqual(1);
-        ends.add({ id: "u0" }, { earliest: 1_400, latest: 2_000 });
+        ends.add({ id: "u0" }, { earliest: 1_400, latest: 2_000 }, 1_400);
         expect(ends.countOthers({ id: "x" }, createKnown(1_000), margin)).toEqual(0);
     });
 
@@ -44,7 +46,7 @@
         const ends = createEnds([1_000, 1_000]);
         ends.remove({ id: "u0" });
         expect(ends.countOthers({ id: "x" }, createKnown(1_000), margin)).toEqual(1);
-        ends.add({ id: "u2" }, createKnown(9_000));
+        ends.add({ id: "u2" }, createKnown(9_000), 9_000);
         expect(ends.countOthers({ id: "x" }, createKnown(1_000), margin)).toEqual(0);
     });
 });
