Count a restarted upstream against the whole request that it had worked on

What callers would see: a request that ends each runner that begins it, whose runners are back within the round trip of the look, is sent on for good: took a new start for doubtful evidence where nothing had been heard since the send, which counts nothing against whole requests.

Cause: the doubt is about which of many shared parts was running. A whole request is known by itself, and counted before.

Change: the doubt of a new start is told to the parts alone.

--- a/src/quarantine/crashWatch.ts
+++ b/src/quarantine/crashWatch.ts
@@ -209,14 +209,17 @@
             runMs: Math.round(moment.runMilliseconds),
             silentMs: Math.round(moment.silentMilliseconds),
         });
-        const isDoubtful = mayBeLoad || moment.aliveWhenSent === "likely";
+        const wasLikelyAlive = moment.aliveWhenSent === "likely";
+        const isDoubtful = mayBeLoad || (wasLikelyAlive && life === "unresponsive");
         const evidence = { isDoubtful, isLastAttempt: run.isLastAttempt(), crashedAt };
         for (const fingerprint of request.getTraitKeys()) {
             const pointsAtStart = traitPoints.get(fingerprint) ?? 0;
             quarantine.addCrash({ ...evidence, fingerprint, pointsAtStart, stage, beganAt: run.sentAt });
         }
         if (partPoints.size > 0) {
-            await this.#addLoneCrash(run, moment, { ...evidence, stage: run.hasHead ? "running" : "waiting", beganAt });
+            const partStage: CrashStage = run.hasHead ? "running" : "waiting";
+            const partEvidence = { ...evidence, isDoubtful: mayBeLoad || wasLikelyAlive, stage: partStage, beganAt };
+            await this.#addLoneCrash(run, moment, partEvidence);
         }
     }
 
--- a/test/quarantine/crashWatch.test.ts
+++ b/test/quarantine/crashWatch.test.ts
@@ -55,7 +55,8 @@
         }
     };
     const getPoints = (): number => partQuarantine.getPoints(() => "common");
-    return { clock, lines, watch, start, startAgain, settle, getPoints };
+    const getRequestPoints = ({ request }: WatchedRun): number => quarantine.getPoints(request.getFingerprint);
+    return { clock, lines, watch, start, startAgain, settle, getPoints, getRequestPoints };
 }
 
 describe("the watch for crashed upstreams, by what they show", () => {
@@ -173,6 +174,16 @@
         expect(getPoints()).toEqual(2);
     });
 
+    // Guards against a request that ends its upstreams for as long as these are back at once.
+    it("counts an upstream that has started anew against the request that it had worked on", async () => {
+        const { clock, watch, start, settle, getRequestPoints } = createWatch({ life: "restarted" });
+        const run = start("u1");
+        clock.advance(eventMilliseconds);
+        await watch.evaluate(run, "disconnected");
+        await settle();
+        expect(getRequestPoints(run)).toEqual(1);
+    });
+
     // Guards against a rare part whose every request ends three upstreams before it counts again.
     it("counts two crashes under one request that waited, and no third one", async () => {
         const { clock, watch, startAgain, settle, getPoints } = createWatch({ life: "ended" });
